--- /dev/null
+++ b/crates/dewspar-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/dewspar/src/admit.rs
@@ -0,0 +1,226 @@
+/*!
+Admission: which request is accepted, and who of the waiting goes next.
+
+Requests wait for a slot in one [`Queue`] per service. It is fair between
+partners: each has its own line, and the lines are served by weight, so a
+partner that sends ten times its share waits behind itself and not in front
+of others. A share that its partner doesn't use is lent, and returns at once.
+
+A request that can't meet its deadline is refused when it arrives, with a
+time to come back, and not when the deadline has passed.
+
+# Example
+
+```
+use dewspar::admit::{Queue, Refusal};
+
+let mut queue = Queue::new(4);
+queue.push("bank", 1, 1_000, 0, 'a')?;
+queue.push("bank", 1, 1_000, 0, 'b')?;
+queue.push("notary", 1, 1_000, 0, 'c')?;
+let order: String = std::iter::from_fn(|| queue.pop()).collect();
+assert_eq!(order, "acb");
+
+// Four wait at most; more are refused with a time to come back.
+for _ in 0..4 {
+    queue.push("bank", 1, 1_000, 0, 'x')?;
+}
+let refusal = queue.push("bank", 1, 1_000, 0, 'y').unwrap_err();
+assert!(matches!(refusal, Refusal::QueueFull { .. }));
+# Ok::<(), Refusal>(())
+```
+*/
+
+use {
+    displaydoc::Display,
+    std::collections::{BTreeMap, VecDeque},
+};
+
+/// Why a request was not accepted.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Refusal {
+    /// too many requests of this partner wait; come back in {retry_after_ms} ms
+    QueueFull {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+    /// the deadline would pass before a slot is free; come back in {retry_after_ms} ms
+    TooLate {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
+}
+
+impl std::error::Error for Refusal {}
+
+impl Refusal {
+    /// Returns when to come back, in milliseconds.
+    pub fn retry_after_ms(&self) -> u64 {
+        match self {
+            Refusal::QueueFull { retry_after_ms }
+            | Refusal::TooLate { retry_after_ms } => *retry_after_ms,
+        }
+    }
+}
+
+#[derive(Debug)]
+struct Waiting<T> {
+    deadline_ms: u64,
+    item: T,
+}
+
+#[derive(Debug)]
+struct Line<T> {
+    // Virtual time at which the line's next request is due.
+    due: u64,
+    weight: u32,
+    waiting: VecDeque<Waiting<T>>,
+}
+
+/// The virtual time that one request costs a partner of weight 1.
+const COST: u64 = 1_000_000;
+
+/// How many past results the estimate of the wait weighs, as a shift.
+const SMOOTHING: u32 = 4;
+
+/// The requests that wait for a slot of one service.
+#[derive(Debug)]
+pub struct Queue<T> {
+    most_per_partner: usize,
+    now: u64,
+    lines: BTreeMap<String, Line<T>>,
+    len: usize,
+    // Smoothed time between two departures, in microseconds.
+    gap_us: u64,
+    last_departure_ms: Option<u64>,
+}
+
+impl<T> Queue<T> {
+    /// Makes an empty queue that holds so many requests of each partner.
+    pub fn new(most_per_partner: usize) -> Queue<T> {
+        Queue {
+            most_per_partner,
+            now: 0,
+            lines: BTreeMap::new(),
+            len: 0,
+            gap_us: 0,
+            last_departure_ms: None,
+        }
+    }
+
+    /// Returns how many requests wait.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns whether no request waits.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Returns how long a request of the partner would wait, in
+    /// milliseconds.
+    pub fn expected_wait_ms(&self, partner: &str) -> u64 {
+        let own = self.lines.get(partner).map_or(0, |l| l.waiting.len());
+        let lines = self.lines.values().filter(|l| !l.waiting.is_empty());
+        // While others wait too, a line moves once per round.
+        let ahead = (own * lines.count().max(1)).min(self.len);
+        ahead as u64 * self.gap_us / 1_000
+    }
+
+    /// Lets a request wait.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`] when the partner's line is full or the
+    /// deadline would pass first.
+    pub fn push(
+        &mut self,
+        partner: &str,
+        weight: u32,
+        deadline_ms: u64,
+        now_ms: u64,
+        item: T,
+    ) -> Result<(), Refusal> {
+        let wait_ms = self.expected_wait_ms(partner);
+        let retry_after_ms = wait_ms.max(1);
+        if now_ms + wait_ms >= deadline_ms {
+            return Err(Refusal::TooLate { retry_after_ms });
+        }
+        let now = self.now;
+        let line =
+            self.lines
+                .entry(partner.to_owned())
+                .or_insert_with(|| Line {
+                    due: now,
+                    weight,
+                    waiting: VecDeque::new(),
+                });
+        if line.waiting.len() >= self.most_per_partner {
+            return Err(Refusal::QueueFull { retry_after_ms });
+        }
+        line.weight = weight.max(1);
+        if line.waiting.is_empty() {
+            // An idle line saves nothing up.
+            line.due = line.due.max(now);
+        }
+        line.waiting.push_back(Waiting { deadline_ms, item });
+        self.len += 1;
+        Ok(())
+    }
+
+    /// Returns the request that goes next.
+    pub fn pop(&mut self) -> Option<T> {
+        let line = self
+            .lines
+            .values_mut()
+            .filter(|line| !line.waiting.is_empty())
+            .min_by_key(|line| line.due)?;
+        self.now = self.now.max(line.due);
+        line.due += COST / u64::from(line.weight);
+        let waiting = line.waiting.pop_front()?;
+        self.len -= 1;
+        Some(waiting.item)
+    }
+
+    /// Records that a request left for a runner, for the estimate.
+    pub fn departed(&mut self, now_ms: u64) {
+        if self.is_empty() {
+            // A gap without anyone waiting says nothing about the wait.
+            self.last_departure_ms = None;
+            return;
+        }
+        if let Some(last_ms) = self.last_departure_ms {
+            let gap_us = now_ms.saturating_sub(last_ms) * 1_000;
+            let old = self.gap_us;
+            self.gap_us = old - (old >> SMOOTHING) + (gap_us >> SMOOTHING);
+        }
+        self.last_departure_ms = Some(now_ms);
+    }
+
+    /// Removes and returns the requests whose deadline has passed, or that
+    /// `gone` says nobody waits for.
+    pub fn expire(
+        &mut self,
+        now_ms: u64,
+        gone: impl Fn(&T) -> bool,
+    ) -> Vec<T> {
+        let mut expired = Vec::new();
+        for line in self.lines.values_mut() {
+            let waiting = std::mem::take(&mut line.waiting);
+            for waiting in waiting {
+                if waiting.deadline_ms <= now_ms || gone(&waiting.item) {
+                    expired.push(waiting.item);
+                } else {
+                    line.waiting.push_back(waiting);
+                }
+            }
+        }
+        self.len -= expired.len();
+        let now = self.now;
+        self.lines
+            .retain(|_, l| !l.waiting.is_empty() || l.due > now);
+        expired
+    }
+}
--- /dev/null
+++ b/crates/dewspar/src/config/chunk.rs
@@ -0,0 +1,168 @@
+use {
+    crate::{
+        config::{Error, Kind, Resource, Snapshot},
+        util::{digest_hex, stable_hash},
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// How many chunks the resources of one kind are spread over.
+///
+/// 16 keeps a chunk of the letter's largest kind (391 pools) near 5 KB, so a
+/// change moves little, and the head's table near 6 KB.
+const CHUNKS_PER_KIND: u64 = 16;
+
+/// How many past tokens and retired chunks a head remembers.
+const REMEMBERED: usize = 16;
+
+/// An immutable group of resources, named by its content.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Chunk {
+    digest: String,
+    body: Vec<u8>,
+}
+
+impl Chunk {
+    /// Returns the digest that names the chunk.
+    pub fn digest(&self) -> &str {
+        &self.digest
+    }
+
+    /// Returns the bytes to store under that name.
+    pub fn body(&self) -> &[u8] {
+        &self.body
+    }
+
+    /// Reads a chunk's resources.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Syntax`] when the bytes aren't those of `digest`.
+    pub fn read(digest: &str, body: &[u8]) -> Result<Vec<Resource>, Error> {
+        if digest_hex(body) != digest {
+            let reason = format!("chunk {digest} has other content");
+            return Err(Error::Syntax { reason });
+        }
+        let values: Vec<serde_json::Value> = serde_json::from_slice(body)
+            .map_err(|e| Error::Syntax {
+                reason: e.to_string(),
+            })?;
+        values.into_iter().map(Resource::from_value).collect()
+    }
+}
+
+/// The one value that says which configuration is in force.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Head {
+    revision: u64,
+    tokens: Vec<String>,
+    chunks: BTreeMap<String, String>,
+    retired: Vec<String>,
+}
+
+impl Head {
+    /// Returns the revision in force.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns the digests of the chunks that make up the snapshot.
+    pub fn digests(&self) -> impl Iterator<Item = &str> {
+        self.chunks.values().map(String::as_str)
+    }
+
+    /// Returns whether the write with this token is part of this head or of
+    /// one of its recent ancestors.
+    pub fn contains(&self, token: &str) -> bool {
+        self.tokens.iter().any(|known| known == token)
+    }
+
+    /// Builds the successor of this head for `snapshot`.
+    ///
+    /// Returns the new head and the chunks that must be stored before it is
+    /// swapped in. The digests that nobody can need any longer are those
+    /// that [`Head::forgotten`] names.
+    pub fn advance(
+        &self,
+        snapshot: &Snapshot,
+        token: &str,
+    ) -> (Head, Vec<Chunk>) {
+        let mut chunks = BTreeMap::new();
+        let mut fresh = Vec::new();
+        for (slot, chunk) in group(snapshot) {
+            if self.chunks.get(&slot) != Some(&chunk.digest) {
+                fresh.push(chunk.clone());
+            }
+            chunks.insert(slot, chunk.digest);
+        }
+        let mut retired = self.retired.clone();
+        let replaced = self
+            .chunks
+            .values()
+            .filter(|d| !chunks.values().any(|c| c == *d));
+        retired.extend(replaced.cloned());
+        retired.retain(|digest| !chunks.values().any(|c| c == digest));
+        keep_last(&mut retired, REMEMBERED);
+        let mut tokens = self.tokens.clone();
+        tokens.push(token.to_owned());
+        keep_last(&mut tokens, REMEMBERED);
+        let revision = snapshot.revision();
+        (
+            Head {
+                revision,
+                tokens,
+                chunks,
+                retired,
+            },
+            fresh,
+        )
+    }
+
+    /// Returns the digests that `next` no longer keeps and nobody reads.
+    pub fn forgotten<'a>(
+        &'a self,
+        next: &'a Head,
+    ) -> impl Iterator<Item = &'a str> {
+        self.chunks
+            .values()
+            .chain(&self.retired)
+            .filter(|digest| {
+                !next.chunks.values().any(|c| c == *digest)
+                    && !next.retired.contains(digest)
+            })
+            .map(String::as_str)
+    }
+}
+
+fn keep_last(list: &mut Vec<String>, most: usize) {
+    let surplus = list.len().saturating_sub(most);
+    list.drain(..surplus);
+}
+
+fn group(snapshot: &Snapshot) -> BTreeMap<String, Chunk> {
+    let mut groups: BTreeMap<String, Vec<serde_json::Value>> = BTreeMap::new();
+    for resource in snapshot.resources() {
+        let slot = slot_of(resource.kind(), resource.name());
+        groups.entry(slot).or_default().push(resource.to_value());
+    }
+    groups
+        .into_iter()
+        .map(|(slot, values)| {
+            let body = serde_json::Value::Array(values).to_string();
+            let body = body.into_bytes();
+            (
+                slot,
+                Chunk {
+                    digest: digest_hex(&body),
+                    body,
+                },
+            )
+        })
+        .collect()
+}
+
+fn slot_of(kind: Kind, name: &str) -> String {
+    let bucket = stable_hash(kind.as_str(), name) % CHUNKS_PER_KIND;
+    format!("{kind}/{bucket:02}")
+}
--- /dev/null
+++ b/crates/dewspar/src/config/error.rs
@@ -0,0 +1,52 @@
+use {crate::config::Kind, displaydoc::Display};
+
+/// Why a document or a change was refused.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Error {
+    /// document can't be read: {reason}
+    Syntax {
+        /// What the decoder said, with its place.
+        reason: String,
+    },
+    /// {kind} `{name}`: field `{field}` {problem}
+    Field {
+        /// The resource's kind.
+        kind: Kind,
+        /// The resource's name.
+        name: String,
+        /// The path of the field, such as `spec.runners`.
+        field: String,
+        /// What is wrong, and what would be valid.
+        problem: String,
+    },
+    /// {kind} `{name}` is at revision {current}, but the change expected {expected}
+    Conflict {
+        /// The resource's kind.
+        kind: Kind,
+        /// The resource's name.
+        name: String,
+        /// The revision the writer had read.
+        expected: u64,
+        /// The revision in force.
+        current: u64,
+    },
+    /// {kind} `{name}` doesn't exist
+    NotFound {
+        /// The resource's kind.
+        kind: Kind,
+        /// The resource's name.
+        name: String,
+    },
+    /// {kind} `{name}` can't be deleted: {user} still refers to it
+    InUse {
+        /// The resource's kind.
+        kind: Kind,
+        /// The resource's name.
+        name: String,
+        /// The resource that refers to it.
+        user: String,
+    },
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/dewspar/src/config/validate.rs
@@ -0,0 +1,178 @@
+/*!
+The rules that a snapshot must meet as a whole.
+*/
+
+use {
+    crate::config::{
+        AvailabilityBudgetSpec, Error, Kind, Resource, Snapshot, Spec,
+    },
+    std::collections::BTreeMap,
+};
+
+/// The longest name of a resource, in bytes.
+const MAX_NAME_LEN: usize = 63;
+
+/// The most runners a service or tasks a job may ask for.
+const MAX_COUNT: u32 = 10_000;
+
+/// Checks every resource against every other.
+pub(crate) fn snapshot(snapshot: &Snapshot) -> Result<(), Error> {
+    let mut pool_of = BTreeMap::new();
+    for resource in snapshot.resources() {
+        name(resource)?;
+        match resource.spec() {
+            Spec::Pool(spec) => {
+                for vm in &spec.vms {
+                    if let Some(other) = pool_of.insert(vm, resource.name()) {
+                        let problem = format!(
+                            "lists VM `{vm}`, but pool `{other}` has it: \
+                             a VM belongs to exactly one pool",
+                        );
+                        return Err(field(resource, "spec.vms", problem));
+                    }
+                }
+            }
+            Spec::Team(spec) => {
+                positive(resource, "spec.weight", spec.weight)?;
+            }
+            Spec::Service(spec) => {
+                team(snapshot, resource, &spec.team)?;
+                pool(snapshot, resource, &spec.pool)?;
+                positive(resource, "spec.runners", spec.runners)?;
+                positive(resource, "spec.slots", spec.slots)?;
+                positive(resource, "spec.connections", spec.connections)?;
+            }
+            Spec::Job(spec) => {
+                team(snapshot, resource, &spec.team)?;
+                pool(snapshot, resource, &spec.pool)?;
+                positive(resource, "spec.tasks", spec.tasks)?;
+            }
+            Spec::AvailabilityBudget(spec) => {
+                budget(snapshot, resource, spec)?;
+            }
+            Spec::MaintenanceWave(spec) => {
+                pool(snapshot, resource, &spec.pool)?;
+                positive(resource, "spec.max_parallel", spec.max_parallel)?;
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Returns the first resource that refers to the given one.
+pub(crate) fn user_of(
+    snapshot: &Snapshot,
+    kind: Kind,
+    name: &str,
+) -> Option<String> {
+    let user = snapshot.resources().find(|r| match (kind, r.spec()) {
+        (Kind::Team, Spec::Service(spec)) => spec.team == name,
+        (Kind::Team, Spec::Job(spec)) => spec.team == name,
+        (Kind::Pool, Spec::Service(spec)) => spec.pool == name,
+        (Kind::Pool, Spec::Job(spec)) => spec.pool == name,
+        (Kind::Pool, Spec::AvailabilityBudget(spec)) => spec.pool == name,
+        (Kind::Pool, Spec::MaintenanceWave(spec)) => spec.pool == name,
+        (Kind::Service, Spec::AvailabilityBudget(spec)) => {
+            spec.service.as_deref() == Some(name)
+        }
+        _ => false,
+    })?;
+    Some(format!("{} `{}`", user.kind(), user.name()))
+}
+
+fn name(resource: &Resource) -> Result<(), Error> {
+    let name = resource.name();
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.is_empty()
+        || name.len() > MAX_NAME_LEN
+        || !name.chars().all(allowed)
+    {
+        let problem = format!(
+            "must have 1 to {MAX_NAME_LEN} letters, digits, `-`, `_` or `.`",
+        );
+        return Err(field(resource, "name", problem));
+    }
+    Ok(())
+}
+
+fn positive(resource: &Resource, path: &str, value: u32) -> Result<(), Error> {
+    if value == 0 || value > MAX_COUNT {
+        let problem = format!("is {value}, but must be 1 to {MAX_COUNT}");
+        return Err(field(resource, path, problem));
+    }
+    Ok(())
+}
+
+fn team(
+    snapshot: &Snapshot,
+    resource: &Resource,
+    name: &str,
+) -> Result<(), Error> {
+    if snapshot.team(name).is_none() {
+        let problem = format!("names team `{name}`, which doesn't exist");
+        return Err(field(resource, "spec.team", problem));
+    }
+    Ok(())
+}
+
+fn pool(
+    snapshot: &Snapshot,
+    resource: &Resource,
+    name: &str,
+) -> Result<(), Error> {
+    if snapshot.pool(name).is_none() {
+        let problem = format!("names pool `{name}`, which doesn't exist");
+        return Err(field(resource, "spec.pool", problem));
+    }
+    Ok(())
+}
+
+fn budget(
+    snapshot: &Snapshot,
+    resource: &Resource,
+    spec: &AvailabilityBudgetSpec,
+) -> Result<(), Error> {
+    pool(snapshot, resource, &spec.pool)?;
+    let (most, what) = match &spec.service {
+        None => {
+            let size = snapshot.pool(&spec.pool).map_or(0, |p| p.vms.len());
+            let what = format!("VMs in pool `{}`", spec.pool);
+            (u32::try_from(size).unwrap_or(u32::MAX), what)
+        }
+        Some(name) => match snapshot.service(name) {
+            Some(service) if service.pool == spec.pool => {
+                (service.runners, format!("runners of service `{name}`"))
+            }
+            Some(service) => {
+                let problem = format!(
+                    "names service `{name}`, which pool `{}` carries, \
+                     not pool `{}`",
+                    service.pool, spec.pool,
+                );
+                return Err(field(resource, "spec.service", problem));
+            }
+            None => {
+                let problem =
+                    format!("names service `{name}`, which doesn't exist");
+                return Err(field(resource, "spec.service", problem));
+            }
+        },
+    };
+    if spec.min_available > most {
+        let problem = format!(
+            "is {}, but must be at most {most}, the number of {what}",
+            spec.min_available,
+        );
+        return Err(field(resource, "spec.min_available", problem));
+    }
+    Ok(())
+}
+
+fn field(resource: &Resource, path: &str, problem: String) -> Error {
+    Error::Field {
+        kind: resource.kind(),
+        name: resource.name().to_owned(),
+        field: path.to_owned(),
+        problem,
+    }
+}
--- /dev/null
+++ b/crates/dewspar/src/member.rs
@@ -0,0 +1,395 @@
+/*!
+Membership: who is alive, and who acts first.
+
+Each node is listed at the platform under a lease, which says who *belongs*.
+Leases are long, because the platform's rates grow more slowly than the
+fleet; who is *alive* is learned by probing. A node probes a few peers, the
+same few each round plus one that rotates, so the cost doesn't grow with the
+roster. What a node suspects rides on its probes with an age, and is
+forgotten when nobody repeats it: suspicion is soft state.
+
+Who acts on a key first is the node ranked first by [`ranked`] among those
+alive. Two nodes with different views may both act; the swap at the platform
+settles it.
+
+# Example
+
+```
+use dewspar::member::{Member, Roster, Timing};
+
+let mut roster = Roster::new("n1", Timing::default());
+roster.list((1..=3).map(|i| Member::new(&format!("n{i}"), i, "hall-1")), 0);
+assert_eq!(roster.live(0).len(), 3);
+
+// n2 answers, n3 doesn't: after three missed probes it is suspected.
+for now_ms in [500, 1_000, 1_500] {
+    roster.probe_succeeded("n2", 0, now_ms);
+    roster.probe_failed("n3", now_ms);
+}
+assert_eq!(roster.live(1_500), ["n1", "n2"]);
+```
+*/
+
+use {
+    crate::util::stable_hash,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
+};
+
+/// Returns the nodes in the order in which they should act on `key`.
+///
+/// This is rendezvous hashing: every node computes the same order from the
+/// same roster, and the loss of one node moves only what it was first for.
+pub fn ranked<'a>(key: &str, nodes: &[&'a str]) -> Vec<&'a str> {
+    let mut order = nodes.to_vec();
+    order.sort_by_cached_key(|node| {
+        (std::cmp::Reverse(stable_hash(key, node)), node.to_string())
+    });
+    order
+}
+
+/// Returns the node ranked first for `key`, if there is any.
+pub fn first<'a>(key: &str, nodes: &[&'a str]) -> Option<&'a str> {
+    nodes
+        .iter()
+        .copied()
+        .max_by_key(|node| (stable_hash(key, node), std::cmp::Reverse(*node)))
+}
+
+/// A node as it lists itself at the platform.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    name: String,
+    incarnation: u64,
+    hall: String,
+    #[serde(default)]
+    peer_address: String,
+}
+
+impl Member {
+    /// Makes a member; its incarnation differs at each start of the process.
+    pub fn new(name: &str, incarnation: u64, hall: &str) -> Member {
+        Member {
+            name: name.to_owned(),
+            incarnation,
+            hall: hall.to_owned(),
+            peer_address: String::new(),
+        }
+    }
+
+    /// Returns the member with the address at which peers reach it.
+    pub fn with_peer_address(mut self, address: &str) -> Member {
+        self.peer_address = address.to_owned();
+        self
+    }
+
+    /// Returns the node's name.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Returns the number that tells this process from its predecessors.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// Returns the data hall that the node is in.
+    pub fn hall(&self) -> &str {
+        &self.hall
+    }
+
+    /// Returns the address at which peers reach the node.
+    pub fn peer_address(&self) -> &str {
+        &self.peer_address
+    }
+}
+
+/// How often peers are probed, and when they are suspected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Timing {
+    probe_interval_ms: u64,
+    fan_out: usize,
+    misses: u32,
+}
+
+impl Default for Timing {
+    /// Probes three peers each 500 ms and suspects after three misses, so a
+    /// dead node is suspected within about 1.5 s.
+    fn default() -> Timing {
+        Timing {
+            probe_interval_ms: 500,
+            fan_out: 3,
+            misses: 3,
+        }
+    }
+}
+
+impl Timing {
+    /// Sets the time between two rounds of probes, in milliseconds.
+    pub fn probe_interval_ms(mut self, interval_ms: u64) -> Timing {
+        self.probe_interval_ms = interval_ms;
+        self
+    }
+
+    /// Sets how many peers are probed in a round.
+    pub fn fan_out(mut self, fan_out: usize) -> Timing {
+        self.fan_out = fan_out;
+        self
+    }
+
+    /// Returns the time between two rounds of probes, in milliseconds.
+    pub fn interval_ms(&self) -> u64 {
+        self.probe_interval_ms
+    }
+
+    /// Returns how long a suspicion lasts that nobody repeats, in
+    /// milliseconds.
+    fn suspicion_ms(&self) -> u64 {
+        self.probe_interval_ms * u64::from(self.misses + 1)
+    }
+}
+
+/// One node's suspicion of another, as it travels on probes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Suspicion {
+    name: String,
+    incarnation: u64,
+    age_ms: u64,
+}
+
+/// The most suspicions that one probe carries.
+const MAX_SUSPICIONS: usize = 8;
+
+#[derive(Clone, Debug)]
+struct Peer {
+    member: Member,
+    misses: u32,
+    suspected_until_ms: u64,
+}
+
+/// One node's view of who belongs and who is alive.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    own: String,
+    timing: Timing,
+    peers: BTreeMap<String, Peer>,
+    round: usize,
+}
+
+impl Roster {
+    /// Makes the roster of the node named `own`; it always counts itself.
+    pub fn new(own: &str, timing: Timing) -> Roster {
+        Roster {
+            own: own.to_owned(),
+            timing,
+            peers: BTreeMap::new(),
+            round: 0,
+        }
+    }
+
+    /// Takes over the platform's list of members.
+    ///
+    /// Members that the platform no longer lists are dropped. Callers hold
+    /// a list back for a grace period after an outage, so that members whose
+    /// leases lapsed meanwhile come back before anyone succeeds them.
+    pub fn list(
+        &mut self,
+        members: impl IntoIterator<Item = Member>,
+        now_ms: u64,
+    ) {
+        let listed: BTreeMap<String, Member> = members
+            .into_iter()
+            .map(|m| (m.name().to_owned(), m))
+            .collect();
+        self.peers.retain(|name, _| listed.contains_key(name));
+        for (name, member) in listed {
+            match self.peers.get_mut(&name) {
+                Some(peer) if peer.member == member => {}
+                // A new incarnation starts with a clean slate.
+                _ => {
+                    let peer = Peer {
+                        member,
+                        misses: 0,
+                        suspected_until_ms: now_ms,
+                    };
+                    self.peers.insert(name, peer);
+                }
+            }
+        }
+    }
+
+    /// Returns the member of that name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.peers.get(name).map(|peer| &peer.member)
+    }
+
+    /// Returns every listed member but this node.
+    pub fn others(&self) -> impl Iterator<Item = &Member> {
+        let own = self.own.as_str();
+        self.peers
+            .values()
+            .map(|peer| &peer.member)
+            .filter(move |member| member.name() != own)
+    }
+
+    /// Returns the peers to probe in the next round.
+    pub fn next_targets(&mut self) -> Vec<Member> {
+        self.round = self.round.wrapping_add(1);
+        let others: Vec<&Member> = self.others().collect();
+        if others.len() <= self.timing.fan_out {
+            return others.into_iter().cloned().collect();
+        }
+        // Members are ordered by name; the fixed ones follow this node.
+        let start =
+            others.iter().take_while(|m| *m.name() < *self.own).count();
+        let fixed = self.timing.fan_out - 1;
+        let rest = others.len() - fixed;
+        let at = |offset: usize| others[(start + offset) % others.len()];
+        let rotating = fixed + self.round % rest;
+        (0..fixed)
+            .chain([rotating])
+            .map(|i| at(i).clone())
+            .collect()
+    }
+
+    /// Records that a peer answered a probe with this incarnation.
+    ///
+    /// An incarnation of 0 means that the answer didn't name it.
+    pub fn probe_succeeded(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        now_ms: u64,
+    ) {
+        if let Some(peer) = self.peers.get_mut(name)
+            && (incarnation == 0 || incarnation == peer.member.incarnation)
+        {
+            peer.misses = 0;
+            peer.suspected_until_ms = now_ms;
+        }
+    }
+
+    /// Records that a peer didn't answer a probe in time.
+    pub fn probe_failed(&mut self, name: &str, now_ms: u64) {
+        let timing = self.timing;
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.misses += 1;
+            if peer.misses >= timing.misses {
+                peer.suspected_until_ms = now_ms + timing.suspicion_ms();
+            }
+        }
+    }
+
+    /// Returns the suspicions to send along with a probe.
+    pub fn suspicions(&self, now_ms: u64) -> Vec<Suspicion> {
+        let full_ms = self.timing.suspicion_ms();
+        self.peers
+            .values()
+            .filter(|peer| peer.suspected_until_ms > now_ms)
+            .take(MAX_SUSPICIONS)
+            .map(|peer| {
+                let left_ms = peer.suspected_until_ms - now_ms;
+                Suspicion {
+                    name: peer.member.name.clone(),
+                    incarnation: peer.member.incarnation,
+                    age_ms: full_ms.saturating_sub(left_ms),
+                }
+            })
+            .collect()
+    }
+
+    /// Takes over what a peer suspects, unless it is about this node or
+    /// about a process that has been replaced.
+    pub fn hear(&mut self, suspicions: &[Suspicion], now_ms: u64) {
+        let full_ms = self.timing.suspicion_ms();
+        for suspicion in suspicions {
+            let until_ms = now_ms + full_ms.saturating_sub(suspicion.age_ms);
+            if let Some(peer) = self.peers.get_mut(&suspicion.name)
+                && peer.member.incarnation == suspicion.incarnation
+                && suspicion.name != self.own
+            {
+                peer.suspected_until_ms =
+                    peer.suspected_until_ms.max(until_ms);
+            }
+        }
+    }
+
+    /// Returns the names of the members that aren't suspected, in order.
+    pub fn live(&self, now_ms: u64) -> Vec<&str> {
+        let mut live: Vec<&str> = self
+            .peers
+            .iter()
+            .filter(|(name, peer)| {
+                peer.suspected_until_ms <= now_ms || **name == self.own
+            })
+            .map(|(name, _)| name.as_str())
+            .collect();
+        if let Err(place) = live.binary_search(&self.own.as_str()) {
+            live.insert(place, &self.own);
+        }
+        live
+    }
+
+    /// Returns whether this node should act on `key` now.
+    pub fn is_first(&self, key: &str, now_ms: u64) -> bool {
+        first(key, &self.live(now_ms)) == Some(self.own.as_str())
+    }
+}
+
+/// How sure a node is that no newer configuration is in force.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Freshness {
+    /// The platform or a peer that reaches it confirmed the revision.
+    Confirmed,
+    /// Nobody on the roster reaches the platform, so nobody can have
+    /// accepted anything newer.
+    PlatformOut,
+    /// Somebody may have accepted something newer: stop serving.
+    CutOff,
+}
+
+/// Says how fresh a node's configuration is.
+///
+/// `own_age_ms` is the time since the platform itself confirmed it. Each
+/// peer gives the time since that peer was last heard, and the age of its
+/// own confirmation at that moment. Ages beyond `bound_ms` don't count.
+///
+/// # Example
+///
+/// ```
+/// use dewspar::member::{Freshness, PeerAge, freshness};
+///
+/// let reaches = PeerAge { heard_ms: 100, confirmed_ms: Some(300) };
+/// let cut = PeerAge { heard_ms: 100, confirmed_ms: None };
+/// let silent = PeerAge { heard_ms: 60_000, confirmed_ms: Some(1) };
+/// assert_eq!(freshness(9_000, &[reaches], 4_000), Freshness::Confirmed);
+/// assert_eq!(freshness(9_000, &[cut], 4_000), Freshness::PlatformOut);
+/// assert_eq!(freshness(9_000, &[cut, silent], 4_000), Freshness::CutOff);
+/// ```
+pub fn freshness(
+    own_age_ms: u64,
+    peers: &[PeerAge],
+    bound_ms: u64,
+) -> Freshness {
+    let confirmed = peers.iter().any(|peer| {
+        peer.confirmed_ms
+            .is_some_and(|age| age + peer.heard_ms <= bound_ms)
+    });
+    if own_age_ms <= bound_ms || confirmed {
+        Freshness::Confirmed
+    } else if peers.iter().all(|peer| peer.heard_ms <= bound_ms) {
+        Freshness::PlatformOut
+    } else {
+        Freshness::CutOff
+    }
+}
+
+/// What a peer last said about its reach to the platform.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PeerAge {
+    /// Milliseconds since the peer was last heard.
+    pub heard_ms: u64,
+    /// Milliseconds since its own confirmation when it spoke, if it reaches
+    /// the platform.
+    pub confirmed_ms: Option<u64>,
+}
--- /dev/null
+++ b/crates/dewspar/src/place.rs
@@ -0,0 +1,416 @@
+/*!
+Placement: which VM carries which task.
+
+A service wants so many runners and a job so many tasks. [`plan`] compares
+that with the pool's document and returns what to change, nothing else: tasks
+that stand where they can stay are left alone, because each move may cost a
+signing. A task is sized by the peak its worker reported, with a margin, once
+there is a report; declared sizes are far from the truth.
+
+Among the VMs with room, the one is taken that carries the fewest siblings,
+then whose rack does, then whose hall does; so the loss of one takes as few
+runners of a service as can be. While a wave runs, VMs that it has maintained
+come first, so that a drained task moves once and not again.
+
+A task that no VM of the pool could ever carry is named as such. It waits
+with that reason and holds up nobody.
+
+# Example
+
+```
+use dewspar::{
+    config::{Change, Resource, Snapshot},
+    fleet::{Hall, Listing},
+    place::{self, Step, Usage},
+    pool::PoolState,
+};
+
+let desired = Resource::all_from_yaml("
+kind: Team
+name: notaries
+spec: {partner: athens}
+---
+kind: Pool
+name: registry
+spec: {vms: [vm-1]}
+---
+kind: Job
+name: ledger
+spec: {team: notaries, pool: registry, cpu_millis: 64000}
+")?;
+let changes: Vec<Change> = desired.into_iter().map(Change::put).collect();
+let snapshot = Snapshot::default().apply(&changes)?;
+let mut hall = Hall::default();
+hall.list(&Listing::new("vm-1", "hall-1", "rack-1", "127.0.0.1:1"));
+hall.assign("vm-1", Some("registry"), 0)?;
+let rows: Vec<_> = hall.rows().collect();
+
+let state = PoolState::default();
+let steps =
+    place::plan(&snapshot, "registry", &state, &rows, &Usage::default());
+let Step::Wait { why, .. } = &steps[0] else { panic!() };
+assert_eq!(
+    why,
+    "can never run: needs 64000 cpu_millis and 1000 memory_mb, \
+     and no VM of the pool is that large",
+);
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+*/
+
+use {
+    crate::{
+        config::{Resource, Snapshot},
+        fleet::{Row, VmState},
+        pool::{PoolState, Task, TaskState},
+        util::stable_hash,
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// The margin on observed peaks, in percent.
+const PEAK_MARGIN_PERCENT: u64 = 25;
+
+/// How much of a VM a task takes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Size {
+    /// Processor time, in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory, in megabytes.
+    pub memory_mb: u64,
+}
+
+impl Size {
+    fn fits(self, room: Size) -> bool {
+        self.cpu_millis <= room.cpu_millis && self.memory_mb <= room.memory_mb
+    }
+
+    fn minus(self, other: Size) -> Size {
+        Size {
+            cpu_millis: self.cpu_millis.saturating_sub(other.cpu_millis),
+            memory_mb: self.memory_mb.saturating_sub(other.memory_mb),
+        }
+    }
+}
+
+/// The highest use that workers have reported, by task.
+#[derive(Clone, Debug, Default)]
+pub struct Usage {
+    peaks: BTreeMap<String, Size>,
+}
+
+impl Usage {
+    /// Takes in one report of a task's current use.
+    pub fn observe(&mut self, task: &str, size: Size) {
+        let peak = self.peaks.entry(task.to_owned()).or_default();
+        peak.cpu_millis = peak.cpu_millis.max(size.cpu_millis);
+        peak.memory_mb = peak.memory_mb.max(size.memory_mb);
+    }
+
+    /// Forgets tasks that `keep` doesn't name.
+    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
+        self.peaks.retain(|task, _| keep(task));
+    }
+
+    fn size_of(&self, task: &str, declared: Size) -> Size {
+        match self.peaks.get(task) {
+            None => declared,
+            Some(peak) => Size {
+                cpu_millis: with_margin(peak.cpu_millis),
+                memory_mb: with_margin(peak.memory_mb),
+            },
+        }
+    }
+}
+
+fn with_margin(value: u64) -> u64 {
+    value.saturating_mul(100 + PEAK_MARGIN_PERCENT) / 100
+}
+
+/// What to change in a pool's document.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Start the task on a VM.
+    Place {
+        /// The task's name.
+        task: String,
+        /// Its service or job.
+        owner: String,
+        /// The VM that should carry it.
+        vm: String,
+    },
+    /// Let the task wait.
+    Wait {
+        /// The task's name.
+        task: String,
+        /// Its service or job.
+        owner: String,
+        /// Why no VM carries it.
+        why: String,
+    },
+    /// Take the task off a VM that no longer serves.
+    Unplace {
+        /// The task's name.
+        task: String,
+        /// Why it was taken off.
+        why: String,
+    },
+    /// Forget a task that is no longer wanted.
+    Remove {
+        /// The task's name.
+        task: String,
+    },
+}
+
+/// A task that should exist.
+struct Wanted<'a> {
+    task: String,
+    owner: &'a str,
+    declared: Size,
+    urgent: bool,
+    runs_forever: bool,
+}
+
+/// Returns what to change so that the pool carries what it should.
+pub fn plan(
+    snapshot: &Snapshot,
+    pool: &str,
+    state: &PoolState,
+    rows: &[(&str, &Row)],
+    usage: &Usage,
+) -> Vec<Step> {
+    let wanted = wanted(snapshot, pool);
+    let mut board = Board::new(&wanted, pool, state, rows, usage);
+    let mut steps: Vec<Step> = surplus(&wanted, state);
+    for want in &wanted {
+        if let Some(step) = board.step(want, state, usage) {
+            steps.push(step);
+        }
+    }
+    steps
+}
+
+fn surplus(wanted: &[Wanted<'_>], state: &PoolState) -> Vec<Step> {
+    let names: BTreeSet<&str> =
+        wanted.iter().map(|want| want.task.as_str()).collect();
+    state
+        .tasks()
+        .filter(|(name, _)| !names.contains(name))
+        .map(|(name, _)| Step::Remove {
+            task: name.to_owned(),
+        })
+        .collect()
+}
+
+/// Lists the wanted tasks: urgent jobs, then services, then other jobs.
+fn wanted<'a>(snapshot: &'a Snapshot, pool: &str) -> Vec<Wanted<'a>> {
+    let services = snapshot
+        .services()
+        .filter(|(_, spec)| spec.pool == pool)
+        .flat_map(|(owner, spec)| {
+            (0..spec.runners).map(move |index| Wanted {
+                task: format!("{owner}-{index}"),
+                owner,
+                declared: Size {
+                    cpu_millis: spec.cpu_millis,
+                    memory_mb: spec.memory_mb,
+                },
+                urgent: false,
+                runs_forever: true,
+            })
+        });
+    let jobs = snapshot
+        .jobs()
+        .filter(|(_, spec)| spec.pool == pool)
+        .flat_map(|(job, spec): (&Resource, _)| {
+            (0..spec.tasks).map(move |index| Wanted {
+                task: format!("{}-{index}", job.name()),
+                owner: job.name(),
+                declared: Size {
+                    cpu_millis: spec.cpu_millis,
+                    memory_mb: spec.memory_mb,
+                },
+                urgent: spec.urgent,
+                runs_forever: false,
+            })
+        });
+    let mut wanted: Vec<Wanted<'a>> = services.chain(jobs).collect();
+    wanted.sort_by_key(|want| (!want.urgent, !want.runs_forever));
+    wanted
+}
+
+/// What stands on each VM while a plan is made.
+struct Board<'a> {
+    vms: BTreeMap<&'a str, Vm<'a>>,
+    largest: Vec<Size>,
+    wave_runs: bool,
+}
+
+struct Vm<'a> {
+    row: &'a Row,
+    room: Size,
+    owners: BTreeMap<String, usize>,
+    open: bool,
+    maintained: bool,
+}
+
+impl<'a> Board<'a> {
+    fn new(
+        wanted: &[Wanted<'_>],
+        pool: &str,
+        state: &PoolState,
+        rows: &[(&'a str, &'a Row)],
+        usage: &Usage,
+    ) -> Board<'a> {
+        let wave = state.taken().find_map(|(_, taken)| match taken.reason() {
+            crate::pool::Reason::Wave(wave) => Some(wave.clone()),
+            _ => None,
+        });
+        let in_pool = rows.iter().filter(|(_, row)| row.pool() == Some(pool));
+        let vms: BTreeMap<&str, Vm<'_>> = in_pool
+            .map(|&(name, row)| {
+                let open =
+                    row.state() == VmState::Serving && !state.is_taken(name);
+                let maintained =
+                    wave.is_some() && row.maintained() == wave.as_deref();
+                let room = size_of_vm(row);
+                let owners = BTreeMap::new();
+                (
+                    name,
+                    Vm {
+                        row,
+                        room,
+                        owners,
+                        open,
+                        maintained,
+                    },
+                )
+            })
+            .collect();
+        let largest = vms.values().map(|vm| vm.room).collect();
+        let mut board = Board {
+            vms,
+            largest,
+            wave_runs: wave.is_some(),
+        };
+        for want in wanted {
+            if let Some(task) = state.task(&want.task)
+                && stands(task)
+            {
+                let size = usage.size_of(&want.task, want.declared);
+                board.occupy(task.vm(), want.owner, size);
+            }
+        }
+        board
+    }
+
+    fn occupy(&mut self, vm: &str, owner: &str, size: Size) {
+        if let Some(vm) = self.vms.get_mut(vm) {
+            vm.room = vm.room.minus(size);
+            *vm.owners.entry(owner.to_owned()).or_default() += 1;
+        }
+    }
+
+    fn step(
+        &mut self,
+        want: &Wanted<'_>,
+        state: &PoolState,
+        usage: &Usage,
+    ) -> Option<Step> {
+        let task = state.task(&want.task);
+        if task.is_some_and(|task| task.state() == TaskState::Finished) {
+            return None;
+        }
+        let on = task.filter(|task| stands(task)).map(Task::vm);
+        if on.is_some_and(|vm| self.can_stay(vm)) {
+            return None;
+        }
+        let size = usage.size_of(&want.task, want.declared);
+        match self.best(want, size) {
+            Some(vm) => {
+                self.occupy(&vm, want.owner, size);
+                let (task, owner) = (want.task.clone(), want.owner.to_owned());
+                Some(Step::Place { task, owner, vm })
+            }
+            None => self.homeless(want, on, size),
+        }
+    }
+
+    /// Says what becomes of a task for which no VM has room.
+    fn homeless(
+        &self,
+        want: &Wanted<'_>,
+        on: Option<&str>,
+        size: Size,
+    ) -> Option<Step> {
+        let task = want.task.clone();
+        let why = self.why(size);
+        let Some(vm) = on else {
+            let owner = want.owner.to_owned();
+            return Some(Step::Wait { task, owner, why });
+        };
+        // A draining VM finishes what it has; the task waits only after it.
+        let still_up = self.vms.get(vm).is_some_and(|vm| {
+            matches!(vm.row.state(), VmState::Draining | VmState::Serving)
+        });
+        (!still_up).then_some(Step::Unplace { task, why })
+    }
+
+    fn can_stay(&self, vm: &str) -> bool {
+        self.vms.get(vm).is_some_and(|vm| vm.open)
+    }
+
+    fn why(&self, size: Size) -> String {
+        let Size {
+            cpu_millis,
+            memory_mb,
+        } = size;
+        let needs = format!(
+            "needs {cpu_millis} cpu_millis and {memory_mb} memory_mb",
+        );
+        if self.largest.iter().any(|largest| size.fits(*largest)) {
+            format!("{needs}, and no serving VM has that much room now")
+        } else if self.largest.is_empty() {
+            "the pool has no VM".to_owned()
+        } else {
+            format!(
+                "can never run: {needs}, and no VM of the pool is that large",
+            )
+        }
+    }
+
+    fn best(&self, want: &Wanted<'_>, size: Size) -> Option<String> {
+        let siblings = |same: &dyn Fn(&Row) -> bool| -> usize {
+            self.vms
+                .values()
+                .filter(|vm| same(vm.row))
+                .filter_map(|vm| vm.owners.get(want.owner))
+                .sum()
+        };
+        let (name, _) = self
+            .vms
+            .iter()
+            .filter(|(_, vm)| vm.open && size.fits(vm.room))
+            .min_by_key(|(name, vm)| {
+                let not_yet = self.wave_runs && !vm.maintained;
+                let here = vm.owners.get(want.owner).copied().unwrap_or(0);
+                let rack = siblings(&|row| row.rack() == vm.row.rack());
+                let hall = siblings(&|row| row.hall() == vm.row.hall());
+                let room = std::cmp::Reverse(vm.room.cpu_millis);
+                let tie = stable_hash(&want.task, name);
+                (not_yet, here, rack, hall, room, tie)
+            })?;
+        Some((*name).to_owned())
+    }
+}
+
+fn stands(task: &Task) -> bool {
+    matches!(task.state(), TaskState::Starting | TaskState::Running)
+}
+
+fn size_of_vm(row: &Row) -> Size {
+    Size {
+        cpu_millis: row.cpu_millis(),
+        memory_mb: row.memory_mb(),
+    }
+}
--- /dev/null
+++ b/crates/dewspar/src/pool.rs
@@ -0,0 +1,410 @@
+/*!
+A pool's agreed state: its tasks, and its disruption ledger, in one value.
+
+A budget holds only if "how many are out" and "take one more" are decided
+together. Only single-key compare-and-swap is promised, so both live in one
+document per pool, the [`PoolState`]: which VMs are *taken* and why, and which
+VM carries which task. A VM is taken here before it may drain in its hall's
+document, and released here after it serves again.
+
+# Example
+
+```
+use dewspar::pool::{PoolState, Reason, TaskState};
+
+let mut state = PoolState::default();
+state.place("extracts-0", "extracts", "vm-1", 5)?;
+assert_eq!(state.task("extracts-0").unwrap().state(), TaskState::Starting);
+state.started("extracts-0", 1, "127.0.0.1:9000")?;
+state.take("vm-2", Reason::Wave("winter".into()), 10);
+assert!(state.is_taken("vm-2"));
+# Ok::<(), dewspar::pool::Error>(())
+```
+*/
+
+use {
+    crate::chart::{self, Chart},
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, fmt},
+};
+
+/// Why a VM is out of service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The named maintenance wave took it.
+    Wave(String),
+    /// It failed.
+    Failure,
+    /// It moves to another pool.
+    Move,
+}
+
+impl fmt::Display for Reason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Reason::Wave(wave) => write!(f, "wave {wave}"),
+            Reason::Failure => f.write_str("failure"),
+            Reason::Move => f.write_str("move"),
+        }
+    }
+}
+
+/// One VM in the ledger.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Taken {
+    reason: Reason,
+    since_ms: u64,
+}
+
+impl Taken {
+    /// Returns why the VM is out.
+    pub fn reason(&self) -> &Reason {
+        &self.reason
+    }
+
+    /// Returns since when, in milliseconds of the Unix epoch.
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+}
+
+/// Where a task is on its way.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TaskState {
+    /// It has no VM.
+    Waiting,
+    /// Its worker has been, or is about to be, asked to start it.
+    Starting,
+    /// Its worker reported it running.
+    Running,
+    /// It ran to its end.
+    Finished,
+    /// It is no longer wanted.
+    Removed,
+}
+
+impl TaskState {
+    /// Every state, in the order of the chart.
+    pub const ALL: [TaskState; 5] = [
+        TaskState::Waiting,
+        TaskState::Starting,
+        TaskState::Running,
+        TaskState::Finished,
+        TaskState::Removed,
+    ];
+
+    /// Returns the state's name in the chart.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            TaskState::Waiting => "waiting",
+            TaskState::Starting => "starting",
+            TaskState::Running => "running",
+            TaskState::Finished => "finished",
+            TaskState::Removed => "removed",
+        }
+    }
+}
+
+/// A task's row.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Task {
+    owner: String,
+    state: TaskState,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    vm: String,
+    epoch: u64,
+    since_ms: u64,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    address: String,
+    #[serde(default)]
+    moves: u32,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    why_waiting: String,
+}
+
+impl Task {
+    /// Returns the service or job that the task belongs to.
+    pub fn owner(&self) -> &str {
+        &self.owner
+    }
+
+    /// Returns where the task is on its way.
+    pub fn state(&self) -> TaskState {
+        self.state
+    }
+
+    /// Returns the VM that carries it; empty while it waits.
+    pub fn vm(&self) -> &str {
+        &self.vm
+    }
+
+    /// Returns the number that fences starts of the task.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Returns since when, in milliseconds of the Unix epoch.
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+
+    /// Returns the address that the running task serves at.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Returns how often the task changed its VM.
+    pub fn moves(&self) -> u32 {
+        self.moves
+    }
+
+    /// Returns why the task waits; empty when it doesn't.
+    pub fn why_waiting(&self) -> &str {
+        &self.why_waiting
+    }
+}
+
+/// Why a task was left as it is.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Error {
+    /// task `{0}` doesn't exist
+    Unknown(String),
+    /// task `{task}` is at epoch {current}, not {given}
+    Stale {
+        /// The task's name.
+        task: String,
+        /// The epoch in the report.
+        given: u64,
+        /// The epoch in force.
+        current: u64,
+    },
+    /// task `{task}`: {refusal}
+    Refused {
+        /// The task's name.
+        task: String,
+        /// What the chart said.
+        refusal: chart::Error,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// A pool's agreed state.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PoolState {
+    taken: BTreeMap<String, Taken>,
+    tasks: BTreeMap<String, Task>,
+    #[serde(default)]
+    waves_done: BTreeMap<String, u64>,
+}
+
+impl PoolState {
+    /// Returns the VMs that are out, with why and since when.
+    pub fn taken(&self) -> impl Iterator<Item = (&str, &Taken)> {
+        self.taken.iter().map(|(vm, taken)| (vm.as_str(), taken))
+    }
+
+    /// Returns whether the VM is out.
+    pub fn is_taken(&self, vm: &str) -> bool {
+        self.taken.contains_key(vm)
+    }
+
+    /// Enters a VM into the ledger; a failure overrides any other reason.
+    pub fn take(&mut self, vm: &str, reason: Reason, now_ms: u64) {
+        let taken = Taken {
+            reason,
+            since_ms: now_ms,
+        };
+        self.taken.insert(vm.to_owned(), taken);
+    }
+
+    /// Removes a VM from the ledger; returns whether it was there.
+    pub fn release(&mut self, vm: &str) -> bool {
+        self.taken.remove(vm).is_some()
+    }
+
+    /// Returns every task by name.
+    pub fn tasks(&self) -> impl Iterator<Item = (&str, &Task)> {
+        self.tasks.iter().map(|(name, task)| (name.as_str(), task))
+    }
+
+    /// Returns one task.
+    pub fn task(&self, name: &str) -> Option<&Task> {
+        self.tasks.get(name)
+    }
+
+    /// Returns the tasks that a VM carries.
+    pub fn tasks_on<'a>(
+        &'a self,
+        vm: &'a str,
+    ) -> impl Iterator<Item = (&'a str, &'a Task)> {
+        self.tasks().filter(move |(_, task)| task.vm == vm)
+    }
+
+    /// Records that a task waits, and why; returns whether that is news.
+    pub fn wait(
+        &mut self,
+        name: &str,
+        owner: &str,
+        why: &str,
+        now_ms: u64,
+    ) -> bool {
+        let task = self.entry(name, owner, now_ms);
+        if task.why_waiting == why {
+            return false;
+        }
+        task.why_waiting = why.to_owned();
+        true
+    }
+
+    /// Intends a start of the task on a VM, at a new epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] for a task that has ended.
+    pub fn place(
+        &mut self,
+        name: &str,
+        owner: &str,
+        vm: &str,
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let task = self.entry(name, owner, now_ms);
+        let event = match task.state {
+            TaskState::Waiting => "place",
+            _ => "move",
+        };
+        advance(name, task, event, now_ms)?;
+        if !task.vm.is_empty() && task.vm != vm {
+            task.moves += 1;
+        }
+        task.epoch += 1;
+        task.vm = vm.to_owned();
+        task.address.clear();
+        task.why_waiting.clear();
+        Ok(())
+    }
+
+    /// Takes a task off its VM.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Refused`] for a task that has ended or waits.
+    pub fn unplace(
+        &mut self,
+        name: &str,
+        why: &str,
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let task = self.known(name)?;
+        advance(name, task, "unplace", now_ms)?;
+        task.address.clear();
+        task.why_waiting = why.to_owned();
+        Ok(())
+    }
+
+    /// Records that the worker reported the task running.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Stale`] for a report of an older epoch.
+    pub fn started(
+        &mut self,
+        name: &str,
+        epoch: u64,
+        address: &str,
+    ) -> Result<(), Error> {
+        let task = self.known(name)?;
+        check_epoch(name, task, epoch)?;
+        let now_ms = task.since_ms;
+        advance(name, task, "started", now_ms)?;
+        task.address = address.to_owned();
+        Ok(())
+    }
+
+    /// Records that the worker reported the task's end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Stale`] for a report of an older epoch.
+    pub fn finished(
+        &mut self,
+        name: &str,
+        epoch: u64,
+        now_ms: u64,
+    ) -> Result<(), Error> {
+        let task = self.known(name)?;
+        check_epoch(name, task, epoch)?;
+        advance(name, task, "finish", now_ms)
+    }
+
+    /// Forgets a task that is no longer wanted.
+    pub fn remove(&mut self, name: &str) -> bool {
+        self.tasks.remove(name).is_some()
+    }
+
+    /// Records that a wave's resource, as of `revision`, is complete.
+    pub fn complete_wave(&mut self, wave: &str, revision: u64) {
+        self.waves_done.insert(wave.to_owned(), revision);
+    }
+
+    /// Returns whether the wave has been completed.
+    pub fn wave_done(&self, wave: &str) -> bool {
+        self.waves_done.contains_key(wave)
+    }
+
+    fn entry(&mut self, name: &str, owner: &str, now_ms: u64) -> &mut Task {
+        self.tasks.entry(name.to_owned()).or_insert_with(|| Task {
+            owner: owner.to_owned(),
+            state: TaskState::Waiting,
+            vm: String::new(),
+            epoch: 0,
+            since_ms: now_ms,
+            address: String::new(),
+            moves: 0,
+            why_waiting: String::new(),
+        })
+    }
+
+    fn known(&mut self, name: &str) -> Result<&mut Task, Error> {
+        self.tasks
+            .get_mut(name)
+            .ok_or_else(|| Error::Unknown(name.to_owned()))
+    }
+}
+
+fn check_epoch(name: &str, task: &Task, given: u64) -> Result<(), Error> {
+    if task.epoch != given {
+        let current = task.epoch;
+        return Err(Error::Stale {
+            task: name.to_owned(),
+            given,
+            current,
+        });
+    }
+    Ok(())
+}
+
+fn advance(
+    name: &str,
+    task: &mut Task,
+    event: &str,
+    now_ms: u64,
+) -> Result<(), Error> {
+    let next =
+        Chart::task()
+            .next(task.state.as_str(), event)
+            .map_err(|refusal| Error::Refused {
+                task: name.to_owned(),
+                refusal,
+            })?;
+    let state = TaskState::ALL.into_iter().find(|s| s.as_str() == next);
+    // OK because a test compares the chart's states with `ALL`.
+    task.state = state.expect("the chart names only known states");
+    task.since_ms = now_ms;
+    Ok(())
+}
