Add the platform's traits, the etcd adapter and the stand-ins

The key-value adapter speaks the JSON mapping of etcd's v3 API and compares one key only. Errors tell apart what certainly did nothing from what nobody knows.

--- /dev/null
+++ b/crates/dewspar-platform/src/client.rs
@@ -0,0 +1,239 @@
+use {
+    crate::Error,
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Method, Request, Response, StatusCode, Uri,
+        body::Incoming,
+        header::{self, HeaderValue},
+    },
+    hyper_util::{
+        client::legacy::{self, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    serde::{Serialize, de::DeserializeOwned},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::timeout,
+};
+
+/// The largest answer that is read, in bytes.
+const MAX_ANSWER: usize = 64 * 1024 * 1024;
+
+/// How long an idle connection to the platform is kept.
+const IDLE_CONNECTION: Duration = Duration::from_secs(20);
+
+/// A JSON client with a bound on every call, shared by the adapters.
+///
+/// It counts its calls and bytes, so that what control costs can be told
+/// from what requests cost.
+#[derive(Clone, Debug)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    timeout: Duration,
+    calls: Arc<AtomicU64>,
+    bytes: Arc<AtomicU64>,
+}
+
+/// An answer's status, entity tag and body.
+pub(crate) struct Answer {
+    pub(crate) status: StatusCode,
+    pub(crate) tag: Option<String>,
+    pub(crate) body: Bytes,
+}
+
+impl Client {
+    /// Makes a client whose calls take at most `timeout_ms` milliseconds.
+    pub fn new(timeout_ms: u64) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_CONNECTION)
+            .build(connector);
+        Client {
+            inner,
+            timeout: Duration::from_millis(timeout_ms),
+            calls: Arc::default(),
+            bytes: Arc::default(),
+        }
+    }
+
+    /// Returns how many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many bytes of bodies were sent and received.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Posts a JSON value and reads a JSON answer.
+    pub(crate) async fn post<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        call: &'static str,
+        url: &str,
+        question: &Q,
+    ) -> Result<A, Error> {
+        let request = json_request(call, Method::POST, url, question)?;
+        let answer = self.send(call, request).await?;
+        read_json(call, &answer)
+    }
+
+    /// Sends a request and reads its answer whole.
+    pub(crate) async fn send(
+        &self,
+        call: &'static str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, Error> {
+        let sent = size_of(&request);
+        let whole = async {
+            let response = self.open(call, request).await?;
+            read_answer(call, response).await
+        };
+        let answer =
+            timeout(self.timeout, whole).await.unwrap_or_else(|_| {
+                let reason = format!("no answer in {:?}", self.timeout);
+                Err(Error::Lost { call, reason })
+            })?;
+        let total = sent + answer.body.len() as u64;
+        self.bytes.fetch_add(total, Ordering::Relaxed);
+        Ok(answer)
+    }
+
+    /// Sends a request whose answer is a stream; the caller bounds it.
+    pub(crate) async fn open(
+        &self,
+        call: &'static str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        self.inner.request(request).await.map_err(|e| {
+            let reason = e.to_string();
+            if e.is_connect() {
+                Error::Unavailable { call, reason }
+            } else {
+                Error::Lost { call, reason }
+            }
+        })
+    }
+
+    /// Waits for `future`, but not longer than a call may take.
+    pub(crate) async fn bounded<T>(
+        &self,
+        call: &'static str,
+        future: impl Future<Output = Result<T, Error>>,
+    ) -> Result<T, Error> {
+        timeout(self.timeout, future).await.unwrap_or_else(|_| {
+            let reason = format!("no answer in {:?}", self.timeout);
+            Err(Error::Lost { call, reason })
+        })
+    }
+
+    /// Counts bytes that arrived on a stream.
+    pub(crate) fn count_bytes(&self, bytes: usize) {
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// Builds a request with a JSON body.
+pub(crate) fn json_request<Q: Serialize>(
+    call: &'static str,
+    method: Method,
+    url: &str,
+    question: &Q,
+) -> Result<Request<Full<Bytes>>, Error> {
+    let body = serde_json::to_vec(question).map_err(|e| {
+        let reason = e.to_string();
+        Error::Unavailable { call, reason }
+    })?;
+    let mut request = empty_request(call, method, url)?;
+    let json = HeaderValue::from_static("application/json");
+    request.headers_mut().insert(header::CONTENT_TYPE, json);
+    *request.body_mut() = Full::new(Bytes::from(body));
+    Ok(request)
+}
+
+/// Builds a request without a body.
+pub(crate) fn empty_request(
+    call: &'static str,
+    method: Method,
+    url: &str,
+) -> Result<Request<Full<Bytes>>, Error> {
+    let uri: Uri = url.parse().map_err(|_| {
+        let reason = format!("`{url}` is not a URL");
+        Error::Unavailable { call, reason }
+    })?;
+    let mut request = Request::new(Full::default());
+    *request.method_mut() = method;
+    *request.uri_mut() = uri;
+    Ok(request)
+}
+
+/// Reads the JSON of a successful answer.
+pub(crate) fn read_json<A: DeserializeOwned>(
+    call: &'static str,
+    answer: &Answer,
+) -> Result<A, Error> {
+    if !answer.status.is_success() {
+        let text = String::from_utf8_lossy(&answer.body);
+        let reason = format!("status {}: {text}", answer.status);
+        return Err(refusal(call, answer.status, reason));
+    }
+    serde_json::from_slice(&answer.body).map_err(|e| {
+        let reason = e.to_string();
+        Error::Malformed { call, reason }
+    })
+}
+
+/// Names what a failed status means.
+///
+/// A service that says 4xx or 503 did not carry the call out; any other
+/// failure leaves that open.
+pub(crate) fn refusal(
+    call: &'static str,
+    status: StatusCode,
+    reason: String,
+) -> Error {
+    let undone =
+        status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    if undone {
+        Error::Unavailable { call, reason }
+    } else {
+        Error::Lost { call, reason }
+    }
+}
+
+fn size_of(request: &Request<Full<Bytes>>) -> u64 {
+    use hyper::body::Body;
+    request.body().size_hint().exact().unwrap_or(0)
+}
+
+async fn read_answer(
+    call: &'static str,
+    response: Response<Incoming>,
+) -> Result<Answer, Error> {
+    let status = response.status();
+    let tag = response
+        .headers()
+        .get(header::ETAG)
+        .and_then(|tag| tag.to_str().ok())
+        .map(str::to_owned);
+    let body = Limited::new(response.into_body(), MAX_ANSWER);
+    let body = body.collect().await.map_err(|e| {
+        let reason = e.to_string();
+        Error::Lost { call, reason }
+    })?;
+    Ok(Answer {
+        status,
+        tag,
+        body: body.to_bytes(),
+    })
+}
--- /dev/null
+++ b/crates/dewspar-platform/src/error.rs
@@ -0,0 +1,46 @@
+use displaydoc::Display;
+
+/// Why a call to the platform gave no result.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Error {
+    /// {call}: the platform is unavailable, and nothing was done: {reason}
+    Unavailable {
+        /// The call that was made.
+        call: &'static str,
+        /// What went wrong.
+        reason: String,
+    },
+    /// {call}: the answer was lost, and the call may have taken effect: {reason}
+    Lost {
+        /// The call that was made.
+        call: &'static str,
+        /// What went wrong.
+        reason: String,
+    },
+    /// {call}: the platform answered what can't be read: {reason}
+    Malformed {
+        /// The call that was made.
+        call: &'static str,
+        /// What is wrong with the answer.
+        reason: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+impl Error {
+    /// Returns whether the call may have taken effect.
+    pub fn may_have_taken_effect(&self) -> bool {
+        !matches!(self, Error::Unavailable { .. })
+    }
+
+    /// Returns a short name of the reason, for counters.
+    pub fn reason_name(&self) -> &'static str {
+        match self {
+            Error::Unavailable { .. } => "unavailable",
+            Error::Lost { .. } => "lost",
+            Error::Malformed { .. } => "malformed",
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -0,0 +1,433 @@
+/*!
+The key-value service by the JSON mapping of etcd's v3 API.
+
+Keys and values travel in base 64, numbers as strings. A swap is a
+transaction that compares one key's modification revision, puts the same key,
+and reads it back where the comparison fails. No other transaction is used.
+*/
+
+use {
+    crate::{
+        Cas, Client, Error, Event, Expected, KeyValue, Lease, Versioned,
+        Watch, WatchBatch, client::json_request,
+    },
+    base64::{Engine, engine::general_purpose::STANDARD},
+    bytes::{Bytes, BytesMut},
+    http_body_util::BodyExt,
+    hyper::{Method, body::Incoming},
+    serde::{Deserialize, Deserializer, de::Error as _},
+    serde_json::{Value, json},
+};
+
+/// The longest line that a watch may send, in bytes.
+const MAX_LINE: usize = 16 * 1024 * 1024;
+
+/// The key-value service at a base URL.
+#[derive(Clone, Debug)]
+pub struct Etcd {
+    client: Client,
+    base: String,
+    root: String,
+}
+
+impl Etcd {
+    /// Makes an adapter for the service at `base`, such as
+    /// `http://127.0.0.1:2379`, that puts `root` before every key.
+    pub fn new(client: Client, base: &str, root: &str) -> Etcd {
+        let base = base.trim_end_matches('/').to_owned();
+        Etcd {
+            client,
+            base,
+            root: root.to_owned(),
+        }
+    }
+
+    /// Returns the client, whose counters say what was called.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
+
+    fn url(&self, path: &str) -> String {
+        format!("{}/v3/{path}", self.base)
+    }
+
+    fn full(&self, key: &str) -> String {
+        format!("{}{key}", self.root)
+    }
+
+    async fn range(&self, question: Value) -> Result<RangeAnswer, Error> {
+        self.client
+            .post("read", &self.url("kv/range"), &question)
+            .await
+    }
+
+    fn read_entry(
+        &self,
+        call: &'static str,
+        entry: Entry,
+    ) -> Result<Versioned, Error> {
+        let key = String::from_utf8(entry.key).map_err(|e| {
+            let reason = e.to_string();
+            Error::Malformed { call, reason }
+        })?;
+        let key = match key.strip_prefix(&self.root) {
+            Some(key) => key.to_owned(),
+            None => key,
+        };
+        let (version, value) = (entry.mod_revision, entry.value);
+        Ok(Versioned {
+            key,
+            version,
+            value,
+        })
+    }
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Header {
+    #[serde(default, deserialize_with = "number")]
+    revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Entry {
+    #[serde(deserialize_with = "bytes_of_base64")]
+    key: Vec<u8>,
+    #[serde(default, deserialize_with = "bytes_of_base64")]
+    value: Vec<u8>,
+    #[serde(default, deserialize_with = "number")]
+    mod_revision: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct RangeAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    kvs: Vec<Entry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct TxnAnswer {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    succeeded: bool,
+    #[serde(default)]
+    responses: Vec<TxnResponse>,
+}
+
+#[derive(Debug, Deserialize)]
+struct TxnResponse {
+    response_range: Option<RangeAnswer>,
+}
+
+#[derive(Debug, Deserialize)]
+struct LeaseAnswer {
+    #[serde(rename = "ID", default, deserialize_with = "signed")]
+    id: i64,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeepAliveAnswer {
+    result: KeepAliveResult,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeepAliveResult {
+    #[serde(rename = "TTL", default, deserialize_with = "signed")]
+    ttl: i64,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchLine {
+    result: Option<WatchResult>,
+    error: Option<Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchResult {
+    #[serde(default)]
+    header: Header,
+    #[serde(default)]
+    canceled: bool,
+    #[serde(default)]
+    events: Vec<WatchEvent>,
+}
+
+#[derive(Debug, Deserialize)]
+struct WatchEvent {
+    #[serde(default, rename = "type")]
+    kind: String,
+    kv: Entry,
+}
+
+impl KeyValue for Etcd {
+    type Watch = EtcdWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, Error> {
+        let key = encode(self.full(key));
+        let answer = self.range(json!({ "key": key })).await?;
+        let entry = answer.kvs.into_iter().next();
+        entry
+            .map(|entry| self.read_entry("read", entry))
+            .transpose()
+    }
+
+    async fn version(&self, key: &str) -> Result<u64, Error> {
+        let key = encode(self.full(key));
+        let question = json!({ "key": key, "keys_only": true });
+        let answer = self.range(question).await?;
+        Ok(answer.kvs.first().map_or(0, |entry| entry.mod_revision))
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+    ) -> Result<(u64, Vec<Versioned>), Error> {
+        let prefix = self.full(prefix);
+        let end = range_end(&prefix);
+        let question =
+            json!({ "key": encode(prefix), "range_end": encode(end) });
+        let answer = self.range(question).await?;
+        let entries: Result<Vec<Versioned>, Error> = answer
+            .kvs
+            .into_iter()
+            .map(|entry| self.read_entry("read", entry))
+            .collect();
+        Ok((answer.header.revision, entries?))
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: &[u8],
+        lease: Option<Lease>,
+    ) -> Result<Cas, Error> {
+        let key = encode(self.full(key));
+        let compare = match expected {
+            Expected::Any => json!([]),
+            Expected::Absent => compare(&key, 0),
+            Expected::Version(version) => compare(&key, version),
+        };
+        let lease = lease.map_or(0, |lease| lease.0).to_string();
+        let put = json!({
+            "key": key, "value": encode(value), "lease": lease,
+        });
+        let question = json!({
+            "compare": compare,
+            "success": [{ "request_put": put }],
+            "failure": [{ "request_range": { "key": key } }],
+        });
+        let url = self.url("kv/txn");
+        let answer: TxnAnswer =
+            self.client.post("swap", &url, &question).await?;
+        if answer.succeeded {
+            return Ok(Cas::Swapped(answer.header.revision));
+        }
+        let entry = answer
+            .responses
+            .into_iter()
+            .find_map(|response| response.response_range)
+            .and_then(|range| range.kvs.into_iter().next());
+        let current = entry.map(|e| self.read_entry("swap", e)).transpose()?;
+        Ok(Cas::Conflict(current))
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), Error> {
+        let question = json!({ "key": encode(self.full(key)) });
+        let url = self.url("kv/deleterange");
+        let _: Value = self.client.post("delete", &url, &question).await?;
+        Ok(())
+    }
+
+    async fn grant(&self, ttl_ms: u64) -> Result<Lease, Error> {
+        let ttl = ttl_ms.div_ceil(1_000).to_string();
+        let url = self.url("lease/grant");
+        let question = json!({ "TTL": ttl });
+        let answer: LeaseAnswer =
+            self.client.post("grant lease", &url, &question).await?;
+        Ok(Lease(answer.id))
+    }
+
+    async fn keep_alive(&self, lease: Lease) -> Result<bool, Error> {
+        let url = self.url("lease/keepalive");
+        let question = json!({ "ID": lease.0.to_string() });
+        let answer: KeepAliveAnswer =
+            self.client.post("renew lease", &url, &question).await?;
+        Ok(answer.result.ttl > 0)
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        let url = self.url("lease/revoke");
+        let question = json!({ "ID": lease.0.to_string() });
+        let _: Value = self.client.post("end lease", &url, &question).await?;
+        Ok(())
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> Result<EtcdWatch, Error> {
+        let call = "watch";
+        let prefix = self.full(prefix);
+        let end = range_end(&prefix);
+        let create = json!({
+            "key": encode(prefix),
+            "range_end": encode(end),
+            "start_revision": (after + 1).to_string(),
+        });
+        let question = json!({ "create_request": create });
+        let url = self.url("watch");
+        let request = json_request(call, Method::POST, &url, &question)?;
+        let opened = self.client.open(call, request);
+        let response = self.client.bounded(call, opened).await?;
+        if !response.status().is_success() {
+            let reason = format!("status {}", response.status());
+            return Err(Error::Unavailable { call, reason });
+        }
+        Ok(EtcdWatch {
+            etcd: self.clone(),
+            body: response.into_body(),
+            buffer: BytesMut::new(),
+        })
+    }
+}
+
+/// A watch: a stream of JSON objects, one a line.
+#[derive(Debug)]
+pub struct EtcdWatch {
+    etcd: Etcd,
+    body: Incoming,
+    buffer: BytesMut,
+}
+
+impl EtcdWatch {
+    async fn line(&mut self) -> Result<Bytes, Error> {
+        loop {
+            if let Some(end) = self.buffer.iter().position(|b| *b == b'\n') {
+                return Ok(self.buffer.split_to(end + 1).freeze());
+            }
+            if self.buffer.len() > MAX_LINE {
+                let reason = "a line is too long".to_owned();
+                return Err(Error::Malformed {
+                    call: "watch",
+                    reason,
+                });
+            }
+            let frame = self.body.frame().await;
+            let Some(Ok(frame)) = frame else {
+                let reason = "the stream ended".to_owned();
+                return Err(Error::Unavailable {
+                    call: "watch",
+                    reason,
+                });
+            };
+            if let Ok(data) = frame.into_data() {
+                self.etcd.client.count_bytes(data.len());
+                self.buffer.extend_from_slice(&data);
+            }
+        }
+    }
+
+    fn read_event(&self, event: WatchEvent) -> Result<Event, Error> {
+        let entry = self.etcd.read_entry("watch", event.kv)?;
+        Ok(match event.kind.as_str() {
+            "DELETE" => Event::Deleted {
+                key: entry.key,
+                version: entry.version,
+            },
+            _ => Event::Put(entry),
+        })
+    }
+}
+
+impl Watch for EtcdWatch {
+    async fn next(&mut self) -> Result<WatchBatch, Error> {
+        let line = self.line().await?;
+        let line: WatchLine = serde_json::from_slice(&line).map_err(|e| {
+            let reason = e.to_string();
+            Error::Malformed {
+                call: "watch",
+                reason,
+            }
+        })?;
+        let Some(result) = line.result else {
+            let reason = format!("refused: {:?}", line.error);
+            return Err(Error::Unavailable {
+                call: "watch",
+                reason,
+            });
+        };
+        if result.canceled {
+            let reason = "canceled by the platform".to_owned();
+            return Err(Error::Unavailable {
+                call: "watch",
+                reason,
+            });
+        }
+        let events: Result<Vec<Event>, Error> = result
+            .events
+            .into_iter()
+            .map(|event| self.read_event(event))
+            .collect();
+        Ok(WatchBatch {
+            version: result.header.revision,
+            events: events?,
+        })
+    }
+}
+
+fn compare(key: &str, version: u64) -> Value {
+    json!([{
+        "key": key,
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": version.to_string(),
+    }])
+}
+
+fn encode(bytes: impl AsRef<[u8]>) -> String {
+    STANDARD.encode(bytes)
+}
+
+/// Returns the first key after every key with the prefix.
+fn range_end(prefix: &str) -> Vec<u8> {
+    let mut end = prefix.as_bytes().to_vec();
+    while let Some(last) = end.pop() {
+        if last < u8::MAX {
+            end.push(last + 1);
+            return end;
+        }
+    }
+    // The empty prefix selects everything, which etcd spells as a zero byte.
+    vec![0]
+}
+
+/// Reads a number that may be written as a string.
+fn number<'de, D: Deserializer<'de>>(source: D) -> Result<u64, D::Error> {
+    let value = signed(source)?;
+    u64::try_from(value).map_err(D::Error::custom)
+}
+
+fn signed<'de, D: Deserializer<'de>>(source: D) -> Result<i64, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Spelled {
+        Number(i64),
+        Text(String),
+    }
+    match Spelled::deserialize(source)? {
+        Spelled::Number(number) => Ok(number),
+        Spelled::Text(text) => text.parse().map_err(D::Error::custom),
+    }
+}
+
+fn bytes_of_base64<'de, D: Deserializer<'de>>(
+    source: D,
+) -> Result<Vec<u8>, D::Error> {
+    let text = std::borrow::Cow::<'de, str>::deserialize(source)?;
+    STANDARD.decode(text.as_bytes()).map_err(D::Error::custom)
+}
--- /dev/null
+++ b/crates/dewspar-platform/src/kv.rs
@@ -0,0 +1,149 @@
+use {crate::Error, std::future::Future};
+
+/// A value and the version of its key.
+///
+/// Versions are those of the whole store: each write gets a higher one than
+/// every write before it, so versions of different keys can be compared.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Versioned {
+    /// The key.
+    pub key: String,
+    /// The version of the write that put the value there.
+    pub version: u64,
+    /// The value.
+    pub value: Vec<u8>,
+}
+
+/// What a key must be for a swap to take place.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Expected {
+    /// It must not exist.
+    Absent,
+    /// It must still be at this version.
+    Version(u64),
+    /// It may be anything.
+    Any,
+}
+
+impl Expected {
+    /// Returns what a writer expects that read this version; 0 is absent.
+    pub fn from_version(version: u64) -> Expected {
+        match version {
+            0 => Expected::Absent,
+            version => Expected::Version(version),
+        }
+    }
+}
+
+/// What became of a swap.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Cas {
+    /// It took place; this is the key's new version.
+    Swapped(u64),
+    /// The key wasn't as expected; this is what it is now.
+    Conflict(Option<Versioned>),
+}
+
+/// A lease's identifier.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease(pub i64);
+
+/// A change that a watch saw.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Event {
+    /// The key was written.
+    Put(Versioned),
+    /// The key was deleted, or its lease lapsed.
+    Deleted {
+        /// The key.
+        key: String,
+        /// The version of the deletion.
+        version: u64,
+    },
+}
+
+/// Changes that a watch saw together.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct WatchBatch {
+    /// The store's version up to which the watch has seen everything.
+    pub version: u64,
+    /// The changes, oldest first; empty when the watch only says so.
+    pub events: Vec<Event>,
+}
+
+/// A small key-value service with compare-and-swap, leases and watches.
+///
+/// Only a single key is ever compared and swapped. Keys are paths of
+/// printable characters; a prefix selects a range.
+pub trait KeyValue: Clone + Send + Sync + 'static {
+    /// A watch on a range of keys.
+    type Watch: Watch;
+
+    /// Reads one key.
+    fn get(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<Versioned>, Error>> + Send;
+
+    /// Reads the version of one key without its value; 0 means absent.
+    fn version(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<u64, Error>> + Send;
+
+    /// Reads every key with the prefix, and the store's version.
+    fn list(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<(u64, Vec<Versioned>), Error>> + Send;
+
+    /// Writes a key if it is as expected, tied to a lease if one is given.
+    fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: &[u8],
+        lease: Option<Lease>,
+    ) -> impl Future<Output = Result<Cas, Error>> + Send;
+
+    /// Deletes a key, whatever it is.
+    fn delete(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Grants a lease that lasts so many milliseconds without renewal.
+    fn grant(
+        &self,
+        ttl_ms: u64,
+    ) -> impl Future<Output = Result<Lease, Error>> + Send;
+
+    /// Renews a lease; returns false when it has lapsed.
+    fn keep_alive(
+        &self,
+        lease: Lease,
+    ) -> impl Future<Output = Result<bool, Error>> + Send;
+
+    /// Ends a lease and deletes the keys tied to it.
+    fn revoke(
+        &self,
+        lease: Lease,
+    ) -> impl Future<Output = Result<(), Error>> + Send;
+
+    /// Watches every key with the prefix, from the version after `after`.
+    fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> impl Future<Output = Result<Self::Watch, Error>> + Send;
+}
+
+/// A watch on a range of keys.
+pub trait Watch: Send + 'static {
+    /// Waits for the next changes.
+    ///
+    /// An error ends the watch; a new one must start from a fresh list.
+    fn next(
+        &mut self,
+    ) -> impl Future<Output = Result<WatchBatch, Error>> + Send;
+}
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -1,1 +1,39 @@
-//! Placeholder.
+/*!
+What the platform gives, as small traits, with one adapter to each.
+
+dewspar keeps nothing itself. What must last lives in the platform's
+key-value service; which VMs exist comes from its VM list; tasks run on its
+workers. Each of the three is a trait here, so that another platform is
+another adapter and no decision changes.
+
+| trait | adapter | protocol |
+|---|---|---|
+| [`KeyValue`] | [`etcd::Etcd`] | the JSON mapping of etcd's v3 API |
+| [`VmList`] | [`http::HttpVmList`] | `GET /vms`, JSON with an entity tag |
+| [`Workers`] | [`http::HttpWorkers`] | JSON over HTTP at each worker |
+
+# Lost answers
+
+A write whose answer doesn't arrive may have taken effect. Every error says
+which it is: [`Error::Unavailable`] means that the call certainly did nothing,
+[`Error::Lost`] that nobody knows. Who writes puts a token of its own into the
+value and reads it back before telling anyone anything.
+*/
+
+pub use self::{
+    client::Client,
+    error::Error,
+    kv::{
+        Cas, Event, Expected, KeyValue, Lease, Versioned, Watch, WatchBatch,
+    },
+    vm_list::{VmList, VmListing},
+    worker::{TaskReport, TaskStart, WorkerReport, Workers},
+};
+
+mod client;
+mod error;
+pub mod etcd;
+pub mod http;
+mod kv;
+mod vm_list;
+mod worker;
--- /dev/null
+++ b/crates/dewspar-standin/src/faults.rs
@@ -0,0 +1,135 @@
+/*!
+What goes wrong, to order.
+
+# Example
+
+```
+use dewspar_standin::faults::{Fate, Faults};
+
+let faults = Faults::new(1);
+assert_eq!(faults.fate(), Fate::Answer);
+faults.set_outage(true);
+assert_eq!(faults.fate(), Fate::Refuse);
+```
+*/
+
+use {
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::{
+        sync::{
+            Arc, Mutex, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// What becomes of one call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    /// It is carried out and answered.
+    Answer,
+    /// It is refused without effect.
+    Refuse,
+    /// It is carried out, and its answer is lost.
+    LoseAnswer,
+}
+
+/// The faults of one stand-in; clones share them.
+#[derive(Clone, Debug)]
+pub struct Faults {
+    inner: Arc<Inner>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    outage: AtomicBool,
+    delay_us: AtomicU64,
+    lost_per_mille: AtomicU64,
+    random: Mutex<StdRng>,
+    reads: AtomicU64,
+    writes: AtomicU64,
+}
+
+impl Faults {
+    /// Makes faults that are all off, with a seed for those by chance.
+    pub fn new(seed: u64) -> Faults {
+        let inner = Inner {
+            outage: AtomicBool::new(false),
+            delay_us: AtomicU64::new(0),
+            lost_per_mille: AtomicU64::new(0),
+            random: Mutex::new(StdRng::seed_from_u64(seed)),
+            reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+        };
+        Faults {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// Starts or ends an outage, in which every call is refused.
+    pub fn set_outage(&self, outage: bool) {
+        self.inner.outage.store(outage, Ordering::Relaxed);
+    }
+
+    /// Returns whether there is an outage.
+    pub fn outage(&self) -> bool {
+        self.inner.outage.load(Ordering::Relaxed)
+    }
+
+    /// Sets how long each call takes, in microseconds.
+    pub fn set_delay_us(&self, delay_us: u64) {
+        self.inner.delay_us.store(delay_us, Ordering::Relaxed);
+    }
+
+    /// Returns how long each call takes.
+    pub fn delay(&self) -> Duration {
+        Duration::from_micros(self.inner.delay_us.load(Ordering::Relaxed))
+    }
+
+    /// Sets how many answers in a thousand are lost.
+    pub fn set_lost_per_mille(&self, lost: u64) {
+        self.inner.lost_per_mille.store(lost, Ordering::Relaxed);
+    }
+
+    /// Returns what becomes of the next call.
+    pub fn fate(&self) -> Fate {
+        if self.outage() {
+            return Fate::Refuse;
+        }
+        let lost = self.inner.lost_per_mille.load(Ordering::Relaxed);
+        if lost == 0 {
+            return Fate::Answer;
+        }
+        let mut random = self
+            .inner
+            .random
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if random.random_range(0..1_000) < lost {
+            Fate::LoseAnswer
+        } else {
+            Fate::Answer
+        }
+    }
+
+    /// Counts a call that reads.
+    pub fn count_read(&self) {
+        self.inner.reads.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Counts a call that writes.
+    pub fn count_write(&self) {
+        self.inner.writes.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Returns how many calls read so far.
+    pub fn reads(&self) -> u64 {
+        self.inner.reads.load(Ordering::Relaxed)
+    }
+
+    /// Returns how many calls wrote so far.
+    pub fn writes(&self) -> u64 {
+        self.inner.writes.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/dewspar-standin/src/store.rs
@@ -0,0 +1,416 @@
+/*!
+A key-value store with revisions, leases and watches, in memory.
+
+It is a [`KeyValue`] itself, so a test can use it without a socket; [`Faults`]
+strike there just as they do over the network.
+
+# Example
+
+```
+use {
+    dewspar_platform::{Cas, Expected, KeyValue},
+    dewspar_standin::{faults::Faults, store::Store},
+};
+
+let store = Store::new(Faults::new(1));
+let runtime = tokio::runtime::Builder::new_current_thread()
+    .enable_time()
+    .build()?;
+runtime.block_on(async {
+    let cas = store.swap("a", Expected::Absent, b"1", None).await?;
+    assert_eq!(cas, Cas::Swapped(2));
+    let cas = store.swap("a", Expected::Absent, b"2", None).await?;
+    assert!(matches!(cas, Cas::Conflict(Some(_))));
+    Ok::<(), dewspar_platform::Error>(())
+})?;
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+*/
+
+use {
+    crate::faults::{Fate, Faults},
+    dewspar_platform::{
+        Cas, Error, Event, Expected, KeyValue, Lease, Versioned, Watch,
+        WatchBatch,
+    },
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::{sync::watch, time::Instant},
+};
+
+/// How many events are kept for watches that start in the past.
+const KEPT_EVENTS: usize = 100_000;
+
+/// A store; clones share its content.
+#[derive(Clone, Debug)]
+pub struct Store {
+    state: Arc<Mutex<State>>,
+    version: watch::Sender<u64>,
+    faults: Faults,
+}
+
+#[derive(Debug)]
+struct State {
+    version: u64,
+    entries: BTreeMap<String, Stored>,
+    leases: BTreeMap<i64, Granted>,
+    next_lease: i64,
+    events: VecDeque<Event>,
+}
+
+#[derive(Debug)]
+struct Stored {
+    version: u64,
+    value: Vec<u8>,
+    lease: i64,
+}
+
+#[derive(Debug)]
+struct Granted {
+    ttl: Duration,
+    until: Instant,
+}
+
+impl Store {
+    /// Makes an empty store.
+    pub fn new(faults: Faults) -> Store {
+        let state = State {
+            version: 1,
+            entries: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+            events: VecDeque::new(),
+        };
+        let state = Arc::new(Mutex::new(state));
+        Store {
+            state,
+            version: watch::Sender::new(1),
+            faults,
+        }
+    }
+
+    /// Returns the store's faults.
+    pub fn faults(&self) -> &Faults {
+        &self.faults
+    }
+
+    /// Returns how many keys there are with the prefix.
+    pub fn count(&self, prefix: &str) -> usize {
+        let state = self.lock();
+        state
+            .entries
+            .keys()
+            .filter(|key| key.starts_with(prefix))
+            .count()
+    }
+
+    /// Ends the leases that have lapsed.
+    pub fn lapse_leases(&self) {
+        // During an outage nobody can renew, and nobody is told either.
+        if self.faults.outage() {
+            return;
+        }
+        let mut state = self.lock();
+        let now = Instant::now();
+        let lapsed: Vec<i64> = state
+            .leases
+            .iter()
+            .filter(|(_, granted)| granted.until <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lapsed {
+            state.end_lease(id);
+        }
+        self.announce(&state);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn announce(&self, state: &State) {
+        self.version.send_if_modified(|version| {
+            let newer = *version != state.version;
+            *version = state.version;
+            newer
+        });
+    }
+
+    async fn call<T>(
+        &self,
+        call: &'static str,
+        act: impl FnOnce(&mut State) -> T,
+    ) -> Result<T, Error> {
+        let delay = self.faults.delay();
+        if !delay.is_zero() {
+            tokio::time::sleep(delay).await;
+        }
+        let fate = self.faults.fate();
+        if fate == Fate::Refuse {
+            let reason = "outage".to_owned();
+            return Err(Error::Unavailable { call, reason });
+        }
+        let result = {
+            let mut state = self.lock();
+            let result = act(&mut state);
+            self.announce(&state);
+            result
+        };
+        if fate == Fate::LoseAnswer {
+            let reason = "answer lost".to_owned();
+            return Err(Error::Lost { call, reason });
+        }
+        Ok(result)
+    }
+}
+
+impl State {
+    fn get(&self, key: &str) -> Option<Versioned> {
+        let stored = self.entries.get(key)?;
+        Some(Versioned {
+            key: key.to_owned(),
+            version: stored.version,
+            value: stored.value.clone(),
+        })
+    }
+
+    fn log(&mut self, event: Event) {
+        self.events.push_back(event);
+        if self.events.len() > KEPT_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    fn swap(
+        &mut self,
+        key: &str,
+        expected: Expected,
+        value: &[u8],
+        lease: i64,
+    ) -> Cas {
+        let current = self.entries.get(key).map_or(0, |s| s.version);
+        let as_expected = match expected {
+            Expected::Any => true,
+            Expected::Absent => current == 0,
+            Expected::Version(version) => current == version,
+        };
+        if !as_expected {
+            return Cas::Conflict(self.get(key));
+        }
+        self.version += 1;
+        let version = self.version;
+        let stored = Stored {
+            version,
+            value: value.to_vec(),
+            lease,
+        };
+        self.entries.insert(key.to_owned(), stored);
+        let put = Versioned {
+            key: key.to_owned(),
+            version,
+            value: value.to_vec(),
+        };
+        self.log(Event::Put(put));
+        Cas::Swapped(version)
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.entries.remove(key).is_some() {
+            self.version += 1;
+            let (key, version) = (key.to_owned(), self.version);
+            self.log(Event::Deleted { key, version });
+        }
+    }
+
+    fn end_lease(&mut self, id: i64) {
+        self.leases.remove(&id);
+        let keys: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, stored)| stored.lease == id)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.delete(&key);
+        }
+    }
+}
+
+impl KeyValue for Store {
+    type Watch = StoreWatch;
+
+    async fn get(&self, key: &str) -> Result<Option<Versioned>, Error> {
+        self.faults.count_read();
+        self.call("read", |state| state.get(key)).await
+    }
+
+    async fn version(&self, key: &str) -> Result<u64, Error> {
+        self.faults.count_read();
+        self.call("read", |state| {
+            state.entries.get(key).map_or(0, |stored| stored.version)
+        })
+        .await
+    }
+
+    async fn list(
+        &self,
+        prefix: &str,
+    ) -> Result<(u64, Vec<Versioned>), Error> {
+        self.faults.count_read();
+        self.call("read", |state| {
+            let entries = state
+                .entries
+                .range(prefix.to_owned()..)
+                .take_while(|(key, _)| key.starts_with(prefix))
+                .filter_map(|(key, _)| state.get(key))
+                .collect();
+            (state.version, entries)
+        })
+        .await
+    }
+
+    async fn swap(
+        &self,
+        key: &str,
+        expected: Expected,
+        value: &[u8],
+        lease: Option<Lease>,
+    ) -> Result<Cas, Error> {
+        self.faults.count_write();
+        let lease = lease.map_or(0, |lease| lease.0);
+        let swapped = self
+            .call("swap", |state| {
+                if lease != 0 && !state.leases.contains_key(&lease) {
+                    return None;
+                }
+                Some(state.swap(key, expected, value, lease))
+            })
+            .await?;
+        swapped.ok_or_else(|| Error::Unavailable {
+            call: "swap",
+            reason: "requested lease not found".to_owned(),
+        })
+    }
+
+    async fn delete(&self, key: &str) -> Result<(), Error> {
+        self.faults.count_write();
+        self.call("delete", |state| state.delete(key)).await
+    }
+
+    async fn grant(&self, ttl_ms: u64) -> Result<Lease, Error> {
+        self.faults.count_write();
+        self.call("grant lease", |state| {
+            let id = state.next_lease;
+            state.next_lease += 1;
+            let ttl = Duration::from_millis(ttl_ms);
+            let until = Instant::now() + ttl;
+            state.leases.insert(id, Granted { ttl, until });
+            Lease(id)
+        })
+        .await
+    }
+
+    async fn keep_alive(&self, lease: Lease) -> Result<bool, Error> {
+        self.faults.count_write();
+        self.call("renew lease", |state| {
+            match state.leases.get_mut(&lease.0) {
+                None => false,
+                Some(granted) => {
+                    granted.until = Instant::now() + granted.ttl;
+                    true
+                }
+            }
+        })
+        .await
+    }
+
+    async fn revoke(&self, lease: Lease) -> Result<(), Error> {
+        self.faults.count_write();
+        self.call("end lease", |state| state.end_lease(lease.0))
+            .await
+    }
+
+    async fn watch(
+        &self,
+        prefix: &str,
+        after: u64,
+    ) -> Result<StoreWatch, Error> {
+        self.faults.count_read();
+        self.call("watch", |_| ()).await?;
+        Ok(StoreWatch {
+            store: self.clone(),
+            prefix: prefix.to_owned(),
+            seen: after,
+            changes: self.version.subscribe(),
+        })
+    }
+}
+
+/// A watch on a [`Store`].
+#[derive(Debug)]
+pub struct StoreWatch {
+    store: Store,
+    prefix: String,
+    seen: u64,
+    changes: watch::Receiver<u64>,
+}
+
+impl StoreWatch {
+    fn collect(&self) -> WatchBatch {
+        let state = self.store.lock();
+        // Versions rise along the log, so the unseen ones are at its end.
+        let start =
+            state.events.partition_point(|e| version_of(e) <= self.seen);
+        let events: Vec<Event> = state
+            .events
+            .range(start..)
+            .filter(|event| key_of(event).starts_with(&self.prefix))
+            .cloned()
+            .collect();
+        WatchBatch {
+            version: state.version,
+            events,
+        }
+    }
+}
+
+impl Watch for StoreWatch {
+    async fn next(&mut self) -> Result<WatchBatch, Error> {
+        loop {
+            if self.store.faults.outage() {
+                let reason = "outage".to_owned();
+                return Err(Error::Unavailable {
+                    call: "watch",
+                    reason,
+                });
+            }
+            self.changes.borrow_and_update();
+            let batch = self.collect();
+            self.seen = batch.version;
+            if !batch.events.is_empty() {
+                return Ok(batch);
+            }
+            // An outage ends watches too, though nothing is written then.
+            let look = Duration::from_millis(100);
+            let changed = self.changes.changed();
+            let _ = tokio::time::timeout(look, changed).await;
+        }
+    }
+}
+
+fn key_of(event: &Event) -> &str {
+    match event {
+        Event::Put(put) => &put.key,
+        Event::Deleted { key, .. } => key,
+    }
+}
+
+fn version_of(event: &Event) -> u64 {
+    match event {
+        Event::Put(put) => put.version,
+        Event::Deleted { version, .. } => *version,
+    }
+}
