Let slot grants be revoked and recalled

A runner that drains disappears from its granter; the holders learn that with the next sync and reuse its slots no more. Idle slots stay with a node that may need them until another node wants some in vain.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -231,9 +231,5 @@
         let reason = e.to_string();
         Error::Lost { call, reason }
     })?;
-    Ok(Answer {
-        status,
-        tag,
-        body: body.to_bytes(),
-    })
+    Ok(Answer { status, tag, body: body.to_bytes() })
 }
--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -35,11 +35,7 @@
     /// `http://127.0.0.1:2379`, that puts `root` before every key.
     pub fn new(client: Client, base: &str, root: &str) -> Etcd {
         let base = base.trim_end_matches('/').to_owned();
-        Etcd {
-            client,
-            base,
-            root: root.to_owned(),
-        }
+        Etcd { client, base, root: root.to_owned() }
     }
 
     /// Returns the client, whose counters say what was called.
@@ -56,9 +52,7 @@
     }
 
     async fn range(&self, question: Value) -> Result<RangeAnswer, Error> {
-        self.client
-            .post("read", &self.url("kv/range"), &question)
-            .await
+        self.client.post("read", &self.url("kv/range"), &question).await
     }
 
     fn read_entry(
@@ -75,11 +69,7 @@
             None => key,
         };
         let (version, value) = (entry.mod_revision, entry.value);
-        Ok(Versioned {
-            key,
-            version,
-            value,
-        })
+        Ok(Versioned { key, version, value })
     }
 }
 
@@ -169,9 +159,7 @@
         let key = encode(self.full(key));
         let answer = self.range(json!({ "key": key })).await?;
         let entry = answer.kvs.into_iter().next();
-        entry
-            .map(|entry| self.read_entry("read", entry))
-            .transpose()
+        entry.map(|entry| self.read_entry("read", entry)).transpose()
     }
 
     async fn version(&self, key: &str) -> Result<u64, Error> {
@@ -312,18 +300,12 @@
             }
             if self.buffer.len() > MAX_LINE {
                 let reason = "a line is too long".to_owned();
-                return Err(Error::Malformed {
-                    call: "watch",
-                    reason,
-                });
+                return Err(Error::Malformed { call: "watch", reason });
             }
             let frame = self.body.frame().await;
             let Some(Ok(frame)) = frame else {
                 let reason = "the stream ended".to_owned();
-                return Err(Error::Unavailable {
-                    call: "watch",
-                    reason,
-                });
+                return Err(Error::Unavailable { call: "watch", reason });
             };
             if let Ok(data) = frame.into_data() {
                 self.etcd.client.count_bytes(data.len());
@@ -335,10 +317,9 @@
     fn read_event(&self, event: WatchEvent) -> Result<Event, Error> {
         let entry = self.etcd.read_entry("watch", event.kv)?;
         Ok(match event.kind.as_str() {
-            "DELETE" => Event::Deleted {
-                key: entry.key,
-                version: entry.version,
-            },
+            "DELETE" => {
+                Event::Deleted { key: entry.key, version: entry.version }
+            }
             _ => Event::Put(entry),
         })
     }
@@ -349,34 +330,22 @@
         let line = self.line().await?;
         let line: WatchLine = serde_json::from_slice(&line).map_err(|e| {
             let reason = e.to_string();
-            Error::Malformed {
-                call: "watch",
-                reason,
-            }
+            Error::Malformed { call: "watch", reason }
         })?;
         let Some(result) = line.result else {
             let reason = format!("refused: {:?}", line.error);
-            return Err(Error::Unavailable {
-                call: "watch",
-                reason,
-            });
+            return Err(Error::Unavailable { call: "watch", reason });
         };
         if result.canceled {
             let reason = "canceled by the platform".to_owned();
-            return Err(Error::Unavailable {
-                call: "watch",
-                reason,
-            });
+            return Err(Error::Unavailable { call: "watch", reason });
         }
         let events: Result<Vec<Event>, Error> = result
             .events
             .into_iter()
             .map(|event| self.read_event(event))
             .collect();
-        Ok(WatchBatch {
-            version: result.header.revision,
-            events: events?,
-        })
+        Ok(WatchBatch { version: result.header.revision, events: events? })
     }
 }
 
--- a/crates/dewspar-platform/src/http.rs
+++ b/crates/dewspar-platform/src/http.rs
@@ -29,10 +29,7 @@
 impl HttpVmList {
     /// Makes an adapter for the list at `url`.
     pub fn new(client: Client, url: &str) -> HttpVmList {
-        HttpVmList {
-            client,
-            url: url.to_owned(),
-        }
+        HttpVmList { client, url: url.to_owned() }
     }
 }
 
--- a/crates/dewspar-platform/src/worker.rs
+++ b/crates/dewspar-platform/src/worker.rs
@@ -44,10 +44,7 @@
 impl TaskReport {
     /// Returns the task's current use.
     pub fn size(&self) -> Size {
-        Size {
-            cpu_millis: self.cpu_millis,
-            memory_mb: self.memory_mb,
-        }
+        Size { cpu_millis: self.cpu_millis, memory_mb: self.memory_mb }
     }
 }
 
--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -62,9 +62,7 @@
             reads: AtomicU64::new(0),
             writes: AtomicU64::new(0),
         };
-        Faults {
-            inner: Arc::new(inner),
-        }
+        Faults { inner: Arc::new(inner) }
     }
 
     /// Starts or ends an outage, in which every call is refused.
@@ -101,11 +99,8 @@
         if lost == 0 {
             return Fate::Answer;
         }
-        let mut random = self
-            .inner
-            .random
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
+        let mut random =
+            self.inner.random.lock().unwrap_or_else(PoisonError::into_inner);
         if random.random_range(0..1_000) < lost {
             Fate::LoseAnswer
         } else {
--- a/crates/dewspar-standin/src/fleet.rs
+++ b/crates/dewspar-standin/src/fleet.rs
@@ -246,12 +246,7 @@
     /// Returns how many requests runners refused for want of a slot.
     pub fn refused(&self) -> u64 {
         let state = self.shared.lock();
-        state
-            .vms
-            .values()
-            .flat_map(Vm::runners)
-            .map(Runner::refused)
-            .sum()
+        state.vms.values().flat_map(Vm::runners).map(Runner::refused).sum()
     }
 
     /// Returns how many runners are up.
@@ -320,17 +315,14 @@
     }
 
     fn runners(&self) -> impl Iterator<Item = &Runner> {
-        self.tasks
-            .values()
-            .filter_map(|started| match &started.work {
-                Work::Runner(runner) => Some(runner),
-                Work::Job { .. } => None,
-            })
+        self.tasks.values().filter_map(|started| match &started.work {
+            Work::Runner(runner) => Some(runner),
+            Work::Job { .. } => None,
+        })
     }
 
     fn is_rebooting(&self) -> bool {
-        self.rebooting_until
-            .is_some_and(|until| Instant::now() < until)
+        self.rebooting_until.is_some_and(|until| Instant::now() < until)
     }
 
     fn report(&self) -> WorkerReport {
@@ -546,10 +538,7 @@
             .recorder(shared.options.recorder.clone());
         Work::Runner(options.start(any_port()).await.ok()?)
     };
-    let started = Started {
-        epoch: start.epoch,
-        work,
-    };
+    let started = Started { epoch: start.epoch, work };
     let report = started.report(&start.task);
     let mut state = shared.lock();
     state.vms.get_mut(name)?.tasks.insert(start.task, started);
@@ -564,10 +553,7 @@
 ) -> Option<Response<Body>> {
     let mut state = shared.lock();
     let vm = state.vms.get_mut(name)?;
-    if vm
-        .tasks
-        .get(task)
-        .is_some_and(|started| started.epoch <= epoch)
+    if vm.tasks.get(task).is_some_and(|started| started.epoch <= epoch)
         && let Some(started) = vm.tasks.remove(task)
     {
         record_cuts(shared, &started, "stop");
--- a/crates/dewspar-standin/src/kv.rs
+++ b/crates/dewspar-standin/src/kv.rs
@@ -72,11 +72,7 @@
                 lapsing.lapse_leases();
             }
         });
-        Ok(KvServer {
-            server,
-            store,
-            lapse,
-        })
+        Ok(KvServer { server, store, lapse })
     }
 
     /// Returns the address that it listens at.
--- a/crates/dewspar-standin/src/recorder.rs
+++ b/crates/dewspar-standin/src/recorder.rs
@@ -32,10 +32,7 @@
 
 impl Default for Recorder {
     fn default() -> Recorder {
-        Recorder {
-            start: Instant::now(),
-            lines: Arc::default(),
-        }
+        Recorder { start: Instant::now(), lines: Arc::default() }
     }
 }
 
@@ -56,10 +53,7 @@
 
     /// Returns all that was written down so far.
     pub fn lines(&self) -> Vec<Line> {
-        self.lines
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
+        self.lines.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Returns the history as text, one event a line.
--- a/crates/dewspar-standin/src/runner.rs
+++ b/crates/dewspar-standin/src/runner.rs
@@ -178,10 +178,7 @@
 impl<'a> Running<'a> {
     fn new(shared: &'a Shared, id: &str) -> Running<'a> {
         shared.running().push(id.to_owned());
-        Running {
-            shared,
-            id: id.to_owned(),
-        }
+        Running { shared, id: id.to_owned() }
     }
 }
 
--- a/crates/dewspar-standin/src/server.rs
+++ b/crates/dewspar-standin/src/server.rs
@@ -54,11 +54,7 @@
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(());
         let task = tokio::spawn(accept(listener, handle, stopped));
-        Ok(Server {
-            address,
-            task,
-            _stop: stop,
-        })
+        Ok(Server { address, task, _stop: stop })
     }
 
     /// Returns the address that the server listens at.
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -85,11 +85,7 @@
             events: VecDeque::new(),
         };
         let state = Arc::new(Mutex::new(state));
-        Store {
-            state,
-            version: watch::Sender::new(1),
-            faults,
-        }
+        Store { state, version: watch::Sender::new(1), faults }
     }
 
     /// Returns the store's faults.
@@ -100,11 +96,7 @@
     /// Returns how many keys there are with the prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let state = self.lock();
-        state
-            .entries
-            .keys()
-            .filter(|key| key.starts_with(prefix))
-            .count()
+        state.entries.keys().filter(|key| key.starts_with(prefix)).count()
     }
 
     /// Ends the leases that have lapsed.
@@ -202,17 +194,10 @@
         }
         self.version += 1;
         let version = self.version;
-        let stored = Stored {
-            version,
-            value: value.to_vec(),
-            lease,
-        };
+        let stored = Stored { version, value: value.to_vec(), lease };
         self.entries.insert(key.to_owned(), stored);
-        let put = Versioned {
-            key: key.to_owned(),
-            version,
-            value: value.to_vec(),
-        };
+        let put =
+            Versioned { key: key.to_owned(), version, value: value.to_vec() };
         self.log(Event::Put(put));
         Cas::Swapped(version)
     }
@@ -329,8 +314,7 @@
 
     async fn revoke(&self, lease: Lease) -> Result<(), Error> {
         self.faults.count_write();
-        self.call("end lease", |state| state.end_lease(lease.0))
-            .await
+        self.call("end lease", |state| state.end_lease(lease.0)).await
     }
 
     async fn watch(
@@ -370,10 +354,7 @@
             .filter(|event| key_of(event).starts_with(&self.prefix))
             .cloned()
             .collect();
-        WatchBatch {
-            version: state.version,
-            events,
-        }
+        WatchBatch { version: state.version, events }
     }
 }
 
@@ -382,10 +363,7 @@
         loop {
             if self.store.faults.outage() {
                 let reason = "outage".to_owned();
-                return Err(Error::Unavailable {
-                    call: "watch",
-                    reason,
-                });
+                return Err(Error::Unavailable { call: "watch", reason });
             }
             self.changes.borrow_and_update();
             let batch = self.collect();
--- a/crates/dewspar/src/admit.rs
+++ b/crates/dewspar/src/admit.rs
@@ -149,14 +149,9 @@
             return Err(Refusal::TooLate { retry_after_ms });
         }
         let now = self.now;
-        let line =
-            self.lines
-                .entry(partner.to_owned())
-                .or_insert_with(|| Line {
-                    due: now,
-                    weight,
-                    waiting: VecDeque::new(),
-                });
+        let line = self.lines.entry(partner.to_owned()).or_insert_with(|| {
+            Line { due: now, weight, waiting: VecDeque::new() }
+        });
         if line.waiting.len() >= self.most_per_partner {
             return Err(Refusal::QueueFull { retry_after_ms });
         }
@@ -219,8 +214,7 @@
         }
         self.len -= expired.len();
         let now = self.now;
-        self.lines
-            .retain(|_, l| !l.waiting.is_empty() || l.due > now);
+        self.lines.retain(|_, l| !l.waiting.is_empty() || l.due > now);
         expired
     }
 }
--- a/crates/dewspar/src/budget.rs
+++ b/crates/dewspar/src/budget.rs
@@ -136,13 +136,12 @@
     state: &PoolState,
     rows: &[(&str, &Row)],
 ) -> Option<Shortage> {
-    snapshot
-        .budgets()
-        .filter(|(_, spec)| spec.pool == pool)
-        .find_map(|(name, spec)| {
+    snapshot.budgets().filter(|(_, spec)| spec.pool == pool).find_map(
+        |(name, spec)| {
             let left = available(spec, state, rows, &BTreeSet::new(), None);
             shortage(name, spec, left, None)
-        })
+        },
+    )
 }
 
 fn first_shortage(
--- a/crates/dewspar/src/config/chunk.rs
+++ b/crates/dewspar/src/config/chunk.rs
@@ -45,9 +45,7 @@
             return Err(Error::Syntax { reason });
         }
         let values: Vec<serde_json::Value> = serde_json::from_slice(body)
-            .map_err(|e| Error::Syntax {
-                reason: e.to_string(),
-            })?;
+            .map_err(|e| Error::Syntax { reason: e.to_string() })?;
         values.into_iter().map(Resource::from_value).collect()
     }
 }
@@ -97,10 +95,8 @@
             chunks.insert(slot, chunk.digest);
         }
         let mut retired = self.retired.clone();
-        let replaced = self
-            .chunks
-            .values()
-            .filter(|d| !chunks.values().any(|c| c == *d));
+        let replaced =
+            self.chunks.values().filter(|d| !chunks.values().any(|c| c == *d));
         retired.extend(replaced.cloned());
         retired.retain(|digest| !chunks.values().any(|c| c == digest));
         keep_last(&mut retired, REMEMBERED);
@@ -108,15 +104,7 @@
         tokens.push(token.to_owned());
         keep_last(&mut tokens, REMEMBERED);
         let revision = snapshot.revision();
-        (
-            Head {
-                revision,
-                tokens,
-                chunks,
-                retired,
-            },
-            fresh,
-        )
+        (Head { revision, tokens, chunks, retired }, fresh)
     }
 
     /// Returns the digests that `next` no longer keeps and nobody reads.
@@ -151,13 +139,7 @@
         .map(|(slot, values)| {
             let body = serde_json::Value::Array(values).to_string();
             let body = body.into_bytes();
-            (
-                slot,
-                Chunk {
-                    digest: digest_hex(&body),
-                    body,
-                },
-            )
+            (slot, Chunk { digest: digest_hex(&body), body })
         })
         .collect()
 }
--- a/crates/dewspar/src/config/resource.rs
+++ b/crates/dewspar/src/config/resource.rs
@@ -267,11 +267,7 @@
 impl Resource {
     /// Makes a resource that has not been accepted yet.
     pub fn new(name: &str, spec: Spec) -> Resource {
-        Resource {
-            name: name.to_owned(),
-            revision: 0,
-            spec,
-        }
+        Resource { name: name.to_owned(), revision: 0, spec }
     }
 
     /// Reads one resource from YAML; JSON is YAML too.
@@ -281,10 +277,8 @@
     /// Returns [`Error::Syntax`] when the text isn't a document with
     /// `kind`, `name` and `spec`, and [`Error::Field`] when its spec is off.
     pub fn from_yaml(text: &str) -> Result<Resource, Error> {
-        let envelope: Envelope =
-            serde_norway::from_str(text).map_err(|e| Error::Syntax {
-                reason: e.to_string(),
-            })?;
+        let envelope: Envelope = serde_norway::from_str(text)
+            .map_err(|e| Error::Syntax { reason: e.to_string() })?;
         envelope.into_resource()
     }
 
@@ -297,9 +291,7 @@
         serde_norway::Deserializer::from_str(text)
             .map(|document| {
                 Envelope::deserialize(document)
-                    .map_err(|e| Error::Syntax {
-                        reason: e.to_string(),
-                    })?
+                    .map_err(|e| Error::Syntax { reason: e.to_string() })?
                     .into_resource()
             })
             .collect()
@@ -311,10 +303,8 @@
     ///
     /// As [`Resource::from_yaml`].
     pub fn from_value(value: Value) -> Result<Resource, Error> {
-        let envelope: Envelope =
-            serde_json::from_value(value).map_err(|e| Error::Syntax {
-                reason: e.to_string(),
-            })?;
+        let envelope: Envelope = serde_json::from_value(value)
+            .map_err(|e| Error::Syntax { reason: e.to_string() })?;
         envelope.into_resource()
     }
 
@@ -372,11 +362,7 @@
 impl Envelope {
     fn into_resource(self) -> Result<Resource, Error> {
         let spec = Spec::from_value(self.kind, &self.name, self.spec)?;
-        Ok(Resource {
-            name: self.name,
-            revision: self.revision,
-            spec,
-        })
+        Ok(Resource { name: self.name, revision: self.revision, spec })
     }
 }
 
@@ -392,12 +378,7 @@
             path => format!("spec.{path}"),
         };
         let problem = format!("is refused: {}", e.inner());
-        Error::Field {
-            kind,
-            name: name.to_owned(),
-            field,
-            problem,
-        }
+        Error::Field { kind, name: name.to_owned(), field, problem }
     })
 }
 
--- a/crates/dewspar/src/config/snapshot.rs
+++ b/crates/dewspar/src/config/snapshot.rs
@@ -79,10 +79,7 @@
             .into_iter()
             .map(|r| ((r.kind(), r.name().to_owned()), r))
             .collect();
-        Snapshot {
-            revision,
-            resources,
-        }
+        Snapshot { revision, resources }
     }
 
     /// Returns the snapshot's revision; 0 is the empty one.
@@ -125,12 +122,7 @@
             && expected != current
         {
             let name = name.to_owned();
-            return Err(Error::Conflict {
-                kind,
-                name,
-                expected,
-                current,
-            });
+            return Err(Error::Conflict { kind, name, expected, current });
         }
         match change {
             Change::Put { resource, .. } => {
--- a/crates/dewspar/src/fleet.rs
+++ b/crates/dewspar/src/fleet.rs
@@ -275,20 +275,18 @@
     /// Takes over a listing; returns whether anything changed.
     pub fn list(&mut self, listing: &Listing) -> bool {
         let row =
-            self.rows
-                .entry(listing.name.clone())
-                .or_insert_with(|| Row {
-                    hall: String::new(),
-                    rack: String::new(),
-                    worker_address: String::new(),
-                    cpu_millis: 0,
-                    memory_mb: 0,
-                    pool: None,
-                    state: VmState::Free,
-                    since_ms: 0,
-                    epoch: 0,
-                    maintained: None,
-                });
+            self.rows.entry(listing.name.clone()).or_insert_with(|| Row {
+                hall: String::new(),
+                rack: String::new(),
+                worker_address: String::new(),
+                cpu_millis: 0,
+                memory_mb: 0,
+                pool: None,
+                state: VmState::Free,
+                since_ms: 0,
+                epoch: 0,
+                maintained: None,
+            });
         let before = row.clone();
         row.hall.clone_from(&listing.hall);
         row.rack.clone_from(&listing.rack);
@@ -321,10 +319,7 @@
                 self.row_mut(vm)?.pool = None;
                 Ok(())
             }
-            Some(_) => Err(Error::NotFree {
-                name: vm.to_owned(),
-                state,
-            }),
+            Some(_) => Err(Error::NotFree { name: vm.to_owned(), state }),
         }
     }
 
@@ -342,10 +337,7 @@
     ) -> Result<(), Error> {
         let row = self.row_mut(vm)?;
         let next = Chart::vm().next(row.state.as_str(), event).map_err(
-            |refusal| Error::Refused {
-                name: vm.to_owned(),
-                refusal,
-            },
+            |refusal| Error::Refused { name: vm.to_owned(), refusal },
         )?;
         let state = VmState::ALL.into_iter().find(|s| s.as_str() == next);
         // OK because a test compares the chart's states with `ALL`.
@@ -370,8 +362,6 @@
     }
 
     fn row_mut(&mut self, vm: &str) -> Result<&mut Row, Error> {
-        self.rows
-            .get_mut(vm)
-            .ok_or_else(|| Error::Unlisted(vm.to_owned()))
+        self.rows.get_mut(vm).ok_or_else(|| Error::Unlisted(vm.to_owned()))
     }
 }
--- a/crates/dewspar/src/history.rs
+++ b/crates/dewspar/src/history.rs
@@ -327,23 +327,13 @@
                     self.key_of.insert(request, key);
                 }
             }
-            Event::Run {
-                request,
-                key,
-                runner: _,
-                vm,
-            } => {
+            Event::Run { request, key, runner: _, vm } => {
                 self.run(request, key.as_deref());
                 if let Some(vm) = vm {
                     self.run_on(vm, line.at_ms);
                 }
             }
-            Event::Answered {
-                request,
-                told,
-                body_of,
-                whole,
-            } => {
+            Event::Answered { request, told, body_of, whole } => {
                 self.answered(request, *told, body_of.as_deref(), *whole);
             }
             Event::Cut { request, by } => {
@@ -361,12 +351,7 @@
             Event::Back { vm } => {
                 self.leaving_since_ms.remove(vm.as_str());
             }
-            Event::Available {
-                budget,
-                needed,
-                available,
-                failed,
-            } => {
+            Event::Available { budget, needed, available, failed } => {
                 self.report.tested(Promise::Budget);
                 if available + failed < *needed {
                     let what = format!(
--- a/crates/dewspar/src/member.rs
+++ b/crates/dewspar/src/member.rs
@@ -116,11 +116,7 @@
     /// Probes three peers each 500 ms and suspects after three misses, so a
     /// dead node is suspected within about 1.5 s.
     fn default() -> Timing {
-        Timing {
-            probe_interval_ms: 500,
-            fan_out: 3,
-            misses: 3,
-        }
+        Timing { probe_interval_ms: 500, fan_out: 3, misses: 3 }
     }
 }
 
@@ -197,21 +193,16 @@
         members: impl IntoIterator<Item = Member>,
         now_ms: u64,
     ) {
-        let listed: BTreeMap<String, Member> = members
-            .into_iter()
-            .map(|m| (m.name().to_owned(), m))
-            .collect();
+        let listed: BTreeMap<String, Member> =
+            members.into_iter().map(|m| (m.name().to_owned(), m)).collect();
         self.peers.retain(|name, _| listed.contains_key(name));
         for (name, member) in listed {
             match self.peers.get_mut(&name) {
                 Some(peer) if peer.member == member => {}
                 // A new incarnation starts with a clean slate.
                 _ => {
-                    let peer = Peer {
-                        member,
-                        misses: 0,
-                        suspected_until_ms: now_ms,
-                    };
+                    let peer =
+                        Peer { member, misses: 0, suspected_until_ms: now_ms };
                     self.peers.insert(name, peer);
                 }
             }
@@ -246,10 +237,7 @@
         let rest = others.len() - fixed;
         let at = |offset: usize| others[(start + offset) % others.len()];
         let rotating = fixed + self.round % rest;
-        (0..fixed)
-            .chain([rotating])
-            .map(|i| at(i).clone())
-            .collect()
+        (0..fixed).chain([rotating]).map(|i| at(i).clone()).collect()
     }
 
     /// Records that a peer answered a probe with this incarnation.
@@ -372,8 +360,7 @@
     bound_ms: u64,
 ) -> Freshness {
     let confirmed = peers.iter().any(|peer| {
-        peer.confirmed_ms
-            .is_some_and(|age| age + peer.heard_ms <= bound_ms)
+        peer.confirmed_ms.is_some_and(|age| age + peer.heard_ms <= bound_ms)
     });
     if own_age_ms <= bound_ms || confirmed {
         Freshness::Confirmed
--- a/crates/dewspar/src/once.rs
+++ b/crates/dewspar/src/once.rs
@@ -181,10 +181,7 @@
 impl Filing {
     /// Makes a filing from its key and whole body.
     pub fn new(key: Key, body: &[u8]) -> Filing {
-        Filing {
-            key,
-            body_hash: xxh3_64(body),
-        }
+        Filing { key, body_hash: xxh3_64(body) }
     }
 
     /// Returns the filing's key.
@@ -208,11 +205,7 @@
     /// Makes an actor from a node's name, its incarnation and the number of
     /// the attempt.
     pub fn new(node: &str, incarnation: u64, attempt: u64) -> Actor {
-        Actor {
-            node: node.to_owned(),
-            incarnation,
-            attempt,
-        }
+        Actor { node: node.to_owned(), incarnation, attempt }
     }
 
     /// Returns the node's name.
@@ -243,17 +236,8 @@
 /// One line of the journal.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 enum Entry {
-    Intent {
-        filing: Filing,
-        actor: Actor,
-        at_ms: u64,
-    },
-    Outcome {
-        key: Key,
-        actor: Actor,
-        outcome: Outcome,
-        at_ms: u64,
-    },
+    Intent { filing: Filing, actor: Actor, at_ms: u64 },
+    Outcome { key: Key, actor: Actor, outcome: Outcome, at_ms: u64 },
 }
 
 /// A ticket for an entry that waits to be written.
@@ -344,9 +328,7 @@
 
     /// Returns the segment to store before the head is swapped.
     pub fn sealed(&self) -> Option<(&Segment, &[u8])> {
-        self.sealed
-            .as_ref()
-            .map(|(segment, body)| (segment, &body[..]))
+        self.sealed.as_ref().map(|(segment, body)| (segment, &body[..]))
     }
 
     /// Returns the segments to delete after the head was swapped.
@@ -503,11 +485,7 @@
             return Admission::Intended(actor);
         }
         let (filing, actor) = (*filing, actor.clone());
-        let entry = Entry::Intent {
-            filing,
-            actor,
-            at_ms: now_ms,
-        };
+        let entry = Entry::Intent { filing, actor, at_ms: now_ms };
         Admission::Queued(self.queue(entry))
     }
 
@@ -522,12 +500,7 @@
         now_ms: u64,
     ) -> Ticket {
         let actor = actor.clone();
-        self.queue(Entry::Outcome {
-            key,
-            actor,
-            outcome,
-            at_ms: now_ms,
-        })
+        self.queue(Entry::Outcome { key, actor, outcome, at_ms: now_ms })
     }
 
     /// Returns the next write, unless one is in flight or nothing waits.
@@ -540,21 +513,14 @@
         let mut head = self.head.clone();
         let dropped = drop_old(&mut head.segments, now_ms);
         let sealed = self.seal(&mut head);
-        head.open
-            .extend(batch.iter().map(|waiting| waiting.entry.clone()));
+        head.open.extend(batch.iter().map(|waiting| waiting.entry.clone()));
         let token = self.next_token;
         self.next_token = self.next_token.wrapping_add(2);
         head.token = token;
         let value = encode(&head);
         let expected_version = self.version;
         self.in_flight = Some(InFlight { token, head, batch });
-        Some(Write {
-            token,
-            expected_version,
-            value,
-            sealed,
-            dropped,
-        })
+        Some(Write { token, expected_version, value, sealed, dropped })
     }
 
     /// Records that the write landed as this version; returns the tickets
@@ -568,11 +534,7 @@
         for waiting in &in_flight.batch {
             self.learn(&waiting.entry);
         }
-        in_flight
-            .batch
-            .iter()
-            .map(|waiting| waiting.ticket)
-            .collect()
+        in_flight.batch.iter().map(|waiting| waiting.ticket).collect()
     }
 
     /// Records that the write certainly did not land; its entries wait
@@ -684,26 +646,13 @@
 
     fn learn(&mut self, entry: &Entry) {
         match entry {
-            Entry::Intent {
-                filing,
-                actor,
-                at_ms,
-            } => {
+            Entry::Intent { filing, actor, at_ms } => {
                 let standing = Standing::Intended(actor.clone());
                 let body_hash = filing.body_hash;
-                let known = Known {
-                    body_hash,
-                    standing,
-                    at_ms: *at_ms,
-                };
+                let known = Known { body_hash, standing, at_ms: *at_ms };
                 self.known.insert(filing.key, known);
             }
-            Entry::Outcome {
-                key,
-                actor,
-                outcome,
-                ..
-            } => {
+            Entry::Outcome { key, actor, outcome, .. } => {
                 if let Some(known) = self.known.get_mut(key)
                     && known.standing.is_by(actor)
                 {
@@ -728,10 +677,7 @@
             return None;
         }
         let newest_ms = head.open.iter().map(Entry::at_ms).max().unwrap_or(0);
-        let segment = Segment {
-            name: digest_hex(&body),
-            newest_ms,
-        };
+        let segment = Segment { name: digest_hex(&body), newest_ms };
         head.segments.push(segment.clone());
         head.open.clear();
         Some((segment, body))
--- a/crates/dewspar/src/place.rs
+++ b/crates/dewspar/src/place.rs
@@ -196,9 +196,7 @@
     state
         .tasks()
         .filter(|(name, _)| !names.contains(name))
-        .map(|(name, _)| Step::Remove {
-            task: name.to_owned(),
-        })
+        .map(|(name, _)| Step::Remove { task: name.to_owned() })
         .collect()
 }
 
@@ -219,10 +217,8 @@
                 runs_forever: true,
             })
         });
-    let jobs = snapshot
-        .jobs()
-        .filter(|(_, spec)| spec.pool == pool)
-        .flat_map(|(job, spec): (&Resource, _)| {
+    let jobs = snapshot.jobs().filter(|(_, spec)| spec.pool == pool).flat_map(
+        |(job, spec): (&Resource, _)| {
             (0..spec.tasks).map(move |index| Wanted {
                 task: format!("{}-{index}", job.name()),
                 owner: job.name(),
@@ -233,7 +229,8 @@
                 urgent: spec.urgent,
                 runs_forever: false,
             })
-        });
+        },
+    );
     let mut wanted: Vec<Wanted<'a>> = services.chain(jobs).collect();
     wanted.sort_by_key(|want| (!want.urgent, !want.runs_forever));
     wanted
@@ -275,24 +272,11 @@
                     wave.is_some() && row.maintained() == wave.as_deref();
                 let room = size_of_vm(row);
                 let owners = BTreeMap::new();
-                (
-                    name,
-                    Vm {
-                        row,
-                        room,
-                        owners,
-                        open,
-                        maintained,
-                    },
-                )
+                (name, Vm { row, room, owners, open, maintained })
             })
             .collect();
         let largest = vms.values().map(|vm| vm.room).collect();
-        let mut board = Board {
-            vms,
-            largest,
-            wave_runs: wave.is_some(),
-        };
+        let mut board = Board { vms, largest, wave_runs: wave.is_some() };
         for want in wanted {
             if let Some(task) = state.task(&want.task)
                 && stands(task)
@@ -361,10 +345,7 @@
     }
 
     fn why(&self, size: Size) -> String {
-        let Size {
-            cpu_millis,
-            memory_mb,
-        } = size;
+        let Size { cpu_millis, memory_mb } = size;
         let needs = format!(
             "needs {cpu_millis} cpu_millis and {memory_mb} memory_mb",
         );
@@ -409,8 +390,5 @@
 }
 
 fn size_of_vm(row: &Row) -> Size {
-    Size {
-        cpu_millis: row.cpu_millis(),
-        memory_mb: row.memory_mb(),
-    }
+    Size { cpu_millis: row.cpu_millis(), memory_mb: row.memory_mb() }
 }
--- a/crates/dewspar/src/pool.rs
+++ b/crates/dewspar/src/pool.rs
@@ -215,10 +215,7 @@
 
     /// Enters a VM into the ledger; a failure overrides any other reason.
     pub fn take(&mut self, vm: &str, reason: Reason, now_ms: u64) {
-        let taken = Taken {
-            reason,
-            since_ms: now_ms,
-        };
+        let taken = Taken { reason, since_ms: now_ms };
         self.taken.insert(vm.to_owned(), taken);
     }
 
@@ -371,20 +368,14 @@
     }
 
     fn known(&mut self, name: &str) -> Result<&mut Task, Error> {
-        self.tasks
-            .get_mut(name)
-            .ok_or_else(|| Error::Unknown(name.to_owned()))
+        self.tasks.get_mut(name).ok_or_else(|| Error::Unknown(name.to_owned()))
     }
 }
 
 fn check_epoch(name: &str, task: &Task, given: u64) -> Result<(), Error> {
     if task.epoch != given {
         let current = task.epoch;
-        return Err(Error::Stale {
-            task: name.to_owned(),
-            given,
-            current,
-        });
+        return Err(Error::Stale { task: name.to_owned(), given, current });
     }
     Ok(())
 }
@@ -396,12 +387,9 @@
     now_ms: u64,
 ) -> Result<(), Error> {
     let next =
-        Chart::task()
-            .next(task.state.as_str(), event)
-            .map_err(|refusal| Error::Refused {
-                task: name.to_owned(),
-                refusal,
-            })?;
+        Chart::task().next(task.state.as_str(), event).map_err(|refusal| {
+            Error::Refused { task: name.to_owned(), refusal }
+        })?;
     let state = TaskState::ALL.into_iter().find(|s| s.as_str() == next);
     // OK because a test compares the chart's states with `ALL`.
     task.state = state.expect("the chart names only known states");
--- a/crates/dewspar/src/route.rs
+++ b/crates/dewspar/src/route.rs
@@ -157,9 +157,7 @@
 
 impl Default for RetryBudget {
     fn default() -> RetryBudget {
-        RetryBudget {
-            balance: 10 * RETRY_PRICE,
-        }
+        RetryBudget { balance: 10 * RETRY_PRICE }
     }
 }
 
--- a/crates/dewspar/src/slot.rs
+++ b/crates/dewspar/src/slot.rs
@@ -51,6 +51,9 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
+/// How long a want that isn't repeated counts, in milliseconds.
+const WAITING_MS: u64 = 50;
+
 /// How long grants and requests live.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -60,14 +63,10 @@
 }
 
 impl Default for Limits {
-    /// Grants of 2 s, requests of at most 30 s, slots returned after 50 ms
-    /// without use.
+    /// Grants of 2 s, requests of at most 30 s, slots returned after 5 s
+    /// without use or as soon as they are recalled.
     fn default() -> Limits {
-        Limits {
-            grant_ms: 2_000,
-            max_request_ms: 30_000,
-            idle_ms: 50,
-        }
+        Limits { grant_ms: 2_000, max_request_ms: 30_000, idle_ms: 5_000 }
     }
 }
 
@@ -141,6 +140,7 @@
     sequence: u64,
     accepted: bool,
     granted: Vec<Count>,
+    revoked: Vec<String>,
     pressure: bool,
 }
 
@@ -161,6 +161,7 @@
             sequence: sync.sequence,
             accepted: false,
             granted: Vec::new(),
+            revoked: Vec::new(),
             pressure: false,
         }
     }
@@ -210,10 +211,7 @@
 
     /// Returns how many of a runner's slots are out.
     pub fn out(&self, runner: &str) -> u32 {
-        self.records
-            .values()
-            .filter_map(|r| r.held.get(runner))
-            .sum()
+        self.records.values().filter_map(|r| r.held.get(runner)).sum()
     }
 
     /// Returns whether every live node has been heard.
@@ -252,14 +250,35 @@
             Vec::new()
         };
         let pressure = self.waiting_elsewhere(node, now_ms) > 0;
+        let held = sync.held.iter().map(|count| count.runner.as_str());
+        let revoked = held
+            .filter(|runner| !self.runners.contains_key(*runner))
+            .map(str::to_owned)
+            .collect();
         Reply {
             sequence: sync.sequence,
             accepted: true,
             granted,
+            revoked,
             pressure,
         }
     }
 
+    /// Returns the nodes that hold slots while `node` wants some in vain.
+    pub fn recallable(&self, node: &str) -> Vec<&str> {
+        let wants = self.records.get(node).is_some_and(|r| r.want > 0);
+        if !wants {
+            return Vec::new();
+        }
+        self.records
+            .iter()
+            .filter(|(name, record)| {
+                *name != node && record.held.values().any(|n| *n > 0)
+            })
+            .map(|(name, _)| name.as_str())
+            .collect()
+    }
+
     fn try_open(&mut self, live: &[&str], now_ms: u64) {
         let all_heard = live.iter().all(|node| self.heard.contains(*node));
         let all_ended = now_ms >= self.since_ms + self.limits.let_go_ms();
@@ -275,7 +294,7 @@
 
     /// Returns how many other nodes want slots and were heard recently.
     fn waiting_elsewhere(&self, node: &str, now_ms: u64) -> u32 {
-        let recent = |r: &Record| r.heard_ms + self.limits.idle_ms > now_ms;
+        let recent = |r: &Record| r.heard_ms + WAITING_MS > now_ms;
         let waiting = self
             .records
             .iter()
@@ -350,6 +369,7 @@
     expires_ms: u64,
     want: u32,
     pressure: bool,
+    revoked: BTreeSet<String>,
     tokens: BTreeMap<String, Token>,
 }
 
@@ -363,6 +383,7 @@
             expires_ms: 0,
             want: 0,
             pressure: false,
+            revoked: BTreeSet::new(),
             tokens: BTreeMap::new(),
         }
     }
@@ -370,10 +391,7 @@
     /// Makes a holder whose sequence numbers start after `sequence`, which
     /// must grow with each start of the process.
     pub fn with_sequence(limits: Limits, sequence: u64) -> Holder {
-        Holder {
-            sequence,
-            ..Holder::new(limits)
-        }
+        Holder { sequence, ..Holder::new(limits) }
     }
 
     /// States how many requests wait for a slot.
@@ -407,10 +425,15 @@
         if now_ms >= self.expires_ms {
             return Acquired::Wait;
         }
+        let revoked = &self.revoked;
         let best = self
             .tokens
             .iter_mut()
-            .filter(|(runner, t)| t.granted > t.in_use && usable(runner))
+            .filter(|(runner, t)| {
+                t.granted > t.in_use
+                    && !revoked.contains(*runner)
+                    && usable(runner)
+            })
             .min_by_key(|(_, t)| (t.in_use, t.last_use_ms));
         match best {
             None => Acquired::Wait,
@@ -431,14 +454,11 @@
 
     /// Returns what to tell the granter, and lets go of idle slots.
     pub fn sync(&mut self, now_ms: u64) -> Sync {
-        let idle_ms = if self.pressure {
-            0
-        } else {
-            self.limits.idle_ms
-        };
+        let idle_ms = if self.pressure { 0 } else { self.limits.idle_ms };
         let waiting = self.want > 0;
-        for token in self.tokens.values_mut() {
-            if !waiting && token.last_use_ms + idle_ms < now_ms {
+        for (runner, token) in &mut self.tokens {
+            let idle = !waiting && token.last_use_ms + idle_ms <= now_ms;
+            if idle || self.revoked.contains(runner) {
                 token.granted = token.in_use;
             }
         }
@@ -453,11 +473,7 @@
                 slots: token.granted,
             })
             .collect();
-        Sync {
-            sequence: self.sequence,
-            held,
-            want: self.want,
-        }
+        Sync { sequence: self.sequence, held, want: self.want }
     }
 
     /// Takes in the granter's answer to the last sync.
@@ -467,6 +483,7 @@
         }
         self.expires_ms = self.sent_ms + self.limits.grant_ms;
         self.pressure = reply.pressure;
+        self.revoked = reply.revoked.iter().cloned().collect();
         for count in &reply.granted {
             let token = self.tokens.entry(count.runner.clone()).or_default();
             token.granted += count.slots;
@@ -474,12 +491,19 @@
         }
     }
 
-    /// Lets go of every unused slot of runners that `keep` refuses.
-    pub fn drop_runners(&mut self, keep: impl Fn(&str) -> bool) {
-        for (runner, token) in &mut self.tokens {
-            if !keep(runner) {
-                token.granted = token.in_use;
-            }
-        }
+    /// Records that others wait, so that idle slots go back at the next
+    /// sync.
+    pub fn recall(&mut self) {
+        self.pressure = true;
+    }
+
+    /// Returns how many slots are granted and not in use.
+    pub fn idle(&self) -> u32 {
+        self.tokens.values().map(|t| t.granted - t.in_use).sum()
+    }
+
+    /// Returns how long the grants still last, in milliseconds.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        self.expires_ms.saturating_sub(now_ms)
     }
 }
--- a/crates/dewspar/src/wave.rs
+++ b/crates/dewspar/src/wave.rs
@@ -149,10 +149,8 @@
 ) -> Option<Progress> {
     let spec = spec_of(snapshot, wave)?;
     let order = order(&spec.pool, rows);
-    let done = order
-        .iter()
-        .filter(|(_, row)| row.maintained() == Some(wave))
-        .count();
+    let done =
+        order.iter().filter(|(_, row)| row.maintained() == Some(wave)).count();
     let steps = steps(snapshot, wave, state, rows);
     let blocked_by = steps.iter().find_map(|step| match step {
         Step::Blocked { shortage } => Some(shortage.to_string()),
@@ -168,13 +166,7 @@
         "running"
     };
     let out = out_for(wave, state);
-    Some(Progress {
-        state: name,
-        done,
-        out,
-        total: order.len(),
-        blocked_by,
-    })
+    Some(Progress { state: name, done, out, total: order.len(), blocked_by })
 }
 
 fn spec_of<'a>(
@@ -189,10 +181,7 @@
 
 fn out_for(wave: &str, state: &PoolState) -> usize {
     let by_wave = |reason: &Reason| *reason == Reason::Wave(wave.to_owned());
-    state
-        .taken()
-        .filter(|(_, taken)| by_wave(taken.reason()))
-        .count()
+    state.taken().filter(|(_, taken)| by_wave(taken.reason())).count()
 }
 
 /// Orders the pool's VMs rack by rack.
@@ -252,9 +241,7 @@
         }
         match budget::may_take(snapshot, pool, state, rows, vm) {
             Verdict::Yes => {
-                return Some(Step::Take {
-                    vm: (*vm).to_owned(),
-                });
+                return Some(Step::Take { vm: (*vm).to_owned() });
             }
             Verdict::No(found) => shortage = shortage.or(Some(found)),
             Verdict::AlreadyTaken => {}
