--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -62,6 +62,24 @@
     },
 }
 
+impl Event {
+    /// Returns the version of the write or deletion.
+    pub fn version(&self) -> u64 {
+        match self {
+            Event::Put(put) => put.version,
+            Event::Deleted { version, .. } => *version,
+        }
+    }
+
+    /// Returns the key that was written or deleted.
+    pub fn key(&self) -> &str {
+        match self {
+            Event::Put(put) => &put.key,
+            Event::Deleted { key, .. } => key,
+        }
+    }
+}
+
 /// Changes that a watch saw together.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct WatchBatch {
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -346,12 +346,11 @@
     fn collect(&self) -> WatchBatch {
         let state = self.store.lock();
         // Versions rise along the log, so the unseen ones are at its end.
-        let start =
-            state.events.partition_point(|e| version_of(e) <= self.seen);
+        let start = state.events.partition_point(|e| e.version() <= self.seen);
         let events: Vec<Event> = state
             .events
             .range(start..)
-            .filter(|event| key_of(event).starts_with(&self.prefix))
+            .filter(|event| event.key().starts_with(&self.prefix))
             .cloned()
             .collect();
         WatchBatch { version: state.version, events }
@@ -378,17 +377,3 @@
         }
     }
 }
-
-fn key_of(event: &Event) -> &str {
-    match event {
-        Event::Put(put) => &put.key,
-        Event::Deleted { key, .. } => key,
-    }
-}
-
-fn version_of(event: &Event) -> u64 {
-    match event {
-        Event::Put(put) => put.version,
-        Event::Deleted { version, .. } => *version,
-    }
-}
--- a/crates/dewspar/src/admit.rs
+++ b/crates/dewspar/src/admit.rs
@@ -26,8 +26,8 @@
     queue.push("bank", 1, 1_000, 0, 'x')?;
 }
 let refusal = queue.push("bank", 1, 1_000, 0, 'y').unwrap_err();
-assert!(matches!(refusal, Refusal::QueueFull { .. }));
-# Ok::<(), Refusal>(())
+assert!(matches!(refusal, (Refusal::QueueFull { .. }, 'y')));
+# Ok::<(), (Refusal, char)>(())
 ```
 */
 
@@ -133,8 +133,8 @@
     ///
     /// # Errors
     ///
-    /// Returns a [`Refusal`] when the partner's line is full or the
-    /// deadline would pass first.
+    /// Returns the item with a [`Refusal`] when the partner's line is full
+    /// or the deadline would pass first.
     pub fn push(
         &mut self,
         partner: &str,
@@ -142,18 +142,18 @@
         deadline_ms: u64,
         now_ms: u64,
         item: T,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), (Refusal, T)> {
         let wait_ms = self.expected_wait_ms(partner);
         let retry_after_ms = wait_ms.max(1);
         if now_ms + wait_ms >= deadline_ms {
-            return Err(Refusal::TooLate { retry_after_ms });
+            return Err((Refusal::TooLate { retry_after_ms }, item));
         }
         let now = self.now;
         let line = self.lines.entry(partner.to_owned()).or_insert_with(|| {
             Line { due: now, weight, waiting: VecDeque::new() }
         });
         if line.waiting.len() >= self.most_per_partner {
-            return Err(Refusal::QueueFull { retry_after_ms });
+            return Err((Refusal::QueueFull { retry_after_ms }, item));
         }
         line.weight = weight.max(1);
         if line.waiting.is_empty() {
--- a/crates/dewspar/src/config/chunk.rs
+++ b/crates/dewspar/src/config/chunk.rs
@@ -16,17 +16,21 @@
 /// How many past tokens and retired chunks a head remembers.
 const REMEMBERED: usize = 16;
 
-/// An immutable group of resources, named by its content.
+/// An immutable group of resources.
+///
+/// Its name is the digest of its content and the revision it was made for.
+/// Content alone would not do: deleting what was just added brings an older
+/// content back, and its key may be about to be deleted.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Chunk {
-    digest: String,
+    name: String,
     body: Vec<u8>,
 }
 
 impl Chunk {
-    /// Returns the digest that names the chunk.
-    pub fn digest(&self) -> &str {
-        &self.digest
+    /// Returns the chunk's name.
+    pub fn name(&self) -> &str {
+        &self.name
     }
 
     /// Returns the bytes to store under that name.
@@ -38,10 +42,10 @@
     ///
     /// # Errors
     ///
-    /// Returns [`Error::Syntax`] when the bytes aren't those of `digest`.
-    pub fn read(digest: &str, body: &[u8]) -> Result<Vec<Resource>, Error> {
-        if digest_hex(body) != digest {
-            let reason = format!("chunk {digest} has other content");
+    /// Returns [`Error::Syntax`] when the bytes aren't those of `name`.
+    pub fn read(name: &str, body: &[u8]) -> Result<Vec<Resource>, Error> {
+        if digest_hex(body) != digest_in(name) {
+            let reason = format!("chunk {name} is missing or has changed");
             return Err(Error::Syntax { reason });
         }
         let values: Vec<serde_json::Value> = serde_json::from_slice(body)
@@ -65,8 +69,8 @@
         self.revision
     }
 
-    /// Returns the digests of the chunks that make up the snapshot.
-    pub fn digests(&self) -> impl Iterator<Item = &str> {
+    /// Returns the names of the chunks that make up the snapshot.
+    pub fn chunk_names(&self) -> impl Iterator<Item = &str> {
         self.chunks.values().map(String::as_str)
     }
 
@@ -79,7 +83,7 @@
     /// Builds the successor of this head for `snapshot`.
     ///
     /// Returns the new head and the chunks that must be stored before it is
-    /// swapped in. The digests that nobody can need any longer are those
+    /// swapped in. The chunks that nobody can need any longer are those
     /// that [`Head::forgotten`] names.
     pub fn advance(
         &self,
@@ -88,17 +92,21 @@
     ) -> (Head, Vec<Chunk>) {
         let mut chunks = BTreeMap::new();
         let mut fresh = Vec::new();
-        for (slot, chunk) in group(snapshot) {
-            if self.chunks.get(&slot) != Some(&chunk.digest) {
-                fresh.push(chunk.clone());
+        for (slot, body) in group(snapshot) {
+            let digest = digest_hex(&body);
+            let known = self.chunks.get(&slot);
+            if let Some(name) = known.filter(|n| digest_in(n) == digest) {
+                chunks.insert(slot, name.clone());
+                continue;
             }
-            chunks.insert(slot, chunk.digest);
+            let name = format!("{digest}.{}", snapshot.revision());
+            chunks.insert(slot, name.clone());
+            fresh.push(Chunk { name, body });
         }
         let mut retired = self.retired.clone();
         let replaced =
-            self.chunks.values().filter(|d| !chunks.values().any(|c| c == *d));
+            self.chunks.values().filter(|n| !chunks.values().any(|c| c == *n));
         retired.extend(replaced.cloned());
-        retired.retain(|digest| !chunks.values().any(|c| c == digest));
         keep_last(&mut retired, REMEMBERED);
         let mut tokens = self.tokens.clone();
         tokens.push(token.to_owned());
@@ -107,7 +115,7 @@
         (Head { revision, tokens, chunks, retired }, fresh)
     }
 
-    /// Returns the digests that `next` no longer keeps and nobody reads.
+    /// Returns the chunks that `next` no longer keeps and nobody reads.
     pub fn forgotten<'a>(
         &'a self,
         next: &'a Head,
@@ -115,9 +123,9 @@
         self.chunks
             .values()
             .chain(&self.retired)
-            .filter(|digest| {
-                !next.chunks.values().any(|c| c == *digest)
-                    && !next.retired.contains(digest)
+            .filter(|name| {
+                !next.chunks.values().any(|c| c == *name)
+                    && !next.retired.contains(name)
             })
             .map(String::as_str)
     }
@@ -128,7 +136,11 @@
     list.drain(..surplus);
 }
 
-fn group(snapshot: &Snapshot) -> BTreeMap<String, Chunk> {
+fn digest_in(name: &str) -> &str {
+    name.split('.').next().unwrap_or(name)
+}
+
+fn group(snapshot: &Snapshot) -> BTreeMap<String, Vec<u8>> {
     let mut groups: BTreeMap<String, Vec<serde_json::Value>> = BTreeMap::new();
     for resource in snapshot.resources() {
         let slot = slot_of(resource.kind(), resource.name());
@@ -138,8 +150,7 @@
         .into_iter()
         .map(|(slot, values)| {
             let body = serde_json::Value::Array(values).to_string();
-            let body = body.into_bytes();
-            (slot, Chunk { digest: digest_hex(&body), body })
+            (slot, body.into_bytes())
         })
         .collect()
 }
--- a/crates/dewspar/src/history.rs
+++ b/crates/dewspar/src/history.rs
@@ -346,6 +346,7 @@
             }
             Event::Leaving { vm } => {
                 self.report.tested(Promise::PlannedStop);
+                self.report.tested(Promise::Leaving);
                 self.leaving_since_ms.entry(vm).or_insert(line.at_ms);
             }
             Event::Back { vm } => {
@@ -390,7 +391,7 @@
         let Some(since_ms) = self.leaving_since_ms.get(vm) else {
             return;
         };
-        self.report.tested(Promise::Leaving);
+
         if at_ms > since_ms + LEAVING_GRACE_MS {
             let late_ms = at_ms - since_ms;
             let what = format!("VM {vm} got work {late_ms} ms after leaving");
--- a/crates/dewspar/src/once.rs
+++ b/crates/dewspar/src/once.rs
@@ -248,6 +248,8 @@
 pub enum Admission {
     /// Its intent waits to be written; dispatch only when it has been.
     Queued(Ticket),
+    /// This actor's intent waits to be written, and may not be.
+    Pending(Actor),
     /// This actor's intent stands without an outcome.
     Intended(Actor),
     /// It has an outcome.
@@ -482,7 +484,7 @@
             return known;
         }
         if let Some(actor) = self.queued_actor(filing.key) {
-            return Admission::Intended(actor);
+            return Admission::Pending(actor);
         }
         let (filing, actor) = (*filing, actor.clone());
         let entry = Entry::Intent { filing, actor, at_ms: now_ms };
--- a/crates/dewspar/src/slot.rs
+++ b/crates/dewspar/src/slot.rs
@@ -39,7 +39,7 @@
 holder.want(1);
 let sync = holder.sync(10);
 let reply = granter.sync("n1", &sync, &["n1"], 11);
-holder.granted(&reply, 12);
+holder.answered(&reply, 12);
 let Acquired::Slot(runner) = holder.acquire(13, |_| true) else { panic!() };
 assert_eq!(runner, "extracts-0");
 holder.release(&runner);
@@ -134,6 +134,15 @@
     }
 }
 
+impl Sync {
+    /// Makes the statement of a node that holds nothing.
+    ///
+    /// `sequence` must be lower than that of any holder it may make later.
+    pub fn nothing(sequence: u64) -> Sync {
+        Sync { sequence, held: Vec::new(), want: 0 }
+    }
+}
+
 /// What a granter answers.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reply {
@@ -214,11 +223,20 @@
         self.records.values().filter_map(|r| r.held.get(runner)).sum()
     }
 
-    /// Returns whether every live node has been heard.
+    /// Returns whether it grants yet.
     pub fn is_open(&self) -> bool {
         self.open
     }
 
+    /// Returns the live nodes that must still say what they hold.
+    pub fn unheard<'a>(&self, live: &[&'a str]) -> Vec<&'a str> {
+        if self.open {
+            return Vec::new();
+        }
+        let heard = |node: &&&str| !self.heard.contains(**node);
+        live.iter().filter(heard).copied().collect()
+    }
+
     /// Takes in a holder's statement and grants what is free.
     ///
     /// `live` are the nodes on this granter's roster that aren't suspected.
@@ -404,6 +422,11 @@
         self.tokens.values().map(|token| token.granted).sum()
     }
 
+    /// Returns how many of a runner's slots the holder has.
+    pub fn granted(&self, runner: &str) -> u32 {
+        self.tokens.get(runner).map_or(0, |token| token.granted)
+    }
+
     /// Returns how many requests are in flight on a runner.
     pub fn in_use(&self, runner: &str) -> u32 {
         self.tokens.get(runner).map_or(0, |token| token.in_use)
@@ -452,6 +475,17 @@
         }
     }
 
+    /// Returns what to tell a node that has become the granter.
+    ///
+    /// An answer of the former granter that is still on its way is passed
+    /// over when it arrives.
+    pub fn state(&mut self, now_ms: u64) -> Sync {
+        let want = std::mem::take(&mut self.want);
+        let sync = self.sync(now_ms);
+        self.want = want;
+        sync
+    }
+
     /// Returns what to tell the granter, and lets go of idle slots.
     pub fn sync(&mut self, now_ms: u64) -> Sync {
         let idle_ms = if self.pressure { 0 } else { self.limits.idle_ms };
@@ -477,7 +511,7 @@
     }
 
     /// Takes in the granter's answer to the last sync.
-    pub fn granted(&mut self, reply: &Reply, now_ms: u64) {
+    pub fn answered(&mut self, reply: &Reply, now_ms: u64) {
         if reply.sequence != self.sequence || !reply.accepted {
             return;
         }
--- a/crates/dewspar/src/wave.rs
+++ b/crates/dewspar/src/wave.rs
@@ -126,11 +126,11 @@
         .filter_map(|(vm, row)| under_way(wave, state, vm, row))
         .collect();
     let out = out_for(wave, state);
+    // One that failed meanwhile remains too, until it is back or has left
+    // the pool.
     let remaining: Vec<&(&str, &Row)> = order
         .iter()
-        .filter(|(vm, row)| {
-            row.maintained() != Some(wave) && !state.is_taken(vm)
-        })
+        .filter(|(_, row)| row.maintained() != Some(wave))
         .collect();
     if remaining.is_empty() && out == 0 {
         steps.push(Step::Complete);
--- /dev/null
+++ b/crates/dewspard/src/counters.rs
@@ -0,0 +1,128 @@
+/*!
+The daemon's counters and gauges, by name.
+
+Every refusal and every retry has a reason, and every reason is counted. The
+table [`ALL`] is what `docs/METRICS.md` lists; a test compares the two.
+*/
+
+use metrics::{counter, gauge, histogram};
+
+/// A metric as operators see it.
+#[derive(Clone, Copy, Debug)]
+pub struct Metric {
+    /// The metric's name.
+    pub name: &'static str,
+    /// What kind of metric it is.
+    pub kind: &'static str,
+    /// The label that tells its series apart, if it has one.
+    pub label: Option<&'static str>,
+    /// What it counts.
+    pub help: &'static str,
+}
+
+macro_rules! metrics {
+    ($($id:ident, $kind:literal, $name:literal, $label:expr, $help:literal;)*) => {
+        $(
+            #[doc = $help]
+            pub const $id: &str = $name;
+        )*
+
+        /// Every metric of the daemon.
+        pub const ALL: &[Metric] = &[$(
+            Metric {
+                name: $name,
+                kind: $kind,
+                label: $label,
+                help: $help,
+            },
+        )*];
+    };
+}
+
+metrics! {
+    REQUESTS, "counter", "dewspar_requests_total", Some("outcome"),
+        "Requests answered, by what the caller was told.";
+    REFUSALS, "counter", "dewspar_refusals_total", Some("reason"),
+        "Requests refused, by reason.";
+    RETRIES, "counter", "dewspar_retries_total", Some("reason"),
+        "Requests sent to another runner, by reason.";
+    EJECTIONS, "counter", "dewspar_ejections_total", None,
+        "Runners taken out of routing for failing.";
+    REQUEST_TIME, "histogram", "dewspar_request_seconds", None,
+        "Time from a request's arrival to its answer, in seconds.";
+    SLOT_WAIT, "histogram", "dewspar_slot_wait_seconds", None,
+        "Time that a request waited for a slot, in seconds.";
+    SLOT_SYNCS, "counter", "dewspar_slot_syncs_total", None,
+        "Messages in which this node stated its slots to a granter.";
+    SLOT_RECALLS, "counter", "dewspar_slot_recalls_total", None,
+        "Messages that asked other nodes for their idle slots.";
+    JOURNAL_WRITES, "counter", "dewspar_journal_writes_total", Some("result"),
+        "Writes of the filings journal, by result.";
+    JOURNAL_ENTRIES, "counter", "dewspar_journal_entries_total", None,
+        "Entries written to the filings journal.";
+    PLATFORM_FAILURES, "counter", "dewspar_platform_failures_total",
+        Some("reason"),
+        "Calls to the platform without result, by reason.";
+    PROBES, "counter", "dewspar_probes_total", Some("result"),
+        "Probes of peers, by result.";
+    PEER_BYTES, "counter", "dewspar_peer_bytes_total", Some("direction"),
+        "Bytes of messages between nodes, by direction.";
+    PEER_REFUSALS, "counter", "dewspar_peer_refusals_total", Some("reason"),
+        "Connections and messages of peers refused, by reason.";
+    CONFIG_WRITES, "counter", "dewspar_config_writes_total", Some("result"),
+        "Changes of the desired state, by result.";
+    CONFIG_REVISION, "gauge", "dewspar_config_revision", None,
+        "The revision of the desired state in force on this node.";
+    LIVE_NODES, "gauge", "dewspar_live_nodes", None,
+        "Nodes on the roster that aren't suspected.";
+    FLEET_STEPS, "counter", "dewspar_fleet_steps_total", Some("step"),
+        "Steps taken on VMs and tasks, by kind.";
+    FLEET_CONFLICTS, "counter", "dewspar_fleet_conflicts_total", None,
+        "Fleet and pool documents that another node had changed first.";
+    READY, "gauge", "dewspar_ready", None,
+        "Whether this node accepts callers: 1 or 0.";
+}
+
+/// Counts one event of a metric without a label.
+pub(crate) fn count(name: &'static str) {
+    counter!(name).increment(1);
+}
+
+/// Adds to a metric without a label.
+pub(crate) fn add(name: &'static str, amount: u64) {
+    counter!(name).increment(amount);
+}
+
+/// Counts one event of a metric with a label.
+pub(crate) fn count_by(
+    name: &'static str,
+    label: &'static str,
+    value: &'static str,
+) {
+    counter!(name, label => value).increment(1);
+}
+
+/// Adds to a metric with a label.
+pub(crate) fn add_by(
+    name: &'static str,
+    label: &'static str,
+    value: &'static str,
+    amount: u64,
+) {
+    counter!(name, label => value).increment(amount);
+}
+
+/// Sets a gauge.
+pub(crate) fn set(name: &'static str, value: f64) {
+    gauge!(name).set(value);
+}
+
+/// Records a time that began at `since`.
+pub(crate) fn record_since(name: &'static str, since: tokio::time::Instant) {
+    histogram!(name).record(since.elapsed().as_secs_f64());
+}
+
+/// Counts a call to the platform that gave no result.
+pub(crate) fn platform_failure(error: &dewspar_platform::Error) {
+    count_by(PLATFORM_FAILURES, "reason", error.reason_name());
+}
--- /dev/null
+++ b/crates/dewspard/src/fleet/controller.rs
@@ -0,0 +1,274 @@
+use {
+    super::{
+        documents::{Documents, Verdict},
+        drain::{Counted, Drains},
+        workers::{Event, WorkerCalls},
+    },
+    crate::{
+        clock, counters,
+        dispatch::Dispatchers,
+        membership::{FRESH_MS, StandingReader},
+        peer::Endpoint,
+        view::View,
+        watcher,
+    },
+    dewspar::{fleet::Listing, fleet::VmState, place::Usage, pool::PoolState},
+    dewspar_platform::{
+        Error, KeyValue, TaskReport, TaskStart, VmList, VmListing, Workers,
+    },
+    slog::{Logger, warn},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::mpsc,
+        time::{Instant, MissedTickBehavior, interval, sleep_until},
+    },
+};
+
+/// How often every pool is looked at when nothing happens.
+const ROUND: Duration = Duration::from_millis(200);
+
+/// The shortest time between two looks.
+const GAP: Duration = Duration::from_millis(20);
+
+/// What fleet control needs.
+#[derive(Clone, Debug)]
+pub struct Options<K, L, W> {
+    /// The key-value service.
+    pub platform: K,
+    /// The VM list.
+    pub vm_list: L,
+    /// The workers.
+    pub workers: W,
+    /// The time between two readings of the VM list.
+    pub vm_list_interval: Duration,
+    /// What the watcher publishes.
+    pub watcher: watcher::Handle,
+    /// The newest standing of the roster.
+    pub standing: StandingReader,
+    /// The way to peers.
+    pub endpoint: Endpoint,
+    /// This node's own requests.
+    pub dispatchers: Dispatchers,
+    /// The logger.
+    pub log: Logger,
+}
+
+/// Starts fleet control on the current runtime.
+pub fn start<K: KeyValue, L: VmList, W: Workers>(
+    options: Options<K, L, W>,
+) -> tokio::task::JoinHandle<()> {
+    let (events, inbox) = mpsc::unbounded_channel();
+    let (counted, counts) = mpsc::unbounded_channel();
+    let (listed, lists) = mpsc::channel(1);
+    let reading = read_vm_list(
+        options.vm_list.clone(),
+        options.vm_list_interval,
+        listed,
+    );
+    tokio::spawn(reading);
+    let drains = Drains::new(
+        options.standing.clone(),
+        options.endpoint.clone(),
+        options.dispatchers.clone(),
+        counted,
+    );
+    let controller = Controller {
+        documents: Documents::new(options.platform.clone()),
+        workers: WorkerCalls::new(options.workers.clone(), events),
+        drains,
+        vm_list: None,
+        usage: Usage::default(),
+        strays_since_ms: BTreeMap::new(),
+        started: BTreeMap::new(),
+        log: options.log.clone(),
+        options,
+    };
+    tokio::spawn(controller.run(inbox, counts, lists))
+}
+
+async fn read_vm_list<L: VmList>(
+    vm_list: L,
+    pause: Duration,
+    listed: mpsc::Sender<VmListing>,
+) {
+    let mut tag = String::new();
+    loop {
+        match vm_list.list(&tag).await {
+            Ok(Some(listing)) => {
+                tag.clone_from(&listing.tag);
+                if listed.send(listing).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => {}
+            Err(error) => counters::platform_failure(&error),
+        }
+        tokio::time::sleep(pause).await;
+        if listed.is_closed() {
+            return;
+        }
+    }
+}
+
+/// The task that carries out what the library decides.
+pub(super) struct Controller<K, L, W> {
+    pub(super) options: Options<K, L, W>,
+    pub(super) documents: Documents<K>,
+    pub(super) workers: WorkerCalls<W>,
+    pub(super) drains: Drains,
+    pub(super) vm_list: Option<Arc<Vec<Listing>>>,
+    pub(super) usage: Usage,
+    pub(super) strays_since_ms: BTreeMap<String, u64>,
+    started: BTreeMap<String, Vec<(TaskStart, TaskReport)>>,
+    pub(super) log: Logger,
+}
+
+impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+    async fn run(
+        mut self,
+        mut events: mpsc::UnboundedReceiver<Event>,
+        mut counts: mpsc::UnboundedReceiver<Counted>,
+        mut lists: mpsc::Receiver<VmListing>,
+    ) {
+        let mut view = self.options.watcher.view.clone();
+        let mut rounds = interval(ROUND);
+        rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            let next = Instant::now() + GAP;
+            tokio::select! {
+                _ = rounds.tick() => {}
+                changed = view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+                Some(event) = events.recv() => {
+                    self.take_in(event);
+                    while let Ok(event) = events.try_recv() {
+                        self.take_in(event);
+                    }
+                }
+                Some(counted) = counts.recv() => {
+                    self.drains.counted(&counted);
+                }
+                Some(listing) = lists.recv() => {
+                    self.vm_list = Some(Arc::new(listing.vms));
+                }
+            }
+            // Nothing is begun on documents that may be old.
+            if self.options.watcher.confirmed.age_ms() <= FRESH_MS
+                && let Err(error) = self.step().await
+            {
+                counters::platform_failure(&error);
+                warn!(self.log, "step not taken"; "error" => %error);
+            }
+            sleep_until(next).await;
+        }
+    }
+
+    async fn step(&mut self) -> Result<(), Error> {
+        self.record_starts().await?;
+        let view = self.merged();
+        self.step_halls(&view).await?;
+        let view = self.merged();
+        let pools: BTreeSet<String> = view
+            .config
+            .value
+            .pools()
+            .map(|(pool, _)| pool.to_owned())
+            .chain(view.pools.keys().cloned())
+            .filter(|pool| self.is_first(&format!("pool/{pool}")))
+            .collect();
+        self.forget_others(&view, &pools);
+        for pool in &pools {
+            let view = self.merged();
+            self.step_pool(&view, pool).await?;
+        }
+        Ok(())
+    }
+
+    /// Forgets what belongs to pools that other nodes act for.
+    fn forget_others(&mut self, view: &View, pools: &BTreeSet<String>) {
+        let mine = |vm: &str| {
+            view.row(vm)
+                .and_then(|row| row.pool())
+                .is_some_and(|pool| pools.contains(pool))
+        };
+        self.workers.retain(mine);
+        self.drains.retain(|vm| {
+            let row = view.row(vm);
+            mine(vm) && row.is_some_and(|row| row.state() == VmState::Draining)
+        });
+        self.strays_since_ms.retain(|key, _| {
+            let vm = key.split(' ').next().unwrap_or_default();
+            mine(vm)
+        });
+    }
+
+    /// Returns the view with this node's own newest writes.
+    pub(super) fn merged(&mut self) -> View {
+        let view = self.options.watcher.view.borrow().clone();
+        self.documents.merge(&view)
+    }
+
+    /// Returns whether this node should act on `key` now.
+    pub(super) fn is_first(&self, key: &str) -> bool {
+        self.options.standing.borrow().is_first(key)
+    }
+
+    /// Returns whether the platform lists the VM as live.
+    pub(super) fn is_listed(&self, vm: &str) -> bool {
+        let list = self.vm_list.as_deref();
+        let mut vms = list.map(Vec::as_slice).unwrap_or_default().iter();
+        vms.any(|listing| listing.name() == vm && !listing.leaving())
+    }
+
+    fn take_in(&mut self, event: Event) {
+        match event {
+            Event::Report { vm, result } => {
+                if let Ok(report) = &result {
+                    for task in &report.tasks {
+                        self.usage.observe(&task.task, task.size());
+                    }
+                }
+                self.workers.reported(&vm, result, clock::now_ms());
+            }
+            Event::Started { pool, start, result } => {
+                let key = format!("start {} {}", start.task, start.epoch);
+                self.workers.acted(&key);
+                match result {
+                    Ok(report) => {
+                        let started = self.started.entry(pool).or_default();
+                        started.push((start, report));
+                    }
+                    Err(error) => warn!(self.log, "task not started";
+                        "task" => &start.task, "error" => %error),
+                }
+            }
+            Event::Acted { key } => self.workers.acted(&key),
+        }
+    }
+
+    /// Records the tasks that have started, in one write for each pool.
+    async fn record_starts(&mut self) -> Result<(), Error> {
+        for (pool, started) in std::mem::take(&mut self.started) {
+            let view = self.merged();
+            let decide = |state: &mut PoolState| {
+                let mut changed = false;
+                for (start, report) in &started {
+                    let (task, epoch) = (&start.task, start.epoch);
+                    // One that was moved on meanwhile is passed over.
+                    let recorded = state.started(task, epoch, &report.address);
+                    changed |= recorded.is_ok();
+                }
+                Verdict::from(changed)
+            };
+            self.documents.update_pool(&view, &pool, decide).await?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/fleet/halls.rs
@@ -0,0 +1,116 @@
+/*!
+A data hall's document: its VMs as the platform lists them.
+*/
+
+use {
+    super::{
+        controller::Controller,
+        documents::{Update, Verdict},
+    },
+    crate::{clock, counters, view::View},
+    dewspar::fleet::{Hall, Listing, VmState},
+    dewspar_platform::{Error, KeyValue, VmList, Workers},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+    /// Brings each hall's rows up to the list, where this node is first.
+    pub(super) async fn step_halls(
+        &mut self,
+        view: &View,
+    ) -> Result<(), Error> {
+        let Some(list) = self.vm_list.clone() else { return Ok(()) };
+        let mut by_hall: BTreeMap<&str, Vec<&Listing>> = BTreeMap::new();
+        for listing in list.iter() {
+            by_hall.entry(listing.hall()).or_default().push(listing);
+        }
+        let halls: BTreeSet<&str> = by_hall
+            .keys()
+            .copied()
+            .chain(view.halls.keys().map(String::as_str))
+            .collect();
+        for hall in halls {
+            if !self.is_first(&format!("hall/{hall}")) {
+                continue;
+            }
+            let listed =
+                by_hall.get(hall).map(Vec::as_slice).unwrap_or_default();
+            let now_ms = clock::unix_ms();
+            let decide = |document: &mut Hall| {
+                Verdict::from(take_over(document, listed, now_ms))
+            };
+            let update =
+                self.documents.update_hall(view, hall, decide).await?;
+            if update == Update::Written {
+                counters::count_by(counters::FLEET_STEPS, "step", "list");
+            }
+        }
+        Ok(())
+    }
+
+    /// Moves one VM by an event of its chart.
+    ///
+    /// Returns whether the document was written.
+    pub(super) async fn move_vm(
+        &mut self,
+        view: &View,
+        vm: &str,
+        event: &'static str,
+    ) -> Result<bool, Error> {
+        self.change_vm(view, vm, event, |hall, now_ms| {
+            hall.handle(vm, event, now_ms).is_ok()
+        })
+        .await
+    }
+
+    /// Changes one VM's row as `change` decides.
+    ///
+    /// Returns whether the document was written.
+    pub(super) async fn change_vm(
+        &mut self,
+        view: &View,
+        vm: &str,
+        step: &'static str,
+        change: impl Fn(&mut Hall, u64) -> bool,
+    ) -> Result<bool, Error> {
+        let Some(row) = view.row(vm) else { return Ok(false) };
+        let epoch = row.epoch();
+        let now_ms = clock::unix_ms();
+        let decide = |hall: &mut Hall| {
+            // Another node may have moved the VM meanwhile.
+            let same = hall.row(vm).is_some_and(|row| row.epoch() == epoch);
+            Verdict::from(same && change(hall, now_ms))
+        };
+        let update =
+            self.documents.update_hall(view, row.hall(), decide).await?;
+        let written = update == Update::Written;
+        if written {
+            counters::count_by(counters::FLEET_STEPS, "step", step);
+            slog::info!(self.log, "VM stepped"; "vm" => vm, "step" => step);
+        }
+        Ok(written)
+    }
+}
+
+/// Takes over a list; returns whether any row changed.
+fn take_over(hall: &mut Hall, listed: &[&Listing], now_ms: u64) -> bool {
+    let mut changed = false;
+    for listing in listed {
+        changed |= hall.list(listing);
+    }
+    let names: BTreeSet<&str> =
+        listed.iter().map(|listing| listing.name()).collect();
+    let gone: Vec<String> = hall
+        .rows()
+        .filter(|(vm, row)| {
+            let free_or_lost =
+                matches!(row.state(), VmState::Free | VmState::Lost);
+            !names.contains(vm) && !free_or_lost
+        })
+        .map(|(vm, _)| vm.to_owned())
+        .collect();
+    for vm in gone {
+        changed |= hall.handle(&vm, "lose", now_ms).is_ok();
+    }
+    changed
+}
--- /dev/null
+++ b/crates/dewspard/src/membership.rs
@@ -0,0 +1,546 @@
+/*!
+Membership: the node's lease, its probes, and what it makes of them.
+
+The node lists itself at the platform under a lease, renewed at a third of its
+life. Peers are probed directly. The task publishes a [`Standing`]: who is
+live, and how sure the node is that no newer configuration is in force.
+
+After an outage of the platform every lease may have lapsed. A member that is
+no longer listed but still answers is kept for one lease's life, so that
+holders come back before anyone succeeds them.
+*/
+
+use {
+    crate::{
+        clock, counters,
+        peer::{Answer, Endpoint, HeardNode, Probe, Question},
+        view::{ViewReader, keys},
+        watcher,
+    },
+    dewspar::{
+        config::{Resource, Snapshot},
+        member::{
+            Freshness, Member, PeerAge, Roster, Timing, first, freshness,
+        },
+    },
+    dewspar_platform::{Cas, Error, Expected, KeyValue, Lease},
+    slog::{Logger, info, warn},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot, watch},
+        time::{interval, sleep},
+    },
+};
+
+/// How old a confirmation of the configuration may be, in milliseconds.
+///
+/// Configuration must be in force everywhere within 6 s: a node that can't
+/// be sure leaves the balancer after 4 s, and the balancer takes up to 2 s.
+pub const FRESH_MS: u64 = 4_000;
+
+/// The pause after the platform refused the lease.
+const LEASE_PAUSE: Duration = Duration::from_millis(500);
+
+/// What the node knows of the roster.
+#[derive(Clone, Debug)]
+pub struct Standing {
+    own: String,
+    live: Vec<String>,
+    members: BTreeMap<String, Member>,
+    freshness: Freshness,
+}
+
+impl Standing {
+    /// Returns this node's own name.
+    pub fn own(&self) -> &str {
+        &self.own
+    }
+
+    /// Returns the names of the members that aren't suspected, in order.
+    pub fn live(&self) -> Vec<&str> {
+        self.live.iter().map(String::as_str).collect()
+    }
+
+    /// Returns every listed member, suspected or not.
+    pub fn members(&self) -> &BTreeMap<String, Member> {
+        &self.members
+    }
+
+    /// Returns how sure the node is of its configuration.
+    pub fn freshness(&self) -> Freshness {
+        self.freshness
+    }
+
+    /// Returns whether this node should act on `key` now.
+    pub fn is_first(&self, key: &str) -> bool {
+        first(key, &self.live()) == Some(self.own.as_str())
+    }
+
+    /// Returns the live member that should act on `key`.
+    pub fn first(&self, key: &str) -> Option<&Member> {
+        self.members.get(first(key, &self.live())?)
+    }
+
+    /// Returns whether the process of that incarnation is on the roster.
+    pub fn has(&self, node: &str, incarnation: u64) -> bool {
+        let same = |member: &Member| member.incarnation() == incarnation;
+        self.members.get(node).is_some_and(same)
+            && self.live.iter().any(|name| name == node)
+    }
+}
+
+/// The newest standing, for reading.
+pub type StandingReader = watch::Receiver<Arc<Standing>>;
+
+/// A probe from a peer, with the place for the answer.
+pub struct Probed {
+    probe: Probe,
+    reply: oneshot::Sender<Probe>,
+}
+
+/// The way to the membership task.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// The newest standing.
+    pub standing: StandingReader,
+    probed: mpsc::Sender<Probed>,
+}
+
+impl Handle {
+    /// Answers a peer's probe.
+    pub async fn probed(&self, probe: Probe) -> Option<Probe> {
+        let (reply, answer) = oneshot::channel();
+        self.probed.send(Probed { probe, reply }).await.ok()?;
+        answer.await.ok()
+    }
+}
+
+/// How a node takes part.
+#[derive(Clone, Debug)]
+pub struct Options {
+    member: Member,
+    timing: Timing,
+    lease_ttl_ms: u64,
+}
+
+impl Options {
+    /// Makes options for the node's own entry.
+    pub fn new(member: Member) -> Options {
+        let timing = Timing::default();
+        Options { member, timing, lease_ttl_ms: 10_000 }
+    }
+
+    /// Sets how peers are probed.
+    pub fn timing(mut self, timing: Timing) -> Options {
+        self.timing = timing;
+        self
+    }
+
+    /// Sets how long the lease lasts, in milliseconds.
+    pub fn lease_ttl_ms(mut self, lease_ttl_ms: u64) -> Options {
+        self.lease_ttl_ms = lease_ttl_ms;
+        self
+    }
+}
+
+/// The parts of the membership task that exist before the endpoint does.
+pub struct Setup {
+    options: Options,
+    publish: watch::Sender<Arc<Standing>>,
+    probed: mpsc::Receiver<Probed>,
+}
+
+impl Setup {
+    /// Adds the address at which peers reach the node.
+    pub fn at(mut self, peer_address: &str) -> Setup {
+        self.options.member =
+            self.options.member.with_peer_address(peer_address);
+        self
+    }
+}
+
+/// Makes the way to the task, and what [`start`] needs.
+pub fn prepare(options: Options) -> (Handle, Setup) {
+    let name = options.member.name().to_owned();
+    let standing = Standing {
+        own: name.clone(),
+        live: vec![name],
+        members: BTreeMap::new(),
+        freshness: Freshness::CutOff,
+    };
+    let (publish, reader) = watch::channel(Arc::new(standing));
+    let (sender, probed) = mpsc::channel(256);
+    let handle = Handle { standing: reader, probed: sender };
+    (handle, Setup { options, publish, probed })
+}
+
+/// Starts the task, and the one that keeps the lease.
+///
+/// The lease's task ends, and the node's entry with it, when `leave` is
+/// dropped or signalled.
+pub fn start<K: KeyValue>(
+    setup: Setup,
+    platform: K,
+    watcher: watcher::Handle,
+    endpoint: Endpoint,
+    leave: oneshot::Receiver<()>,
+    log: Logger,
+) -> tokio::task::JoinHandle<()> {
+    let options = setup.options;
+    let keeper = LeaseKeeper {
+        platform,
+        member: options.member.clone(),
+        ttl_ms: options.lease_ttl_ms,
+        view: watcher.view.clone(),
+        log: log.clone(),
+    };
+    let kept = tokio::spawn(keeper.run(leave));
+    let (results, probe_results) = mpsc::channel(256);
+    let task = Task {
+        roster: Roster::new(options.member.name(), options.timing),
+        options,
+        publish: setup.publish,
+        watcher,
+        endpoint,
+        results,
+        heard: HashMap::new(),
+        unlisted_since_ms: HashMap::new(),
+        log,
+    };
+    tokio::spawn(task.run(setup.probed, probe_results));
+    kept
+}
+
+struct ProbeResult {
+    node: String,
+    answer: Option<Probe>,
+}
+
+#[derive(Clone, Copy)]
+struct Heard {
+    at_ms: u64,
+    confirmed_ms: Option<u64>,
+}
+
+struct Task {
+    options: Options,
+    roster: Roster,
+    publish: watch::Sender<Arc<Standing>>,
+    watcher: watcher::Handle,
+    endpoint: Endpoint,
+    results: mpsc::Sender<ProbeResult>,
+    heard: HashMap<String, Heard>,
+    unlisted_since_ms: HashMap<String, u64>,
+    log: Logger,
+}
+
+impl Task {
+    async fn run(
+        mut self,
+        mut probed: mpsc::Receiver<Probed>,
+        mut results: mpsc::Receiver<ProbeResult>,
+    ) {
+        let interval_ms = self.options.timing.interval_ms();
+        let mut rounds = interval(Duration::from_millis(interval_ms));
+        let mut view = self.watcher.view.clone();
+        loop {
+            tokio::select! {
+                _ = rounds.tick() => self.probe_peers(),
+                asked = probed.recv() => {
+                    let Some(asked) = asked else { return };
+                    self.hear(&asked.probe);
+                    let _ = asked.reply.send(self.speak());
+                }
+                result = results.recv() => {
+                    let Some(result) = result else { return };
+                    self.take_in(result);
+                }
+                changed = view.changed() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                }
+            }
+            self.list_members(&view);
+            self.publish();
+        }
+    }
+
+    fn probe_peers(&mut self) {
+        let probe = self.speak();
+        let limit = Duration::from_millis(self.options.timing.interval_ms());
+        for peer in self.roster.next_targets() {
+            let endpoint = self.endpoint.clone();
+            let results = self.results.clone();
+            let question = Question::Probe(probe.clone());
+            tokio::spawn(async move {
+                let asked = endpoint.ask(&peer, &question, limit).await;
+                let answer = match asked {
+                    Ok(Answer::Probe(answer)) => Some(answer),
+                    _ => None,
+                };
+                let node = peer.name().to_owned();
+                let _ = results.send(ProbeResult { node, answer }).await;
+            });
+        }
+    }
+
+    fn take_in(&mut self, result: ProbeResult) {
+        let now_ms = clock::now_ms();
+        match result.answer {
+            Some(answer) => {
+                counters::count_by(counters::PROBES, "result", "answered");
+                self.hear(&answer);
+            }
+            None => {
+                counters::count_by(counters::PROBES, "result", "missed");
+                self.roster.probe_failed(&result.node, now_ms);
+            }
+        }
+    }
+
+    /// Takes in what a peer says, asked or not.
+    fn hear(&mut self, probe: &Probe) {
+        let now_ms = clock::now_ms();
+        self.roster.probe_succeeded(&probe.node, probe.incarnation, now_ms);
+        self.roster.hear(&probe.suspicions, now_ms);
+        self.note(&probe.node, now_ms, probe.confirmed_age_ms);
+        for heard in &probe.heard {
+            let at_ms = now_ms.saturating_sub(heard.heard_ms);
+            self.note(&heard.node, at_ms, heard.confirmed_ms);
+        }
+        let own = self.watcher.view.borrow().config.value.revision();
+        if probe.revision > own {
+            self.catch_up(&probe.node, own);
+        }
+    }
+
+    fn note(&mut self, node: &str, at_ms: u64, confirmed_ms: Option<u64>) {
+        let newer = Heard { at_ms, confirmed_ms };
+        let known = self.heard.entry(node.to_owned()).or_insert(newer);
+        if at_ms >= known.at_ms {
+            *known = newer;
+        }
+    }
+
+    /// Gets the newer configuration: from the platform, or from the peer.
+    fn catch_up(&self, node: &str, have: u64) {
+        self.watcher.nudge(have + 1);
+        if self.watcher.confirmed.age_ms() < FRESH_MS / 2 {
+            return;
+        }
+        let Some(peer) = self.roster.member(node).cloned() else { return };
+        let (endpoint, watcher) =
+            (self.endpoint.clone(), self.watcher.clone());
+        let log = self.log.clone();
+        tokio::spawn(async move {
+            let question = Question::Snapshot { have };
+            let limit = Duration::from_millis(FRESH_MS / 2);
+            let asked = endpoint.ask(&peer, &question, limit).await;
+            if let Ok(Answer::Snapshot { revision, resources }) = asked
+                && let Some(snapshot) = read_snapshot(revision, &resources)
+            {
+                info!(log, "configuration taken from a peer";
+                    "peer" => peer.name(), "revision" => revision);
+                watcher.install(snapshot);
+            }
+        });
+    }
+
+    fn speak(&self) -> Probe {
+        let now_ms = clock::now_ms();
+        let age_ms = self.watcher.confirmed.age_ms();
+        let confirmed = age_ms <= FRESH_MS;
+        let heard = if age_ms <= FRESH_MS / 2 {
+            Vec::new()
+        } else {
+            let told = |(node, heard): (&String, &Heard)| HeardNode {
+                node: node.clone(),
+                heard_ms: now_ms.saturating_sub(heard.at_ms),
+                confirmed_ms: heard.confirmed_ms,
+            };
+            self.heard.iter().map(told).collect()
+        };
+        Probe {
+            node: self.options.member.name().to_owned(),
+            incarnation: self.options.member.incarnation(),
+            revision: self.watcher.view.borrow().config.value.revision(),
+            confirmed_age_ms: confirmed.then_some(age_ms),
+            suspicions: self.roster.suspicions(now_ms),
+            heard,
+        }
+    }
+
+    /// Takes over the platform's list, with a grace for those that answer.
+    fn list_members(&mut self, view: &ViewReader) {
+        let now_ms = clock::now_ms();
+        let mut members = view.borrow().members.clone();
+        let known: Vec<Member> = self.roster.others().cloned().collect();
+        for member in known {
+            let name = member.name().to_owned();
+            if members.contains_key(&name) {
+                self.unlisted_since_ms.remove(&name);
+                continue;
+            }
+            let since_ms =
+                *self.unlisted_since_ms.entry(name.clone()).or_insert(now_ms);
+            let heard = self.heard.get(&name);
+            let answers = heard
+                .is_some_and(|heard| heard.at_ms + self.grace_ms() > now_ms);
+            if answers && now_ms < since_ms + self.options.lease_ttl_ms {
+                members.insert(name, member);
+            }
+        }
+        let own = &self.options.member;
+        members.insert(own.name().to_owned(), own.clone());
+        self.heard.retain(|node, _| members.contains_key(node));
+        self.unlisted_since_ms.retain(|node, _| members.contains_key(node));
+        self.roster.list(members.into_values(), now_ms);
+    }
+
+    /// Returns for how long a node that was heard counts as answering.
+    fn grace_ms(&self) -> u64 {
+        4 * self.options.timing.interval_ms()
+    }
+
+    fn publish(&self) {
+        let now_ms = clock::now_ms();
+        let live: Vec<String> =
+            self.roster.live(now_ms).into_iter().map(str::to_owned).collect();
+        let own = &self.options.member;
+        let mut members: BTreeMap<String, Member> = self
+            .roster
+            .others()
+            .map(|member| (member.name().to_owned(), member.clone()))
+            .collect();
+        members.insert(own.name().to_owned(), own.clone());
+        let freshness = self.freshness(now_ms);
+        self.publish.send_if_modified(|standing| {
+            let same = standing.live == live
+                && standing.members == members
+                && standing.freshness == freshness;
+            if same {
+                return false;
+            }
+            if standing.live != live {
+                counters::set(counters::LIVE_NODES, live.len() as f64);
+                info!(self.log, "roster changed"; "live" => live.join(" "));
+            }
+            if standing.freshness != freshness {
+                info!(self.log, "reach changed";
+                    "freshness" => format!("{freshness:?}"));
+            }
+            let own = standing.own.clone();
+            *standing = Arc::new(Standing { own, live, members, freshness });
+            true
+        });
+    }
+
+    fn freshness(&self, now_ms: u64) -> Freshness {
+        let ages: Vec<PeerAge> = self
+            .roster
+            .others()
+            .map(|peer| match self.heard.get(peer.name()) {
+                None => PeerAge { heard_ms: u64::MAX, confirmed_ms: None },
+                Some(heard) => PeerAge {
+                    heard_ms: now_ms.saturating_sub(heard.at_ms),
+                    confirmed_ms: heard.confirmed_ms,
+                },
+            })
+            .collect();
+        freshness(self.watcher.confirmed.age_ms(), &ages, FRESH_MS)
+    }
+}
+
+fn read_snapshot(revision: u64, resources: &[String]) -> Option<Snapshot> {
+    let resources: Result<Vec<Resource>, _> =
+        resources.iter().map(|text| Resource::from_yaml(text)).collect();
+    Some(Snapshot::from_parts(revision, resources.ok()?))
+}
+
+/// The task that owns the node's lease.
+struct LeaseKeeper<K> {
+    platform: K,
+    member: Member,
+    ttl_ms: u64,
+    view: ViewReader,
+    log: Logger,
+}
+
+impl<K: KeyValue> LeaseKeeper<K> {
+    async fn run(self, mut leave: oneshot::Receiver<()>) {
+        loop {
+            let lease = tokio::select! {
+                lease = self.enter() => lease,
+                _ = &mut leave => return,
+            };
+            match lease {
+                Ok(lease) => {
+                    if self.keep(lease, &mut leave).await.is_some() {
+                        return;
+                    }
+                }
+                Err(error) => {
+                    counters::platform_failure(&error);
+                    warn!(self.log, "lease refused"; "error" => %error);
+                    sleep(LEASE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Takes a lease and lists the node under it.
+    async fn enter(&self) -> Result<Lease, Error> {
+        let lease = self.platform.grant(self.ttl_ms).await?;
+        let key = format!("{}{}", keys::MEMBER, self.member.name());
+        // OK because a member holds only strings and a number.
+        let value = serde_json::to_vec(&self.member).expect("JSON");
+        let swapped = self
+            .platform
+            .swap(&key, Expected::Any, &value, Some(lease))
+            .await?;
+        if let Cas::Swapped(version) = swapped {
+            info!(self.log, "node listed"; "version" => version);
+        }
+        Ok(lease)
+    }
+
+    /// Renews the lease; returns when the node leaves or the lease lapsed.
+    async fn keep(
+        &self,
+        lease: Lease,
+        leave: &mut oneshot::Receiver<()>,
+    ) -> Option<()> {
+        loop {
+            tokio::select! {
+                _ = &mut *leave => {
+                    let _ = self.platform.revoke(lease).await;
+                    info!(self.log, "node left the roster");
+                    return Some(());
+                }
+                () = sleep(Duration::from_millis(self.ttl_ms / 3)) => {}
+            }
+            match self.platform.keep_alive(lease).await {
+                Ok(true) if self.is_listed() => {}
+                Ok(_) => {
+                    warn!(self.log, "lease lapsed");
+                    return None;
+                }
+                Err(error) => {
+                    // The lease may well outlive the outage.
+                    counters::platform_failure(&error);
+                }
+            }
+        }
+    }
+
+    /// Returns whether the platform lists this very process.
+    fn is_listed(&self) -> bool {
+        let view = self.view.borrow();
+        view.members.get(self.member.name()) == Some(&self.member)
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/peer/endpoint.rs
@@ -0,0 +1,489 @@
+use {
+    crate::{
+        counters,
+        peer::{Answer, Question, VERSION},
+        settings,
+    },
+    dewspar::member::Member,
+    displaydoc::Display,
+    quinn::{
+        ClientConfig, Connection, Incoming, RecvStream, SendStream,
+        ServerConfig, TransportConfig, VarInt,
+        crypto::rustls::{QuicClientConfig, QuicServerConfig},
+    },
+    rustls::{
+        RootCertStore,
+        crypto::ring::default_provider,
+        pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject},
+        server::WebPkiClientVerifier,
+    },
+    slog::{Logger, debug, warn},
+    std::{
+        collections::HashMap, fs, future::Future, io, net::SocketAddr,
+        path::Path, sync::Arc, time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::timeout,
+    },
+};
+
+/// The largest message, in bytes.
+const MAX_MESSAGE: usize = 4 * 1024 * 1024;
+
+/// How long a connection lives without a message.
+const IDLE: Duration = Duration::from_secs(15);
+
+/// How many questions one peer may have open at a time.
+const MAX_STREAMS: u32 = 1024;
+
+/// What both sides call the protocol when they connect.
+const PROTOCOL: &[u8] = b"dewspar/1";
+
+/// Why the endpoint couldn't be set up.
+#[derive(Debug, Display)]
+#[non_exhaustive]
+pub enum SetupError {
+    /// field `peers.{field}`: `{path}` can't be read: {reason}
+    File {
+        /// The settings' field.
+        field: &'static str,
+        /// The file's path.
+        path: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// field `peers.{field}` is not what it should be: {reason}
+    Pem {
+        /// The settings' field.
+        field: &'static str,
+        /// What went wrong.
+        reason: String,
+    },
+    /// field `peers.address`: {0}
+    Listen(io::Error),
+}
+
+impl std::error::Error for SetupError {}
+
+/// Why a question got no answer.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[non_exhaustive]
+pub enum Error {
+    /// node `{node}` can't be reached, and got nothing: {reason}
+    Unreachable {
+        /// The node's name.
+        node: String,
+        /// What went wrong.
+        reason: String,
+    },
+    /// node `{node}` didn't answer: {reason}
+    NoAnswer {
+        /// The node's name.
+        node: String,
+        /// What went wrong.
+        reason: String,
+    },
+}
+
+impl std::error::Error for Error {}
+
+/// A node's certificate, key and authority, in PEM.
+#[derive(Clone)]
+pub struct Identity {
+    /// The authority of all nodes.
+    pub ca: Vec<u8>,
+    /// The node's certificate.
+    pub certificate: Vec<u8>,
+    /// The certificate's key; it must never reach a log.
+    pub key: Vec<u8>,
+}
+
+impl Identity {
+    /// Reads the files that settings name.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SetupError::File`] with the field of the first file that
+    /// can't be read.
+    pub fn from_settings(
+        peers: &settings::Peers,
+    ) -> Result<Identity, SetupError> {
+        Ok(Identity {
+            ca: read("ca_file", &peers.ca_file)?,
+            certificate: read("certificate_file", &peers.certificate_file)?,
+            key: read("key_file", &peers.key_file)?,
+        })
+    }
+}
+
+fn read(field: &'static str, path: &Path) -> Result<Vec<u8>, SetupError> {
+    fs::read(path).map_err(|error| SetupError::File {
+        field,
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    })
+}
+
+/// This node's end of all connections to peers; clones share it.
+#[derive(Clone, Debug)]
+pub struct Endpoint {
+    endpoint: quinn::Endpoint,
+    pool: mpsc::Sender<PoolMessage>,
+}
+
+impl Endpoint {
+    /// Listens at `address` and answers questions with `handle`.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SetupError`] that names the settings' field at fault.
+    pub fn start<H, F>(
+        address: SocketAddr,
+        identity: &Identity,
+        handle: H,
+        log: Logger,
+    ) -> Result<Endpoint, SetupError>
+    where
+        H: Fn(Question) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Answer> + Send + 'static,
+    {
+        let server = server_config(identity)?;
+        let mut endpoint = quinn::Endpoint::server(server, address)
+            .map_err(SetupError::Listen)?;
+        endpoint.set_default_client_config(client_config(identity)?);
+        let (pool, messages) = mpsc::channel(256);
+        let keeper = Pool {
+            endpoint: endpoint.clone(),
+            connections: HashMap::new(),
+            waiting: HashMap::new(),
+            own: pool.downgrade(),
+        };
+        tokio::spawn(keeper.run(messages));
+        tokio::spawn(accept(endpoint.clone(), handle, log));
+        Ok(Endpoint { endpoint, pool })
+    }
+
+    /// Returns the address that it listens at.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket's error.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.endpoint.local_addr()
+    }
+
+    /// Asks a peer, and waits for its answer until `limit` has passed.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Unreachable`] when the peer certainly got nothing,
+    /// and [`Error::NoAnswer`] when it may have got the question.
+    pub async fn ask(
+        &self,
+        peer: &Member,
+        question: &Question,
+        limit: Duration,
+    ) -> Result<Answer, Error> {
+        let node = peer.name();
+        let asked = async {
+            let connection = self.connection(peer).await?;
+            let answer = exchange(&connection, question).await;
+            answer.map_err(|reason| Error::NoAnswer {
+                node: node.to_owned(),
+                reason,
+            })
+        };
+        let late = || {
+            let reason = format!("no answer in {limit:?}");
+            Error::NoAnswer { node: node.to_owned(), reason }
+        };
+        timeout(limit, asked).await.unwrap_or_else(|_| Err(late()))
+    }
+
+    /// Closes every connection.
+    pub fn close(&self) {
+        self.endpoint.close(VarInt::from_u32(0), b"stopping");
+    }
+
+    async fn connection(&self, peer: &Member) -> Result<Connection, Error> {
+        let unreachable = |reason: String| Error::Unreachable {
+            node: peer.name().to_owned(),
+            reason,
+        };
+        let (reply, connected) = oneshot::channel();
+        let message = PoolMessage::Get { peer: peer.clone(), reply };
+        let closed = || unreachable("this node stops".to_owned());
+        self.pool.send(message).await.map_err(|_| closed())?;
+        connected.await.map_err(|_| closed())?.map_err(unreachable)
+    }
+}
+
+type Connected = Result<Connection, String>;
+
+enum PoolMessage {
+    Get { peer: Member, reply: oneshot::Sender<Connected> },
+    Connected { peer: Member, result: Connected },
+}
+
+/// The task that owns the connections this node has opened.
+struct Pool {
+    endpoint: quinn::Endpoint,
+    connections: HashMap<String, (Member, Connection)>,
+    waiting: HashMap<String, Vec<oneshot::Sender<Connected>>>,
+    own: mpsc::WeakSender<PoolMessage>,
+}
+
+impl Pool {
+    async fn run(mut self, mut messages: mpsc::Receiver<PoolMessage>) {
+        while let Some(message) = messages.recv().await {
+            match message {
+                PoolMessage::Get { peer, reply } => self.get(peer, reply),
+                PoolMessage::Connected { peer, result } => {
+                    self.connected(peer, result);
+                }
+            }
+        }
+    }
+
+    fn get(&mut self, peer: Member, reply: oneshot::Sender<Connected>) {
+        let name = peer.name().to_owned();
+        if let Some((member, connection)) = self.connections.get(&name)
+            && *member == peer
+            && connection.close_reason().is_none()
+        {
+            let _ = reply.send(Ok(connection.clone()));
+            return;
+        }
+        self.connections.remove(&name);
+        let waiting = self.waiting.entry(name).or_default();
+        waiting.push(reply);
+        if waiting.len() > 1 {
+            return;
+        }
+        let (endpoint, own) = (self.endpoint.clone(), self.own.clone());
+        tokio::spawn(async move {
+            let result = connect(&endpoint, &peer).await;
+            if let Some(own) = own.upgrade() {
+                let message = PoolMessage::Connected { peer, result };
+                let _ = own.send(message).await;
+            }
+        });
+    }
+
+    fn connected(&mut self, peer: Member, result: Connected) {
+        for reply in self.waiting.remove(peer.name()).unwrap_or_default() {
+            let _ = reply.send(result.clone());
+        }
+        if let Ok(connection) = result {
+            let name = peer.name().to_owned();
+            self.connections.insert(name, (peer, connection));
+        }
+    }
+}
+
+async fn connect(endpoint: &quinn::Endpoint, peer: &Member) -> Connected {
+    let address: SocketAddr = peer
+        .peer_address()
+        .parse()
+        .map_err(|_| format!("no address: `{}`", peer.peer_address()))?;
+    let connecting = endpoint
+        .connect(address, peer.name())
+        .map_err(|error| error.to_string())?;
+    connecting.await.map_err(|error| error.to_string())
+}
+
+async fn exchange(
+    connection: &Connection,
+    question: &Question,
+) -> Result<Answer, String> {
+    let text = |error: &dyn std::fmt::Display| error.to_string();
+    let (mut send, mut receive) =
+        connection.open_bi().await.map_err(|e| text(&e))?;
+    let bytes = encode(question)?;
+    counters::add_by(
+        counters::PEER_BYTES,
+        "direction",
+        "sent",
+        bytes.len() as u64,
+    );
+    send.write_all(&bytes).await.map_err(|e| text(&e))?;
+    send.finish().map_err(|e| text(&e))?;
+    let answer =
+        receive.read_to_end(MAX_MESSAGE).await.map_err(|e| text(&e))?;
+    counters::add_by(
+        counters::PEER_BYTES,
+        "direction",
+        "received",
+        answer.len() as u64,
+    );
+    decode(&answer)
+}
+
+/// Accepts connections; `handle` answers what comes over them.
+async fn accept<H, F>(endpoint: quinn::Endpoint, handle: H, log: Logger)
+where
+    H: Fn(Question) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    while let Some(incoming) = endpoint.accept().await {
+        tokio::spawn(serve(incoming, handle.clone(), log.clone()));
+    }
+}
+
+async fn serve<H, F>(incoming: Incoming, handle: H, log: Logger)
+where
+    H: Fn(Question) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Answer> + Send + 'static,
+{
+    let from = incoming.remote_address();
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            counters::count_by(counters::PEER_REFUSALS, "reason", "handshake");
+            warn!(log, "peer refused"; "from" => %from, "error" => %error);
+            return;
+        }
+    };
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let (handle, log) = (handle.clone(), log.clone());
+        tokio::spawn(async move {
+            if let Err(reason) = answer(send, receive, handle).await {
+                counters::count_by(
+                    counters::PEER_REFUSALS,
+                    "reason",
+                    "message",
+                );
+                debug!(log, "question not answered"; "reason" => reason);
+            }
+        });
+    }
+}
+
+async fn answer<H, F>(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    handle: H,
+) -> Result<(), String>
+where
+    H: Fn(Question) -> F,
+    F: Future<Output = Answer>,
+{
+    let read = receive.read_to_end(MAX_MESSAGE).await;
+    let bytes = read.map_err(|error| error.to_string())?;
+    let answer = match decode(&bytes) {
+        Ok(question) => handle(question).await,
+        Err(reason) => Answer::Refused(reason),
+    };
+    let bytes = encode(&answer)?;
+    let written = send.write_all(&bytes).await;
+    written.map_err(|error| error.to_string())?;
+    send.finish().map_err(|error| error.to_string())
+}
+
+fn encode<T: serde::Serialize>(message: &T) -> Result<Vec<u8>, String> {
+    let mut bytes = VERSION.to_le_bytes().to_vec();
+    let body = postcard::to_stdvec(message).map_err(|e| e.to_string())?;
+    bytes.extend_from_slice(&body);
+    Ok(bytes)
+}
+
+fn decode<'a, T: serde::Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> Result<T, String> {
+    let Some((version, body)) = bytes.split_first_chunk::<2>() else {
+        return Err("the message is empty".to_owned());
+    };
+    let version = u16::from_le_bytes(*version);
+    if version != VERSION {
+        return Err(format!("version {version}, expected {VERSION}"));
+    }
+    postcard::from_bytes(body).map_err(|error| error.to_string())
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    // OK because 15 s is far below the protocol's limit.
+    let idle = IDLE.try_into().expect("an idle time that QUIC can carry");
+    transport.max_idle_timeout(Some(idle));
+    transport.max_concurrent_bidi_streams(VarInt::from_u32(MAX_STREAMS));
+    transport.max_concurrent_uni_streams(VarInt::from_u32(0));
+    Arc::new(transport)
+}
+
+fn certificates(
+    field: &'static str,
+    pem: &[u8],
+) -> Result<Vec<CertificateDer<'static>>, SetupError> {
+    let pem_error = |reason: String| SetupError::Pem { field, reason };
+    let read: Result<Vec<_>, _> =
+        CertificateDer::pem_slice_iter(pem).collect();
+    let found = read.map_err(|error| pem_error(error.to_string()))?;
+    if found.is_empty() {
+        return Err(pem_error("no certificate in it".to_owned()));
+    }
+    Ok(found)
+}
+
+fn private_key(pem: &[u8]) -> Result<PrivateKeyDer<'static>, SetupError> {
+    PrivateKeyDer::from_pem_slice(pem).map_err(|error| SetupError::Pem {
+        field: "key_file",
+        reason: error.to_string(),
+    })
+}
+
+fn roots(identity: &Identity) -> Result<RootCertStore, SetupError> {
+    let mut roots = RootCertStore::empty();
+    for certificate in certificates("ca_file", &identity.ca)? {
+        roots.add(certificate).map_err(|error| SetupError::Pem {
+            field: "ca_file",
+            reason: error.to_string(),
+        })?;
+    }
+    Ok(roots)
+}
+
+fn server_config(identity: &Identity) -> Result<ServerConfig, SetupError> {
+    let pem_error =
+        |reason: String| SetupError::Pem { field: "certificate_file", reason };
+    let provider = Arc::new(default_provider());
+    let roots = Arc::new(roots(identity)?);
+    let verifier = WebPkiClientVerifier::builder_with_provider(
+        roots,
+        Arc::clone(&provider),
+    )
+    .build()
+    .map_err(|error| pem_error(error.to_string()))?;
+    let chain = certificates("certificate_file", &identity.certificate)?;
+    let mut tls = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| pem_error(error.to_string()))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, private_key(&identity.key)?)
+        .map_err(|error| pem_error(error.to_string()))?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let tls = QuicServerConfig::try_from(tls)
+        .map_err(|error| pem_error(error.to_string()))?;
+    let mut config = ServerConfig::with_crypto(Arc::new(tls));
+    config.transport_config(transport());
+    Ok(config)
+}
+
+fn client_config(identity: &Identity) -> Result<ClientConfig, SetupError> {
+    let pem_error =
+        |reason: String| SetupError::Pem { field: "certificate_file", reason };
+    let chain = certificates("certificate_file", &identity.certificate)?;
+    let provider = Arc::new(default_provider());
+    let mut tls = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .map_err(|error| pem_error(error.to_string()))?
+        .with_root_certificates(roots(identity)?)
+        .with_client_auth_cert(chain, private_key(&identity.key)?)
+        .map_err(|error| pem_error(error.to_string()))?;
+    tls.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let tls = QuicClientConfig::try_from(tls)
+        .map_err(|error| pem_error(error.to_string()))?;
+    let mut config = ClientConfig::new(Arc::new(tls));
+    config.transport_config(transport());
+    Ok(config)
+}
