Let a wave keep the tasks of the VMs it takes

Cause: in a fleet without spare VMs the first wave moved each drained VM's runners onto others; two runners of a service then shared a VM, whose budget never again allowed that VM to be taken, and the wave stood still for good (example fleet: blocked at 2 of 4 VMs, 'needs 3 and would have 2').

Ruled out: a slow roll-out (it stood still), a lost update (the documents were right), a budget that leaves no room (3 of 4).

Change: the budgets were found to hold without the taken VM, so its tasks wait for its return. Where a failure has put siblings together, one of them is moved away first, if the budgets allow it.

Conclusion: with room in the budget a move buys nothing.

--- a/crates/dewspar-cli/tests/processes.rs
+++ b/crates/dewspar-cli/tests/processes.rs
@@ -6,11 +6,12 @@
     net::TcpStream,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
+    sync::mpsc,
     time::{Duration, Instant},
 };
 
 /// How long anything may take; only a hang is ever stopped by it.
-const LIMIT: Duration = Duration::from_secs(60);
+const LIMIT: Duration = Duration::from_secs(30);
 
 /// A process that is killed when the test ends early.
 struct Process {
@@ -122,17 +123,19 @@
             .spawn()
             .expect("a node");
         let stderr = child.stderr.take().expect("its logs");
-        let mut lines = BufReader::new(stderr).lines();
-        let started = loop {
-            let line = lines.next().expect("a line").expect("text");
-            let line: serde_json::Value =
-                serde_json::from_str(&line).expect("a JSON line");
-            if line["msg"] == "node started" {
-                break line;
-            }
-        };
+        let (sender, started) = mpsc::channel();
         // Somebody must read the logs, or the node would block in the end.
-        std::thread::spawn(move || lines.for_each(drop));
+        std::thread::spawn(move || {
+            for line in BufReader::new(stderr).lines() {
+                let line = line.expect("text");
+                let line: serde_json::Value =
+                    serde_json::from_str(&line).expect("a JSON line");
+                if line["msg"] == "node: started" {
+                    let _ = sender.send(line);
+                }
+            }
+        });
+        let started = started.recv_timeout(LIMIT).expect("a started node");
         let field = |name: &str| {
             started[name].as_str().expect("an address").to_owned()
         };
--- a/crates/dewspar/src/budget.rs
+++ b/crates/dewspar/src/budget.rs
@@ -129,6 +129,22 @@
     }
 }
 
+/// Says whether one running task may stop for a moment, as for a move.
+pub fn may_stop(
+    snapshot: &Snapshot,
+    pool: &str,
+    state: &PoolState,
+    rows: &[(&str, &Row)],
+    task: &str,
+) -> Verdict {
+    let mut without = state.clone();
+    without.remove(task);
+    match broken(snapshot, pool, &without, rows) {
+        Some(shortage) => Verdict::No(shortage),
+        None => Verdict::Yes,
+    }
+}
+
 /// Returns the first budget of the pool that is broken as things stand.
 pub fn broken(
     snapshot: &Snapshot,
--- a/crates/dewspar/src/config/resource.rs
+++ b/crates/dewspar/src/config/resource.rs
@@ -289,10 +289,12 @@
     /// Returns the first document's error; none is returned half.
     pub fn all_from_yaml(text: &str) -> Result<Vec<Resource>, Error> {
         serde_norway::Deserializer::from_str(text)
-            .map(|document| {
-                Envelope::deserialize(document)
-                    .map_err(|e| Error::Syntax { reason: e.to_string() })?
-                    .into_resource()
+            .filter_map(|document| {
+                // A separator at the end makes a document without content.
+                let envelope = Option::<Envelope>::deserialize(document)
+                    .map_err(|e| Error::Syntax { reason: e.to_string() });
+                let envelope = envelope.transpose()?;
+                Some(envelope.and_then(Envelope::into_resource))
             })
             .collect()
     }
--- a/crates/dewspar/src/place.rs
+++ b/crates/dewspar/src/place.rs
@@ -12,6 +12,12 @@
 runners of a service as can be. While a wave runs, VMs that it has maintained
 come first, so that a drained task moves once and not again.
 
+A VM that a wave has taken keeps its tasks: the budgets were found to hold
+without them, so they wait for its return, and nothing moves at all. Tasks
+move when their VM is lost or leaves the pool. Where that has put several
+runners of a service on one VM, a wave may not be able to take it; [`spread`]
+then moves one of them away, which the budgets must allow.
+
 A task that no VM of the pool could ever carry is named as such. It waits
 with that reason and holds up nobody.
 
@@ -60,9 +66,10 @@
 
 use {
     crate::{
+        budget,
         config::{Resource, Snapshot},
         fleet::{Row, VmState},
-        pool::{PoolState, Task, TaskState},
+        pool::{PoolState, Reason, Task, TaskState},
         util::stable_hash,
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -236,6 +243,43 @@
     wanted
 }
 
+/// Returns a move that puts siblings on one VM apart, so that the wave can
+/// take that VM; `None` if no move helps or no budget allows one now.
+pub fn spread(
+    snapshot: &Snapshot,
+    pool: &str,
+    state: &PoolState,
+    rows: &[(&str, &Row)],
+    usage: &Usage,
+    wave: &str,
+) -> Option<Step> {
+    let starting =
+        state.tasks().any(|(_, task)| task.state() == TaskState::Starting);
+    if starting {
+        // One at a time: the last move must have come to its end.
+        return None;
+    }
+    let wanted = wanted(snapshot, pool);
+    let board = Board::new(&wanted, pool, state, rows, usage);
+    wanted.iter().find_map(|want| {
+        let task = state.task(&want.task).filter(|task| stands(task))?;
+        let from = board.vms.get(task.vm())?;
+        let here = from.siblings(want.owner);
+        let to_do = from.row.maintained() != Some(wave);
+        if !from.open || !to_do || here < 2 {
+            return None;
+        }
+        let size = usage.size_of(&want.task, want.declared);
+        let vm = board.best(want, size)?;
+        let there = board.vms.get(vm.as_str())?.siblings(want.owner);
+        let allowed =
+            budget::may_stop(snapshot, pool, state, rows, &want.task);
+        let helps = there + 1 < here && allowed == budget::Verdict::Yes;
+        let (task, owner) = (want.task.clone(), want.owner.to_owned());
+        helps.then_some(Step::Place { task, owner, vm })
+    })
+}
+
 /// What stands on each VM while a plan is made.
 struct Board<'a> {
     vms: BTreeMap<&'a str, Vm<'a>>,
@@ -247,10 +291,18 @@
     row: &'a Row,
     room: Size,
     owners: BTreeMap<String, usize>,
+    // Whether it takes tasks, and whether it may keep those it has.
     open: bool,
+    keeps: bool,
     maintained: bool,
 }
 
+impl Vm<'_> {
+    fn siblings(&self, owner: &str) -> usize {
+        self.owners.get(owner).copied().unwrap_or(0)
+    }
+}
+
 impl<'a> Board<'a> {
     fn new(
         wanted: &[Wanted<'_>],
@@ -260,7 +312,7 @@
         usage: &Usage,
     ) -> Board<'a> {
         let wave = state.taken().find_map(|(_, taken)| match taken.reason() {
-            crate::pool::Reason::Wave(wave) => Some(wave.clone()),
+            Reason::Wave(wave) => Some(wave.clone()),
             _ => None,
         });
         let in_pool = rows.iter().filter(|(_, row)| row.pool() == Some(pool));
@@ -268,11 +320,12 @@
             .map(|&(name, row)| {
                 let open =
                     row.state() == VmState::Serving && !state.is_taken(name);
+                let keeps = open || is_in_wave(state, name, row);
                 let maintained =
                     wave.is_some() && row.maintained() == wave.as_deref();
                 let room = size_of_vm(row);
                 let owners = BTreeMap::new();
-                (name, Vm { row, room, owners, open, maintained })
+                (name, Vm { row, room, owners, open, keeps, maintained })
             })
             .collect();
         let largest = vms.values().map(|vm| vm.room).collect();
@@ -341,7 +394,7 @@
     }
 
     fn can_stay(&self, vm: &str) -> bool {
-        self.vms.get(vm).is_some_and(|vm| vm.open)
+        self.vms.get(vm).is_some_and(|vm| vm.keeps)
     }
 
     fn why(&self, size: Size) -> String {
@@ -374,7 +427,7 @@
             .filter(|(_, vm)| vm.open && size.fits(vm.room))
             .min_by_key(|(name, vm)| {
                 let not_yet = self.wave_runs && !vm.maintained;
-                let here = vm.owners.get(want.owner).copied().unwrap_or(0);
+                let here = vm.siblings(want.owner);
                 let rack = siblings(&|row| row.rack() == vm.row.rack());
                 let hall = siblings(&|row| row.hall() == vm.row.hall());
                 let room = std::cmp::Reverse(vm.room.cpu_millis);
@@ -385,6 +438,14 @@
     }
 }
 
+/// Returns whether a wave has the VM, which will be back with its tasks.
+fn is_in_wave(state: &PoolState, vm: &str, row: &Row) -> bool {
+    let by_wave = state.taken().any(|(name, taken)| {
+        name == vm && matches!(taken.reason(), Reason::Wave(_))
+    });
+    by_wave && row.state() != VmState::Lost
+}
+
 fn stands(task: &Task) -> bool {
     matches!(task.state(), TaskState::Starting | TaskState::Running)
 }
--- /dev/null
+++ b/crates/dewspar/tests/once.rs
@@ -0,0 +1,312 @@
+//! At most once: two writers, lost answers, crashes and late messages.
+
+use {
+    dewspar::once::{
+        Actor, Admission, CLOCK_SKEW_MS, Filing, Journal, Key, Outcome,
+        RETENTION_MS, Ticket,
+    },
+    quickcheck::{Arbitrary, Gen, QuickCheck},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const NOW_MS: u64 = 1_800_000_000_000;
+
+/// The platform: one head and its segments.
+#[derive(Default)]
+struct Platform {
+    version: u64,
+    head: Option<Vec<u8>>,
+    segments: BTreeMap<String, Vec<u8>>,
+}
+
+/// A node that writes the partition, and what it intends to run.
+struct Writer {
+    name: usize,
+    journal: Journal,
+    waiting: BTreeMap<Ticket, (Key, Actor)>,
+    attempts: u64,
+}
+
+impl Writer {
+    fn new(name: usize, seed: u64, platform: &Platform) -> Writer {
+        let journal = Journal::with_seed(0, seed);
+        let mut writer =
+            Writer { name, journal, waiting: BTreeMap::new(), attempts: 0 };
+        writer.load(platform);
+        writer
+    }
+
+    fn load(&mut self, platform: &Platform) {
+        let head = platform.head.as_deref();
+        let unread =
+            self.journal.load(platform.version, head).expect("a head");
+        for segment in unread {
+            let body = &platform.segments[segment.name()];
+            self.journal.load_segment(body).expect("a segment");
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Act {
+    /// A caller asks the writer to run a key.
+    Ask { writer: usize, key: u8 },
+    /// The writer writes, and its answer arrives.
+    Write { writer: usize },
+    /// The writer writes, but its answer is lost; it reads back.
+    WriteLost { writer: usize },
+    /// The writer's call never reaches the platform.
+    WriteFails { writer: usize },
+    /// The writer settles what it ran.
+    Settle { writer: usize, not_run: bool },
+    /// An old outcome arrives once more.
+    Repeat { writer: usize },
+    /// The writer is replaced by a fresh process.
+    Crash { writer: usize },
+}
+
+impl Arbitrary for Act {
+    fn arbitrary(g: &mut Gen) -> Act {
+        let writer = usize::arbitrary(g) % 2;
+        match u8::arbitrary(g) % 10 {
+            0..=2 => Act::Ask { writer, key: u8::arbitrary(g) % 4 },
+            3..=4 => Act::Write { writer },
+            5 => Act::WriteLost { writer },
+            6 => Act::WriteFails { writer },
+            7 => Act::Settle { writer, not_run: bool::arbitrary(g) },
+            8 => Act::Repeat { writer },
+            _ => Act::Crash { writer },
+        }
+    }
+}
+
+/// All that happens, and how often each key really ran.
+struct World {
+    platform: Platform,
+    writers: Vec<Writer>,
+    started: u64,
+    open: Vec<Vec<(Key, Actor)>>,
+    ran: BTreeMap<Key, u32>,
+    settled: Vec<(Key, Actor, Outcome)>,
+}
+
+impl World {
+    fn new() -> World {
+        let platform = Platform::default();
+        let writers =
+            vec![Writer::new(0, 1, &platform), Writer::new(1, 2, &platform)];
+        World {
+            platform,
+            writers,
+            started: 2,
+            open: vec![Vec::new(), Vec::new()],
+            ran: BTreeMap::new(),
+            settled: Vec::new(),
+        }
+    }
+
+    fn act(&mut self, act: Act) {
+        match act {
+            Act::Ask { writer, key } => self.ask(writer, key),
+            Act::Write { writer } => self.write(writer, false),
+            Act::WriteLost { writer } => self.write(writer, true),
+            Act::WriteFails { writer } => {
+                let journal = &mut self.writers[writer].journal;
+                if let Some(write) = journal.next_write(NOW_MS) {
+                    journal.not_written(write.token());
+                }
+            }
+            Act::Settle { writer, not_run } => self.settle(writer, not_run),
+            Act::Repeat { writer } => self.repeat(writer),
+            Act::Crash { writer } => self.crash(writer),
+        }
+    }
+
+    fn ask(&mut self, index: usize, key: u8) {
+        let key = Key::at(NOW_MS, u128::from(key));
+        let filing = Filing::new(key, b"body");
+        let writer = &mut self.writers[index];
+        writer.attempts += 1;
+        let name = format!("n{}", writer.name);
+        let actor = Actor::new(&name, self.started, writer.attempts);
+        let admission = writer.journal.admit(&filing, &actor, NOW_MS);
+        if let Admission::Queued(ticket) = admission {
+            writer.waiting.insert(ticket, (key, actor));
+        }
+    }
+
+    fn write(&mut self, index: usize, lost: bool) {
+        let writer = &mut self.writers[index];
+        let Some(write) = writer.journal.next_write(NOW_MS) else { return };
+        let platform = &mut self.platform;
+        if let Some((segment, body)) = write.sealed() {
+            let name = segment.name().to_owned();
+            platform.segments.insert(name, body.to_vec());
+        }
+        let token = write.token();
+        let swapped = write.expected_version() == platform.version;
+        if swapped {
+            platform.version += 1;
+            platform.head = Some(write.value().to_vec());
+        }
+        let written = if swapped && !lost {
+            writer.journal.written(token, platform.version)
+        } else {
+            let head = platform.head.as_deref();
+            let read = writer.journal.read_back(token, platform.version, head);
+            match read.expect("a head") {
+                Some(written) => written,
+                None => {
+                    writer.journal.not_written(token);
+                    Vec::new()
+                }
+            }
+        };
+        if !swapped {
+            writer.load(platform);
+            for overtaken in writer.journal.overtaken() {
+                writer.waiting.remove(&overtaken.ticket);
+            }
+        }
+        for ticket in written {
+            // The intent stands: the filing is dispatched now.
+            if let Some((key, actor)) = writer.waiting.remove(&ticket) {
+                self.open[index].push((key, actor));
+            }
+        }
+    }
+
+    fn settle(&mut self, index: usize, not_run: bool) {
+        let Some((key, actor)) = self.open[index].pop() else { return };
+        let outcome = if not_run {
+            Outcome::NotRun
+        } else {
+            *self.ran.entry(key).or_default() += 1;
+            Outcome::Ran { status: 200 }
+        };
+        let journal = &mut self.writers[index].journal;
+        journal.settle(key, &actor, outcome, NOW_MS);
+        self.settled.push((key, actor, outcome));
+    }
+
+    fn repeat(&mut self, index: usize) {
+        if let Some((key, actor, outcome)) = self.settled.first() {
+            let journal = &mut self.writers[index].journal;
+            journal.settle(*key, actor, *outcome, NOW_MS);
+        }
+    }
+
+    fn crash(&mut self, index: usize) {
+        // What was dispatched runs on, and nobody settles it.
+        for (key, _) in std::mem::take(&mut self.open[index]) {
+            *self.ran.entry(key).or_default() += 1;
+        }
+        self.started += 1;
+        let fresh = Writer::new(index, self.started, &self.platform);
+        self.writers[index] = fresh;
+    }
+}
+
+#[test]
+fn no_key_ever_runs_twice() {
+    fn once(acts: Vec<Act>) -> bool {
+        let mut world = World::new();
+        for act in acts {
+            world.act(act);
+            assert!(world.ran.values().all(|runs| *runs <= 1));
+        }
+        true
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(120, 11))
+        .tests(4_000)
+        .quickcheck(once as fn(Vec<Act>) -> bool);
+}
+
+#[test]
+fn late_outcome_of_an_older_attempt_changes_nothing() {
+    let mut journal = Journal::new(0);
+    let key = Key::at(NOW_MS, 1);
+    let filing = Filing::new(key, b"body");
+    let first = Actor::new("n1", 1, 1);
+    let write = |journal: &mut Journal| {
+        let write = journal.next_write(NOW_MS).expect("a write");
+        journal.written(write.token(), write.expected_version() + 1);
+    };
+    journal.admit(&filing, &first, NOW_MS);
+    write(&mut journal);
+    journal.settle(key, &first, Outcome::NotRun, NOW_MS);
+    write(&mut journal);
+    let second = Actor::new("n2", 2, 1);
+    let admission = journal.admit(&filing, &second, NOW_MS);
+    assert!(matches!(admission, Admission::Queued(_)));
+    write(&mut journal);
+    // The first attempt's outcome, sent twice by a layer below.
+    journal.settle(key, &first, Outcome::NotRun, NOW_MS);
+    write(&mut journal);
+    let third = Actor::new("n3", 3, 1);
+    let admission = journal.admit(&filing, &third, NOW_MS);
+    assert_eq!(admission, Admission::Intended(second));
+}
+
+#[test]
+fn keys_out_of_their_time_are_refused() {
+    let mut journal = Journal::new(0);
+    let actor = Actor::new("n1", 1, 1);
+    let mut ask = |key_ms: u64| {
+        let filing = Filing::new(Key::at(key_ms, 1), b"body");
+        journal.admit(&filing, &actor, NOW_MS)
+    };
+    assert_eq!(ask(NOW_MS - RETENTION_MS - 1), Admission::TooOld);
+    assert_eq!(ask(NOW_MS + CLOCK_SKEW_MS + 1), Admission::TooNew);
+    assert!(matches!(ask(NOW_MS - RETENTION_MS), Admission::Queued(_)));
+}
+
+#[test]
+fn key_with_another_body_is_refused() {
+    let mut journal = Journal::new(0);
+    let actor = Actor::new("n1", 1, 1);
+    let key = Key::at(NOW_MS, 1);
+    journal.admit(&Filing::new(key, b"one"), &actor, NOW_MS);
+    let write = journal.next_write(NOW_MS).expect("a write");
+    journal.written(write.token(), 1);
+    let other = Filing::new(key, b"two");
+    let admission = journal.admit(&other, &actor, NOW_MS);
+    assert_eq!(admission, Admission::OtherBody);
+}
+
+#[test]
+fn sealed_entries_are_remembered_and_then_dropped() {
+    let mut platform = Platform::default();
+    let mut writer = Writer::new(0, 1, &platform);
+    let mut keys = BTreeSet::new();
+    for n in 0..3_000_u32 {
+        let key = Key::at(NOW_MS, u128::from(n));
+        keys.insert(key);
+        let actor = Actor::new("n1", 1, u64::from(n));
+        writer.journal.admit(&Filing::new(key, b"x"), &actor, NOW_MS);
+        if n % 100 == 99 {
+            let write = writer.journal.next_write(NOW_MS).expect("a write");
+            if let Some((segment, body)) = write.sealed() {
+                let name = segment.name().to_owned();
+                platform.segments.insert(name, body.to_vec());
+            }
+            platform.version += 1;
+            platform.head = Some(write.value().to_vec());
+            writer.journal.written(write.token(), platform.version);
+        }
+    }
+    assert!(platform.segments.len() > 1);
+    // A successor knows every key from the segments and the head.
+    let mut next = Writer::new(1, 2, &platform);
+    assert_eq!(next.journal.known_keys(), keys.len());
+    // Long after, the segments are dropped and the keys forgotten.
+    let later_ms = NOW_MS + RETENTION_MS + 3 * CLOCK_SKEW_MS;
+    next.journal.forget_old(later_ms);
+    assert_eq!(next.journal.known_keys(), 0);
+    let actor = Actor::new("n2", 2, 1);
+    let filing = Filing::new(Key::at(later_ms, 9), b"x");
+    next.journal.admit(&filing, &actor, later_ms);
+    let write = next.journal.next_write(later_ms).expect("a write");
+    assert_eq!(write.dropped().len(), platform.segments.len());
+}
--- a/crates/dewspard/src/api/handlers.rs
+++ b/crates/dewspard/src/api/handlers.rs
@@ -182,7 +182,7 @@
         let snapshot = state.write(&changes).await?;
         for change in &changes {
             let (kind, name) = change.target();
-            info!(state.log, "configuration changed";
+            info!(state.log, "api: configuration changed";
                 "operator" => caller.name(), "kind" => kind.as_str(),
                 "name" => name, "revision" => snapshot.revision());
         }
--- a/crates/dewspard/src/dispatch.rs
+++ b/crates/dewspard/src/dispatch.rs
@@ -495,7 +495,7 @@
             && self.health.record(runner, ok, clock::now_ms())
         {
             counters::count(counters::EJECTIONS);
-            info!(self.context.log, "runner ejected"; "runner" => runner);
+            info!(self.context.log, "dispatch: runner ejected"; "runner" => runner);
         }
         if let Some(connection) = connection
             && self.targets.contains_key(runner)
--- a/crates/dewspard/src/fleet/controller.rs
+++ b/crates/dewspard/src/fleet/controller.rs
@@ -164,7 +164,7 @@
                 && let Err(error) = self.step().await
             {
                 counters::platform_failure(&error);
-                warn!(self.log, "step not taken"; "error" => %error);
+                warn!(self.log, "fleet: step not taken"; "error" => %error);
             }
             sleep_until(next).await;
         }
@@ -245,7 +245,7 @@
                         let started = self.started.entry(pool).or_default();
                         started.push((start, report));
                     }
-                    Err(error) => warn!(self.log, "task not started";
+                    Err(error) => warn!(self.log, "fleet: task not started";
                         "task" => &start.task, "error" => %error),
                 }
             }
--- a/crates/dewspard/src/fleet/halls.rs
+++ b/crates/dewspard/src/fleet/halls.rs
@@ -86,7 +86,7 @@
         let written = update == Update::Written;
         if written {
             counters::count_by(counters::FLEET_STEPS, "step", step);
-            slog::info!(self.log, "VM stepped"; "vm" => vm, "step" => step);
+            slog::info!(self.log, "fleet: VM stepped"; "vm" => vm, "step" => step);
         }
         Ok(written)
     }
--- a/crates/dewspard/src/fleet/pools.rs
+++ b/crates/dewspard/src/fleet/pools.rs
@@ -222,7 +222,7 @@
         let update = self.documents.update_pool(view, pool, decide).await?;
         if update == Update::Written {
             counters::count_by(counters::FLEET_STEPS, "step", "place");
-            debug!(self.log, "tasks placed"; "pool" => pool);
+            debug!(self.log, "fleet: tasks placed"; "pool" => pool);
         }
         Ok(())
     }
@@ -328,12 +328,12 @@
                 self.update_pool(view, pool, "release", release).await
             }
             WaveStep::Blocked { shortage } => {
-                debug!(self.log, "wave waits"; "wave" => wave,
+                debug!(self.log, "fleet: wave waits"; "wave" => wave,
                     "why" => %shortage);
-                Ok(())
+                self.spread(view, pool, wave).await
             }
             WaveStep::Complete => {
-                info!(self.log, "wave complete"; "wave" => wave);
+                info!(self.log, "fleet: wave complete"; "wave" => wave);
                 let revision = revision_of(view, wave);
                 let complete = |state: &mut PoolState| {
                     state.complete_wave(wave, revision);
@@ -344,6 +344,27 @@
         }
     }
 
+    /// Moves one of several siblings off a VM that the wave can't take.
+    async fn spread(
+        &mut self,
+        view: &View,
+        pool: &str,
+        wave: &str,
+    ) -> Result<(), Error> {
+        let rows = view.pool_rows(pool);
+        let now_ms = clock::unix_ms();
+        let (config, usage) = (&view.config.value, &self.usage);
+        let decide = |state: &mut PoolState| {
+            let step = place::spread(config, pool, state, &rows, usage, wave);
+            Verdict::from(step.is_some_and(|step| apply(state, step, now_ms)))
+        };
+        let update = self.documents.update_pool(view, pool, decide).await?;
+        if update == Update::Written {
+            counters::count_by(counters::FLEET_STEPS, "step", "spread");
+        }
+        Ok(())
+    }
+
     /// Asks for an intended reboot until the worker reports it done.
     async fn reboot(
         &mut self,
--- a/crates/dewspard/src/granter.rs
+++ b/crates/dewspard/src/granter.rs
@@ -189,7 +189,7 @@
         }
         if !self.granters.contains_key(&service) {
             let granter = Granter::new(self.options.limits, clock::now_ms());
-            info!(self.options.log, "granting"; "service" => &service);
+            info!(self.options.log, "granter: granting"; "service" => &service);
             self.granters.insert(service.clone(), granter);
             self.update_runners();
         }
@@ -290,7 +290,7 @@
         self.granters.retain(|service, _| {
             let first = standing.is_first(&rank_key(service));
             if !first {
-                info!(log, "no longer granting"; "service" => service);
+                info!(log, "granter: no longer granting"; "service" => service);
             }
             first
         });
--- a/crates/dewspard/src/journal.rs
+++ b/crates/dewspard/src/journal.rs
@@ -466,7 +466,7 @@
             Ok(Some(tickets)) => return Written::Yes(tickets),
             Ok(None) => journal.not_written(write.token()),
             Err(error) => {
-                warn!(self.log, "journal can't be read"; "error" => %error);
+                warn!(self.log, "journal: journal can't be read"; "error" => %error);
                 return Written::No(malformed(&error));
             }
         }
@@ -503,7 +503,7 @@
         let key = head_key(self.partition);
         let current = self.platform.get(&key).await?;
         self.load_into(&mut journal, current).await?;
-        info!(self.log, "journal read"; "partition" => self.partition,
+        info!(self.log, "journal: journal read"; "partition" => self.partition,
             "keys" => journal.known_keys());
         Ok(journal)
     }
@@ -561,7 +561,7 @@
 
     fn fail(&self, error: &Error) {
         counters::platform_failure(error);
-        warn!(self.log, "journal not written";
+        warn!(self.log, "journal: journal not written";
             "partition" => self.partition, "error" => %error);
     }
 }
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -49,7 +49,7 @@
     match run(&settings, &identity, &log) {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
-            error!(log, "node failed"; "error" => reason);
+            error!(log, "node: failed"; "error" => reason);
             ExitCode::FAILURE
         }
     }
@@ -81,7 +81,7 @@
                 .await
                 .map_err(|error| error.to_string())?;
         wait_for_signal().await.map_err(|error| error.to_string())?;
-        info!(log, "told to stop");
+        info!(log, "node: told to stop");
         node.stop().await;
         Ok(())
     })
--- a/crates/dewspard/src/membership.rs
+++ b/crates/dewspard/src/membership.rs
@@ -344,7 +344,7 @@
             if let Ok(Answer::Snapshot { revision, resources }) = asked
                 && let Some(snapshot) = read_snapshot(revision, &resources)
             {
-                info!(log, "configuration taken from a peer";
+                info!(log, "member: configuration taken from a peer";
                     "peer" => peer.name(), "revision" => revision);
                 watcher.install(snapshot);
             }
@@ -428,10 +428,10 @@
             }
             if standing.live != live {
                 counters::set(counters::LIVE_NODES, live.len() as f64);
-                info!(self.log, "roster changed"; "live" => live.join(" "));
+                info!(self.log, "member: roster changed"; "live" => live.join(" "));
             }
             if standing.freshness != freshness {
-                info!(self.log, "reach changed";
+                info!(self.log, "member: reach changed";
                     "freshness" => format!("{freshness:?}"));
             }
             let own = standing.own.clone();
@@ -486,7 +486,7 @@
                 }
                 Err(error) => {
                     counters::platform_failure(&error);
-                    warn!(self.log, "lease refused"; "error" => %error);
+                    warn!(self.log, "member: lease refused"; "error" => %error);
                     sleep(LEASE_PAUSE).await;
                 }
             }
@@ -504,7 +504,7 @@
             .swap(&key, Expected::Any, &value, Some(lease))
             .await?;
         if let Cas::Swapped(version) = swapped {
-            info!(self.log, "node listed"; "version" => version);
+            info!(self.log, "member: node listed"; "version" => version);
         }
         Ok(lease)
     }
@@ -519,7 +519,7 @@
             tokio::select! {
                 _ = &mut *leave => {
                     let _ = self.platform.revoke(lease).await;
-                    info!(self.log, "node left the roster");
+                    info!(self.log, "member: node left the roster");
                     return Some(());
                 }
                 () = sleep(Duration::from_millis(self.ttl_ms / 3)) => {}
@@ -527,7 +527,7 @@
             match self.platform.keep_alive(lease).await {
                 Ok(true) if self.is_listed() => {}
                 Ok(_) => {
-                    warn!(self.log, "lease lapsed");
+                    warn!(self.log, "member: lease lapsed");
                     return None;
                 }
                 Err(error) => {
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -229,7 +229,7 @@
         let api = api::Server::start(settings.api.address, state)
             .await
             .map_err(|error| Error::Listen { field: "api.address", error })?;
-        info!(log, "node started"; "callers" => %callers.address(),
+        info!(log, "node: started"; "callers" => %callers.address(),
             "api" => %api.address());
         let stop_delay = settings.callers.stop_delay_ms;
         Ok(Node {
@@ -276,7 +276,7 @@
     /// Stops as planned: readiness first, then requests to their end, then
     /// the node's place on the roster.
     pub async fn stop(self) {
-        info!(self.log, "node stops");
+        info!(self.log, "node: stops");
         let _ = self.stopping.send(true);
         sleep(self.stop_delay).await;
         self.callers.stop().await;
@@ -285,7 +285,7 @@
         let _ = self.left.await;
         self.api.stop();
         self.endpoint.close();
-        info!(self.log, "node stopped");
+        info!(self.log, "node: stopped");
     }
 
     /// Stops at once, as a crash would.
--- a/crates/dewspard/src/peer/endpoint.rs
+++ b/crates/dewspard/src/peer/endpoint.rs
@@ -341,7 +341,7 @@
         Ok(connection) => connection,
         Err(error) => {
             counters::count_by(counters::PEER_REFUSALS, "reason", "handshake");
-            warn!(log, "peer refused"; "from" => %from, "error" => %error);
+            warn!(log, "peer: peer refused"; "from" => %from, "error" => %error);
             return;
         }
     };
@@ -354,7 +354,7 @@
                     "reason",
                     "message",
                 );
-                debug!(log, "question not answered"; "reason" => reason);
+                debug!(log, "peer: question not answered"; "reason" => reason);
             }
         });
     }
--- a/crates/dewspard/src/proxy/server.rs
+++ b/crates/dewspard/src/proxy/server.rs
@@ -161,7 +161,7 @@
             Err(problem) => {
                 let reason = problem.reason;
                 counters::count_by(counters::REFUSALS, "reason", reason);
-                debug!(self.log, "request refused";
+                debug!(self.log, "proxy: request refused";
                     "request" => id.to_str().unwrap_or(""),
                     "reason" => reason, "detail" => &problem.detail);
                 problem.into_answer()
--- a/crates/dewspard/src/watcher.rs
+++ b/crates/dewspard/src/watcher.rs
@@ -166,10 +166,10 @@
                 Ended::Nudged => continue,
                 Ended::Platform(error) => {
                     counters::platform_failure(&error);
-                    warn!(self.log, "watch ended"; "error" => %error);
+                    warn!(self.log, "watcher: watch ended"; "error" => %error);
                 }
                 Ended::Config(error) => {
-                    warn!(self.log, "configuration can't be read";
+                    warn!(self.log, "watcher: configuration can't be read";
                         "error" => %error);
                 }
             }
@@ -194,7 +194,7 @@
         }
         self.publish(view);
         let mut watch = self.platform.watch(keys::WATCHED, version).await?;
-        info!(self.log, "watch started"; "version" => version);
+        info!(self.log, "watcher: watch started"; "version" => version);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
         loop {
             tokio::select! {
@@ -305,7 +305,7 @@
             })?;
         let value = Arc::new(snapshot);
         view.config = Document { version: entry.version, value };
-        info!(self.log, "configuration in force";
+        info!(self.log, "watcher: configuration in force";
             "revision" => head.revision());
         Ok(())
     }
@@ -323,7 +323,7 @@
         match serde_json::from_slice(&entry.value) {
             Ok(value) => Some(value),
             Err(error) => {
-                warn!(self.log, "document can't be read";
+                warn!(self.log, "watcher: document can't be read";
                     "key" => &entry.key, "error" => %error);
                 None
             }
@@ -404,7 +404,7 @@
             }
             Err(error) => {
                 counters::platform_failure(&error);
-                warn!(log, "VM list can't be read"; "error" => %error);
+                warn!(log, "watcher: VM list can't be read"; "error" => %error);
             }
         }
         if publish.is_closed() {
