--- a/crates/dewspar-cli/src/cluster.rs
+++ b/crates/dewspar-cli/src/cluster.rs
@@ -28,7 +28,10 @@
         net::{Ipv4Addr, SocketAddr},
         time::Duration,
     },
-    tokio::time::{Instant, sleep},
+    tokio::{
+        runtime::Runtime,
+        time::{Instant, sleep},
+    },
 };
 
 /// How long a call of an operator's may take, in milliseconds.
@@ -43,6 +46,7 @@
     recorder: Recorder,
     platform_delay: Duration,
     stop_delay_ms: u64,
+    own_threads: Option<usize>,
     log: Logger,
 }
 
@@ -57,6 +61,7 @@
             recorder,
             platform_delay: Duration::from_millis(2),
             stop_delay_ms: 300,
+            own_threads: None,
             log,
         }
     }
@@ -79,6 +84,13 @@
         self
     }
 
+    /// Gives each node so many threads of its own, named `node-0` and so on,
+    /// so that what nodes cost can be told from what stand-ins cost.
+    pub fn own_threads(mut self, threads: usize) -> Options {
+        self.own_threads = Some(threads);
+        self
+    }
+
     /// Sets how long each call of the platform takes.
     pub fn platform_delay(mut self, delay: Duration) -> Options {
         self.platform_delay = delay;
@@ -92,7 +104,17 @@
     authority: Authority,
     kv: KvServer,
     fleet: Fleet,
+    clients: Vec<Client>,
     nodes: Vec<Option<Node>>,
+    runtimes: Vec<Runtime>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        for runtime in self.runtimes.drain(..) {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl Cluster {
@@ -117,8 +139,15 @@
                 .await
                 .map_err(Error::failure)?;
         let authority = Authority::new().map_err(Error::failure)?;
-        let mut cluster =
-            Cluster { options, authority, kv, fleet, nodes: Vec::new() };
+        let mut cluster = Cluster {
+            options,
+            authority,
+            kv,
+            fleet,
+            clients: Vec::new(),
+            nodes: Vec::new(),
+            runtimes: Vec::new(),
+        };
         for index in 0..cluster.options.nodes {
             let node = cluster.start_node(index, plan).await?;
             cluster.nodes.push(Some(node));
@@ -126,6 +155,22 @@
         Ok(cluster)
     }
 
+    /// Returns the bytes that all nodes exchanged with the platform and the
+    /// workers so far.
+    pub fn platform_bytes(&self) -> u64 {
+        self.clients.iter().map(Client::bytes).sum()
+    }
+
+    /// Returns the bytes of packets between nodes so far, both ways, each
+    /// counted once.
+    pub async fn peer_bytes(&self) -> u64 {
+        let mut bytes = 0;
+        for node in self.nodes() {
+            bytes += node.endpoint().bytes().await;
+        }
+        bytes
+    }
+
     /// Returns what has been written down.
     pub fn recorder(&self) -> &Recorder {
         &self.options.recorder
@@ -190,6 +235,25 @@
         Ok(snapshot.revision())
     }
 
+    /// Waits until every node accepts callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] when that takes longer than `limit`.
+    pub async fn wait_until_ready(
+        &self,
+        limit: Duration,
+    ) -> Result<(), Error> {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if self.nodes().all(|node| *node.ready().borrow()) {
+                return Ok(());
+            }
+            sleep(Duration::from_millis(20)).await;
+        }
+        Err(Error::failure(format!("a node wasn't ready in {limit:?}")))
+    }
+
     /// Waits until every node accepts callers and every service of the plan
     /// has all its runners.
     ///
@@ -219,7 +283,7 @@
     }
 
     async fn start_node(
-        &self,
+        &mut self,
         index: usize,
         plan: &Plan,
     ) -> Result<Node, Error> {
@@ -234,10 +298,26 @@
             key: issued.key_pem().as_bytes().to_vec(),
         };
         let platform = Platform::from_settings(&settings);
-        let log = &self.options.log;
-        Node::start(&settings, &identity, platform, None, log)
-            .await
-            .map_err(Error::failure)
+        self.clients.extend(platform.clients());
+        let log = self.options.log.clone();
+        let start = async move {
+            Node::start(&settings, &identity, platform, None, &log).await
+        };
+        let started = match self.options.own_threads {
+            None => start.await,
+            Some(threads) => {
+                let runtime = tokio::runtime::Builder::new_multi_thread()
+                    .worker_threads(threads)
+                    .thread_name(format!("node-{index}"))
+                    .enable_all()
+                    .build()
+                    .map_err(Error::failure)?;
+                let started = runtime.spawn(start).await;
+                self.runtimes.push(runtime);
+                started.map_err(Error::failure)?
+            }
+        };
+        started.map_err(Error::failure)
     }
 
     fn settings(&self, node: &str, hall: &str) -> Result<Settings, Error> {
--- a/crates/dewspar-cli/src/commands/mod.rs
+++ b/crates/dewspar-cli/src/commands/mod.rs
@@ -14,6 +14,7 @@
 
 pub mod check;
 pub mod demo;
+pub mod experiment;
 pub mod explain;
 pub mod load;
 pub mod resources;
--- a/crates/dewspar-cli/src/deployment.rs
+++ b/crates/dewspar-cli/src/deployment.rs
@@ -61,13 +61,21 @@
     halls: usize,
     services: Vec<String>,
     runners: usize,
+    // VMs of pools that have one more VM than runners.
+    spare_vms: usize,
 }
 
 impl Plan {
     /// Makes a fleet in which each service has so many runners, and its pool
     /// as many VMs.
     pub fn new(halls: usize, services: Vec<String>, runners: usize) -> Plan {
-        Plan { halls, services, runners }
+        Plan { halls, services, runners, spare_vms: 0 }
+    }
+
+    /// Returns the plan with one VM more in each of the first `pools` pools.
+    pub fn with_spare_vms(mut self, pools: usize) -> Plan {
+        self.spare_vms = pools.min(self.services.len());
+        self
     }
 
     /// Returns the services' names; each pool is named after its service.
@@ -87,7 +95,7 @@
 
     /// Returns the VMs, four to a rack, racks dealt out over the halls.
     pub fn vms(&self) -> Vec<VmSpec> {
-        (0..self.services.len() * self.runners)
+        (0..self.services.len() * self.runners + self.spare_vms)
             .map(|index| {
                 let rack = index / VMS_PER_RACK;
                 VmSpec {
@@ -102,7 +110,8 @@
     /// Returns the names of a pool's VMs, spread over racks and halls.
     pub fn pool_vms(&self, pool: usize) -> Vec<String> {
         let step = self.services.len();
-        (0..self.runners).map(|n| vm_name(pool + n * step)).collect()
+        let spare = usize::from(pool < self.spare_vms);
+        (0..self.runners + spare).map(|n| vm_name(pool + n * step)).collect()
     }
 
     /// Returns the resources that describe the fleet.
--- a/crates/dewspar-cli/src/main.rs
+++ b/crates/dewspar-cli/src/main.rs
@@ -4,7 +4,9 @@
     clap::{CommandFactory, Parser, Subcommand},
     clap_complete::Shell,
     dewspar_cli::{
-        commands::{check, demo, explain, load, resources, standin, status},
+        commands::{
+            check, demo, experiment, explain, load, resources, standin, status,
+        },
         exit::{Code, Error},
     },
     std::process::ExitCode,
@@ -45,6 +47,8 @@
     Load(load::Load),
     /// Check every promise on a recorded history.
     Check(check::Check),
+    /// Measure something, and hold it against its aims.
+    Experiment(experiment::Experiment),
     /// Run stand-ins for the platform and the targets.
     Standin(standin::Standin),
     /// Print a completion script for a shell.
@@ -93,6 +97,7 @@
             Command::Demo(command) => command.run().await,
             Command::Load(command) => command.run().await,
             Command::Check(command) => command.run(),
+            Command::Experiment(command) => command.run().await,
             Command::Standin(command) => command.run().await,
             Command::Completions { .. } => Ok(Code::Success),
         }
--- a/crates/dewspar-platform/src/http.rs
+++ b/crates/dewspar-platform/src/http.rs
@@ -31,6 +31,11 @@
     pub fn new(client: Client, url: &str) -> HttpVmList {
         HttpVmList { client, url: url.to_owned() }
     }
+
+    /// Returns the client, whose counters say what was called.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
 }
 
 impl VmList for HttpVmList {
@@ -61,6 +66,11 @@
     pub fn new(client: Client) -> HttpWorkers {
         HttpWorkers { client }
     }
+
+    /// Returns the client, whose counters say what was called.
+    pub fn client(&self) -> &Client {
+        &self.client
+    }
 }
 
 #[derive(Serialize)]
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -91,6 +91,16 @@
             workers: HttpWorkers::new(client()),
         }
     }
+
+    /// Returns the clients of the adapters, which count calls and bytes.
+    pub fn clients(&self) -> [Client; 3] {
+        let Platform { key_value, vm_list, workers } = self;
+        [
+            key_value.client().clone(),
+            vm_list.client().clone(),
+            workers.client().clone(),
+        ]
+    }
 }
 
 /// A running node.
@@ -98,6 +108,7 @@
     callers: proxy::Server,
     api: api::Server,
     endpoint: Endpoint,
+    filings: Filings,
     watcher: watcher::Handle,
     standing: membership::StandingReader,
     stopping: watch::Sender<bool>,
@@ -207,7 +218,7 @@
             ready.clone(),
             watcher.view.clone(),
             dispatchers,
-            filings,
+            filings.clone(),
             logs::part(&root, "proxy"),
         );
         let address = settings.callers.address;
@@ -236,6 +247,7 @@
             callers,
             api,
             endpoint,
+            filings,
             watcher,
             standing,
             stopping,
@@ -258,6 +270,16 @@
         self.api.address()
     }
 
+    /// Returns the way to the filings journal.
+    pub fn filings(&self) -> &Filings {
+        &self.filings
+    }
+
+    /// Returns the way to peers.
+    pub fn endpoint(&self) -> &Endpoint {
+        &self.endpoint
+    }
+
     /// Returns the newest view of what the platform holds.
     pub fn view(&self) -> &crate::view::ViewReader {
         &self.watcher.view
--- a/crates/dewspard/src/peer/endpoint.rs
+++ b/crates/dewspard/src/peer/endpoint.rs
@@ -157,6 +157,7 @@
             endpoint: endpoint.clone(),
             connections: HashMap::new(),
             waiting: HashMap::new(),
+            closed_bytes: 0,
             own: pool.downgrade(),
         };
         tokio::spawn(keeper.run(messages));
@@ -201,6 +202,14 @@
         timeout(limit, asked).await.unwrap_or_else(|_| Err(late()))
     }
 
+    /// Returns the bytes of packets, both ways, on the connections that this
+    /// node has opened; each connection is counted by one side only.
+    pub async fn bytes(&self) -> u64 {
+        let (reply, bytes) = oneshot::channel();
+        let _ = self.pool.send(PoolMessage::Bytes(reply)).await;
+        bytes.await.unwrap_or(0)
+    }
+
     /// Closes every connection.
     pub fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"stopping");
@@ -222,6 +231,7 @@
 type Connected = Result<Connection, String>;
 
 enum PoolMessage {
+    Bytes(oneshot::Sender<u64>),
     Get { peer: Member, reply: oneshot::Sender<Connected> },
     Connected { peer: Member, result: Connected },
 }
@@ -231,6 +241,7 @@
     endpoint: quinn::Endpoint,
     connections: HashMap<String, (Member, Connection)>,
     waiting: HashMap<String, Vec<oneshot::Sender<Connected>>>,
+    closed_bytes: u64,
     own: mpsc::WeakSender<PoolMessage>,
 }
 
@@ -238,6 +249,11 @@
     async fn run(mut self, mut messages: mpsc::Receiver<PoolMessage>) {
         while let Some(message) = messages.recv().await {
             match message {
+                PoolMessage::Bytes(reply) => {
+                    let open = self.connections.values();
+                    let bytes: u64 = open.map(|(_, c)| bytes_of(c)).sum();
+                    let _ = reply.send(self.closed_bytes + bytes);
+                }
                 PoolMessage::Get { peer, reply } => self.get(peer, reply),
                 PoolMessage::Connected { peer, result } => {
                     self.connected(peer, result);
@@ -255,7 +271,9 @@
             let _ = reply.send(Ok(connection.clone()));
             return;
         }
-        self.connections.remove(&name);
+        if let Some((_, old)) = self.connections.remove(&name) {
+            self.closed_bytes += bytes_of(&old);
+        }
         let waiting = self.waiting.entry(name).or_default();
         waiting.push(reply);
         if waiting.len() > 1 {
@@ -282,6 +300,12 @@
     }
 }
 
+/// Returns the bytes that a connection has cost, packets and all.
+fn bytes_of(connection: &Connection) -> u64 {
+    let stats = connection.stats();
+    stats.udp_tx.bytes + stats.udp_rx.bytes
+}
+
 async fn connect(endpoint: &quinn::Endpoint, peer: &Member) -> Connected {
     let address: SocketAddr = peer
         .peer_address()
