Replay traces; hand roles over before a planned stop

Traces state what goes wrong and when, and the outcome that must come of it; 'dewspar replay' runs one against a fleet in one process.

The trace planned-stops showed two faults.

Cause 1: a connection attempt to a stopped process hung for the handshake's whole time, and attempts were kept by name, so its successor under the same name waited behind it. Ruled out: suspicion (the roster was right), the granter's opening (it was never asked).

Cause 2: a stopping node kept its roles until it was suspected. It now says on its probes that it leaves, and others take over while it still answers.

--- a/crates/dewspar-cli/src/cluster.rs
+++ b/crates/dewspar-cli/src/cluster.rs
@@ -105,15 +105,31 @@
     kv: KvServer,
     fleet: Fleet,
     clients: Vec<Client>,
-    nodes: Vec<Option<Node>>,
-    runtimes: Vec<Runtime>,
+    nodes: Vec<Option<Running>>,
+}
+
+/// A node, and its own threads if it has some.
+struct Running {
+    node: Node,
+    runtime: Option<Runtime>,
+}
+
+impl Running {
+    /// Ends everything at once, as the end of the process would.
+    fn kill(self) {
+        match self.runtime {
+            Some(runtime) => {
+                drop(self.node);
+                runtime.shutdown_background();
+            }
+            None => self.node.kill(),
+        }
+    }
 }
 
 impl Drop for Cluster {
     fn drop(&mut self) {
-        for runtime in self.runtimes.drain(..) {
-            runtime.shutdown_background();
-        }
+        self.nodes.drain(..).flatten().for_each(Running::kill);
     }
 }
 
@@ -146,11 +162,10 @@
             fleet,
             clients: Vec::new(),
             nodes: Vec::new(),
-            runtimes: Vec::new(),
         };
         for index in 0..cluster.options.nodes {
-            let node = cluster.start_node(index, plan).await?;
-            cluster.nodes.push(Some(node));
+            let running = cluster.start_node(index, plan).await?;
+            cluster.nodes.push(Some(running));
         }
         Ok(cluster)
     }
@@ -188,7 +203,7 @@
 
     /// Returns the nodes that run.
     pub fn nodes(&self) -> impl Iterator<Item = &Node> {
-        self.nodes.iter().flatten()
+        self.nodes.iter().flatten().map(|running| &running.node)
     }
 
     /// Returns the addresses at which callers reach the nodes that run.
@@ -196,9 +211,32 @@
         self.nodes().map(Node::caller_address).collect()
     }
 
-    /// Takes a node out, to stop or kill it.
-    pub fn take_node(&mut self, index: usize) -> Option<Node> {
-        self.nodes.get_mut(index)?.take()
+    /// Kills a node, as a crash of its VM would.
+    pub fn kill_node(&mut self, index: usize) {
+        let taken = self.nodes.get_mut(index).and_then(Option::take);
+        if let Some(running) = taken {
+            running.kill();
+        }
+    }
+
+    /// Stops a node as planned.
+    pub async fn stop_node(&mut self, index: usize) {
+        let taken = self.nodes.get_mut(index).and_then(Option::take);
+        if let Some(Running { node, runtime }) = taken {
+            node.stop().await;
+            if let Some(runtime) = runtime {
+                runtime.shutdown_background();
+            }
+        }
+    }
+
+    /// Freezes a node that has one thread of its own, as a paused VM is.
+    pub fn freeze_node(&self, index: usize, time: Duration) {
+        let running = self.nodes.get(index).and_then(Option::as_ref);
+        if let Some(runtime) = running.and_then(|r| r.runtime.as_ref()) {
+            // Blocks the only thread on which the node's tasks can run.
+            runtime.spawn(async move { std::thread::sleep(time) });
+        }
     }
 
     /// Starts a node anew, as a fresh process under the old name.
@@ -211,9 +249,9 @@
         index: usize,
         plan: &Plan,
     ) -> Result<(), Error> {
-        let node = self.start_node(index, plan).await?;
+        let running = self.start_node(index, plan).await?;
         if let Some(place) = self.nodes.get_mut(index) {
-            *place = Some(node);
+            *place = Some(running);
         }
         Ok(())
     }
@@ -277,8 +315,8 @@
 
     /// Stops every node as planned.
     pub async fn stop(mut self) {
-        for node in self.nodes.drain(..).flatten() {
-            node.stop().await;
+        for index in 0..self.nodes.len() {
+            self.stop_node(index).await;
         }
     }
 
@@ -286,7 +324,7 @@
         &mut self,
         index: usize,
         plan: &Plan,
-    ) -> Result<Node, Error> {
+    ) -> Result<Running, Error> {
         let name = format!("entry-{index}");
         let halls = plan.halls();
         let hall = &halls[index % halls.len()];
@@ -303,6 +341,7 @@
         let start = async move {
             Node::start(&settings, &identity, platform, None, &log).await
         };
+        let mut own = None;
         let started = match self.options.own_threads {
             None => start.await,
             Some(threads) => {
@@ -313,11 +352,12 @@
                     .build()
                     .map_err(Error::failure)?;
                 let started = runtime.spawn(start).await;
-                self.runtimes.push(runtime);
+                own = Some(runtime);
                 started.map_err(Error::failure)?
             }
         };
-        started.map_err(Error::failure)
+        let node = started.map_err(Error::failure)?;
+        Ok(Running { node, runtime: own })
     }
 
     fn settings(&self, node: &str, hall: &str) -> Result<Settings, Error> {
--- a/crates/dewspar-cli/src/commands/mod.rs
+++ b/crates/dewspar-cli/src/commands/mod.rs
@@ -17,6 +17,7 @@
 pub mod experiment;
 pub mod explain;
 pub mod load;
+pub mod replay;
 pub mod resources;
 pub mod standin;
 pub mod status;
--- a/crates/dewspar-cli/src/lib.rs
+++ b/crates/dewspar-cli/src/lib.rs
@@ -3,13 +3,14 @@
 
 [`cluster`] puts nodes and stand-ins together in one process, [`deployment`]
 has the two users' fleets at today's size, [`load`] sends requests and writes
-down what came back, and [`observer`] writes down what nodes show.
+down what came back, [`observer`] writes down what nodes show.
 */
 
 pub mod cluster;
 pub mod deployment;
 pub mod load;
 pub mod observer;
+pub mod trace;
 
 pub mod client;
 pub mod commands;
--- a/crates/dewspar-cli/src/load.rs
+++ b/crates/dewspar-cli/src/load.rs
@@ -321,13 +321,16 @@
             return Heard::Broken;
         };
         self.connection = Some(connection);
+        // Of a filing that ran before, the answer may no longer be kept.
+        let kept = !body.is_empty() || sending.key.is_none();
         let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let cut = status.is_success() && body.is_null() && kept;
         self.note_problem(status, &body);
         self.record(|| Event::Answered {
             request: id.clone(),
             told,
             body_of: answer_of(&body, sending, &id),
-            whole: told != Told::Ran || !body.is_null() || status.is_success(),
+            whole: !cut,
         });
         match told {
             Told::Ran => Heard::Ran,
--- a/crates/dewspar-cli/src/main.rs
+++ b/crates/dewspar-cli/src/main.rs
@@ -5,7 +5,8 @@
     clap_complete::Shell,
     dewspar_cli::{
         commands::{
-            check, demo, experiment, explain, load, resources, standin, status,
+            check, demo, experiment, explain, load, replay, resources,
+            standin, status,
         },
         exit::{Code, Error},
     },
@@ -45,6 +46,8 @@
     Demo(demo::Demo),
     /// Send requests to nodes and report what came back.
     Load(load::Load),
+    /// Run a recorded trace against a fleet and check its stated outcome.
+    Replay(replay::Replay),
     /// Check every promise on a recorded history.
     Check(check::Check),
     /// Measure something, and hold it against its aims.
@@ -96,6 +99,7 @@
             Command::Status(command) => command.run().await,
             Command::Demo(command) => command.run().await,
             Command::Load(command) => command.run().await,
+            Command::Replay(command) => command.run().await,
             Command::Check(command) => command.run(),
             Command::Experiment(command) => command.run().await,
             Command::Standin(command) => command.run().await,
--- a/crates/dewspar/src/member.rs
+++ b/crates/dewspar/src/member.rs
@@ -161,6 +161,13 @@
     member: Member,
     misses: u32,
     suspected_until_ms: u64,
+    leaving: bool,
+}
+
+impl Peer {
+    fn is_live(&self, now_ms: u64) -> bool {
+        !self.leaving && self.suspected_until_ms <= now_ms
+    }
 }
 
 /// One node's view of who belongs and who is alive.
@@ -169,12 +176,18 @@
     own: String,
     timing: Timing,
     peers: BTreeMap<String, Peer>,
+    leaving: bool,
 }
 
 impl Roster {
     /// Makes the roster of the node named `own`; it always counts itself.
     pub fn new(own: &str, timing: Timing) -> Roster {
-        Roster { own: own.to_owned(), timing, peers: BTreeMap::new() }
+        Roster {
+            own: own.to_owned(),
+            timing,
+            peers: BTreeMap::new(),
+            leaving: false,
+        }
     }
 
     /// Takes over the platform's list of members.
@@ -195,8 +208,12 @@
                 Some(peer) if peer.member == member => {}
                 // A new incarnation starts with a clean slate.
                 _ => {
-                    let peer =
-                        Peer { member, misses: 0, suspected_until_ms: now_ms };
+                    let peer = Peer {
+                        member,
+                        misses: 0,
+                        suspected_until_ms: now_ms,
+                        leaving: false,
+                    };
                     self.peers.insert(name, peer);
                 }
             }
@@ -277,15 +294,42 @@
         news
     }
 
+    /// Records that this node is about to stop as planned: from now on
+    /// others act first.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Records that a peer is about to stop as planned.
+    ///
+    /// Returns whether that is news, which is worth passing on at once.
+    pub fn peer_leaves(&mut self, name: &str, incarnation: u64) -> bool {
+        match self.peers.get_mut(name) {
+            Some(peer) if peer.member.incarnation == incarnation => {
+                !std::mem::replace(&mut peer.leaving, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns whether a peer has said that it is about to stop.
+    pub fn is_leaving(&self, name: &str) -> bool {
+        self.peers.get(name).is_some_and(|peer| peer.leaving)
+    }
+
     /// Returns the suspicions to send along with a probe.
     pub fn suspicions(&self, now_ms: u64) -> Vec<Suspicion> {
         let full_ms = self.timing.suspicion_ms();
         self.peers
             .values()
-            .filter(|peer| peer.suspected_until_ms > now_ms)
+            .filter(|peer| !peer.is_live(now_ms))
             .take(MAX_SUSPICIONS)
             .map(|peer| {
-                let left_ms = peer.suspected_until_ms - now_ms;
+                // One that leaves is as good as suspected just now.
+                let left_ms = match peer.leaving {
+                    true => full_ms,
+                    false => peer.suspected_until_ms - now_ms,
+                };
                 Suspicion {
                     name: peer.member.name.clone(),
                     incarnation: peer.member.incarnation,
@@ -321,12 +365,12 @@
         let mut live: Vec<&str> = self
             .peers
             .iter()
-            .filter(|(name, peer)| {
-                peer.suspected_until_ms <= now_ms || **name == self.own
-            })
+            .filter(|(name, peer)| peer.is_live(now_ms) && **name != self.own)
             .map(|(name, _)| name.as_str())
             .collect();
-        if let Err(place) = live.binary_search(&self.own.as_str()) {
+        if !self.leaving
+            && let Err(place) = live.binary_search(&self.own.as_str())
+        {
             live.insert(place, &self.own);
         }
         live
--- a/crates/dewspard/src/membership.rs
+++ b/crates/dewspard/src/membership.rs
@@ -147,6 +147,14 @@
     }
 }
 
+/// How the node says that it stops, and when it leaves the roster.
+pub struct Leave {
+    /// True once the node stops: others act first from then on.
+    pub stopping: watch::Receiver<bool>,
+    /// Signalled or dropped when the node's entry should go.
+    pub left: oneshot::Receiver<()>,
+}
+
 /// The parts of the membership task that exist before the endpoint does.
 pub struct Setup {
     options: Options,
@@ -180,14 +188,13 @@
 
 /// Starts the task, and the one that keeps the lease.
 ///
-/// The lease's task ends, and the node's entry with it, when `leave` is
-/// dropped or signalled.
+/// The lease's task ends, and the node's entry with it, when the node leaves.
 pub fn start<K: KeyValue>(
     setup: Setup,
     platform: K,
     watcher: watcher::Handle,
     endpoint: Endpoint,
-    leave: oneshot::Receiver<()>,
+    leave: Leave,
     log: Logger,
 ) -> tokio::task::JoinHandle<()> {
     let options = setup.options;
@@ -198,7 +205,8 @@
         view: watcher.view.clone(),
         log: log.clone(),
     };
-    let kept = tokio::spawn(keeper.run(leave));
+    let Leave { stopping, left } = leave;
+    let kept = tokio::spawn(keeper.run(left));
     let (results, probe_results) = mpsc::channel(256);
     let task = Task {
         roster: Roster::new(options.member.name(), options.timing),
@@ -209,6 +217,7 @@
         results,
         heard: HashMap::new(),
         unlisted_since_ms: HashMap::new(),
+        stopping,
         log,
     };
     tokio::spawn(task.run(setup.probed, probe_results));
@@ -235,6 +244,7 @@
     results: mpsc::Sender<ProbeResult>,
     heard: HashMap<String, Heard>,
     unlisted_since_ms: HashMap<String, u64>,
+    stopping: watch::Receiver<bool>,
     log: Logger,
 }
 
@@ -247,6 +257,7 @@
         let interval_ms = self.options.timing.interval_ms();
         let mut rounds = interval(Duration::from_millis(interval_ms));
         let mut view = self.watcher.view.clone();
+        let mut stopping = self.stopping.clone();
         loop {
             tokio::select! {
                 _ = rounds.tick() => self.probe_peers(),
@@ -264,6 +275,11 @@
                         return;
                     }
                 }
+                Ok(()) = stopping.changed() => {
+                    // Others take over while this node still answers.
+                    self.roster.leave();
+                    self.probe_peers();
+                }
             }
             self.list_members(&view);
             self.publish();
@@ -309,7 +325,11 @@
     fn hear(&mut self, probe: &Probe) {
         let now_ms = clock::now_ms();
         self.roster.probe_succeeded(&probe.node, probe.incarnation, now_ms);
-        if self.roster.hear(&probe.suspicions, now_ms) {
+        let mut news = self.roster.hear(&probe.suspicions, now_ms);
+        if probe.leaving {
+            news |= self.roster.peer_leaves(&probe.node, probe.incarnation);
+        }
+        if news {
             self.probe_peers();
         }
         self.note(&probe.node, now_ms, probe.confirmed_age_ms);
@@ -374,6 +394,7 @@
             incarnation: self.options.member.incarnation(),
             revision: self.watcher.view.borrow().config.value.revision(),
             confirmed_age_ms: confirmed.then_some(age_ms),
+            leaving: *self.stopping.borrow(),
             suspicions: self.roster.suspicions(now_ms),
             heard,
         }
@@ -393,8 +414,10 @@
             let since_ms =
                 *self.unlisted_since_ms.entry(name.clone()).or_insert(now_ms);
             let heard = self.heard.get(&name);
-            let answers = heard
-                .is_some_and(|heard| heard.at_ms + self.grace_ms() > now_ms);
+            let answers = !self.roster.is_leaving(&name)
+                && heard.is_some_and(|heard| {
+                    heard.at_ms + self.grace_ms() > now_ms
+                });
             if answers && now_ms < since_ms + self.options.lease_ttl_ms {
                 members.insert(name, member);
             }
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -191,12 +191,13 @@
         );
         asks.connect(dispatchers.clone(), filings.clone());
         let (leave, left) = oneshot::channel();
+        let (stopping, stopped) = watch::channel(false);
         let left = membership::start(
             setup.membership.at(&address.to_string()),
             platform.key_value.clone(),
             watcher.clone(),
             endpoint.clone(),
-            left,
+            membership::Leave { stopping: stopped.clone(), left },
             logs::part(&root, "member"),
         );
         let control = fleet::start(fleet::Options {
@@ -210,7 +211,6 @@
             dispatchers: dispatchers.clone(),
             log: logs::part(&root, "fleet"),
         });
-        let (stopping, stopped) = watch::channel(false);
         let ready = watch_readiness(&watcher, standing.clone(), stopped);
         let proxy = Proxy::new(
             &settings.node,
--- a/crates/dewspard/src/peer/endpoint.rs
+++ b/crates/dewspard/src/peer/endpoint.rs
@@ -34,6 +34,9 @@
 /// How long a connection lives without a message.
 const IDLE: Duration = Duration::from_secs(15);
 
+/// How long a connection may take.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
 /// How many questions one peer may have open at a time.
 const MAX_STREAMS: u32 = 1024;
 
@@ -240,7 +243,7 @@
 struct Pool {
     endpoint: quinn::Endpoint,
     connections: HashMap<String, (Member, Connection)>,
-    waiting: HashMap<String, Vec<oneshot::Sender<Connected>>>,
+    waiting: HashMap<(String, u64), Vec<oneshot::Sender<Connected>>>,
     closed_bytes: u64,
     own: mpsc::WeakSender<PoolMessage>,
 }
@@ -274,7 +277,9 @@
         if let Some((_, old)) = self.connections.remove(&name) {
             self.closed_bytes += bytes_of(&old);
         }
-        let waiting = self.waiting.entry(name).or_default();
+        // By process: an attempt at the one before may hang for long.
+        let key = (name, peer.incarnation());
+        let waiting = self.waiting.entry(key).or_default();
         waiting.push(reply);
         if waiting.len() > 1 {
             return;
@@ -290,12 +295,18 @@
     }
 
     fn connected(&mut self, peer: Member, result: Connected) {
-        for reply in self.waiting.remove(peer.name()).unwrap_or_default() {
+        let key = (peer.name().to_owned(), peer.incarnation());
+        for reply in self.waiting.remove(&key).unwrap_or_default() {
             let _ = reply.send(result.clone());
         }
-        if let Ok(connection) = result {
-            let name = peer.name().to_owned();
-            self.connections.insert(name, (peer, connection));
+        let newer = self
+            .connections
+            .get(peer.name())
+            .is_none_or(|(known, _)| known.incarnation() <= key.1);
+        if let Ok(connection) = result
+            && newer
+        {
+            self.connections.insert(key.0, (peer, connection));
         }
     }
 }
@@ -314,7 +325,10 @@
     let connecting = endpoint
         .connect(address, peer.name())
         .map_err(|error| error.to_string())?;
-    connecting.await.map_err(|error| error.to_string())
+    match timeout(CONNECT_LIMIT, connecting).await {
+        Ok(connected) => connected.map_err(|error| error.to_string()),
+        Err(_) => Err(format!("no connection in {CONNECT_LIMIT:?}")),
+    }
 }
 
 async fn exchange(
--- a/crates/dewspard/src/peer/message.rs
+++ b/crates/dewspard/src/peer/message.rs
@@ -99,6 +99,8 @@
     pub revision: u64,
     /// How long ago the platform confirmed that, in milliseconds.
     pub confirmed_age_ms: Option<u64>,
+    /// Whether it is about to stop as planned.
+    pub leaving: bool,
     /// Whom it suspects.
     pub suspicions: Vec<Suspicion>,
     /// Whom it heard and when, sent only while the platform is out.
