--- a/crates/dewspar/tests/once.rs
+++ b/crates/dewspar/tests/once.rs
@@ -280,7 +280,7 @@
     let mut platform = Platform::default();
     let mut writer = Writer::new(0, 1, &platform);
     let mut keys = BTreeSet::new();
-    for n in 0..3_000_u32 {
+    for n in 0..6_000_u32 {
         let key = Key::at(NOW_MS, u128::from(n));
         keys.insert(key);
         let actor = Actor::new("n1", 1, u64::from(n));
--- a/crates/dewspard/src/config_store.rs
+++ b/crates/dewspard/src/config_store.rs
@@ -25,6 +25,10 @@
 /// How often a colliding swap is tried.
 const TRIES: u32 = 16;
 
+/// How often a call is made whose answers are lost and that does no harm when
+/// it is made twice.
+const TRIES_IF_LOST: u32 = 3;
+
 /// How often a lost swap is read back.
 const READ_BACKS: u32 = 5;
 
@@ -87,6 +91,10 @@
         let snapshot = match read {
             Ok(snapshot) => snapshot,
             Err(ReadError::Platform(error)) => {
+                if error.may_have_taken_effect() {
+                    // A read whose answer was lost is just read again.
+                    continue;
+                }
                 return Err(Error::Unavailable(error));
             }
             // A chunk may be gone because the head is no longer in force.
@@ -117,10 +125,8 @@
     for chunk in &fresh {
         let key = format!("{}{}", keys::CHUNK, chunk.name());
         // The name fixes the content, so a repeated write changes nothing.
-        platform
-            .swap(&key, Expected::Any, chunk.body(), None)
-            .await
-            .map_err(Error::Unavailable)?;
+        let store = || platform.swap(&key, Expected::Any, chunk.body(), None);
+        again_if_lost(store).await.map_err(Error::Unavailable)?;
     }
     // OK because a head holds only numbers and strings.
     let value = serde_json::to_vec(&next_head).expect("a head is JSON");
@@ -169,11 +175,26 @@
 }
 
 async fn read_head<K: KeyValue>(platform: &K) -> Result<(u64, Head), Error> {
-    let entry =
-        platform.get(keys::CONFIG_HEAD).await.map_err(Error::Unavailable)?;
+    let read = || platform.get(keys::CONFIG_HEAD);
+    let entry = again_if_lost(read).await.map_err(Error::Unavailable)?;
     let Some(entry) = entry else { return Ok((0, Head::default())) };
     let head = serde_json::from_slice(&entry.value).map_err(|e| {
         Error::Refused(config::Error::Syntax { reason: e.to_string() })
     })?;
     Ok((entry.version, head))
 }
+
+/// Makes a call that does no harm when it is made twice, and makes it again
+/// while its answer is lost.
+async fn again_if_lost<T, F>(call: impl Fn() -> F) -> Result<T, PlatformError>
+where
+    F: Future<Output = Result<T, PlatformError>>,
+{
+    for _ in 1..TRIES_IF_LOST {
+        match call().await {
+            Err(error) if error.may_have_taken_effect() => {}
+            result => return result,
+        }
+    }
+    call().await
+}
--- a/crates/dewspard/tests/peers.rs
+++ b/crates/dewspard/tests/peers.rs
@@ -88,7 +88,7 @@
     let peer = member("n2", 2, &two);
     let answer = one.ask(&peer, &Question::Revision, LIMIT).await;
     assert!(matches!(answer, Ok(Answer::Revision(2))), "{answer:?}");
-    
+
     let answer = hanging.await.expect("it ends");
     assert!(answer.is_err(), "{answer:?}");
     // What became of the dead one doesn't replace its successor.
