Park wants at the granter; keep a replaced process's slots out

A want that can't be met waits at the granter in the order of arrival, and is met as soon as idle slots come back, instead of being asked again every few milliseconds. Cadence of syncs moved into the library with the holder.

Cause of the second change: a process that was killed and restarted stated that it holds nothing, and the granter gave its slots away while its requests might still run. Statements now name the incarnation, and a replaced one's slots stay out until they have certainly been let go. The new test fails when that is taken out; the quickcheck fails when a fresh granter opens at once.

--- /dev/null
+++ b/crates/dewspar/src/slot/granter.rs
@@ -0,0 +1,257 @@
+use {
+    crate::slot::{Count, Limits, Reply, Sync},
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
+};
+
+/// How long a want parks that can't be met, in milliseconds.
+const PARK_MS: u64 = 20;
+
+/// How many holders are asked for idle slots at a time.
+const MOST_RECALLED: usize = 4;
+
+/// What one process holds.
+#[derive(Debug, Default)]
+struct Record {
+    incarnation: u64,
+    sequence: u64,
+    held: BTreeMap<String, u32>,
+    heard_ms: u64,
+}
+
+impl Record {
+    fn total(&self) -> u32 {
+        self.held.values().sum()
+    }
+}
+
+/// A want that waits for slots.
+#[derive(Debug)]
+struct Parked {
+    node: String,
+    want: u32,
+    since_ms: u64,
+}
+
+/// The one place that grants the slots of one service's runners.
+#[derive(Debug)]
+pub struct Granter {
+    limits: Limits,
+    since_ms: u64,
+    open: bool,
+    runners: BTreeMap<String, u32>,
+    records: BTreeMap<String, Record>,
+    // Processes that were replaced, and may not have let go yet.
+    replaced: Vec<Record>,
+    heard: BTreeSet<String>,
+    parked: VecDeque<Parked>,
+}
+
+impl Granter {
+    /// Makes a granter that became responsible at `now_ms`.
+    pub fn new(limits: Limits, now_ms: u64) -> Granter {
+        Granter {
+            limits,
+            since_ms: now_ms,
+            open: false,
+            runners: BTreeMap::new(),
+            records: BTreeMap::new(),
+            replaced: Vec::new(),
+            heard: BTreeSet::new(),
+            parked: VecDeque::new(),
+        }
+    }
+
+    /// Adds a runner, or changes how many slots it has.
+    pub fn set_runner(&mut self, runner: &str, slots: u32) {
+        self.runners.insert(runner.to_owned(), slots);
+    }
+
+    /// Stops granting the slots of runners that `keep` refuses.
+    pub fn retain_runners(&mut self, keep: impl Fn(&str) -> bool) {
+        self.runners.retain(|runner, _| keep(runner));
+    }
+
+    /// Returns how many of a runner's slots are out.
+    pub fn out(&self, runner: &str) -> u32 {
+        let records = self.records.values().chain(&self.replaced);
+        records.filter_map(|record| record.held.get(runner)).sum()
+    }
+
+    /// Returns whether it grants yet.
+    pub fn is_open(&self) -> bool {
+        self.open
+    }
+
+    /// Returns the live nodes that must still say what they hold.
+    pub fn unheard<'a>(&self, live: &[&'a str]) -> Vec<&'a str> {
+        if self.open {
+            return Vec::new();
+        }
+        let heard = |node: &&&str| !self.heard.contains(**node);
+        live.iter().filter(heard).copied().collect()
+    }
+
+    /// Takes in a holder's statement.
+    ///
+    /// `live` are the nodes on this granter's roster that aren't suspected.
+    /// The reply comes at once unless the want parks; [`Granter::replies`]
+    /// gives all other replies.
+    pub fn sync(
+        &mut self,
+        node: &str,
+        sync: &Sync,
+        live: &[&str],
+        now_ms: u64,
+    ) -> Option<Reply> {
+        if !self.take_in(node, sync, now_ms) {
+            return Some(Reply::refused(sync));
+        }
+        self.heard.insert(node.to_owned());
+        self.parked.retain(|parked| parked.node != node);
+        self.expire(now_ms);
+        self.try_open(live, now_ms);
+        if !self.open || sync.want == 0 {
+            return Some(self.reply(node, false, Vec::new()));
+        }
+        let (node, want) = (node.to_owned(), sync.want);
+        self.parked.push_back(Parked { node, want, since_ms: now_ms });
+        None
+    }
+
+    /// Returns the replies that are due: wants that can be met, in the order
+    /// of their arrival, and those that have parked long enough.
+    pub fn replies(&mut self, now_ms: u64) -> Vec<(String, Reply)> {
+        let mut replies = Vec::new();
+        let mut kept = VecDeque::new();
+        while let Some(parked) = self.parked.pop_front() {
+            let sharers = self.parked.len() + 1;
+            let granted = self.grant(&parked.node, parked.want, sharers);
+            let late = now_ms >= parked.since_ms + PARK_MS;
+            if granted.is_empty() && !late {
+                kept.push_back(parked);
+                continue;
+            }
+            let reply = self.reply(&parked.node, true, granted);
+            replies.push((parked.node, reply));
+        }
+        self.parked = kept;
+        replies
+    }
+
+    /// Returns when [`Granter::replies`] has something new at the latest.
+    pub fn next_reply_ms(&self) -> Option<u64> {
+        self.parked.front().map(|parked| parked.since_ms + PARK_MS)
+    }
+
+    /// Returns nodes that hold slots while others want some in vain; those
+    /// that hold most come first.
+    pub fn recallable(&self) -> Vec<&str> {
+        if self.parked.is_empty() {
+            return Vec::new();
+        }
+        let waits =
+            |node: &str| self.parked.iter().any(|parked| parked.node == node);
+        let mut holders: Vec<(&str, u32)> = self
+            .records
+            .iter()
+            .map(|(node, record)| (node.as_str(), record.total()))
+            .filter(|(node, total)| *total > 0 && !waits(node))
+            .collect();
+        holders.sort_by_key(|(_, total)| std::cmp::Reverse(*total));
+        let most = holders.into_iter().take(MOST_RECALLED);
+        most.map(|(node, _)| node).collect()
+    }
+
+    /// Records a statement; returns whether it is news.
+    fn take_in(&mut self, node: &str, sync: &Sync, now_ms: u64) -> bool {
+        let record = self.records.entry(node.to_owned()).or_default();
+        let known = (record.incarnation, record.sequence);
+        if (sync.incarnation, sync.sequence) <= known {
+            return false;
+        }
+        if sync.incarnation != record.incarnation && record.total() > 0 {
+            // The new process doesn't speak for the old one's requests.
+            self.replaced.push(std::mem::take(record));
+        }
+        record.incarnation = sync.incarnation;
+        record.sequence = sync.sequence;
+        record.heard_ms = now_ms;
+        record.held = sync
+            .held
+            .iter()
+            .map(|count| (count.runner.clone(), count.slots))
+            .collect();
+        true
+    }
+
+    fn try_open(&mut self, live: &[&str], now_ms: u64) {
+        let all_heard = live.iter().all(|node| self.heard.contains(*node));
+        let all_ended = now_ms >= self.since_ms + self.limits.let_go_ms();
+        self.open |= all_heard || all_ended;
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        let let_go_ms = self.limits.let_go_ms();
+        let counts = |record: &Record| record.heard_ms + let_go_ms > now_ms;
+        self.replaced.retain(counts);
+        for record in self.records.values_mut() {
+            if !counts(record) {
+                record.held.clear();
+            }
+        }
+    }
+
+    fn reply(&self, node: &str, parked: bool, granted: Vec<Count>) -> Reply {
+        let record = self.records.get(node);
+        let held = record.into_iter().flat_map(|record| record.held.keys());
+        let revoked = held
+            .filter(|runner| !self.runners.contains_key(*runner))
+            .cloned()
+            .collect();
+        Reply {
+            incarnation: record.map_or(0, |record| record.incarnation),
+            sequence: record.map_or(0, |record| record.sequence),
+            accepted: true,
+            parked,
+            granted,
+            revoked,
+            pressure: self.parked.iter().any(|parked| parked.node != node),
+        }
+    }
+
+    fn grant(&mut self, node: &str, want: u32, sharers: usize) -> Vec<Count> {
+        let mut free = self.free();
+        let total: u32 = free.iter().map(|(_, slots)| slots).sum();
+        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
+        let mut left = want.min(total.div_ceil(sharers));
+        let mut granted: BTreeMap<String, u32> = BTreeMap::new();
+        while left > 0 {
+            // The runner with the most free slots has the least to do.
+            let most = free.iter_mut().max_by_key(|(_, slots)| *slots);
+            let Some((runner, slots)) = most.filter(|(_, s)| *s > 0) else {
+                break;
+            };
+            *slots -= 1;
+            left -= 1;
+            *granted.entry(runner.clone()).or_default() += 1;
+        }
+        if let Some(record) = self.records.get_mut(node) {
+            for (runner, slots) in &granted {
+                *record.held.entry(runner.clone()).or_default() += slots;
+            }
+        }
+        granted
+            .into_iter()
+            .map(|(runner, slots)| Count { runner, slots })
+            .collect()
+    }
+
+    fn free(&self) -> Vec<(String, u32)> {
+        self.runners
+            .iter()
+            .map(|(runner, slots)| {
+                (runner.clone(), slots.saturating_sub(self.out(runner)))
+            })
+            .collect()
+    }
+}
--- a/crates/dewspar/tests/slots.rs
+++ b/crates/dewspar/tests/slots.rs
@@ -6,7 +6,7 @@
     std::collections::BTreeMap,
 };
 
-const SLOTS: u32 = 8;
+const SLOTS: u32 = 2;
 const RUNNERS: [&str; 2] = ["a", "b"];
 const NODES: [&str; 3] = ["n0", "n1", "n2"];
 
@@ -79,7 +79,7 @@
             lives: vec![0; NODES.len()],
         };
         for _ in NODES {
-            world.holders.push(Holder::with_sequence(limits, 1));
+            world.holders.push(Holder::with_incarnation(limits, 1));
         }
         world.takeover();
         world
@@ -110,9 +110,13 @@
                     return;
                 }
                 let (node, life, sync) = self.sent.remove(0);
+                let now_ms = self.now_ms;
                 let reply =
-                    self.granter.sync(NODES[node], &sync, &NODES, self.now_ms);
-                self.replies.push((node, life, reply));
+                    self.granter.sync(NODES[node], &sync, &NODES, now_ms);
+                if let Some(reply) = reply {
+                    self.replies.push((node, life, reply));
+                }
+                self.collect_replies();
             }
             Act::Reply { lost } => {
                 if self.replies.is_empty() {
@@ -132,9 +136,9 @@
             Act::Crash { node } => {
                 self.orphans.append(&mut self.running[node]);
                 self.lives[node] += 1;
-                let sequence = 1_000_000 * (1 + self.lives[node]);
+                let life = self.lives[node] + 1;
                 self.holders[node] =
-                    Holder::with_sequence(self.limits, sequence);
+                    Holder::with_incarnation(self.limits, life);
             }
             Act::Takeover => self.takeover(),
             Act::Pass { ms } => self.pass(u64::from(ms)),
@@ -149,8 +153,17 @@
         }
     }
 
+    fn collect_replies(&mut self) {
+        for (name, reply) in self.granter.replies(self.now_ms) {
+            let node = NODES.iter().position(|node| *node == name);
+            let node = node.expect("a known node");
+            self.replies.push((node, self.lives[node], reply));
+        }
+    }
+
     fn pass(&mut self, ms: u64) {
         self.now_ms += ms;
+        self.collect_replies();
         let now_ms = self.now_ms;
         self.orphans.retain(|(_, deadline_ms)| *deadline_ms > now_ms);
         for (holder, running) in self.holders.iter_mut().zip(&mut self.running)
@@ -192,30 +205,50 @@
         .quickcheck(holds as fn(Vec<Act>) -> bool);
 }
 
+/// Brings one sync to the granter, and its reply back if there is one.
+fn exchange(
+    granter: &mut Granter,
+    node: &str,
+    holder: &mut Holder,
+    now_ms: u64,
+) {
+    let sync = holder.sync(now_ms);
+    let at_once = granter.sync(node, &sync, &["n0", "n1"], now_ms);
+    let replies = granter.replies(now_ms);
+    let later = replies.into_iter().find(|(name, _)| name == node);
+    if let Some(reply) = at_once.or(later.map(|(_, reply)| reply)) {
+        holder.answered(&reply, now_ms);
+    }
+}
+
 #[test]
-fn idle_slots_come_back_when_they_are_recalled() {
+fn parked_want_is_met_as_soon_as_idle_slots_come_back() {
     let limits = Limits::default();
     let mut granter = Granter::new(limits, 0);
     granter.set_runner("a", SLOTS);
     let mut one = Holder::new(limits);
     let mut two = Holder::new(limits);
-    let live = ["n0", "n1"];
-    granter.sync("n1", &two.sync(10), &live, 10);
+    exchange(&mut granter, "n1", &mut two, 10);
+    exchange(&mut granter, "n0", &mut one, 10);
     one.want(SLOTS);
-    let reply = granter.sync("n0", &one.sync(11), &live, 11);
-    one.answered(&reply, 11);
+    exchange(&mut granter, "n0", &mut one, 11);
     assert_eq!(one.held(), SLOTS);
-    two.want(2);
-    let reply = granter.sync("n1", &two.sync(12), &live, 12);
-    two.answered(&reply, 12);
-    assert_eq!(two.held(), 0);
-    assert_eq!(granter.recallable("n1"), ["n0"]);
+    two.want(1);
+    let sync = two.sync(12);
+    assert_eq!(granter.sync("n1", &sync, &["n0", "n1"], 12), None);
+    assert_eq!(granter.replies(12), []);
+    assert_eq!(granter.recallable(), ["n0"]);
+    // The holder gives back what it doesn't use, and the want is met.
     one.want(0);
     one.recall();
-    granter.sync("n0", &one.sync(13), &live, 13);
-    let reply = granter.sync("n1", &two.sync(14), &live, 14);
-    two.answered(&reply, 14);
-    assert_eq!(two.held(), 2);
+    assert_eq!(one.next_sync_ms(false), Some(11));
+    let sync = one.sync(13);
+    assert!(granter.sync("n0", &sync, &["n0", "n1"], 13).is_some());
+    let replies = granter.replies(13);
+    assert_eq!(replies.len(), 1);
+    two.answered(&replies[0].1, 14);
+    assert_eq!(two.held(), 1);
+    assert_eq!(granter.recallable(), Vec::<&str>::new());
 }
 
 #[test]
@@ -224,14 +257,34 @@
     let mut granter = Granter::new(limits, 0);
     granter.set_runner("a", SLOTS);
     let mut holder = Holder::new(limits);
+    let mut other = Holder::new(limits);
+    exchange(&mut granter, "n1", &mut other, 9);
     holder.want(2);
-    let reply = granter.sync("n0", &holder.sync(10), &["n0"], 10);
-    holder.answered(&reply, 10);
+    exchange(&mut granter, "n0", &mut holder, 10);
     assert!(matches!(holder.acquire(11, |_| true), Acquired::Slot(_)));
     granter.retain_runners(|_| false);
-    let reply = granter.sync("n0", &holder.sync(12), &["n0"], 12);
-    holder.answered(&reply, 12);
+    holder.want(0);
+    exchange(&mut granter, "n0", &mut holder, 12);
     assert_eq!(holder.acquire(13, |_| true), Acquired::Wait);
     // What is in flight there stays counted until it ends.
     assert_eq!(holder.in_use("a"), 1);
 }
+
+#[test]
+fn replaced_process_keeps_its_slots_out_until_it_has_let_go() {
+    let limits = Limits::default().grant_ms(2_000).max_request_ms(3_000);
+    let mut granter = Granter::new(limits, 0);
+    granter.set_runner("a", SLOTS);
+    let mut old = Holder::with_incarnation(limits, 1);
+    let mut other = Holder::new(limits);
+    exchange(&mut granter, "n1", &mut other, 9);
+    old.want(SLOTS);
+    exchange(&mut granter, "n0", &mut old, 10);
+    let mut fresh = Holder::with_incarnation(limits, 2);
+    exchange(&mut granter, "n0", &mut fresh, 20);
+    assert_eq!(granter.out("a"), SLOTS);
+    exchange(&mut granter, "n0", &mut fresh, 5_009);
+    assert_eq!(granter.out("a"), SLOTS);
+    exchange(&mut granter, "n0", &mut fresh, 5_010);
+    assert_eq!(granter.out("a"), 0);
+}
--- a/crates/dewspard/src/dispatch.rs
+++ b/crates/dewspard/src/dispatch.rs
@@ -36,14 +36,8 @@
     },
 };
 
-/// How often held slots are stated to the granter.
-const RENEW_MS: u64 = 500;
-
-/// The pause between two syncs while requests wait in vain, at first.
-const FIRST_ASK_PAUSE_MS: u64 = 1;
-
-/// The longest such pause.
-const LONGEST_ASK_PAUSE_MS: u64 = 10;
+/// How long a task that holds nothing sleeps, in milliseconds.
+const QUIET_MS: u64 = 1_000;
 
 /// How long a sync may take.
 const SYNC_LIMIT: Duration = Duration::from_millis(500);
@@ -231,6 +225,8 @@
 pub struct Context {
     /// The node's name.
     pub node: String,
+    /// The number of this start of the process.
+    pub incarnation: u64,
     /// The limits of grants.
     pub limits: Limits,
     /// How many requests of one partner may wait.
@@ -295,8 +291,7 @@
 
     /// Returns which slots of a service this node holds.
     pub async fn holdings(&self, service: &str) -> Sync {
-        // Taken first: a task that starts meanwhile counts on from later.
-        let nothing = Sync::nothing(clock::incarnation());
+        let nothing = Sync::nothing(self.context.incarnation);
         let handle = self.lock().get(service).cloned();
         let Some(handle) = handle else { return nothing };
         let (reply, held) = oneshot::channel();
@@ -320,8 +315,7 @@
 fn start(service: &str, context: Context) -> Handle {
     let (messages, inbox) = mpsc::unbounded_channel();
     let limits = context.limits;
-    // Sequence numbers must not fall behind those of a former process.
-    let holder = Holder::with_sequence(limits, clock::incarnation());
+    let holder = Holder::with_incarnation(limits, context.incarnation);
     let task = Task {
         service: service.to_owned(),
         queue: Queue::new(context.max_waiting),
@@ -334,9 +328,6 @@
         connections: HashMap::new(),
         busy: HashMap::new(),
         syncing: false,
-        synced_ms: 0,
-        ask_pause_ms: FIRST_ASK_PAUSE_MS,
-        recalled: false,
     };
     tokio::spawn(task.run(inbox));
     Handle { messages }
@@ -359,9 +350,6 @@
     connections: HashMap<String, Vec<Connection>>,
     busy: HashMap<String, u32>,
     syncing: bool,
-    synced_ms: u64,
-    ask_pause_ms: u64,
-    recalled: bool,
 }
 
 impl Task {
@@ -388,7 +376,9 @@
                     self.expire();
                 }
                 () = sleep_until(next_sync), if !self.syncing => {
-                    self.sync();
+                    if self.has_to_say() {
+                        self.sync();
+                    }
                 }
             }
             for message in batch.drain(..) {
@@ -408,10 +398,7 @@
             Message::State(reply) => {
                 let _ = reply.send(self.holder.state(clock::now_ms()));
             }
-            Message::Recall => {
-                self.holder.recall();
-                self.recalled = true;
-            }
+            Message::Recall => self.holder.recall(),
             Message::CountInFlight(vms, reply) => {
                 // What is routed from here on follows the newest view.
                 self.update_targets();
@@ -550,16 +537,15 @@
     /// Returns when the granter should hear from this node again.
     fn next_sync(&self) -> Instant {
         let now_ms = clock::now_ms();
-        let due_ms = if !self.queue.is_empty() {
-            self.synced_ms + self.ask_pause_ms
-        } else if self.recalled {
-            self.synced_ms
-        } else if self.holder.held() > 0 {
-            self.synced_ms + RENEW_MS
-        } else {
-            now_ms + RENEW_MS
-        };
-        Instant::now() + Duration::from_millis(due_ms.saturating_sub(now_ms))
+        let next_ms = self.holder.next_sync_ms(!self.queue.is_empty());
+        let wait_ms =
+            next_ms.map_or(QUIET_MS, |next_ms| next_ms.saturating_sub(now_ms));
+        Instant::now() + Duration::from_millis(wait_ms)
+    }
+
+    fn has_to_say(&self) -> bool {
+        let next_ms = self.holder.next_sync_ms(!self.queue.is_empty());
+        next_ms.is_some_and(|next_ms| next_ms <= clock::now_ms())
     }
 
     fn sync(&mut self) {
@@ -567,9 +553,7 @@
         // A little more than what waits, so that rising load asks less often.
         self.holder.want(waiting.saturating_add(waiting / 4));
         let sync = self.holder.sync(clock::now_ms());
-        self.recalled = false;
         self.syncing = true;
-        self.synced_ms = clock::now_ms();
         counters::count(counters::SLOT_SYNCS);
         let key = granter::rank_key(&self.service);
         let granter = self.context.standing.borrow().first(&key).cloned();
@@ -595,18 +579,10 @@
 
     fn synced(&mut self, reply: Option<Reply>) {
         self.syncing = false;
-        let granted = match &reply {
-            None => 0,
-            Some(reply) => {
-                self.holder.answered(reply, clock::now_ms());
-                reply.granted().len()
-            }
-        };
-        self.ask_pause_ms = if granted > 0 {
-            FIRST_ASK_PAUSE_MS
-        } else {
-            (self.ask_pause_ms * 2).min(LONGEST_ASK_PAUSE_MS)
-        };
+        match &reply {
+            Some(reply) => self.holder.answered(reply, clock::now_ms()),
+            None => self.holder.unanswered(),
+        }
     }
 }
 
--- a/crates/dewspard/src/granter.rs
+++ b/crates/dewspard/src/granter.rs
@@ -23,9 +23,15 @@
         collections::{BTreeMap, BTreeSet, HashMap},
         time::Duration,
     },
-    tokio::sync::{mpsc, oneshot},
+    tokio::{
+        sync::{mpsc, oneshot},
+        time::{Instant, sleep_until},
+    },
 };
 
+/// How long the task sleeps when no want is parked, in milliseconds.
+const QUIET_MS: u64 = 1_000;
+
 /// The shortest time between two recalls to one node, in milliseconds.
 const RECALL_GAP_MS: u64 = 5;
 
@@ -138,6 +144,7 @@
         own,
         granters: BTreeMap::new(),
         asking: BTreeSet::new(),
+        parked: HashMap::new(),
         recalled_ms: HashMap::new(),
     };
     tokio::spawn(task.run(messages));
@@ -149,6 +156,8 @@
     granters: BTreeMap<String, Granter>,
     // The nodes that are being asked what they hold, with the service.
     asking: BTreeSet<(String, String)>,
+    // The wants that wait at a granter, by service and node.
+    parked: HashMap<(String, String), oneshot::Sender<Reply>>,
     recalled_ms: HashMap<(String, String), u64>,
 }
 
@@ -157,7 +166,9 @@
         let mut view = self.options.view.clone();
         let mut standing = self.options.standing.clone();
         loop {
+            let next_reply = self.next_reply();
             tokio::select! {
+                () = sleep_until(next_reply) => self.reply_to_all_parked(),
                 message = inbox.recv() => match message {
                     None => return,
                     Some(Message::Asked(asked)) => self.answer(asked),
@@ -170,6 +181,7 @@
                         return;
                     }
                     self.update_runners();
+                    self.reply_to_all_parked();
                 }
                 changed = standing.changed() => {
                     if changed.is_err() {
@@ -198,14 +210,52 @@
         let standing = self.options.standing.borrow().clone();
         let now_ms = clock::now_ms();
         let answer = granter.sync(&node, &sync, &standing.live(), now_ms);
-        let _ = reply.send(answer);
+        match answer {
+            Some(answer) => {
+                let _ = reply.send(answer);
+            }
+            // A want that is repeated takes the place of the former.
+            None => {
+                self.parked.insert((service.clone(), node), reply);
+            }
+        }
+        self.reply_to_parked(&service, now_ms);
+    }
+
+    /// Sends the replies that are due, and recalls what others wait for.
+    fn reply_to_parked(&mut self, service: &str, now_ms: u64) {
+        let Some(granter) = self.granters.get_mut(service) else { return };
+        for (node, answer) in granter.replies(now_ms) {
+            let key = (service.to_owned(), node);
+            if let Some(reply) = self.parked.remove(&key) {
+                let _ = reply.send(answer);
+            }
+        }
         let holders: Vec<String> =
-            granter.recallable(&node).into_iter().map(str::to_owned).collect();
+            granter.recallable().into_iter().map(str::to_owned).collect();
         for holder in holders {
-            self.recall(&service, holder, now_ms);
+            self.recall(service, holder, now_ms);
+        }
+    }
+
+    fn reply_to_all_parked(&mut self) {
+        let now_ms = clock::now_ms();
+        let services: Vec<String> = self.granters.keys().cloned().collect();
+        for service in services {
+            self.reply_to_parked(&service, now_ms);
         }
     }
 
+    /// Returns when the next parked want must be answered.
+    fn next_reply(&self) -> Instant {
+        let granters = self.granters.values();
+        let next_ms = granters.filter_map(Granter::next_reply_ms).min();
+        let wait_ms = next_ms.map_or(QUIET_MS, |next_ms| {
+            next_ms.saturating_sub(clock::now_ms())
+        });
+        Instant::now() + Duration::from_millis(wait_ms)
+    }
+
     /// Asks the nodes that haven't said yet what they hold.
     fn ask_unheard(&mut self, service: &str) {
         let standing = self.options.standing.borrow().clone();
@@ -236,6 +286,7 @@
         {
             let now_ms = clock::now_ms();
             granter.sync(&node, &held, &standing.live(), now_ms);
+            self.reply_to_parked(&service, now_ms);
         }
         self.asking.remove(&(node, service));
     }
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -160,6 +160,7 @@
         let standing = asks.membership.standing.clone();
         let dispatchers = Dispatchers::new(dispatch::Context {
             node: settings.node.clone(),
+            incarnation,
             limits,
             max_waiting: usize::try_from(settings.callers.max_waiting)
                 .unwrap_or(usize::MAX),
