--- a/crates/dewspar-cli/src/commands/experiment/mod.rs
+++ b/crates/dewspar-cli/src/commands/experiment/mod.rs
@@ -12,6 +12,11 @@
 
 mod capacity;
 mod cost;
+mod fairness;
+mod forward;
+mod queueing;
+mod retries;
+mod routing;
 
 /// Measure something, and hold it against its aims.
 #[derive(Args, Debug)]
@@ -24,6 +29,14 @@
 enum What {
     /// What each role costs a node, as slopes, and at the target's size.
     Capacity(capacity::Capacity),
+    /// What one node adds to a request, against a bare forwarder.
+    Forward(forward::Forward),
+    /// How long requests wait for a slot, by who decides which.
+    Routing(routing::Routing),
+    /// Whether a partner that sends too much makes others wait.
+    Fairness(fairness::Fairness),
+    /// What retries add to a brown-out, and what a spoiled worker draws.
+    Retries(retries::Retries),
 }
 
 impl Experiment {
@@ -35,6 +48,10 @@
     pub async fn run(self) -> Result<Code, Error> {
         match self.what {
             What::Capacity(experiment) => experiment.run().await,
+            What::Forward(experiment) => experiment.run().await,
+            What::Routing(experiment) => experiment.run(),
+            What::Fairness(experiment) => experiment.run(),
+            What::Retries(experiment) => experiment.run(),
         }
     }
 }
--- a/crates/dewspar-cli/src/deployment.rs
+++ b/crates/dewspar-cli/src/deployment.rs
@@ -63,13 +63,14 @@
     runners: usize,
     // VMs of pools that have one more VM than runners.
     spare_vms: usize,
+    slots: u32,
 }
 
 impl Plan {
     /// Makes a fleet in which each service has so many runners, and its pool
     /// as many VMs.
     pub fn new(halls: usize, services: Vec<String>, runners: usize) -> Plan {
-        Plan { halls, services, runners, spare_vms: 0 }
+        Plan { halls, services, runners, spare_vms: 0, slots: 8 }
     }
 
     /// Returns the plan with one VM more in each of the first `pools` pools.
@@ -78,6 +79,12 @@
         self
     }
 
+    /// Returns the plan with so many slots on each runner.
+    pub fn with_slots(mut self, slots: u32) -> Plan {
+        self.slots = slots;
+        self
+    }
+
     /// Returns the services' names; each pool is named after its service.
     pub fn services(&self) -> &[String] {
         &self.services
@@ -118,7 +125,7 @@
     pub fn resources(&self) -> Vec<Resource> {
         let mut text = String::new();
         for (index, service) in self.services.iter().enumerate() {
-            let runners = self.runners;
+            let (runners, slots) = (self.runners, self.slots);
             let min = runners.saturating_sub(MAY_BE_MISSING);
             let vms = self.pool_vms(index).join(", ");
             text += &format!(
@@ -127,7 +134,7 @@
                  kind: Pool\nname: {service}\nspec: {{vms: [{vms}]}}\n---\n\
                  kind: Service\nname: {service}\n\
                  spec: {{team: {service}-team, pool: {service}, \
-                 runners: {runners}, cpu_millis: 12000, \
+                 runners: {runners}, slots: {slots}, cpu_millis: 12000, \
                  memory_mb: 48000}}\n---\n\
                  kind: AvailabilityBudget\nname: {service}\n\
                  spec: {{pool: {service}, service: {service}, \
--- a/crates/dewspar-cli/src/lib.rs
+++ b/crates/dewspar-cli/src/lib.rs
@@ -6,6 +6,7 @@
 down what came back, [`observer`] writes down what nodes show.
 */
 
+pub mod bare;
 pub mod cluster;
 pub mod deployment;
 pub mod load;
--- a/crates/dewspar-standin/src/fleet.rs
+++ b/crates/dewspar-standin/src/fleet.rs
@@ -40,6 +40,7 @@
     service_time: Duration,
     reboot_time: Duration,
     recorder: Recorder,
+    record_runs: bool,
 }
 
 impl Default for Options {
@@ -51,6 +52,7 @@
             service_time: Duration::ZERO,
             reboot_time: Duration::from_millis(300),
             recorder: Recorder::default(),
+            record_runs: true,
         }
     }
 }
@@ -74,6 +76,12 @@
         self
     }
 
+    /// Sets whether the runners write down what they ran (default true).
+    pub fn record_runs(mut self, record_runs: bool) -> Options {
+        self.record_runs = record_runs;
+        self
+    }
+
     /// Sets where the runners write down what they ran.
     pub fn recorder(mut self, recorder: Recorder) -> Options {
         self.recorder = recorder;
@@ -535,6 +543,7 @@
             .slots(start.slots)
             .service_time(shared.options.service_time)
             .faults(faults)
+            .record_runs(shared.options.record_runs)
             .recorder(shared.options.recorder.clone());
         Work::Runner(options.start(any_port()).await.ok()?)
     };
--- a/crates/dewspar-standin/src/runner.rs
+++ b/crates/dewspar-standin/src/runner.rs
@@ -53,6 +53,7 @@
     running: Mutex<Vec<String>>,
     faults: Faults,
     recorder: Recorder,
+    record_runs: bool,
 }
 
 /// What a runner is and how it behaves.
@@ -64,6 +65,7 @@
     service_time: Duration,
     faults: Faults,
     recorder: Recorder,
+    record_runs: bool,
 }
 
 impl Options {
@@ -76,9 +78,16 @@
             service_time: Duration::ZERO,
             faults: Faults::new(0),
             recorder: Recorder::default(),
+            record_runs: true,
         }
     }
 
+    /// Sets whether it writes down what it ran (default true).
+    pub fn record_runs(mut self, record_runs: bool) -> Options {
+        self.record_runs = record_runs;
+        self
+    }
+
     /// Sets how many requests it takes at a time.
     pub fn slots(mut self, slots: u32) -> Options {
         self.slots = slots;
@@ -121,6 +130,7 @@
             running: Mutex::default(),
             faults: self.faults,
             recorder: self.recorder,
+            record_runs: self.record_runs,
         });
         let served = Arc::clone(&shared);
         let server = Server::start(address, move |request| {
@@ -221,12 +231,14 @@
     // The body is read whole before the run starts: half a filing isn't run.
     let body = server::body_of(request).await?;
     let _running = Running::new(&shared, &id);
-    shared.recorder.record(Event::Run {
-        request: id.clone(),
-        key,
-        runner: shared.name.clone(),
-        vm: Some(shared.vm.clone()),
-    });
+    if shared.record_runs {
+        shared.recorder.record(Event::Run {
+            request: id.clone(),
+            key,
+            runner: shared.name.clone(),
+            vm: Some(shared.vm.clone()),
+        });
+    }
     let delay = shared.service_time + shared.faults.delay();
     if !delay.is_zero() {
         tokio::time::sleep(delay).await;
--- a/crates/dewspar/src/admit.rs
+++ b/crates/dewspar/src/admit.rs
@@ -2,9 +2,11 @@
 Admission: which request is accepted, and who of the waiting goes next.
 
 Requests wait for a slot in one [`Queue`] per service. It is fair between
-partners: each has its own line, and the lines are served by weight, so a
-partner that sends ten times its share waits behind itself and not in front
-of others. A share that its partner doesn't use is lent, and returns at once.
+partners: each has its own line, and the line goes first whose partner has
+used the least of late, by weight. A partner that sends ten times its share
+waits behind itself and not in front of others. A share that its partner
+doesn't use is lent, and returns at once: who used little has the first call.
+Use is forgotten by half each second.
 
 A request that can't meet its deadline is refused when it arrives, with a
 time to come back, and not when the deadline has passed.
@@ -18,7 +20,7 @@
 queue.push("bank", 1, 1_000, 0, 'a')?;
 queue.push("bank", 1, 1_000, 0, 'b')?;
 queue.push("notary", 1, 1_000, 0, 'c')?;
-let order: String = std::iter::from_fn(|| queue.pop()).collect();
+let order: String = std::iter::from_fn(|| queue.pop(0)).collect();
 assert_eq!(order, "acb");
 
 // Four wait at most; more are refused with a time to come back.
@@ -72,14 +74,20 @@
 
 #[derive(Debug)]
 struct Line<T> {
-    // Virtual time at which the line's next request is due.
-    due: u64,
+    // Requests of late, in the unit of the moment; see `Queue::unit`.
+    used: f64,
     weight: u32,
     waiting: VecDeque<Waiting<T>>,
 }
 
-/// The virtual time that one request costs a partner of weight 1.
-const COST: u64 = 1_000_000;
+/// After how long half of a partner's use is forgotten, in milliseconds.
+const HALF_LIFE_MS: f64 = 1_000.0;
+
+/// When the unit has grown so large that it is made small again.
+const LARGE_UNIT: f64 = 1e12;
+
+/// The share of one request below which use is forgotten.
+const FORGOTTEN: f64 = 0.001;
 
 /// How many past results the estimate of the wait weighs, as a shift.
 const SMOOTHING: u32 = 4;
@@ -88,7 +96,10 @@
 #[derive(Debug)]
 pub struct Queue<T> {
     most_per_partner: usize,
-    now: u64,
+    // What one request counts now. It doubles each half life, which is the
+    // same as halving what was counted before.
+    unit: f64,
+    unit_ms: u64,
     lines: BTreeMap<String, Line<T>>,
     len: usize,
     // Smoothed time between two departures, in microseconds.
@@ -101,7 +112,8 @@
     pub fn new(most_per_partner: usize) -> Queue<T> {
         Queue {
             most_per_partner,
-            now: 0,
+            unit: 1.0,
+            unit_ms: 0,
             lines: BTreeMap::new(),
             len: 0,
             gap_us: 0,
@@ -148,37 +160,65 @@
         if now_ms + wait_ms >= deadline_ms {
             return Err((Refusal::TooLate { retry_after_ms }, item));
         }
-        let now = self.now;
         let line = self.lines.entry(partner.to_owned()).or_insert_with(|| {
-            Line { due: now, weight, waiting: VecDeque::new() }
+            Line { used: 0.0, weight, waiting: VecDeque::new() }
         });
         if line.waiting.len() >= self.most_per_partner {
             return Err((Refusal::QueueFull { retry_after_ms }, item));
         }
         line.weight = weight.max(1);
-        if line.waiting.is_empty() {
-            // An idle line saves nothing up.
-            line.due = line.due.max(now);
-        }
+
         line.waiting.push_back(Waiting { deadline_ms, item });
         self.len += 1;
         Ok(())
     }
 
+    /// Counts a request that went at once, without waiting here.
+    pub fn passed(&mut self, partner: &str, weight: u32, now_ms: u64) {
+        self.grow_unit(now_ms);
+        let unit = self.unit;
+        match self.lines.get_mut(partner) {
+            Some(line) => line.used += unit,
+            None => {
+                let weight = weight.max(1);
+                let waiting = VecDeque::new();
+                let line = Line { used: unit, weight, waiting };
+                self.lines.insert(partner.to_owned(), line);
+            }
+        }
+    }
+
     /// Returns the request that goes next.
-    pub fn pop(&mut self) -> Option<T> {
+    pub fn pop(&mut self, now_ms: u64) -> Option<T> {
+        self.grow_unit(now_ms);
+        let by_weight = |line: &Line<T>| line.used / f64::from(line.weight);
         let line = self
             .lines
             .values_mut()
             .filter(|line| !line.waiting.is_empty())
-            .min_by_key(|line| line.due)?;
-        self.now = self.now.max(line.due);
-        line.due += COST / u64::from(line.weight);
+            .min_by(|a, b| by_weight(a).total_cmp(&by_weight(b)))?;
+        line.used += self.unit;
         let waiting = line.waiting.pop_front()?;
         self.len -= 1;
         Some(waiting.item)
     }
 
+    /// Brings the unit up to the time.
+    fn grow_unit(&mut self, now_ms: u64) {
+        let passed_ms = now_ms.saturating_sub(self.unit_ms);
+        self.unit_ms = self.unit_ms.max(now_ms);
+        self.unit *= (passed_ms as f64 / HALF_LIFE_MS).exp2();
+        if self.unit < LARGE_UNIT {
+            return;
+        }
+        let unit = self.unit;
+        self.unit = 1.0;
+        for line in self.lines.values_mut() {
+            line.used /= unit;
+        }
+        self.lines.retain(|_, l| !l.waiting.is_empty() || l.used > FORGOTTEN);
+    }
+
     /// Records that a request left for a runner, for the estimate.
     pub fn departed(&mut self, now_ms: u64) {
         if self.is_empty() {
@@ -213,8 +253,6 @@
             }
         }
         self.len -= expired.len();
-        let now = self.now;
-        self.lines.retain(|_, l| !l.waiting.is_empty() || l.due > now);
         expired
     }
 }
--- a/crates/dewspar/src/slot/granter.rs
+++ b/crates/dewspar/src/slot/granter.rs
@@ -44,6 +44,8 @@
     replaced: Vec<Record>,
     heard: BTreeSet<String>,
     parked: VecDeque<Parked>,
+    // How many slots of each runner are out, over all records.
+    out: BTreeMap<String, u32>,
 }
 
 impl Granter {
@@ -58,6 +60,7 @@
             replaced: Vec::new(),
             heard: BTreeSet::new(),
             parked: VecDeque::new(),
+            out: BTreeMap::new(),
         }
     }
 
@@ -73,8 +76,7 @@
 
     /// Returns how many of a runner's slots are out.
     pub fn out(&self, runner: &str) -> u32 {
-        let records = self.records.values().chain(&self.replaced);
-        records.filter_map(|record| record.held.get(runner)).sum()
+        self.out.get(runner).copied().unwrap_or(0)
     }
 
     /// Returns whether it grants yet.
@@ -123,17 +125,21 @@
     pub fn replies(&mut self, now_ms: u64) -> Vec<(String, Reply)> {
         let mut replies = Vec::new();
         let mut kept = VecDeque::new();
+        let mut free = self.free();
         while let Some(parked) = self.parked.pop_front() {
-            let sharers = self.parked.len() + 1;
-            let granted = self.grant(&parked.node, parked.want, sharers);
             let late = now_ms >= parked.since_ms + PARK_MS;
-            if granted.is_empty() && !late {
+            if free.is_empty() && !late {
+                // Those behind it came later still.
                 kept.push_back(parked);
-                continue;
+                break;
             }
+            let sharers = self.parked.len() + 1;
+            let granted =
+                self.grant(&parked.node, parked.want, sharers, &mut free);
             let reply = self.reply(&parked.node, true, granted);
             replies.push((parked.node, reply));
         }
+        kept.append(&mut self.parked);
         self.parked = kept;
         replies
     }
@@ -176,11 +182,16 @@
         record.incarnation = sync.incarnation;
         record.sequence = sync.sequence;
         record.heard_ms = now_ms;
-        record.held = sync
+        let held = sync
             .held
             .iter()
             .map(|count| (count.runner.clone(), count.slots))
             .collect();
+        let before = std::mem::replace(&mut record.held, held);
+        subtract(&mut self.out, &before);
+        for count in &sync.held {
+            *self.out.entry(count.runner.clone()).or_default() += count.slots;
+        }
         true
     }
 
@@ -193,10 +204,17 @@
     fn expire(&mut self, now_ms: u64) {
         let let_go_ms = self.limits.let_go_ms();
         let counts = |record: &Record| record.heard_ms + let_go_ms > now_ms;
-        self.replaced.retain(counts);
+        let out = &mut self.out;
+        self.replaced.retain(|record| {
+            let kept = counts(record);
+            if !kept {
+                subtract(out, &record.held);
+            }
+            kept
+        });
         for record in self.records.values_mut() {
             if !counts(record) {
-                record.held.clear();
+                subtract(out, &std::mem::take(&mut record.held));
             }
         }
     }
@@ -219,21 +237,27 @@
         }
     }
 
-    fn grant(&mut self, node: &str, want: u32, sharers: usize) -> Vec<Count> {
-        let mut free = self.free();
-        let total: u32 = free.iter().map(|(_, slots)| slots).sum();
+    /// Grants a fair part of what is free, and takes it out of `free`.
+    fn grant(
+        &mut self,
+        node: &str,
+        want: u32,
+        sharers: usize,
+        free: &mut BTreeMap<String, u32>,
+    ) -> Vec<Count> {
+        let total: u32 = free.values().sum();
         let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
         let mut left = want.min(total.div_ceil(sharers));
         let mut granted: BTreeMap<String, u32> = BTreeMap::new();
         while left > 0 {
             // The runner with the most free slots has the least to do.
-            let most = free.iter_mut().max_by_key(|(_, slots)| *slots);
-            let Some((runner, slots)) = most.filter(|(_, s)| *s > 0) else {
-                break;
-            };
+            let most = free.iter_mut().max_by_key(|(_, slots)| **slots);
+            let Some((runner, slots)) = most else { break };
             *slots -= 1;
             left -= 1;
             *granted.entry(runner.clone()).or_default() += 1;
+            *self.out.entry(runner.clone()).or_default() += 1;
+            free.retain(|_, slots| *slots > 0);
         }
         if let Some(record) = self.records.get_mut(node) {
             for (runner, slots) in &granted {
@@ -246,12 +270,24 @@
             .collect()
     }
 
-    fn free(&self) -> Vec<(String, u32)> {
+    /// Returns the runners that have slots free, with how many.
+    fn free(&self) -> BTreeMap<String, u32> {
         self.runners
             .iter()
             .map(|(runner, slots)| {
-                (runner.clone(), slots.saturating_sub(self.out(runner)))
+                (runner, slots.saturating_sub(self.out(runner)))
             })
+            .filter(|(_, slots)| *slots > 0)
+            .map(|(runner, slots)| (runner.clone(), slots))
             .collect()
     }
 }
+
+/// Takes what a record held out of the sums.
+fn subtract(out: &mut BTreeMap<String, u32>, held: &BTreeMap<String, u32>) {
+    for (runner, slots) in held {
+        if let Some(sum) = out.get_mut(runner) {
+            *sum = sum.saturating_sub(*slots);
+        }
+    }
+}
--- a/crates/dewspar/src/slot/holder.rs
+++ b/crates/dewspar/src/slot/holder.rs
@@ -39,7 +39,6 @@
     expires_ms: u64,
     want: u32,
     pressure: bool,
-    recalled: bool,
     pause_ms: u64,
     revoked: BTreeSet<String>,
     tokens: BTreeMap<String, Token>,
@@ -62,7 +61,6 @@
             expires_ms: 0,
             want: 0,
             pressure: false,
-            recalled: false,
             pause_ms: FIRST_PAUSE_MS,
             revoked: BTreeSet::new(),
             tokens: BTreeMap::new(),
@@ -129,10 +127,12 @@
 
     /// Returns when the granter should hear from the holder again, unless a
     /// sync is under way; `None` means that there is nothing to say.
+    ///
+    /// While others wait, a slot that comes free here goes back at once.
     pub fn next_sync_ms(&self, waiting: bool) -> Option<u64> {
         if waiting {
             Some(self.sent_ms + self.pause_ms)
-        } else if self.recalled {
+        } else if self.pressure && self.idle() > 0 {
             Some(self.sent_ms)
         } else if self.held() > 0 {
             Some(self.sent_ms + RENEW_MS)
@@ -165,7 +165,6 @@
         self.tokens.retain(|_, token| token.granted > 0);
         self.sequence += 1;
         self.sent_ms = now_ms;
-        self.recalled = false;
         let held = self
             .tokens
             .iter()
@@ -216,7 +215,6 @@
     /// sync.
     pub fn recall(&mut self) {
         self.pressure = true;
-        self.recalled = self.idle() > 0;
     }
 
     /// Returns how many slots are granted and not in use.
--- a/crates/dewspar/tests/slots.rs
+++ b/crates/dewspar/tests/slots.rs
@@ -241,7 +241,7 @@
     // The holder gives back what it doesn't use, and the want is met.
     one.want(0);
     one.recall();
-    assert_eq!(one.next_sync_ms(false), Some(11));
+    assert_eq!(one.next_sync_ms(false), Some(11), "it goes back at once");
     let sync = one.sync(13);
     assert!(granter.sync("n0", &sync, &["n0", "n1"], 13).is_some());
     let replies = granter.replies(13);
--- a/crates/dewspard/src/dispatch.rs
+++ b/crates/dewspard/src/dispatch.rs
@@ -430,6 +430,8 @@
         if self.queue.is_empty()
             && let Some(slot) = self.acquire()
         {
+            let now_ms = clock::now_ms();
+            self.queue.passed(&take.partner, take.weight, now_ms);
             send_slot(reply, slot);
             return;
         }
@@ -498,8 +500,9 @@
     fn serve_queue(&mut self) {
         while !self.queue.is_empty() {
             let Some(slot) = self.acquire() else { break };
-            let Some(waiting) = self.queue.pop() else { break };
-            self.queue.departed(clock::now_ms());
+            let now_ms = clock::now_ms();
+            let Some(waiting) = self.queue.pop(now_ms) else { break };
+            self.queue.departed(now_ms);
             counters::record_since(counters::SLOT_WAIT, waiting.since);
             send_slot(waiting.reply, slot);
         }
