Share a service's dispatch state; let older waits go first across nodes

Cause: each request cost two messages to its service's task, and the wake-ups that go with them. Ruled out: the connection pool (the bare forwarder has one too), admission's arithmetic. The state is now behind a lock, held for a few steps and never across a wait; the task only talks to the granter.

Cause: a node with a queue of its own never gave a slot back, so nodes with many slots kept them while others' requests waited longer. Wants now carry the age of their oldest request; a holder whose own is younger gives back what comes free.

--- a/crates/dewspar-cli/src/commands/experiment/queueing.rs
+++ b/crates/dewspar-cli/src/commands/experiment/queueing.rs
@@ -8,7 +8,9 @@
 */
 
 use {
-    dewspar::slot::{Acquired, Granter, Holder, Limits, Reply, Sync},
+    dewspar::slot::{
+        Acquired, Granter, Holder, Limits, Pressure, Reply, Sync,
+    },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         cmp::Reverse,
@@ -199,7 +201,7 @@
     End { node: usize, runner: String },
     Sync { node: usize, sync: Sync },
     Reply { node: usize, reply: Reply },
-    Recall { node: usize },
+    Recall { node: usize, pressure: Pressure },
     Wake { node: usize },
     GranterWakes,
 }
@@ -223,6 +225,7 @@
     number: u64,
     waits: Waits,
     recalled_us: Vec<u64>,
+    granter_wakes_us: u64,
 }
 
 struct Node {
@@ -264,6 +267,7 @@
             number: 0,
             waits: Waits::default(),
             recalled_us: vec![0; trace.nodes],
+            granter_wakes_us: u64::MAX,
         };
         model.at(trace.arrivals[0].at_us, Event::Arrive(0));
         model
@@ -309,15 +313,22 @@
                 }
                 self.replies(now_us);
             }
-            Event::GranterWakes => self.replies(now_us),
+            Event::GranterWakes => {
+                self.granter_wakes_us = u64::MAX;
+                self.replies(now_us);
+            }
             Event::Reply { node, reply } => {
+                if reply.sequence() != self.nodes[node].holder.sequence() {
+                    return;
+                }
                 self.nodes[node].syncing = false;
                 let now_ms = now_us / 1_000;
                 self.nodes[node].holder.answered(&reply, now_ms);
                 self.serve(now_us, node);
             }
-            Event::Recall { node } => {
-                self.nodes[node].holder.recall();
+            Event::Recall { node, pressure } => {
+                let now_ms = now_us / 1_000;
+                self.nodes[node].holder.recall(pressure, now_ms);
                 self.sync_if_due(now_us, node);
             }
             Event::Wake { node } => {
@@ -336,6 +347,10 @@
     fn serve(&mut self, now_us: u64, node: usize) {
         let now_ms = now_us / 1_000;
         while let Some(index) = self.nodes[node].queue.front().copied() {
+            let oldest_ms = self.oldest_ms(node);
+            if self.nodes[node].holder.yields(oldest_ms) {
+                break;
+            }
             let holder = &mut self.nodes[node].holder;
             let Acquired::Slot(runner) = holder.acquire(now_ms, |_| true)
             else {
@@ -355,13 +370,20 @@
         self.sync_if_due(now_us, node);
     }
 
+    /// Returns since when a node's oldest request waits.
+    fn oldest_ms(&self, node: usize) -> Option<u64> {
+        let first = self.nodes[node].queue.front()?;
+        Some(self.trace.arrivals[*first].at_us / 1_000)
+    }
+
     fn sync_if_due(&mut self, now_us: u64, index: usize) {
+        let oldest_ms = self.oldest_ms(index);
         let node = &mut self.nodes[index];
-        if node.syncing {
+        if node.syncing && !node.holder.has_to_yield(oldest_ms) {
             return;
         }
-        let waiting = !node.queue.is_empty();
-        let Some(due_ms) = node.holder.next_sync_ms(waiting) else { return };
+        let next_ms = node.holder.next_sync_ms(oldest_ms);
+        let Some(due_ms) = next_ms else { return };
         let due_us = due_ms * 1_000;
         if due_us > now_us {
             if due_us < node.wakes_us {
@@ -370,9 +392,8 @@
             }
             return;
         }
-        let queued = node.queue.len() as u32;
-        node.holder.want(queued + queued / 4);
-        let sync = node.holder.sync(now_us / 1_000);
+        node.holder.want(node.queue.len() as u32);
+        let sync = node.holder.sync(oldest_ms, now_us / 1_000);
         node.syncing = true;
         self.send(now_us, Event::Sync { node: index, sync });
     }
@@ -383,23 +404,30 @@
             let node = number_of(&name);
             self.send(now_us, Event::Reply { node, reply });
         }
-        let holders: Vec<usize> =
-            self.granter.recallable().into_iter().map(number_of).collect();
-        for node in holders {
+        let holders: Vec<(usize, Pressure)> = self
+            .granter
+            .recallable(now_us / 1_000)
+            .into_iter()
+            .map(|(name, pressure)| (number_of(name), pressure))
+            .collect();
+        for (node, pressure) in holders {
             if now_us >= self.recalled_us[node] + RECALL_GAP_US {
                 self.recalled_us[node] = now_us;
-                self.send(now_us, Event::Recall { node });
+                self.send(now_us, Event::Recall { node, pressure });
             }
         }
         if let Some(next_ms) = self.granter.next_reply_ms() {
             let at_us = (next_ms * 1_000).max(now_us + 1);
-            self.at(at_us, Event::GranterWakes);
+            if at_us < self.granter_wakes_us {
+                self.granter_wakes_us = at_us;
+                self.at(at_us, Event::GranterWakes);
+            }
         }
     }
 }
 
 /// The shortest time between two recalls to one node, as in the daemon.
-const RECALL_GAP_US: u64 = 5_000;
+const RECALL_GAP_US: u64 = 1_000;
 
 fn number_of(name: &str) -> usize {
     // OK because the model names nodes and runners by their numbers.
--- a/crates/dewspar/src/admit.rs
+++ b/crates/dewspar/src/admit.rs
@@ -68,6 +68,7 @@
 
 #[derive(Debug)]
 struct Waiting<T> {
+    since_ms: u64,
     deadline_ms: u64,
     item: T,
 }
@@ -131,6 +132,16 @@
         self.len == 0
     }
 
+    /// Returns since when the oldest request waits, by the time that it was
+    /// pushed with.
+    pub fn oldest_ms(&self) -> Option<u64> {
+        if self.len == 0 {
+            return None;
+        }
+        let firsts = self.lines.values().filter_map(|l| l.waiting.front());
+        firsts.map(|waiting| waiting.since_ms).min()
+    }
+
     /// Returns how long a request of the partner would wait, in
     /// milliseconds.
     pub fn expected_wait_ms(&self, partner: &str) -> u64 {
@@ -168,7 +179,8 @@
         }
         line.weight = weight.max(1);
 
-        line.waiting.push_back(Waiting { deadline_ms, item });
+        let since_ms = now_ms;
+        line.waiting.push_back(Waiting { since_ms, deadline_ms, item });
         self.len += 1;
         Ok(())
     }
--- a/crates/dewspar/src/slot/granter.rs
+++ b/crates/dewspar/src/slot/granter.rs
@@ -1,5 +1,5 @@
 use {
-    crate::slot::{Count, Limits, Reply, Sync},
+    crate::slot::{Count, Limits, Pressure, Reply, Sync},
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
@@ -29,7 +29,9 @@
 struct Parked {
     node: String,
     want: u32,
+    // Since when its oldest request has waited, and since when it parks.
     since_ms: u64,
+    parked_ms: u64,
 }
 
 /// The one place that grants the slots of one service's runners.
@@ -113,59 +115,75 @@
         self.expire(now_ms);
         self.try_open(live, now_ms);
         if !self.open || sync.want == 0 {
-            return Some(self.reply(node, false, Vec::new()));
+            return Some(self.reply(node, false, Vec::new(), now_ms));
         }
+        let since_ms = now_ms.saturating_sub(sync.waited_ms);
+        let place = self.parked.partition_point(|p| p.since_ms <= since_ms);
         let (node, want) = (node.to_owned(), sync.want);
-        self.parked.push_back(Parked { node, want, since_ms: now_ms });
+        let parked = Parked { node, want, since_ms, parked_ms: now_ms };
+        self.parked.insert(place, parked);
         None
     }
 
-    /// Returns the replies that are due: wants that can be met, in the order
-    /// of their arrival, and those that have parked long enough.
+    /// Returns the replies that are due: wants that can be met, oldest
+    /// first, and those that have parked long enough.
     pub fn replies(&mut self, now_ms: u64) -> Vec<(String, Reply)> {
         let mut replies = Vec::new();
         let mut kept = VecDeque::new();
         let mut free = self.free();
         while let Some(parked) = self.parked.pop_front() {
-            let late = now_ms >= parked.since_ms + PARK_MS;
+            let late = now_ms >= parked.parked_ms + PARK_MS;
             if free.is_empty() && !late {
-                // Those behind it came later still.
                 kept.push_back(parked);
-                break;
+                continue;
             }
-            let sharers = self.parked.len() + 1;
-            let granted =
-                self.grant(&parked.node, parked.want, sharers, &mut free);
-            let reply = self.reply(&parked.node, true, granted);
-            replies.push((parked.node, reply));
+            let granted = self.grant(&parked.node, parked.want, &mut free);
+            replies.push((parked.node, granted));
         }
-        kept.append(&mut self.parked);
         self.parked = kept;
         replies
+            .into_iter()
+            .map(|(node, granted)| {
+                let reply = self.reply(&node, true, granted, now_ms);
+                (node, reply)
+            })
+            .collect()
     }
 
     /// Returns when [`Granter::replies`] has something new at the latest.
     pub fn next_reply_ms(&self) -> Option<u64> {
-        self.parked.front().map(|parked| parked.since_ms + PARK_MS)
+        self.parked.iter().map(|parked| parked.parked_ms + PARK_MS).min()
     }
 
-    /// Returns nodes that hold slots while others want some in vain; those
-    /// that hold most come first.
-    pub fn recallable(&self) -> Vec<&str> {
+    /// Returns nodes that hold slots while others want some in vain, with
+    /// what those wait for; nodes that hold most come first.
+    pub fn recallable(&self, now_ms: u64) -> Vec<(&str, Pressure)> {
         if self.parked.is_empty() {
             return Vec::new();
         }
-        let waits =
-            |node: &str| self.parked.iter().any(|parked| parked.node == node);
         let mut holders: Vec<(&str, u32)> = self
             .records
             .iter()
             .map(|(node, record)| (node.as_str(), record.total()))
-            .filter(|(node, total)| *total > 0 && !waits(node))
+            .filter(|(_, total)| *total > 0)
             .collect();
         holders.sort_by_key(|(_, total)| std::cmp::Reverse(*total));
-        let most = holders.into_iter().take(MOST_RECALLED);
-        most.map(|(node, _)| node).collect()
+        holders
+            .into_iter()
+            .filter_map(|(node, _)| {
+                Some((node, self.pressure_on(node, now_ms)?))
+            })
+            .take(MOST_RECALLED)
+            .collect()
+    }
+
+    /// Returns what others than `node` wait for.
+    fn pressure_on(&self, node: &str, now_ms: u64) -> Option<Pressure> {
+        let others = || self.parked.iter().filter(|p| p.node != node);
+        let oldest_ms = others().map(|parked| parked.since_ms).min()?;
+        let wanted = others().map(|parked| parked.want).sum();
+        let waited_ms = now_ms.saturating_sub(oldest_ms);
+        Some(Pressure { waited_ms, wanted })
     }
 
     /// Records a statement; returns whether it is news.
@@ -219,7 +237,13 @@
         }
     }
 
-    fn reply(&self, node: &str, parked: bool, granted: Vec<Count>) -> Reply {
+    fn reply(
+        &self,
+        node: &str,
+        parked: bool,
+        granted: Vec<Count>,
+        now_ms: u64,
+    ) -> Reply {
         let record = self.records.get(node);
         let held = record.into_iter().flat_map(|record| record.held.keys());
         let revoked = held
@@ -233,21 +257,18 @@
             parked,
             granted,
             revoked,
-            pressure: self.parked.iter().any(|parked| parked.node != node),
+            pressure: self.pressure_on(node, now_ms),
         }
     }
 
-    /// Grants a fair part of what is free, and takes it out of `free`.
+    /// Grants what is wanted and free, and takes it out of `free`.
     fn grant(
         &mut self,
         node: &str,
         want: u32,
-        sharers: usize,
         free: &mut BTreeMap<String, u32>,
     ) -> Vec<Count> {
-        let total: u32 = free.values().sum();
-        let sharers = u32::try_from(sharers).unwrap_or(u32::MAX);
-        let mut left = want.min(total.div_ceil(sharers));
+        let mut left = want;
         let mut granted: BTreeMap<String, u32> = BTreeMap::new();
         while left > 0 {
             // The runner with the most free slots has the least to do.
--- a/crates/dewspar/src/slot/holder.rs
+++ b/crates/dewspar/src/slot/holder.rs
@@ -1,5 +1,5 @@
 use {
-    crate::slot::{Count, Limits, Reply, Sync},
+    crate::slot::{Count, Limits, Pressure, Reply, Sync},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -38,7 +38,9 @@
     sent_ms: u64,
     expires_ms: u64,
     want: u32,
-    pressure: bool,
+    // Since when others wait, and how many slots they may still have.
+    others_since_ms: Option<u64>,
+    others_want: u32,
     pause_ms: u64,
     revoked: BTreeSet<String>,
     tokens: BTreeMap<String, Token>,
@@ -60,7 +62,8 @@
             sent_ms: 0,
             expires_ms: 0,
             want: 0,
-            pressure: false,
+            others_since_ms: None,
+            others_want: 0,
             pause_ms: FIRST_PAUSE_MS,
             revoked: BTreeSet::new(),
             tokens: BTreeMap::new(),
@@ -125,15 +128,24 @@
         }
     }
 
+    /// Returns whether a slot that is free here should go to others.
+    ///
+    /// `oldest_ms` is since when the holder's own oldest request waits.
+    pub fn yields(&self, oldest_ms: Option<u64>) -> bool {
+        let Some(others_ms) = self.others_since_ms else { return false };
+        let older = oldest_ms.is_none_or(|own_ms| others_ms < own_ms);
+        older && self.others_want > 0
+    }
+
     /// Returns when the granter should hear from the holder again, unless a
     /// sync is under way; `None` means that there is nothing to say.
     ///
-    /// While others wait, a slot that comes free here goes back at once.
-    pub fn next_sync_ms(&self, waiting: bool) -> Option<u64> {
-        if waiting {
-            Some(self.sent_ms + self.pause_ms)
-        } else if self.pressure && self.idle() > 0 {
+    /// `oldest_ms` is since when the holder's own oldest request waits.
+    pub fn next_sync_ms(&self, oldest_ms: Option<u64>) -> Option<u64> {
+        if self.has_to_yield(oldest_ms) {
             Some(self.sent_ms)
+        } else if oldest_ms.is_some() {
+            Some(self.sent_ms + self.pause_ms)
         } else if self.held() > 0 {
             Some(self.sent_ms + RENEW_MS)
         } else {
@@ -141,26 +153,43 @@
         }
     }
 
+    /// Returns whether slots must go back now, also while a sync is under
+    /// way: the next one takes its place.
+    pub fn has_to_yield(&self, oldest_ms: Option<u64>) -> bool {
+        self.yields(oldest_ms) && self.idle() > 0
+    }
+
     /// Returns what to tell a node that has become the granter.
     ///
     /// An answer of the former granter that is still on its way is passed
     /// over when it arrives.
     pub fn state(&mut self, now_ms: u64) -> Sync {
         let want = std::mem::take(&mut self.want);
-        let sync = self.sync(now_ms);
+        let sync = self.sync(None, now_ms);
         self.want = want;
         sync
     }
 
-    /// Returns what to tell the granter, and lets go of idle slots.
-    pub fn sync(&mut self, now_ms: u64) -> Sync {
-        let idle_ms = if self.pressure { 0 } else { self.limits.idle_ms };
-        let waiting = self.want > 0;
+    /// Returns what to tell the granter, and lets go of slots that others
+    /// should have or that lie idle for long.
+    ///
+    /// `oldest_ms` is since when the holder's own oldest request waits.
+    pub fn sync(&mut self, oldest_ms: Option<u64>, now_ms: u64) -> Sync {
+        let mut to_yield = match self.yields(oldest_ms) {
+            true => self.others_want,
+            false => 0,
+        };
+        let idle_ms = self.limits.idle_ms;
         for (runner, token) in &mut self.tokens {
-            let idle = !waiting && token.last_use_ms + idle_ms <= now_ms;
-            if idle || self.revoked.contains(runner) {
-                token.granted = token.in_use;
+            let mut spare = token.granted - token.in_use;
+            let long_idle =
+                oldest_ms.is_none() && token.last_use_ms + idle_ms <= now_ms;
+            if !long_idle && !self.revoked.contains(runner) {
+                spare = spare.min(to_yield);
             }
+            token.granted -= spare;
+            to_yield = to_yield.saturating_sub(spare);
+            self.others_want = self.others_want.saturating_sub(spare);
         }
         self.tokens.retain(|_, token| token.granted > 0);
         self.sequence += 1;
@@ -173,11 +202,14 @@
                 slots: token.granted,
             })
             .collect();
+        let waited_ms =
+            oldest_ms.map_or(0, |own_ms| now_ms.saturating_sub(own_ms));
         Sync {
             incarnation: self.incarnation,
             sequence: self.sequence,
             held,
             want: self.want,
+            waited_ms,
         }
     }
 
@@ -189,7 +221,7 @@
             return;
         }
         self.expires_ms = self.sent_ms + self.limits.grant_ms;
-        self.pressure = reply.pressure;
+        self.set_pressure(reply.pressure, now_ms);
         self.revoked = reply.revoked.iter().cloned().collect();
         for count in &reply.granted {
             let token = self.tokens.entry(count.runner.clone()).or_default();
@@ -211,10 +243,20 @@
         self.pause_ms = doubled.clamp(FIRST_PAUSE_MS, LONGEST_PAUSE_MS);
     }
 
-    /// Records that others wait, so that idle slots go back at the next
-    /// sync.
-    pub fn recall(&mut self) {
-        self.pressure = true;
+    /// Records what others wait for.
+    pub fn recall(&mut self, pressure: Pressure, now_ms: u64) {
+        self.set_pressure(Some(pressure), now_ms);
+    }
+
+    fn set_pressure(&mut self, pressure: Option<Pressure>, now_ms: u64) {
+        let since = |p: Pressure| now_ms.saturating_sub(p.waited_ms);
+        self.others_since_ms = pressure.map(since);
+        self.others_want = pressure.map_or(0, |pressure| pressure.wanted);
+    }
+
+    /// Returns the number of the last sync.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
     }
 
     /// Returns how many slots are granted and not in use.
--- a/crates/dewspar/src/slot/mod.rs
+++ b/crates/dewspar/src/slot/mod.rs
@@ -14,10 +14,11 @@
 renews, returns and asks in one, and a lost or repeated one does no harm. A
 sequence number makes the granter pass over a late one.
 
-A want that can't be met at once *parks* at the granter for a moment, in the
-order of arrival, so that a slot which comes free anywhere goes to the node
-that has waited longest and not to the one that happens to ask next. To free
-slots the granter recalls what lies idle with others.
+A want that can't be met at once *parks* at the granter for a moment, oldest
+request first. The granter tells the other holders how old it is and how many
+slots are wanted: their [`Pressure`]. A holder under pressure gives back what
+lies idle at once, and what comes free too if its own oldest request is
+younger. So all nodes together come near to one queue.
 
 # Safety
 
@@ -44,7 +45,7 @@
 let mut holder = Holder::new(limits);
 
 holder.want(1);
-let sync = holder.sync(10);
+let sync = holder.sync(Some(9), 10);
 granter.sync("n1", &sync, &["n1"], 11);
 let replies = granter.replies(11);
 holder.answered(&replies[0].1, 12);
@@ -119,6 +120,21 @@
     }
 }
 
+/// What other nodes wait for.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Pressure {
+    waited_ms: u64,
+    wanted: u32,
+}
+
+impl Pressure {
+    /// Makes a pressure: how long the oldest request has waited, and how many
+    /// slots are wanted.
+    pub fn new(waited_ms: u64, wanted: u32) -> Pressure {
+        Pressure { waited_ms, wanted }
+    }
+}
+
 /// All that a holder tells a granter.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Sync {
@@ -126,12 +142,25 @@
     sequence: u64,
     held: Vec<Count>,
     want: u32,
+    // How long the oldest request has waited.
+    waited_ms: u64,
 }
 
 impl Sync {
     /// Makes the statement of a process that holds nothing yet.
     pub fn nothing(incarnation: u64) -> Sync {
-        Sync { incarnation, sequence: 0, held: Vec::new(), want: 0 }
+        Sync {
+            incarnation,
+            sequence: 0,
+            held: Vec::new(),
+            want: 0,
+            waited_ms: 0,
+        }
+    }
+
+    /// Returns the statement's number.
+    pub fn sequence(&self) -> u64 {
+        self.sequence
     }
 
     /// Returns how many more slots the holder wants.
@@ -154,7 +183,7 @@
     parked: bool,
     granted: Vec<Count>,
     revoked: Vec<String>,
-    pressure: bool,
+    pressure: Option<Pressure>,
 }
 
 impl Reply {
@@ -163,8 +192,8 @@
         &self.granted
     }
 
-    /// Returns whether others wait, so that idle slots should come back.
-    pub fn pressure(&self) -> bool {
+    /// Returns what others wait for.
+    pub fn pressure(&self) -> Option<Pressure> {
         self.pressure
     }
 
@@ -182,7 +211,7 @@
             parked: false,
             granted: Vec::new(),
             revoked: Vec::new(),
-            pressure: false,
+            pressure: None,
         }
     }
 }
--- a/crates/dewspar/tests/slots.rs
+++ b/crates/dewspar/tests/slots.rs
@@ -1,7 +1,9 @@
 //! Slots: never more out than a runner has, whatever becomes of messages.
 
 use {
-    dewspar::slot::{Acquired, Granter, Holder, Limits, Reply, Sync},
+    dewspar::slot::{
+        Acquired, Granter, Holder, Limits, Pressure, Reply, Sync,
+    },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::collections::BTreeMap,
 };
@@ -100,7 +102,8 @@
             Act::Send { node, want, lost } => {
                 let holder = &mut self.holders[node];
                 holder.want(u32::from(want));
-                let sync = holder.sync(self.now_ms);
+                let oldest_ms = (want > 0).then_some(self.now_ms);
+                let sync = holder.sync(oldest_ms, self.now_ms);
                 if !lost {
                     self.sent.push((node, self.lives[node], sync));
                 }
@@ -212,7 +215,7 @@
     holder: &mut Holder,
     now_ms: u64,
 ) {
-    let sync = holder.sync(now_ms);
+    let sync = holder.sync(None, now_ms);
     let at_once = granter.sync(node, &sync, &["n0", "n1"], now_ms);
     let replies = granter.replies(now_ms);
     let later = replies.into_iter().find(|(name, _)| name == node);
@@ -234,21 +237,25 @@
     exchange(&mut granter, "n0", &mut one, 11);
     assert_eq!(one.held(), SLOTS);
     two.want(1);
-    let sync = two.sync(12);
+    let sync = two.sync(Some(11), 12);
     assert_eq!(granter.sync("n1", &sync, &["n0", "n1"], 12), None);
     assert_eq!(granter.replies(12), []);
-    assert_eq!(granter.recallable(), ["n0"]);
+    let recalled = granter.recallable(12);
+    assert_eq!(recalled, [("n0", Pressure::new(1, 1))]);
     // The holder gives back what it doesn't use, and the want is met.
     one.want(0);
-    one.recall();
-    assert_eq!(one.next_sync_ms(false), Some(11), "it goes back at once");
-    let sync = one.sync(13);
+    one.recall(Pressure::new(1, 1), 12);
+    assert!(!one.has_to_yield(Some(10)), "its own request is older");
+    assert!(one.has_to_yield(None));
+    assert_eq!(one.next_sync_ms(None), Some(11), "it goes back at once");
+    let sync = one.sync(None, 13);
     assert!(granter.sync("n0", &sync, &["n0", "n1"], 13).is_some());
     let replies = granter.replies(13);
     assert_eq!(replies.len(), 1);
     two.answered(&replies[0].1, 14);
     assert_eq!(two.held(), 1);
-    assert_eq!(granter.recallable(), Vec::<&str>::new());
+    assert_eq!(one.held(), SLOTS - 1);
+    assert_eq!(granter.recallable(14), []);
 }
 
 #[test]
--- a/crates/dewspard/src/fleet/controller.rs
+++ b/crates/dewspard/src/fleet/controller.rs
@@ -172,6 +172,8 @@
                 }
                 Some(counted) = counts.recv() => {
                     self.drains.counted(&counted);
+                    // A step may have waited for just that.
+                    self.marks.clear();
                 }
                 Some(listing) = lists.recv() => {
                     self.vm_list = Some(Arc::new(listing.vms));
--- a/crates/dewspard/src/fleet/drain.rs
+++ b/crates/dewspard/src/fleet/drain.rs
@@ -117,7 +117,7 @@
         let results = self.results.clone();
         tokio::spawn(async move {
             let vms = [vm.clone()];
-            let (seen, counts) = dispatchers.in_flight(&vms).await;
+            let (seen, counts) = dispatchers.in_flight(&vms);
             let mut drained = is_done(seen, &counts, version);
             let own = standing.own();
             let others =
--- a/crates/dewspard/src/granter.rs
+++ b/crates/dewspard/src/granter.rs
@@ -16,7 +16,7 @@
     },
     dewspar::{
         member::Member,
-        slot::{Granter, Limits, Reply, Sync},
+        slot::{Granter, Limits, Pressure, Reply, Sync},
     },
     slog::{Logger, info},
     std::{
@@ -33,7 +33,7 @@
 const QUIET_MS: u64 = 1_000;
 
 /// The shortest time between two recalls to one node, in milliseconds.
-const RECALL_GAP_MS: u64 = 5;
+const RECALL_GAP_MS: u64 = 1;
 
 /// How long a node may take to say what it holds.
 const ASK_LIMIT: Duration = Duration::from_millis(500);
@@ -124,7 +124,7 @@
     ) -> Option<Sync> {
         let peer = peer?;
         if peer.name() == self.own {
-            return Some(self.dispatchers.holdings(service).await);
+            return Some(self.dispatchers.holdings(service));
         }
         let service = service.to_owned();
         let question = Question::Holdings { service };
@@ -231,10 +231,13 @@
                 let _ = reply.send(answer);
             }
         }
-        let holders: Vec<String> =
-            granter.recallable().into_iter().map(str::to_owned).collect();
-        for holder in holders {
-            self.recall(service, holder, now_ms);
+        let holders: Vec<(String, Pressure)> = granter
+            .recallable(now_ms)
+            .into_iter()
+            .map(|(holder, pressure)| (holder.to_owned(), pressure))
+            .collect();
+        for (holder, pressure) in holders {
+            self.recall(service, holder, pressure, now_ms);
         }
     }
 
@@ -292,7 +295,13 @@
     }
 
     /// Asks a holder for the slots that it doesn't use.
-    fn recall(&mut self, service: &str, holder: String, now_ms: u64) {
+    fn recall(
+        &mut self,
+        service: &str,
+        holder: String,
+        pressure: Pressure,
+        now_ms: u64,
+    ) {
         let key = (service.to_owned(), holder.clone());
         let last_ms = self.recalled_ms.insert(key.clone(), now_ms);
         if let Some(last_ms) = last_ms
@@ -304,7 +313,7 @@
         counters::count(counters::SLOT_RECALLS);
         let service = service.to_owned();
         if holder == self.options.own {
-            self.options.dispatchers.recall(&service);
+            self.options.dispatchers.recall(&service, pressure);
             return;
         }
         let standing = self.options.standing.borrow();
@@ -313,7 +322,7 @@
         };
         let endpoint = self.options.endpoint.clone();
         tokio::spawn(async move {
-            let question = Question::Recall { service };
+            let question = Question::Recall { service, pressure };
             let asked = endpoint.ask(&peer, &question, RECALL_LIMIT).await;
             // A recall that is lost is repeated with the next want.
             let _: Option<Answer> = asked.ok();
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -396,13 +396,13 @@
             }
             Question::Holdings { service } => match self.later.get() {
                 Some((dispatchers, _)) => {
-                    Answer::Holdings(dispatchers.holdings(&service).await)
+                    Answer::Holdings(dispatchers.holdings(&service))
                 }
                 None => stopping(),
             },
-            Question::Recall { service } => {
+            Question::Recall { service, pressure } => {
                 if let Some((dispatchers, _)) = self.later.get() {
-                    dispatchers.recall(&service);
+                    dispatchers.recall(&service, pressure);
                 }
                 Answer::Done
             }
@@ -416,7 +416,7 @@
                 let Some((dispatchers, _)) = self.later.get() else {
                     return stopping();
                 };
-                let (view, counts) = dispatchers.in_flight(&vms).await;
+                let (view, counts) = dispatchers.in_flight(&vms);
                 Answer::InFlight { view, counts }
             }
             Question::Snapshot { have } => self.snapshot(have),
--- a/crates/dewspard/src/peer/message.rs
+++ b/crates/dewspard/src/peer/message.rs
@@ -33,6 +33,8 @@
     Recall {
         /// The service.
         service: String,
+        /// What they wait for.
+        pressure: slot::Pressure,
     },
     /// Write these entries to a partition of the filings journal.
     Filings {
--- a/crates/dewspard/src/proxy/server.rs
+++ b/crates/dewspard/src/proxy/server.rs
@@ -307,15 +307,14 @@
         };
         // What the last attempt left behind, if there was one.
         let mut lost = None;
-        let mut retry = false;
+        let mut take = Take {
+            partner: forward.partner.clone(),
+            weight: forward.weight,
+            deadline_ms: forward.deadline_ms,
+            retry: false,
+        };
         loop {
-            let take = Take {
-                partner: forward.partner.clone(),
-                weight: forward.weight,
-                deadline_ms: forward.deadline_ms,
-                retry,
-            };
-            let slot = match dispatcher.take(take).await {
+            let slot = match dispatcher.take(&take).await {
                 Ok(slot) => slot,
                 Err(refusal) => return given_up(lost, &refusal),
             };
@@ -341,7 +340,7 @@
                 return given_up(lost, &Refusal::RetryBudget);
             }
             counters::count_by(counters::RETRIES, "reason", reason);
-            retry = true;
+            take.retry = true;
         }
     }
 }
