--- a/crates/dewspar-cli/src/cluster.rs
+++ b/crates/dewspar-cli/src/cluster.rs
@@ -18,10 +18,11 @@
         store::Store,
     },
     dewspard::{
+        api::token_digest,
         config_store,
         node::{Node, Platform},
         peer::Identity,
-        settings::Settings,
+        settings::{Operator, Settings},
     },
     slog::Logger,
     std::{
@@ -47,6 +48,7 @@
     platform_delay: Duration,
     stop_delay_ms: u64,
     own_threads: Option<usize>,
+    operators: Vec<Operator>,
     log: Logger,
 }
 
@@ -62,6 +64,7 @@
             platform_delay: Duration::from_millis(2),
             stop_delay_ms: 300,
             own_threads: None,
+            operators: Vec::new(),
             log,
         }
     }
@@ -84,6 +87,22 @@
         self
     }
 
+    /// Lets in an operator, of one partner or of none; without any operator
+    /// everyone is let in.
+    pub fn operator(
+        mut self,
+        name: &str,
+        token: &str,
+        partner: Option<&str>,
+    ) -> Options {
+        self.operators.push(Operator {
+            name: name.to_owned(),
+            token_sha256: token_digest(token),
+            partner: partner.map(str::to_owned),
+        });
+        self
+    }
+
     /// Gives each node so many threads of its own, named `node-0` and so on,
     /// so that what nodes cost can be told from what stand-ins cost.
     pub fn own_threads(mut self, threads: usize) -> Options {
@@ -373,7 +392,11 @@
             url = self.kv.url(),
             list = self.fleet.url(),
         );
-        Settings::from_yaml(&text).map_err(Error::failure)
+        let mut settings =
+            Settings::from_yaml(&text).map_err(Error::failure)?;
+        settings.api.operators = self.options.operators.clone();
+        settings.api.allow_anonymous = self.options.operators.is_empty();
+        Ok(settings)
     }
 }
 
--- a/crates/dewspar-cli/src/commands/experiment/capacity.rs
+++ b/crates/dewspar-cli/src/commands/experiment/capacity.rs
@@ -128,12 +128,14 @@
     pub async fn run(self) -> Result<Code, Error> {
         let mut aims = Aims::default();
         let mut total = Total::default();
-        if self.wants(Role::Roster) {
-            self.roster(&mut total).await?;
-        }
+        // The fleet first: memory that was freed isn't given back, so a
+        // small cluster after a large one would seem to take none.
         if self.wants(Role::Fleet) {
             self.fleet(&mut total).await?;
         }
+        if self.wants(Role::Roster) {
+            self.roster(&mut total).await?;
+        }
         if self.wants(Role::Configuration) {
             self.configuration(&mut total, &mut aims).await?;
         }
@@ -196,7 +198,7 @@
             let nodes = 4;
             let plan = fleet_plan(pools);
             let workers = plan.vms().len() as f64;
-            let before = resident_bytes();
+
             let cluster = start(&plan, nodes, 1).await?;
             cluster.apply(plan.resources()).await?;
             cluster.wait_until_serving(&plan, START_LIMIT).await?;
@@ -204,8 +206,8 @@
             let cost = self.measure(&cluster, async {}).await;
             row(workers, &cost);
             points.push((workers, cost));
-            let grown = resident_bytes().saturating_sub(before);
-            memory.push((workers, grown as f64 / nodes as f64));
+            let resident = resident_bytes() as f64;
+            memory.push((workers, resident / nodes as f64));
             cluster.stop().await;
         }
         let lines = Lines::through(&points);
--- a/crates/dewspar/src/config/validate.rs
+++ b/crates/dewspar/src/config/validate.rs
@@ -18,6 +18,7 @@
 /// Checks every resource against every other.
 pub(crate) fn snapshot(snapshot: &Snapshot) -> Result<(), Error> {
     let mut pool_of = BTreeMap::new();
+    let mut quotas = Quotas { snapshot, reserved: BTreeMap::new() };
     for resource in snapshot.resources() {
         name(resource)?;
         match resource.spec() {
@@ -37,6 +38,9 @@
             }
             Spec::Service(spec) => {
                 team(snapshot, resource, &spec.team)?;
+                let count = u64::from(spec.runners);
+                let size = (spec.cpu_millis, spec.memory_mb);
+                quotas.reserve(resource, &spec.team, count, size)?;
                 pool(snapshot, resource, &spec.pool)?;
                 positive(resource, "spec.runners", spec.runners)?;
                 positive(resource, "spec.slots", spec.slots)?;
@@ -44,6 +48,9 @@
             }
             Spec::Job(spec) => {
                 team(snapshot, resource, &spec.team)?;
+                let count = u64::from(spec.tasks);
+                let size = (spec.cpu_millis, spec.memory_mb);
+                quotas.reserve(resource, &spec.team, count, size)?;
                 pool(snapshot, resource, &spec.pool)?;
                 positive(resource, "spec.tasks", spec.tasks)?;
             }
@@ -59,6 +66,42 @@
     Ok(())
 }
 
+/// What each team reserves, against its quota.
+struct Quotas<'a> {
+    snapshot: &'a Snapshot,
+    reserved: BTreeMap<&'a str, (u64, u64)>,
+}
+
+impl<'a> Quotas<'a> {
+    /// Adds the tasks of one resource, of so much cpu_millis and memory_mb.
+    fn reserve(
+        &mut self,
+        resource: &Resource,
+        team: &'a str,
+        count: u64,
+        (cpu_millis, memory_mb): (u64, u64),
+    ) -> Result<(), Error> {
+        let Some(quota) = self.snapshot.team(team) else { return Ok(()) };
+        let (cpu, memory) = self.reserved.entry(team).or_default();
+        *cpu = cpu.saturating_add(count.saturating_mul(cpu_millis));
+        *memory = memory.saturating_add(count.saturating_mul(memory_mb));
+        let checks = [
+            ("cpu_millis", *cpu, quota.max_cpu_millis),
+            ("memory_mb", *memory, quota.max_memory_mb),
+        ];
+        for (name, reserved, most) in checks {
+            if reserved > most {
+                let problem = format!(
+                    "brings team `{team}` to {reserved} {name}, but its \
+                     quota is {most}",
+                );
+                return Err(field(resource, &format!("spec.{name}"), problem));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// Returns the first resource that refers to the given one.
 pub(crate) fn user_of(
     snapshot: &Snapshot,
--- a/crates/dewspard/src/api/access.rs
+++ b/crates/dewspard/src/api/access.rs
@@ -108,9 +108,14 @@
     }
 }
 
-fn find<'a>(settings: &'a Api, token: &str) -> Option<&'a Operator> {
+/// Returns a token's digest, as settings have it.
+pub fn token_digest(token: &str) -> String {
     let digest = Sha256::digest(token.as_bytes());
-    let digest: String = digest.iter().map(|b| format!("{b:02x}")).collect();
+    digest.iter().map(|b| format!("{b:02x}")).collect()
+}
+
+fn find<'a>(settings: &'a Api, token: &str) -> Option<&'a Operator> {
+    let digest = token_digest(token);
     // Digests are compared, so the time taken says nothing of the token.
     settings
         .operators
--- a/crates/dewspard/src/api/mod.rs
+++ b/crates/dewspard/src/api/mod.rs
@@ -19,7 +19,9 @@
 `Task` can only be read.
 */
 
-pub use self::{changes::Changes, server::Server, state::ApiState};
+pub use self::{
+    access::token_digest, changes::Changes, server::Server, state::ApiState,
+};
 
 mod access;
 mod changes;
