--- a/crates/dewspard/src/dispatch/mod.rs
+++ b/crates/dewspard/src/dispatch/mod.rs
@@ -1,8 +1,7 @@
 /*!
 Dispatch: a service's queue, slots and connections on this node.
 
-Each service has one [`core::Core`] with all of its state, behind a lock that
-is held for a few steps at a time and never across a wait. A request that
+Each service has one value with all of its state, behind a lock that is held for a few steps at a time and never across a wait. A request that
 finds a free slot takes it in place; its end gives the slot to who waits. A
 task beside it talks to the service's granter and looks after deadlines.
 
--- a/crates/dewspard/src/journal.rs
+++ b/crates/dewspard/src/journal/writer.rs
@@ -1,50 +1,19 @@
-/*!
-The filings journal: one task for each partition that this node writes.
-
-The node ranked first for a partition writes it; the others send it their
-entries. That saves collisions and nothing more: any node may write, and the
-swap at the platform decides. All entries that arrive while a write is under
-way ride on the next one.
-
-When the platform is out, intents are refused at once as not written, so that
-callers are told at once that nothing was run. Outcomes go on waiting until
-they can be written.
-*/
-
 use {
+    super::{BATCH, Entry},
     crate::{
         clock, counters,
-        membership::StandingReader,
-        peer::{
-            Answer, Endpoint, FilingAnswer, FilingItem, Question, Standing,
-        },
-    },
-    dewspar::{
-        member::ranked,
-        once::{Actor, Filing, Journal, Key, Outcome, Ticket, Write},
+        peer::{FilingAnswer, FilingItem, Standing},
     },
+    dewspar::once::{Admission, Journal, Ticket, Write},
     dewspar_platform::{Cas, Error, Expected, KeyValue, Versioned},
     slog::{Logger, info, warn},
-    std::{
-        collections::HashMap,
-        sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
-        },
-        time::Duration,
-    },
+    std::{collections::HashMap, time::Duration},
     tokio::{
         sync::{mpsc, oneshot},
         time::{Instant, sleep, sleep_until},
     },
 };
 
-/// How long a node waits for another to write an entry.
-const ASK_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// How many entries are taken in before a write.
-const BATCH: usize = 4_096;
-
 /// The time between two writes of one partition, when writes are frequent.
 ///
 /// Two partitions at this gap make at most 182 writes a second, all nodes and
@@ -60,14 +29,6 @@
 /// How often old keys are forgotten.
 const FORGET_INTERVAL: Duration = Duration::from_secs(10);
 
-/// The pause between two attempts to have an outcome written.
-const SETTLE_PAUSE: Duration = Duration::from_millis(500);
-
-/// Returns the key under which a partition's writer is ranked.
-fn rank_key(partition: u32) -> String {
-    format!("journal/{partition}")
-}
-
 /// The key of a partition's head.
 fn head_key(partition: u32) -> String {
     format!("journal/{partition:02}/head")
@@ -78,230 +39,13 @@
     format!("journal/{partition:02}/segment/{name}")
 }
 
-/// What an intent came to.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Intended {
-    /// It is written: the filing may be run by this actor.
-    Written(Actor),
-    /// The journal says something else of the key.
-    Standing(Standing),
-    /// It was not written, for now.
-    NotWritten,
-}
-
-type Entry = (FilingItem, oneshot::Sender<FilingAnswer>);
-
-/// The way to the journal, wherever it is written; clones share it.
-#[derive(Clone, Debug)]
-pub struct Filings {
-    node: String,
-    incarnation: u64,
-    attempts: Arc<AtomicU64>,
-    partitions: Arc<[mpsc::Sender<Entry>]>,
-    routes: Arc<[mpsc::UnboundedSender<Entry>]>,
-    standing: StandingReader,
-}
-
-impl Filings {
-    /// Starts the tasks of every partition.
-    pub fn start<K: KeyValue>(
-        platform: K,
-        node: &str,
-        incarnation: u64,
-        standing: StandingReader,
-        endpoint: Endpoint,
-        log: Logger,
-    ) -> Filings {
-        let partitions: Arc<[_]> = (0..dewspar::once::PARTITIONS)
-            .map(|partition| {
-                let (entries, inbox) = mpsc::channel(BATCH);
-                let writer = Writer {
-                    platform: platform.clone(),
-                    partition,
-                    seed: incarnation,
-                    replies: HashMap::new(),
-                    log: log.clone(),
-                };
-                tokio::spawn(writer.run(inbox));
-                entries
-            })
-            .collect();
-        let routes = (0..dewspar::once::PARTITIONS)
-            .map(|partition| {
-                let (entries, inbox) = mpsc::unbounded_channel();
-                let route = Route {
-                    node: node.to_owned(),
-                    partition,
-                    here: partitions[partition as usize].clone(),
-                    standing: standing.clone(),
-                    endpoint: endpoint.clone(),
-                };
-                tokio::spawn(route.run(inbox));
-                entries
-            })
-            .collect();
-        Filings {
-            node: node.to_owned(),
-            incarnation,
-            attempts: Arc::new(AtomicU64::new(1)),
-            partitions,
-            routes,
-            standing,
-        }
-    }
-
-    /// Writes an intent to run the filing.
-    pub async fn intend(&self, filing: Filing) -> Intended {
-        let attempt = self.attempts.fetch_add(1, Ordering::Relaxed);
-        let actor = Actor::new(&self.node, self.incarnation, attempt);
-        let item = FilingItem::Intend { filing, actor: actor.clone() };
-        let partition = filing.key().partition();
-        match self.route(partition, item).await {
-            FilingAnswer::Written => Intended::Written(actor),
-            // The writer's answer was lost, and another found the intent.
-            FilingAnswer::Standing(Standing::Intended(by)) if by == actor => {
-                Intended::Written(actor)
-            }
-            FilingAnswer::Standing(standing) => Intended::Standing(standing),
-            FilingAnswer::NotWritten => {
-                // It may be written yet; the outcome then tells the truth.
-                self.settle(filing.key(), actor, Outcome::NotRun);
-                Intended::NotWritten
-            }
-        }
-    }
-
-    /// Has an outcome written, however long that takes.
-    ///
-    /// Returns a handle that ends when it has been.
-    pub fn settle(
-        &self,
-        key: Key,
-        actor: Actor,
-        outcome: Outcome,
-    ) -> tokio::task::JoinHandle<()> {
-        let filings = self.clone();
-        tokio::spawn(async move {
-            let started = clock::now_ms();
-            let lasts_ms = dewspar::once::RETENTION_MS;
-            while clock::now_ms() < started + lasts_ms {
-                let actor = actor.clone();
-                let item = FilingItem::Settle { key, actor, outcome };
-                let answer = filings.route(key.partition(), item).await;
-                if answer != FilingAnswer::NotWritten {
-                    return;
-                }
-                sleep(SETTLE_PAUSE).await;
-            }
-        })
-    }
-
-    /// Returns whether the actor's process still lives, and so may yet say
-    /// what became of its attempt.
-    pub fn is_live(&self, actor: &Actor) -> bool {
-        let standing = self.standing.borrow();
-        standing.has(actor.node(), actor.incarnation())
-    }
-
-    /// Writes entries that a peer sent; answers in their order.
-    pub async fn write_here(
-        &self,
-        partition: u32,
-        items: Vec<FilingItem>,
-    ) -> Vec<FilingAnswer> {
-        let Some(writer) = self.partitions.get(partition as usize) else {
-            return vec![FilingAnswer::NotWritten; items.len()];
-        };
-        let mut answers = Vec::with_capacity(items.len());
-        for item in items {
-            let (reply, answer) = oneshot::channel();
-            let _ = writer.send((item, reply)).await;
-            answers.push(answer);
-        }
-        let mut written = Vec::with_capacity(answers.len());
-        for answer in answers {
-            written.push(answer.await.unwrap_or(FilingAnswer::NotWritten));
-        }
-        written
-    }
-
-    async fn route(&self, partition: u32, item: FilingItem) -> FilingAnswer {
-        let (reply, answer) = oneshot::channel();
-        let Some(route) = self.routes.get(partition as usize) else {
-            return FilingAnswer::NotWritten;
-        };
-        let _ = route.send((item, reply));
-        answer.await.unwrap_or(FilingAnswer::NotWritten)
-    }
-}
-
-/// The task that brings entries of one partition to its writer.
-struct Route {
-    node: String,
-    partition: u32,
-    here: mpsc::Sender<Entry>,
-    standing: StandingReader,
-    endpoint: Endpoint,
-}
-
-impl Route {
-    async fn run(self, mut inbox: mpsc::UnboundedReceiver<Entry>) {
-        let route = Arc::new(self);
-        let mut batch = Vec::new();
-        while inbox.recv_many(&mut batch, BATCH).await > 0 {
-            let entries = std::mem::take(&mut batch);
-            tokio::spawn(Arc::clone(&route).bring(entries));
-        }
-    }
-
-    /// Brings entries to the writer ranked first, or else to the next.
-    async fn bring(self: Arc<Self>, entries: Vec<Entry>) {
-        let standing = self.standing.borrow().clone();
-        let key = rank_key(self.partition);
-        let order = ranked(&key, &standing.live());
-        let (items, replies): (Vec<FilingItem>, Vec<_>) =
-            entries.into_iter().unzip();
-        for name in order.into_iter().take(2) {
-            if name == self.node {
-                self.bring_here(items, replies).await;
-                return;
-            }
-            let Some(peer) = standing.members().get(name) else { continue };
-            let question = Question::Filings {
-                partition: self.partition,
-                items: items.clone(),
-            };
-            let asked = self.endpoint.ask(peer, &question, ASK_LIMIT).await;
-            if let Ok(Answer::Filings(answers)) = asked {
-                for (reply, answer) in replies.into_iter().zip(answers) {
-                    let _ = reply.send(answer);
-                }
-                return;
-            }
-            // The entries name their attempt, so another writer may be
-            // given the same ones without harm.
-        }
-        self.bring_here(items, replies).await;
-    }
-
-    async fn bring_here(
-        &self,
-        items: Vec<FilingItem>,
-        replies: Vec<oneshot::Sender<FilingAnswer>>,
-    ) {
-        for entry in items.into_iter().zip(replies) {
-            let _ = self.here.send(entry).await;
-        }
-    }
-}
-
 /// The task that writes one partition.
-struct Writer<K> {
-    platform: K,
-    partition: u32,
-    seed: u64,
-    replies: HashMap<Ticket, oneshot::Sender<FilingAnswer>>,
-    log: Logger,
+pub(super) struct Writer<K> {
+    pub(super) platform: K,
+    pub(super) partition: u32,
+    pub(super) seed: u64,
+    pub(super) replies: HashMap<Ticket, oneshot::Sender<FilingAnswer>>,
+    pub(super) log: Logger,
 }
 
 /// How a write came out.
@@ -313,7 +57,7 @@
 }
 
 impl<K: KeyValue> Writer<K> {
-    async fn run(mut self, mut inbox: mpsc::Receiver<Entry>) {
+    pub(super) async fn run(mut self, mut inbox: mpsc::Receiver<Entry>) {
         let mut batch = Vec::new();
         // Nothing is read before the first entry: most nodes write nothing.
         while inbox.recv_many(&mut batch, BATCH).await > 0 {
@@ -379,7 +123,7 @@
             }
             FilingItem::Intend { filing, actor } => {
                 let admission = journal.admit(&filing, &actor, now_ms);
-                if let dewspar::once::Admission::Queued(ticket) = admission {
+                if let Admission::Queued(ticket) = admission {
                     self.replies.insert(ticket, reply);
                 } else if let Some(standing) = Standing::of(admission) {
                     let _ = reply.send(FilingAnswer::Standing(standing));
--- a/crates/dewspard/src/membership.rs
+++ b/crates/dewspard/src/membership/mod.rs
@@ -11,10 +11,11 @@
 */
 
 use {
+    self::lease::LeaseKeeper,
     crate::{
         clock, counters,
         peer::{Answer, Endpoint, HeardNode, Probe, Question},
-        view::{ViewReader, keys},
+        view::ViewReader,
         watcher,
     },
     dewspar::{
@@ -23,8 +24,8 @@
             Freshness, Member, PeerAge, Roster, Timing, first, freshness,
         },
     },
-    dewspar_platform::{Cas, Error, Expected, KeyValue, Lease},
-    slog::{Logger, info, warn},
+    dewspar_platform::KeyValue,
+    slog::{Logger, info},
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -32,19 +33,18 @@
     },
     tokio::{
         sync::{mpsc, oneshot, watch},
-        time::{interval, sleep},
+        time::interval,
     },
 };
 
+mod lease;
+
 /// How old a confirmation of the configuration may be, in milliseconds.
 ///
 /// Configuration must be in force everywhere within 6 s: a node that can't
 /// be sure leaves the balancer after 4 s, and the balancer takes up to 2 s.
 pub const FRESH_MS: u64 = 4_000;
 
-/// The pause after the platform refused the lease.
-const LEASE_PAUSE: Duration = Duration::from_millis(500);
-
 /// What the node knows of the roster.
 #[derive(Clone, Debug)]
 pub struct Standing {
@@ -488,86 +488,3 @@
         resources.iter().map(|text| Resource::from_yaml(text)).collect();
     Some(Snapshot::from_parts(revision, resources.ok()?))
 }
-
-/// The task that owns the node's lease.
-struct LeaseKeeper<K> {
-    platform: K,
-    member: Member,
-    ttl_ms: u64,
-    view: ViewReader,
-    log: Logger,
-}
-
-impl<K: KeyValue> LeaseKeeper<K> {
-    async fn run(self, mut leave: oneshot::Receiver<()>) {
-        loop {
-            let lease = tokio::select! {
-                lease = self.enter() => lease,
-                _ = &mut leave => return,
-            };
-            match lease {
-                Ok(lease) => {
-                    if self.keep(lease, &mut leave).await.is_some() {
-                        return;
-                    }
-                }
-                Err(error) => {
-                    counters::platform_failure(&error);
-                    warn!(self.log, "member: lease refused"; "error" => %error);
-                    sleep(LEASE_PAUSE).await;
-                }
-            }
-        }
-    }
-
-    /// Takes a lease and lists the node under it.
-    async fn enter(&self) -> Result<Lease, Error> {
-        let lease = self.platform.grant(self.ttl_ms).await?;
-        let key = format!("{}{}", keys::MEMBER, self.member.name());
-        // OK because a member holds only strings and a number.
-        let value = serde_json::to_vec(&self.member).expect("JSON");
-        let swapped = self
-            .platform
-            .swap(&key, Expected::Any, &value, Some(lease))
-            .await?;
-        if let Cas::Swapped(version) = swapped {
-            info!(self.log, "member: node listed"; "version" => version);
-        }
-        Ok(lease)
-    }
-
-    /// Renews the lease; returns when the node leaves or the lease lapsed.
-    async fn keep(
-        &self,
-        lease: Lease,
-        leave: &mut oneshot::Receiver<()>,
-    ) -> Option<()> {
-        loop {
-            tokio::select! {
-                _ = &mut *leave => {
-                    let _ = self.platform.revoke(lease).await;
-                    info!(self.log, "member: node left the roster");
-                    return Some(());
-                }
-                () = sleep(Duration::from_millis(self.ttl_ms / 3)) => {}
-            }
-            match self.platform.keep_alive(lease).await {
-                Ok(true) if self.is_listed() => {}
-                Ok(_) => {
-                    warn!(self.log, "member: lease lapsed");
-                    return None;
-                }
-                Err(error) => {
-                    // The lease may well outlive the outage.
-                    counters::platform_failure(&error);
-                }
-            }
-        }
-    }
-
-    /// Returns whether the platform lists this very process.
-    fn is_listed(&self) -> bool {
-        let view = self.view.borrow();
-        view.members.get(self.member.name()) == Some(&self.member)
-    }
-}
--- a/crates/dewspard/src/peer/mod.rs
+++ b/crates/dewspard/src/peer/mod.rs
@@ -7,12 +7,14 @@
 */
 
 pub use self::{
-    endpoint::{Endpoint, Error, Identity, SetupError},
+    endpoint::{Endpoint, Error},
     message::{
         Answer, FilingAnswer, FilingItem, HeardNode, Probe, Question,
         Standing, VERSION,
     },
+    tls::{Identity, SetupError},
 };
 
 mod endpoint;
 mod message;
+mod tls;
