Replay a lost rack, cut answers, a leaving VM; refuse a list with one address twice

New stated outcomes hold: a rack of four VMs lost in a wave, answers that break off before their end (own answer, whole: never half a one passed off as whole), a VM that the platform's list says is leaving. A VM list in which two VMs share an address is refused whole, since an act on one would be carried out on the other.

--- a/crates/dewspar-cli/tests/traces.rs
+++ b/crates/dewspar-cli/tests/traces.rs
@@ -43,6 +43,10 @@
     lost_answers => "lost-answers.yaml";
     planned_stops => "planned-stops.yaml";
     wave_and_failure => "wave-and-failure.yaml";
+    rack_lost => "rack-lost.yaml";
+    cut_answers => "cut-answers.yaml";
+    spoiled_worker => "spoiled-worker.yaml";
+    leaving_vm => "leaving-vm.yaml";
 }
 
 #[test]
--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -44,6 +44,7 @@
 #[derive(Debug)]
 struct Inner {
     outage: AtomicBool,
+    cut: AtomicBool,
     delay_us: AtomicU64,
     lost_per_mille: AtomicU64,
     random: Mutex<StdRng>,
@@ -56,6 +57,7 @@
     pub fn new(seed: u64) -> Faults {
         let inner = Inner {
             outage: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
             delay_us: AtomicU64::new(0),
             lost_per_mille: AtomicU64::new(0),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -75,6 +77,16 @@
         self.inner.outage.load(Ordering::Relaxed)
     }
 
+    /// Lets every answer break off before its end, or no longer.
+    pub fn set_cut(&self, cut: bool) {
+        self.inner.cut.store(cut, Ordering::Relaxed);
+    }
+
+    /// Returns whether answers break off before their end.
+    pub fn cut(&self) -> bool {
+        self.inner.cut.load(Ordering::Relaxed)
+    }
+
     /// Sets how long each call takes, in microseconds.
     pub fn set_delay_us(&self, delay_us: u64) {
         self.inner.delay_us.store(delay_us, Ordering::Relaxed);
--- a/crates/dewspar-standin/src/fleet.rs
+++ b/crates/dewspar-standin/src/fleet.rs
@@ -114,6 +114,8 @@
     Stay,
     /// Its runners fail everything, fast.
     Spoil,
+    /// Its runners' answers break off before their end.
+    Cut,
     /// Its runners work again.
     Mend,
 }
@@ -128,6 +130,7 @@
             "leave" => Order::Leave,
             "stay" => Order::Stay,
             "spoil" => Order::Spoil,
+            "cut" => Order::Cut,
             "mend" => Order::Mend,
             _ => return Err(Error::UnknownOrder(text.to_owned())),
         })
@@ -140,7 +143,7 @@
 pub enum Error {
     /// there is no VM `{0}`
     UnknownVm(String),
-    /// unknown order `{0}`, expected one of fail, recover, leave, stay, spoil, mend
+    /// unknown order `{0}`, expected one of fail, recover, leave, stay, spoil, cut, mend
     UnknownOrder(String),
     /// cannot listen: {0}
     Listen(io::Error),
@@ -418,7 +421,11 @@
         Order::Leave => vm.leaving = true,
         Order::Stay => vm.leaving = false,
         Order::Spoil => vm.faults.set_outage(true),
-        Order::Mend => vm.faults.set_outage(false),
+        Order::Cut => vm.faults.set_cut(true),
+        Order::Mend => {
+            vm.faults.set_outage(false);
+            vm.faults.set_cut(false);
+        }
     }
     if order == Order::Leave {
         let vm = name.to_owned();
--- a/crates/dewspar-standin/src/runner.rs
+++ b/crates/dewspar-standin/src/runner.rs
@@ -30,6 +30,9 @@
     },
 };
 
+/// The length that an answer announces which is to break off.
+const MORE_THAN_COMES: u64 = 100_000;
+
 /// The header in which a runner says that it did not run a request.
 pub const NOT_RUN: &str = "dewspar-not-run";
 
@@ -255,6 +258,11 @@
     }));
     let json = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, json);
+    if shared.faults.cut() {
+        // More is announced than comes, so the connection breaks off.
+        let announced = HeaderValue::from(MORE_THAN_COMES);
+        response.headers_mut().insert(header::CONTENT_LENGTH, announced);
+    }
     Some(response)
 }
 
--- a/crates/dewspar/src/fleet.rs
+++ b/crates/dewspar/src/fleet.rs
@@ -118,6 +118,27 @@
     }
 }
 
+/// Checks that a list gives each VM an address of its own.
+///
+/// # Errors
+///
+/// Returns [`Error::SameAddress`] with the first two VMs that share one: an
+/// act on either would be carried out on the other.
+pub fn check_list(list: &[Listing]) -> Result<(), Error> {
+    let mut names = BTreeMap::new();
+    for listing in list {
+        let address = listing.worker_address.as_str();
+        if let Some(one) = names.insert(address, listing.name.as_str()) {
+            return Err(Error::SameAddress {
+                one: one.to_owned(),
+                other: listing.name.clone(),
+                address: address.to_owned(),
+            });
+        }
+    }
+    Ok(())
+}
+
 /// What a VM is doing.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -175,6 +196,15 @@
         /// What it is doing.
         state: VmState,
     },
+    /// VMs `{one}` and `{other}` are both listed at {address}
+    SameAddress {
+        /// A VM's name.
+        one: String,
+        /// Another VM's name.
+        other: String,
+        /// The address of both their workers.
+        address: String,
+    },
     /// VM `{name}`: {refusal}
     Refused {
         /// The VM's name.
--- a/crates/dewspar/tests/config.rs
+++ b/crates/dewspar/tests/config.rs
@@ -150,3 +150,19 @@
     // What was replaced is kept for those that still read it.
     assert_eq!(head.forgotten(&next).count(), 0);
 }
+
+#[test]
+fn list_with_two_vms_at_one_address_is_refused() {
+    use dewspar::fleet::{Listing, check_list};
+    let at = |name: &str, address: &str| {
+        Listing::new(name, "hall-1", "rack-1", address)
+    };
+    let good = [at("vm-1", "127.0.0.1:1"), at("vm-2", "127.0.0.1:2")];
+    assert_eq!(check_list(&good), Ok(()));
+    let bad = [at("vm-1", "127.0.0.1:1"), at("vm-2", "127.0.0.1:1")];
+    let error = check_list(&bad).expect_err("one address");
+    assert_eq!(
+        error.to_string(),
+        "VMs `vm-1` and `vm-2` are both listed at 127.0.0.1:1",
+    );
+}
--- a/crates/dewspard/src/fleet/controller.rs
+++ b/crates/dewspard/src/fleet/controller.rs
@@ -12,7 +12,11 @@
         view::View,
         watcher,
     },
-    dewspar::{fleet::Listing, fleet::VmState, place::Usage, pool::PoolState},
+    dewspar::{
+        fleet::{self, Listing, VmState},
+        place::Usage,
+        pool::PoolState,
+    },
     dewspar_platform::{
         Error, KeyValue, TaskReport, TaskStart, VmList, VmListing, Workers,
     },
@@ -175,10 +179,7 @@
                     // A step may have waited for just that.
                     self.marks.clear();
                 }
-                Some(listing) = lists.recv() => {
-                    self.vm_list = Some(Arc::new(listing.vms));
-                    self.list_number += 1;
-                }
+                Some(listing) = lists.recv() => self.take_over(listing),
             }
             // Nothing is begun on documents that may be old.
             if self.options.watcher.confirmed.age_ms() <= FRESH_MS
@@ -191,6 +192,16 @@
         }
     }
 
+    /// Takes over the platform's list, unless it can't be right.
+    fn take_over(&mut self, listing: VmListing) {
+        if let Err(error) = fleet::check_list(&listing.vms) {
+            warn!(self.log, "fleet: VM list refused"; "error" => %error);
+            return;
+        }
+        self.vm_list = Some(Arc::new(listing.vms));
+        self.list_number += 1;
+    }
+
     async fn step(&mut self) -> Result<(), Error> {
         self.record_starts().await?;
         let view = self.merged();
