--- a/crates/dewspar-cli/src/commands/experiment/mod.rs
+++ b/crates/dewspar-cli/src/commands/experiment/mod.rs
@@ -17,6 +17,7 @@
 mod queueing;
 mod retries;
 mod routing;
+mod urgent;
 
 /// Measure something, and hold it against its aims.
 #[derive(Args, Debug)]
@@ -37,6 +38,8 @@
     Fairness(fairness::Fairness),
     /// What retries add to a brown-out, and what a spoiled worker draws.
     Retries(retries::Retries),
+    /// How long urgent work takes to start, also when a node is killed.
+    Urgent(urgent::Urgent),
 }
 
 impl Experiment {
@@ -52,6 +55,7 @@
             What::Routing(experiment) => experiment.run(),
             What::Fairness(experiment) => experiment.run(),
             What::Retries(experiment) => experiment.run(),
+            What::Urgent(experiment) => experiment.run().await,
         }
     }
 }
