Read through as a newcomer: split what had grown, say things once

What a budget is short of is worked out in one place for status and explanations. Comments name the target's size and the page that has it.

--- a/crates/dewspar-cli/src/commands/experiment/capacity.rs
+++ b/crates/dewspar-cli/src/commands/experiment/capacity.rs
@@ -32,7 +32,7 @@
     },
 };
 
-/// The target, from the users' first letter.
+/// The size that decides the design; see `docs/CAPACITY.md`.
 mod target {
     /// Workers, each on a VM of its own.
     pub(super) const WORKERS: f64 = 580.0;
--- a/crates/dewspar-cli/src/commands/experiment/urgent.rs
+++ b/crates/dewspar-cli/src/commands/experiment/urgent.rs
@@ -16,7 +16,7 @@
     tokio::time::{Instant, sleep},
 };
 
-/// The aim, from the users' first letter, in milliseconds.
+/// The aim, in milliseconds.
 const MOST_MS: f64 = 3_200.0;
 
 /// How long a start may take before it is given up.
--- a/crates/dewspar/src/config/chunk.rs
+++ b/crates/dewspar/src/config/chunk.rs
@@ -9,7 +9,7 @@
 
 /// How many chunks the resources of one kind are spread over.
 ///
-/// 16 keeps a chunk of the letter's largest kind (391 pools) near 5 KB, so a
+/// 16 keeps a chunk of the target's largest kind (391 pools) near 5 KB, so a
 /// change moves little, and the head's table near 6 KB.
 const CHUNKS_PER_KIND: u64 = 16;
 
--- a/crates/dewspar/src/history.rs
+++ b/crates/dewspar/src/history.rs
@@ -62,7 +62,7 @@
 }
 
 impl Promise {
-    /// Every promise, in the order of the users' brief.
+    /// Every promise, in the order of `docs/PROMISES.md`.
     pub const ALL: [Promise; 8] = [
         Promise::Budget,
         Promise::OnePool,
--- a/crates/dewspard/src/api/explain.rs
+++ b/crates/dewspard/src/api/explain.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::status::state_of,
+    super::status::{shortage, state_of},
     crate::view::View,
     dewspar::{
         budget::{self, Verdict},
@@ -34,11 +34,7 @@
         Spec::Service(spec) => tasks(view, &spec.pool, name),
         Spec::Job(spec) => tasks(view, &spec.pool, name),
         Spec::AvailabilityBudget(spec) => {
-            let state = state_of(view, &spec.pool);
-            let rows = view.pool_rows(&spec.pool);
-            let config = &view.config.value;
-            let broken = budget::broken(config, &spec.pool, &state, &rows)
-                .filter(|found| found.budget() == name);
+            let broken = shortage(view, name, &spec.pool);
             vec![match broken {
                 Some(found) => format!("broken now: {found}"),
                 None => "holds".to_owned(),
--- a/crates/dewspard/src/api/status.rs
+++ b/crates/dewspard/src/api/status.rs
@@ -5,7 +5,7 @@
 use {
     crate::view::View,
     dewspar::{
-        budget,
+        budget::{self, Shortage},
         config::{Resource, Spec},
         fleet::Row,
         pool::{PoolState, Task, TaskState},
@@ -30,11 +30,7 @@
         Spec::Service(spec) => tasks(view, &spec.pool, name),
         Spec::Job(spec) => tasks(view, &spec.pool, name),
         Spec::AvailabilityBudget(spec) => {
-            let state = state_of(view, &spec.pool);
-            let rows = view.pool_rows(&spec.pool);
-            let config = &view.config.value;
-            let broken = budget::broken(config, &spec.pool, &state, &rows);
-            let broken = broken.filter(|found| found.budget() == name);
+            let broken = shortage(view, name, &spec.pool);
             json!({
                 "holds": broken.is_none(),
                 "why": broken.map(|found| found.to_string()),
@@ -138,3 +134,16 @@
     let known = view.pools.get(pool);
     known.map(|known| PoolState::clone(&known.value)).unwrap_or_default()
 }
+
+/// Returns what a budget is short of now, if it is broken.
+pub(super) fn shortage(
+    view: &View,
+    budget: &str,
+    pool: &str,
+) -> Option<Shortage> {
+    let state = state_of(view, pool);
+    let rows = view.pool_rows(pool);
+    let config = &view.config.value;
+    let broken = budget::broken(config, pool, &state, &rows);
+    broken.filter(|found| found.budget() == budget)
+}
--- a/crates/dewspard/src/fleet/mod.rs
+++ b/crates/dewspard/src/fleet/mod.rs
@@ -17,4 +17,5 @@
 mod drain;
 mod halls;
 mod pools;
+mod waves;
 mod workers;
