Read the VM list once in each node

Found in reading the change again: the watcher and fleet control each polled the platform's list. The watcher now publishes it in the view, checked once, and fleet control reads it there.

--- a/crates/dewspard/src/api/explain.rs
+++ b/crates/dewspard/src/api/explain.rs
@@ -78,7 +78,7 @@
             },
         );
     }
-    if view.leaving.contains(name) {
+    if view.listed.leaving.contains(name) {
         lines.push("leaving, says the platform".to_owned());
     }
     let tasks: Vec<&str> = state.tasks_on(name).map(|(t, _)| t).collect();
--- a/crates/dewspard/src/api/status.rs
+++ b/crates/dewspard/src/api/status.rs
@@ -105,7 +105,7 @@
             "epoch": row.epoch(),
             "maintained": row.maintained(),
             "taken": taken,
-            "leaving": view.leaving.contains(name),
+            "leaving": view.listed.leaving.contains(name),
         },
     })
 }
--- a/crates/dewspard/src/fleet/controller.rs
+++ b/crates/dewspard/src/fleet/controller.rs
@@ -12,18 +12,11 @@
         view::View,
         watcher,
     },
-    dewspar::{
-        fleet::{self, Listing, VmState},
-        place::Usage,
-        pool::PoolState,
-    },
-    dewspar_platform::{
-        Error, KeyValue, TaskReport, TaskStart, VmList, VmListing, Workers,
-    },
+    dewspar::{fleet::VmState, place::Usage, pool::PoolState},
+    dewspar_platform::{Error, KeyValue, TaskReport, TaskStart, Workers},
     slog::{Logger, warn},
     std::{
         collections::{BTreeMap, BTreeSet},
-        sync::Arc,
         time::Duration,
     },
     tokio::{
@@ -44,15 +37,11 @@
 
 /// What fleet control needs.
 #[derive(Clone, Debug)]
-pub struct Options<K, L, W> {
+pub struct Options<K, W> {
     /// The key-value service.
     pub platform: K,
-    /// The VM list.
-    pub vm_list: L,
     /// The workers.
     pub workers: W,
-    /// The time between two readings of the VM list.
-    pub vm_list_interval: Duration,
     /// What the watcher publishes.
     pub watcher: watcher::Handle,
     /// The newest standing of the roster.
@@ -66,18 +55,11 @@
 }
 
 /// Starts fleet control on the current runtime.
-pub fn start<K: KeyValue, L: VmList, W: Workers>(
-    options: Options<K, L, W>,
+pub fn start<K: KeyValue, W: Workers>(
+    options: Options<K, W>,
 ) -> tokio::task::JoinHandle<()> {
     let (events, inbox) = mpsc::unbounded_channel();
     let (counted, counts) = mpsc::unbounded_channel();
-    let (listed, lists) = mpsc::channel(1);
-    let reading = read_vm_list(
-        options.vm_list.clone(),
-        options.vm_list_interval,
-        listed,
-    );
-    tokio::spawn(reading);
     let drains = Drains::new(
         options.standing.clone(),
         options.endpoint.clone(),
@@ -88,40 +70,14 @@
         documents: Documents::new(options.platform.clone()),
         workers: WorkerCalls::new(options.workers.clone(), events),
         drains,
-        vm_list: None,
         usage: Usage::default(),
         strays_since_ms: BTreeMap::new(),
         started: BTreeMap::new(),
         marks: BTreeMap::new(),
-        list_number: 0,
         log: options.log.clone(),
         options,
     };
-    tokio::spawn(controller.run(inbox, counts, lists))
-}
-
-async fn read_vm_list<L: VmList>(
-    vm_list: L,
-    pause: Duration,
-    listed: mpsc::Sender<VmListing>,
-) {
-    let mut tag = String::new();
-    loop {
-        match vm_list.list(&tag).await {
-            Ok(Some(listing)) => {
-                tag.clone_from(&listing.tag);
-                if listed.send(listing).await.is_err() {
-                    return;
-                }
-            }
-            Ok(None) => {}
-            Err(error) => counters::platform_failure(&error),
-        }
-        tokio::time::sleep(pause).await;
-        if listed.is_closed() {
-            return;
-        }
-    }
+    tokio::spawn(controller.run(inbox, counts))
 }
 
 /// All that a pool's steps depend on, but for the time.
@@ -135,26 +91,23 @@
 }
 
 /// The task that carries out what the library decides.
-pub(super) struct Controller<K, L, W> {
-    pub(super) options: Options<K, L, W>,
+pub(super) struct Controller<K, W> {
+    pub(super) options: Options<K, W>,
     pub(super) documents: Documents<K>,
     pub(super) workers: WorkerCalls<W>,
     pub(super) drains: Drains,
-    pub(super) vm_list: Option<Arc<Vec<Listing>>>,
     pub(super) usage: Usage,
     pub(super) strays_since_ms: BTreeMap<String, u64>,
     started: BTreeMap<String, Vec<(TaskStart, TaskReport)>>,
     marks: BTreeMap<String, (Mark, u64)>,
-    list_number: u64,
     pub(super) log: Logger,
 }
 
-impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+impl<K: KeyValue, W: Workers> Controller<K, W> {
     async fn run(
         mut self,
         mut events: mpsc::UnboundedReceiver<Event>,
         mut counts: mpsc::UnboundedReceiver<Counted>,
-        mut lists: mpsc::Receiver<VmListing>,
     ) {
         let mut view = self.options.watcher.view.clone();
         let mut rounds = interval(ROUND);
@@ -179,7 +132,6 @@
                     // A step may have waited for just that.
                     self.marks.clear();
                 }
-                Some(listing) = lists.recv() => self.take_over(listing),
             }
             // Nothing is begun on documents that may be old.
             if self.options.watcher.confirmed.age_ms() <= FRESH_MS
@@ -192,16 +144,6 @@
         }
     }
 
-    /// Takes over the platform's list, unless it can't be right.
-    fn take_over(&mut self, listing: VmListing) {
-        if let Err(error) = fleet::check_list(&listing.vms) {
-            warn!(self.log, "fleet: VM list refused"; "error" => %error);
-            return;
-        }
-        self.vm_list = Some(Arc::new(listing.vms));
-        self.list_number += 1;
-    }
-
     async fn step(&mut self) -> Result<(), Error> {
         self.record_starts().await?;
         let view = self.merged();
@@ -237,7 +179,7 @@
             config: view.config.value.revision(),
             halls: halls.max().unwrap_or(0),
             pool: view.pools.get(pool).map_or(0, |state| state.version),
-            list: self.list_number,
+            list: view.listed.number,
             reports: self.report_number(view, pool),
         }
     }
@@ -284,13 +226,6 @@
         self.options.standing.borrow().is_first(key)
     }
 
-    /// Returns whether the platform lists the VM as live.
-    pub(super) fn is_listed(&self, vm: &str) -> bool {
-        let list = self.vm_list.as_deref();
-        let mut vms = list.map(Vec::as_slice).unwrap_or_default().iter();
-        vms.any(|listing| listing.name() == vm && !listing.leaving())
-    }
-
     fn take_in(&mut self, event: Event) {
         match event {
             Event::Report { vm, result } => {
--- a/crates/dewspard/src/fleet/halls.rs
+++ b/crates/dewspard/src/fleet/halls.rs
@@ -9,19 +9,22 @@
     },
     crate::{clock, counters, view::View},
     dewspar::fleet::{Hall, Listing, VmState},
-    dewspar_platform::{Error, KeyValue, VmList, Workers},
+    dewspar_platform::{Error, KeyValue, Workers},
     std::collections::{BTreeMap, BTreeSet},
 };
 
-impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+impl<K: KeyValue, W: Workers> Controller<K, W> {
     /// Brings each hall's rows up to the list, where this node is first.
     pub(super) async fn step_halls(
         &mut self,
         view: &View,
     ) -> Result<(), Error> {
-        let Some(list) = self.vm_list.clone() else { return Ok(()) };
+        let list = &view.listed;
+        if list.number == 0 {
+            return Ok(());
+        }
         let mut by_hall: BTreeMap<&str, Vec<&Listing>> = BTreeMap::new();
-        for listing in list.iter() {
+        for listing in &list.vms {
             by_hall.entry(listing.hall()).or_default().push(listing);
         }
         let halls: BTreeSet<&str> = by_hall
--- a/crates/dewspard/src/fleet/pools.rs
+++ b/crates/dewspard/src/fleet/pools.rs
@@ -17,11 +17,11 @@
         place::{self, Step as PlaceStep},
         pool::{PoolState, Reason, TaskState},
     },
-    dewspar_platform::{Error, KeyValue, TaskStart, VmList, Workers},
+    dewspar_platform::{Error, KeyValue, TaskStart, Workers},
     slog::debug,
 };
 
-impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+impl<K: KeyValue, W: Workers> Controller<K, W> {
     /// Takes every step that is due for one pool.
     pub(super) async fn step_pool(
         &mut self,
@@ -68,7 +68,7 @@
                 VmState::Serving | VmState::Draining if silent => {
                     self.move_vm(view, vm, "lose").await?;
                 }
-                VmState::Lost if self.is_back(vm, row) => {
+                VmState::Lost if self.is_back(view, vm, row) => {
                     self.move_vm(view, vm, "return").await?;
                 }
                 _ => {}
@@ -94,8 +94,8 @@
     }
 
     /// Returns whether a lost VM answers again since it was lost.
-    fn is_back(&self, vm: &str, row: &Row) -> bool {
-        let listed = self.is_listed(vm);
+    fn is_back(&self, view: &View, vm: &str, row: &Row) -> bool {
+        let listed = view.listed.is_live(vm);
         let now_ms = clock::now_ms();
         let lost_ms = clock::unix_ms().saturating_sub(row.since_ms());
         let report = self.workers.get(vm).and_then(|k| k.report.as_ref());
@@ -118,7 +118,7 @@
             let free = view.row(vm).is_some_and(|row| {
                 row.state() == VmState::Free && row.pool().is_none()
             });
-            if free && self.is_listed(vm) {
+            if free && view.listed.is_live(vm) {
                 self.change_vm(view, vm, "join", |hall, now_ms| {
                     hall.assign(vm, Some(pool), now_ms).is_ok()
                 })
--- a/crates/dewspard/src/fleet/waves.rs
+++ b/crates/dewspard/src/fleet/waves.rs
@@ -15,11 +15,11 @@
         pool::{PoolState, Reason},
         wave::{self, Step as WaveStep},
     },
-    dewspar_platform::{Error, KeyValue, VmList, Workers},
+    dewspar_platform::{Error, KeyValue, Workers},
     slog::{debug, info},
 };
 
-impl<K: KeyValue, L: VmList, W: Workers> Controller<K, L, W> {
+impl<K: KeyValue, W: Workers> Controller<K, W> {
     /// Takes every step that is due for the waves over one pool.
     pub(super) async fn step_waves(
         &mut self,
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -203,9 +203,7 @@
         );
         let control = fleet::start(fleet::Options {
             platform: platform.key_value.clone(),
-            vm_list: platform.vm_list,
             workers: platform.workers,
-            vm_list_interval,
             watcher: watcher.clone(),
             standing: standing.clone(),
             endpoint: endpoint.clone(),
--- a/crates/dewspard/src/view.rs
+++ b/crates/dewspard/src/view.rs
@@ -10,7 +10,7 @@
 use {
     dewspar::{
         config::{ServiceSpec, Snapshot},
-        fleet::{Hall, Row, VmState},
+        fleet::{Hall, Listing, Row, VmState},
         member::Member,
         pool::{PoolState, TaskState},
     },
@@ -57,6 +57,25 @@
     pub epoch: u64,
 }
 
+/// The platform's VM list, as it was last read.
+#[derive(Clone, Debug, Default)]
+pub struct Listed {
+    /// A number that grows with each list that differs; 0 before the first.
+    pub number: u64,
+    /// The VMs that are live or leaving.
+    pub vms: Vec<Listing>,
+    /// The names of those that are leaving.
+    pub leaving: BTreeSet<String>,
+}
+
+impl Listed {
+    /// Returns whether the VM is live and not leaving.
+    pub fn is_live(&self, vm: &str) -> bool {
+        self.vms.iter().any(|listing| listing.name() == vm)
+            && !self.leaving.contains(vm)
+    }
+}
+
 /// What a node knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -70,8 +89,8 @@
     pub pools: BTreeMap<String, Document<PoolState>>,
     /// The members that the platform lists.
     pub members: BTreeMap<String, Member>,
-    /// The VMs that the platform's list says are leaving.
-    pub leaving: Arc<BTreeSet<String>>,
+    /// The platform's VM list.
+    pub listed: Arc<Listed>,
 }
 
 impl View {
@@ -121,7 +140,7 @@
         let serving = self.row(vm).is_some_and(|row| {
             row.state() == VmState::Serving && row.pool() == Some(pool)
         });
-        serving && !self.leaving.contains(vm)
+        serving && !self.listed.leaving.contains(vm)
     }
 }
 
--- a/crates/dewspard/src/watcher.rs
+++ b/crates/dewspard/src/watcher.rs
@@ -14,10 +14,11 @@
 use {
     crate::{
         clock, counters,
-        view::{Document, View, keys},
+        view::{Document, Listed, View, keys},
     },
     dewspar::{
         config::{self, Chunk, Head, Resource, Snapshot},
+        fleet::{self, Listing},
         member::Member,
     },
     dewspar_platform::{
@@ -26,7 +27,7 @@
     serde::de::DeserializeOwned,
     slog::{Logger, info, warn},
     std::{
-        collections::{BTreeMap, BTreeSet},
+        collections::BTreeMap,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -184,7 +185,7 @@
         let old = self.publish.borrow().clone();
         let mut view = View {
             version,
-            leaving: Arc::clone(&old.leaving),
+            listed: Arc::clone(&old.listed),
             // The configuration in force never goes back.
             config: old.config.clone(),
             ..View::default()
@@ -248,7 +249,7 @@
         self.confirmed.touch();
         self.publish.send_modify(|current| {
             // The VM list's task publishes into the same view.
-            view.leaving = Arc::clone(&current.leaving);
+            view.listed = Arc::clone(&current.listed);
             // And a peer may have given a newer configuration meanwhile.
             let theirs = current.config.value.revision();
             if theirs > view.config.value.revision() {
@@ -381,7 +382,7 @@
     half + uuid::Uuid::new_v4().as_u128() as u64 % (half + 1)
 }
 
-/// Follows the VM list for VMs that are leaving.
+/// Follows the VM list; a list that can't be right is passed over whole.
 async fn follow_vm_list<L: VmList>(
     vm_list: L,
     interval: Duration,
@@ -394,13 +395,11 @@
             Ok(None) => {}
             Ok(Some(listing)) => {
                 tag = listing.tag;
-                let leaving: BTreeSet<String> = listing
-                    .vms
-                    .iter()
-                    .filter(|vm| vm.leaving())
-                    .map(|vm| vm.name().to_owned())
-                    .collect();
-                publish_leaving(&publish, leaving);
+                match fleet::check_list(&listing.vms) {
+                    Ok(()) => publish_list(&publish, listing.vms),
+                    Err(error) => warn!(log, "watcher: VM list refused";
+                        "error" => %error),
+                }
             }
             Err(error) => {
                 counters::platform_failure(&error);
@@ -414,17 +413,16 @@
     }
 }
 
-fn publish_leaving(
-    publish: &watch::Sender<Arc<View>>,
-    leaving: BTreeSet<String>,
-) {
-    publish.send_if_modified(|current| {
-        if *current.leaving == leaving {
-            return false;
-        }
+fn publish_list(publish: &watch::Sender<Arc<View>>, vms: Vec<Listing>) {
+    let leaving = vms
+        .iter()
+        .filter(|vm| vm.leaving())
+        .map(|vm| vm.name().to_owned())
+        .collect();
+    publish.send_modify(|current| {
+        let number = current.listed.number + 1;
         let mut view = View::clone(current);
-        view.leaving = Arc::new(leaving);
+        view.listed = Arc::new(Listed { number, vms, leaving });
         *current = Arc::new(view);
-        true
     });
 }
