--- a/crates/dewspar/src/once/journal.rs
+++ b/crates/dewspar/src/once/journal.rs
@@ -44,6 +44,13 @@
 pub enum Admission {
     /// Its intent waits to be written; dispatch only when it has been.
     Queued(Ticket),
+    /// It can't be run now, or not at all.
+    Stands(Standing),
+}
+
+/// Why a key can't be run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Standing {
     /// This actor's intent waits to be written, and may not be.
     Pending(Actor),
     /// This actor's intent stands without an outcome.
@@ -61,19 +68,19 @@
 #[derive(Clone, Debug)]
 struct Known {
     body_hash: u64,
-    standing: Standing,
+    state: State,
     at_ms: u64,
 }
 
 #[derive(Clone, Debug)]
-enum Standing {
+enum State {
     Intended(Actor),
     Settled(Outcome),
 }
 
-impl Standing {
+impl State {
     fn is_by(&self, actor: &Actor) -> bool {
-        matches!(self, Standing::Intended(by) if by == actor)
+        matches!(self, State::Intended(by) if by == actor)
     }
 }
 
@@ -141,7 +148,7 @@
     /// The ticket that was given for it.
     pub ticket: Ticket,
     /// What the journal says now.
-    pub admission: Admission,
+    pub standing: Standing,
 }
 
 #[derive(Debug)]
@@ -271,16 +278,16 @@
     ) -> Admission {
         let key_ms = filing.key.unix_ms();
         if key_ms.saturating_add(RETENTION_MS) < now_ms {
-            return Admission::TooOld;
+            return Admission::Stands(Standing::TooOld);
         }
         if key_ms > now_ms + CLOCK_SKEW_MS {
-            return Admission::TooNew;
+            return Admission::Stands(Standing::TooNew);
         }
         if let Some(known) = self.standing(filing) {
-            return known;
+            return Admission::Stands(known);
         }
         if let Some(actor) = self.queued_actor(filing.key) {
-            return Admission::Pending(actor);
+            return Admission::Stands(Standing::Pending(actor));
         }
         let (filing, actor) = (*filing, actor.clone());
         let entry = Entry::Intent { filing, actor, at_ms: now_ms };
@@ -367,20 +374,20 @@
     ///
     /// Call it after a [`Journal::load`] that followed a conflict. An intent
     /// whose own write landed unseen, so that it now stands in the journal
-    /// in this actor's name, comes back as [`Admission::Intended`].
+    /// in this actor's name, comes back as [`Standing::Intended`].
     pub fn overtaken(&mut self) -> Vec<Overtaken> {
         let mut kept = Vec::new();
         let mut overtaken = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            let admission = match &waiting.entry {
+            let standing = match &waiting.entry {
                 Entry::Intent { filing, .. } => self.standing(filing),
                 Entry::Outcome { .. } => None,
             };
-            match admission {
+            match standing {
                 None => kept.push(waiting),
-                Some(admission) => {
+                Some(standing) => {
                     let ticket = waiting.ticket;
-                    overtaken.push(Overtaken { ticket, admission });
+                    overtaken.push(Overtaken { ticket, standing });
                 }
             }
         }
@@ -418,17 +425,15 @@
         ticket
     }
 
-    fn standing(&self, filing: &Filing) -> Option<Admission> {
+    fn standing(&self, filing: &Filing) -> Option<Standing> {
         let known = self.known.get(&filing.key)?;
         if known.body_hash != filing.body_hash {
-            return Some(Admission::OtherBody);
+            return Some(Standing::OtherBody);
         }
-        match &known.standing {
-            Standing::Settled(Outcome::NotRun) => None,
-            Standing::Settled(outcome) => Some(Admission::Settled(*outcome)),
-            Standing::Intended(actor) => {
-                Some(Admission::Intended(actor.clone()))
-            }
+        match &known.state {
+            State::Settled(Outcome::NotRun) => None,
+            State::Settled(outcome) => Some(Standing::Settled(*outcome)),
+            State::Intended(actor) => Some(Standing::Intended(actor.clone())),
         }
     }
 
@@ -445,16 +450,16 @@
     fn learn(&mut self, entry: &Entry) {
         match entry {
             Entry::Intent { filing, actor, at_ms } => {
-                let standing = Standing::Intended(actor.clone());
+                let state = State::Intended(actor.clone());
                 let body_hash = filing.body_hash;
-                let known = Known { body_hash, standing, at_ms: *at_ms };
+                let known = Known { body_hash, state, at_ms: *at_ms };
                 self.known.insert(filing.key, known);
             }
             Entry::Outcome { key, actor, outcome, .. } => {
                 if let Some(known) = self.known.get_mut(key)
-                    && known.standing.is_by(actor)
+                    && known.state.is_by(actor)
                 {
-                    known.standing = Standing::Settled(*outcome);
+                    known.state = State::Settled(*outcome);
                 }
             }
         }
--- a/crates/dewspar/src/once/mod.rs
+++ b/crates/dewspar/src/once/mod.rs
@@ -25,12 +25,14 @@
 
 A key is a version 7 UUID, whose time says how old it is. A key older than
 the retention window can't be told from one whose entry has been dropped; it
-is refused as [`Admission::TooOld`] and never run.
+is refused as [`Standing::TooOld`] and never run.
 
 # Example
 
 ```
-use dewspar::once::{Actor, Admission, Filing, Journal, Key, Outcome};
+use dewspar::once::{
+    Actor, Admission, Filing, Journal, Key, Outcome, Standing,
+};
 
 let now_ms = 1_800_000_000_000;
 let filing = Filing::new(Key::at(now_ms, 7), b"amend article 4");
@@ -48,7 +50,7 @@
 other.load(1, Some(write.value()))?;
 assert!(matches!(
     other.admit(&filing, &Actor::new("athens-2", 2, 1), now_ms),
-    Admission::Intended(_),
+    Admission::Stands(Standing::Intended(_)),
 ));
 
 journal.settle(filing.key(), &actor, Outcome::Ran { status: 201 }, now_ms);
@@ -56,14 +58,16 @@
 other.load(2, Some(write.value()))?;
 assert_eq!(
     other.admit(&filing, &actor, now_ms),
-    Admission::Settled(Outcome::Ran { status: 201 }),
+    Admission::Stands(Standing::Settled(Outcome::Ran { status: 201 })),
 );
 # Ok::<(), dewspar::once::Error>(())
 ```
 */
 
 pub use self::{
-    journal::{Admission, Error, Journal, Overtaken, Segment, Ticket, Write},
+    journal::{
+        Admission, Error, Journal, Overtaken, Segment, Standing, Ticket, Write,
+    },
     key::{Key, KeyError},
 };
 
--- a/crates/dewspar/tests/once.rs
+++ b/crates/dewspar/tests/once.rs
@@ -3,7 +3,7 @@
 use {
     dewspar::once::{
         Actor, Admission, CLOCK_SKEW_MS, Filing, Journal, Key, Outcome,
-        RETENTION_MS, Ticket,
+        RETENTION_MS, Standing, Ticket,
     },
     quickcheck::{Arbitrary, Gen, QuickCheck},
     std::collections::{BTreeMap, BTreeSet},
@@ -246,7 +246,7 @@
     write(&mut journal);
     let third = Actor::new("n3", 3, 1);
     let admission = journal.admit(&filing, &third, NOW_MS);
-    assert_eq!(admission, Admission::Intended(second));
+    assert_eq!(admission, Admission::Stands(Standing::Intended(second)));
 }
 
 #[test]
@@ -257,8 +257,14 @@
         let filing = Filing::new(Key::at(key_ms, 1), b"body");
         journal.admit(&filing, &actor, NOW_MS)
     };
-    assert_eq!(ask(NOW_MS - RETENTION_MS - 1), Admission::TooOld);
-    assert_eq!(ask(NOW_MS + CLOCK_SKEW_MS + 1), Admission::TooNew);
+    assert_eq!(
+        ask(NOW_MS - RETENTION_MS - 1),
+        Admission::Stands(Standing::TooOld)
+    );
+    assert_eq!(
+        ask(NOW_MS + CLOCK_SKEW_MS + 1),
+        Admission::Stands(Standing::TooNew)
+    );
     assert!(matches!(ask(NOW_MS - RETENTION_MS), Admission::Queued(_)));
 }
 
@@ -272,7 +278,7 @@
     journal.written(write.token(), 1);
     let other = Filing::new(key, b"two");
     let admission = journal.admit(&other, &actor, NOW_MS);
-    assert_eq!(admission, Admission::OtherBody);
+    assert_eq!(admission, Admission::Stands(Standing::OtherBody));
 }
 
 #[test]
--- a/crates/dewspard/src/journal/mod.rs
+++ b/crates/dewspard/src/journal/mod.rs
@@ -15,9 +15,9 @@
     crate::{
         clock,
         membership::StandingReader,
-        peer::{Endpoint, FilingAnswer, FilingItem, Standing},
+        peer::{Endpoint, FilingAnswer, FilingItem},
     },
-    dewspar::once::{Actor, Filing, Key, Outcome},
+    dewspar::once::{Actor, Filing, Key, Outcome, Standing},
     dewspar_platform::KeyValue,
     route::Route,
     slog::Logger,
--- a/crates/dewspard/src/journal/writer.rs
+++ b/crates/dewspard/src/journal/writer.rs
@@ -2,7 +2,7 @@
     super::{BATCH, Entry},
     crate::{
         clock, counters,
-        peer::{FilingAnswer, FilingItem, Standing},
+        peer::{FilingAnswer, FilingItem},
     },
     dewspar::once::{Admission, Journal, Ticket, Write},
     dewspar_platform::{Cas, Error, Expected, KeyValue, Versioned},
@@ -122,11 +122,13 @@
                 self.replies.insert(ticket, reply);
             }
             FilingItem::Intend { filing, actor } => {
-                let admission = journal.admit(&filing, &actor, now_ms);
-                if let Admission::Queued(ticket) = admission {
-                    self.replies.insert(ticket, reply);
-                } else if let Some(standing) = Standing::of(admission) {
-                    let _ = reply.send(FilingAnswer::Standing(standing));
+                match journal.admit(&filing, &actor, now_ms) {
+                    Admission::Queued(ticket) => {
+                        self.replies.insert(ticket, reply);
+                    }
+                    Admission::Stands(standing) => {
+                        let _ = reply.send(FilingAnswer::Standing(standing));
+                    }
                 }
             }
         }
@@ -287,9 +289,8 @@
 
     fn answer_overtaken(&mut self, journal: &mut Journal) {
         for overtaken in journal.overtaken() {
-            let reply = self.replies.remove(&overtaken.ticket);
-            let standing = Standing::of(overtaken.admission);
-            if let (Some(reply), Some(standing)) = (reply, standing) {
+            if let Some(reply) = self.replies.remove(&overtaken.ticket) {
+                let standing = overtaken.standing;
                 let _ = reply.send(FilingAnswer::Standing(standing));
             }
         }
--- a/crates/dewspard/src/peer/message.rs
+++ b/crates/dewspard/src/peer/message.rs
@@ -1,7 +1,7 @@
 use {
     dewspar::{
         member::Suspicion,
-        once::{Actor, Admission, Filing, Key, Outcome},
+        once::{Actor, Filing, Key, Outcome, Standing},
         slot,
     },
     serde::{Deserialize, Serialize},
@@ -151,35 +151,3 @@
     /// It was not written, for now; the filing was not run.
     NotWritten,
 }
-
-/// What the journal says of a key that can't be run.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Standing {
-    /// This actor's intent waits to be written, and may not be.
-    Pending(Actor),
-    /// This actor's intent stands without an outcome.
-    Intended(Actor),
-    /// It has an outcome.
-    Settled(Outcome),
-    /// The key was used with another body.
-    OtherBody,
-    /// The key is older than the retention window.
-    TooOld,
-    /// The key's time lies in the future.
-    TooNew,
-}
-
-impl Standing {
-    /// Returns what an admission says, unless the entry was queued.
-    pub fn of(admission: Admission) -> Option<Standing> {
-        Some(match admission {
-            Admission::Queued(_) => return None,
-            Admission::Pending(actor) => Standing::Pending(actor),
-            Admission::Intended(actor) => Standing::Intended(actor),
-            Admission::Settled(outcome) => Standing::Settled(outcome),
-            Admission::OtherBody => Standing::OtherBody,
-            Admission::TooOld => Standing::TooOld,
-            Admission::TooNew => Standing::TooNew,
-        })
-    }
-}
--- a/crates/dewspard/src/peer/mod.rs
+++ b/crates/dewspard/src/peer/mod.rs
@@ -9,8 +9,7 @@
 pub use self::{
     endpoint::{Endpoint, Error},
     message::{
-        Answer, FilingAnswer, FilingItem, HeardNode, Probe, Question,
-        Standing, VERSION,
+        Answer, FilingAnswer, FilingItem, HeardNode, Probe, Question, VERSION,
     },
     tls::{Identity, SetupError},
 };
