Model jobs and schedule their tasks, without I/O

Jobs with steps, tasks, runs and attempts; a scheduler whose holder is fenced by the revision of its lease key. Events in, actions out. Not yet used by the daemon.

--- /dev/null
+++ b/crates/dewspar/src/job/id.rs
@@ -0,0 +1,98 @@
+use {
+    displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::{fmt, str::FromStr},
+};
+
+/// How many hexadecimal digits a job's identifier has.
+const JOB_ID_DIGITS: usize = 16;
+
+/// Why a text is no identifier: `{0}`
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+pub struct InvalidId(pub String);
+
+impl std::error::Error for InvalidId {}
+
+/// A job's identifier, chosen by the caller: 16 hexadecimal digits.
+#[derive(
+    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
+    Serialize,
+)]
+#[serde(try_from = "String", into = "String")]
+pub struct JobId(u64);
+
+impl FromStr for JobId {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<JobId, InvalidId> {
+        let invalid = || InvalidId(text.to_owned());
+        // Only the spelling that `Display` writes, so that one job can't go
+        // by two names.
+        let digit = |b: &u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
+        if text.len() != JOB_ID_DIGITS || !text.as_bytes().iter().all(digit) {
+            return Err(invalid());
+        }
+        u64::from_str_radix(text, 16).map(JobId).map_err(|_| invalid())
+    }
+}
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl TryFrom<String> for JobId {
+    type Error = InvalidId;
+
+    fn try_from(text: String) -> Result<JobId, InvalidId> {
+        text.parse()
+    }
+}
+
+impl From<JobId> for String {
+    fn from(id: JobId) -> String {
+        id.to_string()
+    }
+}
+
+/// A task's name: its job, the round of a repeated job, step and index.
+///
+/// It is written `JOB.ROUND.STEP.INDEX`.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// Which repetition of the job, from 0; 0 for a job that runs once.
+    pub round: u32,
+    /// The step's position in the job, from 0.
+    pub step: u32,
+    /// The task's position in the step, from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TaskId { job, round, step, index } = self;
+        write!(f, "{job}.{round}.{step}.{index}")
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = InvalidId;
+
+    fn from_str(text: &str) -> Result<TaskId, InvalidId> {
+        let invalid = || InvalidId(text.to_owned());
+        let mut parts = text.split('.');
+        let job = parts.next().ok_or_else(invalid)?.parse()?;
+        let mut number = || -> Result<u32, InvalidId> {
+            let part = parts.next().ok_or_else(invalid)?;
+            part.parse().map_err(|_| invalid())
+        };
+        let (round, step, index) = (number()?, number()?, number()?);
+        match parts.next() {
+            None => Ok(TaskId { job, round, step, index }),
+            Some(_) => Err(invalid()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspar/src/job/mod.rs
@@ -0,0 +1,43 @@
+/*!
+Jobs: what callers hand in, and how far each has come.
+
+A job is a small graph of *steps*; a step is a number of equal *tasks*, and
+each task runs on one worker at a time. A [`JobSpec`] never changes once it
+has been accepted, so any node may write it and any node may answer for it.
+What changes is the job's [`Progress`]: which tasks are done, how often each
+has failed, and the checkpoint to go on from. Only the node that holds the
+scheduler lease writes progress, and it writes only what must survive it; what
+runs at this moment is known by the workers and is asked for again after a
+takeover.
+
+# Example
+
+```
+use dewspar::job::{JobId, JobSpec, StepSpec, TaskId};
+
+let spec = JobSpec {
+    queue: "extracts".to_owned(),
+    steps: vec![
+        StepSpec { count: 4, cpu_millis: 500, ..StepSpec::default() },
+        StepSpec { count: 1, after: vec![0], ..StepSpec::default() },
+    ],
+    ..JobSpec::default()
+};
+assert!(spec.check().is_ok());
+let id: JobId = "5c0e7a21d94b36f8".parse()?;
+let task = TaskId { job: id, round: 0, step: 1, index: 0 };
+assert_eq!(task.to_string(), "5c0e7a21d94b36f8.0.1.0");
+assert_eq!("5c0e7a21d94b36f8.0.1.0".parse(), Ok(task));
+# Ok::<(), dewspar::job::InvalidId>(())
+```
+*/
+
+pub use self::{
+    id::{InvalidId, JobId, TaskId},
+    progress::{Phase, Progress, TaskRecord},
+    spec::{InvalidSpec, JobSpec, Repeat, StepSpec},
+};
+
+mod id;
+mod progress;
+mod spec;
--- /dev/null
+++ b/crates/dewspar/src/job/progress.rs
@@ -0,0 +1,71 @@
+use serde::{Deserialize, Serialize};
+
+/// How far a job has come.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// Accepted; none of its tasks has started.
+    #[default]
+    Queued,
+    /// At least one task has started.
+    Running,
+    /// Every task has ended well.
+    Completed,
+    /// A task has failed as often as its queue allows.
+    Failed,
+    /// The caller cancelled it.
+    Cancelled,
+}
+
+impl Phase {
+    /// Returns whether nothing of the job will ever start again.
+    pub fn is_final(self) -> bool {
+        matches!(self, Phase::Completed | Phase::Failed | Phase::Cancelled)
+    }
+
+    /// Returns the phase's name, as in the state chart `job`.
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Queued => "queued",
+            Phase::Running => "running",
+            Phase::Completed => "completed",
+            Phase::Failed => "failed",
+            Phase::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// What is stored of a job besides its specification.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// How far it has come.
+    pub phase: Phase,
+    /// When it came to its end, in milliseconds of the Unix epoch; 0 before.
+    #[serde(default)]
+    pub finished_at_ms: u64,
+    /// The tasks of which there is something to say.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub tasks: Vec<TaskRecord>,
+}
+
+/// What is stored of one task.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskRecord {
+    /// The round.
+    pub round: u32,
+    /// The step's position.
+    pub step: u32,
+    /// The task's position in the step.
+    pub index: u32,
+    /// Whether it has ended well.
+    pub done: bool,
+    /// How many of its runs have failed.
+    pub failures: u32,
+    /// The highest number of a run that is known to have ended.
+    pub run: u64,
+    /// The checkpoint to go on from; empty for none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub checkpoint: String,
+}
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -30,6 +30,8 @@
 | [`slot`] | a runner's slots, shared by every node |
 | [`route`] | which runner gets the next request |
 | [`admit`] | which request is accepted at all |
+| [`job`] | what callers hand in, and how far it has come |
+| [`schedule`] | which task of a job runs on which worker |
 | [`chart`] | state charts kept in files and interpreted |
 | [`history`] | recorded runs, and the check of every promise on them |
 
@@ -54,11 +56,13 @@
 pub mod config;
 pub mod fleet;
 pub mod history;
+pub mod job;
 pub mod member;
 pub mod once;
 pub mod place;
 pub mod pool;
 pub mod route;
+pub mod schedule;
 pub mod slot;
 mod util;
 pub mod wave;
--- /dev/null
+++ b/crates/dewspar/src/schedule/board.rs
@@ -0,0 +1,226 @@
+use {
+    crate::{
+        job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
+        schedule::{QueueTerms, Room, WorkerId},
+    },
+    std::{collections::BTreeSet, sync::Arc},
+};
+
+/// A job that isn't over, as the holder of the scheduler lease sees it.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) spec: Arc<JobSpec>,
+    pub(crate) payload: Arc<str>,
+    pub(crate) terms: QueueTerms,
+    /// The store's revision at which it was accepted.
+    pub(crate) revision: u64,
+    pub(crate) accepted_at_ms: u64,
+    pub(crate) phase: Phase,
+    pub(crate) finished_at_ms: u64,
+    pub(crate) rounds: Vec<Vec<Step>>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Step {
+    pub(crate) tasks: Vec<Task>,
+    /// The tasks that are neither done nor on any worker.
+    pub(crate) waiting: BTreeSet<u32>,
+    pub(crate) done: usize,
+    /// Since when every step before it is done; 0 for not yet.
+    pub(crate) ready_ms: u64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Task {
+    pub(crate) done: bool,
+    pub(crate) failures: u32,
+    /// The highest number of any run so far.
+    pub(crate) run: u64,
+    /// The highest number of a run that has ended.
+    pub(crate) ended_run: u64,
+    pub(crate) checkpoint: String,
+    pub(crate) on: Vec<WorkerId>,
+    /// The workers on which it failed.
+    pub(crate) avoid: Vec<WorkerId>,
+}
+
+impl Job {
+    pub(crate) fn new(
+        spec: JobSpec,
+        terms: QueueTerms,
+        revision: u64,
+        accepted_at_ms: u64,
+    ) -> Job {
+        let steps = |_| spec.steps.iter().map(Step::new).collect();
+        let rounds = (0..spec.rounds()).map(steps).collect();
+        Job {
+            payload: Arc::from(spec.payload.as_str()),
+            rounds,
+            spec: Arc::new(spec),
+            terms,
+            revision,
+            accepted_at_ms,
+            phase: Phase::Queued,
+            finished_at_ms: 0,
+        }
+    }
+
+    /// Takes over what a former holder stored.
+    pub(crate) fn restore(&mut self, progress: &Progress) {
+        self.phase = progress.phase;
+        self.finished_at_ms = progress.finished_at_ms;
+        for record in &progress.tasks {
+            let rounds = &mut self.rounds;
+            let step = rounds
+                .get_mut(record.round as usize)
+                .and_then(|steps| steps.get_mut(record.step as usize));
+            if let Some(step) = step {
+                step.restore(record);
+            }
+        }
+    }
+
+    /// Returns what a later holder must know.
+    pub(crate) fn progress(&self) -> Progress {
+        let mut tasks = Vec::new();
+        for (round, steps) in (0..).zip(&self.rounds) {
+            for (step, state) in (0..).zip(steps) {
+                let records = state.records(round, step);
+                tasks.extend(records);
+            }
+        }
+        // Once it is over, only that counts.
+        if self.phase.is_final() {
+            tasks.clear();
+        }
+        Progress {
+            phase: self.phase,
+            finished_at_ms: self.finished_at_ms,
+            tasks,
+        }
+    }
+
+    pub(crate) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+        self.spec.steps.get(task.step as usize)
+    }
+
+    pub(crate) fn step(&self, task: &TaskId) -> Option<&Step> {
+        self.rounds.get(task.round as usize)?.get(task.step as usize)
+    }
+
+    pub(crate) fn step_mut(&mut self, task: &TaskId) -> Option<&mut Step> {
+        let steps = self.rounds.get_mut(task.round as usize)?;
+        steps.get_mut(task.step as usize)
+    }
+
+    pub(crate) fn task(&self, task: &TaskId) -> Option<&Task> {
+        self.step(task)?.tasks.get(task.index as usize)
+    }
+
+    pub(crate) fn task_mut(&mut self, task: &TaskId) -> Option<&mut Task> {
+        self.step_mut(task)?.tasks.get_mut(task.index as usize)
+    }
+
+    /// Returns whether a step's predecessors are done and its time has come.
+    pub(crate) fn is_ready(
+        &self,
+        round: usize,
+        step: usize,
+        unix_ms: u64,
+    ) -> bool {
+        let steps = &self.rounds[round];
+        let after = &self.spec.steps[step].after;
+        after.iter().all(|earlier| steps[*earlier].is_done())
+            && unix_ms >= self.spec.due_ms(round as u32)
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.rounds.iter().flatten().all(Step::is_done)
+    }
+
+    /// Returns when a step must be done for the job to keep its objective,
+    /// in milliseconds of the Unix epoch.
+    pub(crate) fn objective_ms(&self, round: usize) -> u64 {
+        let due = self.spec.due_ms(round as u32).max(self.accepted_at_ms);
+        let chain = (0..self.spec.steps.len())
+            .map(|step| self.spec.estimate_from_ms(step))
+            .max()
+            .unwrap_or(0);
+        due + self.terms.objective_ms(chain)
+    }
+
+    /// Returns every task that is on a worker, with where it is.
+    pub(crate) fn placed(
+        &self,
+        id: JobId,
+    ) -> impl Iterator<Item = (TaskId, &WorkerId)> {
+        (0..).zip(&self.rounds).flat_map(move |(round, steps)| {
+            (0..).zip(steps).flat_map(move |(step, state)| {
+                (0..).zip(&state.tasks).flat_map(move |(index, task)| {
+                    let id = TaskId { job: id, round, step, index };
+                    task.on.iter().map(move |worker| (id, worker))
+                })
+            })
+        })
+    }
+}
+
+impl Step {
+    fn new(spec: &StepSpec) -> Step {
+        Step {
+            tasks: vec![Task::default(); spec.count as usize],
+            waiting: (0..spec.count).collect(),
+            done: 0,
+            ready_ms: 0,
+        }
+    }
+
+    fn restore(&mut self, record: &TaskRecord) {
+        let Some(task) = self.tasks.get_mut(record.index as usize) else {
+            return;
+        };
+        task.failures = record.failures;
+        task.run = record.run;
+        task.ended_run = record.run;
+        task.checkpoint = record.checkpoint.clone();
+        if record.done && !task.done {
+            task.done = true;
+            self.done += 1;
+            self.waiting.remove(&record.index);
+        }
+    }
+
+    fn records(
+        &self,
+        round: u32,
+        step: u32,
+    ) -> impl Iterator<Item = TaskRecord> {
+        let tasks = (0..).zip(&self.tasks);
+        tasks.filter(|(_, task)| task.ended_run > 0 || task.done).map(
+            move |(index, task)| TaskRecord {
+                round,
+                step,
+                index,
+                done: task.done,
+                failures: task.failures,
+                run: task.ended_run,
+                checkpoint: if task.done {
+                    String::new()
+                } else {
+                    task.checkpoint.clone()
+                },
+            },
+        )
+    }
+
+    pub(crate) fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+}
+
+/// Returns what a task of the step takes of a worker.
+pub(crate) fn demand(spec: &StepSpec) -> Room {
+    // Best-effort tasks only use what others leave of the processor.
+    let cpu_millis = if spec.best_effort { 0 } else { spec.cpu_millis };
+    Room { cpu_millis, memory_mb: spec.memory_mb, gpus: spec.gpus }
+}
--- /dev/null
+++ b/crates/dewspar/src/schedule/place.rs
@@ -0,0 +1,322 @@
+/*!
+Which waiting task starts next, and on which worker.
+
+Steps are taken in the order of their queue's priority and then of the time
+by which their job must be done; jobs that can't make it any more come last.
+Each task goes to the worker of its pool that suits it best: near its data,
+away from what it would disturb, and with most room left.
+*/
+
+use crate::{
+    job::{JobId, Phase, StepSpec, TaskId},
+    schedule::{
+        Action, Decision, Now, Room, Scheduler, StartOrder, WorkerId,
+        board::demand,
+        worker::{Run, RunState, Worker},
+    },
+};
+
+/// How many numbers of runs are passed over for a task that a former holder
+/// may have started unseen, so that its number stays the highest.
+const RUN_GAP: u64 = 8;
+
+/// How much likelier a run near its data is than one with more room, in
+/// thousandths of a worker's free processor time.
+const NEAR_DATA_SCORE: i64 = 4_000;
+
+/// How much a worker is shunned for each run that would disturb or be
+/// disturbed: more than any worker's free processor time, in thousandths of
+/// a core.
+const DISTURBANCE_SCORE: i64 = 100_000;
+
+/// A step with tasks to start.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Candidate {
+    priority: u32,
+    late: bool,
+    objective_ms: u64,
+    job: JobId,
+    round: usize,
+    step: usize,
+}
+
+/// Why a task isn't started now.
+enum NotNow {
+    /// No worker has room for it.
+    NoRoom,
+    /// It may still run where a former holder started it.
+    Unaccounted,
+}
+
+impl Scheduler {
+    /// Starts what is ready, as far as there is room.
+    pub(super) fn start_waiting(
+        &mut self,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        for candidate in self.candidates(now) {
+            self.start_step(&candidate, now, actions);
+        }
+    }
+
+    fn candidates(&mut self, now: Now) -> Vec<Candidate> {
+        let mut candidates = Vec::new();
+        for (id, job) in &mut self.jobs {
+            if job.phase.is_final() {
+                continue;
+            }
+            for round in 0..job.rounds.len() {
+                let objective_ms = job.objective_ms(round);
+                for step in 0..job.spec.steps.len() {
+                    let waiting = !job.rounds[round][step].waiting.is_empty();
+                    if !waiting || !job.is_ready(round, step, now.unix_ms) {
+                        continue;
+                    }
+                    let state = &mut job.rounds[round][step];
+                    if state.ready_ms == 0 {
+                        state.ready_ms = now.steady_ms;
+                    }
+                    let left_ms = job.spec.estimate_from_ms(step);
+                    candidates.push(Candidate {
+                        priority: job.terms.priority,
+                        late: now.unix_ms + left_ms > objective_ms,
+                        objective_ms,
+                        job: *id,
+                        round,
+                        step,
+                    });
+                }
+            }
+        }
+        candidates.sort_unstable();
+        candidates
+    }
+
+    fn start_step(
+        &mut self,
+        candidate: &Candidate,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let Candidate { job: id, round, step, .. } = *candidate;
+        let job = &self.jobs[&id];
+        let spec = job.spec.clone();
+        let spec = &spec.steps[step];
+        let waiting: Vec<u32> =
+            job.rounds[round][step].waiting.iter().copied().collect();
+        let first = TaskId {
+            job: id,
+            round: round as u32,
+            step: step as u32,
+            index: 0,
+        };
+        if spec.gang {
+            self.start_gang(spec, &first, &waiting, now, actions);
+            return;
+        }
+        for index in waiting {
+            let task = TaskId { index, ..first };
+            match self.choose(spec, &task, now) {
+                Ok(worker) => {
+                    let run = self.next_run(&task);
+                    actions.extend(self.start(spec, &task, run, worker, now));
+                }
+                // Its siblings may be wanted elsewhere, or be accounted for.
+                Err(NotNow::Unaccounted) => {}
+                Err(NotNow::NoRoom) if self.avoids(&task) => {}
+                Err(NotNow::NoRoom) => return,
+            }
+        }
+    }
+
+    /// Starts every member of a gang, or none.
+    fn start_gang(
+        &mut self,
+        spec: &StepSpec,
+        first: &TaskId,
+        waiting: &[u32],
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        // Members of the last run are still there: wait for their ends.
+        if waiting.len() < spec.count as usize {
+            return;
+        }
+        let members = waiting.iter().map(|&index| TaskId { index, ..*first });
+        let run = members.clone().map(|task| self.next_run(&task)).max();
+        let run = run.unwrap_or(1);
+        let checkpoint = members
+            .clone()
+            .filter_map(|task| self.jobs[&task.job].task(&task))
+            .map(|task| task.checkpoint.clone())
+            .find(|checkpoint| !checkpoint.is_empty());
+        let mut orders = Vec::new();
+        let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
+        for task in members {
+            if let (Some(job), Some(checkpoint)) =
+                (self.jobs.get_mut(&task.job), &checkpoint)
+                && let Some(state) = job.task_mut(&task)
+            {
+                state.checkpoint.clone_from(checkpoint);
+            }
+            let Ok(worker) = self.choose(spec, &task, now) else {
+                break;
+            };
+            placed.push((task, worker.clone()));
+            orders.extend(self.start(spec, &task, run, worker, now));
+        }
+        if placed.len() == spec.count as usize {
+            actions.extend(orders);
+            return;
+        }
+        // Not all fit: nothing was sent, so what was reserved is free again.
+        for (task, worker) in placed {
+            self.free_run(&task, &worker, now);
+        }
+    }
+
+    fn avoids(&self, task: &TaskId) -> bool {
+        let state = self.jobs[&task.job].task(task);
+        state.is_some_and(|state| !state.avoid.is_empty())
+    }
+
+    fn next_run(&self, task: &TaskId) -> u64 {
+        let job = &self.jobs[&task.job];
+        let run = job.task(task).map_or(0, |state| state.run);
+        let inherited = job.revision < self.lease_revision;
+        // The first run under this lease passes over what may be unseen.
+        let first = job.task(task).is_some_and(|s| s.run == s.ended_run);
+        if inherited && first { run + RUN_GAP } else { run + 1 }
+    }
+
+    /// Chooses the worker for a task.
+    fn choose(
+        &self,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> Result<WorkerId, NotNow> {
+        let job = &self.jobs[&task.job];
+        let Some(state) = job.task(task) else { return Err(NotNow::NoRoom) };
+        let inherited = job.revision < self.lease_revision;
+        let pool = job.terms.pool.as_str();
+        if inherited && !spec.may_duplicate && self.may_run_unseen(pool, now) {
+            return Err(NotNow::Unaccounted);
+        }
+        let demand = demand(spec);
+        let suits = |worker: &&Worker| {
+            worker.listing.pool == job.terms.pool
+                && worker.takes_orders(now.steady_ms)
+                && worker.free().holds(&demand)
+                && !worker.runs.contains_key(task)
+                && !state.avoid.contains(worker.id())
+                && has_label(worker, &spec.required_label)
+                && (spec.max_per_worker == 0
+                    || worker.runs_of_step(task)
+                        < spec.max_per_worker as usize)
+        };
+        let best = self.workers.values().filter(suits).max_by_key(|worker| {
+            (self.score(worker, spec, &demand), worker.id())
+        });
+        best.map(|worker| worker.id().clone()).ok_or(NotNow::NoRoom)
+    }
+
+    /// Returns whether a worker wasn't asked yet that may run what a former
+    /// holder started.
+    fn may_run_unseen(&self, pool: &str, now: Now) -> bool {
+        self.workers.values().any(|worker| {
+            worker.listing.pool == pool
+                && !worker.synced
+                && now.steady_ms <= worker.lease_over_ms
+        })
+    }
+
+    fn score(&self, worker: &Worker, spec: &StepSpec, demand: &Room) -> i64 {
+        let mut score = worker.free().less(demand).cpu_millis as i64;
+        let near = !spec.data_rack.is_empty()
+            && worker.listing.rack == spec.data_rack;
+        if near {
+            score += NEAR_DATA_SCORE;
+        }
+        let step_of = |task: &TaskId| {
+            self.jobs.get(&task.job).and_then(|job| job.step_spec(task))
+        };
+        let others = worker.runs.keys().filter_map(step_of);
+        let disturbing = if spec.best_effort {
+            others.filter(|other| other.serves()).count()
+        } else if spec.serves() {
+            others.filter(|other| other.best_effort || other.serves()).count()
+        } else {
+            0
+        };
+        score - disturbing as i64 * DISTURBANCE_SCORE
+    }
+
+    /// Notes a start and makes its order.
+    fn start(
+        &mut self,
+        spec: &StepSpec,
+        task: &TaskId,
+        run: u64,
+        worker_id: WorkerId,
+        now: Now,
+    ) -> Option<Action> {
+        let worker = self.workers.get_mut(&worker_id)?;
+        let lease_until_ms =
+            worker.lease_until_ms(now.steady_ms, &self.options)?;
+        worker.lease_sent(lease_until_ms);
+        let fence = worker.fence();
+        let address = worker.listing.address.clone();
+        worker.insert(
+            *task,
+            Run {
+                run,
+                fence,
+                demand: demand(spec),
+                state: RunState::Starting,
+                since_ms: now.steady_ms,
+                percent: 0,
+                moved_ms: now.steady_ms,
+                gauge: 0,
+                pace: 100,
+            },
+        );
+        let job = self.jobs.get_mut(&task.job)?;
+        let begun = job.phase == Phase::Queued;
+        if begun {
+            job.phase = Phase::Running;
+        }
+        let payload = job.payload.clone();
+        let step = job.step_mut(task)?;
+        let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
+        step.waiting.remove(&task.index);
+        let state = step.tasks.get_mut(task.index as usize)?;
+        state.run = run;
+        state.on.push(worker_id.clone());
+        let checkpoint = state.checkpoint.clone();
+        if begun {
+            self.mark_changed(task.job);
+        }
+        self.note(Decision::Started {
+            task: *task,
+            run,
+            worker: worker_id.clone(),
+            waited_ms,
+        });
+        let order = StartOrder {
+            task: *task,
+            run,
+            payload,
+            lease_until_ms,
+            fence,
+            checkpoint,
+            ticket: String::new(),
+        };
+        Some(Action::Start { worker: worker_id, address, order })
+    }
+}
+
+fn has_label(worker: &Worker, label: &str) -> bool {
+    label.is_empty() || worker.listing.labels.iter().any(|l| l == label)
+}
--- /dev/null
+++ b/crates/dewspar/src/schedule/report.rs
@@ -0,0 +1,365 @@
+/*!
+What a worker's answer to a hold changes.
+*/
+
+use {
+    crate::{
+        job::{Phase, TaskId},
+        schedule::{
+            ActiveRun, Decision, EndCause, EndedRun, Held, HoldReport, Now,
+            OrderError, Refusal, Room, Scheduler, WorkerId,
+            board::{Job, demand},
+            worker::{OwedHold, Run, RunState},
+        },
+    },
+    std::collections::BTreeMap,
+};
+
+/// What to do about a run that a worker lists as active.
+enum Found {
+    /// It is the one that was ordered.
+    Expected,
+    /// It belongs to a task that needs it.
+    Adopt(Room),
+    /// Nobody needs it.
+    Unwanted(Room),
+}
+
+impl Scheduler {
+    /// Takes in a worker's answer to a hold.
+    pub fn hold_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        held: &Held,
+        report: &HoldReport,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let first = !worker.synced;
+        let owed = OwedHold { order: held.order, fencing: held.fencing };
+        let newest =
+            worker.hold_answered(&owed, report, now.steady_ms, &self.options);
+        for end in &report.ended {
+            let worker = self.workers.get_mut(worker_id);
+            if worker.is_some_and(|worker| worker.see_end(end.number)) {
+                self.run_ended(worker_id, end, now);
+            }
+        }
+        // Answers on different connections may overtake each other; what an
+        // older one says is active may have ended since.
+        if newest {
+            for active in &report.active {
+                self.run_active(worker_id, active, now);
+            }
+            self.drop_missing(worker_id, held, report, now);
+        }
+        let synced = self.workers.get(worker_id).is_some_and(|w| w.synced);
+        if first && synced {
+            let runs = report.active.len();
+            self.note(Decision::Synced { worker: worker_id.clone(), runs });
+        }
+    }
+
+    /// Takes note that a hold got no answer.
+    pub fn hold_failed(
+        &mut self,
+        worker_id: &WorkerId,
+        held: &Held,
+        error: OrderError,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let owed = OwedHold { order: held.order, fencing: held.fencing };
+        let was_silent = worker.silent_since_ms.is_some();
+        worker.hold_failed(&owed, now.steady_ms, &self.options);
+        let current = held.order.fence == worker.fence();
+        match error {
+            OrderError::Refused(Refusal::OtherLife) => {
+                self.worker_gone(worker_id, "another life answers", now);
+            }
+            OrderError::Refused(Refusal::Fenced) if current => {
+                self.supersede(worker_id);
+            }
+            _ if !was_silent => self.note(Decision::OrderFailed {
+                worker: worker_id.clone(),
+                task: None,
+                reason: error.name(),
+            }),
+            _ => {}
+        }
+    }
+
+    fn run_ended(&mut self, worker_id: &WorkerId, end: &EndedRun, now: Now) {
+        let task = end.task;
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let here = worker.runs.get(&task).is_some_and(|r| r.run == end.run);
+        if here {
+            worker.remove(&task);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let failures = note_end(job, worker_id, end);
+        self.note(Decision::Ended {
+            task,
+            run: end.run,
+            worker: worker_id.clone(),
+            cause: end.cause,
+            failures,
+        });
+        match end.cause {
+            EndCause::Done => self.task_done(worker_id, &task, now),
+            EndCause::Failed => self.task_failed(worker_id, &task, now),
+            EndCause::Stopped
+            | EndCause::LeaseOver
+            | EndCause::GangBroken
+            | EndCause::GangIncomplete => {}
+        }
+        self.mark_changed(task.job);
+        if here {
+            self.free_run(&task, worker_id, now);
+        }
+        self.finish_if_over(&task, failures, now);
+    }
+
+    fn task_done(&mut self, worker_id: &WorkerId, task: &TaskId, now: Now) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.task_done();
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        let long = job.step_spec(task).is_some_and(|spec| spec.long_running);
+        let Some(step) = job.step_mut(task) else { return };
+        if long || step.is_done() {
+            return;
+        }
+        // The members of a gang end together, and one end stands for all.
+        let all = 0..step.tasks.len() as u32;
+        let members = if gang { all } else { task.index..task.index + 1 };
+        let mut others = Vec::new();
+        for index in members {
+            let member = &mut step.tasks[index as usize];
+            if !member.done {
+                member.done = true;
+                step.done += 1;
+                step.waiting.remove(&index);
+            }
+            let id = TaskId { index, ..*task };
+            others.extend(member.on.iter().map(|on| (id, on.clone())));
+        }
+        // Copies of a task that is done are of no use.
+        if !gang {
+            for (id, on) in others.iter().filter(|(_, on)| on != worker_id) {
+                self.stop_run(id, on, "another copy is done");
+            }
+        }
+        self.ready_next_steps(task, now);
+    }
+
+    fn ready_next_steps(&mut self, task: &TaskId, now: Now) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        for step in job.rounds[task.round as usize].iter_mut() {
+            step.ready_ms = step.ready_ms.max(now.steady_ms);
+        }
+    }
+
+    fn task_failed(&mut self, worker_id: &WorkerId, task: &TaskId, now: Now) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        // A job that fails on more than one worker is at fault itself.
+        let mut failed_on: Vec<WorkerId> = job
+            .rounds
+            .iter()
+            .flatten()
+            .flat_map(|step| step.tasks.iter())
+            .flat_map(|task| task.avoid.iter().cloned())
+            .collect();
+        failed_on.sort();
+        failed_on.dedup();
+        if failed_on.len() > 1 {
+            for id in failed_on {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.forgive(task.job);
+                }
+            }
+            return;
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        if worker.task_failed(task.job, now.steady_ms, &self.options) {
+            let reason = "jobs fail on it that don't fail elsewhere";
+            let worker = worker_id.clone();
+            self.note(Decision::Suspended { worker, reason });
+        }
+    }
+
+    fn finish_if_over(&mut self, task: &TaskId, failures: u32, now: Now) {
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        if job.phase.is_final() {
+            return;
+        }
+        let limited =
+            !job.step_spec(task).is_some_and(|spec| spec.long_running);
+        let most = job.terms.max_attempts;
+        let done = job.task(task).is_some_and(|task| task.done);
+        if limited && !done && most > 0 && failures >= most {
+            self.finish(task.job, Phase::Failed, now);
+        } else if job.is_done() {
+            self.finish(task.job, Phase::Completed, now);
+        }
+    }
+
+    fn run_active(
+        &mut self,
+        worker_id: &WorkerId,
+        active: &ActiveRun,
+        now: Now,
+    ) {
+        if let Some(job) = self.jobs.get_mut(&active.task.job)
+            && let Some(task) = job.task_mut(&active.task)
+        {
+            task.run = task.run.max(active.run);
+            if !active.checkpoint.is_empty() {
+                task.checkpoint.clone_from(&active.checkpoint);
+            }
+        }
+        let found = self.judge(worker_id, active);
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let mut run = Run {
+            run: active.run,
+            fence: 0,
+            demand: Room::default(),
+            state: RunState::Running,
+            since_ms: now.steady_ms,
+            percent: active.percent,
+            moved_ms: now.steady_ms,
+            gauge: active.gauge,
+            pace: 100,
+        };
+        match found {
+            Found::Expected => {
+                // OK because `judge` has just found it.
+                let run = worker.runs.get_mut(&active.task).expect("known");
+                run.update(active, now.steady_ms);
+            }
+            Found::Adopt(demand) => {
+                run.demand = demand;
+                worker.insert(active.task, run);
+                self.adopt(worker_id, active);
+            }
+            Found::Unwanted(demand) => {
+                run.demand = demand;
+                worker.insert(active.task, run);
+                self.stop_run(&active.task, worker_id, "nobody needs it");
+            }
+        }
+    }
+
+    fn judge(&self, worker_id: &WorkerId, active: &ActiveRun) -> Found {
+        let worker = self.workers.get(worker_id);
+        let here = worker.and_then(|w| w.runs.get(&active.task));
+        if here.is_some_and(|run| run.run == active.run) {
+            return Found::Expected;
+        }
+        let Some(job) = self.jobs.get(&active.task.job) else {
+            return Found::Unwanted(Room::default());
+        };
+        let demand = job.step_spec(&active.task).map(demand);
+        let demand = demand.unwrap_or_default();
+        let needed = job.task(&active.task).is_some_and(|task| {
+            !job.phase.is_final()
+                && !task.done
+                && task.on.is_empty()
+                && active.run > task.ended_run
+        });
+        if needed { Found::Adopt(demand) } else { Found::Unwanted(demand) }
+    }
+
+    fn adopt(&mut self, worker_id: &WorkerId, active: &ActiveRun) {
+        let id = active.task;
+        let Some(job) = self.jobs.get_mut(&id.job) else { return };
+        let begun = job.phase == Phase::Queued;
+        if begun {
+            job.phase = Phase::Running;
+        }
+        if let Some(step) = job.step_mut(&id) {
+            step.waiting.remove(&id.index);
+            if let Some(task) = step.tasks.get_mut(id.index as usize) {
+                task.on.push(worker_id.clone());
+            }
+        }
+        if begun {
+            self.mark_changed(id.job);
+        }
+        self.note(Decision::Adopted {
+            task: id,
+            run: active.run,
+            worker: worker_id.clone(),
+        });
+    }
+
+    /// Drops the runs that a worker doesn't list though it would have to.
+    fn drop_missing(
+        &mut self,
+        worker_id: &WorkerId,
+        held: &Held,
+        report: &HoldReport,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let listed: BTreeMap<TaskId, u64> =
+            report.active.iter().map(|a| (a.task, a.run)).collect();
+        let missing: Vec<(TaskId, u64)> = worker
+            .runs
+            .iter()
+            .filter(|(task, run)| {
+                // A start under an older token can't be carried out any
+                // more; one that was answered before the question was there.
+                let settled = match run.state {
+                    RunState::Starting => run.fence < held.order.fence,
+                    RunState::Running | RunState::Stopping { .. } => {
+                        run.since_ms < held.sent_ms
+                    }
+                };
+                settled && listed.get(*task) != Some(&run.run)
+            })
+            .map(|(task, run)| (*task, run.run))
+            .collect();
+        for (task, run) in missing {
+            self.note(Decision::Lost {
+                task,
+                run,
+                worker: worker_id.clone(),
+                reason: "the worker doesn't list it",
+            });
+            self.free_run(&task, worker_id, now);
+        }
+    }
+}
+
+impl Run {
+    fn update(&mut self, active: &ActiveRun, now_ms: u64) {
+        if self.state == RunState::Starting {
+            self.state = RunState::Running;
+            self.since_ms = now_ms;
+        }
+        if self.percent != active.percent {
+            self.percent = active.percent;
+            self.moved_ms = now_ms;
+        }
+        self.gauge = active.gauge;
+    }
+}
+
+/// Enters an end with its job; returns how often the task has failed.
+fn note_end(job: &mut Job, worker_id: &WorkerId, end: &EndedRun) -> u32 {
+    let Some(task) = job.task_mut(&end.task) else { return 0 };
+    task.run = task.run.max(end.run);
+    task.ended_run = task.ended_run.max(end.run);
+    if !end.checkpoint.is_empty() {
+        task.checkpoint.clone_from(&end.checkpoint);
+    }
+    if end.cause == EndCause::Failed {
+        task.failures += 1;
+        if !task.avoid.contains(worker_id) {
+            task.avoid.push(worker_id.clone());
+        }
+    }
+    task.failures
+}
--- /dev/null
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -0,0 +1,379 @@
+use {
+    crate::{
+        job::{JobId, TaskId},
+        schedule::{
+            HoldOrder, HoldReport, Options, Room, WorkerId, WorkerListing,
+        },
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// Room in a fencing token for the orders of one lease holder that had to
+/// be fenced off themselves, a power of two.
+///
+/// Tokens travel as JSON numbers, so the lease's revision times this stays
+/// below 2^53 for the first 2^43 revisions.
+const FENCES_A_LEASE: u64 = 1 << 10;
+
+/// How many jobs must fail on a worker in a row, with no task done between,
+/// before it is held to be at fault itself.
+///
+/// One may be a job that fails everywhere; two by chance are rare.
+const FAILED_JOBS_TO_SUSPEND: usize = 2;
+
+/// How much longer a worker's clock may take than ours, in thousandths: 2 %
+/// by the workers' protocol, and a little for reading the clocks.
+const SLOW_CLOCK_PER_MILLE: u64 = 1_021;
+
+/// What is known of one run on a worker.
+#[derive(Clone, Debug)]
+pub(crate) struct Run {
+    pub(crate) run: u64,
+    /// The token of the order that started it; 0 if it was found running.
+    pub(crate) fence: u64,
+    pub(crate) demand: Room,
+    pub(crate) state: RunState,
+    /// When it was ordered or found.
+    pub(crate) since_ms: u64,
+    pub(crate) percent: u8,
+    /// When its percentage last moved.
+    pub(crate) moved_ms: u64,
+    pub(crate) gauge: u64,
+    /// The share at which it may work, in percent.
+    pub(crate) pace: u8,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum RunState {
+    /// The order to start it has no answer yet.
+    Starting,
+    /// The worker has said that it is there.
+    Running,
+    /// It is to stop; its room is taken until the end is listed.
+    Stopping {
+        /// When the last order to stop it was sent; 0 for never.
+        ordered_ms: u64,
+    },
+}
+
+impl Run {
+    pub(crate) fn is_stopping(&self) -> bool {
+        matches!(self.state, RunState::Stopping { .. })
+    }
+
+    pub(crate) fn stop(&mut self) {
+        if !self.is_stopping() {
+            self.state = RunState::Stopping { ordered_ms: 0 };
+        }
+    }
+}
+
+/// A reading of a worker's clock.
+#[derive(Clone, Copy, Debug)]
+struct ClockReading {
+    worker_ms: u64,
+    at_ms: u64,
+}
+
+/// One worker as the holder of the scheduler lease sees it.
+#[derive(Debug)]
+pub(crate) struct Worker {
+    pub(crate) listing: WorkerListing,
+    pub(crate) runs: BTreeMap<TaskId, Run>,
+    used: Room,
+    lease_revision: u64,
+    fences: u64,
+    /// Whether an answer under the current token is still owed; no order is
+    /// sent before it.
+    fencing: bool,
+    /// Whether it ever answered under this lease, so that what a former
+    /// holder started there is known.
+    pub(crate) synced: bool,
+    seen_end: u64,
+    stored_end: u64,
+    acknowledged: u64,
+    clock: Option<ClockReading>,
+    latest_report_ms: u64,
+    /// When everything on it is certainly over unless the lease is renewed.
+    pub(crate) lease_over_ms: u64,
+    hold_in_flight: bool,
+    fence_hold_in_flight: bool,
+    next_hold_ms: u64,
+    /// Since when it hasn't answered; `None` while it does.
+    pub(crate) silent_since_ms: Option<u64>,
+    failed_jobs: BTreeSet<JobId>,
+    suspended_until_ms: u64,
+    suspensions: u32,
+    /// Whether it is to be emptied for maintenance or a move.
+    pub(crate) emptying: bool,
+    /// Whether the directory still lists it.
+    pub(crate) listed: bool,
+}
+
+/// A hold that is owed to a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwedHold {
+    pub(crate) order: HoldOrder,
+    pub(crate) fencing: bool,
+}
+
+impl Worker {
+    pub(crate) fn new(
+        listing: WorkerListing,
+        lease_revision: u64,
+        now_ms: u64,
+        options: &Options,
+    ) -> Worker {
+        Worker {
+            listing,
+            runs: BTreeMap::new(),
+            used: Room::default(),
+            lease_revision,
+            fences: 0,
+            fencing: true,
+            synced: false,
+            seen_end: 0,
+            stored_end: 0,
+            acknowledged: 0,
+            clock: None,
+            latest_report_ms: 0,
+            lease_over_ms: now_ms + options.inherited_lease_ms(),
+            hold_in_flight: false,
+            fence_hold_in_flight: false,
+            next_hold_ms: 0,
+            silent_since_ms: None,
+            failed_jobs: BTreeSet::new(),
+            suspended_until_ms: 0,
+            suspensions: 0,
+            emptying: false,
+            listed: true,
+        }
+    }
+
+    pub(crate) fn id(&self) -> &WorkerId {
+        &self.listing.id
+    }
+
+    pub(crate) fn fence(&self) -> u64 {
+        self.lease_revision * FENCES_A_LEASE + self.fences
+    }
+
+    /// Returns what is free for tasks that take their share of processor.
+    pub(crate) fn free(&self) -> Room {
+        self.listing.capacity.less(&self.used)
+    }
+
+    pub(crate) fn used(&self) -> &Room {
+        &self.used
+    }
+
+    pub(crate) fn insert(&mut self, task: TaskId, run: Run) {
+        self.used.add(&run.demand);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used.subtract(&old.demand);
+        }
+    }
+
+    pub(crate) fn remove(&mut self, task: &TaskId) -> Option<Run> {
+        let run = self.runs.remove(task)?;
+        self.used.subtract(&run.demand);
+        Some(run)
+    }
+
+    /// Counts the runs of one step here.
+    pub(crate) fn runs_of_step(&self, task: &TaskId) -> usize {
+        let first = TaskId { index: 0, ..*task };
+        let last = TaskId { index: u32::MAX, ..*task };
+        self.runs.range(first..=last).count()
+    }
+
+    /// Returns whether orders to start may be sent.
+    pub(crate) fn takes_orders(&self, now_ms: u64) -> bool {
+        !self.fencing
+            && self.synced
+            && self.listed
+            && !self.listing.draining
+            && !self.emptying
+            && self.silent_since_ms.is_none()
+            && (now_ms >= self.suspended_until_ms)
+            && (self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND
+                || self.runs.is_empty())
+    }
+
+    /// Makes orders sent so far void: the next answer is under a new token.
+    pub(crate) fn raise_fence(&mut self, now_ms: u64) {
+        self.fences = (self.fences + 1).min(FENCES_A_LEASE - 1);
+        self.fencing = true;
+        self.next_hold_ms = now_ms;
+    }
+
+    /// Returns until when a lease may be ordered, on the worker's clock.
+    pub(crate) fn lease_until_ms(
+        &self,
+        now_ms: u64,
+        options: &Options,
+    ) -> Option<u64> {
+        let clock = self.clock?;
+        let elapsed = now_ms.saturating_sub(clock.at_ms);
+        Some(clock.worker_ms + elapsed + options.lease_ms)
+    }
+
+    /// Notes that an order was sent that lets runs go on until then.
+    pub(crate) fn lease_sent(&mut self, until_worker_ms: u64) {
+        let Some(clock) = self.clock else { return };
+        let left = until_worker_ms.saturating_sub(clock.worker_ms);
+        let longest = left * SLOW_CLOCK_PER_MILLE / 1_000;
+        self.lease_over_ms = self.lease_over_ms.max(clock.at_ms + longest);
+    }
+
+    pub(crate) fn read_clock(&mut self, worker_ms: u64, at_ms: u64) {
+        let newer = self.clock.is_none_or(|clock| worker_ms > clock.worker_ms);
+        if newer {
+            self.clock = Some(ClockReading { worker_ms, at_ms });
+        }
+    }
+
+    /// Returns the hold that is owed now, if any, and marks it as sent.
+    pub(crate) fn owed_hold(
+        &mut self,
+        now_ms: u64,
+        options: &Options,
+    ) -> Option<OwedHold> {
+        let fencing = self.fencing && !self.fence_hold_in_flight;
+        let unstored = self.seen_end > self.stored_end;
+        let wanted = !self.runs.is_empty()
+            || self.stored_end > self.acknowledged
+            || self.silent_since_ms.is_some()
+            || unstored;
+        let due = now_ms >= self.next_hold_ms;
+        let ordinary = !self.fencing && !self.hold_in_flight && wanted;
+        if !due || !(fencing || ordinary) {
+            return None;
+        }
+        // While ends wait to be stored, the worker would answer at once.
+        let at_once = fencing || unstored || self.runs.is_empty();
+        let wait_ms = if at_once { 0 } else { options.hold_wait_ms };
+        let lease_until_ms = if self.runs.is_empty() {
+            None
+        } else {
+            self.lease_until_ms(now_ms, options)
+        };
+        if let Some(until) = lease_until_ms {
+            self.lease_sent(until);
+        }
+        if fencing {
+            self.fence_hold_in_flight = true;
+        } else {
+            self.hold_in_flight = true;
+        }
+        let order = HoldOrder {
+            fence: self.fence(),
+            acknowledged: self.stored_end,
+            lease_until_ms,
+            wait_ms,
+        };
+        Some(OwedHold { order, fencing })
+    }
+
+    /// Notes the answer to a hold; returns whether it is the newest so far.
+    pub(crate) fn hold_answered(
+        &mut self,
+        held: &OwedHold,
+        report: &HoldReport,
+        now_ms: u64,
+        options: &Options,
+    ) -> bool {
+        self.hold_ended(held);
+        self.silent_since_ms = None;
+        self.read_clock(report.clock_ms, now_ms);
+        self.acknowledged = self.acknowledged.max(held.order.acknowledged);
+        if held.order.fence == self.fence() {
+            self.fencing = false;
+            self.synced = true;
+        }
+        let newest = report.clock_ms >= self.latest_report_ms;
+        self.latest_report_ms = self.latest_report_ms.max(report.clock_ms);
+        let unstored = report
+            .ended
+            .last()
+            .is_some_and(|end| end.number > self.stored_end);
+        self.next_hold_ms = if unstored {
+            // Storing usually brings this forward; see `stored`.
+            now_ms + options.unstored_hold_ms
+        } else {
+            now_ms
+        };
+        newest
+    }
+
+    pub(crate) fn hold_failed(
+        &mut self,
+        held: &OwedHold,
+        now_ms: u64,
+        options: &Options,
+    ) {
+        self.hold_ended(held);
+        self.silent_since_ms.get_or_insert(now_ms);
+        self.next_hold_ms = now_ms + options.hold_retry_ms;
+    }
+
+    fn hold_ended(&mut self, held: &OwedHold) {
+        if held.fencing {
+            self.fence_hold_in_flight = false;
+        } else {
+            self.hold_in_flight = false;
+        }
+    }
+
+    /// Takes note of an end; returns false if it was known already.
+    pub(crate) fn see_end(&mut self, number: u64) -> bool {
+        let new = number > self.seen_end;
+        self.seen_end = self.seen_end.max(number);
+        new
+    }
+
+    pub(crate) fn seen_end(&self) -> u64 {
+        self.seen_end
+    }
+
+    /// Notes that every end up to `number` is stored.
+    pub(crate) fn stored(&mut self, number: u64, now_ms: u64) {
+        if number > self.stored_end {
+            self.stored_end = number;
+            self.next_hold_ms = now_ms;
+        }
+    }
+
+    pub(crate) fn task_done(&mut self) {
+        self.failed_jobs.clear();
+        self.suspensions = 0;
+        self.suspended_until_ms = 0;
+    }
+
+    /// Takes note of a failure; returns true if it suspends the worker.
+    pub(crate) fn task_failed(
+        &mut self,
+        job: JobId,
+        now_ms: u64,
+        options: &Options,
+    ) -> bool {
+        self.failed_jobs.insert(job);
+        if self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND {
+            return false;
+        }
+        self.suspend(now_ms, options);
+        true
+    }
+
+    /// Sends nothing for a while, twice as long each time in a row.
+    pub(crate) fn suspend(&mut self, now_ms: u64, options: &Options) {
+        let longer = self.suspensions.min(options.max_suspension_doublings);
+        self.suspended_until_ms = now_ms + (options.suspension_ms << longer);
+        self.suspensions += 1;
+    }
+
+    /// Forgives a failure that turned out to be the job's own.
+    pub(crate) fn forgive(&mut self, job: JobId) {
+        self.failed_jobs.remove(&job);
+    }
+}
