--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -41,10 +41,14 @@
 }
 
 /// An answer's status, entity tag and body.
-pub(crate) struct Answer {
-    pub(crate) status: StatusCode,
-    pub(crate) tag: Option<String>,
-    pub(crate) body: Bytes,
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// The status.
+    pub status: StatusCode,
+    /// The entity tag, if there is one.
+    pub tag: Option<String>,
+    /// The whole body.
+    pub body: Bytes,
 }
 
 impl Client {
@@ -52,7 +56,10 @@
     pub fn new(timeout_ms: u64) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(timeout_ms)));
+        // Shorter than a call: one that couldn't connect certainly did
+        // nothing, and must be told from one whose answer is late.
+        let connect_timeout = Duration::from_millis(timeout_ms / 2);
+        connector.set_connect_timeout(Some(connect_timeout));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(IDLE_CONNECTION)
@@ -65,6 +72,18 @@
         }
     }
 
+    /// Returns a client that shares connections and counters with this one,
+    /// and whose calls take at most `timeout_ms` milliseconds.
+    pub fn with_timeout_ms(&self, timeout_ms: u64) -> Client {
+        let timeout = Duration::from_millis(timeout_ms);
+        Client { timeout, ..self.clone() }
+    }
+
+    /// Returns how long a call takes at most, in milliseconds.
+    pub fn timeout_ms(&self) -> u64 {
+        u64::try_from(self.timeout.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns how many calls were made.
     pub fn calls(&self) -> u64 {
         self.calls.load(Ordering::Relaxed)
@@ -88,7 +107,12 @@
     }
 
     /// Sends a request and reads its answer whole.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that says whether the call may have taken effect;
+    /// an answer with any status is none.
+    pub async fn send(
         &self,
         call: &'static str,
         request: Request<Full<Bytes>>,
@@ -144,7 +168,11 @@
 }
 
 /// Builds a request with a JSON body.
-pub(crate) fn json_request<Q: Serialize>(
+///
+/// # Errors
+///
+/// Returns an [`Error`] where the URL or the value can't be written.
+pub fn json_request<Q: Serialize>(
     call: &'static str,
     method: Method,
     url: &str,
@@ -162,7 +190,11 @@
 }
 
 /// Builds a request without a body.
-pub(crate) fn empty_request(
+///
+/// # Errors
+///
+/// Returns an [`Error`] where the URL can't be read.
+pub fn empty_request(
     call: &'static str,
     method: Method,
     url: &str,
--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -1,15 +1,16 @@
 /*!
 The key-value service by the JSON mapping of etcd's v3 API.
 
-Keys and values travel in base 64, numbers as strings. A swap is a
-transaction that compares one key's modification revision, puts the same key,
-and reads it back where the comparison fails. No other transaction is used.
+Keys and values travel in base 64, numbers as strings. A batch is a
+transaction that compares its keys' modification revisions, puts and deletes,
+and reads the compared keys back where a comparison fails. No other
+transaction is used.
 */
 
 use {
     crate::{
-        Cas, Client, Error, Event, Expected, KeyValue, Lease, Versioned,
-        Watch, WatchBatch, client::json_request,
+        Batch, Client, Commit, Error, Event, Expected, KeyValue, Lease,
+        Versioned, Watch, WatchBatch, client::json_request,
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::{Bytes, BytesMut},
@@ -186,41 +187,57 @@
         Ok((answer.header.revision, entries?))
     }
 
-    async fn swap(
-        &self,
-        key: &str,
-        expected: Expected,
-        value: &[u8],
-        lease: Option<Lease>,
-    ) -> Result<Cas, Error> {
-        let key = encode(self.full(key));
-        let compare = match expected {
-            Expected::Any => json!([]),
-            Expected::Absent => compare(&key, 0),
-            Expected::Version(version) => compare(&key, version),
-        };
-        let lease = lease.map_or(0, |lease| lease.0).to_string();
-        let put = json!({
-            "key": key, "value": encode(value), "lease": lease,
+    async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
+        let call = "commit";
+        let compare: Vec<Value> = batch
+            .conditions
+            .iter()
+            .filter_map(|condition| {
+                let key = encode(self.full(&condition.key));
+                match condition.expected {
+                    Expected::Any => None,
+                    Expected::Absent => Some(compare(&key, 0)),
+                    Expected::Version(version) => {
+                        Some(compare(&key, version))
+                    }
+                }
+            })
+            .collect();
+        let puts = batch.puts.iter().map(|put| {
+            let lease = put.lease.map_or(0, |lease| lease.0).to_string();
+            json!({ "request_put": {
+                "key": encode(self.full(&put.key)),
+                "value": encode(&put.value),
+                "lease": lease,
+            }})
+        });
+        let deletes = batch.deletes.iter().map(|key| {
+            let key = encode(self.full(key));
+            json!({ "request_delete_range": { "key": key } })
+        });
+        let reads = batch.conditions.iter().map(|condition| {
+            let key = encode(self.full(&condition.key));
+            json!({ "request_range": { "key": key } })
         });
         let question = json!({
             "compare": compare,
-            "success": [{ "request_put": put }],
-            "failure": [{ "request_range": { "key": key } }],
+            "success": puts.chain(deletes).collect::<Vec<Value>>(),
+            "failure": reads.collect::<Vec<Value>>(),
         });
         let url = self.url("kv/txn");
         let answer: TxnAnswer =
-            self.client.post("swap", &url, &question).await?;
+            self.client.post(call, &url, &question).await?;
         if answer.succeeded {
-            return Ok(Cas::Swapped(answer.header.revision));
+            return Ok(Commit::Done(answer.header.revision));
         }
-        let entry = answer
+        let entries = answer
             .responses
             .into_iter()
-            .find_map(|response| response.response_range)
-            .and_then(|range| range.kvs.into_iter().next());
-        let current = entry.map(|e| self.read_entry("swap", e)).transpose()?;
-        Ok(Cas::Conflict(current))
+            .filter_map(|response| response.response_range)
+            .flat_map(|range| range.kvs);
+        let current: Result<Vec<Versioned>, Error> =
+            entries.map(|entry| self.read_entry(call, entry)).collect();
+        Ok(Commit::Conflict(current?))
     }
 
     async fn delete(&self, key: &str) -> Result<(), Error> {
@@ -350,12 +367,12 @@
 }
 
 fn compare(key: &str, version: u64) -> Value {
-    json!([{
+    json!({
         "key": key,
         "target": "MOD",
         "result": "EQUAL",
         "mod_revision": version.to_string(),
-    }])
+    })
 }
 
 fn encode(bytes: impl AsRef<[u8]>) -> String {
--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -44,6 +44,78 @@
     Conflict(Option<Versioned>),
 }
 
+/// A condition on a key of a [`Batch`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Condition {
+    /// The key.
+    pub key: String,
+    /// What it must be.
+    pub expected: Expected,
+}
+
+/// A write of a [`Batch`].
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Put {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Vec<u8>,
+    /// The lease that the key goes with, if any.
+    pub lease: Option<Lease>,
+}
+
+/// Writes that take place together, or none of them.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    /// What must hold; the keys needn't be written.
+    pub conditions: Vec<Condition>,
+    /// The keys to write.
+    pub puts: Vec<Put>,
+    /// The keys to delete; one that isn't there is passed over.
+    pub deletes: Vec<String>,
+}
+
+impl Batch {
+    /// Adds a condition.
+    pub fn when(mut self, key: &str, expected: Expected) -> Batch {
+        self.conditions.push(Condition { key: key.to_owned(), expected });
+        self
+    }
+
+    /// Adds a write.
+    pub fn put(mut self, key: &str, value: Vec<u8>) -> Batch {
+        self.puts.push(Put { key: key.to_owned(), value, lease: None });
+        self
+    }
+
+    /// Adds a write of a key that goes with a lease.
+    pub fn put_leased(
+        mut self,
+        key: &str,
+        value: Vec<u8>,
+        lease: Lease,
+    ) -> Batch {
+        let lease = Some(lease);
+        self.puts.push(Put { key: key.to_owned(), value, lease });
+        self
+    }
+
+    /// Adds a deletion.
+    pub fn delete(mut self, key: &str) -> Batch {
+        self.deletes.push(key.to_owned());
+        self
+    }
+}
+
+/// What became of a batch.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Commit {
+    /// All of it took place, at this version of the store.
+    Done(u64),
+    /// A condition didn't hold; these are its keys as they are now.
+    Conflict(Vec<Versioned>),
+}
+
 /// A lease's identifier.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lease(pub i64);
@@ -91,8 +163,7 @@
 
 /// A small key-value service with compare-and-swap, leases and watches.
 ///
-/// Only a single key is ever compared and swapped. Keys are paths of
-/// printable characters; a prefix selects a range.
+/// Keys are paths of printable characters; a prefix selects a range.
 pub trait KeyValue: Clone + Send + Sync + 'static {
     /// A watch on a range of keys.
     type Watch: Watch;
@@ -115,6 +186,12 @@
         prefix: &str,
     ) -> impl Future<Output = Result<(u64, Vec<Versioned>), Error>> + Send;
 
+    /// Carries out a batch if its conditions hold.
+    fn commit(
+        &self,
+        batch: &Batch,
+    ) -> impl Future<Output = Result<Commit, Error>> + Send;
+
     /// Writes a key if it is as expected, tied to a lease if one is given.
     fn swap(
         &self,
@@ -122,7 +199,19 @@
         expected: Expected,
         value: &[u8],
         lease: Option<Lease>,
-    ) -> impl Future<Output = Result<Cas, Error>> + Send;
+    ) -> impl Future<Output = Result<Cas, Error>> + Send {
+        let put = Put { key: key.to_owned(), value: value.to_vec(), lease };
+        let batch = Batch { puts: vec![put], ..Batch::default() };
+        let batch = batch.when(key, expected);
+        async move {
+            Ok(match self.commit(&batch).await? {
+                Commit::Done(version) => Cas::Swapped(version),
+                Commit::Conflict(current) => {
+                    Cas::Conflict(current.into_iter().next())
+                }
+            })
+        }
+    }
 
     /// Deletes a key, whatever it is.
     fn delete(
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -12,6 +12,14 @@
 | [`VmList`] | [`http::HttpVmList`] | `GET /vms`, JSON with an entity tag |
 | [`Workers`] | [`http::HttpWorkers`] | JSON over HTTP at each worker |
 
+Jobs need three more, which a shared platform brings adapters for:
+
+| trait | what it gives |
+|---|---|
+| [`JobWorkers`] | orders to the workers that run tasks under a lease |
+| [`Fleet`] | the directory of workers, the VMs, the operator's intent |
+| [`JobProtocol`] | how callers' calls on jobs are spelled |
+
 # Lost answers
 
 A write whose answer doesn't arrive may have taken effect. Every error says
@@ -21,11 +29,17 @@
 */
 
 pub use self::{
-    client::Client,
+    client::{Answer, Client, empty_request, json_request},
     error::Error,
+    fleet::{
+        Fleet, Intent, ManagedVm, VmChange, VmLife, VmOrderError, WaveRequest,
+    },
     kv::{
-        Cas, Event, Expected, KeyValue, Lease, Versioned, Watch, WatchBatch,
+        Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
+        Versioned, Watch, WatchBatch,
     },
+    job_call::{JobCall, JobOperation, JobProtocol, JobReply, NotRead},
+    job_worker::JobWorkers,
     vm_list::{VmList, VmListing},
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
@@ -33,7 +47,10 @@
 mod client;
 mod error;
 pub mod etcd;
+mod fleet;
 pub mod http;
+mod job_call;
+mod job_worker;
 mod kv;
 mod vm_list;
 mod worker;
--- a/crates/dewspar-standin/src/kv.rs
+++ b/crates/dewspar-standin/src/kv.rs
@@ -2,7 +2,7 @@
 The key-value stand-in, served by the JSON mapping of etcd's v3 API.
 
 Only what dewspar uses is served: reading a key or a range, a transaction
-that compares one key, deleting a key, leases, and watches.
+that compares versions, puts and deletes, deleting a key, leases, and watches.
 */
 
 use {
@@ -13,8 +13,8 @@
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::Bytes,
     dewspar_platform::{
-        Cas, Error, Event, Expected, KeyValue, Lease, Versioned, Watch,
-        WatchBatch,
+        Batch, Commit, Error, Event, Expected, KeyValue, Lease, Put,
+        Versioned, Watch, WatchBatch,
     },
     http_body_util::{BodyExt, StreamBody},
     hyper::{
@@ -170,26 +170,12 @@
     store: &Store,
     question: &Value,
 ) -> Result<Value, Failure> {
-    let put = &question["success"][0]["request_put"];
-    let key = key_in(put)?;
-    let value = decode(&put["value"]).unwrap_or_default();
-    let lease = match integer(&put["lease"]) {
-        0 => None,
-        lease => Some(Lease(lease)),
-    };
-    let compare = &question["compare"][0];
-    let expected = if compare.is_null() {
-        Expected::Any
-    } else if key_in(compare)? != key {
-        return Err(Failure::Question("only one key may be compared"));
-    } else {
-        Expected::from_version(integer(&compare["mod_revision"]) as u64)
-    };
-    Ok(match store.swap(&key, expected, &value, lease).await? {
-        Cas::Swapped(version) => {
+    let batch = batch_in(question)?;
+    Ok(match store.commit(&batch).await? {
+        Commit::Done(version) => {
             json!({ "header": header(version), "succeeded": true })
         }
-        Cas::Conflict(current) => {
+        Commit::Conflict(current) => {
             let kvs: Vec<Value> = current.iter().map(entry).collect();
             let range = json!({ "response_range": { "kvs": kvs } });
             json!({ "header": header(0), "responses": [range] })
@@ -197,6 +183,31 @@
     })
 }
 
+fn batch_in(question: &Value) -> Result<Batch, Failure> {
+    let list = |name: &str| question[name].as_array().into_iter().flatten();
+    let mut batch = Batch::default();
+    for compare in list("compare") {
+        let version = integer(&compare["mod_revision"]) as u64;
+        let expected = Expected::from_version(version);
+        batch = batch.when(&key_in(compare)?, expected);
+    }
+    for operation in list("success") {
+        let put = &operation["request_put"];
+        if put.is_null() {
+            let deleted = key_in(&operation["request_delete_range"])?;
+            batch = batch.delete(&deleted);
+            continue;
+        }
+        let lease = integer(&put["lease"]);
+        batch.puts.push(Put {
+            key: key_in(put)?,
+            value: decode(&put["value"]).unwrap_or_default(),
+            lease: (lease != 0).then_some(Lease(lease)),
+        });
+    }
+    Ok(batch)
+}
+
 async fn delete(store: &Store, question: &Value) -> Result<Value, Failure> {
     store.delete(&key_in(question)?).await?;
     Ok(json!({}))
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -30,8 +30,8 @@
 use {
     crate::faults::{Fate, Faults},
     dewspar_platform::{
-        Cas, Error, Event, Expected, KeyValue, Lease, Versioned, Watch,
-        WatchBatch,
+        Batch, Commit, Error, Event, Expected, KeyValue, Lease, Put,
+        Versioned, Watch, WatchBatch,
     },
     std::{
         collections::{BTreeMap, VecDeque},
@@ -176,40 +176,58 @@
         }
     }
 
-    fn swap(
-        &mut self,
-        key: &str,
-        expected: Expected,
-        value: &[u8],
-        lease: i64,
-    ) -> Cas {
-        let current = self.entries.get(key).map_or(0, |s| s.version);
-        let as_expected = match expected {
-            Expected::Any => true,
-            Expected::Absent => current == 0,
-            Expected::Version(version) => current == version,
-        };
-        if !as_expected {
-            return Cas::Conflict(self.get(key));
+    fn commit(&mut self, batch: &Batch) -> Commit {
+        let conflict = batch.conditions.iter().any(|condition| {
+            let stored = self.entries.get(&condition.key);
+            let current = stored.map_or(0, |stored| stored.version);
+            match condition.expected {
+                Expected::Any => false,
+                Expected::Absent => current != 0,
+                Expected::Version(version) => current != version,
+            }
+        });
+        if conflict {
+            let keys = batch.conditions.iter().map(|c| &c.key);
+            return Commit::Conflict(
+                keys.filter_map(|key| self.get(key)).collect(),
+            );
         }
         self.version += 1;
+        for put in &batch.puts {
+            self.put(put);
+        }
+        for key in &batch.deletes {
+            self.remove(key);
+        }
+        Commit::Done(self.version)
+    }
+
+    fn put(&mut self, put: &Put) {
+        let Put { key, value, lease } = put.clone();
         let version = self.version;
-        let stored = Stored { version, value: value.to_vec(), lease };
-        self.entries.insert(key.to_owned(), stored);
-        let put =
-            Versioned { key: key.to_owned(), version, value: value.to_vec() };
-        self.log(Event::Put(put));
-        Cas::Swapped(version)
+        let stored = Stored {
+            version,
+            value: value.clone(),
+            lease: lease.map_or(0, |lease| lease.0),
+        };
+        self.entries.insert(key.clone(), stored);
+        self.log(Event::Put(Versioned { key, version, value }));
     }
 
-    fn delete(&mut self, key: &str) {
+    fn remove(&mut self, key: &str) {
         if self.entries.remove(key).is_some() {
-            self.version += 1;
             let (key, version) = (key.to_owned(), self.version);
             self.log(Event::Deleted { key, version });
         }
     }
 
+    fn delete(&mut self, key: &str) {
+        if self.entries.contains_key(key) {
+            self.version += 1;
+            self.remove(key);
+        }
+    }
+
     fn end_lease(&mut self, id: i64) {
         self.leases.remove(&id);
         let keys: Vec<String> = self
@@ -257,25 +275,19 @@
         .await
     }
 
-    async fn swap(
-        &self,
-        key: &str,
-        expected: Expected,
-        value: &[u8],
-        lease: Option<Lease>,
-    ) -> Result<Cas, Error> {
+    async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
         self.faults.count_write();
-        let lease = lease.map_or(0, |lease| lease.0);
-        let swapped = self
-            .call("swap", |state| {
-                if lease != 0 && !state.leases.contains_key(&lease) {
+        let committed = self
+            .call("commit", |state| {
+                let mut leases = batch.puts.iter().filter_map(|p| p.lease);
+                if !leases.all(|lease| state.leases.contains_key(&lease.0)) {
                     return None;
                 }
-                Some(state.swap(key, expected, value, lease))
+                Some(state.commit(batch))
             })
             .await?;
-        swapped.ok_or_else(|| Error::Unavailable {
-            call: "swap",
+        committed.ok_or_else(|| Error::Unavailable {
+            call: "commit",
             reason: "requested lease not found".to_owned(),
         })
     }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -21,8 +21,8 @@
     pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     changed: BTreeSet<JobId>,
-    /// Final jobs whose keys are still kept, by when they became final.
-    finished: BTreeSet<(u64, JobId)>,
+    /// Final jobs whose keys are still kept, with when they became final.
+    finished: BTreeMap<JobId, u64>,
     decisions: Vec<Decision>,
     superseded: bool,
 }
@@ -46,7 +46,7 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
-            finished: BTreeSet::new(),
+            finished: BTreeMap::new(),
             decisions: Vec::new(),
             superseded: false,
         }
@@ -90,11 +90,11 @@
         revision: u64,
         progress: Option<&Progress>,
     ) {
-        if self.jobs.contains_key(&id) {
+        if self.jobs.contains_key(&id) || self.finished.contains_key(&id) {
             return;
         }
         if let Some(progress) = progress.filter(|p| p.phase.is_final()) {
-            self.finished.insert((progress.finished_at_ms, id));
+            self.finished.insert(id, progress.finished_at_ms);
             return;
         }
         let AcceptedJob { spec, terms, accepted_at_ms } = job;
@@ -249,8 +249,8 @@
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
             if progress.phase.is_final() {
-                self.finished.insert((progress.finished_at_ms, *id));
-                self.forget(*id);
+                self.finished.insert(*id, progress.finished_at_ms);
+                self.jobs.remove(id);
             }
         }
         for (id, end) in &changes.ends {
@@ -268,15 +268,13 @@
 
     /// Takes finished jobs whose keys need no longer be kept.
     pub fn take_expired(&mut self, now: Now, most: usize) -> Vec<JobId> {
-        let mut expired = Vec::new();
-        while expired.len() < most {
-            let first = self.finished.first().copied();
-            let Some((at, id)) = first else { break };
-            if now.unix_ms < at + self.options.kept_ms {
-                break;
-            }
-            self.finished.remove(&(at, id));
-            expired.push(id);
+        let kept_ms = self.options.kept_ms;
+        let over = |at: u64| now.unix_ms >= at + kept_ms;
+        let expired = self.finished.iter().filter(|(_, at)| over(**at));
+        let expired: Vec<JobId> =
+            expired.map(|(id, _)| *id).take(most).collect();
+        for id in &expired {
+            self.finished.remove(id);
         }
         expired
     }
@@ -475,11 +473,6 @@
         }
     }
 
-    /// Forgets a job that is over, once nothing of it is on any worker.
-    fn forget(&mut self, id: JobId) {
-        self.jobs.remove(&id);
-    }
-
     pub(super) fn suspend(
         &mut self,
         worker_id: &WorkerId,
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -79,6 +79,28 @@
         "Steps taken on VMs and tasks, by kind.";
     FLEET_CONFLICTS, "counter", "dewspar_fleet_conflicts_total", None,
         "Fleet and pool documents that another node had changed first.";
+    JOB_CALLS, "counter", "dewspar_job_calls_total", Some("outcome"),
+        "Calls on jobs, by what the caller was told.";
+    JOB_CALL_TIME, "histogram", "dewspar_job_call_seconds", None,
+        "Time from a call on a job to its answer, in seconds.";
+    JOBS, "counter", "dewspar_jobs_total", Some("phase"),
+        "Jobs that came to their end, by how.";
+    JOB_TIME, "histogram", "dewspar_job_seconds", None,
+        "Time from a job's acceptance to its end, in seconds.";
+    TASK_STARTS, "counter", "dewspar_task_starts_total", None,
+        "Runs of tasks that were ordered to start.";
+    TASK_WAIT, "histogram", "dewspar_task_wait_seconds", None,
+        "Time that a task waited for a worker, in seconds.";
+    TASK_ENDS, "counter", "dewspar_task_ends_total", Some("cause"),
+        "Runs of tasks that ended, by how.";
+    TASK_STOPS, "counter", "dewspar_task_stops_total", Some("reason"),
+        "Runs of tasks that were stopped, by why.";
+    ORDERS, "counter", "dewspar_orders_total", Some("order, result"),
+        "Orders to workers, by kind and result.";
+    WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
+        "Times that a worker got nothing to start for a while.";
+    TAKEOVERS, "counter", "dewspar_takeovers_total", None,
+        "Times that this node took the scheduler lease.";
     READY, "gauge", "dewspar_ready", None,
         "Whether this node accepts callers: 1 or 0.";
 }
--- /dev/null
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -0,0 +1,75 @@
+/*!
+One log line and one count for each decision of the scheduler.
+*/
+
+use {
+    crate::counters,
+    dewspar::schedule::Decision,
+    slog::{Logger, info, warn},
+};
+
+/// Logs and counts a decision.
+pub(super) fn record(log: &Logger, decision: &Decision) {
+    match decision {
+        Decision::Started { task, run, worker, waited_ms } => {
+            info!(log, "task: started"; "job" => %task.job, "task" => %task,
+                "run" => run, "worker" => %worker, "waited_ms" => waited_ms);
+            counters::count(counters::TASK_STARTS);
+            metrics::histogram!(counters::TASK_WAIT)
+                .record(*waited_ms as f64 / 1_000.0);
+        }
+        Decision::Ended { task, run, worker, cause, failures } => {
+            info!(log, "task: ended"; "job" => %task.job, "task" => %task,
+                "run" => run, "worker" => %worker, "cause" => cause.name(),
+                "failures" => failures);
+            counters::count_by(counters::TASK_ENDS, "cause", cause.name());
+        }
+        Decision::Adopted { task, run, worker } => {
+            info!(log, "task: found running"; "job" => %task.job,
+                "task" => %task, "run" => run, "worker" => %worker);
+        }
+        Decision::Stopped { task, run, worker, reason } => {
+            info!(log, "task: to be stopped"; "job" => %task.job,
+                "task" => %task, "run" => run, "worker" => %worker,
+                "reason" => reason);
+            counters::count_by(counters::TASK_STOPS, "reason", reason);
+        }
+        Decision::Lost { task, run, worker, reason } => {
+            warn!(log, "task: run lost"; "job" => %task.job,
+                "task" => %task, "run" => run, "worker" => %worker,
+                "reason" => reason);
+            counters::count_by(counters::TASK_ENDS, "cause", "lost");
+        }
+        Decision::OrderFailed { worker, task, reason } => {
+            warn!(log, "worker: order gave no result";
+                "worker" => %worker, "job" => task.map(|t| t.job.to_string()),
+                "task" => task.map(|t| t.to_string()), "reason" => reason);
+        }
+        Decision::Suspended { worker, reason } => {
+            warn!(log, "worker: suspended"; "worker" => %worker,
+                "reason" => reason);
+            counters::count(counters::WORKER_SUSPENSIONS);
+        }
+        Decision::Synced { worker, runs } => {
+            info!(log, "worker: answers"; "worker" => %worker,
+                "runs" => runs);
+        }
+        Decision::WorkerGone { worker, reason } => {
+            warn!(log, "worker: gone"; "worker" => %worker,
+                "reason" => reason);
+        }
+        Decision::Job { job, phase, after_ms } => {
+            info!(log, "job: came to its end"; "job" => %job,
+                "phase" => phase.name(), "after_ms" => after_ms);
+            counters::count_by(counters::JOBS, "phase", phase.name());
+            metrics::histogram!(counters::JOB_TIME)
+                .record(*after_ms as f64 / 1_000.0);
+        }
+        Decision::Superseded { worker } => {
+            warn!(log, "holder: a worker has seen a newer holder";
+                "worker" => %worker);
+        }
+        // New kinds are logged as they come.
+        other => info!(log, "holder: decided"; "decision" => ?other),
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/election.rs
@@ -0,0 +1,251 @@
+/*!
+The scheduler lease: which node schedules.
+
+The lease is a key in the store tied to a store lease that its holder renews.
+Everybody else watches the key and tries to write it once it is gone; the
+store lets one succeed. The revision of that write is the holder's fencing
+token.
+
+A node that finds its own name under an older incarnation was restarted: that
+holder is gone for certain, and the key is replaced without waiting.
+*/
+
+use {
+    super::{
+        holder::{self, Outcome},
+        intent, keys,
+        progress::load,
+        readiness::Readiness,
+    },
+    crate::{clock, counters},
+    dewspar::schedule::Options,
+    dewspar_platform::{
+        Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
+        Versioned, Watch,
+    },
+    serde::{Deserialize, Serialize},
+    slog::{Logger, info, warn},
+    std::time::Duration,
+    tokio::{
+        sync::watch,
+        time::{sleep, timeout},
+    },
+};
+
+/// How long the store lease lasts without renewal, in milliseconds, unless
+/// the store's shortest is longer: a holder's death costs that long.
+const STORE_LEASE_MS: u64 = 1_500;
+
+/// How often the key is read outright, in case its watch went silent.
+const LOOK: Duration = Duration::from_millis(1_500);
+
+/// The pause after a call to the store that gave no result.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The longest that a node waits before it tries to take the lease, so that
+/// they don't all call at once, in milliseconds.
+const SPREAD_MS: u64 = 30;
+
+/// The value of the lease's key.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct Owner {
+    node: String,
+    incarnation: u64,
+}
+
+/// The lease, as this node holds it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Held {
+    pub(super) lease: Lease,
+    pub(super) lease_ms: u64,
+    /// The revision of the key's write.
+    pub(super) revision: u64,
+    /// When the last renewal that was answered was sent.
+    pub(super) renewed_ms: u64,
+}
+
+/// What a node needs to hold the scheduler lease.
+#[derive(Clone)]
+pub(super) struct Candidate<K, W, F> {
+    pub(super) node: String,
+    pub(super) store: K,
+    pub(super) workers: W,
+    pub(super) fleet: F,
+    pub(super) reader: intent::Reader,
+    pub(super) readiness: Readiness,
+    pub(super) stopping: watch::Receiver<bool>,
+    pub(super) min_lease_ms: u64,
+    pub(super) duty_gap_ms: u64,
+    pub(super) options: Options,
+    pub(super) log: Logger,
+}
+
+/// Who holds the lease, as the store shows it.
+enum Seen {
+    /// Nobody.
+    Nobody,
+    /// An earlier process of this node, which is gone.
+    Former(u64),
+    /// This very process, by a write whose answer was lost.
+    This(u64),
+    /// Somebody else.
+    Other { owner: String, version: u64 },
+}
+
+impl<K: KeyValue, W: JobWorkers, F: Fleet> Candidate<K, W, F> {
+    /// Takes the lease whenever it is free, and schedules while it is held,
+    /// until the node stops.
+    pub(super) async fn run(self) {
+        let incarnation = clock::incarnation();
+        let mut known = String::new();
+        while !*self.stopping.borrow() {
+            if !self.readiness.is_ready() {
+                sleep(RETRY).await;
+                continue;
+            }
+            match self.look(incarnation).await {
+                Ok(Seen::Other { owner, version }) => {
+                    if owner != known {
+                        info!(self.log, "election: another node schedules";
+                            "holder" => &owner, "revision" => version);
+                        known = owner;
+                    }
+                    self.wait_for_change(version).await;
+                }
+                Ok(seen) => {
+                    known.clear();
+                    self.serve(seen, incarnation).await;
+                }
+                Err(error) => {
+                    counters::platform_failure(&error);
+                    sleep(RETRY).await;
+                }
+            }
+        }
+    }
+
+    async fn look(&self, incarnation: u64) -> Result<Seen, Error> {
+        let found = self.store.get(keys::OWNER).await?;
+        Ok(self.judge(found.as_ref(), incarnation))
+    }
+
+    fn judge(&self, found: Option<&Versioned>, incarnation: u64) -> Seen {
+        let Some(found) = found else { return Seen::Nobody };
+        let version = found.version;
+        match serde_json::from_slice::<Owner>(&found.value) {
+            Ok(owner) if owner.node != self.node => {
+                Seen::Other { owner: owner.node, version }
+            }
+            Ok(owner) if owner.incarnation == incarnation => {
+                Seen::This(version)
+            }
+            Ok(_) => Seen::Former(version),
+            Err(error) => {
+                warn!(self.log, "election: the lease can't be read";
+                    "error" => %error);
+                Seen::Other { owner: "unknown".to_owned(), version }
+            }
+        }
+    }
+
+    async fn wait_for_change(&self, version: u64) {
+        let gone = async {
+            let mut watch = self.store.watch(keys::OWNER, version).await?;
+            loop {
+                if !watch.next().await?.events.is_empty() {
+                    return Ok::<(), Error>(());
+                }
+            }
+        };
+        match timeout(LOOK, gone).await {
+            Ok(Ok(())) => {
+                let spread = clock::unix_ms() ^ self.node.len() as u64;
+                let spread = Duration::from_millis(spread % SPREAD_MS);
+                sleep(spread).await;
+            }
+            Ok(Err(error)) => {
+                counters::platform_failure(&error);
+                sleep(RETRY).await;
+            }
+            // Time to look outright.
+            Err(_) => {}
+        }
+    }
+
+    async fn serve(&self, seen: Seen, incarnation: u64) {
+        let held = match self.take(seen, incarnation).await {
+            Ok(Some(held)) => held,
+            Ok(None) => return,
+            Err(error) => {
+                counters::platform_failure(&error);
+                info!(self.log, "election: the lease wasn't taken";
+                    "error" => %error);
+                sleep(RETRY).await;
+                return;
+            }
+        };
+        info!(self.log, "election: this node schedules";
+            "revision" => held.revision, "lease_ms" => held.lease_ms);
+        counters::count(counters::TAKEOVERS);
+        let loaded = load(&self.store, &self.log).await;
+        let outcome = match loaded {
+            Ok(loaded) => holder::run(self, held, loaded).await,
+            Err(error) => {
+                counters::platform_failure(&error);
+                Outcome::Lost("the jobs couldn't be loaded")
+            }
+        };
+        self.leave(&held, outcome).await;
+    }
+
+    async fn take(
+        &self,
+        seen: Seen,
+        incarnation: u64,
+    ) -> Result<Option<Held>, Error> {
+        let expected = match seen {
+            Seen::Nobody => Expected::Absent,
+            // A write of this process is replaced as well: the lease that
+            // it came with is unknown by now.
+            Seen::Former(version) | Seen::This(version) => {
+                Expected::Version(version)
+            }
+            Seen::Other { .. } => return Ok(None),
+        };
+        let asked_ms = clock::now_ms();
+        let lease_ms = STORE_LEASE_MS.max(self.min_lease_ms);
+        let lease = self.store.grant(lease_ms).await?;
+        let owner = Owner { node: self.node.clone(), incarnation };
+        // OK because a text and a number can always be written.
+        let value = serde_json::to_vec(&owner).expect("plain JSON");
+        let batch = Batch::default()
+            .when(keys::OWNER, expected)
+            .put_leased(keys::OWNER, value, lease);
+        match self.store.commit(&batch).await? {
+            Commit::Conflict(_) => Ok(None),
+            Commit::Done(revision) => Ok(Some(Held {
+                lease,
+                lease_ms,
+                revision,
+                renewed_ms: asked_ms,
+            })),
+        }
+    }
+
+    async fn leave(&self, held: &Held, outcome: Outcome) {
+        let reason = match outcome {
+            Outcome::Lost(reason) => reason,
+            Outcome::Stopping => "the node stops",
+        };
+        info!(self.log, "election: this node no longer schedules";
+            "revision" => held.revision, "reason" => reason);
+        // Gone at once rather than with its lease, so that another node can
+        // take over; harmless if another one has.
+        let batch = Batch::default()
+            .when(keys::OWNER, Expected::Version(held.revision))
+            .delete(keys::OWNER);
+        if let Err(error) = self.store.commit(&batch).await {
+            counters::platform_failure(&error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/front.rs
@@ -0,0 +1,442 @@
+/*!
+The callers' connections: any node accepts a job and answers for one.
+
+A job is accepted once the store has it. A write without an answer may still
+be done, so the caller is told that the outcome is unknown, never that the
+job wasn't taken; the same write again is harmless, since it is conditional
+on the job not being there.
+*/
+
+use {
+    super::{intent, keys, readiness::Readiness},
+    crate::{clock, counters},
+    bytes::Bytes,
+    dewspar::{
+        job::{JobId, JobSpec, Phase, Progress, QueueSet},
+        schedule::AcceptedJob,
+    },
+    dewspar_platform::{
+        Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
+        JobReply, KeyValue,
+    },
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        header::{self, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::{
+        rt::{TokioIo, TokioTimer},
+        server::graceful::GracefulShutdown,
+    },
+    metrics::histogram,
+    slog::{Logger, info},
+    std::{
+        collections::BTreeMap, convert::Infallible, io, net::SocketAddr,
+        sync::Arc, time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::watch,
+        time::{Instant, sleep, timeout_at},
+    },
+};
+
+/// The largest body of a call, in bytes: far above any job that is taken.
+const MAX_BODY: usize = 1024 * 1024;
+
+/// How long a connection may take to send a request's head.
+const HEAD_LIMIT: Duration = Duration::from_secs(30);
+
+/// How long a call takes at most where neither caller nor queue says so, in
+/// milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 3_000;
+
+/// How much of a call's time is kept for the answer's way back, in
+/// milliseconds: a few times the way to callers.
+const ANSWER_RESERVE_MS: u64 = 100;
+
+/// The pause before a call to the store is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(40);
+
+/// How often a call that certainly did nothing is tried again.
+const MAX_RETRIES: u32 = 2;
+
+/// When callers that weren't served should come back, in milliseconds: a
+/// node that the store turns away isn't sent any after about that time.
+const RETRY_AFTER_MS: u64 = 1_000;
+
+/// How old the counts of waiting jobs may be, in milliseconds.
+const PENDING_AGE_MS: u64 = 500;
+
+/// What serves callers; shared by all their connections.
+pub(super) struct Front<K, P> {
+    pub(super) store: K,
+    pub(super) protocol: P,
+    pub(super) reader: intent::Reader,
+    pub(super) readiness: Readiness,
+    pub(super) stopping: watch::Receiver<bool>,
+    pub(super) pending: tokio::sync::Mutex<PendingCounts>,
+    pub(super) log: Logger,
+}
+
+/// The counts of waiting jobs, as last read.
+#[derive(Debug, Default)]
+pub(super) struct PendingCounts {
+    counts: BTreeMap<String, u64>,
+    read_ms: u64,
+}
+
+/// The server for callers.
+pub(super) struct Server {
+    stop: watch::Sender<bool>,
+    done: tokio::task::JoinHandle<()>,
+}
+
+impl Server {
+    /// Closes connections as they fall idle, and waits for that.
+    pub(super) async fn stop(self, at_most: Duration) {
+        let _ = self.stop.send(true);
+        let _ = tokio::time::timeout(at_most, self.done).await;
+    }
+}
+
+/// Serves callers at an address.
+pub(super) async fn serve<K: KeyValue, P: JobProtocol>(
+    address: SocketAddr,
+    front: Arc<Front<K, P>>,
+) -> io::Result<Server> {
+    let listener = TcpListener::bind(address).await?;
+    let (stop, mut stopped) = watch::channel(false);
+    let done = tokio::spawn(async move {
+        let graceful = GracefulShutdown::new();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = stopped.changed() => break,
+            };
+            let Ok((stream, _)) = accepted else {
+                // Out of descriptors: some will be closed soon.
+                sleep(RETRY_PAUSE).await;
+                continue;
+            };
+            let _ = stream.set_nodelay(true);
+            let connection =
+                graceful.watch(connection(stream, Arc::clone(&front)));
+            tokio::spawn(connection);
+        }
+        drop(listener);
+        graceful.shutdown().await;
+    });
+    Ok(Server { stop, done })
+}
+
+fn connection<K: KeyValue, P: JobProtocol>(
+    stream: TcpStream,
+    front: Arc<Front<K, P>>,
+) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error>
++ Send
++ 'static {
+    let service = service_fn(move |request| {
+        let front = Arc::clone(&front);
+        async move { Ok::<_, Infallible>(front.answer(request).await) }
+    });
+    http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .serve_connection(TokioIo::new(stream), service)
+}
+
+impl<K: KeyValue, P: JobProtocol> Front<K, P> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        let arrived = Instant::now();
+        let (head, body) = request.into_parts();
+        let body = Limited::new(body, MAX_BODY).collect().await;
+        let reply = match body {
+            Ok(body) => self.reply(&head, &body.to_bytes(), arrived).await,
+            Err(error) => JobReply::Invalid(format!("body: {error}")),
+        };
+        let mut response = self.protocol.write(&reply);
+        if *self.stopping.borrow() {
+            // The caller's next call then goes to a node that stays.
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(header::CONNECTION, close);
+        }
+        response.map(Full::new)
+    }
+
+    async fn reply(
+        &self,
+        head: &hyper::http::request::Parts,
+        body: &[u8],
+        arrived: Instant,
+    ) -> JobReply {
+        let reading = self.reader.borrow().clone();
+        let Some(queues) = &reading.intent.queues else {
+            counters::count_by(counters::REFUSALS, "reason", "no_config");
+            return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+        };
+        let call = match self.protocol.read(queues, head, body) {
+            Ok(call) => call,
+            Err(reason) => {
+                info!(self.log, "call: not read"; "path" => head.uri.path(),
+                    "version" => queues.version(), "reason" => ?reason);
+                return reason.into();
+            }
+        };
+        let reply = self.carry_out(&call, queues, arrived).await;
+        self.record(&call, queues, &reading, &reply, arrived);
+        reply
+    }
+
+    fn record(
+        &self,
+        call: &JobCall,
+        queues: &QueueSet,
+        reading: &intent::Reading,
+        reply: &JobReply,
+        arrived: Instant,
+    ) {
+        let took = arrived.elapsed();
+        let (operation, id) = match &call.operation {
+            JobOperation::Submit { id, .. } => ("submit", Some(id)),
+            JobOperation::Status { id } => ("status", Some(id)),
+            JobOperation::Cancel { id } => ("cancel", Some(id)),
+            JobOperation::Pending => ("pending", None),
+        };
+        let outcome = outcome_name(reply);
+        info!(self.log, "call: answered"; "operation" => operation,
+            "job" => id.map(JobId::to_string), "queue" => &call.queue,
+            "version" => queues.version(), "config_age_ms" => reading.age_ms(),
+            "deadline_ms" => call.deadline_ms, "outcome" => outcome,
+            "took_ms" => took.as_millis() as u64);
+        counters::count_by(counters::JOB_CALLS, "outcome", outcome);
+        histogram!(counters::JOB_CALL_TIME).record(took.as_secs_f64());
+    }
+
+    async fn carry_out(
+        &self,
+        call: &JobCall,
+        queues: &QueueSet,
+        arrived: Instant,
+    ) -> JobReply {
+        let timeout_ms = queues
+            .named(&call.queue)
+            .map(|queue| queue.timeout_ms)
+            .filter(|timeout_ms| *timeout_ms > 0)
+            .unwrap_or(DEFAULT_DEADLINE_MS);
+        let asked_ms = call.deadline_ms.unwrap_or(timeout_ms);
+        let deadline_ms = asked_ms.min(timeout_ms);
+        let left_ms = deadline_ms.saturating_sub(ANSWER_RESERVE_MS);
+        let deadline = arrived + Duration::from_millis(left_ms);
+        match &call.operation {
+            JobOperation::Submit { id, spec } => {
+                self.submit(queues, *id, spec, deadline).await
+            }
+            JobOperation::Status { id } => self.status(*id, deadline).await,
+            JobOperation::Cancel { id } => self.cancel(*id, deadline).await,
+            JobOperation::Pending => {
+                self.pending(&call.queue, deadline).await
+            }
+        }
+    }
+
+    async fn submit(
+        &self,
+        queues: &QueueSet,
+        id: JobId,
+        spec: &JobSpec,
+        deadline: Instant,
+    ) -> JobReply {
+        if !self.readiness.is_current() {
+            counters::count_by(counters::REFUSALS, "reason", "stale_config");
+            return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+        }
+        let terms = queues.named(&spec.queue).map(|q| q.terms.clone());
+        let job = AcceptedJob {
+            spec: spec.clone(),
+            terms: terms.unwrap_or_default(),
+            accepted_at_ms: clock::unix_ms(),
+        };
+        // OK because a job holds only what JSON can write.
+        let value = serde_json::to_vec(&job).expect("plain JSON");
+        let batch = Batch::default()
+            .when(&keys::accepted(id), Expected::Absent)
+            .when(&keys::progress(id), Expected::Absent)
+            .put(&keys::accepted(id), value);
+        match self.write(&batch, deadline).await {
+            // It is there already, be it from this call's first try.
+            Written::Done | Written::Conflict => JobReply::Accepted,
+            Written::NotDone => {
+                counters::count_by(counters::REFUSALS, "reason", "store");
+                JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+            }
+            Written::Unknown => JobReply::Unknown,
+        }
+    }
+
+    async fn cancel(&self, id: JobId, deadline: Instant) -> JobReply {
+        match self.phase(id, deadline).await {
+            Err(reply) => reply,
+            Ok(None) => JobReply::NoSuchJob,
+            Ok(Some(phase)) if phase.is_final() => JobReply::Cancelled,
+            Ok(Some(_)) => {
+                let batch =
+                    Batch::default().put(&keys::cancelled(id), Vec::new());
+                match self.write(&batch, deadline).await {
+                    Written::Done | Written::Conflict => JobReply::Cancelled,
+                    Written::NotDone => {
+                        JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+                    }
+                    Written::Unknown => JobReply::Unknown,
+                }
+            }
+        }
+    }
+
+    async fn status(&self, id: JobId, deadline: Instant) -> JobReply {
+        match self.phase(id, deadline).await {
+            Err(reply) => reply,
+            Ok(Some(phase)) => JobReply::State(phase),
+            Ok(None) => JobReply::NoSuchJob,
+        }
+    }
+
+    /// Reads how far a job has come; `None` if there is no such job.
+    async fn phase(
+        &self,
+        id: JobId,
+        deadline: Instant,
+    ) -> Result<Option<Phase>, JobReply> {
+        let progress = keys::progress(id);
+        if let Some(phase) = self.read_phase(&progress, deadline).await? {
+            return Ok(Some(phase));
+        }
+        let accepted = self.read(&keys::accepted(id), deadline).await?;
+        if accepted.is_some() {
+            return Ok(Some(Phase::Queued));
+        }
+        // It may have come to its end between the two.
+        self.read_phase(&progress, deadline).await
+    }
+
+    async fn read_phase(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<Option<Phase>, JobReply> {
+        let Some(value) = self.read(key, deadline).await? else {
+            return Ok(None);
+        };
+        match serde_json::from_slice::<Progress>(&value) {
+            Ok(progress) => Ok(Some(progress.phase)),
+            Err(error) => {
+                info!(self.log, "call: stored progress can't be read";
+                    "key" => key, "error" => %error);
+                Err(JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS })
+            }
+        }
+    }
+
+    async fn pending(&self, queue: &str, deadline: Instant) -> JobReply {
+        let mut pending = self.pending.lock().await;
+        let now_ms = clock::now_ms();
+        if now_ms >= pending.read_ms + PENDING_AGE_MS {
+            let value = match self.read(keys::PENDING, deadline).await {
+                Ok(value) => value.unwrap_or_else(|| b"{}".to_vec()),
+                Err(reply) => return reply,
+            };
+            match serde_json::from_slice(&value) {
+                Ok(counts) => {
+                    *pending = PendingCounts { counts, read_ms: now_ms };
+                }
+                Err(error) => {
+                    info!(self.log, "call: stored counts can't be read";
+                        "error" => %error);
+                }
+            }
+        }
+        let count = pending.counts.get(queue).copied();
+        JobReply::Pending(count.unwrap_or(0))
+    }
+
+    /// Reads a key, again if need be, until the deadline.
+    async fn read(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<Option<Vec<u8>>, JobReply> {
+        loop {
+            match timeout_at(deadline, self.store.get(key)).await {
+                Ok(Ok(found)) => return Ok(found.map(|found| found.value)),
+                Ok(Err(error)) => counters::platform_failure(&error),
+                Err(_) => {}
+            }
+            if Instant::now() + RETRY_PAUSE >= deadline {
+                let retry_after_ms = RETRY_AFTER_MS;
+                return Err(JobReply::NotDone { retry_after_ms });
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    /// Writes, again if need be: until the deadline once it may have been
+    /// done, and only a few times while it certainly was not.
+    async fn write(&self, batch: &Batch, deadline: Instant) -> Written {
+        let mut maybe_done = false;
+        let mut retries = 0;
+        loop {
+            match timeout_at(deadline, self.store.commit(batch)).await {
+                Ok(Ok(Commit::Done(_))) => return Written::Done,
+                Ok(Ok(Commit::Conflict(_))) => return Written::Conflict,
+                Ok(Err(error)) => {
+                    maybe_done |= error.may_have_taken_effect();
+                    self.note_failure(&error);
+                }
+                Err(_) => maybe_done = true,
+            }
+            retries += 1;
+            if !maybe_done && retries > MAX_RETRIES {
+                return Written::NotDone;
+            }
+            if Instant::now() + RETRY_PAUSE >= deadline {
+                let unknown = Written::Unknown;
+                return if maybe_done { unknown } else { Written::NotDone };
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    fn note_failure(&self, error: &Error) {
+        counters::platform_failure(error);
+        info!(self.log, "call: store gave no result"; "error" => %error);
+    }
+}
+
+/// What became of a write.
+enum Written {
+    Done,
+    Conflict,
+    NotDone,
+    Unknown,
+}
+
+fn outcome_name(reply: &JobReply) -> &'static str {
+    match reply {
+        JobReply::Accepted => "accepted",
+        JobReply::NotDone { .. } => "not_done",
+        JobReply::Unknown => "unknown",
+        JobReply::State(phase) => phase.name(),
+        JobReply::Cancelled => "cancel_stored",
+        JobReply::Pending(_) => "counted",
+        JobReply::NoSuchJob => "no_such_job",
+        JobReply::NoSuchQueue => "no_such_queue",
+        JobReply::Invalid(_) => "invalid",
+        JobReply::NoSuchMethod => "no_such_method",
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -0,0 +1,574 @@
+/*!
+The node that holds the scheduler lease: the task that owns the scheduler.
+
+Events come in over one channel: changes of the feed, the directory of
+workers, answers to orders, renewals of the lease, stored progress. After
+each burst of events the scheduler plans once, and what it wants is carried
+out by tasks of their own.
+
+# Without the store
+
+A holder that can't renew its lease may have been superseded without knowing.
+It goes on for a while with the jobs it knows: a successor asks every worker
+under its higher token before it starts any of these, so nothing runs twice.
+It orders nothing on VMs meanwhile, because those orders aren't fenced.
+*/
+
+use {
+    super::{
+        decisions,
+        election::{Candidate, Held},
+        keys,
+        orders,
+        progress::{
+            self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of,
+            load_feed, read_event,
+        },
+    },
+    crate::{clock, counters},
+    dewspar::{
+        job::{JobId, TaskId},
+        schedule::{
+            Changes, Held as SentHold, HoldReport, Now, OrderError,
+            Scheduler, WorkerId, WorkerListing,
+        },
+    },
+    dewspar_platform::{
+        Batch, Error, Expected, Fleet, JobWorkers, KeyValue, ManagedVm,
+        VmLife, Watch,
+    },
+    slog::{Logger, info, warn},
+    std::{
+        collections::BTreeMap,
+        time::Duration,
+    },
+    tokio::{
+        sync::{mpsc, watch},
+        task::JoinSet,
+        time::{MissedTickBehavior, interval, sleep},
+    },
+};
+
+/// How many events may wait for the holder.
+const MAX_EVENTS: usize = 4_096;
+
+/// How many events are taken in before the scheduler plans again.
+const EVENTS_A_PLAN: usize = 256;
+
+/// How often the scheduler plans without any event.
+const TICK: Duration = Duration::from_millis(50);
+
+/// How often the directory of workers is read.
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The pause after a call to the store that gave no result.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The share of the lease after which it is renewed.
+const RENEWALS_A_LEASE: u64 = 4;
+
+/// How long a worker is silent before it is asked whether its VM lives, in
+/// milliseconds: a few times the time for an answer.
+const SILENT_MS: u64 = 600;
+
+/// How often the VM service is asked about silent workers.
+const VM_INTERVAL_MS: u64 = 500;
+
+/// How often the counts of waiting jobs are written, if they have changed,
+/// in milliseconds.
+const PENDING_INTERVAL_MS: u64 = 700;
+
+/// How often keys of jobs that are over for long are deleted, in
+/// milliseconds.
+const EXPIRY_INTERVAL_MS: u64 = 5_000;
+
+/// How many keys are deleted at once.
+const EXPIRED_A_WRITE: usize = 16;
+
+/// How long a holder goes on that can't reach the store, in milliseconds.
+pub(super) const DETACHED_MS: u64 = 8_000;
+
+/// What the holder hears of.
+#[derive(Debug)]
+pub(super) enum Event {
+    Feed(Vec<FeedEvent>),
+    Directory(Vec<WorkerListing>),
+    Vms(Vec<ManagedVm>),
+    Renewed { sent_ms: u64 },
+    LeaseGone,
+    StartAnswered {
+        worker: WorkerId,
+        task: TaskId,
+        run: u64,
+        result: Result<u64, OrderError>,
+    },
+    StopAnswered {
+        worker: WorkerId,
+        task: TaskId,
+        result: Result<u64, OrderError>,
+    },
+    HoldAnswered {
+        worker: WorkerId,
+        held: SentHold,
+        result: Result<HoldReport, OrderError>,
+    },
+    PaceAnswered {
+        worker: WorkerId,
+        task: TaskId,
+        result: Result<u64, OrderError>,
+    },
+    Stored { changes: Changes, stored: Stored },
+}
+
+/// Why a node no longer schedules.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Outcome {
+    /// Another node does, or may.
+    Lost(&'static str),
+    /// The node stops.
+    Stopping,
+}
+
+/// Schedules until the lease is lost or the node stops.
+pub(super) async fn run<K: KeyValue, W: JobWorkers, F: Fleet>(
+    candidate: &Candidate<K, W, F>,
+    held: Held,
+    loaded: Loaded,
+) -> Outcome {
+    let (sender, events) = mpsc::channel(MAX_EVENTS);
+    // Dropped, and so ended, with this function.
+    let mut tasks = JoinSet::new();
+    let store = &candidate.store;
+    tasks.spawn(follow_feed(
+        store.clone(),
+        loaded.version,
+        sender.clone(),
+        candidate.log.clone(),
+    ));
+    tasks.spawn(renew(store.clone(), held, sender.clone()));
+    tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
+    let scheduler =
+        Scheduler::new(held.revision, candidate.options.clone());
+    let mut holder = Holder {
+        candidate,
+        held,
+        scheduler,
+        versions: loaded.versions,
+        restored: loaded.progress,
+        sender,
+        storing: false,
+        configured: None,
+        lost: None,
+        pending: BTreeMap::new(),
+        pending_written_ms: 0,
+        vms_asked_ms: 0,
+        expired_ms: clock::now_ms(),
+    };
+    holder.take_feed(loaded.feed);
+    holder.restored.clear();
+    holder.run(events).await
+}
+
+struct Holder<'a, K, W, F> {
+    candidate: &'a Candidate<K, W, F>,
+    held: Held,
+    scheduler: Scheduler,
+    /// The version of each job's progress in the store.
+    versions: BTreeMap<JobId, u64>,
+    /// What a former holder stored of the jobs that are being taken over.
+    restored: BTreeMap<JobId, dewspar::job::Progress>,
+    sender: mpsc::Sender<Event>,
+    storing: bool,
+    configured: Option<u64>,
+    lost: Option<&'static str>,
+    pending: BTreeMap<String, u64>,
+    pending_written_ms: u64,
+    vms_asked_ms: u64,
+    expired_ms: u64,
+}
+
+/// Waits until the node is told to stop.
+async fn stopped(stopping: &mut watch::Receiver<bool>) {
+    // An error means that the node is gone, which is a stop as well.
+    let _ = stopping.wait_for(|stopping| *stopping).await;
+}
+
+fn now() -> Now {
+    Now { steady_ms: clock::now_ms(), unix_ms: clock::unix_ms() }
+}
+
+impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
+    async fn run(&mut self, mut events: mpsc::Receiver<Event>) -> Outcome {
+        let mut stopping = self.candidate.stopping.clone();
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                // OK to skip `None`: this struct keeps a sender.
+                Some(event) = events.recv() => self.take(event),
+                _ = tick.tick() => {}
+                () = stopped(&mut stopping) => {
+                    self.store_last().await;
+                    return Outcome::Stopping;
+                }
+            }
+            for _ in 0..EVENTS_A_PLAN {
+                let Ok(event) = events.try_recv() else { break };
+                self.take(event);
+            }
+            if let Some(outcome) = self.act() {
+                return outcome;
+            }
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now = now();
+        let scheduler = &mut self.scheduler;
+        match event {
+            Event::Feed(feed) => self.take_feed(feed),
+            Event::Directory(listings) => {
+                scheduler.list_workers(now, listings);
+            }
+            Event::Vms(vms) => self.take_vms(&vms, now),
+            Event::Renewed { sent_ms } => {
+                self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
+            }
+            Event::LeaseGone => {
+                self.lost = Some("the store says that the lease is over");
+            }
+            Event::StartAnswered { worker, task, run, result } => {
+                scheduler.start_answered(&worker, &task, run, result, now);
+            }
+            Event::StopAnswered { worker, task, result } => {
+                scheduler.stop_answered(&worker, &task, result, now);
+            }
+            Event::HoldAnswered { worker, held, result } => match result {
+                Ok(report) => {
+                    scheduler.hold_answered(&worker, &held, &report, now);
+                }
+                Err(error) => {
+                    scheduler.hold_failed(&worker, &held, error, now);
+                }
+            },
+            Event::PaceAnswered { worker, task, result } => {
+                if let Err(error) = result {
+                    info!(self.candidate.log, "task: pace not set";
+                        "job" => %task.job, "task" => %task,
+                        "worker" => %worker, "reason" => error.name());
+                }
+            }
+            Event::Stored { changes, stored } => {
+                self.changes_stored(&changes, &stored, now);
+            }
+        }
+    }
+
+    fn take_feed(&mut self, feed: Vec<FeedEvent>) {
+        for event in feed {
+            match event {
+                FeedEvent::Accepted { id, job, revision } => {
+                    let progress = self.restored.remove(&id);
+                    let progress = progress.as_ref();
+                    self.scheduler.submit(id, *job, revision, progress);
+                }
+                FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
+                FeedEvent::Owner { revision } => {
+                    if revision > self.held.revision {
+                        self.lost = Some("the lease's key has changed");
+                    }
+                }
+            }
+        }
+        // Jobs that are over have no entry in the feed any more.
+        let over: Vec<JobId> = self
+            .restored
+            .iter()
+            .filter(|(_, progress)| progress.phase.is_final())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            let progress = self.restored.remove(&id);
+            let job = dewspar::schedule::AcceptedJob::default();
+            self.scheduler.submit(id, job, 0, progress.as_ref());
+        }
+    }
+
+    fn take_vms(&mut self, vms: &[ManagedVm], now: Now) {
+        let silent: Vec<(WorkerId, String)> = self
+            .scheduler
+            .silent_workers(now, SILENT_MS)
+            .map(|(id, vm)| (id.clone(), vm.to_owned()))
+            .collect();
+        for (id, name) in silent {
+            let Some(vm) = vms.iter().find(|vm| vm.vm == name) else {
+                continue;
+            };
+            let lives =
+                vm.life == VmLife::Up && vm.worker.as_ref() == Some(&id);
+            if !lives {
+                let reason = "the VM service says that it ended";
+                self.scheduler.worker_gone(&id, reason, now);
+            }
+        }
+    }
+
+    fn changes_stored(
+        &mut self,
+        changes: &Changes,
+        stored: &Stored,
+        now: Now,
+    ) {
+        self.storing = false;
+        match stored {
+            Stored::Done(version) => {
+                for (id, _) in &changes.progress {
+                    self.versions.insert(*id, *version);
+                }
+                self.scheduler.changes_stored(changes, now);
+            }
+            Stored::Failed => self.scheduler.changes_failed(changes),
+            Stored::Superseded => {
+                self.lost = Some("the store refused this holder's write");
+            }
+        }
+    }
+
+    /// Plans once and sets going what is wanted.
+    fn act(&mut self) -> Option<Outcome> {
+        let now = now();
+        self.configure();
+        let actions = self.scheduler.plan(now);
+        let decisions = self.scheduler.take_decisions();
+        for decision in &decisions {
+            decisions::record(&self.candidate.log, decision);
+        }
+        if let Some(reason) = self.lost {
+            return Some(Outcome::Lost(reason));
+        }
+        if self.scheduler.is_superseded() {
+            return Some(Outcome::Lost("a worker has seen a newer holder"));
+        }
+        let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
+        if now.steady_ms > lease_over_ms + DETACHED_MS {
+            return Some(Outcome::Lost("the lease couldn't be renewed"));
+        }
+        for action in actions {
+            orders::send(&self.candidate.workers, action, &self.sender);
+        }
+        self.store_changes();
+        self.write_pending(now);
+        self.ask_about_silent(now);
+        self.delete_expired(now);
+        None
+    }
+
+    fn configure(&mut self) {
+        let reading = self.candidate.reader.borrow();
+        let Some(queues) = &reading.intent.queues else { return };
+        if self.configured == Some(queues.version()) {
+            return;
+        }
+        self.configured = Some(queues.version());
+        let queues = queues.queues().iter();
+        self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
+    }
+
+    fn store_changes(&mut self) {
+        if self.storing || !self.scheduler.has_changes() {
+            return;
+        }
+        self.storing = true;
+        let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+        let batch = batch_of(self.held.revision, &changes, &self.versions);
+        let store = self.candidate.store.clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            let stored = progress::store_changes(&store, &batch).await;
+            if matches!(stored, Stored::Failed) {
+                sleep(RETRY).await;
+            }
+            let _ = sender.send(Event::Stored { changes, stored }).await;
+        });
+    }
+
+    /// Stores what isn't stored yet, before the lease is given up.
+    async fn store_last(&mut self) {
+        while !self.storing && self.scheduler.has_changes() {
+            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+            let batch =
+                batch_of(self.held.revision, &changes, &self.versions);
+            let committed = self.candidate.store.commit(&batch).await;
+            if let Err(error) = committed {
+                // The next holder hears of these ends from the workers.
+                counters::platform_failure(&error);
+                return;
+            }
+        }
+    }
+
+    fn write_pending(&mut self, now: Now) {
+        if now.steady_ms < self.pending_written_ms + PENDING_INTERVAL_MS {
+            return;
+        }
+        let pending = self.scheduler.pending(now.unix_ms);
+        if pending == self.pending {
+            return;
+        }
+        self.pending_written_ms = now.steady_ms;
+        self.pending = pending;
+        // OK because texts and numbers can always be written.
+        let value = serde_json::to_vec(&self.pending).expect("plain JSON");
+        let batch = Batch::default()
+            .when(keys::OWNER, Expected::Version(self.held.revision))
+            .put(keys::PENDING, value);
+        self.write(batch, "counts of waiting jobs");
+    }
+
+    fn delete_expired(&mut self, now: Now) {
+        if now.steady_ms < self.expired_ms + EXPIRY_INTERVAL_MS {
+            return;
+        }
+        self.expired_ms = now.steady_ms;
+        let expired = self.scheduler.take_expired(now, EXPIRED_A_WRITE);
+        if expired.is_empty() {
+            return;
+        }
+        let mut batch = Batch::default()
+            .when(keys::OWNER, Expected::Version(self.held.revision));
+        for id in expired {
+            self.versions.remove(&id);
+            batch = batch.delete(&keys::progress(id));
+        }
+        self.write(batch, "deletion of expired jobs");
+    }
+
+    /// Writes what needn't be written at any one time.
+    fn write(&self, batch: Batch, what: &'static str) {
+        let store = self.candidate.store.clone();
+        let log = self.candidate.log.clone();
+        tokio::spawn(async move {
+            if let Err(error) = store.commit(&batch).await {
+                counters::platform_failure(&error);
+                warn!(log, "holder: write gave no result"; "of" => what,
+                    "error" => %error);
+            }
+        });
+    }
+
+    fn ask_about_silent(&mut self, now: Now) {
+        let due = now.steady_ms >= self.vms_asked_ms + VM_INTERVAL_MS;
+        let mut silent = self.scheduler.silent_workers(now, SILENT_MS);
+        if !due || silent.next().is_none() {
+            return;
+        }
+        drop(silent);
+        self.vms_asked_ms = now.steady_ms;
+        let fleet = self.candidate.fleet.clone();
+        let sender = self.sender.clone();
+        tokio::spawn(async move {
+            match fleet.vms().await {
+                Ok(vms) => {
+                    let _ = sender.send(Event::Vms(vms)).await;
+                }
+                Err(error) => counters::platform_failure(&error),
+            }
+        });
+    }
+}
+
+/// Reports every change of the feed, in the store's order.
+async fn follow_feed<K: KeyValue>(
+    store: K,
+    mut version: u64,
+    sender: mpsc::Sender<Event>,
+    log: Logger,
+) {
+    loop {
+        let error = watch_feed(&store, &mut version, &sender, &log).await;
+        counters::platform_failure(&error);
+        info!(log, "holder: feed interrupted"; "version" => version,
+            "error" => %error);
+        // The history may be gone: only the whole is sure to be complete.
+        loop {
+            sleep(RETRY).await;
+            match load_feed(&store, &log).await {
+                Ok((read_at, feed)) => {
+                    version = read_at;
+                    if sender.send(Event::Feed(feed)).await.is_err() {
+                        return;
+                    }
+                    break;
+                }
+                Err(error) => counters::platform_failure(&error),
+            }
+        }
+    }
+}
+
+async fn watch_feed<K: KeyValue>(
+    store: &K,
+    version: &mut u64,
+    sender: &mpsc::Sender<Event>,
+    log: &Logger,
+) -> Error {
+    let mut watch = match store.watch(keys::FEED, *version).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    loop {
+        let batch = match watch.next().await {
+            Ok(batch) => batch,
+            Err(error) => return error,
+        };
+        *version = (*version).max(batch.version);
+        let feed: Vec<FeedEvent> = batch
+            .events
+            .iter()
+            .filter_map(|event| read_event(event, log))
+            .collect();
+        if !feed.is_empty() {
+            // A holder that is gone ends this task.
+            let _ = sender.send(Event::Feed(feed)).await;
+        }
+    }
+}
+
+/// Renews the lease, a few times within its length.
+async fn renew<K: KeyValue>(
+    store: K,
+    held: Held,
+    sender: mpsc::Sender<Event>,
+) {
+    let pause = Duration::from_millis(held.lease_ms / RENEWALS_A_LEASE);
+    loop {
+        sleep(pause).await;
+        let sent_ms = clock::now_ms();
+        let event = match store.keep_alive(held.lease).await {
+            Ok(true) => Event::Renewed { sent_ms },
+            Ok(false) => Event::LeaseGone,
+            Err(error) => {
+                counters::platform_failure(&error);
+                continue;
+            }
+        };
+        if sender.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_directory<F: Fleet>(fleet: F, sender: mpsc::Sender<Event>) {
+    loop {
+        match fleet.workers().await {
+            Ok(listings) => {
+                let event = Event::Directory(listings);
+                if sender.send(event).await.is_err() {
+                    return;
+                }
+            }
+            Err(error) => counters::platform_failure(&error),
+        }
+        sleep(DIRECTORY_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/intent.rs
@@ -0,0 +1,133 @@
+/*!
+What the operator wants, kept up to date.
+
+A watch tells of a change at once, but it may go silent without an error. So
+the store is also read outright, at least twice within the time in which a
+configuration must be in force, and a reading carries the moment at which it
+was asked for: from then on its age is known.
+*/
+
+use {
+    crate::{clock, counters},
+    dewspar_platform::{Fleet, Intent},
+    slog::{Logger, info, warn},
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::watch, time::sleep},
+};
+
+/// How many times the store is read within the time in which a
+/// configuration must be in force.
+const READS_A_BOUND: u64 = 2;
+
+/// How long to wait after a reading that failed.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The newest reading.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reading {
+    pub(super) intent: Arc<Intent>,
+    /// When it was asked for, on the steady clock; 0 for never.
+    pub(super) asked_ms: u64,
+}
+
+impl Reading {
+    /// Returns the reading's age in milliseconds.
+    pub(super) fn age_ms(&self) -> u64 {
+        clock::now_ms().saturating_sub(self.asked_ms)
+    }
+}
+
+/// A way to the newest reading.
+pub(super) type Reader = watch::Receiver<Reading>;
+
+/// Starts to keep up with what the operator wants.
+pub(super) fn start<F: Fleet>(
+    fleet: F,
+    config_apply_ms: u64,
+    log: Logger,
+) -> Reader {
+    let (sender, reader) = watch::channel(Reading::default());
+    let task = Follower { fleet, config_apply_ms, sender, log, lost: false };
+    tokio::spawn(task.run());
+    reader
+}
+
+struct Follower<F> {
+    fleet: F,
+    config_apply_ms: u64,
+    sender: watch::Sender<Reading>,
+    log: Logger,
+    lost: bool,
+}
+
+impl<F: Fleet> Follower<F> {
+    async fn run(mut self) {
+        while !self.sender.is_closed() {
+            if self.read().await {
+                self.wait_for_change().await;
+            } else {
+                sleep(RETRY).await;
+            }
+        }
+    }
+
+    /// Reads the store; returns whether it answered.
+    async fn read(&mut self) -> bool {
+        let asked_ms = clock::now_ms();
+        match self.fleet.intent().await {
+            Ok(intent) => {
+                if self.lost {
+                    info!(self.log, "operator: store answers again");
+                    self.lost = false;
+                }
+                self.take_over(intent, asked_ms);
+                true
+            }
+            Err(error) => {
+                counters::platform_failure(&error);
+                if !self.lost {
+                    warn!(self.log, "operator: store doesn't answer";
+                        "error" => %error);
+                    self.lost = true;
+                }
+                false
+            }
+        }
+    }
+
+    fn take_over(&self, mut intent: Intent, asked_ms: u64) {
+        let current = self.sender.borrow().clone();
+        let version = |intent: &Intent| {
+            intent.queues.as_ref().map_or(0, |queues| queues.version())
+        };
+        let (old, new) = (version(&current.intent), version(&intent));
+        // Versions only rise within a process, whatever is read.
+        if new < old {
+            intent.queues = current.intent.queues.clone();
+        }
+        if new > old {
+            info!(self.log, "operator: configuration in force";
+                "version" => new, "before" => old,
+                "read_at" => intent.read_at,
+                "age_ms" => clock::now_ms().saturating_sub(asked_ms));
+            counters::set(counters::CONFIG_REVISION, new as f64);
+        }
+        let intent = Arc::new(intent);
+        self.sender.send_replace(Reading { intent, asked_ms });
+    }
+
+    async fn wait_for_change(&self) {
+        let read_at = self.sender.borrow().intent.read_at;
+        let at_most =
+            Duration::from_millis(self.config_apply_ms / READS_A_BOUND);
+        let changed = self.fleet.intent_changed(read_at);
+        match tokio::time::timeout(at_most, changed).await {
+            // Time to read outright, whatever the watch would have said.
+            Err(_) | Ok(Ok(_)) => {}
+            Ok(Err(error)) => {
+                counters::platform_failure(&error);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -0,0 +1,62 @@
+/*!
+The keys under which jobs lie in the store.
+*/
+
+use dewspar::job::JobId;
+
+/// Who holds the scheduler lease.
+pub(super) const OWNER: &str = "q/owner";
+
+/// Everything that the holder must hear of in order.
+pub(super) const FEED: &str = "q/";
+
+const ACCEPTED: &str = "q/in/";
+const CANCELLED: &str = "q/stop/";
+
+/// How far jobs have come.
+pub(super) const PROGRESS: &str = "run/";
+
+/// Each queue's waiting jobs.
+pub(super) const PENDING: &str = "pending";
+
+/// What a key of the feed is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FeedKey {
+    /// The scheduler lease.
+    Owner,
+    /// An accepted job.
+    Accepted(JobId),
+    /// A cancelled job.
+    Cancelled(JobId),
+}
+
+impl FeedKey {
+    /// Reads a key; `None` for one that isn't ours.
+    pub(super) fn parse(key: &str) -> Option<FeedKey> {
+        if key == OWNER {
+            return Some(FeedKey::Owner);
+        }
+        if let Some(id) = key.strip_prefix(ACCEPTED) {
+            return id.parse().ok().map(FeedKey::Accepted);
+        }
+        let id = key.strip_prefix(CANCELLED)?;
+        id.parse().ok().map(FeedKey::Cancelled)
+    }
+}
+
+pub(super) fn accepted(id: JobId) -> String {
+    format!("{ACCEPTED}{id}")
+}
+
+pub(super) fn cancelled(id: JobId) -> String {
+    format!("{CANCELLED}{id}")
+}
+
+pub(super) fn progress(id: JobId) -> String {
+    format!("{PROGRESS}{id}")
+}
+
+/// Reads the job from a key of [`PROGRESS`].
+pub(super) fn job_of_progress(key: &str) -> Option<JobId> {
+    key.strip_prefix(PROGRESS)?.parse().ok()
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -0,0 +1,44 @@
+/*!
+Jobs: the part of the daemon that accepts them and has them run.
+
+Every node runs the same tasks, and none is set aside:
+
+| task | owns |
+|---|---|
+| [`front`] | the callers' connections; any node accepts and answers |
+| [`intent`] | the newest reading of what the operator wants |
+| [`election`] | this node's try for the scheduler lease |
+| [`holder`] | the [`Scheduler`](dewspar::schedule::Scheduler), on the one node that holds the lease |
+| [`readiness`] | the address at which the entry asks whether to send callers |
+
+Nodes don't talk to each other. What they share lies in the store:
+
+| key | value | written by |
+|---|---|---|
+| `q/owner` | who holds the scheduler lease | whoever takes it, under its own store lease |
+| `q/in/JOB` | a job that isn't over | the node that accepts it |
+| `q/stop/JOB` | that the job is cancelled | the node that is asked to |
+| `run/JOB` | how far the job has come | the holder |
+| `pending` | each queue's waiting jobs | the holder |
+
+The first three share a prefix, so that one watch tells them in the order of
+their writes: a holder that was superseded hears of that before it hears of
+any job that came later.
+*/
+
+pub use self::{
+    node::{JobNode, JobPlatform},
+    settings::JobSettings,
+};
+
+mod decisions;
+mod election;
+mod front;
+mod holder;
+mod intent;
+mod keys;
+mod node;
+mod orders;
+mod progress;
+mod readiness;
+pub mod settings;
--- /dev/null
+++ b/crates/dewspard/src/jobs/node.rs
@@ -0,0 +1,148 @@
+/*!
+A node that runs jobs: every task of it, put together.
+*/
+
+use {
+    super::{
+        election::Candidate,
+        front::{self, Front, PendingCounts},
+        holder, intent,
+        readiness::{self, Readiness},
+        settings::JobSettings,
+    },
+    crate::logs,
+    dewspar::schedule::Options,
+    dewspar_platform::{Fleet, JobProtocol, JobWorkers, KeyValue},
+    metrics_exporter_prometheus::PrometheusHandle,
+    slog::{Logger, info},
+    std::{io, sync::Arc, time::Duration},
+    tokio::{sync::watch, task::JoinHandle, time::sleep},
+};
+
+/// How much of the time to stop in is kept in reserve, in milliseconds.
+const STOP_RESERVE_MS: u64 = 1_000;
+
+/// How long after it stopped being ready a node still takes connections, in
+/// milliseconds: the entry asks each second and believes the second answer.
+const STOP_DELAY_MS: u64 = 2_500;
+
+/// The adapters that a node that runs jobs needs.
+#[derive(Clone, Debug)]
+pub struct JobPlatform<K, W, F, P> {
+    /// The store.
+    pub store: K,
+    /// The workers.
+    pub workers: W,
+    /// The directory of workers, the VMs, the operator's wishes.
+    pub fleet: F,
+    /// How callers' calls are spelled.
+    pub protocol: P,
+    /// The path at which the entry asks for readiness.
+    pub readiness_path: &'static str,
+}
+
+/// A running node.
+pub struct JobNode {
+    callers: front::Server,
+    scheduling: JoinHandle<()>,
+    stopping: watch::Sender<bool>,
+    stop_grace: Duration,
+    log: Logger,
+}
+
+impl JobNode {
+    /// Starts every task of a node on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of an address that can't be listened at.
+    pub async fn start<K, W, F, P>(
+        settings: &JobSettings,
+        platform: JobPlatform<K, W, F, P>,
+        metrics: Option<PrometheusHandle>,
+        root: &Logger,
+    ) -> io::Result<JobNode>
+    where
+        K: KeyValue,
+        W: JobWorkers,
+        F: Fleet,
+        P: JobProtocol,
+    {
+        let log = root.new(slog::o!("node" => settings.node.clone()));
+        let (stopping, stopped) = watch::channel(false);
+        let timing = &settings.timing;
+        let reader = intent::start(
+            platform.fleet.clone(),
+            timing.config_apply_ms,
+            logs::part(&log, "operator"),
+        );
+        let readiness = Readiness::new(
+            reader.clone(),
+            stopped.clone(),
+            timing.config_apply_ms,
+        );
+        readiness::serve(
+            settings.readiness_address,
+            platform.readiness_path,
+            readiness.clone(),
+        )
+        .await?;
+        if let (Some(address), Some(metrics)) =
+            (settings.metrics_address, metrics)
+        {
+            readiness::serve_metrics(address, metrics).await?;
+        }
+        let front = Front {
+            store: platform.store.clone(),
+            protocol: platform.protocol,
+            reader: reader.clone(),
+            readiness: readiness.clone(),
+            stopping: stopped.clone(),
+            pending: tokio::sync::Mutex::new(PendingCounts::default()),
+            log: logs::part(&log, "front"),
+        };
+        let callers =
+            front::serve(settings.callers_address, Arc::new(front)).await?;
+        let candidate = Candidate {
+            node: settings.node.clone(),
+            store: platform.store,
+            workers: platform.workers,
+            fleet: platform.fleet,
+            reader,
+            readiness,
+            stopping: stopped,
+            min_lease_ms: timing.min_store_lease_ms,
+            duty_gap_ms: timing.duty_gap_ms,
+            options: Options::default()
+                .max_lease_ms(timing.max_lease_ms)
+                .kept_ms(timing.kept_ms)
+                .detached_ms(holder::DETACHED_MS),
+            log: logs::part(&log, "scheduler"),
+        };
+        let scheduling = tokio::spawn(candidate.run());
+        info!(log, "node: started";
+            "callers" => %settings.callers_address,
+            "hall" => &settings.hall);
+        Ok(JobNode {
+            callers,
+            scheduling,
+            stopping,
+            stop_grace: Duration::from_millis(
+                timing.stop_grace_ms.saturating_sub(STOP_RESERVE_MS),
+            ),
+            log,
+        })
+    }
+
+    /// Stops as planned: readiness and the scheduler lease first, then open
+    /// calls to their end.
+    pub async fn stop(self) {
+        info!(self.log, "node: stops");
+        let _ = self.stopping.send(true);
+        let delay = Duration::from_millis(STOP_DELAY_MS).min(self.stop_grace);
+        sleep(delay).await;
+        self.callers.stop(self.stop_grace.saturating_sub(delay)).await;
+        self.scheduling.abort();
+        info!(self.log, "node: stopped");
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -0,0 +1,60 @@
+/*!
+Carrying out what the scheduler decides: one task for each order.
+*/
+
+use {
+    super::holder::Event,
+    crate::counters,
+    dewspar::schedule::{Action, OrderError},
+    dewspar_platform::JobWorkers,
+    tokio::sync::mpsc,
+};
+
+/// Sends an order and reports its result as an event.
+pub(super) fn send<W: JobWorkers>(
+    workers: &W,
+    action: Action,
+    events: &mpsc::Sender<Event>,
+) {
+    let workers = workers.clone();
+    let events = events.clone();
+    tokio::spawn(async move {
+        let event = carry_out(&workers, action).await;
+        // A holder that is gone has no use for it.
+        let _ = events.send(event).await;
+    });
+}
+
+async fn carry_out<W: JobWorkers>(workers: &W, action: Action) -> Event {
+    match action {
+        Action::Start { worker, address, order } => {
+            let result = workers.start(&address, &worker, &order).await;
+            count("start", result.as_ref().err());
+            let (task, run) = (order.task, order.run);
+            Event::StartAnswered { worker, task, run, result }
+        }
+        Action::Stop { worker, address, order } => {
+            let result = workers.stop(&address, &worker, &order).await;
+            count("stop", result.as_ref().err());
+            Event::StopAnswered { worker, task: order.task, result }
+        }
+        Action::Hold { worker, address, held } => {
+            let result = workers.hold(&address, &worker, held.order()).await;
+            count("hold", result.as_ref().err());
+            Event::HoldAnswered { worker, held, result }
+        }
+        Action::Pace { worker, address, order } => {
+            let result = workers.pace(&address, &worker, &order).await;
+            count("pace", result.as_ref().err());
+            Event::PaceAnswered { worker, task: order.task, result }
+        }
+    }
+}
+
+fn count(order: &'static str, error: Option<&OrderError>) {
+    let result = error.map_or("done", |error| error.name());
+    metrics::counter!(
+        counters::ORDERS, "order" => order, "result" => result
+    )
+    .increment(1);
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -0,0 +1,200 @@
+/*!
+What the holder of the scheduler lease loads and stores.
+
+Every write is conditional on the lease's key and on each job's own key, so
+that neither a holder that was superseded nor a late copy of an earlier write
+can change anything.
+*/
+
+use {
+    super::keys::{self, FeedKey},
+    crate::counters,
+    dewspar::{
+        job::{JobId, Progress},
+        schedule::{AcceptedJob, Changes},
+    },
+    dewspar_platform::{
+        Batch, Commit, Error, Event, Expected, KeyValue, Versioned,
+    },
+    slog::{Logger, warn},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::sleep,
+};
+
+/// How many jobs ride on one write.
+///
+/// The store takes 32 entries at most. One is the lease's condition; a job
+/// takes a condition and a put, and up to two deletions once it is over.
+pub(super) const JOBS_A_WRITE: usize = 7;
+
+/// The pause before a write without result is tried again.
+const RETRY: Duration = Duration::from_millis(60);
+
+/// What happened to a job, in the order of the store.
+#[derive(Debug)]
+pub(super) enum FeedEvent {
+    /// A job was accepted.
+    Accepted { id: JobId, job: Box<AcceptedJob>, revision: u64 },
+    /// A job was cancelled.
+    Cancelled(JobId),
+    /// The lease's key was written or is gone.
+    Owner { revision: u64 },
+}
+
+/// What a new holder starts from.
+pub(super) struct Loaded {
+    /// The store's version up to which `feed` tells everything.
+    pub(super) version: u64,
+    pub(super) feed: Vec<FeedEvent>,
+    pub(super) progress: BTreeMap<JobId, Progress>,
+    pub(super) versions: BTreeMap<JobId, u64>,
+}
+
+/// Loads every job that isn't over, and how far each has come.
+pub(super) async fn load<K: KeyValue>(
+    store: &K,
+    log: &Logger,
+) -> Result<Loaded, Error> {
+    let (_, stored) = store.list(keys::PROGRESS).await?;
+    let mut progress = BTreeMap::new();
+    let mut versions = BTreeMap::new();
+    for item in &stored {
+        let Some(id) = keys::job_of_progress(&item.key) else { continue };
+        match serde_json::from_slice::<Progress>(&item.value) {
+            Ok(found) => {
+                progress.insert(id, found);
+                versions.insert(id, item.version);
+            }
+            Err(error) => warn!(log, "holder: progress can't be read";
+                "job" => %id, "error" => %error),
+        }
+    }
+    let (version, feed) = load_feed(store, log).await?;
+    Ok(Loaded { version, feed, progress, versions })
+}
+
+/// Reads the feed outright.
+pub(super) async fn load_feed<K: KeyValue>(
+    store: &K,
+    log: &Logger,
+) -> Result<(u64, Vec<FeedEvent>), Error> {
+    let (version, stored) = store.list(keys::FEED).await?;
+    let put = |item: &Versioned| read_put(item, log);
+    Ok((version, stored.iter().filter_map(put).collect()))
+}
+
+/// Reads a change of the feed.
+pub(super) fn read_event(event: &Event, log: &Logger) -> Option<FeedEvent> {
+    match event {
+        Event::Put(item) => read_put(item, log),
+        // The holder itself deletes what is over; only the lease matters.
+        Event::Deleted { key, version } => match FeedKey::parse(key)? {
+            FeedKey::Owner => Some(FeedEvent::Owner { revision: *version }),
+            FeedKey::Accepted(_) | FeedKey::Cancelled(_) => None,
+        },
+    }
+}
+
+fn read_put(item: &Versioned, log: &Logger) -> Option<FeedEvent> {
+    let revision = item.version;
+    match FeedKey::parse(&item.key)? {
+        FeedKey::Owner => Some(FeedEvent::Owner { revision }),
+        FeedKey::Cancelled(id) => Some(FeedEvent::Cancelled(id)),
+        FeedKey::Accepted(id) => {
+            match serde_json::from_slice::<AcceptedJob>(&item.value) {
+                Ok(job) => {
+                    let job = Box::new(job);
+                    Some(FeedEvent::Accepted { id, job, revision })
+                }
+                Err(error) => {
+                    warn!(log, "holder: job can't be read";
+                        "job" => %id, "error" => %error);
+                    None
+                }
+            }
+        }
+    }
+}
+
+/// What became of storing changes.
+#[derive(Debug)]
+pub(super) enum Stored {
+    /// They are in the store; each job's key is at this version.
+    Done(u64),
+    /// Another node holds the lease.
+    Superseded,
+    /// Nothing was stored.
+    Failed,
+}
+
+/// The write that carries changes.
+pub(super) fn batch_of(
+    lease_revision: u64,
+    changes: &Changes,
+    versions: &BTreeMap<JobId, u64>,
+) -> Batch {
+    let mut batch = Batch::default()
+        .when(keys::OWNER, Expected::Version(lease_revision));
+    for (id, progress) in &changes.progress {
+        let key = keys::progress(*id);
+        let version = versions.get(id).copied().unwrap_or(0);
+        // OK because progress holds only what JSON can write.
+        let value = serde_json::to_vec(progress).expect("plain JSON");
+        batch =
+            batch.when(&key, Expected::from_version(version)).put(&key, value);
+        if progress.phase.is_final() {
+            batch = batch
+                .delete(&keys::accepted(*id))
+                .delete(&keys::cancelled(*id));
+        }
+    }
+    batch
+}
+
+/// Stores changes; a write without an answer is tried until its outcome is
+/// known, since it may still be done later.
+pub(super) async fn store_changes<K: KeyValue>(
+    store: &K,
+    batch: &Batch,
+) -> Stored {
+    let mut maybe_done = false;
+    loop {
+        match store.commit(batch).await {
+            Ok(Commit::Done(version)) => return Stored::Done(version),
+            Ok(Commit::Conflict(current)) => {
+                return judge_conflict(batch, &current, maybe_done);
+            }
+            Err(error) => {
+                counters::platform_failure(&error);
+                maybe_done |= error.may_have_taken_effect();
+                if !maybe_done {
+                    return Stored::Failed;
+                }
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Tells a write that was done on an earlier try from one that can't be.
+fn judge_conflict(
+    batch: &Batch,
+    current: &[Versioned],
+    maybe_done: bool,
+) -> Stored {
+    let find = |key: &str| current.iter().find(|item| item.key == key);
+    let mut version = 0;
+    let done = maybe_done
+        && batch.puts.iter().all(|put| {
+            find(&put.key).is_some_and(|item| {
+                version = version.max(item.version);
+                item.value == put.value
+            })
+        });
+    if done && !batch.puts.is_empty() {
+        return Stored::Done(version);
+    }
+    // The lease's key has changed, or a job's key, which only another holder
+    // can have written.
+    Stored::Superseded
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -0,0 +1,121 @@
+/*!
+Whether the entry should send callers to this node.
+
+It is ready while it isn't stopping, has a configuration, and has read the
+store a short while ago: a node that can't reach the store can accept
+nothing.
+*/
+
+use {
+    super::intent,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    metrics_exporter_prometheus::PrometheusHandle,
+    std::{convert::Infallible, io, net::SocketAddr},
+    tokio::{net::TcpListener, sync::watch},
+};
+
+/// What decides whether a node is ready.
+#[derive(Clone, Debug)]
+pub(super) struct Readiness {
+    reader: intent::Reader,
+    stopping: watch::Receiver<bool>,
+    max_age_ms: u64,
+}
+
+impl Readiness {
+    pub(super) fn new(
+        reader: intent::Reader,
+        stopping: watch::Receiver<bool>,
+        max_age_ms: u64,
+    ) -> Readiness {
+        Readiness { reader, stopping, max_age_ms }
+    }
+
+    /// Returns whether calls may be accepted: the store is there and the
+    /// configuration is known to be new enough.
+    pub(super) fn is_current(&self) -> bool {
+        let reading = self.reader.borrow();
+        reading.intent.queues.is_some() && reading.age_ms() <= self.max_age_ms
+    }
+
+    /// Returns whether the entry should send callers here.
+    pub(super) fn is_ready(&self) -> bool {
+        !*self.stopping.borrow() && self.is_current()
+    }
+}
+
+/// Serves readiness at `path`.
+pub(super) async fn serve(
+    address: SocketAddr,
+    path: &'static str,
+    readiness: Readiness,
+) -> io::Result<()> {
+    serve_each(address, move |request: &Request<Incoming>| {
+        if request.uri().path() != path {
+            return StatusCode::NOT_FOUND.into();
+        }
+        if readiness.is_ready() {
+            StatusCode::OK.into()
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE.into()
+        }
+    })
+    .await
+}
+
+/// Serves metrics in the text format.
+pub(super) async fn serve_metrics(
+    address: SocketAddr,
+    metrics: PrometheusHandle,
+) -> io::Result<()> {
+    serve_each(address, move |_: &Request<Incoming>| {
+        let body = Bytes::from(metrics.render());
+        Page { status: StatusCode::OK, body }
+    })
+    .await
+}
+
+struct Page {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl From<StatusCode> for Page {
+    fn from(status: StatusCode) -> Page {
+        Page { status, body: Bytes::new() }
+    }
+}
+
+async fn serve_each<H>(address: SocketAddr, handle: H) -> io::Result<()>
+where
+    H: Fn(&Request<Incoming>) -> Page + Clone + Send + Sync + 'static,
+{
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::task::yield_now().await;
+                continue;
+            };
+            let handle = handle.clone();
+            let service = service_fn(move |request| {
+                let Page { status, body } = handle(&request);
+                let mut response = Response::new(Full::new(body));
+                *response.status_mut() = status;
+                async move { Ok::<_, Infallible>(response) }
+            });
+            tokio::spawn(
+                http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -0,0 +1,161 @@
+/*!
+Settings of a node that runs jobs: one YAML file, checked as a whole.
+
+# Example
+
+```
+use dewspard::jobs::JobSettings;
+
+let error = JobSettings::from_yaml("
+node: athens-1
+hall: hall-1
+callers_address: 127.0.0.1:8080
+readiness_address: 127.0.0.1:8081
+platform: {store: 127.0.0.1:2379, vm_service: 127.0.0.1:2380}
+timing: {config_apply_ms: 10}
+").unwrap_err();
+assert_eq!(
+    error.to_string(),
+    "settings are not valid:\n\
+     - field `timing.config_apply_ms` is 10, but must be 500 to 600000",
+);
+```
+*/
+
+use {
+    crate::settings::{Error, Log, Problems, read_file, read_yaml},
+    schemars::JsonSchema,
+    serde::{Deserialize, Serialize},
+    std::{net::SocketAddr, path::Path},
+};
+
+/// The settings of a node that runs jobs.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct JobSettings {
+    /// The node's name, unique among the entry VMs.
+    pub node: String,
+    /// The data hall that the node is in.
+    pub hall: String,
+    /// Where callers reach the node.
+    pub callers_address: SocketAddr,
+    /// Where the entry asks whether the node takes callers.
+    pub readiness_address: SocketAddr,
+    /// Where metrics are served; left out, nowhere.
+    #[serde(default)]
+    pub metrics_address: Option<SocketAddr>,
+    /// Where the node reaches the platform.
+    pub platform: PlatformAddresses,
+    /// Times that the platform and its operator set.
+    #[serde(default)]
+    pub timing: Timing,
+    /// What the node logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Where a node reaches the platform.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformAddresses {
+    /// The metadata store.
+    pub store: SocketAddr,
+    /// The VM service.
+    pub vm_service: SocketAddr,
+    /// What comes before every key of ours in the store.
+    #[serde(default = "default_root")]
+    pub root: String,
+}
+
+fn default_root() -> String {
+    "dewspar/".to_owned()
+}
+
+/// Times that the platform and its operator set.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Timing {
+    /// How soon a configuration is in force after it was written, in
+    /// milliseconds.
+    pub config_apply_ms: u64,
+    /// The longest lease that a worker grants, in milliseconds.
+    pub max_lease_ms: u64,
+    /// How long callers may ask for a finished job, in milliseconds.
+    pub kept_ms: u64,
+    /// How long a node that was told to stop may take, in milliseconds.
+    pub stop_grace_ms: u64,
+    /// How long two holders keep apart in their orders for one VM, in
+    /// milliseconds.
+    pub duty_gap_ms: u64,
+    /// How long a long-running task may be down before it counts as
+    /// missing, in milliseconds.
+    pub notice_ms: u64,
+    /// How long a serving task may be over its target beside best-effort
+    /// tasks, in milliseconds.
+    pub disturbance_ms: u64,
+    /// The shortest lease that the store grants, in milliseconds.
+    pub min_store_lease_ms: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing {
+            config_apply_ms: 2_000,
+            max_lease_ms: 10_000,
+            kept_ms: 120_000,
+            stop_grace_ms: 6_000,
+            duty_gap_ms: 3_000,
+            notice_ms: 4_500,
+            disturbance_ms: 4_000,
+            min_store_lease_ms: 1_000,
+        }
+    }
+}
+
+impl JobSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that names every field at fault.
+    pub fn from_file(path: &Path) -> Result<JobSettings, Error> {
+        JobSettings::from_yaml(&read_file(path)?)
+    }
+
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`Error`] that names every field at fault.
+    pub fn from_yaml(yaml: &str) -> Result<JobSettings, Error> {
+        let settings: JobSettings = read_yaml(yaml)?;
+        let mut problems = Problems::default();
+        if settings.node.is_empty() {
+            problems.add("node", "is empty");
+        }
+        let Timing {
+            config_apply_ms,
+            max_lease_ms,
+            kept_ms,
+            stop_grace_ms,
+            duty_gap_ms,
+            notice_ms,
+            disturbance_ms,
+            min_store_lease_ms,
+        } = settings.timing;
+        let mut check = |field: &str, value, least, most| {
+            problems.check(&format!("timing.{field}"), value, least, most);
+        };
+        check("config_apply_ms", config_apply_ms, 500, 600_000);
+        check("max_lease_ms", max_lease_ms, 1_000, 600_000);
+        check("kept_ms", kept_ms, 1_000, 86_400_000);
+        check("stop_grace_ms", stop_grace_ms, 1_000, 600_000);
+        check("duty_gap_ms", duty_gap_ms, 0, 600_000);
+        check("notice_ms", notice_ms, 100, 600_000);
+        check("disturbance_ms", disturbance_ms, 100, 600_000);
+        check("min_store_lease_ms", min_store_lease_ms, 1, 600_000);
+        problems.check_level(&settings.log);
+        problems.into_result()?;
+        Ok(settings)
+    }
+}
--- a/crates/dewspard/src/lib.rs
+++ b/crates/dewspard/src/lib.rs
@@ -17,6 +17,8 @@
 | [`fleet`] | the acts on VMs and tasks | [`dewspar::place`], [`dewspar::wave`] |
 | [`proxy`] | the callers' connections | |
 | [`api`] | the operators' connections | [`dewspar::config`] |
+
+A node that runs jobs is a [`jobs::JobNode`] instead.
 */
 
 pub mod api;
@@ -26,6 +28,7 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod granter;
+pub mod jobs;
 pub mod journal;
 pub mod logs;
 pub mod membership;
--- a/crates/dewspard/src/logs.rs
+++ b/crates/dewspard/src/logs.rs
@@ -53,6 +53,19 @@
     }
 }
 
+/// How many lines may wait to be written; those beyond are dropped and
+/// counted, so that a reader that stalls never holds up the node.
+const MAX_WAITING_LINES: usize = 4_096;
+
+/// Makes a root logger that writes JSON lines to standard output.
+pub fn to_stdout(level: Level) -> Logger {
+    let drain = slog_json::Json::new(io::stdout())
+        .add_default_keys()
+        .set_flush(false)
+        .build();
+    finish(Mutex::new(drain).fuse(), level)
+}
+
 /// Makes the root logger, which writes to standard error.
 pub fn root(format: Format, level: Level) -> Logger {
     match format {
@@ -82,6 +95,10 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let drain = slog_async::Async::new(drain).build().fuse();
+    let drain = slog_async::Async::new(drain)
+        .chan_size(MAX_WAITING_LINES)
+        .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
+        .build()
+        .fuse();
     Logger::root(drain.filter_level(level).fuse(), o!())
 }
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -1,16 +1,24 @@
 //! The daemon that every entry VM runs.
 
 use {
-    clap::Parser,
+    clap::{Parser, Subcommand},
+    dewspar_platform::Client,
+    dewspar_shared_platform::{
+        Calls, PartnerFleet, READINESS_PATH, Store, TaskWorkers,
+    },
     dewspard::{
+        jobs::{JobNode, JobPlatform, JobSettings},
         logs,
         node::{Node, Platform},
         peer::Identity,
         settings::Settings,
     },
     metrics_exporter_prometheus::PrometheusBuilder,
-    slog::{Logger, error, info},
-    std::{path::PathBuf, process::ExitCode},
+    slog::{Logger, error, info, warn},
+    std::{
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
     tokio::signal::unix::{SignalKind, signal},
 };
 
@@ -19,19 +27,53 @@
 /// Exit codes: 0 after a planned stop, 1 when the node couldn't start, 2 when
 /// the settings or the command line are not valid.
 #[derive(Debug, Parser)]
-#[command(version, about)]
+#[command(version, about, subcommand_negates_reqs = true)]
 struct Arguments {
     /// The settings file, in YAML.
-    #[arg(long, value_name = "FILE")]
-    settings: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    settings: Option<PathBuf>,
     /// Check the settings and the files they name, and start nothing.
     #[arg(long)]
     check: bool,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Accept jobs on the shared platform and have them run.
+    Jobs {
+        /// The settings file, in YAML.
+        #[arg(long, value_name = "FILE", env = "DEWSPAR_BOOT")]
+        settings: PathBuf,
+        /// Check the settings, and start nothing.
+        #[arg(long)]
+        check: bool,
+    },
 }
 
+/// How long a call to the store may take, in milliseconds: several times
+/// its answer on a slow day.
+const STORE_TIMEOUT_MS: u64 = 1_500;
+
+/// How long a call to the VM service may take, in milliseconds.
+const VM_SERVICE_TIMEOUT_MS: u64 = 1_500;
+
+/// How long an order to a worker may take, in milliseconds: many times the
+/// way there and back, and short beside the tasks that wait for it.
+const ORDER_TIMEOUT_MS: u64 = 400;
+
+/// The longest that a worker lets a hold wait, in milliseconds.
+const MAX_HOLD_WAIT_MS: u64 = 2_000;
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let settings = match Settings::from_file(&arguments.settings) {
+    if let Some(Command::Jobs { settings, check }) = &arguments.command {
+        return jobs(settings, *check);
+    }
+    // OK because clap requires it without a subcommand.
+    let path = arguments.settings.expect("a required argument");
+    let settings = match Settings::from_file(&path) {
         Ok(settings) => settings,
         Err(error) => return refuse(&error),
     };
@@ -55,6 +97,101 @@
     }
 }
 
+/// Runs a node that runs jobs.
+fn jobs(path: &Path, check: bool) -> ExitCode {
+    let settings = match JobSettings::from_file(path) {
+        Ok(settings) => settings,
+        Err(error) => return refuse(&error),
+    };
+    if check {
+        println!("settings are valid");
+        return ExitCode::SUCCESS;
+    }
+    // OK because the level was checked with the other settings.
+    let level = settings.log.slog_level().expect("a checked level");
+    let log = logs::to_stdout(level);
+    match run_jobs(path, &settings, &log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            error!(log, "node: failed"; "error" => reason);
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_jobs(
+    path: &Path,
+    settings: &JobSettings,
+    log: &Logger,
+) -> Result<(), String> {
+    let metrics = PrometheusBuilder::new()
+        .install_recorder()
+        .map_err(|error| error.to_string())?;
+    // One core at most is there, so one thread serves it best.
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| error.to_string())?;
+    runtime.block_on(async {
+        let platform = &settings.platform;
+        let store_address = platform.store.to_string();
+        let store = Store::new(
+            Client::new(STORE_TIMEOUT_MS),
+            &store_address,
+            &platform.root,
+        );
+        let fleet = PartnerFleet::new(
+            &store,
+            Client::new(VM_SERVICE_TIMEOUT_MS),
+            &platform.vm_service.to_string(),
+        );
+        let workers =
+            TaskWorkers::new(Client::new(ORDER_TIMEOUT_MS), MAX_HOLD_WAIT_MS);
+        let platform = JobPlatform {
+            store,
+            workers,
+            fleet,
+            protocol: Calls,
+            readiness_path: READINESS_PATH,
+        };
+        let mut reload =
+            signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+        let node = JobNode::start(settings, platform, Some(metrics), log)
+            .await
+            .map_err(|error| error.to_string())?;
+        let stop = wait_for_signal();
+        tokio::pin!(stop);
+        loop {
+            tokio::select! {
+                stopped = &mut stop => {
+                    stopped.map_err(|error| error.to_string())?;
+                    break;
+                }
+                _ = reload.recv() => reread(path, settings, log),
+            }
+        }
+        info!(log, "node: told to stop");
+        node.stop().await;
+        Ok(())
+    })
+}
+
+/// Says what a changed settings file would mean; a running node keeps its
+/// addresses, and takes new settings at its next start.
+fn reread(path: &Path, settings: &JobSettings, log: &Logger) {
+    match JobSettings::from_file(path) {
+        Ok(new) if new == *settings => {
+            info!(log, "settings: read again"; "changed" => false);
+        }
+        Ok(_) => info!(log, "settings: read again"; "changed" => true,
+            "in_force" => "from the next start"),
+        Err(error) => {
+            warn!(log, "settings: refused, the old ones stay";
+                "error" => %error);
+        }
+    }
+}
+
 fn refuse(error: &dyn std::error::Error) -> ExitCode {
     eprintln!("{error}");
     ExitCode::from(2)
--- a/crates/dewspard/src/settings.rs
+++ b/crates/dewspard/src/settings.rs
@@ -34,7 +34,7 @@
     crate::logs::Format,
     displaydoc::Display,
     schemars::JsonSchema,
-    serde::{Deserialize, Serialize},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{
         fs, io,
         net::SocketAddr,
@@ -70,16 +70,33 @@
 }
 
 impl Problems {
-    fn add(&mut self, field: &str, problem: &str) {
+    pub(crate) fn add(&mut self, field: &str, problem: &str) {
         self.0.push(format!("field `{field}` {problem}"));
     }
 
-    fn check(&mut self, field: &str, value: u64, least: u64, most: u64) {
+    pub(crate) fn check(
+        &mut self,
+        field: &str,
+        value: u64,
+        least: u64,
+        most: u64,
+    ) {
         if value < least || value > most {
             let problem = format!("is {value}, but must be {least} to {most}");
             self.add(field, &problem);
         }
     }
+
+    pub(crate) fn check_level(&mut self, log: &Log) {
+        if log.slog_level().is_none() {
+            let problem = "must be error, warning, info or debug";
+            self.add("log.level", problem);
+        }
+    }
+
+    pub(crate) fn into_result(self) -> Result<(), Error> {
+        if self.0.is_empty() { Ok(()) } else { Err(Error::Invalid(self)) }
+    }
 }
 
 /// A node's settings.
@@ -207,7 +224,7 @@
 }
 
 /// What the node logs.
-#[derive(Clone, Debug, Deserialize, JsonSchema, Serialize)]
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Log {
     /// How log lines look: `terminal` or `json` (default terminal).
@@ -246,11 +263,7 @@
     /// Returns [`Error::Unreadable`] when there is no such file, and
     /// [`Error::Invalid`] with every problem in it.
     pub fn from_file(path: &Path) -> Result<Settings, Error> {
-        let text = fs::read_to_string(path).map_err(|error| {
-            let path = path.display().to_string();
-            Error::Unreadable { path, error }
-        })?;
-        Settings::from_yaml(&text)
+        Settings::from_yaml(&read_file(path)?)
     }
 
     /// Reads and checks settings.
@@ -259,21 +272,9 @@
     ///
     /// Returns [`Error::Invalid`] with every problem.
     pub fn from_yaml(text: &str) -> Result<Settings, Error> {
-        let source = serde_norway::Deserializer::from_str(text);
-        let settings: Settings = serde_path_to_error::deserialize(source)
-            .map_err(|error| {
-                let mut problems = Problems::default();
-                let path = error.path().to_string();
-                let problem = format!("is refused: {}", error.inner());
-                problems.add(&path, &problem);
-                Error::Invalid(problems)
-            })?;
-        let problems = settings.problems();
-        if problems.0.is_empty() {
-            Ok(settings)
-        } else {
-            Err(Error::Invalid(problems))
-        }
+        let settings: Settings = read_yaml(text)?;
+        settings.problems().into_result()?;
+        Ok(settings)
     }
 
     fn problems(&self) -> Problems {
@@ -283,10 +284,7 @@
         self.check_addresses(&mut problems);
         self.check_operators(&mut problems);
         self.check_platform(&mut problems);
-        if self.log.slog_level().is_none() {
-            let problem = "must be error, warning, info or debug";
-            problems.add("log.level", problem);
-        }
+        problems.check_level(&self.log);
         problems
     }
 
@@ -403,6 +401,26 @@
     }
 }
 
+/// Reads a settings file whole.
+pub(crate) fn read_file(path: &Path) -> Result<String, Error> {
+    fs::read_to_string(path).map_err(|error| {
+        let path = path.display().to_string();
+        Error::Unreadable { path, error }
+    })
+}
+
+/// Reads settings that aren't checked yet.
+pub(crate) fn read_yaml<T: DeserializeOwned>(text: &str) -> Result<T, Error> {
+    let source = serde_norway::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(source).map_err(|error| {
+        let mut problems = Problems::default();
+        let path = error.path().to_string();
+        let problem = format!("is refused: {}", error.inner());
+        problems.add(&path, &problem);
+        Error::Invalid(problems)
+    })
+}
+
 fn mebibyte() -> u64 {
     1024 * 1024
 }
