--- a/crates/dewspar-standin/src/lib.rs
+++ b/crates/dewspar-standin/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod runner;
 mod server;
 pub mod store;
+pub mod task_worker;
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -59,6 +59,7 @@
 }]);
 
 // The worker must say what runs on it before it gets anything to run.
+scheduler.expect_workers(now, [(id.clone(), "registry".to_owned())]);
 let actions = scheduler.plan(now);
 let Action::Hold { held, .. } = &actions[0] else { panic!() };
 scheduler.hold_answered(&id, held, &HoldReport::default(), now);
@@ -321,6 +322,7 @@
     pub(crate) suspension_ms: u64,
     pub(crate) max_suspension_doublings: u32,
     pub(crate) kept_ms: u64,
+    pub(crate) directory_settle_ms: u64,
 }
 
 impl Default for Options {
@@ -349,6 +351,9 @@
             max_suspension_doublings: 3,
             // How long callers may ask for a finished job.
             kept_ms: 120_000,
+            // Workers are back in the directory some 2 s after the store
+            // is, and the holder was there no later.
+            directory_settle_ms: 3_000,
         }
     }
 }
@@ -384,6 +389,7 @@
     fn inherited_lease_ms(&self) -> u64 {
         // The former holder may go on for so long and then order a last
         // lease, which a slow clock makes 2 % longer.
-        self.detached_ms + self.max_lease_ms + self.max_lease_ms / 40
+        let lease_ms = self.lease_ms.min(self.max_lease_ms);
+        self.detached_ms + lease_ms + lease_ms / 40
     }
 }
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -88,6 +88,23 @@
     pub remaining_ms: Option<u64>,
 }
 
+impl WorkerListing {
+    /// Makes the listing of a worker that is known to live, but not where.
+    pub(crate) fn unlisted(id: WorkerId, pool: String) -> WorkerListing {
+        WorkerListing {
+            id,
+            address: String::new(),
+            vm: String::new(),
+            pool,
+            rack: String::new(),
+            labels: Vec::new(),
+            capacity: Room::default(),
+            draining: true,
+            remaining_ms: None,
+        }
+    }
+}
+
 /// An order to start a run of a task.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StartOrder {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -25,6 +25,13 @@
     finished: BTreeMap<JobId, u64>,
     decisions: Vec<Decision>,
     superseded: bool,
+    /// Lives of workers that are over, though the directory may still list
+    /// them.
+    ended_lives: BTreeSet<WorkerId>,
+    /// Whether every worker that may run something is among `workers`.
+    pub(super) lives_known: bool,
+    /// When the directory was first read; 0 for not yet.
+    first_listed_ms: u64,
 }
 
 /// What must be stored before ends may be acknowledged.
@@ -49,6 +56,9 @@
             finished: BTreeMap::new(),
             decisions: Vec::new(),
             superseded: false,
+            ended_lives: BTreeSet::new(),
+            lives_known: false,
+            first_listed_ms: 0,
         }
     }
 
@@ -131,12 +141,20 @@
 
     /// Takes over the directory of workers.
     pub fn list_workers(&mut self, now: Now, listings: Vec<WorkerListing>) {
-        let now_ms = now.steady_ms;
+        if self.first_listed_ms == 0 {
+            self.first_listed_ms = now.steady_ms;
+        }
+        let settled = self.first_listed_ms + self.options.directory_settle_ms;
+        // Without the VM service, a directory that had time to fill must do.
+        self.lives_known |= now.steady_ms >= settled;
         for worker in self.workers.values_mut() {
             worker.listed = false;
         }
         let mut replaced = Vec::new();
         for listing in listings {
+            if self.ended_lives.contains(&listing.id) {
+                continue;
+            }
             let older = self.workers.values().filter(|worker| {
                 worker.listing.vm == listing.vm
                     && !listing.vm.is_empty()
@@ -151,12 +169,7 @@
                 }
                 None => {
                     let id = listing.id.clone();
-                    let worker = Worker::new(
-                        listing,
-                        self.lease_revision,
-                        now_ms,
-                        &self.options,
-                    );
+                    let worker = self.new_worker(listing, now);
                     self.workers.insert(id, worker);
                 }
             }
@@ -169,6 +182,42 @@
         }
     }
 
+    /// Takes in which lives of workers there are, each with its pool, as
+    /// the VM service says after a takeover.
+    ///
+    /// The directory may miss one that lives: entries lapse while the store
+    /// is away. Until it is listed again, it may run anything that a former
+    /// holder started.
+    pub fn expect_workers(
+        &mut self,
+        now: Now,
+        lives: impl IntoIterator<Item = (WorkerId, String)>,
+    ) {
+        if self.lives_known {
+            return;
+        }
+        self.lives_known = true;
+        for (id, pool) in lives {
+            let known = self.workers.contains_key(&id);
+            if known || self.ended_lives.contains(&id) {
+                continue;
+            }
+            let listing = WorkerListing::unlisted(id.clone(), pool);
+            let worker = self.new_worker(listing, now);
+            self.workers.insert(id, worker);
+        }
+    }
+
+    /// Returns whether the VM service should be asked which workers live.
+    pub fn wants_lives(&self) -> bool {
+        !self.lives_known
+    }
+
+    fn new_worker(&self, listing: WorkerListing, now: Now) -> Worker {
+        let revision = self.lease_revision;
+        Worker::new(listing, revision, now.steady_ms, &self.options)
+    }
+
     /// Notes that a life of a worker has ended, and all that ran there.
     pub fn worker_gone(
         &mut self,
@@ -177,6 +226,7 @@
         now: Now,
     ) {
         let Some(mut worker) = self.workers.remove(id) else { return };
+        self.ended_lives.insert(id.clone());
         let runs = std::mem::take(&mut worker.runs);
         for (task, run) in runs {
             self.note(Decision::Lost {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -68,6 +68,11 @@
     }
 }
 
+/// Returns how long a worker's time may take on our clock.
+fn slow(worker_ms: u64) -> u64 {
+    worker_ms * SLOW_CLOCK_PER_MILLE / 1_000
+}
+
 /// A reading of a worker's clock.
 #[derive(Clone, Copy, Debug)]
 struct ClockReading {
@@ -124,6 +129,7 @@
         now_ms: u64,
         options: &Options,
     ) -> Worker {
+        let listed_nowhere = listing.address.is_empty();
         Worker {
             listing,
             runs: BTreeMap::new(),
@@ -146,7 +152,7 @@
             suspended_until_ms: 0,
             suspensions: 0,
             emptying: false,
-            listed: true,
+            listed: !listed_nowhere,
         }
     }
 
@@ -222,8 +228,8 @@
     pub(crate) fn lease_sent(&mut self, until_worker_ms: u64) {
         let Some(clock) = self.clock else { return };
         let left = until_worker_ms.saturating_sub(clock.worker_ms);
-        let longest = left * SLOW_CLOCK_PER_MILLE / 1_000;
-        self.lease_over_ms = self.lease_over_ms.max(clock.at_ms + longest);
+        let over_ms = clock.at_ms + slow(left);
+        self.lease_over_ms = self.lease_over_ms.max(over_ms);
     }
 
     pub(crate) fn read_clock(&mut self, worker_ms: u64, at_ms: u64) {
@@ -245,7 +251,8 @@
             || self.stored_end > self.acknowledged
             || self.silent_since_ms.is_some()
             || unstored;
-        let due = now_ms >= self.next_hold_ms;
+        let due = now_ms >= self.next_hold_ms
+            && !self.listing.address.is_empty();
         let ordinary = !self.fencing && !self.hold_in_flight && wanted;
         if !due || !(fencing || ordinary) {
             return None;
@@ -253,7 +260,10 @@
         // While ends wait to be stored, the worker would answer at once.
         let at_once = fencing || unstored || self.runs.is_empty();
         let wait_ms = if at_once { 0 } else { options.hold_wait_ms };
-        let lease_until_ms = if self.runs.is_empty() {
+        // A worker that is silent gets no longer lease: its runs must be
+        // over for certain some day.
+        let silent = self.silent_since_ms.is_some();
+        let lease_until_ms = if self.runs.is_empty() || silent {
             None
         } else {
             self.lease_until_ms(now_ms, options)
@@ -289,6 +299,13 @@
         self.acknowledged = self.acknowledged.max(held.order.acknowledged);
         if held.order.fence == self.fence() {
             self.fencing = false;
+            if !self.synced {
+                // From here on only this holder's orders count, and what a
+                // former one was granted is bounded.
+                let longest = slow(options.max_lease_ms);
+                let inherited = now_ms + longest;
+                self.lease_over_ms = self.lease_over_ms.min(inherited);
+            }
             self.synced = true;
         }
         let newest = report.clock_ms >= self.latest_report_ms;
--- /dev/null
+++ b/crates/dewspar/tests/schedule.rs
@@ -0,0 +1,377 @@
+//! What the scheduler must and must not order, case by case.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Phase, StepSpec},
+        schedule::{
+            AcceptedJob, Action, Held, HoldReport, Now, Options,
+            OrderError, QueueTerms, Refusal, Room, Scheduler, StartOrder,
+            WorkerId, WorkerListing,
+        },
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::BTreeMap,
+};
+
+const POOL: &str = "registry";
+
+const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
+
+fn at(steady_ms: u64) -> Now {
+    Now { steady_ms, unix_ms: 1_700_000_000_000 + steady_ms }
+}
+
+fn listing(name: &str) -> WorkerListing {
+    WorkerListing {
+        id: WorkerId::new(name),
+        address: format!("{name}:1"),
+        vm: format!("vm-of-{name}"),
+        pool: POOL.to_owned(),
+        rack: "rack-1".to_owned(),
+        labels: vec!["a".to_owned(), "rack-1".to_owned()],
+        capacity: ROOM,
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        cpu_millis: 1_000,
+        memory_mb: 100,
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+fn job(steps: Vec<StepSpec>) -> AcceptedJob {
+    AcceptedJob {
+        spec: JobSpec { steps, ..JobSpec::default() },
+        terms: QueueTerms {
+            pool: POOL.to_owned(),
+            max_attempts: 3,
+            stretch: 2.0,
+            ..QueueTerms::default()
+        },
+        accepted_at_ms: 1_700_000_000_000,
+    }
+}
+
+fn id(number: u64) -> JobId {
+    // OK because it is always 16 hexadecimal digits.
+    format!("{number:016x}").parse().unwrap()
+}
+
+/// A scheduler and its workers, every order carried out at once unless a
+/// worker is cut off.
+struct World {
+    scheduler: Scheduler,
+    workers: BTreeMap<WorkerId, TaskWorker>,
+    listings: Vec<WorkerListing>,
+    cut: Vec<WorkerId>,
+    starts: Vec<(WorkerId, StartOrder)>,
+    now_ms: u64,
+    fate: Fate,
+}
+
+impl World {
+    fn new(revision: u64, names: &[&str]) -> World {
+        let listings: Vec<WorkerListing> =
+            names.iter().map(|name| listing(name)).collect();
+        let workers = listings
+            .iter()
+            .map(|listing| (listing.id.clone(), TaskWorker::new(ROOM)))
+            .collect();
+        World {
+            scheduler: Scheduler::new(revision, Options::default()),
+            workers,
+            listings,
+            cut: Vec::new(),
+            starts: Vec::new(),
+            now_ms: 1_000,
+            fate: Fate::done(500),
+        }
+    }
+
+    /// Tells the scheduler of every life that there is.
+    fn expect_all(&mut self) {
+        let lives: Vec<(WorkerId, String)> = self
+            .listings
+            .iter()
+            .map(|listing| (listing.id.clone(), listing.pool.clone()))
+            .collect();
+        self.scheduler.expect_workers(at(self.now_ms), lives);
+    }
+
+    /// Lets another holder take over with the same workers.
+    fn take_over(&mut self, revision: u64) {
+        self.scheduler = Scheduler::new(revision, Options::default());
+    }
+
+    fn list(&mut self) {
+        let now = at(self.now_ms);
+        self.scheduler.list_workers(now, self.listings.clone());
+    }
+
+    /// Plans every 50 ms for so long, and stores what changed.
+    fn run_for(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += 50;
+            self.round();
+        }
+    }
+
+    fn round(&mut self) {
+        let now = at(self.now_ms);
+        for action in self.scheduler.plan(now) {
+            self.carry_out(action, now);
+        }
+        let changes = self.scheduler.take_changes(100);
+        self.scheduler.changes_stored(&changes, now);
+    }
+
+    fn carry_out(&mut self, action: Action, now: Now) {
+        let clock = now.steady_ms;
+        match action {
+            Action::Start { worker, order, .. } => {
+                let demand = Room { cpu_millis: 1_000, ..Room::default() };
+                let fate = self.fate;
+                let result = match self.reach(&worker) {
+                    Some(reached) => {
+                        reached.start(clock, &order, demand, fate)
+                    }
+                    None => Err(OrderError::Unknown),
+                };
+                self.starts.push((worker.clone(), order.clone()));
+                let (task, run) = (order.task, order.run);
+                self.scheduler
+                    .start_answered(&worker, &task, run, result, now);
+            }
+            Action::Stop { worker, order, .. } => {
+                let result = match self.reach(&worker) {
+                    Some(reached) => reached.stop(clock, &order),
+                    None => Err(OrderError::Unknown),
+                };
+                self.scheduler
+                    .stop_answered(&worker, &order.task, result, now);
+            }
+            Action::Hold { worker, held, .. } => {
+                let result = match self.reach(&worker) {
+                    Some(reached) => reached.hold(clock, held.order()),
+                    None => Err(OrderError::Unknown),
+                };
+                self.hold_result(&worker, &held, result, now);
+            }
+            Action::Pace { .. } => {}
+        }
+    }
+
+    fn hold_result(
+        &mut self,
+        worker: &WorkerId,
+        held: &Held,
+        result: Result<HoldReport, OrderError>,
+        now: Now,
+    ) {
+        match result {
+            Ok(report) => {
+                self.scheduler.hold_answered(worker, held, &report, now);
+            }
+            Err(error) => {
+                self.scheduler.hold_failed(worker, held, error, now);
+            }
+        }
+    }
+
+    fn reach(&mut self, worker: &WorkerId) -> Option<&mut TaskWorker> {
+        if self.cut.contains(worker) {
+            return None;
+        }
+        self.workers.get_mut(worker)
+    }
+
+    fn running(&mut self) -> Vec<String> {
+        let now_ms = self.now_ms;
+        let mut running: Vec<String> = self
+            .workers
+            .values_mut()
+            .flat_map(|worker| worker.running(now_ms))
+            .map(|(task, _)| task.to_string())
+            .collect();
+        running.sort();
+        running
+    }
+}
+
+#[test]
+fn runs_steps_in_order() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    let second = StepSpec { after: vec![0], ..step(1) };
+    world.scheduler.submit(id(1), job(vec![step(3), second]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 3);
+    world.run_for(2_000);
+    assert_eq!(world.starts.len(), 4);
+    assert_eq!(world.scheduler.phase(id(1)), None, "stored and forgotten");
+}
+
+#[test]
+fn fails_a_job_after_its_attempts() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4"]);
+    world.list();
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(5_000);
+    assert_eq!(world.starts.len(), 3);
+    assert_eq!(world.scheduler.phase(id(1)), None);
+}
+
+#[test]
+fn moves_the_tasks_of_a_silent_worker_once_its_lease_is_over() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.fate = Fate::endless();
+    let long = StepSpec { long_running: true, ..step(1) };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world.run_for(300);
+    let (first, _) = world.starts[0].clone();
+    world.cut.push(first);
+    world.run_for(7_000);
+    assert_eq!(world.starts.len(), 1, "its lease may still be running");
+    world.run_for(5_000);
+    assert_eq!(world.starts.len(), 2, "its lease is over");
+}
+
+#[test]
+fn a_life_that_ended_is_not_taken_back_from_the_directory() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.run_for(100);
+    let worker = WorkerId::new("w1");
+    world.scheduler.worker_gone(&worker, "test", at(world.now_ms));
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(300);
+    assert!(world.starts.is_empty());
+}
+
+#[test]
+fn inherited_tasks_wait_for_a_worker_that_the_directory_misses() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.fate = Fate::endless();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 4, None);
+    world.run_for(300);
+    let (first, _) = world.starts[0].clone();
+    world.take_over(9);
+    // The directory has lost the entry of the worker that runs the task,
+    // but the VM service knows that it lives.
+    let all = world.listings.clone();
+    world.listings.retain(|listing| listing.id != first);
+    world.list();
+    let lives = all.iter().map(|l| (l.id.clone(), l.pool.clone()));
+    world.scheduler.expect_workers(at(world.now_ms), lives);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 4, None);
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 1, "it may run where nobody looked");
+    world.listings = all;
+    world.list();
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 1, "it was found");
+    assert_eq!(world.running().len(), 1);
+}
+
+#[test]
+fn inherited_tasks_wait_until_the_living_workers_are_known() {
+    let mut world = World::new(9, &["w1"]);
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 4, None);
+    world.run_for(500);
+    assert!(world.starts.is_empty());
+    let lives = [(WorkerId::new("w1"), POOL.to_owned())];
+    world.scheduler.expect_workers(at(world.now_ms), lives);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 1);
+}
+
+#[test]
+fn a_cancelled_job_is_stopped_and_stays_so() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 2);
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    assert_eq!(world.scheduler.phase(id(1)), Some(Phase::Cancelled));
+    world.run_for(500);
+    assert!(world.running().is_empty());
+    assert_eq!(world.starts.len(), 2);
+}
+
+#[test]
+fn a_late_order_of_an_unanswered_start_does_nothing() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let now = at(world.now_ms);
+    let actions = world.scheduler.plan(now);
+    let order = actions.iter().find_map(|action| match action {
+        Action::Start { order, .. } => Some(order.clone()),
+        _ => None,
+    });
+    let order = order.expect("a start");
+    let worker = WorkerId::new("w1");
+    let lost = Err(OrderError::Unknown);
+    world.scheduler.start_answered(&worker, &order.task, 1, lost, now);
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 1, "started again under a new token");
+    let demand = Room::default();
+    let late = world.workers.get_mut(&worker).expect("w1").start(
+        world.now_ms,
+        &order,
+        demand,
+        Fate::done(1),
+    );
+    assert_eq!(late, Err(OrderError::Refused(Refusal::Fenced)));
+}
+
+#[test]
+fn ends_are_acknowledged_only_once_they_are_stored() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.fate = Fate::done(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut acknowledged = 0;
+    let mut changes = None;
+    for _ in 0..40 {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            if let Action::Hold { held, .. } = &action {
+                acknowledged = acknowledged.max(held.order().acknowledged);
+            }
+            world.carry_out(action, now);
+        }
+        // Nothing is stored yet.
+        if changes.is_none() && world.scheduler.has_changes() {
+            let taken = world.scheduler.take_changes(100);
+            world.scheduler.changes_failed(&taken);
+        }
+    }
+    assert_eq!(acknowledged, 0);
+    changes = Some(world.scheduler.take_changes(100));
+    let changes = changes.expect("just set");
+    assert_eq!(changes.progress[0].1.phase, Phase::Completed);
+    world.scheduler.changes_stored(&changes, at(world.now_ms));
+    let actions = world.scheduler.plan(at(world.now_ms));
+    let Some(Action::Hold { held, .. }) = actions.first() else {
+        panic!("no hold: {actions:?}");
+    };
+    assert_eq!(held.order().acknowledged, 1);
+}
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -300,13 +300,18 @@
             .silent_workers(now, SILENT_MS)
             .map(|(id, vm)| (id.clone(), vm.to_owned()))
             .collect();
+        let lives = vms.iter().filter(|vm| vm.life == VmLife::Up);
+        let lives = lives.filter_map(|vm| {
+            vm.worker.clone().map(|worker| (worker, vm.pool.clone()))
+        });
+        self.scheduler.expect_workers(now, lives);
         for (id, name) in silent {
-            let Some(vm) = vms.iter().find(|vm| vm.vm == name) else {
-                continue;
-            };
-            let lives =
-                vm.life == VmLife::Up && vm.worker.as_ref() == Some(&id);
-            if !lives {
+            let vm = vms.iter().find(|vm| vm.vm == name);
+            let lives = vm.is_some_and(|vm| {
+                vm.life == VmLife::Up && vm.worker.as_ref() == Some(&id)
+            });
+            // One whose VM isn't known can't be judged.
+            if !lives && !name.is_empty() {
                 let reason = "the VM service says that it ended";
                 self.scheduler.worker_gone(&id, reason, now);
             }
@@ -458,11 +463,11 @@
 
     fn ask_about_silent(&mut self, now: Now) {
         let due = now.steady_ms >= self.vms_asked_ms + VM_INTERVAL_MS;
-        let mut silent = self.scheduler.silent_workers(now, SILENT_MS);
-        if !due || silent.next().is_none() {
+        let silent = self.scheduler.silent_workers(now, SILENT_MS).next();
+        let wanted = self.scheduler.wants_lives() || silent.is_some();
+        if !due || !wanted {
             return;
         }
-        drop(silent);
         self.vms_asked_ms = now.steady_ms;
         let fleet = self.candidate.fleet.clone();
         let sender = self.sender.clone();
