--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -340,7 +340,7 @@
             // A worker that comes back is found within this.
             hold_retry_ms: 200,
             // Long enough for the store's usual answer, many times over.
-            unstored_hold_ms: 250,
+            unstored_hold_ms: 15,
             // Several times a worker's usual answer.
             stop_retry_ms: 400,
             // A worker that fails what it starts is tried about as often as
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -56,16 +56,11 @@
 const EVENTS_A_PLAN: usize = 256;
 
 /// How often the scheduler plans without any event.
-const TICK: Duration = Duration::from_millis(25);
+const TICK: Duration = Duration::from_millis(50);
 
 /// How often the directory of workers is read.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long changes are gathered before they are written, in milliseconds:
-/// long enough for the ends of several tasks to ride on one write, short
-/// beside any job.
-const GATHER_MS: u64 = 30;
-
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -162,7 +157,6 @@
         restored: loaded.progress,
         sender,
         storing: false,
-        stored_ms: 0,
         configured: None,
         lost: None,
         pending: BTreeMap::new(),
@@ -185,7 +179,6 @@
     restored: BTreeMap<JobId, dewspar::job::Progress>,
     sender: mpsc::Sender<Event>,
     storing: bool,
-    stored_ms: u64,
     configured: Option<u64>,
     lost: Option<&'static str>,
     pending: BTreeMap<String, u64>,
@@ -368,7 +361,7 @@
         for action in actions {
             orders::send(&self.candidate.workers, action, &self.sender);
         }
-        self.store_changes(now);
+        self.store_changes();
         self.write_pending(now);
         self.ask_about_silent(now);
         self.delete_expired(now);
@@ -386,13 +379,11 @@
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
     }
 
-    fn store_changes(&mut self, now: Now) {
-        let gathered = now.steady_ms >= self.stored_ms + GATHER_MS;
-        if self.storing || !gathered || !self.scheduler.has_changes() {
+    fn store_changes(&mut self) {
+        if self.storing || !self.scheduler.has_changes() {
             return;
         }
         self.storing = true;
-        self.stored_ms = now.steady_ms;
         let changes = self.scheduler.take_changes(JOBS_A_WRITE);
         let batch = batch_of(self.held.revision, &changes, &self.versions);
         let store = self.candidate.store.clone();
