Maintain VMs wave by wave, and move VMs to the pools that need them

Workers are emptied first; long-running tasks are stopped one at a time within what their step can spare.

--- a/crates/dewspar-platform/src/fleet.rs
+++ b/crates/dewspar-platform/src/fleet.rs
@@ -2,9 +2,10 @@
     crate::Error,
     dewspar::{
         job::QueueSet,
-        schedule::{Room, WorkerId, WorkerListing},
+        schedule::{
+            ManagedVm, VmOrderError, WaveRequest, WorkerListing,
+        },
     },
-    displaydoc::Display,
     std::future::Future,
 };
 
@@ -19,49 +20,6 @@
     pub waves: Vec<WaveRequest>,
 }
 
-/// Maintenance that is asked for.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct WaveRequest {
-    /// The wave's number.
-    pub wave: u64,
-    /// The VMs, each to be maintained once.
-    pub vms: Vec<String>,
-    /// How long the wave may take, in milliseconds.
-    pub duration_ms: u64,
-    /// The most VMs that may be down for it at once.
-    pub max_down: usize,
-}
-
-/// What a VM is doing.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum VmLife {
-    /// Its worker runs.
-    Up,
-    /// It is on its way to another pool.
-    Moving,
-    /// It is being maintained.
-    Maintenance,
-    /// It is down.
-    Down,
-}
-
-/// A VM as the platform manages it.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ManagedVm {
-    /// The VM's name.
-    pub vm: String,
-    /// The pool that it is in.
-    pub pool: String,
-    /// What it is doing.
-    pub life: VmLife,
-    /// The data hall that it stands in.
-    pub hall: String,
-    /// What it has room for.
-    pub capacity: Room,
-    /// The life of its worker; `None` while there is none.
-    pub worker: Option<WorkerId>,
-}
-
 /// A change to a VM; all that runs on it ends at once.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct VmChange {
@@ -73,25 +31,6 @@
     pub fence: u64,
 }
 
-/// Why a change to a VM has no result.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
-pub enum VmOrderError {
-    /// another holder's token is higher
-    Fenced,
-    /// the VM isn't up, or is leaving
-    Busy,
-    /// the VM isn't part of the wave
-    NotInWave,
-    /// the platform can't read the order
-    Invalid,
-    /// the platform didn't take the order
-    NotDone,
-    /// no answer: the order may have been carried out
-    Unknown,
-}
-
-impl std::error::Error for VmOrderError {}
-
 /// What the platform knows of the fleet, and what its operator wants.
 pub trait Fleet: Clone + Send + Sync + 'static {
     /// Reads the directory of workers.
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -31,9 +31,7 @@
 pub use self::{
     client::{Answer, Client, empty_request, json_request},
     error::Error,
-    fleet::{
-        Fleet, Intent, ManagedVm, VmChange, VmLife, VmOrderError, WaveRequest,
-    },
+    fleet::{Fleet, Intent, VmChange},
     kv::{
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
         Versioned, Watch, WatchBatch,
--- a/crates/dewspar/src/job/queue.rs
+++ b/crates/dewspar/src/job/queue.rs
@@ -30,7 +30,7 @@
     }
 
     /// Sets the pools whose VMs are switched off and cost nothing.
-    pub fn free_pools(mut self, pools: Vec<String>) -> QueueSet {
+    pub fn with_free_pools(mut self, pools: Vec<String>) -> QueueSet {
         self.free_pools = pools;
         self
     }
@@ -45,9 +45,9 @@
         &self.queues
     }
 
-    /// Returns whether a pool's VMs are switched off and cost nothing.
-    pub fn is_free(&self, pool: &str) -> bool {
-        self.free_pools.iter().any(|free| free == pool)
+    /// Returns the pools whose VMs are switched off and cost nothing.
+    pub fn free_pools(&self) -> &[String] {
+        &self.free_pools
     }
 
     /// Returns the queue with this name.
--- /dev/null
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -0,0 +1,458 @@
+/*!
+Maintenance waves: every VM of a wave taken down once, its tasks moved first.
+
+A VM is *emptied* before it goes down: its worker gets nothing new, short
+tasks run to their end, and long-running ones are stopped one at a time, each
+only while its step can spare another. Then the VM service is ordered to take
+it down, which it does at once.
+
+How many VMs are on their way at a time follows from the time that is left;
+which one is next follows from how busy its pool is, so that a pool at its
+peak keeps its workers.
+*/
+
+use {
+    crate::{
+        job::TaskId,
+        schedule::{
+            Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
+            VmOrderError, WaveRequest, WorkerId,
+            worker::{RunState, Worker},
+        },
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How long a VM takes from being chosen to being back, in milliseconds:
+/// short tasks to their end, the maintenance itself, and the directory.
+const CYCLE_MS: u64 = 6_000;
+
+/// What is kept of a wave's time for what doesn't go as planned, in
+/// milliseconds.
+const RESERVE_MS: u64 = 4_000;
+
+/// How long short tasks may run on a worker that is being emptied before
+/// those with a checkpoint are stopped, in milliseconds: most end by then.
+const CHECKPOINTED_PATIENCE_MS: u64 = 2_500;
+
+/// How long before all short tasks are stopped, in milliseconds: longer than
+/// nearly any of them takes.
+const PATIENCE_MS: u64 = 6_000;
+
+/// How much of a pool may be in use for its VMs to be taken while there is
+/// time to wait, in hundredths.
+const CALM_PERCENT: u64 = 70;
+
+/// How much more time than needed there must be to wait for a calm pool.
+const SLACK: u64 = 2;
+
+/// How long an order to the VM service waits before it is sent again, in
+/// milliseconds.
+const ORDER_RETRY_MS: u64 = 1_000;
+
+/// Why a worker is being emptied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Purpose {
+    /// Its VM is to be maintained for this wave.
+    Maintenance(u64),
+    /// Its VM is to move to this pool.
+    Move(String),
+}
+
+/// How far a wave has come.
+#[derive(Debug)]
+pub(super) struct WaveState {
+    request: WaveRequest,
+    since_ms: u64,
+    /// The VMs whose maintenance has begun or that are gone for good.
+    done: BTreeSet<String>,
+    /// The VMs that are down for it.
+    down: BTreeMap<String, Down>,
+    /// The VMs with an order under way, and when it was sent.
+    ordered: BTreeMap<String, u64>,
+    completed: bool,
+}
+
+/// A VM that was taken down.
+#[derive(Debug)]
+struct Down {
+    since_ms: u64,
+    /// The life that ended.
+    life: Option<WorkerId>,
+}
+
+impl Scheduler {
+    /// Takes over the waves that are asked for, each with the VMs that were
+    /// done before this node took over.
+    pub fn request_waves(
+        &mut self,
+        now: Now,
+        requests: &[WaveRequest],
+        done: &BTreeMap<u64, BTreeSet<String>>,
+        completed: &[u64],
+    ) {
+        for request in requests {
+            if self.waves.contains_key(&request.wave) {
+                continue;
+            }
+            let done = done.get(&request.wave).cloned().unwrap_or_default();
+            let state = WaveState {
+                request: request.clone(),
+                since_ms: now.steady_ms,
+                done,
+                down: BTreeMap::new(),
+                ordered: BTreeMap::new(),
+                completed: completed.contains(&request.wave),
+            };
+            self.waves.insert(request.wave, state);
+        }
+    }
+
+    /// Returns the VMs of a wave whose maintenance has begun.
+    pub fn wave_done(&self, wave: u64) -> Option<&BTreeSet<String>> {
+        self.waves.get(&wave).map(|state| &state.done)
+    }
+
+    /// Takes over the list of VMs, as it was asked for at `asked_ms`.
+    pub fn list_vms(&mut self, now: Now, asked_ms: u64, vms: &[ManagedVm]) {
+        self.vms = vms
+            .iter()
+            .map(|vm| (vm.vm.clone(), vm.clone()))
+            .collect();
+        let lives = vms.iter().filter(|vm| vm.life == VmLife::Up);
+        let lives: Vec<(WorkerId, String)> = lives
+            .filter_map(|vm| {
+                vm.worker.clone().map(|worker| (worker, vm.pool.clone()))
+            })
+            .collect();
+        // What the list doesn't have has ended, if it was there before the
+        // list was asked for.
+        let ended: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.first_listed_ms < asked_ms)
+            .filter(|worker| {
+                !worker.listing.vm.is_empty()
+                    && !lives.iter().any(|(life, _)| life == worker.id())
+            })
+            .map(|worker| worker.id().clone())
+            .collect();
+        for id in ended {
+            self.worker_gone(&id, "the VM service says that it ended", now);
+        }
+        self.expect_workers(now, lives);
+        for state in self.waves.values_mut() {
+            state.settle(asked_ms, &self.vms);
+        }
+    }
+
+    /// Returns the next orders for VMs under maintenance.
+    pub(super) fn maintain(&mut self, now: Now, orders: &mut Vec<VmOrder>) {
+        let waves: Vec<u64> = self
+            .waves
+            .iter()
+            .filter(|(_, state)| !state.completed)
+            .map(|(wave, _)| *wave)
+            .collect();
+        for wave in waves {
+            self.order_empty_vms(wave, now, orders);
+            self.empty_more(wave, now);
+            self.complete(wave, orders);
+        }
+    }
+
+    /// Orders the maintenance of what is empty, as far as the wave allows.
+    fn order_empty_vms(
+        &mut self,
+        wave: u64,
+        now: Now,
+        orders: &mut Vec<VmOrder>,
+    ) {
+        let Some(state) = self.waves.get(&wave) else { return };
+        let mut room = state.room(&self.vms);
+        let mut ready = Vec::new();
+        for vm in state.remaining() {
+            if room == 0 {
+                break;
+            }
+            if state.is_waiting(vm, now) || !self.is_empty_for(vm, wave) {
+                continue;
+            }
+            ready.push(vm.clone());
+            room -= 1;
+        }
+        let Some(state) = self.waves.get_mut(&wave) else { return };
+        for vm in ready {
+            state.ordered.insert(vm.clone(), now.steady_ms);
+            orders.push(VmOrder::Maintain { vm, wave });
+        }
+    }
+
+    /// Returns whether a VM may go down now.
+    fn is_empty_for(&self, vm: &str, wave: u64) -> bool {
+        let Some(known) = self.vms.get(vm) else { return false };
+        if known.life != VmLife::Up {
+            return false;
+        }
+        let worker = self.workers.values().find(|w| w.listing.vm == vm);
+        match worker {
+            Some(worker) => {
+                worker.emptying == Some(Purpose::Maintenance(wave))
+                    && worker.is_settled()
+            }
+            // A VM that is switched off has no worker.
+            None => known.worker.is_none(),
+        }
+    }
+
+    /// Begins to empty more workers, as many as the time left asks for.
+    fn empty_more(&mut self, wave: u64, now: Now) {
+        let Some(state) = self.waves.get(&wave) else { return };
+        let under_way = state.down.len() + self.emptying_for(wave);
+        let remaining: Vec<&String> = state.remaining().collect();
+        let left_ms = state.left_ms(now);
+        let needed_ms = remaining.len() as u64 * CYCLE_MS;
+        let parallel = needed_ms.div_ceil(left_ms.max(1));
+        let most = state.request.max_down;
+        let parallel = usize::try_from(parallel).unwrap_or(most);
+        let parallel = parallel.clamp(1, most.max(1));
+        if under_way >= parallel {
+            return;
+        }
+        let may_wait = needed_ms * SLACK < left_ms * parallel as u64;
+        let next = remaining
+            .into_iter()
+            .filter_map(|vm| {
+                let worker = self.worker_on(vm)?;
+                let eligible = worker.emptying.is_none()
+                    && worker.synced
+                    && worker.silent_since_ms.is_none();
+                eligible.then_some(worker)
+            })
+            .min_by_key(|worker| {
+                let pool = &worker.listing.pool;
+                (self.pool_percent_without(pool, 1), worker.used().cpu_millis)
+            });
+        let Some(worker) = next else { return };
+        let percent = self.pool_percent_without(&worker.listing.pool, 1);
+        if may_wait && percent > CALM_PERCENT {
+            return;
+        }
+        let id = worker.id().clone();
+        self.empty(&id, Purpose::Maintenance(wave), now);
+    }
+
+    fn emptying_for(&self, wave: u64) -> usize {
+        let purpose = Some(Purpose::Maintenance(wave));
+        self.workers.values().filter(|w| w.emptying == purpose).count()
+    }
+
+    pub(super) fn worker_on(&self, vm: &str) -> Option<&Worker> {
+        self.workers.values().find(|worker| worker.listing.vm == vm)
+    }
+
+    /// Returns how much of a pool would be in use if it had so many fewer
+    /// workers, in hundredths.
+    pub(super) fn pool_percent_without(&self, pool: &str, less: u64) -> u64 {
+        let load = self.pool_load(pool);
+        let capacity =
+            load.capacity_cpu.saturating_sub(load.vm_cpu() * less);
+        (load.used_cpu + load.waiting_cpu) * 100 / capacity.max(1)
+    }
+
+    /// Lets a worker run dry.
+    pub(super) fn empty(
+        &mut self,
+        id: &WorkerId,
+        purpose: Purpose,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        let reason = match &purpose {
+            Purpose::Maintenance(_) => "maintenance",
+            Purpose::Move(_) => "move",
+        };
+        worker.emptying = Some(purpose);
+        worker.emptying_since_ms = now.steady_ms;
+        let vm = worker.listing.vm.clone();
+        self.note(Decision::Emptying { worker: id.clone(), vm, reason });
+    }
+
+    /// Stops what has to leave workers that are being emptied.
+    pub(super) fn empty_workers(&mut self, now: Now) {
+        let emptying: Vec<WorkerId> = self
+            .workers
+            .values()
+            .filter(|worker| worker.emptying.is_some())
+            .map(|worker| worker.id().clone())
+            .collect();
+        for id in emptying {
+            self.empty_worker(&id, now);
+        }
+    }
+
+    fn empty_worker(&mut self, id: &WorkerId, now: Now) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let waited_ms =
+            now.steady_ms.saturating_sub(worker.emptying_since_ms);
+        let tasks: Vec<TaskId> = worker
+            .runs
+            .iter()
+            .filter(|(_, run)| run.state == RunState::Running)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in tasks {
+            if self.may_stop_for_duty(&task, id, waited_ms, now) {
+                self.stop_run(&task, id, "its VM is needed");
+            }
+        }
+    }
+
+    fn may_stop_for_duty(
+        &self,
+        task: &TaskId,
+        id: &WorkerId,
+        waited_ms: u64,
+        now: Now,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return true };
+        let Some(spec) = job.step_spec(task) else { return true };
+        if !spec.long_running {
+            let patience_ms = if spec.checkpointing {
+                CHECKPOINTED_PATIENCE_MS
+            } else {
+                PATIENCE_MS
+            };
+            return waited_ms >= patience_ms;
+        }
+        let spare = spec.max_unavailable.max(1) as usize;
+        let others_down = self.down_in_step(task, id);
+        others_down < spare && self.has_other_place(task, id, now)
+    }
+
+    /// Counts the other tasks of a long-running step that aren't at work.
+    fn down_in_step(&self, task: &TaskId, id: &WorkerId) -> usize {
+        let Some(job) = self.jobs.get(&task.job) else { return 0 };
+        let Some(step) = job.step(task) else { return 0 };
+        let at_work = |index: u32| {
+            let other = TaskId { index, ..*task };
+            step.tasks[index as usize].on.iter().any(|on| {
+                self.workers.get(on).is_some_and(|worker| {
+                    worker.silent_since_ms.is_none()
+                        && worker.runs.get(&other).is_some_and(|run| {
+                            run.state == RunState::Running
+                                && run.percent >= 100
+                        })
+                })
+            })
+        };
+        let others = (0..step.tasks.len() as u32).filter(|index| {
+            *index != task.index || !step.tasks[*index as usize].on.contains(id)
+        });
+        others.filter(|index| !at_work(*index)).count()
+    }
+
+    /// Returns whether another worker could take a task now.
+    fn has_other_place(&self, task: &TaskId, id: &WorkerId, now: Now) -> bool {
+        self.place_for(task, now).is_some_and(|worker| worker != id)
+    }
+
+    /// Reports a wave whose every VM is done.
+    fn complete(&mut self, wave: u64, orders: &mut Vec<VmOrder>) {
+        let Some(state) = self.waves.get_mut(&wave) else { return };
+        if state.remaining().next().is_none() && state.down.is_empty() {
+            state.completed = true;
+            orders.push(VmOrder::ReportCompleted { wave });
+        }
+    }
+
+    /// Takes in the result of an order to maintain a VM.
+    pub fn maintenance_answered(
+        &mut self,
+        vm: &str,
+        wave: u64,
+        result: Result<(), VmOrderError>,
+        now: Now,
+    ) {
+        let listed = self.vms.contains_key(vm);
+        let life = self.worker_on(vm).map(|worker| worker.id().clone());
+        let Some(state) = self.waves.get_mut(&wave) else { return };
+        match result {
+            Ok(()) => {
+                state.ordered.remove(vm);
+                state.done.insert(vm.to_owned());
+                let since_ms = now.steady_ms;
+                let down = Down { since_ms, life: life.clone() };
+                state.down.insert(vm.to_owned(), down);
+                if let Some(life) = life {
+                    self.worker_gone(&life, "maintenance began", now);
+                }
+            }
+            // It is gone for good, so there is nothing to maintain.
+            Err(VmOrderError::Invalid | VmOrderError::NotInWave)
+                if !listed =>
+            {
+                state.ordered.remove(vm);
+                state.done.insert(vm.to_owned());
+            }
+            // Kept as ordered, which counts as down, and sent again later.
+            Err(_) => {}
+        }
+    }
+
+    /// Notes that a wave's completion couldn't be reported.
+    pub fn report_failed(&mut self, wave: u64) {
+        if let Some(state) = self.waves.get_mut(&wave) {
+            state.completed = false;
+        }
+    }
+
+    /// Returns whether a VM is still to go down for some wave.
+    pub(super) fn awaits_maintenance(&self, vm: &str) -> bool {
+        self.waves.values().any(|state| {
+            !state.completed && state.remaining().any(|other| other == vm)
+        })
+    }
+}
+
+impl WaveState {
+    fn remaining(&self) -> impl Iterator<Item = &String> {
+        self.request.vms.iter().filter(|vm| !self.done.contains(*vm))
+    }
+
+    /// Returns the time left for choosing VMs.
+    fn left_ms(&self, now: Now) -> u64 {
+        let end = self.since_ms + self.request.duration_ms;
+        end.saturating_sub(now.steady_ms + RESERVE_MS).max(1)
+    }
+
+    /// Returns how many more VMs may go down.
+    fn room(&self, vms: &BTreeMap<String, ManagedVm>) -> usize {
+        // Some may be down by a former holder's order.
+        let others = self.request.vms.iter().filter(|name| {
+            !self.down.contains_key(*name)
+                && !self.ordered.contains_key(*name)
+                && vms
+                    .get(*name)
+                    .is_some_and(|vm| vm.life == VmLife::Maintenance)
+        });
+        let down = self.down.len() + self.ordered.len() + others.count();
+        self.request.max_down.saturating_sub(down)
+    }
+
+    /// Returns whether an order for the VM is under way.
+    fn is_waiting(&self, vm: &str, now: Now) -> bool {
+        self.ordered
+            .get(vm)
+            .is_some_and(|sent| now.steady_ms < sent + ORDER_RETRY_MS)
+    }
+
+    /// Notes which VMs are back.
+    fn settle(&mut self, asked_ms: u64, vms: &BTreeMap<String, ManagedVm>) {
+        self.down.retain(|name, down| {
+            let Some(vm) = vms.get(name) else { return false };
+            let back = vm.life == VmLife::Up && vm.worker != down.life;
+            !(back && asked_ms > down.since_ms)
+        });
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -86,6 +86,7 @@
         WorkerListing,
     },
     scheduler::{Changes, Scheduler},
+    vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRequest},
 };
 
 use {
@@ -94,10 +95,13 @@
 };
 
 mod board;
+mod maintenance;
 mod order;
 mod place;
 mod report;
 mod scheduler;
+mod sizing;
+mod vm;
 mod worker;
 
 /// The two clocks of an event.
@@ -286,6 +290,15 @@
         /// How many runs it had.
         runs: usize,
     },
+    /// A worker gets nothing more, so that its VM can be used otherwise.
+    Emptying {
+        /// The worker.
+        worker: WorkerId,
+        /// Its VM.
+        vm: String,
+        /// What for.
+        reason: &'static str,
+    },
     /// A worker's life is over.
     WorkerGone {
         /// The worker.
@@ -323,6 +336,7 @@
     pub(crate) max_suspension_doublings: u32,
     pub(crate) kept_ms: u64,
     pub(crate) directory_settle_ms: u64,
+    pub(crate) duty_gap_ms: u64,
 }
 
 impl Default for Options {
@@ -354,6 +368,8 @@
             // Workers are back in the directory some 2 s after the store
             // is, and the holder was there no later.
             directory_settle_ms: 3_000,
+            // As long as the operator keeps two holders apart.
+            duty_gap_ms: 3_000,
         }
     }
 }
@@ -378,6 +394,13 @@
         self
     }
 
+    /// Sets how long after a takeover nothing is ordered of the VM service,
+    /// in milliseconds.
+    pub fn duty_gap_ms(mut self, duty_gap_ms: u64) -> Options {
+        self.duty_gap_ms = duty_gap_ms;
+        self
+    }
+
     /// Sets how long the keys of a finished job are kept, in milliseconds.
     pub fn kept_ms(mut self, kept_ms: u64) -> Options {
         self.kept_ms = kept_ms;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -198,12 +198,24 @@
         now: Now,
     ) -> Result<WorkerId, NotNow> {
         let job = &self.jobs[&task.job];
-        let Some(state) = job.task(task) else { return Err(NotNow::NoRoom) };
         let inherited = job.revision < self.lease_revision;
         let pool = job.terms.pool.as_str();
         if inherited && !spec.may_duplicate && self.may_run_unseen(pool, now) {
             return Err(NotNow::Unaccounted);
         }
+        let best = self.best_worker(spec, task, now);
+        best.map(|worker| worker.id().clone()).ok_or(NotNow::NoRoom)
+    }
+
+    /// Returns the worker that suits a task best.
+    fn best_worker(
+        &self,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> Option<&Worker> {
+        let job = self.jobs.get(&task.job)?;
+        let state = job.task(task)?;
         let demand = demand(spec);
         let suits = |worker: &&Worker| {
             worker.listing.pool == job.terms.pool
@@ -216,10 +228,20 @@
                     || worker.runs_of_step(task)
                         < spec.max_per_worker as usize)
         };
-        let best = self.workers.values().filter(suits).max_by_key(|worker| {
+        self.workers.values().filter(suits).max_by_key(|worker| {
             (self.score(worker, spec, &demand), worker.id())
-        });
-        best.map(|worker| worker.id().clone()).ok_or(NotNow::NoRoom)
+        })
+    }
+
+    /// Returns where a task that runs could run instead.
+    pub(super) fn place_for(
+        &self,
+        task: &TaskId,
+        now: Now,
+    ) -> Option<&WorkerId> {
+        let job = self.jobs.get(&task.job)?;
+        let spec = job.step_spec(task)?;
+        self.best_worker(spec, task, now).map(Worker::id)
     }
 
     /// Returns whether a worker wasn't asked yet that may run what a former
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -94,7 +94,7 @@
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let here = worker.runs.get(&task).is_some_and(|r| r.run == end.run);
         if here {
-            worker.remove(&task);
+            worker.remove(&task, now.steady_ms);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let failures = note_end(job, worker_id, end);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -2,10 +2,12 @@
     crate::{
         job::{JobId, Phase, Progress, TaskId},
         schedule::{
-            AcceptedJob, Action, Decision, Held, Now, Options, OrderError,
-            PaceOrder, QueueTerms, Refusal, StopOrder, WorkerId,
-            WorkerListing,
+            AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
+            OrderError, PaceOrder, QueueTerms, Refusal, StopOrder, VmOrder,
+            WorkerId, WorkerListing,
             board::Job,
+            maintenance::WaveState,
+            sizing::{Moving, PoolLoad},
             worker::{OwedHold, RunState, Worker},
         },
     },
@@ -32,6 +34,15 @@
     pub(super) lives_known: bool,
     /// When the directory was first read; 0 for not yet.
     first_listed_ms: u64,
+    taken_over_ms: u64,
+    pub(super) waves: BTreeMap<u64, WaveState>,
+    pub(super) vms: BTreeMap<String, ManagedVm>,
+    pub(super) moving: BTreeMap<String, Moving>,
+    /// Moves that the VM service will never take.
+    pub(super) refused_moves: BTreeSet<(String, String)>,
+    pub(super) serving_pools: BTreeSet<String>,
+    pub(super) free_pools: BTreeSet<String>,
+    pub(super) pool_loads: BTreeMap<String, PoolLoad>,
 }
 
 /// What must be stored before ends may be acknowledged.
@@ -59,6 +70,14 @@
             ended_lives: BTreeSet::new(),
             lives_known: false,
             first_listed_ms: 0,
+            taken_over_ms: 0,
+            waves: BTreeMap::new(),
+            vms: BTreeMap::new(),
+            moving: BTreeMap::new(),
+            refused_moves: BTreeSet::new(),
+            serving_pools: BTreeSet::new(),
+            free_pools: BTreeSet::new(),
+            pool_loads: BTreeMap::new(),
         }
     }
 
@@ -240,18 +259,24 @@
         self.note(Decision::WorkerGone { worker: id.clone(), reason });
     }
 
-    /// Returns the workers that have been silent for some time and what is
-    /// owed to them depends on whether they still live.
-    pub fn silent_workers(
-        &self,
-        now: Now,
-        silent_ms: u64,
-    ) -> impl Iterator<Item = (&WorkerId, &str)> {
-        self.workers.values().filter_map(move |worker| {
-            let since = worker.silent_since_ms?;
-            let long = now.steady_ms >= since + silent_ms;
-            long.then_some((worker.id(), worker.listing.vm.as_str()))
-        })
+    /// Returns what is to be ordered of the VM service now.
+    ///
+    /// Call it only while the lease is certainly held: these orders are
+    /// carried out whoever sends them.
+    pub fn plan_vms(&mut self, now: Now) -> Vec<VmOrder> {
+        let mut orders = Vec::new();
+        if self.taken_over_ms == 0 {
+            self.taken_over_ms = now.steady_ms;
+        }
+        let from_ms = self.taken_over_ms + self.options.duty_gap_ms;
+        if self.superseded || now.steady_ms < from_ms {
+            return orders;
+        }
+        self.measure_pools(now);
+        self.maintain(now, &mut orders);
+        self.size_pools(now, &mut orders);
+        self.empty_workers(now);
+        orders
     }
 
     /// Returns what is to be done now.
@@ -503,7 +528,7 @@
         now: Now,
     ) {
         if let Some(worker) = self.workers.get_mut(worker_id) {
-            worker.remove(task);
+            worker.remove(task, now.steady_ms);
         }
         self.free_task(task, worker_id, now);
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -3,6 +3,7 @@
         job::{JobId, TaskId},
         schedule::{
             HoldOrder, HoldReport, Options, Room, WorkerId, WorkerListing,
+            maintenance::Purpose,
         },
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -109,8 +110,13 @@
     failed_jobs: BTreeSet<JobId>,
     suspended_until_ms: u64,
     suspensions: u32,
-    /// Whether it is to be emptied for maintenance or a move.
-    pub(crate) emptying: bool,
+    /// Why it is being emptied, if it is.
+    pub(crate) emptying: Option<Purpose>,
+    pub(crate) emptying_since_ms: u64,
+    /// Since when nothing has run on it.
+    pub(crate) idle_since_ms: u64,
+    /// When it was first seen.
+    pub(crate) first_listed_ms: u64,
     /// Whether the directory still lists it.
     pub(crate) listed: bool,
 }
@@ -151,7 +157,10 @@
             failed_jobs: BTreeSet::new(),
             suspended_until_ms: 0,
             suspensions: 0,
-            emptying: false,
+            emptying: None,
+            emptying_since_ms: 0,
+            idle_since_ms: now_ms,
+            first_listed_ms: now_ms,
             listed: !listed_nowhere,
         }
     }
@@ -180,9 +189,16 @@
         }
     }
 
-    pub(crate) fn remove(&mut self, task: &TaskId) -> Option<Run> {
+    pub(crate) fn remove(
+        &mut self,
+        task: &TaskId,
+        now_ms: u64,
+    ) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.used.subtract(&run.demand);
+        if self.runs.is_empty() {
+            self.idle_since_ms = now_ms;
+        }
         Some(run)
     }
 
@@ -199,7 +215,7 @@
             && self.synced
             && self.listed
             && !self.listing.draining
-            && !self.emptying
+            && self.emptying.is_none()
             && self.silent_since_ms.is_none()
             && (now_ms >= self.suspended_until_ms)
             && (self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND
@@ -342,6 +358,14 @@
         }
     }
 
+    /// Returns whether nothing runs on it, nothing may start any more, and
+    /// it was told that its ends are stored.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.runs.is_empty()
+            && !self.fencing
+            && self.acknowledged >= self.seen_end
+    }
+
     /// Takes note of an end; returns false if it was known already.
     pub(crate) fn see_end(&mut self, number: u64) -> bool {
         let new = number > self.seen_end;
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -54,6 +54,10 @@
             info!(log, "worker: answers"; "worker" => %worker,
                 "runs" => runs);
         }
+        Decision::Emptying { worker, vm, reason } => {
+            info!(log, "worker: emptied"; "worker" => %worker, "vm" => vm,
+                "reason" => reason);
+        }
         Decision::WorkerGone { worker, reason } => {
             warn!(log, "worker: gone"; "worker" => %worker,
                 "reason" => reason);
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -75,7 +75,6 @@
     pub(super) readiness: Readiness,
     pub(super) stopping: watch::Receiver<bool>,
     pub(super) min_lease_ms: u64,
-    pub(super) duty_gap_ms: u64,
     pub(super) options: Options,
     pub(super) log: Logger,
 }
@@ -187,7 +186,7 @@
         info!(self.log, "election: this node schedules";
             "revision" => held.revision, "lease_ms" => held.lease_ms);
         counters::count(counters::TAKEOVERS);
-        let loaded = load(&self.store, &self.log).await;
+        let loaded = load(&self.store, &self.fleet, &self.log).await;
         let outcome = match loaded {
             Ok(loaded) => holder::run(self, held, loaded).await,
             Err(error) => {
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -16,7 +16,7 @@
 
 use {
     super::{
-        decisions,
+        decisions, duties,
         election::{Candidate, Held},
         keys,
         orders,
@@ -29,17 +29,16 @@
     dewspar::{
         job::{JobId, TaskId},
         schedule::{
-            Changes, Held as SentHold, HoldReport, Now, OrderError,
-            Scheduler, WorkerId, WorkerListing,
+            Changes, Held as SentHold, HoldReport, ManagedVm, Now,
+            OrderError, Scheduler, VmOrderError, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::{
-        Batch, Error, Expected, Fleet, JobWorkers, KeyValue, ManagedVm,
-        VmLife, Watch,
+        Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Watch,
     },
     slog::{Logger, info, warn},
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
     tokio::{
@@ -67,12 +66,8 @@
 /// The share of the lease after which it is renewed.
 const RENEWALS_A_LEASE: u64 = 4;
 
-/// How long a worker is silent before it is asked whether its VM lives, in
-/// milliseconds: a few times the time for an answer.
-const SILENT_MS: u64 = 600;
-
-/// How often the VM service is asked about silent workers.
-const VM_INTERVAL_MS: u64 = 500;
+/// How often the list of VMs is read.
+const VM_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How often the counts of waiting jobs are written, if they have changed,
 /// in milliseconds.
@@ -93,7 +88,23 @@
 pub(super) enum Event {
     Feed(Vec<FeedEvent>),
     Directory(Vec<WorkerListing>),
-    Vms(Vec<ManagedVm>),
+    Vms {
+        asked_ms: u64,
+        vms: Vec<ManagedVm>,
+    },
+    Maintained {
+        vm: String,
+        wave: u64,
+        result: Result<(), VmOrderError>,
+    },
+    Moved {
+        vm: String,
+        pool: String,
+        result: Result<(), VmOrderError>,
+    },
+    ReportFailed {
+        wave: u64,
+    },
     Renewed { sent_ms: u64 },
     LeaseGone,
     StartAnswered {
@@ -147,6 +158,7 @@
     ));
     tasks.spawn(renew(store.clone(), held, sender.clone()));
     tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
+    tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
     let scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     let mut holder = Holder {
@@ -161,7 +173,8 @@
         lost: None,
         pending: BTreeMap::new(),
         pending_written_ms: 0,
-        vms_asked_ms: 0,
+        done: loaded.done,
+        completed: loaded.completed,
         expired_ms: clock::now_ms(),
     };
     holder.take_feed(loaded.feed);
@@ -183,7 +196,10 @@
     lost: Option<&'static str>,
     pending: BTreeMap<String, u64>,
     pending_written_ms: u64,
-    vms_asked_ms: u64,
+    /// The VMs that former holders have maintained, wave by wave.
+    done: BTreeMap<u64, BTreeSet<String>>,
+    /// The waves that were reported as completed before.
+    completed: Vec<u64>,
     expired_ms: u64,
 }
 
@@ -230,7 +246,19 @@
             Event::Directory(listings) => {
                 scheduler.list_workers(now, listings);
             }
-            Event::Vms(vms) => self.take_vms(&vms, now),
+            Event::Vms { asked_ms, vms } => {
+                scheduler.list_vms(now, asked_ms, &vms);
+            }
+            Event::Maintained { vm, wave, result } => {
+                scheduler.maintenance_answered(&vm, wave, result, now);
+                if result.is_ok() {
+                    self.write_done(wave);
+                }
+            }
+            Event::Moved { vm, pool, result } => {
+                scheduler.move_answered(&vm, &pool, result, now);
+            }
+            Event::ReportFailed { wave } => scheduler.report_failed(wave),
             Event::Renewed { sent_ms } => {
                 self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
             }
@@ -294,27 +322,10 @@
         }
     }
 
-    fn take_vms(&mut self, vms: &[ManagedVm], now: Now) {
-        let silent: Vec<(WorkerId, String)> = self
-            .scheduler
-            .silent_workers(now, SILENT_MS)
-            .map(|(id, vm)| (id.clone(), vm.to_owned()))
-            .collect();
-        let lives = vms.iter().filter(|vm| vm.life == VmLife::Up);
-        let lives = lives.filter_map(|vm| {
-            vm.worker.clone().map(|worker| (worker, vm.pool.clone()))
-        });
-        self.scheduler.expect_workers(now, lives);
-        for (id, name) in silent {
-            let vm = vms.iter().find(|vm| vm.vm == name);
-            let lives = vm.is_some_and(|vm| {
-                vm.life == VmLife::Up && vm.worker.as_ref() == Some(&id)
-            });
-            // One whose VM isn't known can't be judged.
-            if !lives && !name.is_empty() {
-                let reason = "the VM service says that it ended";
-                self.scheduler.worker_gone(&id, reason, now);
-            }
+    fn write_done(&self, wave: u64) {
+        if let Some(done) = self.scheduler.wave_done(wave) {
+            let batch = duties::done_batch(self.held.revision, wave, done);
+            self.write(batch, "maintained VMs");
         }
     }
 
@@ -342,7 +353,7 @@
     /// Plans once and sets going what is wanted.
     fn act(&mut self) -> Option<Outcome> {
         let now = now();
-        self.configure();
+        self.configure(now);
         let actions = self.scheduler.plan(now);
         let decisions = self.scheduler.take_decisions();
         for decision in &decisions {
@@ -363,18 +374,24 @@
         }
         self.store_changes();
         self.write_pending(now);
-        self.ask_about_silent(now);
+        self.order_vms(now);
         self.delete_expired(now);
         None
     }
 
-    fn configure(&mut self) {
+    fn configure(&mut self, now: Now) {
         let reading = self.candidate.reader.borrow();
+        let waves = &reading.intent.waves;
+        let completed = &self.completed;
+        self.scheduler.request_waves(now, waves, &self.done, completed);
         let Some(queues) = &reading.intent.queues else { return };
         if self.configured == Some(queues.version()) {
             return;
         }
         self.configured = Some(queues.version());
+        let serving = queues.queues().iter().map(|q| q.terms.pool.clone());
+        let free = queues.free_pools().iter().cloned();
+        self.scheduler.configure_pools(serving.collect(), free.collect());
         let queues = queues.queues().iter();
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
     }
@@ -461,24 +478,40 @@
         });
     }
 
-    fn ask_about_silent(&mut self, now: Now) {
-        let due = now.steady_ms >= self.vms_asked_ms + VM_INTERVAL_MS;
-        let silent = self.scheduler.silent_workers(now, SILENT_MS).next();
-        let wanted = self.scheduler.wants_lives() || silent.is_some();
-        if !due || !wanted {
+    /// Orders what the VM service is to do, while the lease is certain.
+    fn order_vms(&mut self, now: Now) {
+        let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
+        if now.steady_ms >= lease_over_ms {
             return;
         }
-        self.vms_asked_ms = now.steady_ms;
-        let fleet = self.candidate.fleet.clone();
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            match fleet.vms().await {
-                Ok(vms) => {
-                    let _ = sender.send(Event::Vms(vms)).await;
+        let candidate = self.candidate;
+        for order in self.scheduler.plan_vms(now) {
+            duties::send(
+                &candidate.fleet,
+                &candidate.node,
+                self.held.revision,
+                order,
+                &self.sender,
+                &candidate.log,
+            );
+        }
+    }
+}
+
+/// Reads the list of VMs again and again.
+async fn read_vms<F: Fleet>(fleet: F, sender: mpsc::Sender<Event>) {
+    loop {
+        let asked_ms = clock::now_ms();
+        match fleet.vms().await {
+            Ok(vms) => {
+                let event = Event::Vms { asked_ms, vms };
+                if sender.send(event).await.is_err() {
+                    return;
                 }
-                Err(error) => counters::platform_failure(&error),
             }
-        });
+            Err(error) => counters::platform_failure(&error),
+        }
+        sleep(VM_INTERVAL).await;
     }
 }
 
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -16,6 +16,9 @@
 /// How far jobs have come.
 pub(super) const PROGRESS: &str = "run/";
 
+/// Which VMs the waves have maintained.
+pub(super) const WAVES: &str = "wave/";
+
 /// Each queue's waiting jobs.
 pub(super) const PENDING: &str = "pending";
 
@@ -60,3 +63,12 @@
 pub(super) fn job_of_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
 }
+
+pub(super) fn wave(wave: u64) -> String {
+    format!("{WAVES}{wave}")
+}
+
+/// Reads the wave's number from a key of [`WAVES`].
+pub(super) fn wave_of(key: &str) -> Option<u64> {
+    key.strip_prefix(WAVES)?.parse().ok()
+}
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -112,10 +112,10 @@
             readiness,
             stopping: stopped,
             min_lease_ms: timing.min_store_lease_ms,
-            duty_gap_ms: timing.duty_gap_ms,
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
                 .kept_ms(timing.kept_ms)
+                .duty_gap_ms(timing.duty_gap_ms)
                 .detached_ms(holder::DETACHED_MS),
             log: logs::part(&log, "scheduler"),
         };
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -7,17 +7,23 @@
 */
 
 use {
-    super::keys::{self, FeedKey},
+    super::{
+        duties::load_done,
+        keys::{self, FeedKey},
+    },
     crate::counters,
     dewspar::{
         job::{JobId, Progress},
         schedule::{AcceptedJob, Changes},
     },
     dewspar_platform::{
-        Batch, Commit, Error, Event, Expected, KeyValue, Versioned,
+        Batch, Commit, Error, Event, Expected, Fleet, KeyValue, Versioned,
     },
     slog::{Logger, warn},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -48,11 +54,16 @@
     pub(super) feed: Vec<FeedEvent>,
     pub(super) progress: BTreeMap<JobId, Progress>,
     pub(super) versions: BTreeMap<JobId, u64>,
+    /// The VMs that former holders have maintained, wave by wave.
+    pub(super) done: BTreeMap<u64, BTreeSet<String>>,
+    /// The waves that were reported as completed.
+    pub(super) completed: Vec<u64>,
 }
 
 /// Loads every job that isn't over, and how far each has come.
-pub(super) async fn load<K: KeyValue>(
+pub(super) async fn load<K: KeyValue, F: Fleet>(
     store: &K,
+    fleet: &F,
     log: &Logger,
 ) -> Result<Loaded, Error> {
     let (_, stored) = store.list(keys::PROGRESS).await?;
@@ -70,7 +81,9 @@
         }
     }
     let (version, feed) = load_feed(store, log).await?;
-    Ok(Loaded { version, feed, progress, versions })
+    let done = load_done(store, log).await?;
+    let completed = fleet.completed_waves().await?;
+    Ok(Loaded { version, feed, progress, versions, done, completed })
 }
 
 /// Reads the feed outright.
