--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -18,6 +18,8 @@
     pub(crate) phase: Phase,
     pub(crate) finished_at_ms: u64,
     pub(crate) rounds: Vec<Vec<Step>>,
+    /// The newest change that is in the store.
+    pub(crate) stored_sequence: u64,
 }
 
 #[derive(Debug)]
@@ -62,6 +64,7 @@
             accepted_at_ms,
             phase: Phase::Queued,
             finished_at_ms: 0,
+            stored_sequence: 0,
         }
     }
 
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -96,7 +96,11 @@
         if here {
             worker.remove(&task, now.steady_ms);
         }
-        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            // Of a job that is over and stored: nothing more to store.
+            self.acknowledge(worker_id, end, 0, now);
+            return;
+        };
         let failures = note_end(job, worker_id, end);
         self.note(Decision::Ended {
             task,
@@ -113,13 +117,31 @@
             | EndCause::GangBroken
             | EndCause::GangIncomplete => {}
         }
-        self.mark_changed(task.job);
+        let sequence = self.mark_changed(task.job);
+        self.acknowledge(worker_id, end, sequence, now);
         if here {
             self.free_run(&task, worker_id, now);
         }
         self.finish_if_over(&task, failures, now);
     }
 
+    /// Queues an end to be acknowledged once its change is stored.
+    fn acknowledge(
+        &mut self,
+        worker_id: &WorkerId,
+        end: &EndedRun,
+        sequence: u64,
+        now: Now,
+    ) {
+        let jobs = &self.jobs;
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.end_changes(end.number, end.task.job, sequence);
+            worker.store_ends(now.steady_ms, |job, sequence| {
+                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+            });
+        }
+    }
+
     fn task_done(&mut self, worker_id: &WorkerId, task: &TaskId, now: Now) {
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.task_done();
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -23,6 +23,10 @@
     pub(super) jobs: BTreeMap<JobId, Job>,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     changed: BTreeSet<JobId>,
+    /// Jobs whose progress is being stored.
+    storing: BTreeSet<JobId>,
+    /// How many changes there were.
+    sequence: u64,
     /// Final jobs whose keys are still kept, with when they became final.
     finished: BTreeMap<JobId, u64>,
     decisions: Vec<Decision>,
@@ -50,7 +54,8 @@
 pub struct Changes {
     /// The progress of the jobs that changed.
     pub progress: Vec<(JobId, Progress)>,
-    ends: Vec<(WorkerId, u64)>,
+    /// The newest change that is in it.
+    sequence: u64,
 }
 
 impl Scheduler {
@@ -64,6 +69,8 @@
             jobs: BTreeMap::new(),
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
+            storing: BTreeSet::new(),
+            sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
             superseded: false,
@@ -292,53 +299,74 @@
         actions
     }
 
-    /// Takes what changed since the last call, at most `most` jobs.
+    /// Takes what changed and isn't being stored, at most `most` jobs; those
+    /// that are over come first, since callers wait for them.
     ///
-    /// Call [`Scheduler::changes_stored`] once the store has it.
+    /// Call [`Scheduler::changes_stored`] or [`Scheduler::changes_failed`]
+    /// once the outcome is known. Several may be under way at a time: no job
+    /// is in two of them.
     pub fn take_changes(&mut self, most: usize) -> Changes {
-        let ids: Vec<JobId> =
-            self.changed.iter().take(most).copied().collect();
-        let mut progress = Vec::with_capacity(ids.len());
-        for id in ids {
+        let mut ids: Vec<(bool, JobId)> = self
+            .changed
+            .difference(&self.storing)
+            .filter_map(|id| {
+                let job = self.jobs.get(id)?;
+                Some((!job.phase.is_final(), *id))
+            })
+            .collect();
+        ids.sort_unstable();
+        let mut progress = Vec::new();
+        for (_, id) in ids.into_iter().take(most) {
             self.changed.remove(&id);
+            self.storing.insert(id);
             if let Some(job) = self.jobs.get(&id) {
                 progress.push((id, job.progress()));
             }
         }
-        // While some jobs are left out, so may the ends of their tasks be.
-        let ends = if self.changed.is_empty() {
-            let seen = |w: &Worker| (w.id().clone(), w.seen_end());
-            self.workers.values().map(seen).collect()
-        } else {
-            Vec::new()
-        };
-        Changes { progress, ends }
+        Changes { progress, sequence: self.sequence }
     }
 
-    /// Returns whether there is anything to store.
+    /// Returns whether there is anything to store that isn't being stored.
     pub fn has_changes(&self) -> bool {
-        !self.changed.is_empty()
+        self.changed.difference(&self.storing).next().is_some()
+    }
+
+    /// Returns whether a job that is over waits to be stored.
+    pub fn has_final_changes(&self) -> bool {
+        let mut waiting = self.changed.difference(&self.storing);
+        waiting.any(|id| {
+            self.jobs.get(id).is_some_and(|job| job.phase.is_final())
+        })
     }
 
     /// Notes that changes are in the store.
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
+            self.storing.remove(id);
             if progress.phase.is_final() {
                 self.finished.insert(*id, progress.finished_at_ms);
                 self.jobs.remove(id);
+                self.changed.remove(id);
+            } else if let Some(job) = self.jobs.get_mut(id) {
+                job.stored_sequence = changes.sequence;
             }
         }
-        for (id, end) in &changes.ends {
-            if let Some(worker) = self.workers.get_mut(id) {
-                worker.stored(*end, now.steady_ms);
-            }
+        let jobs = &self.jobs;
+        for worker in self.workers.values_mut() {
+            worker.store_ends(now.steady_ms, |job, sequence| {
+                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+            });
         }
     }
 
     /// Puts changes back that couldn't be stored.
     pub fn changes_failed(&mut self, changes: &Changes) {
-        let ids = changes.progress.iter().map(|(id, _)| *id);
-        self.changed.extend(ids.filter(|id| self.jobs.contains_key(id)));
+        for (id, _) in &changes.progress {
+            self.storing.remove(id);
+            if self.jobs.contains_key(id) {
+                self.changed.insert(*id);
+            }
+        }
     }
 
     /// Takes finished jobs whose keys need no longer be kept.
@@ -494,7 +522,7 @@
         for (task, worker) in placed {
             self.stop_run(&task, &worker, phase.name());
         }
-        self.changed.insert(id);
+        self.mark_changed(id);
         self.note(Decision::Job { job: id, phase, after_ms });
     }
 
@@ -568,8 +596,14 @@
         self.decisions.push(decision);
     }
 
-    pub(super) fn mark_changed(&mut self, id: JobId) {
-        self.changed.insert(id);
+    /// Notes that a job's progress is to be stored; returns the change's
+    /// number.
+    pub(super) fn mark_changed(&mut self, id: JobId) -> u64 {
+        self.sequence += 1;
+        if self.jobs.contains_key(&id) {
+            self.changed.insert(id);
+        }
+        self.sequence
     }
 
     /// Drops workers whose lease is over for certain, and those that left
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -6,7 +6,7 @@
             maintenance::Purpose,
         },
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
 /// Room in a fencing token for the orders of one lease holder that had to
@@ -81,6 +81,14 @@
     at_ms: u64,
 }
 
+/// An end whose change isn't stored yet.
+#[derive(Clone, Copy, Debug)]
+struct UnstoredEnd {
+    number: u64,
+    job: JobId,
+    sequence: u64,
+}
+
 /// One worker as the holder of the scheduler lease sees it.
 #[derive(Debug)]
 pub(crate) struct Worker {
@@ -98,6 +106,7 @@
     seen_end: u64,
     stored_end: u64,
     acknowledged: u64,
+    unstored: VecDeque<UnstoredEnd>,
     clock: Option<ClockReading>,
     latest_report_ms: u64,
     /// When everything on it is certainly over unless the lease is renewed.
@@ -147,6 +156,7 @@
             seen_end: 0,
             stored_end: 0,
             acknowledged: 0,
+            unstored: VecDeque::new(),
             clock: None,
             latest_report_ms: 0,
             lease_over_ms: now_ms + options.inherited_lease_ms(),
@@ -373,15 +383,30 @@
         new
     }
 
-    pub(crate) fn seen_end(&self) -> u64 {
-        self.seen_end
+    /// Notes that an end is part of a change that isn't stored yet.
+    pub(crate) fn end_changes(
+        &mut self,
+        number: u64,
+        job: JobId,
+        sequence: u64,
+    ) {
+        self.unstored.push_back(UnstoredEnd { number, job, sequence });
     }
 
-    /// Notes that every end up to `number` is stored.
-    pub(crate) fn stored(&mut self, number: u64, now_ms: u64) {
-        if number > self.stored_end {
-            self.stored_end = number;
+    /// Moves on what may be acknowledged: the ends, in their order, whose
+    /// change is stored.
+    pub(crate) fn store_ends(
+        &mut self,
+        now_ms: u64,
+        is_stored: impl Fn(JobId, u64) -> bool,
+    ) {
+        while let Some(end) = self.unstored.front() {
+            if !is_stored(end.job, end.sequence) {
+                return;
+            }
+            self.stored_end = end.number;
             self.next_hold_ms = now_ms;
+            self.unstored.pop_front();
         }
     }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -55,11 +55,19 @@
 const EVENTS_A_PLAN: usize = 256;
 
 /// How often the scheduler plans without any event.
-const TICK: Duration = Duration::from_millis(50);
+const TICK: Duration = Duration::from_millis(25);
 
 /// How often the directory of workers is read.
 const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
 
+/// How many writes of progress may be under way at once: a slow store still
+/// takes what some 50 jobs a second change.
+const MAX_WRITES: usize = 8;
+
+/// How long changes of jobs that go on are gathered, in milliseconds; those
+/// of jobs that are over are written at once.
+const GATHER_MS: u64 = 20;
+
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -168,7 +176,8 @@
         versions: loaded.versions,
         restored: loaded.progress,
         sender,
-        storing: false,
+        writes: 0,
+        stored_ms: 0,
         configured: None,
         lost: None,
         pending: BTreeMap::new(),
@@ -191,7 +200,9 @@
     /// What a former holder stored of the jobs that are being taken over.
     restored: BTreeMap<JobId, dewspar::job::Progress>,
     sender: mpsc::Sender<Event>,
-    storing: bool,
+    /// How many writes of progress are under way.
+    writes: usize,
+    stored_ms: u64,
     configured: Option<u64>,
     lost: Option<&'static str>,
     pending: BTreeMap<String, u64>,
@@ -335,7 +346,7 @@
         stored: &Stored,
         now: Now,
     ) {
-        self.storing = false;
+        self.writes -= 1;
         match stored {
             Stored::Done(version) => {
                 for (id, _) in &changes.progress {
@@ -372,7 +383,7 @@
         for action in actions {
             orders::send(&self.candidate.workers, action, &self.sender);
         }
-        self.store_changes();
+        self.store_changes(now);
         self.write_pending(now);
         self.order_vms(now);
         self.delete_expired(now);
@@ -396,12 +407,20 @@
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
     }
 
-    fn store_changes(&mut self) {
-        if self.storing || !self.scheduler.has_changes() {
-            return;
+    fn store_changes(&mut self, now: Now) {
+        let gathered = now.steady_ms >= self.stored_ms + GATHER_MS;
+        while self.writes < MAX_WRITES
+            && (self.scheduler.has_final_changes()
+                || gathered && self.scheduler.has_changes())
+        {
+            self.stored_ms = now.steady_ms;
+            self.writes += 1;
+            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+            self.store(changes);
         }
-        self.storing = true;
-        let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+    }
+
+    fn store(&self, changes: Changes) {
         let batch = batch_of(self.held.revision, &changes, &self.versions);
         let store = self.candidate.store.clone();
         let sender = self.sender.clone();
@@ -416,7 +435,7 @@
 
     /// Stores what isn't stored yet, before the lease is given up.
     async fn store_last(&mut self) {
-        while !self.storing && self.scheduler.has_changes() {
+        while self.scheduler.has_changes() {
             let changes = self.scheduler.take_changes(JOBS_A_WRITE);
             let batch =
                 batch_of(self.held.revision, &changes, &self.versions);
