--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -175,7 +175,8 @@
             if room == 0 {
                 break;
             }
-            if state.is_waiting(vm, now) || !self.is_empty_for(vm, wave) {
+            let free = !state.is_waiting(vm, now) && self.may_order(vm, now);
+            if !free || !self.is_empty_for(vm, wave) {
                 continue;
             }
             ready.push(vm.clone());
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -38,7 +38,11 @@
     pub(super) lives_known: bool,
     /// When the directory was first read; 0 for not yet.
     first_listed_ms: u64,
-    taken_over_ms: u64,
+    /// When changes of each VM were last ordered.
+    ordered_vms: BTreeMap<String, u64>,
+    /// From when changes of VMs may be ordered that a former holder touched.
+    vms_from_ms: BTreeMap<String, u64>,
+    all_vms_from_ms: u64,
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) vms: BTreeMap<String, ManagedVm>,
     pub(super) moving: BTreeMap<String, Moving>,
@@ -77,7 +81,9 @@
             ended_lives: BTreeSet::new(),
             lives_known: false,
             first_listed_ms: 0,
-            taken_over_ms: 0,
+            ordered_vms: BTreeMap::new(),
+            vms_from_ms: BTreeMap::new(),
+            all_vms_from_ms: 0,
             waves: BTreeMap::new(),
             vms: BTreeMap::new(),
             moving: BTreeMap::new(),
@@ -272,20 +278,54 @@
     /// carried out whoever sends them.
     pub fn plan_vms(&mut self, now: Now) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        if self.taken_over_ms == 0 {
-            self.taken_over_ms = now.steady_ms;
-        }
-        let from_ms = self.taken_over_ms + self.options.duty_gap_ms;
-        if self.superseded || now.steady_ms < from_ms {
+        if self.superseded {
             return orders;
         }
         self.measure_pools(now);
         self.maintain(now, &mut orders);
         self.size_pools(now, &mut orders);
         self.empty_workers(now);
+        for order in &orders {
+            if let VmOrder::Maintain { vm, .. } | VmOrder::Move { vm, .. } =
+                order
+            {
+                self.ordered_vms.insert(vm.clone(), now.steady_ms);
+            }
+        }
         orders
     }
 
+    /// Returns the VMs of which changes were ordered a short while ago; the
+    /// next holder must leave them alone at first.
+    pub fn ordered_vms(&mut self, now: Now) -> BTreeSet<&str> {
+        let gap_ms = self.options.duty_gap_ms;
+        self.ordered_vms.retain(|_, at| now.steady_ms <= *at + gap_ms);
+        self.ordered_vms.keys().map(String::as_str).collect()
+    }
+
+    /// Orders nothing of these VMs for a while, because a former holder
+    /// just has; `None` stands for all.
+    pub fn leave_vms_alone(
+        &mut self,
+        now: Now,
+        vms: Option<BTreeSet<String>>,
+    ) {
+        let until_ms = now.steady_ms + self.options.duty_gap_ms;
+        match vms {
+            None => self.all_vms_from_ms = until_ms,
+            Some(vms) => {
+                let untils = vms.into_iter().map(|vm| (vm, until_ms));
+                self.vms_from_ms.extend(untils);
+            }
+        }
+    }
+
+    /// Returns whether changes of a VM may be ordered.
+    pub(super) fn may_order(&self, vm: &str, now: Now) -> bool {
+        let from_ms = self.vms_from_ms.get(vm).copied().unwrap_or(0);
+        now.steady_ms >= from_ms.max(self.all_vms_from_ms)
+    }
+
     /// Returns what is to be done now.
     pub fn plan(&mut self, now: Now) -> Vec<Action> {
         if self.superseded {
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -138,7 +138,7 @@
             (load.used_cpu + load.waiting_cpu) * 100 / FULL_PERCENT;
         let mut have = load.capacity_cpu + load.coming_cpu;
         while have < wanted {
-            if let Some((vm, cpu)) = self.switched_off_vm(pool) {
+            if let Some((vm, cpu)) = self.switched_off_vm(pool, now) {
                 self.order_move(&vm, pool, now, orders);
                 have += cpu;
                 continue;
@@ -152,13 +152,18 @@
     }
 
     /// Returns a VM that is switched off and may move to the pool.
-    fn switched_off_vm(&self, pool: &str) -> Option<(String, u64)> {
+    fn switched_off_vm(
+        &self,
+        pool: &str,
+        now: Now,
+    ) -> Option<(String, u64)> {
         self.vms
             .values()
             .filter(|vm| self.free_pools.contains(&vm.pool))
             .filter(|vm| vm.life == VmLife::Up)
             .filter(|vm| !self.moving.contains_key(&vm.vm))
             .filter(|vm| !self.is_refused(&vm.vm, pool))
+            .filter(|vm| self.may_order(&vm.vm, now))
             .filter(|vm| !self.awaits_maintenance(&vm.vm))
             .map(|vm| (vm.vm.clone(), vm.capacity.cpu_millis))
             .next()
@@ -225,6 +230,7 @@
                 _ => None,
             })
             .filter(|(vm, _)| !self.moving.contains_key(vm))
+            .filter(|(vm, _)| self.may_order(vm, now))
             .collect();
         for (vm, pool) in ready {
             self.order_move(&vm, &pool, now, orders);
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -7,61 +7,125 @@
     crate::counters,
     dewspar::schedule::{VmOrder, VmOrderError},
     dewspar_platform::{
-        Batch, Error, Expected, Fleet, KeyValue, VmChange,
+        Batch, Commit, Error, Expected, Fleet, KeyValue, VmChange,
     },
     slog::{Logger, info, warn},
     std::collections::{BTreeMap, BTreeSet},
     tokio::sync::mpsc,
 };
 
-/// Sends an order and reports its result as an event.
-pub(super) fn send<F: Fleet>(
+/// Orders to send, once they are on record.
+pub(super) struct Burst {
+    /// The node that sends them.
+    pub(super) holder: String,
+    /// Their fencing token.
+    pub(super) fence: u64,
+    pub(super) orders: Vec<VmOrder>,
+    /// The write that records which VMs they are for.
+    pub(super) record: Batch,
+}
+
+/// Records orders and sends them; results come back as events.
+///
+/// The record tells the next holder which VMs to leave alone for a while,
+/// and its condition shows that this node still holds the lease.
+pub(super) fn send<K: KeyValue, F: Fleet>(
+    store: &K,
     fleet: &F,
-    holder: &str,
-    fence: u64,
-    order: VmOrder,
+    burst: Burst,
     events: &mpsc::Sender<Event>,
     log: &Logger,
 ) {
-    let fleet = fleet.clone();
-    let events = events.clone();
-    let holder = holder.to_owned();
-    let log = log.clone();
+    let (store, fleet) = (store.clone(), fleet.clone());
+    let (events, log) = (events.clone(), log.clone());
     tokio::spawn(async move {
-        let change = |vm: &str| VmChange {
-            vm: vm.to_owned(),
-            holder: holder.clone(),
-            fence,
-        };
-        let event = match order {
-            VmOrder::Maintain { vm, wave } => {
-                let result = fleet.maintain(&change(&vm), wave).await;
-                record(&log, "maintain", &vm, &wave.to_string(), &result);
-                Event::Maintained { vm, wave, result }
-            }
-            VmOrder::Move { vm, pool } => {
-                let result = fleet.move_to(&change(&vm), &pool).await;
-                record(&log, "move", &vm, &pool, &result);
-                Event::Moved { vm, pool, result }
+        let recorded = match store.commit(&burst.record).await {
+            Ok(Commit::Done(_)) => true,
+            Ok(Commit::Conflict(_)) => {
+                let _ = events.send(Event::LeaseGone).await;
+                return;
             }
-            VmOrder::ReportCompleted { wave } => {
-                match fleet.report_wave(wave, true).await {
-                    Ok(()) => {
-                        info!(log, "wave: completed"; "wave" => wave);
-                        return;
-                    }
-                    Err(error) => {
-                        counters::platform_failure(&error);
-                        Event::ReportFailed { wave }
-                    }
-                }
+            Err(error) => {
+                counters::platform_failure(&error);
+                false
             }
         };
-        // A holder that is gone has no use for it.
-        let _ = events.send(event).await;
+        for order in burst.orders {
+            let change = Change {
+                holder: burst.holder.clone(),
+                fence: burst.fence,
+                recorded,
+            };
+            let sending =
+                send_one(fleet.clone(), change, order, log.clone());
+            let events = events.clone();
+            tokio::spawn(async move {
+                if let Some(event) = sending.await {
+                    // A holder that is gone has no use for it.
+                    let _ = events.send(event).await;
+                }
+            });
+        }
     });
 }
 
+/// Who orders a change to a VM.
+struct Change {
+    holder: String,
+    fence: u64,
+    recorded: bool,
+}
+
+impl Change {
+    fn of(&self, vm: &str) -> VmChange {
+        VmChange {
+            vm: vm.to_owned(),
+            holder: self.holder.clone(),
+            fence: self.fence,
+        }
+    }
+}
+
+async fn send_one<F: Fleet>(
+    fleet: F,
+    change: Change,
+    order: VmOrder,
+    log: Logger,
+) -> Option<Event> {
+    match order {
+        VmOrder::Maintain { vm, wave } => {
+            let result = if change.recorded {
+                fleet.maintain(&change.of(&vm), wave).await
+            } else {
+                Err(VmOrderError::NotDone)
+            };
+            record(&log, "maintain", &vm, &wave.to_string(), &result);
+            Some(Event::Maintained { vm, wave, result })
+        }
+        VmOrder::Move { vm, pool } => {
+            let result = if change.recorded {
+                fleet.move_to(&change.of(&vm), &pool).await
+            } else {
+                Err(VmOrderError::NotDone)
+            };
+            record(&log, "move", &vm, &pool, &result);
+            Some(Event::Moved { vm, pool, result })
+        }
+        VmOrder::ReportCompleted { wave } => {
+            match fleet.report_wave(wave, true).await {
+                Ok(()) => {
+                    info!(log, "wave: completed"; "wave" => wave);
+                    None
+                }
+                Err(error) => {
+                    counters::platform_failure(&error);
+                    Some(Event::ReportFailed { wave })
+                }
+            }
+        }
+    }
+}
+
 fn record(
     log: &Logger,
     order: &'static str,
@@ -98,6 +162,37 @@
     Ok(done)
 }
 
+/// Reads which VMs the former holder had ordered changes of when it last
+/// did; `None` where that can't be known.
+pub(super) async fn load_ordered<K: KeyValue>(
+    store: &K,
+    log: &Logger,
+) -> Result<Option<BTreeSet<String>>, Error> {
+    let Some(found) = store.get(keys::VM_ORDERS).await? else {
+        return Ok(Some(BTreeSet::new()));
+    };
+    match serde_json::from_slice(&found.value) {
+        Ok(vms) => Ok(Some(vms)),
+        Err(error) => {
+            warn!(log, "vm: record of orders can't be read";
+                "error" => %error);
+            Ok(None)
+        }
+    }
+}
+
+/// The write that records of which VMs changes are ordered.
+pub(super) fn ordered_batch(
+    lease_revision: u64,
+    vms: &BTreeSet<&str>,
+) -> Batch {
+    // OK because a list of texts can always be written.
+    let value = serde_json::to_vec(vms).expect("plain JSON");
+    Batch::default()
+        .when(keys::OWNER, Expected::Version(lease_revision))
+        .put(keys::VM_ORDERS, value)
+}
+
 /// The write that records which VMs of a wave are done.
 pub(super) fn done_batch(
     lease_revision: u64,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -16,7 +16,8 @@
 
 use {
     super::{
-        decisions, duties,
+        decisions,
+        duties::{self, Burst},
         election::{Candidate, Held},
         keys,
         orders,
@@ -167,8 +168,9 @@
     tasks.spawn(renew(store.clone(), held, sender.clone()));
     tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
     tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
-    let scheduler =
+    let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
+    scheduler.leave_vms_alone(now(), loaded.ordered);
     let mut holder = Holder {
         candidate,
         held,
@@ -503,17 +505,19 @@
         if now.steady_ms >= lease_over_ms {
             return;
         }
-        let candidate = self.candidate;
-        for order in self.scheduler.plan_vms(now) {
-            duties::send(
-                &candidate.fleet,
-                &candidate.node,
-                self.held.revision,
-                order,
-                &self.sender,
-                &candidate.log,
-            );
+        let orders = self.scheduler.plan_vms(now);
+        if orders.is_empty() {
+            return;
         }
+        let vms = self.scheduler.ordered_vms(now);
+        let burst = Burst {
+            holder: self.candidate.node.clone(),
+            fence: self.held.revision,
+            orders,
+            record: duties::ordered_batch(self.held.revision, &vms),
+        };
+        let Candidate { store, fleet, log, .. } = self.candidate;
+        duties::send(store, fleet, burst, &self.sender, log);
     }
 }
 
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -19,6 +19,9 @@
 /// Which VMs the waves have maintained.
 pub(super) const WAVES: &str = "wave/";
 
+/// The VMs of which the holder ordered changes of late.
+pub(super) const VM_ORDERS: &str = "vm-orders";
+
 /// Each queue's waiting jobs.
 pub(super) const PENDING: &str = "pending";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -20,6 +20,7 @@
 | `q/stop/JOB` | that the job is cancelled | the node that is asked to |
 | `run/JOB` | how far the job has come | the holder |
 | `pending` | each queue's waiting jobs | the holder |
+| `vm-orders` | the VMs of which changes were ordered of late | the holder |
 | `wave/N` | the VMs that a wave has maintained | the holder |
 
 The first three share a prefix, so that one watch tells them in the order of
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -8,7 +8,7 @@
 
 use {
     super::{
-        duties::load_done,
+        duties::{load_done, load_ordered},
         keys::{self, FeedKey},
     },
     crate::counters,
@@ -58,6 +58,9 @@
     pub(super) done: BTreeMap<u64, BTreeSet<String>>,
     /// The waves that were reported as completed.
     pub(super) completed: Vec<u64>,
+    /// The VMs of which the former holder ordered changes of late; `None`
+    /// where that can't be known.
+    pub(super) ordered: Option<BTreeSet<String>>,
 }
 
 /// Loads every job that isn't over, and how far each has come.
@@ -83,7 +86,16 @@
     let (version, feed) = load_feed(store, log).await?;
     let done = load_done(store, log).await?;
     let completed = fleet.completed_waves().await?;
-    Ok(Loaded { version, feed, progress, versions, done, completed })
+    let ordered = load_ordered(store, log).await?;
+    Ok(Loaded {
+        version,
+        feed,
+        progress,
+        versions,
+        done,
+        completed,
+        ordered,
+    })
 }
 
 /// Reads the feed outright.
