--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -326,6 +326,12 @@
             };
             return waited_ms >= patience_ms;
         }
+        // A stop that a former holder ordered may still be under way, and the
+        // task still be listed as at work.
+        let settled = self.taken_over_ms + self.options.stop_settle_ms;
+        if now.steady_ms < settled {
+            return false;
+        }
         let spare = spec.max_unavailable.max(1) as usize;
         let others_down = self.down_in_step(task, id);
         others_down < spare && self.has_other_place(task, id, now)
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -104,6 +104,10 @@
 mod vm;
 mod worker;
 
+/// Within what time after a takeover the workers are asked for the first
+/// time, in milliseconds.
+const ASKED_WITHIN_MS: u64 = 1_000;
+
 /// The two clocks of an event.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Now {
@@ -337,6 +341,7 @@
     pub(crate) kept_ms: u64,
     pub(crate) directory_settle_ms: u64,
     pub(crate) duty_gap_ms: u64,
+    pub(crate) stop_settle_ms: u64,
 }
 
 impl Default for Options {
@@ -370,6 +375,9 @@
             directory_settle_ms: 3_000,
             // As long as the operator keeps two holders apart.
             duty_gap_ms: 3_000,
+            // A stop takes up to 0.9 s, and workers are asked for the first
+            // time within a second of a takeover.
+            stop_settle_ms: 2_000,
         }
     }
 }
@@ -401,6 +409,12 @@
         self
     }
 
+    /// Sets how long a stop may take at a worker, in milliseconds.
+    pub fn stop_timeout_ms(mut self, stop_timeout_ms: u64) -> Options {
+        self.stop_settle_ms = stop_timeout_ms + ASKED_WITHIN_MS;
+        self
+    }
+
     /// Sets how long the keys of a finished job are kept, in milliseconds.
     pub fn kept_ms(mut self, kept_ms: u64) -> Options {
         self.kept_ms = kept_ms;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -36,8 +36,8 @@
     ended_lives: BTreeSet<WorkerId>,
     /// Whether every worker that may run something is among `workers`.
     pub(super) lives_known: bool,
-    /// When the directory was first read; 0 for not yet.
-    first_listed_ms: u64,
+    /// When the first worker was listed under this lease; 0 for not yet.
+    pub(super) taken_over_ms: u64,
     /// When changes of each VM were last ordered.
     ordered_vms: BTreeMap<String, u64>,
     /// From when changes of VMs may be ordered that a former holder touched.
@@ -80,7 +80,7 @@
             superseded: false,
             ended_lives: BTreeSet::new(),
             lives_known: false,
-            first_listed_ms: 0,
+            taken_over_ms: 0,
             ordered_vms: BTreeMap::new(),
             vms_from_ms: BTreeMap::new(),
             all_vms_from_ms: 0,
@@ -173,10 +173,10 @@
 
     /// Takes over the directory of workers.
     pub fn list_workers(&mut self, now: Now, listings: Vec<WorkerListing>) {
-        if self.first_listed_ms == 0 {
-            self.first_listed_ms = now.steady_ms;
+        if self.taken_over_ms == 0 {
+            self.taken_over_ms = now.steady_ms;
         }
-        let settled = self.first_listed_ms + self.options.directory_settle_ms;
+        let settled = self.taken_over_ms + self.options.directory_settle_ms;
         // Without the VM service, a directory that had time to fill must do.
         self.lives_known |= now.steady_ms >= settled;
         for worker in self.workers.values_mut() {
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -4,9 +4,9 @@
     dewspar::{
         job::{JobId, JobSpec, Phase, StepSpec},
         schedule::{
-            AcceptedJob, Action, Held, HoldReport, Now, Options,
+            AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
             OrderError, QueueTerms, Refusal, Room, Scheduler, StartOrder,
-            WorkerId, WorkerListing,
+            VmLife, VmOrder, WaveRequest, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -375,3 +375,115 @@
     };
     assert_eq!(held.order().acknowledged, 1);
 }
+
+/// A world in which a long-running step of four tasks runs on five workers
+/// and all of their VMs are to be maintained.
+fn world_with_wave(revision: u64) -> World {
+    let mut world = World::new(revision, &["w1", "w2", "w3", "w4", "w5"]);
+    world.list();
+    world.expect_all();
+    world.fate = Fate::endless();
+    let long = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        max_unavailable: 1,
+        ..step(4)
+    };
+    world.scheduler.submit(id(1), job(vec![long]), 3, None);
+    world.run_for(500);
+    assert_eq!(world.running().len(), 4);
+    world
+}
+
+fn managed(listing: &WorkerListing) -> ManagedVm {
+    ManagedVm {
+        vm: listing.vm.clone(),
+        pool: listing.pool.clone(),
+        life: VmLife::Up,
+        hall: "hall-1".to_owned(),
+        capacity: listing.capacity,
+        worker: Some(listing.id.clone()),
+    }
+}
+
+fn request_wave(world: &mut World) {
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let request = WaveRequest {
+        wave: 1,
+        vms: vms.iter().map(|vm| vm.vm.clone()).collect(),
+        duration_ms: 10_000,
+        max_down: 3,
+    };
+    let now = at(world.now_ms);
+    let (scheduler, none) = (&mut world.scheduler, BTreeMap::new());
+    scheduler.request_waves(now, &[request], &none, &[]);
+    scheduler.list_vms(now, world.now_ms, &vms);
+}
+
+/// Plans maintenance for 50 ms; a VM that goes down is back at once, with a
+/// new life of its worker. Returns whether the wave was completed.
+fn maintain_for_a_while(world: &mut World) -> bool {
+    let now = at(world.now_ms);
+    let mut completed = false;
+    for order in world.scheduler.plan_vms(now) {
+        match order {
+            VmOrder::Maintain { vm, wave } => {
+                assert!(replace_life(world, &vm), "it had to be empty");
+                let done = Ok(());
+                world.scheduler.maintenance_answered(&vm, wave, done, now);
+            }
+            VmOrder::ReportCompleted { .. } => completed = true,
+            VmOrder::Move { .. } => {}
+        }
+    }
+    world.run_for(50);
+    world.list();
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    world.scheduler.list_vms(at(world.now_ms), world.now_ms, &vms);
+    completed
+}
+
+/// Gives a VM a new worker; returns whether the old one was empty.
+fn replace_life(world: &mut World, vm: &str) -> bool {
+    let now_ms = world.now_ms;
+    let found = world.listings.iter_mut().find(|l| l.vm == vm);
+    let listing = found.expect("a listed VM");
+    let old = world.workers.remove(&listing.id);
+    let name = format!("{}+", listing.id);
+    listing.id = WorkerId::new(&name);
+    world.workers.insert(listing.id.clone(), TaskWorker::new(ROOM));
+    old.is_some_and(|mut old| old.running(now_ms).is_empty())
+}
+
+#[test]
+fn maintenance_never_takes_more_of_a_step_than_it_can_spare() {
+    let mut world = world_with_wave(5);
+    request_wave(&mut world);
+    let mut completed = false;
+    for _ in 0..400 {
+        completed |= maintain_for_a_while(&mut world);
+        assert!(world.running().len() >= 3, "one of four may be down");
+    }
+    assert!(completed);
+}
+
+#[test]
+fn a_new_holder_stops_nothing_while_a_former_stop_may_be_under_way() {
+    let mut world = world_with_wave(5);
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    let long = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        max_unavailable: 1,
+        ..step(4)
+    };
+    world.scheduler.submit(id(1), job(vec![long]), 3, None);
+    request_wave(&mut world);
+    let begin = world.now_ms;
+    while world.now_ms < begin + 1_500 {
+        maintain_for_a_while(&mut world);
+        assert_eq!(world.running().len(), 4);
+    }
+}
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -84,6 +84,8 @@
     pub kept_ms: u64,
     /// How long a node that was told to stop may take, in milliseconds.
     pub stop_grace_ms: u64,
+    /// How long a worker may take to stop a task, in milliseconds.
+    pub stop_timeout_ms: u64,
     /// How long two holders keep apart in their orders for one VM, in
     /// milliseconds.
     pub duty_gap_ms: u64,
@@ -104,6 +106,7 @@
             max_lease_ms: 10_000,
             kept_ms: 120_000,
             stop_grace_ms: 6_000,
+            stop_timeout_ms: 900,
             duty_gap_ms: 3_000,
             notice_ms: 4_500,
             disturbance_ms: 4_000,
@@ -138,6 +141,7 @@
             max_lease_ms,
             kept_ms,
             stop_grace_ms,
+            stop_timeout_ms,
             duty_gap_ms,
             notice_ms,
             disturbance_ms,
@@ -150,6 +154,7 @@
         check("max_lease_ms", max_lease_ms, 1_000, 600_000);
         check("kept_ms", kept_ms, 1_000, 86_400_000);
         check("stop_grace_ms", stop_grace_ms, 1_000, 600_000);
+        check("stop_timeout_ms", stop_timeout_ms, 1, 600_000);
         check("duty_gap_ms", duty_gap_ms, 0, 600_000);
         check("notice_ms", notice_ms, 100, 600_000);
         check("disturbance_ms", disturbance_ms, 100, 600_000);
