--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -197,9 +197,7 @@
                 match condition.expected {
                     Expected::Any => None,
                     Expected::Absent => Some(compare(&key, 0)),
-                    Expected::Version(version) => {
-                        Some(compare(&key, version))
-                    }
+                    Expected::Version(version) => Some(compare(&key, version)),
                 }
             })
             .collect();
--- a/crates/dewspar-platform/src/fleet.rs
+++ b/crates/dewspar-platform/src/fleet.rs
@@ -2,9 +2,7 @@
     crate::Error,
     dewspar::{
         job::QueueSet,
-        schedule::{
-            ManagedVm, VmOrderError, WaveRequest, WorkerListing,
-        },
+        schedule::{ManagedVm, VmOrderError, WaveRequest, WorkerListing},
     },
     std::future::Future,
 };
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -32,12 +32,12 @@
     client::{Answer, Client, empty_request, json_request},
     error::Error,
     fleet::{Fleet, Intent, VmChange},
+    job_call::{JobCall, JobOperation, JobProtocol, JobReply, NotRead},
+    job_worker::JobWorkers,
     kv::{
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
         Versioned, Watch, WatchBatch,
     },
-    job_call::{JobCall, JobOperation, JobProtocol, JobReply, NotRead},
-    job_worker::JobWorkers,
     vm_list::{VmList, VmListing},
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
--- a/crates/dewspar/src/job/id.rs
+++ b/crates/dewspar/src/job/id.rs
@@ -15,7 +15,15 @@
 
 /// A job's identifier, chosen by the caller: 16 hexadecimal digits.
 #[derive(
-    Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd,
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
     Serialize,
 )]
 #[serde(try_from = "String", into = "String")]
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -115,10 +115,7 @@
 
     /// Takes over the list of VMs, as it was asked for at `asked_ms`.
     pub fn list_vms(&mut self, now: Now, asked_ms: u64, vms: &[ManagedVm]) {
-        self.vms = vms
-            .iter()
-            .map(|vm| (vm.vm.clone(), vm.clone()))
-            .collect();
+        self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
         let lives = vms.iter().filter(|vm| vm.life == VmLife::Up);
         let lives: Vec<(WorkerId, String)> = lives
             .filter_map(|vm| {
@@ -256,18 +253,12 @@
     /// workers, in hundredths.
     pub(super) fn pool_percent_without(&self, pool: &str, less: u64) -> u64 {
         let load = self.pool_load(pool);
-        let capacity =
-            load.capacity_cpu.saturating_sub(load.vm_cpu() * less);
+        let capacity = load.capacity_cpu.saturating_sub(load.vm_cpu() * less);
         (load.used_cpu + load.waiting_cpu) * 100 / capacity.max(1)
     }
 
     /// Lets a worker run dry.
-    pub(super) fn empty(
-        &mut self,
-        id: &WorkerId,
-        purpose: Purpose,
-        now: Now,
-    ) {
+    pub(super) fn empty(&mut self, id: &WorkerId, purpose: Purpose, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         let reason = match &purpose {
             Purpose::Maintenance(_) => "maintenance",
@@ -294,8 +285,7 @@
 
     fn empty_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else { return };
-        let waited_ms =
-            now.steady_ms.saturating_sub(worker.emptying_since_ms);
+        let waited_ms = now.steady_ms.saturating_sub(worker.emptying_since_ms);
         let tasks: Vec<TaskId> = worker
             .runs
             .iter()
@@ -354,7 +344,8 @@
             })
         };
         let others = (0..step.tasks.len() as u32).filter(|index| {
-            *index != task.index || !step.tasks[*index as usize].on.contains(id)
+            *index != task.index
+                || !step.tasks[*index as usize].on.contains(id)
         });
         others.filter(|index| !at_work(*index)).count()
     }
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -247,11 +247,12 @@
     /// Returns whether a worker wasn't asked yet that may run what a former
     /// holder started.
     fn may_run_unseen(&self, pool: &str, now: Now) -> bool {
-        !self.lives_known || self.workers.values().any(|worker| {
-            worker.listing.pool == pool
-                && !worker.synced
-                && now.steady_ms <= worker.lease_over_ms
-        })
+        !self.lives_known
+            || self.workers.values().any(|worker| {
+                worker.listing.pool == pool
+                    && !worker.synced
+                    && now.steady_ms <= worker.lease_over_ms
+            })
     }
 
     fn score(&self, worker: &Worker, spec: &StepSpec, demand: &Room) -> i64 {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -41,7 +41,7 @@
     /// When changes of each VM were last ordered.
     ordered_vms: BTreeMap<String, u64>,
     /// From when changes of VMs may be ordered that a former holder touched.
-    vms_from_ms: BTreeMap<String, u64>,
+    pub(super) vms_from_ms: BTreeMap<String, u64>,
     all_vms_from_ms: u64,
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) vms: BTreeMap<String, ManagedVm>,
@@ -51,6 +51,8 @@
     pub(super) serving_pools: BTreeSet<String>,
     pub(super) free_pools: BTreeSet<String>,
     pub(super) pool_loads: BTreeMap<String, PoolLoad>,
+    /// When the pools' sizes were last looked at.
+    pub(super) sized_ms: u64,
 }
 
 /// What must be stored before ends may be acknowledged.
@@ -91,6 +93,7 @@
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
+            sized_ms: 0,
         }
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -9,10 +9,8 @@
 
 use {
     crate::schedule::{
-        Now, Scheduler, VmLife, VmOrder, VmOrderError,
-        board::demand,
-        maintenance::Purpose,
-        worker::Worker,
+        Now, Scheduler, VmLife, VmOrder, VmOrderError, WorkerId,
+        board::demand, maintenance::Purpose, worker::Worker,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -21,10 +19,21 @@
 /// takes some 2 s to come, in which a peak grows by about a fifth.
 const FULL_PERCENT: u64 = 80;
 
-/// How full a pool may be without one of its VMs for it to be given away,
+/// How full a pool may be without one of its VMs for it to be switched off,
 /// in hundredths.
 const SPARE_PERCENT: u64 = 50;
 
+/// How much a task counts that waits for a job which is too late already, as
+/// a divisor: such jobs are worth little, but have to be run.
+const LATE_DIVISOR: u64 = 4;
+
+/// How often sizes are looked at, in milliseconds: a few times while a VM
+/// moves.
+const INTERVAL_MS: u64 = 200;
+
+/// How long a VM is left alone whose move was refused, in milliseconds.
+const REFUSED_MS: u64 = 1_000;
+
 /// How long a worker must have been idle before its VM moves away, in
 /// milliseconds: a move costs about as much as a second in a pool.
 const IDLE_MS: u64 = 1_500;
@@ -41,7 +50,6 @@
     pub(super) capacity_cpu: u64,
     pub(super) used_cpu: u64,
     pub(super) waiting_cpu: u64,
-    pub(super) coming_cpu: u64,
     workers: u64,
 }
 
@@ -94,32 +102,116 @@
             for round in 0..job.rounds.len() {
                 for (step, spec) in job.spec.steps.iter().enumerate() {
                     let waiting = job.rounds[round][step].waiting.len() as u64;
-                    if waiting > 0 && job.is_ready(round, step, now.unix_ms) {
-                        load.waiting_cpu += waiting * demand(spec).cpu_millis;
+                    if waiting == 0 || !job.is_ready(round, step, now.unix_ms)
+                    {
+                        continue;
                     }
+                    let cpu = waiting * demand(spec).cpu_millis;
+                    let late = now.unix_ms > job.objective_ms(round)
+                        && !spec.long_running;
+                    load.waiting_cpu +=
+                        if late { cpu / LATE_DIVISOR } else { cpu };
                 }
             }
         }
-        for (vm, moving) in &self.moving {
-            let cpu = self.vms.get(vm).map_or(0, |vm| vm.capacity.cpu_millis);
-            loads.entry(moving.to.clone()).or_default().coming_cpu += cpu;
-        }
         self.pool_loads = loads;
     }
 
     /// Returns the next orders that move VMs between pools.
     pub(super) fn size_pools(&mut self, now: Now, orders: &mut Vec<VmOrder>) {
         self.settle_moves(now);
-        let pools: Vec<String> = self.serving_pools.iter().cloned().collect();
-        for pool in &pools {
-            self.fill_pool(pool, now, orders);
-        }
-        for pool in &pools {
-            self.shrink_pool(pool, now);
+        if now.steady_ms >= self.sized_ms + INTERVAL_MS {
+            self.sized_ms = now.steady_ms;
+            let targets = self.targets();
+            self.fill_pools(&targets, now, orders);
+            for pool in targets.keys() {
+                self.shrink_pool(pool, now);
+            }
         }
         self.order_moves(now, orders);
     }
 
+    /// Returns how many VMs each pool should have.
+    ///
+    /// While there are too few for all, none gets more than its equal share
+    /// as long as another wants for one.
+    fn targets(&self) -> BTreeMap<String, u64> {
+        let usable = self.vms.values().filter(|vm| vm.life == VmLife::Up);
+        let total = usable.count() + self.moving.len();
+        let mut left = total as u64;
+        let mut needs: BTreeMap<&String, u64> = BTreeMap::new();
+        for pool in &self.serving_pools {
+            let load = self.pool_load(pool);
+            let asked = (load.used_cpu + load.waiting_cpu) * 100;
+            let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
+            let need = asked.div_ceil(vm_cpu * FULL_PERCENT);
+            needs.insert(pool, need.max(LEAST_VMS as u64));
+        }
+        let mut targets: BTreeMap<String, u64> = BTreeMap::new();
+        while left > 0 {
+            let least = needs
+                .iter()
+                .filter(|(pool, need)| {
+                    targets.get(**pool).copied().unwrap_or(0) < **need
+                })
+                .min_by_key(|(pool, _)| {
+                    targets.get(**pool).copied().unwrap_or(0)
+                });
+            let Some((pool, _)) = least else { break };
+            *targets.entry((*pool).clone()).or_default() += 1;
+            left -= 1;
+        }
+        targets
+    }
+
+    fn typical_vm_cpu(&self) -> u64 {
+        let cpus = self.vms.values().map(|vm| vm.capacity.cpu_millis);
+        cpus.max().unwrap_or(0)
+    }
+
+    /// Returns how many VMs a pool has or is about to have.
+    fn pool_size(&self, pool: &str) -> u64 {
+        let load = self.pool_load(pool);
+        let coming = self.moving.values().filter(|m| m.to == pool).count();
+        let leaving = self.workers.values().filter(|worker| {
+            worker.emptying == Some(Purpose::Move(pool.to_owned()))
+                && !self.moving.contains_key(&worker.listing.vm)
+        });
+        load.workers + (coming + leaving.count()) as u64
+    }
+
+    /// Brings VMs to pools that have fewer than they should, the one that
+    /// lacks most first.
+    fn fill_pools(
+        &mut self,
+        targets: &BTreeMap<String, u64>,
+        now: Now,
+        orders: &mut Vec<VmOrder>,
+    ) {
+        let mut lacking: Vec<(u64, &String)> = targets
+            .iter()
+            .map(|(pool, target)| {
+                (target.saturating_sub(self.pool_size(pool)), pool)
+            })
+            .filter(|(lack, _)| *lack > 0)
+            .collect();
+        lacking.sort_unstable();
+        while let Some((lack, pool)) = lacking.pop() {
+            if let Some(vm) = self.switched_off_vm(pool, now) {
+                self.order_move(&vm, pool, now, orders);
+            } else if let Some(id) = self.spare_elsewhere(pool, targets, now) {
+                self.empty(&id, Purpose::Move(pool.clone()), now);
+                self.measure_pools(now);
+            } else {
+                continue;
+            }
+            if lack > 1 {
+                lacking.push((lack - 1, pool));
+                lacking.sort_unstable();
+            }
+        }
+    }
+
     fn settle_moves(&mut self, now: Now) {
         let vms = &self.vms;
         self.moving.retain(|vm, moving| {
@@ -131,32 +223,8 @@
         });
     }
 
-    /// Brings VMs to a pool that is nearly full.
-    fn fill_pool(&mut self, pool: &str, now: Now, orders: &mut Vec<VmOrder>) {
-        let load = self.pool_load(pool);
-        let wanted =
-            (load.used_cpu + load.waiting_cpu) * 100 / FULL_PERCENT;
-        let mut have = load.capacity_cpu + load.coming_cpu;
-        while have < wanted {
-            if let Some((vm, cpu)) = self.switched_off_vm(pool, now) {
-                self.order_move(&vm, pool, now, orders);
-                have += cpu;
-                continue;
-            }
-            let Some((id, cpu)) = self.idle_elsewhere(pool, now) else {
-                return;
-            };
-            self.empty(&id, Purpose::Move(pool.to_owned()), now);
-            have += cpu;
-        }
-    }
-
     /// Returns a VM that is switched off and may move to the pool.
-    fn switched_off_vm(
-        &self,
-        pool: &str,
-        now: Now,
-    ) -> Option<(String, u64)> {
+    fn switched_off_vm(&self, pool: &str, now: Now) -> Option<String> {
         self.vms
             .values()
             .filter(|vm| self.free_pools.contains(&vm.pool))
@@ -165,35 +233,46 @@
             .filter(|vm| !self.is_refused(&vm.vm, pool))
             .filter(|vm| self.may_order(&vm.vm, now))
             .filter(|vm| !self.awaits_maintenance(&vm.vm))
-            .map(|vm| (vm.vm.clone(), vm.capacity.cpu_millis))
+            .map(|vm| vm.vm.clone())
             .next()
     }
 
-    /// Returns an idle worker of another pool that has room to spare.
-    fn idle_elsewhere(
+    /// Returns the least used worker of a pool that has more VMs than it
+    /// should; none that long-running tasks would have to leave.
+    fn spare_elsewhere(
         &self,
         pool: &str,
+        targets: &BTreeMap<String, u64>,
         now: Now,
-    ) -> Option<(crate::schedule::WorkerId, u64)> {
+    ) -> Option<WorkerId> {
+        let over = |from: &str| {
+            let target = targets.get(from).copied().unwrap_or(0);
+            self.pool_load(from).workers > target
+        };
         self.workers
             .values()
             .filter(|worker| worker.listing.pool != pool)
-            .filter(|worker| self.serving_pools.contains(&worker.listing.pool))
-            .filter(|worker| self.may_leave(worker, now))
+            .filter(|worker| over(&worker.listing.pool))
+            .filter(|worker| worker.is_usable())
+            .filter(|worker| self.may_order(&worker.listing.vm, now))
             .filter(|worker| !self.is_refused(&worker.listing.vm, pool))
-            .map(|worker| {
-                (worker.id().clone(), worker.listing.capacity.cpu_millis)
-            })
-            .next()
+            .filter(|worker| !self.serves_for_long(worker))
+            .min_by_key(|worker| worker.used().cpu_millis)
+            .map(|worker| worker.id().clone())
+    }
+
+    fn serves_for_long(&self, worker: &Worker) -> bool {
+        worker.runs.keys().any(|task| {
+            self.jobs
+                .get(&task.job)
+                .and_then(|job| job.step_spec(task))
+                .is_some_and(|spec| spec.long_running)
+        })
     }
 
     fn may_leave(&self, worker: &Worker, now: Now) -> bool {
         let pool = &worker.listing.pool;
-        worker.emptying.is_none()
-            && worker.synced
-            && worker.silent_since_ms.is_none()
-            && !worker.listing.draining
-            && worker.listed
+        worker.is_usable()
             && worker.is_settled()
             && now.steady_ms >= worker.idle_since_ms + IDLE_MS
             && self.pool_load(pool).workers > LEAST_VMS as u64
@@ -247,16 +326,20 @@
         let to = pool.to_owned();
         let since_ms = now.steady_ms;
         self.moving.insert(vm.to_owned(), Moving { to, since_ms });
-        orders.push(VmOrder::Move {
-            vm: vm.to_owned(),
-            pool: pool.to_owned(),
-        });
+        orders
+            .push(VmOrder::Move { vm: vm.to_owned(), pool: pool.to_owned() });
     }
 
     fn is_refused(&self, vm: &str, pool: &str) -> bool {
         self.refused_moves.contains(&(vm.to_owned(), pool.to_owned()))
     }
 
+    /// Leaves a VM alone for a moment.
+    fn put_off(&mut self, vm: &str, now: Now) {
+        let until_ms = now.steady_ms + REFUSED_MS;
+        self.vms_from_ms.insert(vm.to_owned(), until_ms);
+    }
+
     /// Takes in the result of an order to move a VM.
     pub fn move_answered(
         &mut self,
@@ -280,13 +363,14 @@
                 if error != VmOrderError::Unknown {
                     self.moving.remove(vm);
                     self.keep(life);
+                    self.put_off(vm, now);
                 }
             }
         }
     }
 
     /// Uses a worker again that was to leave.
-    fn keep(&mut self, life: Option<crate::schedule::WorkerId>) {
+    fn keep(&mut self, life: Option<WorkerId>) {
         let worker = life.and_then(|life| self.workers.get_mut(&life));
         if let Some(worker) = worker {
             worker.emptying = None;
--- a/crates/dewspar/src/schedule/vm.rs
+++ b/crates/dewspar/src/schedule/vm.rs
@@ -29,6 +29,18 @@
     Down,
 }
 
+impl VmLife {
+    /// Returns the name of what it is doing, for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            VmLife::Up => "up",
+            VmLife::Moving => "moving",
+            VmLife::Maintenance => "maintenance",
+            VmLife::Down => "down",
+        }
+    }
+}
+
 /// A VM as the platform manages it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ManagedVm {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -219,14 +219,19 @@
         self.runs.range(first..=last).count()
     }
 
-    /// Returns whether orders to start may be sent.
-    pub(crate) fn takes_orders(&self, now_ms: u64) -> bool {
-        !self.fencing
-            && self.synced
+    /// Returns whether it is there for new tasks, now or in a moment.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.synced
             && self.listed
             && !self.listing.draining
             && self.emptying.is_none()
             && self.silent_since_ms.is_none()
+    }
+
+    /// Returns whether orders to start may be sent.
+    pub(crate) fn takes_orders(&self, now_ms: u64) -> bool {
+        !self.fencing
+            && self.is_usable()
             && (now_ms >= self.suspended_until_ms)
             && (self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND
                 || self.runs.is_empty())
@@ -277,8 +282,8 @@
             || self.stored_end > self.acknowledged
             || self.silent_since_ms.is_some()
             || unstored;
-        let due = now_ms >= self.next_hold_ms
-            && !self.listing.address.is_empty();
+        let due =
+            now_ms >= self.next_hold_ms && !self.listing.address.is_empty();
         let ordinary = !self.fencing && !self.hold_in_flight && wanted;
         if !due || !(fencing || ordinary) {
             return None;
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -154,8 +154,12 @@
                     Some(reached) => reached.stop(clock, &order),
                     None => Err(OrderError::Unknown),
                 };
-                self.scheduler
-                    .stop_answered(&worker, &order.task, result, now);
+                self.scheduler.stop_answered(
+                    &worker,
+                    &order.task,
+                    result,
+                    now,
+                );
             }
             Action::Hold { worker, held, .. } => {
                 let result = match self.reach(&worker) {
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -56,8 +56,7 @@
                 fence: burst.fence,
                 recorded,
             };
-            let sending =
-                send_one(fleet.clone(), change, order, log.clone());
+            let sending = send_one(fleet.clone(), change, order, log.clone());
             let events = events.clone();
             tokio::spawn(async move {
                 if let Some(event) = sending.await {
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -217,9 +217,11 @@
         let owner = Owner { node: self.node.clone(), incarnation };
         // OK because a text and a number can always be written.
         let value = serde_json::to_vec(&owner).expect("plain JSON");
-        let batch = Batch::default()
-            .when(keys::OWNER, expected)
-            .put_leased(keys::OWNER, value, lease);
+        let batch = Batch::default().when(keys::OWNER, expected).put_leased(
+            keys::OWNER,
+            value,
+            lease,
+        );
         match self.store.commit(&batch).await? {
             Commit::Conflict(_) => Ok(None),
             Commit::Done(revision) => Ok(Some(Held {
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -240,9 +240,7 @@
             }
             JobOperation::Status { id } => self.status(*id, deadline).await,
             JobOperation::Cancel { id } => self.cancel(*id, deadline).await,
-            JobOperation::Pending => {
-                self.pending(&call.queue, deadline).await
-            }
+            JobOperation::Pending => self.pending(&call.queue, deadline).await,
         }
     }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -19,8 +19,7 @@
         decisions,
         duties::{self, Burst},
         election::{Candidate, Held},
-        keys,
-        orders,
+        keys, orders,
         progress::{
             self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of,
             load_feed, read_event,
@@ -30,8 +29,8 @@
     dewspar::{
         job::{JobId, TaskId},
         schedule::{
-            Changes, Held as SentHold, HoldReport, ManagedVm, Now,
-            OrderError, Scheduler, VmOrderError, WorkerId, WorkerListing,
+            Changes, Held as SentHold, HoldReport, ManagedVm, Now, OrderError,
+            Scheduler, VmOrderError, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::{
@@ -114,7 +113,9 @@
     ReportFailed {
         wave: u64,
     },
-    Renewed { sent_ms: u64 },
+    Renewed {
+        sent_ms: u64,
+    },
     LeaseGone,
     StartAnswered {
         worker: WorkerId,
@@ -137,7 +138,10 @@
         task: TaskId,
         result: Result<u64, OrderError>,
     },
-    Stored { changes: Changes, stored: Stored },
+    Stored {
+        changes: Changes,
+        stored: Stored,
+    },
 }
 
 /// Why a node no longer schedules.
@@ -178,6 +182,7 @@
         versions: loaded.versions,
         restored: loaded.progress,
         sender,
+        pools: BTreeMap::new(),
         writes: 0,
         stored_ms: 0,
         configured: None,
@@ -202,6 +207,8 @@
     /// What a former holder stored of the jobs that are being taken over.
     restored: BTreeMap<JobId, dewspar::job::Progress>,
     sender: mpsc::Sender<Event>,
+    /// How many VMs each pool has, by what they are doing.
+    pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
     /// How many writes of progress are under way.
     writes: usize,
     stored_ms: u64,
@@ -261,6 +268,7 @@
             }
             Event::Vms { asked_ms, vms } => {
                 scheduler.list_vms(now, asked_ms, &vms);
+                self.note_pools(&vms);
             }
             Event::Maintained { vm, wave, result } => {
                 scheduler.maintenance_answered(&vm, wave, result, now);
@@ -335,6 +343,20 @@
         }
     }
 
+    /// Logs how many VMs each pool has, when that has changed.
+    fn note_pools(&mut self, vms: &[ManagedVm]) {
+        let mut pools: BTreeMap<String, BTreeMap<&'static str, u32>> =
+            BTreeMap::new();
+        for vm in vms {
+            let pool = pools.entry(vm.pool.clone()).or_default();
+            *pool.entry(vm.life.name()).or_default() += 1;
+        }
+        if pools != self.pools {
+            info!(self.candidate.log, "vms: listed"; "pools" => ?pools);
+            self.pools = pools;
+        }
+    }
+
     fn write_done(&self, wave: u64) {
         if let Some(done) = self.scheduler.wave_done(wave) {
             let batch = duties::done_batch(self.held.revision, wave, done);
@@ -439,8 +461,7 @@
     async fn store_last(&mut self) {
         while self.scheduler.has_changes() {
             let changes = self.scheduler.take_changes(JOBS_A_WRITE);
-            let batch =
-                batch_of(self.held.revision, &changes, &self.versions);
+            let batch = batch_of(self.held.revision, &changes, &self.versions);
             let committed = self.candidate.store.commit(&batch).await;
             if let Err(error) = committed {
                 // The next holder hears of these ends from the workers.
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -87,15 +87,7 @@
     let done = load_done(store, log).await?;
     let completed = fleet.completed_waves().await?;
     let ordered = load_ordered(store, log).await?;
-    Ok(Loaded {
-        version,
-        feed,
-        progress,
-        versions,
-        done,
-        completed,
-        ordered,
-    })
+    Ok(Loaded { version, feed, progress, versions, done, completed, ordered })
 }
 
 /// Reads the feed outright.
@@ -158,8 +150,8 @@
     changes: &Changes,
     versions: &BTreeMap<JobId, u64>,
 ) -> Batch {
-    let mut batch = Batch::default()
-        .when(keys::OWNER, Expected::Version(lease_revision));
+    let mut batch =
+        Batch::default().when(keys::OWNER, Expected::Version(lease_revision));
     for (id, progress) in &changes.progress {
         let key = keys::progress(*id);
         let version = versions.get(id).copied().unwrap_or(0);
