--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -222,14 +222,15 @@
                 && worker.takes_orders(now.steady_ms)
                 && worker.free().holds(&demand)
                 && !worker.runs.contains_key(task)
-                && !state.avoid.contains(worker.id())
+                && (spec.long_running || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
                 && (spec.max_per_worker == 0
                     || worker.runs_of_step(task)
                         < spec.max_per_worker as usize)
         };
         self.workers.values().filter(suits).max_by_key(|worker| {
-            (self.score(worker, spec, &demand), worker.id())
+            let avoided = state.avoid.contains(worker.id());
+            (!avoided, self.score(worker, spec, &demand), worker.id())
         })
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -8,9 +8,12 @@
 */
 
 use {
-    crate::schedule::{
-        Now, Scheduler, VmLife, VmOrder, VmOrderError, WorkerId,
-        board::demand, maintenance::Purpose, worker::Worker,
+    crate::{
+        job::StepSpec,
+        schedule::{
+            Now, Scheduler, VmLife, VmOrder, VmOrderError, WorkerId,
+            board::demand, maintenance::Purpose, worker::Worker,
+        },
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -51,6 +54,8 @@
     pub(super) used_cpu: u64,
     pub(super) waiting_cpu: u64,
     workers: u64,
+    /// How many workers the tasks need that must run apart.
+    apart: u64,
 }
 
 impl PoolLoad {
@@ -101,6 +106,7 @@
             let load = loads.entry(job.terms.pool.clone()).or_default();
             for round in 0..job.rounds.len() {
                 for (step, spec) in job.spec.steps.iter().enumerate() {
+                    load.apart = load.apart.max(apart(spec));
                     let waiting = job.rounds[round][step].waiting.len() as u64;
                     if waiting == 0 || !job.is_ready(round, step, now.unix_ms)
                     {
@@ -145,7 +151,8 @@
             let asked = (load.used_cpu + load.waiting_cpu) * 100;
             let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
             let need = asked.div_ceil(vm_cpu * FULL_PERCENT);
-            needs.insert(pool, need.max(LEAST_VMS as u64));
+            let need = need.max(self.least_vms(pool));
+            needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
         while left > 0 {
@@ -270,12 +277,17 @@
         })
     }
 
+    /// Returns the fewest VMs that a pool can do with.
+    fn least_vms(&self, pool: &str) -> u64 {
+        self.pool_load(pool).apart.max(LEAST_VMS as u64)
+    }
+
     fn may_leave(&self, worker: &Worker, now: Now) -> bool {
         let pool = &worker.listing.pool;
         worker.is_usable()
             && worker.is_settled()
             && now.steady_ms >= worker.idle_since_ms + IDLE_MS
-            && self.pool_load(pool).workers > LEAST_VMS as u64
+            && self.pool_load(pool).workers > self.least_vms(pool)
             && self.pool_percent_without(pool, 1) <= SPARE_PERCENT
             && !self.awaits_maintenance(&worker.listing.vm)
     }
@@ -377,3 +389,12 @@
         }
     }
 }
+
+/// Returns how many workers a long-running step needs because only so many
+/// of its tasks may share one.
+fn apart(spec: &StepSpec) -> u64 {
+    if !spec.long_running || spec.max_per_worker == 0 {
+        return 0;
+    }
+    u64::from(spec.count.div_ceil(spec.max_per_worker))
+}
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -491,3 +491,38 @@
         assert_eq!(world.running().len(), 4);
     }
 }
+
+#[test]
+fn a_long_running_task_goes_back_to_where_it_failed_if_it_must() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.fate = Fate::failed(300);
+    let long = StepSpec { long_running: true, max_per_worker: 1, ..step(2) };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world.run_for(200);
+    assert_eq!(world.starts.len(), 2);
+    world.fate = Fate::endless();
+    world.run_for(6_000);
+    assert_eq!(world.running().len(), 2);
+}
+
+#[test]
+fn a_pool_gets_a_vm_when_a_task_fits_beside_none_of_its_siblings() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    let mut spare = listing("w3");
+    spare.pool = "off".to_owned();
+    world.listings.push(spare);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.fate = Fate::endless();
+    let long = StepSpec { long_running: true, max_per_worker: 1, ..step(3) };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world.run_for(1_000);
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    world.scheduler.list_vms(at(world.now_ms), world.now_ms, &vms);
+    let orders = world.scheduler.plan_vms(at(world.now_ms));
+    let (vm, pool) = ("vm-of-w3".to_owned(), POOL.to_owned());
+    assert_eq!(orders, [VmOrder::Move { vm, pool }]);
+}
