--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -61,8 +61,12 @@
     pub index: u32,
     /// Whether it has ended well.
     pub done: bool,
-    /// How many of its runs have failed.
-    pub failures: u32,
+    /// The numbers of its runs that failed.
+    ///
+    /// A worker tells of an end again until it is acknowledged, so a count
+    /// alone would go wrong after a takeover.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub failed_runs: Vec<u64>,
     /// The highest number of a run that is known to have ended.
     pub run: u64,
     /// The checkpoint to go on from; empty for none.
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -35,7 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Task {
     pub(crate) done: bool,
-    pub(crate) failures: u32,
+    /// The numbers of its runs that failed.
+    pub(crate) failed_runs: Vec<u64>,
     /// The highest number of any run so far.
     pub(crate) run: u64,
     /// The highest number of a run that has ended.
@@ -182,7 +183,7 @@
         let Some(task) = self.tasks.get_mut(record.index as usize) else {
             return;
         };
-        task.failures = record.failures;
+        task.failed_runs.clone_from(&record.failed_runs);
         task.run = record.run;
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
@@ -205,7 +206,7 @@
                 step,
                 index,
                 done: task.done,
-                failures: task.failures,
+                failed_runs: task.failed_runs.clone(),
                 run: task.ended_run,
                 checkpoint: if task.done {
                     String::new()
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -378,10 +378,12 @@
         task.checkpoint.clone_from(&end.checkpoint);
     }
     if end.cause == EndCause::Failed {
-        task.failures += 1;
+        if !task.failed_runs.contains(&end.run) {
+            task.failed_runs.push(end.run);
+        }
         if !task.avoid.contains(worker_id) {
             task.avoid.push(worker_id.clone());
         }
     }
-    task.failures
+    u32::try_from(task.failed_runs.len()).unwrap_or(u32::MAX)
 }
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -526,3 +526,82 @@
     let (vm, pool) = ("vm-of-w3".to_owned(), POOL.to_owned());
     assert_eq!(orders, [VmOrder::Move { vm, pool }]);
 }
+
+#[test]
+fn a_failure_that_is_told_again_after_a_takeover_counts_once() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4"]);
+    world.list();
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut stored = None;
+    // Two failures are stored, and the last end isn't acknowledged.
+    while world.starts.len() < 3 {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            world.carry_out(action, now);
+        }
+        let changes = world.scheduler.take_changes(100);
+        if let Some((_, progress)) = changes.progress.first() {
+            stored = Some(progress.clone());
+        }
+        world.scheduler.changes_stored(&changes, now);
+    }
+    let progress = stored.expect("progress was stored");
+    world.fate = Fate::done(100);
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    let again = job(vec![step(1)]);
+    world.scheduler.submit(id(1), again, 6, Some(&progress));
+    let mut last = None;
+    for _ in 0..40 {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            world.carry_out(action, now);
+        }
+        let changes = world.scheduler.take_changes(100);
+        if let Some((_, progress)) = changes.progress.last() {
+            last = Some(progress.phase);
+        }
+        world.scheduler.changes_stored(&changes, now);
+    }
+    // The third run failed as well, and that one is counted.
+    assert_eq!(last, Some(Phase::Failed));
+    assert_eq!(world.starts.len(), 3);
+}
+
+#[test]
+fn a_stored_failure_is_not_counted_again() {
+    let mut world = World::new(5, &["w1", "w2", "w3"]);
+    world.list();
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut progress = None;
+    while progress.is_none() {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            world.carry_out(action, now);
+        }
+        let changes = world.scheduler.take_changes(100);
+        // Stored, but the holder is gone before it acknowledges the end.
+        progress = changes
+            .progress
+            .iter()
+            .map(|(_, progress)| progress.clone())
+            .find(|progress| !progress.tasks.is_empty());
+        if progress.is_none() {
+            world.scheduler.changes_stored(&changes, now);
+        }
+    }
+    // Two more failures are allowed: the job must not fail before them.
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    let again = job(vec![step(1)]);
+    world.scheduler.submit(id(1), again, 6, progress.as_ref());
+    world.run_for(3_000);
+    assert_eq!(world.starts.len(), 3);
+}
