--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -24,6 +24,11 @@
 /// thousandths of a worker's free processor time.
 const NEAR_DATA_SCORE: i64 = 4_000;
 
+/// How much a long-running task is drawn to workers that have such tasks
+/// already, so that fewer VMs are tied down: half a worker's processor, in
+/// thousandths of a core.
+const TOGETHER_SCORE: i64 = 16_000;
+
 /// How much a worker is shunned for each run that would disturb or be
 /// disturbed: more than any worker's free processor time, in thousandths of
 /// a core.
@@ -257,7 +262,9 @@
     }
 
     fn score(&self, worker: &Worker, spec: &StepSpec, demand: &Room) -> i64 {
-        let mut score = worker.free().less(demand).cpu_millis as i64;
+        // The fullest that still has room: the others fall idle, and their
+        // VMs can be used elsewhere.
+        let mut score = -(worker.free().less(demand).cpu_millis as i64);
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
@@ -274,6 +281,12 @@
         } else {
             0
         };
+        let long = |spec: &StepSpec| spec.long_running;
+        if spec.long_running
+            && worker.runs.keys().filter_map(step_of).any(long)
+        {
+            score += TOGETHER_SCORE;
+        }
         score - disturbing as i64 * DISTURBANCE_SCORE
     }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -58,7 +58,7 @@
 const TICK: Duration = Duration::from_millis(25);
 
 /// How often the directory of workers is read.
-const DIRECTORY_INTERVAL: Duration = Duration::from_millis(500);
+const DIRECTORY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// How many writes of progress may be under way at once: a slow store still
 /// takes what some 50 jobs a second change.
