Move tasks that stand still, pace best-effort tasks, play random interleavings

1,500 seeded runs of the scheduler against a job-running worker: orders lost and late, workers cut and crashed, takeovers (also between a write and its answer), cancellations, store outages. Checked: no task twice at a time, none after a stored end, steps in order, attempts, nothing of a cancelled job, and every job comes to its end.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -97,6 +97,7 @@
 mod board;
 mod maintenance;
 mod order;
+mod pacing;
 mod place;
 mod report;
 mod scheduler;
--- /dev/null
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -0,0 +1,156 @@
+/*!
+Runs that are looked after while they go on: those that don't come on, and
+those that disturb others.
+
+A task whose percentage stands still is stopped and started elsewhere, from
+its checkpoint if it has one. A best-effort task is slowed down while a task
+beside it misses the answer time that its users were promised, and let go
+again, step by step, once that has passed.
+*/
+
+use crate::{
+    job::{StepSpec, TaskId},
+    schedule::{
+        Action, Now, Scheduler, WorkerId,
+        worker::{RunState, Worker},
+    },
+};
+
+/// How long a percentage may stand still, in milliseconds: longer than a
+/// restore from a checkpoint, and than three answers of a quiet worker.
+const STALLED_MS: u64 = 2_500;
+
+/// How long a long-running task may take to come to work, in milliseconds:
+/// some are slow to start.
+const SLOW_START_MS: u64 = 5_000;
+
+/// How long a change of pace is given to show, in milliseconds: it takes
+/// hold within 0.1 s, and the figures cover half a second.
+const PACE_INTERVAL_MS: u64 = 700;
+
+/// By how much the pace is raised again, in percent.
+const PACE_STEP: u8 = 25;
+
+/// How far below its target a task must be for its neighbours to go faster,
+/// in hundredths.
+const CALM_PERCENT: u64 = 70;
+
+/// How a worker's serving tasks fare.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fare {
+    /// One is over its target.
+    Over,
+    /// All are well below their targets.
+    Calm,
+    /// Neither.
+    Near,
+}
+
+impl Scheduler {
+    /// Stops what doesn't come on.
+    pub(super) fn stop_stalled(&mut self, now: Now) {
+        let mut stalled: Vec<(WorkerId, TaskId)> = Vec::new();
+        for worker in self.workers.values() {
+            // What an older answer says needn't be so any more.
+            if worker.silent_since_ms.is_some() {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                let Some(spec) = self.step_spec(task) else { continue };
+                let patience_ms =
+                    if spec.long_running { SLOW_START_MS } else { STALLED_MS };
+                // A gang's members wait for one another.
+                let judged = run.state == RunState::Running
+                    && run.percent < 100
+                    && !spec.gang
+                    && run.pace == 100;
+                let still = worker.reported_ms().saturating_sub(run.moved_ms);
+                if judged && still > patience_ms {
+                    stalled.push((worker.id().clone(), *task));
+                }
+            }
+        }
+        for (worker, task) in stalled {
+            self.stop_run(&task, &worker, "it doesn't come on");
+            self.avoid(&task, &worker);
+            self.suspend(&worker, "a task stands still on it", now);
+        }
+    }
+
+    fn avoid(&mut self, task: &TaskId, worker: &WorkerId) {
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task));
+        if let Some(state) = state
+            && !state.avoid.contains(worker)
+        {
+            state.avoid.push(worker.clone());
+        }
+    }
+
+    pub(super) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
+        self.jobs.get(&task.job)?.step_spec(task)
+    }
+
+    /// Slows best-effort tasks down that disturb, and lets others go.
+    pub(super) fn pace_best_effort(
+        &mut self,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut changes: Vec<(WorkerId, TaskId, u8)> = Vec::new();
+        for worker in self.workers.values_mut() {
+            worker.pace_due(now.steady_ms, PACE_INTERVAL_MS);
+        }
+        for worker in self.workers.values() {
+            if !worker.is_pace_due() {
+                continue;
+            }
+            let fare = self.fare(worker);
+            for (task, run) in &worker.runs {
+                let best_effort =
+                    self.step_spec(task).is_some_and(|s| s.best_effort);
+                if !best_effort || run.state != RunState::Running {
+                    continue;
+                }
+                let pace = next_pace(fare, run.pace);
+                if pace != run.pace {
+                    changes.push((worker.id().clone(), *task, pace));
+                }
+            }
+        }
+        for (worker, task, pace) in changes {
+            if let Some(worker) = self.workers.get_mut(&worker) {
+                worker.paced(now.steady_ms);
+            }
+            actions.extend(self.pace(&task, &worker, pace));
+        }
+    }
+
+    fn fare(&self, worker: &Worker) -> Fare {
+        let mut fare = Fare::Calm;
+        for (task, run) in &worker.runs {
+            let target = self.step_spec(task).map_or(0, |s| s.target_ms);
+            if target == 0 {
+                continue;
+            }
+            if run.gauge > target {
+                return Fare::Over;
+            }
+            if run.gauge * 100 > target * CALM_PERCENT {
+                fare = Fare::Near;
+            }
+        }
+        fare
+    }
+}
+
+/// Returns the share at which a best-effort task should work, in percent.
+fn next_pace(fare: Fare, pace: u8) -> u8 {
+    match fare {
+        // A quarter first, then nothing: the rules allow a few seconds only.
+        Fare::Over if pace > PACE_STEP => PACE_STEP,
+        Fare::Over => 0,
+        Fare::Calm => pace.saturating_add(PACE_STEP).min(100),
+        Fare::Near => pace,
+    }
+}
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -15,6 +15,10 @@
     std::collections::BTreeMap,
 };
 
+/// At what share a best-effort run is taken to work that was found running,
+/// in percent: whatever it is, the next steps set it outright.
+const ADOPTED_PACE: u8 = 50;
+
 /// What to do about a run that a worker lists as active.
 enum Found {
     /// It is the one that was ordered.
@@ -242,6 +246,10 @@
             }
         }
         let found = self.judge(worker_id, active);
+        // A former holder may have slowed it down: it is let go step by step.
+        let best_effort =
+            self.step_spec(&active.task).is_some_and(|s| s.best_effort);
+        let pace = if best_effort { ADOPTED_PACE } else { 100 };
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let mut run = Run {
             run: active.run,
@@ -252,7 +260,7 @@
             percent: active.percent,
             moved_ms: now.steady_ms,
             gauge: active.gauge,
-            pace: 100,
+            pace,
         };
         match found {
             Found::Expected => {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -336,6 +336,8 @@
         }
         let mut actions = Vec::new();
         self.drop_lapsed(now);
+        self.stop_stalled(now);
+        self.pace_best_effort(now, &mut actions);
         self.start_waiting(now, &mut actions);
         self.order_stops(now, &mut actions);
         self.hold_workers(now, &mut actions);
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -119,6 +119,9 @@
     failed_jobs: BTreeSet<JobId>,
     suspended_until_ms: u64,
     suspensions: u32,
+    /// When the pace of a run was last changed.
+    paced_ms: u64,
+    pace_is_due: bool,
     /// Why it is being emptied, if it is.
     pub(crate) emptying: Option<Purpose>,
     pub(crate) emptying_since_ms: u64,
@@ -167,6 +170,8 @@
             failed_jobs: BTreeSet::new(),
             suspended_until_ms: 0,
             suspensions: 0,
+            paced_ms: 0,
+            pace_is_due: false,
             emptying: None,
             emptying_since_ms: 0,
             idle_since_ms: now_ms,
@@ -219,6 +224,24 @@
         self.runs.range(first..=last).count()
     }
 
+    /// Returns when its newest answer came.
+    pub(crate) fn reported_ms(&self) -> u64 {
+        self.clock.map_or(0, |clock| clock.at_ms)
+    }
+
+    /// Notes whether the pace of its runs may change again.
+    pub(crate) fn pace_due(&mut self, now_ms: u64, interval_ms: u64) {
+        self.pace_is_due = now_ms >= self.paced_ms + interval_ms;
+    }
+
+    pub(crate) fn is_pace_due(&self) -> bool {
+        self.pace_is_due
+    }
+
+    pub(crate) fn paced(&mut self, now_ms: u64) {
+        self.paced_ms = now_ms;
+    }
+
     /// Returns whether it is there for new tasks, now or in a moment.
     pub(crate) fn is_usable(&self) -> bool {
         self.synced
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -605,3 +605,63 @@
     world.run_for(3_000);
     assert_eq!(world.starts.len(), 3);
 }
+
+#[test]
+fn a_task_that_stands_still_is_moved() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.fate = Fate::stalled();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(200);
+    world.fate = Fate::done(500);
+    world.run_for(5_000);
+    assert_eq!(world.starts.len(), 2);
+    assert_ne!(world.starts[0].0, world.starts[1].0);
+    assert_eq!(world.scheduler.phase(id(1)), None, "done and stored");
+}
+
+/// A worker on which a serving task misses its target beside a best-effort
+/// task; returns the paces that were ordered while `gauge` was reported.
+fn paces_while(world: &mut World, gauges: &[u64]) -> Vec<u8> {
+    let worker = WorkerId::new("w1");
+    let mut paces = Vec::new();
+    for gauge in gauges {
+        world.now_ms += 800;
+        let now = at(world.now_ms);
+        let mut held_now = None;
+        for action in world.scheduler.plan(now) {
+            match action {
+                Action::Pace { order, .. } => paces.push(order.percent),
+                Action::Hold { held, .. } => held_now = Some(held),
+                other => world.carry_out(other, now),
+            }
+        }
+        if let Some(held) = held_now {
+            let clock = now.steady_ms;
+            let reached = world.reach(&worker).expect("w1");
+            let mut report = reached.hold(clock, held.order()).expect("held");
+            for run in &mut report.active {
+                run.gauge = *gauge;
+            }
+            world.hold_result(&worker, &held, Ok(report), now);
+        }
+    }
+    paces
+}
+
+#[test]
+fn best_effort_tasks_are_slowed_while_they_disturb() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.fate = Fate::endless();
+    let long = StepSpec { long_running: true, ..step(1) };
+    let serving = StepSpec { target_ms: 50, ..long.clone() };
+    let filling = StepSpec { best_effort: true, ..long };
+    world.scheduler.submit(id(1), job(vec![serving, filling]), 6, None);
+    world.run_for(500);
+    assert_eq!(world.running().len(), 2);
+    let paces = paces_while(&mut world, &[90, 90, 90, 90]);
+    assert_eq!(paces, [25, 0]);
+    let paces = paces_while(&mut world, &[10, 10, 10, 10, 10, 10]);
+    assert_eq!(paces, [25, 50, 75, 100]);
+}
--- /dev/null
+++ b/crates/dewspar/tests/schedule_random.rs
@@ -0,0 +1,488 @@
+//! Thousands of interleavings of orders, lost and late answers, takeovers,
+//! cuts, crashes, cancellations and store outages, against what must hold.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId},
+        schedule::{
+            AcceptedJob, Action, HoldReport, Now, Options, OrderError,
+            QueueTerms, Room, Scheduler, StartOrder, StopOrder, WorkerId,
+            WorkerListing,
+        },
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+const POOL: &str = "registry";
+const ROOM: Room = Room { cpu_millis: 3_000, memory_mb: 3_000, gpus: 0 };
+const STEP_MS: u64 = 25;
+const MAX_ATTEMPTS: u32 = 3;
+
+/// An order that reaches its worker late, and whose answer never comes.
+enum Late {
+    Start(StartOrder),
+    Stop(StopOrder),
+}
+
+struct Life {
+    worker: TaskWorker,
+    listing: WorkerListing,
+    /// How slow its clock is, in thousandths.
+    slow: u64,
+    cut_until_ms: u64,
+}
+
+impl Life {
+    fn clock(&self, now_ms: u64) -> u64 {
+        now_ms * (1_000 - self.slow) / 1_000
+    }
+}
+
+/// What the store holds.
+#[derive(Default)]
+struct Stored {
+    revision: u64,
+    jobs: BTreeMap<JobId, (AcceptedJob, u64)>,
+    cancelled: BTreeSet<JobId>,
+    progress: BTreeMap<JobId, Progress>,
+}
+
+struct World {
+    random: StdRng,
+    now_ms: u64,
+    scheduler: Scheduler,
+    lives: BTreeMap<WorkerId, Life>,
+    next_life: u32,
+    store: Stored,
+    outage_until_ms: u64,
+    late: Vec<(u64, WorkerId, Late)>,
+    /// Tasks that ended well on a worker that told so.
+    done: BTreeSet<TaskId>,
+    faults: bool,
+    starts: u64,
+}
+
+fn id(number: u64) -> JobId {
+    // OK because it is always 16 hexadecimal digits.
+    format!("{number:016x}").parse().unwrap()
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let mut world = World {
+            random: StdRng::seed_from_u64(seed),
+            now_ms: 1_000,
+            scheduler: Scheduler::new(1, Options::default()),
+            lives: BTreeMap::new(),
+            next_life: 0,
+            store: Stored { revision: 1, ..Stored::default() },
+            outage_until_ms: 0,
+            late: Vec::new(),
+            done: BTreeSet::new(),
+            faults: true,
+            starts: 0,
+        };
+        for vm in 0..4 {
+            world.start_life(vm);
+        }
+        world.take_over();
+        world
+    }
+
+    fn now(&self) -> Now {
+        Now {
+            steady_ms: self.now_ms,
+            unix_ms: 1_700_000_000_000 + self.now_ms,
+        }
+    }
+
+    fn chance(&mut self, per_mille: u32) -> bool {
+        self.faults && self.random.random_range(0..1_000) < per_mille
+    }
+
+    fn start_life(&mut self, vm: u32) {
+        self.next_life += 1;
+        let name = format!("w{vm}-{}", self.next_life);
+        let listing = WorkerListing {
+            id: WorkerId::new(&name),
+            address: name.clone(),
+            vm: format!("vm-{vm}"),
+            pool: POOL.to_owned(),
+            rack: String::new(),
+            labels: Vec::new(),
+            capacity: ROOM,
+            draining: false,
+            remaining_ms: None,
+        };
+        let life = Life {
+            worker: TaskWorker::new(ROOM),
+            listing: listing.clone(),
+            slow: u64::from(vm) * 6,
+            cut_until_ms: 0,
+        };
+        self.lives.insert(listing.id, life);
+    }
+
+    /// Lets a new holder load what is stored.
+    fn take_over(&mut self) {
+        self.store.revision += 1;
+        let mut scheduler =
+            Scheduler::new(self.store.revision, Options::default());
+        for (id, (job, revision)) in &self.store.jobs {
+            let progress = self.store.progress.get(id);
+            scheduler.submit(*id, job.clone(), *revision, progress);
+        }
+        for id in &self.store.cancelled {
+            scheduler.cancel(*id, self.now());
+        }
+        self.scheduler = scheduler;
+        self.list();
+        let lives: Vec<(WorkerId, String)> = self
+            .lives
+            .keys()
+            .map(|id| (id.clone(), POOL.to_owned()))
+            .collect();
+        self.scheduler.expect_workers(self.now(), lives);
+    }
+
+    fn list(&mut self) {
+        let listings =
+            self.lives.values().map(|life| life.listing.clone()).collect();
+        self.scheduler.list_workers(self.now(), listings);
+    }
+
+    fn submit(&mut self, number: u64) {
+        let step = |random: &mut StdRng| StepSpec {
+            count: random.random_range(1..4),
+            cpu_millis: 1_000,
+            memory_mb: 500,
+            estimate_ms: 400,
+            ..StepSpec::default()
+        };
+        let first = step(&mut self.random);
+        let second = StepSpec { after: vec![0], ..step(&mut self.random) };
+        let job = AcceptedJob {
+            spec: JobSpec { steps: vec![first, second], ..JobSpec::default() },
+            terms: QueueTerms {
+                pool: POOL.to_owned(),
+                max_attempts: MAX_ATTEMPTS,
+                stretch: 2.0,
+                ..QueueTerms::default()
+            },
+            accepted_at_ms: self.now().unix_ms,
+        };
+        self.store.revision += 1;
+        let revision = self.store.revision;
+        self.store.jobs.insert(id(number), (job.clone(), revision));
+        self.scheduler.submit(id(number), job, revision, None);
+    }
+
+    fn cancel(&mut self, number: u64) {
+        if self.store.jobs.contains_key(&id(number)) {
+            self.store.cancelled.insert(id(number));
+            self.scheduler.cancel(id(number), self.now());
+        }
+    }
+
+    fn disturb(&mut self, step: u64) {
+        if step < 40 && step % 4 == 0 {
+            self.submit(step / 4);
+        }
+        if self.chance(20) {
+            let number = self.random.random_range(0..10);
+            self.cancel(number);
+        }
+        if self.chance(15) {
+            let until = self.now_ms + self.random.random_range(500..9_000);
+            if let Some(life) = self.any_life() {
+                life.cut_until_ms = until;
+            }
+        }
+        if self.chance(6) {
+            self.crash();
+        }
+        if self.chance(8) {
+            let for_ms = self.random.random_range(200..3_000);
+            self.outage_until_ms = self.now_ms + for_ms;
+        }
+        if self.chance(10) && self.now_ms >= self.outage_until_ms {
+            self.take_over();
+        }
+    }
+
+    fn any_life(&mut self) -> Option<&mut Life> {
+        let chosen = self.random.random_range(0..self.lives.len());
+        self.lives.values_mut().nth(chosen)
+    }
+
+    fn crash(&mut self) {
+        let chosen = self.random.random_range(0..self.lives.len());
+        let Some(id) = self.lives.keys().nth(chosen).cloned() else { return };
+        let vm = id.as_str()[1..2].parse().unwrap_or(0);
+        self.lives.remove(&id);
+        self.start_life(vm);
+    }
+
+    fn step(&mut self, step: u64) {
+        self.now_ms += STEP_MS;
+        if self.faults {
+            self.disturb(step);
+        }
+        self.arrive_late();
+        if step % 10 == 0 {
+            self.list();
+        }
+        let now = self.now();
+        for action in self.scheduler.plan(now) {
+            self.carry_out(action);
+        }
+        self.store_changes();
+        self.check();
+    }
+
+    fn store_changes(&mut self) {
+        let now = self.now();
+        if self.now_ms < self.outage_until_ms {
+            let changes = self.scheduler.take_changes(3);
+            self.scheduler.changes_failed(&changes);
+            return;
+        }
+        while self.scheduler.has_changes() {
+            let changes = self.scheduler.take_changes(3);
+            for (id, progress) in &changes.progress {
+                let before = self.store.progress.get(id);
+                let was_final = before.is_some_and(|p| p.phase.is_final());
+                assert!(!was_final, "a job is over only once");
+                self.store.progress.insert(*id, progress.clone());
+            }
+            // Now and then the holder dies before it knows.
+            if self.chance(20) {
+                self.take_over();
+                return;
+            }
+            self.scheduler.changes_stored(&changes, now);
+        }
+    }
+
+    fn carry_out(&mut self, action: Action) {
+        let lost = self.chance(60);
+        let late = lost && self.chance(700);
+        let now = self.now();
+        match action {
+            Action::Start { worker, order, .. } => {
+                self.check_start(&order);
+                let result = if lost {
+                    if late {
+                        self.delay(&worker, Late::Start(order.clone()));
+                    }
+                    Err(OrderError::Unknown)
+                } else {
+                    self.start(&worker, &order)
+                };
+                let (task, run) = (order.task, order.run);
+                self.scheduler
+                    .start_answered(&worker, &task, run, result, now);
+            }
+            Action::Stop { worker, order, .. } => {
+                let result = if lost {
+                    if late {
+                        self.delay(&worker, Late::Stop(order));
+                    }
+                    Err(OrderError::Unknown)
+                } else {
+                    self.stop(&worker, &order)
+                };
+                let task = order.task;
+                self.scheduler.stop_answered(&worker, &task, result, now);
+            }
+            Action::Hold { worker, held, .. } => {
+                let result = self.hold(&worker, &held);
+                match result {
+                    Ok(report) if !lost => {
+                        self.note_done(&report);
+                        self.scheduler
+                            .hold_answered(&worker, &held, &report, now);
+                    }
+                    Ok(_) => self.scheduler.hold_failed(
+                        &worker,
+                        &held,
+                        OrderError::Unknown,
+                        now,
+                    ),
+                    Err(error) => {
+                        self.scheduler.hold_failed(&worker, &held, error, now)
+                    }
+                }
+            }
+            Action::Pace { .. } => {}
+        }
+    }
+
+    fn note_done(&mut self, report: &HoldReport) {
+        use dewspar::schedule::EndCause;
+        let done =
+            report.ended.iter().filter(|end| end.cause == EndCause::Done);
+        self.done.extend(done.map(|end| end.task));
+    }
+
+    fn delay(&mut self, worker: &WorkerId, order: Late) {
+        let at = self.now_ms + self.random.random_range(100..6_000);
+        self.late.push((at, worker.clone(), order));
+    }
+
+    fn arrive_late(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, later) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _, _)| *at <= now_ms);
+        self.late = later;
+        let due: Vec<(u64, WorkerId, Late)> = due;
+        for (_, worker, order) in due {
+            // Whatever comes of it, nobody is told.
+            let _ = match order {
+                Late::Start(order) => self.start(&worker, &order),
+                Late::Stop(order) => self.stop(&worker, &order),
+            };
+        }
+    }
+
+    fn reach(&mut self, worker: &WorkerId) -> Result<&mut Life, OrderError> {
+        let now_ms = self.now_ms;
+        let life = self.lives.get_mut(worker).ok_or(OrderError::NotSent)?;
+        if now_ms < life.cut_until_ms {
+            return Err(OrderError::Unknown);
+        }
+        Ok(life)
+    }
+
+    fn start(
+        &mut self,
+        worker: &WorkerId,
+        order: &StartOrder,
+    ) -> Result<u64, OrderError> {
+        let fails = self.chance(80);
+        let work_ms = self.random.random_range(100..900);
+        let now_ms = self.now_ms;
+        let life = self.reach(worker)?;
+        let clock = life.clock(now_ms);
+        let demand =
+            Room { cpu_millis: 1_000, memory_mb: 500, ..Room::default() };
+        let fate =
+            if fails { Fate::failed(work_ms) } else { Fate::done(work_ms) };
+        life.worker.start(clock, order, demand, fate)
+    }
+
+    fn stop(
+        &mut self,
+        worker: &WorkerId,
+        order: &StopOrder,
+    ) -> Result<u64, OrderError> {
+        let now_ms = self.now_ms;
+        let life = self.reach(worker)?;
+        let clock = life.clock(now_ms);
+        life.worker.stop(clock, order)
+    }
+
+    fn hold(
+        &mut self,
+        worker: &WorkerId,
+        held: &dewspar::schedule::Held,
+    ) -> Result<HoldReport, OrderError> {
+        let now_ms = self.now_ms;
+        let life = self.reach(worker)?;
+        let clock = life.clock(now_ms);
+        life.worker.hold(clock, held.order())
+    }
+
+    /// Checks an order to start against what is known for certain.
+    fn check_start(&mut self, order: &StartOrder) {
+        self.starts += 1;
+        let task = order.task;
+        let cancelled = self.store.cancelled.contains(&task.job);
+        assert!(!cancelled, "{task} of a cancelled job");
+        let stored = self.store.progress.get(&task.job);
+        let records = stored.into_iter().flat_map(|p| &p.tasks);
+        for record in records {
+            let same = record.step == task.step && record.index == task.index;
+            if !same {
+                continue;
+            }
+            assert!(!record.done, "{task} was noted as done");
+            let failures = record.failed_runs.len();
+            assert!(failures < MAX_ATTEMPTS as usize, "{task} has failed");
+        }
+        if task.step > 0 {
+            let (job, _) = &self.store.jobs[&task.job];
+            for index in 0..job.spec.steps[0].count {
+                let earlier = TaskId { step: 0, index, ..task };
+                assert!(self.done.contains(&earlier), "{task} too early");
+            }
+        }
+    }
+
+    /// Checks that no task runs twice at a time.
+    fn check(&mut self) {
+        let now_ms = self.now_ms;
+        let mut running = BTreeSet::new();
+        for life in self.lives.values_mut() {
+            let clock = life.clock(now_ms);
+            for (task, run) in life.worker.running(clock) {
+                assert!(running.insert(task), "{task} runs twice, {run}");
+            }
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.store.jobs.keys().all(|id| {
+            let progress = self.store.progress.get(id);
+            progress.is_some_and(|progress| progress.phase.is_final())
+        })
+    }
+}
+
+fn play(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for step in 0..400 {
+        world.step(step);
+    }
+    // With the faults over, every job comes to its end.
+    world.faults = false;
+    for step in 0..4_000 {
+        world.step(step);
+        if world.is_over() {
+            return world;
+        }
+    }
+    let open: Vec<_> = world
+        .store
+        .jobs
+        .keys()
+        .filter(|id| {
+            let progress = world.store.progress.get(*id);
+            !progress.is_some_and(|p| p.phase.is_final())
+        })
+        .map(|id| (id.to_string(), world.scheduler.phase(*id)))
+        .collect();
+    panic!("seed {seed}: jobs that never end: {open:?}");
+}
+
+#[test]
+fn holds_whatever_is_lost_late_cut_or_taken_over() {
+    let mut starts = 0;
+    let mut completed = 0;
+    for seed in 0..1_500 {
+        let world = play(seed);
+        starts += world.starts;
+        completed += world
+            .store
+            .progress
+            .values()
+            .filter(|progress| progress.phase == Phase::Completed)
+            .count();
+    }
+    // The runs must have put the promises to the test.
+    assert!(starts > 30_000, "{starts}");
+    assert!(completed > 5_000, "{completed}");
+}
