End only the life of a worker that an order on its VM was for

Nothing is ordered from a list older than 2 s. The random runs now check acknowledged ends and have tasks that outlive a lease.

--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -142,6 +142,11 @@
         self.running.iter().map(|(task, run)| (*task, run.run)).collect()
     }
 
+    /// Returns the ends that haven't been acknowledged, oldest first.
+    pub fn ended(&self) -> &[EndedRun] {
+        &self.ended
+    }
+
     /// Returns how many starts found no room.
     pub fn rejected_for_room(&self) -> u64 {
         self.rejected_for_room
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -68,11 +68,21 @@
     done: BTreeSet<String>,
     /// The VMs that are down for it.
     down: BTreeMap<String, Down>,
-    /// The VMs with an order under way, and when it was sent.
-    ordered: BTreeMap<String, u64>,
+    /// The VMs with an order that isn't known to be done.
+    ordered: BTreeMap<String, Ordered>,
     completed: bool,
 }
 
+/// An order to take a VM down.
+#[derive(Debug)]
+struct Ordered {
+    /// When it was sent last.
+    sent_ms: u64,
+    /// The life of the worker when it was sent first; any later one may be
+    /// the maintenance's own outcome.
+    life: Option<WorkerId>,
+}
+
 /// A VM that was taken down.
 #[derive(Debug)]
 struct Down {
@@ -141,6 +151,24 @@
         for state in self.waves.values_mut() {
             state.settle(asked_ms, &self.vms);
         }
+        self.vms_asked_ms = asked_ms;
+        self.use_again();
+    }
+
+    /// Uses workers again whose VMs were maintained before their turn came.
+    fn use_again(&mut self) {
+        for worker in self.workers.values_mut() {
+            let Some(Purpose::Maintenance(wave)) = &worker.emptying else {
+                continue;
+            };
+            let state = self.waves.get(wave);
+            let vm = &worker.listing.vm;
+            // The worker is in the list, so its life is not the one that
+            // ended.
+            if state.is_some_and(|state| state.done.contains(vm)) {
+                worker.emptying = None;
+            }
+        }
     }
 
     /// Returns the next orders for VMs under maintenance.
@@ -179,9 +207,13 @@
             ready.push(vm.clone());
             room -= 1;
         }
-        let Some(state) = self.waves.get_mut(&wave) else { return };
         for vm in ready {
-            state.ordered.insert(vm.clone(), now.steady_ms);
+            let life = self.worker_on(&vm).map(|worker| worker.id().clone());
+            let Some(state) = self.waves.get_mut(&wave) else { return };
+            let sent_ms = now.steady_ms;
+            let first = Ordered { sent_ms, life };
+            let ordered = state.ordered.entry(vm.clone()).or_insert(first);
+            ordered.sent_ms = sent_ms;
             orders.push(VmOrder::Maintain { vm, wave });
         }
     }
@@ -373,11 +405,11 @@
         now: Now,
     ) {
         let listed = self.vms.contains_key(vm);
-        let life = self.worker_on(vm).map(|worker| worker.id().clone());
         let Some(state) = self.waves.get_mut(&wave) else { return };
         match result {
             Ok(()) => {
-                state.ordered.remove(vm);
+                let ordered = state.ordered.remove(vm);
+                let life = ordered.and_then(|ordered| ordered.life);
                 state.done.insert(vm.to_owned());
                 let since_ms = now.steady_ms;
                 let down = Down { since_ms, life: life.clone() };
@@ -440,9 +472,9 @@
 
     /// Returns whether an order for the VM is under way.
     fn is_waiting(&self, vm: &str, now: Now) -> bool {
-        self.ordered
-            .get(vm)
-            .is_some_and(|sent| now.steady_ms < sent + ORDER_RETRY_MS)
+        self.ordered.get(vm).is_some_and(|order| {
+            now.steady_ms < order.sent_ms + ORDER_RETRY_MS
+        })
     }
 
     /// Notes which VMs are back.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -343,6 +343,7 @@
     pub(crate) directory_settle_ms: u64,
     pub(crate) duty_gap_ms: u64,
     pub(crate) stop_settle_ms: u64,
+    pub(crate) vm_list_age_ms: u64,
 }
 
 impl Default for Options {
@@ -379,6 +380,8 @@
             // A stop takes up to 0.9 s, and workers are asked for the first
             // time within a second of a takeover.
             stop_settle_ms: 2_000,
+            // A few readings of the list, and less than a VM takes to move.
+            vm_list_age_ms: 2_000,
         }
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -51,6 +51,8 @@
     pub(super) serving_pools: BTreeSet<String>,
     pub(super) free_pools: BTreeSet<String>,
     pub(super) pool_loads: BTreeMap<String, PoolLoad>,
+    /// When the list of VMs was last asked for.
+    pub(super) vms_asked_ms: u64,
     /// When the pools' sizes were last looked at.
     pub(super) sized_ms: u64,
 }
@@ -93,6 +95,7 @@
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
+            vms_asked_ms: 0,
             sized_ms: 0,
         }
     }
@@ -281,7 +284,9 @@
     /// carried out whoever sends them.
     pub fn plan_vms(&mut self, now: Now) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        if self.superseded {
+        let newest = self.vms_asked_ms + self.options.vm_list_age_ms;
+        // What the list said long ago isn't so any more.
+        if self.superseded || now.steady_ms > newest {
             return orders;
         }
         self.measure_pools(now);
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -70,6 +70,8 @@
 pub(super) struct Moving {
     pub(super) to: String,
     pub(super) since_ms: u64,
+    /// The life of its worker when that was ordered.
+    pub(super) life: Option<WorkerId>,
 }
 
 impl Scheduler {
@@ -337,7 +339,8 @@
     ) {
         let to = pool.to_owned();
         let since_ms = now.steady_ms;
-        self.moving.insert(vm.to_owned(), Moving { to, since_ms });
+        let life = self.worker_on(vm).map(|worker| worker.id().clone());
+        self.moving.insert(vm.to_owned(), Moving { to, since_ms, life });
         orders
             .push(VmOrder::Move { vm: vm.to_owned(), pool: pool.to_owned() });
     }
@@ -360,7 +363,9 @@
         result: Result<(), VmOrderError>,
         now: Now,
     ) {
-        let life = self.worker_on(vm).map(|worker| worker.id().clone());
+        // A life that came since isn't touched: the order found the VM there.
+        let moving = self.moving.get(vm);
+        let life = moving.and_then(|moving| moving.life.clone());
         match (result, life) {
             (Ok(()), Some(life)) => {
                 self.worker_gone(&life, "its VM moves", now);
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -6,7 +6,8 @@
         schedule::{
             AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
             OrderError, QueueTerms, Refusal, Room, Scheduler, StartOrder,
-            VmLife, VmOrder, WaveRequest, WorkerId, WorkerListing,
+            VmLife, VmOrder, VmOrderError, WaveRequest, WorkerId,
+            WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -665,3 +666,61 @@
     let paces = paces_while(&mut world, &[10, 10, 10, 10, 10, 10]);
     assert_eq!(paces, [25, 50, 75, 100]);
 }
+
+#[test]
+fn a_move_that_was_done_before_ends_no_worker() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(300);
+    let now = at(world.now_ms);
+    // The VM service takes the order as done, since the VM is there already.
+    let vm = format!("vm-of-{}", world.starts[0].0);
+    world.scheduler.move_answered(&vm, POOL, Ok(()), now);
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 1);
+}
+
+#[test]
+fn maintenance_ordered_again_ends_only_the_life_it_was_ordered_for() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    request_wave(&mut world);
+    let ordered = |world: &mut World| {
+        let mut orders = 0;
+        for _ in 0..40 {
+            orders += world.scheduler.plan_vms(at(world.now_ms)).len();
+            world.run_for(50);
+            if orders > 0 {
+                break;
+            }
+            let vms: Vec<ManagedVm> =
+                world.listings.iter().map(managed).collect();
+            let asked_ms = world.now_ms;
+            world.scheduler.list_vms(at(asked_ms), asked_ms, &vms);
+        }
+        orders
+    };
+    assert_eq!(ordered(&mut world), 1);
+    let lost = Err(VmOrderError::Unknown);
+    let vm = "vm-of-w1";
+    world.scheduler.maintenance_answered(vm, 1, lost, at(world.now_ms));
+    // It was carried out all the same, and the VM is back and at work.
+    assert!(replace_life(&mut world, vm));
+    world.list();
+    world.run_for(200);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 1);
+    world.scheduler.maintenance_answered(vm, 1, Ok(()), at(world.now_ms));
+    world.listings.push(listing("w2"));
+    let second = (WorkerId::new("w2"), TaskWorker::new(ROOM));
+    world.workers.extend([second]);
+    world.list();
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 1, "its task runs on");
+}
--- a/crates/dewspar/tests/schedule_random.rs
+++ b/crates/dewspar/tests/schedule_random.rs
@@ -5,9 +5,9 @@
     dewspar::{
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId},
         schedule::{
-            AcceptedJob, Action, HoldReport, Now, Options, OrderError,
-            QueueTerms, Room, Scheduler, StartOrder, StopOrder, WorkerId,
-            WorkerListing,
+            AcceptedJob, Action, EndCause, HoldReport, Now, Options,
+            OrderError, QueueTerms, Room, Scheduler, StartOrder, StopOrder,
+            WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -60,6 +60,8 @@
     late: Vec<(u64, WorkerId, Late)>,
     /// Tasks that ended well on a worker that told so.
     done: BTreeSet<TaskId>,
+    /// Tasks whose good end was acknowledged to the worker.
+    noted: BTreeSet<TaskId>,
     faults: bool,
     starts: u64,
 }
@@ -81,6 +83,7 @@
             outage_until_ms: 0,
             late: Vec::new(),
             done: BTreeSet::new(),
+            noted: BTreeSet::new(),
             faults: true,
             starts: 0,
         };
@@ -321,7 +324,6 @@
     }
 
     fn note_done(&mut self, report: &HoldReport) {
-        use dewspar::schedule::EndCause;
         let done =
             report.ended.iter().filter(|end| end.cause == EndCause::Done);
         self.done.extend(done.map(|end| end.task));
@@ -363,7 +365,12 @@
         order: &StartOrder,
     ) -> Result<u64, OrderError> {
         let fails = self.chance(80);
-        let work_ms = self.random.random_range(100..900);
+        let long = self.chance(30);
+        let work_ms = if long {
+            self.random.random_range(9_000..14_000)
+        } else {
+            self.random.random_range(100..900)
+        };
         let now_ms = self.now_ms;
         let life = self.reach(worker)?;
         let clock = life.clock(now_ms);
@@ -393,7 +400,14 @@
         let now_ms = self.now_ms;
         let life = self.reach(worker)?;
         let clock = life.clock(now_ms);
-        life.worker.hold(clock, held.order())
+        let acknowledged = held.order().acknowledged;
+        let ended = life.worker.ended().to_vec();
+        let report = life.worker.hold(clock, held.order())?;
+        let noted = ended.into_iter().filter(|end| {
+            end.number <= acknowledged && end.cause == EndCause::Done
+        });
+        self.noted.extend(noted.map(|end| end.task));
+        Ok(report)
     }
 
     /// Checks an order to start against what is known for certain.
@@ -402,6 +416,8 @@
         let task = order.task;
         let cancelled = self.store.cancelled.contains(&task.job);
         assert!(!cancelled, "{task} of a cancelled job");
+        let noted = self.noted.contains(&task);
+        assert!(!noted, "{task} was acknowledged as done");
         let stored = self.store.progress.get(&task.job);
         let records = stored.into_iter().flat_map(|p| &p.tasks);
         for record in records {
--- a/crates/dewspard/tests/pages.rs
+++ b/crates/dewspard/tests/pages.rs
@@ -1,13 +1,14 @@
 //! The pages that must agree with the code.
 
 use {
-    dewspard::{counters, settings::Settings},
-    schemars::schema_for,
+    dewspard::{counters, jobs::JobSettings, settings::Settings},
+    schemars::{Schema, schema_for},
     serde_json::Value,
 };
 
 const METRICS: &str = include_str!("../../../docs/METRICS.md");
 const SETTINGS: &str = include_str!("../../../docs/SETTINGS.md");
+const JOB_SETTINGS: &str = include_str!("../../../docs/JOB-SETTINGS.md");
 
 #[test]
 fn metrics_page_lists_every_metric_and_no_other() {
@@ -25,13 +26,23 @@
 
 #[test]
 fn settings_page_lists_every_field_and_no_other() {
-    let schema = schema_for!(Settings).to_value();
+    assert_lists(SETTINGS, schema_for!(Settings));
+}
+
+#[test]
+fn job_settings_page_lists_every_field_and_no_other() {
+    assert_lists(JOB_SETTINGS, schema_for!(JobSettings));
+}
+
+/// Checks that a page has a row for each field of a type, and no other.
+fn assert_lists(page: &str, schema: Schema) {
+    let schema = schema.to_value();
     let mut rows = Vec::new();
     collect(&schema, &schema, "", &mut rows);
     for row in &rows {
-        assert!(SETTINGS.contains(row), "missing in SETTINGS.md: {row}");
+        assert!(page.contains(row), "missing on the page: {row}");
     }
-    let listed = SETTINGS.lines().filter(|line| line.starts_with("| `"));
+    let listed = page.lines().filter(|line| line.starts_with("| `"));
     assert_eq!(listed.count(), rows.len());
 }
 
