--- a/crates/dewspar-platform/src/fleet.rs
+++ b/crates/dewspar-platform/src/fleet.rs
@@ -1,8 +1,10 @@
 use {
     crate::Error,
     dewspar::{
-        job::QueueSet,
-        schedule::{ManagedVm, VmOrderError, WaveRequest, WorkerListing},
+        job::{QueueSet, TaskId},
+        schedule::{
+            ManagedVm, VmOrderError, WaveRequest, WorkerId, WorkerListing,
+        },
     },
     std::future::Future,
 };
@@ -55,6 +57,14 @@
         pool: &str,
     ) -> impl Future<Output = Result<(), VmOrderError>> + Send;
 
+    /// Asks the adviser which workers may run the step of a task; each that
+    /// may comes back with its ticket.
+    fn advise(
+        &self,
+        step: &TaskId,
+        workers: &[WorkerId],
+    ) -> impl Future<Output = Result<Vec<(WorkerId, String)>, Error>> + Send;
+
     /// Reads what the operator wants.
     fn intent(&self) -> impl Future<Output = Result<Intent, Error>> + Send;
 
--- /dev/null
+++ b/crates/dewspar/src/schedule/advice.rs
@@ -0,0 +1,162 @@
+/*!
+Queues whose policy allows only some workers to run a step.
+
+Which ones is known to an adviser alone. It is asked for a few workers that
+would suit a step, and answers with a ticket for each that may run it. A
+ticket holds for every task of the step on that life of the worker, for a
+while; an answer that leaves a worker out holds for good.
+*/
+
+use {
+    crate::{
+        job::{StepSpec, TaskId},
+        schedule::{
+            Action, AdviceTerms, Now, Scheduler, WorkerId, worker::Worker,
+        },
+    },
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How many questions may be under way: the adviser answers one at a time,
+/// and a longer queue of them only makes answers late.
+const MAX_QUESTIONS: usize = 4;
+
+/// The most workers that are named in one question.
+const MAX_NAMED: usize = 8;
+
+/// How long to wait after a question without an answer, in milliseconds.
+const RETRY_MS: u64 = 300;
+
+/// How long before its end a ticket is no longer used, in milliseconds: the
+/// time for an order to arrive, many times over.
+const TICKET_MARGIN_MS: u64 = 100;
+
+/// What the adviser has said of a step.
+#[derive(Debug, Default)]
+pub(super) struct StepAdvice {
+    tickets: BTreeMap<WorkerId, Ticket>,
+    denied: BTreeSet<WorkerId>,
+    asking: bool,
+    ask_from_ms: u64,
+}
+
+#[derive(Debug)]
+struct Ticket {
+    text: String,
+    until_ms: u64,
+}
+
+impl StepAdvice {
+    fn ticket(&self, worker: &WorkerId, now_ms: u64) -> Option<&str> {
+        let ticket = self.tickets.get(worker)?;
+        (now_ms < ticket.until_ms).then_some(ticket.text.as_str())
+    }
+}
+
+impl Scheduler {
+    /// Returns the ticket to start a task on a worker with; `None` when the
+    /// queue needs one and there is none.
+    pub(super) fn ticket(
+        &self,
+        task: &TaskId,
+        worker: &WorkerId,
+        now: Now,
+    ) -> Option<String> {
+        let job = self.jobs.get(&task.job)?;
+        if job.terms.advice.is_none() {
+            return Some(String::new());
+        }
+        let advice = self.advice.get(&step_of(task))?;
+        advice.ticket(worker, now.steady_ms).map(str::to_owned)
+    }
+
+    /// Returns whether a worker was left out of an answer for the step.
+    pub(super) fn is_denied(&self, task: &TaskId, worker: &WorkerId) -> bool {
+        let advice = self.advice.get(&step_of(task));
+        advice.is_some_and(|advice| advice.denied.contains(worker))
+    }
+
+    /// Asks which of the workers that suit a task may run its step.
+    pub(super) fn ask_adviser(
+        &mut self,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> Option<Action> {
+        self.jobs.get(&task.job)?.terms.advice?;
+        let asking = self.advice.values().filter(|a| a.asking).count();
+        let step = step_of(task);
+        let known = self.advice.get(&step);
+        let wait = known.is_some_and(|advice| {
+            advice.asking || now.steady_ms < advice.ask_from_ms
+        });
+        if wait || asking >= MAX_QUESTIONS {
+            return None;
+        }
+        let mut suitable: Vec<&Worker> =
+            self.suitable_workers(spec, task, now).collect();
+        suitable.sort_by_key(|worker| {
+            std::cmp::Reverse(self.score_for(worker, spec))
+        });
+        let workers: Vec<WorkerId> = suitable
+            .into_iter()
+            .take(MAX_NAMED)
+            .map(|worker| worker.id().clone())
+            .collect();
+        if workers.is_empty() {
+            return None;
+        }
+        self.advice.entry(step).or_default().asking = true;
+        Some(Action::Advise { step, workers, asked_ms: now.steady_ms })
+    }
+
+    /// Takes in the adviser's answer: the workers that may run the step,
+    /// each with its ticket. An error is an answer that didn't come.
+    pub fn advice_answered<E>(
+        &mut self,
+        step: &TaskId,
+        asked: &[WorkerId],
+        asked_ms: u64,
+        answer: Result<Vec<(WorkerId, String)>, E>,
+        now: Now,
+    ) {
+        let terms = self.jobs.get(&step.job).and_then(|j| j.terms.advice);
+        let Some(AdviceTerms { validity_ms, .. }) = terms else {
+            self.advice.remove(step);
+            return;
+        };
+        let advice = self.advice.entry(*step).or_default();
+        advice.asking = false;
+        let Ok(healthy) = answer else {
+            advice.ask_from_ms = now.steady_ms + RETRY_MS;
+            return;
+        };
+        let until_ms =
+            (asked_ms + validity_ms).saturating_sub(TICKET_MARGIN_MS);
+        let denied = asked
+            .iter()
+            .filter(|id| !healthy.iter().any(|(healthy, _)| healthy == *id));
+        advice.denied.extend(denied.cloned());
+        for (worker, text) in healthy {
+            advice.tickets.insert(worker, Ticket { text, until_ms });
+        }
+    }
+
+    /// Forgets a ticket that a worker refused.
+    pub(super) fn ticket_refused(&mut self, task: &TaskId, id: &WorkerId) {
+        if let Some(advice) = self.advice.get_mut(&step_of(task)) {
+            advice.tickets.remove(id);
+        }
+    }
+
+    /// Forgets what was said of jobs that are over.
+    pub(super) fn drop_old_advice(&mut self) {
+        let jobs = &self.jobs;
+        self.advice.retain(|step, _| jobs.contains_key(&step.job));
+    }
+}
+
+/// Returns the name of a task's step: that of its first task.
+fn step_of(task: &TaskId) -> TaskId {
+    TaskId { index: 0, ..*task }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -94,6 +94,7 @@
     serde::{Deserialize, Serialize},
 };
 
+mod advice;
 mod board;
 mod maintenance;
 mod order;
@@ -135,6 +136,21 @@
     pub target_latency_ms: u64,
     /// What a job may take for its work, as a multiple of its longest chain.
     pub stretch: f64,
+    /// How the adviser answers, if only some workers may run the tasks.
+    pub advice: Option<AdviceTerms>,
+}
+
+/// How an adviser answers.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+pub struct AdviceTerms {
+    /// How long an answer takes at least, in milliseconds.
+    pub decision_ms: u64,
+    /// How much longer it takes for each worker named, in milliseconds.
+    pub period_ms: u64,
+    /// How long a ticket is valid, in milliseconds.
+    pub validity_ms: u64,
 }
 
 impl QueueTerms {
@@ -187,6 +203,15 @@
         /// The order, to be given back with its answer.
         held: Held,
     },
+    /// Ask the adviser which workers may run a step.
+    Advise {
+        /// The step, named by its first task.
+        step: TaskId,
+        /// The workers that would suit it.
+        workers: Vec<WorkerId>,
+        /// When that was asked, to be given back with the answer.
+        asked_ms: u64,
+    },
     /// Send an order that limits the share at which a run works.
     Pace {
         /// The worker.
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -10,7 +10,7 @@
 use crate::{
     job::{JobId, Phase, StepSpec, TaskId},
     schedule::{
-        Action, Decision, Now, Room, Scheduler, StartOrder, WorkerId,
+        Action, Decision, Now, Scheduler, StartOrder, WorkerId,
         board::demand,
         worker::{Run, RunState, Worker},
     },
@@ -20,9 +20,10 @@
 /// may have started unseen, so that its number stays the highest.
 const RUN_GAP: u64 = 8;
 
-/// How much likelier a run near its data is than one with more room, in
-/// thousandths of a worker's free processor time.
-const NEAR_DATA_SCORE: i64 = 4_000;
+/// How much a worker near a task's data is preferred, in thousandths of a
+/// core: more than any worker's room, since elsewhere a task takes twice as
+/// long or more.
+const NEAR_DATA_SCORE: i64 = 60_000;
 
 /// How much a long-running task is drawn to workers that have such tasks
 /// already, so that fewer VMs are tied down: half a worker's processor, in
@@ -49,6 +50,8 @@
 enum NotNow {
     /// No worker has room for it.
     NoRoom,
+    /// None that has room has a ticket for it.
+    NoTicket,
     /// It may still run where a former holder started it.
     Unaccounted,
 }
@@ -129,6 +132,10 @@
                 }
                 // Its siblings may be wanted elsewhere, or be accounted for.
                 Err(NotNow::Unaccounted) => {}
+                Err(NotNow::NoTicket) => {
+                    actions.extend(self.ask_adviser(spec, &task, now));
+                    return;
+                }
                 Err(NotNow::NoRoom) if self.avoids(&task) => {}
                 Err(NotNow::NoRoom) => return,
             }
@@ -165,8 +172,13 @@
             {
                 state.checkpoint.clone_from(checkpoint);
             }
-            let Ok(worker) = self.choose(spec, &task, now) else {
-                break;
+            let worker = match self.choose(spec, &task, now) {
+                Ok(worker) => worker,
+                Err(NotNow::NoTicket) => {
+                    actions.extend(self.ask_adviser(spec, &task, now));
+                    break;
+                }
+                Err(_) => break,
             };
             placed.push((task, worker.clone()));
             orders.extend(self.start(spec, &task, run, worker, now));
@@ -208,37 +220,55 @@
         if inherited && !spec.may_duplicate && self.may_run_unseen(pool, now) {
             return Err(NotNow::Unaccounted);
         }
-        let best = self.best_worker(spec, task, now);
-        best.map(|worker| worker.id().clone()).ok_or(NotNow::NoRoom)
+        if let Some(worker) = self.best_worker(spec, task, now) {
+            return Ok(worker.id().clone());
+        }
+        let suits = self.suitable_workers(spec, task, now).next().is_some();
+        let advised = job.terms.advice.is_some();
+        Err(if suits && advised { NotNow::NoTicket } else { NotNow::NoRoom })
     }
 
-    /// Returns the worker that suits a task best.
-    fn best_worker(
+    /// Returns the workers that a task may go to, tickets aside.
+    pub(super) fn suitable_workers(
         &self,
         spec: &StepSpec,
         task: &TaskId,
         now: Now,
-    ) -> Option<&Worker> {
-        let job = self.jobs.get(&task.job)?;
-        let state = job.task(task)?;
+    ) -> impl Iterator<Item = &Worker> {
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task));
         let demand = demand(spec);
-        let suits = |worker: &&Worker| {
+        self.workers.values().filter(move |worker| {
+            let (Some(job), Some(state)) = (job, state) else { return false };
+            let apart = spec.max_per_worker == 0
+                || worker.runs_of_step(task) < spec.max_per_worker as usize;
             worker.listing.pool == job.terms.pool
                 && worker.takes_orders(now.steady_ms)
                 && worker.free().holds(&demand)
                 && !worker.runs.contains_key(task)
                 && (spec.long_running || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
-                && (spec.max_per_worker == 0
-                    || worker.runs_of_step(task)
-                        < spec.max_per_worker as usize)
-        };
-        self.workers.values().filter(suits).max_by_key(|worker| {
-            let avoided = state.avoid.contains(worker.id());
-            (!avoided, self.score(worker, spec, &demand), worker.id())
+                && apart
+                && !self.is_denied(task, worker.id())
         })
     }
 
+    /// Returns the worker that suits a task best.
+    fn best_worker(
+        &self,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> Option<&Worker> {
+        let state = self.jobs.get(&task.job)?.task(task)?;
+        self.suitable_workers(spec, task, now)
+            .filter(|worker| self.ticket(task, worker.id(), now).is_some())
+            .max_by_key(|worker| {
+                let avoided = state.avoid.contains(worker.id());
+                (!avoided, self.score_for(worker, spec), worker.id())
+            })
+    }
+
     /// Returns where a task that runs could run instead.
     pub(super) fn place_for(
         &self,
@@ -261,7 +291,9 @@
             })
     }
 
-    fn score(&self, worker: &Worker, spec: &StepSpec, demand: &Room) -> i64 {
+    /// Returns how well a worker suits a step's tasks.
+    pub(super) fn score_for(&self, worker: &Worker, spec: &StepSpec) -> i64 {
+        let demand = &demand(spec);
         // The fullest that still has room: the others fall idle, and their
         // VMs can be used elsewhere.
         let mut score = -(worker.free().less(demand).cpu_millis as i64);
@@ -299,6 +331,7 @@
         worker_id: WorkerId,
         now: Now,
     ) -> Option<Action> {
+        let ticket = self.ticket(task, &worker_id, now)?;
         let worker = self.workers.get_mut(&worker_id)?;
         let lease_until_ms =
             worker.lease_until_ms(now.steady_ms, &self.options)?;
@@ -348,7 +381,7 @@
             lease_until_ms,
             fence,
             checkpoint,
-            ticket: String::new(),
+            ticket,
         };
         Some(Action::Start { worker: worker_id, address, order })
     }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -5,6 +5,7 @@
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
             OrderError, PaceOrder, QueueTerms, Refusal, StopOrder, VmOrder,
             WorkerId, WorkerListing,
+            advice::StepAdvice,
             board::Job,
             maintenance::WaveState,
             sizing::{Moving, PoolLoad},
@@ -51,6 +52,8 @@
     pub(super) serving_pools: BTreeSet<String>,
     pub(super) free_pools: BTreeSet<String>,
     pub(super) pool_loads: BTreeMap<String, PoolLoad>,
+    /// What the adviser has said, by the first task of each step.
+    pub(super) advice: BTreeMap<TaskId, StepAdvice>,
     /// When the list of VMs was last asked for.
     pub(super) vms_asked_ms: u64,
     /// When the pools' sizes were last looked at.
@@ -95,6 +98,7 @@
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
+            advice: BTreeMap::new(),
             vms_asked_ms: 0,
             sized_ms: 0,
         }
@@ -396,6 +400,7 @@
             if progress.phase.is_final() {
                 self.finished.insert(*id, progress.finished_at_ms);
                 self.jobs.remove(id);
+                self.drop_old_advice();
                 self.changed.remove(id);
             } else if let Some(job) = self.jobs.get_mut(id) {
                 job.stored_sequence = changes.sequence;
@@ -481,7 +486,7 @@
             }
             OrderError::Refused(refusal) => {
                 self.free_run(task, worker_id, now);
-                self.start_refused(worker_id, refusal, superseded, now);
+                self.start_refused(worker_id, task, refusal, superseded, now);
             }
         }
     }
@@ -489,6 +494,7 @@
     fn start_refused(
         &mut self,
         worker_id: &WorkerId,
+        task: &TaskId,
         refusal: Refusal,
         under_current_fence: bool,
         now: Now,
@@ -510,8 +516,9 @@
             Refusal::Unhealthy | Refusal::Invalid => {
                 self.suspend(worker_id, refusal.name(), now);
             }
-            // Sent before the token was raised, or the ticket ran out.
-            Refusal::Fenced | Refusal::Ticket => {}
+            // Sent before the token was raised.
+            Refusal::Fenced => {}
+            Refusal::Ticket => self.ticket_refused(task, worker_id),
         }
     }
 
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -2,11 +2,11 @@
 
 use {
     dewspar::{
-        job::{JobId, JobSpec, Phase, StepSpec},
+        job::{JobId, JobSpec, Phase, StepSpec, TaskId},
         schedule::{
-            AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
-            OrderError, QueueTerms, Refusal, Room, Scheduler, StartOrder,
-            VmLife, VmOrder, VmOrderError, WaveRequest, WorkerId,
+            AcceptedJob, Action, AdviceTerms, Held, HoldReport, ManagedVm,
+            Now, Options, OrderError, QueueTerms, Refusal, Room, Scheduler,
+            StartOrder, VmLife, VmOrder, VmOrderError, WaveRequest, WorkerId,
             WorkerListing,
         },
     },
@@ -169,7 +169,7 @@
                 };
                 self.hold_result(&worker, &held, result, now);
             }
-            Action::Pace { .. } => {}
+            Action::Pace { .. } | Action::Advise { .. } => {}
         }
     }
 
@@ -724,3 +724,70 @@
     world.run_for(1_000);
     assert_eq!(world.starts.len(), 1, "its task runs on");
 }
+
+fn advised_job() -> AcceptedJob {
+    let mut job = job(vec![step(2)]);
+    job.terms.advice = Some(AdviceTerms {
+        decision_ms: 20,
+        period_ms: 2,
+        validity_ms: 2_000,
+    });
+    job
+}
+
+/// Plans once and returns the question to the adviser, if there is one.
+fn question(world: &mut World) -> Option<(TaskId, Vec<WorkerId>, u64)> {
+    world.now_ms += 50;
+    let now = at(world.now_ms);
+    let mut asked = None;
+    for action in world.scheduler.plan(now) {
+        match action {
+            Action::Advise { step, workers, asked_ms } => {
+                asked = Some((step, workers, asked_ms));
+            }
+            other => world.carry_out(other, now),
+        }
+    }
+    asked
+}
+
+#[test]
+fn starts_only_where_the_adviser_allows_it() {
+    let mut world = World::new(5, &["w1", "w2", "w3"]);
+    world.list();
+    world.run_for(100);
+    world.scheduler.submit(id(1), advised_job(), 6, None);
+    let asked = question(&mut world).expect("a question");
+    let (step, workers, asked_ms) = asked;
+    assert_eq!(workers.len(), 3);
+    assert!(question(&mut world).is_none(), "one at a time for a step");
+    assert!(world.starts.is_empty());
+    let allowed = WorkerId::new("w2");
+    let tickets = vec![(allowed.clone(), "t-1".to_owned())];
+    let answer: Result<_, OrderError> = Ok(tickets);
+    let now = at(world.now_ms);
+    world.scheduler.advice_answered(&step, &workers, asked_ms, answer, now);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 2);
+    for (worker, order) in &world.starts {
+        assert_eq!(worker, &allowed);
+        assert_eq!(order.ticket, "t-1");
+    }
+}
+
+#[test]
+fn asks_again_once_a_ticket_is_no_longer_valid() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.run_for(100);
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(1), advised_job(), 6, None);
+    let (step, workers, asked_ms) = question(&mut world).expect("one");
+    let lost: Result<Vec<(WorkerId, String)>, OrderError> =
+        Err(OrderError::Unknown);
+    let now = at(world.now_ms);
+    world.scheduler.advice_answered(&step, &workers, asked_ms, lost, now);
+    assert!(question(&mut world).is_none(), "not at once");
+    world.run_for(200);
+    assert!(question(&mut world).is_some());
+}
--- a/crates/dewspar/tests/schedule_random.rs
+++ b/crates/dewspar/tests/schedule_random.rs
@@ -190,7 +190,7 @@
     }
 
     fn disturb(&mut self, step: u64) {
-        if step < 40 && step % 4 == 0 {
+        if step < 40 && step.is_multiple_of(4) {
             self.submit(step / 4);
         }
         if self.chance(20) {
@@ -234,7 +234,7 @@
             self.disturb(step);
         }
         self.arrive_late();
-        if step % 10 == 0 {
+        if step.is_multiple_of(10) {
             self.list();
         }
         let now = self.now();
@@ -319,7 +319,7 @@
                     }
                 }
             }
-            Action::Pace { .. } => {}
+            Action::Pace { .. } | Action::Advise { .. } => {}
         }
     }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -138,6 +138,12 @@
         task: TaskId,
         result: Result<u64, OrderError>,
     },
+    AdviceAnswered {
+        step: TaskId,
+        workers: Vec<WorkerId>,
+        asked_ms: u64,
+        answer: Result<Vec<(WorkerId, String)>, Error>,
+    },
     Stored {
         changes: Changes,
         stored: Stored,
@@ -307,6 +313,10 @@
                         "worker" => %worker, "reason" => error.name());
                 }
             }
+            Event::AdviceAnswered { step, workers, asked_ms, answer } => {
+                scheduler
+                    .advice_answered(&step, &workers, asked_ms, answer, now);
+            }
             Event::Stored { changes, stored } => {
                 self.changes_stored(&changes, &stored, now);
             }
@@ -405,7 +415,8 @@
             return Some(Outcome::Lost("the lease couldn't be renewed"));
         }
         for action in actions {
-            orders::send(&self.candidate.workers, action, &self.sender);
+            let Candidate { workers, fleet, .. } = self.candidate;
+            orders::send(workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
         self.write_pending(now);
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -5,11 +5,11 @@
 
 | task | owns |
 |---|---|
-| [`front`] | the callers' connections; any node accepts and answers |
-| [`intent`] | the newest reading of what the operator wants |
-| [`election`] | this node's try for the scheduler lease |
-| [`holder`] | the [`Scheduler`](dewspar::schedule::Scheduler), on the one node that holds the lease |
-| [`readiness`] | the address at which the entry asks whether to send callers |
+| `front` | the callers' connections; any node accepts and answers |
+| `intent` | the newest reading of what the operator wants |
+| `election` | this node's try for the scheduler lease |
+| `holder` | the [`Scheduler`](dewspar::schedule::Scheduler), on the one node that holds the lease |
+| `readiness` | the address at which the entry asks whether to send callers |
 
 Nodes don't talk to each other. What they share lies in the store:
 
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -6,26 +6,31 @@
     super::holder::Event,
     crate::counters,
     dewspar::schedule::{Action, OrderError},
-    dewspar_platform::JobWorkers,
+    dewspar_platform::{Fleet, JobWorkers},
     tokio::sync::mpsc,
 };
 
 /// Sends an order and reports its result as an event.
-pub(super) fn send<W: JobWorkers>(
+pub(super) fn send<W: JobWorkers, F: Fleet>(
     workers: &W,
+    fleet: &F,
     action: Action,
     events: &mpsc::Sender<Event>,
 ) {
-    let workers = workers.clone();
+    let (workers, fleet) = (workers.clone(), fleet.clone());
     let events = events.clone();
     tokio::spawn(async move {
-        let event = carry_out(&workers, action).await;
+        let event = carry_out(&workers, &fleet, action).await;
         // A holder that is gone has no use for it.
         let _ = events.send(event).await;
     });
 }
 
-async fn carry_out<W: JobWorkers>(workers: &W, action: Action) -> Event {
+async fn carry_out<W: JobWorkers, F: Fleet>(
+    workers: &W,
+    fleet: &F,
+    action: Action,
+) -> Event {
     match action {
         Action::Start { worker, address, order } => {
             let result = workers.start(&address, &worker, &order).await;
@@ -43,6 +48,13 @@
             count("hold", result.as_ref().err());
             Event::HoldAnswered { worker, held, result }
         }
+        Action::Advise { step, workers, asked_ms } => {
+            let answer = fleet.advise(&step, &workers).await;
+            if let Err(error) = &answer {
+                counters::platform_failure(error);
+            }
+            Event::AdviceAnswered { step, workers, asked_ms, answer }
+        }
         Action::Pace { worker, address, order } => {
             let result = workers.pace(&address, &worker, &order).await;
             count("pace", result.as_ref().err());
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -62,6 +62,9 @@
     pub store: SocketAddr,
     /// The VM service.
     pub vm_service: SocketAddr,
+    /// The adviser on which workers may run a step, if there is one.
+    #[serde(default)]
+    pub adviser: Option<SocketAddr>,
     /// What comes before every key of ours in the store.
     #[serde(default = "default_root")]
     pub root: String,
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -144,7 +144,8 @@
             &store,
             Client::new(VM_SERVICE_TIMEOUT_MS),
             &platform.vm_service.to_string(),
-        );
+        )
+        .with_adviser(platform.adviser.map(|a| a.to_string()));
         let workers =
             TaskWorkers::new(Client::new(ORDER_TIMEOUT_MS), MAX_HOLD_WAIT_MS);
         let platform = JobPlatform {
