--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -6,6 +6,10 @@
 store lets one succeed. The revision of that write is the holder's fencing
 token.
 
+Nodes differ in what they can schedule. Each writes its strength once, and one
+that is much weaker than the strongest waits a moment before it tries, so that
+it only schedules when no stronger one does.
+
 A node that finds its own name under an older incarnation was restarted: that
 holder is gone for certain, and the key is replaced without waiting.
 */
@@ -46,6 +50,17 @@
 /// they don't all call at once, in milliseconds.
 const SPREAD_MS: u64 = 30;
 
+/// How long the weakest node waits for a stronger one to take the lease, in
+/// milliseconds: several calls to the store, and short beside the lease.
+const WEAK_DELAY_MS: u64 = 700;
+
+/// How strong a node must be to try at once, in hundredths of the strongest.
+const STRONG_PERCENT: u64 = 80;
+
+/// How long a node waits at the very first start for others to write their
+/// strength: nodes start within 0.3 s of each other.
+const FIRST_START: Duration = Duration::from_millis(400);
+
 /// The value of the lease's key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct Owner {
@@ -75,6 +90,8 @@
     pub(super) readiness: Readiness,
     pub(super) stopping: watch::Receiver<bool>,
     pub(super) min_lease_ms: u64,
+    /// How much this node can schedule, to be compared with others.
+    pub(super) strength: u64,
     pub(super) options: Options,
     pub(super) log: Logger,
 }
@@ -97,6 +114,7 @@
     pub(super) async fn run(self) {
         let incarnation = clock::incarnation();
         let mut known = String::new();
+        self.write_strength().await;
         while !*self.stopping.borrow() {
             if !self.readiness.is_ready() {
                 sleep(RETRY).await;
@@ -113,7 +131,9 @@
                 }
                 Ok(seen) => {
                     known.clear();
-                    self.serve(seen, incarnation).await;
+                    if self.let_stronger_go_first(&seen).await {
+                        self.serve(seen, incarnation).await;
+                    }
                 }
                 Err(error) => {
                     counters::platform_failure(&error);
@@ -123,6 +143,53 @@
         }
     }
 
+    /// Writes how much this node can schedule, as soon as the store takes it.
+    async fn write_strength(&self) {
+        let key = keys::node(&self.node);
+        let value = self.strength.to_string().into_bytes();
+        let batch = Batch::default().put(&key, value);
+        while let Err(error) = self.store.commit(&batch).await {
+            counters::platform_failure(&error);
+            sleep(RETRY).await;
+            if *self.stopping.borrow() {
+                return;
+            }
+        }
+        if matches!(self.strongest().await, Ok((1, _))) {
+            sleep(FIRST_START).await;
+        }
+    }
+
+    /// Returns how many nodes have written their strength, and the most.
+    async fn strongest(&self) -> Result<(usize, u64), Error> {
+        let (_, nodes) = self.store.list(keys::NODES).await?;
+        let strength = |node: &Versioned| -> Option<u64> {
+            std::str::from_utf8(&node.value).ok()?.parse().ok()
+        };
+        let most = nodes.iter().filter_map(strength).max();
+        Ok((nodes.len(), most.unwrap_or(self.strength)))
+    }
+
+    /// Waits if this node is a weak one; returns whether the lease is still
+    /// as it was seen.
+    async fn let_stronger_go_first(&self, seen: &Seen) -> bool {
+        let most = match self.strongest().await {
+            Ok((_, most)) => most.max(1),
+            Err(error) => {
+                counters::platform_failure(&error);
+                return true;
+            }
+        };
+        let percent = self.strength * 100 / most;
+        if percent >= STRONG_PERCENT || !matches!(seen, Seen::Nobody) {
+            return true;
+        }
+        let delay = WEAK_DELAY_MS * (100 - percent) / 100;
+        sleep(Duration::from_millis(delay)).await;
+        // Somebody else may hold it by now.
+        matches!(self.store.version(keys::OWNER).await, Ok(0))
+    }
+
     async fn look(&self, incarnation: u64) -> Result<Seen, Error> {
         let found = self.store.get(keys::OWNER).await?;
         Ok(self.judge(found.as_ref(), incarnation))
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -68,6 +68,11 @@
 /// of jobs that are over are written at once.
 const GATHER_MS: u64 = 20;
 
+/// How much longer the pause between two readings of the directory, or of
+/// the list of VMs, gets with each entry: a few hundred of them cost a weak
+/// node as much to read as all its orders.
+const PAUSE_AN_ENTRY: Duration = Duration::from_millis(2);
+
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -557,8 +562,10 @@
 async fn read_vms<F: Fleet>(fleet: F, sender: mpsc::Sender<Event>) {
     loop {
         let asked_ms = clock::now_ms();
+        let mut pause = VM_INTERVAL;
         match fleet.vms().await {
             Ok(vms) => {
+                pause = pause.max(PAUSE_AN_ENTRY * vms.len() as u32);
                 let event = Event::Vms { asked_ms, vms };
                 if sender.send(event).await.is_err() {
                     return;
@@ -566,7 +573,7 @@
             }
             Err(error) => counters::platform_failure(&error),
         }
-        sleep(VM_INTERVAL).await;
+        sleep(pause).await;
     }
 }
 
@@ -653,8 +660,10 @@
 
 async fn read_directory<F: Fleet>(fleet: F, sender: mpsc::Sender<Event>) {
     loop {
+        let mut pause = DIRECTORY_INTERVAL;
         match fleet.workers().await {
             Ok(listings) => {
+                pause = pause.max(PAUSE_AN_ENTRY * listings.len() as u32);
                 let event = Event::Directory(listings);
                 if sender.send(event).await.is_err() {
                     return;
@@ -662,6 +671,6 @@
             }
             Err(error) => counters::platform_failure(&error),
         }
-        sleep(DIRECTORY_INTERVAL).await;
+        sleep(pause).await;
     }
 }
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -7,6 +7,9 @@
 /// Who holds the scheduler lease.
 pub(super) const OWNER: &str = "q/owner";
 
+/// How much each node can schedule.
+pub(super) const NODES: &str = "node/";
+
 /// Everything that the holder must hear of in order.
 pub(super) const FEED: &str = "q/";
 
@@ -67,6 +70,10 @@
     key.strip_prefix(PROGRESS)?.parse().ok()
 }
 
+pub(super) fn node(name: &str) -> String {
+    format!("{NODES}{name}")
+}
+
 pub(super) fn wave(wave: u64) -> String {
     format!("{WAVES}{wave}")
 }
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -112,6 +112,7 @@
             readiness,
             stopping: stopped,
             min_lease_ms: timing.min_store_lease_ms,
+            strength: settings.machine.strength(),
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
                 .kept_ms(timing.kept_ms)
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -46,6 +46,9 @@
     pub metrics_address: Option<SocketAddr>,
     /// Where the node reaches the platform.
     pub platform: PlatformAddresses,
+    /// What the entry VM has.
+    #[serde(default)]
+    pub machine: Machine,
     /// Times that the platform and its operator set.
     #[serde(default)]
     pub timing: Timing,
@@ -54,6 +57,36 @@
     pub log: Log,
 }
 
+/// What the entry VM has; the strongest nodes schedule first.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Machine {
+    /// Processor time, in thousandths of a core.
+    pub cpu_millis: f64,
+    /// What its network link carries, in megabits a second.
+    pub link_mbps: f64,
+}
+
+impl Default for Machine {
+    fn default() -> Machine {
+        Machine { cpu_millis: 1_000.0, link_mbps: 1_000.0 }
+    }
+}
+
+/// What link a thousandth of a core needs for scheduling, in megabits a
+/// second: some 500 orders and their answers for each thousandth would take
+/// that, with room to spare.
+const LINK_MBPS_A_CPU_MILLI: f64 = 0.2;
+
+impl Machine {
+    /// Returns how much the VM can schedule, to be compared with others.
+    pub fn strength(&self) -> u64 {
+        let by_link = self.link_mbps / LINK_MBPS_A_CPU_MILLI;
+        // OK to convert: a float goes to the nearest value that fits.
+        self.cpu_millis.min(by_link).max(1.0) as u64
+    }
+}
+
 /// Where a node reaches the platform.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -139,6 +172,14 @@
         if settings.node.is_empty() {
             problems.add("node", "is empty");
         }
+        for (field, value) in [
+            ("machine.cpu_millis", settings.machine.cpu_millis),
+            ("machine.link_mbps", settings.machine.link_mbps),
+        ] {
+            if !value.is_finite() || value <= 0.0 {
+                problems.add(field, "must be above 0");
+            }
+        }
         let Timing {
             config_apply_ms,
             max_lease_ms,
