--- /dev/null
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -0,0 +1,136 @@
+/*!
+What an answer to an order changes.
+*/
+
+use crate::{
+    job::TaskId,
+    schedule::{
+        Decision, Now, OrderError, Refusal, Scheduler, WorkerId,
+        worker::RunState,
+    },
+};
+
+impl Scheduler {
+    /// Takes in the answer to an order to start a run.
+    pub fn start_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        result: Result<u64, OrderError>,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let known = worker.runs.get_mut(task).filter(|r| r.run == run);
+        let Some(known) = known else { return };
+        let error = match result {
+            Ok(clock_ms) => {
+                if known.state == RunState::Starting {
+                    known.state = RunState::Running;
+                    known.since_ms = now.steady_ms;
+                    known.moved_ms = now.steady_ms;
+                }
+                worker.read_clock(clock_ms, now.steady_ms);
+                return;
+            }
+            Err(error) => error,
+        };
+        // A hold has shown it meanwhile, or it is to stop: ends will tell.
+        if known.state == RunState::Running {
+            return;
+        }
+        let fence = known.fence;
+        let superseded = fence == worker.fence();
+        self.note(Decision::OrderFailed {
+            worker: worker_id.clone(),
+            task: Some(*task),
+            reason: error.name(),
+        });
+        match error {
+            OrderError::Unknown => {
+                // OK because the worker was found above.
+                let worker = self.workers.get_mut(worker_id).expect("known");
+                if worker.fence() == fence {
+                    worker.raise_fence(now.steady_ms);
+                }
+            }
+            OrderError::NotSent => {
+                self.suspend(worker_id, error.name(), now);
+                self.free_run(task, worker_id, now);
+            }
+            OrderError::Refused(refusal) => {
+                self.free_run(task, worker_id, now);
+                self.start_refused(worker_id, task, refusal, superseded, now);
+            }
+        }
+    }
+
+    fn start_refused(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        refusal: Refusal,
+        under_current_fence: bool,
+        now: Now,
+    ) {
+        match refusal {
+            Refusal::Fenced if under_current_fence => {
+                self.supersede(worker_id);
+            }
+            Refusal::OtherLife => {
+                self.worker_gone(worker_id, "another life answers", now);
+            }
+            // Something is there that isn't known here, or the clocks
+            // disagree: ask before anything else is sent.
+            Refusal::NoRoom | Refusal::LeaseOver | Refusal::StaleRun => {
+                if let Some(worker) = self.workers.get_mut(worker_id) {
+                    worker.raise_fence(now.steady_ms);
+                }
+            }
+            Refusal::Unhealthy | Refusal::Invalid => {
+                self.suspend(worker_id, refusal.name(), now);
+            }
+            // Sent before the token was raised.
+            Refusal::Fenced => {}
+            Refusal::Ticket => self.ticket_refused(task, worker_id),
+        }
+    }
+
+    /// Takes in the answer to an order to stop a run.
+    pub fn stop_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        result: Result<u64, OrderError>,
+        now: Now,
+    ) {
+        let Err(error) = result else { return };
+        self.note(Decision::OrderFailed {
+            worker: worker_id.clone(),
+            task: Some(*task),
+            reason: error.name(),
+        });
+        match error {
+            OrderError::Refused(Refusal::OtherLife) => {
+                self.worker_gone(worker_id, "another life answers", now);
+            }
+            OrderError::Refused(Refusal::Fenced) => {
+                let worker = self.workers.get(worker_id);
+                if worker.is_some_and(|worker| worker.synced) {
+                    self.look_again(worker_id, now);
+                }
+            }
+            // It is sent again until the end is listed.
+            OrderError::Refused(_)
+            | OrderError::NotSent
+            | OrderError::Unknown => {}
+        }
+    }
+
+    /// Asks a worker under a new token, which shows who holds the lease.
+    fn look_again(&mut self, worker_id: &WorkerId, now: Now) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.raise_fence(now.steady_ms);
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -85,7 +85,8 @@
         PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
         WorkerListing,
     },
-    scheduler::{Changes, Scheduler},
+    scheduler::Scheduler,
+    storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRequest},
 };
 
@@ -95,7 +96,10 @@
 };
 
 mod advice;
+mod answers;
 mod board;
+mod directory;
+mod duty;
 mod maintenance;
 mod order;
 mod pacing;
@@ -103,6 +107,7 @@
 mod report;
 mod scheduler;
 mod sizing;
+mod storing;
 mod vm;
 mod worker;
 
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -20,6 +20,10 @@
 /// may have started unseen, so that its number stays the highest.
 const RUN_GAP: u64 = 8;
 
+/// How long after a takeover a task is started that may run elsewhere and may
+/// have copies, in milliseconds: most workers have answered by then.
+const COPY_AFTER_MS: u64 = 400;
+
 /// How much a worker near a task's data is preferred, in thousandths of a
 /// core: more than any worker's room, since elsewhere a task takes twice as
 /// long or more.
@@ -217,7 +221,10 @@
         let job = &self.jobs[&task.job];
         let inherited = job.revision < self.lease_revision;
         let pool = job.terms.pool.as_str();
-        if inherited && !spec.may_duplicate && self.may_run_unseen(pool, now) {
+        // A copy does no harm, but is wasted if most workers answer at once.
+        let settled = self.taken_over_ms + COPY_AFTER_MS;
+        let may_copy = spec.may_duplicate && now.steady_ms >= settled;
+        if inherited && !may_copy && self.may_run_unseen(pool, now) {
             return Err(NotNow::Unaccounted);
         }
         if let Some(worker) = self.best_worker(spec, task, now) {
--- /dev/null
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -0,0 +1,103 @@
+/*!
+What must be in the store before ends may be acknowledged.
+*/
+
+use crate::{
+    job::{JobId, Progress},
+    schedule::{Now, Scheduler},
+};
+
+/// What must be stored before ends may be acknowledged.
+#[derive(Clone, Debug, Default)]
+pub struct Changes {
+    /// The progress of the jobs that changed.
+    pub progress: Vec<(JobId, Progress)>,
+    /// The newest change that is in it.
+    sequence: u64,
+}
+
+impl Scheduler {
+    /// Takes what changed and isn't being stored, at most `most` jobs; those
+    /// that are over come first, since callers wait for them.
+    ///
+    /// Call [`Scheduler::changes_stored`] or [`Scheduler::changes_failed`]
+    /// once the outcome is known. Several may be under way at a time: no job
+    /// is in two of them.
+    pub fn take_changes(&mut self, most: usize) -> Changes {
+        let mut ids: Vec<(bool, JobId)> = self
+            .changed
+            .difference(&self.storing)
+            .filter_map(|id| {
+                let job = self.jobs.get(id)?;
+                Some((!job.phase.is_final(), *id))
+            })
+            .collect();
+        ids.sort_unstable();
+        let mut progress = Vec::new();
+        for (_, id) in ids.into_iter().take(most) {
+            self.changed.remove(&id);
+            self.storing.insert(id);
+            if let Some(job) = self.jobs.get(&id) {
+                progress.push((id, job.progress()));
+            }
+        }
+        Changes { progress, sequence: self.sequence }
+    }
+
+    /// Returns whether there is anything to store that isn't being stored.
+    pub fn has_changes(&self) -> bool {
+        self.changed.difference(&self.storing).next().is_some()
+    }
+
+    /// Returns whether a job that is over waits to be stored.
+    pub fn has_final_changes(&self) -> bool {
+        let mut waiting = self.changed.difference(&self.storing);
+        waiting.any(|id| {
+            self.jobs.get(id).is_some_and(|job| job.phase.is_final())
+        })
+    }
+
+    /// Notes that changes are in the store.
+    pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
+        for (id, progress) in &changes.progress {
+            self.storing.remove(id);
+            if progress.phase.is_final() {
+                self.finished.insert(*id, progress.finished_at_ms);
+                self.jobs.remove(id);
+                self.drop_old_advice();
+                self.changed.remove(id);
+            } else if let Some(job) = self.jobs.get_mut(id) {
+                job.stored_sequence = changes.sequence;
+            }
+        }
+        let jobs = &self.jobs;
+        for worker in self.workers.values_mut() {
+            worker.store_ends(now.steady_ms, |job, sequence| {
+                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+            });
+        }
+    }
+
+    /// Puts changes back that couldn't be stored.
+    pub fn changes_failed(&mut self, changes: &Changes) {
+        for (id, _) in &changes.progress {
+            self.storing.remove(id);
+            if self.jobs.contains_key(id) {
+                self.changed.insert(*id);
+            }
+        }
+    }
+
+    /// Takes finished jobs whose keys need no longer be kept.
+    pub fn take_expired(&mut self, now: Now, most: usize) -> Vec<JobId> {
+        let kept_ms = self.options.kept_ms;
+        let over = |at: u64| now.unix_ms >= at + kept_ms;
+        let expired = self.finished.iter().filter(|(_, at)| over(**at));
+        let expired: Vec<JobId> =
+            expired.map(|(id, _)| *id).take(most).collect();
+        for id in &expired {
+            self.finished.remove(id);
+        }
+        expired
+    }
+}
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -37,6 +37,7 @@
 mod decisions;
 mod duties;
 mod election;
+mod feeds;
 mod front;
 mod holder;
 mod intent;
