--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -77,7 +77,6 @@
     pub(super) protocol: P,
     pub(super) reader: intent::Reader,
     pub(super) readiness: Readiness,
-    pub(super) stopping: watch::Receiver<bool>,
     pub(super) pending: tokio::sync::Mutex<PendingCounts>,
     pub(super) log: Logger,
 }
@@ -162,8 +161,9 @@
             Err(error) => JobReply::Invalid(format!("body: {error}")),
         };
         let mut response = self.protocol.write(&reply);
-        if *self.stopping.borrow() {
-            // The caller's next call then goes to a node that stays.
+        if !self.readiness.is_ready() {
+            // The caller's next call then goes to a node that is ready: one
+            // that stays, and that reaches the store.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -97,7 +97,6 @@
             protocol: platform.protocol,
             reader: reader.clone(),
             readiness: readiness.clone(),
-            stopping: stopped.clone(),
             pending: tokio::sync::Mutex::new(PendingCounts::default()),
             log: logs::part(&log, "front"),
         };
