--- a/crates/dewspar-standin/src/lib.rs
+++ b/crates/dewspar-standin/src/lib.rs
@@ -11,6 +11,7 @@
 * [`runner`] is a target that a worker starts for a service's task.
 * [`faults`] says what goes wrong, and can be changed while they run.
 * [`recorder`] writes down what really happened, for history checks.
+* [`task_fleet`] is a fleet whose workers run tasks of jobs.
 * [`certs`] makes a certificate authority for tests and demonstrations.
 */
 
@@ -22,4 +23,5 @@
 pub mod runner;
 mod server;
 pub mod store;
+pub mod task_fleet;
 pub mod task_worker;
--- /dev/null
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -0,0 +1,359 @@
+/*!
+A small fleet that runs tasks of jobs: its workers, VMs and operator, in
+memory.
+
+It is a [`Fleet`] and the fleet's [`JobWorkers`] in one, so that nodes that
+run jobs can be tried without sockets to a platform. [`Faults`] strike orders
+to workers.
+
+# Example
+
+```
+use {
+    dewspar::job::QueueSet,
+    dewspar_platform::Fleet,
+    dewspar_standin::{faults::Faults, task_fleet::TaskFleet},
+};
+
+let runtime = tokio::runtime::Builder::new_current_thread()
+    .enable_time()
+    .build()?;
+runtime.block_on(async {
+    let fleet = TaskFleet::new(Faults::new(1), "registry", 3);
+    assert_eq!(fleet.workers().await?.len(), 3);
+    assert!(fleet.intent().await?.queues.is_none());
+    fleet.configure(QueueSet::new(1, Vec::new()));
+    assert_eq!(fleet.intent().await?.queues.unwrap().version(), 1);
+    Ok::<(), dewspar_platform::Error>(())
+})?;
+# Ok::<(), Box<dyn std::error::Error>>(())
+```
+*/
+
+use {
+    crate::{
+        faults::{Fate as CallFate, Faults},
+        task_worker::{Fate, TaskWorker},
+    },
+    dewspar::{
+        job::{QueueSet, TaskId},
+        schedule::{
+            HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder, Refusal,
+            Room, StartOrder, StopOrder, VmLife, VmOrderError, WaveRequest,
+            WorkerId, WorkerListing,
+        },
+    },
+    dewspar_platform::{Error, Fleet, Intent, JobWorkers, VmChange},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// What each worker has room for: four tasks of [`TASK`].
+const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
+
+/// What each task takes, whatever its job says.
+const TASK: Room = Room { cpu_millis: 1_000, memory_mb: 1_000, gpus: 0 };
+
+/// How often a hold that waits looks for an end.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// How long a change of what the operator wants is waited for.
+const INTENT_WAIT: Duration = Duration::from_millis(100);
+
+/// The fleet; clones share it.
+#[derive(Clone, Debug)]
+pub struct TaskFleet {
+    state: Arc<Mutex<State>>,
+    faults: Faults,
+    start: Instant,
+}
+
+#[derive(Debug)]
+struct State {
+    workers: BTreeMap<WorkerId, Entry>,
+    intent: Intent,
+    completed: Vec<u64>,
+    next_life: u64,
+    /// How long each task takes, in milliseconds.
+    work_ms: u64,
+    /// Every run that was ever started.
+    started: Vec<(TaskId, u64)>,
+    maintained: BTreeSet<String>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    worker: TaskWorker,
+    listing: WorkerListing,
+}
+
+impl TaskFleet {
+    /// Makes a fleet of one pool with so many VMs.
+    pub fn new(faults: Faults, pool: &str, vms: usize) -> TaskFleet {
+        let state = State {
+            workers: BTreeMap::new(),
+            intent: Intent { read_at: 1, ..Intent::default() },
+            completed: Vec::new(),
+            next_life: 1,
+            work_ms: 100,
+            started: Vec::new(),
+            maintained: BTreeSet::new(),
+        };
+        let state = Arc::new(Mutex::new(state));
+        let fleet = TaskFleet { state, faults, start: Instant::now() };
+        for vm in 0..vms {
+            fleet.lock().start_life(&format!("vm-{vm}"), pool);
+        }
+        fleet
+    }
+
+    /// Sets how long each task takes from now on, in milliseconds.
+    pub fn set_work_ms(&self, work_ms: u64) {
+        self.lock().work_ms = work_ms;
+    }
+
+    /// Writes a configuration, as the operator would.
+    pub fn configure(&self, queues: QueueSet) {
+        let mut state = self.lock();
+        state.intent.read_at += 1;
+        state.intent.queues = Some(queues);
+    }
+
+    /// Asks for a wave, as the operator would.
+    pub fn request_wave(&self, wave: WaveRequest) {
+        let mut state = self.lock();
+        state.intent.read_at += 1;
+        state.intent.waves.push(wave);
+    }
+
+    /// Returns every run that was ever started.
+    pub fn started(&self) -> Vec<(TaskId, u64)> {
+        self.lock().started.clone()
+    }
+
+    /// Returns the VMs that were maintained.
+    pub fn maintained(&self) -> BTreeSet<String> {
+        self.lock().maintained.clone()
+    }
+
+    /// Returns what runs now.
+    pub fn running(&self) -> Vec<(TaskId, u64)> {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let workers = state.workers.values_mut();
+        workers.flat_map(|entry| entry.worker.running(now_ms)).collect()
+    }
+
+    /// Lets a VM fail; it is back at once, and all that ran there is gone.
+    pub fn crash(&self, vm: &str) {
+        self.lock().replace_life(vm);
+    }
+
+    fn now_ms(&self) -> u64 {
+        let elapsed = self.start.elapsed().as_millis();
+        // Above 0, so that no clock is at its very start.
+        1_000 + u64::try_from(elapsed).unwrap_or(u64::MAX - 1_000)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Carries out an order, unless a fault strikes it.
+    fn order<T>(
+        &self,
+        worker: &WorkerId,
+        act: impl FnOnce(&mut Entry, u64) -> Result<T, OrderError>,
+    ) -> Result<T, OrderError> {
+        let fate = self.faults.fate();
+        if fate == CallFate::Refuse {
+            return Err(OrderError::NotSent);
+        }
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let entry = state.workers.get_mut(worker);
+        let entry = entry.ok_or(OrderError::Refused(Refusal::OtherLife))?;
+        let result = act(entry, now_ms);
+        match fate {
+            CallFate::LoseAnswer => Err(OrderError::Unknown),
+            CallFate::Answer | CallFate::Refuse => result,
+        }
+    }
+}
+
+impl State {
+    fn start_life(&mut self, vm: &str, pool: &str) {
+        let id = WorkerId::new(&format!("{vm}-{}", self.next_life));
+        self.next_life += 1;
+        let listing = WorkerListing {
+            id: id.clone(),
+            address: id.to_string(),
+            vm: vm.to_owned(),
+            pool: pool.to_owned(),
+            rack: "rack-1".to_owned(),
+            labels: Vec::new(),
+            capacity: ROOM,
+            draining: false,
+            remaining_ms: None,
+        };
+        let worker = TaskWorker::new(ROOM);
+        self.workers.insert(id, Entry { worker, listing });
+    }
+
+    /// Ends a VM's worker and starts the next; returns whether there is one.
+    fn replace_life(&mut self, vm: &str) -> bool {
+        let found = self.workers.values().find(|e| e.listing.vm == vm);
+        let Some(listing) = found.map(|entry| entry.listing.clone()) else {
+            return false;
+        };
+        self.workers.remove(&listing.id);
+        self.start_life(vm, &listing.pool);
+        true
+    }
+}
+
+impl JobWorkers for TaskFleet {
+    async fn start(
+        &self,
+        _address: &str,
+        worker: &WorkerId,
+        order: &StartOrder,
+    ) -> Result<u64, OrderError> {
+        let work_ms = self.lock().work_ms;
+        let mut began = false;
+        let result = self.order(worker, |entry, now_ms| {
+            let fate = Fate::done(work_ms);
+            let result = entry.worker.start(now_ms, order, TASK, fate);
+            began = result.is_ok();
+            result
+        });
+        if began {
+            self.lock().started.push((order.task, order.run));
+        }
+        result
+    }
+
+    async fn stop(
+        &self,
+        _address: &str,
+        worker: &WorkerId,
+        order: &StopOrder,
+    ) -> Result<u64, OrderError> {
+        self.order(worker, |entry, now_ms| entry.worker.stop(now_ms, order))
+    }
+
+    async fn pace(
+        &self,
+        _address: &str,
+        worker: &WorkerId,
+        _order: &PaceOrder,
+    ) -> Result<u64, OrderError> {
+        self.order(worker, |_, now_ms| Ok(now_ms))
+    }
+
+    async fn hold(
+        &self,
+        _address: &str,
+        worker: &WorkerId,
+        order: &HoldOrder,
+    ) -> Result<HoldReport, OrderError> {
+        let until = Instant::now() + Duration::from_millis(order.wait_ms);
+        loop {
+            let report = self.order(worker, |entry, now_ms| {
+                entry.worker.hold(now_ms, order)
+            })?;
+            if !report.ended.is_empty() || Instant::now() >= until {
+                return Ok(report);
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
+
+impl Fleet for TaskFleet {
+    async fn workers(&self) -> Result<Vec<WorkerListing>, Error> {
+        let state = self.lock();
+        let entries = state.workers.values();
+        Ok(entries.map(|entry| entry.listing.clone()).collect())
+    }
+
+    async fn vms(&self) -> Result<Vec<ManagedVm>, Error> {
+        let state = self.lock();
+        let entries = state.workers.values();
+        Ok(entries
+            .map(|entry| ManagedVm {
+                vm: entry.listing.vm.clone(),
+                pool: entry.listing.pool.clone(),
+                life: VmLife::Up,
+                hall: "hall-1".to_owned(),
+                capacity: ROOM,
+                worker: Some(entry.listing.id.clone()),
+            })
+            .collect())
+    }
+
+    async fn maintain(
+        &self,
+        change: &VmChange,
+        _wave: u64,
+    ) -> Result<(), VmOrderError> {
+        let mut state = self.lock();
+        if !state.replace_life(&change.vm) {
+            return Err(VmOrderError::Invalid);
+        }
+        state.maintained.insert(change.vm.clone());
+        Ok(())
+    }
+
+    async fn move_to(
+        &self,
+        _change: &VmChange,
+        _pool: &str,
+    ) -> Result<(), VmOrderError> {
+        // There is one pool only.
+        Err(VmOrderError::Invalid)
+    }
+
+    async fn advise(
+        &self,
+        _step: &TaskId,
+        workers: &[WorkerId],
+    ) -> Result<Vec<(WorkerId, String)>, Error> {
+        let tickets = workers.iter().cloned();
+        Ok(tickets.map(|worker| (worker, "ticket".to_owned())).collect())
+    }
+
+    async fn intent(&self) -> Result<Intent, Error> {
+        Ok(self.lock().intent.clone())
+    }
+
+    async fn intent_changed(&self, read_at: u64) -> Result<bool, Error> {
+        let until = Instant::now() + INTENT_WAIT;
+        while Instant::now() < until {
+            if self.lock().intent.read_at > read_at {
+                return Ok(true);
+            }
+            sleep(LOOK).await;
+        }
+        Ok(false)
+    }
+
+    async fn completed_waves(&self) -> Result<Vec<u64>, Error> {
+        Ok(self.lock().completed.clone())
+    }
+
+    async fn report_wave(
+        &self,
+        wave: u64,
+        completed: bool,
+    ) -> Result<(), Error> {
+        if completed {
+            self.lock().completed.push(wave);
+        }
+        Ok(())
+    }
+}
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -90,11 +90,17 @@
 
 /// The server for callers.
 pub(super) struct Server {
+    address: SocketAddr,
     stop: watch::Sender<bool>,
     done: tokio::task::JoinHandle<()>,
 }
 
 impl Server {
+    /// Returns the address that it listens at.
+    pub(super) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Closes connections as they fall idle, and waits for that.
     pub(super) async fn stop(self, at_most: Duration) {
         let _ = self.stop.send(true);
@@ -108,6 +114,7 @@
     front: Arc<Front<K, P>>,
 ) -> io::Result<Server> {
     let listener = TcpListener::bind(address).await?;
+    let address = listener.local_addr()?;
     let (stop, mut stopped) = watch::channel(false);
     let done = tokio::spawn(async move {
         let graceful = GracefulShutdown::new();
@@ -129,7 +136,7 @@
         drop(listener);
         graceful.shutdown().await;
     });
-    Ok(Server { stop, done })
+    Ok(Server { address, stop, done })
 }
 
 fn connection<K: KeyValue, P: JobProtocol>(
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -31,6 +31,7 @@
 
 pub use self::{
     node::{JobNode, JobPlatform},
+    rest::RestCalls,
     settings::JobSettings,
 };
 
@@ -46,4 +47,5 @@
 mod orders;
 mod progress;
 mod readiness;
+mod rest;
 pub mod settings;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -15,7 +15,7 @@
     dewspar_platform::{Fleet, JobProtocol, JobWorkers, KeyValue},
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
-    std::{io, sync::Arc, time::Duration},
+    std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::watch, task::JoinHandle, time::sleep},
 };
 
@@ -135,6 +135,16 @@
         })
     }
 
+    /// Returns the address at which callers reach the node.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.callers.address()
+    }
+
+    /// Stops scheduling at once, as a crash would; its lease runs out.
+    pub fn kill(self) {
+        self.scheduling.abort();
+    }
+
     /// Stops as planned: readiness and the scheduler lease first, then open
     /// calls to their end.
     pub async fn stop(self) {
--- /dev/null
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -0,0 +1,174 @@
+/*!
+The product's own calls on jobs, as a [`JobProtocol`].
+
+| call | does |
+|---|---|
+| `POST /v1/queues/QUEUE/jobs/ID` | hands a job in: `payload`, `steps`, `repeat` |
+| `GET /v1/queues/QUEUE/jobs/ID` | says how far it has come: `phase` |
+| `DELETE /v1/queues/QUEUE/jobs/ID` | cancels it |
+| `GET /v1/queues/QUEUE` | counts the jobs that wait: `pending` |
+
+Refusals are problem details. A job that was not accepted and never will be
+run is answered with 503 and `Retry-After`; 504 says that nobody knows.
+*/
+
+use {
+    bytes::Bytes,
+    dewspar::job::{JobSpec, QueueSet, Repeat, StepSpec},
+    dewspar_platform::{
+        JobCall, JobOperation, JobProtocol, JobReply, NotRead,
+    },
+    hyper::{
+        Method, Response, StatusCode,
+        header::{self, HeaderValue},
+        http::request::Parts,
+    },
+    serde::Deserialize,
+    serde_json::{Value, json},
+};
+
+/// What every path begins with.
+const QUEUES: &str = "/v1/queues/";
+
+/// The header that says how long the caller waits, in milliseconds.
+const DEADLINE: &str = "deadline-ms";
+
+/// The product's own calls.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RestCalls;
+
+/// A job as callers write it.
+#[derive(Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct Body {
+    payload: String,
+    steps: Vec<StepSpec>,
+    repeat: Option<Repeat>,
+}
+
+impl JobProtocol for RestCalls {
+    fn read(
+        &self,
+        queues: &QueueSet,
+        head: &Parts,
+        body: &[u8],
+    ) -> Result<JobCall, NotRead> {
+        let rest = head.uri.path().strip_prefix(QUEUES);
+        let rest = rest.ok_or(NotRead::NoSuchQueue)?;
+        let (queue, job) = match rest.split_once("/jobs/") {
+            Some((queue, job)) => (queue, Some(job)),
+            None => (rest, None),
+        };
+        let queue = queues.named(queue).ok_or(NotRead::NoSuchQueue)?;
+        let deadline_ms = head
+            .headers
+            .get(DEADLINE)
+            .and_then(|deadline| deadline.to_str().ok())
+            .and_then(|deadline| deadline.parse().ok());
+        let operation = match job {
+            None if head.method == Method::GET => JobOperation::Pending,
+            None => return Err(NotRead::NoSuchMethod),
+            Some(job) => operation(&queue.name, &head.method, job, body)?,
+        };
+        Ok(JobCall { queue: queue.name.clone(), deadline_ms, operation })
+    }
+
+    fn write(&self, reply: &JobReply) -> Response<Bytes> {
+        match reply {
+            JobReply::Accepted => {
+                answer(StatusCode::CREATED, &json!({ "accepted": true }))
+            }
+            JobReply::Cancelled => {
+                answer(StatusCode::OK, &json!({ "cancelled": true }))
+            }
+            JobReply::State(phase) => {
+                answer(StatusCode::OK, &json!({ "phase": phase }))
+            }
+            JobReply::Pending(pending) => {
+                answer(StatusCode::OK, &json!({ "pending": pending }))
+            }
+            JobReply::NotDone { retry_after_ms } => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                let detail = "not done, and never will be: come back later";
+                let mut response = problem(status, "not-done", detail);
+                let seconds = retry_after_ms.div_ceil(1_000);
+                response
+                    .headers_mut()
+                    .insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+                response
+            }
+            JobReply::Unknown => problem(
+                StatusCode::GATEWAY_TIMEOUT,
+                "unknown",
+                "nobody knows whether it was done: ask again",
+            ),
+            JobReply::NoSuchJob => {
+                problem(StatusCode::NOT_FOUND, "no-job", "no such job")
+            }
+            JobReply::NoSuchQueue => {
+                problem(StatusCode::NOT_FOUND, "no-queue", "no such queue")
+            }
+            JobReply::NoSuchMethod => problem(
+                StatusCode::METHOD_NOT_ALLOWED,
+                "no-method",
+                "no such method for this path",
+            ),
+            JobReply::Invalid(reason) => {
+                problem(StatusCode::BAD_REQUEST, "invalid", reason)
+            }
+        }
+    }
+}
+
+fn operation(
+    queue: &str,
+    method: &Method,
+    job: &str,
+    body: &[u8],
+) -> Result<JobOperation, NotRead> {
+    let id = job.parse().map_err(|_| {
+        NotRead::Invalid(format!("path: `{job}` isn't 16 hex digits"))
+    })?;
+    match *method {
+        Method::GET => Ok(JobOperation::Status { id }),
+        Method::DELETE => Ok(JobOperation::Cancel { id }),
+        Method::POST => {
+            let spec = spec(queue, body)?;
+            Ok(JobOperation::Submit { id, spec })
+        }
+        _ => Err(NotRead::NoSuchMethod),
+    }
+}
+
+fn spec(queue: &str, body: &[u8]) -> Result<JobSpec, NotRead> {
+    let json = &mut serde_json::Deserializer::from_slice(body);
+    let body: Body =
+        serde_path_to_error::deserialize(json).map_err(|error| {
+            let (path, inner) = (error.path().to_string(), error.inner());
+            NotRead::Invalid(format!("field `{path}`: {inner}"))
+        })?;
+    let Body { payload, steps, repeat } = body;
+    let spec = JobSpec { queue: queue.to_owned(), payload, steps, repeat };
+    spec.check().map_err(|error| NotRead::Invalid(error.to_string()))?;
+    Ok(spec)
+}
+
+fn answer(status: StatusCode, body: &Value) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::from(body.to_string()));
+    *response.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+fn problem(status: StatusCode, name: &str, detail: &str) -> Response<Bytes> {
+    let body = json!({
+        "type": format!("urn:dewspar:problem:{name}"),
+        "status": status.as_u16(),
+        "detail": detail,
+    });
+    let mut response = answer(status, &body);
+    let kind = HeaderValue::from_static("application/problem+json");
+    response.headers_mut().insert(header::CONTENT_TYPE, kind);
+    response
+}
--- /dev/null
+++ b/crates/dewspard/tests/jobs.rs
@@ -0,0 +1,337 @@
+//! Nodes that run jobs, put together, against stand-ins: no bench, no
+//! sockets but the callers' own.
+
+use {
+    bytes::Bytes,
+    dewspar::{
+        job::{Queue, QueueSet},
+        schedule::{QueueTerms, WaveRequest},
+    },
+    dewspar_platform::{KeyValue, empty_request, json_request},
+    dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
+    dewspard::{
+        jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
+        logs,
+    },
+    http_body_util::{BodyExt, Full},
+    hyper::{Method, Request, StatusCode},
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    serde_json::{Value, json},
+    std::{
+        collections::BTreeMap, future::Future, net::SocketAddr, time::Duration,
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// How long anything may take before a test gives up on it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const POOL: &str = "registry";
+
+/// A few nodes over one store and one fleet.
+struct Cluster {
+    store: Store,
+    store_faults: Faults,
+    order_faults: Faults,
+    fleet: TaskFleet,
+    nodes: Vec<JobNode>,
+    lapsing: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        self.lapsing.abort();
+    }
+}
+
+impl Cluster {
+    async fn start(nodes: usize) -> Cluster {
+        let (store_faults, order_faults) = (Faults::new(1), Faults::new(2));
+        let store = Store::new(store_faults.clone());
+        let fleet = TaskFleet::new(order_faults.clone(), POOL, 4);
+        fleet.configure(QueueSet::new(1, vec![queue("extracts")]));
+        let lapsed = store.clone();
+        let lapsing = tokio::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                lapsed.lapse_leases();
+            }
+        });
+        let mut cluster = Cluster {
+            store,
+            store_faults,
+            order_faults,
+            fleet,
+            nodes: Vec::new(),
+            lapsing,
+        };
+        for number in 0..nodes {
+            let node = cluster.node(&format!("node-{number}")).await;
+            cluster.nodes.push(node);
+        }
+        cluster
+    }
+
+    async fn node(&self, name: &str) -> JobNode {
+        let settings = JobSettings::from_yaml(&format!(
+            "
+node: {name}
+hall: hall-1
+callers_address: 127.0.0.1:0
+readiness_address: 127.0.0.1:0
+platform: {{store: 127.0.0.1:1, vm_service: 127.0.0.1:1}}
+"
+        ));
+        let platform = JobPlatform {
+            store: self.store.clone(),
+            workers: self.fleet.clone(),
+            fleet: self.fleet.clone(),
+            protocol: RestCalls,
+            readiness_path: "/ready",
+        };
+        let settings = settings.expect("valid settings");
+        let log = logs::discard();
+        let node = JobNode::start(&settings, platform, None, &log).await;
+        node.expect("a started node")
+    }
+
+    fn address(&self, node: usize) -> SocketAddr {
+        self.nodes[node].caller_address()
+    }
+
+    async fn call(
+        &self,
+        node: usize,
+        method: Method,
+        path: &str,
+        body: Option<Value>,
+    ) -> (StatusCode, Value) {
+        call(self.address(node), method, path, body).await
+    }
+
+    /// Hands a job in until some try is answered, and returns the answers.
+    async fn submit(&self, node: usize, number: u64) -> StatusCode {
+        let path = job_path(number);
+        let body = json!({ "payload": "p", "steps": [
+            { "count": 3, "cpu_millis": 1000, "memory_mb": 1000 },
+            { "count": 1, "cpu_millis": 1000, "memory_mb": 1000, "after": [0] },
+        ]});
+        self.call(node, Method::POST, &path, Some(body)).await.0
+    }
+
+    async fn phase(&self, node: usize, number: u64) -> Option<String> {
+        let path = job_path(number);
+        let (_, body) = self.call(node, Method::GET, &path, None).await;
+        body["phase"].as_str().map(str::to_owned)
+    }
+
+    async fn wait_for_phase(&self, node: usize, number: u64, phase: &str) {
+        until(async || {
+            self.phase(node, number).await.as_deref() == Some(phase)
+        })
+        .await;
+    }
+
+    /// Checks that each task was started under rising numbers only, and
+    /// returns how often each was.
+    fn starts(&self) -> BTreeMap<String, u64> {
+        let mut starts: BTreeMap<String, u64> = BTreeMap::new();
+        let mut last: BTreeMap<String, u64> = BTreeMap::new();
+        for (task, run) in self.fleet.started() {
+            let name = task.to_string();
+            let before = last.insert(name.clone(), run);
+            assert!(before.is_none_or(|before| before < run), "{name}");
+            *starts.entry(name).or_default() += 1;
+        }
+        starts
+    }
+}
+
+fn queue(name: &str) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        timeout_ms: 3_000,
+        terms: QueueTerms {
+            pool: POOL.to_owned(),
+            max_attempts: 3,
+            stretch: 2.0,
+            ..QueueTerms::default()
+        },
+        ..Queue::default()
+    }
+}
+
+fn job_path(number: u64) -> String {
+    format!("/v1/queues/extracts/jobs/{number:016x}")
+}
+
+async fn call(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<Value>,
+) -> (StatusCode, Value) {
+    let url = format!("http://{address}{path}");
+    let request: Request<Full<Bytes>> = match &body {
+        Some(body) => json_request("test", method, &url, body),
+        None => empty_request("test", method, &url),
+    }
+    .expect("a request");
+    let client: Client<_, Full<Bytes>> =
+        Client::builder(TokioExecutor::new()).build_http();
+    let answered = timeout(LIMIT, client.request(request)).await;
+    let response = answered.expect("in time").expect("an answer");
+    let status = response.status();
+    let body = response.into_body().collect().await.expect("a body");
+    let body = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
+    (status, body)
+}
+
+/// Waits until something holds.
+async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("in time");
+}
+
+async fn submitted(cluster: &Cluster, node: usize, number: u64) {
+    until(async || cluster.submit(node, number).await == StatusCode::CREATED)
+        .await;
+}
+
+#[tokio::test]
+async fn runs_a_job_that_any_node_accepts_and_answers_for() {
+    let cluster = Cluster::start(3).await;
+    submitted(&cluster, 1, 1).await;
+    cluster.wait_for_phase(2, 1, "completed").await;
+    // The same job again is the same job.
+    assert_eq!(cluster.submit(0, 1).await, StatusCode::CREATED);
+    cluster.wait_for_phase(0, 1, "completed").await;
+    let starts = cluster.starts();
+    assert_eq!(starts.len(), 4);
+    assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn refuses_what_it_cannot_read_and_names_the_field() {
+    let cluster = Cluster::start(1).await;
+    submitted(&cluster, 0, 1).await;
+    let (get, post) = (Method::GET, Method::POST);
+    let (status, _) = cluster.call(0, get, "/v1/queues/none", None).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+    let path = job_path(2);
+    let body = json!({ "steps": [{ "count": 1, "after": [0] }] });
+    let (status, body) = cluster.call(0, post, &path, Some(body)).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let detail = body["detail"].as_str().unwrap_or_default();
+    assert!(detail.contains("steps[0].after"), "{detail}");
+    let (status, _) = cluster.call(0, Method::GET, &path, None).await;
+    assert_eq!(status, StatusCode::NOT_FOUND, "nothing was accepted");
+}
+
+#[tokio::test]
+async fn a_job_outlives_the_node_that_schedules_it() {
+    let mut cluster = Cluster::start(3).await;
+    cluster.fleet.set_work_ms(1_500);
+    submitted(&cluster, 0, 1).await;
+    until(async || cluster.fleet.running().len() == 3).await;
+    let owner = cluster.store.get("q/owner").await.expect("a store");
+    let owner: Value =
+        serde_json::from_slice(&owner.expect("a holder").value).unwrap();
+    let name = owner["node"].as_str().unwrap_or_default().to_owned();
+    let number: usize = name[5..].parse().expect("node-N");
+    cluster.nodes.remove(number).kill();
+    cluster.wait_for_phase(0, 1, "completed").await;
+    // What ran was found and not started again.
+    let starts = cluster.starts();
+    assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn a_cancelled_job_stops() {
+    let cluster = Cluster::start(2).await;
+    cluster.fleet.set_work_ms(600_000);
+    submitted(&cluster, 0, 1).await;
+    until(async || cluster.fleet.running().len() == 3).await;
+    let path = job_path(1);
+    let (status, _) = cluster.call(1, Method::DELETE, &path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    until(async || cluster.fleet.running().is_empty()).await;
+    cluster.wait_for_phase(0, 1, "cancelled").await;
+}
+
+#[tokio::test]
+async fn what_is_refused_while_the_store_is_out_never_runs() {
+    let cluster = Cluster::start(2).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    cluster.store_faults.set_outage(true);
+    let refused = cluster.submit(0, 2).await;
+    assert_eq!(refused, StatusCode::SERVICE_UNAVAILABLE);
+    cluster.store_faults.set_outage(false);
+    // The next job is accepted again, and comes to its end.
+    submitted(&cluster, 1, 3).await;
+    cluster.wait_for_phase(1, 3, "completed").await;
+    let ran = cluster.starts();
+    let refused = format!("{:016x}", 2);
+    assert!(!ran.keys().any(|task| task.starts_with(&refused)), "{ran:?}");
+}
+
+#[tokio::test]
+async fn an_answer_that_the_store_lost_is_never_called_a_refusal() {
+    let cluster = Cluster::start(2).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.store_faults.set_lost_per_mille(1_000);
+    let status = cluster.submit(0, 2).await;
+    assert_ne!(status, StatusCode::SERVICE_UNAVAILABLE);
+    cluster.store_faults.set_lost_per_mille(0);
+    cluster.wait_for_phase(1, 2, "completed").await;
+}
+
+#[tokio::test]
+async fn lost_answers_of_workers_start_nothing_twice_at_a_time() {
+    let cluster = Cluster::start(2).await;
+    cluster.order_faults.set_lost_per_mille(150);
+    for number in 1..=10 {
+        submitted(&cluster, number as usize % 2, number).await;
+    }
+    for number in 1..=10 {
+        cluster.wait_for_phase(0, number, "completed").await;
+    }
+    let starts = cluster.starts();
+    assert_eq!(starts.len(), 40);
+    // A lost answer is found out, not answered by another run.
+    assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
+}
+
+#[tokio::test]
+async fn a_vm_that_fails_costs_its_tasks_one_more_run() {
+    let cluster = Cluster::start(2).await;
+    cluster.fleet.set_work_ms(400);
+    for number in 1..=4 {
+        submitted(&cluster, 0, number).await;
+    }
+    until(async || cluster.fleet.running().len() >= 8).await;
+    cluster.fleet.crash("vm-0");
+    for number in 1..=4 {
+        cluster.wait_for_phase(1, number, "completed").await;
+    }
+}
+
+#[tokio::test]
+async fn a_wave_maintains_every_vm() {
+    let cluster = Cluster::start(2).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.fleet.request_wave(WaveRequest {
+        wave: 1,
+        vms: (0..4).map(|vm| format!("vm-{vm}")).collect(),
+        duration_ms: 5_000,
+        max_down: 2,
+    });
+    until(async || cluster.fleet.maintained().len() == 4).await;
+    submitted(&cluster, 1, 2).await;
+    cluster.wait_for_phase(0, 2, "completed").await;
+}
