--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -7,7 +7,7 @@
 */
 
 use crate::schedule::{
-    Decision, Now, Scheduler, WorkerId, WorkerListing, worker::Worker,
+    Decision, Now, Room, Scheduler, WorkerId, WorkerListing, worker::Worker,
 };
 
 impl Scheduler {
@@ -46,6 +46,7 @@
                 }
             }
         }
+        self.note_capacities();
         for id in replaced {
             let listed = self.workers.get(&id).is_some_and(|w| w.listed);
             if !listed {
@@ -80,6 +81,19 @@
         }
     }
 
+    /// Notes what workers and VMs have room for.
+    pub(super) fn note_capacities(&mut self) {
+        let workers = self.workers.values().map(|w| w.listing.capacity);
+        let vms = self.vms.values().map(|vm| vm.capacity);
+        let mut capacities: Vec<Room> = Vec::new();
+        for room in workers.chain(vms) {
+            if !capacities.contains(&room) {
+                capacities.push(room);
+            }
+        }
+        self.capacities = capacities;
+    }
+
     /// Returns whether the VM service should be asked which workers live.
     pub fn wants_lives(&self) -> bool {
         !self.lives_known
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -152,6 +152,7 @@
             state.settle(asked_ms, &self.vms);
         }
         self.vms_asked_ms = asked_ms;
+        self.note_capacities();
         self.use_again();
     }
 
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -7,13 +7,16 @@
 away from what it would disturb, and with most room left.
 */
 
-use crate::{
-    job::{JobId, Phase, StepSpec, TaskId},
-    schedule::{
-        Action, Decision, Now, Scheduler, StartOrder, WorkerId,
-        board::demand,
-        worker::{Run, RunState, Worker},
+use {
+    crate::{
+        job::{JobId, Phase, StepSpec, TaskId},
+        schedule::{
+            Action, Decision, Now, Scheduler, StartOrder, WorkerId,
+            board::demand,
+            worker::{Run, RunState, Worker},
+        },
     },
+    std::collections::BTreeSet,
 };
 
 /// How many numbers of runs are passed over for a task that a former holder
@@ -67,8 +70,15 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        let mut without_place = BTreeSet::new();
         for candidate in self.candidates(now) {
-            self.start_step(&candidate, now, actions);
+            if let Some(pool) = self.start_step(&candidate, now, actions) {
+                without_place.insert(pool);
+            }
+        }
+        self.without_place.retain(|pool, _| without_place.contains(pool));
+        for pool in without_place {
+            self.without_place.entry(pool).or_insert(now.steady_ms);
         }
     }
 
@@ -105,12 +115,14 @@
         candidates
     }
 
+    /// Starts what it can of a step; returns its pool if the pool has no
+    /// place for some task that another VM could hold.
     fn start_step(
         &mut self,
         candidate: &Candidate,
         now: Now,
         actions: &mut Vec<Action>,
-    ) {
+    ) -> Option<String> {
         let Candidate { job: id, round, step, .. } = *candidate;
         let job = &self.jobs[&id];
         let spec = job.spec.clone();
@@ -123,10 +135,13 @@
             step: step as u32,
             index: 0,
         };
+        let pool = job.terms.pool.clone();
+        let fits = self.fits_somewhere(spec);
         if spec.gang {
-            self.start_gang(spec, &first, &waiting, now, actions);
-            return;
+            let placed = self.start_gang(spec, &first, &waiting, now, actions);
+            return (!placed && fits).then_some(pool);
         }
+        let mut without_place = false;
         for index in waiting {
             let task = TaskId { index, ..first };
             match self.choose(spec, &task, now) {
@@ -138,15 +153,23 @@
                 Err(NotNow::Unaccounted) => {}
                 Err(NotNow::NoTicket) => {
                     actions.extend(self.ask_adviser(spec, &task, now));
-                    return;
+                    break;
+                }
+                Err(NotNow::NoRoom) => {
+                    without_place = true;
+                    // Where one finds none, only one that avoids other
+                    // workers might.
+                    if !self.avoids(&task) {
+                        break;
+                    }
                 }
-                Err(NotNow::NoRoom) if self.avoids(&task) => {}
-                Err(NotNow::NoRoom) => return,
             }
         }
+        (without_place && fits).then_some(pool)
     }
 
-    /// Starts every member of a gang, or none.
+    /// Starts every member of a gang, or none; returns whether there was a
+    /// place for each.
     fn start_gang(
         &mut self,
         spec: &StepSpec,
@@ -154,10 +177,10 @@
         waiting: &[u32],
         now: Now,
         actions: &mut Vec<Action>,
-    ) {
+    ) -> bool {
         // Members of the last run are still there: wait for their ends.
         if waiting.len() < spec.count as usize {
-            return;
+            return true;
         }
         let members = waiting.iter().map(|&index| TaskId { index, ..*first });
         let run = members.clone().map(|task| self.next_run(&task)).max();
@@ -189,12 +212,23 @@
         }
         if placed.len() == spec.count as usize {
             actions.extend(orders);
-            return;
+            return true;
         }
         // Not all fit: nothing was sent, so what was reserved is free again.
         for (task, worker) in placed {
             self.free_run(&task, &worker, now);
         }
+        false
+    }
+
+    /// Returns whether a VM of the fleet could hold a task of the step.
+    pub(super) fn fits_somewhere(&self, spec: &StepSpec) -> bool {
+        let demand = demand(spec);
+        let label = &spec.required_label;
+        let fits = self.capacities.iter().any(|room| room.holds(&demand));
+        let labelled = label.is_empty()
+            || self.workers.values().any(|w| has_label(w, label));
+        fits && labelled
     }
 
     fn avoids(&self, task: &TaskId) -> bool {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -3,7 +3,7 @@
         job::{JobId, Phase, Progress, TaskId},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
-            PaceOrder, QueueTerms, StopOrder, WorkerId,
+            PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
             advice::StepAdvice,
             board::Job,
             maintenance::WaveState,
@@ -51,6 +51,11 @@
     pub(super) serving_pools: BTreeSet<String>,
     pub(super) free_pools: BTreeSet<String>,
     pub(super) pool_loads: BTreeMap<String, PoolLoad>,
+    /// The pools that have no place for some task which another VM could
+    /// hold, and since when.
+    pub(super) without_place: BTreeMap<String, u64>,
+    /// What workers and VMs have room for, each kind once.
+    pub(super) capacities: Vec<Room>,
     /// What the adviser has said, by the first task of each step.
     pub(super) advice: BTreeMap<TaskId, StepAdvice>,
     /// When the list of VMs was last asked for.
@@ -88,6 +93,8 @@
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
+            without_place: BTreeMap::new(),
+            capacities: Vec::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
             sized_ms: 0,
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -34,6 +34,10 @@
 /// moves.
 const INTERVAL_MS: u64 = 200;
 
+/// How long a task may find no place before its pool gets a VM for that
+/// alone, in milliseconds: most find one as others end.
+const WITHOUT_PLACE_MS: u64 = 500;
+
 /// How long a VM is left alone whose move was refused, in milliseconds.
 const REFUSED_MS: u64 = 1_000;
 
@@ -110,7 +114,9 @@
                 for (step, spec) in job.spec.steps.iter().enumerate() {
                     load.apart = load.apart.max(apart(spec));
                     let waiting = job.rounds[round][step].waiting.len() as u64;
-                    if waiting == 0 || !job.is_ready(round, step, now.unix_ms)
+                    if waiting == 0
+                        || !job.is_ready(round, step, now.unix_ms)
+                        || !self.fits_somewhere(spec)
                     {
                         continue;
                     }
@@ -130,7 +136,7 @@
         self.settle_moves(now);
         if now.steady_ms >= self.sized_ms + INTERVAL_MS {
             self.sized_ms = now.steady_ms;
-            let targets = self.targets();
+            let targets = self.targets(now);
             self.fill_pools(&targets, now, orders);
             for pool in targets.keys() {
                 self.shrink_pool(pool, now);
@@ -143,7 +149,7 @@
     ///
     /// While there are too few for all, none gets more than its equal share
     /// as long as another wants for one.
-    fn targets(&self) -> BTreeMap<String, u64> {
+    fn targets(&self, now: Now) -> BTreeMap<String, u64> {
         let usable = self.vms.values().filter(|vm| vm.life == VmLife::Up);
         let total = usable.count() + self.moving.len();
         let mut left = total as u64;
@@ -154,6 +160,7 @@
             let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
             let need = asked.div_ceil(vm_cpu * FULL_PERCENT);
             let need = need.max(self.least_vms(pool));
+            let need = need.max(self.need_for_place(pool, now));
             needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
@@ -173,6 +180,15 @@
         targets
     }
 
+    /// Returns how many VMs a pool needs that has no place for some task:
+    /// one more than it has, whatever it lacks.
+    fn need_for_place(&self, pool: &str, now: Now) -> u64 {
+        let since_ms = self.without_place.get(pool);
+        let long = since_ms
+            .is_some_and(|since| now.steady_ms >= since + WITHOUT_PLACE_MS);
+        if long { self.pool_load(pool).workers + 1 } else { 0 }
+    }
+
     fn typical_vm_cpu(&self) -> u64 {
         let cpus = self.vms.values().map(|vm| vm.capacity.cpu_millis);
         cpus.max().unwrap_or(0)
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -791,3 +791,65 @@
     world.run_for(200);
     assert!(question(&mut world).is_some());
 }
+
+/// A pool of two workers and one VM that is switched off.
+fn world_with_spare() -> World {
+    let mut world = World::new(5, &["w1", "w2"]);
+    let mut spare = listing("w3");
+    spare.pool = "off".to_owned();
+    world.listings.push(spare);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.run_for(100);
+    world
+}
+
+/// Plans for a second and returns what was ordered of the VM service.
+fn vm_orders(world: &mut World) -> Vec<VmOrder> {
+    let mut orders = Vec::new();
+    for _ in 0..20 {
+        let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+        let asked_ms = world.now_ms;
+        world.scheduler.list_vms(at(asked_ms), asked_ms, &vms);
+        orders.extend(world.scheduler.plan_vms(at(world.now_ms)));
+        world.run_for(50);
+    }
+    orders
+}
+
+fn move_of_spare() -> VmOrder {
+    VmOrder::Move { vm: "vm-of-w3".to_owned(), pool: POOL.to_owned() }
+}
+
+#[test]
+fn a_pool_without_memory_gets_a_vm_though_it_has_processor() {
+    let mut world = world_with_spare();
+    world.fate = Fate::endless();
+    let hungry = StepSpec { memory_mb: 3_000, cpu_millis: 100, ..step(3) };
+    world.scheduler.submit(id(1), job(vec![hungry]), 6, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(vm_orders(&mut world), [move_of_spare()]);
+}
+
+#[test]
+fn a_pool_gets_a_vm_for_a_task_that_failed_wherever_it_may_run() {
+    let mut world = world_with_spare();
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(vm_orders(&mut world), [move_of_spare()]);
+}
+
+#[test]
+fn no_vm_moves_for_a_task_that_fits_nowhere() {
+    let mut world = world_with_spare();
+    let huge = StepSpec { cpu_millis: 50_000, ..step(1) };
+    world.scheduler.submit(id(1), job(vec![huge]), 6, None);
+    let label = StepSpec { required_label: "gpu".to_owned(), ..step(1) };
+    world.scheduler.submit(id(2), job(vec![label]), 6, None);
+    assert_eq!(vm_orders(&mut world), []);
+}
