--- a/crates/dewspar-cli/src/client.rs
+++ b/crates/dewspar-cli/src/client.rs
@@ -61,6 +61,19 @@
         self.call(Method::PUT, path, document).await
     }
 
+    /// Hands a document in.
+    ///
+    /// # Errors
+    ///
+    /// As [`Client::get`].
+    pub async fn post(
+        &self,
+        path: &str,
+        document: String,
+    ) -> Result<Value, Error> {
+        self.call(Method::POST, path, document).await
+    }
+
     /// Deletes a resource.
     ///
     /// # Errors
--- a/crates/dewspar-cli/src/commands/demo.rs
+++ b/crates/dewspar-cli/src/commands/demo.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::{load::print_results, print_report},
+    super::{demo_jobs, load::print_results, print_report},
     crate::{
         cluster::{self, Cluster},
         deployment::{Deployment, Plan},
@@ -56,6 +56,9 @@
     /// Show the nodes' logs.
     #[arg(long)]
     verbose: bool,
+    /// Run jobs instead: a few nodes, and the one that schedules is killed.
+    #[arg(long)]
+    jobs: bool,
 }
 
 impl Demo {
@@ -66,6 +69,9 @@
     /// Returns an [`Error`] when the fleet didn't come up or the wave didn't
     /// end.
     pub async fn run(self) -> Result<Code, Error> {
+        if self.jobs {
+            return demo_jobs::run(self.seed).await;
+        }
         let started = Instant::now();
         let plan = self.deployment.plan();
         let mut cluster = self.start_cluster(&plan).await?;
--- a/crates/dewspar-cli/src/commands/mod.rs
+++ b/crates/dewspar-cli/src/commands/mod.rs
@@ -14,8 +14,10 @@
 
 pub mod check;
 pub mod demo;
+mod demo_jobs;
 pub mod experiment;
 pub mod explain;
+pub mod job;
 pub mod load;
 pub mod replay;
 pub mod resources;
--- a/crates/dewspar-cli/src/main.rs
+++ b/crates/dewspar-cli/src/main.rs
@@ -5,7 +5,7 @@
     clap_complete::Shell,
     dewspar_cli::{
         commands::{
-            check, demo, experiment, explain, load, replay, resources,
+            check, demo, experiment, explain, job, load, replay, resources,
             standin, status,
         },
         exit::{Code, Error},
@@ -42,6 +42,8 @@
     Explain(explain::Explain),
     /// Show the nodes and the revision that each has in force.
     Status(status::Status),
+    /// Hand jobs in, see how far they have come, cancel them.
+    Job(job::Job),
     /// Run a whole fleet in this process and report on the promises.
     Demo(demo::Demo),
     /// Send requests to nodes and report what came back.
@@ -97,6 +99,7 @@
             Command::Delete(command) => command.run().await,
             Command::Explain(command) => command.run().await,
             Command::Status(command) => command.run().await,
+            Command::Job(command) => command.run().await,
             Command::Demo(command) => command.run().await,
             Command::Load(command) => command.run().await,
             Command::Replay(command) => command.run().await,
