--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -210,21 +210,47 @@
 }
 
 /// Reads the JSON of a successful answer.
-pub(crate) fn read_json<A: DeserializeOwned>(
+///
+/// # Errors
+///
+/// Returns an [`Error`] that says whether the call may have taken effect.
+pub fn read_json<A: DeserializeOwned>(
+    call: &'static str,
+    answer: &Answer,
+) -> Result<A, Error> {
+    check_status(call, answer)?;
+    parse_json(call, answer)
+}
+
+/// Reads the JSON of an answer, whatever its status.
+///
+/// # Errors
+///
+/// Returns [`Error::Malformed`] where it is no such JSON.
+pub fn parse_json<A: DeserializeOwned>(
     call: &'static str,
     answer: &Answer,
 ) -> Result<A, Error> {
-    if !answer.status.is_success() {
-        let text = String::from_utf8_lossy(&answer.body);
-        let reason = format!("status {}: {text}", answer.status);
-        return Err(refusal(call, answer.status, reason));
-    }
     serde_json::from_slice(&answer.body).map_err(|e| {
         let reason = e.to_string();
         Error::Malformed { call, reason }
     })
 }
 
+/// Checks that an answer's status is a success.
+///
+/// # Errors
+///
+/// Returns an [`Error`] that says whether the call may have taken effect.
+pub fn check_status(call: &'static str, answer: &Answer) -> Result<(), Error> {
+    if answer.status.is_success() {
+        return Ok(());
+    }
+    let text = String::from_utf8_lossy(&answer.body);
+    let reason = format!("status {}: {text}", answer.status);
+    Err(refusal(call, answer.status, reason))
+}
+
 /// Names what a failed status means.
 ///
 /// A service that says 4xx or 503 did not carry the call out; any other
--- a/crates/dewspar-platform/src/job_call.rs
+++ b/crates/dewspar-platform/src/job_call.rs
@@ -4,6 +4,14 @@
     hyper::{Response, http::request::Parts},
 };
 
+/// The header that says how long a caller waits, in milliseconds.
+const DEADLINE: &str = "deadline-ms";
+
+/// Returns how long a caller waits, in milliseconds, if its request says so.
+pub fn deadline_in(head: &Parts) -> Option<u64> {
+    head.headers.get(DEADLINE)?.to_str().ok()?.parse().ok()
+}
+
 /// A caller's call on jobs.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobCall {
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -29,10 +29,15 @@
 */
 
 pub use self::{
-    client::{Answer, Client, empty_request, json_request},
+    client::{
+        Answer, Client, check_status, empty_request, json_request, parse_json,
+        read_json,
+    },
     error::Error,
     fleet::{Fleet, Intent, VmChange},
-    job_call::{JobCall, JobOperation, JobProtocol, JobReply, NotRead},
+    job_call::{
+        JobCall, JobOperation, JobProtocol, JobReply, NotRead, deadline_in,
+    },
     job_worker::JobWorkers,
     kv::{
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -2,7 +2,7 @@
 
 use {
     dewspar::{
-        job::{JobId, JobSpec, Phase, StepSpec, TaskId},
+        job::{JobId, JobSpec, Phase, Repeat, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, AdviceTerms, Held, HoldReport, ManagedVm,
             Now, Options, OrderError, QueueTerms, Refusal, Room, Scheduler,
@@ -853,3 +853,74 @@
     world.scheduler.submit(id(2), job(vec![label]), 6, None);
     assert_eq!(vm_orders(&mut world), []);
 }
+
+#[test]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.run_for(100);
+    let gang = StepSpec { gang: true, ..step(5) };
+    world.scheduler.submit(id(1), job(vec![gang]), 6, None);
+    world.run_for(500);
+    assert!(world.starts.is_empty(), "four fit, but not five");
+    world.listings.push(listing("w2"));
+    let second = (WorkerId::new("w2"), TaskWorker::new(ROOM));
+    world.workers.extend([second]);
+    world.list();
+    world.run_for(200);
+    assert_eq!(world.starts.len(), 5);
+    let runs: Vec<u64> = world.starts.iter().map(|(_, s)| s.run).collect();
+    assert!(runs.iter().all(|run| *run == runs[0]), "one run: {runs:?}");
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.listings[0].draining = true;
+    world.list();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(200);
+    let second = WorkerId::new("w2");
+    assert_eq!(world.starts.len(), 2);
+    assert!(world.starts.iter().all(|(worker, _)| *worker == second));
+}
+
+#[test]
+fn tasks_go_only_where_label_pool_and_spread_allow() {
+    let mut world = World::new(5, &["w1", "w2", "w3"]);
+    world.listings[0].pool = "other".to_owned();
+    world.listings[1].labels = vec!["b".to_owned()];
+    world.list();
+    world.run_for(100);
+    let labelled = StepSpec { required_label: "a".to_owned(), ..step(2) };
+    world.scheduler.submit(id(1), job(vec![labelled]), 6, None);
+    world.run_for(200);
+    let third = WorkerId::new("w3");
+    assert_eq!(world.starts.len(), 2);
+    assert!(world.starts.iter().all(|(worker, _)| *worker == third));
+    world.starts.clear();
+    let apart = StepSpec { max_per_worker: 1, ..step(3) };
+    world.scheduler.submit(id(2), job(vec![apart]), 7, None);
+    world.run_for(200);
+    assert_eq!(world.starts.len(), 2, "one on each worker of the pool");
+}
+
+#[test]
+fn a_round_starts_when_it_falls_due() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    let mut job = job(vec![step(1)]);
+    let start_at_ms = at(world.now_ms + 1_000).unix_ms;
+    job.spec.repeat =
+        Some(Repeat { start_at_ms, interval_ms: 2_000, count: 2 });
+    world.scheduler.submit(id(1), job, 6, None);
+    world.run_for(950);
+    assert!(world.starts.is_empty());
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 1);
+    world.run_for(1_800);
+    assert_eq!(world.starts.len(), 1);
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 2);
+}
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -16,7 +16,7 @@
     bytes::Bytes,
     dewspar::job::{JobSpec, QueueSet, Repeat, StepSpec},
     dewspar_platform::{
-        JobCall, JobOperation, JobProtocol, JobReply, NotRead,
+        JobCall, JobOperation, JobProtocol, JobReply, NotRead, deadline_in,
     },
     hyper::{
         Method, Response, StatusCode,
@@ -30,9 +30,6 @@
 /// What every path begins with.
 const QUEUES: &str = "/v1/queues/";
 
-/// The header that says how long the caller waits, in milliseconds.
-const DEADLINE: &str = "deadline-ms";
-
 /// The product's own calls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RestCalls;
@@ -60,11 +57,7 @@
             None => (rest, None),
         };
         let queue = queues.named(queue).ok_or(NotRead::NoSuchQueue)?;
-        let deadline_ms = head
-            .headers
-            .get(DEADLINE)
-            .and_then(|deadline| deadline.to_str().ok())
-            .and_then(|deadline| deadline.parse().ok());
+        let deadline_ms = deadline_in(head);
         let operation = match job {
             None if head.method == Method::GET => JobOperation::Pending,
             None => return Err(NotRead::NoSuchMethod),
