--- /dev/null
+++ b/bench/days.py
@@ -0,0 +1,208 @@
+"""Writes days for the partners' bench; see README.md beside this file."""
+
+import argparse
+import pathlib
+import random
+
+# Kind of trouble -> its variants: (how, settings of the entry).
+KINDS = {
+    "burst": [("", {"for_s": 5, "x": 3})],
+    "give_up": [("", {"share": 0.4, "for_s": 8})],
+    "srv_crash": [
+        ("dark", {}), ("gone", {}), ("domain dark", {}), ("rack dark", {}),
+        ("joined", {}), ("all dark", {"share": 0.5, "for_s": 3}),
+        ("across", {}),
+    ],
+    "srv_slow": [("", {"x": 4, "for_s": 10, "share": 0.3})],
+    "srv_grey": [
+        (how, {"for_s": 10, "share": 0.2})
+        for how in ("errors", "shed", "busy", "hang", "reset", "mute", "slow")
+    ],
+    "replace_with_reuse": [
+        (how, {"share": 0.2}) for how in ("", "drain", "dark")
+    ],
+    "scale_in": [
+        (how, {"share": 0.15, "for_s": 8})
+        for how in ("", "spot", "reclaim", "reclaim dry")
+    ],
+    "answer_lost": [("", {"x": 0.3, "for_s": 10})],
+    "node_kill": [
+        ("", {"share": 0.5}), ("leader", {"count": 1}),
+        ("leader power", {"count": 1, "for_s": 4}), ("giver", {"count": 1}),
+        ("reader", {"count": 1}), ("leader hard", {"count": 1}),
+    ],
+    "node_freeze": [
+        ("", {"share": 0.3, "for_s": 5}), ("leader", {"count": 1, "for_s": 4}),
+        ("leader", {"count": 1, "for_s": 2}),
+    ],
+    "roll_term": [
+        ("", {"gap_s": 1.5}), ("busy", {"gap_s": 1}),
+        ("remove", {"share": 0.5, "gap_s": 2}), ("meet", {"gap_s": 2}),
+    ],
+    "herd_kill": [
+        ("", {"share": 1.0}), ("power", {"share": 1.0, "for_s": 3}),
+        ("taken all", {}), ("on", {}),
+    ],
+    "replace_core": [
+        (how, {}) for how in ("", "leader", "planned", "leader meet")
+    ],
+    "after_ack_kill": [
+        ("", {}), ("kill", {}), ("timed", {}), ("taken", {"for_s": 3}),
+        ("taken gone", {}),
+    ],
+    "hup": [("", {"share": 1.0, "gap_s": 0.2})],
+    "reset_conns": [("", {"share": 1.0, "x": 0.9})],
+    "core_cut": [
+        ("", {"count": 2, "for_s": 6}), ("leader", {"count": 1, "for_s": 6}),
+        ("leader one_way", {"count": 1, "for_s": 6}),
+        ("leader meet", {"count": 1, "for_s": 4}),
+        ("leader reset", {"count": 1, "for_s": 5}),
+        ("leader refuse", {"count": 1, "for_s": 5}), ("split", {"for_s": 5}),
+        ("leader all", {"count": 1, "for_s": 5}),
+        ("relieve leader", {"count": 1, "for_s": 5}),
+    ],
+    "node_cut": [
+        ("", {"share": 0.3, "for_s": 6}), ("leader", {"count": 1, "for_s": 6}),
+        ("all leader", {"count": 1, "for_s": 6}),
+        ("servers", {"share": 0.2, "for_s": 6}),
+        ("servers", {"share": 0.3, "for_s": 12}),
+        ("servers leader", {"share": 0.3, "for_s": 9}),
+    ],
+    "platform_down": [
+        (how, {"for_s": 4})
+        for how in ("silent", "busy", "reset", "silent lapse", "busy lapse")
+    ] + [
+        ("nodes " + how, {"share": 0.5, "for_s": 6})
+        for how in (
+            "busy", "many", "reset", "silent", "busy revoke", "silent revoke",
+        )
+    ] + [
+        ("nodes leader " + how, {"count": 1, "for_s": 6})
+        for how in (
+            "busy", "many", "reset", "silent", "busy revoke", "silent revoke",
+            "silent revoke meet",
+        )
+    ],
+    "platform_slow": [
+        ("", {"x": 50, "for_s": 6}), ("", {"x": 150, "for_s": 5}),
+    ],
+    "platform_lost": [
+        ("", {"x": 0.4, "for_s": 8}), ("late", {"x": 0.4, "for_s": 8}),
+    ],
+    "platform_compact": [
+        ("", {"for_s": 8, "x": 4}), ("drain", {"for_s": 8}),
+    ],
+    "config_change": [
+        (how, {}) for how in ("route", "timeout", "idle", "topup")
+    ],
+    "config_storm": [("", {"for_s": 5, "gap_s": 0.2})],
+    "wave": [
+        ("", {"share": 0.6, "for_s": 25, "count": 8}),
+        ("rack", {"share": 0.6, "for_s": 25}),
+    ],
+    "poison": [("", {"share": 0.3, "for_s": 8})],
+    "applied_late": [
+        (how, {"x": 0.5, "for_s": 10})
+        for how in ("", "orders", "grants", "all", "cloud")
+    ],
+    "srv_cut": [
+        (how, {"for_s": 6})
+        for how in ("", "fronts", "some", "one_way", "some lossy")
+    ],
+    "node_slow": [
+        ("", {"share": 0.4, "x": 5, "for_s": 8}),
+        ("leader", {"count": 1, "x": 5, "for_s": 8}),
+    ],
+    "clock_step": [
+        ("", {"share": 1.0, "x": 2000, "for_s": 6}),
+        ("back", {"share": 0.5, "x": 2000, "for_s": 6}),
+        ("ahead", {"share": 0.5, "x": 3000, "for_s": 6}),
+    ],
+    "cloud_down": [
+        (how, {"for_s": 8}) for how in ("silent", "busy", "reset")
+    ],
+    "cloud_slow": [("", {"x": 80, "for_s": 8})],
+}
+
+# What counts as planned work rather than a fault.
+PLANNED = {
+    "roll_term", "hup", "config_change", "config_storm", "wave", "scale_in",
+}
+
+# When a kind that is played alone strikes, in seconds of traffic.
+STRIKES_S = (6.0, 19.0)
+
+# The wave beside everything else, unless the day has one of its own.
+WAVE = ("wave", "", {"share": 0.4, "for_s": 26}, 2.0)
+
+VARIANTS = [
+    (kind, how, settings)
+    for kind, variants in KINDS.items()
+    for how, settings in variants
+]
+
+
+def entry(kind, how, settings, at):
+    """Returns one entry of a day, as an inline table."""
+    fields = {"at": at, "kind": kind, **settings}
+    if how:
+        fields["how"] = how
+    written = (
+        f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {value}"
+        for key, value in fields.items()
+    )
+    return "{ " + ", ".join(written) + " }"
+
+
+def day(name, seed, entries):
+    """Returns a day; its marks are those of no real one."""
+    if not any(kind == "wave" for kind, *_ in entries):
+        entries = [*entries, WAVE]
+    plan = ", ".join(entry(*e) for e in entries if e[0] in PLANNED)
+    faults = ", ".join(entry(*e) for e in entries if e[0] not in PLANNED)
+    return (
+        f'[[day]]\nname = "{name}"\nslot = "trouble"\nseed = {seed}\n'
+        f"one = 1.0\nzero = 0.0\nlabels = []\n"
+        f"plan = [{plan}]\nfaults = [{faults}]\n"
+    )
+
+
+def single_days():
+    """Yields each variant alone, twice a day."""
+    for number, (kind, how, settings) in enumerate(VARIANTS):
+        name = f"{kind}-{how or 'plain'}-{number}".replace(" ", "-")
+        entries = [(kind, how, settings, at) for at in STRIKES_S]
+        yield name, day(name, 1000 + number, entries)
+
+
+def mixed_days(count, seed):
+    """Yields days with two to four variants at random moments."""
+    chance = random.Random(seed)
+    for number in range(count):
+        entries = []
+        for _ in range(chance.choice([2, 3, 4])):
+            variant = chance.choice(VARIANTS)
+            entries.append((*variant, round(chance.uniform(1, 26), 2)))
+        kinds = "+".join(kind for kind, *_ in entries)
+        name = f"p{number:03d}-{kinds}"
+        yield name, day(name, chance.randrange(10**9), entries)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("set", choices=["single", "mixed"])
+    parser.add_argument("directory", type=pathlib.Path)
+    parser.add_argument("--days", type=int, default=40)
+    parser.add_argument("--seed", type=int, default=1)
+    arguments = parser.parse_args()
+    if arguments.set == "single":
+        days = single_days()
+    else:
+        days = mixed_days(arguments.days, arguments.seed)
+    arguments.directory.mkdir(parents=True, exist_ok=True)
+    for name, text in days:
+        (arguments.directory / f"{name}.toml").write_text(text)
+
+
+if __name__ == "__main__":
+    main()
