--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -105,7 +105,13 @@
     /// This very process, by a write whose answer was lost.
     This(u64),
     /// Somebody else.
-    Other { owner: String, version: u64 },
+    Other {
+        owner: String,
+        /// The version of the lease's key.
+        version: u64,
+        /// The store's version when it was read.
+        looked_at: u64,
+    },
 }
 
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Candidate<K, W, F> {
@@ -121,13 +127,13 @@
                 continue;
             }
             match self.look(incarnation).await {
-                Ok(Seen::Other { owner, version }) => {
+                Ok(Seen::Other { owner, version, looked_at }) => {
                     if owner != known {
                         info!(self.log, "election: another node schedules";
                             "holder" => &owner, "revision" => version);
                         known = owner;
                     }
-                    self.wait_for_change(version).await;
+                    self.wait_for_change(looked_at).await;
                 }
                 Ok(seen) => {
                     known.clear();
@@ -191,16 +197,23 @@
     }
 
     async fn look(&self, incarnation: u64) -> Result<Seen, Error> {
-        let found = self.store.get(keys::OWNER).await?;
-        Ok(self.judge(found.as_ref(), incarnation))
+        // A list, because it names the store's version: a watch from the
+        // key's own version asks for history that is soon gone.
+        let (looked_at, found) = self.store.list(keys::OWNER).await?;
+        Ok(self.judge(found.first(), looked_at, incarnation))
     }
 
-    fn judge(&self, found: Option<&Versioned>, incarnation: u64) -> Seen {
+    fn judge(
+        &self,
+        found: Option<&Versioned>,
+        looked_at: u64,
+        incarnation: u64,
+    ) -> Seen {
         let Some(found) = found else { return Seen::Nobody };
         let version = found.version;
         match serde_json::from_slice::<Owner>(&found.value) {
             Ok(owner) if owner.node != self.node => {
-                Seen::Other { owner: owner.node, version }
+                Seen::Other { owner: owner.node, version, looked_at }
             }
             Ok(owner) if owner.incarnation == incarnation => {
                 Seen::This(version)
@@ -209,14 +222,15 @@
             Err(error) => {
                 warn!(self.log, "election: the lease can't be read";
                     "error" => %error);
-                Seen::Other { owner: "unknown".to_owned(), version }
+                let owner = "unknown".to_owned();
+                Seen::Other { owner, version, looked_at }
             }
         }
     }
 
-    async fn wait_for_change(&self, version: u64) {
+    async fn wait_for_change(&self, looked_at: u64) {
         let gone = async {
-            let mut watch = self.store.watch(keys::OWNER, version).await?;
+            let mut watch = self.store.watch(keys::OWNER, looked_at).await?;
             loop {
                 if !watch.next().await?.events.is_empty() {
                     return Ok::<(), Error>(());
