Report a wave as running; move the holder's events out, one set of trial settings

Found on reading the change again. The operator was told only that a wave is completed, though the platform's page has a state for one that runs; nobody called the adapter with it.

--- a/crates/dewspar-cli/src/commands/demo_jobs.rs
+++ b/crates/dewspar-cli/src/commands/demo_jobs.rs
@@ -94,16 +94,7 @@
     store: &Store,
     fleet: &TaskFleet,
 ) -> Result<JobNode, Error> {
-    let settings = JobSettings::from_yaml(&format!(
-        "
-node: {name}
-hall: hall-1
-callers_address: 127.0.0.1:0
-readiness_address: 127.0.0.1:0
-platform: {{store: 127.0.0.1:1, vm_service: 127.0.0.1:1}}
-"
-    ))
-    .map_err(Error::failure)?;
+    let settings = JobSettings::loopback(name);
     let platform = JobPlatform {
         store: store.clone(),
         workers: fleet.clone(),
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -70,6 +70,8 @@
     down: BTreeMap<String, Down>,
     /// The VMs with an order that isn't known to be done.
     ordered: BTreeMap<String, Ordered>,
+    /// Whether this holder has told the operator that it runs.
+    reported: bool,
     completed: bool,
 }
 
@@ -112,6 +114,7 @@
                 done,
                 down: BTreeMap::new(),
                 ordered: BTreeMap::new(),
+                reported: false,
                 completed: completed.contains(&request.wave),
             };
             self.waves.insert(request.wave, state);
@@ -181,6 +184,7 @@
             .map(|(wave, _)| *wave)
             .collect();
         for wave in waves {
+            self.report_running(wave, orders);
             self.order_empty_vms(wave, now, orders);
             self.empty_more(wave, now);
             self.complete(wave, orders);
@@ -388,6 +392,15 @@
         self.place_for(task, now).is_some_and(|worker| worker != id)
     }
 
+    /// Reports a wave once, as soon as it is known.
+    fn report_running(&mut self, wave: u64, orders: &mut Vec<VmOrder>) {
+        let Some(state) = self.waves.get_mut(&wave) else { return };
+        if !state.reported {
+            state.reported = true;
+            orders.push(VmOrder::ReportRunning { wave });
+        }
+    }
+
     /// Reports a wave whose every VM is done.
     fn complete(&mut self, wave: u64, orders: &mut Vec<VmOrder>) {
         let Some(state) = self.waves.get_mut(&wave) else { return };
--- a/crates/dewspar/src/schedule/vm.rs
+++ b/crates/dewspar/src/schedule/vm.rs
@@ -94,6 +94,11 @@
         /// The pool.
         pool: String,
     },
+    /// Tell the operator that a wave has begun.
+    ReportRunning {
+        /// The wave's number.
+        wave: u64,
+    },
     /// Tell the operator that a wave is completed.
     ReportCompleted {
         /// The wave's number.
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::{holder::Event, keys},
+    super::{event::Event, keys},
     crate::counters,
     dewspar::schedule::{VmOrder, VmOrderError},
     dewspar_platform::{
@@ -110,6 +110,18 @@
             record(&log, "move", &vm, &pool, &result);
             Some(Event::Moved { vm, pool, result })
         }
+        VmOrder::ReportRunning { wave } => {
+            match fleet.report_wave(wave, false).await {
+                Ok(()) => info!(log, "wave: running"; "wave" => wave),
+                // Not worth another try: it is reported when it completes.
+                Err(error) => {
+                    counters::platform_failure(&error);
+                    warn!(log, "wave: not reported as running";
+                        "wave" => wave, "error" => %error);
+                }
+            }
+            None
+        }
         VmOrder::ReportCompleted { wave } => {
             match fleet.report_wave(wave, true).await {
                 Ok(()) => {
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         election::Held,
-        holder::Event,
+        event::Event,
         keys,
         progress::{FeedEvent, load_feed, read_event},
     },
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -19,19 +19,17 @@
         decisions,
         duties::{self, Burst},
         election::{Candidate, Held},
+        event::Event,
         feeds::{follow_feed, read_directory, read_vms, renew},
         keys, orders,
         progress::{self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of},
     },
     crate::{clock, counters},
     dewspar::{
-        job::{JobId, TaskId},
-        schedule::{
-            Changes, Held as SentHold, HoldReport, ManagedVm, Now, OrderError,
-            Scheduler, VmOrderError, WorkerId, WorkerListing,
-        },
+        job::JobId,
+        schedule::{Changes, ManagedVm, Now, Scheduler},
     },
-    dewspar_platform::{Batch, Error, Expected, Fleet, JobWorkers, KeyValue},
+    dewspar_platform::{Batch, Expected, Fleet, JobWorkers, KeyValue},
     slog::{info, warn},
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -78,65 +76,6 @@
 /// How long a holder goes on that can't reach the store, in milliseconds.
 pub(super) const DETACHED_MS: u64 = 8_000;
 
-/// What the holder hears of.
-#[derive(Debug)]
-pub(super) enum Event {
-    Feed(Vec<FeedEvent>),
-    Directory(Vec<WorkerListing>),
-    Vms {
-        asked_ms: u64,
-        vms: Vec<ManagedVm>,
-    },
-    Maintained {
-        vm: String,
-        wave: u64,
-        result: Result<(), VmOrderError>,
-    },
-    Moved {
-        vm: String,
-        pool: String,
-        result: Result<(), VmOrderError>,
-    },
-    ReportFailed {
-        wave: u64,
-    },
-    Renewed {
-        sent_ms: u64,
-    },
-    LeaseGone,
-    StartAnswered {
-        worker: WorkerId,
-        task: TaskId,
-        run: u64,
-        result: Result<u64, OrderError>,
-    },
-    StopAnswered {
-        worker: WorkerId,
-        task: TaskId,
-        result: Result<u64, OrderError>,
-    },
-    HoldAnswered {
-        worker: WorkerId,
-        held: SentHold,
-        result: Result<HoldReport, OrderError>,
-    },
-    PaceAnswered {
-        worker: WorkerId,
-        task: TaskId,
-        result: Result<u64, OrderError>,
-    },
-    AdviceAnswered {
-        step: TaskId,
-        workers: Vec<WorkerId>,
-        asked_ms: u64,
-        answer: Result<Vec<(WorkerId, String)>, Error>,
-    },
-    Stored {
-        changes: Changes,
-        stored: Stored,
-    },
-}
-
 /// Why a node no longer schedules.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Outcome {
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -38,6 +38,7 @@
 mod decisions;
 mod duties;
 mod election;
+mod event;
 mod feeds;
 mod front;
 mod holder;
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -3,7 +3,7 @@
 */
 
 use {
-    super::holder::Event,
+    super::event::Event,
     crate::counters,
     dewspar::schedule::{Action, OrderError},
     dewspar_platform::{Fleet, JobWorkers},
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -152,6 +152,28 @@
 }
 
 impl JobSettings {
+    /// Returns the settings of a node that is tried on this machine, at
+    /// ports that the kernel chooses and with adapters of the caller's own.
+    pub fn loopback(node: &str) -> JobSettings {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        JobSettings {
+            node: node.to_owned(),
+            hall: "hall-1".to_owned(),
+            callers_address: any_port,
+            readiness_address: any_port,
+            metrics_address: None,
+            platform: PlatformAddresses {
+                store: any_port,
+                vm_service: any_port,
+                adviser: None,
+                root: default_root(),
+            },
+            machine: Machine::default(),
+            timing: Timing::default(),
+            log: Log::default(),
+        }
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
