Size pools by the jobs that arrive, and switch nothing off before the first

And no pool let go of more than five VMs a second, whatever its size.

Changed: a pool is sized by the work of the jobs that came in the last second (Little's law, estimates corrected by what tasks took), or what is used if that is more; nothing is switched off until 3 s after the first short job; a pool may let a sixteenth of itself go at each look.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -291,7 +291,7 @@
     pub(super) fn pool_percent_without(&self, pool: &str, less: u64) -> u64 {
         let load = self.pool_load(pool);
         let capacity = load.capacity_cpu.saturating_sub(load.vm_cpu() * less);
-        (load.used_cpu + load.waiting_cpu) * 100 / capacity.max(1)
+        load.asked_cpu() * 100 / capacity.max(1)
     }
 
     /// Lets a worker run dry.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -100,6 +100,7 @@
 mod board;
 mod directory;
 mod duty;
+mod forecast;
 mod maintenance;
 mod order;
 mod pacing;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -6,6 +6,7 @@
             PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
             advice::StepAdvice,
             board::Job,
+            forecast::Arrivals,
             maintenance::WaveState,
             sizing::{Moving, PoolLoad},
             worker::{OwedHold, RunState, Worker},
@@ -62,6 +63,12 @@
     pub(super) vms_asked_ms: u64,
     /// When the pools' sizes were last looked at.
     pub(super) sized_ms: u64,
+    /// Jobs accepted under this lease that aren't counted as arrivals yet.
+    pub(super) new_jobs: Vec<JobId>,
+    /// The jobs that came to each pool of late.
+    pub(super) arrivals: BTreeMap<String, Arrivals>,
+    /// When the first job was known that isn't there for long; 0 for not yet.
+    pub(super) first_job_ms: u64,
 }
 
 impl Scheduler {
@@ -98,6 +105,9 @@
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
             sized_ms: 0,
+            new_jobs: Vec::new(),
+            arrivals: BTreeMap::new(),
+            first_job_ms: 0,
         }
     }
 
@@ -153,6 +163,9 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
+        if revision > self.lease_revision {
+            self.new_jobs.push(id);
+        }
         self.jobs.insert(id, job);
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -45,6 +45,18 @@
 /// milliseconds: a move costs about as much as a second in a pool.
 const IDLE_MS: u64 = 1_500;
 
+/// How long after the first job no VM is switched off, in milliseconds: what
+/// will be asked of the pools isn't known before.
+const OBSERVED_MS: u64 = 3_000;
+
+/// How long a holder waits for a first job before it switches VMs off all
+/// the same, in milliseconds.
+const UNUSED_MS: u64 = 30_000;
+
+/// Which part of a pool may be switched off at once, as a divisor: a pool
+/// at rest is small after a few looks, and one that isn't keeps the most.
+const LEAVING_DIVISOR: u64 = 16;
+
 /// How long a VM that was ordered to move counts as coming, in milliseconds.
 const COMING_MS: u64 = 4_000;
 
@@ -57,12 +69,19 @@
     pub(super) capacity_cpu: u64,
     pub(super) used_cpu: u64,
     pub(super) waiting_cpu: u64,
+    /// What will be used soon, by the jobs that came of late.
+    forecast_cpu: u64,
     workers: u64,
     /// How many workers the tasks need that must run apart.
     apart: u64,
 }
 
 impl PoolLoad {
+    /// Returns what is asked of the pool, now or soon.
+    pub(super) fn asked_cpu(&self) -> u64 {
+        self.used_cpu.max(self.forecast_cpu) + self.waiting_cpu
+    }
+
     /// Returns what one VM of the pool has.
     pub(super) fn vm_cpu(&self) -> u64 {
         self.capacity_cpu / self.workers.max(1)
@@ -113,6 +132,10 @@
             for round in 0..job.rounds.len() {
                 for (step, spec) in job.spec.steps.iter().enumerate() {
                     load.apart = load.apart.max(apart(spec));
+                    if spec.long_running && self.fits_somewhere(spec) {
+                        load.forecast_cpu +=
+                            u64::from(spec.count) * demand(spec).cpu_millis;
+                    }
                     let waiting = job.rounds[round][step].waiting.len() as u64;
                     if waiting == 0
                         || !job.is_ready(round, step, now.unix_ms)
@@ -128,6 +151,12 @@
                 }
             }
         }
+        self.note_arrivals(now);
+        for (pool, cpu_millis) in self.forecasts(now) {
+            if let Some(load) = loads.get_mut(pool) {
+                load.forecast_cpu += cpu_millis;
+            }
+        }
         self.pool_loads = loads;
     }
 
@@ -138,13 +167,26 @@
             self.sized_ms = now.steady_ms;
             let targets = self.targets(now);
             self.fill_pools(&targets, now, orders);
-            for pool in targets.keys() {
-                self.shrink_pool(pool, now);
+            if self.knows_demand(now) {
+                for pool in targets.keys() {
+                    self.shrink_pool(pool, now);
+                }
             }
         }
         self.order_moves(now, orders);
     }
 
+    /// Returns whether enough was seen to tell which VMs aren't needed.
+    fn knows_demand(&mut self, now: Now) -> bool {
+        if self.first_job_ms == 0 && self.has_short_jobs() {
+            self.first_job_ms = now.steady_ms;
+        }
+        let unused = now.steady_ms >= self.taken_over_ms + UNUSED_MS;
+        let observed = self.first_job_ms > 0
+            && now.steady_ms >= self.first_job_ms + OBSERVED_MS;
+        observed || unused
+    }
+
     /// Returns how many VMs each pool should have.
     ///
     /// While there are too few for all, none gets more than its equal share
@@ -156,7 +198,7 @@
         let mut needs: BTreeMap<&String, u64> = BTreeMap::new();
         for pool in &self.serving_pools {
             let load = self.pool_load(pool);
-            let asked = (load.used_cpu + load.waiting_cpu) * 100;
+            let asked = load.asked_cpu() * 100;
             let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
             let need = asked.div_ceil(vm_cpu * FULL_PERCENT);
             let need = need.max(self.least_vms(pool));
@@ -310,9 +352,21 @@
             && !self.awaits_maintenance(&worker.listing.vm)
     }
 
-    /// Switches off an idle VM of a pool that has more than it needs.
+    /// Switches off idle VMs of a pool that has more than it needs.
     fn shrink_pool(&mut self, pool: &str, now: Now) {
-        let Some(free) = self.free_pools.first().cloned() else { return };
+        let most = self.pool_load(pool).workers / LEAVING_DIVISOR + 1;
+        for _ in 0..most {
+            if !self.switch_one_off(pool, now) {
+                return;
+            }
+        }
+    }
+
+    /// Switches one idle VM of a pool off; returns whether there was one.
+    fn switch_one_off(&mut self, pool: &str, now: Now) -> bool {
+        let Some(free) = self.free_pools.first().cloned() else {
+            return false;
+        };
         let idle = self
             .workers
             .values()
@@ -320,10 +374,11 @@
             .filter(|worker| self.may_leave(worker, now))
             .find(|worker| !self.is_refused(&worker.listing.vm, &free));
         let Some(id) = idle.map(|worker| worker.id().clone()) else {
-            return;
+            return false;
         };
         self.empty(&id, Purpose::Move(free), now);
         self.measure_pools(now);
+        true
     }
 
     /// Orders the moves of workers that were emptied for them.
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -894,6 +894,51 @@
     assert_eq!(vm_orders(&mut world), [move_of_spare()]);
 }
 
+#[test]
+fn a_pool_gets_vms_for_jobs_that_keep_coming_before_they_wait() {
+    let mut world = world_with_spare();
+    world.fate = Fate::done(2_000);
+    let long = StepSpec { estimate_ms: 2_000, ..step(1) };
+    let later = StepSpec { after: vec![0], count: 4, ..long.clone() };
+    // Two jobs a second of 10 core-seconds each keep 20 cores busy, though
+    // only one core is in use so far and nothing waits.
+    for number in 0..2 {
+        let steps = vec![long.clone(), later.clone()];
+        let revision = 6 + number;
+        world.scheduler.submit(id(number), job(steps), revision, None);
+        world.run_for(100);
+    }
+    assert_eq!(world.running().len(), 2);
+    assert_eq!(vm_orders(&mut world), [move_of_spare()]);
+}
+
+/// A pool of five workers, and one pool that VMs are switched off in.
+fn world_with_idle_workers() -> World {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4", "w5"]);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.run_for(100);
+    world
+}
+
+#[test]
+fn no_vm_is_switched_off_before_it_is_known_what_comes() {
+    let mut world = world_with_idle_workers();
+    for _ in 0..10 {
+        assert_eq!(vm_orders(&mut world), []);
+    }
+    world.fate = Fate::done(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    assert_eq!(vm_orders(&mut world), [], "a first job says little");
+    let mut orders = Vec::new();
+    for _ in 0..5 {
+        orders.extend(vm_orders(&mut world));
+    }
+    assert!(!orders.is_empty());
+}
+
 #[test]
 fn no_vm_moves_for_a_task_that_fits_nowhere() {
     let mut world = world_with_spare();
