Let a weak holder hand over to a stronger node; load everything at once

A weak node that takes the lease then keeps it (inferred from the code: nothing made it give the lease up).

Changed: the holder's key says how strong it is; a much stronger node that sees a weak holder writes a claim, and the holder stores what it has and hands over; a new holder loads its five lists at once.

The test was seen to fail: the strong node never became the holder.

--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -8,7 +8,9 @@
 
 Nodes differ in what they can schedule. Each writes its strength once, and one
 that is much weaker than the strongest waits a moment before it tries, so that
-it only schedules when no stronger one does.
+it only schedules when no stronger one does. If it schedules all the same,
+because no stronger one was there, the first one that comes back writes a
+claim, and the weak holder hands the lease over as before a planned stop.
 
 A node that finds its own name under an older incarnation was restarted: that
 holder is gone for certain, and the key is replaced without waiting.
@@ -66,6 +68,18 @@
 struct Owner {
     node: String,
     incarnation: u64,
+    /// How much the node can schedule; 0 where it doesn't say.
+    #[serde(default)]
+    strength: u64,
+}
+
+/// A claim to the lease by a node that is stronger than its holder.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(super) struct Claim {
+    /// The node that makes it.
+    pub(super) node: String,
+    /// How much that node can schedule.
+    pub(super) strength: u64,
 }
 
 /// The lease, as this node holds it.
@@ -107,6 +121,8 @@
     /// Somebody else.
     Other {
         owner: String,
+        /// How much it can schedule; 0 where that isn't known.
+        strength: u64,
         /// The version of the lease's key.
         version: u64,
         /// The store's version when it was read.
@@ -127,12 +143,15 @@
                 continue;
             }
             match self.look(incarnation).await {
-                Ok(Seen::Other { owner, version, looked_at }) => {
+                Ok(Seen::Other { owner, strength, version, looked_at }) => {
                     if owner != known {
                         info!(self.log, "election: another node schedules";
                             "holder" => &owner, "revision" => version);
                         known = owner;
                     }
+                    if is_weak(strength, self.strength) {
+                        self.claim(version).await;
+                    }
                     self.wait_for_change(looked_at).await;
                 }
                 Ok(seen) => {
@@ -186,10 +205,10 @@
                 return true;
             }
         };
-        let percent = self.strength * 100 / most;
-        if percent >= STRONG_PERCENT || !matches!(seen, Seen::Nobody) {
+        if !is_weak(self.strength, most) || !matches!(seen, Seen::Nobody) {
             return true;
         }
+        let percent = self.strength * 100 / most;
         let delay = WEAK_DELAY_MS * (100 - percent) / 100;
         sleep(Duration::from_millis(delay)).await;
         // Somebody else may hold it by now.
@@ -212,9 +231,12 @@
         let Some(found) = found else { return Seen::Nobody };
         let version = found.version;
         match serde_json::from_slice::<Owner>(&found.value) {
-            Ok(owner) if owner.node != self.node => {
-                Seen::Other { owner: owner.node, version, looked_at }
-            }
+            Ok(owner) if owner.node != self.node => Seen::Other {
+                owner: owner.node,
+                strength: owner.strength,
+                version,
+                looked_at,
+            },
             Ok(owner) if owner.incarnation == incarnation => {
                 Seen::This(version)
             }
@@ -223,11 +245,43 @@
                 warn!(self.log, "election: the lease can't be read";
                     "error" => %error);
                 let owner = "unknown".to_owned();
-                Seen::Other { owner, version, looked_at }
+                Seen::Other { owner, strength: 0, version, looked_at }
             }
         }
     }
 
+    /// Returns whether a claim is by a much stronger node than this one.
+    pub(super) fn is_weak_beside(&self, claim: &Claim) -> bool {
+        claim.node != self.node && is_weak(self.strength, claim.strength)
+    }
+
+    /// Asks the weak holder of the lease, as it was seen at this version, to
+    /// hand it over.
+    async fn claim(&self, version: u64) {
+        let claim = Claim { node: self.node.clone(), strength: self.strength };
+        // OK because a text and a number can always be written.
+        let value = serde_json::to_vec(&claim).expect("plain JSON");
+        let lease_ms = STORE_LEASE_MS.max(self.min_lease_ms);
+        let written = async {
+            // Gone by itself, should this node go before it is answered.
+            let lease = self.store.grant(lease_ms).await?;
+            let batch = Batch::default()
+                .when(keys::OWNER, Expected::Version(version))
+                .when(keys::CLAIM, Expected::Absent)
+                .put_leased(keys::CLAIM, value, lease);
+            self.store.commit(&batch).await
+        };
+        match written.await {
+            Ok(Commit::Done(revision)) => {
+                info!(self.log, "election: claimed from a weak holder";
+                    "revision" => revision, "holder_revision" => version);
+            }
+            // Somebody else has claimed it, or it has changed hands.
+            Ok(Commit::Conflict(_)) => {}
+            Err(error) => counters::platform_failure(&error),
+        }
+    }
+
     async fn wait_for_change(&self, looked_at: u64) {
         let gone = async {
             let mut watch = self.store.watch(keys::OWNER, looked_at).await?;
@@ -295,7 +349,11 @@
         let asked_ms = clock::now_ms();
         let lease_ms = STORE_LEASE_MS.max(self.min_lease_ms);
         let lease = self.store.grant(lease_ms).await?;
-        let owner = Owner { node: self.node.clone(), incarnation };
+        let owner = Owner {
+            node: self.node.clone(),
+            incarnation,
+            strength: self.strength,
+        };
         // OK because a text and a number can always be written.
         let value = serde_json::to_vec(&owner).expect("plain JSON");
         let batch = Batch::default().when(keys::OWNER, expected).put_leased(
@@ -318,6 +376,7 @@
         let reason = match outcome {
             Outcome::Lost(reason) => reason,
             Outcome::Stopping => "the node stops",
+            Outcome::Yielding => "a stronger node asks for it",
         };
         info!(self.log, "election: this node no longer schedules";
             "revision" => held.revision, "reason" => reason);
@@ -325,9 +384,16 @@
         // take over; harmless if another one has.
         let batch = Batch::default()
             .when(keys::OWNER, Expected::Version(held.revision))
-            .delete(keys::OWNER);
+            .delete(keys::OWNER)
+            .delete(keys::CLAIM);
         if let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
         }
     }
 }
+
+/// Returns whether a node is much weaker than another; one that doesn't say
+/// how strong it is counts as strong.
+fn is_weak(strength: u64, other: u64) -> bool {
+    strength > 0 && strength * 100 / other.max(1) < STRONG_PERCENT
+}
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -81,6 +81,8 @@
 pub(super) enum Outcome {
     /// Another node does, or may.
     Lost(&'static str),
+    /// A stronger node asks for the lease.
+    Yielding,
     /// The node stops.
     Stopping,
 }
@@ -119,6 +121,7 @@
         stored_ms: 0,
         configured: None,
         lost: None,
+        claimed: false,
         pending: BTreeMap::new(),
         pending_written_ms: 0,
         done: loaded.done,
@@ -146,6 +149,8 @@
     stored_ms: u64,
     configured: Option<u64>,
     lost: Option<&'static str>,
+    /// Whether a stronger node asks for the lease.
+    claimed: bool,
     pending: BTreeMap<String, u64>,
     pending_written_ms: u64,
     /// The VMs that former holders have maintained, wave by wave.
@@ -185,6 +190,9 @@
                 self.take(event);
             }
             if let Some(outcome) = self.act() {
+                if matches!(outcome, Outcome::Yielding) {
+                    self.store_last().await;
+                }
                 return outcome;
             }
         }
@@ -258,6 +266,9 @@
                     self.scheduler.submit(id, *job, revision, progress);
                 }
                 FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
+                FeedEvent::Claimed(claim) => {
+                    self.claimed |= self.candidate.is_weak_beside(&claim);
+                }
                 FeedEvent::Owner { revision } => {
                     if revision > self.held.revision {
                         self.lost = Some("the lease's key has changed");
@@ -336,6 +347,9 @@
         if self.scheduler.is_superseded() {
             return Some(Outcome::Lost("a worker has seen a newer holder"));
         }
+        if self.claimed {
+            return Some(Outcome::Yielding);
+        }
         let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
         if now.steady_ms > lease_over_ms + DETACHED_MS {
             return Some(Outcome::Lost("the lease couldn't be renewed"));
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -7,6 +7,10 @@
 /// Who holds the scheduler lease.
 pub(super) const OWNER: &str = "q/owner";
 
+/// A stronger node's claim to the scheduler lease; in the feed, so that the
+/// holder hears of it.
+pub(super) const CLAIM: &str = "q/claim";
+
 /// How much each node can schedule.
 pub(super) const NODES: &str = "node/";
 
@@ -33,6 +37,8 @@
 pub(super) enum FeedKey {
     /// The scheduler lease.
     Owner,
+    /// A claim to it.
+    Claim,
     /// An accepted job.
     Accepted(JobId),
     /// A cancelled job.
@@ -45,6 +51,9 @@
         if key == OWNER {
             return Some(FeedKey::Owner);
         }
+        if key == CLAIM {
+            return Some(FeedKey::Claim);
+        }
         if let Some(id) = key.strip_prefix(ACCEPTED) {
             return id.parse().ok().map(FeedKey::Accepted);
         }
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -9,6 +9,7 @@
 use {
     super::{
         duties::{load_done, load_ordered},
+        election::Claim,
         keys::{self, FeedKey},
     },
     crate::counters,
@@ -45,6 +46,8 @@
     Cancelled(JobId),
     /// The lease's key was written or is gone.
     Owner { revision: u64 },
+    /// Another node would like to schedule.
+    Claimed(Claim),
 }
 
 /// What a new holder starts from.
@@ -69,7 +72,15 @@
     fleet: &F,
     log: &Logger,
 ) -> Result<Loaded, Error> {
-    let (_, stored) = store.list(keys::PROGRESS).await?;
+    // All at once: one after the other they take a slow store seconds.
+    let (stored, feed, done, completed, ordered) = tokio::try_join!(
+        store.list(keys::PROGRESS),
+        load_feed(store, log),
+        load_done(store, log),
+        fleet.completed_waves(),
+        load_ordered(store, log),
+    )?;
+    let ((_, stored), (version, feed)) = (stored, feed);
     let mut progress = BTreeMap::new();
     let mut versions = BTreeMap::new();
     for item in &stored {
@@ -83,10 +94,6 @@
                 "job" => %id, "error" => %error),
         }
     }
-    let (version, feed) = load_feed(store, log).await?;
-    let done = load_done(store, log).await?;
-    let completed = fleet.completed_waves().await?;
-    let ordered = load_ordered(store, log).await?;
     Ok(Loaded { version, feed, progress, versions, done, completed, ordered })
 }
 
@@ -107,7 +114,9 @@
         // The holder itself deletes what is over; only the lease matters.
         Event::Deleted { key, version } => match FeedKey::parse(key)? {
             FeedKey::Owner => Some(FeedEvent::Owner { revision: *version }),
-            FeedKey::Accepted(_) | FeedKey::Cancelled(_) => None,
+            FeedKey::Accepted(_) | FeedKey::Cancelled(_) | FeedKey::Claim => {
+                None
+            }
         },
     }
 }
@@ -117,6 +126,13 @@
     match FeedKey::parse(&item.key)? {
         FeedKey::Owner => Some(FeedEvent::Owner { revision }),
         FeedKey::Cancelled(id) => Some(FeedEvent::Cancelled(id)),
+        FeedKey::Claim => match serde_json::from_slice(&item.value) {
+            Ok(claim) => Some(FeedEvent::Claimed(claim)),
+            Err(error) => {
+                warn!(log, "holder: claim can't be read"; "error" => %error);
+                None
+            }
+        },
         FeedKey::Accepted(id) => {
             match serde_json::from_slice::<AcceptedJob>(&item.value) {
                 Ok(job) => {
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -73,7 +73,10 @@
     }
 
     async fn node(&self, name: &str) -> JobNode {
-        let settings = JobSettings::loopback(name);
+        self.node_with(JobSettings::loopback(name)).await
+    }
+
+    async fn node_with(&self, settings: JobSettings) -> JobNode {
         let platform = JobPlatform {
             store: self.store.clone(),
             workers: self.fleet.clone(),
@@ -86,6 +89,13 @@
         node.expect("a started node")
     }
 
+    /// Returns the name of the node that holds the scheduler lease.
+    async fn holder(&self) -> Option<String> {
+        let owner = self.store.get("q/owner").await.expect("a store")?;
+        let owner: Value = serde_json::from_slice(&owner.value).ok()?;
+        owner["node"].as_str().map(str::to_owned)
+    }
+
     fn address(&self, node: usize) -> SocketAddr {
         self.nodes[node].caller_address()
     }
@@ -229,10 +239,7 @@
     cluster.fleet.set_work_ms(1_500);
     submitted(&cluster, 0, 1).await;
     until(async || cluster.fleet.running().len() == 3).await;
-    let owner = cluster.store.get("q/owner").await.expect("a store");
-    let owner: Value =
-        serde_json::from_slice(&owner.expect("a holder").value).unwrap();
-    let name = owner["node"].as_str().unwrap_or_default().to_owned();
+    let name = cluster.holder().await.expect("a holder");
     let number: usize = name[5..].parse().expect("node-N");
     cluster.nodes.remove(number).kill();
     cluster.wait_for_phase(0, 1, "completed").await;
@@ -241,6 +248,28 @@
     assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
 }
 
+#[tokio::test]
+async fn a_weak_node_hands_the_lease_to_a_stronger_one_that_comes() {
+    let mut cluster = Cluster::start(0).await;
+    let mut weak = JobSettings::loopback("weak");
+    weak.machine.cpu_millis = 120.0;
+    let mut strong = JobSettings::loopback("strong");
+    strong.machine.cpu_millis = 500.0;
+    let node = cluster.node_with(weak).await;
+    cluster.nodes.push(node);
+    cluster.fleet.set_work_ms(1_500);
+    submitted(&cluster, 0, 1).await;
+    until(async || cluster.fleet.running().len() == 3).await;
+    assert_eq!(cluster.holder().await.as_deref(), Some("weak"));
+    let node = cluster.node_with(strong).await;
+    cluster.nodes.push(node);
+    until(async || cluster.holder().await.as_deref() == Some("strong")).await;
+    cluster.wait_for_phase(1, 1, "completed").await;
+    // What ran was found and not started again.
+    let starts = cluster.starts();
+    assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
+}
+
 #[tokio::test]
 async fn a_cancelled_job_stops() {
     let cluster = Cluster::start(2).await;
