Keep a wave's start in the store, so that its time survives takeovers

Changed: the wave's record in the store says when it was first seen, next to the VMs that are done; the first holder that sees a request writes it.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -16,7 +16,7 @@
         job::TaskId,
         schedule::{
             Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
-            VmOrderError, WaveRequest, WorkerId,
+            VmOrderError, WaveRecord, WaveRequest, WorkerId,
             worker::{RunState, Worker},
         },
     },
@@ -63,9 +63,10 @@
 #[derive(Debug)]
 pub(super) struct WaveState {
     request: WaveRequest,
-    since_ms: u64,
-    /// The VMs whose maintenance has begun or that are gone for good.
-    done: BTreeSet<String>,
+    /// What is kept of it in the store.
+    record: WaveRecord,
+    /// When it ends, on the steady clock.
+    end_ms: u64,
     /// The VMs that are down for it.
     down: BTreeMap<String, Down>,
     /// The VMs with an order that isn't known to be done.
@@ -94,24 +95,37 @@
 }
 
 impl Scheduler {
-    /// Takes over the waves that are asked for, each with the VMs that were
-    /// done before this node took over.
+    /// Takes over the waves that are asked for, each with what was kept of it
+    /// before this node took over.
+    ///
+    /// Returns the waves that nobody has seen before, to be recorded.
     pub fn request_waves(
         &mut self,
         now: Now,
         requests: &[WaveRequest],
-        done: &BTreeMap<u64, BTreeSet<String>>,
+        records: &BTreeMap<u64, WaveRecord>,
         completed: &[u64],
-    ) {
+    ) -> Vec<u64> {
+        let mut unseen = Vec::new();
         for request in requests {
             if self.waves.contains_key(&request.wave) {
                 continue;
             }
-            let done = done.get(&request.wave).cloned().unwrap_or_default();
+            let record = records.get(&request.wave).cloned();
+            if record.is_none() {
+                unseen.push(request.wave);
+            }
+            let record = record.unwrap_or_else(|| WaveRecord {
+                since_unix_ms: now.unix_ms,
+                done: BTreeSet::new(),
+            });
+            // The nodes' times of day differ a little.
+            let passed_ms = now.unix_ms.saturating_sub(record.since_unix_ms);
+            let left_ms = request.duration_ms.saturating_sub(passed_ms);
             let state = WaveState {
                 request: request.clone(),
-                since_ms: now.steady_ms,
-                done,
+                record,
+                end_ms: now.steady_ms + left_ms,
                 down: BTreeMap::new(),
                 ordered: BTreeMap::new(),
                 reported: false,
@@ -119,11 +133,12 @@
             };
             self.waves.insert(request.wave, state);
         }
+        unseen
     }
 
-    /// Returns the VMs of a wave whose maintenance has begun.
-    pub fn wave_done(&self, wave: u64) -> Option<&BTreeSet<String>> {
-        self.waves.get(&wave).map(|state| &state.done)
+    /// Returns what a later holder must know of a wave.
+    pub fn wave_record(&self, wave: u64) -> Option<&WaveRecord> {
+        self.waves.get(&wave).map(|state| &state.record)
     }
 
     /// Takes over the list of VMs, as it was asked for at `asked_ms`.
@@ -169,7 +184,7 @@
             let vm = &worker.listing.vm;
             // The worker is in the list, so its life is not the one that
             // ended.
-            if state.is_some_and(|state| state.done.contains(vm)) {
+            if state.is_some_and(|state| state.record.done.contains(vm)) {
                 worker.emptying = None;
             }
         }
@@ -424,7 +439,7 @@
             Ok(()) => {
                 let ordered = state.ordered.remove(vm);
                 let life = ordered.and_then(|ordered| ordered.life);
-                state.done.insert(vm.to_owned());
+                state.record.done.insert(vm.to_owned());
                 let since_ms = now.steady_ms;
                 let down = Down { since_ms, life: life.clone() };
                 state.down.insert(vm.to_owned(), down);
@@ -437,7 +452,7 @@
                 if !listed =>
             {
                 state.ordered.remove(vm);
-                state.done.insert(vm.to_owned());
+                state.record.done.insert(vm.to_owned());
             }
             // Kept as ordered, which counts as down, and sent again later.
             Err(_) => {}
@@ -461,13 +476,12 @@
 
 impl WaveState {
     fn remaining(&self) -> impl Iterator<Item = &String> {
-        self.request.vms.iter().filter(|vm| !self.done.contains(*vm))
+        self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
     }
 
     /// Returns the time left for choosing VMs.
     fn left_ms(&self, now: Now) -> u64 {
-        let end = self.since_ms + self.request.duration_ms;
-        end.saturating_sub(now.steady_ms + RESERVE_MS).max(1)
+        self.end_ms.saturating_sub(now.steady_ms + RESERVE_MS).max(1)
     }
 
     /// Returns how many more VMs may go down.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -87,7 +87,7 @@
     },
     scheduler::Scheduler,
     storing::Changes,
-    vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRequest},
+    vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
 };
 
 use {
--- a/crates/dewspar/src/schedule/vm.rs
+++ b/crates/dewspar/src/schedule/vm.rs
@@ -1,6 +1,8 @@
 use {
     crate::schedule::{Room, WorkerId},
     displaydoc::Display,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeSet,
 };
 
 /// Maintenance that is asked for.
@@ -58,6 +60,16 @@
     pub worker: Option<WorkerId>,
 }
 
+/// What a later holder must know of a wave.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WaveRecord {
+    /// When a holder first saw the request, in milliseconds of the Unix
+    /// epoch: its time counts from then.
+    pub since_unix_ms: u64,
+    /// The VMs whose maintenance has begun or that are gone for good.
+    pub done: BTreeSet<String>,
+}
+
 /// Why a change to a VM has no result.
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub enum VmOrderError {
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -458,14 +458,18 @@
     }
 }
 
-fn request_wave(world: &mut World) {
-    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
-    let request = WaveRequest {
+fn wave_of(vms: &[ManagedVm]) -> WaveRequest {
+    WaveRequest {
         wave: 1,
         vms: vms.iter().map(|vm| vm.vm.clone()).collect(),
         duration_ms: 10_000,
         max_down: 3,
-    };
+    }
+}
+
+fn request_wave(world: &mut World) {
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let request = wave_of(&vms);
     let now = at(world.now_ms);
     let (scheduler, none) = (&mut world.scheduler, BTreeMap::new());
     scheduler.request_waves(now, &[request], &none, &[]);
@@ -519,6 +523,32 @@
     assert!(completed);
 }
 
+#[test]
+fn a_wave_keeps_its_time_when_another_node_takes_over() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4", "w5"]);
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let request = [WaveRequest { duration_ms: 60_000, ..wave_of(&vms) }];
+    let begun = at(world.now_ms);
+    let none = BTreeMap::new();
+    let unseen = world.scheduler.request_waves(begun, &request, &none, &[]);
+    assert_eq!(unseen, [1], "to be recorded");
+    let record = world.scheduler.wave_record(1).expect("a wave").clone();
+    // Little time is left when the next holder begins, so that as many go
+    // down at once as may.
+    world.now_ms += 50_000;
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let (now, records) = (at(world.now_ms), [(1, record)].into());
+    let unseen = world.scheduler.request_waves(now, &request, &records, &[]);
+    assert_eq!(unseen, [] as [u64; 0], "it is on record");
+    let orders = vm_orders(&mut world);
+    let is_maintenance =
+        |order: &&VmOrder| matches!(order, VmOrder::Maintain { .. });
+    assert_eq!(orders.iter().filter(is_maintenance).count(), 3);
+}
+
 #[test]
 fn a_new_holder_stops_nothing_while_a_former_stop_may_be_under_way() {
     let mut world = world_with_wave(5);
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -5,7 +5,7 @@
 use {
     super::{event::Event, keys},
     crate::counters,
-    dewspar::schedule::{VmOrder, VmOrderError},
+    dewspar::schedule::{VmOrder, VmOrderError, WaveRecord},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, KeyValue, VmChange,
     },
@@ -153,24 +153,24 @@
     counters::count_by(counters::FLEET_STEPS, "step", order);
 }
 
-/// Reads which VMs earlier holders have maintained, wave by wave.
-pub(super) async fn load_done<K: KeyValue>(
+/// Reads what earlier holders kept of each wave.
+pub(super) async fn load_waves<K: KeyValue>(
     store: &K,
     log: &Logger,
-) -> Result<BTreeMap<u64, BTreeSet<String>>, Error> {
+) -> Result<BTreeMap<u64, WaveRecord>, Error> {
     let (_, stored) = store.list(keys::WAVES).await?;
-    let mut done = BTreeMap::new();
+    let mut records = BTreeMap::new();
     for item in &stored {
         let Some(wave) = keys::wave_of(&item.key) else { continue };
         match serde_json::from_slice(&item.value) {
-            Ok(vms) => {
-                done.insert(wave, vms);
+            Ok(record) => {
+                records.insert(wave, record);
             }
             Err(error) => warn!(log, "wave: stored state can't be read";
                 "wave" => wave, "error" => %error),
         }
     }
-    Ok(done)
+    Ok(records)
 }
 
 /// Reads which VMs the former holder had ordered changes of when it last
@@ -204,14 +204,14 @@
         .put(keys::VM_ORDERS, value)
 }
 
-/// The write that records which VMs of a wave are done.
-pub(super) fn done_batch(
+/// The write that records how far a wave has come.
+pub(super) fn wave_batch(
     lease_revision: u64,
     wave: u64,
-    done: &BTreeSet<String>,
+    record: &WaveRecord,
 ) -> Batch {
-    // OK because a list of texts can always be written.
-    let value = serde_json::to_vec(done).expect("plain JSON");
+    // OK because a number and texts can always be written.
+    let value = serde_json::to_vec(record).expect("plain JSON");
     Batch::default()
         .when(keys::OWNER, Expected::Version(lease_revision))
         .put(&keys::wave(wave), value)
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -27,14 +27,11 @@
     crate::{clock, counters},
     dewspar::{
         job::JobId,
-        schedule::{Changes, ManagedVm, Now, Scheduler},
+        schedule::{Changes, ManagedVm, Now, Scheduler, WaveRecord},
     },
     dewspar_platform::{Batch, Expected, Fleet, JobWorkers, KeyValue},
     slog::{info, warn},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
@@ -124,7 +121,7 @@
         claimed: false,
         pending: BTreeMap::new(),
         pending_written_ms: 0,
-        done: loaded.done,
+        waves: loaded.waves,
         completed: loaded.completed,
         expired_ms: clock::now_ms(),
     };
@@ -153,8 +150,8 @@
     claimed: bool,
     pending: BTreeMap<String, u64>,
     pending_written_ms: u64,
-    /// The VMs that former holders have maintained, wave by wave.
-    done: BTreeMap<u64, BTreeSet<String>>,
+    /// What former holders kept of each wave.
+    waves: BTreeMap<u64, WaveRecord>,
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
     expired_ms: u64,
@@ -213,7 +210,7 @@
             Event::Maintained { vm, wave, result } => {
                 scheduler.maintenance_answered(&vm, wave, result, now);
                 if result.is_ok() {
-                    self.write_done(wave);
+                    self.write_wave(wave);
                 }
             }
             Event::Moved { vm, pool, result } => {
@@ -304,10 +301,10 @@
         }
     }
 
-    fn write_done(&self, wave: u64) {
-        if let Some(done) = self.scheduler.wave_done(wave) {
-            let batch = duties::done_batch(self.held.revision, wave, done);
-            self.write(batch, "maintained VMs");
+    fn write_wave(&self, wave: u64) {
+        if let Some(record) = self.scheduler.wave_record(wave) {
+            let batch = duties::wave_batch(self.held.revision, wave, record);
+            self.write(batch, "state of a wave");
         }
     }
 
@@ -369,7 +366,11 @@
         let reading = self.candidate.reader.borrow();
         let waves = &reading.intent.waves;
         let completed = &self.completed;
-        self.scheduler.request_waves(now, waves, &self.done, completed);
+        let unseen =
+            self.scheduler.request_waves(now, waves, &self.waves, completed);
+        for wave in unseen {
+            self.write_wave(wave);
+        }
         let Some(queues) = &reading.intent.queues else { return };
         if self.configured == Some(queues.version()) {
             return;
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -8,14 +8,14 @@
 
 use {
     super::{
-        duties::{load_done, load_ordered},
+        duties::{load_ordered, load_waves},
         election::Claim,
         keys::{self, FeedKey},
     },
     crate::counters,
     dewspar::{
         job::{JobId, Progress},
-        schedule::{AcceptedJob, Changes},
+        schedule::{AcceptedJob, Changes, WaveRecord},
     },
     dewspar_platform::{
         Batch, Commit, Error, Event, Expected, Fleet, KeyValue, Versioned,
@@ -57,8 +57,8 @@
     pub(super) feed: Vec<FeedEvent>,
     pub(super) progress: BTreeMap<JobId, Progress>,
     pub(super) versions: BTreeMap<JobId, u64>,
-    /// The VMs that former holders have maintained, wave by wave.
-    pub(super) done: BTreeMap<u64, BTreeSet<String>>,
+    /// What former holders kept of each wave.
+    pub(super) waves: BTreeMap<u64, WaveRecord>,
     /// The waves that were reported as completed.
     pub(super) completed: Vec<u64>,
     /// The VMs of which the former holder ordered changes of late; `None`
@@ -73,10 +73,10 @@
     log: &Logger,
 ) -> Result<Loaded, Error> {
     // All at once: one after the other they take a slow store seconds.
-    let (stored, feed, done, completed, ordered) = tokio::try_join!(
+    let (stored, feed, waves, completed, ordered) = tokio::try_join!(
         store.list(keys::PROGRESS),
         load_feed(store, log),
-        load_done(store, log),
+        load_waves(store, log),
         fleet.completed_waves(),
         load_ordered(store, log),
     )?;
@@ -94,7 +94,7 @@
                 "job" => %id, "error" => %error),
         }
     }
-    Ok(Loaded { version, feed, progress, versions, done, completed, ordered })
+    Ok(Loaded { version, feed, progress, versions, waves, completed, ordered })
 }
 
 /// Reads the feed outright.
