Complete a wave though a VM of it is gone for good

The last VM had left the fleet; one that isn't in the list of VMs was never ordered, so its refusal, which counts it as done, never came.

Changed: a VM that has been missing from the list for 3 s counts as done.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -50,6 +50,10 @@
 /// milliseconds.
 const ORDER_RETRY_MS: u64 = 1_000;
 
+/// How long a VM must be missing from the list of VMs to count as gone for
+/// good, in milliseconds: several readings of the list.
+const MISSING_MS: u64 = 3_000;
+
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -71,6 +75,8 @@
     down: BTreeMap<String, Down>,
     /// The VMs with an order that isn't known to be done.
     ordered: BTreeMap<String, Ordered>,
+    /// The VMs that aren't in the list of VMs, each with since when.
+    missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
     reported: bool,
     completed: bool,
@@ -128,6 +134,7 @@
                 end_ms: now.steady_ms + left_ms,
                 down: BTreeMap::new(),
                 ordered: BTreeMap::new(),
+                missing: BTreeMap::new(),
                 reported: false,
                 completed: completed.contains(&request.wave),
             };
@@ -512,5 +519,28 @@
             let back = vm.life == VmLife::Up && vm.worker != down.life;
             !(back && asked_ms > down.since_ms)
         });
+        self.note_missing(asked_ms, vms);
+    }
+
+    /// Takes VMs that have been missing from the list for a while as gone:
+    /// there is nothing left to maintain.
+    fn note_missing(
+        &mut self,
+        asked_ms: u64,
+        vms: &BTreeMap<String, ManagedVm>,
+    ) {
+        self.missing.retain(|vm, _| !vms.contains_key(vm));
+        let missing: Vec<String> = self
+            .remaining()
+            .filter(|vm| !vms.contains_key(*vm))
+            .cloned()
+            .collect();
+        for vm in missing {
+            let since_ms = *self.missing.entry(vm.clone()).or_insert(asked_ms);
+            if asked_ms >= since_ms + MISSING_MS {
+                self.ordered.remove(&vm);
+                self.record.done.insert(vm);
+            }
+        }
     }
 }
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -523,6 +523,29 @@
     assert!(completed);
 }
 
+#[test]
+fn a_wave_is_completed_though_a_vm_of_it_is_gone_for_good() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    request_wave(&mut world);
+    world.listings.retain(|listing| listing.vm != "vm-of-w2");
+    world.scheduler.worker_gone(
+        &WorkerId::new("w2"),
+        "test",
+        at(world.now_ms),
+    );
+    let mut completed = false;
+    for _ in 0..100 {
+        let before = world.now_ms;
+        completed |= maintain_for_a_while(&mut world);
+        let missing_for_ms = world.now_ms - 1_100;
+        assert!(!completed || missing_for_ms >= 2_900, "at {before}");
+    }
+    assert!(completed);
+}
+
 #[test]
 fn a_wave_keeps_its_time_when_another_node_takes_over() {
     let mut world = World::new(5, &["w1", "w2", "w3", "w4", "w5"]);
