Use workers at once whose entries lapsed while the store was away

Cause: entries of workers that live are back up to two seconds after the store; until then each of them counted as having left and got nothing.

Changed: after the directory couldn't be read for 2 s, the workers known before count as listed for 2 s more. One still missing then is gone.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -6,10 +6,24 @@
 time of silence.
 */
 
-use crate::schedule::{
-    Decision, Now, Room, Scheduler, WorkerId, WorkerListing, worker::Worker,
+use {
+    crate::schedule::{
+        Decision, Now, Room, Scheduler, WorkerId, WorkerListing,
+        worker::Worker,
+    },
+    std::collections::BTreeSet,
 };
 
+/// How long the directory must have gone unread for entries to have lapsed
+/// meanwhile, in milliseconds: less than the three heartbeats after which
+/// workers' entries go, and many times its usual interval.
+const UNREAD_MS: u64 = 2_000;
+
+/// How long after the directory is read again entries may still be missing
+/// that lapsed meanwhile, in milliseconds: workers enter themselves again
+/// within about that time.
+const ENTERED_WITHIN_MS: u64 = 2_000;
+
 impl Scheduler {
     /// Takes over the directory of workers.
     pub fn list_workers(&mut self, now: Now, listings: Vec<WorkerListing>) {
@@ -19,21 +33,17 @@
         let settled = self.taken_over_ms + self.options.directory_settle_ms;
         // Without the VM service, a directory that had time to fill must do.
         self.lives_known |= now.steady_ms >= settled;
-        for worker in self.workers.values_mut() {
-            worker.listed = false;
+        let unread_ms = now.steady_ms.saturating_sub(self.directory_ms);
+        if self.directory_ms > 0 && unread_ms >= UNREAD_MS {
+            self.entered_by_ms = now.steady_ms + ENTERED_WITHIN_MS;
         }
-        let mut replaced = Vec::new();
+        self.directory_ms = now.steady_ms;
+        self.unlist_missing(&listings, now);
+        let replaced = self.replaced_by(&listings);
         for listing in listings {
             if self.ended_lives.contains(&listing.id) {
                 continue;
             }
-            let older = self.workers.values().filter(|worker| {
-                worker.listing.vm == listing.vm
-                    && !listing.vm.is_empty()
-                    && *worker.id() != listing.id
-                    && !worker.listed
-            });
-            replaced.extend(older.map(|worker| worker.id().clone()));
             match self.workers.get_mut(&listing.id) {
                 Some(worker) => {
                     worker.listed = true;
@@ -48,13 +58,43 @@
         }
         self.note_capacities();
         for id in replaced {
-            let listed = self.workers.get(&id).is_some_and(|w| w.listed);
-            if !listed {
-                self.worker_gone(&id, "its VM runs a new worker", now);
-            }
+            self.worker_gone(&id, "its VM runs a new worker", now);
         }
     }
 
+    /// Notes which workers the directory no longer lists, unless it couldn't
+    /// be read for a while and workers are still entering themselves again.
+    fn unlist_missing(&mut self, listings: &[WorkerListing], now: Now) {
+        if now.steady_ms < self.entered_by_ms {
+            return;
+        }
+        let listed: BTreeSet<&WorkerId> =
+            listings.iter().map(|listing| &listing.id).collect();
+        for worker in self.workers.values_mut() {
+            worker.listed &= listed.contains(worker.id());
+        }
+    }
+
+    /// Returns the workers on whose VMs the directory lists another life,
+    /// and not them.
+    fn replaced_by(&self, listings: &[WorkerListing]) -> Vec<WorkerId> {
+        let listed: BTreeSet<&WorkerId> =
+            listings.iter().map(|listing| &listing.id).collect();
+        let vms: BTreeSet<&str> = listings
+            .iter()
+            .filter(|listing| !listing.vm.is_empty())
+            .filter(|listing| !self.ended_lives.contains(&listing.id))
+            .map(|listing| listing.vm.as_str())
+            .collect();
+        self.workers
+            .values()
+            .filter(|worker| vms.contains(worker.listing.vm.as_str()))
+            .map(Worker::id)
+            .filter(|id| !listed.contains(id))
+            .cloned()
+            .collect()
+    }
+
     /// Takes in which lives of workers there are, each with its pool, as
     /// the VM service says after a takeover.
     ///
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -35,6 +35,10 @@
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// When the directory of workers was last read; 0 for not yet.
+    pub(super) directory_ms: u64,
+    /// From when the directory is complete again after it couldn't be read.
+    pub(super) entered_by_ms: u64,
     /// Whether every worker that may run something is among `workers`.
     pub(super) lives_known: bool,
     /// When the first worker was listed under this lease; 0 for not yet.
@@ -88,6 +92,8 @@
             decisions: Vec::new(),
             superseded: false,
             ended_lives: BTreeSet::new(),
+            directory_ms: 0,
+            entered_by_ms: 0,
             lives_known: false,
             taken_over_ms: 0,
             ordered_vms: BTreeMap::new(),
--- a/crates/dewspar/tests/schedule.rs
+++ b/crates/dewspar/tests/schedule.rs
@@ -1021,6 +1021,29 @@
     assert!(runs.iter().all(|run| *run == runs[0]), "one run: {runs:?}");
 }
 
+#[test]
+fn workers_whose_entries_lapsed_in_an_outage_are_used_at_once() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.run_for(5_000);
+    // The store is back; its entries had run out and are being written anew.
+    let all = std::mem::take(&mut world.listings);
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 1);
+    // One that is still missing after a while is taken as gone.
+    world.listings = all.into_iter().take(1).collect();
+    for _ in 0..25 {
+        world.run_for(100);
+        world.list();
+    }
+    world.scheduler.submit(id(2), job(vec![step(8)]), 7, None);
+    world.run_for(100);
+    let gone = WorkerId::new("w2");
+    assert!(world.starts[1..].iter().all(|(worker, _)| *worker != gone));
+}
+
 #[test]
 fn a_draining_worker_gets_nothing_new() {
     let mut world = World::new(5, &["w1", "w2"]);
