--- a/bench/days.py
+++ b/bench/days.py
@@ -122,11 +122,25 @@
         (how, {"for_s": 8}) for how in ("silent", "busy", "reset")
     ],
     "cloud_slow": [("", {"x": 80, "for_s": 8})],
+    "shift": [("", {"share": 0.6, "for_s": 8})],
+    "hot_key": [("", {"share": 0.6, "for_s": 8})],
+    "srv_lying_health": [
+        (how, {"share": 0.2, "for_s": 10})
+        for how in ("errors", "hang", "reset", "bad")
+    ],
+    "srv_flap": [
+        ("", {"share": 0.2, "gap_s": 1.2, "for_s": 8}),
+        ("", {"share": 0.2, "gap_s": 3, "for_s": 10}),
+    ],
+    "scale_out": [("", {"share": 0.3, "gap_s": 1})],
+    "add_nodes": [("", {"share": 1.0})],
+    "big_config": [("", {"count": 1200})],
 }
 
 # What counts as planned work rather than a fault.
 PLANNED = {
     "roll_term", "hup", "config_change", "config_storm", "wave", "scale_in",
+    "scale_out", "add_nodes", "big_config",
 }
 
 # When a kind that is played alone strikes, in seconds of traffic.
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -59,6 +59,8 @@
     leases: BTreeMap<i64, Granted>,
     next_lease: i64,
     events: VecDeque<Event>,
+    /// The version up to which the history is gone.
+    forgotten: u64,
 }
 
 #[derive(Debug)]
@@ -83,6 +85,7 @@
             leases: BTreeMap::new(),
             next_lease: 1,
             events: VecDeque::new(),
+            forgotten: 0,
         };
         let state = Arc::new(Mutex::new(state));
         Store { state, version: watch::Sender::new(1), faults }
@@ -119,6 +122,13 @@
         self.announce(&state);
     }
 
+    /// Forgets the history: watches from before now are cut.
+    pub fn forget_history(&self) {
+        let mut state = self.lock();
+        state.forgotten = state.version;
+        state.events.clear();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -355,8 +365,12 @@
 }
 
 impl StoreWatch {
-    fn collect(&self) -> WatchBatch {
+    /// Returns what came since; `None` if that history is gone.
+    fn collect(&self) -> Option<WatchBatch> {
         let state = self.store.lock();
+        if self.seen < state.forgotten {
+            return None;
+        }
         // Versions rise along the log, so the unseen ones are at its end.
         let start = state.events.partition_point(|e| e.version() <= self.seen);
         let events: Vec<Event> = state
@@ -365,7 +379,7 @@
             .filter(|event| event.key().starts_with(&self.prefix))
             .cloned()
             .collect();
-        WatchBatch { version: state.version, events }
+        Some(WatchBatch { version: state.version, events })
     }
 }
 
@@ -377,7 +391,10 @@
                 return Err(Error::Unavailable { call: "watch", reason });
             }
             self.changes.borrow_and_update();
-            let batch = self.collect();
+            let Some(batch) = self.collect() else {
+                let reason = "history is gone".to_owned();
+                return Err(Error::Unavailable { call: "watch", reason });
+            };
             self.seen = batch.version;
             if !batch.events.is_empty() {
                 return Ok(batch);
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -122,7 +122,7 @@
         };
         let scheduling = tokio::spawn(candidate.run());
         info!(log, "node: started";
-            "callers" => %settings.callers_address,
+            "callers" => %callers.address(),
             "hall" => &settings.hall);
         Ok(JobNode {
             callers,
