List a queue's open jobs, and tell a job's story from the nodes' logs

`dewspar job list QUEUE` lists what isn't over. `dewspar job explain ID LOG...` puts the lines of one job in order over all nodes, with what befell its workers, the lease and the store meanwhile, and sums them up. Times of any precision are compared without their final `Z`: a test with whole seconds failed before.

--- a/crates/dewspar-cli/src/commands/job.rs
+++ b/crates/dewspar-cli/src/commands/job.rs
@@ -1,10 +1,13 @@
 /*!
-Jobs: hand one in, see how far it has come, cancel it.
+Jobs: hand one in, see how far it has come, cancel it, explain it.
 */
 
 use {
     super::{Api, read_file},
-    crate::exit::{Code, Error},
+    crate::{
+        exit::{Code, Error},
+        story::Story,
+    },
     clap::{Args, Subcommand},
     dewspar::job::JobId,
     std::time::Duration,
@@ -51,6 +54,21 @@
         #[command(flatten)]
         job: Named,
     },
+    /// List the jobs of a queue that aren't over.
+    List {
+        /// The queue.
+        queue: String,
+        #[command(flatten)]
+        api: Api,
+    },
+    /// Tell a job's story from the nodes' logs; no node is asked.
+    Explain {
+        /// The job's identifier.
+        id: JobId,
+        /// The logs of all nodes, or `-` for standard input.
+        #[arg(required = true, value_name = "LOG")]
+        logs: Vec<String>,
+    },
     /// Count the jobs of a queue of which nothing has started.
     Pending {
         /// The queue.
@@ -104,6 +122,8 @@
                 job.api.client()?.delete(&job.path()).await?;
                 println!("cancelled");
             }
+            JobCommand::List { queue, api } => list(&queue, &api).await?,
+            JobCommand::Explain { id, logs } => return explain(id, &logs),
             JobCommand::Pending { queue, api } => {
                 let path = format!("/v1/queues/{queue}");
                 let answer = api.client()?.get(&path).await?;
@@ -118,6 +138,34 @@
     format!("/v1/queues/{queue}/jobs/{id}")
 }
 
+/// Prints each job of a queue that isn't over, and its phase.
+async fn list(queue: &str, api: &Api) -> Result<(), Error> {
+    let path = format!("/v1/queues/{queue}/jobs");
+    let answer = api.client()?.get(&path).await?;
+    for job in answer["jobs"].as_array().into_iter().flatten() {
+        let text = |name: &str| job[name].as_str().unwrap_or("unknown");
+        println!("{}  {}", text("id"), text("phase"));
+    }
+    Ok(())
+}
+
+/// Prints what the logs say of a job; fails if they don't name it.
+fn explain(id: JobId, logs: &[String]) -> Result<Code, Error> {
+    let texts: Result<Vec<String>, Error> =
+        logs.iter().map(|path| read_file(path)).collect();
+    let texts = texts?;
+    let story = Story::read(texts.iter().flat_map(|text| text.lines()), id);
+    if story.lines().is_empty() {
+        let message = format!("no line of these logs names job {id}");
+        return Err(Error::new(Code::NotFound, message));
+    }
+    for line in story.lines() {
+        println!("{}", line.to_text());
+    }
+    println!("{}", story.summary());
+    Ok(Code::Success)
+}
+
 /// Makes an identifier that no other job has.
 fn new_id() -> Result<JobId, Error> {
     let number = rand::random::<u64>();
--- a/crates/dewspar-cli/src/lib.rs
+++ b/crates/dewspar-cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod deployment;
 pub mod load;
 pub mod observer;
+pub mod story;
 pub mod trace;
 
 pub mod client;
--- /dev/null
+++ b/crates/dewspar-cli/src/story.rs
@@ -0,0 +1,211 @@
+/*!
+A job's story, read from the nodes' logs.
+
+Nodes write JSON lines, and what happened to one job is spread over all of
+them: the node that was asked logs the calls, the node that scheduled logs
+starts and ends. A [`Story`] puts the lines of one job in the order of their
+time. Some lines explain a job without naming it: what happened to a worker
+while it ran one of the job's tasks, or to the scheduler lease and to the
+store meanwhile. They are part of the story too.
+
+# Example
+
+```
+use dewspar_cli::story::Story;
+
+let log = r#"{"ts":"2026-01-30T11:58:03Z","msg":"job: came to its end",
+"node":"n1","job":"5c0e7a21d94b36f8","phase":"completed","after_ms":900}"#;
+let log = log.replace('\n', "");
+let story = Story::read([log.as_str()], "5c0e7a21d94b36f8".parse()?);
+assert_eq!(story.lines().len(), 1);
+assert!(story.summary().contains("completed after 900 ms"));
+# Ok::<(), dewspar::job::InvalidId>(())
+```
+*/
+
+use {
+    dewspar::job::JobId,
+    serde_json::{Map, Value},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// The beginnings of messages that explain any job of their time: who
+/// scheduled, and whether the store and the operator could be read.
+const ABOUT_ALL: [&str; 4] =
+    ["election: this", "holder:", "operator: store", "node:"];
+
+/// Fields that every line has, or that its story is about.
+const NOT_SHOWN: [&str; 6] = ["msg", "level", "ts", "part", "node", "job"];
+
+/// One line of a log.
+#[derive(Clone, Debug)]
+pub struct Line {
+    at: String,
+    node: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line; what stands before the object is passed over.
+    fn read(text: &str) -> Option<Line> {
+        let text = text.get(text.find('{')?..)?;
+        let fields: Map<String, Value> = serde_json::from_str(text).ok()?;
+        let text = |name: &str| {
+            fields.get(name).and_then(Value::as_str).map(str::to_owned)
+        };
+        // Without its end, times of any precision sort as texts.
+        let at = text("ts")?.trim_end_matches('Z').to_owned();
+        let message = text("msg")?;
+        let node = text("node").unwrap_or_default();
+        Some(Line { at, node, message, fields })
+    }
+
+    fn text(&self, name: &str) -> &str {
+        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
+    }
+
+    fn number(&self, name: &str) -> u64 {
+        self.fields.get(name).and_then(Value::as_u64).unwrap_or(0)
+    }
+
+    /// Returns the line as one text: time of day, node, message, fields.
+    pub fn to_text(&self) -> String {
+        let time = self.at.split_once('T').map_or("", |(_, time)| time);
+        let mut text =
+            format!("{:<18} {:<16} {}", time, self.node, self.message);
+        for (name, value) in &self.fields {
+            if NOT_SHOWN.contains(&name.as_str()) || value.is_null() {
+                continue;
+            }
+            let value = match value {
+                Value::String(text) => text.clone(),
+                other => other.to_string(),
+            };
+            text.push_str(&format!("  {name}={value}"));
+        }
+        text
+    }
+}
+
+/// What the logs tell of one job.
+#[derive(Clone, Debug)]
+pub struct Story {
+    lines: Vec<Line>,
+    job: JobId,
+}
+
+impl Story {
+    /// Reads the story of a job from lines of logs, in any order.
+    ///
+    /// Lines that aren't JSON objects with a time and a message are passed
+    /// over.
+    pub fn read<'a>(
+        lines: impl IntoIterator<Item = &'a str>,
+        job: JobId,
+    ) -> Story {
+        let name = job.to_string();
+        let mut lines: Vec<Line> =
+            lines.into_iter().filter_map(Line::read).collect();
+        lines.sort_by(|a, b| a.at.cmp(&b.at));
+        let own: Vec<usize> = lines
+            .iter()
+            .enumerate()
+            .filter(|(_, line)| line.text("job") == name)
+            .map(|(index, _)| index)
+            .collect();
+        let (Some(first), Some(last)) = (own.first(), own.last()) else {
+            return Story { lines: Vec::new(), job };
+        };
+        // Whoever scheduled before counts for the first line too.
+        let span = first.saturating_sub(1)..=*last;
+        let workers: BTreeSet<String> = own
+            .iter()
+            .map(|index| lines[*index].text("worker").to_owned())
+            .filter(|worker| !worker.is_empty())
+            .collect();
+        let explains = |index: usize, line: &Line| {
+            line.text("job") == name
+                || span.contains(&index)
+                    && (is_about_all(line)
+                        || line.text("job").is_empty()
+                            && workers.contains(line.text("worker")))
+        };
+        let lines = lines
+            .iter()
+            .enumerate()
+            .filter(|(index, line)| explains(*index, line))
+            .map(|(_, line)| line.clone())
+            .collect();
+        Story { lines, job }
+    }
+
+    /// Returns the lines, in the order of their time.
+    pub fn lines(&self) -> &[Line] {
+        &self.lines
+    }
+
+    /// Returns what became of the job, and what stood in its way.
+    pub fn summary(&self) -> String {
+        let own = || {
+            let job = self.job.to_string();
+            self.lines.iter().filter(move |line| line.text("job") == job)
+        };
+        let count = |message: &str, field: &str, value: &str| {
+            own()
+                .filter(|line| line.message == message)
+                .filter(|line| field.is_empty() || line.text(field) == value)
+                .count()
+        };
+        let mut said = Vec::new();
+        let mut outcomes: BTreeMap<&str, usize> = BTreeMap::new();
+        for line in own().filter(|line| line.message == "call: answered") {
+            if line.text("operation") == "submit" {
+                *outcomes.entry(line.text("outcome")).or_default() += 1;
+            }
+        }
+        for (outcome, times) in outcomes {
+            said.push(format!("handed in, {times} times {outcome}"));
+        }
+        let started = count("task: started", "", "");
+        if started > 0 {
+            said.push(format!("{started} runs started"));
+        }
+        let longest = own()
+            .filter(|line| line.message == "task: started")
+            .max_by_key(|line| line.number("waited_ms"));
+        if let Some(longest) = longest.filter(|l| l.number("waited_ms") > 0) {
+            let (task, ms) =
+                (longest.text("task"), longest.number("waited_ms"));
+            said.push(format!("{task} waited longest, {ms} ms"));
+        }
+        for cause in ["failed", "stopped", "lease_over", "gang_broken"] {
+            let times = count("task: ended", "cause", cause);
+            if times > 0 {
+                said.push(format!("{times} runs ended as {cause}"));
+            }
+        }
+        for (message, what) in [
+            ("task: run lost", "runs lost with their worker or order"),
+            ("worker: order gave no result", "orders without a result"),
+        ] {
+            let times = count(message, "", "");
+            if times > 0 {
+                said.push(format!("{times} {what}"));
+            }
+        }
+        match own().find(|line| line.message == "job: came to its end") {
+            Some(end) => said.push(format!(
+                "{} after {} ms",
+                end.text("phase"),
+                end.number("after_ms"),
+            )),
+            None => said.push("no end in these logs".to_owned()),
+        }
+        said.join("; ")
+    }
+}
+
+fn is_about_all(line: &Line) -> bool {
+    ABOUT_ALL.iter().any(|begin| line.message.starts_with(begin))
+}
--- a/crates/dewspar-platform/src/job_call.rs
+++ b/crates/dewspar-platform/src/job_call.rs
@@ -2,6 +2,7 @@
     bytes::Bytes,
     dewspar::job::{JobId, JobSpec, Phase, QueueSet},
     hyper::{Response, http::request::Parts},
+    serde::Serialize,
 };
 
 /// The header that says how long a caller waits, in milliseconds.
@@ -46,6 +47,17 @@
     },
     /// Count the queue's jobs of which nothing has started.
     Pending,
+    /// List the queue's jobs that aren't over.
+    List,
+}
+
+/// A job of a list.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct ListedJob {
+    /// Its identifier.
+    pub id: JobId,
+    /// How far it has come.
+    pub phase: Phase,
 }
 
 /// The answer to a call on jobs.
@@ -66,6 +78,8 @@
     Cancelled,
     /// How many jobs of the queue wait.
     Pending(u64),
+    /// The queue's jobs that aren't over.
+    Jobs(Vec<ListedJob>),
     /// There is no such job.
     NoSuchJob,
     /// There is no such queue.
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -36,7 +36,8 @@
     error::Error,
     fleet::{Fleet, Intent, VmChange},
     job_call::{
-        JobCall, JobOperation, JobProtocol, JobReply, NotRead, deadline_in,
+        JobCall, JobOperation, JobProtocol, JobReply, ListedJob, NotRead,
+        deadline_in,
     },
     job_worker::JobWorkers,
     kv::{
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -8,7 +8,11 @@
 */
 
 use {
-    super::{intent, keys, readiness::Readiness},
+    super::{
+        intent,
+        keys::{self, FeedKey},
+        readiness::Readiness,
+    },
     crate::{clock, counters},
     bytes::Bytes,
     dewspar::{
@@ -17,7 +21,7 @@
     },
     dewspar_platform::{
         Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
-        JobReply, KeyValue,
+        JobReply, KeyValue, ListedJob,
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -215,6 +219,7 @@
             JobOperation::Status { id } => ("status", Some(id)),
             JobOperation::Cancel { id } => ("cancel", Some(id)),
             JobOperation::Pending => ("pending", None),
+            JobOperation::List => ("list", None),
         };
         let outcome = outcome_name(reply);
         info!(self.log, "call: answered"; "operation" => operation,
@@ -248,6 +253,7 @@
             JobOperation::Status { id } => self.status(*id, deadline).await,
             JobOperation::Cancel { id } => self.cancel(*id, deadline).await,
             JobOperation::Pending => self.pending(&call.queue, deadline).await,
+            JobOperation::List => self.list(&call.queue, deadline).await,
         }
     }
 
@@ -370,6 +376,45 @@
         JobReply::Pending(count.unwrap_or(0))
     }
 
+    /// Lists a queue's jobs that aren't over: those whose entry is still in
+    /// the feed, each with what is stored of it.
+    async fn list(&self, queue: &str, deadline: Instant) -> JobReply {
+        let lists = async {
+            tokio::try_join!(
+                self.store.list(keys::FEED),
+                self.store.list(keys::PROGRESS),
+            )
+        };
+        let (accepted, progress) = match timeout_at(deadline, lists).await {
+            Ok(Ok(((_, accepted), (_, progress)))) => (accepted, progress),
+            Ok(Err(error)) => {
+                counters::platform_failure(&error);
+                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+            }
+            Err(_) => {
+                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+            }
+        };
+        let phases: BTreeMap<JobId, Phase> = progress
+            .iter()
+            .filter_map(|item| {
+                let id = keys::job_of_progress(&item.key)?;
+                let stored = serde_json::from_slice::<Progress>(&item.value);
+                Some((id, stored.ok()?.phase))
+            })
+            .collect();
+        let open = accepted.iter().filter_map(|item| {
+            let Some(FeedKey::Accepted(id)) = FeedKey::parse(&item.key) else {
+                return None;
+            };
+            let job = serde_json::from_slice::<AcceptedJob>(&item.value);
+            let phase = phases.get(&id).copied().unwrap_or(Phase::Queued);
+            let named = job.is_ok_and(|job| job.spec.queue == queue);
+            (named && !phase.is_final()).then_some(ListedJob { id, phase })
+        });
+        JobReply::Jobs(open.collect())
+    }
+
     /// Reads a key, again if need be, until the deadline.
     async fn read(
         &self,
@@ -439,6 +484,7 @@
         JobReply::State(phase) => phase.name(),
         JobReply::Cancelled => "cancel_stored",
         JobReply::Pending(_) => "counted",
+        JobReply::Jobs(_) => "listed",
         JobReply::NoSuchJob => "no_such_job",
         JobReply::NoSuchQueue => "no_such_queue",
         JobReply::Invalid(_) => "invalid",
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -6,6 +6,7 @@
 | `POST /v1/queues/QUEUE/jobs/ID` | hands a job in: `payload`, `steps`, `repeat` |
 | `GET /v1/queues/QUEUE/jobs/ID` | says how far it has come: `phase` |
 | `DELETE /v1/queues/QUEUE/jobs/ID` | cancels it |
+| `GET /v1/queues/QUEUE/jobs` | lists those that aren't over: `jobs` |
 | `GET /v1/queues/QUEUE` | counts the jobs that wait: `pending` |
 
 Refusals are problem details. A job that was not accepted and never will be
@@ -52,6 +53,9 @@
     ) -> Result<JobCall, NotRead> {
         let rest = head.uri.path().strip_prefix(QUEUES);
         let rest = rest.ok_or(NotRead::NoSuchQueue)?;
+        if let Some(queue) = rest.strip_suffix("/jobs") {
+            return list(queues, queue, head);
+        }
         let (queue, job) = match rest.split_once("/jobs/") {
             Some((queue, job)) => (queue, Some(job)),
             None => (rest, None),
@@ -80,6 +84,9 @@
             JobReply::Pending(pending) => {
                 answer(StatusCode::OK, &json!({ "pending": pending }))
             }
+            JobReply::Jobs(jobs) => {
+                answer(StatusCode::OK, &json!({ "jobs": jobs }))
+            }
             JobReply::NotDone { retry_after_ms } => {
                 let status = StatusCode::SERVICE_UNAVAILABLE;
                 let detail = "not done, and never will be: come back later";
@@ -113,6 +120,22 @@
     }
 }
 
+fn list(
+    queues: &QueueSet,
+    queue: &str,
+    head: &Parts,
+) -> Result<JobCall, NotRead> {
+    let queue = queues.named(queue).ok_or(NotRead::NoSuchQueue)?;
+    if head.method != Method::GET {
+        return Err(NotRead::NoSuchMethod);
+    }
+    Ok(JobCall {
+        queue: queue.name.clone(),
+        deadline_ms: deadline_in(head),
+        operation: JobOperation::List,
+    })
+}
+
 fn operation(
     queue: &str,
     method: &Method,
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -283,6 +283,24 @@
     cluster.wait_for_phase(0, 1, "cancelled").await;
 }
 
+#[tokio::test]
+async fn lists_the_jobs_of_a_queue_that_are_not_over() {
+    let cluster = Cluster::start(2).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    cluster.fleet.set_work_ms(600_000);
+    submitted(&cluster, 0, 2).await;
+    cluster.wait_for_phase(1, 2, "running").await;
+    let path = "/v1/queues/extracts/jobs";
+    let (status, body) = cluster.call(1, Method::GET, path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    let open = json!([{ "id": format!("{:016x}", 2), "phase": "running" }]);
+    assert_eq!(body["jobs"], open);
+    let path = "/v1/queues/none/jobs";
+    let (status, _) = cluster.call(1, Method::GET, path, None).await;
+    assert_eq!(status, StatusCode::NOT_FOUND);
+}
+
 #[tokio::test]
 async fn what_is_refused_while_the_store_is_out_never_runs() {
     let cluster = Cluster::start(2).await;
