Back off between calls to a store that is out

While the store is out for 4 s, every caller's question about a job was tried each 40 ms until its deadline, some 70 calls.

Changed: pauses double from 40 to 320 ms, for reads and for writes whose outcome is unknown.

--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -62,9 +62,13 @@
 /// milliseconds: a few times the way to callers.
 const ANSWER_RESERVE_MS: u64 = 100;
 
-/// The pause before a call to the store is tried again.
+/// The pause before a call is tried again, the first time.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 
+/// The longest pause between two tries: pauses double, because a store that
+/// is out stays so for seconds, and every call counts against its limits.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(320);
+
 /// How often a call that certainly did nothing is tried again.
 const MAX_RETRIES: u32 = 2;
 
@@ -421,17 +425,17 @@
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Vec<u8>>, JobReply> {
+        let mut backoff = Backoff::default();
         loop {
             match timeout_at(deadline, self.store.get(key)).await {
                 Ok(Ok(found)) => return Ok(found.map(|found| found.value)),
                 Ok(Err(error)) => counters::platform_failure(&error),
                 Err(_) => {}
             }
-            if Instant::now() + RETRY_PAUSE >= deadline {
+            if !backoff.pause(deadline).await {
                 let retry_after_ms = RETRY_AFTER_MS;
                 return Err(JobReply::NotDone { retry_after_ms });
             }
-            sleep(RETRY_PAUSE).await;
         }
     }
 
@@ -440,6 +444,7 @@
     async fn write(&self, batch: &Batch, deadline: Instant) -> Written {
         let mut maybe_done = false;
         let mut retries = 0;
+        let mut backoff = Backoff::default();
         loop {
             match timeout_at(deadline, self.store.commit(batch)).await {
                 Ok(Ok(Commit::Done(_))) => return Written::Done,
@@ -454,11 +459,10 @@
             if !maybe_done && retries > MAX_RETRIES {
                 return Written::NotDone;
             }
-            if Instant::now() + RETRY_PAUSE >= deadline {
+            if !backoff.pause(deadline).await {
                 let unknown = Written::Unknown;
                 return if maybe_done { unknown } else { Written::NotDone };
             }
-            sleep(RETRY_PAUSE).await;
         }
     }
 
@@ -476,6 +480,29 @@
     Unknown,
 }
 
+/// The pauses between the tries of one call, each twice as long as the last.
+struct Backoff {
+    next: Duration,
+}
+
+impl Default for Backoff {
+    fn default() -> Backoff {
+        Backoff { next: RETRY_PAUSE }
+    }
+}
+
+impl Backoff {
+    /// Waits before the next try; returns false if the deadline would pass.
+    async fn pause(&mut self, deadline: Instant) -> bool {
+        if Instant::now() + self.next >= deadline {
+            return false;
+        }
+        sleep(self.next).await;
+        self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
+        true
+    }
+}
+
 fn outcome_name(reply: &JobReply) -> &'static str {
     match reply {
         JobReply::Accepted => "accepted",
