--- /dev/null
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -0,0 +1,7 @@
+//! What the scheduler must and must not order, case by case.
+
+mod placing;
+mod pools;
+mod runs;
+mod waves;
+mod world;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -0,0 +1,231 @@
+//! A scheduler and its workers, every order carried out at once.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, StepSpec},
+        schedule::{
+            AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
+            OrderError, QueueTerms, Room, Scheduler, StartOrder, VmLife,
+            WorkerId, WorkerListing,
+        },
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::BTreeMap,
+};
+
+pub const POOL: &str = "registry";
+
+pub const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
+
+pub fn at(steady_ms: u64) -> Now {
+    Now { steady_ms, unix_ms: 1_700_000_000_000 + steady_ms }
+}
+
+pub fn listing(name: &str) -> WorkerListing {
+    WorkerListing {
+        id: WorkerId::new(name),
+        address: format!("{name}:1"),
+        vm: format!("vm-of-{name}"),
+        pool: POOL.to_owned(),
+        rack: "rack-1".to_owned(),
+        labels: vec!["a".to_owned(), "rack-1".to_owned()],
+        capacity: ROOM,
+        draining: false,
+        remaining_ms: None,
+    }
+}
+
+pub fn step(count: u32) -> StepSpec {
+    StepSpec {
+        count,
+        cpu_millis: 1_000,
+        memory_mb: 100,
+        estimate_ms: 500,
+        ..StepSpec::default()
+    }
+}
+
+pub fn job(steps: Vec<StepSpec>) -> AcceptedJob {
+    AcceptedJob {
+        spec: JobSpec { steps, ..JobSpec::default() },
+        terms: QueueTerms {
+            pool: POOL.to_owned(),
+            max_attempts: 3,
+            stretch: 2.0,
+            ..QueueTerms::default()
+        },
+        accepted_at_ms: 1_700_000_000_000,
+    }
+}
+
+pub fn id(number: u64) -> JobId {
+    // OK because it is always 16 hexadecimal digits.
+    format!("{number:016x}").parse().unwrap()
+}
+
+/// A scheduler and its workers, every order carried out at once unless a
+/// worker is cut off.
+pub struct World {
+    pub scheduler: Scheduler,
+    pub workers: BTreeMap<WorkerId, TaskWorker>,
+    pub listings: Vec<WorkerListing>,
+    pub cut: Vec<WorkerId>,
+    pub starts: Vec<(WorkerId, StartOrder)>,
+    pub now_ms: u64,
+    pub fate: Fate,
+}
+
+impl World {
+    pub fn new(revision: u64, names: &[&str]) -> World {
+        let listings: Vec<WorkerListing> =
+            names.iter().map(|name| listing(name)).collect();
+        let workers = listings
+            .iter()
+            .map(|listing| (listing.id.clone(), TaskWorker::new(ROOM)))
+            .collect();
+        World {
+            scheduler: Scheduler::new(revision, Options::default()),
+            workers,
+            listings,
+            cut: Vec::new(),
+            starts: Vec::new(),
+            now_ms: 1_000,
+            fate: Fate::done(500),
+        }
+    }
+
+    /// Tells the scheduler of every life that there is.
+    pub fn expect_all(&mut self) {
+        let lives: Vec<(WorkerId, String)> = self
+            .listings
+            .iter()
+            .map(|listing| (listing.id.clone(), listing.pool.clone()))
+            .collect();
+        self.scheduler.expect_workers(at(self.now_ms), lives);
+    }
+
+    /// Lets another holder take over with the same workers.
+    pub fn take_over(&mut self, revision: u64) {
+        self.scheduler = Scheduler::new(revision, Options::default());
+    }
+
+    pub fn list(&mut self) {
+        let now = at(self.now_ms);
+        self.scheduler.list_workers(now, self.listings.clone());
+    }
+
+    /// Plans every 50 ms for so long, and stores what changed.
+    pub fn run_for(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        while self.now_ms < end {
+            self.now_ms += 50;
+            self.round();
+        }
+    }
+
+    pub fn round(&mut self) {
+        let now = at(self.now_ms);
+        for action in self.scheduler.plan(now) {
+            self.carry_out(action, now);
+        }
+        let changes = self.scheduler.take_changes(100);
+        self.scheduler.changes_stored(&changes, now);
+    }
+
+    pub fn carry_out(&mut self, action: Action, now: Now) {
+        let clock = now.steady_ms;
+        match action {
+            Action::Start { worker, order, .. } => {
+                let demand = Room { cpu_millis: 1_000, ..Room::default() };
+                let fate = self.fate;
+                let result = match self.reach(&worker) {
+                    Some(reached) => {
+                        reached.start(clock, &order, demand, fate)
+                    }
+                    None => Err(OrderError::Unknown),
+                };
+                self.starts.push((worker.clone(), order.clone()));
+                let (task, run) = (order.task, order.run);
+                self.scheduler
+                    .start_answered(&worker, &task, run, result, now);
+            }
+            Action::Stop { worker, order, .. } => {
+                let result = match self.reach(&worker) {
+                    Some(reached) => reached.stop(clock, &order),
+                    None => Err(OrderError::Unknown),
+                };
+                self.scheduler.stop_answered(
+                    &worker,
+                    &order.task,
+                    result,
+                    now,
+                );
+            }
+            Action::Hold { worker, held, .. } => {
+                let result = match self.reach(&worker) {
+                    Some(reached) => reached.hold(clock, held.order()),
+                    None => Err(OrderError::Unknown),
+                };
+                self.hold_result(&worker, &held, result, now);
+            }
+            Action::Pace { .. } | Action::Advise { .. } => {}
+        }
+    }
+
+    pub fn hold_result(
+        &mut self,
+        worker: &WorkerId,
+        held: &Held,
+        result: Result<HoldReport, OrderError>,
+        now: Now,
+    ) {
+        match result {
+            Ok(report) => {
+                self.scheduler.hold_answered(worker, held, &report, now);
+            }
+            Err(error) => {
+                self.scheduler.hold_failed(worker, held, error, now);
+            }
+        }
+    }
+
+    pub fn reach(&mut self, worker: &WorkerId) -> Option<&mut TaskWorker> {
+        if self.cut.contains(worker) {
+            return None;
+        }
+        self.workers.get_mut(worker)
+    }
+
+    pub fn running(&mut self) -> Vec<String> {
+        let now_ms = self.now_ms;
+        let mut running: Vec<String> = self
+            .workers
+            .values_mut()
+            .flat_map(|worker| worker.running(now_ms))
+            .map(|(task, _)| task.to_string())
+            .collect();
+        running.sort();
+        running
+    }
+}
+
+/// Plans at this moment and returns the hold that goes to a worker.
+pub fn next_hold(world: &mut World, worker: &WorkerId) -> Held {
+    let actions = world.scheduler.plan(at(world.now_ms));
+    let held = actions.into_iter().find_map(|action| match action {
+        Action::Hold { worker: to, held, .. } if to == *worker => Some(held),
+        _ => None,
+    });
+    held.expect("a hold is owed")
+}
+
+pub fn managed(listing: &WorkerListing) -> ManagedVm {
+    ManagedVm {
+        vm: listing.vm.clone(),
+        pool: listing.pool.clone(),
+        life: VmLife::Up,
+        hall: "hall-1".to_owned(),
+        capacity: listing.capacity,
+        worker: Some(listing.id.clone()),
+    }
+}
