--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -110,6 +110,7 @@
 mod sizing;
 mod storing;
 mod vm;
+mod wave_state;
 mod worker;
 
 /// Within what time after a takeover the workers are asked for the first
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -9,19 +9,19 @@
 
 use {
     super::{
-        intent,
-        keys::{self, FeedKey},
+        intent, keys,
+        lookup::{Backoff, PendingCounts, RETRY_PAUSE},
         readiness::Readiness,
     },
     crate::{clock, counters},
     bytes::Bytes,
     dewspar::{
-        job::{JobId, JobSpec, Phase, Progress, QueueSet},
+        job::{JobId, JobSpec, QueueSet},
         schedule::AcceptedJob,
     },
     dewspar_platform::{
         Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
-        JobReply, KeyValue, ListedJob,
+        JobReply, KeyValue,
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -38,8 +38,7 @@
     metrics::histogram,
     slog::{Logger, info},
     std::{
-        collections::BTreeMap, convert::Infallible, io, net::SocketAddr,
-        sync::Arc, time::Duration,
+        convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
     },
     tokio::{
         net::{TcpListener, TcpStream},
@@ -62,22 +61,12 @@
 /// milliseconds: a few times the way to callers.
 const ANSWER_RESERVE_MS: u64 = 100;
 
-/// The pause before a call is tried again, the first time.
-const RETRY_PAUSE: Duration = Duration::from_millis(40);
-
-/// The longest pause between two tries: pauses double, because a store that
-/// is out stays so for seconds, and every call counts against its limits.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(320);
-
 /// How often a call that certainly did nothing is tried again.
 const MAX_RETRIES: u32 = 2;
 
 /// When callers that weren't served should come back, in milliseconds: a
 /// node that the store turns away isn't sent any after about that time.
-const RETRY_AFTER_MS: u64 = 1_000;
-
-/// How old the counts of waiting jobs may be, in milliseconds.
-const PENDING_AGE_MS: u64 = 500;
+pub(super) const RETRY_AFTER_MS: u64 = 1_000;
 
 /// What serves callers; shared by all their connections.
 pub(super) struct Front<K, P> {
@@ -89,13 +78,6 @@
     pub(super) log: Logger,
 }
 
-/// The counts of waiting jobs, as last read.
-#[derive(Debug, Default)]
-pub(super) struct PendingCounts {
-    counts: BTreeMap<String, u64>,
-    read_ms: u64,
-}
-
 /// The server for callers.
 pub(super) struct Server {
     address: SocketAddr,
@@ -322,123 +304,6 @@
         }
     }
 
-    /// Reads how far a job has come; `None` if there is no such job.
-    async fn phase(
-        &self,
-        id: JobId,
-        deadline: Instant,
-    ) -> Result<Option<Phase>, JobReply> {
-        let progress = keys::progress(id);
-        if let Some(phase) = self.read_phase(&progress, deadline).await? {
-            return Ok(Some(phase));
-        }
-        let accepted = self.read(&keys::accepted(id), deadline).await?;
-        if accepted.is_some() {
-            return Ok(Some(Phase::Queued));
-        }
-        // It may have come to its end between the two.
-        self.read_phase(&progress, deadline).await
-    }
-
-    async fn read_phase(
-        &self,
-        key: &str,
-        deadline: Instant,
-    ) -> Result<Option<Phase>, JobReply> {
-        let Some(value) = self.read(key, deadline).await? else {
-            return Ok(None);
-        };
-        match serde_json::from_slice::<Progress>(&value) {
-            Ok(progress) => Ok(Some(progress.phase)),
-            Err(error) => {
-                info!(self.log, "call: stored progress can't be read";
-                    "key" => key, "error" => %error);
-                Err(JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS })
-            }
-        }
-    }
-
-    async fn pending(&self, queue: &str, deadline: Instant) -> JobReply {
-        let mut pending = self.pending.lock().await;
-        let now_ms = clock::now_ms();
-        if now_ms >= pending.read_ms + PENDING_AGE_MS {
-            let value = match self.read(keys::PENDING, deadline).await {
-                Ok(value) => value.unwrap_or_else(|| b"{}".to_vec()),
-                Err(reply) => return reply,
-            };
-            match serde_json::from_slice(&value) {
-                Ok(counts) => {
-                    *pending = PendingCounts { counts, read_ms: now_ms };
-                }
-                Err(error) => {
-                    info!(self.log, "call: stored counts can't be read";
-                        "error" => %error);
-                }
-            }
-        }
-        let count = pending.counts.get(queue).copied();
-        JobReply::Pending(count.unwrap_or(0))
-    }
-
-    /// Lists a queue's jobs that aren't over: those whose entry is still in
-    /// the feed, each with what is stored of it.
-    async fn list(&self, queue: &str, deadline: Instant) -> JobReply {
-        let lists = async {
-            tokio::try_join!(
-                self.store.list(keys::FEED),
-                self.store.list(keys::PROGRESS),
-            )
-        };
-        let (accepted, progress) = match timeout_at(deadline, lists).await {
-            Ok(Ok(((_, accepted), (_, progress)))) => (accepted, progress),
-            Ok(Err(error)) => {
-                counters::platform_failure(&error);
-                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
-            }
-            Err(_) => {
-                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
-            }
-        };
-        let phases: BTreeMap<JobId, Phase> = progress
-            .iter()
-            .filter_map(|item| {
-                let id = keys::job_of_progress(&item.key)?;
-                let stored = serde_json::from_slice::<Progress>(&item.value);
-                Some((id, stored.ok()?.phase))
-            })
-            .collect();
-        let open = accepted.iter().filter_map(|item| {
-            let Some(FeedKey::Accepted(id)) = FeedKey::parse(&item.key) else {
-                return None;
-            };
-            let job = serde_json::from_slice::<AcceptedJob>(&item.value);
-            let phase = phases.get(&id).copied().unwrap_or(Phase::Queued);
-            let named = job.is_ok_and(|job| job.spec.queue == queue);
-            (named && !phase.is_final()).then_some(ListedJob { id, phase })
-        });
-        JobReply::Jobs(open.collect())
-    }
-
-    /// Reads a key, again if need be, until the deadline.
-    async fn read(
-        &self,
-        key: &str,
-        deadline: Instant,
-    ) -> Result<Option<Vec<u8>>, JobReply> {
-        let mut backoff = Backoff::default();
-        loop {
-            match timeout_at(deadline, self.store.get(key)).await {
-                Ok(Ok(found)) => return Ok(found.map(|found| found.value)),
-                Ok(Err(error)) => counters::platform_failure(&error),
-                Err(_) => {}
-            }
-            if !backoff.pause(deadline).await {
-                let retry_after_ms = RETRY_AFTER_MS;
-                return Err(JobReply::NotDone { retry_after_ms });
-            }
-        }
-    }
-
     /// Writes, again if need be: until the deadline once it may have been
     /// done, and only a few times while it certainly was not.
     async fn write(&self, batch: &Batch, deadline: Instant) -> Written {
@@ -480,29 +345,6 @@
     Unknown,
 }
 
-/// The pauses between the tries of one call, each twice as long as the last.
-struct Backoff {
-    next: Duration,
-}
-
-impl Default for Backoff {
-    fn default() -> Backoff {
-        Backoff { next: RETRY_PAUSE }
-    }
-}
-
-impl Backoff {
-    /// Waits before the next try; returns false if the deadline would pass.
-    async fn pause(&mut self, deadline: Instant) -> bool {
-        if Instant::now() + self.next >= deadline {
-            return false;
-        }
-        sleep(self.next).await;
-        self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
-        true
-    }
-}
-
 fn outcome_name(reply: &JobReply) -> &'static str {
     match reply {
         JobReply::Accepted => "accepted",
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -44,6 +44,7 @@
 mod holder;
 mod intent;
 mod keys;
+mod lookup;
 mod node;
 mod orders;
 mod progress;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -5,8 +5,9 @@
 use {
     super::{
         election::Candidate,
-        front::{self, Front, PendingCounts},
+        front::{self, Front},
         holder, intent,
+        lookup::PendingCounts,
         readiness::{self, Readiness},
         settings::JobSettings,
     },
