Find accepted jobs though the feed is silent

Changed: a node writes a key of its own along with each job that it accepts; the holder lists these few keys five times a second, and reads the feed outright if one is newer than what the feed has told for 100 ms.

Ruled out: listing the feed itself that often, which is up to a megabyte on a grown site; telling the holder from node to node, which needs an address book and says nothing of cancellations.

--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -45,6 +45,7 @@
 struct Inner {
     outage: AtomicBool,
     cut: AtomicBool,
+    silent: AtomicBool,
     delay_us: AtomicU64,
     lost_per_mille: AtomicU64,
     random: Mutex<StdRng>,
@@ -58,6 +59,7 @@
         let inner = Inner {
             outage: AtomicBool::new(false),
             cut: AtomicBool::new(false),
+            silent: AtomicBool::new(false),
             delay_us: AtomicU64::new(0),
             lost_per_mille: AtomicU64::new(0),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -87,6 +89,16 @@
         self.inner.cut.load(Ordering::Relaxed)
     }
 
+    /// Lets watches hear nothing, without an error, or no longer.
+    pub fn set_silent(&self, silent: bool) {
+        self.inner.silent.store(silent, Ordering::Relaxed);
+    }
+
+    /// Returns whether watches hear nothing.
+    pub fn silent(&self) -> bool {
+        self.inner.silent.load(Ordering::Relaxed)
+    }
+
     /// Sets how long each call takes, in microseconds.
     pub fn set_delay_us(&self, delay_us: u64) {
         self.inner.delay_us.store(delay_us, Ordering::Relaxed);
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -390,6 +390,10 @@
                 let reason = "outage".to_owned();
                 return Err(Error::Unavailable { call: "watch", reason });
             }
+            if self.store.faults.silent() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
             self.changes.borrow_and_update();
             let Some(batch) = self.collect() else {
                 let reason = "history is gone".to_owned();
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -13,7 +13,10 @@
     crate::{clock, counters},
     dewspar_platform::{Error, Fleet, KeyValue, Watch},
     slog::{Logger, info},
-    std::time::Duration,
+    std::{
+        sync::atomic::{AtomicU64, Ordering},
+        time::Duration,
+    },
     tokio::{sync::mpsc, time::sleep},
 };
 
@@ -31,6 +34,15 @@
 /// The share of the lease after which it is renewed.
 const RENEWALS_A_LEASE: u64 = 4;
 
+/// How often it is checked whether the feed has gone silent: a watch may hear
+/// nothing for a second before it fails, which is longer than a quick job may
+/// wait.
+const SILENCE_CHECK: Duration = Duration::from_millis(200);
+
+/// How far the feed may be behind what the store has, in time: some answers
+/// of a slow store.
+const SILENCE_GRACE: Duration = Duration::from_millis(100);
+
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -56,21 +68,33 @@
 /// Reports every change of the feed, in the store's order.
 pub(super) async fn follow_feed<K: KeyValue>(
     store: K,
-    mut version: u64,
+    version: u64,
     sender: mpsc::Sender<Event>,
     log: Logger,
 ) {
+    // Up to where the feed was heard; one task writes it.
+    let version = AtomicU64::new(version);
     loop {
-        let error = watch_feed(&store, &mut version, &sender, &log).await;
-        counters::platform_failure(&error);
-        info!(log, "holder: feed interrupted"; "version" => version,
-            "error" => %error);
+        tokio::select! {
+            error = watch_feed(&store, &version, &sender, &log) => {
+                counters::platform_failure(&error);
+                info!(log, "holder: feed interrupted";
+                    "version" => version.load(Ordering::Relaxed),
+                    "error" => %error);
+                sleep(RETRY).await;
+            }
+            newest = silence(&store, &version) => {
+                counters::count(counters::SILENT_FEEDS);
+                info!(log, "holder: feed silent";
+                    "version" => version.load(Ordering::Relaxed),
+                    "newest" => newest);
+            }
+        }
         // The history may be gone: only the whole is sure to be complete.
         loop {
-            sleep(RETRY).await;
             match load_feed(&store, &log).await {
                 Ok((read_at, feed)) => {
-                    version = read_at;
+                    version.store(read_at, Ordering::Relaxed);
                     if sender.send(Event::Feed(feed)).await.is_err() {
                         return;
                     }
@@ -78,17 +102,43 @@
                 }
                 Err(error) => counters::platform_failure(&error),
             }
+            sleep(RETRY).await;
+        }
+    }
+}
+
+/// Returns once the store has accepted a job of which the feed doesn't tell,
+/// with the version at which it did.
+async fn silence<K: KeyValue>(store: &K, version: &AtomicU64) -> u64 {
+    loop {
+        sleep(SILENCE_CHECK).await;
+        let accepts = match store.list(keys::ACCEPTS).await {
+            Ok((_, accepts)) => accepts,
+            Err(error) => {
+                counters::platform_failure(&error);
+                continue;
+            }
+        };
+        let newest = accepts.iter().map(|item| item.version).max();
+        let newest = newest.unwrap_or(0);
+        if newest <= version.load(Ordering::Relaxed) {
+            continue;
+        }
+        sleep(SILENCE_GRACE).await;
+        if newest > version.load(Ordering::Relaxed) {
+            return newest;
         }
     }
 }
 
 async fn watch_feed<K: KeyValue>(
     store: &K,
-    version: &mut u64,
+    version: &AtomicU64,
     sender: &mpsc::Sender<Event>,
     log: &Logger,
 ) -> Error {
-    let mut watch = match store.watch(keys::FEED, *version).await {
+    let from = version.load(Ordering::Relaxed);
+    let mut watch = match store.watch(keys::FEED, from).await {
         Ok(watch) => watch,
         Err(error) => return error,
     };
@@ -97,7 +147,7 @@
             Ok(batch) => batch,
             Err(error) => return error,
         };
-        *version = (*version).max(batch.version);
+        version.fetch_max(batch.version, Ordering::Relaxed);
         let feed: Vec<FeedEvent> = batch
             .events
             .iter()
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -70,6 +70,7 @@
 
 /// What serves callers; shared by all their connections.
 pub(super) struct Front<K, P> {
+    pub(super) node: String,
     pub(super) store: K,
     pub(super) protocol: P,
     pub(super) reader: intent::Reader,
@@ -265,7 +266,8 @@
         let batch = Batch::default()
             .when(&keys::accepted(id), Expected::Absent)
             .when(&keys::progress(id), Expected::Absent)
-            .put(&keys::accepted(id), value);
+            .put(&keys::accepted(id), value)
+            .put(&keys::accepts(&self.node), Vec::new());
         match self.write(&batch, deadline).await {
             // It is there already, be it from this call's first try.
             Written::Done | Written::Conflict => JobReply::Accepted,
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -94,6 +94,7 @@
             readiness::serve_metrics(address, metrics).await?;
         }
         let front = Front {
+            node: settings.node.clone(),
             store: platform.store.clone(),
             protocol: platform.protocol,
             reader: reader.clone(),
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -283,6 +283,16 @@
     cluster.wait_for_phase(0, 1, "cancelled").await;
 }
 
+#[tokio::test]
+async fn a_job_is_found_though_watches_hear_nothing() {
+    let cluster = Cluster::start(2).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    cluster.store_faults.set_silent(true);
+    submitted(&cluster, 1, 2).await;
+    cluster.wait_for_phase(0, 2, "completed").await;
+}
+
 #[tokio::test]
 async fn lists_the_jobs_of_a_queue_that_are_not_over() {
     let cluster = Cluster::start(2).await;
