Write the counts of waiting jobs again; split the holder and the placer

Cause: a write of these counts that was refused was taken as done, so callers were told old counts until they changed again.

Moved as they were: what the holder records beside progress, and the pools found full within one plan.

--- /dev/null
+++ b/crates/dewspar/src/schedule/full_pools.rs
@@ -0,0 +1,26 @@
+use {crate::schedule::Room, std::collections::BTreeMap};
+
+/// What the pools were found to have no room for, within one plan.
+///
+/// Room only shrinks while tasks are placed. So once a task that may go to
+/// any worker of its pool has found none, no task of that pool that asks for
+/// as much or more needs to look. Without that, every plan would look at
+/// every worker for every waiting task, and a holder with a backlog would
+/// fall ever further behind.
+#[derive(Debug, Default)]
+pub(super) struct FullPools {
+    refused: BTreeMap<String, Vec<Room>>,
+}
+
+impl FullPools {
+    pub(super) fn note(&mut self, pool: &str, demand: Room) {
+        let refused = self.refused.entry(pool.to_owned()).or_default();
+        refused.retain(|larger| !larger.holds(&demand));
+        refused.push(demand);
+    }
+
+    pub(super) fn has_none_for(&self, pool: &str, demand: &Room) -> bool {
+        let refused = self.refused.get(pool);
+        refused.is_some_and(|r| r.iter().any(|least| demand.holds(least)))
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -101,6 +101,7 @@
 mod directory;
 mod duty;
 mod forecast;
+mod full_pools;
 mod maintenance;
 mod order;
 mod pacing;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -11,12 +11,13 @@
     crate::{
         job::{JobId, Phase, StepSpec, TaskId},
         schedule::{
-            Action, Decision, Now, Room, Scheduler, StartOrder, WorkerId,
+            Action, Decision, Now, Scheduler, StartOrder, WorkerId,
             board::demand,
+            full_pools::FullPools,
             worker::{Run, RunState, Worker},
         },
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeSet,
 };
 
 /// How many numbers of runs are passed over for a task that a former holder
@@ -58,31 +59,6 @@
     step: usize,
 }
 
-/// What the pools were found to have no room for, within one plan.
-///
-/// Room only shrinks while tasks are placed. So once a task that may go to
-/// any worker of its pool has found none, no task of that pool that asks for
-/// as much or more needs to look. Without that, every plan would look at
-/// every worker for every waiting task, and a holder with a backlog would
-/// fall ever further behind.
-#[derive(Debug, Default)]
-struct FullPools {
-    refused: BTreeMap<String, Vec<Room>>,
-}
-
-impl FullPools {
-    fn note(&mut self, pool: &str, demand: Room) {
-        let refused = self.refused.entry(pool.to_owned()).or_default();
-        refused.retain(|larger| !larger.holds(&demand));
-        refused.push(demand);
-    }
-
-    fn has_none_for(&self, pool: &str, demand: &Room) -> bool {
-        let refused = self.refused.get(pool);
-        refused.is_some_and(|r| r.iter().any(|least| demand.holds(least)))
-    }
-}
-
 /// Why a task isn't started now.
 enum NotNow {
     /// No worker has room for it.
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -156,9 +156,8 @@
                             "holder" => &owner, "revision" => version);
                         known = owner;
                     }
-                    let overloaded =
-                        clock::now_ms() < self.overloaded_until_ms;
-                    if is_weak(strength, self.strength) && !overloaded {
+                    let weak = is_weak(strength, self.strength);
+                    if weak && !self.is_overloaded() {
                         self.claim(version).await;
                     }
                     self.wait_for_change(looked_at).await;
@@ -214,7 +213,7 @@
                 return true;
             }
         };
-        let overloaded = clock::now_ms() < self.overloaded_until_ms;
+        let overloaded = self.is_overloaded();
         let weak = is_weak(self.strength, most) || overloaded;
         if !weak || !matches!(seen, Seen::Nobody) {
             return true;
@@ -261,6 +260,11 @@
         }
     }
 
+    /// Returns whether this node couldn't keep up a short while ago.
+    fn is_overloaded(&self) -> bool {
+        clock::now_ms() < self.overloaded_until_ms
+    }
+
     /// Returns whether a claim is by a much stronger node than this one.
     pub(super) fn is_weak_beside(&self, claim: &Claim) -> bool {
         claim.node != self.node && is_weak(self.strength, claim.strength)
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -21,7 +21,7 @@
         election::{Candidate, Held},
         event::Event,
         feeds::{follow_feed, read_directory, read_vms, renew},
-        keys, orders,
+        orders,
         progress::{self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of},
     },
     crate::{clock, counters},
@@ -32,8 +32,8 @@
             Changes, ManagedVm, Now, OrderError, Scheduler, WaveRecord,
         },
     },
-    dewspar_platform::{Batch, Expected, Fleet, JobWorkers, KeyValue},
-    slog::{info, warn},
+    dewspar_platform::{Fleet, JobWorkers, KeyValue},
+    slog::info,
     std::{collections::BTreeMap, time::Duration},
     tokio::{
         sync::{mpsc, watch},
@@ -62,17 +62,6 @@
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
-/// How often the counts of waiting jobs are written, if they have changed,
-/// in milliseconds.
-const PENDING_INTERVAL_MS: u64 = 700;
-
-/// How often keys of jobs that are over for long are deleted, in
-/// milliseconds.
-const EXPIRY_INTERVAL_MS: u64 = 5_000;
-
-/// How many keys are deleted at once.
-const EXPIRED_A_WRITE: usize = 16;
-
 /// How long an order takes at the median on a node that can't keep up, in
 /// milliseconds: most of what an order may take at all, and more than a burst
 /// of starts takes on a node that does keep up.
@@ -150,12 +139,12 @@
     holder.run(events).await
 }
 
-struct Holder<'a, K, W, F> {
-    candidate: &'a Candidate<K, W, F>,
-    held: Held,
-    scheduler: Scheduler,
+pub(super) struct Holder<'a, K, W, F> {
+    pub(super) candidate: &'a Candidate<K, W, F>,
+    pub(super) held: Held,
+    pub(super) scheduler: Scheduler,
     /// The version of each job's progress in the store.
-    versions: BTreeMap<JobId, u64>,
+    pub(super) versions: BTreeMap<JobId, u64>,
     /// What a former holder stored of the jobs that are being taken over.
     restored: BTreeMap<JobId, dewspar::job::Progress>,
     sender: mpsc::Sender<Event>,
@@ -171,13 +160,13 @@
     begun_ms: u64,
     /// How long orders to start took that were answered.
     round_trips: RoundTrips,
-    pending: BTreeMap<String, u64>,
-    pending_written_ms: u64,
+    pub(super) pending: BTreeMap<String, u64>,
+    pub(super) pending_written_ms: u64,
     /// What former holders kept of each wave.
     waves: BTreeMap<u64, WaveRecord>,
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
-    expired_ms: u64,
+    pub(super) expired_ms: u64,
 }
 
 /// Waits until the node is told to stop.
@@ -327,13 +316,6 @@
         }
     }
 
-    fn write_wave(&self, wave: u64) {
-        if let Some(record) = self.scheduler.wave_record(wave) {
-            let batch = duties::wave_batch(self.held.revision, wave, record);
-            self.write(batch, "state of a wave");
-        }
-    }
-
     fn changes_stored(
         &mut self,
         changes: &Changes,
@@ -453,55 +435,6 @@
         }
     }
 
-    fn write_pending(&mut self, now: Now) {
-        if now.steady_ms < self.pending_written_ms + PENDING_INTERVAL_MS {
-            return;
-        }
-        let pending = self.scheduler.pending(now.unix_ms);
-        if pending == self.pending {
-            return;
-        }
-        self.pending_written_ms = now.steady_ms;
-        self.pending = pending;
-        // OK because texts and numbers can always be written.
-        let value = serde_json::to_vec(&self.pending).expect("plain JSON");
-        let batch = Batch::default()
-            .when(keys::OWNER, Expected::Version(self.held.revision))
-            .put(keys::PENDING, value);
-        self.write(batch, "counts of waiting jobs");
-    }
-
-    fn delete_expired(&mut self, now: Now) {
-        if now.steady_ms < self.expired_ms + EXPIRY_INTERVAL_MS {
-            return;
-        }
-        self.expired_ms = now.steady_ms;
-        let expired = self.scheduler.take_expired(now, EXPIRED_A_WRITE);
-        if expired.is_empty() {
-            return;
-        }
-        let mut batch = Batch::default()
-            .when(keys::OWNER, Expected::Version(self.held.revision));
-        for id in expired {
-            self.versions.remove(&id);
-            batch = batch.delete(&keys::progress(id));
-        }
-        self.write(batch, "deletion of expired jobs");
-    }
-
-    /// Writes what needn't be written at any one time.
-    fn write(&self, batch: Batch, what: &'static str) {
-        let store = self.candidate.store.clone();
-        let log = self.candidate.log.clone();
-        tokio::spawn(async move {
-            if let Err(error) = store.commit(&batch).await {
-                counters::platform_failure(&error);
-                warn!(log, "holder: write gave no result"; "of" => what,
-                    "error" => %error);
-            }
-        });
-    }
-
     /// Orders what the VM service is to do, while the lease is certain.
     fn order_vms(&mut self, now: Now) {
         let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -49,5 +49,6 @@
 mod orders;
 mod progress;
 mod readiness;
+mod records;
 mod rest;
 pub mod settings;
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -317,6 +317,31 @@
     cluster.wait_for_phase(0, 2, "completed").await;
 }
 
+#[tokio::test]
+async fn a_count_of_waiting_jobs_that_was_not_stored_is_stored_later() {
+    let cluster = Cluster::start(1).await;
+    cluster.fleet.set_work_ms(600_000);
+    // Sixteen slots: the sixth job's first task fills the last one.
+    for number in 1..=6 {
+        submitted(&cluster, 0, number).await;
+    }
+    until(async || cluster.fleet.running().len() == 16).await;
+    sleep(Duration::from_millis(800)).await;
+    // Whatever the holder writes of the next job is refused.
+    cluster.store_faults.set_delay_us(300_000);
+    submitted(&cluster, 0, 7).await;
+    cluster.store_faults.set_outage(true);
+    sleep(Duration::from_millis(600)).await;
+    cluster.store_faults.set_outage(false);
+    cluster.store_faults.set_delay_us(0);
+    until(async || {
+        let path = "/v1/queues/extracts";
+        let (_, body) = cluster.call(0, Method::GET, path, None).await;
+        body["pending"] == 1
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn lists_the_jobs_of_a_queue_that_are_not_over() {
     let cluster = Cluster::start(2).await;
