Give up all connections to an address once one falls silent

Cause: open connections may go silent without a reset while new ones work. The client's pool then tried its idle connections one after the other, and each cost the whole time of a call; a burst of orders leaves a dozen.

Ruled out: one idle connection an address (the one left still costs a call, and every burst opens connections anew).

Now the first call to an address that gets no answer ends the generation of connections it belongs to. The kernel's probes and its limit on unacknowledged bytes tell a silent connection from a slow service sooner than the call's own time does.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,18 +1,19 @@
 use {
-    crate::Error,
+    crate::{
+        Error,
+        connections::{Connections, Pool},
+    },
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
         body::Incoming,
         header::{self, HeaderValue},
-    },
-    hyper_util::{
-        client::legacy::{self, connect::HttpConnector},
-        rt::{TokioExecutor, TokioTimer},
+        http::uri::Authority,
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{
+        error, io, iter,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -25,19 +26,20 @@
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
-/// How long an idle connection to the platform is kept.
-const IDLE_CONNECTION: Duration = Duration::from_secs(20);
-
 /// A JSON client with a bound on every call, shared by the adapters.
 ///
+/// A call without an answer in its time gives up all connections to its
+/// address that were open with it, since they may be just as silent.
+///
 /// It counts its calls and bytes, so that what control costs can be told
 /// from what requests cost.
 #[derive(Clone, Debug)]
 pub struct Client {
-    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    connections: Arc<Connections>,
     timeout: Duration,
     calls: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
+    given_up: Arc<AtomicU64>,
 }
 
 /// An answer's status, entity tag and body.
@@ -54,21 +56,15 @@
 impl Client {
     /// Makes a client whose calls take at most `timeout_ms` milliseconds.
     pub fn new(timeout_ms: u64) -> Client {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
         // Shorter than a call: one that couldn't connect certainly did
         // nothing, and must be told from one whose answer is late.
         let connect_timeout = Duration::from_millis(timeout_ms / 2);
-        connector.set_connect_timeout(Some(connect_timeout));
-        let inner = legacy::Client::builder(TokioExecutor::new())
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_CONNECTION)
-            .build(connector);
         Client {
-            inner,
+            connections: Arc::new(Connections::new(connect_timeout)),
             timeout: Duration::from_millis(timeout_ms),
             calls: Arc::default(),
             bytes: Arc::default(),
+            given_up: Arc::default(),
         }
     }
 
@@ -94,6 +90,12 @@
         self.bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns how often the connections to an address were given up, because
+    /// a call on one of them got no answer.
+    pub fn given_up(&self) -> u64 {
+        self.given_up.load(Ordering::Relaxed)
+    }
+
     /// Posts a JSON value and reads a JSON answer.
     pub(crate) async fn post<Q: Serialize, A: DeserializeOwned>(
         &self,
@@ -118,12 +120,14 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Error> {
         let sent = size_of(&request);
+        let route = self.route(call, &request)?;
         let whole = async {
-            let response = self.open(call, request).await?;
+            let response = self.call(call, &route, request).await?;
             read_answer(call, response).await
         };
         let answer =
             timeout(self.timeout, whole).await.unwrap_or_else(|_| {
+                self.give_up(&route);
                 let reason = format!("no answer in {:?}", self.timeout);
                 Err(Error::Lost { call, reason })
             })?;
@@ -137,9 +141,36 @@
         &self,
         call: &'static str,
         request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Error> {
+        let route = self.route(call, &request)?;
+        self.call(call, &route, request).await
+    }
+
+    /// Chooses the connections that a request goes over.
+    fn route(
+        &self,
+        call: &'static str,
+        request: &Request<Full<Bytes>>,
+    ) -> Result<Route, Error> {
+        let Some(address) = request.uri().authority() else {
+            let reason = format!("`{}` names no host", request.uri());
+            return Err(Error::Unavailable { call, reason });
+        };
+        let (pool, generation) = self.connections.to(address);
+        Ok(Route { address: address.clone(), pool, generation })
+    }
+
+    async fn call(
+        &self,
+        call: &'static str,
+        route: &Route,
+        request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Error> {
         self.calls.fetch_add(1, Ordering::Relaxed);
-        self.inner.request(request).await.map_err(|e| {
+        route.pool.request(request).await.map_err(|e| {
+            if !e.is_connect() && is_timeout(&e) {
+                self.give_up(route);
+            }
             let reason = e.to_string();
             if e.is_connect() {
                 Error::Unavailable { call, reason }
@@ -149,6 +180,12 @@
         })
     }
 
+    fn give_up(&self, route: &Route) {
+        if self.connections.give_up(&route.address, route.generation) {
+            self.given_up.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
     /// Waits for `future`, but not longer than a call may take.
     pub(crate) async fn bounded<T>(
         &self,
@@ -269,6 +306,21 @@
     }
 }
 
+/// The connections that a call goes over.
+struct Route {
+    address: Authority,
+    pool: Pool,
+    generation: u64,
+}
+
+/// Returns whether a connection failed because the other end's kernel no
+/// longer acknowledged what was sent.
+fn is_timeout(error: &(dyn error::Error + 'static)) -> bool {
+    iter::successors(Some(error), |error| error.source())
+        .filter_map(|error| error.downcast_ref::<io::Error>())
+        .any(|error| error.kind() == io::ErrorKind::TimedOut)
+}
+
 fn size_of(request: &Request<Full<Bytes>>) -> u64 {
     use hyper::body::Body;
     request.body().size_hint().exact().unwrap_or(0)
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -49,6 +49,7 @@
 };
 
 mod client;
+mod connections;
 mod error;
 pub mod etcd;
 mod fleet;
