Say where the time of late jobs went: dewspar job delays

The logs told the story of one job, and nothing of all. Now they say when a holder took a job in and by what terms, what a run takes of a worker, and which pools are switched off; the command splits the time of every job by cause, says which losses were avoidable, and what the pools held beside what was used.

--- a/crates/dewspar-cli/src/commands/job.rs
+++ b/crates/dewspar-cli/src/commands/job.rs
@@ -5,12 +5,17 @@
 use {
     super::{Api, read_file},
     crate::{
+        delays::{self, Delays},
         exit::{Code, Error},
         story::Story,
     },
     clap::{Args, Subcommand},
     dewspar::job::JobId,
-    std::time::Duration,
+    std::{
+        fs,
+        path::{Path, PathBuf},
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -69,6 +74,16 @@
         #[arg(required = true, value_name = "LOG")]
         logs: Vec<String>,
     },
+    /// Say where the time of late, refused and failed jobs went, from the
+    /// nodes' logs; no node is asked.
+    Delays {
+        /// The logs of all nodes, or `-` for standard input.
+        #[arg(required = true, value_name = "LOG")]
+        logs: Vec<String>,
+        /// Where a picture is written as well, as SVG.
+        #[arg(long, value_name = "FILE")]
+        plot: Option<PathBuf>,
+    },
     /// Count the jobs of a queue of which nothing has started.
     Pending {
         /// The queue.
@@ -124,6 +139,9 @@
             }
             JobCommand::List { queue, api } => list(&queue, &api).await?,
             JobCommand::Explain { id, logs } => return explain(id, &logs),
+            JobCommand::Delays { logs, plot } => {
+                delays(&logs, plot.as_deref())?;
+            }
             JobCommand::Pending { queue, api } => {
                 let path = format!("/v1/queues/{queue}");
                 let answer = api.client()?.get(&path).await?;
@@ -151,9 +169,7 @@
 
 /// Prints what the logs say of a job; fails if they don't name it.
 fn explain(id: JobId, logs: &[String]) -> Result<Code, Error> {
-    let texts: Result<Vec<String>, Error> =
-        logs.iter().map(|path| read_file(path)).collect();
-    let texts = texts?;
+    let texts = read_logs(logs)?;
     let story = Story::read(texts.iter().flat_map(|text| text.lines()), id);
     if story.lines().is_empty() {
         let message = format!("no line of these logs names job {id}");
@@ -166,6 +182,28 @@
     Ok(Code::Success)
 }
 
+/// Prints where the time of jobs went, and draws it.
+fn delays(logs: &[String], plot: Option<&Path>) -> Result<(), Error> {
+    let texts = read_logs(logs)?;
+    let delays = Delays::read(texts.iter().flat_map(|text| text.lines()));
+    if delays.jobs().is_empty() {
+        let message = "these logs hold no job that was handed in";
+        return Err(Error::new(Code::NotFound, message));
+    }
+    println!("{}", delays.to_text());
+    if let Some(path) = plot {
+        let picture = delays::plot::svg(&delays).map_err(Error::failure)?;
+        fs::write(path, picture).map_err(|error| {
+            Error::failure(format!("{}: {error}", path.display()))
+        })?;
+    }
+    Ok(())
+}
+
+fn read_logs(logs: &[String]) -> Result<Vec<String>, Error> {
+    logs.iter().map(|path| read_file(path)).collect()
+}
+
 /// Makes an identifier that no other job has.
 fn new_id() -> Result<JobId, Error> {
     let number = rand::random::<u64>();
--- a/crates/dewspar-cli/src/story.rs
+++ b/crates/dewspar-cli/src/story.rs
@@ -23,9 +23,10 @@
 ```
 */
 
+pub use crate::log_line::Line;
+
 use {
     dewspar::job::JobId,
-    serde_json::{Map, Value},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -34,60 +35,6 @@
 const ABOUT_ALL: [&str; 4] =
     ["election: this", "holder:", "operator: store", "node:"];
 
-/// Fields that every line has, or that its story is about.
-const NOT_SHOWN: [&str; 6] = ["msg", "level", "ts", "part", "node", "job"];
-
-/// One line of a log.
-#[derive(Clone, Debug)]
-pub struct Line {
-    at: String,
-    node: String,
-    message: String,
-    fields: Map<String, Value>,
-}
-
-impl Line {
-    /// Reads a line; what stands before the object is passed over.
-    fn read(text: &str) -> Option<Line> {
-        let text = text.get(text.find('{')?..)?;
-        let fields: Map<String, Value> = serde_json::from_str(text).ok()?;
-        let text = |name: &str| {
-            fields.get(name).and_then(Value::as_str).map(str::to_owned)
-        };
-        // Without its end, times of any precision sort as texts.
-        let at = text("ts")?.trim_end_matches('Z').to_owned();
-        let message = text("msg")?;
-        let node = text("node").unwrap_or_default();
-        Some(Line { at, node, message, fields })
-    }
-
-    fn text(&self, name: &str) -> &str {
-        self.fields.get(name).and_then(Value::as_str).unwrap_or_default()
-    }
-
-    fn number(&self, name: &str) -> u64 {
-        self.fields.get(name).and_then(Value::as_u64).unwrap_or(0)
-    }
-
-    /// Returns the line as one text: time of day, node, message, fields.
-    pub fn to_text(&self) -> String {
-        let time = self.at.split_once('T').map_or("", |(_, time)| time);
-        let mut text =
-            format!("{:<18} {:<16} {}", time, self.node, self.message);
-        for (name, value) in &self.fields {
-            if NOT_SHOWN.contains(&name.as_str()) || value.is_null() {
-                continue;
-            }
-            let value = match value {
-                Value::String(text) => text.clone(),
-                other => other.to_string(),
-            };
-            text.push_str(&format!("  {name}={value}"));
-        }
-        text
-    }
-}
-
 /// What the logs tell of one job.
 #[derive(Clone, Debug)]
 pub struct Story {
@@ -107,7 +54,7 @@
         let name = job.to_string();
         let mut lines: Vec<Line> =
             lines.into_iter().filter_map(Line::read).collect();
-        lines.sort_by(|a, b| a.at.cmp(&b.at));
+        lines.sort_by(|a, b| a.at().cmp(b.at()));
         let own: Vec<usize> = lines
             .iter()
             .enumerate()
@@ -153,13 +100,13 @@
         };
         let count = |message: &str, field: &str, value: &str| {
             own()
-                .filter(|line| line.message == message)
+                .filter(|line| line.message() == message)
                 .filter(|line| field.is_empty() || line.text(field) == value)
                 .count()
         };
         let mut said = Vec::new();
         let mut outcomes: BTreeMap<&str, usize> = BTreeMap::new();
-        for line in own().filter(|line| line.message == "call: answered") {
+        for line in own().filter(|line| line.message() == "call: answered") {
             if line.text("operation") == "submit" {
                 *outcomes.entry(line.text("outcome")).or_default() += 1;
             }
@@ -172,7 +119,7 @@
             said.push(format!("{started} runs started"));
         }
         let longest = own()
-            .filter(|line| line.message == "task: started")
+            .filter(|line| line.message() == "task: started")
             .max_by_key(|line| line.number("waited_ms"));
         if let Some(longest) = longest.filter(|l| l.number("waited_ms") > 0) {
             let (task, ms) =
@@ -194,7 +141,7 @@
                 said.push(format!("{times} {what}"));
             }
         }
-        match own().find(|line| line.message == "job: came to its end") {
+        match own().find(|line| line.message() == "job: came to its end") {
             Some(end) => said.push(format!(
                 "{} after {} ms",
                 end.text("phase"),
@@ -207,5 +154,5 @@
 }
 
 fn is_about_all(line: &Line) -> bool {
-    ABOUT_ALL.iter().any(|begin| line.message.starts_with(begin))
+    ABOUT_ALL.iter().any(|begin| line.message().starts_with(begin))
 }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -260,6 +260,8 @@
         worker: WorkerId,
         /// How long the task had been ready, in milliseconds.
         waited_ms: u64,
+        /// What it takes, in thousandths of a core.
+        cpu_millis: u64,
     },
     /// A worker listed an end.
     Ended {
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -466,6 +466,7 @@
             run,
             worker: worker_id.clone(),
             waited_ms,
+            cpu_millis: demand(spec).cpu_millis,
         });
         let order = StartOrder {
             task: *task,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -11,9 +11,10 @@
 /// Logs and counts a decision.
 pub(super) fn record(log: &Logger, decision: &Decision) {
     match decision {
-        Decision::Started { task, run, worker, waited_ms } => {
+        Decision::Started { task, run, worker, waited_ms, cpu_millis } => {
             info!(log, "task: started"; "job" => %task.job, "task" => %task,
-                "run" => run, "worker" => %worker, "waited_ms" => waited_ms);
+                "run" => run, "worker" => %worker, "waited_ms" => waited_ms,
+                "cpu_millis" => cpu_millis);
             counters::count(counters::TASK_STARTS);
             metrics::histogram!(counters::TASK_WAIT)
                 .record(*waited_ms as f64 / 1_000.0);
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -29,10 +29,12 @@
         job::JobId,
         overload::RoundTrips,
         schedule::{
-            Changes, ManagedVm, Now, OrderError, Scheduler, WaveRecord,
+            AcceptedJob, Changes, ManagedVm, Now, OrderError, Scheduler,
+            WaveRecord,
         },
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue},
+    serde::Serialize,
     slog::info,
     std::{collections::BTreeMap, time::Duration},
     tokio::{
@@ -175,6 +177,12 @@
     let _ = stopping.wait_for(|stopping| *stopping).await;
 }
 
+/// Writes a list or table as JSON, for logs that programs read.
+fn json<T: Serialize>(value: &T) -> String {
+    // OK because these hold only texts and numbers.
+    serde_json::to_string(value).expect("plain JSON")
+}
+
 fn now() -> Now {
     Now { steady_ms: clock::now_ms(), unix_ms: clock::unix_ms() }
 }
@@ -273,6 +281,7 @@
         for event in feed {
             match event {
                 FeedEvent::Accepted { id, job, revision } => {
+                    self.note_taken_in(id, &job, revision);
                     let progress = self.restored.remove(&id);
                     let progress = progress.as_ref();
                     self.scheduler.submit(id, *job, revision, progress);
@@ -302,6 +311,22 @@
         }
     }
 
+    /// Logs what a job asks for, and how old the news of it is.
+    fn note_taken_in(&self, id: JobId, job: &AcceptedJob, revision: u64) {
+        let age_ms = clock::unix_ms().saturating_sub(job.accepted_at_ms);
+        let steps = &job.spec.steps;
+        let tasks: u32 = steps.iter().map(|step| step.count).sum();
+        info!(self.candidate.log, "job: taken in"; "job" => %id,
+            "queue" => &job.spec.queue, "pool" => &job.terms.pool,
+            "age_ms" => age_ms,
+            "inherited" => revision < self.held.revision,
+            "steps" => steps.len(), "tasks" => tasks,
+            "long_running" => steps.iter().any(|s| s.long_running),
+            "rounds" => job.spec.rounds(),
+            "target_latency_ms" => job.terms.target_latency_ms,
+            "stretch" => job.terms.stretch);
+    }
+
     /// Logs how many VMs each pool has, when that has changed.
     fn note_pools(&mut self, vms: &[ManagedVm]) {
         let mut pools: BTreeMap<String, BTreeMap<&'static str, u32>> =
@@ -311,7 +336,12 @@
             *pool.entry(vm.life.name()).or_default() += 1;
         }
         if pools != self.pools {
-            info!(self.candidate.log, "vms: listed"; "pools" => ?pools);
+            let capacities = vms.iter().map(|vm| vm.capacity.cpu_millis);
+            let reading = self.candidate.reader.borrow();
+            let free = reading.intent.queues.as_ref().map(|q| q.free_pools());
+            info!(self.candidate.log, "vms: listed"; "pools" => json(&pools),
+                "free_pools" => json(&free),
+                "vm_cpu_millis" => capacities.max());
             self.pools = pools;
         }
     }
