--- a/crates/dewspar/src/schedule/forecast.rs
+++ b/crates/dewspar/src/schedule/forecast.rs
@@ -14,19 +14,11 @@
 use {
     crate::{
         job::JobSpec,
-        schedule::{Now, Scheduler, board::demand},
+        schedule::{Forecast, Now, Scheduler, board::demand},
     },
     std::collections::VecDeque,
 };
 
-/// Over how long arrivals are counted, in milliseconds: about as long as a
-/// VM takes to come, halved, so that a peak shows before it is over.
-const WINDOW_MS: u64 = 1_000;
-
-/// The shortest time over which arrivals are counted, in milliseconds: a
-/// first few jobs close together aren't a flow yet.
-const LEAST_WINDOW_MS: u64 = 400;
-
 /// How many milliseconds of estimates are remembered when estimates are
 /// compared with what tasks took: some 100 quick tasks.
 const REMEMBERED_MS: f64 = 80_000.0;
@@ -54,8 +46,8 @@
 }
 
 impl Arrivals {
-    fn note(&mut self, at_ms: u64, work: u64) {
-        self.drop_old(at_ms);
+    fn note(&mut self, at_ms: u64, work: u64, policy: &Forecast) {
+        self.drop_old(at_ms, policy);
         if self.recent.is_empty() {
             self.since_ms = at_ms;
         }
@@ -63,9 +55,9 @@
         self.work += work;
     }
 
-    fn drop_old(&mut self, now_ms: u64) {
+    fn drop_old(&mut self, now_ms: u64, policy: &Forecast) {
         while let Some(oldest) = self.recent.front() {
-            if oldest.at_ms + WINDOW_MS > now_ms {
+            if oldest.at_ms + policy.window_ms > now_ms {
                 return;
             }
             self.work -= oldest.work;
@@ -94,14 +86,16 @@
 
     /// Returns what jobs that keep coming like this will use, in thousandths
     /// of a core.
-    fn cpu_millis(&mut self, now_ms: u64) -> u64 {
-        self.drop_old(now_ms);
+    fn cpu_millis(&mut self, now_ms: u64, policy: &Forecast) -> u64 {
+        self.drop_old(now_ms, policy);
         let window_ms = now_ms
             .saturating_sub(self.since_ms)
-            .clamp(LEAST_WINDOW_MS, WINDOW_MS);
+            .clamp(policy.least_window_ms, policy.window_ms);
+        let correction =
+            if policy.corrects_estimates { self.correction() } else { 1.0 };
         // OK to convert: far below 2^53, and a float goes to the nearest
         // value that fits.
-        (self.work as f64 * self.correction() / window_ms as f64) as u64
+        (self.work as f64 * correction / window_ms as f64) as u64
     }
 }
 
@@ -112,7 +106,9 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             let pool = job.terms.pool.clone();
             let work = self.work_of(&job.spec);
-            self.arrivals.entry(pool).or_default().note(now.steady_ms, work);
+            let policy = &self.options.policy.forecast;
+            let arrivals = self.arrivals.entry(pool).or_default();
+            arrivals.note(now.steady_ms, work, policy);
         }
     }
 
@@ -145,8 +141,11 @@
         &mut self,
         now: Now,
     ) -> impl Iterator<Item = (&String, u64)> {
-        let pools = self.arrivals.iter_mut();
-        pools.map(move |(pool, a)| (pool, a.cpu_millis(now.steady_ms)))
+        let policy = &self.options.policy.forecast;
+        let pools = self.arrivals.iter_mut().filter(|_| policy.enabled);
+        pools.map(move |(pool, arrivals)| {
+            (pool, arrivals.cpu_millis(now.steady_ms, policy))
+        })
     }
 
     /// Compares a task's estimate with what it took.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -85,6 +85,7 @@
         PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
         WorkerListing,
     },
+    policy::{Forecast, InvalidPolicy, Placing, Policy, Sizing, Watching},
     scheduler::Scheduler,
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
@@ -106,6 +107,7 @@
 mod order;
 mod pacing;
 mod place;
+mod policy;
 mod report;
 mod scheduler;
 mod sizing;
@@ -368,7 +370,6 @@
     pub(crate) lease_ms: u64,
     pub(crate) max_lease_ms: u64,
     pub(crate) detached_ms: u64,
-    pub(crate) hold_wait_ms: u64,
     pub(crate) hold_retry_ms: u64,
     pub(crate) unstored_hold_ms: u64,
     pub(crate) stop_retry_ms: u64,
@@ -379,6 +380,7 @@
     pub(crate) duty_gap_ms: u64,
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
+    pub(crate) policy: Policy,
 }
 
 impl Default for Options {
@@ -390,11 +392,6 @@
             max_lease_ms: 10_000,
             // As long as a lease: what runs can be looked after that long.
             detached_ms: 8_000,
-            // An end is told at once. This bounds how old the percentages of
-            // a quiet worker are, and how long an end stays unknown whose
-            // answer is lost: with 1,000 ms a day on which some orders got
-            // no answer served 0.87 of its worth, with 300 ms 0.90 (trials).
-            hold_wait_ms: 300,
             // A worker that comes back is found within this.
             hold_retry_ms: 200,
             // Long enough for the store's usual answer, many times over.
@@ -419,6 +416,7 @@
             stop_settle_ms: 2_000,
             // A few readings of the list, and less than a VM takes to move.
             vm_list_age_ms: 2_000,
+            policy: Policy::default(),
         }
     }
 }
@@ -456,6 +454,12 @@
         self
     }
 
+    /// Sets what the scheduler decides by.
+    pub fn policy(mut self, policy: Policy) -> Options {
+        self.policy = policy;
+        self
+    }
+
     /// Sets how long the keys of a finished job are kept, in milliseconds.
     pub fn kept_ms(mut self, kept_ms: u64) -> Options {
         self.kept_ms = kept_ms;
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -49,6 +49,9 @@
 impl Scheduler {
     /// Stops what doesn't come on.
     pub(super) fn stop_stalled(&mut self, now: Now) {
+        if !self.options.policy.watching.stops_stalled {
+            return;
+        }
         let mut stalled: Vec<(WorkerId, TaskId)> = Vec::new();
         for worker in self.workers.values() {
             // What an older answer says needn't be so any more.
@@ -97,6 +100,9 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        if !self.options.policy.watching.paces {
+            return;
+        }
         let mut changes: Vec<(WorkerId, TaskId, u8)> = Vec::new();
         for worker in self.workers.values_mut() {
             worker.pace_due(now.steady_ms, PACE_INTERVAL_MS);
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -11,7 +11,7 @@
     crate::{
         job::{JobId, Phase, StepSpec, TaskId},
         schedule::{
-            Action, Decision, Now, Scheduler, StartOrder, WorkerId,
+            Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             board::demand,
             full_pools::FullPools,
             worker::{Run, RunState, Worker},
@@ -24,15 +24,6 @@
 /// may have started unseen, so that its number stays the highest.
 const RUN_GAP: u64 = 8;
 
-/// How long after a takeover a task is started that may run elsewhere and may
-/// have copies, in milliseconds: most workers have answered by then.
-const COPY_AFTER_MS: u64 = 400;
-
-/// How long a task waits for a worker on which it hasn't failed before it goes
-/// back to one where it has, in milliseconds: about as long as another VM
-/// takes to come to the pool.
-const GO_BACK_AFTER_MS: u64 = 1_500;
-
 /// How much a worker near a task's data is preferred, in thousandths of a
 /// core: more than any worker's room, since elsewhere a task takes twice as
 /// long or more.
@@ -90,8 +81,13 @@
         }
     }
 
+    fn placing(&self) -> &Placing {
+        &self.options.policy.placing
+    }
+
     fn candidates(&mut self, now: Now) -> Vec<Candidate> {
         let mut candidates = Vec::new();
+        let late_last = self.placing().late_last;
         for (id, job) in &mut self.jobs {
             if job.phase.is_final() {
                 continue;
@@ -110,7 +106,8 @@
                     let left_ms = job.spec.estimate_from_ms(step);
                     candidates.push(Candidate {
                         priority: job.terms.priority,
-                        late: now.unix_ms + left_ms > objective_ms,
+                        late: late_last
+                            && now.unix_ms + left_ms > objective_ms,
                         objective_ms,
                         job: *id,
                         round,
@@ -283,7 +280,7 @@
         let inherited = job.revision < self.lease_revision;
         let pool = job.terms.pool.as_str();
         // A copy does no harm, but is wasted if most workers answer at once.
-        let settled = self.taken_over_ms + COPY_AFTER_MS;
+        let settled = self.taken_over_ms + self.placing().copy_after_ms;
         let may_copy = spec.may_duplicate && now.steady_ms >= settled;
         if inherited && !may_copy && self.may_run_unseen(pool, now) {
             return Err(NotNow::Unaccounted);
@@ -332,7 +329,7 @@
             return false;
         };
         if state.avoid.is_empty()
-            || now.steady_ms < step.ready_ms + GO_BACK_AFTER_MS
+            || now.steady_ms < step.ready_ms + self.placing().go_back_after_ms
         {
             return false;
         }
@@ -389,7 +386,9 @@
         let demand = &demand(spec);
         // The fullest that still has room: the others fall idle, and their
         // VMs can be used elsewhere.
-        let mut score = -(worker.free().less(demand).cpu_millis as i64);
+        let left = worker.free().less(demand).cpu_millis as i64;
+        let policy = self.placing();
+        let mut score = if policy.fullest_first { -left } else { left };
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
@@ -399,7 +398,9 @@
             self.jobs.get(&task.job).and_then(|job| job.step_spec(task))
         };
         let others = worker.runs.keys().filter_map(step_of);
-        let disturbing = if spec.best_effort {
+        let disturbing = if !policy.keeps_apart {
+            0
+        } else if spec.best_effort {
             others.filter(|other| other.serves()).count()
         } else if spec.serves() {
             others.filter(|other| other.best_effort || other.serves()).count()
@@ -407,7 +408,8 @@
             0
         };
         let long = |spec: &StepSpec| spec.long_running;
-        if spec.long_running
+        if policy.keeps_together
+            && spec.long_running
             && worker.runs.keys().filter_map(step_of).any(long)
         {
             score += TOGETHER_SCORE;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -296,6 +296,9 @@
         reason: &'static str,
         now: Now,
     ) {
+        if !self.options.policy.watching.suspends {
+            return;
+        }
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.suspend(now.steady_ms, &self.options);
         self.note(Decision::Suspended { worker: worker_id.clone(), reason });
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -11,52 +11,20 @@
     crate::{
         job::StepSpec,
         schedule::{
-            Now, Scheduler, VmLife, VmOrder, VmOrderError, WorkerId,
+            Now, Scheduler, Sizing, VmLife, VmOrder, VmOrderError, WorkerId,
             board::demand, maintenance::Purpose, worker::Worker,
         },
     },
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// How full a pool may be before it gets another VM, in hundredths: a VM
-/// takes some 2 s to come, in which a peak grows by about a fifth.
-const FULL_PERCENT: u64 = 80;
-
-/// How full a pool may be without one of its VMs for it to be switched off,
-/// in hundredths.
-const SPARE_PERCENT: u64 = 50;
-
-/// How much a task counts that waits for a job which is too late already, as
-/// a divisor: such jobs are worth little, but have to be run.
-const LATE_DIVISOR: u64 = 4;
-
-/// How often sizes are looked at, in milliseconds: a few times while a VM
-/// moves.
-const INTERVAL_MS: u64 = 200;
-
-/// How long a task may find no place before its pool gets a VM for that
-/// alone, in milliseconds: most find one as others end.
-const WITHOUT_PLACE_MS: u64 = 500;
-
 /// How long a VM is left alone whose move was refused, in milliseconds.
 const REFUSED_MS: u64 = 1_000;
 
-/// How long a worker must have been idle before its VM moves away, in
-/// milliseconds: a move costs about as much as a second in a pool.
-const IDLE_MS: u64 = 1_500;
-
-/// How long after the first job no VM is switched off, in milliseconds: what
-/// will be asked of the pools isn't known before.
-const OBSERVED_MS: u64 = 3_000;
-
 /// How long a holder waits for a first job before it switches VMs off all
 /// the same, in milliseconds.
 const UNUSED_MS: u64 = 30_000;
 
-/// Which part of a pool may be switched off at once, as a divisor: a pool
-/// at rest is small after a few looks, and one that isn't keeps the most.
-const LEAVING_DIVISOR: u64 = 16;
-
 /// How long a VM that was ordered to move counts as coming, in milliseconds.
 const COMING_MS: u64 = 4_000;
 
@@ -108,6 +76,10 @@
         self.free_pools = free;
     }
 
+    fn sizing(&self) -> &Sizing {
+        &self.options.policy.sizing
+    }
+
     /// Returns what a pool has and what is asked of it.
     pub(super) fn pool_load(&self, pool: &str) -> PoolLoad {
         self.pool_loads.get(pool).copied().unwrap_or_default()
@@ -127,6 +99,7 @@
                 load.workers += 1;
             }
         }
+        let late_percent = self.options.policy.sizing.late_percent;
         for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
             let load = loads.entry(job.terms.pool.clone()).or_default();
             for round in 0..job.rounds.len() {
@@ -147,7 +120,7 @@
                     let late = now.unix_ms > job.objective_ms(round)
                         && !spec.long_running;
                     load.waiting_cpu +=
-                        if late { cpu / LATE_DIVISOR } else { cpu };
+                        if late { cpu * late_percent / 100 } else { cpu };
                 }
             }
         }
@@ -163,7 +136,7 @@
     /// Returns the next orders that move VMs between pools.
     pub(super) fn size_pools(&mut self, now: Now, orders: &mut Vec<VmOrder>) {
         self.settle_moves(now);
-        if now.steady_ms >= self.sized_ms + INTERVAL_MS {
+        if now.steady_ms >= self.sized_ms + self.sizing().interval_ms {
             self.sized_ms = now.steady_ms;
             let targets = self.targets(now);
             self.fill_pools(&targets, now, orders);
@@ -183,7 +156,7 @@
         }
         let unused = now.steady_ms >= self.taken_over_ms + UNUSED_MS;
         let observed = self.first_job_ms > 0
-            && now.steady_ms >= self.first_job_ms + OBSERVED_MS;
+            && now.steady_ms >= self.first_job_ms + self.sizing().observed_ms;
         observed || unused
     }
 
@@ -200,7 +173,7 @@
             let load = self.pool_load(pool);
             let asked = load.asked_cpu() * 100;
             let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
-            let need = asked.div_ceil(vm_cpu * FULL_PERCENT);
+            let need = asked.div_ceil(vm_cpu * self.sizing().full_percent);
             let need = need.max(self.least_vms(pool));
             let need = need.max(self.need_for_place(pool, now));
             needs.insert(pool, need);
@@ -213,7 +186,8 @@
                     targets.get(**pool).copied().unwrap_or(0) < **need
                 })
                 .min_by_key(|(pool, _)| {
-                    targets.get(**pool).copied().unwrap_or(0)
+                    let has = targets.get(**pool).copied().unwrap_or(0);
+                    if self.sizing().equal_shares { has } else { 0 }
                 });
             let Some((pool, _)) = least else { break };
             *targets.entry((*pool).clone()).or_default() += 1;
@@ -226,8 +200,9 @@
     /// one more than it has, whatever it lacks.
     fn need_for_place(&self, pool: &str, now: Now) -> u64 {
         let since_ms = self.without_place.get(pool);
-        let long = since_ms
-            .is_some_and(|since| now.steady_ms >= since + WITHOUT_PLACE_MS);
+        let long = since_ms.is_some_and(|since| {
+            now.steady_ms >= since + self.sizing().without_place_ms
+        });
         if long { self.pool_load(pool).workers + 1 } else { 0 }
     }
 
@@ -346,15 +321,17 @@
         let pool = &worker.listing.pool;
         worker.is_usable()
             && worker.is_settled()
-            && now.steady_ms >= worker.idle_since_ms + IDLE_MS
+            && now.steady_ms >= worker.idle_since_ms + self.sizing().idle_ms
             && self.pool_load(pool).workers > self.least_vms(pool)
-            && self.pool_percent_without(pool, 1) <= SPARE_PERCENT
+            && self.pool_percent_without(pool, 1)
+                <= self.sizing().spare_percent
             && !self.awaits_maintenance(&worker.listing.vm)
     }
 
     /// Switches off idle VMs of a pool that has more than it needs.
     fn shrink_pool(&mut self, pool: &str, now: Now) {
-        let most = self.pool_load(pool).workers / LEAVING_DIVISOR + 1;
+        let most =
+            self.pool_load(pool).workers / self.sizing().leaving_divisor + 1;
         for _ in 0..most {
             if !self.switch_one_off(pool, now) {
                 return;
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -319,7 +319,8 @@
         // a lost answer held is wanted at once.
         let at_once =
             fencing || unstored || self.missed_hold || self.runs.is_empty();
-        let wait_ms = if at_once { 0 } else { options.hold_wait_ms };
+        let wait_ms =
+            if at_once { 0 } else { options.policy.watching.hold_wait_ms };
         // A worker that is silent gets no longer lease: its runs must be
         // over for certain some day.
         let silent = self.silent_since_ms.is_some();
@@ -463,6 +464,9 @@
         now_ms: u64,
         options: &Options,
     ) -> bool {
+        if !options.policy.watching.suspends {
+            return false;
+        }
         self.failed_jobs.insert(job);
         if self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND {
             return false;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -120,7 +120,8 @@
                 .kept_ms(timing.kept_ms)
                 .duty_gap_ms(timing.duty_gap_ms)
                 .stop_timeout_ms(timing.stop_timeout_ms)
-                .detached_ms(holder::DETACHED_MS),
+                .detached_ms(holder::DETACHED_MS)
+                .policy(settings.policy.clone()),
             log: logs::part(&log, "scheduler"),
         };
         let scheduling = tokio::spawn(candidate.run());
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -24,6 +24,7 @@
 
 use {
     crate::settings::{Error, Log, Problems, read_file, read_yaml},
+    dewspar::schedule::{InvalidPolicy, Policy},
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, path::Path},
@@ -52,6 +53,9 @@
     /// Times that the platform and its operator set.
     #[serde(default)]
     pub timing: Timing,
+    /// What the scheduler decides by.
+    #[serde(default)]
+    pub policy: Policy,
     /// What the node logs.
     #[serde(default)]
     pub log: Log,
@@ -170,6 +174,7 @@
             },
             machine: Machine::default(),
             timing: Timing::default(),
+            policy: Policy::default(),
             log: Log::default(),
         }
     }
@@ -225,6 +230,10 @@
         check("notice_ms", notice_ms, 100, 600_000);
         check("disturbance_ms", disturbance_ms, 100, 600_000);
         check("min_store_lease_ms", min_store_lease_ms, 1, 600_000);
+        if let Err(invalid) = settings.policy.check() {
+            let InvalidPolicy { field, value, least, most } = invalid;
+            problems.check(&format!("policy.{field}"), value, least, most);
+        }
         problems.check_level(&settings.log);
         problems.into_result()?;
         Ok(settings)
