Follow known jobs ahead; let a restarted holder order its own VMs at once

At 37.5 s a pool wanted 46 VMs and had 15, while another had 27 and wanted 2; no VM moved until 40.3 s, since the record of the holder's own earlier process kept them from being ordered for 3 s.

- The record of ordered VMs names the process that ordered each; what an earlier process of the same node ordered needn't wait.
The record also keeps what holders before ordered, which a second takeover forgot.
- Jobs accepted shortly before a takeover count as arrivals.
- Pools are sized by what the known jobs will use when a VM could come, and by the first work of those that arrive, instead of all work of a second's arrivals at once.
- A line in the log for each change of what a pool should have.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -4,13 +4,51 @@
 These orders aren't fenced where they are carried out. So a holder records of
 which VMs it orders changes before it does, and its successor leaves those
 alone until two holders can't be taken to quarrel over one.
+
+The record names the process that ordered each. What an earlier process of
+the holder's own node ordered needn't wait: that process is gone, and orders
+of one node are no quarrel.
 */
 
 use {
     crate::schedule::{Now, Scheduler, VmOrder},
-    std::collections::BTreeSet,
+    serde::{Deserialize, Serialize},
+    std::collections::BTreeMap,
 };
 
+/// A process of a node.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Orderer {
+    /// The node's name.
+    pub node: String,
+    /// The process; a restarted one has another number.
+    pub incarnation: u64,
+}
+
+impl Orderer {
+    /// Returns whether this is an earlier process of the same node.
+    fn is_former_process_of(&self, other: &Orderer) -> bool {
+        self.node == other.node && self.incarnation != other.incarnation
+    }
+}
+
+/// The VMs of which changes were ordered of late, and by whom.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(transparent)]
+pub struct OrderedVms(BTreeMap<String, Orderer>);
+
+impl OrderedVms {
+    /// Returns the VMs' names.
+    pub fn names(&self) -> impl Iterator<Item = &str> {
+        self.0.keys().map(String::as_str)
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl Scheduler {
     /// Returns what is to be ordered of the VM service now.
     ///
@@ -37,28 +75,43 @@
         orders
     }
 
-    /// Returns the VMs of which changes were ordered a short while ago; the
-    /// next holder must leave them alone at first.
-    pub fn ordered_vms(&mut self, now: Now) -> BTreeSet<&str> {
+    /// Returns the VMs of which changes were ordered a short while ago, by
+    /// `holder` or before it; the next holder must leave them alone at first.
+    pub fn ordered_vms(&mut self, now: Now, holder: &Orderer) -> OrderedVms {
         let gap_ms = self.options.duty_gap_ms;
         self.ordered_vms.retain(|_, at| now.steady_ms <= *at + gap_ms);
-        self.ordered_vms.keys().map(String::as_str).collect()
+        self.inherited_vms
+            .retain(|_, (_, until_ms)| now.steady_ms < *until_ms);
+        let inherited = self
+            .inherited_vms
+            .iter()
+            .map(|(vm, (orderer, _))| (vm.clone(), orderer.clone()));
+        let own =
+            self.ordered_vms.keys().map(|vm| (vm.clone(), holder.clone()));
+        OrderedVms(inherited.chain(own).collect())
     }
 
     /// Orders nothing of these VMs for a while, because a former holder
     /// just has; `None` stands for all.
+    ///
+    /// Those that an earlier process of `holder`'s node ordered are free.
     pub fn leave_vms_alone(
         &mut self,
         now: Now,
-        vms: Option<BTreeSet<String>>,
+        holder: &Orderer,
+        vms: Option<OrderedVms>,
     ) {
         let until_ms = now.steady_ms + self.options.duty_gap_ms;
-        match vms {
-            None => self.all_vms_from_ms = until_ms,
-            Some(vms) => {
-                let untils = vms.into_iter().map(|vm| (vm, until_ms));
-                self.vms_from_ms.extend(untils);
+        let Some(vms) = vms else {
+            self.all_vms_from_ms = until_ms;
+            return;
+        };
+        for (vm, orderer) in vms.0 {
+            if orderer.is_former_process_of(holder) {
+                continue;
             }
+            self.vms_from_ms.insert(vm.clone(), until_ms);
+            self.inherited_vms.insert(vm, (orderer, until_ms));
         }
     }
 
--- a/crates/dewspar/src/schedule/forecast.rs
+++ b/crates/dewspar/src/schedule/forecast.rs
@@ -13,8 +13,11 @@
 
 use {
     crate::{
-        job::JobSpec,
-        schedule::{Forecast, Now, Scheduler, board::demand},
+        job::{JobId, JobSpec},
+        schedule::{
+            Forecast, Now, Scheduler,
+            board::{Job, demand},
+        },
     },
     std::collections::VecDeque,
 };
@@ -91,8 +94,12 @@
         let window_ms = now_ms
             .saturating_sub(self.since_ms)
             .clamp(policy.least_window_ms, policy.window_ms);
-        let correction =
-            if policy.corrects_estimates { self.correction() } else { 1.0 };
+        // What is projected was corrected before.
+        let correction = if policy.corrects_estimates && !policy.projects {
+            self.correction()
+        } else {
+            1.0
+        };
         // OK to convert: far below 2^53, and a float goes to the nearest
         // value that fits.
         (self.work as f64 * correction / window_ms as f64) as u64
@@ -100,16 +107,46 @@
 }
 
 impl Scheduler {
-    /// Counts the jobs that came since the last call.
+    /// Counts the jobs that came since the last call, the oldest first.
+    ///
+    /// Those that were accepted before the takeover count from then on: the
+    /// flow of jobs didn't begin with this holder.
     pub(super) fn note_arrivals(&mut self, now: Now) {
-        for id in std::mem::take(&mut self.new_jobs) {
+        let new_jobs = std::mem::take(&mut self.new_jobs);
+        let mut arrivals: Vec<(u64, JobId)> = new_jobs
+            .into_iter()
+            .filter_map(|id| Some((self.age_ms(self.jobs.get(&id)?, now), id)))
+            .collect();
+        arrivals.sort_unstable_by(|a, b| b.cmp(a));
+        for (age_ms, id) in arrivals {
             let Some(job) = self.jobs.get(&id) else { continue };
-            let pool = job.terms.pool.clone();
-            let work = self.work_of(&job.spec);
             let policy = &self.options.policy.forecast;
+            let inherited = job.revision < self.lease_revision;
+            if age_ms >= policy.window_ms
+                || inherited && !policy.counts_inherited
+            {
+                continue;
+            }
+            let pool = job.terms.pool.clone();
+            let work = if policy.projects {
+                self.first_work(&pool, &job.spec, policy.ahead_ms)
+            } else {
+                self.work_of(&job.spec)
+            };
             let arrivals = self.arrivals.entry(pool).or_default();
-            arrivals.note(now.steady_ms, work, policy);
+            let at_ms = now.steady_ms - age_ms;
+            arrivals.note(at_ms, work, policy);
+        }
+    }
+
+    /// Returns how long ago a job came, in milliseconds.
+    fn age_ms(&self, job: &Job, now: Now) -> u64 {
+        let inherited = job.revision < self.lease_revision;
+        if !inherited {
+            return 0;
         }
+        // By the clocks of two nodes, which hardly differ.
+        now.unix_ms.saturating_sub(job.accepted_at_ms)
     }
 
     /// Returns what a job takes by its estimates, in thousandths of a core
@@ -148,6 +185,18 @@
         })
     }
 
+    /// Returns how long a task will take, by its estimate and by how far
+    /// those of its pool were off, in milliseconds.
+    pub(super) fn corrected(&self, pool: &str, estimate_ms: u64) -> u64 {
+        let policy = &self.options.policy.forecast;
+        let arrivals = self.arrivals.get(pool);
+        let correction = arrivals
+            .filter(|_| policy.corrects_estimates)
+            .map_or(1.0, Arrivals::correction);
+        // OK to convert: a float goes to the nearest value that fits.
+        (estimate_ms as f64 * correction) as u64
+    }
+
     /// Compares a task's estimate with what it took.
     pub(super) fn learn_duration(
         &mut self,
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -80,6 +80,7 @@
 */
 
 pub use self::{
+    duty::{OrderedVms, Orderer},
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, OrderError,
         PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
@@ -108,6 +109,7 @@
 mod pacing;
 mod place;
 mod policy;
+mod projection;
 mod report;
 mod scheduler;
 mod sizing;
@@ -341,6 +343,21 @@
         /// What for.
         reason: &'static str,
     },
+    /// A pool should have another number of VMs than before.
+    PoolSized {
+        /// The pool.
+        pool: String,
+        /// How many VMs it should have.
+        target: u64,
+        /// How many it has or is about to have.
+        vms: u64,
+        /// What runs, in thousandths of a core.
+        used_cpu: u64,
+        /// What will run when a VM could come, in thousandths of a core.
+        forecast_cpu: u64,
+        /// What waits for room, in thousandths of a core.
+        waiting_cpu: u64,
+    },
     /// A worker's life is over.
     WorkerGone {
         /// The worker.
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -110,6 +110,13 @@
     pub least_window_ms: u64,
     /// Whether estimates are corrected by what tasks took.
     pub corrects_estimates: bool,
+    /// Whether jobs that came shortly before a takeover count as arrivals.
+    pub counts_inherited: bool,
+    /// Whether what runs and waits now is followed to its end; else jobs
+    /// that came of late count with all their work at once.
+    pub projects: bool,
+    /// How far ahead is looked, in milliseconds.
+    pub ahead_ms: u64,
 }
 
 impl Default for Forecast {
@@ -122,6 +129,10 @@
             // A first few jobs close together aren't a flow yet.
             least_window_ms: 400,
             corrects_estimates: true,
+            counts_inherited: true,
+            projects: true,
+            // As long as a VM takes to come.
+            ahead_ms: 2_000,
         }
     }
 }
@@ -232,6 +243,7 @@
                 1,
                 forecast.window_ms,
             ),
+            ("forecast.ahead_ms", forecast.ahead_ms, 0, 60_000),
             ("placing.copy_after_ms", placing.copy_after_ms, 0, 60_000),
             ("placing.go_back_after_ms", placing.go_back_after_ms, 0, 2_500),
             ("watching.hold_wait_ms", watching.hold_wait_ms, 0, 2_000),
--- /dev/null
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -0,0 +1,164 @@
+/*!
+What the tasks that are known will use a while ahead.
+
+A VM that is ordered now comes in some 2 s. What a pool needs then is not what
+runs now: much of that is over by then, and steps that wait for others will
+have begun. Both follow from the jobs that are there. Each task is taken to
+last as long as its estimate says, corrected by what tasks of its pool took;
+each step begins when the last step that it waits for is over.
+
+Tasks that wait for room are left out here: they count as waiting, in full.
+*/
+
+use {
+    crate::{
+        job::{JobId, JobSpec},
+        schedule::{Now, Scheduler, board::Job, board::demand},
+    },
+    std::collections::BTreeMap,
+};
+
+/// What is left of one step's runs.
+#[derive(Clone, Copy, Debug, Default)]
+struct StepRuns {
+    /// Until when the longest of them goes on, in milliseconds from now.
+    left_ms: u64,
+    /// What those use that still go on at the time looked at.
+    cpu_millis: u64,
+}
+
+/// One step of one round of a job.
+type StepKey = (JobId, u32, u32);
+
+impl Scheduler {
+    /// Returns what each pool's known jobs will use `ahead_ms` from now, in
+    /// thousandths of a core; what runs for long isn't counted.
+    pub(super) fn project(
+        &self,
+        now: Now,
+        ahead_ms: u64,
+    ) -> BTreeMap<String, u64> {
+        let runs = self.runs_left(now, ahead_ms);
+        let mut pools: BTreeMap<String, u64> = BTreeMap::new();
+        for (id, job) in &self.jobs {
+            if job.phase.is_final() {
+                continue;
+            }
+            let used = self.project_job(*id, job, &runs, now, ahead_ms);
+            if used > 0 {
+                *pools.entry(job.terms.pool.clone()).or_default() += used;
+            }
+        }
+        pools
+    }
+
+    /// Returns what is left of the runs of each step.
+    fn runs_left(
+        &self,
+        now: Now,
+        ahead_ms: u64,
+    ) -> BTreeMap<StepKey, StepRuns> {
+        let mut left: BTreeMap<StepKey, StepRuns> = BTreeMap::new();
+        for worker in self.workers.values() {
+            for (task, run) in &worker.runs {
+                let Some(job) = self.jobs.get(&task.job) else { continue };
+                let Some(spec) = job.step_spec(task) else { continue };
+                if spec.long_running {
+                    continue;
+                }
+                let lasts_ms =
+                    self.corrected(&job.terms.pool, spec.estimate_ms);
+                let ran_ms = now.steady_ms.saturating_sub(run.since_ms);
+                let left_ms = lasts_ms.saturating_sub(ran_ms);
+                let key = (task.job, task.round, task.step);
+                let step = left.entry(key).or_default();
+                step.left_ms = step.left_ms.max(left_ms);
+                if left_ms > ahead_ms {
+                    step.cpu_millis += run.demand.cpu_millis;
+                }
+            }
+        }
+        left
+    }
+
+    fn project_job(
+        &self,
+        id: JobId,
+        job: &Job,
+        runs: &BTreeMap<StepKey, StepRuns>,
+        now: Now,
+        ahead_ms: u64,
+    ) -> u64 {
+        let mut used = 0;
+        for (round, steps) in (0..).zip(&job.rounds) {
+            let due_in_ms = job.spec.due_ms(round).saturating_sub(now.unix_ms);
+            if due_in_ms > ahead_ms {
+                continue;
+            }
+            let mut ends: Vec<u64> = Vec::with_capacity(steps.len());
+            for (step, state) in (0..).zip(steps) {
+                let spec = &job.spec.steps[step as usize];
+                let begins_ms =
+                    begins_ms(&job.spec, step as usize, &ends).max(due_in_ms);
+                let lasts_ms =
+                    self.corrected(&job.terms.pool, spec.estimate_ms);
+                let going = runs.get(&(id, round, step)).copied();
+                let going = going.unwrap_or_default();
+                let ready =
+                    job.is_ready(round as usize, step as usize, now.unix_ms);
+                ends.push(if state.is_done() {
+                    0
+                } else if ready && state.waiting.is_empty() {
+                    going.left_ms
+                } else {
+                    begins_ms + lasts_ms
+                });
+                if spec.long_running || state.is_done() {
+                    continue;
+                }
+                used += going.cpu_millis;
+                let goes_on =
+                    begins_ms <= ahead_ms && ahead_ms < begins_ms + lasts_ms;
+                if !ready && goes_on && self.fits_somewhere(spec) {
+                    let waiting = state.waiting.len() as u64;
+                    used += waiting * demand(spec).cpu_millis;
+                }
+            }
+        }
+        used
+    }
+
+    /// Returns what a job will use within `ahead_ms` of its coming, in
+    /// thousandths of a core times milliseconds; what runs for long, falls
+    /// due later or fits nowhere isn't counted.
+    pub(super) fn first_work(
+        &self,
+        pool: &str,
+        spec: &JobSpec,
+        ahead_ms: u64,
+    ) -> u64 {
+        if spec.repeat.is_some() {
+            return 0;
+        }
+        let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
+        let mut work = 0;
+        for (step, step_spec) in spec.steps.iter().enumerate() {
+            let begins_ms = begins_ms(spec, step, &ends);
+            let lasts_ms = self.corrected(pool, step_spec.estimate_ms);
+            ends.push(begins_ms + lasts_ms);
+            if step_spec.long_running || !self.fits_somewhere(step_spec) {
+                continue;
+            }
+            let within_ms = lasts_ms.min(ahead_ms.saturating_sub(begins_ms));
+            let cpu_millis = demand(step_spec).cpu_millis;
+            work += u64::from(step_spec.count) * cpu_millis * within_ms;
+        }
+        work
+    }
+}
+
+/// Returns when a step begins if the steps before end as given.
+fn begins_ms(spec: &JobSpec, step: usize, ends: &[u64]) -> u64 {
+    let before = spec.steps[step].after.iter();
+    before.filter_map(|earlier| ends.get(*earlier)).max().copied().unwrap_or(0)
+}
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -3,7 +3,7 @@
         job::{JobId, Phase, Progress, TaskId},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
-            PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
+            Orderer, PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
             advice::StepAdvice,
             board::Job,
             forecast::Arrivals,
@@ -45,6 +45,9 @@
     pub(super) taken_over_ms: u64,
     /// When changes of each VM were last ordered.
     pub(super) ordered_vms: BTreeMap<String, u64>,
+    /// The VMs that former holders touched, who did, and until when that
+    /// counts.
+    pub(super) inherited_vms: BTreeMap<String, (Orderer, u64)>,
     /// From when changes of VMs may be ordered that a former holder touched.
     pub(super) vms_from_ms: BTreeMap<String, u64>,
     pub(super) all_vms_from_ms: u64,
@@ -67,10 +70,15 @@
     pub(super) vms_asked_ms: u64,
     /// When the pools' sizes were last looked at.
     pub(super) sized_ms: u64,
-    /// Jobs accepted under this lease that aren't counted as arrivals yet.
+    /// Jobs that aren't counted as arrivals yet.
     pub(super) new_jobs: Vec<JobId>,
     /// The jobs that came to each pool of late.
     pub(super) arrivals: BTreeMap<String, Arrivals>,
+    /// How many VMs each pool should have, when that was last looked at.
+    pub(super) targets: BTreeMap<String, u64>,
+    /// What each pool's known jobs will use a while ahead, in thousandths of
+    /// a core.
+    pub(super) projected: BTreeMap<String, u64>,
     /// When the first job was known that isn't there for long; 0 for not yet.
     pub(super) first_job_ms: u64,
 }
@@ -97,6 +105,7 @@
             lives_known: false,
             taken_over_ms: 0,
             ordered_vms: BTreeMap::new(),
+            inherited_vms: BTreeMap::new(),
             vms_from_ms: BTreeMap::new(),
             all_vms_from_ms: 0,
             waves: BTreeMap::new(),
@@ -113,6 +122,8 @@
             sized_ms: 0,
             new_jobs: Vec::new(),
             arrivals: BTreeMap::new(),
+            targets: BTreeMap::new(),
+            projected: BTreeMap::new(),
             first_job_ms: 0,
         }
     }
@@ -169,9 +180,7 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
-        if revision > self.lease_revision {
-            self.new_jobs.push(id);
-        }
+        self.new_jobs.push(id);
         self.jobs.insert(id, job);
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -11,8 +11,9 @@
     crate::{
         job::StepSpec,
         schedule::{
-            Now, Scheduler, Sizing, VmLife, VmOrder, VmOrderError, WorkerId,
-            board::demand, maintenance::Purpose, worker::Worker,
+            Decision, Forecast, Now, Scheduler, Sizing, VmLife, VmOrder,
+            VmOrderError, WorkerId, board::demand, maintenance::Purpose,
+            worker::Worker,
         },
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -130,6 +131,11 @@
                 load.forecast_cpu += cpu_millis;
             }
         }
+        for (pool, cpu_millis) in &self.projected {
+            if let Some(load) = loads.get_mut(pool) {
+                load.forecast_cpu += cpu_millis;
+            }
+        }
         self.pool_loads = loads;
     }
 
@@ -138,7 +144,9 @@
         self.settle_moves(now);
         if now.steady_ms >= self.sized_ms + self.sizing().interval_ms {
             self.sized_ms = now.steady_ms;
+            self.project_pools(now);
             let targets = self.targets(now);
+            self.note_targets(&targets);
             self.fill_pools(&targets, now, orders);
             if self.knows_demand(now) {
                 for pool in targets.keys() {
@@ -149,6 +157,16 @@
         self.order_moves(now, orders);
     }
 
+    /// Looks at what the pools will be asked for.
+    fn project_pools(&mut self, now: Now) {
+        let Forecast { enabled, projects, ahead_ms, .. } =
+            self.options.policy.forecast;
+        if enabled && projects {
+            self.projected = self.project(now, ahead_ms);
+            self.measure_pools(now);
+        }
+    }
+
     /// Returns whether enough was seen to tell which VMs aren't needed.
     fn knows_demand(&mut self, now: Now) -> bool {
         if self.first_job_ms == 0 && self.has_short_jobs() {
@@ -160,6 +178,25 @@
         observed || unused
     }
 
+    fn note_targets(&mut self, targets: &BTreeMap<String, u64>) {
+        for (pool, target) in targets {
+            if self.targets.get(pool) == Some(target) {
+                continue;
+            }
+            let load = self.pool_load(pool);
+            let vms = self.pool_size(pool);
+            self.note(Decision::PoolSized {
+                pool: pool.clone(),
+                target: *target,
+                vms,
+                used_cpu: load.used_cpu,
+                forecast_cpu: load.forecast_cpu,
+                waiting_cpu: load.waiting_cpu,
+            });
+        }
+        self.targets.clone_from(targets);
+    }
+
     /// Returns how many VMs each pool should have.
     ///
     /// While there are too few for all, none gets more than its equal share
--- /dev/null
+++ b/crates/dewspar/tests/schedule/duties.rs
@@ -0,0 +1,74 @@
+//! Which VMs a new holder may order changes of.
+
+use {
+    crate::{
+        pools::{move_of_spare, vm_orders, world_with_spare},
+        world::{World, at, id, job, step},
+    },
+    dewspar::{
+        job::StepSpec,
+        schedule::{OrderedVms, Orderer},
+    },
+    dewspar_standin::task_worker::Fate,
+};
+
+fn process(node: &str, incarnation: u64) -> Orderer {
+    Orderer { node: node.to_owned(), incarnation }
+}
+
+/// A pool that needs its spare VM.
+fn world_in_need() -> World {
+    let mut world = world_with_spare();
+    world.fate = Fate::endless();
+    let long = StepSpec { long_running: true, max_per_worker: 1, ..step(3) };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world
+}
+
+/// What `holder` leaves on record after it ordered the spare VM.
+fn record_of(holder: &Orderer) -> OrderedVms {
+    let mut world = world_in_need();
+    assert_eq!(vm_orders(&mut world), [move_of_spare()]);
+    world.scheduler.ordered_vms(at(world.now_ms), holder)
+}
+
+#[test]
+fn a_vm_that_another_node_ordered_is_left_alone() {
+    let record = record_of(&process("n1", 1));
+    let mut world = world_in_need();
+    let now = at(world.now_ms);
+    world.scheduler.leave_vms_alone(now, &process("n2", 1), Some(record));
+    assert_eq!(vm_orders(&mut world), []);
+}
+
+#[test]
+fn a_restarted_node_goes_on_with_the_vms_that_it_ordered() {
+    let record = record_of(&process("n1", 1));
+    let mut world = world_in_need();
+    let now = at(world.now_ms);
+    world.scheduler.leave_vms_alone(now, &process("n1", 2), Some(record));
+    assert_eq!(vm_orders(&mut world), [move_of_spare()]);
+}
+
+#[test]
+fn a_process_that_takes_the_lease_again_waits_like_any_other() {
+    let record = record_of(&process("n1", 1));
+    let mut world = world_in_need();
+    let now = at(world.now_ms);
+    world.scheduler.leave_vms_alone(now, &process("n1", 1), Some(record));
+    assert_eq!(vm_orders(&mut world), []);
+}
+
+#[test]
+fn what_an_earlier_holder_ordered_stays_on_record_for_its_time() {
+    let record = record_of(&process("n1", 1));
+    let mut world = world_in_need();
+    let second = process("n2", 1);
+    let begun_ms = world.now_ms;
+    let now = at(begun_ms);
+    world.scheduler.leave_vms_alone(now, &second, Some(record.clone()));
+    let passed_on = world.scheduler.ordered_vms(at(begun_ms + 1_000), &second);
+    assert_eq!(passed_on, record);
+    let later = world.scheduler.ordered_vms(at(begun_ms + 3_000), &second);
+    assert!(later.is_empty(), "{later:?}");
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! What the scheduler must and must not order, case by case.
 
+mod duties;
 mod placing;
 mod pools;
 mod runs;
--- a/crates/dewspar/tests/schedule/pools.rs
+++ b/crates/dewspar/tests/schedule/pools.rs
@@ -46,7 +46,7 @@
 }
 
 /// A pool of two workers and one VM that is switched off.
-fn world_with_spare() -> World {
+pub fn world_with_spare() -> World {
     let mut world = World::new(5, &["w1", "w2"]);
     let mut spare = listing("w3");
     spare.pool = "off".to_owned();
@@ -72,7 +72,7 @@
     orders
 }
 
-fn move_of_spare() -> VmOrder {
+pub fn move_of_spare() -> VmOrder {
     VmOrder::Move { vm: "vm-of-w3".to_owned(), pool: POOL.to_owned() }
 }
 
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -59,6 +59,18 @@
             info!(log, "worker: emptied"; "worker" => %worker, "vm" => vm,
                 "reason" => reason);
         }
+        Decision::PoolSized {
+            pool,
+            target,
+            vms,
+            used_cpu,
+            forecast_cpu,
+            waiting_cpu,
+        } => {
+            info!(log, "pool: sized"; "pool" => pool, "target" => target,
+                "vms" => vms, "used_cpu" => used_cpu,
+                "forecast_cpu" => forecast_cpu, "waiting_cpu" => waiting_cpu);
+        }
         Decision::WorkerGone { worker, reason } => {
             warn!(log, "worker: gone"; "worker" => %worker,
                 "reason" => reason);
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -5,12 +5,12 @@
 use {
     super::{event::Event, keys},
     crate::counters,
-    dewspar::schedule::{VmOrder, VmOrderError, WaveRecord},
+    dewspar::schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, KeyValue, VmChange,
     },
     slog::{Logger, info, warn},
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::BTreeMap,
     tokio::sync::mpsc,
 };
 
@@ -178,9 +178,9 @@
 pub(super) async fn load_ordered<K: KeyValue>(
     store: &K,
     log: &Logger,
-) -> Result<Option<BTreeSet<String>>, Error> {
+) -> Result<Option<OrderedVms>, Error> {
     let Some(found) = store.get(keys::VM_ORDERS).await? else {
-        return Ok(Some(BTreeSet::new()));
+        return Ok(Some(OrderedVms::default()));
     };
     match serde_json::from_slice(&found.value) {
         Ok(vms) => Ok(Some(vms)),
@@ -193,11 +193,8 @@
 }
 
 /// The write that records of which VMs changes are ordered.
-pub(super) fn ordered_batch(
-    lease_revision: u64,
-    vms: &BTreeSet<&str>,
-) -> Batch {
-    // OK because a list of texts can always be written.
+pub(super) fn ordered_batch(lease_revision: u64, vms: &OrderedVms) -> Batch {
+    // OK because texts and numbers can always be written.
     let value = serde_json::to_vec(vms).expect("plain JSON");
     Batch::default()
         .when(keys::OWNER, Expected::Version(lease_revision))
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -25,7 +25,7 @@
         readiness::Readiness,
     },
     crate::{clock, counters},
-    dewspar::schedule::Options,
+    dewspar::schedule::{Options, Orderer},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
         Versioned, Watch,
@@ -102,6 +102,8 @@
 #[derive(Clone)]
 pub(super) struct Candidate<K, W, F> {
     pub(super) node: String,
+    /// The number of this start of the process.
+    pub(super) incarnation: u64,
     pub(super) store: K,
     pub(super) workers: W,
     pub(super) fleet: F,
@@ -141,7 +143,7 @@
     /// Takes the lease whenever it is free, and schedules while it is held,
     /// until the node stops.
     pub(super) async fn run(mut self) {
-        let incarnation = clock::incarnation();
+        let incarnation = self.incarnation;
         let mut known = String::new();
         self.write_strength().await;
         while !*self.stopping.borrow() {
@@ -260,6 +262,12 @@
         }
     }
 
+    /// Returns by what name orders to the VM service are recorded.
+    pub(super) fn orderer(&self) -> Orderer {
+        let (node, incarnation) = (self.node.clone(), self.incarnation);
+        Orderer { node, incarnation }
+    }
+
     /// Returns whether this node couldn't keep up a short while ago.
     fn is_overloaded(&self) -> bool {
         clock::now_ms() < self.overloaded_until_ms
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -114,7 +114,7 @@
     tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
-    scheduler.leave_vms_alone(now(), loaded.ordered);
+    scheduler.leave_vms_alone(now(), &candidate.orderer(), loaded.ordered);
     let mut holder = Holder {
         candidate,
         held,
@@ -475,7 +475,7 @@
         if orders.is_empty() {
             return;
         }
-        let vms = self.scheduler.ordered_vms(now);
+        let vms = self.scheduler.ordered_vms(now, &self.candidate.orderer());
         let burst = Burst {
             holder: self.candidate.node.clone(),
             fence: self.held.revision,
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -11,7 +11,7 @@
         readiness::{self, Readiness},
         settings::JobSettings,
     },
-    crate::logs,
+    crate::{clock, logs},
     dewspar::schedule::Options,
     dewspar_platform::{Fleet, JobProtocol, JobWorkers, KeyValue},
     metrics_exporter_prometheus::PrometheusHandle,
@@ -106,6 +106,7 @@
             front::serve(settings.callers_address, Arc::new(front)).await?;
         let candidate = Candidate {
             node: settings.node.clone(),
+            incarnation: clock::incarnation(),
             store: platform.store,
             workers: platform.workers,
             fleet: platform.fleet,
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -15,16 +15,13 @@
     crate::counters,
     dewspar::{
         job::{JobId, Progress},
-        schedule::{AcceptedJob, Changes, WaveRecord},
+        schedule::{AcceptedJob, Changes, OrderedVms, WaveRecord},
     },
     dewspar_platform::{
         Batch, Commit, Error, Event, Expected, Fleet, KeyValue, Versioned,
     },
     slog::{Logger, warn},
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        time::Duration,
-    },
+    std::{collections::BTreeMap, time::Duration},
     tokio::time::sleep,
 };
 
@@ -63,7 +60,7 @@
     pub(super) completed: Vec<u64>,
     /// The VMs of which the former holder ordered changes of late; `None`
     /// where that can't be known.
-    pub(super) ordered: Option<BTreeSet<String>>,
+    pub(super) ordered: Option<OrderedVms>,
 }
 
 /// Loads every job that isn't over, and how far each has come.
