Refuse new jobs unsent once the store is known to be out

Cause: for two seconds after the store went away, until the configuration counted as old, nodes sent it new jobs. Their callers heard after 2.9 s that nobody knew what became of them, and had no time left to come back.

dewspar::breaker: a failed call, or silence of 700 ms, has one reading of the store probe it; new jobs wait for that verdict and are refused if it is bad, until a probe is answered. A single lost answer refuses nobody.

Retry-After stays 1 s: callers have 3 s in all, and come back sooner than told when less is left.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -30,6 +30,7 @@
 | [`slot`] | a runner's slots, shared by every node |
 | [`route`] | which runner gets the next request |
 | [`admit`] | which request is accepted at all |
+| [`breaker`] | whether a service that fell silent is sent more |
 | [`overload`] | whether a node keeps up with its work |
 | [`job`] | what callers hand in, and how far it has come |
 | [`schedule`] | which task of a job runs on which worker |
@@ -52,6 +53,7 @@
 */
 
 pub mod admit;
+pub mod breaker;
 pub mod budget;
 pub mod chart;
 pub mod config;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -101,6 +101,8 @@
         "Times that a worker got nothing to start for a while.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
+    STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
+        "Times that this node took the store for out and refused new jobs.";
     OVERLOADS, "counter", "dewspar_overloads_total", None,
         "Times that this node gave the scheduler lease up because it couldn't keep up.";
     SILENT_FEEDS, "counter", "dewspar_silent_feeds_total", None,
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -9,6 +9,7 @@
 
 use {
     super::{
+        gate::StoreGate,
         intent, keys,
         lookup::{Backoff, PendingCounts, RETRY_PAUSE},
         readiness::Readiness,
@@ -75,6 +76,7 @@
     pub(super) protocol: P,
     pub(super) reader: intent::Reader,
     pub(super) readiness: Readiness,
+    pub(super) gate: StoreGate<K>,
     pub(super) pending: tokio::sync::Mutex<PendingCounts>,
     pub(super) log: Logger,
 }
@@ -268,6 +270,10 @@
             .when(&keys::progress(id), Expected::Absent)
             .put(&keys::accepted(id), value)
             .put(&keys::accepts(&self.node), Vec::new());
+        if self.gate.admit(deadline).await.is_err() {
+            counters::count_by(counters::REFUSALS, "reason", "store_out");
+            return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+        }
         match self.write(&batch, deadline).await {
             // It is there already, be it from this call's first try.
             Written::Done | Written::Conflict => JobReply::Accepted,
@@ -313,17 +319,25 @@
         let mut retries = 0;
         let mut backoff = Backoff::default();
         loop {
+            let sent = self.gate.sent();
             match timeout_at(deadline, self.store.commit(batch)).await {
-                Ok(Ok(Commit::Done(_))) => return Written::Done,
-                Ok(Ok(Commit::Conflict(_))) => return Written::Conflict,
+                Ok(Ok(commit)) => {
+                    sent.answered();
+                    return match commit {
+                        Commit::Done(_) => Written::Done,
+                        Commit::Conflict(_) => Written::Conflict,
+                    };
+                }
                 Ok(Err(error)) => {
+                    sent.failed();
                     maybe_done |= error.may_have_taken_effect();
                     self.note_failure(&error);
                 }
                 Err(_) => maybe_done = true,
             }
             retries += 1;
-            if !maybe_done && retries > MAX_RETRIES {
+            let gives_up = retries > MAX_RETRIES || self.gate.is_out();
+            if !maybe_done && gives_up {
                 return Written::NotDone;
             }
             if !backoff.pause(deadline).await {
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -157,7 +157,10 @@
         let mut backoff = Backoff::default();
         loop {
             match timeout_at(deadline, self.store.get(key)).await {
-                Ok(Ok(found)) => return Ok(found.map(|found| found.value)),
+                Ok(Ok(found)) => {
+                    self.gate.heard();
+                    return Ok(found.map(|found| found.value));
+                }
                 Ok(Err(error)) => counters::platform_failure(&error),
                 Err(_) => {}
             }
@@ -186,8 +189,13 @@
         if Instant::now() + self.next >= deadline {
             return false;
         }
+        self.pause_always().await;
+        true
+    }
+
+    /// Waits before the next try.
+    pub(super) async fn pause_always(&mut self) {
         sleep(self.next).await;
         self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
-        true
     }
 }
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -41,6 +41,7 @@
 mod event;
 mod feeds;
 mod front;
+mod gate;
 mod holder;
 mod intent;
 mod keys;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -6,6 +6,7 @@
     super::{
         election::Candidate,
         front::{self, Front},
+        gate::StoreGate,
         holder, intent,
         lookup::PendingCounts,
         readiness::{self, Readiness},
@@ -99,6 +100,10 @@
             protocol: platform.protocol,
             reader: reader.clone(),
             readiness: readiness.clone(),
+            gate: StoreGate::new(
+                platform.store.clone(),
+                logs::part(&log, "front"),
+            ),
             pending: tokio::sync::Mutex::new(PendingCounts::default()),
             log: logs::part(&log, "front"),
         };
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -233,6 +233,35 @@
     assert_eq!(status, StatusCode::NOT_FOUND, "nothing was accepted");
 }
 
+#[tokio::test]
+async fn new_jobs_are_refused_unsent_once_the_store_is_known_to_be_out() {
+    let mut cluster = Cluster::start(0).await;
+    let mut settings = JobSettings::loopback("node-0");
+    // So that an old configuration is no reason to refuse anything.
+    settings.timing.config_apply_ms = 600_000;
+    let node = cluster.node_with(settings).await;
+    cluster.nodes.push(node);
+    submitted(&cluster, 0, 1).await;
+    // Longer than any caller waits; calls under way end after that.
+    cluster.store_faults.set_delay_us(6_000_000);
+    // Sent before anybody could know.
+    let unknown = cluster.submit(0, 2).await;
+    assert_eq!(unknown, StatusCode::GATEWAY_TIMEOUT);
+    for number in 3..6 {
+        let refused = cluster.submit(0, number).await;
+        assert_eq!(refused, StatusCode::SERVICE_UNAVAILABLE);
+    }
+    cluster.store_faults.set_delay_us(0);
+    submitted(&cluster, 0, 9).await;
+    cluster.wait_for_phase(0, 9, "completed").await;
+    let starts = cluster.starts();
+    for number in 3..6 {
+        let job = format!("{number:016x}");
+        let ran = starts.keys().any(|task| task.starts_with(&job));
+        assert!(!ran, "{job} was refused and ran");
+    }
+}
+
 #[tokio::test]
 async fn a_job_outlives_the_node_that_schedules_it() {
     let mut cluster = Cluster::start(3).await;
