Wait for recorded orders on VMs only as long as they are young

The record of orders now says how old each was when it was written, which bounds its age from below without any clock in common.

Ruled out: the record under a lease of the store, which would tell the age from above as well: such keys may be taken away at once in a cut, and two holders could then order within the gap.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -5,7 +5,9 @@
 which VMs it orders changes before it does, and its successor leaves those
 alone until two holders can't be taken to quarrel over one.
 
-The record names the process that ordered each. What an earlier process of
+The record names the process that ordered each, and how long before the record
+was written. The order is at least that old when another node takes over, so
+that much less is to be waited. What an earlier process of
 the holder's own node ordered needn't wait: that process is gone, and orders
 of one node are no quarrel.
 */
@@ -32,10 +34,19 @@
     }
 }
 
+/// A change of a VM that was ordered of late.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PastOrder {
+    /// Who ordered it.
+    pub by: Orderer,
+    /// How long before this was written, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// The VMs of which changes were ordered of late, and by whom.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(transparent)]
-pub struct OrderedVms(BTreeMap<String, Orderer>);
+pub struct OrderedVms(BTreeMap<String, PastOrder>);
 
 impl OrderedVms {
     /// Returns the VMs' names.
@@ -82,12 +93,16 @@
         self.ordered_vms.retain(|_, at| now.steady_ms <= *at + gap_ms);
         self.inherited_vms
             .retain(|_, (_, until_ms)| now.steady_ms < *until_ms);
-        let inherited = self
-            .inherited_vms
-            .iter()
-            .map(|(vm, (orderer, _))| (vm.clone(), orderer.clone()));
-        let own =
-            self.ordered_vms.keys().map(|vm| (vm.clone(), holder.clone()));
+        let inherited =
+            self.inherited_vms.iter().map(|(vm, (by, until_ms))| {
+                let left_ms = until_ms.saturating_sub(now.steady_ms);
+                let age_ms = gap_ms.saturating_sub(left_ms);
+                (vm.clone(), PastOrder { by: by.clone(), age_ms })
+            });
+        let own = self.ordered_vms.iter().map(|(vm, ordered_ms)| {
+            let age_ms = now.steady_ms.saturating_sub(*ordered_ms);
+            (vm.clone(), PastOrder { by: holder.clone(), age_ms })
+        });
         OrderedVms(inherited.chain(own).collect())
     }
 
@@ -101,17 +116,18 @@
         holder: &Orderer,
         vms: Option<OrderedVms>,
     ) {
-        let until_ms = now.steady_ms + self.options.duty_gap_ms;
+        let gap_ms = self.options.duty_gap_ms;
         let Some(vms) = vms else {
-            self.all_vms_from_ms = until_ms;
+            self.all_vms_from_ms = now.steady_ms + gap_ms;
             return;
         };
-        for (vm, orderer) in vms.0 {
-            if orderer.is_former_process_of(holder) {
+        for (vm, PastOrder { by, age_ms }) in vms.0 {
+            if by.is_former_process_of(holder) || age_ms >= gap_ms {
                 continue;
             }
+            let until_ms = now.steady_ms + gap_ms - age_ms;
             self.vms_from_ms.insert(vm.clone(), until_ms);
-            self.inherited_vms.insert(vm, (orderer, until_ms));
+            self.inherited_vms.insert(vm, (by, until_ms));
         }
     }
 
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -80,7 +80,7 @@
 */
 
 pub use self::{
-    duty::{OrderedVms, Orderer},
+    duty::{OrderedVms, Orderer, PastOrder},
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, OrderError,
         PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -55,6 +55,8 @@
     /// How much of a waiting task counts whose job is too late already, in
     /// percent.
     pub late_percent: u64,
+    /// The fewest VMs that a pool keeps that has queues.
+    pub least_vms: u64,
     /// How often sizes are looked at, in milliseconds.
     pub interval_ms: u64,
     /// How long a task may find no place before its pool gets a VM for that
@@ -82,6 +84,8 @@
             spare_percent: 50,
             // Such jobs are worth little, but have to be run.
             late_percent: 25,
+            // One may fail or be maintained.
+            least_vms: 2,
             // A few times while a VM moves.
             interval_ms: 200,
             // Most tasks find a place as others end.
@@ -143,6 +147,7 @@
 pub struct Placing {
     /// Whether jobs that can't be on time any more go last.
     pub late_last: bool,
+
     /// Whether a task goes to the fullest worker that has room; else to the
     /// emptiest.
     pub fullest_first: bool,
@@ -231,6 +236,7 @@
             ("sizing.full_percent", sizing.full_percent, 1, 100),
             ("sizing.spare_percent", sizing.spare_percent, 0, 100),
             ("sizing.late_percent", sizing.late_percent, 0, 100),
+            ("sizing.least_vms", sizing.least_vms, 1, 1_000_000),
             ("sizing.interval_ms", sizing.interval_ms, 1, 60_000),
             ("sizing.without_place_ms", sizing.without_place_ms, 0, 60_000),
             ("sizing.idle_ms", sizing.idle_ms, 0, 600_000),
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -29,9 +29,6 @@
 /// How long a VM that was ordered to move counts as coming, in milliseconds.
 const COMING_MS: u64 = 4_000;
 
-/// The fewest VMs that a pool keeps that has queues.
-const LEAST_VMS: usize = 2;
-
 /// What a pool has and what is asked of it, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolLoad {
@@ -351,7 +348,7 @@
 
     /// Returns the fewest VMs that a pool can do with.
     fn least_vms(&self, pool: &str) -> u64 {
-        self.pool_load(pool).apart.max(LEAST_VMS as u64)
+        self.pool_load(pool).apart.max(self.sizing().least_vms)
     }
 
     fn may_leave(&self, worker: &Worker, now: Now) -> bool {
