--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -18,7 +18,7 @@
             Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
             VmOrderError, WaveRecord, WaveRequest, WorkerId,
             wave_state::{Down, Ordered, WaveState},
-            worker::{RunState, Worker},
+            worker::{Purpose, RunState, Worker},
         },
     },
     std::collections::{BTreeMap, BTreeSet},
@@ -43,15 +43,6 @@
 /// How much more time than needed there must be to wait for a calm pool.
 const SLACK: u64 = 2;
 
-/// Why a worker is being emptied.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub(crate) enum Purpose {
-    /// Its VM is to be maintained for this wave.
-    Maintenance(u64),
-    /// Its VM is to move to this pool.
-    Move(String),
-}
-
 impl Scheduler {
     /// Takes over the waves that are asked for, each with what was kept of it
     /// before this node took over.
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -12,8 +12,9 @@
         job::StepSpec,
         schedule::{
             Decision, Forecast, Now, Scheduler, Sizing, VmLife, VmOrder,
-            VmOrderError, WorkerId, board::demand, maintenance::Purpose,
-            worker::Worker,
+            VmOrderError, WorkerId,
+            board::demand,
+            worker::{Purpose, Worker},
         },
     },
     std::collections::{BTreeMap, BTreeSet},
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -3,7 +3,6 @@
         job::{JobId, TaskId},
         schedule::{
             HoldOrder, HoldReport, Options, Room, WorkerId, WorkerListing,
-            maintenance::Purpose,
         },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -26,6 +25,15 @@
 /// by the workers' protocol, and a little for reading the clocks.
 const SLOW_CLOCK_PER_MILLE: u64 = 1_021;
 
+/// Why a worker is being emptied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Purpose {
+    /// Its VM is to be maintained for this wave.
+    Maintenance(u64),
+    /// Its VM is to move to this pool.
+    Move(String),
+}
+
 /// What is known of one run on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -9,9 +9,10 @@
 
 use {
     super::{
+        backoff::{Backoff, RETRY_PAUSE},
         gate::StoreGate,
         intent, keys,
-        lookup::{Backoff, PendingCounts, RETRY_PAUSE},
+        lookup::PendingCounts,
         readiness::Readiness,
     },
     crate::{clock, counters},
--- a/crates/dewspard/src/jobs/gate.rs
+++ b/crates/dewspard/src/jobs/gate.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::{keys, lookup::Backoff},
+    super::{backoff::Backoff, keys},
     crate::{clock, counters},
     dewspar::breaker::{Admission, Breaker},
     dewspar_platform::{Error, KeyValue},
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -7,6 +7,7 @@
 
 use {
     super::{
+        backoff::Backoff,
         front::{Front, RETRY_AFTER_MS},
         keys::{self, FeedKey},
     },
@@ -17,17 +18,10 @@
     },
     dewspar_platform::{JobProtocol, JobReply, KeyValue, ListedJob},
     slog::info,
-    std::{collections::BTreeMap, time::Duration},
-    tokio::time::{Instant, sleep, timeout_at},
+    std::collections::BTreeMap,
+    tokio::time::{Instant, timeout_at},
 };
 
-/// The pause before a call is tried again, the first time.
-pub(super) const RETRY_PAUSE: Duration = Duration::from_millis(40);
-
-/// The longest pause between two tries: pauses double, because a store that
-/// is out stays so for seconds, and every call counts against its limits.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(320);
-
 /// How old the counts of waiting jobs may be, in milliseconds.
 const PENDING_AGE_MS: u64 = 500;
 
@@ -171,31 +165,3 @@
         }
     }
 }
-
-/// The pauses between the tries of one call, each twice as long as the last.
-pub(super) struct Backoff {
-    next: Duration,
-}
-
-impl Default for Backoff {
-    fn default() -> Backoff {
-        Backoff { next: RETRY_PAUSE }
-    }
-}
-
-impl Backoff {
-    /// Waits before the next try; returns false if the deadline would pass.
-    pub(super) async fn pause(&mut self, deadline: Instant) -> bool {
-        if Instant::now() + self.next >= deadline {
-            return false;
-        }
-        self.pause_always().await;
-        true
-    }
-
-    /// Waits before the next try.
-    pub(super) async fn pause_always(&mut self) {
-        sleep(self.next).await;
-        self.next = (self.next * 2).min(MAX_RETRY_PAUSE);
-    }
-}
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -35,6 +35,7 @@
     settings::JobSettings,
 };
 
+mod backoff;
 mod decisions;
 mod duties;
 mod election;
