--- a/crates/dewspar-cli/src/delays/history.rs
+++ b/crates/dewspar-cli/src/delays/history.rs
@@ -78,6 +78,20 @@
 }
 
 impl JobHistory {
+    /// Ends the runs whose end no node logged: with the job, with the next
+    /// run of their task, or with the logs.
+    fn close_runs(&mut self, end_ms: Ms) {
+        let over_ms = self.over.as_ref().map_or(end_ms, |(at_ms, _)| *at_ms);
+        let mut next: BTreeMap<String, Ms> = BTreeMap::new();
+        for run in self.runs.iter_mut().rev() {
+            if run.ran.to_ms == Ms::MAX {
+                let next_ms = next.get(&run.task).copied();
+                run.ran.to_ms = next_ms.unwrap_or(over_ms).min(over_ms);
+            }
+            next.insert(run.task.clone(), run.ran.from_ms);
+        }
+    }
+
     /// Returns when a caller first tried to hand it in.
     pub fn first_ms(&self) -> Option<Ms> {
         self.tries.iter().map(|t| t.span.from_ms).min()
@@ -332,9 +346,7 @@
             self.history.without_holder.push(span);
         }
         for job in self.history.jobs.values_mut() {
-            for run in &mut job.runs {
-                run.ran.to_ms = run.ran.to_ms.min(whole.to_ms);
-            }
+            job.close_runs(whole.to_ms);
         }
         self.history.end_ms = whole.to_ms;
         self.history
--- a/crates/dewspar-cli/tests/delays.rs
+++ b/crates/dewspar-cli/tests/delays.rs
@@ -118,6 +118,25 @@
     assert_eq!(delays.jobs()[1].main_cause(), Some(Cause::Again));
 }
 
+#[test]
+fn a_run_whose_end_nobody_logged_ends_with_its_job() {
+    let mut logs = Logs::default();
+    logs.tried("a", 1_000, "accepted");
+    logs.taken_in("a", 1_010);
+    logs.line(
+        1_020,
+        r#""msg":"task: started","job":"a","task":"a.0.0.0","run":1,"cpu_millis":2000"#,
+    );
+    logs.line(
+        1_020,
+        r#""msg":"vms: listed","pools":"{}","vm_cpu_millis":1000"#,
+    );
+    logs.over("a", 2_020);
+    logs.tried("z", 9_000, "accepted");
+    // Two VMs' worth for a second.
+    assert!(logs.read().to_text().contains("0                2     0.00"));
+}
+
 #[test]
 fn who_could_not_be_served_is_told_from_who_was_not() {
     let mut logs = Logs::default();
