--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -112,13 +112,6 @@
     pub window_ms: u64,
     /// The shortest time over which arrivals are counted, in milliseconds.
     pub least_window_ms: u64,
-    /// Whether estimates are corrected by what tasks took.
-    pub corrects_estimates: bool,
-    /// Whether jobs that came shortly before a takeover count as arrivals.
-    pub counts_inherited: bool,
-    /// Whether what runs and waits now is followed to its end; else jobs
-    /// that came of late count with all their work at once.
-    pub projects: bool,
     /// How far ahead is looked, in milliseconds.
     pub ahead_ms: u64,
 }
@@ -132,9 +125,6 @@
             window_ms: 1_000,
             // A first few jobs close together aren't a flow yet.
             least_window_ms: 400,
-            corrects_estimates: true,
-            counts_inherited: true,
-            projects: true,
             // As long as a VM takes to come.
             ahead_ms: 2_000,
         }
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -4,8 +4,8 @@
 A VM that is ordered now comes in some 2 s. What a pool needs then is not what
 runs now: much of that is over by then, and steps that wait for others will
 have begun. Both follow from the jobs that are there. Each task is taken to
-last as long as its estimate says, corrected by what tasks of its pool took;
-each step begins when the last step that it waits for is over.
+last as long as its estimate says, and each step to begin when the last step
+that it waits for is over.
 
 Tasks that wait for room are left out here: they count as waiting, in full.
 */
@@ -66,10 +66,8 @@
                 if spec.long_running {
                     continue;
                 }
-                let lasts_ms =
-                    self.corrected(&job.terms.pool, spec.estimate_ms);
                 let ran_ms = now.steady_ms.saturating_sub(run.since_ms);
-                let left_ms = lasts_ms.saturating_sub(ran_ms);
+                let left_ms = spec.estimate_ms.saturating_sub(ran_ms);
                 let key = (task.job, task.round, task.step);
                 let step = left.entry(key).or_default();
                 step.left_ms = step.left_ms.max(left_ms);
@@ -100,8 +98,7 @@
                 let spec = &job.spec.steps[step as usize];
                 let begins_ms =
                     begins_ms(&job.spec, step as usize, &ends).max(due_in_ms);
-                let lasts_ms =
-                    self.corrected(&job.terms.pool, spec.estimate_ms);
+                let lasts_ms = spec.estimate_ms;
                 let going = runs.get(&(id, round, step)).copied();
                 let going = going.unwrap_or_default();
                 let ready =
@@ -131,12 +128,7 @@
     /// Returns what a job will use within `ahead_ms` of its coming, in
     /// thousandths of a core times milliseconds; what runs for long, falls
     /// due later or fits nowhere isn't counted.
-    pub(super) fn first_work(
-        &self,
-        pool: &str,
-        spec: &JobSpec,
-        ahead_ms: u64,
-    ) -> u64 {
+    pub(super) fn first_work(&self, spec: &JobSpec, ahead_ms: u64) -> u64 {
         if spec.repeat.is_some() {
             return 0;
         }
@@ -144,7 +136,7 @@
         let mut work = 0;
         for (step, step_spec) in spec.steps.iter().enumerate() {
             let begins_ms = begins_ms(spec, step, &ends);
-            let lasts_ms = self.corrected(pool, step_spec.estimate_ms);
+            let lasts_ms = step_spec.estimate_ms;
             ends.push(begins_ms + lasts_ms);
             if step_spec.long_running || !self.fits_somewhere(step_spec) {
                 continue;
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -97,11 +97,8 @@
         let task = end.task;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let here = worker.runs.get(&task).is_some_and(|r| r.run == end.run);
-        if here
-            && let Some(run) = worker.remove(&task, now.steady_ms)
-            && end.cause == EndCause::Done
-        {
-            self.note_duration(&task, &run, now);
+        if here {
+            worker.remove(&task, now.steady_ms);
         }
         let Some(job) = self.jobs.get_mut(&task.job) else {
             // Of a job that is over and stored: nothing more to store.
@@ -132,19 +129,6 @@
         self.finish_if_over(&task, failures, now);
     }
 
-    /// Learns from a run that was seen from its start to its end.
-    fn note_duration(&mut self, task: &TaskId, run: &Run, now: Now) {
-        let Some(job) = self.jobs.get(&task.job) else { return };
-        let Some(spec) = job.step_spec(task) else { return };
-        if run.fence == 0 || spec.long_running {
-            return;
-        }
-        let estimate_ms = spec.estimate_ms;
-        let pool = job.terms.pool.clone();
-        let took_ms = now.steady_ms.saturating_sub(run.since_ms);
-        self.learn_duration(&pool, estimate_ms, took_ms);
-    }
-
     /// Queues an end to be acknowledged once its change is stored.
     fn acknowledge(
         &mut self,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -70,7 +70,7 @@
     pub(super) vms_asked_ms: u64,
     /// When the pools' sizes were last looked at.
     pub(super) sized_ms: u64,
-    /// Jobs that aren't counted as arrivals yet.
+    /// Jobs accepted under this lease that aren't counted as arrivals yet.
     pub(super) new_jobs: Vec<JobId>,
     /// The jobs that came to each pool of late.
     pub(super) arrivals: BTreeMap<String, Arrivals>,
@@ -180,7 +180,9 @@
         if let Some(progress) = progress {
             job.restore(progress);
         }
-        self.new_jobs.push(id);
+        if revision > self.lease_revision {
+            self.new_jobs.push(id);
+        }
         self.jobs.insert(id, job);
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -157,9 +157,8 @@
 
     /// Looks at what the pools will be asked for.
     fn project_pools(&mut self, now: Now) {
-        let Forecast { enabled, projects, ahead_ms, .. } =
-            self.options.policy.forecast;
-        if enabled && projects {
+        let Forecast { enabled, ahead_ms, .. } = self.options.policy.forecast;
+        if enabled {
             self.projected = self.project(now, ahead_ms);
             self.measure_pools(now);
         }
