--- a/crates/dewspar-cli/src/commands/experiment/capacity.rs
+++ b/crates/dewspar-cli/src/commands/experiment/capacity.rs
@@ -8,6 +8,7 @@
 */
 
 use {
+    self::figures::{Cost, Lines, Total, head, print_lines, row, target},
     super::{
         Aims,
         cost::{Line, resident_bytes, threads_time},
@@ -32,29 +33,7 @@
     },
 };
 
-/// The size that decides the design; see `docs/CAPACITY.md`.
-mod target {
-    /// Workers, each on a VM of its own.
-    pub(super) const WORKERS: f64 = 580.0;
-    /// Pools.
-    pub(super) const POOLS: f64 = 391.0;
-    /// Entry VMs, in today's proportion of 6 to 50 workers.
-    pub(super) const NODES: f64 = 70.0;
-    /// Changes of configuration, each second.
-    pub(super) const CHANGES: f64 = 430.0 / 86_400.0;
-    /// Filings, each second: ten for each runner.
-    pub(super) const FILINGS: f64 = 5_800.0;
-    /// Processor time for control, in hundredths of a core.
-    pub(super) const CPU_PERCENT: f64 = 1.7;
-    /// Memory for control, in megabytes.
-    pub(super) const MEMORY_MB: f64 = 32.0;
-    /// Bytes for control, each second.
-    pub(super) const BYTES: f64 = 8.0 * 1024.0;
-    /// The platform's writes each second ("a few hundred").
-    pub(super) const WRITES: f64 = 300.0;
-    /// The platform's reads each second.
-    pub(super) const READS: f64 = 2_000.0;
-}
+mod figures;
 
 /// How long the fleet may take to come up.
 const START_LIMIT: Duration = Duration::from_secs(60);
@@ -79,46 +58,6 @@
     Requests,
 }
 
-/// What a second cost one node, on the average of all nodes.
-#[derive(Clone, Copy, Debug, Default)]
-struct Cost {
-    cpu_percent: f64,
-    peer_bytes: f64,
-    platform_bytes: f64,
-    reads: f64,
-    writes: f64,
-}
-
-impl Cost {
-    fn bytes(&self) -> f64 {
-        self.peer_bytes + self.platform_bytes
-    }
-}
-
-/// The lines of each cost over a size.
-struct Lines {
-    cpu_percent: Line,
-    bytes: Line,
-    reads: Line,
-    writes: Line,
-}
-
-impl Lines {
-    fn through(points: &[(f64, Cost)]) -> Lines {
-        let line = |figure: fn(&Cost) -> f64| {
-            let points: Vec<(f64, f64)> =
-                points.iter().map(|(x, c)| (*x, figure(c))).collect();
-            Line::through(&points)
-        };
-        Lines {
-            cpu_percent: line(|c| c.cpu_percent),
-            bytes: line(Cost::bytes),
-            reads: line(|c| c.reads),
-            writes: line(|c| c.writes),
-        }
-    }
-}
-
 impl Capacity {
     /// Runs the experiment.
     ///
@@ -441,47 +380,6 @@
     }
 }
 
-/// What control costs a node at the target's size, all roles together.
-#[derive(Debug, Default)]
-struct Total {
-    cpu_percent: f64,
-    bytes: f64,
-    memory_bytes: f64,
-    reads: f64,
-    writes: f64,
-}
-
-impl Total {
-    fn hold(&self, aims: &mut Aims) {
-        let memory_mb = self.memory_bytes / 1e6;
-        aims.hold(
-            "control takes at most 1.7 % of a core a node",
-            self.cpu_percent <= target::CPU_PERCENT,
-            &format!("{:.2} %", self.cpu_percent),
-        );
-        aims.hold(
-            "control takes at most 32 MB a node",
-            memory_mb <= target::MEMORY_MB,
-            &format!("{memory_mb:.1} MB"),
-        );
-        aims.hold(
-            "control takes at most 8 KB/s a node",
-            self.bytes <= target::BYTES,
-            &format!("{:.0} B/s", self.bytes),
-        );
-        aims.hold(
-            "the platform's reads stay under 2,000/s",
-            self.reads <= target::READS,
-            &format!("{:.0}/s", self.reads),
-        );
-        aims.hold(
-            "the platform's writes stay under a few hundred/s",
-            self.writes <= target::WRITES,
-            &format!("{:.0}/s, filings apart", self.writes),
-        );
-    }
-}
-
 async fn start(
     plan: &Plan,
     nodes: usize,
@@ -563,36 +461,3 @@
     }
     times
 }
-
-fn head(size: &str) {
-    println!(
-        "  {size:>9} {:>10} {:>12} {:>14} {:>9} {:>9}",
-        "% of core", "peer B/s", "platform B/s", "reads/s", "writes/s",
-    );
-}
-
-fn row(size: f64, cost: &Cost) {
-    println!(
-        "  {size:>9} {:>10.3} {:>12.0} {:>14.0} {:>9.2} {:>9.2}",
-        cost.cpu_percent,
-        cost.peer_bytes,
-        cost.platform_bytes,
-        cost.reads,
-        cost.writes,
-    );
-}
-
-fn print_lines(unit: &str, lines: &Lines, size: f64) {
-    println!(
-        "  slope for each {unit}: {:.4} % of a core, {:.2} B/s",
-        lines.cpu_percent.slope, lines.bytes.slope,
-    );
-    println!(
-        "  at {size}: {:.3} % of a core, {:.0} B/s, {:.2} reads/s and {:.2} \
-         writes/s a node",
-        lines.cpu_percent.at(size),
-        lines.bytes.at(size),
-        lines.reads.at(size),
-        lines.writes.at(size),
-    );
-}
