Pass over lists of VMs that can't be read in job delays

A pool text that wasn't JSON counted as pools without VMs, so the VM-seconds held came out too low without a word. Test seen to fail with the old reading (2 instead of 4 VM-seconds). The sum of no runs printed as -0; now 0.

--- a/crates/dewspar-cli/src/delays/history.rs
+++ b/crates/dewspar-cli/src/delays/history.rs
@@ -199,7 +199,7 @@
             .map(|(sizes, to_ms)| {
                 sizes.held as f64 * (to_ms - sizes.at_ms) as f64 / 1_000.0
             })
-            .sum()
+            .fold(0.0, |sum, held_vm_s| sum + held_vm_s)
     }
 
     /// Returns how many VM-seconds the runs would fill without a gap.
@@ -210,7 +210,8 @@
                 let ran_ms = (run.ran.to_ms - run.ran.from_ms) as f64;
                 run.cpu_millis as f64 * ran_ms / 1_000.0
             })
-            .sum();
+            // From 0.0: the sum of no floats is -0.0.
+            .fold(0.0, |sum, work| sum + work);
         work / self.vm_cpu_millis.max(1) as f64
     }
 }
@@ -319,10 +320,20 @@
 
     fn take_pools(&mut self, at_ms: Ms, line: &Line) {
         type Lives = BTreeMap<String, u64>;
-        let pools = serde_json::from_str(line.text("pools"));
-        let pools: BTreeMap<String, Lives> = pools.unwrap_or_default();
-        let free = serde_json::from_str(line.text("free_pools"));
-        let free: Option<Vec<String>> = free.unwrap_or_default();
+        // Passed over like any line that can't be read: a pool without VMs
+        // would count as one that costs nothing.
+        let Ok(pools) = serde_json::from_str::<BTreeMap<String, Lives>>(
+            line.text("pools"),
+        ) else {
+            return;
+        };
+        let free = match line.text("free_pools") {
+            "" => None,
+            text => match serde_json::from_str::<Option<Vec<String>>>(text) {
+                Ok(free) => free,
+                Err(_) => return,
+            },
+        };
         let free = free.unwrap_or_default();
         let history = &mut self.history;
         history.vm_cpu_millis =
--- a/crates/dewspar-cli/tests/delays.rs
+++ b/crates/dewspar-cli/tests/delays.rs
@@ -137,6 +137,21 @@
     assert!(logs.read().to_text().contains("0                2     0.00"));
 }
 
+#[test]
+fn a_list_of_vms_that_cannot_be_read_changes_nothing() {
+    let mut logs = Logs::default();
+    logs.tried("a", 1_000, "accepted");
+    let listed = |pools: &str| {
+        format!(r#""msg":"vms: listed","pools":"{pools}","vm_cpu_millis":1"#)
+    };
+    logs.line(1_000, &listed(r#"{\"tills\":{\"up\":2}}"#));
+    logs.line(2_000, &listed("{tills"));
+    logs.tried("z", 3_000, "accepted");
+    // Two VMs for two seconds.
+    let text = logs.read().to_text();
+    assert!(text.contains("4                0 "), "{text}");
+}
+
 #[test]
 fn who_could_not_be_served_is_told_from_who_was_not() {
     let mut logs = Logs::default();
