Log counts of waiting jobs, their age, and which of them nobody confirmed

Cause: no log told which count a node gave, whose it was or how old, so the hypotheses of the incident couldn't be told apart. Before: `call: answered` named the question and nothing else. After: the holder logs each count that it writes, with the jobs that count as started though no worker has said so; nodes log the counts they read, with version and age; the first word of a worker on a job is a line of its own. No decision changes.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -31,6 +31,7 @@
                     known.moved_ms = now.steady_ms;
                 }
                 worker.read_clock(clock_ms, now.steady_ms);
+                self.note_begun(task.job, now);
                 return;
             }
             Err(error) => error,
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -267,6 +267,14 @@
         /// What it takes, in thousandths of a core.
         cpu_millis: u64,
     },
+    /// A worker has said that a run of a job began, for the first time under
+    /// this lease.
+    Begun {
+        /// The job.
+        job: JobId,
+        /// How long after it was accepted, in milliseconds.
+        after_ms: u64,
+    },
     /// A worker listed an end.
     Ended {
         /// The task.
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -106,6 +106,7 @@
             return;
         };
         let failures = note_end(job, worker_id, end);
+        self.note_begun(task.job, now);
         self.note(Decision::Ended {
             task,
             run: end.run,
@@ -245,6 +246,7 @@
                 task.checkpoint.clone_from(&active.checkpoint);
             }
         }
+        self.note_begun(active.task.job, now);
         let found = self.judge(worker_id, active);
         // A former holder may have slowed it down: it is let go step by step.
         let best_effort =
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -203,6 +203,18 @@
         pending
     }
 
+    /// Returns each queue's number of jobs that count as started though no
+    /// worker has said so.
+    pub fn unconfirmed(&self) -> BTreeMap<String, u64> {
+        let mut unconfirmed = BTreeMap::new();
+        for job in self.jobs.values() {
+            if job.phase == Phase::Running && !job.begun {
+                *unconfirmed.entry(job.spec.queue.clone()).or_insert(0) += 1;
+            }
+        }
+        unconfirmed
+    }
+
     /// Returns a job's phase, unless it is unknown or over for long.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         self.jobs.get(&id).map(|job| job.phase)
@@ -223,6 +235,17 @@
         actions
     }
 
+    /// Notes that a worker has said that a run of a job began.
+    pub(super) fn note_begun(&mut self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.begun {
+            return;
+        }
+        job.begun = true;
+        let after_ms = now.unix_ms.saturating_sub(job.accepted_at_ms);
+        self.note(Decision::Begun { job: id, after_ms });
+    }
+
     /// Ends a job, and stops what still runs of it.
     pub(super) fn finish(&mut self, id: JobId, phase: Phase, now: Now) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -19,6 +19,9 @@
             metrics::histogram!(counters::TASK_WAIT)
                 .record(*waited_ms as f64 / 1_000.0);
         }
+        Decision::Begun { job, after_ms } => {
+            info!(log, "job: begun"; "job" => %job, "after_ms" => after_ms);
+        }
         Decision::Ended { task, run, worker, cause, failures } => {
             info!(log, "task: ended"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "cause" => cause.name(),
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -212,10 +212,15 @@
             JobOperation::List => ("list", None),
         };
         let outcome = outcome_name(reply);
+        let count = match reply {
+            JobReply::Pending(count) => Some(*count),
+            _ => None,
+        };
         info!(self.log, "call: answered"; "operation" => operation,
             "job" => id.map(JobId::to_string), "queue" => &call.queue,
             "version" => queues.version(), "config_age_ms" => reading.age_ms(),
             "deadline_ms" => call.deadline_ms, "outcome" => outcome,
+            "count" => count,
             "took_ms" => took.as_millis() as u64);
         counters::count_by(counters::JOB_CALLS, "outcome", outcome);
         histogram!(counters::JOB_CALL_TIME).record(took.as_secs_f64());
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -178,7 +178,7 @@
 }
 
 /// Writes a list or table as JSON, for logs that programs read.
-fn json<T: Serialize>(value: &T) -> String {
+pub(super) fn json<T: Serialize>(value: &T) -> String {
     // OK because these hold only texts and numbers.
     serde_json::to_string(value).expect("plain JSON")
 }
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -16,7 +16,9 @@
         job::{JobId, Phase, Progress},
         schedule::AcceptedJob,
     },
-    dewspar_platform::{JobProtocol, JobReply, KeyValue, ListedJob},
+    dewspar_platform::{
+        JobProtocol, JobReply, KeyValue, ListedJob, Versioned,
+    },
     slog::info,
     std::collections::BTreeMap,
     tokio::time::{Instant, timeout_at},
@@ -30,6 +32,10 @@
 pub(super) struct PendingCounts {
     counts: BTreeMap<String, u64>,
     read_ms: u64,
+    /// The store's version of the counts; 0 where there were none.
+    version: u64,
+    /// When that version was first read.
+    changed_ms: u64,
 }
 
 impl<K: KeyValue, P: JobProtocol> Front<K, P> {
@@ -81,13 +87,24 @@
         };
         let now_ms = clock::now_ms();
         if now_ms >= pending.read_ms + PENDING_AGE_MS {
-            let value = match self.read(keys::PENDING, deadline).await {
-                Ok(value) => value.unwrap_or_else(|| b"{}".to_vec()),
+            let found = match self.find(keys::PENDING, deadline).await {
+                Ok(found) => found,
                 Err(reply) => return reply,
             };
+            let version = found.as_ref().map_or(0, |found| found.version);
+            if version != pending.version {
+                pending.version = version;
+                pending.changed_ms = now_ms;
+            }
+            let value = found.map_or_else(|| b"{}".to_vec(), |f| f.value);
+            info!(self.log, "call: counts of waiting jobs read";
+                "counts" => String::from_utf8_lossy(&value).as_ref(),
+                "store_version" => version,
+                "unchanged_ms" => now_ms - pending.changed_ms);
             match serde_json::from_slice(&value) {
                 Ok(counts) => {
-                    *pending = PendingCounts { counts, read_ms: now_ms };
+                    pending.counts = counts;
+                    pending.read_ms = now_ms;
                 }
                 Err(error) => {
                     info!(self.log, "call: stored counts can't be read";
@@ -142,18 +159,27 @@
         JobReply::Jobs(open.collect())
     }
 
-    /// Reads a key, again if need be, until the deadline.
+    /// Reads a key's value, again if need be, until the deadline.
     async fn read(
         &self,
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Vec<u8>>, JobReply> {
+        Ok(self.find(key, deadline).await?.map(|found| found.value))
+    }
+
+    /// Reads a key, again if need be, until the deadline.
+    async fn find(
+        &self,
+        key: &str,
+        deadline: Instant,
+    ) -> Result<Option<Versioned>, JobReply> {
         let mut backoff = Backoff::default();
         loop {
             match timeout_at(deadline, self.store.get(key)).await {
                 Ok(Ok(found)) => {
                     self.gate.heard();
-                    return Ok(found.map(|found| found.value));
+                    return Ok(found);
                 }
                 Ok(Err(error)) => counters::platform_failure(&error),
                 Err(_) => {}
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -4,11 +4,15 @@
 */
 
 use {
-    super::{duties, holder::Holder, keys},
+    super::{
+        duties,
+        holder::{Holder, json},
+        keys,
+    },
     crate::counters,
     dewspar::schedule::Now,
     dewspar_platform::{Batch, Expected, Fleet, JobWorkers, KeyValue},
-    slog::warn,
+    slog::{info, warn},
 };
 
 /// How often the counts of waiting jobs are written, if they have changed,
@@ -46,6 +50,11 @@
         }
         self.pending_written_ms = now.steady_ms;
         self.pending = pending;
+        let unconfirmed = self.scheduler.unconfirmed();
+        info!(self.candidate.log, "holder: waiting jobs counted";
+            "counts" => json(&self.pending),
+            "unconfirmed" => json(&unconfirmed),
+            "lease_revision" => self.held.revision);
         // OK because texts and numbers can always be written.
         let value = serde_json::to_vec(&self.pending).expect("plain JSON");
         let batch = Batch::default()
