Reproduce the wrong count and the overloaded takeover in tests, red

Cause of the first: `start` sets a job's phase to running when the order goes out; nothing takes that back when the order comes to nothing, and the stored phase tells the next holder the same. Cause of the second: a new holder sends an order for every task that has room, whatever the node can carry out.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -4,5 +4,7 @@
 mod placing;
 mod pools;
 mod runs;
+mod takeover;
+mod waiting;
 mod waves;
 mod world;
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -7,7 +7,7 @@
         job::{Queue, QueueSet},
         schedule::{QueueTerms, WaveRequest},
     },
-    dewspar_platform::{KeyValue, empty_request, json_request},
+    dewspar_platform::{Expected, KeyValue, empty_request, json_request},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
@@ -371,6 +371,35 @@
     .await;
 }
 
+#[tokio::test]
+async fn waiting_jobs_are_counted_though_no_holder_counts_them() {
+    let mut cluster = Cluster::start(0).await;
+    // A holder that neither schedules nor counts, and never ends.
+    let owner = json!({ "node": "other", "incarnation": 1 }).to_string();
+    let put = async |key: &str, value: &str| {
+        let written =
+            cluster.store.swap(key, Expected::Any, value.as_bytes(), None);
+        written.await.expect("a store");
+    };
+    put("q/owner", &owner).await;
+    let node = cluster.node("node-0").await;
+    cluster.nodes.push(node);
+    submitted(&cluster, 0, 1).await;
+    let counted = async |waiting: u64| {
+        let path = "/v1/queues/extracts";
+        let (status, body) = cluster.call(0, Method::GET, path, None).await;
+        status == StatusCode::OK && body["pending"] == waiting
+    };
+    until(async || counted(1).await).await;
+    // What a holder wrote that is gone.
+    put("pending", "{}").await;
+    submitted(&cluster, 0, 2).await;
+    until(async || counted(2).await).await;
+    put("pending", "no JSON").await;
+    submitted(&cluster, 0, 3).await;
+    until(async || counted(3).await).await;
+}
+
 #[tokio::test]
 async fn lists_the_jobs_of_a_queue_that_are_not_over() {
     let cluster = Cluster::start(2).await;
