A job begins when a worker says so, not when its start is ordered

Cause: the phase `running` was set as an order went out, so a job whose starts were all refused, lost or never sent counted as begun, for this holder and, by the stored phase, for the next. Ruled out: an old or foreign count.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -6,10 +6,10 @@
 )]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
-    /// Accepted; none of its tasks has started.
+    /// Accepted; no worker has said that a task began.
     #[default]
     Queued,
-    /// At least one task has started.
+    /// A worker has said that a task began.
     Running,
     /// Every task has ended well.
     Completed,
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -16,8 +16,6 @@
     pub(crate) revision: u64,
     pub(crate) accepted_at_ms: u64,
     pub(crate) phase: Phase,
-    /// Whether a worker has said that a run of it began.
-    pub(crate) begun: bool,
     pub(crate) finished_at_ms: u64,
     pub(crate) rounds: Vec<Vec<Step>>,
     /// The newest change that is in the store.
@@ -66,7 +64,6 @@
             revision,
             accepted_at_ms,
             phase: Phase::Queued,
-            begun: false,
             finished_at_ms: 0,
             stored_sequence: 0,
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -267,8 +267,7 @@
         /// What it takes, in thousandths of a core.
         cpu_millis: u64,
     },
-    /// A worker has said that a run of a job began, for the first time under
-    /// this lease.
+    /// A worker has said that a run of a job began, the first that is known.
     Begun {
         /// The job.
         job: JobId,
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -9,7 +9,7 @@
 
 use {
     crate::{
-        job::{JobId, Phase, StepSpec, TaskId},
+        job::{JobId, StepSpec, TaskId},
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             board::demand,
@@ -448,10 +448,6 @@
             },
         );
         let job = self.jobs.get_mut(&task.job)?;
-        let begun = job.phase == Phase::Queued;
-        if begun {
-            job.phase = Phase::Running;
-        }
         let payload = job.payload.clone();
         let step = job.step_mut(task)?;
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
@@ -460,9 +456,6 @@
         state.run = run;
         state.on.push(worker_id.clone());
         let checkpoint = state.checkpoint.clone();
-        if begun {
-            self.mark_changed(task.job);
-        }
         self.note(Decision::Started {
             task: *task,
             run,
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -306,19 +306,12 @@
     fn adopt(&mut self, worker_id: &WorkerId, active: &ActiveRun) {
         let id = active.task;
         let Some(job) = self.jobs.get_mut(&id.job) else { return };
-        let begun = job.phase == Phase::Queued;
-        if begun {
-            job.phase = Phase::Running;
-        }
         if let Some(step) = job.step_mut(&id) {
             step.waiting.remove(&id.index);
             if let Some(task) = step.tasks.get_mut(id.index as usize) {
                 task.on.push(worker_id.clone());
             }
         }
-        if begun {
-            self.mark_changed(id.job);
-        }
         self.note(Decision::Adopted {
             task: id,
             run: active.run,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -191,7 +191,8 @@
         self.finish(id, Phase::Cancelled, now);
     }
 
-    /// Returns each queue's number of jobs none of whose tasks has started.
+    /// Returns each queue's number of jobs none of whose tasks is known to
+    /// have begun; a start that was only ordered is none.
     pub fn pending(&self, unix_ms: u64) -> BTreeMap<String, u64> {
         let mut pending = BTreeMap::new();
         for job in self.jobs.values() {
@@ -203,12 +204,13 @@
         pending
     }
 
-    /// Returns each queue's number of jobs that count as started though no
-    /// worker has said so.
+    /// Returns each queue's number of waiting jobs of which a start is under
+    /// way that no worker has confirmed.
     pub fn unconfirmed(&self) -> BTreeMap<String, u64> {
         let mut unconfirmed = BTreeMap::new();
-        for job in self.jobs.values() {
-            if job.phase == Phase::Running && !job.begun {
+        for (id, job) in &self.jobs {
+            let ordered = job.placed(*id).next().is_some();
+            if job.phase == Phase::Queued && ordered {
                 *unconfirmed.entry(job.spec.queue.clone()).or_insert(0) += 1;
             }
         }
@@ -236,13 +238,17 @@
     }
 
     /// Notes that a worker has said that a run of a job began.
+    ///
+    /// Nothing else makes a job run: an order to start may be refused, may
+    /// never arrive, and its sender may be gone before it knows.
     pub(super) fn note_begun(&mut self, id: JobId, now: Now) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.begun {
+        if job.phase != Phase::Queued {
             return;
         }
-        job.begun = true;
+        job.phase = Phase::Running;
         let after_ms = now.unix_ms.saturating_sub(job.accepted_at_ms);
+        self.mark_changed(id);
         self.note(Decision::Begun { job: id, after_ms });
     }
 
