Breaker: any answer ends a wait, and each failed probe is counted

Cause: only the probe's own end woke the jobs that wait at the gate. When another write or read was answered first, the breaker closed and the jobs went on waiting, for up to the probe's second. The first failed probe of an outage was counted as an outage only, not as a failure of the platform. Found with the same reading: a probe given up after another answer had closed the breaker was logged and counted as an outage, though no job was refused.

The breaker now returns what an answer or a probe changed; the gate wakes whoever waits on every change, and counts an outage only when new calls are refused from then on. `store: out` carries suspect_for_ms in place of probed_for_ms; out_for_ms of `store: answers again` counts from the first suspicion. The gate is a public module so that its tests lie with the others.

Ruled out: waking on every answer, which takes the lock of those who wait for each call though almost none changes anything.

The breaker's two new tests fail if the answer that clears a suspicion isn't told.

--- a/crates/dewspar/src/breaker.rs
+++ b/crates/dewspar/src/breaker.rs
@@ -11,7 +11,9 @@
 service *suspect*: one harmless call probes it, and new calls wait for the
 verdict. If the probe is answered the failure was a single call's own; if not,
 the service counts as *out*, and new calls are refused at once until a later
-probe is answered.
+probe is answered. Any other answer says as much as a probe's, so whatever is
+told to a breaker may decide what becomes of the calls that wait: the
+[`Change`] that it returns says so.
 
 | state | new calls | probes |
 |---|---|---|
@@ -22,7 +24,7 @@
 # Example
 
 ```
-use dewspar::breaker::{Admission, Breaker};
+use dewspar::breaker::{Admission, Breaker, Change};
 
 // Silence of 400 ms is too long.
 let mut breaker = Breaker::new(400);
@@ -31,10 +33,10 @@
 breaker.failed(1_010);
 assert_eq!(breaker.admit(1_011), Admission::Wait);
 assert!(breaker.take_probe(1_011));
-breaker.probed(false, 1_020);
+assert_eq!(breaker.probed(false, 1_020), Change::Out { suspect_for_ms: 10 });
 assert_eq!(breaker.admit(1_021), Admission::Refuse { out_for_ms: 11 });
 assert!(breaker.probes_again());
-breaker.probed(true, 1_125);
+assert_eq!(breaker.probed(true, 1_125), Change::Back { out_for_ms: 115 });
 assert_eq!(breaker.admit(1_126), Admission::Send);
 ```
 */
@@ -55,6 +57,25 @@
     },
 }
 
+/// What an answer or a probe changed for new calls.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Nothing.
+    Same,
+    /// Those that wait may be sent: the service was suspect for nothing.
+    Cleared,
+    /// New calls are sent again.
+    Back {
+        /// For how long the service was out, in milliseconds.
+        out_for_ms: u64,
+    },
+    /// New calls are refused from now on, and so are those that wait.
+    Out {
+        /// For how long it was suspect before, in milliseconds.
+        suspect_for_ms: u64,
+    },
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum State {
     Closed,
@@ -105,16 +126,22 @@
     }
 
     /// Notes that a call was answered, whatever the answer says.
-    pub fn answered(&mut self, now_ms: u64) {
+    pub fn answered(&mut self, now_ms: u64) -> Change {
         self.waiting.pop_front();
-        self.heard(now_ms);
+        self.heard(now_ms)
     }
 
     /// Notes that something else was answered, such as a call that nobody
     /// noted as sent.
-    pub fn heard(&mut self, now_ms: u64) {
+    pub fn heard(&mut self, now_ms: u64) -> Change {
         self.answered_ms = now_ms;
-        self.state = State::Closed;
+        match std::mem::replace(&mut self.state, State::Closed) {
+            State::Closed => Change::Same,
+            State::Suspect { .. } => Change::Cleared,
+            State::Out { since_ms } => {
+                Change::Back { out_for_ms: now_ms.saturating_sub(since_ms) }
+            }
+        }
     }
 
     /// Notes that a call got no result.
@@ -141,12 +168,17 @@
 
     /// Takes in whether a probe was answered; one that wasn't is followed by
     /// another while [`probes_again`](Breaker::probes_again) says so.
-    pub fn probed(&mut self, answered: bool, now_ms: u64) {
+    ///
+    /// One that wasn't says nothing if something else was answered meanwhile.
+    pub fn probed(&mut self, answered: bool, now_ms: u64) -> Change {
         if answered {
-            self.heard(now_ms);
-        } else if let State::Suspect { since_ms } = self.state {
-            self.state = State::Out { since_ms };
+            return self.heard(now_ms);
         }
+        let State::Suspect { since_ms } = self.state else {
+            return Change::Same;
+        };
+        self.state = State::Out { since_ms };
+        Change::Out { suspect_for_ms: now_ms.saturating_sub(since_ms) }
     }
 
     /// Returns whether another probe is to follow; if not, probing is over.
--- a/crates/dewspar/tests/breaker.rs
+++ b/crates/dewspar/tests/breaker.rs
@@ -1,7 +1,7 @@
 //! Whether a service that has stopped answering is sent more.
 
 use {
-    dewspar::breaker::{Admission, Breaker},
+    dewspar::breaker::{Admission, Breaker, Change},
     quickcheck::{Arbitrary, Gen, QuickCheck},
 };
 
@@ -56,6 +56,20 @@
     assert!(!breaker.probes_again());
 }
 
+#[test]
+fn an_answer_says_as_much_as_a_probe() {
+    let mut breaker = Breaker::new(SILENCE_MS);
+    breaker.sent(0);
+    breaker.failed(10);
+    assert!(breaker.take_probe(10));
+    assert_eq!(breaker.heard(20), Change::Cleared);
+    assert_eq!(breaker.admit(20), Admission::Send);
+    // The probe was sent before, and is of no use any more.
+    assert_eq!(breaker.probed(false, 30), Change::Same);
+    assert_eq!(breaker.admit(30), Admission::Send);
+    assert!(!breaker.probes_again());
+}
+
 /// What may happen to a breaker.
 #[derive(Clone, Copy, Debug)]
 enum Step {
@@ -141,6 +155,58 @@
     true
 }
 
+/// Whoever waits is told of whatever ends the wait, and of nothing else.
+fn tells_whoever_waits(steps: Vec<Step>) -> bool {
+    let mut breaker = Breaker::new(SILENCE_MS);
+    let mut now_ms = 0;
+    steps.into_iter().all(|step| {
+        let before = breaker.admit(now_ms);
+        let change = match step {
+            Step::Answered => breaker.answered(now_ms),
+            Step::Probe(answered) => breaker.probed(answered, now_ms),
+            Step::Sent => {
+                breaker.sent(now_ms);
+                Change::Same
+            }
+            Step::Failed => {
+                breaker.failed(now_ms);
+                Change::Same
+            }
+            Step::Dropped => {
+                breaker.dropped(now_ms);
+                Change::Same
+            }
+            Step::Admit => Change::Same,
+            Step::Wait(ms) => {
+                now_ms += u64::from(ms);
+                Change::Same
+            }
+        };
+        let after = breaker.admit(now_ms);
+        match (before, change) {
+            (Admission::Wait, Change::Same) => after == Admission::Wait,
+            (Admission::Wait, Change::Cleared) => after == Admission::Send,
+            (Admission::Wait, Change::Out { .. }) => {
+                matches!(after, Admission::Refuse { .. })
+            }
+            (Admission::Wait, Change::Back { .. }) => false,
+            (Admission::Refuse { .. }, Change::Back { .. }) => {
+                after == Admission::Send
+            }
+            (Admission::Send | Admission::Refuse { .. }, change) => {
+                change == Change::Same
+            }
+        }
+    })
+}
+
+#[test]
+fn tells_of_whatever_ends_a_wait() {
+    QuickCheck::new()
+        .tests(2_000)
+        .quickcheck(tells_whoever_waits as fn(Vec<Step>) -> bool);
+}
+
 #[test]
 fn refuses_only_after_a_failed_probe() {
     QuickCheck::new()
--- a/crates/dewspard/src/jobs/gate.rs
+++ b/crates/dewspard/src/jobs/gate.rs
@@ -9,7 +9,7 @@
 use {
     super::{backoff::Backoff, keys},
     crate::{clock, counters},
-    dewspar::breaker::{Admission, Breaker},
+    dewspar::breaker::{Admission, Breaker, Change},
     dewspar_platform::{Error, KeyValue},
     slog::{Logger, info, warn},
     std::{
@@ -33,20 +33,21 @@
 
 /// The gate that new jobs pass; clones share it.
 #[derive(Clone)]
-pub(super) struct StoreGate<K> {
+pub struct StoreGate<K> {
     store: K,
     breaker: Arc<Mutex<Breaker>>,
-    /// Told of each verdict of a probe.
+    /// Told whenever the calls that wait may be sent or are refused.
     verdict: Arc<Notify>,
     log: Logger,
 }
 
 /// The store is out: nothing was sent.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct StoreOut;
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StoreOut;
 
 impl<K: KeyValue> StoreGate<K> {
-    pub(super) fn new(store: K, log: Logger) -> StoreGate<K> {
+    /// Makes a gate to a store that counts as answering.
+    pub fn new(store: K, log: Logger) -> StoreGate<K> {
         StoreGate {
             store,
             breaker: Arc::new(Mutex::new(Breaker::new(SILENCE_MS))),
@@ -55,12 +56,13 @@
         }
     }
 
-    /// Waits until a new call may be sent, at most for the verdict of the
-    /// probe that is under way.
-    pub(super) async fn admit(
-        &self,
-        deadline: Instant,
-    ) -> Result<(), StoreOut> {
+    /// Waits until a new call may be sent, at most until the probe that is
+    /// under way or any other call is answered, or the probe fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreOut`] when it may not be sent by the deadline.
+    pub async fn admit(&self, deadline: Instant) -> Result<(), StoreOut> {
         loop {
             let verdict = self.verdict.notified();
             let admission = self.breaker().admit(clock::now_ms());
@@ -81,19 +83,33 @@
     }
 
     /// Returns whether the store is known to be out.
-    pub(super) fn is_out(&self) -> bool {
+    pub fn is_out(&self) -> bool {
         self.breaker().is_out()
     }
 
     /// Notes that a call was sent, until its result is known.
-    pub(super) fn sent(&self) -> Sent<'_, K> {
+    pub fn sent(&self) -> Sent<'_, K> {
         self.breaker().sent(clock::now_ms());
         Sent { gate: self, noted: false }
     }
 
     /// Notes that some other call was answered.
-    pub(super) fn heard(&self) {
-        self.breaker().heard(clock::now_ms());
+    pub fn heard(&self) {
+        let change = self.breaker().heard(clock::now_ms());
+        self.tell(change);
+    }
+
+    /// Has the calls that wait ask again if they may be sent or are refused.
+    fn tell(&self, change: Change) {
+        match change {
+            Change::Same => return,
+            Change::Cleared | Change::Out { .. } => {}
+            Change::Back { out_for_ms } => {
+                info!(self.log, "store: answers again";
+                    "out_for_ms" => out_for_ms);
+            }
+        }
+        self.verdict.notify_waiters();
     }
 
     fn breaker(&self) -> MutexGuard<'_, Breaker> {
@@ -112,20 +128,15 @@
     }
 
     async fn probe_until_answered(&self) {
-        let began_ms = clock::now_ms();
         let mut backoff = Backoff::default();
         loop {
-            let was_out = self.is_out();
-            let reading = self.store.version(keys::OWNER);
-            let probed = timeout(PROBE_LIMIT, reading).await;
-            let probed = probed.unwrap_or_else(|_| {
-                let reason = format!("no answer in {PROBE_LIMIT:?}");
-                Err(Error::Lost { call: "probe", reason })
-            });
-            let now_ms = clock::now_ms();
-            self.breaker().probed(probed.is_ok(), now_ms);
-            self.verdict.notify_waiters();
-            self.record(was_out, &probed, now_ms - began_ms);
+            let probed = self.probe_once().await;
+            let change =
+                self.breaker().probed(probed.is_ok(), clock::now_ms());
+            if let Err(error) = &probed {
+                self.note_failure(error, change);
+            }
+            self.tell(change);
             if !self.breaker().probes_again() {
                 return;
             }
@@ -133,43 +144,42 @@
         }
     }
 
-    fn record(
-        &self,
-        was_out: bool,
-        probed: &Result<u64, Error>,
-        after_ms: u64,
-    ) {
-        match probed {
-            Ok(_) if was_out => {
-                info!(self.log, "store: answers again";
-                    "out_for_ms" => after_ms);
-            }
-            Ok(_) => {}
-            Err(error) if !was_out => {
-                counters::count(counters::STORE_OUTAGES);
-                warn!(self.log, "store: out, new jobs are refused";
-                    "error" => %error, "probed_for_ms" => after_ms);
-            }
-            Err(error) => counters::platform_failure(error),
+    async fn probe_once(&self) -> Result<u64, Error> {
+        let reading = self.store.version(keys::OWNER);
+        let probed = timeout(PROBE_LIMIT, reading).await;
+        probed.unwrap_or_else(|_| {
+            let reason = format!("no answer in {PROBE_LIMIT:?}");
+            Err(Error::Lost { call: "probe", reason })
+        })
+    }
+
+    /// Counts each failed probe, and logs the one that makes an outage.
+    fn note_failure(&self, error: &Error, change: Change) {
+        counters::platform_failure(error);
+        if let Change::Out { suspect_for_ms } = change {
+            counters::count(counters::STORE_OUTAGES);
+            warn!(self.log, "store: out, new jobs are refused";
+                "error" => %error, "suspect_for_ms" => suspect_for_ms);
         }
     }
 }
 
 /// A call that was sent and has no result yet.
-pub(super) struct Sent<'a, K: KeyValue> {
+pub struct Sent<'a, K: KeyValue> {
     gate: &'a StoreGate<K>,
     noted: bool,
 }
 
 impl<K: KeyValue> Sent<'_, K> {
     /// Notes that it was answered.
-    pub(super) fn answered(mut self) {
+    pub fn answered(mut self) {
         self.noted = true;
-        self.gate.breaker().answered(clock::now_ms());
+        let change = self.gate.breaker().answered(clock::now_ms());
+        self.gate.tell(change);
     }
 
     /// Notes that it got no result, and has the store probed.
-    pub(super) fn failed(mut self) {
+    pub fn failed(mut self) {
         self.noted = true;
         self.gate.breaker().failed(clock::now_ms());
         self.gate.probe();
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -42,7 +42,7 @@
 mod event;
 mod feeds;
 mod front;
-mod gate;
+pub mod gate;
 mod holder;
 mod intent;
 mod keys;
