--- a/crates/dewspar/src/once/journal.rs
+++ b/crates/dewspar/src/once/journal.rs
@@ -1,41 +1,21 @@
-use {
-    crate::{
-        once::{
-            Actor, CLOCK_SKEW_MS, Filing, Key, Outcome, RETENTION_MS,
-            SEAL_BYTES,
-        },
-        util::digest_hex,
-    },
-    displaydoc::Display,
-    serde::{Deserialize, Serialize},
-    std::collections::HashMap,
+/*!
+The state machine of one partition, without I/O.
+
+Entries wait until the write before theirs is answered, and then ride on the
+next one together. A ticket says which of them have become safe, and which
+another node's write has overtaken.
+*/
+
+use crate::once::{
+    Actor, CLOCK_SKEW_MS, Error, Filing, Key, Outcome, RETENTION_MS, Segment,
+    Standing, Write,
+    known::KnownKeys,
+    stored::{Entry, Head, decode, encode},
 };
 
 /// The most entries that one write carries.
 const MAX_BATCH: usize = 4_096;
 
-/// Why a stored journal couldn't be read.
-#[derive(Clone, Debug, Display, Eq, PartialEq)]
-#[non_exhaustive]
-pub enum Error {
-    /// journal partition {partition} can't be read: {reason}
-    Corrupt {
-        /// The partition.
-        partition: u32,
-        /// What the decoder said.
-        reason: String,
-    },
-}
-
-impl std::error::Error for Error {}
-
-/// One line of the journal.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-enum Entry {
-    Intent { filing: Filing, actor: Actor, at_ms: u64 },
-    Outcome { key: Key, actor: Actor, outcome: Outcome, at_ms: u64 },
-}
-
 /// A ticket for an entry that waits to be written.
 pub type Ticket = u64;
 
@@ -48,100 +28,6 @@
     Stands(Standing),
 }
 
-/// Why a key can't be run.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Standing {
-    /// This actor's intent waits to be written, and may not be.
-    Pending(Actor),
-    /// This actor's intent stands without an outcome.
-    Intended(Actor),
-    /// It has an outcome.
-    Settled(Outcome),
-    /// The key was used with another body.
-    OtherBody,
-    /// The key is older than the retention window.
-    TooOld,
-    /// The key's time lies in the future.
-    TooNew,
-}
-
-#[derive(Clone, Debug)]
-struct Known {
-    body_hash: u64,
-    state: State,
-    at_ms: u64,
-}
-
-#[derive(Clone, Debug)]
-enum State {
-    Intended(Actor),
-    Settled(Outcome),
-}
-
-impl State {
-    fn is_by(&self, actor: &Actor) -> bool {
-        matches!(self, State::Intended(by) if by == actor)
-    }
-}
-
-#[derive(Clone, Debug, Default, Deserialize, Serialize)]
-struct Head {
-    token: u64,
-    open: Vec<Entry>,
-    segments: Vec<Segment>,
-}
-
-/// An immutable run of sealed entries.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Segment {
-    name: String,
-    newest_ms: u64,
-}
-
-impl Segment {
-    /// Returns the segment's name, unique within its partition.
-    pub fn name(&self) -> &str {
-        &self.name
-    }
-}
-
-/// A write to make at the platform.
-#[derive(Clone, Debug)]
-pub struct Write {
-    token: u64,
-    expected_version: u64,
-    value: Vec<u8>,
-    sealed: Option<(Segment, Vec<u8>)>,
-    dropped: Vec<Segment>,
-}
-
-impl Write {
-    /// Returns the token that tells this write from all others.
-    pub fn token(&self) -> u64 {
-        self.token
-    }
-
-    /// Returns the version that the head must still have; 0 means absent.
-    pub fn expected_version(&self) -> u64 {
-        self.expected_version
-    }
-
-    /// Returns the head's new value.
-    pub fn value(&self) -> &[u8] {
-        &self.value
-    }
-
-    /// Returns the segment to store before the head is swapped.
-    pub fn sealed(&self) -> Option<(&Segment, &[u8])> {
-        self.sealed.as_ref().map(|(segment, body)| (segment, &body[..]))
-    }
-
-    /// Returns the segments to delete after the head was swapped.
-    pub fn dropped(&self) -> &[Segment] {
-        &self.dropped
-    }
-}
-
 /// A waiting entry that can't be written any more.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Overtaken {
@@ -170,7 +56,7 @@
     partition: u32,
     version: u64,
     head: Head,
-    known: HashMap<Key, Known>,
+    known: KnownKeys,
     waiting: Vec<Waiting>,
     in_flight: Option<InFlight>,
     next_ticket: Ticket,
@@ -190,7 +76,7 @@
             partition,
             version: 0,
             head: Head::default(),
-            known: HashMap::new(),
+            known: KnownKeys::default(),
             waiting: Vec::new(),
             in_flight: None,
             next_ticket: 1,
@@ -233,7 +119,7 @@
     ) -> Result<Vec<Segment>, Error> {
         let head = match value {
             None => Head::default(),
-            Some(value) => self.decode(value)?,
+            Some(value) => decode(self.partition, value)?,
         };
         let unread = head
             .segments
@@ -246,7 +132,7 @@
         self.version = version;
         self.in_flight = None;
         for entry in &entries {
-            self.learn(entry);
+            self.known.learn(entry);
         }
         Ok(unread)
     }
@@ -257,14 +143,14 @@
     ///
     /// Returns [`Error::Corrupt`] when the body isn't a segment's.
     pub fn load_segment(&mut self, body: &[u8]) -> Result<(), Error> {
-        let entries: Vec<Entry> = self.decode(body)?;
+        let entries: Vec<Entry> = decode(self.partition, body)?;
         for entry in &entries {
-            self.learn(entry);
+            self.known.learn(entry);
         }
         // What the head holds is newer than any segment.
         let open = self.head.open.clone();
         for entry in &open {
-            self.learn(entry);
+            self.known.learn(entry);
         }
         Ok(())
     }
@@ -283,7 +169,7 @@
         if key_ms > now_ms + CLOCK_SKEW_MS {
             return Admission::Stands(Standing::TooNew);
         }
-        if let Some(known) = self.standing(filing) {
+        if let Some(known) = self.known.standing(filing) {
             return Admission::Stands(known);
         }
         if let Some(actor) = self.queued_actor(filing.key) {
@@ -316,8 +202,8 @@
         let size = self.waiting.len().min(MAX_BATCH);
         let batch: Vec<Waiting> = self.waiting.drain(..size).collect();
         let mut head = self.head.clone();
-        let dropped = drop_old(&mut head.segments, now_ms);
-        let sealed = self.seal(&mut head);
+        let dropped = head.drop_old(now_ms);
+        let sealed = head.seal();
         head.open.extend(batch.iter().map(|waiting| waiting.entry.clone()));
         let token = self.next_token;
         self.next_token = self.next_token.wrapping_add(2);
@@ -337,7 +223,7 @@
         self.version = version;
         self.head = in_flight.head;
         for waiting in &in_flight.batch {
-            self.learn(&waiting.entry);
+            self.known.learn(&waiting.entry);
         }
         in_flight.batch.iter().map(|waiting| waiting.ticket).collect()
     }
@@ -365,7 +251,9 @@
     ) -> Result<Option<Vec<Ticket>>, Error> {
         let landed = match value {
             None => false,
-            Some(value) => self.decode::<Head>(value)?.token == token,
+            Some(value) => {
+                decode::<Head>(self.partition, value)?.token == token
+            }
         };
         Ok(landed.then(|| self.written(token, version)))
     }
@@ -380,7 +268,7 @@
         let mut overtaken = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
             let standing = match &waiting.entry {
-                Entry::Intent { filing, .. } => self.standing(filing),
+                Entry::Intent { filing, .. } => self.known.standing(filing),
                 Entry::Outcome { .. } => None,
             };
             match standing {
@@ -415,7 +303,7 @@
 
     /// Forgets keys that are past the retention window.
     pub fn forget_old(&mut self, now_ms: u64) {
-        self.known.retain(|_, known| !expired(known.at_ms, now_ms));
+        self.known.forget_old(now_ms);
     }
 
     fn queue(&mut self, entry: Entry) -> Ticket {
@@ -425,18 +313,6 @@
         ticket
     }
 
-    fn standing(&self, filing: &Filing) -> Option<Standing> {
-        let known = self.known.get(&filing.key)?;
-        if known.body_hash != filing.body_hash {
-            return Some(Standing::OtherBody);
-        }
-        match &known.state {
-            State::Settled(Outcome::NotRun) => None,
-            State::Settled(outcome) => Some(Standing::Settled(*outcome)),
-            State::Intended(actor) => Some(Standing::Intended(actor.clone())),
-        }
-    }
-
     fn queued_actor(&self, key: Key) -> Option<Actor> {
         let in_flight = self.in_flight.iter().flat_map(|f| &f.batch);
         in_flight.chain(&self.waiting).find_map(|w| match &w.entry {
@@ -447,24 +323,6 @@
         })
     }
 
-    fn learn(&mut self, entry: &Entry) {
-        match entry {
-            Entry::Intent { filing, actor, at_ms } => {
-                let state = State::Intended(actor.clone());
-                let body_hash = filing.body_hash;
-                let known = Known { body_hash, state, at_ms: *at_ms };
-                self.known.insert(filing.key, known);
-            }
-            Entry::Outcome { key, actor, outcome, .. } => {
-                if let Some(known) = self.known.get_mut(key)
-                    && known.state.is_by(actor)
-                {
-                    known.state = State::Settled(*outcome);
-                }
-            }
-        }
-    }
-
     fn take_in_flight(&mut self, token: u64) -> Option<InFlight> {
         match &self.in_flight {
             Some(in_flight) if in_flight.token == token => {
@@ -473,52 +331,4 @@
             _ => None,
         }
     }
-
-    fn seal(&self, head: &mut Head) -> Option<(Segment, Vec<u8>)> {
-        let body = encode(&head.open);
-        if body.len() < SEAL_BYTES {
-            return None;
-        }
-        let newest_ms = head.open.iter().map(Entry::at_ms).max().unwrap_or(0);
-        let segment = Segment { name: digest_hex(&body), newest_ms };
-        head.segments.push(segment.clone());
-        head.open.clear();
-        Some((segment, body))
-    }
-
-    fn decode<'a, T: Deserialize<'a>>(
-        &self,
-        bytes: &'a [u8],
-    ) -> Result<T, Error> {
-        postcard::from_bytes(bytes).map_err(|e| Error::Corrupt {
-            partition: self.partition,
-            reason: e.to_string(),
-        })
-    }
-}
-
-impl Entry {
-    fn at_ms(&self) -> u64 {
-        match self {
-            Entry::Intent { at_ms, .. } => *at_ms,
-            Entry::Outcome { at_ms, .. } => *at_ms,
-        }
-    }
-}
-
-fn encode<T: Serialize>(value: &T) -> Vec<u8> {
-    // OK because the types hold only numbers, strings and lists.
-    postcard::to_stdvec(value).expect("an entry is always encodable")
-}
-
-fn expired(at_ms: u64, now_ms: u64) -> bool {
-    at_ms + RETENTION_MS + 2 * CLOCK_SKEW_MS < now_ms
-}
-
-fn drop_old(segments: &mut Vec<Segment>, now_ms: u64) -> Vec<Segment> {
-    let (old, kept) = std::mem::take(segments)
-        .into_iter()
-        .partition(|segment| expired(segment.newest_ms, now_ms));
-    *segments = kept;
-    old
 }
--- /dev/null
+++ b/crates/dewspar/src/once/known.rs
@@ -0,0 +1,100 @@
+/*!
+What a node knows of each key, from the entries that it has read or written.
+
+The newest intent stands until an outcome of the same attempt settles it; an
+outcome of any other attempt is passed over.
+*/
+
+use {
+    crate::once::{
+        Actor, Filing, Key, Outcome,
+        stored::{Entry, expired},
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::HashMap,
+};
+
+/// Why a key can't be run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Standing {
+    /// This actor's intent waits to be written, and may not be.
+    Pending(Actor),
+    /// This actor's intent stands without an outcome.
+    Intended(Actor),
+    /// It has an outcome.
+    Settled(Outcome),
+    /// The key was used with another body.
+    OtherBody,
+    /// The key is older than the retention window.
+    TooOld,
+    /// The key's time lies in the future.
+    TooNew,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    body_hash: u64,
+    state: State,
+    at_ms: u64,
+}
+
+#[derive(Clone, Debug)]
+enum State {
+    Intended(Actor),
+    Settled(Outcome),
+}
+
+impl State {
+    fn is_by(&self, actor: &Actor) -> bool {
+        matches!(self, State::Intended(by) if by == actor)
+    }
+}
+
+/// The keys of one partition that are remembered.
+#[derive(Debug, Default)]
+pub(super) struct KnownKeys {
+    keys: HashMap<Key, Known>,
+}
+
+impl KnownKeys {
+    pub(super) fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns why a filing can't be run; `None` means that it can.
+    pub(super) fn standing(&self, filing: &Filing) -> Option<Standing> {
+        let known = self.keys.get(&filing.key)?;
+        if known.body_hash != filing.body_hash {
+            return Some(Standing::OtherBody);
+        }
+        match &known.state {
+            State::Settled(Outcome::NotRun) => None,
+            State::Settled(outcome) => Some(Standing::Settled(*outcome)),
+            State::Intended(actor) => Some(Standing::Intended(actor.clone())),
+        }
+    }
+
+    /// Takes in an entry that stands at the platform.
+    pub(super) fn learn(&mut self, entry: &Entry) {
+        match entry {
+            Entry::Intent { filing, actor, at_ms } => {
+                let state = State::Intended(actor.clone());
+                let body_hash = filing.body_hash;
+                let known = Known { body_hash, state, at_ms: *at_ms };
+                self.keys.insert(filing.key, known);
+            }
+            Entry::Outcome { key, actor, outcome, .. } => {
+                if let Some(known) = self.keys.get_mut(key)
+                    && known.state.is_by(actor)
+                {
+                    known.state = State::Settled(*outcome);
+                }
+            }
+        }
+    }
+
+    /// Forgets keys that are past the retention window.
+    pub(super) fn forget_old(&mut self, now_ms: u64) {
+        self.keys.retain(|_, known| !expired(known.at_ms, now_ms));
+    }
+}
--- a/crates/dewspar/src/once/mod.rs
+++ b/crates/dewspar/src/once/mod.rs
@@ -65,10 +65,11 @@
 */
 
 pub use self::{
-    journal::{
-        Admission, Error, Journal, Overtaken, Segment, Standing, Ticket, Write,
-    },
+    journal::{Admission, Journal, Overtaken, Ticket},
     key::{Key, KeyError},
+    known::Standing,
+    stored::{Error, Segment},
+    write::Write,
 };
 
 use {
@@ -78,6 +79,9 @@
 
 mod journal;
 mod key;
+mod known;
+mod stored;
+mod write;
 
 /// The number of partitions; a constant, so that the platform's writes are.
 ///
