Proxy: one piece removes the headers of a connection

Cause: requests and answers each had the same ten lines that collect the names of hop-by-hop headers and remove them. request::remove_hop_by_hop serves both; what is removed is as before.

--- a/crates/dewspard/src/proxy/request.rs
+++ b/crates/dewspard/src/proxy/request.rs
@@ -137,8 +137,16 @@
     })
 }
 
-/// Returns whether a header is about the connection and not the request.
-pub(super) fn is_hop_by_hop(name: &HeaderName) -> bool {
+/// Removes the headers that are about the connection and not the message.
+pub(super) fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let names: Vec<_> =
+        headers.keys().filter(|name| is_hop_by_hop(name)).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+fn is_hop_by_hop(name: &HeaderName) -> bool {
     *name == header::CONNECTION
         || *name == header::TRANSFER_ENCODING
         || *name == header::UPGRADE
--- a/crates/dewspard/src/proxy/server.rs
+++ b/crates/dewspard/src/proxy/server.rs
@@ -270,14 +270,7 @@
         let owner = team.map_or("", |team| team.partner.as_str());
         let partner = asked.partner.as_deref().unwrap_or(owner);
         let mut headers = parts.headers;
-        let hop_by_hop: Vec<_> = headers
-            .keys()
-            .filter(|name| request::is_hop_by_hop(name))
-            .cloned()
-            .collect();
-        for name in hop_by_hop {
-            headers.remove(name);
-        }
+        request::remove_hop_by_hop(&mut headers);
         headers.insert(REQUEST_ID, id.clone());
         headers
             .insert(hyper::header::HOST, HeaderValue::from_static("runner"));
@@ -389,14 +382,7 @@
 
 fn without_hop_by_hop(mut answer: Response<Bytes>) -> Response<Bytes> {
     let headers = answer.headers_mut();
-    let names: Vec<_> = headers
-        .keys()
-        .filter(|name| request::is_hop_by_hop(name))
-        .cloned()
-        .collect();
-    for name in names {
-        headers.remove(name);
-    }
+    request::remove_hop_by_hop(headers);
     answer::mark(headers, Outcome::Ran);
     answer
 }
