Identifiers: the error says what one is, and the calls use its words

Cause: the error of a job's or task's identifier printed its own doc text ("Why a text is no identifier: ..."), so callers' calls threw it away and spelled the reason again. InvalidId now says what a job or a task is named like, and the product's calls answer with it; the answer is as before.

Ruled out: one error for job, idempotency key and resource name. They share derives and imports only: a key has two reasons, a resource's name is one field of a document with its kind and path.

Before: the two new tests failed with the doc text. After: they pass. The cluster's check of the answer passes with the old and the new code.

--- a/crates/dewspar/src/job/id.rs
+++ b/crates/dewspar/src/job/id.rs
@@ -7,9 +7,15 @@
 /// How many hexadecimal digits a job's identifier has.
 const JOB_ID_DIGITS: usize = 16;
 
-/// Why a text is no identifier: `{0}`
+/// Why a text is no identifier.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
-pub struct InvalidId(pub String);
+#[non_exhaustive]
+pub enum InvalidId {
+    /// `{0}` isn't 16 hex digits
+    Job(String),
+    /// `{0}` isn't JOB.ROUND.STEP.INDEX
+    Task(String),
+}
 
 impl std::error::Error for InvalidId {}
 
@@ -33,7 +39,7 @@
     type Err = InvalidId;
 
     fn from_str(text: &str) -> Result<JobId, InvalidId> {
-        let invalid = || InvalidId(text.to_owned());
+        let invalid = || InvalidId::Job(text.to_owned());
         // Only the spelling that `Display` writes, so that one job can't go
         // by two names.
         let digit = |b: &u8| matches!(b, b'0'..=b'9' | b'a'..=b'f');
@@ -90,7 +96,7 @@
     type Err = InvalidId;
 
     fn from_str(text: &str) -> Result<TaskId, InvalidId> {
-        let invalid = || InvalidId(text.to_owned());
+        let invalid = || InvalidId::Task(text.to_owned());
         let mut parts = text.split('.');
         let job = parts.next().ok_or_else(invalid)?.parse()?;
         let mut number = || -> Result<u32, InvalidId> {
--- /dev/null
+++ b/crates/dewspar/tests/ids.rs
@@ -0,0 +1,26 @@
+//! Identifiers: what isn't one is refused in words a caller can act on.
+
+use dewspar::job::{JobId, TaskId};
+
+#[test]
+fn a_text_that_is_no_job_says_what_one_is() {
+    for text in ["", "12", "00000000000000AB", "000000000000000g"] {
+        let error = text.parse::<JobId>().expect_err(text);
+        let expected = format!("`{text}` isn't 16 hex digits");
+        assert_eq!(error.to_string(), expected);
+    }
+}
+
+#[test]
+fn a_text_that_is_no_task_says_what_one_is() {
+    let job = format!("{:016x}", 7);
+    for rest in ["", ".0", ".0.1", ".0.1.x", ".0.1.2.3"] {
+        let text = format!("{job}{rest}");
+        let error = text.parse::<TaskId>().expect_err(&text);
+        let expected = format!("`{text}` isn't JOB.ROUND.STEP.INDEX");
+        assert_eq!(error.to_string(), expected);
+    }
+    // The part at fault is named where there is one.
+    let error = "7.0.1.2".parse::<TaskId>().expect_err("a short job");
+    assert_eq!(error.to_string(), "`7` isn't 16 hex digits");
+}
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -15,7 +15,7 @@
 
 use {
     bytes::Bytes,
-    dewspar::job::{JobSpec, QueueSet, Repeat, StepSpec},
+    dewspar::job::{InvalidId, JobSpec, QueueSet, Repeat, StepSpec},
     dewspar_platform::{
         JobCall, JobOperation, JobProtocol, JobReply, NotRead, deadline_in,
     },
@@ -142,8 +142,8 @@
     job: &str,
     body: &[u8],
 ) -> Result<JobOperation, NotRead> {
-    let id = job.parse().map_err(|_| {
-        NotRead::Invalid(format!("path: `{job}` isn't 16 hex digits"))
+    let id = job.parse().map_err(|error: InvalidId| {
+        NotRead::Invalid(format!("path: {error}"))
     })?;
     match *method {
         Method::GET => Ok(JobOperation::Status { id }),
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -231,6 +231,10 @@
     assert!(detail.contains("steps[0].after"), "{detail}");
     let (status, _) = cluster.call(0, Method::GET, &path, None).await;
     assert_eq!(status, StatusCode::NOT_FOUND, "nothing was accepted");
+    let path = "/v1/queues/extracts/jobs/2";
+    let (status, body) = cluster.call(0, Method::GET, path, None).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    assert_eq!(body["detail"], "path: `2` isn't 16 hex digits");
 }
 
 #[tokio::test]
