Desired state: one piece refuses references to what isn't there

Cause: teams, pools and services each spelled the field, the kind and the same sentence. The kind now says all three.

Ruled out: one trait over the specs that have a team and a pool; only these three lines of each were the same.

Before and after: the messages are the same. The test of mistakes, with a case for services added, passes with the old and the new code.

--- a/crates/dewspar/src/config/validate.rs
+++ b/crates/dewspar/src/config/validate.rs
@@ -37,28 +37,28 @@
                 positive(resource, "spec.weight", spec.weight)?;
             }
             Spec::Service(spec) => {
-                team(snapshot, resource, &spec.team)?;
+                exists(snapshot, resource, Kind::Team, &spec.team)?;
                 let count = u64::from(spec.runners);
                 let size = (spec.cpu_millis, spec.memory_mb);
                 quotas.reserve(resource, &spec.team, count, size)?;
-                pool(snapshot, resource, &spec.pool)?;
+                exists(snapshot, resource, Kind::Pool, &spec.pool)?;
                 positive(resource, "spec.runners", spec.runners)?;
                 positive(resource, "spec.slots", spec.slots)?;
                 positive(resource, "spec.connections", spec.connections)?;
             }
             Spec::Job(spec) => {
-                team(snapshot, resource, &spec.team)?;
+                exists(snapshot, resource, Kind::Team, &spec.team)?;
                 let count = u64::from(spec.tasks);
                 let size = (spec.cpu_millis, spec.memory_mb);
                 quotas.reserve(resource, &spec.team, count, size)?;
-                pool(snapshot, resource, &spec.pool)?;
+                exists(snapshot, resource, Kind::Pool, &spec.pool)?;
                 positive(resource, "spec.tasks", spec.tasks)?;
             }
             Spec::AvailabilityBudget(spec) => {
                 budget(snapshot, resource, spec)?;
             }
             Spec::MaintenanceWave(spec) => {
-                pool(snapshot, resource, &spec.pool)?;
+                exists(snapshot, resource, Kind::Pool, &spec.pool)?;
                 positive(resource, "spec.max_parallel", spec.max_parallel)?;
             }
         }
@@ -146,28 +146,23 @@
     Ok(())
 }
 
-fn team(
+/// Refuses a reference to a resource that isn't there.
+fn exists(
     snapshot: &Snapshot,
     resource: &Resource,
+    kind: Kind,
     name: &str,
 ) -> Result<(), Error> {
-    if snapshot.team(name).is_none() {
-        let problem = format!("names team `{name}`, which doesn't exist");
-        return Err(field(resource, "spec.team", problem));
+    if snapshot.get(kind, name).is_none() {
+        return Err(missing(resource, kind, name));
     }
     Ok(())
 }
 
-fn pool(
-    snapshot: &Snapshot,
-    resource: &Resource,
-    name: &str,
-) -> Result<(), Error> {
-    if snapshot.pool(name).is_none() {
-        let problem = format!("names pool `{name}`, which doesn't exist");
-        return Err(field(resource, "spec.pool", problem));
-    }
-    Ok(())
+fn missing(resource: &Resource, kind: Kind, name: &str) -> Error {
+    let what = kind.as_str().to_ascii_lowercase();
+    let problem = format!("names {what} `{name}`, which doesn't exist");
+    field(resource, &format!("spec.{what}"), problem)
 }
 
 fn budget(
@@ -175,7 +170,7 @@
     resource: &Resource,
     spec: &AvailabilityBudgetSpec,
 ) -> Result<(), Error> {
-    pool(snapshot, resource, &spec.pool)?;
+    exists(snapshot, resource, Kind::Pool, &spec.pool)?;
     let (most, what) = match &spec.service {
         None => {
             let size = snapshot.pool(&spec.pool).map_or(0, |p| p.vms.len());
@@ -194,11 +189,7 @@
                 );
                 return Err(field(resource, "spec.service", problem));
             }
-            None => {
-                let problem =
-                    format!("names service `{name}`, which doesn't exist");
-                return Err(field(resource, "spec.service", problem));
-            }
+            None => return Err(missing(resource, Kind::Service, name)),
         },
     };
     if spec.min_available > most {
--- a/crates/dewspar/tests/config.rs
+++ b/crates/dewspar/tests/config.rs
@@ -78,6 +78,12 @@
              must be at most 3, the number of runners of service \
              `certificates`",
         ),
+        (
+            "kind: AvailabilityBudget\nname: b\n\
+             spec: {pool: register, service: sea, min_available: 1}\n",
+            "AvailabilityBudget `b`: field `spec.service` names service \
+             `sea`, which doesn't exist",
+        ),
         (
             "kind: MaintenanceWave\nname: w\n\
              spec: {pool: register, max_parallel: 0}\n",
