Peers: one piece names the settings' field of an unfit certificate

Cause: five places made the same error of a field and a reason, three of them through closures of their own.

Ruled out: one function for the configuration of both sides; their builders have other types at each step.

Before and after: the tests of the peers pass unchanged; 6 lines fewer.

--- a/crates/dewspard/src/peer/tls.rs
+++ b/crates/dewspard/src/peer/tls.rs
@@ -99,34 +99,32 @@
     Arc::new(transport)
 }
 
+/// Returns what makes the error of a settings' field from its reason.
+fn unfit<E: ToString>(field: &'static str) -> impl Fn(E) -> SetupError {
+    move |reason| SetupError::Pem { field, reason: reason.to_string() }
+}
+
 fn certificates(
     field: &'static str,
     pem: &[u8],
 ) -> Result<Vec<CertificateDer<'static>>, SetupError> {
-    let pem_error = |reason: String| SetupError::Pem { field, reason };
     let read: Result<Vec<_>, _> =
         CertificateDer::pem_slice_iter(pem).collect();
-    let found = read.map_err(|error| pem_error(error.to_string()))?;
+    let found = read.map_err(unfit(field))?;
     if found.is_empty() {
-        return Err(pem_error("no certificate in it".to_owned()));
+        return Err(unfit(field)("no certificate in it"));
     }
     Ok(found)
 }
 
 fn private_key(pem: &[u8]) -> Result<PrivateKeyDer<'static>, SetupError> {
-    PrivateKeyDer::from_pem_slice(pem).map_err(|error| SetupError::Pem {
-        field: "key_file",
-        reason: error.to_string(),
-    })
+    PrivateKeyDer::from_pem_slice(pem).map_err(unfit("key_file"))
 }
 
 fn roots(identity: &Identity) -> Result<RootCertStore, SetupError> {
     let mut roots = RootCertStore::empty();
     for certificate in certificates("ca_file", &identity.ca)? {
-        roots.add(certificate).map_err(|error| SetupError::Pem {
-            field: "ca_file",
-            reason: error.to_string(),
-        })?;
+        roots.add(certificate).map_err(unfit("ca_file"))?;
     }
     Ok(roots)
 }
@@ -134,8 +132,6 @@
 pub(super) fn server_config(
     identity: &Identity,
 ) -> Result<ServerConfig, SetupError> {
-    let pem_error =
-        |reason: String| SetupError::Pem { field: "certificate_file", reason };
     let provider = Arc::new(default_provider());
     let roots = Arc::new(roots(identity)?);
     let verifier = WebPkiClientVerifier::builder_with_provider(
@@ -143,17 +139,17 @@
         Arc::clone(&provider),
     )
     .build()
-    .map_err(|error| pem_error(error.to_string()))?;
+    .map_err(unfit("certificate_file"))?;
     let chain = certificates("certificate_file", &identity.certificate)?;
     let mut tls = rustls::ServerConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|error| pem_error(error.to_string()))?
+        .map_err(unfit("certificate_file"))?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, private_key(&identity.key)?)
-        .map_err(|error| pem_error(error.to_string()))?;
+        .map_err(unfit("certificate_file"))?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
-    let tls = QuicServerConfig::try_from(tls)
-        .map_err(|error| pem_error(error.to_string()))?;
+    let tls =
+        QuicServerConfig::try_from(tls).map_err(unfit("certificate_file"))?;
     let mut config = ServerConfig::with_crypto(Arc::new(tls));
     config.transport_config(transport());
     Ok(config)
@@ -162,19 +158,17 @@
 pub(super) fn client_config(
     identity: &Identity,
 ) -> Result<ClientConfig, SetupError> {
-    let pem_error =
-        |reason: String| SetupError::Pem { field: "certificate_file", reason };
     let chain = certificates("certificate_file", &identity.certificate)?;
     let provider = Arc::new(default_provider());
     let mut tls = rustls::ClientConfig::builder_with_provider(provider)
         .with_protocol_versions(&[&rustls::version::TLS13])
-        .map_err(|error| pem_error(error.to_string()))?
+        .map_err(unfit("certificate_file"))?
         .with_root_certificates(roots(identity)?)
         .with_client_auth_cert(chain, private_key(&identity.key)?)
-        .map_err(|error| pem_error(error.to_string()))?;
+        .map_err(unfit("certificate_file"))?;
     tls.alpn_protocols = vec![PROTOCOL.to_vec()];
-    let tls = QuicClientConfig::try_from(tls)
-        .map_err(|error| pem_error(error.to_string()))?;
+    let tls =
+        QuicClientConfig::try_from(tls).map_err(unfit("certificate_file"))?;
     let mut config = ClientConfig::new(Arc::new(tls));
     config.transport_config(transport());
     Ok(config)
