Bound the orders under way by how long they take

Cause: a new holder, or any holder at a rise, sent an order for every task with room at once. On a node of half a core that carries out some 2,000 a second, 1,834 orders in 50 ms are read after their 200 ms and sent again. Change: `dewspar::window`, a congestion window of calls; questions that fence go first, then starts in their order, the rest waits. Whether a step waits for workers that weren't asked is looked up once a pool and plan, not for each of its tasks. `holder: load` logs what scheduling costs.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -32,6 +32,7 @@
 | [`admit`] | which request is accepted at all |
 | [`breaker`] | whether a service that fell silent is sent more |
 | [`overload`] | whether a node keeps up with its work |
+| [`window`] | how many calls a node may have under way |
 | [`job`] | what callers hand in, and how far it has come |
 | [`schedule`] | which task of a job runs on which worker |
 | [`chart`] | state charts kept in files and interpreted |
@@ -70,3 +71,4 @@
 pub mod slot;
 mod util;
 pub mod wave;
+pub mod window;
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -6,8 +6,9 @@
     job::TaskId,
     schedule::{
         Decision, Now, OrderError, Refusal, Scheduler, WorkerId,
-        worker::RunState,
+        worker::{Run, RunState},
     },
+    window::CallEnd,
 };
 
 impl Scheduler {
@@ -20,6 +21,10 @@
         result: Result<u64, OrderError>,
         now: Now,
     ) {
+        let known = self.workers.get(worker_id).and_then(|worker| {
+            worker.runs.get(task).filter(|known| known.run == run)
+        });
+        self.window.ended(start_ended(known, &result, now));
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let known = worker.runs.get_mut(task).filter(|r| r.run == run);
         let Some(known) = known else { return };
@@ -135,3 +140,31 @@
         }
     }
 }
+
+/// Returns what the end of an order to start says of this node.
+fn start_ended(
+    known: Option<&Run>,
+    result: &Result<u64, OrderError>,
+    now: Now,
+) -> CallEnd {
+    // Once a hold has shown the run, it isn't known when the order was sent.
+    let starting = known.filter(|run| run.state == RunState::Starting);
+    let Some(run) = starting else { return CallEnd::Discarded };
+    call_end(run.since_ms, result.as_ref().err().copied(), now)
+}
+
+/// Returns what the end of an order says of this node.
+pub(super) fn call_end(
+    sent_ms: u64,
+    error: Option<OrderError>,
+    now: Now,
+) -> CallEnd {
+    match error {
+        // A connection that doesn't open is a call without an answer.
+        Some(OrderError::Unknown | OrderError::NotSent) => CallEnd::Unanswered,
+        Some(OrderError::Refused(_)) | None => {
+            let took_ms = now.steady_ms.saturating_sub(sent_ms);
+            CallEnd::Answered { took_ms }
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/full_pools.rs
+++ b/crates/dewspar/src/schedule/full_pools.rs
@@ -24,3 +24,25 @@
         refused.is_some_and(|r| r.iter().any(|least| demand.holds(least)))
     }
 }
+
+/// Which pools have workers that weren't asked yet what a former holder
+/// started there; each pool is looked at once within one plan.
+#[derive(Debug, Default)]
+pub(super) struct UnaskedPools {
+    known: BTreeMap<String, bool>,
+}
+
+impl UnaskedPools {
+    pub(super) fn contains(
+        &mut self,
+        pool: &str,
+        look: impl FnOnce() -> bool,
+    ) -> bool {
+        if let Some(known) = self.known.get(pool) {
+            return *known;
+        }
+        let unasked = look();
+        self.known.insert(pool.to_owned(), unasked);
+        unasked
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -32,6 +32,15 @@
 until one is answered. From then on the late order is refused, and the answer
 says whether the run is there.
 
+# How much at once
+
+A new holder owes each worker a question and each waiting task an order, more
+than a small node can send and hear answered in time. What is under way is
+bounded by a [`CallWindow`](crate::window::CallWindow): questions that fence a
+former holder off go first, then starts in their order, as far as there is
+room in the window; the rest waits for answers. Workers known to be silent are
+asked outside of it, so that they take no room from those that answer.
+
 # Example
 
 ```
@@ -86,7 +95,9 @@
         PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
         WorkerListing,
     },
-    policy::{Forecast, InvalidPolicy, Placing, Policy, Sizing, Watching},
+    policy::{
+        Forecast, InvalidPolicy, Orders, Placing, Policy, Sizing, Watching,
+    },
     scheduler::Scheduler,
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
@@ -241,6 +252,8 @@
     order: HoldOrder,
     fencing: bool,
     sent_ms: u64,
+    /// Whether it counts as under way in the window of orders.
+    in_window: bool,
 }
 
 impl Held {
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -12,8 +12,8 @@
         job::{JobId, StepSpec, TaskId},
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
-            board::demand,
-            full_pools::FullPools,
+            board::{Job, demand},
+            full_pools::{FullPools, UnaskedPools},
             worker::{Run, RunState, Worker},
         },
     },
@@ -50,14 +50,19 @@
     step: usize,
 }
 
+/// What was found out about the pools within one plan.
+#[derive(Default)]
+struct Pools {
+    full: FullPools,
+    unasked: UnaskedPools,
+}
+
 /// Why a task isn't started now.
 enum NotNow {
     /// No worker has room for it.
     NoRoom,
     /// None that has room has a ticket for it.
     NoTicket,
-    /// It may still run where a former holder started it.
-    Unaccounted,
 }
 
 impl Scheduler {
@@ -68,14 +73,22 @@
         actions: &mut Vec<Action>,
     ) {
         let mut without_place = BTreeSet::new();
-        let mut full = FullPools::default();
+        let mut pools = Pools::default();
+        let mut looked_at_all = true;
         for candidate in self.candidates(now) {
-            let lacking = self.start_step(&candidate, now, &mut full, actions);
+            if self.window.room() == 0 {
+                looked_at_all = false;
+                break;
+            }
+            let lacking =
+                self.start_step(&candidate, now, &mut pools, actions);
             if let Some(pool) = lacking {
                 without_place.insert(pool);
             }
         }
-        self.without_place.retain(|pool, _| without_place.contains(pool));
+        if looked_at_all {
+            self.without_place.retain(|pool, _| without_place.contains(pool));
+        }
         for pool in without_place {
             self.without_place.entry(pool).or_insert(now.steady_ms);
         }
@@ -126,15 +139,18 @@
         &mut self,
         candidate: &Candidate,
         now: Now,
-        full: &mut FullPools,
+        pools: &mut Pools,
         actions: &mut Vec<Action>,
     ) -> Option<String> {
         let Candidate { job: id, round, step, .. } = *candidate;
         let job = &self.jobs[&id];
         let spec = job.spec.clone();
         let spec = &spec.steps[step];
+        if self.is_unaccounted(job, spec, now, &mut pools.unasked) {
+            return None;
+        }
         let demand = demand(spec);
-        if full.has_none_for(&job.terms.pool, &demand) {
+        if pools.full.has_none_for(&job.terms.pool, &demand) {
             let fits = self.fits_somewhere(spec);
             return fits.then(|| job.terms.pool.clone());
         }
@@ -154,14 +170,17 @@
         }
         let mut without_place = false;
         for index in waiting {
+            if self.window.room() == 0 {
+                break;
+            }
             let task = TaskId { index, ..first };
             match self.choose(spec, &task, now) {
                 Ok(worker) => {
                     let run = self.next_run(&task);
-                    actions.extend(self.start(spec, &task, run, worker, now));
+                    let order = self.start(spec, &task, run, worker, now);
+                    self.window.sent(usize::from(order.is_some()));
+                    actions.extend(order);
                 }
-                // Its siblings may be wanted elsewhere, or be accounted for.
-                Err(NotNow::Unaccounted) => {}
                 Err(NotNow::NoTicket) => {
                     actions.extend(self.ask_adviser(spec, &task, now));
                     break;
@@ -169,7 +188,7 @@
                 Err(NotNow::NoRoom) => {
                     without_place = true;
                     if self.may_go_anywhere(spec, &task) {
-                        full.note(&pool, demand);
+                        pools.full.note(&pool, demand);
                     }
                     // Where one finds none, only one that avoids other
                     // workers might.
@@ -225,6 +244,8 @@
             orders.extend(self.start(spec, &task, run, worker, now));
         }
         if placed.len() == spec.count as usize {
+            // All go together, also where the window has room for fewer.
+            self.window.sent(orders.len());
             actions.extend(orders);
             return true;
         }
@@ -277,14 +298,6 @@
         now: Now,
     ) -> Result<WorkerId, NotNow> {
         let job = &self.jobs[&task.job];
-        let inherited = job.revision < self.lease_revision;
-        let pool = job.terms.pool.as_str();
-        // A copy does no harm, but is wasted if most workers answer at once.
-        let settled = self.taken_over_ms + self.placing().copy_after_ms;
-        let may_copy = spec.may_duplicate && now.steady_ms >= settled;
-        if inherited && !may_copy && self.may_run_unseen(pool, now) {
-            return Err(NotNow::Unaccounted);
-        }
         if let Some(worker) = self.best_worker(spec, task, now) {
             return Ok(worker.id().clone());
         }
@@ -370,6 +383,25 @@
         self.best_worker(spec, task, now).map(Worker::id)
     }
 
+    /// Returns whether a step's tasks may still run where a former holder
+    /// started them.
+    fn is_unaccounted(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        now: Now,
+        unasked: &mut UnaskedPools,
+    ) -> bool {
+        // A copy does no harm, but is wasted if most workers answer at once.
+        let settled = self.taken_over_ms + self.placing().copy_after_ms;
+        let may_copy = spec.may_duplicate && now.steady_ms >= settled;
+        let inherited = job.revision < self.lease_revision;
+        let pool = job.terms.pool.as_str();
+        inherited
+            && !may_copy
+            && unasked.contains(pool, || self.may_run_unseen(pool, now))
+    }
+
     /// Returns whether a worker wasn't asked yet that may run what a former
     /// holder started.
     fn may_run_unseen(&self, pool: &str, now: Now) -> bool {
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -22,6 +22,7 @@
 */
 
 use {
+    crate::window::WindowLimits,
     displaydoc::Display,
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
@@ -41,6 +42,8 @@
     pub placing: Placing,
     /// What is done about runs that go on.
     pub watching: Watching,
+    /// How many orders may be under way at once.
+    pub orders: Orders,
 }
 
 /// How many VMs each pool has.
@@ -199,6 +202,54 @@
     }
 }
 
+/// How many orders may be under way at once: the limits of a
+/// [`CallWindow`](crate::window::CallWindow).
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Orders {
+    /// Whether there is a bound at all.
+    pub bounded: bool,
+    /// How many to begin with.
+    pub initial: usize,
+    /// The lowest that the bound may become.
+    pub least: usize,
+    /// The highest that the bound may become.
+    pub most: usize,
+    /// Below which time at the median orders are fast, in milliseconds: the
+    /// bound rises.
+    pub fast_ms: u64,
+    /// From which time at the median orders are slow, in milliseconds: the
+    /// bound falls.
+    pub slow_ms: u64,
+}
+
+impl Default for Orders {
+    fn default() -> Orders {
+        let WindowLimits { initial, least, most, fast_ms, slow_ms } =
+            WindowLimits::default();
+        Orders { bounded: true, initial, least, most, fast_ms, slow_ms }
+    }
+}
+
+impl Orders {
+    /// Returns the limits of the window.
+    pub(super) fn limits(&self) -> WindowLimits {
+        let Orders { bounded, initial, least, most, fast_ms, slow_ms } = *self;
+        if bounded {
+            WindowLimits { initial, least, most, fast_ms, slow_ms }
+        } else {
+            let all = usize::MAX;
+            WindowLimits {
+                initial: all,
+                least: all,
+                most: all,
+                fast_ms,
+                slow_ms,
+            }
+        }
+    }
+}
+
 /// policy field `{field}` is {value}, but must be {least} to {most}
 #[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
 pub struct InvalidPolicy {
@@ -221,7 +272,9 @@
     ///
     /// Returns the first field at fault and its bounds.
     pub fn check(&self) -> Result<(), InvalidPolicy> {
-        let Policy { sizing, forecast, placing, watching } = self;
+        let Policy { sizing, forecast, placing, watching, orders } = self;
+        let (initial, least) = (orders.initial as u64, orders.least as u64);
+        let most = orders.most as u64;
         let figures = [
             ("sizing.full_percent", sizing.full_percent, 1, 100),
             ("sizing.spare_percent", sizing.spare_percent, 0, 100),
@@ -243,6 +296,11 @@
             ("placing.copy_after_ms", placing.copy_after_ms, 0, 60_000),
             ("placing.go_back_after_ms", placing.go_back_after_ms, 0, 2_500),
             ("watching.hold_wait_ms", watching.hold_wait_ms, 0, 2_000),
+            ("orders.most", most, 1, 1_000_000),
+            ("orders.initial", initial, 1, most),
+            ("orders.least", least, 1, initial),
+            ("orders.slow_ms", orders.slow_ms, 1, 60_000),
+            ("orders.fast_ms", orders.fast_ms, 1, orders.slow_ms),
         ];
         for (field, value, least, most) in figures {
             if value < least || value > most {
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -8,6 +8,7 @@
         schedule::{
             ActiveRun, Decision, EndCause, EndedRun, Held, HoldReport, Now,
             OrderError, Refusal, Room, Scheduler, WorkerId,
+            answers::call_end,
             board::{Job, demand},
             worker::{OwedHold, Run, RunState},
         },
@@ -38,6 +39,7 @@
         report: &HoldReport,
         now: Now,
     ) {
+        self.hold_ended(held, None, now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let first = !worker.synced;
         let owed = OwedHold { order: held.order, fencing: held.fencing };
@@ -72,6 +74,7 @@
         error: OrderError,
         now: Now,
     ) {
+        self.hold_ended(held, Some(error), now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let was_silent = worker.silent_since_ms.is_some();
@@ -93,6 +96,17 @@
         }
     }
 
+    fn hold_ended(
+        &mut self,
+        held: &Held,
+        error: Option<OrderError>,
+        now: Now,
+    ) {
+        if held.in_window {
+            self.window.ended(call_end(held.sent_ms, error, now));
+        }
+    }
+
     fn run_ended(&mut self, worker_id: &WorkerId, end: &EndedRun, now: Now) {
         let task = end.task;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -11,6 +11,7 @@
             wave_state::WaveState,
             worker::{OwedHold, RunState, Worker},
         },
+        window::CallWindow,
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -81,13 +82,17 @@
     pub(super) projected: BTreeMap<String, u64>,
     /// When the first job was known that isn't there for long; 0 for not yet.
     pub(super) first_job_ms: u64,
+    /// The orders that are under way.
+    pub(super) window: CallWindow,
 }
 
 impl Scheduler {
     /// Makes the scheduler of a holder whose lease key was written at this
     /// revision of the store.
     pub fn new(lease_revision: u64, options: Options) -> Scheduler {
+        let window = CallWindow::new(options.policy.orders.limits());
         Scheduler {
+            window,
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -217,6 +222,11 @@
         unconfirmed
     }
 
+    /// Returns the window that bounds the orders under way.
+    pub fn window(&self) -> &CallWindow {
+        &self.window
+    }
+
     /// Returns a job's phase, unless it is unknown or over for long.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         self.jobs.get(&id).map(|job| job.phase)
@@ -231,6 +241,7 @@
         self.drop_lapsed(now);
         self.stop_stalled(now);
         self.pace_best_effort(now, &mut actions);
+        self.fence_workers(now, &mut actions);
         self.start_waiting(now, &mut actions);
         self.order_stops(now, &mut actions);
         self.hold_workers(now, &mut actions);
@@ -387,15 +398,30 @@
         }
     }
 
+    /// Asks under a new token, as far as there is room in the window; workers
+    /// that are silent are asked in any case.
+    fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
+        for worker in self.workers.values_mut() {
+            if !worker.is_fencing() {
+                continue;
+            }
+            let in_window = worker.silent_since_ms.is_none();
+            if in_window && self.window.room() == 0 {
+                continue;
+            }
+            let hold = hold(worker, in_window, now, &self.options);
+            if in_window && hold.is_some() {
+                self.window.sent(1);
+            }
+            actions.extend(hold);
+        }
+    }
+
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
         for worker in self.workers.values_mut() {
-            let owed = worker.owed_hold(now.steady_ms, &self.options);
-            let Some(OwedHold { order, fencing }) = owed else { continue };
-            actions.push(Action::Hold {
-                worker: worker.id().clone(),
-                address: worker.listing.address.clone(),
-                held: Held { order, fencing, sent_ms: now.steady_ms },
-            });
+            if !worker.is_fencing() {
+                actions.extend(hold(worker, false, now, &self.options));
+            }
         }
     }
 
@@ -415,3 +441,20 @@
         Some(Action::Pace { worker: worker_id.clone(), address, order })
     }
 }
+
+/// Returns the hold that a worker is owed now.
+fn hold(
+    worker: &mut Worker,
+    in_window: bool,
+    now: Now,
+    options: &Options,
+) -> Option<Action> {
+    let OwedHold { order, fencing } =
+        worker.owed_hold(now.steady_ms, options)?;
+    let sent_ms = now.steady_ms;
+    Some(Action::Hold {
+        worker: worker.id().clone(),
+        address: worker.listing.address.clone(),
+        held: Held { order, fencing, sent_ms, in_window },
+    })
+}
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -272,6 +272,11 @@
                 || self.runs.is_empty())
     }
 
+    /// Returns whether an answer under the current token is still owed.
+    pub(crate) fn is_fencing(&self) -> bool {
+        self.fencing
+    }
+
     /// Makes orders sent so far void: the next answer is under a new token.
     pub(crate) fn raise_fence(&mut self, now_ms: u64) {
         self.fences = (self.fences + 1).min(FENCES_A_LEASE - 1);
--- /dev/null
+++ b/crates/dewspar/src/window.rs
@@ -0,0 +1,168 @@
+/*!
+How many calls a node may have under way at once, learnt from how long they
+take.
+
+A node that sends everything at once which there is to send doesn't get it
+done sooner. Its calls wait for its own processor and link, answers are read
+late, and what is read after its time limit counts as lost and is sent again:
+the more is lost, the more is sent. A [`CallWindow`] bounds what is under way,
+as a congestion window does for packets. While calls are answered fast and the
+window is full, it grows by half; once the median call is slow, it shrinks to
+half.
+
+The median decides, and a call without an answer counts as a slow one. A few
+silent servers therefore change nothing, since most calls are still answered
+fast; a node that can't keep up sees *all* its calls become slow.
+
+The window is looked at once as many calls have ended as it holds, so that each
+look judges calls that were sent under the present size.
+
+# Example
+
+```
+use dewspar::window::{CallEnd, CallWindow, WindowLimits};
+
+let limits = WindowLimits::default();
+let mut window = CallWindow::new(limits);
+assert_eq!(window.room(), limits.initial);
+window.sent(limits.initial);
+assert_eq!(window.room(), 0, "the others wait");
+for _ in 0..limits.initial {
+    window.ended(CallEnd::Answered { took_ms: 3 });
+}
+assert_eq!(window.room(), limits.initial + limits.initial / 2);
+```
+*/
+
+/// Bounds of a [`CallWindow`], and what counts as fast and slow.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WindowLimits {
+    /// The size to begin with, in calls.
+    pub initial: usize,
+    /// The smallest size, in calls.
+    pub least: usize,
+    /// The largest size, in calls.
+    pub most: usize,
+    /// Below which time at the median calls are fast, in milliseconds.
+    pub fast_ms: u64,
+    /// From which time at the median calls are slow, in milliseconds.
+    pub slow_ms: u64,
+}
+
+impl Default for WindowLimits {
+    fn default() -> WindowLimits {
+        WindowLimits {
+            // What a node of half a core sends and hears answered in 100 ms,
+            // half of the time that an order may take. 32 and 64 left such a
+            // node idle beside a backlog (trials).
+            initial: 256,
+            // What a node of an eighth of a core does in that time.
+            least: 64,
+            // Above any that was seen to be of use.
+            most: 1_024,
+            // Half as many again would still be answered in time.
+            fast_ms: 100,
+            // The slowest are late then.
+            slow_ms: 150,
+        }
+    }
+}
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// It was answered.
+    Answered {
+        /// After how long, in milliseconds.
+        took_ms: u64,
+    },
+    /// It got no answer in its time.
+    Unanswered,
+    /// It says nothing of the node, such as one that was never sent.
+    Discarded,
+}
+
+/// Bounds how many calls are under way.
+#[derive(Clone, Debug)]
+pub struct CallWindow {
+    limits: WindowLimits,
+    size: usize,
+    under_way: usize,
+    /// Whether it was full since the last look.
+    was_full: bool,
+    tally: Tally,
+}
+
+/// What was seen since the last look.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    ended: usize,
+    fast: usize,
+    slow: usize,
+}
+
+impl CallWindow {
+    /// Makes a window with nothing under way.
+    pub fn new(limits: WindowLimits) -> CallWindow {
+        CallWindow {
+            limits,
+            size: limits.initial,
+            under_way: 0,
+            was_full: false,
+            tally: Tally::default(),
+        }
+    }
+
+    /// Returns how many calls may be sent now.
+    pub fn room(&self) -> usize {
+        self.size.saturating_sub(self.under_way)
+    }
+
+    /// Returns how many calls may be under way at once.
+    pub fn size(&self) -> usize {
+        self.size
+    }
+
+    /// Returns how many calls are under way.
+    pub fn under_way(&self) -> usize {
+        self.under_way
+    }
+
+    /// Notes calls that are sent; more than there is room for is allowed
+    /// where calls must go together.
+    pub fn sent(&mut self, calls: usize) {
+        self.under_way += calls;
+        self.was_full |= self.under_way >= self.size;
+    }
+
+    /// Notes the end of a call.
+    pub fn ended(&mut self, end: CallEnd) {
+        self.under_way = self.under_way.saturating_sub(1);
+        match end {
+            CallEnd::Answered { took_ms } => {
+                self.tally.ended += 1;
+                self.tally.fast += usize::from(took_ms < self.limits.fast_ms);
+                self.tally.slow += usize::from(took_ms >= self.limits.slow_ms);
+            }
+            CallEnd::Unanswered => {
+                self.tally.ended += 1;
+                self.tally.slow += 1;
+            }
+            CallEnd::Discarded => {}
+        }
+        if self.tally.ended >= self.size {
+            self.adjust();
+        }
+    }
+
+    fn adjust(&mut self) {
+        let Tally { ended, fast, slow } = std::mem::take(&mut self.tally);
+        let was_full = std::mem::take(&mut self.was_full);
+        if slow * 2 >= ended {
+            self.size = (self.size / 2).max(self.limits.least);
+        } else if fast * 2 > ended && was_full {
+            let more = self.size / 2;
+            self.size = self.size.saturating_add(more).min(self.limits.most);
+        }
+    }
+}
--- /dev/null
+++ b/crates/dewspar/tests/window.rs
@@ -0,0 +1,83 @@
+//! How a window of calls grows and shrinks.
+
+use {
+    dewspar::window::{CallEnd, CallWindow, WindowLimits},
+    quickcheck::quickcheck,
+};
+
+const FAST: CallEnd = CallEnd::Answered { took_ms: 2 };
+const MIDDLING: CallEnd = CallEnd::Answered { took_ms: 120 };
+const SLOW: CallEnd = CallEnd::Answered { took_ms: 190 };
+
+/// Fills the window and ends every call, `ends` in turn.
+fn fill(window: &mut CallWindow, ends: &[CallEnd]) {
+    let room = window.room();
+    window.sent(room);
+    for call in 0..room {
+        window.ended(ends[call % ends.len()]);
+    }
+}
+
+#[test]
+fn grows_by_half_while_calls_are_fast_and_shrinks_once_they_are_slow() {
+    let limits = WindowLimits { initial: 64, ..WindowLimits::default() };
+    let mut window = CallWindow::new(limits);
+    fill(&mut window, &[FAST]);
+    fill(&mut window, &[FAST]);
+    assert_eq!(window.size(), 144);
+    fill(&mut window, &[MIDDLING]);
+    assert_eq!(window.size(), 144);
+    fill(&mut window, &[SLOW]);
+    assert_eq!(window.size(), 72);
+    fill(&mut window, &[FAST]);
+    assert_eq!(window.size(), 108);
+}
+
+#[test]
+fn a_few_silent_servers_change_nothing() {
+    let limits = WindowLimits::default();
+    let mut window = CallWindow::new(limits);
+    fill(&mut window, &[FAST, FAST, CallEnd::Unanswered]);
+    assert_eq!(window.size(), limits.initial + limits.initial / 2);
+}
+
+#[test]
+fn shrinks_while_most_calls_get_no_answer() {
+    let limits = WindowLimits::default();
+    let mut window = CallWindow::new(limits);
+    for _ in 0..9 {
+        fill(&mut window, &[CallEnd::Unanswered]);
+    }
+    assert_eq!(window.size(), limits.least);
+    assert_eq!(window.room(), limits.least);
+}
+
+#[test]
+fn does_not_grow_while_it_is_not_full() {
+    let limits = WindowLimits::default();
+    let mut window = CallWindow::new(limits);
+    for _ in 0..1_000 {
+        window.sent(1);
+        window.ended(FAST);
+    }
+    assert_eq!(window.size(), limits.initial);
+}
+
+quickcheck! {
+    fn stays_within_its_limits(ends: Vec<u8>) -> bool {
+        let limits = WindowLimits::default();
+        let mut window = CallWindow::new(limits);
+        ends.iter().all(|end| {
+            let end = match end % 4 {
+                0 => CallEnd::Unanswered,
+                1 => CallEnd::Discarded,
+                2 => SLOW,
+                _ => FAST,
+            };
+            fill(&mut window, &[end]);
+            let size = window.size();
+            let nothing_left = window.under_way() == 0;
+            (limits.least..=limits.most).contains(&size) && nothing_left
+        })
+    }
+}
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -21,6 +21,7 @@
         election::{Candidate, Held},
         event::Event,
         feeds::{follow_feed, read_directory, read_vms, renew},
+        load::Load,
         orders,
         progress::{self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of},
     },
@@ -40,7 +41,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{MissedTickBehavior, interval, sleep},
+        time::{Instant, MissedTickBehavior, interval, sleep},
     },
 };
 
@@ -129,6 +130,7 @@
         lost: None,
         claimed: false,
         begun_ms: clock::now_ms(),
+        load: Load::default(),
         round_trips: RoundTrips::new(SLOW_ORDER_MS, SLOW_FOR_MS),
         pending: BTreeMap::new(),
         pending_written_ms: 0,
@@ -160,6 +162,7 @@
     /// Whether a stronger node asks for the lease.
     claimed: bool,
     begun_ms: u64,
+    load: Load,
     /// How long orders to start took that were answered.
     round_trips: RoundTrips,
     pub(super) pending: BTreeMap<String, u64>,
@@ -217,6 +220,7 @@
 
     fn take(&mut self, event: Event) {
         let now = now();
+        self.load.heard();
         let scheduler = &mut self.scheduler;
         match event {
             Event::Feed(feed) => self.take_feed(feed),
@@ -371,7 +375,9 @@
     fn act(&mut self) -> Option<Outcome> {
         let now = now();
         self.configure(now);
+        let began = Instant::now();
         let actions = self.scheduler.plan(now);
+        self.load.planned(began, &actions);
         let decisions = self.scheduler.take_decisions();
         for decision in &decisions {
             decisions::record(&self.candidate.log, decision);
@@ -401,6 +407,8 @@
         self.write_pending(now);
         self.order_vms(now);
         self.delete_expired(now);
+        let window = self.scheduler.window();
+        self.load.log(&self.candidate.log, now.steady_ms, window);
         None
     }
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -46,6 +46,7 @@
 mod holder;
 mod intent;
 mod keys;
+mod load;
 mod lookup;
 mod node;
 mod orders;
