--- /dev/null
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -0,0 +1,51 @@
+//! Thousands of interleavings of orders, lost and late answers, takeovers,
+//! cuts, crashes, cancellations and store outages, against what must hold.
+
+mod world;
+
+use {crate::world::World, dewspar::job::Phase};
+
+fn play(seed: u64) -> World {
+    let mut world = World::new(seed);
+    for step in 0..400 {
+        world.step(step);
+    }
+    // With the faults over, every job comes to its end.
+    world.faults = false;
+    for step in 0..4_000 {
+        world.step(step);
+        if world.is_over() {
+            return world;
+        }
+    }
+    let open: Vec<_> = world
+        .store
+        .jobs
+        .keys()
+        .filter(|id| {
+            let progress = world.store.progress.get(*id);
+            !progress.is_some_and(|p| p.phase.is_final())
+        })
+        .map(|id| (id.to_string(), world.scheduler.phase(*id)))
+        .collect();
+    panic!("seed {seed}: jobs that never end: {open:?}");
+}
+
+#[test]
+fn holds_whatever_is_lost_late_cut_or_taken_over() {
+    let mut starts = 0;
+    let mut completed = 0;
+    for seed in 0..1_500 {
+        let world = play(seed);
+        starts += world.starts;
+        completed += world
+            .store
+            .progress
+            .values()
+            .filter(|progress| progress.phase == Phase::Completed)
+            .count();
+    }
+    // The runs must have put the promises to the test.
+    assert!(starts > 30_000, "{starts}");
+    assert!(completed > 5_000, "{completed}");
+}
--- a/crates/dewspar/tests/schedule_random.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -1,9 +1,8 @@
-//! Thousands of interleavings of orders, lost and late answers, takeovers,
-//! cuts, crashes, cancellations and store outages, against what must hold.
+//! A scheduler, its workers and its store, with everything that can go wrong.
 
 use {
     dewspar::{
-        job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId},
+        job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, EndCause, HoldReport, Now, Options,
             OrderError, QueueTerms, Room, Scheduler, StartOrder, StopOrder,
@@ -42,28 +41,28 @@
 
 /// What the store holds.
 #[derive(Default)]
-struct Stored {
+pub struct Stored {
     revision: u64,
-    jobs: BTreeMap<JobId, (AcceptedJob, u64)>,
+    pub jobs: BTreeMap<JobId, (AcceptedJob, u64)>,
     cancelled: BTreeSet<JobId>,
-    progress: BTreeMap<JobId, Progress>,
+    pub progress: BTreeMap<JobId, Progress>,
 }
 
-struct World {
+pub struct World {
     random: StdRng,
     now_ms: u64,
-    scheduler: Scheduler,
+    pub scheduler: Scheduler,
     lives: BTreeMap<WorkerId, Life>,
     next_life: u32,
-    store: Stored,
+    pub store: Stored,
     outage_until_ms: u64,
     late: Vec<(u64, WorkerId, Late)>,
     /// Tasks that ended well on a worker that told so.
     done: BTreeSet<TaskId>,
     /// Tasks whose good end was acknowledged to the worker.
     noted: BTreeSet<TaskId>,
-    faults: bool,
-    starts: u64,
+    pub faults: bool,
+    pub starts: u64,
 }
 
 fn id(number: u64) -> JobId {
@@ -72,7 +71,7 @@
 }
 
 impl World {
-    fn new(seed: u64) -> World {
+    pub fn new(seed: u64) -> World {
         let mut world = World {
             random: StdRng::seed_from_u64(seed),
             now_ms: 1_000,
@@ -228,7 +227,7 @@
         self.start_life(vm);
     }
 
-    fn step(&mut self, step: u64) {
+    pub fn step(&mut self, step: u64) {
         self.now_ms += STEP_MS;
         if self.faults {
             self.disturb(step);
@@ -450,55 +449,10 @@
         }
     }
 
-    fn is_over(&self) -> bool {
+    pub fn is_over(&self) -> bool {
         self.store.jobs.keys().all(|id| {
             let progress = self.store.progress.get(id);
             progress.is_some_and(|progress| progress.phase.is_final())
         })
     }
 }
-
-fn play(seed: u64) -> World {
-    let mut world = World::new(seed);
-    for step in 0..400 {
-        world.step(step);
-    }
-    // With the faults over, every job comes to its end.
-    world.faults = false;
-    for step in 0..4_000 {
-        world.step(step);
-        if world.is_over() {
-            return world;
-        }
-    }
-    let open: Vec<_> = world
-        .store
-        .jobs
-        .keys()
-        .filter(|id| {
-            let progress = world.store.progress.get(*id);
-            !progress.is_some_and(|p| p.phase.is_final())
-        })
-        .map(|id| (id.to_string(), world.scheduler.phase(*id)))
-        .collect();
-    panic!("seed {seed}: jobs that never end: {open:?}");
-}
-
-#[test]
-fn holds_whatever_is_lost_late_cut_or_taken_over() {
-    let mut starts = 0;
-    let mut completed = 0;
-    for seed in 0..1_500 {
-        let world = play(seed);
-        starts += world.starts;
-        completed += world
-            .store
-            .progress
-            .values()
-            .filter(|progress| progress.phase == Phase::Completed)
-            .count();
-    }
-    // The runs must have put the promises to the test.
-    assert!(starts > 30_000, "{starts}");
-    assert!(completed > 5_000, "{completed}");
-}
