Random runs: a job waits until a worker has begun one of its tasks

Cause: a job is taken to run from the moment a start is ordered. Where the worker refuses the order, never gets it or is lost, the job is no longer counted as waiting though nothing of it ever began. Ruled out: the store's state and the takeover alone; the phase is set at the order, and a successor only reads it back. Before: nothing looked at the phase or the counts while jobs wait. After: each step of 300 random runs compares them with what the workers began.

--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -1,6 +1,7 @@
 //! Thousands of interleavings of orders, lost and late answers, takeovers,
 //! cuts, crashes, cancellations and store outages, against what must hold.
 
+mod waiting;
 mod world;
 
 use {crate::world::World, dewspar::job::Phase};
@@ -49,3 +50,16 @@
     assert!(starts > 30_000, "{starts}");
     assert!(completed > 5_000, "{completed}");
 }
+
+#[test]
+fn a_job_waits_until_a_worker_has_begun_one_of_its_tasks() {
+    let miscounted: Vec<String> = (0..300)
+        .filter_map(|seed| {
+            let miscounted = play(seed).miscounted?;
+            Some(format!("seed {seed}, {miscounted}"))
+        })
+        .collect();
+    let first = miscounted.first();
+    let count = miscounted.len();
+    assert!(count == 0, "{count} of 300 runs, the first {first:?}");
+}
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -1,6 +1,7 @@
 //! A scheduler, its workers and its store, with everything that can go wrong.
 
 use {
+    crate::waiting::Miscounted,
     dewspar::{
         job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
@@ -44,7 +45,7 @@
 pub struct Stored {
     revision: u64,
     pub jobs: BTreeMap<JobId, (AcceptedJob, u64)>,
-    cancelled: BTreeSet<JobId>,
+    pub cancelled: BTreeSet<JobId>,
     pub progress: BTreeMap<JobId, Progress>,
 }
 
@@ -61,6 +62,10 @@
     done: BTreeSet<TaskId>,
     /// Tasks whose good end was acknowledged to the worker.
     noted: BTreeSet<TaskId>,
+    /// Jobs of which a worker has begun a task, whoever knows.
+    pub begun: BTreeSet<JobId>,
+    /// What was first said of a job that hadn't begun, if it was wrong.
+    pub miscounted: Option<Miscounted>,
     pub faults: bool,
     pub starts: u64,
 }
@@ -83,6 +88,8 @@
             late: Vec::new(),
             done: BTreeSet::new(),
             noted: BTreeSet::new(),
+            begun: BTreeSet::new(),
+            miscounted: None,
             faults: true,
             starts: 0,
         };
@@ -93,7 +100,7 @@
         world
     }
 
-    fn now(&self) -> Now {
+    pub fn now(&self) -> Now {
         Now {
             steady_ms: self.now_ms,
             unix_ms: 1_700_000_000_000 + self.now_ms,
@@ -242,6 +249,8 @@
         }
         self.store_changes();
         self.check();
+        self.miscounted =
+            self.miscounted.take().or_else(|| self.miscount(step));
     }
 
     fn store_changes(&mut self) {
@@ -377,7 +386,11 @@
             Room { cpu_millis: 1_000, memory_mb: 500, ..Room::default() };
         let fate =
             if fails { Fate::failed(work_ms) } else { Fate::done(work_ms) };
-        life.worker.start(clock, order, demand, fate)
+        let result = life.worker.start(clock, order, demand, fate);
+        if result.is_ok() {
+            self.begun.insert(order.task.job);
+        }
+        result
     }
 
     fn stop(
