Waves: order refused maintenance again however few may be down

Cause: an order that has no result counts as a VM that is down, as it has to. The check for room came before the check whether the VM is one of these, so with as many orders without result as VMs may be down, none was ever sent again: the record of the order kept the order from being carried out. Ruled out: the retry interval and the VM left alone after a takeover; with room for one more VM the order went out again. Before: with one VM allowed down, an order that the VM service refused (busy, too many calls, an older token) or didn't answer was never repeated within 2 s, and the wave stood still under that holder. The test failed with 0 instead of 1 order. After: an order that is repeated needs no further room; one VM at a time. Conclusion: what counts against the room for others mustn't count against itself.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -167,15 +167,19 @@
         let mut room = state.room(&self.vms);
         let mut ready = Vec::new();
         for vm in state.remaining() {
-            if room == 0 {
-                break;
+            // One that was ordered before counts as down already.
+            let again = state.ordered.contains_key(vm);
+            if room == 0 && !again {
+                continue;
             }
             let free = !state.is_waiting(vm, now) && self.may_order(vm, now);
             if !free || !self.is_empty_for(vm, wave) {
                 continue;
             }
             ready.push(vm.clone());
-            room -= 1;
+            if !again {
+                room -= 1;
+            }
         }
         for vm in ready {
             let life = self.worker_on(&vm).map(|worker| worker.id().clone());
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! What the scheduler must and must not order, case by case.
 
 mod duties;
+mod facts;
 mod placing;
 mod pools;
 mod runs;
