Waves: the list of VMs says which life maintenance ended

Cause: an order to maintain a VM that was answered with success was taken to end the life that the worker had when it was sent. The VM service also answers so where the maintenance was done before: by an order of a former holder whose answer or whose record of it was lost. The life that came after it was then held to be over for good, and the VM to be down until another life showed, which never comes. Ruled out: the holder's own repeated order, which kept the first life. Before: with one VM allowed down, the wave ordered nothing more within 3 s, and the worker got no tasks (test failed with 0 instead of 1 order). After: the VM counts as down until a list that was asked for after the answer shows it up; that list also says which lives ended, as for every other end. A second test keeps an older list from bringing the ended life back to use (it fails when only the record is looked at). Conclusion: which life was there at the order needn't be kept any more.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -17,7 +17,7 @@
         schedule::{
             Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
             VmOrderError, WaveRecord, WaveRequest, WorkerId,
-            wave_state::{Down, Ordered, WaveState},
+            wave_state::WaveState,
             worker::{Purpose, RunState, Worker},
         },
     },
@@ -132,9 +132,11 @@
             };
             let state = self.waves.get(wave);
             let vm = &worker.listing.vm;
-            // The worker is in the list, so its life is not the one that
-            // ended.
-            if state.is_some_and(|state| state.record.done.contains(vm)) {
+            // One that is down is back only once a later list shows it.
+            let back = state.is_some_and(|state| {
+                state.record.done.contains(vm) && !state.down.contains_key(vm)
+            });
+            if back {
                 worker.emptying = None;
             }
         }
@@ -182,12 +184,8 @@
             }
         }
         for vm in ready {
-            let life = self.worker_on(&vm).map(|worker| worker.id().clone());
             let Some(state) = self.waves.get_mut(&wave) else { return };
-            let sent_ms = now.steady_ms;
-            let first = Ordered { sent_ms, life };
-            let ordered = state.ordered.entry(vm.clone()).or_insert(first);
-            ordered.sent_ms = sent_ms;
+            state.ordered.insert(vm.clone(), now.steady_ms);
             orders.push(VmOrder::Maintain { vm, wave });
         }
     }
@@ -212,7 +210,7 @@
     /// Begins to empty more workers, as many as the time left asks for.
     fn empty_more(&mut self, wave: u64, now: Now) {
         let Some(state) = self.waves.get(&wave) else { return };
-        let under_way = state.down.len() + self.emptying_for(wave);
+        let under_way = state.down.len() + self.emptying_for(wave, state);
         let remaining: Vec<&String> = state.remaining().collect();
         let left_ms = state.left_ms(now);
         let needed_ms = remaining.len() as u64 * CYCLE_MS;
@@ -246,9 +244,14 @@
         self.empty(&id, Purpose::Maintenance(wave), now);
     }
 
-    fn emptying_for(&self, wave: u64) -> usize {
+    /// Counts the workers that are being emptied and aren't down yet.
+    fn emptying_for(&self, wave: u64, state: &WaveState) -> usize {
         let purpose = Some(Purpose::Maintenance(wave));
-        self.workers.values().filter(|w| w.emptying == purpose).count()
+        let emptying = self.workers.values().filter(|worker| {
+            worker.emptying == purpose
+                && !state.down.contains_key(&worker.listing.vm)
+        });
+        emptying.count()
     }
 
     pub(super) fn worker_on(&self, vm: &str) -> Option<&Worker> {
@@ -391,15 +394,11 @@
         let Some(state) = self.waves.get_mut(&wave) else { return };
         match result {
             Ok(()) => {
-                let ordered = state.ordered.remove(vm);
-                let life = ordered.and_then(|ordered| ordered.life);
+                state.ordered.remove(vm);
                 state.record.done.insert(vm.to_owned());
-                let since_ms = now.steady_ms;
-                let down = Down { since_ms, life: life.clone() };
-                state.down.insert(vm.to_owned(), down);
-                if let Some(life) = life {
-                    self.worker_gone(&life, "maintenance began", now);
-                }
+                // It may have been done before, by a former holder's order:
+                // which life ended, if any, the list of VMs tells.
+                state.down.insert(vm.to_owned(), now.steady_ms);
             }
             // It is gone for good, so there is nothing to maintain.
             Err(VmOrderError::Invalid | VmOrderError::NotInWave)
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -3,9 +3,7 @@
 */
 
 use {
-    crate::schedule::{
-        ManagedVm, Now, VmLife, WaveRecord, WaveRequest, WorkerId,
-    },
+    crate::schedule::{ManagedVm, Now, VmLife, WaveRecord, WaveRequest},
     std::collections::BTreeMap,
 };
 
@@ -29,10 +27,11 @@
     pub(super) record: WaveRecord,
     /// When it ends, on the steady clock.
     pub(super) end_ms: u64,
-    /// The VMs that are down for it.
-    pub(super) down: BTreeMap<String, Down>,
-    /// The VMs with an order that isn't known to be done.
-    pub(super) ordered: BTreeMap<String, Ordered>,
+    /// The VMs that are down for it, each with since when.
+    pub(super) down: BTreeMap<String, u64>,
+    /// The VMs with an order that isn't known to be done, each with when it
+    /// was sent last.
+    pub(super) ordered: BTreeMap<String, u64>,
     /// The VMs that aren't in the list of VMs, each with since when.
     pub(super) missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
@@ -40,24 +39,6 @@
     pub(super) completed: bool,
 }
 
-/// An order to take a VM down.
-#[derive(Debug)]
-pub(super) struct Ordered {
-    /// When it was sent last.
-    pub(super) sent_ms: u64,
-    /// The life of the worker when it was sent first; any later one may be
-    /// the maintenance's own outcome.
-    pub(super) life: Option<WorkerId>,
-}
-
-/// A VM that was taken down.
-#[derive(Debug)]
-pub(super) struct Down {
-    pub(super) since_ms: u64,
-    /// The life that ended.
-    pub(super) life: Option<WorkerId>,
-}
-
 impl WaveState {
     pub(super) fn remaining(&self) -> impl Iterator<Item = &String> {
         self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
@@ -84,9 +65,9 @@
 
     /// Returns whether an order for the VM is under way.
     pub(super) fn is_waiting(&self, vm: &str, now: Now) -> bool {
-        self.ordered.get(vm).is_some_and(|order| {
-            now.steady_ms < order.sent_ms + ORDER_RETRY_MS
-        })
+        self.ordered
+            .get(vm)
+            .is_some_and(|sent_ms| now.steady_ms < sent_ms + ORDER_RETRY_MS)
     }
 
     /// Notes which VMs are back.
@@ -95,10 +76,10 @@
         asked_ms: u64,
         vms: &BTreeMap<String, ManagedVm>,
     ) {
-        self.down.retain(|name, down| {
+        self.down.retain(|name, since_ms| {
             let Some(vm) = vms.get(name) else { return false };
-            let back = vm.life == VmLife::Up && vm.worker != down.life;
-            !(back && asked_ms > down.since_ms)
+            // An older list may still show it as it was before.
+            !(vm.life == VmLife::Up && asked_ms > *since_ms)
         });
         self.note_missing(asked_ms, vms);
     }
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -2,8 +2,10 @@
 //! VM service, and their lists, say what began.
 
 use {
-    crate::world::{World, at, managed},
-    dewspar::schedule::{ManagedVm, VmOrder, VmOrderError, WaveRequest},
+    crate::world::{World, at, id, job, managed, step},
+    dewspar::schedule::{
+        ManagedVm, VmOrder, VmOrderError, WaveRequest, WorkerId,
+    },
     std::collections::BTreeMap,
 };
 
@@ -80,3 +82,50 @@
         assert_eq!(second[0].1, first[0].1, "{error:?}: one at a time");
     }
 }
+
+#[test]
+fn maintenance_that_was_done_before_ends_no_later_life() {
+    // A former holder had the VM maintained and couldn't record it.
+    let mut world = idle_world(&["w1", "w2"], 1);
+    let first = maintained(&mut world, 2_000);
+    let vm = first[0].1.clone();
+    // The VM service takes it as done; the life goes on, and the list of VMs
+    // still has it.
+    answer(&mut world, &vm, Ok(()));
+    world.run_for(600);
+    let second = maintained(&mut world, 3_000);
+    assert_eq!(second.len(), 1, "the wave goes on");
+    assert_ne!(second[0].1, vm);
+    answer(&mut world, &second[0].1, Ok(()));
+    // The first one's worker is there for tasks, the other one's isn't.
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let other = second[0].1.clone();
+    let gone = world.listings.iter().find(|l| l.vm == other);
+    let gone = gone.expect("a listed VM").id.clone();
+    world.cut.push(gone);
+    world.run_for(300);
+    let on: Vec<&WorkerId> = world.starts.iter().map(|(on, _)| on).collect();
+    let listing = world.listings.iter().find(|l| l.vm == vm);
+    let life = listing.map(|listing| &listing.id);
+    assert_eq!(on.first().copied(), life);
+}
+
+#[test]
+fn a_life_that_was_maintained_gets_nothing_before_the_list_shows_the_next() {
+    let mut world = idle_world(&["w1", "w2"], 1);
+    let asked_ms = world.now_ms;
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let first = maintained(&mut world, 2_000);
+    let vm = first[0].1.clone();
+    world.run_for(50);
+    answer(&mut world, &vm, Ok(()));
+    // This list was asked for before the VM went down.
+    world.scheduler.list_vms(at(world.now_ms), asked_ms, &vms);
+    let listing = world.listings.iter().find(|l| l.vm == vm);
+    let life = listing.expect("a listed VM").id.clone();
+    let many = step(8);
+    world.scheduler.submit(id(1), job(vec![many]), 6, None);
+    world.run_for(300);
+    assert!(world.starts.iter().all(|(on, _)| *on != life));
+    assert!(!world.starts.is_empty());
+}
