Waves: count what a former holder ordered of late as down

Cause: a new holder counts a VM as down only once the list of VMs shows it. An order of the former holder that is still under way isn't there. Such VMs were left alone, but others were ordered down beside them. Ruled out: the successor's own orders, which count from when they are sent. After: what is left alone counts as down for as long as it is left alone. Conclusion: the record of orders that a successor reads bounds the room, too. Orders of an earlier process of the same node aren't inherited and still don't count.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Returns whether a former holder ordered a change of a VM of late.
+    pub(super) fn was_ordered_before(&self, vm: &str, now: Now) -> bool {
+        let inherited = self.inherited_vms.get(vm);
+        inherited.is_some_and(|(_, until_ms)| now.steady_ms < *until_ms)
+    }
+
     /// Returns whether changes of a VM may be ordered.
     pub(super) fn may_order(&self, vm: &str, now: Now) -> bool {
         let from_ms = self.vms_from_ms.get(vm).copied().unwrap_or(0);
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -166,7 +166,7 @@
         orders: &mut Vec<VmOrder>,
     ) {
         let Some(state) = self.waves.get(&wave) else { return };
-        let mut room = state.room(&self.vms);
+        let mut room = state.room(|vm| self.may_be_down(vm, now));
         let mut ready = Vec::new();
         for vm in state.remaining() {
             // One that was ordered before counts as down already.
@@ -190,6 +190,14 @@
         }
     }
 
+    /// Returns whether a VM may be down by an order of a former holder: it
+    /// is, or it was ordered of late and the order may yet be carried out.
+    fn may_be_down(&self, vm: &str, now: Now) -> bool {
+        let known = self.vms.get(vm);
+        known.is_some_and(|vm| vm.life == VmLife::Maintenance)
+            || self.was_ordered_before(vm, now)
+    }
+
     /// Returns whether a VM may go down now.
     fn is_empty_for(&self, vm: &str, wave: u64) -> bool {
         let Some(known) = self.vms.get(vm) else { return false };
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -50,14 +50,11 @@
     }
 
     /// Returns how many more VMs may go down.
-    pub(super) fn room(&self, vms: &BTreeMap<String, ManagedVm>) -> usize {
-        // Some may be down by a former holder's order.
+    pub(super) fn room(&self, may_be_down: impl Fn(&str) -> bool) -> usize {
         let others = self.request.vms.iter().filter(|name| {
             !self.down.contains_key(*name)
                 && !self.ordered.contains_key(*name)
-                && vms
-                    .get(*name)
-                    .is_some_and(|vm| vm.life == VmLife::Maintenance)
+                && may_be_down(name)
         });
         let down = self.down.len() + self.ordered.len() + others.count();
         self.request.max_down.saturating_sub(down)
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -3,9 +3,13 @@
 
 use {
     crate::world::{World, at, id, job, managed, step},
-    dewspar::schedule::{
-        ManagedVm, VmOrder, VmOrderError, WaveRequest, WorkerId,
+    dewspar::{
+        job::StepSpec,
+        schedule::{
+            ManagedVm, Orderer, VmOrder, VmOrderError, WaveRequest, WorkerId,
+        },
     },
+    dewspar_standin::task_worker::Fate,
     std::collections::BTreeMap,
 };
 
@@ -129,3 +133,36 @@
     assert!(world.starts.iter().all(|(on, _)| *on != life));
     assert!(!world.starts.is_empty());
 }
+
+#[test]
+fn what_a_former_holder_ordered_of_late_may_still_go_down() {
+    let mut world = World::new(5, &["w1", "w2", "w3"]);
+    world.listings[0].rack = "rack-9".to_owned();
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    request_wave(&mut world, 1);
+    let first = maintained(&mut world, 2_000);
+    let orderer =
+        |node: &str| Orderer { node: node.to_owned(), incarnation: 1 };
+    let (now, former) = (at(world.now_ms), orderer("node-1"));
+    let ordered = world.scheduler.ordered_vms(now, &former);
+    // It dies before the VM service has carried the order out.
+    world.take_over(9);
+    world.now_ms += 500;
+    let now = at(world.now_ms);
+    let next = orderer("node-2");
+    world.scheduler.leave_vms_alone(now, &next, Some(ordered));
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    // The next holder uses its worker, and so takes another VM first.
+    world.fate = Fate::done(8_000);
+    let there = StepSpec { data_rack: "rack-9".to_owned(), ..step(1) };
+    world.scheduler.submit(id(1), job(vec![there]), 10, None);
+    world.run_for(50);
+    request_wave(&mut world, 1);
+    let second = maintained(&mut world, 2_000);
+    assert!(second.is_empty(), "{first:?} may go down yet: {second:?}");
+    assert_eq!(maintained(&mut world, 2_000).len(), 1);
+}
