Pools: count a VM that is ordered to move once

Cause: the VMs to share out were those that the list shows up, and those that were ordered to move. Until the list shows a move, its VM is both. Ruled out: pools' own sizes, which count a VM by its worker or its move. Before: with three VMs of which one was ordered to move, the target of the pool was logged as 3 and then 4 (test failed with [3, 4] instead of [3]). Conclusion: the targets that operators read in the log no longer exceed the fleet by the moves that were only ordered.

--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -199,7 +199,10 @@
     /// While there are too few for all, none gets more than its equal share
     /// as long as another wants for one.
     fn targets(&self, now: Now) -> BTreeMap<String, u64> {
-        let usable = self.vms.values().filter(|vm| vm.life == VmLife::Up);
+        // A move that was ordered needn't show in the list yet.
+        let usable = self.vms.values().filter(|vm| {
+            vm.life == VmLife::Up && !self.moving.contains_key(&vm.vm)
+        });
         let total = usable.count() + self.moving.len();
         let mut left = total as u64;
         let mut needs: BTreeMap<&String, u64> = BTreeMap::new();
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -2,11 +2,12 @@
 //! VM service, and their lists, say what began.
 
 use {
-    crate::world::{World, at, id, job, managed, step},
+    crate::world::{POOL, World, at, id, job, listing, managed, step},
     dewspar::{
         job::StepSpec,
         schedule::{
-            ManagedVm, Orderer, VmOrder, VmOrderError, WaveRequest, WorkerId,
+            Decision, ManagedVm, Orderer, VmOrder, VmOrderError, WaveRequest,
+            WorkerId,
         },
     },
     dewspar_standin::task_worker::Fate,
@@ -166,3 +167,29 @@
     assert!(second.is_empty(), "{first:?} may go down yet: {second:?}");
     assert_eq!(maintained(&mut world, 2_000).len(), 1);
 }
+
+#[test]
+fn a_vm_that_is_ordered_to_move_is_one_vm() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    let mut spare = listing("w3");
+    spare.pool = "off".to_owned();
+    world.listings.push(spare);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(40)]), 6, None);
+    world.run_for(100);
+    for _ in 0..10 {
+        list_vms(&mut world);
+        world.scheduler.plan_vms(at(world.now_ms));
+        world.run_for(100);
+    }
+    let targets = world.scheduler.take_decisions().into_iter();
+    let targets = targets.filter_map(|decision| match decision {
+        Decision::PoolSized { target, .. } => Some(target),
+        _ => None,
+    });
+    assert_eq!(targets.collect::<Vec<u64>>(), [3], "there are three VMs");
+}
