Stalled runs: count from when a worker shows the run

Cause: the time since which a percentage stands still was set when the start was ordered, and not set anew when a worker first listed the run. An order without an answer may be carried out seconds later. Ruled out: starts that were answered, which do set it. Before: a run that began 3 s after its order was stopped with the first answer that showed it, its task kept off the worker and the worker suspended (test failed with 1 stop instead of 0). After: it has its 2.5 s from when it is first listed. Conclusion: the order's time says nothing of how a run comes on.

--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -368,6 +368,8 @@
         if self.state == RunState::Starting {
             self.state = RunState::Running;
             self.since_ms = now_ms;
+            // It may have begun long after it was ordered.
+            self.moved_ms = now_ms;
         }
         if self.percent != active.percent {
             self.percent = active.percent;
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -6,8 +6,8 @@
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, ManagedVm, Orderer, VmOrder, VmOrderError, WaveRequest,
-            WorkerId,
+            Action, Decision, ManagedVm, OrderError, Orderer, StartOrder,
+            VmOrder, VmOrderError, WaveRequest, WorkerId,
         },
     },
     dewspar_standin::task_worker::Fate,
@@ -193,3 +193,56 @@
     });
     assert_eq!(targets.collect::<Vec<u64>>(), [3], "there are three VMs");
 }
+
+/// A world whose first start reaches its worker, and no other order, later.
+fn world_with_late_start(fate: Fate) -> (World, WorkerId, StartOrder) {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    world.fate = fate;
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let now = at(world.now_ms);
+    let mut start = None;
+    for action in world.scheduler.plan(now) {
+        match action {
+            Action::Start { worker, order, .. } => {
+                start = Some((worker, order));
+            }
+            other => world.carry_out(other, now),
+        }
+    }
+    let (worker, order) = start.expect("a start is owed");
+    (world, worker, order)
+}
+
+fn start_late(world: &mut World, worker: &WorkerId, order: &StartOrder) {
+    let (now_ms, fate) = (world.now_ms, world.fate);
+    let reached = world.reach(worker).expect("a worker");
+    reached.start(now_ms, order, step_room(), fate).expect("a start");
+}
+
+fn step_room() -> dewspar::schedule::Room {
+    dewspar::schedule::Room { cpu_millis: 1_000, memory_mb: 100, gpus: 0 }
+}
+
+#[test]
+fn a_run_that_began_late_isnt_taken_to_stand_still() {
+    let (mut world, worker, order) =
+        world_with_late_start(Fate::done(400_000));
+    let task = order.task;
+    let lost = Err(OrderError::Unknown);
+    let now = at(world.now_ms);
+    world.scheduler.start_answered(&worker, &task, order.run, lost, now);
+    world.cut.push(worker.clone());
+    world.run_for(3_000);
+    // Only now does the order arrive, just before the worker is in touch.
+    world.cut.clear();
+    start_late(&mut world, &worker, &order);
+    world.run_for(2_000);
+    assert_eq!(world.running().len(), 1);
+    let stops = world.scheduler.take_decisions().into_iter();
+    let stops =
+        stops.filter(|d| matches!(d, Decision::Stopped { .. })).count();
+    assert_eq!(stops, 0, "it has run for 2 s");
+}
