Stops: a run that isn't known to be there isn't missing

Cause: a run that is to stop was dropped as soon as a worker didn't list it in an answer to a question sent after the start was ordered, whether or not the start had been carried out by then. Nothing ordered it to stop any more when it came, and a worker on which nothing is known to run isn't asked. Ruled out: starts of jobs that aren't cancelled; these wait for an answer or for a higher token. Before: a job was cancelled 20 ms after a start was ordered, the order to stop was lost and a hold overtook the start. The run went on 2 s later, though its start had been answered with success (test failed with the task still running). After: such a run is dropped by the same rule as one that is starting, and is ordered to stop until its end is listed or its start is refused or void. Conclusion: the time of an order shows nothing about when it was carried out.

--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -342,8 +342,12 @@
                 // A start under an older token can't be carried out any
                 // more; one that was answered before the question was there.
                 let settled = match run.state {
-                    RunState::Starting => run.fence < held.order.fence,
-                    RunState::Running | RunState::Stopping { .. } => {
+                    RunState::Starting
+                    | RunState::Stopping { begun: false, .. } => {
+                        run.fence < held.order.fence
+                    }
+                    RunState::Running
+                    | RunState::Stopping { begun: true, .. } => {
                         run.since_ms < held.sent_ms
                     }
                 };
@@ -365,11 +369,15 @@
 
 impl Run {
     fn update(&mut self, active: &ActiveRun, now_ms: u64) {
-        if self.state == RunState::Starting {
-            self.state = RunState::Running;
-            self.since_ms = now_ms;
-            // It may have begun long after it was ordered.
-            self.moved_ms = now_ms;
+        match &mut self.state {
+            RunState::Starting => {
+                self.state = RunState::Running;
+                self.since_ms = now_ms;
+                // It may have begun long after it was ordered.
+                self.moved_ms = now_ms;
+            }
+            RunState::Running => {}
+            RunState::Stopping { begun, .. } => *begun = true,
         }
         if self.percent != active.percent {
             self.percent = active.percent;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -341,7 +341,8 @@
             let address = &worker.listing.address;
             let id = &worker.listing.id;
             for (task, run) in &mut worker.runs {
-                let RunState::Stopping { ordered_ms } = &mut run.state else {
+                let RunState::Stopping { ordered_ms, .. } = &mut run.state
+                else {
                     continue;
                 };
                 let retry = *ordered_ms + self.options.stop_retry_ms;
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -62,6 +62,8 @@
     Stopping {
         /// When the last order to stop it was sent; 0 for never.
         ordered_ms: u64,
+        /// Whether the worker has said that it is there; else it may come.
+        begun: bool,
     },
 }
 
@@ -72,7 +74,8 @@
 
     pub(crate) fn stop(&mut self) {
         if !self.is_stopping() {
-            self.state = RunState::Stopping { ordered_ms: 0 };
+            let begun = self.state == RunState::Running;
+            self.state = RunState::Stopping { ordered_ms: 0, begun };
         }
     }
 }
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -246,3 +246,30 @@
         stops.filter(|d| matches!(d, Decision::Stopped { .. })).count();
     assert_eq!(stops, 0, "it has run for 2 s");
 }
+
+#[test]
+fn a_run_that_is_to_stop_before_it_began_is_stopped_when_it_begins() {
+    let (mut world, worker, order) = world_with_late_start(Fate::endless());
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.now_ms += 20;
+    // The order to stop it is lost, and the worker answers a hold before
+    // the start arrives.
+    let now = at(world.now_ms);
+    for action in world.scheduler.plan(now) {
+        match action {
+            Action::Stop { worker, order, .. } => {
+                let (task, lost) = (order.task, Err(OrderError::Unknown));
+                world.scheduler.stop_answered(&worker, &task, lost, now);
+            }
+            other => world.carry_out(other, now),
+        }
+    }
+    start_late(&mut world, &worker, &order);
+    let (task, clock_ms) = (order.task, world.now_ms);
+    let done = Ok(clock_ms);
+    world.scheduler.start_answered(&worker, &task, order.run, done, now);
+    let changes = world.scheduler.take_changes(100);
+    world.scheduler.changes_stored(&changes, now);
+    world.run_for(2_000);
+    assert_eq!(world.running(), [] as [String; 0]);
+}
