--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -1,4 +1,5 @@
 use {
+    self::clock::{ClockReading, slow},
     crate::{
         job::{JobId, TaskId},
         schedule::{
@@ -8,6 +9,8 @@
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
+mod clock;
+
 /// Room in a fencing token for the orders of one lease holder that had to
 /// be fenced off themselves, a power of two.
 ///
@@ -21,10 +24,6 @@
 /// One may be a job that fails everywhere; two by chance are rare.
 const FAILED_JOBS_TO_SUSPEND: usize = 2;
 
-/// How much longer a worker's clock may take than ours, in thousandths: 2 %
-/// by the workers' protocol, and a little for reading the clocks.
-const SLOW_CLOCK_PER_MILLE: u64 = 1_021;
-
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -80,18 +79,6 @@
     }
 }
 
-/// Returns how long a worker's time may take on our clock.
-fn slow(worker_ms: u64) -> u64 {
-    worker_ms * SLOW_CLOCK_PER_MILLE / 1_000
-}
-
-/// A reading of a worker's clock.
-#[derive(Clone, Copy, Debug)]
-struct ClockReading {
-    worker_ms: u64,
-    at_ms: u64,
-}
-
 /// An end whose change isn't stored yet.
 #[derive(Clone, Copy, Debug)]
 struct UnstoredEnd {
