Gangs: note and number a start only when every member has a place

Cause: each member of a gang was started as soon as it had a place, and taken off again when another had none. What starting notes stayed: the log line and the count of a start, the job's phase, and the run's number; and the step's waiting time began anew. Ruled out: orders; none was sent for a gang without room. Before: a gang of two with room for one noted 20 starts a second, one at each plan, and its job no longer counted as waiting (test failed with 20 instead of 0 starts, and, with that looked at alone, with no job waiting instead of one). After: members look for their places first, and nothing is noted until all have one. When room comes, the run has the number 1. Conclusion: one more cause of jobs that wait uncounted, beside refused and lost orders.

--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -20,6 +20,8 @@
     std::collections::BTreeSet,
 };
 
+mod gang;
+
 /// How many numbers of runs are passed over for a task that a former holder
 /// may have started unseen, so that its number stays the highest.
 const RUN_GAP: u64 = 8;
@@ -182,59 +184,6 @@
         (without_place && fits).then_some(pool)
     }
 
-    /// Starts every member of a gang, or none; returns whether there was a
-    /// place for each.
-    fn start_gang(
-        &mut self,
-        spec: &StepSpec,
-        first: &TaskId,
-        waiting: &[u32],
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) -> bool {
-        // Members of the last run are still there: wait for their ends.
-        if waiting.len() < spec.count as usize {
-            return true;
-        }
-        let members = waiting.iter().map(|&index| TaskId { index, ..*first });
-        let run = members.clone().map(|task| self.next_run(&task)).max();
-        let run = run.unwrap_or(1);
-        let checkpoint = members
-            .clone()
-            .filter_map(|task| self.jobs[&task.job].task(&task))
-            .map(|task| task.checkpoint.clone())
-            .find(|checkpoint| !checkpoint.is_empty());
-        let mut orders = Vec::new();
-        let mut placed: Vec<(TaskId, WorkerId)> = Vec::new();
-        for task in members {
-            if let (Some(job), Some(checkpoint)) =
-                (self.jobs.get_mut(&task.job), &checkpoint)
-                && let Some(state) = job.task_mut(&task)
-            {
-                state.checkpoint.clone_from(checkpoint);
-            }
-            let worker = match self.choose(spec, &task, now) {
-                Ok(worker) => worker,
-                Err(NotNow::NoTicket) => {
-                    actions.extend(self.ask_adviser(spec, &task, now));
-                    break;
-                }
-                Err(_) => break,
-            };
-            placed.push((task, worker.clone()));
-            orders.extend(self.start(spec, &task, run, worker, now));
-        }
-        if placed.len() == spec.count as usize {
-            actions.extend(orders);
-            return true;
-        }
-        // Not all fit: nothing was sent, so what was reserved is free again.
-        for (task, worker) in placed {
-            self.free_run(&task, &worker, now);
-        }
-        false
-    }
-
     /// Returns whether a VM of the fleet could hold a task of the step.
     pub(super) fn fits_somewhere(&self, spec: &StepSpec) -> bool {
         let demand = demand(spec);
--- /dev/null
+++ b/crates/dewspar/src/schedule/place/gang.rs
@@ -0,0 +1,126 @@
+/*!
+Gangs: steps whose tasks only work together.
+
+A gang starts as a whole or not at all. Its members look for their places one
+after the other, each where the others have left room; only when all have one
+is anything ordered or noted. Until then the gang waits, as if nobody had
+looked.
+*/
+
+use {
+    super::NotNow,
+    crate::{
+        job::{StepSpec, TaskId},
+        schedule::{
+            Action, Now, Scheduler, WorkerId,
+            board::demand,
+            worker::{Run, RunState},
+        },
+    },
+};
+
+impl Scheduler {
+    /// Starts every member of a gang, or none; returns whether there was a
+    /// place for each.
+    pub(super) fn start_gang(
+        &mut self,
+        spec: &StepSpec,
+        first: &TaskId,
+        waiting: &[u32],
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        // Members of the last run are still there: wait for their ends.
+        if waiting.len() < spec.count as usize {
+            return true;
+        }
+        let members: Vec<TaskId> =
+            waiting.iter().map(|&index| TaskId { index, ..*first }).collect();
+        let run = members.iter().map(|task| self.next_run(task)).max();
+        let run = run.unwrap_or(1);
+        let places = self.find_places(spec, &members, run, now, actions);
+        if places.len() < members.len() {
+            return false;
+        }
+        self.share_checkpoint(&members);
+        for (task, worker) in members.iter().zip(places) {
+            actions.extend(self.start(spec, task, run, worker, now));
+        }
+        true
+    }
+
+    /// Returns a worker for each member in turn, up to the first that has
+    /// none now.
+    fn find_places(
+        &mut self,
+        spec: &StepSpec,
+        members: &[TaskId],
+        run: u64,
+        now: Now,
+        actions: &mut Vec<Action>,
+    ) -> Vec<WorkerId> {
+        let mut places = Vec::new();
+        for task in members {
+            match self.choose(spec, task, now) {
+                Ok(worker) => {
+                    self.reserve(spec, task, run, &worker, now);
+                    places.push(worker);
+                }
+                Err(NotNow::NoTicket) => {
+                    actions.extend(self.ask_adviser(spec, task, now));
+                    break;
+                }
+                Err(NotNow::NoRoom | NotNow::Unaccounted) => break,
+            }
+        }
+        for (task, worker) in members.iter().zip(&places) {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                // A worker that a gang has looked at isn't idle: it is wanted
+                // as soon as the other members have their places.
+                worker.remove(task, now.steady_ms);
+            }
+        }
+        places
+    }
+
+    /// Takes room for a member while the others look for theirs.
+    fn reserve(
+        &mut self,
+        spec: &StepSpec,
+        task: &TaskId,
+        run: u64,
+        worker_id: &WorkerId,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let reserved = Run {
+            run,
+            fence: worker.fence(),
+            demand: demand(spec),
+            state: RunState::Starting,
+            since_ms: now.steady_ms,
+            percent: 0,
+            moved_ms: now.steady_ms,
+            gauge: 0,
+            pace: 100,
+        };
+        worker.insert(*task, reserved);
+    }
+
+    /// Gives every member the same checkpoint, since any one's serves for
+    /// all.
+    fn share_checkpoint(&mut self, members: &[TaskId]) {
+        let checkpoint = members
+            .iter()
+            .filter_map(|task| self.jobs[&task.job].task(task))
+            .map(|task| task.checkpoint.clone())
+            .find(|checkpoint| !checkpoint.is_empty());
+        let Some(checkpoint) = checkpoint else { return };
+        for task in members {
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+                state.checkpoint.clone_from(&checkpoint);
+            }
+        }
+    }
+}
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -2,7 +2,7 @@
 //! VM service, and their lists, say what began.
 
 use {
-    crate::world::{POOL, World, at, id, job, listing, managed, step},
+    crate::world::{POOL, ROOM, World, at, id, job, listing, managed, step},
     dewspar::{
         job::StepSpec,
         schedule::{
@@ -10,7 +10,7 @@
             VmOrder, VmOrderError, WaveRequest, WorkerId,
         },
     },
-    dewspar_standin::task_worker::Fate,
+    dewspar_standin::task_worker::{Fate, TaskWorker},
     std::collections::BTreeMap,
 };
 
@@ -273,3 +273,49 @@
     world.run_for(2_000);
     assert_eq!(world.running(), [] as [String; 0]);
 }
+
+#[test]
+fn a_gang_without_room_for_all_starts_nothing() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    let gang = StepSpec { gang: true, cpu_millis: 3_000, ..step(2) };
+    world.scheduler.submit(id(1), job(vec![gang]), 6, None);
+    world.run_for(1_000);
+    let starts = world.scheduler.take_decisions().into_iter();
+    let starts =
+        starts.filter(|d| matches!(d, Decision::Started { .. })).count();
+    assert_eq!(starts, 0, "nothing was sent");
+    let waiting = world.scheduler.pending(at(world.now_ms).unix_ms);
+    assert_eq!(waiting.get(""), Some(&1));
+    // Once there is room it starts, under the first number.
+    world.listings.push(listing("w2"));
+    let second = (WorkerId::new("w2"), TaskWorker::new(ROOM));
+    world.workers.extend([second]);
+    world.list();
+    world.run_for(300);
+    let runs: Vec<u64> =
+        world.starts.iter().map(|(_, order)| order.run).collect();
+    assert_eq!(runs, [1, 1]);
+}
+
+#[test]
+fn a_worker_that_a_gang_waits_to_use_isnt_switched_off() {
+    let names = ["w1", "w2", "w3"];
+    let mut world = World::new(5, &names);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    let hungry = StepSpec { memory_mb: 3_000, cpu_millis: 100, ..step(4) };
+    let gang = StepSpec { gang: true, ..hungry };
+    world.scheduler.submit(id(1), job(vec![gang]), 6, None);
+    let begin_ms = world.now_ms;
+    while world.now_ms < begin_ms + 8_000 {
+        list_vms(&mut world);
+        let orders = world.scheduler.plan_vms(at(world.now_ms));
+        assert_eq!(orders, [], "at {}", world.now_ms);
+        world.run_for(50);
+    }
+}
