Paces: set again what had no result

Cause: the share at which a run works was recorded when the order to set it was made. An order that got no result was only logged, and nothing was sent until another share was due. Ruled out: the steps between, which are set outright and hide a lost one; the last of a row stays lost, which is 0 for a task that disturbs and 100 for one that may work in full again. Before: with every order to stop the disturbance lost, the orders were 25 and 0 percent and then none for 2.5 s, while the task that serves stayed over its target (test failed with [25, 0] instead of [25, 0, 0, 0]; the method that is told of the failure did nothing then). After: an order without result is sent again when the next change is due, and one that may come late is made void first, like a start. A run whose share isn't known isn't held to stand still. Conclusion: the scheduler can be told; the daemon doesn't tell it yet, where the result is only logged.

--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -11,7 +11,7 @@
 use crate::{
     job::{StepSpec, TaskId},
     schedule::{
-        Action, Now, Scheduler, WorkerId,
+        Action, Now, OrderError, PaceOrder, Scheduler, WorkerId,
         worker::{RunState, Worker},
     },
 };
@@ -66,7 +66,8 @@
                 let judged = run.state == RunState::Running
                     && run.percent < 100
                     && !spec.gang
-                    && run.pace == 100;
+                    && run.pace == 100
+                    && !worker.unset_paces.contains(task);
                 let still = worker.reported_ms().saturating_sub(run.moved_ms);
                 if judged && still > patience_ms {
                     stalled.push((worker.id().clone(), *task));
@@ -119,7 +120,7 @@
                     continue;
                 }
                 let pace = next_pace(fare, run.pace);
-                if pace != run.pace {
+                if pace != run.pace || worker.unset_paces.contains(task) {
                     changes.push((worker.id().clone(), *task, pace));
                 }
             }
@@ -132,6 +133,30 @@
         }
     }
 
+    /// Takes note that an order to pace a run has no result.
+    ///
+    /// The share at which the run works isn't known then: it is set again
+    /// when the next change would be due.
+    pub fn pace_failed(
+        &mut self,
+        worker_id: &WorkerId,
+        order: &PaceOrder,
+        error: OrderError,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let current = worker.runs.get(&order.task).is_some_and(|run| {
+            run.run == order.run && run.pace == order.percent
+        });
+        if current {
+            worker.unset_paces.insert(order.task);
+        }
+        // It may be carried out yet, after later ones.
+        if error == OrderError::Unknown && order.fence == worker.fence() {
+            worker.raise_fence(now.steady_ms);
+        }
+    }
+
     fn fare(&self, worker: &Worker) -> Fare {
         let mut fare = Fare::Calm;
         for (task, run) in &worker.runs {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -381,6 +381,7 @@
         let worker = self.workers.get_mut(worker_id)?;
         let fence = worker.fence();
         let address = worker.listing.address.clone();
+        worker.unset_paces.remove(task);
         let run = worker.runs.get_mut(task)?;
         run.pace = percent;
         let order = PaceOrder { task: *task, run: run.run, percent, fence };
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -47,7 +47,7 @@
     /// When its percentage last moved.
     pub(crate) moved_ms: u64,
     pub(crate) gauge: u64,
-    /// The share at which it may work, in percent.
+    /// The share at which it was ordered to work, in percent.
     pub(crate) pace: u8,
 }
 
@@ -123,6 +123,8 @@
     /// When the pace of a run was last changed.
     paced_ms: u64,
     pace_is_due: bool,
+    /// The runs whose last order to pace them has no result.
+    pub(crate) unset_paces: BTreeSet<TaskId>,
     /// Why it is being emptied, if it is.
     pub(crate) emptying: Option<Purpose>,
     pub(crate) emptying_since_ms: u64,
@@ -174,6 +176,7 @@
             suspensions: 0,
             paced_ms: 0,
             pace_is_due: false,
+            unset_paces: BTreeSet::new(),
             emptying: None,
             emptying_since_ms: 0,
             idle_since_ms: now_ms,
@@ -213,6 +216,7 @@
     ) -> Option<Run> {
         let run = self.runs.remove(task)?;
         self.used.subtract(&run.demand);
+        self.unset_paces.remove(task);
         if self.runs.is_empty() {
             self.idle_since_ms = now_ms;
         }
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -6,8 +6,8 @@
     dewspar::{
         job::StepSpec,
         schedule::{
-            Action, Decision, ManagedVm, OrderError, Orderer, StartOrder,
-            VmOrder, VmOrderError, WaveRequest, WorkerId,
+            Action, Decision, ManagedVm, OrderError, Orderer, PaceOrder,
+            StartOrder, VmOrder, VmOrderError, WaveRequest, WorkerId,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -319,3 +319,81 @@
         world.run_for(50);
     }
 }
+
+/// A worker with a best-effort task beside one that serves.
+fn world_with_best_effort() -> World {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.fate = Fate::endless();
+    let long = StepSpec { long_running: true, ..step(1) };
+    let serves = StepSpec { target_ms: 50, ..long.clone() };
+    let fills = StepSpec { best_effort: true, ..long };
+    world.scheduler.submit(id(1), job(vec![serves, fills]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.running().len(), 2);
+    world
+}
+
+/// Lets workers answer for so long while the task that serves takes so many
+/// milliseconds; returns the orders to pace, none of which has a result for
+/// the first `lost` of them.
+fn pace_for(
+    world: &mut World,
+    for_ms: u64,
+    gauge: u64,
+    mut lost: usize,
+) -> Vec<PaceOrder> {
+    let end_ms = world.now_ms + for_ms;
+    let mut paces = Vec::new();
+    while world.now_ms < end_ms {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            match action {
+                Action::Pace { worker, order, .. } => {
+                    paces.push(order);
+                    if lost > 0 {
+                        lost -= 1;
+                        let error = OrderError::Unknown;
+                        let scheduler = &mut world.scheduler;
+                        scheduler.pace_failed(&worker, &order, error, now);
+                    }
+                }
+                Action::Hold { worker, held, .. } => {
+                    let reached = world.reach(&worker).expect("a worker");
+                    let report = reached.hold(now.steady_ms, held.order());
+                    let report = report.map(|mut report| {
+                        for run in &mut report.active {
+                            run.gauge = gauge;
+                        }
+                        report
+                    });
+                    world.hold_result(&worker, &held, report, now);
+                }
+                other => world.carry_out(other, now),
+            }
+        }
+    }
+    paces
+}
+
+#[test]
+fn a_pace_that_wasnt_set_is_ordered_again() {
+    let mut world = world_with_best_effort();
+    let percents = |paces: &[PaceOrder]| -> Vec<u8> {
+        paces.iter().map(|pace| pace.percent).collect()
+    };
+    let slowed = pace_for(&mut world, 4_000, 200, 3);
+    assert_eq!(percents(&slowed), [25, 0, 0, 0], "it still disturbs");
+    let fences: Vec<u64> = slowed.iter().map(|pace| pace.fence).collect();
+    assert!(fences.is_sorted_by(|a, b| a < b), "a late one is void");
+    let eased = pace_for(&mut world, 4_000, 10, 0);
+    assert_eq!(percents(&eased), [25, 50, 75, 100]);
+    let again = pace_for(&mut world, 400, 200, 0);
+    assert_eq!(percents(&again), [25]);
+    let eased = pace_for(&mut world, 2_200, 10, 3);
+    assert_eq!(percents(&eased), [50, 75, 100]);
+    let last = pace_for(&mut world, 2_000, 10, 0);
+    assert_eq!(percents(&last), [100], "it may work in full again");
+}
