Moves: the list of VMs says which life a move ended

Cause: an order to move a VM that was answered with success was taken to end the life that the directory of workers had on that VM when it was sent. The VM service also answers so where the VM has moved before, and the directory may be newer than the list of VMs by which the move was chosen: then it has the life that came by the earlier move. Ruled out: VMs that were emptied for the move; nothing runs on them. After: lives end by the list of VMs, the directory or their lease alone. Conclusion: the same as for maintenance; an answer to an order says that the order holds, not what it ended.

--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -448,27 +448,19 @@
         result: Result<(), VmOrderError>,
         now: Now,
     ) {
-        // A life that came since isn't touched: the order found the VM there.
-        let moving = self.moving.get(vm);
-        let life = moving.and_then(|moving| moving.life.clone());
-        match (result, life) {
-            (Ok(()), Some(life)) => {
-                self.worker_gone(&life, "its VM moves", now);
-            }
-            (Ok(()), None) => {}
-            (Err(error), life) => {
-                if error == VmOrderError::Invalid {
-                    let refused = (vm.to_owned(), pool.to_owned());
-                    self.refused_moves.insert(refused);
-                }
-                // It may have been done: then the list of VMs shows it.
-                if error != VmOrderError::Unknown {
-                    self.moving.remove(vm);
-                    self.keep(life);
-                    self.put_off(vm, now);
-                }
-            }
+        // It may have been done before, by a former holder's order: which
+        // life ended, if any, the list of VMs tells.
+        let Err(error) = result else { return };
+        if error == VmOrderError::Invalid {
+            self.refused_moves.insert((vm.to_owned(), pool.to_owned()));
+        }
+        // It may have been done: then the list shows that, too.
+        if error == VmOrderError::Unknown {
+            return;
         }
+        let moving = self.moving.remove(vm);
+        self.keep(moving.and_then(|moving| moving.life));
+        self.put_off(vm, now);
     }
 
     /// Uses a worker again that was to leave.
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -8,6 +8,7 @@
         schedule::{
             Action, Decision, ManagedVm, OrderError, Orderer, PaceOrder,
             StartOrder, VmOrder, VmOrderError, WaveRequest, WorkerId,
+            WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -397,3 +398,44 @@
     let last = pace_for(&mut world, 2_000, 10, 0);
     assert_eq!(percents(&last), [100], "it may work in full again");
 }
+
+#[test]
+fn a_move_that_was_done_before_ends_no_later_life() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    for name in ["w3", "w4"] {
+        let pool = "off".to_owned();
+        world.listings.push(WorkerListing { pool, ..listing(name) });
+    }
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(8)]), 6, None);
+    world.run_for(100);
+    // The list of VMs is a moment old: a former holder's order has brought
+    // the VM to the pool since, and its new worker is at work.
+    list_vms(&mut world);
+    world.listings[2] = listing("w3+");
+    world.listings[2].vm = "vm-of-w3".to_owned();
+    let life = (WorkerId::new("w3+"), TaskWorker::new(ROOM));
+    world.workers.extend([life]);
+    world.list();
+    world.run_for(100);
+    world.scheduler.submit(id(2), job(vec![step(8)]), 6, None);
+    world.run_for(200);
+    let orders = world.scheduler.plan_vms(at(world.now_ms));
+    let (vm, pool) = ("vm-of-w3".to_owned(), POOL.to_owned());
+    assert_eq!(orders, [VmOrder::Move { vm, pool }]);
+    let now = at(world.now_ms);
+    world.scheduler.move_answered("vm-of-w3", POOL, Ok(()), now);
+    // There is room on the others.
+    world.scheduler.cancel(id(1), now);
+    world.run_for(600);
+    let mut started: Vec<String> =
+        world.starts.iter().map(|(_, order)| order.task.to_string()).collect();
+    started.sort();
+    let starts = started.len();
+    started.dedup();
+    assert_eq!(starts, started.len(), "what runs on the VM runs on");
+}
