Tasks wait on while their starts are refused

Cause: a task that was taken off a worker began to wait anew, also where its run was only ordered: refused, never sent, or lost before any worker showed it. So the waiting time in logs and counters was that since the last refusal, for the whole step, and a task whose starts are refused never came to go back to a worker where it had failed. Ruled out: runs that had begun; after these a task does wait anew. Before: a start that was refused after 500 ms, and ordered again a second later, was logged with a wait of 1,000 ms (test failed with 1000 instead of 1500). After: 1,500 ms. Conclusion: only a run that a worker has shown ends a wait.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -161,7 +161,7 @@
                 worker: id.clone(),
                 reason,
             });
-            self.free_task(&task, id, now);
+            self.free_task(&task, id, run.has_begun(), now);
         }
         self.note(Decision::WorkerGone { worker: id.clone(), reason });
     }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -341,15 +341,10 @@
             .filter(|(task, run)| {
                 // A start under an older token can't be carried out any
                 // more; one that was answered before the question was there.
-                let settled = match run.state {
-                    RunState::Starting
-                    | RunState::Stopping { begun: false, .. } => {
-                        run.fence < held.order.fence
-                    }
-                    RunState::Running
-                    | RunState::Stopping { begun: true, .. } => {
-                        run.since_ms < held.sent_ms
-                    }
+                let settled = if run.has_begun() {
+                    run.since_ms < held.sent_ms
+                } else {
+                    run.fence < held.order.fence
                 };
                 settled && listed.get(*task) != Some(&run.run)
             })
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -275,17 +275,19 @@
         worker_id: &WorkerId,
         now: Now,
     ) {
-        if let Some(worker) = self.workers.get_mut(worker_id) {
-            worker.remove(task, now.steady_ms);
-        }
-        self.free_task(task, worker_id, now);
+        let worker = self.workers.get_mut(worker_id);
+        let run = worker.and_then(|w| w.remove(task, now.steady_ms));
+        let begun = run.is_none_or(|run| run.has_begun());
+        self.free_task(task, worker_id, begun, now);
     }
 
-    /// Notes that a task isn't on a worker any more.
+    /// Notes that a task isn't on a worker any more, where a run of it had
+    /// begun or was only ordered.
     pub(super) fn free_task(
         &mut self,
         task: &TaskId,
         worker_id: &WorkerId,
+        begun: bool,
         now: Now,
     ) {
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
@@ -297,7 +299,10 @@
         state.on.retain(|on| on != worker_id);
         if state.on.is_empty() && !state.done && !over {
             step.waiting.insert(task.index);
-            step.ready_ms = now.steady_ms;
+            // Else it has waited all the while.
+            if begun {
+                step.ready_ms = now.steady_ms;
+            }
         }
     }
 
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -71,9 +71,18 @@
         matches!(self.state, RunState::Stopping { .. })
     }
 
+    /// Returns whether the worker has said that it is there.
+    pub(crate) fn has_begun(&self) -> bool {
+        match self.state {
+            RunState::Starting => false,
+            RunState::Running => true,
+            RunState::Stopping { begun, .. } => begun,
+        }
+    }
+
     pub(crate) fn stop(&mut self) {
         if !self.is_stopping() {
-            let begun = self.state == RunState::Running;
+            let begun = self.has_begun();
             self.state = RunState::Stopping { ordered_ms: 0, begun };
         }
     }
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -7,7 +7,7 @@
         job::StepSpec,
         schedule::{
             Action, Decision, ManagedVm, OrderError, Orderer, PaceOrder,
-            StartOrder, VmOrder, VmOrderError, WaveRequest, WorkerId,
+            Refusal, StartOrder, VmOrder, VmOrderError, WaveRequest, WorkerId,
             WorkerListing,
         },
     },
@@ -439,3 +439,44 @@
     started.dedup();
     assert_eq!(starts, started.len(), "what runs on the VM runs on");
 }
+
+/// Has a worker refuse the first start of a task; returns when the task came
+/// to wait.
+fn refuse_first_start(world: &mut World) -> u64 {
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let since_ms = world.now_ms;
+    for action in world.scheduler.plan(at(since_ms)) {
+        match action {
+            Action::Start { worker, order, .. } => {
+                // The answer takes its time.
+                world.now_ms += 500;
+                let refused = Err(OrderError::Refused(Refusal::Unhealthy));
+                let (task, run, now) =
+                    (order.task, order.run, at(world.now_ms));
+                let scheduler = &mut world.scheduler;
+                scheduler.start_answered(&worker, &task, run, refused, now);
+            }
+            other => world.carry_out(other, at(since_ms)),
+        }
+    }
+    since_ms
+}
+
+#[test]
+fn a_task_waits_on_while_its_starts_are_refused() {
+    let mut world = World::new(5, &["w1"]);
+    let since_ms = refuse_first_start(&mut world);
+    world.scheduler.take_decisions();
+    // The worker gets nothing for a second.
+    world.run_for(1_500);
+    let waited = world.scheduler.take_decisions().into_iter();
+    let waited = waited.filter_map(|decision| match decision {
+        Decision::Started { waited_ms, .. } => Some(waited_ms),
+        _ => None,
+    });
+    assert_eq!(waited.collect::<Vec<u64>>(), [1_500]);
+    assert_eq!(world.now_ms, since_ms + 2_000);
+}
