--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -2,6 +2,7 @@
 
 mod duties;
 mod facts;
+mod facts_of_vms;
 mod placing;
 mod pools;
 mod runs;
