A start that was refused is to be noted as over

Cause: the log says that a task started when the start is ordered, and says nothing of that run when the order is refused or never sent: only that an order for the task gave no result, which may be an order to stop. Commands that read the log take the run to go on until the next run of the task or the job's end, so that time in which a task waited shows as work. Ruled out: orders without an answer; the next token settles these, and the log says that the run is lost. Before: nothing looked at it. After: a case that fails as the code stands, with one start and no end: schedule::facts::a_start_that_was_refused_is_noted_as_over.

--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -237,3 +237,22 @@
     assert_eq!(waited.collect::<Vec<u64>>(), [1_500]);
     assert_eq!(world.now_ms, since_ms + 2_000);
 }
+
+#[test]
+fn a_start_that_was_refused_is_noted_as_over() {
+    let mut world = World::new(5, &["w1"]);
+    refuse_first_start(&mut world);
+    let decisions = world.scheduler.take_decisions();
+    let first = |run: &u64| *run == 1;
+    let started = |decision: &Decision| match decision {
+        Decision::Started { run, .. } => first(run),
+        _ => false,
+    };
+    let over = |decision: &Decision| match decision {
+        Decision::Lost { run, .. } | Decision::Ended { run, .. } => first(run),
+        _ => false,
+    };
+    let starts = decisions.iter().filter(|d| started(d)).count();
+    let ends = decisions.iter().filter(|d| over(d)).count();
+    assert_eq!(starts, ends, "{decisions:?}");
+}
