Waves: empty a VM again first whose order had no answer

Cause: an order to maintain a VM that got no answer counts as a VM that is down until another order shows whether the first was carried out. For that the VM has to be emptied again, if it came back; but any other could be emptied before it, which then waited for the room that the first one takes. Ruled out: the order's repetition as such (mended before), which needs the VM to be empty. Before: with one VM allowed down, and the VM back and at work for 3 s after an order without answer, the other VM was emptied and nothing was ordered within 9 s (test failed with 0 instead of 1 order). After: what was ordered is emptied first; the wave goes on. Conclusion: what holds the room comes before what waits for it.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -220,6 +220,24 @@
         let Some(state) = self.waves.get(&wave) else { return };
         let under_way = state.down.len() + self.emptying_for(wave, state);
         let remaining: Vec<&String> = state.remaining().collect();
+        let eligible: Vec<&Worker> = remaining
+            .iter()
+            .filter_map(|vm| self.worker_on(vm))
+            .filter(|worker| {
+                worker.emptying.is_none()
+                    && worker.synced
+                    && worker.silent_since_ms.is_none()
+            })
+            .collect();
+        // One that was ordered takes the room of others until another order
+        // shows whether the first was carried out.
+        let ordered =
+            |worker: &&&Worker| state.ordered.contains_key(&worker.listing.vm);
+        if let Some(worker) = eligible.iter().find(ordered) {
+            let id = worker.id().clone();
+            self.empty(&id, Purpose::Maintenance(wave), now);
+            return;
+        }
         let left_ms = state.left_ms(now);
         let needed_ms = remaining.len() as u64 * CYCLE_MS;
         let parallel = needed_ms.div_ceil(left_ms.max(1));
@@ -230,19 +248,10 @@
             return;
         }
         let may_wait = needed_ms * SLACK < left_ms * parallel as u64;
-        let next = remaining
-            .into_iter()
-            .filter_map(|vm| {
-                let worker = self.worker_on(vm)?;
-                let eligible = worker.emptying.is_none()
-                    && worker.synced
-                    && worker.silent_since_ms.is_none();
-                eligible.then_some(worker)
-            })
-            .min_by_key(|worker| {
-                let pool = &worker.listing.pool;
-                (self.pool_percent_without(pool, 1), worker.used().cpu_millis)
-            });
+        let next = eligible.into_iter().min_by_key(|worker| {
+            let pool = &worker.listing.pool;
+            (self.pool_percent_without(pool, 1), worker.used().cpu_millis)
+        });
         let Some(worker) = next else { return };
         let percent = self.pool_percent_without(&worker.listing.pool, 1);
         if may_wait && percent > CALM_PERCENT {
--- a/crates/dewspar/tests/schedule/facts_of_vms.rs
+++ b/crates/dewspar/tests/schedule/facts_of_vms.rs
@@ -254,3 +254,31 @@
     started.dedup();
     assert_eq!(starts, started.len(), "what runs on the VM runs on");
 }
+
+#[test]
+fn a_vm_that_was_ordered_is_the_next_to_be_emptied() {
+    let mut world = idle_world(&["w1", "w2"], 1);
+    let first = maintained(&mut world, 2_000);
+    let vm = first[0].1.clone();
+    answer(&mut world, &vm, Err(VmOrderError::Unknown));
+    // It was carried out all the same, and the VM is back and at work.
+    let found = world.listings.iter_mut().find(|l| l.vm == vm);
+    let back = found.expect("a listed VM");
+    back.id = WorkerId::new("w1+");
+    back.rack = "rack-9".to_owned();
+    let life = (WorkerId::new("w1+"), TaskWorker::new(ROOM));
+    world.workers.extend([life]);
+    world.list();
+    list_vms(&mut world);
+    world.run_for(200);
+    world.fate = Fate::done(3_000);
+    let there = StepSpec { data_rack: "rack-9".to_owned(), ..step(1) };
+    world.scheduler.submit(id(1), job(vec![there]), 6, None);
+    world.run_for(100);
+    let again = maintained(&mut world, 9_000);
+    assert_eq!(again.len(), 1, "the wave stands still");
+    assert_eq!(again[0].1, vm, "only this shows whether it was done");
+    answer(&mut world, &vm, Ok(()));
+    world.run_for(50);
+    assert_ne!(maintained(&mut world, 3_000)[0].1, vm);
+}
