Pause between starts that a worker refuses; give the lease up without tokens

Change: a second refusal in a row suspends the worker as other failures do; a holder without a later token gives its lease up. Ruled out: more tokens a lease, which only puts it off, and whose factor two versions of the daemon would have to agree on.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -36,6 +36,7 @@
                     known.moved_ms = now.steady_ms;
                 }
                 worker.read_clock(clock_ms, now.steady_ms);
+                worker.start_taken();
                 self.note_begun(task.job, now);
                 return;
             }
@@ -105,8 +106,13 @@
             // Something is there that isn't known here, or the clocks
             // disagree: ask before anything else is sent.
             Refusal::NoRoom | Refusal::LeaseOver | Refusal::StaleRun => {
-                if let Some(worker) = self.workers.get_mut(worker_id) {
-                    worker.raise_fence(now.steady_ms);
+                let Some(worker) = self.workers.get_mut(worker_id) else {
+                    return;
+                };
+                worker.raise_fence(now.steady_ms);
+                // What it lists didn't explain the refusal before this one.
+                if worker.refuses_again() {
+                    self.suspend(worker_id, refusal.name(), now);
                 }
             }
             Refusal::Unhealthy | Refusal::Invalid => {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -138,6 +138,12 @@
         self.superseded
     }
 
+    /// Returns whether there is no later token for some worker under this
+    /// lease: another holder has to go on, under a lease of its own.
+    pub fn is_out_of_tokens(&self) -> bool {
+        self.workers.values().any(Worker::is_out_of_tokens)
+    }
+
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -127,6 +127,8 @@
     /// Since when it hasn't answered; `None` while it does.
     pub(crate) silent_since_ms: Option<u64>,
     failed_jobs: BTreeSet<JobId>,
+    /// Whether the last start was refused though there seemed to be room.
+    refused: bool,
     suspended_until_ms: u64,
     suspensions: u32,
     /// When the pace of a run was last changed.
@@ -181,6 +183,7 @@
             missed_hold: false,
             silent_since_ms: None,
             failed_jobs: BTreeSet::new(),
+            refused: false,
             suspended_until_ms: 0,
             suspensions: 0,
             paced_ms: 0,
@@ -275,6 +278,12 @@
                 || self.runs.is_empty())
     }
 
+    /// Returns whether no later token is left under this lease: an order
+    /// without an answer can't be made void any more.
+    pub(crate) fn is_out_of_tokens(&self) -> bool {
+        self.fences >= FENCES_A_LEASE - 1
+    }
+
     /// Returns whether an answer under the current token is still owed.
     pub(crate) fn is_fencing(&self) -> bool {
         self.fencing
@@ -491,6 +500,17 @@
         true
     }
 
+    /// Notes that it has taken a start.
+    pub(crate) fn start_taken(&mut self) {
+        self.refused = false;
+    }
+
+    /// Notes that it has refused a start without being at fault itself;
+    /// returns whether it did so before, with none taken between.
+    pub(crate) fn refuses_again(&mut self) -> bool {
+        std::mem::replace(&mut self.refused, true)
+    }
+
     /// Sends nothing for a while, twice as long each time in a row.
     pub(crate) fn suspend(&mut self, now_ms: u64, options: &Options) {
         let longer = self.suspensions.min(options.max_suspension_doublings);
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -256,3 +256,58 @@
     let ends = decisions.iter().filter(|d| over(d)).count();
     assert_eq!(starts, ends, "{decisions:?}");
 }
+
+#[test]
+fn a_worker_that_refuses_start_after_start_is_asked_less_and_less_often() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    // Something is there that its lists don't show.
+    let mut starts = 0;
+    for _ in 0..200 {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            let Action::Start { worker, order, .. } = action else {
+                world.carry_out(action, now);
+                continue;
+            };
+            starts += 1;
+            let refused = Err(OrderError::Refused(Refusal::NoRoom));
+            let (task, run) = (order.task, order.run);
+            world.scheduler.start_answered(&worker, &task, run, refused, now);
+        }
+    }
+    // At once after the first, then 1, 2, 4 s later.
+    assert_eq!(starts, 5);
+}
+
+#[test]
+fn a_holder_whose_tokens_for_a_worker_are_used_up_says_so() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut rounds = 0;
+    while !world.scheduler.is_out_of_tokens() {
+        rounds += 1;
+        assert!(rounds < 100_000, "tokens never run out");
+        // Long enough for any pause.
+        world.now_ms += 10_000;
+        world.list();
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            let Action::Start { worker, order, .. } = action else {
+                world.carry_out(action, now);
+                continue;
+            };
+            let refused = Err(OrderError::Refused(Refusal::NoRoom));
+            let (task, run) = (order.task, order.run);
+            world.scheduler.start_answered(&worker, &task, run, refused, now);
+        }
+    }
+    assert!(rounds > 1_000);
+}
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -390,6 +390,9 @@
         if self.scheduler.is_superseded() {
             return Some(Outcome::Lost("a worker has seen a newer holder"));
         }
+        if self.scheduler.is_out_of_tokens() {
+            return Some(Outcome::Lost("no later token is left for a worker"));
+        }
         if self.claimed {
             return Some(Outcome::Yielding);
         }
