Counts of waiting jobs go with the holder's lease, or are counted anew

Cause: a node served whatever counts the store held, whoever wrote them and when; a missing record was 0, one that couldn't be read left the last, and a lost write could land after a newer one. Ruled out: clocks in the record. Change: the record is written under the holder's lease and renewed each second; a node that finds none, one that stays the same for 2 s, or one that can't be read, counts the stored jobs. Writes are conditional on the record's own version, one at a time.

--- /dev/null
+++ b/crates/dewspard/src/jobs/counts.rs
@@ -0,0 +1,230 @@
+/*!
+Counts of waiting jobs: one record that the holder writes and all nodes read.
+
+A count that is too low tells a caller that nothing waits while its job does,
+so a node must know that what it reads is fresh. The record therefore goes
+with the holder's lease: once that is over there is none, whoever wrote it. And
+a holder writes it again before it is old, changed or not, so that one which
+stays the same for longer was given up by its holder. Where there is no fresh
+record a node counts the stored jobs itself.
+
+Each write is conditional on the record's own version, and one is under way at
+a time: a late copy of an older write can't replace a newer count.
+*/
+
+use {
+    super::{election::Held, keys},
+    dewspar_platform::{Batch, Commit, Error, Expected, Versioned},
+    std::collections::BTreeMap,
+};
+
+/// How often counts are written if they have changed, in milliseconds.
+const CHANGED_AFTER_MS: u64 = 700;
+
+/// How often counts are written that haven't changed, in milliseconds: so
+/// that they are a second old at most, and a write may be lost before readers
+/// take them for given up.
+const UNCHANGED_AFTER_MS: u64 = 1_000;
+
+/// For how long a record that stays the same is believed, in milliseconds:
+/// callers may be told counts of that age.
+const GIVEN_UP_AFTER_MS: u64 = 2_000;
+
+/// For how long counts are answered from without reading again, in
+/// milliseconds: a quarter of what callers may be told.
+const READ_AGAIN_AFTER_MS: u64 = 500;
+
+/// For how long a node's own count is answered from, in milliseconds: it
+/// reads every stored job, which takes a small link most of a second.
+const COUNT_AGAIN_AFTER_MS: u64 = 1_000;
+
+/// How many jobs of each queue wait.
+pub(super) type WaitingJobs = BTreeMap<String, u64>;
+
+/// The holder's side: when counts are written, and under what condition.
+#[derive(Debug)]
+pub(super) struct CountsWriter {
+    written: WaitingJobs,
+    written_ms: u64,
+    /// The record's version; 0 for none.
+    version: u64,
+    /// Whether the last write is known to have taken place.
+    is_stored: bool,
+    is_writing: bool,
+}
+
+/// What became of a write of counts.
+#[derive(Debug)]
+pub(super) enum CountsWritten {
+    /// It is in the store, at this version.
+    Done(u64),
+    /// The record was at another version, or another node holds the lease.
+    Conflict {
+        /// The record's version; 0 for none.
+        version: u64,
+    },
+    /// Nobody knows, or nothing was written.
+    Failed,
+}
+
+impl CountsWritten {
+    /// Reads what the store answered.
+    pub(super) fn of(answer: &Result<Commit, Error>) -> CountsWritten {
+        match answer {
+            Ok(Commit::Done(version)) => CountsWritten::Done(*version),
+            Ok(Commit::Conflict(current)) => {
+                let record = current.iter().find(|i| i.key == keys::PENDING);
+                let version = record.map_or(0, |record| record.version);
+                CountsWritten::Conflict { version }
+            }
+            Err(_) => CountsWritten::Failed,
+        }
+    }
+}
+
+impl CountsWriter {
+    /// Makes the writer of a new holder, which found the record at this
+    /// version; 0 for none.
+    pub(super) fn new(version: u64) -> CountsWriter {
+        CountsWriter {
+            written: WaitingJobs::new(),
+            written_ms: 0,
+            version,
+            is_stored: false,
+            is_writing: false,
+        }
+    }
+
+    /// Returns whether counts may have to be written now.
+    pub(super) fn is_due(&self, now_ms: u64) -> bool {
+        !self.is_writing && now_ms >= self.written_ms + CHANGED_AFTER_MS
+    }
+
+    /// Returns the write of these counts, unless the record is new enough.
+    pub(super) fn write(
+        &mut self,
+        counts: WaitingJobs,
+        held: &Held,
+        now_ms: u64,
+    ) -> Option<Batch> {
+        let is_new = now_ms < self.written_ms + UNCHANGED_AFTER_MS;
+        if counts == self.written && self.is_stored && is_new {
+            return None;
+        }
+        // OK because texts and numbers can always be written.
+        let value = serde_json::to_vec(&counts).expect("plain JSON");
+        self.written = counts;
+        self.written_ms = now_ms;
+        self.is_writing = true;
+        let batch = Batch::default()
+            .when(keys::OWNER, Expected::Version(held.revision))
+            .when(keys::PENDING, Expected::from_version(self.version))
+            .put_leased(keys::PENDING, value, held.lease);
+        Some(batch)
+    }
+
+    /// Notes what became of the write; one that failed is tried again under
+    /// the same condition, so that only one of the two can take place.
+    pub(super) fn answered(&mut self, written: &CountsWritten) {
+        self.is_writing = false;
+        self.is_stored = matches!(written, CountsWritten::Done(_));
+        match written {
+            CountsWritten::Done(version)
+            | CountsWritten::Conflict { version } => self.version = *version,
+            CountsWritten::Failed => {}
+        }
+    }
+
+    /// Returns the counts that were written last.
+    pub(super) fn written(&self) -> &WaitingJobs {
+        &self.written
+    }
+}
+
+/// A reader's side: the counts that it answers from.
+#[derive(Debug, Default)]
+pub(super) struct CountsReader {
+    counts: WaitingJobs,
+    /// Until when they are answered from.
+    good_until_ms: u64,
+    /// The version of the record that was read last; 0 for none.
+    version: u64,
+    /// When that version was first read.
+    first_read_ms: u64,
+}
+
+/// What a record is worth.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Record {
+    /// A living holder wrote it of late.
+    Fresh(WaitingJobs),
+    /// There is none, or none to be believed; this says why.
+    Unfit(&'static str),
+}
+
+impl Record {
+    /// Returns why it isn't believed, if it isn't.
+    pub(super) fn unfit(&self) -> Option<&'static str> {
+        match self {
+            Record::Fresh(_) => None,
+            Record::Unfit(reason) => Some(reason),
+        }
+    }
+
+    /// Returns its counts, if it is believed.
+    pub(super) fn counts(&self) -> Option<&WaitingJobs> {
+        match self {
+            Record::Fresh(counts) => Some(counts),
+            Record::Unfit(_) => None,
+        }
+    }
+}
+
+impl CountsReader {
+    /// Returns a queue's count, if it needn't be read again.
+    pub(super) fn known(&self, queue: &str, now_ms: u64) -> Option<u64> {
+        let good = now_ms < self.good_until_ms;
+        good.then(|| self.counts.get(queue).copied().unwrap_or(0))
+    }
+
+    /// Judges the record that was found, and notes its version.
+    pub(super) fn judge(
+        &mut self,
+        found: Option<&Versioned>,
+        now_ms: u64,
+    ) -> Record {
+        let version = found.map_or(0, |found| found.version);
+        if version != self.version {
+            self.version = version;
+            self.first_read_ms = now_ms;
+        }
+        let Some(found) = found else {
+            return Record::Unfit("no holder has counted");
+        };
+        if now_ms >= self.first_read_ms + GIVEN_UP_AFTER_MS {
+            return Record::Unfit("its holder doesn't renew it");
+        }
+        match serde_json::from_slice(&found.value) {
+            Ok(counts) => Record::Fresh(counts),
+            Err(_) => Record::Unfit("it can't be read"),
+        }
+    }
+
+    /// Returns for how long the record that was judged has been the same, in
+    /// milliseconds.
+    pub(super) fn unchanged_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.first_read_ms)
+    }
+
+    /// Takes over a holder's counts.
+    pub(super) fn take_record(&mut self, counts: WaitingJobs, now_ms: u64) {
+        self.counts = counts;
+        self.good_until_ms = now_ms + READ_AGAIN_AFTER_MS;
+    }
+
+    /// Takes over what this node has counted itself.
+    pub(super) fn take_own(&mut self, counts: WaitingJobs, now_ms: u64) {
+        self.counts = counts;
+        self.good_until_ms = now_ms + COUNT_AGAIN_AFTER_MS;
+    }
+}
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -413,7 +413,8 @@
         let batch = Batch::default()
             .when(keys::OWNER, Expected::Version(held.revision))
             .delete(keys::OWNER)
-            .delete(keys::CLAIM);
+            .delete(keys::CLAIM)
+            .delete(keys::PENDING);
         if let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
         }
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -3,7 +3,10 @@
 */
 
 use {
-    super::progress::{FeedEvent, Stored},
+    super::{
+        counts::CountsWritten,
+        progress::{FeedEvent, Stored},
+    },
     dewspar::{
         job::TaskId,
         schedule::{
@@ -69,6 +72,8 @@
         asked_ms: u64,
         answer: Result<Vec<(WorkerId, String)>, Error>,
     },
+    /// What became of a write of the counts of waiting jobs.
+    Counted(CountsWritten),
     Stored {
         changes: Changes,
         stored: Stored,
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -10,9 +10,9 @@
 use {
     super::{
         backoff::{Backoff, RETRY_PAUSE},
+        counts::CountsReader,
         gate::StoreGate,
         intent, keys,
-        lookup::PendingCounts,
         readiness::Readiness,
     },
     crate::{clock, counters},
@@ -78,7 +78,7 @@
     pub(super) reader: intent::Reader,
     pub(super) readiness: Readiness,
     pub(super) gate: StoreGate<K>,
-    pub(super) pending: tokio::sync::Mutex<PendingCounts>,
+    pub(super) counts: tokio::sync::Mutex<CountsReader>,
     pub(super) log: Logger,
 }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -16,6 +16,7 @@
 
 use {
     super::{
+        counts::CountsWriter,
         decisions,
         duties::{self, Burst},
         election::{Candidate, Held},
@@ -132,8 +133,7 @@
         begun_ms: clock::now_ms(),
         load: Load::default(),
         round_trips: RoundTrips::new(SLOW_ORDER_MS, SLOW_FOR_MS),
-        pending: BTreeMap::new(),
-        pending_written_ms: 0,
+        counts: CountsWriter::new(loaded.counts_version),
         waves: loaded.waves,
         completed: loaded.completed,
         expired_ms: clock::now_ms(),
@@ -151,7 +151,7 @@
     pub(super) versions: BTreeMap<JobId, u64>,
     /// What a former holder stored of the jobs that are being taken over.
     restored: BTreeMap<JobId, dewspar::job::Progress>,
-    sender: mpsc::Sender<Event>,
+    pub(super) sender: mpsc::Sender<Event>,
     /// How many VMs each pool has, by what they are doing.
     pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
     /// How many writes of progress are under way.
@@ -165,8 +165,7 @@
     load: Load,
     /// How long orders to start took that were answered.
     round_trips: RoundTrips,
-    pub(super) pending: BTreeMap<String, u64>,
-    pub(super) pending_written_ms: u64,
+    pub(super) counts: CountsWriter,
     /// What former holders kept of each wave.
     waves: BTreeMap<u64, WaveRecord>,
     /// The waves that were reported as completed before.
@@ -277,6 +276,7 @@
                 scheduler
                     .advice_answered(&step, &workers, asked_ms, answer, now);
             }
+            Event::Counted(written) => self.counts.answered(&written),
             Event::Stored { changes, stored } => {
                 self.changes_stored(&changes, &stored, now);
             }
@@ -409,7 +409,7 @@
             orders::send(workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
-        self.write_pending(now);
+        self.write_counts(now);
         self.order_vms(now);
         self.delete_expired(now);
         let window = self.scheduler.window();
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -8,7 +8,9 @@
 use {
     super::{
         backoff::Backoff,
+        counts::{CountsReader, Record, WaitingJobs},
         front::{Front, RETRY_AFTER_MS},
+        holder::json,
         keys::{self, FeedKey},
     },
     crate::{clock, counters},
@@ -20,22 +22,17 @@
         JobProtocol, JobReply, KeyValue, ListedJob, Versioned,
     },
     slog::info,
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
     tokio::time::{Instant, timeout_at},
 };
 
-/// How old the counts of waiting jobs may be, in milliseconds.
-const PENDING_AGE_MS: u64 = 500;
-
-/// The counts of waiting jobs, as last read.
-#[derive(Debug, Default)]
-pub(super) struct PendingCounts {
-    counts: BTreeMap<String, u64>,
-    read_ms: u64,
-    /// The store's version of the counts; 0 where there were none.
-    version: u64,
-    /// When that version was first read.
-    changed_ms: u64,
+/// A stored job that isn't over.
+struct OpenJob {
+    listed: ListedJob,
+    queue: String,
+    /// When it falls due for the first time, in milliseconds of the Unix
+    /// epoch; 0 for at once.
+    due_ms: u64,
 }
 
 impl<K: KeyValue, P: JobProtocol> Front<K, P> {
@@ -75,88 +72,151 @@
         }
     }
 
+    /// Counts a queue's jobs of which nothing has begun.
     pub(super) async fn pending(
         &self,
         queue: &str,
         deadline: Instant,
     ) -> JobReply {
-        let locked = timeout_at(deadline, self.pending.lock()).await;
-        let Ok(mut pending) = locked else {
+        let locked = timeout_at(deadline, self.counts.lock()).await;
+        let Ok(mut reader) = locked else {
             // Somebody else's read is taking that long.
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         };
-        let now_ms = clock::now_ms();
-        if now_ms >= pending.read_ms + PENDING_AGE_MS {
-            let found = match self.find(keys::PENDING, deadline).await {
-                Ok(found) => found,
-                Err(reply) => return reply,
-            };
-            let version = found.as_ref().map_or(0, |found| found.version);
-            if version != pending.version {
-                pending.version = version;
-                pending.changed_ms = now_ms;
-            }
-            let value = found.map_or_else(|| b"{}".to_vec(), |f| f.value);
-            info!(self.log, "call: counts of waiting jobs read";
-                "counts" => String::from_utf8_lossy(&value).as_ref(),
-                "store_version" => version,
-                "unchanged_ms" => now_ms - pending.changed_ms);
-            match serde_json::from_slice(&value) {
-                Ok(counts) => {
-                    pending.counts = counts;
-                    pending.read_ms = now_ms;
-                }
-                Err(error) => {
-                    info!(self.log, "call: stored counts can't be read";
-                        "error" => %error);
-                }
-            }
+        if let Some(count) = reader.known(queue, clock::now_ms()) {
+            return JobReply::Pending(count);
+        }
+        if let Err(reply) = self.read_counts(&mut reader, deadline).await {
+            return reply;
         }
-        let count = pending.counts.get(queue).copied();
+        let count = reader.known(queue, clock::now_ms());
+        // OK to be 0: the counts were taken over just now, and a queue that
+        // isn't among them has no waiting job.
         JobReply::Pending(count.unwrap_or(0))
     }
 
-    /// Lists a queue's jobs that aren't over: those whose entry is still in
-    /// the feed, each with what is stored of it.
+    /// Takes over the holder's counts, or counts the stored jobs where the
+    /// holder's can't be believed.
+    async fn read_counts(
+        &self,
+        reader: &mut CountsReader,
+        deadline: Instant,
+    ) -> Result<(), JobReply> {
+        let found = self.find(keys::PENDING, deadline).await?;
+        let now_ms = clock::now_ms();
+        let record = reader.judge(found.as_ref(), now_ms);
+        info!(self.log, "call: counts of waiting jobs read";
+            "counts" => json(&record.counts()), "unfit" => record.unfit(),
+            "store_version" => found.map_or(0, |found| found.version),
+            "unchanged_ms" => reader.unchanged_ms(now_ms));
+        let reason = match record {
+            Record::Fresh(counts) => {
+                reader.take_record(counts, now_ms);
+                return Ok(());
+            }
+            Record::Unfit(reason) => reason,
+        };
+        let open = self.open_jobs(deadline).await?;
+        let counts = count_waiting(&open, clock::unix_ms());
+        info!(self.log, "call: waiting jobs counted here";
+            "reason" => reason, "open" => open.len(),
+            "counts" => json(&counts));
+        reader.take_own(counts, clock::now_ms());
+        Ok(())
+    }
+
+    /// Lists a queue's jobs that aren't over.
     pub(super) async fn list(
         &self,
         queue: &str,
         deadline: Instant,
     ) -> JobReply {
+        let open = match self.open_jobs(deadline).await {
+            Ok(open) => open,
+            Err(reply) => return reply,
+        };
+        let of_queue = open.into_iter().filter(|job| job.queue == queue);
+        JobReply::Jobs(of_queue.map(|job| job.listed).collect())
+    }
+
+    /// Reads the jobs that aren't over: those whose entry is still in the
+    /// feed and that weren't cancelled, each with what is stored of it.
+    async fn open_jobs(
+        &self,
+        deadline: Instant,
+    ) -> Result<Vec<OpenJob>, JobReply> {
         let lists = async {
             tokio::try_join!(
                 self.store.list(keys::FEED),
                 self.store.list(keys::PROGRESS),
             )
         };
-        let (accepted, progress) = match timeout_at(deadline, lists).await {
-            Ok(Ok(((_, accepted), (_, progress)))) => (accepted, progress),
+        let retry_after_ms = RETRY_AFTER_MS;
+        let (feed, progress) = match timeout_at(deadline, lists).await {
+            Ok(Ok(((_, feed), (_, progress)))) => (feed, progress),
             Ok(Err(error)) => {
                 counters::platform_failure(&error);
-                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
-            }
-            Err(_) => {
-                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+                return Err(JobReply::NotDone { retry_after_ms });
             }
+            Err(_) => return Err(JobReply::NotDone { retry_after_ms }),
         };
+        self.gate.heard();
+        Ok(self.open_among(&feed, &progress))
+    }
+
+    fn open_among(
+        &self,
+        feed: &[Versioned],
+        progress: &[Versioned],
+    ) -> Vec<OpenJob> {
         let phases: BTreeMap<JobId, Phase> = progress
             .iter()
             .filter_map(|item| {
                 let id = keys::job_of_progress(&item.key)?;
                 let stored = serde_json::from_slice::<Progress>(&item.value);
-                Some((id, stored.ok()?.phase))
+                Some((id, self.readable(&item.key, stored)?.phase))
             })
             .collect();
-        let open = accepted.iter().filter_map(|item| {
-            let Some(FeedKey::Accepted(id)) = FeedKey::parse(&item.key) else {
-                return None;
-            };
-            let job = serde_json::from_slice::<AcceptedJob>(&item.value);
-            let phase = phases.get(&id).copied().unwrap_or(Phase::Queued);
-            let named = job.is_ok_and(|job| job.spec.queue == queue);
-            (named && !phase.is_final()).then_some(ListedJob { id, phase })
+        let mut cancelled = BTreeSet::new();
+        let mut open = Vec::new();
+        for item in feed {
+            match FeedKey::parse(&item.key) {
+                Some(FeedKey::Cancelled(id)) => {
+                    cancelled.insert(id);
+                }
+                Some(FeedKey::Accepted(id)) => {
+                    let job =
+                        serde_json::from_slice::<AcceptedJob>(&item.value);
+                    let Some(job) = self.readable(&item.key, job) else {
+                        continue;
+                    };
+                    let phase = phases.get(&id).copied().unwrap_or_default();
+                    let due_ms = job.spec.due_ms(0);
+                    let queue = job.spec.queue;
+                    let listed = ListedJob { id, phase };
+                    open.push(OpenJob { listed, queue, due_ms });
+                }
+                Some(FeedKey::Owner | FeedKey::Claim) | None => {}
+            }
+        }
+        open.retain(|OpenJob { listed, .. }| {
+            !listed.phase.is_final() && !cancelled.contains(&listed.id)
         });
-        JobReply::Jobs(open.collect())
+        open
+    }
+
+    /// Passes over what can't be read, with a line that says so.
+    fn readable<T>(
+        &self,
+        key: &str,
+        value: Result<T, serde_json::Error>,
+    ) -> Option<T> {
+        value
+            .inspect_err(|error| {
+                info!(self.log, "call: stored value can't be read";
+                    "key" => key, "error" => %error);
+            })
+            .ok()
     }
 
     /// Reads a key's value, again if need be, until the deadline.
@@ -191,3 +251,14 @@
         }
     }
 }
+
+/// Counts each queue's jobs that are due and of which nothing has begun.
+fn count_waiting(open: &[OpenJob], unix_ms: u64) -> WaitingJobs {
+    let mut counts = WaitingJobs::new();
+    for job in open {
+        if job.listed.phase == Phase::Queued && unix_ms >= job.due_ms {
+            *counts.entry(job.queue.clone()).or_default() += 1;
+        }
+    }
+    counts
+}
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -20,7 +20,7 @@
 | `q/stop/JOB` | that the job is cancelled | the node that is asked to |
 | `run/JOB` | how far the job has come | the holder |
 | `node/NODE` | how much a node can schedule | that node, when it starts |
-| `pending` | each queue's waiting jobs | the holder |
+| `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `vm-orders` | the VMs of which changes were ordered of late | the holder |
 | `wave/N` | the VMs that a wave has maintained | the holder |
 
@@ -36,6 +36,7 @@
 };
 
 mod backoff;
+mod counts;
 mod decisions;
 mod duties;
 mod election;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -4,11 +4,11 @@
 
 use {
     super::{
+        counts::CountsReader,
         election::Candidate,
         front::{self, Front},
         gate::StoreGate,
         holder, intent,
-        lookup::PendingCounts,
         readiness::{self, Readiness},
         settings::JobSettings,
     },
@@ -104,7 +104,7 @@
                 platform.store.clone(),
                 logs::part(&log, "front"),
             ),
-            pending: tokio::sync::Mutex::new(PendingCounts::default()),
+            counts: tokio::sync::Mutex::new(CountsReader::default()),
             log: logs::part(&log, "front"),
         };
         let callers =
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -61,6 +61,8 @@
     /// The VMs of which the former holder ordered changes of late; `None`
     /// where that can't be known.
     pub(super) ordered: Option<OrderedVms>,
+    /// The version of the counts of waiting jobs; 0 for none.
+    pub(super) counts_version: u64,
 }
 
 /// Loads every job that isn't over, and how far each has come.
@@ -70,13 +72,15 @@
     log: &Logger,
 ) -> Result<Loaded, Error> {
     // All at once: one after the other they take a slow store seconds.
-    let (stored, feed, waves, completed, ordered) = tokio::try_join!(
+    let (stored, feed, waves, completed, ordered, counts) = tokio::try_join!(
         store.list(keys::PROGRESS),
         load_feed(store, log),
         load_waves(store, log),
         fleet.completed_waves(),
         load_ordered(store, log),
+        store.get(keys::PENDING),
     )?;
+    let counts_version = counts.map_or(0, |counts| counts.version);
     let ((_, stored), (version, feed)) = (stored, feed);
     let mut progress = BTreeMap::new();
     let mut versions = BTreeMap::new();
@@ -91,7 +95,16 @@
                 "job" => %id, "error" => %error),
         }
     }
-    Ok(Loaded { version, feed, progress, versions, waves, completed, ordered })
+    Ok(Loaded {
+        version,
+        feed,
+        progress,
+        versions,
+        waves,
+        completed,
+        ordered,
+        counts_version,
+    })
 }
 
 /// Reads the feed outright.
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -5,7 +5,9 @@
 
 use {
     super::{
+        counts::CountsWritten,
         duties,
+        event::Event,
         holder::{Holder, json},
         keys,
     },
@@ -15,15 +17,6 @@
     slog::{info, warn},
 };
 
-/// How often the counts of waiting jobs are written, if they have changed,
-/// in milliseconds.
-const PENDING_INTERVAL_MS: u64 = 700;
-
-/// How long counts that haven't changed aren't written again, in
-/// milliseconds: callers may be told counts of that age, and a write may have
-/// been lost.
-const PENDING_AGE_MS: u64 = 2_000;
-
 /// How often keys of jobs that are over for long are deleted, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
@@ -39,28 +32,31 @@
         }
     }
 
-    pub(super) fn write_pending(&mut self, now: Now) {
-        if now.steady_ms < self.pending_written_ms + PENDING_INTERVAL_MS {
+    pub(super) fn write_counts(&mut self, now: Now) {
+        if !self.counts.is_due(now.steady_ms) {
             return;
         }
-        let pending = self.scheduler.pending(now.unix_ms);
-        let fresh = now.steady_ms < self.pending_written_ms + PENDING_AGE_MS;
-        if pending == self.pending && fresh {
-            return;
-        }
-        self.pending_written_ms = now.steady_ms;
-        self.pending = pending;
-        let unconfirmed = self.scheduler.unconfirmed();
+        let counts = self.scheduler.pending(now.unix_ms);
+        let batch = self.counts.write(counts, &self.held, now.steady_ms);
+        let Some(batch) = batch else { return };
         info!(self.candidate.log, "holder: waiting jobs counted";
-            "counts" => json(&self.pending),
-            "unconfirmed" => json(&unconfirmed),
+            "counts" => json(self.counts.written()),
+            "unconfirmed" => json(&self.scheduler.unconfirmed()),
             "lease_revision" => self.held.revision);
-        // OK because texts and numbers can always be written.
-        let value = serde_json::to_vec(&self.pending).expect("plain JSON");
-        let batch = Batch::default()
-            .when(keys::OWNER, Expected::Version(self.held.revision))
-            .put(keys::PENDING, value);
-        self.write(batch, "counts of waiting jobs");
+        let store = self.candidate.store.clone();
+        let sender = self.sender.clone();
+        let log = self.candidate.log.clone();
+        tokio::spawn(async move {
+            let answer = store.commit(&batch).await;
+            if let Err(error) = &answer {
+                counters::platform_failure(error);
+                warn!(log, "holder: write gave no result";
+                    "of" => "counts of waiting jobs", "error" => %error);
+            }
+            let written = Event::Counted(CountsWritten::of(&answer));
+            // A holder that is gone has no use for it.
+            let _ = sender.send(written).await;
+        });
     }
 
     pub(super) fn delete_expired(&mut self, now: Now) {
