--- /dev/null
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -0,0 +1,133 @@
+/*!
+When a worker is asked what runs on it, and what its answers say of itself.
+
+One question is under way at a time, and one more under a new token while
+earlier orders are being made void. A single answer may be lost on its way;
+only a second one in a row makes a worker silent.
+*/
+
+use {
+    super::{Worker, clock::slow},
+    crate::schedule::{HoldOrder, HoldReport, Options},
+};
+
+/// A hold that is owed to a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OwedHold {
+    pub(crate) order: HoldOrder,
+    pub(crate) fencing: bool,
+}
+
+impl Worker {
+    /// Returns the hold that is owed now, if any, and marks it as sent.
+    pub(crate) fn owed_hold(
+        &mut self,
+        now_ms: u64,
+        options: &Options,
+    ) -> Option<OwedHold> {
+        let fencing = self.fencing && !self.fence_hold_in_flight;
+        let unstored = self.seen_end > self.stored_end;
+        let wanted = !self.runs.is_empty()
+            || self.stored_end > self.acknowledged
+            || self.missed_hold
+            || unstored;
+        let due =
+            now_ms >= self.next_hold_ms && !self.listing.address.is_empty();
+        let ordinary = !self.fencing && !self.hold_in_flight && wanted;
+        if !due || !(fencing || ordinary) {
+            return None;
+        }
+        // While ends wait to be stored, the worker would answer at once; what
+        // a lost answer held is wanted at once.
+        let at_once =
+            fencing || unstored || self.missed_hold || self.runs.is_empty();
+        let wait_ms =
+            if at_once { 0 } else { options.policy.watching.hold_wait_ms };
+        // A worker that is silent gets no longer lease: its runs must be
+        // over for certain some day.
+        let silent = self.silent_since_ms.is_some();
+        let lease_until_ms = if self.runs.is_empty() || silent {
+            None
+        } else {
+            self.lease_until_ms(now_ms, options)
+        };
+        if let Some(until) = lease_until_ms {
+            self.lease_sent(until);
+        }
+        if fencing {
+            self.fence_hold_in_flight = true;
+        } else {
+            self.hold_in_flight = true;
+        }
+        let order = HoldOrder {
+            fence: self.fence(),
+            acknowledged: self.stored_end,
+            lease_until_ms,
+            wait_ms,
+        };
+        Some(OwedHold { order, fencing })
+    }
+
+    /// Notes the answer to a hold; returns whether it is the newest so far.
+    pub(crate) fn hold_answered(
+        &mut self,
+        held: &OwedHold,
+        report: &HoldReport,
+        now_ms: u64,
+        options: &Options,
+    ) -> bool {
+        self.hold_ended(held);
+        self.missed_hold = false;
+        self.silent_since_ms = None;
+        self.read_clock(report.clock_ms, now_ms);
+        self.acknowledged = self.acknowledged.max(held.order.acknowledged);
+        if held.order.fence == self.fence() {
+            self.fencing = false;
+            if !self.synced {
+                // From here on only this holder's orders count, and what a
+                // former one was granted is bounded.
+                let longest = slow(options.max_lease_ms);
+                let inherited = now_ms + longest;
+                self.lease_over_ms = self.lease_over_ms.min(inherited);
+            }
+            self.synced = true;
+        }
+        let newest = report.clock_ms >= self.latest_report_ms;
+        self.latest_report_ms = self.latest_report_ms.max(report.clock_ms);
+        let unstored = report
+            .ended
+            .last()
+            .is_some_and(|end| end.number > self.stored_end);
+        self.next_hold_ms = if unstored {
+            // Storing usually brings this forward; see `stored`.
+            now_ms + options.unstored_hold_ms
+        } else {
+            now_ms
+        };
+        newest
+    }
+
+    pub(crate) fn hold_failed(
+        &mut self,
+        held: &OwedHold,
+        now_ms: u64,
+        options: &Options,
+    ) {
+        self.hold_ended(held);
+        if !self.missed_hold {
+            self.missed_hold = true;
+            self.next_hold_ms = now_ms;
+            return;
+        }
+        self.silent_since_ms.get_or_insert(now_ms);
+        self.next_hold_ms = now_ms + options.hold_retry_ms;
+    }
+
+    fn hold_ended(&mut self, held: &OwedHold) {
+        if held.fencing {
+            self.fence_hold_in_flight = false;
+        } else {
+            self.hold_in_flight = false;
+        }
+    }
+}
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -24,16 +24,13 @@
         feeds::{follow_feed, read_directory, read_vms, renew},
         load::Load,
         orders,
-        progress::{self, FeedEvent, JOBS_A_WRITE, Loaded, Stored, batch_of},
+        progress::{self, JOBS_A_WRITE, Loaded, Stored, batch_of},
     },
     crate::{clock, counters},
     dewspar::{
         job::JobId,
         overload::RoundTrips,
-        schedule::{
-            AcceptedJob, Changes, ManagedVm, Now, OrderError, Scheduler,
-            WaveRecord,
-        },
+        schedule::{Changes, Now, OrderError, Scheduler, WaveRecord},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue},
     serde::Serialize,
@@ -156,19 +153,19 @@
     /// The version of each job's progress in the store.
     pub(super) versions: BTreeMap<JobId, u64>,
     /// What a former holder stored of the jobs that are being taken over.
-    restored: BTreeMap<JobId, dewspar::job::Progress>,
+    pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
     pub(super) sender: mpsc::Sender<Event>,
     /// How many VMs each pool has, by what they are doing.
-    pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
+    pub(super) pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
     /// How many writes of progress are under way.
     writes: usize,
     stored_ms: u64,
     /// When orders to the VM service were last planned.
     vms_planned_ms: u64,
     configured: Option<u64>,
-    lost: Option<&'static str>,
+    pub(super) lost: Option<&'static str>,
     /// Whether a stronger node asks for the lease.
-    claimed: bool,
+    pub(super) claimed: bool,
     begun_ms: u64,
     load: Load,
     /// How long orders to start took that were answered.
@@ -193,7 +190,7 @@
     serde_json::to_string(value).expect("plain JSON")
 }
 
-fn now() -> Now {
+pub(super) fn now() -> Now {
     Now { steady_ms: clock::now_ms(), unix_ms: clock::unix_ms() }
 }
 
@@ -291,75 +288,6 @@
         }
     }
 
-    fn take_feed(&mut self, feed: Vec<FeedEvent>) {
-        for event in feed {
-            match event {
-                FeedEvent::Accepted { id, job, revision } => {
-                    self.note_taken_in(id, &job, revision);
-                    let progress = self.restored.remove(&id);
-                    let progress = progress.as_ref();
-                    self.scheduler.submit(id, *job, revision, progress);
-                }
-                FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
-                FeedEvent::Claimed(claim) => {
-                    self.claimed |= self.candidate.is_weak_beside(&claim);
-                }
-                FeedEvent::Owner { revision } => {
-                    if revision > self.held.revision {
-                        self.lost = Some("the lease's key has changed");
-                    }
-                }
-            }
-        }
-        // Jobs that are over have no entry in the feed any more.
-        let over: Vec<JobId> = self
-            .restored
-            .iter()
-            .filter(|(_, progress)| progress.phase.is_final())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            let progress = self.restored.remove(&id);
-            let job = dewspar::schedule::AcceptedJob::default();
-            self.scheduler.submit(id, job, 0, progress.as_ref());
-        }
-    }
-
-    /// Logs what a job asks for, and how old the news of it is.
-    fn note_taken_in(&self, id: JobId, job: &AcceptedJob, revision: u64) {
-        let age_ms = clock::unix_ms().saturating_sub(job.accepted_at_ms);
-        let steps = &job.spec.steps;
-        let tasks: u32 = steps.iter().map(|step| step.count).sum();
-        info!(self.candidate.log, "job: taken in"; "job" => %id,
-            "queue" => &job.spec.queue, "pool" => &job.terms.pool,
-            "age_ms" => age_ms,
-            "inherited" => revision < self.held.revision,
-            "steps" => steps.len(), "tasks" => tasks,
-            "long_running" => steps.iter().any(|s| s.long_running),
-            "rounds" => job.spec.rounds(),
-            "target_latency_ms" => job.terms.target_latency_ms,
-            "stretch" => job.terms.stretch);
-    }
-
-    /// Logs how many VMs each pool has, when that has changed.
-    fn note_pools(&mut self, vms: &[ManagedVm]) {
-        let mut pools: BTreeMap<String, BTreeMap<&'static str, u32>> =
-            BTreeMap::new();
-        for vm in vms {
-            let pool = pools.entry(vm.pool.clone()).or_default();
-            *pool.entry(vm.life.name()).or_default() += 1;
-        }
-        if pools != self.pools {
-            let capacities = vms.iter().map(|vm| vm.capacity.cpu_millis);
-            let reading = self.candidate.reader.borrow();
-            let free = reading.intent.queues.as_ref().map(|q| q.free_pools());
-            info!(self.candidate.log, "vms: listed"; "pools" => json(&pools),
-                "free_pools" => json(&free),
-                "vm_cpu_millis" => capacities.max());
-            self.pools = pools;
-        }
-    }
-
     fn changes_stored(
         &mut self,
         changes: &Changes,
--- /dev/null
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -0,0 +1,90 @@
+/*!
+What the holder makes of the feed and of the list of VMs: jobs that are new,
+cancelled or over, and who else would like to schedule.
+*/
+
+use {
+    super::{
+        holder::{Holder, json, now},
+        progress::FeedEvent,
+    },
+    crate::clock,
+    dewspar::{
+        job::JobId,
+        schedule::{AcceptedJob, ManagedVm},
+    },
+    dewspar_platform::{Fleet, JobWorkers, KeyValue},
+    slog::info,
+    std::collections::BTreeMap,
+};
+
+impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
+    pub(super) fn take_feed(&mut self, feed: Vec<FeedEvent>) {
+        for event in feed {
+            match event {
+                FeedEvent::Accepted { id, job, revision } => {
+                    self.note_taken_in(id, &job, revision);
+                    let progress = self.restored.remove(&id);
+                    let progress = progress.as_ref();
+                    self.scheduler.submit(id, *job, revision, progress);
+                }
+                FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
+                FeedEvent::Claimed(claim) => {
+                    self.claimed |= self.candidate.is_weak_beside(&claim);
+                }
+                FeedEvent::Owner { revision } => {
+                    if revision > self.held.revision {
+                        self.lost = Some("the lease's key has changed");
+                    }
+                }
+            }
+        }
+        // Jobs that are over have no entry in the feed any more.
+        let over: Vec<JobId> = self
+            .restored
+            .iter()
+            .filter(|(_, progress)| progress.phase.is_final())
+            .map(|(id, _)| *id)
+            .collect();
+        for id in over {
+            let progress = self.restored.remove(&id);
+            let job = AcceptedJob::default();
+            self.scheduler.submit(id, job, 0, progress.as_ref());
+        }
+    }
+
+    /// Logs what a job asks for, and how old the news of it is.
+    fn note_taken_in(&self, id: JobId, job: &AcceptedJob, revision: u64) {
+        let age_ms = clock::unix_ms().saturating_sub(job.accepted_at_ms);
+        let steps = &job.spec.steps;
+        let tasks: u32 = steps.iter().map(|step| step.count).sum();
+        info!(self.candidate.log, "job: taken in"; "job" => %id,
+            "queue" => &job.spec.queue, "pool" => &job.terms.pool,
+            "age_ms" => age_ms,
+            "inherited" => revision < self.held.revision,
+            "steps" => steps.len(), "tasks" => tasks,
+            "long_running" => steps.iter().any(|s| s.long_running),
+            "rounds" => job.spec.rounds(),
+            "target_latency_ms" => job.terms.target_latency_ms,
+            "stretch" => job.terms.stretch);
+    }
+
+    /// Logs how many VMs each pool has, when that has changed.
+    pub(super) fn note_pools(&mut self, vms: &[ManagedVm]) {
+        let mut pools: BTreeMap<String, BTreeMap<&'static str, u32>> =
+            BTreeMap::new();
+        for vm in vms {
+            let pool = pools.entry(vm.pool.clone()).or_default();
+            *pool.entry(vm.life.name()).or_default() += 1;
+        }
+        if pools != self.pools {
+            let capacities = vms.iter().map(|vm| vm.capacity.cpu_millis);
+            let reading = self.candidate.reader.borrow();
+            let free = reading.intent.queues.as_ref().map(|q| q.free_pools());
+            info!(self.candidate.log, "vms: listed"; "pools" => json(&pools),
+                "free_pools" => json(&free),
+                "vm_cpu_millis" => capacities.max());
+            self.pools = pools;
+        }
+    }
+}
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -45,6 +45,7 @@
 mod front;
 pub mod gate;
 mod holder;
+mod intake;
 mod intent;
 mod keys;
 mod load;
