--- a/crates/dewspar/src/overload.rs
+++ b/crates/dewspar/src/overload.rs
@@ -13,20 +13,21 @@
 ```
 use dewspar::overload::RoundTrips;
 
-// 100 ms at the median, for half a second.
-let mut trips = RoundTrips::new(100, 500);
+// Half a second of orders that take 100 ms at the median.
+let mut trips = RoundTrips::new(500);
+let slow_ms = 100;
 for order in 0..40 {
     // A few slow workers don't matter.
     let took_ms = if order % 4 == 0 { 180 } else { 3 };
     trips.note(1_000 + order, took_ms);
 }
-assert!(!trips.are_slow(1_040));
+assert!(!trips.are_slow(1_040, slow_ms));
 for order in 0..60 {
     trips.note(1_100 + order, 150);
 }
-assert!(!trips.are_slow(1_160), "a burst of orders");
-assert!(trips.are_slow(1_700));
-assert!(!trips.are_slow(4_000), "that was long ago");
+assert!(!trips.are_slow(1_160, slow_ms), "a burst of orders");
+assert!(trips.are_slow(1_700, slow_ms));
+assert!(!trips.are_slow(4_000, slow_ms), "that was long ago");
 ```
 */
 
@@ -52,7 +53,6 @@
 /// How long orders took that were answered of late.
 #[derive(Clone, Debug)]
 pub struct RoundTrips {
-    slow_ms: u64,
     lasting_ms: u64,
     recent: VecDeque<RoundTrip>,
     /// Since when every look found them slow.
@@ -60,11 +60,11 @@
 }
 
 impl RoundTrips {
-    /// Makes a measure by which a node can't keep up while the median order
-    /// takes `slow_ms` or longer, and has done so for `lasting_ms`.
-    pub fn new(slow_ms: u64, lasting_ms: u64) -> RoundTrips {
+    /// Makes a measure by which a node can't keep up once the median order
+    /// has been slow for `lasting_ms`.
+    pub fn new(lasting_ms: u64) -> RoundTrips {
         let recent = VecDeque::new();
-        RoundTrips { slow_ms, lasting_ms, recent, slow_since_ms: None }
+        RoundTrips { lasting_ms, recent, slow_since_ms: None }
     }
 
     /// Takes note of an answer, on a clock that never jumps.
@@ -75,9 +75,10 @@
         self.recent.push_back(RoundTrip { at_ms, took_ms });
     }
 
-    /// Returns whether the node can't keep up; to be asked again and again.
-    pub fn are_slow(&mut self, now_ms: u64) -> bool {
-        if !self.is_median_slow(now_ms) {
+    /// Returns whether the node can't keep up, where an order is slow that
+    /// takes `slow_ms` or longer; to be asked again and again.
+    pub fn are_slow(&mut self, now_ms: u64, slow_ms: u64) -> bool {
+        if !self.is_median_slow(now_ms, slow_ms) {
             self.slow_since_ms = None;
             return false;
         }
@@ -85,12 +86,12 @@
         now_ms >= since_ms + self.lasting_ms
     }
 
-    fn is_median_slow(&mut self, now_ms: u64) -> bool {
+    fn is_median_slow(&mut self, now_ms: u64, slow_ms: u64) -> bool {
         let from_ms = now_ms.saturating_sub(WINDOW_MS);
         while self.recent.front().is_some_and(|trip| trip.at_ms < from_ms) {
             self.recent.pop_front();
         }
-        let slow = |trip: &&RoundTrip| trip.took_ms >= self.slow_ms;
+        let slow = |trip: &&RoundTrip| trip.took_ms >= slow_ms;
         let slow = self.recent.iter().filter(slow).count();
         self.recent.len() >= LEAST_ORDERS && slow * 2 >= self.recent.len()
     }
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -47,7 +47,7 @@
             return;
         }
         let fence = known.fence;
-        let superseded = fence == worker.fence();
+        let under_current_fence = fence == worker.fence();
         self.note(Decision::OrderFailed {
             worker: worker_id.clone(),
             task: Some(*task),
@@ -69,7 +69,13 @@
             OrderError::Refused(refusal) => {
                 self.note_never_began(task, run, worker_id);
                 self.free_run(task, worker_id, now);
-                self.start_refused(worker_id, task, refusal, superseded, now);
+                self.start_refused(
+                    worker_id,
+                    task,
+                    refusal,
+                    under_current_fence,
+                    now,
+                );
             }
         }
     }
@@ -105,7 +111,9 @@
             }
             // Something is there that isn't known here, or the clocks
             // disagree: ask before anything else is sent.
-            Refusal::NoRoom | Refusal::LeaseOver | Refusal::StaleRun => {
+            Refusal::NoRoom | Refusal::LeaseOver | Refusal::StaleRun
+                if under_current_fence =>
+            {
                 let Some(worker) = self.workers.get_mut(worker_id) else {
                     return;
                 };
@@ -118,8 +126,11 @@
             Refusal::Unhealthy | Refusal::Invalid => {
                 self.suspend(worker_id, refusal.name(), now);
             }
-            // Sent before the token was raised.
-            Refusal::Fenced => {}
+            // Sent before the token was raised: the worker is asked already.
+            Refusal::Fenced
+            | Refusal::NoRoom
+            | Refusal::LeaseOver
+            | Refusal::StaleRun => {}
             Refusal::Ticket => self.ticket_refused(task, worker_id),
         }
     }
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -170,7 +170,7 @@
         let mut ready = Vec::new();
         for vm in state.remaining() {
             // One that was ordered before counts as down already.
-            let again = state.ordered.contains_key(vm);
+            let again = state.is_ordered(vm);
             if room == 0 && !again {
                 continue;
             }
@@ -185,7 +185,7 @@
         }
         for vm in ready {
             let Some(state) = self.waves.get_mut(&wave) else { return };
-            state.ordered.insert(vm.clone(), now.steady_ms);
+            state.order(&vm, now);
             orders.push(VmOrder::Maintain { vm, wave });
         }
     }
@@ -231,8 +231,7 @@
             .collect();
         // One that was ordered takes the room of others until another order
         // shows whether the first was carried out.
-        let ordered =
-            |worker: &&&Worker| state.ordered.contains_key(&worker.listing.vm);
+        let ordered = |worker: &&&Worker| state.is_ordered(&worker.listing.vm);
         if let Some(worker) = eligible.iter().find(ordered) {
             let id = worker.id().clone();
             self.empty(&id, Purpose::Maintenance(wave), now);
@@ -424,8 +423,9 @@
                 state.ordered.remove(vm);
                 state.record.done.insert(vm.to_owned());
             }
-            // Kept as ordered, which counts as down, and sent again later.
-            Err(_) => {}
+            // Sent again later; until then it counts as down only if it may
+            // have been done.
+            Err(error) => state.order_failed(vm, error),
         }
     }
 
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -76,10 +76,8 @@
     ) {
         let mut without_place = BTreeSet::new();
         let mut pools = Pools::default();
-        let mut looked_at_all = true;
         for candidate in self.candidates(now) {
             if self.window.room() == 0 {
-                looked_at_all = false;
                 break;
             }
             let lacking =
@@ -88,7 +86,8 @@
                 without_place.insert(pool);
             }
         }
-        if looked_at_all {
+        // Else some that were without a place weren't looked at.
+        if self.window.room() > 0 {
             self.without_place.retain(|pool, _| without_place.contains(pool));
         }
         for pool in without_place {
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -3,7 +3,9 @@
 */
 
 use {
-    crate::schedule::{ManagedVm, Now, VmLife, WaveRecord, WaveRequest},
+    crate::schedule::{
+        ManagedVm, Now, VmLife, VmOrderError, WaveRecord, WaveRequest,
+    },
     std::collections::BTreeMap,
 };
 
@@ -29,9 +31,8 @@
     pub(super) end_ms: u64,
     /// The VMs that are down for it, each with since when.
     pub(super) down: BTreeMap<String, u64>,
-    /// The VMs with an order that isn't known to be done, each with when it
-    /// was sent last.
-    pub(super) ordered: BTreeMap<String, u64>,
+    /// The VMs with an order that isn't known to be done.
+    pub(super) ordered: BTreeMap<String, Ordered>,
     /// The VMs that aren't in the list of VMs, each with since when.
     pub(super) missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
@@ -39,6 +40,24 @@
     pub(super) completed: bool,
 }
 
+/// An order to take a VM down.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ordered {
+    /// When it was sent last.
+    pub(super) sent_ms: u64,
+    /// Whether the last one has no answer yet.
+    pub(super) under_way: bool,
+    /// Whether an earlier one got no answer, and may be carried out yet.
+    pub(super) maybe_done: bool,
+}
+
+impl Ordered {
+    /// Returns whether the VM may be down, or go down, by such an order.
+    pub(super) fn takes_room(&self) -> bool {
+        self.under_way || self.maybe_done
+    }
+}
+
 impl WaveState {
     pub(super) fn remaining(&self) -> impl Iterator<Item = &String> {
         self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
@@ -53,18 +72,42 @@
     pub(super) fn room(&self, may_be_down: impl Fn(&str) -> bool) -> usize {
         let others = self.request.vms.iter().filter(|name| {
             !self.down.contains_key(*name)
-                && !self.ordered.contains_key(*name)
+                && !self.is_ordered(name)
                 && may_be_down(name)
         });
-        let down = self.down.len() + self.ordered.len() + others.count();
+        let ordered = self.ordered.values().filter(|o| o.takes_room());
+        let down = self.down.len() + ordered.count() + others.count();
         self.request.max_down.saturating_sub(down)
     }
 
+    /// Returns whether a VM may be down, or go down, by an order of this
+    /// holder, and so takes room already.
+    pub(super) fn is_ordered(&self, vm: &str) -> bool {
+        self.ordered.get(vm).is_some_and(Ordered::takes_room)
+    }
+
+    /// Notes that an order is sent.
+    pub(super) fn order(&mut self, vm: &str, now: Now) {
+        let before = self.ordered.get(vm);
+        let maybe_done = before.is_some_and(Ordered::takes_room);
+        let sent_ms = now.steady_ms;
+        let ordered = Ordered { sent_ms, under_way: true, maybe_done };
+        self.ordered.insert(vm.to_owned(), ordered);
+    }
+
+    /// Notes that an order wasn't carried out, or that nobody knows.
+    pub(super) fn order_failed(&mut self, vm: &str, error: VmOrderError) {
+        if let Some(ordered) = self.ordered.get_mut(vm) {
+            ordered.under_way = false;
+            ordered.maybe_done |= error == VmOrderError::Unknown;
+        }
+    }
+
     /// Returns whether an order for the VM is under way.
     pub(super) fn is_waiting(&self, vm: &str, now: Now) -> bool {
         self.ordered
             .get(vm)
-            .is_some_and(|sent_ms| now.steady_ms < sent_ms + ORDER_RETRY_MS)
+            .is_some_and(|last| now.steady_ms < last.sent_ms + ORDER_RETRY_MS)
     }
 
     /// Notes which VMs are back.
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -394,7 +394,13 @@
     }
 
     /// Sends nothing for a while, twice as long each time in a row.
+    ///
+    /// What was sent before that says nothing new: a burst of refusals is
+    /// one.
     pub(crate) fn suspend(&mut self, now_ms: u64, options: &Options) {
+        if now_ms < self.suspended_until_ms {
+            return;
+        }
         let longer = self.suspensions.min(options.max_suspension_doublings);
         self.suspended_until_ms = now_ms + (options.suspension_ms << longer);
         self.suspensions += 1;
--- a/crates/dewspar/src/window.rs
+++ b/crates/dewspar/src/window.rs
@@ -128,6 +128,20 @@
         self.under_way
     }
 
+    /// Returns how long calls take at the median on a node that can't keep up,
+    /// in milliseconds: `slow_ms`, unless the window is as small as it gets.
+    ///
+    /// A window keeps calls fast by sending fewer, so that a node with too
+    /// much to do may never see slow ones. But where even the smallest window
+    /// isn't answered fast, nothing is left to be done about that.
+    pub fn overloaded_ms(&self, slow_ms: u64) -> u64 {
+        if self.size <= self.limits.least {
+            slow_ms.min(self.limits.fast_ms)
+        } else {
+            slow_ms
+        }
+    }
+
     /// Notes calls that are sent; more than there is room for is allowed
     /// where calls must go together.
     pub fn sent(&mut self, calls: usize) {
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -311,3 +311,47 @@
     }
     assert!(rounds > 1_000);
 }
+
+/// Lets a worker refuse every start of one burst; returns how long it then
+/// gets none, in milliseconds.
+fn paused_after_burst(starts: u32, refusal: Refusal) -> u64 {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let small = StepSpec { cpu_millis: 100, memory_mb: 1, ..step(starts) };
+    world.scheduler.submit(id(1), job(vec![small]), 6, None);
+    let mut refused_ms = None;
+    loop {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        let mut orders = Vec::new();
+        for action in world.scheduler.plan(now) {
+            match action {
+                Action::Start { worker, order, .. } => {
+                    orders.push((worker, order));
+                }
+                other => world.carry_out(other, now),
+            }
+        }
+        if orders.is_empty() {
+            continue;
+        }
+        if let Some(refused_ms) = refused_ms {
+            return world.now_ms - refused_ms;
+        }
+        refused_ms = Some(world.now_ms);
+        for (worker, order) in orders {
+            let refused = Err(OrderError::Refused(refusal));
+            let (task, run) = (order.task, order.run);
+            world.scheduler.start_answered(&worker, &task, run, refused, now);
+        }
+    }
+}
+
+#[test]
+fn one_burst_of_refusals_counts_as_one() {
+    assert!(paused_after_burst(2, Refusal::NoRoom) <= 100);
+    assert!(paused_after_burst(5, Refusal::LeaseOver) <= 100);
+    assert!(paused_after_burst(5, Refusal::Unhealthy) <= 1_000);
+}
--- a/crates/dewspar/tests/schedule/facts_of_vms.rs
+++ b/crates/dewspar/tests/schedule/facts_of_vms.rs
@@ -6,8 +6,8 @@
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, ManagedVm, Orderer, VmOrder, VmOrderError, WaveRequest,
-            WorkerId, WorkerListing,
+            Decision, ManagedVm, Orderer, VmLife, VmOrder, VmOrderError,
+            WaveRequest, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -282,3 +282,32 @@
     world.run_for(50);
     assert_ne!(maintained(&mut world, 3_000)[0].1, vm);
 }
+
+#[test]
+fn a_wave_goes_on_past_a_vm_that_failed_as_it_was_ordered() {
+    let mut world = idle_world(&["w1", "w2", "w3"], 1);
+    let first = maintained(&mut world, 2_000);
+    let vm = first[0].1.clone();
+    // It has failed since the last list: nothing is down by an order.
+    answer(&mut world, &vm, Err(VmOrderError::Busy));
+    // OK because there is a worker on each VM.
+    let gone = world.listings.iter().find(|l| l.vm == vm).unwrap();
+    world.cut.push(gone.id.clone());
+    let end_ms = world.now_ms + 9_000;
+    let mut ordered = Vec::new();
+    while world.now_ms < end_ms {
+        let vms = world.listings.iter().map(|listing| {
+            let failed = listing.vm == vm;
+            let up = managed(listing);
+            let life = if failed { VmLife::Down } else { up.life };
+            let worker = up.worker.filter(|_| !failed);
+            ManagedVm { life, worker, ..up }
+        });
+        let vms: Vec<ManagedVm> = vms.collect();
+        let now = at(world.now_ms);
+        world.scheduler.list_vms(now, world.now_ms, &vms);
+        ordered.extend(world.scheduler.plan_vms(now));
+        world.run_for(50);
+    }
+    assert!(!ordered.is_empty());
+}
--- a/crates/dewspar/tests/window.rs
+++ b/crates/dewspar/tests/window.rs
@@ -1,8 +1,12 @@
 //! How a window of calls grows and shrinks.
 
 use {
-    dewspar::window::{CallEnd, CallWindow, WindowLimits},
+    dewspar::{
+        overload::RoundTrips,
+        window::{CallEnd, CallWindow, WindowLimits},
+    },
     quickcheck::quickcheck,
+    std::collections::VecDeque,
 };
 
 const FAST: CallEnd = CallEnd::Answered { took_ms: 2 };
@@ -63,6 +67,45 @@
     assert_eq!(window.size(), limits.initial);
 }
 
+/// How long an order may take.
+const TIMEOUT_MS: u64 = 200;
+
+/// Lets a node that carries out so many calls a second, in their order, have
+/// more to do than that for 20 s; returns whether it was found overloaded.
+fn hands_over(calls_a_second: f64) -> bool {
+    let mut window = CallWindow::new(WindowLimits::default());
+    let mut trips = RoundTrips::new(600);
+    let mut under_way: VecDeque<u64> = VecDeque::new();
+    let mut credit = 0.0;
+    (10_000..30_000).any(|now_ms| {
+        let room = window.room();
+        under_way.extend(std::iter::repeat_n(now_ms, room));
+        window.sent(room);
+        credit += calls_a_second / 1_000.0;
+        while credit >= 1.0 {
+            credit -= 1.0;
+            // OK because the window is kept full.
+            let sent_ms = under_way.pop_front().unwrap();
+            let took_ms = now_ms - sent_ms;
+            if took_ms <= TIMEOUT_MS {
+                trips.note(now_ms, took_ms);
+                window.ended(CallEnd::Answered { took_ms });
+            } else {
+                window.ended(CallEnd::Unanswered);
+            }
+        }
+        trips.are_slow(now_ms, window.overloaded_ms(140))
+    })
+}
+
+#[test]
+fn a_node_too_slow_for_the_smallest_window_is_found_overloaded() {
+    assert!(hands_over(350.0));
+    assert!(hands_over(500.0));
+    // A node of half a core: it has much to do, and does it.
+    assert!(!hands_over(2_000.0));
+}
+
 quickcheck! {
     fn stays_within_its_limits(ends: Vec<u8>) -> bool {
         let limits = WindowLimits::default();
--- a/crates/dewspard/src/jobs/counts.rs
+++ b/crates/dewspard/src/jobs/counts.rs
@@ -26,6 +26,10 @@
 /// take them for given up.
 const UNCHANGED_AFTER_MS: u64 = 1_000;
 
+/// How often it is looked whether counts have changed, in milliseconds: each
+/// look goes through all jobs.
+const LOOK_AFTER_MS: u64 = 100;
+
 /// For how long a record that stays the same is believed, in milliseconds:
 /// callers may be told counts of that age.
 const GIVEN_UP_AFTER_MS: u64 = 2_000;
@@ -46,6 +50,8 @@
 pub(super) struct CountsWriter {
     written: WaitingJobs,
     written_ms: u64,
+    /// When it was last looked whether they have changed.
+    looked_ms: u64,
     /// The record's version; 0 for none.
     version: u64,
     /// Whether the last write is known to have taken place.
@@ -89,6 +95,7 @@
         CountsWriter {
             written: WaitingJobs::new(),
             written_ms: 0,
+            looked_ms: 0,
             version,
             is_stored: false,
             is_writing: false,
@@ -97,7 +104,9 @@
 
     /// Returns whether counts may have to be written now.
     pub(super) fn is_due(&self, now_ms: u64) -> bool {
-        !self.is_writing && now_ms >= self.written_ms + CHANGED_AFTER_MS
+        !self.is_writing
+            && now_ms >= self.written_ms + CHANGED_AFTER_MS
+            && now_ms >= self.looked_ms + LOOK_AFTER_MS
     }
 
     /// Returns the write of these counts, unless the record is new enough.
@@ -107,6 +116,7 @@
         held: &Held,
         now_ms: u64,
     ) -> Option<Batch> {
+        self.looked_ms = now_ms;
         let is_new = now_ms < self.written_ms + UNCHANGED_AFTER_MS;
         if counts == self.written && self.is_stored && is_new {
             return None;
@@ -183,8 +193,13 @@
 impl CountsReader {
     /// Returns a queue's count, if it needn't be read again.
     pub(super) fn known(&self, queue: &str, now_ms: u64) -> Option<u64> {
-        let good = now_ms < self.good_until_ms;
-        good.then(|| self.counts.get(queue).copied().unwrap_or(0))
+        (now_ms < self.good_until_ms).then(|| self.count(queue))
+    }
+
+    /// Returns a queue's count as it was taken over last; a queue that isn't
+    /// among the counts has no waiting job.
+    pub(super) fn count(&self, queue: &str) -> u64 {
+        self.counts.get(queue).copied().unwrap_or(0)
     }
 
     /// Judges the record that was found, and notes its version.
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -405,6 +405,7 @@
             Outcome::Stopping => "the node stops",
             Outcome::Yielding => "a stronger node asks for it",
             Outcome::Overloaded => "this node can't keep up",
+            Outcome::OutOfTokens => "no later token is left for a worker",
         };
         info!(self.log, "election: this node no longer schedules";
             "revision" => held.revision, "reason" => reason);
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -93,10 +93,25 @@
     Yielding,
     /// The node can't keep up.
     Overloaded,
+    /// No later token is left under this lease for some worker.
+    OutOfTokens,
     /// The node stops.
     Stopping,
 }
 
+impl Outcome {
+    /// Returns whether the node gives up a lease that it holds.
+    fn still_holds(self) -> bool {
+        match self {
+            Outcome::Lost(_) => false,
+            Outcome::Yielding
+            | Outcome::Overloaded
+            | Outcome::OutOfTokens
+            | Outcome::Stopping => true,
+        }
+    }
+}
+
 /// Schedules until the lease is lost or the node stops.
 pub(super) async fn run<K: KeyValue, W: JobWorkers, F: Fleet>(
     candidate: &Candidate<K, W, F>,
@@ -135,7 +150,7 @@
         claimed: false,
         begun_ms: clock::now_ms(),
         load: Load::default(),
-        round_trips: RoundTrips::new(SLOW_ORDER_MS, SLOW_FOR_MS),
+        round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::new(loaded.counts_version),
         waves: loaded.waves,
         completed: loaded.completed,
@@ -214,7 +229,7 @@
                 self.take(event);
             }
             if let Some(outcome) = self.act() {
-                if matches!(outcome, Outcome::Yielding | Outcome::Overloaded) {
+                if outcome.still_holds() {
                     self.store_last().await;
                 }
                 return outcome;
@@ -327,13 +342,14 @@
             return Some(Outcome::Lost("a worker has seen a newer holder"));
         }
         if self.scheduler.is_out_of_tokens() {
-            return Some(Outcome::Lost("no later token is left for a worker"));
+            return Some(Outcome::OutOfTokens);
         }
         if self.claimed {
             return Some(Outcome::Yielding);
         }
         let settled = now.steady_ms >= self.begun_ms + SETTLE_MS;
-        if settled && self.round_trips.are_slow(now.steady_ms) {
+        let slow_ms = self.scheduler.window().overloaded_ms(SLOW_ORDER_MS);
+        if settled && self.round_trips.are_slow(now.steady_ms, slow_ms) {
             return Some(Outcome::Overloaded);
         }
         let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -86,13 +86,10 @@
         if let Some(count) = reader.known(queue, clock::now_ms()) {
             return JobReply::Pending(count);
         }
-        if let Err(reply) = self.read_counts(&mut reader, deadline).await {
-            return reply;
+        match self.read_counts(&mut reader, deadline).await {
+            Ok(()) => JobReply::Pending(reader.count(queue)),
+            Err(reply) => reply,
         }
-        let count = reader.known(queue, clock::now_ms());
-        // OK to be 0: the counts were taken over just now, and a queue that
-        // isn't among them has no waiting job.
-        JobReply::Pending(count.unwrap_or(0))
     }
 
     /// Takes over the holder's counts, or counts the stored jobs where the
