--- a/bench/days.py
+++ b/bench/days.py
@@ -222,9 +222,48 @@
         yield name, day(name, chance.randrange(10**9), entries)
 
 
+# How the holder of the scheduler lease goes, and what beside it.
+TAKEOVERS = [
+    [("node_kill", "leader", {"count": 1, "for_s": 1}, 0.0)],
+    [("node_kill", "leader power", {"count": 1, "for_s": 4}, 0.0)],
+    [
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 0.0),
+        ("herd_kill", "", {"share": 0.7, "for_s": 2}, 0.05),
+    ],
+    [
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 0.0),
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 2.2),
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 4.4),
+    ],
+    [
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 0.0),
+        ("srv_grey", "shed", {"share": 0.3, "for_s": 8}, -2.0),
+    ],
+    [
+        ("node_kill", "leader", {"count": 1, "for_s": 1}, 0.0),
+        ("burst", "", {"x": 3, "for_s": 5}, -3.0),
+    ],
+]
+
+
+def takeover_days(count, seed):
+    """Yields days on which the holder is killed on purpose, late enough for
+    a backlog, beside something that makes it matter."""
+    chance = random.Random(seed)
+    for number in range(count):
+        troubles = TAKEOVERS[number % len(TAKEOVERS)]
+        at_s = chance.uniform(10, 24)
+        entries = [
+            (kind, how, settings, round(at_s + later_s, 2))
+            for kind, how, settings, later_s in troubles
+        ]
+        name = f"takeover-{number:02d}"
+        yield name, day(name, chance.randrange(10**9), entries)
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("set", choices=["single", "mixed", "silent"])
+    parser.add_argument("set", choices=["single", "mixed", "silent", "takeover"])
     parser.add_argument("directory", type=pathlib.Path)
     parser.add_argument("--days", type=int, default=40)
     parser.add_argument("--seed", type=int, default=1)
@@ -233,6 +272,8 @@
         days = single_days()
     elif arguments.set == "silent":
         days = silent_days(arguments.seed)
+    elif arguments.set == "takeover":
+        days = takeover_days(arguments.days, arguments.seed)
     else:
         days = mixed_days(arguments.days, arguments.seed)
     arguments.directory.mkdir(parents=True, exist_ok=True)
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -14,7 +14,7 @@
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             board::{Job, demand},
             full_pools::{FullPools, UnaskedPools},
-            worker::{Run, RunState, Worker},
+            worker::{Run, Worker},
         },
     },
     std::collections::BTreeSet,
@@ -414,17 +414,7 @@
         let address = worker.listing.address.clone();
         worker.insert(
             *task,
-            Run {
-                run,
-                fence,
-                demand: demand(spec),
-                state: RunState::Starting,
-                since_ms: now.steady_ms,
-                percent: 0,
-                moved_ms: now.steady_ms,
-                gauge: 0,
-                pace: 100,
-            },
+            Run::ordered(run, fence, demand(spec), now.steady_ms),
         );
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
--- a/crates/dewspar/src/schedule/place/gang.rs
+++ b/crates/dewspar/src/schedule/place/gang.rs
@@ -12,9 +12,7 @@
     crate::{
         job::{StepSpec, TaskId},
         schedule::{
-            Action, Now, Scheduler, WorkerId,
-            board::demand,
-            worker::{Run, RunState},
+            Action, Now, Scheduler, WorkerId, board::demand, worker::Run,
         },
     },
 };
@@ -94,17 +92,8 @@
         now: Now,
     ) {
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
-        let reserved = Run {
-            run,
-            fence: worker.fence(),
-            demand: demand(spec),
-            state: RunState::Starting,
-            since_ms: now.steady_ms,
-            percent: 0,
-            moved_ms: now.steady_ms,
-            gauge: 0,
-            pace: 100,
-        };
+        let fence = worker.fence();
+        let reserved = Run::ordered(run, fence, demand(spec), now.steady_ms);
         worker.insert(*task, reserved);
     }
 
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -68,6 +68,26 @@
 }
 
 impl Run {
+    /// Makes a run that is ordered now and isn't known to have begun.
+    pub(crate) fn ordered(
+        run: u64,
+        fence: u64,
+        demand: Room,
+        now_ms: u64,
+    ) -> Run {
+        Run {
+            run,
+            fence,
+            demand,
+            state: RunState::Starting,
+            since_ms: now_ms,
+            percent: 0,
+            moved_ms: now_ms,
+            gauge: 0,
+            pace: 100,
+        }
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. })
     }
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -103,6 +103,10 @@
         "Times that this node took the scheduler lease.";
     STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
         "Times that this node took the store for out and refused new jobs.";
+    ORDERS_WINDOW, "gauge", "dewspar_orders_window", None,
+        "Orders to workers that this node may have under way, while it schedules.";
+    ORDERS_UNDER_WAY, "gauge", "dewspar_orders_under_way", None,
+        "Orders to workers that are under way, while this node schedules.";
     OVERLOADS, "counter", "dewspar_overloads_total", None,
         "Times that this node gave the scheduler lease up because it couldn't keep up.";
     SILENT_FEEDS, "counter", "dewspar_silent_feeds_total", None,
--- a/crates/dewspard/src/jobs/load.rs
+++ b/crates/dewspard/src/jobs/load.rs
@@ -4,6 +4,7 @@
 */
 
 use {
+    crate::counters,
     dewspar::{schedule::Action, window::CallWindow},
     slog::{Logger, info},
     std::time::Duration,
@@ -54,6 +55,9 @@
         if now_ms < self.logged_ms + INTERVAL_MS {
             return;
         }
+        metrics::gauge!(counters::ORDERS_WINDOW).set(window.size() as f64);
+        metrics::gauge!(counters::ORDERS_UNDER_WAY)
+            .set(window.under_way() as f64);
         info!(log, "holder: load"; "events" => self.events,
             "plans" => self.plans,
             "planning_ms" => self.planning.as_millis() as u64,
