A holder that may not have heard of some jobs gives no counts of waiting ones

The record was fresh, what it rested on wasn't. Ruled out: an order taken for its effect (at most 37 unconfirmed, all of another queue), a foreign or an old record (same holder, written each 0.7 s). Change: the check for a silent feed reports up to when everything accepted has been told, through the same channel as the jobs; a holder a second behind doesn't write counts. `holder: load` says how far behind it is.

--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -46,6 +46,7 @@
     outage: AtomicBool,
     cut: AtomicBool,
     silent: AtomicBool,
+    unlisted: AtomicBool,
     delay_us: AtomicU64,
     lost_per_mille: AtomicU64,
     random: Mutex<StdRng>,
@@ -60,6 +61,7 @@
             outage: AtomicBool::new(false),
             cut: AtomicBool::new(false),
             silent: AtomicBool::new(false),
+            unlisted: AtomicBool::new(false),
             delay_us: AtomicU64::new(0),
             lost_per_mille: AtomicU64::new(0),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
@@ -99,6 +101,17 @@
         self.inner.silent.load(Ordering::Relaxed)
     }
 
+    /// Refuses every list, while single keys are still read and written, or
+    /// no longer.
+    pub fn set_unlisted(&self, unlisted: bool) {
+        self.inner.unlisted.store(unlisted, Ordering::Relaxed);
+    }
+
+    /// Returns whether every list is refused.
+    pub fn unlisted(&self) -> bool {
+        self.inner.unlisted.load(Ordering::Relaxed)
+    }
+
     /// Sets how long each call takes, in microseconds.
     pub fn set_delay_us(&self, delay_us: u64) {
         self.inner.delay_us.store(delay_us, Ordering::Relaxed);
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -273,6 +273,10 @@
         prefix: &str,
     ) -> Result<(u64, Vec<Versioned>), Error> {
         self.faults.count_read();
+        if self.faults.unlisted() {
+            let reason = "lists are refused".to_owned();
+            return Err(Error::Unavailable { call: "read", reason });
+        }
         self.call("read", |state| {
             let entries = state
                 .entries
--- a/crates/dewspard/src/jobs/counts.rs
+++ b/crates/dewspard/src/jobs/counts.rs
@@ -5,8 +5,9 @@
 so a node must know that what it reads is fresh. The record therefore goes
 with the holder's lease: once that is over there is none, whoever wrote it. And
 a holder writes it again before it is old, changed or not, so that one which
-stays the same for longer was given up by its holder. Where there is no fresh
-record a node counts the stored jobs itself.
+stays the same for longer was given up by its holder. A holder that may not have
+heard of some jobs doesn't write it. Where there is no fresh record a node counts
+the stored jobs itself.
 
 Each write is conditional on the record's own version, and one is under way at
 a time: a late copy of an older write can't replace a newer count.
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -21,6 +21,10 @@
 #[derive(Debug)]
 pub(super) enum Event {
     Feed(Vec<FeedEvent>),
+    /// Everything that was accepted before this time has been told.
+    FeedCurrent {
+        asked_ms: u64,
+    },
     Directory(Vec<WorkerListing>),
     Vms {
         asked_ms: u64,
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -83,7 +83,7 @@
                     "error" => %error);
                 sleep(RETRY).await;
             }
-            newest = silence(&store, &version) => {
+            newest = silence(&store, &version, &sender) => {
                 counters::count(counters::SILENT_FEEDS);
                 info!(log, "holder: feed silent";
                     "version" => version.load(Ordering::Relaxed),
@@ -108,10 +108,16 @@
 }
 
 /// Returns once the store has accepted a job of which the feed doesn't tell,
-/// with the version at which it did.
-async fn silence<K: KeyValue>(store: &K, version: &AtomicU64) -> u64 {
+/// with the version at which it did; until then it reports that the feed is
+/// current.
+async fn silence<K: KeyValue>(
+    store: &K,
+    version: &AtomicU64,
+    sender: &mpsc::Sender<Event>,
+) -> u64 {
     loop {
         sleep(SILENCE_CHECK).await;
+        let asked_ms = clock::now_ms();
         let accepts = match store.list(keys::ACCEPTS).await {
             Ok((_, accepts)) => accepts,
             Err(error) => {
@@ -122,6 +128,9 @@
         let newest = accepts.iter().map(|item| item.version).max();
         let newest = newest.unwrap_or(0);
         if newest <= version.load(Ordering::Relaxed) {
+            // Behind what the feed has told, in the same channel. A holder
+            // that is gone ends this task.
+            let _ = sender.send(Event::FeedCurrent { asked_ms }).await;
             continue;
         }
         sleep(SILENCE_GRACE).await;
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -149,6 +149,8 @@
         lost: None,
         claimed: false,
         begun_ms: clock::now_ms(),
+        // The jobs were loaded after the lease was asked for.
+        feed_current_ms: held.renewed_ms,
         load: Load::default(),
         round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::new(loaded.counts_version),
@@ -182,6 +184,8 @@
     /// Whether a stronger node asks for the lease.
     pub(super) claimed: bool,
     begun_ms: u64,
+    /// Up to when everything that was accepted is known here.
+    pub(super) feed_current_ms: u64,
     load: Load,
     /// How long orders to start took that were answered.
     round_trips: RoundTrips,
@@ -243,6 +247,9 @@
         let scheduler = &mut self.scheduler;
         match event {
             Event::Feed(feed) => self.take_feed(feed),
+            Event::FeedCurrent { asked_ms } => {
+                self.feed_current_ms = self.feed_current_ms.max(asked_ms);
+            }
             Event::Directory(listings) => {
                 scheduler.list_workers(now, listings);
             }
@@ -365,7 +372,8 @@
         self.order_vms(now);
         self.delete_expired(now);
         let window = self.scheduler.window();
-        self.load.log(&self.candidate.log, now.steady_ms, window);
+        let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
+        self.load.log(&self.candidate.log, now.steady_ms, window, behind_ms);
         None
     }
 
--- a/crates/dewspard/src/jobs/load.rs
+++ b/crates/dewspard/src/jobs/load.rs
@@ -51,6 +51,7 @@
         log: &Logger,
         now_ms: u64,
         window: &CallWindow,
+        feed_behind_ms: u64,
     ) {
         if now_ms < self.logged_ms + INTERVAL_MS {
             return;
@@ -62,7 +63,8 @@
             "plans" => self.plans,
             "planning_ms" => self.planning.as_millis() as u64,
             "starts" => self.starts, "holds" => self.holds,
-            "window" => window.size(), "under_way" => window.under_way());
+            "window" => window.size(), "under_way" => window.under_way(),
+            "feed_behind_ms" => feed_behind_ms);
         *self = Load { logged_ms: now_ms, ..Load::default() };
     }
 }
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -17,6 +17,11 @@
     slog::{info, warn},
 };
 
+/// How far behind the feed a holder may be and still count, in milliseconds:
+/// a few checks of the feed. With what readers allow, a count is then some 3 s
+/// old at most.
+const FEED_AGE_MS: u64 = 1_000;
+
 /// How often keys of jobs that are over for long are deleted, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
@@ -32,8 +37,12 @@
         }
     }
 
+    /// Writes the counts of waiting jobs, unless there may be jobs that this
+    /// holder hasn't heard of: the record then grows old, and nodes count
+    /// themselves.
     pub(super) fn write_counts(&mut self, now: Now) {
-        if !self.counts.is_due(now.steady_ms) {
+        let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
+        if behind_ms >= FEED_AGE_MS || !self.counts.is_due(now.steady_ms) {
             return;
         }
         let counts = self.scheduler.pending(now.unix_ms);
@@ -42,7 +51,8 @@
         info!(self.candidate.log, "holder: waiting jobs counted";
             "counts" => json(self.counts.written()),
             "unconfirmed" => json(&self.scheduler.unconfirmed()),
-            "lease_revision" => self.held.revision);
+            "lease_revision" => self.held.revision,
+            "feed_behind_ms" => behind_ms);
         let store = self.candidate.store.clone();
         let sender = self.sender.clone();
         let log = self.candidate.log.clone();
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -375,6 +375,31 @@
     .await;
 }
 
+#[tokio::test]
+async fn a_holder_that_does_not_hear_of_new_jobs_gives_no_count() {
+    let cluster = Cluster::start(1).await;
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    cluster.fleet.set_work_ms(600_000);
+    // The holder goes on, and writes what it likes, but hears nothing.
+    cluster.store_faults.set_silent(true);
+    cluster.store_faults.set_unlisted(true);
+    submitted(&cluster, 0, 2).await;
+    let path = "/v1/queues/extracts";
+    until(async || {
+        let (status, _) = cluster.call(0, Method::GET, path, None).await;
+        status == StatusCode::SERVICE_UNAVAILABLE
+    })
+    .await;
+    cluster.store_faults.set_unlisted(false);
+    cluster.wait_for_phase(0, 2, "running").await;
+    until(async || {
+        let (status, body) = cluster.call(0, Method::GET, path, None).await;
+        status == StatusCode::OK && body["pending"] == 0
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn waiting_jobs_are_counted_though_no_holder_counts_them() {
     let mut cluster = Cluster::start(0).await;
