Tell what each purpose takes of a scheduling node's link

Cause: a holder that falls behind couldn't say which of its work took its link or how long events waited for it; without that each mend is a guess.

Each client has a purpose, and all clients of a node count calls and bytes, heads and bodies, into one table. The holder's line a second gains these, and how long events waited to be taken in; three metrics more.

--- a/crates/dewspar-cli/src/commands/demo_jobs.rs
+++ b/crates/dewspar-cli/src/commands/demo_jobs.rs
@@ -12,7 +12,7 @@
         job::{Queue, QueueSet},
         schedule::QueueTerms,
     },
-    dewspar_platform::KeyValue,
+    dewspar_platform::{KeyValue, Traffic},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
@@ -101,6 +101,7 @@
         fleet: fleet.clone(),
         protocol: RestCalls,
         readiness_path: "/ready",
+        traffic: Traffic::default(),
     };
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,6 +1,6 @@
 use {
     crate::{
-        Error,
+        Error, Purpose, Traffic,
         connections::{Connections, Pool},
     },
     bytes::Bytes,
@@ -8,7 +8,7 @@
     hyper::{
         Method, Request, Response, StatusCode, Uri,
         body::Incoming,
-        header::{self, HeaderValue},
+        header::{self, HeaderMap, HeaderValue},
         http::uri::Authority,
     },
     serde::{Serialize, de::DeserializeOwned},
@@ -40,6 +40,8 @@
     calls: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
     given_up: Arc<AtomicU64>,
+    traffic: Traffic,
+    purpose: Purpose,
 }
 
 /// An answer's status, entity tag and body.
@@ -51,6 +53,8 @@
     pub tag: Option<String>,
     /// The whole body.
     pub body: Bytes,
+    /// How long its head was, in bytes.
+    head_bytes: u64,
 }
 
 impl Client {
@@ -65,9 +69,23 @@
             calls: Arc::default(),
             bytes: Arc::default(),
             given_up: Arc::default(),
+            traffic: Traffic::default(),
+            purpose: Purpose::default(),
         }
     }
 
+    /// Counts what it sends and receives here, beside other clients.
+    pub fn with_traffic(mut self, traffic: &Traffic) -> Client {
+        self.traffic = traffic.clone();
+        self
+    }
+
+    /// Returns a client that shares everything with this one, and whose calls
+    /// count as made for this purpose.
+    pub fn with_purpose(&self, purpose: Purpose) -> Client {
+        Client { purpose, ..self.clone() }
+    }
+
     /// Returns a client that shares connections and counters with this one,
     /// and whose calls take at most `timeout_ms` milliseconds.
     pub fn with_timeout_ms(&self, timeout_ms: u64) -> Client {
@@ -120,6 +138,7 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Error> {
         let sent = size_of(&request);
+        let sent_head = request_head_bytes(&request);
         let route = self.route(call, &request)?;
         let whole = async {
             let response = self.call(call, &route, request).await?;
@@ -133,6 +152,8 @@
             })?;
         let total = sent + answer.body.len() as u64;
         self.bytes.fetch_add(total, Ordering::Relaxed);
+        let received = answer.head_bytes + answer.body.len() as u64;
+        self.traffic.note(self.purpose, sent_head + sent, received);
         Ok(answer)
     }
 
@@ -326,11 +347,36 @@
     request.body().size_hint().exact().unwrap_or(0)
 }
 
+/// The bytes of a request's or an answer's first line beside its path, and of
+/// the empty line after its headers.
+const FIXED_HEAD_BYTES: usize = 20;
+
+/// The bytes of a header beside its name and value.
+const HEADER_BYTES: usize = 4;
+
+fn request_head_bytes(request: &Request<Full<Bytes>>) -> u64 {
+    let uri = request.uri();
+    let path = uri.path_and_query().map_or(1, |path| path.as_str().len());
+    // The connection adds the host to the headers, and the body's length.
+    let host = uri.authority().map_or(0, |host| host.as_str().len());
+    let length = header::CONTENT_LENGTH.as_str().len();
+    let added = "host".len() + host + length + 2 * HEADER_BYTES;
+    (path + added) as u64 + head_bytes(request.headers())
+}
+
+fn head_bytes(headers: &HeaderMap) -> u64 {
+    let fields = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_BYTES);
+    (FIXED_HEAD_BYTES + fields.sum::<usize>()) as u64
+}
+
 async fn read_answer(
     call: &'static str,
     response: Response<Incoming>,
 ) -> Result<Answer, Error> {
     let status = response.status();
+    let head_bytes = head_bytes(response.headers());
     let tag = response
         .headers()
         .get(header::ETAG)
@@ -341,5 +387,5 @@
         let reason = e.to_string();
         Error::Lost { call, reason }
     })?;
-    Ok(Answer { status, tag, body: body.to_bytes() })
+    Ok(Answer { status, tag, body: body.to_bytes(), head_bytes })
 }
--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -1,4 +1,7 @@
-use {crate::Error, std::future::Future};
+use {
+    crate::{Error, Purpose},
+    std::future::Future,
+};
 
 /// A value and the version of its key.
 ///
@@ -168,6 +171,12 @@
     /// A watch on a range of keys.
     type Watch: Watch;
 
+    /// Returns the same service with calls that count as made for this
+    /// purpose, where calls are counted.
+    fn with_purpose(&self, _purpose: Purpose) -> Self {
+        self.clone()
+    }
+
     /// Reads one key.
     fn get(
         &self,
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -44,6 +44,7 @@
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
         Versioned, Watch, WatchBatch,
     },
+    traffic::{Purpose, Tallies, Tally, Traffic},
     vm_list::{VmList, VmListing},
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
@@ -57,5 +58,6 @@
 mod job_call;
 mod job_worker;
 mod kv;
+mod traffic;
 mod vm_list;
 mod worker;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -109,6 +109,12 @@
         "Orders to workers that are under way, while this node schedules.";
     OVERLOADS, "counter", "dewspar_overloads_total", None,
         "Times that this node gave the scheduler lease up because it couldn't keep up.";
+    PLATFORM_CALLS, "counter", "dewspar_platform_calls_total", Some("purpose"),
+        "Calls to the platform and the workers that were answered while this node schedules, by what they were for.";
+    PLATFORM_BYTES, "counter", "dewspar_platform_bytes_total", Some("purpose, direction"),
+        "Bytes of these calls, heads and bodies, by what they were for and by direction.";
+    EVENT_WAIT, "gauge", "dewspar_event_wait_seconds", None,
+        "The longest that an event waited to be taken in during the last second, while this node schedules.";
     SILENT_FEEDS, "counter", "dewspar_silent_feeds_total", None,
         "Times that accepted jobs were read outright because the feed was silent.";
     READY, "gauge", "dewspar_ready", None,
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -3,7 +3,10 @@
 */
 
 use {
-    super::{event::Event, keys},
+    super::{
+        event::{Event, EventSender},
+        keys,
+    },
     crate::counters,
     dewspar::schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
     dewspar_platform::{
@@ -11,7 +14,6 @@
     },
     slog::{Logger, info, warn},
     std::collections::BTreeMap,
-    tokio::sync::mpsc,
 };
 
 /// Orders to send, once they are on record.
@@ -33,7 +35,7 @@
     store: &K,
     fleet: &F,
     burst: Burst,
-    events: &mpsc::Sender<Event>,
+    events: &EventSender,
     log: &Logger,
 ) {
     let (store, fleet) = (store.clone(), fleet.clone());
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -28,7 +28,7 @@
     dewspar::schedule::{Options, Orderer},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
-        Versioned, Watch,
+        Purpose, Traffic, Versioned, Watch,
     },
     serde::{Deserialize, Serialize},
     slog::{Logger, info, warn},
@@ -105,6 +105,8 @@
     /// The number of this start of the process.
     pub(super) incarnation: u64,
     pub(super) store: K,
+    /// What this node's calls cost, by purpose.
+    pub(super) traffic: Traffic,
     pub(super) workers: W,
     pub(super) fleet: F,
     pub(super) reader: intent::Reader,
@@ -344,7 +346,12 @@
         info!(self.log, "election: this node schedules";
             "revision" => held.revision, "lease_ms" => held.lease_ms);
         counters::count(counters::TAKEOVERS);
-        let loaded = load(&self.store, &self.fleet, &self.log).await;
+        let loaded = load(
+            &self.store.with_purpose(Purpose::Takeover),
+            &self.fleet,
+            &self.log,
+        )
+        .await;
         let outcome = match loaded {
             Ok(loaded) => holder::run(self, held, loaded).await,
             Err(error) => {
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -1,5 +1,7 @@
 /*!
-What the holder of the scheduler lease hears of, from whatever task.
+What the holder of the scheduler lease hears of, from whatever task, and the
+channel that brings it: each event carries when it was sent, so that the time
+it waited to be taken in is known.
 */
 
 use {
@@ -7,6 +9,7 @@
         counts::CountsWritten,
         progress::{FeedEvent, Stored},
     },
+    crate::clock,
     dewspar::{
         job::TaskId,
         schedule::{
@@ -15,8 +18,42 @@
         },
     },
     dewspar_platform::Error,
+    tokio::sync::mpsc,
 };
 
+/// How many events may wait for the holder.
+const MAX_EVENTS: usize = 4_096;
+
+/// Makes the holder's channel.
+pub(super) fn channel() -> (EventSender, mpsc::Receiver<SentEvent>) {
+    let (sender, receiver) = mpsc::channel(MAX_EVENTS);
+    (EventSender(sender), receiver)
+}
+
+/// An event on its way.
+#[derive(Debug)]
+pub(super) struct SentEvent {
+    pub(super) event: Event,
+    /// When it was sent, or would have been with room in the channel.
+    pub(super) sent_ms: u64,
+}
+
+/// The holder is gone, and nobody takes events in.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct HolderGone;
+
+/// Sends events to the holder; clones share the channel.
+#[derive(Clone, Debug)]
+pub(super) struct EventSender(mpsc::Sender<SentEvent>);
+
+impl EventSender {
+    /// Sends an event, once there is room for it.
+    pub(super) async fn send(&self, event: Event) -> Result<(), HolderGone> {
+        let sent = SentEvent { event, sent_ms: clock::now_ms() };
+        self.0.send(sent).await.map_err(|_| HolderGone)
+    }
+}
+
 /// What the holder hears of.
 #[derive(Debug)]
 pub(super) enum Event {
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -6,7 +6,7 @@
 use {
     super::{
         election::Held,
-        event::Event,
+        event::{Event, EventSender},
         keys,
         progress::{FeedEvent, load_feed, read_event},
     },
@@ -17,7 +17,7 @@
         sync::atomic::{AtomicU64, Ordering},
         time::Duration,
     },
-    tokio::{sync::mpsc, time::sleep},
+    tokio::time::sleep,
 };
 
 /// How often the directory of workers is read.
@@ -47,7 +47,7 @@
 const RETRY: Duration = Duration::from_millis(100);
 
 /// Reads the list of VMs again and again.
-pub(super) async fn read_vms<F: Fleet>(fleet: F, sender: mpsc::Sender<Event>) {
+pub(super) async fn read_vms<F: Fleet>(fleet: F, sender: EventSender) {
     loop {
         let asked_ms = clock::now_ms();
         let mut pause = VM_INTERVAL;
@@ -69,7 +69,7 @@
 pub(super) async fn follow_feed<K: KeyValue>(
     store: K,
     version: u64,
-    sender: mpsc::Sender<Event>,
+    sender: EventSender,
     log: Logger,
 ) {
     // Up to where the feed was heard; one task writes it.
@@ -113,7 +113,7 @@
 async fn silence<K: KeyValue>(
     store: &K,
     version: &AtomicU64,
-    sender: &mpsc::Sender<Event>,
+    sender: &EventSender,
 ) -> u64 {
     loop {
         sleep(SILENCE_CHECK).await;
@@ -143,7 +143,7 @@
 async fn watch_feed<K: KeyValue>(
     store: &K,
     version: &AtomicU64,
-    sender: &mpsc::Sender<Event>,
+    sender: &EventSender,
     log: &Logger,
 ) -> Error {
     let from = version.load(Ordering::Relaxed);
@@ -173,7 +173,7 @@
 pub(super) async fn renew<K: KeyValue>(
     store: K,
     held: Held,
-    sender: mpsc::Sender<Event>,
+    sender: EventSender,
 ) {
     let pause = Duration::from_millis(held.lease_ms / RENEWALS_A_LEASE);
     loop {
@@ -193,10 +193,7 @@
     }
 }
 
-pub(super) async fn read_directory<F: Fleet>(
-    fleet: F,
-    sender: mpsc::Sender<Event>,
-) {
+pub(super) async fn read_directory<F: Fleet>(fleet: F, sender: EventSender) {
     loop {
         let mut pause = DIRECTORY_INTERVAL;
         match fleet.workers().await {
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -20,7 +20,7 @@
         decisions,
         duties::{self, Burst},
         election::{Candidate, Held},
-        event::Event,
+        event::{self, Event, EventSender, SentEvent},
         feeds::{follow_feed, read_directory, read_vms, renew},
         load::Load,
         orders,
@@ -32,7 +32,7 @@
         overload::RoundTrips,
         schedule::{Changes, Now, OrderError, Scheduler, WaveRecord},
     },
-    dewspar_platform::{Fleet, JobWorkers, KeyValue},
+    dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
     slog::info,
     std::{collections::BTreeMap, time::Duration},
@@ -43,9 +43,6 @@
     },
 };
 
-/// How many events may wait for the holder.
-const MAX_EVENTS: usize = 4_096;
-
 /// How many events are taken in before the scheduler plans again.
 const EVENTS_A_PLAN: usize = 256;
 
@@ -118,17 +115,17 @@
     held: Held,
     loaded: Loaded,
 ) -> Outcome {
-    let (sender, events) = mpsc::channel(MAX_EVENTS);
+    let (sender, events) = event::channel();
     // Dropped, and so ended, with this function.
     let mut tasks = JoinSet::new();
-    let store = &candidate.store;
+    let store = |purpose| candidate.store.with_purpose(purpose);
     tasks.spawn(follow_feed(
-        store.clone(),
+        store(Purpose::Feed),
         loaded.version,
         sender.clone(),
         candidate.log.clone(),
     ));
-    tasks.spawn(renew(store.clone(), held, sender.clone()));
+    tasks.spawn(renew(store(Purpose::Lease), held, sender.clone()));
     tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
     tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
     let mut scheduler =
@@ -151,7 +148,7 @@
         begun_ms: clock::now_ms(),
         // The jobs were loaded after the lease was asked for.
         feed_current_ms: held.renewed_ms,
-        load: Load::default(),
+        load: Load::new(candidate.traffic.clone()),
         round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::new(loaded.counts_version),
         waves: loaded.waves,
@@ -171,7 +168,7 @@
     pub(super) versions: BTreeMap<JobId, u64>,
     /// What a former holder stored of the jobs that are being taken over.
     pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
-    pub(super) sender: mpsc::Sender<Event>,
+    pub(super) sender: EventSender,
     /// How many VMs each pool has, by what they are doing.
     pub(super) pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
     /// How many writes of progress are under way.
@@ -214,7 +211,7 @@
 }
 
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
-    async fn run(&mut self, mut events: mpsc::Receiver<Event>) -> Outcome {
+    async fn run(&mut self, mut events: mpsc::Receiver<SentEvent>) -> Outcome {
         let mut stopping = self.candidate.stopping.clone();
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -241,9 +238,10 @@
         }
     }
 
-    fn take(&mut self, event: Event) {
+    fn take(&mut self, sent: SentEvent) {
         let now = now();
-        self.load.heard();
+        let SentEvent { event, sent_ms } = sent;
+        self.load.heard(now.steady_ms.saturating_sub(sent_ms));
         let scheduler = &mut self.scheduler;
         match event {
             Event::Feed(feed) => self.take_feed(feed),
@@ -413,7 +411,7 @@
 
     fn store(&self, changes: Changes) {
         let batch = batch_of(self.held.revision, &changes, &self.versions);
-        let store = self.candidate.store.clone();
+        let store = self.candidate.store.with_purpose(Purpose::Progress);
         let sender = self.sender.clone();
         tokio::spawn(async move {
             let stored = progress::store_changes(&store, &batch).await;
--- a/crates/dewspard/src/jobs/load.rs
+++ b/crates/dewspard/src/jobs/load.rs
@@ -1,13 +1,17 @@
 /*!
 What scheduling costs the node that does it: one log line a second, with how
-often it planned, what it heard, and how many orders are under way.
+often it planned, what it heard and how long that had waited, how many orders
+are under way, and what each purpose took of its link.
 */
 
 use {
+    super::holder::json,
     crate::counters,
     dewspar::{schedule::Action, window::CallWindow},
+    dewspar_platform::{Purpose, Tallies, Traffic},
+    metrics::{counter, gauge},
     slog::{Logger, info},
-    std::time::Duration,
+    std::{collections::BTreeMap, time::Duration},
     tokio::time::Instant,
 };
 
@@ -16,20 +20,44 @@
 const INTERVAL_MS: u64 = 1_000;
 
 /// What a holder did since the last line.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Load {
     logged_ms: u64,
     events: u64,
+    /// How long events waited to be taken in, all together and at most.
+    waited_ms: u64,
+    longest_wait_ms: u64,
     plans: u64,
     planning: Duration,
     starts: u64,
     holds: u64,
+    traffic: Traffic,
+    tallies: Tallies,
 }
 
 impl Load {
-    /// Notes an event that was taken in.
-    pub(super) fn heard(&mut self) {
+    /// Begins to count, with the traffic of this node's calls.
+    pub(super) fn new(traffic: Traffic) -> Load {
+        let tallies = traffic.tallies();
+        Load {
+            logged_ms: 0,
+            events: 0,
+            waited_ms: 0,
+            longest_wait_ms: 0,
+            plans: 0,
+            planning: Duration::ZERO,
+            starts: 0,
+            holds: 0,
+            traffic,
+            tallies,
+        }
+    }
+
+    /// Notes an event that was taken in after such a wait.
+    pub(super) fn heard(&mut self, waited_ms: u64) {
         self.events += 1;
+        self.waited_ms += waited_ms;
+        self.longest_wait_ms = self.longest_wait_ms.max(waited_ms);
     }
 
     /// Notes a plan that was begun at this time, and what it orders.
@@ -56,15 +84,55 @@
         if now_ms < self.logged_ms + INTERVAL_MS {
             return;
         }
-        metrics::gauge!(counters::ORDERS_WINDOW).set(window.size() as f64);
-        metrics::gauge!(counters::ORDERS_UNDER_WAY)
-            .set(window.under_way() as f64);
+        gauge!(counters::ORDERS_WINDOW).set(window.size() as f64);
+        gauge!(counters::ORDERS_UNDER_WAY).set(window.under_way() as f64);
+        gauge!(counters::EVENT_WAIT).set(self.longest_wait_ms as f64 / 1e3);
+        let tallies = self.traffic.tallies();
+        let traffic = tallies.since(&self.tallies);
+        count_traffic(&traffic);
         info!(log, "holder: load"; "events" => self.events,
+            "event_wait_ms" => self.waited_ms / self.events.max(1),
+            "longest_event_wait_ms" => self.longest_wait_ms,
             "plans" => self.plans,
             "planning_ms" => self.planning.as_millis() as u64,
             "starts" => self.starts, "holds" => self.holds,
             "window" => window.size(), "under_way" => window.under_way(),
-            "feed_behind_ms" => feed_behind_ms);
-        *self = Load { logged_ms: now_ms, ..Load::default() };
+            "feed_behind_ms" => feed_behind_ms,
+            "sent_bytes" => traffic.total().sent_bytes,
+            "received_bytes" => traffic.total().received_bytes,
+            "traffic" => json(&rows(&traffic)));
+        let mut next = Load::new(self.traffic.clone());
+        next.tallies = tallies;
+        next.logged_ms = now_ms;
+        *self = next;
+    }
+}
+
+/// Calls, bytes sent and bytes received of each purpose that had any.
+fn rows(traffic: &Tallies) -> BTreeMap<&'static str, [u64; 3]> {
+    let rows = Purpose::ALL.iter().map(|purpose| {
+        let tally = traffic.of(*purpose);
+        let row = [tally.calls, tally.sent_bytes, tally.received_bytes];
+        (purpose.name(), row)
+    });
+    rows.filter(|(_, row)| row[0] > 0).collect()
+}
+
+fn count_traffic(traffic: &Tallies) {
+    for purpose in Purpose::ALL {
+        let tally = traffic.of(purpose);
+        let name = purpose.name();
+        counter!(counters::PLATFORM_CALLS, "purpose" => name)
+            .increment(tally.calls);
+        counter!(
+            counters::PLATFORM_BYTES,
+            "purpose" => name, "direction" => "sent"
+        )
+        .increment(tally.sent_bytes);
+        counter!(
+            counters::PLATFORM_BYTES,
+            "purpose" => name, "direction" => "received"
+        )
+        .increment(tally.received_bytes);
     }
 }
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -19,7 +19,7 @@
         schedule::AcceptedJob,
     },
     dewspar_platform::{
-        JobProtocol, JobReply, KeyValue, ListedJob, Versioned,
+        JobProtocol, JobReply, KeyValue, ListedJob, Purpose, Versioned,
     },
     slog::info,
     std::collections::{BTreeMap, BTreeSet},
@@ -142,10 +142,11 @@
         &self,
         deadline: Instant,
     ) -> Result<Vec<OpenJob>, JobReply> {
+        let store = self.store.with_purpose(Purpose::Counts);
         let lists = async {
             tokio::try_join!(
-                self.store.list(keys::FEED),
-                self.store.list(keys::PROGRESS),
+                store.list(keys::FEED),
+                store.list(keys::PROGRESS),
             )
         };
         let retry_after_ms = RETRY_AFTER_MS;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -14,7 +14,9 @@
     },
     crate::{clock, logs},
     dewspar::schedule::Options,
-    dewspar_platform::{Fleet, JobProtocol, JobWorkers, KeyValue},
+    dewspar_platform::{
+        Fleet, JobProtocol, JobWorkers, KeyValue, Purpose, Traffic,
+    },
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
@@ -41,6 +43,8 @@
     pub protocol: P,
     /// The path at which the entry asks for readiness.
     pub readiness_path: &'static str,
+    /// What the adapters' calls cost, by purpose.
+    pub traffic: Traffic,
 }
 
 /// A running node.
@@ -96,12 +100,12 @@
         }
         let front = Front {
             node: settings.node.clone(),
-            store: platform.store.clone(),
+            store: platform.store.with_purpose(Purpose::Callers),
             protocol: platform.protocol,
             reader: reader.clone(),
             readiness: readiness.clone(),
             gate: StoreGate::new(
-                platform.store.clone(),
+                platform.store.with_purpose(Purpose::Callers),
                 logs::part(&log, "front"),
             ),
             counts: tokio::sync::Mutex::new(CountsReader::default()),
@@ -112,7 +116,8 @@
         let candidate = Candidate {
             node: settings.node.clone(),
             incarnation: clock::incarnation(),
-            store: platform.store,
+            store: platform.store.with_purpose(Purpose::Lease),
+            traffic: platform.traffic,
             workers: platform.workers,
             fleet: platform.fleet,
             reader,
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -3,11 +3,10 @@
 */
 
 use {
-    super::event::Event,
+    super::event::{Event, EventSender},
     crate::{clock, counters},
     dewspar::schedule::{Action, OrderError},
     dewspar_platform::{Fleet, JobWorkers},
-    tokio::sync::mpsc,
 };
 
 /// Sends an order and reports its result as an event.
@@ -15,7 +14,7 @@
     workers: &W,
     fleet: &F,
     action: Action,
-    events: &mpsc::Sender<Event>,
+    events: &EventSender,
 ) {
     let (workers, fleet) = (workers.clone(), fleet.clone());
     let events = events.clone();
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -13,7 +13,9 @@
     },
     crate::counters,
     dewspar::schedule::Now,
-    dewspar_platform::{Batch, Expected, Fleet, JobWorkers, KeyValue},
+    dewspar_platform::{
+        Batch, Expected, Fleet, JobWorkers, KeyValue, Purpose,
+    },
     slog::{info, warn},
 };
 
@@ -53,7 +55,7 @@
             "unconfirmed" => json(&self.scheduler.unconfirmed()),
             "lease_revision" => self.held.revision,
             "feed_behind_ms" => behind_ms);
-        let store = self.candidate.store.clone();
+        let store = self.candidate.store.with_purpose(Purpose::Counts);
         let sender = self.sender.clone();
         let log = self.candidate.log.clone();
         tokio::spawn(async move {
@@ -89,7 +91,7 @@
 
     /// Writes what needn't be written at any one time.
     fn write(&self, batch: Batch, what: &'static str) {
-        let store = self.candidate.store.clone();
+        let store = self.candidate.store.with_purpose(Purpose::Progress);
         let log = self.candidate.log.clone();
         tokio::spawn(async move {
             if let Err(error) = store.commit(&batch).await {
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -2,7 +2,7 @@
 
 use {
     clap::{Parser, Subcommand},
-    dewspar_platform::Client,
+    dewspar_platform::{Client, Traffic},
     dewspar_shared_platform::{
         Calls, PartnerFleet, READINESS_PATH, Store, TaskWorkers,
     },
@@ -132,25 +132,29 @@
         .map_err(|error| error.to_string())?;
     runtime.block_on(async {
         let platform = &settings.platform;
+        let traffic = Traffic::default();
+        let client =
+            |timeout_ms| Client::new(timeout_ms).with_traffic(&traffic);
         let store_address = platform.store.to_string();
         let store = Store::new(
-            Client::new(STORE_TIMEOUT_MS),
+            client(STORE_TIMEOUT_MS),
             &store_address,
             &platform.root,
         );
         let fleet = PartnerFleet::new(
             &store,
-            Client::new(VM_SERVICE_TIMEOUT_MS),
+            client(VM_SERVICE_TIMEOUT_MS),
             &platform.vm_service.to_string(),
         )
         .with_adviser(platform.adviser.map(|a| a.to_string()));
-        let workers = TaskWorkers::new(Client::new(ORDER_TIMEOUT_MS));
+        let workers = TaskWorkers::new(client(ORDER_TIMEOUT_MS));
         let platform = JobPlatform {
             store,
             workers,
             fleet,
             protocol: Calls,
             readiness_path: READINESS_PATH,
+            traffic,
         };
         let mut reload =
             signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -7,7 +7,9 @@
         job::{Queue, QueueSet},
         schedule::{QueueTerms, WaveRequest},
     },
-    dewspar_platform::{Expected, KeyValue, empty_request, json_request},
+    dewspar_platform::{
+        Expected, KeyValue, Traffic, empty_request, json_request,
+    },
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
@@ -83,6 +85,7 @@
             fleet: self.fleet.clone(),
             protocol: RestCalls,
             readiness_path: "/ready",
+            traffic: Traffic::default(),
         };
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
