--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -34,7 +34,7 @@
         read_json,
     },
     error::Error,
-    fleet::{Fleet, Intent, VmChange},
+    fleet::{DirectoryChanges, Fleet, Intent, VmChange, WorkerDirectory},
     job_call::{
         JobCall, JobOperation, JobProtocol, JobReply, ListedJob, NotRead,
         deadline_in,
