Send what is urgent first where the link can't carry all

Cause: orders go out as the scheduler makes them. 400 starts of 1.5 kB queue for 2.4 s at a link of 2 Mbit/s; all that waits behind them, renewals too, times out after 200 ms and is sent again on new connections, so that 422 questions a second keep the link full and 3 of them are answered.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -61,6 +61,7 @@
 pub mod fleet;
 pub mod history;
 pub mod job;
+pub mod link;
 pub mod member;
 pub mod once;
 pub mod overload;
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -39,7 +39,9 @@
 bounded by a [`CallWindow`](crate::window::CallWindow): questions that fence a
 former holder off go first, then starts in their order, as far as there is
 room in the window; the rest waits for answers. Workers known to be silent are
-asked outside of it, so that they take no room from those that answer.
+asked outside of it, so that they take no room from those that answer. What a
+small link can't carry waits as well, the least urgent longest; see
+[`link`](crate::link).
 
 # Example
 
@@ -252,6 +254,8 @@
     sent_ms: u64,
     /// Whether it counts as under way in the window of orders.
     in_window: bool,
+    /// Whether the worker was known to be silent.
+    silent: bool,
 }
 
 impl Held {
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -3,12 +3,16 @@
 policy that could be otherwise.
 */
 
-use crate::schedule::Policy;
+use crate::{link::LinkLimits, schedule::Policy};
 
 /// Within what time after a takeover the workers are asked for the first
 /// time, in milliseconds.
 const ASKED_WITHIN_MS: u64 = 1_000;
 
+/// What the node's link carries where nobody says, in megabits a second: a
+/// usual one.
+const LINK_MBPS: f64 = 1_000.0;
+
 /// Times and limits of a scheduler.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -25,6 +29,7 @@
     pub(crate) duty_gap_ms: u64,
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
+    pub(crate) link: LinkLimits,
     pub(crate) policy: Policy,
 }
 
@@ -61,6 +66,7 @@
             stop_settle_ms: 2_000,
             // A few readings of the list, and less than a VM takes to move.
             vm_list_age_ms: 2_000,
+            link: LinkLimits::of_link(LINK_MBPS),
             policy: Policy::default(),
         }
     }
@@ -99,6 +105,12 @@
         self
     }
 
+    /// Sets what may be sent over the node's link.
+    pub fn link(mut self, link: LinkLimits) -> Options {
+        self.link = link;
+        self
+    }
+
     /// Sets what the scheduler decides by.
     pub fn policy(mut self, policy: Policy) -> Options {
         self.policy = policy;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -10,11 +10,12 @@
 use {
     crate::{
         job::{JobId, StepSpec, TaskId},
+        link::Class,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             board::{Job, demand},
             full_pools::{FullPools, UnaskedPools},
-            worker::{Run, Worker},
+            worker::{ORDER_BYTES, Run, Worker},
         },
     },
     std::collections::BTreeSet,
@@ -77,7 +78,7 @@
         let mut without_place = BTreeSet::new();
         let mut pools = Pools::default();
         for candidate in self.candidates(now) {
-            if self.window.room() == 0 {
+            if !self.may_start() {
                 break;
             }
             let lacking =
@@ -87,7 +88,7 @@
             }
         }
         // Else some that were without a place weren't looked at.
-        if self.window.room() > 0 {
+        if self.may_start() {
             self.without_place.retain(|pool, _| without_place.contains(pool));
         }
         for pool in without_place {
@@ -174,7 +175,7 @@
         }
         let mut without_place = false;
         for index in waiting {
-            if self.window.room() == 0 {
+            if !self.may_start() {
                 break;
             }
             let task = TaskId { index, ..first };
@@ -419,6 +420,8 @@
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
         let payload = job.payload.clone();
+        let bytes = ORDER_BYTES + payload.len() as u64;
+        self.link.sent(Class::Start, bytes);
         let step = job.step_mut(task)?;
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
         step.waiting.remove(&task.index);
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -102,8 +102,14 @@
         error: Option<OrderError>,
         now: Now,
     ) {
+        // What the worker was let to wait says nothing of this node.
+        let sent_ms = held.sent_ms + held.order.wait_ms;
+        let end = call_end(sent_ms, error, now);
         if held.in_window {
-            self.window.ended(call_end(held.sent_ms, error, now));
+            self.window.ended(end);
+        }
+        if !held.silent {
+            self.order_ended(end);
         }
     }
 
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
         job::{JobId, Phase, Progress, TaskId},
+        link::{Class, LinkBudget},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
             Orderer, PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
@@ -9,9 +10,9 @@
             forecast::Arrivals,
             sizing::{Moving, PoolLoad},
             wave_state::WaveState,
-            worker::{OwedHold, RunState, Worker},
+            worker::{ORDER_BYTES, OwedHold, RunState, Worker},
         },
-        window::CallWindow,
+        window::{CallEnd, CallWindow},
     },
     std::collections::{BTreeMap, BTreeSet},
 };
@@ -84,6 +85,8 @@
     pub(super) first_job_ms: u64,
     /// The orders that are under way.
     pub(super) window: CallWindow,
+    /// What this node's link carries of orders.
+    pub(super) link: LinkBudget,
     /// When runs that go on were last looked at.
     pub(super) runs_looked_at_ms: u64,
 }
@@ -93,8 +96,10 @@
     /// revision of the store.
     pub fn new(lease_revision: u64, options: Options) -> Scheduler {
         let window = CallWindow::new(options.policy.orders.limits());
+        let link = LinkBudget::new(options.link);
         Scheduler {
             window,
+            link,
             runs_looked_at_ms: 0,
             options,
             lease_revision,
@@ -236,6 +241,22 @@
         &self.window
     }
 
+    /// Returns what this node's link carries of orders.
+    pub fn link(&self) -> &LinkBudget {
+        &self.link
+    }
+
+    /// Returns whether an order to start may be sent now.
+    pub(super) fn may_start(&self) -> bool {
+        self.window.room() > 0 && self.link.allows(Class::Start)
+    }
+
+    /// Notes the end of an order, which says how fast this node's are.
+    pub(super) fn order_ended(&mut self, end: CallEnd) {
+        let limits = self.options.policy.orders.limits();
+        self.link.ended(end, &limits);
+    }
+
     /// Returns a job's phase, unless it is unknown or over for long.
     pub fn phase(&self, id: JobId) -> Option<Phase> {
         self.jobs.get(&id).map(|job| job.phase)
@@ -247,6 +268,7 @@
             return Vec::new();
         }
         let mut actions = Vec::new();
+        self.link.refill(now.steady_ms);
         self.drop_lapsed(now);
         self.look_after_runs(now, &mut actions);
         self.fence_workers(now, &mut actions);
@@ -403,6 +425,7 @@
                     continue;
                 }
                 *ordered_ms = now_ms;
+                self.link.sent(Class::Stop, ORDER_BYTES);
                 actions.push(Action::Stop {
                     worker: id.clone(),
                     address: address.clone(),
@@ -412,30 +435,49 @@
         }
     }
 
-    /// Asks under a new token, as far as there is room in the window; workers
-    /// that are silent are asked in any case.
+    /// Asks under a new token, as far as the window and the link have room;
+    /// workers that are silent take no room in the window.
     fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
         for worker in self.workers.values_mut() {
             if !worker.is_fencing() {
                 continue;
             }
             let in_window = worker.silent_since_ms.is_none();
+            let class = if in_window { Class::Fence } else { Class::Silent };
+            if !self.link.allows(class) {
+                continue;
+            }
             if in_window && self.window.room() == 0 {
                 continue;
             }
             let hold = hold(worker, in_window, now, &self.options);
-            if in_window && hold.is_some() {
+            if hold.is_none() {
+                continue;
+            }
+            self.link.sent(class, worker.question_bytes());
+            if in_window {
                 self.window.sent(1);
             }
             actions.extend(hold);
         }
     }
 
+    /// Asks workers what runs and has ended; those first whose lease must be
+    /// renewed, the others as far as the link has room.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
         for worker in self.workers.values_mut() {
-            if !worker.is_fencing() {
-                actions.extend(hold(worker, false, now, &self.options));
+            if worker.is_fencing() {
+                continue;
             }
+            let class = worker.question_class(now.steady_ms, &self.options);
+            if !self.link.allows(class) {
+                continue;
+            }
+            let hold = hold(worker, false, now, &self.options);
+            if hold.is_some() {
+                self.link.sent(class, worker.question_bytes());
+            }
+            actions.extend(hold);
         }
     }
 
@@ -452,6 +494,7 @@
         worker.unset_paces.remove(task);
         let run = worker.runs.get_mut(task)?;
         run.pace = percent;
+        self.link.sent(Class::Stop, ORDER_BYTES);
         let order = PaceOrder { task: *task, run: run.run, percent, fence };
         Some(Action::Pace { worker: worker_id.clone(), address, order })
     }
@@ -467,9 +510,10 @@
     let OwedHold { order, fencing } =
         worker.owed_hold(now.steady_ms, options)?;
     let sent_ms = now.steady_ms;
+    let silent = worker.silent_since_ms.is_some();
     Some(Action::Hold {
         worker: worker.id().clone(),
         address: worker.listing.address.clone(),
-        held: Held { order, fencing, sent_ms, in_window },
+        held: Held { order, fencing, sent_ms, in_window, silent },
     })
 }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -4,6 +4,7 @@
     self::clock::{ClockReading, slow},
     crate::{
         job::{JobId, TaskId},
+        link::Class,
         schedule::{Options, Room, WorkerId, WorkerListing},
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -25,6 +26,19 @@
 /// One may be a job that fails everywhere; two by chance are rare.
 const FAILED_JOBS_TO_SUSPEND: usize = 2;
 
+/// What an order takes of a link beside what it carries, with its head and the
+/// packets of its answer, in bytes: read off the bytes of orders by purpose,
+/// and two packets' heads.
+pub(crate) const ORDER_BYTES: u64 = 350;
+
+/// What a run takes in the answer to a question, in bytes.
+const RUN_BYTES: u64 = 60;
+
+/// Which part of its lease a worker may use up before a question that renews
+/// it goes before all else, in percent: 3 of 8 s, so that several tries are
+/// left.
+const RENEWED_PERCENT: u64 = 38;
+
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -137,6 +151,9 @@
     unstored: VecDeque<UnstoredEnd>,
     clock: Option<ClockReading>,
     latest_report_ms: u64,
+    /// Until when it has confirmed that its runs may go on, on its clock; 0
+    /// for not yet.
+    confirmed_until_ms: u64,
     /// When everything on it is certainly over unless the lease is renewed.
     pub(crate) lease_over_ms: u64,
     hold_in_flight: bool,
@@ -190,6 +207,7 @@
             unstored: VecDeque::new(),
             clock: None,
             latest_report_ms: 0,
+            confirmed_until_ms: 0,
             lease_over_ms: now_ms + options.inherited_lease_ms(),
             hold_in_flight: false,
             fence_hold_in_flight: false,
@@ -321,6 +339,31 @@
         Some(clock.worker_ms + elapsed + options.lease_ms)
     }
 
+    /// Returns how urgent a question to it is.
+    pub(crate) fn question_class(
+        &self,
+        now_ms: u64,
+        options: &Options,
+    ) -> Class {
+        if self.silent_since_ms.is_some() {
+            return Class::Silent;
+        }
+        let renewed = self.lease_until_ms(now_ms, options).is_some_and(|u| {
+            self.confirmed_until_ms + options.lease_ms * RENEWED_PERCENT / 100
+                >= u
+        });
+        if renewed || self.runs.is_empty() {
+            Class::Question
+        } else {
+            Class::Renewal
+        }
+    }
+
+    /// Returns what a question to it takes of a link, in bytes.
+    pub(crate) fn question_bytes(&self) -> u64 {
+        ORDER_BYTES.max(RUN_BYTES * self.runs.len() as u64)
+    }
+
     /// Notes that an order was sent that lets runs go on until then.
     pub(crate) fn lease_sent(&mut self, until_worker_ms: u64) {
         let Some(clock) = self.clock else { return };
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -81,6 +81,8 @@
         self.silent_since_ms = None;
         self.read_clock(report.clock_ms, now_ms);
         self.acknowledged = self.acknowledged.max(held.order.acknowledged);
+        let confirmed = held.order.lease_until_ms.unwrap_or(0);
+        self.confirmed_until_ms = self.confirmed_until_ms.max(confirmed);
         if held.order.fence == self.fence() {
             self.fencing = false;
             if !self.synced {
--- a/crates/dewspar/src/window.rs
+++ b/crates/dewspar/src/window.rs
@@ -93,14 +93,54 @@
     tally: Tally,
 }
 
-/// What was seen since the last look.
+/// How fast calls were of late, by their median.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Speed {
+    /// At least half of them were slow or got no answer.
+    Slow,
+    /// Neither.
+    Middling,
+    /// More than half of them were fast.
+    Fast,
+}
+
+/// How calls ended since the last look.
 #[derive(Clone, Copy, Debug, Default)]
-struct Tally {
-    ended: usize,
+pub(crate) struct Tally {
+    pub(crate) ended: usize,
     fast: usize,
     slow: usize,
 }
 
+impl Tally {
+    /// Notes the end of a call.
+    pub(crate) fn note(&mut self, end: CallEnd, limits: &WindowLimits) {
+        match end {
+            CallEnd::Answered { took_ms } => {
+                self.ended += 1;
+                self.fast += usize::from(took_ms < limits.fast_ms);
+                self.slow += usize::from(took_ms >= limits.slow_ms);
+            }
+            CallEnd::Unanswered => {
+                self.ended += 1;
+                self.slow += 1;
+            }
+            CallEnd::Discarded => {}
+        }
+    }
+
+    /// Returns how fast they were.
+    pub(crate) fn speed(&self) -> Speed {
+        if self.slow * 2 >= self.ended {
+            Speed::Slow
+        } else if self.fast * 2 > self.ended {
+            Speed::Fast
+        } else {
+            Speed::Middling
+        }
+    }
+}
+
 impl CallWindow {
     /// Makes a window with nothing under way.
     pub fn new(limits: WindowLimits) -> CallWindow {
@@ -152,31 +192,25 @@
     /// Notes the end of a call.
     pub fn ended(&mut self, end: CallEnd) {
         self.under_way = self.under_way.saturating_sub(1);
-        match end {
-            CallEnd::Answered { took_ms } => {
-                self.tally.ended += 1;
-                self.tally.fast += usize::from(took_ms < self.limits.fast_ms);
-                self.tally.slow += usize::from(took_ms >= self.limits.slow_ms);
-            }
-            CallEnd::Unanswered => {
-                self.tally.ended += 1;
-                self.tally.slow += 1;
-            }
-            CallEnd::Discarded => {}
-        }
+        self.tally.note(end, &self.limits);
         if self.tally.ended >= self.size {
             self.adjust();
         }
     }
 
     fn adjust(&mut self) {
-        let Tally { ended, fast, slow } = std::mem::take(&mut self.tally);
+        let tally = std::mem::take(&mut self.tally);
         let was_full = std::mem::take(&mut self.was_full);
-        if slow * 2 >= ended {
-            self.size = (self.size / 2).max(self.limits.least);
-        } else if fast * 2 > ended && was_full {
-            let more = self.size / 2;
-            self.size = self.size.saturating_add(more).min(self.limits.most);
+        match tally.speed() {
+            Speed::Slow => {
+                self.size = (self.size / 2).max(self.limits.least);
+            }
+            Speed::Fast if was_full => {
+                let more = self.size / 2;
+                self.size =
+                    self.size.saturating_add(more).min(self.limits.most);
+            }
+            Speed::Fast | Speed::Middling => {}
         }
     }
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -384,7 +384,9 @@
         self.delete_expired(now);
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
-        self.load.log(&self.candidate.log, now.steady_ms, window, behind_ms);
+        let link = self.scheduler.link();
+        let log = &self.candidate.log;
+        self.load.log(log, now.steady_ms, window, link, behind_ms);
         None
     }
 
--- a/crates/dewspard/src/jobs/load.rs
+++ b/crates/dewspard/src/jobs/load.rs
@@ -7,7 +7,7 @@
 use {
     super::holder::json,
     crate::counters,
-    dewspar::{schedule::Action, window::CallWindow},
+    dewspar::{link::LinkBudget, schedule::Action, window::CallWindow},
     dewspar_platform::{Purpose, Tallies, Traffic},
     metrics::{counter, gauge},
     slog::{Logger, info},
@@ -79,6 +79,7 @@
         log: &Logger,
         now_ms: u64,
         window: &CallWindow,
+        link: &LinkBudget,
         feed_behind_ms: u64,
     ) {
         if now_ms < self.logged_ms + INTERVAL_MS {
@@ -97,6 +98,7 @@
             "planning_ms" => self.planning.as_millis() as u64,
             "starts" => self.starts, "holds" => self.holds,
             "window" => window.size(), "under_way" => window.under_way(),
+            "link_bytes_per_s" => link.rate(),
             "feed_behind_ms" => feed_behind_ms,
             "sent_bytes" => traffic.total().sent_bytes,
             "received_bytes" => traffic.total().received_bytes,
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -13,7 +13,7 @@
         settings::JobSettings,
     },
     crate::{clock, logs},
-    dewspar::schedule::Options,
+    dewspar::{link::LinkLimits, schedule::Options},
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, Purpose, Traffic,
     },
@@ -132,6 +132,7 @@
                 .duty_gap_ms(timing.duty_gap_ms)
                 .stop_timeout_ms(timing.stop_timeout_ms)
                 .detached_ms(holder::DETACHED_MS)
+                .link(LinkLimits::of_link(settings.machine.link_mbps))
                 .policy(settings.policy.clone()),
             log: logs::part(&log, "scheduler"),
         };
