Go on with the feed from where it stood; one key tells whether it is silent

Cause: a watch that failed or fell silent was followed by a reading of the whole feed, some 2 kB for each open job. With 800 jobs open that takes a link of 2 Mbit/s 6 s, a page of it more than a call's 1.5 s, so that it failed and began anew for ever while nothing else got through: the later the holder, the more it read. The check for silence listed a key for each node five times a second, 95 kB/s at 147 nodes.

Another watch now goes on from the last version. The whole is read only when the history is gone, which the store's adapters say with an error of its own, or when that watch hears nothing either. Lists and watches may take longer while their answers still come in. All nodes write one key with each accepted job.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -3,13 +3,13 @@
         Error, Purpose, Traffic,
         connections::{Connections, Pool},
     },
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
         body::Incoming,
         header::{self, HeaderMap, HeaderValue},
-        http::uri::Authority,
+        http::{response::Parts, uri::Authority},
     },
     serde::{Serialize, de::DeserializeOwned},
     std::{
@@ -20,7 +20,7 @@
         },
         time::Duration,
     },
-    tokio::time::timeout,
+    tokio::time::{error::Elapsed, timeout},
 };
 
 /// The largest answer that is read, in bytes.
@@ -37,6 +37,8 @@
 pub struct Client {
     connections: Arc<Connections>,
     timeout: Duration,
+    /// Whether the time of a call counts from the last bytes of its answer.
+    long_answers: bool,
     calls: Arc<AtomicU64>,
     bytes: Arc<AtomicU64>,
     given_up: Arc<AtomicU64>,
@@ -66,6 +68,7 @@
         Client {
             connections: Arc::new(Connections::new(connect_timeout)),
             timeout: Duration::from_millis(timeout_ms),
+            long_answers: false,
             calls: Arc::default(),
             bytes: Arc::default(),
             given_up: Arc::default(),
@@ -74,6 +77,14 @@
         }
     }
 
+    /// Returns a client whose calls may take longer while their answers still
+    /// come in: each pause between two pieces takes at most the time of a
+    /// call. A megabyte takes 4 s over a link of 2 Mbit/s, and a bound on the
+    /// whole would fail on it each time it is tried.
+    pub fn for_long_answers(&self) -> Client {
+        Client { long_answers: true, ..self.clone() }
+    }
+
     /// Counts what it sends and receives here, beside other clients.
     pub fn with_traffic(mut self, traffic: &Traffic) -> Client {
         self.traffic = traffic.clone();
@@ -140,16 +151,20 @@
         let sent = size_of(&request);
         let sent_head = request_head_bytes(&request);
         let route = self.route(call, &request)?;
-        let whole = async {
-            let response = self.call(call, &route, request).await?;
-            read_answer(call, response).await
+        let answered = if self.long_answers {
+            self.send_and_read_on(call, &route, request).await
+        } else {
+            let whole = async {
+                let response = self.call(call, &route, request).await?;
+                read_answer(call, response).await
+            };
+            timeout(self.timeout, whole).await
         };
-        let answer =
-            timeout(self.timeout, whole).await.unwrap_or_else(|_| {
-                self.give_up(&route);
-                let reason = format!("no answer in {:?}", self.timeout);
-                Err(Error::Lost { call, reason })
-            })?;
+        let answer = answered.unwrap_or_else(|_| {
+            self.give_up(&route);
+            let reason = format!("no answer in {:?}", self.timeout);
+            Err(Error::Lost { call, reason })
+        })?;
         let total = sent + answer.body.len() as u64;
         self.bytes.fetch_add(total, Ordering::Relaxed);
         let received = answer.head_bytes + answer.body.len() as u64;
@@ -157,6 +172,36 @@
         Ok(answer)
     }
 
+    /// Sends a request and reads its answer for as long as there are no long
+    /// pauses in it.
+    async fn send_and_read_on(
+        &self,
+        call: &'static str,
+        route: &Route,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Result<Answer, Error>, Elapsed> {
+        let begun = timeout(self.timeout, self.call(call, route, request));
+        let response = match begun.await? {
+            Ok(response) => response,
+            Err(error) => return Ok(Err(error)),
+        };
+        let (head, mut body) = response.into_parts();
+        let mut read = BytesMut::new();
+        while let Some(frame) = timeout(self.timeout, body.frame()).await? {
+            let data = match frame {
+                Ok(frame) => frame.into_data(),
+                Err(error) => return Ok(Err(lost(call, &error))),
+            };
+            // Trailers say nothing that is wanted here.
+            read.extend_from_slice(&data.unwrap_or_default());
+            if read.len() > MAX_ANSWER {
+                let reason = format!("longer than {MAX_ANSWER} bytes");
+                return Ok(Err(Error::Lost { call, reason }));
+            }
+        }
+        Ok(Ok(Answer::new(&head, read.freeze())))
+    }
+
     /// Sends a request whose answer is a stream; the caller bounds it.
     pub(crate) async fn open(
         &self,
@@ -375,17 +420,21 @@
     call: &'static str,
     response: Response<Incoming>,
 ) -> Result<Answer, Error> {
-    let status = response.status();
-    let head_bytes = head_bytes(response.headers());
-    let tag = response
-        .headers()
-        .get(header::ETAG)
-        .and_then(|tag| tag.to_str().ok())
-        .map(str::to_owned);
-    let body = Limited::new(response.into_body(), MAX_ANSWER);
-    let body = body.collect().await.map_err(|e| {
-        let reason = e.to_string();
-        Error::Lost { call, reason }
-    })?;
-    Ok(Answer { status, tag, body: body.to_bytes(), head_bytes })
+    let (head, body) = response.into_parts();
+    let body = Limited::new(body, MAX_ANSWER).collect().await;
+    let body = body.map_err(|error| lost(call, error.as_ref()))?;
+    Ok(Answer::new(&head, body.to_bytes()))
+}
+
+fn lost(call: &'static str, error: &(dyn error::Error + 'static)) -> Error {
+    Error::Lost { call, reason: error.to_string() }
+}
+
+impl Answer {
+    fn new(head: &Parts, body: Bytes) -> Answer {
+        let tag = head.headers.get(header::ETAG);
+        let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let head_bytes = head_bytes(&head.headers);
+        Answer { status: head.status, tag, body, head_bytes }
+    }
 }
--- a/crates/dewspar-platform/src/error.rs
+++ b/crates/dewspar-platform/src/error.rs
@@ -18,6 +18,11 @@
         /// What went wrong.
         reason: String,
     },
+    /// {call}: the history from there is gone, and the whole must be read
+    HistoryGone {
+        /// The call that was made.
+        call: &'static str,
+    },
     /// {call}: the platform answered what can't be read: {reason}
     Malformed {
         /// The call that was made.
@@ -32,7 +37,7 @@
 impl Error {
     /// Returns whether the call may have taken effect.
     pub fn may_have_taken_effect(&self) -> bool {
-        !matches!(self, Error::Unavailable { .. })
+        !matches!(self, Error::Unavailable { .. } | Error::HistoryGone { .. })
     }
 
     /// Returns a short name of the reason, for counters.
@@ -40,6 +45,7 @@
         match self {
             Error::Unavailable { .. } => "unavailable",
             Error::Lost { .. } => "lost",
+            Error::HistoryGone { .. } => "history_gone",
             Error::Malformed { .. } => "malformed",
         }
     }
--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -352,8 +352,8 @@
             return Err(Error::Unavailable { call: "watch", reason });
         };
         if result.canceled {
-            let reason = "canceled by the platform".to_owned();
-            return Err(Error::Unavailable { call: "watch", reason });
+            // The reason that matters is a compacted history.
+            return Err(Error::HistoryGone { call: "watch" });
         }
         let events: Result<Vec<Event>, Error> = result
             .events
--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -258,7 +258,9 @@
 pub trait Watch: Send + 'static {
     /// Waits for the next changes.
     ///
-    /// An error ends the watch; a new one must start from a fresh list.
+    /// An error ends the watch. A new one may go on from the version of the
+    /// last batch, unless the error is [`Error::HistoryGone`]: then it must
+    /// start from a fresh list.
     fn next(
         &mut self,
     ) -> impl Future<Output = Result<WatchBatch, Error>> + Send;
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -71,6 +71,10 @@
 }
 
 /// Reports every change of the feed, in the store's order.
+///
+/// A watch that fails or falls silent is followed by another that goes on
+/// from where it stood: a whole reading takes some 2 kB for each open job, and
+/// most of all when many are open, which is when it is needed least.
 pub(super) async fn follow_feed<K: KeyValue>(
     store: K,
     version: u64,
@@ -79,23 +83,30 @@
 ) {
     // Up to where the feed was heard; one task writes it.
     let version = AtomicU64::new(version);
+    let mut silent_at = None;
     loop {
-        tokio::select! {
+        let next = tokio::select! {
             error = watch_feed(&store, &version, &sender, &log) => {
                 counters::platform_failure(&error);
                 info!(log, "holder: feed interrupted";
                     "version" => version.load(Ordering::Relaxed),
                     "error" => %error);
                 sleep(RETRY).await;
+                after_failure(&error)
             }
             newest = silence(&store, &version, &sender) => {
                 counters::count(counters::SILENT_FEEDS);
+                let version = version.load(Ordering::Relaxed);
                 info!(log, "holder: feed silent";
-                    "version" => version.load(Ordering::Relaxed),
-                    "newest" => newest);
+                    "version" => version, "newest" => newest);
+                let was_silent_at = silent_at.replace(version);
+                after_silence(version, was_silent_at)
             }
+        };
+        match next {
+            FeedReading::GoOn => continue,
+            FeedReading::Whole => {}
         }
-        // The history may be gone: only the whole is sure to be complete.
         loop {
             match load_feed(&store, &log).await {
                 Ok((read_at, feed)) => {
@@ -112,6 +123,32 @@
     }
 }
 
+/// How the feed is read once a watch of it has ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FeedReading {
+    /// By another watch, from where the last one stood.
+    GoOn,
+    /// As a whole.
+    Whole,
+}
+
+fn after_failure(error: &Error) -> FeedReading {
+    match error {
+        Error::HistoryGone { .. } => FeedReading::Whole,
+        _ => FeedReading::GoOn,
+    }
+}
+
+/// A watch that took the place of a silent one and heard nothing either won't
+/// be helped by a third.
+fn after_silence(version: u64, was_silent_at: Option<u64>) -> FeedReading {
+    if was_silent_at == Some(version) {
+        FeedReading::Whole
+    } else {
+        FeedReading::GoOn
+    }
+}
+
 /// Returns once the store has accepted a job of which the feed doesn't tell,
 /// with the version at which it did; until then it reports that the feed is
 /// current.
@@ -123,15 +160,13 @@
     loop {
         sleep(SILENCE_CHECK).await;
         let asked_ms = clock::now_ms();
-        let accepts = match store.list(keys::ACCEPTS).await {
-            Ok((_, accepts)) => accepts,
+        let newest = match store.version(keys::ACCEPTED_LAST).await {
+            Ok(newest) => newest,
             Err(error) => {
                 counters::platform_failure(&error);
                 continue;
             }
         };
-        let newest = accepts.iter().map(|item| item.version).max();
-        let newest = newest.unwrap_or(0);
         if newest <= version.load(Ordering::Relaxed) {
             // Behind what the feed has told, in the same channel. A holder
             // that is gone ends this task.
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -72,7 +72,6 @@
 
 /// What serves callers; shared by all their connections.
 pub(super) struct Front<K, P> {
-    pub(super) node: String,
     pub(super) store: K,
     pub(super) protocol: P,
     pub(super) reader: intent::Reader,
@@ -275,7 +274,7 @@
             .when(&keys::accepted(id), Expected::Absent)
             .when(&keys::progress(id), Expected::Absent)
             .put(&keys::accepted(id), value)
-            .put(&keys::accepts(&self.node), Vec::new());
+            .put(keys::ACCEPTED_LAST, Vec::new());
         if self.gate.admit(deadline).await.is_err() {
             counters::count_by(counters::REFUSALS, "reason", "store_out");
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -20,9 +20,10 @@
 const ACCEPTED: &str = "q/in/";
 const CANCELLED: &str = "q/stop/";
 
-/// What each node writes along with every job that it accepts: how new these
-/// keys are tells a holder whether its feed has gone silent.
-pub(super) const ACCEPTS: &str = "accepts/";
+/// What every node writes along with each job that it accepts: how new this
+/// key is tells a holder whether its feed has gone silent. One key for all
+/// nodes, so that a look takes 100 bytes and not that much for each of them.
+pub(super) const ACCEPTED_LAST: &str = "accepted-last";
 
 /// How far jobs have come.
 pub(super) const PROGRESS: &str = "run/";
@@ -83,10 +84,6 @@
     key.strip_prefix(PROGRESS)?.parse().ok()
 }
 
-pub(super) fn accepts(node: &str) -> String {
-    format!("{ACCEPTS}{node}")
-}
-
 pub(super) fn node(name: &str) -> String {
     format!("{NODES}{name}")
 }
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -99,7 +99,6 @@
             readiness::serve_metrics(address, metrics).await?;
         }
         let front = Front {
-            node: settings.node.clone(),
             store: platform.store.with_purpose(Purpose::Callers),
             protocol: platform.protocol,
             reader: reader.clone(),
