Ask workers in the order in which they are due; no hand-over for a full link

Questions went by the workers' names, so that the last ones starved. And a reading of the directory fills a link of 2 Mbit/s for 260 ms, longer than an order may take: one reading lowered the rate by up to 0.7^4 and made workers silent.

Questions now go by when they are due; calls sent before the rate fell say nothing new; an order may take as much longer as the link needs for one reading.

--- a/crates/dewspar/src/link.rs
+++ b/crates/dewspar/src/link.rs
@@ -18,7 +18,6 @@
 | [`Class::Fence`] | as long as there is any budget | nothing starts on a worker before it |
 | [`Class::Question`] | from a share of its own | ends make room, and let next steps begin |
 | [`Class::Start`] | from the rest | |
-| [`Class::Silent`] | while questions leave half of their share | hardly any is answered |
 
 What one share leaves unused flows to the other, so none is idle while the
 other waits. The rate itself falls when calls turn slow or get no answer though
@@ -49,7 +48,7 @@
 use crate::window::{CallEnd, Speed, Tally, WindowLimits};
 
 /// What is sent, in classes.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Class {
     /// Renews the lease of a worker that will soon need it.
     Renewal,
@@ -61,8 +60,6 @@
     Question,
     /// Starts a run.
     Start,
-    /// Asks a worker that hasn't answered for a while.
-    Silent,
 }
 
 /// Bounds of a [`LinkBudget`].
@@ -125,6 +122,8 @@
     questions: Share,
     starts: Share,
     tally: Tally,
+    /// When the rate last fell.
+    fell_ms: u64,
 }
 
 /// What one share has left; less than nothing after a large order.
@@ -153,6 +152,7 @@
             questions: Share::default(),
             starts: Share::default(),
             tally: Tally::default(),
+            fell_ms: 0,
         };
         budget.size_shares();
         budget.questions.bytes = budget.questions.most;
@@ -194,7 +194,6 @@
             Class::Fence => self.questions.bytes > 0 || self.starts.bytes > 0,
             Class::Question => self.questions.bytes > 0,
             Class::Start => self.starts.bytes > 0,
-            Class::Silent => self.questions.bytes > self.questions.most / 2,
         }
     }
 
@@ -205,23 +204,38 @@
         let share = match class {
             Class::Start => &mut self.starts,
             Class::Fence if self.questions.bytes <= 0 => &mut self.starts,
-            Class::Renewal
-            | Class::Stop
-            | Class::Fence
-            | Class::Question
-            | Class::Silent => &mut self.questions,
+            Class::Renewal | Class::Stop | Class::Fence | Class::Question => {
+                &mut self.questions
+            }
         };
         share.bytes = share.bytes.saturating_sub(bytes);
     }
 
-    /// Notes the end of a call, and adapts the rate once enough have ended.
-    pub fn ended(&mut self, end: CallEnd, limits: &WindowLimits) {
+    /// Notes the end of a call that was sent at this time, and adapts the rate
+    /// once enough have ended.
+    ///
+    /// Calls that were sent before the rate last fell say nothing new: one
+    /// reading of the directory that fills the link for a moment is one cause
+    /// to slow down, however many calls met it.
+    pub fn ended(
+        &mut self,
+        sent_ms: u64,
+        now_ms: u64,
+        end: CallEnd,
+        limits: &WindowLimits,
+    ) {
+        if sent_ms < self.fell_ms {
+            return;
+        }
         self.tally.note(end, limits);
         if self.tally.ended < CALLS_A_LOOK {
             return;
         }
         let percent = match std::mem::take(&mut self.tally).speed() {
-            Speed::Slow => SLOWER_PERCENT,
+            Speed::Slow => {
+                self.fell_ms = now_ms;
+                SLOWER_PERCENT
+            }
             Speed::Middling => return,
             Speed::Fast => FASTER_PERCENT,
         };
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -24,9 +24,10 @@
         let known = self.workers.get(worker_id).and_then(|worker| {
             worker.runs.get(task).filter(|known| known.run == run)
         });
+        let sent_ms = known.map_or(0, |run| run.since_ms);
         let end = start_ended(known, &result, now);
         self.window.ended(end);
-        self.order_ended(end);
+        self.order_ended(sent_ms, end, now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let known = worker.runs.get_mut(task).filter(|r| r.run == run);
         let Some(known) = known else { return };
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -75,6 +75,11 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        // The more waits, the longer it takes to go through it: not for
+        // nothing.
+        if !self.may_start() {
+            return;
+        }
         let mut without_place = BTreeSet::new();
         let mut pools = Pools::default();
         for candidate in self.candidates(now) {
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -109,7 +109,7 @@
             self.window.ended(end);
         }
         if !held.silent {
-            self.order_ended(end);
+            self.order_ended(held.sent_ms, end, now);
         }
     }
 
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -251,10 +251,16 @@
         self.window.room() > 0 && self.link.allows(Class::Start)
     }
 
-    /// Notes the end of an order, which says how fast this node's are.
-    pub(super) fn order_ended(&mut self, end: CallEnd) {
+    /// Notes the end of an order that was sent at this time, which says how
+    /// fast this node's are.
+    pub(super) fn order_ended(
+        &mut self,
+        sent_ms: u64,
+        end: CallEnd,
+        now: Now,
+    ) {
         let limits = self.options.policy.orders.limits();
-        self.link.ended(end, &limits);
+        self.link.ended(sent_ms, now.steady_ms, end, &limits);
     }
 
     /// Returns a job's phase, unless it is unknown or over for long.
@@ -443,7 +449,7 @@
                 continue;
             }
             let in_window = worker.silent_since_ms.is_none();
-            let class = if in_window { Class::Fence } else { Class::Silent };
+            let class = if in_window { Class::Fence } else { Class::Question };
             if !self.link.allows(class) {
                 continue;
             }
@@ -463,17 +469,26 @@
     }
 
     /// Asks workers what runs and has ended; those first whose lease must be
-    /// renewed, the others as far as the link has room.
+    /// renewed, the others as far as the link has room, in the order in which
+    /// they were due.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        for worker in self.workers.values_mut() {
-            if worker.is_fencing() {
-                continue;
-            }
-            let class = worker.question_class(now.steady_ms, &self.options);
+        let options = &self.options;
+        let mut due: Vec<(Class, u64, &mut Worker)> = self
+            .workers
+            .values_mut()
+            .filter(|worker| !worker.is_fencing())
+            .filter_map(|worker| {
+                let due_ms = worker.hold_due_ms(now.steady_ms)?;
+                let class = worker.question_class(now.steady_ms, options);
+                Some((class, due_ms, worker))
+            })
+            .collect();
+        due.sort_unstable_by_key(|(class, due_ms, _)| (*class, *due_ms));
+        for (class, _, worker) in due {
             if !self.link.allows(class) {
-                continue;
+                return;
             }
-            let hold = hold(worker, false, now, &self.options);
+            let hold = hold(worker, false, now, options);
             if hold.is_some() {
                 self.link.sent(class, worker.question_bytes());
             }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -345,14 +345,12 @@
         now_ms: u64,
         options: &Options,
     ) -> Class {
-        if self.silent_since_ms.is_some() {
-            return Class::Silent;
-        }
+        let silent = self.silent_since_ms.is_some();
         let renewed = self.lease_until_ms(now_ms, options).is_some_and(|u| {
             self.confirmed_until_ms + options.lease_ms * RENEWED_PERCENT / 100
                 >= u
         });
-        if renewed || self.runs.is_empty() {
+        if renewed || silent || self.runs.is_empty() {
             Class::Question
         } else {
             Class::Renewal
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -19,28 +19,37 @@
 }
 
 impl Worker {
-    /// Returns the hold that is owed now, if any, and marks it as sent.
-    pub(crate) fn owed_hold(
-        &mut self,
-        now_ms: u64,
-        options: &Options,
-    ) -> Option<OwedHold> {
+    /// Returns since when a hold has been due, if one is.
+    pub(crate) fn hold_due_ms(&self, now_ms: u64) -> Option<u64> {
         let fencing = self.fencing && !self.fence_hold_in_flight;
-        let unstored = self.seen_end > self.stored_end;
         let wanted = !self.runs.is_empty()
             || self.stored_end > self.acknowledged
             || self.missed_hold
-            || unstored;
+            || self.has_unstored_ends();
         let due =
             now_ms >= self.next_hold_ms && !self.listing.address.is_empty();
         let ordinary = !self.fencing && !self.hold_in_flight && wanted;
-        if !due || !(fencing || ordinary) {
-            return None;
-        }
+        (due && (fencing || ordinary)).then_some(self.next_hold_ms)
+    }
+
+    fn has_unstored_ends(&self) -> bool {
+        self.seen_end > self.stored_end
+    }
+
+    /// Returns the hold that is owed now, if any, and marks it as sent.
+    pub(crate) fn owed_hold(
+        &mut self,
+        now_ms: u64,
+        options: &Options,
+    ) -> Option<OwedHold> {
+        self.hold_due_ms(now_ms)?;
+        let fencing = self.fencing;
         // While ends wait to be stored, the worker would answer at once; what
         // a lost answer held is wanted at once.
-        let at_once =
-            fencing || unstored || self.missed_hold || self.runs.is_empty();
+        let at_once = fencing
+            || self.has_unstored_ends()
+            || self.missed_hold
+            || self.runs.is_empty();
         let wait_ms =
             if at_once { 0 } else { options.policy.watching.hold_wait_ms };
         // A worker that is silent gets no longer lease: its runs must be
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -82,6 +82,11 @@
 /// that, with room to spare.
 const LINK_MBPS_A_CPU_MILLI: f64 = 0.2;
 
+/// The slowest link that times are worked out for, in megabits a second: a
+/// setting of 0 means that nobody knows, and must not make a call wait for
+/// ever.
+const LEAST_LINK_MBPS: f64 = 0.5;
+
 impl Machine {
     /// Returns how much the VM can schedule, to be compared with others.
     pub fn strength(&self) -> u64 {
@@ -89,6 +94,14 @@
         // OK to convert: a float goes to the nearest value that fits.
         self.cpu_millis.min(by_link).max(1.0) as u64
     }
+
+    /// Returns how long the link takes for so many bytes, in milliseconds.
+    pub fn link_ms(&self, bytes: u64) -> u64 {
+        // Megabits a second are as many thousand bits a millisecond.
+        let bits_a_ms = self.link_mbps.max(LEAST_LINK_MBPS) * 1e3;
+        // OK to truncate: a part of a millisecond doesn't matter.
+        (bytes as f64 * 8.0 / bits_a_ms) as u64
+    }
 }
 
 /// Where a node reaches the platform.
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -64,6 +64,10 @@
 /// beyond its work.
 const ORDER_TIMEOUT_MS: u64 = 200;
 
+/// What an order may find before it at the link, in bytes: a reading of the
+/// directory with some 200 workers. A link of 2 Mbit/s takes 260 ms for it.
+const BYTES_AHEAD: u64 = 65_536;
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     if let Some(Command::Jobs { settings, check }) = &arguments.command {
@@ -147,7 +151,9 @@
             &platform.vm_service.to_string(),
         )
         .with_adviser(platform.adviser.map(|a| a.to_string()));
-        let workers = TaskWorkers::new(client(ORDER_TIMEOUT_MS));
+        let order_timeout_ms =
+            ORDER_TIMEOUT_MS + settings.machine.link_ms(BYTES_AHEAD);
+        let workers = TaskWorkers::new(client(order_timeout_ms));
         let platform = JobPlatform {
             store,
             workers,
