Schedule while the jobs of former holders are still being loaded

Cause: a new holder loaded everything before it did anything, without renewing its lease meanwhile. Overload handed the lease over although every other node is just as small.

A holder now renews from the first moment, follows the feed from its lease's own version and starts what is new, while cancellations and then the other jobs come in: at once where that is quick, else in 16 slices with pauses. What a worker runs or has ended of an unknown job is left alone, not acknowledged, and keeps its lease; jobs of former holders wait until their pool's workers name nothing unknown. A holder whose work waits for its link doesn't hand over.

--- a/crates/dewspar/src/link.rs
+++ b/crates/dewspar/src/link.rs
@@ -106,6 +106,10 @@
 /// small link carries in some tenths of a second.
 const CALLS_A_LOOK: usize = 32;
 
+/// For how long a share that was used up says that work waits for the link, in
+/// milliseconds: longer than slow orders take to be noticed.
+const SHORT_MS: u64 = 1_000;
+
 /// The rate falls to this share of itself when calls are slow, in percent.
 const SLOWER_PERCENT: u64 = 70;
 
@@ -124,6 +128,8 @@
     tally: Tally,
     /// When the rate last fell.
     fell_ms: u64,
+    /// When a share was last used up.
+    spent_ms: u64,
 }
 
 /// What one share has left; less than nothing after a large order.
@@ -153,6 +159,7 @@
             starts: Share::default(),
             tally: Tally::default(),
             fell_ms: 0,
+            spent_ms: 0,
         };
         budget.size_shares();
         budget.questions.bytes = budget.questions.most;
@@ -209,6 +216,23 @@
             }
         };
         share.bytes = share.bytes.saturating_sub(bytes);
+        if share.bytes <= 0 {
+            self.spent_ms = self.refilled_ms;
+        }
+    }
+
+    /// Returns whether work waited for the link a short while ago although
+    /// the rate could still fall: orders are then slow because there are many
+    /// of them, and on no other node of the kind would they be faster.
+    pub fn is_short(&self, now_ms: u64) -> bool {
+        let waited = now_ms < self.spent_ms + SHORT_MS;
+        waited && self.rate > self.least_rate()
+    }
+
+    fn least_rate(&self) -> u64 {
+        let LinkLimits { bytes_per_s, least_percent, .. } = self.limits;
+        let least = (bytes_per_s / 100).saturating_mul(least_percent);
+        least.clamp(1, bytes_per_s.max(1))
     }
 
     /// Notes the end of a call that was sent at this time, and adapts the rate
@@ -239,11 +263,9 @@
             Speed::Middling => return,
             Speed::Fast => FASTER_PERCENT,
         };
-        let LinkLimits { bytes_per_s, least_percent, .. } = self.limits;
-        let least = (bytes_per_s / 100).saturating_mul(least_percent);
         let rate = (self.rate / 100).saturating_mul(percent);
-        let most = bytes_per_s.max(1);
-        self.rate = rate.clamp(least.clamp(1, most), most);
+        let most = self.limits.bytes_per_s.max(1);
+        self.rate = rate.clamp(self.least_rate(), most);
         self.size_shares();
     }
 
--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -69,7 +69,8 @@
         let mut orders = Vec::new();
         let newest = self.vms_asked_ms + self.options.vm_list_age_ms;
         // What the list said long ago isn't so any more.
-        if self.superseded || now.steady_ms > newest {
+        let outdated = now.steady_ms > newest;
+        if self.superseded || self.is_loading() || outdated {
             return orders;
         }
         self.measure_pools(now);
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -361,7 +361,7 @@
         !self.lives_known
             || self.workers.values().any(|worker| {
                 worker.listing.pool == pool
-                    && !worker.synced
+                    && !worker.is_accounted_for()
                     && now.steady_ms <= worker.lease_over_ms
             })
     }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -45,7 +45,12 @@
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let newest =
             worker.hold_answered(&owed, report, now.steady_ms, &self.options);
+        self.note_unknown_runs(worker_id, report, newest, now);
         for end in &report.ended {
+            // It is told again, and all after it, until it is acknowledged.
+            if self.is_unknown(end.task.job) {
+                break;
+            }
             let worker = self.workers.get_mut(worker_id);
             if worker.is_some_and(|worker| worker.see_end(end.number)) {
                 self.run_ended(worker_id, end, now);
@@ -55,6 +60,9 @@
         // older one says is active may have ended since.
         if newest {
             for active in &report.active {
+                if self.is_unknown(active.task.job) {
+                    continue;
+                }
                 self.run_active(worker_id, active, now);
             }
             self.drop_missing(worker_id, held, report, now);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -8,6 +8,7 @@
             advice::StepAdvice,
             board::Job,
             forecast::Arrivals,
+            loading::Loading,
             sizing::{Moving, PoolLoad},
             wave_state::WaveState,
             worker::{ORDER_BYTES, OwedHold, RunState, Worker},
@@ -24,6 +25,7 @@
     pub(super) lease_revision: u64,
     pub(super) queues: BTreeMap<String, QueueTerms>,
     pub(super) jobs: BTreeMap<JobId, Job>,
+    pub(super) loading: Loading,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
@@ -105,6 +107,7 @@
             lease_revision,
             queues: BTreeMap::new(),
             jobs: BTreeMap::new(),
+            loading: Loading::Done,
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
@@ -205,8 +208,12 @@
         self.jobs.insert(id, job);
     }
 
-    /// Cancels a job; one that is over or unknown stays as it is.
+    /// Cancels a job; one that is over or unknown stays as it is, unless jobs
+    /// are still being loaded.
     pub fn cancel(&mut self, id: JobId, now: Now) {
+        if self.keep_cancellation(id) {
+            return;
+        }
         self.finish(id, Phase::Cancelled, now);
     }
 
@@ -275,6 +282,7 @@
         }
         let mut actions = Vec::new();
         self.link.refill(now.steady_ms);
+        self.cancel_loaded(now);
         self.drop_lapsed(now);
         self.look_after_runs(now, &mut actions);
         self.fence_workers(now, &mut actions);
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -162,6 +162,8 @@
     /// Whether the last hold got no answer. A single answer may be lost on
     /// its way; only a second one in a row makes the worker silent.
     missed_hold: bool,
+    /// Whether its newest answer names jobs that aren't loaded yet.
+    unknown_runs: bool,
     /// Since when it hasn't answered; `None` while it does.
     pub(crate) silent_since_ms: Option<u64>,
     failed_jobs: BTreeSet<JobId>,
@@ -213,6 +215,7 @@
             fence_hold_in_flight: false,
             next_hold_ms: 0,
             missed_hold: false,
+            unknown_runs: false,
             silent_since_ms: None,
             failed_jobs: BTreeSet::new(),
             refused: false,
@@ -292,9 +295,27 @@
         self.paced_ms = now_ms;
     }
 
+    /// Returns whether it is known what a former holder started on it.
+    pub(crate) fn is_accounted_for(&self) -> bool {
+        self.synced && !self.unknown_runs
+    }
+
+    pub(crate) fn has_unknown_runs(&self) -> bool {
+        self.unknown_runs
+    }
+
+    pub(crate) fn note_unknown_runs(&mut self, unknown: bool) {
+        self.unknown_runs = unknown;
+    }
+
+    /// Returns whether something runs on it or may do so.
+    fn is_occupied(&self) -> bool {
+        !self.runs.is_empty() || self.unknown_runs
+    }
+
     /// Returns whether it is there for new tasks, now or in a moment.
     pub(crate) fn is_usable(&self) -> bool {
-        self.synced
+        self.is_accounted_for()
             && self.listed
             && !self.listing.draining
             && self.emptying.is_none()
@@ -350,7 +371,7 @@
             self.confirmed_until_ms + options.lease_ms * RENEWED_PERCENT / 100
                 >= u
         });
-        if renewed || silent || self.runs.is_empty() {
+        if renewed || silent || !self.is_occupied() {
             Class::Question
         } else {
             Class::Renewal
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -22,7 +22,7 @@
     /// Returns since when a hold has been due, if one is.
     pub(crate) fn hold_due_ms(&self, now_ms: u64) -> Option<u64> {
         let fencing = self.fencing && !self.fence_hold_in_flight;
-        let wanted = !self.runs.is_empty()
+        let wanted = self.is_occupied()
             || self.stored_end > self.acknowledged
             || self.missed_hold
             || self.has_unstored_ends();
@@ -55,7 +55,7 @@
         // A worker that is silent gets no longer lease: its runs must be
         // over for certain some day.
         let silent = self.silent_since_ms.is_some();
-        let lease_until_ms = if self.runs.is_empty() || silent {
+        let lease_until_ms = if !self.is_occupied() || silent {
             None
         } else {
             self.lease_until_ms(now_ms, options)
@@ -77,6 +77,11 @@
         Some(OwedHold { order, fencing })
     }
 
+    /// Sets from when it is asked again.
+    pub(crate) fn ask_from(&mut self, from_ms: u64) {
+        self.next_hold_ms = from_ms;
+    }
+
     /// Notes the answer to a hold; returns whether it is the newest so far.
     pub(crate) fn hold_answered(
         &mut self,
--- a/crates/dewspard/src/jobs/counts.rs
+++ b/crates/dewspard/src/jobs/counts.rs
@@ -47,7 +47,7 @@
 pub(super) type WaitingJobs = BTreeMap<String, u64>;
 
 /// The holder's side: when counts are written, and under what condition.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct CountsWriter {
     written: WaitingJobs,
     written_ms: u64,
@@ -90,17 +90,9 @@
 }
 
 impl CountsWriter {
-    /// Makes the writer of a new holder, which found the record at this
-    /// version; 0 for none.
-    pub(super) fn new(version: u64) -> CountsWriter {
-        CountsWriter {
-            written: WaitingJobs::new(),
-            written_ms: 0,
-            looked_ms: 0,
-            version,
-            is_stored: false,
-            is_writing: false,
-        }
+    /// Notes at which version the record was found; 0 for none.
+    pub(super) fn found(&mut self, version: u64) {
+        self.version = version;
     }
 
     /// Returns whether counts may have to be written now.
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -21,14 +21,13 @@
     super::{
         holder::{self, Outcome},
         intent, keys,
-        progress::load,
         readiness::Readiness,
     },
     crate::{clock, counters},
     dewspar::schedule::{Options, Orderer},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
-        Purpose, Traffic, Versioned, Watch,
+        Traffic, Versioned, Watch,
     },
     serde::{Deserialize, Serialize},
     slog::{Logger, info, warn},
@@ -346,19 +345,7 @@
         info!(self.log, "election: this node schedules";
             "revision" => held.revision, "lease_ms" => held.lease_ms);
         counters::count(counters::TAKEOVERS);
-        let loaded = load(
-            &self.store.with_purpose(Purpose::Takeover),
-            &self.fleet,
-            &self.log,
-        )
-        .await;
-        let outcome = match loaded {
-            Ok(loaded) => holder::run(self, held, loaded).await,
-            Err(error) => {
-                counters::platform_failure(&error);
-                Outcome::Lost("the jobs couldn't be loaded")
-            }
-        };
+        let outcome = holder::run(self, held).await;
         if matches!(outcome, Outcome::Overloaded) {
             counters::count(counters::OVERLOADS);
             self.overloaded_until_ms = clock::now_ms() + OVERLOADED_MS;
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -8,6 +8,7 @@
     super::{
         counts::CountsWritten,
         progress::{FeedEvent, Stored},
+        takeover::{LoadedDuties, LoadedJobs},
     },
     crate::clock,
     dewspar::{
@@ -58,6 +59,12 @@
 #[derive(Debug)]
 pub(super) enum Event {
     Feed(Vec<FeedEvent>),
+    /// Jobs that former holders left.
+    JobsLoaded(LoadedJobs),
+    /// What former holders left beside them.
+    DutiesLoaded(LoadedDuties),
+    /// All that former holders left was told.
+    AllLoaded,
     /// Everything that was accepted before this time has been told.
     FeedCurrent {
         asked_ms: u64,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -22,9 +22,11 @@
         election::{Candidate, Held},
         event::{self, Event, EventSender, SentEvent},
         feeds::{follow_feed, look_up, read_directory, read_vms, renew},
+        intake::FeedOrigin,
         load::Load,
         orders,
-        progress::{self, JOBS_A_WRITE, Loaded, Stored, batch_of},
+        progress::{self, JOBS_A_WRITE, Stored, batch_of},
+        takeover::{self, LoadedDuties},
     },
     crate::{clock, counters},
     dewspar::{
@@ -113,7 +115,6 @@
 pub(super) async fn run<K: KeyValue, W: JobWorkers, F: Fleet>(
     candidate: &Candidate<K, W, F>,
     held: Held,
-    loaded: Loaded,
 ) -> Outcome {
     let (sender, events) = event::channel();
     // Dropped, and so ended, with this function.
@@ -121,22 +122,28 @@
     let store = |purpose| candidate.store.with_purpose(purpose);
     tasks.spawn(follow_feed(
         store(Purpose::Feed),
-        loaded.version,
+        held.revision,
         sender.clone(),
         candidate.log.clone(),
     ));
     tasks.spawn(renew(store(Purpose::Lease), held, sender.clone()));
     tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
     tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
+    tasks.spawn(takeover::load(
+        store(Purpose::Takeover),
+        candidate.fleet.clone(),
+        sender.clone(),
+        candidate.log.clone(),
+    ));
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
-    scheduler.leave_vms_alone(now(), &candidate.orderer(), loaded.ordered);
+    scheduler.begin_loading();
     let mut holder = Holder {
         candidate,
         held,
         scheduler,
-        versions: loaded.versions,
-        restored: loaded.progress,
+        versions: BTreeMap::new(),
+        restored: BTreeMap::new(),
         sender,
         pools: BTreeMap::new(),
         writes: 0,
@@ -146,17 +153,15 @@
         lost: None,
         claimed: false,
         begun_ms: clock::now_ms(),
-        // The jobs were loaded after the lease was asked for.
+        // The feed tells all since then, and what was there is loaded.
         feed_current_ms: held.renewed_ms,
         load: Load::new(candidate.traffic.clone()),
         round_trips: RoundTrips::new(SLOW_FOR_MS),
-        counts: CountsWriter::new(loaded.counts_version),
-        waves: loaded.waves,
-        completed: loaded.completed,
+        counts: CountsWriter::default(),
+        waves: BTreeMap::new(),
+        completed: Vec::new(),
         expired_ms: clock::now_ms(),
     };
-    holder.take_feed(loaded.feed);
-    holder.restored.clear();
     holder.run(events).await
 }
 
@@ -244,7 +249,10 @@
         self.load.heard(now.steady_ms.saturating_sub(sent_ms));
         let scheduler = &mut self.scheduler;
         match event {
-            Event::Feed(feed) => self.take_feed(feed),
+            Event::Feed(feed) => self.take_feed(feed, FeedOrigin::Feed),
+            Event::JobsLoaded(jobs) => self.take_loaded(jobs),
+            Event::DutiesLoaded(duties) => self.take_duties(duties, now),
+            Event::AllLoaded => scheduler.finish_loading(now),
             Event::FeedCurrent { asked_ms } => {
                 self.feed_current_ms = self.feed_current_ms.max(asked_ms);
             }
@@ -310,6 +318,14 @@
         }
     }
 
+    fn take_duties(&mut self, duties: LoadedDuties, now: Now) {
+        let orderer = self.candidate.orderer();
+        self.scheduler.leave_vms_alone(now, &orderer, duties.ordered);
+        self.counts.found(duties.counts_version);
+        self.waves = duties.waves;
+        self.completed = duties.completed;
+    }
+
     /// Looks up the workers that the list of VMs names and the directory, as
     /// it was last read, doesn't.
     fn look_up_lives(&self) {
@@ -367,7 +383,8 @@
         }
         let settled = now.steady_ms >= self.begun_ms + SETTLE_MS;
         let slow_ms = self.scheduler.window().overloaded_ms(SLOW_ORDER_MS);
-        if settled && self.round_trips.are_slow(now.steady_ms, slow_ms) {
+        let slow = self.round_trips.are_slow(now.steady_ms, slow_ms);
+        if settled && slow && !self.scheduler.link().is_short(now.steady_ms) {
             return Some(Outcome::Overloaded);
         }
         let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
@@ -392,12 +409,15 @@
 
     fn configure(&mut self, now: Now) {
         let reading = self.candidate.reader.borrow();
-        let waves = &reading.intent.waves;
-        let completed = &self.completed;
-        let unseen =
-            self.scheduler.request_waves(now, waves, &self.waves, completed);
-        for wave in unseen {
-            self.write_wave(wave);
+        // What former holders kept of the waves is known once all is loaded.
+        if !self.scheduler.is_loading() {
+            let waves = &reading.intent.waves;
+            let (records, completed) = (&self.waves, &self.completed);
+            let unseen =
+                self.scheduler.request_waves(now, waves, records, completed);
+            for wave in unseen {
+                self.write_wave(wave);
+            }
         }
         let Some(queues) = &reading.intent.queues else { return };
         if self.configured == Some(queues.version()) {
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -7,6 +7,7 @@
     super::{
         holder::{Holder, json, now},
         progress::FeedEvent,
+        takeover::LoadedJobs,
     },
     crate::clock,
     dewspar::{
@@ -18,11 +19,33 @@
     std::collections::BTreeMap,
 };
 
+/// Where news of jobs comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum FeedOrigin {
+    /// The feed, which doesn't tell how far jobs have come.
+    Feed,
+    /// What was loaded, with the progress of each job.
+    Loaded,
+}
+
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
-    pub(super) fn take_feed(&mut self, feed: Vec<FeedEvent>) {
+    /// Takes in what the feed tells, or what was loaded of it.
+    pub(super) fn take_feed(
+        &mut self,
+        feed: Vec<FeedEvent>,
+        origin: FeedOrigin,
+    ) {
         for event in feed {
             match event {
                 FeedEvent::Accepted { id, job, revision } => {
+                    // A whole reading of the feed doesn't tell how far a job
+                    // has come under former holders.
+                    if origin == FeedOrigin::Feed
+                        && self.scheduler.is_loading()
+                        && revision < self.held.revision
+                    {
+                        continue;
+                    }
                     self.note_taken_in(id, &job, revision);
                     let progress = self.restored.remove(&id);
                     let progress = progress.as_ref();
@@ -39,17 +62,19 @@
                 }
             }
         }
+    }
+
+    /// Takes in jobs that former holders left.
+    pub(super) fn take_loaded(&mut self, jobs: LoadedJobs) {
+        self.versions.extend(jobs.versions);
+        self.restored = jobs.progress;
+        self.take_feed(jobs.feed, FeedOrigin::Loaded);
         // Jobs that are over have no entry in the feed any more.
-        let over: Vec<JobId> = self
-            .restored
-            .iter()
-            .filter(|(_, progress)| progress.phase.is_final())
-            .map(|(id, _)| *id)
-            .collect();
-        for id in over {
-            let progress = self.restored.remove(&id);
+        let left = std::mem::take(&mut self.restored);
+        let over = left.iter().filter(|(_, p)| p.phase.is_final());
+        for (id, progress) in over {
             let job = AcceptedJob::default();
-            self.scheduler.submit(id, job, 0, progress.as_ref());
+            self.scheduler.submit(*id, job, 0, Some(progress));
         }
     }
 
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -17,8 +17,11 @@
 /// Everything that the holder must hear of in order.
 pub(super) const FEED: &str = "q/";
 
-const ACCEPTED: &str = "q/in/";
-const CANCELLED: &str = "q/stop/";
+/// Jobs that aren't over.
+pub(super) const ACCEPTED: &str = "q/in/";
+
+/// The jobs among them that are cancelled.
+pub(super) const CANCELLED: &str = "q/stop/";
 
 /// What every node writes along with each job that it accepts: how new this
 /// key is tells a holder whether its feed has gone silent. One key for all
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -57,3 +57,4 @@
 mod records;
 mod rest;
 pub mod settings;
+mod takeover;
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -1,5 +1,5 @@
 /*!
-What the holder of the scheduler lease loads and stores.
+What the holder of the scheduler lease reads of jobs and stores.
 
 Every write is conditional on the lease's key and on each job's own key, so
 that neither a holder that was superseded nor a late copy of an earlier write
@@ -8,17 +8,16 @@
 
 use {
     super::{
-        duties::{load_ordered, load_waves},
         election::Claim,
         keys::{self, FeedKey},
     },
     crate::counters,
     dewspar::{
-        job::{JobId, Progress},
-        schedule::{AcceptedJob, Changes, OrderedVms, WaveRecord},
+        job::JobId,
+        schedule::{AcceptedJob, Changes},
     },
     dewspar_platform::{
-        Batch, Commit, Error, Event, Expected, Fleet, KeyValue, Versioned,
+        Batch, Commit, Error, Event, Expected, KeyValue, Versioned,
     },
     slog::{Logger, warn},
     std::{collections::BTreeMap, time::Duration},
@@ -47,74 +46,18 @@
     Claimed(Claim),
 }
 
-/// What a new holder starts from.
-pub(super) struct Loaded {
-    /// The store's version up to which `feed` tells everything.
-    pub(super) version: u64,
-    pub(super) feed: Vec<FeedEvent>,
-    pub(super) progress: BTreeMap<JobId, Progress>,
-    pub(super) versions: BTreeMap<JobId, u64>,
-    /// What former holders kept of each wave.
-    pub(super) waves: BTreeMap<u64, WaveRecord>,
-    /// The waves that were reported as completed.
-    pub(super) completed: Vec<u64>,
-    /// The VMs of which the former holder ordered changes of late; `None`
-    /// where that can't be known.
-    pub(super) ordered: Option<OrderedVms>,
-    /// The version of the counts of waiting jobs; 0 for none.
-    pub(super) counts_version: u64,
-}
-
-/// Loads every job that isn't over, and how far each has come.
-pub(super) async fn load<K: KeyValue, F: Fleet>(
-    store: &K,
-    fleet: &F,
-    log: &Logger,
-) -> Result<Loaded, Error> {
-    // All at once: one after the other they take a slow store seconds.
-    let (stored, feed, waves, completed, ordered, counts) = tokio::try_join!(
-        store.list(keys::PROGRESS),
-        load_feed(store, log),
-        load_waves(store, log),
-        fleet.completed_waves(),
-        load_ordered(store, log),
-        store.get(keys::PENDING),
-    )?;
-    let counts_version = counts.map_or(0, |counts| counts.version);
-    let ((_, stored), (version, feed)) = (stored, feed);
-    let mut progress = BTreeMap::new();
-    let mut versions = BTreeMap::new();
-    for item in &stored {
-        let Some(id) = keys::job_of_progress(&item.key) else { continue };
-        match serde_json::from_slice::<Progress>(&item.value) {
-            Ok(found) => {
-                progress.insert(id, found);
-                versions.insert(id, item.version);
-            }
-            Err(error) => warn!(log, "holder: progress can't be read";
-                "job" => %id, "error" => %error),
-        }
-    }
-    Ok(Loaded {
-        version,
-        feed,
-        progress,
-        versions,
-        waves,
-        completed,
-        ordered,
-        counts_version,
-    })
-}
-
 /// Reads the feed outright.
 pub(super) async fn load_feed<K: KeyValue>(
     store: &K,
     log: &Logger,
 ) -> Result<(u64, Vec<FeedEvent>), Error> {
     let (version, stored) = store.list(keys::FEED).await?;
-    let put = |item: &Versioned| read_put(item, log);
-    Ok((version, stored.iter().filter_map(put).collect()))
+    Ok((version, read_feed(&stored, log)))
+}
+
+/// Reads what a list of the feed says.
+pub(super) fn read_feed(items: &[Versioned], log: &Logger) -> Vec<FeedEvent> {
+    items.iter().filter_map(|item| read_put(item, log)).collect()
 }
 
 /// Reads a change of the feed.
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -44,7 +44,8 @@
     /// themselves.
     pub(super) fn write_counts(&mut self, now: Now) {
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
-        if behind_ms >= FEED_AGE_MS || !self.counts.is_due(now.steady_ms) {
+        let unheard = behind_ms >= FEED_AGE_MS || self.scheduler.is_loading();
+        if unheard || !self.counts.is_due(now.steady_ms) {
             return;
         }
         let counts = self.scheduler.pending(now.unix_ms);
--- /dev/null
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -0,0 +1,229 @@
+/*!
+Loading what former holders left, beside scheduling.
+
+The holder schedules new jobs from the first moment; what is open already
+comes in by and by. Cancellations come first, so that nothing starts that was
+cancelled. Jobs then come in slices by the first digit of their identifiers,
+which is random, each with its progress.
+
+How much there is isn't known before. The first slice tells: where the rest
+takes little longer, as on any usual link, it is read at once. Else it comes
+slice by slice with pauses, so that orders and renewals find the link free
+between them. A reading that fails is tried again, and what was loaded stays
+loaded: nothing begins anew as long as the lease is held.
+*/
+
+use {
+    super::{
+        duties::{load_ordered, load_waves},
+        event::{Event, EventSender, HolderGone},
+        keys,
+        progress::{FeedEvent, read_feed},
+    },
+    crate::{clock, counters},
+    dewspar::{
+        job::{JobId, Progress},
+        poll::PollPace,
+        schedule::{OrderedVms, WaveRecord},
+    },
+    dewspar_platform::{Error, Fleet, KeyValue, Versioned},
+    slog::{Logger, info, warn},
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The slices: the digits that identifiers of jobs begin with.
+const SLICES: [&str; 16] = [
+    "0", "1", "2", "3", "4", "5", "6", "7", "8", "9", "a", "b", "c", "d", "e",
+    "f",
+];
+
+/// How long all the rest may take to be read at once, in milliseconds: less
+/// than a lease lasts without renewal, and not much more than orders may take.
+const AT_ONCE_MS: u64 = 600;
+
+/// How slices follow each other: half of the link is left for orders.
+const SLICE_PACE: PollPace =
+    PollPace { least_ms: 0, most_ms: 1_000, share_percent: 50 };
+
+/// The pause after a reading that failed.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// Jobs that were loaded, with all that is stored of them.
+#[derive(Debug, Default)]
+pub(super) struct LoadedJobs {
+    pub(super) feed: Vec<FeedEvent>,
+    pub(super) progress: BTreeMap<JobId, Progress>,
+    /// The version of each job's progress in the store.
+    pub(super) versions: BTreeMap<JobId, u64>,
+}
+
+/// What former holders left beside the jobs.
+#[derive(Debug)]
+pub(super) struct LoadedDuties {
+    /// What they kept of each wave.
+    pub(super) waves: BTreeMap<u64, WaveRecord>,
+    /// The waves that were reported as completed.
+    pub(super) completed: Vec<u64>,
+    /// The VMs of which the former holder ordered changes of late; `None`
+    /// where that can't be known.
+    pub(super) ordered: Option<OrderedVms>,
+    /// The version of the counts of waiting jobs; 0 for none.
+    pub(super) counts_version: u64,
+}
+
+/// Loads everything and reports it, until it is complete.
+pub(super) async fn load<K: KeyValue, F: Fleet>(
+    store: K,
+    fleet: F,
+    sender: EventSender,
+    log: Logger,
+) {
+    let began_ms = clock::now_ms();
+    let duties = load_duties(&store, &fleet, &sender, &log);
+    let jobs = load_jobs(&store, &sender, &log);
+    let (duties, jobs) = tokio::join!(duties, jobs);
+    // A holder that is gone has no use for the rest.
+    let (Ok(()), Ok(loaded)) = (duties, jobs) else { return };
+    info!(log, "holder: jobs loaded"; "jobs" => loaded.jobs,
+        "bytes" => loaded.bytes, "readings" => loaded.readings,
+        "took_ms" => clock::now_ms().saturating_sub(began_ms));
+    let _ = sender.send(Event::AllLoaded).await;
+}
+
+async fn load_duties<K: KeyValue, F: Fleet>(
+    store: &K,
+    fleet: &F,
+    sender: &EventSender,
+    log: &Logger,
+) -> Result<(), HolderGone> {
+    let duties = until_read(|| read_duties(store, fleet, log)).await;
+    sender.send(Event::DutiesLoaded(duties)).await
+}
+
+async fn read_duties<K: KeyValue, F: Fleet>(
+    store: &K,
+    fleet: &F,
+    log: &Logger,
+) -> Result<LoadedDuties, Error> {
+    // All at once: one after the other they take a slow store seconds.
+    let (waves, completed, ordered, counts_version) = tokio::try_join!(
+        load_waves(store, log),
+        fleet.completed_waves(),
+        load_ordered(store, log),
+        store.version(keys::PENDING),
+    )?;
+    Ok(LoadedDuties { waves, completed, ordered, counts_version })
+}
+
+/// How much was loaded.
+#[derive(Debug, Default)]
+struct Loaded {
+    jobs: usize,
+    bytes: usize,
+    readings: usize,
+}
+
+/// How what is left is read.
+enum Rest {
+    AtOnce,
+    BySlices,
+}
+
+async fn load_jobs<K: KeyValue>(
+    store: &K,
+    sender: &EventSender,
+    log: &Logger,
+) -> Result<Loaded, HolderGone> {
+    let mut loaded = Loaded::default();
+    let asked_ms = clock::now_ms();
+    let (_, cancelled) = until_read(|| store.list(keys::CANCELLED)).await;
+    let call_ms = clock::now_ms().saturating_sub(asked_ms);
+    sender.send(Event::Feed(read_feed(&cancelled, log))).await?;
+
+    let [first, rest @ ..] = &SLICES;
+    let took_ms = load_slice(store, first, sender, log, &mut loaded).await?;
+    match how_to_read_on(took_ms, call_ms, rest.len() as u64) {
+        Rest::AtOnce => {
+            load_slice(store, "", sender, log, &mut loaded).await?;
+        }
+        Rest::BySlices => {
+            for slice in rest {
+                let took_ms =
+                    load_slice(store, slice, sender, log, &mut loaded).await?;
+                let pause_ms = SLICE_PACE.pause_ms(took_ms);
+                sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+    }
+    Ok(loaded)
+}
+
+/// Decides by how much longer the first slice took than a call that brings
+/// hardly anything, all in milliseconds.
+fn how_to_read_on(took_ms: u64, call_ms: u64, slices_left: u64) -> Rest {
+    let more_ms = took_ms.saturating_sub(call_ms) * slices_left;
+    if more_ms <= AT_ONCE_MS { Rest::AtOnce } else { Rest::BySlices }
+}
+
+/// Loads the jobs whose identifiers begin so; returns how long the store took
+/// to tell them, in milliseconds.
+async fn load_slice<K: KeyValue>(
+    store: &K,
+    slice: &str,
+    sender: &EventSender,
+    log: &Logger,
+    loaded: &mut Loaded,
+) -> Result<u64, HolderGone> {
+    let accepted = format!("{}{slice}", keys::ACCEPTED);
+    let progress = format!("{}{slice}", keys::PROGRESS);
+    let asked_ms = clock::now_ms();
+    let read = || async {
+        tokio::try_join!(store.list(&accepted), store.list(&progress))
+    };
+    let ((_, accepted), (_, progress)) = until_read(read).await;
+    let took_ms = clock::now_ms().saturating_sub(asked_ms);
+    let size = |items: &[Versioned]| -> usize {
+        items.iter().map(|item| item.key.len() + item.value.len()).sum()
+    };
+    loaded.jobs += accepted.len();
+    loaded.bytes += size(&accepted) + size(&progress);
+    loaded.readings += 1;
+    let mut jobs = LoadedJobs {
+        feed: read_feed(&accepted, log),
+        ..LoadedJobs::default()
+    };
+    for item in &progress {
+        jobs.note_progress(item, log);
+    }
+    sender.send(Event::JobsLoaded(jobs)).await?;
+    Ok(took_ms)
+}
+
+impl LoadedJobs {
+    fn note_progress(&mut self, item: &Versioned, log: &Logger) {
+        let Some(id) = keys::job_of_progress(&item.key) else { return };
+        match serde_json::from_slice::<Progress>(&item.value) {
+            Ok(found) => {
+                self.progress.insert(id, found);
+                self.versions.insert(id, item.version);
+            }
+            Err(error) => warn!(log, "holder: progress can't be read";
+                "job" => %id, "error" => %error),
+        }
+    }
+}
+
+/// Reads until there is a result.
+async fn until_read<T, R>(mut read: impl FnMut() -> R) -> T
+where
+    R: Future<Output = Result<T, Error>>,
+{
+    loop {
+        match read().await {
+            Ok(result) => return result,
+            Err(error) => counters::platform_failure(&error),
+        }
+        sleep(RETRY).await;
+    }
+}
