--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -127,10 +127,20 @@
                         state.ready_ms = now.steady_ms;
                     }
                     let left_ms = job.spec.estimate_from_ms(step);
+                    // What is to run all the time is missing from the moment
+                    // at which it doesn't, and never too late.
+                    let lasting = job.spec.steps[step].long_running;
+                    let late = late_last
+                        && !lasting
+                        && now.unix_ms + left_ms > objective_ms;
+                    let objective_ms = if lasting {
+                        job.accepted_at_ms
+                    } else {
+                        objective_ms
+                    };
                     candidates.push(Candidate {
                         priority: job.terms.priority,
-                        late: late_last
-                            && now.unix_ms + left_ms > objective_ms,
+                        late,
                         objective_ms,
                         job: *id,
                         round,
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -29,7 +29,7 @@
 /// What an order takes of a link beside what it carries, with its head and the
 /// packets of its answer, in bytes: read off the bytes of orders by purpose,
 /// and two packets' heads.
-pub(crate) const ORDER_BYTES: u64 = 350;
+pub(crate) const ORDER_BYTES: u64 = 250;
 
 /// What a run takes in the answer to a question, in bytes.
 const RUN_BYTES: u64 = 60;
