Test: a takeover over a link of 2 Mbit/s with 2,000 open jobs

A model of the link that orders and bulk readings share evenly: 132 workers, 100 runs of former holders, 50 new jobs a second.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -7,6 +7,7 @@
 mod placing;
 mod pools;
 mod runs;
+mod small_link;
 mod takeover;
 mod waiting;
 mod waves;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/small_link.rs
@@ -0,0 +1,328 @@
+//! A takeover on a node with a link of 2 Mbit/s: 2,000 open jobs of 2 kB have
+//! to come in over it while renewals and new jobs need it too.
+
+use {
+    crate::world::{POOL, at, id, job, listing, step},
+    dewspar::{
+        job::{JobId, Repeat, StepSpec},
+        link::LinkLimits,
+        schedule::{
+            AcceptedJob, Action, Options, OrderError, Room, Scheduler,
+            StartOrder, WorkerId, WorkerListing,
+        },
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::{BTreeMap, VecDeque},
+};
+
+const LINK_MBPS: f64 = 2.0;
+
+/// What the link carries in a step, in bytes.
+const BYTES_A_STEP: u64 = 250 * STEP_MS;
+
+/// How the scheduler is called, in milliseconds.
+const STEP_MS: u64 = 5;
+
+/// How long an order may take, in milliseconds.
+const TIMEOUT_MS: u64 = 460;
+
+/// What a tenth of a core sends in a step, in orders.
+const ORDERS_A_STEP: usize = 5;
+
+const WORKERS: u64 = 132;
+
+/// How many tasks of former holders run, each of another job.
+const LASTING: u64 = 100;
+
+const OPEN_JOBS: u64 = 2_000;
+const SLICES: u64 = 16;
+const JOB_BYTES: u64 = 2_000;
+
+/// What a reading of the directory takes, in bytes, and how often it comes.
+const DIRECTORY_BYTES: u64 = 40_000;
+const DIRECTORY_MS: u64 = 2_500;
+
+/// New jobs of two tasks come so often, in milliseconds.
+const NEW_JOB_MS: u64 = 20;
+const PAYLOAD_BYTES: usize = 500;
+
+const HOLDER: u64 = 10_000;
+
+const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
+const TASK: Room = Room { cpu_millis: 1_000, memory_mb: 100, gpus: 0 };
+
+/// An order on its way.
+struct Sent {
+    action: Action,
+    sent_ms: u64,
+    bytes_left: u64,
+}
+
+/// A node, its link, and the workers beyond it.
+struct Node {
+    scheduler: Scheduler,
+    workers: BTreeMap<WorkerId, TaskWorker>,
+    now_ms: u64,
+    /// Orders that wait for the link or are under way.
+    orders: VecDeque<Sent>,
+    /// Questions for which a worker waits, with when it answers.
+    waiting: Vec<(u64, Action)>,
+    /// What is read in bulk: bytes left, and which slice that is, if any.
+    bulk: VecDeque<(u64, Option<u64>)>,
+    slices_loaded: u64,
+    loaded_ms: Option<u64>,
+    first_start_ms: Option<u64>,
+    sent: u64,
+    without_result: u64,
+}
+
+/// A job of a former holder: the first ones run, the others aren't due.
+fn open_job(number: u64) -> AcceptedJob {
+    let lasting = number < LASTING;
+    let step = StepSpec { long_running: lasting, ..step(1) };
+    let mut job = job(vec![step]);
+    job.spec.repeat = (!lasting).then_some(Repeat {
+        start_at_ms: u64::MAX / 2,
+        interval_ms: 1,
+        count: 1,
+    });
+    job
+}
+
+impl Node {
+    fn take_over(options: Options) -> Node {
+        let listings: Vec<WorkerListing> = (0..WORKERS)
+            .map(|number| WorkerListing {
+                capacity: ROOM,
+                ..listing(&format!("w{number}"))
+            })
+            .collect();
+        let mut workers: BTreeMap<WorkerId, TaskWorker> = listings
+            .iter()
+            .map(|listing| (listing.id.clone(), TaskWorker::new(ROOM)))
+            .collect();
+        for (number, worker) in (0..LASTING).zip(workers.values_mut()) {
+            let order = StartOrder {
+                task: format!("{}.0.0.0", id(number)).parse().unwrap(),
+                run: 1,
+                payload: "".into(),
+                // The former holder's last renewal was a second ago.
+                lease_until_ms: 1_000 + 7_000,
+                fence: 1,
+                checkpoint: String::new(),
+                ticket: String::new(),
+            };
+            worker.start(1_000, &order, TASK, Fate::endless()).unwrap();
+        }
+        let mut scheduler = Scheduler::new(HOLDER, options);
+        scheduler.begin_loading();
+        let lives = listings.iter().map(|l| (l.id.clone(), POOL.to_owned()));
+        let lives: Vec<(WorkerId, String)> = lives.collect();
+        scheduler.list_workers(at(1_000), listings);
+        scheduler.expect_workers(at(1_000), lives);
+        Node {
+            scheduler,
+            workers,
+            now_ms: 1_000,
+            orders: VecDeque::new(),
+            waiting: Vec::new(),
+            bulk: VecDeque::from([(OPEN_JOBS / SLICES * JOB_BYTES, Some(0))]),
+            slices_loaded: 0,
+            loaded_ms: None,
+            first_start_ms: None,
+            sent: 0,
+            without_result: 0,
+        }
+    }
+
+    fn run_for(&mut self, ms: u64) {
+        let end_ms = self.now_ms + ms;
+        while self.now_ms < end_ms {
+            self.now_ms += STEP_MS;
+            self.arrive();
+            self.carry();
+            for action in self.scheduler.plan(at(self.now_ms)) {
+                self.send(action);
+            }
+            let changes = self.scheduler.take_changes(100);
+            self.scheduler.changes_stored(&changes, at(self.now_ms));
+        }
+    }
+
+    /// New jobs come, and the directory is read.
+    fn arrive(&mut self) {
+        if self.now_ms.is_multiple_of(NEW_JOB_MS) {
+            let number = OPEN_JOBS + self.now_ms;
+            let mut new = job(vec![step(2)]);
+            new.spec.payload = "x".repeat(PAYLOAD_BYTES);
+            let revision = HOLDER + self.now_ms;
+            self.scheduler.submit(id(number), new, revision, None);
+        }
+        if self.now_ms.is_multiple_of(DIRECTORY_MS) {
+            self.bulk.push_back((DIRECTORY_BYTES, None));
+        }
+    }
+
+    /// The link carries what waits; orders and bulk share it evenly.
+    fn carry(&mut self) {
+        let both = !self.orders.is_empty() && !self.bulk.is_empty();
+        let half = BYTES_A_STEP / 2;
+        let for_orders = if both { half } else { BYTES_A_STEP };
+        let left = self.carry_orders(for_orders);
+        let for_bulk = BYTES_A_STEP - for_orders + left;
+        self.carry_bulk(for_bulk);
+        self.answer_waiting();
+    }
+
+    /// Returns the bytes that weren't used.
+    fn carry_orders(&mut self, mut bytes: u64) -> u64 {
+        let mut most = ORDERS_A_STEP;
+        while let Some(first) = self.orders.front_mut() {
+            let carried = first.bytes_left.min(bytes);
+            first.bytes_left -= carried;
+            bytes -= carried;
+            if first.bytes_left > 0 || most == 0 {
+                break;
+            }
+            most -= 1;
+            // OK because it was there above.
+            let sent = self.orders.pop_front().unwrap();
+            self.deliver(sent);
+        }
+        bytes
+    }
+
+    fn carry_bulk(&mut self, mut bytes: u64) {
+        while let Some((left, slice)) = self.bulk.front_mut() {
+            let carried = (*left).min(bytes);
+            *left -= carried;
+            bytes -= carried;
+            if *left > 0 {
+                return;
+            }
+            let slice = *slice;
+            self.bulk.pop_front();
+            if let Some(slice) = slice {
+                self.load_slice(slice);
+            }
+        }
+    }
+
+    fn load_slice(&mut self, slice: u64) {
+        let now = at(self.now_ms);
+        for number in (0..OPEN_JOBS).filter(|n| n % SLICES == slice) {
+            self.scheduler.submit(id(number), open_job(number), 5, None);
+        }
+        self.slices_loaded += 1;
+        if self.slices_loaded == SLICES {
+            self.scheduler.finish_loading(now);
+            self.loaded_ms = Some(self.now_ms - 1_000);
+        } else {
+            let bytes = OPEN_JOBS / SLICES * JOB_BYTES;
+            self.bulk.push_back((bytes, Some(self.slices_loaded)));
+        }
+    }
+
+    fn send(&mut self, action: Action) {
+        self.sent += 1;
+        let bytes_left = match &action {
+            Action::Start { order, .. } => 300 + order.payload.len() as u64,
+            _ => 300,
+        };
+        let sent = Sent { action, sent_ms: self.now_ms, bytes_left };
+        self.orders.push_back(sent);
+    }
+
+    fn deliver(&mut self, sent: Sent) {
+        let late = self.now_ms > sent.sent_ms + TIMEOUT_MS;
+        match sent.action {
+            Action::Start { worker, order, .. } => {
+                self.start(&worker, &order, late);
+            }
+            Action::Hold { ref held, .. } => {
+                let answer_ms = self.now_ms + held.order().wait_ms;
+                if late {
+                    self.without_result += 1;
+                    self.lose(sent.action);
+                } else {
+                    self.waiting.push((answer_ms, sent.action));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn start(&mut self, worker: &WorkerId, order: &StartOrder, late: bool) {
+        let now = at(self.now_ms);
+        // OK because there are only these workers.
+        let at_worker = self.workers.get_mut(worker).unwrap();
+        let fate = Fate::done(800);
+        let mut result = at_worker.start(self.now_ms, order, TASK, fate);
+        if late {
+            // It arrives all the same, and nobody waits for the answer.
+            self.without_result += 1;
+            result = Err(OrderError::Unknown);
+        } else {
+            self.first_start_ms.get_or_insert(self.now_ms - 1_000);
+        }
+        let (task, run) = (&order.task, order.run);
+        self.scheduler.start_answered(worker, task, run, result, now);
+    }
+
+    fn lose(&mut self, action: Action) {
+        let now = at(self.now_ms);
+        if let Action::Hold { worker, held, .. } = action {
+            let error = OrderError::Unknown;
+            self.scheduler.hold_failed(&worker, &held, error, now);
+        }
+    }
+
+    fn answer_waiting(&mut self) {
+        let now_ms = self.now_ms;
+        for (answer_ms, action) in std::mem::take(&mut self.waiting) {
+            if answer_ms > now_ms {
+                self.waiting.push((answer_ms, action));
+                continue;
+            }
+            let Action::Hold { worker, held, .. } = action else { continue };
+            // OK because there are only these workers.
+            let at_worker = self.workers.get_mut(&worker).unwrap();
+            let report = at_worker.hold(now_ms, held.order());
+            let report = report.expect("one holder only");
+            let now = at(now_ms);
+            self.scheduler.hold_answered(&worker, &held, &report, now);
+        }
+    }
+
+    /// Counts the lasting tasks that still run.
+    fn lasting(&mut self) -> usize {
+        let now_ms = self.now_ms;
+        let lasting: Vec<JobId> = (0..LASTING).map(id).collect();
+        let workers = self.workers.values_mut();
+        let running = workers.flat_map(|worker| worker.running(now_ms));
+        running.filter(|(task, _)| lasting.contains(&task.job)).count()
+    }
+}
+
+fn small_link() -> Options {
+    Options::default().link(LinkLimits::of_link(LINK_MBPS))
+}
+
+#[test]
+fn a_takeover_over_a_small_link_ends_and_loses_nothing_meanwhile() {
+    let mut node = Node::take_over(small_link());
+    node.run_for(40_000);
+    let first_start_ms = node.first_start_ms.expect("a start");
+    assert!(first_start_ms < 2_000, "first start after {first_start_ms} ms");
+    let loaded_ms = node.loaded_ms.expect("all loaded");
+    // 4 MB take 16 s if nothing else is carried.
+    assert!(loaded_ms < 36_000, "all loaded after {loaded_ms} ms");
+    let lasting = u64::try_from(node.lasting()).unwrap();
+    assert_eq!(lasting, LASTING, "whose leases were renewed all the time");
+    assert!(
+        node.without_result * 50 <= node.sent,
+        "{} of {} orders gave no result",
+        node.without_result,
+        node.sent,
+    );
+}
