One node counts waiting jobs for all when the holder doesn't

Cause: when a holder falls behind, its counts grow old on every node at once, and each of 147 nodes read all open jobs, once a second each: on the large register some 300 MB a second from the store that the holder waits for. From then on its feed fell behind by a second a second.

A node that finds no fresh count takes a lock in the store, counts, and leaves the counts for a second; the others wait for them. A holder may be 2 s behind its feed and still count, instead of 1 s: 4 s at most for callers, of 5 s that jobs may be missing.

--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -77,6 +77,8 @@
     pub(super) reader: intent::Reader,
     pub(super) readiness: Readiness,
     pub(super) gate: StoreGate<K>,
+    /// The shortest lease that the store grants, in milliseconds.
+    pub(super) min_lease_ms: u64,
     pub(super) counts: tokio::sync::Mutex<CountsReader>,
     pub(super) log: Logger,
 }
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -40,6 +40,12 @@
 /// Each queue's waiting jobs.
 pub(super) const PENDING: &str = "pending";
 
+/// The lock under which one node counts waiting jobs for all.
+pub(super) const COUNTING: &str = "counting";
+
+/// What that node has counted.
+pub(super) const COUNTED: &str = "counted";
+
 /// What a key of the feed is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum FeedKey {
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -92,8 +92,8 @@
         }
     }
 
-    /// Takes over the holder's counts, or counts the stored jobs where the
-    /// holder's can't be believed.
+    /// Takes over the holder's counts, or those that one node makes for all
+    /// where the holder's can't be believed.
     async fn read_counts(
         &self,
         reader: &mut CountsReader,
@@ -113,13 +113,16 @@
             }
             Record::Unfit(reason) => reason,
         };
+        self.recount(reader, reason, deadline).await
+    }
+
+    /// Counts the stored jobs that wait.
+    pub(super) async fn count_open_jobs(
+        &self,
+        deadline: Instant,
+    ) -> Result<WaitingJobs, JobReply> {
         let open = self.open_jobs(deadline).await?;
-        let counts = count_waiting(&open, clock::unix_ms());
-        info!(self.log, "call: waiting jobs counted here";
-            "reason" => reason, "open" => open.len(),
-            "counts" => json(&counts));
-        reader.take_own(counts, clock::now_ms());
-        Ok(())
+        Ok(count_waiting(&open, clock::unix_ms()))
     }
 
     /// Lists a queue's jobs that aren't over.
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -21,6 +21,7 @@
 | `run/JOB` | how far the job has come | the holder |
 | `node/NODE` | how much a node can schedule | that node, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
+| `counting`, `counted` | a lock, and what its holder counted, under short leases | a node that finds no fresh `pending` |
 | `vm-orders` | the VMs of which changes were ordered of late | the holder |
 | `wave/N` | the VMs that a wave has maintained | the holder |
 
@@ -55,6 +56,7 @@
 mod progress;
 mod readiness;
 mod records;
+mod recount;
 mod rest;
 pub mod settings;
 mod takeover;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -107,6 +107,7 @@
                 platform.store.with_purpose(Purpose::Callers),
                 logs::part(&log, "front"),
             ),
+            min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             log: logs::part(&log, "front"),
         };
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -19,10 +19,10 @@
     slog::{info, warn},
 };
 
-/// How far behind the feed a holder may be and still count, in milliseconds:
-/// a few checks of the feed. With what readers allow, a count is then some 3 s
-/// old at most.
-const FEED_AGE_MS: u64 = 1_000;
+/// How far behind the feed a holder may be and still count, in milliseconds.
+/// With what readers allow, a count is then some 4 s old at most; jobs must be
+/// among those counted that were accepted 5 s ago.
+const FEED_AGE_MS: u64 = 2_000;
 
 /// How often keys of jobs that are over for long are deleted, in
 /// milliseconds.
--- /dev/null
+++ b/crates/dewspard/src/jobs/recount.rs
@@ -0,0 +1,154 @@
+/*!
+Counting waiting jobs where the holder doesn't: one node for all.
+
+A count reads every open job, a megabyte or more on a large fleet. When a holder
+falls behind, its counts grow old on every node at the same moment; if each
+counted for itself, a hundred nodes would read hundreds of megabytes a second
+from the store that the holder waits for, and it would fall behind further. So
+one node counts, under a lock in the store, and leaves its counts there for the
+others. Both go by themselves: the lock with a node that dies over it, the
+counts when they are too old to be told.
+*/
+
+use {
+    super::{
+        counts::{CountsReader, WaitingJobs},
+        front::{Front, RETRY_AFTER_MS},
+        holder::json,
+        keys,
+    },
+    crate::{clock, counters},
+    dewspar_platform::{
+        Batch, Commit, Error, Expected, JobProtocol, JobReply, KeyValue,
+        Purpose,
+    },
+    slog::info,
+    std::time::Duration,
+    tokio::time::{Instant, sleep, timeout_at},
+};
+
+/// How long a node may count for all, in milliseconds: a small link takes most
+/// of that for a megabyte and a half.
+const COUNTING_MS: u64 = 3_000;
+
+/// For how long a count is there for other nodes, in milliseconds, unless the
+/// store's shortest lease is longer: callers may be told counts that are 2 s
+/// old.
+const COUNTED_MS: u64 = 1_000;
+
+/// How often a node looks for the count that another one is making.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// How a node comes by counts.
+enum Counting {
+    /// Another node has left its counts.
+    Found(WaitingJobs),
+    /// This node is to count, under the lock at this version.
+    Mine(u64),
+    /// Another node is counting.
+    Others,
+}
+
+impl<K: KeyValue, P: JobProtocol> Front<K, P> {
+    /// Takes over the counts that some node makes for all, or makes them.
+    pub(super) async fn recount(
+        &self,
+        reader: &mut CountsReader,
+        reason: &'static str,
+        deadline: Instant,
+    ) -> Result<(), JobReply> {
+        loop {
+            let counting = timeout_at(deadline, self.counting()).await;
+            match counting {
+                Ok(Ok(Counting::Found(counts))) => {
+                    reader.take_record(counts, clock::now_ms());
+                    return Ok(());
+                }
+                Ok(Ok(Counting::Mine(lock))) => {
+                    info!(self.log, "call: counts waiting jobs for all";
+                        "reason" => reason, "lock" => lock);
+                    return self.count_for_all(reader, lock, deadline).await;
+                }
+                Ok(Ok(Counting::Others)) => {}
+                Ok(Err(error)) => counters::platform_failure(&error),
+                Err(_) => {}
+            }
+            if Instant::now() + LOOK >= deadline {
+                let retry_after_ms = RETRY_AFTER_MS;
+                return Err(JobReply::NotDone { retry_after_ms });
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    async fn counting(&self) -> Result<Counting, Error> {
+        let store = self.store.with_purpose(Purpose::Counts);
+        if let Some(found) = store.get(keys::COUNTED).await? {
+            match serde_json::from_slice(&found.value) {
+                Ok(counts) => return Ok(Counting::Found(counts)),
+                Err(error) => {
+                    info!(self.log, "call: stored value can't be read";
+                    "key" => keys::COUNTED, "error" => %error)
+                }
+            }
+        }
+        let lease = store.grant(COUNTING_MS).await?;
+        let lock = Batch::default()
+            .when(keys::COUNTING, Expected::Absent)
+            .put_leased(keys::COUNTING, Vec::new(), lease);
+        match store.commit(&lock).await? {
+            Commit::Done(version) => Ok(Counting::Mine(version)),
+            Commit::Conflict(_) => {
+                store.revoke(lease).await?;
+                Ok(Counting::Others)
+            }
+        }
+    }
+
+    /// Counts the stored jobs, and leaves the counts for other nodes.
+    async fn count_for_all(
+        &self,
+        reader: &mut CountsReader,
+        lock: u64,
+        deadline: Instant,
+    ) -> Result<(), JobReply> {
+        let counted = self.count_open_jobs(deadline).await;
+        let left = match &counted {
+            Ok(counts) => self.leave_counts(counts, lock).await,
+            // Another node may be luckier.
+            Err(_) => self.unlock().await,
+        };
+        if let Err(error) = left {
+            // The lock goes with its lease, and another node counts again.
+            counters::platform_failure(&error);
+        }
+        let counts = counted?;
+        info!(self.log, "call: waiting jobs counted here";
+            "lock" => lock, "counts" => json(&counts));
+        reader.take_own(counts, clock::now_ms());
+        Ok(())
+    }
+
+    /// Leaves counts for other nodes, unless that took so long that another
+    /// one counts by now.
+    async fn leave_counts(
+        &self,
+        counts: &WaitingJobs,
+        lock: u64,
+    ) -> Result<(), Error> {
+        let store = self.store.with_purpose(Purpose::Counts);
+        let lease = store.grant(COUNTED_MS.max(self.min_lease_ms)).await?;
+        // OK because texts and numbers can always be written.
+        let value = serde_json::to_vec(counts).expect("plain JSON");
+        let batch = Batch::default()
+            .when(keys::COUNTING, Expected::Version(lock))
+            .put_leased(keys::COUNTED, value, lease)
+            .delete(keys::COUNTING);
+        store.commit(&batch).await.map(drop)
+    }
+
+    async fn unlock(&self) -> Result<(), Error> {
+        let store = self.store.with_purpose(Purpose::Counts);
+        store.delete(keys::COUNTING).await
+    }
+}
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -432,6 +432,45 @@
     until(async || counted(3).await).await;
 }
 
+#[tokio::test]
+async fn one_node_counts_waiting_jobs_for_all_when_the_holder_does_not() {
+    let mut cluster = Cluster::start(0).await;
+    let owner = json!({ "node": "other", "incarnation": 1 }).to_string();
+    let owner = owner.as_bytes();
+    let written =
+        cluster.store.swap("q/owner", Expected::Any, owner, None).await;
+    written.expect("a store");
+    for number in 0..8 {
+        let node = cluster.node(&format!("node-{number}")).await;
+        cluster.nodes.push(node);
+    }
+    for number in 1..4 {
+        submitted(&cluster, 0, number).await;
+    }
+    let path = "/v1/queues/extracts";
+    let before = cluster.store.lists_of("run/");
+    // Each look of the store takes a while, so that all ask at once.
+    cluster.store_faults.set_delay_us(20_000);
+    let asked: Vec<_> = cluster
+        .nodes
+        .iter()
+        .map(JobNode::caller_address)
+        .map(|address| {
+            tokio::spawn(async move {
+                call(address, Method::GET, path, None).await
+            })
+        })
+        .collect();
+    for answer in asked {
+        let (status, body) = answer.await.expect("an answer");
+        assert_eq!(status, StatusCode::OK);
+        assert_eq!(body["pending"], 3);
+    }
+    let counts = cluster.store.lists_of("run/") - before;
+    // A second one if the first was over before the last node asked.
+    assert!(counts <= 2, "{counts} nodes counted");
+}
+
 #[tokio::test]
 async fn lists_the_jobs_of_a_queue_that_are_not_over() {
     let cluster = Cluster::start(2).await;
