Pause after readings by what they cost the node, not by how long they took

The cost is what the bytes of a reading take of the link and the processor; how long it took only keeps half of the time free.

--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -22,6 +22,7 @@
         holder::{self, Outcome},
         intent, keys,
         readiness::Readiness,
+        settings::Machine,
     },
     crate::{clock, counters},
     dewspar::schedule::{Options, Orderer},
@@ -106,6 +107,7 @@
     pub(super) store: K,
     /// What this node's calls cost, by purpose.
     pub(super) traffic: Traffic,
+    pub(super) machine: Machine,
     pub(super) workers: W,
     pub(super) fleet: F,
     pub(super) reader: intent::Reader,
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -9,10 +9,11 @@
         event::{Event, EventSender},
         keys,
         progress::{FeedEvent, load_feed, read_event},
+        settings::Machine,
     },
     crate::{clock, counters},
     dewspar::{poll::PollPace, schedule::WorkerId},
-    dewspar_platform::{Error, Fleet, KeyValue, Watch},
+    dewspar_platform::{Error, Fleet, KeyValue, Purpose, Traffic, Watch},
     slog::{Logger, info},
     std::{
         sync::atomic::{AtomicU64, Ordering},
@@ -23,9 +24,10 @@
 
 /// How often the directory of workers is read: it takes 300 bytes a worker,
 /// and new lives are looked up one by one meanwhile. What changes otherwise,
-/// such as that a worker drains, may be known some seconds later.
+/// such as that a worker drains, may be known so much later; from 2 s on the
+/// directory counts as not read for a while.
 const DIRECTORY_PACE: PollPace =
-    PollPace { least_ms: 250, most_ms: 2_500, share_percent: 5 };
+    PollPace { least_ms: 250, most_ms: 1_500, share_percent: 5 };
 
 /// How often the list of VMs is read: it takes 190 bytes a VM. What is
 /// ordered of VMs needs one that isn't older than 2 s.
@@ -47,10 +49,53 @@
 /// The pause after a call to the store that gave no result.
 const RETRY: Duration = Duration::from_millis(100);
 
+/// What a node's readings cost it.
+#[derive(Clone, Debug)]
+pub(super) struct ReadingCost {
+    pub(super) machine: Machine,
+    pub(super) traffic: Traffic,
+}
+
+impl ReadingCost {
+    /// Begins a reading whose calls count for this purpose.
+    fn begin(&self, purpose: Purpose) -> Reading<'_> {
+        let received = self.received(purpose);
+        Reading { cost: self, purpose, received, asked_ms: clock::now_ms() }
+    }
+
+    fn received(&self, purpose: Purpose) -> u64 {
+        self.traffic.tallies().of(purpose).received_bytes
+    }
+}
+
+/// A reading under way.
+struct Reading<'a> {
+    cost: &'a ReadingCost,
+    purpose: Purpose,
+    /// What was received for its purpose before.
+    received: u64,
+    asked_ms: u64,
+}
+
+impl Reading<'_> {
+    /// Pauses as long as its cost asks for.
+    async fn pause(self, pace: PollPace) {
+        let bytes = self.cost.received(self.purpose) - self.received;
+        let cost_ms = self.cost.machine.reading_ms(bytes);
+        let took_ms = clock::now_ms().saturating_sub(self.asked_ms);
+        sleep(Duration::from_millis(pace.pause_ms(cost_ms, took_ms))).await;
+    }
+}
+
 /// Reads the list of VMs again and again.
-pub(super) async fn read_vms<F: Fleet>(fleet: F, sender: EventSender) {
+pub(super) async fn read_vms<F: Fleet>(
+    fleet: F,
+    cost: ReadingCost,
+    sender: EventSender,
+) {
     loop {
-        let asked_ms = clock::now_ms();
+        let reading = cost.begin(Purpose::Vms);
+        let asked_ms = reading.asked_ms;
         match fleet.vms().await {
             Ok(vms) => {
                 let event = Event::Vms { asked_ms, vms };
@@ -60,16 +105,10 @@
             }
             Err(error) => counters::platform_failure(&error),
         }
-        pause(VM_PACE, asked_ms).await;
+        reading.pause(VM_PACE).await;
     }
 }
 
-/// Pauses after a reading that was asked for at this time.
-async fn pause(pace: PollPace, asked_ms: u64) {
-    let took_ms = clock::now_ms().saturating_sub(asked_ms);
-    sleep(Duration::from_millis(pace.pause_ms(took_ms))).await;
-}
-
 /// Reports every change of the feed, in the store's order.
 ///
 /// A watch that fails or falls silent is followed by another that goes on
@@ -234,9 +273,13 @@
 }
 
 /// Reads the directory of workers again and again.
-pub(super) async fn read_directory<F: Fleet>(fleet: F, sender: EventSender) {
+pub(super) async fn read_directory<F: Fleet>(
+    fleet: F,
+    cost: ReadingCost,
+    sender: EventSender,
+) {
     loop {
-        let asked_ms = clock::now_ms();
+        let reading = cost.begin(Purpose::Directory);
         match fleet.workers().await {
             Ok(listings) => {
                 let event = Event::Directory(listings);
@@ -246,7 +289,7 @@
             }
             Err(error) => counters::platform_failure(&error),
         }
-        pause(DIRECTORY_PACE, asked_ms).await;
+        reading.pause(DIRECTORY_PACE).await;
     }
 }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -21,7 +21,9 @@
         duties::{self, Burst},
         election::{Candidate, Held},
         event::{self, Event, EventSender, SentEvent},
-        feeds::{follow_feed, look_up, read_directory, read_vms, renew},
+        feeds::{
+            ReadingCost, follow_feed, look_up, read_directory, read_vms, renew,
+        },
         intake::FeedOrigin,
         load::Load,
         orders,
@@ -127,11 +129,16 @@
         candidate.log.clone(),
     ));
     tasks.spawn(renew(store(Purpose::Lease), held, sender.clone()));
-    tasks.spawn(read_directory(candidate.fleet.clone(), sender.clone()));
-    tasks.spawn(read_vms(candidate.fleet.clone(), sender.clone()));
+    let cost = ReadingCost {
+        machine: candidate.machine.clone(),
+        traffic: candidate.traffic.clone(),
+    };
+    let fleet = || candidate.fleet.clone();
+    tasks.spawn(read_directory(fleet(), cost.clone(), sender.clone()));
+    tasks.spawn(read_vms(fleet(), cost, sender.clone()));
     tasks.spawn(takeover::load(
         store(Purpose::Takeover),
-        candidate.fleet.clone(),
+        fleet(),
         sender.clone(),
         candidate.log.clone(),
     ));
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -118,6 +118,7 @@
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
             traffic: platform.traffic,
+            machine: settings.machine.clone(),
             workers: platform.workers,
             fleet: platform.fleet,
             reader,
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -82,6 +82,10 @@
 /// that, with room to spare.
 const LINK_MBPS_A_CPU_MILLI: f64 = 0.2;
 
+/// How many bytes of a list a thousandth of a core reads in a millisecond and
+/// takes in: 330 kB of 1,100 workers take half a core some 16 ms.
+const LIST_BYTES_A_CPU_MILLI_MS: f64 = 40.0;
+
 /// The slowest link that times are worked out for, in megabits a second: a
 /// setting of 0 means that nobody knows, and must not make a call wait for
 /// ever.
@@ -95,6 +99,14 @@
         self.cpu_millis.min(by_link).max(1.0) as u64
     }
 
+    /// Returns what it costs the VM to read so many bytes of lists, in
+    /// milliseconds: its link and then its processor are busy that long.
+    pub fn reading_ms(&self, bytes: u64) -> u64 {
+        let bytes_a_ms = LIST_BYTES_A_CPU_MILLI_MS * self.cpu_millis.max(1.0);
+        // OK to truncate: a part of a millisecond doesn't matter.
+        self.link_ms(bytes) + (bytes as f64 / bytes_a_ms) as u64
+    }
+
     /// Returns how long the link takes for so many bytes, in milliseconds.
     pub fn link_ms(&self, bytes: u64) -> u64 {
         // Megabits a second are as many thousand bits a millisecond.
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -151,7 +151,7 @@
             for slice in rest {
                 let took_ms =
                     load_slice(store, slice, sender, log, &mut loaded).await?;
-                let pause_ms = SLICE_PACE.pause_ms(took_ms);
+                let pause_ms = SLICE_PACE.pause_ms(took_ms, took_ms);
                 sleep(Duration::from_millis(pause_ms)).await;
             }
         }
