Try: refuse jobs that would wait too long for the node that schedules

Cause: on the small twins more comes than one holder's link can start; jobs are accepted that start tens of seconds later and serve nobody.

The holder writes how long new jobs of each priority would wait, from what waits and how fast tasks were started of late; nodes learn of it through a condition of the write that accepts a job, at no call more while there is no notice, and refuse what could only be done after three times its objective.

Waits of 20 to 36 s are told, because the rate of starts is read off seconds in which a reading of the directory holds the link.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -91,6 +91,7 @@
 */
 
 pub use self::{
+    backlog::ExpectedWaits,
     duty::{OrderedVms, Orderer, PastOrder},
     options::Options,
     order::{
@@ -113,6 +114,7 @@
 
 mod advice;
 mod answers;
+mod backlog;
 mod board;
 mod directory;
 mod duty;
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -411,7 +411,8 @@
             .when(keys::OWNER, Expected::Version(held.revision))
             .delete(keys::OWNER)
             .delete(keys::CLAIM)
-            .delete(keys::PENDING);
+            .delete(keys::PENDING)
+            .delete(keys::WAITS);
         if let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
         }
