--- a/crates/dewspar/src/job/id.rs
+++ b/crates/dewspar/src/job/id.rs
@@ -35,14 +35,6 @@
 #[serde(try_from = "String", into = "String")]
 pub struct JobId(u64);
 
-impl JobId {
-    /// Returns a number drawn for this job: its identifier, which its caller
-    /// has drawn at random.
-    pub fn draw(self) -> u64 {
-        self.0
-    }
-}
-
 impl FromStr for JobId {
     type Err = InvalidId;
 
--- a/crates/dewspar/src/job/spec.rs
+++ b/crates/dewspar/src/job/spec.rs
@@ -143,12 +143,6 @@
         own + next.unwrap_or(0)
     }
 
-    /// Returns the longest chain of estimates of the job, in milliseconds.
-    pub fn chain_ms(&self) -> u64 {
-        let steps = 0..self.steps.len();
-        steps.map(|step| self.estimate_from_ms(step)).max().unwrap_or(0)
-    }
-
     /// Checks that the job can be run at all.
     ///
     /// # Errors
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -65,7 +65,6 @@
 pub mod member;
 pub mod once;
 pub mod overload;
-pub mod patience;
 pub mod place;
 pub mod poll;
 pub mod pool;
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -146,7 +146,11 @@
     /// in milliseconds of the Unix epoch.
     pub(crate) fn objective_ms(&self, round: usize) -> u64 {
         let due = self.spec.due_ms(round as u32).max(self.accepted_at_ms);
-        due + self.terms.objective_ms(self.spec.chain_ms())
+        let chain = (0..self.spec.steps.len())
+            .map(|step| self.spec.estimate_from_ms(step))
+            .max()
+            .unwrap_or(0);
+        due + self.terms.objective_ms(chain)
     }
 
     /// Returns every task that is on a worker, with where it is.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -91,7 +91,6 @@
 */
 
 pub use self::{
-    backlog::ExpectedWaits,
     duty::{OrderedVms, Orderer, PastOrder},
     options::Options,
     order::{
@@ -114,7 +113,6 @@
 
 mod advice;
 mod answers;
-mod backlog;
 mod board;
 mod directory;
 mod duty;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -78,10 +78,8 @@
         // The more waits, the longer it takes to go through it: not for
         // nothing.
         if !self.may_start() {
-            self.start_rate.note(now.steady_ms, 0, self.has_waiting());
             return;
         }
-        let before = actions.len();
         let mut without_place = BTreeSet::new();
         let mut pools = Pools::default();
         for candidate in self.candidates(now) {
@@ -101,16 +99,6 @@
         for pool in without_place {
             self.without_place.entry(pool).or_insert(now.steady_ms);
         }
-        let starts = (actions.len() - before) as u64;
-        let bounded = !self.may_start() && self.has_waiting();
-        self.start_rate.note(now.steady_ms, starts, bounded);
-    }
-
-    /// Returns whether any task waits to be started.
-    fn has_waiting(&self) -> bool {
-        let mut steps =
-            self.jobs.values().flat_map(|j| j.rounds.iter().flatten());
-        steps.any(|step| !step.waiting.is_empty())
     }
 
     fn placing(&self) -> &Placing {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -6,7 +6,6 @@
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
             Orderer, PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
             advice::StepAdvice,
-            backlog::StartRate,
             board::Job,
             forecast::Arrivals,
             loading::Loading,
@@ -90,8 +89,6 @@
     pub(super) window: CallWindow,
     /// What this node's link carries of orders.
     pub(super) link: LinkBudget,
-    /// How fast tasks are started, and whether this node bounds that.
-    pub(super) start_rate: StartRate,
     /// When runs that go on were last looked at.
     pub(super) runs_looked_at_ms: u64,
 }
@@ -105,7 +102,6 @@
         Scheduler {
             window,
             link,
-            start_rate: StartRate::default(),
             runs_looked_at_ms: 0,
             options,
             lease_revision,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -411,8 +411,7 @@
             .when(keys::OWNER, Expected::Version(held.revision))
             .delete(keys::OWNER)
             .delete(keys::CLAIM)
-            .delete(keys::PENDING)
-            .delete(keys::WAITS);
+            .delete(keys::PENDING);
         if let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
         }
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -14,14 +14,16 @@
         gate::StoreGate,
         intent, keys,
         readiness::Readiness,
-        submit::LastNotice,
     },
-    crate::counters,
+    crate::{clock, counters},
     bytes::Bytes,
-    dewspar::job::{JobId, QueueSet},
+    dewspar::{
+        job::{JobId, JobSpec, QueueSet},
+        schedule::AcceptedJob,
+    },
     dewspar_platform::{
-        Batch, Commit, Error, JobCall, JobOperation, JobProtocol, JobReply,
-        KeyValue, Versioned,
+        Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
+        JobReply, KeyValue,
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -77,8 +79,6 @@
     pub(super) gate: StoreGate<K>,
     /// The shortest lease that the store grants, in milliseconds.
     pub(super) min_lease_ms: u64,
-    /// How long new jobs would wait, as the holder last said.
-    pub(super) notice: LastNotice,
     pub(super) counts: tokio::sync::Mutex<CountsReader>,
     pub(super) log: Logger,
 }
@@ -253,6 +253,45 @@
         }
     }
 
+    async fn submit(
+        &self,
+        queues: &QueueSet,
+        id: JobId,
+        spec: &JobSpec,
+        deadline: Instant,
+    ) -> JobReply {
+        if !self.readiness.is_current() {
+            counters::count_by(counters::REFUSALS, "reason", "stale_config");
+            return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+        }
+        let terms = queues.named(&spec.queue).map(|q| q.terms.clone());
+        let job = AcceptedJob {
+            spec: spec.clone(),
+            terms: terms.unwrap_or_default(),
+            accepted_at_ms: clock::unix_ms(),
+        };
+        // OK because a job holds only what JSON can write.
+        let value = serde_json::to_vec(&job).expect("plain JSON");
+        let batch = Batch::default()
+            .when(&keys::accepted(id), Expected::Absent)
+            .when(&keys::progress(id), Expected::Absent)
+            .put(&keys::accepted(id), value)
+            .put(keys::ACCEPTED_LAST, Vec::new());
+        if self.gate.admit(deadline).await.is_err() {
+            counters::count_by(counters::REFUSALS, "reason", "store_out");
+            return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+        }
+        match self.write(&batch, deadline).await {
+            // It is there already, be it from this call's first try.
+            Written::Done | Written::Conflict => JobReply::Accepted,
+            Written::NotDone => {
+                counters::count_by(counters::REFUSALS, "reason", "store");
+                JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+            }
+            Written::Unknown => JobReply::Unknown,
+        }
+    }
+
     async fn cancel(&self, id: JobId, deadline: Instant) -> JobReply {
         match self.phase(id, deadline).await {
             Err(reply) => reply,
@@ -262,9 +301,7 @@
                 let batch =
                     Batch::default().put(&keys::cancelled(id), Vec::new());
                 match self.write(&batch, deadline).await {
-                    Written::Done | Written::Conflict { .. } => {
-                        JobReply::Cancelled
-                    }
+                    Written::Done | Written::Conflict => JobReply::Cancelled,
                     Written::NotDone => {
                         JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
                     }
@@ -284,11 +321,7 @@
 
     /// Writes, again if need be: until the deadline once it may have been
     /// done, and only a few times while it certainly was not.
-    pub(super) async fn write(
-        &self,
-        batch: &Batch,
-        deadline: Instant,
-    ) -> Written {
+    async fn write(&self, batch: &Batch, deadline: Instant) -> Written {
         let mut maybe_done = false;
         let mut retries = 0;
         let mut backoff = Backoff::default();
@@ -299,9 +332,7 @@
                     sent.answered();
                     return match commit {
                         Commit::Done(_) => Written::Done,
-                        Commit::Conflict(current) => {
-                            Written::Conflict { current, maybe_done }
-                        }
+                        Commit::Conflict(_) => Written::Conflict,
                     };
                 }
                 Ok(Err(error)) => {
@@ -330,15 +361,9 @@
 }
 
 /// What became of a write.
-pub(super) enum Written {
+enum Written {
     Done,
-    /// A condition didn't hold.
-    Conflict {
-        /// What there is of the keys in the conditions.
-        current: Vec<Versioned>,
-        /// Whether an earlier try may have been done, or may still be.
-        maybe_done: bool,
-    },
+    Conflict,
     NotDone,
     Unknown,
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -168,8 +168,6 @@
         waves: BTreeMap::new(),
         completed: Vec::new(),
         expired_ms: clock::now_ms(),
-        waits_ms: 0,
-        waits_written: false,
     };
     holder.run(events).await
 }
@@ -206,10 +204,6 @@
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
     pub(super) expired_ms: u64,
-    /// When it was last looked how long new jobs would wait.
-    pub(super) waits_ms: u64,
-    /// Whether that may be in the store.
-    pub(super) waits_written: bool,
 }
 
 /// Waits until the node is told to stop.
@@ -410,7 +404,6 @@
         }
         self.store_changes(now);
         self.write_counts(now);
-        self.write_waits(now);
         self.order_vms(now);
         self.delete_expired(now);
         let window = self.scheduler.window();
@@ -505,7 +498,6 @@
             record: duties::ordered_batch(self.held.revision, &vms),
         };
         let Candidate { store, fleet, log, .. } = self.candidate;
-        let store = store.with_purpose(Purpose::Vms);
-        duties::send(&store, fleet, burst, &self.sender, log);
+        duties::send(store, fleet, burst, &self.sender, log);
     }
 }
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -40,10 +40,6 @@
 /// Each queue's waiting jobs.
 pub(super) const PENDING: &str = "pending";
 
-/// How long new jobs would wait because the holder can't start more; there
-/// only while they would.
-pub(super) const WAITS: &str = "waits";
-
 /// The lock under which one node counts waiting jobs for all.
 pub(super) const COUNTING: &str = "counting";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -22,7 +22,6 @@
 | `node/NODE` | how much a node can schedule | that node, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and what its holder counted, under short leases | a node that finds no fresh `pending` |
-| `waits` | how long new jobs would wait for the holder, while they would | the holder |
 | `vm-orders` | the VMs of which changes were ordered of late | the holder |
 | `wave/N` | the VMs that a wave has maintained | the holder |
 
@@ -60,5 +59,4 @@
 mod recount;
 mod rest;
 pub mod settings;
-mod submit;
 mod takeover;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -11,7 +11,6 @@
         holder, intent,
         readiness::{self, Readiness},
         settings::JobSettings,
-        submit::LastNotice,
     },
     crate::{clock, logs},
     dewspar::{link::LinkLimits, schedule::Options},
@@ -109,7 +108,6 @@
                 logs::part(&log, "front"),
             ),
             min_lease_ms: timing.min_store_lease_ms,
-            notice: LastNotice::default(),
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             log: logs::part(&log, "front"),
         };
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -24,13 +24,6 @@
 /// among those counted that were accepted 5 s ago.
 const FEED_AGE_MS: u64 = 2_000;
 
-/// How often expected waits are written, in milliseconds.
-const WAITS_INTERVAL_MS: u64 = 500;
-
-/// From which wait on it is worth telling, in milliseconds: shorter ones keep
-/// hardly any job from being in time.
-const LONG_WAIT_MS: u64 = 1_000;
-
 /// How often keys of jobs that are over for long are deleted, in
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
@@ -79,32 +72,6 @@
         });
     }
 
-    /// Writes how long new jobs would wait for this node while that is long,
-    /// and takes it back once it isn't any more.
-    pub(super) fn write_waits(&mut self, now: Now) {
-        if now.steady_ms < self.waits_ms + WAITS_INTERVAL_MS {
-            return;
-        }
-        self.waits_ms = now.steady_ms;
-        let waits = self.scheduler.expected_waits(now);
-        let waits = waits.filter(|waits| waits.longest() >= LONG_WAIT_MS);
-        let batch = Batch::default()
-            .when(keys::OWNER, Expected::Version(self.held.revision));
-        let batch = match &waits {
-            Some(waits) => {
-                info!(self.candidate.log, "holder: new jobs would wait";
-                    "wait_ms" => json(waits));
-                // OK because numbers can always be written.
-                let value = serde_json::to_vec(waits).expect("plain JSON");
-                batch.put_leased(keys::WAITS, value, self.held.lease)
-            }
-            None if self.waits_written => batch.delete(keys::WAITS),
-            None => return,
-        };
-        self.waits_written = waits.is_some();
-        self.write(batch, "expected waits");
-    }
-
     pub(super) fn delete_expired(&mut self, now: Now) {
         if now.steady_ms < self.expired_ms + EXPIRY_INTERVAL_MS {
             return;
