--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -61,6 +61,10 @@
 /// of jobs that are over are written at once.
 const GATHER_MS: u64 = 20;
 
+/// The same while work waits for this node's link: a job's record is written
+/// again with each change, so fewer writes carry the same.
+const SHORT_LINK_GATHER_MS: u64 = 150;
+
 /// How often orders to the VM service are planned, in milliseconds: a quarter
 /// of the interval at which pools' sizes are looked at. Doing so with each plan
 /// of tasks took a busy holder as long as the tasks did.
@@ -439,7 +443,9 @@
     }
 
     fn store_changes(&mut self, now: Now) {
-        let gathered = now.steady_ms >= self.stored_ms + GATHER_MS;
+        let short = self.scheduler.link().is_short(now.steady_ms);
+        let gather_ms = if short { SHORT_LINK_GATHER_MS } else { GATHER_MS };
+        let gathered = now.steady_ms >= self.stored_ms + gather_ms;
         while self.writes < MAX_WRITES
             && (self.scheduler.has_final_changes()
                 || gathered && self.scheduler.has_changes())
