Tell a feed that is behind from one that is silent

Cause: a holder reported its feed as current only if a look at the newest accepted job found it told already. While jobs come all the time there is always one more, so on the large register the feed counted as up to 5 s behind although jobs were taken in after 0.1 to 0.6 s at p95; its counts were withheld, and all nodes counted. And a watch whose answer a busy holder heard late was taken for silent and asked again, up to reading the whole feed.

A feed that reaches the version looked for is current as of the look. One that hasn't, but has told something since the look, is behind, and only listened to.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -58,6 +58,7 @@
 pub mod budget;
 pub mod chart;
 pub mod config;
+pub mod feed;
 pub mod fleet;
 pub mod history;
 pub mod job;
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -12,11 +12,15 @@
         settings::Machine,
     },
     crate::{clock, counters},
-    dewspar::{poll::PollPace, schedule::WorkerId},
+    dewspar::{
+        feed::{FeedProgress, FeedState},
+        poll::PollPace,
+        schedule::WorkerId,
+    },
     dewspar_platform::{Error, Fleet, KeyValue, Purpose, Traffic, Watch},
     slog::{Logger, info},
     std::{
-        sync::atomic::{AtomicU64, Ordering},
+        sync::{Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
     tokio::time::sleep,
@@ -120,22 +124,20 @@
     sender: EventSender,
     log: Logger,
 ) {
-    // Up to where the feed was heard; one task writes it.
-    let version = AtomicU64::new(version);
+    let heard = Heard::new(version);
     let mut silent_at = None;
     loop {
         let next = tokio::select! {
-            error = watch_feed(&store, &version, &sender, &log) => {
+            error = watch_feed(&store, &heard, &sender, &log) => {
                 counters::platform_failure(&error);
                 info!(log, "holder: feed interrupted";
-                    "version" => version.load(Ordering::Relaxed),
-                    "error" => %error);
+                    "version" => heard.version(), "error" => %error);
                 sleep(RETRY).await;
                 after_failure(&error)
             }
-            newest = silence(&store, &version, &sender) => {
+            newest = silence(&store, &heard, &sender) => {
                 counters::count(counters::SILENT_FEEDS);
-                let version = version.load(Ordering::Relaxed);
+                let version = heard.version();
                 info!(log, "holder: feed silent";
                     "version" => version, "newest" => newest);
                 let was_silent_at = silent_at.replace(version);
@@ -149,7 +151,7 @@
         loop {
             match load_feed(&store, &log).await {
                 Ok((read_at, feed)) => {
-                    version.store(read_at, Ordering::Relaxed);
+                    heard.note(read_at);
                     if sender.send(Event::Feed(feed)).await.is_err() {
                         return;
                     }
@@ -189,11 +191,11 @@
 }
 
 /// Returns once the store has accepted a job of which the feed doesn't tell,
-/// with the version at which it did; until then it reports that the feed is
+/// with the version at which it did; until then it reports when the feed was
 /// current.
 async fn silence<K: KeyValue>(
     store: &K,
-    version: &AtomicU64,
+    heard: &Heard,
     sender: &EventSender,
 ) -> u64 {
     loop {
@@ -206,26 +208,57 @@
                 continue;
             }
         };
-        if newest <= version.load(Ordering::Relaxed) {
-            // Behind what the feed has told, in the same channel. A holder
-            // that is gone ends this task.
-            let _ = sender.send(Event::FeedCurrent { asked_ms }).await;
-            continue;
+        if newest > heard.version() {
+            sleep(SILENCE_GRACE).await;
         }
-        sleep(SILENCE_GRACE).await;
-        if newest > version.load(Ordering::Relaxed) {
-            return newest;
+        match heard.judge(newest, asked_ms) {
+            FeedState::Current => {
+                // Behind what the feed has told, in the same channel. A holder
+                // that is gone ends this task.
+                let _ = sender.send(Event::FeedCurrent { asked_ms }).await;
+            }
+            FeedState::Behind => {}
+            FeedState::Silent => return newest,
         }
     }
 }
 
+/// Up to where and when the feed was heard; the tasks that watch it and look
+/// for silence share it.
+#[derive(Debug)]
+struct Heard(Mutex<FeedProgress>);
+
+impl Heard {
+    fn new(version: u64) -> Heard {
+        let progress = FeedProgress::new(version, clock::now_ms());
+        Heard(Mutex::new(progress))
+    }
+
+    fn progress(&self) -> MutexGuard<'_, FeedProgress> {
+        // OK after a panic: each change of it is whole.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn version(&self) -> u64 {
+        self.progress().version()
+    }
+
+    fn note(&self, version: u64) {
+        self.progress().heard(version, clock::now_ms());
+    }
+
+    fn judge(&self, newest: u64, asked_ms: u64) -> FeedState {
+        self.progress().judge(newest, asked_ms)
+    }
+}
+
 async fn watch_feed<K: KeyValue>(
     store: &K,
-    version: &AtomicU64,
+    heard: &Heard,
     sender: &EventSender,
     log: &Logger,
 ) -> Error {
-    let from = version.load(Ordering::Relaxed);
+    let from = heard.version();
     let mut watch = match store.watch(keys::FEED, from).await {
         Ok(watch) => watch,
         Err(error) => return error,
@@ -235,7 +268,7 @@
             Ok(batch) => batch,
             Err(error) => return error,
         };
-        version.fetch_max(batch.version, Ordering::Relaxed);
+        heard.note(batch.version);
         let feed: Vec<FeedEvent> = batch
             .events
             .iter()
