Note the feed as heard once it is on its way; the holder's outcome apart

Cause: found on reading the change again: a look for silence could report the feed as current in the holder's channel before what it had just told.

--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -19,9 +19,7 @@
 
 use {
     super::{
-        holder::{self, Outcome},
-        intent, keys,
-        readiness::Readiness,
+        holder, intent, keys, outcome::Outcome, readiness::Readiness,
         settings::Machine,
     },
     crate::{clock, counters},
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -151,10 +151,10 @@
         loop {
             match load_feed(&store, &log).await {
                 Ok((read_at, feed)) => {
-                    heard.note(read_at);
                     if sender.send(Event::Feed(feed)).await.is_err() {
                         return;
                     }
+                    heard.note(read_at);
                     break;
                 }
                 Err(error) => counters::platform_failure(&error),
@@ -268,7 +268,6 @@
             Ok(batch) => batch,
             Err(error) => return error,
         };
-        heard.note(batch.version);
         let feed: Vec<FeedEvent> = batch
             .events
             .iter()
@@ -278,6 +277,9 @@
             // A holder that is gone ends this task.
             let _ = sender.send(Event::Feed(feed)).await;
         }
+        // Not before it is on its way: who finds the feed current says so in
+        // the same channel.
+        heard.note(batch.version);
     }
 }
 
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -27,6 +27,7 @@
         intake::FeedOrigin,
         load::Load,
         orders,
+        outcome::Outcome,
         progress::{self, JOBS_A_WRITE, Stored, batch_of},
         takeover::{self, LoadedDuties},
     },
@@ -89,34 +90,6 @@
 /// How long a holder goes on that can't reach the store, in milliseconds.
 pub(super) const DETACHED_MS: u64 = 8_000;
 
-/// Why a node no longer schedules.
-#[derive(Clone, Copy, Debug)]
-pub(super) enum Outcome {
-    /// Another node does, or may.
-    Lost(&'static str),
-    /// A stronger node asks for the lease.
-    Yielding,
-    /// The node can't keep up.
-    Overloaded,
-    /// No later token is left under this lease for some worker.
-    OutOfTokens,
-    /// The node stops.
-    Stopping,
-}
-
-impl Outcome {
-    /// Returns whether the node gives up a lease that it holds.
-    fn still_holds(self) -> bool {
-        match self {
-            Outcome::Lost(_) => false,
-            Outcome::Yielding
-            | Outcome::Overloaded
-            | Outcome::OutOfTokens
-            | Outcome::Stopping => true,
-        }
-    }
-}
-
 /// Schedules until the lease is lost or the node stops.
 pub(super) async fn run<K: KeyValue, W: JobWorkers, F: Fleet>(
     candidate: &Candidate<K, W, F>,
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -53,6 +53,7 @@
 mod lookup;
 mod node;
 mod orders;
+mod outcome;
 mod progress;
 mod readiness;
 mod records;
--- /dev/null
+++ b/crates/dewspard/src/jobs/outcome.rs
@@ -0,0 +1,31 @@
+/*!
+How a node's time as the holder of the scheduler lease ends.
+*/
+
+/// Why a node no longer schedules.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Outcome {
+    /// Another node does, or may.
+    Lost(&'static str),
+    /// A stronger node asks for the lease.
+    Yielding,
+    /// The node can't keep up.
+    Overloaded,
+    /// No later token is left under this lease for some worker.
+    OutOfTokens,
+    /// The node stops.
+    Stopping,
+}
+
+impl Outcome {
+    /// Returns whether the node gives up a lease that it holds.
+    pub(super) fn still_holds(self) -> bool {
+        match self {
+            Outcome::Lost(_) => false,
+            Outcome::Yielding
+            | Outcome::Overloaded
+            | Outcome::OutOfTokens
+            | Outcome::Stopping => true,
+        }
+    }
+}
