Lower the link's rate only while it is used up

Cause: on a node that is short of processor all calls are slow; the rate fell to a tenth although the link had room, and the node was left idle.

Test: a thousand slow calls within a budget that isn't used up leave the rate alone.

--- a/crates/dewspar/src/link.rs
+++ b/crates/dewspar/src/link.rs
@@ -20,9 +20,9 @@
 | [`Class::Start`] | from the rest | |
 
 What one share leaves unused flows to the other, so none is idle while the
-other waits. The rate itself falls when calls turn slow or get no answer though
-they were sent within it, because the link carries less than was said or other
-work takes it, and rises again while they are fast.
+other waits. The rate itself falls when calls turn slow or get no answer while
+it is used up, because the link carries less than was said or other work takes
+it, and rises again while they are fast.
 
 # Example
 
@@ -225,8 +225,12 @@
     /// the rate could still fall: orders are then slow because there are many
     /// of them, and on no other node of the kind would they be faster.
     pub fn is_short(&self, now_ms: u64) -> bool {
-        let waited = now_ms < self.spent_ms + SHORT_MS;
-        waited && self.rate > self.least_rate()
+        self.has_waited(now_ms) && self.rate > self.least_rate()
+    }
+
+    /// Returns whether a share was used up a short while ago.
+    fn has_waited(&self, now_ms: u64) -> bool {
+        now_ms < self.spent_ms + SHORT_MS
     }
 
     fn least_rate(&self) -> u64 {
@@ -256,6 +260,9 @@
             return;
         }
         let percent = match std::mem::take(&mut self.tally).speed() {
+            // Slow calls on a link that isn't full are the processor's doing
+            // or the workers', and sending less leaves them as slow.
+            Speed::Slow if !self.has_waited(now_ms) => return,
             Speed::Slow => {
                 self.fell_ms = now_ms;
                 SLOWER_PERCENT
--- a/crates/dewspar/tests/link.rs
+++ b/crates/dewspar/tests/link.rs
@@ -26,6 +26,27 @@
     sent
 }
 
+/// Sends more than the budget has.
+fn use_up(budget: &mut LinkBudget, now_ms: u64) {
+    budget.refill(now_ms);
+    budget.sent(Class::Start, 1_000_000);
+}
+
+#[test]
+fn a_slow_node_with_a_link_to_spare_sends_no_less() {
+    let window = WindowLimits::default();
+    let mut budget = LinkBudget::new(LinkLimits::of_link(20.0));
+    let full = budget.rate();
+    for call in 0..1_000 {
+        let now_ms = 1_000 + call * 10;
+        budget.refill(now_ms);
+        budget.sent(Class::Start, START);
+        let end = CallEnd::Answered { took_ms: 400 };
+        budget.ended(now_ms - 400, now_ms, end, &window);
+    }
+    assert_eq!(budget.rate(), full);
+}
+
 #[test]
 fn neither_starts_nor_questions_starve_the_other() {
     let mut budget = LinkBudget::new(LinkLimits::of_link(2.0));
@@ -60,6 +81,7 @@
     let window = WindowLimits::default();
     let mut budget = LinkBudget::new(LinkLimits::of_link(2.0));
     let full = budget.rate();
+    use_up(&mut budget, 1_000);
     // 200 calls that all met the same reading of the directory.
     for _ in 0..200 {
         budget.ended(1_000, 1_300, CallEnd::Unanswered, &window);
@@ -81,12 +103,12 @@
     let mut now_ms = 1_000;
     for _ in 0..1_000 {
         now_ms += 100;
+        use_up(&mut budget, now_ms);
         let end = CallEnd::Answered { took_ms: 400 };
         budget.ended(now_ms - 50, now_ms, end, &window);
     }
     assert_eq!(budget.rate(), full / 100 * limits.least_percent);
-    budget.refill(now_ms);
-    budget.sent(Class::Start, 1_000_000);
+    use_up(&mut budget, now_ms);
     assert!(!budget.is_short(now_ms), "nothing is left to be lowered");
     for _ in 0..1_000 {
         now_ms += 100;
@@ -94,8 +116,7 @@
         budget.ended(now_ms - 3, now_ms, end, &window);
     }
     assert_eq!(budget.rate(), full);
-    budget.refill(now_ms);
-    budget.sent(Class::Start, 1_000_000);
+    use_up(&mut budget, now_ms);
     assert!(budget.is_short(now_ms), "work waits");
     assert!(!budget.is_short(now_ms + 2_000));
 }
