--- a/crates/dewspar-platform/src/traffic.rs
+++ b/crates/dewspar-platform/src/traffic.rs
@@ -15,12 +15,12 @@
 use dewspar_platform::{Purpose, Traffic};
 
 let traffic = Traffic::default();
-traffic.note(Purpose::Starts, 700, 120);
+traffic.note(Purpose::Orders, 700, 120);
 let before = traffic.tallies();
-traffic.note(Purpose::Starts, 700, 120);
+traffic.note(Purpose::Orders, 700, 120);
 let since = traffic.tallies().since(&before);
-assert_eq!(since.of(Purpose::Starts).calls, 1);
-assert_eq!(since.of(Purpose::Starts).sent_bytes, 700);
+assert_eq!(since.of(Purpose::Orders).calls, 1);
+assert_eq!(since.of(Purpose::Orders).sent_bytes, 700);
 assert_eq!(since.total().received_bytes, 120);
 ```
 */
