Order nothing of VMs before workers with unknown runs are asked again

A new holder had heard a worker's runs while their jobs weren't loaded; right after loading, before the worker was asked again, it looked empty, and 0.39 s later its VM was emptied for maintenance with lasting tasks on it: they were found running 0.11 s after that.

VMs now wait until every worker that answers has named its runs since loading, and a worker with unknown runs is never taken for empty. The test failed first: the VM of such a worker is maintained.

--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -16,7 +16,8 @@
 - A cancellation of an unknown job is kept until the job is known.
 - Nothing is ordered of VMs, since what the pools need isn't known.
 
-Once everything is loaded, the workers with unknown runs are asked again.
+Once everything is loaded, the workers with unknown runs are asked again; VMs
+wait for their answers as well.
 
 # Example
 
@@ -79,6 +80,16 @@
         }
     }
 
+    /// Returns whether all jobs are loaded and every worker that answers has
+    /// named its runs since. Before that a worker with lasting tasks may look
+    /// empty, and its VM as one that may go.
+    pub(super) fn knows_what_runs(&self) -> bool {
+        let unknown = self.workers.values().any(|worker| {
+            worker.has_unknown_runs() && worker.silent_since_ms.is_none()
+        });
+        !self.is_loading() && !unknown
+    }
+
     /// Keeps a cancellation for when its job is known; returns whether it has
     /// to be.
     pub(super) fn keep_cancellation(&mut self, id: JobId) -> bool {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -404,7 +404,7 @@
     /// Returns whether nothing runs on it, nothing may start any more, and
     /// it was told that its ends are stored.
     pub(crate) fn is_settled(&self) -> bool {
-        self.runs.is_empty()
+        !self.is_occupied()
             && !self.fencing
             && self.acknowledged >= self.seen_end
     }
--- a/crates/dewspar/tests/schedule/loading.rs
+++ b/crates/dewspar/tests/schedule/loading.rs
@@ -7,9 +7,10 @@
     },
     dewspar::{
         job::Phase,
-        schedule::{VmOrder, WorkerId},
+        schedule::{Decision, VmOrder, WaveRequest, WorkerId},
     },
     dewspar_standin::task_worker::Fate,
+    std::collections::BTreeMap,
 };
 
 /// What the tasks of job 1 do.
@@ -134,6 +135,38 @@
     assert!(!orders.is_empty(), "idle VMs are switched off");
 }
 
+#[test]
+fn no_vm_is_maintained_whose_runs_were_not_asked_again_after_loading() {
+    let names = ["w1", "w2", "w3"];
+    let mut world = world_with_a_running_job(&names, Fate::endless());
+    // Long enough for a takeover to be settled.
+    world.run_for(5_000);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 5, None);
+    world.scheduler.finish_loading(at(world.now_ms));
+    let wave = WaveRequest {
+        wave: 1,
+        vms: world.listings.iter().map(|l| l.vm.clone()).collect(),
+        duration_ms: 26_000,
+        max_down: 3,
+    };
+    let now = at(world.now_ms);
+    let known = BTreeMap::new();
+    world.scheduler.request_waves(now, &[wave], &known, &[]);
+    let vms: Vec<_> = world.listings.iter().map(managed).collect();
+    for _ in 0..5 {
+        world.scheduler.list_vms(now, now.steady_ms, &vms);
+        let orders = world.scheduler.plan_vms(now);
+        let maintained =
+            orders.iter().any(|o| matches!(o, VmOrder::Maintain { .. }));
+        assert!(!maintained, "{orders:?}");
+    }
+    let decisions = world.scheduler.take_decisions();
+    let emptied = decisions
+        .iter()
+        .any(|decision| matches!(decision, Decision::Emptying { .. }));
+    assert!(!emptied, "nothing is known of what it runs");
+}
+
 fn vm_orders_after_a_job(world: &mut World, number: u64) -> Vec<VmOrder> {
     let revision = 10 + number;
     world.scheduler.submit(id(number), job(vec![step(1)]), revision, None);
