Tell of each lost run how old it was and what stood beside it

Cause: the logs of the incident couldn't say which of ten runs lost together was the one that crashed its worker, since neither the age of a run at its worker's last answer nor its company was on record. `task: run lost` has both now. No decision is changed.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -94,6 +94,8 @@
             run,
             worker: worker.clone(),
             reason: "the order had no effect",
+            age_ms: 0,
+            beside: 0,
         });
     }
 
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -173,13 +173,17 @@
     ) {
         let Some(mut worker) = self.workers.remove(id) else { return };
         self.ended_lives.insert(id.clone());
+        let answered_ms = worker.reported_ms();
         let runs = std::mem::take(&mut worker.runs);
+        let beside = runs.len().saturating_sub(1);
         for (task, run) in runs {
             self.note(Decision::Lost {
                 task,
                 run: run.run,
                 worker: id.clone(),
                 reason,
+                age_ms: run.age_ms(answered_ms),
+                beside,
             });
             self.free_task(&task, id, run.has_begun(), now);
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -333,6 +333,11 @@
         worker: WorkerId,
         /// How that is known.
         reason: &'static str,
+        /// How old it was when its worker last answered, in milliseconds; 0
+        /// if it isn't known to have begun.
+        age_ms: u64,
+        /// How many other runs its worker had, of all jobs.
+        beside: usize,
     },
     /// An order got no result.
     OrderFailed {
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -358,7 +358,8 @@
         let Some(worker) = self.workers.get(worker_id) else { return };
         let listed: BTreeMap<TaskId, u64> =
             report.active.iter().map(|a| (a.task, a.run)).collect();
-        let missing: Vec<(TaskId, u64)> = worker
+        let beside = worker.runs.len().saturating_sub(1);
+        let missing: Vec<(TaskId, u64, u64)> = worker
             .runs
             .iter()
             .filter(|(task, run)| {
@@ -371,14 +372,18 @@
                 };
                 settled && listed.get(*task) != Some(&run.run)
             })
-            .map(|(task, run)| (*task, run.run))
+            .map(|(task, run)| {
+                (*task, run.run, run.age_ms(worker.reported_ms()))
+            })
             .collect();
-        for (task, run) in missing {
+        for (task, run, age_ms) in missing {
             self.note(Decision::Lost {
                 task,
                 run,
                 worker: worker_id.clone(),
                 reason: "the worker doesn't list it",
+                age_ms,
+                beside,
             });
             self.free_run(&task, worker_id, now);
         }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -115,6 +115,12 @@
         }
     }
 
+    /// Returns how old it was at this time, in milliseconds; 0 unless it is
+    /// known to have begun.
+    pub(crate) fn age_ms(&self, at_ms: u64) -> u64 {
+        if self.has_begun() { at_ms.saturating_sub(self.since_ms) } else { 0 }
+    }
+
     pub(crate) fn stop(&mut self) {
         if !self.is_stopping() {
             let begun = self.has_begun();
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -38,10 +38,10 @@
                 "reason" => reason);
             counters::count_by(counters::TASK_STOPS, "reason", reason);
         }
-        Decision::Lost { task, run, worker, reason } => {
+        Decision::Lost { task, run, worker, reason, age_ms, beside } => {
             warn!(log, "task: run lost"; "job" => %task.job,
                 "task" => %task, "run" => run, "worker" => %worker,
-                "reason" => reason);
+                "reason" => reason, "age_ms" => age_ms, "beside" => beside);
             counters::count_by(counters::TASK_ENDS, "cause", "lost");
         }
         Decision::OrderFailed { worker, task, reason } => {
