Tests: a task that crashes its workers is started without a limit

The stand-in world gains tasks that crash their workers, workers that come back, and a store out of reach.

--- /dev/null
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -0,0 +1,131 @@
+//! A task may crash each worker that starts it. A crash lists no end, so the
+//! task had no failed run, waited again as if it had never been started, and
+//! crashed one worker after the other, without a limit: 67 runs of one task in
+//! 91 seconds. Whatever else stood on those workers went down with it and was
+//! started again beside it, so that a sound task was lost six times in a row.
+//! The holder stayed the same and each start came after the loss before:
+//!
+//! ```text
+//! 42.278 task: start ordered  run=10 worker=A
+//! 42.290 worker: order gave no result  worker=A reason=unknown
+//! 42.626 task: run lost  run=10 worker=A reason="the VM service says that it ended"
+//! 42.653 task: start ordered  run=11 worker=B
+//! ```
+
+use {
+    crate::world::{World, id, job, step},
+    dewspar::{
+        job::{JobId, TaskId},
+        schedule::Decision,
+    },
+    dewspar_standin::task_worker::Fate,
+};
+
+/// The most starts that a task may get of which each crashes its worker: three
+/// that show what it does, and fewer than three more.
+const MOST_STARTS: usize = 5;
+
+fn first_task(job: JobId) -> TaskId {
+    TaskId { job, round: 0, step: 0, index: 0 }
+}
+
+fn starts_of(world: &World, task: &TaskId) -> usize {
+    world.starts.iter().filter(|(_, order)| order.task == *task).count()
+}
+
+fn losses_of(decisions: &[Decision], job: JobId) -> usize {
+    let lost = |decision: &&Decision| matches!(decision, Decision::Lost { task, .. } if task.job == job);
+    decisions.iter().filter(lost).count()
+}
+
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(60_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+}
+
+#[test]
+fn sound_work_beside_it_is_neither_given_up_nor_lost_again_and_again() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+    let mut world = World::new(5, &names);
+    world.list();
+    world.fate = Fate::done(800);
+    // Two bad jobs among forty.
+    for number in 1..=40 {
+        if number % 20 == 3 {
+            world.crashing.push(first_task(id(number)));
+        }
+        world.scheduler.submit(id(number), job(vec![step(2)]), 6, None);
+    }
+    world.run_for(60_000);
+    let decisions = world.scheduler.take_decisions();
+    for number in 1..=40 {
+        let bad = number % 20 == 3;
+        let expected = if bad { "failed" } else { "completed" };
+        assert_eq!(world.phases[&id(number)], expected, "job {number}");
+        let losses = losses_of(&decisions, id(number));
+        assert!(bad || losses <= 4, "job {number}: {losses} runs lost");
+    }
+}
+
+#[test]
+fn a_new_holder_knows_of_crashes() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut revision = 6;
+    while world.crashes < 2 {
+        world.run_for(50);
+    }
+    for _ in 0..3 {
+        // Until the loss is known and stored.
+        world.run_for(1_000);
+        revision += 2;
+        world.take_over(revision);
+        let progress = world.stored.get(&id(1)).cloned();
+        world.scheduler.submit(
+            id(1),
+            job(vec![step(1)]),
+            6,
+            progress.as_ref(),
+        );
+        world.list();
+        world.expect_all();
+    }
+    world.run_for(60_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+}
+
+#[test]
+fn workers_that_crash_by_themselves_cost_no_job() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    world.fate = Fate::done(1_500);
+    for number in 1..=30 {
+        world.scheduler.submit(id(number), job(vec![step(3)]), 6, None);
+    }
+    // Two of them go up and down, as fast as they come back.
+    for _ in 0..60 {
+        world.run_for(700);
+        for vm in ["vm-of-w1", "vm-of-w2"] {
+            world.crash_vm(vm);
+        }
+    }
+    world.run_for(30_000);
+    for number in 1..=30 {
+        assert_eq!(world.phases[&id(number)], "completed", "job {number}");
+    }
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! What the scheduler must and must not order, case by case.
 
+mod crashing;
 mod duties;
 mod facts;
 mod facts_of_vms;
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -2,7 +2,7 @@
 
 use {
     dewspar::{
-        job::{JobId, JobSpec, StepSpec},
+        job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
             OrderError, QueueTerms, Room, Scheduler, StartOrder, VmLife,
@@ -15,6 +15,9 @@
 
 pub const POOL: &str = "registry";
 
+/// How long a worker that has crashed is away, in milliseconds.
+const BACK_AFTER_MS: u64 = 2_000;
+
 pub const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
 
 pub fn at(steady_ms: u64) -> Now {
@@ -73,6 +76,18 @@
     pub starts: Vec<(WorkerId, StartOrder)>,
     pub now_ms: u64,
     pub fate: Fate,
+    /// The tasks that crash each worker that starts them.
+    pub crashing: Vec<TaskId>,
+    /// How many workers have crashed.
+    pub crashes: u32,
+    /// The workers that crashed, and when they are back.
+    away: Vec<(u64, WorkerListing)>,
+    /// Whether the store is out of reach.
+    pub outage: bool,
+    /// What was stored of each job.
+    pub stored: BTreeMap<JobId, Progress>,
+    /// The phase of each job that was stored.
+    pub phases: BTreeMap<JobId, &'static str>,
 }
 
 impl World {
@@ -91,9 +106,55 @@
             starts: Vec::new(),
             now_ms: 1_000,
             fate: Fate::done(500),
+            crashing: Vec::new(),
+            crashes: 0,
+            away: Vec::new(),
+            outage: false,
+            stored: BTreeMap::new(),
+            phases: BTreeMap::new(),
+        }
+    }
+
+    /// Lets the worker on a VM crash, if there is one; another life of it
+    /// comes later.
+    pub fn crash_vm(&mut self, vm: &str) {
+        let known = |id: &WorkerId| self.workers.contains_key(id);
+        let here = |l: &&WorkerListing| l.vm == vm && known(&l.id);
+        let Some(listing) = self.listings.iter().find(here).cloned() else {
+            return;
+        };
+        self.workers.remove(&listing.id);
+        self.crashes += 1;
+        let name = format!("{vm}-{}", self.crashes);
+        let id = WorkerId::new(&name);
+        let next = WorkerListing { id, address: name, ..listing };
+        self.away.push((self.now_ms + BACK_AFTER_MS, next));
+    }
+
+    fn crash(&mut self, worker: &WorkerId) {
+        let here = |l: &&WorkerListing| l.id == *worker;
+        let vm = self.listings.iter().find(here).map(|l| l.vm.clone());
+        if let Some(vm) = vm {
+            self.crash_vm(&vm);
         }
     }
 
+    /// Lets workers come back whose time it is.
+    fn bring_back(&mut self) {
+        let now_ms = self.now_ms;
+        let due = |(at, _): &mut (u64, WorkerListing)| *at <= now_ms;
+        let back: Vec<_> = self.away.extract_if(.., due).collect();
+        if back.is_empty() {
+            return;
+        }
+        for (_, listing) in back {
+            self.listings.retain(|other| other.vm != listing.vm);
+            self.workers.insert(listing.id.clone(), TaskWorker::new(ROOM));
+            self.listings.push(listing);
+        }
+        self.list();
+    }
+
     /// Tells the scheduler of every life that there is.
     pub fn expect_all(&mut self) {
         let lives: Vec<(WorkerId, String)> = self
@@ -125,10 +186,19 @@
 
     pub fn round(&mut self) {
         let now = at(self.now_ms);
+        self.bring_back();
         for action in self.scheduler.plan(now) {
             self.carry_out(action, now);
         }
         let changes = self.scheduler.take_changes(100);
+        if self.outage {
+            self.scheduler.changes_failed(&changes);
+            return;
+        }
+        for (id, progress) in &changes.progress {
+            self.phases.insert(*id, progress.phase.name());
+            self.stored.insert(*id, progress.clone());
+        }
         self.scheduler.changes_stored(&changes, now);
     }
 
@@ -144,6 +214,14 @@
                     }
                     None => Err(OrderError::Unknown),
                 };
+                let crashes = self.crashing.contains(&order.task);
+                let result = match result {
+                    Ok(_) if crashes => {
+                        self.crash(&worker);
+                        Err(OrderError::Unknown)
+                    }
+                    result => result,
+                };
                 self.starts.push((worker.clone(), order.clone()));
                 let (task, run) = (order.task, order.run);
                 self.scheduler
