Give up tasks under which worker after worker crashes; keep suspects apart

Cause: only ends that a worker lists counted for a task. A worker that crashes lists none, so a task that crashes each worker that starts it waited again as if it had never been started, and went on without a limit; the holder kept nothing that a next one could have known either. What went down with it was started again beside it, so sound tasks were lost again and again.

Ruled out: a count that is lost with the holder (one holder started runs 10 to 13 within 1.8 s), and orders that pile up (each came after the loss before).

Now a run whose worker is lost within a second of its start is suspected; losses in a row are counted and stored with the progress, a start under way included. Suspects start where no other suspect stands, from the second crash on with nothing started beside them and only once both are on record, on VMs that don't go up and down. A run that lives on for longer clears its task. Given up after three crashes if nothing else can have done it, else after four. The age of a run goes by its worker's clock: an answer may be on its way for longer than the worker lives on.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -99,7 +99,18 @@
     pub failed_runs: Vec<u64>,
     /// The highest number of a run that is known to have ended.
     pub run: u64,
+    /// How many workers in a row were lost soon after they had started it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// How many more runs were started since the first such loss whose end
+    /// the holder didn't know.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unseen: u32,
     /// The checkpoint to go on from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
 }
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
--- a/crates/dewspar/src/job/stored.rs
+++ b/crates/dewspar/src/job/stored.rs
@@ -114,6 +114,7 @@
 fn is_plainly_done(task: &TaskRecord) -> bool {
     task.done
         && task.run == 1
+        && task.crashes == 0
         && task.failed_runs.is_empty()
         && task.checkpoint.is_empty()
 }
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -38,6 +38,7 @@
                     known.since_ms = now.steady_ms;
                     known.moved_ms = now.steady_ms;
                 }
+                known.confirm(clock_ms);
                 worker.read_clock(clock_ms, now.steady_ms);
                 worker.start_taken();
                 self.note_begun(task.job, now);
@@ -60,6 +61,7 @@
             OrderError::Unknown => {
                 // OK because the worker was found above.
                 let worker = self.workers.get_mut(worker_id).expect("known");
+                worker.note_unanswered(now.steady_ms);
                 if worker.fence() == fence {
                     worker.raise_fence(now.steady_ms);
                 }
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
-        schedule::{QueueTerms, Room, WorkerId},
+        schedule::{QueueTerms, Room, WorkerId, suspects::Crashes},
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -45,6 +45,8 @@
     pub(crate) on: Vec<WorkerId>,
     /// The workers on which it failed.
     pub(crate) avoid: Vec<WorkerId>,
+    /// The workers that were lost under it, in a row.
+    pub(crate) crashes: Crashes,
 }
 
 impl Job {
@@ -187,6 +189,7 @@
         task.run = record.run;
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
+        task.crashes = Crashes::restored(record.crashes, record.unseen);
         if record.done && !task.done {
             task.done = true;
             self.done += 1;
@@ -200,21 +203,30 @@
         step: u32,
     ) -> impl Iterator<Item = TaskRecord> {
         let tasks = (0..).zip(&self.tasks);
-        tasks.filter(|(_, task)| task.ended_run > 0 || task.done).map(
-            move |(index, task)| TaskRecord {
+        let known = |task: &Task| {
+            task.ended_run > 0 || task.done || task.crashes.count > 0
+        };
+        tasks.filter(move |(_, task)| known(task)).map(move |(index, task)| {
+            TaskRecord {
                 round,
                 step,
                 index,
                 done: task.done,
                 failed_runs: task.failed_runs.clone(),
                 run: task.ended_run,
+                crashes: if task.done { 0 } else { task.crashes.count },
+                unseen: if task.done {
+                    0
+                } else {
+                    task.crashes.unseen_on_record()
+                },
                 checkpoint: if task.done {
                     String::new()
                 } else {
                     task.checkpoint.clone()
                 },
-            },
-        )
+            }
+        })
     }
 
     pub(crate) fn is_done(&self) -> bool {
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -9,7 +9,7 @@
 use {
     crate::schedule::{
         Decision, Now, Room, Scheduler, WorkerId, WorkerListing,
-        worker::Worker,
+        suspects::LostRuns, worker::Worker,
     },
     std::collections::BTreeSet,
 };
@@ -173,7 +173,8 @@
     ) {
         let Some(mut worker) = self.workers.remove(id) else { return };
         self.ended_lives.insert(id.clone());
-        let answered_ms = worker.reported_ms();
+        let lost = LostRuns::of(&worker, now);
+        let answered_ms = worker.answered_worker_ms();
         let runs = std::mem::take(&mut worker.runs);
         let beside = runs.len().saturating_sub(1);
         for (task, run) in runs {
@@ -182,12 +183,13 @@
                 run: run.run,
                 worker: id.clone(),
                 reason,
-                age_ms: run.age_ms(answered_ms),
+                age_ms: run.confirmed_ms(answered_ms),
                 beside,
             });
             self.free_task(&task, id, run.has_begun(), now);
         }
         self.note(Decision::WorkerGone { worker: id.clone(), reason });
+        self.note_crash(id, &lost, now);
     }
 
     /// Drops workers whose lease is over for certain, and those that left
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -130,6 +130,7 @@
 mod scheduler;
 mod sizing;
 mod storing;
+mod suspects;
 mod vm;
 mod wave_state;
 mod worker;
@@ -333,12 +334,32 @@
         worker: WorkerId,
         /// How that is known.
         reason: &'static str,
-        /// How old it was when its worker last answered, in milliseconds; 0
-        /// if it isn't known to have begun.
+        /// For how long its worker had confirmed it, in milliseconds; 0 if
+        /// it isn't known to have begun.
         age_ms: u64,
         /// How many other runs its worker had, of all jobs.
         beside: usize,
     },
+    /// A worker was lost soon after it had been told to start a run.
+    Suspected {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// How many workers in a row were lost under the task.
+        crashes: u32,
+        /// How old the run was at most, in milliseconds.
+        most_age_ms: u64,
+        /// Whether nothing else there can have caused it.
+        alone: bool,
+    },
+    /// A task is given up, since workers crash that start it.
+    GivenUp {
+        /// The task.
+        task: TaskId,
+        /// How many workers in a row were lost under it.
+        crashes: u32,
+    },
     /// An order got no result.
     OrderFailed {
         /// The worker.
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -170,13 +170,21 @@
         if self.is_unaccounted(job, spec, now, &mut pools.unasked) {
             return None;
         }
+        let suspects = self.waiting_suspects(candidate);
+        self.announce_tested(&suspects);
+        let job = &self.jobs[&id];
         let demand = demand(spec);
         if pools.full.has_none_for(&job.terms.pool, &demand) {
             let fits = self.fits_somewhere(spec);
             return fits.then(|| job.terms.pool.clone());
         }
+        let state = &job.rounds[round][step];
+        let on_record = |index: &u32| {
+            let task = state.tasks.get(*index as usize);
+            task.is_none_or(|task| job.may_start(task))
+        };
         let waiting: Vec<u32> =
-            job.rounds[round][step].waiting.iter().copied().collect();
+            state.waiting.iter().copied().filter(on_record).collect();
         let first = TaskId {
             job: id,
             round: round as u32,
@@ -189,8 +197,10 @@
             let placed = self.start_gang(spec, &first, &waiting, now, actions);
             return (!placed && fits).then_some(pool);
         }
-        let next = TaskId { index: waiting.first().copied()?, ..first };
-        let mut alike = self.places_for_alike(spec, &next, now);
+        let task = |index: u32| TaskId { index, ..first };
+        let any = waiting.iter().find(|i| !self.has_own_place(&task(**i)));
+        let mut alike =
+            any.and_then(|i| self.places_for_alike(spec, &task(*i), now));
         let mut without_place = false;
         for index in waiting {
             if !self.may_start() {
@@ -198,7 +208,7 @@
             }
             let task = TaskId { index, ..first };
             let chosen = match &mut alike {
-                Some(places) if !self.avoids(&task) => {
+                Some(places) if !self.has_own_place(&task) => {
                     places.next(self, &task).ok_or(NotNow::NoRoom)
                 }
                 _ => self.choose(spec, &task, now),
@@ -217,9 +227,9 @@
                     if self.may_go_anywhere(spec, &task) {
                         pools.full.note(&pool, demand);
                     }
-                    // Where one finds none, only one that avoids other
-                    // workers might.
-                    if !self.avoids(&task) {
+                    // Where one finds none, only one that looks for its own
+                    // place might.
+                    if !self.has_own_place(&task) {
                         break;
                     }
                 }
@@ -228,6 +238,23 @@
         (without_place && fits).then_some(pool)
     }
 
+    /// Returns the tasks of a step that wait and may crash their workers.
+    fn waiting_suspects(&self, candidate: &Candidate) -> Vec<TaskId> {
+        let Candidate { job: id, round, step, .. } = *candidate;
+        let state = &self.jobs[&id].rounds[round][step];
+        let task = |index: u32| TaskId {
+            job: id,
+            round: round as u32,
+            step: step as u32,
+            index,
+        };
+        let waiting = state.waiting.iter();
+        waiting
+            .filter(|i| state.tasks[**i as usize].crashes.count > 0)
+            .map(|i| task(*i))
+            .collect()
+    }
+
     /// Returns whether a VM of the fleet could hold a task of the step.
     pub(super) fn fits_somewhere(&self, spec: &StepSpec) -> bool {
         let demand = demand(spec);
@@ -245,12 +272,16 @@
         spec.required_label.is_empty()
             && spec.max_per_worker == 0
             && !advised
-            && !self.avoids(task)
+            && !self.has_own_place(task)
     }
 
-    fn avoids(&self, task: &TaskId) -> bool {
+    /// Returns whether a task looks for its place by itself: it has failed on
+    /// some worker, or may crash them.
+    fn has_own_place(&self, task: &TaskId) -> bool {
         let state = self.jobs[&task.job].task(task);
-        state.is_some_and(|state| !state.avoid.is_empty())
+        state.is_some_and(|state| {
+            !state.avoid.is_empty() || state.crashes.count > 0
+        })
     }
 
     fn next_run(&self, task: &TaskId) -> u64 {
@@ -288,6 +319,10 @@
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task));
         let demand = demand(spec);
+        let company = state.map(|state| self.company(spec, state, now));
+        let steadiness = state.zip(job).map(|(state, job)| {
+            self.steadiness_wanted(spec, state, &job.terms.pool, now)
+        });
         let may_go_back =
             spec.long_running || self.may_go_back(spec, task, now);
         // Most workers of a large fleet are full or elsewhere, and this is
@@ -302,6 +337,8 @@
                 && worker.takes_orders(now.steady_ms)
                 && worker.listing.pool == job.terms.pool
                 && !worker.runs.contains_key(task)
+                && company.is_none_or(|company| company.allows(worker))
+                && steadiness.is_none_or(|s| self.is_as_steady(worker, s, now))
                 && (may_go_back || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
                 && apart()
@@ -340,11 +377,16 @@
         now: Now,
     ) -> Option<&Worker> {
         let state = self.jobs.get(&task.job)?.task(task)?;
+        let apart = self.is_kept_apart(spec, state);
+        let score = |worker: &Worker| match apart {
+            true => self.score_apart(worker, spec),
+            false => self.score_for(worker, spec),
+        };
         self.suitable_workers(spec, task, now)
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
                 let avoided = state.avoid.contains(worker.id());
-                (!avoided, self.score_for(worker, spec), worker.id())
+                (!avoided, score(worker), worker.id())
             })
     }
 
@@ -441,10 +483,10 @@
         worker.lease_sent(lease_until_ms);
         let fence = worker.fence();
         let address = worker.listing.address.clone();
-        worker.insert(
-            *task,
-            Run::ordered(run, fence, demand(spec), now.steady_ms),
-        );
+        let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms);
+        let crashes = self.note_suspect_started(task);
+        let worker = self.workers.get_mut(&worker_id)?;
+        worker.insert(*task, ordered.suspected(crashes));
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
         let payload = job.payload.clone();
--- a/crates/dewspar/src/schedule/place/alike.rs
+++ b/crates/dewspar/src/schedule/place/alike.rs
@@ -41,7 +41,9 @@
     }
 
     fn fits(&self, worker: &Worker, task: &TaskId) -> bool {
-        worker.free().holds(&self.demand) && !worker.runs.contains_key(task)
+        worker.free().holds(&self.demand)
+            && !worker.runs.contains_key(task)
+            && !worker.tests_a_run()
     }
 }
 
--- a/crates/dewspar/src/schedule/place/gang.rs
+++ b/crates/dewspar/src/schedule/place/gang.rs
@@ -91,10 +91,12 @@
         worker_id: &WorkerId,
         now: Now,
     ) {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let crashes = state.map_or(0, |state| state.crashes.count);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let fence = worker.fence();
         let reserved = Run::ordered(run, fence, demand(spec), now.steady_ms);
-        worker.insert(*task, reserved);
+        worker.insert(*task, reserved.suspected(crashes));
     }
 
     /// Gives every member the same checkpoint, since any one's serves for
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -154,6 +154,9 @@
     /// How long a task waits for a worker on which it hasn't failed before it
     /// goes back to one where it has, in milliseconds.
     pub go_back_after_ms: u64,
+    /// Whether tasks that may crash their workers are kept apart from others
+    /// until it is known whether they do.
+    pub separates_suspects: bool,
 }
 
 impl Default for Placing {
@@ -168,6 +171,7 @@
             copy_after_ms: 400,
             // About as long as another VM takes to come to the pool.
             go_back_after_ms: 1_500,
+            separates_suspects: true,
         }
     }
 }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -144,7 +144,10 @@
         });
         match end.cause {
             EndCause::Done => self.task_done(worker_id, &task, now),
-            EndCause::Failed => self.task_failed(worker_id, &task, now),
+            EndCause::Failed => {
+                self.clear(worker_id, &task);
+                self.task_failed(worker_id, &task, now);
+            }
             EndCause::Stopped
             | EndCause::LeaseOver
             | EndCause::GangBroken
@@ -280,23 +283,31 @@
         let best_effort =
             self.step_spec(&active.task).is_some_and(|s| s.best_effort);
         let pace = if best_effort { ADOPTED_PACE } else { 100 };
+        let job = self.jobs.get(&active.task.job);
+        let state = job.and_then(|job| job.task(&active.task));
+        let suspicion = state.map_or(0, |state| state.crashes.count);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let reported_ms = worker.latest_report_ms();
         let mut run = Run {
             run: active.run,
             fence: 0,
             demand: Room::default(),
             state: RunState::Running,
             since_ms: now.steady_ms,
+            confirmed_from_ms: Some(reported_ms),
             percent: active.percent,
             moved_ms: now.steady_ms,
             gauge: active.gauge,
             pace,
+            suspicion,
         };
         match found {
             Found::Expected => {
                 // OK because `judge` has just found it.
                 let run = worker.runs.get_mut(&active.task).expect("known");
                 run.update(active, now.steady_ms);
+                run.confirm(reported_ms);
+                self.clear_if_sound(worker_id, &active.task);
             }
             Found::Adopt(demand) => {
                 run.demand = demand;
@@ -358,6 +369,7 @@
         let Some(worker) = self.workers.get(worker_id) else { return };
         let listed: BTreeMap<TaskId, u64> =
             report.active.iter().map(|a| (a.task, a.run)).collect();
+        let answered_ms = worker.answered_worker_ms();
         let beside = worker.runs.len().saturating_sub(1);
         let missing: Vec<(TaskId, u64, u64)> = worker
             .runs
@@ -372,9 +384,7 @@
                 };
                 settled && listed.get(*task) != Some(&run.run)
             })
-            .map(|(task, run)| {
-                (*task, run.run, run.age_ms(worker.reported_ms()))
-            })
+            .map(|(task, run)| (*task, run.run, run.confirmed_ms(answered_ms)))
             .collect();
         for (task, run, age_ms) in missing {
             self.note(Decision::Lost {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -10,6 +10,7 @@
             forecast::Arrivals,
             loading::Loading,
             sizing::{Moving, PoolLoad},
+            suspects::VmCrashes,
             wave_state::WaveState,
             worker::{ORDER_BYTES, OwedHold, RunState, Worker},
         },
@@ -39,6 +40,8 @@
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// The crashes on each VM of late.
+    pub(super) vm_crashes: BTreeMap<String, VmCrashes>,
     /// When the directory of workers was last read; 0 for not yet.
     pub(super) directory_ms: u64,
     /// From when the directory is complete again after it couldn't be read.
@@ -116,6 +119,7 @@
             decisions: Vec::new(),
             superseded: false,
             ended_lives: BTreeSet::new(),
+            vm_crashes: BTreeMap::new(),
             directory_ms: 0,
             entered_by_ms: 0,
             lives_known: false,
--- /dev/null
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -0,0 +1,509 @@
+/*!
+Tasks that may crash the workers that start them.
+
+A worker that crashes lists no ends, so nothing says which of its runs did it,
+if any. Started again as if nothing had happened, such a task takes down one
+worker after the other, with all that stands beside it. Yet most runs that are
+lost with a worker are sound, and must neither be given up nor wait for long.
+
+What tells them apart is that a bad task does it each time, and soon after it
+begins:
+
+- A run that its worker hadn't confirmed for long is *suspected* once the
+  worker is lost; each loss in a row counts. The count is stored with the
+  job's progress, so a new holder knows of it.
+- A suspected task starts again where no other suspect stands, so that the
+  next crash says more. After two crashes nothing is started beside it until
+  it is cleared, and its next start waits until both are stored.
+- It is *cleared* once a run of it lives on for longer than those that were
+  lost, or ends by itself.
+- It is given up, and its job failed, after its third crash if nothing else can
+  have done it, neither another run nor a VM whose workers crash anyway; and
+  after its fourth whatever else was there.
+
+Starts count as well: the record says of a suspected task whether a run of it
+was under way, since a new holder can't know how that ended.
+
+# Example
+
+A task that takes its worker down with each start is ordered three times:
+
+```text
+start  run 1, beside others   worker lost: it and those that began of late are suspected
+start  run 2, no suspect near worker lost: counted twice; the others were cleared
+start  run 3, on its own      worker lost: nothing else can have done it, given up
+```
+*/
+
+use crate::{
+    job::{Phase, StepSpec, TaskId},
+    schedule::{
+        Decision, Now, Scheduler, WorkerId,
+        board::{Job, Task, demand},
+        worker::{Run, Worker},
+    },
+};
+
+/// For how long a worker must have confirmed a run for the run to be beyond
+/// suspicion, in milliseconds: a bad task acts as it is loaded, and answers
+/// come every 300 ms, or every second on a short link.
+const SUSPECTED_MS: u64 = 1_000;
+
+/// What is added to twice the age at which suspected runs were lost to clear
+/// the next one, in milliseconds: an answer's way, and how unevenly a worker
+/// loads what it starts.
+const CLEARED_MARGIN_MS: u64 = 100;
+
+/// How long a task that was suspected once looks for a worker without another
+/// suspect before it takes any, in milliseconds: about as long as a suspect
+/// stays one where it is, so that sound tasks lose no more than the time of
+/// one answer.
+const APART_MS: u64 = 300;
+
+/// After how many crashes nothing is started beside a task, and its next start
+/// waits until they are stored. One crash is mere chance for nearly all.
+const TESTED_CRASHES: u32 = 2;
+
+/// After how many crashes a task is given up that alone can have caused the
+/// last one. A sound one would have to be beside a bad one, and twice in a row
+/// on its own on a worker that crashes within a second by itself.
+const SURE_CRASHES: u32 = 3;
+
+/// After how many crashes a task is given up in any case: it may be started
+/// twice more after three, and a crash that no holder saw takes one of these.
+const MOST_CRASHES: u32 = 4;
+
+/// How often a task may be started in all that has certainly crashed two
+/// workers, with the runs whose end no holder saw: one more would be the third
+/// start after three crashes.
+const MOST_STARTS: u32 = 5;
+
+/// For how long a crash counts against a VM, in milliseconds: several times
+/// what one that goes up and down takes for that.
+const UNSTEADY_MS: u64 = 30_000;
+
+/// How long a task that is being found out about waits for a worker on a VM
+/// that hasn't crashed of late, in milliseconds: as long as one that failed
+/// waits for another worker.
+const STEADY_WAIT_MS: u64 = 1_500;
+
+/// How much a suspected task prefers a worker near its data, counted in runs:
+/// more than all else, since elsewhere it takes twice as long.
+const NEAR_DATA_SCORE: i64 = 1_000;
+
+/// The crashes in a row under one task.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Crashes {
+    pub(crate) count: u32,
+    /// How many more runs former holders started whose end isn't known.
+    unseen: u32,
+    /// How old a run can have been at most when its worker crashed, in
+    /// milliseconds. Kept when the task is cleared: one that doesn't always
+    /// take the same time is found out in the end.
+    most_age_ms: u64,
+    /// When the last was noticed; 0 for under a former holder.
+    noticed_ms: u64,
+    /// Whether a run was started since, or is about to be.
+    under_way: bool,
+    /// The change by which all of this is stored; 0 for not by this holder.
+    sequence: u64,
+}
+
+impl Crashes {
+    /// Makes those that a former holder stored; how old the runs were isn't.
+    pub(crate) fn restored(count: u32, unseen: u32) -> Crashes {
+        let most_age_ms = SUSPECTED_MS;
+        Crashes { count, unseen, most_age_ms, ..Crashes::default() }
+    }
+
+    /// Returns how many runs a later holder can't know the end of: one that
+    /// is under way may have taken its worker down before that holder looks.
+    pub(crate) fn unseen_on_record(&self) -> u32 {
+        self.unseen + u32::from(self.count > 0 && self.under_way)
+    }
+
+    /// Returns whether the task has been started as often as it may.
+    fn are_too_many(&self) -> bool {
+        self.count >= MOST_CRASHES
+            || (self.count >= TESTED_CRASHES
+                && self.count + self.unseen >= MOST_STARTS)
+    }
+
+    /// Returns how long a run must live to clear its task, in milliseconds.
+    fn cleared_after_ms(&self) -> u64 {
+        (2 * self.most_age_ms + CLEARED_MARGIN_MS).min(SUSPECTED_MS)
+    }
+}
+
+/// Beside which runs a task may start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Company {
+    /// Any.
+    Any,
+    /// Any but one that is being found out about.
+    Untested,
+    /// None that is suspected.
+    Unsuspected,
+}
+
+impl Company {
+    pub(super) fn allows(self, worker: &Worker) -> bool {
+        match self {
+            Company::Any => true,
+            Company::Untested => !worker.tests_a_run(),
+            Company::Unsuspected => !worker.has_suspects(),
+        }
+    }
+}
+
+/// When the workers on a VM crashed last, and the time before that.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct VmCrashes {
+    last_ms: u64,
+    before_ms: u64,
+}
+
+/// How a VM has done of late.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Steadiness {
+    /// Its workers have crashed twice or more.
+    GoesUpAndDown,
+    /// Its worker has crashed, or may have.
+    Doubtful,
+    /// None has crashed.
+    Steady,
+}
+
+impl VmCrashes {
+    fn note(&mut self, now_ms: u64) {
+        self.before_ms = self.last_ms;
+        self.last_ms = now_ms;
+    }
+
+    fn steadiness(&self, now_ms: u64) -> Steadiness {
+        let counts = |at_ms: u64| at_ms > 0 && now_ms < at_ms + UNSTEADY_MS;
+        if counts(self.before_ms) {
+            Steadiness::GoesUpAndDown
+        } else if counts(self.last_ms) {
+            Steadiness::Doubtful
+        } else {
+            Steadiness::Steady
+        }
+    }
+}
+
+/// A run that went down with its worker.
+struct LostRun {
+    task: TaskId,
+    /// How long the worker had confirmed it.
+    confirmed_ms: u64,
+    /// How old it can have been at most.
+    most_age_ms: u64,
+    suspicion: u32,
+}
+
+/// The runs that went down with one worker.
+pub(super) struct LostRuns {
+    /// The VM; empty if nothing there is suspected.
+    vm: String,
+    runs: Vec<LostRun>,
+}
+
+impl LostRuns {
+    /// Looks at what a worker had when it was lost; nothing on one that was
+    /// to go is suspected.
+    pub(super) fn of(worker: &Worker, now: Now) -> LostRuns {
+        let planned = worker.emptying.is_some() || worker.listing.draining;
+        if planned {
+            return LostRuns { vm: String::new(), runs: Vec::new() };
+        }
+        let answered_ms = worker.answered_worker_ms();
+        let over_ms = worker.unanswered_since_ms().unwrap_or(now.steady_ms);
+        let lost = |(task, run): (&TaskId, &Run)| LostRun {
+            task: *task,
+            confirmed_ms: run.confirmed_ms(answered_ms),
+            most_age_ms: over_ms.saturating_sub(run.since_ms),
+            suspicion: run.suspicion,
+        };
+        LostRuns {
+            vm: worker.listing.vm.clone(),
+            runs: worker.runs.iter().map(lost).collect(),
+        }
+    }
+
+    /// Returns the runs that may have taken the worker down: where some are
+    /// being found out about, those, and else all that began of late.
+    fn suspects(&self) -> impl Iterator<Item = &LostRun> {
+        let of_late = |run: &&LostRun| run.confirmed_ms < SUSPECTED_MS;
+        let young = || self.runs.iter().filter(of_late);
+        let most = young().map(|run| run.suspicion).max().unwrap_or(0);
+        let least = if most >= TESTED_CRASHES { most } else { 0 };
+        young().filter(move |run| run.suspicion >= least)
+    }
+
+    /// Returns whether no other run can have taken the worker down, if this
+    /// task takes as long as it did for that.
+    fn is_only_suspect(&self, task: &TaskId, crashes: &Crashes) -> bool {
+        let enough_ms = crashes.cleared_after_ms();
+        self.runs
+            .iter()
+            .filter(|run| run.task != *task)
+            .all(|run| run.suspicion == 0 && run.confirmed_ms >= enough_ms)
+    }
+}
+
+impl Scheduler {
+    /// Counts a crash for each run that may have caused it, and gives up the
+    /// tasks that certainly did.
+    pub(super) fn note_crash(
+        &mut self,
+        worker: &WorkerId,
+        lost: &LostRuns,
+        now: Now,
+    ) {
+        let steady = self.steadiness(&lost.vm, now) == Steadiness::Steady;
+        if !lost.vm.is_empty() {
+            self.vm_crashes.retain(|_, crashes| {
+                crashes.steadiness(now.steady_ms) != Steadiness::Steady
+            });
+            let crashes = self.vm_crashes.entry(lost.vm.clone()).or_default();
+            crashes.note(now.steady_ms);
+        }
+        for run in lost.suspects() {
+            let Some(crashes) = self.count_crash(run, now) else { continue };
+            let alone = steady && lost.is_only_suspect(&run.task, &crashes);
+            self.note(Decision::Suspected {
+                task: run.task,
+                worker: worker.clone(),
+                crashes: crashes.count,
+                most_age_ms: run.most_age_ms,
+                alone,
+            });
+            let sure = alone && crashes.count >= SURE_CRASHES;
+            if sure || crashes.are_too_many() {
+                self.give_up(&run.task, crashes.count, now);
+            }
+        }
+    }
+
+    /// Counts a crash; returns all of its task, if that is still to be done.
+    fn count_crash(&mut self, run: &LostRun, now: Now) -> Option<Crashes> {
+        let job = self.jobs.get(&run.task.job)?;
+        let over = job.phase.is_final();
+        let done = job.task(&run.task)?.done;
+        if over || done {
+            return None;
+        }
+        let sequence = self.mark_changed(run.task.job);
+        let job = self.jobs.get_mut(&run.task.job)?;
+        let crashes = &mut job.task_mut(&run.task)?.crashes;
+        *crashes = Crashes {
+            count: crashes.count + 1,
+            unseen: crashes.unseen,
+            most_age_ms: crashes.most_age_ms.max(run.most_age_ms),
+            noticed_ms: now.steady_ms,
+            under_way: crashes.count + 1 >= TESTED_CRASHES,
+            sequence,
+        };
+        Some(*crashes)
+    }
+
+    /// Clears a task of which a run lives on for longer than those that were
+    /// lost with their workers.
+    pub(super) fn clear_if_sound(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+    ) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let Some(run) = worker.runs.get(task) else { return };
+        if run.suspicion == 0 {
+            return;
+        }
+        let lived_ms = run.confirmed_ms(worker.latest_report_ms());
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let sound = state
+            .is_none_or(|state| lived_ms >= state.crashes.cleared_after_ms());
+        if sound {
+            self.clear(worker_id, task);
+        }
+    }
+
+    /// Clears a task that a worker has survived.
+    pub(super) fn clear(&mut self, worker_id: &WorkerId, task: &TaskId) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.clear_suspicion(task);
+        }
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task));
+        let Some(state) = state else { return };
+        let most_age_ms = state.crashes.most_age_ms;
+        let cleared = Crashes { most_age_ms, ..Crashes::default() };
+        let crashes = std::mem::replace(&mut state.crashes, cleared);
+        if crashes.count > 0 {
+            self.mark_changed(task.job);
+        }
+    }
+
+    /// Notes that a suspected task is started, so that its run counts for the
+    /// next holder, which can't know how it ends; returns its crashes.
+    pub(super) fn note_suspect_started(&mut self, task: &TaskId) -> u32 {
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task));
+        let Some(state) = state else { return 0 };
+        let Crashes { count, under_way, .. } = state.crashes;
+        if count > 0 && !under_way {
+            state.crashes.under_way = true;
+            self.mark_changed(task.job);
+        }
+        count
+    }
+
+    /// Puts the next start of a task that is being found out about on record,
+    /// before which it doesn't start.
+    pub(super) fn announce_tested(&mut self, tasks: &[TaskId]) {
+        for task in tasks {
+            let job = self.jobs.get(&task.job);
+            let state = job.and_then(|job| job.task(task));
+            let Some(Crashes { count, under_way, .. }) =
+                state.map(|state| state.crashes)
+            else {
+                continue;
+            };
+            if count < TESTED_CRASHES || under_way {
+                continue;
+            }
+            let sequence = self.mark_changed(task.job);
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+                state.crashes.under_way = true;
+                state.crashes.sequence = sequence;
+            }
+        }
+    }
+
+    fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
+        self.note(Decision::GivenUp { task: *task, crashes });
+        self.finish(task.job, Phase::Failed, now);
+    }
+
+    /// Returns beside what a task may start now.
+    ///
+    /// One that is being found out about waits as long as it takes: where it
+    /// is, each suspect is cleared or has crashed its worker within a second.
+    /// The members of a gang, which start together, can't.
+    pub(super) fn company(
+        &self,
+        spec: &StepSpec,
+        state: &Task,
+        now: Now,
+    ) -> Company {
+        if !self.options.policy.placing.separates_suspects {
+            return Company::Any;
+        }
+        let Crashes { count, noticed_ms, .. } = state.crashes;
+        let tested = count >= TESTED_CRASHES;
+        let waits = now.steady_ms < noticed_ms + APART_MS;
+        match (tested, spec.gang) {
+            (true, true) => Company::Any,
+            (true, false) => Company::Unsuspected,
+            (false, false) if count > 0 && waits => Company::Unsuspected,
+            (false, _) => Company::Untested,
+        }
+    }
+
+    fn steadiness(&self, vm: &str, now: Now) -> Steadiness {
+        let crashes = self.vm_crashes.get(vm).copied().unwrap_or_default();
+        // What its workers did under a former holder isn't known.
+        let known = now.steady_ms >= self.taken_over_ms + UNSTEADY_MS;
+        match crashes.steadiness(now.steady_ms) {
+            Steadiness::Steady if !known => Steadiness::Doubtful,
+            steadiness => steadiness,
+        }
+    }
+
+    /// Returns how steady the VM must be on which a task starts.
+    ///
+    /// A sound task that was lost twice must not end up on the one VM of a
+    /// full pool that has room since it goes up and down.
+    pub(super) fn steadiness_wanted(
+        &self,
+        spec: &StepSpec,
+        state: &Task,
+        pool: &str,
+        now: Now,
+    ) -> Steadiness {
+        let Crashes { count, noticed_ms, .. } = state.crashes;
+        let separates = self.options.policy.placing.separates_suspects;
+        if count < TESTED_CRASHES || !separates {
+            return Steadiness::GoesUpAndDown;
+        }
+        let wanted = if now.steady_ms < noticed_ms + STEADY_WAIT_MS {
+            Steadiness::Steady
+        } else {
+            Steadiness::Doubtful
+        };
+        let demand = demand(spec);
+        let best = self
+            .workers
+            .values()
+            .filter(|worker| {
+                worker.listing.pool == pool
+                    && worker.is_usable()
+                    && worker.listing.capacity.holds(&demand)
+            })
+            .map(|worker| self.steadiness(&worker.listing.vm, now))
+            .max();
+        wanted.min(best.unwrap_or(Steadiness::GoesUpAndDown))
+    }
+
+    /// Returns whether a worker's VM is as steady as that.
+    pub(super) fn is_as_steady(
+        &self,
+        worker: &Worker,
+        wanted: Steadiness,
+        now: Now,
+    ) -> bool {
+        wanted == Steadiness::GoesUpAndDown
+            || self.steadiness(&worker.listing.vm, now) >= wanted
+    }
+
+    /// Returns whether a task goes where it does least harm, and not where it
+    /// suits best.
+    pub(super) fn is_kept_apart(&self, spec: &StepSpec, state: &Task) -> bool {
+        // One that lasts stays where it is put: not for a single crash.
+        let least = if spec.long_running { TESTED_CRASHES } else { 1 };
+        self.options.policy.placing.separates_suspects
+            && state.crashes.count >= least
+    }
+
+    /// Returns how well a worker suits a task that may crash it: the fewer
+    /// runs it would lose, the better.
+    pub(super) fn score_apart(&self, worker: &Worker, spec: &StepSpec) -> i64 {
+        let mut score = -(worker.runs.len() as i64);
+        let near = !spec.data_rack.is_empty()
+            && worker.listing.rack == spec.data_rack;
+        if near {
+            score += NEAR_DATA_SCORE;
+        }
+        score
+    }
+}
+
+impl Job {
+    /// Returns whether all that must be on record before a task starts is.
+    ///
+    /// A holder that can't store its crashes may start a task once more; its
+    /// successor, which knows of none, must not go on as if there were none.
+    pub(super) fn may_start(&self, state: &Task) -> bool {
+        state.crashes.count < TESTED_CRASHES
+            || self.stored_sequence >= state.crashes.sequence
+    }
+}
+
+impl Run {
+    /// Returns whether nothing may start beside it.
+    pub(crate) fn is_tested(&self) -> bool {
+        self.suspicion >= TESTED_CRASHES
+    }
+}
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -58,12 +58,17 @@
     pub(crate) state: RunState,
     /// When it was ordered or found.
     pub(crate) since_ms: u64,
+    /// From when on it is known to have been there, on its worker's clock.
+    pub(crate) confirmed_from_ms: Option<u64>,
     pub(crate) percent: u8,
     /// When its percentage last moved.
     pub(crate) moved_ms: u64,
     pub(crate) gauge: u64,
     /// The share at which it was ordered to work, in percent.
     pub(crate) pace: u8,
+    /// How many workers in a row were lost under its task, unless it has
+    /// cleared that; see [`suspects`](crate::schedule).
+    pub(crate) suspicion: u32,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -95,13 +100,21 @@
             demand,
             state: RunState::Starting,
             since_ms: now_ms,
+            confirmed_from_ms: None,
             percent: 0,
             moved_ms: now_ms,
             gauge: 0,
             pace: 100,
+            suspicion: 0,
         }
     }
 
+    /// Sets how many workers in a row were lost under its task.
+    pub(crate) fn suspected(mut self, crashes: u32) -> Run {
+        self.suspicion = crashes;
+        self
+    }
+
     pub(crate) fn is_stopping(&self) -> bool {
         matches!(self.state, RunState::Stopping { .. })
     }
@@ -115,10 +128,19 @@
         }
     }
 
-    /// Returns how old it was at this time, in milliseconds; 0 unless it is
-    /// known to have begun.
-    pub(crate) fn age_ms(&self, at_ms: u64) -> u64 {
-        if self.has_begun() { at_ms.saturating_sub(self.since_ms) } else { 0 }
+    /// Notes that it was there by this time of its worker's clock.
+    pub(crate) fn confirm(&mut self, worker_ms: u64) {
+        self.confirmed_from_ms.get_or_insert(worker_ms);
+    }
+
+    /// Returns for how long its worker had confirmed it by this time of that
+    /// worker's clock, in milliseconds; 0 if it isn't known to have begun.
+    ///
+    /// By the worker's clock, since an answer may be on its way for longer
+    /// than the worker lives on.
+    pub(crate) fn confirmed_ms(&self, worker_ms: u64) -> u64 {
+        let from_ms = self.confirmed_from_ms.unwrap_or(worker_ms);
+        worker_ms.saturating_sub(from_ms)
     }
 
     pub(crate) fn stop(&mut self) {
@@ -143,6 +165,10 @@
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
+    /// How many of the runs are suspected.
+    suspects: usize,
+    /// How many of the runs want nothing started beside them.
+    tested: usize,
     lease_revision: u64,
     fences: u64,
     /// Whether an answer under the current token is still owed; no order is
@@ -174,6 +200,8 @@
     unknown_runs: bool,
     /// Since when it hasn't answered; `None` while it does.
     pub(crate) silent_since_ms: Option<u64>,
+    /// When the first call got no answer since its newest answer.
+    unanswered_since_ms: Option<u64>,
     failed_jobs: BTreeSet<JobId>,
     /// Whether the last start was refused though there seemed to be room.
     refused: bool,
@@ -207,6 +235,8 @@
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
+            suspects: 0,
+            tested: 0,
             lease_revision,
             fences: 0,
             fencing: true,
@@ -226,6 +256,7 @@
             patient: false,
             unknown_runs: false,
             silent_since_ms: None,
+            unanswered_since_ms: None,
             failed_jobs: BTreeSet::new(),
             refused: false,
             suspended_until_ms: 0,
@@ -260,18 +291,45 @@
 
     pub(crate) fn insert(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.demand);
+        self.suspects += usize::from(run.suspicion > 0);
+        self.tested += usize::from(run.is_tested());
         if let Some(old) = self.runs.insert(task, run) {
-            self.used.subtract(&old.demand);
+            self.no_longer_has(&old);
         }
     }
 
+    /// Takes a run that is no longer there off all that is counted.
+    fn no_longer_has(&mut self, run: &Run) {
+        self.used.subtract(&run.demand);
+        self.suspects -= usize::from(run.suspicion > 0);
+        self.tested -= usize::from(run.is_tested());
+    }
+
+    /// Returns whether it has a run whose task may crash workers.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.suspects > 0
+    }
+
+    /// Returns whether it has a run beside which nothing may start.
+    pub(crate) fn tests_a_run(&self) -> bool {
+        self.tested > 0
+    }
+
+    /// Notes that a run is no longer suspected.
+    pub(crate) fn clear_suspicion(&mut self, task: &TaskId) {
+        let Some(run) = self.runs.get_mut(task) else { return };
+        self.suspects -= usize::from(run.suspicion > 0);
+        self.tested -= usize::from(run.is_tested());
+        run.suspicion = 0;
+    }
+
     pub(crate) fn remove(
         &mut self,
         task: &TaskId,
         now_ms: u64,
     ) -> Option<Run> {
         let run = self.runs.remove(task)?;
-        self.used.subtract(&run.demand);
+        self.no_longer_has(&run);
         self.unset_paces.remove(task);
         if self.runs.is_empty() {
             self.idle_since_ms = now_ms;
@@ -291,6 +349,26 @@
         self.clock.map_or(0, |clock| clock.at_ms)
     }
 
+    /// Returns the latest time of its clock that an answer told; 0 for none.
+    pub(crate) fn answered_worker_ms(&self) -> u64 {
+        self.clock.map_or(0, |clock| clock.worker_ms)
+    }
+
+    /// Returns the time of its clock at which it last named its runs.
+    pub(crate) fn latest_report_ms(&self) -> u64 {
+        self.latest_report_ms
+    }
+
+    /// Returns when the first call got no answer since its newest answer.
+    pub(crate) fn unanswered_since_ms(&self) -> Option<u64> {
+        self.unanswered_since_ms
+    }
+
+    /// Notes that a call got no answer.
+    pub(crate) fn note_unanswered(&mut self, now_ms: u64) {
+        self.unanswered_since_ms.get_or_insert(now_ms);
+    }
+
     /// Notes whether the pace of its runs may change again.
     pub(crate) fn pace_due(&mut self, now_ms: u64, interval_ms: u64) {
         self.pace_is_due = now_ms >= self.paced_ms + interval_ms;
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -108,6 +108,7 @@
         self.hold_ended(held);
         self.missed_hold = false;
         self.silent_since_ms = None;
+        self.unanswered_since_ms = None;
         self.read_clock(report.clock_ms, now_ms);
         self.acknowledged = self.acknowledged.max(held.order.acknowledged);
         let confirmed = held.order.lease_until_ms.unwrap_or(0);
@@ -145,6 +146,7 @@
         options: &Options,
     ) {
         self.hold_ended(held);
+        self.note_unanswered(now_ms);
         if !self.missed_hold {
             self.missed_hold = true;
             self.next_hold_ms = now_ms;
--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -15,7 +15,7 @@
 use {
     crate::world::{World, id, job, step},
     dewspar::{
-        job::{JobId, TaskId},
+        job::{JobId, StepSpec, TaskId},
         schedule::Decision,
     },
     dewspar_standin::task_worker::Fate,
@@ -129,3 +129,36 @@
         assert_eq!(world.phases[&id(number)], "completed", "job {number}");
     }
 }
+
+#[test]
+fn so_is_one_that_lasts() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4"]);
+    world.list();
+    world.fate = Fate::endless();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    let lasting = StepSpec { long_running: true, ..step(1) };
+    world.scheduler.submit(id(1), job(vec![lasting]), 6, None);
+    world.run_for(60_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+}
+
+#[test]
+fn its_third_start_waits_until_two_crashes_are_on_record() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    // A former holder's successor must know before it may start it again.
+    world.outage = true;
+    world.run_for(20_000);
+    assert_eq!(starts_of(&world, &bad), 2);
+    world.outage = false;
+    world.run_for(20_000);
+    assert!(starts_of(&world, &bad) > 2);
+    assert_eq!(world.phases[&id(1)], "failed");
+}
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -4,10 +4,16 @@
 mod waiting;
 mod world;
 
-use {crate::world::World, dewspar::job::Phase};
+use {
+    crate::world::World,
+    dewspar::job::{Phase, TaskId},
+};
 
 fn play(seed: u64) -> World {
-    let mut world = World::new(seed);
+    play_on(World::new(seed), seed)
+}
+
+fn play_on(mut world: World, seed: u64) -> World {
     for step in 0..400 {
         world.step(step);
     }
@@ -51,6 +57,37 @@
     assert!(completed > 5_000, "{completed}");
 }
 
+#[test]
+fn bad_tasks_are_given_up_and_sound_ones_never() {
+    let mut crashes = 0;
+    let mut given_up = 0;
+    // The last: a sound task whose runs under way, lost to two changes of
+    // holders, were taken for crashes.
+    for seed in (0..500).chain([1_720]) {
+        let mut world = World::new(seed);
+        for number in [1, 2 + seed % 7] {
+            let job = world::id(number);
+            let task = TaskId { job, round: 0, step: 0, index: 0 };
+            world.bad.insert(task, Default::default());
+        }
+        let world = play_on(world, seed);
+        crashes += world.bad.values().map(|task| task.crashes).sum::<u32>();
+        for (id, progress) in &world.store.progress {
+            if progress.phase != Phase::Failed {
+                continue;
+            }
+            let bad = world.bad.keys().any(|task| task.job == *id);
+            given_up += u32::from(bad);
+            let mut failures = world.failures.iter();
+            let failed = failures.any(|(task, n)| task.job == *id && *n >= 3);
+            assert!(bad || failed, "seed {seed}: {id} has failed");
+        }
+    }
+    // The runs must have put the promises to the test.
+    assert!(crashes > 2_000, "{crashes}");
+    assert!(given_up > 600, "{given_up}");
+}
+
 #[test]
 fn a_job_waits_until_a_worker_has_begun_one_of_its_tasks() {
     let miscounted: Vec<String> = (0..300)
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -70,9 +70,24 @@
     pub miscounted: Option<Miscounted>,
     pub faults: bool,
     pub starts: u64,
+    /// The tasks that crash each worker that starts them.
+    pub bad: BTreeMap<TaskId, BadTask>,
+    /// How often each task has failed by itself.
+    pub failures: BTreeMap<TaskId, u32>,
 }
 
-fn id(number: u64) -> JobId {
+/// What a task has done that crashes each worker that starts it.
+#[derive(Default)]
+pub struct BadTask {
+    pub crashes: u32,
+    /// How often it was started since the third crash.
+    starts_since: u32,
+    /// How often another holder took over since it was first started, and may
+    /// not have seen a crash.
+    takeovers: u32,
+}
+
+pub fn id(number: u64) -> JobId {
     // OK because it is always 16 hexadecimal digits.
     format!("{number:016x}").parse().unwrap()
 }
@@ -95,6 +110,8 @@
             miscounted: None,
             faults: true,
             starts: 0,
+            bad: BTreeMap::new(),
+            failures: BTreeMap::new(),
         };
         for vm in 0..4 {
             world.start_life(vm);
@@ -139,6 +156,9 @@
 
     /// Lets a new holder load what is stored, at once or by and by.
     fn take_over(&mut self) {
+        for task in self.bad.values_mut().filter(|task| task.crashes > 0) {
+            task.takeovers += 1;
+        }
         self.store.revision += 1;
         let mut scheduler =
             Scheduler::new(self.store.revision, Options::default());
@@ -354,6 +374,10 @@
     }
 
     fn note_done(&mut self, report: &HoldReport) {
+        let failed = EndCause::Failed;
+        for end in report.ended.iter().filter(|end| end.cause == failed) {
+            *self.failures.entry(end.task).or_default() += 1;
+        }
         let done =
             report.ended.iter().filter(|end| end.cause == EndCause::Done);
         self.done.extend(done.map(|end| end.task));
@@ -411,10 +435,29 @@
         let result = life.worker.start(clock, order, demand, fate);
         if result.is_ok() {
             self.begun.insert(order.task.job);
+            if self.bad.contains_key(&order.task) {
+                self.crash_under(worker, &order.task);
+                return Err(OrderError::Unknown);
+            }
         }
         result
     }
 
+    /// Lets a worker crash under a bad task, and another life begin there.
+    fn crash_under(&mut self, worker: &WorkerId, task: &TaskId) {
+        let vm = worker.as_str()[1..2].parse().unwrap_or(0);
+        self.lives.remove(worker);
+        self.start_life(vm);
+        let Some(bad) = self.bad.get_mut(task) else { return };
+        if bad.crashes >= 3 {
+            bad.starts_since += 1;
+        }
+        bad.crashes += 1;
+        let most = 2 + bad.takeovers;
+        let starts = bad.starts_since;
+        assert!(starts <= most, "{task}: {starts} starts after 3 crashes");
+    }
+
     fn stop(
         &mut self,
         worker: &WorkerId,
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -95,6 +95,10 @@
         "Runs of tasks that ended, by how.";
     TASK_STOPS, "counter", "dewspar_task_stops_total", Some("reason"),
         "Runs of tasks that were stopped, by why.";
+    SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
+        "Runs whose worker was lost soon after it had been told to start them.";
+    TASKS_GIVEN_UP, "counter", "dewspar_tasks_given_up_total", None,
+        "Tasks given up since workers crash that start them.";
     ORDERS, "counter", "dewspar_orders_total", Some("order, result"),
         "Orders to workers, by kind and result.";
     WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -44,6 +44,18 @@
                 "reason" => reason, "age_ms" => age_ms, "beside" => beside);
             counters::count_by(counters::TASK_ENDS, "cause", "lost");
         }
+        Decision::Suspected { task, worker, crashes, most_age_ms, alone } => {
+            warn!(log, "task: suspected"; "job" => %task.job, "task" => %task,
+                "worker" => %worker, "crashes" => crashes,
+                "most_age_ms" => most_age_ms, "alone" => alone);
+            counters::count(counters::SUSPECTED_RUNS);
+        }
+        Decision::GivenUp { task, crashes } => {
+            warn!(log, "task: given up"; "job" => %task.job, "task" => %task,
+                "crashes" => crashes,
+                "reason" => "workers crash that start it");
+            counters::count(counters::TASKS_GIVEN_UP);
+        }
         Decision::OrderFailed { worker, task, reason } => {
             warn!(log, "worker: order gave no result";
                 "worker" => %worker, "job" => task.map(|t| t.job.to_string()),
