--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -204,19 +204,20 @@
 
 /// The runs that went down with one worker.
 pub(super) struct LostRuns {
-    /// The VM; empty if nothing there is suspected.
-    vm: String,
+    /// The VM, unless its worker was to go.
+    crashed_vm: Option<String>,
     runs: Vec<LostRun>,
 }
 
 impl LostRuns {
-    /// Looks at what a worker had when it was lost; nothing on one that was
-    /// to go is suspected.
+    /// Looks at what a worker had when it was lost.
+    ///
+    /// One that is draining ends by itself. One that is being emptied doesn't
+    /// before it is empty: whatever it still had was lost in a crash.
     pub(super) fn of(worker: &Worker, now: Now) -> LostRuns {
-        let planned = worker.emptying.is_some() || worker.listing.draining;
-        if planned {
-            return LostRuns { vm: String::new(), runs: Vec::new() };
-        }
+        let draining = worker.listing.draining;
+        let planned =
+            draining || (worker.emptying.is_some() && worker.runs.is_empty());
         let answered_ms = worker.answered_worker_ms();
         let over_ms = worker.unanswered_since_ms().unwrap_or(now.steady_ms);
         let lost = |(task, run): (&TaskId, &Run)| LostRun {
@@ -225,9 +226,13 @@
             most_age_ms: over_ms.saturating_sub(run.since_ms),
             suspicion: run.suspicion,
         };
+        let vm = &worker.listing.vm;
         LostRuns {
-            vm: worker.listing.vm.clone(),
-            runs: worker.runs.iter().map(lost).collect(),
+            crashed_vm: (!planned).then(|| vm.clone()),
+            runs: match draining {
+                true => Vec::new(),
+                false => worker.runs.iter().map(lost).collect(),
+            },
         }
     }
 
@@ -261,14 +266,7 @@
         lost: &LostRuns,
         now: Now,
     ) {
-        let steady = self.steadiness(&lost.vm, now) == Steadiness::Steady;
-        if !lost.vm.is_empty() {
-            self.vm_crashes.retain(|_, crashes| {
-                crashes.steadiness(now.steady_ms) != Steadiness::Steady
-            });
-            let crashes = self.vm_crashes.entry(lost.vm.clone()).or_default();
-            crashes.note(now.steady_ms);
-        }
+        let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         for run in lost.suspects() {
             let Some(crashes) = self.count_crash(run, now) else { continue };
             let alone = steady && lost.is_only_suspect(&run.task, &crashes);
@@ -286,6 +284,19 @@
         }
     }
 
+    /// Notes that a VM's worker has crashed; returns whether the VM was steady
+    /// before.
+    fn note_vm_crash(&mut self, vm: Option<&str>, now: Now) -> bool {
+        let Some(vm) = vm else { return false };
+        let steady = self.steadiness(vm, now) == Steadiness::Steady;
+        self.vm_crashes.retain(|_, crashes| {
+            crashes.steadiness(now.steady_ms) != Steadiness::Steady
+        });
+        let crashes = self.vm_crashes.entry(vm.to_owned()).or_default();
+        crashes.note(now.steady_ms);
+        steady
+    }
+
     /// Counts a crash; returns all of its task, if that is still to be done.
     fn count_crash(&mut self, run: &LostRun, now: Now) -> Option<Crashes> {
         let job = self.jobs.get(&run.task.job)?;
--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -13,7 +13,10 @@
 //! ```
 
 use {
-    crate::world::{World, id, job, step},
+    crate::{
+        waves::request_wave,
+        world::{World, at, id, job, step},
+    },
     dewspar::{
         job::{JobId, StepSpec, TaskId},
         schedule::Decision,
@@ -162,3 +165,26 @@
     assert!(starts_of(&world, &bad) > 2);
     assert_eq!(world.phases[&id(1)], "failed");
 }
+
+#[test]
+fn a_crash_counts_on_a_worker_that_is_being_emptied_too() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4"]);
+    world.list();
+    world.expect_all();
+    world.fate = Fate::done(5_000);
+    world.scheduler.submit(id(1), job(vec![step(16)]), 6, None);
+    world.run_for(100);
+    request_wave(&mut world);
+    let _ = world.scheduler.plan_vms(at(world.now_ms));
+    let decisions = world.scheduler.take_decisions();
+    let emptied = decisions.iter().find_map(|decision| match decision {
+        Decision::Emptying { vm, .. } => Some(vm.clone()),
+        _ => None,
+    });
+    world.crash_vm(&emptied.expect("some worker is emptied"));
+    world.run_for(3_000);
+    let decisions = world.scheduler.take_decisions();
+    let suspected =
+        |d: &&Decision| matches!(d, Decision::Suspected { crashes: 1, .. });
+    assert_eq!(decisions.iter().filter(suspected).count(), 4);
+}
--- a/crates/dewspar/tests/schedule/waves.rs
+++ b/crates/dewspar/tests/schedule/waves.rs
@@ -41,7 +41,7 @@
     }
 }
 
-fn request_wave(world: &mut World) {
+pub fn request_wave(world: &mut World) {
     let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
     let request = wave_of(&vms);
     let now = at(world.now_ms);
