One entry that can't be read hides itself alone, whatever is read

Cause: each list was decoded as one document, and a reader gave up on the first item it couldn't decode.

Lists are read as they should be first; only if that fails, row by row, and what can't be read is noted, logged and counted once for each version.

--- a/crates/dewspar-cli/src/commands/demo_jobs.rs
+++ b/crates/dewspar-cli/src/commands/demo_jobs.rs
@@ -12,7 +12,7 @@
         job::{Queue, QueueSet},
         schedule::QueueTerms,
     },
-    dewspar_platform::{KeyValue, Traffic},
+    dewspar_platform::{KeyValue, Traffic, UnreadableNotes},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
@@ -102,6 +102,7 @@
         protocol: RestCalls,
         readiness_path: "/ready",
         traffic: Traffic::default(),
+        unreadable: UnreadableNotes::default(),
     };
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -45,6 +45,7 @@
         Versioned, Watch, WatchBatch,
     },
     traffic::{Purpose, Tallies, Tally, Traffic},
+    unreadable::{Unreadable, UnreadableNotes},
     vm_list::{VmList, VmListing},
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
@@ -59,5 +60,6 @@
 mod job_worker;
 mod kv;
 mod traffic;
+mod unreadable;
 mod vm_list;
 mod worker;
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -235,6 +235,7 @@
             clock_ms: now_ms,
             active: active.collect(),
             ended: self.ended.clone(),
+            is_partial: false,
         })
     }
 
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -234,6 +234,9 @@
     pub active: Vec<ActiveRun>,
     /// What has ended and wasn't acknowledged, oldest first.
     pub ended: Vec<EndedRun>,
+    /// Whether something that runs couldn't be read: a run that isn't named
+    /// may be there all the same.
+    pub is_partial: bool,
 }
 
 /// Why a worker refused an order; it has done nothing.
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -65,7 +65,9 @@
                 }
                 self.run_active(worker_id, active, now);
             }
-            self.drop_missing(worker_id, held, report, now);
+            if !report.is_partial {
+                self.drop_missing(worker_id, held, report, now);
+            }
         }
         let synced = self.workers.get(worker_id).is_some_and(|w| w.synced);
         if first && synced {
--- a/crates/dewspar/tests/schedule/waiting.rs
+++ b/crates/dewspar/tests/schedule/waiting.rs
@@ -119,8 +119,11 @@
         cause: EndCause::Failed,
         checkpoint: String::new(),
     };
-    let report =
-        HoldReport { clock_ms: 1, ended: vec![ended], active: vec![] };
+    let report = HoldReport {
+        clock_ms: 1,
+        ended: vec![ended],
+        ..HoldReport::default()
+    };
     let now = at(world.now_ms);
     world.scheduler.hold_answered(&worker, &held, &report, now);
     assert_eq!(waiting(&world.scheduler), 0);
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -63,6 +63,8 @@
     PLATFORM_FAILURES, "counter", "dewspar_platform_failures_total",
         Some("reason"),
         "Calls to the platform without result, by reason.";
+    UNREADABLE, "counter", "dewspar_unreadable_total", Some("what"),
+        "Versions of things passed over since they can't be read, by what.";
     PROBES, "counter", "dewspar_probes_total", Some("result"),
         "Probes of peers, by result.";
     PEER_BYTES, "counter", "dewspar_peer_bytes_total", Some("direction"),
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -40,7 +40,10 @@
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
     slog::info,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
@@ -128,6 +131,7 @@
         scheduler,
         versions: BTreeMap::new(),
         restored: BTreeMap::new(),
+        unreadable: BTreeSet::new(),
         sender,
         pools: BTreeMap::new(),
         writes: 0,
@@ -157,6 +161,8 @@
     pub(super) versions: BTreeMap<JobId, u64>,
     /// What a former holder stored of the jobs that are being taken over.
     pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
+    /// Jobs whose stored progress can't be read.
+    pub(super) unreadable: BTreeSet<JobId>,
     pub(super) sender: EventSender,
     /// How many VMs each pool has, by what they are doing.
     pub(super) pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -37,6 +37,9 @@
     ) {
         for event in feed {
             match event {
+                // All of it may have been done: it isn't run again.
+                FeedEvent::Accepted { id, .. }
+                    if self.unreadable.contains(&id) => {}
                 FeedEvent::Accepted { id, job, revision } => {
                     // A whole reading of the feed doesn't tell how far a job
                     // has come under former holders.
@@ -67,6 +70,7 @@
     /// Takes in jobs that former holders left.
     pub(super) fn take_loaded(&mut self, jobs: LoadedJobs) {
         self.versions.extend(jobs.versions);
+        self.unreadable.extend(jobs.unreadable);
         self.restored = jobs.progress;
         self.take_feed(jobs.feed, FeedOrigin::Loaded);
         // Jobs that are over have no entry in the feed any more.
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -12,13 +12,14 @@
         readiness::{self, Readiness},
         settings::JobSettings,
     },
-    crate::{clock, logs},
+    crate::{clock, counters, logs},
     dewspar::{link::LinkLimits, schedule::Options},
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, Purpose, Traffic,
+        Unreadable, UnreadableNotes,
     },
     metrics_exporter_prometheus::PrometheusHandle,
-    slog::{Logger, info},
+    slog::{Logger, info, warn},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{sync::watch, task::JoinHandle, time::sleep},
 };
@@ -26,6 +27,10 @@
 /// How much of the time to stop in is kept in reserve, in milliseconds.
 const STOP_RESERVE_MS: u64 = 1_000;
 
+/// How often what couldn't be read is told: once in a reading of the directory
+/// or so.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long after it stopped being ready a node still takes connections, in
 /// milliseconds: the entry asks each second and believes the second answer.
 const STOP_DELAY_MS: u64 = 2_500;
@@ -45,6 +50,8 @@
     pub readiness_path: &'static str,
     /// What the adapters' calls cost, by purpose.
     pub traffic: Traffic,
+    /// What the adapters couldn't read.
+    pub unreadable: UnreadableNotes,
 }
 
 /// A running node.
@@ -82,6 +89,11 @@
             timing.config_apply_ms,
             logs::part(&log, "operator"),
         );
+        tokio::spawn(tell_unreadable(
+            platform.unreadable.clone(),
+            stopped.clone(),
+            logs::part(&log, "platform"),
+        ));
         let readiness = Readiness::new(
             reader.clone(),
             stopped.clone(),
@@ -174,3 +186,19 @@
         info!(self.log, "node: stopped");
     }
 }
+
+/// Logs and counts what couldn't be read, each version of a thing once.
+async fn tell_unreadable(
+    notes: UnreadableNotes,
+    stopped: watch::Receiver<bool>,
+    log: Logger,
+) {
+    while !*stopped.borrow() {
+        for Unreadable { what, key, version, reason } in notes.take() {
+            warn!(log, "platform: passed over"; "what" => what, "key" => key,
+                "version" => version, "reason" => reason);
+            counters::count_by(counters::UNREADABLE, "what", what);
+        }
+        sleep(TELL_INTERVAL).await;
+    }
+}
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -28,7 +28,10 @@
     },
     dewspar_platform::{Error, Fleet, KeyValue, Versioned},
     slog::{Logger, info, warn},
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -56,6 +59,8 @@
     pub(super) progress: BTreeMap<JobId, Progress>,
     /// The version of each job's progress in the store.
     pub(super) versions: BTreeMap<JobId, u64>,
+    /// Jobs whose progress can't be read: what is done of them isn't known.
+    pub(super) unreadable: BTreeSet<JobId>,
 }
 
 /// What former holders left beside the jobs.
@@ -208,8 +213,11 @@
                 self.progress.insert(id, found);
                 self.versions.insert(id, item.version);
             }
-            Err(error) => warn!(log, "holder: progress can't be read";
-                "job" => %id, "error" => %error),
+            Err(error) => {
+                warn!(log, "holder: progress can't be read";
+                    "job" => %id, "error" => %error);
+                self.unreadable.insert(id);
+            }
         }
     }
 }
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -153,7 +153,9 @@
         .with_adviser(platform.adviser.map(|a| a.to_string()));
         let order_timeout_ms =
             ORDER_TIMEOUT_MS + settings.machine.link_ms(BYTES_AHEAD);
-        let workers = TaskWorkers::new(client(order_timeout_ms));
+        let unreadable = store.unreadable().clone();
+        let workers = TaskWorkers::new(client(order_timeout_ms))
+            .with_unreadable(&unreadable);
         let platform = JobPlatform {
             store,
             workers,
@@ -161,6 +163,7 @@
             protocol: Calls,
             readiness_path: READINESS_PATH,
             traffic,
+            unreadable,
         };
         let mut reload =
             signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -4,11 +4,12 @@
 use {
     bytes::Bytes,
     dewspar::{
-        job::{Queue, QueueSet},
-        schedule::{QueueTerms, WaveRequest},
+        job::{JobSpec, Queue, QueueSet, StepSpec},
+        schedule::{AcceptedJob, QueueTerms, WaveRequest},
     },
     dewspar_platform::{
-        Expected, KeyValue, Traffic, empty_request, json_request,
+        Batch, Expected, KeyValue, Traffic, UnreadableNotes, empty_request,
+        json_request,
     },
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
@@ -86,6 +87,7 @@
             protocol: RestCalls,
             readiness_path: "/ready",
             traffic: Traffic::default(),
+            unreadable: UnreadableNotes::default(),
         };
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
@@ -284,6 +286,31 @@
     assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
 }
 
+#[tokio::test]
+async fn a_job_whose_progress_cannot_be_read_is_not_run_again() {
+    let mut cluster = Cluster::start(0).await;
+    let step = StepSpec { count: 1, cpu_millis: 100, ..StepSpec::default() };
+    let spec = JobSpec {
+        queue: "extracts".to_owned(),
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let job = AcceptedJob { spec, terms: queue("").terms, accepted_at_ms: 1 };
+    let job = serde_json::to_vec(&job).expect("plain JSON");
+    let odd = format!("{:016x}", 7);
+    let batch = Batch::default()
+        .put(&format!("q/in/{odd}"), job)
+        .put(&format!("run/{odd}"), b"no progress".to_vec());
+    cluster.store.commit(&batch).await.expect("a store");
+    let node = cluster.node("node-0").await;
+    cluster.nodes.push(node);
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    let starts = cluster.starts();
+    // All of it may have been done.
+    assert!(!starts.keys().any(|task| task.starts_with(&odd)), "{starts:?}");
+}
+
 #[tokio::test]
 async fn a_weak_node_hands_the_lease_to_a_stronger_one_that_comes() {
     let mut cluster = Cluster::start(0).await;
