Guard the rooms of workers that don't guard them themselves

Cause: a worker's room was taken from its entry in the directory, however long ago that was read, and a run of a job that is over counted as taking nothing. Workers that refuse what doesn't fit put that right; those that start whatever they are told (EnforcesCapacity false, which no code read) were brought over their room.

In pools of such workers a start goes only where the entry is at most 2.5 s old, asked for and not heard then, and where every run is known and has a known size; what is being stopped and what was ordered without an answer counted already. Over its room after a shrink a worker gets nothing until it fits; nothing is moved away, since no promise asks for it and a move loses work.

Tests first red with the check out: rooms told of long ago, a run of unknown size (both in tests/schedule/rooms.rs), and 300 random runs with rooms that shrink and outages of up to 9 s, each check by itself.

--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -119,6 +119,8 @@
     highest: BTreeMap<TaskId, u64>,
     ends: u64,
     rejected_for_room: u64,
+    /// Whether it refuses what it has no room for.
+    guards: bool,
 }
 
 impl TaskWorker {
@@ -133,9 +135,25 @@
             highest: BTreeMap::new(),
             ends: 0,
             rejected_for_room: 0,
+            guards: true,
         }
     }
 
+    /// Makes it start whatever it is told, whether there is room or not.
+    pub fn unguarded(mut self) -> TaskWorker {
+        self.guards = false;
+        self
+    }
+
+    /// Returns what its runs take.
+    pub fn used(&self) -> Room {
+        let mut used = Room::default();
+        for run in self.running.values() {
+            used.add(&run.demand);
+        }
+        used
+    }
+
     /// Returns what runs at a time on the worker's clock.
     pub fn running(&mut self, now_ms: u64) -> Vec<(TaskId, u64)> {
         self.advance(now_ms);
@@ -178,7 +196,7 @@
         if order.run <= highest || self.running.contains_key(&order.task) {
             return Err(OrderError::Refused(Refusal::StaleRun));
         }
-        if !self.free().holds(&demand) {
+        if self.guards && !self.free().holds(&demand) {
             self.rejected_for_room += 1;
             return Err(OrderError::Refused(Refusal::NoRoom));
         }
--- a/crates/dewspar/src/job/queue.rs
+++ b/crates/dewspar/src/job/queue.rs
@@ -21,12 +21,25 @@
     version: u64,
     queues: Vec<Queue>,
     free_pools: Vec<String>,
+    unguarded_pools: Vec<String>,
 }
 
 impl QueueSet {
     /// Makes the queues of a version.
     pub fn new(version: u64, queues: Vec<Queue>) -> QueueSet {
-        QueueSet { version, queues, free_pools: Vec::new() }
+        QueueSet { version, queues, ..QueueSet::default() }
+    }
+
+    /// Sets the pools whose workers start whatever they are told, whether they
+    /// have room for it or not.
+    pub fn with_unguarded_pools(mut self, pools: Vec<String>) -> QueueSet {
+        self.unguarded_pools = pools;
+        self
+    }
+
+    /// Returns the pools whose workers start whatever they are told.
+    pub fn unguarded_pools(&self) -> &[String] {
+        &self.unguarded_pools
     }
 
     /// Sets the pools whose VMs are switched off and cost nothing.
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -25,8 +25,19 @@
 const ENTERED_WITHIN_MS: u64 = 2_000;
 
 impl Scheduler {
-    /// Takes over the directory of workers.
+    /// Takes over the directory of workers as it is now.
     pub fn list_workers(&mut self, now: Now, listings: Vec<WorkerListing>) {
+        self.list_workers_as_of(now.steady_ms, now, listings);
+    }
+
+    /// Takes over the directory of workers as it was asked for at this time
+    /// of the steady clock, in milliseconds.
+    pub fn list_workers_as_of(
+        &mut self,
+        asked_ms: u64,
+        now: Now,
+        listings: Vec<WorkerListing>,
+    ) {
         if self.taken_over_ms == 0 {
             self.taken_over_ms = now.steady_ms;
         }
@@ -41,7 +52,7 @@
         self.unlist_missing(&listings, now);
         let replaced = self.replaced_by(&listings);
         for listing in listings {
-            self.list_worker(now, listing);
+            self.list_worker_as_of(asked_ms, now, listing);
         }
         self.note_capacities();
         for id in replaced {
@@ -51,6 +62,15 @@
 
     /// Takes in one worker's entry in the directory.
     pub fn list_worker(&mut self, now: Now, listing: WorkerListing) {
+        self.list_worker_as_of(now.steady_ms, now, listing);
+    }
+
+    fn list_worker_as_of(
+        &mut self,
+        asked_ms: u64,
+        now: Now,
+        listing: WorkerListing,
+    ) {
         if self.ended_lives.contains(&listing.id) {
             return;
         }
@@ -58,10 +78,12 @@
             Some(worker) => {
                 worker.listed = true;
                 worker.listing = listing;
+                worker.told_ms = worker.told_ms.max(asked_ms);
             }
             None => {
                 let id = listing.id.clone();
-                let worker = self.new_worker(listing, now);
+                let mut worker = self.new_worker(listing, now);
+                worker.told_ms = asked_ms;
                 self.workers.insert(id, worker);
             }
         }
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -43,6 +43,11 @@
 /// a core.
 const DISTURBANCE_SCORE: i64 = 100_000;
 
+/// How old what a worker says of its room may be where it doesn't guard that
+/// itself, in milliseconds: a room that has shrunk counts some 3 s later at the
+/// earliest, and the directory is read every 0.3 to 1.5 s.
+const TOLD_MS: u64 = 2_500;
+
 /// A step with tasks to start.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Candidate {
@@ -319,6 +324,8 @@
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task));
         let demand = demand(spec);
+        let guarded = job
+            .is_none_or(|job| !self.unguarded_pools.contains(&job.terms.pool));
         let company = state.map(|state| self.company(spec, state, now));
         let steadiness = state.zip(job).map(|(state, job)| {
             self.steadiness_wanted(spec, state, &job.terms.pool, now)
@@ -335,6 +342,7 @@
             };
             worker.free().holds(&demand)
                 && worker.takes_orders(now.steady_ms)
+                && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
                 && worker.listing.pool == job.terms.pool
                 && !worker.runs.contains_key(task)
                 && company.is_none_or(|company| company.allows(worker))
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -26,8 +26,8 @@
     Expected,
     /// It belongs to a task that needs it.
     Adopt(Room),
-    /// Nobody needs it.
-    Unwanted(Room),
+    /// Nobody needs it; what it takes is only known if its job is.
+    Unwanted(Option<Room>),
 }
 
 impl Scheduler {
@@ -302,6 +302,7 @@
             gauge: active.gauge,
             pace,
             suspicion,
+            measured: true,
         };
         match found {
             Found::Expected => {
@@ -317,7 +318,8 @@
                 self.adopt(worker_id, active);
             }
             Found::Unwanted(demand) => {
-                run.demand = demand;
+                run.measured = demand.is_some();
+                run.demand = demand.unwrap_or_default();
                 worker.insert(active.task, run);
                 self.stop_run(&active.task, worker_id, "nobody needs it");
             }
@@ -331,17 +333,19 @@
             return Found::Expected;
         }
         let Some(job) = self.jobs.get(&active.task.job) else {
-            return Found::Unwanted(Room::default());
+            return Found::Unwanted(None);
         };
         let demand = job.step_spec(&active.task).map(demand);
-        let demand = demand.unwrap_or_default();
         let needed = job.task(&active.task).is_some_and(|task| {
             !job.phase.is_final()
                 && !task.done
                 && task.on.is_empty()
                 && active.run > task.ended_run
         });
-        if needed { Found::Adopt(demand) } else { Found::Unwanted(demand) }
+        match demand {
+            Some(demand) if needed => Found::Adopt(demand),
+            demand => Found::Unwanted(demand),
+        }
     }
 
     fn adopt(&mut self, worker_id: &WorkerId, active: &ActiveRun) {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -65,6 +65,8 @@
     pub(super) refused_moves: BTreeSet<(String, String)>,
     pub(super) serving_pools: BTreeSet<String>,
     pub(super) free_pools: BTreeSet<String>,
+    /// The pools whose workers start whatever they are told.
+    pub(super) unguarded_pools: BTreeSet<String>,
     pub(super) pool_loads: BTreeMap<String, PoolLoad>,
     /// The pools that have no place for some task which another VM could
     /// hold, and since when.
@@ -134,6 +136,7 @@
             refused_moves: BTreeSet::new(),
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
+            unguarded_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
             without_place: BTreeMap::new(),
             capacities: Vec::new(),
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -75,6 +75,12 @@
         self.free_pools = free;
     }
 
+    /// Takes over in which pools workers start whatever they are told: their
+    /// rooms are to be guarded here.
+    pub fn guard_pools(&mut self, unguarded: BTreeSet<String>) {
+        self.unguarded_pools = unguarded;
+    }
+
     fn sizing(&self) -> &Sizing {
         &self.options.policy.sizing
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -69,6 +69,8 @@
     /// How many workers in a row were lost under its task, unless it has
     /// cleared that; see [`suspects`](crate::schedule).
     pub(crate) suspicion: u32,
+    /// Whether it is known what it takes.
+    pub(crate) measured: bool,
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -106,6 +108,7 @@
             gauge: 0,
             pace: 100,
             suspicion: 0,
+            measured: true,
         }
     }
 
@@ -221,6 +224,12 @@
     pub(crate) first_listed_ms: u64,
     /// Whether the directory still lists it.
     pub(crate) listed: bool,
+    /// As of when it is known what it says of itself.
+    pub(crate) told_ms: u64,
+    /// How many of the runs take nobody knows what.
+    unmeasured: usize,
+    /// Whether its newest answer had runs that couldn't be read.
+    unread_runs: bool,
 }
 
 impl Worker {
@@ -269,6 +278,9 @@
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !listed_nowhere,
+            told_ms: now_ms,
+            unmeasured: 0,
+            unread_runs: false,
         }
     }
 
@@ -293,6 +305,7 @@
         self.used.add(&run.demand);
         self.suspects += usize::from(run.suspicion > 0);
         self.tested += usize::from(run.is_tested());
+        self.unmeasured += usize::from(!run.measured);
         if let Some(old) = self.runs.insert(task, run) {
             self.no_longer_has(&old);
         }
@@ -303,6 +316,15 @@
         self.used.subtract(&run.demand);
         self.suspects -= usize::from(run.suspicion > 0);
         self.tested -= usize::from(run.is_tested());
+        self.unmeasured -= usize::from(!run.measured);
+    }
+
+    /// Returns whether it is known for sure what it has room for: what it
+    /// said of itself is no older than that, and so is all that runs there.
+    pub(crate) fn has_sure_room(&self, now_ms: u64, most_age_ms: u64) -> bool {
+        now_ms <= self.told_ms + most_age_ms
+            && self.unmeasured == 0
+            && !self.unread_runs
     }
 
     /// Returns whether it has a run whose task may crash workers.
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -125,6 +125,9 @@
             self.synced = true;
         }
         let newest = report.clock_ms >= self.latest_report_ms;
+        if newest {
+            self.unread_runs = report.is_partial;
+        }
         self.latest_report_ms = self.latest_report_ms.max(report.clock_ms);
         let unstored = report
             .ended
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -7,6 +7,7 @@
 mod loading;
 mod placing;
 mod pools;
+mod rooms;
 mod runs;
 mod small_link;
 mod takeover;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/rooms.rs
@@ -0,0 +1,115 @@
+//! A worker's room may shrink and grow while it runs. Some workers guard it
+//! and refuse what doesn't fit; others start whatever they are told, and only
+//! the scheduler can keep them within their room. It started tasks there by
+//! what such a worker had said of itself long before, and beside runs of which
+//! it didn't know what they take.
+
+use {
+    crate::world::{POOL, ROOM, World, at, id, job, step},
+    dewspar::{
+        job::TaskId,
+        schedule::{Room, StartOrder, WorkerId},
+    },
+    dewspar_standin::task_worker::Fate,
+};
+
+const HALF: Room = Room { cpu_millis: 2_000, memory_mb: 2_000, gpus: 0 };
+
+fn world_of_one() -> World {
+    let mut world = World::new(5, &["w1"]);
+    world.fate = Fate::done(2_000);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    world
+}
+
+fn shrink_to(world: &mut World, room: Room) {
+    world.listings[0].capacity = room;
+    world.list();
+}
+
+#[test]
+fn starts_fit_what_a_worker_says_of_itself_now() {
+    let mut world = world_of_one();
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 4);
+    shrink_to(&mut world, HALF);
+    world.scheduler.submit(id(2), job(vec![step(4)]), 7, None);
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 4, "it has more than its room already");
+    world.run_for(1_500);
+    assert_eq!(world.starts.len(), 6, "what ran has ended");
+    shrink_to(&mut world, ROOM);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 8);
+}
+
+#[test]
+fn what_is_being_stopped_takes_its_room_until_its_end_is_listed() {
+    let mut world = world_of_one();
+    world.scheduler.guard_pools([POOL.to_owned()].into());
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(100);
+    world.cut.push(WorkerId::new("w1"));
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.scheduler.submit(id(2), job(vec![step(1)]), 7, None);
+    world.run_for(500);
+    assert_eq!(world.starts.len(), 4);
+}
+
+#[test]
+fn a_room_that_is_not_guarded_must_have_been_told_of_late() {
+    for guarded in [true, false] {
+        let mut world = world_of_one();
+        if !guarded {
+            world.scheduler.guard_pools([POOL.to_owned()].into());
+        }
+        // The directory can't be read any more.
+        world.run_for(4_000);
+        world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+        world.run_for(500);
+        assert_eq!(world.starts.len(), usize::from(guarded));
+        world.list();
+        world.run_for(100);
+        assert_eq!(world.starts.len(), 1);
+    }
+}
+
+#[test]
+fn nothing_starts_in_an_unguarded_room_beside_a_run_of_unknown_size() {
+    for guarded in [true, false] {
+        let mut world = World::new(5, &["w1"]);
+        world.list();
+        // A former holder's job, which is over: nothing of it is known.
+        let order = StartOrder {
+            task: TaskId { job: id(9), round: 0, step: 0, index: 0 },
+            run: 1,
+            payload: "".into(),
+            lease_until_ms: 9_000,
+            fence: 1,
+            checkpoint: String::new(),
+            ticket: String::new(),
+        };
+        let worker = WorkerId::new("w1");
+        let reached = world.reach(&worker).expect("a worker");
+        reached
+            .start(900, &order, ROOM, Fate::endless())
+            .expect("room for it");
+        if !guarded {
+            world.scheduler.guard_pools([POOL.to_owned()].into());
+        }
+        world.expect_all();
+        let now = at(world.now_ms);
+        let actions = world.scheduler.plan(now);
+        world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+        for action in actions {
+            world.carry_out(action, now);
+        }
+        // It is to be stopped; its end isn't listed yet.
+        let _ = world.scheduler.plan(now);
+        let started = world.scheduler.window().under_way() > 0;
+        assert_eq!(started, guarded);
+    }
+}
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -88,6 +88,16 @@
     assert!(given_up > 600, "{given_up}");
 }
 
+#[test]
+fn rooms_that_nobody_else_guards_are_never_overfilled() {
+    let mut shrinks = 0;
+    for seed in 0..300 {
+        shrinks += play_on(World::unguarded(seed), seed).shrinks;
+    }
+    // The runs must have put the promise to the test.
+    assert!(shrinks > 1_000, "{shrinks}");
+}
+
 #[test]
 fn a_job_waits_until_a_worker_has_begun_one_of_its_tasks() {
     let miscounted: Vec<String> = (0..300)
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -32,9 +32,23 @@
     /// How slow its clock is, in thousandths.
     slow: u64,
     cut_until_ms: u64,
+    /// What its room was, each until when; it counts for a while after that.
+    former_rooms: Vec<(u64, Room)>,
 }
 
+/// For how long a room counts that has shrunk, in milliseconds: the shortest
+/// time on any site, with a beat.
+const ROOM_COUNTS_MS: u64 = 4_500;
+
 impl Life {
+    fn has_room_for(&self, used: &Room, now_ms: u64) -> bool {
+        let counts = |until_ms: u64| now_ms <= until_ms + ROOM_COUNTS_MS;
+        let former = self.former_rooms.iter();
+        let mut former = former.filter(|(until, _)| counts(*until));
+        self.listing.capacity.holds(used)
+            || former.any(|(_, room)| room.holds(used))
+    }
+
     fn clock(&self, now_ms: u64) -> u64 {
         now_ms * (1_000 - self.slow) / 1_000
     }
@@ -74,6 +88,10 @@
     pub bad: BTreeMap<TaskId, BadTask>,
     /// How often each task has failed by itself.
     pub failures: BTreeMap<TaskId, u32>,
+    /// Whether workers start whatever they are told, in rooms that change.
+    unguarded: bool,
+    /// How often a room has shrunk.
+    pub shrinks: u32,
 }
 
 /// What a task has done that crashes each worker that starts it.
@@ -112,6 +130,8 @@
             starts: 0,
             bad: BTreeMap::new(),
             failures: BTreeMap::new(),
+            unguarded: false,
+            shrinks: 0,
         };
         for vm in 0..4 {
             world.start_life(vm);
@@ -120,6 +140,35 @@
         world
     }
 
+    /// Makes a world whose workers start whatever they are told.
+    pub fn unguarded(seed: u64) -> World {
+        let mut world = World::new(seed);
+        world.unguarded = true;
+        world.lives.clear();
+        for vm in 0..4 {
+            world.start_life(vm);
+        }
+        world.take_over();
+        world
+    }
+
+    /// Lets a worker's room become another one, which the directory shows
+    /// with its next reading.
+    fn change_room(&mut self) {
+        let thirds = self.random.random_range(1..=3);
+        let room = Room {
+            cpu_millis: ROOM.cpu_millis * thirds / 3,
+            memory_mb: ROOM.memory_mb * thirds / 3,
+            gpus: 0,
+        };
+        let now_ms = self.now_ms;
+        let Some(life) = self.any_life() else { return };
+        let before = life.listing.capacity;
+        life.former_rooms.push((now_ms, before));
+        life.listing.capacity = room;
+        self.shrinks += u32::from(!room.holds(&before));
+    }
+
     pub fn now(&self) -> Now {
         Now {
             steady_ms: self.now_ms,
@@ -145,12 +194,16 @@
             draining: false,
             remaining_ms: None,
         };
-        let life = Life {
+        let mut life = Life {
             worker: TaskWorker::new(ROOM),
             listing: listing.clone(),
             slow: u64::from(vm) * 6,
             cut_until_ms: 0,
+            former_rooms: Vec::new(),
         };
+        if self.unguarded {
+            life.worker = life.worker.unguarded();
+        }
         self.lives.insert(listing.id, life);
     }
 
@@ -162,6 +215,9 @@
         self.store.revision += 1;
         let mut scheduler =
             Scheduler::new(self.store.revision, Options::default());
+        if self.unguarded {
+            scheduler.guard_pools([POOL.to_owned()].into());
+        }
         scheduler.begin_loading();
         for id in &self.store.cancelled {
             scheduler.cancel(*id, self.now());
@@ -247,11 +303,15 @@
                 life.cut_until_ms = until;
             }
         }
+        if self.unguarded && self.chance(40) {
+            self.change_room();
+        }
         if self.chance(6) {
             self.crash();
         }
         if self.chance(8) {
-            let for_ms = self.random.random_range(200..3_000);
+            let longest_ms = if self.unguarded { 9_000 } else { 3_000 };
+            let for_ms = self.random.random_range(200..longest_ms);
             self.outage_until_ms = self.now_ms + for_ms;
         }
         if self.chance(10) && self.now_ms >= self.outage_until_ms {
@@ -282,7 +342,9 @@
             let most = self.random.random_range(0..2);
             self.load(most);
         }
-        if step.is_multiple_of(10) {
+        // What changes during an outage is read after it.
+        let is_out = self.unguarded && self.now_ms < self.outage_until_ms;
+        if step.is_multiple_of(10) && !is_out {
             self.list();
         }
         let now = self.now();
@@ -432,7 +494,13 @@
             Room { cpu_millis: 1_000, memory_mb: 500, ..Room::default() };
         let fate =
             if fails { Fate::failed(work_ms) } else { Fate::done(work_ms) };
+        let used_before = life.worker.used();
         let result = life.worker.start(clock, order, demand, fate);
+        let used = life.worker.used();
+        if used != used_before && !life.has_room_for(&used, now_ms) {
+            let room = life.listing.capacity;
+            panic!("{}: {used:?} of {room:?}", order.task);
+        }
         if result.is_ok() {
             self.begun.insert(order.task.job);
             if self.bad.contains_key(&order.task) {
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -69,7 +69,11 @@
     FeedCurrent {
         asked_ms: u64,
     },
-    Directory(Vec<WorkerListing>),
+    Directory {
+        /// When it was asked for, on the steady clock.
+        asked_ms: u64,
+        listings: Vec<WorkerListing>,
+    },
     /// A worker was looked up in the directory.
     WorkerFound(WorkerListing),
     Vms {
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -317,7 +317,8 @@
         let reading = cost.begin(Purpose::Directory);
         match fleet.workers().await {
             Ok(listings) => {
-                let event = Event::Directory(listings);
+                let asked_ms = reading.asked_ms;
+                let event = Event::Directory { asked_ms, listings };
                 if sender.send(event).await.is_err() {
                     return;
                 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -246,8 +246,8 @@
             Event::FeedCurrent { asked_ms } => {
                 self.feed_current_ms = self.feed_current_ms.max(asked_ms);
             }
-            Event::Directory(listings) => {
-                scheduler.list_workers(now, listings);
+            Event::Directory { asked_ms, listings } => {
+                scheduler.list_workers_as_of(asked_ms, now, listings);
             }
             Event::WorkerFound(listing) => scheduler.list_worker(now, listing),
             Event::Vms { asked_ms, vms } => {
@@ -417,6 +417,8 @@
         let serving = queues.queues().iter().map(|q| q.terms.pool.clone());
         let free = queues.free_pools().iter().cloned();
         self.scheduler.configure_pools(serving.collect(), free.collect());
+        let unguarded = queues.unguarded_pools().iter().cloned();
+        self.scheduler.guard_pools(unguarded.collect());
         let queues = queues.queues().iter();
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
     }
