Count suspension: the steady clock goes on while a VM is suspended

Cause: every age in the daemon went by the monotonic clock, which stands still while a VM is suspended. A node that woke took its lease, its readings and its counts for younger than they were, and its scheduler went on with orders that another holder may give by then.

dewspard::clock adds to the monotonic clock what CLOCK_BOOTTIME (crate nix) is ahead of it, never going back; its page says which use needs which clock. The holder notices a jump of 100 ms and more, logs and counts it, and orders nothing before the store has renewed its lease since.

The test fails with that check out: the second step of a job starts during an outage that follows a suspension of 1 s (supposed, since no test can suspend a VM; what stays untried is timers that end late by a real one). Without a suspension it starts, as before.

--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -1,28 +1,134 @@
 /*!
-The daemon's two clocks.
+The daemon's clocks.
 
-Decisions inside a process use a monotonic clock, which a wrong or stepped
-wall clock can't disturb. Only what is stored at the platform, and the times
-in filings' keys, use the wall clock.
+Decisions inside a process use a steady clock, which a wrong or stepped wall
+clock can't disturb. Only what is stored at the platform, and the times in
+filings' keys, use the wall clock.
+
+# Suspension
+
+A VM may be suspended for seconds. The system's monotonic clock doesn't count
+that time: a node that wakes would take its lease, a reading's age or a
+worker's silence for younger than they are, and go on with orders that another
+node gives by now. So the steady clock here counts it: it is the monotonic
+clock plus what `CLOCK_BOOTTIME`, which runs on, is ahead of it.
+
+Timers still run on the monotonic clock, and so end late by a suspension. That
+is no harm where what comes of them is judged by the steady clock: a call
+answered after its time, a lease renewed late.
+
+| what | clock | why |
+|---|---|---|
+| ages of leases, readings, counts; silence of workers and nodes; times in the scheduler | steady | others' clocks have gone on |
+| timeouts of calls, pauses, intervals | monotonic | nothing is believed because one of them hasn't ended |
+| how long planning and calls take | monotonic | a node that slept isn't slow |
+| times in keys, records and logs, due times of jobs | wall | read by other nodes |
+
+Whoever holds a lease also asks [`Suspensions`] whether it slept, and believes
+nothing before the store has confirmed it.
+
+# Example
+
+```
+use dewspard::clock::Suspensions;
+
+let mut suspensions = Suspensions::new(0);
+// Two clocks are read one after the other.
+assert_eq!(suspensions.noticed_ms(3), None);
+assert_eq!(suspensions.noticed_ms(4_003), Some(4_003));
+assert_eq!(suspensions.noticed_ms(4_003), None);
+```
 */
 
 use {
+    nix::time::{ClockId, clock_gettime},
     std::{
-        sync::LazyLock,
-        time::{SystemTime, UNIX_EPOCH},
+        sync::{
+            LazyLock,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tokio::time::Instant,
 };
 
 static START: LazyLock<Instant> = LazyLock::new(Instant::now);
 
+/// How far `CLOCK_BOOTTIME` was ahead of the monotonic clock at the start.
+static AHEAD_AT_START_MS: LazyLock<u64> = LazyLock::new(ahead_ms);
+
+/// How far it has been ahead since at most: the steady clock never goes back.
+static AHEAD_MS: AtomicU64 = AtomicU64::new(0);
+
+/// What tests add to the time of suspension, in milliseconds.
+static SUPPOSED_MS: AtomicU64 = AtomicU64::new(0);
+
 /// The monotonic clock's first reading, so that "long ago" can be told.
 const FIRST_MS: u64 = 1_000_000;
 
-/// Returns milliseconds of the monotonic clock.
+/// How far the clocks must drift apart to count as a suspension, in
+/// milliseconds: many times what passes between reading one and the other,
+/// and little of the shortest lease.
+const NOTICED_MS: u64 = 100;
+
+/// Returns milliseconds of the steady clock, which counts suspension.
 pub fn now_ms() -> u64 {
     let elapsed = START.elapsed().as_millis();
-    FIRST_MS + u64::try_from(elapsed).unwrap_or(u64::MAX - FIRST_MS)
+    let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX / 2);
+    FIRST_MS + elapsed_ms + suspended_ms()
+}
+
+/// Returns for how long this VM was suspended since the process began, in
+/// milliseconds.
+pub fn suspended_ms() -> u64 {
+    let at_start_ms = *AHEAD_AT_START_MS;
+    let ahead_ms = ahead_ms();
+    let ahead_ms =
+        AHEAD_MS.fetch_max(ahead_ms, Ordering::Relaxed).max(ahead_ms);
+    ahead_ms.saturating_sub(at_start_ms) + SUPPOSED_MS.load(Ordering::Relaxed)
+}
+
+/// Lets the process believe that it was suspended for so long, in
+/// milliseconds, as a test of what it then does.
+pub fn suppose_suspension(for_ms: u64) {
+    SUPPOSED_MS.fetch_add(for_ms, Ordering::Relaxed);
+}
+
+/// Returns how far `CLOCK_BOOTTIME` is ahead of the monotonic clock at least,
+/// in milliseconds: that one is read later, and some time may pass between.
+fn ahead_ms() -> u64 {
+    let read = |clock| clock_gettime(clock).map(Duration::from);
+    let ahead = read(ClockId::CLOCK_BOOTTIME).and_then(|boot| {
+        let monotonic = read(ClockId::CLOCK_MONOTONIC)?;
+        Ok(boot.saturating_sub(monotonic))
+    });
+    // OK to take a clock that isn't there for one that isn't ahead: both are
+    // there on every system that can be suspended.
+    ahead.map_or(0, |ahead| ahead.as_millis() as u64)
+}
+
+/// Tells suspensions from the time for which the VM was suspended in all.
+#[derive(Clone, Copy, Debug)]
+pub struct Suspensions {
+    known_ms: u64,
+}
+
+impl Suspensions {
+    /// Begins to look, after so many milliseconds of suspension.
+    pub fn new(suspended_ms: u64) -> Suspensions {
+        Suspensions { known_ms: suspended_ms }
+    }
+
+    /// Returns how long a suspension was that wasn't noticed before, in
+    /// milliseconds.
+    pub fn noticed_ms(&mut self, suspended_ms: u64) -> Option<u64> {
+        let new_ms = suspended_ms.saturating_sub(self.known_ms);
+        if new_ms < NOTICED_MS {
+            return None;
+        }
+        self.known_ms = suspended_ms;
+        Some(new_ms)
+    }
 }
 
 /// Returns milliseconds of the Unix epoch by the wall clock.
@@ -35,7 +141,7 @@
     since_unix_epoch().as_micros() as u64
 }
 
-fn since_unix_epoch() -> std::time::Duration {
+fn since_unix_epoch() -> Duration {
     // A clock before 1970 is as good as one at 1970: both are wrong.
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
 }
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -107,6 +107,8 @@
         "Times that a worker got nothing to start for a while.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
+    SUSPENSIONS, "counter", "dewspar_suspensions_total", None,
+        "Times that the scheduling node found that its VM had been suspended.";
     STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
         "Times that this node took the store for out and refused new jobs.";
     ORDERS_WINDOW, "gauge", "dewspar_orders_window", None,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -31,7 +31,10 @@
         progress::{self, JOBS_A_WRITE, Stored, batch_of},
         takeover::{self, LoadedDuties},
     },
-    crate::{clock, counters},
+    crate::{
+        clock::{self, Suspensions},
+        counters,
+    },
     dewspar::{
         job::JobId,
         overload::RoundTrips,
@@ -39,7 +42,7 @@
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
-    slog::info,
+    slog::{info, warn},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -149,6 +152,8 @@
         waves: BTreeMap::new(),
         completed: Vec::new(),
         expired_ms: clock::now_ms(),
+        suspensions: Suspensions::new(clock::suspended_ms()),
+        confirm_from_ms: 0,
     };
     holder.run(events).await
 }
@@ -187,6 +192,9 @@
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
     pub(super) expired_ms: u64,
+    suspensions: Suspensions,
+    /// Since when the store must have renewed the lease for it to count.
+    confirm_from_ms: u64,
 }
 
 /// Waits until the node is told to stop.
@@ -348,9 +356,33 @@
         }
     }
 
+    /// Returns whether the store has renewed the lease since this VM was last
+    /// suspended: another node may have taken over meanwhile, and the workers'
+    /// answers that are still to be read may be long out of date.
+    fn is_confirmed(&mut self, now: Now) -> bool {
+        let suspended_ms = clock::suspended_ms();
+        if let Some(for_ms) = self.suspensions.noticed_ms(suspended_ms) {
+            warn!(self.candidate.log, "holder: was suspended";
+                "for_ms" => for_ms,
+                "renewed_before_ms" =>
+                    now.steady_ms.saturating_sub(self.held.renewed_ms),
+                "outcome" => "nothing is ordered before the lease is renewed");
+            counters::count(counters::SUSPENSIONS);
+            self.confirm_from_ms = now.steady_ms;
+        }
+        self.held.renewed_ms >= self.confirm_from_ms
+    }
+
     /// Plans once and sets going what is wanted.
     fn act(&mut self) -> Option<Outcome> {
         let now = now();
+        let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
+        if now.steady_ms > lease_over_ms + DETACHED_MS {
+            return Some(Outcome::Lost("the lease couldn't be renewed"));
+        }
+        if !self.is_confirmed(now) {
+            return self.lost.map(Outcome::Lost);
+        }
         self.configure(now);
         let began = Instant::now();
         let actions = self.scheduler.plan(now);
@@ -377,10 +409,6 @@
         if settled && slow && !self.scheduler.link().is_short(now.steady_ms) {
             return Some(Outcome::Overloaded);
         }
-        let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
-        if now.steady_ms > lease_over_ms + DETACHED_MS {
-            return Some(Outcome::Lost("the lease couldn't be renewed"));
-        }
         for action in actions {
             let Candidate { workers, fleet, .. } = self.candidate;
             orders::send(workers, fleet, action, &self.sender);
--- /dev/null
+++ b/crates/dewspard/tests/suspension.rs
@@ -0,0 +1,113 @@
+//! A VM that is suspended for seconds wakes with a monotonic clock that has
+//! stood still, and so with a lease that looks young. Another node may hold it
+//! by now. So the node that schedules orders nothing before the store has
+//! renewed its lease; without a suspension it goes on while the store is out.
+//!
+//! In a file of its own: the suspension holds for the whole process.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Queue, QueueSet, StepSpec},
+        schedule::{AcceptedJob, QueueTerms},
+    },
+    dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
+    dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
+    dewspard::{
+        clock,
+        jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
+        logs,
+    },
+    std::{future::Future, time::Duration},
+    tokio::time::{sleep, timeout},
+};
+
+/// How long anything may take before the test gives up on it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const POOL: &str = "registry";
+
+async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("in time");
+}
+
+fn terms() -> QueueTerms {
+    QueueTerms {
+        pool: POOL.to_owned(),
+        max_attempts: 3,
+        stretch: 2.0,
+        ..QueueTerms::default()
+    }
+}
+
+/// A job of two steps of one task each.
+fn two_steps() -> AcceptedJob {
+    let step = StepSpec { count: 1, cpu_millis: 100, ..StepSpec::default() };
+    let second = StepSpec { after: vec![0], ..step.clone() };
+    let spec = JobSpec {
+        queue: "extracts".to_owned(),
+        steps: vec![step, second],
+        ..JobSpec::default()
+    };
+    AcceptedJob { spec, terms: terms(), accepted_at_ms: clock::unix_ms() }
+}
+
+async fn hand_in(store: &Store, id: JobId) {
+    let job = serde_json::to_vec(&two_steps()).expect("plain JSON");
+    let batch = Batch::default().put(&format!("q/in/{id}"), job);
+    store.commit(&batch).await.expect("a store");
+}
+
+#[tokio::test]
+async fn nothing_is_ordered_after_a_suspension_before_the_store_confirms() {
+    let store_faults = Faults::new(1);
+    let store = Store::new(store_faults.clone());
+    let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
+    let queue = Queue {
+        name: "extracts".to_owned(),
+        timeout_ms: 3_000,
+        terms: terms(),
+        ..Queue::default()
+    };
+    fleet.configure(QueueSet::new(1, vec![queue]));
+    fleet.set_work_ms(1_500);
+    let settings = JobSettings::loopback("node-0");
+    let platform = JobPlatform {
+        store: store.clone(),
+        workers: fleet.clone(),
+        fleet: fleet.clone(),
+        protocol: RestCalls,
+        readiness_path: "/ready",
+        traffic: Traffic::default(),
+        unreadable: UnreadableNotes::default(),
+    };
+    let log = logs::discard();
+    let node = JobNode::start(&settings, platform, None, &log).await;
+    let _node = node.expect("a started node");
+
+    for (number, suspended) in [(1, false), (2, true)] {
+        let id = format!("{number:016x}");
+        let id: JobId = id.parse().expect("an identifier");
+        let starts = || {
+            let started = fleet.started();
+            started.iter().filter(|(task, _)| task.job == id).count()
+        };
+        hand_in(&store, id).await;
+        until(async || starts() == 1).await;
+        store_faults.set_outage(true);
+        if suspended {
+            clock::suppose_suspension(1_000);
+        }
+        // The first step ends meanwhile.
+        sleep(Duration::from_millis(2_500)).await;
+        let expected = if suspended { 1 } else { 2 };
+        assert_eq!(starts(), expected, "suspended: {suspended}");
+        store_faults.set_outage(false);
+        until(async || starts() == 2).await;
+        until(async || fleet.running().is_empty()).await;
+    }
+}
