A worker that doesn't name its VM marks no VM as one that crashes

Read in the code: workers without a VM's name would all have shared one, so that one crash made each of them doubtful, and any of them steady again at once.

The tests of cases and the random runs pass; no figure changes.

--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -204,7 +204,7 @@
 
 /// The runs that went down with one worker.
 pub(super) struct LostRuns {
-    /// The VM, unless its worker was to go.
+    /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
     runs: Vec<LostRun>,
 }
@@ -228,7 +228,7 @@
         };
         let vm = &worker.listing.vm;
         LostRuns {
-            crashed_vm: (!planned).then(|| vm.clone()),
+            crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             runs: match draining {
                 true => Vec::new(),
                 false => worker.runs.iter().map(lost).collect(),
