Find out about a suspect only beside proven runs, on a worker kept free for it

A task that was being found out about and a bad one that had never run could begin on one worker together; its past alone decided, so the sound one was blamed and the bad one went unseen. Starts that came to nothing counted at each change of the holder as if they might have crashed something, and so did the loss of a worker that had been cut off for seconds.

A task is found out about only beside runs that their worker has confirmed for 300 ms; so that a busy pool doesn't starve it, one worker is kept free from other starts as long as such tasks wait. An unproven run counts as well when a worker is lost. An order that came to nothing isn't under way any more; a worker that was silent for over 2.2 s before its end was known says nothing; a run that had lived on for longer than another needed counts as a start alone. Starts alone (at most 5) give a task up after three crashes, not after two.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -91,6 +91,7 @@
         run: u64,
         worker: &WorkerId,
     ) {
+        self.note_suspect_over(task);
         self.note(Decision::Lost {
             task: *task,
             run,
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -15,6 +15,7 @@
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             board::{Job, demand},
             full_pools::{FullPools, UnaskedPools},
+            suspects::Company,
             worker::{ORDER_BYTES, Run, Worker},
         },
     },
@@ -88,7 +89,15 @@
         }
         let mut without_place = BTreeSet::new();
         let mut pools = Pools::default();
-        for candidate in self.candidates(now) {
+        let candidates = self.candidates(now);
+        if self.knows_suspects {
+            let suspects = candidates.iter();
+            let suspects: Vec<TaskId> =
+                suspects.flat_map(|c| self.waiting_suspects(c)).collect();
+            self.announce_tested(&suspects);
+            self.reserve_workers(&suspects, now);
+        }
+        for candidate in candidates {
             if !self.may_start() {
                 break;
             }
@@ -175,9 +184,6 @@
         if self.is_unaccounted(job, spec, now, &mut pools.unasked) {
             return None;
         }
-        let suspects = self.waiting_suspects(candidate);
-        self.announce_tested(&suspects);
-        let job = &self.jobs[&id];
         let demand = demand(spec);
         if pools.full.has_none_for(&job.terms.pool, &demand) {
             let fits = self.fits_somewhere(spec);
@@ -327,6 +333,7 @@
         let guarded = job
             .is_none_or(|job| !self.unguarded_pools.contains(&job.terms.pool));
         let company = state.map(|state| self.company(spec, state, now));
+        let tested = company == Some(Company::Proven);
         let steadiness = state.zip(job).map(|(state, job)| {
             self.steadiness_wanted(spec, state, &job.terms.pool, now)
         });
@@ -346,6 +353,7 @@
                 && worker.listing.pool == job.terms.pool
                 && !worker.runs.contains_key(task)
                 && company.is_none_or(|company| company.allows(worker))
+                && (tested || !self.is_reserved(worker))
                 && steadiness.is_none_or(|s| self.is_as_steady(worker, s, now))
                 && (may_go_back || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -30,6 +30,14 @@
     Unwanted(Option<Room>),
 }
 
+/// A run that a worker doesn't list though it would have to.
+struct MissingRun {
+    task: TaskId,
+    run: u64,
+    age_ms: u64,
+    begun: bool,
+}
+
 impl Scheduler {
     /// Takes in a worker's answer to a hold.
     pub fn hold_answered(
@@ -377,7 +385,7 @@
             report.active.iter().map(|a| (a.task, a.run)).collect();
         let answered_ms = worker.answered_worker_ms();
         let beside = worker.runs.len().saturating_sub(1);
-        let missing: Vec<(TaskId, u64, u64)> = worker
+        let missing: Vec<MissingRun> = worker
             .runs
             .iter()
             .filter(|(task, run)| {
@@ -390,9 +398,17 @@
                 };
                 settled && listed.get(*task) != Some(&run.run)
             })
-            .map(|(task, run)| (*task, run.run, run.confirmed_ms(answered_ms)))
+            .map(|(task, run)| MissingRun {
+                task: *task,
+                run: run.run,
+                age_ms: run.confirmed_ms(answered_ms),
+                begun: run.has_begun(),
+            })
             .collect();
-        for (task, run, age_ms) in missing {
+        for MissingRun { task, run, age_ms, begun } in missing {
+            if !begun {
+                self.note_suspect_over(&task);
+            }
             self.note(Decision::Lost {
                 task,
                 run,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -40,6 +40,11 @@
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// Whether any task was suspected so far: looking for them costs time.
+    pub(super) knows_suspects: bool,
+    /// The worker of each pool that is kept free for tasks that are to be found
+    /// out about.
+    pub(super) reserved: BTreeMap<String, WorkerId>,
     /// The crashes on each VM of late.
     pub(super) vm_crashes: BTreeMap<String, VmCrashes>,
     /// When the directory of workers was last read; 0 for not yet.
@@ -121,6 +126,8 @@
             decisions: Vec::new(),
             superseded: false,
             ended_lives: BTreeSet::new(),
+            knows_suspects: false,
+            reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
             directory_ms: 0,
             entered_by_ms: 0,
@@ -208,6 +215,8 @@
         let mut job = Job::new(spec, terms, revision, accepted_at_ms);
         if let Some(progress) = progress {
             job.restore(progress);
+            self.knows_suspects |=
+                progress.tasks.iter().any(|task| task.crashes > 0);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -35,13 +35,16 @@
 ```
 */
 
-use crate::{
-    job::{Phase, StepSpec, TaskId},
-    schedule::{
-        Decision, Now, Scheduler, WorkerId,
-        board::{Job, Task, demand},
-        worker::{Run, Worker},
+use {
+    crate::{
+        job::{Phase, StepSpec, TaskId},
+        schedule::{
+            Decision, Now, Scheduler, WorkerId,
+            board::{Job, Task, demand},
+            worker::{Run, Worker},
+        },
     },
+    std::collections::BTreeMap,
 };
 
 /// For how long a worker must have confirmed a run for the run to be beyond
@@ -60,6 +63,17 @@
 /// one answer.
 const APART_MS: u64 = 300;
 
+/// For how long a worker may have been silent before its end is known, in
+/// milliseconds, for that end to be a crash under what began before: nearly two
+/// of the slowest readings of the list of VMs. One that was cut off for longer
+/// may have lived on, and gone for some other reason.
+const SILENT_MS: u64 = 2_200;
+
+/// For how long a worker must have confirmed the runs beside which a task is
+/// being found out about, in milliseconds: as long as a question may wait. Two
+/// bad tasks that begin together would each hide behind the other.
+const PROVEN_MS: u64 = 300;
+
 /// After how many crashes nothing is started beside a task, and its next start
 /// waits until they are stored. One crash is mere chance for nearly all.
 const TESTED_CRASHES: u32 = 2;
@@ -73,9 +87,9 @@
 /// twice more after three, and a crash that no holder saw takes one of these.
 const MOST_CRASHES: u32 = 4;
 
-/// How often a task may be started in all that has certainly crashed two
-/// workers, with the runs whose end no holder saw: one more would be the third
-/// start after three crashes.
+/// How often a task may be started in all under which three workers crashed,
+/// with the runs whose end no holder saw: one more would be the third start
+/// after three crashes.
 const MOST_STARTS: u32 = 5;
 
 /// For how long a crash counts against a VM, in milliseconds: several times
@@ -95,12 +109,15 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Crashes {
     pub(crate) count: u32,
-    /// How many more runs former holders started whose end isn't known.
+    /// How many more runs there were whose end says nothing for sure, most of
+    /// them those of former holders.
     unseen: u32,
     /// How old a run can have been at most when its worker crashed, in
     /// milliseconds. Kept when the task is cleared: one that doesn't always
     /// take the same time is found out in the end.
     most_age_ms: u64,
+    /// The same for the run that was youngest.
+    least_age_ms: Option<u64>,
     /// When the last was noticed; 0 for under a former holder.
     noticed_ms: u64,
     /// Whether a run was started since, or is about to be.
@@ -122,10 +139,27 @@
         self.unseen + u32::from(self.count > 0 && self.under_way)
     }
 
+    /// Adds a run that was lost. One that had lived on for longer than another
+    /// needed for its crash counts as a start alone: a bad task acts alike each
+    /// time.
+    fn add(&mut self, run: &LostRun, now_ms: u64) {
+        let least_ms = self.least_age_ms.unwrap_or(SUSPECTED_MS);
+        let alike = run.confirmed_ms <= 2 * least_ms + CLEARED_MARGIN_MS;
+        if alike {
+            self.count += 1;
+        } else {
+            self.unseen += 1;
+        }
+        self.most_age_ms = self.most_age_ms.max(run.most_age_ms);
+        self.least_age_ms = Some(least_ms.min(run.most_age_ms));
+        self.noticed_ms = now_ms;
+        self.under_way = self.count >= TESTED_CRASHES;
+    }
+
     /// Returns whether the task has been started as often as it may.
     fn are_too_many(&self) -> bool {
         self.count >= MOST_CRASHES
-            || (self.count >= TESTED_CRASHES
+            || (self.count >= SURE_CRASHES
                 && self.count + self.unseen >= MOST_STARTS)
     }
 
@@ -144,6 +178,8 @@
     Untested,
     /// None that is suspected.
     Unsuspected,
+    /// Only those that their worker has confirmed for a while.
+    Proven,
 }
 
 impl Company {
@@ -152,6 +188,12 @@
             Company::Any => true,
             Company::Untested => !worker.tests_a_run(),
             Company::Unsuspected => !worker.has_suspects(),
+            Company::Proven => {
+                let reported_ms = worker.latest_report_ms();
+                let proven =
+                    |run: &Run| run.confirmed_ms(reported_ms) >= PROVEN_MS;
+                !worker.has_suspects() && worker.runs.values().all(proven)
+            }
         }
     }
 }
@@ -206,6 +248,8 @@
 pub(super) struct LostRuns {
     /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
+    /// Whether the worker fell silent long before its end was known.
+    was_silent: bool,
     runs: Vec<LostRun>,
 }
 
@@ -228,6 +272,7 @@
         };
         let vm = &worker.listing.vm;
         LostRuns {
+            was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             runs: match draining {
                 true => Vec::new(),
@@ -236,14 +281,17 @@
         }
     }
 
-    /// Returns the runs that may have taken the worker down: where some are
-    /// being found out about, those, and else all that began of late.
+    /// Returns the runs that may have taken the worker down: all that began of
+    /// late, or where some are being found out about, those and what isn't
+    /// proven.
     fn suspects(&self) -> impl Iterator<Item = &LostRun> {
         let of_late = |run: &&LostRun| run.confirmed_ms < SUSPECTED_MS;
         let young = || self.runs.iter().filter(of_late);
         let most = young().map(|run| run.suspicion).max().unwrap_or(0);
         let least = if most >= TESTED_CRASHES { most } else { 0 };
-        young().filter(move |run| run.suspicion >= least)
+        young().filter(move |run| {
+            run.suspicion >= least || run.confirmed_ms < PROVEN_MS
+        })
     }
 
     /// Returns whether no other run can have taken the worker down, if this
@@ -268,6 +316,10 @@
     ) {
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         for run in lost.suspects() {
+            if lost.was_silent {
+                self.note_suspect_over(&run.task);
+                continue;
+            }
             let Some(crashes) = self.count_crash(run, now) else { continue };
             let alone = steady && lost.is_only_suspect(&run.task, &crashes);
             self.note(Decision::Suspected {
@@ -305,17 +357,12 @@
         if over || done {
             return None;
         }
+        self.knows_suspects = true;
         let sequence = self.mark_changed(run.task.job);
         let job = self.jobs.get_mut(&run.task.job)?;
         let crashes = &mut job.task_mut(&run.task)?.crashes;
-        *crashes = Crashes {
-            count: crashes.count + 1,
-            unseen: crashes.unseen,
-            most_age_ms: crashes.most_age_ms.max(run.most_age_ms),
-            noticed_ms: now.steady_ms,
-            under_way: crashes.count + 1 >= TESTED_CRASHES,
-            sequence,
-        };
+        crashes.add(run, now.steady_ms);
+        crashes.sequence = sequence;
         Some(*crashes)
     }
 
@@ -370,6 +417,17 @@
         count
     }
 
+    /// Notes that a suspected task's run came to nothing, or ended in a way that
+    /// says nothing: it isn't under way.
+    pub(super) fn note_suspect_over(&mut self, task: &TaskId) {
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task));
+        let Some(state) = state else { return };
+        if std::mem::take(&mut state.crashes.under_way) {
+            self.mark_changed(task.job);
+        }
+    }
+
     /// Puts the next start of a task that is being found out about on record,
     /// before which it doesn't start.
     pub(super) fn announce_tested(&mut self, tasks: &[TaskId]) {
@@ -400,9 +458,10 @@
 
     /// Returns beside what a task may start now.
     ///
-    /// One that is being found out about waits as long as it takes: where it
-    /// is, each suspect is cleared or has crashed its worker within a second.
-    /// The members of a gang, which start together, can't.
+    /// One that is being found out about waits as long as it takes: a worker is
+    /// kept free for it, and each suspect there is cleared or has crashed its
+    /// worker within a second. The members of a gang, which start together,
+    /// can't wait for that.
     pub(super) fn company(
         &self,
         spec: &StepSpec,
@@ -417,12 +476,57 @@
         let waits = now.steady_ms < noticed_ms + APART_MS;
         match (tested, spec.gang) {
             (true, true) => Company::Any,
-            (true, false) => Company::Unsuspected,
+            (true, false) => Company::Proven,
             (false, false) if count > 0 && waits => Company::Unsuspected,
             (false, _) => Company::Untested,
         }
     }
 
+    /// Keeps a worker of each pool free from other starts for as long as tasks
+    /// wait there that are to be found out about; else those would have to wait
+    /// until nothing starts in a busy pool for a while.
+    pub(super) fn reserve_workers(&mut self, waiting: &[TaskId], now: Now) {
+        let mut kept: BTreeMap<String, WorkerId> = BTreeMap::new();
+        for task in waiting {
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let (Some(spec), Some(state)) =
+                (job.step_spec(task), job.task(task))
+            else {
+                continue;
+            };
+            let pool = &job.terms.pool;
+            let tested = state.crashes.count >= TESTED_CRASHES && !spec.gang;
+            if !tested || kept.contains_key(pool) {
+                continue;
+            }
+            let wanted = self.steadiness_wanted(spec, state, pool, now);
+            let suits = |worker: &&Worker| {
+                worker.listing.pool == *pool
+                    && worker.is_usable()
+                    && worker.listing.capacity.holds(&demand(spec))
+                    && !worker.has_suspects()
+                    && self.is_as_steady(worker, wanted, now)
+            };
+            let before = self.reserved.get(pool);
+            let same =
+                before.and_then(|id| self.workers.get(id)).filter(suits);
+            let suitable = self.workers.values().filter(suits);
+            let chosen = same.or_else(|| {
+                suitable.min_by_key(|worker| (worker.runs.len(), worker.id()))
+            });
+            if let Some(worker) = chosen {
+                kept.insert(pool.clone(), worker.id().clone());
+            }
+        }
+        self.reserved = kept;
+    }
+
+    /// Returns whether a worker is kept free for a task that is to be found out
+    /// about.
+    pub(super) fn is_reserved(&self, worker: &Worker) -> bool {
+        self.reserved.get(&worker.listing.pool) == Some(worker.id())
+    }
+
     fn steadiness(&self, vm: &str, now: Now) -> Steadiness {
         let crashes = self.vm_crashes.get(vm).copied().unwrap_or_default();
         // What its workers did under a former holder isn't known.
--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -188,3 +188,27 @@
         |d: &&Decision| matches!(d, Decision::Suspected { crashes: 1, .. });
     assert_eq!(decisions.iter().filter(suspected).count(), 4);
 }
+
+#[test]
+fn bad_tasks_that_begin_together_do_not_hide_behind_each_other() {
+    let mut world = World::new(5, &["w1", "w2", "w3"]);
+    world.list();
+    world.fate = Fate::done(800);
+    // A bad job now and then among sound ones, in a pool that is full.
+    for number in 1..=30 {
+        if number % 5 == 0 {
+            world.crashing.push(first_task(id(number)));
+        }
+        world.scheduler.submit(id(number), job(vec![step(2)]), 6, None);
+        world.run_for(350);
+    }
+    world.run_for(60_000);
+    for number in 1..=30 {
+        let bad = number % 5 == 0;
+        let expected = if bad { "failed" } else { "completed" };
+        assert_eq!(world.phases[&id(number)], expected, "job {number}");
+        let starts = starts_of(&world, &first_task(id(number)));
+        let most = if bad { MOST_STARTS } else { usize::MAX };
+        assert!(starts <= most, "job {number} started {starts} times");
+    }
+}
