--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -25,11 +25,13 @@
             ReadingCost, follow_feed, look_up, read_directory, read_vms, renew,
         },
         intake::FeedOrigin,
+        keys,
         load::Load,
         orders,
         outcome::Outcome,
-        progress::{self, JOBS_A_WRITE, Stored, batch_of},
+        progress::{self, JOBS_A_WRITE, Refusal, Stored, batch_of},
         takeover::{self, LoadedDuties},
+        versions::{RecordVersions, VersionSource},
     },
     crate::{
         clock::{self, Suspensions},
@@ -132,7 +134,7 @@
         candidate,
         held,
         scheduler,
-        versions: BTreeMap::new(),
+        versions: RecordVersions::default(),
         restored: BTreeMap::new(),
         unreadable: BTreeSet::new(),
         sender,
@@ -163,7 +165,7 @@
     pub(super) held: Held,
     pub(super) scheduler: Scheduler,
     /// The version of each job's progress in the store.
-    pub(super) versions: BTreeMap<JobId, u64>,
+    pub(super) versions: RecordVersions,
     /// What a former holder stored of the jobs that are being taken over.
     pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
     /// Jobs whose stored progress can't be read.
@@ -197,6 +199,17 @@
     confirm_from_ms: u64,
 }
 
+/// A job's record that wasn't as a refused write expected; versions are 0
+/// where there is no record.
+#[derive(Debug, Serialize)]
+struct RefusedRow {
+    job: JobId,
+    expected: u64,
+    found: u64,
+    /// How the expected version came to be known.
+    source: Option<VersionSource>,
+}
+
 /// Waits until the node is told to stop.
 async fn stopped(stopping: &mut watch::Receiver<bool>) {
     // An error means that the node is gone, which is a stop as well.
@@ -345,17 +358,39 @@
         match stored {
             Stored::Done(version) => {
                 for (id, _) in &changes.progress {
-                    self.versions.insert(*id, *version);
+                    self.versions.note_written(*id, *version);
                 }
                 self.scheduler.changes_stored(changes, now);
             }
             Stored::Failed => self.scheduler.changes_failed(changes),
-            Stored::Superseded => {
+            Stored::Refused(refusal) => {
+                self.note_refusal(changes, refusal);
                 self.lost = Some("the store refused this holder's write");
             }
         }
     }
 
+    /// Logs which conditions of a write didn't hold, and where what this
+    /// holder expected came from.
+    fn note_refusal(&self, changes: &Changes, refusal: &Refusal) {
+        let ids = changes.progress.iter().map(|(id, _)| *id);
+        let rows: Vec<RefusedRow> = ids
+            .filter_map(|id| {
+                let key = keys::progress(id);
+                let expected = refusal.expected(&key);
+                let found = refusal.found(&key).map_or(0, |item| item.version);
+                let source = self.versions.source(id);
+                let row = RefusedRow { job: id, expected, found, source };
+                (expected != found).then_some(row)
+            })
+            .collect();
+        let lease = refusal.found(keys::OWNER);
+        warn!(self.candidate.log, "holder: write refused";
+            "lease_revision" => self.held.revision,
+            "lease_found" => lease.map_or(0, |item| item.version),
+            "jobs" => changes.progress.len(), "refused" => json(&rows));
+    }
+
     /// Returns whether the store has renewed the lease since this VM was last
     /// suspended: another node may have taken over meanwhile, and the workers'
     /// answers that are still to be read may be long out of date.
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -69,7 +69,9 @@
 
     /// Takes in jobs that former holders left.
     pub(super) fn take_loaded(&mut self, jobs: LoadedJobs) {
-        self.versions.extend(jobs.versions);
+        for (id, version) in &jobs.versions {
+            self.versions.note_loaded(*id, *version);
+        }
         self.unreadable.extend(jobs.unreadable);
         self.restored = jobs.progress;
         self.take_feed(jobs.feed, FeedOrigin::Loaded);
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -61,3 +61,4 @@
 mod rest;
 pub mod settings;
 mod takeover;
+mod versions;
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -10,6 +10,7 @@
     super::{
         election::Claim,
         keys::{self, FeedKey},
+        versions::RecordVersions,
     },
     crate::counters,
     dewspar::{
@@ -17,10 +18,10 @@
         schedule::{AcceptedJob, Changes},
     },
     dewspar_platform::{
-        Batch, Commit, Error, Event, Expected, KeyValue, Versioned,
+        Batch, Commit, Condition, Error, Event, Expected, KeyValue, Versioned,
     },
     slog::{Logger, warn},
-    std::{collections::BTreeMap, time::Duration},
+    std::time::Duration,
     tokio::time::sleep,
 };
 
@@ -107,23 +108,48 @@
 pub(super) enum Stored {
     /// They are in the store; each job's key is at this version.
     Done(u64),
-    /// Another node holds the lease.
-    Superseded,
+    /// A condition didn't hold, and nothing was stored.
+    Refused(Refusal),
     /// Nothing was stored.
     Failed,
 }
 
+/// A write whose conditions didn't hold.
+#[derive(Debug)]
+pub(super) struct Refusal {
+    /// What had to hold.
+    conditions: Vec<Condition>,
+    /// The keys of these conditions that were there.
+    current: Vec<Versioned>,
+}
+
+impl Refusal {
+    /// Returns the version that a key had to be at; 0 for absent.
+    pub(super) fn expected(&self, key: &str) -> u64 {
+        let condition = self.conditions.iter().find(|c| c.key == key);
+        match condition.map(|condition| condition.expected) {
+            Some(Expected::Version(version)) => version,
+            Some(Expected::Absent | Expected::Any) | None => 0,
+        }
+    }
+
+    /// Returns a key as it was found; `None` for absent.
+    pub(super) fn found(&self, key: &str) -> Option<&Versioned> {
+        self.current.iter().find(|item| item.key == key)
+    }
+}
+
 /// The write that carries changes.
 pub(super) fn batch_of(
     lease_revision: u64,
     changes: &Changes,
-    versions: &BTreeMap<JobId, u64>,
+    versions: &RecordVersions,
 ) -> Batch {
     let mut batch =
         Batch::default().when(keys::OWNER, Expected::Version(lease_revision));
     for (id, progress) in &changes.progress {
         let key = keys::progress(*id);
-        let version = versions.get(id).copied().unwrap_or(0);
+        let version = versions.expected(*id);
         // OK because progress holds only what JSON can write.
         let value = serde_json::to_vec(progress).expect("plain JSON");
         batch =
@@ -148,7 +174,7 @@
         match store.commit(batch).await {
             Ok(Commit::Done(version)) => return Stored::Done(version),
             Ok(Commit::Conflict(current)) => {
-                return judge_conflict(batch, &current, maybe_done);
+                return judge_conflict(batch, current, maybe_done);
             }
             Err(error) => {
                 counters::platform_failure(&error);
@@ -165,7 +191,7 @@
 /// Tells a write that was done on an earlier try from one that can't be.
 fn judge_conflict(
     batch: &Batch,
-    current: &[Versioned],
+    current: Vec<Versioned>,
     maybe_done: bool,
 ) -> Stored {
     let find = |key: &str| current.iter().find(|item| item.key == key);
@@ -180,7 +206,6 @@
     if done && !batch.puts.is_empty() {
         return Stored::Done(version);
     }
-    // The lease's key has changed, or a job's key, which only another holder
-    // can have written.
-    Stored::Superseded
+    let conditions = batch.conditions.clone();
+    Stored::Refused(Refusal { conditions, current })
 }
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -84,7 +84,7 @@
         let mut batch = Batch::default()
             .when(keys::OWNER, Expected::Version(self.held.revision));
         for id in expired {
-            self.versions.remove(&id);
+            self.versions.forget(id);
             batch = batch.delete(&keys::progress(id));
         }
         self.write(batch, "deletion of expired jobs");
