--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -48,6 +48,7 @@
     silent: AtomicBool,
     unlisted: AtomicBool,
     delay_us: AtomicU64,
+    list_delay_us: AtomicU64,
     lost_per_mille: AtomicU64,
     random: Mutex<StdRng>,
     reads: AtomicU64,
@@ -63,6 +64,7 @@
             silent: AtomicBool::new(false),
             unlisted: AtomicBool::new(false),
             delay_us: AtomicU64::new(0),
+            list_delay_us: AtomicU64::new(0),
             lost_per_mille: AtomicU64::new(0),
             random: Mutex::new(StdRng::seed_from_u64(seed)),
             reads: AtomicU64::new(0),
@@ -122,6 +124,18 @@
         Duration::from_micros(self.inner.delay_us.load(Ordering::Relaxed))
     }
 
+    /// Sets how long the answer of each list is under way, in microseconds:
+    /// it then tells what was there so long ago.
+    pub fn set_list_delay_us(&self, delay_us: u64) {
+        self.inner.list_delay_us.store(delay_us, Ordering::Relaxed);
+    }
+
+    /// Returns how long the answer of each list is under way.
+    pub fn list_delay(&self) -> Duration {
+        let delay_us = self.inner.list_delay_us.load(Ordering::Relaxed);
+        Duration::from_micros(delay_us)
+    }
+
     /// Sets how many answers in a thousand are lost.
     pub fn set_lost_per_mille(&self, lost: u64) {
         self.inner.lost_per_mille.store(lost, Ordering::Relaxed);
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -290,7 +290,7 @@
             let reason = "lists are refused".to_owned();
             return Err(Error::Unavailable { call: "read", reason });
         }
-        self.call("read", |state| {
+        let answer = self.call("read", |state| {
             let entries = state
                 .entries
                 .range(prefix.to_owned()..)
@@ -298,8 +298,13 @@
                 .filter_map(|(key, _)| state.get(key))
                 .collect();
             (state.version, entries)
-        })
-        .await
+        });
+        let answer = answer.await;
+        let under_way = self.faults.list_delay();
+        if !under_way.is_zero() {
+            tokio::time::sleep(under_way).await;
+        }
+        answer
     }
 
     async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
