What was read earlier never replaces a version known since

Cause: `take_loaded` took over whatever version a reading held, also when this holder had written the record after the reading was asked for. Done: of two versions of a record the later one is kept; versions are those of the whole store, so they can be compared. What else is loaded was checked: a job or an end that is known already isn't replaced, and progress that is left over counts only where it is final. Conclusion: mends the way in that was seen. That a conflict on one record costs the whole lease, whatever its cause, is still so.

--- a/crates/dewspard/src/jobs/versions.rs
+++ b/crates/dewspard/src/jobs/versions.rs
@@ -7,7 +7,9 @@
 it was is kept, so that a refusal can be explained.
 
 Versions are those of the whole store, so any two of them tell which write was
-the later one.
+the later one. What is loaded is as old as its reading, and the holder may have
+written the same record since: of two versions the later one is kept, in
+whatever order they become known.
 */
 
 use {dewspar::job::JobId, serde::Serialize, std::collections::BTreeMap};
@@ -64,6 +66,10 @@
     }
 
     fn note(&mut self, id: JobId, version: u64, source: VersionSource) {
-        self.known.insert(id, KnownVersion { version, source });
+        // A reading may be taken in after a write that it doesn't show; the
+        // next write would expect a version that is gone.
+        if version > self.expected(id) {
+            self.known.insert(id, KnownVersion { version, source });
+        }
     }
 }
