Sight of stops: each end of a run that was to be stopped is told

Whether a run outlived its job's cancelling couldn't be told from its absence. Now each end is logged, job known or not; a run that was to be stopped tells, once it is over, its cause, the reason, how long after the first order, how many orders were sent and whether one was answered ("task: stopped"); one that goes on for longer than a stop may take tells so once ("task: stop takes long", eight lines a plan at most). A histogram and a counter by reason. Ordering of stops moves to a module of its own; what is ordered and when is as it was. Ruled out: telling ends only where the stop was ordered by this holder: an end told to the next holder is just what was missing. Tests: three cases. With the line for unknown jobs taken out again, the first fails ("left: 0, right: 1": no end is told). Tests of dewspar and dewspard: all passed.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -151,7 +151,10 @@
         result: Result<u64, OrderError>,
         now: Now,
     ) {
-        let Err(error) = result else { return };
+        let Err(error) = result else {
+            self.stop_taken(worker_id, task);
+            return;
+        };
         self.note(Decision::OrderFailed {
             worker: worker_id.clone(),
             task: Some(*task),
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -208,6 +208,7 @@
                 age_ms: run.confirmed_ms(answered_ms),
                 beside,
             });
+            self.note_stopped(&task, id, &run, reason, now);
             self.free_task(&task, id, run.has_begun(), now);
         }
         self.note(Decision::WorkerGone { worker: id.clone(), reason });
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -130,6 +130,7 @@
 mod scheduler;
 mod sizing;
 mod steadiness;
+mod stopping;
 mod storing;
 mod suspects;
 mod vm;
@@ -325,6 +326,30 @@
         /// Why.
         reason: &'static str,
     },
+    /// A run that was to be stopped is over.
+    StopOver {
+        /// The task.
+        task: TaskId,
+        /// The run's number.
+        run: u64,
+        /// The worker.
+        worker: WorkerId,
+        /// How it ended, or how that is known.
+        cause: &'static str,
+        /// How it was stopped.
+        stop: StopAccount,
+    },
+    /// A run goes on for longer than a stop may take.
+    StopOverdue {
+        /// The task.
+        task: TaskId,
+        /// The run's number.
+        run: u64,
+        /// The worker.
+        worker: WorkerId,
+        /// How it was to be stopped so far.
+        stop: StopAccount,
+    },
     /// A run is over without a listed end.
     Lost {
         /// The task.
@@ -430,3 +455,17 @@
         worker: WorkerId,
     },
 }
+
+/// What was done to stop a run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct StopAccount {
+    /// Why it was to stop.
+    pub reason: &'static str,
+    /// How long ago the first order to stop it was sent, in milliseconds; 0
+    /// if none was.
+    pub after_ms: u64,
+    /// How many orders to stop it were sent.
+    pub orders: u32,
+    /// Whether the worker has said that it carried one out.
+    pub answered: bool,
+}
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -27,6 +27,7 @@
     pub(crate) kept_ms: u64,
     pub(crate) directory_settle_ms: u64,
     pub(crate) duty_gap_ms: u64,
+    pub(crate) stop_timeout_ms: u64,
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
     pub(crate) link: LinkLimits,
@@ -62,6 +63,9 @@
             directory_settle_ms: 3_000,
             // As long as the operator keeps two holders apart.
             duty_gap_ms: 3_000,
+            // The longest that a worker takes for a stop, as its protocol
+            // says where nothing else is set.
+            stop_timeout_ms: 900,
             // A stop takes up to 0.9 s, and workers are asked for the first
             // time within a second of a takeover.
             stop_settle_ms: 2_000,
@@ -102,6 +106,7 @@
 
     /// Sets how long a stop may take at a worker, in milliseconds.
     pub fn stop_timeout_ms(mut self, stop_timeout_ms: u64) -> Options {
+        self.stop_timeout_ms = stop_timeout_ms;
         self.stop_settle_ms = stop_timeout_ms + ASKED_WITHIN_MS;
         self
     }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -135,23 +135,26 @@
         let task = end.task;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let here = worker.runs.get(&task).is_some_and(|r| r.run == end.run);
-        if here {
-            worker.remove(&task, now.steady_ms);
+        let removed =
+            if here { worker.remove(&task, now.steady_ms) } else { None };
+        if let Some(run) = &removed {
+            self.note_stopped(&task, worker_id, run, end.cause.name(), now);
         }
-        let Some(job) = self.jobs.get_mut(&task.job) else {
-            // Of a job that is over and stored: nothing more to store.
-            self.acknowledge(worker_id, end, 0, now);
-            return;
-        };
-        let failures = note_end(job, worker_id, end);
-        self.note_begun(task.job, now);
+        let job = self.jobs.get_mut(&task.job);
+        let failures = job.map(|job| note_end(job, worker_id, end));
         self.note(Decision::Ended {
             task,
             run: end.run,
             worker: worker_id.clone(),
             cause: end.cause,
-            failures,
+            failures: failures.unwrap_or(0),
         });
+        let Some(failures) = failures else {
+            // Of a job that is over and stored: nothing more to store.
+            self.acknowledge(worker_id, end, 0, now);
+            return;
+        };
+        self.note_begun(task.job, now);
         match end.cause {
             EndCause::Done => self.task_done(worker_id, &task, now),
             EndCause::Failed => {
@@ -432,7 +435,7 @@
                 self.moved_ms = now_ms;
             }
             RunState::Running => {}
-            RunState::Stopping { begun, .. } => *begun = true,
+            RunState::Stopping(stop) => stop.begun = true,
         }
         if self.percent != active.percent {
             self.percent = active.percent;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -4,7 +4,7 @@
         link::{Class, LinkBudget},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
-            Orderer, PaceOrder, QueueTerms, Room, StopOrder, WorkerId,
+            Orderer, PaceOrder, QueueTerms, Room, WorkerId,
             advice::StepAdvice,
             board::Job,
             forecast::Arrivals,
@@ -12,7 +12,7 @@
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             wave_state::WaveState,
-            worker::{ORDER_BYTES, OwedHold, RunState, Worker},
+            worker::{ORDER_BYTES, OwedHold, Worker},
         },
         window::{CallEnd, CallWindow},
     },
@@ -358,7 +358,7 @@
         if run.is_stopping() {
             return;
         }
-        run.stop();
+        run.stop(reason);
         let run = run.run;
         self.note(Decision::Stopped {
             task: *task,
@@ -377,6 +377,10 @@
     ) {
         let worker = self.workers.get_mut(worker_id);
         let run = worker.and_then(|w| w.remove(task, now.steady_ms));
+        if let Some(run) = &run {
+            let cause = "it isn't there";
+            self.note_stopped(task, worker_id, run, cause, now);
+        }
         let begun = run.is_none_or(|run| run.has_begun());
         self.free_task(task, worker_id, begun, now);
     }
@@ -439,32 +443,6 @@
         self.sequence
     }
 
-    fn order_stops(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let now_ms = now.steady_ms;
-        for worker in self.workers.values_mut() {
-            let fence = worker.fence();
-            let address = &worker.listing.address;
-            let id = &worker.listing.id;
-            for (task, run) in &mut worker.runs {
-                let RunState::Stopping { ordered_ms, .. } = &mut run.state
-                else {
-                    continue;
-                };
-                let retry = *ordered_ms + self.options.stop_retry_ms;
-                if *ordered_ms > 0 && now_ms < retry {
-                    continue;
-                }
-                *ordered_ms = now_ms;
-                self.link.sent(Class::Stop, ORDER_BYTES);
-                actions.push(Action::Stop {
-                    worker: id.clone(),
-                    address: address.clone(),
-                    order: StopOrder { task: *task, run: run.run, fence },
-                });
-            }
-        }
-    }
-
     /// Asks under a new token, as far as the window and the link have room;
     /// workers that are silent take no room in the window.
     fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
--- /dev/null
+++ b/crates/dewspar/src/schedule/stopping.rs
@@ -0,0 +1,149 @@
+/*!
+Runs that are to stop, from the decision to the end.
+
+A run is stopped in three steps: it is marked, the order follows with the next
+plan and again until it has worked, and the worker lists the end. Between the
+first and the last its room is taken, and the run does what nobody wants any
+more. Each step can fail by itself: the order is lost or refused, the worker is
+silent, the node that marked the run is gone. So a run that is to stop keeps an
+account of its steps, told once it is over, and once if that takes longer than
+a worker may take for a stop.
+*/
+
+use crate::{
+    job::TaskId,
+    link::Class,
+    schedule::{
+        Action, Decision, Now, Scheduler, StopAccount, StopOrder, WorkerId,
+        worker::{ORDER_BYTES, Run, RunState},
+    },
+};
+
+/// How many runs a plan says of that their stop takes too long, so that a
+/// rack that falls silent doesn't fill the log; the others are told with the
+/// next plans.
+const OVERDUE_A_PLAN: usize = 8;
+
+/// The way of a run that is to stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Stop {
+    reason: &'static str,
+    /// Whether the worker has said that it is there; else it may come.
+    pub(crate) begun: bool,
+    /// When the first order to stop it was sent, in milliseconds of the
+    /// steady clock; 0 for never.
+    first_ms: u64,
+    /// When the last one was sent.
+    ordered_ms: u64,
+    orders: u32,
+    answered: bool,
+    told_overdue: bool,
+}
+
+impl Stop {
+    pub(crate) fn new(reason: &'static str, begun: bool) -> Stop {
+        Stop {
+            reason,
+            begun,
+            first_ms: 0,
+            ordered_ms: 0,
+            orders: 0,
+            answered: false,
+            told_overdue: false,
+        }
+    }
+
+    fn is_due(&self, now_ms: u64, retry_ms: u64) -> bool {
+        self.orders == 0 || now_ms >= self.ordered_ms + retry_ms
+    }
+
+    fn note_order(&mut self, now_ms: u64) {
+        if self.orders == 0 {
+            self.first_ms = now_ms;
+        }
+        self.ordered_ms = now_ms;
+        self.orders += 1;
+    }
+
+    fn account(&self, now_ms: u64) -> StopAccount {
+        let since_ms = if self.orders == 0 { now_ms } else { self.first_ms };
+        StopAccount {
+            reason: self.reason,
+            after_ms: now_ms.saturating_sub(since_ms),
+            orders: self.orders,
+            answered: self.answered,
+        }
+    }
+}
+
+impl Scheduler {
+    /// Orders what is marked to stop, and again what goes on.
+    pub(super) fn order_stops(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let now_ms = now.steady_ms;
+        let mut overdue = Vec::new();
+        for worker in self.workers.values_mut() {
+            let fence = worker.fence();
+            let address = &worker.listing.address;
+            let id = &worker.listing.id;
+            for (task, run) in &mut worker.runs {
+                let number = run.run;
+                let RunState::Stopping(stop) = &mut run.state else {
+                    continue;
+                };
+                if !stop.is_due(now_ms, self.options.stop_retry_ms) {
+                    continue;
+                }
+                let account = stop.account(now_ms);
+                if account.after_ms > self.options.stop_timeout_ms
+                    && !stop.told_overdue
+                    && overdue.len() < OVERDUE_A_PLAN
+                {
+                    stop.told_overdue = true;
+                    overdue.push(Decision::StopOverdue {
+                        task: *task,
+                        run: number,
+                        worker: id.clone(),
+                        stop: account,
+                    });
+                }
+                stop.note_order(now_ms);
+                self.link.sent(Class::Stop, ORDER_BYTES);
+                actions.push(Action::Stop {
+                    worker: id.clone(),
+                    address: address.clone(),
+                    order: StopOrder { task: *task, run: number, fence },
+                });
+            }
+        }
+        self.decisions.extend(overdue);
+    }
+
+    /// Notes that a worker has carried an order to stop out.
+    pub(super) fn stop_taken(&mut self, worker_id: &WorkerId, task: &TaskId) {
+        let worker = self.workers.get_mut(worker_id);
+        let run = worker.and_then(|worker| worker.runs.get_mut(task));
+        if let Some(Run { state: RunState::Stopping(stop), .. }) = run {
+            stop.answered = true;
+        }
+    }
+
+    /// Tells how a run was stopped that is over, if it was to be stopped.
+    pub(super) fn note_stopped(
+        &mut self,
+        task: &TaskId,
+        worker_id: &WorkerId,
+        run: &Run,
+        cause: &'static str,
+        now: Now,
+    ) {
+        if let RunState::Stopping(stop) = &run.state {
+            self.note(Decision::StopOver {
+                task: *task,
+                run: run.run,
+                worker: worker_id.clone(),
+                cause,
+                stop: stop.account(now.steady_ms),
+            });
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -5,7 +5,7 @@
     crate::{
         job::{JobId, TaskId},
         link::Class,
-        schedule::{Options, Room, WorkerId, WorkerListing},
+        schedule::{Options, Room, WorkerId, WorkerListing, stopping::Stop},
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -80,12 +80,7 @@
     /// The worker has said that it is there.
     Running,
     /// It is to stop; its room is taken until the end is listed.
-    Stopping {
-        /// When the last order to stop it was sent; 0 for never.
-        ordered_ms: u64,
-        /// Whether the worker has said that it is there; else it may come.
-        begun: bool,
-    },
+    Stopping(Stop),
 }
 
 impl Run {
@@ -119,7 +114,7 @@
     }
 
     pub(crate) fn is_stopping(&self) -> bool {
-        matches!(self.state, RunState::Stopping { .. })
+        matches!(self.state, RunState::Stopping(_))
     }
 
     /// Returns whether the worker has said that it is there.
@@ -127,7 +122,7 @@
         match self.state {
             RunState::Starting => false,
             RunState::Running => true,
-            RunState::Stopping { begun, .. } => begun,
+            RunState::Stopping(stop) => stop.begun,
         }
     }
 
@@ -146,10 +141,10 @@
         worker_ms.saturating_sub(from_ms)
     }
 
-    pub(crate) fn stop(&mut self) {
+    pub(crate) fn stop(&mut self, reason: &'static str) {
         if !self.is_stopping() {
-            let begun = self.has_begun();
-            self.state = RunState::Stopping { ordered_ms: 0, begun };
+            let stop = Stop::new(reason, self.has_begun());
+            self.state = RunState::Stopping(stop);
         }
     }
 }
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -1,5 +1,6 @@
 //! What the scheduler must and must not order, case by case.
 
+mod cancelling;
 mod crashing;
 mod duties;
 mod facts;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -97,6 +97,10 @@
         "Runs of tasks that ended, by how.";
     TASK_STOPS, "counter", "dewspar_task_stops_total", Some("reason"),
         "Runs of tasks that were stopped, by why.";
+    STOP_TIME, "histogram", "dewspar_task_stop_seconds", Some("reason"),
+        "Time from the first order to stop a run to its end, in seconds.";
+    OVERDUE_STOPS, "counter", "dewspar_task_stops_overdue_total", Some("reason"),
+        "Runs that went on for longer than a stop may take, by why they were to stop.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
         "Runs whose worker was lost soon after it had been told to start them.";
     TASKS_GIVEN_UP, "counter", "dewspar_tasks_given_up_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -38,6 +38,23 @@
                 "reason" => reason);
             counters::count_by(counters::TASK_STOPS, "reason", reason);
         }
+        Decision::StopOver { task, run, worker, cause, stop } => {
+            info!(log, "task: stopped"; "job" => %task.job, "task" => %task,
+                "run" => run, "worker" => %worker, "cause" => cause,
+                "reason" => stop.reason, "after_ms" => stop.after_ms,
+                "orders" => stop.orders, "answered" => stop.answered);
+            metrics::histogram!(
+                counters::STOP_TIME, "reason" => stop.reason
+            )
+            .record(stop.after_ms as f64 / 1_000.0);
+        }
+        Decision::StopOverdue { task, run, worker, stop } => {
+            warn!(log, "task: stop takes long"; "job" => %task.job,
+                "task" => %task, "run" => run, "worker" => %worker,
+                "reason" => stop.reason, "after_ms" => stop.after_ms,
+                "orders" => stop.orders, "answered" => stop.answered);
+            counters::count_by(counters::OVERDUE_STOPS, "reason", stop.reason);
+        }
         Decision::Lost { task, run, worker, reason, age_ms, beside } => {
             warn!(log, "task: run lost"; "job" => %task.job,
                 "task" => %task, "run" => run, "worker" => %worker,
