Experiment: what a scheduler's work costs in a queue's peak, at 1,100 workers

`dewspar_standin::peak` plays a node, 1,100 workers in 5 pools, 4,000 open jobs and a queue that asks for 3,800 starts a second in simulated time, with one seed and a model of the processor: what happens is the same in each run, shown by a digest of all that was planned. The example `planning` measures time and allocations around each call of the scheduler. Allocations are counted by `stats_alloc`, a new dependency of the tests and examples alone, since the workspace forbids unsafe code.

Ruled out: nothing yet.

--- a/crates/dewspar-standin/src/lib.rs
+++ b/crates/dewspar-standin/src/lib.rs
@@ -12,6 +12,8 @@
 * [`faults`] says what goes wrong, and can be changed while they run.
 * [`recorder`] writes down what really happened, for history checks.
 * [`task_fleet`] is a fleet whose workers run tasks of jobs.
+* [`peak`] is a scheduler with a large fleet in a queue's peak, in simulated
+  time.
 * [`certs`] makes a certificate authority for tests and demonstrations.
 */
 
@@ -19,6 +21,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod kv;
+pub mod peak;
 pub mod recorder;
 pub mod runner;
 mod server;
--- /dev/null
+++ b/crates/dewspar/examples/planning.rs
@@ -0,0 +1,127 @@
+/*!
+What a scheduler's work costs in a queue's peak, on a large fleet.
+
+1,100 workers in 5 pools, 4,000 open jobs, and a queue that asks for 3,800
+starts a second; see [`dewspar_standin::peak`]. It is played twice, with a
+processor that is ample and with one that is short, since events come in one at
+a time with the former and in bursts with the latter. What happens is the same
+in each run; what is measured is the time on this machine, and how often
+memory was asked for.
+
+```sh
+cargo run --release -p dewspar --example planning
+```
+*/
+
+use {
+    dewspar_standin::peak::{
+        Meter, Part, Peak, PeakSettings, Processor, Tally,
+    },
+    stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc},
+    std::{
+        alloc::System,
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// How long the peak is played, in simulated milliseconds.
+const PLAY_MS: u64 = 3_000;
+
+/// How long the fleet is filled before, in simulated milliseconds.
+const WARM_UP_MS: u64 = 3_000;
+
+/// What one part has cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Cost {
+    calls: u64,
+    time: Duration,
+    allocations: u64,
+}
+
+impl Cost {
+    fn per(&self, times: u64) -> (f64, f64) {
+        let times = times.max(1) as f64;
+        let micros = self.time.as_secs_f64() * 1e6;
+        (micros / times, self.allocations as f64 / times)
+    }
+}
+
+/// Measures time and how often memory is asked for.
+#[derive(Debug, Default)]
+struct Costs {
+    parts: BTreeMap<Part, Cost>,
+}
+
+impl Costs {
+    fn total(&self) -> Cost {
+        self.parts.values().fold(Cost::default(), |sum, cost| Cost {
+            calls: sum.calls + cost.calls,
+            time: sum.time + cost.time,
+            allocations: sum.allocations + cost.allocations,
+        })
+    }
+}
+
+impl Meter for Costs {
+    fn measure<R>(&mut self, part: Part, work: impl FnOnce() -> R) -> R {
+        let cost = self.parts.entry(part).or_default();
+        let region = Region::new(ALLOCATOR);
+        let began = Instant::now();
+        let result = work();
+        cost.time += began.elapsed();
+        let change = region.change();
+        cost.calls += 1;
+        cost.allocations += (change.allocations + change.reallocations) as u64;
+        result
+    }
+
+    fn reset(&mut self) {
+        self.parts.clear();
+    }
+}
+
+fn main() {
+    play("ample", Processor::AMPLE);
+    play("half a core", Processor::HALF_A_CORE);
+}
+
+fn play(name: &str, processor: Processor) {
+    let settings = PeakSettings::default();
+    let mut peak = Peak::new(settings, Costs::default());
+    peak.warm_up(WARM_UP_MS);
+    let tally = peak.play(PLAY_MS, processor);
+    print_tally(name, &tally);
+    let costs = peak.meter();
+    for (part, cost) in &costs.parts {
+        print_cost(&format!("{part:?}"), cost, cost.calls);
+    }
+    let total = costs.total();
+    print_cost("all, a start", &total, tally.starts);
+    print_cost("all, an event", &total, tally.events);
+    let per_s = total.time.as_secs_f64() * 1e6 / PLAY_MS as f64;
+    println!("  {per_s:.0} ms of each simulated second");
+}
+
+fn print_tally(name: &str, tally: &Tally) {
+    let Tally { plans, starts, questions, ends, events, finished, .. } =
+        *tally;
+    let wait_ms = tally.waited_ms / events.max(1);
+    println!("{name}: {plans} plans, {starts} starts, {questions} questions");
+    println!("  {ends} ends told, {events} events, {finished} jobs done");
+    println!("  an event waits {wait_ms} ms");
+    let each = questions as f64 / starts.max(1) as f64;
+    println!("  {each:.2} questions a start");
+    println!("  digest of all that was planned: {:016x}", tally.digest);
+}
+
+fn print_cost(name: &str, cost: &Cost, times: u64) {
+    let (micros, allocations) = cost.per(times);
+    println!(
+        "  {name:<14} {times:>7} x {micros:>8.1} us {allocations:>8.1} \
+         allocations"
+    );
+}
