--- a/crates/dewspar-platform/src/job_worker.rs
+++ b/crates/dewspar-platform/src/job_worker.rs
@@ -12,6 +12,10 @@
 /// life refuses it. Where an order is answered, the worker's clock comes
 /// back, in milliseconds.
 pub trait JobWorkers: Clone + Send + Sync + 'static {
+    /// Returns how long an order takes at most until it has a result, in
+    /// milliseconds; a hold takes as much longer as it lets the worker wait.
+    fn timeout_ms(&self) -> u64;
+
     /// Starts a run, or does nothing if it is there already.
     fn start(
         &self,
--- a/crates/dewspar-platform/src/traffic.rs
+++ b/crates/dewspar-platform/src/traffic.rs
@@ -58,11 +58,13 @@
     Callers,
     /// What the operator wants.
     Operator,
+    /// Orders that relays carry.
+    Relays,
 }
 
 impl Purpose {
     /// Every purpose, in the order of the variants.
-    pub const ALL: [Purpose; 12] = [
+    pub const ALL: [Purpose; 13] = [
         Purpose::Other,
         Purpose::Lease,
         Purpose::Feed,
@@ -75,6 +77,7 @@
         Purpose::Counts,
         Purpose::Callers,
         Purpose::Operator,
+        Purpose::Relays,
     ];
 
     /// Returns the purpose's name, for logs and counters.
@@ -92,6 +95,7 @@
             Purpose::Counts => "counts",
             Purpose::Callers => "callers",
             Purpose::Operator => "operator",
+            Purpose::Relays => "relays",
         }
     }
 }
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -61,6 +61,9 @@
 /// How often a hold that waits looks for an end.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long an order takes at most, in milliseconds: as on the platform.
+const ORDER_TIMEOUT_MS: u64 = 200;
+
 /// How long a change of what the operator wants is waited for.
 const INTENT_WAIT: Duration = Duration::from_millis(100);
 
@@ -111,6 +114,12 @@
         fleet
     }
 
+    /// Returns the same fleet as reached from elsewhere, with faults of that
+    /// way.
+    pub fn reached_with(&self, faults: Faults) -> TaskFleet {
+        TaskFleet { faults, ..self.clone() }
+    }
+
     /// Sets how long each task takes from now on, in milliseconds.
     pub fn set_work_ms(&self, work_ms: u64) {
         self.lock().work_ms = work_ms;
@@ -217,6 +226,10 @@
 }
 
 impl JobWorkers for TaskFleet {
+    fn timeout_ms(&self) -> u64 {
+        ORDER_TIMEOUT_MS
+    }
+
     async fn start(
         &self,
         _address: &str,
--- a/crates/dewspar/src/job/id.rs
+++ b/crates/dewspar/src/job/id.rs
@@ -73,7 +73,18 @@
 /// A task's name: its job, the round of a repeated job, step and index.
 ///
 /// It is written `JOB.ROUND.STEP.INDEX`.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Deserialize,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
 pub struct TaskId {
     /// The job.
     pub job: JobId,
--- a/crates/dewspar/src/link.rs
+++ b/crates/dewspar/src/link.rs
@@ -116,6 +116,16 @@
 /// The rate rises to this share of itself while calls are fast, in percent.
 const FASTER_PERCENT: u64 = 125;
 
+/// What an order takes of a link beside what it carries, with its head and the
+/// packets of its answer, in bytes: read off the bytes of orders by purpose,
+/// and two packets' heads.
+const ORDER_BYTES: u64 = 250;
+
+/// The same over a relay, where many share a message and heads are left out:
+/// 204 starts with payloads of some 350 bytes and 190 questions a second took
+/// 118 kB, with all else that was sent.
+const RELAYED_ORDER_BYTES: u64 = 90;
+
 /// Hands out what a link carries.
 #[derive(Clone, Debug)]
 pub struct LinkBudget {
@@ -130,6 +140,8 @@
     fell_ms: u64,
     /// When a share was last used up.
     spent_ms: u64,
+    /// Whether relays carry what is sent.
+    relayed: bool,
 }
 
 /// What one share has left; less than nothing after a large order.
@@ -160,6 +172,7 @@
             tally: Tally::default(),
             fell_ms: 0,
             spent_ms: 0,
+            relayed: false,
         };
         budget.size_shares();
         budget.questions.bytes = budget.questions.most;
@@ -204,6 +217,16 @@
         }
     }
 
+    /// Sets whether relays carry what is sent from now on.
+    pub fn set_relayed(&mut self, relayed: bool) {
+        self.relayed = relayed;
+    }
+
+    /// Returns what an order takes beside what it carries, in bytes.
+    pub fn order_bytes(&self) -> u64 {
+        if self.relayed { RELAYED_ORDER_BYTES } else { ORDER_BYTES }
+    }
+
     /// Notes that something of a class was sent, of so many bytes with its
     /// answer in the larger direction.
     pub fn sent(&mut self, class: Class, bytes: u64) {
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -1,5 +1,6 @@
 use {
     crate::job::TaskId,
+    serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc},
 };
 
@@ -125,7 +126,7 @@
 }
 
 /// An order to stop a run.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StopOrder {
     /// The task.
     pub task: TaskId,
@@ -136,7 +137,7 @@
 }
 
 /// An order to limit the share at which a run works.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PaceOrder {
     /// The task.
     pub task: TaskId,
@@ -149,7 +150,7 @@
 }
 
 /// A renewal of a worker's lease, which also asks what runs there.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HoldOrder {
     /// The fencing token.
     pub fence: u64,
@@ -163,7 +164,7 @@
 }
 
 /// A run that is going on.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ActiveRun {
     /// The task.
     pub task: TaskId,
@@ -180,7 +181,7 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EndCause {
     /// It did its work.
     Done,
@@ -211,7 +212,7 @@
 }
 
 /// A run that has ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndedRun {
     /// The end's number, rising from 1 in each life of the worker.
     pub number: u64,
@@ -226,7 +227,7 @@
 }
 
 /// A worker's answer to a [`HoldOrder`].
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HoldReport {
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
@@ -240,7 +241,7 @@
 }
 
 /// Why a worker refused an order; it has done nothing.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Refusal {
     /// It has seen a higher fencing token.
     Fenced,
@@ -277,7 +278,7 @@
 }
 
 /// Why an order has no result.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum OrderError {
     /// The worker refused it and has done nothing.
     Refused(Refusal),
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -17,7 +17,7 @@
             board::{Job, demand},
             full_pools::{FullPools, UnaskedPools},
             suspects::Company,
-            worker::{ORDER_BYTES, Run, Worker},
+            worker::{Run, Worker},
         },
     },
     std::{collections::BTreeSet, mem},
@@ -463,7 +463,7 @@
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
         let payload = job.payload.clone();
-        let bytes = ORDER_BYTES + payload.len() as u64;
+        let bytes = self.link.order_bytes() + payload.len() as u64;
         self.link.sent(Class::Start, bytes);
         let step = job.step_mut(task)?;
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -14,7 +14,7 @@
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             wave_state::WaveState,
-            worker::{ORDER_BYTES, OwedHold, Worker},
+            worker::{OwedHold, Worker},
         },
         window::{CallEnd, CallWindow},
     },
@@ -269,6 +269,12 @@
         &self.window
     }
 
+    /// Sets whether relays carry this node's orders, which then take less of
+    /// its link.
+    pub fn set_relayed(&mut self, relayed: bool) {
+        self.link.set_relayed(relayed);
+    }
+
     /// Returns what this node's link carries of orders.
     pub fn link(&self) -> &LinkBudget {
         &self.link
@@ -467,7 +473,8 @@
             if hold.is_none() {
                 continue;
             }
-            self.link.sent(class, worker.question_bytes());
+            let bytes = worker.question_bytes(self.link.order_bytes());
+            self.link.sent(class, bytes);
             if in_window {
                 self.window.sent(1);
             }
@@ -499,7 +506,8 @@
             worker.let_wait(patient);
             let hold = hold(worker, false, now, options);
             if hold.is_some() {
-                self.link.sent(class, worker.question_bytes());
+                let bytes = worker.question_bytes(self.link.order_bytes());
+                self.link.sent(class, bytes);
             }
             actions.extend(hold);
         }
@@ -518,7 +526,7 @@
         worker.unset_paces.remove(task);
         let run = worker.runs.get_mut(task)?;
         run.pace = percent;
-        self.link.sent(Class::Stop, ORDER_BYTES);
+        self.link.sent(Class::Stop, self.link.order_bytes());
         let order = PaceOrder { task: *task, run: run.run, percent, fence };
         Some(Action::Pace { worker: worker_id.clone(), address, order })
     }
--- a/crates/dewspar/src/schedule/stopping.rs
+++ b/crates/dewspar/src/schedule/stopping.rs
@@ -15,7 +15,7 @@
     link::Class,
     schedule::{
         Action, Decision, Now, Scheduler, StopAccount, StopOrder, WorkerId,
-        worker::{ORDER_BYTES, Run, RunState},
+        worker::{Run, RunState},
     },
 };
 
@@ -107,7 +107,7 @@
                     });
                 }
                 stop.note_order(now_ms);
-                self.link.sent(Class::Stop, ORDER_BYTES);
+                self.link.sent(Class::Stop, self.link.order_bytes());
                 actions.push(Action::Stop {
                     worker: id.clone(),
                     address: address.clone(),
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -26,11 +26,6 @@
 /// One may be a job that fails everywhere; two by chance are rare.
 const FAILED_JOBS_TO_SUSPEND: usize = 2;
 
-/// What an order takes of a link beside what it carries, with its head and the
-/// packets of its answer, in bytes: read off the bytes of orders by purpose,
-/// and two packets' heads.
-pub(crate) const ORDER_BYTES: u64 = 250;
-
 /// What a run takes in the answer to a question, in bytes.
 const RUN_BYTES: u64 = 60;
 
@@ -482,9 +477,10 @@
         }
     }
 
-    /// Returns what a question to it takes of a link, in bytes.
-    pub(crate) fn question_bytes(&self) -> u64 {
-        ORDER_BYTES.max(RUN_BYTES * self.runs.len() as u64)
+    /// Returns what a question to it takes of a link, in bytes, where an order
+    /// without anything takes so much.
+    pub(crate) fn question_bytes(&self, order_bytes: u64) -> u64 {
+        order_bytes.max(RUN_BYTES * self.runs.len() as u64)
     }
 
     /// Notes that an order was sent that lets runs go on until then.
--- /dev/null
+++ b/crates/dewspar/tests/relay.rs
@@ -0,0 +1,115 @@
+//! Which nodes carry a holder's orders, and how many of them.
+
+use {
+    dewspar::relay::{CarriageDemand, RelayNode, relay_for},
+    quickcheck::quickcheck,
+    std::collections::BTreeMap,
+};
+
+fn node(name: &str, strength: u64) -> RelayNode {
+    RelayNode { name: name.to_owned(), address: String::new(), strength }
+}
+
+fn nodes(count: usize, strength: u64) -> Vec<RelayNode> {
+    (0..count).map(|n| node(&format!("athens-{n}"), strength)).collect()
+}
+
+/// Returns how many relays a node of half a core wants at each second of what
+/// it sends.
+fn relays_over(calls_per_s: &[u64]) -> Vec<usize> {
+    let others = nodes(17, 500);
+    let mut demand = CarriageDemand::default();
+    (1_000..)
+        .step_by(1_000)
+        .zip(calls_per_s)
+        .map(|(now_ms, calls)| {
+            demand.note(now_ms, *calls);
+            demand.relays(now_ms, 500, &others).len()
+        })
+        .collect()
+}
+
+/// A queue's demand turns each 20 s: five seconds at five times its mean,
+/// fifteen at a twentieth. Relays are there for the second peak from its start.
+#[test]
+fn relays_stay_from_one_peak_to_the_next() {
+    let turn = [200, 900, 3_600, 4_000, 4_000]
+        .into_iter()
+        .chain(std::iter::repeat_n(180, 15));
+    let two_turns: Vec<u64> = turn.clone().chain(turn).collect();
+    let relays = relays_over(&two_turns);
+    assert_eq!(relays[..5], [0, 0, 3, 4, 4]);
+    assert!(relays[5..].iter().all(|relays| *relays == 4), "{relays:?}");
+}
+
+#[test]
+fn relays_go_once_no_peak_has_come_for_long() {
+    let mut calls = vec![4_000];
+    calls.extend(std::iter::repeat_n(100, 70));
+    let relays = relays_over(&calls);
+    assert_eq!(relays[59], 4);
+    assert_eq!(relays[61], 0);
+}
+
+#[test]
+fn a_node_that_carries_all_by_itself_has_no_relay() {
+    assert!(relays_over(&[2_500; 30]).iter().all(|relays| *relays == 0));
+}
+
+#[test]
+fn the_strongest_are_taken_and_all_where_none_suffices() {
+    let mut others = nodes(3, 100);
+    others.push(node("athens-strong", 2_000));
+    let mut demand = CarriageDemand::default();
+    demand.note(1_000, 3_000);
+    let relays = demand.relays(1_000, 500, &others);
+    assert_eq!(relays, [node("athens-strong", 2_000)]);
+    demand.note(2_000, 30_000);
+    assert_eq!(demand.relays(2_000, 500, &others).len(), 4);
+}
+
+fn shares(relays: &[RelayNode]) -> BTreeMap<&str, usize> {
+    let mut shares = BTreeMap::new();
+    for worker in 0..10_000 {
+        let first = relay_for(&format!("worker-{worker}"), relays);
+        let name = &relays[first.expect("a relay")].name;
+        *shares.entry(name.as_str()).or_default() += 1;
+    }
+    shares
+}
+
+#[test]
+fn a_relay_gets_workers_by_its_strength() {
+    let relays = [node("a", 500), node("b", 500), node("c", 1_000)];
+    let shares = shares(&relays);
+    for (name, expected) in [("a", 2_500), ("b", 2_500), ("c", 5_000)] {
+        assert!(shares[name].abs_diff(expected) < 250, "{shares:?}");
+    }
+}
+
+#[test]
+fn no_relay_carries_where_there_is_none() {
+    assert_eq!(relay_for("worker-1", &[]), None);
+}
+
+quickcheck! {
+    /// Whatever relay is lost, no worker moves that it didn't carry for.
+    fn a_lost_relay_moves_only_its_own_workers(
+        strengths: Vec<u16>, worker: u32, lost: usize
+    ) -> bool {
+        let relays: Vec<RelayNode> = strengths
+            .iter()
+            .enumerate()
+            .map(|(n, strength)| node(&format!("n{n}"), u64::from(*strength)))
+            .collect();
+        let worker = worker.to_string();
+        let Some(before) = relay_for(&worker, &relays) else {
+            return relays.is_empty();
+        };
+        let lost = lost % relays.len();
+        let mut left = relays.clone();
+        left.remove(lost);
+        let after = relay_for(&worker, &left).map(|n| left[n].clone());
+        before == lost || after.as_ref() == Some(&relays[before])
+    }
+}
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -117,6 +117,12 @@
         "Times that this node took the store for out and refused new jobs.";
     ORDERS_WINDOW, "gauge", "dewspar_orders_window", None,
         "Orders to workers that this node may have under way, while it schedules.";
+    RELAYS, "gauge", "dewspar_relays", None,
+        "Nodes that carry orders to workers for this one, while it schedules.";
+    RELAYS_LOST, "counter", "dewspar_relays_lost_total", None,
+        "Relays of this node that were lost or stopped.";
+    RELAY_REFUSALS, "counter", "dewspar_relay_refusals_total", None,
+        "Orders that this node didn't carry because too many were under way.";
     ORDERS_UNDER_WAY, "gauge", "dewspar_orders_under_way", None,
         "Orders to workers that are under way, while this node schedules.";
     OVERLOADS, "counter", "dewspar_overloads_total", None,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -23,14 +23,17 @@
         settings::Machine,
     },
     crate::{clock, counters},
-    dewspar::schedule::{Options, Orderer},
+    dewspar::{
+        relay::RelayNode,
+        schedule::{Options, Orderer},
+    },
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
         Traffic, Versioned, Watch,
     },
     serde::{Deserialize, Serialize},
     slog::{Logger, info, warn},
-    std::time::Duration,
+    std::{net::SocketAddr, time::Duration},
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -105,6 +108,8 @@
     pub(super) store: K,
     /// What this node's calls cost, by purpose.
     pub(super) traffic: Traffic,
+    /// Where this node carries orders for others, if it does.
+    pub(super) relay_address: Option<SocketAddr>,
     pub(super) machine: Machine,
     pub(super) workers: W,
     pub(super) fleet: F,
@@ -179,11 +184,22 @@
         }
     }
 
-    /// Writes how much this node can schedule, as soon as the store takes it.
+    /// Writes how much this node can schedule, and where it carries orders for
+    /// others, as soon as the store takes it.
     async fn write_strength(&self) {
         let key = keys::node(&self.node);
         let value = self.strength.to_string().into_bytes();
-        let batch = Batch::default().put(&key, value);
+        let mut batch = Batch::default().put(&key, value);
+        if let Some(address) = self.relay_address {
+            let offer = RelayNode {
+                name: self.node.clone(),
+                address: address.to_string(),
+                strength: self.strength,
+            };
+            // OK because texts and a number can always be written.
+            let value = serde_json::to_vec(&offer).expect("plain JSON");
+            batch = batch.put(&keys::relay(&self.node), value);
+        }
         while let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
             sleep(RETRY).await;
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -30,6 +30,7 @@
         orders,
         outcome::Outcome,
         progress::{self, JOBS_A_WRITE, Refusal, Stored, batch_of},
+        relay::{self, Keeper, RelayedWorkers},
         takeover::{self, LoadedDuties},
         versions::{RecordVersions, VersionSource},
     },
@@ -127,11 +128,23 @@
         sender.clone(),
         candidate.log.clone(),
     ));
+    let workers = RelayedWorkers::new(candidate.workers.clone());
+    tasks.spawn(relay::keep(Keeper {
+        store: store(Purpose::Relays),
+        offers: keys::RELAYS,
+        node: candidate.node.clone(),
+        strength: candidate.strength,
+        lease_revision: held.revision,
+        workers: workers.clone(),
+        traffic: candidate.traffic.clone(),
+        log: candidate.log.clone(),
+    }));
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.begin_loading();
     let mut holder = Holder {
         candidate,
+        workers,
         held,
         scheduler,
         versions: RecordVersions::default(),
@@ -162,6 +175,8 @@
 
 pub(super) struct Holder<'a, K, W, F> {
     pub(super) candidate: &'a Candidate<K, W, F>,
+    /// The workers, over relays where there are any.
+    workers: RelayedWorkers<W>,
     pub(super) held: Held,
     pub(super) scheduler: Scheduler,
     /// The version of each job's progress in the store.
@@ -211,7 +226,7 @@
 }
 
 /// Waits until the node is told to stop.
-async fn stopped(stopping: &mut watch::Receiver<bool>) {
+pub(super) async fn stopped(stopping: &mut watch::Receiver<bool>) {
     // An error means that the node is gone, which is a stop as well.
     let _ = stopping.wait_for(|stopping| *stopping).await;
 }
@@ -419,6 +434,7 @@
             return self.lost.map(Outcome::Lost);
         }
         self.configure(now);
+        self.scheduler.set_relayed(self.workers.relays() > 0);
         let began = Instant::now();
         let actions = self.scheduler.plan(now);
         self.load.planned(began, &actions);
@@ -445,8 +461,8 @@
             return Some(Outcome::Overloaded);
         }
         for action in actions {
-            let Candidate { workers, fleet, .. } = self.candidate;
-            orders::send(workers, fleet, action, &self.sender);
+            let fleet = &self.candidate.fleet;
+            orders::send(&self.workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
         self.write_counts(now);
@@ -456,7 +472,8 @@
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
         let link = self.scheduler.link();
         let log = &self.candidate.log;
-        self.load.log(log, now.steady_ms, window, link, behind_ms);
+        let relays = self.workers.relays();
+        self.load.log(log, now.steady_ms, window, link, behind_ms, relays);
         None
     }
 
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -14,6 +14,9 @@
 /// How much each node can schedule.
 pub(super) const NODES: &str = "node/";
 
+/// Which nodes offer to carry orders to workers.
+pub(super) const RELAYS: &str = "relay/";
+
 /// Everything that the holder must hear of in order.
 pub(super) const FEED: &str = "q/";
 
@@ -97,6 +100,10 @@
     format!("{NODES}{name}")
 }
 
+pub(super) fn relay(name: &str) -> String {
+    format!("{RELAYS}{name}")
+}
+
 pub(super) fn wave(wave: u64) -> String {
     format!("{WAVES}{wave}")
 }
--- a/crates/dewspard/src/jobs/load.rs
+++ b/crates/dewspard/src/jobs/load.rs
@@ -81,6 +81,7 @@
         window: &CallWindow,
         link: &LinkBudget,
         feed_behind_ms: u64,
+        relays: usize,
     ) {
         if now_ms < self.logged_ms + INTERVAL_MS {
             return;
@@ -98,7 +99,7 @@
             "planning_ms" => self.planning.as_millis() as u64,
             "starts" => self.starts, "holds" => self.holds,
             "window" => window.size(), "under_way" => window.under_way(),
-            "link_bytes_per_s" => link.rate(),
+            "relays" => relays, "link_bytes_per_s" => link.rate(),
             "feed_behind_ms" => feed_behind_ms,
             "sent_bytes" => traffic.total().sent_bytes,
             "received_bytes" => traffic.total().received_bytes,
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -9,9 +9,11 @@
 | `intent` | the newest reading of what the operator wants |
 | `election` | this node's try for the scheduler lease |
 | `holder` | the [`Scheduler`](dewspar::schedule::Scheduler), on the one node that holds the lease |
+| `relay` | the connections over which nodes carry the holder's orders |
 | `readiness` | the address at which the entry asks whether to send callers |
 
-Nodes don't talk to each other. What they share lies in the store:
+Nodes talk to each other only where one carries orders to workers for another.
+What they share lies in the store:
 
 | key | value | written by |
 |---|---|---|
@@ -19,6 +21,7 @@
 | `q/in/JOB` | a job that isn't over | the node that accepts it |
 | `q/stop/JOB` | that the job is cancelled | the node that is asked to |
 | `run/JOB` | how far the job has come | the holder |
+| `relay/NODE` | where a node offers to carry orders | that node, when it starts |
 | `node/NODE` | how much a node can schedule | that node, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and what its holder counted, under short leases | a node that finds no fresh `pending` |
@@ -58,6 +61,7 @@
 mod readiness;
 mod records;
 mod recount;
+mod relay;
 mod rest;
 pub mod settings;
 mod takeover;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -10,6 +10,7 @@
         gate::StoreGate,
         holder, intent,
         readiness::{self, Readiness},
+        relay,
         settings::JobSettings,
     },
     crate::{clock, counters, logs},
@@ -21,7 +22,7 @@
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info, warn},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{sync::watch, task::JoinHandle, time::sleep},
+    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep},
 };
 
 /// How much of the time to stop in is kept in reserve, in milliseconds.
@@ -125,7 +126,22 @@
         };
         let callers =
             front::serve(settings.callers_address, Arc::new(front)).await?;
+        let relay_address = match settings.relay_address {
+            Some(address) => {
+                let listener = TcpListener::bind(address).await?;
+                let address = listener.local_addr()?;
+                tokio::spawn(relay::serve(
+                    listener,
+                    platform.workers.clone(),
+                    stopped.clone(),
+                    logs::part(&log, "relay"),
+                ));
+                Some(address)
+            }
+            None => None,
+        };
         let candidate = Candidate {
+            relay_address,
             node: settings.node.clone(),
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/keep.rs
@@ -0,0 +1,226 @@
+/*!
+The holder's choice of relays, kept up to date: how much is sent says how many
+are wanted, the store says which nodes offer to carry, and their links say
+which of them do.
+*/
+
+use {
+    super::{link::RelayLink, workers::RelayedWorkers},
+    crate::{clock, counters},
+    dewspar::relay::{CarriageDemand, RelayNode},
+    dewspar_platform::{Error, KeyValue, Traffic, Versioned},
+    metrics::gauge,
+    slog::{Logger, info, warn},
+    std::{collections::HashMap, sync::Arc, time::Duration},
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// How often it is looked at what was sent and which links are open: the calls
+/// of a moment aren't taken for those of a peak, and a lost relay is replaced
+/// soon.
+const LOOK_MS: u64 = 250;
+
+/// How long a reading of the nodes that offer to carry is used, in
+/// milliseconds: nodes come and go in minutes, and each names itself in some
+/// hundred bytes.
+const OFFERS_MS: u64 = 5_000;
+
+/// For how long a node isn't asked again that couldn't be reached or was lost,
+/// in milliseconds: a process is started again in about that time.
+const AVOID_MS: u64 = 3_000;
+
+/// What the task that keeps relays needs.
+pub(in super::super) struct Keeper<K, W> {
+    /// The store, and the prefix of the keys under which nodes offer to carry.
+    pub(in super::super) store: K,
+    pub(in super::super) offers: &'static str,
+    /// This node.
+    pub(in super::super) node: String,
+    pub(in super::super) strength: u64,
+    pub(in super::super) lease_revision: u64,
+    pub(in super::super) workers: RelayedWorkers<W>,
+    /// What this node's calls cost.
+    pub(in super::super) traffic: Traffic,
+    pub(in super::super) log: Logger,
+}
+
+/// What is known of nodes that offer to carry.
+#[derive(Debug, Default)]
+struct Offers {
+    nodes: Vec<RelayNode>,
+    read_ms: Option<u64>,
+    /// Until when a node isn't asked.
+    avoided: HashMap<String, u64>,
+}
+
+impl Offers {
+    fn is_old(&self, now_ms: u64) -> bool {
+        self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + OFFERS_MS)
+    }
+
+    fn avoid(&mut self, node: &str, now_ms: u64) {
+        self.avoided.insert(node.to_owned(), now_ms + AVOID_MS);
+    }
+
+    /// Returns the nodes that may be asked now.
+    fn usable(&mut self, now_ms: u64) -> Vec<RelayNode> {
+        self.avoided.retain(|_, until_ms| now_ms < *until_ms);
+        let usable = |n: &&RelayNode| !self.avoided.contains_key(&n.name);
+        self.nodes.iter().filter(usable).cloned().collect()
+    }
+}
+
+/// Keeps relays as long as the lease is held.
+pub(in super::super) async fn keep<K: KeyValue, W>(keeper: Keeper<K, W>) {
+    let _ends = EndLinks(&keeper.workers);
+    let mut demand = CarriageDemand::default();
+    let mut offers = Offers::default();
+    let (mut calls, mut looked_ms) = (keeper.workers.calls(), clock::now_ms());
+    loop {
+        sleep(Duration::from_millis(LOOK_MS)).await;
+        let now_ms = clock::now_ms();
+        let sent = keeper.workers.calls() - calls;
+        calls += sent;
+        let took_ms = now_ms.saturating_sub(looked_ms).max(1);
+        looked_ms = now_ms;
+        demand.note(now_ms, sent * 1_000 / took_ms);
+        keeper.look(&demand, &mut offers, now_ms).await;
+    }
+}
+
+/// Ends every link with the lease, however it ends.
+struct EndLinks<'a, W>(&'a RelayedWorkers<W>);
+
+impl<W> Drop for EndLinks<'_, W> {
+    fn drop(&mut self) {
+        for link in self.0.links() {
+            link.give_up();
+        }
+        self.0.use_links(Vec::new());
+    }
+}
+
+impl<K: KeyValue, W> Keeper<K, W> {
+    async fn look(
+        &self,
+        demand: &CarriageDemand,
+        offers: &mut Offers,
+        now_ms: u64,
+    ) {
+        let (open, lost): (Vec<_>, Vec<_>) =
+            self.workers.links().into_iter().partition(|link| link.is_open());
+        if !lost.is_empty() {
+            self.workers.use_links(open.clone());
+        }
+        for link in &lost {
+            link.retire();
+            offers.avoid(&link.node.name, now_ms);
+            info!(self.log, "relay: lost"; "relay" => &link.node.name);
+            counters::count(counters::RELAYS_LOST);
+        }
+        if demand.relays(now_ms, self.strength, &[self.myself()]).is_empty() {
+            if !open.is_empty() {
+                self.change(Vec::new(), &open);
+            }
+            return;
+        }
+        if offers.is_old(now_ms) {
+            self.read_offers(offers, now_ms).await;
+        }
+        let usable = offers.usable(now_ms);
+        let wanted = demand.relays(now_ms, self.strength, &usable);
+        self.connect(wanted, open, offers, now_ms).await;
+    }
+
+    /// Stands in for any other node, to see whether one is wanted at all.
+    fn myself(&self) -> RelayNode {
+        RelayNode {
+            name: self.node.clone(),
+            address: String::new(),
+            strength: self.strength,
+        }
+    }
+
+    async fn read_offers(&self, offers: &mut Offers, now_ms: u64) {
+        // A reading that fails is tried again with the next look.
+        match self.store.list(self.offers).await {
+            Ok((_, found)) => {
+                offers.nodes = self.read(&found);
+                offers.read_ms = Some(now_ms);
+            }
+            Err(error) => note_failure(&error),
+        }
+    }
+
+    /// Reads what others offer; what can't be read is passed over.
+    fn read(&self, found: &[Versioned]) -> Vec<RelayNode> {
+        let read = |item: &Versioned| {
+            serde_json::from_slice::<RelayNode>(&item.value).ok()
+        };
+        let nodes = found.iter().filter_map(read);
+        nodes.filter(|node| node.name != self.node).collect()
+    }
+
+    /// Has the wanted relays carry, those that can be reached.
+    async fn connect(
+        &self,
+        wanted: Vec<RelayNode>,
+        open: Vec<Arc<RelayLink>>,
+        offers: &mut Offers,
+        now_ms: u64,
+    ) {
+        let known = |node: &RelayNode| {
+            open.iter().find(|link| link.node == *node).cloned()
+        };
+        let mut links: Vec<Arc<RelayLink>> =
+            wanted.iter().filter_map(known).collect();
+        let mut opening = JoinSet::new();
+        for node in wanted.into_iter().filter(|node| known(node).is_none()) {
+            let (holder, revision) = (self.node.clone(), self.lease_revision);
+            let traffic = self.traffic.clone();
+            opening.spawn(async move {
+                let name = node.name.clone();
+                let link =
+                    RelayLink::open(node, &holder, revision, traffic).await;
+                (name, link)
+            });
+        }
+        let unchanged = opening.is_empty() && links.len() == open.len();
+        if unchanged {
+            return;
+        }
+        while let Some(opened) = opening.join_next().await {
+            match opened {
+                Ok((_, Ok(link))) => links.push(link),
+                Ok((name, Err(error))) => {
+                    offers.avoid(&name, now_ms);
+                    warn!(self.log, "relay: not reached"; "relay" => name,
+                        "error" => %error);
+                }
+                // OK to pass over: such a task is never aborted, and one that
+                // panicked has opened nothing.
+                Err(_) => {}
+            }
+        }
+        self.change(links, &open);
+    }
+
+    /// Has these links carry; those that no longer do end once they are
+    /// answered.
+    fn change(&self, links: Vec<Arc<RelayLink>>, before: &[Arc<RelayLink>]) {
+        let names: Vec<&str> =
+            links.iter().map(|link| link.node.name.as_str()).collect();
+        info!(self.log, "relay: chosen"; "relays" => names.join(" "),
+            "before" => before.len());
+        gauge!(counters::RELAYS).set(links.len() as f64);
+        let kept = |old: &RelayLink| links.iter().any(|l| l.node == old.node);
+        for old in before.iter().filter(|old| !kept(old)) {
+            old.retire();
+        }
+        self.workers.use_links(links);
+    }
+}
+
+fn note_failure(error: &Error) {
+    counters::platform_failure(error);
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/link.rs
@@ -0,0 +1,281 @@
+/*!
+The holder's connection to one relay.
+
+Orders that are given to a link while it writes go out in the next message
+together. Each waits for its own answer, and not for long: a relay answers each
+order once its own call has ended, so an order without an answer from a relay
+that has said nothing else since means that the relay or the way to it is
+silent. The link is then given up as a whole.
+*/
+
+use {
+    super::wire::{
+        self, Answer, FrameSink, Frames, FromRelay, Order, OrderKind, ToRelay,
+        VERSION,
+    },
+    crate::clock,
+    dewspar::relay::RelayNode,
+    dewspar_platform::{Purpose, Traffic},
+    futures_util::{SinkExt, StreamExt},
+    socket2::SockRef,
+    std::{
+        collections::HashMap,
+        io,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::TcpStream,
+        sync::{Notify, mpsc, oneshot},
+        time::{sleep, timeout},
+    },
+};
+
+/// How long a connection to a relay may take to open: several times the way
+/// there and back within a region.
+const CONNECT: Duration = Duration::from_millis(300);
+
+/// How long sent bytes may stay unacknowledged by the relay's kernel, as for
+/// workers: three transmissions on a near link.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
+
+/// How long a link that is no longer used stays open for answers: longer than
+/// any order takes.
+const RETIRED: Duration = Duration::from_secs(3);
+
+/// How many orders go into one message at most.
+const ORDERS_A_MESSAGE: usize = 512;
+
+/// An order on its way into a message.
+#[derive(Debug)]
+pub(super) struct Outgoing {
+    pub(super) order: Order,
+    /// What a start gives its task.
+    pub(super) payload: Option<Arc<str>>,
+}
+
+/// Why a relay gave no answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct NoAnswer;
+
+/// A connection to one relay.
+#[derive(Debug)]
+pub(super) struct RelayLink {
+    pub(super) node: RelayNode,
+    outgoing: mpsc::UnboundedSender<Outgoing>,
+    waiting: Mutex<HashMap<u64, oneshot::Sender<Answer>>>,
+    next_id: AtomicU64,
+    /// When the relay last sent anything, on the steady clock.
+    heard_ms: AtomicU64,
+    is_open: AtomicBool,
+    given_up: Notify,
+}
+
+impl RelayLink {
+    /// Connects to a relay.
+    pub(super) async fn open(
+        node: RelayNode,
+        holder: &str,
+        lease_revision: u64,
+        traffic: Traffic,
+    ) -> io::Result<Arc<RelayLink>> {
+        let connecting = TcpStream::connect(&node.address);
+        let stream = timeout(CONNECT, connecting).await??;
+        stream.set_nodelay(true)?;
+        #[cfg(target_os = "linux")]
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+        let (read, write) = stream.into_split();
+        let mut sink = wire::sink(write);
+        let hello = ToRelay::Hello {
+            version: VERSION,
+            node: holder.to_owned(),
+            lease_revision,
+        };
+        sink.send(wire::encode(&hello)).await?;
+        let (outgoing, orders) = mpsc::unbounded_channel();
+        let link = Arc::new(RelayLink {
+            node,
+            outgoing,
+            waiting: Mutex::default(),
+            next_id: AtomicU64::new(1),
+            heard_ms: AtomicU64::new(clock::now_ms()),
+            is_open: AtomicBool::new(true),
+            given_up: Notify::new(),
+        });
+        tokio::spawn(write_orders(
+            sink,
+            orders,
+            link.clone(),
+            traffic.clone(),
+        ));
+        tokio::spawn(read_answers(wire::frames(read), link.clone(), traffic));
+        Ok(link)
+    }
+
+    /// Returns whether new orders may be sent.
+    pub(super) fn is_open(&self) -> bool {
+        self.is_open.load(Ordering::Relaxed)
+    }
+
+    /// Sends nothing new; what is under way may still be answered.
+    pub(super) fn close(&self) {
+        self.is_open.store(false, Ordering::Relaxed);
+    }
+
+    /// Sends nothing new, and ends the link once what is under way is over.
+    pub(super) fn retire(self: &Arc<RelayLink>) {
+        self.close();
+        let link = self.clone();
+        tokio::spawn(async move {
+            sleep(RETIRED).await;
+            link.give_up();
+        });
+    }
+
+    /// Ends the link: whatever is under way has no answer.
+    pub(super) fn give_up(&self) {
+        self.close();
+        self.lock().clear();
+        self.given_up.notify_waiters();
+        self.given_up.notify_one();
+    }
+
+    /// Has an order carried, and waits for its answer for so long.
+    pub(super) async fn carry(
+        &self,
+        worker: &str,
+        address: &str,
+        what: OrderKind,
+        payload: Option<Arc<str>>,
+        limit: Duration,
+    ) -> Result<Answer, NoAnswer> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let (sender, answer) = oneshot::channel();
+        self.lock().insert(id, sender);
+        let order = Order {
+            id,
+            worker: worker.to_owned(),
+            address: address.to_owned(),
+            what,
+        };
+        let sent_ms = clock::now_ms();
+        if self.outgoing.send(Outgoing { order, payload }).is_err() {
+            self.lock().remove(&id);
+            return Err(NoAnswer);
+        }
+        match timeout(limit, answer).await {
+            Ok(answer) => answer.map_err(|_| NoAnswer),
+            Err(_) => {
+                self.lock().remove(&id);
+                if self.heard_ms.load(Ordering::Relaxed) < sent_ms {
+                    self.give_up();
+                }
+                Err(NoAnswer)
+            }
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, oneshot::Sender<Answer>>> {
+        // OK after a panic: each change is one insertion or removal.
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Writes orders, those that came meanwhile in one message.
+async fn write_orders(
+    mut sink: FrameSink,
+    mut orders: mpsc::UnboundedReceiver<Outgoing>,
+    link: Arc<RelayLink>,
+    traffic: Traffic,
+) {
+    loop {
+        let first = tokio::select! {
+            order = orders.recv() => order,
+            () = link.given_up.notified() => None,
+        };
+        let Some(first) = first else { return };
+        let mut message = Message::default();
+        message.add(first);
+        while message.orders.len() < ORDERS_A_MESSAGE {
+            let Ok(order) = orders.try_recv() else { break };
+            message.add(order);
+        }
+        let frame = message.encode();
+        traffic.note(Purpose::Relays, frame.len() as u64, 0);
+        if sink.send(frame).await.is_err() {
+            link.give_up();
+            return;
+        }
+    }
+}
+
+/// Orders that go out together.
+#[derive(Default)]
+struct Message {
+    payloads: Vec<Arc<str>>,
+    orders: Vec<Order>,
+}
+
+impl Message {
+    fn add(&mut self, outgoing: Outgoing) {
+        let Outgoing { mut order, payload } = outgoing;
+        if let (OrderKind::Start(start), Some(payload)) =
+            (&mut order.what, payload)
+        {
+            start.payload = self.position_of(payload);
+        }
+        self.orders.push(order);
+    }
+
+    /// Returns the payload's position; tasks of a job share one.
+    fn position_of(&mut self, payload: Arc<str>) -> u32 {
+        // The tasks of a job are ordered one after the other.
+        let known =
+            self.payloads.iter().rposition(|p| Arc::ptr_eq(p, &payload));
+        let position = known.unwrap_or_else(|| {
+            self.payloads.push(payload);
+            self.payloads.len() - 1
+        });
+        // OK to convert: a message has some hundred orders.
+        position as u32
+    }
+
+    fn encode(self) -> bytes::Bytes {
+        let payloads = self.payloads.iter().map(|p| p.to_string()).collect();
+        wire::encode(&ToRelay::Orders { payloads, orders: self.orders })
+    }
+}
+
+/// Hands answers to those who wait for them, until the link ends.
+async fn read_answers(
+    mut frames: Frames,
+    link: Arc<RelayLink>,
+    traffic: Traffic,
+) {
+    loop {
+        let frame = tokio::select! {
+            frame = frames.next() => frame,
+            () = link.given_up.notified() => return,
+        };
+        let Some(Ok(frame)) = frame else { break };
+        link.heard_ms.store(clock::now_ms(), Ordering::Relaxed);
+        traffic.note(Purpose::Relays, 0, frame.len() as u64);
+        match wire::decode(&frame) {
+            Ok(FromRelay::Answers(answers)) => {
+                let mut waiting = link.lock();
+                for answered in answers {
+                    if let Some(sender) = waiting.remove(&answered.id) {
+                        // Whoever no longer waits has taken it for lost.
+                        let _ = sender.send(answered.answer);
+                    }
+                }
+            }
+            Ok(FromRelay::Leaving) => link.close(),
+            Err(_) => break,
+        }
+    }
+    link.give_up();
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/mod.rs
@@ -0,0 +1,37 @@
+/*!
+Relays: nodes that carry the holder's orders to workers.
+
+What a relay is, how many are wanted and which one carries for which worker is
+decided in [`dewspar::relay`]; here are the sockets.
+
+| module | job |
+|---|---|
+| `wire` | the messages between a holder and its relays |
+| `server` | the node that carries: takes orders, makes the calls, answers |
+| `link` | the holder's connection to one relay |
+| `workers` | the workers, reached over relays or directly |
+| `keep` | the holder's choice of relays, kept up to date |
+
+# What goes wrong
+
+| what | so |
+|---|---|
+| no relay, or none that is reachable | orders go out directly, as without relays |
+| a relay is lost, frozen, cut off or silent | its orders count as without an answer; its workers go to others at once |
+| a relay stops as planned | it says so, carries what it has, and gets nothing new |
+| a relay wakes with old orders | the workers have seen a later token, and refuse them |
+| a relay has too much under way | it sends back what is more, as not sent |
+| two holders | a relay keeps the latest lease that it has seen, and ends connections of earlier ones |
+*/
+
+pub(super) use self::{
+    keep::{Keeper, keep},
+    server::serve,
+    workers::RelayedWorkers,
+};
+
+mod keep;
+mod link;
+mod server;
+mod wire;
+mod workers;
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -0,0 +1,279 @@
+/*!
+The node that carries: it takes orders, makes the calls, and sends the answers
+back, many in one message while there are many.
+*/
+
+use {
+    super::super::holder::stopped,
+    super::wire::{
+        self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
+        ToRelay, VERSION,
+    },
+    crate::counters,
+    dewspar::schedule::{OrderError, StartOrder, WorkerId},
+    dewspar_platform::JobWorkers,
+    futures_util::{SinkExt, StreamExt},
+    slog::{Logger, info, warn},
+    std::{
+        io,
+        sync::{
+            Arc,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::{mpsc, watch},
+        time::{Instant, sleep, sleep_until},
+    },
+};
+
+/// How many orders of one holder may be under way: eight times the largest
+/// window of a holder that has one relay only.
+const MAX_UNDER_WAY: usize = 8_192;
+
+/// How long answers are gathered after a message went out: a message costs the
+/// holder a wake-up and a system call, and 200 of them a second from each of a
+/// dozen relays are a tenth of its time.
+const GATHER: Duration = Duration::from_millis(5);
+
+/// The pause after a connection that couldn't be accepted.
+const RETRY: Duration = Duration::from_millis(100);
+
+/// The latest lease that any holder has shown.
+#[derive(Clone, Debug, Default)]
+struct LatestLease(Arc<AtomicU64>);
+
+impl LatestLease {
+    /// Notes a lease; returns whether there is no later one.
+    fn note(&self, revision: u64) -> bool {
+        self.0.fetch_max(revision, Ordering::Relaxed) <= revision
+    }
+}
+
+/// Carries orders for whoever holds the scheduler lease, until the node stops.
+pub(in super::super) async fn serve<W: JobWorkers>(
+    listener: TcpListener,
+    workers: W,
+    stopping: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let latest = LatestLease::default();
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(log, "relay: a connection wasn't accepted";
+                    "error" => %error);
+                sleep(RETRY).await;
+                continue;
+            }
+        };
+        let carrier = Carrier {
+            workers: workers.clone(),
+            latest: latest.clone(),
+            stopping: stopping.clone(),
+            under_way: Arc::default(),
+            log: log.clone(),
+        };
+        tokio::spawn(async move { carrier.carry(stream).await });
+    }
+}
+
+/// One holder's connection.
+struct Carrier<W> {
+    workers: W,
+    latest: LatestLease,
+    stopping: watch::Receiver<bool>,
+    under_way: Arc<AtomicUsize>,
+    log: Logger,
+}
+
+impl<W: JobWorkers> Carrier<W> {
+    async fn carry(self, stream: TcpStream) {
+        let log = self.log.clone();
+        let ended = self.carry_on(stream).await;
+        let reason = match &ended {
+            Ok(reason) => (*reason).to_owned(),
+            Err(error) => error.to_string(),
+        };
+        info!(log, "relay: carries no longer"; "reason" => reason);
+    }
+
+    /// Carries until the connection ends; returns why.
+    async fn carry_on(
+        mut self,
+        stream: TcpStream,
+    ) -> io::Result<&'static str> {
+        stream.set_nodelay(true)?;
+        let (read, write) = stream.into_split();
+        let mut frames = wire::frames(read);
+        let Some(hello) = frames.next().await else {
+            return Ok("nothing came");
+        };
+        let ToRelay::Hello { version, node, lease_revision } =
+            wire::decode(&hello?)?
+        else {
+            return Ok("it didn't say whose orders they are");
+        };
+        if version != VERSION {
+            return Ok("it speaks another version");
+        }
+        if !self.latest.note(lease_revision) {
+            return Ok("a later holder was here");
+        }
+        info!(self.log, "relay: carries for a holder"; "holder" => node,
+            "lease_revision" => lease_revision);
+        let (answers, answered) = mpsc::unbounded_channel();
+        tokio::spawn(send_answers(
+            wire::sink(write),
+            answered,
+            self.stopping.clone(),
+        ));
+        loop {
+            let frame = tokio::select! {
+                frame = frames.next() => frame,
+                () = answers.closed() => return Ok("answers can't be sent"),
+            };
+            let Some(frame) = frame else { return Ok("the holder is done") };
+            let message = wire::decode(&frame?)?;
+            // What an earlier holder sends is refused by workers in any case.
+            if !self.latest.note(lease_revision) {
+                return Ok("a later holder is here");
+            }
+            let ToRelay::Orders { payloads, orders } = message else {
+                return Ok("it began anew");
+            };
+            let payloads: Vec<Arc<str>> =
+                payloads.into_iter().map(Arc::from).collect();
+            for order in orders {
+                self.take(order, &payloads, &answers);
+            }
+        }
+    }
+
+    /// Makes an order's call, beside all others.
+    fn take(
+        &mut self,
+        order: Order,
+        payloads: &[Arc<str>],
+        answers: &mpsc::UnboundedSender<Answered>,
+    ) {
+        let answers = answers.clone();
+        let id = order.id;
+        if self.under_way.load(Ordering::Relaxed) >= MAX_UNDER_WAY {
+            counters::count(counters::RELAY_REFUSALS);
+            let answer = Answer::Error(OrderError::NotSent);
+            // A holder that is gone has no use for it.
+            let _ = answers.send(Answered { id, answer });
+            return;
+        }
+        self.under_way.fetch_add(1, Ordering::Relaxed);
+        let call = Call::new(order, payloads);
+        let under_way = self.under_way.clone();
+        let workers = self.workers.clone();
+        tokio::spawn(async move {
+            let answer = call.make(&workers).await;
+            under_way.fetch_sub(1, Ordering::Relaxed);
+            // As above.
+            let _ = answers.send(Answered { id, answer });
+        });
+    }
+}
+
+/// An order with its payload.
+struct Call {
+    worker: WorkerId,
+    address: String,
+    what: OrderKind,
+    payload: Option<Arc<str>>,
+}
+
+impl Call {
+    fn new(order: Order, payloads: &[Arc<str>]) -> Call {
+        let payload = match &order.what {
+            OrderKind::Start(start) => {
+                payloads.get(start.payload as usize).cloned()
+            }
+            _ => None,
+        };
+        Call {
+            worker: WorkerId::new(&order.worker),
+            address: order.address,
+            what: order.what,
+            payload,
+        }
+    }
+
+    async fn make<W: JobWorkers>(self, workers: &W) -> Answer {
+        let Call { worker, address, what, payload } = self;
+        let done = match what {
+            OrderKind::Start(start) => {
+                let Some(payload) = payload else {
+                    return Answer::Error(OrderError::NotSent);
+                };
+                let order = start_order(start, payload);
+                workers.start(&address, &worker, &order).await
+            }
+            OrderKind::Stop(order) => {
+                workers.stop(&address, &worker, &order).await
+            }
+            OrderKind::Pace(order) => {
+                workers.pace(&address, &worker, &order).await
+            }
+            OrderKind::Hold(order) => {
+                let held = workers.hold(&address, &worker, &order).await;
+                return held.map_or_else(Answer::Error, Answer::Report);
+            }
+        };
+        done.map_or_else(Answer::Error, Answer::Done)
+    }
+}
+
+fn start_order(start: Start, payload: Arc<str>) -> StartOrder {
+    StartOrder {
+        task: start.task,
+        run: start.run,
+        payload,
+        lease_until_ms: start.lease_until_ms,
+        fence: start.fence,
+        checkpoint: start.checkpoint,
+        ticket: start.ticket,
+    }
+}
+
+/// Sends answers as they come, the first at once and what follows it together;
+/// says so when the node stops.
+async fn send_answers(
+    mut sink: FrameSink,
+    mut answered: mpsc::UnboundedReceiver<Answered>,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let mut gathered_until = Instant::now();
+    let mut said = false;
+    loop {
+        let first = tokio::select! {
+            answer = answered.recv() => answer,
+            () = stopped(&mut stopping), if !said => {
+                said = true;
+                let leaving = wire::encode(&FromRelay::Leaving);
+                if sink.send(leaving).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+        };
+        let Some(first) = first else { return };
+        sleep_until(gathered_until).await;
+        let mut answers = vec![first];
+        while let Ok(answer) = answered.try_recv() {
+            answers.push(answer);
+        }
+        let message = wire::encode(&FromRelay::Answers(answers));
+        if sink.send(message).await.is_err() {
+            return;
+        }
+        gathered_until = Instant::now() + GATHER;
+    }
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -0,0 +1,139 @@
+/*!
+The messages between a holder and its relays.
+
+Frames with their length before them, written with `postcard`. What several
+orders of a message have in common, the text that the tasks of a job are given,
+stands in it once.
+*/
+
+use {
+    bytes::{Bytes, BytesMut},
+    dewspar::{
+        job::TaskId,
+        schedule::{HoldOrder, HoldReport, OrderError, PaceOrder, StopOrder},
+    },
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::io,
+    tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
+};
+
+/// The version of these messages; relays carry only for holders with the same.
+pub(super) const VERSION: u32 = 1;
+
+/// The longest message, in bytes: some thousands of orders with a payload of
+/// 4 kB each.
+const MAX_FRAME: usize = 16 * 1024 * 1024;
+
+/// Incoming frames.
+pub(super) type Frames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
+
+/// Outgoing frames.
+pub(super) type FrameSink = FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>;
+
+/// What a holder sends.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum ToRelay {
+    /// The first message.
+    Hello {
+        version: u32,
+        node: String,
+        /// The revision of the holder's lease.
+        lease_revision: u64,
+    },
+    /// Orders to carry.
+    Orders {
+        /// What tasks are given, as starts refer to it.
+        payloads: Vec<String>,
+        orders: Vec<Order>,
+    },
+}
+
+/// An order to carry.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Order {
+    /// Chosen by the holder, to be given back with the answer.
+    pub(super) id: u64,
+    /// The worker's life.
+    pub(super) worker: String,
+    /// Where it takes orders.
+    pub(super) address: String,
+    pub(super) what: OrderKind,
+}
+
+/// What an order is.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum OrderKind {
+    Start(Start),
+    Stop(StopOrder),
+    Pace(PaceOrder),
+    Hold(HoldOrder),
+}
+
+/// An order to start, with its payload apart.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Start {
+    pub(super) task: TaskId,
+    pub(super) run: u64,
+    /// The payload's position in the message.
+    pub(super) payload: u32,
+    pub(super) lease_until_ms: u64,
+    pub(super) fence: u64,
+    pub(super) checkpoint: String,
+    pub(super) ticket: String,
+}
+
+/// What a relay sends.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum FromRelay {
+    /// Answers to orders, in any order.
+    Answers(Vec<Answered>),
+    /// The relay stops: nothing new is to be sent.
+    Leaving,
+}
+
+/// The answer to one order.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct Answered {
+    pub(super) id: u64,
+    pub(super) answer: Answer,
+}
+
+/// What became of an order.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum Answer {
+    /// It was carried out; the worker's clock, in milliseconds.
+    Done(u64),
+    /// What a question found.
+    Report(HoldReport),
+    /// It has no result.
+    Error(OrderError),
+}
+
+/// Reads frames.
+pub(super) fn frames(half: OwnedReadHalf) -> Frames {
+    FramedRead::new(half, codec())
+}
+
+/// Writes frames.
+pub(super) fn sink(half: OwnedWriteHalf) -> FrameSink {
+    FramedWrite::new(half, codec())
+}
+
+fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME).new_codec()
+}
+
+/// Writes a message.
+pub(super) fn encode<T: Serialize>(message: &T) -> Bytes {
+    // OK because these messages hold only what postcard can write.
+    let bytes = postcard::to_stdvec(message).expect("plain data");
+    Bytes::from(bytes)
+}
+
+/// Reads a message.
+pub(super) fn decode<T: DeserializeOwned>(frame: &BytesMut) -> io::Result<T> {
+    postcard::from_bytes(frame).map_err(|error| {
+        io::Error::new(io::ErrorKind::InvalidData, error.to_string())
+    })
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -0,0 +1,187 @@
+/*!
+The workers, as a holder reaches them: over its relays, or directly while it
+has none.
+*/
+
+use {
+    super::{
+        link::RelayLink,
+        wire::{Answer, OrderKind, Start},
+    },
+    dewspar::{
+        relay::relay_for,
+        schedule::{
+            HoldOrder, HoldReport, OrderError, PaceOrder, StartOrder,
+            StopOrder, WorkerId,
+        },
+    },
+    dewspar_platform::JobWorkers,
+    std::{
+        sync::{
+            Arc, PoisonError, RwLock,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// How much longer an order may take over a relay than directly: the way to
+/// it and back, and the time that its answers are gathered.
+const RELAY_MS: u64 = 100;
+
+/// Workers that are reached over relays where there are any.
+#[derive(Clone, Debug)]
+pub(in super::super) struct RelayedWorkers<W> {
+    /// Shared, because a clone goes with each order.
+    direct: Arc<W>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    links: RwLock<Vec<Arc<RelayLink>>>,
+    /// How many orders were sent, by whatever way.
+    calls: AtomicU64,
+}
+
+impl<W> RelayedWorkers<W> {
+    /// Makes workers that are reached directly at first.
+    pub(in super::super) fn new(direct: W) -> RelayedWorkers<W> {
+        RelayedWorkers { direct: Arc::new(direct), shared: Arc::default() }
+    }
+
+    /// Returns how many relays carry now.
+    pub(in super::super) fn relays(&self) -> usize {
+        self.links().iter().filter(|link| link.is_open()).count()
+    }
+
+    /// Returns how many orders were sent so far.
+    pub(super) fn calls(&self) -> u64 {
+        self.shared.calls.load(Ordering::Relaxed)
+    }
+
+    /// Returns the links in use.
+    pub(super) fn links(&self) -> Vec<Arc<RelayLink>> {
+        // OK after a panic: the list is replaced as a whole.
+        let links = self.shared.links.read();
+        links.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Has these links carry from now on.
+    pub(super) fn use_links(&self, links: Vec<Arc<RelayLink>>) {
+        // OK after a panic, as above.
+        let current = self.shared.links.write();
+        *current.unwrap_or_else(PoisonError::into_inner) = links;
+    }
+
+    /// Returns the relay that carries a worker's orders, if one does.
+    fn route(&self, worker: &WorkerId) -> Option<Arc<RelayLink>> {
+        self.shared.calls.fetch_add(1, Ordering::Relaxed);
+        let links = self.shared.links.read();
+        let links = links.unwrap_or_else(PoisonError::into_inner);
+        let open = || links.iter().filter(|link| link.is_open());
+        let position =
+            relay_for(worker.as_str(), open().map(|link| &link.node))?;
+        open().nth(position).cloned()
+    }
+}
+
+impl<W: JobWorkers> RelayedWorkers<W> {
+    async fn carry(
+        &self,
+        link: &RelayLink,
+        address: &str,
+        worker: &WorkerId,
+        what: OrderKind,
+        payload: Option<Arc<str>>,
+        wait_ms: u64,
+    ) -> Result<Answer, OrderError> {
+        let limit_ms = self.direct.timeout_ms() + RELAY_MS + wait_ms;
+        let limit = Duration::from_millis(limit_ms);
+        let worker = worker.as_str();
+        let carried = link.carry(worker, address, what, payload, limit).await;
+        carried.map_err(|_| OrderError::Unknown)
+    }
+}
+
+fn clock_of(answer: Answer) -> Result<u64, OrderError> {
+    match answer {
+        Answer::Done(clock_ms) => Ok(clock_ms),
+        Answer::Error(error) => Err(error),
+        // A relay that mixes orders up isn't believed.
+        Answer::Report(_) => Err(OrderError::Unknown),
+    }
+}
+
+impl<W: JobWorkers> JobWorkers for RelayedWorkers<W> {
+    fn timeout_ms(&self) -> u64 {
+        self.direct.timeout_ms() + RELAY_MS
+    }
+
+    async fn start(
+        &self,
+        address: &str,
+        worker: &WorkerId,
+        order: &StartOrder,
+    ) -> Result<u64, OrderError> {
+        let Some(link) = self.route(worker) else {
+            return self.direct.start(address, worker, order).await;
+        };
+        let start = OrderKind::Start(Start {
+            task: order.task,
+            run: order.run,
+            payload: 0,
+            lease_until_ms: order.lease_until_ms,
+            fence: order.fence,
+            checkpoint: order.checkpoint.clone(),
+            ticket: order.ticket.clone(),
+        });
+        let payload = Some(order.payload.clone());
+        clock_of(self.carry(&link, address, worker, start, payload, 0).await?)
+    }
+
+    async fn stop(
+        &self,
+        address: &str,
+        worker: &WorkerId,
+        order: &StopOrder,
+    ) -> Result<u64, OrderError> {
+        let Some(link) = self.route(worker) else {
+            return self.direct.stop(address, worker, order).await;
+        };
+        let stop = OrderKind::Stop(*order);
+        clock_of(self.carry(&link, address, worker, stop, None, 0).await?)
+    }
+
+    async fn pace(
+        &self,
+        address: &str,
+        worker: &WorkerId,
+        order: &PaceOrder,
+    ) -> Result<u64, OrderError> {
+        let Some(link) = self.route(worker) else {
+            return self.direct.pace(address, worker, order).await;
+        };
+        let pace = OrderKind::Pace(*order);
+        clock_of(self.carry(&link, address, worker, pace, None, 0).await?)
+    }
+
+    async fn hold(
+        &self,
+        address: &str,
+        worker: &WorkerId,
+        order: &HoldOrder,
+    ) -> Result<HoldReport, OrderError> {
+        let Some(link) = self.route(worker) else {
+            return self.direct.hold(address, worker, order).await;
+        };
+        let hold = OrderKind::Hold(*order);
+        let wait_ms = order.wait_ms;
+        match self.carry(&link, address, worker, hold, None, wait_ms).await? {
+            Answer::Report(report) => Ok(report),
+            Answer::Error(error) => Err(error),
+            // A relay that mixes orders up isn't believed.
+            Answer::Done(_) => Err(OrderError::Unknown),
+        }
+    }
+}
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -45,6 +45,10 @@
     /// Where metrics are served; left out, nowhere.
     #[serde(default)]
     pub metrics_address: Option<SocketAddr>,
+    /// Where the node takes orders to carry to workers for the node that
+    /// schedules; left out, it carries none.
+    #[serde(default)]
+    pub relay_address: Option<SocketAddr>,
     /// Where the node reaches the platform.
     pub platform: PlatformAddresses,
     /// What the entry VM has.
@@ -191,6 +195,7 @@
             callers_address: any_port,
             readiness_address: any_port,
             metrics_address: None,
+            relay_address: None,
             platform: PlatformAddresses {
                 store: any_port,
                 vm_service: any_port,
