A record found changed costs its own job, not the lease

Cause: the store's answer to a refused write tells each conditional key as it is, and wasn't used: any refusal counted as "another node holds the lease". So one record whose version is wrong, for whatever reason, ended each holder in turn, and took the up to six other jobs of its write along. A holder that leaves dropped refused writes without a line. Done: the lease's key gone or changed means superseded, as before. Where only jobs' records differ, the others of the write are written again at once, and of each of these `job::conflict` decides by what was found: stored already, over, to go on from, to be written again, to be left alone. Every write needs the lease's key, so under a lease that stands no other holder has written. What a record says is added to what is known, never taken back. A record that is found changed twice in a row is written again after 100 ms, then at doubling pauses up to 3.2 s. A holder that leaves stores all but the refused ones. Tests, seen red on the code before, on the stand-in store with a paused clock, six of ten of `jobs_records`: - a_record_at_another_version_costs_neither_the_lease_nor_other_jobs: "the lease has changed hands", revision 11 after 4; - a_record_that_is_always_another_is_not_written_without_pause: 59 after 4; - what_an_unexpected_record_names_as_done_is_not_run_again: 8 after 4; - a_record_that_cannot_be_read_costs_its_own_job_alone: 9 after 4; - a_job_that_is_over_on_record_stays_as_it_is_there: not in time; - a_holder_that_leaves_stores_all_but_what_is_refused: no record of job 57. Lost answers of the store, and nothing written once the lease is lost, were green before. Conclusion: no single record ends a holder any more.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -127,6 +127,7 @@
 mod place;
 mod policy;
 mod projection;
+mod records;
 mod report;
 mod scheduler;
 mod sizing;
--- /dev/null
+++ b/crates/dewspar/src/schedule/records.rs
@@ -0,0 +1,150 @@
+/*!
+Going on from a job's record that this holder didn't know of.
+
+A holder knows what is stored of a job from loading it and from its own writes.
+Where a write finds another record (see [`crate::job::conflict`]), what that
+record says is added to what is known: tasks that are done there aren't run
+again, failed runs count, and a job that is over there is over. Nothing that is
+known here is taken back, so a record that is older than what is known changes
+nothing.
+*/
+
+use crate::{
+    job::{JobId, Phase, Progress, TaskId, TaskRecord},
+    schedule::{
+        Now, Scheduler, WorkerId,
+        board::{Job, Task},
+        suspects::Crashes,
+    },
+};
+
+impl Scheduler {
+    /// Adds what a job's record says to what is known of the job, and has the
+    /// outcome stored.
+    ///
+    /// A job that is unknown stays unknown.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use dewspar::{
+    ///     job::{JobId, Phase, Progress},
+    ///     schedule::{AcceptedJob, Now, Options, Scheduler},
+    /// };
+    ///
+    /// let mut scheduler = Scheduler::new(7, Options::default());
+    /// let id: JobId = "5c0e7a21d94b36f8".parse()?;
+    /// scheduler.submit(id, AcceptedJob::default(), 8, None);
+    /// let record =
+    ///     Progress { phase: Phase::Completed, ..Progress::default() };
+    /// let now = Now { steady_ms: 1_000, unix_ms: 0 };
+    /// scheduler.go_on_from(id, &record, now);
+    /// assert_eq!(scheduler.phase(id), Some(Phase::Completed));
+    /// # Ok::<(), dewspar::job::InvalidId>(())
+    /// ```
+    pub fn go_on_from(&mut self, id: JobId, record: &Progress, now: Now) {
+        if record.phase.is_final() {
+            self.end_as_on_record(id, record, now);
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if job.phase.is_final() {
+            return;
+        }
+        if record.phase == Phase::Running {
+            job.phase = Phase::Running;
+        }
+        let mut useless = Vec::new();
+        for task in &record.tasks {
+            useless.extend(add_record(job, id, task));
+        }
+        for (task, worker) in useless {
+            self.stop_run(&task, &worker, "done on record");
+        }
+        self.mark_changed(id);
+        for record in &record.tasks {
+            self.finish_if_failed_or_done(&task_id(id, record), now);
+        }
+    }
+
+    fn finish_if_failed_or_done(&mut self, task: &TaskId, now: Now) {
+        let job = self.jobs.get(&task.job);
+        let Some(known) = job.and_then(|job| job.task(task)) else { return };
+        let failures = known.failed_runs.len() as u32;
+        self.finish_if_over(task, failures, now);
+    }
+
+    /// Runs nothing more of a job of which nobody knows what was done, and
+    /// stores nothing of it.
+    pub fn leave_alone(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let placed: Vec<(TaskId, WorkerId)> = job
+            .placed(id)
+            .map(|(task, worker)| (task, worker.clone()))
+            .collect();
+        for (task, worker) in placed {
+            self.stop_run(&task, &worker, "its job's record can't be read");
+        }
+        self.jobs.remove(&id);
+        self.changed.remove(&id);
+        self.storing.remove(&id);
+        self.drop_old_advice();
+    }
+
+    /// Ends a job as its record says, which counts more than how it ended
+    /// here: callers may have been told.
+    fn end_as_on_record(&mut self, id: JobId, record: &Progress, now: Now) {
+        self.finish(id, record.phase, now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.phase = record.phase;
+        job.finished_at_ms = record.finished_at_ms;
+        self.mark_changed(id);
+    }
+}
+
+fn task_id(job: JobId, record: &TaskRecord) -> TaskId {
+    let TaskRecord { round, step, index, .. } = *record;
+    TaskId { job, round, step, index }
+}
+
+/// Adds what is on record of a task; returns the runs that are of no use any
+/// more, since the task is done.
+fn add_record(
+    job: &mut Job,
+    id: JobId,
+    record: &TaskRecord,
+) -> Vec<(TaskId, WorkerId)> {
+    let task_id = task_id(id, record);
+    let Some(step) = job.step_mut(&task_id) else { return Vec::new() };
+    let Some(task) = step.tasks.get_mut(record.index as usize) else {
+        return Vec::new();
+    };
+    task.add(record);
+    if !record.done || task.done {
+        return Vec::new();
+    }
+    task.done = true;
+    let useless = task.on.iter().map(|on| (task_id, on.clone())).collect();
+    step.done += 1;
+    step.waiting.remove(&record.index);
+    useless
+}
+
+impl Task {
+    /// Adds all that is on record but whether the task is done.
+    fn add(&mut self, record: &TaskRecord) {
+        for run in &record.failed_runs {
+            if !self.failed_runs.contains(run) {
+                self.failed_runs.push(*run);
+            }
+        }
+        if record.run > self.ended_run && !record.checkpoint.is_empty() {
+            self.checkpoint.clone_from(&record.checkpoint);
+        }
+        self.run = self.run.max(record.run);
+        self.ended_run = self.ended_run.max(record.run);
+        if record.crashes > self.crashes.count {
+            self.crashes = Crashes::restored(record.crashes, record.unseen);
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -260,7 +260,12 @@
         }
     }
 
-    fn finish_if_over(&mut self, task: &TaskId, failures: u32, now: Now) {
+    pub(super) fn finish_if_over(
+        &mut self,
+        task: &TaskId,
+        failures: u32,
+        now: Now,
+    ) {
         let Some(job) = self.jobs.get(&task.job) else { return };
         if job.phase.is_final() {
             return;
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -2,9 +2,12 @@
 What must be in the store before ends may be acknowledged.
 */
 
-use crate::{
-    job::{JobId, Progress},
-    schedule::{Now, Scheduler},
+use {
+    crate::{
+        job::{JobId, Progress},
+        schedule::{Now, Scheduler},
+    },
+    std::collections::BTreeSet,
 };
 
 /// What must be stored before ends may be acknowledged.
@@ -16,6 +19,15 @@
     sequence: u64,
 }
 
+impl Changes {
+    /// Takes out the changes of some jobs, so that they go their own way.
+    pub fn take(&mut self, ids: &BTreeSet<JobId>) -> Changes {
+        let progress =
+            self.progress.extract_if(.., |(id, _)| ids.contains(id)).collect();
+        Changes { progress, sequence: self.sequence }
+    }
+}
+
 impl Scheduler {
     /// Takes what changed and isn't being stored, at most `most` jobs; those
     /// that are over come first, since callers wait for them.
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -8,6 +8,8 @@
 mod loading;
 mod placing;
 mod pools;
+
+mod records;
 mod rooms;
 mod runs;
 mod small_link;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/records.rs
@@ -0,0 +1,111 @@
+//! What the scheduler makes of a job's record that it didn't know of.
+
+use {
+    crate::world::{World, at, id, job, step},
+    dewspar::job::{Phase, Progress, TaskRecord},
+    dewspar_standin::task_worker::Fate,
+};
+
+/// A job of one step of two tasks, both of which run.
+fn world_with_a_running_job() -> World {
+    let mut world = World::new(7, &["w1"]);
+    world.fate = Fate::endless();
+    world.list();
+    world.expect_all();
+    world.round();
+    world.scheduler.submit(id(1), job(vec![step(2)]), 8, None);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 2);
+    world.starts.clear();
+    world
+}
+
+fn running(tasks: Vec<TaskRecord>) -> Progress {
+    Progress { phase: Phase::Running, finished_at_ms: 0, tasks }
+}
+
+fn done(index: u32) -> TaskRecord {
+    TaskRecord { index, done: true, run: 1, ..TaskRecord::default() }
+}
+
+fn failed(index: u32, runs: &[u64]) -> TaskRecord {
+    let run = runs.iter().copied().max().unwrap_or(0);
+    let failed_runs = runs.to_vec();
+    TaskRecord { index, failed_runs, run, ..TaskRecord::default() }
+}
+
+#[test]
+fn a_task_that_is_done_on_record_is_stopped_and_not_started_again() {
+    let mut world = world_with_a_running_job();
+    let record = running(vec![done(0)]);
+    world.scheduler.go_on_from(id(1), &record, at(world.now_ms));
+    world.run_for(1_000);
+    let running = world.running();
+    assert_eq!(running.len(), 1, "{running:?}");
+    assert!(world.starts.is_empty(), "{:?}", world.starts);
+    // It is stored as done, beside what is known here.
+    assert_eq!(world.stored[&id(1)].tasks[0], done(0));
+}
+
+#[test]
+fn a_job_is_over_once_the_record_names_the_last_tasks_as_done() {
+    let mut world = world_with_a_running_job();
+    let record = running(vec![done(0), done(1)]);
+    world.scheduler.go_on_from(id(1), &record, at(world.now_ms));
+    world.run_for(500);
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+    assert!(world.running().is_empty());
+}
+
+#[test]
+fn failed_runs_on_record_count_once_each() {
+    let mut world = world_with_a_running_job();
+    for runs in [&[5][..], &[5], &[5, 6]] {
+        let record = running(vec![failed(0, runs)]);
+        world.scheduler.go_on_from(id(1), &record, at(world.now_ms));
+    }
+    assert_eq!(world.scheduler.phase(id(1)), Some(Phase::Running));
+    let record = running(vec![failed(0, &[6, 7])]);
+    world.scheduler.go_on_from(id(1), &record, at(world.now_ms));
+    let phase = world.scheduler.phase(id(1));
+    assert_eq!(phase, Some(Phase::Failed), "three runs failed in all");
+}
+
+#[test]
+fn an_older_record_takes_nothing_back() {
+    let mut world = world_with_a_running_job();
+    let newer = running(vec![done(0), failed(1, &[4, 5])]);
+    world.scheduler.go_on_from(id(1), &newer, at(world.now_ms));
+    let older = Progress { phase: Phase::Queued, ..running(Vec::new()) };
+    world.scheduler.go_on_from(id(1), &older, at(world.now_ms));
+    world.run_for(200);
+    assert_eq!(world.stored[&id(1)].phase, Phase::Running);
+    assert_eq!(world.stored[&id(1)].tasks, newer.tasks);
+}
+
+#[test]
+fn an_end_on_record_replaces_an_end_that_is_not_stored() {
+    let mut world = world_with_a_running_job();
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    let over = Progress {
+        phase: Phase::Completed,
+        finished_at_ms: 5,
+        tasks: Vec::new(),
+    };
+    world.scheduler.go_on_from(id(1), &over, at(world.now_ms));
+    world.run_for(500);
+    assert_eq!(world.stored.get(&id(1)), Some(&over));
+    assert!(world.running().is_empty());
+}
+
+#[test]
+fn a_job_that_is_left_alone_is_stopped_and_not_stored() {
+    let mut world = world_with_a_running_job();
+    let stored = world.stored.get(&id(1)).cloned();
+    world.scheduler.leave_alone(id(1));
+    world.run_for(500);
+    assert!(world.running().is_empty());
+    assert!(world.starts.is_empty(), "{:?}", world.starts);
+    assert_eq!(world.stored.get(&id(1)).cloned(), stored);
+    assert_eq!(world.scheduler.phase(id(1)), None);
+}
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -126,6 +126,8 @@
         asked_ms: u64,
         answer: Result<Vec<(WorkerId, String)>, Error>,
     },
+    /// These changes weren't stored, and may be tried again.
+    WriteAgain(Changes),
     /// What became of a write of the counts of waiting jobs.
     Counted(CountsWritten),
     Stored {
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -25,13 +25,11 @@
             ReadingCost, follow_feed, look_up, read_directory, read_vms, renew,
         },
         intake::FeedOrigin,
-        keys,
         load::Load,
         orders,
         outcome::Outcome,
-        progress::{self, JOBS_A_WRITE, Refusal, Stored, batch_of},
         takeover::{self, LoadedDuties},
-        versions::{RecordVersions, VersionSource},
+        versions::RecordVersions,
     },
     crate::{
         clock::{self, Suspensions},
@@ -40,7 +38,7 @@
     dewspar::{
         job::JobId,
         overload::RoundTrips,
-        schedule::{Changes, Now, OrderError, Scheduler, WaveRecord},
+        schedule::{Now, OrderError, Scheduler, WaveRecord},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
@@ -52,7 +50,7 @@
     tokio::{
         sync::{mpsc, watch},
         task::JoinSet,
-        time::{Instant, MissedTickBehavior, interval, sleep},
+        time::{Instant, MissedTickBehavior, interval},
     },
 };
 
@@ -62,26 +60,11 @@
 /// How often the scheduler plans without any event.
 const TICK: Duration = Duration::from_millis(25);
 
-/// How many writes of progress may be under way at once: a slow store still
-/// takes what some 50 jobs a second change.
-const MAX_WRITES: usize = 8;
-
-/// How long changes of jobs that go on are gathered, in milliseconds; those
-/// of jobs that are over are written at once.
-const GATHER_MS: u64 = 20;
-
-/// The same while work waits for this node's link: a job's record is written
-/// again with each change, so fewer writes carry the same.
-const SHORT_LINK_GATHER_MS: u64 = 150;
-
 /// How often orders to the VM service are planned, in milliseconds: a quarter
 /// of the interval at which pools' sizes are looked at. Doing so with each plan
 /// of tasks took a busy holder as long as the tasks did.
 const VM_PLAN_INTERVAL_MS: u64 = 50;
 
-/// The pause after a call to the store that gave no result.
-const RETRY: Duration = Duration::from_millis(100);
-
 /// How long an order takes at the median on a node that can't keep up, in
 /// milliseconds: most of what an order may take at all, and more than a burst
 /// of starts takes on a node that does keep up.
@@ -174,8 +157,8 @@
     /// How many VMs each pool has, by what they are doing.
     pub(super) pools: BTreeMap<String, BTreeMap<&'static str, u32>>,
     /// How many writes of progress are under way.
-    writes: usize,
-    stored_ms: u64,
+    pub(super) writes: usize,
+    pub(super) stored_ms: u64,
     /// When orders to the VM service were last planned.
     vms_planned_ms: u64,
     configured: Option<u64>,
@@ -199,17 +182,6 @@
     confirm_from_ms: u64,
 }
 
-/// A job's record that wasn't as a refused write expected; versions are 0
-/// where there is no record.
-#[derive(Debug, Serialize)]
-struct RefusedRow {
-    job: JobId,
-    expected: u64,
-    found: u64,
-    /// How the expected version came to be known.
-    source: Option<VersionSource>,
-}
-
 /// Waits until the node is told to stop.
 async fn stopped(stopping: &mut watch::Receiver<bool>) {
     // An error means that the node is gone, which is a stop as well.
@@ -323,8 +295,9 @@
                     .advice_answered(&step, &workers, asked_ms, answer, now);
             }
             Event::Counted(written) => self.counts.answered(&written),
+            Event::WriteAgain(changes) => scheduler.changes_failed(&changes),
             Event::Stored { changes, stored } => {
-                self.changes_stored(&changes, &stored, now);
+                self.changes_stored(changes, stored, now);
             }
         }
     }
@@ -348,49 +321,6 @@
         tokio::spawn(look_up(fleet, lives, self.sender.clone()));
     }
 
-    fn changes_stored(
-        &mut self,
-        changes: &Changes,
-        stored: &Stored,
-        now: Now,
-    ) {
-        self.writes -= 1;
-        match stored {
-            Stored::Done(version) => {
-                for (id, _) in &changes.progress {
-                    self.versions.note_written(*id, *version);
-                }
-                self.scheduler.changes_stored(changes, now);
-            }
-            Stored::Failed => self.scheduler.changes_failed(changes),
-            Stored::Refused(refusal) => {
-                self.note_refusal(changes, refusal);
-                self.lost = Some("the store refused this holder's write");
-            }
-        }
-    }
-
-    /// Logs which conditions of a write didn't hold, and where what this
-    /// holder expected came from.
-    fn note_refusal(&self, changes: &Changes, refusal: &Refusal) {
-        let ids = changes.progress.iter().map(|(id, _)| *id);
-        let rows: Vec<RefusedRow> = ids
-            .filter_map(|id| {
-                let key = keys::progress(id);
-                let expected = refusal.expected(&key);
-                let found = refusal.found(&key).map_or(0, |item| item.version);
-                let source = self.versions.source(id);
-                let row = RefusedRow { job: id, expected, found, source };
-                (expected != found).then_some(row)
-            })
-            .collect();
-        let lease = refusal.found(keys::OWNER);
-        warn!(self.candidate.log, "holder: write refused";
-            "lease_revision" => self.held.revision,
-            "lease_found" => lease.map_or(0, |item| item.version),
-            "jobs" => changes.progress.len(), "refused" => json(&rows));
-    }
-
     /// Returns whether the store has renewed the lease since this VM was last
     /// suspended: another node may have taken over meanwhile, and the workers'
     /// answers that are still to be read may be long out of date.
@@ -486,48 +416,6 @@
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
     }
 
-    fn store_changes(&mut self, now: Now) {
-        let short = self.scheduler.link().is_short(now.steady_ms);
-        let gather_ms = if short { SHORT_LINK_GATHER_MS } else { GATHER_MS };
-        let gathered = now.steady_ms >= self.stored_ms + gather_ms;
-        while self.writes < MAX_WRITES
-            && (self.scheduler.has_final_changes()
-                || gathered && self.scheduler.has_changes())
-        {
-            self.stored_ms = now.steady_ms;
-            self.writes += 1;
-            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
-            self.store(changes);
-        }
-    }
-
-    fn store(&self, changes: Changes) {
-        let batch = batch_of(self.held.revision, &changes, &self.versions);
-        let store = self.candidate.store.with_purpose(Purpose::Progress);
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let stored = progress::store_changes(&store, &batch).await;
-            if matches!(stored, Stored::Failed) {
-                sleep(RETRY).await;
-            }
-            let _ = sender.send(Event::Stored { changes, stored }).await;
-        });
-    }
-
-    /// Stores what isn't stored yet, before the lease is given up.
-    async fn store_last(&mut self) {
-        while self.scheduler.has_changes() {
-            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
-            let batch = batch_of(self.held.revision, &changes, &self.versions);
-            let committed = self.candidate.store.commit(&batch).await;
-            if let Err(error) = committed {
-                // The next holder hears of these ends from the workers.
-                counters::platform_failure(&error);
-                return;
-            }
-        }
-    }
-
     /// Orders what the VM service is to do, while the lease is certain.
     fn order_vms(&mut self, now: Now) {
         let lease_over_ms = self.held.renewed_ms + self.held.lease_ms;
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -60,5 +60,6 @@
 mod recount;
 mod rest;
 pub mod settings;
+mod storing;
 mod takeover;
 mod versions;
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -14,14 +14,14 @@
     },
     crate::counters,
     dewspar::{
-        job::JobId,
+        job::{JobId, conflict::FoundRecord},
         schedule::{AcceptedJob, Changes},
     },
     dewspar_platform::{
         Batch, Commit, Condition, Error, Event, Expected, KeyValue, Versioned,
     },
     slog::{Logger, warn},
-    std::time::Duration,
+    std::{collections::BTreeSet, time::Duration},
     tokio::time::sleep,
 };
 
@@ -123,7 +123,54 @@
     current: Vec<Versioned>,
 }
 
+/// What a refused write found otherwise than it expected.
+#[derive(Debug, Eq, PartialEq)]
+pub(super) enum RefusedBy {
+    /// The lease's key: another node holds the lease, or may.
+    Lease,
+    /// The records of these jobs, while the lease stands.
+    Records(BTreeSet<JobId>),
+    /// Nothing any more: what stood in the way has changed again.
+    Nothing,
+}
+
 impl Refusal {
+    /// Makes the refusal of a batch whose conditional keys are as given.
+    pub(super) fn new(batch: &Batch, current: Vec<Versioned>) -> Refusal {
+        Refusal { conditions: batch.conditions.clone(), current }
+    }
+
+    /// Returns what stood in the way of changes to these jobs.
+    pub(super) fn by(&self, changes: &Changes) -> RefusedBy {
+        if self.differs(keys::OWNER) {
+            return RefusedBy::Lease;
+        }
+        let ids = changes.progress.iter().map(|(id, _)| *id);
+        let differing: BTreeSet<JobId> =
+            ids.filter(|id| self.differs(&keys::progress(*id))).collect();
+        if differing.is_empty() {
+            return RefusedBy::Nothing;
+        }
+        RefusedBy::Records(differing)
+    }
+
+    /// Returns a job's record as it was found.
+    pub(super) fn record(&self, id: JobId) -> FoundRecord {
+        let Some(item) = self.found(&keys::progress(id)) else {
+            return FoundRecord::Absent;
+        };
+        match serde_json::from_slice(&item.value) {
+            Ok(progress) => FoundRecord::Readable(progress),
+            // Told by what is logged of each refusal.
+            Err(_) => FoundRecord::Unreadable,
+        }
+    }
+
+    /// Returns the version of a key as it was found; 0 for absent.
+    pub(super) fn version(&self, key: &str) -> u64 {
+        self.found(key).map_or(0, |item| item.version)
+    }
+
     /// Returns the version that a key had to be at; 0 for absent.
     pub(super) fn expected(&self, key: &str) -> u64 {
         let condition = self.conditions.iter().find(|c| c.key == key);
@@ -133,8 +180,11 @@
         }
     }
 
-    /// Returns a key as it was found; `None` for absent.
-    pub(super) fn found(&self, key: &str) -> Option<&Versioned> {
+    fn differs(&self, key: &str) -> bool {
+        self.version(key) != self.expected(key)
+    }
+
+    fn found(&self, key: &str) -> Option<&Versioned> {
         self.current.iter().find(|item| item.key == key)
     }
 }
@@ -194,18 +244,21 @@
     current: Vec<Versioned>,
     maybe_done: bool,
 ) -> Stored {
-    let find = |key: &str| current.iter().find(|item| item.key == key);
-    let mut version = 0;
-    let done = maybe_done
-        && batch.puts.iter().all(|put| {
-            find(&put.key).is_some_and(|item| {
-                version = version.max(item.version);
-                item.value == put.value
-            })
-        });
-    if done && !batch.puts.is_empty() {
+    if let Some(version) = version_if_done(batch, &current)
+        && maybe_done
+    {
         return Stored::Done(version);
     }
-    let conditions = batch.conditions.clone();
-    Stored::Refused(Refusal { conditions, current })
+    Stored::Refused(Refusal::new(batch, current))
+}
+
+/// Returns the version at which all that a batch puts is there, if it is: all
+/// of it was written at once, so it is one version.
+fn version_if_done(batch: &Batch, current: &[Versioned]) -> Option<u64> {
+    let mut versions = batch.puts.iter().map(|put| {
+        let item = current.iter().find(|item| item.key == put.key)?;
+        (item.value == put.value).then_some(item.version)
+    });
+    let first = versions.next()??;
+    versions.all(|version| version == Some(first)).then_some(first)
 }
--- a/crates/dewspard/src/jobs/versions.rs
+++ b/crates/dewspard/src/jobs/versions.rs
@@ -22,6 +22,8 @@
     Loaded,
     /// This holder wrote it.
     Written,
+    /// A refused write found it.
+    Found,
 }
 
 /// A record's version, and how the holder came to know it.
@@ -35,6 +37,8 @@
 #[derive(Debug, Default)]
 pub(super) struct RecordVersions {
     known: BTreeMap<JobId, KnownVersion>,
+    /// How often in a row a record was found otherwise than expected.
+    changed: BTreeMap<JobId, u32>,
 }
 
 impl RecordVersions {
@@ -57,12 +61,26 @@
 
     /// Notes the version at which this holder wrote a record.
     pub(super) fn note_written(&mut self, id: JobId, version: u64) {
+        self.changed.remove(&id);
         self.note(id, version, VersionSource::Written);
     }
 
+    /// Notes the version at which a refused write found a record, 0 for none;
+    /// returns how often in a row that was another than expected.
+    pub(super) fn note_found(&mut self, id: JobId, version: u64) -> u32 {
+        // Known better than any other: the store said so when it refused, and
+        // no other write of the record is under way.
+        let source = VersionSource::Found;
+        self.known.insert(id, KnownVersion { version, source });
+        let times = self.changed.entry(id).or_default();
+        *times = times.saturating_add(1);
+        *times
+    }
+
     /// Forgets a record that this holder deletes.
     pub(super) fn forget(&mut self, id: JobId) {
         self.known.remove(&id);
+        self.changed.remove(&id);
     }
 
     fn note(&mut self, id: JobId, version: u64, source: VersionSource) {
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -43,9 +43,9 @@
 /// A node over a store and a fleet, and no callers.
 struct Alone {
     store: Store,
-    _store_faults: Faults,
+    store_faults: Faults,
     fleet: TaskFleet,
-    _node: JobNode,
+    node: Option<JobNode>,
     lapsing: JoinHandle<()>,
 }
 
@@ -94,14 +94,8 @@
         let settings = JobSettings::loopback("node-0");
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
-        let node = node.expect("a started node");
-        let alone = Alone {
-            store,
-            _store_faults: store_faults,
-            fleet,
-            _node: node,
-            lapsing,
-        };
+        let node = Some(node.expect("a started node"));
+        let alone = Alone { store, store_faults, fleet, node, lapsing };
         until(async || alone.lease().await > 0).await;
         alone
     }
@@ -129,6 +123,21 @@
         until(async || self.phase(id).await == Some(phase)).await;
     }
 
+    /// Writes a job's record again as it is, as no holder would.
+    async fn touch(&self, id: JobId) {
+        let key = record(id);
+        let found = self.store.get(&key).await.expect("a store");
+        if let Some(found) = found {
+            self.write(&Batch::default().put(&key, found.value)).await;
+        }
+    }
+
+    /// Returns whether the store lists a job as open.
+    async fn is_open(&self, id: JobId) -> bool {
+        let key = format!("q/in/{id}");
+        self.store.version(&key).await.expect("a store") > 0
+    }
+
     /// Returns how often a step of a job was started.
     fn starts(&self, id: JobId, step: u32) -> usize {
         let started = self.fleet.started();
@@ -226,3 +235,180 @@
         assert_eq!(alone.starts(id(1), step), 1, "step {step}");
     }
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_record_at_another_version_costs_neither_the_lease_nor_other_jobs() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    for job in [1, 2] {
+        alone.hand_in(id(job), &chain(10)).await;
+    }
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.touch(id(1)).await;
+    for job in [1, 2] {
+        alone.wait_for_phase(id(job), Phase::Completed).await;
+        for step in 0..10 {
+            assert_eq!(alone.starts(id(job), step), 1, "{job}, {step}");
+        }
+    }
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+}
+
+/// How often a record is rewritten by someone else, and how many times: for
+/// ten seconds, between any two writes of the holder.
+const TOUCH_PAUSE: Duration = Duration::from_millis(5);
+const TOUCHES: u64 = 2_000;
+
+/// More than the lease, the counts of waiting jobs and the other job take of
+/// writes in that time, and a tenth of what one every 20 ms would come to.
+const FEW_WRITES: u64 = 100;
+
+#[tokio::test(start_paused = true)]
+async fn a_record_that_is_always_another_is_not_written_without_pause() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    alone.hand_in(id(1), &chain(3)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.hand_in(id(2), &chain(10)).await;
+    let before = alone.store_faults.writes();
+    for _ in 0..TOUCHES {
+        alone.touch(id(1)).await;
+        sleep(TOUCH_PAUSE).await;
+    }
+    let writes = alone.store_faults.writes() - before - TOUCHES;
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+    assert_eq!(alone.phase(id(2)).await, Some(Phase::Completed));
+    assert!(writes < FEW_WRITES, "{writes} writes");
+    alone.wait_for_phase(id(1), Phase::Completed).await;
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_an_unexpected_record_names_as_done_is_not_run_again() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    // As if a former holder had stored it and this one had overlooked it.
+    let progress = br#"{"phase":"running","done":["0.0:0-0","0.1:0-0"]}"#;
+    let job =
+        accepted(id(1), &chain(4)).put(&record(id(1)), progress.to_vec());
+    alone.write(&job).await;
+    alone.wait_for_phase(id(1), Phase::Completed).await;
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+    let starts = [0, 1, 2, 3].map(|step| alone.starts(id(1), step));
+    // The first was started before the first write of the record.
+    assert_eq!(starts, [1, 0, 1, 1]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_job_that_is_over_on_record_stays_as_it_is_there() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    alone.fleet.set_work_ms(600_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    let over = br#"{"phase":"completed","finished_at_ms":5}"#.to_vec();
+    alone.write(&Batch::default().put(&record(id(1)), over)).await;
+    // The holder looks at the record when it next writes it.
+    let stop = format!("q/stop/{}", id(1));
+    alone.write(&Batch::default().put(&stop, Vec::new())).await;
+    until(async || !alone.is_open(id(1)).await).await;
+    until(async || alone.fleet.running().is_empty()).await;
+    assert_eq!(alone.phase(id(1)).await, Some(Phase::Completed));
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_record_that_cannot_be_read_costs_its_own_job_alone() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    let odd = accepted(id(1), &chain(3)).put(&record(id(1)), b"odd".to_vec());
+    alone.write(&odd).await;
+    alone.hand_in(id(2), &chain(3)).await;
+    alone.wait_for_phase(id(2), Phase::Completed).await;
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+    // All of it may have been done: it isn't gone on with.
+    assert_eq!(alone.starts(id(1), 1), 0);
+    let left = alone.store.get(&record(id(1))).await.expect("a store");
+    assert_eq!(left.map(|item| item.value), Some(b"odd".to_vec()));
+}
+
+#[tokio::test(start_paused = true)]
+async fn nothing_is_written_of_jobs_once_another_node_holds_the_lease() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    alone.hand_in(id(1), &chain(3)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    let owner = br#"{"node":"other","incarnation":1}"#.to_vec();
+    // At once, so that only the refused write can tell of the new holder.
+    alone.store_faults.set_silent(true);
+    alone.write(&Batch::default().put("q/owner", owner)).await;
+    sleep(Duration::from_secs(5)).await;
+    assert_eq!(alone.phase(id(1)).await, Some(Phase::Running));
+}
+
+/// How many jobs end at once: four more than the eight writes carry that may be
+/// under way.
+const ENDING: u64 = 60;
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_leaves_stores_all_but_what_is_refused() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(600_000);
+    let (mut jobs, mut stops) = (Batch::default(), Batch::default());
+    for job in 1..=ENDING {
+        let accepted = accepted(id(job), &chain(1));
+        jobs.puts.extend(accepted.puts);
+        stops = stops.put(&format!("q/stop/{}", id(job)), Vec::new());
+    }
+    alone.write(&jobs).await;
+    sleep(Duration::from_secs(1)).await;
+    // One of the four whose end waits to be written.
+    let odd = br#"{"phase":"queued"}"#.to_vec();
+    alone.write(&Batch::default().put(&record(id(ENDING - 1)), odd)).await;
+    alone.write(&stops).await;
+    // So that the holder leaves while the others are being written.
+    alone.store_faults.set_delay_us(300_000);
+    sleep(Duration::from_millis(50)).await;
+    let node = alone.node.take().expect("a node");
+    node.stop().await;
+    alone.store_faults.set_delay_us(0);
+    for job in [ENDING - 3, ENDING - 2, ENDING] {
+        let phase = alone.phase(id(job)).await;
+        assert_eq!(phase, Some(Phase::Cancelled), "{job}");
+    }
+    // Left to the next holder.
+    assert_eq!(alone.phase(id(ENDING - 1)).await, Some(Phase::Queued));
+}
+
+#[tokio::test(start_paused = true)]
+async fn lost_answers_of_the_store_cost_no_lease() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    let lease = alone.lease().await;
+    alone.store_faults.set_lost_per_mille(300);
+    let jobs = 1..=20;
+    let mut batch = Batch::default();
+    for job in jobs.clone() {
+        batch.puts.extend(accepted(id(job), &chain(5)).puts);
+    }
+    // Done in any case, whether or not that is answered.
+    let _ = alone.store.commit(&batch).await;
+    let all_over = async || {
+        let (_, records) = match alone.store.list("run/").await {
+            Ok(listed) => listed,
+            Err(_) => return false,
+        };
+        let over = records.iter().filter(|item| {
+            let progress = serde_json::from_slice::<Progress>(&item.value);
+            progress.is_ok_and(|p| p.phase == Phase::Completed)
+        });
+        over.count() == 20
+    };
+    until(all_over).await;
+    alone.store_faults.set_lost_per_mille(0);
+    assert_eq!(alone.lease().await, lease, "the lease has changed hands");
+    for job in jobs {
+        for step in 0..5 {
+            assert_eq!(alone.starts(id(job), step), 1, "{job}, {step}");
+        }
+    }
+}
