--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -64,5 +64,6 @@
 mod relay;
 mod rest;
 pub mod settings;
+mod storing;
 mod takeover;
 mod versions;
