Tests: the runs of a cancelled job under a chain of holders; two are red

What should be: gone 5.9 s after the acknowledgement (5 s until nothing starts, 0.9 s for a stop), while the worker and the store are in touch. What is seen on the code as it is: - holders that are gone when all is loaded (8 for 0.7 s each): the run goes on (red); - holders of 1.2 s, 0.7 s of it loading, 480 orders a second, 300 workers with other runs: the run goes on for the 5.9 s and longer (red); - holders of 1.2 s with one or two workers: stopped under the first of them. Ruled out, each a case that passes: an order to stop that is lost or refused (sent again each 0.4 s); a worker that is silent (stopped once it answers), draining, left the directory, or whose token is being raised; a job whose record is deleted already; a start that arrives late, after the cancelling, when its sender is gone.

--- a/crates/dewspar/tests/schedule/cancelling.rs
+++ b/crates/dewspar/tests/schedule/cancelling.rs
@@ -1,8 +1,11 @@
 //! How the runs of a cancelled job come to their end.
 
 use {
-    crate::world::{World, at, id, job, listing, step},
-    dewspar::schedule::{Decision, StopAccount, WorkerId},
+    crate::{
+        chain::{Chain, Stops},
+        world::{World, at, id, job, listing, step},
+    },
+    dewspar::schedule::{Decision, Room, StopAccount, WorkerId},
     dewspar_standin::task_worker::Fate,
 };
 
@@ -110,3 +113,184 @@
     }
     assert!(told > 0);
 }
+
+/// How long after the acknowledgement of a cancelling a run may go on, in
+/// milliseconds: 5 s until nothing starts, and what a stop may take.
+const GOES_ON_MS: u64 = 5_000 + 900;
+
+/// A chain whose first holder has started a lasting run of job 1 on each of
+/// these workers.
+fn chain_with_lasting_runs(names: &[&str]) -> Chain {
+    let mut chain = Chain::new(names);
+    chain.world.fate = Fate::endless();
+    // As many tasks as all workers have room for.
+    let tasks = u32::try_from(names.len() * 4).unwrap();
+    chain.submit(1, job(vec![step(tasks)]));
+    chain.schedule_for(3_000);
+    assert_eq!(chain.world.running().len(), names.len() * 4);
+    chain
+}
+
+/// Cancels job 1 under a holder whose orders to stop its runs come to nothing
+/// and which is gone as soon as the job is stored as cancelled.
+fn cancel_and_lose_the_stops(chain: &mut Chain) {
+    chain.stops = Stops::Lost;
+    chain.cancel(1);
+    chain.schedule_for(100);
+    assert_eq!(chain.world.phases[&id(1)], "cancelled", "callers are told");
+    chain.stops = Stops::Arrive;
+}
+
+// After a write that was refused, holder followed holder, each for 0.8 to 2.5 s
+// of which 0.74 s went into loading. A run went on for 14 s after its job's
+// cancelling: the holder that took it in had stored the job as over, with which
+// the entry of the cancelling went, and was gone before the order to stop had
+// come to anything. Each later one read the cancellings first and found none,
+// left the run alone as one of a job that it hadn't loaded, and renewed its
+// lease.
+#[test]
+fn a_cancelled_jobs_run_ends_though_no_holder_lasts_until_all_is_loaded() {
+    let mut chain = chain_with_lasting_runs(&["w1"]);
+    cancel_and_lose_the_stops(&mut chain);
+    for _ in 0..8 {
+        chain.begin();
+        chain.schedule_for(700);
+    }
+    assert!(!chain.runs(1), "8 holders for 0.7 s each");
+}
+
+// The same under holders that last longer than they load, but have so many
+// workers to ask that a question after the loading comes too late.
+#[test]
+fn a_cancelled_jobs_run_ends_though_each_holder_has_many_workers_to_ask() {
+    let names: Vec<String> = (0..300).map(|n| format!("w{n:03}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut chain = Chain::new(&names);
+    chain.world.fate = Fate::endless();
+    chain.submit(2, job(vec![step(1_199)]));
+    chain.schedule_for(3_000);
+    chain.submit(1, job(vec![step(1)]));
+    chain.schedule_for(500);
+    assert!(chain.runs(1));
+    cancel_and_lose_the_stops(&mut chain);
+    // 480 a second: all workers are asked once in the time of loading.
+    chain.orders_a_plan = 12;
+    chain.holders_for(GOES_ON_MS);
+    assert!(!chain.runs(1));
+    let others = chain.world.running().len();
+    assert_eq!(others, 1_199, "nothing else ends");
+}
+
+#[test]
+fn a_cancelled_jobs_run_ends_under_the_next_holder_that_has_loaded_it() {
+    let mut chain = chain_with_lasting_runs(&["w1", "w2"]);
+    cancel_and_lose_the_stops(&mut chain);
+    chain.next_holder();
+    assert!(!chain.runs(1));
+}
+
+#[test]
+fn a_stop_that_is_lost_or_refused_is_ordered_again() {
+    for stops in [Stops::Lost, Stops::Refused] {
+        let mut chain = chain_with_lasting_runs(&["w1"]);
+        chain.stops = stops;
+        chain.cancel(1);
+        chain.schedule_for(2_000);
+        assert!(chain.runs(1), "{stops:?}");
+        chain.stops = Stops::Arrive;
+        chain.schedule_for(900);
+        assert!(!chain.runs(1), "{stops:?}");
+    }
+}
+
+#[test]
+fn a_stop_is_refused_under_each_of_several_holders_and_then_works() {
+    let mut chain = chain_with_lasting_runs(&["w1"]);
+    chain.stops = Stops::Refused;
+    chain.cancel(1);
+    chain.holders_for(2_400);
+    assert!(chain.runs(1));
+    chain.stops = Stops::Arrive;
+    chain.next_holder();
+    assert!(!chain.runs(1));
+}
+
+#[test]
+fn a_silent_worker_is_told_to_stop_as_soon_as_it_answers() {
+    let mut chain = chain_with_lasting_runs(&["w1", "w2"]);
+    chain.world.cut.push(listing("w1").id);
+    chain.cancel(1);
+    chain.holders_for(4_800);
+    assert!(chain.runs(1), "on the worker that can't be reached");
+    chain.world.cut.clear();
+    chain.next_holder();
+    assert!(!chain.runs(1));
+}
+
+#[test]
+fn workers_that_drain_or_left_the_directory_are_told_to_stop_as_well() {
+    let mut chain = chain_with_lasting_runs(&["w1", "w2"]);
+    chain.world.listings[0].draining = true;
+    chain.world.list();
+    // The other is listed nowhere from now on, but lives.
+    chain.world.listings.truncate(1);
+    chain.world.list();
+    chain.cancel(1);
+    chain.schedule_for(1_000);
+    assert!(!chain.runs(1));
+}
+
+// An order to start without an answer makes the holder raise its token for the
+// worker, which then gets nothing but a question; a stop goes out all the same.
+#[test]
+fn a_worker_whose_token_is_being_raised_is_told_to_stop() {
+    let mut chain = chain_with_lasting_runs(&["w1"]);
+    chain.submit(2, job(vec![step(1)]));
+    chain.world.listings[0].capacity.cpu_millis += 1_000;
+    chain.world.list();
+    let w1 = listing("w1").id;
+    chain.world.cut.push(w1);
+    chain.schedule_for(50);
+    assert_eq!(chain.world.starts.len(), 5, "one without an answer");
+    chain.cancel(1);
+    chain.world.cut.clear();
+    chain.schedule_for(900);
+    assert!(!chain.runs(1));
+}
+
+#[test]
+fn a_run_ends_whose_jobs_record_is_deleted_already() {
+    let mut chain = chain_with_lasting_runs(&["w1"]);
+    cancel_and_lose_the_stops(&mut chain);
+    chain.forget(1);
+    chain.next_holder();
+    assert!(!chain.runs(1));
+}
+
+// The order to start leaves before the cancelling and arrives after it, when
+// the holder that sent it is gone.
+#[test]
+fn a_run_ends_whose_start_arrives_after_the_cancelling() {
+    let mut chain = Chain::new(&["w1"]);
+    chain.world.fate = Fate::endless();
+    chain.schedule_for(100);
+    let w1 = listing("w1").id;
+    chain.world.cut.push(w1.clone());
+    chain.submit(1, job(vec![step(1)]));
+    chain.schedule_for(25);
+    let (_, late) = chain.world.starts.last().cloned().expect("a start");
+    chain.cancel(1);
+    chain.schedule_for(25);
+    chain.world.cut.clear();
+    chain.begin();
+    let now_ms = chain.world.now_ms;
+    let room = Room { cpu_millis: 1_000, ..Room::default() };
+    let worker = chain.world.reach(&w1).expect("a worker");
+    let started = worker.start(now_ms, &late, room, Fate::endless());
+    assert!(started.is_ok(), "nobody has asked it under a newer token");
+    assert!(chain.runs(1));
+    chain.schedule_for(700);
+    chain.load();
+    chain.schedule_for(500);
+    assert!(!chain.runs(1));
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! What the scheduler must and must not order, case by case.
 
 mod cancelling;
+mod chain;
 mod crashing;
 mod duties;
 mod facts;
