Cancelling: its entry stays in the store until nothing runs of its job

Cause: with the write that stores a cancelled job as over, the entry of its cancelling went. A holder that came before the run had ended learnt of the job only with its slice, or with the loading's end, left the run alone until then and renewed its lease. Now the entry (q/stop/) goes with a write of its own, once every worker that may run anything has named all of it under this lease and none names the job. The next holder reads these entries before all else, as before: whatever runs of such a job is told to stop with the first answer that names it, while it loads, and its ends are acknowledged at once, since the job's phase depends on no end any more. Callers see "cancelled" as soon as before. Orders to stop are the first of each plan. Weighed: not storing the job as over before its runs have ended: callers would see it run for as long, and whatever lists open jobs would have to know; telling the load of what is over first: the records of all jobs of the last two minutes, hundreds of kilobytes, before the first order. An entry that stays takes some 100 bytes for the second or so that a stop takes, and one deletion of up to 31 jobs. Beside it: an entry whose job had come to another end just before stayed for ever, and would have cancelled a later job of the same name; it goes now as well, at the latest with the job's record. Ruled out: one entry a run with its worker: a start under way isn't known to the store.

--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -13,7 +13,8 @@
   so that the worker tells them again.
 - A job that is known starts nothing in a pool as long as some worker there
   runs or has ended what is unknown: it may be this job's.
-- A cancellation of an unknown job is kept until the job is known.
+- A cancellation of an unknown job is kept until the job is known. Its runs
+  and ends need nothing more to be known: runs are stopped, ends acknowledged.
 - Nothing is ordered of VMs, since what the pools need isn't known.
 
 Once everything is loaded, the workers with unknown runs are asked again; VMs
@@ -115,11 +116,13 @@
         }
     }
 
-    /// Returns whether a job may be one that isn't loaded yet.
+    /// Returns whether a job may be one that isn't loaded yet and of which it
+    /// isn't known either that it is cancelled.
     pub(super) fn is_unknown(&self, id: JobId) -> bool {
         self.is_loading()
             && !self.jobs.contains_key(&id)
             && !self.finished.contains_key(&id)
+            && !self.cancelled.contains(id)
     }
 
     /// Notes whether a worker's answer names unknown jobs.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -114,6 +114,7 @@
 mod advice;
 mod answers;
 mod board;
+mod cancelled;
 mod directory;
 mod duty;
 mod forecast;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -7,6 +7,7 @@
             Orderer, PaceOrder, QueueTerms, Room, WorkerId,
             advice::StepAdvice,
             board::Job,
+            cancelled::Cancelled,
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
@@ -31,6 +32,7 @@
     /// The steps that have tasks to start.
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
+    pub(super) cancelled: Cancelled,
     pub(super) workers: BTreeMap<WorkerId, Worker>,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
@@ -123,6 +125,7 @@
             jobs: Jobs::default(),
             candidates: Candidates::default(),
             loading: Loading::Done,
+            cancelled: Cancelled::default(),
             workers: BTreeMap::new(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
@@ -230,9 +233,13 @@
     }
 
     /// Cancels a job; one that is over or unknown stays as it is, unless jobs
-    /// are still being loaded.
+    /// are still being loaded. What runs of it is stopped either way, under
+    /// the next holders as well, until
+    /// [`Scheduler::take_settled_cancellings`] names it.
     pub fn cancel(&mut self, id: JobId, now: Now) {
-        if self.keep_cancellation(id) {
+        let kept = self.keep_cancellation(id);
+        self.cancelled.insert(id);
+        if kept {
             return;
         }
         self.finish(id, Phase::Cancelled, now);
@@ -306,9 +313,10 @@
         self.cancel_loaded(now);
         self.drop_lapsed(now);
         self.look_after_runs(now, &mut actions);
+        // First of all orders: this holder may be gone any moment.
+        self.order_stops(now, &mut actions);
         self.fence_workers(now, &mut actions);
         self.start_waiting(now, &mut actions);
-        self.order_stops(now, &mut actions);
         self.hold_workers(now, &mut actions);
         actions
     }
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Takes finished jobs whose keys need no longer be kept.
+    /// Takes finished jobs whose keys need no longer be kept, that of their
+    /// cancelling included.
     pub fn take_expired(&mut self, now: Now, most: usize) -> Vec<JobId> {
         let kept_ms = self.options.kept_ms;
         let over = |at: u64| now.unix_ms >= at + kept_ms;
@@ -97,6 +98,7 @@
             expired.map(|(id, _)| *id).take(most).collect();
         for id in &expired {
             self.finished.remove(id);
+            self.cancelled.remove(*id);
         }
         expired
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -404,6 +404,12 @@
         self.synced && !self.unknown_runs
     }
 
+    /// Returns whether its newest answer under this lease named all that runs
+    /// there, and all of it could be read.
+    pub(crate) fn has_named_all_runs(&self) -> bool {
+        self.is_accounted_for() && !self.unread_runs
+    }
+
     pub(crate) fn has_unknown_runs(&self) -> bool {
         self.unknown_runs
     }
--- a/crates/dewspar/tests/schedule/cancelling.rs
+++ b/crates/dewspar/tests/schedule/cancelling.rs
@@ -294,3 +294,81 @@
     chain.schedule_for(500);
     assert!(!chain.runs(1));
 }
+
+/// Returns whether the cancelling of job 1 needn't be on record any longer.
+fn settles(world: &mut World) -> bool {
+    let now = at(world.now_ms);
+    let settled = world.scheduler.take_settled_cancellings(now, 31);
+    settled == [id(1)]
+}
+
+#[test]
+fn a_cancelling_stays_on_record_while_a_run_of_its_job_may_go_on() {
+    let mut world = world_with_a_lasting_run();
+    let w1 = listing("w1").id;
+    world.cut.push(w1);
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.run_for(1_000);
+    assert_eq!(world.phases[&id(1)], "cancelled");
+    assert!(!settles(&mut world), "its run is there");
+
+    // Another holder that can't reach the worker either.
+    world.take_over(9);
+    world.scheduler.begin_loading();
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.list();
+    let over = world.stored[&id(1)].clone();
+    world.scheduler.submit(id(1), Default::default(), 0, Some(&over));
+    world.run_for(300);
+    assert!(!settles(&mut world), "more jobs are still to be loaded");
+    world.scheduler.finish_loading(at(world.now_ms));
+    world.expect_all();
+    world.run_for(1_000);
+    assert!(!settles(&mut world), "the worker hasn't been asked");
+
+    world.cut.clear();
+    world.run_for(1_000);
+    assert!(world.running().is_empty());
+    assert!(settles(&mut world));
+    world.run_for(1_000);
+    assert!(!settles(&mut world), "it is taken once");
+}
+
+#[test]
+fn a_cancelling_settles_without_a_worker_whose_lease_is_over() {
+    let mut world = World::new(7, &["w1", "w2"]);
+    world.cut.push(listing("w2").id);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 8, None);
+    world.run_for(200);
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.run_for(2_000);
+    assert!(!settles(&mut world), "nobody knows what the other runs");
+    world.run_for(20_000);
+    assert!(settles(&mut world));
+}
+
+#[test]
+fn a_cancelling_that_comes_too_late_settles_and_changes_nothing() {
+    let mut world = World::new(7, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 8, None);
+    world.run_for(1_500);
+    assert_eq!(world.phases[&id(1)], "completed");
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.run_for(500);
+    assert_eq!(world.phases[&id(1)], "completed");
+    assert!(settles(&mut world));
+}
+
+#[test]
+fn a_cancelling_of_a_job_that_nobody_knows_stays_on_record() {
+    let mut world = World::new(7, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.scheduler.cancel(id(1), at(world.now_ms));
+    world.run_for(2_000);
+    assert!(!settles(&mut world));
+}
--- a/crates/dewspar/tests/schedule/chain.rs
+++ b/crates/dewspar/tests/schedule/chain.rs
@@ -214,10 +214,12 @@
             world.stored.insert(*id, progress.clone());
             if progress.phase.is_final() {
                 self.accepted.remove(id);
-                self.cancelled.remove(id);
             }
         }
         world.scheduler.changes_stored(&changes, now);
+        for id in world.scheduler.take_settled_cancellings(now, 31) {
+            self.cancelled.remove(&id);
+        }
     }
 
     /// Returns whether anything of a job runs anywhere.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -452,6 +452,7 @@
         self.write_counts(now);
         self.order_vms(now);
         self.delete_expired(now);
+        self.delete_settled(now);
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
         let link = self.scheduler.link();
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -20,7 +20,7 @@
 /// Jobs that aren't over.
 pub(super) const ACCEPTED: &str = "q/in/";
 
-/// The jobs among them that are cancelled.
+/// The jobs that are cancelled and of which something may run.
 pub(super) const CANCELLED: &str = "q/stop/";
 
 /// What every node writes along with each job that it accepts: how new this
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -28,7 +28,7 @@
 /// How many jobs ride on one write.
 ///
 /// The store takes 32 entries at most. One is the lease's condition; a job
-/// takes a condition and a put, and up to two deletions once it is over.
+/// takes a condition and a put, and a deletion once it is over.
 pub(super) const JOBS_A_WRITE: usize = 7;
 
 /// The pause before a write without result is tried again.
@@ -155,9 +155,9 @@
         batch =
             batch.when(&key, Expected::from_version(version)).put(&key, value);
         if progress.phase.is_final() {
-            batch = batch
-                .delete(&keys::accepted(*id))
-                .delete(&keys::cancelled(*id));
+            // A cancelling stays on record while anything may run of its job:
+            // the next holder stops that before it has loaded a job.
+            batch = batch.delete(&keys::accepted(*id));
         }
     }
     batch
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -28,8 +28,12 @@
 /// milliseconds.
 const EXPIRY_INTERVAL_MS: u64 = 5_000;
 
-/// How many keys are deleted at once.
-const EXPIRED_A_WRITE: usize = 16;
+/// How many jobs' keys are deleted at once: the store takes 32 entries, one
+/// is the lease's condition, and each job has two keys.
+const EXPIRED_A_WRITE: usize = 15;
+
+/// How many keys of cancellings are deleted at once, one for each job.
+const CANCELLINGS_A_WRITE: usize = 31;
 
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
     pub(super) fn write_wave(&self, wave: u64) {
@@ -85,11 +89,27 @@
             .when(keys::OWNER, Expected::Version(self.held.revision));
         for id in expired {
             self.versions.forget(id);
-            batch = batch.delete(&keys::progress(id));
+            batch =
+                batch.delete(&keys::progress(id)).delete(&keys::cancelled(id));
         }
         self.write(batch, "deletion of expired jobs");
     }
 
+    /// Deletes cancellings of which nothing runs any more.
+    pub(super) fn delete_settled(&mut self, now: Now) {
+        let settled =
+            self.scheduler.take_settled_cancellings(now, CANCELLINGS_A_WRITE);
+        if settled.is_empty() {
+            return;
+        }
+        let mut batch = Batch::default()
+            .when(keys::OWNER, Expected::Version(self.held.revision));
+        for id in &settled {
+            batch = batch.delete(&keys::cancelled(*id));
+        }
+        self.write(batch, "deletion of settled cancellings");
+    }
+
     /// Writes what needn't be written at any one time.
     fn write(&self, batch: Batch, what: &'static str) {
         let store = self.candidate.store.with_purpose(Purpose::Progress);
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -370,6 +370,39 @@
     cluster.wait_for_phase(0, 1, "cancelled").await;
 }
 
+// A cancelled job was stored as over, and its cancelling's entry went with that
+// write while orders to stop its runs had no result; later holders read no
+// cancelling and left the runs alone while they loaded, 14 s long.
+#[tokio::test]
+async fn a_cancelling_stays_on_record_until_nothing_runs_of_its_job() {
+    let mut cluster = Cluster::start(1).await;
+    cluster.fleet.set_work_ms(600_000);
+    submitted(&cluster, 0, 1).await;
+    until(async || cluster.fleet.running().len() == 3).await;
+    cluster.order_faults.set_outage(true);
+    let path = job_path(1);
+    let (status, _) = cluster.call(0, Method::DELETE, &path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    cluster.wait_for_phase(0, 1, "cancelled").await;
+    let on_record = async |cluster: &Cluster| {
+        let listed = cluster.store.list("q/stop/").await;
+        listed.expect("a store").1.len()
+    };
+    // The next holder finds it as well.
+    let node = cluster.nodes.remove(0);
+    node.stop().await;
+    let node = cluster.node("node-next").await;
+    cluster.nodes.push(node);
+    until(async || cluster.holder().await.as_deref() == Some("node-next"))
+        .await;
+    assert_eq!(on_record(&cluster).await, 1);
+    assert_eq!(cluster.fleet.running().len(), 3);
+    cluster.order_faults.set_outage(false);
+    until(async || cluster.fleet.running().is_empty()).await;
+    until(async || on_record(&cluster).await == 0).await;
+    cluster.wait_for_phase(0, 1, "cancelled").await;
+}
+
 #[tokio::test]
 async fn a_job_is_found_though_watches_hear_nothing() {
     let cluster = Cluster::start(2).await;
