--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -25,6 +25,7 @@
             ReadingCost, follow_feed, look_up, read_directory, read_vms, renew,
         },
         intake::FeedOrigin,
+        keys,
         load::Load,
         orders,
         outcome::Outcome,
