Tests: an older reading of the directory replaces what a look-up found since

A reading of the whole directory tells what was there when it was asked for; a worker that was looked up since is missing in it. On its VM the reading may still name the former worker, so the new one counts as replaced, for as long as the lease lasts: its runs are taken for lost though they go on. And what an older reading says of a worker, such as that it drains, replaces what a newer one said.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -10,6 +10,7 @@
 mod placing;
 mod pools;
 
+mod readings;
 mod records;
 mod rooms;
 mod runs;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/readings.rs
@@ -0,0 +1,75 @@
+//! A reading of the directory tells what was there when it was asked for.
+//!
+//! Single workers are looked up beside the readings of the whole directory,
+//! which take a small link half a second or more. A reading that was asked for
+//! before a worker was looked up, and answered after it, doesn't know that
+//! worker: where its VM's former worker was still listed, the new one counted
+//! as replaced by the old one, and stayed so for as long as the lease lasted.
+
+use {
+    crate::world::{ROOM, at, id, job, listing, step},
+    dewspar::schedule::{Decision, Now, Options, Scheduler, WorkerListing},
+    dewspar_standin::task_worker::TaskWorker,
+};
+
+/// The entry of a life of the worker on the one VM.
+fn life(name: &str) -> WorkerListing {
+    WorkerListing { vm: "vm-1".to_owned(), ..listing(name) }
+}
+
+fn scheduler() -> Scheduler {
+    let mut scheduler = Scheduler::new(7, Options::default());
+    scheduler.list_workers_as_of(1_000, at(1_000), vec![life("old")]);
+    scheduler
+}
+
+fn gone(scheduler: &mut Scheduler) -> Vec<String> {
+    let decisions = scheduler.take_decisions().into_iter();
+    let gone = decisions.filter_map(|decision| match decision {
+        Decision::WorkerGone { worker, .. } => Some(worker.to_string()),
+        _ => None,
+    });
+    gone.collect()
+}
+
+#[test]
+fn an_older_reading_does_not_end_a_worker_that_was_looked_up_since() {
+    let mut scheduler = scheduler();
+    scheduler.list_worker(at(2_000), life("new"));
+    scheduler.list_workers_as_of(1_500, at(2_500), vec![life("old")]);
+    assert!(gone(&mut scheduler).is_empty());
+    // The next reading shows which of the two lives.
+    scheduler.list_workers_as_of(3_000, at(3_100), vec![life("new")]);
+    assert_eq!(gone(&mut scheduler), ["old"]);
+}
+
+/// Has a job start wherever the scheduler may start one.
+fn starts(scheduler: &mut Scheduler, now: Now) -> usize {
+    use dewspar::schedule::Action;
+    let mut worker = TaskWorker::new(ROOM);
+    scheduler.submit(id(1), job(vec![step(1)]), 8, None);
+    let mut starts = 0;
+    for action in scheduler.plan(now) {
+        if let Action::Hold { worker: id, held, .. } = action {
+            let report = worker.hold(now.steady_ms, held.order());
+            let report = report.expect("an answer");
+            scheduler.hold_answered(&id, &held, &report, now);
+        }
+    }
+    for action in scheduler.plan(now) {
+        starts += usize::from(matches!(action, Action::Start { .. }));
+    }
+    starts
+}
+
+#[test]
+fn an_older_reading_does_not_replace_a_newer_entry() {
+    let mut scheduler = Scheduler::new(7, Options::default());
+    let draining = WorkerListing { draining: true, ..life("one") };
+    scheduler.list_worker(at(2_000), draining);
+    scheduler.list_workers_as_of(1_500, at(2_500), vec![life("one")]);
+    scheduler.expect_workers(at(2_500), []);
+    assert_eq!(starts(&mut scheduler, at(2_500)), 0, "it is draining");
+    scheduler.list_workers_as_of(3_000, at(3_100), vec![life("one")]);
+    assert_eq!(starts(&mut scheduler, at(3_100)), 1, "it no longer is");
+}
