An older reading of the directory says nothing of a worker told of since

Cause: readings of the directory and look-ups of single workers overlap, and whatever was taken in last counted as the newest. Done: what is known of a worker carries as of when; a reading that was asked for before that neither replaces the entry, nor unlists the worker, nor ends it as replaced. Look-ups carry when they were asked for. A worker that is known from the list of VMs alone has said nothing of itself, and any entry replaces that. Conclusion: mended by reading.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -49,8 +49,8 @@
             self.entered_by_ms = now.steady_ms + ENTERED_WITHIN_MS;
         }
         self.directory_ms = now.steady_ms;
-        self.unlist_missing(&listings, now);
-        let replaced = self.replaced_by(&listings);
+        self.unlist_missing(asked_ms, &listings, now);
+        let replaced = self.replaced_by(asked_ms, &listings);
         for listing in listings {
             self.list_worker_as_of(asked_ms, now, listing);
         }
@@ -60,12 +60,16 @@
         }
     }
 
-    /// Takes in one worker's entry in the directory.
+    /// Takes in one worker's entry in the directory as it is now.
     pub fn list_worker(&mut self, now: Now, listing: WorkerListing) {
         self.list_worker_as_of(now.steady_ms, now, listing);
     }
 
-    fn list_worker_as_of(
+    /// Takes in one worker's entry in the directory as it was asked for at
+    /// this time of the steady clock, in milliseconds.
+    ///
+    /// An entry that is older than what is known of the worker says nothing.
+    pub fn list_worker_as_of(
         &mut self,
         asked_ms: u64,
         now: Now,
@@ -75,10 +79,12 @@
             return;
         }
         match self.workers.get_mut(&listing.id) {
+            // A worker that drains since would be given work again.
+            Some(worker) if worker.is_told_since(asked_ms) => {}
             Some(worker) => {
                 worker.listed = true;
                 worker.listing = listing;
-                worker.told_ms = worker.told_ms.max(asked_ms);
+                worker.told_ms = asked_ms;
             }
             None => {
                 let id = listing.id.clone();
@@ -106,20 +112,31 @@
 
     /// Notes which workers the directory no longer lists, unless it couldn't
     /// be read for a while and workers are still entering themselves again.
-    fn unlist_missing(&mut self, listings: &[WorkerListing], now: Now) {
+    fn unlist_missing(
+        &mut self,
+        asked_ms: u64,
+        listings: &[WorkerListing],
+        now: Now,
+    ) {
         if now.steady_ms < self.entered_by_ms {
             return;
         }
         let listed: BTreeSet<&WorkerId> =
             listings.iter().map(|listing| &listing.id).collect();
         for worker in self.workers.values_mut() {
-            worker.listed &= listed.contains(worker.id());
+            worker.listed &=
+                listed.contains(worker.id()) || worker.is_told_since(asked_ms);
         }
     }
 
     /// Returns the workers on whose VMs the directory lists another life,
-    /// and not them.
-    fn replaced_by(&self, listings: &[WorkerListing]) -> Vec<WorkerId> {
+    /// and not them. One that was looked up since the directory was asked for
+    /// isn't among these: there its VM's former worker may still be listed.
+    fn replaced_by(
+        &self,
+        asked_ms: u64,
+        listings: &[WorkerListing],
+    ) -> Vec<WorkerId> {
         let listed: BTreeSet<&WorkerId> =
             listings.iter().map(|listing| &listing.id).collect();
         let vms: BTreeSet<&str> = listings
@@ -131,6 +148,7 @@
         self.workers
             .values()
             .filter(|worker| vms.contains(worker.listing.vm.as_str()))
+            .filter(|worker| !worker.is_told_since(asked_ms))
             .map(Worker::id)
             .filter(|id| !listed.contains(id))
             .cloned()
@@ -158,7 +176,9 @@
                 continue;
             }
             let listing = WorkerListing::unlisted(id.clone(), pool);
-            let worker = self.new_worker(listing, now);
+            let mut worker = self.new_worker(listing, now);
+            // It hasn't said anything of itself.
+            worker.told_ms = 0;
             self.workers.insert(id, worker);
         }
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -309,6 +309,12 @@
         self.unmeasured -= usize::from(!run.measured);
     }
 
+    /// Returns whether what it says of itself is known as of a later time than
+    /// this one of the steady clock, in milliseconds.
+    pub(crate) fn is_told_since(&self, asked_ms: u64) -> bool {
+        self.told_ms > asked_ms
+    }
+
     /// Returns whether it is known for sure what it has room for: what it
     /// said of itself is no older than that, and so is all that runs there.
     pub(crate) fn has_sure_room(&self, now_ms: u64, most_age_ms: u64) -> bool {
--- a/crates/dewspar/tests/schedule/readings.rs
+++ b/crates/dewspar/tests/schedule/readings.rs
@@ -8,7 +8,9 @@
 
 use {
     crate::world::{ROOM, at, id, job, listing, step},
-    dewspar::schedule::{Decision, Now, Options, Scheduler, WorkerListing},
+    dewspar::schedule::{
+        Action, Decision, Now, Options, Scheduler, WorkerListing,
+    },
     dewspar_standin::task_worker::TaskWorker,
 };
 
@@ -43,33 +45,43 @@
     assert_eq!(gone(&mut scheduler), ["old"]);
 }
 
-/// Has a job start wherever the scheduler may start one.
-fn starts(scheduler: &mut Scheduler, now: Now) -> usize {
-    use dewspar::schedule::Action;
-    let mut worker = TaskWorker::new(ROOM);
-    scheduler.submit(id(1), job(vec![step(1)]), 8, None);
+/// Plans twice, with every question answered by the one worker, and counts the
+/// starts.
+fn starts(
+    scheduler: &mut Scheduler,
+    worker: &mut TaskWorker,
+    now: Now,
+) -> usize {
     let mut starts = 0;
-    for action in scheduler.plan(now) {
-        if let Action::Hold { worker: id, held, .. } = action {
-            let report = worker.hold(now.steady_ms, held.order());
-            let report = report.expect("an answer");
-            scheduler.hold_answered(&id, &held, &report, now);
+    for action in [scheduler.plan(now), scheduler.plan(now)].concat() {
+        match action {
+            Action::Hold { worker: id, held, .. } => {
+                let report = worker.hold(now.steady_ms, held.order());
+                let report = report.expect("an answer");
+                scheduler.hold_answered(&id, &held, &report, now);
+            }
+            Action::Start { .. } => starts += 1,
+            _ => {}
         }
     }
-    for action in scheduler.plan(now) {
-        starts += usize::from(matches!(action, Action::Start { .. }));
-    }
     starts
 }
 
 #[test]
 fn an_older_reading_does_not_replace_a_newer_entry() {
     let mut scheduler = Scheduler::new(7, Options::default());
+    let mut worker = TaskWorker::new(ROOM);
     let draining = WorkerListing { draining: true, ..life("one") };
     scheduler.list_worker(at(2_000), draining);
     scheduler.list_workers_as_of(1_500, at(2_500), vec![life("one")]);
     scheduler.expect_workers(at(2_500), []);
-    assert_eq!(starts(&mut scheduler, at(2_500)), 0, "it is draining");
+    scheduler.submit(id(1), job(vec![step(1)]), 8, None);
+    let mut starts_at = |scheduler: &mut Scheduler, now| {
+        // The first answer also says that it is the holder's now.
+        starts(scheduler, &mut worker, now)
+            + starts(scheduler, &mut worker, now)
+    };
+    assert_eq!(starts_at(&mut scheduler, at(2_500)), 0, "it is draining");
     scheduler.list_workers_as_of(3_000, at(3_100), vec![life("one")]);
-    assert_eq!(starts(&mut scheduler, at(3_100)), 1, "it no longer is");
+    assert_eq!(starts_at(&mut scheduler, at(3_100)), 1, "it no longer is");
 }
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -75,7 +75,11 @@
         listings: Vec<WorkerListing>,
     },
     /// A worker was looked up in the directory.
-    WorkerFound(WorkerListing),
+    WorkerFound {
+        /// When it was asked for, on the steady clock.
+        asked_ms: u64,
+        listing: WorkerListing,
+    },
     Vms {
         asked_ms: u64,
         vms: Vec<ManagedVm>,
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -336,9 +336,11 @@
     sender: EventSender,
 ) {
     for id in lives {
+        let asked_ms = clock::now_ms();
         match fleet.worker(&id).await {
             Ok(Some(listing)) => {
-                if sender.send(Event::WorkerFound(listing)).await.is_err() {
+                let event = Event::WorkerFound { asked_ms, listing };
+                if sender.send(event).await.is_err() {
                     return;
                 }
             }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -258,7 +258,9 @@
             Event::Directory { asked_ms, listings } => {
                 scheduler.list_workers_as_of(asked_ms, now, listings);
             }
-            Event::WorkerFound(listing) => scheduler.list_worker(now, listing),
+            Event::WorkerFound { asked_ms, listing } => {
+                scheduler.list_worker_as_of(asked_ms, now, listing);
+            }
             Event::Vms { asked_ms, vms } => {
                 scheduler.list_vms(now, asked_ms, &vms);
                 self.look_up_lives();
