Leases: a worker on which all is to stop gets no longer one

Cause: each question renewed the lease of all that runs on a worker, though nothing there was wanted. Where orders to stop come to nothing while questions are answered, such a run never ended. Now such a worker's lease isn't renewed, and the run is over with it, 8 s later at most. A worker with anything else that is wanted, unknown or couldn't be read keeps it, since a lease covers all that runs there. The question then counts as an ordinary one of the link's classes and not as a renewal. Ruled out: letting the lease of a worker with other runs lapse: it would end them.

--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -418,6 +418,14 @@
         !self.runs.is_empty() || self.unknown_runs
     }
 
+    /// Returns whether anything runs on it, or may do so, that isn't to stop.
+    fn is_wanted(&self) -> bool {
+        // What couldn't be read may be wanted.
+        let unread = self.unread_runs && !self.runs.is_empty();
+        let mut runs = self.runs.values();
+        self.unknown_runs || unread || runs.any(|run| !run.is_stopping())
+    }
+
     /// Returns whether it is there for new tasks, now or in a moment.
     pub(crate) fn is_usable(&self) -> bool {
         self.is_accounted_for()
@@ -476,7 +484,7 @@
             self.confirmed_until_ms + options.lease_ms * RENEWED_PERCENT / 100
                 >= u
         });
-        if renewed || silent || !self.is_occupied() {
+        if renewed || silent || !self.is_wanted() {
             Class::Question
         } else {
             Class::Renewal
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -62,10 +62,10 @@
             (false, false) => watching.hold_wait_ms,
             (false, true) => watching.hold_wait_ms.max(PATIENT_WAIT_MS),
         };
-        // A worker that is silent gets no longer lease: its runs must be
-        // over for certain some day.
+        // A worker that is silent gets no longer lease, nor does one on which
+        // all is to stop: its runs must be over for certain some day.
         let silent = self.silent_since_ms.is_some();
-        let lease_until_ms = if !self.is_occupied() || silent {
+        let lease_until_ms = if !self.is_wanted() || silent {
             None
         } else {
             self.lease_until_ms(now_ms, options)
--- a/crates/dewspar/tests/schedule/cancelling.rs
+++ b/crates/dewspar/tests/schedule/cancelling.rs
@@ -372,3 +372,33 @@
     world.run_for(2_000);
     assert!(!settles(&mut world));
 }
+
+// Each question to a worker renews the lease of all that runs there. Where all
+// of it is to stop, that kept alive what no order to stop could reach.
+#[test]
+fn the_lease_of_a_worker_on_which_nothing_is_wanted_is_not_renewed() {
+    let mut chain = chain_with_lasting_runs(&["w1"]);
+    chain.stops = Stops::Refused;
+    chain.cancel(1);
+    // A lease lasts 8 s.
+    chain.holders_for(9_600);
+    assert!(!chain.runs(1));
+}
+
+#[test]
+fn the_lease_of_a_worker_is_renewed_while_anything_there_is_wanted() {
+    let mut chain = Chain::new(&["w1"]);
+    chain.world.fate = Fate::endless();
+    chain.submit(1, job(vec![step(1)]));
+    chain.submit(2, job(vec![step(1)]));
+    chain.schedule_for(500);
+    assert_eq!(chain.world.running().len(), 2);
+    chain.stops = Stops::Refused;
+    chain.cancel(1);
+    chain.schedule_for(20_000);
+    assert!(chain.runs(2));
+    chain.stops = Stops::Arrive;
+    chain.schedule_for(900);
+    assert!(!chain.runs(1));
+    assert!(chain.runs(2));
+}
