Plan: look only at the workers that may want something

Cause: each plan went over all workers four times, and over all their runs once: for leases that are over, questions under a new token, runs to be stopped, and questions that are due.

Now `Workers` keeps for each the time from which it may want something, worked out again only once it may have changed. Whatever changes a worker goes through it. What is to be stored of ends is asked of the workers that have some.

Equally urgent questions that were due since the same moment are now sent in the order of their workers' identifiers; before, an unstable sort of all of them chose the order.

Tests: in builds with assertions each look compares the agenda with all workers, which the random worlds exercise. Seen red ("a worker that wants something isn't due") with changes noted only while a worker is being fenced, and with stops left out. Stale entries of workers that are then looked at too often aren't found by it: with no change noted at all, every worker stays due, and all is green.

--- a/crates/dewspar/examples/planning.rs
+++ b/crates/dewspar/examples/planning.rs
@@ -11,6 +11,8 @@
 ```sh
 cargo run --release -p dewspar --example planning
 ```
+
+With `ample` or `short` as its argument it plays only that one, for a profile.
 */
 
 use {
@@ -85,8 +87,14 @@
 }
 
 fn main() {
-    play("ample", Processor::AMPLE);
-    play("half a core", Processor::HALF_A_CORE);
+    let only = std::env::args().nth(1);
+    let wanted = |name| only.as_deref().is_none_or(|only| only == name);
+    if wanted("ample") {
+        play("ample", Processor::AMPLE);
+    }
+    if wanted("short") {
+        play("half a core", Processor::HALF_A_CORE);
+    }
 }
 
 fn play(name: &str, processor: Processor) {
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -112,8 +112,15 @@
         }
         let listed: BTreeSet<&WorkerId> =
             listings.iter().map(|listing| &listing.id).collect();
-        for worker in self.workers.values_mut() {
-            worker.listed &= listed.contains(worker.id());
+        let missing =
+            |worker: &&Worker| worker.listed && !listed.contains(worker.id());
+        let missing = self.workers.values().filter(missing);
+        let missing: Vec<WorkerId> =
+            missing.map(|worker| worker.id().clone()).collect();
+        for id in missing {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.listed = false;
+            }
         }
     }
 
@@ -219,9 +226,11 @@
     /// the directory with nothing on them.
     pub(super) fn drop_lapsed(&mut self, now: Now) {
         let mut gone = Vec::new();
-        for worker in self.workers.values() {
-            let silent = worker.silent_since_ms.is_some();
-            let lapsed = silent && now.steady_ms > worker.lease_over_ms;
+        for id in self.due_workers(now) {
+            let worker = &self.workers[&id];
+            let lapsed = worker
+                .lapses_from_ms()
+                .is_some_and(|from_ms| now.steady_ms >= from_ms);
             let idle = worker.runs.is_empty();
             if lapsed && !idle {
                 gone.push((worker.id().clone(), "its lease is over"));
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -137,6 +137,7 @@
 mod vm;
 mod wave_state;
 mod worker;
+mod workers;
 
 /// The two clocks of an event.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -120,11 +120,8 @@
             return;
         }
         let mut changes: Vec<(WorkerId, TaskId, u8)> = Vec::new();
-        for worker in self.workers.values_mut() {
-            worker.pace_due(now.steady_ms, PACE_INTERVAL_MS);
-        }
         for worker in self.workers.values() {
-            if !worker.is_pace_due() {
+            if !worker.is_pace_due(now.steady_ms, PACE_INTERVAL_MS) {
                 continue;
             }
             let fare = self.fare(worker);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -15,6 +15,7 @@
             steadiness::VmCrashes,
             wave_state::WaveState,
             worker::{ORDER_BYTES, OwedHold, Worker},
+            workers::Workers,
         },
         window::{CallEnd, CallWindow},
     },
@@ -31,7 +32,7 @@
     /// The steps that have tasks to start.
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
-    pub(super) workers: BTreeMap<WorkerId, Worker>,
+    pub(super) workers: Workers,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
     pub(super) storing: BTreeSet<JobId>,
@@ -123,7 +124,7 @@
             jobs: Jobs::default(),
             candidates: Candidates::default(),
             loading: Loading::Done,
-            workers: BTreeMap::new(),
+            workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
             sequence: 0,
@@ -451,8 +452,10 @@
     /// Asks under a new token, as far as the window and the link have room;
     /// workers that are silent take no room in the window.
     fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        for worker in self.workers.values_mut() {
-            if !worker.is_fencing() {
+        for id in self.due_workers(now) {
+            let Some(worker) = self.workers.get(&id) else { continue };
+            let due = worker.hold_due_ms(now.steady_ms).is_some();
+            if !worker.is_fencing() || !due {
                 continue;
             }
             let in_window = worker.silent_since_ms.is_none();
@@ -463,10 +466,8 @@
             if in_window && self.window.room() == 0 {
                 continue;
             }
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
             let hold = hold(worker, in_window, now, &self.options);
-            if hold.is_none() {
-                continue;
-            }
             self.link.sent(class, worker.question_bytes());
             if in_window {
                 self.window.sent(1);
@@ -479,25 +480,25 @@
     /// renewed, the others as far as the link has room, in the order in which
     /// they were due.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let options = &self.options;
         let patient = self.link.is_short(now.steady_ms);
-        let mut due: Vec<(Class, u64, &mut Worker)> = self
-            .workers
-            .values_mut()
-            .filter(|worker| !worker.is_fencing())
-            .filter_map(|worker| {
-                let due_ms = worker.hold_due_ms(now.steady_ms)?;
-                let class = worker.question_class(now.steady_ms, options);
-                Some((class, due_ms, worker))
-            })
-            .collect();
-        due.sort_unstable_by_key(|(class, due_ms, _)| (*class, *due_ms));
-        for (class, _, worker) in due {
+        let mut due: Vec<(Class, u64, WorkerId)> = Vec::new();
+        for id in self.due_workers(now) {
+            let worker = &self.workers[&id];
+            let due_ms = worker.hold_due_ms(now.steady_ms);
+            let Some(due_ms) = due_ms.filter(|_| !worker.is_fencing()) else {
+                continue;
+            };
+            let class = worker.question_class(now.steady_ms, &self.options);
+            due.push((class, due_ms, id));
+        }
+        due.sort_unstable();
+        for (class, _, id) in due {
             if !self.link.allows(class) {
                 return;
             }
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
             worker.let_wait(patient);
-            let hold = hold(worker, false, now, options);
+            let hold = hold(worker, false, now, &self.options);
             if hold.is_some() {
                 self.link.sent(class, worker.question_bytes());
             }
@@ -505,6 +506,17 @@
         }
     }
 
+    /// Returns the workers that may want something now, in the order of their
+    /// identifiers.
+    pub(super) fn due_workers(&mut self, now: Now) -> Vec<WorkerId> {
+        let due = self.workers.due(now.steady_ms, &self.options);
+        debug_assert!(
+            self.workers.are_due(&due, now.steady_ms, &self.options),
+            "a worker that wants something isn't due"
+        );
+        due
+    }
+
     /// Makes an order that limits the share at which a run works.
     pub(super) fn pace(
         &mut self,
--- a/crates/dewspar/src/schedule/stopping.rs
+++ b/crates/dewspar/src/schedule/stopping.rs
@@ -53,8 +53,10 @@
         }
     }
 
-    fn is_due(&self, now_ms: u64, retry_ms: u64) -> bool {
-        self.orders == 0 || now_ms >= self.ordered_ms + retry_ms
+    /// Returns from when the next order is due, where one is tried again
+    /// after so long; all in milliseconds.
+    pub(crate) fn due_ms(&self, retry_ms: u64) -> u64 {
+        if self.orders == 0 { 0 } else { self.ordered_ms + retry_ms }
     }
 
     fn note_order(&mut self, now_ms: u64) {
@@ -81,7 +83,14 @@
     pub(super) fn order_stops(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
         let mut overdue = Vec::new();
-        for worker in self.workers.values_mut() {
+        for id in self.due_workers(now) {
+            let stops = self.workers.get(&id).is_some_and(|worker| {
+                worker.wants_stops(now_ms, &self.options)
+            });
+            if !stops {
+                continue;
+            }
+            let Some(worker) = self.workers.get_mut(&id) else { continue };
             let fence = worker.fence();
             let address = &worker.listing.address;
             let id = &worker.listing.id;
@@ -90,7 +99,7 @@
                 let RunState::Stopping(stop) = &mut run.state else {
                     continue;
                 };
-                if !stop.is_due(now_ms, self.options.stop_retry_ms) {
+                if now_ms < stop.due_ms(self.options.stop_retry_ms) {
                     continue;
                 }
                 let account = stop.account(now_ms);
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -141,6 +141,16 @@
         worker_ms.saturating_sub(from_ms)
     }
 
+    /// Returns from when it is to be ordered to stop, if it is to stop.
+    pub(crate) fn stop_due_ms(&self, options: &Options) -> Option<u64> {
+        match &self.state {
+            RunState::Starting | RunState::Running => None,
+            RunState::Stopping(stop) => {
+                Some(stop.due_ms(options.stop_retry_ms))
+            }
+        }
+    }
+
     pub(crate) fn stop(&mut self, reason: &'static str) {
         if !self.is_stopping() {
             let stop = Stop::new(reason, self.has_begun());
@@ -160,6 +170,8 @@
 /// One worker as the holder of the scheduler lease sees it.
 #[derive(Debug)]
 pub(crate) struct Worker {
+    /// Which of the workers it is; see [`workers`](crate::schedule).
+    number: usize,
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
@@ -207,7 +219,6 @@
     suspensions: u32,
     /// When the pace of a run was last changed.
     paced_ms: u64,
-    pace_is_due: bool,
     /// The runs whose last order to pace them has no result.
     pub(crate) unset_paces: BTreeSet<TaskId>,
     /// Why it is being emptied, if it is.
@@ -236,6 +247,7 @@
     ) -> Worker {
         let listed_nowhere = listing.address.is_empty();
         Worker {
+            number: 0,
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
@@ -266,7 +278,6 @@
             suspended_until_ms: 0,
             suspensions: 0,
             paced_ms: 0,
-            pace_is_due: false,
             unset_paces: BTreeSet::new(),
             emptying: None,
             emptying_since_ms: 0,
@@ -279,6 +290,14 @@
         }
     }
 
+    pub(crate) fn number(&self) -> usize {
+        self.number
+    }
+
+    pub(crate) fn set_number(&mut self, number: usize) {
+        self.number = number;
+    }
+
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
@@ -386,13 +405,9 @@
         self.unanswered_since_ms.get_or_insert(now_ms);
     }
 
-    /// Notes whether the pace of its runs may change again.
-    pub(crate) fn pace_due(&mut self, now_ms: u64, interval_ms: u64) {
-        self.pace_is_due = now_ms >= self.paced_ms + interval_ms;
-    }
-
-    pub(crate) fn is_pace_due(&self) -> bool {
-        self.pace_is_due
+    /// Returns whether the pace of its runs may change again.
+    pub(crate) fn is_pace_due(&self, now_ms: u64, interval_ms: u64) -> bool {
+        now_ms >= self.paced_ms + interval_ms
     }
 
     pub(crate) fn paced(&mut self, now_ms: u64) {
@@ -510,6 +525,11 @@
             && self.acknowledged >= self.seen_end
     }
 
+    /// Returns whether some end that it listed isn't stored yet.
+    pub(crate) fn has_ends_to_store(&self) -> bool {
+        !self.unstored.is_empty()
+    }
+
     /// Takes note of an end; returns false if it was known already.
     pub(crate) fn see_end(&mut self, number: u64) -> bool {
         let new = number > self.seen_end;
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -27,15 +27,53 @@
 impl Worker {
     /// Returns since when a hold has been due, if one is.
     pub(crate) fn hold_due_ms(&self, now_ms: u64) -> Option<u64> {
+        self.next_hold_due_ms().filter(|due_ms| now_ms >= *due_ms)
+    }
+
+    /// Returns from when a hold is due, unless none is wanted or one is under
+    /// way.
+    fn next_hold_due_ms(&self) -> Option<u64> {
         let fencing = self.fencing && !self.fence_hold_in_flight;
         let wanted = self.is_occupied()
             || self.stored_end > self.acknowledged
             || self.missed_hold
             || self.has_unstored_ends();
-        let due =
-            now_ms >= self.next_hold_ms && !self.listing.address.is_empty();
         let ordinary = !self.fencing && !self.hold_in_flight && wanted;
-        (due && (fencing || ordinary)).then_some(self.next_hold_ms)
+        let reachable = !self.listing.address.is_empty();
+        (reachable && (fencing || ordinary)).then_some(self.next_hold_ms)
+    }
+
+    /// Returns from when its lease is over for certain, if it is silent.
+    pub(crate) fn lapses_from_ms(&self) -> Option<u64> {
+        self.silent_since_ms.map(|_| self.lease_over_ms + 1)
+    }
+
+    /// Returns whether some run is to be ordered to stop now.
+    pub(crate) fn wants_stops(&self, now_ms: u64, options: &Options) -> bool {
+        let mut stops =
+            self.runs.values().filter_map(|run| run.stop_due_ms(options));
+        stops.any(|due_ms| now_ms >= due_ms)
+    }
+
+    /// Returns from when it may want something, unless nothing is to be done
+    /// about it before it changes.
+    pub(crate) fn wants_from_ms(&self, options: &Options) -> Option<u64> {
+        let stops =
+            self.runs.values().filter_map(|run| run.stop_due_ms(options));
+        let others = [self.next_hold_due_ms(), self.lapses_from_ms()];
+        stops.chain(others.into_iter().flatten()).min()
+    }
+
+    /// Returns whether it wants something now.
+    pub(crate) fn wants_something(
+        &self,
+        now_ms: u64,
+        options: &Options,
+    ) -> bool {
+        let silent = self.silent_since_ms.is_some();
+        self.hold_due_ms(now_ms).is_some()
+            || self.wants_stops(now_ms, options)
+            || (silent && now_ms > self.lease_over_ms)
     }
 
     fn has_unstored_ends(&self) -> bool {
