Workers: found by number within the scheduler, and listed by pool

Cause: a worker was found by its identifier, a text, in an ordered map: some ten comparisons of texts each time, several times an event and once for each worker that a plan has to look at; and for each step that starts, all workers of the fleet were walked to find those of one pool.

Now workers lie in a list, by number; identifiers are looked up in a table of hashes, which is never gone through, so its order decides nothing. The agenda, the places for tasks and the members of each pool hold numbers, in the order of identifiers.

Tests: the agenda's check now wants exactly the workers that want something, so it finds entries that are looked at too often as well.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -74,18 +74,16 @@
         if self.ended_lives.contains(&listing.id) {
             return;
         }
-        match self.workers.get_mut(&listing.id) {
-            Some(worker) => {
-                worker.listed = true;
-                worker.listing = listing;
-                worker.told_ms = worker.told_ms.max(asked_ms);
-            }
-            None => {
-                let id = listing.id.clone();
-                let mut worker = self.new_worker(listing, now);
-                worker.told_ms = asked_ms;
-                self.workers.insert(id, worker);
-            }
+        if !self.workers.contains_key(&listing.id) {
+            let id = listing.id.clone();
+            let mut worker = self.new_worker(listing, now);
+            worker.told_ms = asked_ms;
+            self.workers.insert(id, worker);
+            return;
+        }
+        if let Some(worker) = self.workers.list(listing) {
+            worker.listed = true;
+            worker.told_ms = worker.told_ms.max(asked_ms);
         }
     }
 
@@ -98,7 +96,7 @@
         }
         let lives = self.vms.values().filter_map(|vm| vm.worker.as_ref());
         let unlisted = lives.filter(|id| {
-            let known = self.workers.get(*id).is_some_and(|w| w.listed);
+            let known = self.workers.get(id).is_some_and(|w| w.listed);
             !known && !self.ended_lives.contains(*id)
         });
         unlisted.cloned().collect()
@@ -226,8 +224,8 @@
     /// the directory with nothing on them.
     pub(super) fn drop_lapsed(&mut self, now: Now) {
         let mut gone = Vec::new();
-        for id in self.due_workers(now) {
-            let worker = &self.workers[&id];
+        for number in self.due_workers(now) {
+            let Some(worker) = self.workers.at(number) else { continue };
             let lapsed = worker
                 .lapses_from_ms()
                 .is_some_and(|from_ms| now.steady_ms >= from_ms);
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -18,6 +18,7 @@
             full_pools::{FullPools, UnaskedPools},
             suspects::Company,
             worker::{ORDER_BYTES, Run, Worker},
+            workers::WorkerNumber,
         },
     },
     std::{collections::BTreeSet, mem},
@@ -284,6 +285,18 @@
         task: &TaskId,
         now: Now,
     ) -> impl Iterator<Item = &Worker> {
+        let suitable = self.suitable_numbers(spec, task, now);
+        suitable.map(|(_, worker)| worker)
+    }
+
+    /// Returns the same with each one's number, in the order of their
+    /// identifiers.
+    fn suitable_numbers(
+        &self,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> impl DoubleEndedIterator<Item = (WorkerNumber, &Worker)> {
         let job = self.jobs.get(&task.job);
         let state = job.and_then(|job| job.task(task));
         let demand = demand(spec);
@@ -296,10 +309,11 @@
         });
         let may_go_back =
             spec.long_running || self.may_go_back(spec, task, now);
-        // Most workers of a large fleet are full or elsewhere, and this is
+        // Most workers of a large pool are full, and this is
         // asked for each task that starts: the cheapest questions come first.
-        self.workers.values().filter(move |worker| {
-            let (Some(job), Some(state)) = (job, state) else { return false };
+        let pool = job.map_or("", |job| job.terms.pool.as_str());
+        self.workers.in_pool(pool).filter(move |(_, worker)| {
+            let (Some(_), Some(state)) = (job, state) else { return false };
             let apart = || {
                 let most = spec.max_per_worker as usize;
                 most == 0 || worker.runs_of_step(task) < most
@@ -307,7 +321,6 @@
             worker.free().holds(&demand)
                 && worker.takes_orders(now.steady_ms)
                 && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
-                && worker.listing.pool == job.terms.pool
                 && !worker.runs.contains_key(task)
                 && company.is_none_or(|company| company.allows(worker))
                 && (tested || !self.is_reserved(worker))
@@ -333,9 +346,8 @@
             return false;
         }
         let demand = demand(spec);
-        !self.workers.values().any(|worker| {
-            worker.listing.pool == job.terms.pool
-                && worker.is_usable()
+        !self.workers.in_pool(&job.terms.pool).any(|(_, worker)| {
+            worker.is_usable()
                 && worker.listing.capacity.holds(&demand)
                 && has_label(worker, &spec.required_label)
                 && !state.avoid.contains(worker.id())
@@ -397,9 +409,8 @@
     /// holder started.
     fn may_run_unseen(&self, pool: &str, now: Now) -> bool {
         !self.lives_known
-            || self.workers.values().any(|worker| {
-                worker.listing.pool == pool
-                    && !worker.is_accounted_for()
+            || self.workers.in_pool(pool).any(|(_, worker)| {
+                !worker.is_accounted_for()
                     && now.steady_ms <= worker.lease_over_ms
             })
     }
--- a/crates/dewspar/src/schedule/place/alike.rs
+++ b/crates/dewspar/src/schedule/place/alike.rs
@@ -8,16 +8,20 @@
 1,100 workers that look takes most of the time of a plan.
 */
 
-use crate::{
-    job::{StepSpec, TaskId},
-    schedule::{
-        Now, Room, Scheduler, WorkerId, board::demand, worker::Worker,
+use {
+    crate::{
+        job::{StepSpec, TaskId},
+        schedule::{
+            Now, Room, Scheduler, WorkerId, board::demand, worker::Worker,
+            workers::WorkerNumber,
+        },
     },
+    std::cmp::Reverse,
 };
 
 /// The workers that suit a step, the best first.
 pub(super) struct PlacesForAlike {
-    workers: Vec<WorkerId>,
+    workers: Vec<WorkerNumber>,
     /// The first that may still have room.
     next: usize,
     demand: Room,
@@ -30,10 +34,10 @@
         scheduler: &Scheduler,
         task: &TaskId,
     ) -> Option<WorkerId> {
-        while let Some(id) = self.workers.get(self.next) {
-            let worker = scheduler.workers.get(id);
-            if worker.is_some_and(|worker| self.fits(worker, task)) {
-                return Some(id.clone());
+        while let Some(number) = self.workers.get(self.next) {
+            let worker = scheduler.workers.at(*number);
+            if let Some(worker) = worker.filter(|w| self.fits(w, task)) {
+                return Some(worker.id().clone());
             }
             self.next += 1;
         }
@@ -68,12 +72,16 @@
         if one_by_one {
             return None;
         }
-        let suitable = self.suitable_workers(spec, next, now);
-        let mut scored: Vec<(i64, &WorkerId)> = suitable
-            .map(|worker| (self.score_for(worker, spec), worker.id()))
+        let suitable = self.suitable_numbers(spec, next, now);
+        let mut scored: Vec<(Reverse<i64>, WorkerNumber)> = suitable
+            .rev()
+            .map(|(number, worker)| {
+                (Reverse(self.score_for(worker, spec)), number)
+            })
             .collect();
-        scored.sort_unstable_by(|a, b| b.cmp(a));
-        let workers = scored.into_iter().map(|(_, id)| id.clone()).collect();
+        // Stable: of those that suit alike, the last by identifier is first.
+        scored.sort_by_key(|(score, _)| *score);
+        let workers = scored.into_iter().map(|(_, number)| number).collect();
         Some(PlacesForAlike { workers, next: 0, demand: demand(spec) })
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -15,7 +15,7 @@
             steadiness::VmCrashes,
             wave_state::WaveState,
             worker::{ORDER_BYTES, OwedHold, Worker},
-            workers::Workers,
+            workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
     },
@@ -452,8 +452,8 @@
     /// Asks under a new token, as far as the window and the link have room;
     /// workers that are silent take no room in the window.
     fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        for id in self.due_workers(now) {
-            let Some(worker) = self.workers.get(&id) else { continue };
+        for number in self.due_workers(now) {
+            let Some(worker) = self.workers.at(number) else { continue };
             let due = worker.hold_due_ms(now.steady_ms).is_some();
             if !worker.is_fencing() || !due {
                 continue;
@@ -466,7 +466,7 @@
             if in_window && self.window.room() == 0 {
                 continue;
             }
-            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             let hold = hold(worker, in_window, now, &self.options);
             self.link.sent(class, worker.question_bytes());
             if in_window {
@@ -481,22 +481,23 @@
     /// they were due.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
         let patient = self.link.is_short(now.steady_ms);
-        let mut due: Vec<(Class, u64, WorkerId)> = Vec::new();
-        for id in self.due_workers(now) {
-            let worker = &self.workers[&id];
+        let mut due: Vec<(Class, u64, WorkerNumber)> = Vec::new();
+        for number in self.due_workers(now) {
+            let Some(worker) = self.workers.at(number) else { continue };
             let due_ms = worker.hold_due_ms(now.steady_ms);
             let Some(due_ms) = due_ms.filter(|_| !worker.is_fencing()) else {
                 continue;
             };
             let class = worker.question_class(now.steady_ms, &self.options);
-            due.push((class, due_ms, id));
+            due.push((class, due_ms, number));
         }
-        due.sort_unstable();
-        for (class, _, id) in due {
+        // Stable: those that are alike keep the order of their identifiers.
+        due.sort_by_key(|(class, due_ms, _)| (*class, *due_ms));
+        for (class, _, number) in due {
             if !self.link.allows(class) {
                 return;
             }
-            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.let_wait(patient);
             let hold = hold(worker, false, now, &self.options);
             if hold.is_some() {
@@ -506,13 +507,13 @@
         }
     }
 
-    /// Returns the workers that may want something now, in the order of their
+    /// Returns the workers that want something now, in the order of their
     /// identifiers.
-    pub(super) fn due_workers(&mut self, now: Now) -> Vec<WorkerId> {
+    pub(super) fn due_workers(&mut self, now: Now) -> Vec<WorkerNumber> {
         let due = self.workers.due(now.steady_ms, &self.options);
         debug_assert!(
             self.workers.are_due(&due, now.steady_ms, &self.options),
-            "a worker that wants something isn't due"
+            "other workers want something than are due"
         );
         due
     }
--- a/crates/dewspar/src/schedule/stopping.rs
+++ b/crates/dewspar/src/schedule/stopping.rs
@@ -83,14 +83,14 @@
     pub(super) fn order_stops(&mut self, now: Now, actions: &mut Vec<Action>) {
         let now_ms = now.steady_ms;
         let mut overdue = Vec::new();
-        for id in self.due_workers(now) {
-            let stops = self.workers.get(&id).is_some_and(|worker| {
+        for number in self.due_workers(now) {
+            let stops = self.workers.at(number).is_some_and(|worker| {
                 worker.wants_stops(now_ms, &self.options)
             });
             if !stops {
                 continue;
             }
-            let Some(worker) = self.workers.get_mut(&id) else { continue };
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             let fence = worker.fence();
             let address = &worker.listing.address;
             let id = &worker.listing.id;
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -71,8 +71,8 @@
             }
         }
         let jobs = &self.jobs;
-        for id in self.workers.with_unstored_ends(&self.options) {
-            let Some(worker) = self.workers.get_mut(&id) else { continue };
+        for number in self.workers.with_unstored_ends(&self.options) {
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.store_ends(now.steady_ms, |job, sequence| {
                 jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
             });
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -170,8 +170,6 @@
 /// One worker as the holder of the scheduler lease sees it.
 #[derive(Debug)]
 pub(crate) struct Worker {
-    /// Which of the workers it is; see [`workers`](crate::schedule).
-    number: usize,
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
@@ -247,7 +245,6 @@
     ) -> Worker {
         let listed_nowhere = listing.address.is_empty();
         Worker {
-            number: 0,
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
@@ -290,14 +287,6 @@
         }
     }
 
-    pub(crate) fn number(&self) -> usize {
-        self.number
-    }
-
-    pub(crate) fn set_number(&mut self, number: usize) {
-        self.number = number;
-    }
-
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -10,29 +10,41 @@
 That time is worked out again once the worker may have changed. Everything that
 changes a worker goes through [`Workers`], which notes it, so that no change
 can be missed.
+
+Within the scheduler a worker goes by its number, its place in a list. To find
+one by its identifier, a text, takes a look into a table of hashes; the lists
+that are gone through by the order of identifiers hold numbers.
 */
 
 use {
-    crate::schedule::{Options, WorkerId, worker::Worker},
-    std::{collections::BTreeMap, ops::Deref},
+    crate::schedule::{Options, WorkerId, WorkerListing, worker::Worker},
+    std::collections::{BTreeMap, HashMap},
 };
 
+/// A worker's number, as long as it is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct WorkerNumber(usize);
+
 /// The workers that are known.
 #[derive(Debug, Default)]
 pub(super) struct Workers {
-    workers: BTreeMap<WorkerId, Worker>,
-    /// What was worked out of each worker, by its number.
+    /// By number; `None` for a number that isn't in use.
+    workers: Vec<Option<Worker>>,
+    /// What was worked out of each, by number.
     agenda: Vec<Entry>,
-    /// The numbers of the workers that may have changed since.
-    changed: Vec<usize>,
-    /// Numbers that no worker has any more.
-    unused: Vec<usize>,
+    numbers: HashMap<WorkerId, WorkerNumber>,
+    /// All that are in use, in the order of the identifiers.
+    ordered: Vec<WorkerNumber>,
+    /// The same of each pool.
+    pools: BTreeMap<String, Vec<WorkerNumber>>,
+    /// Those that may have changed since the agenda was worked out.
+    changed: Vec<WorkerNumber>,
+    unused: Vec<WorkerNumber>,
 }
 
 /// What was worked out of a worker.
-#[derive(Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Entry {
-    id: WorkerId,
     /// From when it may want something; `u64::MAX` for never.
     wants_from_ms: u64,
     /// Whether some end that it listed isn't stored yet.
@@ -41,20 +53,39 @@
     changed: bool,
 }
 
-// There is no way to change a worker through this that isn't noted.
-impl Deref for Workers {
-    type Target = BTreeMap<WorkerId, Worker>;
-
-    fn deref(&self) -> &BTreeMap<WorkerId, Worker> {
-        &self.workers
-    }
+impl Entry {
+    const NONE: Entry = Entry {
+        wants_from_ms: u64::MAX,
+        has_unstored_ends: false,
+        changed: false,
+    };
 }
 
 impl Workers {
+    pub(super) fn get(&self, id: &WorkerId) -> Option<&Worker> {
+        self.at(*self.numbers.get(id)?)
+    }
+
     pub(super) fn get_mut(&mut self, id: &WorkerId) -> Option<&mut Worker> {
-        let worker = self.workers.get_mut(id)?;
-        let number = worker.number();
-        let entry = &mut self.agenda[number];
+        self.at_mut(*self.numbers.get(id)?)
+    }
+
+    pub(super) fn contains_key(&self, id: &WorkerId) -> bool {
+        self.numbers.contains_key(id)
+    }
+
+    /// Returns a worker by its number.
+    pub(super) fn at(&self, number: WorkerNumber) -> Option<&Worker> {
+        self.workers.get(number.0)?.as_ref()
+    }
+
+    /// Returns a worker by its number, to be changed.
+    pub(super) fn at_mut(
+        &mut self,
+        number: WorkerNumber,
+    ) -> Option<&mut Worker> {
+        let worker = self.workers.get_mut(number.0)?.as_mut()?;
+        let entry = &mut self.agenda[number.0];
         if !entry.changed {
             entry.changed = true;
             self.changed.push(number);
@@ -62,56 +93,101 @@
         Some(worker)
     }
 
-    pub(super) fn insert(&mut self, id: WorkerId, mut worker: Worker) {
-        let entry = Entry {
-            id: id.clone(),
-            wants_from_ms: u64::MAX,
-            has_unstored_ends: false,
-            changed: true,
-        };
-        let number = match self.unused.pop() {
-            Some(number) => {
-                self.agenda[number] = entry;
-                number
-            }
-            None => {
-                self.agenda.push(entry);
-                self.agenda.len() - 1
-            }
-        };
-        worker.set_number(number);
-        self.changed.push(number);
-        self.workers.insert(id, worker);
+    /// Returns all workers in the order of their identifiers.
+    pub(super) fn values(&self) -> impl Iterator<Item = &Worker> {
+        self.all_at(&self.ordered).map(|(_, worker)| worker)
     }
 
-    pub(super) fn remove(&mut self, id: &WorkerId) -> Option<Worker> {
-        let worker = self.workers.remove(id)?;
-        let entry = &mut self.agenda[worker.number()];
-        entry.wants_from_ms = u64::MAX;
-        entry.has_unstored_ends = false;
-        self.unused.push(worker.number());
-        Some(worker)
+    /// Returns the workers of a pool in the order of their identifiers.
+    pub(super) fn in_pool(
+        &self,
+        pool: &str,
+    ) -> impl DoubleEndedIterator<Item = (WorkerNumber, &Worker)> {
+        self.all_at(self.pools.get(pool).map_or(&[], Vec::as_slice))
+    }
+
+    fn all_at(
+        &self,
+        numbers: &[WorkerNumber],
+    ) -> impl DoubleEndedIterator<Item = (WorkerNumber, &Worker)> {
+        numbers.iter().filter_map(|number| Some((*number, self.at(*number)?)))
     }
 
     pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Worker> {
-        for worker in self.workers.values() {
-            let number = worker.number();
-            let entry = &mut self.agenda[number];
+        for number in &self.ordered {
+            let entry = &mut self.agenda[number.0];
             if !entry.changed {
                 entry.changed = true;
-                self.changed.push(number);
+                self.changed.push(*number);
             }
         }
-        self.workers.values_mut()
+        self.workers.iter_mut().flatten()
     }
 
-    /// Returns the workers that may want something by now, in the order of
-    /// their identifiers.
+    /// Adds a worker that isn't known yet.
+    pub(super) fn insert(&mut self, id: WorkerId, worker: Worker) {
+        debug_assert!(!self.contains_key(&id), "{id} is known");
+        let number = self.unused.pop().unwrap_or_else(|| {
+            self.workers.push(None);
+            self.agenda.push(Entry::NONE);
+            WorkerNumber(self.workers.len() - 1)
+        });
+        let pool = worker.listing.pool.clone();
+        self.workers[number.0] = Some(worker);
+        self.agenda[number.0] = Entry { changed: true, ..Entry::NONE };
+        self.changed.push(number);
+        self.numbers.insert(id, number);
+        self.list_in_pool(pool, number);
+        add_in_order(&mut self.ordered, number, &self.workers);
+    }
+
+    pub(super) fn remove(&mut self, id: &WorkerId) -> Option<Worker> {
+        let number = self.numbers.remove(id)?;
+        let worker = self.workers[number.0].take()?;
+        self.agenda[number.0] = Entry::NONE;
+        self.changed.retain(|other| *other != number);
+        self.ordered.retain(|other| *other != number);
+        self.unlist_in_pool(&worker.listing.pool, number);
+        self.unused.push(number);
+        Some(worker)
+    }
+
+    /// Notes what a worker says of itself; returns it, if it is known.
+    pub(super) fn list(
+        &mut self,
+        listing: WorkerListing,
+    ) -> Option<&mut Worker> {
+        let number = *self.numbers.get(&listing.id)?;
+        let worker = self.at_mut(number)?;
+        let before = std::mem::replace(&mut worker.listing, listing);
+        if before.pool != worker.listing.pool {
+            let pool = worker.listing.pool.clone();
+            self.unlist_in_pool(&before.pool, number);
+            self.list_in_pool(pool, number);
+        }
+        self.at_mut(number)
+    }
+
+    fn list_in_pool(&mut self, pool: String, number: WorkerNumber) {
+        let members = self.pools.entry(pool).or_default();
+        add_in_order(members, number, &self.workers);
+    }
+
+    fn unlist_in_pool(&mut self, pool: &str, number: WorkerNumber) {
+        let Some(members) = self.pools.get_mut(pool) else { return };
+        members.retain(|other| *other != number);
+        if members.is_empty() {
+            self.pools.remove(pool);
+        }
+    }
+
+    /// Returns the workers that want something now, in the order of their
+    /// identifiers.
     pub(super) fn due(
         &mut self,
         now_ms: u64,
         options: &Options,
-    ) -> Vec<WorkerId> {
+    ) -> Vec<WorkerNumber> {
         self.update(options);
         self.choose(|entry| entry.wants_from_ms <= now_ms)
     }
@@ -121,44 +197,54 @@
     pub(super) fn with_unstored_ends(
         &mut self,
         options: &Options,
-    ) -> Vec<WorkerId> {
+    ) -> Vec<WorkerNumber> {
         self.update(options);
         self.choose(|entry| entry.has_unstored_ends)
     }
 
-    fn choose(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<WorkerId> {
-        let chosen = self.agenda.iter().filter(|entry| wanted(entry));
-        let mut ids: Vec<WorkerId> =
-            chosen.map(|entry| entry.id.clone()).collect();
-        ids.sort_unstable();
-        ids
+    fn choose(&self, wanted: impl Fn(&Entry) -> bool) -> Vec<WorkerNumber> {
+        let chosen = self.ordered.iter().copied();
+        chosen.filter(|number| wanted(&self.agenda[number.0])).collect()
     }
 
     /// Works out again what may have changed.
     fn update(&mut self, options: &Options) {
         while let Some(number) = self.changed.pop() {
-            let entry = &mut self.agenda[number];
-            entry.changed = false;
-            // It may be gone; what was kept of it was dropped then.
-            let Some(worker) = self.workers.get(&entry.id) else { continue };
-            entry.wants_from_ms =
-                worker.wants_from_ms(options).unwrap_or(u64::MAX);
-            entry.has_unstored_ends = worker.has_ends_to_store();
+            let Some(worker) = self.at(number) else { continue };
+            self.agenda[number.0] = Entry {
+                wants_from_ms: worker
+                    .wants_from_ms(options)
+                    .unwrap_or(u64::MAX),
+                has_unstored_ends: worker.has_ends_to_store(),
+                changed: false,
+            };
         }
     }
 
-    /// Returns whether every worker that wants something is among those that
-    /// are due; for builds with assertions, since it takes as long as the
-    /// agenda saves.
+    /// Returns whether exactly those workers want something now; for builds
+    /// with assertions, since it takes as long as the agenda saves.
     pub(super) fn are_due(
         &self,
-        due: &[WorkerId],
+        due: &[WorkerNumber],
         now_ms: u64,
         options: &Options,
     ) -> bool {
-        self.workers.values().all(|worker| {
-            let wants = worker.wants_something(now_ms, options);
-            !wants || due.binary_search(worker.id()).is_ok()
-        })
+        let wanting = self
+            .all_at(&self.ordered)
+            .filter(|(_, worker)| worker.wants_something(now_ms, options));
+        wanting.map(|(number, _)| number).eq(due.iter().copied())
     }
 }
+
+/// Puts a number where it belongs by its worker's identifier.
+fn add_in_order(
+    numbers: &mut Vec<WorkerNumber>,
+    number: WorkerNumber,
+    workers: &[Option<Worker>],
+) {
+    let id = |number: &WorkerNumber| {
+        workers.get(number.0)?.as_ref().map(Worker::id)
+    };
+    let place = numbers.partition_point(|other| id(other) < id(&number));
+    numbers.insert(place, number);
+}
