--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -78,20 +78,20 @@
         if self.ended_lives.contains(&listing.id) {
             return;
         }
-        match self.workers.get_mut(&listing.id) {
-            // A worker that drains since would be given work again.
-            Some(worker) if worker.is_told_since(asked_ms) => {}
-            Some(worker) => {
-                worker.listed = true;
-                worker.listing = listing;
-                worker.told_ms = asked_ms;
-            }
-            None => {
-                let id = listing.id.clone();
-                let mut worker = self.new_worker(listing, now);
-                worker.told_ms = asked_ms;
-                self.workers.insert(id, worker);
-            }
+        let Some(worker) = self.workers.get(&listing.id) else {
+            let id = listing.id.clone();
+            let mut worker = self.new_worker(listing, now);
+            worker.told_ms = asked_ms;
+            self.workers.insert(id, worker);
+            return;
+        };
+        // A worker that drains since would be given work again.
+        if worker.is_told_since(asked_ms) {
+            return;
+        }
+        if let Some(worker) = self.workers.list(listing) {
+            worker.listed = true;
+            worker.told_ms = asked_ms;
         }
     }
 
@@ -104,7 +104,7 @@
         }
         let lives = self.vms.values().filter_map(|vm| vm.worker.as_ref());
         let unlisted = lives.filter(|id| {
-            let known = self.workers.get(*id).is_some_and(|w| w.listed);
+            let known = self.workers.get(id).is_some_and(|w| w.listed);
             !known && !self.ended_lives.contains(*id)
         });
         unlisted.cloned().collect()
@@ -123,9 +123,18 @@
         }
         let listed: BTreeSet<&WorkerId> =
             listings.iter().map(|listing| &listing.id).collect();
-        for worker in self.workers.values_mut() {
-            worker.listed &=
-                listed.contains(worker.id()) || worker.is_told_since(asked_ms);
+        let missing = |worker: &&Worker| {
+            worker.listed
+                && !listed.contains(worker.id())
+                && !worker.is_told_since(asked_ms)
+        };
+        let missing = self.workers.values().filter(missing);
+        let missing: Vec<WorkerId> =
+            missing.map(|worker| worker.id().clone()).collect();
+        for id in missing {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.listed = false;
+            }
         }
     }
 
@@ -239,9 +248,11 @@
     /// the directory with nothing on them.
     pub(super) fn drop_lapsed(&mut self, now: Now) {
         let mut gone = Vec::new();
-        for worker in self.workers.values() {
-            let silent = worker.silent_since_ms.is_some();
-            let lapsed = silent && now.steady_ms > worker.lease_over_ms;
+        for number in self.due_workers(now) {
+            let Some(worker) = self.workers.at(number) else { continue };
+            let lapsed = worker
+                .lapses_from_ms()
+                .is_some_and(|from_ms| now.steady_ms >= from_ms);
             let idle = worker.runs.is_empty();
             if lapsed && !idle {
                 gone.push((worker.id().clone(), "its lease is over"));
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -16,13 +16,11 @@
             steadiness::VmCrashes,
             wave_state::WaveState,
             worker::{OwedHold, Worker},
+            workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
     },
-    std::{
-        collections::{BTreeMap, BTreeSet},
-        ops::Bound,
-    },
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Spreads the revisions of leases that follow each other closely over all
@@ -40,7 +38,7 @@
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
-    pub(super) workers: BTreeMap<WorkerId, Worker>,
+    pub(super) workers: Workers,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
     pub(super) storing: BTreeSet<JobId>,
@@ -136,7 +134,7 @@
             candidates: Candidates::default(),
             loading: Loading::Done,
             cancelled: Cancelled::default(),
-            workers: BTreeMap::new(),
+            workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
             sequence: 0,
@@ -472,42 +470,43 @@
         self.sequence
     }
 
-    /// Asks under a new token, as far as the window and the link have room;
-    /// workers that are silent take no room in the window.
-    fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let Some(first) = self.asked_first() else { return };
-        let rest = (Bound::Unbounded, Bound::Excluded(&first));
-        self.fence_among(
-            (Bound::Included(&first), Bound::Unbounded),
-            now,
-            actions,
-        );
-        self.fence_among(rest, now, actions);
+    /// Puts workers in an order that begins elsewhere for each holder: where
+    /// none lasts until all are asked, the same ones would otherwise never be,
+    /// and keep what nobody wants.
+    fn begin_elsewhere(
+        &mut self,
+        mut numbers: Vec<WorkerNumber>,
+    ) -> Vec<WorkerNumber> {
+        let Some(first) = self.asked_first() else { return numbers };
+        let is_before = |number: &WorkerNumber| {
+            self.workers.at(*number).is_some_and(|worker| *worker.id() < first)
+        };
+        let before = numbers.partition_point(is_before);
+        numbers.rotate_left(before);
+        numbers
     }
 
     /// Returns the worker that this holder asks first.
-    ///
-    /// Each holder begins elsewhere: where none lasts until all are asked, the
-    /// same ones would otherwise never be, and keep what nobody wants.
     fn asked_first(&mut self) -> Option<WorkerId> {
         if self.asked_first.is_none() && !self.workers.is_empty() {
             let spread = self.lease_revision.wrapping_mul(SPREAD) >> 32;
             let skipped = spread % self.workers.len() as u64;
             // OK to convert: it is below the number of workers.
-            let mut ids = self.workers.keys().skip(skipped as usize);
-            self.asked_first = ids.next().cloned();
+            let mut workers = self.workers.values().skip(skipped as usize);
+            self.asked_first =
+                workers.next().map(|worker| worker.id().clone());
         }
         self.asked_first.clone()
     }
 
-    fn fence_among(
-        &mut self,
-        ids: (Bound<&WorkerId>, Bound<&WorkerId>),
-        now: Now,
-        actions: &mut Vec<Action>,
-    ) {
-        for (_, worker) in self.workers.range_mut::<WorkerId, _>(ids) {
-            if !worker.is_fencing() {
+    /// Asks under a new token, as far as the window and the link have room;
+    /// workers that are silent take no room in the window.
+    fn fence_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
+        let due = self.due_workers(now);
+        for number in self.begin_elsewhere(due) {
+            let Some(worker) = self.workers.at(number) else { continue };
+            let due = worker.hold_due_ms(now.steady_ms).is_some();
+            if !worker.is_fencing() || !due {
                 continue;
             }
             let in_window = worker.silent_since_ms.is_none();
@@ -518,6 +517,7 @@
             if in_window && self.window.room() == 0 {
                 continue;
             }
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             let hold = hold(worker, in_window, now, &self.options);
             if hold.is_none() {
                 continue;
@@ -535,25 +535,26 @@
     /// renewed, the others as far as the link has room, in the order in which
     /// they were due.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let options = &self.options;
         let patient = self.link.is_short(now.steady_ms);
-        let mut due: Vec<(Class, u64, &mut Worker)> = self
-            .workers
-            .values_mut()
-            .filter(|worker| !worker.is_fencing())
-            .filter_map(|worker| {
-                let due_ms = worker.hold_due_ms(now.steady_ms)?;
-                let class = worker.question_class(now.steady_ms, options);
-                Some((class, due_ms, worker))
-            })
-            .collect();
-        due.sort_unstable_by_key(|(class, due_ms, _)| (*class, *due_ms));
-        for (class, _, worker) in due {
+        let mut due: Vec<(Class, u64, WorkerNumber)> = Vec::new();
+        for number in self.due_workers(now) {
+            let Some(worker) = self.workers.at(number) else { continue };
+            let due_ms = worker.hold_due_ms(now.steady_ms);
+            let Some(due_ms) = due_ms.filter(|_| !worker.is_fencing()) else {
+                continue;
+            };
+            let class = worker.question_class(now.steady_ms, &self.options);
+            due.push((class, due_ms, number));
+        }
+        // Stable: those that are alike keep the order of their identifiers.
+        due.sort_by_key(|(class, due_ms, _)| (*class, *due_ms));
+        for (class, _, number) in due {
             if !self.link.allows(class) {
                 return;
             }
+            let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.let_wait(patient);
-            let hold = hold(worker, false, now, options);
+            let hold = hold(worker, false, now, &self.options);
             if hold.is_some() {
                 let bytes = worker.question_bytes(self.link.order_bytes());
                 self.link.sent(class, bytes);
@@ -562,6 +563,17 @@
         }
     }
 
+    /// Returns the workers that want something now, in the order of their
+    /// identifiers.
+    pub(super) fn due_workers(&mut self, now: Now) -> Vec<WorkerNumber> {
+        let due = self.workers.due(now.steady_ms, &self.options);
+        debug_assert!(
+            self.workers.are_due(&due, now.steady_ms, &self.options),
+            "other workers want something than are due"
+        );
+        due
+    }
+
     /// Makes an order that limits the share at which a run works.
     pub(super) fn pace(
         &mut self,
