Logs: lines are written in batches

Cause: each line was a system call of its own; on the scheduling node, with two lines a task, writing lines took 4.7 % of its samples (a profile at 2,000 starts a second), beside the charge for each call. Now a thread hands on what came in 20 ms in one piece. Bounded at 2 MB; beyond that lines are dropped and counted where they queue, as before. Test: lines come whole, in order and in fewer pieces; nobody waits for a reader that is gone.

--- a/crates/dewspard/src/logs.rs
+++ b/crates/dewspard/src/logs/mod.rs
@@ -13,6 +13,8 @@
 ```
 */
 
+pub use self::batched::BatchedWriter;
+
 use {
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
@@ -20,6 +22,8 @@
     std::{io, str::FromStr, sync::Mutex},
 };
 
+mod batched;
+
 /// How log lines look.
 #[derive(
     Clone,
@@ -59,7 +63,7 @@
 
 /// Makes a root logger that writes JSON lines to standard output.
 pub fn to_stdout(level: Level) -> Logger {
-    let drain = slog_json::Json::new(io::stdout())
+    let drain = slog_json::Json::new(BatchedWriter::new(io::stdout()))
         .add_default_keys()
         .set_flush(false)
         .build();
