--- a/crates/dewspard/src/logs/batched.rs
+++ b/crates/dewspard/src/logs/batched.rs
@@ -39,6 +39,10 @@
 /// and counted where they queue for it.
 const MOST_WAITING: usize = 2 * 1024 * 1024;
 
+/// How much is written at once, in bytes: what a pipe takes whole, so that a
+/// reader never gets the lines of two writers mixed, nor a part of one.
+const PIECE: usize = 4_096;
+
 #[derive(Debug, Default)]
 struct Waiting {
     bytes: Vec<u8>,
@@ -132,8 +136,7 @@
         let closed = waiting.closed;
         drop(waiting);
         shared.changed.notify_all();
-        let written = inner.write_all(&bytes).and_then(|()| inner.flush());
-        if written.is_err() {
+        if write_pieces(&mut inner, &bytes).is_err() {
             // Nobody reads any more; what is written from now on is refused.
             shared.lock().closed = true;
             shared.changed.notify_all();
@@ -144,3 +147,25 @@
         }
     }
 }
+
+/// Writes bytes in pieces that end with a line.
+fn write_pieces(inner: &mut impl Write, mut bytes: &[u8]) -> io::Result<()> {
+    while !bytes.is_empty() {
+        let (piece, rest) = bytes.split_at(piece_len(bytes));
+        inner.write_all(piece)?;
+        bytes = rest;
+    }
+    inner.flush()
+}
+
+/// Returns how long the first piece is: as many whole lines as fit, or the one
+/// line that is longer.
+fn piece_len(bytes: &[u8]) -> usize {
+    if bytes.len() <= PIECE {
+        return bytes.len();
+    }
+    let is_end = |byte: &u8| *byte == b'\n';
+    let last = bytes[..PIECE].iter().rposition(is_end);
+    let end = last.or_else(|| bytes.iter().position(is_end));
+    end.map_or(bytes.len(), |end| end + 1)
+}
--- a/crates/dewspard/tests/batched_lines.rs
+++ b/crates/dewspard/tests/batched_lines.rs
@@ -38,6 +38,7 @@
     let pieces = pieces.0.lock().unwrap();
     assert_eq!(pieces.concat(), expected);
     assert!(pieces.len() < 1_000, "{}", pieces.len());
+    assert!(pieces.iter().all(|piece| piece.ends_with(b"\n")));
 }
 
 #[test]
