Runs: look up a step only for runs that may be stalled or paced

Cause: ten times a second each of some 8,000 runs had its job and step looked up, twice, to find those that stand still and those that may be slowed down; and each run that an answer names marked its job as changed, though nearly all answers say what is known, so its place in the order was worked out again.

The cheap questions come first now: a run that doesn't stand still isn't stalled, and one that asks for a share of the processor isn't best-effort. What an answer says of a run is entered only where it is new.

No test is new: the digests and the tests of pacing and stalled runs stand.

--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -12,7 +12,7 @@
     job::{StepSpec, TaskId},
     schedule::{
         Action, Now, OrderError, PaceOrder, Scheduler, WorkerId,
-        worker::{RunState, Worker},
+        worker::{Run, RunState, Worker},
     },
 };
 
@@ -78,17 +78,21 @@
                 continue;
             }
             for (task, run) in &worker.runs {
+                let still = worker.reported_ms().saturating_sub(run.moved_ms);
+                // Nearly none is: the step is looked up for these alone.
+                let suspicious = still > STALLED_MS
+                    && run.state == RunState::Running
+                    && run.percent < 100
+                    && run.pace == 100
+                    && !worker.unset_paces.contains(task);
+                if !suspicious {
+                    continue;
+                }
                 let Some(spec) = self.step_spec(task) else { continue };
                 let patience_ms =
                     if spec.long_running { SLOW_START_MS } else { STALLED_MS };
                 // A gang's members wait for one another.
-                let judged = run.state == RunState::Running
-                    && run.percent < 100
-                    && !spec.gang
-                    && run.pace == 100
-                    && !worker.unset_paces.contains(task);
-                let still = worker.reported_ms().saturating_sub(run.moved_ms);
-                if judged && still > patience_ms {
+                if !spec.gang && still > patience_ms {
                     stalled.push((worker.id().clone(), *task));
                 }
             }
@@ -124,13 +128,12 @@
             if !worker.is_pace_due(now.steady_ms, PACE_INTERVAL_MS) {
                 continue;
             }
+            let mut best_effort = self.best_effort_runs(worker).peekable();
+            if best_effort.peek().is_none() {
+                continue;
+            }
             let fare = self.fare(worker);
-            for (task, run) in &worker.runs {
-                let best_effort =
-                    self.step_spec(task).is_some_and(|s| s.best_effort);
-                if !best_effort || run.state != RunState::Running {
-                    continue;
-                }
+            for (task, run) in best_effort {
                 let pace = next_pace(fare, run.pace);
                 if pace != run.pace || worker.unset_paces.contains(task) {
                     changes.push((worker.id().clone(), *task, pace));
@@ -145,6 +148,20 @@
         }
     }
 
+    /// Returns the runs of a worker that may be slowed down and have begun.
+    fn best_effort_runs<'a>(
+        &'a self,
+        worker: &'a Worker,
+    ) -> impl Iterator<Item = (&'a TaskId, &'a Run)> {
+        worker.runs.iter().filter(|(task, run)| {
+            // They ask for no share of the processor, which is known without
+            // a look at their step.
+            run.demand.cpu_millis == 0
+                && run.state == RunState::Running
+                && self.step_spec(task).is_some_and(|s| s.best_effort)
+        })
+    }
+
     /// Takes note that an order to pace a run has no result.
     ///
     /// The share at which the run works isn't known then: it is set again
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -289,14 +289,7 @@
         active: &ActiveRun,
         now: Now,
     ) {
-        if let Some(job) = self.jobs.get_mut(&active.task.job)
-            && let Some(task) = job.task_mut(&active.task)
-        {
-            task.run = task.run.max(active.run);
-            if !active.checkpoint.is_empty() {
-                task.checkpoint.clone_from(&active.checkpoint);
-            }
-        }
+        self.note_progress(active);
         self.note_begun(active.task.job, now);
         let found = self.judge(worker_id, active);
         // A former holder may have slowed it down: it is let go step by step.
@@ -344,6 +337,30 @@
         }
     }
 
+    /// Enters the number and the checkpoint of a run with its task.
+    ///
+    /// Most answers say of most runs what is known, and a job that isn't
+    /// changed needn't be looked at again.
+    fn note_progress(&mut self, active: &ActiveRun) {
+        let job = self.jobs.get(&active.task.job);
+        let Some(known) = job.and_then(|job| job.task(&active.task)) else {
+            return;
+        };
+        let saved = !active.checkpoint.is_empty()
+            && active.checkpoint != known.checkpoint;
+        if !saved && active.run <= known.run {
+            return;
+        }
+        let job = self.jobs.get_mut(&active.task.job);
+        let Some(task) = job.and_then(|job| job.task_mut(&active.task)) else {
+            return;
+        };
+        task.run = task.run.max(active.run);
+        if saved {
+            task.checkpoint.clone_from(&active.checkpoint);
+        }
+    }
+
     fn judge(&self, worker_id: &WorkerId, active: &ActiveRun) -> Found {
         let worker = self.workers.get(worker_id);
         let here = worker.and_then(|w| w.runs.get(&active.task));
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -359,10 +359,11 @@
     /// Nothing else makes a job run: an order to start may be refused, may
     /// never arrive, and its sender may be gone before it knows.
     pub(super) fn note_begun(&mut self, id: JobId, now: Now) {
-        let Some(job) = self.jobs.get_mut(&id) else { return };
-        if job.phase != Phase::Queued {
+        // Said again with each answer: most know it already.
+        if self.phase(id) != Some(Phase::Queued) {
             return;
         }
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         job.phase = Phase::Running;
         let after_ms = now.unix_ms.saturating_sub(job.accepted_at_ms);
         self.mark_changed(id);
