The etcd adapter, the VM list and workers' reports pass over odd rows alone

Cause: the adapter for etcd decoded each page, batch of a watch and conflict as one document, the VM list and a worker's report likewise. One entry of another writer failed the whole; a report that failed so counted as silence, and its VM as lost 1.5 s later. Where rows were read one by one already (the shared platform), they were taken apart only after the document had been decoded: a number that no type holds or text that isn't Unicode in one row still failed all others.

The reader of lists moves to dewspar-platform, one for both platforms. It tells rows apart in the text (RawValue) before anything in them is understood, at any depth. A value of etcd that isn't encoded is handed on as no document, with its key and version. A list or report from which a row is missing says so.

--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -10,7 +10,9 @@
 use {
     crate::{
         Batch, Client, Commit, Error, Event, Expected, KeyValue, Lease,
-        Versioned, Watch, WatchBatch, client::json_request,
+        UnreadableNotes, Versioned, Watch, WatchBatch,
+        client::json_request,
+        lenient::{Listing, NO_DOCUMENT, check_row, parse_rows, read_listing},
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::{Bytes, BytesMut},
@@ -18,6 +20,7 @@
     hyper::{Method, body::Incoming},
     serde::{Deserialize, Deserializer, de::Error as _},
     serde_json::{Value, json},
+    std::borrow::Cow,
 };
 
 /// The longest line that a watch may send, in bytes.
@@ -29,6 +32,7 @@
     client: Client,
     base: String,
     root: String,
+    unreadable: UnreadableNotes,
 }
 
 impl Etcd {
@@ -36,7 +40,13 @@
     /// `http://127.0.0.1:2379`, that puts `root` before every key.
     pub fn new(client: Client, base: &str, root: &str) -> Etcd {
         let base = base.trim_end_matches('/').to_owned();
-        Etcd { client, base, root: root.to_owned() }
+        let unreadable = UnreadableNotes::default();
+        Etcd { client, base, root: root.to_owned(), unreadable }
+    }
+
+    /// Returns the notes of what couldn't be read.
+    pub fn unreadable(&self) -> &UnreadableNotes {
+        &self.unreadable
     }
 
     /// Returns the client, whose counters say what was called.
@@ -53,24 +63,28 @@
     }
 
     async fn range(&self, question: Value) -> Result<RangeAnswer, Error> {
-        self.client.post("read", &self.url("kv/range"), &question).await
+        self.post("read", "kv/range", &question).await
     }
 
-    fn read_entry(
+    async fn post<T: Listing>(
         &self,
         call: &'static str,
-        entry: Entry,
-    ) -> Result<Versioned, Error> {
-        let key = String::from_utf8(entry.key).map_err(|e| {
-            let reason = e.to_string();
-            Error::Malformed { call, reason }
-        })?;
-        let key = match key.strip_prefix(&self.root) {
+        path: &str,
+        question: &Value,
+    ) -> Result<T, Error> {
+        let url = self.url(path);
+        let request = json_request(call, Method::POST, &url, question)?;
+        let answer = self.client.send(call, request).await?;
+        Ok(read_listing(call, &answer, &self.unreadable)?.listing)
+    }
+
+    fn read_entry(&self, entry: Entry) -> Versioned {
+        let key = match entry.key.strip_prefix(&self.root) {
             Some(key) => key.to_owned(),
-            None => key,
+            None => entry.key,
         };
         let (version, value) = (entry.mod_revision, entry.value);
-        Ok(Versioned { key, version, value })
+        Versioned { key, version, value }
     }
 }
 
@@ -80,10 +94,56 @@
     revision: u64,
 }
 
+/// Lets a list of rows of one kind be read row by row.
+macro_rules! listing {
+    ($page:ty, $list:literal of $row:ty, $what:literal, $entry:expr) => {
+        impl Listing for $page {
+            const LISTS: &'static [&'static str] = &[$list];
+            const ROW: &'static str = $what;
+
+            fn check(_: &str, row: &str) -> Result<(), serde_json::Error> {
+                check_row::<$row>(row)
+            }
+
+            fn name(row: &Value) -> Option<String> {
+                let key = $entry(row)?.get("key")?.as_str()?;
+                // One that isn't encoded names itself as it is.
+                let decoded = STANDARD.decode(key).ok();
+                let text = decoded.and_then(|key| String::from_utf8(key).ok());
+                Some(text.unwrap_or_else(|| key.to_owned()))
+            }
+
+            fn version(row: &Value) -> u64 {
+                let number = $entry(row).and_then(|e| e.get("mod_revision"));
+                let text = number.and_then(Value::as_str);
+                text.and_then(|text| text.parse().ok()).unwrap_or(0)
+            }
+        }
+    };
+}
+
+fn kv_of(event: &Value) -> Option<&Value> {
+    event.get("kv")
+}
+
+listing!(RangeAnswer, "kvs" of Entry, "entry of the store", Some);
+listing!(
+    TxnAnswer,
+    "responses.response_range.kvs" of Entry,
+    "entry of the store",
+    Some
+);
+listing!(
+    WatchLine,
+    "result.events" of WatchEvent,
+    "change in the store",
+    kv_of
+);
+
 #[derive(Debug, Deserialize)]
 struct Entry {
-    #[serde(deserialize_with = "bytes_of_base64")]
-    key: Vec<u8>,
+    #[serde(deserialize_with = "text_of_base64")]
+    key: String,
     #[serde(default, deserialize_with = "bytes_of_base64")]
     value: Vec<u8>,
     #[serde(default, deserialize_with = "number")]
@@ -160,7 +220,7 @@
         let key = encode(self.full(key));
         let answer = self.range(json!({ "key": key })).await?;
         let entry = answer.kvs.into_iter().next();
-        entry.map(|entry| self.read_entry("read", entry)).transpose()
+        Ok(entry.map(|entry| self.read_entry(entry)))
     }
 
     async fn version(&self, key: &str) -> Result<u64, Error> {
@@ -179,16 +239,12 @@
         let question =
             json!({ "key": encode(prefix), "range_end": encode(end) });
         let answer = self.range(question).await?;
-        let entries: Result<Vec<Versioned>, Error> = answer
-            .kvs
-            .into_iter()
-            .map(|entry| self.read_entry("read", entry))
-            .collect();
-        Ok((answer.header.revision, entries?))
+        let entries = answer.kvs.into_iter();
+        let entries = entries.map(|entry| self.read_entry(entry)).collect();
+        Ok((answer.header.revision, entries))
     }
 
     async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
-        let call = "commit";
         let compare: Vec<Value> = batch
             .conditions
             .iter()
@@ -222,9 +278,8 @@
             "success": puts.chain(deletes).collect::<Vec<Value>>(),
             "failure": reads.collect::<Vec<Value>>(),
         });
-        let url = self.url("kv/txn");
         let answer: TxnAnswer =
-            self.client.post(call, &url, &question).await?;
+            self.post("commit", "kv/txn", &question).await?;
         if answer.succeeded {
             return Ok(Commit::Done(answer.header.revision));
         }
@@ -233,9 +288,8 @@
             .into_iter()
             .filter_map(|response| response.response_range)
             .flat_map(|range| range.kvs);
-        let current: Result<Vec<Versioned>, Error> =
-            entries.map(|entry| self.read_entry(call, entry)).collect();
-        Ok(Commit::Conflict(current?))
+        let current = entries.map(|entry| self.read_entry(entry)).collect();
+        Ok(Commit::Conflict(current))
     }
 
     async fn delete(&self, key: &str) -> Result<(), Error> {
@@ -329,24 +383,22 @@
         }
     }
 
-    fn read_event(&self, event: WatchEvent) -> Result<Event, Error> {
-        let entry = self.etcd.read_entry("watch", event.kv)?;
-        Ok(match event.kind.as_str() {
+    fn read_event(&self, event: WatchEvent) -> Event {
+        let entry = self.etcd.read_entry(event.kv);
+        match event.kind.as_str() {
             "DELETE" => {
                 Event::Deleted { key: entry.key, version: entry.version }
             }
             _ => Event::Put(entry),
-        })
+        }
     }
 }
 
 impl Watch for EtcdWatch {
     async fn next(&mut self) -> Result<WatchBatch, Error> {
         let line = self.line().await?;
-        let line: WatchLine = serde_json::from_slice(&line).map_err(|e| {
-            let reason = e.to_string();
-            Error::Malformed { call: "watch", reason }
-        })?;
+        let line: WatchLine =
+            parse_rows("watch", &line, &self.etcd.unreadable)?.listing;
         let Some(result) = line.result else {
             let reason = format!("refused: {:?}", line.error);
             return Err(Error::Unavailable { call: "watch", reason });
@@ -355,12 +407,9 @@
             // The reason that matters is a compacted history.
             return Err(Error::HistoryGone { call: "watch" });
         }
-        let events: Result<Vec<Event>, Error> = result
-            .events
-            .into_iter()
-            .map(|event| self.read_event(event))
-            .collect();
-        Ok(WatchBatch { version: result.header.revision, events: events? })
+        let events = result.events.into_iter();
+        let events = events.map(|event| self.read_event(event)).collect();
+        Ok(WatchBatch { version: result.header.revision, events })
     }
 }
 
@@ -409,9 +458,20 @@
     }
 }
 
+/// Reads a value; one that isn't encoded as it should be is handed on as
+/// [`NO_DOCUMENT`], so that whoever reads it finds out about this entry alone.
 fn bytes_of_base64<'de, D: Deserializer<'de>>(
     source: D,
 ) -> Result<Vec<u8>, D::Error> {
-    let text = std::borrow::Cow::<'de, str>::deserialize(source)?;
-    STANDARD.decode(text.as_bytes()).map_err(D::Error::custom)
+    let text = Cow::<'de, str>::deserialize(source)?;
+    let bytes = STANDARD.decode(text.as_bytes());
+    Ok(bytes.unwrap_or_else(|_| NO_DOCUMENT.to_vec()))
+}
+
+fn text_of_base64<'de, D: Deserializer<'de>>(
+    source: D,
+) -> Result<String, D::Error> {
+    let text = Cow::<'de, str>::deserialize(source)?;
+    let bytes = STANDARD.decode(text.as_bytes()).map_err(D::Error::custom)?;
+    String::from_utf8(bytes).map_err(D::Error::custom)
 }
--- a/crates/dewspar-platform/src/http.rs
+++ b/crates/dewspar-platform/src/http.rs
@@ -8,15 +8,18 @@
 
 use {
     crate::{
-        Client, Error, TaskReport, TaskStart, VmList, VmListing, WorkerReport,
-        Workers,
-        client::{empty_request, read_json, refusal},
+        Client, Error, TaskReport, TaskStart, UnreadableNotes, VmList,
+        VmListing, WorkerReport, Workers,
+        client::{empty_request, refusal},
+        lenient::{Listing, Read, check_row, read_listing},
     },
+    dewspar::fleet,
     hyper::{
         Method, StatusCode,
         header::{self, HeaderValue},
     },
-    serde::Serialize,
+    serde::{Deserialize, Serialize},
+    serde_json::Value,
 };
 
 /// The VM list at a URL.
@@ -24,12 +27,37 @@
 pub struct HttpVmList {
     client: Client,
     url: String,
+    unreadable: UnreadableNotes,
+}
+
+/// The list as it is on the wire.
+#[derive(Deserialize)]
+struct ListedVms(Vec<fleet::Listing>);
+
+impl Listing for ListedVms {
+    const LISTS: &'static [&'static str] = &[""];
+    const ROW: &'static str = "VM";
+
+    fn check(_: &str, row: &str) -> Result<(), serde_json::Error> {
+        check_row::<fleet::Listing>(row)
+    }
+
+    fn name(row: &Value) -> Option<String> {
+        row.get("name")?.as_str().map(str::to_owned)
+    }
 }
 
 impl HttpVmList {
     /// Makes an adapter for the list at `url`.
     pub fn new(client: Client, url: &str) -> HttpVmList {
-        HttpVmList { client, url: url.to_owned() }
+        let unreadable = UnreadableNotes::default();
+        HttpVmList { client, url: url.to_owned(), unreadable }
+    }
+
+    /// Notes what can't be read here.
+    pub fn with_unreadable(mut self, notes: &UnreadableNotes) -> HttpVmList {
+        self.unreadable = notes.clone();
+        self
     }
 
     /// Returns the client, whose counters say what was called.
@@ -49,9 +77,10 @@
         if answer.status == StatusCode::NOT_MODIFIED {
             return Ok(None);
         }
-        let vms = read_json(call, &answer)?;
+        let Read { listing: ListedVms(vms), is_partial } =
+            read_listing(call, &answer, &self.unreadable)?;
         let tag = answer.tag.unwrap_or_default();
-        Ok(Some(VmListing { tag, vms }))
+        Ok(Some(VmListing { tag, vms, is_partial }))
     }
 }
 
@@ -59,12 +88,32 @@
 #[derive(Clone, Debug)]
 pub struct HttpWorkers {
     client: Client,
+    unreadable: UnreadableNotes,
+}
+
+impl Listing for WorkerReport {
+    const LISTS: &'static [&'static str] = &["tasks"];
+    const ROW: &'static str = "task of a worker's report";
+
+    fn check(_: &str, row: &str) -> Result<(), serde_json::Error> {
+        check_row::<TaskReport>(row)
+    }
+
+    fn name(row: &Value) -> Option<String> {
+        row.get("task")?.as_str().map(str::to_owned)
+    }
 }
 
 impl HttpWorkers {
     /// Makes an adapter that calls workers through `client`.
     pub fn new(client: Client) -> HttpWorkers {
-        HttpWorkers { client }
+        HttpWorkers { client, unreadable: UnreadableNotes::default() }
+    }
+
+    /// Notes what can't be read here.
+    pub fn with_unreadable(mut self, notes: &UnreadableNotes) -> HttpWorkers {
+        self.unreadable = notes.clone();
+        self
     }
 
     /// Returns the client, whose counters say what was called.
@@ -84,7 +133,9 @@
         let url = format!("http://{address}/report");
         let request = empty_request(call, Method::GET, &url)?;
         let answer = self.client.send(call, request).await?;
-        read_json(call, &answer)
+        let Read { listing, is_partial } =
+            read_listing(call, &answer, &self.unreadable)?;
+        Ok(WorkerReport { is_partial, ..listing })
     }
 
     async fn start(
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -45,7 +45,7 @@
         Versioned, Watch, WatchBatch,
     },
     traffic::{Purpose, Tallies, Tally, Traffic},
-    unreadable::{Unreadable, UnreadableNotes},
+    unreadable::{TakenNotes, Unreadable, UnreadableNotes},
     vm_list::{VmList, VmListing},
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
@@ -59,6 +59,7 @@
 mod job_call;
 mod job_worker;
 mod kv;
+pub mod lenient;
 mod traffic;
 mod unreadable;
 mod vm_list;
--- a/crates/dewspar-platform/src/vm_list.rs
+++ b/crates/dewspar-platform/src/vm_list.rs
@@ -7,6 +7,8 @@
     pub tag: String,
     /// Every VM that is live or leaving.
     pub vms: Vec<Listing>,
+    /// Whether some row couldn't be read: a VM that isn't listed may be there.
+    pub is_partial: bool,
 }
 
 /// A lagging list of live and leaving VMs.
--- a/crates/dewspar-platform/src/worker.rs
+++ b/crates/dewspar-platform/src/worker.rs
@@ -60,6 +60,10 @@
     /// Its tasks.
     #[serde(default)]
     pub tasks: Vec<TaskReport>,
+    /// Whether some task's row couldn't be read: a task that isn't there may
+    /// run.
+    #[serde(skip)]
+    pub is_partial: bool,
 }
 
 /// The workers on the VMs, each reached by its address.
--- a/crates/dewspar-standin/src/fleet.rs
+++ b/crates/dewspar-standin/src/fleet.rs
@@ -343,6 +343,7 @@
         WorkerReport {
             rebooted_epoch: self.rebooted_epoch,
             rebooting: self.is_rebooting(),
+            is_partial: false,
             tasks: self
                 .tasks
                 .iter()
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -13,14 +13,14 @@
         relay,
         settings::JobSettings,
     },
-    crate::{clock, counters, logs},
+    crate::{clock, logs, passed_over},
     dewspar::{link::LinkLimits, schedule::Options},
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, Purpose, Traffic,
-        Unreadable, UnreadableNotes,
+        UnreadableNotes,
     },
     metrics_exporter_prometheus::PrometheusHandle,
-    slog::{Logger, info, warn},
+    slog::{Logger, info},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep},
 };
@@ -28,10 +28,6 @@
 /// How much of the time to stop in is kept in reserve, in milliseconds.
 const STOP_RESERVE_MS: u64 = 1_000;
 
-/// How often what couldn't be read is told: once in a reading of the directory
-/// or so.
-const TELL_INTERVAL: Duration = Duration::from_secs(1);
-
 /// How long after it stopped being ready a node still takes connections, in
 /// milliseconds: the entry asks each second and believes the second answer.
 const STOP_DELAY_MS: u64 = 2_500;
@@ -90,7 +86,7 @@
             timing.config_apply_ms,
             logs::part(&log, "operator"),
         );
-        tokio::spawn(tell_unreadable(
+        tokio::spawn(passed_over::tell(
             platform.unreadable.clone(),
             stopped.clone(),
             logs::part(&log, "platform"),
@@ -202,19 +198,3 @@
         info!(self.log, "node: stopped");
     }
 }
-
-/// Logs and counts what couldn't be read, each version of a thing once.
-async fn tell_unreadable(
-    notes: UnreadableNotes,
-    stopped: watch::Receiver<bool>,
-    log: Logger,
-) {
-    while !*stopped.borrow() {
-        for Unreadable { what, key, version, reason } in notes.take() {
-            warn!(log, "platform: passed over"; "what" => what, "key" => key,
-                "version" => version, "reason" => reason);
-            counters::count_by(counters::UNREADABLE, "what", what);
-        }
-        sleep(TELL_INTERVAL).await;
-    }
-}
