Soak: VMs that are suspended, as far as a signal can model it

Before it goes on, a file that only builds for tests look at says for how long its monotonic clock is to be taken as having stood still: the steady clock, which counts that, stays as it is, and the process must notice. What no signal shows: timers that end late by the suspension (here they end at once), kernel timers of connections that stand still with the VM, and wakes of all of a VM's processes together.

Before, pauses were SIGSTOP alone, which every clock shows, so nothing was ever to be noticed.

--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -75,12 +75,20 @@
 pub fn now_ms() -> u64 {
     let elapsed = START.elapsed().as_millis();
     let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX / 2);
-    FIRST_MS + elapsed_ms + suspended_ms()
+    // While a test models a suspension, the monotonic clock is taken to have
+    // stood still for just as long as `CLOCK_BOOTTIME` is ahead of it by that:
+    // the sum of both is what it was.
+    FIRST_MS + elapsed_ms + passed_unseen_ms()
 }
 
 /// Returns for how long this VM was suspended since the process began, in
 /// milliseconds.
 pub fn suspended_ms() -> u64 {
+    passed_unseen_ms() + modelled::suspended_ms()
+}
+
+/// Returns what has passed that the process's monotonic clock doesn't show.
+fn passed_unseen_ms() -> u64 {
     let at_start_ms = *AHEAD_AT_START_MS;
     let ahead_ms = ahead_ms();
     let ahead_ms =
@@ -88,6 +96,53 @@
     ahead_ms.saturating_sub(at_start_ms) + SUPPOSED_MS.load(Ordering::Relaxed)
 }
 
+/// Suspensions as a test models them, by stopping the process with a signal.
+///
+/// A stopped process's monotonic clock goes on, so the test says for how long
+/// it is to be taken as having stood still. That is all the model shows: timers
+/// end at once when the process goes on, whereas after a suspension they end
+/// late by it, and the kernel's own timers (of connections) go on.
+#[cfg(debug_assertions)]
+mod modelled {
+    use std::{
+        env, fs,
+        path::{Path, PathBuf},
+        sync::LazyLock,
+    };
+
+    /// Names the file that holds how long this VM was suspended in all, in
+    /// milliseconds; only builds for tests look at it.
+    const FILE_VARIABLE: &str = "DEWSPAR_SUSPENDED_MS_FILE";
+
+    static FILE: LazyLock<Option<PathBuf>> =
+        LazyLock::new(|| env::var_os(FILE_VARIABLE).map(PathBuf::from));
+
+    static AT_START_MS: LazyLock<u64> = LazyLock::new(in_all_ms);
+
+    /// Returns the time since the process began.
+    pub(super) fn suspended_ms() -> u64 {
+        let at_start_ms = *AT_START_MS;
+        in_all_ms().saturating_sub(at_start_ms)
+    }
+
+    fn in_all_ms() -> u64 {
+        FILE.as_deref().map_or(0, read)
+    }
+
+    fn read(file: &Path) -> u64 {
+        let text = fs::read_to_string(file).unwrap_or_default();
+        // OK to take no number for 0: the test hasn't written one yet.
+        text.trim().parse().unwrap_or(0)
+    }
+}
+
+#[cfg(not(debug_assertions))]
+mod modelled {
+    pub(super) fn suspended_ms() -> u64 {
+        0
+    }
+}
+
 /// Lets the process believe that it was suspended for so long, in
 /// milliseconds, as a test of what it then does.
 pub fn suppose_suspension(for_ms: u64) {
