Records that can't be read make few lines; any strength of a holder is borne

Cause: each reader of the daemon's own records wrote a line for each that it couldn't read, at each reading: at a takeover, whenever the feed is read outright, at each count. A holder's strength, which is whatever stands in the lease's value, was multiplied by 100 without a bound. Both found by new tests with records as a newer version of the program, or a stranger, may leave them.

Such records are now told of through the notes that adapters use, once for each version and boundedly, with key, version and reason ("platform: passed over").

Tests, seen red on the code before: "1500 lines in 0 s" for 300 jobs, their progress and the states of 300 waves; "attempt to multiply with overflow" in the election, and no job ran. The others came green and pin what holds: fields more in every record, 14 kinds of keys with no record in them, 200 odd jobs beside a good one, a lease that can't be read.

What callers are told from memory after a suspension is tested as well: red with the steady clock not counting it (a count read just before was given, 200).

--- a/crates/dewspar-platform/src/unreadable.rs
+++ b/crates/dewspar-platform/src/unreadable.rs
@@ -116,19 +116,26 @@
 impl UnreadableNotes {
     /// Notes something, unless this version of it is noted already.
     pub fn note(&self, unreadable: Unreadable) {
+        if let Some(told) = self.news(unreadable) {
+            self.notes().waiting.told.push(told);
+        }
+    }
+
+    /// Notes something, and hands it back if it is to be told at once rather
+    /// than taken: if it is news, and not one of too many.
+    pub fn news(&self, unreadable: Unreadable) -> Option<Unreadable> {
         let Unreadable { what, key, version, reason } = unreadable;
         let (key, reason) = (cut(key), cut(reason));
         let mut notes = self.notes();
         if !notes.remember((what, key.clone()), version) {
-            return;
+            return None;
         }
         if notes.may_tell == 0 {
             *notes.waiting.untold.entry(what).or_default() += 1;
-            return;
+            return None;
         }
         notes.may_tell -= 1;
-        let told = Unreadable { what, key, version, reason };
-        notes.waiting.told.push(told);
+        Some(Unreadable { what, key, version, reason })
     }
 
     /// Takes what was noted since the last call; to be called each second.
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -7,7 +7,7 @@
         event::{Event, EventSender},
         keys,
     },
-    crate::counters,
+    crate::{counters, passed_over},
     dewspar::schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, KeyValue, VmChange,
@@ -168,8 +168,16 @@
             Ok(record) => {
                 records.insert(wave, record);
             }
-            Err(error) => warn!(log, "wave: stored state can't be read";
-                "wave" => wave, "error" => %error),
+            Err(error) => {
+                let (key, version) = (&item.key, item.version);
+                passed_over::record(
+                    log,
+                    "wave's record",
+                    key,
+                    version,
+                    &error,
+                );
+            }
         }
     }
     Ok(records)
@@ -187,8 +195,8 @@
     match serde_json::from_slice(&found.value) {
         Ok(vms) => Ok(Some(vms)),
         Err(error) => {
-            warn!(log, "vm: record of orders can't be read";
-                "error" => %error);
+            let (key, version) = (&found.key, found.version);
+            passed_over::record(log, "orders of VMs", key, version, &error);
             Ok(None)
         }
     }
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -22,7 +22,7 @@
         holder, intent, keys, outcome::Outcome, readiness::Readiness,
         settings::Machine,
     },
-    crate::{clock, counters},
+    crate::{clock, counters, passed_over},
     dewspar::{
         relay::RelayNode,
         schedule::{Options, Orderer},
@@ -32,7 +32,7 @@
         Traffic, Versioned, Watch,
     },
     serde::{Deserialize, Serialize},
-    slog::{Logger, info, warn},
+    slog::{Logger, info},
     std::{net::SocketAddr, time::Duration},
     tokio::{
         sync::watch,
@@ -271,8 +271,8 @@
             }
             Ok(_) => Seen::Former(version),
             Err(error) => {
-                warn!(self.log, "election: the lease can't be read";
-                    "error" => %error);
+                let log = &self.log;
+                passed_over::record(log, "lease", &found.key, version, &error);
                 let owner = "unknown".to_owned();
                 Seen::Other { owner, strength: 0, version, looked_at }
             }
@@ -435,5 +435,7 @@
 /// Returns whether a node is much weaker than another; one that doesn't say
 /// how strong it is counts as strong.
 fn is_weak(strength: u64, other: u64) -> bool {
-    strength > 0 && strength * 100 / other.max(1) < STRONG_PERCENT
+    // What others say of themselves may be any number.
+    strength > 0
+        && strength.saturating_mul(100) / other.max(1) < STRONG_PERCENT
 }
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -13,7 +13,7 @@
         holder::json,
         keys::{self, FeedKey},
     },
-    crate::{clock, counters},
+    crate::{clock, counters, passed_over},
     dewspar::{
         job::{JobId, Phase, Progress},
         schedule::AcceptedJob,
@@ -59,16 +59,14 @@
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Phase>, JobReply> {
-        let Some(value) = self.read(key, deadline).await? else {
+        let Some(found) = self.find(key, deadline).await? else {
             return Ok(None);
         };
-        match serde_json::from_slice::<Progress>(&value) {
-            Ok(progress) => Ok(Some(progress.phase)),
-            Err(error) => {
-                info!(self.log, "call: stored progress can't be read";
-                    "key" => key, "error" => %error);
-                Err(JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS })
-            }
+        let progress = serde_json::from_slice::<Progress>(&found.value);
+        match self.readable("progress", &found, progress) {
+            Some(progress) => Ok(Some(progress.phase)),
+            // Whatever we said of the job might be wrong.
+            None => Err(JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }),
         }
     }
 
@@ -175,7 +173,7 @@
             .filter_map(|item| {
                 let id = keys::job_of_progress(&item.key)?;
                 let stored = serde_json::from_slice::<Progress>(&item.value);
-                Some((id, self.readable(&item.key, stored)?.phase))
+                Some((id, self.readable("progress", item, stored)?.phase))
             })
             .collect();
         let mut cancelled = BTreeSet::new();
@@ -188,7 +186,8 @@
                 Some(FeedKey::Accepted(id)) => {
                     let job =
                         serde_json::from_slice::<AcceptedJob>(&item.value);
-                    let Some(job) = self.readable(&item.key, job) else {
+                    let Some(job) = self.readable("accepted job", item, job)
+                    else {
                         continue;
                     };
                     let phase = phases.get(&id).copied().unwrap_or_default();
@@ -209,13 +208,14 @@
     /// Passes over what can't be read, with a line that says so.
     fn readable<T>(
         &self,
-        key: &str,
+        what: &'static str,
+        item: &Versioned,
         value: Result<T, serde_json::Error>,
     ) -> Option<T> {
         value
             .inspect_err(|error| {
-                info!(self.log, "call: stored value can't be read";
-                    "key" => key, "error" => %error);
+                let (key, version) = (&item.key, item.version);
+                passed_over::record(&self.log, what, key, version, error);
             })
             .ok()
     }
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -12,7 +12,7 @@
         keys::{self, FeedKey},
         versions::RecordVersions,
     },
-    crate::counters,
+    crate::{counters, passed_over},
     dewspar::{
         job::{JobId, conflict::FoundRecord},
         schedule::{AcceptedJob, Changes},
@@ -20,7 +20,7 @@
     dewspar_platform::{
         Batch, Commit, Condition, Error, Event, Expected, KeyValue, Versioned,
     },
-    slog::{Logger, warn},
+    slog::Logger,
     std::{collections::BTreeSet, time::Duration},
     tokio::time::sleep,
 };
@@ -83,7 +83,7 @@
         FeedKey::Claim => match serde_json::from_slice(&item.value) {
             Ok(claim) => Some(FeedEvent::Claimed(claim)),
             Err(error) => {
-                warn!(log, "holder: claim can't be read"; "error" => %error);
+                passed_over::record(log, "claim", &item.key, revision, &error);
                 None
             }
         },
@@ -94,8 +94,10 @@
                     Some(FeedEvent::Accepted { id, job, revision })
                 }
                 Err(error) => {
-                    warn!(log, "holder: job can't be read";
-                        "job" => %id, "error" => %error);
+                    let what = "accepted job";
+                    passed_over::record(
+                        log, what, &item.key, revision, &error,
+                    );
                     None
                 }
             }
--- a/crates/dewspard/src/jobs/recount.rs
+++ b/crates/dewspard/src/jobs/recount.rs
@@ -17,7 +17,7 @@
         holder::json,
         keys,
     },
-    crate::{clock, counters},
+    crate::{clock, counters, passed_over},
     dewspar_platform::{
         Batch, Commit, Error, Expected, JobProtocol, JobReply, KeyValue,
         Purpose,
@@ -87,8 +87,10 @@
             match serde_json::from_slice(&found.value) {
                 Ok(counts) => return Ok(Counting::Found(counts)),
                 Err(error) => {
-                    info!(self.log, "call: stored value can't be read";
-                    "key" => keys::COUNTED, "error" => %error)
+                    let (key, version) = (&found.key, found.version);
+                    passed_over::record(
+                        &self.log, "counts", key, version, &error,
+                    );
                 }
             }
         }
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -20,14 +20,14 @@
         keys,
         progress::{FeedEvent, read_feed},
     },
-    crate::{clock, counters},
+    crate::{clock, counters, passed_over},
     dewspar::{
         job::{JobId, Progress},
         poll::PollPace,
         schedule::{OrderedVms, WaveRecord},
     },
     dewspar_platform::{Error, Fleet, KeyValue, Versioned},
-    slog::{Logger, info, warn},
+    slog::{Logger, info},
     std::{
         collections::{BTreeMap, BTreeSet},
         time::Duration,
@@ -214,8 +214,8 @@
                 self.versions.insert(id, item.version);
             }
             Err(error) => {
-                warn!(log, "holder: progress can't be read";
-                    "job" => %id, "error" => %error);
+                let (key, version) = (&item.key, item.version);
+                passed_over::record(log, "progress", key, version, &error);
                 self.unreadable.insert(id);
             }
         }
--- /dev/null
+++ b/crates/dewspard/tests/newer_records.rs
@@ -0,0 +1,334 @@
+//! During an upgrade, and after one was taken back, nodes read records that a
+//! newer version of the program wrote, or that somebody else put under our
+//! keys. A field that isn't known must change nothing; a record that can't be
+//! read costs what it is about and nothing else. Each was told of in a line of
+//! its own at each reading: 300 jobs, their progress and the states of 300 waves
+//! made 1,500 lines when a node began to schedule ("holder: job can't be read",
+//! "wave: stored state can't be read"). And a node stopped with "attempt to
+//! multiply with overflow" when a holder said that it was as strong as can be.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Phase, Progress, Queue, QueueSet, StepSpec},
+        schedule::{AcceptedJob, QueueTerms},
+    },
+    dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
+    dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
+    dewspard::jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
+    quickcheck::{Arbitrary, Gen},
+    serde_json::{Map, Value, json},
+    slog::{Drain, Logger, Never, OwnedKVList, Record, o},
+    std::{
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, timeout},
+};
+
+/// How long anything may take before a test gives up on it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const POOL: &str = "registry";
+
+/// Keeps the messages of all lines.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, line: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("lines");
+        lines.push(line.msg().to_string());
+        Ok(())
+    }
+}
+
+impl Lines {
+    /// Returns how many lines tell of what can't be read.
+    fn on_unreadable(&self) -> usize {
+        let lines = self.0.lock().expect("lines");
+        let tells = |line: &&String| {
+            line.contains("can't be read") || line.contains("passed over")
+        };
+        lines.iter().filter(tells).count()
+    }
+}
+
+struct Site {
+    store: Store,
+    fleet: TaskFleet,
+    lines: Lines,
+    lapsing: tokio::task::JoinHandle<()>,
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        self.lapsing.abort();
+    }
+}
+
+impl Site {
+    fn new() -> Site {
+        let store = Store::new(Faults::new(1));
+        let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
+        let queue = Queue {
+            name: "extracts".to_owned(),
+            timeout_ms: 3_000,
+            terms: terms(),
+            ..Queue::default()
+        };
+        fleet.configure(QueueSet::new(1, vec![queue]));
+        let lapsed = store.clone();
+        let lapsing = tokio::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                lapsed.lapse_leases();
+            }
+        });
+        Site { store, fleet, lines: Lines::default(), lapsing }
+    }
+
+    async fn put(&self, key: &str, value: &[u8]) {
+        let batch = Batch::default().put(key, value.to_vec());
+        self.store.commit(&batch).await.expect("a store");
+    }
+
+    async fn start(&self) -> JobNode {
+        let platform = JobPlatform {
+            store: self.store.clone(),
+            workers: self.fleet.clone(),
+            fleet: self.fleet.clone(),
+            protocol: RestCalls,
+            readiness_path: "/ready",
+            traffic: Traffic::default(),
+            unreadable: UnreadableNotes::default(),
+        };
+        let log = Logger::root(self.lines.clone().fuse(), o!());
+        let settings = JobSettings::loopback("node-0");
+        let node = JobNode::start(&settings, platform, None, &log).await;
+        node.expect("a started node")
+    }
+
+    async fn phase(&self, id: JobId) -> Phase {
+        let found = self.store.get(&format!("run/{id}")).await;
+        let found = found.expect("a store");
+        let progress = found.map(|found| {
+            serde_json::from_slice::<Progress>(&found.value).expect("progress")
+        });
+        progress.map_or(Phase::Queued, |progress| progress.phase)
+    }
+
+    /// Waits until a job is completed; returns whether it ever is.
+    async fn completes(&self, id: JobId) -> bool {
+        let waiting = async {
+            while self.phase(id).await != Phase::Completed {
+                sleep(Duration::from_millis(20)).await;
+            }
+        };
+        timeout(LIMIT, waiting).await.is_ok()
+    }
+
+    fn has_started(&self, id: JobId) -> bool {
+        self.fleet.started().iter().any(|(task, _)| task.job == id)
+    }
+}
+
+fn terms() -> QueueTerms {
+    QueueTerms {
+        pool: POOL.to_owned(),
+        max_attempts: 3,
+        stretch: 2.0,
+        ..QueueTerms::default()
+    }
+}
+
+fn id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("an identifier")
+}
+
+fn job() -> Value {
+    let step = StepSpec { count: 1, cpu_millis: 100, ..StepSpec::default() };
+    let spec = JobSpec {
+        queue: "extracts".to_owned(),
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms: 1 };
+    serde_json::to_value(job).expect("plain JSON")
+}
+
+/// Adds a field that nobody knows to each object of a document.
+fn with_fields_more(value: Value) -> Value {
+    match value {
+        Value::Object(fields) => {
+            let fields = fields.into_iter();
+            let mut fields: Map<String, Value> = fields
+                .map(|(name, value)| (name, with_fields_more(value)))
+                .collect();
+            fields.insert("of_a_newer_version".to_owned(), json!([{}]));
+            Value::Object(fields)
+        }
+        Value::Array(rows) => rows.into_iter().map(with_fields_more).collect(),
+        other => other,
+    }
+}
+
+#[tokio::test]
+async fn records_with_fields_more_are_read() {
+    let site = Site::new();
+    let newer = |value: Value| with_fields_more(value).to_string();
+    // Its fields but one are names of VMs.
+    let by = json!({ "node": "node-9", "incarnation": 1, "newer": 1 });
+    let orders = json!([{ "by": by, "ages_ms": { "vm-0": 5 }, "newer": 1 }]);
+    site.put("vm-orders", orders.to_string().as_bytes()).await;
+    let task = json!({ "round": 0, "step": 0, "index": 0, "run": 3,
+        "done": true });
+    let progress = json!({ "phase": "completed", "finished_at_ms": 9,
+        "tasks": [task] });
+    let wave = json!({ "since_unix_ms": 5, "done": ["vm-0"] });
+    let claim = json!({ "node": "node-9", "strength": 1 });
+    for (key, value) in [
+        (format!("q/in/{}", id(1)), job()),
+        (format!("q/in/{}", id(2)), job()),
+        (format!("run/{}", id(2)), progress),
+        ("wave/7".to_owned(), wave),
+        ("q/claim".to_owned(), claim),
+    ] {
+        site.put(&key, newer(value).as_bytes()).await;
+    }
+    let _node = site.start().await;
+    assert!(site.completes(id(1)).await);
+    assert!(!site.has_started(id(2)), "it was completed before");
+}
+
+#[tokio::test]
+async fn a_record_that_cant_be_read_stops_nothing_else() {
+    for key in [
+        format!("q/in/{}", id(7)),
+        "q/in/no-identifier".to_owned(),
+        "q/stop/no-identifier".to_owned(),
+        "q/claim".to_owned(),
+        "q/of-a-newer-version".to_owned(),
+        format!("run/{}", id(7)),
+        "run/no-identifier".to_owned(),
+        "wave/7".to_owned(),
+        "wave/no-number".to_owned(),
+        "vm-orders".to_owned(),
+        "pending".to_owned(),
+        "counted".to_owned(),
+        "accepted-last".to_owned(),
+        "node/node-9".to_owned(),
+    ] {
+        let site = Site::new();
+        site.put(&key, b"\xff no record").await;
+        let _node = site.start().await;
+        site.put(&format!("q/in/{}", id(1)), job().to_string().as_bytes())
+            .await;
+        assert!(site.completes(id(1)).await, "beside {key}");
+        assert!(!site.has_started(id(7)), "by {key}");
+    }
+}
+
+/// The lease may be held by a newer version: it is left alone until the store
+/// ends it.
+#[tokio::test]
+async fn a_lease_that_cant_be_read_is_anothers_until_it_lapses() {
+    let site = Site::new();
+    let lease = site.store.grant(3_000).await.expect("a lease");
+    let owner = Batch::default()
+        .put_leased("q/owner", b"\xff".to_vec(), lease)
+        .put(&format!("q/in/{}", id(1)), job().to_string().into_bytes());
+    site.store.commit(&owner).await.expect("a store");
+    let _node = site.start().await;
+    let began = Instant::now();
+    assert!(site.completes(id(1)).await);
+    let until = Duration::from_millis(2_500);
+    assert!(began.elapsed() > until, "taken from its holder");
+}
+
+/// What another node says of its strength is multiplied and compared.
+#[tokio::test]
+async fn a_holder_of_any_strength_is_waited_for() {
+    for strength in [0, u64::MAX] {
+        let site = Site::new();
+        let lease = site.store.grant(2_000).await.expect("a lease");
+        let owner = json!({ "node": "node-9", "incarnation": 1,
+            "strength": strength });
+        let owner = Batch::default()
+            .put_leased("q/owner", owner.to_string().into_bytes(), lease)
+            .put("node/node-9", strength.to_string().into_bytes())
+            .put(&format!("q/in/{}", id(1)), job().to_string().into_bytes());
+        site.store.commit(&owner).await.expect("a store");
+        let _node = site.start().await;
+        assert!(site.completes(id(1)).await, "strength {strength}");
+    }
+}
+
+/// A job in which some field holds something else.
+fn odd_job(chance: &mut Gen) -> Value {
+    let values = [json!(null), json!([]), json!({}), json!("x"), json!(-1)];
+    let mut job = job();
+    let path = [
+        "",
+        "/spec",
+        "/spec/steps",
+        "/spec/steps/0",
+        "/spec/queue",
+        "/terms",
+        "/terms/pool",
+        "/spec/payload",
+        "/accepted_at_ms",
+    ];
+    let path = path[usize::arbitrary(chance) % path.len()];
+    let value = &values[usize::arbitrary(chance) % values.len()];
+    *job.pointer_mut(path).expect("a field") = value.clone();
+    job
+}
+
+#[tokio::test]
+async fn whatever_jobs_hold_the_others_run() {
+    let mut chance = Gen::from_size_and_seed(1_000, 17);
+    let site = Site::new();
+    for number in 100..300 {
+        let odd = odd_job(&mut chance).to_string();
+        site.put(&format!("q/in/{}", id(number)), odd.as_bytes()).await;
+    }
+    site.put(&format!("q/in/{}", id(1)), job().to_string().as_bytes()).await;
+    let _node = site.start().await;
+    assert!(site.completes(id(1)).await);
+    // And those that are handed in later.
+    site.put(&format!("q/in/{}", id(2)), job().to_string().as_bytes()).await;
+    assert!(site.completes(id(2)).await);
+}
+
+/// Not more than a hundred lines and one for each second, however many
+/// records can't be read and however often they are.
+#[tokio::test]
+async fn lines_do_not_grow_with_the_number_of_records_that_cant_be_read() {
+    let site = Site::new();
+    for number in 100..400 {
+        site.put(&format!("q/in/{}", id(number)), b"\xff").await;
+        site.put(&format!("run/{}", id(number)), b"\xff").await;
+    }
+    for number in 0..300 {
+        site.put(&format!("wave/{number}"), b"\xff").await;
+    }
+    let began = Instant::now();
+    let node = site.start().await;
+    site.put(&format!("q/in/{}", id(1)), job().to_string().as_bytes()).await;
+    assert!(site.completes(id(1)).await);
+    // Other tests of this process may have told much, so that these are told
+    // with the next look, in one line.
+    let told = async {
+        while site.lines.on_unreadable() == 0 {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, told).await.expect("not in silence");
+    drop(node);
+    let seconds = began.elapsed().as_secs() as usize;
+    let lines = site.lines.on_unreadable();
+    assert!(lines <= 110 + 2 * seconds, "{lines} lines in {seconds} s");
+}
--- a/crates/dewspard/tests/suspension.rs
+++ b/crates/dewspard/tests/suspension.rs
@@ -2,6 +2,8 @@
 //! stood still, and so with a lease that looks young. Another node may hold it
 //! by now. So the node that schedules orders nothing before the store has
 //! renewed its lease; without a suspension it goes on while the store is out.
+//! What it answers callers from memory is as old as the suspension was long: a
+//! count of waiting jobs that was read just before isn't given after it.
 //!
 //! In a file of its own: the suspension holds for the whole process.
 
@@ -10,14 +12,18 @@
         job::{JobId, JobSpec, Queue, QueueSet, StepSpec},
         schedule::{AcceptedJob, QueueTerms},
     },
-    dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
+    dewspar_platform::{
+        Batch, KeyValue, Traffic, UnreadableNotes, empty_request,
+    },
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
         clock,
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
         logs,
     },
-    std::{future::Future, time::Duration},
+    hyper::{Method, StatusCode},
+    hyper_util::{client::legacy::Client, rt::TokioExecutor},
+    std::{future::Future, net::SocketAddr, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
@@ -62,6 +68,16 @@
     store.commit(&batch).await.expect("a store");
 }
 
+/// Asks how many jobs wait; returns the answer's status.
+async fn ask_count(address: SocketAddr) -> StatusCode {
+    let url = format!("http://{address}/v1/queues/extracts");
+    let request = empty_request("test", Method::GET, &url);
+    let client = Client::builder(TokioExecutor::new()).build_http();
+    let answered = client.request(request.expect("a request"));
+    let answered = timeout(LIMIT, answered).await.expect("in time");
+    answered.expect("an answer").status()
+}
+
 #[tokio::test]
 async fn nothing_is_ordered_after_a_suspension_before_the_store_confirms() {
     let store_faults = Faults::new(1);
@@ -87,7 +103,7 @@
     };
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
-    let _node = node.expect("a started node");
+    let node = node.expect("a started node");
 
     for (number, suspended) in [(1, false), (2, true)] {
         let id = format!("{number:016x}");
@@ -110,4 +126,13 @@
         until(async || starts() == 2).await;
         until(async || fleet.running().is_empty()).await;
     }
+
+    // Counts that were read just now are answered from memory for 0.5 s.
+    let address = node.caller_address();
+    until(async || ask_count(address).await == StatusCode::OK).await;
+    store_faults.set_outage(true);
+    clock::suppose_suspension(1_000);
+    assert_ne!(ask_count(address).await, StatusCode::OK);
+    store_faults.set_outage(false);
+    until(async || ask_count(address).await == StatusCode::OK).await;
 }
