The platform confirms a view as of when it was asked, not when the answer is read

Cause: the watcher noted "confirmed now" for each answer and each batch of the watch that it read. After a suspension those are answers that were sent before it: the view passed for current, and fleet control went on with documents seconds old.

--- a/crates/dewspard/src/watcher.rs
+++ b/crates/dewspard/src/watcher.rs
@@ -61,8 +61,10 @@
         clock::now_ms().saturating_sub(self.0.load(Ordering::Relaxed))
     }
 
-    fn touch(&self) {
-        self.0.store(clock::now_ms(), Ordering::Relaxed);
+    /// Notes that the platform was asked at `asked_ms` and has answered: what
+    /// it said held no earlier than that, and maybe no later.
+    fn asked(&self, asked_ms: u64) {
+        self.0.fetch_max(asked_ms, Ordering::Relaxed);
     }
 }
 
@@ -183,6 +185,7 @@
 
     /// Lists and then follows until something goes wrong.
     async fn round(&mut self) -> Result<(), Ended> {
+        let asked_ms = clock::now_ms();
         let (version, entries) = self.platform.list(keys::WATCHED).await?;
         let old = self.publish.borrow().clone();
         let mut view = View {
@@ -197,6 +200,7 @@
             self.put(&mut view, entry).await?;
         }
         self.publish(view);
+        self.confirmed.asked(asked_ms);
         let mut watch = self.platform.watch(keys::WATCHED, version).await?;
         info!(self.log, "watcher: watch started"; "version" => version);
         let mut check = tokio::time::interval(CHECK_INTERVAL);
@@ -220,6 +224,7 @@
 
     /// Reads the head's version, as a check on the watch.
     async fn check(&mut self) -> Result<(), Ended> {
+        let asked_ms = clock::now_ms();
         let version = self.platform.version(keys::CONFIG_HEAD).await?;
         let looked_at = self.publish.borrow().config.version;
         // One that can't be read is no news for ever: looking at it again
@@ -229,11 +234,13 @@
             // The watch may be just about to say so; the list is cheap.
             return Err(Ended::Nudged);
         }
-        self.confirmed.touch();
+        self.confirmed.asked(asked_ms);
         Ok(())
     }
 
     async fn take_in(&mut self, batch: WatchBatch) -> Result<(), Ended> {
+        // It confirms nothing: after a suspension it may be one that was sent
+        // long before.
         if batch.events.is_empty() {
             return Ok(());
         }
@@ -253,7 +260,6 @@
     fn publish(&self, mut view: View) {
         let revision = view.config.value.revision();
         counters::set(counters::CONFIG_REVISION, revision as f64);
-        self.confirmed.touch();
         self.publish.send_modify(|current| {
             // The VM list's task publishes into the same view.
             view.listed = Arc::clone(&current.listed);
