--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -21,9 +21,12 @@
 |---|---|---|
 | ages of leases, readings, counts; silence of workers and nodes; times in the scheduler | steady | others' clocks have gone on |
 | timeouts of calls, pauses, intervals | monotonic | nothing is believed because one of them hasn't ended |
-| how long planning and calls take | monotonic | a node that slept isn't slow |
+| how long orders and readings take | steady | errs towards fewer at once |
+| how long planning takes | monotonic | a node that slept isn't slow |
 | times in keys, records and logs, due times of jobs | wall | read by other nodes |
 
+`docs/PROMISES.md` has a row for each file that reads a clock.
+
 Whoever holds a lease also asks [`Suspensions`] whether it slept, and believes
 nothing before the store has confirmed it.
 
