--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod record;
 pub mod relay;
 pub mod route;
+mod rows;
 pub mod schedule;
 pub mod slot;
 mod util;
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -8,7 +8,7 @@
         keys,
         records::{record_written, version_among},
     },
-    crate::counters,
+    crate::{counters, passed_over},
     dewspar::{
         record::RecordWritten,
         schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
@@ -231,8 +231,16 @@
             Ok(record) => {
                 waves.records.insert(wave, record);
             }
-            Err(error) => warn!(log, "wave: stored state can't be read";
-                "wave" => wave, "error" => %error),
+            Err(error) => {
+                let (key, version) = (&item.key, item.version);
+                passed_over::record(
+                    log,
+                    "wave's record",
+                    key,
+                    version,
+                    &error,
+                );
+            }
         }
     }
     Ok(waves)
@@ -259,8 +267,8 @@
     let vms = match serde_json::from_slice(&found.value) {
         Ok(vms) => Some(vms),
         Err(error) => {
-            warn!(log, "vm: record of orders can't be read";
-                "error" => %error);
+            let (key, version) = (&found.key, found.version);
+            passed_over::record(log, "orders of VMs", key, version, &error);
             None
         }
     };
