Test that fails: starts whose crash no holder saw aren't counted

Two holders in a row are lost before they see the crash under a task that they have just started. Seen red: "started 6 times", 5 allowed.

--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -212,3 +212,39 @@
         assert!(starts <= most, "job {number} started {starts} times");
     }
 }
+
+/// Two holders in a row were killed within half a second of starts that crashed
+/// their workers, before either could see a crash. Nothing said that the task
+/// had been started, so the third began to count at its first start: 6 in all.
+///
+/// ```text
+/// started again: 00000000000000c8.0.0.0, 6 crashes
+/// ```
+#[test]
+fn crashes_that_no_holder_saw_count_as_starts() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    for revision in [8, 10] {
+        let crashes = world.crashes;
+        while world.crashes == crashes {
+            world.round();
+            world.now_ms += 50;
+        }
+        // Its holder is lost before it knows; the directory still lists the
+        // worker that has crashed.
+        world.take_over(revision);
+        let progress = world.stored.get(&id(1)).cloned();
+        let accepted = job(vec![step(1)]);
+        world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+        world.list();
+        world.expect_all();
+    }
+    world.run_for(60_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+}
