Count starts whose crash no holder saw

Cause: an end that no holder saw leaves no record. A holder that is killed within half a second of a start that crashes its worker has stored nothing of it, and its successor takes the task for one that was never started.

What the next holder can learn: a worker that the directory still lists, or the VM service had, is found to be gone before it has named its runs. Whatever former holders had started there is unknown, so each of their waiting tasks in that pool counts as started once, and its next start waits until that start and the one to come are on record; the one after that finds both. As many are put on record at a time as may start.

Ruled out: counting such a start as a crash (was tried before: sound jobs were given up); a record of every start (a write a start); the same without such a worker (each planned hand-over would write every waiting job).

Left: a worker whose entry lapsed before the new holder read the directory; more than two unseen starts in a row.

--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -213,7 +213,7 @@
     ) -> impl Iterator<Item = TaskRecord> {
         let tasks = (0..).zip(&self.tasks);
         let known = |task: &Task| {
-            task.ended_run > 0 || task.done || task.crashes.count > 0
+            task.ended_run > 0 || task.done || task.crashes.are_on_record()
         };
         tasks.filter(move |(_, task)| known(task)).map(move |(index, task)| {
             TaskRecord {
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -91,13 +91,15 @@
         // Taken out, since starting something changes the scheduler.
         let candidates = mem::take(&mut self.candidates);
         if self.knows_suspects {
+            // Of any job of former holders, where a worker was lost unheard.
+            let all = !self.unheard_losses.is_empty();
             let suspects: Vec<TaskId> = candidates
                 .ordered
                 .iter()
-                .filter(|(_, wanted)| wanted.suspects)
+                .filter(|(_, wanted)| all || wanted.suspects)
                 .flat_map(|(candidate, _)| self.waiting_suspects(candidate))
                 .collect();
-            self.announce_tested(&suspects);
+            self.announce_starts(&suspects);
             self.reserve_workers(&suspects, now);
         }
         for (candidate, wanted) in &candidates.ordered {
@@ -149,7 +151,9 @@
         let state = &job.rounds[round][step];
         let on_record = |index: &u32| {
             let task = state.tasks.get(*index as usize);
-            task.is_none_or(|task| job.may_start(task))
+            task.is_none_or(|task| {
+                job.may_start(task) && !self.may_have_crashed_unseen(job, task)
+            })
         };
         let waiting: Vec<u32> =
             state.waiting.iter().copied().filter(on_record).collect();
@@ -209,18 +213,21 @@
     /// Returns the tasks of a step that wait and may crash their workers.
     fn waiting_suspects(&self, candidate: &Candidate) -> Vec<TaskId> {
         let Candidate { job: id, round, step, .. } = *candidate;
-        let state = &self.jobs[&id].rounds[round][step];
+        let job = &self.jobs[&id];
+        let state = &job.rounds[round][step];
         let task = |index: u32| TaskId {
             job: id,
             round: round as u32,
             step: step as u32,
             index,
         };
+        let suspected = |index: &&u32| {
+            let task = &state.tasks[**index as usize];
+            task.crashes.are_on_record()
+                || self.may_have_crashed_unseen(job, task)
+        };
         let waiting = state.waiting.iter();
-        waiting
-            .filter(|i| state.tasks[**i as usize].crashes.count > 0)
-            .map(|i| task(*i))
-            .collect()
+        waiting.filter(suspected).map(|i| task(*i)).collect()
     }
 
     /// Returns whether a VM of the fleet could hold a task of the step.
--- a/crates/dewspar/src/schedule/place/candidates.rs
+++ b/crates/dewspar/src/schedule/place/candidates.rs
@@ -192,7 +192,7 @@
             let suspects = state
                 .waiting
                 .iter()
-                .any(|i| state.tasks[*i as usize].crashes.count > 0);
+                .any(|i| state.tasks[*i as usize].crashes.are_on_record());
             let spec = &job.spec.steps[step];
             // What is to run all the time is missing from the moment at which
             // it doesn't, and never too late.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -48,6 +48,8 @@
     pub(super) ended_lives: BTreeSet<WorkerId>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
+    /// The pools in which a worker was lost before it had named its runs.
+    pub(super) unheard_losses: BTreeSet<String>,
     /// The worker of each pool that is kept free for tasks that are to be found
     /// out about.
     pub(super) reserved: BTreeMap<String, WorkerId>,
@@ -135,6 +137,7 @@
             superseded: false,
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
+            unheard_losses: BTreeSet::new(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
             directory_ms: 0,
@@ -224,7 +227,7 @@
         if let Some(progress) = progress {
             job.restore(progress);
             self.knows_suspects |=
-                progress.tasks.iter().any(|task| task.crashes > 0);
+                progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -25,7 +25,10 @@
   after its fourth whatever else was there.
 
 Starts count as well: the record says of a suspected task whether a run of it
-was under way, since a new holder can't know how that ended.
+was under way, since a new holder can't know how that ended. Nor can it know
+whether a worker that it never heard of alive had just started one of the tasks
+that wait. Where there was such a worker, each task of former holders counts as
+started once, and its next start waits until that is on record.
 
 # Example
 
@@ -133,10 +136,26 @@
         Crashes { count, unseen, most_age_ms, ..Crashes::default() }
     }
 
+    /// Makes those of a task that a former holder may have started on a worker
+    /// that crashed.
+    fn possible() -> Crashes {
+        Crashes::restored(0, 1)
+    }
+
+    /// Returns whether there is something that a later holder must know.
+    pub(crate) fn are_on_record(&self) -> bool {
+        self.count > 0 || self.unseen > 0
+    }
+
     /// Returns how many runs a later holder can't know the end of: one that
     /// is under way may have taken its worker down before that holder looks.
     pub(crate) fn unseen_on_record(&self) -> u32 {
-        self.unseen + u32::from(self.count > 0 && self.under_way)
+        self.unseen + u32::from(self.are_on_record() && self.under_way)
+    }
+
+    /// Returns whether a start waits until these crashes are stored.
+    fn go_on_record_first(&self) -> bool {
+        self.count >= TESTED_CRASHES || (self.count == 0 && self.unseen > 0)
     }
 
     /// Adds a run that was lost. One that had lived on for longer than another
@@ -212,6 +231,9 @@
 pub(super) struct LostRuns {
     /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
+    /// The pool, if the worker was lost before it had named its runs to this
+    /// holder.
+    unheard_pool: Option<String>,
     /// Whether the worker fell silent long before its end was known.
     was_silent: bool,
     runs: Vec<LostRun>,
@@ -235,7 +257,9 @@
             suspicion: run.suspicion,
         };
         let vm = &worker.listing.vm;
+        let unheard = !worker.synced && !draining;
         LostRuns {
+            unheard_pool: unheard.then(|| worker.listing.pool.clone()),
             was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             runs: match draining {
@@ -278,6 +302,10 @@
         lost: &LostRuns,
         now: Now,
     ) {
+        if let Some(pool) = &lost.unheard_pool {
+            self.unheard_losses.insert(pool.clone());
+            self.knows_suspects = true;
+        }
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         for run in lost.suspects() {
             if lost.was_silent {
@@ -326,11 +354,12 @@
     ) {
         let Some(worker) = self.workers.get(worker_id) else { return };
         let Some(run) = worker.runs.get(task) else { return };
-        if run.suspicion == 0 {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let known = state.is_some_and(|state| state.crashes.are_on_record());
+        if run.suspicion == 0 && !known {
             return;
         }
         let lived_ms = run.confirmed_ms(worker.latest_report_ms());
-        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let sound = state
             .is_none_or(|state| lived_ms >= state.crashes.cleared_after_ms());
         if sound {
@@ -349,7 +378,7 @@
         let most_age_ms = state.crashes.most_age_ms;
         let cleared = Crashes { most_age_ms, ..Crashes::default() };
         let crashes = std::mem::replace(&mut state.crashes, cleared);
-        if crashes.count > 0 {
+        if crashes.are_on_record() {
             self.mark_changed(task.job);
         }
     }
@@ -361,7 +390,7 @@
         let state = job.and_then(|job| job.task_mut(task));
         let Some(state) = state else { return 0 };
         let Crashes { count, under_way, .. } = state.crashes;
-        if count > 0 && !under_way {
+        if state.crashes.are_on_record() && !under_way {
             state.crashes.under_way = true;
             self.mark_changed(task.job);
         }
@@ -379,25 +408,41 @@
         }
     }
 
-    /// Puts the next start of a task that is being found out about on record,
-    /// before which it doesn't start.
-    pub(super) fn announce_tested(&mut self, tasks: &[TaskId]) {
+    /// Returns whether a former holder may have started a task on a worker
+    /// that crashed before this holder had heard of it: it waits, and nothing
+    /// is known of any run.
+    pub(super) fn may_have_crashed_unseen(
+        &self,
+        job: &Job,
+        task: &Task,
+    ) -> bool {
+        job.revision < self.lease_revision
+            && !task.crashes.are_on_record()
+            && task.run == task.ended_run
+            && self.unheard_losses.contains(&job.terms.pool)
+    }
+
+    /// Puts the next start of tasks on record, before which they don't start:
+    /// of those that are being found out about, and those that a former holder
+    /// may have started unseen, as many of these as may start now.
+    pub(super) fn announce_starts(&mut self, tasks: &[TaskId]) {
+        let mut room = self.window.room();
         for task in tasks {
-            let job = self.jobs.get(&task.job);
-            let state = job.and_then(|job| job.task(task));
-            let Some(Crashes { count, under_way, .. }) =
-                state.map(|state| state.crashes)
-            else {
-                continue;
-            };
-            if count < TESTED_CRASHES || under_way {
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let Some(state) = job.task(task) else { continue };
+            let mut crashes = state.crashes;
+            if room > 0 && self.may_have_crashed_unseen(job, state) {
+                crashes = Crashes::possible();
+                room -= 1;
+            }
+            if !crashes.go_on_record_first() || crashes.under_way {
                 continue;
             }
-            let sequence = self.mark_changed(task.job);
+            crashes.under_way = true;
+            crashes.sequence = self.mark_changed(task.job);
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
-                state.crashes.under_way = true;
-                state.crashes.sequence = sequence;
+                state.crashes = crashes;
             }
         }
     }
@@ -552,7 +597,7 @@
     /// A holder that can't store its crashes may start a task once more; its
     /// successor, which knows of none, must not go on as if there were none.
     pub(super) fn may_start(&self, state: &Task) -> bool {
-        state.crashes.count < TESTED_CRASHES
+        !state.crashes.go_on_record_first()
             || self.stored_sequence >= state.crashes.sequence
     }
 }
