While tasks crash workers in series, the likely ones start apart at once

Cause: of some twenty runs that go down with a worker all are suspected alike, so that a bad task's second start again stands among many, and sound tasks are lost twice and wait behind bad ones to be found out about. A third crash never counted as certain, since each VM of the pool had crashed of late.

A run is likely the cause if its worker was told to start it last (within 50 ms), and a series is on in a pool for 5 s after a task was likely twice in a row. While it is, likely tasks are tested after one crash, on up to a quarter of the pool's workers, each kept free for one of them; those that were likely twice go last, one at a time, beside lasting runs only. With or without a series three crashes are certain if each came within 100 ms of its start.

many_bad_tasks_at_once_take_few_sound_ones_along: 62 crashes before, 48 now; 506 runs of sound jobs lost before, 273 now.

Ruled out: fewer young runs on a worker (the loss is what stands there, young or not); unproven tasks on few workers (all of a peak's are unproven); one test at a time for all with two crashes (sound ones waited 17.8 s at the median).

Left: a bad task's first start takes twenty along, and each costs three workers for some seconds.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -115,6 +115,7 @@
 mod answers;
 mod board;
 mod cancelled;
+mod crash_series;
 mod directory;
 mod duty;
 mod forecast;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -296,9 +296,12 @@
         let demand = demand(spec);
         let guarded = job
             .is_none_or(|job| !self.unguarded_pools.contains(&job.terms.pool));
-        let company = state.map(|state| self.company(spec, state, now));
-        let tested = company == Some(Company::Proven);
-        let steadiness = state.zip(job).map(|(state, job)| {
+        let known = state.zip(job);
+        let company = known.map(|(state, job)| {
+            self.company(spec, state, &job.terms.pool, now)
+        });
+        let tested = company.is_some_and(Company::is_for_tested);
+        let steadiness = known.map(|(state, job)| {
             self.steadiness_wanted(spec, state, &job.terms.pool, now)
         });
         let may_go_back =
@@ -317,7 +320,7 @@
                 && worker.listing.pool == job.terms.pool
                 && !worker.runs.contains_key(task)
                 && company.is_none_or(|company| company.allows(worker))
-                && (tested || !self.is_reserved(worker))
+                && !self.is_kept_from(worker, task, tested, now)
                 && steadiness.is_none_or(|s| self.is_as_steady(worker, s, now))
                 && (may_go_back || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
@@ -464,9 +467,9 @@
         let fence = worker.fence();
         let address = worker.listing.address.clone();
         let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms);
-        let crashes = self.note_suspect_started(task);
+        let suspicion = self.note_suspect_started(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
-        worker.insert(*task, ordered.suspected(crashes));
+        worker.insert(*task, ordered.suspected(suspicion));
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
         let payload = job.payload.clone();
--- a/crates/dewspar/src/schedule/place/gang.rs
+++ b/crates/dewspar/src/schedule/place/gang.rs
@@ -92,11 +92,12 @@
         now: Now,
     ) {
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
-        let crashes = state.map_or(0, |state| state.crashes.count);
+        let suspicion =
+            state.map(|state| state.crashes.suspicion()).unwrap_or_default();
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let fence = worker.fence();
         let reserved = Run::ordered(run, fence, demand(spec), now.steady_ms);
-        worker.insert(*task, reserved.suspected(crashes));
+        worker.insert(*task, reserved.suspected(suspicion));
     }
 
     /// Gives every member the same checkpoint, since any one's serves for
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -303,7 +303,8 @@
         let pace = if best_effort { ADOPTED_PACE } else { 100 };
         let job = self.jobs.get(&active.task.job);
         let state = job.and_then(|job| job.task(&active.task));
-        let suspicion = state.map_or(0, |state| state.crashes.count);
+        let suspicion =
+            state.map(|state| state.crashes.suspicion()).unwrap_or_default();
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let reported_ms = worker.latest_report_ms();
         let mut run = Run {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -8,6 +8,7 @@
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
+            crash_series::{CrashSeries, KeptFor},
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
@@ -50,9 +51,10 @@
     pub(super) knows_suspects: bool,
     /// The pools in which a worker was lost before it had named its runs.
     pub(super) unheard_losses: BTreeSet<String>,
-    /// The worker of each pool that is kept free for tasks that are to be found
-    /// out about.
-    pub(super) reserved: BTreeMap<String, WorkerId>,
+    /// The pools whose workers crash one after the other.
+    pub(super) crash_series: CrashSeries,
+    /// The workers that are kept free for tasks that are to be found out about.
+    pub(super) reserved: BTreeMap<WorkerId, KeptFor>,
     /// The crashes on each VM of late.
     pub(super) vm_crashes: BTreeMap<String, VmCrashes>,
     /// When the directory of workers was last read; 0 for not yet.
@@ -138,6 +140,7 @@
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
+            crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
             directory_ms: 0,
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -47,8 +47,9 @@
         schedule::{
             Decision, Now, Scheduler, WorkerId,
             board::{Job, Task, demand},
+            crash_series::{Guest, KeptFor, likely_age_ms},
             steadiness::Steadiness,
-            worker::{Run, Worker},
+            worker::{Run, Suspicion, Worker},
         },
     },
     std::collections::BTreeMap,
@@ -81,6 +82,11 @@
 /// bad tasks that begin together would each hide behind the other.
 const PROVEN_MS: u64 = 300;
 
+/// For how long a worker must have confirmed the runs beside which a task starts
+/// that is most likely bad, in milliseconds: most tasks end sooner, and the
+/// start of such a task can wait so long.
+const LASTING_MS: u64 = 2_000;
+
 /// After how many crashes nothing is started beside a task, and its next start
 /// waits until they are stored. One crash is mere chance for nearly all.
 const TESTED_CRASHES: u32 = 2;
@@ -94,6 +100,13 @@
 /// twice more after three, and a crash that no holder saw takes one of these.
 const MOST_CRASHES: u32 = 4;
 
+/// How old each run of a task may have been for its workers' crashes to be
+/// certainly its doing, also on VMs that have crashed of late, in milliseconds.
+/// Where tasks crash many workers at once, no VM of the pool is steady for long.
+/// A VM that crashes by itself every 4 s hits one such span of 40, three in a row
+/// once in 64,000.
+const AT_ONCE_MS: u64 = 100;
+
 /// How often a task may be started in all under which three workers crashed,
 /// with the runs whose end no holder saw: one more would be the third start
 /// after three crashes.
@@ -123,6 +136,8 @@
     least_age_ms: Option<u64>,
     /// When the last was noticed; 0 for under a former holder.
     noticed_ms: u64,
+    /// Whether the last run was among those that its worker started last.
+    likely: bool,
     /// Whether a run was started since, or is about to be.
     under_way: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
@@ -161,7 +176,7 @@
     /// Adds a run that was lost. One that had lived on for longer than another
     /// needed for its crash counts as a start alone: a bad task acts alike each
     /// time.
-    fn add(&mut self, run: &LostRun, now_ms: u64) {
+    fn add(&mut self, run: &LostRun, likely: bool, now_ms: u64) {
         let least_ms = self.least_age_ms.unwrap_or(SUSPECTED_MS);
         let alike = run.confirmed_ms <= 2 * least_ms + CLEARED_MARGIN_MS;
         if alike {
@@ -172,9 +187,21 @@
         self.most_age_ms = self.most_age_ms.max(run.most_age_ms);
         self.least_age_ms = Some(least_ms.min(run.most_age_ms));
         self.noticed_ms = now_ms;
+        self.likely = likely;
         self.under_way = self.count >= TESTED_CRASHES;
     }
 
+    /// Returns whether the task is most likely bad.
+    fn show_a_bad_task(&self) -> bool {
+        self.likely && self.count >= TESTED_CRASHES
+    }
+
+    /// Returns whether each run was lost as soon as it was started, which no
+    /// VM that crashes by itself does again and again.
+    fn came_at_once(&self) -> bool {
+        self.most_age_ms <= AT_ONCE_MS
+    }
+
     /// Returns whether the task has been started as often as it may.
     fn are_too_many(&self) -> bool {
         self.count >= MOST_CRASHES
@@ -199,6 +226,9 @@
     Unsuspected,
     /// Only those that their worker has confirmed for a while.
     Proven,
+    /// Only those that have gone on for longer than most take: the others are
+    /// let end first, as the worker will most likely crash.
+    Lasting,
 }
 
 impl Company {
@@ -207,14 +237,23 @@
             Company::Any => true,
             Company::Untested => !worker.tests_a_run(),
             Company::Unsuspected => !worker.has_suspects(),
-            Company::Proven => {
-                let reported_ms = worker.latest_report_ms();
-                let proven =
-                    |run: &Run| run.confirmed_ms(reported_ms) >= PROVEN_MS;
-                !worker.has_suspects() && worker.runs.values().all(proven)
-            }
+            Company::Proven => has_only_confirmed_for(worker, PROVEN_MS),
+            Company::Lasting => has_only_confirmed_for(worker, LASTING_MS),
         }
     }
+
+    /// Returns whether a task is being found out about.
+    pub(super) fn is_for_tested(self) -> bool {
+        matches!(self, Company::Proven | Company::Lasting)
+    }
+}
+
+/// Returns whether a worker has confirmed all of its runs for that long, and
+/// none of them is suspected.
+fn has_only_confirmed_for(worker: &Worker, least_ms: u64) -> bool {
+    let reported_ms = worker.latest_report_ms();
+    let confirmed = |run: &Run| run.confirmed_ms(reported_ms) >= least_ms;
+    !worker.has_suspects() && worker.runs.values().all(confirmed)
 }
 
 /// A run that went down with its worker.
@@ -224,7 +263,7 @@
     confirmed_ms: u64,
     /// How old it can have been at most.
     most_age_ms: u64,
-    suspicion: u32,
+    suspicion: Suspicion,
 }
 
 /// The runs that went down with one worker.
@@ -275,21 +314,26 @@
     fn suspects(&self) -> impl Iterator<Item = &LostRun> {
         let of_late = |run: &&LostRun| run.confirmed_ms < SUSPECTED_MS;
         let young = || self.runs.iter().filter(of_late);
-        let most = young().map(|run| run.suspicion).max().unwrap_or(0);
-        let least = if most >= TESTED_CRASHES { most } else { 0 };
+        let most = young().map(|run| run.suspicion.crashes).max().unwrap_or(0);
+        let tested = young().any(|run| run.suspicion.tested);
+        let least = if tested { most } else { 0 };
         young().filter(move |run| {
-            run.suspicion >= least || run.confirmed_ms < PROVEN_MS
+            run.suspicion.crashes >= least || run.confirmed_ms < PROVEN_MS
         })
     }
 
+    /// Returns how old a run may be at most to be a likely cause.
+    fn likely_age_ms(&self) -> u64 {
+        likely_age_ms(self.runs.iter().map(|run| run.most_age_ms))
+    }
+
     /// Returns whether no other run can have taken the worker down, if this
     /// task takes as long as it did for that.
     fn is_only_suspect(&self, task: &TaskId, crashes: &Crashes) -> bool {
         let enough_ms = crashes.cleared_after_ms();
-        self.runs
-            .iter()
-            .filter(|run| run.task != *task)
-            .all(|run| run.suspicion == 0 && run.confirmed_ms >= enough_ms)
+        self.runs.iter().filter(|run| run.task != *task).all(|run| {
+            run.suspicion.crashes == 0 && run.confirmed_ms >= enough_ms
+        })
     }
 }
 
@@ -307,13 +351,18 @@
             self.knows_suspects = true;
         }
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
+        let likely_age_ms = lost.likely_age_ms();
         for run in lost.suspects() {
             if lost.was_silent {
                 self.note_suspect_over(&run.task);
                 continue;
             }
-            let Some(crashes) = self.count_crash(run, now) else { continue };
-            let alone = steady && lost.is_only_suspect(&run.task, &crashes);
+            let likely = run.most_age_ms <= likely_age_ms;
+            let Some(crashes) = self.count_crash(run, likely, now) else {
+                continue;
+            };
+            let certain = steady || crashes.came_at_once();
+            let alone = certain && lost.is_only_suspect(&run.task, &crashes);
             self.note(Decision::Suspected {
                 task: run.task,
                 worker: worker.clone(),
@@ -329,7 +378,12 @@
     }
 
     /// Counts a crash; returns all of its task, if that is still to be done.
-    fn count_crash(&mut self, run: &LostRun, now: Now) -> Option<Crashes> {
+    fn count_crash(
+        &mut self,
+        run: &LostRun,
+        likely: bool,
+        now: Now,
+    ) -> Option<Crashes> {
         let job = self.jobs.get(&run.task.job)?;
         let over = job.phase.is_final();
         let done = job.task(&run.task)?.done;
@@ -339,8 +393,12 @@
         self.knows_suspects = true;
         let sequence = self.mark_changed(run.task.job);
         let job = self.jobs.get_mut(&run.task.job)?;
+        let pool = job.terms.pool.clone();
         let crashes = &mut job.task_mut(&run.task)?.crashes;
-        crashes.add(run, now.steady_ms);
+        if likely && crashes.likely {
+            self.crash_series.note(&pool, now);
+        }
+        crashes.add(run, likely, now.steady_ms);
         crashes.sequence = sequence;
         Some(*crashes)
     }
@@ -356,7 +414,7 @@
         let Some(run) = worker.runs.get(task) else { return };
         let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
         let known = state.is_some_and(|state| state.crashes.are_on_record());
-        if run.suspicion == 0 && !known {
+        if run.suspicion.crashes == 0 && !known {
             return;
         }
         let lived_ms = run.confirmed_ms(worker.latest_report_ms());
@@ -385,16 +443,29 @@
 
     /// Notes that a suspected task is started, so that its run counts for the
     /// next holder, which can't know how it ends; returns its crashes.
-    pub(super) fn note_suspect_started(&mut self, task: &TaskId) -> u32 {
-        let job = self.jobs.get_mut(&task.job);
-        let state = job.and_then(|job| job.task_mut(task));
-        let Some(state) = state else { return 0 };
-        let Crashes { count, under_way, .. } = state.crashes;
-        if state.crashes.are_on_record() && !under_way {
-            state.crashes.under_way = true;
+    pub(super) fn note_suspect_started(
+        &mut self,
+        task: &TaskId,
+        now: Now,
+    ) -> Suspicion {
+        let Some(job) = self.jobs.get(&task.job) else {
+            return Suspicion::default();
+        };
+        let Some(state) = job.task(task) else {
+            return Suspicion::default();
+        };
+        let suspicion = Suspicion {
+            crashes: state.crashes.count,
+            tested: self.is_tested(state, &job.terms.pool, now),
+        };
+        if state.crashes.are_on_record() && !state.crashes.under_way {
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+                state.crashes.under_way = true;
+            }
             self.mark_changed(task.job);
         }
-        count
+        suspicion
     }
 
     /// Notes that a suspected task's run came to nothing, or ended in a way that
@@ -462,27 +533,47 @@
         &self,
         spec: &StepSpec,
         state: &Task,
+        pool: &str,
         now: Now,
     ) -> Company {
         if !self.options.policy.placing.separates_suspects {
             return Company::Any;
         }
         let Crashes { count, noticed_ms, .. } = state.crashes;
-        let tested = count >= TESTED_CRASHES;
+        let tested = self.is_tested(state, pool, now);
         let waits = now.steady_ms < noticed_ms + APART_MS;
+        let in_series = self.crash_series.is_on(pool, now);
         match (tested, spec.gang) {
             (true, true) => Company::Any,
+            (true, false) if in_series && state.crashes.show_a_bad_task() => {
+                Company::Lasting
+            }
             (true, false) => Company::Proven,
             (false, false) if count > 0 && waits => Company::Unsuspected,
             (false, _) => Company::Untested,
         }
     }
 
-    /// Keeps a worker of each pool free from other starts for as long as tasks
-    /// wait there that are to be found out about; else those would have to wait
-    /// until nothing starts in a busy pool for a while.
+    /// Returns whether a task is being found out about: its next run has
+    /// nothing young beside it.
+    pub(super) fn is_tested(
+        &self,
+        state: &Task,
+        pool: &str,
+        now: Now,
+    ) -> bool {
+        let Crashes { count, likely, .. } = state.crashes;
+        count >= TESTED_CRASHES
+            || (count > 0 && likely && self.crash_series.is_on(pool, now))
+    }
+
+    /// Keeps workers free from other starts for as long as tasks wait that are
+    /// to be found out about: one in each pool, several while a series of
+    /// crashes is on there. Else those would have to wait until nothing starts
+    /// in a busy pool for a while.
     pub(super) fn reserve_workers(&mut self, waiting: &[TaskId], now: Now) {
-        let mut kept: BTreeMap<String, WorkerId> = BTreeMap::new();
+        let mut kept: BTreeMap<&str, (WorkerId, KeptFor)> = BTreeMap::new();
+        let mut guests = Vec::new();
         for task in waiting {
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let (Some(spec), Some(state)) =
@@ -490,37 +581,70 @@
             else {
                 continue;
             };
-            let pool = &job.terms.pool;
-            let tested = state.crashes.count >= TESTED_CRASHES && !spec.gang;
+            let pool = job.terms.pool.as_str();
+            let tested = self.is_tested(state, pool, now) && !spec.gang;
             if !tested || kept.contains_key(pool) {
                 continue;
             }
-            let wanted = self.steadiness_wanted(spec, state, pool, now);
-            let suits = |worker: &&Worker| {
-                worker.listing.pool == *pool
-                    && worker.is_usable()
-                    && worker.listing.capacity.holds(&demand(spec))
-                    && !worker.has_suspects()
-                    && self.is_as_steady(worker, wanted, now)
-            };
-            let before = self.reserved.get(pool);
-            let same =
-                before.and_then(|id| self.workers.get(id)).filter(suits);
-            let suitable = self.workers.values().filter(suits);
+            if self.crash_series.is_on(pool, now) {
+                let is_bad = state.crashes.show_a_bad_task();
+                guests.push(Guest { task: *task, pool, is_bad });
+                continue;
+            }
+            let same = self.reserved.keys().find_map(|id| {
+                let worker = self.workers.get(id)?;
+                let here = worker.listing.pool == pool;
+                (here && self.may_be_kept(worker, task, now)).then_some(worker)
+            });
+            let suitable = self.workers.values().filter(|worker| {
+                worker.listing.pool == pool
+                    && self.may_be_kept(worker, task, now)
+            });
             let chosen = same.or_else(|| {
                 suitable.min_by_key(|worker| (worker.runs.len(), worker.id()))
             });
             if let Some(worker) = chosen {
-                kept.insert(pool.clone(), worker.id().clone());
+                kept.insert(pool, (worker.id().clone(), KeptFor::Tested));
             }
         }
-        self.reserved = kept;
+        let mut reserved: BTreeMap<WorkerId, KeptFor> =
+            kept.into_values().collect();
+        reserved.extend(self.keep_apart_workers(guests, |guest, worker| {
+            self.may_be_kept(worker, &guest.task, now)
+        }));
+        self.reserved = reserved;
     }
 
-    /// Returns whether a worker is kept free for a task that is to be found out
-    /// about.
-    pub(super) fn is_reserved(&self, worker: &Worker) -> bool {
-        self.reserved.get(&worker.listing.pool) == Some(worker.id())
+    /// Returns whether a worker may be kept free for a task that is to be found
+    /// out about.
+    fn may_be_kept(&self, worker: &Worker, task: &TaskId, now: Now) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let (Some(spec), Some(state)) = (job.step_spec(task), job.task(task))
+        else {
+            return false;
+        };
+        let wanted = self.steadiness_wanted(spec, state, &job.terms.pool, now);
+        worker.is_usable()
+            && worker.listing.capacity.holds(&demand(spec))
+            && !worker.has_suspects()
+            && self.is_as_steady(worker, wanted, now)
+    }
+
+    /// Returns whether a worker is kept free for other tasks, or this task has
+    /// to wait for one that is kept free for it.
+    pub(super) fn is_kept_from(
+        &self,
+        worker: &Worker,
+        task: &TaskId,
+        tested: bool,
+        now: Now,
+    ) -> bool {
+        match self.reserved.get(worker.id()) {
+            Some(kept_for) => !kept_for.allows(task, tested),
+            None => {
+                tested && self.crash_series.is_on(&worker.listing.pool, now)
+            }
+        }
     }
 
     /// Returns how steady the VM must be on which a task starts.
@@ -602,9 +726,11 @@
     }
 }
 
-impl Run {
-    /// Returns whether nothing may start beside it.
-    pub(crate) fn is_tested(&self) -> bool {
-        self.suspicion >= TESTED_CRASHES
+impl Crashes {
+    /// Returns how a run that is found, or that starts together with others, is
+    /// suspected.
+    pub(crate) fn suspicion(&self) -> Suspicion {
+        let tested = self.count >= TESTED_CRASHES;
+        Suspicion { crashes: self.count, tested }
     }
 }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -61,13 +61,21 @@
     pub(crate) gauge: u64,
     /// The share at which it was ordered to work, in percent.
     pub(crate) pace: u8,
-    /// How many workers in a row were lost under its task, unless it has
-    /// cleared that; see [`suspects`](crate::schedule).
-    pub(crate) suspicion: u32,
+    /// Whether its task may crash workers, unless it has cleared that.
+    pub(crate) suspicion: Suspicion,
     /// Whether it is known what it takes.
     pub(crate) measured: bool,
 }
 
+/// Whether a run's task may crash workers; see `suspects`.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) struct Suspicion {
+    /// How many workers in a row were lost under the task.
+    pub(crate) crashes: u32,
+    /// Whether nothing may start beside the run.
+    pub(crate) tested: bool,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum RunState {
     /// The order to start it has no answer yet.
@@ -97,14 +105,14 @@
             moved_ms: now_ms,
             gauge: 0,
             pace: 100,
-            suspicion: 0,
+            suspicion: Suspicion::default(),
             measured: true,
         }
     }
 
-    /// Sets how many workers in a row were lost under its task.
-    pub(crate) fn suspected(mut self, crashes: u32) -> Run {
-        self.suspicion = crashes;
+    /// Sets whether its task may crash workers.
+    pub(crate) fn suspected(mut self, suspicion: Suspicion) -> Run {
+        self.suspicion = suspicion;
         self
     }
 
@@ -293,8 +301,8 @@
 
     pub(crate) fn insert(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.demand);
-        self.suspects += usize::from(run.suspicion > 0);
-        self.tested += usize::from(run.is_tested());
+        self.suspects += usize::from(run.suspicion.crashes > 0);
+        self.tested += usize::from(run.suspicion.tested);
         self.unmeasured += usize::from(!run.measured);
         if let Some(old) = self.runs.insert(task, run) {
             self.no_longer_has(&old);
@@ -304,8 +312,8 @@
     /// Takes a run that is no longer there off all that is counted.
     fn no_longer_has(&mut self, run: &Run) {
         self.used.subtract(&run.demand);
-        self.suspects -= usize::from(run.suspicion > 0);
-        self.tested -= usize::from(run.is_tested());
+        self.suspects -= usize::from(run.suspicion.crashes > 0);
+        self.tested -= usize::from(run.suspicion.tested);
         self.unmeasured -= usize::from(!run.measured);
     }
 
@@ -330,9 +338,9 @@
     /// Notes that a run is no longer suspected.
     pub(crate) fn clear_suspicion(&mut self, task: &TaskId) {
         let Some(run) = self.runs.get_mut(task) else { return };
-        self.suspects -= usize::from(run.suspicion > 0);
-        self.tested -= usize::from(run.is_tested());
-        run.suspicion = 0;
+        self.suspects -= usize::from(run.suspicion.crashes > 0);
+        self.tested -= usize::from(run.suspicion.tested);
+        run.suspicion = Suspicion::default();
     }
 
     pub(crate) fn remove(
