--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -92,13 +92,15 @@
         // Taken out, since starting something changes the scheduler.
         let candidates = mem::take(&mut self.candidates);
         if self.knows_suspects {
+            // Of any job of former holders, where a worker was lost unheard.
+            let all = !self.unheard_losses.is_empty();
             let suspects: Vec<TaskId> = candidates
                 .ordered
                 .iter()
-                .filter(|(_, wanted)| wanted.suspects)
+                .filter(|(_, wanted)| all || wanted.suspects)
                 .flat_map(|(candidate, _)| self.waiting_suspects(candidate))
                 .collect();
-            self.announce_tested(&suspects);
+            self.announce_starts(&suspects);
             self.reserve_workers(&suspects, now);
         }
         for (candidate, wanted) in &candidates.ordered {
@@ -150,7 +152,9 @@
         let state = &job.rounds[round][step];
         let on_record = |index: &u32| {
             let task = state.tasks.get(*index as usize);
-            task.is_none_or(|task| job.may_start(task))
+            task.is_none_or(|task| {
+                job.may_start(task) && !self.may_have_crashed_unseen(job, task)
+            })
         };
         let waiting: Vec<u32> =
             state.waiting.iter().copied().filter(on_record).collect();
@@ -210,18 +214,21 @@
     /// Returns the tasks of a step that wait and may crash their workers.
     fn waiting_suspects(&self, candidate: &Candidate) -> Vec<TaskId> {
         let Candidate { job: id, round, step, .. } = *candidate;
-        let state = &self.jobs[&id].rounds[round][step];
+        let job = &self.jobs[&id];
+        let state = &job.rounds[round][step];
         let task = |index: u32| TaskId {
             job: id,
             round: round as u32,
             step: step as u32,
             index,
         };
+        let suspected = |index: &&u32| {
+            let task = &state.tasks[**index as usize];
+            task.crashes.are_on_record()
+                || self.may_have_crashed_unseen(job, task)
+        };
         let waiting = state.waiting.iter();
-        waiting
-            .filter(|i| state.tasks[**i as usize].crashes.count > 0)
-            .map(|i| task(*i))
-            .collect()
+        waiting.filter(suspected).map(|i| task(*i)).collect()
     }
 
     /// Returns whether a VM of the fleet could hold a task of the step.
@@ -302,9 +309,12 @@
         let demand = demand(spec);
         let guarded = job
             .is_none_or(|job| !self.unguarded_pools.contains(&job.terms.pool));
-        let company = state.map(|state| self.company(spec, state, now));
-        let tested = company == Some(Company::Proven);
-        let steadiness = state.zip(job).map(|(state, job)| {
+        let known = state.zip(job);
+        let company = known.map(|(state, job)| {
+            self.company(spec, state, &job.terms.pool, now)
+        });
+        let tested = company.is_some_and(Company::is_for_tested);
+        let steadiness = known.map(|(state, job)| {
             self.steadiness_wanted(spec, state, &job.terms.pool, now)
         });
         let may_go_back =
@@ -323,7 +333,7 @@
                 && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
                 && !worker.runs.contains_key(task)
                 && company.is_none_or(|company| company.allows(worker))
-                && (tested || !self.is_reserved(worker))
+                && !self.is_kept_from(worker, task, tested, now)
                 && steadiness.is_none_or(|s| self.is_as_steady(worker, s, now))
                 && (may_go_back || !state.avoid.contains(worker.id()))
                 && has_label(worker, &spec.required_label)
@@ -468,9 +478,9 @@
         let fence = worker.fence();
         let address = worker.listing.address.clone();
         let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms);
-        let crashes = self.note_suspect_started(task);
+        let suspicion = self.note_suspect_started(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
-        worker.insert(*task, ordered.suspected(crashes));
+        worker.insert(*task, ordered.suspected(suspicion));
         let job = self.jobs.get_mut(&task.job)?;
         self.window.sent(1);
         let payload = job.payload.clone();
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -9,6 +9,7 @@
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
+            crash_series::{CrashSeries, KeptFor},
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
@@ -54,9 +55,12 @@
     pub(super) ended_lives: BTreeSet<WorkerId>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
-    /// The worker of each pool that is kept free for tasks that are to be found
-    /// out about.
-    pub(super) reserved: BTreeMap<String, WorkerId>,
+    /// The pools in which a worker was lost before it had named its runs.
+    pub(super) unheard_losses: BTreeSet<String>,
+    /// The pools whose workers crash one after the other.
+    pub(super) crash_series: CrashSeries,
+    /// The workers that are kept free for tasks that are to be found out about.
+    pub(super) reserved: BTreeMap<WorkerId, KeptFor>,
     /// The crashes on each VM of late.
     pub(super) vm_crashes: BTreeMap<String, VmCrashes>,
     /// When the directory of workers was last read; 0 for not yet.
@@ -147,6 +151,8 @@
             superseded: false,
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
+            unheard_losses: BTreeSet::new(),
+            crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
             directory_ms: 0,
@@ -236,7 +242,7 @@
         if let Some(progress) = progress {
             job.restore(progress);
             self.knows_suspects |=
-                progress.tasks.iter().any(|task| task.crashes > 0);
+                progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
