--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -66,18 +66,20 @@
         if !self.knows_every_run(now) {
             return Vec::new();
         }
+        let on_record = &mut self.cancelled.on_record;
+        // A few jobs are looked for among thousands of runs.
         let running: BTreeSet<JobId> = self
             .workers
             .values()
             .flat_map(|worker| worker.runs.keys())
             .map(|task| task.job)
+            .filter(|job| on_record.contains(job))
             .collect();
         // Of a job that is neither open nor known to be over nothing can be
         // said, so its cancelling stays.
         let finished = &self.finished;
         let settled =
             |id: &JobId| finished.contains_key(id) && !running.contains(id);
-        let on_record = &mut self.cancelled.on_record;
         on_record.extract_if(.., |id| settled(id)).take(most).collect()
     }
 
