Tests: a late write of a wave or of the VMs ordered replaces a newer record

Both records are written as a whole under the condition of the lease alone, several writes may be under way, and a write whose answer was lost may be done seconds later: what was written earlier then replaces what was written since. The next holder maintains VMs again, and does not leave those alone that were just ordered. Done: the stand-in store can do the next write of a key late; two tests, each red in the one play made: [4, 0] VMs done where [4, 4] are, and "an older record replaced a newer one". Conclusion: found by reading; not seen in a play.

--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -51,9 +51,18 @@
     version: watch::Sender<u64>,
     /// How often each prefix was listed.
     lists: Arc<Mutex<BTreeMap<String, u64>>>,
+    /// The write that is to be done late, if any.
+    late: Arc<Mutex<Option<LateWrite>>>,
     faults: Faults,
 }
 
+/// The next write of a key, and how much later it is done.
+#[derive(Debug)]
+struct LateWrite {
+    key: String,
+    by: Duration,
+}
+
 #[derive(Debug)]
 struct State {
     version: u64,
@@ -91,7 +100,7 @@
         };
         let state = Arc::new(Mutex::new(state));
         let (version, lists) = (watch::Sender::new(1), Arc::default());
-        Store { state, version, lists, faults }
+        Store { state, version, lists, late: Arc::default(), faults }
     }
 
     /// Returns the store's faults.
@@ -114,6 +123,36 @@
         self.lists.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Has the next write of a key be done so much later; its answer is lost
+    /// at once.
+    pub fn delay_next_write(&self, key: &str, by: Duration) {
+        let late = LateWrite { key: key.to_owned(), by };
+        *self.late() = Some(late);
+    }
+
+    fn late(&self) -> MutexGuard<'_, Option<LateWrite>> {
+        self.late.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how much later a batch is to be done, if it is.
+    fn take_delay(&self, batch: &Batch) -> Option<Duration> {
+        let writes = |late: &mut LateWrite| {
+            batch.puts.iter().any(|p| p.key == late.key)
+        };
+        self.late().take_if(writes).map(|late| late.by)
+    }
+
+    /// Does a batch after a while, if its conditions hold by then.
+    fn commit_later(&self, batch: Batch, by: Duration) {
+        let store = self.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(by).await;
+            let mut state = store.lock();
+            let _ = state.commit(&batch);
+            store.announce(&state);
+        });
+    }
+
     /// Ends the leases that have lapsed.
     pub fn lapse_leases(&self) {
         // During an outage nobody can renew, and nobody is told either.
@@ -309,6 +348,11 @@
 
     async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
         self.faults.count_write();
+        if let Some(by) = self.take_delay(batch) {
+            self.commit_later(batch.clone(), by);
+            let reason = "answer lost".to_owned();
+            return Err(Error::Lost { call: "commit", reason });
+        }
         let committed = self
             .call("commit", |state| {
                 let mut leases = batch.puts.iter().filter_map(|p| p.lease);
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -16,7 +16,7 @@
         job::{
             JobId, JobSpec, Phase, Progress, Queue, QueueSet, StepSpec, TaskId,
         },
-        schedule::{AcceptedJob, QueueTerms},
+        schedule::{AcceptedJob, QueueTerms, WaveRecord, WaveRequest},
     },
     dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
@@ -412,3 +412,46 @@
         }
     }
 }
+
+/// Has the first write of a record be done after all of a wave is, and returns
+/// what the record was before and after that.
+async fn around_a_late_write(key: &str) -> [Option<Vec<u8>>; 2] {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    // All is loaded by then.
+    sleep(Duration::from_secs(3)).await;
+    alone.store.delay_next_write(key, Duration::from_secs(90));
+    alone.fleet.request_wave(WaveRequest {
+        wave: 1,
+        vms: (0..4).map(|vm| format!("vm-{vm}")).collect(),
+        duration_ms: 5_000,
+        max_down: 2,
+    });
+    until(async || alone.fleet.maintained().len() == 4).await;
+    // What follows from the last of them is written.
+    sleep(Duration::from_secs(5)).await;
+    let read = async || {
+        let found = alone.store.get(key).await.expect("a store");
+        found.map(|item| item.value)
+    };
+    let before = read().await;
+    sleep(Duration::from_secs(120)).await;
+    [before, read().await]
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_write_of_a_waves_state_does_not_replace_a_newer_one() {
+    let [before, after] = around_a_late_write("wave/1").await;
+    let done = |value: &Option<Vec<u8>>| -> usize {
+        let value = value.as_ref().expect("a record");
+        let record: WaveRecord = serde_json::from_slice(value).expect("JSON");
+        record.done.len()
+    };
+    assert_eq!([done(&before), done(&after)], [4, 4]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_late_write_of_the_vms_ordered_does_not_replace_a_newer_one() {
+    let [before, after] = around_a_late_write("vm-orders").await;
+    assert!(before.is_some(), "orders went out");
+    assert_eq!(before, after, "an older record replaced a newer one");
+}
