Waves and VM orders are recorded under the record's own version

Cause: these two records depended on the lease alone, with several writes under way, so one that was done late replaced newer ones; a wave's state whose write gave no result wasn't written again at all. Done: `record::RecordWriter` keeps the record's version, one write at a time, and owes the newest content again after a write without result or a conflict; waves use it, and so does the record of VM orders, where only a conflict on the lease's key now ends the lease. A record of orders that was another is written anew at once, three tries at most, and orders go out only after it. Counts of waiting jobs did so before; they share the type of the answer.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -34,6 +34,7 @@
 | [`overload`] | whether a node keeps up with its work |
 | [`window`] | how many calls a node may have under way |
 | [`relay`] | which nodes carry a scheduling node's orders |
+| [`record`] | when a record is written that one writer replaces |
 | [`job`] | what callers hand in, and how far it has come |
 | [`schedule`] | which task of a job runs on which worker |
 | [`chart`] | state charts kept in files and interpreted |
@@ -70,6 +71,7 @@
 pub mod place;
 pub mod poll;
 pub mod pool;
+pub mod record;
 pub mod relay;
 pub mod route;
 pub mod schedule;
--- a/crates/dewspard/src/jobs/counts.rs
+++ b/crates/dewspard/src/jobs/counts.rs
@@ -15,7 +15,8 @@
 
 use {
     super::{election::Held, keys},
-    dewspar_platform::{Batch, Commit, Error, Expected, Versioned},
+    dewspar::record::RecordWritten,
+    dewspar_platform::{Batch, Expected, Versioned},
     std::collections::BTreeMap,
 };
 
@@ -60,35 +61,6 @@
     is_writing: bool,
 }
 
-/// What became of a write of counts.
-#[derive(Debug)]
-pub(super) enum CountsWritten {
-    /// It is in the store, at this version.
-    Done(u64),
-    /// The record was at another version, or another node holds the lease.
-    Conflict {
-        /// The record's version; 0 for none.
-        version: u64,
-    },
-    /// Nobody knows, or nothing was written.
-    Failed,
-}
-
-impl CountsWritten {
-    /// Reads what the store answered.
-    pub(super) fn of(answer: &Result<Commit, Error>) -> CountsWritten {
-        match answer {
-            Ok(Commit::Done(version)) => CountsWritten::Done(*version),
-            Ok(Commit::Conflict(current)) => {
-                let record = current.iter().find(|i| i.key == keys::PENDING);
-                let version = record.map_or(0, |record| record.version);
-                CountsWritten::Conflict { version }
-            }
-            Err(_) => CountsWritten::Failed,
-        }
-    }
-}
-
 impl CountsWriter {
     /// Notes at which version the record was found; 0 for none.
     pub(super) fn found(&mut self, version: u64) {
@@ -128,13 +100,13 @@
 
     /// Notes what became of the write; one that failed is tried again under
     /// the same condition, so that only one of the two can take place.
-    pub(super) fn answered(&mut self, written: &CountsWritten) {
+    pub(super) fn answered(&mut self, written: RecordWritten) {
         self.is_writing = false;
-        self.is_stored = matches!(written, CountsWritten::Done(_));
+        self.is_stored = matches!(written, RecordWritten::Done(_));
         match written {
-            CountsWritten::Done(version)
-            | CountsWritten::Conflict { version } => self.version = *version,
-            CountsWritten::Failed => {}
+            RecordWritten::Done(version)
+            | RecordWritten::Conflict { version } => self.version = version,
+            RecordWritten::Failed => {}
         }
     }
 
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -6,9 +6,13 @@
     super::{
         event::{Event, EventSender},
         keys,
+        records::{record_written, version_among},
     },
     crate::counters,
-    dewspar::schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
+    dewspar::{
+        record::RecordWritten,
+        schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
+    },
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, KeyValue, VmChange,
     },
@@ -23,8 +27,10 @@
     /// Their fencing token.
     pub(super) fence: u64,
     pub(super) orders: Vec<VmOrder>,
-    /// The write that records which VMs they are for.
-    pub(super) record: Batch,
+    /// Of which VMs changes are ordered by now.
+    pub(super) vms: OrderedVms,
+    /// The version of the last such record; 0 for none.
+    pub(super) record_version: u64,
 }
 
 /// Records orders and sends them; results come back as events.
@@ -41,17 +47,17 @@
     let (store, fleet) = (store.clone(), fleet.clone());
     let (events, log) = (events.clone(), log.clone());
     tokio::spawn(async move {
-        let recorded = match store.commit(&burst.record).await {
-            Ok(Commit::Done(_)) => true,
-            Ok(Commit::Conflict(_)) => {
-                let _ = events.send(Event::LeaseGone).await;
-                return;
-            }
-            Err(error) => {
-                counters::platform_failure(&error);
-                false
-            }
+        let event = match record_orders(&store, &burst, &log).await {
+            Recorded::Known(written) => Event::VmOrdersWritten(written),
+            Recorded::LeaseGone => Event::LeaseGone,
         };
+        let recorded =
+            matches!(event, Event::VmOrdersWritten(RecordWritten::Done(_)));
+        let lease_gone = matches!(event, Event::LeaseGone);
+        // A holder that is gone has no use for it.
+        if events.send(event).await.is_err() || lease_gone {
+            return;
+        }
         for order in burst.orders {
             let change = Change {
                 holder: burst.holder.clone(),
@@ -70,6 +76,54 @@
     });
 }
 
+/// How often a record of orders is written anew that was found changed: once
+/// for a write of this holder whose answer was lost, and once more in case
+/// that is done just then.
+const RECORD_TRIES: u32 = 3;
+
+/// What became of recording orders.
+enum Recorded {
+    Known(RecordWritten),
+    /// Another node holds the lease, or may.
+    LeaseGone,
+}
+
+/// Records orders before they are sent.
+///
+/// Depends on the record's version as well as on the lease: an older record
+/// that is done late must not replace this one.
+async fn record_orders<K: KeyValue>(
+    store: &K,
+    burst: &Burst,
+    log: &Logger,
+) -> Recorded {
+    let mut written =
+        RecordWritten::Conflict { version: burst.record_version };
+    for _ in 0..RECORD_TRIES {
+        let RecordWritten::Conflict { version } = written else { break };
+        let batch = ordered_batch(burst.fence, version, &burst.vms);
+        let answer = store.commit(&batch).await;
+        match &answer {
+            Ok(Commit::Done(_)) => {}
+            Ok(Commit::Conflict(found)) => {
+                if version_among(found, keys::OWNER) != burst.fence {
+                    return Recorded::LeaseGone;
+                }
+                info!(log, "vm: record of orders was another";
+                    "expected" => version,
+                    "found" => version_among(found, keys::VM_ORDERS));
+            }
+            Err(error) => {
+                counters::platform_failure(error);
+                warn!(log, "vm: orders not recorded, and so not sent";
+                    "orders" => burst.orders.len(), "error" => %error);
+            }
+        }
+        written = record_written(&answer, keys::VM_ORDERS);
+    }
+    Recorded::Known(written)
+}
+
 /// Who orders a change to a VM.
 struct Change {
     holder: String,
@@ -155,51 +209,75 @@
     counters::count_by(counters::FLEET_STEPS, "step", order);
 }
 
+/// What earlier holders kept of the waves.
+#[derive(Debug, Default)]
+pub(super) struct LoadedWaves {
+    pub(super) records: BTreeMap<u64, WaveRecord>,
+    /// The version of each record, also of one that can't be read.
+    pub(super) versions: BTreeMap<u64, u64>,
+}
+
 /// Reads what earlier holders kept of each wave.
 pub(super) async fn load_waves<K: KeyValue>(
     store: &K,
     log: &Logger,
-) -> Result<BTreeMap<u64, WaveRecord>, Error> {
+) -> Result<LoadedWaves, Error> {
     let (_, stored) = store.list(keys::WAVES).await?;
-    let mut records = BTreeMap::new();
+    let mut waves = LoadedWaves::default();
     for item in &stored {
         let Some(wave) = keys::wave_of(&item.key) else { continue };
+        waves.versions.insert(wave, item.version);
         match serde_json::from_slice(&item.value) {
             Ok(record) => {
-                records.insert(wave, record);
+                waves.records.insert(wave, record);
             }
             Err(error) => warn!(log, "wave: stored state can't be read";
                 "wave" => wave, "error" => %error),
         }
     }
-    Ok(records)
+    Ok(waves)
 }
 
-/// Reads which VMs the former holder had ordered changes of when it last
-/// did; `None` where that can't be known.
+/// Of which VMs the former holder had ordered changes when it last did.
+#[derive(Debug)]
+pub(super) struct LoadedOrders {
+    /// `None` where that can't be known.
+    pub(super) vms: Option<OrderedVms>,
+    /// The version of the record; 0 for none.
+    pub(super) version: u64,
+}
+
+/// Reads of which VMs the former holder had ordered changes when it last did.
 pub(super) async fn load_ordered<K: KeyValue>(
     store: &K,
     log: &Logger,
-) -> Result<Option<OrderedVms>, Error> {
+) -> Result<LoadedOrders, Error> {
     let Some(found) = store.get(keys::VM_ORDERS).await? else {
-        return Ok(Some(OrderedVms::default()));
+        let vms = Some(OrderedVms::default());
+        return Ok(LoadedOrders { vms, version: 0 });
     };
-    match serde_json::from_slice(&found.value) {
-        Ok(vms) => Ok(Some(vms)),
+    let vms = match serde_json::from_slice(&found.value) {
+        Ok(vms) => Some(vms),
         Err(error) => {
             warn!(log, "vm: record of orders can't be read";
                 "error" => %error);
-            Ok(None)
+            None
         }
-    }
+    };
+    Ok(LoadedOrders { vms, version: found.version })
 }
 
 /// The write that records of which VMs changes are ordered.
-pub(super) fn ordered_batch(lease_revision: u64, vms: &OrderedVms) -> Batch {
+fn ordered_batch(
+    lease_revision: u64,
+    version: u64,
+    vms: &OrderedVms,
+) -> Batch {
     // OK because texts and numbers can always be written.
     let value = serde_json::to_vec(vms).expect("plain JSON");
     Batch::default()
         .when(keys::OWNER, Expected::Version(lease_revision))
+        .when(keys::VM_ORDERS, Expected::from_version(version))
         .put(keys::VM_ORDERS, value)
 }
 
@@ -207,11 +285,13 @@
 pub(super) fn wave_batch(
     lease_revision: u64,
     wave: u64,
+    version: u64,
     record: &WaveRecord,
 ) -> Batch {
     // OK because a number and texts can always be written.
     let value = serde_json::to_vec(record).expect("plain JSON");
     Batch::default()
         .when(keys::OWNER, Expected::Version(lease_revision))
+        .when(&keys::wave(wave), Expected::from_version(version))
         .put(&keys::wave(wave), value)
 }
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -6,13 +6,13 @@
 
 use {
     super::{
-        counts::CountsWritten,
         progress::{FeedEvent, Stored},
         takeover::{LoadedDuties, LoadedJobs},
     },
     crate::clock,
     dewspar::{
         job::TaskId,
+        record::RecordWritten,
         schedule::{
             Changes, Held as SentHold, HoldReport, ManagedVm, OrderError,
             PaceOrder, VmOrderError, WorkerId, WorkerListing,
@@ -138,7 +138,14 @@
     /// These changes weren't stored, and may be tried again.
     WriteAgain(Changes),
     /// What became of a write of the counts of waiting jobs.
-    Counted(CountsWritten),
+    Counted(RecordWritten),
+    /// What became of a write of a wave's state.
+    WaveWritten {
+        wave: u64,
+        written: RecordWritten,
+    },
+    /// What became of a write of the VMs of which changes are ordered.
+    VmOrdersWritten(RecordWritten),
     Stored {
         changes: Changes,
         stored: Stored,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -41,6 +41,7 @@
     dewspar::{
         job::JobId,
         overload::RoundTrips,
+        record::RecordWriter,
         schedule::{Now, OrderError, Scheduler, WaveRecord},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
@@ -151,6 +152,8 @@
         round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::default(),
         waves: BTreeMap::new(),
+        wave_writers: BTreeMap::new(),
+        vm_orders: RecordWriter::default(),
         completed: Vec::new(),
         expired_ms: clock::now_ms(),
         suspensions: Suspensions::new(clock::suspended_ms()),
@@ -192,6 +195,10 @@
     /// How long orders to start took that were answered.
     round_trips: RoundTrips,
     pub(super) counts: CountsWriter,
+    /// When the state of each wave is written.
+    pub(super) wave_writers: BTreeMap<u64, RecordWriter>,
+    /// The record of the VMs of which changes are ordered.
+    vm_orders: RecordWriter,
     /// What former holders kept of each wave.
     waves: BTreeMap<u64, WaveRecord>,
     /// The waves that were reported as completed before.
@@ -273,7 +280,7 @@
             Event::Maintained { vm, wave, result } => {
                 scheduler.maintenance_answered(&vm, wave, result, now);
                 if result.is_ok() {
-                    self.write_wave(wave);
+                    self.owe_wave(wave);
                 }
             }
             Event::Moved { vm, pool, result } => {
@@ -316,7 +323,13 @@
                 scheduler
                     .advice_answered(&step, &workers, asked_ms, answer, now);
             }
-            Event::Counted(written) => self.counts.answered(&written),
+            Event::Counted(written) => self.counts.answered(written),
+            Event::WaveWritten { wave, written } => {
+                self.wave_written(wave, written, now);
+            }
+            Event::VmOrdersWritten(written) => {
+                self.vm_orders.answered(written, now.steady_ms);
+            }
             Event::WriteAgain(changes) => scheduler.changes_failed(&changes),
             Event::Stored { changes, stored } => {
                 self.changes_stored(changes, stored, now);
@@ -326,9 +339,13 @@
 
     fn take_duties(&mut self, duties: LoadedDuties, now: Now) {
         let orderer = self.candidate.orderer();
-        self.scheduler.leave_vms_alone(now, &orderer, duties.ordered);
+        self.vm_orders.found(duties.ordered.version);
+        self.scheduler.leave_vms_alone(now, &orderer, duties.ordered.vms);
         self.counts.found(duties.counts_version);
-        self.waves = duties.waves;
+        for (wave, version) in duties.waves.versions {
+            self.wave_writers.entry(wave).or_default().found(version);
+        }
+        self.waves = duties.waves.records;
         self.completed = duties.completed;
     }
 
@@ -410,6 +427,7 @@
         }
         self.store_changes(now);
         self.write_counts(now);
+        self.write_waves(now);
         self.order_vms(now);
         self.delete_expired(now);
         self.delete_settled(now);
@@ -431,7 +449,7 @@
             let unseen =
                 self.scheduler.request_waves(now, waves, records, completed);
             for wave in unseen {
-                self.write_wave(wave);
+                self.owe_wave(wave);
             }
         }
         let Some(queues) = &reading.intent.queues else { return };
@@ -455,6 +473,10 @@
         if now.steady_ms >= lease_over_ms || now.steady_ms < due_ms {
             return;
         }
+        // One record of orders at a time: an older one must not replace it.
+        if self.vm_orders.is_writing() {
+            return;
+        }
         self.vms_planned_ms = now.steady_ms;
         let orders = self.scheduler.plan_vms(now);
         if orders.is_empty() {
@@ -465,7 +487,8 @@
             holder: self.candidate.node.clone(),
             fence: self.held.revision,
             orders,
-            record: duties::ordered_batch(self.held.revision, &vms),
+            vms,
+            record_version: self.vm_orders.begin(),
         };
         let Candidate { store, fleet, log, .. } = self.candidate;
         let store = store.with_purpose(Purpose::Vms);
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -5,16 +5,16 @@
 
 use {
     super::{
-        counts::CountsWritten,
         duties,
         event::Event,
         holder::{Holder, json},
         keys,
     },
     crate::counters,
-    dewspar::schedule::Now,
+    dewspar::{record::RecordWritten, schedule::Now},
     dewspar_platform::{
-        Batch, Expected, Fleet, JobWorkers, KeyValue, Purpose,
+        Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
+        Versioned,
     },
     slog::{info, warn},
 };
@@ -36,10 +36,49 @@
 const CANCELLINGS_A_WRITE: usize = 31;
 
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
-    pub(super) fn write_wave(&self, wave: u64) {
-        if let Some(record) = self.scheduler.wave_record(wave) {
-            let batch = duties::wave_batch(self.held.revision, wave, record);
-            self.write(batch, "state of a wave");
+    /// Notes that the state of a wave has changed.
+    pub(super) fn owe_wave(&mut self, wave: u64) {
+        self.wave_writers.entry(wave).or_default().owe();
+    }
+
+    /// Writes the state of each wave of which a write is due.
+    pub(super) fn write_waves(&mut self, now: Now) {
+        for (wave, writer) in &mut self.wave_writers {
+            let record = self.scheduler.wave_record(*wave);
+            let Some(record) = record else { continue };
+            if !writer.is_due(now.steady_ms) {
+                continue;
+            }
+            let (wave, expected) = (*wave, writer.begin());
+            let lease = self.held.revision;
+            let batch = duties::wave_batch(lease, wave, expected, record);
+            let store = self.candidate.store.with_purpose(Purpose::Progress);
+            let sender = self.sender.clone();
+            let log = self.candidate.log.clone();
+            tokio::spawn(async move {
+                let answer = store.commit(&batch).await;
+                if let Err(error) = &answer {
+                    counters::platform_failure(error);
+                    warn!(log, "holder: write gave no result";
+                        "of" => "state of a wave", "error" => %error);
+                }
+                let written = record_written(&answer, &keys::wave(wave));
+                // A holder that is gone has no use for it.
+                let _ =
+                    sender.send(Event::WaveWritten { wave, written }).await;
+            });
+        }
+    }
+
+    /// Takes in what became of a write of a wave's state.
+    pub(super) fn wave_written(
+        &mut self,
+        wave: u64,
+        written: RecordWritten,
+        now: Now,
+    ) {
+        if let Some(writer) = self.wave_writers.get_mut(&wave) {
+            writer.answered(written, now.steady_ms);
         }
     }
 
@@ -70,7 +109,8 @@
                 warn!(log, "holder: write gave no result";
                     "of" => "counts of waiting jobs", "error" => %error);
             }
-            let written = Event::Counted(CountsWritten::of(&answer));
+            let written =
+                Event::Counted(record_written(&answer, keys::PENDING));
             // A holder that is gone has no use for it.
             let _ = sender.send(written).await;
         });
@@ -123,3 +163,24 @@
         });
     }
 }
+
+/// Reads what the store answered to a write of the record under this key.
+pub(super) fn record_written(
+    answer: &Result<Commit, Error>,
+    key: &str,
+) -> RecordWritten {
+    match answer {
+        Ok(Commit::Done(version)) => RecordWritten::Done(*version),
+        Ok(Commit::Conflict(current)) => {
+            let version = version_among(current, key);
+            RecordWritten::Conflict { version }
+        }
+        Err(_) => RecordWritten::Failed,
+    }
+}
+
+/// Returns the version of a key among those that were found; 0 for absent.
+pub(super) fn version_among(found: &[Versioned], key: &str) -> u64 {
+    let item = found.iter().find(|item| item.key == key);
+    item.map_or(0, |item| item.version)
+}
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -15,7 +15,7 @@
 
 use {
     super::{
-        duties::{load_ordered, load_waves},
+        duties::{LoadedOrders, LoadedWaves, load_ordered, load_waves},
         event::{Event, EventSender, HolderGone},
         keys,
         progress::{FeedEvent, read_feed},
@@ -24,7 +24,6 @@
     dewspar::{
         job::{JobId, Progress},
         poll::PollPace,
-        schedule::{OrderedVms, WaveRecord},
     },
     dewspar_platform::{Error, Fleet, KeyValue, Versioned},
     slog::{Logger, info, warn},
@@ -67,12 +66,11 @@
 #[derive(Debug)]
 pub(super) struct LoadedDuties {
     /// What they kept of each wave.
-    pub(super) waves: BTreeMap<u64, WaveRecord>,
+    pub(super) waves: LoadedWaves,
     /// The waves that were reported as completed.
     pub(super) completed: Vec<u64>,
-    /// The VMs of which the former holder ordered changes of late; `None`
-    /// where that can't be known.
-    pub(super) ordered: Option<OrderedVms>,
+    /// The VMs of which the former holder ordered changes of late.
+    pub(super) ordered: LoadedOrders,
     /// The version of the counts of waiting jobs; 0 for none.
     pub(super) counts_version: u64,
 }
