--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -109,9 +109,10 @@
     pub fn take_expired(&mut self, now: Now, most: usize) -> Vec<JobId> {
         let kept_ms = self.options.kept_ms;
         let over = |at: u64| now.unix_ms >= at + kept_ms;
-        let expired = self.finished.iter().filter(|(id, at)| {
-            over(**at) && !self.cancelled.contains(**id)
-        });
+        let expired = self
+            .finished
+            .iter()
+            .filter(|(id, at)| over(**at) && !self.cancelled.contains(**id));
         let expired: Vec<JobId> =
             expired.map(|(id, _)| *id).take(most).collect();
         for id in &expired {
--- a/crates/dewspar/tests/schedule/cancelling.rs
+++ b/crates/dewspar/tests/schedule/cancelling.rs
@@ -343,7 +343,8 @@
     world.cut.push(listing("w1").id);
     world.scheduler.cancel(id(1), at(world.now_ms));
     world.run_for(1_000);
-    let an_hour_on = |now: Now| Now { unix_ms: now.unix_ms + 3_600_000, ..now };
+    let an_hour_on =
+        |now: Now| Now { unix_ms: now.unix_ms + 3_600_000, ..now };
     let later = an_hour_on(at(world.now_ms));
     assert!(world.scheduler.take_expired(later, 15).is_empty());
     world.cut.clear();
--- a/crates/dewspard/src/jobs/relay/keep.rs
+++ b/crates/dewspard/src/jobs/relay/keep.rs
@@ -93,7 +93,7 @@
 
 impl<W> Drop for EndLinks<'_, W> {
     fn drop(&mut self) {
-        for link in self.0.links().iter().chain(&self.0.take_opened()) {
+        for link in self.0.links().iter().chain(&self.0.opened().take()) {
             link.give_up();
         }
         self.0.use_links(Vec::new());
@@ -178,14 +178,14 @@
         for node in wanted.into_iter().filter(|node| known(node).is_none()) {
             let (holder, revision) = (self.node.clone(), self.lease_revision);
             let traffic = self.traffic.clone();
-            let workers = self.workers.clone();
+            let opened = self.workers.opened().clone();
             opening.spawn(async move {
                 let name = node.name.clone();
                 let link =
                     RelayLink::open(node, &holder, revision, traffic).await;
                 // Else one that is opened as the lease ends stays open.
                 if let Ok(link) = &link {
-                    workers.note_opened(link);
+                    opened.note(link);
                 }
                 (name, link)
             });
@@ -222,7 +222,7 @@
             old.retire();
         }
         self.workers.use_links(links);
-        drop(self.workers.take_opened());
+        drop(self.workers.opened().take());
     }
 }
 
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -41,13 +41,34 @@
 struct Shared {
     links: RwLock<Vec<Arc<RelayLink>>>,
     /// Every link that was opened under this lease and may not be in use yet.
-    opened: Mutex<Vec<Arc<RelayLink>>>,
+    opened: OpenedLinks,
     /// Whether orders go out directly for now.
     paused: AtomicBool,
     /// How many orders were sent, by whatever way.
     calls: AtomicU64,
 }
 
+/// Links that were opened and aren't in use yet; clones share them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct OpenedLinks(Arc<Mutex<Vec<Arc<RelayLink>>>>);
+
+impl OpenedLinks {
+    /// Adds a link.
+    pub(super) fn note(&self, link: &Arc<RelayLink>) {
+        self.lock().push(link.clone());
+    }
+
+    /// Takes all of them.
+    pub(super) fn take(&self) -> Vec<Arc<RelayLink>> {
+        std::mem::take(&mut *self.lock())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<RelayLink>>> {
+        // OK after a panic: each change is one call that can't fail halfway.
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl<W> RelayedWorkers<W> {
     /// Makes workers that are reached directly at first.
     pub(in super::super) fn new(direct: W) -> RelayedWorkers<W> {
@@ -79,19 +100,9 @@
         self.shared.calls.load(Ordering::Relaxed)
     }
 
-    /// Notes a link that was opened and isn't in use yet.
-    pub(super) fn note_opened(&self, link: &Arc<RelayLink>) {
-        self.opened().push(link.clone());
-    }
-
-    /// Takes the links that were opened since the last time.
-    pub(super) fn take_opened(&self) -> Vec<Arc<RelayLink>> {
-        std::mem::take(&mut *self.opened())
-    }
-
-    fn opened(&self) -> MutexGuard<'_, Vec<Arc<RelayLink>>> {
-        // OK after a panic: each change is one call that can't fail halfway.
-        self.shared.opened.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the links that were opened and aren't in use yet.
+    pub(super) fn opened(&self) -> &OpenedLinks {
+        &self.shared.opened
     }
 
     /// Returns the links in use.
