Tell why tasks that are to last wait, and where one that is stopped is to go

Sight for the incident: whether such a task waits for processors, memory, a worker without a sibling, an unaccounted run, a record or a full window was in no line of the log. At most four lines a look, two looks a second, each step once in 2 s.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -320,6 +320,9 @@
             .collect();
         for task in tasks {
             if self.may_stop_for_duty(&task, id, waited_ms, now) {
+                let place = self.place_for(&task, now).cloned();
+                let worker = id.clone();
+                self.note(Decision::Displaced { task, worker, place });
                 self.stop_run(&task, id, "its VM is needed");
             }
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -138,6 +138,7 @@
 mod storing;
 mod suspects;
 mod vm;
+mod waits;
 mod wave_state;
 mod worker;
 mod workers;
@@ -331,6 +332,29 @@
         /// Why.
         reason: &'static str,
     },
+    /// A run is to stop because its VM is needed, and its task to go on
+    /// elsewhere.
+    Displaced {
+        /// The task.
+        task: TaskId,
+        /// The worker that it leaves.
+        worker: WorkerId,
+        /// Where it is to go on; `None` for a task that waits for its turn.
+        place: Option<WorkerId>,
+    },
+    /// A task that is to last has waited for a while.
+    Waits {
+        /// The first such task of its step.
+        task: TaskId,
+        /// How many of the step wait.
+        tasks: usize,
+        /// For how long, in milliseconds.
+        waited_ms: u64,
+        /// Why.
+        reason: &'static str,
+        /// What the workers of its pool lack for it.
+        lack: Lack,
+    },
     /// A run that was to be stopped is over.
     StopOver {
         /// The task.
@@ -461,6 +485,25 @@
     },
 }
 
+/// How many workers of a pool can't take a task, each counted once, by the
+/// first that holds of it in this order.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Lack {
+    /// All workers of the pool.
+    pub workers: usize,
+    /// Those that take nothing now: emptied, draining, silent, not asked yet.
+    pub closed: usize,
+    /// Those with too little processor time left.
+    pub cpu: usize,
+    /// Those with too little memory left.
+    pub memory: usize,
+    /// Those that already have as many tasks of its step as may share one.
+    pub siblings: usize,
+    /// Those that it has failed on or has no ticket for, or that are kept
+    /// from it in some other way.
+    pub barred: usize,
+}
+
 /// What was done to stop a run.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct StopAccount {
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -150,20 +150,17 @@
             return None;
         }
         let state = &job.rounds[round][step];
-        let on_record = |index: &u32| {
-            let task = state.tasks.get(*index as usize);
-            task.is_none_or(|task| {
-                job.may_start(task) && !self.may_have_crashed_unseen(job, task)
-            })
-        };
-        let waiting: Vec<u32> =
-            state.waiting.iter().copied().filter(on_record).collect();
         let first = TaskId {
             job: id,
             round: round as u32,
             step: step as u32,
             index: 0,
         };
+        let on_record = |index: &u32| {
+            self.is_on_record(job, &TaskId { index: *index, ..first })
+        };
+        let waiting: Vec<u32> =
+            state.waiting.iter().copied().filter(on_record).collect();
         let pool = job.terms.pool.clone();
         let fits = self.fits_somewhere(spec);
         if spec.gang {
@@ -396,6 +393,25 @@
         self.best_worker(spec, task, now).map(Worker::id)
     }
 
+    /// Returns whether a task may start without its start being put on record
+    /// first, or that is done.
+    pub(super) fn is_on_record(&self, job: &Job, task: &TaskId) -> bool {
+        job.task(task).is_none_or(|task| {
+            job.may_start(task) && !self.may_have_crashed_unseen(job, task)
+        })
+    }
+
+    /// Returns whether a step's tasks may still run where a former holder
+    /// started them, outside of a plan.
+    pub(super) fn is_unaccounted_for(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        now: Now,
+    ) -> bool {
+        self.is_unaccounted(job, spec, now, &mut UnaskedPools::default())
+    }
+
     /// Returns whether a step's tasks may still run where a former holder
     /// started them.
     fn is_unaccounted(
--- a/crates/dewspar/src/schedule/place/candidates.rs
+++ b/crates/dewspar/src/schedule/place/candidates.rs
@@ -10,7 +10,7 @@
 
 use {
     crate::{
-        job::JobId,
+        job::{JobId, TaskId},
         schedule::{
             Now, Room,
             board::{Job, demand},
@@ -118,6 +118,17 @@
         anew == self.ordered
     }
 
+    /// Returns the first task of each step with tasks to start, in the order
+    /// of their turns.
+    pub(in crate::schedule) fn steps(&self) -> impl Iterator<Item = TaskId> {
+        self.ordered.keys().map(|candidate| TaskId {
+            job: candidate.job,
+            round: candidate.round as u32,
+            step: candidate.step as u32,
+            index: 0,
+        })
+    }
+
     fn forget(&mut self, id: &JobId) {
         let Some(known) = self.of_jobs.remove(id) else { return };
         for (candidate, _) in known.candidates {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -16,6 +16,7 @@
             place::Candidates,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
+            waits::LongWaits,
             wave_state::WaveState,
             worker::{OwedHold, Worker},
             workers::{WorkerNumber, Workers},
@@ -121,6 +122,8 @@
     busy: BusyPause,
     /// When runs that go on were last looked at.
     pub(super) runs_looked_at_ms: u64,
+    /// What was told of tasks that are to last and wait.
+    pub(super) long_waits: LongWaits,
 }
 
 impl Scheduler {
@@ -135,6 +138,7 @@
             asked_first: None,
             busy: BusyPause::default(),
             runs_looked_at_ms: 0,
+            long_waits: LongWaits::default(),
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -356,6 +360,7 @@
         self.order_stops(now, &mut actions);
         self.fence_workers(now, &mut actions);
         self.start_waiting(now, &mut actions);
+        self.tell_long_waits(now);
         self.hold_workers(now, &mut actions);
         actions
     }
--- /dev/null
+++ b/crates/dewspar/src/schedule/waits.rs
@@ -0,0 +1,139 @@
+/*!
+Why tasks that are to last wait.
+
+Short tasks wait all the time: for others to end, for a VM to come. One that is
+to last is missing from the moment at which it doesn't run, so each such wait
+that isn't over soon is told with what the workers of its pool lack for it.
+*/
+
+use {
+    crate::{
+        job::{StepSpec, TaskId},
+        schedule::{
+            Decision, Lack, Now, Scheduler, board::demand, worker::Worker,
+        },
+    },
+    std::collections::BTreeMap,
+};
+
+/// How long a task waits before that is told, in milliseconds: about as long
+/// as a worker takes to be heard of again.
+const TOLD_AFTER_MS: u64 = 500;
+
+/// How often waits are looked at, in milliseconds.
+const LOOK_INTERVAL_MS: u64 = 500;
+
+/// How many steps a look tells of, so that a pool without any worker doesn't
+/// fill the log; the next looks go on with the others.
+const TOLD_A_LOOK: usize = 4;
+
+/// How long nothing more is told of a step, in milliseconds.
+const TOLD_AGAIN_MS: u64 = 2_000;
+
+/// When the waits of tasks that are to last were looked at and told.
+#[derive(Debug, Default)]
+pub(super) struct LongWaits {
+    looked_at_ms: u64,
+    /// The steps that were told of, by their first task, and when.
+    told_ms: BTreeMap<TaskId, u64>,
+}
+
+impl LongWaits {
+    fn may_tell(&mut self, step: &TaskId, now_ms: u64) -> bool {
+        self.told_ms.retain(|_, told| now_ms < *told + TOLD_AGAIN_MS);
+        !self.told_ms.contains_key(step)
+    }
+}
+
+impl Scheduler {
+    /// Tells of tasks that are to last and wait for long.
+    pub(super) fn tell_long_waits(&mut self, now: Now) {
+        if now.steady_ms < self.long_waits.looked_at_ms + LOOK_INTERVAL_MS {
+            return;
+        }
+        self.long_waits.looked_at_ms = now.steady_ms;
+        let mut told = 0;
+        for step in self.waiting_long_steps() {
+            if told == TOLD_A_LOOK {
+                return;
+            }
+            if self.tell_wait(&step, now) {
+                told += 1;
+            }
+        }
+    }
+
+    /// Returns the first waiting task of each step that is ready and to last.
+    fn waiting_long_steps(&self) -> Vec<TaskId> {
+        let lasting = self.candidates.steps().filter_map(|step| {
+            let job = self.jobs.get(&step.job)?;
+            let spec = job.step_spec(&step)?;
+            let index = *job.step(&step)?.waiting.first()?;
+            spec.long_running.then_some(TaskId { index, ..step })
+        });
+        lasting.collect()
+    }
+
+    /// Tells why a task waits, if that is due; returns whether it was.
+    fn tell_wait(&mut self, task: &TaskId, now: Now) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let (Some(spec), Some(step)) = (job.step_spec(task), job.step(task))
+        else {
+            return false;
+        };
+        let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
+        let first = TaskId { index: 0, ..*task };
+        if waited_ms < TOLD_AFTER_MS
+            || !self.long_waits.may_tell(&first, now.steady_ms)
+        {
+            return false;
+        }
+        let tasks = step.waiting.len();
+        let reason = if self.is_unaccounted_for(job, spec, now) {
+            "a worker that may run it wasn't asked yet"
+        } else if !self.is_on_record(job, task) {
+            "its start isn't on record yet"
+        } else if self.place_for(task, now).is_some() {
+            "there is a place, but no order may be sent"
+        } else {
+            "no worker of its pool can take it"
+        };
+        let lack = self.lack_for(spec, task, now);
+        self.long_waits.told_ms.insert(first, now.steady_ms);
+        self.note(Decision::Waits {
+            task: *task,
+            tasks,
+            waited_ms,
+            reason,
+            lack,
+        });
+        true
+    }
+
+    /// Counts what the workers of its pool lack for a task.
+    fn lack_for(&self, spec: &StepSpec, task: &TaskId, now: Now) -> Lack {
+        let mut lack = Lack::default();
+        let Some(job) = self.jobs.get(&task.job) else { return lack };
+        let demand = demand(spec);
+        let most = spec.max_per_worker as usize;
+        let has_siblings =
+            |worker: &Worker| most > 0 && worker.runs_of_step(task) >= most;
+        for (_, worker) in self.workers.in_pool(&job.terms.pool) {
+            let free = worker.free();
+            lack.workers += 1;
+            let count = if !worker.takes_orders(now.steady_ms) {
+                &mut lack.closed
+            } else if free.cpu_millis < demand.cpu_millis {
+                &mut lack.cpu
+            } else if !free.holds(&demand) {
+                &mut lack.memory
+            } else if has_siblings(worker) {
+                &mut lack.siblings
+            } else {
+                &mut lack.barred
+            };
+            *count += 1;
+        }
+        lack
+    }
+}
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -101,6 +101,8 @@
         "Time from the first order to stop a run to its end, in seconds.";
     OVERDUE_STOPS, "counter", "dewspar_task_stops_overdue_total", Some("reason"),
         "Runs that went on for longer than a stop may take, by why they were to stop.";
+    LONG_WAITS, "counter", "dewspar_task_long_waits_total", Some("reason"),
+        "Times that tasks that are to last were found waiting for long, by why.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
         "Runs whose worker was lost soon after it had been told to start them.";
     TASKS_GIVEN_UP, "counter", "dewspar_tasks_given_up_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -38,6 +38,20 @@
                 "reason" => reason);
             counters::count_by(counters::TASK_STOPS, "reason", reason);
         }
+        Decision::Displaced { task, worker, place } => {
+            info!(log, "task: is to move"; "job" => %task.job,
+                "task" => %task, "worker" => %worker,
+                "place" => place.as_ref().map(|place| place.to_string()));
+        }
+        Decision::Waits { task, tasks, waited_ms, reason, lack } => {
+            warn!(log, "task: waits"; "job" => %task.job, "task" => %task,
+                "tasks" => tasks, "waited_ms" => waited_ms,
+                "reason" => reason, "workers" => lack.workers,
+                "closed" => lack.closed, "short_of_cpu" => lack.cpu,
+                "short_of_memory" => lack.memory,
+                "with_siblings" => lack.siblings, "barred" => lack.barred);
+            counters::count_by(counters::LONG_WAITS, "reason", reason);
+        }
         Decision::StopOver { task, run, worker, cause, stop } => {
             info!(log, "task: stopped"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "cause" => cause,
