Keep a place for a task that lasts before its run is stopped

Cause: a task on a VM that is needed was stopped if some worker could take it at that moment. Nothing kept that place, so it was promised to each task that had to leave, and tasks of a peak took it during the 0.5 to 0.9 s of the stop. Now room is kept on a worker that stays, best on one that no wave is to take; a task without a place stays at work, and its pool gets VMs for it.

Ruled out: that the order isn't sent, which held only after a hand-over, where tasks wait for workers that weren't asked and for records.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -43,6 +43,16 @@
 /// How much more time than needed there must be to wait for a calm pool.
 const SLACK: u64 = 2;
 
+/// Whether a task is to leave a worker that is being emptied.
+enum Leave {
+    /// It goes on for now.
+    NotYet,
+    /// It is stopped, and waits for its turn like any other.
+    AtOnce,
+    /// It is stopped once it has a place elsewhere.
+    WithPlace,
+}
+
 impl Scheduler {
     /// Takes over the waves that are asked for, each with what was kept of it
     /// before this node took over.
@@ -73,6 +83,7 @@
             let left_ms = request.duration_ms.saturating_sub(passed_ms);
             let state = WaveState {
                 request: request.clone(),
+                asked_for: request.vms.iter().cloned().collect(),
                 record,
                 end_ms: now.steady_ms + left_ms,
                 down: BTreeMap::new(),
@@ -226,6 +237,7 @@
             .filter_map(|vm| self.worker_on(vm))
             .filter(|worker| {
                 worker.emptying.is_none()
+                    && !worker.keeps_room()
                     && worker.synced
                     && worker.silent_since_ms.is_none()
             })
@@ -298,6 +310,7 @@
 
     /// Stops what has to leave workers that are being emptied.
     pub(super) fn empty_workers(&mut self, now: Now) {
+        self.forget_unplaced();
         let emptying: Vec<WorkerId> = self
             .workers
             .values()
@@ -319,41 +332,46 @@
             .map(|(task, _)| *task)
             .collect();
         for task in tasks {
-            if self.may_stop_for_duty(&task, id, waited_ms, now) {
-                let place = self.place_for(&task, now).cloned();
-                let worker = id.clone();
-                self.note(Decision::Displaced { task, worker, place });
-                self.stop_run(&task, id, "its VM is needed");
+            match self.leave_for_duty(&task, id, waited_ms, now) {
+                Leave::NotYet => {}
+                Leave::AtOnce => self.displace(&task, id, None),
+                Leave::WithPlace => {
+                    if let Some(place) = self.plan_move(&task, id, now) {
+                        self.displace(&task, id, Some(place));
+                    }
+                }
             }
         }
     }
 
-    fn may_stop_for_duty(
+    /// Returns whether a task is to leave a worker that is being emptied.
+    fn leave_for_duty(
         &self,
         task: &TaskId,
         id: &WorkerId,
         waited_ms: u64,
         now: Now,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else { return true };
-        let Some(spec) = job.step_spec(task) else { return true };
+    ) -> Leave {
+        let Some(job) = self.jobs.get(&task.job) else { return Leave::AtOnce };
+        let Some(spec) = job.step_spec(task) else { return Leave::AtOnce };
         if !spec.long_running {
             let patience_ms = if spec.checkpointing {
                 CHECKPOINTED_PATIENCE_MS
             } else {
                 PATIENCE_MS
             };
-            return waited_ms >= patience_ms;
+            let patient = waited_ms < patience_ms;
+            return if patient { Leave::NotYet } else { Leave::AtOnce };
         }
         // A stop that a former holder ordered may still be under way, and the
         // task still be listed as at work.
         let settled = self.taken_over_ms + self.options.stop_settle_ms;
         if now.steady_ms < settled {
-            return false;
+            return Leave::NotYet;
         }
         let spare = spec.max_unavailable.max(1) as usize;
         let others_down = self.down_in_step(task, id);
-        others_down < spare && self.has_other_place(task, id, now)
+        if others_down < spare { Leave::WithPlace } else { Leave::NotYet }
     }
 
     /// Counts the other tasks of a long-running step that aren't at work.
@@ -379,11 +397,6 @@
         others.filter(|index| !at_work(*index)).count()
     }
 
-    /// Returns whether another worker could take a task now.
-    fn has_other_place(&self, task: &TaskId, id: &WorkerId, now: Now) -> bool {
-        self.place_for(task, now).is_some_and(|worker| worker != id)
-    }
-
     /// Reports a wave once, as soon as it is known.
     fn report_running(&mut self, wave: u64, orders: &mut Vec<VmOrder>) {
         let Some(state) = self.waves.get_mut(&wave) else { return };
@@ -442,8 +455,7 @@
 
     /// Returns whether a VM is still to go down for some wave.
     pub(super) fn awaits_maintenance(&self, vm: &str) -> bool {
-        self.waves.values().any(|state| {
-            !state.completed && state.remaining().any(|other| other == vm)
-        })
+        let mut waves = self.waves.values();
+        waves.any(|state| !state.completed && state.awaits(vm))
     }
 }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -123,6 +123,7 @@
 mod jobs;
 mod loading;
 mod maintenance;
+mod moves;
 mod options;
 mod order;
 mod pacing;
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    self::candidates::{Candidate, Wanted},
+    self::candidates::Wanted,
     crate::{
         job::{StepSpec, TaskId},
         link::Class,
@@ -28,7 +28,7 @@
 mod candidates;
 mod gang;
 
-pub(super) use self::candidates::{Candidates, PoolNumber};
+pub(super) use self::candidates::{Candidate, Candidates, PoolNumber};
 
 /// How many numbers of runs are passed over for a task that a former holder
 /// may have started unseen, so that its number stays the highest.
@@ -109,7 +109,10 @@
             }
             // The step that found the pool full asked for no more, so it has
             // said already whether the pool has no place.
-            if pools.full.has_none_for(wanted.pool, &wanted.demand) {
+            // What has a place kept needs none of that room.
+            if pools.full.has_none_for(wanted.pool, &wanted.demand)
+                && !self.moves.has_some_of(candidate)
+            {
                 continue;
             }
             let lacking =
@@ -159,8 +162,12 @@
         let on_record = |index: &u32| {
             self.is_on_record(job, &TaskId { index: *index, ..first })
         };
-        let waiting: Vec<u32> =
+        let mut waiting: Vec<u32> =
             state.waiting.iter().copied().filter(on_record).collect();
+        // First those for which a place is kept.
+        waiting.sort_by_key(|index| {
+            self.moves.place_of(&TaskId { index: *index, ..first }).is_none()
+        });
         let pool = job.terms.pool.clone();
         let fits = self.fits_somewhere(spec);
         if spec.gang {
@@ -249,12 +256,13 @@
     }
 
     /// Returns whether a task looks for its place by itself: it has failed on
-    /// some worker, or may crash them.
+    /// some worker, may crash them, or has a place kept for it.
     fn has_own_place(&self, task: &TaskId) -> bool {
         let state = self.jobs[&task.job].task(task);
-        state.is_some_and(|state| {
-            !state.avoid.is_empty() || state.crashes.count > 0
-        })
+        self.moves.place_of(task).is_some()
+            || state.is_some_and(|state| {
+                !state.avoid.is_empty() || state.crashes.count > 0
+            })
     }
 
     fn next_run(&self, task: &TaskId) -> u64 {
@@ -325,7 +333,7 @@
                 let most = spec.max_per_worker as usize;
                 most == 0 || worker.runs_of_step(task) < most
             };
-            worker.free().holds(&demand)
+            worker.free_for(task).holds(&demand)
                 && worker.takes_orders(now.steady_ms)
                 && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
                 && !worker.runs.contains_key(task)
@@ -374,11 +382,18 @@
             true => self.score_apart(worker, spec),
             false => self.score_for(worker, spec),
         };
+        let kept = self.moves.place_of(task);
+        // Where it would have to leave again soon, it is missing twice.
+        let stays = |worker: &Worker| {
+            !spec.long_running || !self.awaits_maintenance(&worker.listing.vm)
+        };
         self.suitable_workers(spec, task, now)
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
+                let is_kept = kept == Some(worker.id());
                 let avoided = state.avoid.contains(worker.id());
-                (!avoided, score(worker), worker.id())
+                let stays = stays(worker);
+                (is_kept, !avoided, stays, score(worker), worker.id())
             })
     }
 
@@ -487,6 +502,7 @@
         now: Now,
     ) -> Option<Action> {
         let ticket = self.ticket(task, &worker_id, now)?;
+        self.release_place(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
         let lease_until_ms =
             worker.lease_until_ms(now.steady_ms, &self.options)?;
--- a/crates/dewspar/src/schedule/place/candidates.rs
+++ b/crates/dewspar/src/schedule/place/candidates.rs
@@ -31,6 +31,18 @@
     pub(super) step: usize,
 }
 
+impl Candidate {
+    /// Returns the first task of the step.
+    pub(in crate::schedule) fn first_task(&self) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round as u32,
+            step: self.step as u32,
+            index: 0,
+        }
+    }
+}
+
 /// A pool's number, which is compared faster than its name.
 pub(in crate::schedule) type PoolNumber = usize;
 
@@ -121,12 +133,7 @@
     /// Returns the first task of each step with tasks to start, in the order
     /// of their turns.
     pub(in crate::schedule) fn steps(&self) -> impl Iterator<Item = TaskId> {
-        self.ordered.keys().map(|candidate| TaskId {
-            job: candidate.job,
-            round: candidate.round as u32,
-            step: candidate.step as u32,
-            index: 0,
-        })
+        self.ordered.keys().map(Candidate::first_task)
     }
 
     fn forget(&mut self, id: &JobId) {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -13,6 +13,7 @@
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
+            moves::TaskMoves,
             place::Candidates,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
@@ -83,6 +84,8 @@
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) vms: BTreeMap<String, ManagedVm>,
     pub(super) moving: BTreeMap<String, Moving>,
+    /// The tasks that are to go on elsewhere.
+    pub(super) moves: TaskMoves,
     /// Moves that the VM service will never take.
     pub(super) refused_moves: BTreeSet<(String, String)>,
     pub(super) serving_pools: BTreeSet<String>,
@@ -170,6 +173,7 @@
             waves: BTreeMap::new(),
             vms: BTreeMap::new(),
             moving: BTreeMap::new(),
+            moves: TaskMoves::default(),
             refused_moves: BTreeSet::new(),
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
@@ -359,6 +363,7 @@
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
         self.fence_workers(now, &mut actions);
+        self.renew_places(now);
         self.start_waiting(now, &mut actions);
         self.tell_long_waits(now);
         self.hold_workers(now, &mut actions);
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -49,6 +49,11 @@
         self.used_cpu.max(self.forecast_cpu) + self.waiting_cpu
     }
 
+    /// Returns how many workers the pool has that aren't about to leave.
+    pub(super) fn workers(&self) -> u64 {
+        self.workers
+    }
+
     /// Returns what one VM of the pool has.
     pub(super) fn vm_cpu(&self) -> u64 {
         self.capacity_cpu / self.workers.max(1)
@@ -225,6 +230,7 @@
             let need = asked.div_ceil(vm_cpu * self.sizing().full_percent);
             let need = need.max(self.least_vms(pool));
             let need = need.max(self.need_for_place(pool, now));
+            let need = need.max(self.need_for_moves(pool));
             needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
@@ -344,7 +350,7 @@
             .values()
             .filter(|worker| worker.listing.pool != pool)
             .filter(|worker| over(&worker.listing.pool))
-            .filter(|worker| worker.is_usable())
+            .filter(|worker| worker.is_usable() && !worker.keeps_room())
             .filter(|worker| self.may_order(&worker.listing.vm, now))
             .filter(|worker| !self.is_refused(&worker.listing.vm, pool))
             .filter(|worker| !self.serves_for_long(worker))
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -6,7 +6,7 @@
     crate::schedule::{
         ManagedVm, Now, VmLife, VmOrderError, WaveRecord, WaveRequest,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashSet},
 };
 
 /// What is kept of a wave's time for what doesn't go as planned, in
@@ -25,6 +25,8 @@
 #[derive(Debug)]
 pub(super) struct WaveState {
     pub(super) request: WaveRequest,
+    /// The VMs that are asked for, to look one up.
+    pub(super) asked_for: HashSet<String>,
     /// What is kept of it in the store.
     pub(super) record: WaveRecord,
     /// When it ends, on the steady clock.
@@ -63,6 +65,11 @@
         self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
     }
 
+    /// Returns whether a VM is still to be maintained for it.
+    pub(super) fn awaits(&self, vm: &str) -> bool {
+        self.asked_for.contains(vm) && !self.record.done.contains(vm)
+    }
+
     /// Returns the time left for choosing VMs.
     pub(super) fn left_ms(&self, now: Now) -> u64 {
         self.end_ms.saturating_sub(now.steady_ms + RESERVE_MS).max(1)
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -176,6 +176,10 @@
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
+    /// What is kept free for tasks that are to move here.
+    kept: BTreeMap<TaskId, Room>,
+    /// The sum of that.
+    kept_room: Room,
     /// How many of the runs are suspected.
     suspects: usize,
     /// How many of the runs want nothing started beside them.
@@ -253,6 +257,8 @@
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
+            kept: BTreeMap::new(),
+            kept_room: Room::default(),
             suspects: 0,
             tested: 0,
             lease_revision,
@@ -301,9 +307,52 @@
         self.lease_revision * FENCES_A_LEASE + self.fences
     }
 
-    /// Returns what is free for tasks that take their share of processor.
+    /// Returns what is free for tasks that take their share of processor and
+    /// for which nothing is kept here.
     pub(crate) fn free(&self) -> Room {
-        self.listing.capacity.less(&self.used)
+        self.listing.capacity.less(&self.used).less(&self.kept_room)
+    }
+
+    /// Returns what is free for a task, with what is kept for it.
+    pub(crate) fn free_for(&self, task: &TaskId) -> Room {
+        // Most workers keep nothing, and this is asked for each that has room.
+        if !self.kept.contains_key(task) {
+            return self.free();
+        }
+        let mut others = Room::default();
+        for (_, room) in self.kept.iter().filter(|(other, _)| *other != task) {
+            others.add(room);
+        }
+        self.listing.capacity.less(&self.used).less(&others)
+    }
+
+    /// Keeps room for a task that is to move here.
+    pub(crate) fn keep_for(&mut self, task: TaskId, room: Room) {
+        self.kept.insert(task, room);
+        self.sum_kept();
+    }
+
+    /// Gives the room back that was kept for a task.
+    pub(crate) fn release(&mut self, task: &TaskId, now_ms: u64) {
+        if self.kept.remove(task).is_none() {
+            return;
+        }
+        self.sum_kept();
+        if self.runs.is_empty() {
+            self.idle_since_ms = now_ms;
+        }
+    }
+
+    fn sum_kept(&mut self) {
+        self.kept_room = Room::default();
+        for room in self.kept.values() {
+            self.kept_room.add(room);
+        }
+    }
+
+    /// Returns whether room is kept here for some task.
+    pub(crate) fn keeps_room(&self) -> bool {
+        !self.kept.is_empty()
     }
 
     pub(crate) fn used(&self) -> &Room {
@@ -374,11 +423,14 @@
         Some(run)
     }
 
-    /// Counts the runs of one step here.
+    /// Counts the runs of a task's step here, and the others of the step for
+    /// which room is kept.
     pub(crate) fn runs_of_step(&self, task: &TaskId) -> usize {
         let first = TaskId { index: 0, ..*task };
         let last = TaskId { index: u32::MAX, ..*task };
-        self.runs.range(first..=last).count()
+        let kept = self.kept.range(first..=last);
+        let kept = kept.filter(|(other, _)| *other != task).count();
+        self.runs.range(first..=last).count() + kept
     }
 
     /// Returns when its newest answer came.
@@ -537,6 +589,7 @@
     /// it was told that its ends are stored.
     pub(crate) fn is_settled(&self) -> bool {
         !self.is_occupied()
+            && !self.keeps_room()
             && !self.fencing
             && self.acknowledged >= self.seen_end
     }
--- a/crates/dewspar/tests/schedule/moving.rs
+++ b/crates/dewspar/tests/schedule/moving.rs
@@ -17,13 +17,13 @@
     crate::{
         pools::vm_orders,
         waves::request_wave_of,
-        world::{World, at, id, job, listing, managed, step},
+        world::{POOL, ROOM, World, at, id, job, listing, managed, step},
     },
     dewspar::{
         job::StepSpec,
         schedule::{Decision, ManagedVm, VmOrder, WorkerId},
     },
-    dewspar_standin::task_worker::Fate,
+    dewspar_standin::task_worker::{Fate, TaskWorker},
 };
 
 /// How long a worker takes to stop a run in these tests, in milliseconds.
@@ -138,7 +138,7 @@
     spare.pool = "off".to_owned();
     world.listings.push(spare);
     world.list();
-    let serving = [crate::world::POOL.to_owned()].into();
+    let serving = [POOL.to_owned()].into();
     world.scheduler.configure_pools(serving, ["off".to_owned()].into());
     let vm = format!("vm-of-{fuller}");
     request_wave_of(&mut world, &[&vm]);
@@ -155,10 +155,11 @@
     assert_eq!(world.running().len(), 3, "no one waits for the VM");
     // It comes.
     let mut orders = Vec::new();
-    if let Some(spare) = world.listings.iter_mut().find(|l| l.vm == "vm-of-w3")
-    {
-        spare.pool = crate::world::POOL.to_owned();
-    }
+    let mut come = listing("w3-again");
+    come.vm = "vm-of-w3".to_owned();
+    world.workers.insert(come.id.clone(), TaskWorker::new(ROOM));
+    world.listings.retain(|listing| listing.vm != come.vm);
+    world.listings.push(come);
     world.list();
     world.expect_all();
     let _ = world.scheduler.take_decisions();
