Test that fails: a large task that lasts waits for as long as a peak of small ones

Each room that becomes free is given to the first task in order that fits: a task of three quarters of a worker comes first and never fits, since small tasks end one by one. It waits for 6 s, as long as the case goes on.

--- a/crates/dewspar/tests/schedule/moving.rs
+++ b/crates/dewspar/tests/schedule/moving.rs
@@ -200,3 +200,40 @@
     let (to, _) = world.starts.last().expect("it was started again");
     assert!(*to != place && *to != from);
 }
+
+/// Lets a peak of short tasks go on for 50 ms, each of a quarter of a worker
+/// and none ending together with others.
+fn go_on_with_peak(world: &mut World, next: &mut u64) {
+    for _ in 0..2 {
+        *next += 1;
+        let short = StepSpec { estimate_ms: 500, ..step(1) };
+        world.scheduler.submit(id(*next), job(vec![short]), *next, None);
+    }
+    world.fate = Fate::done(400 + *next % 8 * 50);
+    world.run_for(50);
+}
+
+#[test]
+fn a_peak_of_small_tasks_does_not_keep_a_large_one_that_lasts_waiting() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let mut next = 100;
+    for _ in 0..40 {
+        go_on_with_peak(&mut world, &mut next);
+    }
+    // Three quarters of a worker are never free at once.
+    let large = StepSpec { cpu_millis: 3_000, ..lasting() };
+    world.scheduler.submit(id(1), job(vec![large]), 50, None);
+    let submitted_ms = world.now_ms;
+    let is_large = |world: &World| {
+        world.starts.iter().any(|(_, order)| order.task.job == id(1))
+    };
+    while !is_large(&world) && world.now_ms < submitted_ms + 6_000 {
+        go_on_with_peak(&mut world, &mut next);
+    }
+    // The longest of the short ones takes 0.75 s.
+    let waited_ms = world.now_ms - submitted_ms;
+    assert!(waited_ms <= 1_500, "it waited for {waited_ms} ms");
+}
