Keep a place for tasks that last and wait, where short ones end soon

Cause: what becomes free is given to the first task in order that fits. A task that takes much of a worker comes first and never fits while a peak's small tasks end one by one. Where no worker could ever hold it, its pool is told what it lacks, all kinds of room.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -310,7 +310,7 @@
 
     /// Stops what has to leave workers that are being emptied.
     pub(super) fn empty_workers(&mut self, now: Now) {
-        self.forget_unplaced();
+        self.forget_unplaced_moves();
         let emptying: Vec<WorkerId> = self
             .workers
             .values()
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -61,6 +61,15 @@
     unasked: UnaskedPools,
 }
 
+/// When there must be room for a task.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum RoomFrom {
+    /// At once.
+    Now,
+    /// Once all is over that isn't to last.
+    Soon,
+}
+
 /// Why a task isn't started now.
 enum NotNow {
     /// No worker has room for it.
@@ -111,7 +120,7 @@
             // said already whether the pool has no place.
             // What has a place kept needs none of that room.
             if pools.full.has_none_for(wanted.pool, &wanted.demand)
-                && !self.moves.has_some_of(candidate)
+                && !self.places.has_some_of(candidate)
             {
                 continue;
             }
@@ -166,7 +175,7 @@
             state.waiting.iter().copied().filter(on_record).collect();
         // First those for which a place is kept.
         waiting.sort_by_key(|index| {
-            self.moves.place_of(&TaskId { index: *index, ..first }).is_none()
+            self.places.place_of(&TaskId { index: *index, ..first }).is_none()
         });
         let pool = job.terms.pool.clone();
         let fits = self.fits_somewhere(spec);
@@ -259,7 +268,7 @@
     /// some worker, may crash them, or has a place kept for it.
     fn has_own_place(&self, task: &TaskId) -> bool {
         let state = self.jobs[&task.job].task(task);
-        self.moves.place_of(task).is_some()
+        self.places.place_of(task).is_some()
             || state.is_some_and(|state| {
                 !state.avoid.is_empty() || state.crashes.count > 0
             })
@@ -281,6 +290,9 @@
         task: &TaskId,
         now: Now,
     ) -> Result<WorkerId, NotNow> {
+        if self.waits_for_kept_room(task, &demand(spec)) {
+            return Err(NotNow::NoRoom);
+        }
         let job = &self.jobs[&task.job];
         if let Some(worker) = self.best_worker(spec, task, now) {
             return Ok(worker.id().clone());
@@ -297,16 +309,17 @@
         task: &TaskId,
         now: Now,
     ) -> impl Iterator<Item = &Worker> {
-        let suitable = self.suitable_numbers(spec, task, now);
+        let suitable = self.suitable_numbers(spec, task, RoomFrom::Now, now);
         suitable.map(|(_, worker)| worker)
     }
 
     /// Returns the same with each one's number, in the order of their
     /// identifiers.
-    fn suitable_numbers(
+    pub(super) fn suitable_numbers(
         &self,
         spec: &StepSpec,
         task: &TaskId,
+        room: RoomFrom,
         now: Now,
     ) -> impl DoubleEndedIterator<Item = (WorkerNumber, &Worker)> {
         let job = self.jobs.get(&task.job);
@@ -333,7 +346,11 @@
                 let most = spec.max_per_worker as usize;
                 most == 0 || worker.runs_of_step(task) < most
             };
-            worker.free_for(task).holds(&demand)
+            let free = match room {
+                RoomFrom::Now => worker.free_for(task),
+                RoomFrom::Soon => worker.free_soon_for(task),
+            };
+            free.holds(&demand)
                 && worker.takes_orders(now.steady_ms)
                 && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
                 && !worker.runs.contains_key(task)
@@ -382,7 +399,7 @@
             true => self.score_apart(worker, spec),
             false => self.score_for(worker, spec),
         };
-        let kept = self.moves.place_of(task);
+        let kept = self.places.place_of(task);
         // Where it would have to leave again soon, it is missing twice.
         let stays = |worker: &Worker| {
             !spec.long_running || !self.awaits_maintenance(&worker.listing.vm)
@@ -509,7 +526,8 @@
         worker.lease_sent(lease_until_ms);
         let fence = worker.fence();
         let address = worker.listing.address.clone();
-        let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms);
+        let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms)
+            .lasting(spec.long_running);
         let suspicion = self.note_suspect_started(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
         worker.insert(*task, ordered.suspected(suspicion));
--- a/crates/dewspar/src/schedule/place/alike.rs
+++ b/crates/dewspar/src/schedule/place/alike.rs
@@ -9,6 +9,7 @@
 */
 
 use {
+    super::RoomFrom,
     crate::{
         job::{StepSpec, TaskId},
         schedule::{
@@ -72,7 +73,7 @@
         if one_by_one {
             return None;
         }
-        let suitable = self.suitable_numbers(spec, next, now);
+        let suitable = self.suitable_numbers(spec, next, RoomFrom::Now, now);
         let mut scored: Vec<(Reverse<i64>, WorkerNumber)> = suitable
             .rev()
             .map(|(number, worker)| {
--- a/crates/dewspar/src/schedule/place/candidates.rs
+++ b/crates/dewspar/src/schedule/place/candidates.rs
@@ -53,6 +53,8 @@
     pub(super) demand: Room,
     /// Whether some task that waits may crash its worker.
     pub(super) suspects: bool,
+    /// Whether its tasks are to last.
+    lasts: bool,
 }
 
 /// The steps that have tasks to start.
@@ -130,10 +132,15 @@
         anew == self.ordered
     }
 
-    /// Returns the first task of each step with tasks to start, in the order
-    /// of their turns.
-    pub(in crate::schedule) fn steps(&self) -> impl Iterator<Item = TaskId> {
-        self.ordered.keys().map(Candidate::first_task)
+    /// Returns the first task of each step that is to last and has tasks to
+    /// start, in the order of their turns.
+    ///
+    /// Asked ten times a second, among thousands of steps.
+    pub(in crate::schedule) fn lasting_steps(
+        &self,
+    ) -> impl Iterator<Item = TaskId> {
+        let lasting = self.ordered.iter().filter(|(_, wanted)| wanted.lasts);
+        lasting.map(|(candidate, _)| candidate.first_task())
     }
 
     fn forget(&mut self, id: &JobId) {
@@ -234,9 +241,10 @@
                 step,
             };
             let demand = demand(spec);
+            let lasts = spec.long_running;
             found
                 .candidates
-                .push((candidate, Wanted { pool, demand, suspects }));
+                .push((candidate, Wanted { pool, demand, suspects, lasts }));
         }
     }
     found
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -293,8 +293,9 @@
         self.note_begun(active.task.job, now);
         let found = self.judge(worker_id, active);
         // A former holder may have slowed it down: it is let go step by step.
-        let best_effort =
-            self.step_spec(&active.task).is_some_and(|s| s.best_effort);
+        let spec = self.step_spec(&active.task);
+        let best_effort = spec.is_some_and(|spec| spec.best_effort);
+        let lasts = spec.is_some_and(|spec| spec.long_running);
         let pace = if best_effort { ADOPTED_PACE } else { 100 };
         let job = self.jobs.get(&active.task.job);
         let state = job.and_then(|job| job.task(&active.task));
@@ -315,6 +316,7 @@
             pace,
             suspicion,
             measured: true,
+            lasts,
         };
         match found {
             Found::Expected => {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -13,8 +13,8 @@
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
-            moves::TaskMoves,
             place::Candidates,
+            places::KeptPlaces,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             waits::LongWaits,
@@ -84,8 +84,8 @@
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) vms: BTreeMap<String, ManagedVm>,
     pub(super) moving: BTreeMap<String, Moving>,
-    /// The tasks that are to go on elsewhere.
-    pub(super) moves: TaskMoves,
+    /// The places that are kept for tasks.
+    pub(super) places: KeptPlaces,
     /// Moves that the VM service will never take.
     pub(super) refused_moves: BTreeSet<(String, String)>,
     pub(super) serving_pools: BTreeSet<String>,
@@ -173,7 +173,7 @@
             waves: BTreeMap::new(),
             vms: BTreeMap::new(),
             moving: BTreeMap::new(),
-            moves: TaskMoves::default(),
+            places: KeptPlaces::default(),
             refused_moves: BTreeSet::new(),
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
@@ -364,6 +364,7 @@
         self.order_stops(now, &mut actions);
         self.fence_workers(now, &mut actions);
         self.renew_places(now);
+        self.keep_places(now);
         self.start_waiting(now, &mut actions);
         self.tell_long_waits(now);
         self.hold_workers(now, &mut actions);
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -230,7 +230,7 @@
             let need = asked.div_ceil(vm_cpu * self.sizing().full_percent);
             let need = need.max(self.least_vms(pool));
             let need = need.max(self.need_for_place(pool, now));
-            let need = need.max(self.need_for_moves(pool));
+            let need = need.max(self.need_for_unplaced(pool));
             needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
--- a/crates/dewspar/src/schedule/waits.rs
+++ b/crates/dewspar/src/schedule/waits.rs
@@ -64,12 +64,11 @@
     }
 
     /// Returns the first waiting task of each step that is ready and to last.
-    fn waiting_long_steps(&self) -> Vec<TaskId> {
-        let lasting = self.candidates.steps().filter_map(|step| {
-            let job = self.jobs.get(&step.job)?;
-            let spec = job.step_spec(&step)?;
-            let index = *job.step(&step)?.waiting.first()?;
-            spec.long_running.then_some(TaskId { index, ..step })
+    pub(super) fn waiting_long_steps(&self) -> Vec<TaskId> {
+        let lasting = self.candidates.lasting_steps().filter_map(|step| {
+            let step_state = self.jobs.get(&step.job)?.step(&step)?;
+            let index = *step_state.waiting.first()?;
+            Some(TaskId { index, ..step })
         });
         lasting.collect()
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -65,6 +65,8 @@
     pub(crate) suspicion: Suspicion,
     /// Whether it is known what it takes.
     pub(crate) measured: bool,
+    /// Whether its task is to last.
+    pub(crate) lasts: bool,
 }
 
 /// Whether a run's task may crash workers; see `suspects`.
@@ -107,9 +109,16 @@
             pace: 100,
             suspicion: Suspicion::default(),
             measured: true,
+            lasts: false,
         }
     }
 
+    /// Sets whether its task is to last.
+    pub(crate) fn lasting(mut self, lasts: bool) -> Run {
+        self.lasts = lasts;
+        self
+    }
+
     /// Sets whether its task may crash workers.
     pub(crate) fn suspected(mut self, suspicion: Suspicion) -> Run {
         self.suspicion = suspicion;
@@ -176,7 +185,9 @@
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
-    /// What is kept free for tasks that are to move here.
+    /// What the runs of that take whose tasks are to last.
+    used_for_long: Room,
+    /// What is kept free for tasks that are to start here.
     kept: BTreeMap<TaskId, Room>,
     /// The sum of that.
     kept_room: Room,
@@ -257,6 +268,7 @@
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
+            used_for_long: Room::default(),
             kept: BTreeMap::new(),
             kept_room: Room::default(),
             suspects: 0,
@@ -310,23 +322,36 @@
     /// Returns what is free for tasks that take their share of processor and
     /// for which nothing is kept here.
     pub(crate) fn free(&self) -> Room {
-        self.listing.capacity.less(&self.used).less(&self.kept_room)
+        let unused = self.listing.capacity.less(&self.used);
+        // Nearly all keep nothing, and this is asked of each worker of a pool.
+        if self.kept.is_empty() {
+            unused
+        } else {
+            unused.less(&self.kept_room)
+        }
     }
 
     /// Returns what is free for a task, with what is kept for it.
     pub(crate) fn free_for(&self, task: &TaskId) -> Room {
-        // Most workers keep nothing, and this is asked for each that has room.
-        if !self.kept.contains_key(task) {
+        if self.kept.is_empty() {
             return self.free();
         }
-        let mut others = Room::default();
-        for (_, room) in self.kept.iter().filter(|(other, _)| *other != task) {
-            others.add(room);
-        }
-        self.listing.capacity.less(&self.used).less(&others)
+        self.listing.capacity.less(&self.used).less(&self.kept_beside(task))
     }
 
-    /// Keeps room for a task that is to move here.
+    /// Returns what is free for a task once all is over that isn't to last.
+    pub(crate) fn free_soon_for(&self, task: &TaskId) -> Room {
+        let capacity = self.listing.capacity;
+        capacity.less(&self.used_for_long).less(&self.kept_beside(task))
+    }
+
+    /// Returns what is kept for other tasks.
+    fn kept_beside(&self, task: &TaskId) -> Room {
+        let own = self.kept.get(task).copied().unwrap_or_default();
+        self.kept_room.less(&own)
+    }
+
+    /// Keeps room for a task that is to start here.
     pub(crate) fn keep_for(&mut self, task: TaskId, room: Room) {
         self.kept.insert(task, room);
         self.sum_kept();
@@ -361,6 +386,9 @@
 
     pub(crate) fn insert(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.demand);
+        if run.lasts {
+            self.used_for_long.add(&run.demand);
+        }
         self.suspects += usize::from(run.suspicion.crashes > 0);
         self.tested += usize::from(run.suspicion.tested);
         self.unmeasured += usize::from(!run.measured);
@@ -372,6 +400,9 @@
     /// Takes a run that is no longer there off all that is counted.
     fn no_longer_has(&mut self, run: &Run) {
         self.used.subtract(&run.demand);
+        if run.lasts {
+            self.used_for_long.subtract(&run.demand);
+        }
         self.suspects -= usize::from(run.suspicion.crashes > 0);
         self.tested -= usize::from(run.suspicion.tested);
         self.unmeasured -= usize::from(!run.measured);
