Test that fails: a task that lasts goes down with a worker that is about to end

The same class where nobody here decides it: a worker that says seconds before that it ends takes its tasks that last along, and whether there is a place is known only then.

--- a/crates/dewspar/tests/schedule/moving.rs
+++ b/crates/dewspar/tests/schedule/moving.rs
@@ -237,3 +237,29 @@
     let waited_ms = world.now_ms - submitted_ms;
     assert!(waited_ms <= 1_500, "it waited for {waited_ms} ms");
 }
+
+#[test]
+fn a_task_that_lasts_leaves_a_worker_that_is_about_to_end() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.fate = Fate::endless();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![lasting()]), 6, None);
+    world.run_for(3_000);
+    let from = world.starts[0].0.clone();
+    let _ = world.scheduler.take_decisions();
+    // It says that it ends in 6 s.
+    if let Some(leaving) = world.listings.iter_mut().find(|l| l.id == from) {
+        leaving.draining = true;
+        leaving.remaining_ms = Some(6_000);
+    }
+    world.list();
+    world.stops_take_ms = STOP_MS;
+    for _ in 0..(STOP_MS / 50 + 4) {
+        look(&mut world);
+    }
+    let (to, _) = world.starts.last().expect("it was started");
+    assert!(*to != from, "it was left to go down with its worker");
+    assert!(longest_wait_ms(&mut world).is_some_and(|ms| ms <= AT_ONCE_MS));
+}
