Move tasks that last from workers that are about to end

A worker says seconds before that it ends. Such a task went down with it, and its place was looked for only once that was heard. Now it is moved like one whose VM is needed: a place first, then the stop, within what its step may miss; where there is none, its pool gets a VM. Short tasks stay, as before.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -308,13 +308,15 @@
         self.note(Decision::Emptying { worker: id.clone(), vm, reason });
     }
 
-    /// Stops what has to leave workers that are being emptied.
+    /// Stops what has to leave workers that are being emptied or end soon.
     pub(super) fn empty_workers(&mut self, now: Now) {
         self.forget_unplaced_moves();
         let emptying: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| worker.emptying.is_some())
+            .filter(|worker| {
+                worker.emptying.is_some() || worker.is_about_to_end()
+            })
             .map(|worker| worker.id().clone())
             .collect();
         for id in emptying {
@@ -324,7 +326,15 @@
 
     fn empty_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else { return };
-        let waited_ms = now.steady_ms.saturating_sub(worker.emptying_since_ms);
+        let emptied = worker.emptying.is_some();
+        // Short tasks end by themselves before a worker that drains does, or
+        // go down with it.
+        let waited_ms = match emptied {
+            true => now.steady_ms.saturating_sub(worker.emptying_since_ms),
+            false => 0,
+        };
+        let reason =
+            if emptied { "its VM is needed" } else { "its worker ends soon" };
         let tasks: Vec<TaskId> = worker
             .runs
             .iter()
@@ -334,10 +344,10 @@
         for task in tasks {
             match self.leave_for_duty(&task, id, waited_ms, now) {
                 Leave::NotYet => {}
-                Leave::AtOnce => self.displace(&task, id, None),
+                Leave::AtOnce => self.displace(&task, id, None, reason),
                 Leave::WithPlace => {
                     if let Some(place) = self.plan_move(&task, id, now) {
-                        self.displace(&task, id, Some(place));
+                        self.displace(&task, id, Some(place), reason);
                     }
                 }
             }
--- a/crates/dewspar/src/schedule/places.rs
+++ b/crates/dewspar/src/schedule/places.rs
@@ -129,10 +129,11 @@
         task: &TaskId,
         from: &WorkerId,
         place: Option<WorkerId>,
+        reason: &'static str,
     ) {
         let worker = from.clone();
         self.note(Decision::Displaced { task: *task, worker, place });
-        self.stop_run(task, from, "its VM is needed");
+        self.stop_run(task, from, reason);
     }
 
     /// Returns what a task without a place wants of which pool, if some VM
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -557,6 +557,15 @@
             && self.silent_since_ms.is_none()
     }
 
+    /// Returns whether it has said that it will end, with all that runs there,
+    /// and takes orders to stop until then.
+    pub(crate) fn is_about_to_end(&self) -> bool {
+        self.listing.draining
+            && self.listed
+            && self.synced
+            && self.silent_since_ms.is_none()
+    }
+
     /// Returns whether orders to start may be sent.
     pub(crate) fn takes_orders(&self, now_ms: u64) -> bool {
         !self.fencing
