Tests: ends of runs whose job can't be read are forgotten

Three tests in jobs_records.rs fail on this code, each with 2 starts of a step for 1: the record is odd when the holder loads it, it is found odd by a refused write, and the entry of the accepted job is odd. In each a later holder can read all of it. Ruled out: a run that goes on; in all three it has ended before.

--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -9,6 +9,11 @@
 //! lease, so the holder left, and the next one met the same: eight of them in
 //! 12 s, while 4,212 open jobs waited.
 //!
+//! A job whose record can't be read isn't gone on with, and the holder has
+//! nothing to store for it. An end of one of its runs was therefore
+//! acknowledged at once, and nobody knew of it any more: a later holder that
+//! could read the record started the task again, though it was done.
+//!
 //! The clock is paused: nothing here depends on the machine.
 
 use {
@@ -82,10 +87,18 @@
                 lapsed.lapse_leases();
             }
         });
+        let node = None;
+        let mut alone = Alone { store, store_faults, fleet, node, lapsing };
+        alone.take_over().await;
+        alone
+    }
+
+    /// Starts a node and waits until it holds the lease.
+    async fn take_over(&mut self) {
         let platform = JobPlatform {
-            store: store.clone(),
-            workers: fleet.clone(),
-            fleet: fleet.clone(),
+            store: self.store.clone(),
+            workers: self.fleet.clone(),
+            fleet: self.fleet.clone(),
             protocol: RestCalls,
             readiness_path: "/ready",
             traffic: Traffic::default(),
@@ -94,10 +107,15 @@
         let settings = JobSettings::loopback("node-0");
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
-        let node = Some(node.expect("a started node"));
-        let alone = Alone { store, store_faults, fleet, node, lapsing };
-        until(async || alone.lease().await > 0).await;
-        alone
+        self.node = Some(node.expect("a started node"));
+        until(async || self.lease().await > 0).await;
+    }
+
+    /// Stops the node, and waits until nobody holds the lease.
+    async fn leave(&mut self) {
+        let node = self.node.take().expect("a node");
+        node.stop().await;
+        until(async || self.lease().await == 0).await;
     }
 
     /// Returns the revision of the lease's key; 0 while nobody holds it.
@@ -333,6 +351,85 @@
     assert_eq!(left.map(|item| item.value), Some(b"odd".to_vec()));
 }
 
+/// How long a holder has to hear of all that has ended and to say that it
+/// needn't be told again.
+const HEARD: Duration = Duration::from_secs(5);
+
+/// A job's record as a later holder can read it.
+const READABLE: &[u8] = br#"{"phase":"running"}"#;
+
+impl Alone {
+    /// Has another holder take over that can read the job's record, and checks
+    /// that the job is completed and its tasks were started once each.
+    async fn go_on_where_it_can_be_read(&mut self, id: JobId, steps: u32) {
+        self.leave().await;
+        self.write(&Batch::default().put(&record(id), READABLE.to_vec()))
+            .await;
+        self.take_over().await;
+        self.wait_for_phase(id, Phase::Completed).await;
+        for step in 0..steps {
+            assert_eq!(self.starts(id, step), 1, "step {step}");
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_before_a_holder_that_cannot_read_its_job_is_not_run_again()
+{
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    alone.fleet.set_work_ms(WORK_MS);
+    alone.write(&Batch::default().put(&record(id(1)), b"odd".to_vec())).await;
+    sleep(Duration::from_secs(2)).await;
+    assert!(alone.fleet.running().is_empty(), "it has ended, unheard");
+    alone.take_over().await;
+    sleep(HEARD).await;
+    alone.go_on_where_it_can_be_read(id(1), 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_before_its_jobs_record_was_found_odd_is_not_run_again() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    sleep(HEARD).await;
+    // The run ends before the first write of the record is answered.
+    alone.store_faults.set_delay_us(300_000);
+    let odd = accepted(id(1), &chain(2)).put(&record(id(1)), b"odd".to_vec());
+    alone.write(&odd).await;
+    sleep(HEARD).await;
+    alone.store_faults.set_delay_us(0);
+    assert_eq!(alone.starts(id(1), 0), 1);
+    // With whatever is stored, ends are acknowledged.
+    alone.hand_in(id(2), &chain(2)).await;
+    sleep(HEARD).await;
+    alone.go_on_where_it_can_be_read(id(1), 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_of_a_job_that_cannot_be_read_is_not_run_again() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    alone.fleet.set_work_ms(WORK_MS);
+    let odd =
+        Batch::default().put(&format!("q/in/{}", id(1)), b"odd".to_vec());
+    alone.write(&odd).await;
+    sleep(Duration::from_secs(2)).await;
+    alone.take_over().await;
+    sleep(HEARD).await;
+    alone.leave().await;
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.take_over().await;
+    alone.wait_for_phase(id(1), Phase::Completed).await;
+    for step in 0..2 {
+        assert_eq!(alone.starts(id(1), step), 1, "step {step}");
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_written_of_jobs_once_another_node_holds_the_lease() {
     let alone = Alone::start(&Batch::default(), 0).await;
