Ends of runs whose job can't be read are set aside

Cause: the holder has nothing to store for a job that it can't read, so an end of one of its runs counted as stored and was acknowledged; the worker forgot it. The same befell ends that were heard before a refused write showed the record to be odd: they were acknowledged with the next write of any other job.

Now each such end is stored under a key of its own (end/TASK.RUN) and acknowledged then. A holder that can read the job takes them in before the job starts anything, and deletes them with the job's end. Ends that were heard and not stored when a job is left alone are heard again.

Ruled out: leaving such an end unacknowledged, since workers list all ends after it with each answer, for as long as the lease lasts.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
         Forecast, InvalidPolicy, Orders, Placing, Policy, Sizing, Watching,
     },
     scheduler::Scheduler,
+    set_aside::{EndSetAside, EndsSetAside},
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
 };
@@ -132,6 +133,7 @@
 mod records;
 mod report;
 mod scheduler;
+mod set_aside;
 mod sizing;
 mod steadiness;
 mod stopping;
--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -74,23 +74,6 @@
         self.finish_if_over(task, failures, now);
     }
 
-    /// Runs nothing more of a job of which nobody knows what was done, and
-    /// stores nothing of it.
-    pub fn leave_alone(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let placed: Vec<(TaskId, WorkerId)> = job
-            .placed(id)
-            .map(|(task, worker)| (task, worker.clone()))
-            .collect();
-        for (task, worker) in placed {
-            self.stop_run(&task, &worker, "its job's record can't be read");
-        }
-        self.jobs.remove(&id);
-        self.changed.remove(&id);
-        self.storing.remove(&id);
-        self.drop_old_advice();
-    }
-
     /// Ends a job as its record says, which counts more than how it ended
     /// here: callers may have been told.
     fn end_as_on_record(&mut self, id: JobId, record: &Progress, now: Now) {
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -152,8 +152,9 @@
             failures: failures.unwrap_or(0),
         });
         let Some(failures) = failures else {
-            // Of a job that is over and stored: nothing more to store.
-            self.acknowledge(worker_id, end, 0, now);
+            // Of a job that is over and stored there is nothing more to store.
+            let sequence = self.set_end_aside(worker_id, end);
+            self.acknowledge(worker_id, end, sequence, now);
             return;
         };
         self.note_begun(task.job, now);
@@ -184,16 +185,21 @@
         sequence: u64,
         now: Now,
     ) {
-        let jobs = &self.jobs;
+        let (jobs, set_aside) = (&self.jobs, &self.set_aside);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.end_changes(end.number, end.task.job, sequence);
             worker.store_ends(now.steady_ms, |job, sequence| {
-                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+                set_aside.is_stored(jobs, job, sequence)
             });
         }
     }
 
-    fn task_done(&mut self, worker_id: &WorkerId, task: &TaskId, now: Now) {
+    pub(super) fn task_done(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        now: Now,
+    ) {
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.task_done();
         }
@@ -471,7 +477,11 @@
 }
 
 /// Enters an end with its job; returns how often the task has failed.
-fn note_end(job: &mut Job, worker_id: &WorkerId, end: &EndedRun) -> u32 {
+pub(super) fn note_end(
+    job: &mut Job,
+    worker_id: &WorkerId,
+    end: &EndedRun,
+) -> u32 {
     let Some(task) = job.task_mut(&end.task) else { return 0 };
     task.run = task.run.max(end.run);
     task.ended_run = task.ended_run.max(end.run);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -14,6 +14,7 @@
             jobs::Jobs,
             loading::Loading,
             place::Candidates,
+            set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             waits::LongWaits,
@@ -41,6 +42,8 @@
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
+    /// The jobs that can't be read, and the ends of their runs.
+    pub(super) set_aside: SetAside,
     pub(super) workers: Workers,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
@@ -146,6 +149,7 @@
             candidates: Candidates::default(),
             loading: Loading::Done,
             cancelled: Cancelled::default(),
+            set_aside: SetAside::default(),
             workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -82,11 +82,16 @@
                 job.stored_sequence = changes.sequence;
             }
         }
-        let jobs = &self.jobs;
+        self.store_ends(now);
+    }
+
+    /// Moves on what may be acknowledged to each worker.
+    pub(super) fn store_ends(&mut self, now: Now) {
+        let (jobs, set_aside) = (&self.jobs, &self.set_aside);
         for number in self.workers.with_unstored_ends(&self.options) {
             let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.store_ends(now.steady_ms, |job, sequence| {
-                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+                set_aside.is_stored(jobs, job, sequence)
             });
         }
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -563,6 +563,17 @@
         self.unstored.push_back(UnstoredEnd { number, job, sequence });
     }
 
+    /// Forgets the ends of a job whose change isn't stored, and all after the
+    /// first of them, so that they are heard again.
+    pub(crate) fn hear_again(&mut self, job: JobId) {
+        let first = self.unstored.iter().position(|end| end.job == job);
+        let Some(first) = first else { return };
+        self.seen_end = self.unstored[first].number.saturating_sub(1);
+        self.unstored.truncate(first);
+        // As after a lost answer: it is asked at once.
+        self.missed_hold = true;
+    }
+
     /// Moves on what may be acknowledged: the ends, in their order, whose
     /// change is stored.
     pub(crate) fn store_ends(
--- a/crates/dewspar/tests/schedule/records.rs
+++ b/crates/dewspar/tests/schedule/records.rs
@@ -1,8 +1,11 @@
 //! What the scheduler makes of a job's record that it didn't know of.
 
 use {
-    crate::world::{World, at, id, job, step},
-    dewspar::job::{Phase, Progress, TaskRecord},
+    crate::world::{World, at, id, job, listing, step},
+    dewspar::{
+        job::{Phase, Progress, TaskRecord},
+        schedule::{EndCause, Scheduler},
+    },
     dewspar_standin::task_worker::Fate,
 };
 
@@ -109,3 +112,63 @@
     assert_eq!(world.stored.get(&id(1)).cloned(), stored);
     assert_eq!(world.scheduler.phase(id(1)), None);
 }
+
+/// How many ends its one worker tells again with each answer.
+fn told_again(world: &World) -> usize {
+    world.workers[&listing("w1").id].ended().len()
+}
+
+/// Takes all ends that wait to be set aside.
+fn ends_set_aside(scheduler: &mut Scheduler) -> usize {
+    let ends = scheduler.take_ends_set_aside(31);
+    let number = ends.ends().count();
+    scheduler.ends_not_stored(&ends);
+    number
+}
+
+#[test]
+fn ends_of_a_job_that_is_left_alone_are_told_until_they_are_set_aside() {
+    let mut world = World::new(7, &["w1"]);
+    world.fate = Fate::done(500);
+    world.list();
+    world.expect_all();
+    world.round();
+    world.scheduler.submit(id(1), job(vec![step(2)]), 8, None);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 2);
+    // Heard, and not stored.
+    world.outage = true;
+    world.run_for(1_000);
+    world.scheduler.leave_alone(id(1));
+    world.outage = false;
+    // What is stored of other jobs says nothing of these.
+    world.scheduler.submit(id(2), job(vec![step(1)]), 9, None);
+    world.run_for(1_500);
+    assert_eq!(world.phases.get(&id(2)), Some(&"completed"));
+    assert_eq!(ends_set_aside(&mut world.scheduler), 2);
+    assert!(told_again(&world) >= 2);
+    let ends = world.scheduler.take_ends_set_aside(31);
+    world.scheduler.ends_stored(&ends, at(world.now_ms));
+    world.run_for(200);
+    assert_eq!(told_again(&world), 0);
+    assert!(world.scheduler.take_ends_set_aside(31).is_empty());
+}
+
+#[test]
+fn an_end_that_was_set_aside_counts_as_if_it_were_heard() {
+    let mut world = world_with_a_running_job();
+    world.scheduler.leave_alone(id(1));
+    world.run_for(500);
+    let stopped = world.scheduler.take_ends_set_aside(31);
+    assert_eq!(stopped.ends().count(), 2);
+    // The next holder can read the job.
+    world.take_over(9);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 8, None);
+    for end in stopped.ends() {
+        let mut done = end.clone();
+        done.end.cause = EndCause::Done;
+        world.scheduler.take_in_end(&done, at(world.now_ms));
+        world.scheduler.take_in_end(&done, at(world.now_ms));
+    }
+    assert_eq!(world.scheduler.phase(id(1)), Some(Phase::Completed));
+}
--- /dev/null
+++ b/crates/dewspard/src/jobs/aside.rs
@@ -0,0 +1,183 @@
+/*!
+Ends of runs whose job can't be read, as they lie in the store.
+
+Each has a key of its own, so that a write is the same whenever it is done, and
+a late one replaces nothing. They are read before the jobs, so that none of
+these starts what is done, and deleted once their job is over.
+*/
+
+use {
+    super::{event::Event, holder::Holder, keys, records::record_written},
+    crate::{counters, passed_over},
+    dewspar::{
+        job::JobId,
+        record::RecordWritten,
+        schedule::{Changes, EndSetAside, EndsSetAside, Now},
+    },
+    dewspar_platform::{
+        Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
+    },
+    slog::{Logger, warn},
+    std::collections::BTreeMap,
+};
+
+/// How many ends are written or deleted at once: the store takes 32 entries,
+/// and one is the lease's condition.
+const ENDS_A_WRITE: usize = 31;
+
+/// The pause before ends are written again that weren't, in milliseconds, as
+/// for changes of jobs.
+const RETRY_MS: u64 = 100;
+
+/// Ends that former holders have set aside, by their job.
+#[derive(Debug, Default)]
+pub(super) struct LoadedEnds {
+    of_jobs: BTreeMap<JobId, Vec<EndSetAside>>,
+    is_writing: bool,
+    /// From when the next write may begin.
+    write_from_ms: u64,
+}
+
+impl LoadedEnds {
+    pub(super) fn take_loaded(&mut self, ends: Vec<EndSetAside>) {
+        for end in ends {
+            let of_job = self.of_jobs.entry(end.end.task.job).or_default();
+            of_job.push(end);
+        }
+    }
+}
+
+/// Reads the ends that former holders have set aside; what can't be read is
+/// passed over.
+pub(super) async fn load_ends<K: KeyValue>(
+    store: &K,
+    log: &Logger,
+) -> Result<Vec<EndSetAside>, Error> {
+    let (_, found) = store.list(keys::ENDS).await?;
+    let mut ends = Vec::new();
+    for item in &found {
+        match serde_json::from_slice(&item.value) {
+            Ok(end) => ends.push(end),
+            Err(error) => {
+                let (key, version) = (&item.key, item.version);
+                passed_over::record(log, "end", key, version, &error);
+            }
+        }
+    }
+    Ok(ends)
+}
+
+impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
+    /// Leaves a job alone that can't be read, unless it is known already.
+    pub(super) fn leave_unread(&mut self, id: JobId) {
+        if self.scheduler.phase(id).is_none() {
+            self.unreadable.insert(id);
+            self.scheduler.leave_alone(id);
+        }
+    }
+
+    /// Takes in what former holders have set aside of a job.
+    pub(super) fn take_in_ends(&mut self, id: JobId) {
+        let now = super::holder::now();
+        for end in self.ends.of_jobs.get(&id).into_iter().flatten() {
+            self.scheduler.take_in_end(end, now);
+        }
+    }
+
+    /// Writes ends that are to be set aside.
+    pub(super) fn store_ends(&mut self, now: Now) {
+        let due = now.steady_ms >= self.ends.write_from_ms;
+        if self.ends.is_writing || !due {
+            return;
+        }
+        let ends = self.scheduler.take_ends_set_aside(ENDS_A_WRITE);
+        if ends.is_empty() {
+            return;
+        }
+        self.ends.is_writing = true;
+        let batch = put_ends(self.held.revision, &ends);
+        let store = self.candidate.store.with_purpose(Purpose::Progress);
+        let sender = self.sender.clone();
+        let log = self.candidate.log.clone();
+        tokio::spawn(async move {
+            let answer = store.commit(&batch).await;
+            if let Err(error) = &answer {
+                counters::platform_failure(error);
+                warn!(log, "holder: write gave no result";
+                    "of" => "ends of jobs that can't be read",
+                    "error" => %error);
+            }
+            let written = record_written(&answer, keys::OWNER);
+            // A holder that is gone has no use for it.
+            let _ = sender.send(Event::EndsWritten { ends, written }).await;
+        });
+    }
+
+    /// Takes in what became of a write of ends.
+    pub(super) fn ends_written(
+        &mut self,
+        ends: &EndsSetAside,
+        written: RecordWritten,
+        now: Now,
+    ) {
+        self.ends.is_writing = false;
+        match written {
+            RecordWritten::Done(_) => self.scheduler.ends_stored(ends, now),
+            RecordWritten::Failed => {
+                self.ends.write_from_ms = now.steady_ms + RETRY_MS;
+                self.scheduler.ends_not_stored(ends);
+            }
+            // Nothing but the lease's key has to be as it was.
+            RecordWritten::Conflict { .. } => {
+                self.lost = Some("the store refused this holder's write");
+            }
+        }
+    }
+
+    /// Deletes what was set aside of jobs that are stored as over.
+    pub(super) fn delete_ends_of_over(&mut self, changes: &Changes) {
+        let over = changes.progress.iter().filter(|(_, p)| p.phase.is_final());
+        for (id, _) in over {
+            if let Some(ends) = self.ends.of_jobs.remove(id) {
+                self.delete_ends(&ends);
+            }
+        }
+    }
+
+    /// Deletes what was set aside of jobs that are neither open nor among
+    /// those that can't be read.
+    pub(super) fn delete_useless_ends(&mut self) {
+        let (scheduler, unreadable) = (&self.scheduler, &self.unreadable);
+        let useless = |id: &JobId| {
+            scheduler.phase(*id).is_none() && !unreadable.contains(id)
+        };
+        let of_jobs = &mut self.ends.of_jobs;
+        let useless: Vec<EndSetAside> = of_jobs
+            .extract_if(.., |id, _| useless(id))
+            .flat_map(|(_, ends)| ends)
+            .collect();
+        self.delete_ends(&useless);
+    }
+
+    fn delete_ends(&self, ends: &[EndSetAside]) {
+        for some in ends.chunks(ENDS_A_WRITE) {
+            let lease = Expected::Version(self.held.revision);
+            let mut batch = Batch::default().when(keys::OWNER, lease);
+            for EndSetAside { end, .. } in some {
+                batch = batch.delete(&keys::end(&end.task, end.run));
+            }
+            self.write(batch, "deletion of ends set aside");
+        }
+    }
+}
+
+fn put_ends(lease_revision: u64, ends: &EndsSetAside) -> Batch {
+    let lease = Expected::Version(lease_revision);
+    let batch = Batch::default().when(keys::OWNER, lease);
+    ends.ends().fold(batch, |batch, aside| {
+        // OK because it holds only what JSON can write.
+        let value = serde_json::to_vec(aside).expect("plain JSON");
+        let EndSetAside { end, .. } = aside;
+        batch.put(&keys::end(&end.task, end.run), value)
+    })
+}
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -14,8 +14,9 @@
         job::TaskId,
         record::RecordWritten,
         schedule::{
-            Changes, Held as SentHold, HoldReport, ManagedVm, OrderError,
-            PaceOrder, VmOrderError, WorkerId, WorkerListing,
+            Changes, EndSetAside, EndsSetAside, Held as SentHold, HoldReport,
+            ManagedVm, OrderError, PaceOrder, VmOrderError, WorkerId,
+            WorkerListing,
         },
     },
     dewspar_platform::Error,
@@ -66,6 +67,13 @@
     Feed(Vec<FeedEvent>),
     /// Jobs that former holders left.
     JobsLoaded(LoadedJobs),
+    /// Ends of runs whose job former holders couldn't read.
+    EndsLoaded(Vec<EndSetAside>),
+    /// What became of a write of such ends.
+    EndsWritten {
+        ends: EndsSetAside,
+        written: RecordWritten,
+    },
     /// What former holders left beside them.
     DutiesLoaded(LoadedDuties),
     /// All that former holders left was told.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -16,6 +16,7 @@
 
 use {
     super::{
+        aside::LoadedEnds,
         counts::CountsWriter,
         decisions,
         duties::{self, Burst},
@@ -136,6 +137,7 @@
         versions: RecordVersions::default(),
         restored: BTreeMap::new(),
         unreadable: BTreeSet::new(),
+        ends: LoadedEnds::default(),
         sender,
         look_ups: LookUps::default(),
         pools: BTreeMap::new(),
@@ -174,6 +176,8 @@
     pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
     /// Jobs whose stored progress can't be read.
     pub(super) unreadable: BTreeSet<JobId>,
+    /// Ends that former holders have set aside.
+    pub(super) ends: LoadedEnds,
     pub(super) sender: EventSender,
     /// New lives of workers that are being looked up.
     look_ups: LookUps,
@@ -264,7 +268,14 @@
             Event::Feed(feed) => self.take_feed(feed, FeedOrigin::Feed),
             Event::JobsLoaded(jobs) => self.take_loaded(jobs),
             Event::DutiesLoaded(duties) => self.take_duties(duties, now),
-            Event::AllLoaded => scheduler.finish_loading(now),
+            Event::AllLoaded => {
+                scheduler.finish_loading(now);
+                self.delete_useless_ends();
+            }
+            Event::EndsLoaded(ends) => self.ends.take_loaded(ends),
+            Event::EndsWritten { ends, written } => {
+                self.ends_written(&ends, written, now);
+            }
             Event::FeedCurrent { asked_ms } => {
                 self.feed_current_ms = self.feed_current_ms.max(asked_ms);
             }
@@ -429,6 +440,7 @@
             orders::send(&self.workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
+        self.store_ends(now);
         self.write_counts(now);
         self.write_waves(now);
         self.order_vms(now);
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -53,7 +53,9 @@
                     let progress = self.restored.remove(&id);
                     let progress = progress.as_ref();
                     self.scheduler.submit(id, *job, revision, progress);
+                    self.take_in_ends(id);
                 }
+                FeedEvent::Unreadable(id) => self.leave_unread(id),
                 FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
                 FeedEvent::Claimed(claim) => {
                     self.claimed |= self.candidate.is_weak_beside(&claim);
@@ -72,7 +74,9 @@
         for (id, version) in &jobs.versions {
             self.versions.note_loaded(*id, *version);
         }
-        self.unreadable.extend(jobs.unreadable);
+        for id in jobs.unreadable {
+            self.leave_unread(id);
+        }
         self.restored = jobs.progress;
         self.take_feed(jobs.feed, FeedOrigin::Loaded);
         // Jobs that are over have no entry in the feed any more.
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -2,7 +2,7 @@
 The keys under which jobs lie in the store.
 */
 
-use dewspar::job::JobId;
+use dewspar::job::{JobId, TaskId};
 
 /// Who holds the scheduler lease.
 pub(super) const OWNER: &str = "q/owner";
@@ -34,6 +34,9 @@
 /// How far jobs have come.
 pub(super) const PROGRESS: &str = "run/";
 
+/// Ends of runs whose job can't be read.
+pub(super) const ENDS: &str = "end/";
+
 /// Which VMs the waves have maintained.
 pub(super) const WAVES: &str = "wave/";
 
@@ -91,6 +94,10 @@
     format!("{PROGRESS}{id}")
 }
 
+pub(super) fn end(task: &TaskId, run: u64) -> String {
+    format!("{ENDS}{task}.{run}")
+}
+
 /// Reads the job from a key of [`PROGRESS`].
 pub(super) fn job_of_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -39,6 +39,7 @@
     settings::JobSettings,
 };
 
+mod aside;
 mod backoff;
 mod counts;
 mod decisions;
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -39,6 +39,8 @@
 pub(super) enum FeedEvent {
     /// A job was accepted.
     Accepted { id: JobId, job: Box<AcceptedJob>, revision: u64 },
+    /// A job was accepted whose entry can't be read.
+    Unreadable(JobId),
     /// A job was cancelled.
     Cancelled(JobId),
     /// The lease's key was written or is gone.
@@ -98,7 +100,7 @@
                     passed_over::record(
                         log, what, &item.key, revision, &error,
                     );
-                    None
+                    Some(FeedEvent::Unreadable(id))
                 }
             }
         }
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -161,7 +161,7 @@
     }
 
     /// Writes what needn't be written at any one time.
-    fn write(&self, batch: Batch, what: &'static str) {
+    pub(super) fn write(&self, batch: Batch, what: &'static str) {
         let store = self.candidate.store.with_purpose(Purpose::Progress);
         let log = self.candidate.log.clone();
         tokio::spawn(async move {
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -15,6 +15,7 @@
 
 use {
     super::{
+        aside::load_ends,
         duties::{LoadedOrders, LoadedWaves, load_ordered, load_waves},
         event::{Event, EventSender, HolderGone},
         keys,
@@ -140,9 +141,13 @@
 ) -> Result<Loaded, HolderGone> {
     let mut loaded = Loaded::default();
     let asked_ms = clock::now_ms();
-    let (_, cancelled) = until_read(|| store.list(keys::CANCELLED)).await;
+    let ((_, cancelled), ends) = tokio::join!(
+        until_read(|| store.list(keys::CANCELLED)),
+        until_read(|| load_ends(store, log)),
+    );
     let call_ms = clock::now_ms().saturating_sub(asked_ms);
     sender.send(Event::Feed(read_feed(&cancelled, log))).await?;
+    sender.send(Event::EndsLoaded(ends)).await?;
 
     let [first, rest @ ..] = &SLICES;
     let took_ms = load_slice(store, first, sender, log, &mut loaded).await?;
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -370,6 +370,15 @@
         for step in 0..steps {
             assert_eq!(self.starts(id, step), 1, "step {step}");
         }
+        self.wait_until_no_end_is_set_aside().await;
+    }
+
+    async fn wait_until_no_end_is_set_aside(&self) {
+        until(async || {
+            let (_, ends) = self.store.list("end/").await.expect("a store");
+            ends.is_empty()
+        })
+        .await;
     }
 }
 
@@ -428,6 +437,7 @@
     for step in 0..2 {
         assert_eq!(alone.starts(id(1), step), 1, "step {step}");
     }
+    alone.wait_until_no_end_is_set_aside().await;
 }
 
 #[tokio::test(start_paused = true)]
