Tests: one worker at fault still costs the lease

jobs::one_worker_that_claims_a_later_token_costs_no_lease fails after 60 s: each holder leaves once it has asked that worker, and no job is completed. facts::one_worker_of_many_whose_tokens_are_used_up_is_left_out fails: one of 20 workers has used up its tokens, and the holder is to hand over.

--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -312,6 +312,50 @@
     assert!(rounds > 1_000);
 }
 
+/// A worker that refuses whatever it is sent costs a token each time. With one
+/// of many at fault the lease went from hand to hand, each time with all jobs to
+/// be loaded again.
+#[test]
+fn one_worker_of_many_whose_tokens_are_used_up_is_left_out() {
+    let names: Vec<String> = (0..20).map(|n| format!("w{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::new(5, &names);
+    world.fate = Fate::done(100);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    // Only the first takes orders.
+    for listing in &mut world.listings[1..] {
+        listing.draining = true;
+    }
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let mut starts = 0;
+    for _ in 0..3_000 {
+        assert!(!world.scheduler.is_out_of_tokens(), "after {starts} starts");
+        // Long enough for any pause.
+        world.now_ms += 10_000;
+        world.list();
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            let Action::Start { worker, order, .. } = action else {
+                world.carry_out(action, now);
+                continue;
+            };
+            starts += 1;
+            let refused = Err(OrderError::Refused(Refusal::NoRoom));
+            let (task, run) = (order.task, order.run);
+            world.scheduler.start_answered(&worker, &task, run, refused, now);
+        }
+    }
+    assert!((1_000..1_100).contains(&starts), "{starts}");
+    for listing in &mut world.listings[1..] {
+        listing.draining = false;
+    }
+    world.list();
+    world.run_for(1_000);
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+}
+
 /// Lets a worker refuse every start of one burst; returns how long it then
 /// gets none, in milliseconds.
 fn paused_after_burst(starts: u32, refusal: Refusal) -> u64 {
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -5,11 +5,11 @@
     bytes::Bytes,
     dewspar::{
         job::{JobSpec, Queue, QueueSet, StepSpec},
-        schedule::{AcceptedJob, QueueTerms, WaveRequest},
+        schedule::{AcceptedJob, HoldOrder, QueueTerms, WaveRequest},
     },
     dewspar_platform::{
-        Batch, Expected, KeyValue, Traffic, UnreadableNotes, empty_request,
-        json_request,
+        Batch, Expected, Fleet, JobWorkers, KeyValue, Traffic,
+        UnreadableNotes, empty_request, json_request,
     },
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
     dewspard::{
@@ -357,6 +357,37 @@
     assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
 }
 
+/// A worker says that it has seen a later token, which is what they all say
+/// once another node schedules. This one was given it by somebody else: the
+/// lease stands, and the other workers have to be made use of.
+#[tokio::test]
+async fn one_worker_that_claims_a_later_token_costs_no_lease() {
+    let cluster = Cluster::start(1).await;
+    let lease = async || {
+        let version = cluster.store.version("q/owner").await;
+        version.expect("a store")
+    };
+    submitted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    let before = lease().await;
+    let workers = cluster.fleet.workers().await.expect("a directory");
+    let claim = HoldOrder {
+        fence: 1 << 50,
+        acknowledged: 0,
+        lease_until_ms: None,
+        wait_ms: 0,
+    };
+    let held = cluster.fleet.hold("", &workers[0].id, &claim).await;
+    held.expect("an answer");
+    for number in 2..20 {
+        submitted(&cluster, 0, number).await;
+    }
+    for number in 2..20 {
+        cluster.wait_for_phase(0, number, "completed").await;
+    }
+    assert_eq!(lease().await, before, "the lease has changed hands");
+}
+
 #[tokio::test]
 async fn a_cancelled_job_stops() {
     let cluster = Cluster::start(2).await;
