One worker at fault costs the holder neither its lease nor a pause for good

Cause: a single refusal for a later token counted as another holder, and a single worker without a token left as reason to hand over. The next holder met the same worker: with a token that is no holder's, no node scheduled any more.

Ruled out: passing over such claims while the lease looks certain, since orders of VMs aren't fenced.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -112,7 +112,8 @@
     ) {
         match refusal {
             Refusal::Fenced if under_current_fence => {
-                self.supersede(worker_id);
+                self.later_token_seen(worker_id, now);
+                self.look_again(worker_id, now);
             }
             Refusal::OtherLife => {
                 self.worker_gone(worker_id, "another life answers", now);
--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -113,7 +113,7 @@
         let newest = self.vms_asked_ms + self.options.vm_list_age_ms;
         // What the list said long ago isn't so any more.
         let outdated = now.steady_ms > newest;
-        if self.superseded || outdated || !self.knows_what_runs() {
+        if self.may_be_superseded() || outdated || !self.knows_what_runs() {
             return orders;
         }
         self.measure_pools(now);
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -116,6 +116,7 @@
 mod answers;
 mod board;
 mod cancelled;
+mod claims;
 mod crash_series;
 mod directory;
 mod duty;
@@ -480,11 +481,16 @@
         /// How long after it was accepted, in milliseconds.
         after_ms: u64,
     },
-    /// A worker has seen a higher token: another node holds the lease.
+    /// A worker has seen a higher token: another node may hold the lease.
     Superseded {
         /// The worker.
         worker: WorkerId,
     },
+    /// The store has renewed the lease since a worker claimed a higher token.
+    ClaimDisproved {
+        /// The worker.
+        worker: WorkerId,
+    },
 }
 
 /// How many workers of a pool can't take a task, each counted once, by the
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -55,6 +55,7 @@
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let newest =
             worker.hold_answered(&owed, report, now.steady_ms, &self.options);
+        self.claims.answered(worker_id);
         self.note_unknown_runs(worker_id, report, newest, now);
         for end in &report.ended {
             // It is told again, and all after it, until it is acknowledged.
@@ -105,7 +106,7 @@
                 self.worker_gone(worker_id, "another life answers", now);
             }
             OrderError::Refused(Refusal::Fenced) if current => {
-                self.supersede(worker_id);
+                self.later_token_seen(worker_id, now);
             }
             _ if !was_silent => self.note(Decision::OrderFailed {
                 worker: worker_id.clone(),
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -9,6 +9,7 @@
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
+            claims::Claims,
             crash_series::{CrashSeries, KeptFor},
             forecast::Arrivals,
             jobs::Jobs,
@@ -53,7 +54,8 @@
     /// Final jobs whose keys are still kept, with when they became final.
     pub(super) finished: BTreeMap<JobId, u64>,
     pub(super) decisions: Vec<Decision>,
-    pub(super) superseded: bool,
+    /// What workers have said of later tokens.
+    pub(super) claims: Claims,
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
@@ -156,7 +158,7 @@
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
-            superseded: false,
+            claims: Claims::default(),
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
@@ -192,17 +194,6 @@
         }
     }
 
-    /// Returns whether a worker has shown that another node holds the lease.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Returns whether there is no later token for some worker under this
-    /// lease: another holder has to go on, under a lease of its own.
-    pub fn is_out_of_tokens(&self) -> bool {
-        self.workers.values().any(Worker::is_out_of_tokens)
-    }
-
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -352,7 +343,7 @@
 
     /// Returns what is to be done now.
     pub fn plan(&mut self, now: Now) -> Vec<Action> {
-        if self.superseded {
+        if self.may_be_superseded() {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -486,11 +477,6 @@
         self.note(Decision::Suspended { worker: worker_id.clone(), reason });
     }
 
-    pub(super) fn supersede(&mut self, worker_id: &WorkerId) {
-        self.superseded = true;
-        self.note(Decision::Superseded { worker: worker_id.clone() });
-    }
-
     pub(super) fn note(&mut self, decision: Decision) {
         self.decisions.push(decision);
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -454,6 +454,8 @@
             && !self.listing.draining
             && self.emptying.is_none()
             && self.silent_since_ms.is_none()
+            // A start without an answer couldn't be made void any more.
+            && !self.is_out_of_tokens()
     }
 
     /// Returns whether orders to start may be sent.
--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -6,8 +6,8 @@
     dewspar::{
         job::StepSpec,
         schedule::{
-            Action, Decision, OrderError, PaceOrder, Refusal, StartOrder,
-            WorkerId,
+            Action, Decision, HoldOrder, OrderError, PaceOrder, Refusal,
+            StartOrder, WorkerId,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -356,6 +356,39 @@
     assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
 }
 
+/// What a worker says of a later token counts until the lease was renewed in
+/// answer to a call that was sent after it; and says nothing more then.
+#[test]
+fn a_claim_of_a_later_token_counts_until_the_lease_is_renewed() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let claim = HoldOrder {
+        fence: 1 << 50,
+        acknowledged: 0,
+        lease_until_ms: None,
+        wait_ms: 0,
+    };
+    let now_ms = world.now_ms;
+    let odd = world.reach(&listing("w1").id).expect("a worker");
+    odd.hold(now_ms, &claim).expect("an answer");
+    world.scheduler.submit(id(1), job(vec![step(6)]), 6, None);
+    world.run_for(50);
+    assert!(world.scheduler.may_be_superseded());
+    let heard_ms = world.now_ms;
+    world.run_for(2_000);
+    let starts = world.starts.len();
+    world.scheduler.lease_renewed(heard_ms);
+    assert!(world.scheduler.may_be_superseded(), "sent before it was heard");
+    world.run_for(500);
+    assert_eq!(world.starts.len(), starts, "nothing is ordered");
+    world.scheduler.lease_renewed(heard_ms + 1);
+    world.run_for(5_000);
+    assert!(!world.scheduler.may_be_superseded());
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+}
+
 /// Lets a worker refuse every start of one burst; returns how long it then
 /// gets none, in milliseconds.
 fn paused_after_burst(starts: u32, refusal: Refusal) -> u64 {
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -132,6 +132,11 @@
             warn!(log, "holder: a worker has seen a newer holder";
                 "worker" => %worker);
         }
+        Decision::ClaimDisproved { worker } => {
+            warn!(log, "holder: a worker has a later token than any holder";
+                "worker" => %worker,
+                "outcome" => "the lease stands, the worker isn't used");
+        }
         // New kinds are logged as they come.
         other => info!(log, "holder: decided"; "decision" => ?other),
     }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -302,6 +302,7 @@
             Event::ReportFailed { wave } => scheduler.report_failed(wave),
             Event::Renewed { sent_ms } => {
                 self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
+                scheduler.lease_renewed(sent_ms);
             }
             Event::LeaseGone => {
                 self.lost = Some("the store says that the lease is over");
@@ -420,7 +421,9 @@
         if let Some(reason) = self.lost {
             return Some(Outcome::Lost(reason));
         }
-        if self.scheduler.is_superseded() {
+        // Before that the store may still say that the worker is wrong.
+        let uncertain = now.steady_ms >= lease_over_ms;
+        if uncertain && self.scheduler.may_be_superseded() {
             return Some(Outcome::Lost("a worker has seen a newer holder"));
         }
         if self.scheduler.is_out_of_tokens() {
