Tests: relays that never answer, messages without bound, lives looked up for good

Fail on this code: - relays::a_relay_that_says_nothing_is_given_up, stricter than before: an address that takes connections and says nothing gets orders to carry; a task began with its 8th order. - relays::orders_that_carry_much_go_out_in_several_messages: orders of 6 MB are put together in a message that is longer than one may be, and the link is given up with all of them. At the default of 1 Gbit/s the link's budget keeps bursts below 6 MB; the test says 10 Gbit/s. - lives::a_life_that_never_enters_itself_is_looked_up_less_and_less: 267 look-ups in each minute.

--- a/crates/dewspard/tests/lives.rs
+++ b/crates/dewspard/tests/lives.rs
@@ -73,6 +73,24 @@
     assert_eq!(tried(&tries), [2]);
 }
 
+/// The list of VMs names every life each time it is read. One that never
+/// enters itself was looked up 5 times a second, without end.
+#[tokio::test(start_paused = true)]
+async fn a_life_that_never_enters_itself_is_looked_up_less_and_less() {
+    let (look_ups, tries) = (LookUps::default(), Tries::default());
+    let mut tried_by = Vec::new();
+    for _ in 0..4 {
+        for _ in 0..600 {
+            start(&look_ups, life(1), u32::MAX, &tries);
+            sleep(Duration::from_millis(100)).await;
+        }
+        tried_by.push(tried(&tries)[0]);
+    }
+    // Each minute has fewer than the first.
+    assert!((5..50).contains(&tried_by[0]), "{tried_by:?}");
+    assert!(tried_by[3] - tried_by[2] <= 15, "{tried_by:?}");
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_life_that_enters_itself_late_is_found_and_one_that_never_does_ends()
 {
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -35,6 +35,10 @@
 /// How much the holder says that it can schedule; the others say half.
 const STRENGTH: f64 = 2.0;
 
+/// What each node's link carries, in megabits a second: more than a message may
+/// be long in a tenth of a second.
+const LINK_MBPS: f64 = 10_000.0;
+
 struct Cluster {
     store: Store,
     fleet: TaskFleet,
@@ -120,6 +124,15 @@
         }
     }
 
+    /// Checks that each task of the jobs from this one on was started by the
+    /// first order to do so.
+    fn check_no_start_was_lost(&self, from: u64) {
+        let started = self.fleet.started().into_iter();
+        for (task, run) in started.filter(|(t, _)| t.job >= id(from)) {
+            assert_eq!(run, 1, "an order to start {task} was lost");
+        }
+    }
+
     /// Checks that each task was started under rising numbers only.
     fn check_starts(&self) {
         let mut last: BTreeMap<String, u64> = BTreeMap::new();
@@ -139,6 +152,7 @@
     let mut settings = JobSettings::loopback(name);
     settings.relay_address = Some(settings.callers_address);
     settings.machine.cpu_millis = strength;
+    settings.machine.link_mbps = LINK_MBPS;
     let platform = JobPlatform {
         store,
         workers: fleet.clone(),
@@ -262,6 +276,34 @@
     cluster.hand_in(1..20).await;
     cluster.wait_for_all(1..20).await;
     cluster.check_starts();
+    // It has never said that it carries, so it was given nothing to carry.
+    cluster.check_no_start_was_lost(1);
+}
+
+/// What tasks are given, in bytes: as many as there is room for take more than
+/// a message may be long.
+const LARGE_PAYLOAD: usize = 6_000_000;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn orders_that_carry_much_go_out_in_several_messages() {
+    let cluster = Cluster::new();
+    let _holder = cluster.holder_cut_off().await;
+    let _relay = cluster.node("relay-1", 1.0, Faults::new(4)).await;
+    // A relay is chosen once there is enough to carry.
+    cluster.hand_in(1..10).await;
+    cluster.wait_for_all(1..10).await;
+    let mut batch = Batch::default();
+    for number in 10..16 {
+        let mut job = job();
+        job.spec.steps.truncate(1);
+        job.spec.steps[0].count = 1;
+        job.spec.payload = "x".repeat(LARGE_PAYLOAD);
+        let job = serde_json::to_vec(&job).expect("plain JSON");
+        batch = batch.put(&format!("q/in/{}", id(number)), job);
+    }
+    cluster.store.commit(&batch).await.expect("a store");
+    cluster.wait_for_all(10..16).await;
+    cluster.check_no_start_was_lost(10);
 }
 
 /// Offers of other writers may be anything; the others hold.
