Relays answer the first message, messages are bounded by bytes, lives rest

- A holder uses a relay once it has said that it carries, so an address that is mute or speaks another version costs no order.
The messages' version rises.
- Orders and answers go out in messages of 1 MB and one more; they were bounded by count alone, so that those of 512 orders could be longer than may be read.
- A life that wasn't found rests for 10 s, then twice as long each time, to 160 s.

--- a/crates/dewspard/src/jobs/lives.rs
+++ b/crates/dewspard/src/jobs/lives.rs
@@ -6,7 +6,8 @@
 then it carries nothing. When a queue's demand turns, hundreds of VMs come back
 within a second. So each new life is looked up at once, beside the others, and
 again after a moment while it hasn't entered itself yet; none is looked up twice
-at a time, however often the list of VMs names it.
+at a time, however often the list of VMs names it. One that still hasn't entered
+itself then is left to the readings of the whole directory for longer and longer.
 
 # Example
 
@@ -43,11 +44,14 @@
 use {
     dewspar::schedule::WorkerId,
     std::{
-        collections::BTreeSet,
+        collections::{BTreeMap, BTreeSet},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tokio::{sync::Semaphore, time::sleep},
+    tokio::{
+        sync::Semaphore,
+        time::{Instant, sleep},
+    },
 };
 
 /// How many lives are looked up at once: 300 of them take ten ways to the
@@ -62,6 +66,22 @@
 /// that, and tells which lives there are.
 const MOST_TRIES: usize = 12;
 
+/// How long a life that wasn't found isn't looked up again, and how long at
+/// most: twice as long each time, from the time in which the whole directory is
+/// surely read to one in which a look costs nothing.
+const FIRST_REST: Duration = Duration::from_secs(10);
+const LONGEST_REST: Duration = Duration::from_secs(160);
+
+/// For how long after its rest a life is remembered that is named no more.
+const REMEMBERED: Duration = Duration::from_secs(600);
+
+/// A life that wasn't found.
+#[derive(Clone, Copy, Debug)]
+struct Rest {
+    until: Instant,
+    lasts: Duration,
+}
+
 /// What came of a look-up.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Looked {
@@ -74,37 +94,67 @@
 /// Look-ups under way; clones share them.
 #[derive(Clone, Debug)]
 pub struct LookUps {
-    under_way: Arc<Mutex<BTreeSet<WorkerId>>>,
+    lives: Arc<Mutex<Lives>>,
     at_once: Arc<Semaphore>,
 }
 
+#[derive(Debug, Default)]
+struct Lives {
+    under_way: BTreeSet<WorkerId>,
+    /// Those that weren't found.
+    resting: BTreeMap<WorkerId, Rest>,
+}
+
+impl Lives {
+    /// Notes that a life is looked up, if it is to be.
+    fn begin(&mut self, id: &WorkerId) -> bool {
+        let now = Instant::now();
+        let rests = self.resting.get(id).is_some_and(|r| now < r.until);
+        !rests && self.under_way.insert(id.clone())
+    }
+
+    fn end(&mut self, id: &WorkerId, looked: Looked) {
+        self.under_way.remove(id);
+        let now = Instant::now();
+        self.resting.retain(|_, rest| now < rest.until + REMEMBERED);
+        let rested = self.resting.remove(id);
+        if looked == Looked::Again {
+            let lasts = rested.map_or(FIRST_REST, |rest| rest.lasts * 2);
+            let lasts = lasts.min(LONGEST_REST);
+            let rest = Rest { until: now + lasts, lasts };
+            self.resting.insert(id.clone(), rest);
+        }
+    }
+}
+
 impl Default for LookUps {
     fn default() -> LookUps {
         LookUps {
-            under_way: Arc::default(),
+            lives: Arc::default(),
             at_once: Arc::new(Semaphore::new(AT_ONCE)),
         }
     }
 }
 
 impl LookUps {
-    /// Looks a life up until that is done, unless it is being looked up.
+    /// Looks a life up until that is done, unless it is being looked up or
+    /// wasn't found a short while ago.
     pub fn start<L, R>(&self, id: &WorkerId, look: L)
     where
         L: Fn() -> R + Send + 'static,
         R: Future<Output = Looked> + Send,
     {
-        if !self.lock().insert(id.clone()) {
+        if !self.lock().begin(id) {
             return;
         }
         let (look_ups, id) = (self.clone(), id.clone());
         tokio::spawn(async move {
-            look_ups.look(look).await;
-            look_ups.lock().remove(&id);
+            let looked = look_ups.look(look).await;
+            look_ups.lock().end(&id, looked);
         });
     }
 
-    async fn look<L, R>(&self, look: L)
+    async fn look<L, R>(&self, look: L) -> Looked
     where
         L: Fn() -> R,
         R: Future<Output = Looked>,
@@ -115,14 +165,15 @@
             let looked = look().await;
             drop(permit);
             if looked == Looked::Done {
-                return;
+                return looked;
             }
             sleep(AGAIN).await;
         }
+        Looked::Again
     }
 
-    fn lock(&self) -> MutexGuard<'_, BTreeSet<WorkerId>> {
-        // OK after a panic: each change is one insertion or removal.
-        self.under_way.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Lives> {
+        // OK after a panic: a life is looked up once more or less.
+        self.lives.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/dewspard/src/jobs/relay/link.rs
+++ b/crates/dewspard/src/jobs/relay/link.rs
@@ -10,8 +10,8 @@
 
 use {
     super::wire::{
-        self, Answer, FrameSink, Frames, FromRelay, Order, OrderKind, ToRelay,
-        VERSION,
+        self, Answer, FrameSink, Frames, FromRelay, MESSAGE_BYTES, Order,
+        OrderKind, ToRelay, VERSION,
     },
     crate::clock,
     dewspar::relay::RelayNode,
@@ -34,8 +34,8 @@
     },
 };
 
-/// How long a connection to a relay may take to open: several times the way
-/// there and back within a region.
+/// How long a connection to a relay may take to open, and the relay to say that
+/// it carries: several times the way there and back within a region.
 const CONNECT: Duration = Duration::from_millis(300);
 
 /// How long sent bytes may stay unacknowledged by the relay's kernel, as for
@@ -101,6 +101,8 @@
             lease_revision,
         };
         sink.send(wire::encode(&hello)).await?;
+        let mut answers = wire::frames(read);
+        timeout(CONNECT, carries(&mut answers)).await??;
         let (outgoing, orders) = mpsc::unbounded_channel();
         let link = Arc::new(RelayLink {
             node,
@@ -118,7 +120,7 @@
             link.clone(),
             traffic.clone(),
         ));
-        tokio::spawn(read_answers(wire::frames(read), link.clone(), traffic));
+        tokio::spawn(read_answers(answers, link.clone(), traffic));
         Ok(link)
     }
 
@@ -210,6 +212,20 @@
     }
 }
 
+/// Waits until the relay has said that it carries: one that speaks otherwise,
+/// or not at all, would only be found by the orders that it loses.
+async fn carries(answers: &mut Frames) -> io::Result<()> {
+    let Some(first) = answers.next().await else {
+        return Err(io::Error::other("it ended the connection"));
+    };
+    match wire::decode(&first?)? {
+        FromRelay::Carries => Ok(()),
+        FromRelay::Answers(_) | FromRelay::Leaving => {
+            Err(io::Error::other("it doesn't say that it carries"))
+        }
+    }
+}
+
 /// Writes orders, those that came meanwhile in one message.
 async fn write_orders(
     mut sink: FrameSink,
@@ -225,7 +241,7 @@
         let Some(first) = first else { return };
         let mut message = Message::default();
         message.add(first);
-        while message.orders.len() < ORDERS_A_MESSAGE {
+        while !message.is_full() {
             let Ok(order) = orders.try_recv() else { break };
             message.add(order);
         }
@@ -243,9 +259,14 @@
 struct Message {
     payloads: Vec<Arc<str>>,
     orders: Vec<Order>,
+    bytes: usize,
 }
 
 impl Message {
+    fn is_full(&self) -> bool {
+        self.orders.len() >= ORDERS_A_MESSAGE || self.bytes >= MESSAGE_BYTES
+    }
+
     fn add(&mut self, outgoing: Outgoing) {
         let Outgoing { mut order, payload } = outgoing;
         if let (OrderKind::Start(start), Some(payload)) =
@@ -253,6 +274,7 @@
         {
             start.payload = self.position_of(payload);
         }
+        self.bytes += order.bytes();
         self.orders.push(order);
     }
 
@@ -262,6 +284,7 @@
         let known =
             self.payloads.iter().rposition(|p| Arc::ptr_eq(p, &payload));
         let position = known.unwrap_or_else(|| {
+            self.bytes += payload.len();
             self.payloads.push(payload);
             self.payloads.len() - 1
         });
@@ -301,6 +324,8 @@
                 }
             }
             Ok(FromRelay::Leaving) => link.close(),
+            // Said once, before it was given anything.
+            Ok(FromRelay::Carries) => {}
             Err(_) => break,
         }
     }
--- a/crates/dewspard/src/jobs/relay/mod.rs
+++ b/crates/dewspard/src/jobs/relay/mod.rs
@@ -17,6 +17,7 @@
 | what | so |
 |---|---|
 | no relay, or none that is reachable | orders go out directly, as without relays |
+| an address doesn't say that a relay of this version is there | it gets nothing to carry |
 | a relay is lost, frozen, cut off or silent | its orders count as without an answer; its workers go to others at once |
 | a relay stops as planned | it says so, carries what it has, and gets nothing new |
 | a relay wakes with old orders | the workers have seen a later token, and refuse them |
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -6,8 +6,8 @@
 use {
     super::super::holder::stopped,
     super::wire::{
-        self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
-        ToRelay, VERSION,
+        self, Answer, Answered, FrameSink, FromRelay, MESSAGE_BYTES, Order,
+        OrderKind, Start, ToRelay, VERSION,
     },
     crate::counters,
     dewspar::schedule::{OrderError, StartOrder, WorkerId},
@@ -125,12 +125,10 @@
         }
         info!(self.log, "relay: carries for a holder"; "holder" => node,
             "lease_revision" => lease_revision);
+        let mut sink = wire::sink(write);
+        sink.send(wire::encode(&FromRelay::Carries)).await?;
         let (answers, answered) = mpsc::unbounded_channel();
-        tokio::spawn(send_answers(
-            wire::sink(write),
-            answered,
-            self.stopping.clone(),
-        ));
+        tokio::spawn(send_answers(sink, answered, self.stopping.clone()));
         loop {
             let frame = tokio::select! {
                 frame = frames.next() => frame,
@@ -266,8 +264,11 @@
         };
         let Some(first) = first else { return };
         sleep_until(gathered_until).await;
+        let mut bytes = first.bytes();
         let mut answers = vec![first];
-        while let Ok(answer) = answered.try_recv() {
+        while bytes < MESSAGE_BYTES {
+            let Ok(answer) = answered.try_recv() else { break };
+            bytes += answer.bytes();
             answers.push(answer);
         }
         let message = wire::encode(&FromRelay::Answers(answers));
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -19,12 +19,21 @@
 };
 
 /// The version of these messages; relays carry only for holders with the same.
-pub(super) const VERSION: u32 = 1;
+pub(super) const VERSION: u32 = 2;
 
 /// The longest message, in bytes: some thousands of orders with a payload of
 /// 4 kB each.
 const MAX_FRAME: usize = 16 * 1024 * 1024;
 
+/// How much a message holds before what follows goes into another, in bytes: a
+/// sixteenth of the longest, so that what is left out of account and one large
+/// order more find room.
+pub(super) const MESSAGE_BYTES: usize = 1024 * 1024;
+
+/// What an order or a run in an answer takes beside its texts, in bytes: a dozen
+/// numbers.
+const ROW_BYTES: usize = 64;
+
 /// Incoming frames.
 pub(super) type Frames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
@@ -61,6 +70,18 @@
     pub(super) what: OrderKind,
 }
 
+impl Order {
+    /// Returns about how long it is in a message, without a payload, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        let texts = self.worker.len() + self.address.len();
+        let more = match &self.what {
+            OrderKind::Start(s) => s.checkpoint.len() + s.ticket.len(),
+            OrderKind::Stop(_) | OrderKind::Pace(_) | OrderKind::Hold(_) => 0,
+        };
+        ROW_BYTES + texts + more
+    }
+}
+
 /// What an order is.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) enum OrderKind {
@@ -90,6 +111,8 @@
     Answers(Vec<Answered>),
     /// The relay stops: nothing new is to be sent.
     Leaving,
+    /// The answer to the first message: the relay carries for this holder.
+    Carries,
 }
 
 /// The answer to one order.
@@ -110,6 +133,17 @@
     Error(OrderError),
 }
 
+impl Answered {
+    /// Returns about how long it is in a message, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        let Answer::Report(report) = &self.answer else { return ROW_BYTES };
+        let active = report.active.iter().map(|run| run.checkpoint.len());
+        let ended = report.ended.iter().map(|end| end.checkpoint.len());
+        let runs = active.chain(ended).map(|text| ROW_BYTES + text);
+        ROW_BYTES + runs.sum::<usize>()
+    }
+}
+
 /// Reads frames.
 pub(super) fn frames(half: OwnedReadHalf) -> Frames {
     FramedRead::new(half, codec())
