Tests: relays that wake, relays of two holders, holders that end, mends without tests

Stand-ins tell of tasks that run twice at a time, or again after they are done; all tests of relays check that there are none.

--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -38,9 +38,9 @@
     dewspar::{
         job::{QueueSet, TaskId},
         schedule::{
-            HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder, Refusal,
-            Room, StartOrder, StopOrder, VmLife, VmOrderError, WaveRequest,
-            WorkerId, WorkerListing,
+            EndCause, HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder,
+            Refusal, Room, StartOrder, StopOrder, VmLife, VmOrderError,
+            WaveRequest, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::{Error, Fleet, Intent, JobWorkers, VmChange},
@@ -85,6 +85,10 @@
     work_ms: u64,
     /// Every run that was ever started.
     started: Vec<(TaskId, u64)>,
+    /// Tasks that are known to have done their work.
+    done: BTreeSet<TaskId>,
+    /// Tasks of which a run began though they were done or ran elsewhere.
+    ran_twice: Vec<TaskId>,
     maintained: BTreeSet<String>,
 }
 
@@ -104,6 +108,8 @@
             next_life: 1,
             work_ms: 100,
             started: Vec::new(),
+            done: BTreeSet::new(),
+            ran_twice: Vec::new(),
             maintained: BTreeSet::new(),
         };
         let state = Arc::new(Mutex::new(state));
@@ -144,6 +150,12 @@
         self.lock().started.clone()
     }
 
+    /// Returns the tasks of which a run began though they were done, by what
+    /// some worker has listed, or ran elsewhere.
+    pub fn ran_twice(&self) -> Vec<TaskId> {
+        self.lock().ran_twice.clone()
+    }
+
     /// Returns the VMs that were maintained.
     pub fn maintained(&self) -> BTreeSet<String> {
         self.lock().maintained.clone()
@@ -187,6 +199,7 @@
         let entry = state.workers.get_mut(worker);
         let entry = entry.ok_or(OrderError::Refused(Refusal::OtherLife))?;
         let result = act(entry, now_ms);
+        state.note_done();
         match fate {
             CallFate::LoseAnswer => Err(OrderError::Unknown),
             CallFate::Answer | CallFate::Refuse => result,
@@ -213,6 +226,28 @@
         self.workers.insert(id, Entry { worker, listing });
     }
 
+    /// Notes what workers list as done, before that is acknowledged.
+    fn note_done(&mut self) {
+        for entry in self.workers.values() {
+            let ended = entry.worker.ended().iter();
+            let done = ended.filter(|end| end.cause == EndCause::Done);
+            self.done.extend(done.map(|end| end.task));
+        }
+    }
+
+    fn note_started(&mut self, order: &StartOrder, now_ms: u64) {
+        self.started.push((order.task, order.run));
+        let runs = |entry: &mut Entry| {
+            let running = entry.worker.running(now_ms);
+            running.iter().any(|(task, _)| *task == order.task)
+        };
+        let workers = self.workers.values_mut();
+        let running = workers.map(runs).filter(|runs| *runs).count();
+        if running > 1 || self.done.contains(&order.task) {
+            self.ran_twice.push(order.task);
+        }
+    }
+
     /// Ends a VM's worker and starts the next; returns whether there is one.
     fn replace_life(&mut self, vm: &str) -> bool {
         let found = self.workers.values().find(|e| e.listing.vm == vm);
@@ -249,7 +284,8 @@
             result
         });
         if began {
-            self.lock().started.push((order.task, order.run));
+            let now_ms = self.now_ms();
+            self.lock().note_started(order, now_ms);
         }
         result
     }
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -562,3 +562,20 @@
     assert!(before.is_some(), "orders went out");
     assert_eq!(before, after, "an older record replaced a newer one");
 }
+
+/// How many jobs have been over for long: at 15 each 5 s their records would
+/// take two minutes and more.
+const EXPIRED: u64 = 400;
+
+#[tokio::test(start_paused = true)]
+async fn records_of_jobs_that_are_over_for_long_are_gone_within_seconds() {
+    let over = br#"{"phase":"completed","finished_at_ms":5}"#;
+    let mut stored = Batch::default();
+    for job in 1..=EXPIRED {
+        stored = stored.put(&record(id(job)), over.to_vec());
+    }
+    let alone = Alone::start(&stored, 0).await;
+    assert_eq!(alone.store.count("run/"), EXPIRED as usize);
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(alone.store.count("run/"), 0);
+}
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -20,12 +20,19 @@
     std::{
         collections::BTreeMap,
         future::Future,
-        sync::{Arc, Mutex},
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::Duration,
     },
     tokio::{
-        io::AsyncReadExt,
-        net::TcpListener,
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
         runtime::Runtime,
         task::JoinHandle,
         time::{sleep, timeout},
@@ -138,6 +145,30 @@
         .await;
     }
 
+    /// Has a node offer to carry at this address.
+    async fn offer(&self, name: &str, address: SocketAddr, strength: u64) {
+        let offer = RelayNode {
+            name: name.to_owned(),
+            address: address.to_string(),
+            strength,
+        };
+        let offer = serde_json::to_vec(&offer).expect("plain JSON");
+        let batch = Batch::default().put(&format!("relay/{name}"), offer);
+        self.store.commit(&batch).await.expect("a store");
+    }
+
+    /// Returns where a node offers to carry.
+    async fn offered(&self, name: &str) -> SocketAddr {
+        let key = format!("relay/{name}");
+        until(async || self.store.version(&key).await.expect("a store") > 0)
+            .await;
+        let found = self.store.get(&key).await.expect("a store");
+        let offer: RelayNode =
+            serde_json::from_slice(&found.expect("an offer").value)
+                .expect("an offer");
+        offer.address.parse().expect("an address")
+    }
+
     async fn hand_in(&self, numbers: impl Iterator<Item = u64>) {
         for number in numbers {
             let job = serde_json::to_vec(&job()).expect("plain JSON");
@@ -162,8 +193,10 @@
         }
     }
 
-    /// Checks that each task was started under rising numbers only.
+    /// Checks that no task ran twice at a time or after it was done, and that
+    /// each was started under rising numbers only.
     fn check_starts(&self) {
+        assert_eq!(self.fleet.ran_twice(), []);
         let mut last: BTreeMap<String, u64> = BTreeMap::new();
         for (task, run) in self.fleet.started() {
             let before = last.insert(task.to_string(), run);
@@ -286,22 +319,12 @@
 async fn a_relay_that_says_nothing_is_given_up() {
     let cluster = Cluster::new();
     let mute = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let offer = RelayNode {
-        name: "mute".to_owned(),
-        address: mute.local_addr().expect("an address").to_string(),
-        strength: 1_000_000,
-    };
+    cluster.offer("mute", address_of(&mute), 1_000_000).await;
     tokio::spawn(async move {
-        while let Ok((mut stream, _)) = mute.accept().await {
-            tokio::spawn(async move {
-                let mut read = [0; 1024];
-                while stream.read(&mut read).await.is_ok_and(|n| n > 0) {}
-            });
+        while let Ok((stream, _)) = mute.accept().await {
+            tokio::spawn(read_to_end(stream));
         }
     });
-    let offer = serde_json::to_vec(&offer).expect("plain JSON");
-    let batch = Batch::default().put("relay/mute", offer);
-    cluster.store.commit(&batch).await.expect("a store");
     let _holder = cluster.node("holder", STRENGTH, Faults::new(3)).await;
     cluster.wait_for_holder().await;
     cluster.hand_in(1..20).await;
@@ -354,3 +377,228 @@
     cluster.wait_for_all(1..10).await;
     cluster.check_starts();
 }
+
+/// What a relay says first, with its length before it.
+const CARRIES: [u8; 5] = [0, 0, 0, 1, 2];
+
+/// A message without orders.
+const NO_ORDERS: [u8; 7] = [0, 0, 0, 3, 1, 0, 0];
+
+/// The version of the messages.
+const VERSION: u8 = 2;
+
+/// What a holder under this lease says first, with its length before it.
+fn hello(lease_revision: u8) -> Vec<u8> {
+    let message = [0, VERSION, 1, b'h', lease_revision];
+    let length = [0, 0, 0, message.len() as u8];
+    [&length[..], &message[..]].concat()
+}
+
+fn address_of(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
+
+/// Reads until the other side has ended the connection.
+async fn read_to_end(mut stream: TcpStream) {
+    let mut read = [0; 1024];
+    while stream.read(&mut read).await.is_ok_and(|n| n > 0) {}
+}
+
+/// Says that it carries on each connection, and nothing more; returns how many
+/// connections were opened, and how many have ended.
+fn say_that_it_carries(listener: TcpListener) -> [Arc<AtomicUsize>; 2] {
+    let (opened, ended) = <(Arc<AtomicUsize>, Arc<AtomicUsize>)>::default();
+    let counts = [opened.clone(), ended.clone()];
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (opened, ended) = (opened.clone(), ended.clone());
+            tokio::spawn(async move {
+                let said = stream.write_all(&CARRIES).await;
+                said.expect("an open connection");
+                opened.fetch_add(1, Ordering::Relaxed);
+                read_to_end(stream).await;
+                ended.fetch_add(1, Ordering::Relaxed);
+            });
+        }
+    });
+    counts
+}
+
+async fn port() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").await.expect("a port")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_falls_silent_is_given_up() {
+    let cluster = Cluster::new();
+    let silent = port().await;
+    cluster.offer("silent", address_of(&silent), 1_000_000).await;
+    let _counts = say_that_it_carries(silent);
+    let _holder = cluster.node("holder", STRENGTH, Faults::new(3)).await;
+    cluster.hand_in(1..20).await;
+    cluster.wait_for_all(1..20).await;
+    cluster.check_starts();
+    assert!(cluster.lines.count("relay: lost") > 0);
+}
+
+/// A relay that stands still has orders when it wakes that were taken for lost
+/// long ago, and whose tasks have been started by others since.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_wakes_with_old_orders_starts_nothing_twice() {
+    let cluster = Cluster::new();
+    let _holder = cluster.holder_cut_off().await;
+    let orders = Faults::new(4);
+    let _relay = cluster.node("relay-1", 1.0, orders.clone()).await;
+    cluster.hand_in(1..10).await;
+    cluster.wait_for_all(1..10).await;
+    orders.set_delay_us(2_000_000);
+    cluster.hand_in(10..14).await;
+    sleep(Duration::from_millis(500)).await;
+    let before = cluster.fleet.started().len();
+    orders.set_delay_us(0);
+    cluster.wait_for_all(10..14).await;
+    // The old orders arrive.
+    sleep(Duration::from_secs(3)).await;
+    cluster.check_starts();
+    // Six tasks each, and none began with an old order.
+    assert_eq!(cluster.fleet.started().len() - before, 4 * 6);
+}
+
+/// The relay of two holders, one of which doesn't know of the other yet.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_carries_for_the_latest_holder_alone() {
+    let cluster = Cluster::new();
+    let _relay = cluster.node("relay-1", 1.0, Faults::new(4)).await;
+    let address = cluster.offered("relay-1").await;
+    let connect = async |lease_revision| {
+        let mut stream = TcpStream::connect(address).await.expect("a relay");
+        let hello = hello(lease_revision);
+        stream.write_all(&hello).await.expect("an open connection");
+        stream
+    };
+    let carries = async |stream: &mut TcpStream| {
+        let mut said = [0; CARRIES.len()];
+        let read = stream.read_exact(&mut said);
+        let read = timeout(LIMIT, read).await.expect("in time");
+        read.is_ok_and(|_| said == CARRIES)
+    };
+    let mut former = connect(5).await;
+    assert!(carries(&mut former).await);
+    let mut latest = connect(7).await;
+    assert!(carries(&mut latest).await);
+    // With the next that it sends.
+    former.write_all(&NO_ORDERS).await.expect("an open connection");
+    timeout(LIMIT, read_to_end(former)).await.expect("it is ended");
+    let mut between = connect(6).await;
+    assert!(!carries(&mut between).await, "there is a later holder");
+    // The same one once more, after its connection was lost.
+    let mut again = connect(7).await;
+    assert!(carries(&mut again).await);
+}
+
+/// One relay says at once that it carries, the other never does, so that the
+/// holder ends while it waits for both.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_holder_that_ends_while_it_connects_leaves_no_connection() {
+    let cluster = Cluster::new();
+    let (quick, mute) = (port().await, port().await);
+    cluster.offer("quick", address_of(&quick), 1).await;
+    cluster.offer("mute", address_of(&mute), 1).await;
+    let [opened, ended] = say_that_it_carries(quick);
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = mute.accept().await {
+            tokio::spawn(read_to_end(stream));
+        }
+    });
+    let holder = cluster.node("holder", STRENGTH, Faults::new(3)).await;
+    cluster.wait_for_holder().await;
+    cluster.hand_in(1..20).await;
+    until(async || opened.load(Ordering::Relaxed) > 0).await;
+    sleep(Duration::from_millis(50)).await;
+    holder.stop().await;
+    let opened = opened.load(Ordering::Relaxed);
+    until(async || ended.load(Ordering::Relaxed) == opened).await;
+}
+
+/// A single answer may be late without the relay being silent.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_late_answer_does_not_cost_a_relay() {
+    let cluster = Cluster::new();
+    let _holder = cluster.holder_cut_off().await;
+    let orders = Faults::new(4);
+    let _relay = cluster.node("relay-1", 1.0, orders.clone()).await;
+    cluster.hand_in(1..10).await;
+    cluster.wait_for_all(1..10).await;
+    // Until nothing is asked any more.
+    sleep(Duration::from_secs(1)).await;
+    orders.set_delay_us(1_000_000);
+    let mut late = job();
+    late.spec.steps.truncate(1);
+    late.spec.steps[0].count = 1;
+    let late = serde_json::to_vec(&late).expect("plain JSON");
+    let batch = Batch::default().put(&format!("q/in/{}", id(10)), late);
+    cluster.store.commit(&batch).await.expect("a store");
+    sleep(Duration::from_millis(500)).await;
+    orders.set_delay_us(0);
+    cluster.wait_for_all(10..11).await;
+    cluster.check_starts();
+    assert_eq!(cluster.lines.count("relay: lost"), 0);
+}
+
+/// Passes on whatever comes, and counts what goes to the relay, in bytes.
+fn pass_on(listener: TcpListener, relay: SocketAddr) -> Arc<AtomicUsize> {
+    let carried = Arc::<AtomicUsize>::default();
+    let counted = carried.clone();
+    tokio::spawn(async move {
+        while let Ok((holder, _)) = listener.accept().await {
+            let relay = TcpStream::connect(relay).await.expect("a relay");
+            let (from_holder, to_holder) = holder.into_split();
+            let (from_relay, to_relay) = relay.into_split();
+            tokio::spawn(copy(from_holder, to_relay, counted.clone()));
+            tokio::spawn(copy(from_relay, to_holder, Arc::default()));
+        }
+    });
+    carried
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    copied: Arc<AtomicUsize>,
+) {
+    let mut read = [0; 4096];
+    while let Ok(bytes @ 1..) = from.read(&mut read).await {
+        if to.write_all(&read[..bytes]).await.is_err() {
+            return;
+        }
+        copied.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// Longer than the lease lasts without renewal, and shorter than a holder goes
+/// on without the store.
+const UNCERTAIN: Duration = Duration::from_secs(3);
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nothing_goes_over_relays_while_the_lease_may_be_over() {
+    let cluster = Cluster::new();
+    let holder = cluster.node("holder", STRENGTH, Faults::new(3)).await;
+    cluster.wait_for_holder().await;
+    let _relay = cluster.node("relay-1", 1.0, Faults::new(4)).await;
+    let relay = cluster.offered("relay-1").await;
+    let between = port().await;
+    cluster.offer("relay-1", address_of(&between), 1_000).await;
+    let carried = pass_on(between, relay);
+    cluster.hand_in(1..10).await;
+    cluster.wait_for_all(1..10).await;
+    cluster.fleet.set_work_ms(60_000);
+    cluster.hand_in(10..12).await;
+    until(async || carried.load(Ordering::Relaxed) > 1_000).await;
+    cluster.store.faults().set_outage(true);
+    sleep(UNCERTAIN).await;
+    let before = carried.load(Ordering::Relaxed);
+    sleep(UNCERTAIN).await;
+    assert_eq!(carried.load(Ordering::Relaxed), before);
+    assert!(!cluster.fleet.running().is_empty(), "they were asked directly");
+    drop(holder);
+}
