Test: a worker that is back after its lease was over isn't used again

runs::a_worker_that_comes_back_after_its_lease_was_over_is_used_again fails: no start in 5 s after it is back. The other one, which passes, holds what a mend must not break: a worker that is listed and silent keeps no task waiting.

--- a/crates/dewspar/tests/schedule/runs.rs
+++ b/crates/dewspar/tests/schedule/runs.rs
@@ -323,3 +323,54 @@
     assert_ne!(world.starts[0].0, world.starts[1].0);
     assert_eq!(world.scheduler.phase(id(1)), None, "done and stored");
 }
+
+/// A worker that was cut off for so long that its lease counted as over was
+/// left out for as long as the holder's lease lasted, though it was back.
+#[test]
+fn a_worker_that_comes_back_after_its_lease_was_over_is_used_again() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.fate = Fate::done(60_000);
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    world.scheduler.submit(id(1), job(vec![step(8)]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.running().len(), 8);
+    let w1 = WorkerId::new("w1");
+    world.cut.push(w1.clone());
+    for _ in 0..30 {
+        world.run_for(1_000);
+        world.list();
+    }
+    assert_eq!(world.running().len(), 4, "its lease is over");
+    world.starts.clear();
+    world.cut.clear();
+    world.fate = Fate::done(500);
+    for _ in 0..5 {
+        world.run_for(1_000);
+        world.list();
+    }
+    let again = world.starts.iter().filter(|(worker, _)| *worker == w1);
+    assert!(again.count() > 0, "{:?}", world.starts);
+    world.run_for(60_000);
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+}
+
+/// One that is still listed and doesn't answer keeps nothing waiting.
+#[test]
+fn a_worker_whose_lease_is_over_keeps_no_task_waiting() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    // Accepted under a former holder, so that it may run on either.
+    world.cut.push(WorkerId::new("w1"));
+    world.scheduler.submit(id(1), job(vec![step(1)]), 4, None);
+    for _ in 0..30 {
+        world.run_for(1_000);
+        world.list();
+    }
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+    world.scheduler.submit(id(2), job(vec![step(1)]), 4, None);
+    world.run_for(2_000);
+    assert_eq!(world.phases.get(&id(2)), Some(&"completed"));
+}
