A worker that is back after its lease was over is used again

Cause: a life whose lease was over, or that had left, counted as ended for as long as the holder's lease lasted, as if the VM service had said so. One that was cut off for longer than a lease and came back under its identifier got nothing more, and its VM wasn't maintained.

Such a life is now taken in again where the directory lists it: silent until it answers, accounted for since nothing can run there, and under tokens above those it has seen. It keeps no task waiting, and what was lost with it isn't counted twice. Lives that the VM service, another life or the directory says are over stay so.

Before: no start in 5 s after its return.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -80,7 +80,7 @@
         }
         let Some(worker) = self.workers.get(&listing.id) else {
             let id = listing.id.clone();
-            let mut worker = self.new_worker(listing, now);
+            let mut worker = self.listed_worker(listing, now);
             worker.told_ms = asked_ms;
             self.workers.insert(id, worker);
             return;
@@ -210,6 +210,23 @@
         !self.lives_known
     }
 
+    /// Makes a worker that is listed and wasn't known, or no longer.
+    fn listed_worker(&mut self, listing: WorkerListing, now: Now) -> Worker {
+        // A partition may last longer than a lease; the life goes on.
+        let Some(tokens_used) = self.lapsed_lives.remove(&listing.id) else {
+            return self.new_worker(listing, now);
+        };
+        let revision = self.lease_revision;
+        let now_ms = now.steady_ms;
+        Worker::after_lapse(
+            listing,
+            revision,
+            tokens_used,
+            now_ms,
+            &self.options,
+        )
+    }
+
     fn new_worker(&self, listing: WorkerListing, now: Now) -> Worker {
         let revision = self.lease_revision;
         Worker::new(listing, revision, now.steady_ms, &self.options)
@@ -224,6 +241,11 @@
     ) {
         let Some(mut worker) = self.workers.remove(id) else { return };
         self.ended_lives.insert(id.clone());
+        if worker.is_lapsed() {
+            // What was lost with it was told when its lease was over.
+            self.note(Decision::WorkerGone { worker: id.clone(), reason });
+            return;
+        }
         let lost = LostRuns::of(&worker, now);
         let answered_ms = worker.answered_worker_ms();
         let runs = std::mem::take(&mut worker.runs);
@@ -255,13 +277,17 @@
                 .is_some_and(|from_ms| now.steady_ms >= from_ms);
             let idle = worker.runs.is_empty();
             if lapsed && !idle {
-                gone.push((worker.id().clone(), "its lease is over"));
+                gone.push((number, "its lease is over"));
             } else if lapsed && !worker.listed {
-                gone.push((worker.id().clone(), "it has left"));
+                gone.push((number, "it has left"));
             }
         }
-        for (id, reason) in gone {
+        for (number, reason) in gone {
+            let Some(worker) = self.workers.at(number) else { continue };
+            let (id, used) = (worker.id().clone(), worker.tokens_used());
             self.worker_gone(&id, reason, now);
+            self.ended_lives.remove(&id);
+            self.lapsed_lives.insert(id, used);
         }
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -20,7 +20,7 @@
             steadiness::VmCrashes,
             waits::LongWaits,
             wave_state::WaveState,
-            worker::{OwedHold, Worker},
+            worker::{OwedHold, TokensUsed, Worker},
             workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
@@ -59,6 +59,9 @@
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// Lives that were silent until their lease was over, or until they left,
+    /// and may be back.
+    pub(super) lapsed_lives: BTreeMap<WorkerId, TokensUsed>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
     /// The pools in which a worker was lost before it had named its runs.
@@ -160,6 +163,7 @@
             decisions: Vec::new(),
             claims: Claims::default(),
             ended_lives: BTreeSet::new(),
+            lapsed_lives: BTreeMap::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
             crash_series: CrashSeries::default(),
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -34,6 +34,10 @@
 /// left.
 const RENEWED_PERCENT: u64 = 38;
 
+/// How many tokens of a lease were used up on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokensUsed(u64);
+
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -239,6 +243,8 @@
     unmeasured: usize,
     /// Whether its newest answer had runs that couldn't be read.
     unread_runs: bool,
+    /// Whether its lease was over and it hasn't answered since.
+    is_lapsed: bool,
 }
 
 impl Worker {
@@ -290,9 +296,42 @@
             told_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
+            is_lapsed: false,
+        }
+    }
+
+    /// Makes a life whose lease was over and that is still listed: nothing
+    /// runs there, and nothing starts before it answers.
+    ///
+    /// It goes on from the token of before, since it has seen that.
+    pub(crate) fn after_lapse(
+        listing: WorkerListing,
+        lease_revision: u64,
+        tokens_used: TokensUsed,
+        now_ms: u64,
+        options: &Options,
+    ) -> Worker {
+        let TokensUsed(fences) = tokens_used;
+        Worker {
+            fences: (fences + 1).min(FENCES_A_LEASE - 1),
+            synced: true,
+            lease_over_ms: now_ms,
+            silent_since_ms: Some(now_ms),
+            is_lapsed: true,
+            ..Worker::new(listing, lease_revision, now_ms, options)
         }
     }
 
+    /// Returns how many tokens were used up on it.
+    pub(crate) fn tokens_used(&self) -> TokensUsed {
+        TokensUsed(self.fences)
+    }
+
+    /// Returns whether its lease was over and it hasn't answered since.
+    pub(crate) fn is_lapsed(&self) -> bool {
+        self.is_lapsed
+    }
+
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -158,6 +158,7 @@
     ) -> bool {
         self.hold_ended(held);
         self.missed_hold = false;
+        self.is_lapsed = false;
         self.silent_since_ms = None;
         self.unanswered_since_ms = None;
         self.read_clock(report.clock_ms, now_ms);
