Test: runs of a failed job wait for the loading

jobs_records::runs_of_a_job_that_failed_are_stopped_before_all_jobs_are_loaded fails: the run goes on 1.5 s after a holder took over whose lists take 0.6 s. It is stopped only once the job's slice is loaded.

--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -61,6 +61,9 @@
 /// How often a hold that waits looks for an end.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long a task works that fails, in milliseconds.
+const FAILS_AFTER_MS: u64 = 50;
+
 /// How long an order takes at most, in milliseconds: as on the platform.
 const ORDER_TIMEOUT_MS: u64 = 200;
 
@@ -83,6 +86,10 @@
     next_life: u64,
     /// How long each task takes, in milliseconds.
     work_ms: u64,
+    /// The step whose tasks fail after [`FAILS_AFTER_MS`], if one does.
+    failing_step: Option<u32>,
+    /// Whether orders to stop are lost.
+    stops_lost: bool,
     /// Every run that was ever started.
     started: Vec<(TaskId, u64)>,
     /// Tasks that are known to have done their work.
@@ -107,6 +114,8 @@
             completed: Vec::new(),
             next_life: 1,
             work_ms: 100,
+            failing_step: None,
+            stops_lost: false,
             started: Vec::new(),
             done: BTreeSet::new(),
             ran_twice: Vec::new(),
@@ -131,6 +140,16 @@
         self.lock().work_ms = work_ms;
     }
 
+    /// Has all tasks of a step fail, in every job.
+    pub fn fail_step(&self, step: u32) {
+        self.lock().failing_step = Some(step);
+    }
+
+    /// Loses orders to stop from now on, or no longer.
+    pub fn set_stops_lost(&self, lost: bool) {
+        self.lock().stops_lost = lost;
+    }
+
     /// Writes a configuration, as the operator would.
     pub fn configure(&self, queues: QueueSet) {
         let mut state = self.lock();
@@ -226,6 +245,13 @@
         self.workers.insert(id, Entry { worker, listing });
     }
 
+    fn fate_of(&self, task: &TaskId) -> Fate {
+        if self.failing_step == Some(task.step) {
+            return Fate::failed(FAILS_AFTER_MS);
+        }
+        Fate::done(self.work_ms)
+    }
+
     /// Notes what workers list as done, before that is acknowledged.
     fn note_done(&mut self) {
         for entry in self.workers.values() {
@@ -275,10 +301,9 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
-        let work_ms = self.lock().work_ms;
+        let fate = self.lock().fate_of(&order.task);
         let mut began = false;
         let result = self.order(worker, |entry, now_ms| {
-            let fate = Fate::done(work_ms);
             let result = entry.worker.start(now_ms, order, TASK, fate);
             began = result.is_ok();
             result
@@ -296,6 +321,9 @@
         worker: &WorkerId,
         order: &StopOrder,
     ) -> Result<u64, OrderError> {
+        if self.lock().stops_lost {
+            return Err(OrderError::Unknown);
+        }
         self.order(worker, |entry, now_ms| entry.worker.stop(now_ms, order))
     }
 
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -579,3 +579,37 @@
     sleep(Duration::from_secs(15)).await;
     assert_eq!(alone.store.count("run/"), 0);
 }
+
+/// How long the answer of each list is under way for a holder that takes over.
+const SLOW_LISTS: Duration = Duration::from_millis(600);
+
+/// A job that fails while another of its tasks runs, under a holder whose orders
+/// to stop that come to nothing. The next holder left the run alone, and renewed
+/// its lease, until it had loaded all jobs.
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_job_that_failed_are_stopped_before_all_jobs_are_loaded() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(600_000);
+    alone.fleet.set_stops_lost(true);
+    alone.fleet.fail_step(1);
+    // It is loaded last.
+    let last = id(0xf << 60);
+    let mut both = chain(2);
+    both.spec.steps[1].after.clear();
+    alone.hand_in(last, &both).await;
+    alone.wait_for_phase(last, Phase::Failed).await;
+    assert_eq!(alone.fleet.running().len(), 1);
+    alone.leave().await;
+    alone.fleet.set_stops_lost(false);
+    alone.store_faults.set_list_delay_us(SLOW_LISTS.as_micros() as u64);
+    alone.take_over().await;
+    assert_eq!(alone.fleet.running().len(), 1);
+    // The first lists have come, and those of the last jobs haven't.
+    sleep(SLOW_LISTS * 5 / 2).await;
+    assert!(alone.fleet.running().is_empty(), "it goes on");
+    assert_eq!(alone.phase(last).await, Some(Phase::Failed));
+    // What told the next holder isn't kept for good.
+    alone.store_faults.set_list_delay_us(0);
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(alone.store.count("q/stop/"), 0);
+}
