Runs of jobs that failed or are done are stopped before all jobs are loaded

Cause: only cancelled jobs had an entry that a new holder reads before it loads jobs. A run of a job that had come to any other end was left alone and its lease renewed until that job was loaded; where holders don't last that long, without end.

A job that ends while something of it runs is entered as well, with the write that ends it; the entry goes like any other once every worker has named its runs. Not so: copies and broken gangs of jobs that go on, since only the job tells that they aren't needed; they are stopped once it is loaded.

--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -9,8 +9,9 @@
 entries before all else, and stops what it finds of them before it has loaded a
 single job; neither their runs nor their ends have to wait for that.
 
-The same holds for a job that came to another end just before its cancelling:
-whatever runs of it is to stop, and the entry goes once nothing does.
+The same holds for a job that came to another end, just before its cancelling or
+without one: whatever runs of it is to stop, and the entry goes once nothing
+does. So a job that ends while something of it runs is entered as well.
 */
 
 use {
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -15,6 +15,9 @@
 pub struct Changes {
     /// The progress of the jobs that changed.
     pub progress: Vec<(JobId, Progress)>,
+    /// The jobs among them that are over and of which something may still run:
+    /// a later holder has to know before it has loaded them.
+    unstopped: BTreeSet<JobId>,
     /// The newest change that is in it.
     sequence: u64,
 }
@@ -24,7 +27,14 @@
     pub fn take(&mut self, ids: &BTreeSet<JobId>) -> Changes {
         let progress =
             self.progress.extract_if(.., |(id, _)| ids.contains(id)).collect();
-        Changes { progress, sequence: self.sequence }
+        let unstopped = self.unstopped.extract_if(.., |id| ids.contains(id));
+        let unstopped = unstopped.collect();
+        Changes { progress, unstopped, sequence: self.sequence }
+    }
+
+    /// Returns whether a job is over while something of it may still run.
+    pub fn is_unstopped(&self, id: JobId) -> bool {
+        self.unstopped.contains(&id)
     }
 }
 
@@ -46,14 +56,17 @@
             .collect();
         ids.sort_unstable();
         let mut progress = Vec::new();
+        let mut unstopped = BTreeSet::new();
         for (_, id) in ids.into_iter().take(most) {
             self.changed.remove(&id);
             self.storing.insert(id);
-            if let Some(job) = self.jobs.get(&id) {
-                progress.push((id, job.progress()));
+            let Some(job) = self.jobs.get(&id) else { continue };
+            progress.push((id, job.progress()));
+            if job.phase.is_final() && job.placed(id).next().is_some() {
+                unstopped.insert(id);
             }
         }
-        Changes { progress, sequence: self.sequence }
+        Changes { progress, unstopped, sequence: self.sequence }
     }
 
     /// Returns whether there is anything to store that isn't being stored.
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -18,7 +18,8 @@
         schedule::{AcceptedJob, Changes},
     },
     dewspar_platform::{
-        Batch, Commit, Condition, Error, Event, Expected, KeyValue, Versioned,
+        Batch, Commit, Condition, Error, Event, Expected, KeyValue, Put,
+        Versioned,
     },
     slog::Logger,
     std::{collections::BTreeSet, time::Duration},
@@ -28,7 +29,8 @@
 /// How many jobs ride on one write.
 ///
 /// The store takes 32 entries at most. One is the lease's condition; a job
-/// takes a condition and a put, and a deletion once it is over.
+/// takes a condition and a put, and a deletion and a second put once it is
+/// over.
 pub(super) const JOBS_A_WRITE: usize = 7;
 
 /// The pause before a write without result is tried again.
@@ -209,9 +211,13 @@
         batch =
             batch.when(&key, Expected::from_version(version)).put(&key, value);
         if progress.phase.is_final() {
-            // A cancelling stays on record while anything may run of its job:
-            // the next holder stops that before it has loaded a job.
+            // A cancelling stays on record while anything may run of its job,
+            // and so does any other end: the next holder stops that before it
+            // has loaded a job.
             batch = batch.delete(&keys::accepted(*id));
+            if changes.is_unstopped(*id) {
+                batch = batch.put(&keys::cancelled(*id), Vec::new());
+            }
         }
     }
     batch
@@ -256,10 +262,13 @@
     Stored::Refused(Refusal::new(batch, current))
 }
 
-/// Returns the version at which all that a batch puts is there, if it is: all
-/// of it was written at once, so it is one version.
+/// Returns the version at which all that a batch puts under a condition is
+/// there, if it is: all of it was written at once, so it is one version.
 fn version_if_done(batch: &Batch, current: &[Versioned]) -> Option<u64> {
-    let mut versions = batch.puts.iter().map(|put| {
+    // Only of these the store says what it has found.
+    let is_told =
+        |put: &&Put| batch.conditions.iter().any(|c| c.key == put.key);
+    let mut versions = batch.puts.iter().filter(is_told).map(|put| {
         let item = current.iter().find(|item| item.key == put.key)?;
         (item.value == put.value).then_some(item.version)
     });
