--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
         Forecast, InvalidPolicy, Orders, Placing, Policy, Sizing, Watching,
     },
     scheduler::Scheduler,
+    set_aside::{EndSetAside, EndsSetAside},
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
 };
@@ -115,6 +116,7 @@
 mod answers;
 mod board;
 mod cancelled;
+mod claims;
 mod crash_series;
 mod directory;
 mod duty;
@@ -133,6 +135,7 @@
 mod records;
 mod report;
 mod scheduler;
+mod set_aside;
 mod sizing;
 mod steadiness;
 mod stopping;
@@ -479,11 +482,16 @@
         /// How long after it was accepted, in milliseconds.
         after_ms: u64,
     },
-    /// A worker has seen a higher token: another node holds the lease.
+    /// A worker has seen a higher token: another node may hold the lease.
     Superseded {
         /// The worker.
         worker: WorkerId,
     },
+    /// The store has renewed the lease since a worker claimed a higher token.
+    ClaimDisproved {
+        /// The worker.
+        worker: WorkerId,
+    },
 }
 
 /// How many workers of a pool can't take a task, each counted once, by the
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -9,17 +9,19 @@
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
+            claims::Claims,
             crash_series::{CrashSeries, KeptFor},
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
             place::Candidates,
             places::KeptPlaces,
+            set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             waits::LongWaits,
             wave_state::WaveState,
-            worker::{OwedHold, Worker},
+            worker::{OwedHold, TokensUsed, Worker},
             workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
@@ -42,6 +44,8 @@
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
+    /// The jobs that can't be read, and the ends of their runs.
+    pub(super) set_aside: SetAside,
     pub(super) workers: Workers,
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
@@ -51,10 +55,14 @@
     /// Final jobs whose keys are still kept, with when they became final.
     pub(super) finished: BTreeMap<JobId, u64>,
     pub(super) decisions: Vec<Decision>,
-    pub(super) superseded: bool,
+    /// What workers have said of later tokens.
+    pub(super) claims: Claims,
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// Lives that were silent until their lease was over, or until they left,
+    /// and may be back.
+    pub(super) lapsed_lives: BTreeMap<WorkerId, TokensUsed>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
     /// The pools in which a worker was lost before it had named its runs.
@@ -149,14 +157,16 @@
             candidates: Candidates::default(),
             loading: Loading::Done,
             cancelled: Cancelled::default(),
+            set_aside: SetAside::default(),
             workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
-            superseded: false,
+            claims: Claims::default(),
             ended_lives: BTreeSet::new(),
+            lapsed_lives: BTreeMap::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
             crash_series: CrashSeries::default(),
@@ -192,17 +202,6 @@
         }
     }
 
-    /// Returns whether a worker has shown that another node holds the lease.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Returns whether there is no later token for some worker under this
-    /// lease: another holder has to go on, under a lease of its own.
-    pub fn is_out_of_tokens(&self) -> bool {
-        self.workers.values().any(Worker::is_out_of_tokens)
-    }
-
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -352,7 +351,7 @@
 
     /// Returns what is to be done now.
     pub fn plan(&mut self, now: Now) -> Vec<Action> {
-        if self.superseded {
+        if self.may_be_superseded() {
             return Vec::new();
         }
         let mut actions = Vec::new();
@@ -488,11 +487,6 @@
         self.note(Decision::Suspended { worker: worker_id.clone(), reason });
     }
 
-    pub(super) fn supersede(&mut self, worker_id: &WorkerId) {
-        self.superseded = true;
-        self.note(Decision::Superseded { worker: worker_id.clone() });
-    }
-
     pub(super) fn note(&mut self, decision: Decision) {
         self.decisions.push(decision);
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -34,6 +34,10 @@
 /// left.
 const RENEWED_PERCENT: u64 = 38;
 
+/// How many tokens of a lease were used up on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokensUsed(u64);
+
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -273,6 +277,8 @@
     unmeasured: usize,
     /// Whether its newest answer had runs that couldn't be read.
     unread_runs: bool,
+    /// Whether its lease was over and it hasn't answered since.
+    is_lapsed: bool,
 }
 
 impl Worker {
@@ -328,9 +334,42 @@
             told_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
+            is_lapsed: false,
+        }
+    }
+
+    /// Makes a life whose lease was over and that is still listed: nothing
+    /// runs there, and nothing starts before it answers.
+    ///
+    /// It goes on from the token of before, since it has seen that.
+    pub(crate) fn after_lapse(
+        listing: WorkerListing,
+        lease_revision: u64,
+        tokens_used: TokensUsed,
+        now_ms: u64,
+        options: &Options,
+    ) -> Worker {
+        let TokensUsed(fences) = tokens_used;
+        Worker {
+            fences: (fences + 1).min(FENCES_A_LEASE - 1),
+            synced: true,
+            lease_over_ms: now_ms,
+            silent_since_ms: Some(now_ms),
+            is_lapsed: true,
+            ..Worker::new(listing, lease_revision, now_ms, options)
         }
     }
 
+    /// Returns how many tokens were used up on it.
+    pub(crate) fn tokens_used(&self) -> TokensUsed {
+        TokensUsed(self.fences)
+    }
+
+    /// Returns whether its lease was over and it hasn't answered since.
+    pub(crate) fn is_lapsed(&self) -> bool {
+        self.is_lapsed
+    }
+
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
@@ -555,6 +594,8 @@
             && !self.listing.draining
             && self.emptying.is_none()
             && self.silent_since_ms.is_none()
+            // A start without an answer couldn't be made void any more.
+            && !self.is_out_of_tokens()
     }
 
     /// Returns whether it has said that it will end, with all that runs there,
@@ -674,6 +715,17 @@
         self.unstored.push_back(UnstoredEnd { number, job, sequence });
     }
 
+    /// Forgets the ends of a job whose change isn't stored, and all after the
+    /// first of them, so that they are heard again.
+    pub(crate) fn hear_again(&mut self, job: JobId) {
+        let first = self.unstored.iter().position(|end| end.job == job);
+        let Some(first) = first else { return };
+        self.seen_end = self.unstored[first].number.saturating_sub(1);
+        self.unstored.truncate(first);
+        // As after a lost answer: it is asked at once.
+        self.missed_hold = true;
+    }
+
     /// Moves on what may be acknowledged: the ends, in their order, whose
     /// change is stored.
     pub(crate) fn store_ends(
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -9,6 +9,11 @@
 //! lease, so the holder left, and the next one met the same: eight of them in
 //! 12 s, while 4,212 open jobs waited.
 //!
+//! A job whose record can't be read isn't gone on with, and the holder has
+//! nothing to store for it. An end of one of its runs was therefore
+//! acknowledged at once, and nobody knew of it any more: a later holder that
+//! could read the record started the task again, though it was done.
+//!
 //! The clock is paused: nothing here depends on the machine.
 
 use {
@@ -82,10 +87,18 @@
                 lapsed.lapse_leases();
             }
         });
+        let node = None;
+        let mut alone = Alone { store, store_faults, fleet, node, lapsing };
+        alone.take_over().await;
+        alone
+    }
+
+    /// Starts a node and waits until it holds the lease.
+    async fn take_over(&mut self) {
         let platform = JobPlatform {
-            store: store.clone(),
-            workers: fleet.clone(),
-            fleet: fleet.clone(),
+            store: self.store.clone(),
+            workers: self.fleet.clone(),
+            fleet: self.fleet.clone(),
             protocol: RestCalls,
             readiness_path: "/ready",
             traffic: Traffic::default(),
@@ -94,10 +107,15 @@
         let settings = JobSettings::loopback("node-0");
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
-        let node = Some(node.expect("a started node"));
-        let alone = Alone { store, store_faults, fleet, node, lapsing };
-        until(async || alone.lease().await > 0).await;
-        alone
+        self.node = Some(node.expect("a started node"));
+        until(async || self.lease().await > 0).await;
+    }
+
+    /// Stops the node, and waits until nobody holds the lease.
+    async fn leave(&mut self) {
+        let node = self.node.take().expect("a node");
+        node.stop().await;
+        until(async || self.lease().await == 0).await;
     }
 
     /// Returns the revision of the lease's key; 0 while nobody holds it.
@@ -333,6 +351,95 @@
     assert_eq!(left.map(|item| item.value), Some(b"odd".to_vec()));
 }
 
+/// How long a holder has to hear of all that has ended and to say that it
+/// needn't be told again.
+const HEARD: Duration = Duration::from_secs(5);
+
+/// A job's record as a later holder can read it.
+const READABLE: &[u8] = br#"{"phase":"running"}"#;
+
+impl Alone {
+    /// Has another holder take over that can read the job's record, and checks
+    /// that the job is completed and its tasks were started once each.
+    async fn go_on_where_it_can_be_read(&mut self, id: JobId, steps: u32) {
+        self.leave().await;
+        self.write(&Batch::default().put(&record(id), READABLE.to_vec()))
+            .await;
+        self.take_over().await;
+        self.wait_for_phase(id, Phase::Completed).await;
+        for step in 0..steps {
+            assert_eq!(self.starts(id, step), 1, "step {step}");
+        }
+        self.wait_until_no_end_is_set_aside().await;
+    }
+
+    async fn wait_until_no_end_is_set_aside(&self) {
+        until(async || {
+            let (_, ends) = self.store.list("end/").await.expect("a store");
+            ends.is_empty()
+        })
+        .await;
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_before_a_holder_that_cannot_read_its_job_is_not_run_again()
+{
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    alone.fleet.set_work_ms(WORK_MS);
+    alone.write(&Batch::default().put(&record(id(1)), b"odd".to_vec())).await;
+    sleep(Duration::from_secs(2)).await;
+    assert!(alone.fleet.running().is_empty(), "it has ended, unheard");
+    alone.take_over().await;
+    sleep(HEARD).await;
+    alone.go_on_where_it_can_be_read(id(1), 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_before_its_jobs_record_was_found_odd_is_not_run_again() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    sleep(HEARD).await;
+    // The run ends before the first write of the record is answered.
+    alone.store_faults.set_delay_us(300_000);
+    let odd = accepted(id(1), &chain(2)).put(&record(id(1)), b"odd".to_vec());
+    alone.write(&odd).await;
+    sleep(HEARD).await;
+    alone.store_faults.set_delay_us(0);
+    assert_eq!(alone.starts(id(1), 0), 1);
+    // With whatever is stored, ends are acknowledged.
+    alone.hand_in(id(2), &chain(2)).await;
+    sleep(HEARD).await;
+    alone.go_on_where_it_can_be_read(id(1), 2).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_ended_of_a_job_that_cannot_be_read_is_not_run_again() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    alone.fleet.set_work_ms(WORK_MS);
+    let odd =
+        Batch::default().put(&format!("q/in/{}", id(1)), b"odd".to_vec());
+    alone.write(&odd).await;
+    sleep(Duration::from_secs(2)).await;
+    alone.take_over().await;
+    sleep(HEARD).await;
+    alone.leave().await;
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.take_over().await;
+    alone.wait_for_phase(id(1), Phase::Completed).await;
+    for step in 0..2 {
+        assert_eq!(alone.starts(id(1), step), 1, "step {step}");
+    }
+    alone.wait_until_no_end_is_set_aside().await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_written_of_jobs_once_another_node_holds_the_lease() {
     let alone = Alone::start(&Batch::default(), 0).await;
@@ -455,3 +562,54 @@
     assert!(before.is_some(), "orders went out");
     assert_eq!(before, after, "an older record replaced a newer one");
 }
+
+/// How many jobs have been over for long: at 15 each 5 s their records would
+/// take two minutes and more.
+const EXPIRED: u64 = 400;
+
+#[tokio::test(start_paused = true)]
+async fn records_of_jobs_that_are_over_for_long_are_gone_within_seconds() {
+    let over = br#"{"phase":"completed","finished_at_ms":5}"#;
+    let mut stored = Batch::default();
+    for job in 1..=EXPIRED {
+        stored = stored.put(&record(id(job)), over.to_vec());
+    }
+    let alone = Alone::start(&stored, 0).await;
+    assert_eq!(alone.store.count("run/"), EXPIRED as usize);
+    sleep(Duration::from_secs(15)).await;
+    assert_eq!(alone.store.count("run/"), 0);
+}
+
+/// How long the answer of each list is under way for a holder that takes over.
+const SLOW_LISTS: Duration = Duration::from_millis(600);
+
+/// A job that fails while another of its tasks runs, under a holder whose orders
+/// to stop that come to nothing. The next holder left the run alone, and renewed
+/// its lease, until it had loaded all jobs.
+#[tokio::test(start_paused = true)]
+async fn runs_of_a_job_that_failed_are_stopped_before_all_jobs_are_loaded() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(600_000);
+    alone.fleet.set_stops_lost(true);
+    alone.fleet.fail_step(1);
+    // It is loaded last.
+    let last = id(0xf << 60);
+    let mut both = chain(2);
+    both.spec.steps[1].after.clear();
+    alone.hand_in(last, &both).await;
+    alone.wait_for_phase(last, Phase::Failed).await;
+    assert_eq!(alone.fleet.running().len(), 1);
+    alone.leave().await;
+    alone.fleet.set_stops_lost(false);
+    alone.store_faults.set_list_delay_us(SLOW_LISTS.as_micros() as u64);
+    alone.take_over().await;
+    assert_eq!(alone.fleet.running().len(), 1);
+    // The first lists have come, and those of the last jobs haven't.
+    sleep(SLOW_LISTS * 5 / 2).await;
+    assert!(alone.fleet.running().is_empty(), "it goes on");
+    assert_eq!(alone.phase(last).await, Some(Phase::Failed));
+    // What told the next holder isn't kept for good.
+    alone.store_faults.set_list_delay_us(0);
+    sleep(Duration::from_secs(30)).await;
+    assert_eq!(alone.store.count("q/stop/"), 0);
+}
