A list goes on after the last key that a page names

Cause: the next page was asked for after the last item that could be read. The keys of a page are now read by themselves where items of it can't be, so the list goes on after the last one that has a key. The etcd adapter looks at `more` and goes on after the last key, as of the first range's revision, so that its list stays one of one moment.

Ruled out: going on by a guess where no item of a page has a key. Nothing says where the next page begins then; the list fails, as it did, and is asked for again. So does one that names the same end twice; it was asked for for ever.

--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -9,10 +9,13 @@
 
 use {
     crate::{
-        Batch, Client, Commit, Error, Event, Expected, KeyValue, Lease,
-        UnreadableNotes, Versioned, Watch, WatchBatch,
+        Answer, Batch, Client, Commit, Error, Event, Expected, KeyValue,
+        Lease, UnreadableNotes, Versioned, Watch, WatchBatch,
         client::json_request,
-        lenient::{Listing, NO_DOCUMENT, check_row, parse_rows, read_listing},
+        lenient::{
+            Listing, NO_DOCUMENT, Read, check_row, parse_listing, parse_rows,
+            read_listing,
+        },
     },
     base64::{Engine, engine::general_purpose::STANDARD},
     bytes::{Bytes, BytesMut},
@@ -72,10 +75,19 @@
         path: &str,
         question: &Value,
     ) -> Result<T, Error> {
+        let answer = self.ask(call, path, question).await?;
+        Ok(read_listing(call, &answer, &self.unreadable)?.listing)
+    }
+
+    async fn ask(
+        &self,
+        call: &'static str,
+        path: &str,
+        question: &Value,
+    ) -> Result<Answer, Error> {
         let url = self.url(path);
         let request = json_request(call, Method::POST, &url, question)?;
-        let answer = self.client.send(call, request).await?;
-        Ok(read_listing(call, &answer, &self.unreadable)?.listing)
+        self.client.send(call, request).await
     }
 
     fn read_entry(&self, entry: Entry) -> Versioned {
@@ -127,6 +139,7 @@
 }
 
 listing!(RangeAnswer, "kvs" of Entry, "entry of the store", Some);
+listing!(RangeKeys, "kvs" of KeyOfEntry, "entry of the store", Some);
 listing!(
     TxnAnswer,
     "responses.response_range.kvs" of Entry,
@@ -156,6 +169,33 @@
     header: Header,
     #[serde(default)]
     kvs: Vec<Entry>,
+    /// Whether there are more than the service hands out at once.
+    #[serde(default)]
+    more: bool,
+}
+
+/// The keys that a range names, whatever else its entries hold.
+#[derive(Debug, Deserialize)]
+struct RangeKeys {
+    #[serde(default)]
+    kvs: Vec<KeyOfEntry>,
+}
+
+#[derive(Debug, Deserialize)]
+struct KeyOfEntry {
+    /// Any bytes: it needn't be text to be gone on from.
+    #[serde(deserialize_with = "key_of_base64")]
+    key: Vec<u8>,
+}
+
+/// Returns the first key that may come after those of a range.
+fn key_after(call: &'static str, answer: &Answer) -> Option<Vec<u8>> {
+    // What can't be read of it is noted already.
+    let notes = UnreadableNotes::default();
+    let keys: Read<RangeKeys> = parse_listing(call, answer, &notes).ok()?;
+    let mut key = keys.listing.kvs.into_iter().last()?.key;
+    key.push(0);
+    Some(key)
 }
 
 #[derive(Debug, Deserialize)]
@@ -234,14 +274,37 @@
         &self,
         prefix: &str,
     ) -> Result<(u64, Vec<Versioned>), Error> {
+        let call = "read";
         let prefix = self.full(prefix);
-        let end = range_end(&prefix);
-        let question =
-            json!({ "key": encode(prefix), "range_end": encode(end) });
-        let answer = self.range(question).await?;
-        let entries = answer.kvs.into_iter();
-        let entries = entries.map(|entry| self.read_entry(entry)).collect();
-        Ok((answer.header.revision, entries))
+        let end = encode(range_end(&prefix));
+        let mut from = prefix.into_bytes();
+        let mut found = Vec::new();
+        let mut version = 0;
+        loop {
+            // All ranges as of the first; 0 stands for now.
+            let question = json!({
+                "key": encode(&from),
+                "range_end": end,
+                "revision": version.to_string(),
+            });
+            let answer = self.ask(call, "kv/range", &question).await?;
+            let range: RangeAnswer =
+                read_listing(call, &answer, &self.unreadable)?.listing;
+            if version == 0 {
+                version = range.header.revision;
+            }
+            let entries = range.kvs.into_iter();
+            found.extend(entries.map(|entry| self.read_entry(entry)));
+            if !range.more {
+                return Ok((version, found));
+            }
+            let next = key_after(call, &answer);
+            let Some(next) = next.filter(|next| *next > from) else {
+                let reason = "a range has no end to go on from".to_owned();
+                return Err(Error::Malformed { call, reason });
+            };
+            from = next;
+        }
     }
 
     async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
@@ -468,6 +531,13 @@
     Ok(bytes.unwrap_or_else(|_| NO_DOCUMENT.to_vec()))
 }
 
+fn key_of_base64<'de, D: Deserializer<'de>>(
+    source: D,
+) -> Result<Vec<u8>, D::Error> {
+    let text = Cow::<'de, str>::deserialize(source)?;
+    STANDARD.decode(text.as_bytes()).map_err(D::Error::custom)
+}
+
 fn text_of_base64<'de, D: Deserializer<'de>>(
     source: D,
 ) -> Result<String, D::Error> {
