Replace what nobody keeps under the lease's key

Cause: a value there that can't be read counted as another node's lease, also where no lease of the store ends it; nothing then ever did. Values now say whether a lease ends them (both adapters and the stand-ins). One that can't be read, has no lease and stands unchanged for 4.5 s on the steady clock is replaced, on condition that it is still the same.

Ruled out: taking it at once (a later version may keep the key by writing it again, which the test plays); taking one with a lease after a while (its holder lives as long as the store says so, and would be put off by each older node). A value that can be read and has no lease is waited for as before: a store that doesn't tell leases would lose its holder each 4.5 s.

A node whose write of the key is refused pauses for 0.1 s: where the adapter hides what stands there, it asked for a new store lease without a pause.

--- a/crates/dewspar-platform/src/etcd.rs
+++ b/crates/dewspar-platform/src/etcd.rs
@@ -95,8 +95,8 @@
             Some(key) => key.to_owned(),
             None => entry.key,
         };
-        let (version, value) = (entry.mod_revision, entry.value);
-        Versioned { key, version, value }
+        let Entry { value, mod_revision: version, is_leased, .. } = entry;
+        Versioned { key, version, value, is_leased }
     }
 }
 
@@ -161,6 +161,8 @@
     value: Vec<u8>,
     #[serde(default, deserialize_with = "number")]
     mod_revision: u64,
+    #[serde(rename = "lease", default, deserialize_with = "is_lease")]
+    is_leased: bool,
 }
 
 #[derive(Debug, Deserialize)]
@@ -521,6 +523,13 @@
     }
 }
 
+/// Returns whether the number of a lease names one; a number that can't be
+/// read does, so that nobody takes the entry for one that nobody keeps.
+fn is_lease<'de, D: Deserializer<'de>>(source: D) -> Result<bool, D::Error> {
+    let number = Value::deserialize(source)?;
+    Ok(number != 0 && number != "0")
+}
+
 /// Reads a value; one that isn't encoded as it should be is handed on as
 /// [`NO_DOCUMENT`], so that whoever reads it finds out about this entry alone.
 fn bytes_of_base64<'de, D: Deserializer<'de>>(
--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -15,6 +15,8 @@
     pub version: u64,
     /// The value.
     pub value: Vec<u8>,
+    /// Whether it goes with a lease; else it stays until it is deleted.
+    pub is_leased: bool,
 }
 
 /// What a key must be for a swap to take place.
--- a/crates/dewspar-standin/src/kv.rs
+++ b/crates/dewspar-standin/src/kv.rs
@@ -308,6 +308,7 @@
         "key": STANDARD.encode(&found.key),
         "value": STANDARD.encode(&found.value),
         "mod_revision": found.version.to_string(),
+        "lease": u8::from(found.is_leased).to_string(),
     })
 }
 
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -227,6 +227,7 @@
             key: key.to_owned(),
             version: stored.version,
             value: stored.value.clone(),
+            is_leased: stored.lease != 0,
         })
     }
 
@@ -271,8 +272,9 @@
             value: value.clone(),
             lease: lease.map_or(0, |lease| lease.0),
         };
+        let is_leased = stored.lease != 0;
         self.entries.insert(key.clone(), stored);
-        self.log(Event::Put(Versioned { key, version, value }));
+        self.log(Event::Put(Versioned { key, version, value, is_leased }));
     }
 
     fn remove(&mut self, key: &str) {
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -13,6 +13,11 @@
 claim, and the weak holder hands the lease over as before a planned stop. So
 does a holder that can't keep up; it then lets all others go first for a while.
 
+What lies under the key and can't be read counts as another node's: a newer
+version may write it otherwise. The store ends it with its lease. If no lease
+ends it and it isn't written again for a while, nobody keeps it, and it is
+replaced.
+
 A node that finds its own name under an older incarnation was restarted: that
 holder is gone for certain, and the key is replaced without waiting.
 */
@@ -62,6 +67,11 @@
 /// milliseconds: a slowed VM is slow for some seconds.
 const OVERLOADED_MS: u64 = 10_000;
 
+/// How long a value under the lease's key that can't be read and that no lease
+/// ends must stand unchanged to count as nobody's, in milliseconds: three times
+/// as long as a holder may be silent.
+const UNKEPT_MS: u64 = 3 * STORE_LEASE_MS;
+
 /// How strong a node must be to try at once, in hundredths of the strongest.
 const STRONG_PERCENT: u64 = 80;
 
@@ -99,6 +109,15 @@
     pub(super) renewed_ms: u64,
 }
 
+/// A value under the lease's key that can't be read and that no lease ends: no
+/// version of this program writes one.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Stray {
+    version: u64,
+    /// When this version was first seen.
+    since_ms: u64,
+}
+
 /// What a node needs to hold the scheduler lease.
 #[derive(Clone)]
 pub(super) struct Candidate<K, W, F> {
@@ -121,6 +140,8 @@
     pub(super) strength: u64,
     /// Until when others go first, because this node couldn't keep up.
     pub(super) overloaded_until_ms: u64,
+    /// What was found under the lease's key that nobody may keep.
+    pub(super) stray: Option<Stray>,
     pub(super) options: Options,
     pub(super) log: Logger,
 }
@@ -129,6 +150,8 @@
 enum Seen {
     /// Nobody.
     Nobody,
+    /// Nobody, though a value that can't be read has been there for long.
+    Unkept(u64),
     /// An earlier process of this node, which is gone.
     Former(u64),
     /// This very process, by a write whose answer was lost.
@@ -234,17 +257,20 @@
         };
         let overloaded = self.is_overloaded();
         let weak = is_weak(self.strength, most) || overloaded;
-        if !weak || !matches!(seen, Seen::Nobody) {
-            return true;
-        }
+        let free = match seen {
+            Seen::Nobody => Some(0),
+            Seen::Unkept(version) => Some(*version),
+            Seen::Former(_) | Seen::This(_) | Seen::Other { .. } => None,
+        };
+        let Some(free) = free.filter(|_| weak) else { return true };
         let percent = if overloaded { 0 } else { self.strength * 100 / most };
         let delay = WEAK_DELAY_MS * (100 - percent) / 100;
         sleep(Duration::from_millis(delay)).await;
         // Somebody else may hold it by now.
-        matches!(self.store.version(keys::OWNER).await, Ok(0))
+        self.store.version(keys::OWNER).await == Ok(free)
     }
 
-    async fn look(&self, incarnation: u64) -> Result<Seen, Error> {
+    async fn look(&mut self, incarnation: u64) -> Result<Seen, Error> {
         // A list, because it names the store's version: a watch from the
         // key's own version asks for history that is soon gone.
         let (looked_at, found) = self.store.list(keys::OWNER).await?;
@@ -252,7 +278,7 @@
     }
 
     fn judge(
-        &self,
+        &mut self,
         found: Option<&Versioned>,
         looked_at: u64,
         incarnation: u64,
@@ -273,12 +299,25 @@
             Err(error) => {
                 let log = &self.log;
                 passed_over::record(log, "lease", &found.key, version, &error);
+                if !found.is_leased && self.is_unkept(version) {
+                    return Seen::Unkept(version);
+                }
                 let owner = "unknown".to_owned();
                 Seen::Other { owner, strength: 0, version, looked_at }
             }
         }
     }
 
+    /// Returns whether a stray value has been there for so long that whoever
+    /// keeps such values would have written it again.
+    fn is_unkept(&mut self, version: u64) -> bool {
+        let now_ms = clock::now_ms();
+        let known = self.stray.filter(|stray| stray.version == version);
+        let stray = known.unwrap_or(Stray { version, since_ms: now_ms });
+        self.stray = Some(stray);
+        now_ms >= stray.since_ms + UNKEPT_MS
+    }
+
     /// Returns by what name orders to the VM service are recorded.
     pub(super) fn orderer(&self) -> Orderer {
         let (node, incarnation) = (self.node.clone(), self.incarnation);
@@ -349,7 +388,12 @@
     async fn serve(&mut self, seen: Seen, incarnation: u64) {
         let held = match self.take(seen, incarnation).await {
             Ok(Some(held)) => held,
-            Ok(None) => return,
+            Ok(None) => {
+                // What stands there may be hidden from this node's readings:
+                // it isn't asked for again at once for as long as it does.
+                sleep(RETRY).await;
+                return;
+            }
             Err(error) => {
                 counters::platform_failure(&error);
                 info!(self.log, "election: the lease wasn't taken";
@@ -378,9 +422,9 @@
             Seen::Nobody => Expected::Absent,
             // A write of this process is replaced as well: the lease that
             // it came with is unknown by now.
-            Seen::Former(version) | Seen::This(version) => {
-                Expected::Version(version)
-            }
+            Seen::Unkept(version)
+            | Seen::Former(version)
+            | Seen::This(version) => Expected::Version(version),
             Seen::Other { .. } => return Ok(None),
         };
         let asked_ms = clock::now_ms();
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -151,6 +151,7 @@
             min_lease_ms: timing.min_store_lease_ms,
             strength: settings.machine.strength(),
             overloaded_until_ms: 0,
+            stray: None,
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
                 .kept_ms(timing.kept_ms)
