--- /dev/null
+++ b/crates/dewspar/tests/newer_fields.rs
@@ -0,0 +1,113 @@
+//! During an upgrade a node of an older version goes on with what a newer one
+//! has recorded, and writes it again. Fields that it didn't know were gone from
+//! then on: the newer version, once it schedules again, read its own record as
+//! if it had never said so. What isn't known is kept as it was: of a job, of
+//! each of its tasks, and of orders to VMs.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Progress, StepSpec},
+        schedule::{
+            AcceptedJob, Now, Options, OrderedVms, Orderer, Scheduler,
+        },
+    },
+    serde_json::{Value, json},
+};
+
+const NOW: Now = Now { steady_ms: 1_000_000, unix_ms: 1 };
+
+fn id() -> JobId {
+    format!("{:016x}", 1).parse().expect("an identifier")
+}
+
+/// A job's record with a field more, also of two tasks: one is done, of the
+/// other nothing else is known.
+fn record() -> Value {
+    let done = json!({ "round": 0, "step": 0, "index": 3, "done": true,
+        "run": 1, "newer": 5 });
+    let bare = json!({ "round": 0, "step": 0, "index": 4, "done": false,
+        "run": 0, "newer": { "a": [null] } });
+    json!({ "phase": "running", "newer": ["b", 1.5],
+        "done": ["0.0:1-2"], "tasks": [done, bare] })
+}
+
+fn read(record: &Value) -> Progress {
+    serde_json::from_value(record.clone()).expect("progress")
+}
+
+fn scheduler(known: Option<&Progress>) -> Scheduler {
+    let step = StepSpec { count: 9, cpu_millis: 100, ..StepSpec::default() };
+    let spec = JobSpec { steps: vec![step], ..JobSpec::default() };
+    let job = AcceptedJob { spec, ..AcceptedJob::default() };
+    let mut scheduler = Scheduler::new(7, Options::default());
+    scheduler.submit(id(), job, 8, known);
+    scheduler
+}
+
+/// What the scheduler has stored of its one job.
+fn stored(scheduler: &mut Scheduler) -> Value {
+    let changes = scheduler.take_changes(1);
+    let (_, progress) = changes.progress.first().expect("a change");
+    serde_json::to_value(progress).expect("plain JSON")
+}
+
+#[test]
+fn a_jobs_record_is_written_as_it_was_read() {
+    let written = serde_json::to_value(read(&record())).expect("plain JSON");
+    assert_eq!(written, record());
+}
+
+#[test]
+fn a_holder_that_goes_on_with_a_job_keeps_what_it_does_not_know() {
+    let mut scheduler = scheduler(Some(&read(&record())));
+    // A change of this holder's own.
+    let change = json!({ "phase": "running", "done": ["0.0:6"] });
+    scheduler.go_on_from(id(), &read(&change), NOW);
+    let mut expected = record();
+    expected["done"] = json!(["0.0:1-2", "0.0:6"]);
+    assert_eq!(stored(&mut scheduler), expected);
+}
+
+#[test]
+fn a_holder_that_meets_another_record_takes_in_what_it_does_not_know() {
+    let mut scheduler = scheduler(None);
+    scheduler.go_on_from(id(), &read(&record()), NOW);
+    assert_eq!(stored(&mut scheduler), record());
+}
+
+#[test]
+fn what_is_not_known_of_a_job_outlasts_its_end() {
+    let mut scheduler = scheduler(Some(&read(&record())));
+    scheduler.cancel(id(), NOW);
+    let stored = stored(&mut scheduler);
+    assert_eq!(stored["phase"], "cancelled");
+    assert_eq!(stored["newer"], record()["newer"]);
+
+    let mut over = record();
+    over["phase"] = json!("failed");
+    let mut scheduler = self::scheduler(None);
+    scheduler.go_on_from(id(), &read(&over), NOW);
+    let stored = self::stored(&mut scheduler);
+    assert_eq!(stored["phase"], "failed");
+    assert_eq!(stored["newer"], record()["newer"]);
+}
+
+#[test]
+fn what_is_not_known_of_orders_to_vms_stays_with_them() {
+    let by = json!({ "node": "n1", "incarnation": 1 });
+    let orders = json!([
+        { "by": by, "ages_ms": { "vm-0": 5 } },
+        { "by": by, "ages_ms": { "vm-1": 5, "vm-2": 6 }, "newer": ["a"] },
+        { "by": by, "ages_ms": { "vm-3": 5 }, "newer": ["b"] },
+    ]);
+    let read: OrderedVms =
+        serde_json::from_value(orders.clone()).expect("orders");
+    let written = serde_json::to_value(&read).expect("plain JSON");
+    assert_eq!(written, orders);
+
+    let mut scheduler = Scheduler::new(7, Options::default());
+    let holder = Orderer { node: "n2".to_owned(), incarnation: 1 };
+    scheduler.leave_vms_alone(NOW, &holder, Some(read));
+    let kept = scheduler.ordered_vms(NOW, &holder);
+    assert_eq!(serde_json::to_value(&kept).expect("plain JSON"), orders);
+}
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -10,7 +10,7 @@
 use {
     dewspar::{
         job::{JobId, JobSpec, Phase, Progress, Queue, QueueSet, StepSpec},
-        schedule::{AcceptedJob, QueueTerms},
+        schedule::{AcceptedJob, QueueTerms, WaveRequest},
     },
     dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
@@ -203,6 +203,49 @@
     assert!(!site.has_started(id(2)), "it was completed before");
 }
 
+/// An older version goes on with a wave, and hands in a claim of its own: what
+/// it doesn't know of these records must be there when a newer one reads them.
+#[tokio::test]
+async fn what_is_not_known_of_a_wave_and_a_claim_stays_on_record() {
+    let site = Site::new();
+    let wave = json!({ "since_unix_ms": 5, "done": ["vm-0"], "newer": [1] });
+    site.put("wave/7", wave.to_string().as_bytes()).await;
+    let vms = vec!["vm-0".to_owned(), "vm-1".to_owned()];
+    // It began long ago by the record, and isn't to end.
+    let duration_ms = u64::MAX / 2;
+    site.fleet.request_wave(WaveRequest {
+        wave: 7,
+        vms,
+        duration_ms,
+        max_down: 1,
+    });
+    let claim = json!({ "node": "node-9", "strength": 1, "newer": [1] });
+    site.put("q/claim", claim.to_string().as_bytes()).await;
+    // Weak beside the one that starts, which claims its lease.
+    let lease = site.store.grant(1_000).await.expect("a lease");
+    let owner = json!({ "node": "node-8", "incarnation": 1, "strength": 1 });
+    let owner = Batch::default().put_leased(
+        "q/owner",
+        owner.to_string().into_bytes(),
+        lease,
+    );
+    site.store.commit(&owner).await.expect("a store");
+    let _node = site.start().await;
+    let record = async |key: &str| -> Value {
+        let found = site.store.get(key).await.expect("a store");
+        let found = found.expect("a record");
+        serde_json::from_slice(&found.value).expect("JSON")
+    };
+    let waiting = async {
+        while record("wave/7").await["done"] != json!(["vm-0", "vm-1"]) {
+            sleep(Duration::from_millis(20)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("the wave goes on");
+    assert_eq!(record("wave/7").await["newer"], json!([1]));
+    assert_eq!(record("q/claim").await, claim);
+}
+
 #[tokio::test]
 async fn a_record_that_cant_be_read_stops_nothing_else() {
     for key in [
