Keep the fields of a record that aren't known

Cause: records are read into types and written from them, so that what a type doesn't have is gone with the first write of an older version. Jobs, tasks, waves and rows of VM orders now keep such fields (dewspar::fields) and write them as they were; what a later reading says of them counts.

Weighed: leaving such records alone, as those that can't be read. Each job that a newer version has touched would then stand still during an upgrade. What is kept may be older than what stands beside it; a newer version has to bear that as it has to bear records without the field. Not kept: fields of the process that is named in VM orders, and those of tasks of a job that is over. Claims are never written over, and counts say the whole each time.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -1,5 +1,6 @@
 use {
     super::stored::StoredProgress,
+    crate::fields::OtherFields,
     serde::{Deserialize, Serialize},
 };
 
@@ -78,6 +79,8 @@
     pub finished_at_ms: u64,
     /// The tasks of which there is something to say, in their order.
     pub tasks: Vec<TaskRecord>,
+    /// What else a newer version has said of it.
+    pub other: OtherFields,
 }
 
 /// What is stored of one task.
@@ -109,6 +112,9 @@
     /// The checkpoint to go on from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// What else a newer version has said of it.
+    #[serde(flatten)]
+    pub other: OtherFields,
 }
 
 fn is_zero(number: &u32) -> bool {
--- a/crates/dewspar/src/job/stored.rs
+++ b/crates/dewspar/src/job/stored.rs
@@ -6,7 +6,10 @@
 */
 
 use {
-    crate::job::{Phase, Progress, TaskRecord},
+    crate::{
+        fields::OtherFields,
+        job::{Phase, Progress, TaskRecord},
+    },
     displaydoc::Display,
     serde::{Deserialize, Serialize},
     std::{fmt, num::ParseIntError, str::FromStr},
@@ -27,6 +30,8 @@
     /// All other tasks of which there is something to say.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     tasks: Vec<TaskRecord>,
+    #[serde(flatten)]
+    other: OtherFields,
 }
 
 fn is_zero(number: &u64) -> bool {
@@ -117,11 +122,12 @@
         && task.crashes == 0
         && task.failed_runs.is_empty()
         && task.checkpoint.is_empty()
+        && task.other.is_empty()
 }
 
 impl From<Progress> for StoredProgress {
     fn from(progress: Progress) -> StoredProgress {
-        let Progress { phase, finished_at_ms, tasks } = progress;
+        let Progress { phase, finished_at_ms, tasks, other } = progress;
         let (plain, tasks): (Vec<TaskRecord>, Vec<TaskRecord>) =
             tasks.into_iter().partition(is_plainly_done);
         let mut ranges: Vec<TaskRange> = Vec::new();
@@ -132,7 +138,7 @@
             }
         }
         let done = ranges.iter().map(TaskRange::to_string).collect();
-        StoredProgress { phase, finished_at_ms, done, tasks }
+        StoredProgress { phase, finished_at_ms, done, tasks, other }
     }
 }
 
@@ -140,11 +146,12 @@
     type Error = InvalidRange;
 
     fn try_from(stored: StoredProgress) -> Result<Progress, InvalidRange> {
-        let StoredProgress { phase, finished_at_ms, done, mut tasks } = stored;
+        let StoredProgress { phase, finished_at_ms, done, mut tasks, other } =
+            stored;
         for range in &done {
             tasks.extend(range.parse::<TaskRange>()?.records());
         }
         tasks.sort_by_key(|task| (task.round, task.step, task.index));
-        Ok(Progress { phase, finished_at_ms, tasks })
+        Ok(Progress { phase, finished_at_ms, tasks, other })
     }
 }
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -36,6 +36,7 @@
 | [`window`] | how many calls a node may have under way |
 | [`relay`] | which nodes carry a scheduling node's orders |
 | [`record`] | when a record is written that one writer replaces |
+| [`fields`] | what newer versions add to records, and older ones keep |
 | [`job`] | what callers hand in, and how far it has come |
 | [`schedule`] | which task of a job runs on which worker |
 | [`chart`] | state charts kept in files and interpreted |
@@ -63,6 +64,7 @@
 pub mod chart;
 pub mod config;
 pub mod feed;
+pub mod fields;
 pub mod fleet;
 pub mod history;
 pub mod job;
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        fields::OtherFields,
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
         schedule::{QueueTerms, Room, WorkerId, suspects::Crashes},
     },
@@ -23,6 +24,8 @@
     estimates_from_ms: Vec<u64>,
     /// The newest change that is in the store.
     pub(crate) stored_sequence: u64,
+    /// What a newer version has stored of it besides.
+    pub(crate) other: OtherFields,
 }
 
 #[derive(Debug)]
@@ -50,6 +53,8 @@
     pub(crate) avoid: Vec<WorkerId>,
     /// The workers that were lost under it, in a row.
     pub(crate) crashes: Crashes,
+    /// What a newer version has stored of it besides.
+    pub(crate) other: OtherFields,
 }
 
 impl Job {
@@ -74,6 +79,7 @@
             phase: Phase::Queued,
             finished_at_ms: 0,
             stored_sequence: 0,
+            other: OtherFields::default(),
         }
     }
 
@@ -81,6 +87,7 @@
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.phase = progress.phase;
         self.finished_at_ms = progress.finished_at_ms;
+        self.other = progress.other.clone();
         for record in &progress.tasks {
             let rounds = &mut self.rounds;
             let step = rounds
@@ -109,6 +116,7 @@
             phase: self.phase,
             finished_at_ms: self.finished_at_ms,
             tasks,
+            other: self.other.clone(),
         }
     }
 
@@ -199,6 +207,7 @@
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
         task.crashes = Crashes::restored(record.crashes, record.unseen);
+        task.other = record.other.clone();
         if record.done && !task.done {
             task.done = true;
             self.done += 1;
@@ -213,7 +222,10 @@
     ) -> impl Iterator<Item = TaskRecord> {
         let tasks = (0..).zip(&self.tasks);
         let known = |task: &Task| {
-            task.ended_run > 0 || task.done || task.crashes.are_on_record()
+            task.ended_run > 0
+                || task.done
+                || task.crashes.are_on_record()
+                || !task.other.is_empty()
         };
         tasks.filter(move |(_, task)| known(task)).map(move |(index, task)| {
             TaskRecord {
@@ -234,6 +246,7 @@
                 } else {
                     task.checkpoint.clone()
                 },
+                other: task.other.clone(),
             }
         })
     }
--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -13,7 +13,10 @@
 */
 
 use {
-    crate::schedule::{Now, Scheduler, VmOrder},
+    crate::{
+        fields::OtherFields,
+        schedule::{Now, Scheduler, VmOrder},
+    },
     serde::{Deserialize, Serialize},
     std::collections::BTreeMap,
 };
@@ -41,6 +44,17 @@
     pub by: Orderer,
     /// How long before this was written, in milliseconds.
     pub age_ms: u64,
+    /// What else a newer version has said of it.
+    pub other: OtherFields,
+}
+
+/// A change that a former holder ordered of late.
+#[derive(Clone, Debug)]
+pub(super) struct InheritedOrder {
+    by: Orderer,
+    /// Until when the VM is left alone.
+    until_ms: u64,
+    other: OtherFields,
 }
 
 /// The VMs of which changes were ordered of late, and by whom.
@@ -59,19 +73,29 @@
     by: Orderer,
     /// How long ago each VM was ordered, in milliseconds.
     ages_ms: BTreeMap<String, u64>,
+    #[serde(flatten)]
+    other: OtherFields,
+}
+
+impl OrdersOf {
+    /// Returns whether an order is of these.
+    fn take(&self, order: &PastOrder) -> bool {
+        self.by == order.by && self.other == order.other
+    }
 }
 
 impl From<OrderedVms> for Vec<OrdersOf> {
     fn from(vms: OrderedVms) -> Vec<OrdersOf> {
         let mut orders: Vec<OrdersOf> = Vec::new();
-        for (vm, PastOrder { by, age_ms }) in vms.0 {
-            match orders.iter_mut().find(|orders| orders.by == by) {
+        for (vm, order) in vms.0 {
+            match orders.iter_mut().find(|orders| orders.take(&order)) {
                 Some(orders) => {
-                    orders.ages_ms.insert(vm, age_ms);
+                    orders.ages_ms.insert(vm, order.age_ms);
                 }
                 None => {
+                    let PastOrder { by, age_ms, other } = order;
                     let ages_ms = BTreeMap::from([(vm, age_ms)]);
-                    orders.push(OrdersOf { by, ages_ms });
+                    orders.push(OrdersOf { by, ages_ms, other });
                 }
             }
         }
@@ -82,9 +106,10 @@
 impl From<Vec<OrdersOf>> for OrderedVms {
     fn from(orders: Vec<OrdersOf>) -> OrderedVms {
         let mut vms = BTreeMap::new();
-        for OrdersOf { by, ages_ms } in orders {
+        for OrdersOf { by, ages_ms, other } in orders {
             for (vm, age_ms) in ages_ms {
-                vms.insert(vm, PastOrder { by: by.clone(), age_ms });
+                let (by, other) = (by.clone(), other.clone());
+                vms.insert(vm, PastOrder { by, age_ms, other });
             }
         }
         OrderedVms(vms)
@@ -135,17 +160,17 @@
     pub fn ordered_vms(&mut self, now: Now, holder: &Orderer) -> OrderedVms {
         let gap_ms = self.options.duty_gap_ms;
         self.ordered_vms.retain(|_, at| now.steady_ms <= *at + gap_ms);
-        self.inherited_vms
-            .retain(|_, (_, until_ms)| now.steady_ms < *until_ms);
-        let inherited =
-            self.inherited_vms.iter().map(|(vm, (by, until_ms))| {
-                let left_ms = until_ms.saturating_sub(now.steady_ms);
-                let age_ms = gap_ms.saturating_sub(left_ms);
-                (vm.clone(), PastOrder { by: by.clone(), age_ms })
-            });
+        self.inherited_vms.retain(|_, order| now.steady_ms < order.until_ms);
+        let inherited = self.inherited_vms.iter().map(|(vm, order)| {
+            let InheritedOrder { by, until_ms, other } = order.clone();
+            let left_ms = until_ms.saturating_sub(now.steady_ms);
+            let age_ms = gap_ms.saturating_sub(left_ms);
+            (vm.clone(), PastOrder { by, age_ms, other })
+        });
         let own = self.ordered_vms.iter().map(|(vm, ordered_ms)| {
             let age_ms = now.steady_ms.saturating_sub(*ordered_ms);
-            (vm.clone(), PastOrder { by: holder.clone(), age_ms })
+            let (by, other) = (holder.clone(), OtherFields::default());
+            (vm.clone(), PastOrder { by, age_ms, other })
         });
         OrderedVms(inherited.chain(own).collect())
     }
@@ -165,20 +190,21 @@
             self.all_vms_from_ms = now.steady_ms + gap_ms;
             return;
         };
-        for (vm, PastOrder { by, age_ms }) in vms.0 {
+        for (vm, PastOrder { by, age_ms, other }) in vms.0 {
             if by.is_former_process_of(holder) || age_ms >= gap_ms {
                 continue;
             }
             let until_ms = now.steady_ms + gap_ms - age_ms;
             self.vms_from_ms.insert(vm.clone(), until_ms);
-            self.inherited_vms.insert(vm, (by, until_ms));
+            let order = InheritedOrder { by, until_ms, other };
+            self.inherited_vms.insert(vm, order);
         }
     }
 
     /// Returns whether a former holder ordered a change of a VM of late.
     pub(super) fn was_ordered_before(&self, vm: &str, now: Now) -> bool {
         let inherited = self.inherited_vms.get(vm);
-        inherited.is_some_and(|(_, until_ms)| now.steady_ms < *until_ms)
+        inherited.is_some_and(|order| now.steady_ms < order.until_ms)
     }
 
     /// Returns whether changes of a VM may be ordered.
--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -54,6 +54,7 @@
         if record.phase == Phase::Running {
             job.phase = Phase::Running;
         }
+        job.other.add(&record.other);
         let mut useless = Vec::new();
         for task in &record.tasks {
             useless.extend(add_record(job, id, task));
@@ -98,6 +99,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.phase = record.phase;
         job.finished_at_ms = record.finished_at_ms;
+        job.other.add(&record.other);
         self.mark_changed(id);
     }
 }
@@ -146,5 +148,6 @@
         if record.crashes > self.crashes.count {
             self.crashes = Crashes::restored(record.crashes, record.unseen);
         }
+        self.other.add(&record.other);
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -5,11 +5,12 @@
         link::{Class, LinkBudget},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
-            Orderer, PaceOrder, QueueTerms, Room, WorkerId,
+            PaceOrder, QueueTerms, Room, WorkerId,
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
             crash_series::{CrashSeries, KeptFor},
+            duty::InheritedOrder,
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
@@ -76,7 +77,7 @@
     pub(super) ordered_vms: BTreeMap<String, u64>,
     /// The VMs that former holders touched, who did, and until when that
     /// counts.
-    pub(super) inherited_vms: BTreeMap<String, (Orderer, u64)>,
+    pub(super) inherited_vms: BTreeMap<String, InheritedOrder>,
     /// From when changes of VMs may be ordered that a former holder touched.
     pub(super) vms_from_ms: BTreeMap<String, u64>,
     pub(super) all_vms_from_ms: u64,
--- a/crates/dewspar/tests/conflict.rs
+++ b/crates/dewspar/tests/conflict.rs
@@ -16,6 +16,7 @@
         phase,
         finished_at_ms: 0,
         tasks: (0..done).map(record).collect(),
+        ..Progress::default()
     }
 }
 
--- a/crates/dewspar/tests/progress.rs
+++ b/crates/dewspar/tests/progress.rs
@@ -24,6 +24,7 @@
             phase: Phase::Running,
             finished_at_ms: at_ms,
             tasks: tasks.collect(),
+            ..Progress::default()
         };
         let json = serde_json::to_string(&progress).unwrap();
         serde_json::from_str::<Progress>(&json).unwrap() == progress
--- a/crates/dewspar/tests/schedule/records.rs
+++ b/crates/dewspar/tests/schedule/records.rs
@@ -21,7 +21,7 @@
 }
 
 fn running(tasks: Vec<TaskRecord>) -> Progress {
-    Progress { phase: Phase::Running, finished_at_ms: 0, tasks }
+    Progress { phase: Phase::Running, tasks, ..Progress::default() }
 }
 
 fn done(index: u32) -> TaskRecord {
@@ -91,6 +91,7 @@
         phase: Phase::Completed,
         finished_at_ms: 5,
         tasks: Vec::new(),
+        ..Progress::default()
     };
     world.scheduler.go_on_from(id(1), &over, at(world.now_ms));
     world.run_for(500);
--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -10,6 +10,7 @@
     },
     crate::{counters, passed_over},
     dewspar::{
+        fields::{OtherFields, WithOthers},
         record::RecordWritten,
         schedule::{OrderedVms, VmOrder, VmOrderError, WaveRecord},
     },
@@ -213,6 +214,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadedWaves {
     pub(super) records: BTreeMap<u64, WaveRecord>,
+    /// What else newer versions have kept of them.
+    pub(super) other: BTreeMap<u64, OtherFields>,
     /// The version of each record, also of one that can't be read.
     pub(super) versions: BTreeMap<u64, u64>,
 }
@@ -228,8 +231,9 @@
         let Some(wave) = keys::wave_of(&item.key) else { continue };
         waves.versions.insert(wave, item.version);
         match serde_json::from_slice(&item.value) {
-            Ok(record) => {
+            Ok(WithOthers { record, other }) => {
                 waves.records.insert(wave, record);
+                waves.other.insert(wave, other);
             }
             Err(error) => {
                 let (key, version) = (&item.key, item.version);
@@ -294,7 +298,7 @@
     lease_revision: u64,
     wave: u64,
     version: u64,
-    record: &WaveRecord,
+    record: &WithOthers<&WaveRecord>,
 ) -> Batch {
     // OK because a number and texts can always be written.
     let value = serde_json::to_vec(record).expect("plain JSON");
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -18,7 +18,7 @@
     super::{
         counts::CountsWriter,
         decisions,
-        duties::{self, Burst},
+        duties::{self, Burst, LoadedWaves},
         election::{Candidate, Held},
         event::{self, Event, EventSender, SentEvent},
         feeds::{
@@ -42,7 +42,7 @@
         job::JobId,
         overload::RoundTrips,
         record::RecordWriter,
-        schedule::{Now, OrderError, Scheduler, WaveRecord},
+        schedule::{Now, OrderError, Scheduler},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
@@ -151,7 +151,7 @@
         load: Load::new(candidate.traffic.clone()),
         round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::default(),
-        waves: BTreeMap::new(),
+        waves: LoadedWaves::default(),
         wave_writers: BTreeMap::new(),
         vm_orders: RecordWriter::default(),
         completed: Vec::new(),
@@ -200,7 +200,7 @@
     /// The record of the VMs of which changes are ordered.
     vm_orders: RecordWriter,
     /// What former holders kept of each wave.
-    waves: BTreeMap<u64, WaveRecord>,
+    pub(super) waves: LoadedWaves,
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
     pub(super) expired_ms: u64,
@@ -344,10 +344,10 @@
         self.vm_orders.found(duties.ordered.version);
         self.scheduler.leave_vms_alone(now, &orderer, duties.ordered.vms);
         self.counts.found(duties.counts_version);
-        for (wave, version) in duties.waves.versions {
-            self.wave_writers.entry(wave).or_default().found(version);
+        for (wave, version) in &duties.waves.versions {
+            self.wave_writers.entry(*wave).or_default().found(*version);
         }
-        self.waves = duties.waves.records;
+        self.waves = duties.waves;
         self.completed = duties.completed;
     }
 
@@ -448,7 +448,8 @@
         // What former holders kept of the waves is known once all is loaded.
         if !self.scheduler.is_loading() {
             let waves = &reading.intent.waves;
-            let (records, completed) = (&self.waves, &self.completed);
+            let records = &self.waves.records;
+            let completed = &self.completed;
             let unseen =
                 self.scheduler.request_waves(now, waves, records, completed);
             for wave in unseen {
--- a/crates/dewspard/src/jobs/records.rs
+++ b/crates/dewspard/src/jobs/records.rs
@@ -11,7 +11,7 @@
         keys,
     },
     crate::counters,
-    dewspar::{record::RecordWritten, schedule::Now},
+    dewspar::{fields::WithOthers, record::RecordWritten, schedule::Now},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
         Versioned,
@@ -54,8 +54,11 @@
                 continue;
             }
             let (wave, expected) = (*wave, writer.begin());
+            let other = self.waves.other.get(&wave).cloned();
+            let other = other.unwrap_or_default();
+            let record = WithOthers { record, other };
             let lease = self.held.revision;
-            let batch = duties::wave_batch(lease, wave, expected, record);
+            let batch = duties::wave_batch(lease, wave, expected, &record);
             let store = self.candidate.store.with_purpose(Purpose::Progress);
             let sender = self.sender.clone();
             let log = self.candidate.log.clone();
