--- /dev/null
+++ b/crates/dewspard/tests/late_relays.rs
@@ -0,0 +1,308 @@
+//! A relay's VM is suspended while its holder sends it orders. They lie in the
+//! connection until it wakes, seconds after the holder has given them up, and
+//! were carried out then as if they had just come: a worker that had heard of
+//! nobody else meanwhile took them. An order says by now how old it is and for
+//! how long its holder waits for it, so that a relay passes over what is over.
+//! It can tell by the steady clocks of both, since both count suspension.
+//!
+//! Here a gate between them keeps what the holder sends, as the relay's system
+//! would, and the steady clock is told that time has passed. In a file of its
+//! own: it passes for the whole process.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Phase, Progress, Queue, QueueSet, StepSpec},
+        relay::RelayNode,
+        schedule::{AcceptedJob, QueueTerms},
+    },
+    dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
+    dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
+    dewspard::{
+        clock,
+        jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
+        logs,
+    },
+    std::{
+        future::Future,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{
+            TcpListener, TcpStream,
+            tcp::{OwnedReadHalf, OwnedWriteHalf},
+        },
+        time::{sleep, timeout},
+    },
+};
+
+/// How long anything may take before the test gives up on it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+/// How long a relay takes to carry an order that it takes, many times over.
+const CARRIED: Duration = Duration::from_millis(500);
+
+/// For how long the relay's VM is suspended: much longer than any order is
+/// waited for.
+const SUSPENDED_MS: u64 = 20_000;
+
+const POOL: &str = "registry";
+
+/// What the tasks are given of the job that comes late.
+const LATE_WORK: &str = "what was to be done 20 s ago";
+
+/// A connection of the holder, as the gate passes it on.
+#[derive(Default)]
+struct Passage {
+    /// What wasn't passed on.
+    kept: Mutex<Vec<u8>>,
+    to_relay: Mutex<Option<OwnedWriteHalf>>,
+    /// How much the relay has said, and whether it has ended the connection.
+    heard: AtomicUsize,
+    ended: AtomicBool,
+}
+
+impl Passage {
+    fn has_kept(&self, text: &str) -> bool {
+        let kept = self.kept.lock().expect("bytes");
+        kept.windows(text.len()).any(|part| part == text.as_bytes())
+    }
+
+    async fn pass_on(&self, mut from: OwnedReadHalf, is_closed: &AtomicBool) {
+        let mut bytes = [0; 4096];
+        while let Ok(count @ 1..) = from.read(&mut bytes).await {
+            let closed = is_closed.load(Ordering::Relaxed);
+            if closed || !self.kept.lock().expect("bytes").is_empty() {
+                let mut kept = self.kept.lock().expect("bytes");
+                kept.extend_from_slice(&bytes[..count]);
+                continue;
+            }
+            self.send(&bytes[..count]).await;
+        }
+    }
+
+    /// Sends to the relay; one that is gone has no use for it.
+    async fn send(&self, bytes: &[u8]) {
+        let to_relay = self.to_relay.lock().expect("a half").take();
+        let Some(mut to_relay) = to_relay else { return };
+        let _ = to_relay.write_all(bytes).await;
+        *self.to_relay.lock().expect("a half") = Some(to_relay);
+    }
+
+    async fn pass_back(&self, mut from: OwnedReadHalf, to: OwnedWriteHalf) {
+        let mut to = to;
+        let mut bytes = [0; 4096];
+        while let Ok(count @ 1..) = from.read(&mut bytes).await {
+            self.heard.fetch_add(count, Ordering::Relaxed);
+            // The holder may be done with it.
+            let _ = to.write_all(&bytes[..count]).await;
+        }
+        self.ended.store(true, Ordering::Relaxed);
+    }
+}
+
+/// Stands between a holder and a relay.
+#[derive(Clone, Default)]
+struct Gate {
+    is_closed: Arc<AtomicBool>,
+    passages: Arc<Mutex<Vec<Arc<Passage>>>>,
+}
+
+impl Gate {
+    /// Returns the address of a gate before a relay.
+    async fn before(&self, relay: &str) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").await;
+        let listener = listener.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (gate, relay) = (self.clone(), relay.to_owned());
+        tokio::spawn(async move {
+            while let Ok((holder, _)) = listener.accept().await {
+                gate.open(holder, &relay).await;
+            }
+        });
+        address.to_string()
+    }
+
+    async fn open(&self, holder: TcpStream, relay: &str) {
+        let relay = TcpStream::connect(relay).await.expect("a relay");
+        let (from_holder, to_holder) = holder.into_split();
+        let (from_relay, to_relay) = relay.into_split();
+        let passage = Arc::new(Passage::default());
+        *passage.to_relay.lock().expect("a half") = Some(to_relay);
+        self.passages.lock().expect("a list").push(passage.clone());
+        let (back, is_closed) = (passage.clone(), self.is_closed.clone());
+        tokio::spawn(async move {
+            passage.pass_on(from_holder, &is_closed).await;
+        });
+        tokio::spawn(async move {
+            back.pass_back(from_relay, to_holder).await;
+        });
+    }
+
+    fn set_closed(&self, closed: bool) {
+        self.is_closed.store(closed, Ordering::Relaxed);
+    }
+
+    /// Waits until a connection keeps a text.
+    async fn keeps(&self, text: &str) -> Arc<Passage> {
+        let find = || {
+            let passages = self.passages.lock().expect("a list").clone();
+            passages.into_iter().find(|passage| passage.has_kept(text))
+        };
+        until(async || find().is_some()).await;
+        find().expect("a connection")
+    }
+}
+
+async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("in time");
+}
+
+async fn start(
+    store: &Store,
+    fleet: TaskFleet,
+    name: &str,
+    strength: f64,
+) -> JobNode {
+    let mut settings = JobSettings::loopback(name);
+    settings.relay_address = Some(settings.callers_address);
+    settings.machine.cpu_millis = strength;
+    let platform = JobPlatform {
+        store: store.clone(),
+        workers: fleet.clone(),
+        fleet,
+        protocol: RestCalls,
+        readiness_path: "/ready",
+        traffic: Traffic::default(),
+        unreadable: UnreadableNotes::default(),
+    };
+    let node =
+        JobNode::start(&settings, platform, None, &logs::discard()).await;
+    node.expect("a started node")
+}
+
+fn terms() -> QueueTerms {
+    QueueTerms {
+        pool: POOL.to_owned(),
+        max_attempts: 3,
+        stretch: 2.0,
+        ..QueueTerms::default()
+    }
+}
+
+fn id(number: u64) -> JobId {
+    format!("{number:016x}").parse().expect("an identifier")
+}
+
+async fn hand_in(store: &Store, number: u64, payload: &str) {
+    let step = StepSpec { count: 2, cpu_millis: 500, ..StepSpec::default() };
+    let spec = JobSpec {
+        queue: "extracts".to_owned(),
+        payload: payload.to_owned(),
+        steps: vec![step],
+        ..JobSpec::default()
+    };
+    let accepted_at_ms = clock::unix_ms();
+    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms };
+    let job = serde_json::to_vec(&job).expect("plain JSON");
+    let batch = Batch::default().put(&format!("q/in/{}", id(number)), job);
+    store.commit(&batch).await.expect("a store");
+}
+
+async fn wait_for(store: &Store, number: u64) {
+    let key = format!("run/{}", id(number));
+    until(async || {
+        let found = store.get(&key).await.expect("a store");
+        let progress = found.and_then(|found| {
+            serde_json::from_slice::<Progress>(&found.value).ok()
+        });
+        progress.is_some_and(|p| p.phase == Phase::Completed)
+    })
+    .await;
+}
+
+/// Has the holder reach the relay through a gate.
+async fn put_gate_before_relay(store: &Store, key: &str) -> Gate {
+    until(async || store.version(key).await != Ok(0)).await;
+    let offer = store.get(key).await.expect("a store").expect("an offer");
+    let offer: RelayNode = serde_json::from_slice(&offer.value).expect("JSON");
+    let gate = Gate::default();
+    let address = gate.before(&offer.address).await;
+    let offer = RelayNode { address, ..offer };
+    let offer = serde_json::to_vec(&offer).expect("plain JSON");
+    let batch = Batch::default().put(key, offer);
+    store.commit(&batch).await.expect("a store");
+    gate
+}
+
+fn is_held_by(owner: Option<&[u8]>, node: &str) -> bool {
+    let owner = owner.map(String::from_utf8_lossy);
+    owner.is_some_and(|owner| owner.contains(&format!("\"{node}\"")))
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_wakes_carries_nothing_that_its_holder_gave_up() {
+    let store = Store::new(Faults::new(1));
+    let lapsed = store.clone();
+    tokio::spawn(async move {
+        loop {
+            sleep(Duration::from_millis(50)).await;
+            lapsed.lapse_leases();
+        }
+    });
+    let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
+    let queue = Queue {
+        name: "extracts".to_owned(),
+        timeout_ms: 3_000,
+        terms: terms(),
+        ..Queue::default()
+    };
+    fleet.configure(QueueSet::new(1, vec![queue]));
+    let reached = fleet.reached_with(Faults::new(4));
+    let _relay = start(&store, reached, "relay", 1.0).await;
+    let gate = put_gate_before_relay(&store, "relay/relay").await;
+    // What runs is carried by the relay: the holder reaches no worker.
+    let cut_off = Faults::new(3);
+    cut_off.set_outage(true);
+    let reached = fleet.reached_with(cut_off);
+    let _holder = start(&store, reached, "holder", 2.0).await;
+    until(async || {
+        let owner = store.get("q/owner").await.expect("a store");
+        is_held_by(owner.as_ref().map(|o| o.value.as_slice()), "holder")
+    })
+    .await;
+    for number in 1..6 {
+        hand_in(&store, number, "what to do").await;
+        wait_for(&store, number).await;
+    }
+
+    gate.set_closed(true);
+    hand_in(&store, 50, LATE_WORK).await;
+    let passage = gate.keeps(LATE_WORK).await;
+    let kept = passage.kept.lock().expect("bytes").clone();
+    let heard = passage.heard.load(Ordering::Relaxed);
+    clock::suppose_suspension(SUSPENDED_MS);
+    passage.send(&kept).await;
+    until(async || {
+        passage.heard.load(Ordering::Relaxed) > heard
+            || passage.ended.load(Ordering::Relaxed)
+    })
+    .await;
+    sleep(CARRIED).await;
+    let started = fleet.started();
+    let late = started.iter().filter(|(task, _)| task.job == id(50));
+    assert_eq!(late.count(), 0, "by orders that are over");
+
+    // The way over the relay is found again.
+    gate.set_closed(false);
+    wait_for(&store, 50).await;
+}
