Relays carry nothing that their holder gave up

Cause: what lay in a relay's connection while its VM was suspended was carried when it woke, at whatever age. Workers refuse a token that is over, but one that has heard nothing newer takes it, as long as the holder keeps its lease.

Orders now say their age and for how long their holder waits, messages when they were sent; a relay compares both steady clocks (dewspar::relay::Lateness), answers what is over as not sent, and ends a connection of which all is over. A holder waits for a relay's first word before it sends an order: else a first message that lay there itself would pass for a young one. The messages' version is 2; nodes of different versions don't carry for each other, as before.

Ruled out: going by a noticed suspension of the relay alone (a stopped process notices none, and what it has read since isn't all old), and ending every connection then (young orders would count as without an answer).

Left: an order that is handed to the HTTP client just before a suspension is sent after it; the worker's fence and lease decide, as with direct orders.

The test of a mute relay now also plays one that falls silent after its first word, since one that says nothing at all isn't used any more.

--- a/crates/dewspar/src/relay.rs
+++ b/crates/dewspar/src/relay.rs
@@ -11,7 +11,9 @@
 
 A relay decides nothing. What it carries has the holder's fencing token, so an
 order that it brings late does as little harm as one that the network brings
-late; an order whose relay is lost is an order without an answer.
+late; an order whose relay is lost is an order without an answer. What its
+holder no longer waits for, since the relay stood still for seconds, it passes
+over, by [`Lateness`].
 
 # How many
 
@@ -151,6 +153,50 @@
     }
 }
 
+/// How late a node's messages come over one connection, by the steady clocks of
+/// both ends.
+///
+/// These clocks have nothing in common but their pace, and both count the time
+/// for which a VM is suspended. The message that came soonest says how far they
+/// are apart, with its way; any other is late by what it took longer.
+///
+/// # Example
+///
+/// ```
+/// use dewspar::relay::Lateness;
+///
+/// let mut lateness = Lateness::new(5_000_000, 1_000);
+/// assert_eq!(lateness.of(5_000_100, 1_100), 0);
+/// // The second lay in the connection while the receiver stood still.
+/// assert_eq!(lateness.of(5_000_200, 9_200), 8_000);
+/// assert_eq!(lateness.of(5_008_300, 9_300), 0);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Lateness {
+    /// How far the receiver's clock is ahead, in milliseconds, at most.
+    ahead_ms: i64,
+}
+
+impl Lateness {
+    /// Begins with a first message, by when it was sent and received.
+    pub fn new(sent_ms: u64, received_ms: u64) -> Lateness {
+        Lateness { ahead_ms: ahead_ms(sent_ms, received_ms) }
+    }
+
+    /// Returns how late a message is, in milliseconds.
+    pub fn of(&mut self, sent_ms: u64, received_ms: u64) -> u64 {
+        let ahead_ms = ahead_ms(sent_ms, received_ms);
+        self.ahead_ms = self.ahead_ms.min(ahead_ms);
+        ahead_ms.abs_diff(self.ahead_ms)
+    }
+}
+
+/// Returns how far the receiver's clock seems ahead, in milliseconds; what the
+/// sender says may be any number.
+fn ahead_ms(sent_ms: u64, received_ms: u64) -> i64 {
+    received_ms.wrapping_sub(sent_ms).cast_signed()
+}
+
 /// Returns the position of the relay that carries a worker's orders; `None`
 /// where there is no relay.
 pub fn relay_for<'a>(
--- a/crates/dewspar/tests/relay.rs
+++ b/crates/dewspar/tests/relay.rs
@@ -1,7 +1,7 @@
 //! Which nodes carry a holder's orders, and how many of them.
 
 use {
-    dewspar::relay::{CarriageDemand, RelayNode, relay_for},
+    dewspar::relay::{CarriageDemand, Lateness, RelayNode, relay_for},
     quickcheck::quickcheck,
     std::collections::BTreeMap,
 };
@@ -113,3 +113,25 @@
         before == lost || after.as_ref() == Some(&relays[before])
     }
 }
+
+/// Whatever the clocks of both ends say, a message is late by what it took
+/// longer than the fastest one so far; also where the receiver was suspended
+/// before the first one.
+#[test]
+fn messages_are_as_late_as_they_took_longer_than_the_fastest() {
+    for apart_ms in [0, 7, 1_000_000_000, u64::MAX - 5] {
+        let received = |sent_ms: u64, way_ms: u64| {
+            (sent_ms.wrapping_add(apart_ms), sent_ms + way_ms)
+        };
+        let (sent_ms, received_ms) = received(10_000, 250);
+        let mut lateness = Lateness::new(sent_ms, received_ms);
+        let late =
+            [(11_000, 300), (12_000, 20), (13_000, 20), (14_000, 4_020)].map(
+                |(sent_ms, way_ms)| {
+                    let (sent_ms, received_ms) = received(sent_ms, way_ms);
+                    lateness.of(sent_ms, received_ms)
+                },
+            );
+        assert_eq!(late, [50, 0, 0, 4_000], "{apart_ms} apart");
+    }
+}
--- a/crates/dewspard/src/jobs/relay/link.rs
+++ b/crates/dewspard/src/jobs/relay/link.rs
@@ -2,7 +2,8 @@
 The holder's connection to one relay.
 
 Orders that are given to a link while it writes go out in the next message
-together. Each waits for its own answer, and not for long: a relay answers each
+together, each with its age: what lies in the connection while the relay stands
+still is over when it wakes. Each waits for its own answer, and not for long: a relay answers each
 order once its own call has ended, so an order without an answer from a relay
 that has said nothing else since means that the relay or the way to it is
 silent. The link is then given up as a whole.
@@ -38,6 +39,10 @@
 /// there and back within a region.
 const CONNECT: Duration = Duration::from_millis(300);
 
+/// How long a relay may take to answer the first message: as for the connection
+/// itself, which is opened by its system even while it stands still.
+const WELCOME_MS: u64 = 300;
+
 /// How long sent bytes may stay unacknowledged by the relay's kernel, as for
 /// workers: three transmissions on a near link.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(700);
@@ -57,6 +62,8 @@
 #[derive(Debug)]
 pub(super) struct Outgoing {
     pub(super) order: Order,
+    /// When it was given to the link, on the steady clock.
+    pub(super) made_ms: u64,
     /// What a start gives its task.
     pub(super) payload: Option<Arc<str>>,
 }
@@ -94,13 +101,16 @@
         #[cfg(target_os = "linux")]
         SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
         let (read, write) = stream.into_split();
-        let mut sink = wire::sink(write);
+        let (mut sink, mut frames) = (wire::sink(write), wire::frames(read));
+        let said_ms = clock::now_ms();
         let hello = ToRelay::Hello {
             version: VERSION,
             node: holder.to_owned(),
             lease_revision,
+            at_ms: said_ms,
         };
         sink.send(wire::encode(&hello)).await?;
+        wait_for_welcome(&mut frames, said_ms).await?;
         let (outgoing, orders) = mpsc::unbounded_channel();
         let link = Arc::new(RelayLink {
             node,
@@ -118,7 +128,7 @@
             link.clone(),
             traffic.clone(),
         ));
-        tokio::spawn(read_answers(wire::frames(read), link.clone(), traffic));
+        tokio::spawn(read_answers(frames, link.clone(), traffic));
         Ok(link)
     }
 
@@ -166,10 +176,13 @@
             id,
             worker: worker.to_owned(),
             address: address.to_owned(),
+            age_ms: 0,
+            limit_ms: limit.as_millis() as u64,
             what,
         };
         let sent_ms = clock::now_ms();
-        if self.outgoing.send(Outgoing { order, payload }).is_err() {
+        let outgoing = Outgoing { order, made_ms: sent_ms, payload };
+        if self.outgoing.send(outgoing).is_err() {
             self.lock().remove(&id);
             return Err(NoAnswer);
         }
@@ -210,6 +223,25 @@
     }
 }
 
+/// Waits until a relay shows that it is awake: what is sent before it wakes
+/// would lie there, and it couldn't tell for how long.
+async fn wait_for_welcome(
+    frames: &mut Frames,
+    said_ms: u64,
+) -> io::Result<()> {
+    let limit = Duration::from_millis(WELCOME_MS);
+    let frame = timeout(limit, frames.next()).await?;
+    let frame = frame.ok_or(io::ErrorKind::UnexpectedEof)??;
+    let FromRelay::Welcome = wire::decode(&frame)? else {
+        return Err(io::ErrorKind::InvalidData.into());
+    };
+    // This node may have been suspended itself meanwhile.
+    if clock::now_ms() > said_ms + WELCOME_MS {
+        return Err(io::ErrorKind::TimedOut.into());
+    }
+    Ok(())
+}
+
 /// Writes orders, those that came meanwhile in one message.
 async fn write_orders(
     mut sink: FrameSink,
@@ -223,7 +255,7 @@
             () = link.given_up.notified() => None,
         };
         let Some(first) = first else { return };
-        let mut message = Message::default();
+        let mut message = Message::new(clock::now_ms());
         message.add(first);
         while message.orders.len() < ORDERS_A_MESSAGE {
             let Ok(order) = orders.try_recv() else { break };
@@ -239,15 +271,20 @@
 }
 
 /// Orders that go out together.
-#[derive(Default)]
 struct Message {
+    at_ms: u64,
     payloads: Vec<Arc<str>>,
     orders: Vec<Order>,
 }
 
 impl Message {
+    fn new(at_ms: u64) -> Message {
+        Message { at_ms, payloads: Vec::new(), orders: Vec::new() }
+    }
+
     fn add(&mut self, outgoing: Outgoing) {
-        let Outgoing { mut order, payload } = outgoing;
+        let Outgoing { mut order, made_ms, payload } = outgoing;
+        order.age_ms = self.at_ms.saturating_sub(made_ms);
         if let (OrderKind::Start(start), Some(payload)) =
             (&mut order.what, payload)
         {
@@ -271,7 +308,8 @@
 
     fn encode(self) -> bytes::Bytes {
         let payloads = self.payloads.iter().map(|p| p.to_string()).collect();
-        wire::encode(&ToRelay::Orders { payloads, orders: self.orders })
+        let (at_ms, orders) = (self.at_ms, self.orders);
+        wire::encode(&ToRelay::Orders { at_ms, payloads, orders })
     }
 }
 
@@ -301,6 +339,8 @@
                 }
             }
             Ok(FromRelay::Leaving) => link.close(),
+            // It says so once, before the link is used.
+            Ok(FromRelay::Welcome) => {}
             Err(_) => break,
         }
     }
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -9,8 +9,11 @@
         self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
         ToRelay, VERSION,
     },
-    crate::counters,
-    dewspar::schedule::{OrderError, StartOrder, WorkerId},
+    crate::{clock, counters},
+    dewspar::{
+        relay::Lateness,
+        schedule::{OrderError, StartOrder, WorkerId},
+    },
     dewspar_platform::JobWorkers,
     futures_util::{SinkExt, StreamExt},
     slog::{Logger, info, warn},
@@ -112,7 +115,7 @@
         let Some(hello) = frames.next().await else {
             return Ok("nothing came");
         };
-        let ToRelay::Hello { version, node, lease_revision } =
+        let ToRelay::Hello { version, node, lease_revision, at_ms } =
             wire::decode(&hello?)?
         else {
             return Ok("it didn't say whose orders they are");
@@ -125,12 +128,11 @@
         }
         info!(self.log, "relay: carries for a holder"; "holder" => node,
             "lease_revision" => lease_revision);
+        let mut lateness = Lateness::new(at_ms, clock::now_ms());
+        let mut sink = wire::sink(write);
+        sink.send(wire::encode(&FromRelay::Welcome)).await?;
         let (answers, answered) = mpsc::unbounded_channel();
-        tokio::spawn(send_answers(
-            wire::sink(write),
-            answered,
-            self.stopping.clone(),
-        ));
+        tokio::spawn(send_answers(sink, answered, self.stopping.clone()));
         loop {
             let frame = tokio::select! {
                 frame = frames.next() => frame,
@@ -142,21 +144,35 @@
             if !self.latest.note(lease_revision) {
                 return Ok("a later holder is here");
             }
-            let ToRelay::Orders { payloads, orders } = message else {
+            let ToRelay::Orders { at_ms, payloads, orders } = message else {
                 return Ok("it began anew");
             };
+            let now_ms = clock::now_ms();
+            let late_ms = lateness.of(at_ms, now_ms);
+            let left_ms = |order: &Order| {
+                let age_ms = order.age_ms.saturating_add(late_ms);
+                order.limit_ms.saturating_sub(age_ms)
+            };
+            // Nothing that was sent before this one is of use either, and the
+            // holder's clock may not be what it was.
+            if orders.iter().all(|order| left_ms(order) == 0) {
+                return Ok("all that came is over");
+            }
             let payloads: Vec<Arc<str>> =
                 payloads.into_iter().map(Arc::from).collect();
             for order in orders {
-                self.take(order, &payloads, &answers);
+                let until_ms = now_ms.saturating_add(left_ms(&order));
+                self.take(order, until_ms, &payloads, &answers);
             }
         }
     }
 
-    /// Makes an order's call, beside all others.
+    /// Makes an order's call, beside all others, unless its holder no longer
+    /// waits for it.
     fn take(
         &mut self,
         order: Order,
+        until_ms: u64,
         payloads: &[Arc<str>],
         answers: &mpsc::UnboundedSender<Answered>,
     ) {
@@ -174,7 +190,12 @@
         let under_way = self.under_way.clone();
         let workers = self.workers.clone();
         tokio::spawn(async move {
-            let answer = call.make(&workers).await;
+            let over = clock::now_ms() >= until_ms;
+            let answer = if over {
+                Answer::Error(OrderError::NotSent)
+            } else {
+                call.make(&workers).await
+            };
             under_way.fetch_sub(1, Ordering::Relaxed);
             // As above.
             let _ = answers.send(Answered { id, answer });
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -19,7 +19,7 @@
 };
 
 /// The version of these messages; relays carry only for holders with the same.
-pub(super) const VERSION: u32 = 1;
+pub(super) const VERSION: u32 = 2;
 
 /// The longest message, in bytes: some thousands of orders with a payload of
 /// 4 kB each.
@@ -40,9 +40,13 @@
         node: String,
         /// The revision of the holder's lease.
         lease_revision: u64,
+        /// When it was sent, on the holder's steady clock.
+        at_ms: u64,
     },
     /// Orders to carry.
     Orders {
+        /// When it was sent, on the holder's steady clock.
+        at_ms: u64,
         /// What tasks are given, as starts refer to it.
         payloads: Vec<String>,
         orders: Vec<Order>,
@@ -58,6 +62,10 @@
     pub(super) worker: String,
     /// Where it takes orders.
     pub(super) address: String,
+    /// How old it was when its message was sent.
+    pub(super) age_ms: u64,
+    /// For how long the holder waits for its answer.
+    pub(super) limit_ms: u64,
     pub(super) what: OrderKind,
 }
 
@@ -86,6 +94,8 @@
 /// What a relay sends.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) enum FromRelay {
+    /// The answer to the first message: the relay is awake, and takes orders.
+    Welcome,
     /// Answers to orders, in any order.
     Answers(Vec<Answered>),
     /// The relay stops: nothing new is to be sent.
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -17,9 +17,17 @@
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
         logs,
     },
-    std::{collections::BTreeMap, future::Future, time::Duration},
+    std::{
+        collections::BTreeMap,
+        future::Future,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
     tokio::{
-        io::AsyncReadExt,
+        io::{AsyncReadExt, AsyncWriteExt},
         net::TcpListener,
         runtime::Runtime,
         task::JoinHandle,
@@ -236,10 +244,26 @@
     cluster.check_starts();
 }
 
+/// What a relay says first, as it stands in a connection: the length of the
+/// message, and which one it is.
+const WELCOME: &[u8] = &[0, 0, 0, 1, 0];
+
 /// An address that takes connections and never answers looks like the best
 /// relay there is. It is given up, and its workers are reached otherwise.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_relay_that_says_nothing_is_given_up() {
+    workers_are_reached_beside_a_relay_that_says_only(b"").await;
+}
+
+/// The same for one that falls silent once it is to carry orders.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_that_falls_silent_is_given_up() {
+    workers_are_reached_beside_a_relay_that_says_only(WELCOME).await;
+}
+
+async fn workers_are_reached_beside_a_relay_that_says_only(
+    text: &'static [u8],
+) {
     let cluster = Cluster::new();
     let mute = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let offer = RelayNode {
@@ -247,11 +271,18 @@
         address: mute.local_addr().expect("an address").to_string(),
         strength: 1_000_000,
     };
+    let heard = Arc::new(AtomicUsize::new(0));
+    let counted = heard.clone();
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = mute.accept().await {
+            let counted = counted.clone();
             tokio::spawn(async move {
+                // The holder may be done with it.
+                let _ = stream.write_all(text).await;
                 let mut read = [0; 1024];
-                while stream.read(&mut read).await.is_ok_and(|n| n > 0) {}
+                while let Ok(count @ 1..) = stream.read(&mut read).await {
+                    counted.fetch_add(count, Ordering::Relaxed);
+                }
             });
         }
     });
@@ -262,6 +293,7 @@
     cluster.hand_in(1..20).await;
     cluster.wait_for_all(1..20).await;
     cluster.check_starts();
+    assert!(heard.load(Ordering::Relaxed) > 0, "it was asked to carry");
 }
 
 /// Offers of other writers may be anything; the others hold.
