--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -17,11 +17,12 @@
         jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
         logs,
     },
+    slog::{Drain, Logger, Never, OwnedKVList, Record, o},
     std::{
         collections::BTreeMap,
         future::Future,
         sync::{
-            Arc,
+            Arc, Mutex,
             atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
@@ -43,9 +44,32 @@
 /// How much the holder says that it can schedule; the others say half.
 const STRENGTH: f64 = 2.0;
 
+/// Keeps the messages of all lines.
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<String>>>);
+
+impl Drain for Lines {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, line: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        let mut lines = self.0.lock().expect("lines");
+        lines.push(line.msg().to_string());
+        Ok(())
+    }
+}
+
+impl Lines {
+    fn count(&self, text: &str) -> usize {
+        let lines = self.0.lock().expect("lines");
+        lines.iter().filter(|line| line.contains(text)).count()
+    }
+}
+
 struct Cluster {
     store: Store,
     fleet: TaskFleet,
+    lines: Lines,
     lapsing: JoinHandle<()>,
 }
 
@@ -73,7 +97,7 @@
                 lapsed.lapse_leases();
             }
         });
-        Cluster { store, fleet, lapsing }
+        Cluster { store, fleet, lines: Lines::default(), lapsing }
     }
 
     /// Starts a node that reaches the workers with these faults.
@@ -88,6 +112,7 @@
             self.fleet.reached_with(orders),
             name,
             strength,
+            &Logger::root(self.lines.clone().fuse(), o!()),
         )
         .await
     }
@@ -143,6 +168,7 @@
     fleet: TaskFleet,
     name: &str,
     strength: f64,
+    log: &Logger,
 ) -> JobNode {
     let mut settings = JobSettings::loopback(name);
     settings.relay_address = Some(settings.callers_address);
@@ -156,8 +182,7 @@
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
     };
-    let node =
-        JobNode::start(&settings, platform, None, &logs::discard()).await;
+    let node = JobNode::start(&settings, platform, None, log).await;
     node.expect("a started node")
 }
 
@@ -217,7 +242,8 @@
     let lost = Runtime::new().expect("a runtime");
     lost.spawn(async move {
         let fleet = fleet.reached_with(Faults::new(4));
-        let _node = start(store, fleet, "relay-1", 1.0).await;
+        let log = logs::discard();
+        let _node = start(store, fleet, "relay-1", 1.0, &log).await;
         sleep(LIMIT).await;
     });
     cluster.hand_in(1..10).await;
@@ -306,9 +332,14 @@
         let batch = Batch::default().put(&key, value.to_vec());
         cluster.store.commit(&batch).await.expect("a store");
     }
+    // So may what they say of how much they can schedule.
+    let strength = Batch::default().put("node/odd", b"{}".to_vec());
+    cluster.store.commit(&strength).await.expect("a store");
     let _holder = cluster.holder_cut_off().await;
     let _relay = cluster.node("relay-1", 1.0, Faults::new(4)).await;
     cluster.hand_in(1..10).await;
     cluster.wait_for_all(1..10).await;
     cluster.check_starts();
+    // Each once, though all of them are read each few seconds.
+    assert_eq!(cluster.lines.count("passed over"), odd.len() + 1);
 }
