--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -239,7 +239,7 @@
     async fn strongest(&self) -> Result<(usize, u64), Error> {
         let (_, nodes) = self.store.list(keys::NODES).await?;
         let strength = |node: &Versioned| -> Option<u64> {
-            std::str::from_utf8(&node.value).ok()?.parse().ok()
+            passed_over::read(&self.log, "strength of a node", node)
         };
         let most = nodes.iter().filter_map(strength).max();
         Ok((nodes.len(), most.unwrap_or(self.strength)))
--- a/crates/dewspard/src/jobs/relay/keep.rs
+++ b/crates/dewspard/src/jobs/relay/keep.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{link::RelayLink, workers::RelayedWorkers},
-    crate::{clock, counters},
+    crate::{clock, counters, passed_over},
     dewspar::relay::{CarriageDemand, RelayNode},
     dewspar_platform::{Error, KeyValue, Traffic, Versioned},
     metrics::gauge,
@@ -154,8 +154,8 @@
 
     /// Reads what others offer; what can't be read is passed over.
     fn read(&self, found: &[Versioned]) -> Vec<RelayNode> {
-        let read = |item: &Versioned| {
-            serde_json::from_slice::<RelayNode>(&item.value).ok()
+        let read = |item: &Versioned| -> Option<RelayNode> {
+            passed_over::read(&self.log, "offer to carry", item)
         };
         let nodes = found.iter().filter_map(read);
         nodes.filter(|node| node.name != self.node).collect()
--- a/crates/dewspard/src/passed_over.rs
+++ b/crates/dewspard/src/passed_over.rs
@@ -8,7 +8,8 @@
 
 use {
     crate::counters,
-    dewspar_platform::{TakenNotes, Unreadable, UnreadableNotes},
+    dewspar_platform::{TakenNotes, Unreadable, UnreadableNotes, Versioned},
+    serde::de::DeserializeOwned,
     slog::{Logger, warn},
     std::{sync::LazyLock, time::Duration},
     tokio::{sync::watch, time::sleep},
@@ -56,6 +57,21 @@
     counters::count_by(counters::UNREADABLE, "what", what);
 }
 
+/// Reads a record of our own; `None`, and told, for one that can't be read.
+pub(crate) fn read<T: DeserializeOwned>(
+    log: &Logger,
+    what: &'static str,
+    item: &Versioned,
+) -> Option<T> {
+    match serde_json::from_slice(&item.value) {
+        Ok(found) => Some(found),
+        Err(error) => {
+            record(log, what, &item.key, item.version, &error);
+            None
+        }
+    }
+}
+
 /// Tells of a record of our own that can't be read: a newer version of the
 /// program wrote it, or somebody else did.
 pub(crate) fn record(
