Tell VMs that a former holder took down from workers that crashed

Cause: a worker that was lost before it had named its runs counted as one that may have crashed, whatever had become of its VM. After a hand-over during a wave or a change of pools all that waited in its pool then waited until it was on record.

A VM is only ordered to move or to be maintained once its worker is empty. So where the list of VMs shows that it moves, is maintained or stands in another pool, or the record of ordered changes names it, nothing is concluded: no start counts, and the VM doesn't count as one that crashes.

Ruled out: asking the directory whether the worker had drained (the entry of one that is gone isn't there any more).

a_worker_whose_vm_was_moved_has_not_crashed and nor_has_one_whose_vm_was_ordered_to_change failed before and pass; one_whose_vm_is_down_may_have_crashed passes before and after. Not measured at the size of a large site.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -137,6 +137,7 @@
 mod stopping;
 mod storing;
 mod suspects;
+mod unseen_starts;
 mod vm;
 mod waits;
 mod wave_state;
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -27,8 +27,7 @@
 Starts count as well: the record says of a suspected task whether a run of it
 was under way, since a new holder can't know how that ended. Nor can it know
 whether a worker that it never heard of alive had just started one of the tasks
-that wait. Where there was such a worker, each task of former holders counts as
-started once, and its next start waits until that is on record.
+that wait; see [`unseen_starts`](super::unseen_starts).
 
 # Example
 
@@ -49,6 +48,7 @@
             board::{Job, Task, demand},
             crash_series::{Guest, KeptFor, likely_age_ms},
             steadiness::Steadiness,
+            unseen_starts::UnheardLoss,
             worker::{Run, Suspicion, Worker},
         },
     },
@@ -270,9 +270,8 @@
 pub(super) struct LostRuns {
     /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
-    /// The pool, if the worker was lost before it had named its runs to this
-    /// holder.
-    unheard_pool: Option<String>,
+    /// Set if the worker was lost before it had named its runs to this holder.
+    unheard: Option<UnheardLoss>,
     /// Whether the worker fell silent long before its end was known.
     was_silent: bool,
     runs: Vec<LostRun>,
@@ -298,7 +297,7 @@
         let vm = &worker.listing.vm;
         let unheard = !worker.synced && !draining;
         LostRuns {
-            unheard_pool: unheard.then(|| worker.listing.pool.clone()),
+            unheard: unheard.then(|| UnheardLoss::of(worker)),
             was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             runs: match draining {
@@ -346,9 +345,11 @@
         lost: &LostRuns,
         now: Now,
     ) {
-        if let Some(pool) = &lost.unheard_pool {
-            self.unheard_losses.insert(pool.clone());
-            self.knows_suspects = true;
+        if let Some(unheard) = &lost.unheard {
+            if self.was_taken_down(unheard, now) {
+                return;
+            }
+            self.note_unheard_loss(unheard);
         }
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         let likely_age_ms = lost.likely_age_ms();
@@ -479,20 +480,6 @@
         }
     }
 
-    /// Returns whether a former holder may have started a task on a worker
-    /// that crashed before this holder had heard of it: it waits, and nothing
-    /// is known of any run.
-    pub(super) fn may_have_crashed_unseen(
-        &self,
-        job: &Job,
-        task: &Task,
-    ) -> bool {
-        job.revision < self.lease_revision
-            && !task.crashes.are_on_record()
-            && task.run == task.ended_run
-            && self.unheard_losses.contains(&job.terms.pool)
-    }
-
     /// Puts the next start of tasks on record, before which they don't start:
     /// of those that are being found out about, and those that a former holder
     /// may have started unseen, as many of these as may start now.
