Test: what is to start first is stored first

What waits for the store before it starts is written in the order of the jobs' identifiers, among all else that has changed. Failing: what_is_to_start_first_is_stored_first (jobs 1, 2, 3, 4 for 1, 3, 4, 2).

--- a/crates/dewspar/tests/schedule/unseen_starts.rs
+++ b/crates/dewspar/tests/schedule/unseen_starts.rs
@@ -171,3 +171,24 @@
     world.run_for(200);
     assert_eq!(starts_of(&world, &first_task(id(1))), 1);
 }
+
+/// What waits for the store before it starts is written before the rest, and in
+/// the order in which it is to start.
+#[test]
+fn what_is_to_start_first_is_stored_first() {
+    let mut world = hand_over_with_a_silent_worker();
+    show_first_vm_as(&mut world, VmLife::Down);
+    for (number, priority) in [(2, 9), (3, 2), (4, 5)] {
+        let mut accepted = job(vec![step(1)]);
+        accepted.terms.priority = priority;
+        world.scheduler.submit(id(number), accepted, 6, None);
+    }
+    world.run_for(100);
+    let stored = |world: &mut World| {
+        let changes = world.scheduler.take_changes(1);
+        changes.progress.first().map(|(id, _)| *id)
+    };
+    let order: Vec<_> = (0..4).map(|_| stored(&mut world)).collect();
+    let expected = [1, 3, 4, 2].map(|number| Some(id(number)));
+    assert_eq!(order, expected);
+}
