Put starts of inherited jobs on record, with the worker that is told

Cause: a holder that is lost after a start that crashed its worker leaves no trace of it where the worker's entry has lapsed too, so its successors start the task as if for the first time.

What a holder starts of jobs that a former one accepted is few. A new holder looks at that worker: it runs the task, or answers and doesn't, which says nothing against the task, or is gone, which is a crash like one that was seen. The start before the first on record counts too. If the worker had been silent for long, the run counts as a start alone, as before.

With that a start that was announced and never ordered is known from one that was: it no longer counts, and the record isn't written anew by each holder in turn. A run that is stopped or lost on a draining worker isn't under way any more.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -106,6 +106,10 @@
     /// the holder didn't know.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub unseen: u32,
+    /// The worker that was told to start the last of these, if that is under
+    /// way; empty while none was told.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub told: Option<String>,
     /// The checkpoint to go on from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -198,7 +198,7 @@
         task.run = record.run;
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
-        task.crashes = Crashes::restored(record.crashes, record.unseen);
+        task.crashes = Crashes::restored(record);
         if record.done && !task.done {
             task.done = true;
             self.done += 1;
@@ -229,6 +229,7 @@
                 } else {
                     task.crashes.unseen_on_record()
                 },
+                told: task.told_on_record(),
                 checkpoint: if task.done {
                     String::new()
                 } else {
@@ -243,6 +244,16 @@
     }
 }
 
+impl Task {
+    /// Returns the worker that was told to start a run of which a later holder
+    /// must know, empty while none was told; `None` if there is no such run.
+    fn told_on_record(&self) -> Option<String> {
+        let wanted = !self.done && self.crashes.have_a_run_on_record();
+        let told = || self.on.last().map_or("", WorkerId::as_str);
+        wanted.then(|| told().to_owned())
+    }
+}
+
 /// Returns what a task of the step takes of a worker.
 pub(crate) fn demand(spec: &StepSpec) -> Room {
     // Best-effort tasks only use what others leave of the processor.
--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -144,7 +144,7 @@
         self.run = self.run.max(record.run);
         self.ended_run = self.ended_run.max(record.run);
         if record.crashes > self.crashes.count {
-            self.crashes = Crashes::restored(record.crashes, record.unseen);
+            self.crashes = Crashes::restored(record);
         }
     }
 }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -163,6 +163,15 @@
                 self.clear(worker_id, &task);
                 self.task_failed(worker_id, &task, now);
             }
+            // Its worker has survived it.
+            EndCause::Stopped
+            | EndCause::LeaseOver
+            | EndCause::GangBroken
+            | EndCause::GangIncomplete
+                if here =>
+            {
+                self.note_suspect_over(&task)
+            }
             EndCause::Stopped
             | EndCause::LeaseOver
             | EndCause::GangBroken
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -58,6 +58,9 @@
     pub(super) knows_suspects: bool,
     /// The pools in which a worker was lost before it had named its runs.
     pub(super) unheard_losses: BTreeSet<String>,
+    /// The starts that former holders told of, with their workers, until it is
+    /// known what became of each.
+    pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
@@ -156,6 +159,7 @@
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
+            told_starts: BTreeMap::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
@@ -247,6 +251,7 @@
             job.restore(progress);
             self.knows_suspects |=
                 progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
+            self.note_told_starts(id, progress);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
@@ -355,6 +360,7 @@
         self.link.refill(now.steady_ms);
         self.cancel_loaded(now);
         self.drop_lapsed(now);
+        self.settle_told_starts(now);
         self.look_after_runs(now, &mut actions);
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -42,7 +42,7 @@
 
 use {
     crate::{
-        job::{Phase, StepSpec, TaskId},
+        job::{Phase, StepSpec, TaskId, TaskRecord},
         schedule::{
             Decision, Now, Scheduler, WorkerId,
             board::{Job, Task, demand},
@@ -140,32 +140,95 @@
     likely: bool,
     /// Whether a run was started since, or is about to be.
     under_way: bool,
+    /// Whether that is on record though nothing speaks against the task, since
+    /// a former holder accepted it.
+    is_inherited: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
     sequence: u64,
 }
 
 impl Crashes {
     /// Makes those that a former holder stored; how old the runs were isn't.
-    pub(crate) fn restored(count: u32, unseen: u32) -> Crashes {
-        let most_age_ms = SUSPECTED_MS;
-        Crashes { count, unseen, most_age_ms, ..Crashes::default() }
+    pub(crate) fn restored(record: &TaskRecord) -> Crashes {
+        // Of a run that nobody was told to start the record says enough.
+        let announced = record.told.as_deref() == Some("");
+        let count = record.crashes;
+        let unseen = record.unseen.saturating_sub(u32::from(announced));
+        Crashes {
+            count,
+            unseen,
+            most_age_ms: SUSPECTED_MS,
+            is_inherited: announced && count == 0 && unseen == 0,
+            under_way: announced,
+            ..Crashes::default()
+        }
     }
 
     /// Makes those of a task that a former holder may have started on a worker
     /// that crashed.
     fn possible() -> Crashes {
-        Crashes::restored(0, 1)
+        let most_age_ms = SUSPECTED_MS;
+        Crashes { unseen: 1, most_age_ms, ..Crashes::default() }
     }
 
     /// Returns whether there is something that a later holder must know.
     pub(crate) fn are_on_record(&self) -> bool {
-        self.count > 0 || self.unseen > 0
+        self.count > 0 || self.unseen > 0 || self.is_inherited
+    }
+
+    /// Returns whether a later holder must know of the run that is under way.
+    pub(crate) fn have_a_run_on_record(&self) -> bool {
+        self.are_on_record() && self.under_way
     }
 
     /// Returns how many runs a later holder can't know the end of: one that
     /// is under way may have taken its worker down before that holder looks.
     pub(crate) fn unseen_on_record(&self) -> u32 {
-        self.unseen + u32::from(self.are_on_record() && self.under_way)
+        self.unseen + u32::from(self.have_a_run_on_record())
+    }
+
+    /// Notes that a run is started; returns whether the record must say so.
+    fn start(&mut self, is_inherited: bool) -> bool {
+        self.is_inherited |= is_inherited && !self.are_on_record();
+        self.under_way |= self.are_on_record();
+        self.under_way
+    }
+
+    /// Notes that the run that was under way is over, and can't have crashed
+    /// its worker; returns whether it was on record.
+    fn end(&mut self) -> bool {
+        self.is_inherited = false;
+        std::mem::take(&mut self.under_way)
+    }
+
+    /// Notes that the run that former holders told of is found where it was to
+    /// start.
+    pub(super) fn found(&mut self) {
+        self.unseen = self.unseen.saturating_sub(1);
+        self.is_inherited = !self.are_on_record();
+        self.under_way = true;
+    }
+
+    /// Notes that the run that former holders told of isn't where it was to
+    /// start, though its worker is.
+    pub(super) fn came_to_nothing(&mut self) {
+        self.unseen = self.unseen.saturating_sub(1);
+    }
+
+    /// Adds a run that former holders told of, whose worker is gone.
+    ///
+    /// The start that came before the first such run left no trace.
+    pub(super) fn add_unseen(&mut self, sequence: u64, now_ms: u64) {
+        self.came_to_nothing();
+        if !self.are_on_record() {
+            self.unseen = 1;
+        }
+        self.count += 1;
+        self.most_age_ms = SUSPECTED_MS;
+        self.noticed_ms = now_ms;
+        self.likely = false;
+        self.under_way = self.count >= TESTED_CRASHES;
+        self.sequence = sequence;
     }
 
     /// Returns whether a start waits until these crashes are stored.
@@ -188,6 +251,7 @@
         self.least_age_ms = Some(least_ms.min(run.most_age_ms));
         self.noticed_ms = now_ms;
         self.likely = likely;
+        self.is_inherited = false;
         self.under_way = self.count >= TESTED_CRASHES;
     }
 
@@ -196,6 +260,12 @@
         self.likely && self.count >= TESTED_CRASHES
     }
 
+    /// Returns how old a run can have been at most when its worker crashed, in
+    /// milliseconds.
+    pub(super) fn most_age_ms(&self) -> u64 {
+        self.most_age_ms
+    }
+
     /// Returns whether each run was lost as soon as it was started, which no
     /// VM that crashes by itself does again and again.
     fn came_at_once(&self) -> bool {
@@ -203,7 +273,7 @@
     }
 
     /// Returns whether the task has been started as often as it may.
-    fn are_too_many(&self) -> bool {
+    pub(super) fn are_too_many(&self) -> bool {
         self.count >= MOST_CRASHES
             || (self.count >= SURE_CRASHES
                 && self.count + self.unseen >= MOST_STARTS)
@@ -211,6 +281,9 @@
 
     /// Returns how long a run must live to clear its task, in milliseconds.
     fn cleared_after_ms(&self) -> u64 {
+        if self.count == 0 {
+            return SUSPECTED_MS;
+        }
         (2 * self.most_age_ms + CLEARED_MARGIN_MS).min(SUSPECTED_MS)
     }
 }
@@ -271,9 +344,11 @@
     /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
     /// Set if the worker was lost before it had named its runs to this holder.
-    unheard: Option<UnheardLoss>,
+    pub(super) unheard: Option<UnheardLoss>,
     /// Whether the worker fell silent long before its end was known.
-    was_silent: bool,
+    pub(super) was_silent: bool,
+    /// Whether the worker was about to end anyway.
+    was_draining: bool,
     runs: Vec<LostRun>,
 }
 
@@ -300,10 +375,8 @@
             unheard: unheard.then(|| UnheardLoss::of(worker)),
             was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
-            runs: match draining {
-                true => Vec::new(),
-                false => worker.runs.iter().map(lost).collect(),
-            },
+            was_draining: draining,
+            runs: worker.runs.iter().map(lost).collect(),
         }
     }
 
@@ -345,6 +418,7 @@
         lost: &LostRuns,
         now: Now,
     ) {
+        self.settle_starts_on(worker, lost, now);
         if let Some(unheard) = &lost.unheard {
             if self.was_taken_down(unheard, now) {
                 return;
@@ -354,7 +428,7 @@
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         let likely_age_ms = lost.likely_age_ms();
         for run in lost.suspects() {
-            if lost.was_silent {
+            if lost.was_silent || lost.was_draining {
                 self.note_suspect_over(&run.task);
                 continue;
             }
@@ -442,8 +516,9 @@
         }
     }
 
-    /// Notes that a suspected task is started, so that its run counts for the
-    /// next holder, which can't know how it ends; returns its crashes.
+    /// Notes that a task is started, so that its run counts for the next holder,
+    /// which can't know how it ends, if it is suspected or a former holder may
+    /// have started it before; returns its crashes.
     pub(super) fn note_suspect_started(
         &mut self,
         task: &TaskId,
@@ -459,10 +534,11 @@
             crashes: state.crashes.count,
             tested: self.is_tested(state, &job.terms.pool, now),
         };
-        if state.crashes.are_on_record() && !state.crashes.under_way {
+        let mut crashes = state.crashes;
+        if crashes.start(job.revision < self.lease_revision) {
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
-                state.crashes.under_way = true;
+                state.crashes = crashes;
             }
             self.mark_changed(task.job);
         }
@@ -475,7 +551,7 @@
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(task));
         let Some(state) = state else { return };
-        if std::mem::take(&mut state.crashes.under_way) {
+        if state.crashes.end() {
             self.mark_changed(task.job);
         }
     }
@@ -487,6 +563,10 @@
         let mut room = self.window.room();
         let mut all_are_known = !self.is_loading();
         for task in tasks {
+            // Soon it is known whether that start counts.
+            if self.told_starts.contains_key(task) {
+                continue;
+            }
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let Some(state) = job.task(task) else { continue };
             let mut crashes = state.crashes;
@@ -515,7 +595,7 @@
         }
     }
 
-    fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
+    pub(super) fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
         self.note(Decision::GivenUp { task: *task, crashes });
         self.finish(task.job, Phase::Failed, now);
     }
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -2,10 +2,21 @@
 Starts of which no holder saw how they ended.
 
 A holder that is lost right after it has ordered a start can't tell whether the
-task crashed its worker. The next one finds the worker gone before it has named
-its runs: whatever former holders had started there is unknown. So each task of
-theirs that waits in that pool counts as started once, and its next start waits
-until that is on record.
+task crashed its worker. To have each start on record would take a write a start.
+But the starts of jobs that former holders accepted are few, and among these are
+those that no holder saw the end of. So these are put on record as they are
+ordered, with the worker that was told. A holder that finds such a start looks
+at that worker:
+
+- It runs the task: all is well.
+- It answers and doesn't: the order never arrived, or the run has ended.
+- It is gone: it was lost soon after the start, as a record is cleared once a run
+  lives on. That is a crash like one that a holder has seen, and the start before
+  the first one on record counts as well, since it left no trace.
+
+What was started before anything was on record is unknown where a worker is gone
+before it has named its runs. So each task of former holders that waits in that
+pool counts as started once, and its next start waits until that is on record.
 
 A worker whose VM the former holder had taken down, to move or to maintain it,
 is gone too. It was empty, since a VM is only ordered to change once nothing
@@ -13,12 +24,34 @@
 does, and the record of the changes that were ordered names it once it is back.
 */
 
-use crate::schedule::{
-    Now, Scheduler, VmLife,
-    board::{Job, Task},
-    worker::Worker,
+use {
+    crate::{
+        job::{JobId, Progress, TaskId, TaskRecord},
+        schedule::{
+            Decision, Now, Scheduler, VmLife, WorkerId,
+            board::{Job, Task},
+            suspects::{Crashes, LostRuns},
+            worker::Worker,
+        },
+    },
+    std::mem,
 };
 
+/// What became of a start that is on record.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Outcome {
+    /// Its worker hasn't answered yet.
+    Open,
+    /// It isn't found out in time.
+    Unknown,
+    /// The run is where it was started.
+    Found,
+    /// There is no such run.
+    Nothing,
+    /// Its worker is gone.
+    Crashed,
+}
+
 /// A worker that was lost before it had named its runs to this holder.
 #[derive(Debug)]
 pub(super) struct UnheardLoss {
@@ -35,6 +68,133 @@
 }
 
 impl Scheduler {
+    /// Keeps in mind which workers former holders told to start tasks of a job.
+    pub(super) fn note_told_starts(&mut self, id: JobId, progress: &Progress) {
+        for record in progress.tasks.iter().filter(|record| !record.done) {
+            let TaskRecord { round, step, index, .. } = *record;
+            let told = record.told.as_ref().filter(|told| !told.is_empty());
+            let Some(told) = told else { continue };
+            let task = TaskId { job: id, round, step, index };
+            self.told_starts.insert(task, WorkerId::new(told));
+        }
+    }
+
+    /// Finds out what became of the starts that former holders told of.
+    pub(super) fn settle_told_starts(&mut self, now: Now) {
+        for (task, worker) in mem::take(&mut self.told_starts) {
+            match self.outcome(&task, &worker, now) {
+                Outcome::Open => {
+                    self.told_starts.insert(task, worker);
+                }
+                outcome => self.settle_start(&task, &worker, outcome, now),
+            }
+        }
+    }
+
+    /// Settles the starts on a worker that is lost.
+    pub(super) fn settle_starts_on(
+        &mut self,
+        worker: &WorkerId,
+        lost: &LostRuns,
+        now: Now,
+    ) {
+        let outcome = match &lost.unheard {
+            // What it had is known: a run that was lost counts by itself.
+            None => Outcome::Nothing,
+            Some(unheard) if self.was_taken_down(unheard, now) => {
+                Outcome::Nothing
+            }
+            // It may have lived on for long.
+            Some(_) if lost.was_silent => Outcome::Unknown,
+            Some(_) => Outcome::Crashed,
+        };
+        let here = |_: &TaskId, told: &mut WorkerId| told == worker;
+        let starts: Vec<TaskId> =
+            self.told_starts.extract_if(.., here).map(|(t, _)| t).collect();
+        for task in starts {
+            self.settle_start(&task, worker, outcome, now);
+        }
+    }
+
+    fn outcome(&self, task: &TaskId, worker: &WorkerId, now: Now) -> Outcome {
+        let Some(told) = self.workers.get(worker) else {
+            let known = self.lives_known;
+            return if known { Outcome::Crashed } else { Outcome::Open };
+        };
+        if told.runs.contains_key(task) {
+            return Outcome::Found;
+        }
+        if told.is_accounted_for() {
+            return Outcome::Nothing;
+        }
+        let settled = self.taken_over_ms + self.copy_after_ms();
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        let copies = spec.is_some_and(|spec| spec.may_duplicate);
+        if copies && now.steady_ms >= settled {
+            return Outcome::Unknown;
+        }
+        Outcome::Open
+    }
+
+    fn settle_start(
+        &mut self,
+        task: &TaskId,
+        worker: &WorkerId,
+        outcome: Outcome,
+        now: Now,
+    ) {
+        let open = |job: &Job| !job.phase.is_final();
+        let state = self.jobs.get(&task.job).filter(|job| open(job));
+        let state = state.and_then(|job| job.task(task));
+        let Some(state) = state.filter(|state| !state.done) else { return };
+        let mut crashes = state.crashes;
+        match outcome {
+            Outcome::Open | Outcome::Unknown => return,
+            Outcome::Found => crashes.found(),
+            Outcome::Nothing => {
+                crashes.came_to_nothing();
+                self.mark_changed(task.job);
+            }
+            Outcome::Crashed => {
+                let sequence = self.mark_changed(task.job);
+                crashes.add_unseen(sequence, now.steady_ms);
+            }
+        }
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+            state.crashes = crashes;
+        }
+        if outcome == Outcome::Crashed {
+            self.judge_unseen(task, worker, crashes, now);
+        }
+    }
+
+    /// Gives a task up that has crashed too many workers.
+    fn judge_unseen(
+        &mut self,
+        task: &TaskId,
+        worker: &WorkerId,
+        crashes: Crashes,
+        now: Now,
+    ) {
+        self.knows_suspects = true;
+        self.note(Decision::Suspected {
+            task: *task,
+            worker: worker.clone(),
+            crashes: crashes.count,
+            most_age_ms: crashes.most_age_ms(),
+            alone: false,
+        });
+        if crashes.are_too_many() {
+            self.give_up(task, crashes.count, now);
+        }
+    }
+
+    fn copy_after_ms(&self) -> u64 {
+        self.options.policy.placing.copy_after_ms
+    }
+
     /// Returns whether a worker is gone since a former holder moved or
     /// maintained its VM.
     pub(super) fn was_taken_down(&self, lost: &UnheardLoss, now: Now) -> bool {
--- a/crates/dewspar/tests/progress.rs
+++ b/crates/dewspar/tests/progress.rs
@@ -7,10 +7,11 @@
 
 fn record(step: u32, index: u32, kind: u8) -> TaskRecord {
     let plain = TaskRecord { step, index, ..TaskRecord::default() };
-    match kind % 4 {
+    match kind % 5 {
         0 => TaskRecord { done: true, run: 1, ..plain },
         1 => TaskRecord { done: true, run: 3, ..plain },
-        2 => TaskRecord { failed_runs: vec![1, 4], run: 4, ..plain },
+        2 => TaskRecord { unseen: 1, told: Some("w1".to_owned()), ..plain },
+        3 => TaskRecord { failed_runs: vec![1, 4], run: 4, ..plain },
         _ => TaskRecord { run: 2, checkpoint: "00ff".to_owned(), ..plain },
     }
 }
