Store first what starts wait for, in the order of these

Where a worker was lost unheard, what waits in its pool starts only once that is on record. Those changes were written among all others in the order of the jobs' identifiers, 7 a write. Now they come first, after jobs that are over, in the order in which their tasks are to start.

what_is_to_start_first_is_stored_first failed before and passes. Not measured at the size of a large site.

--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -88,6 +88,7 @@
         self.jobs.remove(&id);
         self.changed.remove(&id);
         self.storing.remove(&id);
+        self.awaited.remove(&id);
         self.drop_old_advice();
     }
 
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -45,6 +45,9 @@
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
     pub(super) storing: BTreeSet<JobId>,
+    /// The jobs whose tasks wait to start until a change is stored, with the
+    /// number of the first such change.
+    pub(super) awaited: BTreeMap<JobId, u64>,
     /// How many changes there were.
     pub(super) sequence: u64,
     /// Final jobs whose keys are still kept, with when they became final.
@@ -152,6 +155,7 @@
             workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
+            awaited: BTreeMap::new(),
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -30,23 +30,26 @@
 
 impl Scheduler {
     /// Takes what changed and isn't being stored, at most `most` jobs; those
-    /// that are over come first, since callers wait for them.
+    /// that are over come first, since callers wait for them, then those for
+    /// which starts wait, in the order of these.
     ///
     /// Call [`Scheduler::changes_stored`] or [`Scheduler::changes_failed`]
     /// once the outcome is known. Several may be under way at a time: no job
     /// is in two of them.
     pub fn take_changes(&mut self, most: usize) -> Changes {
-        let mut ids: Vec<(bool, JobId)> = self
+        let mut ids: Vec<(bool, u64, JobId)> = self
             .changed
             .difference(&self.storing)
             .filter_map(|id| {
                 let job = self.jobs.get(id)?;
-                Some((!job.phase.is_final(), *id))
+                let awaited = self.awaited.get(id).copied();
+                let turn = awaited.unwrap_or(u64::MAX);
+                Some((!job.phase.is_final(), turn, *id))
             })
             .collect();
         ids.sort_unstable();
         let mut progress = Vec::new();
-        for (_, id) in ids.into_iter().take(most) {
+        for (_, _, id) in ids.into_iter().take(most) {
             self.changed.remove(&id);
             self.storing.insert(id);
             if let Some(job) = self.jobs.get(&id) {
@@ -73,6 +76,7 @@
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
             self.storing.remove(id);
+            self.note_awaited_stored(id, changes.sequence);
             if progress.phase.is_final() {
                 self.finished.insert(*id, progress.finished_at_ms);
                 self.jobs.remove(id);
@@ -91,6 +95,18 @@
         }
     }
 
+    /// Notes that a start waits until a change of its job is stored.
+    pub(super) fn await_change(&mut self, id: JobId, sequence: u64) {
+        self.awaited.entry(id).or_insert(sequence);
+    }
+
+    fn note_awaited_stored(&mut self, id: &JobId, sequence: u64) {
+        let awaited = self.awaited.get(id);
+        if awaited.is_some_and(|change| *change <= sequence) {
+            self.awaited.remove(id);
+        }
+    }
+
     /// Puts changes back that couldn't be stored.
     pub fn changes_failed(&mut self, changes: &Changes) {
         for (id, _) in &changes.progress {
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -583,6 +583,7 @@
             }
             crashes.under_way = true;
             crashes.sequence = self.mark_changed(task.job);
+            self.await_change(task.job, crashes.sequence);
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
                 state.crashes = crashes;
