Put on record only the starts of what was ready when the holder took over

A step that became ready under this lease can't have been started by a former holder, so its starts say nothing that a successor must know: a job of a dozen steps has one or two such starts and not a dozen. The same holds for what waits where a worker was lost unheard. Left by this: a successor that a former holder started before it had stored the end of the step before.

What became of starts on record is looked up without building the list anew with each plan.

--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -92,6 +92,21 @@
         }
     }
 
+    /// Notes that a former holder may have started what is ready by now.
+    pub(crate) fn note_may_have_begun(&mut self) {
+        for steps in &mut self.rounds {
+            let done: Vec<bool> = steps.iter().map(Step::is_done).collect();
+            for (step, spec) in steps.iter_mut().zip(&self.spec.steps) {
+                if !spec.after.iter().all(|earlier| done[*earlier]) {
+                    continue;
+                }
+                for task in &mut step.tasks {
+                    task.crashes.may_have_begun = true;
+                }
+            }
+        }
+    }
+
     /// Returns what a later holder must know.
     pub(crate) fn progress(&self) -> Progress {
         let mut tasks = Vec::new();
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -163,19 +163,15 @@
                 self.clear(worker_id, &task);
                 self.task_failed(worker_id, &task, now);
             }
-            // Its worker has survived it.
             EndCause::Stopped
             | EndCause::LeaseOver
             | EndCause::GangBroken
-            | EndCause::GangIncomplete
-                if here =>
-            {
-                self.note_suspect_over(&task)
+            | EndCause::GangIncomplete => {
+                // Its worker has survived it; another run may be under way.
+                if here {
+                    self.note_suspect_over(&task);
+                }
             }
-            EndCause::Stopped
-            | EndCause::LeaseOver
-            | EndCause::GangBroken
-            | EndCause::GangIncomplete => {}
         }
         let sequence = self.mark_changed(task.job);
         self.acknowledge(worker_id, end, sequence, now);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -259,6 +259,8 @@
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
+        } else {
+            job.note_may_have_begun();
         }
         self.jobs.insert(id, job);
     }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -140,9 +140,10 @@
     likely: bool,
     /// Whether a run was started since, or is about to be.
     under_way: bool,
-    /// Whether that is on record though nothing speaks against the task, since
-    /// a former holder accepted it.
-    is_inherited: bool,
+    /// Whether a former holder may have started the task without a trace.
+    pub(super) may_have_begun: bool,
+    /// Whether the run under way is on record for that alone.
+    is_told: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
     sequence: u64,
 }
@@ -158,7 +159,7 @@
             count,
             unseen,
             most_age_ms: SUSPECTED_MS,
-            is_inherited: announced && count == 0 && unseen == 0,
+            is_told: announced && count == 0 && unseen == 0,
             under_way: announced,
             ..Crashes::default()
         }
@@ -173,7 +174,7 @@
 
     /// Returns whether there is something that a later holder must know.
     pub(crate) fn are_on_record(&self) -> bool {
-        self.count > 0 || self.unseen > 0 || self.is_inherited
+        self.count > 0 || self.unseen > 0 || self.is_told
     }
 
     /// Returns whether a later holder must know of the run that is under way.
@@ -188,8 +189,8 @@
     }
 
     /// Notes that a run is started; returns whether the record must say so.
-    fn start(&mut self, is_inherited: bool) -> bool {
-        self.is_inherited |= is_inherited && !self.are_on_record();
+    fn start(&mut self) -> bool {
+        self.is_told |= self.may_have_begun && !self.are_on_record();
         self.under_way |= self.are_on_record();
         self.under_way
     }
@@ -197,7 +198,7 @@
     /// Notes that the run that was under way is over, and can't have crashed
     /// its worker; returns whether it was on record.
     fn end(&mut self) -> bool {
-        self.is_inherited = false;
+        self.is_told = false;
         std::mem::take(&mut self.under_way)
     }
 
@@ -205,7 +206,7 @@
     /// start.
     pub(super) fn found(&mut self) {
         self.unseen = self.unseen.saturating_sub(1);
-        self.is_inherited = !self.are_on_record();
+        self.is_told = !self.are_on_record();
         self.under_way = true;
     }
 
@@ -251,7 +252,7 @@
         self.least_age_ms = Some(least_ms.min(run.most_age_ms));
         self.noticed_ms = now_ms;
         self.likely = likely;
-        self.is_inherited = false;
+        self.is_told = false;
         self.under_way = self.count >= TESTED_CRASHES;
     }
 
@@ -535,7 +536,7 @@
             tested: self.is_tested(state, &job.terms.pool, now),
         };
         let mut crashes = state.crashes;
-        if crashes.start(job.revision < self.lease_revision) {
+        if crashes.start() {
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
                 state.crashes = crashes;
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -3,10 +3,10 @@
 
 A holder that is lost right after it has ordered a start can't tell whether the
 task crashed its worker. To have each start on record would take a write a start.
-But the starts of jobs that former holders accepted are few, and among these are
-those that no holder saw the end of. So these are put on record as they are
-ordered, with the worker that was told. A holder that finds such a start looks
-at that worker:
+But what waits when a holder takes over is little, and among it is all whose last
+start no holder saw the end of. So the starts of these tasks are put on record as
+they are ordered, with the worker that was told. A holder that finds such a start
+looks at that worker:
 
 - It runs the task: all is well.
 - It answers and doesn't: the order never arrived, or the run has ended.
@@ -15,8 +15,9 @@
   the first one on record counts as well, since it left no trace.
 
 What was started before anything was on record is unknown where a worker is gone
-before it has named its runs. So each task of former holders that waits in that
-pool counts as started once, and its next start waits until that is on record.
+before it has named its runs. So each task that waited in that pool when the
+holder took over counts as started once, and its next start waits until that is
+on record.
 
 A worker whose VM the former holder had taken down, to move or to maintain it,
 is gone too. It was empty, since a VM is only ordered to change once nothing
@@ -24,17 +25,14 @@
 does, and the record of the changes that were ordered names it once it is back.
 */
 
-use {
-    crate::{
-        job::{JobId, Progress, TaskId, TaskRecord},
-        schedule::{
-            Decision, Now, Scheduler, VmLife, WorkerId,
-            board::{Job, Task},
-            suspects::{Crashes, LostRuns},
-            worker::Worker,
-        },
+use crate::{
+    job::{JobId, Progress, TaskId, TaskRecord},
+    schedule::{
+        Decision, Now, Scheduler, VmLife, WorkerId,
+        board::{Job, Task},
+        suspects::{Crashes, LostRuns},
+        worker::Worker,
     },
-    std::mem,
 };
 
 /// What became of a start that is on record.
@@ -81,12 +79,13 @@
 
     /// Finds out what became of the starts that former holders told of.
     pub(super) fn settle_told_starts(&mut self, now: Now) {
-        for (task, worker) in mem::take(&mut self.told_starts) {
-            match self.outcome(&task, &worker, now) {
-                Outcome::Open => {
-                    self.told_starts.insert(task, worker);
-                }
-                outcome => self.settle_start(&task, &worker, outcome, now),
+        let settled = self.told_starts.iter().filter_map(|(task, worker)| {
+            let outcome = self.outcome(task, worker, now);
+            (outcome != Outcome::Open).then_some((*task, outcome))
+        });
+        for (task, outcome) in settled.collect::<Vec<_>>() {
+            if let Some(worker) = self.told_starts.remove(&task) {
+                self.settle_start(&task, &worker, outcome, now);
             }
         }
     }
@@ -219,7 +218,7 @@
         job: &Job,
         task: &Task,
     ) -> bool {
-        job.revision < self.lease_revision
+        task.crashes.may_have_begun
             && !task.crashes.are_on_record()
             && task.run == task.ended_run
             && self.unheard_losses.contains(&job.terms.pool)
