Test: a start that was announced and never ordered doesn't count

A sound task that was lost twice had its third start announced by four holders in turn, none of which could reach a worker; it was given up when it was lost a third time. Fails on (job failed), passes since starts on record name the worker that was told.

--- a/crates/dewspar/tests/schedule/unseen_starts.rs
+++ b/crates/dewspar/tests/schedule/unseen_starts.rs
@@ -192,3 +192,41 @@
     let expected = [1, 3, 4, 2].map(|number| Some(id(number)));
     assert_eq!(order, expected);
 }
+
+/// Lets the worker crash that is told to start something next.
+fn crash_next_start(world: &mut World) {
+    let starts = world.starts.len();
+    while world.starts.len() == starts {
+        world.run_for(50);
+    }
+    let (worker, _) = &world.starts[starts];
+    let here = |listing: &&WorkerListing| listing.id == *worker;
+    let vm = world.listings.iter().find(here).map(|l| l.vm.clone());
+    world.crash_vm(&vm.expect("OK because it was listed to be told"));
+}
+
+/// A sound task that was lost twice waits for its third start under holders that
+/// can't reach any worker. Each of them announced that start, so that five seemed
+/// to have been when it was lost a third time.
+#[test]
+fn a_start_that_was_announced_and_never_ordered_does_not_count() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.told_after_ms = Some(100);
+    world.list();
+    world.expect_all();
+    let jobs = [id(1)];
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    crash_next_start(&mut world);
+    crash_next_start(&mut world);
+    world.cut = world.listings.iter().map(|w| w.id.clone()).collect();
+    world.run_for(200);
+    for revision in [8, 10, 12, 14] {
+        take_over_without_trace(&mut world, revision, &jobs);
+        world.run_for(200);
+    }
+    world.cut.clear();
+    crash_next_start(&mut world);
+    world.run_for(60_000);
+    assert_eq!(world.phases[&id(1)], "completed");
+}
