--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -99,6 +99,21 @@
         }
     }
 
+    /// Notes that a former holder may have started what is ready by now.
+    pub(crate) fn note_may_have_begun(&mut self) {
+        for steps in &mut self.rounds {
+            let done: Vec<bool> = steps.iter().map(Step::is_done).collect();
+            for (step, spec) in steps.iter_mut().zip(&self.spec.steps) {
+                if !spec.after.iter().all(|earlier| done[*earlier]) {
+                    continue;
+                }
+                for task in &mut step.tasks {
+                    task.crashes.may_have_begun = true;
+                }
+            }
+        }
+    }
+
     /// Returns what a later holder must know.
     pub(crate) fn progress(&self) -> Progress {
         let mut tasks = Vec::new();
@@ -206,7 +221,7 @@
         task.run = record.run;
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
-        task.crashes = Crashes::restored(record.crashes, record.unseen);
+        task.crashes = Crashes::restored(record);
         task.other = record.other.clone();
         if record.done && !task.done {
             task.done = true;
@@ -241,6 +256,7 @@
                 } else {
                     task.crashes.unseen_on_record()
                 },
+                told: task.told_on_record(),
                 checkpoint: if task.done {
                     String::new()
                 } else {
@@ -256,6 +272,16 @@
     }
 }
 
+impl Task {
+    /// Returns the worker that was told to start a run of which a later holder
+    /// must know, empty while none was told; `None` if there is no such run.
+    fn told_on_record(&self) -> Option<String> {
+        let wanted = !self.done && self.crashes.have_a_run_on_record();
+        let told = || self.on.last().map_or("", WorkerId::as_str);
+        wanted.then(|| told().to_owned())
+    }
+}
+
 /// Returns what a task of the step takes of a worker.
 pub(crate) fn demand(spec: &StepSpec) -> Room {
     // Best-effort tasks only use what others leave of the processor.
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -168,7 +168,12 @@
             EndCause::Stopped
             | EndCause::LeaseOver
             | EndCause::GangBroken
-            | EndCause::GangIncomplete => {}
+            | EndCause::GangIncomplete => {
+                // Its worker has survived it; another run may be under way.
+                if here {
+                    self.note_suspect_over(&task);
+                }
+            }
         }
         let sequence = self.mark_changed(task.job);
         self.acknowledge(worker_id, end, sequence, now);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -51,6 +51,9 @@
     pub(super) changed: BTreeSet<JobId>,
     /// Jobs whose progress is being stored.
     pub(super) storing: BTreeSet<JobId>,
+    /// The jobs whose tasks wait to start until a change is stored, with the
+    /// number of the first such change.
+    pub(super) awaited: BTreeMap<JobId, u64>,
     /// How many changes there were.
     pub(super) sequence: u64,
     /// Final jobs whose keys are still kept, with when they became final.
@@ -68,6 +71,9 @@
     pub(super) knows_suspects: bool,
     /// The pools in which a worker was lost before it had named its runs.
     pub(super) unheard_losses: BTreeSet<String>,
+    /// The starts that former holders told of, with their workers, until it is
+    /// known what became of each.
+    pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
@@ -162,6 +168,7 @@
             workers: Workers::default(),
             changed: BTreeSet::new(),
             storing: BTreeSet::new(),
+            awaited: BTreeMap::new(),
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
@@ -170,6 +177,7 @@
             lapsed_lives: BTreeMap::new(),
             knows_suspects: false,
             unheard_losses: BTreeSet::new(),
+            told_starts: BTreeMap::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
@@ -251,9 +259,12 @@
             job.restore(progress);
             self.knows_suspects |=
                 progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
+            self.note_told_starts(id, progress);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
+        } else {
+            job.note_may_have_begun();
         }
         self.jobs.insert(id, job);
     }
@@ -359,6 +370,7 @@
         self.link.refill(now.steady_ms);
         self.cancel_loaded(now);
         self.drop_lapsed(now);
+        self.settle_told_starts(now);
         self.look_after_runs(now, &mut actions);
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
--- a/crates/dewspar/src/schedule/set_aside.rs
+++ b/crates/dewspar/src/schedule/set_aside.rs
@@ -110,6 +110,7 @@
         self.jobs.remove(&id);
         self.changed.remove(&id);
         self.storing.remove(&id);
+        self.awaited.remove(&id);
         // Else they are acknowledged with the next write of other jobs.
         for worker in self.workers.values_mut() {
             worker.hear_again(id);
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -18,6 +18,7 @@
 mod runs;
 mod small_link;
 mod takeover;
+mod unseen_starts;
 mod waiting;
 mod waves;
 mod world;
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -100,6 +100,8 @@
     pub stops_take_ms: u64,
     /// The runs that are being stopped, and until when.
     stopping: Vec<(u64, WorkerId, StopOrder)>,
+    /// Whether orders to start get lost on their way.
+    pub loses_starts: bool,
     /// Whether the store is out of reach.
     pub outage: bool,
     /// What was stored of each job.
@@ -132,6 +134,7 @@
             told: Vec::new(),
             stops_take_ms: 0,
             stopping: Vec::new(),
+            loses_starts: false,
             outage: false,
             stored: BTreeMap::new(),
             phases: BTreeMap::new(),
@@ -282,7 +285,9 @@
                 };
                 let kind = self.kinds.get(&order.task.job).copied();
                 let RunKind { demand, fate } = kind.unwrap_or(usual);
-                let result = match self.reach(&worker) {
+                let lost = self.loses_starts;
+                let reached = self.reach(&worker).filter(|_| !lost);
+                let result = match reached {
                     Some(reached) => {
                         reached.start(clock, &order, demand, fate)
                     }
