Tell what keeps the VMs of a wave that are left

No line of the log said why: a bound on how many are taken at a time, a task without another place, a silent worker, a record of orders that is written slowly all look alike.

Once a second each VM that is left is counted once, under what it waits for next, beside the figures by which VMs are chosen, and why nothing at all is ordered, if so. Two waves a look at most. Tests of dewspar and dewspard pass. No decision changes: the arithmetic of the choice moved into a function of its own as it was.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -110,10 +110,9 @@
     /// carried out whoever sends them.
     pub fn plan_vms(&mut self, now: Now) -> Vec<VmOrder> {
         let mut orders = Vec::new();
-        let newest = self.vms_asked_ms + self.options.vm_list_age_ms;
-        // What the list said long ago isn't so any more.
-        let outdated = now.steady_ms > newest;
-        if self.superseded || outdated || !self.knows_what_runs() {
+        let hindrance = self.hindrance(now);
+        self.tell_waves(hindrance, now);
+        if hindrance.is_some() {
             return orders;
         }
         self.measure_pools(now);
@@ -130,6 +129,22 @@
         orders
     }
 
+    /// Returns why nothing is ordered of the VM service, if so.
+    fn hindrance(&self, now: Now) -> Option<&'static str> {
+        let newest = self.vms_asked_ms + self.options.vm_list_age_ms;
+        if self.superseded {
+            return Some("a worker has seen a newer holder");
+        }
+        // What the list said long ago isn't so any more.
+        if now.steady_ms > newest {
+            return Some("the list of VMs is outdated");
+        }
+        if !self.knows_what_runs() {
+            return Some("what runs isn't known");
+        }
+        None
+    }
+
     /// Returns the VMs of which changes were ordered a short while ago, by
     /// `holder` or before it; the next holder must leave them alone at first.
     pub fn ordered_vms(&mut self, now: Now, holder: &Orderer) -> OrderedVms {
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -17,6 +17,7 @@
         schedule::{
             Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
             VmOrderError, WaveRecord, WaveRequest, WorkerId,
+            wave_account::WaveTold,
             wave_state::WaveState,
             worker::{Purpose, RunState, Worker},
         },
@@ -38,11 +39,26 @@
 
 /// How much of a pool may be in use for its VMs to be taken while there is
 /// time to wait, in hundredths.
-const CALM_PERCENT: u64 = 70;
+pub(super) const CALM_PERCENT: u64 = 70;
 
 /// How much more time than needed there must be to wait for a calm pool.
 const SLACK: u64 = 2;
 
+/// By what the VMs of a wave are chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WavePace {
+    /// The time left for choosing VMs, in milliseconds.
+    pub left_ms: u64,
+    /// What those that are left take one after the other, in milliseconds.
+    pub needed_ms: u64,
+    /// How many are to be under way at once.
+    pub parallel: usize,
+    /// How many are: being emptied, or down.
+    pub under_way: usize,
+    /// Whether there is time to wait for a calm pool.
+    pub may_wait: bool,
+}
+
 impl Scheduler {
     /// Takes over the waves that are asked for, each with what was kept of it
     /// before this node took over.
@@ -79,6 +95,7 @@
                 ordered: BTreeMap::new(),
                 missing: BTreeMap::new(),
                 reported: false,
+                told: WaveTold::default(),
                 completed: completed.contains(&request.wave),
             };
             self.waves.insert(request.wave, state);
@@ -193,7 +210,7 @@
 
     /// Returns whether a VM may be down by an order of a former holder: it
     /// is, or it was ordered of late and the order may yet be carried out.
-    fn may_be_down(&self, vm: &str, now: Now) -> bool {
+    pub(super) fn may_be_down(&self, vm: &str, now: Now) -> bool {
         let known = self.vms.get(vm);
         known.is_some_and(|vm| vm.life == VmLife::Maintenance)
             || self.was_ordered_before(vm, now)
@@ -219,7 +236,6 @@
     /// Begins to empty more workers, as many as the time left asks for.
     fn empty_more(&mut self, wave: u64, now: Now) {
         let Some(state) = self.waves.get(&wave) else { return };
-        let under_way = state.down.len() + self.emptying_for(wave, state);
         let remaining: Vec<&String> = state.remaining().collect();
         let eligible: Vec<&Worker> = remaining
             .iter()
@@ -238,29 +254,45 @@
             self.empty(&id, Purpose::Maintenance(wave), now);
             return;
         }
-        let left_ms = state.left_ms(now);
-        let needed_ms = remaining.len() as u64 * CYCLE_MS;
-        let parallel = needed_ms.div_ceil(left_ms.max(1));
-        let most = state.request.max_down;
-        let parallel = usize::try_from(parallel).unwrap_or(most);
-        let parallel = parallel.clamp(1, most.max(1));
-        if under_way >= parallel {
+        let pace = self.wave_pace(wave, state, now);
+        if pace.under_way >= pace.parallel {
             return;
         }
-        let may_wait = needed_ms * SLACK < left_ms * parallel as u64;
         let next = eligible.into_iter().min_by_key(|worker| {
             let pool = &worker.listing.pool;
             (self.pool_percent_without(pool, 1), worker.used().cpu_millis)
         });
         let Some(worker) = next else { return };
         let percent = self.pool_percent_without(&worker.listing.pool, 1);
-        if may_wait && percent > CALM_PERCENT {
+        if pace.may_wait && percent > CALM_PERCENT {
             return;
         }
         let id = worker.id().clone();
         self.empty(&id, Purpose::Maintenance(wave), now);
     }
 
+    /// Returns by what the VMs of a wave are chosen now.
+    pub(super) fn wave_pace(
+        &self,
+        wave: u64,
+        state: &WaveState,
+        now: Now,
+    ) -> WavePace {
+        let left_ms = state.left_ms(now);
+        let needed_ms = state.remaining().count() as u64 * CYCLE_MS;
+        let parallel = needed_ms.div_ceil(left_ms.max(1));
+        let most = state.request.max_down;
+        let parallel = usize::try_from(parallel).unwrap_or(most);
+        let parallel = parallel.clamp(1, most.max(1));
+        WavePace {
+            left_ms,
+            needed_ms,
+            parallel,
+            under_way: state.down.len() + self.emptying_for(wave, state),
+            may_wait: needed_ms * SLACK < left_ms * parallel as u64,
+        }
+    }
+
     /// Counts the workers that are being emptied and aren't down yet.
     fn emptying_for(&self, wave: u64, state: &WaveState) -> usize {
         let purpose = Some(Purpose::Maintenance(wave));
@@ -357,7 +389,7 @@
     }
 
     /// Counts the other tasks of a long-running step that aren't at work.
-    fn down_in_step(&self, task: &TaskId, id: &WorkerId) -> usize {
+    pub(super) fn down_in_step(&self, task: &TaskId, id: &WorkerId) -> usize {
         let Some(job) = self.jobs.get(&task.job) else { return 0 };
         let Some(step) = job.step(task) else { return 0 };
         let at_work = |index: u32| {
@@ -380,7 +412,12 @@
     }
 
     /// Returns whether another worker could take a task now.
-    fn has_other_place(&self, task: &TaskId, id: &WorkerId, now: Now) -> bool {
+    pub(super) fn has_other_place(
+        &self,
+        task: &TaskId,
+        id: &WorkerId,
+        now: Now,
+    ) -> bool {
         self.place_for(task, now).is_some_and(|worker| worker != id)
     }
 
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -92,6 +92,7 @@
 
 pub use self::{
     duty::{OrderedVms, Orderer, PastOrder},
+    maintenance::WavePace,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, OrderError,
@@ -104,6 +105,7 @@
     scheduler::Scheduler,
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
+    wave_account::{LeftVms, WaveAccount, WaveTime},
 };
 
 use {
@@ -139,6 +141,7 @@
 mod suspects;
 mod vm;
 mod waits;
+mod wave_account;
 mod wave_state;
 mod worker;
 mod workers;
@@ -462,6 +465,13 @@
         /// What waits for room, in thousandths of a core.
         waiting_cpu: u64,
     },
+    /// A wave goes on, or its time is over.
+    WaveGoesOn {
+        /// The wave's number.
+        wave: u64,
+        /// How far it has come, and what keeps its VMs.
+        account: WaveAccount,
+    },
     /// A worker's life is over.
     WorkerGone {
         /// The worker.
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -5,6 +5,7 @@
 use {
     crate::schedule::{
         ManagedVm, Now, VmLife, VmOrderError, WaveRecord, WaveRequest,
+        wave_account::WaveTold,
     },
     std::collections::BTreeMap,
 };
@@ -37,6 +38,8 @@
     pub(super) missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
     pub(super) reported: bool,
+    /// When it was last told of.
+    pub(super) told: WaveTold,
     pub(super) completed: bool,
 }
 
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -17,5 +17,6 @@
 mod small_link;
 mod takeover;
 mod waiting;
+mod wave_accounts;
 mod waves;
 mod world;
--- a/crates/dewspar/tests/schedule/waves.rs
+++ b/crates/dewspar/tests/schedule/waves.rs
@@ -15,7 +15,7 @@
 
 /// A world in which a long-running step of four tasks runs on five workers
 /// and all of their VMs are to be maintained.
-fn world_with_wave(revision: u64) -> World {
+pub fn world_with_wave(revision: u64) -> World {
     let mut world = World::new(revision, &["w1", "w2", "w3", "w4", "w5"]);
     world.list();
     world.expect_all();
@@ -52,7 +52,7 @@
 
 /// Plans maintenance for 50 ms; a VM that goes down is back at once, with a
 /// new life of its worker. Returns whether the wave was completed.
-fn maintain_for_a_while(world: &mut World) -> bool {
+pub fn maintain_for_a_while(world: &mut World) -> bool {
     let now = at(world.now_ms);
     let mut completed = false;
     for order in world.scheduler.plan_vms(now) {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -79,6 +79,8 @@
         "Nodes on the roster that aren't suspected.";
     FLEET_STEPS, "counter", "dewspar_fleet_steps_total", Some("step"),
         "Steps taken on VMs and tasks, by kind.";
+    LATE_VMS, "counter", "dewspar_wave_late_vms_total", Some("reason"),
+        "VMs left when their wave's time was over, by what kept them.";
     FLEET_CONFLICTS, "counter", "dewspar_fleet_conflicts_total", None,
         "Fleet and pool documents that another node had changed first.";
     JOB_CALLS, "counter", "dewspar_job_calls_total", Some("outcome"),
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::counters,
-    dewspar::schedule::Decision,
+    dewspar::schedule::{Decision, LeftVms, WaveAccount, WaveTime},
     slog::{Logger, info, warn},
 };
 
@@ -117,6 +117,9 @@
                 "vms" => vms, "used_cpu" => used_cpu,
                 "forecast_cpu" => forecast_cpu, "waiting_cpu" => waiting_cpu);
         }
+        Decision::WaveGoesOn { wave, account } => {
+            record_wave(log, *wave, account);
+        }
         Decision::WorkerGone { worker, reason } => {
             warn!(log, "worker: gone"; "worker" => %worker,
                 "reason" => reason);
@@ -136,3 +139,35 @@
         other => info!(log, "holder: decided"; "decision" => ?other),
     }
 }
+
+/// Logs what keeps the VMs of a wave, and counts those that are late.
+fn record_wave(log: &Logger, wave: u64, account: &WaveAccount) {
+    let WaveAccount { vms, begun, down, room, pace, left, .. } = account;
+    let line = match account.time {
+        WaveTime::Left => "wave: goes on",
+        WaveTime::Over => "wave: its time is over",
+        WaveTime::LongOver => "wave: late",
+    };
+    info!(log, "{}", line; "wave" => wave, "vms" => vms, "begun" => begun,
+        "left" => left.total(), "down" => down, "room" => room,
+        "looks" => account.looks, "hindrance" => account.hindrance,
+        "left_ms" => pace.left_ms,
+        "needed_ms" => pace.needed_ms, "parallel" => pace.parallel,
+        "under_way" => pace.under_way, "may_wait" => pace.may_wait,
+        "kept_by" => kept_by(left));
+    if account.time != WaveTime::Over {
+        return;
+    }
+    for (reason, vms) in left.by_reason() {
+        counters::add_by(counters::LATE_VMS, "reason", reason, vms as u64);
+    }
+}
+
+/// Names what keeps VMs, each with how many.
+fn kept_by(left: &LeftVms) -> String {
+    let kept = left.by_reason();
+    let kept = kept.iter().filter(|(_, vms)| *vms > 0);
+    let kept: Vec<String> =
+        kept.map(|(reason, vms)| format!("{reason} {vms}")).collect();
+    kept.join(", ")
+}
