A VM that moves on is back from its maintenance

Cause: a VM counted as down until a list showed it up; one that is moved as soon as its worker is back is shown on its way for 1.5 s more, and again if it moves again. A VM can only be ordered to move while it is up, so one that moves has been back. An older list may show it on its way from before only if it was asked for before the order, as with one that is up.

--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -130,8 +130,10 @@
     ) {
         self.down.retain(|name, since_ms| {
             let Some(vm) = vms.get(name) else { return false };
+            // A VM that moves has been back, though no list showed it up.
+            let back = matches!(vm.life, VmLife::Up | VmLife::Moving);
             // An older list may still show it as it was before.
-            !(vm.life == VmLife::Up && asked_ms > *since_ms)
+            !(back && asked_ms > *since_ms)
         });
         self.note_missing(asked_ms, vms);
     }
