Failing: what changed first is stored first

Changes are taken by the jobs' identifiers: those of the last ones are passed over as long as the first ones change again.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -15,6 +15,7 @@
 mod rooms;
 mod runs;
 mod small_link;
+mod storing;
 mod takeover;
 mod waiting;
 mod wave_accounts;
