Store changes of jobs in the order in which they came

Cause: changes were taken by the jobs' identifiers, so where more jobs change than are written, the last ones wait until the first ones rest. Now each job keeps the number of its first change that isn't stored, also when a write fails, and the lowest goes first; jobs that are over go before all, as before.

--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -42,9 +42,12 @@
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
     pub(super) workers: Workers,
-    pub(super) changed: BTreeSet<JobId>,
-    /// Jobs whose progress is being stored.
-    pub(super) storing: BTreeSet<JobId>,
+    /// Jobs whose progress is to be stored, each with the number of the first
+    /// change that isn't.
+    pub(super) changed: BTreeMap<JobId, u64>,
+    /// Jobs whose progress is being stored, each with the first change that it
+    /// holds.
+    pub(super) storing: BTreeMap<JobId, u64>,
     /// How many changes there were.
     pub(super) sequence: u64,
     /// Final jobs whose keys are still kept, with when they became final.
@@ -147,8 +150,8 @@
             loading: Loading::Done,
             cancelled: Cancelled::default(),
             workers: Workers::default(),
-            changed: BTreeSet::new(),
-            storing: BTreeSet::new(),
+            changed: BTreeMap::new(),
+            storing: BTreeMap::new(),
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
@@ -496,7 +499,7 @@
     pub(super) fn mark_changed(&mut self, id: JobId) -> u64 {
         self.sequence += 1;
         if self.jobs.contains_key(&id) {
-            self.changed.insert(id);
+            self.changed.entry(id).or_insert(self.sequence);
         }
         self.sequence
     }
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -30,25 +30,27 @@
 
 impl Scheduler {
     /// Takes what changed and isn't being stored, at most `most` jobs; those
-    /// that are over come first, since callers wait for them.
+    /// that are over come first, since callers wait for them, then those whose
+    /// change has waited for longest.
     ///
     /// Call [`Scheduler::changes_stored`] or [`Scheduler::changes_failed`]
     /// once the outcome is known. Several may be under way at a time: no job
     /// is in two of them.
     pub fn take_changes(&mut self, most: usize) -> Changes {
-        let mut ids: Vec<(bool, JobId)> = self
-            .changed
-            .difference(&self.storing)
-            .filter_map(|id| {
-                let job = self.jobs.get(id)?;
-                Some((!job.phase.is_final(), *id))
+        // In no fixed order of jobs: where more change all the time than can
+        // be stored, the last ones never would be.
+        let mut ids: Vec<(bool, u64, JobId)> = self
+            .unstored()
+            .filter_map(|(id, since)| {
+                let job = self.jobs.get(&id)?;
+                Some((!job.phase.is_final(), since, id))
             })
             .collect();
         ids.sort_unstable();
         let mut progress = Vec::new();
-        for (_, id) in ids.into_iter().take(most) {
+        for (_, since, id) in ids.into_iter().take(most) {
             self.changed.remove(&id);
-            self.storing.insert(id);
+            self.storing.insert(id, since);
             if let Some(job) = self.jobs.get(&id) {
                 progress.push((id, job.progress()));
             }
@@ -58,17 +60,25 @@
 
     /// Returns whether there is anything to store that isn't being stored.
     pub fn has_changes(&self) -> bool {
-        self.changed.difference(&self.storing).next().is_some()
+        self.unstored().next().is_some()
     }
 
     /// Returns whether a job that is over waits to be stored.
     pub fn has_final_changes(&self) -> bool {
-        let mut waiting = self.changed.difference(&self.storing);
-        waiting.any(|id| {
-            self.jobs.get(id).is_some_and(|job| job.phase.is_final())
+        self.unstored().any(|(id, _)| {
+            self.jobs.get(&id).is_some_and(|job| job.phase.is_final())
         })
     }
 
+    /// Returns the jobs that changed and aren't being stored, each with its
+    /// first change that isn't.
+    fn unstored(&self) -> impl Iterator<Item = (JobId, u64)> {
+        let waiting = self.changed.iter();
+        waiting
+            .filter(|(id, _)| !self.storing.contains_key(id))
+            .map(|(id, since)| (*id, *since))
+    }
+
     /// Notes that changes are in the store.
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
@@ -94,9 +104,9 @@
     /// Puts changes back that couldn't be stored.
     pub fn changes_failed(&mut self, changes: &Changes) {
         for (id, _) in &changes.progress {
-            self.storing.remove(id);
+            let since = self.storing.remove(id).unwrap_or(changes.sequence);
             if self.jobs.contains_key(id) {
-                self.changed.insert(*id);
+                self.changed.insert(*id, since);
             }
         }
     }
