Failing: a VM is brought for a task that has no other place

A pool without a place for a task that waits gets another VM; one that is kept from leaving gets none, since nothing waits.

--- a/crates/dewspar/tests/schedule/waves_in_time.rs
+++ b/crates/dewspar/tests/schedule/waves_in_time.rs
@@ -6,9 +6,15 @@
 //! look, and a node that is busy looks 11 to 20 times a second.
 
 use {
-    crate::world::{ROOM, World, at, managed},
-    dewspar::schedule::{ManagedVm, VmLife, VmOrder, WaveRequest, WorkerId},
-    dewspar_standin::task_worker::TaskWorker,
+    crate::{
+        pools::{move_of_spare, vm_orders},
+        world::{POOL, ROOM, World, at, id, job, listing, managed, step},
+    },
+    dewspar::{
+        job::StepSpec,
+        schedule::{ManagedVm, VmLife, VmOrder, WaveRequest, WorkerId},
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -186,3 +192,43 @@
         assert!(!wave.completed);
     }
 }
+
+#[test]
+fn a_vm_is_brought_for_a_task_that_has_no_other_place() {
+    // One VM of 572 was left when its wave was due: its pool had no other
+    // place for the last of six tasks that it held, for five seconds, and
+    // got no VM, since nothing waited.
+    let mut world = World::new(5, &["w1", "w2", "w4", "w5", "w6"]);
+    let mut spare = listing("w3");
+    spare.pool = "off".to_owned();
+    world.listings.push(spare);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.run_for(100);
+    world.fate = Fate::endless();
+    // It lacks memory, of which its size says nothing.
+    let long = StepSpec {
+        long_running: true,
+        memory_mb: 3_000,
+        cpu_millis: 100,
+        ..step(5)
+    };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.running().len(), 5);
+    let request = WaveRequest {
+        wave: 1,
+        vms: vec!["vm-of-w1".to_owned()],
+        duration_ms: 10_000,
+        max_down: 1,
+    };
+    let (now, none) = (at(world.now_ms), BTreeMap::new());
+    world.scheduler.request_waves(now, &[request], &none, &[]);
+    // The holder orders nothing before a former one's stops are over.
+    world.run_for(2_000);
+    let orders: Vec<VmOrder> = vm_orders(&mut world);
+    assert!(orders.contains(&move_of_spare()), "{orders:?}");
+    assert_eq!(world.running().len(), 5);
+}
