Bring a VM for a task that has no other place

A pool that has no other place for what an emptied worker holds now gets one VM more than it has, as one whose tasks wait. Looked for 5 times a second, as often as pools are sized.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -117,6 +117,7 @@
         }
         self.measure_pools(now);
         self.maintain(now, &mut orders);
+        self.note_displaced(now);
         self.size_pools(now, &mut orders);
         self.empty_workers(now);
         for order in &orders {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -119,6 +119,7 @@
 mod cancelled;
 mod crash_series;
 mod directory;
+mod displaced;
 mod duty;
 mod forecast;
 mod full_pools;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -10,6 +10,7 @@
             board::Job,
             cancelled::Cancelled,
             crash_series::{CrashSeries, KeptFor},
+            displaced::Displaced,
             forecast::Arrivals,
             jobs::Jobs,
             loading::Loading,
@@ -96,6 +97,8 @@
     /// The pools that have no place for some task which another VM could
     /// hold, and since when.
     pub(super) without_place: BTreeMap<String, u64>,
+    /// The pools that have no other place for what is to leave.
+    pub(super) displaced: Displaced,
     /// What workers and VMs have room for, each kind once.
     pub(super) capacities: Vec<Room>,
     /// What the adviser has said, by the first task of each step.
@@ -179,6 +182,7 @@
             unguarded_pools: BTreeSet::new(),
             pool_loads: BTreeMap::new(),
             without_place: BTreeMap::new(),
+            displaced: Displaced::default(),
             capacities: Vec::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -248,7 +248,9 @@
     /// Returns how many VMs a pool needs that has no place for some task:
     /// one more than it has, whatever it lacks.
     fn need_for_place(&self, pool: &str, now: Now) -> u64 {
-        let since_ms = self.without_place.get(pool);
+        let waits = self.without_place.get(pool).copied();
+        let leaves = self.displaced.since_ms(pool);
+        let since_ms = waits.into_iter().chain(leaves).min();
         let long = since_ms.is_some_and(|since| {
             now.steady_ms >= since + self.sizing().without_place_ms
         });
