--- a/crates/dewspar/tests/schedule/waves_in_time.rs
+++ b/crates/dewspar/tests/schedule/waves_in_time.rs
@@ -232,3 +232,51 @@
     assert!(orders.contains(&move_of_spare()), "{orders:?}");
     assert_eq!(world.running().len(), 5);
 }
+
+/// A wave of 400 VMs on 40 of which tasks are to last, one on each.
+fn wave_with_lasting_tasks() -> (Wave, BTreeSet<String>) {
+    let mut wave = Wave::of(400, 200, 20_000);
+    let long = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        max_unavailable: 8,
+        ..step(40)
+    };
+    wave.world.fate = Fate::endless();
+    wave.world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    wave.world.run_for(500);
+    assert_eq!(wave.world.running().len(), 40);
+    // The holder stops nothing before a former one's stops are over.
+    wave.world.run_for(2_000);
+    wave.begun_ms = wave.world.now_ms;
+    let starts = wave.world.starts.iter();
+    let vms = starts.map(|(worker, _)| format!("vm-of-{worker}")).collect();
+    (wave, vms)
+}
+
+#[test]
+fn tasks_that_are_to_last_leave_all_along_a_wave() {
+    // They took longest to leave and were left for the end. There the peak
+    // of their queue took each place that they could have gone to.
+    let (mut wave, lasting) = wave_with_lasting_tasks();
+    while wave.world.now_ms < wave.begun_ms + 8_000 {
+        wave.look(50);
+    }
+    let left = wave.begun.intersection(&lasting).count();
+    assert!(left >= 10, "{left} of 40 by the middle");
+    wave.go_on(50);
+    assert_eq!(wave.begun.len(), 400);
+}
+
+#[test]
+fn tasks_that_are_to_last_move_once_in_a_wave() {
+    let (mut wave, _) = wave_with_lasting_tasks();
+    wave.go_on(50);
+    assert_eq!(wave.begun.len(), 400);
+    let mut starts = BTreeMap::new();
+    for (_, order) in &wave.world.starts {
+        *starts.entry(order.task).or_insert(0) += 1;
+    }
+    let again = starts.values().filter(|starts| **starts > 2).count();
+    assert_eq!(again, 0, "tasks moved more than once");
+}
