Spread VMs with tasks that are to last over the whole wave

Cause: of one pool, the workers with least in use came first, so those that hold such tasks came last, together, and met whatever state their pool was in.

Now each pool's go on by a pace of their own, as many at a time as four seconds each take of the time left, while every such task on a worker can leave and has a place on a VM that the wave won't take from it; other VMs are chosen as before. Such a task goes to such a VM first wherever it is placed.

--- a/crates/dewspar/src/schedule/displaced.rs
+++ b/crates/dewspar/src/schedule/displaced.rs
@@ -86,9 +86,23 @@
         let Some(spec) = job.and_then(|job| job.step_spec(task)) else {
             return false;
         };
-        let spare = spec.max_unavailable.max(1) as usize;
         spec.long_running
-            && self.down_in_step(task, worker.id()) < spare
+            && !self.is_kept_by_step(task, worker)
             && !self.has_other_place(task, worker.id(), now)
     }
+
+    /// Returns whether too many others of a task's step are away for it to
+    /// leave its worker.
+    pub(super) fn is_kept_by_step(
+        &self,
+        task: &TaskId,
+        worker: &Worker,
+    ) -> bool {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        spec.is_some_and(|spec| {
+            let spare = spec.max_unavailable.max(1) as usize;
+            self.down_in_step(task, worker.id()) >= spare
+        })
+    }
 }
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -378,7 +378,10 @@
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
                 let avoided = state.avoid.contains(worker.id());
-                (!avoided, score(worker), worker.id())
+                // What is to last would have to leave again.
+                let leaves = spec.long_running
+                    && self.awaits_maintenance(&worker.listing.vm);
+                (!avoided, !leaves, score(worker), worker.id())
             })
     }
 
--- a/crates/dewspar/src/schedule/wave_account.rs
+++ b/crates/dewspar/src/schedule/wave_account.rs
@@ -341,8 +341,7 @@
         if now.steady_ms < self.taken_over_ms + self.options.stop_settle_ms {
             return Kept::Settling;
         }
-        let spare = spec.max_unavailable.max(1) as usize;
-        if self.down_in_step(task, worker.id()) >= spare {
+        if self.is_kept_by_step(task, worker) {
             Kept::Step
         } else if self.has_other_place(task, worker.id(), now) {
             Kept::Stopping
--- a/crates/dewspar/src/schedule/wave_choice.rs
+++ b/crates/dewspar/src/schedule/wave_choice.rs
@@ -9,13 +9,22 @@
 
 Which ones follows from how busy their pools are, so that a pool at its peak
 keeps its workers; of one pool, those with the least in use come first.
+
+Tasks that are to last leave one after the other, and only while there is
+another place for them. Left for the end, all of them want one at once, perhaps
+in a peak of their queue. So workers that hold some are spread over the whole
+time, each pool's by themselves, and are taken while their tasks can go to a VM
+that the wave won't take from them again.
 */
 
 use {
-    crate::schedule::{
-        Now, Scheduler, WorkerId,
-        wave_state::WaveState,
-        worker::{Purpose, Worker},
+    crate::{
+        job::TaskId,
+        schedule::{
+            Now, Scheduler, WorkerId,
+            wave_state::WaveState,
+            worker::{Purpose, Worker},
+        },
     },
     std::collections::BTreeMap,
 };
@@ -35,6 +44,15 @@
 /// what is due after a longer one would leave the pools all at once.
 const LONGEST_GAP_MS: u64 = 1_000;
 
+/// How long a VM with tasks that are to last takes to be emptied, in
+/// milliseconds: some six of them stop within a second each, some at a time.
+const LASTING_MS: u64 = 4_000;
+
+/// How many such VMs of a pool are looked at for one that can be emptied, at
+/// each look: what each of its tasks could go to is looked for among all
+/// workers of the pool.
+const LASTING_TRIES: usize = 4;
+
 /// By what the VMs of a wave are chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct WavePace {
@@ -57,6 +75,10 @@
 struct PoolChoice<'a> {
     /// Those that are left, the next one last.
     workers: Vec<&'a Worker>,
+    /// Those of them that hold tasks that are to last, the next one first.
+    lasting: Vec<&'a Worker>,
+    /// How many such workers are being emptied.
+    lasting_under_way: u64,
     /// How many were chosen at this look.
     chosen: u64,
 }
@@ -124,6 +146,11 @@
         let mut pools: BTreeMap<&str, PoolChoice> = BTreeMap::new();
         for worker in self.workers.values() {
             let vm = &worker.listing.vm;
+            if worker.emptying == Some(Purpose::Maintenance(wave)) {
+                let pool = pools.entry(&worker.listing.pool).or_default();
+                pool.lasting_under_way +=
+                    u64::from(self.holds_lasting(worker));
+            }
             let eligible = worker.emptying.is_none()
                 && worker.synced
                 && worker.silent_since_ms.is_none()
@@ -142,9 +169,18 @@
         }
         for pool in pools.values_mut() {
             pool.workers.sort_by_key(|worker| worker.used().cpu_millis);
+            let lasting = pool.workers.iter().copied();
+            pool.lasting = lasting.filter(|w| self.holds_lasting(w)).collect();
             pool.workers.reverse();
         }
-        for _ in 0..pace.due {
+        let mut due = pace.due;
+        for pool in pools.values_mut().take(due) {
+            if let Some(worker) = self.next_lasting(pool, pace.left_ms, now) {
+                chosen.push(worker.id().clone());
+                due -= 1;
+            }
+        }
+        for _ in 0..due {
             let Some(worker) = self.next_of(&mut pools, pace.may_wait) else {
                 break;
             };
@@ -171,4 +207,52 @@
         choice.chosen += 1;
         choice.workers.pop()
     }
+
+    /// Takes a worker with tasks that are to last out of its pool, if one is
+    /// due and its tasks can leave now.
+    fn next_lasting<'a>(
+        &self,
+        pool: &mut PoolChoice<'a>,
+        left_ms: u64,
+        now: Now,
+    ) -> Option<&'a Worker> {
+        let left = pool.lasting.len() as u64 + pool.lasting_under_way;
+        let parallel = (left * LASTING_MS).div_ceil(left_ms);
+        if pool.lasting_under_way >= parallel {
+            return None;
+        }
+        let mut tried = pool.lasting.iter().take(LASTING_TRIES);
+        let worker = tried
+            .copied()
+            .find(|worker| self.may_leave_for_good(worker, now))?;
+        pool.workers.retain(|other| other.id() != worker.id());
+        pool.chosen += 1;
+        Some(worker)
+    }
+
+    /// Returns whether a worker holds a task that is to last.
+    fn holds_lasting(&self, worker: &Worker) -> bool {
+        worker.runs.keys().any(|task| self.is_to_last(task))
+    }
+
+    fn is_to_last(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        spec.is_some_and(|spec| spec.long_running)
+    }
+
+    /// Returns whether each task that is to last can leave a worker now, for a
+    /// VM that it won't have to leave again.
+    fn may_leave_for_good(&self, worker: &Worker, now: Now) -> bool {
+        let stays = |id: &WorkerId| {
+            let place = self.workers.get(id);
+            place.is_some_and(|p| !self.awaits_maintenance(&p.listing.vm))
+        };
+        let mut lasting =
+            worker.runs.keys().filter(|task| self.is_to_last(task));
+        lasting.all(|task| {
+            !self.is_kept_by_step(task, worker)
+                && self.place_for(task, now).is_some_and(stays)
+        })
+    }
 }
