--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -105,6 +105,8 @@
     set_aside::{EndSetAside, EndsSetAside},
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
+    wave_account::{LeftVms, WaveAccount, WaveTime},
+    wave_choice::WavePace,
 };
 
 use {
@@ -144,6 +146,8 @@
 mod unseen_starts;
 mod vm;
 mod waits;
+mod wave_account;
+mod wave_choice;
 mod wave_state;
 mod worker;
 mod workers;
@@ -467,6 +471,13 @@
         /// What waits for room, in thousandths of a core.
         waiting_cpu: u64,
     },
+    /// A wave goes on, or its time is over.
+    WaveGoesOn {
+        /// The wave's number.
+        wave: u64,
+        /// How far it has come, and what keeps its VMs.
+        account: WaveAccount,
+    },
     /// A worker's life is over.
     WorkerGone {
         /// The worker.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -48,9 +48,12 @@
     /// The jobs that can't be read, and the ends of their runs.
     pub(super) set_aside: SetAside,
     pub(super) workers: Workers,
-    pub(super) changed: BTreeSet<JobId>,
-    /// Jobs whose progress is being stored.
-    pub(super) storing: BTreeSet<JobId>,
+    /// Jobs whose progress is to be stored, each with the number of the first
+    /// change that isn't.
+    pub(super) changed: BTreeMap<JobId, u64>,
+    /// Jobs whose progress is being stored, each with the first change that it
+    /// holds.
+    pub(super) storing: BTreeMap<JobId, u64>,
     /// The jobs whose tasks wait to start until a change is stored, with the
     /// number of the first such change.
     pub(super) awaited: BTreeMap<JobId, u64>,
@@ -166,8 +169,8 @@
             cancelled: Cancelled::default(),
             set_aside: SetAside::default(),
             workers: Workers::default(),
-            changed: BTreeSet::new(),
-            storing: BTreeSet::new(),
+            changed: BTreeMap::new(),
+            storing: BTreeMap::new(),
             awaited: BTreeMap::new(),
             sequence: 0,
             finished: BTreeMap::new(),
@@ -509,7 +512,7 @@
     pub(super) fn mark_changed(&mut self, id: JobId) -> u64 {
         self.sequence += 1;
         if self.jobs.contains_key(&id) {
-            self.changed.insert(id);
+            self.changed.entry(id).or_insert(self.sequence);
         }
         self.sequence
     }
--- /dev/null
+++ b/crates/dewspar/src/schedule/wave_choice.rs
@@ -0,0 +1,259 @@
+/*!
+Which VMs of a wave are emptied next, and how many at a time.
+
+A wave has an end, and a most that may be down. Between them lies a *pace*: as
+many VMs a second as are left for each second that is left. Faster would take
+more from the pools at once than need be; slower ends late. What is due by the
+pace is chosen at each look, however long ago the last look was: a node that is
+busy looks seldom.
+
+Which ones follows from how busy their pools are, so that a pool at its peak
+keeps its workers; of one pool, those with the least in use come first.
+
+Tasks that are to last leave one after the other, and only while there is
+another place for them. Left for the end, all of them want one at once, perhaps
+in a peak of their queue. So workers that hold some are spread over the whole
+time, each pool's by themselves, and are taken while their tasks can go to a VM
+that the wave won't take from them again.
+*/
+
+use {
+    crate::{
+        job::TaskId,
+        schedule::{
+            Now, Scheduler, WorkerId,
+            wave_state::WaveState,
+            worker::{Purpose, Worker},
+        },
+    },
+    std::collections::BTreeMap,
+};
+
+/// How long a VM takes from being chosen to being back, in milliseconds:
+/// short tasks to their end, the maintenance itself, and the directory.
+const CYCLE_MS: u64 = 6_000;
+
+/// How much of a pool may be in use for its VMs to be taken while there is
+/// time to wait, in hundredths.
+pub(super) const CALM_PERCENT: u64 = 70;
+
+/// How much more time than needed there must be to wait for a calm pool.
+const SLACK: u64 = 2;
+
+/// The longest time between two looks that is made up for, in milliseconds:
+/// what is due after a longer one would leave the pools all at once.
+const LONGEST_GAP_MS: u64 = 1_000;
+
+/// How long a VM with tasks that are to last takes to be emptied, in
+/// milliseconds: some six of them stop within a second each, some at a time.
+const LASTING_MS: u64 = 4_000;
+
+/// How many such VMs of a pool are looked at for one that can be emptied, at
+/// each look: what each of its tasks could go to is looked for among all
+/// workers of the pool.
+const LASTING_TRIES: usize = 4;
+
+/// By what the VMs of a wave are chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct WavePace {
+    /// The time left for choosing VMs, in milliseconds.
+    pub left_ms: u64,
+    /// What those that are left take one after the other, in milliseconds.
+    pub needed_ms: u64,
+    /// How many may be under way at once.
+    pub parallel: usize,
+    /// How many are: being emptied, or down.
+    pub under_way: usize,
+    /// How many are due to be chosen at this look.
+    pub due: usize,
+    /// Whether there is time to wait for a calm pool.
+    pub may_wait: bool,
+}
+
+/// The workers of one pool that may be chosen.
+#[derive(Default)]
+struct PoolChoice<'a> {
+    /// Those that are left, the next one last.
+    workers: Vec<&'a Worker>,
+    /// Those of them that hold tasks that are to last, the next one first.
+    lasting: Vec<&'a Worker>,
+    /// How many such workers are being emptied.
+    lasting_under_way: u64,
+    /// How many were chosen at this look.
+    chosen: u64,
+}
+
+impl Scheduler {
+    /// Begins to empty more workers, as many as the time left asks for.
+    pub(super) fn empty_more(&mut self, wave: u64, now: Now) {
+        let Some(state) = self.waves.get(&wave) else { return };
+        let chosen = self.chosen_for(wave, state, now);
+        for id in &chosen {
+            self.empty(id, Purpose::Maintenance(wave), now);
+        }
+        if let Some(state) = self.waves.get_mut(&wave) {
+            state.chosen_ms = now.steady_ms;
+        }
+    }
+
+    /// Returns by what the VMs of a wave are chosen now.
+    pub(super) fn wave_pace(
+        &self,
+        wave: u64,
+        state: &WaveState,
+        now: Now,
+    ) -> WavePace {
+        let left_ms = state.left_ms(now);
+        let left = state.remaining().count() as u64;
+        let needed_ms = left * CYCLE_MS;
+        let parallel = needed_ms.div_ceil(left_ms);
+        let most = state.request.max_down;
+        let parallel = usize::try_from(parallel).unwrap_or(most);
+        let parallel = parallel.clamp(1, most.max(1));
+        let under_way = state.down.len() + self.emptying_for(wave, state);
+        let gap_ms = now.steady_ms.saturating_sub(state.chosen_ms);
+        let due = (left * gap_ms.min(LONGEST_GAP_MS)).div_ceil(left_ms);
+        let due = usize::try_from(due.max(1)).unwrap_or(most);
+        WavePace {
+            left_ms,
+            needed_ms,
+            parallel,
+            under_way,
+            due: due.min(parallel.saturating_sub(under_way)),
+            may_wait: needed_ms * SLACK < left_ms * parallel as u64,
+        }
+    }
+
+    /// Counts the workers that are being emptied and aren't down yet.
+    fn emptying_for(&self, wave: u64, state: &WaveState) -> usize {
+        let purpose = Some(Purpose::Maintenance(wave));
+        let emptying = self.workers.values().filter(|worker| {
+            worker.emptying == purpose
+                && !state.down.contains_key(&worker.listing.vm)
+        });
+        emptying.count()
+    }
+
+    /// Chooses the workers that are emptied now.
+    fn chosen_for(
+        &self,
+        wave: u64,
+        state: &WaveState,
+        now: Now,
+    ) -> Vec<WorkerId> {
+        let pace = self.wave_pace(wave, state, now);
+        let mut chosen = Vec::new();
+        let mut pools: BTreeMap<&str, PoolChoice> = BTreeMap::new();
+        for worker in self.workers.values() {
+            let vm = &worker.listing.vm;
+            if worker.emptying == Some(Purpose::Maintenance(wave)) {
+                let pool = pools.entry(&worker.listing.pool).or_default();
+                pool.lasting_under_way +=
+                    u64::from(self.holds_lasting(worker));
+            }
+            let eligible = worker.emptying.is_none()
+                && !worker.keeps_room()
+                && worker.synced
+                && worker.silent_since_ms.is_none()
+                && state.awaits(vm);
+            if !eligible {
+                continue;
+            }
+            // One that was ordered takes the room of others until another
+            // order shows whether the first was carried out.
+            if state.is_ordered(vm) {
+                chosen.push(worker.id().clone());
+                continue;
+            }
+            let pool = pools.entry(&worker.listing.pool).or_default();
+            pool.workers.push(worker);
+        }
+        for pool in pools.values_mut() {
+            pool.workers.sort_by_key(|worker| worker.used().cpu_millis);
+            let lasting = pool.workers.iter().copied();
+            pool.lasting = lasting.filter(|w| self.holds_lasting(w)).collect();
+            pool.workers.reverse();
+        }
+        let mut due = pace.due;
+        for pool in pools.values_mut().take(due) {
+            if let Some(worker) = self.next_lasting(pool, pace.left_ms, now) {
+                chosen.push(worker.id().clone());
+                due -= 1;
+            }
+        }
+        for _ in 0..due {
+            let Some(worker) = self.next_of(&mut pools, pace.may_wait) else {
+                break;
+            };
+            chosen.push(worker.id().clone());
+        }
+        chosen
+    }
+
+    /// Takes the next worker out of the pool that misses one least.
+    fn next_of<'a>(
+        &self,
+        pools: &mut BTreeMap<&'a str, PoolChoice<'a>>,
+        may_wait: bool,
+    ) -> Option<&'a Worker> {
+        let left = pools.iter_mut().filter(|(_, p)| !p.workers.is_empty());
+        let percents = left.map(|(pool, choice)| {
+            (self.pool_percent_without(pool, choice.chosen + 1), choice)
+        });
+        let (percent, choice) =
+            percents.min_by_key(|(percent, _)| *percent)?;
+        if may_wait && percent > CALM_PERCENT {
+            return None;
+        }
+        choice.chosen += 1;
+        choice.workers.pop()
+    }
+
+    /// Takes a worker with tasks that are to last out of its pool, if one is
+    /// due and its tasks can leave now.
+    fn next_lasting<'a>(
+        &self,
+        pool: &mut PoolChoice<'a>,
+        left_ms: u64,
+        now: Now,
+    ) -> Option<&'a Worker> {
+        let left = pool.lasting.len() as u64 + pool.lasting_under_way;
+        let parallel = (left * LASTING_MS).div_ceil(left_ms);
+        if pool.lasting_under_way >= parallel {
+            return None;
+        }
+        let tried = pool.lasting.iter().take(LASTING_TRIES);
+        let worker = tried
+            .copied()
+            .find(|worker| self.may_leave_for_good(worker, now))?;
+        pool.workers.retain(|other| other.id() != worker.id());
+        pool.chosen += 1;
+        Some(worker)
+    }
+
+    /// Returns whether a worker holds a task that is to last.
+    fn holds_lasting(&self, worker: &Worker) -> bool {
+        worker.runs.keys().any(|task| self.is_to_last(task))
+    }
+
+    fn is_to_last(&self, task: &TaskId) -> bool {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        spec.is_some_and(|spec| spec.long_running)
+    }
+
+    /// Returns whether each task that is to last can leave a worker now, for a
+    /// VM that it won't have to leave again.
+    fn may_leave_for_good(&self, worker: &Worker, now: Now) -> bool {
+        let stays = |id: &WorkerId| {
+            let place = self.workers.get(id);
+            place.is_some_and(|p| !self.awaits_maintenance(&p.listing.vm))
+        };
+        let mut lasting =
+            worker.runs.keys().filter(|task| self.is_to_last(task));
+        lasting.all(|task| {
+            !self.is_kept_by_step(task, worker.id())
+                && self.place_for(task, now).is_some_and(stays)
+        })
+    }
+}
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -5,6 +5,7 @@
 use {
     crate::schedule::{
         ManagedVm, Now, VmLife, VmOrderError, WaveRecord, WaveRequest,
+        wave_account::WaveTold,
     },
     std::collections::{BTreeMap, HashSet},
 };
@@ -25,12 +26,14 @@
 #[derive(Debug)]
 pub(super) struct WaveState {
     pub(super) request: WaveRequest,
-    /// The VMs that are asked for, to look one up.
-    pub(super) asked_for: HashSet<String>,
     /// What is kept of it in the store.
     pub(super) record: WaveRecord,
+    /// All of its VMs.
+    pub(super) members: HashSet<String>,
     /// When it ends, on the steady clock.
     pub(super) end_ms: u64,
+    /// When VMs were chosen last.
+    pub(super) chosen_ms: u64,
     /// The VMs that are down for it, each with since when.
     pub(super) down: BTreeMap<String, u64>,
     /// The VMs with an order that isn't known to be done.
@@ -39,6 +42,8 @@
     pub(super) missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
     pub(super) reported: bool,
+    /// When it was last told of.
+    pub(super) told: WaveTold,
     pub(super) completed: bool,
 }
 
@@ -65,9 +70,9 @@
         self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
     }
 
-    /// Returns whether a VM is still to be maintained for it.
+    /// Returns whether a VM is still to go down for it.
     pub(super) fn awaits(&self, vm: &str) -> bool {
-        self.asked_for.contains(vm) && !self.record.done.contains(vm)
+        self.members.contains(vm) && !self.record.done.contains(vm)
     }
 
     /// Returns the time left for choosing VMs.
@@ -125,8 +130,10 @@
     ) {
         self.down.retain(|name, since_ms| {
             let Some(vm) = vms.get(name) else { return false };
+            // A VM that moves has been back, though no list showed it up.
+            let back = matches!(vm.life, VmLife::Up | VmLife::Moving);
             // An older list may still show it as it was before.
-            !(vm.life == VmLife::Up && asked_ms > *since_ms)
+            !(back && asked_ms > *since_ms)
         });
         self.note_missing(asked_ms, vms);
     }
--- a/crates/dewspar/tests/schedule/waves.rs
+++ b/crates/dewspar/tests/schedule/waves.rs
@@ -15,7 +15,7 @@
 
 /// A world in which a long-running step of four tasks runs on five workers
 /// and all of their VMs are to be maintained.
-fn world_with_wave(revision: u64) -> World {
+pub fn world_with_wave(revision: u64) -> World {
     let mut world = World::new(revision, &["w1", "w2", "w3", "w4", "w5"]);
     world.list();
     world.expect_all();
