Test: a stop waits behind more questions than the node can send

cancelling::a_stop_does_not_wait_behind_more_questions_than_the_node_can_send fails: 1,375 ms for 300, with 400 workers and 240 orders a second.

--- a/crates/dewspar/tests/schedule/cancelling.rs
+++ b/crates/dewspar/tests/schedule/cancelling.rs
@@ -447,3 +447,35 @@
     chain.holders_for(GOES_ON_MS);
     assert!(!chain.runs(1));
 }
+
+/// How long a stop may wait for its turn, in milliseconds: a third of what a
+/// worker may take for it.
+const STOP_WAITS_MS: u64 = 300;
+
+// A node that sends 240 orders a second asked each of 400 workers as soon as it
+// had answered, so that more than a second's worth of questions was always under
+// way, and a stop behind them.
+#[test]
+fn a_stop_does_not_wait_behind_more_questions_than_the_node_can_send() {
+    let names: Vec<String> = (0..400).map(|n| format!("w{n:03}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut chain = Chain::new(&names);
+    chain.world.fate = Fate::endless();
+    chain.submit(2, job(vec![step(1_599)]));
+    chain.schedule_for(3_000);
+    chain.submit(1, job(vec![step(1)]));
+    chain.schedule_for(500);
+    assert!(chain.runs(1));
+    chain.orders_a_plan = 6;
+    // Longer than any lease.
+    chain.schedule_for(20_000);
+    chain.cancel(1);
+    let cancelled_ms = chain.world.now_ms;
+    while chain.runs(1) {
+        chain.schedule_for(25);
+    }
+    let waited_ms = chain.world.now_ms - cancelled_ms;
+    assert!(waited_ms <= STOP_WAITS_MS, "{waited_ms} ms");
+    let others = chain.world.running().len();
+    assert_eq!(others, 1_599, "nothing else ends");
+}
