Test of relays beside a lease that may be over: wait for its runs

In one run of all tests it failed for want of runs: the outage began before the holder had heard of the jobs, since an earlier batch had already taken what was waited for. It now waits until they run and are asked about; what is checked is the same.

--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -593,7 +593,9 @@
     cluster.wait_for_all(1..10).await;
     cluster.fleet.set_work_ms(60_000);
     cluster.hand_in(10..12).await;
-    until(async || carried.load(Ordering::Relaxed) > 1_000).await;
+    until(async || !cluster.fleet.running().is_empty()).await;
+    let begun = carried.load(Ordering::Relaxed);
+    until(async || carried.load(Ordering::Relaxed) > begun).await;
     cluster.store.faults().set_outage(true);
     sleep(UNCERTAIN).await;
     let before = carried.load(Ordering::Relaxed);
