Fewer questions are under way where they are late

Cause: each worker is asked again as soon as it has answered. With 400 workers and 240 orders a second all of them have a question that waits for its turn, and a stop waits behind these.

Where more than 16 questions, and an eighth of those under way, are late by 100 ms, half as many may be under way, and an eighth more each 200 ms after that; those that renew leases always go.

Ruled out: sending none while some are late. All workers then are due at once and the next burst is as long (1,550 ms).

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -131,6 +131,7 @@
 mod place;
 mod policy;
 mod projection;
+mod questions;
 mod records;
 mod report;
 mod scheduler;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -15,6 +15,7 @@
             jobs::Jobs,
             loading::Loading,
             place::Candidates,
+            questions::Questions,
             set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
@@ -124,6 +125,8 @@
     pub(super) window: CallWindow,
     /// What this node's link carries of orders.
     pub(super) link: LinkBudget,
+    /// The questions under way.
+    pub(super) questions: Questions,
     /// The worker that is asked first; `None` before any is listed.
     asked_first: Option<WorkerId>,
     /// How long workers may gather ends, while the processor is short.
@@ -143,6 +146,7 @@
         Scheduler {
             window,
             link,
+            questions: Questions::default(),
             asked_first: None,
             busy: BusyPause::default(),
             runs_looked_at_ms: 0,
@@ -574,16 +578,23 @@
         }
         // Stable: those that are alike keep the order of their identifiers.
         due.sort_by_key(|(class, due_ms, _)| (*class, *due_ms));
+        let mut room = self.room_for_questions(now);
         for (class, _, number) in due {
             if !self.link.allows(class) {
                 return;
             }
+            // Those that renew leases come first.
+            if room == 0 && class != Class::Renewal {
+                return;
+            }
+            room = room.saturating_sub(1);
             let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.let_wait(patient);
             let hold = hold(worker, false, now, &self.options);
-            if hold.is_some() {
+            if let Some(Action::Hold { held, .. }) = &hold {
                 let bytes = worker.question_bytes(self.link.order_bytes());
                 self.link.sent(class, bytes);
+                self.questions.sent(number, held);
             }
             actions.extend(hold);
         }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -204,6 +204,8 @@
     /// When everything on it is certainly over unless the lease is renewed.
     pub(crate) lease_over_ms: u64,
     hold_in_flight: bool,
+    /// When the newest question was sent that isn't under a new token.
+    asked_ms: u64,
     fence_hold_in_flight: bool,
     next_hold_ms: u64,
     /// Until when it is left alone so that it gathers what it has to tell.
@@ -274,6 +276,7 @@
             confirmed_until_ms: 0,
             lease_over_ms: now_ms + options.inherited_lease_ms(),
             hold_in_flight: false,
+            asked_ms: 0,
             fence_hold_in_flight: false,
             next_hold_ms: 0,
             left_alone_ms: 0,
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -121,6 +121,7 @@
             self.fence_hold_in_flight = true;
         } else {
             self.hold_in_flight = true;
+            self.asked_ms = now_ms;
         }
         let order = HoldOrder {
             fence: self.fence(),
@@ -131,6 +132,12 @@
         Some(OwedHold { order, fencing })
     }
 
+    /// Returns whether the question that was sent to it at this time has no
+    /// answer yet.
+    pub(crate) fn is_asked_since(&self, sent_ms: u64) -> bool {
+        self.hold_in_flight && self.asked_ms == sent_ms
+    }
+
     /// Sets whether it may wait longer for an end before it answers.
     pub(crate) fn let_wait(&mut self, patient: bool) {
         self.patient = patient;
