--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -134,6 +134,7 @@
 mod places;
 mod policy;
 mod projection;
+mod questions;
 mod records;
 mod report;
 mod scheduler;
