--- a/crates/dewspar/src/schedule/wave_choice.rs
+++ b/crates/dewspar/src/schedule/wave_choice.rs
@@ -221,7 +221,7 @@
         if pool.lasting_under_way >= parallel {
             return None;
         }
-        let mut tried = pool.lasting.iter().take(LASTING_TRIES);
+        let tried = pool.lasting.iter().take(LASTING_TRIES);
         let worker = tried
             .copied()
             .find(|worker| self.may_leave_for_good(worker, now))?;
