Test: two workers that are lost unheard may be two starts

A holder whose store was out of reach started a task twice, each start crashed its worker, and none of that was on record. Its successor found both workers lost and counted one start for it: six in all. Failing: two_workers_lost_unheard_may_be_two_starts (6 starts).

--- a/crates/dewspar/tests/schedule/unseen_starts.rs
+++ b/crates/dewspar/tests/schedule/unseen_starts.rs
@@ -230,3 +230,35 @@
     world.run_for(60_000);
     assert_eq!(world.phases[&id(1)], "completed");
 }
+
+/// A holder whose store was out of reach started a task twice, and nothing of that
+/// was on record. Its successor found two workers lost and counted one start: 6 in
+/// all.
+///
+/// ```text
+/// started again: 00000000000000c8.0.0.0, 6 crashes
+/// ```
+#[test]
+fn two_workers_lost_unheard_may_be_two_starts() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.told_after_ms = Some(100);
+    world.list();
+    world.expect_all();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.outage = true;
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    while world.crashes < 2 {
+        world.run_for(50);
+    }
+    world.take_over(8);
+    world.outage = false;
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.list();
+    world.expect_all();
+    world.run_for(60_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+}
