Count each worker that was lost unheard as a start, two at most

Cause: a holder whose store is out of reach may start a task twice before it must wait, and its record of the first crash doesn't get through. Its successor finds two workers gone before they have named their runs, and counted one start for both.

Now each counts, up to two, also where the second is found later. Two, since no holder starts a task a third time before two crashes are on record.

Ruled out: a restart after one crash only once that is on record (sound tasks would wait for as long as the store is out).

two_workers_lost_unheard_may_be_two_starts: 6 starts before, passes now.

--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -93,7 +93,7 @@
         let candidates = mem::take(&mut self.candidates);
         if self.knows_suspects {
             // Of any job of former holders, where a worker was lost unheard.
-            let all = !self.unheard_losses.is_empty();
+            let all = !self.uncounted_pools.is_empty();
             let suspects: Vec<TaskId> = candidates
                 .ordered
                 .iter()
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -59,8 +59,10 @@
     pub(super) ended_lives: BTreeSet<WorkerId>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
-    /// The pools in which a worker was lost before it had named its runs.
-    pub(super) unheard_losses: BTreeSet<String>,
+    /// How many workers of each pool were lost before they had named their runs.
+    pub(super) unheard_losses: BTreeMap<String, u32>,
+    /// The pools of which some task may wait for which these don't count yet.
+    pub(super) uncounted_pools: BTreeSet<String>,
     /// The starts that former holders told of, with their workers, until it is
     /// known what became of each.
     pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
@@ -162,7 +164,8 @@
             superseded: false,
             ended_lives: BTreeSet::new(),
             knows_suspects: false,
-            unheard_losses: BTreeSet::new(),
+            unheard_losses: BTreeMap::new(),
+            uncounted_pools: BTreeSet::new(),
             told_starts: BTreeMap::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -142,6 +142,9 @@
     under_way: bool,
     /// Whether a former holder may have started the task without a trace.
     pub(super) may_have_begun: bool,
+    /// How many of the runs whose end says nothing count for workers that were
+    /// lost before they had named theirs.
+    unheard: u32,
     /// Whether the run under way is on record for that alone.
     is_told: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
@@ -165,11 +168,24 @@
         }
     }
 
-    /// Makes those of a task that a former holder may have started on a worker
-    /// that crashed.
-    fn possible() -> Crashes {
-        let most_age_ms = SUSPECTED_MS;
-        Crashes { unseen: 1, most_age_ms, ..Crashes::default() }
+    /// Makes those of a task that a former holder may have started so often on
+    /// workers that crashed.
+    fn possible(starts: u32) -> Crashes {
+        Crashes {
+            unseen: starts,
+            unheard: starts,
+            most_age_ms: SUSPECTED_MS,
+            may_have_begun: true,
+            ..Crashes::default()
+        }
+    }
+
+    /// Returns how many starts count of which nothing but workers that were
+    /// lost unheard tells; `None` if something else is known of the task.
+    pub(super) fn only_unheard(&self) -> Option<u32> {
+        let other =
+            self.count > 0 || self.unseen > self.unheard || self.is_told;
+        (self.may_have_begun && !other).then_some(self.unheard)
     }
 
     /// Returns whether there is something that a later holder must know.
@@ -571,12 +587,13 @@
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let Some(state) = job.task(task) else { continue };
             let mut crashes = state.crashes;
-            if self.may_have_crashed_unseen(job, state) {
+            let starts = self.unseen_starts(job, state);
+            if starts > 0 {
                 if room == 0 {
                     all_are_known = false;
                     continue;
                 }
-                crashes = Crashes::possible();
+                crashes = Crashes::possible(starts);
                 room -= 1;
             }
             if !crashes.go_on_record_first() || crashes.under_way {
@@ -593,7 +610,7 @@
         // Looking through all that waits takes a plan a millisecond where
         // thousands of jobs do.
         if all_are_known {
-            self.unheard_losses.clear();
+            self.uncounted_pools.clear();
         }
     }
 
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -16,8 +16,8 @@
 
 What was started before anything was on record is unknown where a worker is gone
 before it has named its runs. So each task that waited in that pool when the
-holder took over counts as started once, and its next start waits until that is
-on record.
+holder took over counts as started once for each such worker, twice at most, and
+its next start waits until that is on record.
 
 A worker whose VM the former holder had taken down, to move or to maintain it,
 is gone too. It was empty, since a VM is only ordered to change once nothing
@@ -35,6 +35,10 @@
     },
 };
 
+/// How many starts of a task count at most for workers that were lost unheard:
+/// with its second crash on record a holder starts nothing.
+const MOST_UNSEEN: u32 = 2;
+
 /// What became of a start that is on record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Outcome {
@@ -206,7 +210,8 @@
 
     /// Notes that a worker may have crashed under starts of former holders.
     pub(super) fn note_unheard_loss(&mut self, lost: &UnheardLoss) {
-        self.unheard_losses.insert(lost.pool.clone());
+        *self.unheard_losses.entry(lost.pool.clone()).or_insert(0) += 1;
+        self.uncounted_pools.insert(lost.pool.clone());
         self.knows_suspects = true;
     }
 
@@ -218,9 +223,22 @@
         job: &Job,
         task: &Task,
     ) -> bool {
-        task.crashes.may_have_begun
-            && !task.crashes.are_on_record()
-            && task.run == task.ended_run
-            && self.unheard_losses.contains(&job.terms.pool)
+        self.unseen_starts(job, task) > 0
+    }
+
+    /// Returns how often a former holder may have started a task on workers that
+    /// crashed before this holder had heard of them, if not all of that counts
+    /// yet; 0 otherwise.
+    pub(super) fn unseen_starts(&self, job: &Job, task: &Task) -> u32 {
+        let pool = &job.terms.pool;
+        if !self.uncounted_pools.contains(pool) {
+            return 0;
+        }
+        let lost = self.unheard_losses.get(pool);
+        let starts = lost.map_or(0, |lost| (*lost).min(MOST_UNSEEN));
+        let counted = task.crashes.only_unheard();
+        let waits = task.run == task.ended_run;
+        let more = waits && counted.is_some_and(|counted| counted < starts);
+        if more { starts } else { 0 }
     }
 }
