Tests that fail: VMs for tasks that are to last

Cause: fill_pools gives each VM to the pool that lacks most, an equal share may be less than a pool's lasting tasks need, and a pool's size follows from processors alone.

--- /dev/null
+++ b/crates/dewspar/tests/schedule/lasting.rs
@@ -0,0 +1,240 @@
+//! Two tasks that were to last didn't run for more than ten seconds. Their
+//! pool lacked a few VMs, and every VM that came went to the pool of a queue
+//! in its peak, which lacked hundreds. Besides, pools were sized by processors
+//! alone, though what such tasks lack first is memory, or a worker without
+//! another of their step.
+
+use {
+    crate::world::{POOL, World, at, id, job, listing, managed, step},
+    dewspar::{
+        job::StepSpec,
+        schedule::{ManagedVm, Room, VmOrder, WaveRequest, WorkerListing},
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::BTreeMap,
+};
+
+const OTHER: &str = "other";
+const OFF: &str = "off";
+
+/// Two pools that have queues, and VMs that are switched off.
+struct Fleet {
+    world: World,
+    off: Vec<ManagedVm>,
+}
+
+impl Fleet {
+    fn new(here: u32, other: u32, off: u32) -> Fleet {
+        let mut world = World::with_room(5, &[], ROOM);
+        for (pool, count) in [(POOL, here), (OTHER, other)] {
+            for number in 0..count {
+                let listing = listing_in(pool, number);
+                let worker = TaskWorker::new(ROOM);
+                world.workers.insert(listing.id.clone(), worker);
+                world.listings.push(listing);
+            }
+        }
+        world.list();
+        world.expect_all();
+        let serving = [POOL.to_owned(), OTHER.to_owned()].into();
+        world.scheduler.configure_pools(serving, [OFF.to_owned()].into());
+        world.run_for(100);
+        let switched_off = |number| ManagedVm {
+            worker: None,
+            ..managed(&listing_in(OFF, number))
+        };
+        Fleet { world, off: (0..off).map(switched_off).collect() }
+    }
+
+    fn submit(&mut self, number: u64, pool: &str, steps: Vec<StepSpec>) {
+        let mut job = job(steps);
+        job.terms.pool = pool.to_owned();
+        self.world.scheduler.submit(id(number), job, 5 + number, None);
+    }
+
+    /// Asks for the maintenance of all VMs that are switched off but so many,
+    /// which are left alone until then.
+    fn await_maintenance_but_for(&mut self, free: usize) {
+        let off = self.off.iter().skip(free);
+        let request = WaveRequest {
+            wave: 1,
+            vms: off.map(|vm| vm.vm.clone()).collect(),
+            duration_ms: 60_000,
+            max_down: 1,
+        };
+        let (now, none) = (at(self.world.now_ms), BTreeMap::new());
+        self.world.scheduler.request_waves(now, &[request], &none, &[]);
+    }
+
+    /// Plans for so long and counts the moves to each pool; VMs that move
+    /// don't come.
+    fn moves_within(&mut self, ms: u64) -> Moves {
+        let end_ms = self.world.now_ms + ms;
+        let mut moves = Moves::default();
+        while self.world.now_ms < end_ms {
+            let (now, asked_ms) = (at(self.world.now_ms), self.world.now_ms);
+            let up = self.world.listings.iter().map(managed);
+            let vms: Vec<ManagedVm> =
+                up.chain(self.off.iter().cloned()).collect();
+            self.world.scheduler.list_vms(now, asked_ms, &vms);
+            for order in self.world.scheduler.plan_vms(now) {
+                moves.note(&order);
+            }
+            self.world.run_for(50);
+        }
+        moves
+    }
+}
+
+fn listing_in(pool: &str, number: u32) -> WorkerListing {
+    let pool = pool.to_owned();
+    let listing = listing(&format!("{pool}-{number}"));
+    WorkerListing { pool, capacity: ROOM, ..listing }
+}
+
+/// How many VMs were ordered to move to each pool.
+#[derive(Debug, Default, Eq, PartialEq)]
+struct Moves {
+    here: u32,
+    other: u32,
+    off: u32,
+}
+
+impl Moves {
+    fn note(&mut self, order: &VmOrder) {
+        let VmOrder::Move { pool, .. } = order else { return };
+        match pool.as_str() {
+            POOL => self.here += 1,
+            OTHER => self.other += 1,
+            _ => self.off += 1,
+        }
+    }
+}
+
+const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 2 };
+
+/// A step of so many tasks that are to last, at most one on a worker.
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { long_running: true, max_per_worker: 1, ..step(count) }
+}
+
+/// A step of so many tasks that are to last and ask for little processor.
+fn hungry(count: u32, memory_mb: u64, gpus: u64) -> StepSpec {
+    let cpu_millis = 100;
+    let long = StepSpec { max_per_worker: 0, ..lasting(count) };
+    StepSpec { cpu_millis, memory_mb, gpus, ..long }
+}
+
+#[test]
+fn a_vm_that_a_lasting_task_lacks_comes_before_those_of_a_peak() {
+    let mut fleet = Fleet::new(2, 2, 7);
+    fleet.await_maintenance_but_for(1);
+    fleet.world.fate = Fate::endless();
+    fleet.submit(1, OTHER, vec![step(100)]);
+    fleet.submit(2, POOL, vec![lasting(3)]);
+    fleet.world.run_for(100);
+    let moves = fleet.moves_within(1_000);
+    assert_eq!(moves, Moves { here: 1, ..Moves::default() });
+}
+
+#[test]
+fn lasting_tasks_of_one_pool_come_before_short_ones_of_another() {
+    // Its equal share of the six VMs would be three.
+    let mut fleet = Fleet::new(2, 4, 0);
+    fleet.submit(1, OTHER, vec![step(200)]);
+    fleet.submit(2, POOL, vec![lasting(4)]);
+    fleet.world.run_for(100);
+    let moves = fleet.moves_within(1_000);
+    assert_eq!(moves, Moves { here: 2, ..Moves::default() });
+}
+
+#[test]
+fn a_short_fleet_leaves_each_pool_what_its_lasting_tasks_need() {
+    let mut fleet = Fleet::new(4, 2, 0);
+    fleet.world.fate = Fate::endless();
+    fleet.submit(1, POOL, vec![hungry(4, 3_000, 0)]);
+    fleet.world.run_for(500);
+    fleet.world.fate = Fate::done(500);
+    fleet.submit(2, OTHER, vec![step(200)]);
+    fleet.world.run_for(100);
+    assert_eq!(fleet.moves_within(1_000), Moves::default());
+}
+
+#[test]
+fn a_pool_gets_all_vms_at_once_that_its_lasting_tasks_lack() {
+    for (memory_mb, gpus) in [(3_000, 0), (100, 2)] {
+        let mut fleet = Fleet::new(2, 2, 6);
+        fleet.world.fate = Fate::endless();
+        fleet.submit(1, POOL, vec![hungry(6, memory_mb, gpus)]);
+        fleet.world.run_for(100);
+        let moves = fleet.moves_within(400);
+        assert_eq!(moves, Moves { here: 4, ..Moves::default() });
+    }
+}
+
+#[test]
+fn siblings_apart_are_packed_beside_other_steps_as_they_fit() {
+    // Of each step one fits on a worker, and no two of different steps.
+    let mut fleet = Fleet::new(2, 2, 6);
+    fleet.world.fate = Fate::endless();
+    let apart = StepSpec { memory_mb: 2_500, ..lasting(3) };
+    fleet.submit(1, POOL, vec![apart.clone(), apart]);
+    fleet.world.run_for(100);
+    let moves = fleet.moves_within(400);
+    assert_eq!(moves, Moves { here: 4, ..Moves::default() });
+}
+
+#[test]
+fn no_vm_moves_for_lasting_tasks_that_have_a_place() {
+    let mut fleet = Fleet::new(3, 2, 6);
+    fleet.world.fate = Fate::endless();
+    let apart = StepSpec { memory_mb: 1_900, ..lasting(3) };
+    fleet.submit(1, POOL, vec![apart.clone(), apart]);
+    fleet.world.run_for(300);
+    assert_eq!(fleet.world.running().len(), 6);
+    assert_eq!(fleet.moves_within(1_000), Moves::default());
+}
+
+#[test]
+fn a_pool_keeps_the_vms_that_its_lasting_tasks_will_need() {
+    let mut fleet = Fleet::new(6, 2, 0);
+    fleet.world.fate = Fate::done(8_000);
+    let first = StepSpec { estimate_ms: 8_000, ..step(1) };
+    let then = StepSpec { after: vec![0], ..hungry(4, 3_000, 0) };
+    fleet.submit(1, POOL, vec![first, then]);
+    let moves = fleet.moves_within(7_000);
+    assert_eq!(moves, Moves { off: 2, ..Moves::default() });
+}
+
+#[test]
+fn a_pool_gets_vms_for_the_memory_of_jobs_that_keep_coming() {
+    let mut fleet = Fleet::new(2, 2, 1);
+    fleet.world.fate = Fate::done(2_000);
+    // Two jobs a second of 10 task-seconds each keep 20 tasks going.
+    let long = StepSpec {
+        cpu_millis: 100,
+        memory_mb: 400,
+        estimate_ms: 2_000,
+        ..step(1)
+    };
+    let later = StepSpec { after: vec![0], count: 4, ..long.clone() };
+    for number in 1..3 {
+        fleet.submit(number, POOL, vec![long.clone(), later.clone()]);
+        fleet.world.run_for(100);
+    }
+    let moves = fleet.moves_within(1_000);
+    assert_eq!(moves, Moves { here: 1, ..Moves::default() });
+}
+
+#[test]
+fn a_pool_that_lacks_little_gets_its_turn_beside_one_that_lacks_much() {
+    let mut fleet = Fleet::new(2, 2, 8);
+    fleet.await_maintenance_but_for(2);
+    fleet.world.fate = Fate::endless();
+    fleet.submit(1, OTHER, vec![step(100)]);
+    // So many that one VM more has room for all.
+    fleet.submit(2, POOL, vec![step(9)]);
+    fleet.world.run_for(100);
+    let moves = fleet.moves_within(1_000);
+    assert_eq!(moves, Moves { here: 1, other: 1, off: 0 });
+}
