VMs for tasks that are to last: packed as they fit, and served first

Cause: a pool that lacked one VM for such a task stood behind a pool that lacked hundreds, for as long as that one's peak went on; and sizes followed from processors alone.

Each look at the pools now puts these tasks on VMs in thought, with all kinds of room and siblings apart. That gives the floor below which a pool's size never goes, also where another's short tasks want the VMs, and how many VMs are lacked by those that could start now. Both are served first, the latter from whichever pool has more than its own floor. Then the pool that lacks most and the one that lacks least get a VM in turns. Demand counts memory and GPUs beside processors; what lasts counts as it is, without the reserve that short tasks have for their peaks.

A VM that moved counts as coming until its worker is known, so that no second one is ordered meanwhile. Pools aren't added up anew for each VM that leaves.

--- a/crates/dewspar/src/schedule/forecast.rs
+++ b/crates/dewspar/src/schedule/forecast.rs
@@ -1,10 +1,10 @@
 /*!
-How much processor time a pool's arriving jobs will take.
+How much room a pool's arriving jobs will take.
 
 What runs and waits now says too little at the start of a peak: a job's later
 steps aren't there yet, and a VM takes a few seconds to come. By Little's law
 the processors that a steady flow of jobs keeps busy are its jobs a second
-times the core-seconds of each. So the first work of the jobs that came of
+times the core-seconds of each, and so with memory and GPUs. So the first work of the jobs that came of
 late, over the time in which they came, is what those to come will use. What
 the jobs that are there will use is projected, job by job.
 */
@@ -12,7 +12,7 @@
 use {
     crate::{
         job::JobSpec,
-        schedule::{Forecast, Now, Scheduler},
+        schedule::{Forecast, Now, Room, Scheduler},
     },
     std::collections::VecDeque,
 };
@@ -21,27 +21,27 @@
 #[derive(Clone, Copy, Debug)]
 struct Arrival {
     at_ms: u64,
-    /// What it takes, in thousandths of a core times milliseconds.
-    work: u64,
+    /// What it takes, times milliseconds.
+    work: Room,
 }
 
 /// The jobs that came to a pool of late.
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
     recent: VecDeque<Arrival>,
-    work: u64,
+    work: Room,
     /// Since when jobs come without a longer gap.
     since_ms: u64,
 }
 
 impl Arrivals {
-    fn note(&mut self, at_ms: u64, work: u64, policy: &Forecast) {
+    fn note(&mut self, at_ms: u64, work: Room, policy: &Forecast) {
         self.drop_old(at_ms, policy);
         if self.recent.is_empty() {
             self.since_ms = at_ms;
         }
         self.recent.push_back(Arrival { at_ms, work });
-        self.work += work;
+        self.work.add(&work);
     }
 
     fn drop_old(&mut self, now_ms: u64, policy: &Forecast) {
@@ -49,19 +49,18 @@
             if oldest.at_ms + policy.window_ms > now_ms {
                 return;
             }
-            self.work -= oldest.work;
+            self.work.subtract(&oldest.work);
             self.recent.pop_front();
         }
     }
 
-    /// Returns what jobs that keep coming like this will use, in thousandths
-    /// of a core.
-    fn cpu_millis(&mut self, now_ms: u64, policy: &Forecast) -> u64 {
+    /// Returns what jobs that keep coming like this will use.
+    fn room(&mut self, now_ms: u64, policy: &Forecast) -> Room {
         self.drop_old(now_ms, policy);
         let window_ms = now_ms
             .saturating_sub(self.since_ms)
             .clamp(policy.least_window_ms, policy.window_ms);
-        self.work / window_ms
+        self.work.part(window_ms)
     }
 }
 
@@ -82,19 +81,18 @@
     /// it shows what will be asked of the pools.
     pub(super) fn has_short_jobs(&self) -> bool {
         let whole = |spec: &JobSpec| self.first_work(spec, u64::MAX);
-        self.jobs.values().any(|job| whole(&job.spec) > 0)
+        self.jobs.values().any(|job| whole(&job.spec) != Room::default())
     }
 
-    /// Returns what each pool's arriving jobs will use, in thousandths of a
-    /// core.
+    /// Returns what each pool's arriving jobs will use.
     pub(super) fn forecasts(
         &mut self,
         now: Now,
-    ) -> impl Iterator<Item = (&String, u64)> {
+    ) -> impl Iterator<Item = (&String, Room)> {
         let policy = &self.options.policy.forecast;
         let pools = self.arrivals.iter_mut().filter(|_| policy.enabled);
         pools.map(move |(pool, arrivals)| {
-            (pool, arrivals.cpu_millis(now.steady_ms, policy))
+            (pool, arrivals.room(now.steady_ms, policy))
         })
     }
 }
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -278,9 +278,7 @@
     /// Returns how much of a pool would be in use if it had so many fewer
     /// workers, in hundredths.
     pub(super) fn pool_percent_without(&self, pool: &str, less: u64) -> u64 {
-        let load = self.pool_load(pool);
-        let capacity = load.capacity_cpu.saturating_sub(load.vm_cpu() * less);
-        load.asked_cpu() * 100 / capacity.max(1)
+        self.pool_load(pool).percent_without(less)
     }
 
     /// Lets a worker run dry.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -121,6 +121,7 @@
 mod forecast;
 mod full_pools;
 mod jobs;
+mod lasting;
 mod loading;
 mod maintenance;
 mod options;
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -59,6 +59,70 @@
         self.gpus = self.gpus.saturating_sub(other.gpus);
     }
 
+    /// Returns this room and another.
+    pub fn plus(mut self, other: &Room) -> Room {
+        self.add(other);
+        self
+    }
+
+    /// Returns so many times this room.
+    pub fn times(&self, count: u64) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.saturating_mul(count),
+            memory_mb: self.memory_mb.saturating_mul(count),
+            gpus: self.gpus.saturating_mul(count),
+        }
+    }
+
+    /// Returns so manieth a part of this room.
+    pub fn part(&self, count: u64) -> Room {
+        let count = count.max(1);
+        Room {
+            cpu_millis: self.cpu_millis / count,
+            memory_mb: self.memory_mb / count,
+            gpus: self.gpus / count,
+        }
+    }
+
+    /// Returns how many times `other` fits into this room; `u64::MAX` if it
+    /// takes nothing.
+    pub fn times_held(&self, other: &Room) -> u64 {
+        let kinds = self.kinds().into_iter().zip(other.kinds());
+        let times = kinds.filter_map(|(has, takes)| has.checked_div(takes));
+        times.min().unwrap_or(u64::MAX)
+    }
+
+    /// Returns how many rooms like `other` this takes, by the kind that takes
+    /// most; kinds that `other` has none of don't count.
+    pub fn rooms_of(&self, other: &Room) -> u64 {
+        let kinds = self.kinds().into_iter().zip(other.kinds());
+        let counted = kinds.filter(|(_, of)| *of > 0);
+        let rooms = counted.map(|(is, of)| is.div_ceil(of));
+        rooms.max().unwrap_or(0)
+    }
+
+    /// Returns the larger of each kind of room.
+    pub fn larger(&self, other: &Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_mb: self.memory_mb.max(other.memory_mb),
+            gpus: self.gpus.max(other.gpus),
+        }
+    }
+
+    /// Returns how many rooms like `other` this is, in thousandths, by the
+    /// kind of which it is most; kinds that `other` has none of don't count.
+    pub fn per_thousand_of(&self, other: &Room) -> u64 {
+        let kinds = self.kinds().into_iter().zip(other.kinds());
+        let shares = kinds
+            .filter_map(|(is, of)| is.saturating_mul(1_000).checked_div(of));
+        shares.max().unwrap_or(0)
+    }
+
+    fn kinds(&self) -> [u64; 3] {
+        [self.cpu_millis, self.memory_mb, self.gpus]
+    }
+
     /// Returns this room less another.
     pub fn less(mut self, other: &Room) -> Room {
         self.subtract(other);
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -529,6 +529,7 @@
     }
 }
 
-fn has_label(worker: &Worker, label: &str) -> bool {
+/// Returns whether a worker has a label that a step asks for, if it does.
+pub(super) fn has_label(worker: &Worker, label: &str) -> bool {
     label.is_empty() || worker.listing.labels.iter().any(|l| l == label)
 }
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -13,7 +13,7 @@
 use {
     crate::{
         job::{JobId, JobSpec},
-        schedule::{Now, Scheduler, board::Job, board::demand},
+        schedule::{Now, Room, Scheduler, board::Job, board::demand},
     },
     std::collections::{BTreeMap, HashMap},
 };
@@ -24,22 +24,22 @@
     /// Until when the longest of them goes on, in milliseconds from now.
     left_ms: u64,
     /// What those use that still go on at the time looked at.
-    cpu_millis: u64,
+    room: Room,
 }
 
 /// One step of one round of a job.
 type StepKey = (JobId, u32, u32);
 
 impl Scheduler {
-    /// Returns what each pool's known jobs will use `ahead_ms` from now, in
-    /// thousandths of a core; what runs for long isn't counted.
+    /// Returns what each pool's known jobs will use `ahead_ms` from now; what
+    /// runs for long isn't counted.
     pub(super) fn project(
         &self,
         now: Now,
         ahead_ms: u64,
-    ) -> BTreeMap<String, u64> {
+    ) -> BTreeMap<String, Room> {
         let runs = self.runs_left(now, ahead_ms);
-        let mut pools: HashMap<&str, u64> = HashMap::new();
+        let mut pools: HashMap<&str, Room> = HashMap::new();
         // One for all jobs: a list each was two fifths of the allocations of a
         // look at the VMs.
         let mut ends = Vec::new();
@@ -49,8 +49,8 @@
             }
             let used =
                 self.project_job(*id, job, &runs, &mut ends, now, ahead_ms);
-            if used > 0 {
-                *pools.entry(&job.terms.pool).or_default() += used;
+            if used != Room::default() {
+                pools.entry(&job.terms.pool).or_default().add(&used);
             }
         }
         let pools = pools.into_iter();
@@ -77,7 +77,7 @@
                 let step = left.entry(key).or_default();
                 step.left_ms = step.left_ms.max(left_ms);
                 if left_ms > ahead_ms {
-                    step.cpu_millis += run.demand.cpu_millis;
+                    step.room.add(&run.demand);
                 }
             }
         }
@@ -92,8 +92,8 @@
         ends: &mut Vec<u64>,
         now: Now,
         ahead_ms: u64,
-    ) -> u64 {
-        let mut used = 0;
+    ) -> Room {
+        let mut used = Room::default();
         for (round, steps) in (0..).zip(&job.rounds) {
             let due_in_ms = job.spec.due_ms(round).saturating_sub(now.unix_ms);
             if due_in_ms > ahead_ms {
@@ -119,27 +119,27 @@
                 if spec.long_running || state.is_done() {
                     continue;
                 }
-                used += going.cpu_millis;
+                used.add(&going.room);
                 let goes_on =
                     begins_ms <= ahead_ms && ahead_ms < begins_ms + lasts_ms;
                 if !ready && goes_on && self.fits_somewhere(spec) {
                     let waiting = state.waiting.len() as u64;
-                    used += waiting * demand(spec).cpu_millis;
+                    used.add(&demand(spec).times(waiting));
                 }
             }
         }
         used
     }
 
-    /// Returns what a job will use within `ahead_ms` of its coming, in
-    /// thousandths of a core times milliseconds; what runs for long, falls
-    /// due later or fits nowhere isn't counted.
-    pub(super) fn first_work(&self, spec: &JobSpec, ahead_ms: u64) -> u64 {
+    /// Returns what a job will use within `ahead_ms` of its coming, times
+    /// milliseconds; what runs for long, falls due later or fits nowhere isn't
+    /// counted.
+    pub(super) fn first_work(&self, spec: &JobSpec, ahead_ms: u64) -> Room {
         if spec.repeat.is_some() {
-            return 0;
+            return Room::default();
         }
         let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
-        let mut work = 0;
+        let mut work = Room::default();
         for (step, step_spec) in spec.steps.iter().enumerate() {
             let begins_ms = begins_ms(spec, step, &ends);
             let lasts_ms = step_spec.estimate_ms;
@@ -148,8 +148,8 @@
                 continue;
             }
             let within_ms = lasts_ms.min(ahead_ms.saturating_sub(begins_ms));
-            let cpu_millis = demand(step_spec).cpu_millis;
-            work += u64::from(step_spec.count) * cpu_millis * within_ms;
+            let times = u64::from(step_spec.count).saturating_mul(within_ms);
+            work.add(&demand(step_spec).times(times));
         }
         work
     }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -12,6 +12,7 @@
             crash_series::{CrashSeries, KeptFor},
             forecast::Arrivals,
             jobs::Jobs,
+            lasting::LastingNeed,
             loading::Loading,
             place::Candidates,
             sizing::{Moving, PoolLoad},
@@ -105,11 +106,17 @@
     pub(super) new_jobs: Vec<JobId>,
     /// The jobs that came to each pool of late.
     pub(super) arrivals: BTreeMap<String, Arrivals>,
+    /// The first task of each step of open jobs that is to last and may be
+    /// wanted soon.
+    pub(super) lasting_steps: Vec<TaskId>,
+    /// What each pool's tasks that are to last need of VMs.
+    pub(super) lasting_needs: BTreeMap<String, LastingNeed>,
+    /// Whether the pool that lacks fewest VMs gets the next one.
+    pub(super) serves_smallest: bool,
     /// How many VMs each pool should have, when that was last looked at.
     pub(super) targets: BTreeMap<String, u64>,
-    /// What each pool's known jobs will use a while ahead, in thousandths of
-    /// a core.
-    pub(super) projected: BTreeMap<String, u64>,
+    /// What each pool's known jobs will use a while ahead.
+    pub(super) projected: BTreeMap<String, Room>,
     /// When the first job was known that isn't there for long; 0 for not yet.
     pub(super) first_job_ms: u64,
     /// The orders that are under way.
@@ -184,6 +191,9 @@
             arrivals: BTreeMap::new(),
             targets: BTreeMap::new(),
             projected: BTreeMap::new(),
+            lasting_steps: Vec::new(),
+            lasting_needs: BTreeMap::new(),
+            serves_smallest: false,
             first_job_ms: 0,
         }
     }
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -5,13 +5,17 @@
 VMs that are switched off, or idle ones of a pool with room to spare; a pool
 that has more than it needs switches idle VMs off, where the operator has a
 pool for that. A VM only moves while nothing runs on it.
+
+Tasks that are to last are missed from the moment at which they don't run, and
+they need few VMs beside a queue's peak. So a VM that they lack comes before all
+others, also from a pool that has too few for its short tasks.
 */
 
 use {
     crate::{
-        job::StepSpec,
+        job::TaskId,
         schedule::{
-            Decision, Forecast, Now, Scheduler, Sizing, VmLife, VmOrder,
+            Decision, Forecast, Now, Room, Scheduler, Sizing, VmLife, VmOrder,
             VmOrderError, WorkerId,
             board::demand,
             worker::{Purpose, Worker},
@@ -30,28 +34,68 @@
 /// How long a VM that was ordered to move counts as coming, in milliseconds.
 const COMING_MS: u64 = 4_000;
 
-/// What a pool has and what is asked of it, in thousandths of a core.
+/// What a pool has and what is asked of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolLoad {
-    pub(super) capacity_cpu: u64,
-    pub(super) used_cpu: u64,
-    pub(super) waiting_cpu: u64,
-    /// What will be used soon, by the jobs that came of late.
-    forecast_cpu: u64,
+    capacity: Room,
+    used: Room,
+    waiting: Room,
+    /// What will be used soon, by the jobs that came of late and by all tasks
+    /// that are to last.
+    forecast: Room,
+    /// What all tasks take that are to last.
+    lasting: Room,
+    /// What those of them take that wait.
+    missing: Room,
     workers: u64,
-    /// How many workers the tasks need that must run apart.
-    apart: u64,
 }
 
 impl PoolLoad {
     /// Returns what is asked of the pool, now or soon.
-    pub(super) fn asked_cpu(&self) -> u64 {
-        self.used_cpu.max(self.forecast_cpu) + self.waiting_cpu
+    fn asked(&self) -> Room {
+        let now = self.used.plus(&self.missing);
+        now.larger(&self.forecast).plus(&self.waiting)
+    }
+
+    /// Returns the same without what is to last, which neither grows in a
+    /// peak nor shrinks after it.
+    fn asked_by_short(&self) -> Room {
+        self.asked().less(&self.lasting)
     }
 
     /// Returns what one VM of the pool has.
-    pub(super) fn vm_cpu(&self) -> u64 {
-        self.capacity_cpu / self.workers.max(1)
+    fn vm(&self) -> Room {
+        self.capacity.part(self.workers)
+    }
+
+    /// Returns how much of the pool would be in use if it had so many fewer
+    /// workers, in hundredths.
+    ///
+    /// Of all processors, or of what tasks that are to last leave of some kind
+    /// of room, whichever is more: those tasks may take all memory, and what
+    /// they take of processors keeps VMs here for the next peak.
+    pub(super) fn percent_without(&self, less: u64) -> u64 {
+        let capacity = self.capacity.less(&self.vm().times(less));
+        let asked_cpu = self.asked().cpu_millis;
+        let of_all = asked_cpu * 100 / capacity.cpu_millis.max(1);
+        let least = Room { cpu_millis: 1, memory_mb: 1, gpus: 1 };
+        let left = capacity.less(&self.lasting).larger(&least);
+        let of_left = self.asked_by_short().per_thousand_of(&left) / 10;
+        of_all.max(of_left)
+    }
+
+    /// Returns how many VMs like this one the pool needs so that short tasks
+    /// fill no more than `full_percent` of what the others leave, by the kind
+    /// of room that it needs most VMs for.
+    fn vms_needed(&self, vm: &Room, full_percent: u64) -> u64 {
+        let short = self.asked_by_short().times(100).part(full_percent);
+        short.plus(&self.lasting).rooms_of(vm)
+    }
+
+    /// Notes that a worker is to leave.
+    fn leaves(&mut self, capacity: &Room) {
+        self.capacity.subtract(capacity);
+        self.workers = self.workers.saturating_sub(1);
     }
 }
 
@@ -97,24 +141,36 @@
         let mut loads: HashMap<&str, PoolLoad> = HashMap::new();
         for worker in self.workers.values() {
             let load = loads.entry(&worker.listing.pool).or_default();
-            load.used_cpu += worker.used().cpu_millis;
+            load.used.add(worker.used());
             if worker.emptying.is_none()
                 && !worker.listing.draining
                 && worker.silent_since_ms.is_none()
             {
-                load.capacity_cpu += worker.listing.capacity.cpu_millis;
+                load.capacity.add(&worker.listing.capacity);
                 load.workers += 1;
             }
         }
         let late_percent = self.options.policy.sizing.late_percent;
-        for job in self.jobs.values().filter(|job| !job.phase.is_final()) {
+        let soon_unix_ms = now.unix_ms + self.options.policy.forecast.ahead_ms;
+        let mut lasting_steps = Vec::new();
+        for (id, job) in self.jobs.iter() {
+            if job.phase.is_final() {
+                continue;
+            }
             let load = loads.entry(&job.terms.pool).or_default();
             for round in 0..job.rounds.len() {
                 for (step, spec) in job.spec.steps.iter().enumerate() {
-                    load.apart = load.apart.max(apart(spec));
                     if spec.long_running && self.fits_somewhere(spec) {
-                        load.forecast_cpu +=
-                            u64::from(spec.count) * demand(spec).cpu_millis;
+                        let count = u64::from(spec.count);
+                        load.lasting.add(&demand(spec).times(count));
+                        let soon =
+                            job.spec.due_ms(round as u32) <= soon_unix_ms;
+                        lasting_steps.extend(soon.then_some(TaskId {
+                            job: *id,
+                            round: round as u32,
+                            step: step as u32,
+                            index: 0,
+                        }));
                     }
                     let waiting = job.rounds[round][step].waiting.len() as u64;
                     if waiting == 0
@@ -123,11 +179,18 @@
                     {
                         continue;
                     }
-                    let cpu = waiting * demand(spec).cpu_millis;
-                    let late = now.unix_ms > job.objective_ms(round)
-                        && !spec.long_running;
-                    load.waiting_cpu +=
-                        if late { cpu * late_percent / 100 } else { cpu };
+                    let room = demand(spec).times(waiting);
+                    if spec.long_running {
+                        load.missing.add(&room);
+                        continue;
+                    }
+                    let late = now.unix_ms > job.objective_ms(round);
+                    let counted = if late {
+                        room.times(late_percent).part(100)
+                    } else {
+                        room
+                    };
+                    load.waiting.add(&counted);
                 }
             }
         }
@@ -135,15 +198,19 @@
             .into_iter()
             .map(|(pool, load)| (pool.to_owned(), load))
             .collect();
+        for load in loads.values_mut() {
+            load.forecast.add(&load.lasting);
+        }
+        self.lasting_steps = lasting_steps;
         self.note_arrivals(now);
-        for (pool, cpu_millis) in self.forecasts(now) {
+        for (pool, room) in self.forecasts(now) {
             if let Some(load) = loads.get_mut(pool) {
-                load.forecast_cpu += cpu_millis;
+                load.forecast.add(&room);
             }
         }
-        for (pool, cpu_millis) in &self.projected {
+        for (pool, room) in &self.projected {
             if let Some(load) = loads.get_mut(pool) {
-                load.forecast_cpu += cpu_millis;
+                load.forecast.add(room);
             }
         }
         self.pool_loads = loads;
@@ -155,6 +222,7 @@
         if now.steady_ms >= self.sized_ms + self.sizing().interval_ms {
             self.sized_ms = now.steady_ms;
             self.project_pools(now);
+            self.measure_lasting(now);
             let targets = self.targets(now);
             self.note_targets(&targets);
             self.fill_pools(&targets, now, orders);
@@ -198,9 +266,9 @@
                 pool: pool.clone(),
                 target: *target,
                 vms,
-                used_cpu: load.used_cpu,
-                forecast_cpu: load.forecast_cpu,
-                waiting_cpu: load.waiting_cpu,
+                used_cpu: load.used.cpu_millis,
+                forecast_cpu: load.forecast.cpu_millis,
+                waiting_cpu: load.waiting.cpu_millis,
             });
         }
         self.targets.clone_from(targets);
@@ -208,8 +276,9 @@
 
     /// Returns how many VMs each pool should have.
     ///
-    /// While there are too few for all, none gets more than its equal share
-    /// as long as another wants for one.
+    /// While there are too few for all, each first gets what its tasks that
+    /// are to last need, and then none gets more than its equal share as long
+    /// as another wants for one.
     fn targets(&self, now: Now) -> BTreeMap<String, u64> {
         // A move that was ordered needn't show in the list yet.
         let usable = self.vms.values().filter(|vm| {
@@ -217,18 +286,30 @@
         });
         let total = usable.count() + self.moving.len();
         let mut left = total as u64;
+        let typical = self.typical_vm();
+        let mut floors: BTreeMap<&String, u64> = BTreeMap::new();
         let mut needs: BTreeMap<&String, u64> = BTreeMap::new();
         for pool in &self.serving_pools {
-            let load = self.pool_load(pool);
-            let asked = load.asked_cpu() * 100;
-            let vm_cpu = load.vm_cpu().max(self.typical_vm_cpu()).max(1);
-            let need = asked.div_ceil(vm_cpu * self.sizing().full_percent);
+            floors.insert(pool, self.lasting_need(pool).floor_vms);
+            let need = self.need_for_room(pool, &typical);
             let need = need.max(self.least_vms(pool));
             let need = need.max(self.need_for_place(pool, now));
             needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
-        while left > 0 {
+        self.share_out(&floors, &mut left, &mut targets);
+        self.share_out(&needs, &mut left, &mut targets);
+        targets
+    }
+
+    /// Gives pools VMs of those that are left, as many as each needs.
+    fn share_out(
+        &self,
+        needs: &BTreeMap<&String, u64>,
+        left: &mut u64,
+        targets: &mut BTreeMap<String, u64>,
+    ) {
+        while *left > 0 {
             let least = needs
                 .iter()
                 .filter(|(pool, need)| {
@@ -238,16 +319,28 @@
                     let has = targets.get(**pool).copied().unwrap_or(0);
                     if self.sizing().equal_shares { has } else { 0 }
                 });
-            let Some((pool, _)) = least else { break };
+            let Some((pool, _)) = least else { return };
             *targets.entry((*pool).clone()).or_default() += 1;
-            left -= 1;
+            *left -= 1;
         }
-        targets
     }
 
-    /// Returns how many VMs a pool needs that has no place for some task:
-    /// one more than it has, whatever it lacks.
+    /// Returns how many VMs a pool needs so that it is no fuller than it may
+    /// be, by the kind of room that it needs most VMs for.
+    fn need_for_room(&self, pool: &str, typical: &Room) -> u64 {
+        let load = self.pool_load(pool);
+        let vm = load.vm().larger(typical);
+        load.vms_needed(&vm, self.sizing().full_percent)
+    }
+
+    /// Returns how many VMs a pool needs that has no place for some task: as
+    /// many more as its tasks that are to last lack, or one more than it has
+    /// if others lack something for long.
     fn need_for_place(&self, pool: &str, now: Now) -> u64 {
+        let lacking = self.lasting_need(pool).lacking_vms;
+        if lacking > 0 {
+            return self.pool_size(pool) + lacking;
+        }
         let since_ms = self.without_place.get(pool);
         let long = since_ms.is_some_and(|since| {
             now.steady_ms >= since + self.sizing().without_place_ms
@@ -255,9 +348,10 @@
         if long { self.pool_load(pool).workers + 1 } else { 0 }
     }
 
-    fn typical_vm_cpu(&self) -> u64 {
-        let cpus = self.vms.values().map(|vm| vm.capacity.cpu_millis);
-        cpus.max().unwrap_or(0)
+    /// Returns the most that a VM has of each kind of room.
+    fn typical_vm(&self) -> Room {
+        let rooms = self.vms.values().map(|vm| vm.capacity);
+        rooms.fold(Room::default(), |most, room| most.larger(&room))
     }
 
     /// Returns how many VMs a pool has or is about to have.
@@ -271,13 +365,83 @@
         load.workers + (coming + leaving.count()) as u64
     }
 
-    /// Brings VMs to pools that have fewer than they should, the one that
-    /// lacks most first.
+    /// Brings VMs to pools that have fewer than they should, those first that
+    /// tasks to last need.
     fn fill_pools(
         &mut self,
         targets: &BTreeMap<String, u64>,
         now: Now,
         orders: &mut Vec<VmOrder>,
+    ) {
+        self.fill_lasting(targets, now, orders);
+        self.fill_others(targets, now, orders);
+    }
+
+    /// Brings the VMs that tasks to last lack, to the pool that lacks fewest
+    /// first.
+    fn fill_lasting(
+        &mut self,
+        targets: &BTreeMap<String, u64>,
+        now: Now,
+        orders: &mut Vec<VmOrder>,
+    ) {
+        let pools = self.serving_pools.iter();
+        let mut lacking: Vec<(u64, String)> = pools
+            .map(|pool| (self.lack_for_lasting(pool), pool.clone()))
+            .filter(|(lack, _)| *lack > 0)
+            .collect();
+        lacking.sort_unstable();
+        for (lack, pool) in lacking {
+            let brought = (0..lack).take_while(|_| {
+                self.bring_vm(&pool, targets, now, orders)
+                    || self.bring_from_short_tasks(&pool, now)
+            });
+            let _ = brought.count();
+        }
+    }
+
+    /// Returns how many VMs a pool lacks for tasks that are to last.
+    fn lack_for_lasting(&self, pool: &str) -> u64 {
+        self.lasting_need(pool).lacking_vms.max(self.lack_to_floor(pool))
+    }
+
+    fn lack_to_floor(&self, pool: &str) -> u64 {
+        let floor = self.lasting_need(pool).floor_vms;
+        floor.saturating_sub(self.pool_size(pool))
+    }
+
+    /// Brings a VM to a pool whose tasks that are to last need more than it
+    /// has, from one that has more than those there need.
+    fn bring_from_short_tasks(&mut self, pool: &str, now: Now) -> bool {
+        if self.lack_to_floor(pool) == 0 {
+            return false;
+        }
+        let Some(id) = self.spare_of_short_tasks(pool, now) else {
+            return false;
+        };
+        self.empty_to_move(&id, pool, now);
+        true
+    }
+
+    /// Returns the least used worker that serves only short tasks, of a pool
+    /// that has more VMs than its tasks need that are to last.
+    fn spare_of_short_tasks(&self, pool: &str, now: Now) -> Option<WorkerId> {
+        let over = |from: &str| {
+            let floor = self.lasting_need(from).floor_vms;
+            let least = floor.max(self.sizing().least_vms);
+            self.pool_load(from).workers > least
+        };
+        self.least_used_elsewhere(pool, over, now)
+    }
+
+    /// Brings VMs to pools that have fewer than they should: in turns to the
+    /// one that lacks most and to the one that lacks fewest, so that neither
+    /// waits for the other.
+    fn fill_others(
+        &mut self,
+        targets: &BTreeMap<String, u64>,
+        now: Now,
+        orders: &mut Vec<VmOrder>,
     ) {
         let mut lacking: Vec<(u64, &String)> = targets
             .iter()
@@ -287,15 +451,14 @@
             .filter(|(lack, _)| *lack > 0)
             .collect();
         lacking.sort_unstable();
-        while let Some((lack, pool)) = lacking.pop() {
-            if let Some(vm) = self.switched_off_vm(pool, now) {
-                self.order_move(&vm, pool, now, orders);
-            } else if let Some(id) = self.spare_elsewhere(pool, targets, now) {
-                self.empty(&id, Purpose::Move(pool.clone()), now);
-                self.measure_pools(now);
-            } else {
+        while !lacking.is_empty() {
+            let most = lacking.len() - 1;
+            let next = if self.serves_smallest { 0 } else { most };
+            let (lack, pool) = lacking.remove(next);
+            if !self.bring_vm(pool, targets, now, orders) {
                 continue;
             }
+            self.serves_smallest = !self.serves_smallest;
             if lack > 1 {
                 lacking.push((lack - 1, pool));
                 lacking.sort_unstable();
@@ -303,11 +466,44 @@
         }
     }
 
+    /// Brings a VM to a pool that is switched off or that another has to
+    /// spare; returns whether there was one.
+    fn bring_vm(
+        &mut self,
+        pool: &str,
+        targets: &BTreeMap<String, u64>,
+        now: Now,
+        orders: &mut Vec<VmOrder>,
+    ) -> bool {
+        if let Some(vm) = self.switched_off_vm(pool, now) {
+            self.order_move(&vm, pool, now, orders);
+            return true;
+        }
+        let Some(id) = self.spare_elsewhere(pool, targets, now) else {
+            return false;
+        };
+        self.empty_to_move(&id, pool, now);
+        true
+    }
+
+    /// Lets a worker run dry whose VM is to move.
+    fn empty_to_move(&mut self, id: &WorkerId, to: &str, now: Now) {
+        self.empty(id, Purpose::Move(to.to_owned()), now);
+        let Some(worker) = self.workers.get(id) else { return };
+        let load = self.pool_loads.get_mut(&worker.listing.pool);
+        if let Some(load) = load {
+            load.leaves(&worker.listing.capacity);
+        }
+    }
+
     fn settle_moves(&mut self, now: Now) {
-        let vms = &self.vms;
+        let (vms, workers) = (&self.vms, &self.workers);
         self.moving.retain(|vm, moving| {
             let there = vms.get(vm).is_some_and(|vm| {
-                vm.pool == moving.to && vm.life == VmLife::Up
+                let mut life = vm.worker.iter();
+                vm.pool == moving.to
+                    && vm.life == VmLife::Up
+                    && life.all(|life| workers.contains_key(life))
             });
             let late = now.steady_ms > moving.since_ms + COMING_MS;
             !there && !late
@@ -340,10 +536,28 @@
             let target = targets.get(from).copied().unwrap_or(0);
             self.pool_load(from).workers > target
         };
+        self.least_used_elsewhere(pool, over, now)
+    }
+
+    /// Returns the least used worker of the other pools that may give one;
+    /// none that long-running tasks would have to leave.
+    fn least_used_elsewhere(
+        &self,
+        pool: &str,
+        may_give: impl Fn(&str) -> bool,
+        now: Now,
+    ) -> Option<WorkerId> {
+        let pools = self.pool_loads.keys();
+        let giving: BTreeSet<&str> = pools
+            .map(String::as_str)
+            .filter(|from| *from != pool && may_give(from))
+            .collect();
+        if giving.is_empty() {
+            return None;
+        }
         self.workers
             .values()
-            .filter(|worker| worker.listing.pool != pool)
-            .filter(|worker| over(&worker.listing.pool))
+            .filter(|worker| giving.contains(worker.listing.pool.as_str()))
             .filter(|worker| worker.is_usable())
             .filter(|worker| self.may_order(&worker.listing.vm, now))
             .filter(|worker| !self.is_refused(&worker.listing.vm, pool))
@@ -363,7 +577,7 @@
 
     /// Returns the fewest VMs that a pool can do with.
     fn least_vms(&self, pool: &str) -> u64 {
-        self.pool_load(pool).apart.max(self.sizing().least_vms)
+        self.lasting_need(pool).floor_vms.max(self.sizing().least_vms)
     }
 
     fn may_leave(&self, worker: &Worker, now: Now) -> bool {
@@ -402,8 +616,7 @@
         let Some(id) = idle.map(|worker| worker.id().clone()) else {
             return false;
         };
-        self.empty(&id, Purpose::Move(free), now);
-        self.measure_pools(now);
+        self.empty_to_move(&id, &free, now);
         true
     }
 
@@ -483,12 +696,3 @@
         }
     }
 }
-
-/// Returns how many workers a long-running step needs because only so many
-/// of its tasks may share one.
-fn apart(spec: &StepSpec) -> u64 {
-    if !spec.long_running || spec.max_per_worker == 0 {
-        return 0;
-    }
-    u64::from(spec.count.div_ceil(spec.max_per_worker))
-}
