--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -84,12 +84,17 @@
         of_all.max(of_left)
     }
 
-    /// Returns how many VMs like this one the pool needs so that short tasks
-    /// fill no more than `full_percent` of what the others leave, by the kind
-    /// of room that it needs most VMs for.
+    /// Returns how many VMs like this one the pool needs, by the kind of room
+    /// that it needs most VMs for.
+    ///
+    /// No more than `full_percent` of all processors are to be filled, nor of
+    /// what tasks that are to last leave of the other kinds of room.
     fn vms_needed(&self, vm: &Room, full_percent: u64) -> u64 {
-        let short = self.asked_by_short().times(100).part(full_percent);
-        short.plus(&self.lasting).rooms_of(vm)
+        let filled = |room: Room| room.times(100).part(full_percent);
+        let of_all = filled(self.asked());
+        let of_left = filled(self.asked_by_short()).plus(&self.lasting);
+        let cpu_millis = of_all.cpu_millis;
+        Room { cpu_millis, ..of_left }.rooms_of(vm)
     }
 
     /// Notes that a worker is to leave.
