Every eighth VM goes to the pool that lacks fewest, not every second

Cause: in turns of one each, a peak that begins beside a trouble comes later.

Ruled out: VMs taken from short tasks (none were, there) and VMs that count as coming until their worker is known (the same worth without).

--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -111,8 +111,9 @@
     pub(super) lasting_steps: Vec<TaskId>,
     /// What each pool's tasks that are to last need of VMs.
     pub(super) lasting_needs: BTreeMap<String, LastingNeed>,
-    /// Whether the pool that lacks fewest VMs gets the next one.
-    pub(super) serves_smallest: bool,
+    /// How many VMs pools got that lacked most, since the one that lacked
+    /// fewest had its turn.
+    pub(super) vms_to_most: u32,
     /// How many VMs each pool should have, when that was last looked at.
     pub(super) targets: BTreeMap<String, u64>,
     /// What each pool's known jobs will use a while ahead.
@@ -193,7 +194,7 @@
             projected: BTreeMap::new(),
             lasting_steps: Vec::new(),
             lasting_needs: BTreeMap::new(),
-            serves_smallest: false,
+            vms_to_most: 0,
             first_job_ms: 0,
         }
     }
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -34,6 +34,12 @@
 /// How long a VM that was ordered to move counts as coming, in milliseconds.
 const COMING_MS: u64 = 4_000;
 
+/// How many VMs go to the pool that lacks most before one goes to the pool that
+/// lacks fewest. With one each, the days on which a peak begins beside a trouble
+/// were worth 0.04 less on a site of 48 workers; with seven as much as with none
+/// (trials).
+const VMS_TO_MOST: u32 = 7;
+
 /// What a pool has and what is asked of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct PoolLoad {
@@ -439,9 +445,9 @@
         self.least_used_elsewhere(pool, over, now)
     }
 
-    /// Brings VMs to pools that have fewer than they should: in turns to the
-    /// one that lacks most and to the one that lacks fewest, so that neither
-    /// waits for the other.
+    /// Brings VMs to pools that have fewer than they should: to the one that
+    /// lacks most, and now and then to the one that lacks fewest, so that a
+    /// small need doesn't wait until a large one is met.
     fn fill_others(
         &mut self,
         targets: &BTreeMap<String, u64>,
@@ -458,12 +464,12 @@
         lacking.sort_unstable();
         while !lacking.is_empty() {
             let most = lacking.len() - 1;
-            let next = if self.serves_smallest { 0 } else { most };
-            let (lack, pool) = lacking.remove(next);
+            let smallest = self.vms_to_most >= VMS_TO_MOST;
+            let (lack, pool) = lacking.remove(if smallest { 0 } else { most });
             if !self.bring_vm(pool, targets, now, orders) {
                 continue;
             }
-            self.serves_smallest = !self.serves_smallest;
+            self.vms_to_most = if smallest { 0 } else { self.vms_to_most + 1 };
             if lack > 1 {
                 lacking.push((lack - 1, pool));
                 lacking.sort_unstable();
