Lasting tasks are packed without looking again at VMs that are full

Cause: each step looked at all VMs that the steps before it had filled, and targets cloned a pool's name for each VM.

--- a/crates/dewspar/src/schedule/lasting.rs
+++ b/crates/dewspar/src/schedule/lasting.rs
@@ -89,31 +89,41 @@
     }
 }
 
-/// Puts tasks on VMs; returns how many have to be added for that.
+/// Puts tasks on VMs, each on the first that has room; returns how many have to
+/// be added for that.
 fn added_vms<'a>(
     mut bins: Vec<Bin<'a>>,
-    parts: impl Iterator<Item = (&'a Part<'a>, u64)>,
+    parts: &[(&Part, u64)],
     vms: &[Room],
 ) -> u64 {
-    let known = bins.len();
-    for (part, mut count) in parts {
-        for bin in &mut bins {
-            if count == 0 {
-                break;
-            }
-            count -= bin.take(part, count);
-        }
+    let Some(smallest) = smallest(parts) else { return 0 };
+    let mut added = 0;
+    for (part, count) in parts {
+        let mut left = *count;
+        // What is full isn't looked at again: else each step looks at all VMs
+        // that the steps before it have filled.
+        bins.retain_mut(|bin| {
+            left -= bin.take(part, left);
+            bin.free.holds(&smallest)
+        });
         let fitting = vms.iter().filter(|vm| vm.holds(&part.demand));
         let Some(vm) = fitting.max_by_key(|vm| vm.cpu_millis) else {
             continue;
         };
-        while count > 0 {
+        while left > 0 {
             let mut bin = Bin { free: *vm, worker: None };
-            count -= bin.take(part, count);
+            left -= bin.take(part, left);
+            added += 1;
             bins.push(bin);
         }
     }
-    (bins.len() - known) as u64
+    added
+}
+
+/// Returns the least of each kind of room that some task asks for.
+fn smallest(parts: &[(&Part, u64)]) -> Option<Room> {
+    let demands = parts.iter().map(|(part, _)| part.demand);
+    demands.reduce(|least, demand| least.smaller(&demand))
 }
 
 impl Scheduler {
@@ -201,13 +211,15 @@
         bins.sort_by_key(|bin| bin.worker.map(Worker::id));
         let occupied = bins.len() as u64;
         let parts = pool.parts.iter().map(|part| (part, part.unplaced));
-        occupied + added_vms(bins, parts, &self.capacities)
+        let parts: Vec<_> = parts.filter(|(_, count)| *count > 0).collect();
+        occupied + added_vms(bins, &parts, &self.capacities)
     }
 
     fn lacking_vms(&self, pool: &str, parts: &PoolParts, now: Now) -> u64 {
         let waiting = parts.parts.iter().map(|part| (part, part.waiting));
-        let waiting = waiting.filter(|(_, count)| *count > 0);
-        if waiting.clone().next().is_none() {
+        let waiting: Vec<_> =
+            waiting.filter(|(_, count)| *count > 0).collect();
+        if waiting.is_empty() {
             return 0;
         }
         let workers = self.workers.in_pool(pool);
@@ -219,7 +231,7 @@
         let coming = self.coming_rooms(pool);
         let coming = coming.map(|free| Bin { free, worker: None });
         let bins = bins.chain(coming).collect();
-        added_vms(bins, waiting, &self.capacities)
+        added_vms(bins, &waiting, &self.capacities)
     }
 
     /// Returns the room of each VM that is on its way to a pool.
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -110,6 +110,15 @@
         }
     }
 
+    /// Returns the smaller of each kind of room.
+    pub fn smaller(&self, other: &Room) -> Room {
+        Room {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            gpus: self.gpus.min(other.gpus),
+        }
+    }
+
     /// Returns how many rooms like `other` this is, in thousandths, by the
     /// kind of which it is most; kinds that `other` has none of don't count.
     pub fn per_thousand_of(&self, other: &Room) -> u64 {
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -331,7 +331,12 @@
                     if self.sizing().equal_shares { has } else { 0 }
                 });
             let Some((pool, _)) = least else { return };
-            *targets.entry((*pool).clone()).or_default() += 1;
+            match targets.get_mut(*pool) {
+                Some(target) => *target += 1,
+                None => {
+                    targets.insert((*pool).clone(), 1);
+                }
+            }
             *left -= 1;
         }
     }
