--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -38,9 +38,9 @@
     dewspar::{
         job::{QueueSet, TaskId},
         schedule::{
-            HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder, Refusal,
-            Room, StartOrder, StopOrder, VmLife, VmOrderError, WaveRequest,
-            WorkerId, WorkerListing,
+            EndCause, HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder,
+            Refusal, Room, StartOrder, StopOrder, VmLife, VmOrderError,
+            WaveRequest, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::{Error, Fleet, Intent, JobWorkers, VmChange},
@@ -61,6 +61,9 @@
 /// How often a hold that waits looks for an end.
 const LOOK: Duration = Duration::from_millis(10);
 
+/// How long a task works that fails, in milliseconds.
+const FAILS_AFTER_MS: u64 = 50;
+
 /// How long an order takes at most, in milliseconds: as on the platform.
 const ORDER_TIMEOUT_MS: u64 = 200;
 
@@ -83,8 +86,16 @@
     next_life: u64,
     /// How long each task takes, in milliseconds.
     work_ms: u64,
+    /// The step whose tasks fail after [`FAILS_AFTER_MS`], if one does.
+    failing_step: Option<u32>,
+    /// Whether orders to stop are lost.
+    stops_lost: bool,
     /// Every run that was ever started.
     started: Vec<(TaskId, u64)>,
+    /// Tasks that are known to have done their work.
+    done: BTreeSet<TaskId>,
+    /// Tasks of which a run began though they were done or ran elsewhere.
+    ran_twice: Vec<TaskId>,
     maintained: BTreeSet<String>,
 }
 
@@ -103,7 +114,11 @@
             completed: Vec::new(),
             next_life: 1,
             work_ms: 100,
+            failing_step: None,
+            stops_lost: false,
             started: Vec::new(),
+            done: BTreeSet::new(),
+            ran_twice: Vec::new(),
             maintained: BTreeSet::new(),
         };
         let state = Arc::new(Mutex::new(state));
@@ -125,6 +140,16 @@
         self.lock().work_ms = work_ms;
     }
 
+    /// Has all tasks of a step fail, in every job.
+    pub fn fail_step(&self, step: u32) {
+        self.lock().failing_step = Some(step);
+    }
+
+    /// Loses orders to stop from now on, or no longer.
+    pub fn set_stops_lost(&self, lost: bool) {
+        self.lock().stops_lost = lost;
+    }
+
     /// Writes a configuration, as the operator would.
     pub fn configure(&self, queues: QueueSet) {
         let mut state = self.lock();
@@ -144,6 +169,12 @@
         self.lock().started.clone()
     }
 
+    /// Returns the tasks of which a run began though they were done, by what
+    /// some worker has listed, or ran elsewhere.
+    pub fn ran_twice(&self) -> Vec<TaskId> {
+        self.lock().ran_twice.clone()
+    }
+
     /// Returns the VMs that were maintained.
     pub fn maintained(&self) -> BTreeSet<String> {
         self.lock().maintained.clone()
@@ -187,6 +218,7 @@
         let entry = state.workers.get_mut(worker);
         let entry = entry.ok_or(OrderError::Refused(Refusal::OtherLife))?;
         let result = act(entry, now_ms);
+        state.note_done();
         match fate {
             CallFate::LoseAnswer => Err(OrderError::Unknown),
             CallFate::Answer | CallFate::Refuse => result,
@@ -213,6 +245,35 @@
         self.workers.insert(id, Entry { worker, listing });
     }
 
+    fn fate_of(&self, task: &TaskId) -> Fate {
+        if self.failing_step == Some(task.step) {
+            return Fate::failed(FAILS_AFTER_MS);
+        }
+        Fate::done(self.work_ms)
+    }
+
+    /// Notes what workers list as done, before that is acknowledged.
+    fn note_done(&mut self) {
+        for entry in self.workers.values() {
+            let ended = entry.worker.ended().iter();
+            let done = ended.filter(|end| end.cause == EndCause::Done);
+            self.done.extend(done.map(|end| end.task));
+        }
+    }
+
+    fn note_started(&mut self, order: &StartOrder, now_ms: u64) {
+        self.started.push((order.task, order.run));
+        let runs = |entry: &mut Entry| {
+            let running = entry.worker.running(now_ms);
+            running.iter().any(|(task, _)| *task == order.task)
+        };
+        let workers = self.workers.values_mut();
+        let running = workers.map(runs).filter(|runs| *runs).count();
+        if running > 1 || self.done.contains(&order.task) {
+            self.ran_twice.push(order.task);
+        }
+    }
+
     /// Ends a VM's worker and starts the next; returns whether there is one.
     fn replace_life(&mut self, vm: &str) -> bool {
         let found = self.workers.values().find(|e| e.listing.vm == vm);
@@ -240,16 +301,16 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
-        let work_ms = self.lock().work_ms;
+        let fate = self.lock().fate_of(&order.task);
         let mut began = false;
         let result = self.order(worker, |entry, now_ms| {
-            let fate = Fate::done(work_ms);
             let result = entry.worker.start(now_ms, order, TASK, fate);
             began = result.is_ok();
             result
         });
         if began {
-            self.lock().started.push((order.task, order.run));
+            let now_ms = self.now_ms();
+            self.lock().note_started(order, now_ms);
         }
         result
     }
@@ -260,6 +321,9 @@
         worker: &WorkerId,
         order: &StopOrder,
     ) -> Result<u64, OrderError> {
+        if self.lock().stops_lost {
+            return Err(OrderError::Unknown);
+        }
         self.order(worker, |entry, now_ms| entry.worker.stop(now_ms, order))
     }
 
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        fields::OtherFields,
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
         schedule::{QueueTerms, Room, WorkerId, suspects::Crashes},
     },
@@ -23,6 +24,8 @@
     estimates_from_ms: Vec<u64>,
     /// The newest change that is in the store.
     pub(crate) stored_sequence: u64,
+    /// What a newer version has stored of it besides.
+    pub(crate) other: OtherFields,
 }
 
 #[derive(Debug)]
@@ -50,6 +53,8 @@
     pub(crate) avoid: Vec<WorkerId>,
     /// The workers that were lost under it, in a row.
     pub(crate) crashes: Crashes,
+    /// What a newer version has stored of it besides.
+    pub(crate) other: OtherFields,
 }
 
 impl Job {
@@ -74,6 +79,7 @@
             phase: Phase::Queued,
             finished_at_ms: 0,
             stored_sequence: 0,
+            other: OtherFields::default(),
         }
     }
 
@@ -81,6 +87,7 @@
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.phase = progress.phase;
         self.finished_at_ms = progress.finished_at_ms;
+        self.other = progress.other.clone();
         for record in &progress.tasks {
             let rounds = &mut self.rounds;
             let step = rounds
@@ -92,6 +99,21 @@
         }
     }
 
+    /// Notes that a former holder may have started what is ready by now.
+    pub(crate) fn note_may_have_begun(&mut self) {
+        for steps in &mut self.rounds {
+            let done: Vec<bool> = steps.iter().map(Step::is_done).collect();
+            for (step, spec) in steps.iter_mut().zip(&self.spec.steps) {
+                if !spec.after.iter().all(|earlier| done[*earlier]) {
+                    continue;
+                }
+                for task in &mut step.tasks {
+                    task.crashes.may_have_begun = true;
+                }
+            }
+        }
+    }
+
     /// Returns what a later holder must know.
     pub(crate) fn progress(&self) -> Progress {
         let mut tasks = Vec::new();
@@ -109,6 +131,7 @@
             phase: self.phase,
             finished_at_ms: self.finished_at_ms,
             tasks,
+            other: self.other.clone(),
         }
     }
 
@@ -198,7 +221,8 @@
         task.run = record.run;
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
-        task.crashes = Crashes::restored(record.crashes, record.unseen);
+        task.crashes = Crashes::restored(record);
+        task.other = record.other.clone();
         if record.done && !task.done {
             task.done = true;
             self.done += 1;
@@ -213,7 +237,10 @@
     ) -> impl Iterator<Item = TaskRecord> {
         let tasks = (0..).zip(&self.tasks);
         let known = |task: &Task| {
-            task.ended_run > 0 || task.done || task.crashes.are_on_record()
+            task.ended_run > 0
+                || task.done
+                || task.crashes.are_on_record()
+                || !task.other.is_empty()
         };
         tasks.filter(move |(_, task)| known(task)).map(move |(index, task)| {
             TaskRecord {
@@ -229,11 +256,13 @@
                 } else {
                     task.crashes.unseen_on_record()
                 },
+                told: task.told_on_record(),
                 checkpoint: if task.done {
                     String::new()
                 } else {
                     task.checkpoint.clone()
                 },
+                other: task.other.clone(),
             }
         })
     }
@@ -243,6 +272,16 @@
     }
 }
 
+impl Task {
+    /// Returns the worker that was told to start a run of which a later holder
+    /// must know, empty while none was told; `None` if there is no such run.
+    fn told_on_record(&self) -> Option<String> {
+        let wanted = !self.done && self.crashes.have_a_run_on_record();
+        let told = || self.on.last().map_or("", WorkerId::as_str);
+        wanted.then(|| told().to_owned())
+    }
+}
+
 /// Returns what a task of the step takes of a worker.
 pub(crate) fn demand(spec: &StepSpec) -> Room {
     // Best-effort tasks only use what others leave of the processor.
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -6,9 +6,7 @@
 only while its step can spare another. Then the VM service is ordered to take
 it down, which it does at once.
 
-How many VMs are on their way at a time follows from the time that is left;
-which one is next follows from how busy its pool is, so that a pool at its
-peak keeps its workers.
+Which VMs are emptied next, and how many at a time, is for `wave_choice`.
 */
 
 use {
@@ -17,17 +15,14 @@
         schedule::{
             Decision, ManagedVm, Now, Scheduler, VmLife, VmOrder,
             VmOrderError, WaveRecord, WaveRequest, WorkerId,
+            wave_account::WaveTold,
             wave_state::WaveState,
             worker::{Purpose, RunState, Worker},
         },
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
-/// How long a VM takes from being chosen to being back, in milliseconds:
-/// short tasks to their end, the maintenance itself, and the directory.
-const CYCLE_MS: u64 = 6_000;
-
 /// How long short tasks may run on a worker that is being emptied before
 /// those with a checkpoint are stopped, in milliseconds: most end by then.
 const CHECKPOINTED_PATIENCE_MS: u64 = 2_500;
@@ -36,12 +31,15 @@
 /// nearly any of them takes.
 const PATIENCE_MS: u64 = 6_000;
 
-/// How much of a pool may be in use for its VMs to be taken while there is
-/// time to wait, in hundredths.
-const CALM_PERCENT: u64 = 70;
-
-/// How much more time than needed there must be to wait for a calm pool.
-const SLACK: u64 = 2;
+/// Whether a task is to leave a worker that is being emptied.
+enum Leave {
+    /// It goes on for now.
+    NotYet,
+    /// It is stopped, and waits for its turn like any other.
+    AtOnce,
+    /// It is stopped once it has a place elsewhere.
+    WithPlace,
+}
 
 impl Scheduler {
     /// Takes over the waves that are asked for, each with what was kept of it
@@ -74,11 +72,14 @@
             let state = WaveState {
                 request: request.clone(),
                 record,
+                members: request.vms.iter().cloned().collect(),
                 end_ms: now.steady_ms + left_ms,
+                chosen_ms: now.steady_ms,
                 down: BTreeMap::new(),
                 ordered: BTreeMap::new(),
                 missing: BTreeMap::new(),
                 reported: false,
+                told: WaveTold::default(),
                 completed: completed.contains(&request.wave),
             };
             self.waves.insert(request.wave, state);
@@ -168,15 +169,17 @@
     ) {
         let Some(state) = self.waves.get(&wave) else { return };
         let mut room = state.room(|vm| self.may_be_down(vm, now));
+        let workers = self.workers_by_vm();
         let mut ready = Vec::new();
         for vm in state.remaining() {
+            let worker = workers.get(vm.as_str()).copied();
             // One that was ordered before counts as down already.
             let again = state.is_ordered(vm);
             if room == 0 && !again {
                 continue;
             }
             let free = !state.is_waiting(vm, now) && self.may_order(vm, now);
-            if !free || !self.is_empty_for(vm, wave) {
+            if !free || !self.is_empty_for(vm, worker, wave) {
                 continue;
             }
             ready.push(vm.clone());
@@ -193,19 +196,23 @@
 
     /// Returns whether a VM may be down by an order of a former holder: it
     /// is, or it was ordered of late and the order may yet be carried out.
-    fn may_be_down(&self, vm: &str, now: Now) -> bool {
+    pub(super) fn may_be_down(&self, vm: &str, now: Now) -> bool {
         let known = self.vms.get(vm);
         known.is_some_and(|vm| vm.life == VmLife::Maintenance)
             || self.was_ordered_before(vm, now)
     }
 
     /// Returns whether a VM may go down now.
-    fn is_empty_for(&self, vm: &str, wave: u64) -> bool {
+    fn is_empty_for(
+        &self,
+        vm: &str,
+        worker: Option<&Worker>,
+        wave: u64,
+    ) -> bool {
         let Some(known) = self.vms.get(vm) else { return false };
         if known.life != VmLife::Up {
             return false;
         }
-        let worker = self.workers.values().find(|w| w.listing.vm == vm);
         match worker {
             Some(worker) => {
                 worker.emptying == Some(Purpose::Maintenance(wave))
@@ -216,65 +223,20 @@
         }
     }
 
-    /// Begins to empty more workers, as many as the time left asks for.
-    fn empty_more(&mut self, wave: u64, now: Now) {
-        let Some(state) = self.waves.get(&wave) else { return };
-        let under_way = state.down.len() + self.emptying_for(wave, state);
-        let remaining: Vec<&String> = state.remaining().collect();
-        let eligible: Vec<&Worker> = remaining
-            .iter()
-            .filter_map(|vm| self.worker_on(vm))
-            .filter(|worker| {
-                worker.emptying.is_none()
-                    && worker.synced
-                    && worker.silent_since_ms.is_none()
-            })
-            .collect();
-        // One that was ordered takes the room of others until another order
-        // shows whether the first was carried out.
-        let ordered = |worker: &&&Worker| state.is_ordered(&worker.listing.vm);
-        if let Some(worker) = eligible.iter().find(ordered) {
-            let id = worker.id().clone();
-            self.empty(&id, Purpose::Maintenance(wave), now);
-            return;
-        }
-        let left_ms = state.left_ms(now);
-        let needed_ms = remaining.len() as u64 * CYCLE_MS;
-        let parallel = needed_ms.div_ceil(left_ms.max(1));
-        let most = state.request.max_down;
-        let parallel = usize::try_from(parallel).unwrap_or(most);
-        let parallel = parallel.clamp(1, most.max(1));
-        if under_way >= parallel {
-            return;
-        }
-        let may_wait = needed_ms * SLACK < left_ms * parallel as u64;
-        let next = eligible.into_iter().min_by_key(|worker| {
-            let pool = &worker.listing.pool;
-            (self.pool_percent_without(pool, 1), worker.used().cpu_millis)
-        });
-        let Some(worker) = next else { return };
-        let percent = self.pool_percent_without(&worker.listing.pool, 1);
-        if may_wait && percent > CALM_PERCENT {
-            return;
-        }
-        let id = worker.id().clone();
-        self.empty(&id, Purpose::Maintenance(wave), now);
-    }
-
-    /// Counts the workers that are being emptied and aren't down yet.
-    fn emptying_for(&self, wave: u64, state: &WaveState) -> usize {
-        let purpose = Some(Purpose::Maintenance(wave));
-        let emptying = self.workers.values().filter(|worker| {
-            worker.emptying == purpose
-                && !state.down.contains_key(&worker.listing.vm)
-        });
-        emptying.count()
-    }
-
     pub(super) fn worker_on(&self, vm: &str) -> Option<&Worker> {
         self.workers.values().find(|worker| worker.listing.vm == vm)
     }
 
+    /// Returns the worker on each VM, the first of two lives: looking for one
+    /// VM after the other goes over all workers each time.
+    pub(super) fn workers_by_vm(&self) -> HashMap<&str, &Worker> {
+        let mut workers = HashMap::with_capacity(self.workers.len());
+        for worker in self.workers.values() {
+            workers.entry(worker.listing.vm.as_str()).or_insert(worker);
+        }
+        workers
+    }
+
     /// Returns how much of a pool would be in use if it had so many fewer
     /// workers, in hundredths.
     pub(super) fn pool_percent_without(&self, pool: &str, less: u64) -> u64 {
@@ -294,12 +256,15 @@
         self.note(Decision::Emptying { worker: id.clone(), vm, reason });
     }
 
-    /// Stops what has to leave workers that are being emptied.
+    /// Stops what has to leave workers that are being emptied or end soon.
     pub(super) fn empty_workers(&mut self, now: Now) {
+        self.forget_unplaced_moves();
         let emptying: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| worker.emptying.is_some())
+            .filter(|worker| {
+                worker.emptying.is_some() || worker.is_about_to_end()
+            })
             .map(|worker| worker.id().clone())
             .collect();
         for id in emptying {
@@ -309,7 +274,15 @@
 
     fn empty_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else { return };
-        let waited_ms = now.steady_ms.saturating_sub(worker.emptying_since_ms);
+        let emptied = worker.emptying.is_some();
+        // Short tasks end by themselves before a worker that drains does, or
+        // go down with it.
+        let waited_ms = match emptied {
+            true => now.steady_ms.saturating_sub(worker.emptying_since_ms),
+            false => 0,
+        };
+        let reason =
+            if emptied { "its VM is needed" } else { "its worker ends soon" };
         let tasks: Vec<TaskId> = worker
             .runs
             .iter()
@@ -317,45 +290,64 @@
             .map(|(task, _)| *task)
             .collect();
         for task in tasks {
-            if self.may_stop_for_duty(&task, id, waited_ms, now) {
-                let place = self.place_for(&task, now).cloned();
-                let worker = id.clone();
-                self.note(Decision::Displaced { task, worker, place });
-                self.stop_run(&task, id, "its VM is needed");
+            match self.leave_for_duty(&task, id, waited_ms, now) {
+                Leave::NotYet => {}
+                Leave::AtOnce => self.displace(&task, id, None, reason),
+                Leave::WithPlace => {
+                    if let Some(place) = self.plan_move(&task, id, now) {
+                        self.displace(&task, id, Some(place), reason);
+                    }
+                }
             }
         }
     }
 
-    fn may_stop_for_duty(
+    /// Returns whether a task is to leave a worker that is being emptied.
+    fn leave_for_duty(
         &self,
         task: &TaskId,
         id: &WorkerId,
         waited_ms: u64,
         now: Now,
-    ) -> bool {
-        let Some(job) = self.jobs.get(&task.job) else { return true };
-        let Some(spec) = job.step_spec(task) else { return true };
+    ) -> Leave {
+        let Some(job) = self.jobs.get(&task.job) else { return Leave::AtOnce };
+        let Some(spec) = job.step_spec(task) else { return Leave::AtOnce };
         if !spec.long_running {
             let patience_ms = if spec.checkpointing {
                 CHECKPOINTED_PATIENCE_MS
             } else {
                 PATIENCE_MS
             };
-            return waited_ms >= patience_ms;
+            let patient = waited_ms < patience_ms;
+            return if patient { Leave::NotYet } else { Leave::AtOnce };
         }
         // A stop that a former holder ordered may still be under way, and the
         // task still be listed as at work.
         let settled = self.taken_over_ms + self.options.stop_settle_ms;
         if now.steady_ms < settled {
-            return false;
+            return Leave::NotYet;
         }
-        let spare = spec.max_unavailable.max(1) as usize;
-        let others_down = self.down_in_step(task, id);
-        others_down < spare && self.has_other_place(task, id, now)
+        let kept = self.is_kept_by_step(task, id);
+        if kept { Leave::NotYet } else { Leave::WithPlace }
+    }
+
+    /// Returns whether too many others of a task's step are away for it to
+    /// leave a worker.
+    pub(super) fn is_kept_by_step(
+        &self,
+        task: &TaskId,
+        id: &WorkerId,
+    ) -> bool {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        spec.is_some_and(|spec| {
+            let spare = spec.max_unavailable.max(1) as usize;
+            self.down_in_step(task, id) >= spare
+        })
     }
 
     /// Counts the other tasks of a long-running step that aren't at work.
-    fn down_in_step(&self, task: &TaskId, id: &WorkerId) -> usize {
+    pub(super) fn down_in_step(&self, task: &TaskId, id: &WorkerId) -> usize {
         let Some(job) = self.jobs.get(&task.job) else { return 0 };
         let Some(step) = job.step(task) else { return 0 };
         let at_work = |index: u32| {
@@ -378,7 +370,12 @@
     }
 
     /// Returns whether another worker could take a task now.
-    fn has_other_place(&self, task: &TaskId, id: &WorkerId, now: Now) -> bool {
+    pub(super) fn has_other_place(
+        &self,
+        task: &TaskId,
+        id: &WorkerId,
+        now: Now,
+    ) -> bool {
         self.place_for(task, now).is_some_and(|worker| worker != id)
     }
 
@@ -440,8 +437,7 @@
 
     /// Returns whether a VM is still to go down for some wave.
     pub(super) fn awaits_maintenance(&self, vm: &str) -> bool {
-        self.waves.values().any(|state| {
-            !state.completed && state.remaining().any(|other| other == vm)
-        })
+        let mut waves = self.waves.values();
+        waves.any(|state| !state.completed && state.awaits(vm))
     }
 }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,8 +102,11 @@
         Forecast, InvalidPolicy, Orders, Placing, Policy, Sizing, Watching,
     },
     scheduler::Scheduler,
+    set_aside::{EndSetAside, EndsSetAside},
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
+    wave_account::{LeftVms, WaveAccount, WaveTime},
+    wave_choice::WavePace,
 };
 
 use {
@@ -115,6 +118,7 @@
 mod answers;
 mod board;
 mod cancelled;
+mod claims;
 mod crash_series;
 mod directory;
 mod duty;
@@ -128,18 +132,24 @@
 mod order;
 mod pacing;
 mod place;
+mod places;
 mod policy;
 mod projection;
+mod questions;
 mod records;
 mod report;
 mod scheduler;
+mod set_aside;
 mod sizing;
 mod steadiness;
 mod stopping;
 mod storing;
 mod suspects;
+mod unseen_starts;
 mod vm;
 mod waits;
+mod wave_account;
+mod wave_choice;
 mod wave_state;
 mod worker;
 mod workers;
@@ -463,6 +473,13 @@
         /// What waits for room, in thousandths of a core.
         waiting_cpu: u64,
     },
+    /// A wave goes on, or its time is over.
+    WaveGoesOn {
+        /// The wave's number.
+        wave: u64,
+        /// How far it has come, and what keeps its VMs.
+        account: WaveAccount,
+    },
     /// A worker's life is over.
     WorkerGone {
         /// The worker.
@@ -479,11 +496,16 @@
         /// How long after it was accepted, in milliseconds.
         after_ms: u64,
     },
-    /// A worker has seen a higher token: another node holds the lease.
+    /// A worker has seen a higher token: another node may hold the lease.
     Superseded {
         /// The worker.
         worker: WorkerId,
     },
+    /// The store has renewed the lease since a worker claimed a higher token.
+    ClaimDisproved {
+        /// The worker.
+        worker: WorkerId,
+    },
 }
 
 /// How many workers of a pool can't take a task, each counted once, by the
--- a/crates/dewspar/src/schedule/place/candidates.rs
+++ b/crates/dewspar/src/schedule/place/candidates.rs
@@ -31,6 +31,18 @@
     pub(super) step: usize,
 }
 
+impl Candidate {
+    /// Returns the first task of the step.
+    pub(in crate::schedule) fn first_task(&self) -> TaskId {
+        TaskId {
+            job: self.job,
+            round: self.round as u32,
+            step: self.step as u32,
+            index: 0,
+        }
+    }
+}
+
 /// A pool's number, which is compared faster than its name.
 pub(in crate::schedule) type PoolNumber = usize;
 
@@ -41,6 +53,8 @@
     pub(super) demand: Room,
     /// Whether some task that waits may crash its worker.
     pub(super) suspects: bool,
+    /// Whether its tasks are to last.
+    lasts: bool,
 }
 
 /// The steps that have tasks to start.
@@ -118,15 +132,15 @@
         anew == self.ordered
     }
 
-    /// Returns the first task of each step with tasks to start, in the order
-    /// of their turns.
-    pub(in crate::schedule) fn steps(&self) -> impl Iterator<Item = TaskId> {
-        self.ordered.keys().map(|candidate| TaskId {
-            job: candidate.job,
-            round: candidate.round as u32,
-            step: candidate.step as u32,
-            index: 0,
-        })
+    /// Returns the first task of each step that is to last and has tasks to
+    /// start, in the order of their turns.
+    ///
+    /// Asked ten times a second, among thousands of steps.
+    pub(in crate::schedule) fn lasting_steps(
+        &self,
+    ) -> impl Iterator<Item = TaskId> {
+        let lasting = self.ordered.iter().filter(|(_, wanted)| wanted.lasts);
+        lasting.map(|(candidate, _)| candidate.first_task())
     }
 
     fn forget(&mut self, id: &JobId) {
@@ -227,9 +241,10 @@
                 step,
             };
             let demand = demand(spec);
+            let lasts = spec.long_running;
             found
                 .candidates
-                .push((candidate, Wanted { pool, demand, suspects }));
+                .push((candidate, Wanted { pool, demand, suspects, lasts }));
         }
     }
     found
--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -54,6 +54,7 @@
         if record.phase == Phase::Running {
             job.phase = Phase::Running;
         }
+        job.other.add(&record.other);
         let mut useless = Vec::new();
         for task in &record.tasks {
             useless.extend(add_record(job, id, task));
@@ -74,23 +75,6 @@
         self.finish_if_over(task, failures, now);
     }
 
-    /// Runs nothing more of a job of which nobody knows what was done, and
-    /// stores nothing of it.
-    pub fn leave_alone(&mut self, id: JobId) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let placed: Vec<(TaskId, WorkerId)> = job
-            .placed(id)
-            .map(|(task, worker)| (task, worker.clone()))
-            .collect();
-        for (task, worker) in placed {
-            self.stop_run(&task, &worker, "its job's record can't be read");
-        }
-        self.jobs.remove(&id);
-        self.changed.remove(&id);
-        self.storing.remove(&id);
-        self.drop_old_advice();
-    }
-
     /// Ends a job as its record says, which counts more than how it ended
     /// here: callers may have been told.
     fn end_as_on_record(&mut self, id: JobId, record: &Progress, now: Now) {
@@ -98,6 +82,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.phase = record.phase;
         job.finished_at_ms = record.finished_at_ms;
+        job.other.add(&record.other);
         self.mark_changed(id);
     }
 }
@@ -144,7 +129,8 @@
         self.run = self.run.max(record.run);
         self.ended_run = self.ended_run.max(record.run);
         if record.crashes > self.crashes.count {
-            self.crashes = Crashes::restored(record.crashes, record.unseen);
+            self.crashes = Crashes::restored(record);
         }
+        self.other.add(&record.other);
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -5,21 +5,26 @@
         link::{Class, LinkBudget},
         schedule::{
             AcceptedJob, Action, Decision, Held, ManagedVm, Now, Options,
-            Orderer, PaceOrder, QueueTerms, Room, WorkerId,
+            PaceOrder, QueueTerms, Room, WorkerId,
             advice::StepAdvice,
             board::Job,
             cancelled::Cancelled,
+            claims::Claims,
             crash_series::{CrashSeries, KeptFor},
+            duty::InheritedOrder,
             forecast::Arrivals,
             jobs::Jobs,
             lasting::LastingNeed,
             loading::Loading,
             place::Candidates,
+            places::KeptPlaces,
+            questions::Questions,
+            set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             waits::LongWaits,
             wave_state::WaveState,
-            worker::{OwedHold, Worker},
+            worker::{OwedHold, TokensUsed, Worker},
             workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
@@ -42,23 +47,40 @@
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
+    /// The jobs that can't be read, and the ends of their runs.
+    pub(super) set_aside: SetAside,
     pub(super) workers: Workers,
-    pub(super) changed: BTreeSet<JobId>,
-    /// Jobs whose progress is being stored.
-    pub(super) storing: BTreeSet<JobId>,
+    /// Jobs whose progress is to be stored, each with the number of the first
+    /// change that isn't.
+    pub(super) changed: BTreeMap<JobId, u64>,
+    /// Jobs whose progress is being stored, each with the first change that it
+    /// holds.
+    pub(super) storing: BTreeMap<JobId, u64>,
+    /// The jobs whose tasks wait to start until a change is stored, with the
+    /// number of the first such change.
+    pub(super) awaited: BTreeMap<JobId, u64>,
     /// How many changes there were.
     pub(super) sequence: u64,
     /// Final jobs whose keys are still kept, with when they became final.
     pub(super) finished: BTreeMap<JobId, u64>,
     pub(super) decisions: Vec<Decision>,
-    pub(super) superseded: bool,
+    /// What workers have said of later tokens.
+    pub(super) claims: Claims,
     /// Lives of workers that are over, though the directory may still list
     /// them.
     pub(super) ended_lives: BTreeSet<WorkerId>,
+    /// Lives that were silent until their lease was over, or until they left,
+    /// and may be back.
+    pub(super) lapsed_lives: BTreeMap<WorkerId, TokensUsed>,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
-    /// The pools in which a worker was lost before it had named its runs.
-    pub(super) unheard_losses: BTreeSet<String>,
+    /// How many workers of each pool were lost before they had named their runs.
+    pub(super) unheard_losses: BTreeMap<String, u32>,
+    /// The pools of which some task may wait for which these don't count yet.
+    pub(super) uncounted_pools: BTreeSet<String>,
+    /// The starts that former holders told of, with their workers, until it is
+    /// known what became of each.
+    pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
@@ -77,13 +99,15 @@
     pub(super) ordered_vms: BTreeMap<String, u64>,
     /// The VMs that former holders touched, who did, and until when that
     /// counts.
-    pub(super) inherited_vms: BTreeMap<String, (Orderer, u64)>,
+    pub(super) inherited_vms: BTreeMap<String, InheritedOrder>,
     /// From when changes of VMs may be ordered that a former holder touched.
     pub(super) vms_from_ms: BTreeMap<String, u64>,
     pub(super) all_vms_from_ms: u64,
     pub(super) waves: BTreeMap<u64, WaveState>,
     pub(super) vms: BTreeMap<String, ManagedVm>,
     pub(super) moving: BTreeMap<String, Moving>,
+    /// The places that are kept for tasks.
+    pub(super) places: KeptPlaces,
     /// Moves that the VM service will never take.
     pub(super) refused_moves: BTreeSet<(String, String)>,
     pub(super) serving_pools: BTreeSet<String>,
@@ -124,6 +148,8 @@
     pub(super) window: CallWindow,
     /// What this node's link carries of orders.
     pub(super) link: LinkBudget,
+    /// The questions under way.
+    pub(super) questions: Questions,
     /// The worker that is asked first; `None` before any is listed.
     asked_first: Option<WorkerId>,
     /// How long workers may gather ends, while the processor is short.
@@ -143,6 +169,7 @@
         Scheduler {
             window,
             link,
+            questions: Questions::default(),
             asked_first: None,
             busy: BusyPause::default(),
             runs_looked_at_ms: 0,
@@ -154,16 +181,21 @@
             candidates: Candidates::default(),
             loading: Loading::Done,
             cancelled: Cancelled::default(),
+            set_aside: SetAside::default(),
             workers: Workers::default(),
-            changed: BTreeSet::new(),
-            storing: BTreeSet::new(),
+            changed: BTreeMap::new(),
+            storing: BTreeMap::new(),
+            awaited: BTreeMap::new(),
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
-            superseded: false,
+            claims: Claims::default(),
             ended_lives: BTreeSet::new(),
+            lapsed_lives: BTreeMap::new(),
             knows_suspects: false,
-            unheard_losses: BTreeSet::new(),
+            unheard_losses: BTreeMap::new(),
+            uncounted_pools: BTreeSet::new(),
+            told_starts: BTreeMap::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
@@ -178,6 +210,7 @@
             waves: BTreeMap::new(),
             vms: BTreeMap::new(),
             moving: BTreeMap::new(),
+            places: KeptPlaces::default(),
             refused_moves: BTreeSet::new(),
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
@@ -199,17 +232,6 @@
         }
     }
 
-    /// Returns whether a worker has shown that another node holds the lease.
-    pub fn is_superseded(&self) -> bool {
-        self.superseded
-    }
-
-    /// Returns whether there is no later token for some worker under this
-    /// lease: another holder has to go on, under a lease of its own.
-    pub fn is_out_of_tokens(&self) -> bool {
-        self.workers.values().any(Worker::is_out_of_tokens)
-    }
-
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
@@ -258,9 +280,12 @@
             job.restore(progress);
             self.knows_suspects |=
                 progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
+            self.note_told_starts(id, progress);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
+        } else {
+            job.note_may_have_begun();
         }
         self.jobs.insert(id, job);
     }
@@ -359,17 +384,20 @@
 
     /// Returns what is to be done now.
     pub fn plan(&mut self, now: Now) -> Vec<Action> {
-        if self.superseded {
+        if self.may_be_superseded() {
             return Vec::new();
         }
         let mut actions = Vec::new();
         self.link.refill(now.steady_ms);
         self.cancel_loaded(now);
         self.drop_lapsed(now);
+        self.settle_told_starts(now);
         self.look_after_runs(now, &mut actions);
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
         self.fence_workers(now, &mut actions);
+        self.renew_places(now);
+        self.keep_places(now);
         self.start_waiting(now, &mut actions);
         self.tell_long_waits(now);
         self.hold_workers(now, &mut actions);
@@ -493,11 +521,6 @@
         self.note(Decision::Suspended { worker: worker_id.clone(), reason });
     }
 
-    pub(super) fn supersede(&mut self, worker_id: &WorkerId) {
-        self.superseded = true;
-        self.note(Decision::Superseded { worker: worker_id.clone() });
-    }
-
     pub(super) fn note(&mut self, decision: Decision) {
         self.decisions.push(decision);
     }
@@ -507,7 +530,7 @@
     pub(super) fn mark_changed(&mut self, id: JobId) -> u64 {
         self.sequence += 1;
         if self.jobs.contains_key(&id) {
-            self.changed.insert(id);
+            self.changed.entry(id).or_insert(self.sequence);
         }
         self.sequence
     }
@@ -591,16 +614,23 @@
         }
         // Stable: those that are alike keep the order of their identifiers.
         due.sort_by_key(|(class, due_ms, _)| (*class, *due_ms));
+        let mut room = self.room_for_questions(now);
         for (class, _, number) in due {
             if !self.link.allows(class) {
                 return;
             }
+            // Those that renew leases come first.
+            if room == 0 && class != Class::Renewal {
+                return;
+            }
+            room = room.saturating_sub(1);
             let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.let_wait(patient);
             let hold = hold(worker, false, now, &self.options);
-            if hold.is_some() {
+            if let Some(Action::Hold { held, .. }) = &hold {
                 let bytes = worker.question_bytes(self.link.order_bytes());
                 self.link.sent(class, bytes);
+                self.questions.sent(number, held);
             }
             actions.extend(hold);
         }
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -69,6 +69,11 @@
         self.asked().less(&self.lasting)
     }
 
+    /// Returns how many workers the pool has that aren't about to leave.
+    pub(super) fn workers(&self) -> u64 {
+        self.workers
+    }
+
     /// Returns what one VM of the pool has.
     fn vm(&self) -> Room {
         self.capacity.part(self.workers)
@@ -305,6 +310,7 @@
             let need = self.need_for_room(pool, &typical);
             let need = need.max(self.least_vms(pool));
             let need = need.max(self.need_for_place(pool, now));
+            let need = need.max(self.need_for_unplaced(pool));
             needs.insert(pool, need);
         }
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
@@ -574,7 +580,7 @@
         self.workers
             .values()
             .filter(|worker| giving.contains(worker.listing.pool.as_str()))
-            .filter(|worker| worker.is_usable())
+            .filter(|worker| worker.is_usable() && !worker.keeps_room())
             .filter(|worker| self.may_order(&worker.listing.vm, now))
             .filter(|worker| !self.is_refused(&worker.listing.vm, pool))
             .filter(|worker| !self.serves_for_long(worker))
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -15,6 +15,9 @@
 pub struct Changes {
     /// The progress of the jobs that changed.
     pub progress: Vec<(JobId, Progress)>,
+    /// The jobs among them that are over and of which something may still run:
+    /// a later holder has to know before it has loaded them.
+    unstopped: BTreeSet<JobId>,
     /// The newest change that is in it.
     sequence: u64,
 }
@@ -24,55 +27,79 @@
     pub fn take(&mut self, ids: &BTreeSet<JobId>) -> Changes {
         let progress =
             self.progress.extract_if(.., |(id, _)| ids.contains(id)).collect();
-        Changes { progress, sequence: self.sequence }
+        let unstopped = self.unstopped.extract_if(.., |id| ids.contains(id));
+        let unstopped = unstopped.collect();
+        Changes { progress, unstopped, sequence: self.sequence }
+    }
+
+    /// Returns whether a job is over while something of it may still run.
+    pub fn is_unstopped(&self, id: JobId) -> bool {
+        self.unstopped.contains(&id)
     }
 }
 
 impl Scheduler {
     /// Takes what changed and isn't being stored, at most `most` jobs; those
-    /// that are over come first, since callers wait for them.
+    /// that are over come first, since callers wait for them, then those for
+    /// which starts wait, in the order of these, then those whose change has
+    /// waited for longest.
     ///
     /// Call [`Scheduler::changes_stored`] or [`Scheduler::changes_failed`]
     /// once the outcome is known. Several may be under way at a time: no job
     /// is in two of them.
     pub fn take_changes(&mut self, most: usize) -> Changes {
-        let mut ids: Vec<(bool, JobId)> = self
-            .changed
-            .difference(&self.storing)
-            .filter_map(|id| {
-                let job = self.jobs.get(id)?;
-                Some((!job.phase.is_final(), *id))
+        // In no fixed order of jobs: where more change all the time than can
+        // be stored, the last ones never would be.
+        let mut ids: Vec<(bool, u64, u64, JobId)> = self
+            .unstored()
+            .filter_map(|(id, since)| {
+                let job = self.jobs.get(&id)?;
+                let awaited = self.awaited.get(&id).copied();
+                let turn = awaited.unwrap_or(u64::MAX);
+                Some((!job.phase.is_final(), turn, since, id))
             })
             .collect();
         ids.sort_unstable();
         let mut progress = Vec::new();
-        for (_, id) in ids.into_iter().take(most) {
+        let mut unstopped = BTreeSet::new();
+        for (_, _, since, id) in ids.into_iter().take(most) {
             self.changed.remove(&id);
-            self.storing.insert(id);
-            if let Some(job) = self.jobs.get(&id) {
-                progress.push((id, job.progress()));
+            self.storing.insert(id, since);
+            let Some(job) = self.jobs.get(&id) else { continue };
+            progress.push((id, job.progress()));
+            if job.phase.is_final() && job.placed(id).next().is_some() {
+                unstopped.insert(id);
             }
         }
-        Changes { progress, sequence: self.sequence }
+        Changes { progress, unstopped, sequence: self.sequence }
     }
 
     /// Returns whether there is anything to store that isn't being stored.
     pub fn has_changes(&self) -> bool {
-        self.changed.difference(&self.storing).next().is_some()
+        self.unstored().next().is_some()
     }
 
     /// Returns whether a job that is over waits to be stored.
     pub fn has_final_changes(&self) -> bool {
-        let mut waiting = self.changed.difference(&self.storing);
-        waiting.any(|id| {
-            self.jobs.get(id).is_some_and(|job| job.phase.is_final())
+        self.unstored().any(|(id, _)| {
+            self.jobs.get(&id).is_some_and(|job| job.phase.is_final())
         })
     }
 
+    /// Returns the jobs that changed and aren't being stored, each with its
+    /// first change that isn't.
+    fn unstored(&self) -> impl Iterator<Item = (JobId, u64)> {
+        let waiting = self.changed.iter();
+        waiting
+            .filter(|(id, _)| !self.storing.contains_key(id))
+            .map(|(id, since)| (*id, *since))
+    }
+
     /// Notes that changes are in the store.
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
             self.storing.remove(id);
+            self.note_awaited_stored(id, changes.sequence);
             if progress.phase.is_final() {
                 self.finished.insert(*id, progress.finished_at_ms);
                 self.jobs.remove(id);
@@ -82,21 +109,38 @@
                 job.stored_sequence = changes.sequence;
             }
         }
-        let jobs = &self.jobs;
+        self.store_ends(now);
+    }
+
+    /// Moves on what may be acknowledged to each worker.
+    pub(super) fn store_ends(&mut self, now: Now) {
+        let (jobs, set_aside) = (&self.jobs, &self.set_aside);
         for number in self.workers.with_unstored_ends(&self.options) {
             let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.store_ends(now.steady_ms, |job, sequence| {
-                jobs.get(&job).is_none_or(|j| j.stored_sequence >= sequence)
+                set_aside.is_stored(jobs, job, sequence)
             });
         }
     }
 
+    /// Notes that a start waits until a change of its job is stored.
+    pub(super) fn await_change(&mut self, id: JobId, sequence: u64) {
+        self.awaited.entry(id).or_insert(sequence);
+    }
+
+    fn note_awaited_stored(&mut self, id: &JobId, sequence: u64) {
+        let awaited = self.awaited.get(id);
+        if awaited.is_some_and(|change| *change <= sequence) {
+            self.awaited.remove(id);
+        }
+    }
+
     /// Puts changes back that couldn't be stored.
     pub fn changes_failed(&mut self, changes: &Changes) {
         for (id, _) in &changes.progress {
-            self.storing.remove(id);
+            let since = self.storing.remove(id).unwrap_or(changes.sequence);
             if self.jobs.contains_key(id) {
-                self.changed.insert(*id);
+                self.changed.insert(*id, since);
             }
         }
     }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -27,8 +27,7 @@
 Starts count as well: the record says of a suspected task whether a run of it
 was under way, since a new holder can't know how that ended. Nor can it know
 whether a worker that it never heard of alive had just started one of the tasks
-that wait. Where there was such a worker, each task of former holders counts as
-started once, and its next start waits until that is on record.
+that wait; see [`unseen_starts`](super::unseen_starts).
 
 # Example
 
@@ -43,12 +42,13 @@
 
 use {
     crate::{
-        job::{Phase, StepSpec, TaskId},
+        job::{Phase, StepSpec, TaskId, TaskRecord},
         schedule::{
             Decision, Now, Scheduler, WorkerId,
             board::{Job, Task, demand},
             crash_series::{Guest, KeptFor, likely_age_ms},
             steadiness::Steadiness,
+            unseen_starts::UnheardLoss,
             worker::{Run, Suspicion, Worker},
         },
     },
@@ -140,32 +140,112 @@
     likely: bool,
     /// Whether a run was started since, or is about to be.
     under_way: bool,
+    /// Whether a former holder may have started the task without a trace.
+    pub(super) may_have_begun: bool,
+    /// How many of the runs whose end says nothing count for workers that were
+    /// lost before they had named theirs.
+    unheard: u32,
+    /// Whether the run under way is on record for that alone.
+    is_told: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
     sequence: u64,
 }
 
 impl Crashes {
     /// Makes those that a former holder stored; how old the runs were isn't.
-    pub(crate) fn restored(count: u32, unseen: u32) -> Crashes {
-        let most_age_ms = SUSPECTED_MS;
-        Crashes { count, unseen, most_age_ms, ..Crashes::default() }
+    pub(crate) fn restored(record: &TaskRecord) -> Crashes {
+        // Of a run that nobody was told to start the record says enough.
+        let announced = record.told.as_deref() == Some("");
+        let count = record.crashes;
+        let unseen = record.unseen.saturating_sub(u32::from(announced));
+        Crashes {
+            count,
+            unseen,
+            most_age_ms: SUSPECTED_MS,
+            is_told: announced && count == 0 && unseen == 0,
+            under_way: announced,
+            ..Crashes::default()
+        }
+    }
+
+    /// Makes those of a task that a former holder may have started so often on
+    /// workers that crashed.
+    fn possible(starts: u32) -> Crashes {
+        Crashes {
+            unseen: starts,
+            unheard: starts,
+            most_age_ms: SUSPECTED_MS,
+            may_have_begun: true,
+            ..Crashes::default()
+        }
     }
 
-    /// Makes those of a task that a former holder may have started on a worker
-    /// that crashed.
-    fn possible() -> Crashes {
-        Crashes::restored(0, 1)
+    /// Returns how many starts count of which nothing but workers that were
+    /// lost unheard tells; `None` if something else is known of the task.
+    pub(super) fn only_unheard(&self) -> Option<u32> {
+        let other =
+            self.count > 0 || self.unseen > self.unheard || self.is_told;
+        (self.may_have_begun && !other).then_some(self.unheard)
     }
 
     /// Returns whether there is something that a later holder must know.
     pub(crate) fn are_on_record(&self) -> bool {
-        self.count > 0 || self.unseen > 0
+        self.count > 0 || self.unseen > 0 || self.is_told
+    }
+
+    /// Returns whether a later holder must know of the run that is under way.
+    pub(crate) fn have_a_run_on_record(&self) -> bool {
+        self.are_on_record() && self.under_way
     }
 
     /// Returns how many runs a later holder can't know the end of: one that
     /// is under way may have taken its worker down before that holder looks.
     pub(crate) fn unseen_on_record(&self) -> u32 {
-        self.unseen + u32::from(self.are_on_record() && self.under_way)
+        self.unseen + u32::from(self.have_a_run_on_record())
+    }
+
+    /// Notes that a run is started; returns whether the record must say so.
+    fn start(&mut self) -> bool {
+        self.is_told |= self.may_have_begun && !self.are_on_record();
+        self.under_way |= self.are_on_record();
+        self.under_way
+    }
+
+    /// Notes that the run that was under way is over, and can't have crashed
+    /// its worker; returns whether it was on record.
+    fn end(&mut self) -> bool {
+        self.is_told = false;
+        std::mem::take(&mut self.under_way)
+    }
+
+    /// Notes that the run that former holders told of is found where it was to
+    /// start.
+    pub(super) fn found(&mut self) {
+        self.unseen = self.unseen.saturating_sub(1);
+        self.is_told = !self.are_on_record();
+        self.under_way = true;
+    }
+
+    /// Notes that the run that former holders told of isn't where it was to
+    /// start, though its worker is.
+    pub(super) fn came_to_nothing(&mut self) {
+        self.unseen = self.unseen.saturating_sub(1);
+    }
+
+    /// Adds a run that former holders told of, whose worker is gone.
+    ///
+    /// The start that came before the first such run left no trace.
+    pub(super) fn add_unseen(&mut self, sequence: u64, now_ms: u64) {
+        self.came_to_nothing();
+        if !self.are_on_record() {
+            self.unseen = 1;
+        }
+        self.count += 1;
+        self.most_age_ms = SUSPECTED_MS;
+        self.noticed_ms = now_ms;
+        self.likely = false;
+        self.under_way = self.count >= TESTED_CRASHES;
+        self.sequence = sequence;
     }
 
     /// Returns whether a start waits until these crashes are stored.
@@ -188,6 +268,7 @@
         self.least_age_ms = Some(least_ms.min(run.most_age_ms));
         self.noticed_ms = now_ms;
         self.likely = likely;
+        self.is_told = false;
         self.under_way = self.count >= TESTED_CRASHES;
     }
 
@@ -196,6 +277,12 @@
         self.likely && self.count >= TESTED_CRASHES
     }
 
+    /// Returns how old a run can have been at most when its worker crashed, in
+    /// milliseconds.
+    pub(super) fn most_age_ms(&self) -> u64 {
+        self.most_age_ms
+    }
+
     /// Returns whether each run was lost as soon as it was started, which no
     /// VM that crashes by itself does again and again.
     fn came_at_once(&self) -> bool {
@@ -203,7 +290,7 @@
     }
 
     /// Returns whether the task has been started as often as it may.
-    fn are_too_many(&self) -> bool {
+    pub(super) fn are_too_many(&self) -> bool {
         self.count >= MOST_CRASHES
             || (self.count >= SURE_CRASHES
                 && self.count + self.unseen >= MOST_STARTS)
@@ -211,6 +298,9 @@
 
     /// Returns how long a run must live to clear its task, in milliseconds.
     fn cleared_after_ms(&self) -> u64 {
+        if self.count == 0 {
+            return SUSPECTED_MS;
+        }
         (2 * self.most_age_ms + CLEARED_MARGIN_MS).min(SUSPECTED_MS)
     }
 }
@@ -270,11 +360,12 @@
 pub(super) struct LostRuns {
     /// The VM, unless its worker was to go or doesn't name it.
     crashed_vm: Option<String>,
-    /// The pool, if the worker was lost before it had named its runs to this
-    /// holder.
-    unheard_pool: Option<String>,
+    /// Set if the worker was lost before it had named its runs to this holder.
+    pub(super) unheard: Option<UnheardLoss>,
     /// Whether the worker fell silent long before its end was known.
-    was_silent: bool,
+    pub(super) was_silent: bool,
+    /// Whether the worker was about to end anyway.
+    was_draining: bool,
     runs: Vec<LostRun>,
 }
 
@@ -298,13 +389,11 @@
         let vm = &worker.listing.vm;
         let unheard = !worker.synced && !draining;
         LostRuns {
-            unheard_pool: unheard.then(|| worker.listing.pool.clone()),
+            unheard: unheard.then(|| UnheardLoss::of(worker)),
             was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
-            runs: match draining {
-                true => Vec::new(),
-                false => worker.runs.iter().map(lost).collect(),
-            },
+            was_draining: draining,
+            runs: worker.runs.iter().map(lost).collect(),
         }
     }
 
@@ -346,14 +435,17 @@
         lost: &LostRuns,
         now: Now,
     ) {
-        if let Some(pool) = &lost.unheard_pool {
-            self.unheard_losses.insert(pool.clone());
-            self.knows_suspects = true;
+        self.settle_starts_on(worker, lost, now);
+        if let Some(unheard) = &lost.unheard {
+            if self.was_taken_down(unheard, now) {
+                return;
+            }
+            self.note_unheard_loss(unheard);
         }
         let steady = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         let likely_age_ms = lost.likely_age_ms();
         for run in lost.suspects() {
-            if lost.was_silent {
+            if lost.was_silent || lost.was_draining {
                 self.note_suspect_over(&run.task);
                 continue;
             }
@@ -441,8 +533,9 @@
         }
     }
 
-    /// Notes that a suspected task is started, so that its run counts for the
-    /// next holder, which can't know how it ends; returns its crashes.
+    /// Notes that a task is started, so that its run counts for the next holder,
+    /// which can't know how it ends, if it is suspected or a former holder may
+    /// have started it before; returns its crashes.
     pub(super) fn note_suspect_started(
         &mut self,
         task: &TaskId,
@@ -458,10 +551,11 @@
             crashes: state.crashes.count,
             tested: self.is_tested(state, &job.terms.pool, now),
         };
-        if state.crashes.are_on_record() && !state.crashes.under_way {
+        let mut crashes = state.crashes;
+        if crashes.start() {
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
-                state.crashes.under_way = true;
+                state.crashes = crashes;
             }
             self.mark_changed(task.job);
         }
@@ -474,25 +568,11 @@
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(task));
         let Some(state) = state else { return };
-        if std::mem::take(&mut state.crashes.under_way) {
+        if state.crashes.end() {
             self.mark_changed(task.job);
         }
     }
 
-    /// Returns whether a former holder may have started a task on a worker
-    /// that crashed before this holder had heard of it: it waits, and nothing
-    /// is known of any run.
-    pub(super) fn may_have_crashed_unseen(
-        &self,
-        job: &Job,
-        task: &Task,
-    ) -> bool {
-        job.revision < self.lease_revision
-            && !task.crashes.are_on_record()
-            && task.run == task.ended_run
-            && self.unheard_losses.contains(&job.terms.pool)
-    }
-
     /// Puts the next start of tasks on record, before which they don't start:
     /// of those that are being found out about, and those that a former holder
     /// may have started unseen, as many of these as may start now.
@@ -500,15 +580,20 @@
         let mut room = self.window.room();
         let mut all_are_known = !self.is_loading();
         for task in tasks {
+            // Soon it is known whether that start counts.
+            if self.told_starts.contains_key(task) {
+                continue;
+            }
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let Some(state) = job.task(task) else { continue };
             let mut crashes = state.crashes;
-            if self.may_have_crashed_unseen(job, state) {
+            let starts = self.unseen_starts(job, state);
+            if starts > 0 {
                 if room == 0 {
                     all_are_known = false;
                     continue;
                 }
-                crashes = Crashes::possible();
+                crashes = Crashes::possible(starts);
                 room -= 1;
             }
             if !crashes.go_on_record_first() || crashes.under_way {
@@ -516,6 +601,7 @@
             }
             crashes.under_way = true;
             crashes.sequence = self.mark_changed(task.job);
+            self.await_change(task.job, crashes.sequence);
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
                 state.crashes = crashes;
@@ -524,11 +610,11 @@
         // Looking through all that waits takes a plan a millisecond where
         // thousands of jobs do.
         if all_are_known {
-            self.unheard_losses.clear();
+            self.uncounted_pools.clear();
         }
     }
 
-    fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
+    pub(super) fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
         self.note(Decision::GivenUp { task: *task, crashes });
         self.finish(task.job, Phase::Failed, now);
     }
--- a/crates/dewspar/src/schedule/wave_state.rs
+++ b/crates/dewspar/src/schedule/wave_state.rs
@@ -5,8 +5,9 @@
 use {
     crate::schedule::{
         ManagedVm, Now, VmLife, VmOrderError, WaveRecord, WaveRequest,
+        wave_account::WaveTold,
     },
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, HashSet},
 };
 
 /// What is kept of a wave's time for what doesn't go as planned, in
@@ -27,8 +28,12 @@
     pub(super) request: WaveRequest,
     /// What is kept of it in the store.
     pub(super) record: WaveRecord,
+    /// All of its VMs.
+    pub(super) members: HashSet<String>,
     /// When it ends, on the steady clock.
     pub(super) end_ms: u64,
+    /// When VMs were chosen last.
+    pub(super) chosen_ms: u64,
     /// The VMs that are down for it, each with since when.
     pub(super) down: BTreeMap<String, u64>,
     /// The VMs with an order that isn't known to be done.
@@ -37,6 +42,8 @@
     pub(super) missing: BTreeMap<String, u64>,
     /// Whether this holder has told the operator that it runs.
     pub(super) reported: bool,
+    /// When it was last told of.
+    pub(super) told: WaveTold,
     pub(super) completed: bool,
 }
 
@@ -63,6 +70,11 @@
         self.request.vms.iter().filter(|vm| !self.record.done.contains(*vm))
     }
 
+    /// Returns whether a VM is still to go down for it.
+    pub(super) fn awaits(&self, vm: &str) -> bool {
+        self.members.contains(vm) && !self.record.done.contains(vm)
+    }
+
     /// Returns the time left for choosing VMs.
     pub(super) fn left_ms(&self, now: Now) -> u64 {
         self.end_ms.saturating_sub(now.steady_ms + RESERVE_MS).max(1)
@@ -118,8 +130,10 @@
     ) {
         self.down.retain(|name, since_ms| {
             let Some(vm) = vms.get(name) else { return false };
+            // A VM that moves has been back, though no list showed it up.
+            let back = matches!(vm.life, VmLife::Up | VmLife::Moving);
             // An older list may still show it as it was before.
-            !(vm.life == VmLife::Up && asked_ms > *since_ms)
+            !(back && asked_ms > *since_ms)
         });
         self.note_missing(asked_ms, vms);
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -34,6 +34,10 @@
 /// left.
 const RENEWED_PERCENT: u64 = 38;
 
+/// How many tokens of a lease were used up on a worker.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokensUsed(u64);
+
 /// Why a worker is being emptied.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub(crate) enum Purpose {
@@ -43,6 +47,23 @@
     Move(String),
 }
 
+/// Room that is kept on a worker for one task.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Kept {
+    /// What the task takes.
+    pub(crate) room: Room,
+    /// Whether that was free when it was kept; else short tasks have to end
+    /// first.
+    pub(crate) was_free: bool,
+}
+
+impl Kept {
+    /// Returns what nobody else can have taken.
+    fn backed(&self) -> Room {
+        if self.was_free { self.room } else { Room::default() }
+    }
+}
+
 /// What is known of one run on a worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Run {
@@ -65,6 +86,8 @@
     pub(crate) suspicion: Suspicion,
     /// Whether it is known what it takes.
     pub(crate) measured: bool,
+    /// Whether its task is to last.
+    pub(crate) lasts: bool,
 }
 
 /// Whether a run's task may crash workers; see `suspects`.
@@ -107,9 +130,16 @@
             pace: 100,
             suspicion: Suspicion::default(),
             measured: true,
+            lasts: false,
         }
     }
 
+    /// Sets whether its task is to last.
+    pub(crate) fn lasting(mut self, lasts: bool) -> Run {
+        self.lasts = lasts;
+        self
+    }
+
     /// Sets whether its task may crash workers.
     pub(crate) fn suspected(mut self, suspicion: Suspicion) -> Run {
         self.suspicion = suspicion;
@@ -176,6 +206,14 @@
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
+    /// What the runs of that take whose tasks are to last.
+    used_for_long: Room,
+    /// What is kept free for tasks that are to start here.
+    kept: BTreeMap<TaskId, Kept>,
+    /// The sum of that.
+    kept_room: Room,
+    /// The sum of what of that is there already.
+    backed_room: Room,
     /// How many of the runs are suspected.
     suspects: usize,
     /// How many of the runs want nothing started beside them.
@@ -200,6 +238,8 @@
     /// When everything on it is certainly over unless the lease is renewed.
     pub(crate) lease_over_ms: u64,
     hold_in_flight: bool,
+    /// When the newest question was sent that isn't under a new token.
+    asked_ms: u64,
     fence_hold_in_flight: bool,
     next_hold_ms: u64,
     /// Until when it is left alone so that it gathers what it has to tell.
@@ -239,6 +279,8 @@
     unmeasured: usize,
     /// Whether its newest answer had runs that couldn't be read.
     unread_runs: bool,
+    /// Whether its lease was over and it hasn't answered since.
+    is_lapsed: bool,
 }
 
 impl Worker {
@@ -253,6 +295,10 @@
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
+            used_for_long: Room::default(),
+            kept: BTreeMap::new(),
+            kept_room: Room::default(),
+            backed_room: Room::default(),
             suspects: 0,
             tested: 0,
             lease_revision,
@@ -268,6 +314,7 @@
             confirmed_until_ms: 0,
             lease_over_ms: now_ms + options.inherited_lease_ms(),
             hold_in_flight: false,
+            asked_ms: 0,
             fence_hold_in_flight: false,
             next_hold_ms: 0,
             left_alone_ms: 0,
@@ -290,9 +337,42 @@
             told_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
+            is_lapsed: false,
         }
     }
 
+    /// Makes a life whose lease was over and that is still listed: nothing
+    /// runs there, and nothing starts before it answers.
+    ///
+    /// It goes on from the token of before, since it has seen that.
+    pub(crate) fn after_lapse(
+        listing: WorkerListing,
+        lease_revision: u64,
+        tokens_used: TokensUsed,
+        now_ms: u64,
+        options: &Options,
+    ) -> Worker {
+        let TokensUsed(fences) = tokens_used;
+        Worker {
+            fences: (fences + 1).min(FENCES_A_LEASE - 1),
+            synced: true,
+            lease_over_ms: now_ms,
+            silent_since_ms: Some(now_ms),
+            is_lapsed: true,
+            ..Worker::new(listing, lease_revision, now_ms, options)
+        }
+    }
+
+    /// Returns how many tokens were used up on it.
+    pub(crate) fn tokens_used(&self) -> TokensUsed {
+        TokensUsed(self.fences)
+    }
+
+    /// Returns whether its lease was over and it hasn't answered since.
+    pub(crate) fn is_lapsed(&self) -> bool {
+        self.is_lapsed
+    }
+
     pub(crate) fn id(&self) -> &WorkerId {
         &self.listing.id
     }
@@ -301,9 +381,63 @@
         self.lease_revision * FENCES_A_LEASE + self.fences
     }
 
-    /// Returns what is free for tasks that take their share of processor.
+    /// Returns what is free for tasks that take their share of processor and
+    /// for which nothing is kept here.
     pub(crate) fn free(&self) -> Room {
-        self.listing.capacity.less(&self.used)
+        let unused = self.listing.capacity.less(&self.used);
+        // Nearly all keep nothing, and this is asked of each worker of a pool.
+        if self.kept.is_empty() {
+            unused
+        } else {
+            unused.less(&self.kept_room)
+        }
+    }
+
+    /// Returns what is free for a task, with what is kept for it.
+    pub(crate) fn free_for(&self, task: &TaskId) -> Room {
+        let Some(own) = self.kept.get(task) else { return self.free() };
+        let unused = self.listing.capacity.less(&self.used);
+        // What others wait for isn't there yet, and must not stand in the way
+        // of what is: two that wait would keep each other out.
+        unused.less(&self.backed_room.less(&own.backed()))
+    }
+
+    /// Returns what is free for a task once all is over that isn't to last.
+    pub(crate) fn free_soon_for(&self, task: &TaskId) -> Room {
+        let own = self.kept.get(task).map(|kept| kept.room);
+        let others = self.kept_room.less(&own.unwrap_or_default());
+        self.listing.capacity.less(&self.used_for_long).less(&others)
+    }
+
+    /// Keeps room for a task that is to start here.
+    pub(crate) fn keep_for(&mut self, task: TaskId, kept: Kept) {
+        self.kept.insert(task, kept);
+        self.sum_kept();
+    }
+
+    /// Gives the room back that was kept for a task.
+    pub(crate) fn release(&mut self, task: &TaskId, now_ms: u64) {
+        if self.kept.remove(task).is_none() {
+            return;
+        }
+        self.sum_kept();
+        if self.runs.is_empty() {
+            self.idle_since_ms = now_ms;
+        }
+    }
+
+    fn sum_kept(&mut self) {
+        self.kept_room = Room::default();
+        self.backed_room = Room::default();
+        for kept in self.kept.values() {
+            self.kept_room.add(&kept.room);
+            self.backed_room.add(&kept.backed());
+        }
+    }
+
+    /// Returns whether room is kept here for some task.
+    pub(crate) fn keeps_room(&self) -> bool {
+        !self.kept.is_empty()
     }
 
     pub(crate) fn used(&self) -> &Room {
@@ -312,6 +446,9 @@
 
     pub(crate) fn insert(&mut self, task: TaskId, run: Run) {
         self.used.add(&run.demand);
+        if run.lasts {
+            self.used_for_long.add(&run.demand);
+        }
         self.suspects += usize::from(run.suspicion.crashes > 0);
         self.tested += usize::from(run.suspicion.tested);
         self.unmeasured += usize::from(!run.measured);
@@ -323,6 +460,9 @@
     /// Takes a run that is no longer there off all that is counted.
     fn no_longer_has(&mut self, run: &Run) {
         self.used.subtract(&run.demand);
+        if run.lasts {
+            self.used_for_long.subtract(&run.demand);
+        }
         self.suspects -= usize::from(run.suspicion.crashes > 0);
         self.tested -= usize::from(run.suspicion.tested);
         self.unmeasured -= usize::from(!run.measured);
@@ -374,11 +514,14 @@
         Some(run)
     }
 
-    /// Counts the runs of one step here.
+    /// Counts the runs of a task's step here, and the others of the step for
+    /// which room is kept.
     pub(crate) fn runs_of_step(&self, task: &TaskId) -> usize {
         let first = TaskId { index: 0, ..*task };
         let last = TaskId { index: u32::MAX, ..*task };
-        self.runs.range(first..=last).count()
+        let kept = self.kept.range(first..=last);
+        let kept = kept.filter(|(other, _)| *other != task).count();
+        self.runs.range(first..=last).count() + kept
     }
 
     /// Returns when its newest answer came.
@@ -454,6 +597,17 @@
             && !self.listing.draining
             && self.emptying.is_none()
             && self.silent_since_ms.is_none()
+            // A start without an answer couldn't be made void any more.
+            && !self.is_out_of_tokens()
+    }
+
+    /// Returns whether it has said that it will end, with all that runs there,
+    /// and takes orders to stop until then.
+    pub(crate) fn is_about_to_end(&self) -> bool {
+        self.listing.draining
+            && self.listed
+            && self.synced
+            && self.silent_since_ms.is_none()
     }
 
     /// Returns whether orders to start may be sent.
@@ -537,6 +691,7 @@
     /// it was told that its ends are stored.
     pub(crate) fn is_settled(&self) -> bool {
         !self.is_occupied()
+            && !self.keeps_room()
             && !self.fencing
             && self.acknowledged >= self.seen_end
     }
@@ -563,6 +718,17 @@
         self.unstored.push_back(UnstoredEnd { number, job, sequence });
     }
 
+    /// Forgets the ends of a job whose change isn't stored, and all after the
+    /// first of them, so that they are heard again.
+    pub(crate) fn hear_again(&mut self, job: JobId) {
+        let first = self.unstored.iter().position(|end| end.job == job);
+        let Some(first) = first else { return };
+        self.seen_end = self.unstored[first].number.saturating_sub(1);
+        self.unstored.truncate(first);
+        // As after a lost answer: it is asked at once.
+        self.missed_hold = true;
+    }
+
     /// Moves on what may be acknowledged: the ends, in their order, whose
     /// change is stored.
     pub(crate) fn store_ends(
--- a/crates/dewspar/tests/schedule/waves.rs
+++ b/crates/dewspar/tests/schedule/waves.rs
@@ -15,7 +15,7 @@
 
 /// A world in which a long-running step of four tasks runs on five workers
 /// and all of their VMs are to be maintained.
-fn world_with_wave(revision: u64) -> World {
+pub fn world_with_wave(revision: u64) -> World {
     let mut world = World::new(revision, &["w1", "w2", "w3", "w4", "w5"]);
     world.list();
     world.expect_all();
@@ -50,13 +50,29 @@
     scheduler.list_vms(now, world.now_ms, &vms);
 }
 
+/// Asks for the maintenance of some VMs only.
+pub fn request_wave_of(world: &mut World, vms: &[&str]) {
+    let listed: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let mut request = wave_of(&listed);
+    request.vms = vms.iter().map(|vm| (*vm).to_owned()).collect();
+    let now = at(world.now_ms);
+    let (scheduler, none) = (&mut world.scheduler, BTreeMap::new());
+    scheduler.request_waves(now, &[request], &none, &[]);
+    scheduler.list_vms(now, world.now_ms, &listed);
+}
+
 /// Plans maintenance for 50 ms; a VM that goes down is back at once, with a
 /// new life of its worker. Returns whether the wave was completed.
-fn maintain_for_a_while(world: &mut World) -> bool {
+pub fn maintain_for_a_while(world: &mut World) -> bool {
     let now = at(world.now_ms);
     let mut completed = false;
     for order in world.scheduler.plan_vms(now) {
         match order {
+            // One whose worker was lost meanwhile can't be taken down.
+            VmOrder::Maintain { vm, wave } if world.is_away(&vm) => {
+                let busy = Err(VmOrderError::Busy);
+                world.scheduler.maintenance_answered(&vm, wave, busy, now);
+            }
             VmOrder::Maintain { vm, wave } => {
                 assert!(replace_life(world, &vm), "it had to be empty");
                 let done = Ok(());
--- /dev/null
+++ b/crates/dewspar/tests/schedule/waves_in_time.rs
@@ -0,0 +1,282 @@
+//! Large waves that end in time.
+//!
+//! On a register of 1,100 workers a wave of some 600 VMs was to end within
+//! 26 s, and 171 of them were left. Nearly all were idle, as many as 229 might
+//! be down at once, and no more than 70 were: one more was emptied at each
+//! look, and a node that is busy looks 11 to 20 times a second.
+
+use {
+    crate::{
+        pools::{move_of_spare, vm_orders},
+        world::{POOL, ROOM, World, at, id, job, listing, managed, step},
+    },
+    dewspar::{
+        job::StepSpec,
+        schedule::{ManagedVm, VmLife, VmOrder, WaveRequest, WorkerId},
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How long a VM is down, in milliseconds.
+const DOWN_MS: u64 = 2_000;
+
+/// A world in which a wave goes on, its VMs being down for a while each.
+struct Wave {
+    world: World,
+    request: WaveRequest,
+    /// The VMs that are down, and when each is back.
+    down: BTreeMap<String, u64>,
+    begun: BTreeSet<String>,
+    most_down: usize,
+    /// The VMs that move on as soon as they are back.
+    moving: BTreeSet<String>,
+    completed: bool,
+    begun_ms: u64,
+}
+
+impl Wave {
+    fn of(vms: usize, max_down: usize, duration_ms: u64) -> Wave {
+        let names: Vec<String> =
+            (0..vms).map(|number| format!("w{number:03}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut world = World::new(5, &names);
+        world.list();
+        world.expect_all();
+        world.run_for(500);
+        let vms = world.listings.iter().map(|listing| listing.vm.clone());
+        let request =
+            WaveRequest { wave: 1, vms: vms.collect(), duration_ms, max_down };
+        let begun_ms = world.now_ms;
+        Wave {
+            world,
+            request,
+            down: BTreeMap::new(),
+            begun: BTreeSet::new(),
+            most_down: 0,
+            moving: BTreeSet::new(),
+            completed: false,
+            begun_ms,
+        }
+    }
+
+    fn list_vms(&mut self) {
+        let (down, moving) = (&self.down, &self.moving);
+        let vms = self.world.listings.iter().map(|listing| {
+            let vm = managed(listing);
+            match down.contains_key(&listing.vm) {
+                true => {
+                    let life = VmLife::Maintenance;
+                    ManagedVm { life, worker: None, ..vm }
+                }
+                false if moving.contains(&listing.vm) => {
+                    let life = VmLife::Moving;
+                    ManagedVm { life, worker: None, ..vm }
+                }
+                false => vm,
+            }
+        });
+        let vms: Vec<ManagedVm> = vms.collect();
+        let now_ms = self.world.now_ms;
+        let requests = [self.request.clone()];
+        let (scheduler, none) = (&mut self.world.scheduler, BTreeMap::new());
+        scheduler.request_waves(at(now_ms), &requests, &none, &[]);
+        scheduler.list_vms(at(now_ms), now_ms, &vms);
+    }
+
+    fn take_down(&mut self, vm: &str) {
+        let world = &mut self.world;
+        let now = at(world.now_ms);
+        let found = world.listings.iter_mut().find(|l| l.vm == vm);
+        let listing = found.expect("a listed VM");
+        let old = world.workers.remove(&listing.id);
+        let running = old.map_or(0, |mut w| w.running(now.steady_ms).len());
+        assert_eq!(running, 0, "it had to be empty");
+        listing.id = WorkerId::new(&format!("{}+", listing.id));
+        self.down.insert(vm.to_owned(), now.steady_ms + DOWN_MS);
+        self.begun.insert(vm.to_owned());
+        self.most_down = self.most_down.max(self.down.len());
+        world.scheduler.maintenance_answered(vm, 1, Ok(()), now);
+    }
+
+    fn bring_back(&mut self) {
+        let now_ms = self.world.now_ms;
+        let back = self.down.extract_if(.., |_, back| *back <= now_ms);
+        let back: BTreeSet<String> = back.map(|(vm, _)| vm).collect();
+        for listing in &self.world.listings {
+            if back.contains(&listing.vm) {
+                let worker = TaskWorker::new(ROOM);
+                self.world.workers.insert(listing.id.clone(), worker);
+            }
+        }
+        let down = &self.down;
+        let listings = self.world.listings.iter();
+        let up = listings.filter(|listing| !down.contains_key(&listing.vm));
+        let up = up.cloned().collect();
+        self.world.scheduler.list_workers(at(now_ms), up);
+    }
+
+    /// Looks once and lets so much time pass, in milliseconds.
+    fn look(&mut self, every_ms: u64) {
+        self.list_vms();
+        let now = at(self.world.now_ms);
+        for order in self.world.scheduler.plan_vms(now) {
+            match order {
+                VmOrder::Maintain { vm, .. } => self.take_down(&vm),
+                VmOrder::ReportCompleted { .. } => self.completed = true,
+                VmOrder::ReportRunning { .. } | VmOrder::Move { .. } => {}
+            }
+        }
+        self.world.run_for(every_ms);
+        self.bring_back();
+    }
+
+    /// Looks at it until its time is over.
+    fn go_on(&mut self, every_ms: u64) {
+        while self.world.now_ms < self.begun_ms + self.request.duration_ms {
+            self.look(every_ms);
+        }
+    }
+}
+
+#[test]
+fn a_large_wave_ends_in_time() {
+    let mut wave = Wave::of(500, 200, 20_000);
+    wave.go_on(50);
+    assert_eq!(wave.begun.len(), 500);
+    assert!(wave.most_down <= 200, "{} were down", wave.most_down);
+}
+
+#[test]
+fn a_large_wave_ends_in_time_though_its_node_looks_seldom() {
+    let mut wave = Wave::of(300, 120, 16_000);
+    wave.go_on(200);
+    assert_eq!(wave.begun.len(), 300);
+    assert!(wave.most_down <= 120, "{} were down", wave.most_down);
+}
+
+#[test]
+fn a_large_wave_takes_its_time() {
+    // What is down is missed as soon as jobs come.
+    let mut wave = Wave::of(200, 200, 24_000);
+    let begin = wave.world.now_ms;
+    while wave.world.now_ms < begin + 1_000 {
+        wave.look(50);
+    }
+    let spread = 200 * 3 / 20;
+    assert!(wave.begun.len() <= spread, "{} in a second", wave.begun.len());
+}
+
+#[test]
+fn a_wave_is_over_though_its_vms_move_on_before_they_are_seen_back() {
+    // A VM that is back is wanted elsewhere at once; where the list of VMs is
+    // read once in 1.2 s, each reading showed it on its way to another pool.
+    let mut wave = Wave::of(4, 4, 5_000);
+    for _ in 0..10 {
+        wave.look(50);
+    }
+    assert_eq!(wave.begun.len(), 4);
+    assert!(!wave.completed);
+    wave.moving = wave.request.vms.iter().cloned().collect();
+    for _ in 0..60 {
+        wave.look(50);
+    }
+    assert!(wave.completed);
+}
+
+#[test]
+fn a_wave_goes_on_while_a_vm_of_it_is_down() {
+    let mut wave = Wave::of(4, 4, 16_000);
+    for _ in 0..30 {
+        wave.look(50);
+        assert!(!wave.completed);
+    }
+}
+
+#[test]
+fn a_vm_is_brought_for_a_task_that_has_no_other_place() {
+    // One VM of 572 was left when its wave was due: its pool had no other
+    // place for the last of six tasks that it held, for five seconds, and
+    // got no VM, since nothing waited.
+    let mut world = World::new(5, &["w1", "w2", "w4", "w5", "w6"]);
+    let mut spare = listing("w3");
+    spare.pool = "off".to_owned();
+    world.listings.push(spare);
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.run_for(100);
+    world.fate = Fate::endless();
+    // It lacks memory, of which its size says nothing.
+    let long = StepSpec {
+        long_running: true,
+        memory_mb: 3_000,
+        cpu_millis: 100,
+        ..step(5)
+    };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.running().len(), 5);
+    let request = WaveRequest {
+        wave: 1,
+        vms: vec!["vm-of-w1".to_owned()],
+        duration_ms: 10_000,
+        max_down: 1,
+    };
+    let (now, none) = (at(world.now_ms), BTreeMap::new());
+    world.scheduler.request_waves(now, &[request], &none, &[]);
+    // The holder orders nothing before a former one's stops are over.
+    world.run_for(2_000);
+    let orders: Vec<VmOrder> = vm_orders(&mut world);
+    assert!(orders.contains(&move_of_spare()), "{orders:?}");
+    assert_eq!(world.running().len(), 5);
+}
+
+/// A wave of 400 VMs on 40 of which tasks are to last, one on each.
+fn wave_with_lasting_tasks() -> (Wave, BTreeSet<String>) {
+    let mut wave = Wave::of(400, 200, 20_000);
+    let long = StepSpec {
+        long_running: true,
+        max_per_worker: 1,
+        max_unavailable: 8,
+        ..step(40)
+    };
+    wave.world.fate = Fate::endless();
+    wave.world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    wave.world.run_for(500);
+    assert_eq!(wave.world.running().len(), 40);
+    // The holder stops nothing before a former one's stops are over.
+    wave.world.run_for(2_000);
+    wave.begun_ms = wave.world.now_ms;
+    let starts = wave.world.starts.iter();
+    let vms = starts.map(|(worker, _)| format!("vm-of-{worker}")).collect();
+    (wave, vms)
+}
+
+#[test]
+fn tasks_that_are_to_last_leave_all_along_a_wave() {
+    // They took longest to leave and were left for the end. There the peak
+    // of their queue took each place that they could have gone to.
+    let (mut wave, lasting) = wave_with_lasting_tasks();
+    while wave.world.now_ms < wave.begun_ms + 8_000 {
+        wave.look(50);
+    }
+    let left = wave.begun.intersection(&lasting).count();
+    assert!(left >= 10, "{left} of 40 by the middle");
+    wave.go_on(50);
+    assert_eq!(wave.begun.len(), 400);
+}
+
+#[test]
+fn tasks_that_are_to_last_move_once_in_a_wave() {
+    let (mut wave, _) = wave_with_lasting_tasks();
+    wave.go_on(50);
+    assert_eq!(wave.begun.len(), 400);
+    let mut starts = BTreeMap::new();
+    for (_, order) in &wave.world.starts {
+        *starts.entry(order.task).or_insert(0) += 1;
+    }
+    let again = starts.values().filter(|starts| **starts > 2).count();
+    assert_eq!(again, 0, "tasks moved more than once");
+}
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -5,8 +5,8 @@
         job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
-            OrderError, QueueTerms, Room, Scheduler, StartOrder, VmLife,
-            WorkerId, WorkerListing,
+            OrderError, QueueTerms, Room, Scheduler, StartOrder, StopOrder,
+            VmLife, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -66,6 +66,13 @@
     format!("{number:016x}").parse().unwrap()
 }
 
+/// What a job's runs take, and how they end.
+#[derive(Clone, Copy)]
+pub struct RunKind {
+    pub demand: Room,
+    pub fate: Fate,
+}
+
 /// A scheduler and its workers, every order carried out at once unless a
 /// worker is cut off.
 pub struct World {
@@ -76,6 +83,8 @@
     pub starts: Vec<(WorkerId, StartOrder)>,
     pub now_ms: u64,
     pub fate: Fate,
+    /// The runs of jobs that differ from `fate` and the usual demand.
+    pub kinds: BTreeMap<JobId, RunKind>,
     /// The tasks that crash each worker that starts them.
     pub crashing: Vec<TaskId>,
     /// How many workers have crashed.
@@ -87,6 +96,12 @@
     pub told_after_ms: Option<u64>,
     /// The workers that crashed, and when the VM service tells of it.
     told: Vec<(u64, WorkerId)>,
+    /// How long a worker takes to stop a run, in milliseconds.
+    pub stops_take_ms: u64,
+    /// The runs that are being stopped, and until when.
+    stopping: Vec<(u64, WorkerId, StopOrder)>,
+    /// Whether orders to start get lost on their way.
+    pub loses_starts: bool,
     /// Whether the store is out of reach.
     pub outage: bool,
     /// What was stored of each job.
@@ -111,11 +126,15 @@
             starts: Vec::new(),
             now_ms: 1_000,
             fate: Fate::done(500),
+            kinds: BTreeMap::new(),
             crashing: Vec::new(),
             crashes: 0,
             away: Vec::new(),
             told_after_ms: None,
             told: Vec::new(),
+            stops_take_ms: 0,
+            stopping: Vec::new(),
+            loses_starts: false,
             outage: false,
             stored: BTreeMap::new(),
             phases: BTreeMap::new(),
@@ -153,6 +172,11 @@
         self.away.push((self.now_ms + BACK_AFTER_MS, next));
     }
 
+    /// Returns whether the worker on a VM was lost and isn't back yet.
+    pub fn is_away(&self, vm: &str) -> bool {
+        self.away.iter().any(|(_, listing)| listing.vm == vm)
+    }
+
     fn crash(&mut self, worker: &WorkerId) {
         let here = |l: &&WorkerListing| l.id == *worker;
         let vm = self.listings.iter().find(here).map(|l| l.vm.clone());
@@ -222,6 +246,7 @@
         let now = at(self.now_ms);
         self.bring_back();
         self.tell_of_crashes();
+        self.end_stopped();
         for action in self.scheduler.plan(now) {
             self.carry_out(action, now);
         }
@@ -237,13 +262,32 @@
         self.scheduler.changes_stored(&changes, now);
     }
 
+    /// Ends the runs whose stop has taken its time.
+    fn end_stopped(&mut self) {
+        let now_ms = self.now_ms;
+        let due = |(at, ..): &mut (u64, WorkerId, StopOrder)| *at <= now_ms;
+        let due: Vec<_> = self.stopping.extract_if(.., due).collect();
+        for (_, worker, order) in due {
+            if let Some(reached) = self.workers.get_mut(&worker) {
+                // OK to pass over: the run may be over by itself.
+                let _ = reached.stop(now_ms, &order);
+            }
+        }
+    }
+
     pub fn carry_out(&mut self, action: Action, now: Now) {
         let clock = now.steady_ms;
         match action {
             Action::Start { worker, order, .. } => {
-                let demand = Room { cpu_millis: 1_000, ..Room::default() };
-                let fate = self.fate;
-                let result = match self.reach(&worker) {
+                let usual = RunKind {
+                    demand: Room { cpu_millis: 1_000, ..Room::default() },
+                    fate: self.fate,
+                };
+                let kind = self.kinds.get(&order.task.job).copied();
+                let RunKind { demand, fate } = kind.unwrap_or(usual);
+                let lost = self.loses_starts;
+                let reached = self.reach(&worker).filter(|_| !lost);
+                let result = match reached {
                     Some(reached) => {
                         reached.start(clock, &order, demand, fate)
                     }
@@ -262,6 +306,12 @@
                 self.scheduler
                     .start_answered(&worker, &task, run, result, now);
             }
+            Action::Stop { worker, order, .. } if self.stops_take_ms > 0 => {
+                let until_ms = clock + self.stops_take_ms;
+                self.stopping.push((until_ms, worker.clone(), order));
+                let (task, result) = (order.task, Ok(clock));
+                self.scheduler.stop_answered(&worker, &task, result, now);
+            }
             Action::Stop { worker, order, .. } => {
                 let result = match self.reach(&worker) {
                     Some(reached) => reached.stop(clock, &order),
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -16,9 +16,10 @@
 
 use {
     super::{
+        aside::LoadedEnds,
         counts::CountsWriter,
         decisions,
-        duties::{self, Burst},
+        duties::{self, Burst, LoadedWaves},
         election::{Candidate, Held},
         event::{self, Event, EventSender, SentEvent},
         feeds::{
@@ -42,7 +43,7 @@
         job::JobId,
         overload::RoundTrips,
         record::RecordWriter,
-        schedule::{Now, OrderError, Scheduler, WaveRecord},
+        schedule::{Now, OrderError, Scheduler},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
@@ -136,6 +137,7 @@
         versions: RecordVersions::default(),
         restored: BTreeMap::new(),
         unreadable: BTreeSet::new(),
+        ends: LoadedEnds::default(),
         sender,
         look_ups: LookUps::default(),
         pools: BTreeMap::new(),
@@ -151,7 +153,7 @@
         load: Load::new(candidate.traffic.clone()),
         round_trips: RoundTrips::new(SLOW_FOR_MS),
         counts: CountsWriter::default(),
-        waves: BTreeMap::new(),
+        waves: LoadedWaves::default(),
         wave_writers: BTreeMap::new(),
         vm_orders: RecordWriter::default(),
         completed: Vec::new(),
@@ -174,6 +176,8 @@
     pub(super) restored: BTreeMap<JobId, dewspar::job::Progress>,
     /// Jobs whose stored progress can't be read.
     pub(super) unreadable: BTreeSet<JobId>,
+    /// Ends that former holders have set aside.
+    pub(super) ends: LoadedEnds,
     pub(super) sender: EventSender,
     /// New lives of workers that are being looked up.
     look_ups: LookUps,
@@ -200,7 +204,7 @@
     /// The record of the VMs of which changes are ordered.
     vm_orders: RecordWriter,
     /// What former holders kept of each wave.
-    waves: BTreeMap<u64, WaveRecord>,
+    pub(super) waves: LoadedWaves,
     /// The waves that were reported as completed before.
     completed: Vec<u64>,
     pub(super) expired_ms: u64,
@@ -264,7 +268,14 @@
             Event::Feed(feed) => self.take_feed(feed, FeedOrigin::Feed),
             Event::JobsLoaded(jobs) => self.take_loaded(jobs),
             Event::DutiesLoaded(duties) => self.take_duties(duties, now),
-            Event::AllLoaded => scheduler.finish_loading(now),
+            Event::AllLoaded => {
+                scheduler.finish_loading(now);
+                self.delete_useless_ends();
+            }
+            Event::EndsLoaded(ends) => self.ends.take_loaded(ends),
+            Event::EndsWritten { ends, written } => {
+                self.ends_written(&ends, written, now);
+            }
             Event::FeedCurrent { asked_ms } => {
                 self.feed_current_ms = self.feed_current_ms.max(asked_ms);
             }
@@ -291,6 +302,7 @@
             Event::ReportFailed { wave } => scheduler.report_failed(wave),
             Event::Renewed { sent_ms } => {
                 self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
+                scheduler.lease_renewed(sent_ms);
             }
             Event::LeaseGone => {
                 self.lost = Some("the store says that the lease is over");
@@ -344,10 +356,10 @@
         self.vm_orders.found(duties.ordered.version);
         self.scheduler.leave_vms_alone(now, &orderer, duties.ordered.vms);
         self.counts.found(duties.counts_version);
-        for (wave, version) in duties.waves.versions {
-            self.wave_writers.entry(wave).or_default().found(version);
+        for (wave, version) in &duties.waves.versions {
+            self.wave_writers.entry(*wave).or_default().found(*version);
         }
-        self.waves = duties.waves.records;
+        self.waves = duties.waves;
         self.completed = duties.completed;
     }
 
@@ -409,7 +421,9 @@
         if let Some(reason) = self.lost {
             return Some(Outcome::Lost(reason));
         }
-        if self.scheduler.is_superseded() {
+        // Before that the store may still say that the worker is wrong.
+        let uncertain = now.steady_ms >= lease_over_ms;
+        if uncertain && self.scheduler.may_be_superseded() {
             return Some(Outcome::Lost("a worker has seen a newer holder"));
         }
         if self.scheduler.is_out_of_tokens() {
@@ -429,6 +443,7 @@
             orders::send(&self.workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
+        self.store_ends(now);
         self.write_counts(now);
         self.write_waves(now);
         self.order_vms(now);
@@ -448,7 +463,8 @@
         // What former holders kept of the waves is known once all is loaded.
         if !self.scheduler.is_loading() {
             let waves = &reading.intent.waves;
-            let (records, completed) = (&self.waves, &self.completed);
+            let records = &self.waves.records;
+            let completed = &self.completed;
             let unseen =
                 self.scheduler.request_waves(now, waves, records, completed);
             for wave in unseen {
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -6,11 +6,14 @@
 use {
     super::super::holder::stopped,
     super::wire::{
-        self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
-        ToRelay, VERSION,
+        self, Answer, Answered, FrameSink, FromRelay, MESSAGE_BYTES, Order,
+        OrderKind, Start, ToRelay, VERSION,
+    },
+    crate::{clock, counters},
+    dewspar::{
+        relay::Lateness,
+        schedule::{OrderError, StartOrder, WorkerId},
     },
-    crate::counters,
-    dewspar::schedule::{OrderError, StartOrder, WorkerId},
     dewspar_platform::JobWorkers,
     futures_util::{SinkExt, StreamExt},
     slog::{Logger, info, warn},
@@ -38,6 +41,11 @@
 /// dozen relays are a tenth of its time.
 const GATHER: Duration = Duration::from_millis(5);
 
+/// How long an order is carried after its holder has given it up, in
+/// milliseconds: a full link of 2 Mbit/s holds 250 kB for that long, and what it
+/// brings so late is still the holder's plan. Suspensions take seconds.
+const GIVEN_UP_MS: u64 = 1_000;
+
 /// The pause after a connection that couldn't be accepted.
 const RETRY: Duration = Duration::from_millis(100);
 
@@ -112,7 +120,7 @@
         let Some(hello) = frames.next().await else {
             return Ok("nothing came");
         };
-        let ToRelay::Hello { version, node, lease_revision } =
+        let ToRelay::Hello { version, node, lease_revision, at_ms } =
             wire::decode(&hello?)?
         else {
             return Ok("it didn't say whose orders they are");
@@ -125,12 +133,11 @@
         }
         info!(self.log, "relay: carries for a holder"; "holder" => node,
             "lease_revision" => lease_revision);
+        let mut lateness = Lateness::new(at_ms, clock::now_ms());
+        let mut sink = wire::sink(write);
+        sink.send(wire::encode(&FromRelay::Welcome)).await?;
         let (answers, answered) = mpsc::unbounded_channel();
-        tokio::spawn(send_answers(
-            wire::sink(write),
-            answered,
-            self.stopping.clone(),
-        ));
+        tokio::spawn(send_answers(sink, answered, self.stopping.clone()));
         loop {
             let frame = tokio::select! {
                 frame = frames.next() => frame,
@@ -142,21 +149,36 @@
             if !self.latest.note(lease_revision) {
                 return Ok("a later holder is here");
             }
-            let ToRelay::Orders { payloads, orders } = message else {
+            let ToRelay::Orders { at_ms, payloads, orders } = message else {
                 return Ok("it began anew");
             };
+            let now_ms = clock::now_ms();
+            let late_ms = lateness.of(at_ms, now_ms);
+            let left_ms = |order: &Order| {
+                let age_ms = order.age_ms.saturating_add(late_ms);
+                let limit_ms = order.limit_ms.saturating_add(GIVEN_UP_MS);
+                limit_ms.saturating_sub(age_ms)
+            };
+            // Nothing that was sent before this one is of use either, and the
+            // holder's clock may not be what it was.
+            if orders.iter().all(|order| left_ms(order) == 0) {
+                return Ok("all that came is over");
+            }
             let payloads: Vec<Arc<str>> =
                 payloads.into_iter().map(Arc::from).collect();
             for order in orders {
-                self.take(order, &payloads, &answers);
+                let until_ms = now_ms.saturating_add(left_ms(&order));
+                self.take(order, until_ms, &payloads, &answers);
             }
         }
     }
 
-    /// Makes an order's call, beside all others.
+    /// Makes an order's call, beside all others, unless its holder has long
+    /// given it up.
     fn take(
         &mut self,
         order: Order,
+        until_ms: u64,
         payloads: &[Arc<str>],
         answers: &mpsc::UnboundedSender<Answered>,
     ) {
@@ -174,7 +196,12 @@
         let under_way = self.under_way.clone();
         let workers = self.workers.clone();
         tokio::spawn(async move {
-            let answer = call.make(&workers).await;
+            let over = clock::now_ms() >= until_ms;
+            let answer = if over {
+                Answer::Error(OrderError::NotSent)
+            } else {
+                call.make(&workers).await
+            };
             under_way.fetch_sub(1, Ordering::Relaxed);
             // As above.
             let _ = answers.send(Answered { id, answer });
@@ -266,8 +293,11 @@
         };
         let Some(first) = first else { return };
         sleep_until(gathered_until).await;
+        let mut bytes = first.bytes();
         let mut answers = vec![first];
-        while let Ok(answer) = answered.try_recv() {
+        while bytes < MESSAGE_BYTES {
+            let Ok(answer) = answered.try_recv() else { break };
+            bytes += answer.bytes();
             answers.push(answer);
         }
         let message = wire::encode(&FromRelay::Answers(answers));
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -19,12 +19,21 @@
 };
 
 /// The version of these messages; relays carry only for holders with the same.
-pub(super) const VERSION: u32 = 1;
+pub(super) const VERSION: u32 = 2;
 
 /// The longest message, in bytes: some thousands of orders with a payload of
 /// 4 kB each.
 const MAX_FRAME: usize = 16 * 1024 * 1024;
 
+/// How much a message holds before what follows goes into another, in bytes: a
+/// sixteenth of the longest, so that what is left out of account and one large
+/// order more find room.
+pub(super) const MESSAGE_BYTES: usize = 1024 * 1024;
+
+/// What an order or a run in an answer takes beside its texts, in bytes: a dozen
+/// numbers.
+const ROW_BYTES: usize = 64;
+
 /// Incoming frames.
 pub(super) type Frames = FramedRead<OwnedReadHalf, LengthDelimitedCodec>;
 
@@ -40,9 +49,13 @@
         node: String,
         /// The revision of the holder's lease.
         lease_revision: u64,
+        /// When it was sent, on the holder's steady clock.
+        at_ms: u64,
     },
     /// Orders to carry.
     Orders {
+        /// When it was sent, on the holder's steady clock.
+        at_ms: u64,
         /// What tasks are given, as starts refer to it.
         payloads: Vec<String>,
         orders: Vec<Order>,
@@ -58,9 +71,25 @@
     pub(super) worker: String,
     /// Where it takes orders.
     pub(super) address: String,
+    /// How old it was when its message was sent.
+    pub(super) age_ms: u64,
+    /// For how long the holder waits for its answer.
+    pub(super) limit_ms: u64,
     pub(super) what: OrderKind,
 }
 
+impl Order {
+    /// Returns about how long it is in a message, without a payload, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        let texts = self.worker.len() + self.address.len();
+        let more = match &self.what {
+            OrderKind::Start(s) => s.checkpoint.len() + s.ticket.len(),
+            OrderKind::Stop(_) | OrderKind::Pace(_) | OrderKind::Hold(_) => 0,
+        };
+        ROW_BYTES + texts + more
+    }
+}
+
 /// What an order is.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) enum OrderKind {
@@ -86,6 +115,8 @@
 /// What a relay sends.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) enum FromRelay {
+    /// The answer to the first message: the relay is awake, and takes orders.
+    Welcome,
     /// Answers to orders, in any order.
     Answers(Vec<Answered>),
     /// The relay stops: nothing new is to be sent.
@@ -110,6 +141,17 @@
     Error(OrderError),
 }
 
+impl Answered {
+    /// Returns about how long it is in a message, in bytes.
+    pub(super) fn bytes(&self) -> usize {
+        let Answer::Report(report) = &self.answer else { return ROW_BYTES };
+        let active = report.active.iter().map(|run| run.checkpoint.len());
+        let ended = report.ended.iter().map(|end| end.checkpoint.len());
+        let runs = active.chain(ended).map(|text| ROW_BYTES + text);
+        ROW_BYTES + runs.sum::<usize>()
+    }
+}
+
 /// Reads frames.
 pub(super) fn frames(half: OwnedReadHalf) -> Frames {
     FramedRead::new(half, codec())
