--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -14,6 +14,7 @@
             duty::InheritedOrder,
             forecast::Arrivals,
             jobs::Jobs,
+            lasting::LastingNeed,
             loading::Loading,
             place::Candidates,
             places::KeptPlaces,
@@ -129,11 +130,18 @@
     pub(super) new_jobs: Vec<JobId>,
     /// The jobs that came to each pool of late.
     pub(super) arrivals: BTreeMap<String, Arrivals>,
+    /// The first task of each step of open jobs that is to last and may be
+    /// wanted soon.
+    pub(super) lasting_steps: Vec<TaskId>,
+    /// What each pool's tasks that are to last need of VMs.
+    pub(super) lasting_needs: BTreeMap<String, LastingNeed>,
+    /// How many VMs pools got that lacked most, since the one that lacked
+    /// fewest had its turn.
+    pub(super) vms_to_most: u32,
     /// How many VMs each pool should have, when that was last looked at.
     pub(super) targets: BTreeMap<String, u64>,
-    /// What each pool's known jobs will use a while ahead, in thousandths of
-    /// a core.
-    pub(super) projected: BTreeMap<String, u64>,
+    /// What each pool's known jobs will use a while ahead.
+    pub(super) projected: BTreeMap<String, Room>,
     /// When the first job was known that isn't there for long; 0 for not yet.
     pub(super) first_job_ms: u64,
     /// The orders that are under way.
@@ -217,6 +225,9 @@
             arrivals: BTreeMap::new(),
             targets: BTreeMap::new(),
             projected: BTreeMap::new(),
+            lasting_steps: Vec::new(),
+            lasting_needs: BTreeMap::new(),
+            vms_to_most: 0,
             first_job_ms: 0,
         }
     }
