Tests that fail: kept places that aren't sure, and tasks that get none

Cause, as read in the code and not mended here: a task that waits for its kept place takes no other; a place of a task that moves is looked at again only as far as its worker is usable; a look seeks places for eight tasks, the same ones each time; and none is kept for gangs, advised tasks and tasks that have to move in a peak.

Conclusion: each stays as written until it is mended or shown to be allowed.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -14,6 +14,7 @@
 
 mod readings;
 mod records;
+mod review;
 mod rooms;
 mod runs;
 mod small_link;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/review.rs
@@ -0,0 +1,436 @@
+//! Tasks that are to last, for which a place is kept and isn't sure, or for
+//! which none is kept though they wait or have to leave.
+//!
+//! A kept place is only looked at again as far as its worker can be used at
+//! all, and a task that waits for one takes no other. So a task waits beside
+//! workers that are empty: those that came since, or those that it could use
+//! since its own place shrank.
+
+use {
+    crate::{
+        waves::request_wave_of,
+        world::{
+            POOL, ROOM, RunKind, World, at, id, job, listing, managed, step,
+        },
+    },
+    dewspar::{
+        job::{JobId, StepSpec},
+        schedule::{
+            AcceptedJob, Action, AdviceTerms, Decision, ManagedVm, Room,
+            VmOrder, WorkerId,
+        },
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+};
+
+/// How long a worker takes to stop a run in these tests, in milliseconds.
+const STOP_MS: u64 = 900;
+
+/// How long a task that is to last may wait though there is room for it, in
+/// milliseconds.
+const MISSED_MS: u64 = 6_000;
+
+fn lasting() -> StepSpec {
+    StepSpec {
+        long_running: true,
+        max_unavailable: 1,
+        cpu_millis: 2_000,
+        ..step(1)
+    }
+}
+
+fn large() -> StepSpec {
+    StepSpec { cpu_millis: 3_000, ..lasting() }
+}
+
+fn world_of(names: &[&str]) -> World {
+    let mut world = World::new(5, names);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    world
+}
+
+fn add_worker(world: &mut World, name: &str) {
+    let new = listing(name);
+    world.workers.insert(new.id.clone(), TaskWorker::new(ROOM));
+    world.listings.push(new);
+    world.list();
+    world.expect_all();
+}
+
+fn look(world: &mut World) -> Vec<VmOrder> {
+    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+    let now = at(world.now_ms);
+    world.scheduler.list_vms(now, world.now_ms, &vms);
+    let orders = world.scheduler.plan_vms(now);
+    world.run_for(50);
+    orders
+}
+
+fn starts_of(world: &World, job: JobId) -> usize {
+    let starts = world.starts.iter();
+    starts.filter(|(_, order)| order.task.job == job).count()
+}
+
+/// Submits a job whose runs have a fate of their own, whenever they start.
+fn submit(world: &mut World, number: u64, job: AcceptedJob, fate: Fate) {
+    let cpu_millis = job.spec.steps[0].cpu_millis;
+    let demand = Room { cpu_millis, ..Room::default() };
+    world.kinds.insert(id(number), RunKind { demand, fate });
+    world.scheduler.submit(id(number), job, number, None);
+}
+
+fn submit_lasting(world: &mut World, number: u64, job: AcceptedJob) {
+    submit(world, number, job, Fate::endless());
+}
+
+fn submit_short(world: &mut World, number: u64, count: u32, work_ms: u64) {
+    let short = StepSpec { estimate_ms: work_ms, ..step(count) };
+    submit(world, number, job(vec![short]), Fate::done(work_ms));
+}
+
+/// Lets two short tasks of a quarter of a worker come, none ending together
+/// with others.
+fn add_to_peak(world: &mut World, next: &mut u64) {
+    for _ in 0..2 {
+        *next += 1;
+        submit_short(world, *next, 1, 400 + *next % 8 * 50);
+    }
+}
+
+#[test]
+fn a_task_that_waits_for_its_place_takes_an_empty_worker() {
+    let mut world = world_of(&["w1", "w2"]);
+    submit_short(&mut world, 100, 8, 30_000);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 8);
+    submit_lasting(&mut world, 1, job(vec![lasting()]));
+    world.run_for(1_000);
+    add_worker(&mut world, "w3");
+    world.run_for(MISSED_MS);
+    assert_eq!(starts_of(&world, id(1)), 1, "it waits beside an empty worker");
+}
+
+#[test]
+fn a_task_that_waits_for_its_place_takes_another_that_is_free_first() {
+    let mut world = world_of(&["w1", "w2"]);
+    // The emptier one is so for long.
+    submit_short(&mut world, 100, 3, 30_000);
+    world.run_for(100);
+    submit_short(&mut world, 101, 5, 1_000);
+    world.run_for(200);
+    assert_eq!(world.running().len(), 8);
+    submit_lasting(&mut world, 1, job(vec![large()]));
+    world.run_for(MISSED_MS);
+    assert_eq!(starts_of(&world, id(1)), 1, "it waits beside a free worker");
+}
+
+#[test]
+fn tasks_that_find_no_place_do_not_stand_in_the_way_of_others() {
+    let mut world = world_of(&["w1", "w2"]);
+    let mut elsewhere = listing("x1");
+    elsewhere.pool = "other".to_owned();
+    world.workers.insert(elsewhere.id.clone(), TaskWorker::new(ROOM));
+    world.listings.push(elsewhere);
+    world.list();
+    world.run_for(200);
+    // Eleven apart, in a pool of one worker: ten wait.
+    let apart = StepSpec {
+        max_per_worker: 1,
+        max_unavailable: 1,
+        cpu_millis: 500,
+        ..StepSpec { long_running: true, ..step(11) }
+    };
+    let mut of_other = job(vec![apart]);
+    of_other.terms.pool = "other".to_owned();
+    submit_lasting(&mut world, 1, of_other);
+    world.run_for(300);
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        world.run_for(50);
+    }
+    submit_lasting(&mut world, 2, job(vec![large()]));
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        world.run_for(50);
+    }
+    assert_eq!(starts_of(&world, id(2)), 1, "no place was kept for it");
+}
+
+/// A task that lasts on one of three workers; returns that worker and the one
+/// where it is to go on, while it is being stopped.
+fn world_with_move() -> (World, WorkerId, WorkerId) {
+    let mut world = world_of(&["w1", "w2", "w3"]);
+    let mut moves = job(vec![large()]);
+    moves.terms.priority = 1;
+    submit_lasting(&mut world, 1, moves);
+    world.run_for(3_000);
+    let from = world.starts[0].0.clone();
+    request_wave_of(&mut world, &[&format!("vm-of-{from}")]);
+    world.stops_take_ms = STOP_MS;
+    look(&mut world);
+    let decisions = world.scheduler.take_decisions();
+    let place = decisions.iter().find_map(|decision| match decision {
+        Decision::Displaced { place, .. } => place.clone(),
+        _ => None,
+    });
+    (world, from, place.expect("it is to move somewhere"))
+}
+
+#[test]
+fn a_place_that_has_shrunk_is_looked_for_anew() {
+    let (mut world, _, place) = world_with_move();
+    let mut next = 100;
+    let shrunk = Room { cpu_millis: 1_000, ..ROOM };
+    for listing in &mut world.listings {
+        if listing.id == place {
+            listing.capacity = shrunk;
+        }
+    }
+    world.list();
+    // A peak goes on on the third worker.
+    for _ in 0..(STOP_MS + MISSED_MS) / 50 {
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2, "it has no place, and waits");
+}
+
+#[test]
+fn a_place_in_a_pool_that_its_queue_left_is_given_up() {
+    let (mut world, _, place) = world_with_move();
+    // The queue is served by another pool from now on, which has no worker.
+    let mut terms = job(vec![]).terms;
+    terms.pool = "other".to_owned();
+    world.scheduler.configure([("", &terms)]);
+    for _ in 0..(STOP_MS + MISSED_MS) / 50 {
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 1);
+    let old = ["w1", "w2", "w3"].len() as u32;
+    let mut of_old = job(vec![step(4 * old)]);
+    of_old.spec.queue = "old".to_owned();
+    submit(&mut world, 200, of_old, Fate::done(30_000));
+    world.run_for(500);
+    let here = world.workers.get_mut(&place).expect("it is there");
+    let used = here.used().cpu_millis;
+    assert_eq!(used, 4_000, "room is kept for a task that may not come");
+}
+
+#[test]
+fn a_large_task_leaves_a_worker_that_ends_in_a_peak_of_small_ones() {
+    let mut world = world_of(&["w1", "w2", "w3"]);
+    submit_lasting(&mut world, 1, job(vec![large()]));
+    world.run_for(3_000);
+    let from = world.starts[0].0.clone();
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    if let Some(leaving) = world.listings.iter_mut().find(|l| l.id == from) {
+        leaving.draining = true;
+        leaving.remaining_ms = Some(6_000);
+    }
+    world.list();
+    world.stops_take_ms = STOP_MS;
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2, "it goes down with its worker");
+}
+
+#[test]
+fn a_large_task_leaves_a_vm_of_a_wave_in_a_peak_of_small_ones() {
+    let mut world = world_of(&["w1", "w2", "w3"]);
+    submit_lasting(&mut world, 1, job(vec![large()]));
+    world.run_for(3_000);
+    let from = world.starts[0].0.clone();
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    request_wave_of(&mut world, &[&format!("vm-of-{from}")]);
+    world.stops_take_ms = STOP_MS;
+    for _ in 0..2 * MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2, "its VM isn't maintained");
+}
+
+#[test]
+fn a_large_gang_that_lasts_does_not_wait_for_a_peak_to_end() {
+    let mut world = world_of(&["w1", "w2", "w3"]);
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        world.run_for(50);
+    }
+    let gang = StepSpec { count: 2, gang: true, ..large() };
+    submit_lasting(&mut world, 1, job(vec![gang]));
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        world.run_for(50);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2);
+}
+
+/// Plans for 50 ms; the adviser allows whatever it is asked for.
+fn advised_round(world: &mut World) {
+    world.run_for(50);
+    let now = at(world.now_ms);
+    for action in world.scheduler.plan(now) {
+        let Action::Advise { step, workers, asked_ms } = action else {
+            world.carry_out(action, now);
+            continue;
+        };
+        let tickets = workers.iter();
+        let tickets = tickets.map(|w| (w.clone(), "t".to_owned())).collect();
+        let answer: Result<_, ()> = Ok(tickets);
+        world
+            .scheduler
+            .advice_answered(&step, &workers, asked_ms, answer, now);
+    }
+}
+
+fn advised(spec: StepSpec) -> AcceptedJob {
+    let mut advised = job(vec![spec]);
+    advised.terms.advice = Some(AdviceTerms {
+        decision_ms: 10,
+        period_ms: 1,
+        validity_ms: 1_000,
+    });
+    advised
+}
+
+#[test]
+fn a_large_advised_task_that_lasts_does_not_wait_for_a_peak_to_end() {
+    let mut world = world_of(&["w1", "w2"]);
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        advised_round(&mut world);
+    }
+    submit_lasting(&mut world, 1, advised(large()));
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        advised_round(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 1);
+}
+
+#[test]
+fn an_advised_task_that_lasts_leaves_the_vm_of_a_wave() {
+    let mut world = world_of(&["w1", "w2"]);
+    submit_lasting(&mut world, 1, advised(lasting()));
+    for _ in 0..60 {
+        advised_round(&mut world);
+    }
+    let from = world.starts[0].0.clone();
+    request_wave_of(&mut world, &[&format!("vm-of-{from}")]);
+    for _ in 0..MISSED_MS / 50 {
+        let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
+        let now = at(world.now_ms);
+        world.scheduler.list_vms(now, world.now_ms, &vms);
+        world.scheduler.plan_vms(now);
+        advised_round(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2, "nobody asks the adviser");
+}
+
+/// A task that lasts on a VM of a wave and needs a label that no other VM
+/// has, and ten VMs that are switched off. Returns how many were brought.
+fn vms_brought_in_vain() -> usize {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.listings[0].labels.push("only".to_owned());
+    for number in 0..10 {
+        let mut spare = listing(&format!("s{number}"));
+        spare.pool = "off".to_owned();
+        world.listings.push(spare);
+    }
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.run_for(100);
+    let only = StepSpec { required_label: "only".to_owned(), ..lasting() };
+    submit_lasting(&mut world, 1, job(vec![only]));
+    world.run_for(3_000);
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    let mut brought = 0;
+    for _ in 0..MISSED_MS / 50 {
+        for order in look(&mut world) {
+            let VmOrder::Move { vm, pool } = order else { continue };
+            if pool != POOL {
+                continue;
+            }
+            brought += 1;
+            // It comes at once, with a new life of its worker.
+            world.listings.retain(|listing| listing.vm != vm);
+            let name = format!("new-{brought}");
+            let mut new = listing(&name);
+            new.vm = vm;
+            world.workers.insert(new.id.clone(), TaskWorker::new(ROOM));
+            world.listings.push(new);
+            world.list();
+        }
+    }
+    brought
+}
+
+#[test]
+fn no_vm_is_brought_after_the_other_for_a_task_that_none_of_them_suits() {
+    let brought = vms_brought_in_vain();
+    assert!(brought <= 2, "{brought} VMs were brought in vain");
+}
+
+#[test]
+fn a_place_is_kept_until_its_worker_has_taken_the_start() {
+    let (mut world, ..) = world_with_move();
+    // A queue that goes first has more than there is room for.
+    submit_short(&mut world, 100, 40, 5_000);
+    for _ in 0..(STOP_MS + 2_000) / 50 {
+        // The first order to start it again is lost.
+        world.loses_starts = starts_of(&world, id(1)) == 1;
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(1)), 3, "its place was taken by others");
+}
+
+#[test]
+fn a_task_leaves_a_worker_that_ends_though_vms_can_not_be_listed() {
+    let mut world = world_of(&["w1", "w2"]);
+    submit_lasting(&mut world, 1, job(vec![lasting()]));
+    for _ in 0..60 {
+        look(&mut world);
+    }
+    // The VM service doesn't answer any more.
+    for _ in 0..200 {
+        let now = at(world.now_ms);
+        world.scheduler.plan_vms(now);
+        world.run_for(50);
+    }
+    let from = world.starts[0].0.clone();
+    if let Some(leaving) = world.listings.iter_mut().find(|l| l.id == from) {
+        leaving.draining = true;
+        leaving.remaining_ms = Some(6_000);
+    }
+    world.list();
+    for _ in 0..MISSED_MS / 50 {
+        let now = at(world.now_ms);
+        world.scheduler.plan_vms(now);
+        world.run_for(50);
+    }
+    assert_eq!(starts_of(&world, id(1)), 2, "it goes down with its worker");
+}
