--- a/crates/dewspar/src/schedule/places.rs
+++ b/crates/dewspar/src/schedule/places.rs
@@ -30,22 +30,23 @@
     std::collections::BTreeMap,
 };
 
-/// How long a task waits before a place is kept for it, in milliseconds: most
-/// find one with the next few ends, and what is kept is used by nobody.
+/// How long a task waits before a place is kept for it, in milliseconds: what is
+/// kept is used by nobody meanwhile, and a task that starts with one of the next
+/// plans needs none.
 const KEPT_AFTER_MS: u64 = 200;
 
 /// How often it is looked which tasks wait and how the kept places are, in
 /// milliseconds: a tenth of what short tasks take.
 const LOOK_INTERVAL_MS: u64 = 100;
 
-/// For how many tasks a look seeks a place, since each search goes through a
-/// pool: 16 through 1,000 workers take a millisecond. The next look goes on
-/// with the others.
+/// For how many tasks a look seeks a place, since each search goes through all
+/// workers of a pool. The next look goes on with the others.
 const SOUGHT_A_LOOK: usize = 16;
 
 /// How long a worker may take no orders, or not suit a task for some other
-/// passing reason, before its place counts as lost, in milliseconds: an order
-/// that got no answer is cleared up within some 100 ms.
+/// passing reason, before its place counts as lost, in milliseconds: longer than
+/// a worker may wait before it answers a question, which clears up an order
+/// without an answer.
 const UNFIT_MS: u64 = 500;
 
 /// A task for which room is kept.
--- a/crates/dewspar/tests/schedule/moving_random.rs
+++ b/crates/dewspar/tests/schedule/moving_random.rs
@@ -1,9 +1,9 @@
 //! Random waves over workers on which tasks that last stand beside peaks of
-//! short ones, with cancelled jobs, lost workers and other holders between.
+//! short ones, with cancelled jobs and lost workers between.
 //!
 //! What is promised: a task for which a place was kept starts there as soon as
-//! its run has ended, unless that place or the holder was lost; and nothing
-//! stays kept that nobody needs any more.
+//! its run has ended, unless that place was lost; and nothing stays kept that
+//! nobody needs any more.
 
 use {
     crate::{
