--- a/crates/dewspar/tests/schedule/moving.rs
+++ b/crates/dewspar/tests/schedule/moving.rs
@@ -27,14 +27,14 @@
 };
 
 /// How long a worker takes to stop a run in these tests, in milliseconds.
-const STOP_MS: u64 = 900;
+pub const STOP_MS: u64 = 900;
 
 /// How long a task that was moved may wait after its end was heard, in
 /// milliseconds: a plan or two.
 const AT_ONCE_MS: u64 = 100;
 
 /// A step of one task that lasts and takes half a worker.
-fn lasting() -> StepSpec {
+pub fn lasting() -> StepSpec {
     StepSpec {
         long_running: true,
         max_unavailable: 1,
@@ -70,7 +70,7 @@
 
 /// Plans VMs and tasks for 50 ms, without carrying out what is ordered of VMs;
 /// returns those orders.
-fn look(world: &mut World) -> Vec<VmOrder> {
+pub fn look(world: &mut World) -> Vec<VmOrder> {
     let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
     let now = at(world.now_ms);
     world.scheduler.list_vms(now, world.now_ms, &vms);
--- a/crates/dewspar/tests/schedule/review.rs
+++ b/crates/dewspar/tests/schedule/review.rs
@@ -8,6 +8,7 @@
 
 use {
     crate::{
+        moving::{STOP_MS, lasting, look},
         waves::request_wave_of,
         world::{
             POOL, ROOM, RunKind, World, at, id, job, listing, managed, step,
@@ -23,22 +24,10 @@
     dewspar_standin::task_worker::{Fate, TaskWorker},
 };
 
-/// How long a worker takes to stop a run in these tests, in milliseconds.
-const STOP_MS: u64 = 900;
-
 /// How long a task that is to last may wait though there is room for it, in
 /// milliseconds.
 const MISSED_MS: u64 = 6_000;
 
-fn lasting() -> StepSpec {
-    StepSpec {
-        long_running: true,
-        max_unavailable: 1,
-        cpu_millis: 2_000,
-        ..step(1)
-    }
-}
-
 fn large() -> StepSpec {
     StepSpec { cpu_millis: 3_000, ..lasting() }
 }
@@ -59,15 +48,6 @@
     world.expect_all();
 }
 
-fn look(world: &mut World) -> Vec<VmOrder> {
-    let vms: Vec<ManagedVm> = world.listings.iter().map(managed).collect();
-    let now = at(world.now_ms);
-    world.scheduler.list_vms(now, world.now_ms, &vms);
-    let orders = world.scheduler.plan_vms(now);
-    world.run_for(50);
-    orders
-}
-
 fn starts_of(world: &World, job: JobId) -> usize {
     let starts = world.starts.iter();
     starts.filter(|(_, order)| order.task.job == job).count()
