Trace of a VM that stays after all: its first work counts as broken

Cause, by two runs of the trace `leaving-vm` made longer (16 s): a history has a line when the platform's list says that a VM leaves, and none when it says that the VM stays. The observer writes `back` only for VMs whose row it saw draining or rebooting; a VM that is only listed as leaving keeps its row. So all work after its return counts: 189 of 189 requests where it stays after 5.5 s, 238 of 238 where it stays after 2.5 s. In these runs work came 1.1 s and 1.9 s after the list was right again.

Ruled out: nodes that send work to a VM that leaves. In both runs the VM got none from 0.92 s and 0.99 s after it was ordered to leave until after the list said that it stays.

--- a/crates/dewspar-cli/tests/traces.rs
+++ b/crates/dewspar-cli/tests/traces.rs
@@ -47,6 +47,7 @@
     cut_answers => "cut-answers.yaml";
     spoiled_worker => "spoiled-worker.yaml";
     leaving_vm => "leaving-vm.yaml";
+    vm_that_stays => "vm-that-stays.yaml";
 }
 
 #[test]
