Histories say when a VM that was listed as leaving stays

Cause: only the observer wrote `back`, for VMs whose row it had seen drained or rebooted. The stand-in wrote that its list shows a VM as leaving, and not that it shows it as staying again, so all later work counted as broken.

Now the stand-in writes `back` when its list shows that the VM stays, before anybody can read so. Both events name where the VM is marked (`row`, the default, or `list`), and work is right only where neither marks it. The check is stricter than before: a VM that leaves by the list was taken for back as soon as its row was (new history `broken-leaving-one-mark`), and work between the order to stay and the list that shows it still counts as broken.

--- a/crates/dewspar-cli/src/observer.rs
+++ b/crates/dewspar-cli/src/observer.rs
@@ -11,7 +11,7 @@
     dewspar::{
         config::Snapshot,
         fleet::VmState,
-        history::Event,
+        history::{Event, MarkedBy},
         pool::{PoolState, TaskState},
     },
     dewspar_standin::recorder::Recorder,
@@ -122,11 +122,11 @@
             let out =
                 matches!(row.state(), VmState::Draining | VmState::Rebooting);
             if out && self.leaving.insert(vm.to_owned()) {
-                let vm = vm.to_owned();
-                self.recorder.record(Event::Leaving { vm });
+                let (vm, by) = (vm.to_owned(), MarkedBy::Row);
+                self.recorder.record(Event::Leaving { vm, by });
             } else if !out && self.leaving.remove(vm) {
-                let vm = vm.to_owned();
-                self.recorder.record(Event::Back { vm });
+                let (vm, by) = (vm.to_owned(), MarkedBy::Row);
+                self.recorder.record(Event::Back { vm, by });
             }
             match row.state() {
                 VmState::Serving if !busy.contains(vm) => {
--- a/crates/dewspar-standin/src/fleet.rs
+++ b/crates/dewspar-standin/src/fleet.rs
@@ -17,7 +17,10 @@
         runner::Runner,
         server::{self, Body, Server},
     },
-    dewspar::{fleet::Listing, history::Event},
+    dewspar::{
+        fleet::Listing,
+        history::{Event, MarkedBy},
+    },
     dewspar_platform::{TaskReport, WorkerReport},
     displaydoc::Display,
     hyper::{
@@ -27,7 +30,7 @@
     },
     serde::Deserialize,
     std::{
-        collections::BTreeMap,
+        collections::{BTreeMap, BTreeSet},
         io,
         net::{Ipv4Addr, SocketAddr},
         str::FromStr,
@@ -180,6 +183,8 @@
     // What the list shows, as of a while ago.
     shown: Vec<Listing>,
     shown_version: u64,
+    // The VMs that the list has shown as leaving and not as staying since.
+    shown_leaving: BTreeSet<String>,
     changes: Vec<(Instant, u64, Vec<Listing>)>,
 }
 
@@ -294,8 +299,8 @@
         self.changes.push((when, self.version, self.listings()));
     }
 
-    /// Shows what has become due.
-    fn catch_up(&mut self) {
+    /// Shows what has become due, and writes down which VMs stay after all.
+    fn catch_up(&mut self, recorder: &Recorder) {
         let now = Instant::now();
         while let Some((when, _, _)) = self.changes.first()
             && *when <= now
@@ -303,6 +308,21 @@
             let (_, version, listings) = self.changes.remove(0);
             self.shown = listings;
             self.shown_version = version;
+            self.record_stays(recorder);
+        }
+    }
+
+    /// Writes down which VMs are no longer shown as leaving, before anybody can
+    /// read so: else the work that they get at once counts as sent to VMs that
+    /// leave.
+    fn record_stays(&mut self, recorder: &Recorder) {
+        for listing in &self.shown {
+            let vm = listing.name();
+            if listing.leaving() {
+                self.shown_leaving.insert(vm.to_owned());
+            } else if let Some(vm) = self.shown_leaving.take(vm) {
+                recorder.record(Event::Back { vm, by: MarkedBy::List });
+            }
         }
     }
 }
@@ -432,8 +452,8 @@
         }
     }
     if order == Order::Leave {
-        let vm = name.to_owned();
-        shared.options.recorder.record(Event::Leaving { vm });
+        let (vm, by) = (name.to_owned(), MarkedBy::List);
+        shared.options.recorder.record(Event::Leaving { vm, by });
     }
     state.show_later(lag);
     Ok(())
@@ -451,7 +471,7 @@
         return Some(server::whole(StatusCode::NOT_FOUND, "no such list"));
     }
     let mut state = shared.lock();
-    state.catch_up();
+    state.catch_up(&shared.options.recorder);
     let tag = format!("\"{}\"", state.shown_version);
     let known = request.headers().get(header::IF_NONE_MATCH);
     let mut response = if known.is_some_and(|known| *known == *tag) {
--- a/crates/dewspar-standin/src/recorder.rs
+++ b/crates/dewspar-standin/src/recorder.rs
@@ -5,12 +5,13 @@
 
 ```
 use {
-    dewspar::history::Event,
+    dewspar::history::{Event, MarkedBy},
     dewspar_standin::recorder::Recorder,
 };
 
 let recorder = Recorder::default();
-recorder.record(Event::Leaving { vm: "vm-1".to_owned() });
+let vm = "vm-1".to_owned();
+recorder.record(Event::Leaving { vm, by: MarkedBy::List });
 assert_eq!(recorder.lines().len(), 1);
 ```
 */
--- a/crates/dewspar/src/history.rs
+++ b/crates/dewspar/src/history.rs
@@ -116,6 +116,30 @@
     Unknown,
 }
 
+/// Where a VM is marked as one that takes no new work.
+///
+/// Both can mark the same VM. It takes work again once neither does.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub enum MarkedBy {
+    /// The VM's row says that it is drained or rebooted.
+    #[default]
+    Row,
+    /// The platform's list of VMs says that it is leaving.
+    List,
+}
+
 /// Something that happened.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 #[serde(tag = "event", rename_all = "snake_case", deny_unknown_fields)]
@@ -175,11 +199,17 @@
     Leaving {
         /// The VM's name.
         vm: String,
+        /// Where it was marked.
+        #[serde(default)]
+        by: MarkedBy,
     },
-    /// A VM takes work again.
+    /// A VM isn't marked there any more.
     Back {
         /// The VM's name.
         vm: String,
+        /// Where it was marked.
+        #[serde(default)]
+        by: MarkedBy,
     },
     /// What a budget needs and what there was.
     Available {
@@ -314,7 +344,7 @@
     told_not_run: BTreeMap<&'a str, usize>,
     key_of: BTreeMap<&'a str, &'a str>,
     pools: BTreeMap<&'a str, (u64, Option<&'a str>)>,
-    leaving_since_ms: BTreeMap<&'a str, u64>,
+    leaving_since_ms: BTreeMap<(&'a str, MarkedBy), u64>,
     in_force: BTreeMap<&'a str, u64>,
     accepted: BTreeMap<u64, u64>,
 }
@@ -344,13 +374,14 @@
             Event::InPool { vm, pool, epoch } => {
                 self.in_pool(vm, pool.as_deref(), *epoch);
             }
-            Event::Leaving { vm } => {
+            Event::Leaving { vm, by } => {
                 self.report.tested(Promise::PlannedStop);
                 self.report.tested(Promise::Leaving);
-                self.leaving_since_ms.entry(vm).or_insert(line.at_ms);
+                let mark = (vm.as_str(), *by);
+                self.leaving_since_ms.entry(mark).or_insert(line.at_ms);
             }
-            Event::Back { vm } => {
-                self.leaving_since_ms.remove(vm.as_str());
+            Event::Back { vm, by } => {
+                self.leaving_since_ms.remove(&(vm.as_str(), *by));
             }
             Event::Available { budget, needed, available, failed } => {
                 self.report.tested(Promise::Budget);
@@ -388,9 +419,12 @@
     }
 
     fn run_on(&mut self, vm: &str, at_ms: u64) {
-        let Some(since_ms) = self.leaving_since_ms.get(vm) else {
-            return;
-        };
+        let marks = [MarkedBy::Row, MarkedBy::List];
+        let since_ms = marks
+            .iter()
+            .filter_map(|by| self.leaving_since_ms.get(&(vm, *by)))
+            .min();
+        let Some(since_ms) = since_ms else { return };
 
         if at_ms > since_ms + LEAVING_GRACE_MS {
             let late_ms = at_ms - since_ms;
--- a/crates/dewspar/tests/checks.rs
+++ b/crates/dewspar/tests/checks.rs
@@ -57,6 +57,12 @@
             Promise::Leaving,
             "line 2: VM vm-1 got work 3001 ms after leaving",
         ),
+        (
+            // Back in its row, but leaving by the platform's list.
+            history!("broken-leaving-one-mark"),
+            Promise::Leaving,
+            "line 4: VM vm-1 got work 3001 ms after leaving",
+        ),
         (
             history!("broken-planned-stop"),
             Promise::PlannedStop,
