--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -136,7 +136,6 @@
 mod policy;
 mod projection;
 mod questions;
-mod recent_targets;
 mod records;
 mod report;
 mod scheduler;
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -76,11 +76,6 @@
     /// Whether pools that want more than there is get equal shares; else the
     /// first by name takes what it wants.
     pub equal_shares: bool,
-    /// For how long a pool that others need VMs of goes by the most that it
-    /// was to have of late, in milliseconds.
-    pub dip_ms: u64,
-    /// The same for VMs that are switched off, in milliseconds.
-    pub switch_dip_ms: u64,
 }
 
 impl Default for Sizing {
@@ -106,8 +101,6 @@
             // keeps the most.
             leaving_divisor: 16,
             equal_shares: true,
-            dip_ms: 0,
-            switch_dip_ms: 1_500,
         }
     }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -19,7 +19,6 @@
             place::Candidates,
             places::KeptPlaces,
             questions::Questions,
-            recent_targets::RecentTargets,
             set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
@@ -109,7 +108,6 @@
     pub(super) moving: BTreeMap<String, Moving>,
     /// The places that are kept for tasks.
     pub(super) places: KeptPlaces,
-    pub(super) recent_targets: RecentTargets,
     /// Moves that the VM service will never take.
     pub(super) refused_moves: BTreeSet<(String, String)>,
     pub(super) serving_pools: BTreeSet<String>,
@@ -213,7 +211,6 @@
             vms: BTreeMap::new(),
             moving: BTreeMap::new(),
             places: KeptPlaces::default(),
-            recent_targets: RecentTargets::default(),
             refused_moves: BTreeSet::new(),
             serving_pools: BTreeSet::new(),
             free_pools: BTreeSet::new(),
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -241,9 +241,6 @@
             self.measure_lasting(now);
             let targets = self.targets(now);
             self.note_targets(&targets);
-            let kept_ms =
-                self.sizing().dip_ms.max(self.sizing().switch_dip_ms);
-            self.recent_targets.note(&targets, now.steady_ms, kept_ms);
             self.fill_pools(&targets, now, orders);
             if self.knows_demand(now) {
                 for pool in targets.keys() {
@@ -559,9 +556,7 @@
     ) -> Option<WorkerId> {
         let over = |from: &str| {
             let target = targets.get(from).copied().unwrap_or(0);
-            let since_ms = now.steady_ms.saturating_sub(self.sizing().dip_ms);
-            let of_late = self.recent_targets.most(from, since_ms);
-            self.pool_load(from).workers > target.max(of_late)
+            self.pool_load(from).workers > target
         };
         self.least_used_elsewhere(pool, over, now)
     }
@@ -615,11 +610,6 @@
             && self.pool_load(pool).workers > self.least_vms(pool)
             && self.pool_percent_without(pool, 1)
                 <= self.sizing().spare_percent
-            && self.pool_load(pool).workers
-                > self.recent_targets.most(
-                    pool,
-                    now.steady_ms.saturating_sub(self.sizing().switch_dip_ms),
-                )
             && !self.awaits_maintenance(&worker.listing.vm)
     }
 
