What peers say counts from when it was asked for

Cause: the membership task took whatever it read for said at that moment. After a suspension of 10 s a peer's confirmation of before passed for one of now, for up to 4 s more, and a peer that had answered before counted as alive.

Now an answer counts from when the question was sent, by the steady clock; so do the suspicions and the ages of others in it. A question says nothing of when it was sent: within one time between probes after a jump between the clocks it counts from before the suspension (clock::Arrivals). What doesn't age stays heard at any time: a newer revision, and that a peer leaves.

Ruled out: a time of sending in the probe, since nodes of the version before can't read a probe with a field less or more, and would take each other for dead during an upgrade; dropping such messages, since a newer revision is true also late.

--- a/crates/dewspar/src/member.rs
+++ b/crates/dewspar/src/member.rs
@@ -344,10 +344,21 @@
     ///
     /// Returns whether that is news, which is worth passing on at once.
     pub fn hear(&mut self, suspicions: &[Suspicion], now_ms: u64) -> bool {
+        self.hear_as_of(suspicions, now_ms, now_ms)
+    }
+
+    /// Takes over what a peer suspected at `said_ms`, in the same way; it has
+    /// aged since.
+    pub fn hear_as_of(
+        &mut self,
+        suspicions: &[Suspicion],
+        said_ms: u64,
+        now_ms: u64,
+    ) -> bool {
         let full_ms = self.timing.suspicion_ms();
         let mut news = false;
         for suspicion in suspicions {
-            let until_ms = now_ms + full_ms.saturating_sub(suspicion.age_ms);
+            let until_ms = said_ms + full_ms.saturating_sub(suspicion.age_ms);
             if let Some(peer) = self.peers.get_mut(&suspicion.name)
                 && peer.member.incarnation == suspicion.incarnation
                 && suspicion.name != self.own
--- a/crates/dewspar/tests/members.rs
+++ b/crates/dewspar/tests/members.rs
@@ -107,6 +107,25 @@
     assert!(two.live(6_000).contains(&"entry-002"));
 }
 
+/// A node that was suspended reads what a peer suspected before: it has aged
+/// as long as the node slept.
+#[test]
+fn suspicion_that_is_read_late_is_as_old_as_it_is() {
+    let mut one = roster("entry-000", 4);
+    for now_ms in [500, 1_000, 1_500] {
+        one.probe_failed("entry-002", now_ms);
+    }
+    let suspicions = one.suspicions(1_500);
+    let mut two = roster("entry-001", 4);
+    assert!(!two.hear_as_of(&suspicions, 1_500, 9_000), "forgotten by now");
+    assert!(two.live(9_000).contains(&"entry-002"));
+
+    let mut two = roster("entry-001", 4);
+    assert!(two.hear_as_of(&suspicions, 1_500, 3_000));
+    assert!(!two.live(3_000).contains(&"entry-002"));
+    assert!(two.live(3_500).contains(&"entry-002"));
+}
+
 #[test]
 fn fresh_process_is_not_suspected_for_its_predecessor() {
     let mut one = roster("entry-000", 3);
--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -28,7 +28,8 @@
 `docs/PROMISES.md` has a row for each file that reads a clock.
 
 Whoever holds a lease also asks [`Suspensions`] whether it slept, and believes
-nothing before the store has confirmed it.
+nothing before the store has confirmed it. An answer counts from when it was
+asked for; [`Arrivals`] tells as of when that counts which nobody asked for.
 
 # Example
 
@@ -189,6 +190,67 @@
     }
 }
 
+/// Tells as of when that counts which others send unasked.
+///
+/// It says itself how old it was when it was sent, but not when that was: what
+/// came while the VM was suspended lies in its connection until the VM wakes. So
+/// whatever is read shortly after waking counts from before the suspension.
+///
+/// # Example
+///
+/// ```
+/// use dewspard::clock::Arrivals;
+///
+/// // What is sent reaches this node within 500 ms, or not at all.
+/// let mut arrivals = Arrivals::new(500, 0);
+/// assert_eq!(arrivals.as_of_ms(10_000, 0), 10_000);
+/// // The VM wakes after 4 s.
+/// assert_eq!(arrivals.as_of_ms(14_100, 4_000), 10_100);
+/// assert_eq!(arrivals.as_of_ms(14_599, 4_000), 10_100);
+/// assert_eq!(arrivals.as_of_ms(14_600, 4_000), 14_600);
+/// // It sleeps again, and once more soon after it has woken.
+/// assert_eq!(arrivals.as_of_ms(17_000, 6_000), 15_000);
+/// assert_eq!(arrivals.as_of_ms(19_100, 8_000), 15_000);
+/// assert_eq!(arrivals.as_of_ms(19_600, 8_000), 19_600);
+/// ```
+#[derive(Clone, Copy, Debug)]
+pub struct Arrivals {
+    under_way_ms: u64,
+    suspensions: Suspensions,
+    /// When the last suspension began, while something of before may come.
+    slept_from_ms: Option<u64>,
+    /// Until when it may.
+    until_ms: u64,
+}
+
+impl Arrivals {
+    /// Begins to look, after so many milliseconds of suspension; what others
+    /// send is under way for no longer than `under_way_ms` while this VM is
+    /// awake.
+    pub fn new(under_way_ms: u64, suspended_ms: u64) -> Arrivals {
+        let suspensions = Suspensions::new(suspended_ms);
+        let (slept_from_ms, until_ms) = (None, 0);
+        Arrivals { under_way_ms, suspensions, slept_from_ms, until_ms }
+    }
+
+    /// Returns as of when that counts which is read at `now_ms`, by the steady
+    /// clock in milliseconds; `suspended_ms` is what [`suspended_ms`] says.
+    pub fn as_of_ms(&mut self, now_ms: u64, suspended_ms: u64) -> u64 {
+        let noticed_ms = self.suspensions.noticed_ms(suspended_ms);
+        let awake_ms = now_ms.saturating_sub(noticed_ms.unwrap_or(0));
+        if awake_ms >= self.until_ms {
+            self.slept_from_ms = None;
+        }
+        if noticed_ms.is_some() {
+            // Where one follows another at once, what was sent before both may
+            // still come.
+            self.slept_from_ms.get_or_insert(awake_ms);
+            self.until_ms = now_ms + self.under_way_ms;
+        }
+        self.slept_from_ms.unwrap_or(now_ms)
+    }
+}
+
 /// Returns milliseconds of the Unix epoch by the wall clock.
 pub fn unix_ms() -> u64 {
     since_unix_epoch().as_millis() as u64
--- a/crates/dewspard/src/membership/mod.rs
+++ b/crates/dewspard/src/membership/mod.rs
@@ -8,12 +8,17 @@
 After an outage of the platform every lease may have lapsed. A member that is
 no longer listed but still answers is kept for one lease's life, so that
 holders come back before anyone succeeds them.
+
+What peers say counts from when it was asked for, and what they ask from when it
+is read, unless this VM has just been suspended: then from before that. Nothing
+that lay in a connection meanwhile is taken for young.
 */
 
 use {
     self::lease::LeaseKeeper,
     crate::{
-        clock, counters,
+        clock::{self, Arrivals},
+        counters,
         peer::{Answer, Endpoint, HeardNode, Probe, Question},
         view::ViewReader,
         watcher,
@@ -208,7 +213,10 @@
     let Leave { stopping, left } = leave;
     let kept = tokio::spawn(keeper.run(left));
     let (results, probe_results) = mpsc::channel(256);
+    // A peer gives a question up after the time between two rounds.
+    let under_way_ms = options.timing.interval_ms();
     let task = Task {
+        arrivals: Arrivals::new(under_way_ms, clock::suspended_ms()),
         roster: Roster::new(options.member.name(), options.timing),
         options,
         publish: setup.publish,
@@ -226,6 +234,8 @@
 
 struct ProbeResult {
     node: String,
+    /// When the peer was asked, on the steady clock.
+    asked_ms: u64,
     answer: Option<Probe>,
 }
 
@@ -237,6 +247,7 @@
 
 struct Task {
     options: Options,
+    arrivals: Arrivals,
     roster: Roster,
     publish: watch::Sender<Arc<Standing>>,
     watcher: watcher::Handle,
@@ -260,10 +271,17 @@
         let mut stopping = self.stopping.clone();
         loop {
             tokio::select! {
-                _ = rounds.tick() => self.probe_peers(),
+                _ = rounds.tick() => {
+                    // Notices a suspension soon after it.
+                    self.arrived_ms();
+                    self.probe_peers();
+                }
                 asked = probed.recv() => {
                     let Some(asked) = asked else { return };
-                    self.hear(&asked.probe);
+                    // It may have come while this VM was suspended: read then,
+                    // a peer's confirmation of 10 s ago passed for a new one.
+                    let said_ms = self.arrived_ms();
+                    self.hear(&asked.probe, said_ms);
                     let _ = asked.reply.send(self.speak());
                 }
                 result = results.recv() => {
@@ -286,8 +304,15 @@
         }
     }
 
+    /// Returns as of when a question counts that is read now.
+    fn arrived_ms(&mut self) -> u64 {
+        let suspended_ms = clock::suspended_ms();
+        self.arrivals.as_of_ms(clock::now_ms(), suspended_ms)
+    }
+
     fn probe_peers(&mut self) {
         let probe = self.speak();
+        let asked_ms = clock::now_ms();
         let limit = Duration::from_millis(self.options.timing.interval_ms());
         for peer in self.roster.targets() {
             let endpoint = self.endpoint.clone();
@@ -300,7 +325,8 @@
                     _ => None,
                 };
                 let node = peer.name().to_owned();
-                let _ = results.send(ProbeResult { node, answer }).await;
+                let result = ProbeResult { node, asked_ms, answer };
+                let _ = results.send(result).await;
             });
         }
     }
@@ -310,7 +336,7 @@
         match result.answer {
             Some(answer) => {
                 counters::count_by(counters::PROBES, "result", "answered");
-                self.hear(&answer);
+                self.hear(&answer, result.asked_ms);
             }
             None => {
                 counters::count_by(counters::PROBES, "result", "missed");
@@ -321,20 +347,25 @@
         }
     }
 
-    /// Takes in what a peer says, asked or not.
-    fn hear(&mut self, probe: &Probe) {
+    /// Takes in what a peer said at `said_ms` or later, asked or not.
+    fn hear(&mut self, probe: &Probe, said_ms: u64) {
         let now_ms = clock::now_ms();
-        self.roster.probe_succeeded(&probe.node, probe.incarnation, now_ms);
-        let mut news = self.roster.hear(&probe.suspicions, now_ms);
+        // One that answered long ago may have died since.
+        if now_ms < said_ms + self.grace_ms() {
+            let incarnation = probe.incarnation;
+            self.roster.probe_succeeded(&probe.node, incarnation, now_ms);
+        }
+        let suspicions = &probe.suspicions;
+        let mut news = self.roster.hear_as_of(suspicions, said_ms, now_ms);
         if probe.leaving {
             news |= self.roster.peer_leaves(&probe.node, probe.incarnation);
         }
         if news {
             self.probe_peers();
         }
-        self.note(&probe.node, now_ms, probe.confirmed_age_ms);
+        self.note(&probe.node, said_ms, probe.confirmed_age_ms);
         for heard in &probe.heard {
-            let at_ms = now_ms.saturating_sub(heard.heard_ms);
+            let at_ms = said_ms.saturating_sub(heard.heard_ms);
             self.note(&heard.node, at_ms, heard.confirmed_ms);
         }
         let own = self.watcher.view.borrow().config.value.revision();
