A question that was given up is asked again by the transport: failing test

A peer that gets nothing for 0.3 s is asked a question with that limit. The asker is told that there was no answer; once the way is open again, the question arrives all the same, sent again by QUIC for as long as the connection lives (15 s). A probe that arrives so counts as said when it is read, whether the peer's VM was suspended or only its way was cut.

--- a/crates/dewspard/tests/peers.rs
+++ b/crates/dewspard/tests/peers.rs
@@ -9,8 +9,13 @@
     },
     std::{
         net::{Ipv4Addr, SocketAddr, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
         time::Duration,
     },
+    tokio::time::sleep,
 };
 
 const LIMIT: Duration = Duration::from_secs(10);
@@ -95,3 +100,76 @@
     let answer = one.ask(&peer, &Question::Revision, LIMIT).await;
     assert!(matches!(answer, Ok(Answer::Revision(2))), "{answer:?}");
 }
+
+/// Stands before a node, and passes on nothing to it while it is cut off.
+async fn put_gate_before(at: &Endpoint, is_cut: Arc<AtomicBool>) -> String {
+    let bind = async || {
+        let socket = tokio::net::UdpSocket::bind("127.0.0.1:0").await;
+        Arc::new(socket.expect("a socket"))
+    };
+    let (front, back) = (bind().await, bind().await);
+    let address = front.local_addr().expect("an address").to_string();
+    let node = at.address().expect("an address");
+    back.connect(node).await.expect("a connected socket");
+    tokio::spawn(async move {
+        let (mut there, mut here) = ([0; 65_536], [0; 65_536]);
+        let mut client = None;
+        loop {
+            tokio::select! {
+                Ok((count, from)) = front.recv_from(&mut there) => {
+                    client = Some(from);
+                    if !is_cut.load(Ordering::Relaxed) {
+                        // A datagram may be lost.
+                        let _ = back.send(&there[..count]).await;
+                    }
+                }
+                Ok(count) = back.recv(&mut here) => {
+                    let Some(client) = client else { continue };
+                    // As above.
+                    let _ = front.send_to(&here[..count], client).await;
+                }
+                else => return,
+            }
+        }
+    });
+    address
+}
+
+/// What was lost on the way is sent again for as long as the connection lives,
+/// so a peer that couldn't be reached for seconds got questions that their
+/// asker had long given up, and took them for new ones.
+#[tokio::test]
+async fn a_question_that_was_given_up_is_not_asked_later() {
+    let authority = Authority::new().expect("an authority");
+    let one = start(&identity(&authority, "n1"), 1);
+    let asked = Arc::new(AtomicUsize::new(0));
+    let counted = asked.clone();
+    let handle = move |question: Question| {
+        if matches!(question, Question::Snapshot { .. }) {
+            counted.fetch_add(1, Ordering::Relaxed);
+        }
+        async { Answer::Revision(2) }
+    };
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let two = identity(&authority, "n2");
+    let two = Endpoint::start(address, &two, handle, logs::discard());
+    let two = two.expect("an endpoint");
+    let is_cut = Arc::new(AtomicBool::new(false));
+    let gate = put_gate_before(&two, is_cut.clone()).await;
+    let peer = Member::new("n2", 1, "hall-1").with_peer_address(&gate);
+    let answer = one.ask(&peer, &Question::Revision, LIMIT).await;
+    assert!(matches!(answer, Ok(Answer::Revision(2))), "{answer:?}");
+
+    is_cut.store(true, Ordering::Relaxed);
+    let limit = Duration::from_millis(300);
+    let snapshot = Question::Snapshot { have: 1 };
+    let answer = one.ask(&peer, &snapshot, limit).await;
+    assert!(matches!(answer, Err(Error::NoAnswer { .. })), "{answer:?}");
+    is_cut.store(false, Ordering::Relaxed);
+
+    // What comes after it over the same connection is answered.
+    let answer = one.ask(&peer, &Question::Revision, LIMIT).await;
+    assert!(matches!(answer, Ok(Answer::Revision(2))), "{answer:?}");
+    sleep(Duration::from_secs(1)).await;
+    assert_eq!(asked.load(Ordering::Relaxed), 0, "asked though given up");
+}
