Questions to peers that are given up are taken back

Cause: a stream that is dropped is finished, not reset, so what was lost of a question is sent again for as long as the connection lives, long after the asker was told that there was no answer.

Now a question without an answer is reset when it is given up. It may still have arrived, as before ('may have got the question').

--- a/crates/dewspard/src/peer/endpoint.rs
+++ b/crates/dewspard/src/peer/endpoint.rs
@@ -24,6 +24,9 @@
 /// How long a connection may take.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// What a peer is told of a question that is given up; nobody reads it.
+const GIVEN_UP: VarInt = VarInt::from_u32(1);
+
 /// Why a question got no answer.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[non_exhaustive]
@@ -249,13 +252,32 @@
     }
 }
 
+/// A question on its way.
+struct Asking {
+    send: SendStream,
+    is_answered: bool,
+}
+
+impl Drop for Asking {
+    /// Takes back a question that is given up: what was lost of it would be
+    /// sent again for as long as the connection lives, and be taken for new by
+    /// a peer that couldn't be reached for seconds.
+    fn drop(&mut self) {
+        if !self.is_answered {
+            // OK to ignore an error: nothing is left to take back then.
+            let _ = self.send.reset(GIVEN_UP);
+        }
+    }
+}
+
 async fn exchange(
     connection: &Connection,
     question: &Question,
 ) -> Result<Answer, String> {
     let text = |error: &dyn std::fmt::Display| error.to_string();
-    let (mut send, mut receive) =
+    let (send, mut receive) =
         connection.open_bi().await.map_err(|e| text(&e))?;
+    let mut asking = Asking { send, is_answered: false };
     let bytes = encode(question)?;
     counters::add_by(
         counters::PEER_BYTES,
@@ -263,10 +285,11 @@
         "sent",
         bytes.len() as u64,
     );
-    send.write_all(&bytes).await.map_err(|e| text(&e))?;
-    send.finish().map_err(|e| text(&e))?;
+    asking.send.write_all(&bytes).await.map_err(|e| text(&e))?;
+    asking.send.finish().map_err(|e| text(&e))?;
     let answer =
         receive.read_to_end(MAX_MESSAGE).await.map_err(|e| text(&e))?;
+    asking.is_answered = true;
     counters::add_by(
         counters::PEER_BYTES,
         "direction",
