Fields of the process that ordered VMs are lost on rewriting: failing test

A record of VMs ordered that a newer version wrote is written again without what that version said of the process that gave the orders: 'left' lacks the field 'newer' of 'by'. The test fails.

--- a/crates/dewspar/tests/newer_fields.rs
+++ b/crates/dewspar/tests/newer_fields.rs
@@ -2,7 +2,7 @@
 //! has recorded, and writes it again. Fields that it didn't know were gone from
 //! then on: the newer version, once it schedules again, read its own record as
 //! if it had never said so. What isn't known is kept as it was: of a job, of
-//! each of its tasks, and of orders to VMs.
+//! each of its tasks, of orders to VMs, and of the process that gave them.
 
 use {
     dewspar::{
@@ -111,3 +111,26 @@
     let kept = scheduler.ordered_vms(NOW, &holder);
     assert_eq!(serde_json::to_value(&kept).expect("plain JSON"), orders);
 }
+
+#[test]
+fn what_is_not_known_of_a_process_stays_with_what_it_ordered() {
+    let by = json!({ "node": "n1", "incarnation": 1, "newer": ["a", {}] });
+    let other = json!({ "node": "n1", "incarnation": 1, "newer": "b" });
+    let orders = json!([
+        { "by": by, "ages_ms": { "vm-0": 5, "vm-2": 5 } },
+        { "by": other, "ages_ms": { "vm-1": 5 }, "newer": 1 },
+    ]);
+    let read: OrderedVms =
+        serde_json::from_value(orders.clone()).expect("orders");
+    let written = serde_json::to_value(&read).expect("plain JSON");
+    assert_eq!(written, orders);
+
+    // Another node holds the lease, then that process again.
+    for node in ["n2", "n1"] {
+        let mut scheduler = Scheduler::new(7, Options::default());
+        let holder = Orderer { node: node.to_owned(), incarnation: 1 };
+        scheduler.leave_vms_alone(NOW, &holder, Some(read.clone()));
+        let kept = scheduler.ordered_vms(NOW, &holder);
+        assert_eq!(serde_json::to_value(&kept).expect("plain JSON"), orders);
+    }
+}
