What isn't known of the process that ordered VMs stays on record

Cause: the record keeps fields that aren't known beside what a process ordered, not within the part that names the process.

The record takes as many bytes as before where there are no such fields.

--- a/crates/dewspar/src/schedule/duty.rs
+++ b/crates/dewspar/src/schedule/duty.rs
@@ -14,7 +14,7 @@
 
 use {
     crate::{
-        fields::OtherFields,
+        fields::{OtherFields, WithOthers},
         schedule::{Now, Scheduler, VmOrder},
     },
     serde::{Deserialize, Serialize},
@@ -40,8 +40,8 @@
 /// A change of a VM that was ordered of late.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct PastOrder {
-    /// Who ordered it.
-    pub by: Orderer,
+    /// Who ordered it, and what else a newer version has said of that process.
+    pub by: WithOthers<Orderer>,
     /// How long before this was written, in milliseconds.
     pub age_ms: u64,
     /// What else a newer version has said of it.
@@ -51,7 +51,7 @@
 /// A change that a former holder ordered of late.
 #[derive(Clone, Debug)]
 pub(super) struct InheritedOrder {
-    by: Orderer,
+    by: WithOthers<Orderer>,
     /// Until when the VM is left alone.
     until_ms: u64,
     other: OtherFields,
@@ -70,7 +70,7 @@
 /// The written form of what one process ordered.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 struct OrdersOf {
-    by: Orderer,
+    by: WithOthers<Orderer>,
     /// How long ago each VM was ordered, in milliseconds.
     ages_ms: BTreeMap<String, u64>,
     #[serde(flatten)]
@@ -189,7 +189,8 @@
         });
         let own = self.ordered_vms.iter().map(|(vm, ordered_ms)| {
             let age_ms = now.steady_ms.saturating_sub(*ordered_ms);
-            let (by, other) = (holder.clone(), OtherFields::default());
+            let (record, other) = (holder.clone(), OtherFields::default());
+            let by = WithOthers { record, other: other.clone() };
             (vm.clone(), PastOrder { by, age_ms, other })
         });
         OrderedVms(inherited.chain(own).collect())
@@ -211,7 +212,7 @@
             return;
         };
         for (vm, PastOrder { by, age_ms, other }) in vms.0 {
-            if by.is_former_process_of(holder) || age_ms >= gap_ms {
+            if by.record.is_former_process_of(holder) || age_ms >= gap_ms {
                 continue;
             }
             let until_ms = now.steady_ms + gap_ms - age_ms;
