Orders to VMs that were planned before a suspension go out after it: failing test

Two VMs are ordered at once, and the node's VM sleeps when the first order has been answered: the second goes out after waking, though the store hasn't renewed the lease since.

--- a/crates/dewspard/tests/late_orders.rs
+++ b/crates/dewspard/tests/late_orders.rs
@@ -12,7 +12,7 @@
 use {
     dewspar::{
         job::{JobId, JobSpec, Queue, QueueSet, StepSpec},
-        schedule::{AcceptedJob, QueueTerms},
+        schedule::{AcceptedJob, QueueTerms, WaveRequest},
     },
     dewspar_platform::{Batch, KeyValue, Traffic, UnreadableNotes},
     dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
@@ -40,6 +40,9 @@
 
 const POOL: &str = "registry";
 
+/// Held by the test that is under way: both suspend the same process.
+static UNDER_WAY: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
+
 /// A line that the VM falls asleep at, once, and with it the store's outage.
 #[derive(Clone)]
 struct SleepAt {
@@ -108,50 +111,94 @@
     store.commit(&batch).await.expect("a store");
 }
 
+/// A node that schedules, and what it reaches.
+struct Site {
+    _node: JobNode,
+    store: Store,
+    store_faults: Faults,
+    fleet: TaskFleet,
+    sleeps: SleepAt,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let store_faults = Faults::new(1);
+        let store = Store::new(store_faults.clone());
+        let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
+        let queue = Queue {
+            name: "extracts".to_owned(),
+            timeout_ms: 3_000,
+            terms: terms(),
+            ..Queue::default()
+        };
+        fleet.configure(QueueSet::new(1, vec![queue]));
+        let sleeps = SleepAt {
+            line: Arc::default(),
+            store_faults: store_faults.clone(),
+            lines: Arc::default(),
+        };
+        let platform = JobPlatform {
+            store: store.clone(),
+            workers: fleet.clone(),
+            fleet: fleet.clone(),
+            protocol: RestCalls,
+            readiness_path: "/ready",
+            traffic: Traffic::default(),
+            unreadable: UnreadableNotes::default(),
+        };
+        let log = Logger::root(sleeps.clone().fuse(), o!());
+        let settings = JobSettings::loopback("node-0");
+        let node = JobNode::start(&settings, platform, None, &log).await;
+        let _node = node.expect("a started node");
+        Site { _node, store, store_faults, fleet, sleeps }
+    }
+
+    /// Waits until the VM has slept, and until orders that went out after it
+    /// are carried out.
+    async fn sleep(&self) {
+        until(async || self.sleeps.has("holder: was suspended")).await;
+        sleep(CARRIED).await;
+    }
+}
+
 #[tokio::test]
 async fn what_was_ordered_before_a_suspension_is_not_sent_after_it() {
-    let store_faults = Faults::new(1);
-    let store = Store::new(store_faults.clone());
-    let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
-    let queue = Queue {
-        name: "extracts".to_owned(),
-        timeout_ms: 3_000,
-        terms: terms(),
-        ..Queue::default()
-    };
-    fleet.configure(QueueSet::new(1, vec![queue]));
-    let sleeps = SleepAt {
-        line: Arc::default(),
-        store_faults: store_faults.clone(),
-        lines: Arc::default(),
-    };
-    let platform = JobPlatform {
-        store: store.clone(),
-        workers: fleet.clone(),
-        fleet: fleet.clone(),
-        protocol: RestCalls,
-        readiness_path: "/ready",
-        traffic: Traffic::default(),
-        unreadable: UnreadableNotes::default(),
-    };
-    let log = Logger::root(sleeps.clone().fuse(), o!());
-    let settings = JobSettings::loopback("node-0");
-    let node = JobNode::start(&settings, platform, None, &log).await;
-    let _node = node.expect("a started node");
-
+    let _alone = UNDER_WAY.lock().await;
+    let site = Site::start().await;
     let id: JobId = format!("{:016x}", 1).parse().expect("an identifier");
     let starts = || {
-        let started = fleet.started();
+        let started = site.fleet.started();
         started.iter().filter(|(task, _)| task.job == id).count()
     };
-    sleeps.next("task: start ordered");
-    hand_in(&store, id).await;
-    until(async || sleeps.has("holder: was suspended")).await;
-    sleep(CARRIED).await;
+    site.sleeps.next("task: start ordered");
+    hand_in(&site.store, id).await;
+    site.sleep().await;
     assert_eq!(starts(), 0, "by an order of before");
 
     // Once the store has renewed the lease the task starts.
-    store_faults.set_outage(false);
+    site.store_faults.set_outage(false);
     until(async || starts() == 1).await;
-    assert!(sleeps.has("worker: order gave no result"), "it is told");
+    assert!(site.sleeps.has("worker: order gave no result"), "it is told");
+}
+
+#[tokio::test]
+async fn vms_are_not_ordered_after_a_suspension_by_what_was_planned_before() {
+    let _alone = UNDER_WAY.lock().await;
+    let site = Site::start().await;
+    let vms = vec!["vm-0".to_owned(), "vm-1".to_owned()];
+    // Both are ordered at once, and the VM sleeps when one of them is.
+    site.sleeps.next("vm: ordered");
+    site.fleet.request_wave(WaveRequest {
+        wave: 7,
+        vms,
+        duration_ms: 1_000,
+        max_down: 2,
+    });
+    site.sleep().await;
+    let ordered = site.fleet.maintained().len();
+    assert_eq!(ordered, 1, "the other by an order of before");
+
+    site.store_faults.set_outage(false);
+    until(async || site.fleet.maintained().len() == 2).await;
+    assert!(site.sleeps.has("vm: order gave no result"), "it is told");
 }
