Orders to VMs that were planned before a suspension aren't sent after it

Cause: as for workers, orders go out by tasks of their own once they are on record, and none looked whether the VM was suspended meanwhile.

Now each looks just before it goes out, and is told as not done otherwise, as where it isn't on record: it is planned anew once the lease is confirmed. Reports on waves go out still: they say what was true, and order nothing.

--- a/crates/dewspard/src/jobs/duties.rs
+++ b/crates/dewspard/src/jobs/duties.rs
@@ -8,7 +8,10 @@
         keys,
         records::{record_written, version_among},
     },
-    crate::{counters, passed_over},
+    crate::{
+        clock::{self, Suspensions},
+        counters, passed_over,
+    },
     dewspar::{
         fields::{OtherFields, WithOthers},
         record::RecordWritten,
@@ -28,6 +31,8 @@
     /// Their fencing token.
     pub(super) fence: u64,
     pub(super) orders: Vec<VmOrder>,
+    /// What was known of suspensions when they were planned.
+    pub(super) planned: Suspensions,
     /// Of which VMs changes are ordered by now.
     pub(super) vms: OrderedVms,
     /// The version of the last such record; 0 for none.
@@ -64,6 +69,7 @@
                 holder: burst.holder.clone(),
                 fence: burst.fence,
                 recorded,
+                planned: burst.planned,
             };
             let sending = send_one(fleet.clone(), change, order, log.clone());
             let events = events.clone();
@@ -130,9 +136,20 @@
     holder: String,
     fence: u64,
     recorded: bool,
+    planned: Suspensions,
 }
 
 impl Change {
+    /// Returns whether the order may go out: it is on record, and this VM
+    /// wasn't suspended since it was planned. After that another node may hold
+    /// the lease, and the VM service refuses the order only where it has heard
+    /// of that one.
+    fn may_go(&self) -> bool {
+        let mut planned = self.planned;
+        let suspended_ms = clock::suspended_ms();
+        self.recorded && planned.noticed_ms(suspended_ms).is_none()
+    }
+
     fn of(&self, vm: &str) -> VmChange {
         VmChange {
             vm: vm.to_owned(),
@@ -150,7 +167,7 @@
 ) -> Option<Event> {
     match order {
         VmOrder::Maintain { vm, wave } => {
-            let result = if change.recorded {
+            let result = if change.may_go() {
                 fleet.maintain(&change.of(&vm), wave).await
             } else {
                 Err(VmOrderError::NotDone)
@@ -159,7 +176,7 @@
             Some(Event::Maintained { vm, wave, result })
         }
         VmOrder::Move { vm, pool } => {
-            let result = if change.recorded {
+            let result = if change.may_go() {
                 fleet.move_to(&change.of(&vm), &pool).await
             } else {
                 Err(VmOrderError::NotDone)
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -507,6 +507,7 @@
             holder: self.candidate.node.clone(),
             fence: self.held.revision,
             orders,
+            planned: self.suspensions,
             vms,
             record_version: self.vm_orders.begin(),
         };
