What can't be read of the configuration in force is told as that

Cause: a configuration that can't be read was taken for one that is being replaced, and read again until all tries were over.

Now it is told as soon as the same head has been read twice: its chunks can't have gone.

--- a/crates/dewspard/src/config_store.rs
+++ b/crates/dewspard/src/config_store.rs
@@ -47,6 +47,8 @@
     Unknown(PlatformError),
     /// the change was not accepted: too many others were accepted meanwhile
     Contended,
+    /// the change was not accepted: this node can't read what is in force: {0}
+    Unreadable(config::Error),
 }
 
 impl std::error::Error for Error {}
@@ -59,6 +61,7 @@
             Error::Unavailable(_) => "unavailable",
             Error::Unknown(_) => "unknown",
             Error::Contended => "contended",
+            Error::Unreadable(_) => "unreadable",
         }
     }
 }
@@ -85,6 +88,7 @@
     changes: &[Change],
 ) -> Result<Snapshot, Error> {
     let mut chunks = BTreeMap::new();
+    let mut unreadable = None;
     for _ in 0..TRIES {
         let (version, head) = read_head(platform).await?;
         let read = read_snapshot(platform, &head, &mut chunks).await;
@@ -97,8 +101,16 @@
                 }
                 return Err(Error::Unavailable(error));
             }
+            // Still in force, so it isn't that a chunk is gone: it may have
+            // fields of a newer version, which the operator has to hear.
+            Err(ReadError::Config(error)) if unreadable == Some(version) => {
+                return Err(Error::Unreadable(error));
+            }
             // A chunk may be gone because the head is no longer in force.
-            Err(ReadError::Config(_)) => continue,
+            Err(ReadError::Config(_)) => {
+                unreadable = Some(version);
+                continue;
+            }
         };
         let next = snapshot.apply(changes).map_err(Error::Refused)?;
         match try_swap(platform, version, &head, &next).await? {
