Tests of how long an unneeded copy goes on under a new holder

Asked: runs that a job which goes on doesn't need wait for the loading; is that worth a record in the store, as for jobs that failed?

The bound of the test is 1,500 ms after the slice.

Ruled out: stops of broken gangs that wait. The holder orders none: what it stops are copies, runs that don't come on or have to move, and those of jobs that are over or can't be read (read, all callers of `stop_run`).

Conclusion: no record. A copy ends by itself, since tasks that last have none, and costs the room of a worker that takes nothing new while any run there is unknown. A record would cost an entry with each copy and a call to delete it. No code is changed, so neither test fails before it.

--- a/crates/dewspar/tests/schedule/loading.rs
+++ b/crates/dewspar/tests/schedule/loading.rs
@@ -3,11 +3,13 @@
 use {
     crate::{
         pools::vm_orders,
-        world::{POOL, World, at, id, job, listing, managed, step},
+        world::{POOL, ROOM, World, at, id, job, listing, managed, step},
     },
     dewspar::{
-        job::Phase,
-        schedule::{Decision, VmOrder, WaveRequest, WorkerId},
+        job::{Phase, Progress, TaskRecord},
+        schedule::{
+            Decision, EndCause, StartOrder, VmOrder, WaveRequest, WorkerId,
+        },
     },
     dewspar_standin::task_worker::Fate,
     std::collections::BTreeMap,
@@ -59,6 +61,56 @@
     assert!(world.starts.is_empty(), "neither ran again: {:?}", world.starts);
 }
 
+// A copy goes on while its job isn't loaded, though another one has done the
+// task. Its end is told again until the job is known, counts once, and starts
+// nothing.
+#[test]
+fn the_end_of_a_copy_whose_task_is_done_is_acknowledged_once() {
+    let mut world = World::new(9, &["w1"]);
+    let w1 = listing("w1").id;
+    let copy = StartOrder {
+        task: format!("{}.0.0.0", id(1)).parse().unwrap(),
+        run: 2,
+        payload: "".into(),
+        lease_until_ms: 9_000,
+        fence: 1,
+        checkpoint: String::new(),
+        ticket: String::new(),
+    };
+    let now_ms = world.now_ms;
+    let worker = world.reach(&w1).expect("a worker");
+    worker.start(now_ms, &copy, ROOM, WORK).expect("an answer");
+    world.scheduler.begin_loading();
+    world.list();
+    world.expect_all();
+    world.run_for(3_000);
+    assert!(world.running().is_empty());
+    let listed = world.reach(&w1).expect("a worker").ended().len();
+    assert_eq!(listed, 1, "its job is unknown");
+    world.scheduler.take_decisions();
+
+    let done = TaskRecord { done: true, run: 1, ..TaskRecord::default() };
+    let phase = Phase::Running;
+    let record = Progress { phase, tasks: vec![done], ..Progress::default() };
+    let both = job(vec![step(2)]);
+    world.scheduler.submit(id(1), both, 5, Some(&record));
+    world.scheduler.finish_loading(at(world.now_ms));
+    world.run_for(2_000);
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+    let started = world.starts.iter().map(|(_, order)| order.task.index);
+    assert_eq!(started.collect::<Vec<_>>(), [1], "the other task alone");
+    let decisions = world.scheduler.take_decisions();
+    let ends = decisions.iter().filter(|decision| match decision {
+        Decision::Ended { task, run, cause, .. } => {
+            (*task, *run, *cause) == (copy.task, 2, EndCause::Done)
+        }
+        _ => false,
+    });
+    assert_eq!(ends.count(), 1);
+    let listed = world.reach(&w1).expect("a worker").ended().len();
+    assert_eq!(listed, 0, "all are acknowledged");
+}
+
 #[test]
 fn the_lease_of_unknown_runs_is_renewed() {
     let mut world = world_with_a_running_job(&["w1"], Fate::endless());
--- a/crates/dewspar/tests/schedule/small_link.rs
+++ b/crates/dewspar/tests/schedule/small_link.rs
@@ -4,7 +4,7 @@
 use {
     crate::world::{POOL, at, id, job, listing, step},
     dewspar::{
-        job::{JobId, Repeat, StepSpec},
+        job::{JobId, Phase, Progress, Repeat, StepSpec, TaskRecord},
         link::LinkLimits,
         schedule::{
             AcceptedJob, Action, Options, OrderError, Room, Scheduler,
@@ -42,6 +42,15 @@
 const DIRECTORY_BYTES: u64 = 40_000;
 const DIRECTORY_MS: u64 = 2_500;
 
+/// How many copies run of tasks that another copy has done, each of another
+/// job, of which a second task is still to run: two in each slice.
+const COPIES: u64 = 32;
+
+/// How long after its slice was loaded a copy may go on, in milliseconds: 500
+/// until its worker is asked again, 300 for which that may wait for an end, and
+/// what the order to stop takes on a link that is in use.
+const COPY_STOPPED_MS: u64 = 1_500;
+
 /// New jobs of two tasks come so often, in milliseconds.
 const NEW_JOB_MS: u64 = 20;
 const PAYLOAD_BYTES: usize = 500;
@@ -70,7 +79,12 @@
     /// What is read in bulk: bytes left, and which slice that is, if any.
     bulk: VecDeque<(u64, Option<u64>)>,
     slices_loaded: u64,
+    has_copies: bool,
     loaded_ms: Option<u64>,
+    /// When each slice was loaded.
+    slice_loaded_ms: Vec<u64>,
+    /// When each copy was gone.
+    copy_gone_ms: BTreeMap<JobId, u64>,
     first_start_ms: Option<u64>,
     sent: u64,
     without_result: u64,
@@ -89,6 +103,38 @@
     job
 }
 
+/// A job of a former holder of which one task is done, while a copy of it goes
+/// on, and the other isn't ready before that job's second step.
+fn job_with_a_copy() -> AcceptedJob {
+    let copied = StepSpec { may_duplicate: true, ..step(1) };
+    let lasting = StepSpec { after: vec![0], long_running: true, ..step(1) };
+    job(vec![copied, lasting])
+}
+
+fn copied_is_done() -> Progress {
+    let done = TaskRecord { done: true, run: 1, ..TaskRecord::default() };
+    let phase = Phase::Running;
+    Progress { phase, tasks: vec![done], ..Progress::default() }
+}
+
+fn is_copy(number: u64) -> bool {
+    (LASTING..LASTING + COPIES).contains(&number)
+}
+
+/// What a former holder started of a job, a second before.
+fn started_before(number: u64, run: u64) -> StartOrder {
+    StartOrder {
+        task: format!("{}.0.0.0", id(number)).parse().unwrap(),
+        run,
+        payload: "".into(),
+        // The former holder's last renewal was a second ago.
+        lease_until_ms: 1_000 + 7_000,
+        fence: 1,
+        checkpoint: String::new(),
+        ticket: String::new(),
+    }
+}
+
 impl Node {
     fn take_over(options: Options) -> Node {
         let listings: Vec<WorkerListing> = (0..WORKERS)
@@ -102,16 +148,7 @@
             .map(|listing| (listing.id.clone(), TaskWorker::new(ROOM)))
             .collect();
         for (number, worker) in (0..LASTING).zip(workers.values_mut()) {
-            let order = StartOrder {
-                task: format!("{}.0.0.0", id(number)).parse().unwrap(),
-                run: 1,
-                payload: "".into(),
-                // The former holder's last renewal was a second ago.
-                lease_until_ms: 1_000 + 7_000,
-                fence: 1,
-                checkpoint: String::new(),
-                ticket: String::new(),
-            };
+            let order = started_before(number, 1);
             worker.start(1_000, &order, TASK, Fate::endless()).unwrap();
         }
         let mut scheduler = Scheduler::new(HOLDER, options);
@@ -128,13 +165,28 @@
             waiting: Vec::new(),
             bulk: VecDeque::from([(OPEN_JOBS / SLICES * JOB_BYTES, Some(0))]),
             slices_loaded: 0,
+            has_copies: false,
             loaded_ms: None,
+            slice_loaded_ms: Vec::new(),
+            copy_gone_ms: BTreeMap::new(),
             first_start_ms: None,
             sent: 0,
             without_result: 0,
         }
     }
 
+    /// Has copies run, on the workers on which nothing else does.
+    fn with_copies(mut self) -> Node {
+        self.has_copies = true;
+        let numbers = LASTING..LASTING + COPIES;
+        let free = self.workers.values_mut().skip(LASTING as usize);
+        for (number, worker) in numbers.zip(free) {
+            let order = started_before(number, 2);
+            worker.start(1_000, &order, TASK, Fate::endless()).unwrap();
+        }
+        self
+    }
+
     fn run_for(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
         while self.now_ms < end_ms {
@@ -146,6 +198,18 @@
             }
             let changes = self.scheduler.take_changes(100);
             self.scheduler.changes_stored(&changes, at(self.now_ms));
+            self.note_copies_gone();
+        }
+    }
+
+    fn note_copies_gone(&mut self) {
+        let now_ms = self.now_ms;
+        let workers = self.workers.values_mut();
+        let running = workers.flat_map(|worker| worker.running(now_ms));
+        let running: Vec<JobId> = running.map(|(task, _)| task.job).collect();
+        let copies = (LASTING..LASTING + COPIES).map(id);
+        for copy in copies.filter(|copy| !running.contains(copy)) {
+            self.copy_gone_ms.entry(copy).or_insert(now_ms);
         }
     }
 
@@ -211,8 +275,14 @@
     fn load_slice(&mut self, slice: u64) {
         let now = at(self.now_ms);
         for number in (0..OPEN_JOBS).filter(|n| n % SLICES == slice) {
+            if self.has_copies && is_copy(number) {
+                let (job, progress) = (job_with_a_copy(), copied_is_done());
+                self.scheduler.submit(id(number), job, 5, Some(&progress));
+                continue;
+            }
             self.scheduler.submit(id(number), open_job(number), 5, None);
         }
+        self.slice_loaded_ms.push(self.now_ms);
         self.slices_loaded += 1;
         if self.slices_loaded == SLICES {
             self.scheduler.finish_loading(now);
@@ -239,6 +309,16 @@
             Action::Start { worker, order, .. } => {
                 self.start(&worker, &order, late);
             }
+            Action::Stop { worker, order, .. } => {
+                // OK because there are only these workers.
+                let at_worker = self.workers.get_mut(&worker).unwrap();
+                let mut result = at_worker.stop(self.now_ms, &order);
+                if late {
+                    result = Err(OrderError::Unknown);
+                }
+                let (now, task) = (at(self.now_ms), order.task);
+                self.scheduler.stop_answered(&worker, &task, result, now);
+            }
             Action::Hold { ref held, .. } => {
                 let answer_ms = self.now_ms + held.order().wait_ms;
                 if late {
@@ -326,3 +406,22 @@
         node.sent,
     );
 }
+
+// Only its job tells that a copy isn't needed any more, so under a new holder it
+// goes on until its job has come, and takes the room of one worker meanwhile. It
+// isn't kept for all the loading: that takes half a minute here.
+#[test]
+fn a_copy_that_nobody_needs_is_stopped_once_its_slice_is_loaded() {
+    let mut node = Node::take_over(small_link()).with_copies();
+    node.run_for(40_000);
+    assert!(node.loaded_ms.is_some(), "all loaded");
+    for number in LASTING..LASTING + COPIES {
+        let slice = (number % SLICES) as usize;
+        let slice_ms = node.slice_loaded_ms[slice];
+        let gone_ms = node.copy_gone_ms[&id(number)];
+        let after_ms = gone_ms.saturating_sub(slice_ms);
+        assert!(after_ms <= COPY_STOPPED_MS, "{number}: {after_ms} ms");
+    }
+    let lasting = u64::try_from(node.lasting()).unwrap();
+    assert_eq!(lasting, LASTING, "nothing else is stopped");
+}
