Starts that one worker of ten leaves unanswered cost the lease: a test that fails

A worker that answers questions, and no order to start, costs a token with each order: the order has to be made void. At a tenth the holder gives the lease up, and the next one meets the same worker.

--- a/crates/dewspar/tests/schedule/facts.rs
+++ b/crates/dewspar/tests/schedule/facts.rs
@@ -356,6 +356,55 @@
     assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
 }
 
+/// How long an order to start waits for its answer, in milliseconds.
+const NO_ANSWER_MS: u64 = 200;
+
+/// A worker that answers questions and no order to start costs a token with each
+/// of these. One of ten used its up in 231 s, and the lease went to another node
+/// for it: again and again, since new tokens went the same way.
+#[test]
+fn a_tenth_of_the_workers_that_answer_no_start_costs_no_lease() {
+    let names: Vec<String> = (0..10).map(|n| format!("w{n}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let mut world = World::new(5, &names);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    // Only the first takes orders.
+    for listing in &mut world.listings[1..] {
+        listing.draining = true;
+    }
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    let mut unanswered = Vec::new();
+    let end_ms = world.now_ms + 600_000;
+    while world.now_ms < end_ms {
+        world.now_ms += 25;
+        let now = at(world.now_ms);
+        let due = |(sent_ms, ..): &mut (u64, _, _)| {
+            now.steady_ms >= *sent_ms + NO_ANSWER_MS
+        };
+        let due: Vec<_> = unanswered.extract_if(.., due).collect();
+        for (_, worker, order) in due {
+            let StartOrder { task, run, .. } = order;
+            let none = Err(OrderError::Unknown);
+            world.scheduler.start_answered(&worker, &task, run, none, now);
+        }
+        for action in world.scheduler.plan(now) {
+            match action {
+                Action::Start { worker, order, .. } => {
+                    unanswered.push((now.steady_ms, worker, order));
+                }
+                action => world.carry_out(action, now),
+            }
+        }
+        assert!(!world.scheduler.is_out_of_tokens(), "{} ms", world.now_ms);
+    }
+    // It still gets a chance now and then, and takes it.
+    world.run_for(10_000);
+    assert_eq!(world.phases.get(&id(1)), Some(&"completed"));
+}
+
 /// What a worker says of a later token counts until the lease was renewed in
 /// answer to a call that was sent after it; and says nothing more then.
 #[test]
