A worker that leaves 16 starts in a row unanswered is paused

Cause: each start without an answer makes the holder raise its token for the worker, and a refusal that nothing explains pauses the worker, but silence to a start didn't. So the worker got the next one as soon as it had answered a question.

Now it is paused from the 16th in a row, 1 to 8 s each time as for refusals, until it has taken a start or a question shows that one was carried out. What becomes of such a tenth: it keeps its lease and what runs there, and gets a start every 8 s, which it may take. 16: by chance once in 65,536 times where half of all answers are lost.

Weighed: giving the lease up for tokens once an hour only. A tenth of the fleet would then stand still for as long, also after a fault of a minute. Weighed too: not counting workers that took nothing; then they get no start before the next lease.

--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -62,8 +62,14 @@
                 // OK because the worker was found above.
                 let worker = self.workers.get_mut(worker_id).expect("known");
                 worker.note_unanswered(now.steady_ms);
-                if worker.fence() == fence {
-                    worker.raise_fence(now.steady_ms);
+                if worker.fence() != fence {
+                    return;
+                }
+                worker.raise_fence(now.steady_ms);
+                // Each costs a token: without pauses they lasted 52 to 231 s,
+                // and a tenth of such workers cost the lease each time.
+                if worker.leaves_unanswered_again() {
+                    self.suspend(worker_id, error.name(), now);
                 }
             }
             OrderError::NotSent => {
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -334,8 +334,12 @@
             Found::Expected => {
                 // OK because `judge` has just found it.
                 let run = worker.runs.get_mut(&active.task).expect("known");
+                let was_starting = run.state == RunState::Starting;
                 run.update(active, now.steady_ms);
                 run.confirm(reported_ms);
+                if was_starting {
+                    worker.start_shown();
+                }
                 self.clear_if_sound(worker_id, &active.task);
             }
             Found::Adopt(demand) => {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -26,6 +26,13 @@
 /// One may be a job that fails everywhere; two by chance are rare.
 const FAILED_JOBS_TO_SUSPEND: usize = 2;
 
+/// How many starts in a row must get no answer, each under a token of its own
+/// and with none taken between, before a worker is held to be at fault itself.
+///
+/// Where half of all answers are lost, that happens by chance once in 65,536
+/// times; a holder that is late itself has sent less by then.
+const UNANSWERED_TO_SUSPEND: u32 = 16;
+
 /// What a run takes in the answer to a question, in bytes.
 const RUN_BYTES: u64 = 60;
 
@@ -258,6 +265,8 @@
     failed_jobs: BTreeSet<JobId>,
     /// Whether the last start was refused though there seemed to be room.
     refused: bool,
+    /// How many starts in a row got no answer, each under another token.
+    unanswered_starts: u32,
     suspended_until_ms: u64,
     suspensions: u32,
     /// When the pace of a run was last changed.
@@ -325,6 +334,7 @@
             unanswered_since_ms: None,
             failed_jobs: BTreeSet::new(),
             refused: false,
+            unanswered_starts: 0,
             suspended_until_ms: 0,
             suspensions: 0,
             paced_ms: 0,
@@ -773,6 +783,19 @@
     /// Notes that it has taken a start.
     pub(crate) fn start_taken(&mut self) {
         self.refused = false;
+        self.unanswered_starts = 0;
+    }
+
+    /// Notes that a start had no answer and yet was carried out.
+    pub(crate) fn start_shown(&mut self) {
+        self.unanswered_starts = 0;
+    }
+
+    /// Notes that a start under the newest token got no answer; returns whether
+    /// too many in a row did.
+    pub(crate) fn leaves_unanswered_again(&mut self) -> bool {
+        self.unanswered_starts = self.unanswered_starts.saturating_add(1);
+        self.unanswered_starts >= UNANSWERED_TO_SUSPEND
     }
 
     /// Notes that it has refused a start without being at fault itself;
