Tests of a holder that hears of a later token and can't reach the store

In a paused clock with four workers whose tasks all end meanwhile: it starts nothing after the claim, leaves as soon as its lease may be over, with the reason, and schedules again when the store is back. Where the store is back before that, it stays under the same lease and all jobs are done.

Ruled out: leaving at once. One worker that is wrong would cost the lease again whenever the store is out of reach for a moment.

The first test fails if the scheduler plans after a claim (7 starts for 4). No code is changed, so neither test fails before it.

--- /dev/null
+++ b/crates/dewspard/tests/later_tokens.rs
@@ -0,0 +1,243 @@
+//! A holder that hears of a later token while it can't reach the store.
+//!
+//! One worker may be wrong, and then the store says so. A holder that can't ask
+//! it doesn't leave at once, since most such workers are wrong and the lease may
+//! be renewed a moment later; it orders nothing until then, and leaves as soon as
+//! its lease may be over.
+//!
+//! The clock is paused: nothing here depends on the machine.
+
+use {
+    dewspar::{
+        job::{JobId, JobSpec, Phase, Progress, Queue, QueueSet, StepSpec},
+        schedule::{AcceptedJob, HoldOrder, QueueTerms},
+    },
+    dewspar_platform::{
+        Batch, Fleet, JobWorkers, KeyValue, Traffic, UnreadableNotes,
+    },
+    dewspar_standin::{faults::Faults, store::Store, task_fleet::TaskFleet},
+    dewspard::{
+        clock,
+        jobs::{JobNode, JobPlatform, JobSettings, RestCalls},
+    },
+    slog::{Drain, KV, Logger, Never, OwnedKVList, Record, Serializer, o},
+    std::{
+        fmt,
+        future::Future,
+        sync::{Arc, Mutex},
+        time::Duration,
+    },
+    tokio::time::{Instant, sleep, timeout},
+};
+
+/// How long anything may take before a test gives up on it.
+const LIMIT: Duration = Duration::from_secs(60);
+
+const POOL: &str = "registry";
+
+const WORKERS: usize = 4;
+
+/// What one worker has of its processor, in thousandths of a core.
+const ALL: u64 = 4_000;
+
+/// How long the lease lasts without renewal.
+const LEASE: Duration = Duration::from_millis(1_500);
+
+/// How often a holder plans and looks at its lease, at least.
+const TICK: Duration = Duration::from_millis(25);
+
+/// Keeps what was logged of elections, each line with its reason.
+#[derive(Clone, Default)]
+struct Reasons(Arc<Mutex<Vec<String>>>);
+
+impl Serializer for Reasons {
+    fn emit_arguments(
+        &mut self,
+        key: slog::Key,
+        value: &fmt::Arguments<'_>,
+    ) -> slog::Result {
+        if key == "reason" {
+            self.0.lock().expect("lines").push(value.to_string());
+        }
+        Ok(())
+    }
+}
+
+impl Drain for Reasons {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, line: &Record<'_>, _: &OwnedKVList) -> Result<(), Never> {
+        if line.msg().to_string().contains("no longer schedules") {
+            let serialized = line.kv().serialize(line, &mut self.clone());
+            serialized.expect("plain values");
+        }
+        Ok(())
+    }
+}
+
+impl Reasons {
+    fn all(&self) -> Vec<String> {
+        self.0.lock().expect("lines").clone()
+    }
+}
+
+/// A node over a store and a fleet, and no callers.
+struct Alone {
+    store: Store,
+    faults: Faults,
+    fleet: TaskFleet,
+    reasons: Reasons,
+    _node: JobNode,
+}
+
+impl Alone {
+    async fn start() -> Alone {
+        clock::now_ms();
+        let faults = Faults::new(1);
+        let store = Store::new(faults.clone());
+        let fleet = TaskFleet::new(Faults::new(2), POOL, WORKERS);
+        let queue = Queue {
+            name: "extracts".to_owned(),
+            timeout_ms: 3_000,
+            terms: terms(),
+            ..Queue::default()
+        };
+        fleet.configure(QueueSet::new(1, vec![queue]));
+        let lapsed = store.clone();
+        tokio::spawn(async move {
+            loop {
+                sleep(Duration::from_millis(50)).await;
+                lapsed.lapse_leases();
+            }
+        });
+        let platform = JobPlatform {
+            store: store.clone(),
+            workers: fleet.clone(),
+            fleet: fleet.clone(),
+            protocol: RestCalls,
+            readiness_path: "/ready",
+            traffic: Traffic::default(),
+            unreadable: UnreadableNotes::default(),
+        };
+        let reasons = Reasons::default();
+        let log = Logger::root(reasons.clone().fuse(), o!());
+        let settings = JobSettings::loopback("node-0");
+        let node = JobNode::start(&settings, platform, None, &log).await;
+        let _node = node.expect("a started node");
+        let alone = Alone { store, faults, fleet, reasons, _node };
+        until(async || alone.store.version("q/owner").await != Ok(0)).await;
+        alone
+    }
+
+    /// Hands in a job for each worker, of two tasks one after the other that
+    /// take all of its room; returns once the first ones run.
+    async fn begin_jobs(&self) {
+        let first =
+            StepSpec { count: 1, cpu_millis: ALL, ..StepSpec::default() };
+        let second = StepSpec { after: vec![0], ..first.clone() };
+        let spec = JobSpec {
+            queue: "extracts".to_owned(),
+            steps: vec![first, second],
+            ..JobSpec::default()
+        };
+        let accepted_at_ms = clock::unix_ms();
+        let job = AcceptedJob { spec, terms: terms(), accepted_at_ms };
+        let job = serde_json::to_vec(&job).expect("plain JSON");
+        for number in 0..WORKERS {
+            let key = format!("q/in/{}", id(number));
+            let batch = Batch::default().put(&key, job.clone());
+            self.store.commit(&batch).await.expect("a store");
+        }
+        until(async || self.fleet.started().len() == WORKERS).await;
+        assert_eq!(self.fleet.running().len(), WORKERS);
+    }
+
+    async fn is_completed(&self, number: usize) -> bool {
+        let found = self.store.get(&format!("run/{}", id(number))).await;
+        let found = found.expect("a store");
+        let progress = found.and_then(|found| {
+            serde_json::from_slice::<Progress>(&found.value).ok()
+        });
+        progress.is_some_and(|p| p.phase == Phase::Completed)
+    }
+
+    /// Gives one worker a token that is no holder's.
+    async fn give_later_token(&self) {
+        let claim = HoldOrder {
+            fence: 1 << 50,
+            acknowledged: 0,
+            lease_until_ms: None,
+            wait_ms: 0,
+        };
+        let workers = self.fleet.workers().await.expect("a directory");
+        let held = self.fleet.hold("", &workers[0].id, &claim).await;
+        held.expect("an answer");
+    }
+
+    /// Waits until all jobs are done; what the worker did that can't be asked
+    /// any more is done again, and nothing else.
+    async fn complete_jobs(&self) {
+        for number in 0..WORKERS {
+            until(async || self.is_completed(number).await).await;
+        }
+        let twice = self.fleet.ran_twice();
+        assert!(twice.len() <= 1, "{twice:?}");
+    }
+}
+
+fn terms() -> QueueTerms {
+    QueueTerms {
+        pool: POOL.to_owned(),
+        max_attempts: 3,
+        stretch: 2.0,
+        ..QueueTerms::default()
+    }
+}
+
+fn id(number: usize) -> JobId {
+    format!("{number:016x}").parse().expect("an identifier")
+}
+
+/// Waits until something holds.
+async fn until<F: Future<Output = bool>>(mut holds: impl FnMut() -> F) {
+    let waiting = async {
+        while !holds().await {
+            sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(LIMIT, waiting).await.expect("in time");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_hears_of_a_later_token_orders_nothing_and_leaves() {
+    let alone = Alone::start().await;
+    alone.fleet.set_work_ms(400);
+    alone.begin_jobs().await;
+    alone.faults.set_outage(true);
+    alone.give_later_token().await;
+    let heard = Instant::now();
+    until(async || !alone.reasons.all().is_empty()).await;
+    assert!(heard.elapsed() <= LEASE + TICK, "{:?}", heard.elapsed());
+    assert_eq!(alone.reasons.all(), ["a worker has seen a newer holder"]);
+    assert!(alone.fleet.running().is_empty(), "the first ones have ended");
+    assert_eq!(alone.fleet.started().len(), WORKERS, "nothing is ordered");
+
+    alone.faults.set_outage(false);
+    alone.complete_jobs().await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_holder_that_is_renewed_before_its_lease_is_over_stays() {
+    let alone = Alone::start().await;
+    alone.fleet.set_work_ms(400);
+    alone.begin_jobs().await;
+    let lease = alone.store.version("q/owner").await;
+    alone.faults.set_outage(true);
+    alone.give_later_token().await;
+    sleep(LEASE / 2).await;
+    alone.faults.set_outage(false);
+    alone.complete_jobs().await;
+    assert_eq!(alone.reasons.all(), Vec::<String>::new());
+    assert_eq!(alone.store.version("q/owner").await, lease);
+}
