Test of two nodes at one relay, the first of which is cut off from the store

Until now two holders at one relay were tested with messages made by hand. Here two nodes run, neither of which reaches a worker by itself. No task runs twice at a time or again once it is done, 294 starts for 294 tasks, and the first one looks on once it is back.

No fault was found on this path, so the test doesn't fail before it.

Met on the way: with the first node, which reaches no worker, still offering to carry, the second one has it carry for its share of the workers, and 68 tasks that were done ran again. That is a path of its own; the test takes the offer back.

The stand-in's store can be reached with faults of one way, as its fleet can.

--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -108,6 +108,12 @@
         &self.faults
     }
 
+    /// Returns the same store as reached from elsewhere, with faults of that
+    /// way.
+    pub fn reached_with(&self, faults: Faults) -> Store {
+        Store { faults, ..self.clone() }
+    }
+
     /// Returns how many keys there are with the prefix.
     pub fn count(&self, prefix: &str) -> usize {
         let state = self.lock();
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -670,3 +670,61 @@
     assert!(!cluster.fleet.running().is_empty(), "they were asked directly");
     drop(holder);
 }
+
+/// What a node logs that gives the lease up.
+const NO_LONGER: &str = "this node no longer schedules";
+
+/// How long each task takes where some are to end under either holder, in
+/// milliseconds.
+const SOME_WORK_MS: u64 = 150;
+
+/// Two nodes and their relay: the one that schedules is cut off from the store,
+/// though neither from the relay nor, by it, from the workers. The other one takes
+/// over while the first still goes on with what it knows. Neither reaches a worker
+/// by itself, so all that runs was carried by the one relay, for the later of them
+/// alone; and nothing runs twice.
+#[tokio::test(flavor = "multi_thread")]
+async fn one_relay_serves_the_node_that_takes_over_from_one_cut_off() {
+    let cluster = Cluster::new();
+    cluster.fleet.set_work_ms(SOME_WORK_MS);
+    let (cut, lines) = (Faults::new(7), Lines::default());
+    let log = Logger::root(lines.clone().fuse(), o!());
+    let cut_off = |seed| {
+        let orders = Faults::new(seed);
+        orders.set_outage(true);
+        cluster.fleet.reached_with(orders)
+    };
+    let store = cluster.store.reached_with(cut.clone());
+    let former = start(store, cut_off(3), "former", STRENGTH, &log);
+    let _former = former.await;
+    cluster.wait_for_holder().await;
+    let _relay = cluster.node("relay-1", 1.0, Faults::new(4)).await;
+    cluster.hand_in(1..30).await;
+    cluster.wait_for_all(1..3).await;
+    let owner = async || cluster.store.version("q/owner").await;
+    let before = owner().await;
+
+    // It reaches no worker, so it isn't to carry either.
+    cluster.store.delete("relay/former").await.expect("a store");
+    cut.set_outage(true);
+    let (store, fleet) = (cluster.store.clone(), cut_off(6));
+    let log = cluster.log();
+    let _next = start(store, fleet, "next", STRENGTH, &log).await;
+    let is_taken = |now| now != Ok(0) && now != before;
+    until(async || is_taken(owner().await)).await;
+    assert_eq!(lines.count(NO_LONGER), 0, "it goes on with what it knows");
+    cluster.hand_in(30..40).await;
+    cluster.wait_for_all(1..40).await;
+    cluster.check_starts();
+    until(async || lines.count(NO_LONGER) == 1).await;
+
+    // Cut off no longer, it looks on.
+    let after = owner().await;
+    cut.set_outage(false);
+    cluster.hand_in(40..50).await;
+    cluster.wait_for_all(40..50).await;
+    cluster.check_starts();
+    assert_eq!(owner().await, after, "the lease has changed hands");
+    // Six tasks each, and none began again for the change of holders.
+    assert_eq!(cluster.fleet.started().len(), 49 * 6);
+}
