What is set aside of a job that is read and not over stays: a test that fails

Asked: does what was set aside of a job grow without a bound? Of a job that stays unreadable it doesn't: as much as ran when its record went bad, the same 12 under six holders (test, passes); where the job is gone it is deleted (test, passes).

Of a job that goes on it does. Where holders that can read its record and such that can't follow each other, as while a version is replaced and taken back, each of the latter sets an end aside that the next one takes in and leaves in the store until the job is over; a job whose task lasts isn't for weeks.

--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -440,6 +440,99 @@
     alone.wait_until_no_end_is_set_aside().await;
 }
 
+/// How many tasks run of a job when its record goes bad.
+const RUNNING: u32 = 12;
+
+/// Nobody but a holder that reads the job deletes what was set aside of it. That
+/// is as much as ran when its record went bad, since nothing of it starts any more:
+/// no holder adds to it.
+#[tokio::test(start_paused = true)]
+async fn what_is_set_aside_of_a_job_does_not_grow_from_holder_to_holder() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    let mut wide = chain(2);
+    wide.spec.steps[0].count = RUNNING;
+    alone.hand_in(id(1), &wide).await;
+    until(async || alone.fleet.running().len() == RUNNING as usize).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    let read = alone.store.get(&record(id(1))).await.expect("a store");
+    alone.write(&Batch::default().put(&record(id(1)), b"odd".to_vec())).await;
+    for holder in 0..6 {
+        alone.take_over().await;
+        // Others go on, and are forgotten as ever.
+        alone.hand_in(id(2 + holder), &chain(2)).await;
+        alone.wait_for_phase(id(2 + holder), Phase::Completed).await;
+        sleep(HEARD).await;
+        assert_eq!(alone.store.count("end/"), RUNNING as usize);
+        alone.leave().await;
+    }
+    assert_eq!(alone.starts(id(1), 0), RUNNING as usize);
+
+    let read = read.expect("a record").value;
+    alone.write(&Batch::default().put(&record(id(1)), read)).await;
+    alone.take_over().await;
+    alone.wait_for_phase(id(1), Phase::Completed).await;
+    assert_eq!(alone.starts(id(1), 0), RUNNING as usize);
+    alone.wait_until_no_end_is_set_aside().await;
+}
+
+/// Holders that can read a job's record and holders that can't follow each other,
+/// as while a version of the program is replaced and taken back. What one set aside
+/// and the next took in stayed in the store until the job was over, and a job whose
+/// task lasts had one more end there each time.
+#[tokio::test(start_paused = true)]
+async fn what_was_taken_in_of_a_job_that_goes_on_is_deleted() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(6_000_000);
+    let mut lasting = chain(1);
+    lasting.spec.steps[0].long_running = true;
+    alone.hand_in(id(1), &lasting).await;
+    let runs = async |alone: &Alone, run: usize| {
+        until(async || alone.starts(id(1), 0) == run).await;
+        alone.wait_for_phase(id(1), Phase::Running).await;
+        sleep(HEARD).await;
+        assert_eq!(alone.fleet.running().len(), 1);
+    };
+    runs(&alone, 1).await;
+    for holder in 1..6 {
+        alone.leave().await;
+        let read = alone.store.get(&record(id(1))).await.expect("a store");
+        let odd = Batch::default().put(&record(id(1)), b"odd".to_vec());
+        alone.write(&odd).await;
+        alone.take_over().await;
+        sleep(HEARD).await;
+        assert_eq!(alone.store.count("end/"), 1, "holder {holder}");
+        assert!(alone.fleet.running().is_empty());
+
+        alone.leave().await;
+        let read = read.expect("a record").value;
+        alone.write(&Batch::default().put(&record(id(1)), read)).await;
+        alone.take_over().await;
+        runs(&alone, holder + 1).await;
+        alone.wait_until_no_end_is_set_aside().await;
+    }
+}
+
+/// Where its record is gone as well, nobody will ever read the job.
+#[tokio::test(start_paused = true)]
+async fn what_was_set_aside_of_a_job_that_is_gone_is_deleted() {
+    let mut alone = Alone::start(&Batch::default(), 0).await;
+    alone.fleet.set_work_ms(2_000);
+    alone.hand_in(id(1), &chain(2)).await;
+    alone.wait_for_phase(id(1), Phase::Running).await;
+    alone.leave().await;
+    alone.write(&Batch::default().put(&record(id(1)), b"odd".to_vec())).await;
+    alone.take_over().await;
+    sleep(HEARD).await;
+    assert_eq!(alone.store.count("end/"), 1);
+    alone.leave().await;
+    let gone = Batch::default().delete(&format!("q/in/{}", id(1)));
+    alone.write(&gone.delete(&record(id(1)))).await;
+    alone.take_over().await;
+    alone.wait_until_no_end_is_set_aside().await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn nothing_is_written_of_jobs_once_another_node_holds_the_lease() {
     let alone = Alone::start(&Batch::default(), 0).await;
