Ends that were set aside go once their job's record holds them

Cause: they were deleted with their job only, though what was taken in is part of its next record. So a job that goes on, read by some holders and not by others, had one more end in the store with each of the latter.

Now they go once a record is stored that tells of a run as late of the same task, of a job whose ends were taken in. A holder that can't read that record starts nothing of the job, and one that can finds the ends there.

Before: the end was there after 60 s. After: gone under each of five holders, with one run of the task for each.

--- a/crates/dewspard/src/jobs/aside.rs
+++ b/crates/dewspard/src/jobs/aside.rs
@@ -3,14 +3,15 @@
 
 Each has a key of its own, so that a write is the same whenever it is done, and
 a late one replaces nothing. They are read before the jobs, so that none of
-these starts what is done, and deleted once their job is over.
+these starts what is done, and deleted once their job's record holds them or
+the job is over.
 */
 
 use {
     super::{event::Event, holder::Holder, keys, records::record_written},
     crate::{counters, passed_over},
     dewspar::{
-        job::JobId,
+        job::{JobId, Progress},
         record::RecordWritten,
         schedule::{Changes, EndSetAside, EndsSetAside, Now},
     },
@@ -18,7 +19,7 @@
         Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
     },
     slog::{Logger, warn},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// How many ends are written or deleted at once: the store takes 32 entries,
@@ -33,6 +34,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LoadedEnds {
     of_jobs: BTreeMap<JobId, Vec<EndSetAside>>,
+    /// The jobs whose ends were taken in.
+    taken_in: BTreeSet<JobId>,
     is_writing: bool,
     /// From when the next write may begin.
     write_from_ms: u64,
@@ -45,6 +48,37 @@
             of_job.push(end);
         }
     }
+
+    /// Takes the ends that needn't be kept, with this stored of their job.
+    fn take_stored(
+        &mut self,
+        id: JobId,
+        progress: &Progress,
+    ) -> Vec<EndSetAside> {
+        let Some(ends) = self.of_jobs.get_mut(&id) else {
+            return Vec::new();
+        };
+        let over = progress.phase.is_final();
+        let taken_in = self.taken_in.contains(&id);
+        let is_stored = |aside: &mut EndSetAside| {
+            over || taken_in && holds(progress, aside)
+        };
+        let stored = ends.extract_if(.., is_stored).collect();
+        if ends.is_empty() {
+            self.of_jobs.remove(&id);
+        }
+        stored
+    }
+}
+
+/// Returns whether a job's record tells of the end of a run.
+fn holds(progress: &Progress, aside: &EndSetAside) -> bool {
+    let EndSetAside { end, .. } = aside;
+    progress.tasks.iter().any(|record| {
+        let place = (record.round, record.step, record.index);
+        place == (end.task.round, end.task.step, end.task.index)
+            && record.run >= end.run
+    })
 }
 
 /// Reads the ends that former holders have set aside; what can't be read is
@@ -79,9 +113,11 @@
     /// Takes in what former holders have set aside of a job.
     pub(super) fn take_in_ends(&mut self, id: JobId) {
         let now = super::holder::now();
-        for end in self.ends.of_jobs.get(&id).into_iter().flatten() {
+        let Some(ends) = self.ends.of_jobs.get(&id) else { return };
+        for end in ends {
             self.scheduler.take_in_end(end, now);
         }
+        self.ends.taken_in.insert(id);
     }
 
     /// Writes ends that are to be set aside.
@@ -134,13 +170,12 @@
         }
     }
 
-    /// Deletes what was set aside of jobs that are stored as over.
-    pub(super) fn delete_ends_of_over(&mut self, changes: &Changes) {
-        let over = changes.progress.iter().filter(|(_, p)| p.phase.is_final());
-        for (id, _) in over {
-            if let Some(ends) = self.ends.of_jobs.remove(id) {
-                self.delete_ends(&ends);
-            }
+    /// Deletes what was set aside of jobs that are stored as over, or with what
+    /// was taken in: a job whose task lasts would have ever more of it.
+    pub(super) fn delete_stored_ends(&mut self, changes: &Changes) {
+        for (id, progress) in &changes.progress {
+            let ends = self.ends.take_stored(*id, progress);
+            self.delete_ends(&ends);
         }
     }
 
--- a/crates/dewspard/src/jobs/storing.rs
+++ b/crates/dewspard/src/jobs/storing.rs
@@ -108,7 +108,7 @@
                     self.versions.note_written(*id, version);
                 }
                 self.scheduler.changes_stored(&changes, now);
-                self.delete_ends_of_over(&changes);
+                self.delete_stored_ends(&changes);
             }
             Stored::Failed => self.scheduler.changes_failed(&changes),
             Stored::Refused(refusal) => {
