A relay that reaches no worker stops a fleet that its holder reaches: a test that fails

A node that offers to carry and can't reach the workers answers each order at once with that. So it is no silent relay, and the holder goes on giving it its share, here all of it: no job of 30 was done in 60 s, though the holder reaches every worker itself.

--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -728,3 +728,24 @@
     // Six tasks each, and none began again for the change of holders.
     assert_eq!(cluster.fleet.started().len(), 49 * 6);
 }
+
+/// A node offers to carry and reaches no worker, while the holder reaches them all.
+/// It answers at once, so it was no silent relay: its share of the workers counted
+/// as silent, and what they had done was started again once their leases were over.
+#[tokio::test(flavor = "multi_thread")]
+async fn workers_that_a_relay_does_not_reach_are_asked_directly() {
+    let cluster = Cluster::new();
+    let _holder = cluster.node("holder", STRENGTH, Faults::new(3)).await;
+    cluster.wait_for_holder().await;
+    let orders = Faults::new(4);
+    let _relay = cluster.node("relay-1", 1.0, orders.clone()).await;
+    cluster.hand_in(1..10).await;
+    cluster.wait_for_all(1..10).await;
+    cluster.fleet.set_work_ms(SOME_WORK_MS);
+    cluster.hand_in(10..40).await;
+    cluster.wait_for_all(10..15).await;
+    assert!(cluster.lines.count("relay: chosen") > 0);
+    orders.set_outage(true);
+    cluster.wait_for_all(10..40).await;
+    cluster.check_starts();
+}
