A worker that its relay doesn't reach is asked directly

Cause: an order that a relay can't carry out came back as without an answer, and the next one took the same relay. Links are given up only when they are silent.

Now the next question after such an answer goes out directly. Tokens make orders by the other way void, as where a relay is lost.

Ruled out: giving the link up at the first such answer. Workers that crash have the same one, and a rack of them would cost the relays.

Left: a holder that reaches no worker itself.

--- a/crates/dewspard/src/jobs/relay/link.rs
+++ b/crates/dewspard/src/jobs/relay/link.rs
@@ -24,7 +24,7 @@
         io,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -55,6 +55,10 @@
 /// silent, in milliseconds: longer than it takes to read what has come.
 const SILENT_MS: u64 = 50;
 
+/// How many workers in a row a relay must fail to reach that the holder reaches
+/// itself to carry no longer: one or two may have been away for a moment.
+const UNREACHED: u32 = 3;
+
 /// How many orders go into one message at most.
 const ORDERS_A_MESSAGE: usize = 512;
 
@@ -83,6 +87,9 @@
     heard_ms: AtomicU64,
     /// When an order first had no answer since then; 0 for none.
     silent_ms: AtomicU64,
+    /// How many workers it failed to reach since it last reached one, though
+    /// this node does.
+    unreached: AtomicU32,
     is_open: AtomicBool,
     given_up: Notify,
 }
@@ -119,6 +126,7 @@
             next_id: AtomicU64::new(1),
             heard_ms: AtomicU64::new(clock::now_ms()),
             silent_ms: AtomicU64::new(0),
+            unreached: AtomicU32::new(0),
             is_open: AtomicBool::new(true),
             given_up: Notify::new(),
         });
@@ -142,6 +150,20 @@
         self.is_open.store(false, Ordering::Relaxed);
     }
 
+    /// Notes that it has reached a worker.
+    pub(super) fn note_reached(&self) {
+        self.unreached.store(0, Ordering::Relaxed);
+    }
+
+    /// Notes that it didn't reach a worker that this node does; a relay of which
+    /// that holds for all is of no use.
+    pub(super) fn note_unreached(&self) {
+        let before = self.unreached.fetch_add(1, Ordering::Relaxed);
+        if before + 1 >= UNREACHED {
+            self.close();
+        }
+    }
+
     /// Sends nothing new, and ends the link once what is under way is over.
     pub(super) fn retire(self: &Arc<RelayLink>) {
         self.close();
--- a/crates/dewspard/src/jobs/relay/mod.rs
+++ b/crates/dewspard/src/jobs/relay/mod.rs
@@ -10,6 +10,7 @@
 | `server` | the node that carries: takes orders, makes the calls, answers |
 | `link` | the holder's connection to one relay |
 | `workers` | the workers, reached over relays or directly |
+| `detours` | the workers that their relay doesn't reach |
 | `keep` | the holder's choice of relays, kept up to date |
 
 # What goes wrong
@@ -19,6 +20,7 @@
 | no relay, or none that is reachable | orders go out directly, as without relays |
 | an address doesn't say that a relay of this version is there | it gets nothing to carry |
 | a relay is lost, frozen, cut off or silent | its orders count as without an answer; its workers go to others at once |
+| a relay doesn't reach a worker that the holder reaches | the worker is asked directly for a while; a relay that reaches none counts as lost |
 | a relay stops as planned | it says so, carries what it has, and gets nothing new |
 | a relay wakes with old orders | the workers have seen a later token, and refuse them |
 | a relay wakes, and its holder still has the lease | it passes over what the holder gave up a second ago or more, by its age on both steady clocks |
@@ -32,6 +34,7 @@
     workers::RelayedWorkers,
 };
 
+mod detours;
 mod keep;
 mod link;
 mod server;
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -5,9 +5,11 @@
 
 use {
     super::{
+        detours::Detours,
         link::RelayLink,
         wire::{Answer, OrderKind, Start},
     },
+    crate::clock,
     dewspar::{
         relay::relay_for,
         schedule::{
@@ -44,6 +46,7 @@
     opened: OpenedLinks,
     /// Whether orders go out directly for now.
     paused: AtomicBool,
+    detours: Detours,
     /// How many orders were sent, by whatever way.
     calls: AtomicU64,
 }
@@ -122,7 +125,8 @@
     /// Returns the relay that carries a worker's orders, if one does.
     fn route(&self, worker: &WorkerId) -> Option<Arc<RelayLink>> {
         self.shared.calls.fetch_add(1, Ordering::Relaxed);
-        if self.is_paused() {
+        let detours = &self.shared.detours;
+        if self.is_paused() || detours.is_direct(worker, clock::now_ms()) {
             return None;
         }
         let links = self.shared.links.read();
@@ -220,13 +224,29 @@
         worker: &WorkerId,
         order: &HoldOrder,
     ) -> Result<HoldReport, OrderError> {
+        let detours = &self.shared.detours;
         let Some(link) = self.route(worker) else {
-            return self.direct.hold(address, worker, order).await;
+            let report = self.direct.hold(address, worker, order).await;
+            let is_reached = match report {
+                Ok(_) | Err(OrderError::Refused(_)) => true,
+                Err(OrderError::NotSent | OrderError::Unknown) => false,
+            };
+            detours.asked_directly(worker, is_reached, clock::now_ms());
+            return report;
         };
         let hold = OrderKind::Hold(*order);
         let wait_ms = order.wait_ms;
         match self.carry(&link, address, worker, hold, None, wait_ms).await? {
-            Answer::Report(report) => Ok(report),
+            Answer::Report(report) => {
+                link.note_reached();
+                Ok(report)
+            }
+            Answer::Error(
+                error @ (OrderError::NotSent | OrderError::Unknown),
+            ) => {
+                detours.not_reached(worker, &link, clock::now_ms());
+                Err(error)
+            }
             Answer::Error(error) => Err(error),
             // A relay that mixes orders up isn't believed.
             Answer::Done(_) => Err(OrderError::Unknown),
