--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -30,7 +30,8 @@
 /// and with none taken between, before a worker is held to be at fault itself.
 ///
 /// Where half of all answers are lost, that happens by chance once in 65,536
-/// times; a holder that is late itself has sent less by then.
+/// times; where the holder itself is late, a start that is taken in time begins
+/// the count anew.
 const UNANSWERED_TO_SUSPEND: u32 = 16;
 
 /// What a run takes in the answer to a question, in bytes.
