Tests of gangs that last: they wait for a peak's end, and lose their room in a move

New here, and not known before: a gang of which one member leaves a VM of a wave, or a worker that ends, is stopped for one kept place. The other members end one after the other, 300 ms apart in the test, small tasks take their room, and the gang doesn't start again for as long as the peak goes on (12 s looked at). The same after a worker is lost.

--- /dev/null
+++ b/crates/dewspar/tests/schedule/gangs_that_last.rs
@@ -0,0 +1,486 @@
+//! A gang of large tasks that are to last waited for as long as a peak of small
+//! ones went on: places were kept for single tasks alone, since a gang that has
+//! half of its places would leave them idle until it has the others. And where
+//! one of its members had to leave a VM, all members ended and small tasks took
+//! their room before the gang could start again.
+//!
+//! So places are kept for all members at once or for none, for one waiting gang
+//! of a pool at a time and not for ever; and a gang that ends keeps the room that
+//! it had.
+
+use {
+    crate::{
+        moving::{STOP_MS, lasting, look},
+        waves::request_wave_of,
+        world::{ROOM, RunKind, World, at, id, job, listing, step},
+    },
+    dewspar::{
+        job::{JobId, StepSpec},
+        schedule::{Room, StopOrder, VmOrder, WorkerId},
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    rand::{Rng, SeedableRng, rngs::StdRng},
+};
+
+/// How long a gang may wait though there is room for it, in milliseconds.
+const MISSED_MS: u64 = 6_000;
+
+/// How long room may stand idle for a gang, and a little more, in milliseconds.
+const IDLE_MS: u64 = 7_000;
+
+/// How long a gang may wait once the last of its members has ended, in
+/// milliseconds: two plans.
+const AT_ONCE_MS: u64 = 100;
+
+/// How long after one member of a broken gang the next ends, in milliseconds.
+const BREAK_MS: u64 = 300;
+
+/// How many random runs are made.
+const RUNS: u64 = 60;
+
+/// A gang of so many tasks that take three quarters of a worker each.
+fn gang(count: u32) -> StepSpec {
+    let large = StepSpec { cpu_millis: 3_000, ..lasting() };
+    StepSpec { count, gang: true, ..large }
+}
+
+/// A world in a peak of small tasks.
+struct Peak {
+    world: World,
+    next: u64,
+    /// How many tasks of a quarter of a worker come each 50 ms.
+    tasks_a_round: u32,
+    /// The gangs, with the number of their members.
+    gangs: Vec<(JobId, usize)>,
+    /// When the last member of a gang ended of late, by gang.
+    ended_ms: Option<u64>,
+}
+
+impl Peak {
+    /// Makes a world whose workers are empty yet.
+    fn to_come(names: &[&str]) -> Peak {
+        let mut world = World::new(5, names);
+        world.list();
+        world.expect_all();
+        world.run_for(100);
+        let (gangs, ended_ms) = (Vec::new(), None);
+        Peak { world, next: 100, tasks_a_round: 0, gangs, ended_ms }
+    }
+
+    /// Makes a world whose workers are full of small tasks.
+    fn new(names: &[&str]) -> Peak {
+        let mut peak = Peak::to_come(names);
+        peak.begin();
+        peak
+    }
+
+    fn begin(&mut self) {
+        self.tasks_a_round = self.world.listings.len() as u32;
+        self.go_on(2_000);
+    }
+
+    /// Lets the peak go on, no task ending together with others.
+    fn go_on(&mut self, ms: u64) {
+        for _ in 0..ms / 50 {
+            self.round();
+        }
+    }
+
+    fn round(&mut self) {
+        for _ in 0..self.tasks_a_round {
+            let work_ms = 400 + (self.next + 1) % 8 * 50;
+            self.submit_short(1, work_ms);
+        }
+        self.break_gangs();
+        self.world.run_for(50);
+    }
+
+    /// Looks after VMs too while the peak goes on.
+    fn look(&mut self) -> Vec<VmOrder> {
+        for _ in 0..self.tasks_a_round {
+            let work_ms = 400 + (self.next + 1) % 8 * 50;
+            self.submit_short(1, work_ms);
+        }
+        self.break_gangs();
+        look(&mut self.world)
+    }
+
+    fn submit(&mut self, number: u64, spec: StepSpec, fate: Fate) {
+        let cpu_millis = spec.cpu_millis;
+        let demand = Room { cpu_millis, ..Room::default() };
+        self.world.kinds.insert(id(number), RunKind { demand, fate });
+        let job = job(vec![spec]);
+        self.world.scheduler.submit(id(number), job, number, None);
+    }
+
+    fn submit_short(&mut self, count: u32, work_ms: u64) {
+        self.next += 1;
+        let short = StepSpec { estimate_ms: work_ms, ..step(count) };
+        self.submit(self.next, short, Fate::done(work_ms));
+    }
+
+    fn submit_gang(&mut self, number: u64, spec: StepSpec) {
+        self.gangs.push((id(number), spec.count as usize));
+        self.submit(number, spec, Fate::endless());
+    }
+
+    /// Returns the workers on which members of a gang run.
+    fn running_on(&mut self, job: JobId) -> Vec<WorkerId> {
+        let now_ms = self.world.now_ms;
+        let workers = self.world.workers.iter_mut();
+        let on = workers.flat_map(|(id, worker)| {
+            let running = worker.running(now_ms).into_iter();
+            let members = running.filter(|(task, _)| task.job == job);
+            members.map(|_| id.clone()).collect::<Vec<_>>()
+        });
+        on.collect()
+    }
+
+    fn runs_whole(&mut self, job: JobId) -> bool {
+        let gang = self.gangs.iter().find(|(other, _)| *other == job);
+        let (_, count) = *gang.expect("it was submitted");
+        self.running_on(job).len() == count
+    }
+
+    /// Ends the members of gangs of which others are missing, as workers do:
+    /// one after the other.
+    fn break_gangs(&mut self) {
+        let now_ms = self.world.now_ms;
+        if self.ended_ms.is_some_and(|at| now_ms < at + BREAK_MS) {
+            return;
+        }
+        for (job, count) in self.gangs.clone() {
+            let running = self.running_on(job);
+            if running.is_empty() || running.len() == count {
+                continue;
+            }
+            self.break_members(job, &running[0], now_ms);
+        }
+    }
+
+    fn break_members(&mut self, job: JobId, id: &WorkerId, now_ms: u64) {
+        let orders = self.world.starts.iter().filter(|(to, _)| to == id);
+        let fence = orders.map(|(_, order)| order.fence).max();
+        let Some(worker) = self.world.workers.get_mut(id) else { return };
+        for (task, run) in worker.running(now_ms) {
+            if task.job != job {
+                continue;
+            }
+            // OK because it was started there.
+            let fence = fence.expect("it was started there");
+            let order = StopOrder { task, run, fence };
+            worker.stop(now_ms, &order).expect("its token is the newest");
+            self.ended_ms = Some(now_ms);
+        }
+    }
+
+    /// Loses a worker, which the VM service tells of at once.
+    fn lose(&mut self, worker: &WorkerId) {
+        let now = at(self.world.now_ms);
+        self.world.workers.remove(worker);
+        self.world.listings.retain(|listing| listing.id != *worker);
+        self.world.scheduler.worker_gone(worker, "test", now);
+    }
+
+    /// Returns what is used of a worker, in thousandths of a core.
+    fn used(&self, worker: &str) -> u64 {
+        let worker = self.world.workers.get(&WorkerId::new(worker));
+        worker.map_or(0, |worker| worker.used().cpu_millis)
+    }
+
+    /// Returns the worker whose room stands idle in this peak.
+    fn idle_worker(&self) -> Option<WorkerId> {
+        let mut workers = self.world.workers.iter();
+        let idle = workers.find(|(_, w)| w.used().cpu_millis <= 1_000);
+        idle.map(|(id, _)| id.clone())
+    }
+}
+
+#[test]
+fn two_gangs_that_compete_start_one_after_the_other() {
+    let mut peak = Peak::new(&["w1", "w2", "w3"]);
+    peak.submit_gang(1, gang(2));
+    peak.submit_gang(2, gang(2));
+    peak.go_on(MISSED_MS);
+    let runs = [id(1), id(2)].map(|job| peak.runs_whole(job));
+    assert!(runs[0] != runs[1], "one of both has room: {runs:?}");
+    let (first, second) = if runs[0] { (1, 2) } else { (2, 1) };
+    // The third worker has no room for a whole gang, so none is kept there.
+    let free = ["w1", "w2", "w3"].into_iter().find(|name| {
+        !peak.running_on(id(first)).contains(&WorkerId::new(name))
+    });
+    let free = free.expect("there are three, for two members");
+    for _ in 0..IDLE_MS / 50 {
+        peak.round();
+        assert!(peak.used(free) > 1_000, "it stands idle for half a gang");
+    }
+    let now = at(peak.world.now_ms);
+    peak.world.scheduler.cancel(id(first), now);
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(second)));
+}
+
+#[test]
+fn two_gangs_that_both_have_room_start() {
+    let mut peak = Peak::new(&["w1", "w2", "w3", "w4"]);
+    peak.submit_gang(1, gang(2));
+    peak.submit_gang(2, gang(2));
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(1)) && peak.runs_whole(id(2)));
+}
+
+#[test]
+fn a_gang_larger_than_its_pool_keeps_no_room_and_nobody_waiting() {
+    let mut peak = Peak::new(&["w1", "w2", "w3"]);
+    peak.submit_gang(1, gang(4));
+    for _ in 0..2 * IDLE_MS / 50 {
+        peak.round();
+        let idle = peak.idle_worker();
+        assert_eq!(idle, None, "room is kept that is never enough");
+    }
+    peak.submit_gang(2, gang(2));
+    let large = StepSpec { cpu_millis: 3_000, ..lasting() };
+    peak.submit(3, large, Fate::endless());
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(2)), "a gang that fits waits behind it");
+    assert_eq!(peak.running_on(id(3)).len(), 1);
+}
+
+/// Two workers of which one is full of tasks that take a minute.
+fn peak_beside_long_runs() -> Peak {
+    let mut peak = Peak::to_come(&["w1", "w2"]);
+    peak.submit_short(4, 60_000);
+    peak.go_on(100);
+    peak.begin();
+    peak
+}
+
+#[test]
+fn room_does_not_stand_idle_for_long_while_a_gang_lacks_the_rest() {
+    let mut peak = peak_beside_long_runs();
+    peak.submit_gang(1, gang(2));
+    let mut idle_since_ms = peak.world.now_ms;
+    let mut used_rounds = 0;
+    for _ in 0..30_000 / 50 {
+        peak.round();
+        if peak.idle_worker().is_none() {
+            idle_since_ms = peak.world.now_ms;
+            used_rounds += 1;
+        }
+        let idle_ms = peak.world.now_ms - idle_since_ms;
+        assert!(idle_ms <= 2 * IDLE_MS, "it stands idle for {idle_ms} ms");
+    }
+    assert!(used_rounds >= 250, "in use in {used_rounds} rounds of 600");
+}
+
+#[test]
+fn a_gang_starts_once_runs_are_over_that_outlast_its_patience() {
+    let mut peak = peak_beside_long_runs();
+    peak.submit_gang(1, gang(2));
+    peak.go_on(60_000 + 20_000);
+    assert!(peak.runs_whole(id(1)));
+}
+
+#[test]
+fn the_place_of_one_member_that_is_lost_is_found_elsewhere() {
+    let mut peak = Peak::new(&["w1", "w2", "w3"]);
+    peak.submit_gang(1, gang(2));
+    let mut kept = None;
+    for _ in 0..MISSED_MS / 50 {
+        peak.round();
+        kept = peak.idle_worker();
+        if kept.is_some() || peak.runs_whole(id(1)) {
+            break;
+        }
+    }
+    assert!(!peak.runs_whole(id(1)));
+    peak.lose(&kept.expect("room is kept somewhere"));
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(1)));
+}
+
+#[test]
+fn no_room_stays_kept_once_the_place_of_one_member_is_lost_for_good() {
+    let mut peak = peak_beside_long_runs();
+    peak.submit_gang(1, gang(2));
+    peak.go_on(2_000);
+    assert_eq!(peak.idle_worker(), Some(WorkerId::new("w2")));
+    peak.lose(&WorkerId::new("w1"));
+    // What the look takes, and a plan.
+    peak.go_on(1_000);
+    for _ in 0..IDLE_MS / 50 {
+        peak.round();
+        assert!(peak.used("w2") > 1_000, "it is kept for half a gang");
+    }
+}
+
+#[test]
+fn a_gang_that_waits_for_its_places_takes_empty_workers() {
+    let mut peak = peak_beside_long_runs();
+    peak.submit_gang(1, gang(2));
+    peak.go_on(1_000);
+    for name in ["w3", "w4"] {
+        let new = listing(name);
+        peak.world.workers.insert(new.id.clone(), TaskWorker::new(ROOM));
+        peak.world.listings.push(new);
+    }
+    peak.world.list();
+    peak.world.expect_all();
+    peak.tasks_a_round = 1;
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(1)), "it waits beside empty workers");
+}
+
+/// A gang of three at work in a peak.
+fn peak_with_gang(names: &[&str]) -> Peak {
+    let mut peak = Peak::to_come(names);
+    peak.submit_gang(1, gang(3));
+    // Later than any stop that a former holder may have ordered.
+    peak.go_on(3_000);
+    assert!(peak.runs_whole(id(1)));
+    peak.begin();
+    peak.world.stops_take_ms = STOP_MS;
+    peak
+}
+
+/// Looks on until the gang runs without a worker; returns for how long it had
+/// waited since its last member ended, if it did.
+fn wait_to_leave(peak: &mut Peak, worker: &WorkerId) -> Option<u64> {
+    for _ in 0..2 * MISSED_MS / 50 {
+        peak.look();
+        if peak.runs_whole(id(1)) && !peak.running_on(id(1)).contains(worker) {
+            let ended_ms = peak.ended_ms.expect("it has stopped");
+            return Some(peak.world.now_ms - ended_ms);
+        }
+    }
+    None
+}
+
+#[test]
+fn a_gang_of_which_one_leaves_a_vm_keeps_the_room_of_the_others() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4", "w5"]);
+    let from = peak.running_on(id(1))[0].clone();
+    request_wave_of(&mut peak.world, &[&format!("vm-of-{from}")]);
+    let waited_ms = wait_to_leave(&mut peak, &from);
+    let waited_ms = waited_ms.expect("it never starts again");
+    assert!(waited_ms <= AT_ONCE_MS, "it waited for {waited_ms} ms");
+}
+
+#[test]
+fn a_gang_leaves_two_vms_of_a_wave_at_once() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4", "w5"]);
+    let from = peak.running_on(id(1));
+    let vms: Vec<String> = from.iter().map(|w| format!("vm-of-{w}")).collect();
+    request_wave_of(&mut peak.world, &[&vms[0], &vms[1]]);
+    let mut down = Vec::new();
+    for _ in 0..2 * MISSED_MS / 50 {
+        down.extend(peak.look());
+    }
+    let on = peak.running_on(id(1));
+    assert!(peak.runs_whole(id(1)), "{on:?}");
+    for vm in vms.into_iter().take(2) {
+        let order = VmOrder::Maintain { vm, wave: 1 };
+        assert!(down.contains(&order), "{order:?}: {on:?}");
+    }
+}
+
+#[test]
+fn a_gang_leaves_a_worker_that_ends() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4", "w5"]);
+    let from = peak.running_on(id(1))[0].clone();
+    let mut listings = peak.world.listings.iter_mut();
+    if let Some(leaving) = listings.find(|l| l.id == from) {
+        leaving.draining = true;
+        leaving.remaining_ms = Some(MISSED_MS);
+    }
+    peak.world.list();
+    let waited_ms = wait_to_leave(&mut peak, &from);
+    let waited_ms = waited_ms.expect("it never starts again");
+    assert!(waited_ms <= AT_ONCE_MS, "it waited for {waited_ms} ms");
+}
+
+#[test]
+fn a_gang_that_can_not_move_whole_stays_at_work() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3"]);
+    let from = peak.running_on(id(1))[0].clone();
+    request_wave_of(&mut peak.world, &[&format!("vm-of-{from}")]);
+    for _ in 0..2 * MISSED_MS / 50 {
+        peak.look();
+        assert!(peak.runs_whole(id(1)), "it was stopped without a place");
+    }
+}
+
+#[test]
+fn a_gang_that_lost_a_worker_starts_again_in_a_peak() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4"]);
+    let lost = peak.running_on(id(1))[0].clone();
+    peak.lose(&lost);
+    peak.go_on(MISSED_MS);
+    assert!(peak.runs_whole(id(1)));
+}
+
+/// Lets one thing happen, or nothing.
+fn happen(peak: &mut Peak, random: &mut StdRng) {
+    match random.random_range(0..200) {
+        0..3 if peak.gangs.len() < 4 => {
+            let number = peak.gangs.len() as u64 + 1;
+            let spec = StepSpec {
+                cpu_millis: random.random_range(1..7) * 500,
+                max_per_worker: random.random_range(0..2),
+                ..gang(random.random_range(2..6))
+            };
+            peak.submit_gang(number, spec);
+        }
+        3 if !peak.gangs.is_empty() => {
+            let index = random.random_range(0..peak.gangs.len());
+            let (job, _) = peak.gangs[index];
+            let now = at(peak.world.now_ms);
+            peak.world.scheduler.cancel(job, now);
+        }
+        4 => {
+            let index = random.random_range(0..peak.world.listings.len());
+            let vm = peak.world.listings[index].vm.clone();
+            peak.world.told_after_ms = Some(0);
+            peak.world.crash_vm(&vm);
+        }
+        _ => {}
+    }
+}
+
+#[test]
+fn gangs_in_random_peaks_start_whole_and_leave_no_room_kept() {
+    let mut whole = 0;
+    for seed in 0..RUNS {
+        let mut random = StdRng::seed_from_u64(seed);
+        let count = random.random_range(2..6);
+        let names: Vec<String> = (0..count).map(|n| format!("w{n}")).collect();
+        let names: Vec<&str> = names.iter().map(String::as_str).collect();
+        let mut peak = Peak::new(&names);
+        for _ in 0..12_000 / 50 {
+            happen(&mut peak, &mut random);
+            peak.round();
+        }
+        peak.tasks_a_round = 0;
+        for number in 101..=peak.next {
+            let now = at(peak.world.now_ms);
+            peak.world.scheduler.cancel(id(number), now);
+        }
+        // All workers are back and nothing else runs: what fits starts.
+        peak.go_on(6_000);
+        for (job, members) in peak.gangs.clone() {
+            let running = peak.running_on(job).len();
+            let is_whole = running == 0 || running == members;
+            assert!(is_whole, "seed {seed}: {running} of {members} run");
+            whole += u32::from(running > 0);
+            let now = at(peak.world.now_ms);
+            peak.world.scheduler.cancel(job, now);
+        }
+        peak.go_on(3_000);
+        let workers = peak.world.listings.len();
+        peak.submit_short(4 * workers as u32, 30_000);
+        peak.go_on(1_000);
+        let running = peak.world.running().len();
+        assert_eq!(running, 4 * workers, "seed {seed}: room is still kept");
+    }
+    assert!(whole > RUNS as u32 / 2, "only {whole} gangs ran");
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod facts;
 mod facts_of_vms;
+mod gangs_that_last;
 mod lasting;
 mod loading;
 mod moving;
