Places are kept for gangs that last: for all members at once, or for none

Cause: places were kept for single tasks alone. A gang looked for its places in each plan, and in a peak of small tasks, which end one by one, there never were enough for all of its large members at once. In a move only the member that had to leave had a place; the others, which end with it, lost their room to the peak.

Now one waiting gang of a pool has its turn at a time: room is kept for all its members, where short runs end, beside all else that is kept, or for none. What becomes free is held for it; a member whose worker is lost gets another place within a look, or all are given up. So whoever keeps room waits for short runs only, never for room that another keeps, and two gangs can't block each other. Short runs may be long, so a turn ends after 6 s and the pool then rests for as long from gangs that had one; the next turn is twice as long, up to 96 s. A gang larger than its pool has no places for all, so none is kept. A member that has to leave a VM is stopped only once all members that have to leave have free places, and the others keep the room that they run in, from their ends on.

Cost: members are alike as a rule, so the workers are gone through once for all of them, at most three times in a look for a gang that has places, and at most 16 searches a look go to gangs and tasks without any.

--- a/crates/dewspar/src/schedule/place/gang.rs
+++ b/crates/dewspar/src/schedule/place/gang.rs
@@ -34,6 +34,9 @@
         }
         let members: Vec<TaskId> =
             waiting.iter().map(|&index| TaskId { index, ..*first }).collect();
+        if !self.take_free_places(&members, now) {
+            return false;
+        }
         let run = members.iter().map(|task| self.next_run(task)).max();
         let run = run.unwrap_or(1);
         let places = self.find_places(spec, &members, run, now, actions);
@@ -59,9 +62,11 @@
         actions: &mut Vec<Action>,
     ) -> Vec<WorkerId> {
         let mut places = Vec::new();
+        let mut taken_back = Vec::new();
         for task in members {
             match self.choose(spec, task, now) {
                 Ok(worker) => {
+                    taken_back.extend(self.take_back_place(task, now));
                     self.reserve(spec, task, run, &worker, now);
                     places.push(worker);
                 }
@@ -79,6 +84,11 @@
                 worker.remove(task, now.steady_ms);
             }
         }
+        if places.len() < members.len() {
+            for place in taken_back {
+                self.put_back_place(place);
+            }
+        }
         places
     }
 
--- a/crates/dewspar/src/schedule/places.rs
+++ b/crates/dewspar/src/schedule/places.rs
@@ -18,6 +18,7 @@
 */
 
 use {
+    self::gang::GangTurns,
     crate::{
         job::TaskId,
         schedule::{
@@ -30,6 +31,9 @@
     std::collections::BTreeMap,
 };
 
+mod gang;
+mod search;
+
 /// How long a task waits before a place is kept for it, in milliseconds: what is
 /// kept is used by nobody meanwhile, and a task that starts with one of the next
 /// plans needs none.
@@ -86,6 +90,8 @@
     next_step: Option<TaskId>,
     /// The planned start with which the next look goes on.
     next_planned: Option<TaskId>,
+    /// The gangs among those that have places kept.
+    turns: GangTurns,
 }
 
 impl KeptPlaces {
@@ -114,6 +120,9 @@
         from: &WorkerId,
         now: Now,
     ) -> Option<WorkerId> {
+        if self.is_lasting_gang(task) {
+            return self.plan_gang_move(task, now);
+        }
         if let Some(planned) = self.places.planned.get(task) {
             let to = planned.to.clone();
             return self.take_kept_room(task, &to).then_some(to);
@@ -161,7 +170,18 @@
 
     /// Keeps the place of a task whose start has come to nothing: else the
     /// tasks of a queue that goes first would take it.
-    pub(super) fn keep_place_again(&mut self, task: &TaskId, to: &WorkerId) {
+    ///
+    /// Members of gangs keep their room however their run has ended.
+    pub(super) fn keep_place_again(
+        &mut self,
+        task: &TaskId,
+        to: &WorkerId,
+        now: Now,
+    ) {
+        if self.is_lasting_gang(task) {
+            self.keep_room_of_member(task, to, now);
+            return;
+        }
         let lasts = self.step_spec(task).is_some_and(|s| s.long_running);
         let waits = self.jobs.get(&task.job).is_some_and(|job| {
             let step = job.step(task);
@@ -220,6 +240,7 @@
         }
         self.places.looked_at_ms = now.steady_ms;
         self.review_places(now);
+        self.review_gangs(now);
         self.keep_for_waiting(now);
     }
 
@@ -227,8 +248,10 @@
     /// others that are there first.
     fn review_places(&mut self, now: Now) {
         let mut not_yet_free = Vec::new();
-        let tasks: Vec<TaskId> = self.places.planned.keys().copied().collect();
-        for task in tasks {
+        let tasks = self.places.planned.keys().copied();
+        let singles = tasks.filter(|task| !self.is_lasting_gang(task));
+        let singles: Vec<TaskId> = singles.collect();
+        for task in singles {
             self.note_fitness(&task, now);
             match self.outlook(&task, now) {
                 Outlook::Good => {}
@@ -274,6 +297,8 @@
     /// Keeps places for tasks that are to last and have waited for a while.
     fn keep_for_waiting(&mut self, now: Now) {
         let mut steps = self.waiting_long_steps();
+        // Stable: nearly none had a turn, and these keep their order.
+        steps.sort_by_key(|step| self.places.turns.last_ms(step));
         let next = self.places.next_step.take();
         let is_next = |step: &TaskId| {
             next.is_some_and(|n| TaskId { index: n.index, ..*step } == n)
@@ -282,7 +307,21 @@
         steps.rotate_left(begin);
         let mut tries = SOUGHT_A_LOOK;
         for step in steps {
-            for task in self.tasks_without_place(&step, now) {
+            let is_gang = self.is_lasting_gang(&step);
+            if is_gang && !self.may_have_turn(&step, now) {
+                continue;
+            }
+            let tasks = self.tasks_without_place(&step, now);
+            if is_gang {
+                if tries == 0 {
+                    self.places.next_step = Some(step);
+                    return;
+                }
+                let searches = self.keep_for_gang(&tasks, now);
+                tries = tries.saturating_sub(searches);
+                continue;
+            }
+            for task in tasks {
                 if tries == 0 {
                     self.places.next_step = Some(step);
                     return;
@@ -311,7 +350,6 @@
         };
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
         let may_start = waited_ms >= KEPT_AFTER_MS
-            && !spec.gang
             && !self.is_unaccounted_for(job, spec, now);
         if !may_start {
             return Vec::new();
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -479,8 +479,8 @@
         }
         let begun = run.is_none_or(|run| run.has_begun());
         self.free_task(task, worker_id, begun, now);
-        if !begun {
-            self.keep_place_again(task, worker_id);
+        if !begun || self.is_lasting_gang(task) {
+            self.keep_place_again(task, worker_id, now);
         }
     }
 
