--- a/crates/dewspar/tests/schedule/gangs_that_last.rs
+++ b/crates/dewspar/tests/schedule/gangs_that_last.rs
@@ -283,6 +283,22 @@
     assert!(peak.runs_whole(id(1)));
 }
 
+#[test]
+fn a_gang_starts_beside_runs_that_never_end_together_within_one_turn() {
+    let mut peak = Peak::to_come(&["w1", "w2"]);
+    // Eight of 20 s, one after the other, and more of them than there is room.
+    for _ in 0..8 {
+        peak.submit_short(1, 20_000);
+        peak.go_on(2_500);
+    }
+    peak.submit_gang(1, gang(2));
+    for _ in 0..60 {
+        peak.submit_short(1, 20_000);
+        peak.go_on(1_000);
+    }
+    assert!(peak.runs_whole(id(1)), "no turn is long enough");
+}
+
 #[test]
 fn the_place_of_one_member_that_is_lost_is_found_elsewhere() {
     let mut peak = Peak::new(&["w1", "w2", "w3"]);
@@ -415,6 +431,23 @@
     }
 }
 
+#[test]
+fn a_gang_of_which_two_leave_for_one_place_stays_at_work() {
+    let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4"]);
+    let leaving = peak.running_on(id(1));
+    for listing in &mut peak.world.listings {
+        if leaving[..2].contains(&listing.id) {
+            listing.draining = true;
+            listing.remaining_ms = Some(60_000);
+        }
+    }
+    peak.world.list();
+    for _ in 0..2 * MISSED_MS / 50 {
+        peak.look();
+        assert!(peak.runs_whole(id(1)), "one was stopped, for one place");
+    }
+}
+
 #[test]
 fn a_gang_that_lost_a_worker_starts_again_in_a_peak() {
     let mut peak = peak_with_gang(&["w1", "w2", "w3", "w4"]);
