--- /dev/null
+++ b/crates/dewspar/tests/schedule/kept_and_priority.rs
@@ -0,0 +1,69 @@
+//! Room that is kept for a task that is to last ignored priority: while a task
+//! of a queue that goes last waited for one long run to end, the rest of that
+//! worker stood idle for as long, though tasks of a queue that goes first waited
+//! for it.
+
+use {
+    crate::{
+        moving::lasting,
+        world::{ROOM, RunKind, World, id, job, step},
+    },
+    dewspar::{job::StepSpec, schedule::Room},
+    dewspar_standin::task_worker::Fate,
+};
+
+/// How long room may stand idle for a task that goes last, and a little more,
+/// in milliseconds.
+const IDLE_MS: u64 = 7_000;
+
+fn submit(
+    world: &mut World,
+    number: u64,
+    spec: StepSpec,
+    fate: Fate,
+    priority: u32,
+) {
+    let cpu_millis = spec.cpu_millis;
+    let demand = Room { cpu_millis, ..Room::default() };
+    world.kinds.insert(id(number), RunKind { demand, fate });
+    let mut job = job(vec![spec]);
+    job.terms.priority = priority;
+    world.scheduler.submit(id(number), job, number, None);
+}
+
+/// Lets a task of this priority that takes a whole worker wait beside a run of a
+/// minute and a peak of small tasks of priority 1; returns the longest for which
+/// most of the worker was idle within 30 s, in milliseconds.
+fn longest_idle_ms(priority: u32) -> u64 {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    submit(&mut world, 10, step(1), Fate::done(60_000), 1);
+    world.run_for(100);
+    let whole = StepSpec { cpu_millis: ROOM.cpu_millis, ..lasting() };
+    submit(&mut world, 11, whole, Fate::endless(), priority);
+    let (mut idle_since_ms, mut longest_ms) = (world.now_ms, 0);
+    for number in 100..100 + 30_000 / 50 {
+        submit(&mut world, number, step(1), Fate::done(500), 1);
+        world.run_for(50);
+        let mut workers = world.workers.values();
+        if workers.all(|worker| worker.used().cpu_millis > 1_000) {
+            idle_since_ms = world.now_ms;
+        }
+        longest_ms = longest_ms.max(world.now_ms - idle_since_ms);
+    }
+    longest_ms
+}
+
+#[test]
+fn room_for_a_task_that_goes_last_does_not_stand_idle_for_long() {
+    let idle_ms = longest_idle_ms(9);
+    assert!(idle_ms <= IDLE_MS, "it stands idle for {idle_ms} ms");
+}
+
+#[test]
+fn room_is_kept_on_for_a_task_that_goes_as_early_as_others() {
+    let idle_ms = longest_idle_ms(1);
+    assert!(idle_ms > 2 * IDLE_MS, "it was given up after {idle_ms} ms");
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -7,6 +7,7 @@
 mod facts;
 mod facts_of_vms;
 mod gangs_that_last;
+mod kept_and_priority;
 mod lasting;
 mod loading;
 mod moving;
