Starts of which the holder is lost at once leave no trace: tests that fail

A holder orders a start of a job that it inherited and marks the job's record in the same step; the order is out some 20 ms before the write is. A holder that is killed in between, by each start anew, leaves its successor nothing to count. Where the workers' entries are still there, the next start is announced first, but the announcement names no worker and counts for nothing by itself, and the write that names it goes out with the order again.

--- a/crates/dewspar/tests/schedule/unseen_starts.rs
+++ b/crates/dewspar/tests/schedule/unseen_starts.rs
@@ -39,6 +39,18 @@
     world.expect_all();
 }
 
+/// Takes over while the entries of the workers that have crashed are still there.
+fn take_over_with_entries(world: &mut World, revision: u64, jobs: &[JobId]) {
+    world.take_over(revision);
+    for number in jobs {
+        let progress = world.stored.get(number).cloned();
+        let accepted = job(vec![step(1)]);
+        world.scheduler.submit(*number, accepted, 6, progress.as_ref());
+    }
+    world.list();
+    world.expect_all();
+}
+
 #[test]
 fn starts_that_leave_no_trace_are_bounded_too() {
     let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
@@ -262,3 +274,53 @@
     assert!(starts <= MOST_STARTS, "started {starts} times");
     assert_eq!(world.phases[&id(1)], "failed");
 }
+
+/// Runs a bad job and two sound ones under holders each of which is lost right
+/// after it has ordered a start, before it could store that; lets the next one
+/// take over in this manner.
+fn lose_each_holder_with_its_start(next: fn(&mut World, u64, &[JobId])) {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.list();
+    world.expect_all();
+    world.lost_with_starts = true;
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    let jobs = [id(1), id(2), id(3)];
+    for number in jobs {
+        world.scheduler.submit(number, job(vec![step(1)]), 6, None);
+    }
+    let mut revision = 6;
+    let end_ms = world.now_ms + 60_000;
+    while world.now_ms < end_ms {
+        let starts = world.starts.len();
+        while world.starts.len() == starts && world.now_ms < end_ms {
+            world.run_for(50);
+        }
+        revision += 2;
+        next(&mut world, revision, &jobs);
+    }
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+    for sound in [id(2), id(3)] {
+        assert_eq!(world.phases[&sound], "completed", "{sound}");
+    }
+}
+
+/// A start was put on record as it was ordered. A holder that was killed at once
+/// left no record of it, and the entry of the worker that had crashed under it was
+/// gone before the next holder looked: 179 starts of one task in 60 s.
+#[test]
+fn holders_that_are_lost_with_a_start_leave_a_trace_of_it() {
+    lose_each_holder_with_its_start(take_over_without_trace);
+}
+
+/// Where the crashed worker's entry is still there, the next start was announced,
+/// and after that the worker that was told was written as it was ordered: an
+/// announcement alone counted as no start, and holder after holder went on from
+/// the same one: 30 starts in 60 s.
+#[test]
+fn nor_is_a_start_forgotten_that_was_announced() {
+    lose_each_holder_with_its_start(take_over_with_entries);
+}
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -106,6 +106,9 @@
     pub loses_starts: bool,
     /// Whether the store is out of reach.
     pub outage: bool,
+    /// Whether the holder is lost as soon as it has ordered a start, before it
+    /// has stored anything more.
+    pub lost_with_starts: bool,
     /// What was stored of each job.
     pub stored: BTreeMap<JobId, Progress>,
     /// The phase of each job that was stored.
@@ -139,6 +142,7 @@
             stopping: Vec::new(),
             loses_starts: false,
             outage: false,
+            lost_with_starts: false,
             stored: BTreeMap::new(),
             phases: BTreeMap::new(),
         }
@@ -250,11 +254,13 @@
         self.bring_back();
         self.tell_of_crashes();
         self.end_stopped();
+        let starts = self.starts.len();
         for action in self.scheduler.plan(now) {
             self.carry_out(action, now);
         }
+        let lost = self.lost_with_starts && self.starts.len() > starts;
         let changes = self.scheduler.take_changes(100);
-        if self.outage {
+        if self.outage || lost {
             self.scheduler.changes_failed(&changes);
             return;
         }
