Inherited starts are ordered once their record names the worker

Cause: a start of a job that a former holder may have begun was marked in the job's record in the step that ordered it, so the order was out before the write was. A holder lost in between left nothing; its successor did the same. Where something was on record, the start was announced first, but an announcement names no worker and counts for nothing, and the worker was again written after the order. Now such a start takes its place on the worker (schedule::withheld), the record names that worker, and the order follows once it is stored. It is withdrawn if the worker is lost, falls silent or has no room for it any more, or the run is to stop. What a holder accepted itself still starts at once.

Ruled out: counting announcements as starts (a sound task that never started was given up so, see a_start_that_was_announced_and_never_ordered_does_not_count); reserving the window for withheld starts (a store that is out would have kept tokens from being renewed); none at all (holds for 300 workers at once: orders were lost in the model of a slow node).

Tests changed. a_worker_whose_vm_was_moved_has_not_crashed and nor_has_one_whose_vm_was_ordered_to_change let the store be out and held that the start goes out nevertheless, which is what left no trace. They now look at what is on record with the start, one start and not two; one_whose_vm_is_down_may_have_crashed looks at the same and finds two. a_new_holder_sends_no_more_orders stores what changed, which it didn't; what it checks is unchanged. Two new ones: on a worker that is lost meanwhile, and on one that takes one run at a time; each fails without its part of the change.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -151,6 +151,7 @@
 mod wave_account;
 mod wave_choice;
 mod wave_state;
+mod withheld;
 mod worker;
 mod workers;
 
