Tests for lines of the kept places that none guarded

Guarded now by kept_places.rs, each shown red with its line out: kept room in `is_settled`, in moves to other pools and in the choice of a wave; which runs of a former holder last; a stop only once short tasks have left the place; another place at once, and soon, for one that is lost; siblings that have room kept; one task of a step at a time from workers that end, and short ones left there; no worker with a task that lasts for another pool; what is told of waits, how often and why.

--- /dev/null
+++ b/crates/dewspar/tests/schedule/kept_places.rs
@@ -0,0 +1,439 @@
+//! Lines of the kept places that could be taken out without any test failing:
+//! an idle worker on which room is kept was switched off, or went to another
+//! pool, or was maintained first; runs found by a new holder counted as short,
+//! so that a place was kept behind one that doesn't end; a run was stopped
+//! before short tasks had left its place; two of a step were sent to one worker
+//! that takes one of them.
+//!
+//! Each test here fails if its line is missing. What the lines are for is told
+//! with them; here it is shown what a task that lasts would lose.
+
+use {
+    crate::{
+        moving::{STOP_MS, lasting, look},
+        review::{
+            MISSED_MS, add_to_peak, large, starts_of, submit, submit_lasting,
+            submit_short, world_of, world_with_move,
+        },
+        waves::request_wave_of,
+        world::{POOL, World, at, id, job, step},
+    },
+    dewspar::{
+        job::{StepSpec, TaskId},
+        schedule::{Decision, Lack, VmOrder, WaveRequest, WorkerId},
+    },
+    dewspar_standin::task_worker::Fate,
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How long a task that was moved may wait after its end was heard, in
+/// milliseconds: a plan or two.
+const AT_ONCE_MS: u64 = 100;
+
+const OTHER: &str = "other";
+const OFF: &str = "off";
+
+/// Six workers, on the second of which a task runs that may only go to the
+/// first two, and is being stopped for a long time. So room is kept on the
+/// first, which is idle and would be the first to be taken for anything else.
+fn world_with_idle_place() -> World {
+    let mut world = World::new(5, &["w0", "w1", "w2", "w3", "w4", "w5"]);
+    for listing in &mut world.listings[..2] {
+        listing.labels.push("only".to_owned());
+    }
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    // What isn't asked for is only known beside a short job.
+    submit_short(&mut world, 100, 1, 60_000);
+    world.run_for(100);
+    let only = StepSpec { required_label: "only".to_owned(), ..lasting() };
+    submit_lasting(&mut world, 1, job(vec![only]));
+    world.run_for(3_500);
+    let (from, _) = world.starts.last().expect("it runs");
+    assert_eq!(from.to_string(), "w1");
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    world.stops_take_ms = 8_000;
+    look(&mut world);
+    let decisions = world.scheduler.take_decisions();
+    let place = Some(WorkerId::new("w0"));
+    let is_displaced = |decision: &Decision| match decision {
+        Decision::Displaced { place: to, .. } => *to == place,
+        _ => false,
+    };
+    assert!(decisions.iter().any(is_displaced), "{decisions:?}");
+    world
+}
+
+fn switch_off_what_is_idle(world: &mut World) {
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, [OFF.to_owned()].into());
+}
+
+/// Returns the workers that were chosen to be emptied since the last call.
+fn emptied(world: &mut World) -> BTreeSet<String> {
+    let decisions = world.scheduler.take_decisions();
+    let emptied = decisions.iter().filter_map(|decision| match decision {
+        Decision::Emptying { worker, .. } => Some(worker.to_string()),
+        _ => None,
+    });
+    emptied.collect()
+}
+
+#[test]
+fn an_idle_worker_with_kept_room_is_not_switched_off() {
+    let mut world = world_with_idle_place();
+    switch_off_what_is_idle(&mut world);
+    let mut off = BTreeSet::new();
+    for _ in 0..100 {
+        for order in look(&mut world) {
+            if let VmOrder::Move { vm, .. } = order {
+                off.insert(vm);
+            }
+        }
+    }
+    assert!(off.contains("vm-of-w2"), "others are switched off: {off:?}");
+    assert!(!off.contains("vm-of-w0"), "the place is switched off");
+}
+
+#[test]
+fn a_worker_with_kept_room_does_not_go_to_another_pool() {
+    let mut world = world_with_idle_place();
+    let serving = [POOL.to_owned(), OTHER.to_owned()].into();
+    world.scheduler.configure_pools(serving, [].into());
+    let mut wanted = job(vec![StepSpec { count: 4, ..large() }]);
+    wanted.terms.pool = OTHER.to_owned();
+    submit_lasting(&mut world, 2, wanted);
+    let mut taken = BTreeSet::new();
+    for _ in 0..20 {
+        look(&mut world);
+        taken.extend(emptied(&mut world));
+    }
+    assert!(!taken.is_empty(), "others go to the pool that lacks some");
+    assert!(!taken.contains("w0"), "the place goes: {taken:?}");
+}
+
+#[test]
+fn a_wave_takes_a_worker_with_kept_room_later() {
+    let mut world = world_with_idle_place();
+    let request = WaveRequest {
+        wave: 2,
+        vms: ["vm-of-w0", "vm-of-w2"].map(str::to_owned).to_vec(),
+        duration_ms: 10_000,
+        max_down: 2,
+    };
+    let (now, none) = (at(world.now_ms), BTreeMap::new());
+    world.scheduler.request_waves(now, &[request], &none, &[]);
+    let mut taken = BTreeSet::new();
+    for _ in 0..60 {
+        look(&mut world);
+        taken.extend(emptied(&mut world));
+    }
+    assert!(taken.contains("w2"), "the wave goes on: {taken:?}");
+    assert!(!taken.contains("w0"), "the place is taken down: {taken:?}");
+}
+
+#[test]
+fn a_worker_on_which_a_task_lasts_does_not_go_to_another_pool() {
+    let mut world = World::new(5, &["w0", "w1", "w2", "w3", "w4"]);
+    for (number, listing) in world.listings.iter_mut().enumerate() {
+        let label = if number == 0 { "lasting" } else { "short" };
+        listing.labels.push(label.to_owned());
+    }
+    world.list();
+    world.expect_all();
+    let serving = [POOL.to_owned(), OTHER.to_owned()].into();
+    world.scheduler.configure_pools(serving, [OFF.to_owned()].into());
+    world.run_for(100);
+    // It uses less than the short ones on the other workers.
+    let light = StepSpec {
+        cpu_millis: 100,
+        required_label: "lasting".to_owned(),
+        ..lasting()
+    };
+    submit_lasting(&mut world, 1, job(vec![light]));
+    let short = StepSpec {
+        max_per_worker: 1,
+        required_label: "short".to_owned(),
+        ..step(4)
+    };
+    submit(&mut world, 100, job(vec![short]), Fate::done(60_000));
+    world.run_for(3_000);
+    assert_eq!(world.running().len(), 5);
+    let mut wanted = job(vec![large()]);
+    wanted.terms.pool = OTHER.to_owned();
+    submit_lasting(&mut world, 2, wanted);
+    let mut taken = BTreeSet::new();
+    for _ in 0..20 {
+        look(&mut world);
+        taken.extend(emptied(&mut world));
+    }
+    assert!(!taken.is_empty(), "others go to the pool that lacks some");
+    assert!(!taken.contains("w0"), "its task is in the way: {taken:?}");
+}
+
+#[test]
+fn no_place_is_kept_behind_a_run_that_a_new_holder_found_and_that_lasts() {
+    let mut world = world_of(&["w1", "w2"]);
+    // Beside it a little is always left, so its worker is the emptier one.
+    let odd = || job(vec![StepSpec { cpu_millis: 2_500, ..lasting() }]);
+    submit_lasting(&mut world, 1, odd());
+    world.run_for(500);
+    assert_eq!(starts_of(&world, id(1)), 1);
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), odd(), 6, None);
+    world.run_for(500);
+    assert_eq!(starts_of(&world, id(1)), 1);
+    for number in 0..5 {
+        submit_short(&mut world, 100 + number, 1, 1_500 + number * 100);
+    }
+    world.run_for(500);
+    assert_eq!(world.running().len(), 6);
+    submit_lasting(&mut world, 2, job(vec![large()]));
+    world.run_for(500);
+    let mut next = 200;
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        world.run_for(50);
+    }
+    assert_eq!(starts_of(&world, id(2)), 1, "it waits behind one that lasts");
+}
+
+/// Returns how long tasks of a job waited before their starts, in
+/// milliseconds, of those started since the last call.
+fn waits_of(world: &mut World, number: u64) -> Vec<u64> {
+    let decisions = world.scheduler.take_decisions();
+    let waits = decisions.iter().filter_map(|decision| match decision {
+        Decision::Started { task, waited_ms, .. } => {
+            (task.job == id(number)).then_some(*waited_ms)
+        }
+        _ => None,
+    });
+    waits.collect()
+}
+
+#[test]
+fn a_task_stays_at_work_until_short_ones_have_left_its_place() {
+    let mut world = world_of(&["w1", "w2", "w3"]);
+    submit_lasting(&mut world, 1, job(vec![large()]));
+    world.run_for(3_000);
+    let from = world.starts[0].0.clone();
+    let mut next = 100;
+    for _ in 0..40 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    request_wave_of(&mut world, &[&format!("vm-of-{from}")]);
+    // Sooner than the short ones end.
+    world.stops_take_ms = 50;
+    let _ = world.scheduler.take_decisions();
+    let mut waits = Vec::new();
+    for _ in 0..2 * MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+        waits.extend(waits_of(&mut world, 1));
+    }
+    assert_eq!(waits.len(), 1, "it has moved");
+    assert!(waits[0] <= AT_ONCE_MS, "it was without work for {waits:?} ms");
+}
+
+#[test]
+fn another_place_is_kept_at_once_for_a_task_that_lost_its_one() {
+    let (mut world, _, place) = world_with_move();
+    let mut next = 100;
+    // A peak has begun on the third worker.
+    for _ in 0..2 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+    }
+    world.scheduler.worker_gone(&place, "test", at(world.now_ms));
+    world.listings.retain(|listing| listing.id != place);
+    let _ = world.scheduler.take_decisions();
+    let mut waits = Vec::new();
+    for _ in 0..MISSED_MS / 50 {
+        add_to_peak(&mut world, &mut next);
+        add_to_peak(&mut world, &mut next);
+        look(&mut world);
+        waits.extend(waits_of(&mut world, 1));
+    }
+    assert_eq!(waits.len(), 1, "it has moved");
+    assert!(waits[0] <= AT_ONCE_MS, "it was without work for {waits:?} ms");
+}
+
+#[test]
+fn two_of_a_step_do_not_go_to_one_worker_that_takes_one_of_them() {
+    let mut world = world_of(&["w1", "w2", "w3", "w4"]);
+    let apart = StepSpec {
+        count: 2,
+        max_per_worker: 1,
+        max_unavailable: 2,
+        cpu_millis: 500,
+        ..lasting()
+    };
+    submit_lasting(&mut world, 1, job(vec![apart]));
+    world.run_for(3_000);
+    let from: BTreeSet<WorkerId> =
+        world.starts.iter().map(|(worker, _)| worker.clone()).collect();
+    assert_eq!(from.len(), 2);
+    for listing in &mut world.listings {
+        if from.contains(&listing.id) {
+            listing.draining = true;
+            listing.remaining_ms = Some(6_000);
+        }
+    }
+    world.list();
+    world.stops_take_ms = STOP_MS;
+    let mut places = BTreeSet::new();
+    for _ in 0..(STOP_MS / 50 + 4) {
+        look(&mut world);
+        for decision in world.scheduler.take_decisions() {
+            if let Decision::Displaced { place: Some(place), .. } = decision {
+                places.insert(place);
+            }
+        }
+    }
+    assert_eq!(places.len(), 2, "both were told of one place: {places:?}");
+    assert_eq!(world.running().len(), 2, "one was left without work");
+}
+
+#[test]
+fn workers_that_end_let_go_of_a_step_one_task_at_a_time() {
+    let mut world = world_of(&["w1", "w2", "w3", "w4"]);
+    let apart = StepSpec { count: 2, max_per_worker: 1, ..lasting() };
+    submit_lasting(&mut world, 1, job(vec![apart]));
+    world.run_for(3_000);
+    let from: BTreeSet<WorkerId> =
+        world.starts.iter().map(|(worker, _)| worker.clone()).collect();
+    for listing in &mut world.listings {
+        if from.contains(&listing.id) {
+            listing.draining = true;
+            listing.remaining_ms = Some(6_000);
+        }
+    }
+    world.list();
+    world.stops_take_ms = STOP_MS;
+    for _ in 0..60 {
+        look(&mut world);
+        assert!(!world.running().is_empty(), "both were stopped at once");
+    }
+    assert_eq!(starts_of(&world, id(1)), 4, "both have moved");
+}
+
+#[test]
+fn a_short_task_is_left_to_end_on_a_worker_that_ends() {
+    let mut world = world_of(&["w1", "w2"]);
+    submit_short(&mut world, 100, 1, 8_000);
+    world.run_for(200);
+    let on = world.starts[0].0.clone();
+    for listing in &mut world.listings {
+        if listing.id == on {
+            listing.draining = true;
+            listing.remaining_ms = Some(20_000);
+        }
+    }
+    world.list();
+    for _ in 0..8_500 / 50 {
+        look(&mut world);
+    }
+    assert_eq!(starts_of(&world, id(100)), 1, "it was stopped");
+}
+
+/// What is told of tasks that wait: the job's number, for how long, why, and
+/// what the workers lack.
+fn told(world: &mut World) -> Vec<(TaskId, u64, &'static str, Lack)> {
+    let decisions = world.scheduler.take_decisions();
+    let told = decisions.into_iter().filter_map(|decision| match decision {
+        Decision::Waits { task, waited_ms, reason, lack, .. } => {
+            Some((task, waited_ms, reason, lack))
+        }
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn what_a_waiting_task_lacks_is_told_worker_by_worker() {
+    let mut world = world_of(&["w1", "w2", "w3", "w4"]);
+    // One of its step on one, one short of processors, one of memory.
+    let waits = StepSpec {
+        count: 2,
+        max_per_worker: 1,
+        memory_mb: 1_000,
+        ..lasting()
+    };
+    let large = StepSpec { cpu_millis: 3_000, ..lasting() };
+    let memory = StepSpec { memory_mb: 3_950, cpu_millis: 100, ..lasting() };
+    submit_lasting(&mut world, 1, job(vec![large]));
+    world.run_for(200);
+    submit_lasting(&mut world, 2, job(vec![memory]));
+    world.run_for(200);
+    let used: BTreeSet<WorkerId> =
+        world.starts.iter().map(|(worker, _)| worker.clone()).collect();
+    assert_eq!(used.len(), 2, "they stand apart");
+    let idle = world.listings.iter_mut().find(|l| !used.contains(&l.id));
+    if let Some(idle) = idle {
+        idle.draining = true;
+    }
+    world.list();
+    submit_lasting(&mut world, 3, job(vec![waits]));
+    world.run_for(450);
+    assert_eq!(starts_of(&world, id(3)), 1);
+    assert_eq!(told(&mut world), [], "it may start soon");
+    world.run_for(600);
+    let first = told(&mut world);
+    let lack = Lack {
+        workers: 4,
+        closed: 1,
+        cpu: 1,
+        memory: 1,
+        siblings: 1,
+        barred: 0,
+    };
+    assert_eq!(first.len(), 1, "{first:?}");
+    let (task, waited_ms, reason, lacks) = &first[0];
+    assert_eq!(task.job, id(3));
+    assert!(*waited_ms >= 500, "{waited_ms}");
+    assert_eq!(*reason, "no worker of its pool can take it");
+    assert_eq!(*lacks, lack);
+    world.run_for(1_400);
+    assert_eq!(told(&mut world), [], "it was told of late");
+    world.run_for(1_000);
+    assert_eq!(told(&mut world).len(), 1, "it still waits");
+}
+
+#[test]
+fn a_pool_without_a_worker_does_not_fill_the_log_with_what_waits() {
+    let mut world = world_of(&["w1"]);
+    let steps: Vec<StepSpec> = (0..30).map(|_| large()).collect();
+    let mut nowhere = job(steps);
+    nowhere.terms.pool = OTHER.to_owned();
+    submit_lasting(&mut world, 1, nowhere);
+    world.run_for(450);
+    let mut steps = BTreeSet::new();
+    for _ in 0..4 {
+        world.run_for(500);
+        let told = told(&mut world);
+        assert!(told.len() <= 4, "{} in half a second", told.len());
+        steps.extend(told.iter().map(|(task, ..)| task.step));
+    }
+    assert!(steps.len() >= 12, "each look tells of others: {steps:?}");
+}
+
+#[test]
+fn a_wait_says_whether_a_worker_was_not_asked_yet() {
+    let mut world = world_of(&["w1", "w2"]);
+    world.cut.push(WorkerId::new("w1"));
+    world.take_over(9);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![large()]), 6, None);
+    world.run_for(1_200);
+    let told = told(&mut world);
+    let reasons: Vec<&str> = told.iter().map(|(_, _, why, _)| *why).collect();
+    assert_eq!(reasons, ["a worker that may run it wasn't asked yet"]);
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -6,6 +6,7 @@
 mod duties;
 mod facts;
 mod facts_of_vms;
+mod kept_places;
 mod lasting;
 mod loading;
 mod moving;
--- a/crates/dewspar/tests/schedule/review.rs
+++ b/crates/dewspar/tests/schedule/review.rs
@@ -26,13 +26,13 @@
 
 /// How long a task that is to last may wait though there is room for it, in
 /// milliseconds.
-const MISSED_MS: u64 = 6_000;
+pub const MISSED_MS: u64 = 6_000;
 
-fn large() -> StepSpec {
+pub fn large() -> StepSpec {
     StepSpec { cpu_millis: 3_000, ..lasting() }
 }
 
-fn world_of(names: &[&str]) -> World {
+pub fn world_of(names: &[&str]) -> World {
     let mut world = World::new(5, names);
     world.list();
     world.expect_all();
@@ -40,7 +40,7 @@
     world
 }
 
-fn add_worker(world: &mut World, name: &str) {
+pub fn add_worker(world: &mut World, name: &str) {
     let new = listing(name);
     world.workers.insert(new.id.clone(), TaskWorker::new(ROOM));
     world.listings.push(new);
@@ -48,31 +48,31 @@
     world.expect_all();
 }
 
-fn starts_of(world: &World, job: JobId) -> usize {
+pub fn starts_of(world: &World, job: JobId) -> usize {
     let starts = world.starts.iter();
     starts.filter(|(_, order)| order.task.job == job).count()
 }
 
 /// Submits a job whose runs have a fate of their own, whenever they start.
-fn submit(world: &mut World, number: u64, job: AcceptedJob, fate: Fate) {
+pub fn submit(world: &mut World, number: u64, job: AcceptedJob, fate: Fate) {
     let cpu_millis = job.spec.steps[0].cpu_millis;
     let demand = Room { cpu_millis, ..Room::default() };
     world.kinds.insert(id(number), RunKind { demand, fate });
     world.scheduler.submit(id(number), job, number, None);
 }
 
-fn submit_lasting(world: &mut World, number: u64, job: AcceptedJob) {
+pub fn submit_lasting(world: &mut World, number: u64, job: AcceptedJob) {
     submit(world, number, job, Fate::endless());
 }
 
-fn submit_short(world: &mut World, number: u64, count: u32, work_ms: u64) {
+pub fn submit_short(world: &mut World, number: u64, count: u32, work_ms: u64) {
     let short = StepSpec { estimate_ms: work_ms, ..step(count) };
     submit(world, number, job(vec![short]), Fate::done(work_ms));
 }
 
 /// Lets two short tasks of a quarter of a worker come, none ending together
 /// with others.
-fn add_to_peak(world: &mut World, next: &mut u64) {
+pub fn add_to_peak(world: &mut World, next: &mut u64) {
     for _ in 0..2 {
         *next += 1;
         submit_short(world, *next, 1, 400 + *next % 8 * 50);
@@ -141,7 +141,7 @@
 
 /// A task that lasts on one of three workers; returns that worker and the one
 /// where it is to go on, while it is being stopped.
-fn world_with_move() -> (World, WorkerId, WorkerId) {
+pub fn world_with_move() -> (World, WorkerId, WorkerId) {
     let mut world = world_of(&["w1", "w2", "w3"]);
     let mut moves = job(vec![large()]);
     moves.terms.priority = 1;
