Failing: a new holder stops a task that lasts while it may start nowhere

Cause: a new holder starts nothing of an inherited job in a pool while some worker of it, which may run the task already, hasn't answered. A task that lasts is stopped for a wave, or since its worker ends, as soon as there is room for it elsewhere; whether it may start there isn't asked.

Ruled out: the queue, and what is kept.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -4,6 +4,7 @@
 mod chain;
 mod crashing;
 mod duties;
+mod elsewhere;
 mod facts;
 mod facts_of_vms;
 mod kept_places;
