A task that lasts stays at work while it may start nowhere

A task that lasts and was inherited leaves a worker only once each worker of its pool that may run it has answered or its lease is over, which is what its start waits for.

Ruled out: asking for the task's record too (`is_on_record`); while a task runs it says nothing of what it waits for after its end, and no test tells the difference, so it isn't in.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -327,6 +327,11 @@
         if now.steady_ms < settled {
             return Leave::NotYet;
         }
+        // A worker that wasn't asked yet may have the task already: until that
+        // is known it starts nowhere, and was without work for 13 s.
+        if self.is_unaccounted_for(job, spec, now) {
+            return Leave::NotYet;
+        }
         let kept = self.is_kept_by_step(task, id);
         if kept { Leave::NotYet } else { Leave::WithPlace }
     }
