Failing: the place for which a VM of a wave was chosen goes to another pool

Cause: a VM with a task that is to last is chosen since the task has another place. That place is kept at the end of the look, and pools are sized before it: the idle worker is the first that is taken for another pool, or switched off.

The task itself stays at work; where no label is asked for, another VM comes.

--- a/crates/dewspar/tests/schedule/elsewhere.rs
+++ b/crates/dewspar/tests/schedule/elsewhere.rs
@@ -9,12 +9,16 @@
 
 use {
     crate::{
-        moving::{STOP_MS, look},
+        moving::{STOP_MS, lasting, look},
         review::{large, starts_of, submit_lasting, world_of},
         waves::request_wave_of,
-        world::{World, id, job},
+        world::{POOL, ROOM, World, id, job},
     },
-    dewspar::schedule::WorkerId,
+    dewspar::{
+        job::StepSpec,
+        schedule::{VmOrder, WorkerId},
+    },
+    dewspar_standin::task_worker::TaskWorker,
 };
 
 /// How long a task that was moved may be without work, in milliseconds: its
@@ -74,3 +78,53 @@
     assert!(missing_ms <= MOVE_MS, "it was without work for {missing_ms} ms");
     assert_eq!(starts_of(&world, id(1)), 2, "it has moved in the end");
 }
+
+/// Carries out the moves of VMs between pools, each done at once.
+fn look_and_move(world: &mut World) -> Vec<VmOrder> {
+    let orders = look(world);
+    for order in &orders {
+        let VmOrder::Move { vm, pool } = order else { continue };
+        let moved = world.listings.iter_mut().find(|l| l.vm == *vm);
+        let moved = moved.expect("a listed VM");
+        world.workers.remove(&moved.id);
+        moved.id = WorkerId::new(&format!("{}+", moved.id));
+        moved.pool.clone_from(pool);
+        world.workers.insert(moved.id.clone(), TaskWorker::new(ROOM));
+        world.list();
+        world.expect_all();
+    }
+    orders
+}
+
+/// A VM of a wave was chosen since its task had another place, and in the same
+/// look that place went to another pool, before it was kept: the only other
+/// VM with the label that the task needs. The first VM was emptied all through
+/// the wave and never maintained.
+#[test]
+fn the_place_for_which_a_vm_was_chosen_is_not_given_away_at_once() {
+    let mut world = World::new(5, &["w0", "w1", "w2", "w3", "w4", "w5"]);
+    for listing in &mut world.listings[..2] {
+        listing.labels.push("only".to_owned());
+    }
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let only = StepSpec { required_label: "only".to_owned(), ..lasting() };
+    submit_lasting(&mut world, 1, job(vec![only]));
+    world.run_for(3_500);
+    let (from, _) = world.starts.last().expect("it runs");
+    assert_eq!(from.to_string(), "w1");
+    // A pool without a VM is served from now on, and a wave begins.
+    let serving = [POOL.to_owned(), "other".to_owned()].into();
+    world.scheduler.configure_pools(serving, [].into());
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    world.stops_take_ms = STOP_MS;
+    let mut orders = Vec::new();
+    // The wave's time.
+    for _ in 0..200 {
+        orders.extend(look_and_move(&mut world));
+    }
+    let vm = "vm-of-w1".to_owned();
+    let down = VmOrder::Maintain { vm, wave: 1 };
+    assert!(orders.contains(&down), "it isn't maintained: {orders:?}");
+}
