Failing: a worker with a kept place is kept free for a suspect

Cause: workers that are kept free for tasks that may crash them (`reserve_workers`) are chosen without a look at the room that is kept on them. The task for which it is kept was stopped and finds no place any more.

Figures: of seeds 150 to 449 of the random moves, 269 is the first that breaks: 1,650 ms without work, 125 allowed. Seeds 0 to 149, which the test has had, don't break.

Ruled out as repair of the test before (the place for which a VM was chosen): to keep the places of the VMs that a wave has just chosen before pools are sized. That test passes then, but the random moves break within seeds 0 to 149, in the same way as seed 269 here as far as their log tells.

--- a/crates/dewspar/tests/schedule/moving_random.rs
+++ b/crates/dewspar/tests/schedule/moving_random.rs
@@ -172,22 +172,33 @@
     }
 }
 
+/// Makes a random run; returns how many tasks moved as promised.
+fn run(seed: u64) -> u32 {
+    let mut moves = Moves::new(seed);
+    for _ in 0..3 {
+        moves.submit_lasting();
+    }
+    moves.world.run_for(3_000);
+    moves.check();
+    request_wave(&mut moves.world);
+    for _ in 0..RUN_MS / 50 {
+        moves.happen();
+        moves.go_on();
+    }
+    moves.finish()
+}
+
 #[test]
 fn places_are_kept_until_they_are_used_and_no_longer() {
-    let mut moved = 0;
-    for seed in 0..RUNS {
-        let mut moves = Moves::new(seed);
-        for _ in 0..3 {
-            moves.submit_lasting();
-        }
-        moves.world.run_for(3_000);
-        moves.check();
-        request_wave(&mut moves.world);
-        for _ in 0..RUN_MS / 50 {
-            moves.happen();
-            moves.go_on();
-        }
-        moved += moves.finish();
-    }
+    let moved: u32 = (0..RUNS).map(run).sum();
     assert!(moved > RUNS as u32, "only {moved} moves were seen");
 }
+
+/// Workers were lost beside the move, and a task that may have crashed them
+/// waited for a worker that is kept free for it. That was one on which room was
+/// kept for a task that lasts. So this was stopped for a place which it couldn't
+/// have any more, and was without work for 1.65 s in this run.
+#[test]
+fn a_worker_with_a_kept_place_is_not_kept_free_for_a_suspect() {
+    run(269);
+}
