Tests for two more lines that choose the VMs of a wave

Whether a wave with time to spare waits for a calm pool, and that it takes VMs of the pool that misses them least: no test failed without either. Both tests are shown red with their line out.

--- a/crates/dewspar/tests/schedule/kept_places.rs
+++ b/crates/dewspar/tests/schedule/kept_places.rs
@@ -437,3 +437,50 @@
     let reasons: Vec<&str> = told.iter().map(|(_, _, why, _)| *why).collect();
     assert_eq!(reasons, ["a worker that may run it wasn't asked yet"]);
 }
+
+/// Asks for the maintenance of all VMs of a world within so long, one at a
+/// time, and returns the workers that are chosen within two seconds.
+fn chosen_of_all(world: &mut World, duration_ms: u64) -> BTreeSet<String> {
+    let vms = world.listings.iter().map(|listing| listing.vm.clone());
+    let request =
+        WaveRequest { wave: 1, vms: vms.collect(), duration_ms, max_down: 1 };
+    let (now, none) = (at(world.now_ms), BTreeMap::new());
+    world.scheduler.request_waves(now, &[request], &none, &[]);
+    let _ = world.scheduler.take_decisions();
+    let mut chosen = BTreeSet::new();
+    for _ in 0..40 {
+        look(world);
+        chosen.extend(emptied(world));
+    }
+    chosen
+}
+
+#[test]
+fn a_wave_that_has_time_waits_for_a_calm_pool() {
+    for (duration_ms, chosen) in [(200_000, 0), (10_000, 1)] {
+        let mut world = world_of(&["w1", "w2", "w3", "w4"]);
+        submit_short(&mut world, 100, 16, 60_000);
+        world.run_for(3_000);
+        let taken = chosen_of_all(&mut world, duration_ms);
+        assert_eq!(taken.len(), chosen, "within {duration_ms} ms: {taken:?}");
+    }
+}
+
+#[test]
+fn a_wave_takes_vms_of_the_pool_that_misses_them_least() {
+    let mut world = World::new(5, &["w1", "w2", "w3", "w4"]);
+    for listing in &mut world.listings[..2] {
+        listing.pool = OTHER.to_owned();
+    }
+    world.list();
+    world.expect_all();
+    world.run_for(3_000);
+    let mut busy = job(vec![step(5)]);
+    busy.terms.pool = OTHER.to_owned();
+    submit(&mut world, 100, busy, Fate::done(60_000));
+    submit(&mut world, 101, job(vec![step(2)]), Fate::done(60_000));
+    world.run_for(500);
+    let chosen = chosen_of_all(&mut world, 10_000);
+    assert_eq!(chosen.len(), 1, "one at a time: {chosen:?}");
+    assert!(chosen.contains("w3") || chosen.contains("w4"), "{chosen:?}");
+}
