A worker on which room is kept isn't kept free for a suspect

Cause: workers are kept free for tasks that may crash them without a look at the room that is kept there, and then take nobody else: a task that was stopped for its place had none any more. Ruled out by the review: the move's own place, which stands until the worker is kept free.

--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -726,7 +726,10 @@
             return false;
         };
         let wanted = self.steadiness_wanted(spec, state, &job.terms.pool, now);
+        // One with a kept place would be closed to the task that was stopped for
+        // it: that was without work for 1.65 s in a random run.
         worker.is_usable()
+            && !worker.keeps_room()
             && worker.listing.capacity.holds(&demand(spec))
             && !worker.has_suspects()
             && self.is_as_steady(worker, wanted, now)
