The VMs of a wave that are chosen get their tasks' places in the same look

Cause: a VM was chosen since its tasks had other places, but these were kept one look later, and pools are sized in between: the only place went to another pool, and the VM was emptied all through the wave. Now what has to leave is planned once all are chosen. Ruled out: planning each as it is chosen, which keeps places on VMs that are chosen after it.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -272,7 +272,8 @@
         }
     }
 
-    fn empty_worker(&mut self, id: &WorkerId, now: Now) {
+    /// Stops what has to leave one worker.
+    pub(super) fn empty_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get(id) else { return };
         let emptied = worker.emptying.is_some();
         // Short tasks end by themselves before a worker that drains does, or
--- a/crates/dewspar/src/schedule/wave_choice.rs
+++ b/crates/dewspar/src/schedule/wave_choice.rs
@@ -91,6 +91,12 @@
         for id in &chosen {
             self.empty(id, Purpose::Maintenance(wave), now);
         }
+        // Once all are chosen, so that no place is kept on one of them, and before
+        // the pools are sized: the place for which a VM was chosen went to another
+        // pool in the same look, and the VM was emptied all through the wave.
+        for id in &chosen {
+            self.empty_worker(id, now);
+        }
         if let Some(state) = self.waves.get_mut(&wave) {
             state.chosen_ms = now.steady_ms;
         }
