Reverted: inherited starts are ordered once their record names the worker

Cause of the revert: on the large register a holder that takes over in a peak has thousands of inherited tasks to start, and each waited for its write; what was withheld also filled the window of orders.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -239,7 +239,6 @@
         reason: &'static str,
         now: Now,
     ) {
-        self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
         self.ended_lives.insert(id.clone());
         if worker.is_lapsed() {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -151,7 +151,6 @@
 mod wave_account;
 mod wave_choice;
 mod wave_state;
-mod withheld;
 mod worker;
 mod workers;
 
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -24,7 +24,6 @@
             steadiness::VmCrashes,
             waits::LongWaits,
             wave_state::WaveState,
-            withheld::WithheldStarts,
             worker::{OwedHold, TokensUsed, Worker},
             workers::{WorkerNumber, Workers},
         },
@@ -82,8 +81,6 @@
     /// The starts that former holders told of, with their workers, until it is
     /// known what became of each.
     pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
-    /// The starts that wait until they are on record.
-    pub(super) withheld: WithheldStarts,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
@@ -199,7 +196,6 @@
             unheard_losses: BTreeMap::new(),
             uncounted_pools: BTreeSet::new(),
             told_starts: BTreeMap::new(),
-            withheld: WithheldStarts::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
@@ -364,15 +360,8 @@
         if asks_later { self.busy.pause_ms() } else { 0 }
     }
 
-    /// Returns whether another task may get its place now, with what has one
-    /// already and is still to be ordered.
-    pub(super) fn may_start(&self) -> bool {
-        self.window.room() > self.withheld.len()
-            && self.link.allows(Class::Start)
-    }
-
     /// Returns whether an order to start may be sent now.
-    pub(super) fn may_order_start(&self) -> bool {
+    pub(super) fn may_start(&self) -> bool {
         self.window.room() > 0 && self.link.allows(Class::Start)
     }
 
@@ -403,7 +392,6 @@
         self.cancel_loaded(now);
         self.drop_lapsed(now);
         self.settle_told_starts(now);
-        self.order_withheld(now, &mut actions);
         self.look_after_runs(now, &mut actions);
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
