--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -439,9 +439,8 @@
             return Some(Outcome::Overloaded);
         }
         for action in actions {
-            let (workers, fleet) = (&self.workers, &self.candidate.fleet);
-            let decided = self.suspensions;
-            orders::send(workers, fleet, action, decided, &self.sender);
+            let fleet = &self.candidate.fleet;
+            orders::send(&self.workers, fleet, action, &self.sender);
         }
         self.store_changes(now);
         self.store_ends(now);
--- a/crates/dewspard/src/jobs/relay/detours.rs
+++ b/crates/dewspard/src/jobs/relay/detours.rs
@@ -12,10 +12,14 @@
 
 use {
     super::link::RelayLink,
+    crate::clock,
     dewspar::schedule::WorkerId,
     std::{
         collections::HashMap,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
     },
 };
 
@@ -43,13 +47,43 @@
 
 /// The workers whose relay had no answer of them of late.
 #[derive(Debug, Default)]
-pub(super) struct Detours(Mutex<HashMap<WorkerId, Detour>>);
+pub(super) struct Detours {
+    known: Mutex<Known>,
+    /// Whether there are any: nearly always none, and to look for one and to
+    /// read the clock at each of thousands of orders a second takes time that a
+    /// busy holder doesn't have.
+    are_some: AtomicBool,
+}
+
+#[derive(Debug, Default)]
+struct Known {
+    of_workers: HashMap<WorkerId, Detour>,
+    /// Until when some of them counts.
+    until_ms: u64,
+}
+
+impl Known {
+    fn set(&mut self, worker: &WorkerId, way: Way, now_ms: u64) {
+        self.until_ms = now_ms + COUNTS_MS;
+        let until_ms = self.until_ms;
+        self.of_workers.insert(worker.clone(), Detour { way, until_ms });
+    }
+}
 
 impl Detours {
     /// Returns whether a worker is to be reached directly.
-    pub(super) fn is_direct(&self, worker: &WorkerId, now_ms: u64) -> bool {
-        let detours = self.lock();
-        let detour = detours.get(worker).filter(|d| now_ms < d.until_ms);
+    pub(super) fn is_direct(&self, worker: &WorkerId) -> bool {
+        if !self.are_some.load(Ordering::Relaxed) {
+            return false;
+        }
+        let now_ms = clock::now_ms();
+        let mut known = self.lock();
+        if now_ms >= known.until_ms {
+            known.of_workers.clear();
+            self.are_some.store(false, Ordering::Relaxed);
+        }
+        let detour = known.of_workers.get(worker);
+        let detour = detour.filter(|detour| now_ms < detour.until_ms);
         detour.is_some_and(|detour| match detour.way {
             Way::TryDirectly(_) | Way::Directly => true,
             Way::OverRelay => false,
@@ -57,40 +91,35 @@
     }
 
     /// Notes that a relay had no answer to a question to a worker.
-    pub(super) fn not_reached(
-        &self,
-        worker: &WorkerId,
-        by: &Arc<RelayLink>,
-        now_ms: u64,
-    ) {
-        let mut detours = self.lock();
-        // Else those of workers that are gone would stay.
-        detours.retain(|_, detour| now_ms < detour.until_ms);
-        detours.entry(worker.clone()).or_insert_with(|| Detour {
-            way: Way::TryDirectly(by.clone()),
-            until_ms: now_ms + COUNTS_MS,
-        });
+    pub(super) fn not_reached(&self, worker: &WorkerId, by: &Arc<RelayLink>) {
+        let now_ms = clock::now_ms();
+        let mut known = self.lock();
+        let detour = known.of_workers.get(worker);
+        if detour.is_some_and(|detour| now_ms < detour.until_ms) {
+            return;
+        }
+        known.set(worker, Way::TryDirectly(by.clone()), now_ms);
+        self.are_some.store(true, Ordering::Relaxed);
     }
 
     /// Notes what became of a question that was asked directly.
-    pub(super) fn asked_directly(
-        &self,
-        worker: &WorkerId,
-        is_reached: bool,
-        now_ms: u64,
-    ) {
-        let mut detours = self.lock();
-        let Some(detour) = detours.get_mut(worker) else { return };
+    pub(super) fn asked_directly(&self, worker: &WorkerId, is_reached: bool) {
+        if !self.are_some.load(Ordering::Relaxed) {
+            return;
+        }
+        let now_ms = clock::now_ms();
+        let mut known = self.lock();
+        let Some(detour) = known.of_workers.get(worker) else { return };
         let Way::TryDirectly(relay) = &detour.way else { return };
         if is_reached {
             relay.note_unreached();
         }
         let way = if is_reached { Way::Directly } else { Way::OverRelay };
-        *detour = Detour { way, until_ms: now_ms + COUNTS_MS };
+        known.set(worker, way, now_ms);
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<WorkerId, Detour>> {
+    fn lock(&self) -> MutexGuard<'_, Known> {
         // OK after a panic: each change is one insertion or removal.
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -9,7 +9,6 @@
         link::RelayLink,
         wire::{Answer, OrderKind, Start},
     },
-    crate::clock,
     dewspar::{
         relay::relay_for,
         schedule::{
@@ -126,7 +125,7 @@
     fn route(&self, worker: &WorkerId) -> Option<Arc<RelayLink>> {
         self.shared.calls.fetch_add(1, Ordering::Relaxed);
         let detours = &self.shared.detours;
-        if self.is_paused() || detours.is_direct(worker, clock::now_ms()) {
+        if self.is_paused() || detours.is_direct(worker) {
             return None;
         }
         let links = self.shared.links.read();
@@ -231,7 +230,7 @@
                 Ok(_) | Err(OrderError::Refused(_)) => true,
                 Err(OrderError::NotSent | OrderError::Unknown) => false,
             };
-            detours.asked_directly(worker, is_reached, clock::now_ms());
+            detours.asked_directly(worker, is_reached);
             return report;
         };
         let hold = OrderKind::Hold(*order);
@@ -244,7 +243,7 @@
             Answer::Error(
                 error @ (OrderError::NotSent | OrderError::Unknown),
             ) => {
-                detours.not_reached(worker, &link, clock::now_ms());
+                detours.not_reached(worker, &link);
                 Err(error)
             }
             Answer::Error(error) => Err(error),
