It is logged which process of a worker tells of itself, and which lists are passed over

No line said which process an answer is from, nor that its lists weren't believed, so the hypotheses on the tasks without work couldn't be told apart. The time of a process's start travels from the directory and from answers to the scheduler; nothing is decided by it yet. Relays carry it too, hence their new version of messages.

--- a/crates/dewspar-standin/src/peak.rs
+++ b/crates/dewspar-standin/src/peak.rs
@@ -38,8 +38,8 @@
         job::{JobId, JobSpec, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, Changes, EndCause, Held, HoldReport,
-            ManagedVm, Now, Options, Orderer, Policy, QueueTerms, Room,
-            Scheduler, VmLife, WorkerId, WorkerListing,
+            Incarnation, ManagedVm, Now, Options, Orderer, Policy, QueueTerms,
+            Room, Scheduler, VmLife, WorkerId, WorkerListing,
         },
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
@@ -641,6 +641,7 @@
 fn listing(number: u32, pools: u32) -> WorkerListing {
     WorkerListing {
         id: WorkerId::new(&format!("worker-{number:04}-5d1c7a")),
+        incarnation: Incarnation::UNKNOWN,
         address: format!("10.1.{}.{}:7000", number / 250, number % 250),
         vm: format!("vm-{number:04}"),
         pool: pool_name(number % pools),
--- a/crates/dewspar-standin/src/peak/worker.rs
+++ b/crates/dewspar-standin/src/peak/worker.rs
@@ -5,7 +5,8 @@
     dewspar::{
         job::TaskId,
         schedule::{
-            ActiveRun, EndCause, EndedRun, Held, HoldReport, StartOrder,
+            ActiveRun, EndCause, EndedRun, Held, HoldReport, Incarnation,
+            StartOrder,
         },
     },
     std::collections::{BTreeMap, VecDeque},
@@ -100,6 +101,7 @@
             gauge: 0,
         });
         HoldReport {
+            incarnation: Incarnation::UNKNOWN,
             clock_ms: now_us / 1_000,
             active: active.collect(),
             ended: self.ended.iter().cloned().collect(),
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -38,9 +38,9 @@
     dewspar::{
         job::{QueueSet, TaskId},
         schedule::{
-            EndCause, HoldOrder, HoldReport, ManagedVm, OrderError, PaceOrder,
-            Refusal, Room, StartOrder, StopOrder, VmLife, VmOrderError,
-            WaveRequest, WorkerId, WorkerListing,
+            EndCause, HoldOrder, HoldReport, Incarnation, ManagedVm,
+            OrderError, PaceOrder, Refusal, Room, StartOrder, StopOrder,
+            VmLife, VmOrderError, WaveRequest, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::{Error, Fleet, Intent, JobWorkers, VmChange},
@@ -232,6 +232,7 @@
         self.next_life += 1;
         let listing = WorkerListing {
             id: id.clone(),
+            incarnation: Incarnation::UNKNOWN,
             address: id.to_string(),
             vm: vm.to_owned(),
             pool: pool.to_owned(),
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -46,8 +46,8 @@
     dewspar::{
         job::TaskId,
         schedule::{
-            ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, OrderError,
-            Refusal, Room, StartOrder, StopOrder,
+            ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
+            OrderError, Refusal, Room, StartOrder, StopOrder,
         },
     },
     std::collections::BTreeMap,
@@ -108,9 +108,10 @@
     }
 }
 
-/// One life of a worker.
+/// One process of a worker.
 #[derive(Clone, Debug)]
 pub struct TaskWorker {
+    incarnation: Incarnation,
     capacity: Room,
     fence: u64,
     lease_until_ms: u64,
@@ -127,6 +128,7 @@
     /// Makes a worker that runs nothing and has seen no token.
     pub fn new(capacity: Room) -> TaskWorker {
         TaskWorker {
+            incarnation: Incarnation::UNKNOWN,
             capacity,
             fence: 0,
             lease_until_ms: 0,
@@ -139,6 +141,12 @@
         }
     }
 
+    /// Sets which process of its worker it is.
+    pub fn incarnated(mut self, incarnation: Incarnation) -> TaskWorker {
+        self.incarnation = incarnation;
+        self
+    }
+
     /// Makes it start whatever it is told, whether there is room or not.
     pub fn unguarded(mut self) -> TaskWorker {
         self.guards = false;
@@ -250,6 +258,7 @@
             gauge: 0,
         });
         Ok(HoldReport {
+            incarnation: self.incarnation,
             clock_ms: now_ms,
             active: active.collect(),
             ended: self.ended.clone(),
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::schedule::{
-        Decision, Now, Room, Scheduler, WorkerId, WorkerListing,
+        Decision, Incarnation, Now, Room, Scheduler, WorkerId, WorkerListing,
         suspects::LostRuns, worker::Worker,
     },
     std::collections::BTreeSet,
@@ -85,6 +85,10 @@
             self.workers.insert(id, worker);
             return;
         };
+        let known = worker.listing.incarnation;
+        let (id, told) = (listing.id.clone(), listing.incarnation);
+        self.note_other_process(&id, known, told, "the directory");
+        let Some(worker) = self.workers.get(&id) else { return };
         // A worker that drains since would be given work again.
         if worker.is_told_since(asked_ms) {
             return;
@@ -95,6 +99,24 @@
         }
     }
 
+    /// Notes that a process of a worker tells of itself that isn't the known
+    /// one.
+    pub(super) fn note_other_process(
+        &mut self,
+        id: &WorkerId,
+        known: Incarnation,
+        told: Incarnation,
+        source: &'static str,
+    ) {
+        let are_told = [known, told]
+            .iter()
+            .all(|process| *process != Incarnation::UNKNOWN);
+        if are_told && known != told {
+            let worker = id.clone();
+            self.note(Decision::OtherProcess { worker, known, told, source });
+        }
+    }
+
     /// Returns lives that the list of VMs shows and whose entries in the
     /// directory aren't known, so that they needn't wait until it is read as
     /// a whole: a VM on which a new worker has begun is wanted at once.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -49,16 +49,18 @@
 use dewspar::{
     job::{JobSpec, StepSpec},
     schedule::{
-        AcceptedJob, Action, HoldReport, Now, Options, QueueTerms, Room,
-        Scheduler, WorkerId, WorkerListing,
+        AcceptedJob, Action, HoldReport, Incarnation, Now, Options,
+        QueueTerms, Room, Scheduler, WorkerId, WorkerListing,
     },
 };
 
 let mut scheduler = Scheduler::new(7, Options::default());
 let now = Now { steady_ms: 1_000, unix_ms: 1_700_000_000_000 };
 let id = WorkerId::new("worker-1");
+let incarnation = Incarnation::born_at(1_700_000_000_000);
 scheduler.list_workers(now, vec![WorkerListing {
     id: id.clone(),
+    incarnation,
     address: "127.0.0.1:1".to_owned(),
     vm: "vm-1".to_owned(),
     pool: "registry".to_owned(),
@@ -73,7 +75,8 @@
 scheduler.expect_workers(now, [(id.clone(), "registry".to_owned())]);
 let actions = scheduler.plan(now);
 let Action::Hold { held, .. } = &actions[0] else { panic!() };
-scheduler.hold_answered(&id, held, &HoldReport::default(), now);
+let report = HoldReport { incarnation, ..HoldReport::default() };
+scheduler.hold_answered(&id, held, &report, now);
 
 let job = AcceptedJob {
     spec: JobSpec {
@@ -94,8 +97,8 @@
     duty::{OrderedVms, Orderer, PastOrder},
     options::Options,
     order::{
-        ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, OrderError,
-        PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
+        ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
+        OrderError, PaceOrder, Refusal, Room, StartOrder, StopOrder, WorkerId,
         WorkerListing,
     },
     policy::{
@@ -446,9 +449,32 @@
     Synced {
         /// The worker.
         worker: WorkerId,
+        /// Its process.
+        process: Incarnation,
         /// How many runs it had.
         runs: usize,
     },
+    /// Another process of a worker tells of itself than the known one.
+    OtherProcess {
+        /// The worker.
+        worker: WorkerId,
+        /// The process that was known.
+        known: Incarnation,
+        /// The one that tells.
+        told: Incarnation,
+        /// What tells of it.
+        source: &'static str,
+    },
+    /// What a worker's answer lists isn't believed, since its clock is behind
+    /// that of an answer before: the first of a row of such answers.
+    ListsPassedOver {
+        /// The worker.
+        worker: WorkerId,
+        /// The worker's clock in the answer, in milliseconds.
+        clock_ms: u64,
+        /// The latest before, in milliseconds.
+        latest_ms: u64,
+    },
     /// A worker gets nothing more, so that its VM can be used otherwise.
     Emptying {
         /// The worker.
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -4,7 +4,8 @@
     std::{fmt, sync::Arc},
 };
 
-/// One life of a worker: a restarted worker has another identifier.
+/// The name that a worker goes by. Its process may start again under it; see
+/// [`Incarnation`].
 #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct WorkerId(Arc<str>);
 
@@ -26,6 +27,58 @@
     }
 }
 
+/// Which process of a worker it is that says something.
+///
+/// A worker may start again under its identifier. The new process runs nothing
+/// and knows nothing of what was before: its clock and the numbers of its ends
+/// begin anew, and it has seen no fencing token. Of two processes of one worker
+/// the newer is the greater. The time of its start only serves to tell them
+/// apart: VMs' times of day may step, so nothing is worked out from it.
+///
+/// # Example
+///
+/// ```
+/// use dewspar::schedule::Incarnation;
+///
+/// let former = Incarnation::born_at(1_700_000_000_000);
+/// let newer = Incarnation::born_at(1_700_000_008_250);
+/// assert!(former < newer);
+/// assert!(Incarnation::UNKNOWN < former);
+/// ```
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Deserialize,
+    Eq,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+)]
+pub struct Incarnation(Option<u64>);
+
+impl Incarnation {
+    /// One that isn't told, less than all that are.
+    pub const UNKNOWN: Incarnation = Incarnation(None);
+
+    /// Returns the one that says that it was started then, in milliseconds of
+    /// the Unix epoch.
+    pub fn born_at(unix_ms: u64) -> Incarnation {
+        Incarnation(Some(unix_ms))
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            Some(unix_ms) => write!(f, "{unix_ms}"),
+            None => f.write_str("unknown"),
+        }
+    }
+}
+
 /// What a task takes of a worker, or what a worker has.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Room {
@@ -142,8 +195,10 @@
 /// What a worker says of itself in the directory of workers.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct WorkerListing {
-    /// This life of the worker.
+    /// The worker.
     pub id: WorkerId,
+    /// Its process that says this.
+    pub incarnation: Incarnation,
     /// Where it takes orders.
     pub address: String,
     /// The VM that it runs on, which outlives it.
@@ -167,6 +222,7 @@
     pub(crate) fn unlisted(id: WorkerId, pool: String) -> WorkerListing {
         WorkerListing {
             id,
+            incarnation: Incarnation::UNKNOWN,
             address: String::new(),
             vm: String::new(),
             pool,
@@ -287,7 +343,7 @@
 /// A run that has ended.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct EndedRun {
-    /// The end's number, rising from 1 in each life of the worker.
+    /// The end's number, rising from 1 in each process of the worker.
     pub number: u64,
     /// The task.
     pub task: TaskId,
@@ -302,6 +358,8 @@
 /// A worker's answer to a [`HoldOrder`].
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct HoldReport {
+    /// The worker's process that answers.
+    pub incarnation: Incarnation,
     /// The worker's clock, in milliseconds.
     pub clock_ms: u64,
     /// What runs.
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -52,9 +52,28 @@
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         worker.leave_alone(now.steady_ms + pause_ms);
         let first = !worker.synced;
+        let known = worker.listing.incarnation;
+        let latest_ms = worker.latest_report_ms();
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let newest =
             worker.hold_answered(&owed, report, now.steady_ms, &self.options);
+        let passed_over = worker.passes_lists_over(newest);
+        if report.incarnation > known {
+            worker.listing.incarnation = report.incarnation;
+        }
+        if passed_over {
+            self.note(Decision::ListsPassedOver {
+                worker: worker_id.clone(),
+                clock_ms: report.clock_ms,
+                latest_ms,
+            });
+        }
+        self.note_other_process(
+            worker_id,
+            known,
+            report.incarnation,
+            "an answer",
+        );
         self.claims.answered(worker_id);
         self.note_unknown_runs(worker_id, report, newest, now);
         for end in &report.ended {
@@ -83,7 +102,11 @@
         let synced = self.workers.get(worker_id).is_some_and(|w| w.synced);
         if first && synced {
             let runs = report.active.len();
-            self.note(Decision::Synced { worker: worker_id.clone(), runs });
+            self.note(Decision::Synced {
+                worker: worker_id.clone(),
+                process: report.incarnation,
+                runs,
+            });
         }
     }
 
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -289,6 +289,8 @@
     unmeasured: usize,
     /// Whether its newest answer had runs that couldn't be read.
     unread_runs: bool,
+    /// Whether the lists of its last answer were passed over as old.
+    lists_passed_over: bool,
     /// Whether its lease was over and it hasn't answered since.
     is_lapsed: bool,
 }
@@ -348,6 +350,7 @@
             told_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
+            lists_passed_over: false,
             is_lapsed: false,
         }
     }
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -201,6 +201,13 @@
         newest
     }
 
+    /// Notes whether what its answer lists was taken in; returns whether this is
+    /// the first of a row that wasn't.
+    pub(crate) fn passes_lists_over(&mut self, newest: bool) -> bool {
+        let before = std::mem::replace(&mut self.lists_passed_over, !newest);
+        !newest && !before
+    }
+
     pub(crate) fn hold_failed(
         &mut self,
         held: &OwedHold,
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -4,9 +4,9 @@
     dewspar::{
         job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
-            AcceptedJob, Action, Held, HoldReport, ManagedVm, Now, Options,
-            OrderError, QueueTerms, Room, Scheduler, StartOrder, StopOrder,
-            VmLife, WorkerId, WorkerListing,
+            AcceptedJob, Action, Held, HoldReport, Incarnation, ManagedVm,
+            Now, Options, OrderError, QueueTerms, Room, Scheduler, StartOrder,
+            StopOrder, VmLife, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -27,6 +27,7 @@
 pub fn listing(name: &str) -> WorkerListing {
     WorkerListing {
         id: WorkerId::new(name),
+        incarnation: Incarnation::UNKNOWN,
         address: format!("{name}:1"),
         vm: format!("vm-of-{name}"),
         pool: POOL.to_owned(),
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -8,9 +8,9 @@
     dewspar::{
         job::{JobId, JobSpec, Progress, Repeat, StepSpec, TaskId},
         schedule::{
-            AcceptedJob, Action, EndCause, HoldReport, Now, Options,
-            OrderError, QueueTerms, Room, Scheduler, StartOrder, StopOrder,
-            WorkerId, WorkerListing,
+            AcceptedJob, Action, EndCause, HoldReport, Incarnation, Now,
+            Options, OrderError, QueueTerms, Room, Scheduler, StartOrder,
+            StopOrder, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -287,6 +287,7 @@
         let name = format!("w{vm}-{}", self.next_life);
         let listing = WorkerListing {
             id: WorkerId::new(&name),
+            incarnation: Incarnation::UNKNOWN,
             address: name.clone(),
             vm: format!("vm-{vm}"),
             pool: POOL.to_owned(),
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -111,6 +111,10 @@
         "Tasks given up since workers crash that start them.";
     ORDERS, "counter", "dewspar_orders_total", Some("order, result"),
         "Orders to workers, by kind and result.";
+    OTHER_PROCESSES, "counter", "dewspar_worker_processes_total", Some("outcome"),
+        "Times that another process of a worker told of itself, newer or former.";
+    LISTS_PASSED_OVER, "counter", "dewspar_worker_lists_passed_over_total", None,
+        "Rows of answers whose lists were passed over, the worker's clock being behind.";
     WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
         "Times that a worker got nothing to start for a while.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -97,9 +97,22 @@
                 "reason" => reason);
             counters::count(counters::WORKER_SUSPENSIONS);
         }
-        Decision::Synced { worker, runs } => {
+        Decision::Synced { worker, process, runs } => {
             info!(log, "worker: answers"; "worker" => %worker,
-                "runs" => runs);
+                "process" => %process, "runs" => runs);
+        }
+        Decision::OtherProcess { worker, known, told, source } => {
+            let outcome = if told > known { "newer" } else { "former" };
+            warn!(log, "worker: another process tells"; "worker" => %worker,
+                "known" => %known, "told" => %told, "source" => source,
+                "outcome" => outcome);
+            counters::count_by(counters::OTHER_PROCESSES, "outcome", outcome);
+        }
+        Decision::ListsPassedOver { worker, clock_ms, latest_ms } => {
+            warn!(log, "worker: lists passed over"; "worker" => %worker,
+                "clock_ms" => clock_ms, "latest_ms" => latest_ms,
+                "reason" => "the worker's clock is behind");
+            counters::count(counters::LISTS_PASSED_OVER);
         }
         Decision::Emptying { worker, vm, reason } => {
             info!(log, "worker: emptied"; "worker" => %worker, "vm" => vm,
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -19,7 +19,7 @@
 };
 
 /// The version of these messages; relays carry only for holders with the same.
-pub(super) const VERSION: u32 = 2;
+pub(super) const VERSION: u32 = 3;
 
 /// The longest message, in bytes: some thousands of orders with a payload of
 /// 4 kB each.
