--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -19,6 +19,7 @@
 
 mod readings;
 mod records;
+mod restarted_workers;
 mod review;
 mod rooms;
 mod runs;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -0,0 +1,294 @@
+//! Workers whose processes start again under their identifiers.
+
+use {
+    crate::{
+        crashing::{MOST_STARTS, first_task, starts_of},
+        world::{World, at, id, job, next_hold, step},
+    },
+    dewspar::{
+        job::StepSpec,
+        schedule::{Decision, OrderError, StartOrder, WorkerId},
+    },
+    dewspar_standin::task_worker::Fate,
+    std::collections::BTreeMap,
+};
+
+/// How soon a task runs again once its worker is back, in milliseconds: a
+/// question, one under a new token, a start, and the pauses between them.
+const AGAIN_WITHIN_MS: u64 = 1_000;
+
+/// How often the directory is read, in milliseconds.
+const DIRECTORY_MS: u64 = 1_000;
+
+fn w(name: &str) -> WorkerId {
+    WorkerId::new(name)
+}
+
+fn lasting(count: u32) -> StepSpec {
+    StepSpec { long_running: true, ..step(count) }
+}
+
+fn restarting(names: &[&str]) -> World {
+    let mut world = World::new(5, names);
+    world.tell_processes();
+    world.list();
+    world.expect_all();
+    world
+}
+
+/// Goes on for so long, with the directory read again and again.
+fn go_on(world: &mut World, ms: u64) {
+    let end_ms = world.now_ms + ms;
+    while world.now_ms < end_ms {
+        world.run_for(50);
+        if world.now_ms.is_multiple_of(DIRECTORY_MS) {
+            world.list();
+        }
+    }
+}
+
+/// Cuts a worker off for so long, and starts it again at the end.
+fn cut_and_start_again(world: &mut World, name: &str, away_ms: u64) {
+    world.cut.push(w(name));
+    world.workers.remove(&w(name));
+    world.run_for(away_ms);
+    world.cut.clear();
+    world.start_again(&w(name));
+}
+
+/// Goes on until a task runs; returns for how long it didn't.
+fn runs_after_ms(world: &mut World, task: &str, most_ms: u64) -> u64 {
+    let from_ms = world.now_ms;
+    while !world.running().iter().any(|running| running == task) {
+        assert!(world.now_ms < from_ms + most_ms, "no work in {most_ms} ms");
+        world.run_for(50);
+    }
+    world.now_ms - from_ms
+}
+
+// A young process's answers were taken for old ones of the former.
+#[test]
+fn a_lasting_task_runs_again_soon_after_its_worker_started_again() {
+    for up_ms in [3_000, 12_000, 30_000, 120_000] {
+        for away_ms in [0, 500, 2_000, 8_000] {
+            let mut world = restarting(&["w1"]);
+            world.fate = Fate::endless();
+            world.scheduler.submit(id(1), job(vec![lasting(1)]), 6, None);
+            world.run_for(up_ms);
+            cut_and_start_again(&mut world, "w1", away_ms);
+            let task = first_task(id(1)).to_string();
+            let after_ms = runs_after_ms(&mut world, &task, 2 * up_ms);
+            assert!(
+                after_ms <= AGAIN_WITHIN_MS,
+                "up for {up_ms} ms, away for {away_ms} ms: {after_ms} ms"
+            );
+        }
+    }
+}
+
+// Ends numbered as low as the former process's were passed over.
+#[test]
+fn tasks_done_by_a_restarted_worker_are_not_done_again() {
+    let mut world = restarting(&["w1"]);
+    world.scheduler.submit(id(1), job(vec![step(40)]), 6, None);
+    world.run_for(15_000);
+    assert_eq!(world.starts.len(), 40);
+    cut_and_start_again(&mut world, "w1", 500);
+    let from_ms = world.now_ms;
+    for number in 2..=31 {
+        world.scheduler.submit(id(number), job(vec![step(1)]), 7, None);
+    }
+    world.run_for(15_000);
+    assert_eq!(world.starts.len(), 70);
+    for number in 2..=31 {
+        assert_eq!(world.phases[&id(number)], "completed", "{number}");
+    }
+    assert!(world.now_ms >= from_ms);
+}
+
+// A failure of a young process didn't count: the job was tried without end.
+#[test]
+fn failures_on_a_restarted_worker_count() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.scheduler.submit(id(1), job(vec![step(40)]), 6, None);
+    world.run_for(15_000);
+    for name in ["w1", "w2"] {
+        cut_and_start_again(&mut world, name, 200);
+    }
+    world.fate = Fate::failed(100);
+    world.scheduler.submit(id(2), job(vec![step(1)]), 7, None);
+    world.run_for(20_000);
+    assert_eq!(starts_of(&world, &first_task(id(2))), 3);
+    assert_eq!(world.phases[&id(2)], "failed");
+}
+
+// An identifier whose process had ended stayed ended.
+#[test]
+fn a_worker_known_to_have_ended_is_used_again_under_its_identifier() {
+    let mut world = restarting(&["w1"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![lasting(1)]), 6, None);
+    go_on(&mut world, 5_000);
+    world.cut.push(w("w1"));
+    world.workers.remove(&w("w1"));
+    world.run_for(2_000);
+    let reason = "the VM service says that it ended";
+    world.scheduler.worker_gone(&w("w1"), reason, at(world.now_ms));
+    // The former process's entry is still there for a while.
+    go_on(&mut world, 2_000);
+    world.cut.clear();
+    world.start_again(&w("w1"));
+    world.list();
+    let task = first_task(id(1)).to_string();
+    let after_ms = runs_after_ms(&mut world, &task, 10_000);
+    assert!(after_ms <= AGAIN_WITHIN_MS, "{after_ms} ms");
+}
+
+// A task that crashed each process of a worker was never blamed.
+#[test]
+fn a_task_that_crashes_restarted_workers_is_given_up() {
+    let mut world = restarting(&["w1", "w2", "w3", "w4"]);
+    world.keeps_ids = true;
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    go_on(&mut world, 60_000);
+    assert_eq!(world.phases.get(&id(1)), Some(&"failed"));
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+}
+
+// One crash that the entry, an answer and the list of VMs tell of is one.
+#[test]
+fn a_restart_that_several_sources_tell_of_counts_once() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(300);
+    let on = world.starts[0].0.clone();
+    world.start_again(&on);
+    world.list();
+    world.run_for(300);
+    world.list();
+    world.run_for(300);
+    let decisions = world.scheduler.take_decisions();
+    let suspected = decisions.iter().filter_map(|d| match d {
+        Decision::Suspected { crashes, .. } => Some(*crashes),
+        _ => None,
+    });
+    assert_eq!(suspected.collect::<Vec<_>>(), [1]);
+}
+
+// The entry alone told of the new process, and nobody read it.
+#[test]
+fn an_entry_of_a_new_process_gives_its_former_runs_up() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![lasting(1)]), 6, None);
+    world.run_for(5_000);
+    let on = world.starts[0].0.clone();
+    world.cut.push(on.clone());
+    world.start_again(&on);
+    world.list();
+    let task = first_task(id(1)).to_string();
+    let after_ms = runs_after_ms(&mut world, &task, 30_000);
+    assert!(after_ms <= AGAIN_WITHIN_MS, "{after_ms} ms");
+    assert_eq!(world.starts.len(), 2);
+    assert_ne!(world.starts[1].0, on);
+}
+
+/// Loses the answer to a start on w1, and returns the order.
+fn unanswered_start(world: &mut World) -> StartOrder {
+    world.fate = Fate::endless();
+    world.loses_starts = true;
+    world.cut.push(w("w2"));
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    while world.starts.is_empty() {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            world.carry_out(action, now);
+        }
+    }
+    world.loses_starts = false;
+    world.starts[0].1.clone()
+}
+
+/// Carries out a start that was sent to a former process.
+fn arrive(world: &mut World, name: &str, order: &StartOrder) -> bool {
+    let clock = world.clock_of(&w(name));
+    let demand = dewspar::schedule::Room {
+        cpu_millis: 1_000,
+        ..dewspar::schedule::Room::default()
+    };
+    // OK because the worker was started a moment ago.
+    let worker = world.workers.get_mut(&w(name)).expect("started");
+    worker.start(clock, order, demand, Fate::endless()).is_ok()
+}
+
+fn assert_none_twice(world: &mut World) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for task in world.running() {
+        *runs.entry(task).or_default() += 1;
+    }
+    for (task, count) in runs {
+        assert!(count <= 1, "{task} runs {count} times at once");
+    }
+}
+
+// The task was started elsewhere while its order could still be carried out.
+#[test]
+fn a_late_start_on_a_new_process_doesnt_run_beside_another() {
+    for late_ms in [0, 50, 150, 300, 600, 1_500] {
+        for is_listed in [false, true] {
+            let mut world = restarting(&["w1", "w2"]);
+            world.run_for(1_000);
+            let order = unanswered_start(&mut world);
+            world.start_again(&w("w1"));
+            world.cut.clear();
+            if is_listed {
+                world.list();
+            }
+            world.run_for(late_ms);
+            arrive(&mut world, "w1", &order);
+            for _ in 0..100 {
+                world.run_for(50);
+                assert_none_twice(&mut world);
+            }
+            let task = first_task(id(1)).to_string();
+            assert_eq!(world.running(), [task], "after {late_ms} ms");
+        }
+    }
+}
+
+// What a former process said brought its runs back.
+#[test]
+fn a_late_answer_of_a_former_process_is_passed_over() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![lasting(1)]), 6, None);
+    world.run_for(3_000);
+    let on = world.starts[0].0.clone();
+    let held = next_hold(&mut world, &on);
+    let clock = world.clock_of(&on);
+    let former = world.workers.get_mut(&on).expect("known");
+    let report = former.hold(clock, held.order()).expect("answers");
+    world.start_again(&on);
+    world.list();
+    world.run_for(500);
+    let runs = world.running();
+    let now = at(world.now_ms);
+    world.scheduler.hold_answered(&on, &held, &report, now);
+    world.scheduler.hold_failed(&on, &held, OrderError::Unknown, now);
+    world.run_for(2_000);
+    assert_eq!(world.running(), runs);
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+    // An older entry doesn't bring it back either.
+    let mut entry = world.listings.clone();
+    for listing in &mut entry {
+        listing.incarnation = world.listings[1].incarnation;
+    }
+    world.scheduler.list_workers(at(world.now_ms), entry);
+    world.run_for(2_000);
+    assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
+}
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -18,6 +18,10 @@
 /// How long a worker that has crashed is away, in milliseconds.
 const BACK_AFTER_MS: u64 = 2_000;
 
+/// When the first processes of workers were started, in milliseconds of the Unix
+/// epoch.
+const FIRST_BORN_MS: u64 = 1_600_000_000_000;
+
 pub const ROOM: Room = Room { cpu_millis: 4_000, memory_mb: 4_000, gpus: 0 };
 
 pub fn at(steady_ms: u64) -> Now {
@@ -92,6 +96,11 @@
     pub crashes: u32,
     /// The workers that crashed, and when they are back.
     away: Vec<(u64, WorkerListing)>,
+    /// Whether a worker that has crashed starts again under its identifier.
+    pub keeps_ids: bool,
+    /// When the workers' processes were started that were started again, in
+    /// milliseconds: their clocks begin then.
+    started_ms: BTreeMap<WorkerId, u64>,
     /// How long after a crash the VM service tells of it, in milliseconds;
     /// `None` for never.
     pub told_after_ms: Option<u64>,
@@ -136,6 +145,8 @@
             crashing: Vec::new(),
             crashes: 0,
             away: Vec::new(),
+            keeps_ids: false,
+            started_ms: BTreeMap::new(),
             told_after_ms: None,
             told: Vec::new(),
             advises: false,
@@ -174,10 +185,44 @@
         if let Some(after_ms) = self.told_after_ms {
             self.told.push((self.now_ms + after_ms, listing.id.clone()));
         }
+        let back_ms = self.now_ms + BACK_AFTER_MS;
+        if self.keeps_ids {
+            self.away.push((back_ms, listing));
+            return;
+        }
         let name = format!("{vm}-{}", self.crashes);
         let id = WorkerId::new(&name);
         let next = WorkerListing { id, address: name, ..listing };
-        self.away.push((self.now_ms + BACK_AFTER_MS, next));
+        self.away.push((back_ms, next));
+    }
+
+    /// Lets every worker tell which process it is.
+    pub fn tell_processes(&mut self) {
+        let incarnation = Incarnation::born_at(FIRST_BORN_MS);
+        for listing in &mut self.listings {
+            listing.incarnation = incarnation;
+        }
+        for worker in self.workers.values_mut() {
+            *worker = worker.clone().incarnated(incarnation);
+        }
+    }
+
+    /// Ends a worker's process, and starts another one under its identifier,
+    /// which the directory shows with its next reading.
+    pub fn start_again(&mut self, id: &WorkerId) {
+        let process = Incarnation::born_at(FIRST_BORN_MS + self.now_ms);
+        let here = |listing: &&mut WorkerListing| listing.id == *id;
+        // OK because only listed workers are started again.
+        let listing = self.listings.iter_mut().find(here).expect("listed");
+        listing.incarnation = process;
+        let worker = TaskWorker::new(listing.capacity).incarnated(process);
+        self.workers.insert(id.clone(), worker);
+        self.started_ms.insert(id.clone(), self.now_ms);
+    }
+
+    /// Returns what a worker's clock shows now, in milliseconds.
+    pub fn clock_of(&self, id: &WorkerId) -> u64 {
+        self.now_ms - self.started_ms.get(id).copied().unwrap_or(0)
     }
 
     /// Returns whether the worker on a VM was lost and isn't back yet.
@@ -213,6 +258,10 @@
             return;
         }
         for (_, listing) in back {
+            if self.keeps_ids {
+                self.start_again(&listing.id);
+                continue;
+            }
             self.listings.retain(|other| other.vm != listing.vm);
             let worker = TaskWorker::new(listing.capacity);
             self.workers.insert(listing.id.clone(), worker);
@@ -278,17 +327,18 @@
         let due = |(at, ..): &mut (u64, WorkerId, StopOrder)| *at <= now_ms;
         let due: Vec<_> = self.stopping.extract_if(.., due).collect();
         for (_, worker, order) in due {
+            let clock = self.clock_of(&worker);
             if let Some(reached) = self.workers.get_mut(&worker) {
                 // OK to pass over: the run may be over by itself.
-                let _ = reached.stop(now_ms, &order);
+                let _ = reached.stop(clock, &order);
             }
         }
     }
 
     pub fn carry_out(&mut self, action: Action, now: Now) {
-        let clock = now.steady_ms;
         match action {
             Action::Start { worker, order, .. } => {
+                let clock = self.clock_of(&worker);
                 let usual = RunKind {
                     demand: Room { cpu_millis: 1_000, ..Room::default() },
                     fate: self.fate,
@@ -317,12 +367,14 @@
                     .start_answered(&worker, &task, run, result, now);
             }
             Action::Stop { worker, order, .. } if self.stops_take_ms > 0 => {
-                let until_ms = clock + self.stops_take_ms;
+                let clock = self.clock_of(&worker);
+                let until_ms = now.steady_ms + self.stops_take_ms;
                 self.stopping.push((until_ms, worker.clone(), order));
                 let (task, result) = (order.task, Ok(clock));
                 self.scheduler.stop_answered(&worker, &task, result, now);
             }
             Action::Stop { worker, order, .. } => {
+                let clock = self.clock_of(&worker);
                 let result = match self.reach(&worker) {
                     Some(reached) => reached.stop(clock, &order),
                     None => Err(OrderError::Unknown),
@@ -335,6 +387,7 @@
                 );
             }
             Action::Hold { worker, held, .. } => {
+                let clock = self.clock_of(&worker);
                 let result = match self.reach(&worker) {
                     Some(reached) => reached.hold(clock, held.order()),
                     None => Err(OrderError::Unknown),
@@ -378,13 +431,15 @@
     }
 
     pub fn running(&mut self) -> Vec<String> {
-        let now_ms = self.now_ms;
-        let mut running: Vec<String> = self
-            .workers
-            .values_mut()
-            .flat_map(|worker| worker.running(now_ms))
-            .map(|(task, _)| task.to_string())
-            .collect();
+        let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
+        let mut running: Vec<String> = Vec::new();
+        for id in ids {
+            let clock = self.clock_of(&id);
+            // OK because it was named a moment ago.
+            let worker = self.workers.get_mut(&id).expect("known");
+            let runs = worker.running(clock).into_iter();
+            running.extend(runs.map(|(task, _)| task.to_string()));
+        }
         running.sort();
         running
     }
