A worker's next process takes the place of the one before

Callers saw tasks that are to last without work for 24.7 s. A worker may start again under its identifier; its clock, the numbers of its ends and its tokens begin anew, but all that the scheduler knew hung on the identifier. So answers of the young process were taken for old ones until its clock had caught up (4,050 ms after 3 s up), its ends for known ones (108 starts for 70 tasks, 43 of a task that may be tried three times), and one that was known to have ended was never used again. Now the start that a process tells says which it is, and what is known of a process begins empty with the next; see schedule::processes.

--- a/crates/dewspar/src/schedule/advice.rs
+++ b/crates/dewspar/src/schedule/advice.rs
@@ -149,6 +149,13 @@
         }
     }
 
+    /// Forgets the tickets of a worker's process that has ended.
+    pub(super) fn forget_tickets(&mut self, id: &WorkerId) {
+        for advice in self.advice.values_mut() {
+            advice.tickets.remove(id);
+        }
+    }
+
     /// Forgets what was said of jobs that are over.
     pub(super) fn drop_old_advice(&mut self) {
         let jobs = &self.jobs;
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -31,6 +31,10 @@
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let known = worker.runs.get_mut(task).filter(|r| r.run == run);
         let Some(known) = known else { return };
+        if known.is_outlived {
+            self.outlived_start_answered(worker_id, task, run, result, now);
+            return;
+        }
         let error = match result {
             Ok(clock_ms) => {
                 if known.state == RunState::Starting {
@@ -91,6 +95,26 @@
         }
     }
 
+    /// Takes in the answer to an order of a process that has ended since. One
+    /// that was carried out may have been so by that process or by the next,
+    /// which will say what it has.
+    fn outlived_start_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        task: &TaskId,
+        run: u64,
+        result: Result<u64, OrderError>,
+        now: Now,
+    ) {
+        match result {
+            Ok(_) | Err(OrderError::Unknown) => {}
+            Err(OrderError::NotSent | OrderError::Refused(_)) => {
+                self.note_never_began(task, run, worker_id);
+                self.free_run(task, worker_id, now);
+            }
+        }
+    }
+
     fn note_never_began(
         &mut self,
         task: &TaskId,
@@ -168,7 +192,9 @@
             reason: error.name(),
         });
         match error {
-            OrderError::Refused(Refusal::OtherLife) => {
+            OrderError::Refused(Refusal::OtherLife)
+                if self.is_stopped_there(worker_id, task) =>
+            {
                 self.worker_gone(worker_id, "another life answers", now);
             }
             OrderError::Refused(Refusal::Fenced) => {
@@ -184,6 +210,13 @@
         }
     }
 
+    /// Returns whether a task's run is being stopped on a worker's known process.
+    fn is_stopped_there(&self, worker_id: &WorkerId, task: &TaskId) -> bool {
+        let worker = self.workers.get(worker_id);
+        let run = worker.and_then(|worker| worker.runs.get(task));
+        run.is_some_and(|run| run.is_stopping() && !run.is_outlived)
+    }
+
     /// Asks a worker under a new token, which shows who holds the lease.
     fn look_again(&mut self, worker_id: &WorkerId, now: Now) {
         if let Some(worker) = self.workers.get_mut(worker_id) {
--- a/crates/dewspar/src/schedule/claims.rs
+++ b/crates/dewspar/src/schedule/claims.rs
@@ -55,6 +55,12 @@
             self.disproved.remove(worker);
         }
     }
+
+    /// Forgets what a worker's process said that has ended.
+    pub(super) fn forget(&mut self, worker: &WorkerId) {
+        self.open.remove(worker);
+        self.disproved.remove(worker);
+    }
 }
 
 impl Scheduler {
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -7,11 +7,16 @@
 */
 
 use {
-    crate::schedule::{
-        Decision, Incarnation, Now, Room, Scheduler, WorkerId, WorkerListing,
-        suspects::LostRuns, worker::Worker,
+    crate::{
+        job::TaskId,
+        schedule::{
+            Decision, Now, Room, Scheduler, WorkerId, WorkerListing,
+            processes::Told,
+            suspects::LostRuns,
+            worker::{Run, Worker},
+        },
     },
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// How long the directory must have gone unread for entries to have lapsed
@@ -75,22 +80,27 @@
         now: Now,
         listing: WorkerListing,
     ) {
-        if self.ended_lives.contains(&listing.id) {
+        if !self.workers.contains_key(&listing.id) {
+            if !self.former.is_of_ended(&listing, asked_ms) {
+                let id = listing.id.clone();
+                let mut worker = self.listed_worker(listing, now);
+                worker.told_ms = asked_ms;
+                self.workers.insert(id, worker);
+            }
             return;
         }
-        let Some(worker) = self.workers.get(&listing.id) else {
-            let id = listing.id.clone();
-            let mut worker = self.listed_worker(listing, now);
-            worker.told_ms = asked_ms;
-            self.workers.insert(id, worker);
-            return;
-        };
-        let known = worker.listing.incarnation;
-        let (id, told) = (listing.id.clone(), listing.incarnation);
-        self.note_other_process(&id, known, told, "the directory");
-        let Some(worker) = self.workers.get(&id) else { return };
+        let told = listing.incarnation;
+        match self.judge_process(&listing.id, told, "the directory") {
+            Told::Same => {}
+            Told::Newer => {
+                self.go_on_with_next(listing, asked_ms, now);
+                return;
+            }
+            Told::Former => return,
+        }
+        let worker = self.workers.get(&listing.id);
         // A worker that drains since would be given work again.
-        if worker.is_told_since(asked_ms) {
+        if worker.is_some_and(|worker| worker.is_told_since(asked_ms)) {
             return;
         }
         if let Some(worker) = self.workers.list(listing) {
@@ -99,24 +109,6 @@
         }
     }
 
-    /// Notes that a process of a worker tells of itself that isn't the known
-    /// one.
-    pub(super) fn note_other_process(
-        &mut self,
-        id: &WorkerId,
-        known: Incarnation,
-        told: Incarnation,
-        source: &'static str,
-    ) {
-        let are_told = [known, told]
-            .iter()
-            .all(|process| *process != Incarnation::UNKNOWN);
-        if are_told && known != told {
-            let worker = id.clone();
-            self.note(Decision::OtherProcess { worker, known, told, source });
-        }
-    }
-
     /// Returns lives that the list of VMs shows and whose entries in the
     /// directory aren't known, so that they needn't wait until it is read as
     /// a whole: a VM on which a new worker has begun is wanted at once.
@@ -127,7 +119,10 @@
         let lives = self.vms.values().filter_map(|vm| vm.worker.as_ref());
         let unlisted = lives.filter(|id| {
             let known = self.workers.get(id).is_some_and(|w| w.listed);
-            !known && !self.ended_lives.contains(*id)
+            // One that the list still shows may have started again.
+            let ended = self.former.has_ended(id)
+                && !self.former.had_ended(id, self.vms_asked_ms);
+            !known && !ended
         });
         unlisted.cloned().collect()
     }
@@ -173,7 +168,7 @@
         let vms: BTreeSet<&str> = listings
             .iter()
             .filter(|listing| !listing.vm.is_empty())
-            .filter(|listing| !self.ended_lives.contains(&listing.id))
+            .filter(|listing| !self.former.is_of_ended(listing, asked_ms))
             .map(|listing| listing.vm.as_str())
             .collect();
         self.workers
@@ -203,7 +198,7 @@
         self.lives_known = true;
         for (id, pool) in lives {
             let known = self.workers.contains_key(&id);
-            if known || self.ended_lives.contains(&id) {
+            if known || self.former.has_ended(&id) {
                 continue;
             }
             let listing = WorkerListing::unlisted(id.clone(), pool);
@@ -234,13 +229,13 @@
 
     /// Makes a worker that is listed and wasn't known, or no longer.
     fn listed_worker(&mut self, listing: WorkerListing, now: Now) -> Worker {
-        // A partition may last longer than a lease; the life goes on.
-        let Some(tokens_used) = self.lapsed_lives.remove(&listing.id) else {
+        // A partition may last longer than a lease; the process goes on.
+        let Some(tokens_used) = self.former.take_tokens(&listing.id) else {
             return self.new_worker(listing, now);
         };
         let revision = self.lease_revision;
         let now_ms = now.steady_ms;
-        Worker::after_lapse(
+        Worker::listed_again(
             listing,
             revision,
             tokens_used,
@@ -262,7 +257,7 @@
         now: Now,
     ) {
         let Some(mut worker) = self.workers.remove(id) else { return };
-        self.ended_lives.insert(id.clone());
+        self.former.ended(&worker, now);
         if worker.is_lapsed() {
             // What was lost with it was told when its lease was over.
             self.note(Decision::WorkerGone { worker: id.clone(), reason });
@@ -271,6 +266,21 @@
         let lost = LostRuns::of(&worker, now);
         let answered_ms = worker.answered_worker_ms();
         let runs = std::mem::take(&mut worker.runs);
+        self.lose_runs(id, runs, answered_ms, reason, now);
+        self.note(Decision::WorkerGone { worker: id.clone(), reason });
+        self.note_crash(id, &lost, now);
+    }
+
+    /// Gives up runs that have ended with their worker's process, which last
+    /// answered at this time of its clock, in milliseconds.
+    pub(super) fn lose_runs(
+        &mut self,
+        id: &WorkerId,
+        runs: BTreeMap<TaskId, Run>,
+        answered_ms: u64,
+        reason: &'static str,
+        now: Now,
+    ) {
         let beside = runs.len().saturating_sub(1);
         for (task, run) in runs {
             self.note(Decision::Lost {
@@ -284,8 +294,6 @@
             self.note_stopped(&task, id, &run, reason, now);
             self.free_task(&task, id, run.has_begun(), now);
         }
-        self.note(Decision::WorkerGone { worker: id.clone(), reason });
-        self.note_crash(id, &lost, now);
     }
 
     /// Drops workers whose lease is over for certain, and those that left
@@ -306,10 +314,9 @@
         }
         for (number, reason) in gone {
             let Some(worker) = self.workers.at(number) else { continue };
-            let (id, used) = (worker.id().clone(), worker.tokens_used());
+            let id = worker.id().clone();
             self.worker_gone(&id, reason, now);
-            self.ended_lives.remove(&id);
-            self.lapsed_lives.insert(id, used);
+            self.former.may_be_back(&id);
         }
     }
 }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -137,6 +137,7 @@
 mod place;
 mod places;
 mod policy;
+mod processes;
 mod projection;
 mod questions;
 mod records;
@@ -273,6 +274,9 @@
 /// A hold that was sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Held {
+    /// Since when the worker's process was known that was to answer; see
+    /// [`workers`].
+    session: u64,
     order: HoldOrder,
     fencing: bool,
     sent_ms: u64,
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -283,7 +283,8 @@
 pub struct HoldOrder {
     /// The fencing token.
     pub fence: u64,
-    /// The last end that is stored and needn't be told again.
+    /// The last end that is stored and needn't be told again; 0 for nothing
+    /// new.
     pub acknowledged: u64,
     /// Until when everything on the worker may run, on the worker's clock;
     /// `None` before that clock is known.
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -6,10 +6,12 @@
     crate::{
         job::{Phase, TaskId},
         schedule::{
-            ActiveRun, Decision, EndCause, EndedRun, Held, HoldReport, Now,
-            OrderError, Refusal, Room, Scheduler, WorkerId,
+            ActiveRun, Decision, EndCause, EndedRun, Held, HoldReport,
+            Incarnation, Now, OrderError, Refusal, Room, Scheduler, WorkerId,
+            WorkerListing,
             answers::call_end,
             board::{Job, demand},
+            processes::Told,
             worker::{OwedHold, Run, RunState},
         },
     },
@@ -36,6 +38,8 @@
     run: u64,
     age_ms: u64,
     begun: bool,
+    /// Whether the process that was to start it has ended.
+    is_outlived: bool,
 }
 
 impl Scheduler {
@@ -48,19 +52,32 @@
         now: Now,
     ) {
         self.hold_ended(held, None, now);
+        let told = report.incarnation;
+        match self.judge_process(worker_id, told, "an answer") {
+            Told::Same => {}
+            Told::Newer => {
+                self.next_process_answered(worker_id, told, now);
+                return;
+            }
+            Told::Former => {
+                self.former_process_answered(worker_id, held, now);
+                return;
+            }
+        }
         let pause_ms = self.ask_pause_ms();
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        // It may say what was before another process began.
+        if held.session != worker.session {
+            return;
+        }
+        worker.listing.incarnation = told;
         worker.leave_alone(now.steady_ms + pause_ms);
         let first = !worker.synced;
-        let known = worker.listing.incarnation;
         let latest_ms = worker.latest_report_ms();
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let newest =
             worker.hold_answered(&owed, report, now.steady_ms, &self.options);
         let passed_over = worker.passes_lists_over(newest);
-        if report.incarnation > known {
-            worker.listing.incarnation = report.incarnation;
-        }
         if passed_over {
             self.note(Decision::ListsPassedOver {
                 worker: worker_id.clone(),
@@ -68,12 +85,6 @@
                 latest_ms,
             });
         }
-        self.note_other_process(
-            worker_id,
-            known,
-            report.incarnation,
-            "an answer",
-        );
         self.claims.answered(worker_id);
         self.note_unknown_runs(worker_id, report, newest, now);
         for end in &report.ended {
@@ -110,6 +121,35 @@
         }
     }
 
+    /// Goes on with a worker's next process, of which nothing is known but that
+    /// it answers. What it lists is taken in once it answers under a token that
+    /// makes void what was sent before.
+    fn next_process_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        incarnation: Incarnation,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        let listing = WorkerListing { incarnation, ..worker.listing.clone() };
+        self.go_on_with_next(listing, 0, now);
+    }
+
+    /// Passes an answer over that a worker's known process hasn't given.
+    fn former_process_answered(
+        &mut self,
+        worker_id: &WorkerId,
+        held: &Held,
+        now: Now,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        // Asked of the known one, it is as good as none.
+        if held.session == worker.session {
+            let owed = OwedHold { order: held.order, fencing: held.fencing };
+            worker.hold_failed(&owed, now.steady_ms, &self.options);
+        }
+    }
+
     /// Takes note that a hold got no answer.
     pub fn hold_failed(
         &mut self,
@@ -120,6 +160,9 @@
     ) {
         self.hold_ended(held, Some(error), now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        if held.session != worker.session {
+            return;
+        }
         let owed = OwedHold { order: held.order, fencing: held.fencing };
         let was_silent = worker.silent_since_ms.is_some();
         worker.hold_failed(&owed, now.steady_ms, &self.options);
@@ -352,6 +395,8 @@
             suspicion,
             measured: true,
             lasts,
+            is_listed: true,
+            is_outlived: false,
         };
         match found {
             Found::Expected => {
@@ -472,10 +517,12 @@
                 run: run.run,
                 age_ms: run.confirmed_ms(answered_ms),
                 begun: run.has_begun(),
+                is_outlived: run.is_outlived,
             })
             .collect();
-        for MissingRun { task, run, age_ms, begun } in missing {
-            if !begun {
+        for MissingRun { task, run, age_ms, begun, is_outlived } in missing {
+            // It may have ended the process that it was ordered of.
+            if !begun && !is_outlived {
                 self.note_suspect_over(&task);
             }
             self.note(Decision::Lost {
@@ -493,6 +540,8 @@
 
 impl Run {
     fn update(&mut self, active: &ActiveRun, now_ms: u64) {
+        self.is_listed = true;
+        self.is_outlived = false;
         match &mut self.state {
             RunState::Starting => {
                 self.state = RunState::Running;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -18,13 +18,14 @@
             loading::Loading,
             place::Candidates,
             places::KeptPlaces,
+            processes::FormerProcesses,
             questions::Questions,
             set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
             waits::LongWaits,
             wave_state::WaveState,
-            worker::{OwedHold, TokensUsed, Worker},
+            worker::{OwedHold, Worker},
             workers::{WorkerNumber, Workers},
         },
         window::{CallEnd, CallWindow},
@@ -66,12 +67,8 @@
     pub(super) decisions: Vec<Decision>,
     /// What workers have said of later tokens.
     pub(super) claims: Claims,
-    /// Lives of workers that are over, though the directory may still list
-    /// them.
-    pub(super) ended_lives: BTreeSet<WorkerId>,
-    /// Lives that were silent until their lease was over, or until they left,
-    /// and may be back.
-    pub(super) lapsed_lives: BTreeMap<WorkerId, TokensUsed>,
+    /// The workers that aren't used any more.
+    pub(super) former: FormerProcesses,
     /// Whether any task was suspected so far: looking for them costs time.
     pub(super) knows_suspects: bool,
     /// How many workers of each pool were lost before they had named their runs.
@@ -190,8 +187,7 @@
             finished: BTreeMap::new(),
             decisions: Vec::new(),
             claims: Claims::default(),
-            ended_lives: BTreeSet::new(),
-            lapsed_lives: BTreeMap::new(),
+            former: FormerProcesses::default(),
             knows_suspects: false,
             unheard_losses: BTreeMap::new(),
             uncounted_pools: BTreeSet::new(),
@@ -679,9 +675,10 @@
         worker.owed_hold(now.steady_ms, options)?;
     let sent_ms = now.steady_ms;
     let silent = worker.silent_since_ms.is_some();
+    let session = worker.session;
     Some(Action::Hold {
         worker: worker.id().clone(),
         address: worker.listing.address.clone(),
-        held: Held { order, fencing, sent_ms, in_window, silent },
+        held: Held { session, order, fencing, sent_ms, in_window, silent },
     })
 }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -386,6 +386,8 @@
             most_age_ms: over_ms.saturating_sub(run.since_ms),
             suspicion: run.suspicion,
         };
+        // The others went down with the process before.
+        let counts = |(_, run): &(&TaskId, &Run)| !run.is_outlived;
         let vm = &worker.listing.vm;
         let unheard = !worker.synced && !draining;
         LostRuns {
@@ -393,7 +395,7 @@
             was_silent: now.steady_ms > over_ms + SILENT_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             was_draining: draining,
-            runs: worker.runs.iter().map(lost).collect(),
+            runs: worker.runs.iter().filter(counts).map(lost).collect(),
         }
     }
 
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -12,6 +12,7 @@
 
 mod clock;
 mod hold;
+mod succession;
 
 /// Room in a fencing token for the orders of one lease holder that had to
 /// be fenced off themselves, a power of two.
@@ -96,6 +97,11 @@
     pub(crate) measured: bool,
     /// Whether its task is to last.
     pub(crate) lasts: bool,
+    /// Whether its worker's process has listed it.
+    pub(crate) is_listed: bool,
+    /// Whether the process that it was ordered of has ended, while it isn't
+    /// known whether the next one has it.
+    pub(crate) is_outlived: bool,
 }
 
 /// Whether a run's task may crash workers; see `suspects`.
@@ -139,6 +145,8 @@
             suspicion: Suspicion::default(),
             measured: true,
             lasts: false,
+            is_listed: false,
+            is_outlived: false,
         }
     }
 
@@ -208,9 +216,11 @@
     sequence: u64,
 }
 
-/// One worker as the holder of the scheduler lease sees it.
+/// One process of a worker as the holder of the scheduler lease sees it.
 #[derive(Debug)]
 pub(crate) struct Worker {
+    /// Since when it is known, as a number of its own.
+    pub(crate) session: u64,
     pub(crate) listing: WorkerListing,
     pub(crate) runs: BTreeMap<TaskId, Run>,
     used: Room,
@@ -304,6 +314,7 @@
     ) -> Worker {
         let listed_nowhere = listing.address.is_empty();
         Worker {
+            session: 0,
             listing,
             runs: BTreeMap::new(),
             used: Room::default(),
@@ -355,28 +366,6 @@
         }
     }
 
-    /// Makes a life whose lease was over and that is still listed: nothing
-    /// runs there, and nothing starts before it answers.
-    ///
-    /// It goes on from the token of before, since it has seen that.
-    pub(crate) fn after_lapse(
-        listing: WorkerListing,
-        lease_revision: u64,
-        tokens_used: TokensUsed,
-        now_ms: u64,
-        options: &Options,
-    ) -> Worker {
-        let TokensUsed(fences) = tokens_used;
-        Worker {
-            fences: (fences + 1).min(FENCES_A_LEASE - 1),
-            synced: true,
-            lease_over_ms: now_ms,
-            silent_since_ms: Some(now_ms),
-            is_lapsed: true,
-            ..Worker::new(listing, lease_revision, now_ms, options)
-        }
-    }
-
     /// Returns how many tokens were used up on it.
     pub(crate) fn tokens_used(&self) -> TokensUsed {
         TokensUsed(self.fences)
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -123,9 +123,12 @@
             self.hold_in_flight = true;
             self.asked_ms = now_ms;
         }
+        // What is acknowledged already isn't said again: a process that has taken
+        // this one's place would forget its own ends by it, unheard.
+        let news = self.stored_end > self.acknowledged;
         let order = HoldOrder {
             fence: self.fence(),
-            acknowledged: self.stored_end,
+            acknowledged: if news { self.stored_end } else { 0 },
             lease_until_ms,
             wait_ms,
         };
--- /dev/null
+++ b/crates/dewspar/src/schedule/worker/succession.rs
@@ -0,0 +1,88 @@
+/*!
+What a worker's next process takes over from the one before: nothing that was
+known of that one, but what was decided about the worker, and the orders that may
+still be carried out.
+*/
+
+use {
+    super::{FENCES_A_LEASE, Run, RunState, TokensUsed, Worker},
+    crate::{
+        job::TaskId,
+        schedule::{Now, Options, WorkerListing},
+    },
+    std::collections::BTreeMap,
+};
+
+impl Worker {
+    /// Makes a worker that is listed again after its lease was over or its
+    /// process had ended: nothing runs there, and nothing starts before it
+    /// answers.
+    ///
+    /// It goes on from the tokens of before: an order under one of these may
+    /// still be on its way.
+    pub(crate) fn listed_again(
+        listing: WorkerListing,
+        lease_revision: u64,
+        tokens_used: TokensUsed,
+        now_ms: u64,
+        options: &Options,
+    ) -> Worker {
+        let TokensUsed(fences) = tokens_used;
+        Worker {
+            fences: (fences + 1).min(FENCES_A_LEASE - 1),
+            synced: true,
+            lease_over_ms: now_ms,
+            silent_since_ms: Some(now_ms),
+            is_lapsed: true,
+            ..Worker::new(listing, lease_revision, now_ms, options)
+        }
+    }
+
+    /// Takes out the runs that its process has listed: they end with it.
+    pub(crate) fn take_listed_runs(&mut self) -> BTreeMap<TaskId, Run> {
+        let listed = |_: &TaskId, run: &mut Run| run.is_listed;
+        self.runs.extract_if(.., listed).collect()
+    }
+
+    /// Makes the worker as it is with its next process.
+    ///
+    /// The runs that are left are those whose orders the next process may carry
+    /// out in place of this one.
+    pub(crate) fn followed_by(
+        self,
+        listing: WorkerListing,
+        now: Now,
+        options: &Options,
+    ) -> Worker {
+        let now_ms = now.steady_ms;
+        let mut next = Worker {
+            fences: (self.fences + 1).min(FENCES_A_LEASE - 1),
+            synced: self.synced,
+            kept: self.kept,
+            listed: self.listed,
+            emptying: self.emptying,
+            emptying_since_ms: self.emptying_since_ms,
+            ..Worker::new(listing, self.lease_revision, now_ms, options)
+        };
+        next.sum_kept();
+        for (task, run) in self.runs {
+            next.insert(task, run.outliving_its_process());
+        }
+        next
+    }
+}
+
+impl Run {
+    /// Makes it one that was ordered of a process that has ended, and may begin
+    /// on the next.
+    fn outliving_its_process(self) -> Run {
+        let state = match self.state {
+            RunState::Starting | RunState::Running => RunState::Starting,
+            RunState::Stopping(mut stop) => {
+                stop.begun = false;
+                RunState::Stopping(stop)
+            }
+        };
+        Run { state, confirmed_from_ms: None, is_outlived: true, ..self }
+    }
+}
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -11,6 +11,10 @@
 changes a worker goes through [`Workers`], which notes it, so that no change
 can be missed.
 
+Each process of a worker that is added has a session of its own. An answer belongs
+to the session in which its question was asked; one of a former session may be
+that of another process.
+
 Within the scheduler a worker goes by its number, its place in a list. To find
 one by its identifier, a text, takes a look into a table of hashes; the lists
 that are gone through by the order of identifiers hold numbers.
@@ -40,6 +44,8 @@
     /// Those that may have changed since the agenda was worked out.
     changed: Vec<WorkerNumber>,
     unused: Vec<WorkerNumber>,
+    /// How many workers were added so far.
+    sessions: u64,
 }
 
 /// What was worked out of a worker.
@@ -133,8 +139,10 @@
     }
 
     /// Adds a worker that isn't known yet.
-    pub(super) fn insert(&mut self, id: WorkerId, worker: Worker) {
+    pub(super) fn insert(&mut self, id: WorkerId, mut worker: Worker) {
         debug_assert!(!self.contains_key(&id), "{id} is known");
+        self.sessions += 1;
+        worker.session = self.sessions;
         let number = self.unused.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.agenda.push(Entry::NONE);
--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -197,11 +197,10 @@
     assert_ne!(world.starts[1].0, on);
 }
 
-/// Loses the answer to a start on w1, and returns the order.
-fn unanswered_start(world: &mut World) -> StartOrder {
+/// Loses a start on its way; returns it, with the worker that it was sent to.
+fn unanswered_start(world: &mut World) -> (WorkerId, StartOrder) {
     world.fate = Fate::endless();
     world.loses_starts = true;
-    world.cut.push(w("w2"));
     world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
     while world.starts.is_empty() {
         world.now_ms += 50;
@@ -211,18 +210,18 @@
         }
     }
     world.loses_starts = false;
-    world.starts[0].1.clone()
+    world.starts[0].clone()
 }
 
 /// Carries out a start that was sent to a former process.
-fn arrive(world: &mut World, name: &str, order: &StartOrder) -> bool {
-    let clock = world.clock_of(&w(name));
+fn arrive(world: &mut World, id: &WorkerId, order: &StartOrder) -> bool {
+    let clock = world.clock_of(id);
     let demand = dewspar::schedule::Room {
         cpu_millis: 1_000,
         ..dewspar::schedule::Room::default()
     };
     // OK because the worker was started a moment ago.
-    let worker = world.workers.get_mut(&w(name)).expect("started");
+    let worker = world.workers.get_mut(id).expect("started");
     worker.start(clock, order, demand, Fate::endless()).is_ok()
 }
 
@@ -243,14 +242,13 @@
         for is_listed in [false, true] {
             let mut world = restarting(&["w1", "w2"]);
             world.run_for(1_000);
-            let order = unanswered_start(&mut world);
-            world.start_again(&w("w1"));
-            world.cut.clear();
+            let (on, order) = unanswered_start(&mut world);
+            world.start_again(&on);
             if is_listed {
                 world.list();
             }
             world.run_for(late_ms);
-            arrive(&mut world, "w1", &order);
+            arrive(&mut world, &on, &order);
             for _ in 0..100 {
                 world.run_for(50);
                 assert_none_twice(&mut world);
@@ -273,6 +271,7 @@
     let clock = world.clock_of(&on);
     let former = world.workers.get_mut(&on).expect("known");
     let report = former.hold(clock, held.order()).expect("answers");
+    let entries = world.listings.clone();
     world.start_again(&on);
     world.list();
     world.run_for(500);
@@ -284,11 +283,7 @@
     assert_eq!(world.running(), runs);
     assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
     // An older entry doesn't bring it back either.
-    let mut entry = world.listings.clone();
-    for listing in &mut entry {
-        listing.incarnation = world.listings[1].incarnation;
-    }
-    world.scheduler.list_workers(at(world.now_ms), entry);
+    world.scheduler.list_workers(at(world.now_ms), entries);
     world.run_for(2_000);
     assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
 }
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -451,7 +451,7 @@
 const NO_ORDERS: [u8; 8] = [0, 0, 0, 4, 1, 0, 0, 0];
 
 /// The version of the messages.
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 
 /// What a holder under this lease says first, with its length before it.
 fn hello(lease_revision: u8) -> Vec<u8> {
