A start on record names the process that was told, not the worker alone

Callers saw a task that crashes its workers started without end, where holders are lost beside it. A start that is on record counted as come to nothing if its worker answered without it; since a worker starts again under its identifier, it does so after a crash. The record now says when the told process was started, and a newer one means that it was lost. Test before: 55 starts in 120 s, 5 allowed; after: within 5, the sound jobs beside it done. Records without the field are read as before. Two more tests on processes that aren't told or say that they are older pass without a change.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -113,6 +113,10 @@
     /// way; empty while none was told.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told: Option<String>,
+    /// When the process of that worker was started that was told, in
+    /// milliseconds of the Unix epoch; `None` if it doesn't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub told_born_unix_ms: Option<u64>,
     /// The checkpoint to go on from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -2,7 +2,9 @@
     crate::{
         fields::OtherFields,
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
-        schedule::{QueueTerms, Room, WorkerId, suspects::Crashes},
+        schedule::{
+            Incarnation, QueueTerms, Room, WorkerId, suspects::Crashes,
+        },
     },
     std::{collections::BTreeSet, sync::Arc},
 };
@@ -49,6 +51,8 @@
     pub(crate) ended_run: u64,
     pub(crate) checkpoint: String,
     pub(crate) on: Vec<WorkerId>,
+    /// The process that was last told to start it.
+    pub(crate) told_process: Incarnation,
     /// The workers on which it failed.
     pub(crate) avoid: Vec<WorkerId>,
     /// The workers that were lost under it, in a row.
@@ -257,6 +261,7 @@
                     task.crashes.unseen_on_record()
                 },
                 told: task.told_on_record(),
+                told_born_unix_ms: task.told_process_on_record(),
                 checkpoint: if task.done {
                     String::new()
                 } else {
@@ -280,6 +285,14 @@
         let told = || self.on.last().map_or("", WorkerId::as_str);
         wanted.then(|| told().to_owned())
     }
+
+    /// Returns when the process of that worker was started, in milliseconds of
+    /// the Unix epoch, if it says so.
+    fn told_process_on_record(&self) -> Option<u64> {
+        let told = !self.done && self.crashes.have_a_run_on_record();
+        let process = self.told_process.born_unix_ms();
+        process.filter(|_| told && !self.on.is_empty())
+    }
 }
 
 /// Returns what a task of the step takes of a worker.
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -68,6 +68,12 @@
     pub fn born_at(unix_ms: u64) -> Incarnation {
         Incarnation(Some(unix_ms))
     }
+
+    /// Returns when it says that it was started, in milliseconds of the Unix
+    /// epoch; `None` for one that isn't told.
+    pub(crate) fn born_unix_ms(self) -> Option<u64> {
+        self.0
+    }
 }
 
 impl fmt::Display for Incarnation {
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -539,6 +539,7 @@
             worker.lease_until_ms(now.steady_ms, &self.options)?;
         worker.lease_sent(lease_until_ms);
         let fence = worker.fence();
+        let process = worker.listing.incarnation;
         let address = worker.listing.address.clone();
         let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms)
             .lasting(spec.long_running);
@@ -556,6 +557,7 @@
         let state = step.tasks.get_mut(task.index as usize)?;
         state.run = run;
         state.on.push(worker_id.clone());
+        state.told_process = process;
         let checkpoint = state.checkpoint.clone();
         self.note(Decision::Started {
             task: *task,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -23,6 +23,7 @@
             set_aside::SetAside,
             sizing::{Moving, PoolLoad},
             steadiness::VmCrashes,
+            unseen_starts::ToldStart,
             waits::LongWaits,
             wave_state::WaveState,
             worker::{OwedHold, Worker},
@@ -77,7 +78,7 @@
     pub(super) uncounted_pools: BTreeSet<String>,
     /// The starts that former holders told of, with their workers, until it is
     /// known what became of each.
-    pub(super) told_starts: BTreeMap<TaskId, WorkerId>,
+    pub(super) told_starts: BTreeMap<TaskId, ToldStart>,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -10,7 +10,7 @@
 
 - It runs the task: all is well.
 - It answers and doesn't: the order never arrived, or the run has ended.
-- It is gone: it was lost soon after the start, as a record is cleared once a run
+- It is gone, or another process has taken its place: it was lost soon after the start, as a record is cleared once a run
   lives on. That is a crash like one that a holder has seen, and the start before
   the first one on record counts as well, since it left no trace.
 
@@ -28,8 +28,9 @@
 use crate::{
     job::{JobId, Progress, TaskId, TaskRecord},
     schedule::{
-        Decision, Now, Scheduler, VmLife, WorkerId,
+        Decision, Incarnation, Now, Scheduler, VmLife, WorkerId,
         board::{Job, Task},
+        processes::Told,
         suspects::{Crashes, LostRuns},
         worker::Worker,
     },
@@ -54,6 +55,13 @@
     Crashed,
 }
 
+/// A start that is on record, with the process that was told.
+#[derive(Debug)]
+pub(super) struct ToldStart {
+    worker: WorkerId,
+    process: Incarnation,
+}
+
 /// A worker that was lost before it had named its runs to this holder.
 #[derive(Debug)]
 pub(super) struct UnheardLoss {
@@ -77,19 +85,23 @@
             let told = record.told.as_ref().filter(|told| !told.is_empty());
             let Some(told) = told else { continue };
             let task = TaskId { job: id, round, step, index };
-            self.told_starts.insert(task, WorkerId::new(told));
+            let born = record.told_born_unix_ms;
+            let process =
+                born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
+            let start = ToldStart { worker: WorkerId::new(told), process };
+            self.told_starts.insert(task, start);
         }
     }
 
     /// Finds out what became of the starts that former holders told of.
     pub(super) fn settle_told_starts(&mut self, now: Now) {
-        let settled = self.told_starts.iter().filter_map(|(task, worker)| {
-            let outcome = self.outcome(task, worker, now);
+        let settled = self.told_starts.iter().filter_map(|(task, start)| {
+            let outcome = self.outcome(task, start, now);
             (outcome != Outcome::Open).then_some((*task, outcome))
         });
         for (task, outcome) in settled.collect::<Vec<_>>() {
-            if let Some(worker) = self.told_starts.remove(&task) {
-                self.settle_start(&task, &worker, outcome, now);
+            if let Some(start) = self.told_starts.remove(&task) {
+                self.settle_start(&task, &start.worker, outcome, now);
             }
         }
     }
@@ -111,7 +123,7 @@
             Some(_) if lost.was_silent => Outcome::Unknown,
             Some(_) => Outcome::Crashed,
         };
-        let here = |_: &TaskId, told: &mut WorkerId| told == worker;
+        let here = |_: &TaskId, told: &mut ToldStart| told.worker == *worker;
         let starts: Vec<TaskId> =
             self.told_starts.extract_if(.., here).map(|(t, _)| t).collect();
         for task in starts {
@@ -119,14 +131,18 @@
         }
     }
 
-    fn outcome(&self, task: &TaskId, worker: &WorkerId, now: Now) -> Outcome {
-        let Some(told) = self.workers.get(worker) else {
+    fn outcome(&self, task: &TaskId, start: &ToldStart, now: Now) -> Outcome {
+        let Some(told) = self.workers.get(&start.worker) else {
             let known = self.lives_known;
             return if known { Outcome::Crashed } else { Outcome::Open };
         };
         if told.runs.contains_key(task) {
             return Outcome::Found;
         }
+        let known = told.listing.incarnation;
+        if Told::of(known, start.process) == Told::Newer {
+            return Outcome::Crashed;
+        }
         if told.is_accounted_for() {
             return Outcome::Nothing;
         }
--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -7,7 +7,10 @@
     },
     dewspar::{
         job::StepSpec,
-        schedule::{Decision, OrderError, StartOrder, WorkerId},
+        schedule::{
+            Decision, HoldReport, Incarnation, OrderError, StartOrder,
+            WorkerId,
+        },
     },
     dewspar_standin::task_worker::Fate,
     std::collections::BTreeMap,
@@ -20,6 +23,10 @@
 /// How often the directory is read, in milliseconds.
 const DIRECTORY_MS: u64 = 1_000;
 
+/// How soon a process is used that says that it is older than the one before, in
+/// milliseconds: the longest lease, on a clock that is slow, and a margin.
+const OLDER_USED_WITHIN_MS: u64 = 12_000;
+
 fn w(name: &str) -> WorkerId {
     WorkerId::new(name)
 }
@@ -287,3 +294,90 @@
     world.run_for(2_000);
     assert_eq!(world.starts.len(), 2, "{:?}", world.starts);
 }
+
+// A start on record whose worker had started again since counted for nothing.
+#[test]
+fn a_start_on_record_is_lost_with_the_process_that_was_told() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = restarting(&names);
+    world.keeps_ids = true;
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    let jobs = [id(1), id(2), id(3)];
+    for number in jobs {
+        world.scheduler.submit(number, job(vec![step(1)]), 6, None);
+    }
+    let mut revision = 6;
+    let end_ms = world.now_ms + 120_000;
+    while world.now_ms < end_ms {
+        let crashes = world.crashes;
+        while world.crashes == crashes && world.now_ms < end_ms {
+            go_on(&mut world, 50);
+        }
+        // One that is lost before it has loaded any job: the worker is back.
+        world.take_over(revision + 2);
+        world.run_for(2_100);
+        revision += 4;
+        world.take_over(revision);
+        for number in jobs {
+            let progress = world.stored.get(&number).cloned();
+            let accepted = job(vec![step(1)]);
+            let known = progress.as_ref();
+            world.scheduler.submit(number, accepted, 6, known);
+        }
+        world.list();
+        world.expect_all();
+    }
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(world.phases.get(&id(1)), Some(&"failed"));
+    for sound in [id(2), id(3)] {
+        assert_eq!(world.phases[&sound], "completed", "{sound}");
+    }
+}
+
+// An entry or an answer that doesn't say which process it is from, or names an
+// earlier one, changes nothing; the others hold.
+#[test]
+fn a_process_that_is_not_told_is_none() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![lasting(2)]), 6, None);
+    go_on(&mut world, 3_000);
+    let starts = world.starts.len();
+    let on = world.starts[0].0.clone();
+    let earlier = Incarnation::born_at(1);
+    for told in [Incarnation::UNKNOWN, earlier] {
+        let mut entries = world.listings.clone();
+        for entry in &mut entries {
+            entry.incarnation = told;
+            entry.draining = true;
+        }
+        world.scheduler.list_workers(at(world.now_ms), entries);
+        let held = next_hold(&mut world, &on);
+        let clock_ms = world.clock_of(&on);
+        let report =
+            HoldReport { incarnation: told, clock_ms, ..Default::default() };
+        let now = at(world.now_ms);
+        world.scheduler.hold_answered(&on, &held, &report, now);
+        go_on(&mut world, 3_000);
+        assert_eq!(world.running().len(), 2, "{told}");
+        assert_eq!(world.starts.len(), starts, "{told}");
+    }
+}
+
+// A VM's time of day was set back before its worker started again.
+#[test]
+fn a_process_that_says_it_is_older_is_used_in_the_end() {
+    let mut world = restarting(&["w1"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![lasting(1)]), 6, None);
+    go_on(&mut world, 3_000);
+    world.start_again_as(&w("w1"), Incarnation::born_at(1));
+    let task = first_task(id(1)).to_string();
+    let end_ms = world.now_ms + OLDER_USED_WITHIN_MS;
+    while world.now_ms < end_ms && !world.running().contains(&task) {
+        go_on(&mut world, 50);
+    }
+    assert_eq!(world.running(), [task]);
+}
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -211,6 +211,11 @@
     /// which the directory shows with its next reading.
     pub fn start_again(&mut self, id: &WorkerId) {
         let process = Incarnation::born_at(FIRST_BORN_MS + self.now_ms);
+        self.start_again_as(id, process);
+    }
+
+    /// The same, with a process that says that it was started at another time.
+    pub fn start_again_as(&mut self, id: &WorkerId, process: Incarnation) {
         let here = |listing: &&mut WorkerListing| listing.id == *id;
         // OK because only listed workers are started again.
         let listing = self.listings.iter_mut().find(here).expect("listed");
