--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -103,6 +103,14 @@
 struct Entry {
     worker: TaskWorker,
     listing: WorkerListing,
+    /// When its process was started, by the fleet's clock: its own begins then.
+    started_ms: u64,
+}
+
+impl Entry {
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.started_ms)
+    }
 }
 
 impl TaskFleet {
@@ -185,7 +193,25 @@
         let now_ms = self.now_ms();
         let mut state = self.lock();
         let workers = state.workers.values_mut();
-        workers.flat_map(|entry| entry.worker.running(now_ms)).collect()
+        let running = |entry: &mut Entry| {
+            let clock_ms = entry.clock_ms(now_ms);
+            entry.worker.running(clock_ms)
+        };
+        workers.flat_map(running).collect()
+    }
+
+    /// Lets a VM's worker end and start again under its identifier: it has
+    /// nothing of before.
+    pub fn restart(&self, vm: &str) {
+        let now_ms = self.now_ms();
+        let mut state = self.lock();
+        let mut entries = state.workers.values_mut();
+        let entry = entries.find(|entry| entry.listing.vm == vm);
+        let Some(entry) = entry else { return };
+        let process = Incarnation::born_at(now_ms);
+        entry.listing.incarnation = process;
+        entry.worker = TaskWorker::new(ROOM).incarnated(process);
+        entry.started_ms = now_ms;
     }
 
     /// Lets a VM fail; it is back at once, and all that ran there is gone.
@@ -217,7 +243,8 @@
         let mut state = self.lock();
         let entry = state.workers.get_mut(worker);
         let entry = entry.ok_or(OrderError::Refused(Refusal::OtherLife))?;
-        let result = act(entry, now_ms);
+        let clock_ms = entry.clock_ms(now_ms);
+        let result = act(entry, clock_ms);
         state.note_done();
         match fate {
             CallFate::LoseAnswer => Err(OrderError::Unknown),
@@ -230,9 +257,11 @@
     fn start_life(&mut self, vm: &str, pool: &str) {
         let id = WorkerId::new(&format!("{vm}-{}", self.next_life));
         self.next_life += 1;
+        // Restarted ones tell later times.
+        let process = Incarnation::born_at(0);
         let listing = WorkerListing {
             id: id.clone(),
-            incarnation: Incarnation::UNKNOWN,
+            incarnation: process,
             address: id.to_string(),
             vm: vm.to_owned(),
             pool: pool.to_owned(),
@@ -242,8 +271,9 @@
             draining: false,
             remaining_ms: None,
         };
-        let worker = TaskWorker::new(ROOM);
-        self.workers.insert(id, Entry { worker, listing });
+        let worker = TaskWorker::new(ROOM).incarnated(process);
+        let entry = Entry { worker, listing, started_ms: 0 };
+        self.workers.insert(id, entry);
     }
 
     fn fate_of(&self, task: &TaskId) -> Fate {
@@ -265,7 +295,8 @@
     fn note_started(&mut self, order: &StartOrder, now_ms: u64) {
         self.started.push((order.task, order.run));
         let runs = |entry: &mut Entry| {
-            let running = entry.worker.running(now_ms);
+            let clock_ms = entry.clock_ms(now_ms);
+            let running = entry.worker.running(clock_ms);
             running.iter().any(|(task, _)| *task == order.task)
         };
         let workers = self.workers.values_mut();
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -638,6 +638,20 @@
     }
 }
 
+// The ends of a restarted worker were taken for known ones: tasks were done twice.
+#[tokio::test]
+async fn workers_that_start_again_do_nothing_twice() {
+    let cluster = Cluster::start(2).await;
+    cluster.fleet.set_work_ms(50);
+    for number in 1..=12 {
+        submitted(&cluster, number as usize % 2, number).await;
+        until(async || cluster.fleet.running().len() >= 2).await;
+        cluster.fleet.restart(&format!("vm-{}", number % 4));
+        cluster.wait_for_phase(1, number, "completed").await;
+    }
+    assert_eq!(cluster.fleet.ran_twice(), []);
+}
+
 #[tokio::test]
 async fn a_wave_maintains_every_vm() {
     let cluster = Cluster::start(2).await;
