A worker's next process isn't emptied for what the one before was to leave for

Found by reading: where a VM has been moved or maintained and its worker is back under its identifier before the list of VMs shows the VM away, the next process would have been emptied for that move for ever. Whether it is to be emptied is decided anew. Tests of what does go on: room that is kept on the worker, and inherited tasks that don't wait for it (16,250 ms without). Each fails if its line is taken out.

--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -13,8 +13,9 @@
 - One that was started earlier is a former one, whatever the order in which its
   answers and entries arrive: it says nothing.
 
-What is kept is what was decided about the worker's VM and not about a process:
-why it is being emptied, and the room that is kept there for tasks.
+The room that is kept there for tasks stays kept, since it is the VM's. Whether the
+worker is to be emptied is decided anew: its VM may have been moved or maintained
+just now.
 
 A process that has ended or whose lease was over is remembered, so that its entry
 in the directory doesn't bring it back, and so that the tokens of the next go on
--- a/crates/dewspar/src/schedule/worker/succession.rs
+++ b/crates/dewspar/src/schedule/worker/succession.rs
@@ -1,7 +1,7 @@
 /*!
 What a worker's next process takes over from the one before: nothing that was
-known of that one, but what was decided about the worker, and the orders that may
-still be carried out.
+known of that one, but the room that is kept there, and the orders that may still
+be carried out.
 */
 
 use {
@@ -60,8 +60,6 @@
             synced: self.synced,
             kept: self.kept,
             listed: self.listed,
-            emptying: self.emptying,
-            emptying_since_ms: self.emptying_since_ms,
             ..Worker::new(listing, self.lease_revision, now_ms, options)
         };
         next.sum_kept();
--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -3,12 +3,13 @@
 use {
     crate::{
         crashing::{MOST_STARTS, first_task, starts_of},
-        world::{World, at, id, job, next_hold, step},
+        moving::look,
+        world::{RunKind, World, at, id, job, next_hold, step},
     },
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, HoldReport, Incarnation, OrderError, StartOrder,
+            Decision, HoldReport, Incarnation, OrderError, Room, StartOrder,
             WorkerId,
         },
     },
@@ -223,10 +224,7 @@
 /// Carries out a start that was sent to a former process.
 fn arrive(world: &mut World, id: &WorkerId, order: &StartOrder) -> bool {
     let clock = world.clock_of(id);
-    let demand = dewspar::schedule::Room {
-        cpu_millis: 1_000,
-        ..dewspar::schedule::Room::default()
-    };
+    let demand = Room { cpu_millis: 1_000, ..Room::default() };
     // OK because the worker was started a moment ago.
     let worker = world.workers.get_mut(id).expect("started");
     worker.start(clock, order, demand, Fate::endless()).is_ok()
@@ -381,3 +379,52 @@
     }
     assert_eq!(world.running(), [task]);
 }
+
+// A worker that nobody reached was waited for as if a former holder's runs were there.
+#[test]
+fn inherited_tasks_dont_wait_for_a_restarted_worker() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.run_for(500);
+    world.cut.push(w("w1"));
+    world.start_again(&w("w1"));
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 4, None);
+    let task = first_task(id(1)).to_string();
+    let after_ms = runs_after_ms(&mut world, &task, 20_000);
+    assert!(after_ms <= AGAIN_WITHIN_MS, "{after_ms} ms");
+}
+
+// Short tasks took the place of one that was being stopped for it.
+#[test]
+fn a_place_stays_kept_on_a_worker_that_started_again() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.stops_take_ms = 900;
+    world.fate = Fate::endless();
+    let large =
+        StepSpec { cpu_millis: 3_000, max_unavailable: 1, ..lasting(1) };
+    let demand = Room { cpu_millis: 3_000, ..Room::default() };
+    let kind = RunKind { demand, fate: Fate::endless() };
+    world.kinds.insert(id(1), kind);
+    world.scheduler.submit(id(1), job(vec![large]), 6, None);
+    // Later than any stop that a former holder may have ordered.
+    world.run_for(3_500);
+    let from = world.starts[0].0.clone();
+    let to = if from == w("w1") { w("w2") } else { w("w1") };
+    for listing in &mut world.listings {
+        listing.draining = listing.id == from;
+        listing.remaining_ms = Some(6_000);
+    }
+    world.list();
+    for _ in 0..4 {
+        look(&mut world);
+    }
+    world.start_again(&to);
+    world.list();
+    for number in 2..=5 {
+        world.scheduler.submit(id(number), job(vec![step(1)]), 7, None);
+    }
+    world.run_for(1_500);
+    let last = world.starts.iter().rfind(|(_, order)| order.task.job == id(1));
+    let (on, order) = last.expect("a start");
+    assert_eq!((on, order.run), (&to, 2), "{:?}", world.starts);
+}
