--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -9,8 +9,8 @@
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, HoldReport, Incarnation, OrderError, Room, StartOrder,
-            WorkerId,
+            Decision, Held, HoldReport, Incarnation, OrderError, Room,
+            StartOrder, WorkerId,
         },
     },
     dewspar_standin::task_worker::Fate,
@@ -428,3 +428,64 @@
     let (on, order) = last.expect("a start");
     assert_eq!((on, order.run), (&to, 2), "{:?}", world.starts);
 }
+
+// An acknowledgement to the former process made the next one forget its ends.
+#[test]
+fn ends_are_heard_before_they_are_acknowledged() {
+    let mut world = restarting(&["w1"]);
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(3_000);
+    world.start_again(&w("w1"));
+    // It is done when the first question to the new process arrives.
+    world.fate = Fate::done(0);
+    world.scheduler.submit(id(2), job(vec![step(1)]), 7, None);
+    world.run_for(3_000);
+    assert_eq!(starts_of(&world, &first_task(id(2))), 1);
+    assert_eq!(world.phases[&id(2)], "completed");
+}
+
+/// Asks a worker of which some ends are acknowledged, and starts it again before
+/// the question arrives; the directory tells of that.
+fn question_to_former_process(world: &mut World) -> Held {
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(3_000);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(2), job(vec![step(1)]), 7, None);
+    world.run_for(1_000);
+    let held = next_hold(world, &w("w1"));
+    world.start_again(&w("w1"));
+    world.list();
+    world.fate = Fate::done(100);
+    held
+}
+
+// What the former process had acknowledged counted for the next one.
+#[test]
+fn ends_of_a_restarted_worker_are_acknowledged() {
+    let mut world = restarting(&["w1"]);
+    let held = question_to_former_process(&mut world);
+    let next = world.workers.get_mut(&w("w1")).expect("started");
+    let report = next.hold(0, held.order()).expect("an answer");
+    let now = at(world.now_ms);
+    world.scheduler.hold_answered(&w("w1"), &held, &report, now);
+    world.run_for(3_000);
+    assert_eq!(world.phases[&id(2)], "completed");
+    assert_eq!(world.workers[&w("w1")].ended(), []);
+}
+
+// Questions to the former process that failed made the next one silent.
+#[test]
+fn failed_questions_to_a_former_process_dont_silence_the_next() {
+    let mut world = restarting(&["w1"]);
+    let held = question_to_former_process(&mut world);
+    world.run_for(1_000);
+    let now = at(world.now_ms);
+    for _ in 0..2 {
+        let lost = OrderError::Unknown;
+        world.scheduler.hold_failed(&w("w1"), &held, lost, now);
+    }
+    let starts = world.starts.len();
+    world.scheduler.submit(id(3), job(vec![step(1)]), 8, None);
+    world.run_for(50);
+    assert_eq!(world.starts.len(), starts + 1);
+}
