--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -11,7 +11,7 @@
         job::TaskId,
         schedule::{
             Decision, Now, Room, Scheduler, WorkerId, WorkerListing,
-            processes::Told,
+            processes::Succession,
             suspects::LostRuns,
             worker::{Run, Worker},
         },
@@ -84,28 +84,28 @@
             if !self.former.is_of_ended(&listing, asked_ms) {
                 let id = listing.id.clone();
                 let mut worker = self.listed_worker(listing, now);
-                worker.told_ms = asked_ms;
+                worker.reported_at_ms = asked_ms;
                 self.workers.insert(id, worker);
             }
             return;
         }
         let told = listing.incarnation;
         match self.judge_process(&listing.id, told, "the directory") {
-            Told::Same => {}
-            Told::Newer => {
+            Succession::Same => {}
+            Succession::Newer => {
                 self.go_on_with_next(listing, asked_ms, now);
                 return;
             }
-            Told::Former => return,
+            Succession::Former => return,
         }
         let worker = self.workers.get(&listing.id);
         // A worker that drains since would be given work again.
-        if worker.is_some_and(|worker| worker.is_told_since(asked_ms)) {
+        if worker.is_some_and(|worker| worker.is_reported_since(asked_ms)) {
             return;
         }
         if let Some(worker) = self.workers.list(listing) {
             worker.listed = true;
-            worker.told_ms = asked_ms;
+            worker.reported_at_ms = asked_ms;
         }
     }
 
@@ -143,7 +143,7 @@
         let missing = |worker: &&Worker| {
             worker.listed
                 && !listed.contains(worker.id())
-                && !worker.is_told_since(asked_ms)
+                && !worker.is_reported_since(asked_ms)
         };
         let missing = self.workers.values().filter(missing);
         let missing: Vec<WorkerId> =
@@ -174,7 +174,7 @@
         self.workers
             .values()
             .filter(|worker| vms.contains(worker.listing.vm.as_str()))
-            .filter(|worker| !worker.is_told_since(asked_ms))
+            .filter(|worker| !worker.is_reported_since(asked_ms))
             .map(Worker::id)
             .filter(|id| !listed.contains(id))
             .cloned()
@@ -204,7 +204,7 @@
             let listing = WorkerListing::unlisted(id.clone(), pool);
             let mut worker = self.new_worker(listing, now);
             // It hasn't said anything of itself.
-            worker.told_ms = 0;
+            worker.reported_at_ms = 0;
             self.workers.insert(id, worker);
         }
     }
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -46,7 +46,7 @@
 
 /// How a process that tells of itself stands to the known one of its worker.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum Told {
+pub(super) enum Succession {
     /// It is the known one.
     Same,
     /// It has taken the known one's place.
@@ -55,14 +55,14 @@
     Former,
 }
 
-impl Told {
-    pub(super) fn of(told: Incarnation, known: Incarnation) -> Told {
+impl Succession {
+    pub(super) fn of(told: Incarnation, known: Incarnation) -> Succession {
         if told == known || known == Incarnation::UNKNOWN {
-            Told::Same
+            Succession::Same
         } else if told > known {
-            Told::Newer
+            Succession::Newer
         } else {
-            Told::Former
+            Succession::Former
         }
     }
 }
@@ -150,11 +150,13 @@
         id: &WorkerId,
         told: Incarnation,
         source: &'static str,
-    ) -> Told {
-        let Some(worker) = self.workers.get(id) else { return Told::Same };
+    ) -> Succession {
+        let Some(worker) = self.workers.get(id) else {
+            return Succession::Same;
+        };
         let known = worker.listing.incarnation;
-        let judged = Told::of(told, known);
-        if judged != Told::Same {
+        let judged = Succession::of(told, known);
+        if judged != Succession::Same {
             let worker = id.clone();
             self.note(Decision::OtherProcess { worker, known, told, source });
         }
@@ -167,7 +169,7 @@
     pub(super) fn go_on_with_next(
         &mut self,
         listing: WorkerListing,
-        told_ms: u64,
+        reported_at_ms: u64,
         now: Now,
     ) {
         let id = listing.id.clone();
@@ -177,8 +179,8 @@
         let had_lapsed = former.is_lapsed();
         let ended = former.take_listed_runs();
         let mut next = former.followed_by(listing, now, &self.options);
-        next.told_ms = told_ms;
-        next.listed |= told_ms > 0;
+        next.reported_at_ms = reported_at_ms;
+        next.listed |= reported_at_ms > 0;
         self.workers.insert(id.clone(), next);
         self.claims.forget(&id);
         self.forget_tickets(&id);
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -11,7 +11,7 @@
             WorkerListing,
             answers::call_end,
             board::{Job, demand},
-            processes::Told,
+            processes::Succession,
             worker::{OwedHold, Run, RunState},
         },
     },
@@ -54,12 +54,12 @@
         self.hold_ended(held, None, now);
         let told = report.incarnation;
         match self.judge_process(worker_id, told, "an answer") {
-            Told::Same => {}
-            Told::Newer => {
+            Succession::Same => {}
+            Succession::Newer => {
                 self.next_process_answered(worker_id, told, now);
                 return;
             }
-            Told::Former => {
+            Succession::Former => {
                 self.former_process_answered(worker_id, held, now);
                 return;
             }
@@ -71,7 +71,7 @@
             return;
         }
         worker.listing.incarnation = told;
-        worker.leave_alone(now.steady_ms + pause_ms);
+        worker.back_off(now.steady_ms + pause_ms);
         let first = !worker.synced;
         let latest_ms = worker.latest_report_ms();
         let owed = OwedHold { order: held.order, fencing: held.fencing };
@@ -93,7 +93,7 @@
                 break;
             }
             let worker = self.workers.get_mut(worker_id);
-            if worker.is_some_and(|worker| worker.see_end(end.number)) {
+            if worker.is_some_and(|worker| worker.record_end(end.number)) {
                 self.run_ended(worker_id, end, now);
             }
         }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -599,7 +599,7 @@
     /// renewed, the others as far as the link has room, in the order in which
     /// they were due.
     fn hold_workers(&mut self, now: Now, actions: &mut Vec<Action>) {
-        let patient =
+        let long_poll =
             self.link.is_short(now.steady_ms) || self.ask_pause_ms() > 0;
         let mut due: Vec<(Class, u64, WorkerNumber)> = Vec::new();
         for number in self.due_workers(now) {
@@ -624,7 +624,7 @@
             }
             room = room.saturating_sub(1);
             let Some(worker) = self.workers.at_mut(number) else { continue };
-            worker.let_wait(patient);
+            worker.set_long_poll(long_poll);
             let hold = hold(worker, false, now, &self.options);
             if let Some(Action::Hold { held, .. }) = &hold {
                 let bytes = worker.question_bytes(self.link.order_bytes());
--- a/crates/dewspar/src/schedule/set_aside.rs
+++ b/crates/dewspar/src/schedule/set_aside.rs
@@ -113,7 +113,7 @@
         self.awaited.remove(&id);
         // Else they are acknowledged with the next write of other jobs.
         for worker in self.workers.values_mut() {
-            worker.hear_again(id);
+            worker.redeliver(id);
         }
         self.drop_old_advice();
     }
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -30,7 +30,7 @@
     schedule::{
         Decision, Incarnation, Now, Scheduler, VmLife, WorkerId,
         board::{Job, Task},
-        processes::Told,
+        processes::Succession,
         suspects::{Crashes, LostRuns},
         worker::Worker,
     },
@@ -140,7 +140,7 @@
             return Outcome::Found;
         }
         let known = told.listing.incarnation;
-        if Told::of(known, start.process) == Told::Newer {
+        if Succession::of(known, start.process) == Succession::Newer {
             return Outcome::Crashed;
         }
         if told.is_accounted_for() {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -260,13 +260,13 @@
     asked_ms: u64,
     fence_hold_in_flight: bool,
     next_hold_ms: u64,
-    /// Until when it is left alone so that it gathers what it has to tell.
-    left_alone_ms: u64,
+    /// Until when it isn't polled, so that it gathers ends.
+    backoff_until_ms: u64,
     /// Whether the last hold got no answer. A single answer may be lost on
     /// its way; only a second one in a row makes the worker silent.
     missed_hold: bool,
     /// Whether it may wait longer for an end than usual.
-    patient: bool,
+    long_poll: bool,
     /// Whether its newest answer names jobs that aren't loaded yet.
     unknown_runs: bool,
     /// Since when it hasn't answered; `None` while it does.
@@ -294,7 +294,7 @@
     /// Whether the directory still lists it.
     pub(crate) listed: bool,
     /// As of when it is known what it says of itself.
-    pub(crate) told_ms: u64,
+    pub(crate) reported_at_ms: u64,
     /// How many of the runs take nobody knows what.
     unmeasured: usize,
     /// Whether its newest answer had runs that couldn't be read.
@@ -340,9 +340,9 @@
             asked_ms: 0,
             fence_hold_in_flight: false,
             next_hold_ms: 0,
-            left_alone_ms: 0,
+            backoff_until_ms: 0,
             missed_hold: false,
-            patient: false,
+            long_poll: false,
             unknown_runs: false,
             silent_since_ms: None,
             unanswered_since_ms: None,
@@ -358,7 +358,7 @@
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !listed_nowhere,
-            told_ms: now_ms,
+            reported_at_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
             lists_passed_over: false,
@@ -473,14 +473,14 @@
 
     /// Returns whether what it says of itself is known as of a later time than
     /// this one of the steady clock, in milliseconds.
-    pub(crate) fn is_told_since(&self, asked_ms: u64) -> bool {
-        self.told_ms > asked_ms
+    pub(crate) fn is_reported_since(&self, asked_ms: u64) -> bool {
+        self.reported_at_ms > asked_ms
     }
 
     /// Returns whether it is known for sure what it has room for: what it
     /// said of itself is no older than that, and so is all that runs there.
     pub(crate) fn has_sure_room(&self, now_ms: u64, most_age_ms: u64) -> bool {
-        now_ms <= self.told_ms + most_age_ms
+        now_ms <= self.reported_at_ms + most_age_ms
             && self.unmeasured == 0
             && !self.unread_runs
     }
@@ -705,7 +705,7 @@
     }
 
     /// Takes note of an end; returns false if it was known already.
-    pub(crate) fn see_end(&mut self, number: u64) -> bool {
+    pub(crate) fn record_end(&mut self, number: u64) -> bool {
         let new = number > self.seen_end;
         self.seen_end = self.seen_end.max(number);
         new
@@ -723,7 +723,7 @@
 
     /// Forgets the ends of a job whose change isn't stored, and all after the
     /// first of them, so that they are heard again.
-    pub(crate) fn hear_again(&mut self, job: JobId) {
+    pub(crate) fn redeliver(&mut self, job: JobId) {
         let first = self.unstored.iter().position(|end| end.job == job);
         let Some(first) = first else { return };
         self.seen_end = self.unstored[first].number.saturating_sub(1);
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -12,10 +12,9 @@
 };
 
 /// How long a worker may wait for an end while this node's link or processor is
-/// short, in milliseconds. Workers with lasting runs only answer when their time is up:
-/// with the usual 300 ms, 118 of them took a third of what a link of 2 Mbit/s
-/// carries of orders.
-const PATIENT_WAIT_MS: u64 = 1_000;
+/// short, in milliseconds. Workers with lasting runs only answer when their time
+/// is up, and longer polls take less of both.
+const LONG_POLL_MS: u64 = 1_000;
 
 /// A hold that is owed to a worker.
 #[derive(Clone, Copy, Debug)]
@@ -46,7 +45,7 @@
             // Nothing starts there before that: it isn't put off.
             return Some(self.next_hold_ms);
         }
-        ordinary.then_some(self.next_hold_ms.max(self.left_alone_ms))
+        ordinary.then_some(self.next_hold_ms.max(self.backoff_until_ms))
     }
 
     /// Returns from when its lease is over for certain, if it is silent.
@@ -101,10 +100,10 @@
             || self.missed_hold
             || self.runs.is_empty();
         let watching = &options.policy.watching;
-        let wait_ms = match (at_once, self.patient) {
+        let wait_ms = match (at_once, self.long_poll) {
             (true, _) => 0,
             (false, false) => watching.hold_wait_ms,
-            (false, true) => watching.hold_wait_ms.max(PATIENT_WAIT_MS),
+            (false, true) => watching.hold_wait_ms.max(LONG_POLL_MS),
         };
         // A worker that is silent gets no longer lease, nor does one on which
         // all is to stop: its runs must be over for certain some day.
@@ -142,15 +141,15 @@
     }
 
     /// Sets whether it may wait longer for an end before it answers.
-    pub(crate) fn let_wait(&mut self, patient: bool) {
-        self.patient = patient;
+    pub(crate) fn set_long_poll(&mut self, long_poll: bool) {
+        self.long_poll = long_poll;
     }
 
     /// Asks it nothing before that, but for what makes earlier orders void.
     ///
     /// A short answer for each end is what a busy node has no time for.
-    pub(crate) fn leave_alone(&mut self, until_ms: u64) {
-        self.left_alone_ms = until_ms;
+    pub(crate) fn back_off(&mut self, until_ms: u64) {
+        self.backoff_until_ms = until_ms;
     }
 
     /// Sets from when it is asked again.
