A crash that a holder counted isn't counted again by the next

The record that is stored then names the former process as the one that was told. The next holder finds another process there, takes the start for lost with it, and counts the same crash once more: 4 crashes where 3 workers were lost. Now the record names the process that may carry the order out by then.

Ruled out: two sources that tell of one crash (one line of Suspected a holder).

Before: a_crash_that_was_counted_is_not_counted_by_the_next_holder 3, now 2; it fails without the change. Elsewhere: a told process is also set when a start is ordered, which is right; a worker that is gone leaves no outlived run.

--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -33,9 +33,12 @@
 
 use {
     super::worker::{TokensUsed, Worker},
-    crate::schedule::{
-        Decision, Incarnation, Now, Scheduler, WorkerId, WorkerListing,
-        suspects::LostRuns,
+    crate::{
+        job::TaskId,
+        schedule::{
+            Decision, Incarnation, Now, Scheduler, WorkerId, WorkerListing,
+            suspects::LostRuns,
+        },
     },
     std::collections::BTreeMap,
 };
@@ -181,7 +184,11 @@
         let mut next = former.followed_by(listing, now, &self.options);
         next.reported_at_ms = reported_at_ms;
         next.listed |= reported_at_ms > 0;
+        let outlived: Vec<TaskId> = next.runs.keys().copied().collect();
         self.workers.insert(id.clone(), next);
+        for task in &outlived {
+            self.note_told_next(task, &id);
+        }
         self.claims.forget(&id);
         self.forget_tickets(&id);
         let reason = "its worker has started again";
@@ -190,4 +197,16 @@
             self.note_crash(&id, &lost, now);
         }
     }
+
+    /// Notes that a worker's next process is now the one that may carry out the
+    /// order to start a task: the end of the one before is known, and must not be
+    /// found anew by the next holder.
+    fn note_told_next(&mut self, task: &TaskId, id: &WorkerId) {
+        let Some(worker) = self.workers.get(id) else { return };
+        let process = worker.listing.incarnation;
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+            state.told_process = process;
+        }
+    }
 }
--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -334,6 +334,39 @@
     }
 }
 
+// A crash that a holder had counted was counted again by the next one: the record
+// still named the process that had ended.
+#[test]
+fn a_crash_that_was_counted_is_not_counted_by_the_next_holder() {
+    let mut world = restarting(&["w1"]);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.loses_starts = true;
+    for crashes in 1..=2 {
+        let starts = world.starts.len();
+        while world.starts.len() == starts {
+            world.run_for(50);
+        }
+        // It isn't heard that the order never arrived.
+        world.cut.push(w("w1"));
+        world.start_again(&w("w1"));
+        world.list();
+        world.run_for(50);
+        assert_eq!(world.stored[&id(1)].tasks[0].crashes, crashes);
+        if crashes < 2 {
+            world.cut.clear();
+        }
+    }
+    let progress = world.stored[&id(1)].clone();
+    world.take_over(8);
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, Some(&progress));
+    world.cut.clear();
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    assert_eq!(world.stored[&id(1)].tasks[0].crashes, 2);
+}
+
 // An entry or an answer that doesn't say which process it is from, or names an
 // earlier one, changes nothing; the others hold.
 #[test]
