A task whose start is in doubt starts on the same worker only

Orders name the worker, not its process, so neither side can tell; a void order is only void for as long as the process lives.

Now such a task starts on that worker only, for as long as an order may be late (schedule::in_doubt, 12 s): there the two can't be side by side. The starts in doubt are part of the job's record, so a chain of holders knows of them. Only workers that tell their processes are concerned, and tasks of which no copies may run. The same cause elsewhere: a start without an answer on a worker that was first known to have ended (listed as open before), and a start that a former holder has on record; both are mended here, since it is one rule.

--- a/crates/dewspar/src/job/mod.rs
+++ b/crates/dewspar/src/job/mod.rs
@@ -34,7 +34,7 @@
 
 pub use self::{
     id::{InvalidId, JobId, TaskId},
-    progress::{Phase, Progress, TaskRecord},
+    progress::{InDoubtRecord, Phase, Progress, TaskRecord},
     queue::{Queue, QueueSet},
     spec::{InvalidSpec, JobSpec, Repeat, StepSpec},
 };
--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -120,11 +120,32 @@
     /// The checkpoint to go on from; empty for none.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub checkpoint: String,
+    /// The workers that may still carry out an order to start it which got no
+    /// answer.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub in_doubt: Vec<InDoubtRecord>,
     /// What else a newer version has said of it.
     #[serde(flatten)]
     pub other: OtherFields,
 }
 
+/// What is stored of an order to start a task that got no answer.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct InDoubtRecord {
+    /// The worker that it was sent to.
+    pub worker: String,
+    /// The VM of that worker; empty if it isn't known.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub vm: String,
+    /// The run's number; 0 if it isn't known.
+    #[serde(default, skip_serializing_if = "is_zero_run")]
+    pub run: u64,
+}
+
 fn is_zero(number: &u32) -> bool {
     *number == 0
 }
+
+fn is_zero_run(run: &u64) -> bool {
+    *run == 0
+}
--- a/crates/dewspar/src/job/stored.rs
+++ b/crates/dewspar/src/job/stored.rs
@@ -122,6 +122,7 @@
         && task.crashes == 0
         && task.failed_runs.is_empty()
         && task.checkpoint.is_empty()
+        && task.in_doubt.is_empty()
         && task.other.is_empty()
 }
 
--- a/crates/dewspar/src/schedule/answers.rs
+++ b/crates/dewspar/src/schedule/answers.rs
@@ -63,6 +63,7 @@
         });
         match error {
             OrderError::Unknown => {
+                self.note_in_doubt(task, worker_id, run, sent_ms);
                 // OK because the worker was found above.
                 let worker = self.workers.get_mut(worker_id).expect("known");
                 worker.note_unanswered(now.steady_ms);
--- a/crates/dewspar/src/schedule/board.rs
+++ b/crates/dewspar/src/schedule/board.rs
@@ -3,7 +3,8 @@
         fields::OtherFields,
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
         schedule::{
-            Incarnation, QueueTerms, Room, WorkerId, suspects::Crashes,
+            Incarnation, QueueTerms, Room, WorkerId, in_doubt::StartsInDoubt,
+            suspects::Crashes,
         },
     },
     std::{collections::BTreeSet, sync::Arc},
@@ -57,6 +58,8 @@
     pub(crate) avoid: Vec<WorkerId>,
     /// The workers that were lost under it, in a row.
     pub(crate) crashes: Crashes,
+    /// Its starts whose orders got no answer and may still be carried out.
+    pub(crate) in_doubt: StartsInDoubt,
     /// What a newer version has stored of it besides.
     pub(crate) other: OtherFields,
 }
@@ -191,20 +194,29 @@
         self.estimates_from_ms[step]
     }
 
-    /// Returns every task that is on a worker, with where it is.
-    pub(crate) fn placed(
+    /// Returns every task.
+    pub(crate) fn tasks(
         &self,
         id: JobId,
-    ) -> impl Iterator<Item = (TaskId, &WorkerId)> {
+    ) -> impl Iterator<Item = (TaskId, &Task)> {
         (0..).zip(&self.rounds).flat_map(move |(round, steps)| {
             (0..).zip(steps).flat_map(move |(step, state)| {
-                (0..).zip(&state.tasks).flat_map(move |(index, task)| {
-                    let id = TaskId { job: id, round, step, index };
-                    task.on.iter().map(move |worker| (id, worker))
+                (0..).zip(&state.tasks).map(move |(index, task)| {
+                    (TaskId { job: id, round, step, index }, task)
                 })
             })
         })
     }
+
+    /// Returns every task that is on a worker, with where it is.
+    pub(crate) fn placed(
+        &self,
+        id: JobId,
+    ) -> impl Iterator<Item = (TaskId, &WorkerId)> {
+        self.tasks(id).flat_map(|(id, task)| {
+            task.on.iter().map(move |worker| (id, worker))
+        })
+    }
 }
 
 impl Step {
@@ -226,6 +238,7 @@
         task.ended_run = record.run;
         task.checkpoint = record.checkpoint.clone();
         task.crashes = Crashes::restored(record);
+        task.in_doubt = StartsInDoubt::restored(&record.in_doubt);
         task.other = record.other.clone();
         if record.done && !task.done {
             task.done = true;
@@ -244,6 +257,7 @@
             task.ended_run > 0
                 || task.done
                 || task.crashes.are_on_record()
+                || !task.in_doubt.is_empty()
                 || !task.other.is_empty()
         };
         tasks.filter(move |(_, task)| known(task)).map(move |(index, task)| {
@@ -267,6 +281,11 @@
                 } else {
                     task.checkpoint.clone()
                 },
+                in_doubt: if task.done {
+                    Vec::new()
+                } else {
+                    task.in_doubt.records()
+                },
                 other: task.other.clone(),
             }
         })
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -63,6 +63,7 @@
         for id in replaced {
             self.worker_gone(&id, "its VM runs a new worker", now);
         }
+        self.forget_void_starts(now);
     }
 
     /// Takes in one worker's entry in the directory as it is now.
@@ -266,6 +267,7 @@
         let lost = LostRuns::of(&worker, now);
         let answered_ms = worker.answered_worker_ms();
         let runs = std::mem::take(&mut worker.runs);
+        self.note_lost_in_doubt(&worker, &runs);
         self.lose_runs(id, runs, answered_ms, reason, now);
         self.note(Decision::WorkerGone { worker: id.clone(), reason });
         self.note_crash(id, &lost, now);
--- /dev/null
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -0,0 +1,286 @@
+/*!
+Starts whose outcome is in doubt, since their orders got no answer.
+
+Such an order may be carried out seconds later. The process that it was sent to
+refuses it once it has answered under a higher token, but a worker's next
+process has seen no token: it would start the run, while the task is at work
+elsewhere by then. Orders name the worker and not its process, so neither end can
+tell the two apart.
+
+So as long as an order may still arrive, its task starts on that worker only.
+There the two can't run side by side: while the process lives it refuses the
+earlier order, and if it ends, the later run ends with it, and nothing is started
+before the next process has answered under a token that makes void what was sent
+before. A worker that answers takes the task again at once, so that this costs
+nothing but the choice of a worker.
+
+Workers that don't tell their processes come back under another name, which
+refuses orders for the former one; so they need none of this, and neither do
+tasks of which copies may run.
+
+Starts in doubt are stored with the job's progress: the next holder, which can't
+know when they were sent, counts from when it took over.
+
+# Example
+
+```text
+start  run 1 on w1           no answer: in doubt
+w1     answers under a higher token, and doesn't list run 1
+start  run 2 on w1           elsewhere only once run 1 can't arrive any more
+w1     starts again          run 2 is over; run 1 may still arrive
+w1     answers under a higher token: run 1 is refused, or listed
+```
+*/
+
+use {
+    crate::{
+        job::{InDoubtRecord, JobId, TaskId},
+        schedule::{
+            Decision, Now, Scheduler, WorkerId,
+            board::Task,
+            worker::{Run, Worker},
+        },
+    },
+    std::collections::BTreeMap,
+};
+
+/// For how long an order without an answer may still be carried out, in
+/// milliseconds.
+const MAY_ARRIVE_MS: u64 = 12_000;
+
+/// The number of a run that a former holder has on record as ordered.
+const UNKNOWN_RUN: u64 = 0;
+
+/// A start whose order got no answer.
+#[derive(Clone, Debug)]
+struct InDoubt {
+    worker: WorkerId,
+    /// The VM of that worker; empty if it isn't known.
+    vm: String,
+    /// The run's number, or [`UNKNOWN_RUN`].
+    run: u64,
+    /// When it was ordered; `None` for by a former holder.
+    ordered_ms: Option<u64>,
+}
+
+impl InDoubt {
+    /// Returns whether it may still be carried out.
+    fn may_arrive(&self, now: Now, taken_over_ms: u64) -> bool {
+        let from_ms = self.ordered_ms.unwrap_or(taken_over_ms);
+        now.steady_ms < from_ms + MAY_ARRIVE_MS
+    }
+}
+
+/// The starts of one task whose orders got no answer.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct StartsInDoubt(Vec<InDoubt>);
+
+impl StartsInDoubt {
+    /// Makes those that a former holder stored.
+    pub(crate) fn restored(records: &[InDoubtRecord]) -> StartsInDoubt {
+        let restored = records.iter().map(|record| InDoubt {
+            worker: WorkerId::new(&record.worker),
+            vm: record.vm.clone(),
+            run: record.run,
+            ordered_ms: None,
+        });
+        StartsInDoubt(restored.collect())
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns what a later holder must know of them.
+    pub(crate) fn records(&self) -> Vec<InDoubtRecord> {
+        let record = |start: &InDoubt| InDoubtRecord {
+            worker: start.worker.to_string(),
+            vm: start.vm.clone(),
+            run: start.run,
+        };
+        self.0.iter().map(record).collect()
+    }
+
+    /// Adds those that are on record and aren't known.
+    pub(crate) fn add(&mut self, records: &[InDoubtRecord]) {
+        for start in StartsInDoubt::restored(records).0 {
+            if !self.has(&start.worker, start.run) {
+                self.0.push(start);
+            }
+        }
+    }
+
+    /// Returns whether the task may start on a worker.
+    pub(super) fn allow(
+        &self,
+        worker: &WorkerId,
+        now: Now,
+        taken_over_ms: u64,
+    ) -> bool {
+        let mut others = self.0.iter().filter(|start| start.worker != *worker);
+        !others.any(|start| start.may_arrive(now, taken_over_ms))
+    }
+
+    fn has(&self, worker: &WorkerId, run: u64) -> bool {
+        let mut known = self.0.iter();
+        known.any(|start| start.worker == *worker && start.run == run)
+    }
+
+    fn settle(&mut self, worker: &WorkerId, run: u64) {
+        self.0.retain(|start| start.worker != *worker || start.run != run);
+    }
+}
+
+impl Scheduler {
+    /// Notes that it isn't known whether a run that was ordered at this time, in
+    /// milliseconds, has begun or will.
+    pub(super) fn note_in_doubt(
+        &mut self,
+        task: &TaskId,
+        worker_id: &WorkerId,
+        run: u64,
+        ordered_ms: u64,
+    ) {
+        let Some(worker) = self.workers.get(worker_id) else { return };
+        if worker.tells_its_process() {
+            let start = in_doubt(worker, run, ordered_ms);
+            self.add_in_doubt(task, start);
+        }
+    }
+
+    /// Notes the same of all starts without an answer on a worker that is lost.
+    pub(super) fn note_lost_in_doubt(
+        &mut self,
+        worker: &Worker,
+        runs: &BTreeMap<TaskId, Run>,
+    ) {
+        if !worker.tells_its_process() {
+            return;
+        }
+        for (task, run) in runs.iter().filter(|(_, run)| !run.has_begun()) {
+            let start = in_doubt(worker, run.run, run.since_ms);
+            self.add_in_doubt(task, start);
+        }
+    }
+
+    fn add_in_doubt(&mut self, task: &TaskId, start: InDoubt) {
+        let Some(state) = self.task_to_protect(task) else { return };
+        if state.in_doubt.has(&start.worker, start.run) {
+            return;
+        }
+        let worker = start.worker.clone();
+        state.in_doubt.0.push(start);
+        self.tasks_in_doubt.insert(*task);
+        self.mark_changed(task.job);
+        let for_ms = MAY_ARRIVE_MS;
+        self.note(Decision::InDoubt { task: *task, worker, for_ms });
+    }
+
+    /// Notes that a former holder has a start on record as ordered.
+    pub(super) fn note_told_in_doubt(
+        &mut self,
+        task: &TaskId,
+        worker_id: &WorkerId,
+    ) {
+        let Some(state) = self.task_to_protect(task) else { return };
+        let worker = worker_id.clone();
+        let vm = String::new();
+        let start = InDoubt { worker, vm, run: UNKNOWN_RUN, ordered_ms: None };
+        state.in_doubt.0.push(start);
+    }
+
+    /// Returns a task that is still to be done and must not run twice at once.
+    fn task_to_protect(&mut self, task: &TaskId) -> Option<&mut Task> {
+        let job = self.jobs.get_mut(&task.job)?;
+        let copies = job.step_spec(task)?.may_duplicate;
+        if copies || job.phase.is_final() {
+            return None;
+        }
+        job.task_mut(task).filter(|state| !state.done)
+    }
+
+    /// Returns whether some start of a task is in doubt.
+    pub(super) fn is_in_doubt(&self, task: &TaskId) -> bool {
+        self.tasks_in_doubt.contains(task)
+    }
+
+    /// Keeps in mind which tasks of a job that was loaded are in doubt.
+    pub(super) fn note_loaded_in_doubt(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let in_doubt = job.tasks(id).filter(|(_, t)| !t.in_doubt.is_empty());
+        self.tasks_in_doubt.extend(in_doubt.map(|(task, _)| task));
+    }
+
+    /// Notes that a run is where it was ordered: its order can't be carried out
+    /// once more.
+    pub(super) fn settle_in_doubt(
+        &mut self,
+        task: &TaskId,
+        worker_id: &WorkerId,
+        run: u64,
+    ) {
+        // Nearly no task is in doubt, and this is asked of each run that is listed.
+        if !self.is_in_doubt(task) {
+            return;
+        }
+        let job = self.jobs.get_mut(&task.job);
+        if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+            state.in_doubt.settle(worker_id, run);
+        }
+    }
+
+    /// Notes the same of a run that this holder hasn't ordered.
+    pub(super) fn settle_found_in_doubt(
+        &mut self,
+        task: &TaskId,
+        worker_id: &WorkerId,
+        run: u64,
+    ) {
+        self.settle_in_doubt(task, worker_id, run);
+        self.settle_in_doubt(task, worker_id, UNKNOWN_RUN);
+    }
+
+    /// Forgets the starts in doubt that can't be carried out any more: their
+    /// time is over, or their VM runs a worker of another name.
+    pub(super) fn forget_void_starts(&mut self, now: Now) {
+        let tasks = std::mem::take(&mut self.tasks_in_doubt);
+        for task in tasks {
+            let state = self.jobs.get(&task.job).and_then(|j| j.task(&task));
+            let Some(state) = state.filter(|state| !state.done) else {
+                continue;
+            };
+            let mut left = state.in_doubt.clone();
+            left.0.retain(|start| {
+                start.may_arrive(now, self.taken_over_ms)
+                    && !self.is_replaced(start)
+            });
+            if !left.is_empty() {
+                self.tasks_in_doubt.insert(task);
+            }
+            let job = self.jobs.get_mut(&task.job);
+            if let Some(state) = job.and_then(|job| job.task_mut(&task)) {
+                state.in_doubt = left;
+            }
+        }
+    }
+
+    /// Returns whether the VM of a start runs a worker of another name, which
+    /// refuses that order.
+    fn is_replaced(&self, start: &InDoubt) -> bool {
+        let other = |worker: &Worker| {
+            worker.listing.vm == start.vm && *worker.id() != start.worker
+        };
+        !start.vm.is_empty()
+            && !self.workers.contains_key(&start.worker)
+            && self.workers.values().any(other)
+    }
+}
+
+fn in_doubt(worker: &Worker, run: u64, ordered_ms: u64) -> InDoubt {
+    InDoubt {
+        worker: worker.id().clone(),
+        vm: worker.listing.vm.clone(),
+        run,
+        ordered_ms: Some(ordered_ms),
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -127,6 +127,7 @@
 mod duty;
 mod forecast;
 mod full_pools;
+mod in_doubt;
 mod jobs;
 mod lasting;
 mod loading;
@@ -413,6 +414,16 @@
         /// How many other runs its worker had, of all jobs.
         beside: usize,
     },
+    /// An order to start a task got no answer and may still be carried out: the
+    /// task starts on that worker only for a while.
+    InDoubt {
+        /// The task.
+        task: TaskId,
+        /// The worker.
+        worker: WorkerId,
+        /// For how long at most, in milliseconds.
+        for_ms: u64,
+    },
     /// A worker was lost soon after it had been told to start a run.
     Suspected {
         /// The task.
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -208,6 +208,7 @@
                     actions.extend(self.ask_adviser(spec, &task, now));
                     break;
                 }
+                Err(NotNow::NoRoom) if self.is_in_doubt(&task) => {}
                 Err(NotNow::NoRoom) => {
                     without_place = true;
                     if self.may_go_anywhere(spec, &task) {
@@ -265,12 +266,15 @@
     }
 
     /// Returns whether a task looks for its place by itself: it has failed on
-    /// some worker, may crash them, or has a place kept for it.
+    /// some worker, may crash them, may still start on one, or has a place kept
+    /// for it.
     pub(super) fn has_own_place(&self, task: &TaskId) -> bool {
         let state = self.jobs[&task.job].task(task);
         self.places.place_of(task).is_some()
             || state.is_some_and(|state| {
-                !state.avoid.is_empty() || state.crashes.count > 0
+                !state.avoid.is_empty()
+                    || state.crashes.count > 0
+                    || !state.in_doubt.is_empty()
             })
     }
 
@@ -368,6 +372,7 @@
                 && worker.takes_orders(now.steady_ms)
                 && (guarded || worker.has_sure_room(now.steady_ms, TOLD_MS))
                 && !worker.runs.contains_key(task)
+                && state.in_doubt.allow(worker.id(), now, self.taken_over_ms)
                 && company.is_none_or(|company| company.allows(worker))
                 && !self.is_kept_from(worker, task, tested, now)
                 && steadiness.is_none_or(|s| self.is_as_steady(worker, s, now))
--- a/crates/dewspar/src/schedule/records.rs
+++ b/crates/dewspar/src/schedule/records.rs
@@ -62,6 +62,7 @@
         for (task, worker) in useless {
             self.stop_run(&task, &worker, "done on record");
         }
+        self.note_loaded_in_doubt(id);
         self.mark_changed(id);
         for record in &record.tasks {
             self.finish_if_failed_or_done(&task_id(id, record), now);
@@ -131,6 +132,7 @@
         if record.crashes > self.crashes.count {
             self.crashes = Crashes::restored(record);
         }
+        self.in_doubt.add(&record.in_doubt);
         self.other.add(&record.other);
     }
 }
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -37,6 +37,7 @@
     task: TaskId,
     run: u64,
     age_ms: u64,
+    ordered_ms: u64,
     begun: bool,
     /// Whether the process that was to start it has ended.
     is_outlived: bool,
@@ -408,11 +409,17 @@
                 if was_starting {
                     worker.start_shown();
                 }
+                self.settle_in_doubt(&active.task, worker_id, active.run);
                 self.clear_if_sound(worker_id, &active.task);
             }
             Found::Adopt(demand) => {
                 run.demand = demand;
                 worker.insert(active.task, run);
+                self.settle_found_in_doubt(
+                    &active.task,
+                    worker_id,
+                    active.run,
+                );
                 self.adopt(worker_id, active);
             }
             Found::Unwanted(demand) => {
@@ -516,15 +523,21 @@
                 task: *task,
                 run: run.run,
                 age_ms: run.confirmed_ms(answered_ms),
+                ordered_ms: run.since_ms,
                 begun: run.has_begun(),
                 is_outlived: run.is_outlived,
             })
             .collect();
-        for MissingRun { task, run, age_ms, begun, is_outlived } in missing {
+        for missing in missing {
+            let MissingRun { task, run, age_ms, begun, is_outlived, .. } =
+                missing;
             // It may have ended the process that it was ordered of.
             if !begun && !is_outlived {
                 self.note_suspect_over(&task);
             }
+            if !begun {
+                self.note_in_doubt(&task, worker_id, run, missing.ordered_ms);
+            }
             self.note(Decision::Lost {
                 task,
                 run,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -79,6 +79,8 @@
     /// The starts that former holders told of, with their workers, until it is
     /// known what became of each.
     pub(super) told_starts: BTreeMap<TaskId, ToldStart>,
+    /// The tasks some start of which is in doubt.
+    pub(super) tasks_in_doubt: BTreeSet<TaskId>,
     /// The pools whose workers crash one after the other.
     pub(super) crash_series: CrashSeries,
     /// The workers that are kept free for tasks that are to be found out about.
@@ -193,6 +195,7 @@
             unheard_losses: BTreeMap::new(),
             uncounted_pools: BTreeSet::new(),
             told_starts: BTreeMap::new(),
+            tasks_in_doubt: BTreeSet::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
             vm_crashes: BTreeMap::new(),
@@ -277,7 +280,6 @@
             job.restore(progress);
             self.knows_suspects |=
                 progress.tasks.iter().any(|t| t.crashes > 0 || t.unseen > 0);
-            self.note_told_starts(id, progress);
         }
         if revision > self.lease_revision {
             self.new_jobs.push(id);
@@ -285,6 +287,10 @@
             job.note_may_have_begun();
         }
         self.jobs.insert(id, job);
+        if let Some(progress) = progress {
+            self.note_told_starts(id, progress);
+            self.note_loaded_in_doubt(id);
+        }
     }
 
     /// Cancels a job; one that is over or unknown stays as it is, unless jobs
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -88,7 +88,11 @@
             let born = record.told_born_unix_ms;
             let process =
                 born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
-            let start = ToldStart { worker: WorkerId::new(told), process };
+            let worker = WorkerId::new(told);
+            if process != Incarnation::UNKNOWN {
+                self.note_told_in_doubt(&task, &worker);
+            }
+            let start = ToldStart { worker, process };
             self.told_starts.insert(task, start);
         }
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -5,7 +5,10 @@
     crate::{
         job::{JobId, TaskId},
         link::Class,
-        schedule::{Options, Room, WorkerId, WorkerListing, stopping::Stop},
+        schedule::{
+            Incarnation, Options, Room, WorkerId, WorkerListing,
+            stopping::Stop,
+        },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
@@ -366,6 +369,11 @@
         }
     }
 
+    /// Returns whether it tells which of its processes it is.
+    pub(crate) fn tells_its_process(&self) -> bool {
+        self.listing.incarnation != Incarnation::UNKNOWN
+    }
+
     /// Returns how many tokens were used up on it.
     pub(crate) fn tokens_used(&self) -> TokensUsed {
         TokensUsed(self.fences)
--- /dev/null
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -0,0 +1,220 @@
+//! Starts whose orders got no answer, and are carried out late by their worker's
+//! next process, which has seen no token.
+
+use {
+    crate::world::{World, at, id, job, step},
+    dewspar::{
+        job::{JobId, StepSpec},
+        schedule::{Decision, Room, StartOrder, WorkerId, WorkerListing},
+    },
+    dewspar_standin::task_worker::Fate,
+    std::collections::BTreeMap,
+};
+
+/// For how long an order may be late, in milliseconds.
+const LATE_MS: u64 = 12_000;
+
+fn restarting(names: &[&str]) -> World {
+    let mut world = World::new(5, names);
+    world.tell_processes();
+    world.list();
+    world.expect_all();
+    world.run_for(200);
+    world
+}
+
+/// Loses the order to start a job's only task on its way; returns it with its
+/// worker.
+fn lose_start(world: &mut World, job_id: JobId) -> (WorkerId, StartOrder) {
+    let before = world.starts.len();
+    world.loses_starts = true;
+    while world.starts.len() == before {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            world.carry_out(action, now);
+        }
+    }
+    world.loses_starts = false;
+    let lost = world.starts[before].clone();
+    assert_eq!(lost.1.task.job, job_id);
+    lost
+}
+
+/// Carries out a start that was sent to a former process.
+fn arrive(world: &mut World, id: &WorkerId, order: &StartOrder) {
+    let clock = world.clock_of(id);
+    let demand = Room { cpu_millis: 1_000, ..Room::default() };
+    // OK because it is only called for workers that are up.
+    let worker = world.workers.get_mut(id).expect("up");
+    // Refused where the token has been seen.
+    let _ = worker.start(clock, order, demand, Fate::endless());
+}
+
+fn assert_none_twice(world: &mut World) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for task in world.running() {
+        *runs.entry(task).or_default() += 1;
+    }
+    assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+}
+
+fn runs(world: &mut World, job_id: JobId) -> bool {
+    let prefix = format!("{job_id}.");
+    world.running().iter().any(|task| task.starts_with(&prefix))
+}
+
+/// Fills a worker with tasks of a job that goes before all others.
+fn fill(world: &mut World, on: &WorkerId) {
+    for listing in &mut world.listings {
+        listing.draining = listing.id != *on;
+    }
+    world.list();
+    world.scheduler.submit(id(100), job(vec![step(4)]), 7, None);
+    world.run_for(200);
+    for listing in &mut world.listings {
+        listing.draining = false;
+    }
+    world.list();
+}
+
+// A start made void by a higher token was carried out by its worker's next process
+// while its task ran elsewhere.
+#[test]
+fn a_void_start_is_not_carried_out_beside_another() {
+    for late_ms in [500, 1_000, 2_000, 4_000, 8_000, 11_000] {
+        let mut world = restarting(&["w1", "w2"]);
+        world.fate = Fate::endless();
+        let mut waits = job(vec![step(1)]);
+        waits.terms.priority = 9;
+        world.scheduler.submit(id(1), waits, 6, None);
+        let (on, order) = lose_start(&mut world, id(1));
+        fill(&mut world, &on);
+        world.run_for(late_ms - 200);
+        world.start_again(&on);
+        arrive(&mut world, &on, &order);
+        assert_none_twice(&mut world);
+        for _ in 0..(LATE_MS / 50) {
+            world.run_for(50);
+            assert_none_twice(&mut world);
+        }
+        world.list();
+        world.run_for(2_000);
+        assert!(runs(&mut world, id(1)), "late by {late_ms} ms");
+    }
+}
+
+// The same, where a holder that knew of it was followed by one that didn't.
+#[test]
+fn nor_is_one_of_a_former_holder() {
+    for late_ms in [300, 1_000, 4_000] {
+        let mut world = restarting(&["w1", "w2"]);
+        world.fate = Fate::endless();
+        world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+        let (on, order) = lose_start(&mut world, id(1));
+        // Made void by the former holder, and stored.
+        world.run_for(50);
+        let progress = world.stored.get(&id(1)).cloned();
+        let record = &progress.as_ref().expect("stored").tasks[0];
+        assert_eq!(record.in_doubt[0].worker, on.as_str());
+        world.take_over(8);
+        let accepted = job(vec![step(1)]);
+        world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+        world.list();
+        world.expect_all();
+        world.run_for(late_ms);
+        world.start_again(&on);
+        arrive(&mut world, &on, &order);
+        for _ in 0..(LATE_MS / 50) {
+            assert_none_twice(&mut world);
+            world.run_for(50);
+        }
+        world.list();
+        world.run_for(2_000);
+        assert!(runs(&mut world, id(1)), "late by {late_ms} ms");
+    }
+}
+
+// An order without an answer to a worker that was first known to have ended was
+// carried out by its next process, while its task ran elsewhere.
+#[test]
+fn nor_is_one_whose_worker_was_known_to_have_ended() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, order) = lose_start(&mut world, id(1));
+    let reason = "the VM service says that it ended";
+    world.workers.remove(&on);
+    world.scheduler.worker_gone(&on, reason, at(world.now_ms));
+    world.run_for(1_000);
+    world.start_again(&on);
+    arrive(&mut world, &on, &order);
+    for _ in 0..(LATE_MS / 50) {
+        assert_none_twice(&mut world);
+        world.run_for(50);
+    }
+    world.list();
+    world.run_for(2_000);
+    assert!(runs(&mut world, id(1)));
+}
+
+/// A worker that answers takes the task again at once.
+#[test]
+fn a_task_in_doubt_starts_again_at_once_where_its_worker_answers() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, _) = lose_start(&mut world, id(1));
+    world.run_for(150);
+    assert_eq!(world.starts.len(), 2);
+    assert_eq!(world.starts[1].0, on);
+    world.run_for(1_000);
+    assert_eq!(world.phases[&id(1)], "completed");
+}
+
+/// It starts elsewhere once the order can't be carried out any more.
+#[test]
+fn a_task_in_doubt_whose_worker_is_gone_starts_elsewhere_in_the_end() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, _) = lose_start(&mut world, id(1));
+    let lost_ms = world.now_ms;
+    world.workers.remove(&on);
+    world.listings.retain(|listing| listing.id != on);
+    let reason = "the VM service says that it ended";
+    world.scheduler.worker_gone(&on, reason, at(world.now_ms));
+    world.run_for(LATE_MS - 100);
+    assert_eq!(world.starts.len(), 1);
+    world.run_for(1_000);
+    assert_eq!(world.starts.len(), 2);
+    assert!(world.now_ms >= lost_ms + LATE_MS);
+    assert_eq!(world.phases[&id(1)], "completed");
+}
+
+/// A worker of another name on the same VM refuses the order: its task needn't
+/// wait.
+#[test]
+fn a_task_in_doubt_starts_elsewhere_once_its_vm_runs_another_worker() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, _) = lose_start(&mut world, id(1));
+    world.workers.remove(&on);
+    let here = |listing: &&mut WorkerListing| listing.id == on;
+    let listing = world.listings.iter_mut().find(here).expect("listed");
+    listing.id = WorkerId::new("w3");
+    world.list();
+    world.run_for(150);
+    assert_eq!(world.starts.len(), 2);
+}
+
+/// Copies do no harm: a task of which some may run starts elsewhere at once.
+#[test]
+fn a_task_of_which_copies_may_run_is_never_in_doubt() {
+    let copies = StepSpec { may_duplicate: true, ..step(1) };
+    let mut world = restarting(&["w1", "w2"]);
+    world.scheduler.submit(id(1), job(vec![copies]), 6, None);
+    lose_start(&mut world, id(1));
+    world.run_for(1_000);
+    let decisions = world.scheduler.take_decisions();
+    let in_doubt = |d: &Decision| matches!(d, Decision::InDoubt { .. });
+    assert!(!decisions.iter().any(in_doubt), "{decisions:?}");
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -8,6 +8,7 @@
 mod facts;
 mod facts_of_vms;
 mod gangs_that_last;
+mod in_doubt;
 mod kept_and_priority;
 mod kept_places;
 mod lasting;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -105,6 +105,8 @@
         "Runs that went on for longer than a stop may take, by why they were to stop.";
     LONG_WAITS, "counter", "dewspar_task_long_waits_total", Some("reason"),
         "Times that tasks that are to last were found waiting for long, by why.";
+    STARTS_IN_DOUBT, "counter", "dewspar_starts_in_doubt_total", None,
+        "Starts without an answer whose tasks start on the same worker only for a while.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
         "Runs whose worker was lost soon after it had been told to start them.";
     TASKS_GIVEN_UP, "counter", "dewspar_tasks_given_up_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -75,6 +75,12 @@
                 "reason" => reason, "age_ms" => age_ms, "beside" => beside);
             counters::count_by(counters::TASK_ENDS, "cause", "lost");
         }
+        Decision::InDoubt { task, worker, for_ms } => {
+            warn!(log, "task: start in doubt"; "job" => %task.job,
+                "task" => %task, "worker" => %worker, "for_ms" => for_ms,
+                "outcome" => "it starts on that worker only");
+            counters::count(counters::STARTS_IN_DOUBT);
+        }
         Decision::Suspected { task, worker, crashes, most_age_ms, alone } => {
             warn!(log, "task: suspected"; "job" => %task.job, "task" => %task,
                 "worker" => %worker, "crashes" => crashes,
