A write of progress carries as many jobs as its entries hold

Cause: a write took seven jobs at most, for the four entries that a job takes once it is over. One that goes on takes two, so fifteen fit beside the lease's condition. A holder that takes over a peak writes mostly of these.

What a write of jobs that are over holds is unchanged.

--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -4,7 +4,7 @@
 
 use {
     crate::{
-        job::{JobId, Progress},
+        job::{JobId, Phase, Progress},
         schedule::{Now, Scheduler},
     },
     std::collections::BTreeSet,
@@ -48,6 +48,16 @@
     /// once the outcome is known. Several may be under way at a time: no job
     /// is in two of them.
     pub fn take_changes(&mut self, most: usize) -> Changes {
+        self.take_changes_within(most, |_| 1)
+    }
+
+    /// Takes the same for a write that holds `most_entries`, of which a job in a
+    /// phase takes `entries_of` that phase.
+    pub fn take_changes_within(
+        &mut self,
+        most_entries: usize,
+        entries_of: impl Fn(Phase) -> usize,
+    ) -> Changes {
         // In no fixed order of jobs: where more change all the time than can
         // be stored, the last ones never would be.
         let mut ids: Vec<(bool, u64, u64, JobId)> = self
@@ -62,10 +72,15 @@
         ids.sort_unstable();
         let mut progress = Vec::new();
         let mut unstopped = BTreeSet::new();
-        for (_, _, since, id) in ids.into_iter().take(most) {
+        let mut left = most_entries;
+        for (_, _, since, id) in ids {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(rest) = left.checked_sub(entries_of(job.phase)) else {
+                break;
+            };
+            left = rest;
             self.changed.remove(&id);
             self.storing.insert(id, since);
-            let Some(job) = self.jobs.get(&id) else { continue };
             progress.push((id, job.progress()));
             if job.phase.is_final() && job.placed(id).next().is_some() {
                 unstopped.insert(id);
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -14,8 +14,8 @@
     },
     crate::{counters, passed_over},
     dewspar::{
-        job::{JobId, conflict::FoundRecord},
-        schedule::{AcceptedJob, Changes},
+        job::{JobId, Phase, conflict::FoundRecord},
+        schedule::{AcceptedJob, Changes, Scheduler},
     },
     dewspar_platform::{
         Batch, Commit, Condition, Error, Event, Expected, KeyValue, Put,
@@ -26,12 +26,20 @@
     tokio::time::sleep,
 };
 
-/// How many jobs ride on one write.
-///
-/// The store takes 32 entries at most. One is the lease's condition; a job
-/// takes a condition and a put, and a deletion and a second put once it is
-/// over.
-pub(super) const JOBS_A_WRITE: usize = 7;
+/// How many entries of a write jobs may take: the store takes 32, and one is the
+/// lease's condition.
+const ENTRIES_A_WRITE: usize = 31;
+
+/// Returns how many entries of a write a job takes: a condition and a put, and
+/// once it is over a deletion and a second put.
+fn entries_of(phase: Phase) -> usize {
+    if phase.is_final() { 4 } else { 2 }
+}
+
+/// Takes the changes that ride on the next write.
+pub(super) fn take_write(scheduler: &mut Scheduler) -> Changes {
+    scheduler.take_changes_within(ENTRIES_A_WRITE, entries_of)
+}
 
 /// The pause before a write without result is tried again.
 const RETRY: Duration = Duration::from_millis(60);
--- a/crates/dewspard/src/jobs/storing.rs
+++ b/crates/dewspard/src/jobs/storing.rs
@@ -17,7 +17,7 @@
         event::Event,
         holder::{Holder, json},
         keys,
-        progress::{self, JOBS_A_WRITE, Refusal, RefusedBy, Stored, batch_of},
+        progress::{self, Refusal, RefusedBy, Stored, batch_of},
         versions::VersionSource,
     },
     crate::counters,
@@ -74,7 +74,7 @@
                 || gathered && self.scheduler.has_changes())
         {
             self.stored_ms = now.steady_ms;
-            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+            let changes = progress::take_write(&mut self.scheduler);
             self.store(changes);
         }
     }
@@ -239,7 +239,7 @@
     /// Stores what isn't stored yet, before the lease is given up.
     pub(super) async fn store_last(&mut self) {
         while self.scheduler.has_changes() {
-            let changes = self.scheduler.take_changes(JOBS_A_WRITE);
+            let changes = progress::take_write(&mut self.scheduler);
             if !self.store_before_leaving(changes).await {
                 return;
             }
