Inherited starts are on record before they are ordered

Cause: a start of a job that a former holder may have begun was marked in the job's record in the step that ordered it. Other than there: the order waits for 300 ms at most and not at all where a write fails, so a store that is slow or out holds no caller up; withheld starts don't fill the window of orders; what is never ordered is in no doubt.

Elsewhere: a start on record of a worker that tells its process is in doubt for the next holder until it is found.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -257,6 +257,7 @@
         reason: &'static str,
         now: Now,
     ) {
+        self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
         self.former.ended(&worker, now);
         if worker.is_lapsed() {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -15,7 +15,9 @@
 | accepted jobs, cancellations, ends that were acknowledged | the store |
 | what runs, ends that weren't acknowledged | the workers |
 
-So nothing is written when a task starts. A new holder loads the jobs and
+So nothing is written when a task starts that no former holder can have started,
+and of the others what a later holder must know of them is written first (see
+`write_ahead`). A new holder loads the jobs and
 asks every worker, under its own token, what runs there; the first such
 answer also fences the former holder off. An end is acknowledged to its
 worker only after the store has it: until then a new holder hears it again.
@@ -158,6 +160,7 @@
 mod wave_state;
 mod worker;
 mod workers;
+mod write_ahead;
 
 /// The two clocks of an event.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/dewspar/src/schedule/place.rs
+++ b/crates/dewspar/src/schedule/place.rs
@@ -19,6 +19,7 @@
             suspects::Company,
             worker::{Run, Worker},
             workers::WorkerNumber,
+            write_ahead::PlacedStart,
         },
     },
     std::{collections::BTreeSet, mem},
@@ -161,6 +162,10 @@
         if self.is_unaccounted(job, spec, now, &mut pools.unasked) {
             return None;
         }
+        let inherited = job.revision < self.lease_revision;
+        if inherited && self.write_ahead.is_full() {
+            return None;
+        }
         let state = &job.rounds[round][step];
         let first = TaskId {
             job: id,
@@ -383,6 +388,18 @@
         }
     }
 
+    /// Returns whether a worker of a pool is known to have the room that it
+    /// seems to have, or refuses itself what it has no room for.
+    pub(super) fn is_sure_of_room(
+        &self,
+        worker: &Worker,
+        pool: &str,
+        now: Now,
+    ) -> bool {
+        !self.unguarded_pools.contains(pool)
+            || worker.has_sure_room(now.steady_ms, TOLD_MS)
+    }
+
     /// Returns whether a task may go to a worker on which it has failed: it
     /// has waited, and its pool has no other that could ever hold it.
     fn may_go_back(&self, spec: &StepSpec, task: &TaskId, now: Now) -> bool {
@@ -528,7 +545,7 @@
         score - disturbing as i64 * DISTURBANCE_SCORE
     }
 
-    /// Notes a start and makes its order.
+    /// Notes a start and makes its order, unless it must be on record first.
     fn start(
         &mut self,
         spec: &StepSpec,
@@ -539,37 +556,63 @@
     ) -> Option<Action> {
         let ticket = self.ticket(task, &worker_id, now)?;
         self.release_place(task, now);
-        let worker = self.workers.get_mut(&worker_id)?;
-        let lease_until_ms =
-            worker.lease_until_ms(now.steady_ms, &self.options)?;
-        worker.lease_sent(lease_until_ms);
+        let worker = self.workers.get(&worker_id)?;
+        // It must have told its clock.
+        worker.lease_until_ms(now.steady_ms, &self.options)?;
         let fence = worker.fence();
         let process = worker.listing.incarnation;
-        let address = worker.listing.address.clone();
         let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms)
             .lasting(spec.long_running);
         let suspicion = self.note_suspect_started(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
         worker.insert(*task, ordered.suspected(suspicion));
-        let job = self.jobs.get_mut(&task.job)?;
-        self.window.sent(1);
-        let payload = job.payload.clone();
-        let bytes = self.link.order_bytes() + payload.len() as u64;
-        self.link.sent(Class::Start, bytes);
-        let step = job.step_mut(task)?;
-        let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
+        let step = self.jobs.get_mut(&task.job)?.step_mut(task)?;
         step.waiting.remove(&task.index);
         let state = step.tasks.get_mut(task.index as usize)?;
         state.run = run;
         state.on.push(worker_id.clone());
         state.told_process = process;
-        let checkpoint = state.checkpoint.clone();
+        let recorded_first = state.crashes.is_start_recorded_first();
+        let start = PlacedStart { worker: worker_id, run, ticket };
+        if recorded_first {
+            self.withhold(task, start, now);
+            return None;
+        }
+        self.order_start(task, start, now)
+    }
+
+    /// Makes the order of a start that has its place.
+    pub(super) fn order_start(
+        &mut self,
+        task: &TaskId,
+        start: PlacedStart,
+        now: Now,
+    ) -> Option<Action> {
+        let PlacedStart { worker: worker_id, run, ticket } = start;
+        let worker = self.workers.get_mut(&worker_id)?;
+        let lease_until_ms =
+            worker.lease_until_ms(now.steady_ms, &self.options)?;
+        worker.lease_sent(lease_until_ms);
+        let fence = worker.fence();
+        let address = worker.listing.address.clone();
+        let ordered = worker.runs.get_mut(task)?;
+        ordered.since_ms = now.steady_ms;
+        ordered.moved_ms = now.steady_ms;
+        let job = self.jobs.get(&task.job)?;
+        let payload = job.payload.clone();
+        self.window.sent(1);
+        let bytes = self.link.order_bytes() + payload.len() as u64;
+        self.link.sent(Class::Start, bytes);
+        let step = job.step(task)?;
+        let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
+        let checkpoint = job.task(task)?.checkpoint.clone();
+        let cpu_millis = demand(job.step_spec(task)?).cpu_millis;
         self.note(Decision::Started {
             task: *task,
             run,
             worker: worker_id.clone(),
             waited_ms,
-            cpu_millis: demand(spec).cpu_millis,
+            cpu_millis,
         });
         let order = StartOrder {
             task: *task,
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -176,6 +176,7 @@
         now: Now,
     ) {
         let id = listing.id.clone();
+        self.withdraw_starts_on(&id, now);
         let Some(mut former) = self.workers.remove(&id) else { return };
         let lost = LostRuns::of(&former, now);
         let answered_ms = former.answered_worker_ms();
--- a/crates/dewspar/src/schedule/report.rs
+++ b/crates/dewspar/src/schedule/report.rs
@@ -225,6 +225,7 @@
             self.acknowledge(worker_id, end, sequence, now);
             return;
         };
+        self.settle_found_in_doubt(&task, worker_id, end.run);
         self.note_begun(task.job, now);
         match end.cause {
             EndCause::Done => self.task_done(worker_id, &task, now),
@@ -517,7 +518,9 @@
                 } else {
                     run.fence < held.order.fence
                 };
-                settled && listed.get(*task) != Some(&run.run)
+                settled
+                    && listed.get(*task) != Some(&run.run)
+                    && !self.write_ahead.holds(task)
             })
             .map(|(task, run)| MissingRun {
                 task: *task,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -28,6 +28,7 @@
             wave_state::WaveState,
             worker::{OwedHold, Worker},
             workers::{WorkerNumber, Workers},
+            write_ahead::WriteAhead,
         },
         window::{CallEnd, CallWindow},
     },
@@ -79,6 +80,8 @@
     /// The starts that former holders told of, with their workers, until it is
     /// known what became of each.
     pub(super) told_starts: BTreeMap<TaskId, ToldStart>,
+    /// The starts that wait until they are on record.
+    pub(super) write_ahead: WriteAhead,
     /// The tasks some start of which is in doubt.
     pub(super) tasks_in_doubt: BTreeSet<TaskId>,
     /// The pools whose workers crash one after the other.
@@ -195,6 +198,7 @@
             unheard_losses: BTreeMap::new(),
             uncounted_pools: BTreeSet::new(),
             told_starts: BTreeMap::new(),
+            write_ahead: WriteAhead::default(),
             tasks_in_doubt: BTreeSet::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
@@ -395,6 +399,7 @@
         self.cancel_loaded(now);
         self.drop_lapsed(now);
         self.settle_told_starts(now);
+        self.order_withheld(now, &mut actions);
         self.look_after_runs(now, &mut actions);
         // First of all orders: this holder may be gone any moment.
         self.order_stops(now, &mut actions);
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -154,6 +154,7 @@
     pub fn changes_failed(&mut self, changes: &Changes) {
         for (id, _) in &changes.progress {
             let since = self.storing.remove(id).unwrap_or(changes.sequence);
+            self.write_ahead.write_failed(*id, changes.sequence);
             if self.jobs.contains_key(id) {
                 self.changed.insert(*id, since);
             }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -253,6 +253,12 @@
         self.count >= TESTED_CRASHES || (self.count == 0 && self.unseen > 0)
     }
 
+    /// Returns whether the next holder must know of a start before it is
+    /// ordered.
+    pub(super) fn is_start_recorded_first(&self) -> bool {
+        self.may_have_begun || self.go_on_record_first()
+    }
+
     /// Adds a run that was lost. One that had lived on for longer than another
     /// needed for its crash counts as a start alone: a bad task acts alike each
     /// time.
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -4,9 +4,10 @@
 A holder that is lost right after it has ordered a start can't tell whether the
 task crashed its worker. To have each start on record would take a write a start.
 But what waits when a holder takes over is little, and among it is all whose last
-start no holder saw the end of. So the starts of these tasks are put on record as
-they are ordered, with the worker that was told. A holder that finds such a start
-looks at that worker:
+start no holder saw the end of. So the starts of these tasks are on record before
+they are ordered, with the worker that is told (see
+[`write_ahead`](super::write_ahead)). A holder that finds such a start looks at that
+worker:
 
 - It runs the task: all is well.
 - It answers and doesn't: the order never arrived, or the run has ended.
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -623,13 +623,16 @@
 
     /// Returns whether orders to start may be sent.
     pub(crate) fn takes_orders(&self, now_ms: u64) -> bool {
-        !self.fencing
-            && self.is_usable()
-            && (now_ms >= self.suspended_until_ms)
+        self.takes_placed_runs(now_ms)
             && (self.failed_jobs.len() < FAILED_JOBS_TO_SUSPEND
                 || self.runs.is_empty())
     }
 
+    /// Returns whether runs may be ordered that have their place here already.
+    pub(crate) fn takes_placed_runs(&self, now_ms: u64) -> bool {
+        !self.fencing && self.is_usable() && now_ms >= self.suspended_until_ms
+    }
+
     /// Returns whether no later token is left under this lease: an order
     /// without an answer can't be made void any more.
     pub(crate) fn is_out_of_tokens(&self) -> bool {
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -33,3 +33,4 @@
 mod waves;
 mod waves_in_time;
 mod world;
+mod write_ahead;
