Starts that must be on record are written many at once

Cause: an inherited start waited for its job's record. Now the starts of a plan are one value, a start log (schedule::start_log: a group commit, as of a write-ahead log), and their jobs aren't written for them. The log goes once its runs have lived on, or once the jobs' records say what became of them. The next holder reads the logs before the jobs. A start that can't be read is passed over by itself; a write without an answer counts as not done.

Also: what is withheld is looked at when it is due and not with each plan.

--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -187,6 +187,7 @@
         let vm = String::new();
         let start = InDoubt { worker, vm, run: UNKNOWN_RUN, ordered_ms: None };
         state.in_doubt.0.push(start);
+        self.tasks_in_doubt.insert(*task);
     }
 
     /// Returns a task that is still to be done and must not run twice at once.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -108,6 +108,7 @@
     },
     scheduler::Scheduler,
     set_aside::{EndSetAside, EndsSetAside},
+    start_log::{LoggedStart, StartLog},
     storing::Changes,
     vm::{ManagedVm, VmLife, VmOrder, VmOrderError, WaveRecord, WaveRequest},
     wave_account::{LeftVms, WaveAccount, WaveTime},
@@ -148,6 +149,7 @@
 mod scheduler;
 mod set_aside;
 mod sizing;
+mod start_log;
 mod steadiness;
 mod stopping;
 mod storing;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -22,6 +22,7 @@
             questions::Questions,
             set_aside::SetAside,
             sizing::{Moving, PoolLoad},
+            start_log::StartLogs,
             steadiness::VmCrashes,
             unseen_starts::ToldStart,
             waits::LongWaits,
@@ -82,6 +83,8 @@
     pub(super) told_starts: BTreeMap<TaskId, ToldStart>,
     /// The starts that wait until they are on record.
     pub(super) write_ahead: WriteAhead,
+    /// Where such starts are put on record together.
+    pub(super) start_logs: StartLogs,
     /// The tasks some start of which is in doubt.
     pub(super) tasks_in_doubt: BTreeSet<TaskId>,
     /// The pools whose workers crash one after the other.
@@ -199,6 +202,7 @@
             uncounted_pools: BTreeSet::new(),
             told_starts: BTreeMap::new(),
             write_ahead: WriteAhead::default(),
+            start_logs: StartLogs::default(),
             tasks_in_doubt: BTreeSet::new(),
             crash_series: CrashSeries::default(),
             reserved: BTreeMap::new(),
@@ -295,6 +299,7 @@
             self.note_told_starts(id, progress);
             self.note_loaded_in_doubt(id);
         }
+        self.take_in_logged_starts(id);
     }
 
     /// Cancels a job; one that is over or unknown stays as it is, unless jobs
--- /dev/null
+++ b/crates/dewspar/src/schedule/start_log.rs
@@ -0,0 +1,310 @@
+/*!
+Starts that are put on record together.
+
+A start that must be on record before it is ordered (see
+[`write_ahead`](super::write_ahead)) could be written with its job. But a holder
+that takes over a peak has thousands of jobs with such starts, and a store takes a
+few hundred writes a second. What the next holder has to know of a start is little:
+which task, which run, which process was told. So the starts of a plan are written
+as one value, a *start log*, several of which may be under way: a group commit, as
+of a write-ahead log.
+
+A job's record needn't be written for such a start. The log stays until each of its
+starts is settled: its run has lived on, or the job's record says what became of it.
+Then the log is deleted. So there are few logs at a time, and what a new holder reads
+of them is what it must know.
+
+The next holder reads the logs before it starts anything that it has inherited, and
+takes each start in with its job. It puts these on record with their jobs, so that
+the logs of former holders can go.
+
+| what | how |
+|---|---|
+| size of a log | bounded by how many starts may be withheld at a time |
+| a start that can't be read | is passed over by itself |
+| a write without an answer | counts as not done, and its starts are written again; a start that is in two logs is one |
+| logs of two holders | lie under the revisions of their leases |
+
+# Example
+
+```
+use dewspar::schedule::{Options, Scheduler};
+
+let mut scheduler = Scheduler::new(7, Options::default());
+scheduler.log_starts();
+// Nothing waits to be on record.
+assert_eq!(scheduler.take_start_log(), None);
+```
+*/
+
+use {
+    crate::{
+        job::{JobId, TaskId, TaskRecord},
+        schedule::{
+            Incarnation, Now, Scheduler, WorkerId, suspects::Crashes,
+            unseen_starts::ToldStart,
+        },
+    },
+    serde::{Deserialize, Serialize},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// How often it is looked which logs are settled, in milliseconds.
+const SETTLED_INTERVAL_MS: u64 = 500;
+
+/// What is logged of a start.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LoggedStart {
+    /// The task.
+    pub task: TaskId,
+    /// The run's number.
+    pub run: u64,
+    /// The worker that is told to start it.
+    pub worker: String,
+    /// When that worker's process was started, in milliseconds of the Unix epoch;
+    /// `None` if it doesn't say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born_unix_ms: Option<u64>,
+    /// As [`TaskRecord::crashes`].
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub crashes: u32,
+    /// As [`TaskRecord::unseen`], with this start.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub unseen: u32,
+}
+
+fn is_zero(number: &u32) -> bool {
+    *number == 0
+}
+
+/// Starts that are written together, under a number of their own.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StartLog {
+    number: u64,
+    starts: Vec<LoggedStart>,
+}
+
+impl StartLog {
+    /// Returns the log's number, rising from 1 under each lease.
+    pub fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Returns the starts.
+    pub fn starts(&self) -> &[LoggedStart] {
+        &self.starts
+    }
+}
+
+/// A start whose log can't go yet.
+#[derive(Clone, Copy, Debug)]
+struct OpenStart {
+    task: TaskId,
+    run: u64,
+    /// The newest change when it was logged.
+    sequence: u64,
+}
+
+/// The logs of this lease, and what was logged under former ones.
+#[derive(Debug, Default)]
+pub(super) struct StartLogs {
+    /// Whether starts are logged at all; else they go on record with their jobs.
+    is_on: bool,
+    last: u64,
+    /// The starts that wait to be logged.
+    waiting: BTreeSet<TaskId>,
+    /// The logs that were written or may have been, with their open starts.
+    written: BTreeMap<u64, Vec<OpenStart>>,
+    /// The logs whose write is under way.
+    under_way: BTreeSet<u64>,
+    looked_at_ms: u64,
+    /// What former holders have logged of jobs that aren't loaded yet.
+    inherited: BTreeMap<JobId, Vec<LoggedStart>>,
+    /// The jobs whose records don't hold yet what former holders have logged.
+    unstored: BTreeSet<JobId>,
+}
+
+impl StartLogs {
+    pub(super) fn are_on(&self) -> bool {
+        self.is_on
+    }
+
+    /// Has a start logged.
+    pub(super) fn add(&mut self, task: TaskId) {
+        self.waiting.insert(task);
+    }
+
+    pub(super) fn withdraw(&mut self, task: &TaskId) {
+        self.waiting.remove(task);
+    }
+}
+
+impl Scheduler {
+    /// Has starts that must be on record written together, in place of the records
+    /// of their jobs.
+    pub fn log_starts(&mut self) {
+        self.start_logs.is_on = true;
+    }
+
+    /// Takes the starts that wait to be logged; `None` if there are none.
+    ///
+    /// Call [`Scheduler::start_log_stored`] or [`Scheduler::start_log_failed`]
+    /// once the outcome is known. Several may be under way at a time.
+    pub fn take_start_log(&mut self) -> Option<StartLog> {
+        let waiting = std::mem::take(&mut self.start_logs.waiting);
+        let starts: Vec<LoggedStart> = waiting
+            .iter()
+            .filter_map(|task| self.logged_start(task))
+            .collect();
+        if starts.is_empty() {
+            return None;
+        }
+        let sequence = self.sequence;
+        let open = starts.iter().map(|start| OpenStart {
+            task: start.task,
+            run: start.run,
+            sequence,
+        });
+        let logs = &mut self.start_logs;
+        logs.last += 1;
+        let number = logs.last;
+        logs.written.insert(number, open.collect());
+        logs.under_way.insert(number);
+        Some(StartLog { number, starts })
+    }
+
+    fn logged_start(&self, task: &TaskId) -> Option<LoggedStart> {
+        let state = self.jobs.get(&task.job)?.task(task)?;
+        let worker = state.on.last()?;
+        Some(LoggedStart {
+            task: *task,
+            run: state.run,
+            worker: worker.to_string(),
+            born_unix_ms: state.told_process.born_unix_ms(),
+            crashes: state.crashes.count,
+            unseen: state.crashes.unseen_on_record(),
+        })
+    }
+
+    /// Notes that a log is in the store.
+    pub fn start_log_stored(&mut self, log: &StartLog) {
+        self.start_logs.under_way.remove(&log.number);
+        for start in &log.starts {
+            self.write_ahead.note_logged(&start.task, start.run);
+        }
+    }
+
+    /// Notes that a log isn't in the store, or may not be. Its starts are logged
+    /// again, as far as they still wait for that.
+    pub fn start_log_failed(&mut self, log: &StartLog) {
+        self.start_logs.under_way.remove(&log.number);
+        for start in &log.starts {
+            if self.write_ahead.waits_for_log(&start.task, start.run) {
+                self.start_logs.add(start.task);
+            }
+        }
+    }
+
+    /// Takes the numbers of this lease's logs that nobody needs any more.
+    pub fn take_settled_logs(&mut self, now: Now) -> Vec<u64> {
+        if now.steady_ms < self.start_logs.looked_at_ms + SETTLED_INTERVAL_MS {
+            return Vec::new();
+        }
+        self.start_logs.looked_at_ms = now.steady_ms;
+        let mut written = std::mem::take(&mut self.start_logs.written);
+        let under_way = std::mem::take(&mut self.start_logs.under_way);
+        for open in written.values_mut() {
+            while open.last().is_some_and(|start| self.is_settled(start)) {
+                open.pop();
+            }
+        }
+        let settled = |number: &u64, open: &mut Vec<OpenStart>| {
+            open.is_empty() && !under_way.contains(number)
+        };
+        let settled = written.extract_if(.., settled);
+        let numbers = settled.map(|(number, _)| number).collect();
+        self.start_logs.written = written;
+        self.start_logs.under_way = under_way;
+        numbers
+    }
+
+    /// Returns whether a later holder knows of a start what it must without the
+    /// log.
+    fn is_settled(&self, start: &OpenStart) -> bool {
+        let id = start.task.job;
+        // One that is over and stored isn't known any more.
+        let Some(job) = self.jobs.get(&id) else { return true };
+        if self.changed.contains_key(&id) || self.storing.contains_key(&id) {
+            return false;
+        }
+        let Some(state) = job.task(&start.task) else { return true };
+        let goes_on =
+            state.run == start.run && state.crashes.have_a_run_on_record();
+        state.done || !goes_on || job.stored_sequence > start.sequence
+    }
+
+    /// Takes in what former holders have logged, before any of their jobs is
+    /// submitted.
+    pub fn take_logged_starts(&mut self, starts: Vec<LoggedStart>) {
+        for start in starts {
+            let of_job =
+                self.start_logs.inherited.entry(start.task.job).or_default();
+            of_job.push(start);
+        }
+    }
+
+    /// Takes in what former holders have logged of a job that is loaded.
+    pub(super) fn take_in_logged_starts(&mut self, id: JobId) {
+        let Some(starts) = self.start_logs.inherited.remove(&id) else {
+            return;
+        };
+        let mut taken_in = false;
+        for start in &starts {
+            taken_in |= self.take_in_logged_start(start);
+        }
+        if taken_in {
+            self.knows_suspects = true;
+            self.start_logs.unstored.insert(id);
+            self.mark_changed(id);
+        }
+    }
+
+    /// Returns whether a start says more than the record of its job.
+    fn take_in_logged_start(&mut self, start: &LoggedStart) -> bool {
+        let job = self.jobs.get_mut(&start.task.job);
+        let state = job.and_then(|job| job.task_mut(&start.task));
+        let Some(state) = state.filter(|state| !state.done) else {
+            return false;
+        };
+        let known = state.crashes;
+        let is_older = start.run <= state.run
+            || (start.crashes, start.unseen)
+                < (known.count, known.unseen_on_record());
+        if is_older {
+            return false;
+        }
+        let record = TaskRecord {
+            crashes: start.crashes,
+            unseen: start.unseen,
+            told: Some(start.worker.clone()),
+            ..TaskRecord::default()
+        };
+        state.crashes = Crashes::restored(&record);
+        state.crashes.may_have_begun = true;
+        let born = start.born_unix_ms;
+        let process = born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
+        let told = ToldStart::of(WorkerId::new(&start.worker), process);
+        self.note_told_start(start.task, told);
+        true
+    }
+
+    /// Returns whether the logs of former holders can go: all that they say is on
+    /// record with its jobs, or of jobs that are over.
+    pub fn are_logged_starts_stored(&mut self) -> bool {
+        let (changed, storing) = (&self.changed, &self.storing);
+        self.start_logs
+            .unstored
+            .retain(|id| changed.contains_key(id) || storing.contains_key(id));
+        !self.is_loading() && self.start_logs.unstored.is_empty()
+    }
+}
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -115,6 +115,7 @@
         for (id, progress) in &changes.progress {
             self.storing.remove(id);
             self.note_awaited_stored(id, changes.sequence);
+            self.write_ahead.job_written(*id, changes.sequence);
             if progress.phase.is_final() {
                 self.finished.insert(*id, progress.finished_at_ms);
                 self.jobs.remove(id);
@@ -154,7 +155,9 @@
     pub fn changes_failed(&mut self, changes: &Changes) {
         for (id, _) in &changes.progress {
             let since = self.storing.remove(id).unwrap_or(changes.sequence);
-            self.write_ahead.write_failed(*id, changes.sequence);
+            if !self.start_logs.are_on() {
+                self.write_ahead.job_written(*id, changes.sequence);
+            }
             if self.jobs.contains_key(id) {
                 self.changed.insert(*id, since);
             }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -42,7 +42,7 @@
 
 use {
     crate::{
-        job::{Phase, StepSpec, TaskId, TaskRecord},
+        job::{JobId, Phase, StepSpec, TaskId, TaskRecord},
         schedule::{
             Decision, Now, Scheduler, WorkerId,
             board::{Job, Task, demand},
@@ -149,6 +149,9 @@
     is_told: bool,
     /// The change by which all of this is stored; 0 for not by this holder.
     sequence: u64,
+    /// The newest change when the run under way was told; 0 for not by this
+    /// holder.
+    told_sequence: u64,
 }
 
 impl Crashes {
@@ -193,6 +196,12 @@
         self.count > 0 || self.unseen > 0 || self.is_told
     }
 
+    /// Returns whether the run that is under way is all that a later holder must
+    /// know of.
+    fn are_only_told(&self) -> bool {
+        self.is_told && self.count == 0 && self.unseen == 0
+    }
+
     /// Returns whether a later holder must know of the run that is under way.
     pub(crate) fn have_a_run_on_record(&self) -> bool {
         self.are_on_record() && self.under_way
@@ -537,7 +546,23 @@
         let cleared = Crashes { most_age_ms, ..Crashes::default() };
         let crashes = std::mem::replace(&mut state.crashes, cleared);
         if crashes.are_on_record() {
-            self.mark_changed(task.job);
+            self.mark_told_changed(task.job, &crashes);
+        }
+    }
+
+    /// Notes that what is on record of a task's run has changed, unless only a
+    /// log of starts tells of that run.
+    fn mark_told_changed(&mut self, id: JobId, crashes: &Crashes) {
+        let stored = self
+            .jobs
+            .get(&id)
+            .is_some_and(|job| job.stored_sequence >= crashes.told_sequence);
+        let only_logged = self.start_logs.are_on()
+            && crashes.are_only_told()
+            && !stored
+            && !self.storing.contains_key(&id);
+        if !only_logged {
+            self.mark_changed(id);
         }
     }
 
@@ -561,11 +586,13 @@
         };
         let mut crashes = state.crashes;
         if crashes.start() {
+            self.sequence += 1;
+            crashes.told_sequence = self.sequence;
             let job = self.jobs.get_mut(&task.job);
             if let Some(state) = job.and_then(|job| job.task_mut(task)) {
                 state.crashes = crashes;
             }
-            self.mark_changed(task.job);
+            self.mark_told_changed(task.job, &crashes);
         }
         suspicion
     }
@@ -576,8 +603,9 @@
         let job = self.jobs.get_mut(&task.job);
         let state = job.and_then(|job| job.task_mut(task));
         let Some(state) = state else { return };
+        let before = state.crashes;
         if state.crashes.end() {
-            self.mark_changed(task.job);
+            self.mark_told_changed(task.job, &before);
         }
     }
 
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -63,6 +63,12 @@
     process: Incarnation,
 }
 
+impl ToldStart {
+    pub(super) fn of(worker: WorkerId, process: Incarnation) -> ToldStart {
+        ToldStart { worker, process }
+    }
+}
+
 /// A worker that was lost before it had named its runs to this holder.
 #[derive(Debug)]
 pub(super) struct UnheardLoss {
@@ -89,13 +95,17 @@
             let born = record.told_born_unix_ms;
             let process =
                 born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
-            let worker = WorkerId::new(told);
-            if process != Incarnation::UNKNOWN {
-                self.note_told_in_doubt(&task, &worker);
-            }
-            let start = ToldStart { worker, process };
-            self.told_starts.insert(task, start);
+            let start = ToldStart::of(WorkerId::new(told), process);
+            self.note_told_start(task, start);
+        }
+    }
+
+    /// Keeps in mind which worker a former holder told to start a task.
+    pub(super) fn note_told_start(&mut self, task: TaskId, start: ToldStart) {
+        if start.process != Incarnation::UNKNOWN {
+            self.note_told_in_doubt(&task, &start.worker);
         }
+        self.told_starts.insert(task, start);
     }
 
     /// Finds out what became of the starts that former holders told of.
--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -18,7 +18,8 @@
 - While orders may get lost, starts that a worker's next process might carry out
   late (see [`in_doubt`](super::in_doubt)).
 
-The record is written anyway, so this takes no more writes, only the time of one.
+They are written together (see [`start_log`](super::start_log)), or with their jobs
+where nobody writes such logs.
 Where the store takes none, or takes long, the order goes out without its record:
 callers wait for that no longer than [`RECORD_WAIT_MS`].
 
@@ -64,11 +65,12 @@
 #[derive(Clone, Debug)]
 struct WithheldStart {
     start: PlacedStart,
-    /// The change that names the worker.
+    /// The change by which it is on record with its job.
     sequence: u64,
     since_ms: u64,
-    /// Whether a write that held that change wasn't done.
-    write_failed: bool,
+    /// Whether it waits no longer: it is on record, or a write that held it wasn't
+    /// done.
+    is_due: bool,
 }
 
 /// What to do about a start that is withheld.
@@ -81,25 +83,85 @@
 
 /// The starts that wait until they are on record.
 #[derive(Debug, Default)]
-pub(super) struct WriteAhead(BTreeMap<TaskId, WithheldStart>);
+pub(super) struct WriteAhead {
+    withheld: BTreeMap<TaskId, WithheldStart>,
+    /// Those that are due, in the order in which they came to be.
+    due: Vec<TaskId>,
+    /// No start is withheld since before that.
+    oldest_ms: u64,
+}
 
 impl WriteAhead {
     /// Returns whether a task's start is withheld.
     pub(super) fn holds(&self, task: &TaskId) -> bool {
-        self.0.contains_key(task)
+        self.withheld.contains_key(task)
     }
 
     /// Returns whether no more starts are withheld for now.
     pub(super) fn is_full(&self) -> bool {
-        self.0.len() >= MOST_WITHHELD
+        self.withheld.len() >= MOST_WITHHELD
     }
 
-    /// Notes that a write of a job's changes, up to this one, wasn't done.
-    pub(super) fn write_failed(&mut self, job: JobId, sequence: u64) {
+    /// Notes that a job's changes up to this one are in the store, or that a write
+    /// of them wasn't done.
+    pub(super) fn job_written(&mut self, job: JobId, sequence: u64) {
         let first = TaskId { job, round: 0, step: 0, index: 0 };
-        let of_job = self.0.range_mut(first..);
-        for (_, withheld) in of_job.take_while(|(task, _)| task.job == job) {
-            withheld.write_failed |= withheld.sequence <= sequence;
+        let of_job = self.withheld.range_mut(first..);
+        for (task, withheld) in of_job.take_while(|(task, _)| task.job == job)
+        {
+            if withheld.sequence <= sequence && !withheld.is_due {
+                withheld.is_due = true;
+                self.due.push(*task);
+            }
+        }
+    }
+
+    /// Notes that a start is in a stored log.
+    pub(super) fn note_logged(&mut self, task: &TaskId, run: u64) {
+        let withheld = self.withheld.get_mut(task);
+        let Some(withheld) = withheld.filter(|w| w.start.run == run) else {
+            return;
+        };
+        if !withheld.is_due {
+            withheld.is_due = true;
+            self.due.push(*task);
+        }
+    }
+
+    /// Returns whether a start is still to be logged.
+    pub(super) fn waits_for_log(&self, task: &TaskId, run: u64) -> bool {
+        let withheld = self.withheld.get(task);
+        withheld.is_some_and(|w| w.start.run == run && !w.is_due)
+    }
+
+    fn insert(&mut self, task: TaskId, withheld: WithheldStart) {
+        if self.withheld.is_empty() {
+            self.oldest_ms = withheld.since_ms;
+        }
+        self.withheld.insert(task, withheld);
+    }
+
+    /// Takes the starts that wait no longer, in the order in which they came to be
+    /// due.
+    fn take_due(&mut self, now: Now) -> Vec<TaskId> {
+        if now.steady_ms >= self.oldest_ms + RECORD_WAIT_MS {
+            self.note_overdue(now);
+        }
+        std::mem::take(&mut self.due)
+    }
+
+    fn note_overdue(&mut self, now: Now) {
+        self.oldest_ms = now.steady_ms;
+        for (task, withheld) in &mut self.withheld {
+            if withheld.is_due {
+                continue;
+            }
+            if now.steady_ms >= withheld.since_ms + RECORD_WAIT_MS {
+                withheld.is_due = true;
+                self.due.push(*task);
+            } else {
+                self.oldest_ms = self.oldest_ms.min(withheld.since_ms);
+            }
         }
     }
 }
@@ -112,15 +174,19 @@
         start: PlacedStart,
         now: Now,
     ) {
-        let sequence = self.mark_changed(task.job);
-        self.await_change(task.job, sequence);
-        let withheld = WithheldStart {
-            start,
-            sequence,
-            since_ms: now.steady_ms,
-            write_failed: false,
+        let sequence = if self.start_logs.are_on() {
+            self.start_logs.add(*task);
+            self.sequence += 1;
+            self.sequence
+        } else {
+            let sequence = self.mark_changed(task.job);
+            self.await_change(task.job, sequence);
+            sequence
         };
-        self.write_ahead.0.insert(*task, withheld);
+        let since_ms = now.steady_ms;
+        let withheld =
+            WithheldStart { start, sequence, since_ms, is_due: false };
+        self.write_ahead.insert(*task, withheld);
     }
 
     /// Orders the starts that are on record by now, and withdraws those that
@@ -130,29 +196,22 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
-        if self.write_ahead.0.is_empty() {
-            return;
-        }
-        let due = self.write_ahead.0.iter().map(|(task, withheld)| {
-            let next = self.next_of_withheld(task, withheld, now);
-            (withheld.sequence, *task, next)
-        });
-        let mut due: Vec<(u64, TaskId, Next)> =
-            due.filter(|(.., next)| *next != Next::Wait).collect();
-        due.sort_unstable_by_key(|(sequence, task, _)| (*sequence, *task));
-        for (_, task, next) in due {
-            // The members of a gang go together.
-            let gang = self.step_spec(&task).is_some_and(|spec| spec.gang);
-            if next == Next::Order && !gang && !self.may_start() {
-                continue;
-            }
-            let Some(withheld) = self.write_ahead.0.remove(&task) else {
-                continue;
-            };
-            if next == Next::Order {
-                actions.extend(self.order_start(&task, withheld.start, now));
-            } else {
-                self.withdraw(&task, &withheld.start, now);
+        for task in self.write_ahead.take_due(now) {
+            match self.next_of_withheld(&task, now) {
+                Next::Wait => self.write_ahead.due.push(task),
+                Next::Order => {
+                    let withheld = self.write_ahead.withheld.remove(&task);
+                    let start = withheld.map(|withheld| withheld.start);
+                    actions.extend(
+                        start.and_then(|s| self.order_start(&task, s, now)),
+                    );
+                }
+                Next::Withdraw => {
+                    let withheld = self.write_ahead.withheld.remove(&task);
+                    if let Some(withheld) = withheld {
+                        self.withdraw(&task, &withheld.start, now);
+                    }
+                }
             }
         }
     }
@@ -164,18 +223,17 @@
             withheld.start.worker == *worker
         };
         let starts: Vec<(TaskId, WithheldStart)> =
-            self.write_ahead.0.extract_if(.., here).collect();
+            self.write_ahead.withheld.extract_if(.., here).collect();
         for (task, withheld) in starts {
             self.withdraw(&task, &withheld.start, now);
         }
     }
 
-    fn next_of_withheld(
-        &self,
-        task: &TaskId,
-        withheld: &WithheldStart,
-        now: Now,
-    ) -> Next {
+    /// Decides about a start that waits for its record no longer.
+    fn next_of_withheld(&self, task: &TaskId, now: Now) -> Next {
+        let Some(withheld) = self.write_ahead.withheld.get(task) else {
+            return Next::Withdraw;
+        };
         let PlacedStart { worker, run, .. } = &withheld.start;
         let job = self.jobs.get(&task.job).filter(|j| !j.phase.is_final());
         let worker = self.workers.get(worker);
@@ -188,17 +246,14 @@
         if !roomy || !may_be_ordered(worker, task, *run, now) {
             return Next::Withdraw;
         }
-        let stored = job.stored_sequence >= withheld.sequence;
-        let waited_ms = now.steady_ms.saturating_sub(withheld.since_ms);
-        if stored || withheld.write_failed || waited_ms >= RECORD_WAIT_MS {
-            Next::Order
-        } else {
-            Next::Wait
-        }
+        // The members of a gang go together.
+        let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        if gang || self.may_start() { Next::Order } else { Next::Wait }
     }
 
     /// Takes back a start that was never ordered.
     fn withdraw(&mut self, task: &TaskId, start: &PlacedStart, now: Now) {
+        self.start_logs.withdraw(task);
         self.settle_in_doubt(task, &start.worker, start.run);
         let worker = self.workers.get(&start.worker);
         let here = worker.and_then(|worker| worker.runs.get(task));
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -25,6 +25,7 @@
 mod rooms;
 mod runs;
 mod small_link;
+mod start_log;
 mod storing;
 mod takeover;
 mod unseen_starts;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/start_log.rs
@@ -0,0 +1,177 @@
+//! Starts that are put on record together.
+
+use {
+    crate::{
+        crashing::{MOST_STARTS, first_task, starts_of},
+        world::{World, at, id, job, step},
+    },
+    dewspar::{
+        job::JobId,
+        schedule::{LoggedStart, StartLog, WorkerListing},
+    },
+    dewspar_standin::task_worker::Fate,
+};
+
+/// A world whose holders log starts, and the logs in its store.
+struct Logging {
+    world: World,
+    logs: Vec<StartLog>,
+    /// How many starts were logged in all.
+    logged: usize,
+}
+
+impl Logging {
+    fn new(names: &[&str]) -> Logging {
+        let mut world = World::new(5, names);
+        world.scheduler.log_starts();
+        world.list();
+        world.expect_all();
+        Logging { world, logs: Vec::new(), logged: 0 }
+    }
+
+    /// Plans once, and stores what changed unless the holder is lost with its
+    /// starts.
+    fn round(&mut self) {
+        let starts = self.world.starts.len();
+        self.world.now_ms += 50;
+        self.world.round();
+        let is_lost =
+            self.world.lost_with_starts && self.world.starts.len() > starts;
+        while let Some(log) = self.world.scheduler.take_start_log() {
+            if is_lost {
+                self.world.scheduler.start_log_failed(&log);
+                return;
+            }
+            self.logged += log.starts().len();
+            self.world.scheduler.start_log_stored(&log);
+            self.logs.push(log);
+        }
+        let now = at(self.world.now_ms);
+        let settled = self.world.scheduler.take_settled_logs(now);
+        self.logs.retain(|log| !settled.contains(&log.number()));
+    }
+
+    fn run_for(&mut self, ms: u64) {
+        let end_ms = self.world.now_ms + ms;
+        while self.world.now_ms < end_ms {
+            self.round();
+        }
+    }
+
+    /// Lets another holder take over, with nothing left of the workers that have
+    /// crashed.
+    fn take_over(&mut self, revision: u64, jobs: &[JobId]) {
+        let world = &mut self.world;
+        let workers = &world.workers;
+        let lives = |worker: &WorkerListing| workers.contains_key(&worker.id);
+        world.listings.retain(lives);
+        world.take_over(revision);
+        world.scheduler.log_starts();
+        let logs = std::mem::take(&mut self.logs);
+        let starts = logs.iter().flat_map(|log| log.starts().to_vec());
+        world.scheduler.take_logged_starts(starts.collect());
+        for number in jobs {
+            let progress = world.stored.get(number).cloned();
+            let accepted = job(vec![step(1)]);
+            world.scheduler.submit(*number, accepted, 6, progress.as_ref());
+        }
+        world.list();
+        world.expect_all();
+    }
+}
+
+// Where nothing but the log told of a start, and each holder was lost with one, the
+// next knew of none.
+#[test]
+fn holders_that_are_lost_with_a_start_leave_a_log_of_it() {
+    let mut logging = Logging::new(&["w1", "w2", "w3", "w4", "w5", "w6"]);
+    logging.world.lost_with_starts = true;
+    let bad = first_task(id(1));
+    logging.world.crashing.push(bad);
+    let jobs = [id(1), id(2), id(3)];
+    for number in jobs {
+        logging.world.scheduler.submit(number, job(vec![step(1)]), 6, None);
+    }
+    let mut revision = 6;
+    let end_ms = logging.world.now_ms + 60_000;
+    while logging.world.now_ms < end_ms {
+        let starts = logging.world.starts.len();
+        while logging.world.starts.len() == starts
+            && logging.world.now_ms < end_ms
+        {
+            logging.round();
+        }
+        revision += 2;
+        logging.take_over(revision, &jobs);
+    }
+    let starts = starts_of(&logging.world, &bad);
+    assert!(starts <= MOST_STARTS, "started {starts} times");
+    assert_eq!(logging.world.phases[&id(1)], "failed");
+    for sound in [id(2), id(3)] {
+        assert_eq!(logging.world.phases[&sound], "completed", "{sound}");
+    }
+    assert!(logging.logged > 0);
+}
+
+/// Makes a holder that has taken over with one job whose run goes on.
+fn inherit_and_start() -> Logging {
+    let mut logging = Logging::new(&["w1", "w2"]);
+    logging.world.fate = Fate::endless();
+    logging.take_over(8, &[id(1)]);
+    logging.run_for(200);
+    assert_eq!(logging.world.starts.len(), 1);
+    logging
+}
+
+// Each start cost a write of its job's record.
+#[test]
+fn a_sound_start_is_logged_and_its_job_not_written_for_it() {
+    let mut logging = inherit_and_start();
+    assert_eq!(logging.logs.len(), 1);
+    assert_eq!(logging.logged, 1);
+    // Its record says that it has begun, and nothing else is written of it.
+    logging.run_for(3_000);
+    assert_eq!(logging.world.stored[&id(1)].tasks, []);
+    assert!(logging.logs.is_empty(), "the run has lived on");
+}
+
+// What a former holder had logged of a job was forgotten with the next record.
+#[test]
+fn what_was_logged_is_on_record_with_its_job_before_the_logs_can_go() {
+    let mut logging = inherit_and_start();
+    let starts = logging.logs[0].starts().to_vec();
+    let on = logging.world.starts[0].0.clone();
+    // It isn't heard what became of it.
+    logging.world.cut.push(on.clone());
+    logging.world.stored.clear();
+    logging.take_over(10, &[id(1)]);
+    assert!(!logging.world.scheduler.are_logged_starts_stored());
+    logging.run_for(50);
+    assert!(logging.world.scheduler.are_logged_starts_stored());
+    let record = &logging.world.stored[&id(1)].tasks[0];
+    let logged: &LoggedStart = &starts[0];
+    assert_eq!(record.unseen, logged.unseen);
+    assert_eq!(logged.worker, on.as_str());
+}
+
+// A write that wasn't done left its starts waiting.
+#[test]
+fn starts_whose_log_was_not_written_are_logged_again() {
+    let mut logging = Logging::new(&["w1", "w2"]);
+    logging.take_over(8, &[id(1)]);
+    let mut lost = None;
+    while lost.is_none() {
+        logging.world.now_ms += 50;
+        logging.world.round();
+        lost = logging.world.scheduler.take_start_log();
+    }
+    let lost = lost.expect("a log");
+    assert_eq!(logging.world.scheduler.take_start_log(), None);
+    logging.world.scheduler.start_log_failed(&lost);
+    let again = logging.world.scheduler.take_start_log().expect("a log");
+    assert_eq!(again.starts(), lost.starts());
+    assert!(again.number() > lost.number());
+    logging.world.scheduler.start_log_stored(&again);
+    logging.run_for(100);
+    assert_eq!(logging.world.starts.len(), 1);
+}
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -7,6 +7,7 @@
 use {
     super::{
         progress::{FeedEvent, Stored},
+        start_logs::LoadedStarts,
         takeover::{LoadedDuties, LoadedJobs},
     },
     crate::clock,
@@ -15,8 +16,8 @@
         record::RecordWritten,
         schedule::{
             Changes, EndSetAside, EndsSetAside, Held as SentHold, HoldReport,
-            ManagedVm, OrderError, PaceOrder, VmOrderError, WorkerId,
-            WorkerListing,
+            ManagedVm, OrderError, PaceOrder, StartLog, VmOrderError,
+            WorkerId, WorkerListing,
         },
     },
     dewspar_platform::Error,
@@ -74,6 +75,13 @@
         ends: EndsSetAside,
         written: RecordWritten,
     },
+    /// Starts that former holders have logged.
+    StartsLoaded(LoadedStarts),
+    /// What became of a write of a log of starts.
+    StartLogWritten {
+        log: StartLog,
+        written: RecordWritten,
+    },
     /// What former holders left beside them.
     DutiesLoaded(LoadedDuties),
     /// All that former holders left was told.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -32,6 +32,7 @@
         orders,
         outcome::Outcome,
         relay::{self, Keeper, RelayedWorkers},
+        start_logs::StartLogWrites,
         takeover::{self, LoadedDuties},
         versions::RecordVersions,
     },
@@ -129,6 +130,7 @@
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.begin_loading();
+    scheduler.log_starts();
     let mut holder = Holder {
         candidate,
         workers,
@@ -138,6 +140,7 @@
         restored: BTreeMap::new(),
         unreadable: BTreeSet::new(),
         ends: LoadedEnds::default(),
+        start_logs: StartLogWrites::default(),
         sender,
         look_ups: LookUps::default(),
         pools: BTreeMap::new(),
@@ -178,6 +181,7 @@
     pub(super) unreadable: BTreeSet<JobId>,
     /// Ends that former holders have set aside.
     pub(super) ends: LoadedEnds,
+    pub(super) start_logs: StartLogWrites,
     pub(super) sender: EventSender,
     /// New lives of workers that are being looked up.
     look_ups: LookUps,
@@ -273,6 +277,10 @@
                 self.delete_useless_ends();
             }
             Event::EndsLoaded(ends) => self.ends.take_loaded(ends),
+            Event::StartsLoaded(starts) => self.take_loaded_starts(starts),
+            Event::StartLogWritten { log, written } => {
+                self.start_log_written(&log, written, now);
+            }
             Event::EndsWritten { ends, written } => {
                 self.ends_written(&ends, written, now);
             }
@@ -442,6 +450,7 @@
             let fleet = &self.candidate.fleet;
             orders::send(&self.workers, fleet, action, &self.sender);
         }
+        self.store_start_logs(now);
         self.store_changes(now);
         self.store_ends(now);
         self.write_counts(now);
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -37,6 +37,9 @@
 /// Ends of runs whose job can't be read.
 pub(super) const ENDS: &str = "end/";
 
+/// Starts that were put on record together, and not with their jobs.
+pub(super) const START_LOGS: &str = "starts/";
+
 /// Which VMs the waves have maintained.
 pub(super) const WAVES: &str = "wave/";
 
@@ -98,6 +101,10 @@
     format!("{ENDS}{task}.{run}")
 }
 
+pub(super) fn start_log(lease_revision: u64, number: u64) -> String {
+    format!("{START_LOGS}{lease_revision}/{number}")
+}
+
 /// Reads the job from a key of [`PROGRESS`].
 pub(super) fn job_of_progress(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -66,6 +66,7 @@
 mod relay;
 mod rest;
 pub mod settings;
+mod start_logs;
 mod storing;
 mod takeover;
 mod versions;
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -20,6 +20,7 @@
         event::{Event, EventSender, HolderGone},
         keys,
         progress::{FeedEvent, read_feed},
+        start_logs::load_starts,
     },
     crate::{clock, counters, passed_over},
     dewspar::{
@@ -141,13 +142,16 @@
 ) -> Result<Loaded, HolderGone> {
     let mut loaded = Loaded::default();
     let asked_ms = clock::now_ms();
-    let ((_, cancelled), ends) = tokio::join!(
+    let ((_, cancelled), ends, starts) = tokio::join!(
         until_read(|| store.list(keys::CANCELLED)),
         until_read(|| load_ends(store, log)),
+        until_read(|| load_starts(store, log)),
     );
     let call_ms = clock::now_ms().saturating_sub(asked_ms);
     sender.send(Event::Feed(read_feed(&cancelled, log))).await?;
     sender.send(Event::EndsLoaded(ends)).await?;
+    // Before any job of which they tell.
+    sender.send(Event::StartsLoaded(starts)).await?;
 
     let [first, rest @ ..] = &SLICES;
     let took_ms = load_slice(store, first, sender, log, &mut loaded).await?;
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -263,6 +263,7 @@
         "counted".to_owned(),
         "accepted-last".to_owned(),
         "node/node-9".to_owned(),
+        "starts/1/1".to_owned(),
     ] {
         let site = Site::new();
         site.put(&key, b"\xff no record").await;
@@ -274,6 +275,26 @@
     }
 }
 
+// One start that can't be read hid all that its holder had logged.
+#[tokio::test]
+async fn a_logged_start_that_cant_be_read_hides_itself_alone() {
+    let site = Site::new();
+    site.put(&format!("q/in/{}", id(1)), job().to_string().as_bytes()).await;
+    let task = format!("{}.0.0.0", id(1));
+    let good = json!({ "task": task, "run": 8, "worker": "gone", "unseen": 1,
+        "newer": true });
+    let rows = json!([{ "task": 7 }, null, good, "no row"]);
+    site.put("starts/1/1", rows.to_string().as_bytes()).await;
+    let _node = site.start().await;
+    assert!(site.completes(id(1)).await);
+    // Once its job's record holds what it says, the log isn't needed any more.
+    let began = Instant::now();
+    while site.store.get("starts/1/1").await.expect("a store").is_some() {
+        assert!(began.elapsed() < LIMIT, "the log is still there");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 /// The lease may be held by a newer version: it is left alone until the store
 /// ends it.
 #[tokio::test]
