Orders that were decided on before a suspension aren't sent after it

Callers saw: a node whose VM was suspended between a decision and its orders sent them after waking, by a lease that another node may hold by then.

Cause: an order is sent by a task of its own, and nothing looked whether the VM had slept since.

Ruled out: one look for all orders of a plan (they are sent by later tasks, and what lies between is what the test plays); a deadline by the steady clock alone (a busy holder sends late without having slept).

--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -77,12 +77,7 @@
 
 /// Returns milliseconds of the steady clock, which counts suspension.
 pub fn now_ms() -> u64 {
-    let elapsed = START.elapsed().as_millis();
-    let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX / 2);
-    // While a test models a suspension, the monotonic clock is taken to have
-    // stood still for just as long as `CLOCK_BOOTTIME` is ahead of it by that:
-    // the sum of both is what it was.
-    FIRST_MS + elapsed_ms + passed_unseen_ms()
+    steady_ms(passed_unseen_ms())
 }
 
 /// Returns for how long this VM was suspended since the process began, in
@@ -91,6 +86,34 @@
     passed_unseen_ms() + modelled::suspended_ms()
 }
 
+/// What the clocks show at one moment.
+#[derive(Clone, Copy, Debug)]
+pub struct Reading {
+    /// As [`now_ms`].
+    pub now_ms: u64,
+    /// As [`suspended_ms`].
+    pub suspended_ms: u64,
+}
+
+/// Reads [`now_ms`] and [`suspended_ms`] together, which takes no longer than the
+/// first of them.
+pub fn read() -> Reading {
+    let unseen_ms = passed_unseen_ms();
+    Reading {
+        now_ms: steady_ms(unseen_ms),
+        suspended_ms: unseen_ms + modelled::suspended_ms(),
+    }
+}
+
+fn steady_ms(unseen_ms: u64) -> u64 {
+    let elapsed = START.elapsed().as_millis();
+    let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX / 2);
+    // While a test models a suspension, the monotonic clock is taken to have
+    // stood still for just as long as `CLOCK_BOOTTIME` is ahead of it by that:
+    // the sum of both is what it was.
+    FIRST_MS + elapsed_ms + unseen_ms
+}
+
 /// Returns what has passed that the process's monotonic clock doesn't show.
 fn passed_unseen_ms() -> u64 {
     let at_start_ms = *AHEAD_AT_START_MS;
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -447,8 +447,9 @@
             return Some(Outcome::Overloaded);
         }
         for action in actions {
-            let fleet = &self.candidate.fleet;
-            orders::send(&self.workers, fleet, action, &self.sender);
+            let (workers, fleet) = (&self.workers, &self.candidate.fleet);
+            let decided = self.suspensions;
+            orders::send(workers, fleet, action, decided, &self.sender);
         }
         self.store_start_logs(now);
         self.store_changes(now);
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -1,25 +1,37 @@
 /*!
 Carrying out what the scheduler decides: one task for each order.
+
+An order is sent by the lease as the holder knew it when it decided. If the VM
+is suspended before the order goes out, another node may hold the lease by then:
+the order isn't sent, which its result says. The clocks are read once for each
+order, for when it was sent as well: a busy holder sends thousands a second.
 */
 
 use {
     super::event::{Event, EventSender},
-    crate::{clock, counters},
+    crate::{
+        clock::{self, Reading, Suspensions},
+        counters,
+    },
     dewspar::schedule::{Action, OrderError},
     dewspar_platform::{Fleet, JobWorkers},
+    std::future::Future,
 };
 
 /// Sends an order and reports its result as an event.
+///
+/// `decided` is what was known of suspensions when the order was decided on.
 pub(super) fn send<W: JobWorkers, F: Fleet>(
     workers: &W,
     fleet: &F,
     action: Action,
+    decided: Suspensions,
     events: &EventSender,
 ) {
     let (workers, fleet) = (workers.clone(), fleet.clone());
     let events = events.clone();
     tokio::spawn(async move {
-        let event = carry_out(&workers, &fleet, action).await;
+        let event = carry_out(&workers, &fleet, action, decided).await;
         // A holder that is gone has no use for it.
         let _ = events.send(event).await;
     });
@@ -29,26 +41,32 @@
     workers: &W,
     fleet: &F,
     action: Action,
+    decided: Suspensions,
 ) -> Event {
+    let reading = clock::read();
+    let outdated = is_outdated(decided, reading);
     match action {
         Action::Start { worker, address, order } => {
-            let sent_ms = clock::now_ms();
-            let result = workers.start(&address, &worker, &order).await;
-            let took_ms = clock::now_ms().saturating_sub(sent_ms);
+            let sending = workers.start(&address, &worker, &order);
+            let result = unless(outdated, sending).await;
+            let took_ms = clock::now_ms().saturating_sub(reading.now_ms);
             count("start", result.as_ref().err());
             let (task, run) = (order.task, order.run);
             Event::StartAnswered { worker, task, run, took_ms, result }
         }
         Action::Stop { worker, address, order } => {
-            let result = workers.stop(&address, &worker, &order).await;
+            let sending = workers.stop(&address, &worker, &order);
+            let result = unless(outdated, sending).await;
             count("stop", result.as_ref().err());
             Event::StopAnswered { worker, task: order.task, result }
         }
         Action::Hold { worker, address, held } => {
-            let result = workers.hold(&address, &worker, held.order()).await;
+            let sending = workers.hold(&address, &worker, held.order());
+            let result = unless(outdated, sending).await;
             count("hold", result.as_ref().err());
             Event::HoldAnswered { worker, held, result }
         }
+        // It orders nothing, and its answer counts from when it was decided on.
         Action::Advise { step, workers, asked_ms } => {
             let answer = fleet.advise(&step, &workers).await;
             if let Err(error) = &answer {
@@ -57,13 +75,32 @@
             Event::AdviceAnswered { step, workers, asked_ms, answer }
         }
         Action::Pace { worker, address, order } => {
-            let result = workers.pace(&address, &worker, &order).await;
+            let sending = workers.pace(&address, &worker, &order);
+            let result = unless(outdated, sending).await;
             count("pace", result.as_ref().err());
             Event::PaceAnswered { worker, order, result }
         }
     }
 }
 
+/// Returns whether this VM was suspended since an order was decided on.
+///
+/// Workers refuse such an order by its token only where another holder has been.
+fn is_outdated(mut decided: Suspensions, reading: Reading) -> bool {
+    decided.noticed_ms(reading.suspended_ms).is_some()
+}
+
+/// Sends an order, unless it is outdated.
+async fn unless<T>(
+    outdated: bool,
+    sending: impl Future<Output = Result<T, OrderError>>,
+) -> Result<T, OrderError> {
+    if outdated {
+        return Err(OrderError::NotSent);
+    }
+    sending.await
+}
+
 fn count(order: &'static str, error: Option<&OrderError>) {
     let result = error.map_or("done", |error| error.name());
     metrics::counter!(
