The record of ordered VMs is emptied once none counts

Its age isn't known, so each later holder took the order for one of up to 3 s ago, for 3 s.

Now the holder writes an empty record once no order of it counts. It says nothing new, so it is one write a burst. Ruled out: starts without a record (the log held it), a worker that was silent for long (0.3 s), a restart under the identifier (another).

Elsewhere: records of waves and of jobs hold no ages; counts that are old are told by their lease. Left: holders that each last less than 3 s never empty it.

--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -43,7 +43,7 @@
     dewspar::{
         job::JobId,
         overload::RoundTrips,
-        record::RecordWriter,
+        record::{RecordWriter, RecordWritten},
         schedule::{Now, OrderError, Scheduler},
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
@@ -159,6 +159,7 @@
         waves: LoadedWaves::default(),
         wave_writers: BTreeMap::new(),
         vm_orders: RecordWriter::default(),
+        vms_are_on_record: false,
         completed: Vec::new(),
         expired_ms: clock::now_ms(),
         suspensions: Suspensions::new(clock::suspended_ms()),
@@ -207,6 +208,8 @@
     pub(super) wave_writers: BTreeMap<u64, RecordWriter>,
     /// The record of the VMs of which changes are ordered.
     vm_orders: RecordWriter,
+    /// Whether that record may name VMs.
+    vms_are_on_record: bool,
     /// What former holders kept of each wave.
     pub(super) waves: LoadedWaves,
     /// The waves that were reported as completed before.
@@ -350,6 +353,8 @@
                 self.wave_written(wave, written, now);
             }
             Event::VmOrdersWritten(written) => {
+                self.vms_are_on_record |=
+                    !matches!(written, RecordWritten::Done(_));
                 self.vm_orders.answered(written, now.steady_ms);
             }
             Event::WriteAgain(changes) => scheduler.changes_failed(&changes),
@@ -362,6 +367,8 @@
     fn take_duties(&mut self, duties: LoadedDuties, now: Now) {
         let orderer = self.candidate.orderer();
         self.vm_orders.found(duties.ordered.version);
+        let ordered = duties.ordered.vms.as_ref();
+        self.vms_are_on_record = ordered.is_some_and(|vms| !vms.is_empty());
         self.scheduler.leave_vms_alone(now, &orderer, duties.ordered.vms);
         self.counts.found(duties.counts_version);
         for (wave, version) in &duties.waves.versions {
@@ -508,10 +515,16 @@
         }
         self.vms_planned_ms = now.steady_ms;
         let orders = self.scheduler.plan_vms(now);
-        if orders.is_empty() {
+        if orders.is_empty() && !self.vms_are_on_record {
             return;
         }
         let vms = self.scheduler.ordered_vms(now, &self.candidate.orderer());
+        // The record doesn't say how old it is: a VM that stayed in it would be
+        // left alone anew by each later holder, and no crash there be counted.
+        if orders.is_empty() && !vms.is_empty() {
+            return;
+        }
+        self.vms_are_on_record = !vms.is_empty();
         let burst = Burst {
             holder: self.candidate.node.clone(),
             fence: self.held.revision,
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -706,3 +706,23 @@
     sleep(Duration::from_secs(30)).await;
     assert_eq!(alone.store.count("q/stop/"), 0);
 }
+
+// A VM that was ordered long ago counted as ordered of late for each new holder, which
+// counted no crash there in its first seconds: 6 crashes of one task, 5 allowed.
+#[tokio::test(start_paused = true)]
+async fn vms_that_were_ordered_long_ago_are_no_longer_on_record() {
+    let alone = Alone::start(&Batch::default(), 0).await;
+    // All is loaded by then.
+    sleep(Duration::from_secs(3)).await;
+    alone.fleet.request_wave(WaveRequest {
+        wave: 1,
+        vms: (0..4).map(|vm| format!("vm-{vm}")).collect(),
+        duration_ms: 5_000,
+        max_down: 2,
+    });
+    until(async || alone.fleet.maintained().len() == 4).await;
+    sleep(Duration::from_secs(10)).await;
+    let found = alone.store.get("vm-orders").await.expect("a store");
+    let record = found.expect("orders went out").value;
+    assert_eq!(String::from_utf8_lossy(&record), "[]");
+}
