--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -181,10 +181,10 @@
         &mut self,
         task: &TaskId,
         worker_id: &WorkerId,
+        vm: &str,
     ) {
         let Some(state) = self.task_to_protect(task) else { return };
-        let worker = worker_id.clone();
-        let vm = String::new();
+        let (worker, vm) = (worker_id.clone(), vm.to_owned());
         let start = InDoubt { worker, vm, run: UNKNOWN_RUN, ordered_ms: None };
         state.in_doubt.0.push(start);
         self.tasks_in_doubt.insert(*task);
@@ -251,6 +251,11 @@
                 continue;
             };
             let mut left = state.in_doubt.clone();
+            for start in left.0.iter_mut().filter(|s| s.vm.is_empty()) {
+                let worker = self.workers.get(&start.worker);
+                let vm = worker.map(|worker| worker.listing.vm.clone());
+                start.vm = vm.unwrap_or_default();
+            }
             left.0.retain(|start| {
                 start.may_arrive(now, self.taken_over_ms)
                     && !self.is_replaced(start)
--- a/crates/dewspar/src/schedule/start_log.rs
+++ b/crates/dewspar/src/schedule/start_log.rs
@@ -61,6 +61,9 @@
     pub run: u64,
     /// The worker that is told to start it.
     pub worker: String,
+    /// The VM of that worker; empty if it doesn't name one.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub vm: String,
     /// When that worker's process was started, in milliseconds of the Unix epoch;
     /// `None` if it doesn't say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -176,10 +179,12 @@
     fn logged_start(&self, task: &TaskId) -> Option<LoggedStart> {
         let state = self.jobs.get(&task.job)?.task(task)?;
         let worker = state.on.last()?;
+        let vm = self.workers.get(worker).map(|w| w.listing.vm.clone());
         Some(LoggedStart {
             task: *task,
             run: state.run,
             worker: worker.to_string(),
+            vm: vm.unwrap_or_default(),
             born_unix_ms: state.told_process.born_unix_ms(),
             crashes: state.crashes.count,
             unseen: state.crashes.unseen_on_record(),
@@ -294,7 +299,7 @@
         let born = start.born_unix_ms;
         let process = born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
         let told = ToldStart::of(WorkerId::new(&start.worker), process);
-        self.note_told_start(start.task, told);
+        self.note_told_start(start.task, told, &start.vm);
         true
     }
 
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -96,14 +96,20 @@
             let process =
                 born.map_or(Incarnation::UNKNOWN, Incarnation::born_at);
             let start = ToldStart::of(WorkerId::new(told), process);
-            self.note_told_start(task, start);
+            self.note_told_start(task, start, "");
         }
     }
 
-    /// Keeps in mind which worker a former holder told to start a task.
-    pub(super) fn note_told_start(&mut self, task: TaskId, start: ToldStart) {
+    /// Keeps in mind which worker a former holder told to start a task, on a VM
+    /// whose name is empty where it isn't known.
+    pub(super) fn note_told_start(
+        &mut self,
+        task: TaskId,
+        start: ToldStart,
+        vm: &str,
+    ) {
         if start.process != Incarnation::UNKNOWN {
-            self.note_told_in_doubt(&task, &start.worker);
+            self.note_told_in_doubt(&task, &start.worker, vm);
         }
         self.told_starts.insert(task, start);
     }
