--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -7,21 +7,15 @@
 is out and the write isn't leaves no trace of the start, and the next one does
 the same.
 
-So some starts are *withheld*. The task takes its room on the worker as if it were
-ordered, the record names that worker, and the order follows once the record is
-stored:
+So some starts are *withheld*: those of tasks that a former holder may have started,
+and of those that are being found out about (see [`suspects`](super::suspects)). The
+task takes its room on the worker as if it were ordered, the record names that worker,
+and the order follows once the record is stored. What a holder accepts itself starts
+at once: one such start without a trace is bounded by what the next holders record.
 
-- Starts of tasks that a former holder may have started, and of those that are
-  being found out about (see [`suspects`](super::suspects)). What a holder accepts
-  itself starts at once: one such start without a trace is bounded by what the
-  next holders record.
-- While orders may get lost, starts that a worker's next process might carry out
-  late (see [`in_doubt`](super::in_doubt)).
-
-They are written together (see [`start_log`](super::start_log)), or with their jobs
-where nobody writes such logs.
-Where the store takes none, or takes long, the order goes out without its record:
-callers wait for that no longer than [`RECORD_WAIT_MS`].
+The starts are written together (see [`start_log`](super::start_log)), or with their
+jobs where nobody writes such logs. Where the store takes none, or takes long, the
+order goes out without its record: callers wait no longer than [`RECORD_WAIT_MS`].
 
 If meanwhile the worker takes no orders any more, or the run is to stop, nothing
 was ordered, and the task waits again.
