Ask callers for a key of their team

A configuration now holds teams with the digests of their keys; a queue that isn't public takes no call without one of them (401, with the header's name). The team is stored with the job and its progress, so that every node knows it and a team sees and cancels only its own jobs. A node whose configuration may be out of date refuses with 503, whether or not the key looks valid. Records without a team still load, and any caller who may call the queue sees them.

--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -37,7 +37,7 @@
     fleet::{Fleet, Intent, VmChange},
     job_call::{
         JobCall, JobOperation, JobProtocol, JobReply, ListedJob, NotRead,
-        deadline_in,
+        caller_of, deadline_in,
     },
     job_worker::JobWorkers,
     kv::{
--- a/crates/dewspar-standin/src/peak.rs
+++ b/crates/dewspar-standin/src/peak.rs
@@ -526,7 +526,7 @@
             ..QueueTerms::default()
         };
         let accepted_at_ms = self.now().unix_ms;
-        let job = AcceptedJob { spec, terms, accepted_at_ms };
+        let job = AcceptedJob { spec, terms, accepted_at_ms, team: None };
         self.events.push_back((self.now_us, Event::JobCame(id, job)));
     }
 
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -84,6 +84,8 @@
 struct State {
     workers: BTreeMap<WorkerId, Entry>,
     intent: Intent,
+    /// Whether what the operator wants can't be read.
+    is_intent_unreadable: bool,
     completed: Vec<u64>,
     next_life: u64,
     /// How long each task takes, in milliseconds.
@@ -121,6 +123,7 @@
         let state = State {
             workers: BTreeMap::new(),
             intent: Intent { read_at: 1, ..Intent::default() },
+            is_intent_unreadable: false,
             completed: Vec::new(),
             next_life: 1,
             work_ms: 100,
@@ -167,6 +170,11 @@
         state.intent.queues = Some(queues);
     }
 
+    /// Fails reads of what the operator wants from now on, or no longer.
+    pub fn set_intent_unreadable(&self, unreadable: bool) {
+        self.lock().is_intent_unreadable = unreadable;
+    }
+
     /// Asks for a wave, as the operator would.
     pub fn request_wave(&self, wave: WaveRequest) {
         let mut state = self.lock();
@@ -451,7 +459,14 @@
     }
 
     async fn intent(&self) -> Result<Intent, Error> {
-        Ok(self.lock().intent.clone())
+        let state = self.lock();
+        if state.is_intent_unreadable {
+            return Err(Error::Unavailable {
+                call: "read intent",
+                reason: "turned away".to_owned(),
+            });
+        }
+        Ok(state.intent.clone())
     }
 
     async fn intent_changed(&self, read_at: u64) -> Result<bool, Error> {
--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -79,6 +79,8 @@
     /// When the job finished, in milliseconds since the Unix epoch; 0 until
     /// then.
     pub finished_at_ms: u64,
+    /// The name of the team that the job belongs to; empty for none.
+    pub team: String,
     /// The tasks that have state to record, ordered by round, step and index.
     pub tasks: Vec<TaskRecord>,
     /// Fields of the record that this version doesn't know.
--- a/crates/dewspar/src/job/queue.rs
+++ b/crates/dewspar/src/job/queue.rs
@@ -1,4 +1,7 @@
-use crate::schedule::QueueTerms;
+use crate::{
+    schedule::QueueTerms,
+    team::{Caller, KeyDigest, QueueAccess, Teams, UnknownKey},
+};
 
 /// A queue to which callers submit jobs, with its terms.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -11,6 +14,8 @@
     pub path_prefix: String,
     /// The time limit of a request, in milliseconds.
     pub timeout_ms: u64,
+    /// Which callers the queue accepts.
+    pub access: QueueAccess,
     /// The service levels and limits of the queue.
     pub terms: QueueTerms,
 }
@@ -22,6 +27,7 @@
     queues: Vec<Queue>,
     free_pools: Vec<String>,
     pools_without_capacity_checks: Vec<String>,
+    teams: Teams,
 }
 
 impl QueueSet {
@@ -51,6 +57,52 @@
         self
     }
 
+    /// Sets the teams that may call queues that aren't public.
+    pub fn with_teams(mut self, teams: Teams) -> QueueSet {
+        self.teams = teams;
+        self
+    }
+
+    /// Returns the teams.
+    pub fn teams(&self) -> &Teams {
+        &self.teams
+    }
+
+    /// Returns on whose behalf a call to a queue with this key is made. A key
+    /// shown to a public queue is ignored.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`UnknownKey`] if the queue isn't public and no team holds the
+    /// key, or there is none.
+    ///
+    /// ```
+    /// use dewspar::{
+    ///     job::{Queue, QueueSet},
+    ///     team::{Caller, KeyDigest, QueueAccess, Team, Teams, UnknownKey},
+    /// };
+    ///
+    /// let queue = Queue { access: QueueAccess::Teams, ..Queue::default() };
+    /// let key = KeyDigest::of(b"k-17");
+    /// let teams = Teams::default().with(Team::default(), [key]);
+    /// let set = QueueSet::new(1, vec![queue.clone()]).with_teams(teams);
+    /// assert!(matches!(set.access(&queue, Some(&key)), Ok(Caller::Team(_))));
+    /// assert_eq!(set.access(&queue, None), Err(UnknownKey));
+    /// ```
+    pub fn access(
+        &self,
+        queue: &Queue,
+        key: Option<&KeyDigest>,
+    ) -> Result<Caller, UnknownKey> {
+        match queue.access {
+            QueueAccess::Public => Ok(Caller::Public),
+            QueueAccess::Teams => key
+                .and_then(|key| self.teams.holding(key))
+                .map(|team| Caller::Team(team.clone()))
+                .ok_or(UnknownKey),
+        }
+    }
+
     /// Returns the configuration version, which increases monotonically.
     pub fn version(&self) -> u64 {
         self.version
--- a/crates/dewspar/src/job/stored.rs
+++ b/crates/dewspar/src/job/stored.rs
@@ -25,6 +25,8 @@
     phase: Phase,
     #[serde(default, skip_serializing_if = "is_zero")]
     finished_at_ms: u64,
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    team: String,
     /// Ranges of tasks that succeeded at their first run.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     done: Vec<String>,
@@ -131,7 +133,7 @@
 
 impl From<Progress> for StoredProgress {
     fn from(progress: Progress) -> StoredProgress {
-        let Progress { phase, finished_at_ms, tasks, other } = progress;
+        let Progress { phase, finished_at_ms, team, tasks, other } = progress;
         let (done_on_first_run, tasks): (Vec<TaskRecord>, Vec<TaskRecord>) =
             tasks.into_iter().partition(is_done_on_first_run);
         let mut ranges: Vec<TaskRange> = Vec::new();
@@ -142,7 +144,7 @@
             }
         }
         let done = ranges.iter().map(TaskRange::to_string).collect();
-        StoredProgress { phase, finished_at_ms, done, tasks, other }
+        StoredProgress { phase, finished_at_ms, team, done, tasks, other }
     }
 }
 
@@ -150,12 +152,18 @@
     type Error = InvalidRange;
 
     fn try_from(stored: StoredProgress) -> Result<Progress, InvalidRange> {
-        let StoredProgress { phase, finished_at_ms, done, mut tasks, other } =
-            stored;
+        let StoredProgress {
+            phase,
+            finished_at_ms,
+            team,
+            done,
+            mut tasks,
+            other,
+        } = stored;
         for range in &done {
             tasks.extend(range.parse::<TaskRange>()?.records());
         }
         tasks.sort_by_key(|task| (task.round, task.step, task.index));
-        Ok(Progress { phase, finished_at_ms, tasks, other })
+        Ok(Progress { phase, finished_at_ms, team, tasks, other })
     }
 }
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -43,6 +43,7 @@
 | [`fields`] | unknown record fields, kept for newer versions |
 | [`job`] | submitted jobs and their progress |
 | [`schedule`] | the assignment of a job's tasks to workers |
+| [`team`] | the teams of callers, their API keys and quotas |
 | [`chart`] | state charts that are read from files and interpreted |
 | [`history`] | recorded runs, and checks of every guarantee on them |
 
@@ -85,6 +86,7 @@
 mod rows;
 pub mod schedule;
 pub mod slot;
+pub mod team;
 mod util;
 pub mod wave;
 pub mod window;
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -16,6 +16,8 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) payload: Arc<str>,
     pub(crate) terms: QueueTerms,
+    /// The name of that team; empty for none.
+    pub(crate) team_name: Arc<str>,
     /// The revision of the store at which the job was accepted.
     pub(crate) revision: u64,
     pub(crate) accepted_at_ms: u64,
@@ -82,6 +84,7 @@
             estimates_from_ms: estimates_from_ms.collect(),
             spec: Arc::new(spec),
             terms,
+            team_name: Arc::default(),
             revision,
             accepted_at_ms,
             phase: Phase::Queued,
@@ -91,6 +94,12 @@
         }
     }
 
+    /// Sets the team that the job belongs to.
+    pub(crate) fn with_team(mut self, name: &str) -> Job {
+        self.team_name = Arc::from(name);
+        self
+    }
+
     /// Restores what a former lease holder stored.
     pub(crate) fn restore(&mut self, progress: &Progress) {
         self.phase = progress.phase;
@@ -139,6 +148,7 @@
         Progress {
             phase: self.phase,
             finished_at_ms: self.finished_at_ms,
+            team: self.team_name.as_ref().to_owned(),
             tasks,
             other: self.other.clone(),
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -88,6 +88,7 @@
     },
     terms: QueueTerms { pool: "registry".to_owned(), ..QueueTerms::default() },
     accepted_at_ms: now.unix_ms,
+    team: None,
 };
 scheduler.submit("5c0e7a21d94b36f8".parse()?, job, 8, None);
 let actions = scheduler.plan(now);
@@ -119,7 +120,10 @@
 };
 
 use {
-    crate::job::{JobId, JobSpec, Phase, TaskId},
+    crate::{
+        job::{JobId, JobSpec, Phase, TaskId},
+        team::Team,
+    },
     serde::{Deserialize, Serialize},
 };
 
@@ -230,6 +234,10 @@
     pub terms: QueueTerms,
     /// When it was accepted, in milliseconds of the Unix epoch.
     pub accepted_at_ms: u64,
+    /// The team whose quota its tasks count against, as it was when the job
+    /// was accepted; `None` for a job of a public queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<Team>,
 }
 
 /// An order or request for the caller to carry out.
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -86,7 +86,10 @@
 }
 
 /// Resources that a task requests, or that a worker provides.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize,
+)]
+#[serde(default)]
 pub struct Resources {
     /// Processor time, in thousandths of a core.
     pub cpu_millis: u64,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -289,10 +289,13 @@
             self.finished.insert(id, progress.finished_at_ms);
             return;
         }
-        let AcceptedJob { spec, terms, accepted_at_ms } = job;
+        let AcceptedJob { spec, terms, accepted_at_ms, team } = job;
         let newest = self.queues.get(&spec.queue).cloned();
         let terms = newest.unwrap_or(terms);
         let mut job = Job::new(spec, terms, revision, accepted_at_ms);
+        if let Some(team) = &team {
+            job = job.with_team(&team.name);
+        }
         if let Some(progress) = progress {
             job.restore(progress);
             self.has_suspects |=
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -65,6 +65,7 @@
             ..QueueTerms::default()
         },
         accepted_at_ms: 1_700_000_000_000,
+        team: None,
     }
 }
 
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -430,6 +430,7 @@
                 ..QueueTerms::default()
             },
             accepted_at_ms: self.now().unix_ms,
+            team: None,
         };
         if self.varied {
             self.vary(&mut job);
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -20,10 +20,11 @@
     dewspar::{
         job::{JobId, JobSpec, QueueSet},
         schedule::AcceptedJob,
+        team::Caller,
     },
     dewspar_platform::{
         Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
-        JobReply, KeyValue,
+        JobReply, KeyValue, NotRead, Versioned,
     },
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
@@ -185,11 +186,27 @@
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         };
         let call = match self.protocol.read(queues, head, body) {
+            // The configuration in use may lack a team's newest key, or still
+            // have one that was taken away.
+            Ok(JobCall { caller: Caller::Team(_), .. })
+            | Err(NotRead::Unauthorized(_))
+                if !self.readiness.is_current() =>
+            {
+                counters::count_by(counters::REFUSALS, "reason", "stale_keys");
+                info!(self.log, "call: refused"; "path" => head.uri.path(),
+                    "version" => queues.version(),
+                    "config_age_ms" => snapshot.age_ms(),
+                    "reason" => "the keys may be out of date");
+                return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
+            }
             Ok(call) => call,
             Err(reason) => {
                 info!(self.log, "call: not read"; "path" => head.uri.path(),
                     "version" => queues.version(), "reason" => ?reason);
-                return reason.into();
+                let reply = JobReply::from(reason);
+                let outcome = outcome_name(&reply);
+                counters::count_by(counters::JOB_CALLS, "outcome", outcome);
+                return reply;
             }
         };
         let reply = self.execute(&call, queues, arrived).await;
@@ -220,6 +237,7 @@
         };
         info!(self.log, "call: answered"; "operation" => operation,
             "job" => id.map(JobId::to_string), "queue" => &call.queue,
+            "team" => call.caller.team().map(|team| &team.name),
             "version" => queues.version(),
             "config_age_ms" => snapshot.age_ms(),
             "deadline_ms" => call.deadline_ms, "outcome" => outcome,
@@ -246,12 +264,18 @@
         let deadline = arrived + Duration::from_millis(remaining_ms);
         match &call.operation {
             JobOperation::Submit { id, spec } => {
-                self.submit(queues, *id, spec, deadline).await
+                self.submit(queues, *id, spec, &call.caller, deadline).await
+            }
+            JobOperation::Status { id } => {
+                self.status(*id, &call.caller, deadline).await
+            }
+            JobOperation::Cancel { id } => {
+                self.cancel(*id, &call.caller, deadline).await
             }
-            JobOperation::Status { id } => self.status(*id, deadline).await,
-            JobOperation::Cancel { id } => self.cancel(*id, deadline).await,
             JobOperation::Pending => self.pending(&call.queue, deadline).await,
-            JobOperation::List => self.list(&call.queue, deadline).await,
+            JobOperation::List => {
+                self.list(&call.queue, &call.caller, deadline).await
+            }
         }
     }
 
@@ -260,6 +284,7 @@
         queues: &QueueSet,
         id: JobId,
         spec: &JobSpec,
+        caller: &Caller,
         deadline: Instant,
     ) -> JobReply {
         if !self.readiness.is_current() {
@@ -271,6 +296,7 @@
             spec: spec.clone(),
             terms: terms.unwrap_or_default(),
             accepted_at_ms: clock::unix_ms(),
+            team: caller.team().cloned(),
         };
         // OK because a job holds only what JSON can write.
         let value = serde_json::to_vec(&job).expect("plain JSON");
@@ -284,9 +310,12 @@
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
         match self.write(&batch, deadline).await {
-            // A conflict means that the job is already stored, perhaps by an
-            // earlier attempt of this call.
-            WriteResult::Done | WriteResult::Conflict => JobReply::Accepted,
+            WriteResult::Done => JobReply::Accepted,
+            // The job is already stored, perhaps by an earlier attempt of this
+            // call.
+            WriteResult::Conflict(found) => {
+                self.reply_to_known(id, &found, caller)
+            }
             WriteResult::NotDone => {
                 counters::count_by(counters::REFUSALS, "reason", "store");
                 JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
@@ -295,8 +324,30 @@
         }
     }
 
-    async fn cancel(&self, id: JobId, deadline: Instant) -> JobReply {
-        match self.phase(id, deadline).await {
+    /// Returns the answer to a submission of a job that the store already has.
+    fn reply_to_known(
+        &self,
+        id: JobId,
+        found: &[Versioned],
+        caller: &Caller,
+    ) -> JobReply {
+        let mut owners =
+            found.iter().filter_map(|item| self.owner_in(id, item));
+        if owners.all(|owner| caller.may_access(&owner)) {
+            JobReply::Accepted
+        } else {
+            let reason = "path: the job's identifier is in use".to_owned();
+            JobReply::Invalid(reason)
+        }
+    }
+
+    async fn cancel(
+        &self,
+        id: JobId,
+        caller: &Caller,
+        deadline: Instant,
+    ) -> JobReply {
+        match self.phase(id, caller, deadline).await {
             Err(reply) => reply,
             Ok(None) => JobReply::NoSuchJob,
             Ok(Some(phase)) if phase.is_final() => JobReply::Cancelled,
@@ -304,7 +355,7 @@
                 let batch =
                     Batch::default().put(&keys::cancelled(id), Vec::new());
                 match self.write(&batch, deadline).await {
-                    WriteResult::Done | WriteResult::Conflict => {
+                    WriteResult::Done | WriteResult::Conflict(_) => {
                         JobReply::Cancelled
                     }
                     WriteResult::NotDone => {
@@ -316,8 +367,13 @@
         }
     }
 
-    async fn status(&self, id: JobId, deadline: Instant) -> JobReply {
-        match self.phase(id, deadline).await {
+    async fn status(
+        &self,
+        id: JobId,
+        caller: &Caller,
+        deadline: Instant,
+    ) -> JobReply {
+        match self.phase(id, caller, deadline).await {
             Err(reply) => reply,
             Ok(Some(phase)) => JobReply::State(phase),
             Ok(None) => JobReply::NoSuchJob,
@@ -337,7 +393,9 @@
                     sent.answered();
                     return match commit {
                         Commit::Done(_) => WriteResult::Done,
-                        Commit::Conflict(_) => WriteResult::Conflict,
+                        Commit::Conflict(found) => {
+                            WriteResult::Conflict(found)
+                        }
                     };
                 }
                 Ok(Err(error)) => {
@@ -372,7 +430,8 @@
 /// The result of a write.
 enum WriteResult {
     Done,
-    Conflict,
+    /// A condition didn't hold; these are the items that exist.
+    Conflict(Vec<Versioned>),
     NotDone,
     Unknown,
 }
@@ -388,6 +447,7 @@
         JobReply::Jobs(_) => "listed",
         JobReply::NoSuchJob => "no_such_job",
         JobReply::NoSuchQueue => "no_such_queue",
+        JobReply::Unauthorized(_) => "unauthorized",
         JobReply::Invalid(_) => "invalid",
         JobReply::NoSuchMethod => "no_such_method",
     }
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -95,7 +95,8 @@
         let steps = &job.spec.steps;
         let tasks: u32 = steps.iter().map(|step| step.count).sum();
         info!(self.candidate.log, "job: taken in"; "job" => %id,
-            "queue" => &job.spec.queue, "pool" => &job.terms.pool,
+            "queue" => &job.spec.queue,
+            "team" => job.team.as_ref().map(|team| &team.name), "pool" => &job.terms.pool,
             "age_ms" => age_ms,
             "inherited" => revision < self.held.revision,
             "steps" => steps.len(), "tasks" => tasks,
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -17,6 +17,7 @@
     dewspar::{
         job::{JobId, Phase, Progress},
         schedule::AcceptedJob,
+        team::Caller,
     },
     dewspar_platform::{
         JobProtocol, JobReply, KeyValue, ListedJob, Purpose, Versioned,
@@ -30,40 +31,68 @@
 struct OpenJob {
     listed: ListedJob,
     queue: String,
+    /// The team that it belongs to; empty for none.
+    team: String,
     /// When it is first due, in milliseconds of the Unix epoch; 0 for at once.
     due_ms: u64,
 }
 
 impl<K: KeyValue, P: JobProtocol> Frontend<K, P> {
-    /// Reads a job's phase; `None` if there is no such job.
+    /// Reads a job's phase; `None` if there is no such job that the caller may
+    /// see.
     pub(super) async fn phase(
         &self,
         id: JobId,
+        caller: &Caller,
         deadline: Instant,
     ) -> Result<Option<Phase>, JobReply> {
         let progress = keys::progress(id);
-        if let Some(phase) = self.read_phase(&progress, deadline).await? {
-            return Ok(Some(phase));
+        let mut found = self.read_progress(&progress, deadline).await?;
+        if found.is_none() {
+            let key = keys::accepted(id);
+            let accepted = self.read_versioned(&key, deadline).await?;
+            if let Some(item) = accepted {
+                let owner = self.owner_in(id, &item);
+                let visible =
+                    owner.is_none_or(|owner| caller.may_access(&owner));
+                return Ok(visible.then_some(Phase::Queued));
+            }
+            // It may have finished between the two reads.
+            found = self.read_progress(&progress, deadline).await?;
         }
-        let accepted = self.read(&keys::accepted(id), deadline).await?;
-        if accepted.is_some() {
-            return Ok(Some(Phase::Queued));
+        let visible = found.filter(|found| caller.may_access(&found.team));
+        Ok(visible.map(|found| found.phase))
+    }
+
+    /// Returns the name of the team that a job belongs to, from its stored
+    /// entry or its progress; `None` if the item can't be read.
+    pub(super) fn owner_in(
+        &self,
+        id: JobId,
+        item: &Versioned,
+    ) -> Option<String> {
+        if item.key == keys::progress(id) {
+            let progress = serde_json::from_slice::<Progress>(&item.value);
+            let progress =
+                self.parsed_or_skipped("progress", item, progress)?;
+            return Some(progress.team);
         }
-        // It may have finished between the two reads.
-        self.read_phase(&progress, deadline).await
+        let job = serde_json::from_slice::<AcceptedJob>(&item.value);
+        let job = self.parsed_or_skipped("accepted job", item, job)?;
+        Some(job.team.map(|team| team.name).unwrap_or_default())
     }
 
-    async fn read_phase(
+    async fn read_progress(
         &self,
         key: &str,
         deadline: Instant,
-    ) -> Result<Option<Phase>, JobReply> {
+    ) -> Result<Option<Progress>, JobReply> {
         let Some(found) = self.read_versioned(key, deadline).await? else {
             return Ok(None);
         };
         let progress = serde_json::from_slice::<Progress>(&found.value);
         match self.parsed_or_skipped("progress", &found, progress) {
-            Some(progress) => Ok(Some(progress.phase)),
+            Some(progress) => Ok(Some(progress)),
             // Any answer about the job might be wrong.
             None => Err(JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }),
         }
@@ -123,17 +152,20 @@
         Ok(count_waiting(&open, clock::unix_ms()))
     }
 
-    /// Lists a queue's unfinished jobs.
+    /// Lists a queue's unfinished jobs that the caller may see.
     pub(super) async fn list(
         &self,
         queue: &str,
+        caller: &Caller,
         deadline: Instant,
     ) -> JobReply {
         let open = match self.open_jobs(deadline).await {
             Ok(open) => open,
             Err(reply) => return reply,
         };
-        let in_queue = open.into_iter().filter(|job| job.queue == queue);
+        let in_queue = open
+            .into_iter()
+            .filter(|job| job.queue == queue && caller.may_access(&job.team));
         JobReply::Jobs(in_queue.map(|job| job.listed).collect())
     }
 
@@ -197,8 +229,10 @@
                     let phase = phases.get(&id).copied().unwrap_or_default();
                     let due_ms = job.spec.due_ms(0);
                     let queue = job.spec.queue;
+                    let team = job.team.map(|team| team.name);
+                    let team = team.unwrap_or_default();
                     let listed = ListedJob { id, phase };
-                    open.push(OpenJob { listed, queue, due_ms });
+                    open.push(OpenJob { listed, queue, team, due_ms });
                 }
                 Some(FeedKey::Owner | FeedKey::Claim) | None => {}
             }
@@ -224,15 +258,6 @@
             .ok()
     }
 
-    /// Reads a key's value, with retries until the deadline.
-    async fn read(
-        &self,
-        key: &str,
-        deadline: Instant,
-    ) -> Result<Option<Vec<u8>>, JobReply> {
-        Ok(self.read_versioned(key, deadline).await?.map(|found| found.value))
-    }
-
     /// Reads a key, with retries until the deadline.
     async fn read_versioned(
         &self,
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -17,7 +17,8 @@
     bytes::Bytes,
     dewspar::job::{InvalidId, JobSpec, QueueSet, Repeat, StepSpec},
     dewspar_platform::{
-        JobCall, JobOperation, JobProtocol, JobReply, NotRead, deadline_in,
+        JobCall, JobOperation, JobProtocol, JobReply, NotRead, caller_of,
+        deadline_in,
     },
     hyper::{
         Method, Response, StatusCode,
@@ -62,12 +63,18 @@
         };
         let queue = queues.named(queue).ok_or(NotRead::NoSuchQueue)?;
         let deadline_ms = deadline_in(head);
+        let caller = caller_of(&head.headers, queue, queues)?;
         let operation = match job {
             None if head.method == Method::GET => JobOperation::Pending,
             None => return Err(NotRead::NoSuchMethod),
             Some(job) => operation(&queue.name, &head.method, job, body)?,
         };
-        Ok(JobCall { queue: queue.name.clone(), deadline_ms, operation })
+        Ok(JobCall {
+            queue: queue.name.clone(),
+            deadline_ms,
+            caller,
+            operation,
+        })
     }
 
     fn write(&self, reply: &JobReply) -> Response<Bytes> {
@@ -108,6 +115,15 @@
             JobReply::NoSuchQueue => {
                 problem(StatusCode::NOT_FOUND, "no-queue", "no such queue")
             }
+            JobReply::Unauthorized(reason) => {
+                let status = StatusCode::UNAUTHORIZED;
+                let mut response = problem(status, "unauthorized", reason);
+                let scheme = HeaderValue::from_static("Bearer");
+                response
+                    .headers_mut()
+                    .insert(header::WWW_AUTHENTICATE, scheme);
+                response
+            }
             JobReply::NoSuchMethod => problem(
                 StatusCode::METHOD_NOT_ALLOWED,
                 "no-method",
@@ -132,6 +148,7 @@
     Ok(JobCall {
         queue: queue.name.clone(),
         deadline_ms: deadline_in(head),
+        caller: caller_of(&head.headers, queue, queues)?,
         operation: JobOperation::List,
     })
 }
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -299,7 +299,12 @@
         steps: vec![step],
         ..JobSpec::default()
     };
-    let job = AcceptedJob { spec, terms: queue("").terms, accepted_at_ms: 1 };
+    let job = AcceptedJob {
+        spec,
+        terms: queue("").terms,
+        accepted_at_ms: 1,
+        team: None,
+    };
     let job = serde_json::to_vec(&job).expect("plain JSON");
     let unreadable_id = format!("{:016x}", 7);
     let batch = Batch::default()
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -218,7 +218,12 @@
         steps: (0..steps).map(step).collect(),
         ..JobSpec::default()
     };
-    AcceptedJob { spec, terms: terms(), accepted_at_ms: clock::unix_ms() }
+    AcceptedJob {
+        spec,
+        terms: terms(),
+        accepted_at_ms: clock::unix_ms(),
+        team: None,
+    }
 }
 
 /// The delay of answers to lists, in microseconds: the first two reads take
--- a/crates/dewspard/tests/late_orders.rs
+++ b/crates/dewspard/tests/late_orders.rs
@@ -112,7 +112,7 @@
         ..JobSpec::default()
     };
     let accepted_at_ms = clock::unix_ms();
-    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms };
+    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms, team: None };
     let job = serde_json::to_vec(&job).expect("plain JSON");
     let batch = Batch::default().put(&format!("q/in/{id}"), job);
     store.commit(&batch).await.expect("a store");
--- a/crates/dewspard/tests/late_relays.rs
+++ b/crates/dewspard/tests/late_relays.rs
@@ -228,7 +228,7 @@
         ..JobSpec::default()
     };
     let accepted_at_ms = clock::unix_ms();
-    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms };
+    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms, team: None };
     let job = serde_json::to_vec(&job).expect("plain JSON");
     let batch = Batch::default().put(&format!("q/in/{}", id(number)), job);
     store.commit(&batch).await.expect("a store");
--- a/crates/dewspard/tests/later_tokens.rs
+++ b/crates/dewspard/tests/later_tokens.rs
@@ -147,7 +147,8 @@
             ..JobSpec::default()
         };
         let accepted_at_ms = clock::unix_ms();
-        let job = AcceptedJob { spec, terms: terms(), accepted_at_ms };
+        let job =
+            AcceptedJob { spec, terms: terms(), accepted_at_ms, team: None };
         let job = serde_json::to_vec(&job).expect("plain JSON");
         for number in 0..WORKERS {
             let key = format!("q/in/{}", id(number));
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -157,7 +157,8 @@
         steps: vec![step],
         ..JobSpec::default()
     };
-    let job = AcceptedJob { spec, terms: terms(), accepted_at_ms: 1 };
+    let job =
+        AcceptedJob { spec, terms: terms(), accepted_at_ms: 1, team: None };
     serde_json::to_value(job).expect("plain JSON")
 }
 
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -250,7 +250,12 @@
         steps: vec![step, second],
         ..JobSpec::default()
     };
-    AcceptedJob { spec, terms: terms(), accepted_at_ms: clock::unix_ms() }
+    AcceptedJob {
+        spec,
+        terms: terms(),
+        accepted_at_ms: clock::unix_ms(),
+        team: None,
+    }
 }
 
 fn id(number: u64) -> JobId {
--- a/crates/dewspard/tests/strange_owner.rs
+++ b/crates/dewspard/tests/strange_owner.rs
@@ -99,7 +99,12 @@
         steps: vec![step],
         ..JobSpec::default()
     };
-    AcceptedJob { spec, terms: terms(), accepted_at_ms: clock::unix_ms() }
+    AcceptedJob {
+        spec,
+        terms: terms(),
+        accepted_at_ms: clock::unix_ms(),
+        team: None,
+    }
 }
 
 async fn hand_in(store: &Store, number: u64) {
--- a/crates/dewspard/tests/suspension.rs
+++ b/crates/dewspard/tests/suspension.rs
@@ -66,7 +66,12 @@
         steps: vec![step, second],
         ..JobSpec::default()
     };
-    AcceptedJob { spec, terms: terms(), accepted_at_ms: clock::unix_ms() }
+    AcceptedJob {
+        spec,
+        terms: terms(),
+        accepted_at_ms: clock::unix_ms(),
+        team: None,
+    }
 }
 
 async fn submit(store: &Store, id: JobId) {
