Keep what may run for a team within its quota

`quota` decides without I/O; `schedule::quotas` charges, before each pass, everything that may run: runs on workers until their ends are certain, starts in doubt, the runs of jobs that ended under a former holder (recorded with their cancellation), and what a former holder may have started on workers that haven't listed their runs, bounded by their capacity and by the tasks of inherited jobs. Jobs of a limited team start nothing while jobs are loading. A quota that falls stops no run: what was stopped would be thrown away and have to start again, while the rule only counts starts.

The random worlds have teams with quotas that change.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -44,6 +44,7 @@
 | [`job`] | submitted jobs and their progress |
 | [`schedule`] | the assignment of a job's tasks to workers |
 | [`team`] | the teams of callers, their API keys and quotas |
+| [`quota`] | what counts against each team's quota |
 | [`chart`] | state charts that are read from files and interpreted |
 | [`history`] | recorded runs, and checks of every guarantee on them |
 
@@ -80,6 +81,7 @@
 pub mod poll;
 pub mod poll_delay;
 pub mod pool;
+pub mod quota;
 pub mod record;
 pub mod relay;
 pub mod route;
--- /dev/null
+++ b/crates/dewspar/src/quota.rs
@@ -0,0 +1,208 @@
+/*!
+What counts against each team's quota, and whether one more task may start.
+
+A quota limits what a team's tasks use at the same time over all workers. What
+really runs can't be known: an order without an answer may be carried out
+seconds later, a run that was told to stop may still be active, and a worker
+that can't be reached may run what a former lease holder started there. A
+[`QuotaLedger`] therefore counts everything that *may* run, in three groups:
+
+| group | counts |
+|---|---|
+| [`Charge::Running`] | runs that were ordered or are known to exist |
+| [`Charge::Stopping`] | runs that were told to stop and whose end isn't known |
+| [`Charge::InDoubt`] | what may run without being known here |
+
+A start is admitted if it keeps all of that within the quota. A task that asks
+for more than the whole quota is admitted while nothing of its team counts,
+since it would never start otherwise. A gang starts as a whole or not at all,
+so it has no such exception. A quota that falls below what counts stops no run;
+the team starts nothing until enough of it has ended.
+
+The ledger holds no history: its owner clears it and charges everything again
+whenever it wants to admit starts. There is no running total that could drift.
+
+# Example
+
+```
+use dewspar::{
+    quota::{Admission, Charge, QuotaLedger},
+    schedule::Resources,
+    team::Team,
+};
+
+let cores = |cores: u64| Resources {
+    cpu_millis: cores * 1_000,
+    ..Resources::default()
+};
+let notaries =
+    Team { name: "notaries".to_owned(), quota: cores(8), ..Team::default() };
+let mut ledger = QuotaLedger::default();
+let team = ledger.configure(&notaries);
+
+ledger.charge(team, Charge::Running, &cores(4));
+ledger.charge(team, Charge::InDoubt, &cores(2));
+assert_eq!(ledger.admit(team, &cores(2)), Admission::Admitted);
+assert_eq!(ledger.admit(team, &cores(3)), Admission::Exceeded);
+
+// A task that is larger than the quota starts once nothing else counts.
+ledger.clear();
+assert_eq!(ledger.admit(team, &cores(9)), Admission::Admitted);
+assert_eq!(ledger.admit_gang(team, &cores(9)), Admission::Exceeded);
+```
+*/
+
+use {
+    crate::{schedule::Resources, team::Team},
+    std::collections::BTreeMap,
+};
+
+/// The number of a team in a ledger, which is cheaper to compare than its
+/// name.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct TeamNumber(usize);
+
+/// Why something counts against a quota.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Charge {
+    /// A run that was ordered or is known to exist.
+    Running,
+    /// A run that was told to stop and whose end isn't known.
+    Stopping,
+    /// Something that may run without being known here.
+    InDoubt,
+}
+
+/// Whether a start stays within a quota.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Admission {
+    /// It does.
+    Admitted,
+    /// It doesn't.
+    Exceeded,
+}
+
+/// What counts against the quota of one team.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Usage {
+    /// By runs that were ordered or are known to exist.
+    pub running: Resources,
+    /// By runs that were told to stop and whose ends aren't known.
+    pub stopping: Resources,
+    /// By what may run without being known.
+    pub in_doubt: Resources,
+}
+
+impl Usage {
+    /// Returns the sum.
+    pub fn total(&self) -> Resources {
+        self.running.plus(&self.stopping).plus(&self.in_doubt)
+    }
+}
+
+/// What counts against the quotas of all teams.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaLedger {
+    accounts: Vec<Account>,
+    numbers: BTreeMap<String, TeamNumber>,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    team: Team,
+    usage: Usage,
+}
+
+impl QuotaLedger {
+    /// Applies a team of the current configuration.
+    pub fn configure(&mut self, team: &Team) -> TeamNumber {
+        let number = self.number_for(team);
+        self.accounts[number.0].team.clone_from(team);
+        number
+    }
+
+    /// Returns the number of a team that a job refers to. The team's quota is
+    /// used only if the ledger doesn't know the team.
+    pub fn number_for(&mut self, team: &Team) -> TeamNumber {
+        if let Some(number) = self.numbers.get(&team.name) {
+            return *number;
+        }
+        let number = TeamNumber(self.accounts.len());
+        let account = Account { team: team.clone(), usage: Usage::default() };
+        self.accounts.push(account);
+        self.numbers.insert(team.name.clone(), number);
+        number
+    }
+
+    /// Forgets all charges; the teams stay.
+    pub fn clear(&mut self) {
+        for account in &mut self.accounts {
+            account.usage = Usage::default();
+        }
+    }
+
+    /// Counts something against a team's quota.
+    pub fn charge(
+        &mut self,
+        number: TeamNumber,
+        charge: Charge,
+        resources: &Resources,
+    ) {
+        let usage = &mut self.accounts[number.0].usage;
+        match charge {
+            Charge::Running => usage.running.add(resources),
+            Charge::Stopping => usage.stopping.add(resources),
+            Charge::InDoubt => usage.in_doubt.add(resources),
+        }
+    }
+
+    /// Returns whether one task may start.
+    pub fn admit(&self, number: TeamNumber, demand: &Resources) -> Admission {
+        let used = self.accounts[number.0].usage.total();
+        if used == Resources::default() {
+            return Admission::Admitted;
+        }
+        self.admit_gang(number, demand)
+    }
+
+    /// Returns whether tasks with this total demand may start together.
+    pub fn admit_gang(
+        &self,
+        number: TeamNumber,
+        demand: &Resources,
+    ) -> Admission {
+        let Account { team, usage } = &self.accounts[number.0];
+        let after = usage.total().plus(demand);
+        if limits_of(&team.quota).contains(&after) {
+            Admission::Admitted
+        } else {
+            Admission::Exceeded
+        }
+    }
+
+    /// Returns whether a team has a quota on any resource.
+    pub fn is_limited(&self, number: TeamNumber) -> bool {
+        self.accounts[number.0].team.quota != Resources::default()
+    }
+
+    /// Returns a team and what counts against its quota.
+    pub fn account(&self, number: TeamNumber) -> (&Team, &Usage) {
+        let Account { team, usage } = &self.accounts[number.0];
+        (team, usage)
+    }
+
+    /// Returns all teams with what counts against their quotas.
+    pub fn accounts(&self) -> impl Iterator<Item = (&Team, &Usage)> {
+        self.accounts.iter().map(|Account { team, usage }| (team, usage))
+    }
+}
+
+/// Returns a quota's limits: a resource of which it has 0 isn't limited.
+fn limits_of(quota: &Resources) -> Resources {
+    let limit = |amount: u64| if amount == 0 { u64::MAX } else { amount };
+    Resources {
+        cpu_millis: limit(quota.cpu_millis),
+        memory_mb: limit(quota.memory_mb),
+        gpus: limit(quota.gpus),
+    }
+}
--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -76,9 +76,14 @@
         // Nothing is known about a job that is neither open nor over, so its
         // cancellation stays on record.
         let finished = &self.finished;
-        let settled =
+        let is_settled =
             |id: &JobId| finished.contains_key(id) && !running.contains(id);
-        on_record.extract_if(.., |id| settled(id)).take(most).collect()
+        let settled: Vec<JobId> =
+            on_record.extract_if(.., |id| is_settled(id)).take(most).collect();
+        for id in &settled {
+            self.quotas.note_stopped_all(*id);
+        }
+        settled
     }
 
     /// Returns whether all runs everywhere are known: every worker that may
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -399,12 +399,14 @@
         let state = job.and_then(|job| job.task(&active.task));
         let suspicion =
             state.map(|state| state.crashes.suspicion()).unwrap_or_default();
+        let charge = self.charge_of_listed(&active.task);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let reported_ms = worker.latest_report_ms();
         let mut run = Run {
             run: active.run,
             fence: 0,
             demand: Resources::default(),
+            charge,
             state: RunState::Running,
             since_ms: now.steady_ms,
             confirmed_from_ms: Some(reported_ms),
--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -46,7 +46,7 @@
 
 /// For how long an order without an answer may still be carried out, in
 /// milliseconds.
-const MAX_DELIVERY_MS: u64 = 12_000;
+pub(super) const MAX_DELIVERY_MS: u64 = 12_000;
 
 /// The number of a run that a previous holder recorded as ordered.
 const UNKNOWN_RUN: u64 = 0;
@@ -110,6 +110,11 @@
         }
     }
 
+    /// Returns the worker and the number of each run.
+    pub(super) fn starts(&self) -> impl Iterator<Item = (&WorkerId, u64)> {
+        self.0.iter().map(|start| (&start.worker, start.run))
+    }
+
     /// Returns whether the task may start on a worker.
     pub(super) fn allow(
         &self,
@@ -142,9 +147,16 @@
         ordered_ms: u64,
     ) {
         let Some(worker) = self.workers.get(worker_id) else { return };
-        if worker.reports_incarnation() {
-            let start = in_doubt(worker, run, ordered_ms);
-            self.add_in_doubt(task, start);
+        if !worker.reports_incarnation() {
+            return;
+        }
+        let start = in_doubt(worker, run, ordered_ms);
+        let ordered = worker.runs.get(task).filter(|known| known.run == run);
+        let ordered = ordered.cloned();
+        if !self.add_in_doubt(task, start)
+            && let Some(ordered) = ordered
+        {
+            self.note_doubtful_start(task, worker_id, &ordered);
         }
     }
 
@@ -159,14 +171,18 @@
         }
         for (task, run) in runs.iter().filter(|(_, run)| !run.has_begun()) {
             let start = in_doubt(worker, run.run, run.since_ms);
-            self.add_in_doubt(task, start);
+            if !self.add_in_doubt(task, start) {
+                self.note_doubtful_start(task, worker.id(), run);
+            }
         }
     }
 
-    fn add_in_doubt(&mut self, task: &TaskId, start: InDoubt) {
-        let Some(state) = self.at_most_once_task(task) else { return };
+    /// Returns whether the task keeps track of it: it doesn't if copies of the
+    /// task may run or if the task is over.
+    fn add_in_doubt(&mut self, task: &TaskId, start: InDoubt) -> bool {
+        let Some(state) = self.at_most_once_task(task) else { return false };
         if state.in_doubt.has(&start.worker, start.run) {
-            return;
+            return true;
         }
         let worker = start.worker.clone();
         state.in_doubt.0.push(start);
@@ -174,6 +190,7 @@
         self.mark_changed(task.job);
         let for_ms = MAX_DELIVERY_MS;
         self.note(Decision::StartInDoubt { task: *task, worker, for_ms });
+        true
     }
 
     /// Notes that a previous holder recorded a start as ordered.
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -2,6 +2,7 @@
     crate::{
         fields::UnknownFields,
         job::{JobId, JobSpec, Phase, Progress, StepSpec, TaskId, TaskRecord},
+        quota::TeamNumber,
         schedule::{
             Incarnation, QueueTerms, Resources, WorkerId,
             in_doubt::StartsInDoubt, suspects::CrashHistory,
@@ -16,6 +17,8 @@
     pub(crate) spec: Arc<JobSpec>,
     pub(crate) payload: Arc<str>,
     pub(crate) terms: QueueTerms,
+    /// The team whose quota its tasks count against.
+    pub(crate) team: Option<TeamNumber>,
     /// The name of that team; empty for none.
     pub(crate) team_name: Arc<str>,
     /// The revision of the store at which the job was accepted.
@@ -84,6 +87,7 @@
             estimates_from_ms: estimates_from_ms.collect(),
             spec: Arc::new(spec),
             terms,
+            team: None,
             team_name: Arc::default(),
             revision,
             accepted_at_ms,
@@ -94,8 +98,9 @@
         }
     }
 
-    /// Sets the team that the job belongs to.
-    pub(crate) fn with_team(mut self, name: &str) -> Job {
+    /// Sets the team whose quota the tasks count against.
+    pub(crate) fn with_team(mut self, number: TeamNumber, name: &str) -> Job {
+        self.team = Some(number);
         self.team_name = Arc::from(name);
         self
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -107,6 +107,7 @@
     policy::{
         Forecast, InvalidPolicy, Orders, Placing, Policy, Sizing, Watching,
     },
+    quotas::TeamUse,
     scheduler::Scheduler,
     start_log::{LoggedStart, StartLog},
     storing::Changes,
@@ -150,6 +151,7 @@
 mod poll_limit;
 mod processes;
 mod projection;
+mod quotas;
 mod record_merge;
 mod reservations;
 mod scheduler;
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -13,6 +13,7 @@
     crate::{
         job::{StepSpec, TaskId},
         link::Class,
+        quota::Admission,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             full_pools::{FullPools, UnsyncedPools},
@@ -94,6 +95,7 @@
         if !self.may_start() {
             return;
         }
+        self.count_usage(now);
         let mut pools_without_room = BTreeSet::new();
         let mut pools = PoolCache::default();
         let late_last = self.placing().late_last;
@@ -196,6 +198,7 @@
                 .is_none()
         });
         let pool = job.terms.pool.clone();
+        let charge = Scheduler::charge_for(job, spec);
         let fits = self.fits_any_vm(spec);
         if spec.gang {
             let placed = self.start_gang(spec, &first, &waiting, now, actions);
@@ -211,6 +214,9 @@
             if !self.may_start() {
                 break;
             }
+            if self.admit_start(charge.as_ref()) == Admission::Exceeded {
+                break;
+            }
             let task = TaskId { index, ..first };
             let chosen = match &mut uniform {
                 Some(placement) if !self.needs_own_placement(&task) => {
@@ -547,7 +553,7 @@
 
     /// Returns whether some worker of a pool may run tasks from a former lease
     /// and hasn't listed its runs yet.
-    fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
+    pub(super) fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
         !self.workers_known
             || self.workers.in_pool(pool).any(|(_, worker)| {
                 !worker.runs_are_known()
@@ -612,8 +618,12 @@
         worker.lease_until_ms(now.steady_ms, &self.options)?;
         let fence = worker.fence();
         let process = worker.listing.incarnation;
+        let job = self.jobs.get(&task.job)?;
+        let charge = Scheduler::charge_for(job, spec);
         let ordered = Run::ordered(run, fence, demand(spec), now.steady_ms)
+            .with_charge(charge)
             .with_long_running(spec.long_running);
+        self.charge_start(charge.as_ref());
         let suspicion = self.note_suspect_started(task, now);
         let worker = self.workers.get_mut(&worker_id)?;
         worker.insert(*task, ordered.with_suspicion(suspicion));
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -11,6 +11,7 @@
     super::PlacementError,
     crate::{
         job::{StepSpec, TaskId},
+        quota::Admission,
         schedule::{
             Action, Now, Scheduler, WorkerId, job_state::demand, worker::Run,
         },
@@ -32,6 +33,13 @@
         if waiting.len() < spec.count as usize {
             return true;
         }
+        let charge = self.jobs.get(&first.job);
+        let charge = charge.and_then(|job| Scheduler::charge_for(job, spec));
+        let admission = self.admit_gang(charge.as_ref(), waiting.len());
+        // Another VM wouldn't help.
+        if admission == Admission::Exceeded {
+            return true;
+        }
         let members: Vec<TaskId> =
             waiting.iter().map(|&index| TaskId { index, ..*first }).collect();
         if !self.claim_room_for_gang(&members, now) {
--- /dev/null
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -0,0 +1,445 @@
+/*!
+Quotas of teams: what may be running on each team's behalf.
+
+Before each pass that starts tasks, everything that may run is charged to its
+team in a [`QuotaLedger`](crate::quota::QuotaLedger):
+
+| source | charged |
+|---|---|
+| runs on workers | all of them, also those that are withheld, unconfirmed or told to stop, until their end is certain |
+| starts in doubt | orders without an answer that a worker may still carry out |
+| stops on record | runs of jobs that ended under a former holder while some of their runs were active |
+| unsynced workers | whatever a former holder may have started on workers that haven't listed their runs yet |
+
+The last one is bounded twice for each pool: by the capacity of those workers,
+and by the tasks of inherited jobs that aren't known to run elsewhere. Jobs
+that were accepted under this lease can't run there. While the jobs or the
+workers themselves aren't all known yet, teams with a quota start nothing.
+*/
+
+use {
+    crate::{
+        job::{JobId, JobSpec, StepSpec, TaskId},
+        quota::{Admission, Charge, QuotaLedger, TeamNumber, Usage},
+        schedule::{
+            Now, Resources, Scheduler, WorkerId,
+            in_doubt::MAX_DELIVERY_MS,
+            job_state::Job,
+            worker::{Run, Worker},
+        },
+        team::{Team, Teams},
+    },
+    serde::{Deserialize, Serialize},
+    std::{collections::BTreeMap, sync::Arc},
+};
+
+/// The interval at which the possible runs on unsynced workers are summed up,
+/// in milliseconds: each time, all inherited tasks are visited.
+const INHERITED_INTERVAL_MS: u64 = 100;
+
+/// What the active runs of a finished job use of a team's quota.
+///
+/// It is stored with the job's cancellation, so that the next holder can
+/// charge these runs before it has found them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct TeamUse {
+    /// The team.
+    pub team: Team,
+    /// What the runs use.
+    pub resources: Resources,
+}
+
+/// What a run uses of a team's quota.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RunCharge {
+    pub(crate) team: TeamNumber,
+    pub(crate) resources: Resources,
+}
+
+/// A start that may still be carried out, of a task for which nothing else
+/// records that.
+#[derive(Debug)]
+struct DoubtfulStart {
+    task: TaskId,
+    run: u64,
+    worker: WorkerId,
+    charge: RunCharge,
+    until_ms: u64,
+}
+
+/// A finished job of which unsynced workers may still run something.
+#[derive(Debug)]
+struct FinishedJob {
+    pool: String,
+    spec: Arc<JobSpec>,
+    /// The most that its runs on unsynced workers use.
+    charge: RunCharge,
+}
+
+/// The quotas of all teams, and what is charged to them besides runs.
+#[derive(Debug, Default)]
+pub(super) struct TeamQuotas {
+    pub(super) ledger: QuotaLedger,
+    doubtful_starts: Vec<DoubtfulStart>,
+    /// What finished jobs may still use according to former holders.
+    stops_on_record: BTreeMap<JobId, RunCharge>,
+    /// The inherited jobs that have finished since, as long as there are
+    /// unsynced workers.
+    finished_inherited: BTreeMap<JobId, FinishedJob>,
+    /// What may run on unsynced workers.
+    inherited: Vec<RunCharge>,
+    /// When that was last summed up; 0 if it is out of date.
+    inherited_ms: u64,
+}
+
+impl TeamQuotas {
+    /// Forgets what a finished job may use, since nothing of it runs.
+    pub(super) fn note_stopped_all(&mut self, id: JobId) {
+        self.stops_on_record.remove(&id);
+    }
+
+    /// Notes that another worker may run something unknown.
+    pub(super) fn note_unsynced_worker(&mut self) {
+        self.inherited_ms = 0;
+    }
+
+    fn has_limits(&self) -> bool {
+        let mut accounts = self.ledger.accounts();
+        accounts.any(|(team, _)| team.quota != Resources::default())
+    }
+}
+
+impl Scheduler {
+    /// Applies the teams of a configuration.
+    ///
+    /// A team that it no longer has keeps its last quota: its accepted jobs
+    /// are still to be run.
+    pub fn configure_teams(&mut self, teams: &Teams) {
+        for team in teams.iter() {
+            self.quotas.ledger.configure(team);
+        }
+    }
+
+    /// Returns each team with what counts against its quota, as of the last
+    /// scheduling pass.
+    pub fn team_usage(&self) -> impl Iterator<Item = (&Team, &Usage)> {
+        self.quotas.ledger.accounts()
+    }
+
+    /// Notes what the runs of a finished job may use according to the former
+    /// holder that recorded its end.
+    pub fn note_stops_on_record(&mut self, id: JobId, team_use: &TeamUse) {
+        let team = self.quotas.ledger.number_for(&team_use.team);
+        let charge = RunCharge { team, resources: team_use.resources };
+        self.quotas.stops_on_record.insert(id, charge);
+    }
+
+    /// Keeps charging what a finished job may run on workers that haven't
+    /// listed their runs yet.
+    pub(super) fn note_finished_inherited(&mut self, id: JobId, now: Now) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        let Some(team) = job.team else { return };
+        if let Some(resources) = self.unlisted_use(job, now) {
+            let pool = job.terms.pool.clone();
+            let charge = RunCharge { team, resources };
+            let finished =
+                FinishedJob { pool, spec: job.spec.clone(), charge };
+            self.quotas.finished_inherited.insert(id, finished);
+        }
+    }
+
+    /// Returns what a job may run on workers that haven't listed their runs
+    /// yet; `None` for nothing.
+    fn unlisted_use(&self, job: &Job, now: Now) -> Option<Resources> {
+        let inherited = job.revision < self.lease_revision;
+        let pool = job.terms.pool.as_str();
+        let may_run = inherited && self.has_unsynced_workers(pool, now);
+        let demand = may_run.then(|| unlocated_demand(job));
+        demand.filter(|demand| *demand != Resources::default())
+    }
+
+    /// Returns what the runs of a job use of its team's quota; `None` if it
+    /// certainly has none, or has no team.
+    pub(super) fn active_use(&self, id: JobId) -> Option<TeamUse> {
+        let job = self.jobs.get(&id)?;
+        let team = self.quotas.ledger.account(job.team?).0.clone();
+        let unlisted = self.quotas.finished_inherited.get(&id);
+        let mut resources =
+            unlisted.map(|job| job.charge.resources).unwrap_or_default();
+        for (task, worker) in job.placements(id) {
+            let worker = self.workers.get(worker);
+            let run = worker.and_then(|worker| worker.runs.get(&task));
+            let charge = run.and_then(|run| run.charge);
+            resources.add(&charge.map(|c| c.resources).unwrap_or_default());
+        }
+        let is_used = resources != Resources::default();
+        is_used.then_some(TeamUse { team, resources })
+    }
+
+    /// Returns what a run of a step uses of its team's quota.
+    pub(super) fn charge_for(job: &Job, spec: &StepSpec) -> Option<RunCharge> {
+        Some(RunCharge { team: job.team?, resources: quota_demand(spec) })
+    }
+
+    /// Returns what a run that a worker lists uses of a team's quota.
+    pub(super) fn charge_of_listed(&self, task: &TaskId) -> Option<RunCharge> {
+        if let Some(job) = self.jobs.get(&task.job) {
+            return Scheduler::charge_for(job, job.step_spec(task)?);
+        }
+        let finished = self.quotas.finished_inherited.get(&task.job)?;
+        let spec = finished.spec.steps.get(task.step as usize)?;
+        let resources = quota_demand(spec);
+        Some(RunCharge { team: finished.charge.team, resources })
+    }
+
+    /// Charges the runs of a job that were found before the job was loaded:
+    /// those of a cancelled one.
+    pub(super) fn charge_found_runs(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.team.is_none() || !self.cancelled.contains(id) {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            let runs = worker.runs.iter_mut();
+            for (task, run) in runs.filter(|(task, _)| task.job == id) {
+                let spec = job.step_spec(task);
+                run.charge =
+                    spec.and_then(|spec| Scheduler::charge_for(job, spec));
+            }
+        }
+    }
+
+    /// Returns whether a start with this charge stays within the quota.
+    pub(super) fn admit_start(&self, charge: Option<&RunCharge>) -> Admission {
+        let Some(RunCharge { team, resources }) = charge else {
+            return Admission::Admitted;
+        };
+        if !self.quotas.ledger.is_limited(*team) {
+            return Admission::Admitted;
+        }
+        if !self.knows_what_may_run() {
+            return Admission::Exceeded;
+        }
+        self.quotas.ledger.admit(*team, resources)
+    }
+
+    /// Returns whether all members of a gang stay within the quota together.
+    pub(super) fn admit_gang(
+        &self,
+        charge: Option<&RunCharge>,
+        members: usize,
+    ) -> Admission {
+        let Some(RunCharge { team, resources }) = charge else {
+            return Admission::Admitted;
+        };
+        if !self.quotas.ledger.is_limited(*team) {
+            return Admission::Admitted;
+        }
+        if !self.knows_what_may_run() {
+            return Admission::Exceeded;
+        }
+        let demand = resources.times(members as u64);
+        self.quotas.ledger.admit_gang(*team, &demand)
+    }
+
+    /// Returns whether every job and every worker is known, so that what may
+    /// run has a bound.
+    fn knows_what_may_run(&self) -> bool {
+        !self.is_loading() && self.workers_known
+    }
+
+    /// Charges a start that has just been decided.
+    pub(super) fn charge_start(&mut self, charge: Option<&RunCharge>) {
+        if let Some(RunCharge { team, resources }) = charge {
+            self.quotas.ledger.charge(*team, Charge::Running, resources);
+        }
+    }
+
+    /// Charges everything that may run to the teams.
+    pub(super) fn count_usage(&mut self, now: Now) {
+        if !self.quotas.has_limits() || !self.knows_what_may_run() {
+            return;
+        }
+        self.sum_up_inherited(now);
+        let TeamQuotas {
+            ledger,
+            doubtful_starts,
+            stops_on_record,
+            inherited,
+            ..
+        } = &mut self.quotas;
+        ledger.clear();
+        let runs = self.workers.values().flat_map(|w| w.runs.values());
+        for run in runs {
+            let Some(RunCharge { team, resources }) = run.charge else {
+                continue;
+            };
+            let charge = match run.is_stopping() {
+                true => Charge::Stopping,
+                false => Charge::Running,
+            };
+            ledger.charge(team, charge, &resources);
+        }
+        doubtful_starts.retain(|start| now.steady_ms < start.until_ms);
+        let is_counted = |worker: &WorkerId, task: &TaskId, run: u64| {
+            let worker = self.workers.get(worker);
+            let known = worker.and_then(|worker| worker.runs.get(task));
+            known.is_some_and(|known| known.run == run)
+        };
+        let doubtful = doubtful_starts
+            .iter()
+            .filter(|s| !is_counted(&s.worker, &s.task, s.run))
+            .map(|start| &start.charge);
+        let stops = stops_on_record.values();
+        for RunCharge { team, resources } in
+            doubtful.chain(stops).chain(inherited.iter())
+        {
+            ledger.charge(*team, Charge::InDoubt, resources);
+        }
+        for task in &self.tasks_in_doubt {
+            let Some(job) = self.jobs.get(&task.job) else { continue };
+            let (Some(state), Some(spec)) =
+                (job.task(task), job.step_spec(task))
+            else {
+                continue;
+            };
+            let Some(RunCharge { team, resources }) =
+                Scheduler::charge_for(job, spec)
+            else {
+                continue;
+            };
+            let uncounted = state
+                .in_doubt
+                .starts()
+                .filter(|(worker, run)| !is_counted(worker, task, *run))
+                .count();
+            let resources = resources.times(uncounted as u64);
+            ledger.charge(team, Charge::InDoubt, &resources);
+        }
+    }
+
+    /// Notes that a start may still be carried out although its run is no
+    /// longer tracked.
+    pub(super) fn note_doubtful_start(
+        &mut self,
+        task: &TaskId,
+        worker: &WorkerId,
+        run: &Run,
+    ) {
+        let Some(charge) = run.charge else { return };
+        self.quotas.doubtful_starts.push(DoubtfulStart {
+            task: *task,
+            run: run.run,
+            worker: worker.clone(),
+            charge,
+            until_ms: run.since_ms + MAX_DELIVERY_MS,
+        });
+    }
+
+    /// Sums up what may run on workers that haven't listed their runs yet.
+    fn sum_up_inherited(&mut self, now: Now) {
+        let counted_ms = self.quotas.inherited_ms;
+        if counted_ms > 0 && now.steady_ms < counted_ms + INHERITED_INTERVAL_MS
+        {
+            return;
+        }
+        self.quotas.inherited_ms = now.steady_ms;
+        let unsynced = self.unsynced_capacity(now);
+        let mut possible: BTreeMap<(&str, TeamNumber), Resources> =
+            BTreeMap::new();
+        for job in self.jobs.values() {
+            let pool = job.terms.pool.as_str();
+            let inherited = job.revision < self.lease_revision;
+            let Some(team) = job.team else { continue };
+            if inherited
+                && !job.phase.is_final()
+                && unsynced.contains_key(pool)
+            {
+                let sum = possible.entry((pool, team)).or_default();
+                sum.add(&unlocated_demand(job));
+            }
+        }
+        for job in self.quotas.finished_inherited.values() {
+            let FinishedJob { pool, charge, .. } = job;
+            if unsynced.contains_key(pool.as_str()) {
+                let sum = possible.entry((pool, charge.team)).or_default();
+                sum.add(&charge.resources);
+            }
+        }
+        let bounded = possible.into_iter().map(|((pool, team), demand)| {
+            // OK because only pools with unsynced workers were visited.
+            let capacity = unsynced[pool];
+            let resources = match capacity {
+                Some(capacity) => demand.component_min(&capacity),
+                None => demand,
+            };
+            RunCharge { team, resources }
+        });
+        let inherited = bounded.collect();
+        let all_listed = unsynced.is_empty();
+        self.quotas.inherited = inherited;
+        if all_listed {
+            self.quotas.finished_inherited.clear();
+        }
+    }
+
+    /// Returns the total capacity of each pool's workers that may run
+    /// something unknown; `None` where some capacity isn't known.
+    fn unsynced_capacity(
+        &self,
+        now: Now,
+    ) -> BTreeMap<&str, Option<Resources>> {
+        let mut pools: BTreeMap<&str, Option<Resources>> = BTreeMap::new();
+        let may_run_unknown = |worker: &&Worker| {
+            !worker.runs_are_known() && now.steady_ms <= worker.lease_over_ms
+        };
+        for worker in self.workers.values().filter(may_run_unknown) {
+            let pool = worker.listing.pool.as_str();
+            let sum = pools.entry(pool).or_insert(Some(Resources::default()));
+            let capacity = worker.listing.capacity;
+            // A worker that only the VM list shows hasn't told its capacity.
+            *sum = match capacity == Resources::default() {
+                true => None,
+                false => sum.map(|sum| sum.plus(&capacity)),
+            };
+        }
+        pools
+    }
+}
+
+/// Returns what a task of a step counts against its team's quota. Unlike on a
+/// worker, the processor time of a best-effort task counts.
+pub(super) fn quota_demand(spec: &StepSpec) -> Resources {
+    Resources {
+        cpu_millis: spec.cpu_millis,
+        memory_mb: spec.memory_mb,
+        gpus: spec.gpus,
+    }
+}
+
+/// Returns the most that a job's tasks may use on workers that haven't listed
+/// their runs: all that aren't done and aren't known to run elsewhere.
+fn unlocated_demand(job: &Job) -> Resources {
+    let steps = &job.spec.steps;
+    let is_chain =
+        (1..steps.len()).all(|step| steps[step].after.contains(&(step - 1)));
+    let mut total = Resources::default();
+    for round in &job.rounds {
+        let mut of_round = Resources::default();
+        for (state, spec) in round.iter().zip(steps) {
+            let unlocated = state.tasks.iter().filter(|task| {
+                let located = !task.workers.is_empty() && !spec.may_duplicate;
+                !task.done && !located
+            });
+            let demand = quota_demand(spec).times(unlocated.count() as u64);
+            // The steps of a chain run one after the other.
+            of_round = match is_chain {
+                true => of_round.component_max(&demand),
+                false => of_round.plus(&demand),
+            };
+        }
+        total.add(&of_round);
+    }
+    total
+}
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -18,6 +18,7 @@
             placement::Candidates,
             poll_limit::InFlightPolls,
             processes::FormerProcesses,
+            quotas::TeamQuotas,
             reservations::Reservations,
             sizing::{PendingMove, PoolLoad},
             start_log::StartLogs,
@@ -51,6 +52,8 @@
     pub(super) candidates: Candidates,
     pub(super) loading: Loading,
     pub(super) cancelled: Cancelled,
+    /// The quotas of teams, and what counts against them.
+    pub(super) quotas: TeamQuotas,
     /// The jobs that can't be read, and the ends of their runs.
     pub(super) unreadable_jobs: UnreadableJobs,
     pub(super) workers: Workers,
@@ -196,6 +199,7 @@
             candidates: Candidates::default(),
             loading: Loading::Done,
             cancelled: Cancelled::default(),
+            quotas: TeamQuotas::default(),
             unreadable_jobs: UnreadableJobs::default(),
             workers: Workers::default(),
             changed: BTreeMap::new(),
@@ -294,7 +298,8 @@
         let terms = newest.unwrap_or(terms);
         let mut job = Job::new(spec, terms, revision, accepted_at_ms);
         if let Some(team) = &team {
-            job = job.with_team(&team.name);
+            let number = self.quotas.ledger.number_for(team);
+            job = job.with_team(number, &team.name);
         }
         if let Some(progress) = progress {
             job.restore(progress);
@@ -307,6 +312,7 @@
             job.mark_may_have_begun();
         }
         self.jobs.insert(id, job);
+        self.charge_found_runs(id);
         if let Some(progress) = progress {
             self.note_recorded_starts(id, progress);
             self.note_loaded_in_doubt(id);
@@ -456,6 +462,8 @@
         }
         job.phase = phase;
         job.finished_at_ms = now.unix_ms;
+        self.note_finished_inherited(id, now);
+        let Some(job) = self.jobs.get_mut(&id) else { return };
         for step in job.rounds.iter_mut().flatten() {
             step.waiting.clear();
         }
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -5,9 +5,9 @@
 use {
     crate::{
         job::{JobId, Phase, Progress},
-        schedule::{Now, Scheduler},
+        schedule::{Now, Scheduler, TeamUse},
     },
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Changes that must be stored before ends may be acknowledged.
@@ -17,7 +17,7 @@
     pub progress: Vec<(JobId, Progress)>,
     /// The jobs among them that are over while some of their runs may still be
     /// active. A later holder has to know these before it has loaded them.
-    active_runs: BTreeSet<JobId>,
+    active_runs: BTreeMap<JobId, Option<TeamUse>>,
     /// The newest change that is included.
     sequence: u64,
 }
@@ -29,7 +29,7 @@
         let progress =
             self.progress.extract_if(.., |(id, _)| ids.contains(id)).collect();
         let active_runs =
-            self.active_runs.extract_if(.., |id| ids.contains(id));
+            self.active_runs.extract_if(.., |id, _| ids.contains(id));
         let active_runs = active_runs.collect();
         Changes { progress, active_runs, sequence: self.sequence }
     }
@@ -37,7 +37,13 @@
     /// Returns whether a job is over while some of its runs may still be
     /// active.
     pub fn has_active_runs(&self, id: JobId) -> bool {
-        self.active_runs.contains(&id)
+        self.active_runs.contains_key(&id)
+    }
+
+    /// Returns what those runs use of their team's quota; `None` if the job
+    /// has no team.
+    pub fn active_use(&self, id: JobId) -> Option<&TeamUse> {
+        self.active_runs.get(&id)?.as_ref()
     }
 }
 
@@ -75,7 +81,7 @@
             .collect();
         ids.sort_unstable();
         let mut progress = Vec::new();
-        let mut active_runs = BTreeSet::new();
+        let mut active_runs = BTreeMap::new();
         let mut left = most_entries;
         for (_, _, since, id) in ids {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -86,8 +92,11 @@
             self.changed.remove(&id);
             self.storing.insert(id, since);
             progress.push((id, job.progress()));
-            if job.phase.is_final() && job.placements(id).next().is_some() {
-                active_runs.insert(id);
+            let active_use = self.active_use(id);
+            let has_placements = job.placements(id).next().is_some();
+            if job.phase.is_final() && (has_placements || active_use.is_some())
+            {
+                active_runs.insert(id, active_use);
             }
         }
         Changes { progress, active_runs, sequence: self.sequence }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -7,7 +7,7 @@
         link::Class,
         schedule::{
             Incarnation, Options, Resources, WorkerId, WorkerListing,
-            stopping::StopProgress,
+            quotas::RunCharge, stopping::StopProgress,
         },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -85,6 +85,8 @@
     /// worker.
     pub(crate) fence: u64,
     pub(crate) demand: Resources,
+    /// What it uses of a team's quota; `None` if its job has no team.
+    pub(crate) charge: Option<RunCharge>,
     pub(crate) state: RunState,
     /// When the run was ordered or found.
     pub(crate) since_ms: u64,
@@ -141,6 +143,7 @@
             run,
             fence,
             demand,
+            charge: None,
             state: RunState::Starting,
             since_ms: now_ms,
             confirmed_from_ms: None,
@@ -156,6 +159,12 @@
         }
     }
 
+    /// Sets what the run uses of a team's quota.
+    pub(crate) fn with_charge(mut self, charge: Option<RunCharge>) -> Run {
+        self.charge = charge;
+        self
+    }
+
     /// Sets whether the task is long-running.
     pub(crate) fn with_long_running(mut self, long_running: bool) -> Run {
         self.long_running = long_running;
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -20,6 +20,7 @@
 
 mod directory_reads;
 mod pending_jobs;
+mod quotas;
 mod records;
 mod reservation_cases;
 mod restarted_workers;
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -175,3 +175,24 @@
         check_given_up(&run_world(world, seed), seed);
     }
 }
+
+// Guards against starts beyond a quota because something that may run isn't
+// counted: late orders, runs being stopped, runs behind a cut.
+#[test]
+fn quotas_hold_under_faults() {
+    let mut full = 0;
+    for seed in 0..150 {
+        let worlds = [
+            World::new(seed),
+            World::short_lived_holders(seed),
+            World::restarting(seed),
+            World::restarting_with_short_lived_holders(seed),
+        ];
+        for world in worlds {
+            let world = run_world(world.with_quotas(), seed);
+            full += world.quotas.map_or(0, |quotas| quotas.full);
+        }
+    }
+    // Enough cases must have occurred to test the invariant.
+    assert!(full > 3_000, "{full}");
+}
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -10,8 +10,9 @@
         schedule::{
             AcceptedJob, Action, EndCause, HoldReport, Incarnation, Now,
             Options, OrderError, QueueTerms, Resources, Scheduler, StartOrder,
-            StopOrder, WorkerId, WorkerListing,
+            StopOrder, TeamUse, WorkerId, WorkerListing,
         },
+        team::{Team, Teams},
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
     rand::{Rng, SeedableRng, rngs::StdRng, seq::SliceRandom},
@@ -24,6 +25,70 @@
 const STEP_MS: u64 = 25;
 const MAX_ATTEMPTS: u32 = 3;
 
+/// The largest quota of a team, in cores: less than its jobs ask for.
+const MAX_QUOTA_CORES: u64 = 4;
+
+/// How long a former quota counts, in milliseconds: as long as an order that
+/// it allowed may arrive late.
+const QUOTA_COUNTS_MS: u64 = 6_000;
+
+/// The quotas of two teams, in cores. Every task takes one core.
+pub struct Quotas {
+    cores: [u64; 2],
+    /// Former quotas of each team, each with the time until which it was
+    /// valid.
+    former: [Vec<(u64, u64)>; 2],
+    /// The number of starts that used up a quota.
+    pub full: u32,
+}
+
+impl Default for Quotas {
+    fn default() -> Quotas {
+        let cores = [2, MAX_QUOTA_CORES];
+        Quotas { cores, former: Default::default(), full: 0 }
+    }
+}
+
+impl Quotas {
+    /// Returns the index of the team that a job belongs to.
+    fn index(number: u64) -> usize {
+        (number % 2) as usize
+    }
+
+    fn team(&self, number: u64) -> Team {
+        self.team_at(Quotas::index(number))
+    }
+
+    fn team_at(&self, index: usize) -> Team {
+        let cpu_millis = self.cores[index] * 1_000;
+        Team {
+            name: format!("team-{index}"),
+            weight: 1,
+            quota: Resources { cpu_millis, ..Resources::default() },
+        }
+    }
+
+    fn teams(&self) -> Teams {
+        let teams = Teams::default().with(self.team_at(0), []);
+        teams.with(self.team_at(1), [])
+    }
+
+    fn change(&mut self, index: usize, cores: u64, now_ms: u64) {
+        let before = std::mem::replace(&mut self.cores[index], cores);
+        self.former[index].push((now_ms, before));
+    }
+
+    /// Returns the highest quota of a team that may have allowed a start which
+    /// arrives now.
+    fn highest(&self, index: usize, now_ms: u64) -> u64 {
+        let counts = |until_ms: &u64| now_ms <= until_ms + QUOTA_COUNTS_MS;
+        let former = self.former[index].iter();
+        let former = former.filter(|(until_ms, _)| counts(until_ms));
+        let highest = former.map(|(_, cores)| *cores).max();
+        highest.unwrap_or(0).max(self.cores[index])
+    }
+}
+
 /// The maximum lifetime of a holder in a chain, in milliseconds.
 const MAX_HOLDER_MS: u64 = 1_300;
 
@@ -79,7 +144,7 @@
     pub jobs: BTreeMap<JobId, (AcceptedJob, u64)>,
     pub cancelled: BTreeSet<JobId>,
     /// The cancellations that are stored for later holders.
-    recorded_cancellations: BTreeSet<JobId>,
+    recorded_cancellations: BTreeMap<JobId, Option<TeamUse>>,
     pub progress: BTreeMap<JobId, Progress>,
 }
 
@@ -126,6 +191,8 @@
     pub cancelled_runs: CancelledRuns,
     /// The time of the next takeover, in a chain of short-lived holders.
     next_holder_ms: Option<u64>,
+    /// The quotas of the teams that the jobs belong to.
+    pub quotas: Option<Quotas>,
 }
 
 /// The maximum error of the wall clock, in milliseconds: more than any job
@@ -177,6 +244,7 @@
             clock_changes: 0,
             cancelled_runs: CancelledRuns::default(),
             next_holder_ms: None,
+            quotas: None,
         };
         for vm in 0..4 {
             world.start_process(vm);
@@ -263,6 +331,45 @@
         }
     }
 
+    /// Returns a world whose jobs belong to teams with quotas.
+    pub fn with_quotas(mut self) -> World {
+        self.quotas = Some(Quotas::default());
+        self.take_over();
+        self
+    }
+
+    /// Changes the quota of a team.
+    fn change_quota(&mut self) {
+        let cores = self.random.random_range(1..=MAX_QUOTA_CORES);
+        let team = self.random.random_range(0..2);
+        let now_ms = self.now_ms;
+        let Some(quotas) = &mut self.quotas else { return };
+        quotas.change(team, cores, now_ms);
+        let teams = quotas.teams();
+        self.scheduler.configure_teams(&teams);
+    }
+
+    /// Checks that what a team runs is within its quota, after a start.
+    fn check_quota(&mut self, task: &TaskId) {
+        let Some(quotas) = &mut self.quotas else { return };
+        let number = u64::from_str_radix(&task.job.to_string(), 16);
+        // OK because the tests number their jobs.
+        let team = Quotas::index(number.expect("a number"));
+        let mut running = 0;
+        for process in self.processes.values_mut() {
+            let clock = process.clock(self.now_ms);
+            let runs = process.worker.running(clock).into_iter();
+            let of_team = |task: &TaskId| {
+                let number = u64::from_str_radix(&task.job.to_string(), 16);
+                number.is_ok_and(|number| Quotas::index(number) == team)
+            };
+            running += runs.filter(|(task, _)| of_team(task)).count() as u64;
+        }
+        let most = quotas.highest(team, self.now_ms);
+        quotas.full += u32::from(running == most);
+        assert!(running <= most, "{task}: {running} cores run of {most}");
+    }
+
     /// Returns a world in which no holder lasts much longer than it loads.
     pub fn short_lived_holders(seed: u64) -> World {
         let mut world = World::new(seed);
@@ -367,9 +474,15 @@
             scheduler.enforce_capacity([POOL.to_owned()].into());
         }
         scheduler.begin_loading();
-        for id in &self.store.recorded_cancellations {
+        for (id, active_use) in &self.store.recorded_cancellations {
+            if let Some(active_use) = active_use {
+                scheduler.note_stops_on_record(*id, active_use);
+            }
             scheduler.cancel(*id, self.now());
         }
+        if let Some(quotas) = &self.quotas {
+            scheduler.configure_teams(&quotas.teams());
+        }
         self.scheduler = scheduler;
         self.to_load = self.store.jobs.keys().copied().collect();
         // Holders load in the same order each time, so that in a chain some
@@ -430,7 +543,7 @@
                 ..QueueTerms::default()
             },
             accepted_at_ms: self.now().unix_ms,
-            team: None,
+            team: self.quotas.as_ref().map(|quotas| quotas.team(number)),
         };
         if self.varied {
             self.vary(&mut job);
@@ -444,12 +557,15 @@
     fn cancel(&mut self, number: u64) {
         if self.store.jobs.contains_key(&id(number)) {
             self.store.cancelled.insert(id(number));
-            self.store.recorded_cancellations.insert(id(number));
+            self.store.recorded_cancellations.insert(id(number), None);
             self.scheduler.cancel(id(number), self.now());
         }
     }
 
     fn disturb(&mut self, step: u64) {
+        if self.quotas.is_some() && self.chance(15) {
+            self.change_quota();
+        }
         if step < 40 && step.is_multiple_of(4) {
             self.submit(step / 4);
         }
@@ -566,6 +682,11 @@
                 let was_final = before.is_some_and(|p| p.phase.is_final());
                 assert!(!was_final, "a finished job was stored again");
                 self.store.progress.insert(*id, progress.clone());
+                if changes.has_active_runs(*id) {
+                    let active_use = changes.active_use(*id).cloned();
+                    let records = &mut self.store.recorded_cancellations;
+                    records.insert(*id, active_use);
+                }
             }
             // Sometimes the holder is lost before it learns that the changes
             // are stored.
@@ -713,11 +834,15 @@
             if fails { Fate::failed(work_ms) } else { Fate::done(work_ms) };
         let used_before = process.worker.used();
         let result = process.worker.start(clock, order, demand, fate);
+        let has_begun = process.worker.used() != used_before;
         let used = process.worker.used();
         if used != used_before && !process.may_hold(&used, now_ms) {
             let capacity = process.listing.capacity;
             panic!("{}: {used:?} exceeds {capacity:?}", order.task);
         }
+        if has_begun {
+            self.check_quota(&order.task);
+        }
         if result.is_ok() {
             self.begun.insert(order.task.job);
             if self.crashing.contains_key(&order.task) {
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -537,8 +537,10 @@
         self.scheduler.configure_pools(serving.collect(), free.collect());
         let unguarded = queues.pools_without_capacity_checks().iter().cloned();
         self.scheduler.enforce_capacity(unguarded.collect());
+        let teams = queues.teams();
         let queues = queues.queues().iter();
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
+        self.scheduler.configure_teams(teams);
     }
 
     /// Sends orders to the VM service, as long as the lease hasn't expired.
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -56,7 +56,15 @@
                     self.apply_deferred_ends(id);
                 }
                 FeedEvent::Unreadable(id) => self.skip_unreadable(id),
-                FeedEvent::Cancelled(id) => self.scheduler.cancel(id, now()),
+                FeedEvent::Cancelled { id, active_use, revision } => {
+                    // This holder itself charges the runs that it knows.
+                    if let Some(active_use) = active_use
+                        && revision < self.held.revision
+                    {
+                        self.scheduler.note_stops_on_record(id, &active_use);
+                    }
+                    self.scheduler.cancel(id, now());
+                }
                 FeedEvent::Claimed(claim) => {
                     self.is_claimed |=
                         self.candidate.is_much_weaker_than(&claim);
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -15,7 +15,7 @@
     crate::{counters, passed_over},
     dewspar::{
         job::{JobId, Phase, conflict::FoundRecord},
-        schedule::{AcceptedJob, Changes, Scheduler},
+        schedule::{AcceptedJob, Changes, Scheduler, TeamUse},
     },
     dewspar_platform::{
         Batch, Commit, Condition, Error, Event, Expected, KeyValue, Put,
@@ -51,8 +51,9 @@
     Accepted { id: JobId, job: Box<AcceptedJob>, revision: u64 },
     /// A job was accepted, but its entry can't be read.
     Unreadable(JobId),
-    /// A job was cancelled.
-    Cancelled(JobId),
+    /// A job was cancelled, or ended with runs that may still be active, which
+    /// use this much of its team's quota.
+    Cancelled { id: JobId, active_use: Option<TeamUse>, revision: u64 },
     /// The lease's key was written or deleted.
     LeaseChanged { revision: u64 },
     /// Another node has requested the lease.
@@ -98,7 +99,10 @@
     let revision = item.version;
     match FeedKey::parse(&item.key)? {
         FeedKey::Owner => Some(FeedEvent::LeaseChanged { revision }),
-        FeedKey::Cancelled(id) => Some(FeedEvent::Cancelled(id)),
+        FeedKey::Cancelled(id) => {
+            let active_use = parse_active_use(item, log);
+            Some(FeedEvent::Cancelled { id, active_use, revision })
+        }
         FeedKey::Claim => match serde_json::from_slice(&item.value) {
             Ok(claim) => Some(FeedEvent::Claimed(claim)),
             Err(error) => {
@@ -124,6 +128,20 @@
     }
 }
 
+/// Parses what the runs of a cancelled job use. The node that a caller asks to
+/// cancel a job doesn't know, so that its entry is empty.
+fn parse_active_use(item: &Versioned, log: &Logger) -> Option<TeamUse> {
+    if item.value.is_empty() {
+        return None;
+    }
+    serde_json::from_slice(&item.value)
+        .inspect_err(|error| {
+            let (key, version) = (&item.key, item.version);
+            passed_over::record(log, "cancellation", key, version, error);
+        })
+        .ok()
+}
+
 /// The outcome of a write of changes.
 #[derive(Debug)]
 pub(super) enum WriteOutcome {
@@ -236,7 +254,12 @@
             // the next holder stops these tasks before it has loaded any job.
             batch = batch.delete(&keys::accepted(*id));
             if changes.has_active_runs(*id) {
-                batch = batch.put(&keys::cancelled(*id), Vec::new());
+                let active_use = changes.active_use(*id).map(|active_use| {
+                    // OK because it holds only strings and numbers.
+                    serde_json::to_vec(active_use).expect("plain JSON")
+                });
+                let value = active_use.unwrap_or_default();
+                batch = batch.put(&keys::cancelled(*id), value);
             }
         }
     }
