Schedule on in a store outage until the lease can be handed over

A holder that is asked to stop, claimed from or overloaded now gives the lease up only while the store renews it, and otherwise schedules on for the time that a stop may take. After a deletion without an answer it orders no changes of VMs. Before, what a hand-over beside an outage waited for: the outage itself, the rest of the lease after it (1.5 s), the successor's look (30 ms); now the first renewal after the outage (at most 375 ms) and the successor's look.

`a_holder_that_stops_in_an_outage_schedules_until_it_can_hand_over` fails without it: the job's second step never starts.

--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -496,14 +496,10 @@
         info!(self.log, "election: this node no longer schedules";
             "revision" => held.revision, "reason" => reason);
         // Deletes the key now rather than with its lease, so that another node
-        // can take over; has no effect if another one has.
-        let batch = Batch::default()
-            .when(keys::OWNER, Expected::Version(held.revision))
-            .delete(keys::OWNER)
-            .delete(keys::CLAIM)
-            .delete(keys::PENDING);
-        if let Err(error) = self.store.commit(&batch).await {
-            counters::platform_failure(&error);
+        // can take over; has no effect if another one has. A holder that stops
+        // has deleted it already.
+        if !matches!(outcome, StepDown::Stopping) {
+            self.delete_lease_key(held.revision).await;
         }
     }
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -26,6 +26,7 @@
             PollMeter, follow_feed, look_up_worker, poll_directory, poll_vms,
             renew_lease,
         },
+        hand_over::HandOver,
         intake::FeedOrigin,
         keys,
         load_stats::LoadStats,
@@ -169,6 +170,7 @@
         last_expiry_ms: clock::now_ms(),
         suspensions: Suspensions::new(clock::suspended_ms()),
         renewal_needed_from_ms: 0,
+        hand_over: HandOver::default(),
     };
     holder.run(events).await
 }
@@ -227,6 +229,7 @@
     suspensions: Suspensions,
     /// The lease counts only if it was renewed at this time or later.
     renewal_needed_from_ms: u64,
+    pub(super) hand_over: HandOver,
 }
 
 /// Waits until the node is asked to stop.
@@ -258,15 +261,19 @@
                 // OK to skip `None`: this struct holds a sender.
                 Some(event) = events.recv() => self.handle_event(event),
                 _ = tick.tick() => {}
-                () = wait_for_stop(&mut stopping) => {
-                    self.flush_changes().await;
-                    return StepDown::Stopping;
+                () = wait_for_stop(&mut stopping),
+                    if !self.hand_over.is_requested() =>
+                {
+                    self.hand_over.request();
                 }
             }
             for _ in 0..MAX_EVENTS_PER_PLAN {
                 let Ok(event) = events.try_recv() else { break };
                 self.handle_event(event);
             }
+            if self.try_hand_over().await {
+                return StepDown::Stopping;
+            }
             if let Some(step_down) = self.plan_and_dispatch() {
                 if step_down.releases_lease() {
                     self.flush_changes().await;
@@ -470,7 +477,7 @@
         if self.scheduler.is_out_of_tokens() {
             return Some(StepDown::OutOfTokens);
         }
-        if self.is_claimed {
+        if self.is_claimed && self.is_store_available() {
             return Some(StepDown::Yielding);
         }
         let settled = now.steady_ms >= self.started_ms + OVERLOAD_GRACE_MS;
@@ -482,6 +489,8 @@
         if settled
             && slow
             && !self.scheduler.link().is_saturated(now.steady_ms)
+            // Nobody could take over.
+            && self.is_store_available()
         {
             return Some(StepDown::Overloaded);
         }
@@ -550,6 +559,9 @@
         if now.steady_ms >= lease_expiry_ms || now.steady_ms < due_ms {
             return;
         }
+        if self.hand_over.may_be_released {
+            return;
+        }
         // One write of the record at a time: an older one must not replace a
         // newer one.
         if self.vm_orders.is_writing() {
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -49,6 +49,7 @@
 mod feeds;
 mod front;
 pub mod gate;
+mod hand_over;
 mod holder;
 mod intake;
 mod intent;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -22,7 +22,12 @@
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
-    tokio::{net::TcpListener, sync::watch, task::JoinHandle, time::sleep},
+    tokio::{
+        net::TcpListener,
+        sync::watch,
+        task::JoinHandle,
+        time::{Instant, sleep, timeout_at},
+    },
 };
 
 /// The part of the stop time that is kept in reserve, in milliseconds.
@@ -191,13 +196,19 @@
 
     /// Stops as planned: first readiness and the scheduler lease end, then
     /// open calls finish.
-    pub async fn stop(self) {
+    ///
+    /// While the store is unavailable, the node goes on scheduling for as
+    /// long as a stop may take, unless another node takes over before.
+    pub async fn stop(mut self) {
         info!(self.log, "node: stops");
+        let deadline = Instant::now() + self.stop_grace;
         let _ = self.stopping.send(true);
         let delay = Duration::from_millis(STOP_DELAY_MS).min(self.stop_grace);
         sleep(delay).await;
         self.callers.stop(self.stop_grace.saturating_sub(delay)).await;
-        self.scheduling.abort();
+        if timeout_at(deadline, &mut self.scheduling).await.is_err() {
+            self.scheduling.abort();
+        }
         info!(self.log, "node: stopped");
     }
 }
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -684,3 +684,38 @@
     submit_until_accepted(&cluster, 1, 2).await;
     cluster.wait_for_phase(0, 2, "completed").await;
 }
+
+// Guards against nobody scheduling from the stop of a holder in a store outage
+// until its lease has expired after the outage.
+#[tokio::test]
+async fn a_holder_that_stops_in_an_outage_schedules_until_it_can_hand_over() {
+    let mut cluster = Cluster::start(0).await;
+    for name in ["node-0", "node-1"] {
+        let mut settings = JobSettings::loopback(name);
+        settings.timing.stop_grace_ms = 60_000;
+        let node = cluster.node_with(settings).await;
+        cluster.nodes.push(node);
+    }
+    cluster.fleet.set_work_ms(500);
+    submit_until_accepted(&cluster, 0, 1).await;
+    wait_until(async || cluster.fleet.running().len() == 3).await;
+    let name = cluster.holder().await.expect("a holder");
+    let number: usize = name[5..].parse().expect("node-N");
+    cluster.store_faults.set_outage(true);
+    let node = cluster.nodes.remove(number);
+    let stopping = tokio::spawn(node.stop());
+    // The job's second step starts once the first is done.
+    wait_until(async || {
+        let starts = cluster.fleet.started();
+        starts.iter().any(|(task, _)| task.step == 1)
+    })
+    .await;
+    assert!(cluster.store_faults.outage());
+    cluster.store_faults.set_outage(false);
+    cluster.wait_for_phase(0, 1, "completed").await;
+    wait_until(async || cluster.holder().await.is_some_and(|h| h != name))
+        .await;
+    timeout(TEST_TIMEOUT, stopping).await.expect("in time").expect("stopped");
+    let starts = cluster.start_counts();
+    assert!(starts.values().all(|starts| *starts == 1), "{starts:?}");
+}
