Say which team waits for its quota and why a key is refused

A line at most once in 2 s for each team tells its quota, what counts against it and why; gauges tell the same by team, for at most 100 teams. Tasks that last and wait for their team's quota say so in `task: waits`.

--- a/crates/dewspar/src/schedule/long_waits.rs
+++ b/crates/dewspar/src/schedule/long_waits.rs
@@ -10,6 +10,7 @@
 use {
     crate::{
         job::{StepSpec, TaskId},
+        quota::Admission,
         schedule::{
             Decision, Now, Scheduler, UnfitWorkers, job_state::demand,
             worker::Worker,
@@ -97,6 +98,10 @@
             "a worker that may run it wasn't asked yet"
         } else if !self.may_start_as_recorded(job, task) {
             "its start isn't on record yet"
+        } else if self.admit_start(Scheduler::charge_for(job, spec).as_ref())
+            == Admission::Exceeded
+        {
+            "its team's quota is used up"
         } else if self.best_worker_for(task, now).is_some() {
             "there is a place, but no order may be sent"
         } else {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -123,6 +123,7 @@
 use {
     crate::{
         job::{JobId, JobSpec, Phase, TaskId},
+        quota::Usage,
         team::Team,
     },
     serde::{Deserialize, Serialize},
@@ -395,6 +396,19 @@
         /// Why the workers of its pool can't take it.
         unfit: UnfitWorkers,
     },
+    /// A team's quota delays the start of a task.
+    QuotaReached {
+        /// The team.
+        team: String,
+        /// The task.
+        task: TaskId,
+        /// The team's quota; a resource of which it has 0 isn't limited.
+        quota: Resources,
+        /// What counts against it.
+        usage: Usage,
+        /// Whether that is known: it isn't before all jobs are loaded.
+        is_counted: bool,
+    },
     /// A run that was to be stopped has ended.
     StopFinished {
         /// The task.
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -214,10 +214,11 @@
             if !self.may_start() {
                 break;
             }
+            let task = TaskId { index, ..first };
             if self.admit_start(charge.as_ref()) == Admission::Exceeded {
+                self.report_quota_reached(charge.as_ref(), &task, now);
                 break;
             }
-            let task = TaskId { index, ..first };
             let chosen = match &mut uniform {
                 Some(placement) if !self.needs_own_placement(&task) => {
                     placement.next(self, &task).ok_or(PlacementError::NoRoom)
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -38,6 +38,7 @@
         let admission = self.admit_gang(charge.as_ref(), waiting.len());
         // Another VM wouldn't help.
         if admission == Admission::Exceeded {
+            self.report_quota_reached(charge.as_ref(), first, now);
             return true;
         }
         let members: Vec<TaskId> =
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -22,7 +22,7 @@
         job::{JobId, JobSpec, StepSpec, TaskId},
         quota::{Admission, Charge, QuotaLedger, TeamNumber, Usage},
         schedule::{
-            Now, Resources, Scheduler, WorkerId,
+            Decision, Now, Resources, Scheduler, WorkerId,
             in_doubt::MAX_DELIVERY_MS,
             job_state::Job,
             worker::{Run, Worker},
@@ -37,6 +37,10 @@
 /// in milliseconds: each time, all inherited tasks are visited.
 const INHERITED_INTERVAL_MS: u64 = 100;
 
+/// The minimum interval between two reports that a team's quota delays starts,
+/// in milliseconds.
+const REPORT_INTERVAL_MS: u64 = 2_000;
+
 /// What the active runs of a finished job use of a team's quota.
 ///
 /// It is stored with the job's cancellation, so that the next holder can
@@ -91,6 +95,8 @@
     inherited: Vec<RunCharge>,
     /// When that was last summed up; 0 if it is out of date.
     inherited_ms: u64,
+    /// When each team's quota was last reported to delay starts.
+    reported_ms: BTreeMap<TeamNumber, u64>,
 }
 
 impl TeamQuotas {
@@ -249,6 +255,33 @@
         !self.is_loading() && self.workers_known
     }
 
+    /// Reports that a team's quota delays the start of a task, unless that was
+    /// reported recently.
+    pub(super) fn report_quota_reached(
+        &mut self,
+        charge: Option<&RunCharge>,
+        task: &TaskId,
+        now: Now,
+    ) {
+        let Some(RunCharge { team: number, .. }) = charge else { return };
+        let reported_ms = self.quotas.reported_ms.get(number).copied();
+        let is_due = reported_ms
+            .is_none_or(|at_ms| now.steady_ms >= at_ms + REPORT_INTERVAL_MS);
+        if !is_due {
+            return;
+        }
+        self.quotas.reported_ms.insert(*number, now.steady_ms);
+        let (team, usage) = self.quotas.ledger.account(*number);
+        let decision = Decision::QuotaReached {
+            team: team.name.clone(),
+            task: *task,
+            quota: team.quota,
+            usage: *usage,
+            is_counted: self.knows_what_may_run(),
+        };
+        self.note(decision);
+    }
+
     /// Charges a start that has just been decided.
     pub(super) fn charge_start(&mut self, charge: Option<&RunCharge>) {
         if let Some(RunCharge { team, resources }) = charge {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -105,6 +105,20 @@
         "Runs that went on for longer than a stop may take, by why they were to stop.";
     LONG_WAITS, "counter", "dewspar_task_long_waits_total", Some("reason"),
         "Times that tasks that are to last were found waiting for long, by why.";
+    QUOTA_DELAYS, "counter", "dewspar_quota_delays_total", None,
+        "Times that a team's quota was found to delay starts, at most one in 2 s for each team.";
+    TEAM_RUNNING, "gauge", "dewspar_team_running_cores", Some("team"),
+        "Cores that count against a team's quota for runs, while this node schedules.";
+    TEAM_STOPPING, "gauge", "dewspar_team_stopping_cores", Some("team"),
+        "Cores that count against it for runs that were told to stop.";
+    TEAM_IN_DOUBT, "gauge", "dewspar_team_in_doubt_cores", Some("team"),
+        "Cores that count against it for what may run without being known.";
+    TEAM_QUOTA, "gauge", "dewspar_team_quota_cores", Some("team"),
+        "The cores of a team's quota; 0 for no limit.";
+    TEAM_MEMORY, "gauge", "dewspar_team_memory_mb", Some("team"),
+        "Memory that counts against a team's quota for any reason, in megabytes.";
+    TEAM_MEMORY_QUOTA, "gauge", "dewspar_team_quota_memory_mb", Some("team"),
+        "The memory of a team's quota, in megabytes; 0 for no limit.";
     STARTS_IN_DOUBT, "counter", "dewspar_starts_in_doubt_total", None,
         "Starts without an answer whose tasks start on the same worker only for a while.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
@@ -183,6 +197,11 @@
     gauge!(name).set(value);
 }
 
+/// Sets the gauge of a team.
+pub(crate) fn set_of_team(name: &'static str, team: &str, value: f64) {
+    gauge!(name, "team" => team.to_owned()).set(value);
+}
+
 /// Records a time that began at `since`.
 pub(crate) fn record_since(name: &'static str, since: tokio::time::Instant) {
     histogram!(name).record(since.elapsed().as_secs_f64());
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -53,6 +53,19 @@
                 "with_siblings" => unfit.siblings, "barred" => unfit.barred);
             counters::count_by(counters::LONG_WAITS, "reason", reason);
         }
+        Decision::QuotaReached { team, task, quota, usage, is_counted } => {
+            info!(log, "team: quota delays starts"; "team" => team,
+                "task" => %task, "counted" => is_counted,
+                "quota_cpu" => quota.cpu_millis,
+                "quota_memory_mb" => quota.memory_mb,
+                "running_cpu" => usage.running.cpu_millis,
+                "running_memory_mb" => usage.running.memory_mb,
+                "stopping_cpu" => usage.stopping.cpu_millis,
+                "stopping_memory_mb" => usage.stopping.memory_mb,
+                "in_doubt_cpu" => usage.in_doubt.cpu_millis,
+                "in_doubt_memory_mb" => usage.in_doubt.memory_mb);
+            counters::count(counters::QUOTA_DELAYS);
+        }
         Decision::StopFinished { task, run, worker, cause, stop } => {
             info!(log, "task: stopped"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "cause" => cause,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -507,6 +507,8 @@
         self.order_vms(now);
         self.delete_expired(now);
         self.delete_settled_cancellations(now);
+        let teams = self.scheduler.team_usage();
+        self.load_stats.tell_teams(now.steady_ms, teams);
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
         let link = self.scheduler.link();
--- a/crates/dewspard/src/jobs/load_stats.rs
+++ b/crates/dewspard/src/jobs/load_stats.rs
@@ -9,7 +9,13 @@
 use {
     super::holder::to_json,
     crate::counters,
-    dewspar::{link::LinkBudget, schedule::Action, window::CallWindow},
+    dewspar::{
+        link::LinkBudget,
+        quota::Usage,
+        schedule::{Action, Resources},
+        team::Team,
+        window::CallWindow,
+    },
     dewspar_platform::{Purpose, Tallies, Traffic},
     metrics::{counter, gauge},
     slog::{Logger, info},
@@ -21,6 +27,9 @@
 /// of a takeover, long enough to stay rare beside the lines of single tasks.
 const LOG_INTERVAL_MS: u64 = 1_000;
 
+/// The maximum number of teams with gauges, which bounds the number of series.
+const MAX_TEAMS: usize = 100;
+
 /// Counts since the last log line.
 #[derive(Debug)]
 pub(super) struct LoadStats {
@@ -80,6 +89,33 @@
     }
 
     /// Logs and resets the statistics, once per interval.
+    /// Sets the gauges of teams if the next log line is due.
+    pub(super) fn tell_teams<'a>(
+        &self,
+        now_ms: u64,
+        teams: impl Iterator<Item = (&'a Team, &'a Usage)>,
+    ) {
+        if now_ms < self.last_log_ms + LOG_INTERVAL_MS {
+            return;
+        }
+        for (team, usage) in teams.take(MAX_TEAMS) {
+            let cores =
+                |resources: &Resources| resources.cpu_millis as f64 / 1_000.0;
+            let memory_mb = usage.total().memory_mb as f64;
+            let quota_mb = team.quota.memory_mb as f64;
+            for (gauge, value) in [
+                (counters::TEAM_RUNNING, cores(&usage.running)),
+                (counters::TEAM_STOPPING, cores(&usage.stopping)),
+                (counters::TEAM_IN_DOUBT, cores(&usage.in_doubt)),
+                (counters::TEAM_QUOTA, cores(&team.quota)),
+                (counters::TEAM_MEMORY, memory_mb),
+                (counters::TEAM_MEMORY_QUOTA, quota_mb),
+            ] {
+                counters::set_of_team(gauge, &team.name, value);
+            }
+        }
+    }
+
     pub(super) fn log(
         &mut self,
         log: &Logger,
