Bound what each team uses by ceilings in the store

Cause: after a takeover beside a cut, whatever inherited tasks might run on workers that can't be reached counted against their team's quota, bounded by those workers' capacity alone.

The next holder knows that no more is used, whatever else isn't known. Ceilings of all teams are one record with one write in flight; a start that exceeds its team's ceiling waits for a write.

Also counts each start in doubt once only.

--- a/crates/dewspar-standin/src/peak.rs
+++ b/crates/dewspar-standin/src/peak.rs
@@ -41,6 +41,7 @@
             ManagedVm, Now, Options, OrderIssuer, Policy, QueueTerms,
             Resources, Scheduler, SentHold, VmStatus, WorkerId, WorkerListing,
         },
+        team::Team,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
@@ -114,6 +115,8 @@
     pub pools: u32,
     /// How many jobs are open when the peak begins.
     pub open_jobs: u64,
+    /// How many teams with quotas the jobs belong to; 0 for none.
+    pub teams: u64,
     /// How many starts a second the peak asks for.
     pub starts_per_s: u64,
     /// Whether workers are asked later while the processor is short.
@@ -128,6 +131,7 @@
             workers: 1_100,
             pools: 5,
             open_jobs: 4_000,
+            teams: 0,
             starts_per_s: 3_800,
             asks_later: true,
             seed: 1,
@@ -526,7 +530,9 @@
             ..QueueTerms::default()
         };
         let accepted_at_ms = self.now().unix_ms;
-        let job = AcceptedJob { spec, terms, accepted_at_ms, team: None };
+        let teams = self.settings.teams;
+        let team = (teams > 0).then(|| team(self.jobs % teams));
+        let job = AcceptedJob { spec, terms, accepted_at_ms, team };
         self.events.push_back((self.now_us, Event::JobCame(id, job)));
     }
 
@@ -620,7 +626,19 @@
         }
     }
 
+    /// Stores the ceilings of teams at once.
+    fn store_ceilings(&mut self) {
+        let now = self.now();
+        let Peak { scheduler, meter, .. } = self;
+        meter.measure(Part::Store, || {
+            if scheduler.begin_ceilings_write(now).is_some() {
+                scheduler.use_ceilings_written(true);
+            }
+        });
+    }
+
     fn store(&mut self) {
+        self.store_ceilings();
         let gathered = self.now_us >= self.stored_us + GATHER_US;
         while self.writes < WRITES {
             let Peak { scheduler, meter, .. } = self;
@@ -637,6 +655,12 @@
     }
 }
 
+/// Returns a team, whose quota is more than its jobs use.
+fn team(number: u64) -> Team {
+    let quota = Resources { cpu_millis: 100_000_000, ..Resources::default() };
+    Team { name: format!("team-{number}"), weight: 1_000, quota }
+}
+
 /// Returns what a worker says of itself.
 fn listing(number: u32, pools: u32) -> WorkerListing {
     WorkerListing {
--- a/crates/dewspar/examples/planning.rs
+++ b/crates/dewspar/examples/planning.rs
@@ -12,8 +12,9 @@
 cargo run --release -p dewspar --example planning
 ```
 
-With `ample` or `short` as its argument it runs only that case, which is
-useful for profiling.
+With `teams` it runs 580 workers, with jobs of no team and of 29 teams with
+quotas. With `ample`, `short` or `teams` as its argument it runs only that case,
+which is useful for profiling.
 */
 
 use {
@@ -92,15 +93,22 @@
     let only = std::env::args().nth(1);
     let wanted = |name| only.as_deref().is_none_or(|only| only == name);
     if wanted("ample") {
-        measure("ample", Processor::AMPLE);
+        measure("ample", PeakSettings::default(), Processor::AMPLE);
     }
     if wanted("short") {
-        measure("half a core", Processor::HALF_A_CORE);
+        let settings = PeakSettings::default();
+        measure("half a core", settings, Processor::HALF_A_CORE);
+    }
+    for teams in [0, 29] {
+        if wanted("teams") {
+            let settings =
+                PeakSettings { workers: 580, teams, ..Default::default() };
+            measure(&format!("{teams} teams"), settings, Processor::AMPLE);
+        }
     }
 }
 
-fn measure(name: &str, processor: Processor) {
-    let settings = PeakSettings::default();
+fn measure(name: &str, settings: PeakSettings, processor: Processor) {
     let mut peak = Peak::new(settings, Costs::default());
     peak.warm_up(WARM_UP_MS);
     let tally = peak.play(PEAK_MS, processor);
--- a/crates/dewspar/src/quota.rs
+++ b/crates/dewspar/src/quota.rs
@@ -80,6 +80,9 @@
     Admitted,
     /// It doesn't.
     Exceeded,
+    /// It does, but must wait until the store has a higher ceiling for the
+    /// team.
+    AwaitsCeiling,
 }
 
 /// What counts against the quota of one team.
@@ -110,6 +113,8 @@
 #[derive(Clone, Debug)]
 struct Account {
     team: Team,
+    /// Whether more than the team's name is known.
+    is_known: bool,
     usage: Usage,
 }
 
@@ -117,20 +122,34 @@
     /// Applies a team of the current configuration.
     pub fn configure(&mut self, team: &Team) -> TeamNumber {
         let number = self.number_for(team);
-        self.accounts[number.0].team.clone_from(team);
+        let account = &mut self.accounts[number.0];
+        account.team.clone_from(team);
+        account.is_known = true;
         number
     }
 
     /// Returns the number of a team that a job refers to. The team's quota is
     /// used only if the ledger doesn't know the team.
     pub fn number_for(&mut self, team: &Team) -> TeamNumber {
-        if let Some(number) = self.numbers.get(&team.name) {
+        let number = self.number_named(&team.name);
+        let account = &mut self.accounts[number.0];
+        if !account.is_known {
+            account.team.clone_from(team);
+            account.is_known = true;
+        }
+        number
+    }
+
+    /// Returns the number of a team of which only the name is known yet.
+    pub fn number_named(&mut self, name: &str) -> TeamNumber {
+        if let Some(number) = self.numbers.get(name) {
             return *number;
         }
         let number = TeamNumber(self.accounts.len());
-        let account = Account { team: team.clone(), usage: Usage::default() };
-        self.accounts.push(account);
-        self.numbers.insert(team.name.clone(), number);
+        let team = Team { name: name.to_owned(), ..Team::default() };
+        let usage = Usage::default();
+        self.accounts.push(Account { team, is_known: false, usage });
+        self.numbers.insert(name.to_owned(), number);
         number
     }
 
@@ -171,9 +190,9 @@
         number: TeamNumber,
         demand: &Resources,
     ) -> Admission {
-        let Account { team, usage } = &self.accounts[number.0];
+        let Account { team, usage, .. } = &self.accounts[number.0];
         let after = usage.total().plus(demand);
-        if limits_of(&team.quota).contains(&after) {
+        if team.quota.as_limits().contains(&after) {
             Admission::Admitted
         } else {
             Admission::Exceeded
@@ -187,22 +206,23 @@
 
     /// Returns a team and what counts against its quota.
     pub fn account(&self, number: TeamNumber) -> (&Team, &Usage) {
-        let Account { team, usage } = &self.accounts[number.0];
+        let Account { team, usage, .. } = &self.accounts[number.0];
         (team, usage)
     }
 
-    /// Returns all teams with what counts against their quotas.
-    pub fn accounts(&self) -> impl Iterator<Item = (&Team, &Usage)> {
-        self.accounts.iter().map(|Account { team, usage }| (team, usage))
+    /// Returns all teams with their numbers and what counts against their
+    /// quotas.
+    pub fn numbered_accounts(
+        &self,
+    ) -> impl Iterator<Item = (TeamNumber, &Team, &Usage)> {
+        let accounts = self.accounts.iter().enumerate();
+        accounts.map(|(number, Account { team, usage, .. })| {
+            (TeamNumber(number), team, usage)
+        })
     }
-}
 
-/// Returns a quota's limits: a resource of which it has 0 isn't limited.
-fn limits_of(quota: &Resources) -> Resources {
-    let limit = |amount: u64| if amount == 0 { u64::MAX } else { amount };
-    Resources {
-        cpu_millis: limit(quota.cpu_millis),
-        memory_mb: limit(quota.memory_mb),
-        gpus: limit(quota.gpus),
+    /// Returns all teams with what counts against their quotas.
+    pub fn accounts(&self) -> impl Iterator<Item = (&Team, &Usage)> {
+        self.accounts.iter().map(|Account { team, usage, .. }| (team, usage))
     }
 }
--- a/crates/dewspar/src/schedule/long_waits.rs
+++ b/crates/dewspar/src/schedule/long_waits.rs
@@ -10,7 +10,6 @@
 use {
     crate::{
         job::{StepSpec, TaskId},
-        quota::Admission,
         schedule::{
             Decision, Now, Scheduler, UnfitWorkers, job_state::demand,
             worker::Worker,
@@ -98,8 +97,7 @@
             "a worker that may run it wasn't asked yet"
         } else if !self.may_start_as_recorded(job, task) {
             "its start isn't on record yet"
-        } else if self.admit_start(Scheduler::charge_for(job, spec).as_ref())
-            == Admission::Exceeded
+        } else if self.exceeds_quota(Scheduler::charge_for(job, spec).as_ref())
         {
             "its team's quota is used up"
         } else if self.best_worker_for(task, now).is_some() {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -98,6 +98,7 @@
 */
 
 pub use self::{
+    ceilings::UseCeilings,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -131,6 +132,7 @@
 
 mod advice;
 mod cancelled;
+mod ceilings;
 mod crash_bursts;
 mod directory;
 mod forecast;
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -100,6 +100,17 @@
 }
 
 impl Resources {
+    /// Returns these resources as limits: a resource of which there is 0 isn't
+    /// limited.
+    pub fn as_limits(&self) -> Resources {
+        let limit = |amount: u64| if amount == 0 { u64::MAX } else { amount };
+        Resources {
+            cpu_millis: limit(self.cpu_millis),
+            memory_mb: limit(self.memory_mb),
+            gpus: limit(self.gpus),
+        }
+    }
+
     /// Returns whether `other` fits into these resources.
     pub fn contains(&self, other: &Resources) -> bool {
         self.cpu_millis >= other.cpu_millis
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -215,9 +215,13 @@
                 break;
             }
             let task = TaskId { index, ..first };
-            if self.admit_start(charge.as_ref()) == Admission::Exceeded {
-                self.report_quota_reached(charge.as_ref(), &task, now);
-                break;
+            match self.admit_start(charge.as_ref()) {
+                Admission::Admitted => {}
+                Admission::AwaitsCeiling => break,
+                Admission::Exceeded => {
+                    self.report_quota_reached(charge.as_ref(), &task, now);
+                    break;
+                }
             }
             let chosen = match &mut uniform {
                 Some(placement) if !self.needs_own_placement(&task) => {
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -35,11 +35,14 @@
         }
         let charge = self.jobs.get(&first.job);
         let charge = charge.and_then(|job| Scheduler::charge_for(job, spec));
-        let admission = self.admit_gang(charge.as_ref(), waiting.len());
-        // Another VM wouldn't help.
-        if admission == Admission::Exceeded {
-            self.report_quota_reached(charge.as_ref(), first, now);
-            return true;
+        // If it isn't admitted, another VM wouldn't help.
+        match self.admit_gang(charge.as_ref(), waiting.len()) {
+            Admission::Admitted => {}
+            Admission::AwaitsCeiling => return true,
+            Admission::Exceeded => {
+                self.report_quota_reached(charge.as_ref(), first, now);
+                return true;
+            }
         }
         let members: Vec<TaskId> =
             waiting.iter().map(|&index| TaskId { index, ..*first }).collect();
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -23,6 +23,7 @@
         quota::{Admission, Charge, QuotaLedger, TeamNumber, Usage},
         schedule::{
             Decision, Now, Resources, Scheduler, WorkerId,
+            ceilings::Ceilings,
             in_doubt::MAX_DELIVERY_MS,
             job_state::Job,
             worker::{Run, Worker},
@@ -61,6 +62,14 @@
     pub(crate) resources: Resources,
 }
 
+impl RunCharge {
+    /// Returns what so many such runs use.
+    pub(crate) fn times(self, runs: usize) -> RunCharge {
+        let resources = self.resources.times(runs as u64);
+        RunCharge { resources, ..self }
+    }
+}
+
 /// A start that may still be carried out, of a task for which nothing else
 /// records that.
 #[derive(Debug)]
@@ -85,6 +94,7 @@
 #[derive(Debug, Default)]
 pub(super) struct TeamQuotas {
     pub(super) ledger: QuotaLedger,
+    pub(super) ceilings: Ceilings,
     doubtful_starts: Vec<DoubtfulStart>,
     /// What finished jobs may still use according to former holders.
     stops_on_record: BTreeMap<JobId, RunCharge>,
@@ -92,7 +102,7 @@
     /// unsynced workers.
     finished_inherited: BTreeMap<JobId, FinishedJob>,
     /// What may run on unsynced workers.
-    inherited: Vec<RunCharge>,
+    inherited: BTreeMap<TeamNumber, Resources>,
     /// When that was last summed up; 0 if it is out of date.
     inherited_ms: u64,
     /// When each team's quota was last reported to delay starts.
@@ -216,25 +226,35 @@
         }
     }
 
-    /// Returns whether a start with this charge stays within the quota.
-    pub(super) fn admit_start(&self, charge: Option<&RunCharge>) -> Admission {
-        let Some(RunCharge { team, resources }) = charge else {
-            return Admission::Admitted;
-        };
-        if !self.quotas.ledger.is_limited(*team) {
-            return Admission::Admitted;
-        }
-        if !self.knows_what_may_run() {
-            return Admission::Exceeded;
-        }
-        self.quotas.ledger.admit(*team, resources)
+    /// Returns whether a start with this charge stays within the quota and the
+    /// ceiling.
+    pub(super) fn admit_start(
+        &mut self,
+        charge: Option<&RunCharge>,
+    ) -> Admission {
+        self.admit(charge, |ledger, team, demand| ledger.admit(team, demand))
     }
 
-    /// Returns whether all members of a gang stay within the quota together.
+    /// Returns whether all members of a gang do so together.
     pub(super) fn admit_gang(
-        &self,
+        &mut self,
         charge: Option<&RunCharge>,
         members: usize,
+    ) -> Admission {
+        let charge = charge.map(|charge| charge.times(members));
+        self.admit(charge.as_ref(), |ledger, team, demand| {
+            ledger.admit_gang(team, demand)
+        })
+    }
+
+    fn admit(
+        &mut self,
+        charge: Option<&RunCharge>,
+        within_quota: impl FnOnce(
+            &QuotaLedger,
+            TeamNumber,
+            &Resources,
+        ) -> Admission,
     ) -> Admission {
         let Some(RunCharge { team, resources }) = charge else {
             return Admission::Admitted;
@@ -245,8 +265,25 @@
         if !self.knows_what_may_run() {
             return Admission::Exceeded;
         }
-        let demand = resources.times(members as u64);
-        self.quotas.ledger.admit_gang(*team, &demand)
+        let TeamQuotas { ledger, ceilings, .. } = &mut self.quotas;
+        if within_quota(ledger, *team, resources) == Admission::Exceeded {
+            return Admission::Exceeded;
+        }
+        let after = ledger.account(*team).1.total().plus(resources);
+        if ceilings.allow(*team, &after) {
+            return Admission::Admitted;
+        }
+        ceilings.put_off(*team, resources);
+        Admission::AwaitsCeiling
+    }
+
+    /// Returns whether a team's quota is known to delay a start.
+    pub(super) fn exceeds_quota(&self, charge: Option<&RunCharge>) -> bool {
+        charge.is_some_and(|RunCharge { team, resources }| {
+            let ledger = &self.quotas.ledger;
+            ledger.is_limited(*team)
+                && ledger.admit(*team, resources) == Admission::Exceeded
+        })
     }
 
     /// Returns whether every job and every worker is known, so that what may
@@ -297,12 +334,16 @@
         self.sum_up_inherited(now);
         let TeamQuotas {
             ledger,
+            ceilings,
             doubtful_starts,
             stops_on_record,
             inherited,
             ..
         } = &mut self.quotas;
         ledger.clear();
+        ceilings.begin_pass();
+        // What runs were found that a former holder had started.
+        let mut found: BTreeMap<TeamNumber, Resources> = BTreeMap::new();
         let runs = self.workers.values().flat_map(|w| w.runs.values());
         for run in runs {
             let Some(RunCharge { team, resources }) = run.charge else {
@@ -313,6 +354,9 @@
                 false => Charge::Running,
             };
             ledger.charge(team, charge, &resources);
+            if run.is_found() {
+                found.entry(team).or_default().add(&resources);
+            }
         }
         doubtful_starts.retain(|start| now.steady_ms < start.until_ms);
         let is_counted = |worker: &WorkerId, task: &TaskId, run: u64| {
@@ -325,11 +369,19 @@
             .filter(|s| !is_counted(&s.worker, &s.task, s.run))
             .map(|start| &start.charge);
         let stops = stops_on_record.values();
-        for RunCharge { team, resources } in
-            doubtful.chain(stops).chain(inherited.iter())
-        {
+        for RunCharge { team, resources } in doubtful.chain(stops) {
             ledger.charge(*team, Charge::InDoubt, resources);
         }
+        for (team, possible) in inherited.iter() {
+            let unlisted = ceilings.inherited(*team).map(|most| {
+                most.minus(&found.get(team).copied().unwrap_or_default())
+            });
+            let possible = match unlisted {
+                Some(most) => possible.component_min(&most),
+                None => *possible,
+            };
+            ledger.charge(*team, Charge::InDoubt, &possible);
+        }
         for task in &self.tasks_in_doubt {
             let Some(job) = self.jobs.get(&task.job) else { continue };
             let (Some(state), Some(spec)) =
@@ -361,6 +413,14 @@
         run: &Run,
     ) {
         let Some(charge) = run.charge else { return };
+        let is_same = |known: &DoubtfulStart| {
+            known.task == *task
+                && known.run == run.run
+                && known.worker == *worker
+        };
+        if self.quotas.doubtful_starts.iter().any(is_same) {
+            return;
+        }
         self.quotas.doubtful_starts.push(DoubtfulStart {
             task: *task,
             run: run.run,
@@ -400,16 +460,15 @@
                 sum.add(&charge.resources);
             }
         }
-        let bounded = possible.into_iter().map(|((pool, team), demand)| {
+        let mut inherited: BTreeMap<TeamNumber, Resources> = BTreeMap::new();
+        for ((pool, team), demand) in possible {
             // OK because only pools with unsynced workers were visited.
-            let capacity = unsynced[pool];
-            let resources = match capacity {
+            let resources = match unsynced[pool] {
                 Some(capacity) => demand.component_min(&capacity),
                 None => demand,
             };
-            RunCharge { team, resources }
-        });
-        let inherited = bounded.collect();
+            inherited.entry(team).or_default().add(&resources);
+        }
         let all_listed = unsynced.is_empty();
         self.quotas.inherited = inherited;
         if all_listed {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -159,6 +159,12 @@
         }
     }
 
+    /// Returns whether the run was found on its worker, ordered by a former
+    /// holder.
+    pub(crate) fn is_found(&self) -> bool {
+        self.fence == 0
+    }
+
     /// Sets what the run uses of a team's quota.
     pub(crate) fn with_charge(mut self, charge: Option<RunCharge>) -> Run {
         self.charge = charge;
--- a/crates/dewspar/tests/busy_holder.rs
+++ b/crates/dewspar/tests/busy_holder.rs
@@ -13,6 +13,7 @@
 
 /// A tenth of the fleet and of the load, on a node that is ten times as slow.
 const SETTINGS: PeakSettings = PeakSettings {
+    teams: 0,
     workers: 110,
     pools: 5,
     open_jobs: 400,
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -7,7 +7,8 @@
         schedule::{
             AcceptedJob, Action, HoldReport, Incarnation, ManagedVm, Now,
             Options, OrderError, QueueTerms, Resources, Scheduler, SentHold,
-            StartOrder, StopOrder, VmStatus, WorkerId, WorkerListing,
+            StartOrder, StopOrder, UseCeilings, VmStatus, WorkerId,
+            WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -127,6 +128,8 @@
     pub lost_after_start: bool,
     /// The stored progress of each job.
     pub stored: BTreeMap<JobId, Progress>,
+    /// The stored ceilings of teams.
+    pub ceilings: UseCeilings,
     /// The stored phase of each job.
     pub phases: BTreeMap<JobId, &'static str>,
 }
@@ -162,6 +165,7 @@
             outage: false,
             lost_after_start: false,
             stored: BTreeMap::new(),
+            ceilings: UseCeilings::default(),
             phases: BTreeMap::new(),
         }
     }
@@ -294,6 +298,7 @@
     /// Lets another holder take over with the same workers.
     pub fn take_over(&mut self, revision: u64) {
         self.scheduler = Scheduler::new(revision, Options::default());
+        self.scheduler.load_use_ceilings(self.ceilings.clone());
     }
 
     pub fn list(&mut self) {
@@ -322,10 +327,16 @@
         }
         let lost = self.lost_after_start && self.starts.len() > starts;
         let changes = self.scheduler.take_changes(100);
+        let ceilings = self.scheduler.begin_ceilings_write(now);
         if self.outage || lost {
             self.scheduler.changes_failed(&changes);
+            self.scheduler.use_ceilings_written(false);
             return;
         }
+        if let Some(ceilings) = ceilings {
+            self.ceilings = ceilings;
+            self.scheduler.use_ceilings_written(true);
+        }
         for (id, progress) in &changes.progress {
             self.phases.insert(*id, progress.phase.name());
             self.stored.insert(*id, progress.clone());
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -10,7 +10,7 @@
         schedule::{
             AcceptedJob, Action, EndCause, HoldReport, Incarnation, Now,
             Options, OrderError, QueueTerms, Resources, Scheduler, StartOrder,
-            StopOrder, TeamUse, WorkerId, WorkerListing,
+            StopOrder, TeamUse, UseCeilings, WorkerId, WorkerListing,
         },
         team::{Team, Teams},
     },
@@ -146,6 +146,8 @@
     /// The cancellations that are stored for later holders.
     recorded_cancellations: BTreeMap<JobId, Option<TeamUse>>,
     pub progress: BTreeMap<JobId, Progress>,
+    /// The ceilings of teams.
+    ceilings: UseCeilings,
 }
 
 pub struct World {
@@ -474,6 +476,7 @@
             scheduler.enforce_capacity([POOL.to_owned()].into());
         }
         scheduler.begin_loading();
+        scheduler.load_use_ceilings(self.store.ceilings.clone());
         for (id, active_use) in &self.store.recorded_cancellations {
             if let Some(active_use) = active_use {
                 scheduler.note_stops_on_record(*id, active_use);
@@ -668,7 +671,22 @@
             self.miscounted.take().or_else(|| self.miscount(step));
     }
 
+    /// Stores the ceilings that the holder wants; sometimes it isn't told.
+    fn store_ceilings(&mut self) {
+        let now = self.now();
+        let Some(ceilings) = self.scheduler.begin_ceilings_write(now) else {
+            return;
+        };
+        let is_lost = self.chance(100);
+        let is_stored = !self.is_store_out() && !is_lost;
+        if is_stored || is_lost && self.chance(500) {
+            self.store.ceilings = ceilings;
+        }
+        self.scheduler.use_ceilings_written(is_stored);
+    }
+
     fn store_changes(&mut self) {
+        self.store_ceilings();
         let now = self.now();
         if self.now_ms < self.outage_until_ms {
             let changes = self.scheduler.take_changes(3);
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -9,6 +9,7 @@
         progress::{FeedEvent, WriteOutcome},
         start_logs::LoadedStartLogs,
         takeover::{LoadedFleetState, LoadedJobs},
+        use_ceilings::LoadedCeilings,
     },
     crate::clock,
     dewspar::{
@@ -91,6 +92,10 @@
         log: StartLog,
         written: RecordWriteOutcome,
     },
+    /// The ceilings of teams that a former holder stored.
+    CeilingsLoaded(LoadedCeilings),
+    /// The result of a write of such ceilings.
+    CeilingsWritten(RecordWriteOutcome),
     /// The stored state of waves and VM orders.
     FleetStateLoaded(LoadedFleetState),
     /// Everything that former holders stored has been sent.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -171,6 +171,7 @@
         suspensions: Suspensions::new(clock::suspended_ms()),
         renewal_needed_from_ms: 0,
         hand_over: HandOver::default(),
+        ceilings: RecordWriter::default(),
     };
     holder.run(events).await
 }
@@ -230,6 +231,8 @@
     /// The lease counts only if it was renewed at this time or later.
     renewal_needed_from_ms: u64,
     pub(super) hand_over: HandOver,
+    /// The write state of the record of the teams' ceilings.
+    pub(super) ceilings: RecordWriter,
 }
 
 /// Waits until the node is asked to stop.
@@ -374,6 +377,10 @@
                 scheduler
                     .advice_answered(&step, &workers, asked_ms, answer, now);
             }
+            Event::CeilingsLoaded(loaded) => self.apply_ceilings(loaded),
+            Event::CeilingsWritten(written) => {
+                self.ceilings_written(written, now);
+            }
             Event::CountsWritten(written) => {
                 self.counts.write_answered(written)
             }
@@ -502,6 +509,7 @@
         self.write_start_logs(now);
         self.write_changes(now);
         self.write_deferred_ends(now);
+        self.write_ceilings(now);
         self.write_counts(now);
         self.write_waves(now);
         self.order_vms(now);
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -46,6 +46,9 @@
 /// The VMs for which the holder ordered changes recently.
 pub(super) const VM_ORDERS: &str = "vm-orders";
 
+/// The most that each team uses, written by the holder.
+pub(super) const CEILINGS: &str = "ceilings";
+
 /// The counts of waiting jobs by queue, written by the holder.
 pub(super) const PENDING: &str = "pending";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -26,6 +26,7 @@
 | `node/NODE` | the scheduling capacity of a node | that node, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and the counts made under it, under short leases | a node that finds no fresh `pending` |
+| `ceilings` | the most that each team uses | the holder |
 | `vm-orders` | the VMs for which changes were ordered recently | the holder |
 | `wave/N` | the VMs that a maintenance wave has maintained | the holder |
 
@@ -69,6 +70,7 @@
 mod start_logs;
 mod step_down;
 mod takeover;
+mod use_ceilings;
 mod versions;
 mod vm_orders;
 pub mod worker_lookups;
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -21,6 +21,7 @@
         keys,
         progress::{FeedEvent, parse_feed},
         start_logs::load_start_logs,
+        use_ceilings::load_ceilings,
         vm_orders::{LoadedVmOrders, LoadedWaves, load_vm_orders, load_waves},
     },
     crate::{clock, counters, passed_over},
@@ -146,12 +147,14 @@
 ) -> Result<LoadTotals, HolderStopped> {
     let mut loaded = LoadTotals::default();
     let requested_ms = clock::now_ms();
-    let ((_, cancelled), ends, starts) = tokio::join!(
+    let ((_, cancelled), ends, starts, ceilings) = tokio::join!(
         retry_until_read(|| store.list(keys::CANCELLED)),
         retry_until_read(|| load_deferred_ends(store, log)),
         retry_until_read(|| load_start_logs(store, log)),
+        retry_until_read(|| load_ceilings(store, log)),
     );
     let call_ms = clock::now_ms().saturating_sub(requested_ms);
+    sender.send(Event::CeilingsLoaded(ceilings)).await?;
     sender.send(Event::Feed(parse_feed(&cancelled, log))).await?;
     sender.send(Event::DeferredEndsLoaded(ends)).await?;
     // Sent before any of the jobs that they refer to.
