Let jobs beyond a team's share go last

A team's weight is the number of jobs a second that it is owed. What it submits beyond that goes after what is owed, and starts as soon as there is room; no job is refused for it.

Tried first: teams that use more than their part of all weights go last.

--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -19,6 +19,8 @@
     pub(crate) terms: QueueTerms,
     /// The team whose quota its tasks count against.
     pub(crate) team: Option<TeamNumber>,
+    /// Whether the team had submitted more than its share before this job.
+    pub(crate) over_share: bool,
     /// The name of that team; empty for none.
     pub(crate) team_name: Arc<str>,
     /// The revision of the store at which the job was accepted.
@@ -88,6 +90,7 @@
             spec: Arc::new(spec),
             terms,
             team: None,
+            over_share: false,
             team_name: Arc::default(),
             revision,
             accepted_at_ms,
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -158,6 +158,7 @@
 mod record_merge;
 mod reservations;
 mod scheduler;
+mod shares;
 mod sizing;
 mod start_log;
 mod stopping;
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -149,7 +149,7 @@
         }
     }
 
-    fn placing(&self) -> &Placing {
+    pub(super) fn placing(&self) -> &Placing {
         &self.options.policy.placing
     }
 
--- a/crates/dewspar/src/schedule/placement/candidates.rs
+++ b/crates/dewspar/src/schedule/placement/candidates.rs
@@ -26,6 +26,8 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(in crate::schedule) struct Candidate {
     priority: u32,
+    /// Whether its team has submitted more than its share.
+    over_share: bool,
     late: bool,
     objective_ms: u64,
     pub(super) job: JobId,
@@ -256,6 +258,7 @@
             let priority = job.terms.priority;
             let candidate = Candidate {
                 priority,
+                over_share: job.over_share,
                 late,
                 objective_ms,
                 job: id,
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -143,6 +143,8 @@
 pub struct Placing {
     /// Whether jobs that can no longer meet their latency target go last.
     pub late_last: bool,
+    /// Whether jobs that a team submits beyond its share go after the others.
+    pub over_share_last: bool,
 
     /// Whether a task is placed on the fullest worker with enough room;
     /// otherwise on the emptiest.
@@ -167,6 +169,7 @@
     fn default() -> Placing {
         Placing {
             late_last: true,
+            over_share_last: true,
             // The other workers become idle, and their VMs can be used
             // elsewhere.
             fullest_first: true,
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -26,6 +26,7 @@
             ceilings::Ceilings,
             in_doubt::MAX_DELIVERY_MS,
             job_state::Job,
+            shares::Shares,
             worker::{Run, Worker},
         },
         team::{Team, Teams},
@@ -95,6 +96,7 @@
 pub(super) struct TeamQuotas {
     pub(super) ledger: QuotaLedger,
     pub(super) ceilings: Ceilings,
+    pub(super) shares: Shares,
     doubtful_starts: Vec<DoubtfulStart>,
     /// What finished jobs may still use according to former holders.
     stops_on_record: BTreeMap<JobId, RunCharge>,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -300,6 +300,12 @@
         if let Some(team) = &team {
             let number = self.quotas.ledger.number_for(team);
             job = job.with_team(number, &team.name);
+            let is_over = self.quotas.shares.count(
+                number,
+                self.quotas.ledger.account(number).0.weight,
+                accepted_at_ms,
+            );
+            job.over_share = is_over && self.placing().over_share_last;
         }
         if let Some(progress) = progress {
             job.restore(progress);
--- a/crates/dewspar/tests/schedule/quotas.rs
+++ b/crates/dewspar/tests/schedule/quotas.rs
@@ -379,3 +379,33 @@
     assert_eq!(usage.in_doubt, Resources::default());
     assert_eq!(world.running().len(), 4);
 }
+
+#[test]
+fn jobs_beyond_a_teams_share_go_after_the_others() {
+    let mut world = World::new(7, &["w-1"]);
+    world.fate = Fate::done(1_000);
+    world.expect_all();
+    world.list();
+    world.run_for(RAMP_MS);
+    let weighted = |name: &str, weight| Team {
+        name: name.to_owned(),
+        weight,
+        quota: Resources::default(),
+    };
+    // Six jobs of a team that is owed two a second, then one of another team.
+    for number in 1..7 {
+        let team = Some(weighted("banks", 2));
+        let accepted = AcceptedJob { team, ..job(vec![step(1)]) };
+        world.scheduler.submit(id(number), accepted, 7 + number, None);
+    }
+    let team = Some(weighted("notaries", 2));
+    let accepted = AcceptedJob { team, ..job(vec![step(1)]) };
+    world.scheduler.submit(id(9), accepted, 20, None);
+    world.run_for(50);
+    // There is room for four.
+    let started: Vec<_> =
+        world.starts.iter().map(|(_, order)| order.task.job).collect();
+    assert_eq!(started, [id(1), id(2), id(9), id(3)]);
+    world.run_for(3_000);
+    assert_eq!(world.starts.len(), 7);
+}
