Count only the workers that changed against quotas

Cause: each pass summed up the runs of all workers.

Each worker's part is cached, and ceilings are checked every 50 ms while no start waits for one. With debug assertions, the totals are compared with the full sum.

--- a/crates/dewspar/src/schedule/ceilings.rs
+++ b/crates/dewspar/src/schedule/ceilings.rs
@@ -48,6 +48,11 @@
 /// How long a ceiling stays before it is lowered, in milliseconds.
 const LOWER_AFTER_MS: u64 = 2_000;
 
+/// The interval between checks of the ceilings while no start waits for one,
+/// in milliseconds: much less than a team's use takes to grow by an eighth of
+/// its quota.
+const CHECK_INTERVAL_MS: u64 = 50;
+
 /// The most that each team uses, by the team's name. A resource of which it
 /// has 0 isn't limited.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -65,6 +70,8 @@
     inherited: BTreeMap<TeamNumber, Resources>,
     /// The largest demand of each team's starts that the last pass put off.
     put_off: BTreeMap<TeamNumber, Resources>,
+    /// When the ceilings were last checked.
+    checked_ms: u64,
     /// When each ceiling was last needed.
     needed_ms: BTreeMap<TeamNumber, u64>,
 }
@@ -113,7 +120,14 @@
     ///
     /// Call [`Scheduler::use_ceilings_written`] with the outcome.
     pub fn begin_ceilings_write(&mut self, now: Now) -> Option<UseCeilings> {
-        if self.quotas.ceilings.writing.is_some() || self.is_loading() {
+        let ceilings = &mut self.quotas.ceilings;
+        let due_ms = ceilings.checked_ms + CHECK_INTERVAL_MS;
+        let is_due = !ceilings.put_off.is_empty() || now.steady_ms >= due_ms;
+        if ceilings.writing.is_some() || !is_due {
+            return None;
+        }
+        ceilings.checked_ms = now.steady_ms;
+        if self.is_loading() {
             return None;
         }
         let wanted = self.wanted_ceilings(now);
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -157,6 +157,7 @@
 mod quotas;
 mod record_merge;
 mod reservations;
+mod run_totals;
 mod scheduler;
 mod shares;
 mod sizing;
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -26,6 +26,7 @@
             ceilings::Ceilings,
             in_doubt::MAX_DELIVERY_MS,
             job_state::Job,
+            run_totals::RunTotals,
             shares::Shares,
             worker::{Run, Worker},
         },
@@ -97,6 +98,7 @@
     pub(super) ledger: QuotaLedger,
     pub(super) ceilings: Ceilings,
     pub(super) shares: Shares,
+    run_totals: RunTotals,
     doubtful_starts: Vec<DoubtfulStart>,
     /// What finished jobs may still use according to former holders.
     stops_on_record: BTreeMap<JobId, RunCharge>,
@@ -337,6 +339,7 @@
         let TeamQuotas {
             ledger,
             ceilings,
+            run_totals,
             doubtful_starts,
             stops_on_record,
             inherited,
@@ -344,21 +347,12 @@
         } = &mut self.quotas;
         ledger.clear();
         ceilings.begin_pass();
-        // What runs were found that a former holder had started.
+        run_totals.update(&mut self.workers);
         let mut found: BTreeMap<TeamNumber, Resources> = BTreeMap::new();
-        let runs = self.workers.values().flat_map(|w| w.runs.values());
-        for run in runs {
-            let Some(RunCharge { team, resources }) = run.charge else {
-                continue;
-            };
-            let charge = match run.is_stopping() {
-                true => Charge::Stopping,
-                false => Charge::Running,
-            };
-            ledger.charge(team, charge, &resources);
-            if run.is_found() {
-                found.entry(team).or_default().add(&resources);
-            }
+        for (team, uses) in run_totals.iter() {
+            ledger.charge(team, Charge::Running, &uses.running);
+            ledger.charge(team, Charge::Stopping, &uses.stopping);
+            found.insert(team, uses.found);
         }
         doubtful_starts.retain(|start| now.steady_ms < start.until_ms);
         let is_counted = |worker: &WorkerId, task: &TaskId, run: u64| {
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -26,7 +26,7 @@
 };
 
 /// The number of a worker. Numbers are reused after a worker is removed.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct WorkerNumber(usize);
 
 /// The known workers.
@@ -43,6 +43,9 @@
     pools: BTreeMap<String, Vec<WorkerNumber>>,
     /// The workers that may have changed since their entries were computed.
     changed: Vec<WorkerNumber>,
+    /// The workers that may have changed since their runs were counted, or
+    /// that were removed.
+    uncounted: Vec<WorkerNumber>,
     free_numbers: Vec<WorkerNumber>,
     /// The number of workers added so far.
     sessions: u64,
@@ -57,6 +60,8 @@
     has_unstored_ends: bool,
     /// Whether the worker may have changed since this was computed.
     changed: bool,
+    /// Whether it is among the workers whose runs are to be counted.
+    uncounted: bool,
 }
 
 impl DueEntry {
@@ -64,6 +69,7 @@
         due_from_ms: u64::MAX,
         has_unstored_ends: false,
         changed: false,
+        uncounted: false,
     };
 }
 
@@ -98,13 +104,9 @@
         &mut self,
         number: WorkerNumber,
     ) -> Option<&mut Worker> {
-        let worker = self.workers.get_mut(number.0)?.as_mut()?;
-        let entry = &mut self.due_entries[number.0];
-        if !entry.changed {
-            entry.changed = true;
-            self.changed.push(number);
-        }
-        Some(worker)
+        self.at(number)?;
+        self.mark_changed(number);
+        self.workers.get_mut(number.0)?.as_mut()
     }
 
     /// Returns all workers, ordered by identifier.
@@ -128,16 +130,33 @@
     }
 
     pub(super) fn values_mut(&mut self) -> impl Iterator<Item = &mut Worker> {
-        for number in &self.ordered {
-            let entry = &mut self.due_entries[number.0];
-            if !entry.changed {
-                entry.changed = true;
-                self.changed.push(*number);
-            }
+        for index in 0..self.ordered.len() {
+            self.mark_changed(self.ordered[index]);
         }
         self.workers.iter_mut().flatten()
     }
 
+    fn mark_changed(&mut self, number: WorkerNumber) {
+        let entry = &mut self.due_entries[number.0];
+        if !entry.changed {
+            entry.changed = true;
+            self.changed.push(number);
+        }
+        if !entry.uncounted {
+            entry.uncounted = true;
+            self.uncounted.push(number);
+        }
+    }
+
+    /// Takes the workers that may have changed since the last call. Some of
+    /// them may no longer exist.
+    pub(super) fn take_uncounted(&mut self) -> Vec<WorkerNumber> {
+        for number in &self.uncounted {
+            self.due_entries[number.0].uncounted = false;
+        }
+        std::mem::take(&mut self.uncounted)
+    }
+
     /// Adds a worker that isn't known yet.
     pub(super) fn insert(&mut self, id: WorkerId, mut worker: Worker) {
         debug_assert!(!self.contains_key(&id), "{id} is known");
@@ -150,9 +169,8 @@
         });
         let pool = worker.listing.pool.clone();
         self.workers[number.0] = Some(worker);
-        self.due_entries[number.0] =
-            DueEntry { changed: true, ..DueEntry::NONE };
-        self.changed.push(number);
+        self.due_entries[number.0] = DueEntry::NONE;
+        self.mark_changed(number);
         self.numbers.insert(id, number);
         self.add_to_pool(pool, number);
         insert_sorted(&mut self.ordered, number, &self.workers);
@@ -163,6 +181,7 @@
         let worker = self.workers[number.0].take()?;
         self.due_entries[number.0] = DueEntry::NONE;
         self.changed.retain(|other| *other != number);
+        self.uncounted.push(number);
         self.ordered.retain(|other| *other != number);
         self.remove_from_pool(&worker.listing.pool, number);
         self.free_numbers.push(number);
@@ -232,6 +251,7 @@
                 due_from_ms: worker.due_from_ms(options).unwrap_or(u64::MAX),
                 has_unstored_ends: worker.has_ends_to_store(),
                 changed: false,
+                uncounted: self.due_entries[number.0].uncounted,
             };
         }
     }
