--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -13,7 +13,6 @@
     crate::{
         job::{StepSpec, TaskId},
         link::Class,
-        quota::Admission,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
             full_pools::{FullPools, UnsyncedPools},
@@ -205,6 +204,13 @@
             return (!placed && fits).then_some(pool);
         }
         let task = |index: u32| TaskId { index, ..first };
+        // Checked before workers are searched, since a team beyond its quota
+        // may have thousands of steps here in each pass.
+        if let Some(next) = waiting.first().copied().map(task)
+            && !self.may_start_within_quota(charge.as_ref(), &next, now)
+        {
+            return None;
+        }
         let any =
             waiting.iter().find(|i| !self.needs_own_placement(&task(**i)));
         let mut uniform =
@@ -215,13 +221,8 @@
                 break;
             }
             let task = TaskId { index, ..first };
-            match self.admit_start(charge.as_ref()) {
-                Admission::Admitted => {}
-                Admission::AwaitsCeiling => break,
-                Admission::Exceeded => {
-                    self.report_quota_reached(charge.as_ref(), &task, now);
-                    break;
-                }
+            if !self.may_start_within_quota(charge.as_ref(), &task, now) {
+                break;
             }
             let chosen = match &mut uniform {
                 Some(placement) if !self.needs_own_placement(&task) => {
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -11,10 +11,11 @@
 | stops on record | runs of jobs that ended under a former holder while some of their runs were active |
 | unsynced workers | whatever a former holder may have started on workers that haven't listed their runs yet |
 
-The last one is bounded twice for each pool: by the capacity of those workers,
-and by the tasks of inherited jobs that aren't known to run elsewhere. Jobs
-that were accepted under this lease can't run there. While the jobs or the
-workers themselves aren't all known yet, teams with a quota start nothing.
+The last one is bounded for each pool by the capacity of those workers and by
+the tasks of inherited jobs that aren't known to run elsewhere, and in total by
+the team's ceiling (see `ceilings`). Jobs that were accepted under this lease
+can't run there. While the jobs or the workers themselves aren't all known yet,
+teams with a quota start nothing.
 */
 
 use {
@@ -232,10 +233,7 @@
 
     /// Returns whether a start with this charge stays within the quota and the
     /// ceiling.
-    pub(super) fn admit_start(
-        &mut self,
-        charge: Option<&RunCharge>,
-    ) -> Admission {
+    fn admit_start(&mut self, charge: Option<&RunCharge>) -> Admission {
         self.admit(charge, |ledger, team, demand| ledger.admit(team, demand))
     }
 
@@ -281,6 +279,21 @@
         Admission::AwaitsCeiling
     }
 
+    /// Returns whether a task with this charge may start; reports it if the
+    /// quota delays the start.
+    pub(super) fn may_start_within_quota(
+        &mut self,
+        charge: Option<&RunCharge>,
+        task: &TaskId,
+        now: Now,
+    ) -> bool {
+        let admission = self.admit_start(charge);
+        if admission == Admission::Exceeded {
+            self.report_quota_reached(charge, task, now);
+        }
+        admission == Admission::Admitted
+    }
+
     /// Returns whether a team's quota is known to delay a start.
     pub(super) fn exceeds_quota(&self, charge: Option<&RunCharge>) -> bool {
         charge.is_some_and(|RunCharge { team, resources }| {
