Store what is left before the lease is handed over

The holder writes them before it deletes its key, as before, and takes back what couldn't be stored if it has to go on.

--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -92,10 +92,11 @@
             self.changed.remove(&id);
             self.storing.insert(id, since);
             progress.push((id, job.progress()));
+            if !job.phase.is_final() {
+                continue;
+            }
             let active_use = self.active_use(id);
-            let has_placements = job.placements(id).next().is_some();
-            if job.phase.is_final() && (has_placements || active_use.is_some())
-            {
+            if job.placements(id).next().is_some() || active_use.is_some() {
                 active_runs.insert(id, active_use);
             }
         }
--- a/crates/dewspard/src/jobs/hand_over.rs
+++ b/crates/dewspard/src/jobs/hand_over.rs
@@ -25,19 +25,15 @@
     tokio::time::timeout,
 };
 
-/// How long one attempt may keep the holder from scheduling, in milliseconds:
-/// several times as long as a store that isn't overloaded takes.
-const ATTEMPT_TIMEOUT_MS: u64 = 300;
-
-/// How long the hand-over waits for changes to be stored, in milliseconds: a
-/// few writes. Workers report the ends that aren't stored to the next holder.
-const MAX_WRITE_WAIT_MS: u64 = 150;
+/// How long the deletion of the lease's key may keep the holder from
+/// scheduling, in milliseconds: about the time of a slow store.
+const ATTEMPT_TIMEOUT_MS: u64 = 700;
 
 /// The state of a hand-over.
 #[derive(Debug, Default)]
 pub(super) struct HandOver {
-    /// When the node was asked to stop, on the steady clock in milliseconds.
-    requested_ms: Option<u64>,
+    /// Whether the node was asked to stop.
+    pub(super) is_requested: bool,
     /// Whether the lease's key may have been deleted already.
     pub(super) may_be_released: bool,
     /// The store counts as available only if it has renewed the lease at this
@@ -45,18 +41,6 @@
     available_from_ms: u64,
 }
 
-impl HandOver {
-    /// Notes that the node was asked to stop.
-    pub(super) fn request(&mut self) {
-        self.requested_ms.get_or_insert_with(clock::now_ms);
-    }
-
-    /// Returns whether the node was asked to stop.
-    pub(super) fn is_requested(&self) -> bool {
-        self.requested_ms.is_some()
-    }
-}
-
 /// The result of an attempt to delete the lease's key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Release {
@@ -108,18 +92,10 @@
     /// Tries to hand the lease over, if the node was asked to stop and the
     /// store is available. Returns whether that is done.
     pub(super) async fn try_hand_over(&mut self) -> bool {
-        let Some(requested_ms) = self.hand_over.requested_ms else {
-            return false;
-        };
-        if !self.is_store_available() {
-            return false;
-        }
-        let waited_ms = clock::now_ms().saturating_sub(requested_ms);
-        let is_writing =
-            self.writes_in_flight > 0 || self.scheduler.has_changes();
-        if is_writing && waited_ms < MAX_WRITE_WAIT_MS {
+        if !self.hand_over.is_requested || !self.is_store_available() {
             return false;
         }
+        let unstored = self.flush_changes().await;
         let limit = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
         let attempt = self.candidate.delete_lease_key(self.held.revision);
         let release = timeout(limit, attempt).await;
@@ -127,6 +103,9 @@
         if release == Release::Done {
             return true;
         }
+        for changes in &unstored {
+            self.scheduler.changes_failed(changes);
+        }
         self.hand_over.available_from_ms = clock::now_ms();
         self.hand_over.may_be_released |= release == Release::Unknown;
         info!(self.candidate.log, "holder: not handed over yet";
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -265,9 +265,9 @@
                 Some(event) = events.recv() => self.handle_event(event),
                 _ = tick.tick() => {}
                 () = wait_for_stop(&mut stopping),
-                    if !self.hand_over.is_requested() =>
+                    if !self.hand_over.is_requested =>
                 {
-                    self.hand_over.request();
+                    self.hand_over.is_requested = true;
                 }
             }
             for _ in 0..MAX_EVENTS_PER_PLAN {
@@ -279,7 +279,8 @@
             }
             if let Some(step_down) = self.plan_and_dispatch() {
                 if step_down.releases_lease() {
-                    self.flush_changes().await;
+                    // The next holder finds what isn't stored.
+                    let _ = self.flush_changes().await;
                 }
                 return step_down;
             }
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -52,9 +52,15 @@
             let key = keys::accepted(id);
             let accepted = self.read_versioned(&key, deadline).await?;
             if let Some(item) = accepted {
-                let owner = self.owner_in(id, &item);
-                let visible =
-                    owner.is_none_or(|owner| caller.may_access(&owner));
+                let visible = match self.owner_in(id, &item) {
+                    Some(owner) => caller.may_access(&owner),
+                    None if caller.team().is_none() => true,
+                    // It may belong to another team.
+                    None => {
+                        let retry_after_ms = RETRY_AFTER_MS;
+                        return Err(JobReply::NotDone { retry_after_ms });
+                    }
+                };
                 return Ok(visible.then_some(Phase::Queued));
             }
             // It may have finished between the two reads.
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -15,7 +15,7 @@
 use {
     super::{
         event::Event,
-        holder::{Holder, to_json},
+        holder::{Holder, now, to_json},
         keys,
         progress::{
             self, ConflictCause, WriteConflict, WriteOutcome, progress_batch,
@@ -239,40 +239,63 @@
             "records" => to_json(&rows));
     }
 
-    /// Writes all remaining changes before the lease is released.
-    pub(super) async fn flush_changes(&mut self) {
+    /// Writes all remaining changes before the lease is released. Returns those
+    /// that aren't stored; if the lease is kept after all, pass them to
+    /// [`Scheduler::changes_failed`](dewspar::schedule::Scheduler::changes_failed).
+    pub(super) async fn flush_changes(&mut self) -> Vec<Changes> {
+        let mut unstored = Vec::new();
         while self.scheduler.has_changes() {
             let changes = progress::take_next_write(&mut self.scheduler);
-            if !self.flush_write(changes).await {
-                return;
+            if !self.flush_write(changes, &mut unstored).await {
+                break;
             }
         }
+        unstored
     }
 
     /// Writes changes, except those whose jobs' records conflict; returns
     /// whether further writes may succeed.
-    async fn flush_write(&self, mut changes: Changes) -> bool {
+    async fn flush_write(
+        &mut self,
+        mut changes: Changes,
+        unstored: &mut Vec<Changes>,
+    ) -> bool {
         while !changes.progress.is_empty() {
             let batch =
                 progress_batch(self.held.revision, &changes, &self.versions);
             let current = match self.candidate.store.commit(&batch).await {
-                Ok(Commit::Done(_)) => return true,
+                Ok(Commit::Done(version)) => {
+                    for (id, _) in &changes.progress {
+                        self.versions.note_written(*id, version);
+                    }
+                    self.scheduler.changes_stored(&changes, now());
+                    return true;
+                }
                 Ok(Commit::Conflict(current)) => current,
                 Err(error) => {
                     // Workers will report these ends to the next holder.
                     counters::platform_failure(&error);
                     warn!(self.candidate.log, "holder: write gave no result";
                         "of" => "progress", "error" => %error);
+                    unstored.push(changes);
                     return false;
                 }
             };
             let conflict = WriteConflict::new(&batch, current);
             self.log_conflict(&conflict, &[]);
             match conflict.cause_for(&changes) {
-                ConflictCause::Lease => return false,
-                ConflictCause::Resolved => return true,
+                ConflictCause::Lease => {
+                    unstored.push(changes);
+                    return false;
+                }
+                ConflictCause::Resolved => {
+                    unstored.push(changes);
+                    return true;
+                }
                 // The next holder reads these records again.
-                ConflictCause::Records(ids) => drop(changes.take(&ids)),
+                ConflictCause::Records(ids) => {
+                    unstored.push(changes.take(&ids));
+                }
             }
         }
         true
