Let a team under half of its quota start one more task in any case

Cause: a task as large as its team's quota waited for as long as anything else of the team ran. The rule allows one task beyond a quota, and asks that a team under half of it starts.

`a_team_under_half_of_its_quota_starts_a_task_as_large_as_the_quota` fails without the change.

--- a/crates/dewspar/src/quota.rs
+++ b/crates/dewspar/src/quota.rs
@@ -13,10 +13,11 @@
 | [`Charge::Stopping`] | runs that were told to stop and whose end isn't known |
 | [`Charge::InDoubt`] | what may run without being known here |
 
-A start is admitted if it keeps all of that within the quota. A task that asks
-for more than the whole quota is admitted while nothing of its team counts,
-since it would never start otherwise. A gang starts as a whole or not at all,
-so it has no such exception. A quota that falls below what counts stops no run;
+A start is admitted if it keeps all of that within the quota. A team that uses
+less than half of its quota may start one more task in any case: a large task
+would otherwise wait for a long one of its own team, or never start if it asks
+for more than the whole quota. So a team may exceed its quota by one task. A
+gang starts as a whole or not at all, and has no such exception. A quota that falls below what counts stops no run;
 the team starts nothing until enough of it has ended.
 
 The ledger holds no history: its owner clears it and charges everything again
@@ -45,8 +46,9 @@
 assert_eq!(ledger.admit(team, &cores(2)), Admission::Admitted);
 assert_eq!(ledger.admit(team, &cores(3)), Admission::Exceeded);
 
-// A task that is larger than the quota starts once nothing else counts.
+// A team under half of its quota may start one large task.
 ledger.clear();
+ledger.charge(team, Charge::Running, &cores(3));
 assert_eq!(ledger.admit(team, &cores(9)), Admission::Admitted);
 assert_eq!(ledger.admit_gang(team, &cores(9)), Admission::Exceeded);
 ```
@@ -177,8 +179,14 @@
 
     /// Returns whether one task may start.
     pub fn admit(&self, number: TeamNumber, demand: &Resources) -> Admission {
-        let used = self.accounts[number.0].usage.total();
-        if used == Resources::default() {
+        let Account { team, usage, .. } = &self.accounts[number.0];
+        let used = usage.total();
+        let limits = team.quota.as_limits();
+        let is_under_half = |used: u64, limit: u64| used < limit.div_ceil(2);
+        if is_under_half(used.cpu_millis, limits.cpu_millis)
+            && is_under_half(used.memory_mb, limits.memory_mb)
+            && is_under_half(used.gpus, limits.gpus)
+        {
             return Admission::Admitted;
         }
         self.admit_gang(number, demand)
--- a/crates/dewspar/tests/schedule/quotas.rs
+++ b/crates/dewspar/tests/schedule/quotas.rs
@@ -409,3 +409,17 @@
     world.run_for(3_000);
     assert_eq!(world.starts.len(), 7);
 }
+
+// Guards against a large task that waits for a long one of its own team,
+// although the team uses little of its quota.
+#[test]
+fn a_team_under_half_of_its_quota_starts_a_task_as_large_as_the_quota() {
+    let mut world = world();
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), team_job(cores(4), step(1)), 8, None);
+    world.run_for(RAMP_MS);
+    let large = StepSpec { cpu_millis: 4_000, ..step(2) };
+    world.scheduler.submit(id(2), team_job(cores(4), large), 9, None);
+    world.run_for(RAMP_MS);
+    assert_eq!(world.running().len(), 2);
+}
