--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -89,7 +89,7 @@
                 let mut worker = self.listed_worker(listing, now);
                 worker.reported_at_ms = asked_ms;
                 self.workers.insert(id, worker);
-                self.quotas.note_unsynced_worker();
+                self.quotas.unlisted.note_unsynced_worker();
             }
             return;
         }
@@ -219,7 +219,7 @@
             // It hasn't reported anything about itself.
             worker.reported_at_ms = 0;
             self.workers.insert(id, worker);
-            self.quotas.note_unsynced_worker();
+            self.quotas.unlisted.note_unsynced_worker();
         }
     }
 
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -166,6 +166,7 @@
 mod storing;
 mod suspects;
 mod token_claims;
+mod unlisted_use;
 mod unreadable_jobs;
 mod unseen_starts;
 mod vm;
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -561,10 +561,10 @@
     /// and hasn't listed its runs yet.
     pub(super) fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
         !self.workers_known
-            || self.workers.in_pool(pool).any(|(_, worker)| {
-                !worker.runs_are_known()
-                    && now.steady_ms <= worker.lease_over_ms
-            })
+            || self
+                .workers
+                .in_pool(pool)
+                .any(|(_, worker)| worker.may_run_unknown(now.steady_ms))
     }
 
     /// Returns the score of a worker for the tasks of a step.
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -20,27 +20,19 @@
 
 use {
     crate::{
-        job::{JobId, JobSpec, StepSpec, TaskId},
+        job::{JobId, StepSpec, TaskId},
         quota::{Admission, Charge, QuotaLedger, TeamNumber, Usage},
         schedule::{
-            Decision, Now, Resources, Scheduler, WorkerId,
-            ceilings::Ceilings,
-            in_doubt::MAX_DELIVERY_MS,
-            job_state::Job,
-            run_totals::RunTotals,
-            shares::Shares,
-            worker::{Run, Worker},
+            Decision, Now, Resources, Scheduler, WorkerId, ceilings::Ceilings,
+            in_doubt::MAX_DELIVERY_MS, job_state::Job, run_totals::RunTotals,
+            shares::Shares, unlisted_use::UnlistedUse, worker::Run,
         },
         team::{Team, Teams},
     },
     serde::{Deserialize, Serialize},
-    std::{collections::BTreeMap, sync::Arc},
+    std::collections::BTreeMap,
 };
 
-/// The interval at which the possible runs on unsynced workers are summed up,
-/// in milliseconds: each time, all inherited tasks are visited.
-const INHERITED_INTERVAL_MS: u64 = 100;
-
 /// The minimum interval between two reports that a team's quota delays starts,
 /// in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 2_000;
@@ -84,15 +76,6 @@
     until_ms: u64,
 }
 
-/// A finished job of which unsynced workers may still run something.
-#[derive(Debug)]
-struct FinishedJob {
-    pool: String,
-    spec: Arc<JobSpec>,
-    /// The most that its runs on unsynced workers use.
-    charge: RunCharge,
-}
-
 /// The quotas of all teams, and what is charged to them besides runs.
 #[derive(Debug, Default)]
 pub(super) struct TeamQuotas {
@@ -103,13 +86,7 @@
     doubtful_starts: Vec<DoubtfulStart>,
     /// What finished jobs may still use according to former holders.
     stops_on_record: BTreeMap<JobId, RunCharge>,
-    /// The inherited jobs that have finished since, as long as there are
-    /// unsynced workers.
-    finished_inherited: BTreeMap<JobId, FinishedJob>,
-    /// What may run on unsynced workers.
-    inherited: BTreeMap<TeamNumber, Resources>,
-    /// When that was last summed up; 0 if it is out of date.
-    inherited_ms: u64,
+    pub(super) unlisted: UnlistedUse,
     /// When each team's quota was last reported to delay starts.
     reported_ms: BTreeMap<TeamNumber, u64>,
 }
@@ -120,11 +97,6 @@
         self.stops_on_record.remove(&id);
     }
 
-    /// Notes that another worker may run something unknown.
-    pub(super) fn note_unsynced_worker(&mut self) {
-        self.inherited_ms = 0;
-    }
-
     fn has_limits(&self) -> bool {
         let mut accounts = self.ledger.accounts();
         accounts.any(|(team, _)| team.quota != Resources::default())
@@ -156,38 +128,14 @@
         self.quotas.stops_on_record.insert(id, charge);
     }
 
-    /// Keeps charging what a finished job may run on workers that haven't
-    /// listed their runs yet.
-    pub(super) fn note_finished_inherited(&mut self, id: JobId, now: Now) {
-        let Some(job) = self.jobs.get(&id) else { return };
-        let Some(team) = job.team else { return };
-        if let Some(resources) = self.unlisted_use(job, now) {
-            let pool = job.terms.pool.clone();
-            let charge = RunCharge { team, resources };
-            let finished =
-                FinishedJob { pool, spec: job.spec.clone(), charge };
-            self.quotas.finished_inherited.insert(id, finished);
-        }
-    }
-
-    /// Returns what a job may run on workers that haven't listed their runs
-    /// yet; `None` for nothing.
-    fn unlisted_use(&self, job: &Job, now: Now) -> Option<Resources> {
-        let inherited = job.revision < self.lease_revision;
-        let pool = job.terms.pool.as_str();
-        let may_run = inherited && self.has_unsynced_workers(pool, now);
-        let demand = may_run.then(|| unlocated_demand(job));
-        demand.filter(|demand| *demand != Resources::default())
-    }
-
     /// Returns what the runs of a job use of its team's quota; `None` if it
     /// certainly has none, or has no team.
     pub(super) fn active_use(&self, id: JobId) -> Option<TeamUse> {
         let job = self.jobs.get(&id)?;
         let team = self.quotas.ledger.account(job.team?).0.clone();
-        let unlisted = self.quotas.finished_inherited.get(&id);
+        let unlisted = self.quotas.unlisted.of_finished(id);
         let mut resources =
-            unlisted.map(|job| job.charge.resources).unwrap_or_default();
+            unlisted.map(|charge| charge.resources).unwrap_or_default();
         for (task, worker) in job.placements(id) {
             let worker = self.workers.get(worker);
             let run = worker.and_then(|worker| worker.runs.get(&task));
@@ -208,10 +156,7 @@
         if let Some(job) = self.jobs.get(&task.job) {
             return Scheduler::charge_for(job, job.step_spec(task)?);
         }
-        let finished = self.quotas.finished_inherited.get(&task.job)?;
-        let spec = finished.spec.steps.get(task.step as usize)?;
-        let resources = quota_demand(spec);
-        Some(RunCharge { team: finished.charge.team, resources })
+        self.quotas.unlisted.charge_of_finished(task)
     }
 
     /// Charges the runs of a job that were found before the job was loaded:
@@ -348,14 +293,14 @@
         if !self.quotas.has_limits() || !self.knows_what_may_run() {
             return;
         }
-        self.sum_up_inherited(now);
+        self.sum_up_unlisted_use(now);
         let TeamQuotas {
             ledger,
             ceilings,
             run_totals,
             doubtful_starts,
             stops_on_record,
-            inherited,
+            unlisted,
             ..
         } = &mut self.quotas;
         ledger.clear();
@@ -381,15 +326,15 @@
         for RunCharge { team, resources } in doubtful.chain(stops) {
             ledger.charge(*team, Charge::InDoubt, resources);
         }
-        for (team, possible) in inherited.iter() {
-            let unlisted = ceilings.inherited(*team).map(|most| {
-                most.minus(&found.get(team).copied().unwrap_or_default())
+        for (team, possible) in unlisted.by_team() {
+            let most = ceilings.inherited(team).map(|most| {
+                most.minus(&found.get(&team).copied().unwrap_or_default())
             });
-            let possible = match unlisted {
+            let bounded = match most {
                 Some(most) => possible.component_min(&most),
                 None => *possible,
             };
-            ledger.charge(*team, Charge::InDoubt, &possible);
+            ledger.charge(team, Charge::InDoubt, &bounded);
         }
         for task in &self.tasks_in_doubt {
             let Some(job) = self.jobs.get(&task.job) else { continue };
@@ -438,75 +383,6 @@
             until_ms: run.since_ms + MAX_DELIVERY_MS,
         });
     }
-
-    /// Sums up what may run on workers that haven't listed their runs yet.
-    fn sum_up_inherited(&mut self, now: Now) {
-        let counted_ms = self.quotas.inherited_ms;
-        if counted_ms > 0 && now.steady_ms < counted_ms + INHERITED_INTERVAL_MS
-        {
-            return;
-        }
-        self.quotas.inherited_ms = now.steady_ms;
-        let unsynced = self.unsynced_capacity(now);
-        let mut possible: BTreeMap<(&str, TeamNumber), Resources> =
-            BTreeMap::new();
-        for job in self.jobs.values() {
-            let pool = job.terms.pool.as_str();
-            let inherited = job.revision < self.lease_revision;
-            let Some(team) = job.team else { continue };
-            if inherited
-                && !job.phase.is_final()
-                && unsynced.contains_key(pool)
-            {
-                let sum = possible.entry((pool, team)).or_default();
-                sum.add(&unlocated_demand(job));
-            }
-        }
-        for job in self.quotas.finished_inherited.values() {
-            let FinishedJob { pool, charge, .. } = job;
-            if unsynced.contains_key(pool.as_str()) {
-                let sum = possible.entry((pool, charge.team)).or_default();
-                sum.add(&charge.resources);
-            }
-        }
-        let mut inherited: BTreeMap<TeamNumber, Resources> = BTreeMap::new();
-        for ((pool, team), demand) in possible {
-            // OK because only pools with unsynced workers were visited.
-            let resources = match unsynced[pool] {
-                Some(capacity) => demand.component_min(&capacity),
-                None => demand,
-            };
-            inherited.entry(team).or_default().add(&resources);
-        }
-        let all_listed = unsynced.is_empty();
-        self.quotas.inherited = inherited;
-        if all_listed {
-            self.quotas.finished_inherited.clear();
-        }
-    }
-
-    /// Returns the total capacity of each pool's workers that may run
-    /// something unknown; `None` where some capacity isn't known.
-    fn unsynced_capacity(
-        &self,
-        now: Now,
-    ) -> BTreeMap<&str, Option<Resources>> {
-        let mut pools: BTreeMap<&str, Option<Resources>> = BTreeMap::new();
-        let may_run_unknown = |worker: &&Worker| {
-            !worker.runs_are_known() && now.steady_ms <= worker.lease_over_ms
-        };
-        for worker in self.workers.values().filter(may_run_unknown) {
-            let pool = worker.listing.pool.as_str();
-            let sum = pools.entry(pool).or_insert(Some(Resources::default()));
-            let capacity = worker.listing.capacity;
-            // A worker that only the VM list shows hasn't told its capacity.
-            *sum = match capacity == Resources::default() {
-                true => None,
-                false => sum.map(|sum| sum.plus(&capacity)),
-            };
-        }
-        pools
-    }
 }
 
 /// Returns what a task of a step counts against its team's quota. Unlike on a
@@ -518,29 +394,3 @@
         gpus: spec.gpus,
     }
 }
-
-/// Returns the most that a job's tasks may use on workers that haven't listed
-/// their runs: all that aren't done and aren't known to run elsewhere.
-fn unlocated_demand(job: &Job) -> Resources {
-    let steps = &job.spec.steps;
-    let is_chain =
-        (1..steps.len()).all(|step| steps[step].after.contains(&(step - 1)));
-    let mut total = Resources::default();
-    for round in &job.rounds {
-        let mut of_round = Resources::default();
-        for (state, spec) in round.iter().zip(steps) {
-            let unlocated = state.tasks.iter().filter(|task| {
-                let located = !task.workers.is_empty() && !spec.may_duplicate;
-                !task.done && !located
-            });
-            let demand = quota_demand(spec).times(unlocated.count() as u64);
-            // The steps of a chain run one after the other.
-            of_round = match is_chain {
-                true => of_round.component_max(&demand),
-                false => of_round.plus(&demand),
-            };
-        }
-        total.add(&of_round);
-    }
-    total
-}
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -391,6 +391,12 @@
         }
     }
 
+    /// Returns whether the worker may run something that a former holder has
+    /// started and that isn't known yet.
+    pub(crate) fn may_run_unknown(&self, now_ms: u64) -> bool {
+        !self.runs_are_known() && now_ms <= self.lease_over_ms
+    }
+
     /// Returns whether the worker reports the incarnation of its process.
     pub(crate) fn reports_incarnation(&self) -> bool {
         self.listing.incarnation != Incarnation::UNKNOWN
--- a/crates/dewspard/src/jobs/use_ceilings.rs
+++ b/crates/dewspard/src/jobs/use_ceilings.rs
@@ -10,6 +10,7 @@
         event::Event,
         holder::{Holder, to_json},
         keys,
+        records::record_written,
     },
     crate::{counters, passed_over},
     dewspar::{
@@ -17,7 +18,7 @@
         schedule::{Now, UseCeilings},
     },
     dewspar_platform::{
-        Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
+        Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
     },
     slog::{Logger, info},
 };
@@ -78,7 +79,11 @@
         let store = self.candidate.store.with_purpose(Purpose::Progress);
         let sender = self.sender.clone();
         tokio::spawn(async move {
-            let written = write_once(&store, &batch).await;
+            let answer = store.commit(&batch).await;
+            if let Err(error) = &answer {
+                counters::platform_failure(error);
+            }
+            let written = record_written(&answer, keys::CEILINGS);
             // If the holder has stopped, the result isn't needed.
             let _ = sender.send(Event::CeilingsWritten(written)).await;
         });
@@ -95,21 +100,3 @@
         self.scheduler.use_ceilings_written(is_stored);
     }
 }
-
-async fn write_once<K: KeyValue>(
-    store: &K,
-    batch: &Batch,
-) -> RecordWriteOutcome {
-    match store.commit(batch).await {
-        Ok(Commit::Done(version)) => RecordWriteOutcome::Done(version),
-        Ok(Commit::Conflict(current)) => {
-            let found = current.iter().find(|item| item.key == keys::CEILINGS);
-            let version = found.map_or(0, |item| item.version);
-            RecordWriteOutcome::Conflict { version }
-        }
-        Err(error) => {
-            counters::platform_failure(&error);
-            RecordWriteOutcome::Failed
-        }
-    }
-}
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -1,7 +1,10 @@
 //! Integration tests of nodes that run jobs, against in-process stand-ins of
 //! the store and the workers. Only the callers' API uses sockets.
 
+mod support;
+
 use {
+    crate::support::{TEST_TIMEOUT, wait_until},
     bytes::Bytes,
     dewspar::{
         job::{JobSpec, Queue, QueueSet, StepSpec},
@@ -20,15 +23,10 @@
     hyper::{Method, Request, StatusCode},
     hyper_util::{client::legacy::Client, rt::TokioExecutor},
     serde_json::{Value, json},
-    std::{
-        collections::BTreeMap, future::Future, net::SocketAddr, time::Duration,
-    },
+    std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tokio::time::{sleep, timeout},
 };
 
-/// How long any step may take before a test fails.
-const TEST_TIMEOUT: Duration = Duration::from_secs(60);
-
 const POOL: &str = "registry";
 
 /// Several nodes that share one store and one fleet.
@@ -193,18 +191,6 @@
     (status, body)
 }
 
-/// Polls until a condition is true.
-async fn wait_until<F: Future<Output = bool>>(
-    mut condition: impl FnMut() -> F,
-) {
-    let waiting = async {
-        while !condition().await {
-            sleep(Duration::from_millis(20)).await;
-        }
-    };
-    timeout(TEST_TIMEOUT, waiting).await.expect("in time");
-}
-
 async fn submit_until_accepted(cluster: &Cluster, node: usize, number: u64) {
     wait_until(async || {
         cluster.submit(node, number).await == StatusCode::CREATED
--- a/crates/dewspard/tests/keys.rs
+++ b/crates/dewspard/tests/keys.rs
@@ -1,7 +1,10 @@
 //! API keys of teams: who may call a queue and see its jobs, from when until
 //! when a key counts, and that keys appear nowhere.
 
+mod support;
+
 use {
+    crate::support::{TEST_TIMEOUT, wait_until},
     bytes::Bytes,
     dewspar::{
         job::{Queue, QueueSet},
@@ -23,7 +26,6 @@
     serde_json::{Value, json},
     slog::{Drain, Logger, o},
     std::{
-        future::Future,
         io::{self, Write},
         sync::{Arc, Mutex, OnceLock},
         time::Duration,
@@ -31,9 +33,6 @@
     tokio::time::{Instant, sleep, timeout},
 };
 
-/// How long any step may take before a test fails.
-const TEST_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// The time within which a configuration must be in force, in milliseconds.
 const CONFIG_APPLY_MS: u64 = 1_000;
 
@@ -232,18 +231,6 @@
     format!("/v1/queues/{queue}/jobs/{number:016x}")
 }
 
-/// Polls until a condition is true.
-async fn wait_until<F: Future<Output = bool>>(
-    mut condition: impl FnMut() -> F,
-) {
-    let waiting = async {
-        while !condition().await {
-            sleep(Duration::from_millis(20)).await;
-        }
-    };
-    timeout(TEST_TIMEOUT, waiting).await.expect("in time");
-}
-
 #[tokio::test]
 async fn every_call_to_a_queue_of_teams_needs_a_key() {
     let cluster = Cluster::start().await;
