Random quotas: copies of tasks, and stops that take a while

Half of the jobs in worlds with quotas have a first step of which copies may run, and half of the orders to stop take up to 0.8 s. No invariant is eased but that a task with copies may run twice at a time.

--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -28,6 +28,9 @@
 /// The largest quota of a team, in cores: less than its jobs ask for.
 const MAX_QUOTA_CORES: u64 = 4;
 
+/// The longest time that a worker takes for a stop, in milliseconds.
+const MAX_STOP_MS: u64 = 800;
+
 /// How long a former quota counts, in milliseconds: as long as an order that
 /// it allowed may arrive late.
 const QUOTA_COUNTS_MS: u64 = 6_000;
@@ -535,8 +538,10 @@
             estimate_ms: 400,
             ..StepSpec::default()
         };
-        let first = step(&mut self.random);
+        let mut first = step(&mut self.random);
         let second = StepSpec { after: vec![0], ..step(&mut self.random) };
+        // Not drawn, so that the runs without quotas stay as they were.
+        first.may_duplicate = self.quotas.is_some() && number % 4 < 2;
         let mut job = AcceptedJob {
             spec: JobSpec { steps: vec![first, second], ..JobSpec::default() },
             terms: QueueTerms {
@@ -749,11 +754,15 @@
                     .start_answered(&worker, &task, run, result, now);
             }
             Action::Stop { worker, order, .. } => {
+                // A worker may take a while to stop a run.
+                let is_slow = self.quotas.is_some() && self.chance(500);
                 let result = if lost {
                     if late {
                         self.delay(&worker, LateOrder::Stop(order));
                     }
                     Err(OrderError::Unknown)
+                } else if is_slow {
+                    self.stop_slowly(&worker, order)
                 } else {
                     self.stop(&worker, &order)
                 };
@@ -798,6 +807,19 @@
         self.late.push((at, worker.clone(), order));
     }
 
+    /// Lets a worker that can be reached stop a run by and by.
+    fn stop_slowly(
+        &mut self,
+        worker: &WorkerId,
+        order: StopOrder,
+    ) -> Result<u64, OrderError> {
+        let now_ms = self.now_ms;
+        let clock = self.reach(worker)?.clock(now_ms);
+        let at = now_ms + self.random.random_range(STEP_MS..MAX_STOP_MS);
+        self.late.push((at, worker.clone(), LateOrder::Stop(order)));
+        Ok(clock)
+    }
+
     fn deliver_late(&mut self) {
         let now_ms = self.now_ms;
         let (due, later) = std::mem::take(&mut self.late)
@@ -957,7 +979,16 @@
             let in_touch =
                 now_ms >= process.unreachable_until_ms && !is_store_out;
             for (task, run) in process.worker.running(clock) {
-                assert!(running.insert(task), "{task} runs twice, {run}");
+                let has_copies = self
+                    .store
+                    .jobs
+                    .get(&task.job)
+                    .and_then(|(job, _)| {
+                        job.spec.steps.get(task.step as usize)
+                    })
+                    .is_some_and(|step| step.may_duplicate);
+                let is_first = running.insert(task);
+                assert!(is_first || has_copies, "{task} runs twice, {run}");
                 if self.store.cancelled.contains(&task.job) {
                     let run = CancelledRun { worker: id.clone(), task, run };
                     cancelled_runs.push((run, in_touch));
