--- a/crates/dewspar/tests/schedule/quotas.rs
+++ b/crates/dewspar/tests/schedule/quotas.rs
@@ -423,3 +423,25 @@
     world.run_for(RAMP_MS);
     assert_eq!(world.running().len(), 2);
 }
+
+#[test]
+fn a_copy_counts_beside_the_run_behind_a_cut() {
+    let mut world = world();
+    world.fate = Fate::endless();
+    let spec = StepSpec { may_duplicate: true, ..step(1) };
+    let accepted = team_job(cores(2), spec);
+    world.scheduler.submit(id(1), accepted.clone(), 8, None);
+    world.run_for(RAMP_MS);
+    let (worker, _) = world.starts[0].clone();
+    world.unreachable = vec![worker];
+    world.take_over(20);
+    let progress = Progress::default();
+    world.scheduler.submit(id(1), accepted, 8, Some(&progress));
+    world.expect_all();
+    world.list();
+    world.run_for(1_000);
+    assert_eq!(world.running().len(), 2, "a copy has started");
+    world.scheduler.submit(id(2), team_job(cores(2), step(1)), 21, None);
+    world.run_for(1_000);
+    assert_eq!(world.running().len(), 2);
+}
