--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -485,7 +485,9 @@
         if self.scheduler.is_out_of_tokens() {
             return Some(StepDown::OutOfTokens);
         }
-        if self.is_claimed && self.is_store_available() {
+        // Once the lease may be expired, the store is out of reach, and nobody
+        // could take over.
+        if self.is_claimed && !may_be_expired {
             return Some(StepDown::Yielding);
         }
         let settled = now.steady_ms >= self.started_ms + OVERLOAD_GRACE_MS;
@@ -497,8 +499,7 @@
         if settled
             && slow
             && !self.scheduler.link().is_saturated(now.steady_ms)
-            // Nobody could take over.
-            && self.is_store_available()
+            && !may_be_expired
         {
             return Some(StepDown::Overloaded);
         }
