Empty data halls at the operator's request

The operator's request to empty a hall was not read. Now nothing starts on the hall's workers from the next plan on: placement, reservations, gangs, copies and starts that wait for their record all ask whether the worker is usable. Short tasks run to their end, long-running ones reserve room elsewhere before they stop, within what their step may miss. Pools are sized without the hall's VMs, idle ones of which are switched off. A worker that names no hall counts as part of each that is emptied.

A holder whose view of the operator's requests is older than evacuate_ms and max_stretch_ms allow, where these are set, starts nothing anywhere.

--- a/crates/dewspar-platform/src/fleet.rs
+++ b/crates/dewspar-platform/src/fleet.rs
@@ -6,7 +6,7 @@
             ManagedVm, VmOrderError, WaveRequest, WorkerId, WorkerListing,
         },
     },
-    std::future::Future,
+    std::{collections::BTreeSet, future::Future},
 };
 
 /// What the operator wants, as one reading of the store shows it.
@@ -18,6 +18,8 @@
     pub queues: Option<QueueSet>,
     /// The maintenance that is asked for.
     pub waves: Vec<WaveRequest>,
+    /// The data halls that are to be emptied.
+    pub evacuated_halls: BTreeSet<String>,
 }
 
 /// A change to a VM; all that runs on it ends at once.
--- a/crates/dewspar-standin/src/peak.rs
+++ b/crates/dewspar-standin/src/peak.rs
@@ -669,6 +669,7 @@
         address: format!("10.1.{}.{}:7000", number / 250, number % 250),
         vm: format!("vm-{number:04}"),
         pool: pool_name(number % pools),
+        hall: "hall-1".to_owned(),
         rack: format!("rack-{}", number / 40),
         labels: Vec::new(),
         capacity: Resources {
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -275,6 +275,7 @@
             address: id.to_string(),
             vm: vm.to_owned(),
             pool: pool.to_owned(),
+            hall: "hall-1".to_owned(),
             rack: "rack-1".to_owned(),
             labels: Vec::new(),
             capacity: ROOM,
--- /dev/null
+++ b/crates/dewspar/src/schedule/evacuation.rs
@@ -0,0 +1,160 @@
+/*!
+Emptying data halls.
+
+The operator may ask that a data hall be *emptied*, until the request is
+withdrawn. Meanwhile nothing new starts on the hall's workers. Short tasks run
+to their end there. Long-running tasks move: capacity is reserved for each on a
+worker elsewhere before its run is stopped, and only while its step can spare
+another. Pools are sized as if the hall had no VMs, and its idle VMs are
+switched off.
+
+A worker that names no hall counts as part of every hall that is emptied.
+
+A holder that can't read the operator's requests may miss one. It therefore
+starts nothing, in any hall, once the requests that it knows are older than
+[`Options::max_operator_view_age_ms`] allows.
+
+[`Options::max_operator_view_age_ms`]: super::Options::max_operator_view_age_ms
+*/
+
+use {
+    crate::schedule::{Decision, Now, Scheduler, worker::Worker},
+    std::collections::{BTreeMap, BTreeSet},
+};
+
+/// A data hall that is being emptied.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EvacuatedHall {
+    /// The hall.
+    pub hall: String,
+    /// For how long this holder has known of it, in milliseconds.
+    pub age_ms: u64,
+    /// The number of its workers.
+    pub workers: usize,
+    /// The number of their runs.
+    pub runs: usize,
+    /// How many of these are of long-running tasks.
+    pub long_running: usize,
+}
+
+/// The data halls that are being emptied.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evacuation {
+    /// When this holder learned of each, on the steady clock.
+    since_ms: BTreeMap<String, u64>,
+}
+
+impl Evacuation {
+    /// Returns whether a hall is being emptied.
+    pub(super) fn includes(&self, hall: &str) -> bool {
+        if hall.is_empty() {
+            return !self.since_ms.is_empty();
+        }
+        self.since_ms.contains_key(hall)
+    }
+
+    /// Returns whether exactly these halls are being emptied.
+    fn is_of(&self, halls: &BTreeSet<String>) -> bool {
+        self.since_ms.keys().eq(halls)
+    }
+}
+
+/// How current the operator's requests are.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct OperatorView {
+    /// When the newest were requested, on the steady clock.
+    requested_ms: u64,
+    /// Since when they are too old for tasks to start.
+    outdated_since_ms: Option<u64>,
+}
+
+impl OperatorView {
+    /// Returns whether the requests are too old for tasks to start.
+    pub(super) fn is_outdated(&self) -> bool {
+        self.outdated_since_ms.is_some()
+    }
+}
+
+impl Scheduler {
+    /// Sets the data halls that the operator wants to be emptied.
+    pub fn evacuate_halls(&mut self, halls: &BTreeSet<String>, now: Now) {
+        if self.workers.evacuation().is_of(halls) {
+            return;
+        }
+        let before = self.workers.evacuation().since_ms.clone();
+        let since_ms = halls.iter().map(|hall| {
+            let known_ms = before.get(hall).copied();
+            (hall.clone(), known_ms.unwrap_or(now.steady_ms))
+        });
+        let since_ms = since_ms.collect();
+        self.workers.set_evacuation(Evacuation { since_ms });
+        for (hall, since_ms) in &before {
+            if !halls.contains(hall) {
+                let after_ms = now.steady_ms.saturating_sub(*since_ms);
+                let hall = hall.clone();
+                self.note(Decision::HallRestored { hall, after_ms });
+            }
+        }
+        for evacuated in self.evacuated_halls(now) {
+            let EvacuatedHall { hall, workers, runs, .. } = evacuated;
+            if !before.contains_key(&hall) {
+                self.note(Decision::HallEvacuated { hall, workers, runs });
+            }
+        }
+    }
+
+    /// Returns the data halls that are being emptied, and what still runs
+    /// there.
+    pub fn evacuated_halls(&self, now: Now) -> Vec<EvacuatedHall> {
+        let halls = self.workers.evacuation().since_ms.iter();
+        halls.map(|(hall, since)| self.evacuated(hall, *since, now)).collect()
+    }
+
+    fn evacuated(&self, hall: &str, since_ms: u64, now: Now) -> EvacuatedHall {
+        let mut evacuated = EvacuatedHall {
+            hall: hall.to_owned(),
+            age_ms: now.steady_ms.saturating_sub(since_ms),
+            workers: 0,
+            runs: 0,
+            long_running: 0,
+        };
+        let is_here = |worker: &&Worker| worker.listing.hall == hall;
+        for worker in self.workers.values().filter(is_here) {
+            let runs = worker.runs.values();
+            evacuated.workers += 1;
+            evacuated.runs += worker.runs.len();
+            evacuated.long_running +=
+                runs.filter(|run| run.long_running).count();
+        }
+        evacuated
+    }
+
+    /// Notes that the operator's requests were requested at this time of the
+    /// steady clock, in milliseconds, and are applied.
+    pub fn note_operator_view(&mut self, requested_ms: u64) {
+        let known_ms = &mut self.operator_view.requested_ms;
+        *known_ms = (*known_ms).max(requested_ms);
+    }
+
+    /// Pauses starts while the operator's requests are too old.
+    pub(super) fn check_operator_view(&mut self, now: Now) {
+        let Some(max_age_ms) = self.options.max_operator_view_age_ms else {
+            return;
+        };
+        let OperatorView { requested_ms, outdated_since_ms } =
+            self.operator_view;
+        let age_ms = now.steady_ms.saturating_sub(requested_ms);
+        match (age_ms > max_age_ms, outdated_since_ms) {
+            (true, None) => {
+                self.operator_view.outdated_since_ms = Some(now.steady_ms);
+                self.note(Decision::StartsPaused { age_ms });
+            }
+            (false, Some(since_ms)) => {
+                self.operator_view.outdated_since_ms = None;
+                let after_ms = now.steady_ms.saturating_sub(since_ms);
+                self.note(Decision::StartsResumed { after_ms });
+            }
+            (true, Some(_)) | (false, None) => {}
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/long_running.rs
+++ b/crates/dewspar/src/schedule/long_running.rs
@@ -268,6 +268,7 @@
     let asked = !worker.runs_are_known() || worker.is_fencing();
     let stays = worker.drain_reason.is_none()
         && !worker.listing.draining
+        && !worker.in_evacuated_hall
         && worker.silent_since_ms.is_none();
     stays && (asked || worker.accepts_starts(now.steady_ms))
 }
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -270,15 +270,14 @@
         self.note(Decision::DrainStarted { worker: id.clone(), vm, reason });
     }
 
-    /// Evicts tasks from workers that are being drained or end soon.
+    /// Evicts tasks from workers that are being drained, end soon or are in a
+    /// data hall that is being emptied.
     pub(super) fn drain_workers(&mut self, now: Now) {
         self.clear_unplaced();
         let draining: Vec<WorkerId> = self
             .workers
             .values()
-            .filter(|worker| {
-                worker.drain_reason.is_some() || worker.is_terminating()
-            })
+            .filter(|worker| worker.must_be_vacated())
             .map(|worker| worker.id().clone())
             .collect();
         for id in draining {
@@ -296,8 +295,13 @@
             true => now.steady_ms.saturating_sub(worker.drain_since_ms),
             false => 0,
         };
-        let reason =
-            if emptied { "its VM is needed" } else { "its worker ends soon" };
+        let reason = if emptied {
+            "its VM is needed"
+        } else if worker.is_terminating() {
+            "its worker ends soon"
+        } else {
+            "its hall is being emptied"
+        };
         let tasks: Vec<TaskId> = worker
             .runs
             .iter()
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -67,6 +67,7 @@
     address: "127.0.0.1:1".to_owned(),
     vm: "vm-1".to_owned(),
     pool: "registry".to_owned(),
+    hall: "hall-1".to_owned(),
     rack: String::new(),
     labels: Vec::new(),
     capacity: Resources { cpu_millis: 1_000, memory_mb: 100, gpus: 0 },
@@ -99,6 +100,7 @@
 
 pub use self::{
     ceilings::UseCeilings,
+    evacuation::EvacuatedHall,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -135,6 +137,7 @@
 mod ceilings;
 mod crash_bursts;
 mod directory;
+mod evacuation;
 mod forecast;
 mod full_pools;
 mod hold_answers;
@@ -540,6 +543,33 @@
         /// The purpose.
         reason: &'static str,
     },
+    /// The operator has asked that a data hall be emptied.
+    HallEvacuated {
+        /// The hall.
+        hall: String,
+        /// How many of its workers are known.
+        workers: usize,
+        /// How many runs they have.
+        runs: usize,
+    },
+    /// The operator no longer asks that a data hall be emptied.
+    HallRestored {
+        /// The hall.
+        hall: String,
+        /// How long it was being emptied, in milliseconds.
+        after_ms: u64,
+    },
+    /// Nothing starts, because the operator's requests weren't read for too
+    /// long.
+    StartsPaused {
+        /// How long ago they were read, in milliseconds.
+        age_ms: u64,
+    },
+    /// Tasks start again, because the operator's requests were read.
+    StartsResumed {
+        /// How long nothing started, in milliseconds.
+        after_ms: u64,
+    },
     /// The target size of a pool has changed.
     PoolSized {
         /// The pool.
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -29,6 +29,7 @@
     pub(crate) stop_timeout_ms: u64,
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
+    pub(crate) max_operator_view_age_ms: Option<u64>,
     pub(crate) link: LinkLimits,
     pub(crate) policy: Policy,
 }
@@ -71,6 +72,7 @@
             stop_settle_ms: 2_000,
             // A few reads of the list, and less than a VM takes to move.
             vm_list_age_ms: 2_000,
+            max_operator_view_age_ms: None,
             link: LinkLimits::of_link(LINK_MBPS),
             policy: Policy::default(),
         }
@@ -111,6 +113,16 @@
         self
     }
 
+    /// Sets how old the operator's requests may be for tasks to start, in
+    /// milliseconds; `None` for any age.
+    pub fn max_operator_view_age_ms(
+        mut self,
+        max_operator_view_age_ms: Option<u64>,
+    ) -> Options {
+        self.max_operator_view_age_ms = max_operator_view_age_ms;
+        self
+    }
+
     /// Sets the limits of the node's link.
     pub fn link(mut self, link: LinkLimits) -> Options {
         self.link = link;
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -226,6 +226,8 @@
     pub vm: String,
     /// The pool that it belongs to.
     pub pool: String,
+    /// The data hall that it is in; empty if it names none.
+    pub hall: String,
     /// The rack that it is in; empty if it names none.
     pub rack: String,
     /// Its labels.
@@ -248,6 +250,7 @@
             address: String::new(),
             vm: String::new(),
             pool,
+            hall: String::new(),
             rack: String::new(),
             labels: Vec::new(),
             capacity: Resources::default(),
--- a/crates/dewspar/src/schedule/reservations.rs
+++ b/crates/dewspar/src/schedule/reservations.rs
@@ -503,6 +503,6 @@
 
 /// Returns whether a task still runs on a worker that it must leave.
 fn must_leave(task: &TaskId, worker: &Worker) -> bool {
-    let leaves = worker.drain_reason.is_some() || worker.is_terminating();
+    let leaves = worker.must_be_vacated();
     worker.runs.get(task).is_some_and(|run| run.is_stopping() || leaves)
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -9,6 +9,7 @@
             advice::StepAdvice,
             cancelled::Cancelled,
             crash_bursts::{CrashBursts, ReservedFor},
+            evacuation::OperatorView,
             forecast::Arrivals,
             job_state::Job,
             jobs::Jobs,
@@ -176,6 +177,8 @@
     pub(super) runs_checked_ms: u64,
     /// The long waits of long-running tasks that were reported.
     pub(super) long_waits: LongWaits,
+    /// How current the operator's requests are.
+    pub(super) operator_view: OperatorView,
 }
 
 impl Scheduler {
@@ -192,6 +195,7 @@
             poll_delay: PollDelay::default(),
             runs_checked_ms: 0,
             long_waits: LongWaits::default(),
+            operator_view: OperatorView::default(),
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -399,7 +403,9 @@
 
     /// Returns whether an order to start may be sent now.
     pub(super) fn may_start(&self) -> bool {
-        self.window.room() > 0 && self.link.allows(Class::Start)
+        !self.operator_view.is_outdated()
+            && self.window.room() > 0
+            && self.link.allows(Class::Start)
     }
 
     /// Records the end of an order that was sent at `sent_ms`, which shows how
@@ -425,6 +431,7 @@
             return Vec::new();
         }
         let mut actions = Vec::new();
+        self.check_operator_view(now);
         self.link.refill(now.steady_ms);
         self.apply_deferred_cancellations(now);
         self.drop_lapsed_workers(now);
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -169,6 +169,7 @@
             load.used.add(worker.used());
             if worker.drain_reason.is_none()
                 && !worker.listing.draining
+                && !worker.in_evacuated_hall
                 && worker.silent_since_ms.is_none()
             {
                 load.capacity.add(&worker.listing.capacity);
@@ -310,6 +311,7 @@
         let usable = self.vms.values().filter(|vm| {
             vm.status == VmStatus::Up
                 && !self.pending_moves.contains_key(&vm.vm)
+                && !self.workers.evacuation().includes(&vm.hall)
         });
         let total = usable.count() + self.pending_moves.len();
         let mut left = total as u64;
@@ -532,6 +534,10 @@
     fn drain_to_move(&mut self, id: &WorkerId, to: &str, now: Now) {
         self.start_drain(id, DrainReason::Move(to.to_owned()), now);
         let Some(worker) = self.workers.get(id) else { return };
+        if worker.in_evacuated_hall {
+            // It isn't part of the load.
+            return;
+        }
         let load = self.pool_loads.get_mut(&worker.listing.pool);
         if let Some(load) = load {
             load.remove_worker(&worker.listing.capacity);
@@ -559,6 +565,7 @@
             .filter(|vm| self.free_pools.contains(&vm.pool))
             .filter(|vm| vm.status == VmStatus::Up)
             .filter(|vm| !self.pending_moves.contains_key(&vm.vm))
+            .filter(|vm| !self.workers.evacuation().includes(&vm.hall))
             .filter(|vm| !self.is_move_refused(&vm.vm, pool))
             .filter(|vm| self.may_order_vm(&vm.vm, now))
             .filter(|vm| !self.awaits_maintenance(&vm.vm))
@@ -624,9 +631,13 @@
 
     fn may_switch_off(&self, worker: &Worker, now: Now) -> bool {
         let pool = &worker.listing.pool;
-        worker.is_usable()
+        let is_idle = worker.is_in_service()
             && worker.is_settled()
-            && now.steady_ms >= worker.idle_since_ms + self.sizing().idle_ms
+            && now.steady_ms >= worker.idle_since_ms + self.sizing().idle_ms;
+        if worker.in_evacuated_hall {
+            return is_idle && !self.awaits_maintenance(&worker.listing.vm);
+        }
+        is_idle
             && self.pool_load(pool).workers > self.least_vms(pool)
             && self.pool_percent_without(pool, 1)
                 <= self.sizing().spare_percent
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -312,6 +312,8 @@
     /// Why the worker is being drained, if it is.
     pub(crate) drain_reason: Option<DrainReason>,
     pub(crate) drain_since_ms: u64,
+    /// Whether its data hall is being emptied.
+    pub(crate) in_evacuated_hall: bool,
     /// Since when the worker has had no run.
     pub(crate) idle_since_ms: u64,
     /// When the worker was first listed in the directory.
@@ -380,6 +382,7 @@
             unset_paces: BTreeSet::new(),
             drain_reason: None,
             drain_since_ms: 0,
+            in_evacuated_hall: false,
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !has_no_address,
@@ -643,6 +646,12 @@
 
     /// Returns whether the worker can take new tasks, now or soon.
     pub(crate) fn is_usable(&self) -> bool {
+        self.is_in_service() && !self.in_evacuated_hall
+    }
+
+    /// Returns whether the worker could take new tasks, now or soon, if its
+    /// data hall weren't being emptied.
+    pub(crate) fn is_in_service(&self) -> bool {
         self.runs_are_known()
             && self.listed
             && !self.listing.draining
@@ -661,6 +670,12 @@
             && self.silent_since_ms.is_none()
     }
 
+    /// Returns whether long-running tasks have to leave the worker.
+    pub(crate) fn must_be_vacated(&self) -> bool {
+        let is_evacuated = self.in_evacuated_hall && self.is_in_service();
+        is_evacuated || self.drain_reason.is_some() || self.is_terminating()
+    }
+
     /// Returns whether new runs may be ordered.
     pub(crate) fn accepts_starts(&self, now_ms: u64) -> bool {
         self.accepts_placed_runs(now_ms)
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -21,7 +21,10 @@
 */
 
 use {
-    crate::schedule::{Options, WorkerId, WorkerListing, worker::Worker},
+    crate::schedule::{
+        Options, WorkerId, WorkerListing, evacuation::Evacuation,
+        worker::Worker,
+    },
     std::collections::{BTreeMap, HashMap},
 };
 
@@ -49,6 +52,8 @@
     free_numbers: Vec<WorkerNumber>,
     /// The number of workers added so far.
     sessions: u64,
+    /// The data halls that are being emptied.
+    evacuation: Evacuation,
 }
 
 /// The cached state of a worker.
@@ -162,6 +167,8 @@
         debug_assert!(!self.contains_key(&id), "{id} is known");
         self.sessions += 1;
         worker.session = self.sessions;
+        worker.in_evacuated_hall =
+            self.evacuation.includes(&worker.listing.hall);
         let number = self.free_numbers.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.due_entries.push(DueEntry::NONE);
@@ -195,7 +202,9 @@
         listing: WorkerListing,
     ) -> Option<&mut Worker> {
         let number = *self.numbers.get(&listing.id)?;
+        let in_evacuated_hall = self.evacuation.includes(&listing.hall);
         let worker = self.at_mut(number)?;
+        worker.in_evacuated_hall = in_evacuated_hall;
         let before = std::mem::replace(&mut worker.listing, listing);
         if before.pool != worker.listing.pool {
             let pool = worker.listing.pool.clone();
@@ -205,6 +214,20 @@
         self.at_mut(number)
     }
 
+    /// Returns the data halls that are being emptied.
+    pub(super) fn evacuation(&self) -> &Evacuation {
+        &self.evacuation
+    }
+
+    /// Sets the data halls that are being emptied.
+    pub(super) fn set_evacuation(&mut self, evacuation: Evacuation) {
+        for worker in self.values_mut() {
+            worker.in_evacuated_hall =
+                evacuation.includes(&worker.listing.hall);
+        }
+        self.evacuation = evacuation;
+    }
+
     fn add_to_pool(&mut self, pool: String, number: WorkerNumber) {
         let members = self.pools.entry(pool).or_default();
         insert_sorted(members, number, &self.workers);
--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -244,7 +244,8 @@
         }
         // The members of a gang start together.
         let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
-        if gang || self.may_start() {
+        let outdated = self.operator_view.is_outdated();
+        if gang && !outdated || self.may_start() {
             WithheldAction::Order
         } else {
             WithheldAction::Wait
--- /dev/null
+++ b/crates/dewspar/tests/schedule/evacuation.rs
@@ -0,0 +1,209 @@
+//! Emptying data halls at the operator's request.
+
+use {
+    crate::{
+        pool_sizing::vm_orders,
+        task_moves::{STOP_MS, long_running, plan_round},
+        world::{POOL, World, at, id, job, step},
+    },
+    dewspar::{
+        job::StepSpec,
+        schedule::{
+            Decision, EvacuatedHall, Options, Scheduler, VmOrder, WorkerId,
+        },
+    },
+    dewspar_standin::task_worker::Fate,
+    std::collections::BTreeSet,
+};
+
+const OLD_HALL: &str = "hall-2";
+
+/// How old the operator's requests may be for tasks to start, in milliseconds.
+const MAX_VIEW_AGE_MS: u64 = 5_000;
+
+fn world(names: &[&str], in_old_hall: &[&str]) -> World {
+    let mut world = World::new(5, names);
+    for listing in &mut world.listings {
+        if in_old_hall.contains(&listing.id.as_str()) {
+            listing.hall = OLD_HALL.to_owned();
+        }
+    }
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    world
+}
+
+fn evacuate(world: &mut World, halls: &[&str]) {
+    let halls: BTreeSet<String> =
+        halls.iter().map(|hall| (*hall).to_owned()).collect();
+    world.scheduler.evacuate_halls(&halls, at(world.now_ms));
+}
+
+fn started_on(world: &World) -> BTreeSet<&str> {
+    world.starts.iter().map(|(worker, _)| worker.as_str()).collect()
+}
+
+#[test]
+fn nothing_starts_in_an_evacuated_hall_until_it_is_restored() {
+    let mut world = world(&["w1", "w2"], &["w2"]);
+    evacuate(&mut world, &[OLD_HALL]);
+    world.scheduler.submit(id(1), job(vec![step(8)]), 6, None);
+    world.run_for(300);
+    assert_eq!(started_on(&world), ["w1"].into());
+    assert_eq!(world.starts.len(), 4, "the hall that is left is full");
+    evacuate(&mut world, &[]);
+    world.run_for(100);
+    assert_eq!(started_on(&world), ["w1", "w2"].into());
+}
+
+#[test]
+fn a_worker_listed_after_the_request_gets_no_start() {
+    let mut world = world(&["w1"], &[]);
+    evacuate(&mut world, &[OLD_HALL]);
+    let mut late = crate::world::listing("w2");
+    late.hall = OLD_HALL.to_owned();
+    let worker = dewspar_standin::task_worker::TaskWorker::new(late.capacity);
+    world.workers.insert(late.id.clone(), worker);
+    world.listings.push(late);
+    world.list();
+    world.run_for(100);
+    world.scheduler.submit(id(1), job(vec![step(8)]), 6, None);
+    world.run_for(300);
+    assert_eq!(started_on(&world), ["w1"].into());
+}
+
+#[test]
+fn a_worker_without_a_hall_gets_no_start_while_any_is_evacuated() {
+    let mut world = world(&["w1", "w2"], &[]);
+    world.listings[1].hall = String::new();
+    world.list();
+    evacuate(&mut world, &[OLD_HALL]);
+    world.scheduler.submit(id(1), job(vec![step(8)]), 6, None);
+    world.run_for(300);
+    assert_eq!(started_on(&world), ["w1"].into());
+}
+
+#[test]
+fn short_tasks_run_to_their_end_in_an_evacuated_hall() {
+    let mut world = world(&["w1"], &["w1"]);
+    world.fate = Fate::done(2_000);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(300);
+    evacuate(&mut world, &[OLD_HALL]);
+    world.run_for(3_000);
+    let decisions = world.scheduler.take_decisions();
+    let stopped = |d: &Decision| matches!(d, Decision::Stopped { .. });
+    assert!(!decisions.iter().any(stopped), "{decisions:?}");
+    assert_eq!(world.phases[&id(1)], "completed");
+}
+
+/// Two long-running tasks in the hall that is to be emptied.
+fn world_with_long_running_tasks() -> World {
+    let mut world = world(&["w1", "w2", "w3"], &["w1", "w2"]);
+    world.fate = Fate::endless();
+    evacuate(&mut world, &["hall-1"]);
+    for number in 1..=2 {
+        let lasting = job(vec![long_running()]);
+        world.scheduler.submit(id(number), lasting, 5 + number, None);
+    }
+    // By then no stop ordered by a former lease holder can take effect.
+    world.run_for(4_000);
+    assert!(!started_on(&world).contains("w3"));
+    assert_eq!(world.running().len(), 2);
+    world.stop_duration_ms = STOP_MS;
+    world
+}
+
+#[test]
+fn long_running_tasks_move_out_of_an_evacuated_hall() {
+    let mut world = world_with_long_running_tasks();
+    evacuate(&mut world, &[OLD_HALL]);
+    for _ in 0..60 {
+        plan_round(&mut world);
+    }
+    let decisions = world.scheduler.take_decisions();
+    let places = decisions.iter().filter_map(|decision| match decision {
+        Decision::Displaced { place, .. } => Some(place.clone()),
+        _ => None,
+    });
+    let places: Vec<Option<WorkerId>> = places.collect();
+    let outside = Some(WorkerId::new("w3"));
+    assert_eq!(places, [outside.clone(), outside]);
+    let last_starts = &world.starts[world.starts.len() - 2..];
+    assert!(last_starts.iter().all(|(worker, _)| worker.as_str() == "w3"));
+    assert_eq!(world.running().len(), 2);
+}
+
+#[test]
+fn a_long_running_task_without_room_elsewhere_stays() {
+    let mut world = world_with_long_running_tasks();
+    world.listings.retain(|listing| listing.id.as_str() != "w3");
+    let gone = WorkerId::new("w3");
+    world.scheduler.worker_gone(&gone, "it ended", at(world.now_ms));
+    evacuate(&mut world, &[OLD_HALL]);
+    for _ in 0..60 {
+        plan_round(&mut world);
+        assert_eq!(world.running().len(), 2, "a task was stopped");
+    }
+}
+
+#[test]
+fn evacuated_halls_are_reported_with_what_runs_there() {
+    let mut world = world_with_long_running_tasks();
+    evacuate(&mut world, &[OLD_HALL]);
+    let halls = world.scheduler.evacuated_halls(at(world.now_ms + 200));
+    let expected = EvacuatedHall {
+        hall: OLD_HALL.to_owned(),
+        age_ms: 200,
+        workers: 2,
+        runs: 2,
+        long_running: 2,
+    };
+    assert_eq!(halls, [expected]);
+}
+
+#[test]
+fn a_pool_grows_outside_an_evacuated_hall_only() {
+    let mut world = world(&["w1", "w2", "w3", "w4"], &["w1", "w3"]);
+    for listing in &mut world.listings[2..] {
+        listing.pool = "off".to_owned();
+    }
+    world.list();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    evacuate(&mut world, &[OLD_HALL]);
+    world.fate = Fate::done(10_000);
+    let long = StepSpec { estimate_ms: 10_000, ..step(40) };
+    world.scheduler.submit(id(1), job(vec![long]), 6, None);
+    let orders = vm_orders(&mut world);
+    let (vm, pool) = ("vm-of-w4".to_owned(), POOL.to_owned());
+    assert!(orders.contains(&VmOrder::Move { vm, pool }), "{orders:?}");
+    let moved = orders.iter().all(|order| match order {
+        VmOrder::Move { vm, pool } => vm != "vm-of-w3" || pool != POOL,
+        _ => true,
+    });
+    assert!(moved, "a VM of the evacuated hall was moved in: {orders:?}");
+}
+
+#[test]
+fn nothing_starts_while_the_operators_requests_are_too_old() {
+    let mut world = World::new(5, &["w1"]);
+    let options =
+        Options::default().max_operator_view_age_ms(Some(MAX_VIEW_AGE_MS));
+    world.scheduler = Scheduler::new(5, options);
+    world.list();
+    world.expect_all();
+    world.scheduler.note_operator_view(world.now_ms);
+    world.run_for(MAX_VIEW_AGE_MS + 100);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(500);
+    assert!(world.starts.is_empty());
+    world.scheduler.note_operator_view(world.now_ms);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 1);
+    let decisions = world.scheduler.take_decisions();
+    let paused = |d: &Decision| matches!(d, Decision::StartsPaused { .. });
+    let resumed = |d: &Decision| matches!(d, Decision::StartsResumed { .. });
+    assert!(decisions.iter().any(paused) && decisions.iter().any(resumed));
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -3,6 +3,7 @@
 mod cancelling;
 mod chain;
 mod crashing;
+mod evacuation;
 mod gang_reservations;
 mod in_doubt;
 mod loading;
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -38,6 +38,7 @@
         address: format!("{name}:1"),
         vm: format!("vm-of-{name}"),
         pool: POOL.to_owned(),
+        hall: "hall-1".to_owned(),
         rack: "rack-1".to_owned(),
         labels: vec!["a".to_owned(), "rack-1".to_owned()],
         capacity: ROOM,
@@ -490,7 +491,7 @@
         vm: listing.vm.clone(),
         pool: listing.pool.clone(),
         status: VmStatus::Up,
-        hall: "hall-1".to_owned(),
+        hall: listing.hall.clone(),
         capacity: listing.capacity,
         worker: Some(listing.id.clone()),
     }
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -60,6 +60,18 @@
     assert!(completed > 5_000, "{completed}");
 }
 
+#[test]
+fn no_start_is_ordered_in_an_evacuated_hall() {
+    let mut evacuations = 0;
+    for seed in 0..500 {
+        let world = World::new(seed).with_evacuations();
+        evacuations += run_world(world, seed).evacuations;
+        let world = World::restarting(seed).with_evacuations();
+        evacuations += run_world(world, seed).evacuations;
+    }
+    assert!(evacuations > 1_000, "{evacuations}");
+}
+
 /// Gives two jobs a task that crashes its workers.
 fn add_crashing_tasks(world: &mut World, seed: u64) {
     for number in [1, 2 + seed % 7] {
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -198,6 +198,12 @@
     next_holder_ms: Option<u64>,
     /// The quotas of the teams that the jobs belong to.
     pub quotas: Option<Quotas>,
+    /// The data halls that the operator wants to be emptied, if that varies.
+    evacuated_halls: Option<BTreeSet<String>>,
+    /// The halls that the current holder knows to be emptied.
+    known_evacuated_halls: BTreeSet<String>,
+    /// The number of requests to empty a hall.
+    pub evacuations: u32,
 }
 
 /// The maximum error of the wall clock, in milliseconds: more than any job
@@ -250,6 +256,9 @@
             cancelled_runs: CancelledRuns::default(),
             next_holder_ms: None,
             quotas: None,
+            evacuated_halls: None,
+            known_evacuated_halls: BTreeSet::new(),
+            evacuations: 0,
         };
         for vm in 0..4 {
             world.start_process(vm);
@@ -343,6 +352,41 @@
         self
     }
 
+    /// Returns a world whose data halls are emptied from time to time.
+    pub fn with_evacuations(mut self) -> World {
+        self.evacuated_halls = Some(BTreeSet::new());
+        self
+    }
+
+    /// Asks that another hall be emptied, or none. A holder that can't reach
+    /// the store doesn't learn of it.
+    fn change_evacuation(&mut self) {
+        let Some(halls) = &mut self.evacuated_halls else { return };
+        let hall = self.random.random_range(0..4);
+        let evacuated = self.faults && hall < 2;
+        halls.clear();
+        if evacuated {
+            halls.insert(format!("hall-{hall}"));
+            self.evacuations += 1;
+        }
+    }
+
+    fn read_evacuation(&mut self) {
+        let Some(halls) = self.evacuated_halls.clone() else { return };
+        let now = self.now();
+        self.scheduler.evacuate_halls(&halls, now);
+        self.known_evacuated_halls = halls;
+    }
+
+    /// Checks that an order isn't for a hall that is known to be emptied.
+    fn check_hall(&self, worker: &WorkerId, order: &StartOrder) {
+        let Some(process) = self.processes.get(worker) else { return };
+        let hall = &process.listing.hall;
+        let evacuated = self.known_evacuated_halls.contains(hall);
+        let task = order.task;
+        assert!(!evacuated, "{task} was started in {hall}, which is emptied");
+    }
+
     /// Changes the quota of a team.
     fn change_quota(&mut self) {
         let cores = self.random.random_range(1..=MAX_QUOTA_CORES);
@@ -446,6 +490,7 @@
             address: name.clone(),
             vm: format!("vm-{vm}"),
             pool: POOL.to_owned(),
+            hall: format!("hall-{}", vm % 2),
             rack: String::new(),
             labels: Vec::new(),
             capacity: CAPACITY,
@@ -468,6 +513,7 @@
 
     /// Lets a new holder take over, and load the store at once or gradually.
     fn take_over(&mut self) {
+        self.known_evacuated_halls.clear();
         for task in self.crashing.values_mut().filter(|task| task.crashes > 0)
         {
             task.takeovers += 1;
@@ -665,6 +711,12 @@
         if step.is_multiple_of(10) && !is_store_out {
             self.list();
         }
+        if step.is_multiple_of(40) {
+            self.change_evacuation();
+        }
+        if !self.is_store_out() {
+            self.read_evacuation();
+        }
         let now = self.now();
         for action in self.scheduler.plan(now) {
             self.carry_out(action);
@@ -741,6 +793,7 @@
         match action {
             Action::Start { worker, order, .. } => {
                 self.check_start(&order);
+                self.check_hall(&worker, &order);
                 let result = if lost {
                     if late {
                         self.delay(&worker, LateOrder::Start(order.clone()));
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -119,6 +119,8 @@
         "Memory that counts against a team's quota for any reason, in megabytes.";
     TEAM_MEMORY_QUOTA, "gauge", "dewspar_team_quota_memory_mb", Some("team"),
         "The memory of a team's quota, in megabytes; 0 for no limit.";
+    EVACUATED_HALL_RUNS, "gauge", "dewspar_evacuated_hall_runs", Some("hall"),
+        "Runs in a data hall that is being emptied, while this node schedules.";
     STARTS_IN_DOUBT, "counter", "dewspar_starts_in_doubt_total", None,
         "Starts without an answer whose tasks start on the same worker only for a while.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -145,6 +145,21 @@
             info!(log, "worker: emptied"; "worker" => %worker, "vm" => vm,
                 "reason" => reason);
         }
+        Decision::HallEvacuated { hall, workers, runs } => {
+            info!(log, "hall: nothing more starts there"; "hall" => hall,
+                "workers" => workers, "runs" => runs);
+        }
+        Decision::HallRestored { hall, after_ms } => {
+            info!(log, "hall: in use again"; "hall" => hall,
+                "after_ms" => after_ms);
+        }
+        Decision::StartsPaused { age_ms } => {
+            warn!(log, "holder: nothing starts"; "age_ms" => age_ms,
+                "reason" => "the operator's requests weren't read for too long");
+        }
+        Decision::StartsResumed { after_ms } => {
+            info!(log, "holder: tasks start again"; "after_ms" => after_ms);
+        }
         Decision::PoolSized {
             pool,
             target,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -29,7 +29,7 @@
         hand_over::HandOver,
         intake::FeedOrigin,
         keys,
-        load_stats::LoadStats,
+        load_stats::{self, LoadStats},
         orders,
         relay::{self, RelayManager, RelayedWorkers},
         start_logs::StartLogWrites,
@@ -519,6 +519,10 @@
         self.delete_settled_cancellations(now);
         let teams = self.scheduler.team_usage();
         self.load_stats.tell_teams(now.steady_ms, teams);
+        if self.load_stats.is_log_due(now.steady_ms) {
+            let halls = self.scheduler.evacuated_halls(now);
+            load_stats::log_evacuated_halls(&self.candidate.log, &halls);
+        }
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
         let link = self.scheduler.link();
@@ -537,6 +541,9 @@
 
     fn apply_configuration(&mut self, now: Now) {
         let reading = self.candidate.reader.borrow();
+        let halls = &reading.intent.evacuated_halls;
+        self.scheduler.evacuate_halls(halls, now);
+        self.scheduler.note_operator_view(reading.requested_ms);
         // The stored state of waves is known once loading is finished.
         if !self.scheduler.is_loading() {
             let waves = &reading.intent.waves;
--- a/crates/dewspard/src/jobs/load_stats.rs
+++ b/crates/dewspard/src/jobs/load_stats.rs
@@ -12,7 +12,7 @@
     dewspar::{
         link::LinkBudget,
         quota::Usage,
-        schedule::{Action, Resources},
+        schedule::{Action, EvacuatedHall, Resources},
         team::Team,
         window::CallWindow,
     },
@@ -88,14 +88,18 @@
         }
     }
 
-    /// Logs and resets the statistics, once per interval.
+    /// Returns whether the next log line is due.
+    pub(super) fn is_log_due(&self, now_ms: u64) -> bool {
+        now_ms >= self.last_log_ms + LOG_INTERVAL_MS
+    }
+
     /// Sets the gauges of teams if the next log line is due.
     pub(super) fn tell_teams<'a>(
         &self,
         now_ms: u64,
         teams: impl Iterator<Item = (&'a Team, &'a Usage)>,
     ) {
-        if now_ms < self.last_log_ms + LOG_INTERVAL_MS {
+        if !self.is_log_due(now_ms) {
             return;
         }
         for (team, usage) in teams.take(MAX_TEAMS) {
@@ -116,6 +120,7 @@
         }
     }
 
+    /// Logs and resets the statistics, once per interval.
     pub(super) fn log(
         &mut self,
         log: &Logger,
@@ -125,7 +130,7 @@
         feed_behind_ms: u64,
         relays: usize,
     ) {
-        if now_ms < self.last_log_ms + LOG_INTERVAL_MS {
+        if !self.is_log_due(now_ms) {
             return;
         }
         gauge!(counters::ORDERS_WINDOW).set(window.size() as f64);
@@ -153,6 +158,19 @@
     }
 }
 
+/// Logs each data hall that is being emptied, and sets its gauge.
+pub(super) fn log_evacuated_halls(log: &Logger, halls: &[EvacuatedHall]) {
+    for evacuated in halls {
+        let EvacuatedHall { hall, age_ms, workers, runs, long_running } =
+            evacuated;
+        info!(log, "hall: being emptied"; "hall" => hall, "age_ms" => age_ms,
+            "workers" => workers, "runs" => runs,
+            "long_running" => long_running);
+        gauge!(counters::EVACUATED_HALL_RUNS, "hall" => hall.clone())
+            .set(*runs as f64);
+    }
+}
+
 /// Returns the calls, bytes sent and bytes received of each purpose that has
 /// any.
 fn rows(traffic: &Tallies) -> BTreeMap<&'static str, [u64; 3]> {
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -163,6 +163,7 @@
                 .finished_retention_ms(timing.kept_ms)
                 .duty_gap_ms(timing.duty_gap_ms)
                 .stop_timeout_ms(timing.stop_timeout_ms)
+                .max_operator_view_age_ms(timing.max_operator_view_age_ms())
                 .detached_ms(holder::MAX_DETACHED_MS)
                 .link(LinkLimits::of_link(settings.machine.link_mbps))
                 .policy(settings.policy.clone()),
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -30,6 +30,10 @@
     std::{net::SocketAddr, path::Path},
 };
 
+/// How long an order to start may be on its way to its worker, in
+/// milliseconds: several times the timeout of one attempt.
+const ORDER_TIME_MS: u64 = 500;
+
 /// The settings of a node that runs jobs.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -171,6 +175,24 @@
     pub disturbance_ms: u64,
     /// The shortest lease that the store grants, in milliseconds.
     pub min_store_lease_ms: u64,
+    /// How soon after the operator asked for it nothing more starts in a data
+    /// hall that is to be emptied, in milliseconds; without it, any delay is
+    /// allowed.
+    pub evacuate_ms: Option<u64>,
+    /// How much longer that may take while the store refuses some nodes, in
+    /// milliseconds.
+    pub max_stretch_ms: Option<u64>,
+}
+
+impl Timing {
+    /// Returns how old the operator's requests may be for tasks to start, in
+    /// milliseconds; `None` for any age.
+    ///
+    /// A hall may have been asked to be emptied at any time since.
+    pub fn max_operator_view_age_ms(&self) -> Option<u64> {
+        let allowed_ms = self.evacuate_ms? + self.max_stretch_ms.unwrap_or(0);
+        Some(allowed_ms.saturating_sub(ORDER_TIME_MS))
+    }
 }
 
 impl Default for Timing {
@@ -185,6 +207,8 @@
             notice_ms: 4_500,
             disturbance_ms: 4_000,
             min_store_lease_ms: 1_000,
+            evacuate_ms: None,
+            max_stretch_ms: None,
         }
     }
 }
@@ -252,6 +276,8 @@
             notice_ms,
             disturbance_ms,
             min_store_lease_ms,
+            evacuate_ms,
+            max_stretch_ms,
         } = settings.timing;
         let mut check = |field: &str, value, least, most| {
             problems.check(&format!("timing.{field}"), value, least, most);
@@ -265,6 +291,12 @@
         check("notice_ms", notice_ms, 100, 600_000);
         check("disturbance_ms", disturbance_ms, 100, 600_000);
         check("min_store_lease_ms", min_store_lease_ms, 1, 600_000);
+        if let Some(evacuate_ms) = evacuate_ms {
+            check("evacuate_ms", evacuate_ms, 500, 600_000);
+        }
+        if let Some(max_stretch_ms) = max_stretch_ms {
+            check("max_stretch_ms", max_stretch_ms, 0, 600_000);
+        }
         if let Err(invalid) = settings.policy.check() {
             let InvalidPolicy { field, value, least, most } = invalid;
             problems.check(&format!("policy.{field}"), value, least, most);
