Reach the store over peers, and share reads among nodes

What grew with the fleet: every idle node watched and polled the lease and the operator's requests, some four calls a second each. What held only while the store served all alike: a node that it refused was blind and turned its callers away, though hundreds of others reached it.

Every node now forwards calls to the store for others. A refused call is repeated over a peer at once, since it certainly did nothing; one without an answer isn't. A reader calls after the request came in, so a shared read is as current as a call of the node's own.

Ruled out: watches that wait longer (the calls still grow with the nodes), stale reads (they prove nothing of their age), pushing from the holder (its age on the way isn't known, and the holder would carry all nodes).

--- a/crates/dewspar-cli/src/commands/demo_jobs.rs
+++ b/crates/dewspar-cli/src/commands/demo_jobs.rs
@@ -103,6 +103,7 @@
         readiness_path: "/ready",
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
+        peers: None,
     };
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,9 +1,11 @@
 use {
     crate::{
-        Error, Purpose, Traffic,
+        Error, PeerRoutes, Purpose, Traffic,
         connections::{Connections, Pool},
+        peers::{FINGERPRINT_HEADER, SHARE_HEADER, TIMEOUT_HEADER},
     },
     bytes::{Bytes, BytesMut},
+    dewspar::detour::Path,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
@@ -23,6 +25,13 @@
     tokio::time::{error::Elapsed, timeout},
 };
 
+/// How many peers are tried for one call.
+const MAX_PEERS_TRIED: usize = 2;
+
+/// How much longer than the interval of shared reads a reader may take: a few
+/// round trips of a slow store.
+const SHARED_READ_GRACE: Duration = Duration::from_millis(400);
+
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
@@ -44,6 +53,11 @@
     given_up: Arc<AtomicU64>,
     traffic: Traffic,
     purpose: Purpose,
+    /// The paths over other nodes, if calls may take them.
+    peers: Option<PeerRoutes>,
+    /// The shortest time between two reads that are shared with other nodes;
+    /// `None` if reads aren't shared.
+    share_interval: Option<Duration>,
 }
 
 /// An answer's status, entity tag and body.
@@ -57,6 +71,8 @@
     pub body: Bytes,
     /// How long its head was, in bytes.
     head_bytes: u64,
+    /// The fingerprint of a shared read's result.
+    fingerprint: Option<String>,
 }
 
 impl Client {
@@ -74,9 +90,31 @@
             given_up: Arc::default(),
             traffic: Traffic::default(),
             purpose: Purpose::default(),
+            peers: None,
+            share_interval: None,
         }
     }
 
+    /// Lets calls take paths over other nodes.
+    pub fn with_peers(mut self, peers: &PeerRoutes) -> Client {
+        self.peers = Some(peers.clone());
+        self
+    }
+
+    /// Returns a client whose reads are shared with other nodes where there
+    /// are readers, which wait at least `interval_ms` milliseconds between two
+    /// of them.
+    pub fn sharing_reads(&self, interval_ms: u64) -> Client {
+        let share_interval = Some(Duration::from_millis(interval_ms));
+        Client { share_interval, ..self.clone() }
+    }
+
+    /// Returns whether its reads are shared with other nodes now.
+    pub fn shares_reads(&self) -> bool {
+        self.share_interval.is_some()
+            && self.peers.as_ref().is_some_and(PeerRoutes::shares_reads)
+    }
+
     /// Returns a client whose calls may take longer while their answers still
     /// come in: each pause between two pieces takes at most the time of a
     /// call. A megabyte takes 4 s over a link of 2 Mbit/s, and a bound on the
@@ -147,6 +185,137 @@
         &self,
         call: &'static str,
         request: Request<Full<Bytes>>,
+    ) -> Result<Answer, Error> {
+        let Some(peers) = &self.peers else {
+            return self.send_directly(call, request).await;
+        };
+        if self.shares_reads()
+            && request.method() == Method::GET
+            && let Some(answer) = self.read_shared(call, &request, peers).await
+        {
+            return Ok(answer);
+        }
+        if peers.choose() == Path::Peers
+            && let Some(answered) =
+                self.send_over_peers(call, &request, peers).await
+        {
+            return answered;
+        }
+        let answered = self.send_directly(call, request.clone()).await;
+        match direct_outcome(&answered) {
+            DirectOutcome::Answered => peers.own_path_answered(),
+            DirectOutcome::NoAnswer => peers.own_path_failed(),
+            DirectOutcome::Refused => {
+                peers.own_path_failed();
+                if peers.may_use_peers()
+                    && let Some(answered) =
+                        self.send_over_peers(call, &request, peers).await
+                {
+                    return answered;
+                }
+            }
+        }
+        answered
+    }
+
+    /// Reads from a reader; returns `None` if it doesn't answer.
+    async fn read_shared(
+        &self,
+        call: &'static str,
+        request: &Request<Full<Bytes>>,
+        peers: &PeerRoutes,
+    ) -> Option<Answer> {
+        let url = request.uri().to_string();
+        let interval_ms = self.share_interval?.as_millis();
+        let mut shared = request.clone();
+        let headers = shared.headers_mut();
+        headers.insert(SHARE_HEADER, number_header(interval_ms));
+        if let Some(fingerprint) = peers.fingerprint(&url)
+            && let Ok(value) = HeaderValue::from_str(&fingerprint)
+        {
+            headers.insert(FINGERPRINT_HEADER, value);
+        }
+        let peer = peers.usable_peers().into_iter().next()?;
+        let max_wait = self.share_interval? + SHARED_READ_GRACE;
+        let client =
+            Client { timeout: self.timeout.min(max_wait), ..self.clone() };
+        let sent = client.send_to_peer(call, &shared, &peer).await;
+        let answer = sent.inspect_err(|_| peers.avoid(&peer)).ok()?;
+        let status = answer.status;
+        if status == StatusCode::NOT_MODIFIED {
+            peers.count_shared();
+            return peers.known(&url);
+        }
+        if !status.is_success() && status != StatusCode::NOT_FOUND {
+            peers.avoid(&peer);
+            return None;
+        }
+        if let Some(fingerprint) = &answer.fingerprint {
+            peers.remember(&url, fingerprint, &answer);
+        }
+        peers.count_shared();
+        Some(answer)
+    }
+
+    /// Sends a call over a peer; returns `None` if it certainly wasn't carried
+    /// out, because no peer could forward it.
+    async fn send_over_peers(
+        &self,
+        call: &'static str,
+        request: &Request<Full<Bytes>>,
+        peers: &PeerRoutes,
+    ) -> Option<Result<Answer, Error>> {
+        for peer in peers.usable_peers().into_iter().take(MAX_PEERS_TRIED) {
+            match self.send_to_peer(call, request, &peer).await {
+                Ok(answer)
+                    if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
+                Ok(answer) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
+                    peers.avoid(&peer);
+                    let reason = format!("no answer to peer {peer}");
+                    return Some(Err(Error::Lost { call, reason }));
+                }
+                Ok(answer) => {
+                    peers.count_forwarded();
+                    return Some(Ok(answer));
+                }
+                Err(error) if error.may_have_taken_effect() => {
+                    peers.avoid(&peer);
+                    return Some(Err(error));
+                }
+                Err(_) => {}
+            }
+            peers.avoid(&peer);
+        }
+        peers.peers_failed();
+        None
+    }
+
+    async fn send_to_peer(
+        &self,
+        call: &'static str,
+        request: &Request<Full<Bytes>>,
+        peer: &Authority,
+    ) -> Result<Answer, Error> {
+        let path = request.uri().path_and_query();
+        let path = path.map_or("/", |path| path.as_str());
+        let mut over_peer = request.clone();
+        *over_peer.uri_mut() =
+            format!("http://{peer}{path}").parse().map_err(|_| {
+                let reason = format!("`{peer}` is not an address");
+                Error::Unavailable { call, reason }
+            })?;
+        let timeout_ms = self.timeout.as_millis();
+        over_peer
+            .headers_mut()
+            .insert(TIMEOUT_HEADER, number_header(timeout_ms));
+        self.send_directly(call, over_peer).await
+    }
+
+    /// Sends a request to the address in its URL and reads its answer whole.
+    async fn send_directly(
+        &self,
+        call: &'static str,
+        request: Request<Full<Bytes>>,
     ) -> Result<Answer, Error> {
         let sent = size_of(&request);
         let sent_head = request_head_bytes(&request);
@@ -270,6 +439,33 @@
     }
 }
 
+/// What became of a call on the node's own path.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum DirectOutcome {
+    Answered,
+    /// It certainly did nothing.
+    Refused,
+    /// It may have taken effect.
+    NoAnswer,
+}
+
+fn direct_outcome(answered: &Result<Answer, Error>) -> DirectOutcome {
+    match answered {
+        Ok(answer) => match answer.status {
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::TOO_MANY_REQUESTS => DirectOutcome::Refused,
+            _ => DirectOutcome::Answered,
+        },
+        Err(error) if error.may_have_taken_effect() => DirectOutcome::NoAnswer,
+        Err(_) => DirectOutcome::Refused,
+    }
+}
+
+fn number_header(number: u128) -> HeaderValue {
+    // OK because digits are valid in a header.
+    HeaderValue::from_str(&number.to_string()).expect("digits")
+}
+
 /// Builds a request with a JSON body.
 ///
 /// # Errors
@@ -434,7 +630,10 @@
     fn new(head: &Parts, body: Bytes) -> Answer {
         let tag = head.headers.get(header::ETAG);
         let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+        let fingerprint = head.headers.get(FINGERPRINT_HEADER);
+        let fingerprint = fingerprint.and_then(|value| value.to_str().ok());
+        let fingerprint = fingerprint.map(str::to_owned);
         let head_bytes = head_bytes(&head.headers);
-        Answer { status: head.status, tag, body, head_bytes }
+        Answer { status: head.status, tag, body, head_bytes, fingerprint }
     }
 }
--- a/crates/dewspar-platform/src/kv.rs
+++ b/crates/dewspar-platform/src/kv.rs
@@ -179,6 +179,18 @@
         self.clone()
     }
 
+    /// Returns the same service whose reads may be shared with other nodes, at
+    /// most one in `interval_ms` milliseconds, where there are readers. The
+    /// results are as current as without.
+    fn sharing_reads(&self, _interval_ms: u64) -> Self {
+        self.clone()
+    }
+
+    /// Returns whether reads are shared with other nodes now.
+    fn shares_reads(&self) -> bool {
+        false
+    }
+
     /// Reads one key.
     fn get(
         &self,
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -44,6 +44,7 @@
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
         Versioned, Watch, WatchBatch,
     },
+    peers::{Fingerprint, PeerRoutes, PeerServer, PeerStatus, is_peer_alive},
     traffic::{Purpose, Tallies, Tally, Traffic},
     unreadable::{TakenNotes, Unreadable, UnreadableNotes},
     vm_list::{VmList, VmListing},
@@ -60,6 +61,7 @@
 mod job_worker;
 mod kv;
 pub mod lenient;
+mod peers;
 mod traffic;
 mod unreadable;
 mod vm_list;
--- /dev/null
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -0,0 +1,177 @@
+/*!
+A node's view of its peers: which of them forward its calls, and how its own
+path to the store is.
+*/
+
+use {
+    crate::Answer,
+    dewspar::detour::{OwnPath, Path, PeerNode, preferred_readers},
+    hyper::http::uri::Authority,
+    std::{
+        collections::HashMap,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+    },
+    tokio::time::{Duration, Instant},
+};
+
+/// How long a peer that couldn't forward a call isn't used.
+const AVOIDED_FOR: Duration = Duration::from_secs(2);
+
+/// The largest number of results that are kept to recognize unchanged ones:
+/// the few shared reads of a node.
+const MAX_KNOWN: usize = 16;
+
+/// The state of a node's paths to the store; clones share it.
+#[derive(Clone, Debug)]
+pub struct PeerRoutes {
+    began: Instant,
+    state: Arc<Mutex<State>>,
+}
+
+impl Default for PeerRoutes {
+    fn default() -> PeerRoutes {
+        PeerRoutes { began: Instant::now(), state: Arc::default() }
+    }
+}
+
+#[derive(Debug, Default)]
+struct State {
+    own: OwnPath,
+    peers: Vec<Authority>,
+    /// Until when some peers aren't used.
+    avoided: HashMap<Authority, Instant>,
+    /// Whether this node reads the store itself.
+    reads_itself: bool,
+    /// The newest result of each shared read, with its fingerprint.
+    known: HashMap<String, (String, Answer)>,
+    forwarded_calls: u64,
+    shared_reads: u64,
+}
+
+/// A summary of a node's paths to the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct PeerStatus {
+    /// Whether the own path has failed and hasn't worked since.
+    pub own_path_failed: bool,
+    /// The number of peers.
+    pub peers: usize,
+    /// The number of calls that peers forwarded.
+    pub forwarded_calls: u64,
+    /// The number of reads that were shared with other nodes.
+    pub shared_reads: u64,
+}
+
+impl PeerRoutes {
+    /// Sets the readers, as known to this node.
+    pub fn set_readers(&self, node: &str, readers: &[PeerNode]) {
+        let peers = preferred_readers(node, readers);
+        let addresses = peers.iter().map(|peer| peer.address.parse());
+        let mut state = self.state();
+        state.reads_itself = readers.iter().any(|peer| peer.name == node);
+        // An address that can't be used is the same as no offer.
+        state.peers = addresses.filter_map(Result::ok).collect();
+    }
+
+    /// Returns whether reads can be shared: there are readers, and this node
+    /// isn't one of them.
+    pub fn shares_reads(&self) -> bool {
+        let state = self.state();
+        !state.reads_itself && !state.peers.is_empty()
+    }
+
+    /// Returns a summary of the paths.
+    pub fn status(&self) -> PeerStatus {
+        let state = self.state();
+        PeerStatus {
+            own_path_failed: state.own.has_failed(),
+            peers: state.peers.len(),
+            forwarded_calls: state.forwarded_calls,
+            shared_reads: state.shared_reads,
+        }
+    }
+
+    pub(crate) fn choose(&self) -> Path {
+        let now_ms = self.now_ms();
+        let mut state = self.state();
+        if state.peers.is_empty() {
+            return Path::Own;
+        }
+        state.own.choose(now_ms)
+    }
+
+    pub(crate) fn may_use_peers(&self) -> bool {
+        self.state().own.may_use_peers(self.now_ms())
+    }
+
+    pub(crate) fn own_path_answered(&self) {
+        self.state().own.answered();
+    }
+
+    pub(crate) fn own_path_failed(&self) {
+        let now_ms = self.now_ms();
+        self.state().own.failed(now_ms);
+    }
+
+    pub(crate) fn peers_failed(&self) {
+        let now_ms = self.now_ms();
+        self.state().own.peers_failed(now_ms);
+    }
+
+    /// Returns the peers to try, the preferred one first.
+    pub(crate) fn usable_peers(&self) -> Vec<Authority> {
+        let now = Instant::now();
+        let mut state = self.state();
+        state.avoided.retain(|_, until| now < *until);
+        let usable = |peer: &&Authority| !state.avoided.contains_key(*peer);
+        state.peers.iter().filter(usable).cloned().collect()
+    }
+
+    pub(crate) fn avoid(&self, peer: &Authority) {
+        let until = Instant::now() + AVOIDED_FOR;
+        self.state().avoided.insert(peer.clone(), until);
+    }
+
+    pub(crate) fn count_forwarded(&self) {
+        self.state().forwarded_calls += 1;
+    }
+
+    pub(crate) fn count_shared(&self) {
+        self.state().shared_reads += 1;
+    }
+
+    /// Returns the fingerprint of the newest result of a shared read.
+    pub(crate) fn fingerprint(&self, url: &str) -> Option<String> {
+        let state = self.state();
+        state.known.get(url).map(|(fingerprint, _)| fingerprint.clone())
+    }
+
+    /// Returns the newest result of a shared read.
+    pub(crate) fn known(&self, url: &str) -> Option<Answer> {
+        let state = self.state();
+        state.known.get(url).map(|(_, answer)| answer.clone())
+    }
+
+    pub(crate) fn remember(
+        &self,
+        url: &str,
+        fingerprint: &str,
+        answer: &Answer,
+    ) {
+        let mut state = self.state();
+        if state.known.len() >= MAX_KNOWN && !state.known.contains_key(url) {
+            state.known.clear();
+        }
+        let result = (fingerprint.to_owned(), answer.clone());
+        state.known.insert(url.to_owned(), result);
+    }
+
+    fn now_ms(&self) -> u64 {
+        // OK to truncate: it would take millions of years.
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        // OK after a panic: each change of it is complete.
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -0,0 +1,250 @@
+/*!
+The server of a peer: it forwards calls to the store.
+*/
+
+use {
+    super::{
+        ALIVE_PATH, FINGERPRINT_HEADER, SHARE_HEADER, TIMEOUT_HEADER,
+        shared_reads::{SharedReads, SharedResult},
+    },
+    crate::{Answer, Client, Error, Purpose, empty_request},
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, Limited},
+    hyper::{
+        Method, Request, Response, StatusCode, Uri,
+        body::Incoming,
+        header::{self, HeaderMap, HeaderValue},
+        http::{request::Parts, uri::Authority},
+        server::conn::http1,
+        service::service_fn,
+    },
+    hyper_util::rt::{TokioIo, TokioTimer},
+    std::{
+        convert::Infallible,
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+    },
+    tokio::{
+        net::TcpListener,
+        time::{Duration, sleep},
+    },
+};
+
+/// Returns the fingerprint of a read's result: equal for results that differ
+/// in nothing that matters to their readers.
+pub type Fingerprint = fn(&[u8]) -> u64;
+
+/// The largest body that is forwarded, in bytes: more than any batch of
+/// writes takes.
+const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
+/// The largest number of calls that are forwarded at a time.
+const MAX_CALLS: usize = 1_024;
+
+/// The longest time that a call may take, in milliseconds.
+const MAX_TIMEOUT_MS: u64 = 60_000;
+
+/// The part of a call's time that is left for its way back, in milliseconds.
+const RETURN_RESERVE_MS: u64 = 50;
+
+/// The delay after a connection that couldn't be accepted.
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Forwards calls to the store for other nodes.
+#[derive(Clone, Debug)]
+pub struct PeerServer {
+    client: Client,
+    store: Authority,
+    fingerprint: Fingerprint,
+    shared: SharedReads,
+    in_flight: Arc<AtomicUsize>,
+}
+
+impl PeerServer {
+    /// Creates a server that forwards calls to the store at this address. The
+    /// client must not have peers itself.
+    pub fn new(
+        client: &Client,
+        store: Authority,
+        fingerprint: Fingerprint,
+    ) -> PeerServer {
+        PeerServer {
+            client: client.with_purpose(Purpose::Peers),
+            store,
+            fingerprint,
+            shared: SharedReads::default(),
+            in_flight: Arc::default(),
+        }
+    }
+
+    /// Serves other nodes until the listener's runtime ends.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            // OK to ignore: it only affects latency.
+            let _ = stream.set_nodelay(true);
+            let server = self.clone();
+            let service = service_fn(move |request| {
+                let server = server.clone();
+                async move { Ok::<_, Infallible>(server.answer(request).await) }
+            });
+            tokio::spawn(
+                http1::Builder::new()
+                    .timer(TokioTimer::new())
+                    .serve_connection(TokioIo::new(stream), service),
+            );
+        }
+    }
+
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
+        if request.uri().path() == ALIVE_PATH {
+            return empty(StatusCode::OK);
+        }
+        let in_flight = InFlight::new(&self.in_flight);
+        if in_flight.count > MAX_CALLS {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let (head, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await
+        else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let Some(call) = self.forwarded(&head, body.to_bytes()) else {
+            return empty(StatusCode::BAD_REQUEST);
+        };
+        let timeout_ms = number(&head.headers, TIMEOUT_HEADER)
+            .unwrap_or(self.client.timeout_ms())
+            .clamp(2 * RETURN_RESERVE_MS, MAX_TIMEOUT_MS);
+        let client =
+            self.client.with_timeout_ms(timeout_ms - RETURN_RESERVE_MS);
+        let share_ms = number(&head.headers, SHARE_HEADER)
+            .filter(|_| head.method == Method::GET);
+        match share_ms {
+            Some(share_ms) => self.share(&head, call, client, share_ms).await,
+            None => response(&client.send("forward", call).await, None),
+        }
+    }
+
+    /// Answers a read together with others.
+    async fn share(
+        &self,
+        head: &Parts,
+        call: Request<Full<Bytes>>,
+        client: Client,
+        share_ms: u64,
+    ) -> Response<Full<Bytes>> {
+        let interval = Duration::from_millis(share_ms.min(MAX_TIMEOUT_MS));
+        let url = call.uri().to_string();
+        let fingerprint = self.fingerprint;
+        let (own_client, own_call) = (client.clone(), call.clone());
+        let send = move || async move {
+            let answer = client.send("shared read", call).await;
+            let body = answer.as_ref().map(|answer| answer.body.clone());
+            let body = body.unwrap_or_default();
+            let fingerprint = format!("{:016x}", fingerprint(&body));
+            SharedResult { answer, fingerprint }
+        };
+        let Some(result) = self.shared.read(&url, interval, send).await else {
+            let answer = own_client.send("forward", own_call).await;
+            return response(&answer, None);
+        };
+        let known = head.headers.get(FINGERPRINT_HEADER);
+        let is_known = known.is_some_and(|known| {
+            known.as_bytes() == result.fingerprint.as_bytes()
+        });
+        let is_success =
+            result.answer.as_ref().is_ok_and(|a| a.status.is_success());
+        if is_known && is_success {
+            return empty(StatusCode::NOT_MODIFIED);
+        }
+        response(&result.answer, Some(&result.fingerprint))
+    }
+
+    /// Builds the call to the store.
+    fn forwarded(
+        &self,
+        head: &Parts,
+        body: Bytes,
+    ) -> Option<Request<Full<Bytes>>> {
+        let path = head.uri.path_and_query()?.as_str();
+        let uri: Uri = format!("http://{}{path}", self.store).parse().ok()?;
+        let mut call = Request::new(Full::new(body));
+        *call.method_mut() = head.method.clone();
+        *call.uri_mut() = uri;
+        if let Some(kind) = head.headers.get(header::CONTENT_TYPE) {
+            call.headers_mut().insert(header::CONTENT_TYPE, kind.clone());
+        }
+        Some(call)
+    }
+}
+
+/// Returns whether the peer at an address answers within this time.
+pub async fn is_peer_alive(address: &str, max_wait: Duration) -> bool {
+    let timeout_ms = u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX);
+    let url = format!("http://{address}{ALIVE_PATH}");
+    let call = "check peer";
+    let Ok(request) = empty_request(call, Method::GET, &url) else {
+        return false;
+    };
+    let answered = Client::new(timeout_ms).send(call, request).await;
+    answered.is_ok_and(|answer| answer.status.is_success())
+}
+
+/// Counts a call for as long as it is in flight.
+struct InFlight {
+    calls: Arc<AtomicUsize>,
+    count: usize,
+}
+
+impl InFlight {
+    fn new(calls: &Arc<AtomicUsize>) -> InFlight {
+        let count = calls.fetch_add(1, Ordering::Relaxed) + 1;
+        InFlight { calls: Arc::clone(calls), count }
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.calls.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn empty(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
+/// Builds the response: the store's answer, or a status that says whether the
+/// call may have taken effect.
+fn response(
+    answer: &Result<Answer, Error>,
+    fingerprint: Option<&str>,
+) -> Response<Full<Bytes>> {
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(error) if error.may_have_taken_effect() => {
+            return empty(StatusCode::GATEWAY_TIMEOUT);
+        }
+        Err(_) => return empty(StatusCode::SERVICE_UNAVAILABLE),
+    };
+    let mut response = Response::new(Full::new(answer.body.clone()));
+    *response.status_mut() = answer.status;
+    let fingerprint = fingerprint.and_then(|f| HeaderValue::from_str(f).ok());
+    if let Some(fingerprint) = fingerprint {
+        response.headers_mut().insert(FINGERPRINT_HEADER, fingerprint);
+    }
+    response
+}
--- a/crates/dewspar-platform/src/traffic.rs
+++ b/crates/dewspar-platform/src/traffic.rs
@@ -60,11 +60,13 @@
     Operator,
     /// Orders that relays carry.
     Relays,
+    /// Calls to the store that this node forwards for others.
+    Peers,
 }
 
 impl Purpose {
     /// Every purpose, in the order of the variants.
-    pub const ALL: [Purpose; 13] = [
+    pub const ALL: [Purpose; 14] = [
         Purpose::Other,
         Purpose::Lease,
         Purpose::Feed,
@@ -78,6 +80,7 @@
         Purpose::Callers,
         Purpose::Operator,
         Purpose::Relays,
+        Purpose::Peers,
     ];
 
     /// Returns the purpose's name, for logs and counters.
@@ -96,6 +99,7 @@
             Purpose::Callers => "callers",
             Purpose::Operator => "operator",
             Purpose::Relays => "relays",
+            Purpose::Peers => "peers",
         }
     }
 }
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod budget;
 pub mod chart;
 pub mod config;
+pub mod detour;
 pub mod feed;
 pub mod fields;
 pub mod fleet;
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -30,6 +30,7 @@
     },
     crate::{clock, counters, passed_over},
     dewspar::{
+        detour::PeerNode,
         relay::RelayNode,
         schedule::{Options, OrderIssuer},
     },
@@ -55,6 +56,10 @@
 /// silent.
 const POLL_INTERVAL: Duration = Duration::from_millis(1_500);
 
+/// The shortest time between two reads of the key for nodes that share their
+/// reads, in milliseconds.
+const SHARE_INTERVAL_MS: u64 = 500;
+
 /// The delay after a call to the store that gave no result.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -134,6 +139,8 @@
     pub(super) traffic: Traffic,
     /// The address at which this node relays orders for others, if it does.
     pub(super) relay_address: Option<SocketAddr>,
+    /// The address at which this node forwards calls to the store, if it does.
+    pub(super) peer_address: Option<SocketAddr>,
     pub(super) machine: Machine,
     pub(super) workers: W,
     pub(super) fleet: F,
@@ -233,6 +240,16 @@
             let value = serde_json::to_vec(&offer).expect("plain JSON");
             batch = batch.put(&keys::relay(&self.node), value);
         }
+        if let Some(address) = self.peer_address {
+            let offer = PeerNode {
+                name: self.node.clone(),
+                address: address.to_string(),
+                strength: self.strength,
+            };
+            // OK because texts and a number can always be written.
+            let value = serde_json::to_vec(&offer).expect("plain JSON");
+            batch = batch.put(&keys::peer(&self.node), value);
+        }
         while let Err(error) = self.store.commit(&batch).await {
             counters::platform_failure(&error);
             sleep(RETRY_DELAY).await;
@@ -292,7 +309,8 @@
     ) -> Result<LeaseState, Error> {
         // A list returns the store's current version. A watch from the key's
         // own version would ask for history that is soon compacted.
-        let (store_version, found) = self.store.list(keys::OWNER).await?;
+        let store = self.store.sharing_reads(SHARE_INTERVAL_MS);
+        let (store_version, found) = store.list(keys::OWNER).await?;
         Ok(self.classify(found.first(), store_version, incarnation))
     }
 
@@ -391,6 +409,12 @@
     }
 
     async fn wait_for_change(&self, store_version: u64) {
+        if self.store.sharing_reads(SHARE_INTERVAL_MS).shares_reads() {
+            // The readers watch the key. The others take the lease only if all
+            // of these are lost.
+            sleep(POLL_INTERVAL).await;
+            return;
+        }
         let changed = async {
             let mut watch =
                 self.store.watch(keys::OWNER, store_version).await?;
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -30,7 +30,7 @@
         intake::FeedOrigin,
         keys,
         load_stats::{self, LoadStats},
-        orders,
+        orders, peers,
         relay::{self, RelayManager, RelayedWorkers},
         start_logs::StartLogWrites,
         step_down::StepDown,
@@ -133,6 +133,11 @@
         traffic: candidate.traffic.clone(),
         log: candidate.log.clone(),
     }));
+    tasks.spawn(peers::publish_readers(
+        store(Purpose::Peers),
+        held.revision,
+        candidate.log.clone(),
+    ));
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.begin_loading();
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -17,6 +17,12 @@
 /// The nodes that offer to relay orders to workers.
 pub(super) const RELAYS: &str = "relay/";
 
+/// The nodes that offer to forward calls to the store.
+pub(super) const PEERS: &str = "peer/";
+
+/// The list of the nodes that read the store for others.
+pub(super) const READERS: &str = "readers";
+
 /// Everything that the holder must see in order.
 pub(super) const FEED: &str = "q/";
 
@@ -121,6 +127,10 @@
     format!("{RELAYS}{name}")
 }
 
+pub(super) fn peer(name: &str) -> String {
+    format!("{PEERS}{name}")
+}
+
 pub(super) fn wave(wave: u64) -> String {
     format!("{WAVES}{wave}")
 }
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -27,6 +27,10 @@
     tokio::time::{Instant, timeout_at},
 };
 
+/// The shortest time between two shared reads of the counts of waiting jobs,
+/// in milliseconds.
+const COUNTS_SHARE_INTERVAL_MS: u64 = 200;
+
 /// A stored job that is unfinished.
 struct OpenJob {
     listed: ListedJob,
@@ -50,7 +54,8 @@
         let mut found = self.read_progress(&progress, deadline).await?;
         if found.is_none() {
             let key = keys::accepted(id);
-            let accepted = self.read_versioned(&key, deadline).await?;
+            let accepted =
+                self.read_versioned(&self.store, &key, deadline).await?;
             if let Some(item) = accepted {
                 let visible = match self.owner_in(id, &item) {
                     Some(owner) => caller.may_access(&owner),
@@ -93,7 +98,9 @@
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Progress>, JobReply> {
-        let Some(found) = self.read_versioned(key, deadline).await? else {
+        let Some(found) =
+            self.read_versioned(&self.store, key, deadline).await?
+        else {
             return Ok(None);
         };
         let progress = serde_json::from_slice::<Progress>(&found.value);
@@ -131,7 +138,9 @@
         reader: &mut CountsReader,
         deadline: Instant,
     ) -> Result<(), JobReply> {
-        let found = self.read_versioned(keys::PENDING, deadline).await?;
+        let store = self.store.sharing_reads(COUNTS_SHARE_INTERVAL_MS);
+        let found =
+            self.read_versioned(&store, keys::PENDING, deadline).await?;
         let now_ms = clock::now_ms();
         let record = reader.evaluate(found.as_ref(), now_ms);
         info!(self.log, "call: counts of waiting jobs read";
@@ -267,12 +276,13 @@
     /// Reads a key, with retries until the deadline.
     async fn read_versioned(
         &self,
+        store: &K,
         key: &str,
         deadline: Instant,
     ) -> Result<Option<Versioned>, JobReply> {
         let mut backoff = Backoff::default();
         loop {
-            match timeout_at(deadline, self.store.get(key)).await {
+            match timeout_at(deadline, store.get(key)).await {
                 Ok(Ok(found)) => {
                     self.gate.note_answer();
                     return Ok(found);
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -10,11 +10,12 @@
 | `election` | this node's attempts to take the scheduler lease |
 | `holder` | the [`Scheduler`](dewspar::schedule::Scheduler), on the one node that holds the lease |
 | `relay` | the connections over which nodes forward the holder's orders to workers |
+| `peers` | the paths to the store over other nodes |
 | `readiness` | the health-check address that the load balancer polls |
 
 The node that holds the scheduler lease is called the holder. Nodes talk to
-each other only where one relays orders to workers for the holder. All shared
-state lies in the store:
+each other only where one relays orders to workers for the holder, or forwards
+calls to the store. All shared state lies in the store:
 
 | key | value | written by |
 |---|---|---|
@@ -23,6 +24,8 @@
 | `q/stop/JOB` | that the job is cancelled | the node that receives the request |
 | `run/JOB` | the job's progress | the holder |
 | `relay/NODE` | the address at which a node relays orders | that node, when it starts |
+| `peer/NODE` | the address at which a node forwards calls to the store | that node, when it starts |
+| `readers` | the nodes over which the others reach the store | the holder |
 | `node/NODE` | the scheduling capacity of a node | that node, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and the counts made under it, under short leases | a node that finds no fresh `pending` |
@@ -36,7 +39,7 @@
 */
 
 pub use self::{
-    node::{JobNode, JobPlatform},
+    node::{JobNode, JobPlatform, Peers},
     rest::RestProtocol,
     settings::JobSettings,
 };
@@ -59,6 +62,7 @@
 mod lookup;
 mod node;
 mod orders;
+mod peers;
 mod progress;
 mod progress_writes;
 mod readiness;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,7 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, intent,
+        holder, intent, peers,
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
@@ -16,8 +16,8 @@
     crate::{clock, logs, passed_over},
     dewspar::{link::LinkLimits, schedule::Options},
     dewspar_platform::{
-        Fleet, JobProtocol, JobWorkers, KeyValue, Purpose, Traffic,
-        UnreadableNotes,
+        Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
+        Purpose, Traffic, UnreadableNotes,
     },
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
@@ -55,6 +55,17 @@
     pub traffic: Traffic,
     /// Records input that the adapters couldn't read.
     pub unreadable: UnreadableNotes,
+    /// The paths to the store over other nodes, if the store takes any.
+    pub peers: Option<Peers>,
+}
+
+/// The paths to the store over other nodes.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    /// The paths that the store's adapter takes.
+    pub routes: PeerRoutes,
+    /// Forwards other nodes' calls.
+    pub server: PeerServer,
 }
 
 /// A running node.
@@ -142,8 +153,25 @@
             }
             None => None,
         };
+        let mut peer_address = None;
+        if let Some(Peers { routes, server }) = platform.peers {
+            let peer_log = logs::part(&log, "peers");
+            if let Some(address) = settings.peer_address() {
+                let listener = TcpListener::bind(address).await?;
+                peer_address = Some(listener.local_addr()?);
+                tokio::spawn(server.serve(listener));
+            }
+            tokio::spawn(peers::follow_readers(
+                platform.store.with_purpose(Purpose::Peers),
+                settings.node.clone(),
+                routes.clone(),
+                peer_log.clone(),
+            ));
+            tokio::spawn(peers::log_paths(routes, stopped.clone(), peer_log));
+        }
         let candidate = Candidate {
             relay_address,
+            peer_address,
             node: settings.node.clone(),
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -27,7 +27,10 @@
     dewspar::schedule::{InvalidPolicy, Policy},
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
-    std::{net::SocketAddr, path::Path},
+    std::{
+        net::{IpAddr, SocketAddr},
+        path::Path,
+    },
 };
 
 /// How long an order to start may be on its way to its worker, in
@@ -54,6 +57,10 @@
     /// node that schedules; without it, the node relays none.
     #[serde(default)]
     pub relay_address: Option<SocketAddr>,
+    /// The address and ports for other nodes; without them, the node forwards
+    /// no calls to the store for others.
+    #[serde(default)]
+    pub internal: Option<InternalPorts>,
     /// The addresses of the platform.
     pub platform: PlatformAddresses,
     /// The entry VM's resources.
@@ -128,6 +135,21 @@
     }
 }
 
+/// The address and the range of ports that only other nodes use. The node
+/// chooses from them what no other setting names.
+#[derive(
+    Clone, Copy, Debug, Deserialize, JsonSchema, PartialEq, Serialize,
+)]
+#[serde(deny_unknown_fields)]
+pub struct InternalPorts {
+    /// The IP address.
+    pub ip: IpAddr,
+    /// The first port of the range.
+    pub first_port: u16,
+    /// The last port of the range.
+    pub last_port: u16,
+}
+
 /// The addresses of the platform.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -214,6 +236,19 @@
 }
 
 impl JobSettings {
+    /// Returns the address at which the node forwards calls to the store for
+    /// others: the first port of the internal range that nothing else uses.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        let InternalPorts { ip, first_port, last_port } = self.internal?;
+        let taken = [self.metrics_address, self.relay_address];
+        let mut ports = first_port..=last_port;
+        let port = ports.find(|port| {
+            // The kernel chooses a free one for port 0.
+            *port == 0 || !taken.contains(&Some(SocketAddr::from((ip, *port))))
+        })?;
+        Some(SocketAddr::from((ip, port)))
+    }
+
     /// Returns the settings of a node for trials on this machine, with ports
     /// chosen by the kernel and adapters provided by the caller.
     pub fn loopback(node: &str) -> JobSettings {
@@ -225,6 +260,7 @@
             readiness_address: any_port,
             metrics_address: None,
             relay_address: None,
+            internal: None,
             platform: PlatformAddresses {
                 store: any_port,
                 vm_service: any_port,
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -2,12 +2,12 @@
 
 use {
     clap::{Parser, Subcommand},
-    dewspar_platform::{Client, Traffic},
+    dewspar_platform::{Client, PeerRoutes, PeerServer, Traffic},
     dewspar_shared_platform::{
-        Calls, PartnerFleet, READINESS_PATH, Store, TaskWorkers,
+        Calls, PartnerFleet, READINESS_PATH, Store, TaskWorkers, fingerprint,
     },
     dewspard::{
-        jobs::{JobNode, JobPlatform, JobSettings},
+        jobs::{JobNode, JobPlatform, JobSettings, Peers},
         logs,
         node::{Node, Platform},
         peer::Identity,
@@ -140,8 +140,15 @@
         let client =
             |timeout_ms| Client::new(timeout_ms).with_traffic(&traffic);
         let store_address = platform.store.to_string();
+        let authority = store_address
+            .parse()
+            .map_err(|_| format!("`{store_address}` is not an address"))?;
+        let routes = PeerRoutes::default();
+        let store_client = client(STORE_TIMEOUT_MS);
+        let server = PeerServer::new(&store_client, authority, fingerprint);
+        let peers = Some(Peers { routes: routes.clone(), server });
         let store = Store::new(
-            client(STORE_TIMEOUT_MS),
+            store_client.with_peers(&routes),
             &store_address,
             &platform.root,
         );
@@ -164,6 +171,7 @@
             readiness_path: READINESS_PATH,
             traffic,
             unreadable,
+            peers,
         };
         let mut reload =
             signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -86,6 +86,7 @@
             readiness_path: "/ready",
             traffic: Traffic::default(),
             unreadable: UnreadableNotes::default(),
+            peers: None,
         };
         let log = logs::discard();
         let node = JobNode::start(&settings, platform, None, &log).await;
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -105,6 +105,7 @@
             readiness_path: "/ready",
             traffic: Traffic::default(),
             unreadable: UnreadableNotes::default(),
+            peers: None,
         };
         let settings = JobSettings::loopback("node-0");
         let log = logs::discard();
--- a/crates/dewspard/tests/keys.rs
+++ b/crates/dewspard/tests/keys.rs
@@ -102,6 +102,7 @@
                 readiness_path: "/ready",
                 traffic: Traffic::default(),
                 unreadable: UnreadableNotes::default(),
+                peers: None,
             };
             let name = format!("node-{number}");
             let mut settings = JobSettings::loopback(&name);
--- a/crates/dewspard/tests/late_orders.rs
+++ b/crates/dewspard/tests/late_orders.rs
@@ -152,6 +152,7 @@
             readiness_path: "/ready",
             traffic: Traffic::default(),
             unreadable: UnreadableNotes::default(),
+            peers: None,
         };
         let log = Logger::root(suspension.clone().fuse(), o!());
         let settings = JobSettings::loopback("node-0");
--- a/crates/dewspard/tests/late_relays.rs
+++ b/crates/dewspard/tests/late_relays.rs
@@ -200,6 +200,7 @@
         readiness_path: "/ready",
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
+        peers: None,
     };
     let node =
         JobNode::start(&settings, platform, None, &logs::discard()).await;
--- a/crates/dewspard/tests/later_tokens.rs
+++ b/crates/dewspard/tests/later_tokens.rs
@@ -120,6 +120,7 @@
             readiness_path: "/ready",
             traffic: Traffic::default(),
             unreadable: UnreadableNotes::default(),
+            peers: None,
         };
         let reasons = StepDownReasons::default();
         let log = Logger::root(reasons.clone().fuse(), o!());
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -106,6 +106,7 @@
             readiness_path: "/ready",
             traffic: Traffic::default(),
             unreadable: UnreadableNotes::default(),
+            peers: None,
         };
         let log = Logger::root(self.lines.clone().fuse(), o!());
         let settings = JobSettings::loopback("node-0");
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -227,6 +227,7 @@
         readiness_path: "/ready",
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
+        peers: None,
     };
     let node = JobNode::start(&settings, platform, None, log).await;
     node.expect("a started node")
--- a/crates/dewspard/tests/strange_owner.rs
+++ b/crates/dewspard/tests/strange_owner.rs
@@ -131,6 +131,7 @@
         readiness_path: "/ready",
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
+        peers: None,
     };
     let log = Logger::root(lines.clone().fuse(), o!());
     let settings = JobSettings::loopback("node-0");
--- a/crates/dewspard/tests/suspension.rs
+++ b/crates/dewspard/tests/suspension.rs
@@ -112,6 +112,7 @@
         readiness_path: "/ready",
         traffic: Traffic::default(),
         unreadable: UnreadableNotes::default(),
+        peers: None,
     };
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
