Switch unused VMs off before the first job, down to a reserve

A holder that has found no job for 3 s now switches VMs off, and keeps for each pool a reserve of 30 % of an equal share of all VMs. The share doesn't shrink with the pool, so one takeover after the other can't empty it. The first job stops that until demand was observed, as before.

Ruled out: no reserve (each first peak met too small a pool).

--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -70,6 +70,11 @@
     pub idle_ms: u64,
     /// How long after the first job no VM is switched off, in milliseconds.
     pub observed_ms: u64,
+    /// How long after a takeover without any job VMs are switched off down to
+    /// a reserve, in milliseconds.
+    pub quiet_ms: u64,
+    /// That reserve of each pool, in percent of its equal share of all VMs.
+    pub reserve_percent: u64,
     /// The divisor that bounds how many VMs of a pool are switched off per
     /// evaluation: the pool's size divided by it, plus one.
     pub leaving_divisor: u64,
@@ -100,6 +105,10 @@
             idle_ms: 1_500,
             // The demand on the pools isn't known earlier.
             observed_ms: 3_000,
+            // Jobs that former holders accepted are known by then.
+            quiet_ms: 3_000,
+            // Enough for the beginning of a peak.
+            reserve_percent: 30,
             // An idle pool shrinks to its minimum within a few evaluations,
             // while a pool that isn't idle keeps most of its VMs.
             leaving_divisor: 16,
@@ -300,6 +309,8 @@
             ("sizing.without_place_ms", sizing.without_place_ms, 0, 60_000),
             ("sizing.idle_ms", sizing.idle_ms, 0, 600_000),
             ("sizing.observed_ms", sizing.observed_ms, 0, 600_000),
+            ("sizing.quiet_ms", sizing.quiet_ms, 0, 600_000),
+            ("sizing.reserve_percent", sizing.reserve_percent, 0, 100),
             ("sizing.leaving_divisor", sizing.leaving_divisor, 1, 1_000),
             ("forecast.window_ms", forecast.window_ms, 1, 60_000),
             (
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -252,9 +252,9 @@
             let targets = self.targets(now);
             self.record_targets(&targets);
             self.grow_pools(&targets, now, orders);
-            if self.has_observed_demand(now) {
+            if let Some(reserve) = self.shrink_reserve(now) {
                 for pool in targets.keys() {
-                    self.shrink_pool(pool, now);
+                    self.shrink_pool(pool, reserve, now);
                 }
             }
         }
@@ -270,16 +270,35 @@
         }
     }
 
-    /// Returns whether demand was observed for long enough to tell which VMs
-    /// aren't needed.
-    fn has_observed_demand(&mut self, now: Now) -> bool {
+    /// Returns how many VMs each pool keeps whatever the demand on it; `None`
+    /// while it is too early to tell which VMs aren't needed.
+    ///
+    /// Once demand was observed for long enough, it tells how many are needed.
+    /// Before the first job, each pool keeps a reserve.
+    fn shrink_reserve(&mut self, now: Now) -> Option<u64> {
         if self.first_job_ms == 0 && self.has_short_jobs() {
             self.first_job_ms = now.steady_ms;
         }
-        let unused = now.steady_ms >= self.taken_over_ms + MAX_OBSERVATION_MS;
-        let observed = self.first_job_ms > 0
-            && now.steady_ms >= self.first_job_ms + self.sizing().observed_ms;
-        observed || unused
+        let held_ms = now.steady_ms.saturating_sub(self.taken_over_ms);
+        let since_first_job_ms = match self.first_job_ms {
+            0 => None,
+            first_ms => Some(now.steady_ms.saturating_sub(first_ms)),
+        };
+        match since_first_job_ms {
+            Some(since_ms) if since_ms >= self.sizing().observed_ms => Some(0),
+            _ if held_ms >= MAX_OBSERVATION_MS => Some(0),
+            None if held_ms >= self.sizing().quiet_ms => {
+                Some(self.reserve_vms())
+            }
+            Some(_) | None => None,
+        }
+    }
+
+    /// Returns the reserve of each pool before the first job.
+    fn reserve_vms(&self) -> u64 {
+        let pools = self.serving_pools.len().max(1) as u64;
+        let share = (self.vms.len() as u64).div_ceil(pools);
+        (share * self.sizing().reserve_percent).div_ceil(100)
     }
 
     fn record_targets(&mut self, targets: &BTreeMap<String, u64>) {
@@ -629,7 +648,7 @@
         self.long_running_need(pool).floor_vms.max(self.sizing().least_vms)
     }
 
-    fn may_switch_off(&self, worker: &Worker, now: Now) -> bool {
+    fn may_switch_off(&self, worker: &Worker, reserve: u64, now: Now) -> bool {
         let pool = &worker.listing.pool;
         let is_idle = worker.is_in_service()
             && worker.is_settled()
@@ -638,25 +657,25 @@
             return is_idle && !self.awaits_maintenance(&worker.listing.vm);
         }
         is_idle
-            && self.pool_load(pool).workers > self.least_vms(pool)
+            && self.pool_load(pool).workers > self.least_vms(pool).max(reserve)
             && self.pool_percent_without(pool, 1)
                 <= self.sizing().spare_percent
             && !self.awaits_maintenance(&worker.listing.vm)
     }
 
     /// Switches off idle VMs of a pool that has more than it needs.
-    fn shrink_pool(&mut self, pool: &str, now: Now) {
+    fn shrink_pool(&mut self, pool: &str, reserve: u64, now: Now) {
         let most =
             self.pool_load(pool).workers / self.sizing().leaving_divisor + 1;
         for _ in 0..most {
-            if !self.switch_off_one(pool, now) {
+            if !self.switch_off_one(pool, reserve, now) {
                 return;
             }
         }
     }
 
     /// Switches off one idle VM of a pool; returns whether there was one.
-    fn switch_off_one(&mut self, pool: &str, now: Now) -> bool {
+    fn switch_off_one(&mut self, pool: &str, reserve: u64, now: Now) -> bool {
         let Some(free) = self.free_pools.first().cloned() else {
             return false;
         };
@@ -664,7 +683,7 @@
             .workers
             .values()
             .filter(|worker| worker.listing.pool == pool)
-            .filter(|worker| self.may_switch_off(worker, now))
+            .filter(|worker| self.may_switch_off(worker, reserve, now))
             .find(|worker| !self.is_move_refused(&worker.listing.vm, &free));
         let Some(id) = idle.map(|worker| worker.id().clone()) else {
             return false;
