Ask one key for the highest strength instead of listing all nodes

What grew faster than the fleet: each starting node listed every node's strength, and again whenever it saw the lease free; with 588 nodes that is some 35 MB and 1,200 to 2,400 calls at the start, four times as much at twice the size. One key now holds the highest strength, raised by whoever has more. Readings of an unreadable value are checked on that key.

--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -224,7 +224,7 @@
         }
     }
 
-    /// Writes this node's strength and the address at which it relays orders,
+    /// Writes this node's strength and the addresses that it offers to others,
     /// and retries until the store takes them.
     async fn write_strength(&self) {
         let key = keys::node(&self.node);
@@ -257,27 +257,63 @@
                 return;
             }
         }
-        if matches!(self.count_and_max_strength().await, Ok((1, _))) {
-            sleep(FIRST_START_DELAY).await;
+        loop {
+            match self.raise_max_strength().await {
+                Ok(true) => {
+                    sleep(FIRST_START_DELAY).await;
+                    return;
+                }
+                Ok(false) => return,
+                Err(error) => counters::platform_failure(&error),
+            }
+            sleep(RETRY_DELAY).await;
+            if *self.stopping.borrow() {
+                return;
+            }
         }
     }
 
-    /// Returns the number of nodes that have written their strength, and the
-    /// highest strength.
-    async fn count_and_max_strength(&self) -> Result<(usize, u64), Error> {
-        let (_, nodes) = self.store.list(keys::NODES).await?;
-        let strength = |node: &Versioned| -> Option<u64> {
-            passed_over::read(&self.log, "strength of a node", node)
-        };
-        let max_strength = nodes.iter().filter_map(strength).max();
-        Ok((nodes.len(), max_strength.unwrap_or(self.strength)))
+    /// Raises the highest strength of any node to this node's, unless it is as
+    /// high already. Returns whether this is the first node ever to write it.
+    ///
+    /// All nodes share one key, since they start together: if each read a list
+    /// of all, what they read would grow with the square of their number.
+    async fn raise_max_strength(&self) -> Result<bool, Error> {
+        loop {
+            let found = self.store.get(keys::MAX_STRENGTH).await?;
+            let known = found.as_ref().and_then(|f| self.strength_in(f));
+            if known.is_some_and(|known| known >= self.strength) {
+                return Ok(false);
+            }
+            let version = found.as_ref().map_or(0, |found| found.version);
+            let batch = Batch::default()
+                .when(keys::MAX_STRENGTH, Expected::from_version(version))
+                .put(
+                    keys::MAX_STRENGTH,
+                    self.strength.to_string().into_bytes(),
+                );
+            if let Commit::Done(_) = self.store.commit(&batch).await? {
+                return Ok(version == 0);
+            }
+        }
+    }
+
+    /// Returns the highest strength of any node.
+    async fn max_strength(&self) -> Result<u64, Error> {
+        let found = self.store.get(keys::MAX_STRENGTH).await?;
+        let known = found.and_then(|found| self.strength_in(&found));
+        Ok(known.unwrap_or(0).max(self.strength))
+    }
+
+    fn strength_in(&self, found: &Versioned) -> Option<u64> {
+        passed_over::read(&self.log, "highest strength", found)
     }
 
     /// Waits if this node is weak or was overloaded; returns whether the lease
     /// is still in the state that was seen.
     async fn defer_to_stronger(&self, seen: &LeaseState) -> bool {
-        let max_strength = match self.count_and_max_strength().await {
-            Ok((_, max_strength)) => max_strength.max(1),
+        let max_strength = match self.max_strength().await {
+            Ok(max_strength) => max_strength.max(1),
             Err(error) => {
                 counters::platform_failure(&error);
                 return true;
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -11,9 +11,13 @@
 /// the holder sees it.
 pub(super) const CLAIM: &str = "q/claim";
 
-/// Each node's scheduling capacity.
+/// Each node's scheduling capacity, for nodes of builds that don't know
+/// [`MAX_STRENGTH`].
 pub(super) const NODES: &str = "node/";
 
+/// The highest scheduling capacity of any node that ever started.
+pub(super) const MAX_STRENGTH: &str = "max-strength";
+
 /// The nodes that offer to relay orders to workers.
 pub(super) const RELAYS: &str = "relay/";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -27,6 +27,7 @@
 | `peer/NODE` | the address at which a node forwards calls to the store | that node, when it starts |
 | `readers` | the nodes over which the others reach the store | the holder |
 | `node/NODE` | the scheduling capacity of a node | that node, when it starts |
+| `max-strength` | the highest scheduling capacity of any node | any node that has more, when it starts |
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and the counts made under it, under short leases | a node that finds no fresh `pending` |
 | `ceilings` | the most that each team uses | the holder |
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -271,6 +271,9 @@
         "counted".to_owned(),
         "accepted-last".to_owned(),
         "node/node-9".to_owned(),
+        "max-strength".to_owned(),
+        "readers".to_owned(),
+        "peer/node-9".to_owned(),
         "starts/1/1".to_owned(),
     ] {
         let fixture = Fixture::new();
@@ -335,6 +338,7 @@
         let owner = Batch::default()
             .put_leased("q/owner", owner.to_string().into_bytes(), lease)
             .put("node/node-9", strength.to_string().into_bytes())
+            .put("max-strength", strength.to_string().into_bytes())
             .put(&format!("q/in/{}", id(1)), job().to_string().into_bytes());
         fixture.store.commit(&owner).await.expect("a store");
         let _node = fixture.start().await;
@@ -342,6 +346,21 @@
     }
 }
 
+/// What starting nodes read must not grow with the square of their number.
+#[tokio::test]
+async fn a_starting_node_lists_no_other_nodes() {
+    let fixture = Fixture::new();
+    for number in 0..100 {
+        fixture.put(&format!("node/other-{number}"), b"1000").await;
+    }
+    let _node = fixture.start().await;
+    fixture
+        .put(&format!("q/in/{}", id(1)), job().to_string().as_bytes())
+        .await;
+    assert!(fixture.completes(id(1)).await);
+    assert_eq!(fixture.store.lists_of("node/"), 0);
+}
+
 /// Returns a job with one field replaced by a value of another type.
 fn malformed_job(random: &mut Gen) -> Value {
     let values = [json!(null), json!([]), json!({}), json!("x"), json!(-1)];
