--- a/crates/dewspar-cli/src/commands/status.rs
+++ b/crates/dewspar-cli/src/commands/status.rs
@@ -1,23 +1,34 @@
 /*!
-The nodes, and which revision each has in force.
+The nodes, which revision each has in force, and the data halls that are being
+emptied.
 */
 
 use {
     super::Api,
     crate::{
         exit::{Code, Error},
+        halls,
         output::{self, Format},
     },
     clap::Args,
+    dewspar_platform::{Client, check_status, empty_request},
+    hyper::Method,
     serde_json::Value,
 };
 
+/// How long a metrics page may take, in milliseconds.
+const METRICS_TIMEOUT_MS: u64 = 2_000;
+
 /// Show the nodes and the revision that each has in force.
 #[derive(Args, Debug)]
 pub struct Status {
     /// How to print.
     #[arg(short, long, value_enum, default_value_t)]
     output: Format,
+    /// Show the data halls that are being emptied instead, from the metrics
+    /// page of a node that runs jobs.
+    #[arg(long, value_name = "HOST:PORT")]
+    metrics: Option<String>,
     #[command(flatten)]
     api: Api,
 }
@@ -29,6 +40,10 @@
     ///
     /// Returns an [`Error`] when the node can't be reached.
     pub async fn run(self) -> Result<Code, Error> {
+        if let Some(address) = &self.metrics {
+            print!("{}", evacuated_halls(address).await?);
+            return Ok(Code::Success);
+        }
         let status = self.api.client()?.get("/v1/status").await?;
         if self.output != Format::Table {
             print!("{}", output::value(self.output, &status));
@@ -55,3 +70,28 @@
         Ok(Code::Success)
     }
 }
+
+/// Returns a table of the data halls that are being emptied.
+async fn evacuated_halls(address: &str) -> Result<String, Error> {
+    let call = "read metrics";
+    let url = format!("http://{address}/metrics");
+    let page = async {
+        let request = empty_request(call, Method::GET, &url)?;
+        let answer =
+            Client::new(METRICS_TIMEOUT_MS).send(call, request).await?;
+        check_status(call, &answer)?;
+        Ok::<_, dewspar_platform::Error>(answer.body)
+    };
+    let page = page.await.map_err(Error::failure)?;
+    let mut rows = vec![
+        vec!["HALL", "SECONDS", "RUNS"]
+            .into_iter()
+            .map(str::to_owned)
+            .collect(),
+    ];
+    let page = String::from_utf8_lossy(&page);
+    rows.extend(halls::read(&page).into_iter().map(|(name, hall)| {
+        vec![name, hall.seconds.to_string(), hall.runs.to_string()]
+    }));
+    Ok(output::table(&rows))
+}
--- a/crates/dewspar-cli/src/lib.rs
+++ b/crates/dewspar-cli/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cluster;
 pub mod delays;
 pub mod deployment;
+pub mod halls;
 pub mod load;
 pub mod log_line;
 pub mod observer;
--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -9,6 +9,7 @@
     hyper::http::uri::Authority,
     std::{
         collections::HashMap,
+        fmt,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::time::{Duration, Instant},
@@ -22,7 +23,7 @@
 const MAX_KNOWN: usize = 16;
 
 /// The state of a node's paths to the store; clones share it.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PeerRoutes {
     began: Instant,
     state: Arc<Mutex<State>>,
@@ -34,7 +35,16 @@
     }
 }
 
-#[derive(Debug, Default)]
+/// What is read may hold keys, so it isn't printed.
+impl fmt::Debug for PeerRoutes {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerRoutes")
+            .field("status", &self.status())
+            .finish_non_exhaustive()
+    }
+}
+
+#[derive(Default)]
 struct State {
     own: OwnPath,
     peers: Vec<Authority>,
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -21,6 +21,7 @@
     hyper_util::rt::{TokioIo, TokioTimer},
     std::{
         convert::Infallible,
+        fmt,
         sync::{
             Arc,
             atomic::{AtomicUsize, Ordering},
@@ -53,7 +54,7 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Forwards calls to the store for other nodes.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PeerServer {
     client: Client,
     store: Authority,
@@ -62,6 +63,14 @@
     in_flight: Arc<AtomicUsize>,
 }
 
+impl fmt::Debug for PeerServer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("PeerServer")
+            .field("store", &self.store)
+            .finish_non_exhaustive()
+    }
+}
+
 impl PeerServer {
     /// Creates a server that forwards calls to the store at this address. The
     /// client must not have peers itself.
--- a/crates/dewspar-platform/src/peers/shared_reads.rs
+++ b/crates/dewspar-platform/src/peers/shared_reads.rs
@@ -18,7 +18,9 @@
 const MAX_READS: usize = 64;
 
 /// The result of a read, with its fingerprint.
-#[derive(Clone, Debug)]
+///
+/// Not `Debug`, since what is read may hold keys.
+#[derive(Clone)]
 pub(super) struct SharedResult {
     pub(super) answer: Result<Answer, Error>,
     pub(super) fingerprint: String,
@@ -27,10 +29,10 @@
 type Waiting = watch::Receiver<Option<Arc<SharedResult>>>;
 
 /// The reads that are shared, by URL.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Default)]
 pub(super) struct SharedReads(Arc<Mutex<HashMap<String, SharedRead>>>);
 
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct SharedRead {
     /// The read that hasn't been sent yet, for the requests that wait for it.
     next: Option<Waiting>,
--- a/crates/dewspar/tests/schedule/pool_sizing.rs
+++ b/crates/dewspar/tests/schedule/pool_sizing.rs
@@ -150,12 +150,7 @@
 }
 
 /// A pool of five workers, and a pool for VMs that are switched off.
-fn world_with_idle_workers() -> World {
-    let policy = Policy::default();
-    world_with_idle_workers_under(policy)
-}
-
-fn world_with_idle_workers_under(policy: Policy) -> World {
+fn world_with_idle_workers(policy: Policy) -> World {
     let mut world = World::new(5, &["w1", "w2", "w3", "w4", "w5"]);
     world.scheduler = Scheduler::new(5, Options::default().policy(policy));
     world.list();
@@ -170,7 +165,7 @@
 fn no_vm_of_the_reserve_is_switched_off_before_demand_is_known() {
     let mut policy = Policy::default();
     policy.sizing.reserve_percent = 100;
-    let mut world = world_with_idle_workers_under(policy);
+    let mut world = world_with_idle_workers(policy);
     for _ in 0..10 {
         assert_eq!(vm_orders(&mut world), []);
     }
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -152,6 +152,7 @@
         Decision::HallRestored { hall, after_ms } => {
             info!(log, "hall: in use again"; "hall" => hall,
                 "after_ms" => after_ms);
+            counters::set_of_hall(hall, 0, 0);
         }
         Decision::StartsPaused { age_ms } => {
             warn!(log, "holder: nothing starts"; "age_ms" => age_ms,
--- a/crates/dewspard/src/jobs/load_stats.rs
+++ b/crates/dewspard/src/jobs/load_stats.rs
@@ -158,7 +158,7 @@
     }
 }
 
-/// Logs each data hall that is being emptied, and sets its gauge.
+/// Logs each data hall that is being emptied, and sets its gauges.
 pub(super) fn log_evacuated_halls(log: &Logger, halls: &[EvacuatedHall]) {
     for evacuated in halls {
         let EvacuatedHall { hall, age_ms, workers, runs, long_running } =
@@ -166,8 +166,7 @@
         info!(log, "hall: being emptied"; "hall" => hall, "age_ms" => age_ms,
             "workers" => workers, "runs" => runs,
             "long_running" => long_running);
-        gauge!(counters::EVACUATED_HALL_RUNS, "hall" => hall.clone())
-            .set(*runs as f64);
+        counters::set_of_hall(hall, *age_ms, *runs);
     }
 }
 
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -57,8 +57,9 @@
     /// node that schedules; without it, the node relays none.
     #[serde(default)]
     pub relay_address: Option<SocketAddr>,
-    /// The address and ports for other nodes; without them, the node forwards
-    /// no calls to the store for others.
+    /// The address and ports for other nodes, as `ip`, `first_port` and
+    /// `last_port`; without them, the node forwards no calls to the store for
+    /// others.
     #[serde(default)]
     pub internal: Option<InternalPorts>,
     /// The addresses of the platform.
