Bound how old a shared reading gets beside a silent reader

A node that shares its readings of the operator's requests waited 1 s between them, up to 0.5 s for its turn and 0.9 s for a reader that fell silent: 2.4 s in all, more than the 2 s in which a configuration must be in force on the smallest deployments with more than eight nodes. Meanwhile it could say 404 for a queue that had been added.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -30,7 +30,7 @@
 
 /// How much longer than the interval of shared reads a reader may take: a few
 /// round trips of a slow store.
-const SHARED_READ_GRACE: Duration = Duration::from_millis(400);
+const SHARED_READ_GRACE: Duration = Duration::from_millis(250);
 
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -186,17 +186,17 @@
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         };
         let call = match self.protocol.read(queues, head, body) {
-            // The configuration in use may lack a team's newest key, or still
-            // have one that was taken away.
+            // The configuration in use may lack the newest queue or a team's
+            // newest key, or still have a key that was taken away.
             Ok(JobCall { caller: Caller::Team(_), .. })
-            | Err(NotRead::Unauthorized(_))
+            | Err(NotRead::Unauthorized(_) | NotRead::NoSuchQueue)
                 if !self.readiness.is_current() =>
             {
                 counters::count_by(counters::REFUSALS, "reason", "stale_keys");
                 info!(self.log, "call: refused"; "path" => head.uri.path(),
                     "version" => queues.version(),
                     "config_age_ms" => snapshot.age_ms(),
-                    "reason" => "the keys may be out of date");
+                    "reason" => "the queues or keys may be out of date");
                 return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
             }
             Ok(call) => call,
--- a/crates/dewspard/tests/keys.rs
+++ b/crates/dewspard/tests/keys.rs
@@ -359,6 +359,10 @@
         let status = cluster.status(0, 100, key).await;
         assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{key}");
     }
+    // A queue that isn't known may have been added meanwhile.
+    let unknown = "/v1/queues/unknown/jobs";
+    let call = cluster.call(0, Method::GET, unknown, &[NOTARY_KEY], None);
+    assert_eq!(call.await.0, StatusCode::SERVICE_UNAVAILABLE);
     cluster.fleet.set_intent_unreadable(false);
     wait_until(async || {
         let status = cluster.submit(0, 301, &[NEXT_NOTARY_KEY]).await;
