--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -85,6 +85,9 @@
 /// delay.
 const MIN_STRENGTH_PERCENT: u64 = 80;
 
+/// How often a starting node tries to raise the highest strength of any node.
+const MAX_STRENGTH_TRIES: u32 = 20;
+
 /// How long a node waits for others if it is the first one ever to write its
 /// strength: nodes start within 0.3 s of each other.
 const FIRST_START_DELAY: Duration = Duration::from_millis(400);
@@ -158,6 +161,17 @@
     pub(super) log: Logger,
 }
 
+/// What became of a try to raise the highest strength of any node.
+enum StrengthRaised {
+    /// No node had ever written one.
+    First,
+    /// It is at least this node's now.
+    Known,
+    /// Another node wrote it at the same time, or it is hidden from this
+    /// node's reads.
+    Conflict,
+}
+
 /// The state of the lease, as read from the store.
 enum LeaseState {
     /// Nobody holds it.
@@ -257,13 +271,14 @@
                 return;
             }
         }
-        loop {
+        for _ in 0..MAX_STRENGTH_TRIES {
             match self.raise_max_strength().await {
-                Ok(true) => {
+                Ok(StrengthRaised::First) => {
                     sleep(FIRST_START_DELAY).await;
                     return;
                 }
-                Ok(false) => return,
+                Ok(StrengthRaised::Known) => return,
+                Ok(StrengthRaised::Conflict) => {}
                 Err(error) => counters::platform_failure(&error),
             }
             sleep(RETRY_DELAY).await;
@@ -274,28 +289,26 @@
     }
 
     /// Raises the highest strength of any node to this node's, unless it is as
-    /// high already. Returns whether this is the first node ever to write it.
+    /// high already.
     ///
     /// All nodes share one key, since they start together: if each read a list
     /// of all, what they read would grow with the square of their number.
-    async fn raise_max_strength(&self) -> Result<bool, Error> {
-        loop {
-            let found = self.store.get(keys::MAX_STRENGTH).await?;
-            let known = found.as_ref().and_then(|f| self.strength_in(f));
-            if known.is_some_and(|known| known >= self.strength) {
-                return Ok(false);
-            }
-            let version = found.as_ref().map_or(0, |found| found.version);
-            let batch = Batch::default()
-                .when(keys::MAX_STRENGTH, Expected::from_version(version))
-                .put(
-                    keys::MAX_STRENGTH,
-                    self.strength.to_string().into_bytes(),
-                );
-            if let Commit::Done(_) = self.store.commit(&batch).await? {
-                return Ok(version == 0);
-            }
+    async fn raise_max_strength(&self) -> Result<StrengthRaised, Error> {
+        let found = self.store.get(keys::MAX_STRENGTH).await?;
+        let known = found.as_ref().and_then(|f| self.strength_in(f));
+        if known.is_some_and(|known| known >= self.strength) {
+            return Ok(StrengthRaised::Known);
         }
+        let version = found.as_ref().map_or(0, |found| found.version);
+        let value = self.strength.to_string().into_bytes();
+        let batch = Batch::default()
+            .when(keys::MAX_STRENGTH, Expected::from_version(version))
+            .put(keys::MAX_STRENGTH, value);
+        Ok(match self.store.commit(&batch).await? {
+            Commit::Done(_) if version == 0 => StrengthRaised::First,
+            Commit::Done(_) => StrengthRaised::Known,
+            Commit::Conflict(_) => StrengthRaised::Conflict,
+        })
     }
 
     /// Returns the highest strength of any node.
