Give paths over peers one room; let a starting node's offers stand apart

The choice of paths stood in the client beside connections and requests, and what a starting node writes stood in the election. Two blocks that built an offer, and three in the tests that made a peer that is gone, are one each.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -2,10 +2,9 @@
     crate::{
         Error, PeerRoutes, Purpose, Traffic,
         connections::{Connections, Pool},
-        peers::{FINGERPRINT_HEADER, SHARE_HEADER, TIMEOUT_HEADER},
+        peers::FINGERPRINT_HEADER,
     },
     bytes::{Bytes, BytesMut},
-    dewspar::detour::Path,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
@@ -25,13 +24,6 @@
     tokio::time::{error::Elapsed, timeout},
 };
 
-/// How many peers are tried for one call.
-const MAX_PEERS_TRIED: usize = 2;
-
-/// How much longer than the interval of shared reads a reader may take: a few
-/// round trips of a slow store.
-const SHARED_READ_GRACE: Duration = Duration::from_millis(250);
-
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
@@ -45,7 +37,7 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     connections: Arc<Connections>,
-    timeout: Duration,
+    pub(crate) timeout: Duration,
     /// Whether the time of a call counts from the last bytes of its answer.
     long_answers: bool,
     calls: Arc<AtomicU64>,
@@ -57,7 +49,7 @@
     peers: Option<PeerRoutes>,
     /// The shortest time between two reads that are shared with other nodes;
     /// `None` if reads aren't shared.
-    share_interval: Option<Duration>,
+    pub(crate) share_interval: Option<Duration>,
 }
 
 /// An answer's status, entity tag and body.
@@ -72,7 +64,7 @@
     /// How long its head was, in bytes.
     head_bytes: u64,
     /// The fingerprint of a shared read's result.
-    fingerprint: Option<String>,
+    pub(crate) fingerprint: Option<String>,
 }
 
 impl Client {
@@ -186,133 +178,14 @@
         call: &'static str,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Error> {
-        let Some(peers) = &self.peers else {
-            return self.send_directly(call, request).await;
-        };
-        if self.shares_reads()
-            && request.method() == Method::GET
-            && let Some(answer) = self.read_shared(call, &request, peers).await
-        {
-            return Ok(answer);
-        }
-        if peers.choose() == Path::Peers
-            && let Some(answered) =
-                self.send_over_peers(call, &request, peers).await
-        {
-            return answered;
-        }
-        let answered = self.send_directly(call, request.clone()).await;
-        match direct_outcome(&answered) {
-            DirectOutcome::Answered => peers.own_path_answered(),
-            DirectOutcome::NoAnswer => peers.own_path_failed(),
-            DirectOutcome::Refused => {
-                peers.own_path_failed();
-                if peers.may_use_peers()
-                    && let Some(answered) =
-                        self.send_over_peers(call, &request, peers).await
-                {
-                    return answered;
-                }
-            }
+        match &self.peers {
+            Some(peers) => self.send_by_best_path(call, request, peers).await,
+            None => self.send_directly(call, request).await,
         }
-        answered
-    }
-
-    /// Reads from a reader; returns `None` if it doesn't answer.
-    async fn read_shared(
-        &self,
-        call: &'static str,
-        request: &Request<Full<Bytes>>,
-        peers: &PeerRoutes,
-    ) -> Option<Answer> {
-        let url = request.uri().to_string();
-        let interval_ms = self.share_interval?.as_millis();
-        let mut shared = request.clone();
-        let headers = shared.headers_mut();
-        headers.insert(SHARE_HEADER, number_header(interval_ms));
-        if let Some(fingerprint) = peers.fingerprint(&url)
-            && let Ok(value) = HeaderValue::from_str(&fingerprint)
-        {
-            headers.insert(FINGERPRINT_HEADER, value);
-        }
-        let peer = peers.usable_peers().into_iter().next()?;
-        let max_wait = self.share_interval? + SHARED_READ_GRACE;
-        let client =
-            Client { timeout: self.timeout.min(max_wait), ..self.clone() };
-        let sent = client.send_to_peer(call, &shared, &peer).await;
-        let answer = sent.inspect_err(|_| peers.avoid(&peer)).ok()?;
-        let status = answer.status;
-        if status == StatusCode::NOT_MODIFIED {
-            peers.count_shared();
-            return peers.known(&url);
-        }
-        if !status.is_success() && status != StatusCode::NOT_FOUND {
-            peers.avoid(&peer);
-            return None;
-        }
-        if let Some(fingerprint) = &answer.fingerprint {
-            peers.remember(&url, fingerprint, &answer);
-        }
-        peers.count_shared();
-        Some(answer)
-    }
-
-    /// Sends a call over a peer; returns `None` if it certainly wasn't carried
-    /// out, because no peer could forward it.
-    async fn send_over_peers(
-        &self,
-        call: &'static str,
-        request: &Request<Full<Bytes>>,
-        peers: &PeerRoutes,
-    ) -> Option<Result<Answer, Error>> {
-        for peer in peers.usable_peers().into_iter().take(MAX_PEERS_TRIED) {
-            match self.send_to_peer(call, request, &peer).await {
-                Ok(answer)
-                    if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
-                Ok(answer) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
-                    peers.avoid(&peer);
-                    let reason = format!("no answer to peer {peer}");
-                    return Some(Err(Error::Lost { call, reason }));
-                }
-                Ok(answer) => {
-                    peers.count_forwarded();
-                    return Some(Ok(answer));
-                }
-                Err(error) if error.may_have_taken_effect() => {
-                    peers.avoid(&peer);
-                    return Some(Err(error));
-                }
-                Err(_) => {}
-            }
-            peers.avoid(&peer);
-        }
-        peers.peers_failed();
-        None
-    }
-
-    async fn send_to_peer(
-        &self,
-        call: &'static str,
-        request: &Request<Full<Bytes>>,
-        peer: &Authority,
-    ) -> Result<Answer, Error> {
-        let path = request.uri().path_and_query();
-        let path = path.map_or("/", |path| path.as_str());
-        let mut over_peer = request.clone();
-        *over_peer.uri_mut() =
-            format!("http://{peer}{path}").parse().map_err(|_| {
-                let reason = format!("`{peer}` is not an address");
-                Error::Unavailable { call, reason }
-            })?;
-        let timeout_ms = self.timeout.as_millis();
-        over_peer
-            .headers_mut()
-            .insert(TIMEOUT_HEADER, number_header(timeout_ms));
-        self.send_directly(call, over_peer).await
     }
 
     /// Sends a request to the address in its URL and reads its answer whole.
-    async fn send_directly(
+    pub(crate) async fn send_directly(
         &self,
         call: &'static str,
         request: Request<Full<Bytes>>,
@@ -439,33 +312,6 @@
     }
 }
 
-/// What became of a call on the node's own path.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum DirectOutcome {
-    Answered,
-    /// It certainly did nothing.
-    Refused,
-    /// It may have taken effect.
-    NoAnswer,
-}
-
-fn direct_outcome(answered: &Result<Answer, Error>) -> DirectOutcome {
-    match answered {
-        Ok(answer) => match answer.status {
-            StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::TOO_MANY_REQUESTS => DirectOutcome::Refused,
-            _ => DirectOutcome::Answered,
-        },
-        Err(error) if error.may_have_taken_effect() => DirectOutcome::NoAnswer,
-        Err(_) => DirectOutcome::Refused,
-    }
-}
-
-fn number_header(number: u128) -> HeaderValue {
-    // OK because digits are valid in a header.
-    HeaderValue::from_str(&number.to_string()).expect("digits")
-}
-
 /// Builds a request with a JSON body.
 ///
 /// # Errors
--- a/crates/dewspar-platform/src/peers/mod.rs
+++ b/crates/dewspar-platform/src/peers/mod.rs
@@ -25,6 +25,7 @@
     server::{Fingerprint, PeerServer, is_peer_alive},
 };
 
+mod calls;
 mod routes;
 mod server;
 mod shared_reads;
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -133,6 +133,14 @@
     PeerNode { name: name.to_owned(), address, strength: 1 }
 }
 
+/// Returns the offer of a peer that has ended.
+async fn gone_peer() -> PeerNode {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    PeerNode { name: "gone".to_owned(), address, strength: 1 }
+}
+
 /// A node whose calls go to `store`, with these readers.
 fn node(name: &str, readers: &[PeerNode]) -> (Client, PeerRoutes) {
     let routes = PeerRoutes::default();
@@ -222,10 +230,7 @@
 #[tokio::test]
 async fn a_peer_that_is_gone_is_passed_over() {
     let (refusing, served) = two_views().await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
-    let gone = PeerNode { name: "gone".to_owned(), address, strength: 1 };
+    let gone = gone_peer().await;
     let peer = start_peer("peer", &served).await;
     let (client, _) = node("node", &[gone, peer]);
     assert_eq!(write(&client, &refusing).await.unwrap(), "101");
@@ -291,10 +296,7 @@
 #[tokio::test]
 async fn a_node_reads_itself_if_its_reader_is_gone() {
     let store = Store::start().await;
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
-    let gone = PeerNode { name: "gone".to_owned(), address, strength: 1 };
+    let gone = gone_peer().await;
     let (client, _) = node("node", &[gone]);
     let client = client.sharing_reads(10);
     assert_eq!(read(&client, &store).await.unwrap(), "0");
@@ -315,9 +317,7 @@
     let peer = start_peer("peer", &store).await;
     let wait = Duration::from_millis(TIMEOUT_MS);
     assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap().to_string();
-    drop(listener);
-    assert!(!dewspar_platform::is_peer_alive(&address, wait).await);
+    let gone = gone_peer().await;
+    assert!(!dewspar_platform::is_peer_alive(&gone.address, wait).await);
     assert_eq!(store.calls("/dewspar-peer/alive"), 0);
 }
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -29,11 +29,7 @@
         step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
-    dewspar::{
-        detour::PeerNode,
-        relay::RelayNode,
-        schedule::{Options, OrderIssuer},
-    },
+    dewspar::schedule::{Options, OrderIssuer},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
         Traffic, Versioned, Watch,
@@ -61,7 +57,7 @@
 const SHARE_INTERVAL_MS: u64 = 500;
 
 /// The delay after a call to the store that gave no result.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(super) const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// The upper bound of the random delay before a node tries to take the lease,
 /// in milliseconds; it keeps nodes from calling the store all at once.
@@ -85,13 +81,6 @@
 /// delay.
 const MIN_STRENGTH_PERCENT: u64 = 80;
 
-/// How often a starting node tries to raise the highest strength of any node.
-const MAX_STRENGTH_TRIES: u32 = 20;
-
-/// How long a node waits for others if it is the first one ever to write its
-/// strength: nodes start within 0.3 s of each other.
-const FIRST_START_DELAY: Duration = Duration::from_millis(400);
-
 /// The value of the lease's key.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct Owner {
@@ -161,17 +150,6 @@
     pub(super) log: Logger,
 }
 
-/// What became of a try to raise the highest strength of any node.
-enum StrengthRaised {
-    /// No node had ever written one.
-    First,
-    /// It is at least this node's now.
-    Known,
-    /// Another node wrote it at the same time, or it is hidden from this
-    /// node's reads.
-    Conflict,
-}
-
 /// The state of the lease, as read from the store.
 enum LeaseState {
     /// Nobody holds it.
@@ -238,90 +216,6 @@
         }
     }
 
-    /// Writes this node's strength and the addresses that it offers to others,
-    /// and retries until the store takes them.
-    async fn write_strength(&self) {
-        let key = keys::node(&self.node);
-        let value = self.strength.to_string().into_bytes();
-        let mut batch = Batch::default().put(&key, value);
-        if let Some(address) = self.relay_address {
-            let offer = RelayNode {
-                name: self.node.clone(),
-                address: address.to_string(),
-                strength: self.strength,
-            };
-            // OK because texts and a number can always be written.
-            let value = serde_json::to_vec(&offer).expect("plain JSON");
-            batch = batch.put(&keys::relay(&self.node), value);
-        }
-        if let Some(address) = self.peer_address {
-            let offer = PeerNode {
-                name: self.node.clone(),
-                address: address.to_string(),
-                strength: self.strength,
-            };
-            // OK because texts and a number can always be written.
-            let value = serde_json::to_vec(&offer).expect("plain JSON");
-            batch = batch.put(&keys::peer(&self.node), value);
-        }
-        while let Err(error) = self.store.commit(&batch).await {
-            counters::platform_failure(&error);
-            sleep(RETRY_DELAY).await;
-            if *self.stopping.borrow() {
-                return;
-            }
-        }
-        for _ in 0..MAX_STRENGTH_TRIES {
-            match self.raise_max_strength().await {
-                Ok(StrengthRaised::First) => {
-                    sleep(FIRST_START_DELAY).await;
-                    return;
-                }
-                Ok(StrengthRaised::Known) => return,
-                Ok(StrengthRaised::Conflict) => {}
-                Err(error) => counters::platform_failure(&error),
-            }
-            sleep(RETRY_DELAY).await;
-            if *self.stopping.borrow() {
-                return;
-            }
-        }
-    }
-
-    /// Raises the highest strength of any node to this node's, unless it is as
-    /// high already.
-    ///
-    /// All nodes share one key, since they start together: if each read a list
-    /// of all, what they read would grow with the square of their number.
-    async fn raise_max_strength(&self) -> Result<StrengthRaised, Error> {
-        let found = self.store.get(keys::MAX_STRENGTH).await?;
-        let known = found.as_ref().and_then(|f| self.strength_in(f));
-        if known.is_some_and(|known| known >= self.strength) {
-            return Ok(StrengthRaised::Known);
-        }
-        let version = found.as_ref().map_or(0, |found| found.version);
-        let value = self.strength.to_string().into_bytes();
-        let batch = Batch::default()
-            .when(keys::MAX_STRENGTH, Expected::from_version(version))
-            .put(keys::MAX_STRENGTH, value);
-        Ok(match self.store.commit(&batch).await? {
-            Commit::Done(_) if version == 0 => StrengthRaised::First,
-            Commit::Done(_) => StrengthRaised::Known,
-            Commit::Conflict(_) => StrengthRaised::Conflict,
-        })
-    }
-
-    /// Returns the highest strength of any node.
-    async fn max_strength(&self) -> Result<u64, Error> {
-        let found = self.store.get(keys::MAX_STRENGTH).await?;
-        let known = found.and_then(|found| self.strength_in(&found));
-        Ok(known.unwrap_or(0).max(self.strength))
-    }
-
-    fn strength_in(&self, found: &Versioned) -> Option<u64> {
-        passed_over::read(&self.log, "highest strength", found)
-    }
-
     /// Waits if this node is weak or was overloaded; returns whether the lease
     /// is still in the state that was seen.
     async fn defer_to_stronger(&self, seen: &LeaseState) -> bool {
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -74,6 +74,7 @@
 pub mod settings;
 mod start_logs;
 mod step_down;
+mod strength;
 mod takeover;
 mod use_ceilings;
 mod versions;
