Add settings and types that the parts on data halls share

A worker's listing says how much longer it is slow after its start. dewspar::hall has the states of a data hall; every hall is reachable so far. Nothing reads the new values yet, so no decision changes.

--- a/crates/dewspar-standin/src/peak.rs
+++ b/crates/dewspar-standin/src/peak.rs
@@ -679,6 +679,7 @@
         },
         draining: false,
         remaining_ms: None,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -281,6 +281,7 @@
             capacity: ROOM,
             draining: false,
             remaining_ms: None,
+            cold_remaining_ms: 0,
         };
         let worker = TaskWorker::new(ROOM).incarnated(process);
         let entry = Entry { worker, listing, started_ms: 0 };
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -46,6 +46,7 @@
 | [`team`] | the teams of callers, their API keys and quotas |
 | [`quota`] | what counts against each team's quota |
 | [`chart`] | state charts that are read from files and interpreted |
+| [`hall`] | what a node knows about a data hall |
 | [`history`] | recorded runs, and checks of every guarantee on them |
 
 # Example
@@ -72,6 +73,7 @@
 pub mod feed;
 pub mod fields;
 pub mod fleet;
+pub mod hall;
 pub mod history;
 pub mod job;
 pub mod link;
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -73,6 +73,7 @@
     capacity: Resources { cpu_millis: 1_000, memory_mb: 100, gpus: 0 },
     draining: false,
     remaining_ms: None,
+    cold_remaining_ms: 0,
 }]);
 
 // A worker must report what runs on it before it is sent a start.
@@ -140,6 +141,7 @@
 mod evacuation;
 mod forecast;
 mod full_pools;
+mod hall_states;
 mod hold_answers;
 mod in_doubt;
 mod job_state;
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -12,6 +12,10 @@
 /// one.
 const LINK_MBPS: f64 = 1_000.0;
 
+/// How many times as long a task takes away from its data, where no other
+/// value is set.
+const REMOTE_FACTOR: f64 = 2.0;
+
 /// The times, limits and policy of a scheduler.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -30,6 +34,8 @@
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
     pub(crate) max_operator_view_age_ms: Option<u64>,
+    pub(crate) tolerated_halls: usize,
+    pub(crate) remote_factor: f64,
     pub(crate) link: LinkLimits,
     pub(crate) policy: Policy,
 }
@@ -73,6 +79,8 @@
             // A few reads of the list, and less than a VM takes to move.
             vm_list_age_ms: 2_000,
             max_operator_view_age_ms: None,
+            tolerated_halls: 0,
+            remote_factor: REMOTE_FACTOR,
             link: LinkLimits::of_link(LINK_MBPS),
             policy: Policy::default(),
         }
@@ -123,6 +131,20 @@
         self
     }
 
+    /// Sets how many data halls may be lost at once and must be tolerated; 0
+    /// for none.
+    pub fn tolerated_halls(mut self, tolerated_halls: usize) -> Options {
+        self.tolerated_halls = tolerated_halls;
+        self
+    }
+
+    /// Sets how many times as long a task takes away from its data; `None` for
+    /// the default of twice as long.
+    pub fn remote_factor(mut self, remote_factor: Option<f64>) -> Options {
+        self.remote_factor = remote_factor.unwrap_or(REMOTE_FACTOR);
+        self
+    }
+
     /// Sets the limits of the node's link.
     pub fn link(mut self, link: LinkLimits) -> Options {
         self.link = link;
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -238,6 +238,9 @@
     pub draining: bool,
     /// The minimum time before it ends while it is draining, in milliseconds.
     pub remaining_ms: Option<u64>,
+    /// How much longer the worker is slow after its start, in milliseconds; 0
+    /// for a warm one.
+    pub cold_remaining_ms: u64,
 }
 
 impl WorkerListing {
@@ -256,6 +259,7 @@
             capacity: Resources::default(),
             draining: true,
             remaining_ms: None,
+            cold_remaining_ms: 0,
         }
     }
 }
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -44,6 +44,7 @@
         capacity: ROOM,
         draining: false,
         remaining_ms: None,
+        cold_remaining_ms: 0,
     }
 }
 
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -496,6 +496,7 @@
             capacity: CAPACITY,
             draining: false,
             remaining_ms: None,
+            cold_remaining_ms: 0,
         };
         let mut process = WorkerProcess {
             worker: TaskWorker::new(CAPACITY),
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -193,6 +193,8 @@
                 .stop_timeout_ms(timing.stop_timeout_ms)
                 .max_operator_view_age_ms(timing.max_operator_view_age_ms())
                 .detached_ms(holder::MAX_DETACHED_MS)
+                .tolerated_halls(settings.tolerate.halls.unwrap_or(0))
+                .remote_factor(timing.remote_factor)
                 .link(LinkLimits::of_link(settings.machine.link_mbps))
                 .policy(settings.policy.clone()),
             log: logs::part(&log, "scheduler"),
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -45,6 +45,12 @@
     pub node: String,
     /// The data hall that the node is in.
     pub hall: String,
+    /// The names of all data halls.
+    #[serde(default)]
+    pub halls: Vec<String>,
+    /// Which losses must be tolerated.
+    #[serde(default)]
+    pub tolerate: Tolerate,
     /// The address at which callers reach the node.
     pub callers_address: SocketAddr,
     /// The address at which the load balancer checks whether the node takes
@@ -151,6 +157,17 @@
     pub last_port: u16,
 }
 
+/// The losses that must be tolerated.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, JsonSchema, PartialEq, Serialize,
+)]
+#[serde(deny_unknown_fields, default)]
+pub struct Tolerate {
+    /// How many data halls may be lost at once; without it, or with 0, no
+    /// capacity is planned for the loss of a hall.
+    pub halls: Option<usize>,
+}
+
 /// The addresses of the platform.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -205,6 +222,9 @@
     /// How much longer that may take while the store refuses some nodes, in
     /// milliseconds.
     pub max_stretch_ms: Option<u64>,
+    /// How many times as long a task takes away from its data; without it,
+    /// twice as long.
+    pub remote_factor: Option<f64>,
 }
 
 impl Timing {
@@ -232,6 +252,7 @@
             min_store_lease_ms: 1_000,
             evacuate_ms: None,
             max_stretch_ms: None,
+            remote_factor: None,
         }
     }
 }
@@ -257,6 +278,8 @@
         JobSettings {
             node: node.to_owned(),
             hall: "hall-1".to_owned(),
+            halls: Vec::new(),
+            tolerate: Tolerate::default(),
             callers_address: any_port,
             readiness_address: any_port,
             metrics_address: None,
@@ -315,7 +338,11 @@
             min_store_lease_ms,
             evacuate_ms,
             max_stretch_ms,
+            remote_factor,
         } = settings.timing;
+        if remote_factor.is_some_and(|f| !f.is_finite() || f < 1.0) {
+            problems.add("timing.remote_factor", "must be at least 1");
+        }
         let mut check = |field: &str, value, least, most| {
             problems.check(&format!("timing.{field}"), value, least, most);
         };
