Find the late jobs that job delays missed

The tool found a sixth to a half of the late jobs that callers count. A job ended for it when the holder knew its last end; a caller counts until it is told, 0.27 s later in half of all jobs. And a run whose worker was out of reach counted as work until its end was reported, so that its job was given more time. The holder now logs how long a run worked, from the worker's own clock, its progress or its estimate; steps that ran beside each other are no chain.

--- a/crates/dewspar-cli/src/delays/cause.rs
+++ b/crates/dewspar-cli/src/delays/cause.rs
@@ -3,9 +3,10 @@
 
 At any moment a job may have tasks that run, that wait and that run again.
 The cause of a moment is the first in this order: a task runs again, a task
-waits (for VMs that are coming, or for room), tasks run. Where nothing runs
-or waits, nobody schedules, or the holder doesn't know the job, or it waits
-for the store to take what has ended.
+waits (for VMs that are coming, or for room), tasks run, a run has done its work
+and its worker can't report that. Where nothing runs or waits, nobody schedules,
+or the holder doesn't know the job, or it waits for the store to take what has
+ended. Once the job is over, its caller hasn't been told yet.
 */
 
 use super::history::{History, JobHistory, Ms, Span};
@@ -29,13 +30,17 @@
     Again,
     /// Tasks ran for the first time.
     Working,
+    /// A run had done its work, and its worker couldn't report that.
+    Unreported,
     /// Nothing ran or waited: an order or an end was on its way.
     Between,
+    /// The job was over, and no caller had been told.
+    Untold,
 }
 
 impl Cause {
     /// Every cause, in the order in which a job comes across them.
-    pub const ALL: [Cause; 9] = [
+    pub const ALL: [Cause; 11] = [
         Cause::Refused,
         Cause::Storing,
         Cause::NoHolder,
@@ -44,7 +49,9 @@
         Cause::NoRoom,
         Cause::Again,
         Cause::Working,
+        Cause::Unreported,
         Cause::Between,
+        Cause::Untold,
     ];
 
     /// Returns the cause in words.
@@ -58,7 +65,9 @@
             Cause::NoRoom => "no room in the pool",
             Cause::Again => "run again",
             Cause::Working => "at work",
+            Cause::Unreported => "done, not reported",
             Cause::Between => "between runs",
+            Cause::Untold => "over, caller not told",
         }
     }
 }
@@ -72,12 +81,14 @@
     pub cause: Cause,
 }
 
-/// Splits a job's time by cause, from the first try to its end; `None` for a
-/// job that was never accepted or has no end in the logs.
+/// Splits a job's time by cause, from the first try to when a caller could know
+/// that it was over; `None` for a job that was never accepted or has no end in
+/// the logs.
 pub fn split(job: &JobHistory, history: &History) -> Option<Vec<Spent>> {
     let first_ms = job.first_ms()?;
     let accepted = job.accepted()?.span;
     let (over_ms, _) = job.over.as_ref()?;
+    let known_ms = job.known_ms()?;
     let taken_in_ms = job.taken_in_ms.unwrap_or(*over_ms);
     let mut times = vec![
         first_ms,
@@ -85,17 +96,19 @@
         accepted.to_ms,
         taken_in_ms,
         *over_ms,
+        known_ms,
     ];
     for run in &job.runs {
         for span in [run.waited, run.ran] {
             times.extend([span.from_ms, span.to_ms]);
         }
+        times.push(run.done_ms());
     }
     for span in &history.without_holder {
         times.extend([span.from_ms, span.to_ms]);
     }
     times.extend(history.pools.iter().map(|sizes| sizes.at_ms));
-    times.retain(|at_ms| (first_ms..=*over_ms).contains(at_ms));
+    times.retain(|at_ms| (first_ms..=known_ms).contains(at_ms));
     times.sort_unstable();
     times.dedup();
     let spans = times.windows(2).map(|pair| {
@@ -112,10 +125,15 @@
         Some(span) if at_ms < span.to_ms => return Cause::Storing,
         _ => {}
     }
+    let over_ms = job.over.as_ref().map(|(over_ms, _)| *over_ms);
+    if over_ms.is_some_and(|over_ms| at_ms >= over_ms) {
+        return Cause::Untold;
+    }
     let mut running = job.runs.iter().filter(|run| run.ran.contains(at_ms));
     let waits = job.runs.iter().any(|run| run.waited.contains(at_ms));
     let runs = running.clone().next().is_some();
-    if running.any(|run| run.again) {
+    let works = running.clone().any(|run| at_ms < run.done_ms());
+    if running.any(|run| run.again && at_ms < run.done_ms()) {
         Cause::Again
     } else if !runs && !history.has_holder(at_ms) {
         Cause::NoHolder
@@ -123,8 +141,10 @@
         Cause::VmComing
     } else if waits {
         Cause::NoRoom
-    } else if runs {
+    } else if works {
         Cause::Working
+    } else if runs {
+        Cause::Unreported
     } else if job.taken_in_ms.is_none_or(|taken_ms| at_ms < taken_ms) {
         Cause::Unseen
     } else {
--- a/crates/dewspar-cli/src/delays/history.rs
+++ b/crates/dewspar-cli/src/delays/history.rs
@@ -50,6 +50,21 @@
     pub again: bool,
     /// What it took, in thousandths of a core.
     pub cpu_millis: u64,
+    /// How long it worked, where that is known.
+    pub worked_ms: Option<Ms>,
+}
+
+impl TaskRun {
+    /// Returns when its work was done: at its end, or before it if its worker
+    /// couldn't report the end for a while.
+    pub fn done_ms(&self) -> Ms {
+        let worked = self.worked_ms.map(|worked| self.ran.from_ms + worked);
+        worked.map_or(self.ran.to_ms, |done_ms| done_ms.min(self.ran.to_ms))
+    }
+
+    fn work_ms(&self) -> Ms {
+        self.done_ms() - self.ran.from_ms
+    }
 }
 
 /// What the logs say of one job.
@@ -75,6 +90,16 @@
     pub runs: Vec<TaskRun>,
     /// When it was over, and how.
     pub over: Option<(Ms, String)>,
+    /// When a caller was first told that it was over.
+    pub told_ms: Option<Ms>,
+}
+
+/// When the runs of a step began and ended, and the longest work of one.
+#[derive(Clone, Copy, Debug)]
+struct StepTimes {
+    from_ms: Ms,
+    to_ms: Ms,
+    work_ms: Ms,
 }
 
 impl JobHistory {
@@ -103,15 +128,38 @@
     }
 
     /// Returns the longest chain of its work by the runs that ended well, in
-    /// milliseconds: steps are taken to follow each other.
+    /// milliseconds: a step follows those that had ended when it began.
     pub fn chain_ms(&self) -> Ms {
-        let mut longest: BTreeMap<&str, Ms> = BTreeMap::new();
+        let mut steps: BTreeMap<&str, StepTimes> = BTreeMap::new();
         for run in self.runs.iter().filter(|run| run.cause == "done") {
-            let took_ms = run.ran.to_ms - run.ran.from_ms;
-            let step = longest.entry(step_of(&run.task)).or_default();
-            *step = (*step).max(took_ms);
+            let (from_ms, to_ms) = (run.ran.from_ms, run.ran.to_ms);
+            let work_ms = run.work_ms();
+            let step = steps.entry(step_of(&run.task)).or_insert(StepTimes {
+                from_ms,
+                to_ms,
+                work_ms,
+            });
+            step.from_ms = step.from_ms.min(from_ms);
+            step.to_ms = step.to_ms.max(to_ms);
+            step.work_ms = step.work_ms.max(work_ms);
         }
-        longest.values().sum()
+        let mut steps: Vec<StepTimes> = steps.into_values().collect();
+        steps.sort_by_key(|step| step.from_ms);
+        let mut chains: Vec<(Ms, Ms)> = Vec::new();
+        for StepTimes { from_ms, to_ms, work_ms } in steps {
+            let before =
+                chains.iter().filter(|(end_ms, _)| *end_ms <= from_ms);
+            let longest = before.map(|(_, chain_ms)| *chain_ms).max();
+            chains.push((to_ms, longest.unwrap_or(0) + work_ms));
+        }
+        chains.into_iter().map(|(_, chain_ms)| chain_ms).max().unwrap_or(0)
+    }
+
+    /// Returns when callers could know that it was over: when one was first
+    /// told, or at its end if none asked.
+    pub fn known_ms(&self) -> Option<Ms> {
+        let (over_ms, _) = self.over.as_ref()?;
+        Some(self.told_ms.unwrap_or(*over_ms).max(*over_ms))
     }
 
     /// Returns by when it had to be over to be on time.
@@ -265,9 +313,20 @@
     }
 
     fn take_call(&mut self, at_ms: Ms, line: &Line) {
-        if line.text("operation") != "submit" {
-            return;
+        match line.text("operation") {
+            "submit" => self.take_try(at_ms, line),
+            "status" => self.take_status(at_ms, line),
+            _ => {}
+        }
+    }
+
+    fn take_status(&mut self, at_ms: Ms, line: &Line) {
+        if matches!(line.text("outcome"), "completed" | "failed") {
+            self.job(line).told_ms.get_or_insert(at_ms);
         }
+    }
+
+    fn take_try(&mut self, at_ms: Ms, line: &Line) {
         let from_ms = at_ms - line.number("took_ms") as Ms;
         let outcome = line.text("outcome").to_owned();
         if outcome == "accepted" {
@@ -303,6 +362,7 @@
             cause: String::new(),
             again,
             cpu_millis: line.number("cpu_millis"),
+            worked_ms: None,
         });
         let index = job.runs.len() - 1;
         self.open.insert((task, line.number("run")), (id, index));
@@ -315,6 +375,7 @@
         if let Some(run) = job.and_then(|job| job.runs.get_mut(index)) {
             run.ran.to_ms = at_ms;
             run.cause = cause.to_owned();
+            run.worked_ms = line.known_number("worked_ms").map(|ms| ms as Ms);
         }
     }
 
--- a/crates/dewspar-cli/src/delays/mod.rs
+++ b/crates/dewspar-cli/src/delays/mod.rs
@@ -12,7 +12,8 @@
 such jobs are *unavoidable*. The rest is what better decisions could win.
 
 Only jobs that end by themselves, once, are judged. By when one had to be
-over follows from its queue's terms and from how long its runs took.
+over follows from its queue's terms and from how long its runs worked; it is
+over for its caller once a node has told it so.
 
 # Example
 
@@ -294,10 +295,11 @@
         .find(|accepted_ms| *accepted_ms >= first_ms);
     let spent = split(job, history).unwrap_or_default();
     let fate = match (&job.over, job.accepted()) {
-        (Some((over_ms, phase)), _) if phase == "completed" => {
+        (Some((_, phase)), _) if phase == "completed" => {
             let due_ms = job.due_ms()?;
+            let known_ms = job.known_ms()?;
             let soonest_ms = chance_ms.unwrap_or(first_ms) + job.chain_ms();
-            if *over_ms <= due_ms {
+            if known_ms <= due_ms {
                 Fate::OnTime
             } else if soonest_ms > due_ms {
                 Fate::LateUnavoidably
--- a/crates/dewspar-cli/src/delays/plot.rs
+++ b/crates/dewspar-cli/src/delays/plot.rs
@@ -19,7 +19,7 @@
 
 /// One colour a cause, in the order of [`Cause::ALL`], told apart also by
 /// those who see few colours.
-const COLOURS: [RGBColor; 9] = [
+const COLOURS: [RGBColor; 11] = [
     RGBColor(213, 94, 0),
     RGBColor(240, 228, 66),
     RGBColor(0, 0, 0),
@@ -28,7 +28,9 @@
     RGBColor(0, 114, 178),
     RGBColor(204, 121, 167),
     RGBColor(0, 158, 115),
+    RGBColor(120, 94, 60),
     RGBColor(200, 200, 200),
+    RGBColor(60, 60, 140),
 ];
 
 /// Draws the time of jobs that weren't on time as SVG: a bar for each second
--- a/crates/dewspar-cli/src/log_line.rs
+++ b/crates/dewspar-cli/src/log_line.rs
@@ -68,6 +68,11 @@
         self.fields.get(name).and_then(Value::as_u64).unwrap_or(0)
     }
 
+    /// Returns a field's whole number, if there is one.
+    pub fn known_number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name).and_then(Value::as_u64)
+    }
+
     /// Returns a field's number; 0 where there is none.
     pub fn float(&self, name: &str) -> f64 {
         self.fields.get(name).and_then(Value::as_f64).unwrap_or(0.0)
--- a/crates/dewspar-cli/tests/delays.rs
+++ b/crates/dewspar-cli/tests/delays.rs
@@ -203,3 +203,72 @@
     assert!(svg.starts_with("<svg"));
     assert!(svg.contains("no room in the pool"));
 }
+
+/// An end that a silent worker reports late must not count as work: its job
+/// would be given more time than its work needs.
+#[test]
+fn an_end_that_is_reported_late_makes_its_job_late() {
+    let mut logs = Logs::default();
+    logs.tried("a", 1_000, "accepted");
+    logs.taken_in("a", 1_010);
+    logs.line(
+        1_020,
+        r#""msg":"task: start ordered","job":"a","task":"a.0.0.0","run":1,"cpu_millis":2000"#,
+    );
+    logs.line(
+        7_000,
+        r#""msg":"task: ended","job":"a","task":"a.0.0.0","run":1,"cause":"done","worked_ms":800"#,
+    );
+    logs.over("a", 7_010);
+    let delays = logs.read();
+    assert_eq!(delays.count(Fate::Late), 1, "{}", delays.to_text());
+    let job = &delays.jobs()[0];
+    assert_eq!(job.main_cause(), Some(Cause::Unreported));
+    assert_eq!(job.by_cause()[&Cause::Working], 800);
+}
+
+/// A caller counts its job until a node says that it is over.
+#[test]
+fn a_job_is_over_once_a_caller_is_told() {
+    let mut logs = Logs::default();
+    logs.tried("a", 1_000, "accepted");
+    logs.taken_in("a", 1_010);
+    logs.ran("a", 1, (1_020, 2_020), 10, "done");
+    logs.over("a", 2_030);
+    assert_eq!(logs.read().count(Fate::OnTime), 1);
+    for (at_ms, outcome) in [(2_025, "running"), (3_300, "completed")] {
+        logs.line(
+            at_ms,
+            &format!(
+                r#""msg":"call: answered","operation":"status","job":"a","outcome":"{outcome}""#
+            ),
+        );
+    }
+    let delays = logs.read();
+    assert_eq!(delays.count(Fate::Late), 1, "{}", delays.to_text());
+    assert_eq!(delays.jobs()[0].by_cause()[&Cause::Untold], 1_270);
+}
+
+/// Steps that run beside each other aren't one chain.
+#[test]
+fn parallel_steps_count_by_the_longest() {
+    let mut logs = Logs::default();
+    logs.tried("a", 1_000, "accepted");
+    logs.taken_in("a", 1_010);
+    for step in 0..3 {
+        logs.line(
+            1_020,
+            &format!(
+                r#""msg":"task: start ordered","job":"a","task":"a.0.{step}.0","run":1"#
+            ),
+        );
+        logs.line(
+            2_020 + step,
+            &format!(
+                r#""msg":"task: ended","job":"a","task":"a.0.{step}.0","run":1,"cause":"done""#
+            ),
+        );
+    }
+    logs.over("a", 4_000);
+    assert_eq!(logs.read().count(Fate::Late), 1);
+}
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -15,6 +15,7 @@
             job_state::{Job, demand},
             order_answers::call_end,
             processes::IncarnationOrder,
+            run_time::{ReportTimes, worked_ms},
             worker::{DueHold, Run, RunState},
         },
     },
@@ -96,6 +97,8 @@
         }
         self.token_claims.answered(worker_id);
         self.note_unknown_runs(worker_id, report, newest, now);
+        let reports =
+            ReportTimes { previous_ms: latest_ms, latest_ms: report.clock_ms };
         for end in &report.ended {
             // This end and all later ones are reported again until they are
             // acknowledged.
@@ -104,7 +107,7 @@
             }
             let worker = self.workers.get_mut(worker_id);
             if worker.is_some_and(|worker| worker.record_end(end.number)) {
-                self.run_ended(worker_id, end, now);
+                self.run_ended(worker_id, end, reports, now);
             }
         }
         // Answers on different connections may overtake each other; a run that
@@ -216,7 +219,13 @@
         }
     }
 
-    fn run_ended(&mut self, worker_id: &WorkerId, end: &EndedRun, now: Now) {
+    fn run_ended(
+        &mut self,
+        worker_id: &WorkerId,
+        end: &EndedRun,
+        reports: ReportTimes,
+        now: Now,
+    ) {
         let task = end.task;
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let here = worker.runs.get(&task).is_some_and(|r| r.run == end.run);
@@ -227,12 +236,18 @@
         }
         let job = self.jobs.get_mut(&task.job);
         let failures = job.map(|job| note_end(job, worker_id, end));
+        let estimate_ms =
+            self.step_spec(&task).map_or(0, |spec| spec.estimate_ms);
+        let worked_ms = removed
+            .as_ref()
+            .and_then(|run| worked_ms(run, reports, estimate_ms));
         self.note(Decision::Ended {
             task,
             run: end.run,
             worker: worker_id.clone(),
             cause: end.cause,
             failures: failures.unwrap_or(0),
+            worked_ms,
         });
         let Some(failures) = failures else {
             // There is nothing more to store for a job that is over and
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -162,6 +162,7 @@
 mod quotas;
 mod record_merge;
 mod reservations;
+mod run_time;
 mod run_totals;
 mod scheduler;
 mod shares;
@@ -361,6 +362,9 @@
         cause: EndCause,
         /// How many of the task's runs have failed so far.
         failures: u32,
+        /// How long the run worked, in milliseconds; `None` if it isn't known
+        /// when it began.
+        worked_ms: Option<u64>,
     },
     /// A run that a former holder started was found on a worker.
     Adopted {
--- a/crates/dewspar/tests/schedule/runs.rs
+++ b/crates/dewspar/tests/schedule/runs.rs
@@ -4,7 +4,9 @@
     crate::world::{POOL, World, at, id, job, next_hold, step},
     dewspar::{
         job::{Phase, StepSpec},
-        schedule::{Action, OrderError, Refusal, Resources, WorkerId},
+        schedule::{
+            Action, Decision, OrderError, Refusal, Resources, WorkerId,
+        },
     },
     dewspar_standin::task_worker::Fate,
 };
@@ -376,3 +378,35 @@
     world.run_for(2_000);
     assert_eq!(world.phases.get(&id(2)), Some(&"completed"));
 }
+
+/// Returns how long the runs worked whose ends were reported.
+fn worked_ms(world: &mut World) -> Vec<Option<u64>> {
+    let decisions = world.scheduler.take_decisions();
+    let ends = decisions.into_iter().filter_map(|decision| match decision {
+        Decision::Ended { worked_ms, .. } => Some(worked_ms),
+        _ => None,
+    });
+    ends.collect()
+}
+
+/// A worker that was out of reach reports ends late; the time until then isn't
+/// work.
+#[test]
+fn the_time_of_a_run_excludes_the_silence_of_its_worker() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(2_000);
+    let [Some(worked)] = worked_ms(&mut world)[..] else { panic!("one run") };
+    assert!((500..=600).contains(&worked), "{worked} ms, seen at once");
+
+    world.scheduler.submit(id(2), job(vec![step(1)]), 7, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 2);
+    world.unreachable.push(WorkerId::new("w1"));
+    world.run_for(4_000);
+    world.unreachable.clear();
+    world.run_for(1_000);
+    let [Some(worked)] = worked_ms(&mut world)[..] else { panic!("one run") };
+    assert!((400..=600).contains(&worked), "{worked} ms, by its estimate");
+}
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -23,10 +23,10 @@
         Decision::JobBegan { job, after_ms } => {
             info!(log, "job: begun"; "job" => %job, "after_ms" => after_ms);
         }
-        Decision::Ended { task, run, worker, cause, failures } => {
+        Decision::Ended { task, run, worker, cause, failures, worked_ms } => {
             info!(log, "task: ended"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "cause" => cause.name(),
-                "failures" => failures);
+                "failures" => failures, "worked_ms" => worked_ms);
             counters::count_by(counters::TASK_ENDS, "cause", cause.name());
         }
         Decision::Adopted { task, run, worker } => {
