Place the short tasks of a job in one data hall

A job is done only when all of its tasks are, so that a hall's loss delays each job that has a task there. Where the loss of a hall must be tolerated, short tasks prefer the hall of their job's runs, or the one with most room left. Without that, every decision is as before.

--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -28,6 +28,7 @@
 
 mod candidates;
 mod gang;
+mod home_hall;
 mod uniform;
 
 pub(super) use self::candidates::{Candidate, Candidates, PoolNumber};
@@ -488,13 +489,20 @@
         let stays = |worker: &Worker| {
             !spec.long_running || !self.awaits_maintenance(&worker.listing.vm)
         };
-        self.suitable_workers(spec, task, now)
+        let suitable = || self.suitable_workers(spec, task, now);
+        let home = self
+            .prefers_home_hall(spec)
+            .then(|| self.home_hall(spec, task, suitable()))
+            .flatten();
+        suitable()
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
                 let is_reserved = reserved == Some(worker.id());
                 let avoided = state.avoid.contains(worker.id());
                 let stays = stays(worker);
-                (is_reserved, !avoided, stays, score(worker), worker.id())
+                let is_home = home == Some(worker.listing.hall.as_str());
+                let preferred = (is_reserved, !avoided, stays, is_home);
+                (preferred, score(worker), worker.id())
             })
     }
 
--- a/crates/dewspar/src/schedule/placement/uniform.rs
+++ b/crates/dewspar/src/schedule/placement/uniform.rs
@@ -74,13 +74,19 @@
         if needs_individual_placement {
             return None;
         }
-        let suitable =
-            self.suitable_with_numbers(spec, next, RoomHorizon::Now, now);
-        let mut scored: Vec<(Reverse<i64>, WorkerNumber)> = suitable
+        let suitable: Vec<(WorkerNumber, &Worker)> = self
+            .suitable_with_numbers(spec, next, RoomHorizon::Now, now)
+            .collect();
+        let candidates = suitable.iter().map(|(_, worker)| *worker);
+        let home = self.home_hall(spec, next, candidates);
+        let rank = |worker: &Worker| {
+            let is_home = home == Some(worker.listing.hall.as_str());
+            Reverse((is_home, self.score_for(worker, spec)))
+        };
+        let mut scored: Vec<(Reverse<(bool, i64)>, WorkerNumber)> = suitable
+            .iter()
             .rev()
-            .map(|(number, worker)| {
-                (Reverse(self.score_for(worker, spec)), number)
-            })
+            .map(|(number, worker)| (rank(worker), *number))
             .collect();
         // The sort is stable: among equal scores the last identifier comes
         // first.
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -163,6 +163,9 @@
     /// Whether tasks that interfere with each other are kept apart where
     /// possible.
     pub keeps_apart: bool,
+    /// Whether the short tasks of a job are placed in one data hall if the
+    /// loss of a hall must be tolerated.
+    pub keeps_job_in_hall: bool,
     /// How long after a takeover a task that may have copies is started
     /// although it may already run elsewhere, in milliseconds.
     pub copy_after_ms: u64,
@@ -184,6 +187,8 @@
             fullest_first: true,
             keeps_together: true,
             keeps_apart: true,
+            // A hall's loss then delays only the jobs of that hall.
+            keeps_job_in_hall: true,
             // Most workers have answered by then.
             copy_after_ms: 400,
             // About the time that another VM takes to join the pool.
