Plan for the loss of a data hall in scheduling decisions

Adds the module failure_domains: long-running tasks are spread over halls and racks, VMs over halls, a reserve is checked, and the VMs that replace a lost hall are ordered in one pass. Weighed: spreading before or after locality, both behind a policy switch.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -234,6 +234,7 @@
             }
         }
         self.capacities = capacities;
+        self.note_halls();
     }
 
     /// Returns whether the VM service should be asked which workers are alive.
--- a/crates/dewspar/src/schedule/long_running.rs
+++ b/crates/dewspar/src/schedule/long_running.rs
@@ -257,7 +257,8 @@
             matches!(
                 &worker.drain_reason,
                 Some(DrainReason::Move(to)) if to == pool
-            ) && !self.pending_moves.contains_key(&worker.listing.vm)
+            ) && !worker.in_down_hall
+                && !self.pending_moves.contains_key(&worker.listing.vm)
         });
         ordered.chain(leaving.map(|worker| worker.listing.capacity))
     }
@@ -269,6 +270,7 @@
     let stays = worker.drain_reason.is_none()
         && !worker.listing.draining
         && !worker.in_evacuated_hall
+        && !worker.in_down_hall
         && worker.silent_since_ms.is_none();
     stays && (asked || worker.accepts_starts(now.steady_ms))
 }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
 pub use self::{
     ceilings::UseCeilings,
     evacuation::EvacuatedHall,
+    failure_domains::{HallLoss, HallPlanStats},
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -139,6 +140,7 @@
 mod crash_bursts;
 mod directory;
 mod evacuation;
+mod failure_domains;
 mod forecast;
 mod full_pools;
 mod hall_states;
@@ -561,6 +563,28 @@
         /// How long it was being emptied, in milliseconds.
         after_ms: u64,
     },
+    /// A data hall went down, and the VMs that replace its own were ordered.
+    HallLossPlanned {
+        /// The hall.
+        hall: String,
+        /// The name of its state.
+        state: &'static str,
+        /// The number of its VMs.
+        vms: usize,
+        /// The number of VMs that were ordered to move in this pass, or
+        /// drained for a move.
+        moves: u64,
+    },
+    /// The reserve against the loss of data halls is no longer met, or is met
+    /// again.
+    HallReserve {
+        /// The number of VMs that hold what runs in all pools.
+        needed_vms: u64,
+        /// The number of usable VMs outside the largest halls.
+        outside_vms: u64,
+        /// How many VMs are missing; 0 if the reserve is met.
+        missing_vms: u64,
+    },
     /// Nothing starts, because the operator's requests weren't read for too
     /// long.
     StartsPaused {
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -15,6 +15,7 @@
         link::Class,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
+            failure_domains::SpreadRank,
             full_pools::{FullPools, UnsyncedPools},
             job_state::{Job, demand},
             suspects::Colocation,
@@ -482,6 +483,14 @@
             true => self.isolation_score(worker, spec),
             false => self.score_for(worker, spec),
         };
+        let spread = match isolated {
+            true => None,
+            false => self.step_spread(spec, task),
+        };
+        let rank = |worker: &Worker| match &spread {
+            Some(spread) => self.spread_rank(spread, worker, spec),
+            None => SpreadRank::default(),
+        };
         let reserved = self.reservations.worker_for(task);
         // A long-running task avoids VMs with pending maintenance: it would
         // have to move again and be interrupted twice.
@@ -494,7 +503,8 @@
                 let is_reserved = reserved == Some(worker.id());
                 let avoided = state.avoid.contains(worker.id());
                 let stays = stays(worker);
-                (is_reserved, !avoided, stays, score(worker), worker.id())
+                let (rank, score) = (rank(worker), score(worker));
+                (is_reserved, !avoided, stays, rank, score, worker.id())
             })
     }
 
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -75,6 +75,10 @@
     pub quiet_ms: u64,
     /// That reserve of each pool, in percent of its equal share of all VMs.
     pub reserve_percent: u64,
+    /// The part of what the loss of the largest data hall takes that is kept
+    /// switched on, as one reserve of all pools, in percent; only where the
+    /// loss of a hall must be tolerated.
+    pub hall_reserve_percent: u64,
     /// The divisor that bounds how many VMs of a pool are switched off per
     /// evaluation: the pool's size divided by it, plus one.
     pub leaving_divisor: u64,
@@ -109,6 +113,8 @@
             quiet_ms: 3_000,
             // Enough for the beginning of a peak.
             reserve_percent: 30,
+            // A VM that is switched off becomes available in 1.5 s.
+            hall_reserve_percent: 0,
             // An idle pool shrinks to its minimum within a few evaluations,
             // while a pool that isn't idle keeps most of its VMs.
             leaving_divisor: 16,
@@ -160,6 +166,12 @@
     pub fullest_first: bool,
     /// Whether long-running tasks prefer workers that already run some.
     pub keeps_together: bool,
+    /// Whether the long-running tasks of a step are spread over data halls and
+    /// racks, where the loss of a hall must be tolerated.
+    pub spreads_over_halls: bool,
+    /// Whether that comes before locality: nearby data, and workers that
+    /// already run long-running tasks.
+    pub spreads_before_locality: bool,
     /// Whether tasks that interfere with each other are kept apart where
     /// possible.
     pub keeps_apart: bool,
@@ -183,6 +195,10 @@
             // elsewhere.
             fullest_first: true,
             keeps_together: true,
+            spreads_over_halls: true,
+            // A hall below its share may hold tasks of other steps, beside
+            // which there is room.
+            spreads_before_locality: true,
             keeps_apart: true,
             // Most workers have answered by then.
             copy_after_ms: 400,
@@ -311,6 +327,12 @@
             ("sizing.observed_ms", sizing.observed_ms, 0, 600_000),
             ("sizing.quiet_ms", sizing.quiet_ms, 0, 600_000),
             ("sizing.reserve_percent", sizing.reserve_percent, 0, 100),
+            (
+                "sizing.hall_reserve_percent",
+                sizing.hall_reserve_percent,
+                0,
+                100,
+            ),
             ("sizing.leaving_divisor", sizing.leaving_divisor, 1, 1_000),
             ("forecast.window_ms", forecast.window_ms, 1, 60_000),
             (
--- a/crates/dewspar/src/schedule/reservations.rs
+++ b/crates/dewspar/src/schedule/reservations.rs
@@ -114,6 +114,20 @@
     }
 }
 
+impl Reservations {
+    /// Returns the reservations of the other tasks of a task's step.
+    pub(super) fn of_step(
+        &self,
+        task: &TaskId,
+    ) -> impl Iterator<Item = (&TaskId, &WorkerId)> {
+        let first = TaskId { index: 0, ..*task };
+        let last = TaskId { index: u32::MAX, ..*task };
+        let (own, others) = (*task, self.by_task.range(first..=last));
+        let others = others.filter(move |(other, _)| **other != own);
+        others.map(|(other, reservation)| (other, &reservation.to))
+    }
+}
+
 impl Scheduler {
     /// Reserves capacity for a task that has to leave a worker. Returns the
     /// target worker once the capacity is free.
@@ -396,9 +410,15 @@
         let soon = RoomHorizon::AfterShortTasks;
         let stays =
             |worker: &Worker| !self.awaits_maintenance(&worker.listing.vm);
+        let spread = self.step_spread(spec, task);
+        let spreads = |worker: &Worker| {
+            let hall = &worker.listing.hall;
+            spread.as_ref().is_none_or(|spread| spread.has_share(hall))
+        };
         let workers = self.suitable_with_numbers(spec, task, soon, now);
         let best = workers.map(|(_, worker)| worker).max_by_key(|worker| {
-            (stays(worker), worker.free().cpu_millis, worker.id())
+            let free = worker.free().cpu_millis;
+            (stays(worker), spreads(worker), free, worker.id())
         });
         best.map(|worker| worker.id().clone())
     }
--- a/crates/dewspar/src/schedule/reservations/search.rs
+++ b/crates/dewspar/src/schedule/reservations/search.rs
@@ -12,8 +12,8 @@
     crate::{
         job::{StepSpec, TaskId},
         schedule::{
-            Now, Resources, Scheduler, WorkerId, job_state::demand,
-            placement::RoomHorizon, worker::Worker,
+            Now, Resources, Scheduler, WorkerId, failure_domains::StepSpread,
+            job_state::demand, placement::RoomHorizon, worker::Worker,
         },
     },
     std::collections::{BTreeMap, BinaryHeap, HashMap},
@@ -28,6 +28,8 @@
 struct WorkerOption<'a> {
     /// Whether its VM has no pending maintenance.
     stays: bool,
+    /// Whether its data hall has fewer tasks of the step than its share.
+    hall_below_share: bool,
     /// The free processor time minus that of the members assigned so far, in
     /// thousandths of a core. Negative while short runs use the capacity.
     free_cpu_millis: i64,
@@ -53,6 +55,8 @@
 #[derive(Default)]
 struct Assignments<'a> {
     count_by_worker: HashMap<&'a WorkerId, u64>,
+    /// Where the step's tasks are; `None` if it isn't to be spread.
+    spread: Option<StepSpread<'a>>,
 }
 
 impl<'a> Assignments<'a> {
@@ -85,12 +89,31 @@
         let free_cpu_millis = worker.free().cpu_millis as i64 - taken as i64;
         let stays = !scheduler.awaits_maintenance(&worker.listing.vm);
         let id = worker.id();
-        let option = WorkerOption { stays, free_cpu_millis, id, members_left };
+        let hall_below_share = self.has_share(worker);
+        let option = WorkerOption {
+            stays,
+            hall_below_share,
+            free_cpu_millis,
+            id,
+            members_left,
+        };
         (members_left > 0).then_some(option)
     }
 
-    fn assign(&mut self, worker: &'a WorkerId) {
+    /// Returns whether the data hall of a worker has fewer tasks of the step
+    /// than its share.
+    fn has_share(&self, worker: &Worker) -> bool {
+        let hall = &worker.listing.hall;
+        self.spread.as_ref().is_none_or(|spread| spread.has_share(hall))
+    }
+
+    fn assign(&mut self, scheduler: &'a Scheduler, worker: &'a WorkerId) {
         *self.count_by_worker.entry(worker).or_default() += 1;
+        if let Some(spread) = &mut self.spread
+            && let Some(worker) = scheduler.workers.get(worker)
+        {
+            spread.add(worker);
+        }
     }
 }
 
@@ -119,11 +142,13 @@
         if own.len() > MAX_SEARCHES_PER_REVIEW {
             return Err(members.len() as u64);
         }
-        let mut assigned = Assignments::default();
+        let spread = members.first();
+        let spread = spread.and_then(|first| self.step_spread(spec, first));
+        let mut assigned = Assignments { spread, ..Assignments::default() };
         let mut placements =
             self.place_individually(spec, &own, &mut assigned, room, now);
         placements
-            .extend(self.place_uniform(spec, &uniform, &assigned, room, now));
+            .extend(self.place_uniform(spec, &uniform, assigned, room, now));
         let found = members.iter().filter_map(|m| placements.get(m).copied());
         let found: Vec<WorkerId> = found.cloned().collect();
         let lacking = (members.len() - found.len()) as u64;
@@ -146,7 +171,7 @@
                 assigned.option(self, (spec, member), worker, room)
             });
             if let Some(best) = options.max() {
-                assigned.assign(best.id);
+                assigned.assign(self, best.id);
                 placements.insert(*member, best.id);
             }
         }
@@ -158,7 +183,7 @@
         &'a self,
         spec: &StepSpec,
         members: &[&'m TaskId],
-        assigned: &Assignments<'a>,
+        mut assigned: Assignments<'a>,
         room: RoomHorizon,
         now: Now,
     ) -> BTreeMap<&'m TaskId, &'a WorkerId> {
@@ -170,10 +195,31 @@
         });
         let mut options: BinaryHeap<WorkerOption> = options.collect();
         for member in members {
-            let Some(best) = options.pop() else { break };
+            let Some(best) = self.pop_best(&mut options, &assigned) else {
+                break;
+            };
             placements.insert(*member, best.id);
+            assigned.assign(self, best.id);
             options.extend(best.after_one_more(&demand(spec)));
         }
         placements
     }
+
+    /// Takes the best option. Halls only ever reach their share while members
+    /// are assigned, so an option whose hall has is put back at its new rank.
+    fn pop_best<'a>(
+        &'a self,
+        options: &mut BinaryHeap<WorkerOption<'a>>,
+        assigned: &Assignments<'a>,
+    ) -> Option<WorkerOption<'a>> {
+        loop {
+            let best = options.pop()?;
+            let worker = self.workers.get(best.id);
+            let below = worker.is_some_and(|w| assigned.has_share(w));
+            if below || !best.hall_below_share {
+                return Some(best);
+            }
+            options.push(WorkerOption { hall_below_share: false, ..best });
+        }
+    }
 }
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -10,6 +10,7 @@
             cancelled::Cancelled,
             crash_bursts::{CrashBursts, ReservedFor},
             evacuation::OperatorView,
+            failure_domains::FailureDomains,
             forecast::Arrivals,
             job_state::Job,
             jobs::Jobs,
@@ -179,6 +180,8 @@
     pub(super) long_waits: LongWaits,
     /// How current the operator's requests are.
     pub(super) operator_view: OperatorView,
+    /// What is known about data halls as failure domains.
+    pub(super) failure_domains: FailureDomains,
 }
 
 impl Scheduler {
@@ -196,6 +199,7 @@
             runs_checked_ms: 0,
             long_waits: LongWaits::default(),
             operator_view: OperatorView::default(),
+            failure_domains: FailureDomains::default(),
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -432,6 +436,7 @@
         }
         let mut actions = Vec::new();
         self.check_operator_view(now);
+        self.update_down_halls();
         self.link.refill(now.steady_ms);
         self.apply_deferred_cancellations(now);
         self.drop_lapsed_workers(now);
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -170,6 +170,7 @@
             if worker.drain_reason.is_none()
                 && !worker.listing.draining
                 && !worker.in_evacuated_hall
+                && !worker.in_down_hall
                 && worker.silent_since_ms.is_none()
             {
                 load.capacity.add(&worker.listing.capacity);
@@ -245,14 +246,24 @@
     /// Appends the next orders that move VMs between pools.
     pub(super) fn size_pools(&mut self, now: Now, orders: &mut Vec<VmOrder>) {
         self.finish_moves(now);
-        if now.steady_ms >= self.last_sizing_ms + self.sizing().interval_ms {
+        self.drop_moves_of_down_halls();
+        let moves_before = self.hall_plan_stats().moves;
+        let due_ms = self.last_sizing_ms + self.sizing().interval_ms;
+        if now.steady_ms >= due_ms || self.has_unplanned_loss() {
             self.last_sizing_ms = now.steady_ms;
             self.project_pools(now);
             self.compute_long_running_needs(now);
+            self.count_vms_by_hall(now);
+            self.update_kept_on();
             let targets = self.targets(now);
             self.record_targets(&targets);
             self.grow_pools(&targets, now, orders);
-            if let Some(reserve) = self.shrink_reserve(now) {
+            let moves = self.hall_plan_stats().moves - moves_before;
+            self.report_hall_losses(moves);
+            self.check_hall_reserve(now);
+            let reserve = self.shrink_reserve(now);
+            // While a hall is down, the others may need any VM at any moment.
+            if let Some(reserve) = reserve.filter(|_| !self.any_hall_down()) {
                 for pool in targets.keys() {
                     self.shrink_pool(pool, reserve, now);
                 }
@@ -331,6 +342,7 @@
             vm.status == VmStatus::Up
                 && !self.pending_moves.contains_key(&vm.vm)
                 && !self.workers.evacuation().includes(&vm.hall)
+                && !self.is_hall_down(&vm.hall)
         });
         let total = usable.count() + self.pending_moves.len();
         let mut left = total as u64;
@@ -348,6 +360,10 @@
         let mut targets: BTreeMap<String, u64> = BTreeMap::new();
         self.allocate(&floors, &mut left, &mut targets);
         self.allocate(&needs, &mut left, &mut targets);
+        for (pool, need) in &mut needs {
+            *need += self.kept_on(pool);
+        }
+        self.allocate(&needs, &mut left, &mut targets);
         targets
     }
 
@@ -387,6 +403,14 @@
         load.vms_needed(&vm, self.sizing().full_percent)
     }
 
+    /// Returns how many VMs hold what runs in a pool.
+    pub(super) fn vms_for_use(&self, pool: &str, largest: &Resources) -> u64 {
+        let load = self.pool_load(pool);
+        let vm = load.vm().component_max(largest);
+        let full_percent = self.sizing().full_percent;
+        load.used.times(100).divided_by(full_percent).units_of(&vm)
+    }
+
     /// Returns how many VMs a pool needs that can't place some task: as many
     /// more as its long-running tasks lack, or one more than it has if other
     /// tasks couldn't be placed for long.
@@ -398,12 +422,13 @@
         let since_ms = self.unplaced_since_ms.get(pool);
         let long = since_ms.is_some_and(|since| {
             now.steady_ms >= since + self.sizing().without_place_ms
+                || self.any_hall_down()
         });
         if long { self.pool_load(pool).workers + 1 } else { 0 }
     }
 
     /// Returns the largest amount of each kind of resource that a VM has.
-    fn largest_vm(&self) -> Resources {
+    pub(super) fn largest_vm(&self) -> Resources {
         let capacities = self.vms.values().map(|vm| vm.capacity);
         capacities.fold(Resources::default(), |most, resources| {
             most.component_max(&resources)
@@ -417,6 +442,7 @@
             self.pending_moves.values().filter(|m| m.to == pool).count();
         let leaving = self.workers.values().filter(|worker| {
             worker.drain_reason == Some(DrainReason::Move(pool.to_owned()))
+                && !worker.in_down_hall
                 && !self.pending_moves.contains_key(&worker.listing.vm)
         });
         load.workers + (coming + leaving.count()) as u64
@@ -539,6 +565,7 @@
         orders: &mut Vec<VmOrder>,
     ) -> bool {
         if let Some(vm) = self.switched_off_vm(pool, now) {
+            self.note_vm_moves(&vm, pool);
             self.order_move(&vm, pool, now, orders);
             return true;
         }
@@ -550,8 +577,12 @@
     }
 
     /// Drains a worker whose VM is to move.
-    fn drain_to_move(&mut self, id: &WorkerId, to: &str, now: Now) {
+    pub(super) fn drain_to_move(&mut self, id: &WorkerId, to: &str, now: Now) {
         self.start_drain(id, DrainReason::Move(to.to_owned()), now);
+        let vm = self.workers.get(id).map(|w| w.listing.vm.clone());
+        if let Some(vm) = vm {
+            self.note_vm_moves(&vm, to);
+        }
         let Some(worker) = self.workers.get(id) else { return };
         if worker.in_evacuated_hall {
             // It isn't part of the load.
@@ -579,6 +610,9 @@
 
     /// Returns a VM that is switched off and may move to the pool.
     fn switched_off_vm(&self, pool: &str, now: Now) -> Option<String> {
+        if self.tolerates_hall_loss() {
+            return self.spread_switched_off_vm(pool);
+        }
         self.vms
             .values()
             .filter(|vm| self.free_pools.contains(&vm.pool))
@@ -630,7 +664,9 @@
             .filter(|worker| self.may_order_vm(&worker.listing.vm, now))
             .filter(|worker| !self.is_move_refused(&worker.listing.vm, pool))
             .filter(|worker| !self.runs_long_running_task(worker))
-            .min_by_key(|worker| worker.used().cpu_millis)
+            .min_by_key(|worker| {
+                (worker.used().cpu_millis, self.leaving_rank(worker, pool))
+            })
             .map(|worker| worker.id().clone())
     }
 
@@ -648,7 +684,12 @@
         self.long_running_need(pool).floor_vms.max(self.sizing().least_vms)
     }
 
-    fn may_switch_off(&self, worker: &Worker, reserve: u64, now: Now) -> bool {
+    pub(super) fn may_switch_off(
+        &self,
+        worker: &Worker,
+        reserve: u64,
+        now: Now,
+    ) -> bool {
         let pool = &worker.listing.pool;
         let is_idle = worker.is_in_service()
             && worker.is_settled()
@@ -658,6 +699,7 @@
         }
         is_idle
             && self.pool_load(pool).workers > self.least_vms(pool).max(reserve)
+            && self.pool_load(pool).workers > self.kept_on_target(pool)
             && self.pool_percent_without(pool, 1)
                 <= self.sizing().spare_percent
             && !self.awaits_maintenance(&worker.listing.vm)
@@ -667,6 +709,10 @@
     fn shrink_pool(&mut self, pool: &str, reserve: u64, now: Now) {
         let most =
             self.pool_load(pool).workers / self.sizing().leaving_divisor + 1;
+        if self.tolerates_hall_loss() {
+            self.shrink_spread_pool(pool, (reserve, most), now);
+            return;
+        }
         for _ in 0..most {
             if !self.switch_off_one(pool, reserve, now) {
                 return;
@@ -697,7 +743,7 @@
         let ready: Vec<(String, String)> = self
             .workers
             .values()
-            .filter(|worker| worker.is_settled())
+            .filter(|worker| worker.is_settled() && !worker.in_down_hall)
             .filter_map(|worker| match &worker.drain_reason {
                 Some(DrainReason::Move(pool)) => {
                     Some((worker.listing.vm.clone(), pool.clone()))
@@ -728,7 +774,7 @@
             .push(VmOrder::Move { vm: vm.to_owned(), pool: pool.to_owned() });
     }
 
-    fn is_move_refused(&self, vm: &str, pool: &str) -> bool {
+    pub(super) fn is_move_refused(&self, vm: &str, pool: &str) -> bool {
         self.refused_moves.contains(&(vm.to_owned(), pool.to_owned()))
     }
 
--- a/crates/dewspar/src/schedule/vm_orders.rs
+++ b/crates/dewspar/src/schedule/vm_orders.rs
@@ -146,6 +146,7 @@
             }
             return orders;
         }
+        self.update_down_halls();
         self.measure_pools(now);
         self.plan_maintenance(now, &mut orders);
         self.size_pools(now, &mut orders);
--- a/crates/dewspar/src/schedule/wave_selection.rs
+++ b/crates/dewspar/src/schedule/wave_selection.rs
@@ -164,6 +164,7 @@
                     u64::from(self.has_long_running_task(worker));
             }
             let eligible = worker.drain_reason.is_none()
+                && !worker.in_down_hall
                 && !worker.has_reservations()
                 && worker.synced
                 && worker.silent_since_ms.is_none()
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -314,6 +314,8 @@
     pub(crate) drain_since_ms: u64,
     /// Whether its data hall is being emptied.
     pub(crate) in_evacuated_hall: bool,
+    /// Whether its data hall is down, so that it takes no tasks.
+    pub(crate) in_down_hall: bool,
     /// Since when the worker has had no run.
     pub(crate) idle_since_ms: u64,
     /// When the worker was first listed in the directory.
@@ -383,6 +385,7 @@
             drain_reason: None,
             drain_since_ms: 0,
             in_evacuated_hall: false,
+            in_down_hall: false,
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !has_no_address,
@@ -646,7 +649,7 @@
 
     /// Returns whether the worker can take new tasks, now or soon.
     pub(crate) fn is_usable(&self) -> bool {
-        self.is_in_service() && !self.in_evacuated_hall
+        self.is_in_service() && !self.in_evacuated_hall && !self.in_down_hall
     }
 
     /// Returns whether the worker could take new tasks, now or soon, if its
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -25,7 +25,7 @@
         Options, WorkerId, WorkerListing, evacuation::Evacuation,
         worker::Worker,
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// The number of a worker. Numbers are reused after a worker is removed.
@@ -54,6 +54,8 @@
     sessions: u64,
     /// The data halls that are being emptied.
     evacuation: Evacuation,
+    /// The data halls that are down.
+    down_halls: BTreeSet<String>,
 }
 
 /// The cached state of a worker.
@@ -169,6 +171,7 @@
         worker.session = self.sessions;
         worker.in_evacuated_hall =
             self.evacuation.includes(&worker.listing.hall);
+        worker.in_down_hall = self.down_halls.contains(&worker.listing.hall);
         let number = self.free_numbers.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.due_entries.push(DueEntry::NONE);
@@ -203,8 +206,10 @@
     ) -> Option<&mut Worker> {
         let number = *self.numbers.get(&listing.id)?;
         let in_evacuated_hall = self.evacuation.includes(&listing.hall);
+        let in_down_hall = self.down_halls.contains(&listing.hall);
         let worker = self.at_mut(number)?;
         worker.in_evacuated_hall = in_evacuated_hall;
+        worker.in_down_hall = in_down_hall;
         let before = std::mem::replace(&mut worker.listing, listing);
         if before.pool != worker.listing.pool {
             let pool = worker.listing.pool.clone();
@@ -228,6 +233,19 @@
         self.evacuation = evacuation;
     }
 
+    /// Returns the data halls that are down.
+    pub(super) fn down_halls(&self) -> &BTreeSet<String> {
+        &self.down_halls
+    }
+
+    /// Sets the data halls that are down.
+    pub(super) fn set_down_halls(&mut self, down_halls: BTreeSet<String>) {
+        for worker in self.values_mut() {
+            worker.in_down_hall = down_halls.contains(&worker.listing.hall);
+        }
+        self.down_halls = down_halls;
+    }
+
     fn add_to_pool(&mut self, pool: String, number: WorkerNumber) {
         let members = self.pools.entry(pool).or_default();
         insert_sorted(members, number, &self.workers);
