--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -4,6 +4,7 @@
 mod chain;
 mod crashing;
 mod evacuation;
+mod failure_domains;
 mod gang_reservations;
 mod in_doubt;
 mod loading;
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -3,13 +3,17 @@
 //! cancellations and store outages, checked against invariants.
 
 mod cancelled_runs;
+mod hall_losses;
 mod job_order;
 mod pending_jobs;
 mod world;
 
 use {
-    crate::world::World,
-    dewspar::job::{Phase, TaskId},
+    crate::{hall_losses::HallLosses, world::World},
+    dewspar::{
+        job::{Phase, TaskId},
+        schedule::Policy,
+    },
 };
 
 fn run(seed: u64) -> World {
@@ -72,6 +76,55 @@
     assert!(evacuations > 1_000, "{evacuations}");
 }
 
+// Guards against orders to workers of a hall that is down: each would be
+// without an answer, so that its task could start nowhere else for a while.
+#[test]
+fn no_start_is_ordered_in_a_hall_that_is_down() {
+    let mut losses = 0;
+    for seed in 0..400 {
+        let world = World::new(seed);
+        let world = world.with_hall_losses(HallLosses::tolerated(1));
+        losses += run_world(world, seed).hall_losses.count;
+        let world = World::restarting(seed);
+        let world = world.with_hall_losses(HallLosses::tolerated(1));
+        losses += run_world(world, seed).hall_losses.count;
+    }
+    assert!(losses > 1_000, "{losses}");
+}
+
+/// Returns a digest of all orders of a run in which no loss is tolerated.
+fn orders_without_tolerance(seed: u64, losses: HallLosses) -> u64 {
+    let mut world = World::new(seed).with_hall_losses(losses);
+    for step in 0..400 {
+        world.step(step);
+    }
+    world.hall_losses.orders_digest()
+}
+
+// Guards against a change of behavior where no loss of a hall is to be
+// tolerated, whatever the policy and the state of the halls.
+#[test]
+fn orders_are_the_same_where_no_loss_is_tolerated() {
+    let mut policy = Policy::default();
+    policy.placing.spreads_over_halls = false;
+    policy.placing.spreads_before_locality = false;
+    policy.sizing.hall_reserve_percent = 100;
+    let mut differs_with_tolerance = 0;
+    for seed in 0..200 {
+        let losses = HallLosses::tolerated;
+        let plain = orders_without_tolerance(seed, losses(0).enabled(false));
+        let with_losses = orders_without_tolerance(seed, losses(0));
+        let with_policy =
+            orders_without_tolerance(seed, losses(0).policy(policy.clone()));
+        assert_eq!(plain, with_losses, "seed {seed}");
+        assert_eq!(plain, with_policy, "seed {seed}");
+        let tolerating = orders_without_tolerance(seed, losses(1));
+        differs_with_tolerance += u32::from(tolerating != plain);
+    }
+    // The comparison would show a difference.
+    assert!(differs_with_tolerance > 100, "{differs_with_tolerance}");
+}
+
 /// Gives two jobs a task that crashes its workers.
 fn add_crashing_tasks(world: &mut World, seed: u64) {
     for number in [1, 2 + seed % 7] {
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cancelled_runs::{CancelledRun, CancelledRuns},
+        hall_losses::HallLosses,
         pending_jobs::Miscounted,
     },
     dewspar::{
@@ -204,6 +205,7 @@
     known_evacuated_halls: BTreeSet<String>,
     /// The number of requests to empty a hall.
     pub evacuations: u32,
+    pub hall_losses: HallLosses,
 }
 
 /// The maximum error of the wall clock, in milliseconds: more than any job
@@ -259,6 +261,7 @@
             evacuated_halls: None,
             known_evacuated_halls: BTreeSet::new(),
             evacuations: 0,
+            hall_losses: HallLosses::default(),
         };
         for vm in 0..4 {
             world.start_process(vm);
@@ -358,6 +361,14 @@
         self
     }
 
+    /// Returns a world whose data halls go down from time to time, while this
+    /// many losses are tolerated.
+    pub fn with_hall_losses(mut self, losses: HallLosses) -> World {
+        self.hall_losses = losses;
+        self.take_over();
+        self
+    }
+
     /// Asks that another hall be emptied, or none. A holder that can't reach
     /// the store doesn't learn of it.
     fn change_evacuation(&mut self) {
@@ -520,8 +531,9 @@
             task.takeovers += 1;
         }
         self.store.revision += 1;
-        let mut scheduler =
-            Scheduler::new(self.store.revision, Options::default());
+        let options = self.hall_losses.options();
+        let mut scheduler = Scheduler::new(self.store.revision, options);
+        self.hall_losses.tell(&mut scheduler);
         if self.unenforced {
             scheduler.enforce_capacity([POOL.to_owned()].into());
         }
@@ -715,11 +727,13 @@
         if step.is_multiple_of(40) {
             self.change_evacuation();
         }
+        self.hall_losses.change(step, self.faults, &mut self.scheduler);
         if !self.is_store_out() {
             self.read_evacuation();
         }
         let now = self.now();
         for action in self.scheduler.plan(now) {
+            self.hall_losses.record(&action);
             self.carry_out(action);
         }
         self.store_changes();
@@ -795,6 +809,9 @@
             Action::Start { worker, order, .. } => {
                 self.check_start(&order);
                 self.check_hall(&worker, &order);
+                if let Some(process) = self.processes.get(&worker) {
+                    self.hall_losses.check(&process.listing.hall, &order);
+                }
                 let result = if lost {
                     if late {
                         self.delay(&worker, LateOrder::Start(order.clone()));
