--- a/crates/dewspar/src/schedule/failure_domains.rs
+++ b/crates/dewspar/src/schedule/failure_domains.rs
@@ -92,13 +92,13 @@
         assumed.copied().unwrap_or_else(|| self.hall_state(hall))
     }
 
-    /// Collects the names of all data halls, after a list was read.
+    /// Adds the names of data halls in the lists of workers and VMs.
     pub(super) fn note_halls(&mut self) {
         if !self.tolerates_hall_loss() {
             return;
         }
+        // None is removed: a lost hall may be missing in both lists.
         let known = &mut self.failure_domains.halls;
-        known.clear();
         let of_workers = self.workers.values().map(|w| &w.listing.hall);
         let of_vms = self.vms.values().map(|vm| &vm.hall);
         for hall in of_workers.chain(of_vms) {
--- a/crates/dewspar/tests/schedule/failure_domains.rs
+++ b/crates/dewspar/tests/schedule/failure_domains.rs
@@ -387,6 +387,7 @@
         halls.len()
     };
     assert_eq!(halls(options(Policy::default())), 3);
+    assert!(halls(Options::default()) < 3);
 }
 
 #[test]
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -123,6 +123,12 @@
         "Runs in a data hall that is being emptied, while this node schedules.";
     EVACUATED_HALL_TIME, "gauge", "dewspar_evacuated_hall_seconds", Some("hall"),
         "For how long a data hall has been emptied, in seconds; 0 once it is in use again.";
+    HALL_LOSS_PLANS, "counter", "dewspar_hall_loss_plans_total", None,
+        "Times that a data hall went down and the VMs that replace its own were ordered.";
+    HALL_RESERVE_UNMET, "counter", "dewspar_hall_reserve_unmet_total", None,
+        "Times that the reserve against the loss of data halls was found too small, at most one in 10 s.";
+    HALL_RESERVE_MISSING, "gauge", "dewspar_hall_reserve_missing_vms", None,
+        "VMs that this reserve lacked when that was last reported; 0 once it is met.";
     STARTS_IN_DOUBT, "counter", "dewspar_starts_in_doubt_total", None,
         "Starts without an answer whose tasks start on the same worker only for a while.";
     SUSPECTED_RUNS, "counter", "dewspar_suspected_runs_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -154,6 +154,19 @@
                 "after_ms" => after_ms);
             counters::set_of_hall(hall, 0, 0);
         }
+        Decision::HallLossPlanned { hall, state, vms, moves } => {
+            warn!(log, "hall: down, its VMs are replaced"; "hall" => hall,
+                "state" => state, "vms" => vms, "moves" => moves);
+            counters::count(counters::HALL_LOSS_PLANS);
+        }
+        Decision::HallReserve { needed_vms, outside_vms, missing_vms } => {
+            info!(log, "hall: reserve"; "needed_vms" => needed_vms,
+                "outside_vms" => outside_vms, "missing_vms" => missing_vms);
+            if *missing_vms > 0 {
+                counters::count(counters::HALL_RESERVE_UNMET);
+            }
+            counters::set(counters::HALL_RESERVE_MISSING, *missing_vms as f64);
+        }
         Decision::StartsPaused { age_ms } => {
             warn!(log, "holder: nothing starts"; "age_ms" => age_ms,
                 "reason" => "the operator's requests weren't read for too long");
