--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -15,6 +15,7 @@
         link::Class,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
+            failure_domains::SpreadRank,
             full_pools::{FullPools, UnsyncedPools},
             job_state::{Job, demand},
             suspects::Colocation,
@@ -483,6 +484,14 @@
             true => self.isolation_score(worker, spec),
             false => self.score_for(worker, spec),
         };
+        let spread = match isolated {
+            true => None,
+            false => self.step_spread(spec, task),
+        };
+        let rank = |worker: &Worker| match &spread {
+            Some(spread) => self.spread_rank(spread, worker, spec),
+            None => SpreadRank::default(),
+        };
         let reserved = self.reservations.worker_for(task);
         // A long-running task avoids VMs with pending maintenance: it would
         // have to move again and be interrupted twice.
@@ -501,8 +510,9 @@
                 let avoided = state.avoid.contains(worker.id());
                 let stays = stays(worker);
                 let is_home = home == Some(worker.listing.hall.as_str());
-                let preferred = (is_reserved, !avoided, stays, is_home);
-                (preferred, score(worker), worker.id())
+                let may_stay = (is_reserved, !avoided, stays);
+                let preferred = (rank(worker), is_home, score(worker));
+                (may_stay, preferred, worker.id())
             })
     }
 
