Switch idle VMs of an emptied hall off first, and split the tests of halls

With VMs released from the hall of which a pool has most, those of a hall that is being emptied came last, since none of them counts as usable.

--- a/crates/dewspar/src/schedule/failure_domains/vm_spread.rs
+++ b/crates/dewspar/src/schedule/failure_domains/vm_spread.rs
@@ -170,9 +170,9 @@
         (spread.count(to, hall), Reverse(has))
     }
 
-    /// Switches off up to `most` idle VMs of a pool, each from the hall of
-    /// which the pool has most; among these, from the one with fewest VMs that
-    /// are switched off.
+    /// Switches off up to `most` idle VMs of a pool, first those of halls that
+    /// are being emptied, and then each from the hall of which the pool has
+    /// most; among these, from the one with fewest VMs that are switched off.
     pub(in crate::schedule) fn shrink_spread_pool(
         &mut self,
         pool: &str,
@@ -199,7 +199,10 @@
                 .filter(|(_, workers)| !workers.is_empty())
                 .max_by_key(|(hall, _)| {
                     let has = spread.count(pool, hall);
-                    (has, Reverse(spread.count(&off, hall)))
+                    let off = spread.count(&off, hall);
+                    // A hall that is being emptied has no usable VMs.
+                    let is_emptied = self.workers.evacuation().includes(hall);
+                    (is_emptied, has, Reverse(off))
                 });
             let Some(id) = next.and_then(|(_, workers)| workers.pop()) else {
                 return;
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -6,6 +6,8 @@
 mod evacuation;
 mod failure_domains;
 mod gang_reservations;
+mod hall_fleet;
+mod hall_losses;
 mod in_doubt;
 mod loading;
 mod long_running_capacity;
