--- a/crates/dewspar/tests/schedule/failure_domains.rs
+++ b/crates/dewspar/tests/schedule/failure_domains.rs
@@ -280,23 +280,37 @@
     assert_eq!(left, ["hall-1", "hall-1", "hall-1", "hall-2"]);
 }
 
-// Guards against reservations that gather a gang in one hall.
+/// Returns in how many halls three large tasks start that wait until short
+/// tasks have ended on all workers, most of which are in one hall.
+fn halls_of_waiting_tasks(options: Options, gang: bool) -> usize {
+    let mut fleet = Fleet::new(options);
+    // Among equals, the workers with the last names are taken first.
+    for name in ["z1", "z2", "z3", "z4"] {
+        fleet.add(name, POOL, "hall-1", "rack-1");
+    }
+    fleet.add("a1", POOL, "hall-2", "rack-2");
+    fleet.add("b1", POOL, "hall-3", "rack-3");
+    fleet.settle();
+    fleet.world.fate = Fate::done(1_500);
+    fleet.submit(1, POOL, vec![step(24)]);
+    fleet.world.run_for(100);
+    fleet.world.fate = Fate::endless();
+    let large = StepSpec { cpu_millis: 3_000, gang, ..lasting(3) };
+    fleet.submit(2, POOL, vec![large]);
+    fleet.world.run_for(4_000);
+    let started = fleet.started(2);
+    assert_eq!(started.values().sum::<usize>(), 3, "{started:?}");
+    started.len()
+}
+
+// Guards against reservations that gather the tasks of a step in one hall.
 #[test]
-fn the_reservations_of_a_gang_are_spread_over_halls() {
-    let halls = |options: Options| {
-        let mut fleet = three_halls(options);
-        fleet.world.fate = Fate::done(1_500);
-        fleet.submit(1, POOL, vec![step(20)]);
-        fleet.world.run_for(100);
-        fleet.world.fate = Fate::endless();
-        let large = StepSpec { cpu_millis: 2_000, gang: true, ..lasting(6) };
-        fleet.submit(2, POOL, vec![large]);
-        fleet.world.run_for(4_000);
-        let started = fleet.started(2);
-        assert_eq!(started.values().sum::<usize>(), 6, "{started:?}");
-        started.values().copied().max().unwrap_or(0)
-    };
-    assert_eq!(halls(options(Policy::default())), 2);
+fn the_reservations_of_a_step_are_spread_over_halls() {
+    for gang in [false, true] {
+        let tolerating = options(Policy::default());
+        assert_eq!(halls_of_waiting_tasks(tolerating, gang), 3, "{gang}");
+        assert_eq!(halls_of_waiting_tasks(Options::default(), gang), 1);
+    }
 }
 
 fn reserve_reports(decisions: &[Decision]) -> Vec<u64> {
--- a/crates/dewspar/tests/schedule/hall_losses.rs
+++ b/crates/dewspar/tests/schedule/hall_losses.rs
@@ -19,7 +19,7 @@
     },
     dewspar_standin::task_worker::Fate,
     rand::{Rng, SeedableRng, rngs::StdRng},
-    std::collections::BTreeSet,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// For how long a burst at the loss of a hall is measured, in milliseconds:
@@ -78,6 +78,26 @@
     assert_eq!(moves_at_the_loss(Options::default()).1, []);
 }
 
+// Guards against sharing out VMs that are lost: one pool would then get more
+// than its share of those that are left.
+#[test]
+fn no_lost_vm_is_part_of_a_target() {
+    let mut fleet = busy_fleet(options(Policy::default()));
+    fleet.cut_off("hall-1");
+    for (number, pool) in [(10, POOL), (11, OTHER)] {
+        fleet.submit(number, pool, vec![step(400)]);
+    }
+    fleet.run_for(500);
+    let mut targets = BTreeMap::new();
+    for decision in &fleet.decisions {
+        if let Decision::PoolSized { pool, target, .. } = decision {
+            targets.insert(pool.as_str(), *target);
+        }
+    }
+    let left = fleet.vms.values().filter(|vm| vm.hall != "hall-1").count();
+    assert_eq!(targets.values().sum::<u64>(), left as u64, "{targets:?}");
+}
+
 #[test]
 fn no_vm_is_switched_off_while_a_hall_is_down() {
     let mut fleet = uneven_pool(options(Policy::default()));
