--- a/crates/dewspar/src/job/queue.rs
+++ b/crates/dewspar/src/job/queue.rs
@@ -1,6 +1,9 @@
-use crate::{
-    schedule::QueueTerms,
-    team::{Caller, KeyDigest, QueueAccess, Teams, UnknownKey},
+use {
+    crate::{
+        schedule::{ColdTerms, QueueTerms},
+        team::{Caller, KeyDigest, QueueAccess, Teams, UnknownKey},
+    },
+    std::collections::BTreeMap,
 };
 
 /// A queue to which callers submit jobs, with its terms.
@@ -27,6 +30,7 @@
     queues: Vec<Queue>,
     free_pools: Vec<String>,
     pools_without_capacity_checks: Vec<String>,
+    cold_terms: BTreeMap<String, ColdTerms>,
     teams: Teams,
 }
 
@@ -51,6 +55,30 @@
         &self.pools_without_capacity_checks
     }
 
+    /// Sets the terms of the pools whose workers are slow after their start.
+    ///
+    /// ```
+    /// use dewspar::{job::QueueSet, schedule::ColdTerms};
+    ///
+    /// let terms = ColdTerms { start_ms: 2_000, starts_per_s: 4 };
+    /// let pools = [("registry".to_owned(), terms)].into();
+    /// let queues = QueueSet::new(1, Vec::new()).with_cold_terms(pools);
+    /// assert_eq!(queues.cold_terms()["registry"].starts_per_s, 4);
+    /// ```
+    pub fn with_cold_terms(
+        mut self,
+        pools: BTreeMap<String, ColdTerms>,
+    ) -> QueueSet {
+        self.cold_terms = pools;
+        self
+    }
+
+    /// Returns the terms of the pools whose workers are slow after their
+    /// start, by pool.
+    pub fn cold_terms(&self) -> &BTreeMap<String, ColdTerms> {
+        &self.cold_terms
+    }
+
     /// Sets the pools whose VMs are switched off and cost nothing.
     pub fn with_free_pools(mut self, pools: Vec<String>) -> QueueSet {
         self.free_pools = pools;
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -11,6 +11,7 @@
         job::TaskId,
         schedule::{
             Decision, Now, Resources, Scheduler, WorkerId, WorkerListing,
+            placement::Scores,
             processes::IncarnationOrder,
             suspects::LostRuns,
             worker::{Run, Worker},
@@ -83,11 +84,13 @@
         now: Now,
         listing: WorkerListing,
     ) {
+        let cold_remaining_ms = listing.cold_remaining_ms;
         if !self.workers.contains_key(&listing.id) {
             if !self.former_processes.is_from_ended(&listing, asked_ms) {
                 let id = listing.id.clone();
                 let mut worker = self.listed_worker(listing, now);
                 worker.reported_at_ms = asked_ms;
+                worker.cold.relisted(asked_ms, cold_remaining_ms);
                 self.workers.insert(id, worker);
                 self.quotas.unlisted.note_unsynced_worker();
             }
@@ -111,6 +114,7 @@
         if let Some(worker) = self.workers.update_listing(listing) {
             worker.listed = true;
             worker.reported_at_ms = asked_ms;
+            worker.cold.relisted(asked_ms, cold_remaining_ms);
         }
     }
 
@@ -233,6 +237,8 @@
                 capacities.push(room);
             }
         }
+        let factor = self.options.preferred_remote_factor();
+        self.scores = Scores::new(&capacities, factor);
         self.capacities = capacities;
     }
 
--- a/crates/dewspar/src/schedule/evacuation.rs
+++ b/crates/dewspar/src/schedule/evacuation.rs
@@ -18,7 +18,10 @@
 */
 
 use {
-    crate::schedule::{Decision, Now, Scheduler, worker::Worker},
+    crate::{
+        job::TaskId,
+        schedule::{Decision, Now, Scheduler, VmStatus, worker::Worker},
+    },
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -35,6 +38,9 @@
     pub runs: usize,
     /// How many of these are of long-running tasks.
     pub long_running: usize,
+    /// How many long-running tasks have no place elsewhere: they stay until
+    /// there is one.
+    pub stuck: usize,
 }
 
 /// The data halls that are being emptied.
@@ -42,6 +48,8 @@
 pub(super) struct Evacuation {
     /// When this holder learned of each, on the steady clock.
     since_ms: BTreeMap<String, u64>,
+    /// Those of which it was reported that tasks have no place elsewhere.
+    stuck: BTreeSet<String>,
 }
 
 impl Evacuation {
@@ -53,6 +61,15 @@
         self.since_ms.contains_key(hall)
     }
 
+    /// Sets whether tasks of a hall have no place elsewhere. Returns whether
+    /// that has changed.
+    pub(super) fn set_stuck(&mut self, hall: &str, is_stuck: bool) -> bool {
+        match is_stuck {
+            true => self.stuck.insert(hall.to_owned()),
+            false => self.stuck.remove(hall),
+        }
+    }
+
     /// Returns whether exactly these halls are being emptied.
     fn is_of(&self, halls: &BTreeSet<String>) -> bool {
         self.since_ms.keys().eq(halls)
@@ -81,13 +98,15 @@
         if self.workers.evacuation().is_of(halls) {
             return;
         }
-        let before = self.workers.evacuation().since_ms.clone();
+        let Evacuation { since_ms: before, mut stuck } =
+            self.workers.evacuation().clone();
         let since_ms = halls.iter().map(|hall| {
             let known_ms = before.get(hall).copied();
             (hall.clone(), known_ms.unwrap_or(now.steady_ms))
         });
         let since_ms = since_ms.collect();
-        self.workers.set_evacuation(Evacuation { since_ms });
+        stuck.retain(|hall| halls.contains(hall));
+        self.workers.set_evacuation(Evacuation { since_ms, stuck });
         for (hall, since_ms) in &before {
             if !halls.contains(hall) {
                 let after_ms = now.steady_ms.saturating_sub(*since_ms);
@@ -117,6 +136,7 @@
             workers: 0,
             runs: 0,
             long_running: 0,
+            stuck: 0,
         };
         let is_here = |worker: &&Worker| worker.listing.hall == hall;
         for worker in self.workers.values().filter(is_here) {
@@ -125,10 +145,54 @@
             evacuated.runs += worker.runs.len();
             evacuated.long_running +=
                 runs.filter(|run| run.long_running).count();
+            evacuated.stuck += worker
+                .runs
+                .iter()
+                .filter(|(_, run)| run.long_running && !run.is_stopping())
+                .filter(|(task, _)| self.has_no_place(task))
+                .count();
         }
         evacuated
     }
 
+    /// Returns whether a long-running task has nowhere to go: no capacity is
+    /// reserved for it, and none will be free once short tasks have ended.
+    fn has_no_place(&self, task: &TaskId) -> bool {
+        self.reservations.worker_for(task).is_none()
+            && !self.has_room_soon(task)
+    }
+
+    /// Reports, once for each hall, that long-running tasks have no place
+    /// elsewhere, and that all of them have one again.
+    pub(super) fn report_stuck_evacuations(&mut self, now: Now) {
+        if self.workers.evacuation().since_ms.is_empty() {
+            return;
+        }
+        for evacuated in self.evacuated_halls(now) {
+            let EvacuatedHall { hall, stuck, .. } = evacuated;
+            if self.workers.set_evacuation_stuck(&hall, stuck > 0) {
+                self.note(Decision::EvacuationStuck { hall, tasks: stuck });
+            }
+        }
+    }
+
+    /// Returns whether VMs of a hall may take tasks: it isn't being emptied
+    /// and its workers aren't cut off or lost.
+    pub(super) fn hall_takes_tasks(&self, hall: &str) -> bool {
+        !self.workers.evacuation().includes(hall)
+            && self.hall_state(hall).takes_tasks()
+    }
+
+    /// Returns whether some worker or VM may take tasks now or soon, so that
+    /// halls that are being emptied aren't all there is.
+    pub(super) fn has_hall_left(&self) -> bool {
+        let mut vms = self.vms.values();
+        self.workers.values().any(Worker::is_usable)
+            || vms.any(|vm| {
+                vm.status == VmStatus::Up && self.hall_takes_tasks(&vm.hall)
+            })
+    }
+
     /// Notes that the operator's requests were requested at this time of the
     /// steady clock, in milliseconds, and are applied.
     pub fn note_operator_view(&mut self, requested_ms: u64) {
--- a/crates/dewspar/src/schedule/forecast.rs
+++ b/crates/dewspar/src/schedule/forecast.rs
@@ -74,7 +74,8 @@
             let Some(job) = self.jobs.get(&id) else { continue };
             let pool = job.terms.pool.clone();
             let policy = &self.options.policy.forecast;
-            let work = self.initial_work(&job.spec, policy.ahead_ms);
+            let ahead_ms = self.pool_ahead_ms(&pool, policy.ahead_ms);
+            let work = self.initial_work(&job.spec, ahead_ms);
             let arrivals = self.arrivals.entry(pool).or_default();
             arrivals.record(now.steady_ms, work, policy);
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -101,6 +101,7 @@
 
 pub use self::{
     ceilings::UseCeilings,
+    cold_workers::ColdTerms,
     evacuation::EvacuatedHall,
     options::Options,
     order::{
@@ -136,6 +137,7 @@
 mod advice;
 mod cancelled;
 mod ceilings;
+mod cold_workers;
 mod crash_bursts;
 mod directory;
 mod evacuation;
@@ -162,6 +164,7 @@
 mod quotas;
 mod record_merge;
 mod reservations;
+mod run_times;
 mod run_totals;
 mod scheduler;
 mod shares;
@@ -554,6 +557,14 @@
         /// How many runs they have.
         runs: usize,
     },
+    /// Whether long-running tasks of a data hall that is being emptied have no
+    /// place elsewhere has changed.
+    EvacuationStuck {
+        /// The hall.
+        hall: String,
+        /// How many have none; 0 if all have one again.
+        tasks: usize,
+    },
     /// The operator no longer asks that a data hall be emptied.
     HallRestored {
         /// The hall.
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -35,7 +35,7 @@
     pub(crate) vm_list_age_ms: u64,
     pub(crate) max_operator_view_age_ms: Option<u64>,
     pub(crate) tolerated_halls: usize,
-    pub(crate) remote_factor: f64,
+    pub(crate) remote_factor: Option<f64>,
     pub(crate) link: LinkLimits,
     pub(crate) policy: Policy,
 }
@@ -80,7 +80,7 @@
             vm_list_age_ms: 2_000,
             max_operator_view_age_ms: None,
             tolerated_halls: 0,
-            remote_factor: REMOTE_FACTOR,
+            remote_factor: None,
             link: LinkLimits::of_link(LINK_MBPS),
             policy: Policy::default(),
         }
@@ -138,10 +138,11 @@
         self
     }
 
-    /// Sets how many times as long a task takes away from its data; `None` for
-    /// the default of twice as long.
+    /// Sets how many times as long a task takes away from its data. With `None`
+    /// a place near the data is preferred as if it took twice as long, and
+    /// runs are expected to take as long everywhere.
     pub fn remote_factor(mut self, remote_factor: Option<f64>) -> Options {
-        self.remote_factor = remote_factor.unwrap_or(REMOTE_FACTOR);
+        self.remote_factor = remote_factor;
         self
     }
 
@@ -166,6 +167,12 @@
         self
     }
 
+    /// Returns how many times as long a task takes away from its data, for the
+    /// choice of its place.
+    pub(super) fn preferred_remote_factor(&self) -> f64 {
+        self.remote_factor.unwrap_or(REMOTE_FACTOR)
+    }
+
     /// Returns how long after a takeover a worker that was never reached may
     /// still run what a former holder started, in milliseconds.
     pub(super) fn inherited_lease_ms(&self) -> u64 {
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -97,6 +97,11 @@
                 } else {
                     STALL_TIMEOUT_MS
                 };
+                // A run makes less progress on a cold worker and away from
+                // its data.
+                let timeout_ms = self.remote_run_ms(worker, spec, timeout_ms);
+                let from_ms = run.moved_ms.max(worker.cold.until_ms());
+                let stalled_ms = worker.reported_ms().saturating_sub(from_ms);
                 // The members of a gang wait for one another.
                 if !spec.gang && stalled_ms > timeout_ms {
                     stalled.push((worker.id().clone(), *task));
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -28,30 +28,19 @@
 
 mod candidates;
 mod gang;
+mod scores;
 mod uniform;
 
-pub(super) use self::candidates::{Candidate, Candidates, PoolNumber};
+pub(super) use self::{
+    candidates::{Candidate, Candidates, PoolNumber},
+    scores::Scores,
+};
 
 /// The number of run numbers skipped for a task that a former lease holder may
 /// have started without recording it, so that the new run number is the
 /// highest.
 const RUN_NUMBER_GAP: u64 = 8;
 
-/// The score bonus for a worker near a task's data, in thousandths of a core.
-/// It exceeds the processor of any worker, since a task takes at least twice
-/// as long elsewhere.
-const DATA_LOCALITY_SCORE: i64 = 60_000;
-
-/// The score bonus for placing a long-running task on a worker that already
-/// has one, in thousandths of a core. Such tasks then occupy fewer VMs. The
-/// bonus is half a worker's processor.
-const COLOCATION_SCORE: i64 = 16_000;
-
-/// The score penalty for each run that the task would interfere with, or that
-/// would interfere with it, in thousandths of a core. It exceeds the free
-/// processor time of any worker.
-const INTERFERENCE_PENALTY: i64 = 100_000;
-
 /// The maximum age of a worker's capacity report, in milliseconds, for workers
 /// that don't enforce their capacity. A reduced capacity counts about 3 s
 /// after it was reported at the earliest, and the directory is read every 0.3
@@ -201,7 +190,10 @@
         let fits = self.fits_any_vm(spec);
         if spec.gang {
             let placed = self.start_gang(spec, &first, &waiting, now, actions);
-            return (!placed && fits).then_some(pool);
+            let lacks_vm = !placed
+                && fits
+                && !self.waits_for_cold_worker(&pool, spec, now);
+            return lacks_vm.then_some(pool);
         }
         let task = |index: u32| TaskId { index, ..first };
         // Checked before workers are searched, since a team beyond its quota
@@ -255,7 +247,10 @@
                 }
             }
         }
-        (lacks_room && fits).then_some(pool)
+        let lacks_vm = lacks_room
+            && fits
+            && !self.waits_for_cold_worker(&pool, spec, now);
+        lacks_vm.then_some(pool)
     }
 
     /// Returns the waiting tasks of a step that may crash their workers.
@@ -410,6 +405,8 @@
             };
             free.contains(&demand)
                 && worker.accepts_starts(now.steady_ms)
+                && (room == RoomHorizon::AfterShortTasks
+                    || self.starts_left(worker, now) > 0)
                 && (guarded
                     || worker
                         .has_current_room(now.steady_ms, MAX_REPORT_AGE_MS))
@@ -480,7 +477,10 @@
         let isolated = self.is_isolated(spec, state);
         let score = |worker: &Worker| match isolated {
             true => self.isolation_score(worker, spec),
-            false => self.score_for(worker, spec),
+            false => {
+                self.score_for(worker, spec)
+                    - self.cold_penalty(worker, spec, now)
+            }
         };
         let reserved = self.reservations.worker_for(task);
         // A long-running task avoids VMs with pending maintenance: it would
@@ -578,7 +578,7 @@
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
-            score += DATA_LOCALITY_SCORE;
+            score += self.scores.data_locality();
         }
         let step_of = |task: &TaskId| {
             self.jobs.get(&task.job).and_then(|job| job.step_spec(task))
@@ -602,9 +602,9 @@
             && spec.long_running
             && worker.runs.keys().filter_map(step_of).any(long)
         {
-            score += COLOCATION_SCORE;
+            score += self.scores.colocation();
         }
-        score - disturbing as i64 * INTERFERENCE_PENALTY
+        score - disturbing as i64 * self.scores.interference()
     }
 
     /// Records a start and returns its order, unless the start must be stored
@@ -660,6 +660,7 @@
         let lease_until_ms =
             worker.lease_until_ms(now.steady_ms, &self.options)?;
         worker.lease_sent(lease_until_ms);
+        worker.cold.record_start(now.steady_ms);
         let fence = worker.fence();
         let address = worker.listing.address.clone();
         let ordered = worker.runs.get_mut(task)?;
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -96,6 +96,7 @@
                 // Resets the idle time: the worker is needed as soon as the
                 // other members have workers.
                 worker.remove(task, now.steady_ms);
+                worker.cold.undo_start();
             }
         }
         if placements.len() < members.len() {
@@ -123,6 +124,7 @@
         let fence = worker.fence();
         let reserved = Run::ordered(run, fence, demand(spec), now.steady_ms);
         worker.insert(*task, reserved.with_suspicion(suspicion));
+        worker.cold.record_start(now.steady_ms);
     }
 
     /// Gives every member the same checkpoint, since a checkpoint of one
--- a/crates/dewspar/src/schedule/placement/uniform.rs
+++ b/crates/dewspar/src/schedule/placement/uniform.rs
@@ -26,6 +26,7 @@
     /// The index of the first worker that may still have room.
     next: usize,
     demand: Resources,
+    now: Now,
 }
 
 impl UniformPlacement {
@@ -37,7 +38,10 @@
     ) -> Option<WorkerId> {
         while let Some(number) = self.workers.get(self.next) {
             let worker = scheduler.workers.at(*number);
-            if let Some(worker) = worker.filter(|w| self.fits(w, task)) {
+            if let Some(worker) = worker.filter(|worker| {
+                self.fits(worker, task)
+                    && scheduler.starts_left(worker, self.now) > 0
+            }) {
                 return Some(worker.id().clone());
             }
             self.next += 1;
@@ -79,13 +83,16 @@
         let mut scored: Vec<(Reverse<i64>, WorkerNumber)> = suitable
             .rev()
             .map(|(number, worker)| {
-                (Reverse(self.score_for(worker, spec)), number)
+                let score = self.score_for(worker, spec)
+                    - self.cold_penalty(worker, spec, now);
+                (Reverse(score), number)
             })
             .collect();
         // The sort is stable: among equal scores the last identifier comes
         // first.
         scored.sort_by_key(|(score, _)| *score);
         let workers = scored.into_iter().map(|(_, number)| number).collect();
-        Some(UniformPlacement { workers, next: 0, demand: demand(spec) })
+        let demand = demand(spec);
+        Some(UniformPlacement { workers, next: 0, demand, now })
     }
 }
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -198,6 +198,8 @@
         let ended = former.take_listed_runs();
         let mut next = former.next_process(listing, now, &self.options);
         next.reported_at_ms = reported_at_ms;
+        let cold_remaining_ms = next.listing.cold_remaining_ms;
+        next.cold.relisted(reported_at_ms, cold_remaining_ms);
         next.listed |= reported_at_ms > 0;
         let outlived: Vec<TaskId> = next.runs.keys().copied().collect();
         self.workers.insert(id.clone(), next);
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -50,6 +50,7 @@
             if job.phase.is_final() {
                 continue;
             }
+            let ahead_ms = self.pool_ahead_ms(&job.terms.pool, ahead_ms);
             let used =
                 self.project_job(*id, job, &runs, &mut ends, now, ahead_ms);
             if used != Resources::default() {
@@ -75,11 +76,13 @@
                     continue;
                 }
                 let ran_ms = now.steady_ms.saturating_sub(run.since_ms);
-                let remaining_ms = spec.estimate_ms.saturating_sub(ran_ms);
+                let run_ms = self.expected_run_ms(worker, spec, run.since_ms);
+                let remaining_ms = run_ms.saturating_sub(ran_ms);
                 let key = (task.job, task.round, task.step);
                 let step = remaining.entry(key).or_default();
                 step.remaining_ms = step.remaining_ms.max(remaining_ms);
-                if remaining_ms > ahead_ms {
+                if remaining_ms > self.pool_ahead_ms(&job.terms.pool, ahead_ms)
+                {
                     step.resources.add(&run.demand);
                 }
             }
--- a/crates/dewspar/src/schedule/reservations.rs
+++ b/crates/dewspar/src/schedule/reservations.rs
@@ -132,6 +132,10 @@
         }
         if let Some(reservation) = self.reservations.by_task.get(task) {
             let to = reservation.to.clone();
+            // The task would be down until the worker takes its start.
+            if !self.takes_another_start(&to, now) {
+                return None;
+            }
             return self.claim_reserved_room(task, &to).then_some(to);
         }
         if let Some(to) = self.best_worker_for(task, now).cloned() {
@@ -210,7 +214,13 @@
         from: &WorkerId,
         place: Option<WorkerId>,
         reason: &'static str,
+        now: Now,
     ) {
+        if let Some(place) = &place {
+            // Counts as a start already, so that no more tasks are stopped in
+            // a second than the worker takes.
+            self.record_cold_start(place, now);
+        }
         let worker = from.clone();
         self.note(Decision::Displaced { task: *task, worker, place });
         self.stop_run(task, from, reason);
@@ -223,19 +233,26 @@
         let Some(job) = self.jobs.get(&task.job) else { return };
         let Some(spec) = job.step_spec(task) else { return };
         let room = demand(spec);
+        if !self.fits_any_vm(spec) || self.has_room_soon(task) {
+            return;
+        }
+        let pool = job.terms.pool.clone();
+        self.reservations.unplaced.entry(pool).or_default().add(&room);
+    }
+
+    /// Returns whether some worker of a task's pool has room for it once short
+    /// tasks have ended.
+    pub(super) fn has_room_soon(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let Some(spec) = job.step_spec(task) else { return false };
+        let room = demand(spec);
         let most = spec.max_per_worker as usize;
-        let has_room = |worker: &Worker| {
+        let mut workers = self.workers.in_pool(&job.terms.pool);
+        workers.any(|(_, worker)| {
             worker.is_usable()
                 && worker.free_soon_for(task).contains(&room)
                 && (most == 0 || worker.runs_of_step(task) < most)
-        };
-        let pool = job.terms.pool.as_str();
-        let mut workers = self.workers.in_pool(pool);
-        if !self.fits_any_vm(spec) || workers.any(|(_, w)| has_room(w)) {
-            return;
-        }
-        let pool = pool.to_owned();
-        self.reservations.unplaced.entry(pool).or_default().add(&room);
+        })
     }
 
     /// Clears the record of tasks without room, before they are examined
--- a/crates/dewspar/src/schedule/reservations/search.rs
+++ b/crates/dewspar/src/schedule/reservations/search.rs
@@ -63,7 +63,7 @@
         scheduler: &Scheduler,
         (spec, member): (&StepSpec, &TaskId),
         worker: &'a Worker,
-        room: RoomHorizon,
+        (room, now): (RoomHorizon, Now),
     ) -> Option<WorkerOption<'a>> {
         let demand = demand(spec);
         let free = match room {
@@ -78,8 +78,15 @@
             0 => u64::MAX,
             most => most.saturating_sub(siblings),
         };
-        let members_left =
-            free.count_fitting(&demand).min(apart).saturating_sub(assigned);
+        let starts = match room {
+            RoomHorizon::Now => scheduler.starts_left(worker, now),
+            RoomHorizon::AfterShortTasks => u64::MAX,
+        };
+        let members_left = free
+            .count_fitting(&demand)
+            .min(apart)
+            .min(starts)
+            .saturating_sub(assigned);
         let taken = demand.times(assigned).cpu_millis;
         // OK to convert: no VM has so many cores.
         let free_cpu_millis = worker.free().cpu_millis as i64 - taken as i64;
@@ -143,7 +150,7 @@
         for member in members {
             let workers = self.suitable_with_numbers(spec, member, room, now);
             let options = workers.filter_map(|(_, worker)| {
-                assigned.option(self, (spec, member), worker, room)
+                assigned.option(self, (spec, member), worker, (room, now))
             });
             if let Some(best) = options.max() {
                 assigned.assign(best.id);
@@ -166,7 +173,7 @@
         let Some(any) = members.first() else { return placements };
         let workers = self.suitable_with_numbers(spec, any, room, now);
         let options = workers.filter_map(|(_, worker)| {
-            assigned.option(self, (spec, any), worker, room)
+            assigned.option(self, (spec, any), worker, (room, now))
         });
         let mut options: BinaryHeap<WorkerOption> = options.collect();
         for member in members {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -8,6 +8,7 @@
             QueueTerms, Resources, SentHold, WorkerId,
             advice::StepAdvice,
             cancelled::Cancelled,
+            cold_workers::ColdTerms,
             crash_bursts::{CrashBursts, ReservedFor},
             evacuation::OperatorView,
             forecast::Arrivals,
@@ -16,7 +17,7 @@
             loading::Loading,
             long_running::LongRunningNeed,
             long_waits::LongWaits,
-            placement::Candidates,
+            placement::{Candidates, Scores},
             poll_limit::InFlightPolls,
             processes::FormerProcesses,
             quotas::TeamQuotas,
@@ -138,6 +139,10 @@
     pub(super) unplaced_since_ms: BTreeMap<String, u64>,
     /// The distinct capacities of workers and VMs.
     pub(super) capacities: Vec<Resources>,
+    /// What the advantages of a worker are worth for a task.
+    pub(super) scores: Scores,
+    /// The terms of the pools whose workers are slow after their start.
+    pub(super) cold_terms: BTreeMap<String, ColdTerms>,
     /// The adviser's answers, by the first task of each step.
     pub(super) advice: BTreeMap<TaskId, StepAdvice>,
     /// The time at which the current list of VMs was requested.
@@ -243,6 +248,8 @@
             pool_loads: BTreeMap::new(),
             unplaced_since_ms: BTreeMap::new(),
             capacities: Vec::new(),
+            scores: Scores::default(),
+            cold_terms: BTreeMap::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
             last_sizing_ms: 0,
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -247,6 +247,7 @@
         self.finish_moves(now);
         if now.steady_ms >= self.last_sizing_ms + self.sizing().interval_ms {
             self.last_sizing_ms = now.steady_ms;
+            self.report_stuck_evacuations(now);
             self.project_pools(now);
             self.compute_long_running_needs(now);
             let targets = self.targets(now);
@@ -330,7 +331,7 @@
         let usable = self.vms.values().filter(|vm| {
             vm.status == VmStatus::Up
                 && !self.pending_moves.contains_key(&vm.vm)
-                && !self.workers.evacuation().includes(&vm.hall)
+                && self.hall_takes_tasks(&vm.hall)
         });
         let total = usable.count() + self.pending_moves.len();
         let mut left = total as u64;
@@ -584,7 +585,7 @@
             .filter(|vm| self.free_pools.contains(&vm.pool))
             .filter(|vm| vm.status == VmStatus::Up)
             .filter(|vm| !self.pending_moves.contains_key(&vm.vm))
-            .filter(|vm| !self.workers.evacuation().includes(&vm.hall))
+            .filter(|vm| self.hall_takes_tasks(&vm.hall))
             .filter(|vm| !self.is_move_refused(&vm.vm, pool))
             .filter(|vm| self.may_order_vm(&vm.vm, now))
             .filter(|vm| !self.awaits_maintenance(&vm.vm))
@@ -654,7 +655,11 @@
             && worker.is_settled()
             && now.steady_ms >= worker.idle_since_ms + self.sizing().idle_ms;
         if worker.in_evacuated_hall {
-            return is_idle && !self.awaits_maintenance(&worker.listing.vm);
+            // Without a hall that is left, the VMs are needed again as soon as
+            // any hall is restored.
+            return is_idle
+                && self.has_hall_left()
+                && !self.awaits_maintenance(&worker.listing.vm);
         }
         is_idle
             && self.pool_load(pool).workers > self.least_vms(pool).max(reserve)
@@ -684,7 +689,9 @@
             .values()
             .filter(|worker| worker.listing.pool == pool)
             .filter(|worker| self.may_switch_off(worker, reserve, now))
-            .find(|worker| !self.is_move_refused(&worker.listing.vm, &free));
+            .filter(|worker| !self.is_move_refused(&worker.listing.vm, &free))
+            // The first of several: a cold one is of less use.
+            .min_by_key(|worker| worker.cold.remaining_ms(now.steady_ms) == 0);
         let Some(id) = idle.map(|worker| worker.id().clone()) else {
             return false;
         };
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -123,10 +123,6 @@
 /// another worker.
 const STABLE_VM_WAIT_MS: u64 = 1_500;
 
-/// The score that a suspected task gives to a worker near its data, in runs.
-/// It exceeds everything else, since the task takes twice as long elsewhere.
-const DATA_LOCALITY_SCORE: i64 = 1_000;
-
 /// The consecutive crashes under one task.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CrashHistory {
@@ -887,7 +883,7 @@
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
-            score += DATA_LOCALITY_SCORE;
+            score += self.scores.isolated_data_locality();
         }
         score
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -7,7 +7,8 @@
         link::Class,
         schedule::{
             Incarnation, Options, Resources, WorkerId, WorkerListing,
-            quotas::RunCharge, stopping::StopProgress,
+            cold_workers::ColdState, quotas::RunCharge,
+            stopping::StopProgress,
         },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -312,6 +313,8 @@
     /// Why the worker is being drained, if it is.
     pub(crate) drain_reason: Option<DrainReason>,
     pub(crate) drain_since_ms: u64,
+    /// How long it is slow after its start.
+    pub(crate) cold: ColdState,
     /// Whether its data hall is being emptied.
     pub(crate) in_evacuated_hall: bool,
     /// Since when the worker has had no run.
@@ -382,6 +385,7 @@
             unset_paces: BTreeSet::new(),
             drain_reason: None,
             drain_since_ms: 0,
+            cold: ColdState::default(),
             in_evacuated_hall: false,
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -228,6 +228,16 @@
         self.evacuation = evacuation;
     }
 
+    /// Sets whether tasks of a hall that is being emptied have no place
+    /// elsewhere. Returns whether that has changed.
+    pub(super) fn set_evacuation_stuck(
+        &mut self,
+        hall: &str,
+        is_stuck: bool,
+    ) -> bool {
+        self.evacuation.set_stuck(hall, is_stuck)
+    }
+
     fn add_to_pool(&mut self, pool: String, number: WorkerNumber) {
         let members = self.pools.entry(pool).or_default();
         insert_sorted(members, number, &self.workers);
--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -245,6 +245,9 @@
         // The members of a gang start together.
         let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
         let outdated = self.operator_view.is_outdated();
+        if self.starts_left(worker, now) == 0 {
+            return WithheldAction::Wait;
+        }
         if gang && !outdated || self.may_start() {
             WithheldAction::Order
         } else {
--- a/crates/dewspar/tests/schedule/evacuation.rs
+++ b/crates/dewspar/tests/schedule/evacuation.rs
@@ -4,12 +4,13 @@
     crate::{
         pool_sizing::vm_orders,
         task_moves::{STOP_MS, long_running, plan_round},
-        world::{POOL, World, at, id, job, step},
+        world::{POOL, RunKind, World, at, id, job, step},
     },
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, EvacuatedHall, Options, Scheduler, VmOrder, WorkerId,
+            ColdTerms, Decision, EvacuatedHall, Options, Resources, Scheduler,
+            VmOrder, WorkerId,
         },
     },
     dewspar_standin::task_worker::Fate,
@@ -159,6 +160,7 @@
         workers: 2,
         runs: 2,
         long_running: 2,
+        stuck: 0,
     };
     assert_eq!(halls, [expected]);
 }
@@ -207,3 +209,148 @@
     let resumed = |d: &Decision| matches!(d, Decision::StartsResumed { .. });
     assert!(decisions.iter().any(paused) && decisions.iter().any(resumed));
 }
+
+/// A world with a worker in each of three halls, `w1` in `hall-1` and so on.
+fn three_halls() -> World {
+    let mut world = world(&["w1", "w2", "w3"], &[]);
+    for (index, listing) in world.listings.iter_mut().enumerate() {
+        listing.hall = format!("hall-{}", index + 1);
+    }
+    world.list();
+    world
+}
+
+/// Long-running tasks, one in each of two halls.
+fn long_running_in_two_halls() -> World {
+    let mut world = three_halls();
+    world.fate = Fate::endless();
+    let apart = StepSpec { max_per_worker: 1, count: 2, ..long_running() };
+    evacuate(&mut world, &["hall-3"]);
+    world.scheduler.submit(id(1), job(vec![apart]), 6, None);
+    // By then no stop ordered by a former lease holder can take effect.
+    world.run_for(4_000);
+    assert_eq!(started_on(&world), ["w1", "w2"].into());
+    world.stop_duration_ms = STOP_MS;
+    world
+}
+
+fn stuck(world: &World) -> Vec<usize> {
+    let halls = world.scheduler.evacuated_halls(at(world.now_ms));
+    halls.iter().map(|hall| hall.stuck).collect()
+}
+
+// Guards against moving tasks from one hall that is emptied to the other.
+#[test]
+fn two_halls_are_emptied_at_once() {
+    let mut world = three_halls();
+    world.fate = Fate::endless();
+    evacuate(&mut world, &["hall-3"]);
+    for number in 1..=2 {
+        let lasting = job(vec![long_running()]);
+        world.scheduler.submit(id(number), lasting, 5 + number, None);
+    }
+    world.run_for(4_000);
+    world.stop_duration_ms = STOP_MS;
+    let before = world.starts.len();
+    evacuate(&mut world, &["hall-1", "hall-2"]);
+    for _ in 0..60 {
+        plan_round(&mut world);
+    }
+    let moved = &world.starts[before..];
+    assert_eq!(moved.len(), 2);
+    assert!(moved.iter().all(|(worker, _)| worker.as_str() == "w3"));
+    assert_eq!(world.running().len(), 2);
+    assert_eq!(stuck(&world), [0, 0]);
+}
+
+// Guards against stopping tasks, or switching off all VMs, when every hall is
+// to be emptied.
+#[test]
+fn the_last_hall_keeps_its_long_running_tasks_until_there_is_a_place() {
+    let mut world = long_running_in_two_halls();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.scheduler.take_decisions();
+    evacuate(&mut world, &["hall-1", "hall-2", "hall-3"]);
+    let demand = Resources { cpu_millis: 1_000, ..Resources::default() };
+    let kind = RunKind { demand, fate: Fate::done(500) };
+    world.kinds.insert(id(2), kind);
+    world.scheduler.submit(id(2), job(vec![step(2)]), 9, None);
+    let mut orders = Vec::new();
+    // Longer than a holder waits before it switches off what isn't needed.
+    for _ in 0..700 {
+        orders.extend(plan_round(&mut world));
+    }
+    assert!(orders.is_empty(), "{orders:?}");
+    assert_eq!(world.running().len(), 2, "a task was stopped or started");
+    assert_eq!(stuck(&world), [1, 1, 0]);
+    let reported = |world: &mut World| -> Vec<(String, usize)> {
+        let decisions = world.scheduler.take_decisions();
+        let reports = decisions.into_iter().filter_map(|d| match d {
+            Decision::EvacuationStuck { hall, tasks } => Some((hall, tasks)),
+            _ => None,
+        });
+        reports.collect()
+    };
+    let both = [("hall-1".to_owned(), 1), ("hall-2".to_owned(), 1)];
+    assert_eq!(reported(&mut world), both, "once for each hall");
+    evacuate(&mut world, &["hall-1"]);
+    for _ in 0..60 {
+        plan_round(&mut world);
+    }
+    assert_eq!(reported(&mut world), [("hall-1".to_owned(), 0)]);
+    let halls = world.scheduler.evacuated_halls(at(world.now_ms));
+    assert_eq!(halls[0].runs, 0, "{halls:?}");
+    assert_eq!(world.phases[&id(2)], "completed");
+}
+
+// Guards against losing the limit of starts on cold workers in an evacuation,
+// and against stopping more tasks than can start again.
+#[test]
+fn a_hall_whose_workers_turned_cold_before_is_emptied() {
+    let mut world = long_running_in_two_halls();
+    let terms = ColdTerms { start_ms: 5_000, starts_per_s: 1 };
+    let pools = [(POOL.to_owned(), terms)].into();
+    world.scheduler.configure_cold_workers(pools);
+    for listing in &mut world.listings {
+        listing.cold_remaining_ms = 20_000;
+    }
+    world.list();
+    evacuate(&mut world, &["hall-1"]);
+    for _ in 0..100 {
+        plan_round(&mut world);
+        assert!(!world.running().is_empty(), "both tasks were stopped");
+    }
+    assert_eq!(world.starts.last().map(|(w, _)| w.as_str()), Some("w3"));
+    assert_eq!(world.running().len(), 2);
+    assert_eq!(stuck(&world), [0]);
+}
+
+// Guards against work that is lost in one hall and waits for the hall that is
+// being emptied, or starts there.
+#[test]
+fn work_of_a_hall_that_falls_silent_goes_to_what_is_left() {
+    let mut world = three_halls();
+    world.fate = Fate::endless();
+    for (number, others) in
+        [["hall-2", "hall-3"], ["hall-1", "hall-3"]].into_iter().enumerate()
+    {
+        evacuate(&mut world, &others);
+        let lasting = job(vec![long_running()]);
+        let number = number as u64 + 1;
+        world.scheduler.submit(id(number), lasting, 5 + number, None);
+        world.run_for(2_000);
+    }
+    assert_eq!(started_on(&world), ["w1", "w2"].into());
+    let before = world.starts.len();
+    world.unreachable.push(WorkerId::new("w1"));
+    world.run_for(1_000);
+    evacuate(&mut world, &["hall-2"]);
+    for _ in 0..400 {
+        plan_round(&mut world);
+    }
+    let places = &world.starts[before..];
+    assert_eq!(places.len(), 2, "{places:?}");
+    assert!(places.iter().all(|(worker, _)| worker.as_str() == "w3"));
+    assert_eq!(stuck(&world), [0]);
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -35,5 +35,6 @@
 mod wave_progress;
 mod waves;
 mod worker_capacity;
+mod worker_shapes;
 mod world;
 mod write_ahead;
--- /dev/null
+++ b/crates/dewspar/tests/schedule/worker_shapes.rs
@@ -0,0 +1,279 @@
+//! Placement on workers of any size, away from a task's data, and on workers
+//! that are slow after their start.
+
+use {
+    crate::world::{POOL, ROOM, RunKind, World, at, id, job, listing, step},
+    dewspar::{
+        job::StepSpec,
+        schedule::{ColdTerms, Options, Resources, Scheduler, WorkerId},
+    },
+    dewspar_standin::task_worker::{Fate, TaskWorker},
+    std::collections::BTreeMap,
+};
+
+/// Processor and memory of a worker, in cores and gigabytes.
+fn room(cores: u64) -> Resources {
+    Resources { cpu_millis: cores * 1_000, memory_mb: cores * 4_000, gpus: 0 }
+}
+
+/// Workers of a size, each with a label of its own.
+struct Fleet {
+    world: World,
+    /// The size of its workers compared with those of 32 cores.
+    scale: u64,
+    jobs: u64,
+}
+
+impl Fleet {
+    fn new(scale: u64, names: &[&str], options: Options) -> Fleet {
+        let mut world = World::with_room(5, names, room(32 * scale));
+        world.scheduler = Scheduler::new(5, options);
+        world.fate = Fate::endless();
+        for listing in &mut world.listings {
+            let name = listing.id.as_str().to_owned();
+            listing.rack = format!("rack-of-{name}");
+            listing.labels.push(name);
+        }
+        world.list();
+        world.expect_all();
+        world.run_for(100);
+        Fleet { world, scale, jobs: 0 }
+    }
+
+    /// Submits a step of one task, for workers of 32 cores. Returns the worker
+    /// on which it starts.
+    fn start(&mut self, spec: StepSpec) -> String {
+        self.jobs += 1;
+        let spec =
+            StepSpec { cpu_millis: spec.cpu_millis * self.scale, ..spec };
+        let demand =
+            Resources { cpu_millis: spec.cpu_millis, ..Resources::default() };
+        let job_id = id(self.jobs);
+        let kind = RunKind { demand, fate: Fate::endless() };
+        self.world.kinds.insert(job_id, kind);
+        let revision = 5 + self.jobs;
+        self.world.scheduler.submit(job_id, job(vec![spec]), revision, None);
+        let before = self.world.starts.len();
+        self.world.run_for(100);
+        let starts = &self.world.starts[before..];
+        let [(worker, _)] = starts else { panic!("{starts:?}") };
+        worker.as_str().to_owned()
+    }
+
+    fn occupy(&mut self, worker: &str, cpu_millis: u64, long_running: bool) {
+        let required_label = worker.to_owned();
+        let spec =
+            StepSpec { cpu_millis, long_running, required_label, ..step(1) };
+        assert_eq!(self.start(spec), worker);
+    }
+}
+
+/// A long-running task beside another one on w1, or on w2, where this much of
+/// the processor is in use.
+fn beside_long_running(scale: u64, used_elsewhere: u64) -> String {
+    let mut fleet = Fleet::new(scale, &["w1", "w2"], Options::default());
+    fleet.occupy("w1", 8_000, true);
+    fleet.occupy("w2", used_elsewhere, false);
+    fleet.start(StepSpec { long_running: true, ..step(1) })
+}
+
+/// A task with its data beside the empty worker w1, or on w2, where this much
+/// of the processor is in use.
+fn near_data(scale: u64, factor: f64, used_elsewhere: u64) -> String {
+    let options = Options::default().remote_factor(Some(factor));
+    let mut fleet = Fleet::new(scale, &["w1", "w2"], options);
+    fleet.occupy("w2", used_elsewhere, false);
+    fleet.start(StepSpec { data_rack: "rack-of-w1".to_owned(), ..step(1) })
+}
+
+/// A task with a latency target beside another one on w1, or on the empty w2.
+fn apart_from_serving(scale: u64) -> String {
+    let mut fleet = Fleet::new(scale, &["w1", "w2"], Options::default());
+    let serving =
+        StepSpec { target_ms: 50, required_label: "w1".into(), ..step(1) };
+    fleet.start(serving);
+    fleet.occupy("w1", 30_000, false);
+    fleet.start(StepSpec { target_ms: 50, ..step(1) })
+}
+
+// Guards against scores that assume one size of workers. The expected places
+// on workers of 32 cores follow from the scores 60, 16 and 100 cores.
+#[test]
+fn a_fleet_of_larger_workers_decides_alike() {
+    for scale in [1, 2] {
+        assert_eq!(beside_long_running(scale, 23_900), "w1", "{scale}");
+        assert_eq!(beside_long_running(scale, 24_100), "w2", "{scale}");
+        // At 31 of 32 cores the difference is below the score at any scale.
+        assert_eq!(near_data(scale, 2.0, 31_000), "w1", "{scale}");
+        assert_eq!(apart_from_serving(scale), "w2", "{scale}");
+    }
+}
+
+// Guards against a weight of data nearby that doesn't depend on how much
+// longer a task takes elsewhere: at a factor of 1.1 it is 6 cores of 32.
+#[test]
+fn the_weight_of_data_nearby_follows_the_factor() {
+    for scale in [1, 2] {
+        assert_eq!(near_data(scale, 1.0, 1_000), "w2", "{scale}");
+        assert_eq!(near_data(scale, 1.1, 5_900), "w1", "{scale}");
+        assert_eq!(near_data(scale, 1.1, 6_100), "w2", "{scale}");
+        assert_eq!(near_data(scale, 3.0, 31_000), "w1", "{scale}");
+    }
+}
+
+/// Lets a task away from its data report no progress. Returns how many times
+/// it was started after this time, in milliseconds.
+fn starts_of_remote_task(factor: Option<f64>, after_ms: u64) -> usize {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.scheduler =
+        Scheduler::new(5, Options::default().remote_factor(factor));
+    world.fate = Fate::stalled();
+    world.list();
+    world.expect_all();
+    let remote = StepSpec { data_rack: "rack-9".to_owned(), ..step(1) };
+    world.scheduler.submit(id(1), job(vec![remote]), 6, None);
+    world.run_for(after_ms);
+    world.starts.len()
+}
+
+// Guards against mistaking a remote run, which makes progress at a third of
+// the pace, for a stalled one.
+#[test]
+fn a_remote_run_is_not_mistaken_for_a_stalled_one() {
+    assert_eq!(starts_of_remote_task(None, 5_000), 2);
+    assert_eq!(starts_of_remote_task(Some(3.0), 5_000), 1);
+    assert_eq!(starts_of_remote_task(Some(3.0), 9_000), 2);
+}
+
+/// A world whose pool limits the starts on cold workers; the named ones are
+/// cold for so long.
+fn cold_world(
+    names: &[&str],
+    cold: &[&str],
+    cold_ms: u64,
+    starts_per_s: u32,
+) -> World {
+    let mut world = World::new(5, names);
+    for listing in &mut world.listings {
+        if cold.contains(&listing.id.as_str()) {
+            listing.cold_remaining_ms = cold_ms;
+        }
+    }
+    limit_cold_starts(&mut world, starts_per_s);
+    world.list();
+    world.expect_all();
+    // A holder orders none from a cold worker in its first second.
+    world.run_for(1_000);
+    world
+}
+
+fn limit_cold_starts(world: &mut World, starts_per_s: u32) {
+    let terms = ColdTerms { start_ms: 2_000, starts_per_s };
+    let pools = BTreeMap::from([(POOL.to_owned(), terms)]);
+    world.scheduler.configure_cold_workers(pools);
+}
+
+fn started_on(world: &World, name: &str) -> usize {
+    let worker = WorkerId::new(name);
+    world.starts.iter().filter(|(on, _)| *on == worker).count()
+}
+
+/// The place of a task with this estimate, on the empty warm worker w1 or on
+/// the cold worker w2, which has a run.
+fn place_beside_cold(estimate_ms: u64) -> String {
+    let mut world = cold_world(&["w1"], &[], 0, 0);
+    world.fate = Fate::endless();
+    let mut cold = listing("w2");
+    cold.cold_remaining_ms = 4_000;
+    world.workers.insert(cold.id.clone(), TaskWorker::new(ROOM));
+    cold.labels.push("w2".to_owned());
+    world.listings.push(cold);
+    world.list();
+    world.run_for(100);
+    let there = StepSpec { required_label: "w2".to_owned(), ..step(1) };
+    world.scheduler.submit(id(1), job(vec![there]), 6, None);
+    world.run_for(100);
+    let estimated = StepSpec { estimate_ms, ..step(1) };
+    world.scheduler.submit(id(2), job(vec![estimated]), 7, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 2);
+    world.starts[1].0.as_str().to_owned()
+}
+
+// Guards against filling a cold worker because it has most in use, and against
+// spreading tasks that lose next to nothing there.
+#[test]
+fn a_warm_worker_is_preferred_where_the_difference_matters() {
+    assert_eq!(place_beside_cold(500), "w1");
+    assert_eq!(place_beside_cold(500_000), "w2");
+}
+
+// Guards against overloading a worker that has just started.
+#[test]
+fn a_cold_worker_gets_no_more_starts_per_second_than_it_takes() {
+    let mut world = cold_world(&["w1"], &["w1"], 4_000, 2);
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 2);
+    world.run_for(800);
+    assert_eq!(world.starts.len(), 2);
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 4);
+}
+
+// Guards against splitting the members of a gang over two seconds: those that
+// started would wait for the others in vain.
+#[test]
+fn a_gang_starts_on_a_cold_worker_only_as_a_whole() {
+    let mut world = cold_world(&["w1"], &["w1"], 4_000, 2);
+    let gang = StepSpec { gang: true, ..step(3) };
+    world.scheduler.submit(id(1), job(vec![gang]), 6, None);
+    world.run_for(1_500);
+    assert!(world.starts.is_empty());
+    world.run_for(2_000);
+    assert_eq!(world.starts.len(), 3);
+}
+
+// Guards against counting the time since the directory was requested twice.
+#[test]
+fn a_worker_is_cold_for_as_long_as_it_was_when_the_directory_was_requested() {
+    let mut world = cold_world(&["w1"], &[], 0, 1);
+    world.listings[0].cold_remaining_ms = 1_000;
+    let asked_ms = world.now_ms;
+    world.now_ms += 900;
+    let listings = world.listings.clone();
+    let now = at(world.now_ms);
+    world.scheduler.list_workers_as_of(asked_ms, now, listings);
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(50);
+    assert_eq!(world.starts.len(), 1, "it is still cold");
+    world.run_for(100);
+    assert_eq!(world.starts.len(), 4, "it is warm by now");
+}
+
+// Guards against a new holder that adds its starts to those of the last one.
+#[test]
+fn a_new_holder_waits_until_former_starts_no_longer_count() {
+    let mut world = cold_world(&["w1"], &["w1"], 8_000, 2);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(50);
+    assert_eq!(world.starts.len(), 2);
+    world.take_over(20);
+    limit_cold_starts(&mut world, 2);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(2), job(vec![step(2)]), 21, None);
+    world.run_for(900);
+    assert_eq!(world.starts.len(), 2);
+    world.run_for(300);
+    assert_eq!(world.starts.len(), 4);
+}
+
+// Guards against terms of a pool that change decisions about warm workers.
+#[test]
+fn warm_workers_take_any_number_of_starts() {
+    let mut world = cold_world(&["w1"], &[], 0, 1);
+    world.scheduler.submit(id(1), job(vec![step(4)]), 6, None);
+    world.run_for(50);
+    assert_eq!(started_on(&world, "w1"), 4);
+}
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -72,6 +72,56 @@
     assert!(evacuations > 1_000, "{evacuations}");
 }
 
+// Guards against starts in an emptied hall when work is lost elsewhere: two of
+// three halls are emptied while the third falls silent.
+#[test]
+fn no_start_is_ordered_in_two_evacuated_halls_while_the_third_is_silent() {
+    let mut silences = 0;
+    for seed in 0..300 {
+        let world = World::new(seed).with_three_halls();
+        silences += run_world(world, seed).silences;
+        let world = World::restarting(seed).with_three_halls();
+        silences += run_world(world, seed).silences;
+    }
+    // Enough cases must have occurred to test the invariant.
+    assert!(silences > 1_000, "{silences}");
+}
+
+// Guards against more starts in a second than a cold worker takes, also across
+// takeovers, restarts and starts that wait until they are recorded.
+#[test]
+fn cold_workers_get_no_more_starts_per_second_than_they_take() {
+    let mut limits = 0;
+    for seed in 0..200 {
+        let worlds = [
+            World::new(seed),
+            World::restarting(seed),
+            World::short_lived_holders(seed),
+        ];
+        for world in worlds {
+            let mut world = world.with_cold_workers();
+            add_crashing_tasks(&mut world, seed);
+            limits += run_world(world, seed).cold_limits;
+        }
+    }
+    // Enough cases must have occurred to test the invariant.
+    assert!(limits > 2_000, "{limits}");
+}
+
+// Guards against terms for cold workers that change decisions where no worker
+// is cold.
+#[test]
+fn orders_are_the_same_where_no_worker_is_cold() {
+    for seed in 0..100 {
+        let orders = |starts_per_s| {
+            let world = World::new(seed);
+            let world = world.with_terms_for_cold_workers(starts_per_s);
+            run_world(world, seed).orders
+        };
+        assert_eq!(orders(None), orders(Some(1)), "seed {seed}");
+    }
+}
+
 /// Gives two jobs a task that crashes its workers.
 fn add_crashing_tasks(world: &mut World, seed: u64) {
     for number in [1, 2 + seed % 7] {
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -8,9 +8,10 @@
     dewspar::{
         job::{JobId, JobSpec, Progress, Repeat, StepSpec, TaskId},
         schedule::{
-            AcceptedJob, Action, EndCause, HoldReport, Incarnation, Now,
-            Options, OrderError, QueueTerms, Resources, Scheduler, StartOrder,
-            StopOrder, TeamUse, UseCeilings, WorkerId, WorkerListing,
+            AcceptedJob, Action, ColdTerms, EndCause, HoldReport, Incarnation,
+            Now, Options, OrderError, QueueTerms, Resources, Scheduler,
+            StartOrder, StopOrder, TeamUse, UseCeilings, WorkerId,
+            WorkerListing,
         },
         team::{Team, Teams},
     },
@@ -112,8 +113,26 @@
     /// Former capacities, each with the time until which it was valid; they
     /// count for a while after that.
     former_capacities: Vec<(u64, Resources)>,
+    cold: ColdProcess,
 }
 
+/// How long a worker is slow, and what was ordered from it.
+#[derive(Default)]
+struct ColdProcess {
+    /// Until when it is slow.
+    until_ms: u64,
+    /// Until when it was said to be slow when it was last listed.
+    listed_until_ms: u64,
+    /// The times of the orders to start.
+    starts_ms: Vec<u64>,
+}
+
+/// How long a process is slow after its start, in milliseconds.
+const COLD_MS: u64 = 3_000;
+
+/// The maximum number of starts per second on a slow worker.
+const COLD_STARTS_PER_S: u32 = 2;
+
 /// How long a former capacity counts, in milliseconds: the shortest time on
 /// any site, with a margin.
 const CAPACITY_COUNTS_MS: u64 = 4_500;
@@ -204,6 +223,16 @@
     known_evacuated_halls: BTreeSet<String>,
     /// The number of requests to empty a hall.
     pub evacuations: u32,
+    /// The number of data halls.
+    halls: u32,
+    /// The number of times a hall fell silent while the others were emptied.
+    pub silences: u32,
+    /// The terms of the workers' pool, if they are slow after their start.
+    cold_terms: Option<ColdTerms>,
+    /// The number of times a worker took as many starts as it may in a second.
+    pub cold_limits: u32,
+    /// The orders to start, if they are recorded.
+    pub orders: Option<Vec<(u64, WorkerId, TaskId, u64)>>,
 }
 
 /// The maximum error of the wall clock, in milliseconds: more than any job
@@ -259,6 +288,11 @@
             evacuated_halls: None,
             known_evacuated_halls: BTreeSet::new(),
             evacuations: 0,
+            halls: 2,
+            silences: 0,
+            cold_terms: None,
+            cold_limits: 0,
+            orders: None,
         };
         for vm in 0..4 {
             world.start_process(vm);
@@ -358,6 +392,91 @@
         self
     }
 
+    /// Returns a world with three data halls, two of which are emptied from
+    /// time to time while the third falls silent.
+    pub fn with_three_halls(mut self) -> World {
+        self.halls = 3;
+        for (id, process) in &mut self.processes {
+            let vm = id.as_str()[1..2].parse().unwrap_or(0);
+            process.listing.hall = format!("hall-{}", vm % 3);
+        }
+        self.evacuated_halls = Some(BTreeSet::new());
+        self.take_over();
+        self
+    }
+
+    /// Asks that two of three halls be emptied, or none, and cuts off the
+    /// third.
+    fn change_two_evacuations(&mut self) {
+        let left = self.random.random_range(0..5);
+        let is_evacuated = self.faults && left < 3;
+        let halls = (0..3).filter(|hall| is_evacuated && *hall != left);
+        let halls = halls.map(|hall| format!("hall-{hall}")).collect();
+        self.evacuated_halls = Some(halls);
+        if !is_evacuated || self.random.random() {
+            return;
+        }
+        self.evacuations += 2;
+        self.silences += 1;
+        let until_ms = self.now_ms + self.random.random_range(500..12_000);
+        let left = format!("hall-{left}");
+        for process in self.processes.values_mut() {
+            if process.listing.hall == left {
+                process.unreachable_until_ms = until_ms;
+            }
+        }
+    }
+
+    /// Returns a world whose workers are slow after their start, and turn slow
+    /// from time to time.
+    pub fn with_cold_workers(mut self) -> World {
+        self.cold_terms = Some(ColdTerms {
+            start_ms: COLD_MS,
+            starts_per_s: COLD_STARTS_PER_S,
+        });
+        self.take_over();
+        self
+    }
+
+    /// Returns a world that records the orders to start, with these terms for
+    /// workers that are slow after their start. None is.
+    pub fn with_terms_for_cold_workers(
+        mut self,
+        starts_per_s: Option<u32>,
+    ) -> World {
+        self.cold_terms = starts_per_s
+            .map(|starts_per_s| ColdTerms { start_ms: 0, starts_per_s });
+        self.orders = Some(Vec::new());
+        self.take_over();
+        self
+    }
+
+    /// Checks that a worker that is known to be slow takes no more starts in a
+    /// second than it may.
+    fn check_cold_starts(&mut self, worker: &WorkerId, order: &StartOrder) {
+        let now_ms = self.now_ms;
+        if let Some(orders) = &mut self.orders {
+            orders.push((now_ms, worker.clone(), order.task, order.run));
+        }
+        if self.cold_terms.is_none() {
+            return;
+        }
+        let Some(process) = self.processes.get_mut(worker) else { return };
+        let cold = &mut process.cold;
+        cold.starts_ms.retain(|at_ms| now_ms < at_ms + 1_000);
+        cold.starts_ms.push(now_ms);
+        if now_ms >= cold.listed_until_ms {
+            return;
+        }
+        let starts = cold.starts_ms.len() as u32;
+        self.cold_limits += u32::from(starts == COLD_STARTS_PER_S);
+        let task = order.task;
+        assert!(
+            starts <= COLD_STARTS_PER_S,
+            "{task}: {starts} starts in a second on the cold worker {worker}"
+        );
+    }
+
     /// Asks that another hall be emptied, or none. A holder that can't reach
     /// the store doesn't learn of it.
     fn change_evacuation(&mut self) {
@@ -490,7 +609,7 @@
             address: name.clone(),
             vm: format!("vm-{vm}"),
             pool: POOL.to_owned(),
-            hall: format!("hall-{}", vm % 2),
+            hall: format!("hall-{}", vm % self.halls),
             rack: String::new(),
             labels: Vec::new(),
             capacity: CAPACITY,
@@ -505,7 +624,11 @@
             clock_lag: u64::from(vm) * 6,
             unreachable_until_ms: 0,
             former_capacities: Vec::new(),
+            cold: ColdProcess::default(),
         };
+        if self.cold_terms.is_some_and(|terms| terms.start_ms > 0) {
+            process.cold.until_ms = self.now_ms + COLD_MS;
+        }
         if self.unenforced {
             process.worker = process.worker.unguarded();
         }
@@ -536,6 +659,10 @@
         if let Some(quotas) = &self.quotas {
             scheduler.configure_teams(&quotas.teams());
         }
+        if let Some(terms) = self.cold_terms {
+            let pools = [(POOL.to_owned(), terms)].into();
+            scheduler.configure_cold_workers(pools);
+        }
         self.scheduler = scheduler;
         self.to_load = self.store.jobs.keys().copied().collect();
         // Holders load in the same order each time, so that in a chain some
@@ -569,11 +696,14 @@
     }
 
     fn list(&mut self) {
-        let listings = self
-            .processes
-            .values()
-            .map(|process| process.listing.clone())
-            .collect();
+        let now_ms = self.now_ms;
+        let processes = self.processes.values_mut().map(|process| {
+            let cold = &mut process.cold;
+            let cold_remaining_ms = cold.until_ms.saturating_sub(now_ms);
+            cold.listed_until_ms = now_ms + cold_remaining_ms;
+            WorkerListing { cold_remaining_ms, ..process.listing.clone() }
+        });
+        let listings = processes.collect();
         self.scheduler.list_workers(self.now(), listings);
     }
 
@@ -640,6 +770,13 @@
         if self.varied {
             self.change_order_inputs();
         }
+        let has_cold = self.cold_terms.is_some_and(|t| t.start_ms > 0);
+        if has_cold && self.chance(20) {
+            let until_ms = self.now_ms + COLD_MS;
+            if let Some(process) = self.any_process() {
+                process.cold.until_ms = until_ms;
+            }
+        }
         if self.chance(6) {
             self.crash();
         }
@@ -684,6 +821,7 @@
         let mut process = WorkerProcess {
             worker: TaskWorker::new(CAPACITY),
             started_ms: self.now_ms,
+            cold: ColdProcess::default(),
             ..former
         };
         process.set_incarnation(self.now_ms);
@@ -713,7 +851,10 @@
             self.list();
         }
         if step.is_multiple_of(40) {
-            self.change_evacuation();
+            match self.halls {
+                3 => self.change_two_evacuations(),
+                _ => self.change_evacuation(),
+            }
         }
         if !self.is_store_out() {
             self.read_evacuation();
@@ -795,6 +936,7 @@
             Action::Start { worker, order, .. } => {
                 self.check_start(&order);
                 self.check_hall(&worker, &order);
+                self.check_cold_starts(&worker, &order);
                 let result = if lost {
                     if late {
                         self.delay(&worker, LateOrder::Start(order.clone()));
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -121,6 +121,9 @@
         "The memory of a team's quota, in megabytes; 0 for no limit.";
     EVACUATED_HALL_RUNS, "gauge", "dewspar_evacuated_hall_runs", Some("hall"),
         "Runs in a data hall that is being emptied, while this node schedules.";
+    EVACUATED_HALL_STUCK, "gauge", "dewspar_evacuated_hall_stuck_tasks",
+        Some("hall"),
+        "Long-running tasks in a data hall that is being emptied without a place elsewhere, while this node schedules.";
     EVACUATED_HALL_TIME, "gauge", "dewspar_evacuated_hall_seconds", Some("hall"),
         "For how long a data hall has been emptied, in seconds; 0 once it is in use again.";
     STARTS_IN_DOUBT, "counter", "dewspar_starts_in_doubt_total", None,
@@ -206,11 +209,14 @@
     gauge!(name, "team" => team.to_owned()).set(value);
 }
 
-/// Sets the gauges of a data hall that is being emptied, or that no longer is.
-pub(crate) fn set_of_hall(hall: &str, age_ms: u64, runs: usize) {
+/// Sets the gauges of a data hall that is being emptied, or that no longer is:
+/// for how long it has been, its runs, and the tasks that have no place
+/// elsewhere.
+pub(crate) fn set_of_hall(hall: &str, age_ms: u64, runs: usize, stuck: usize) {
     let hall = || hall.to_owned();
     gauge!(EVACUATED_HALL_TIME, "hall" => hall()).set(age_ms as f64 / 1e3);
     gauge!(EVACUATED_HALL_RUNS, "hall" => hall()).set(runs as f64);
+    gauge!(EVACUATED_HALL_STUCK, "hall" => hall()).set(stuck as f64);
 }
 
 /// Records a time that began at `since`.
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -149,10 +149,18 @@
             info!(log, "hall: nothing more starts there"; "hall" => hall,
                 "workers" => workers, "runs" => runs);
         }
+        Decision::EvacuationStuck { hall, tasks: 0 } => {
+            info!(log, "hall: all long-running tasks have a place elsewhere";
+                "hall" => hall);
+        }
+        Decision::EvacuationStuck { hall, tasks } => {
+            warn!(log, "hall: long-running tasks have no place elsewhere";
+                "hall" => hall, "tasks" => tasks);
+        }
         Decision::HallRestored { hall, after_ms } => {
             info!(log, "hall: in use again"; "hall" => hall,
                 "after_ms" => after_ms);
-            counters::set_of_hall(hall, 0, 0);
+            counters::set_of_hall(hall, 0, 0, 0);
         }
         Decision::StartsPaused { age_ms } => {
             warn!(log, "holder: nothing starts"; "age_ms" => age_ms,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -570,6 +570,7 @@
         self.scheduler.configure_pools(serving.collect(), free.collect());
         let unguarded = queues.pools_without_capacity_checks().iter().cloned();
         self.scheduler.enforce_capacity(unguarded.collect());
+        self.scheduler.configure_cold_workers(queues.cold_terms().clone());
         let teams = queues.teams();
         let queues = queues.queues().iter();
         self.scheduler.configure(queues.map(|q| (q.name.as_str(), &q.terms)));
--- a/crates/dewspard/src/jobs/load_stats.rs
+++ b/crates/dewspard/src/jobs/load_stats.rs
@@ -161,12 +161,12 @@
 /// Logs each data hall that is being emptied, and sets its gauges.
 pub(super) fn log_evacuated_halls(log: &Logger, halls: &[EvacuatedHall]) {
     for evacuated in halls {
-        let EvacuatedHall { hall, age_ms, workers, runs, long_running } =
-            evacuated;
+        let EvacuatedHall { hall, age_ms, workers, runs, .. } = evacuated;
+        let EvacuatedHall { long_running, stuck, .. } = evacuated;
         info!(log, "hall: being emptied"; "hall" => hall, "age_ms" => age_ms,
             "workers" => workers, "runs" => runs,
-            "long_running" => long_running);
-        counters::set_of_hall(hall, *age_ms, *runs);
+            "long_running" => long_running, "stuck" => stuck);
+        counters::set_of_hall(hall, *age_ms, *runs, *stuck);
     }
 }
 
