--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -222,8 +222,9 @@
     /// How much longer that may take while the store refuses some nodes, in
     /// milliseconds.
     pub max_stretch_ms: Option<u64>,
-    /// How many times as long a task takes away from its data; without it,
-    /// twice as long.
+    /// How many times as long a task takes away from its data; without it, a
+    /// place near the data is preferred as if it were twice, and runs are
+    /// expected to take as long everywhere.
     pub remote_factor: Option<f64>,
 }
 
