Place a gang in one rack where running in several is known to take longer

same_rack of a step was read and not used: members went to the best-scoring workers of any rack. Where remote_factor is set, a rack with room for all members is now looked for first and its workers are preferred, for gangs that start at once and for those with reservations. The expected run time of a gang over several racks is longer by the factor. Without the setting nothing changes.

Weighed: placing the members in each rack in turn and keeping the best result, which costs a search for each rack; the sum of what fits costs one.

Run: schedule tests on gangs and worker_shapes.

--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -99,7 +99,8 @@
                 };
                 // A run makes less progress on a cold worker and away from
                 // its data.
-                let timeout_ms = self.remote_run_ms(worker, spec, timeout_ms);
+                let timeout_ms =
+                    self.remote_run_ms(worker, (task, spec), timeout_ms);
                 let from_ms = run.moved_ms.max(worker.cold.until_ms());
                 let stalled_ms = worker.reported_ms().saturating_sub(from_ms);
                 // The members of a gang wait for one another.
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -28,6 +28,7 @@
 
 mod candidates;
 mod gang;
+mod gang_rack;
 mod scores;
 mod uniform;
 
@@ -220,7 +221,7 @@
                 Some(placement) if !self.needs_own_placement(&task) => {
                     placement.next(self, &task).ok_or(PlacementError::NoRoom)
                 }
-                _ => self.choose_worker(spec, &task, now),
+                _ => self.choose_worker(spec, &task, None, now),
             };
             match chosen {
                 Ok(worker) => {
@@ -316,18 +317,19 @@
         if inherited && first { run + RUN_NUMBER_GAP } else { run + 1 }
     }
 
-    /// Chooses a worker for a task.
+    /// Chooses a worker for a task, in the given rack if possible.
     fn choose_worker(
         &self,
         spec: &StepSpec,
         task: &TaskId,
+        rack: Option<&str>,
         now: Now,
     ) -> Result<WorkerId, PlacementError> {
         if self.waits_for_reserved_room(task, &demand(spec)) {
             return Err(PlacementError::NoRoom);
         }
         let job = &self.jobs[&task.job];
-        if let Some(worker) = self.best_worker(spec, task, now) {
+        if let Some(worker) = self.best_worker(spec, task, rack, now) {
             return Ok(worker.id().clone());
         }
         let suits = self.suitable_workers(spec, task, now).next().is_some();
@@ -466,11 +468,13 @@
         })
     }
 
-    /// Returns the best-scoring worker for a task.
+    /// Returns the best-scoring worker for a task, in the given rack if
+    /// possible.
     fn best_worker(
         &self,
         spec: &StepSpec,
         task: &TaskId,
+        rack: Option<&str>,
         now: Now,
     ) -> Option<&Worker> {
         let state = self.jobs.get(&task.job)?.task(task)?;
@@ -494,7 +498,9 @@
                 let is_reserved = reserved == Some(worker.id());
                 let avoided = state.avoid.contains(worker.id());
                 let stays = stays(worker);
-                (is_reserved, !avoided, stays, score(worker), worker.id())
+                let in_rack = rack == Some(worker.listing.rack.as_str());
+                let prior = (is_reserved, !avoided, stays, in_rack);
+                (prior, score(worker), worker.id())
             })
     }
 
@@ -506,7 +512,7 @@
     ) -> Option<&WorkerId> {
         let job = self.jobs.get(&task.job)?;
         let spec = job.step_spec(task)?;
-        self.best_worker(spec, task, now).map(Worker::id)
+        self.best_worker(spec, task, None, now).map(Worker::id)
     }
 
     /// Returns whether a task may start as far as write-ahead records are
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::PlacementError,
+    super::{PlacementError, RoomHorizon},
     crate::{
         job::{StepSpec, TaskId},
         quota::Admission,
@@ -77,8 +77,9 @@
     ) -> Vec<WorkerId> {
         let mut placements = Vec::new();
         let mut suspended = Vec::new();
+        let rack = self.rack_for_gang(spec, members, RoomHorizon::Now, now);
         for task in members {
-            match self.choose_worker(spec, task, now) {
+            match self.choose_worker(spec, task, rack.as_deref(), now) {
                 Ok(worker) => {
                     suspended.extend(self.suspend_reservation(task, now));
                     self.reserve_tentatively(spec, task, run, &worker, now);
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -76,7 +76,8 @@
                     continue;
                 }
                 let ran_ms = now.steady_ms.saturating_sub(run.since_ms);
-                let run_ms = self.expected_run_ms(worker, spec, run.since_ms);
+                let run_ms =
+                    self.expected_run_ms(worker, (task, spec), run.since_ms);
                 let remaining_ms = run_ms.saturating_sub(ran_ms);
                 let key = (task.job, task.round, task.step);
                 let step = remaining.entry(key).or_default();
--- a/crates/dewspar/src/schedule/reservations/search.rs
+++ b/crates/dewspar/src/schedule/reservations/search.rs
@@ -28,6 +28,8 @@
 struct WorkerOption<'a> {
     /// Whether its VM has no pending maintenance.
     stays: bool,
+    /// Whether it is in the rack that is preferred for the gang.
+    in_rack: bool,
     /// The free processor time minus that of the members assigned so far, in
     /// thousandths of a core. Negative while short runs use the capacity.
     free_cpu_millis: i64,
@@ -52,6 +54,8 @@
 /// Tentative assignments of the members of one gang to workers.
 #[derive(Default)]
 struct Assignments<'a> {
+    /// The rack that is preferred for the gang.
+    rack: Option<String>,
     count_by_worker: HashMap<&'a WorkerId, u64>,
 }
 
@@ -66,33 +70,20 @@
         (room, now): (RoomHorizon, Now),
     ) -> Option<WorkerOption<'a>> {
         let demand = demand(spec);
-        let free = match room {
-            RoomHorizon::Now => worker.free_for(member),
-            RoomHorizon::AfterShortTasks => worker.free_soon_for(member),
-        };
         let assigned =
             self.count_by_worker.get(worker.id()).copied().unwrap_or(0);
-        let most = u64::from(spec.max_per_worker);
-        let siblings = worker.runs_of_step(member) as u64;
-        let apart = match most {
-            0 => u64::MAX,
-            most => most.saturating_sub(siblings),
-        };
-        let starts = match room {
-            RoomHorizon::Now => scheduler.starts_left(worker, now),
-            RoomHorizon::AfterShortTasks => u64::MAX,
-        };
-        let members_left = free
-            .count_fitting(&demand)
-            .min(apart)
-            .min(starts)
+        let members_left = scheduler
+            .members_fitting(worker, (spec, member), room, now)
             .saturating_sub(assigned);
         let taken = demand.times(assigned).cpu_millis;
         // OK to convert: no VM has so many cores.
         let free_cpu_millis = worker.free().cpu_millis as i64 - taken as i64;
         let stays = !scheduler.awaits_maintenance(&worker.listing.vm);
         let id = worker.id();
-        let option = WorkerOption { stays, free_cpu_millis, id, members_left };
+        let rack = worker.listing.rack.as_str();
+        let in_rack = self.rack.as_deref() == Some(rack);
+        let option =
+            WorkerOption { stays, in_rack, free_cpu_millis, id, members_left };
         (members_left > 0).then_some(option)
     }
 
@@ -126,7 +117,8 @@
         if own.len() > MAX_SEARCHES_PER_REVIEW {
             return Err(members.len() as u64);
         }
-        let mut assigned = Assignments::default();
+        let rack = self.rack_for_gang(spec, members, room, now);
+        let mut assigned = Assignments { rack, ..Assignments::default() };
         let mut placements =
             self.place_individually(spec, &own, &mut assigned, room, now);
         placements
--- a/crates/dewspar/tests/schedule/worker_shapes.rs
+++ b/crates/dewspar/tests/schedule/worker_shapes.rs
@@ -8,7 +8,7 @@
         schedule::{ColdTerms, Options, Resources, Scheduler, WorkerId},
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 /// Processor and memory of a worker, in cores and gigabytes.
@@ -277,3 +277,62 @@
     world.run_for(50);
     assert_eq!(started_on(&world, "w1"), 4);
 }
+
+/// The rack of each member of a gang of four. Only rack c has room for all.
+fn racks_of_gang(factor: Option<f64>, long_running: bool) -> Vec<String> {
+    let names = ["w1", "w2", "w3", "w4", "w5"];
+    let mut world = World::new(5, &names);
+    world.scheduler =
+        Scheduler::new(5, Options::default().remote_factor(factor));
+    world.fate = Fate::endless();
+    let racks = ["a", "b", "b", "c", "c"];
+    for (listing, rack) in world.listings.iter_mut().zip(racks) {
+        listing.rack = rack.to_owned();
+        listing.labels.push(listing.id.as_str().to_owned());
+    }
+    world.list();
+    world.expect_all();
+    world.run_for(100);
+    let kind = |cpu_millis| {
+        let demand = Resources { cpu_millis, ..Resources::default() };
+        RunKind { demand, fate: Fate::endless() }
+    };
+    // Then w1 has four cores left, w2 and w3 two each, and w4 and w5 three.
+    let used = [("w2", 2_000), ("w3", 2_000), ("w4", 1_000), ("w5", 1_000)];
+    for (number, (name, cpu_millis)) in (1..).zip(used) {
+        let required_label = name.to_owned();
+        let spec = StepSpec { cpu_millis, required_label, ..step(1) };
+        world.kinds.insert(id(number), kind(cpu_millis));
+        world.scheduler.submit(id(number), job(vec![spec]), 5, None);
+    }
+    world.run_for(100);
+    let before = world.starts.len();
+    let gang = StepSpec {
+        gang: true,
+        same_rack: true,
+        cpu_millis: 1_500,
+        long_running,
+        ..step(4)
+    };
+    world.kinds.insert(id(9), kind(1_500));
+    world.scheduler.submit(id(9), job(vec![gang]), 6, None);
+    world.run_for(500);
+    let starts = world.starts[before..].iter();
+    let rack_of = |worker: &WorkerId| {
+        let mut listings = world.listings.iter();
+        let listing = listings.find(|listing| listing.id == *worker);
+        listing.expect("listed").rack.clone()
+    };
+    starts.map(|(worker, _)| rack_of(worker)).collect()
+}
+
+// Guards against gangs over several racks where one has room for all members.
+#[test]
+fn a_gang_goes_to_one_rack_where_it_is_known_to_matter() {
+    for long_running in [false, true] {
+        assert_eq!(racks_of_gang(Some(3.0), long_running), ["c"; 4]);
+        let racks: BTreeSet<_> =
+            racks_of_gang(None, long_running).into_iter().collect();
+        assert!(racks.len() > 1, "{racks:?}");
+    }
+}
