Stop no more tasks than a cold worker takes, and test what was not covered

A displaced task counted as a start when it was stopped and again when it started, so two tasks that moved to a worker that takes one start per second competed for the same second. A task is now stopped only if the worker takes its start besides those of tasks that are already on their way there.

--- a/crates/dewspar/src/schedule/cold_workers.rs
+++ b/crates/dewspar/src/schedule/cold_workers.rs
@@ -17,7 +17,7 @@
 
 use {
     crate::{
-        job::StepSpec,
+        job::{StepSpec, TaskId},
         schedule::{
             Now, Scheduler, WorkerId, job_state::demand, worker::Worker,
         },
@@ -152,21 +152,27 @@
         ahead_ms.saturating_add(cold_ms)
     }
 
-    /// Records that a task was placed on a worker.
-    pub(super) fn record_cold_start(&mut self, worker: &WorkerId, now: Now) {
-        if let Some(worker) = self.workers.get_mut(worker) {
-            worker.cold.record_start(now.steady_ms);
+    /// Returns whether a worker takes the start of one more task that is
+    /// stopped elsewhere in order to move there, besides those that are already
+    /// on their way.
+    pub(super) fn takes_another_start(&self, id: &WorkerId, now: Now) -> bool {
+        let Some(worker) = self.workers.get(id) else { return false };
+        match self.starts_left(worker, now) {
+            u64::MAX => true,
+            left => {
+                let reserved = worker.reserved_tasks();
+                let coming = reserved.filter(|task| !self.is_at_work(task));
+                left > coming.count() as u64
+            }
         }
     }
 
-    /// Returns whether a cold worker takes the start of a task that has a
-    /// reservation there.
-    pub(super) fn takes_another_start(
-        &self,
-        worker: &WorkerId,
-        now: Now,
-    ) -> bool {
-        let worker = self.workers.get(worker);
-        worker.is_some_and(|worker| self.starts_left(worker, now) > 0)
+    /// Returns whether a task has a run that isn't being stopped.
+    fn is_at_work(&self, task: &TaskId) -> bool {
+        let state = self.jobs.get(&task.job).and_then(|job| job.task(task));
+        let on = state.into_iter().flat_map(|state| &state.workers);
+        let workers = on.filter_map(|id| self.workers.get(id));
+        let mut runs = workers.filter_map(|worker| worker.runs.get(task));
+        runs.any(|run| !run.is_stopping())
     }
 }
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -311,12 +311,10 @@
         for task in tasks {
             match self.eviction_timing(&task, id, waited_ms, now) {
                 Eviction::Defer => {}
-                Eviction::Immediate => {
-                    self.displace(&task, id, None, reason, now)
-                }
+                Eviction::Immediate => self.displace(&task, id, None, reason),
                 Eviction::OncePlaced => {
                     if let Some(place) = self.plan_move(&task, id, now) {
-                        self.displace(&task, id, Some(place), reason, now);
+                        self.displace(&task, id, Some(place), reason);
                     }
                 }
             }
--- a/crates/dewspar/src/schedule/reservations.rs
+++ b/crates/dewspar/src/schedule/reservations.rs
@@ -133,14 +133,13 @@
         if let Some(reservation) = self.reservations.by_task.get(task) {
             let to = reservation.to.clone();
             // The task would be down until the worker takes its start.
-            if !self.takes_another_start(&to, now) {
-                return None;
-            }
-            return self.claim_reserved_room(task, &to).then_some(to);
+            let is_due = self.takes_another_start(&to, now)
+                && self.claim_reserved_room(task, &to);
+            return is_due.then_some(to);
         }
         if let Some(to) = self.best_worker_for(task, now).cloned() {
             self.reserve_room(task, Some(from.clone()), &to);
-            return Some(to);
+            return self.takes_another_start(&to, now).then_some(to);
         }
         if let Some(to) = self.worker_with_room_soon(task, now) {
             self.reserve_room(task, Some(from.clone()), &to);
@@ -214,13 +213,7 @@
         from: &WorkerId,
         place: Option<WorkerId>,
         reason: &'static str,
-        now: Now,
     ) {
-        if let Some(place) = &place {
-            // Counts as a start already, so that no more tasks are stopped in
-            // a second than the worker takes.
-            self.record_cold_start(place, now);
-        }
         let worker = from.clone();
         self.note(Decision::Displaced { task: *task, worker, place });
         self.stop_run(task, from, reason);
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -487,6 +487,11 @@
         }
     }
 
+    /// Returns the tasks for which capacity is reserved.
+    pub(crate) fn reserved_tasks(&self) -> impl Iterator<Item = &TaskId> {
+        self.reserved.keys()
+    }
+
     /// Returns whether capacity is reserved for any task.
     pub(crate) fn has_reservations(&self) -> bool {
         !self.reserved.is_empty()
--- a/crates/dewspar/tests/schedule/evacuation.rs
+++ b/crates/dewspar/tests/schedule/evacuation.rs
@@ -354,3 +354,57 @@
     assert!(places.iter().all(|(worker, _)| worker.as_str() == "w3"));
     assert_eq!(stuck(&world), [0]);
 }
+
+// Guards against stopping more tasks at once than can start again on a cold
+// worker: the others would be down for as many seconds as there are tasks.
+#[test]
+fn tasks_move_to_a_cold_worker_as_it_takes_their_starts() {
+    let mut world = three_halls();
+    world.fate = Fate::endless();
+    evacuate(&mut world, &["hall-2", "hall-3"]);
+    for number in 1..=2 {
+        let lasting = job(vec![long_running()]);
+        world.scheduler.submit(id(number), lasting, 5 + number, None);
+    }
+    world.run_for(4_000);
+    world.stop_duration_ms = STOP_MS;
+    let terms = ColdTerms { start_ms: 5_000, starts_per_s: 1 };
+    let pools = [(POOL.to_owned(), terms)].into();
+    world.scheduler.configure_cold_workers(pools);
+    for listing in &mut world.listings {
+        listing.cold_remaining_ms = 60_000;
+    }
+    world.list();
+    let before = world.starts.len();
+    evacuate(&mut world, &["hall-1", "hall-2"]);
+    for _ in 0..100 {
+        plan_round(&mut world);
+        assert!(!world.running().is_empty(), "both tasks are down");
+    }
+    let moved = &world.starts[before..];
+    assert_eq!(moved.len(), 2);
+    assert!(moved.iter().all(|(worker, _)| worker.as_str() == "w3"));
+}
+
+// Guards against switching off all VMs when the last hall is emptied while a
+// VM is on its way to a pool.
+#[test]
+fn no_vm_is_switched_off_where_no_hall_is_left() {
+    let mut world = three_halls();
+    world.listings[2].pool = "off".to_owned();
+    world.list();
+    let serving = [POOL.to_owned()].into();
+    world.scheduler.configure_pools(serving, ["off".to_owned()].into());
+    world.fate = Fate::done(300);
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    for _ in 0..400 {
+        plan_round(&mut world);
+    }
+    world.scheduler.submit(id(2), job(vec![step(40)]), 7, None);
+    let moved = (0..20).any(|_| !plan_round(&mut world).is_empty());
+    assert!(moved, "a VM is on its way");
+    evacuate(&mut world, &["hall-1", "hall-2", "hall-3"]);
+    let orders: Vec<VmOrder> =
+        (0..100).flat_map(|_| plan_round(&mut world)).collect();
+    assert!(orders.is_empty(), "{orders:?}");
+}
