--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -15,7 +15,7 @@
             job_state::{Job, demand},
             order_answers::call_end,
             processes::IncarnationOrder,
-            run_time::{ReportTimes, worked_ms},
+            worked_time::{ReportTimes, worked_ms},
             worker::{DueHold, Run, RunState},
         },
     },
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -101,6 +101,7 @@
 
 pub use self::{
     ceilings::UseCeilings,
+    cold_workers::ColdTerms,
     evacuation::EvacuatedHall,
     failure_domains::{HallLoss, HallPlanStats},
     options::Options,
@@ -137,6 +138,7 @@
 mod advice;
 mod cancelled;
 mod ceilings;
+mod cold_workers;
 mod crash_bursts;
 mod directory;
 mod evacuation;
@@ -164,7 +166,7 @@
 mod quotas;
 mod record_merge;
 mod reservations;
-mod run_time;
+mod run_times;
 mod run_totals;
 mod scheduler;
 mod shares;
@@ -183,6 +185,7 @@
 mod wave_progress;
 mod wave_selection;
 mod wave_state;
+mod worked_time;
 mod worker;
 mod workers;
 mod write_ahead;
@@ -560,6 +563,14 @@
         /// How many runs they have.
         runs: usize,
     },
+    /// Whether long-running tasks of a data hall that is being emptied have no
+    /// place elsewhere has changed.
+    EvacuationStuck {
+        /// The hall.
+        hall: String,
+        /// How many have none; 0 if all have one again.
+        tasks: usize,
+    },
     /// The operator no longer asks that a data hall be emptied.
     HallRestored {
         /// The hall.
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::PlacementError,
+    super::{PlacementError, RoomHorizon},
     crate::{
         job::{StepSpec, TaskId},
         quota::Admission,
@@ -77,8 +77,9 @@
     ) -> Vec<WorkerId> {
         let mut placements = Vec::new();
         let mut suspended = Vec::new();
+        let rack = self.rack_for_gang(spec, members, RoomHorizon::Now, now);
         for task in members {
-            match self.choose_worker(spec, task, now) {
+            match self.choose_worker(spec, task, rack.as_deref(), now) {
                 Ok(worker) => {
                     suspended.extend(self.suspend_reservation(task, now));
                     self.reserve_tentatively(spec, task, run, &worker, now);
@@ -96,6 +97,7 @@
                 // Resets the idle time: the worker is needed as soon as the
                 // other members have workers.
                 worker.remove(task, now.steady_ms);
+                worker.cold.undo_start();
             }
         }
         if placements.len() < members.len() {
@@ -123,6 +125,7 @@
         let fence = worker.fence();
         let reserved = Run::ordered(run, fence, demand(spec), now.steady_ms);
         worker.insert(*task, reserved.with_suspicion(suspicion));
+        worker.cold.record_start(now.steady_ms);
     }
 
     /// Gives every member the same checkpoint, since a checkpoint of one
--- a/crates/dewspar/src/schedule/reservations/search.rs
+++ b/crates/dewspar/src/schedule/reservations/search.rs
@@ -28,6 +28,8 @@
 struct WorkerOption<'a> {
     /// Whether its VM has no pending maintenance.
     stays: bool,
+    /// Whether it is in the rack that is preferred for the gang.
+    in_rack: bool,
     /// Whether its data hall has fewer tasks of the step than its share.
     hall_below_share: bool,
     /// The free processor time minus that of the members assigned so far, in
@@ -54,6 +56,8 @@
 /// Tentative assignments of the members of one gang to workers.
 #[derive(Default)]
 struct Assignments<'a> {
+    /// The rack that is preferred for the gang.
+    rack: Option<String>,
     count_by_worker: HashMap<&'a WorkerId, u64>,
     /// Where the step's tasks are; `None` if it isn't to be spread.
     spread: Option<StepSpread<'a>>,
@@ -67,31 +71,25 @@
         scheduler: &Scheduler,
         (spec, member): (&StepSpec, &TaskId),
         worker: &'a Worker,
-        room: RoomHorizon,
+        (room, now): (RoomHorizon, Now),
     ) -> Option<WorkerOption<'a>> {
         let demand = demand(spec);
-        let free = match room {
-            RoomHorizon::Now => worker.free_for(member),
-            RoomHorizon::AfterShortTasks => worker.free_soon_for(member),
-        };
         let assigned =
             self.count_by_worker.get(worker.id()).copied().unwrap_or(0);
-        let most = u64::from(spec.max_per_worker);
-        let siblings = worker.runs_of_step(member) as u64;
-        let apart = match most {
-            0 => u64::MAX,
-            most => most.saturating_sub(siblings),
-        };
-        let members_left =
-            free.count_fitting(&demand).min(apart).saturating_sub(assigned);
+        let members_left = scheduler
+            .members_fitting(worker, (spec, member), room, now)
+            .saturating_sub(assigned);
         let taken = demand.times(assigned).cpu_millis;
         // OK to convert: no VM has so many cores.
         let free_cpu_millis = worker.free().cpu_millis as i64 - taken as i64;
         let stays = !scheduler.awaits_maintenance(&worker.listing.vm);
         let id = worker.id();
+        let rack = worker.listing.rack.as_str();
+        let in_rack = self.rack.as_deref() == Some(rack);
         let hall_below_share = self.has_share(worker);
         let option = WorkerOption {
             stays,
+            in_rack,
             hall_below_share,
             free_cpu_millis,
             id,
@@ -142,9 +140,11 @@
         if own.len() > MAX_SEARCHES_PER_REVIEW {
             return Err(members.len() as u64);
         }
+        let rack = self.rack_for_gang(spec, members, room, now);
         let spread = members.first();
         let spread = spread.and_then(|first| self.step_spread(spec, first));
-        let mut assigned = Assignments { spread, ..Assignments::default() };
+        let mut assigned =
+            Assignments { rack, spread, ..Assignments::default() };
         let mut placements =
             self.place_individually(spec, &own, &mut assigned, room, now);
         placements
@@ -168,7 +168,7 @@
         for member in members {
             let workers = self.suitable_with_numbers(spec, member, room, now);
             let options = workers.filter_map(|(_, worker)| {
-                assigned.option(self, (spec, member), worker, room)
+                assigned.option(self, (spec, member), worker, (room, now))
             });
             if let Some(best) = options.max() {
                 assigned.assign(self, best.id);
@@ -191,7 +191,7 @@
         let Some(any) = members.first() else { return placements };
         let workers = self.suitable_with_numbers(spec, any, room, now);
         let options = workers.filter_map(|(_, worker)| {
-            assigned.option(self, (spec, any), worker, room)
+            assigned.option(self, (spec, any), worker, (room, now))
         });
         let mut options: BinaryHeap<WorkerOption> = options.collect();
         for member in members {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -7,7 +7,8 @@
         link::Class,
         schedule::{
             Incarnation, Options, Resources, WorkerId, WorkerListing,
-            quotas::RunCharge, stopping::StopProgress,
+            cold_workers::ColdState, quotas::RunCharge,
+            stopping::StopProgress,
         },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -312,6 +313,8 @@
     /// Why the worker is being drained, if it is.
     pub(crate) drain_reason: Option<DrainReason>,
     pub(crate) drain_since_ms: u64,
+    /// How long it is slow after its start.
+    pub(crate) cold: ColdState,
     /// Whether its data hall is being emptied.
     pub(crate) in_evacuated_hall: bool,
     /// Whether its data hall is down, so that it takes no tasks.
@@ -384,6 +387,7 @@
             unset_paces: BTreeSet::new(),
             drain_reason: None,
             drain_since_ms: 0,
+            cold: ColdState::default(),
             in_evacuated_hall: false,
             in_down_hall: false,
             idle_since_ms: now_ms,
@@ -486,6 +490,11 @@
         }
     }
 
+    /// Returns the tasks for which capacity is reserved.
+    pub(crate) fn reserved_tasks(&self) -> impl Iterator<Item = &TaskId> {
+        self.reserved.keys()
+    }
+
     /// Returns whether capacity is reserved for any task.
     pub(crate) fn has_reservations(&self) -> bool {
         !self.reserved.is_empty()
