Conclude the states of data halls from calls to their workers

A lost hall shows as hundreds of silent workers, each judged alone. A monitor without I/O concludes a hall's state from the newest outcome of each worker's calls and from the list of VMs. Where no hall may be lost, nothing changes.

--- a/crates/dewspar/src/hall.rs
+++ b/crates/dewspar/src/hall.rs
@@ -16,6 +16,10 @@
 ```
 */
 
+pub use self::monitor::{HallChange, HallMonitor, HallPath};
+
+mod monitor;
+
 /// How a data hall and its workers are reached.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum HallState {
@@ -54,6 +58,18 @@
             HallState::CutOff | HallState::Lost => false,
         }
     }
+
+    /// Returns the number of the state, for a gauge: 0 to 4, in the order in
+    /// which the states are defined.
+    pub fn number(self) -> u8 {
+        match self {
+            HallState::Reachable => 0,
+            HallState::Indirect => 1,
+            HallState::CutOff => 2,
+            HallState::Lost => 3,
+            HallState::Returning => 4,
+        }
+    }
 }
 
 /// A data hall with its state.
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -269,6 +269,7 @@
     ) {
         self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
+        self.halls.ended(&worker.listing.hall, id);
         self.former_processes.ended(&worker, now);
         if worker.is_lapsed() {
             // Its lost runs were reported when its lease was over.
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -56,7 +56,7 @@
         report: &HoldReport,
         now: Now,
     ) {
-        self.hold_ended(held, None, now);
+        self.hold_ended(worker_id, held, None, now);
         let incarnation = report.incarnation;
         match self.check_incarnation(worker_id, incarnation, "an answer") {
             IncarnationOrder::Same => {}
@@ -169,7 +169,7 @@
         error: OrderError,
         now: Now,
     ) {
-        self.hold_ended(held, Some(error), now);
+        self.hold_ended(worker_id, held, Some(error), now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         if held.session != worker.session {
             return;
@@ -200,6 +200,7 @@
 
     fn hold_ended(
         &mut self,
+        worker_id: &WorkerId,
         held: &SentHold,
         error: Option<OrderError>,
         now: Now,
@@ -208,6 +209,7 @@
         // node.
         let sent_ms = held.sent_ms + held.order.wait_ms;
         let end = call_end(sent_ms, error, now);
+        let end = self.note_hall_contact(worker_id, error, end, now);
         if held.in_window {
             self.window.ended(end);
         }
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -115,6 +115,7 @@
             })
             .map(|worker| worker.id().clone())
             .collect();
+        self.note_ends_in_halls(&ended, asked_ms, now);
         for id in ended {
             self.worker_gone(&id, "the VM service says that it ended", now);
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
 pub use self::{
     ceilings::UseCeilings,
     evacuation::EvacuatedHall,
+    hall_returns::WorkerLookup,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -126,6 +127,7 @@
 
 use {
     crate::{
+        hall::HallChange,
         job::{JobId, JobSpec, Phase, TaskId},
         quota::Usage,
         team::Team,
@@ -141,6 +143,8 @@
 mod evacuation;
 mod forecast;
 mod full_pools;
+mod hall_losses;
+mod hall_returns;
 mod hall_states;
 mod hold_answers;
 mod in_doubt;
@@ -561,6 +565,18 @@
         /// How long it was being emptied, in milliseconds.
         after_ms: u64,
     },
+    /// The state of a data hall has changed.
+    HallChanged {
+        /// The change.
+        change: HallChange,
+        /// How many workers of the hall are known.
+        workers: usize,
+        /// How many runs they have.
+        runs: usize,
+        /// How many crashes that were counted shortly before are no longer
+        /// counted.
+        uncounted: usize,
+    },
     /// Nothing starts, because the operator's requests weren't read for too
     /// long.
     StartsPaused {
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -166,11 +166,24 @@
         self
     }
 
+    /// Returns the lease that orders grant to a worker's runs, in
+    /// milliseconds.
+    ///
+    /// It is never longer than `lease_ms`, which bounds what a former holder
+    /// with other settings may have granted.
+    pub(crate) fn granted_lease_ms(&self) -> u64 {
+        match self.tolerated_halls {
+            0 => self.lease_ms,
+            _ => self.lease_ms.min(self.policy.watching.hall_lease_ms),
+        }
+    }
+
     /// Returns how long after a takeover a worker that was never reached may
     /// still run what a former holder started, in milliseconds.
     pub(super) fn inherited_lease_ms(&self) -> u64 {
         // The former holder may continue for `detached_ms` and then grant a
-        // last lease, which a slow worker clock extends by up to 2 %.
+        // last lease, which a slow worker clock extends by up to 2 %. Its
+        // settings may differ, so the longest lease counts that any grants.
         let lease_ms = self.lease_ms.min(self.max_lease_ms);
         self.detached_ms + lease_ms + lease_ms / 40
     }
--- a/crates/dewspar/src/schedule/order_answers.rs
+++ b/crates/dewspar/src/schedule/order_answers.rs
@@ -26,6 +26,8 @@
         });
         let sent_ms = known.map_or(0, |run| run.since_ms);
         let end = start_call_end(known, &result, now);
+        let error = result.as_ref().err().copied();
+        let end = self.note_hall_contact(worker_id, error, end, now);
         self.window.ended(end);
         self.record_order_end(sent_ms, end, now);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
@@ -77,13 +79,17 @@
                 // Each raise uses up a token. Without pauses the tokens lasted
                 // 52 to 231 s, and a tenth of workers like this one cost the
                 // holder its lease each time.
-                if worker.count_unanswered_start() {
+                if worker.count_unanswered_start()
+                    && !worker.in_unreachable_hall
+                {
                     self.suspend(worker_id, error.name(), now);
                 }
             }
             OrderError::NotSent => {
                 self.note_never_began(task, run, worker_id);
-                self.suspend(worker_id, error.name(), now);
+                if !self.is_worker_in_down_hall(worker_id) {
+                    self.suspend(worker_id, error.name(), now);
+                }
                 self.release_run(task, worker_id, now);
             }
             OrderError::Refused(refusal) => {
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -206,6 +206,10 @@
     /// How long a worker may wait for an end before it answers a hold, in
     /// milliseconds.
     pub hold_wait_ms: u64,
+    /// The lease of runs where data halls may be lost, in milliseconds. It has
+    /// an effect only if it is shorter than the lease of 8,000 ms that is
+    /// granted elsewhere.
+    pub hall_lease_ms: u64,
     /// Whether workers are polled less often while this node's processor is
     /// overloaded.
     pub asks_later: bool,
@@ -222,6 +226,10 @@
             // whose answer was lost: with 1,000 ms, a day on which some orders
             // got no answer achieved 0.87 of its value, with 300 ms 0.90.
             hold_wait_ms: 300,
+            // A hall that is cut off keeps its tasks for this long. It
+            // outlasts a takeover of some 3 s, but not two in a row: all runs
+            // on all workers would end.
+            hall_lease_ms: 5_000,
             asks_later: true,
         }
     }
@@ -323,6 +331,7 @@
             ("placing.copy_after_ms", placing.copy_after_ms, 0, 60_000),
             ("placing.go_back_after_ms", placing.go_back_after_ms, 0, 2_500),
             ("watching.hold_wait_ms", watching.hold_wait_ms, 0, 2_000),
+            ("watching.hall_lease_ms", watching.hall_lease_ms, 4_000, 60_000),
             ("orders.most", most, 1, 1_000_000),
             ("orders.initial", initial, 1, most),
             ("orders.least", least, 1, initial),
--- a/crates/dewspar/src/schedule/poll_limit.rs
+++ b/crates/dewspar/src/schedule/poll_limit.rs
@@ -106,7 +106,11 @@
         let workers = &self.workers;
         let is_in_flight = |poll: &InFlightPoll| {
             let worker = workers.at(poll.worker);
-            worker.is_some_and(|w| w.awaits_answer_since(poll.sent_ms))
+            // Missing answers of a hall that can't be reached tell nothing
+            // about this node.
+            worker.is_some_and(|w| {
+                w.awaits_answer_since(poll.sent_ms) && !w.in_unreachable_hall
+            })
         };
         while let Some(poll) = sent.front() {
             let in_flight = is_in_flight(poll);
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        hall::HallMonitor,
         job::{JobId, Phase, Progress, TaskId},
         link::{Class, LinkBudget},
         poll_delay::PollDelay,
@@ -11,6 +12,7 @@
             crash_bursts::{CrashBursts, ReservedFor},
             evacuation::OperatorView,
             forecast::Arrivals,
+            hall_losses::HallLosses,
             job_state::Job,
             jobs::Jobs,
             loading::Loading,
@@ -179,6 +181,10 @@
     pub(super) long_waits: LongWaits,
     /// How current the operator's requests are.
     pub(super) operator_view: OperatorView,
+    /// What is concluded about data halls.
+    pub(super) halls: HallMonitor,
+    /// What was counted against tasks and VMs of halls that may be lost.
+    pub(super) hall_losses: HallLosses,
 }
 
 impl Scheduler {
@@ -196,6 +202,8 @@
             runs_checked_ms: 0,
             long_waits: LongWaits::default(),
             operator_view: OperatorView::default(),
+            halls: HallMonitor::new(options.tolerated_halls),
+            hall_losses: HallLosses::default(),
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -434,6 +442,7 @@
         self.check_operator_view(now);
         self.link.refill(now.steady_ms);
         self.apply_deferred_cancellations(now);
+        self.update_halls(now);
         self.drop_lapsed_workers(now);
         self.settle_recorded_starts(now);
         self.order_withheld(now, &mut actions);
@@ -628,7 +637,8 @@
             if !worker.is_fencing() || !due {
                 continue;
             }
-            let in_window = worker.silent_since_ms.is_none();
+            let in_window = worker.silent_since_ms.is_none()
+                || self.is_hall_returning(&worker.listing.hall);
             let class = if in_window { Class::Fence } else { Class::Question };
             if !self.link.allows(class) {
                 continue;
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -301,6 +301,24 @@
         self.run_in_progress = self.count >= TEST_AFTER_CRASHES;
     }
 
+    /// Takes back a crash that was counted by the change with this number,
+    /// given the state before it.
+    pub(super) fn take_back(
+        &mut self,
+        before: &CrashHistory,
+        counted: u64,
+        sequence: u64,
+    ) {
+        if self.sequence == counted {
+            let runs = before.is_on_record() && self.run_in_progress;
+            *self = CrashHistory { run_in_progress: runs, ..*before };
+        } else {
+            // Another crash was counted since.
+            self.count = self.count.saturating_sub(1);
+        }
+        self.sequence = sequence;
+    }
+
     /// Returns whether the task is most likely bad.
     fn is_probably_bad(&self) -> bool {
         self.likely && self.count >= TEST_AFTER_CRASHES
@@ -391,7 +409,9 @@
 pub(super) struct LostRuns {
     /// The VM that crashed; `None` if the worker's end was planned or it
     /// doesn't name its VM.
-    crashed_vm: Option<String>,
+    pub(super) crashed_vm: Option<String>,
+    /// The data hall that the worker was in; empty if it names none.
+    pub(super) hall: String,
     /// Set if the worker was lost before it had reported its runs to this
     /// holder.
     pub(super) unsynced: Option<UnsyncedLoss>,
@@ -428,6 +448,7 @@
             was_silent: now.steady_ms > ended_ms + MAX_SILENCE_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             was_draining: draining,
+            hall: worker.listing.hall.clone(),
             runs: worker.runs.iter().filter(counts).map(lost).collect(),
         }
     }
@@ -471,7 +492,20 @@
         lost: &LostRuns,
         now: Now,
     ) {
+        self.begin_counted_loss(lost, now);
         self.settle_starts_on(worker, lost, now);
+        if self.halls.is_down(&lost.hall) {
+            // The hall is the cause.
+            for run in lost.suspects() {
+                self.note_suspect_ended(&run.task);
+            }
+        } else {
+            self.count_crashes(worker, lost, now);
+        }
+        self.end_counted_loss();
+    }
+
+    fn count_crashes(&mut self, worker: &WorkerId, lost: &LostRuns, now: Now) {
         if let Some(unsynced) = &lost.unsynced {
             if self.was_taken_down(unsynced, now) {
                 return;
@@ -524,12 +558,15 @@
         let job = self.jobs.get_mut(&run.task.job)?;
         let pool = job.terms.pool.clone();
         let crashes = &mut job.task_mut(&run.task)?.crashes;
+        let before = *crashes;
         if likely && crashes.likely {
             self.crash_bursts.note(&pool, now);
         }
         crashes.add(run, likely, now.steady_ms);
         crashes.sequence = sequence;
-        Some(*crashes)
+        let crashes = *crashes;
+        self.hall_losses.note_crash(&run.task, before, sequence);
+        Some(crashes)
     }
 
     /// Clears a task if its run has outlived those that were lost with their
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -76,7 +76,7 @@
 /// A worker that was lost before it had reported its runs to this holder.
 #[derive(Debug)]
 pub(super) struct UnsyncedLoss {
-    pool: String,
+    pub(super) pool: String,
     /// The VM; empty if the worker doesn't name it.
     vm: String,
 }
@@ -149,6 +149,8 @@
             Some(unsynced) if self.was_taken_down(unsynced, now) => {
                 Outcome::NotRunning
             }
+            // The hall is the cause.
+            Some(_) if self.halls.is_down(&lost.hall) => Outcome::NotRunning,
             // It may have lived on for long.
             Some(_) if lost.was_silent => Outcome::Unknown,
             Some(_) => Outcome::Crashed,
@@ -172,8 +174,12 @@
         now: Now,
     ) -> Outcome {
         let Some(worker) = self.workers.get(&start.worker) else {
-            let known = self.workers_known;
-            return if known { Outcome::Crashed } else { Outcome::Pending };
+            return match self.workers_known {
+                // It may have been in the hall.
+                true if self.halls.is_any_down() => Outcome::Unknown,
+                true => Outcome::Crashed,
+                false => Outcome::Pending,
+            };
         };
         if worker.runs.contains_key(task) {
             return Outcome::Found;
@@ -218,6 +224,7 @@
             }
             Outcome::Crashed => {
                 let sequence = self.mark_changed(task.job);
+                self.hall_losses.note_crash(task, crashes, sequence);
                 crashes.add_unseen_crash(sequence, now.steady_ms);
             }
         }
--- a/crates/dewspar/src/schedule/vm_stability.rs
+++ b/crates/dewspar/src/schedule/vm_stability.rs
@@ -50,6 +50,22 @@
 }
 
 impl Scheduler {
+    /// Restores what was known of a VM before a crash was noted.
+    pub(super) fn restore_vm_crashes(
+        &mut self,
+        vm: &str,
+        before: Option<VmCrashes>,
+    ) {
+        match before {
+            Some(before) => {
+                self.vm_crashes.insert(vm.to_owned(), before);
+            }
+            None => {
+                self.vm_crashes.remove(vm);
+            }
+        }
+    }
+
     /// Notes that a VM's worker has crashed; returns whether the VM was stable
     /// before.
     pub(super) fn note_vm_crash(
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -314,6 +314,8 @@
     pub(crate) drain_since_ms: u64,
     /// Whether its data hall is being emptied.
     pub(crate) in_evacuated_hall: bool,
+    /// Whether its data hall is cut off or lost.
+    pub(crate) in_unreachable_hall: bool,
     /// Since when the worker has had no run.
     pub(crate) idle_since_ms: u64,
     /// When the worker was first listed in the directory.
@@ -383,6 +385,7 @@
             drain_reason: None,
             drain_since_ms: 0,
             in_evacuated_hall: false,
+            in_unreachable_hall: false,
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !has_no_address,
@@ -657,6 +660,7 @@
             && !self.listing.draining
             && self.drain_reason.is_none()
             && self.silent_since_ms.is_none()
+            && !self.in_unreachable_hall
             // A start without an answer could no longer be voided.
             && !self.is_out_of_tokens()
     }
@@ -714,7 +718,7 @@
     ) -> Option<u64> {
         let clock = self.clock?;
         let elapsed = now_ms.saturating_sub(clock.at_ms);
-        Some(clock.worker_ms + elapsed + options.lease_ms)
+        Some(clock.worker_ms + elapsed + options.granted_lease_ms())
     }
 
     /// Returns the priority class of a hold to the worker.
@@ -726,7 +730,7 @@
         let silent = self.silent_since_ms.is_some();
         let renewed = self.lease_until_ms(now_ms, options).is_some_and(|u| {
             self.confirmed_until_ms
-                + options.lease_ms * RENEWAL_DUE_PERCENT / 100
+                + options.granted_lease_ms() * RENEWAL_DUE_PERCENT / 100
                 >= u
         });
         if renewed || silent || !self.has_wanted_runs() {
@@ -876,6 +880,13 @@
         self.suspensions += 1;
     }
 
+    /// Ends a suspension that was caused by calls without an answer.
+    pub(crate) fn end_suspension(&mut self) {
+        self.unanswered_starts = 0;
+        self.suspensions = 0;
+        self.suspended_until_ms = 0;
+    }
+
     /// Removes a failure that turned out to be caused by the job itself.
     pub(crate) fn clear_failure(&mut self, job: JobId) {
         self.failed_jobs.remove(&job);
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -18,6 +18,11 @@
 /// use less of both.
 const BUSY_WAIT_MS: u64 = 1_000;
 
+/// The delay before a silent worker of a data hall that can't be reached is
+/// asked again, in milliseconds. Any answer shows that the hall is back, so
+/// its many workers needn't each be asked often.
+const HALL_RETRY_MS: u64 = 1_000;
+
 /// A hold to be sent to a worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DueHold {
@@ -229,7 +234,33 @@
             return;
         }
         self.silent_since_ms.get_or_insert(now_ms);
-        self.next_hold_ms = now_ms + options.hold_retry_ms;
+        self.next_hold_ms = now_ms + self.retry_ms(options);
+    }
+
+    /// Returns the delay before a silent worker is asked again, in
+    /// milliseconds.
+    fn retry_ms(&self, options: &Options) -> u64 {
+        if self.in_unreachable_hall {
+            HALL_RETRY_MS
+        } else {
+            options.hold_retry_ms
+        }
+    }
+
+    /// Marks the worker as silent, because its hall can't be reached, and asks
+    /// it until it answers. Its lease isn't extended any more.
+    pub(crate) fn hall_became_unreachable(&mut self, now_ms: u64) {
+        self.in_unreachable_hall = true;
+        self.silent_since_ms.get_or_insert(now_ms);
+        self.missed_hold = true;
+        self.end_suspension();
+    }
+
+    /// Notes that the worker's hall is reached again, and asks the worker at
+    /// once. It remains silent until it answers.
+    pub(crate) fn hall_became_reachable(&mut self, now_ms: u64) {
+        self.in_unreachable_hall = false;
+        self.next_hold_ms = self.next_hold_ms.min(now_ms);
     }
 
     fn hold_ended(&mut self, held: &DueHold) {
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -25,7 +25,7 @@
         Options, WorkerId, WorkerListing, evacuation::Evacuation,
         worker::Worker,
     },
-    std::collections::{BTreeMap, HashMap},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// The number of a worker. Numbers are reused after a worker is removed.
@@ -54,6 +54,8 @@
     sessions: u64,
     /// The data halls that are being emptied.
     evacuation: Evacuation,
+    /// The data halls that are cut off or lost.
+    unreachable_halls: BTreeSet<String>,
 }
 
 /// The cached state of a worker.
@@ -169,6 +171,8 @@
         worker.session = self.sessions;
         worker.in_evacuated_hall =
             self.evacuation.includes(&worker.listing.hall);
+        worker.in_unreachable_hall =
+            self.unreachable_halls.contains(&worker.listing.hall);
         let number = self.free_numbers.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.due_entries.push(DueEntry::NONE);
@@ -203,8 +207,11 @@
     ) -> Option<&mut Worker> {
         let number = *self.numbers.get(&listing.id)?;
         let in_evacuated_hall = self.evacuation.includes(&listing.hall);
+        let in_unreachable_hall =
+            self.unreachable_halls.contains(&listing.hall);
         let worker = self.at_mut(number)?;
         worker.in_evacuated_hall = in_evacuated_hall;
+        worker.in_unreachable_hall = in_unreachable_hall;
         let before = std::mem::replace(&mut worker.listing, listing);
         if before.pool != worker.listing.pool {
             let pool = worker.listing.pool.clone();
@@ -228,6 +235,33 @@
         self.evacuation = evacuation;
     }
 
+    /// Notes that a data hall is cut off or lost.
+    pub(super) fn hall_became_unreachable(&mut self, hall: &str, now_ms: u64) {
+        self.unreachable_halls.insert(hall.to_owned());
+        for number in self.numbers_in_hall(hall) {
+            if let Some(worker) = self.at_mut(number) {
+                worker.hall_became_unreachable(now_ms);
+            }
+        }
+    }
+
+    /// Notes that a data hall is neither cut off nor lost any more.
+    pub(super) fn hall_became_reachable(&mut self, hall: &str, now_ms: u64) {
+        self.unreachable_halls.remove(hall);
+        for number in self.numbers_in_hall(hall) {
+            if let Some(worker) = self.at_mut(number) {
+                worker.hall_became_reachable(now_ms);
+            }
+        }
+    }
+
+    /// Returns the workers of a data hall, ordered by identifier.
+    pub(super) fn numbers_in_hall(&self, hall: &str) -> Vec<WorkerNumber> {
+        let all = self.all_at(&self.ordered);
+        let here = all.filter(|(_, worker)| worker.listing.hall == hall);
+        here.map(|(number, _)| number).collect()
+    }
+
     fn add_to_pool(&mut self, pool: String, number: WorkerNumber) {
         let members = self.pools.entry(pool).or_default();
         insert_sorted(members, number, &self.workers);
