Ask idle workers of a doubted hall, and test the events of halls

A hall where few workers have runs was recognized late or not at all, since workers without runs aren't asked. Two silent workers without any answer since now cause a round of questions to the hall.

--- a/crates/dewspar/src/hall/monitor.rs
+++ b/crates/dewspar/src/hall/monitor.rs
@@ -10,11 +10,12 @@
 [`HallMonitor`] is told each outcome of a call, and concludes from the newest
 outcome of each worker:
 
-- A hall is *silent* while at least [`MIN_SILENT`] of its workers, and at least
-  [`SILENT_PERCENT`] of those that were asked recently, missed their newest
-  answer, while a worker of another hall has answered since.
-- A hall of which [`MIN_DOUBT`] workers are silent and hardly any answers is
-  *doubted*: workers that nothing runs on are asked as well, since otherwise
+- A hall is *silent* while at least [`MIN_SILENT`] of its workers, at least
+  [`SILENT_PERCENT`] of those that were asked recently and
+  [`SILENT_OF_ALL_PERCENT`] of all missed their newest answer, while a worker
+  of another hall has answered since.
+- A hall of which [`MIN_DOUBT`] workers are silent and none has answered since
+  is *doubted*: workers that nothing runs on are asked as well, since otherwise
   too few might be.
 - A hall that is silent for [`CONFIRM_MS`] is cut off. If more halls are silent
   than may be lost at once, the node itself is cut off, and no hall is.
@@ -66,6 +67,10 @@
 /// percent.
 pub const SILENT_PERCENT: usize = 60;
 
+/// The share of all workers of a hall that must be silent, in percent. If work
+/// is on one rack only, its failure isn't that of the hall.
+pub const SILENT_OF_ALL_PERCENT: usize = 20;
+
 /// For how long a hall must be silent before it counts as cut off, in
 /// milliseconds. If this node is cut off, the other halls fall silent within
 /// this time of each other.
@@ -76,8 +81,9 @@
 pub const RETURN_MS: u64 = 1_500;
 
 /// How recent the newest call to a worker must be for the worker to count as
-/// asked recently, in milliseconds: several holds.
-const RECENT_MS: u64 = 2_000;
+/// asked recently, in milliseconds: as long as a worker may wait before it
+/// answers a hold of a busy node.
+const RECENT_MS: u64 = 1_000;
 
 /// For how long a report that a hall answers only over relays is valid, in
 /// milliseconds.
@@ -151,27 +157,32 @@
 /// Counts of a hall's workers.
 #[derive(Clone, Copy, Debug, Default)]
 struct Tally {
+    all: usize,
     asked: usize,
     silent: usize,
     /// The workers that have answered since the state began.
     returned: usize,
     /// The earliest of the current misses.
     first_miss_ms: u64,
+    /// The latest of the workers' first misses.
+    last_miss_ms: u64,
 }
 
 impl Tally {
     fn is_silent(&self) -> bool {
-        self.silent >= MIN_SILENT && self.is_mostly_silent()
-    }
-
-    fn is_mostly_silent(&self) -> bool {
-        self.silent * 100 >= self.asked * SILENT_PERCENT
+        self.silent >= MIN_SILENT
+            && self.silent * 100 >= self.asked * SILENT_PERCENT
+            && self.silent * 100 >= self.all * SILENT_OF_ALL_PERCENT
     }
 }
 
 impl Hall {
     fn tally(&self, now_ms: u64) -> Tally {
-        let mut tally = Tally { first_miss_ms: now_ms, ..Tally::default() };
+        let mut tally = Tally {
+            all: self.contacts.len(),
+            first_miss_ms: now_ms,
+            ..Tally::default()
+        };
         for contact in self.contacts.values() {
             let answered =
                 contact.answered_ms.is_some_and(|at| at > self.since_ms);
@@ -186,6 +197,7 @@
             if let Some(since_ms) = contact.missed_since_ms {
                 tally.silent += 1;
                 tally.first_miss_ms = tally.first_miss_ms.min(since_ms);
+                tally.last_miss_ms = tally.last_miss_ms.max(since_ms);
             }
         }
         tally
@@ -249,6 +261,7 @@
     /// Whether the state of any hall may change.
     is_due: bool,
     evaluated_ms: u64,
+    was_any_down: bool,
     /// The halls that are doubted since they were last taken.
     doubted: Vec<String>,
 }
@@ -262,6 +275,7 @@
             halls: BTreeMap::new(),
             is_due: false,
             evaluated_ms: 0,
+            was_any_down: false,
             doubted: Vec::new(),
         }
     }
@@ -391,9 +405,10 @@
                 hall.since_ms = now_ms;
                 hall.evidence = evidence;
                 hall.silent_since_ms = None;
+                self.was_any_down |= !to.takes_tasks();
             }
             let doubted = tally.silent >= MIN_DOUBT
-                && tally.is_mostly_silent()
+                && !hall.has_answer_since(tally.last_miss_ms)
                 && hall.state.takes_tasks()
                 && hall
                     .doubted_ms
@@ -431,9 +446,10 @@
         self.tolerated > 0 && !self.state(hall).takes_tasks()
     }
 
-    /// Returns whether any hall is cut off or lost.
-    pub fn is_any_down(&self) -> bool {
-        self.halls.values().any(|hall| !hall.state.takes_tasks())
+    /// Returns whether any hall has been cut off or lost since the monitor was
+    /// created.
+    pub fn was_any_down(&self) -> bool {
+        self.was_any_down
     }
 
     /// Returns the states of all halls of which a worker was asked.
--- a/crates/dewspar/src/schedule/hall_states.rs
+++ b/crates/dewspar/src/schedule/hall_states.rs
@@ -35,9 +35,10 @@
 /// conclusion that it is lost, in percent.
 const LOST_PERCENT: usize = 60;
 
-/// The maximum number of workers of a doubted hall that are asked at once, and
-/// of each other hall.
-const MAX_PROBES: usize = 32;
+/// The number of workers of a doubted hall that are asked at once, and of each
+/// other hall. Of a hall with more workers, a quarter is asked.
+const PROBES: usize = 64;
+const PROBES_DIVISOR: usize = 4;
 const MAX_OTHER_PROBES: usize = 3;
 
 impl Scheduler {
@@ -118,12 +119,14 @@
 
     /// Asks workers of a hall that is doubted, and some of each other hall.
     fn probe_workers(&mut self, doubted: &str) {
+        let workers = self.workers.numbers_in_hall(doubted).len();
+        let max_probes = PROBES.max(workers / PROBES_DIVISOR);
         let mut probes: BTreeMap<&str, usize> = BTreeMap::new();
         let mut probed: Vec<WorkerId> = Vec::new();
         for worker in self.workers.values() {
             let hall = worker.listing.hall.as_str();
             let most = match hall == doubted {
-                true => MAX_PROBES,
+                true => max_probes,
                 false => MAX_OTHER_PROBES,
             };
             let count = probes.entry(hall).or_insert(0);
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -175,8 +175,8 @@
     ) -> Outcome {
         let Some(worker) = self.workers.get(&start.worker) else {
             return match self.workers_known {
-                // It may have been in the hall.
-                true if self.halls.is_any_down() => Outcome::Unknown,
+                // It may have been in a hall that was lost.
+                true if self.halls.was_any_down() => Outcome::Unknown,
                 true => Outcome::Crashed,
                 false => Outcome::Pending,
             };
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod evacuation;
 mod gang_reservations;
+mod hall_events;
 mod in_doubt;
 mod loading;
 mod long_running_capacity;
