--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -58,6 +58,7 @@
         self.directory_ms = now.steady_ms;
         self.mark_missing_unlisted(asked_ms, &listings, now);
         let replaced = self.replaced_workers(asked_ms, &listings);
+        self.note_ends_in_halls(&replaced, asked_ms, now);
         for listing in listings {
             self.list_worker_as_of(asked_ms, now, listing);
         }
--- a/crates/dewspar/src/schedule/hall_states.rs
+++ b/crates/dewspar/src/schedule/hall_states.rs
@@ -167,9 +167,10 @@
         self.note(changed);
     }
 
-    /// Concludes which halls are lost from a list of VMs that was requested at
-    /// this time, in milliseconds, and the workers that it no longer shows.
-    /// These are removed afterwards, so that their losses belong to the hall.
+    /// Concludes which halls are lost from the list of VMs and the workers that
+    /// a list which was requested at this time, in milliseconds, no longer
+    /// shows. They are removed afterwards, so that their losses belong to the
+    /// hall.
     pub(super) fn note_ends_in_halls(
         &mut self,
         ended: &[WorkerId],
@@ -179,7 +180,7 @@
         if !self.halls.is_enabled() {
             return;
         }
-        for hall in self.lost_halls(ended, now) {
+        for hall in self.lost_halls(ended, asked_ms, now) {
             self.halls.vms_down(&hall, asked_ms, now.steady_ms);
         }
         self.update_halls(now);
@@ -187,7 +188,12 @@
 
     /// Returns the halls of which no VM is up although some should be, and
     /// those of which most workers have ended at once.
-    fn lost_halls(&self, ended: &[WorkerId], now: Now) -> BTreeSet<String> {
+    fn lost_halls(
+        &self,
+        ended: &[WorkerId],
+        asked_ms: u64,
+        now: Now,
+    ) -> BTreeSet<String> {
         let mut lost = BTreeSet::new();
         let mut down: BTreeMap<&str, usize> = BTreeMap::new();
         let mut up: BTreeSet<&str> = BTreeSet::new();
@@ -206,7 +212,9 @@
         let mut gone: BTreeMap<&str, usize> = BTreeMap::new();
         let mut known: BTreeMap<&str, usize> = BTreeMap::new();
         let ended: BTreeSet<&WorkerId> = ended.iter().collect();
-        for worker in self.workers.values() {
+        let earlier = self.workers.values();
+        let earlier = earlier.filter(|w| w.first_listed_ms < asked_ms);
+        for worker in earlier {
             let hall = worker.listing.hall.as_str();
             *known.entry(hall).or_insert(0) += 1;
             if ended.contains(worker.id()) && !self.is_end_planned(worker, now)
