--- a/crates/dewspar/tests/schedule_random/hall_faults.rs
+++ b/crates/dewspar/tests/schedule_random/hall_faults.rs
@@ -2,10 +2,12 @@
 
 use {
     crate::world::World,
-    dewspar::job::JobId,
-    dewspar::schedule::{
-        Action, Decision, ManagedVm, Options, Resources, StartOrder, VmStatus,
-        WorkerId,
+    dewspar::{
+        job::JobId,
+        schedule::{
+            Action, Decision, ManagedVm, Options, Resources, StartOrder,
+            VmStatus, WorkerId,
+        },
     },
     rand::Rng,
     std::collections::{BTreeMap, BTreeSet},
@@ -76,7 +78,6 @@
     pub only_counts: bool,
     pub late_starts: u32,
     pub suspicions: u32,
-    pub log: Vec<String>,
 }
 
 impl HallFaults {
@@ -250,12 +251,7 @@
         let late = missed_ms.is_some_and(|at| now_ms > at + MAX_LATE_START_MS);
         faults.late_starts += u32::from(late);
         let counts = faults.only_counts;
-        assert!(
-            !late || counts,
-            "{}: started on {worker} {now_ms} {:#?}",
-            order.task,
-            faults.log
-        );
+        assert!(!late || counts, "{}: started on {worker}", order.task);
     }
 
     /// Checks that no task is suspected because a hall was lost. Nothing else
@@ -264,26 +260,6 @@
         let now_ms = self.now_ms;
         let decisions = self.scheduler.take_decisions();
         let Some(faults) = &mut self.hall_faults else { return };
-        faults.log.extend(
-            decisions
-                .iter()
-                .filter(|d| {
-                    matches!(
-                        d,
-                        Decision::Suspected { .. }
-                            | Decision::HallChanged { .. }
-                            | Decision::WorkerGone { .. }
-                            | Decision::Synced { .. }
-                    )
-                })
-                .map(|d| format!("{now_ms} {d:?}")),
-        );
-        if faults.changed_ms == now_ms {
-            faults.log.push(format!(
-                "{now_ms} FAULT {:?}",
-                faults.fault.as_ref().map(|f| (&f.hall, f.is_lost))
-            ));
-        }
         for decision in &decisions {
             let Decision::Suspected { task, worker, .. } = decision else {
                 continue;
@@ -307,10 +283,6 @@
             .flat_map(|(_, progress)| progress.tasks.iter());
         let suspected = tasks.any(|task| task.crashes > 0);
         faults.suspicions += u32::from(suspected);
-        assert!(
-            !suspected || faults.only_counts,
-            "a task is suspected {:#?}",
-            faults.log
-        );
+        assert!(!suspected || faults.only_counts, "a task is suspected");
     }
 }
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -512,7 +512,7 @@
             worker: TaskWorker::new(CAPACITY),
             listing: listing.clone(),
             started_ms: 0,
-            clock_lag: u64::from(vm) * 6,
+            clock_lag: u64::from(vm % 4) * 6,
             unreachable_until_ms: 0,
             former_capacities: Vec::new(),
         };
