--- a/crates/dewspar/src/schedule/hall_states.rs
+++ b/crates/dewspar/src/schedule/hall_states.rs
@@ -231,12 +231,12 @@
         lost
     }
 
-    /// Returns whether a VM is down that serves a pool: those of the spare
-    /// pools are switched off.
+    /// Returns whether a VM is down that belongs to a serving pool. Those of
+    /// spare pools are switched off.
     fn is_unexpectedly_down(&self, vm: &ManagedVm) -> bool {
         vm.status == VmStatus::Down
             && !vm.hall.is_empty()
-            && !self.free_pools.contains(&vm.pool)
+            && self.serving_pools.contains(&vm.pool)
     }
 
     fn is_end_planned(&self, worker: &Worker, now: Now) -> bool {
