Ask the workers of a hall one after the other while it can't be reached

All workers were asked at the same instant each second, so a return was seen up to a second late and followed by a burst of holds to the whole hall.

--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -258,7 +258,15 @@
 
     /// Marks the worker as silent, because its hall can't be reached, and asks
     /// it until it answers. Its lease isn't extended any more.
-    pub(crate) fn hall_became_unreachable(&mut self, now_ms: u64) {
+    ///
+    /// `index` is its place among the `count` workers of the hall.
+    pub(crate) fn hall_became_unreachable(
+        &mut self,
+        now_ms: u64,
+        index: u64,
+        count: u64,
+    ) {
+        self.next_hold_ms = now_ms + HALL_RETRY_MS * index / count;
         self.in_unreachable_hall = true;
         self.silent_since_ms.get_or_insert(now_ms);
         self.missed_hold = true;
@@ -266,10 +274,10 @@
     }
 
     /// Notes that the worker's hall is reached again, and asks the worker at
-    /// once. It remains silent until it answers.
-    pub(crate) fn hall_became_reachable(&mut self, now_ms: u64) {
+    /// this time, in milliseconds. It remains silent until it answers.
+    pub(crate) fn hall_became_reachable(&mut self, ask_ms: u64) {
         self.in_unreachable_hall = false;
-        self.next_hold_ms = self.next_hold_ms.min(now_ms);
+        self.next_hold_ms = self.next_hold_ms.min(ask_ms);
     }
 
     fn hold_ended(&mut self, held: &DueHold) {
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -28,6 +28,11 @@
     std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
+/// The time over which the workers of a data hall that returns are asked, in
+/// milliseconds: about as long as a hold waits, so that they are asked no more
+/// often than usual.
+const RETURN_SPREAD_MS: u64 = 250;
+
 /// The number of a worker. Numbers are reused after a worker is removed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct WorkerNumber(usize);
@@ -235,22 +240,29 @@
         self.evacuation = evacuation;
     }
 
-    /// Notes that a data hall is cut off or lost.
+    /// Notes that a data hall is cut off or lost. Its workers are asked one
+    /// after the other from now on, so that its return is soon seen.
     pub(super) fn hall_became_unreachable(&mut self, hall: &str, now_ms: u64) {
         self.unreachable_halls.insert(hall.to_owned());
-        for number in self.numbers_in_hall(hall) {
+        let numbers = self.numbers_in_hall(hall);
+        let count = numbers.len().max(1) as u64;
+        for (index, number) in (0u64..).zip(numbers) {
             if let Some(worker) = self.at_mut(number) {
-                worker.hall_became_unreachable(now_ms);
+                worker.hall_became_unreachable(now_ms, index, count);
             }
         }
     }
 
-    /// Notes that a data hall is neither cut off nor lost any more.
+    /// Notes that a data hall is neither cut off nor lost any more. Its workers
+    /// are asked one after the other within [`RETURN_SPREAD_MS`].
     pub(super) fn hall_became_reachable(&mut self, hall: &str, now_ms: u64) {
         self.unreachable_halls.remove(hall);
-        for number in self.numbers_in_hall(hall) {
+        let numbers = self.numbers_in_hall(hall);
+        let count = numbers.len().max(1) as u64;
+        for (index, number) in (0u64..).zip(numbers) {
             if let Some(worker) = self.at_mut(number) {
-                worker.hall_became_reachable(now_ms);
+                let delay_ms = RETURN_SPREAD_MS * index / count;
+                worker.hall_became_reachable(now_ms + delay_ms);
             }
         }
     }
