--- a/crates/dewspar/src/schedule/crash_bursts.rs
+++ b/crates/dewspar/src/schedule/crash_bursts.rs
@@ -85,9 +85,22 @@
 }
 
 impl CrashBursts {
-    /// Notes that a task of a pool was a likely cause twice in a row.
-    pub(super) fn note(&mut self, pool: &str, now: Now) {
-        self.last_ms.insert(pool.to_owned(), now.steady_ms);
+    /// Notes that a task of a pool was a likely cause twice in a row. Returns
+    /// when one was before.
+    pub(super) fn note(&mut self, pool: &str, now: Now) -> Option<u64> {
+        self.last_ms.insert(pool.to_owned(), now.steady_ms)
+    }
+
+    /// Restores when a task of a pool was last a likely cause twice in a row.
+    pub(super) fn restore(&mut self, pool: &str, last_ms: Option<u64>) {
+        match last_ms {
+            Some(last_ms) => {
+                self.last_ms.insert(pool.to_owned(), last_ms);
+            }
+            None => {
+                self.last_ms.remove(pool);
+            }
+        }
     }
 
     /// Returns whether a burst is active in a pool.
--- a/crates/dewspar/src/schedule/hall_losses.rs
+++ b/crates/dewspar/src/schedule/hall_losses.rs
@@ -48,6 +48,9 @@
     vm: Option<(String, Option<VmCrashes>)>,
     /// The worker's pool, if it had not reported its runs.
     unsynced_pool: Option<String>,
+    /// The pools in which a burst of crashes was noted, each with the time of
+    /// the one before, in milliseconds.
+    bursts: Vec<(String, Option<u64>)>,
     crashes: Vec<CountedCrash>,
 }
 
@@ -78,6 +81,14 @@
             open.crashes.push(CountedCrash { task: *task, before, sequence });
         }
     }
+
+    /// Notes that a burst of crashes was noted in a pool as part of the loss
+    /// that is being counted.
+    pub(super) fn note_burst(&mut self, pool: &str, before_ms: Option<u64>) {
+        if let Some(open) = &mut self.open {
+            open.bursts.push((pool.to_owned(), before_ms));
+        }
+    }
 }
 
 impl Scheduler {
@@ -104,6 +115,7 @@
             at_ms: now.steady_ms,
             vm,
             unsynced_pool,
+            bursts: Vec::new(),
             crashes: Vec::new(),
         });
     }
@@ -139,6 +151,9 @@
         {
             *lost = lost.saturating_sub(1);
         }
+        for (pool, before_ms) in loss.bursts.iter().rev() {
+            self.crash_bursts.restore(pool, *before_ms);
+        }
         for CountedCrash { task, before, sequence } in
             loss.crashes.iter().rev()
         {
@@ -188,7 +203,11 @@
     pub(super) fn withdraw_copies(&mut self) {
         let copies = std::mem::take(&mut self.hall_losses.copies);
         for task in copies {
+            if !self.may_have_copy(&task) {
+                continue;
+            }
             if !self.has_reached_run(&task) {
+                // It may run in another hall that is cut off.
                 self.hall_losses.copies.insert(task);
                 continue;
             }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -560,7 +560,8 @@
         let crashes = &mut job.task_mut(&run.task)?.crashes;
         let before = *crashes;
         if likely && crashes.likely {
-            self.crash_bursts.note(&pool, now);
+            let before_ms = self.crash_bursts.note(&pool, now);
+            self.hall_losses.note_burst(&pool, before_ms);
         }
         crashes.add(run, likely, now.steady_ms);
         crashes.sequence = sequence;
