--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -59,6 +59,7 @@
         self.directory_ms = now.steady_ms;
         self.mark_missing_unlisted(asked_ms, &listings, now);
         let replaced = self.replaced_workers(asked_ms, &listings);
+        self.note_ends_in_halls(&replaced, asked_ms, now);
         for listing in listings {
             self.list_worker_as_of(asked_ms, now, listing);
         }
@@ -276,6 +277,7 @@
     ) {
         self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
+        self.halls.ended(&worker.listing.hall, id);
         self.former_processes.ended(&worker, now);
         if worker.is_lapsed() {
             // Its lost runs were reported when its lease was over.
--- a/crates/dewspar/src/schedule/evacuation.rs
+++ b/crates/dewspar/src/schedule/evacuation.rs
@@ -179,8 +179,7 @@
     /// Returns whether VMs of a hall may take tasks: it isn't being emptied
     /// and its workers aren't cut off or lost.
     pub(super) fn hall_takes_tasks(&self, hall: &str) -> bool {
-        !self.workers.evacuation().includes(hall)
-            && !self.is_hall_down(hall)
+        !self.workers.evacuation().includes(hall) && !self.is_hall_down(hall)
     }
 
     /// Returns whether some worker or VM may take tasks now or soon, so that
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -104,6 +104,7 @@
     cold_workers::ColdTerms,
     evacuation::EvacuatedHall,
     failure_domains::{HallLoss, HallPlanStats},
+    hall_returns::WorkerLookup,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -128,6 +129,7 @@
 
 use {
     crate::{
+        hall::HallChange,
         job::{JobId, JobSpec, Phase, TaskId},
         quota::Usage,
         team::Team,
@@ -145,6 +147,8 @@
 mod failure_domains;
 mod forecast;
 mod full_pools;
+mod hall_losses;
+mod hall_returns;
 mod hall_states;
 mod hold_answers;
 mod in_doubt;
@@ -600,6 +604,18 @@
         /// How many VMs are missing; 0 if the reserve is met.
         missing_vms: u64,
     },
+    /// The state of a data hall has changed.
+    HallChanged {
+        /// The change.
+        change: HallChange,
+        /// How many workers of the hall are known.
+        workers: usize,
+        /// How many runs they have.
+        runs: usize,
+        /// How many crashes that were counted shortly before are no longer
+        /// counted.
+        uncounted: usize,
+    },
     /// Nothing starts, because the operator's requests weren't read for too
     /// long.
     StartsPaused {
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -1,5 +1,6 @@
 use {
     crate::{
+        hall::HallMonitor,
         job::{JobId, Phase, Progress, TaskId},
         link::{Class, LinkBudget},
         poll_delay::PollDelay,
@@ -13,6 +14,7 @@
             evacuation::OperatorView,
             failure_domains::FailureDomains,
             forecast::Arrivals,
+            hall_losses::HallLosses,
             job_state::Job,
             jobs::Jobs,
             loading::Loading,
@@ -187,6 +189,10 @@
     pub(super) operator_view: OperatorView,
     /// What is known about data halls as failure domains.
     pub(super) failure_domains: FailureDomains,
+    /// What is concluded about data halls.
+    pub(super) halls: HallMonitor,
+    /// What was counted against tasks and VMs of halls that may be lost.
+    pub(super) hall_losses: HallLosses,
 }
 
 impl Scheduler {
@@ -205,6 +211,8 @@
             long_waits: LongWaits::default(),
             operator_view: OperatorView::default(),
             failure_domains: FailureDomains::default(),
+            halls: HallMonitor::new(options.tolerated_halls),
+            hall_losses: HallLosses::default(),
             options,
             lease_revision,
             queues: BTreeMap::new(),
@@ -443,9 +451,10 @@
         }
         let mut actions = Vec::new();
         self.check_operator_view(now);
-        self.update_down_halls();
         self.link.refill(now.steady_ms);
         self.apply_deferred_cancellations(now);
+        self.update_halls(now);
+        self.update_down_halls();
         self.drop_lapsed_workers(now);
         self.settle_recorded_starts(now);
         self.order_withheld(now, &mut actions);
@@ -640,7 +649,8 @@
             if !worker.is_fencing() || !due {
                 continue;
             }
-            let in_window = worker.silent_since_ms.is_none();
+            let in_window = worker.silent_since_ms.is_none()
+                || self.is_hall_returning(&worker.listing.hall);
             let class = if in_window { Class::Fence } else { Class::Question };
             if !self.link.allows(class) {
                 continue;
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -18,6 +18,11 @@
 /// use less of both.
 const BUSY_WAIT_MS: u64 = 1_000;
 
+/// The delay before a silent worker of a data hall that can't be reached is
+/// asked again, in milliseconds. Any answer shows that the hall is back, so
+/// its many workers needn't each be asked often.
+const HALL_RETRY_MS: u64 = 1_000;
+
 /// A hold to be sent to a worker.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DueHold {
@@ -38,6 +43,7 @@
         let wanted = self.is_occupied()
             || self.stored_end > self.acknowledged
             || self.missed_hold
+            || self.probed
             || self.has_unstored_ends();
         let ordinary = !self.fencing && !self.hold_in_flight && wanted;
         if self.listing.address.is_empty() {
@@ -101,7 +107,9 @@
         let at_once = fencing
             || self.has_unstored_ends()
             || self.missed_hold
+            || self.probed
             || self.runs.is_empty();
+        self.probed = false;
         let watching = &options.policy.watching;
         let wait_ms = match (at_once, self.long_poll) {
             (true, _) => 0,
@@ -229,7 +237,47 @@
             return;
         }
         self.silent_since_ms.get_or_insert(now_ms);
-        self.next_hold_ms = now_ms + options.hold_retry_ms;
+        self.next_hold_ms = now_ms + self.retry_ms(options);
+    }
+
+    /// Returns the delay before a silent worker is asked again, in
+    /// milliseconds.
+    fn retry_ms(&self, options: &Options) -> u64 {
+        if self.in_unreachable_hall {
+            HALL_RETRY_MS
+        } else {
+            options.hold_retry_ms
+        }
+    }
+
+    /// Asks the worker once as soon as possible, although nothing may run
+    /// there.
+    pub(crate) fn probe(&mut self) {
+        self.probed = true;
+    }
+
+    /// Marks the worker as silent, because its hall can't be reached, and asks
+    /// it until it answers. Its lease isn't extended any more.
+    ///
+    /// `index` is its place among the `count` workers of the hall.
+    pub(crate) fn hall_became_unreachable(
+        &mut self,
+        now_ms: u64,
+        index: u64,
+        count: u64,
+    ) {
+        self.next_hold_ms = now_ms + HALL_RETRY_MS * index / count;
+        self.in_unreachable_hall = true;
+        self.silent_since_ms.get_or_insert(now_ms);
+        self.missed_hold = true;
+        self.end_suspension();
+    }
+
+    /// Notes that the worker's hall is reached again, and asks the worker at
+    /// this time, in milliseconds. It remains silent until it answers.
+    pub(crate) fn hall_became_reachable(&mut self, ask_ms: u64) {
+        self.in_unreachable_hall = false;
+        self.next_hold_ms = self.next_hold_ms.min(ask_ms);
     }
 
     fn hold_ended(&mut self, held: &DueHold) {
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -28,6 +28,11 @@
     std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
+/// The time over which the workers of a data hall that returns are asked, in
+/// milliseconds: about as long as a hold waits, so that they are asked no more
+/// often than usual.
+const RETURN_SPREAD_MS: u64 = 250;
+
 /// The number of a worker. Numbers are reused after a worker is removed.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub(super) struct WorkerNumber(usize);
@@ -56,6 +61,8 @@
     evacuation: Evacuation,
     /// The data halls that are down.
     down_halls: BTreeSet<String>,
+    /// The data halls that are cut off or lost.
+    unreachable_halls: BTreeSet<String>,
 }
 
 /// The cached state of a worker.
@@ -172,6 +179,8 @@
         worker.in_evacuated_hall =
             self.evacuation.includes(&worker.listing.hall);
         worker.in_down_hall = self.down_halls.contains(&worker.listing.hall);
+        worker.in_unreachable_hall =
+            self.unreachable_halls.contains(&worker.listing.hall);
         let number = self.free_numbers.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.due_entries.push(DueEntry::NONE);
@@ -207,9 +216,12 @@
         let number = *self.numbers.get(&listing.id)?;
         let in_evacuated_hall = self.evacuation.includes(&listing.hall);
         let in_down_hall = self.down_halls.contains(&listing.hall);
+        let in_unreachable_hall =
+            self.unreachable_halls.contains(&listing.hall);
         let worker = self.at_mut(number)?;
         worker.in_evacuated_hall = in_evacuated_hall;
         worker.in_down_hall = in_down_hall;
+        worker.in_unreachable_hall = in_unreachable_hall;
         let before = std::mem::replace(&mut worker.listing, listing);
         if before.pool != worker.listing.pool {
             let pool = worker.listing.pool.clone();
@@ -256,6 +268,40 @@
         self.evacuation.set_stuck(hall, is_stuck)
     }
 
+    /// Notes that a data hall is cut off or lost. Its workers are asked one
+    /// after the other from now on, so that its return is soon seen.
+    pub(super) fn hall_became_unreachable(&mut self, hall: &str, now_ms: u64) {
+        self.unreachable_halls.insert(hall.to_owned());
+        let numbers = self.numbers_in_hall(hall);
+        let count = numbers.len().max(1) as u64;
+        for (index, number) in (0u64..).zip(numbers) {
+            if let Some(worker) = self.at_mut(number) {
+                worker.hall_became_unreachable(now_ms, index, count);
+            }
+        }
+    }
+
+    /// Notes that a data hall is neither cut off nor lost any more. Its workers
+    /// are asked one after the other within [`RETURN_SPREAD_MS`].
+    pub(super) fn hall_became_reachable(&mut self, hall: &str, now_ms: u64) {
+        self.unreachable_halls.remove(hall);
+        let numbers = self.numbers_in_hall(hall);
+        let count = numbers.len().max(1) as u64;
+        for (index, number) in (0u64..).zip(numbers) {
+            if let Some(worker) = self.at_mut(number) {
+                let delay_ms = RETURN_SPREAD_MS * index / count;
+                worker.hall_became_reachable(now_ms + delay_ms);
+            }
+        }
+    }
+
+    /// Returns the workers of a data hall, ordered by identifier.
+    pub(super) fn numbers_in_hall(&self, hall: &str) -> Vec<WorkerNumber> {
+        let all = self.all_at(&self.ordered);
+        let here = all.filter(|(_, worker)| worker.listing.hall == hall);
+        here.map(|(number, _)| number).collect()
+    }
+
     fn add_to_pool(&mut self, pool: String, number: WorkerNumber) {
         let members = self.pools.entry(pool).or_default();
         insert_sorted(members, number, &self.workers);
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -6,6 +6,7 @@
 mod evacuation;
 mod failure_domains;
 mod gang_reservations;
+mod hall_events;
 mod hall_fleet;
 mod hall_losses;
 mod in_doubt;
