Give up silent workers only while the holder's own lease is confirmed

A holder in a hall that is cut off goes on for up to 9.5 s without the store and reaches the workers of its hall. A lease now counts as over only once the store has confirmed the holder's own lease at a later time. This applies where the loss of a hall must be tolerated; elsewhere leases are as long as a holder goes on without the store.

Tests: two in detached_holders, the first red without the check.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -318,15 +318,28 @@
         }
     }
 
+    /// Returns whether this holder certainly held its own lease until this time
+    /// of the steady clock, in milliseconds.
+    ///
+    /// A holder that is cut off with its hall reaches workers there, and may
+    /// have a successor that renews the leases of all others. That matters
+    /// where the loss of a hall must be tolerated: the leases of runs are
+    /// shorter there than the time for which a holder goes on without the
+    /// store.
+    fn held_lease_at(&self, at_ms: u64) -> bool {
+        self.options.tolerated_halls == 0
+            || self.lease_renewed_ms.is_none_or(|sent_ms| sent_ms >= at_ms)
+    }
+
     /// Drops workers whose lease is certainly over, and those that left the
     /// directory without any runs.
     pub(super) fn drop_lapsed_workers(&mut self, now: Now) {
         let mut gone = Vec::new();
         for number in self.due_workers(now) {
             let Some(worker) = self.workers.at(number) else { continue };
-            let lapsed = worker
-                .lapses_from_ms()
-                .is_some_and(|from_ms| now.steady_ms >= from_ms);
+            let lapsed = worker.lapses_from_ms().is_some_and(|from_ms| {
+                now.steady_ms >= from_ms && self.held_lease_at(from_ms)
+            });
             let idle = worker.runs.is_empty();
             if lapsed && !idle {
                 gone.push((number, "its lease is over"));
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -77,6 +77,9 @@
     /// finished.
     pub(super) finished: BTreeMap<JobId, u64>,
     pub(super) decisions: Vec<Decision>,
+    /// When the newest call was sent that renewed this holder's own lease, if
+    /// that is known.
+    pub(super) lease_renewed_ms: Option<u64>,
     /// The claims of workers to have seen later tokens.
     pub(super) token_claims: TokenClaims,
     /// The worker processes that are no longer used.
@@ -229,6 +232,7 @@
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
+            lease_renewed_ms: None,
             token_claims: TokenClaims::default(),
             former_processes: FormerProcesses::default(),
             has_suspects: false,
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -23,6 +23,7 @@
 mod vm_service_results;
 mod worker_answers;
 
+mod detached_holders;
 mod directory_reads;
 mod pending_jobs;
 mod quotas;
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -146,6 +146,7 @@
     ));
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
+    scheduler.lease_renewed(held.renewed_ms);
     scheduler.begin_loading();
     scheduler.enable_start_log();
     let mut holder = Holder {
