Limit what teams submit beyond their shares while there is no room

The holder estimates what each team with a weight submits to each pool. While a pool has waiting work that can't be served in time, it stores what part of such a team's submissions to accept; nodes refuse the rest by the job's identifier before anything is stored. Jobs beyond a share no longer start in a pool in which a job within its share has lacked room for too long. Nodes serve their status as JSON beside the metrics.

--- a/crates/dewspar/src/job/id.rs
+++ b/crates/dewspar/src/job/id.rs
@@ -35,6 +35,20 @@
 #[serde(try_from = "String", into = "String")]
 pub struct JobId(u64);
 
+impl JobId {
+    /// Returns a number below 1,000 that depends only on the identifier and
+    /// the salt, so that all nodes conclude the same from it. The numbers of
+    /// many identifiers are spread evenly, however these were chosen.
+    pub fn permille(self, salt: u64) -> u64 {
+        // The finalizer of the generator SplitMix64.
+        let mut mixed = self.0 ^ salt.wrapping_mul(0x9E37_79B9_7F4A_7C15);
+        mixed = mixed.wrapping_add(0x9E37_79B9_7F4A_7C15);
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+        (mixed ^ (mixed >> 31)) % 1_000
+    }
+}
+
 impl FromStr for JobId {
     type Err = InvalidId;
 
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -46,6 +46,7 @@
 | [`team`] | the teams of callers, their API keys and quotas |
 | [`quota`] | what counts against each team's quota |
 | [`chart`] | state charts that are read from files and interpreted |
+| [`status`] | what a node tells its operators |
 | [`hall`] | what a node knows about a data hall |
 | [`history`] | recorded runs, and checks of every guarantee on them |
 
@@ -91,6 +92,7 @@
 mod rows;
 pub mod schedule;
 pub mod slot;
+pub mod status;
 pub mod team;
 mod util;
 pub mod wave;
--- /dev/null
+++ b/crates/dewspar/src/schedule/followed_limits.rs
@@ -0,0 +1,95 @@
+/*!
+A node's knowledge of the limits on teams, which counts only while it is recent.
+
+The holder writes the limits again every second while there are any. A node
+can't compare its wall clock with the holder's, so it concludes the age from
+versions and its own steady clock: a version was written after the last read
+that still showed another one was requested. The first version that a node
+reads may be of any age, so it isn't applied.
+
+# Example
+
+```
+use dewspar::schedule::{
+    FollowedLimits, LimitedTeam, SubmissionDecision, TeamLimits,
+};
+
+let limits = TeamLimits {
+    teams: vec![LimitedTeam {
+        pool: "registry".to_owned(),
+        team: "notaries".to_owned(),
+        admitted_permille: 0,
+        retry_after_ms: 1_000,
+    }],
+};
+let id = "5c0e7a21d94b36f8".parse()?;
+let mut followed = FollowedLimits::default();
+let is_refused = |followed: &FollowedLimits, now_ms| {
+    let decision = followed.decide("registry", "notaries", id, now_ms);
+    decision != SubmissionDecision::Accept
+};
+followed.record_read(7, 10_000, || limits.clone());
+assert!(!is_refused(&followed, 10_000));
+followed.record_read(8, 10_500, || limits.clone());
+assert!(is_refused(&followed, 10_600));
+// It was written after 10,000 ms and isn't renewed.
+followed.record_read(8, 11_500, || limits.clone());
+assert!(!is_refused(&followed, 12_001));
+# Ok::<(), dewspar::job::InvalidId>(())
+```
+*/
+
+use crate::{
+    job::JobId,
+    schedule::{SubmissionDecision, TeamLimits},
+};
+
+/// The age up to which limits are applied, in milliseconds.
+const MAX_AGE_MS: u64 = 2_000;
+
+/// The limits as a node has read them.
+#[derive(Clone, Debug, Default)]
+pub struct FollowedLimits {
+    limits: TeamLimits,
+    /// The version that was read last, and when that read was requested.
+    last_read: Option<(u64, u64)>,
+    /// The time after which that version was written; `None` if unknown.
+    written_after_ms: Option<u64>,
+}
+
+impl FollowedLimits {
+    /// Records a read that was requested at this time of the steady clock, in
+    /// milliseconds, and its version; 0 if there is no record. `limits` gives
+    /// the content, if the version is a new one.
+    pub fn record_read(
+        &mut self,
+        version: u64,
+        requested_ms: u64,
+        limits: impl FnOnce() -> TeamLimits,
+    ) {
+        let last = self.last_read.replace((version, requested_ms));
+        if last.is_some_and(|(known, _)| known == version) {
+            return;
+        }
+        self.written_after_ms = last.map(|(_, read_ms)| read_ms);
+        self.limits = limits();
+    }
+
+    /// Decides about a submission at this time of the steady clock.
+    pub fn decide(
+        &self,
+        pool: &str,
+        team: &str,
+        id: JobId,
+        now_ms: u64,
+    ) -> SubmissionDecision {
+        let is_recent = self
+            .written_after_ms
+            .is_some_and(|after_ms| now_ms <= after_ms + MAX_AGE_MS);
+        if is_recent {
+            self.limits.decide(pool, team, id)
+        } else {
+            SubmissionDecision::Accept
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
 pub use self::{
     ceilings::UseCeilings,
     evacuation::EvacuatedHall,
+    followed_limits::FollowedLimits,
     options::Options,
     order::{
         ActiveRun, EndCause, EndedRun, HoldOrder, HoldReport, Incarnation,
@@ -115,6 +116,9 @@
     scheduler::Scheduler,
     start_log::{LoggedStart, StartLog},
     storing::Changes,
+    team_limits::{
+        LimitedTeam, SubmissionDecision, TeamLimits, TeamStatus,
+    },
     unreadable_jobs::{DeferredEnd, DeferredEndBatch},
     vm::{
         ManagedVm, VmOrder, VmOrderError, VmStatus, WaveRecord, WaveRequest,
@@ -139,6 +143,7 @@
 mod crash_bursts;
 mod directory;
 mod evacuation;
+mod followed_limits;
 mod forecast;
 mod full_pools;
 mod hall_states;
@@ -153,6 +158,7 @@
 mod options;
 mod order;
 mod order_answers;
+mod owed_waits;
 mod pacing;
 mod placement;
 mod policy;
@@ -170,6 +176,7 @@
 mod stopping;
 mod storing;
 mod suspects;
+mod team_limits;
 mod token_claims;
 mod unlisted_use;
 mod unreadable_jobs;
@@ -406,6 +413,23 @@
         /// Why the workers of its pool can't take it.
         unfit: UnfitWorkers,
     },
+    /// The part of a team's submissions that nodes should accept has changed.
+    TeamLimited {
+        /// The pool.
+        pool: String,
+        /// The team.
+        team: String,
+        /// The part of its submissions to accept, in thousandths; 1,000 for
+        /// all.
+        admitted_permille: u64,
+        /// The number of jobs that it submits in a second, as estimated.
+        submitted: u64,
+        /// The number of jobs in a second that it is owed.
+        share: u64,
+        /// How long the pool's waiting work takes to be served, in
+        /// milliseconds.
+        wait_ms: u64,
+    },
     /// A team's quota delays the start of a task.
     QuotaReached {
         /// The team.
--- /dev/null
+++ b/crates/dewspar/src/schedule/owed_waits.rs
@@ -0,0 +1,75 @@
+/*!
+A bound on how long jobs within their teams' shares wait behind jobs beyond a
+share.
+
+Jobs beyond a share go last, but only within a priority, and a large task may
+never find room while smaller ones keep taking what becomes free. So once a
+task of a job within a share has lacked room for
+[`Placing::max_owed_wait_ms`](super::Placing::max_owed_wait_ms), no job beyond
+a share starts in its pool until a whole pass finds no such task. The task then
+waits for at most that time, plus what is left of the runs that had started and
+the work of other jobs within their shares.
+
+Only tasks that any worker of the pool could take count: one that waits for a
+certain worker, a ticket or its team's quota isn't helped by the others'
+waiting. Long-running tasks don't count either, since they get VMs of their
+own.
+*/
+
+use {
+    crate::schedule::{
+        Now, Scheduler,
+        placement::{Candidate, PoolNumber, Requirements},
+    },
+    std::{collections::BTreeSet, mem},
+};
+
+/// The pools in which jobs beyond a share don't start.
+#[derive(Debug, Default)]
+pub(super) struct OwedWaits {
+    /// As of the last whole pass.
+    held: BTreeSet<PoolNumber>,
+    /// As found by the current pass.
+    found: BTreeSet<PoolNumber>,
+}
+
+impl OwedWaits {
+    /// Ends a pass that has looked at every step.
+    pub(super) fn finish_pass(&mut self) {
+        self.held = mem::take(&mut self.found);
+    }
+}
+
+impl Scheduler {
+    /// Returns whether jobs beyond a share may not start in a pool.
+    pub(super) fn keeps_for_owed(&self, pool: PoolNumber) -> bool {
+        let OwedWaits { held, found } = &self.quotas.owed_waits;
+        held.contains(&pool) || found.contains(&pool)
+    }
+
+    /// Notes that a step with tasks to start finds no room in its pool.
+    pub(super) fn note_lacks_room(
+        &mut self,
+        candidate: &Candidate,
+        required: &Requirements,
+        now: Now,
+    ) {
+        let max_wait_ms = self.placing().max_owed_wait_ms;
+        if max_wait_ms == 0 || candidate.over_share || required.long_running {
+            return;
+        }
+        let task = candidate.first_task();
+        let Some(job) = self.jobs.get(&task.job) else { return };
+        let (Some(step), Some(spec)) = (job.step(&task), job.step_spec(&task))
+        else {
+            return;
+        };
+        let is_overdue = now.steady_ms >= step.ready_ms + max_wait_ms;
+        if is_overdue
+            && self.is_unconstrained(spec, &task)
+            && self.fits_any_vm(spec)
+        {
+            self.quotas.owed_waits.found.insert(required.pool);
+        }
+    }
+}
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -9,7 +9,6 @@
 */
 
 use {
-    self::candidates::Requirements,
     crate::{
         job::{StepSpec, TaskId},
         link::Class,
@@ -30,7 +29,9 @@
 mod gang;
 mod uniform;
 
-pub(super) use self::candidates::{Candidate, Candidates, PoolNumber};
+pub(super) use self::candidates::{
+    Candidate, Candidates, PoolNumber, Requirements,
+};
 
 /// The number of run numbers skipped for a task that a former lease holder may
 /// have started without recording it, so that the new run number is the
@@ -122,17 +123,22 @@
             if !self.may_start() {
                 break;
             }
+            if candidate.over_share && self.keeps_for_owed(required.pool) {
+                continue;
+            }
             // The step that found the pool full asked for no more than this
             // one and has already reported the shortage. Tasks with a
             // reservation don't need free room.
             if pools.full.is_full_for(required.pool, &required.demand)
                 && !self.reservations.has_any_for(candidate)
             {
+                self.note_lacks_room(candidate, required, now);
                 continue;
             }
             let lacking =
                 self.start_step(candidate, required, now, &mut pools, actions);
             if let Some(pool) = lacking {
+                self.note_lacks_room(candidate, required, now);
                 pools_without_room.insert(pool);
             }
         }
@@ -140,6 +146,7 @@
         // A pass that was cut short hasn't looked at every step, so it can't
         // clear the record of pools without room.
         if self.may_start() {
+            self.quotas.owed_waits.finish_pass();
             self.unplaced_since_ms
                 .retain(|pool, _| pools_without_room.contains(pool));
         }
@@ -290,7 +297,7 @@
 
     /// Returns whether a task may run on any worker of its pool that has room
     /// and accepts starts.
-    fn is_unconstrained(&self, spec: &StepSpec, task: &TaskId) -> bool {
+    pub(super) fn is_unconstrained(&self, spec: &StepSpec, task: &TaskId) -> bool {
         let advised = self.jobs[&task.job].terms.advice.is_some();
         spec.required_label.is_empty()
             && spec.max_per_worker == 0
--- a/crates/dewspar/src/schedule/placement/candidates.rs
+++ b/crates/dewspar/src/schedule/placement/candidates.rs
@@ -27,7 +27,7 @@
 pub(in crate::schedule) struct Candidate {
     priority: u32,
     /// Whether its team has submitted more than its share.
-    over_share: bool,
+    pub(in crate::schedule) over_share: bool,
     late: bool,
     objective_ms: u64,
     pub(super) job: JobId,
@@ -52,13 +52,13 @@
 
 /// What the tasks of a step require.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct Requirements {
-    pub(super) pool: PoolNumber,
+pub(in crate::schedule) struct Requirements {
+    pub(in crate::schedule) pool: PoolNumber,
     pub(super) demand: Resources,
     /// Whether some waiting task may crash its worker.
     pub(super) suspects: bool,
     /// Whether the tasks are long-running.
-    long_running: bool,
+    pub(in crate::schedule) long_running: bool,
 }
 
 /// All steps that have tasks to start.
--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -154,7 +154,13 @@
     pub late_last: bool,
     /// Whether jobs that a team submits beyond its share go after the others.
     pub over_share_last: bool,
-
+    /// Whether jobs that a team submits beyond its share are refused while
+    /// there is waiting work that can't be served in time.
+    pub refuse_over_share: bool,
+    /// How long a task of a job within its team's share may lack room before
+    /// no job beyond a share starts in its pool, in milliseconds; 0 for any
+    /// time.
+    pub max_owed_wait_ms: u64,
     /// Whether a task is placed on the fullest worker with enough room;
     /// otherwise on the emptiest.
     pub fullest_first: bool,
@@ -179,6 +185,10 @@
         Placing {
             late_last: true,
             over_share_last: true,
+            refuse_over_share: true,
+            // Longer than a VM takes to join the pool, so that a shortage
+            // that is about to end holds nothing back.
+            max_owed_wait_ms: 2_000,
             // The other workers become idle, and their VMs can be used
             // elsewhere.
             fullest_first: true,
@@ -322,6 +332,7 @@
             ("forecast.ahead_ms", forecast.ahead_ms, 0, 60_000),
             ("placing.copy_after_ms", placing.copy_after_ms, 0, 60_000),
             ("placing.go_back_after_ms", placing.go_back_after_ms, 0, 2_500),
+            ("placing.max_owed_wait_ms", placing.max_owed_wait_ms, 0, 600_000),
             ("watching.hold_wait_ms", watching.hold_wait_ms, 0, 2_000),
             ("orders.most", most, 1, 1_000_000),
             ("orders.initial", initial, 1, most),
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -25,7 +25,8 @@
         schedule::{
             Decision, Now, Resources, Scheduler, WorkerId, ceilings::Ceilings,
             in_doubt::MAX_DELIVERY_MS, job_state::Job, run_totals::RunTotals,
-            shares::Shares, unlisted_use::UnlistedUse, worker::Run,
+            owed_waits::OwedWaits, shares::Shares,
+            team_limits::LimitControl, unlisted_use::UnlistedUse, worker::Run,
         },
         team::{Team, Teams},
     },
@@ -82,6 +83,8 @@
     pub(super) ledger: QuotaLedger,
     pub(super) ceilings: Ceilings,
     pub(super) shares: Shares,
+    pub(super) limits: LimitControl,
+    pub(super) owed_waits: OwedWaits,
     run_totals: RunTotals,
     doubtful_starts: Vec<DoubtfulStart>,
     /// What finished jobs may still use according to former holders.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -310,6 +310,10 @@
                 accepted_at_ms,
             );
             job.over_share = is_over && self.placing().over_share_last;
+            if revision > self.lease_revision {
+                let pool = &job.terms.pool;
+                self.quotas.limits.count_arrival(pool, number, is_over);
+            }
         }
         if let Some(progress) = progress {
             job.restore(progress);
@@ -445,6 +449,7 @@
         self.update_reservations(now);
         self.start_waiting(now, &mut actions);
         self.report_long_waits(now);
+        self.update_team_limits(now);
         self.poll_workers(now, &mut actions);
         actions
     }
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -72,6 +72,13 @@
         self.total_demand().minus(&self.long_running)
     }
 
+    /// Returns what a pool with this many VMs like its own has for short
+    /// tasks.
+    pub(super) fn short_task_capacity(&self, vms: u64) -> Resources {
+        let planned = self.vm().times(vms);
+        self.capacity.component_max(&planned).minus(&self.long_running)
+    }
+
     /// Returns the number of workers of the pool that aren't about to leave
     /// it.
     pub(super) fn workers(&self) -> u64 {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -107,6 +107,8 @@
         "Times that tasks that are to last were found waiting for long, by why.";
     QUOTA_DELAYS, "counter", "dewspar_quota_delays_total", None,
         "Times that a team's quota was found to delay starts, at most one in 2 s for each team.";
+    TEAM_LIMITS, "counter", "dewspar_team_limits_total", None,
+        "Times that the limit on a team's submissions to a pool began or ended.";
     TEAM_RUNNING, "gauge", "dewspar_team_running_cores", Some("team"),
         "Cores that count against a team's quota for runs, while this node schedules.";
     TEAM_STOPPING, "gauge", "dewspar_team_stopping_cores", Some("team"),
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -53,6 +53,22 @@
                 "with_siblings" => unfit.siblings, "barred" => unfit.barred);
             counters::count_by(counters::LONG_WAITS, "reason", reason);
         }
+        Decision::TeamLimited {
+            pool,
+            team,
+            admitted_permille,
+            submitted,
+            share,
+            wait_ms,
+        } => {
+            let is_limited = *admitted_permille < 1_000;
+            info!(log, "team: submissions limited"; "pool" => pool,
+                "team" => team, "limited" => is_limited,
+                "admitted_permille" => admitted_permille,
+                "submitted" => submitted, "share" => share,
+                "wait_ms" => wait_ms);
+            counters::count(counters::TEAM_LIMITS);
+        }
         Decision::QuotaReached { team, task, quota, usage, is_counted } => {
             info!(log, "team: quota delays starts"; "team" => team,
                 "task" => %task, "counted" => is_counted,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -26,7 +26,7 @@
 use {
     super::{
         holder, intent, keys, readiness::Readiness, settings::Machine,
-        step_down::StepDown,
+        status::StatusBoard, step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
     dewspar::schedule::{Options, OrderIssuer},
@@ -147,6 +147,8 @@
     /// The unreadable value last seen under the lease's key.
     pub(super) unreadable_owner: Option<UnreadableOwner>,
     pub(super) options: Options,
+    /// What operators are told.
+    pub(super) status: StatusBoard,
     pub(super) log: Logger,
 }
 
@@ -194,6 +196,7 @@
                     if owner != last_holder {
                         info!(self.log, "election: another node schedules";
                             "holder" => &owner, "revision" => version);
+                        self.status.set_holder(Some(&owner));
                         last_holder = owner;
                     }
                     let weak = is_much_weaker(strength, self.strength);
@@ -403,6 +406,7 @@
             "revision" => held.revision, "lease_ms" => held.lease_ms);
         counters::count(counters::TAKEOVERS);
         let outcome = holder::run(self, held).await;
+        self.status.set_holder(None);
         if matches!(outcome, StepDown::Overloaded) {
             counters::count(counters::OVERLOADS);
             self.overloaded_until_ms = clock::now_ms() + OVERLOAD_BACKOFF_MS;
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -14,12 +14,13 @@
         gate::StoreGate,
         intent, keys,
         readiness::Readiness,
+        unanswered::UnansweredWrites,
     },
     crate::{clock, counters},
     bytes::Bytes,
     dewspar::{
         job::{JobId, JobSpec, QueueSet},
-        schedule::AcceptedJob,
+        schedule::{AcceptedJob, FollowedLimits},
         team::Caller,
     },
     dewspar_platform::{
@@ -81,6 +82,9 @@
     /// The shortest lease that the store grants, in milliseconds.
     pub(super) min_lease_ms: u64,
     pub(super) counts: tokio::sync::Mutex<CountsReader>,
+    /// The limits on what teams submit.
+    pub(super) limits: watch::Receiver<FollowedLimits>,
+    pub(super) unanswered: UnansweredWrites,
     pub(super) log: Logger,
 }
 
@@ -309,7 +313,17 @@
             counters::count_by(counters::REFUSALS, "reason", "store_out");
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
-        match self.write(&batch, deadline).await {
+        let pool = &job.terms.pool;
+        let refusal = self.reply_over_share(id, pool, caller, deadline).await;
+        if let Some(reply) = refusal {
+            return reply;
+        }
+        self.unanswered.sent(id, clock::now_ms());
+        let result = self.write(&batch, deadline).await;
+        if !matches!(result, WriteResult::Unknown) {
+            self.unanswered.answered(id);
+        }
+        match result {
             WriteResult::Done => JobReply::Accepted,
             // The job is already stored, perhaps by an earlier attempt of this
             // call.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -35,6 +35,7 @@
         start_logs::StartLogWrites,
         step_down::StepDown,
         takeover::{self, LoadedFleetState},
+        team_limits::TeamLimitsWriter,
         versions::RecordVersions,
         vm_orders::{self, LoadedWaves, VmOrderBatch},
         worker_lookups::WorkerLookups,
@@ -177,6 +178,8 @@
         renewal_needed_from_ms: 0,
         hand_over: HandOver::default(),
         ceilings: RecordWriter::default(),
+        team_limits: TeamLimitsWriter::default(),
+        last_status_ms: 0,
     };
     holder.run(events).await
 }
@@ -238,6 +241,10 @@
     pub(super) hand_over: HandOver,
     /// The write state of the record of the teams' ceilings.
     pub(super) ceilings: RecordWriter,
+    /// The write state of the record of limits on teams.
+    pub(super) team_limits: TeamLimitsWriter,
+    /// When the status for operators was last updated.
+    pub(super) last_status_ms: u64,
 }
 
 /// Waits until the node is asked to stop.
@@ -387,6 +394,9 @@
             Event::CeilingsWritten(written) => {
                 self.ceilings_written(written, now);
             }
+            Event::TeamLimitsWritten(written) => {
+                self.team_limits.finish_write(written, now.steady_ms);
+            }
             Event::CountsWritten(written) => {
                 self.counts.write_answered(written)
             }
@@ -517,6 +527,7 @@
         self.write_changes(now);
         self.write_deferred_ends(now);
         self.write_ceilings(now);
+        self.write_team_limits(now);
         self.write_counts(now);
         self.write_waves(now);
         self.order_vms(now);
@@ -528,6 +539,7 @@
             let halls = self.scheduler.evacuated_halls(now);
             load_stats::log_evacuated_halls(&self.candidate.log, &halls);
         }
+        self.update_status(now);
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
         let link = self.scheduler.link();
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -59,6 +59,9 @@
 /// The most that each team uses, written by the holder.
 pub(super) const CEILINGS: &str = "ceilings";
 
+/// The teams whose submissions are limited, written by the holder.
+pub(super) const TEAM_LIMITS: &str = "team-limits";
+
 /// The counts of waiting jobs by queue, written by the holder.
 pub(super) const PENDING: &str = "pending";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -31,6 +31,7 @@
 | `pending` | each queue's waiting jobs, under the holder's lease | the holder |
 | `counting`, `counted` | a lock, and the counts made under it, under short leases | a node that finds no fresh `pending` |
 | `ceilings` | the most that each team uses | the holder |
+| `team-limits` | the teams whose submissions are limited | the holder |
 | `vm-orders` | the VMs for which changes were ordered recently | the holder |
 | `wave/N` | the VMs that a maintenance wave has maintained | the holder |
 
@@ -75,7 +76,10 @@
 mod start_logs;
 mod step_down;
 mod strength;
+mod status;
 mod takeover;
+mod team_limits;
+mod unanswered;
 mod use_ceilings;
 mod versions;
 mod vm_orders;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -12,9 +12,12 @@
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
+        status::StatusBoard,
+        team_limits,
+        unanswered::UnansweredWrites,
     },
     crate::{clock, logs, passed_over},
-    dewspar::{link::LinkLimits, schedule::Options},
+    dewspar::{link::LinkLimits, schedule::{FollowedLimits, Options}},
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
         Purpose, Traffic, UnreadableNotes,
@@ -119,10 +122,21 @@
             readiness.clone(),
         )
         .await?;
+        let status = StatusBoard::new(&settings.node);
         if let (Some(address), Some(metrics)) =
             (settings.metrics_address, metrics)
         {
-            readiness::serve_metrics(address, metrics).await?;
+            let status = status.reader();
+            readiness::serve_metrics(address, metrics, status).await?;
+        }
+        let (limits_sender, limits) = watch::channel(FollowedLimits::default());
+        if settings.policy.placing.refuse_over_share {
+            tokio::spawn(team_limits::follow(
+                platform.store.with_purpose(Purpose::Counts),
+                reader.clone(),
+                limits_sender,
+                logs::part(&log, "front"),
+            ));
         }
         let front = Frontend {
             store: platform.store.with_purpose(Purpose::Callers),
@@ -135,6 +149,8 @@
             ),
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
+            limits,
+            unanswered: UnansweredWrites::default(),
             log: logs::part(&log, "front"),
         };
         let callers =
@@ -185,6 +201,7 @@
             min_lease_ms: timing.min_store_lease_ms,
             strength: settings.machine.strength(),
             overloaded_until_ms: 0,
+            status,
             unreadable_owner: None,
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -69,12 +69,18 @@
     .await
 }
 
-/// Serves metrics in the Prometheus text format.
+/// Serves metrics in the Prometheus text format, and the node's status as JSON
+/// at `/status`.
 pub(super) async fn serve_metrics(
     address: SocketAddr,
     metrics: PrometheusHandle,
+    status: watch::Receiver<Bytes>,
 ) -> io::Result<()> {
-    serve_http(address, move |_: &Request<Incoming>| {
+    serve_http(address, move |request: &Request<Incoming>| {
+        if request.uri().path() == "/status" {
+            let body = status.borrow().clone();
+            return Page { status: StatusCode::OK, body };
+        }
         let body = Bytes::from(metrics.render());
         Page { status: StatusCode::OK, body }
     })
