--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -116,9 +116,7 @@
     scheduler::Scheduler,
     start_log::{LoggedStart, StartLog},
     storing::Changes,
-    team_limits::{
-        LimitedTeam, SubmissionDecision, TeamLimits, TeamStatus,
-    },
+    team_limits::{LimitedTeam, SubmissionDecision, TeamLimits, TeamStatus},
     unreadable_jobs::{DeferredEnd, DeferredEndBatch},
     vm::{
         ManagedVm, VmOrder, VmOrderError, VmStatus, WaveRecord, WaveRequest,
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -297,7 +297,11 @@
 
     /// Returns whether a task may run on any worker of its pool that has room
     /// and accepts starts.
-    pub(super) fn is_unconstrained(&self, spec: &StepSpec, task: &TaskId) -> bool {
+    pub(super) fn is_unconstrained(
+        &self,
+        spec: &StepSpec,
+        task: &TaskId,
+    ) -> bool {
         let advised = self.jobs[&task.job].terms.advice.is_some();
         spec.required_label.is_empty()
             && spec.max_per_worker == 0
--- a/crates/dewspar/src/schedule/quotas.rs
+++ b/crates/dewspar/src/schedule/quotas.rs
@@ -24,9 +24,9 @@
         quota::{Admission, Charge, QuotaLedger, TeamNumber, Usage},
         schedule::{
             Decision, Now, Resources, Scheduler, WorkerId, ceilings::Ceilings,
-            in_doubt::MAX_DELIVERY_MS, job_state::Job, run_totals::RunTotals,
-            owed_waits::OwedWaits, shares::Shares,
-            team_limits::LimitControl, unlisted_use::UnlistedUse, worker::Run,
+            in_doubt::MAX_DELIVERY_MS, job_state::Job, owed_waits::OwedWaits,
+            run_totals::RunTotals, shares::Shares, team_limits::LimitControl,
+            unlisted_use::UnlistedUse, worker::Run,
         },
         team::{Team, Teams},
     },
--- a/crates/dewspar/src/schedule/team_limits.rs
+++ b/crates/dewspar/src/schedule/team_limits.rs
@@ -49,9 +49,7 @@
     crate::{
         job::JobId,
         quota::TeamNumber,
-        schedule::{
-            Decision, Now, Resources, Scheduler, job_state::demand,
-        },
+        schedule::{Decision, Now, Resources, Scheduler, job_state::demand},
     },
     serde::{Deserialize, Serialize},
     std::collections::{BTreeMap, VecDeque},
@@ -80,6 +78,11 @@
 /// more, in milliseconds.
 const CALM_MS: u64 = 1_000;
 
+/// What a team must submit in a second to be limited, in percent of its share.
+/// Without a margin, every other second of a team that submits its share on
+/// average would count as beyond it.
+const BEYOND_PERCENT: u64 = 150;
+
 /// The smallest part of a team's submissions that is accepted, in thousandths.
 /// With none, the holder couldn't estimate what the team submits.
 const MIN_ADMITTED_PERMILLE: u64 = 20;
@@ -139,9 +142,8 @@
         team: &str,
         id: JobId,
     ) -> SubmissionDecision {
-        let is_of = |limit: &&LimitedTeam| {
-            limit.team == team && limit.pool == pool
-        };
+        let is_of =
+            |limit: &&LimitedTeam| limit.team == team && limit.pool == pool;
         let Some(limit) = self.teams.iter().find(is_of) else {
             return SubmissionDecision::Accept;
         };
@@ -380,7 +382,8 @@
         let is_beyond = if flow.is_limited {
             recent.max(longer) > share * 1_000
         } else {
-            flow.has_over_share() && control.accepted(number) > share
+            flow.has_over_share()
+                && control.accepted(number) * 100 > share * BEYOND_PERCENT
         };
         let is_limited = is_enabled && share > 0 && is_congested && is_beyond;
         let submitted_millis = recent.max(longer).max(1);
@@ -470,9 +473,11 @@
         let waiting = waiting.into_iter().map(|(pool, mut work)| {
             let planned = self.targets.get(pool).copied().unwrap_or(0);
             let capacity = self.pool_load(pool).short_task_capacity(planned);
-            let least = Resources { cpu_millis: 1, memory_mb: 1, gpus: 1 };
-            let capacity = capacity.component_max(&least);
-            work.wait_ms = work.work.permille_of(&capacity) / 1_000;
+            // A pool that has nothing left for short tasks serves none.
+            work.wait_ms = match capacity.cpu_millis {
+                0 => RETRY_AFTER_MS.1,
+                _ => work.work.permille_of(&capacity) / 1_000,
+            };
             work.allowed_ms = work.allowed_sum_ms / work.jobs.max(1);
             (pool.to_owned(), work)
         });
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -30,6 +30,7 @@
 mod start_log;
 mod storing;
 mod takeover;
+mod team_limits;
 mod unseen_starts;
 mod wave_deadlines;
 mod wave_progress;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -17,7 +17,10 @@
         unanswered::UnansweredWrites,
     },
     crate::{clock, logs, passed_over},
-    dewspar::{link::LinkLimits, schedule::{FollowedLimits, Options}},
+    dewspar::{
+        link::LinkLimits,
+        schedule::{FollowedLimits, Options},
+    },
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
         Purpose, Traffic, UnreadableNotes,
@@ -129,7 +132,8 @@
             let status = status.reader();
             readiness::serve_metrics(address, metrics, status).await?;
         }
-        let (limits_sender, limits) = watch::channel(FollowedLimits::default());
+        let (limits_sender, limits) =
+            watch::channel(FollowedLimits::default());
         if settings.policy.placing.refuse_over_share {
             tokio::spawn(team_limits::follow(
                 platform.store.with_purpose(Purpose::Counts),
--- a/crates/dewspard/src/jobs/unanswered.rs
+++ b/crates/dewspard/src/jobs/unanswered.rs
@@ -22,16 +22,24 @@
 /// The number of entries from which old ones are looked for.
 const PRUNE_FROM: usize = 1_024;
 
-/// The jobs with a write that got no answer, each with when it was sent.
+/// The jobs with writes that got no answer.
 #[derive(Debug, Default)]
 pub(super) struct UnansweredWrites {
-    sent_ms: Mutex<BTreeMap<JobId, u64>>,
+    writes: Mutex<BTreeMap<JobId, JobWrites>>,
+}
+
+/// The writes of a job that got no answer.
+#[derive(Clone, Copy, Debug)]
+struct JobWrites {
+    /// When the last was sent.
+    sent_ms: u64,
+    count: u32,
 }
 
 impl UnansweredWrites {
-    fn entries(&self) -> MutexGuard<'_, BTreeMap<JobId, u64>> {
+    fn entries(&self) -> MutexGuard<'_, BTreeMap<JobId, JobWrites>> {
         // A panic elsewhere can't leave the map half changed.
-        self.sent_ms.lock().unwrap_or_else(PoisonError::into_inner)
+        self.writes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Notes that a write is sent, before it is: its caller may go away and
@@ -39,19 +47,27 @@
     pub(super) fn sent(&self, id: JobId, now_ms: u64) {
         let mut entries = self.entries();
         if entries.len() >= PRUNE_FROM {
-            entries.retain(|_, sent_ms| now_ms < *sent_ms + KEPT_MS);
+            entries.retain(|_, writes| now_ms < writes.sent_ms + KEPT_MS);
         }
-        entries.insert(id, now_ms);
+        let fresh = JobWrites { sent_ms: now_ms, count: 0 };
+        let writes = entries.entry(id).or_insert(fresh);
+        writes.sent_ms = now_ms;
+        writes.count += 1;
     }
 
-    /// Notes that the result of a write is known.
+    /// Notes that the result of one write is known.
     pub(super) fn answered(&self, id: JobId) {
-        self.entries().remove(&id);
+        let mut entries = self.entries();
+        let Some(writes) = entries.get_mut(&id) else { return };
+        writes.count -= 1;
+        if writes.count == 0 {
+            entries.remove(&id);
+        }
     }
 
     /// Returns whether a write of the job may still take effect.
     pub(super) fn contains(&self, id: JobId, now_ms: u64) -> bool {
-        let sent_ms = self.entries().get(&id).copied();
-        sent_ms.is_some_and(|sent_ms| now_ms < sent_ms + KEPT_MS)
+        let writes = self.entries().get(&id).copied();
+        writes.is_some_and(|writes| now_ms < writes.sent_ms + KEPT_MS)
     }
 }
