Make refusals certain; show the status of nodes that run jobs

A caller that got no answer may come back to another node while its first write is still on its way to the store, where a look for the job finds nothing. Writes that accept a job of a team with a weight are therefore conditional on the version of the limits, and a refusing node reads that version before it looks for the job. A memory of unanswered writes at each node was weighed first: it doesn't help when the caller comes back to another node.

--- a/crates/dewspar-cli/src/commands/status.rs
+++ b/crates/dewspar-cli/src/commands/status.rs
@@ -7,7 +7,7 @@
     super::Api,
     crate::{
         exit::{Code, Error},
-        halls,
+        halls, job_status,
         output::{self, Format},
     },
     clap::Args,
@@ -29,6 +29,10 @@
     /// page of a node that runs jobs.
     #[arg(long, value_name = "HOST:PORT")]
     metrics: Option<String>,
+    /// Show teams and data halls instead, from the metrics address of a node
+    /// that runs jobs.
+    #[arg(long, value_name = "HOST:PORT", conflicts_with = "metrics")]
+    jobs: Option<String>,
     #[command(flatten)]
     api: Api,
 }
@@ -40,6 +44,11 @@
     ///
     /// Returns an [`Error`] when the node can't be reached.
     pub async fn run(self) -> Result<Code, Error> {
+        if let Some(address) = &self.jobs {
+            let status = job_status::read(address).await?;
+            print!("{}", job_status::text(self.output, &status)?);
+            return Ok(Code::Success);
+        }
         if let Some(address) = &self.metrics {
             print!("{}", evacuated_halls(address).await?);
             return Ok(Code::Success);
--- a/crates/dewspar-cli/src/lib.rs
+++ b/crates/dewspar-cli/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod delays;
 pub mod deployment;
 pub mod halls;
+pub mod job_status;
 pub mod load;
 pub mod log_line;
 pub mod observer;
--- a/crates/dewspar/src/schedule/followed_limits.rs
+++ b/crates/dewspar/src/schedule/followed_limits.rs
@@ -67,14 +67,30 @@
         requested_ms: u64,
         limits: impl FnOnce() -> TeamLimits,
     ) {
-        let last = self.last_read.replace((version, requested_ms));
-        if last.is_some_and(|(known, _)| known == version) {
-            return;
+        let last = self.last_read;
+        if let Some((known, last_ms)) = last {
+            // Reads may end in another order than they began.
+            if version < known && requested_ms < last_ms {
+                return;
+            }
+            if version == known {
+                self.last_read = Some((known, last_ms.max(requested_ms)));
+                return;
+            }
         }
+        self.last_read = Some((version, requested_ms));
+        // A lower version isn't a newer one: the store has lost the record.
+        let is_newer = |known: &(u64, u64)| known.0 < version;
+        let last = last.filter(is_newer);
         self.written_after_ms = last.map(|(_, read_ms)| read_ms);
         self.limits = limits();
     }
 
+    /// Returns the version that was read last; 0 if there was none.
+    pub fn version(&self) -> u64 {
+        self.last_read.map_or(0, |(version, _)| version)
+    }
+
     /// Decides about a submission at this time of the steady clock.
     pub fn decide(
         &self,
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -14,13 +14,13 @@
         gate::StoreGate,
         intent, keys,
         readiness::Readiness,
-        unanswered::UnansweredWrites,
+        team_limits::{FollowedTeamLimits, ShareCheck},
     },
     crate::{clock, counters},
     bytes::Bytes,
     dewspar::{
         job::{JobId, JobSpec, QueueSet},
-        schedule::{AcceptedJob, FollowedLimits},
+        schedule::AcceptedJob,
         team::Caller,
     },
     dewspar_platform::{
@@ -68,6 +68,10 @@
 /// How often a call that certainly had no effect is retried.
 const MAX_RETRIES: u32 = 2;
 
+/// How many versions of the limits on teams a submission is tried with; they
+/// change once a second.
+const MAX_LIMIT_CHANGES: u32 = 4;
+
 /// When callers that weren't served should retry, in milliseconds: about the
 /// time after which a node that can't reach the store gets no more callers.
 pub(super) const RETRY_AFTER_MS: u64 = 1_000;
@@ -83,8 +87,7 @@
     pub(super) min_lease_ms: u64,
     pub(super) counts: tokio::sync::Mutex<CountsReader>,
     /// The limits on what teams submit.
-    pub(super) limits: watch::Receiver<FollowedLimits>,
-    pub(super) unanswered: UnansweredWrites,
+    pub(super) limits: FollowedTeamLimits,
     pub(super) log: Logger,
 }
 
@@ -304,38 +307,41 @@
         };
         // OK because a job holds only what JSON can write.
         let value = serde_json::to_vec(&job).expect("plain JSON");
-        let batch = Batch::default()
-            .when(&keys::accepted(id), Expected::Absent)
-            .when(&keys::progress(id), Expected::Absent)
-            .put(&keys::accepted(id), value)
-            .put(keys::ACCEPTED_LAST, Vec::new());
         if self.gate.admit(deadline).await.is_err() {
             counters::count_by(counters::REFUSALS, "reason", "store_out");
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
         let pool = &job.terms.pool;
-        let refusal = self.reply_over_share(id, pool, caller, deadline).await;
-        if let Some(reply) = refusal {
-            return reply;
-        }
-        self.unanswered.sent(id, clock::now_ms());
-        let result = self.write(&batch, deadline).await;
-        if !matches!(result, WriteResult::Unknown) {
-            self.unanswered.answered(id);
-        }
-        match result {
-            WriteResult::Done => JobReply::Accepted,
-            // The job is already stored, perhaps by an earlier attempt of this
-            // call.
-            WriteResult::Conflict(found) => {
-                self.reply_to_known(id, &found, caller)
-            }
-            WriteResult::NotDone => {
-                counters::count_by(counters::REFUSALS, "reason", "store");
-                JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+        let check = self.check_share(id, pool, caller, deadline).await;
+        for _ in 0..MAX_LIMIT_CHANGES {
+            let limits_version = match &check {
+                ShareCheck::Reply(reply) => return reply.clone(),
+                ShareCheck::Unlimited => None,
+                ShareCheck::Admitted => Some(self.limits.version()),
+            };
+            let batch = acceptance(id, value.clone(), limits_version);
+            match self.write(&batch, deadline).await {
+                WriteResult::Done => return JobReply::Accepted,
+                WriteResult::Conflict(found) => {
+                    let is_job =
+                        |item: &Versioned| item.key != keys::TEAM_LIMITS;
+                    // The job is already stored, perhaps by an earlier attempt
+                    // of this call.
+                    if limits_version.is_none() || found.iter().any(is_job) {
+                        return self.reply_to_known(id, &found, caller);
+                    }
+                    if let Some(reply) =
+                        self.check_changed_limits(id, pool, caller, &found)
+                    {
+                        return reply;
+                    }
+                }
+                WriteResult::NotDone => break,
+                WriteResult::Unknown => return JobReply::Unknown,
             }
-            WriteResult::Unknown => JobReply::Unknown,
         }
+        counters::count_by(counters::REFUSALS, "reason", "store");
+        JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
     }
 
     /// Returns the answer to a submission of a job that the store already has.
@@ -345,8 +351,8 @@
         found: &[Versioned],
         caller: &Caller,
     ) -> JobReply {
-        let mut owners =
-            found.iter().filter_map(|item| self.owner_in(id, item));
+        let jobs = found.iter().filter(|item| item.key != keys::TEAM_LIMITS);
+        let mut owners = jobs.filter_map(|item| self.owner_in(id, item));
         if owners.all(|owner| caller.may_access(&owner)) {
             JobReply::Accepted
         } else {
@@ -441,6 +447,26 @@
     }
 }
 
+/// Returns the write that accepts a job. With a version of the limits on teams,
+/// it takes effect only as long as these are unchanged.
+fn acceptance(
+    id: JobId,
+    value: Vec<u8>,
+    limits_version: Option<u64>,
+) -> Batch {
+    let batch = Batch::default()
+        .when(&keys::accepted(id), Expected::Absent)
+        .when(&keys::progress(id), Expected::Absent)
+        .put(&keys::accepted(id), value)
+        .put(keys::ACCEPTED_LAST, Vec::new());
+    match limits_version {
+        Some(version) => {
+            batch.when(keys::TEAM_LIMITS, Expected::from_version(version))
+        }
+        None => batch,
+    }
+}
+
 /// The result of a write.
 enum WriteResult {
     Done,
--- a/crates/dewspard/src/jobs/lookup.rs
+++ b/crates/dewspard/src/jobs/lookup.rs
@@ -274,7 +274,7 @@
     }
 
     /// Reads a key, with retries until the deadline.
-    async fn read_versioned(
+    pub(super) async fn read_versioned(
         &self,
         store: &K,
         key: &str,
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -79,7 +79,6 @@
 mod strength;
 mod takeover;
 mod team_limits;
-mod unanswered;
 mod use_ceilings;
 mod versions;
 mod vm_orders;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -13,14 +13,10 @@
         relay,
         settings::JobSettings,
         status::StatusBoard,
-        team_limits,
-        unanswered::UnansweredWrites,
+        team_limits::{self, FollowedTeamLimits},
     },
     crate::{clock, logs, passed_over},
-    dewspar::{
-        link::LinkLimits,
-        schedule::{FollowedLimits, Options},
-    },
+    dewspar::{link::LinkLimits, schedule::Options},
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
         Purpose, Traffic, UnreadableNotes,
@@ -132,16 +128,15 @@
             let status = status.reader();
             readiness::serve_metrics(address, metrics, status).await?;
         }
-        let (limits_sender, limits) =
-            watch::channel(FollowedLimits::default());
-        if settings.policy.placing.refuse_over_share {
-            tokio::spawn(team_limits::follow(
-                platform.store.with_purpose(Purpose::Counts),
-                reader.clone(),
-                limits_sender,
-                logs::part(&log, "front"),
-            ));
-        }
+        let limits =
+            FollowedTeamLimits::new(settings.policy.placing.refuse_over_share);
+        tokio::spawn(team_limits::follow(
+            platform.store.with_purpose(Purpose::Counts),
+            reader.clone(),
+            limits.clone(),
+            stopped.clone(),
+            logs::part(&log, "front"),
+        ));
         let front = Frontend {
             store: platform.store.with_purpose(Purpose::Callers),
             protocol: platform.protocol,
@@ -154,7 +149,6 @@
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             limits,
-            unanswered: UnansweredWrites::default(),
             log: logs::part(&log, "front"),
         };
         let callers =
--- a/crates/dewspard/src/jobs/team_limits.rs
+++ b/crates/dewspard/src/jobs/team_limits.rs
@@ -6,11 +6,20 @@
 are limits, at most once a second, and once more when there are none any more.
 Nodes read it as they read other shared keys.
 
-A refusal says that the job was not run, so it must be certain that the job
-isn't stored. A caller that got no answer submits the same job again, perhaps
-to another node. So before a node refuses a job, it looks for it in the store,
-and it refuses none of which a write of its own got no answer. If it can't
-look, it goes on as without limits, with the conditional write.
+A refusal says that the job was not run and won't be, so it must be certain that
+the job is neither stored nor about to be. A caller that got no answer submits
+the same job again, perhaps to another node, while its first write may still be
+on its way to the store. Therefore:
+
+- each write that accepts a job of a team with a weight is conditional on the
+  version of the record by which the node decided, so that it has no effect
+  once the record has changed;
+- before a node refuses a job, it reads the record, decides by that version, and
+  then looks for the job.
+
+A write that was sent before the refusal and takes effect after it would have to
+depend on the version that was read. Its sender would have refused the job by
+that same version.
 */
 
 use {
@@ -23,14 +32,17 @@
         job::JobId,
         record::{RecordWriteOutcome, RecordWriter},
         schedule::{FollowedLimits, Now, SubmissionDecision, TeamLimits},
-        team::Caller,
+        team::{Caller, Team},
     },
     dewspar_platform::{
         Batch, Expected, Fleet, JobProtocol, JobReply, JobWorkers, KeyValue,
-        Purpose,
+        Purpose, Versioned,
     },
     slog::Logger,
-    std::time::Duration,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
     tokio::{
         sync::watch,
         time::{Instant, MissedTickBehavior, interval},
@@ -132,36 +144,77 @@
     }
 }
 
-/// Reads the record for as long as the node takes callers, while the
-/// configuration has teams with a weight.
+/// A node's knowledge of the limits; clones share it.
+#[derive(Clone, Debug)]
+pub(super) struct FollowedTeamLimits {
+    is_enabled: bool,
+    followed: Arc<Mutex<FollowedLimits>>,
+}
+
+impl FollowedTeamLimits {
+    pub(super) fn new(is_enabled: bool) -> FollowedTeamLimits {
+        FollowedTeamLimits { is_enabled, followed: Arc::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, FollowedLimits> {
+        // A panic elsewhere can't leave the value half changed.
+        self.followed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the version that was read last; 0 if there was none.
+    pub(super) fn version(&self) -> u64 {
+        self.lock().version()
+    }
+
+    /// Records what was read.
+    fn record(
+        &self,
+        found: Option<&Versioned>,
+        requested_ms: u64,
+        log: &Logger,
+    ) {
+        let version = found.map_or(0, |found| found.version);
+        self.lock().record_read(version, requested_ms, || {
+            let limits = found.and_then(|found| {
+                passed_over::read(log, "limits on teams", found)
+            });
+            limits.unwrap_or_default()
+        });
+    }
+
+    fn decide(
+        &self,
+        pool: &str,
+        team: &Team,
+        id: JobId,
+    ) -> SubmissionDecision {
+        self.lock().decide(pool, &team.name, id, clock::now_ms())
+    }
+}
+
+/// Reads the record until the node stops, while the configuration has teams
+/// with a weight.
 pub(super) async fn follow<K: KeyValue>(
     store: K,
     reader: intent::Reader,
-    sender: watch::Sender<FollowedLimits>,
+    limits: FollowedTeamLimits,
+    stopping: watch::Receiver<bool>,
     log: Logger,
 ) {
+    if !limits.is_enabled {
+        return;
+    }
     let store = store.sharing_reads(SHARE_INTERVAL_MS);
     let mut tick = interval(FOLLOW_INTERVAL);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    while !sender.is_closed() {
+    while !*stopping.borrow() {
         tick.tick().await;
         if !has_weights(&reader) {
             continue;
         }
         let requested_ms = clock::now_ms();
         match store.get(keys::TEAM_LIMITS).await {
-            Ok(found) => {
-                let version = found.as_ref().map_or(0, |found| found.version);
-                let read = || {
-                    let limits = found.as_ref().and_then(|found| {
-                        passed_over::read(&log, "limits on teams", found)
-                    });
-                    limits.unwrap_or_default()
-                };
-                sender.send_modify(|followed| {
-                    followed.record_read(version, requested_ms, read);
-                });
-            }
+            Ok(found) => limits.record(found.as_ref(), requested_ms, &log),
             Err(error) => counters::platform_failure(&error),
         }
     }
@@ -175,34 +228,76 @@
     })
 }
 
+/// What a submission may do under the limits.
+#[derive(Clone, Debug)]
+pub(super) enum ShareCheck {
+    /// It isn't subject to limits.
+    Unlimited,
+    /// It is to be stored, as long as the limits are unchanged.
+    Admitted,
+    /// This is its answer.
+    Reply(JobReply),
+}
+
 impl<K: KeyValue, P: JobProtocol> Frontend<K, P> {
-    /// Returns the answer to a submission that is beyond its team's share
-    /// while there is no room for it; `None` if it is to be stored.
-    pub(super) async fn reply_over_share(
+    /// Checks a submission against its team's limit.
+    pub(super) async fn check_share(
         &self,
         id: JobId,
         pool: &str,
         caller: &Caller,
         deadline: Instant,
-    ) -> Option<JobReply> {
-        let team = caller.team()?;
-        let now_ms = clock::now_ms();
-        let decision =
-            self.limits.borrow().decide(pool, &team.name, id, now_ms);
-        let SubmissionDecision::Refuse { retry_after_ms } = decision else {
-            return None;
+    ) -> ShareCheck {
+        let team = caller.team().filter(|team| team.weight > 0);
+        let Some(team) = team.filter(|_| self.limits.is_enabled) else {
+            return ShareCheck::Unlimited;
         };
-        if self.unanswered.contains(id, now_ms) {
-            return None;
+        if self.limits.decide(pool, team, id) == SubmissionDecision::Accept {
+            return ShareCheck::Admitted;
         }
         let deadline = deadline.min(Instant::now() + LOOKUP_TIMEOUT);
-        match self.phase(id, caller, deadline).await {
-            Ok(None) => {
-                counters::count_by(counters::REFUSALS, "reason", "over_share");
-                Some(JobReply::NotDone { retry_after_ms })
+        let requested_ms = clock::now_ms();
+        let key = keys::TEAM_LIMITS;
+        match self.read_versioned(&self.store, key, deadline).await {
+            Ok(found) => {
+                self.limits.record(found.as_ref(), requested_ms, &self.log);
             }
-            Ok(Some(_)) => Some(JobReply::Accepted),
-            Err(_) => None,
+            Err(_) => return ShareCheck::Reply(JobReply::Unknown),
         }
+        let decision = self.limits.decide(pool, team, id);
+        let SubmissionDecision::Refuse { retry_after_ms } = decision else {
+            return ShareCheck::Admitted;
+        };
+        ShareCheck::Reply(match self.phase(id, caller, deadline).await {
+            Ok(None) => refusal(retry_after_ms),
+            Ok(Some(_)) => JobReply::Accepted,
+            // It may be stored.
+            Err(_) => JobReply::Unknown,
+        })
     }
+
+    /// Checks a submission again whose write had no effect because the limits
+    /// have changed; returns the answer if it is refused now.
+    pub(super) fn check_changed_limits(
+        &self,
+        id: JobId,
+        pool: &str,
+        caller: &Caller,
+        found: &[Versioned],
+    ) -> Option<JobReply> {
+        let record = found.iter().find(|item| item.key == keys::TEAM_LIMITS);
+        self.limits.record(record, clock::now_ms(), &self.log);
+        match self.limits.decide(pool, caller.team()?, id) {
+            SubmissionDecision::Accept => None,
+            // The conflict has shown that the job isn't stored.
+            SubmissionDecision::Refuse { retry_after_ms } => {
+                Some(refusal(retry_after_ms))
+            }
+        }
+    }
+}
+
+fn refusal(retry_after_ms: u64) -> JobReply {
+    counters::count_by(counters::REFUSALS, "reason", "over_share");
+    JobReply::NotDone { retry_after_ms }
 }
