--- a/crates/dewspar/tests/schedule/team_limits.rs
+++ b/crates/dewspar/tests/schedule/team_limits.rs
@@ -76,6 +76,9 @@
     refused: [u64; TEAMS],
     retry_after_ms: Vec<u64>,
     number: u64,
+    /// How long a job within its share may wait while others start that are
+    /// beyond a share, in milliseconds; `None` if that isn't checked.
+    max_wait_ms: Option<u64>,
     /// Whether the durations of tasks differ.
     is_varied: bool,
     /// The start orders that were looked at.
@@ -84,6 +87,8 @@
 
 impl Burst {
     fn new(seed: u64, policy: Policy) -> Burst {
+        let max_wait_ms = policy.placing.max_owed_wait_ms;
+        let max_wait_ms = (max_wait_ms > 0).then_some(max_wait_ms);
         let mut world =
             World::new(7, &["w-1", "w-2", "w-3", "w-4", "w-5", "w-6"]);
         world.scheduler = Scheduler::new(7, Options::default().policy(policy));
@@ -106,6 +111,7 @@
             refused: [0; TEAMS],
             retry_after_ms: Vec::new(),
             number: 0,
+            max_wait_ms,
             is_varied: false,
             seen_starts: 0,
         }
@@ -208,6 +214,7 @@
         self.world.scheduler.plan_vms(now);
         let limits = self.world.scheduler.team_limits().clone();
         self.limits.push_back((now.steady_ms, limits));
+        self.check_starts(now.steady_ms);
         for (_, order) in &self.world.starts[self.seen_starts..] {
             if let Some(job) = self.jobs.get_mut(&order.task.job) {
                 let waited_ms = now.steady_ms - job.at_ms;
@@ -217,6 +224,30 @@
         self.seen_starts = self.world.starts.len();
     }
 
+    /// Checks that nothing beyond a share has started in this round while a job
+    /// within its share has waited for longer than the bound.
+    fn check_starts(&self, now_ms: u64) {
+        let Some(max_wait_ms) = self.max_wait_ms else { return };
+        let mut started = self.world.starts[self.seen_starts..].iter();
+        let is_over =
+            |id: &JobId| self.jobs.get(id).is_some_and(|j| j.over_share);
+        let Some((_, over)) = started.find(|(_, s)| is_over(&s.task.job))
+        else {
+            return;
+        };
+        // One pass notices that a task lacks room, the next one acts on it.
+        let overdue = |job: &Submitted| {
+            !job.over_share
+                && job.waited_ms.is_none()
+                && now_ms > job.at_ms + max_wait_ms + 2 * ROUND_MS
+        };
+        let starts = &self.world.starts[self.seen_starts..];
+        let waits = self.jobs.iter().find(|(id, job)| {
+            overdue(job) && !starts.iter().any(|(_, s)| s.task.job == **id)
+        });
+        assert!(waits.is_none(), "{} starts, {waits:?} waits", over.task.job);
+    }
+
     /// Returns how long jobs waited for their start, in milliseconds, in
     /// increasing order; those that haven't started count as if they started
     /// now.
@@ -330,6 +361,8 @@
     let unweighted = Team { weight: 0, ..team(0) };
     let teams = Teams::default().with(unweighted, []);
     burst.world.scheduler.configure_teams(&teams);
+    // None of its jobs is beyond a share.
+    burst.max_wait_ms = None;
     burst.run(BURST_MS, 12);
     assert_eq!(burst.refused, [0; TEAMS]);
 }
