Look for owed tasks without room only every 100 ms

A busy holder makes hundreds of passes a second over thousands of waiting steps, and skips most of them cheaply. Looking up the job of each would make a pass several times as long. Waiting work isn't summed up either where no team has a weight.

--- a/crates/dewspar/src/schedule/owed_waits.rs
+++ b/crates/dewspar/src/schedule/owed_waits.rs
@@ -24,26 +24,54 @@
     std::{collections::BTreeSet, mem},
 };
 
+/// The interval between two passes that look for such tasks, in milliseconds:
+/// a pass of a busy holder takes much longer if it looks at each waiting task.
+const CHECK_INTERVAL_MS: u64 = 100;
+
 /// The pools in which jobs beyond a share don't start.
 #[derive(Debug, Default)]
 pub(super) struct OwedWaits {
-    /// As of the last whole pass.
+    /// As of the last whole pass that looked for them.
     held: BTreeSet<PoolNumber>,
     /// As found by the current pass.
     found: BTreeSet<PoolNumber>,
+    /// Whether the current pass looks for them.
+    is_checking: bool,
+    checked_ms: u64,
 }
 
 impl OwedWaits {
+    /// Begins a pass. `has_over_share` tells whether some waiting job is
+    /// beyond a share.
+    pub(super) fn begin_pass(
+        &mut self,
+        now: Now,
+        has_over_share: impl FnOnce() -> bool,
+    ) {
+        self.found.clear();
+        self.is_checking = false;
+        if now.steady_ms < self.checked_ms + CHECK_INTERVAL_MS {
+            return;
+        }
+        self.checked_ms = now.steady_ms;
+        self.is_checking = has_over_share();
+        if !self.is_checking {
+            self.held.clear();
+        }
+    }
+
     /// Ends a pass that has looked at every step.
     pub(super) fn finish_pass(&mut self) {
-        self.held = mem::take(&mut self.found);
+        if self.is_checking {
+            self.held = mem::take(&mut self.found);
+        }
     }
 }
 
 impl Scheduler {
     /// Returns whether jobs beyond a share may not start in a pool.
     pub(super) fn keeps_for_owed(&self, pool: PoolNumber) -> bool {
-        let OwedWaits { held, found } = &self.quotas.owed_waits;
+        let OwedWaits { held, found, .. } = &self.quotas.owed_waits;
         held.contains(&pool) || found.contains(&pool)
     }
 
@@ -55,7 +83,13 @@
         now: Now,
     ) {
         let max_wait_ms = self.placing().max_owed_wait_ms;
-        if max_wait_ms == 0 || candidate.over_share || required.long_running {
+        let waits = &self.quotas.owed_waits;
+        if !waits.is_checking
+            || waits.found.contains(&required.pool)
+            || max_wait_ms == 0
+            || candidate.over_share
+            || required.long_running
+        {
             return;
         }
         let task = candidate.first_task();
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -119,6 +119,9 @@
             self.announce_starts(&suspects);
             self.reserve_workers(&suspects, now);
         }
+        let mut waiting = candidates.ordered.keys();
+        let has_over_share = || waiting.any(|waiting| waiting.over_share);
+        self.quotas.owed_waits.begin_pass(now, has_over_share);
         for (candidate, required) in &candidates.ordered {
             if !self.may_start() {
                 break;
--- a/crates/dewspar/src/schedule/team_limits.rs
+++ b/crates/dewspar/src/schedule/team_limits.rs
@@ -348,7 +348,11 @@
         for flow in self.quotas.limits.flows.values_mut() {
             flow.end_interval();
         }
-        let waiting = self.waiting_work(now);
+        // Looking at every job isn't needed where no team has a weight.
+        let waiting = match self.has_weights() {
+            true => self.waiting_work(now),
+            false => BTreeMap::new(),
+        };
         self.update_congestion(&waiting, now);
         let keys: Vec<(String, TeamNumber)> =
             self.quotas.limits.flows.keys().cloned().collect();
@@ -362,6 +366,11 @@
         control.flows.retain(|_, flow| !flow.is_idle());
     }
 
+    fn has_weights(&self) -> bool {
+        let mut accounts = self.quotas.ledger.accounts();
+        accounts.any(|(team, _)| team.weight > 0)
+    }
+
     /// Decides about the limit of a team in a pool.
     fn limit_team(
         &mut self,
