--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -312,12 +312,12 @@
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
         let pool = &job.terms.pool;
-        let check = self.check_share(id, pool, caller, deadline).await;
+        let mut check = self.check_share(id, pool, caller, deadline).await;
         for _ in 0..MAX_LIMIT_CHANGES {
-            let limits_version = match &check {
-                ShareCheck::Reply(reply) => return reply.clone(),
+            let limits_version = match check {
+                ShareCheck::Reply(reply) => return reply,
                 ShareCheck::Unlimited => None,
-                ShareCheck::Admitted => Some(self.limits.version()),
+                ShareCheck::Admitted { version } => Some(version),
             };
             let batch = acceptance(id, value.clone(), limits_version);
             match self.write(&batch, deadline).await {
@@ -331,11 +331,8 @@
                     if limits_version.is_none() || found.iter().any(is_job) {
                         return self.reply_to_known(id, &found, caller);
                     }
-                    if let Some(reply) =
-                        self.check_changed_limits(id, pool, caller, &found)
-                    {
-                        return reply;
-                    }
+                    check =
+                        self.check_changed_limits(id, pool, caller, &found);
                 }
                 WriteResult::NotDone => {
                     counters::count_by(counters::REFUSALS, "reason", "store");
--- a/crates/dewspard/src/jobs/team_limits.rs
+++ b/crates/dewspard/src/jobs/team_limits.rs
@@ -161,11 +161,6 @@
         self.followed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the version that was read last; 0 if there was none.
-    pub(super) fn version(&self) -> u64 {
-        self.lock().version()
-    }
-
     /// Records what was read.
     fn record(
         &self,
@@ -182,16 +177,22 @@
         });
     }
 
-    fn decide(
-        &self,
-        pool: &str,
-        team: &Team,
-        id: JobId,
-    ) -> SubmissionDecision {
-        self.lock().decide(pool, &team.name, id, clock::now_ms())
+    /// Decides about a submission, by one version of the record.
+    fn decide(&self, pool: &str, team: &Team, id: JobId) -> VersionedDecision {
+        let followed = self.lock();
+        VersionedDecision {
+            decision: followed.decide(pool, &team.name, id, clock::now_ms()),
+            version: followed.version(),
+        }
     }
 }
 
+/// A decision with the version of the record that it is based on.
+struct VersionedDecision {
+    decision: SubmissionDecision,
+    version: u64,
+}
+
 /// Reads the record until the node stops, while the configuration has teams
 /// with a weight.
 pub(super) async fn follow<K: KeyValue>(
@@ -233,8 +234,8 @@
 pub(super) enum ShareCheck {
     /// It isn't subject to limits.
     Unlimited,
-    /// It is to be stored, as long as the limits are unchanged.
-    Admitted,
+    /// It is to be stored, as long as the limits have this version.
+    Admitted { version: u64 },
     /// This is its answer.
     Reply(JobReply),
 }
@@ -252,8 +253,10 @@
         let Some(team) = team.filter(|_| self.limits.is_enabled) else {
             return ShareCheck::Unlimited;
         };
-        if self.limits.decide(pool, team, id) == SubmissionDecision::Accept {
-            return ShareCheck::Admitted;
+        let VersionedDecision { decision, version } =
+            self.limits.decide(pool, team, id);
+        if decision == SubmissionDecision::Accept {
+            return ShareCheck::Admitted { version };
         }
         let deadline = deadline.min(Instant::now() + LOOKUP_TIMEOUT);
         let requested_ms = clock::now_ms();
@@ -264,9 +267,10 @@
             }
             Err(_) => return ShareCheck::Reply(JobReply::Unknown),
         }
-        let decision = self.limits.decide(pool, team, id);
+        let VersionedDecision { decision, version } =
+            self.limits.decide(pool, team, id);
         let SubmissionDecision::Refuse { retry_after_ms } = decision else {
-            return ShareCheck::Admitted;
+            return ShareCheck::Admitted { version };
         };
         ShareCheck::Reply(match self.phase(id, caller, deadline).await {
             Ok(None) => refusal(retry_after_ms),
@@ -277,21 +281,24 @@
     }
 
     /// Checks a submission again whose write had no effect because the limits
-    /// have changed; returns the answer if it is refused now.
+    /// have changed.
     pub(super) fn check_changed_limits(
         &self,
         id: JobId,
         pool: &str,
         caller: &Caller,
         found: &[Versioned],
-    ) -> Option<JobReply> {
+    ) -> ShareCheck {
+        let Some(team) = caller.team() else { return ShareCheck::Unlimited };
         let record = found.iter().find(|item| item.key == keys::TEAM_LIMITS);
         self.limits.record(record, clock::now_ms(), &self.log);
-        match self.limits.decide(pool, caller.team()?, id) {
-            SubmissionDecision::Accept => None,
+        let VersionedDecision { decision, version } =
+            self.limits.decide(pool, team, id);
+        match decision {
+            SubmissionDecision::Accept => ShareCheck::Admitted { version },
             // The conflict has shown that the job isn't stored.
             SubmissionDecision::Refuse { retry_after_ms } => {
-                Some(refusal(retry_after_ms))
+                ShareCheck::Reply(refusal(retry_after_ms))
             }
         }
     }
