--- a/crates/dewspar/src/schedule/owed_waits.rs
+++ b/crates/dewspar/src/schedule/owed_waits.rs
@@ -7,8 +7,9 @@
 task of a job within a share has lacked room for
 [`Placing::max_owed_wait_ms`](super::Placing::max_owed_wait_ms), no job beyond
 a share starts in its pool until a whole pass finds no such task. The task then
-waits for at most that time, plus what is left of the runs that had started and
-the work of other jobs within their shares.
+waits for at most that time and the interval between two checks, plus what is
+left of the runs that had started and the work of other jobs within their
+shares.
 
 Only tasks that any worker of the pool could take count: one that waits for a
 certain worker, a ticket or its team's quota isn't helped by the others'
