--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -12,6 +12,8 @@
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
+        status::StatusBoard,
+        team_limits::{self, FollowedTeamLimits},
     },
     crate::{clock, logs, passed_over},
     dewspar::{link::LinkLimits, schedule::Options},
@@ -119,11 +121,22 @@
             readiness.clone(),
         )
         .await?;
+        let status = StatusBoard::new(&settings.node);
         if let (Some(address), Some(metrics)) =
             (settings.metrics_address, metrics)
         {
-            readiness::serve_metrics(address, metrics).await?;
+            let status = status.reader();
+            readiness::serve_metrics(address, metrics, status).await?;
         }
+        let limits =
+            FollowedTeamLimits::new(settings.policy.placing.refuse_over_share);
+        tokio::spawn(team_limits::follow(
+            platform.store.with_purpose(Purpose::Counts),
+            reader.clone(),
+            limits.clone(),
+            stopped.clone(),
+            logs::part(&log, "front"),
+        ));
         let front = Frontend {
             store: platform.store.with_purpose(Purpose::Callers),
             protocol: platform.protocol,
@@ -135,6 +148,7 @@
             ),
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
+            limits,
             log: logs::part(&log, "front"),
         };
         let callers =
@@ -185,6 +199,7 @@
             min_lease_ms: timing.min_store_lease_ms,
             strength: settings.machine.strength(),
             overloaded_until_ms: 0,
+            status,
             unreadable_owner: None,
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
