Forward calls to the store for listed nodes only

The server for peers forwarded whatever reached its port: any method and path, 1,024 calls at a time of up to 16 MiB each, read whole before anything was checked. It now takes calls from the IP addresses of the nodes that the store lists under peer/, and only the calls of the platform's adapter (is_store_call). Both are decided from the head of a call; others get 403, a counted reason and one log line a second at most. Bodies in flight take 16 MiB in all.

The list is read when an unknown address calls, at most once a second, and for any caller once it is a minute old; the last one stays in use while the store can't be read. Checks of unknown addresses get 403 too. is_peer_alive takes that for alive, so that a reader isn't replaced for not knowing a new holder yet. A client takes 403 from a peer as not forwarded and goes on over another peer or its own path. Calls to peers leave from the address that the node offers, for machines with several.

Weighed: a secret shared by all nodes, which old builds wouldn't send; a read of the list for each connection, which strangers could turn against the store.

PeerNode and RelayNode get a field hall, empty where it is missing; tests read records of earlier and later builds both ways.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -15,6 +15,7 @@
     serde::{Serialize, de::DeserializeOwned},
     std::{
         error, io, iter,
+        net::IpAddr,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -36,7 +37,7 @@
 /// from what requests cost.
 #[derive(Clone, Debug)]
 pub struct Client {
-    connections: Arc<Connections>,
+    pub(crate) connections: Arc<Connections>,
     pub(crate) timeout: Duration,
     /// Whether the time of a call counts from the last bytes of its answer.
     long_answers: bool,
@@ -74,7 +75,7 @@
         // nothing, and must be told from one whose answer is late.
         let connect_timeout = Duration::from_millis(timeout_ms / 2);
         Client {
-            connections: Arc::new(Connections::new(connect_timeout)),
+            connections: Arc::new(Connections::new(connect_timeout, None)),
             timeout: Duration::from_millis(timeout_ms),
             long_answers: false,
             calls: Arc::default(),
@@ -87,6 +88,12 @@
         }
     }
 
+    /// Lets calls leave from this address of the machine.
+    pub fn calling_from(self, source: IpAddr) -> Client {
+        let connections = Connections::new(self.timeout / 2, Some(source));
+        Client { connections: Arc::new(connections), ..self }
+    }
+
     /// Lets calls take paths over other nodes.
     pub fn with_peers(mut self, peers: &PeerRoutes) -> Client {
         self.peers = Some(peers.clone());
--- a/crates/dewspar-platform/src/connections.rs
+++ b/crates/dewspar-platform/src/connections.rs
@@ -24,6 +24,7 @@
     },
     std::{
         collections::HashMap,
+        net::IpAddr,
         sync::{Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
@@ -65,9 +66,16 @@
 }
 
 impl Connections {
-    /// Makes connections that take at most `connect_timeout` to open.
-    pub(crate) fn new(connect_timeout: Duration) -> Connections {
+    /// Makes connections that take at most `connect_timeout` to open, and that
+    /// leave from `source` if it is given.
+    pub(crate) fn new(
+        connect_timeout: Duration,
+        source: Option<IpAddr>,
+    ) -> Connections {
         let mut connector = HttpConnector::new();
+        // A listener at the unspecified address names none to call from.
+        let source = source.filter(|source| !source.is_unspecified());
+        connector.set_local_address(source);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(connect_timeout));
         connector.set_keepalive(Some(PROBE_AFTER));
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -44,7 +44,10 @@
         Batch, Cas, Commit, Condition, Event, Expected, KeyValue, Lease, Put,
         Versioned, Watch, WatchBatch,
     },
-    peers::{Fingerprint, PeerRoutes, PeerServer, PeerStatus, is_peer_alive},
+    peers::{
+        CallFilter, Fingerprint, PeerDirectory, PeerRoutes, PeerServer,
+        PeerStatus, RefusalReason, is_peer_alive,
+    },
     traffic::{Purpose, Tallies, Tally, Traffic},
     unreadable::{TakenNotes, Unreadable, UnreadableNotes},
     vm_list::{VmList, VmListing},
--- a/crates/dewspar-platform/src/peers/calls.rs
+++ b/crates/dewspar-platform/src/peers/calls.rs
@@ -12,7 +12,7 @@
     hyper::{
         Method, Request, StatusCode, header::HeaderValue, http::uri::Authority,
     },
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// How many peers are tried for one call.
@@ -81,7 +81,7 @@
         let max_wait = self.share_interval? + SHARED_READ_GRACE;
         let mut client = self.clone();
         client.timeout = self.timeout.min(max_wait);
-        let sent = client.send_to_peer(call, &shared, &peer).await;
+        let sent = client.send_to_peer(call, &shared, &peer, peers).await;
         let answer = sent.inspect_err(|_| peers.avoid(&peer)).ok()?;
         let status = answer.status;
         if status == StatusCode::NOT_MODIFIED {
@@ -108,9 +108,8 @@
         peers: &PeerRoutes,
     ) -> Option<Result<Answer, Error>> {
         for peer in peers.usable_peers().into_iter().take(MAX_PEERS_TRIED) {
-            match self.send_to_peer(call, request, &peer).await {
-                Ok(answer)
-                    if answer.status == StatusCode::SERVICE_UNAVAILABLE => {}
+            match self.send_to_peer(call, request, &peer, peers).await {
+                Ok(answer) if is_refusal(answer.status) => {}
                 Ok(answer) if answer.status == StatusCode::GATEWAY_TIMEOUT => {
                     peers.avoid(&peer);
                     let reason = format!("no answer to peer {peer}");
@@ -137,6 +136,7 @@
         call: &'static str,
         request: &Request<Full<Bytes>>,
         peer: &Authority,
+        peers: &PeerRoutes,
     ) -> Result<Answer, Error> {
         let path = request.uri().path_and_query();
         let path = path.map_or("/", |path| path.as_str());
@@ -150,10 +150,25 @@
         over_peer
             .headers_mut()
             .insert(TIMEOUT_HEADER, number_header(timeout_ms));
-        self.send_directly(call, over_peer).await
+        match peers.connections() {
+            Some(connections) => {
+                let mut client = self.clone();
+                client.connections = Arc::clone(connections);
+                client.send_directly(call, over_peer).await
+            }
+            None => self.send_directly(call, over_peer).await,
+        }
     }
 }
 
+/// Returns whether a peer's answer says that it didn't forward the call: it
+/// can't, or it doesn't know this node yet. The store refuses no call of a node
+/// with 403.
+fn is_refusal(status: StatusCode) -> bool {
+    status == StatusCode::SERVICE_UNAVAILABLE
+        || status == StatusCode::FORBIDDEN
+}
+
 /// What became of a call on the node's own path.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum DirectOutcome {
--- a/crates/dewspar-platform/src/peers/mod.rs
+++ b/crates/dewspar-platform/src/peers/mod.rs
@@ -14,6 +14,11 @@
   of a call of the node's own, since the reader calls after the request came in.
   A read whose result is unchanged is answered without it.
 
+A peer forwards only for the nodes in its [`PeerDirectory`], and only the calls
+that a [`CallFilter`] names. It refuses others with 403, before it reads their
+bodies. A node that isn't listed yet, because the store has refused it since its
+start, can use no peer until the store takes its offer.
+
 A peer says of each call that fails whether it may have taken effect, as the
 store's own client does.
 
@@ -21,10 +26,12 @@
 */
 
 pub use self::{
+    admission::{CallFilter, PeerDirectory, RefusalReason},
     routes::{PeerRoutes, PeerStatus},
     server::{Fingerprint, PeerServer, is_peer_alive},
 };
 
+mod admission;
 mod calls;
 mod routes;
 mod server;
--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -4,12 +4,13 @@
 */
 
 use {
-    crate::Answer,
+    crate::{Answer, connections::Connections},
     dewspar::detour::{OwnPath, Path, PeerNode, preferred_readers},
     hyper::http::uri::Authority,
     std::{
         collections::HashMap,
         fmt,
+        net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::time::{Duration, Instant},
@@ -26,12 +27,18 @@
 #[derive(Clone)]
 pub struct PeerRoutes {
     began: Instant,
+    /// The connections to peers, if they leave from an address of their own.
+    connections: Option<Arc<Connections>>,
     state: Arc<Mutex<State>>,
 }
 
 impl Default for PeerRoutes {
     fn default() -> PeerRoutes {
-        PeerRoutes { began: Instant::now(), state: Arc::default() }
+        PeerRoutes {
+            began: Instant::now(),
+            connections: None,
+            state: Arc::default(),
+        }
     }
 }
 
@@ -72,6 +79,22 @@
 }
 
 impl PeerRoutes {
+    /// Makes paths to peers that leave from the address at which this node
+    /// serves its peers, because they recognize it by that. Connections to
+    /// peers take at most `connect_timeout` to open.
+    pub fn calling_from(
+        source: IpAddr,
+        connect_timeout: Duration,
+    ) -> PeerRoutes {
+        let connections = Connections::new(connect_timeout, Some(source));
+        let connections = Some(Arc::new(connections));
+        PeerRoutes { connections, ..PeerRoutes::default() }
+    }
+
+    pub(crate) fn connections(&self) -> Option<&Arc<Connections>> {
+        self.connections.as_ref()
+    }
+
     /// Sets the readers, as known to this node.
     pub fn set_readers(&self, node: &str, readers: &[PeerNode]) {
         let peers = preferred_readers(node, readers);
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -1,10 +1,17 @@
 /*!
 The server of a peer: it forwards calls to the store.
+
+It forwards for nodes only, and only the calls that nodes make. Both are checked
+before a body is read, and the bodies of all calls in flight take a bounded
+amount of memory: a node may have 160 MB in all.
 */
 
 use {
     super::{
         ALIVE_PATH, FINGERPRINT_HEADER, SHARE_HEADER, TIMEOUT_HEADER,
+        admission::{
+            CallFilter, Callers, Counted, PeerDirectory, RefusalReason,
+        },
         shared_reads::{SharedReads, SharedResult},
     },
     crate::{Answer, Client, Error, Purpose, empty_request},
@@ -12,7 +19,7 @@
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
-        body::Incoming,
+        body::{Body, Incoming},
         header::{self, HeaderMap, HeaderValue},
         http::{request::Parts, uri::Authority},
         server::conn::http1,
@@ -22,14 +29,12 @@
     std::{
         convert::Infallible,
         fmt,
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
+        net::IpAddr,
+        sync::{Arc, atomic::AtomicUsize},
     },
     tokio::{
         net::TcpListener,
-        time::{Duration, sleep},
+        time::{Duration, sleep, timeout},
     },
 };
 
@@ -37,8 +42,9 @@
 /// in nothing that matters to their readers.
 pub type Fingerprint = fn(&[u8]) -> u64;
 
-/// The largest body that is forwarded, in bytes: more than any batch of
-/// writes takes.
+/// The largest total size of the bodies of calls in flight, in bytes: a tenth
+/// of the memory of a small node, and more than any single batch of writes
+/// takes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// The largest number of calls that are forwarded at a time.
@@ -59,8 +65,10 @@
     client: Client,
     store: Authority,
     fingerprint: Fingerprint,
+    may_forward: CallFilter,
     shared: SharedReads,
-    in_flight: Arc<AtomicUsize>,
+    calls_in_flight: Arc<AtomicUsize>,
+    body_bytes_in_flight: Arc<AtomicUsize>,
 }
 
 impl fmt::Debug for PeerServer {
@@ -72,35 +80,47 @@
 }
 
 impl PeerServer {
-    /// Creates a server that forwards calls to the store at this address. The
-    /// client must not have peers itself.
+    /// Creates a server that forwards the calls that pass the filter to the
+    /// store at this address. The client must not have peers itself.
     pub fn new(
         client: &Client,
         store: Authority,
         fingerprint: Fingerprint,
+        may_forward: CallFilter,
     ) -> PeerServer {
         PeerServer {
             client: client.with_purpose(Purpose::Peers),
             store,
             fingerprint,
+            may_forward,
             shared: SharedReads::default(),
-            in_flight: Arc::default(),
+            calls_in_flight: Arc::default(),
+            body_bytes_in_flight: Arc::default(),
         }
     }
 
-    /// Serves other nodes until the listener's runtime ends.
-    pub async fn serve(self, listener: TcpListener) {
+    /// Serves the nodes in the directory until the listener's runtime ends.
+    pub async fn serve<D: PeerDirectory>(
+        self,
+        listener: TcpListener,
+        directory: D,
+    ) {
+        let callers = Callers::new(directory);
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
+            let Ok((stream, address)) = listener.accept().await else {
                 sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
             // OK to ignore: it only affects latency.
             let _ = stream.set_nodelay(true);
-            let server = self.clone();
+            let (server, callers) = (self.clone(), callers.clone());
+            let caller = address.ip();
             let service = service_fn(move |request| {
-                let server = server.clone();
-                async move { Ok::<_, Infallible>(server.answer(request).await) }
+                let (server, callers) = (server.clone(), callers.clone());
+                async move {
+                    let answer = server.answer(request, caller, &callers);
+                    Ok::<_, Infallible>(answer.await)
+                }
             });
             tokio::spawn(
                 http1::Builder::new()
@@ -110,28 +130,71 @@
         }
     }
 
-    async fn answer(
+    async fn answer<D: PeerDirectory>(
         &self,
         request: Request<Incoming>,
+        caller: IpAddr,
+        callers: &Callers<D>,
     ) -> Response<Full<Bytes>> {
+        let refuse = |reason| {
+            callers.directory().note_refusal(caller, reason);
+            refusal(reason)
+        };
+        if !callers.is_node(caller).await {
+            return refuse(RefusalReason::UnknownCaller);
+        }
         if request.uri().path() == ALIVE_PATH {
             return empty(StatusCode::OK);
         }
-        let in_flight = InFlight::new(&self.in_flight);
-        if in_flight.count > MAX_CALLS {
-            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        let reserved = match self.reserve(&request) {
+            Ok(reserved) => reserved,
+            Err(reason) => return refuse(reason),
+        };
+        let answer = self.forward(request).await;
+        drop(reserved);
+        answer
+    }
+
+    /// Decides from a call's head whether it is forwarded, and reserves what
+    /// it takes.
+    fn reserve(
+        &self,
+        request: &Request<Incoming>,
+    ) -> Result<(Counted, Counted), RefusalReason> {
+        if !(self.may_forward)(request.method(), request.uri().path()) {
+            return Err(RefusalReason::UnknownCall);
         }
+        let length = request.body().size_hint().exact();
+        let length = length.ok_or(RefusalReason::NoLength)?;
+        let length = usize::try_from(length)
+            .ok()
+            .filter(|length| *length <= MAX_BODY_BYTES)
+            .ok_or(RefusalReason::LongBody)?;
+        let call = Counted::below(&self.calls_in_flight, MAX_CALLS)
+            .ok_or(RefusalReason::TooManyCalls)?;
+        let body =
+            Counted::take(&self.body_bytes_in_flight, length, MAX_BODY_BYTES)
+                .ok_or(RefusalReason::NoRoom)?;
+        Ok((call, body))
+    }
+
+    async fn forward(
+        &self,
+        request: Request<Incoming>,
+    ) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
-        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await
-        else {
+        let timeout_ms = number(&head.headers, TIMEOUT_HEADER)
+            .unwrap_or(self.client.timeout_ms())
+            .clamp(2 * RETURN_RESERVE_MS, MAX_TIMEOUT_MS);
+        let reading = Limited::new(body, MAX_BODY_BYTES).collect();
+        // A caller that doesn't send its body must not keep the room for it.
+        let read = timeout(Duration::from_millis(timeout_ms), reading).await;
+        let Ok(Ok(body)) = read else {
             return empty(StatusCode::BAD_REQUEST);
         };
         let Some(call) = self.forwarded(&head, body.to_bytes()) else {
             return empty(StatusCode::BAD_REQUEST);
         };
-        let timeout_ms = number(&head.headers, TIMEOUT_HEADER)
-            .unwrap_or(self.client.timeout_ms())
-            .clamp(2 * RETURN_RESERVE_MS, MAX_TIMEOUT_MS);
         let client =
             self.client.with_timeout_ms(timeout_ms - RETURN_RESERVE_MS);
         let share_ms = number(&head.headers, SHARE_HEADER)
@@ -196,6 +259,9 @@
 }
 
 /// Returns whether the peer at an address answers within this time.
+///
+/// A peer that doesn't know this node yet refuses the check, which shows that
+/// it is alive as well: it must not be replaced for that.
 pub async fn is_peer_alive(address: &str, max_wait: Duration) -> bool {
     let timeout_ms = u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX);
     let url = format!("http://{address}{ALIVE_PATH}");
@@ -204,26 +270,29 @@
         return false;
     };
     let answered = Client::new(timeout_ms).send(call, request).await;
-    answered.is_ok_and(|answer| answer.status.is_success())
-}
-
-/// Counts a call for as long as it is in flight.
-struct InFlight {
-    calls: Arc<AtomicUsize>,
-    count: usize,
-}
-
-impl InFlight {
-    fn new(calls: &Arc<AtomicUsize>) -> InFlight {
-        let count = calls.fetch_add(1, Ordering::Relaxed) + 1;
-        InFlight { calls: Arc::clone(calls), count }
-    }
+    answered.is_ok_and(|answer| {
+        answer.status.is_success() || answer.status == StatusCode::FORBIDDEN
+    })
 }
 
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.calls.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Builds the response to a refused call, which ends the connection if the
+/// caller shouldn't have made the call. All of these statuses mean that the
+/// call wasn't carried out.
+fn refusal(reason: RefusalReason) -> Response<Full<Bytes>> {
+    let status = match reason {
+        RefusalReason::UnknownCaller | RefusalReason::UnknownCall => {
+            StatusCode::FORBIDDEN
+        }
+        RefusalReason::NoLength => StatusCode::LENGTH_REQUIRED,
+        RefusalReason::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
+        RefusalReason::NoRoom | RefusalReason::TooManyCalls => {
+            return empty(StatusCode::SERVICE_UNAVAILABLE);
+        }
+    };
+    let mut response = empty(status);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+    response
 }
 
 fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -5,8 +5,8 @@
     bytes::Bytes,
     dewspar::detour::PeerNode,
     dewspar_platform::{
-        Client, Error, PeerRoutes, PeerServer, check_status, empty_request,
-        json_request,
+        Client, Error, PeerDirectory, PeerRoutes, PeerServer, RefusalReason,
+        check_status, empty_request, json_request,
     },
     http_body_util::Full,
     hyper::{
@@ -16,10 +16,14 @@
     hyper_util::rt::TokioIo,
     std::{
         collections::BTreeMap,
-        net::SocketAddr,
+        net::{IpAddr, SocketAddr},
         sync::{Arc, Mutex},
     },
-    tokio::{net::TcpListener, time::Duration},
+    tokio::{
+        io::{AsyncReadExt, AsyncWriteExt},
+        net::{TcpListener, TcpStream},
+        time::{Duration, timeout},
+    },
 };
 
 /// The time that a call may take, in milliseconds: long, since a busy machine
@@ -122,15 +126,79 @@
     body.iter().fold(7, |hash, byte| hash * 31 + u64::from(*byte))
 }
 
+/// The calls that nodes make to the store of these tests.
+fn is_call(method: &Method, path: &str) -> bool {
+    (method == Method::POST && path == "/write")
+        || (method == Method::GET && path == "/read")
+}
+
+/// The nodes that the store lists.
+#[derive(Clone, Default)]
+struct Listed(Arc<Mutex<ListedState>>);
+
+#[derive(Default)]
+struct ListedState {
+    nodes: Vec<PeerNode>,
+    is_readable: bool,
+    reads: u32,
+    refusals: Vec<RefusalReason>,
+}
+
+impl Listed {
+    fn nodes_at(addresses: &[&str]) -> Listed {
+        let listed = Listed::default();
+        listed.state().is_readable = true;
+        listed.set(addresses);
+        listed
+    }
+
+    fn set(&self, addresses: &[&str]) {
+        let node = |address: &&str| PeerNode {
+            address: (*address).to_owned(),
+            ..PeerNode::default()
+        };
+        self.state().nodes = addresses.iter().map(node).collect();
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, ListedState> {
+        self.0.lock().unwrap()
+    }
+}
+
+impl PeerDirectory for Listed {
+    async fn nodes(&self) -> Result<Vec<PeerNode>, Error> {
+        let mut state = self.state();
+        state.reads += 1;
+        if state.is_readable {
+            return Ok(state.nodes.clone());
+        }
+        let reason = "out".to_owned();
+        Err(Error::Unavailable { call: "list", reason })
+    }
+
+    fn note_refusal(&self, _: IpAddr, reason: RefusalReason) {
+        self.state().refusals.push(reason);
+    }
+}
+
 /// Starts a peer that forwards calls to the store; returns its offer.
 async fn start_peer(name: &str, store: &Store) -> PeerNode {
+    start_peer_for(name, store, Listed::nodes_at(&["127.0.0.1:1"])).await
+}
+
+/// Starts a peer that forwards calls of the listed nodes.
+async fn start_peer_for(
+    name: &str,
+    store: &Store,
+    directory: Listed,
+) -> PeerNode {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     let authority = store.address.to_string().parse().unwrap();
     let client = Client::new(TIMEOUT_MS);
-    let server = PeerServer::new(&client, authority, fingerprint);
-    tokio::spawn(server.serve(listener));
-    PeerNode { name: name.to_owned(), address, strength: 1 }
+    let server = PeerServer::new(&client, authority, fingerprint, is_call);
+    tokio::spawn(server.serve(listener, directory));
+    PeerNode { name: name.to_owned(), address, ..PeerNode::default() }
 }
 
 /// Returns the offer of a peer that has ended.
@@ -138,7 +206,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap().to_string();
     drop(listener);
-    PeerNode { name: "gone".to_owned(), address, strength: 1 }
+    PeerNode { name: "gone".to_owned(), address, ..PeerNode::default() }
 }
 
 /// A node whose calls go to `store`, with these readers.
@@ -321,3 +389,149 @@
     assert!(!dewspar_platform::is_peer_alive(&gone.address, wait).await);
     assert_eq!(store.calls("/dewspar-peer/alive"), 0);
 }
+
+/// Sends bytes to a peer and returns what it answers until it closes the
+/// connection or pauses.
+async fn answer_to(peer: &PeerNode, text: &str) -> String {
+    let mut stream = TcpStream::connect(&peer.address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut answer = vec![0; 4_096];
+    let read = timeout(Duration::from_millis(TIMEOUT_MS), async {
+        stream.read(&mut answer).await
+    });
+    let length = read.await.expect("an answer").unwrap();
+    String::from_utf8_lossy(&answer[..length]).into_owned()
+}
+
+/// Guards against callers that are no nodes, and against calls that nodes
+/// don't make: both are refused from the head alone, since the announced body
+/// never comes here.
+#[tokio::test]
+async fn a_stranger_is_refused_before_its_body_is_read() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&["127.0.0.2:1"]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let head = "POST /write HTTP/1.1\r\nhost: x\r\n\
+                content-length: 9000000\r\n\r\n";
+    let answer = answer_to(&peer, head).await;
+    assert!(answer.starts_with("HTTP/1.1 403"), "{answer}");
+    let alive = "GET /dewspar-peer/alive HTTP/1.1\r\nhost: x\r\n\r\n";
+    let answer = answer_to(&peer, alive).await;
+    assert!(answer.starts_with("HTTP/1.1 403"), "{answer}");
+    let reasons = [RefusalReason::UnknownCaller; 2];
+    assert_eq!(listed.state().refusals, reasons);
+    // The second call came within a second of the first.
+    assert_eq!(listed.state().reads, 1);
+    assert_eq!(store.calls("/write"), 0);
+}
+
+#[tokio::test]
+async fn calls_that_nodes_do_not_make_are_refused_before_their_body() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    for line in ["POST /read", "DELETE /write", "GET /", "PUT /admin"] {
+        let head = format!(
+            "{line} HTTP/1.1\r\nhost: x\r\ncontent-length: 9000\r\n\r\n"
+        );
+        let answer = answer_to(&peer, &head).await;
+        assert!(answer.starts_with("HTTP/1.1 403"), "{line}: {answer}");
+    }
+    assert!(store.state.lock().unwrap().calls.is_empty());
+}
+
+/// Guards against bodies that take all memory of a small node.
+#[tokio::test]
+async fn bodies_in_flight_take_bounded_room() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    let head = |length: u32| {
+        format!(
+            "POST /write HTTP/1.1\r\nhost: x\r\n\
+             content-length: {length}\r\n\r\n"
+        )
+    };
+    let answer = answer_to(&peer, &head(17 * 1024 * 1024)).await;
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    let chunked = "POST /write HTTP/1.1\r\nhost: x\r\n\
+                   transfer-encoding: chunked\r\n\r\n";
+    let answer = answer_to(&peer, chunked).await;
+    assert!(answer.starts_with("HTTP/1.1 411"), "{answer}");
+    // One body takes nearly all the room for as long as it is awaited.
+    let mut waiting = TcpStream::connect(&peer.address).await.unwrap();
+    let large = head(16 * 1024 * 1024);
+    waiting.write_all(large.as_bytes()).await.unwrap();
+    loop {
+        let answer = answer_to(&peer, &head(1_000)).await;
+        if answer.starts_with("HTTP/1.1 503") {
+            break;
+        }
+    }
+    drop(waiting);
+    // The room is free again.
+    let (client, _) = node("node", std::slice::from_ref(&peer));
+    let (refusing, _) = two_views().await;
+    while write(&client, &refusing).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(store.calls("/write"), 1);
+}
+
+/// Guards against a node that takes a peer's refusal for the store's answer
+/// and gives the call up.
+#[tokio::test]
+async fn a_node_that_is_not_listed_goes_on_over_another_peer_or_itself() {
+    let (refusing, served) = two_views().await;
+    let unknowing = start_peer_for("a", &served, Listed::default()).await;
+    let (client, _) = node("node", std::slice::from_ref(&unknowing));
+    let sharing = client.sharing_reads(10);
+    assert_eq!(read(&sharing, &served).await.unwrap(), "100");
+    let error = write(&client, &refusing).await.unwrap_err();
+    assert!(!error.may_have_taken_effect(), "{error}");
+    let knowing = start_peer("b", &served).await;
+    let (client, _) = node("node", &[unknowing, knowing]);
+    assert_eq!(write(&client, &refusing).await.unwrap(), "101");
+    assert_eq!(served.calls("/write"), 1);
+}
+
+/// Guards against nodes that stay unknown after their start, and against ones
+/// that refuse each other while the store is out: the last list stays in use.
+#[tokio::test]
+async fn a_node_that_starts_is_known_after_the_next_read() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&[]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let alive = "GET /dewspar-peer/alive HTTP/1.1\r\nhost: x\r\n\r\n";
+    assert!(answer_to(&peer, alive).await.starts_with("HTTP/1.1 403"));
+    listed.set(&["127.0.0.1:7"]);
+    while answer_to(&peer, alive).await.starts_with("HTTP/1.1 403") {
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    listed.state().is_readable = false;
+    assert!(answer_to(&peer, alive).await.starts_with("HTTP/1.1 200"));
+}
+
+/// Guards against readers that are replaced because they don't know a new
+/// holder yet.
+#[tokio::test]
+async fn a_peer_that_refuses_the_check_is_alive() {
+    let store = Store::start().await;
+    let peer = start_peer_for("peer", &store, Listed::default()).await;
+    let wait = Duration::from_millis(TIMEOUT_MS);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
+}
+
+/// Guards against nodes with several addresses, whose peers know the one at
+/// which they offer to forward calls.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn calls_to_peers_leave_from_the_address_that_is_offered() {
+    let (refusing, served) = two_views().await;
+    let listed = Listed::nodes_at(&["127.0.0.9:1"]);
+    let peer = start_peer_for("peer", &served, listed).await;
+    let own = "127.0.0.9".parse().unwrap();
+    let connect_timeout = Duration::from_millis(TIMEOUT_MS);
+    let routes = PeerRoutes::calling_from(own, connect_timeout);
+    routes.set_readers("node", &[peer]);
+    let client = Client::new(TIMEOUT_MS).with_peers(&routes);
+    assert_eq!(write(&client, &refusing).await.unwrap(), "101");
+}
--- a/crates/dewspar/src/detour.rs
+++ b/crates/dewspar/src/detour.rs
@@ -125,10 +125,14 @@
 }
 
 /// A node's offer to forward calls to the store.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PeerNode {
     /// The node's name.
     pub name: String,
+    /// The data hall that it is in; empty if it names none, as nodes of
+    /// earlier builds do.
+    #[serde(default)]
+    pub hall: String,
     /// The address at which it accepts calls to forward.
     pub address: String,
     /// Its capacity: thousandths of a core, or less if its link is the
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod member;
 pub mod once;
 pub mod overload;
+pub mod peer_access;
 pub mod place;
 pub mod poll;
 pub mod poll_delay;
--- a/crates/dewspar/src/relay.rs
+++ b/crates/dewspar/src/relay.rs
@@ -38,8 +38,8 @@
 
 let node = |name: &str| RelayNode {
     name: name.to_owned(),
-    address: String::new(),
     strength: 500,
+    ..RelayNode::default()
 };
 let nodes = [node("athens-1"), node("athens-2"), node("athens-3")];
 
@@ -79,10 +79,14 @@
 const PEAK_WINDOW_MS: u64 = 60_000;
 
 /// A node's offer to forward orders.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct RelayNode {
     /// The node's name.
     pub name: String,
+    /// The data hall that it is in; empty if it names none, as nodes of
+    /// earlier builds do.
+    #[serde(default)]
+    pub hall: String,
     /// The address at which it accepts orders to forward.
     pub address: String,
     /// Its capacity to schedule or forward orders: thousandths of a core, or
--- a/crates/dewspar/tests/detour.rs
+++ b/crates/dewspar/tests/detour.rs
@@ -9,7 +9,12 @@
 
 fn node(number: usize, strength: u64) -> PeerNode {
     let name = format!("node-{number}");
-    PeerNode { address: format!("{name}:1"), name, strength }
+    PeerNode {
+        address: format!("{name}:1"),
+        name,
+        strength,
+        ..PeerNode::default()
+    }
 }
 
 fn fleet(strong: usize, weak: usize) -> Vec<PeerNode> {
@@ -101,3 +106,23 @@
     assert!(!path.may_use_peers(100));
     assert!(path.may_use_peers(500));
 }
+
+/// Guards against builds that can't read each other's offers: an earlier one
+/// writes no hall, and doesn't know the field.
+#[test]
+fn offers_of_earlier_and_later_builds_are_read() {
+    let earlier = r#"{"name":"a","address":"10.0.0.1:1","strength":7}"#;
+    let read: PeerNode = serde_json::from_str(earlier).expect("an offer");
+    assert_eq!((read.name.as_str(), read.hall.as_str()), ("a", ""));
+
+    /// The offer as builds without halls know it.
+    #[derive(serde::Deserialize)]
+    struct Earlier {
+        name: String,
+        strength: u64,
+    }
+    let written = PeerNode { hall: "h-1".to_owned(), ..read };
+    let written = serde_json::to_string(&written).expect("plain JSON");
+    let read: Earlier = serde_json::from_str(&written).expect("an offer");
+    assert_eq!((read.name.as_str(), read.strength), ("a", 7));
+}
--- a/crates/dewspar/tests/relay.rs
+++ b/crates/dewspar/tests/relay.rs
@@ -7,7 +7,7 @@
 };
 
 fn node(name: &str, strength: u64) -> RelayNode {
-    RelayNode { name: name.to_owned(), address: String::new(), strength }
+    RelayNode { name: name.to_owned(), strength, ..RelayNode::default() }
 }
 
 fn nodes(count: usize, strength: u64) -> Vec<RelayNode> {
@@ -136,3 +136,23 @@
         assert_eq!(late, [50, 0, 0, 4_000], "{offset_ms} apart");
     }
 }
+
+/// Guards against builds that can't read each other's offers: an earlier one
+/// writes no hall, and doesn't know the field.
+#[test]
+fn offers_of_earlier_and_later_builds_are_read() {
+    let earlier = r#"{"name":"a","address":"10.0.0.1:1","strength":7}"#;
+    let read: RelayNode = serde_json::from_str(earlier).expect("an offer");
+    assert_eq!((read.name.as_str(), read.hall.as_str()), ("a", ""));
+
+    /// The offer as builds without halls know it.
+    #[derive(serde::Deserialize)]
+    struct Earlier {
+        name: String,
+        strength: u64,
+    }
+    let written = RelayNode { hall: "h-1".to_owned(), ..read };
+    let written = serde_json::to_string(&written).expect("plain JSON");
+    let read: Earlier = serde_json::from_str(&written).expect("an offer");
+    assert_eq!((read.name.as_str(), read.strength), ("a", 7));
+}
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -71,6 +71,8 @@
         "Bytes of messages between nodes, by direction.";
     PEER_REFUSALS, "counter", "dewspar_peer_refusals_total", Some("reason"),
         "Connections and messages of peers refused, by reason.";
+    PEER_CALLS_REFUSED, "counter", "dewspar_peer_calls_refused_total", Some("reason"),
+        "Calls to the store that this node refused to forward, by reason.";
     CONFIG_WRITES, "counter", "dewspar_config_writes_total", Some("result"),
         "Changes of the desired state, by result.";
     CONFIG_REVISION, "gauge", "dewspar_config_revision", None,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -124,6 +124,8 @@
 #[derive(Clone)]
 pub(super) struct Candidate<K, W, F> {
     pub(super) node: String,
+    /// The data hall that this node is in.
+    pub(super) hall: String,
     /// Identifies this start of the process; later starts have higher numbers.
     pub(super) incarnation: u64,
     pub(super) store: K,
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -63,6 +63,7 @@
 mod lookup;
 mod node;
 mod orders;
+mod peer_offers;
 mod peers;
 mod progress;
 mod progress_writes;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,9 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, intent, peers,
+        holder, intent,
+        peer_offers::PeerOffers,
+        peers,
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
@@ -159,7 +161,11 @@
             if let Some(address) = settings.peer_address() {
                 let listener = TcpListener::bind(address).await?;
                 peer_address = Some(listener.local_addr()?);
-                tokio::spawn(server.serve(listener));
+                let directory = PeerOffers::new(
+                    platform.store.with_purpose(Purpose::Peers),
+                    peer_log.clone(),
+                );
+                tokio::spawn(server.serve(listener, directory));
             }
             tokio::spawn(peers::follow_readers(
                 platform.store.with_purpose(Purpose::Peers),
@@ -173,6 +179,7 @@
             relay_address,
             peer_address,
             node: settings.node.clone(),
+            hall: settings.hall.clone(),
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
             traffic: platform.traffic,
--- a/crates/dewspard/src/jobs/relay/manager.rs
+++ b/crates/dewspard/src/jobs/relay/manager.rs
@@ -142,8 +142,8 @@
     fn own_node(&self) -> RelayNode {
         RelayNode {
             name: self.node.clone(),
-            address: String::new(),
             strength: self.strength,
+            ..RelayNode::default()
         }
     }
 
--- a/crates/dewspard/src/jobs/strength.rs
+++ b/crates/dewspard/src/jobs/strength.rs
@@ -46,6 +46,7 @@
         if let Some(address) = self.relay_address {
             let offer = RelayNode {
                 name: self.node.clone(),
+                hall: self.hall.clone(),
                 address: address.to_string(),
                 strength: self.strength,
             };
@@ -54,6 +55,7 @@
         if let Some(address) = self.peer_address {
             let offer = PeerNode {
                 name: self.node.clone(),
+                hall: self.hall.clone(),
                 address: address.to_string(),
                 strength: self.strength,
             };
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -5,6 +5,7 @@
     dewspar_platform::{Client, PeerRoutes, PeerServer, Traffic},
     dewspar_shared_platform::{
         Calls, PartnerFleet, READINESS_PATH, Store, TaskWorkers, fingerprint,
+        is_store_call,
     },
     dewspard::{
         jobs::{JobNode, JobPlatform, JobSettings, Peers},
@@ -18,6 +19,7 @@
     std::{
         path::{Path, PathBuf},
         process::ExitCode,
+        time::Duration,
     },
     tokio::signal::unix::{SignalKind, signal},
 };
@@ -143,9 +145,18 @@
         let authority = store_address
             .parse()
             .map_err(|_| format!("`{store_address}` is not an address"))?;
-        let routes = PeerRoutes::default();
         let store_client = client(STORE_TIMEOUT_MS);
-        let server = PeerServer::new(&store_client, authority, fingerprint);
+        let connect_timeout = Duration::from_millis(STORE_TIMEOUT_MS / 2);
+        let routes = match settings.peer_address() {
+            Some(own) => PeerRoutes::calling_from(own.ip(), connect_timeout),
+            None => PeerRoutes::default(),
+        };
+        let server = PeerServer::new(
+            &store_client,
+            authority,
+            fingerprint,
+            is_store_call,
+        );
         let peers = Some(Peers { routes: routes.clone(), server });
         let store = Store::new(
             store_client.with_peers(&routes),
--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -152,6 +152,7 @@
             name: name.to_owned(),
             address: address.to_string(),
             strength,
+            ..RelayNode::default()
         };
         let offer = serde_json::to_vec(&offer).expect("plain JSON");
         let batch = Batch::default().put(&format!("relay/{name}"), offer);
