Route orders over a third hall where two can't reach each other

In a half-cut the holder gets no answer from any worker of a hall, although they run and a third hall reaches them. Their leases end and their work is run again.

Where tolerate.halls is above 0, the holder keeps a link to the strongest relay of each other hall, and knows each worker's hall from the directory. The state machine dewspar::hall_routes decides without I/O: a worker that doesn't answer a hold is asked over a third hall with its next one; if it answers, and nobody of its hall has answered on the first path since, every order to the hall goes over the third one. One hold now and then tries the first path. If the hall answers on no path for 2 s, it is called as before. The same holds for a relay whose hall doesn't reach a worker's hall. No call is added: the probes are holds that are sent anyway, and a worker counts as silent only after two in a row.

Weighed: probing each worker alone, as route_overrides does, which costs an unanswered hold for each of a hundred workers; extra probes of the holder's own, whose answers would renew leases beside the scheduler's view.

Each change is one log line and a count (dewspar_hall_paths_total); the gauge dewspar_indirect_halls marks where the scheduler would be told.

--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -74,6 +74,7 @@
 pub mod fields;
 pub mod fleet;
 pub mod hall;
+pub mod hall_routes;
 pub mod history;
 pub mod job;
 pub mod link;
--- a/crates/dewspar/src/relay.rs
+++ b/crates/dewspar/src/relay.rs
@@ -60,7 +60,10 @@
 use {
     crate::util::stable_hash,
     serde::{Deserialize, Serialize},
-    std::collections::VecDeque,
+    std::{
+        cmp::Reverse,
+        collections::{BTreeMap, VecDeque},
+    },
 };
 
 /// The calls a second that a node can forward beside its other work, for each
@@ -159,6 +162,46 @@
     }
 }
 
+/// Returns the relays to keep a link to in case halls can't reach each other:
+/// the strongest node of each other hall. Nodes that name no hall are left
+/// out, since it isn't known what they reach.
+///
+/// # Example
+///
+/// ```
+/// use dewspar::relay::{RelayNode, standby_relays};
+///
+/// let node = |name: &str, hall: &str, strength| RelayNode {
+///     name: name.to_owned(),
+///     hall: hall.to_owned(),
+///     strength,
+///     ..RelayNode::default()
+/// };
+/// let nodes = [
+///     node("a", "hall-1", 500),
+///     node("b", "hall-2", 120),
+///     node("c", "hall-2", 500),
+///     node("d", "", 500),
+/// ];
+/// let names: Vec<String> =
+///     standby_relays("hall-1", &nodes).into_iter().map(|n| n.name).collect();
+/// assert_eq!(names, ["c"]);
+/// ```
+pub fn standby_relays(own_hall: &str, others: &[RelayNode]) -> Vec<RelayNode> {
+    let mut strongest: BTreeMap<&str, &RelayNode> = BTreeMap::new();
+    let usable = others
+        .iter()
+        .filter(|node| !node.hall.is_empty() && node.hall != own_hall);
+    for node in usable {
+        let rank = |n: &RelayNode| (n.strength, Reverse(n.name.clone()));
+        let best = strongest.entry(&node.hall).or_insert(node);
+        if rank(node) > rank(best) {
+            *best = node;
+        }
+    }
+    strongest.into_values().cloned().collect()
+}
+
 /// Estimates how late messages on a connection are, from the monotonic clocks
 /// of both ends.
 ///
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -151,6 +151,10 @@
         "Nodes that carry orders to workers for this one, while it schedules.";
     RELAYS_LOST, "counter", "dewspar_relays_lost_total", None,
         "Relays of this node that were lost or stopped.";
+    HALL_PATHS, "counter", "dewspar_hall_paths_total", Some("change"),
+        "Changes of the paths to data halls that the scheduling node or its relays use, by kind.";
+    INDIRECT_HALLS, "gauge", "dewspar_indirect_halls", None,
+        "Data halls that this node reaches only over another hall, while it schedules.";
     RELAY_REFUSALS, "counter", "dewspar_relay_refusals_total", None,
         "Orders that this node didn't carry because too many were under way.";
     ORDERS_UNDER_WAY, "gauge", "dewspar_orders_under_way", None,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -25,8 +25,8 @@
 
 use {
     super::{
-        holder, intent, keys, readiness::Readiness, settings::Machine,
-        step_down::StepDown,
+        holder, intent, keys, readiness::Readiness, relay::RelayedWorkers,
+        settings::Machine, step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
     dewspar::schedule::{Options, OrderIssuer},
@@ -126,6 +126,8 @@
     pub(super) node: String,
     /// The data hall that this node is in.
     pub(super) hall: String,
+    /// How many data halls may be lost at once; 0 disables all rules on halls.
+    pub(super) tolerated_halls: usize,
     /// Identifies this start of the process; later starts have higher numbers.
     pub(super) incarnation: u64,
     pub(super) store: K,
@@ -313,6 +315,16 @@
         OrderIssuer { node, incarnation }
     }
 
+    /// Returns the workers as a holder calls them.
+    pub(super) fn relayed_workers(&self) -> RelayedWorkers<W> {
+        let direct = self.workers.clone();
+        if self.tolerated_halls == 0 {
+            return RelayedWorkers::new(direct);
+        }
+        let (hall, log) = (self.hall.clone(), self.log.clone());
+        RelayedWorkers::across_halls(direct, hall, log)
+    }
+
     /// Returns whether this node was overloaded recently.
     fn is_overloaded(&self) -> bool {
         clock::now_ms() < self.overloaded_until_ms
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -122,7 +122,7 @@
         sender.clone(),
         candidate.log.clone(),
     ));
-    let workers = RelayedWorkers::new(candidate.workers.clone());
+    let workers = candidate.relayed_workers();
     tasks.spawn(relay::manage(RelayManager {
         store: store(Purpose::Relays),
         offers_prefix: keys::RELAYS,
@@ -130,6 +130,7 @@
         strength: candidate.strength,
         lease_revision: held.revision,
         workers: workers.clone(),
+        hall: candidate.hall.clone(),
         traffic: candidate.traffic.clone(),
         log: candidate.log.clone(),
     }));
@@ -323,9 +324,11 @@
                 self.feed_current_ms = self.feed_current_ms.max(requested_ms);
             }
             Event::DirectoryRead { requested_ms, listings } => {
+                self.workers.set_listed(&listings);
                 scheduler.list_workers_as_of(requested_ms, now, listings);
             }
             Event::WorkerFound { requested_ms, listing } => {
+                self.workers.add_listed(&listing);
                 scheduler.list_worker_as_of(requested_ms, now, listing);
             }
             Event::VmsRead { requested_ms, vms } => {
@@ -527,6 +530,9 @@
         if self.load_stats.is_log_due(now.steady_ms) {
             let halls = self.scheduler.evacuated_halls(now);
             load_stats::log_evacuated_halls(&self.candidate.log, &halls);
+            // The halls whose state is `HallState::Indirect`.
+            let indirect = self.workers.indirect_halls();
+            counters::set(counters::INDIRECT_HALLS, indirect.len() as f64);
         }
         let window = self.scheduler.window();
         let behind_ms = now.steady_ms.saturating_sub(self.feed_current_ms);
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -180,6 +180,7 @@
             peer_address,
             node: settings.node.clone(),
             hall: settings.hall.clone(),
+            tolerated_halls: settings.tolerate.halls.unwrap_or(0),
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
             traffic: platform.traffic,
--- a/crates/dewspard/src/jobs/relay/manager.rs
+++ b/crates/dewspard/src/jobs/relay/manager.rs
@@ -5,13 +5,13 @@
 */
 
 use {
-    super::{link::RelayLink, workers::RelayedWorkers},
+    super::{hall_links::HallLinks, link::RelayLink, workers::RelayedWorkers},
     crate::{clock, counters, passed_over},
-    dewspar::relay::{RelayDemand, RelayNode},
+    dewspar::relay::{RelayDemand, RelayNode, standby_relays},
     dewspar_platform::{Error, KeyValue, Traffic, Versioned},
     metrics::gauge,
     slog::{Logger, info, warn},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{collections::HashMap, io, sync::Arc, time::Duration},
     tokio::{task::JoinSet, time::sleep},
 };
 
@@ -24,6 +24,11 @@
 /// nodes come and go over minutes, and each entry takes some hundred bytes.
 const OFFERS_TTL_MS: u64 = 5_000;
 
+/// How long that list is reused for links to other halls, in milliseconds: they
+/// are only needed when halls can't reach each other, and one read takes some
+/// 70 kB at 588 nodes.
+const STANDBY_OFFERS_TTL_MS: u64 = 30_000;
+
 /// How long a node that was unreachable or lost isn't tried again, in
 /// milliseconds: about the time that a process takes to restart.
 const RECONNECT_DELAY_MS: u64 = 3_000;
@@ -38,6 +43,8 @@
     pub(in super::super) strength: u64,
     pub(in super::super) lease_revision: u64,
     pub(in super::super) workers: RelayedWorkers<W>,
+    /// The data hall that this node is in.
+    pub(in super::super) hall: String,
     /// Counts the traffic of this node's calls.
     pub(in super::super) traffic: Traffic,
     pub(in super::super) log: Logger,
@@ -50,11 +57,22 @@
     read_ms: Option<u64>,
     /// When each node may be tried again, for those that can't be tried now.
     avoided: HashMap<String, u64>,
+    /// The same for whole halls, to which a standby link couldn't be opened.
+    avoided_halls: HashMap<String, u64>,
 }
 
 impl Offers {
     fn is_stale(&self, now_ms: u64) -> bool {
-        self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + OFFERS_TTL_MS)
+        self.is_older_than(OFFERS_TTL_MS, now_ms)
+    }
+
+    fn is_older_than(&self, age_ms: u64, now_ms: u64) -> bool {
+        self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + age_ms)
+    }
+
+    fn avoid_hall(&mut self, hall: &str, now_ms: u64) {
+        let until_ms = now_ms + RECONNECT_DELAY_MS;
+        self.avoided_halls.insert(hall.to_owned(), until_ms);
     }
 
     fn avoid(&mut self, node: &str, now_ms: u64) {
@@ -64,11 +82,15 @@
     /// Returns the nodes that may be tried now.
     fn usable(&mut self, now_ms: u64) -> Vec<RelayNode> {
         self.avoided.retain(|_, until_ms| now_ms < *until_ms);
+        self.avoided_halls.retain(|_, until_ms| now_ms < *until_ms);
         let usable = |n: &&RelayNode| !self.avoided.contains_key(&n.name);
         self.nodes.iter().filter(usable).cloned().collect()
     }
 }
 
+/// Links that are being opened, with the nodes that they lead to.
+type OpeningLinks = JoinSet<(RelayNode, io::Result<Arc<RelayLink>>)>;
+
 /// Manages the relays for as long as the lease is held.
 pub(in super::super) async fn manage<K: KeyValue, W>(
     manager: RelayManager<K, W>,
@@ -87,6 +109,9 @@
         checked_ms = now_ms;
         demand.record(now_ms, sent * 1_000 / took_ms);
         manager.update_links(&demand, &mut offers, now_ms).await;
+        if let Some(halls) = manager.workers.halls() {
+            manager.update_standby(halls, &mut offers, now_ms).await;
+        }
     }
 }
 
@@ -101,6 +126,12 @@
             link.abandon();
         }
         self.0.set_links(Vec::new());
+        if let Some(halls) = self.0.halls() {
+            for link in halls.standby() {
+                link.abandon();
+            }
+            halls.set_standby(Vec::new());
+        }
     }
 }
 
@@ -137,6 +168,78 @@
         self.connect_wanted(wanted, open, offers, now_ms).await;
     }
 
+    /// Keeps a link to a relay in each other hall.
+    async fn update_standby(
+        &self,
+        halls: &HallLinks,
+        offers: &mut Offers,
+        now_ms: u64,
+    ) {
+        let (mut open, lost): (Vec<_>, Vec<_>) =
+            halls.standby().into_iter().partition(|link| link.is_open());
+        for link in &lost {
+            link.retire();
+            offers.avoid(&link.node.name, now_ms);
+            info!(self.log, "relay: link to another hall lost";
+                "relay" => &link.node.name, "hall" => &link.node.hall);
+        }
+        if !lost.is_empty() {
+            halls.set_standby(open.clone());
+        }
+        if offers.is_older_than(STANDBY_OFFERS_TTL_MS, now_ms) {
+            self.read_offers(offers, now_ms).await;
+        }
+        let usable = offers.usable(now_ms);
+        let is_open = |hall: &str| open.iter().any(|l| l.node.hall == hall);
+        let wanted: Vec<RelayNode> = standby_relays(&self.hall, &usable)
+            .into_iter()
+            .filter(|node| !is_open(&node.hall))
+            .filter(|node| !offers.avoided_halls.contains_key(&node.hall))
+            .collect();
+        if wanted.is_empty() {
+            return;
+        }
+        let mut opening = self.open_links(wanted);
+        while let Some(opened) = opening.join_next().await {
+            match opened {
+                Ok((_, Ok(link))) => open.push(link),
+                Ok((node, Err(error))) => {
+                    offers.avoid(&node.name, now_ms);
+                    offers.avoid_hall(&node.hall, now_ms);
+                    warn!(self.log, "relay: other hall not reached";
+                        "relay" => node.name, "hall" => node.hall,
+                        "error" => %error);
+                }
+                // OK to ignore: a task that panicked has opened nothing.
+                Err(_) => {}
+            }
+        }
+        halls.set_standby(open);
+        drop(self.workers.pending_links().take_all());
+    }
+
+    /// Starts to open links to these relays.
+    fn open_links(&self, nodes: Vec<RelayNode>) -> OpeningLinks {
+        let mut opening = JoinSet::new();
+        for node in nodes {
+            let (holder, revision) = (self.node.clone(), self.lease_revision);
+            let traffic = self.traffic.clone();
+            let opened = self.workers.pending_links().clone();
+            opening.spawn(async move {
+                let link =
+                    RelayLink::open(node.clone(), &holder, revision, traffic)
+                        .await;
+                // Without this, a link that opens as the lease ends would stay
+                // open.
+                if let Ok(link) = &link {
+                    opened.note(link);
+                }
+                (node, link)
+            });
+        }
+        opening
+    }
+
     /// Returns this node as a placeholder candidate, to check whether any
     /// relay is wanted at all.
     fn own_node(&self) -> RelayNode {
@@ -180,23 +283,8 @@
         };
         let mut links: Vec<Arc<RelayLink>> =
             wanted.iter().filter_map(known).collect();
-        let mut opening = JoinSet::new();
-        for node in wanted.into_iter().filter(|node| known(node).is_none()) {
-            let (holder, revision) = (self.node.clone(), self.lease_revision);
-            let traffic = self.traffic.clone();
-            let opened = self.workers.pending_links().clone();
-            opening.spawn(async move {
-                let name = node.name.clone();
-                let link =
-                    RelayLink::open(node, &holder, revision, traffic).await;
-                // Without this, a link that opens as the lease ends would stay
-                // open.
-                if let Ok(link) = &link {
-                    opened.note(link);
-                }
-                (name, link)
-            });
-        }
+        let new = wanted.into_iter().filter(|node| known(node).is_none());
+        let mut opening = self.open_links(new.collect());
         let unchanged = opening.is_empty() && links.len() == open.len();
         if unchanged {
             return;
@@ -204,9 +292,9 @@
         while let Some(opened) = opening.join_next().await {
             match opened {
                 Ok((_, Ok(link))) => links.push(link),
-                Ok((name, Err(error))) => {
-                    offers.avoid(&name, now_ms);
-                    warn!(self.log, "relay: not reached"; "relay" => name,
+                Ok((node, Err(error))) => {
+                    offers.avoid(&node.name, now_ms);
+                    warn!(self.log, "relay: not reached"; "relay" => node.name,
                         "error" => %error);
                 }
                 // OK to ignore: a task that panicked has opened nothing.
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -5,18 +5,21 @@
 
 use {
     super::{
+        hall_links::{HallLinks, Way},
         link::RelayLink,
         route_overrides::RouteOverrides,
         wire::{Answer, OrderKind, Start},
     },
+    crate::clock,
     dewspar::{
         relay::relay_for,
         schedule::{
             HoldOrder, HoldReport, OrderError, PaceOrder, StartOrder,
-            StopOrder, WorkerId,
+            StopOrder, WorkerId, WorkerListing,
         },
     },
     dewspar_platform::JobWorkers,
+    slog::Logger,
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError, RwLock,
@@ -47,6 +50,8 @@
     /// Whether orders bypass the relays.
     paused: AtomicBool,
     overrides: RouteOverrides,
+    /// The paths to each hall, if the loss of halls must be tolerated.
+    halls: Option<HallLinks>,
     /// How many orders were sent, directly or over relays.
     orders_sent: AtomicU64,
 }
@@ -77,6 +82,43 @@
         RelayedWorkers { direct: Arc::new(direct), shared: Arc::default() }
     }
 
+    /// Creates workers that are called over a relay in another hall where this
+    /// node, in `own_hall`, doesn't reach their hall.
+    pub(in super::super) fn across_halls(
+        direct: W,
+        own_hall: String,
+        log: Logger,
+    ) -> RelayedWorkers<W> {
+        let halls = Some(HallLinks::new(own_hall, log));
+        let shared = Shared { halls, ..Shared::default() };
+        RelayedWorkers { direct: Arc::new(direct), shared: Arc::new(shared) }
+    }
+
+    /// Takes the workers' halls from a read of the directory.
+    pub(in super::super) fn set_listed(&self, listings: &[WorkerListing]) {
+        if let Some(halls) = &self.shared.halls {
+            halls.set_workers(listings);
+        }
+    }
+
+    /// Takes a worker's hall from a lookup in the directory.
+    pub(in super::super) fn add_listed(&self, listing: &WorkerListing) {
+        if let Some(halls) = &self.shared.halls {
+            halls.add_worker(listing);
+        }
+    }
+
+    /// Returns the halls whose workers answer only over another hall.
+    pub(in super::super) fn indirect_halls(&self) -> Vec<String> {
+        let halls = self.shared.halls.as_ref();
+        halls.map(HallLinks::indirect_halls).unwrap_or_default()
+    }
+
+    /// Returns the paths to each hall, if the loss of halls must be tolerated.
+    pub(super) fn halls(&self) -> Option<&HallLinks> {
+        self.shared.halls.as_ref()
+    }
+
     /// Sets whether orders bypass the relays.
     ///
     /// A holder that can't renew its lease may have been superseded. It then
@@ -121,13 +163,28 @@
         *current.unwrap_or_else(PoisonError::into_inner) = links;
     }
 
-    /// Returns the relay for a worker's orders, if there is one.
-    fn route(&self, worker: &WorkerId) -> Option<Arc<RelayLink>> {
+    /// Returns the way of an order to a worker.
+    fn route(&self, worker: &WorkerId, is_hold: bool) -> Way {
         self.shared.orders_sent.fetch_add(1, Ordering::Relaxed);
-        let overrides = &self.shared.overrides;
-        if self.is_paused() || overrides.is_direct(worker) {
+        if self.is_paused() {
+            return Way::Direct;
+        }
+        let preferred = Way::of(self.preferred_relay(worker));
+        match &self.shared.halls {
+            Some(halls) if !halls.is_quiet() => {
+                halls.choose(worker, is_hold, preferred, &self.open_links())
+            }
+            _ => preferred,
+        }
+    }
+
+    /// Returns the relay for a worker's orders as chosen for the rate of
+    /// orders, if there is one.
+    fn preferred_relay(&self, worker: &WorkerId) -> Option<Arc<RelayLink>> {
+        if self.shared.overrides.is_direct(worker) {
             return None;
         }
+        // OK after a panic: the list is replaced as a whole.
         let links = self.shared.links.read();
         let links = links.unwrap_or_else(PoisonError::into_inner);
         let open = || links.iter().filter(|link| link.is_open());
@@ -135,6 +192,24 @@
             relay_for(worker.as_str(), open().map(|link| &link.node))?;
         open().nth(position).cloned()
     }
+
+    fn open_links(&self) -> Vec<Arc<RelayLink>> {
+        let links = self.links().into_iter();
+        links.filter(|link| link.is_open()).collect()
+    }
+
+    /// Records the result of a `hold` order for the paths to its hall.
+    fn note_hold(
+        &self,
+        worker: &WorkerId,
+        way: &Way,
+        sent_ms: u64,
+        is_answered: bool,
+    ) {
+        if let Some(halls) = &self.shared.halls {
+            halls.note_hold(worker, way, sent_ms, is_answered);
+        }
+    }
 }
 
 impl<W: JobWorkers> RelayedWorkers<W> {
@@ -176,7 +251,7 @@
         worker: &WorkerId,
         order: &StartOrder,
     ) -> Result<u64, OrderError> {
-        let Some(link) = self.route(worker) else {
+        let Way::Relayed(link) = self.route(worker, false) else {
             return self.direct.start(address, worker, order).await;
         };
         let start = OrderKind::Start(Start {
@@ -200,7 +275,7 @@
         worker: &WorkerId,
         order: &StopOrder,
     ) -> Result<u64, OrderError> {
-        let Some(link) = self.route(worker) else {
+        let Way::Relayed(link) = self.route(worker, false) else {
             return self.direct.stop(address, worker, order).await;
         };
         let stop = OrderKind::Stop(*order);
@@ -215,7 +290,7 @@
         worker: &WorkerId,
         order: &PaceOrder,
     ) -> Result<u64, OrderError> {
-        let Some(link) = self.route(worker) else {
+        let Way::Relayed(link) = self.route(worker, false) else {
             return self.direct.pace(address, worker, order).await;
         };
         let pace = OrderKind::Pace(*order);
@@ -231,30 +306,40 @@
         order: &HoldOrder,
     ) -> Result<HoldReport, OrderError> {
         let overrides = &self.shared.overrides;
-        let Some(link) = self.route(worker) else {
+        let way = self.route(worker, true);
+        let sent_ms = clock::now_ms();
+        let Way::Relayed(link) = &way else {
             let report = self.direct.hold(address, worker, order).await;
             let is_reached = match report {
                 Ok(_) | Err(OrderError::Refused(_)) => true,
                 Err(OrderError::NotSent | OrderError::Unknown) => false,
             };
             overrides.note_direct_result(worker, is_reached);
+            self.note_hold(worker, &way, sent_ms, is_reached);
             return report;
         };
         let hold = OrderKind::Hold(*order);
         let wait_ms = order.wait_ms;
-        match self.forward(&link, address, worker, hold, None, wait_ms).await?
-        {
+        // A relay that is silent itself says nothing about its path.
+        match self.forward(link, address, worker, hold, None, wait_ms).await? {
             Answer::Report(report) => {
                 link.note_reached();
+                self.note_hold(worker, &way, sent_ms, true);
                 Ok(report)
             }
             Answer::Error(
                 error @ (OrderError::NotSent | OrderError::Unknown),
             ) => {
-                overrides.note_relay_failure(worker, &link);
+                if self.links().iter().any(|l| Arc::ptr_eq(l, link)) {
+                    overrides.note_relay_failure(worker, link);
+                }
+                self.note_hold(worker, &way, sent_ms, false);
+                Err(error)
+            }
+            Answer::Error(error) => {
+                self.note_hold(worker, &way, sent_ms, true);
                 Err(error)
             }
-            Answer::Error(error) => Err(error),
             // A relay that answers with the wrong kind counts as without a
             // result.
             Answer::Done(_) => Err(OrderError::Unknown),
