Refuse calls at once at a node that is cut off with its hall

A node that can't reach the store stayed ready until its configuration was older than config_apply_ms (3 s), so callers of a cut-off hall waited there for some 5 s and gave up.

Where tolerate.halls is above 0, a node whose own path to the store fails, and whose calls no peer has carried since, checks up to three readers of other halls, within 300 ms. If none answers, it is isolated: not ready at once, new calls and those that wait at the gate or for a read are refused, with a Retry-After that ends when the load balancer has passed the node over. A write that was already sent stays unknown, since it may take effect. One answer, a carried call or an answer of the store ends it. A node that knows no peer in another hall goes by the age of its configuration, as before; an outage of the store isolates nobody, since far peers answer. dewspar::isolation decides without I/O.

--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -122,6 +122,15 @@
         state.peers = peers.into_iter().filter_map(peer).collect();
     }
 
+    /// Returns the addresses of the peers in other halls than this one, the
+    /// preferred one first. Peers that name no hall are left out.
+    pub fn peers_outside(&self, hall: &str) -> Vec<String> {
+        let state = self.state();
+        let is_far = |p: &&Peer| !p.hall.is_empty() && p.hall != hall;
+        let far = state.peers.iter().filter(is_far);
+        far.map(|peer| peer.address.to_string()).collect()
+    }
+
     /// Returns whether reads can be shared: there are readers, and this node
     /// isn't one of them.
     pub fn shares_reads(&self) -> bool {
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -76,6 +76,7 @@
 pub mod hall;
 pub mod hall_routes;
 pub mod history;
+pub mod isolation;
 pub mod job;
 pub mod link;
 pub mod member;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -147,6 +147,8 @@
         "Times that the scheduling node found that its VM had been suspended.";
     STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
         "Times that this node took the store for out and refused new jobs.";
+    ISOLATIONS, "counter", "dewspar_isolations_total", None,
+        "Times that this node found itself cut off with its data hall and refused all calls.";
     ORDERS_WINDOW, "gauge", "dewspar_orders_window", None,
         "Orders to workers that this node may have under way, while it schedules.";
     RELAYS, "gauge", "dewspar_relays", None,
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -18,6 +18,7 @@
     crate::{clock, counters},
     bytes::Bytes,
     dewspar::{
+        isolation,
         job::{JobId, JobSpec, QueueSet},
         schedule::AcceptedJob,
         team::Caller,
@@ -262,19 +263,53 @@
         let deadline_ms = requested_ms.min(timeout_ms);
         let remaining_ms = deadline_ms.saturating_sub(RESPONSE_RESERVE_MS);
         let deadline = arrived + Duration::from_millis(remaining_ms);
+        if let Some(reply) = self.refusal_if_isolated() {
+            return reply;
+        }
         match &call.operation {
             JobOperation::Submit { id, spec } => {
                 self.submit(queues, *id, spec, &call.caller, deadline).await
             }
             JobOperation::Status { id } => {
-                self.status(*id, &call.caller, deadline).await
+                let reading = self.status(*id, &call.caller, deadline);
+                self.unless_isolated(reading).await
             }
             JobOperation::Cancel { id } => {
                 self.cancel(*id, &call.caller, deadline).await
             }
-            JobOperation::Pending => self.pending(&call.queue, deadline).await,
+            JobOperation::Pending => {
+                let reading = self.pending(&call.queue, deadline);
+                self.unless_isolated(reading).await
+            }
             JobOperation::List => {
-                self.list(&call.queue, &call.caller, deadline).await
+                let reading = self.list(&call.queue, &call.caller, deadline);
+                self.unless_isolated(reading).await
+            }
+        }
+    }
+
+    /// Returns the refusal of a call that had no effect if this node is cut off
+    /// with its data hall.
+    fn refusal_if_isolated(&self) -> Option<JobReply> {
+        let since_ms = self.readiness.isolated_since_ms()?;
+        counters::count_by(counters::REFUSALS, "reason", "cut_off");
+        let retry_after_ms =
+            isolation::retry_after_ms(since_ms, clock::now_ms());
+        Some(JobReply::NotDone { retry_after_ms })
+    }
+
+    /// Returns a read's reply, or a refusal once this node is cut off with its
+    /// data hall: the read would only wait for its deadline.
+    async fn unless_isolated(
+        &self,
+        reading: impl Future<Output = JobReply>,
+    ) -> JobReply {
+        tokio::select! {
+            reply = reading => reply,
+            () = self.readiness.wait_until_isolated() => {
+                self.refusal_if_isolated().unwrap_or(JobReply::NotDone {
+                    retry_after_ms: RETRY_AFTER_MS,
+                })
             }
         }
     }
@@ -306,6 +341,9 @@
             .put(&keys::accepted(id), value)
             .put(keys::ACCEPTED_LAST, Vec::new());
         if self.gate.admit(deadline).await.is_err() {
+            if let Some(reply) = self.refusal_if_isolated() {
+                return reply;
+            }
             counters::count_by(counters::REFUSALS, "reason", "store_out");
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
--- a/crates/dewspard/src/jobs/gate.rs
+++ b/crates/dewspard/src/jobs/gate.rs
@@ -14,7 +14,11 @@
     dewspar_platform::{Error, KeyValue},
     slog::{Logger, info, warn},
     std::{
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        pin::pin,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, Ordering},
+        },
         time::Duration,
     },
     tokio::{
@@ -38,6 +42,8 @@
 pub struct StoreGate<K> {
     store: K,
     breaker: Arc<Mutex<Breaker>>,
+    /// Whether this node is cut off from the store for sure.
+    is_isolated: Arc<AtomicBool>,
     /// Notified whenever waiting calls may be sent or are refused.
     state_changed: Arc<Notify>,
     log: Logger,
@@ -53,6 +59,7 @@
         StoreGate {
             store,
             breaker: Arc::new(Mutex::new(Breaker::new(SILENCE_MS))),
+            is_isolated: Arc::default(),
             state_changed: Arc::default(),
             log,
         }
@@ -70,7 +77,12 @@
         deadline: Instant,
     ) -> Result<(), StoreUnavailable> {
         loop {
-            let state_changed = self.state_changed.notified();
+            let mut state_changed = pin!(self.state_changed.notified());
+            // Registered now, so that no change is missed in between.
+            state_changed.as_mut().enable();
+            if self.is_isolated() {
+                return Err(StoreUnavailable);
+            }
             let admission = self.breaker().admit(clock::now_ms());
             match admission {
                 Admission::Send => return Ok(()),
@@ -90,7 +102,20 @@
 
     /// Returns whether the store is known to be unavailable.
     pub fn is_unavailable(&self) -> bool {
-        self.breaker().is_open()
+        self.breaker().is_open() || self.is_isolated()
+    }
+
+    /// Sets whether this node is cut off from the store for sure. While it is,
+    /// calls are refused at once, also those that wait already.
+    pub fn set_isolated(&self, is_isolated: bool) {
+        self.is_isolated.store(is_isolated, Ordering::Relaxed);
+        if is_isolated {
+            self.state_changed.notify_waiters();
+        }
+    }
+
+    fn is_isolated(&self) -> bool {
+        self.is_isolated.load(Ordering::Relaxed)
     }
 
     /// Records that a call was sent; the result tracks it until it is settled.
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -58,6 +58,7 @@
 mod holder;
 mod intake;
 mod intent;
+mod isolation;
 mod keys;
 mod load_stats;
 mod lookup;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,7 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, intent,
+        holder, intent, isolation,
         peer_offers::PeerOffers,
         peers,
         readiness::{self, Readiness},
@@ -111,10 +111,16 @@
             stopped.clone(),
             logs::part(&log, "platform"),
         ));
+        let (isolated, isolated_since) = watch::channel(None);
         let readiness = Readiness::new(
             reader.clone(),
             stopped.clone(),
             timing.config_apply_ms,
+            isolated_since,
+        );
+        let gate = StoreGate::new(
+            platform.store.with_purpose(Purpose::Callers),
+            logs::part(&log, "front"),
         );
         readiness::serve(
             settings.readiness_address,
@@ -132,10 +138,7 @@
             protocol: platform.protocol,
             reader: reader.clone(),
             readiness: readiness.clone(),
-            gate: StoreGate::new(
-                platform.store.with_purpose(Purpose::Callers),
-                logs::part(&log, "front"),
-            ),
+            gate: gate.clone(),
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             log: logs::part(&log, "front"),
@@ -179,6 +182,16 @@
                 routes.clone(),
                 peer_log.clone(),
             ));
+            if tolerated_halls > 0 {
+                tokio::spawn(isolation::watch_paths(
+                    routes.clone(),
+                    settings.hall.clone(),
+                    gate,
+                    isolated,
+                    stopped.clone(),
+                    peer_log.clone(),
+                ));
+            }
             tokio::spawn(peers::log_paths(routes, stopped.clone(), peer_log));
         }
         let candidate = Candidate {
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -2,11 +2,12 @@
 Whether the load balancer should send callers to this node.
 
 A node is ready while it isn't stopping, has a configuration, and has read the
-store recently: a node that can't reach the store can't accept jobs.
+store recently: a node that can't reach the store can't accept jobs. A node that
+is cut off together with its data hall stops being ready at once.
 */
 
 use {
-    super::intent,
+    super::{intent, isolation::IsolatedSince},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -15,7 +16,7 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     metrics_exporter_prometheus::PrometheusHandle,
-    std::{convert::Infallible, io, net::SocketAddr},
+    std::{convert::Infallible, future::pending, io, net::SocketAddr},
     tokio::{net::TcpListener, sync::watch},
 };
 
@@ -25,6 +26,8 @@
     reader: intent::Reader,
     stopping: watch::Receiver<bool>,
     max_age_ms: u64,
+    /// Since when the node is cut off with its data hall.
+    isolated_since: IsolatedSince,
 }
 
 impl Readiness {
@@ -32,8 +35,24 @@
         reader: intent::Reader,
         stopping: watch::Receiver<bool>,
         max_age_ms: u64,
+        isolated_since: IsolatedSince,
     ) -> Readiness {
-        Readiness { reader, stopping, max_age_ms }
+        Readiness { reader, stopping, max_age_ms, isolated_since }
+    }
+
+    /// Returns since when this node is cut off with its data hall, on the
+    /// steady clock; `None` if it isn't.
+    pub(super) fn isolated_since_ms(&self) -> Option<u64> {
+        *self.isolated_since.borrow()
+    }
+
+    /// Waits until this node is cut off with its data hall.
+    pub(super) async fn wait_until_isolated(&self) {
+        let mut since = self.isolated_since.clone();
+        // Without a sender, halls don't matter, and nothing ends the wait.
+        if since.wait_for(Option::is_some).await.is_err() {
+            pending::<()>().await;
+        }
     }
 
     /// Returns whether calls may be accepted: the store is reachable, and the
@@ -42,6 +61,7 @@
         let snapshot = self.reader.borrow();
         snapshot.intent.queues.is_some()
             && snapshot.age_ms() <= self.max_age_ms
+            && self.isolated_since_ms().is_none()
     }
 
     /// Returns whether the load balancer should send callers here.
--- a/crates/dewspard/tests/gate.rs
+++ b/crates/dewspard/tests/gate.rs
@@ -123,3 +123,25 @@
     let failed = series(&recorder, counters::PLATFORM_FAILURES);
     assert_eq!(failed.len(), 1, "{failed:?}");
 }
+
+/// Guards against calls that wait for their deadlines at a node that is cut off
+/// with its data hall, and against a gate that stays shut afterwards.
+#[tokio::test(start_paused = true)]
+async fn a_cut_off_node_refuses_waiting_calls_at_once() {
+    let faults = Faults::new(1);
+    faults.set_delay_us(STORE_DELAY_US);
+    let gate = gate(&faults);
+    gate.begin_call().failed();
+    let began = Instant::now();
+    let waiting = spawn_waiting_job(&gate).await;
+    gate.set_isolated(true);
+    assert_eq!(waiting.await.expect("an end"), Err(StoreUnavailable));
+    assert!(began.elapsed() < JOB_TIMEOUT);
+    let refused = gate.admit(Instant::now() + LONG_TIMEOUT).await;
+    assert_eq!(refused, Err(StoreUnavailable));
+    assert!(gate.is_unavailable());
+    gate.set_isolated(false);
+    gate.note_answer();
+    let admitted = gate.admit(Instant::now() + LONG_TIMEOUT).await;
+    assert_eq!(admitted, Ok(()));
+}
