Count only the platform's lines in a test of relays' offers

an_offer_that_cannot_be_read_hides_itself_alone failed beside heavy load with 7 lines instead of 5. It counted every line with "passed over", and so those of "worker: lists passed over" as well: under load two reports of a worker arrive out of order, and the older one's lists are ignored, as they should be. That two nodes log one unreadable record each was ruled out: what was told is remembered for the process, by key and version.

The test counts the lines of "platform: passed over" now, still exactly as many as there are unreadable records, and prints all lines if it fails.

--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -53,7 +53,7 @@
 const LINK_MBPS: f64 = 10_000.0;
 
 /// Collects the messages of all log lines.
-#[derive(Clone, Default)]
+#[derive(Clone, Debug, Default)]
 struct CapturedLog(Arc<Mutex<Vec<String>>>);
 
 impl Drain for CapturedLog {
@@ -456,7 +456,10 @@
     cluster.wait_for_all(1..10).await;
     cluster.check_starts();
     // Each is logged once, although all of them are read every few seconds.
-    assert_eq!(cluster.lines.count("passed over"), malformed.len() + 1);
+    // Reports of workers that arrive out of order are passed over as well, in
+    // lines of their own.
+    let logged = cluster.lines.count("platform: passed over");
+    assert_eq!(logged, malformed.len() + 1, "{:?}", cluster.lines);
 }
 
 /// The first message of a relay, with its length prefix.
