--- a/crates/dewspar/src/hall_routes.rs
+++ b/crates/dewspar/src/hall_routes.rs
@@ -150,10 +150,10 @@
     /// worker has just failed to answer comes last.
     fn other(&self, worker: &str, others: &[&str]) -> Option<usize> {
         let failed = self.suspects.get(worker).map(|s| s.from.as_str());
-        let usable = |from: &&str| !self.is_out(from);
-        let fresh = |from: &&str| usable(from) && failed != Some(*from);
-        let first = others.iter().position(|from| fresh(from));
-        first.or_else(|| others.iter().position(|from| usable(from)))
+        let usable = |from: &str| !self.is_out(from);
+        let is_fresh = |from: &str| usable(from) && failed != Some(from);
+        let fresh = others.iter().position(|from| is_fresh(from));
+        fresh.or_else(|| others.iter().position(|from| usable(from)))
     }
 }
 
--- a/crates/dewspard/src/jobs/relay/hall_links.rs
+++ b/crates/dewspard/src/jobs/relay/hall_links.rs
@@ -20,7 +20,10 @@
     slog::{Logger, info, warn},
     std::{
         collections::HashMap,
-        sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError, RwLock,
+            atomic::{AtomicBool, Ordering},
+        },
     },
 };
 
@@ -49,6 +52,9 @@
     /// reached otherwise.
     standby: RwLock<Vec<Arc<RelayLink>>>,
     routes: Mutex<HallRoutes>,
+    /// Whether some order may take another way than its preferred one. Nearly
+    /// always none does, and this saves a lock for each order.
+    is_active: AtomicBool,
     log: Logger,
 }
 
@@ -59,6 +65,7 @@
             halls: RwLock::default(),
             standby: RwLock::default(),
             routes: Mutex::default(),
+            is_active: AtomicBool::new(false),
             log,
         }
     }
@@ -109,7 +116,7 @@
 
     /// Returns whether every order takes its preferred way.
     pub(super) fn is_quiet(&self) -> bool {
-        self.routes().is_quiet()
+        !self.is_active.load(Ordering::Relaxed)
     }
 
     /// Returns the halls that this node doesn't reach directly.
@@ -188,6 +195,7 @@
         } else {
             routes.unanswered(from, &hall, name, sent_ms, now_ms)
         };
+        self.is_active.store(!routes.is_quiet(), Ordering::Relaxed);
         drop(routes);
         if let Some(changed) = changed {
             self.report(&changed);
