Find a broken path also from orders that were sent before

A hold that waits for news may have been sent before a path broke, while neighbors still answered. Such an order showed nothing, and where few workers are in use each was found out alone, until the relay was given up as a whole: a new test of a relay whose hall doesn't reach the workers' hall failed in 2 of 10 runs beside each other. Now two workers that answer elsewhere, with no answer on the first path since their orders failed, are enough.

A relay also isn't at fault for a worker that its whole hall doesn't reach, so it keeps the workers of other halls. The list of relays isn't read for standby links more than once in 3 s while the store fails.

--- a/crates/dewspar/src/hall_routes.rs
+++ b/crates/dewspar/src/hall_routes.rs
@@ -13,9 +13,12 @@
 - A worker that doesn't answer on one path is asked over another one with its
   next `hold` order. One such probe is sent per [`PROBE_GAP_MS`] and hall.
 - If the worker answers that, and nobody of its hall has answered on the first
-  path since, the first path is *out* for the hall as a whole. One worker that
-  crashed answers on no path, and one with a broken link has neighbors that
-  answer, so neither takes a path out.
+  path since the unanswered order was sent, the first path is *out* for the hall
+  as a whole. An order that waits for news may have been sent long before the
+  path broke; so it is also enough that two workers answer in that way with no
+  answer on the first path since their orders failed. One worker that crashed
+  answers on no path, and one with a broken link has neighbors that answer, so
+  neither takes a path out.
 - While a path is out, one `hold` order is sent over it now and then. Any answer
   puts it in use again.
 - If a hall answers on no path for [`CUT_OFF_MS`], it is cut off as a whole. Its
@@ -118,12 +121,42 @@
     last_answer_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct PathState {
     last_answer_ms: Option<u64>,
+    /// The worker that answered on another path after its order failed on this
+    /// one, if nobody has answered on this one since.
+    failed_for: Option<String>,
     out: Option<Out>,
 }
 
+impl PathState {
+    /// Records that a worker answered on another path; returns whether this
+    /// one is out.
+    fn note_answer_elsewhere(
+        &mut self,
+        worker: &str,
+        suspect: &Suspect,
+    ) -> bool {
+        let answers_since = |from_ms: u64| {
+            self.last_answer_ms.is_some_and(|at_ms| at_ms >= from_ms)
+        };
+        if !answers_since(suspect.sent_ms) {
+            return true;
+        }
+        if answers_since(suspect.failed_ms) {
+            return false;
+        }
+        match &self.failed_for {
+            Some(other) => other != worker,
+            None => {
+                self.failed_for = Some(worker.to_owned());
+                false
+            }
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Out {
     since_ms: u64,
@@ -135,6 +168,7 @@
 struct Suspect {
     from: String,
     sent_ms: u64,
+    failed_ms: u64,
 }
 
 impl Hall {
@@ -143,7 +177,8 @@
     }
 
     fn first_out_ms(&self) -> Option<u64> {
-        self.paths.values().filter_map(|p| p.out).map(|o| o.since_ms).min()
+        let out = self.paths.values().filter_map(|path| path.out);
+        out.map(|out| out.since_ms).min()
     }
 
     /// Returns the first of the other paths that isn't out; one on which the
@@ -224,6 +259,7 @@
             None => known.paths.entry(from.to_owned()).or_default(),
         };
         path.last_answer_ms = Some(now_ms);
+        path.failed_for = None;
         let restored = path.out.take();
         let suspect = known.suspects.remove(worker);
         if let Some(out) = restored {
@@ -235,9 +271,8 @@
         }
         let suspect = suspect.filter(|suspect| suspect.from != from)?;
         let path = known.paths.entry(suspect.from.clone()).or_default();
-        let answers_since =
-            path.last_answer_ms.is_some_and(|at_ms| at_ms >= suspect.sent_ms);
-        if answers_since || path.out.is_some() {
+        let is_out = path.note_answer_elsewhere(worker, &suspect);
+        if !is_out || path.out.is_some() {
             return None;
         }
         path.out = Some(Out {
@@ -274,7 +309,8 @@
                 // It answers on neither path.
                 known.suspects.remove(worker);
             } else {
-                let suspect = Suspect { from: from.to_owned(), sent_ms };
+                let from = from.to_owned();
+                let suspect = Suspect { from, sent_ms, failed_ms: now_ms };
                 known.suspects.insert(worker.to_owned(), suspect);
             }
         }
@@ -285,6 +321,7 @@
         }
         for path in known.paths.values_mut() {
             path.out = None;
+            path.failed_for = None;
         }
         known.suspects.clear();
         Some(Transition::CutOff {
--- a/crates/dewspar/tests/hall_routes.rs
+++ b/crates/dewspar/tests/hall_routes.rs
@@ -90,6 +90,40 @@
     assert_eq!(choose(&mut routes, "w-2", true, 1_310), Choice::Preferred);
 }
 
+/// Guards against orders that wait for news and were sent before the path
+/// broke: neighbors answered meanwhile, so one such order shows nothing.
+#[test]
+fn two_workers_whose_orders_were_sent_before_the_cut_take_the_path_out() {
+    let mut routes = HallRoutes::default();
+    routes.unanswered(OWN, FAR, "w-1", 1_000, 1_300);
+    routes.unanswered(OWN, FAR, "w-2", 1_000, 1_300);
+    let mut others = routes.clone();
+    // The path breaks after this answer.
+    for routes in [&mut routes, &mut others] {
+        routes.answered(OWN, FAR, "w-3", 1_290);
+    }
+    assert_eq!(routes.answered(THIRD, FAR, "w-1", 1_310), None);
+    let changed = routes.answered(THIRD, FAR, "w-2", 1_360);
+    assert!(matches!(changed, Some(Transition::Out { .. })));
+    // A neighbor that answers in between shows that it works.
+    assert_eq!(others.answered(THIRD, FAR, "w-1", 1_310), None);
+    others.answered(OWN, FAR, "w-3", 1_330);
+    assert_eq!(others.answered(THIRD, FAR, "w-2", 1_360), None);
+}
+
+/// Guards against a single broken link that takes the path out in time.
+#[test]
+fn one_worker_that_fails_again_and_again_does_not_take_the_path_out() {
+    let mut routes = HallRoutes::default();
+    for round in 0..10 {
+        let sent_ms = 1_000 + round * 1_000;
+        routes.answered(OWN, FAR, "w-2", sent_ms + 290);
+        routes.unanswered(OWN, FAR, "w-1", sent_ms, sent_ms + 300);
+        let changed = routes.answered(THIRD, FAR, "w-1", sent_ms + 310);
+        assert_eq!(changed, None);
+    }
+}
+
 /// Guards against starts and stops that are used as probes: only a `hold`
 /// order is repeated without harm.
 #[test]
--- a/crates/dewspard/src/jobs/relay/hall_links.rs
+++ b/crates/dewspard/src/jobs/relay/hall_links.rs
@@ -175,6 +175,18 @@
         Way::of(standby.cloned())
     }
 
+    /// Returns whether a relay's hall doesn't reach a worker's hall.
+    pub(super) fn is_path_out(
+        &self,
+        relay: &RelayLink,
+        worker: &WorkerId,
+    ) -> bool {
+        let Some(hall) = self.hall_of(worker) else { return false };
+        let routes = self.routes();
+        let mut out = routes.out_from(&relay.node.hall);
+        out.any(|name| name == &*hall)
+    }
+
     /// Records the result of a `hold` order.
     pub(super) fn note_hold(
         &self,
--- a/crates/dewspard/src/jobs/relay/manager.rs
+++ b/crates/dewspard/src/jobs/relay/manager.rs
@@ -55,6 +55,8 @@
 struct Offers {
     nodes: Vec<RelayNode>,
     read_ms: Option<u64>,
+    /// When a read last failed.
+    failed_ms: Option<u64>,
     /// When each node may be tried again, for those that can't be tried now.
     avoided: HashMap<String, u64>,
     /// The same for whole halls, to which a standby link couldn't be opened.
@@ -70,6 +72,14 @@
         self.read_ms.is_none_or(|read_ms| now_ms >= read_ms + age_ms)
     }
 
+    /// Returns whether the list must be read for links to other halls: rarely,
+    /// and not all the time in an outage of the store.
+    fn is_stale_for_standby(&self, now_ms: u64) -> bool {
+        let is_recent = |at_ms: u64| now_ms < at_ms + RECONNECT_DELAY_MS;
+        self.is_older_than(STANDBY_OFFERS_TTL_MS, now_ms)
+            && !self.failed_ms.is_some_and(is_recent)
+    }
+
     fn avoid_hall(&mut self, hall: &str, now_ms: u64) {
         let until_ms = now_ms + RECONNECT_DELAY_MS;
         self.avoided_halls.insert(hall.to_owned(), until_ms);
@@ -186,7 +196,7 @@
         if !lost.is_empty() {
             halls.set_standby(open.clone());
         }
-        if offers.is_older_than(STANDBY_OFFERS_TTL_MS, now_ms) {
+        if offers.is_stale_for_standby(now_ms) {
             self.read_offers(offers, now_ms).await;
         }
         let usable = offers.usable(now_ms);
@@ -257,7 +267,10 @@
                 offers.nodes = self.parse_offers(&found);
                 offers.read_ms = Some(now_ms);
             }
-            Err(error) => count_failure(&error),
+            Err(error) => {
+                offers.failed_ms = Some(now_ms);
+                count_failure(&error);
+            }
         }
     }
 
--- a/crates/dewspard/src/jobs/relay/route_overrides.rs
+++ b/crates/dewspard/src/jobs/relay/route_overrides.rs
@@ -109,11 +109,13 @@
     }
 
     /// Records whether a worker answered a `hold` order that was sent
-    /// directly.
+    /// directly. A relay that doesn't reach the worker isn't at fault if its
+    /// whole hall doesn't, as `is_path_out` says.
     pub(super) fn note_direct_result(
         &self,
         worker: &WorkerId,
         is_reached: bool,
+        is_path_out: impl FnOnce(&RelayLink) -> bool,
     ) {
         if !self.any_active.load(Ordering::Relaxed) {
             return;
@@ -122,7 +124,7 @@
         let mut overrides = self.lock();
         let Some(entry) = overrides.by_worker.get(worker) else { return };
         let Route::ProbeDirectly(relay) = &entry.route else { return };
-        if is_reached {
+        if is_reached && !is_path_out(relay) {
             relay.note_unreached();
         }
         let route = if is_reached { Route::Direct } else { Route::Relayed };
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -314,8 +314,12 @@
                 Ok(_) | Err(OrderError::Refused(_)) => true,
                 Err(OrderError::NotSent | OrderError::Unknown) => false,
             };
-            overrides.note_direct_result(worker, is_reached);
+            // First, since it may take a relay's path to the hall out.
             self.note_hold(worker, &way, sent_ms, is_reached);
+            overrides.note_direct_result(worker, is_reached, |relay| {
+                let halls = self.shared.halls.as_ref();
+                halls.is_some_and(|halls| halls.is_path_out(relay, worker))
+            });
             return report;
         };
         let hold = OrderKind::Hold(*order);
--- a/crates/dewspard/tests/half_cut.rs
+++ b/crates/dewspard/tests/half_cut.rs
@@ -75,8 +75,13 @@
 }
 
 impl Site {
-    /// Starts a holder, and then a relay in another hall.
+    /// Starts a holder that needs no relay for its rate of orders, and then a
+    /// relay in another hall.
     async fn start(tolerated_halls: usize) -> Site {
+        Site::start_with(tolerated_halls, 100_000.0).await
+    }
+
+    async fn start_with(tolerated_halls: usize, holder: f64) -> Site {
         let store = Store::new(Faults::new(1));
         let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
         let queue = Queue {
@@ -118,12 +123,12 @@
                 node.await.expect("a started node")
             }
         };
-        let holder = start("holder", HOLDER_HALL, 100_000.0, &direct).await;
+        let holder = start("holder", HOLDER_HALL, holder, &direct).await;
         wait_until(async || {
             store.version("q/owner").await.expect("a store") > 0
         })
         .await;
-        let relay = start("relay", THIRD_HALL, 1_000.0, &relayed).await;
+        let relay = start("relay", THIRD_HALL, 1.0, &relayed).await;
         let _relay = relay;
         Site { lines, store, fleet, direct, relayed, holder, _relay }
     }
@@ -242,6 +247,27 @@
     assert_eq!(site.fleet.ran_twice(), []);
 }
 
+/// Guards against a relay that is given up as a whole because its hall doesn't
+/// reach one other hall, and against workers that are found out one by one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_relay_whose_hall_reaches_nobody_stays_and_is_passed_over() {
+    let site = Site::start_with(1, 2.0).await;
+    site.submit(1..10).await;
+    site.wait_for_all(1..10).await;
+    site.lines.wait_for("relay: chosen").await;
+    site.fleet.set_work_ms(400);
+    site.submit(10..30).await;
+    wait_until(async || !site.fleet.running().is_empty()).await;
+    site.relayed.set_outage(true);
+    site.submit(30..40).await;
+    site.lines.wait_for(OUT).await;
+    site.wait_for_all(10..40).await;
+    assert_eq!(site.lines.count("relay: lost"), 0);
+    assert_eq!(site.fleet.ran_twice(), []);
+    // Three tasks per job, and none was started again.
+    assert_eq!(site.fleet.started().len(), 39 * 3);
+}
+
 /// Guards against any change where the loss of a hall needn't be tolerated.
 #[tokio::test(flavor = "multi_thread")]
 async fn without_the_setting_no_relay_is_kept() {
