--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -4,12 +4,13 @@
 */
 
 use {
-    crate::Answer,
+    crate::{Answer, connections::Connections},
     dewspar::detour::{OwnPath, Path, PeerNode, preferred_readers},
     hyper::http::uri::Authority,
     std::{
         collections::HashMap,
         fmt,
+        net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
     tokio::time::{Duration, Instant},
@@ -26,12 +27,18 @@
 #[derive(Clone)]
 pub struct PeerRoutes {
     began: Instant,
+    /// The connections to peers, if they leave from an address of their own.
+    connections: Option<Arc<Connections>>,
     state: Arc<Mutex<State>>,
 }
 
 impl Default for PeerRoutes {
     fn default() -> PeerRoutes {
-        PeerRoutes { began: Instant::now(), state: Arc::default() }
+        PeerRoutes {
+            began: Instant::now(),
+            connections: None,
+            state: Arc::default(),
+        }
     }
 }
 
@@ -47,7 +54,8 @@
 #[derive(Default)]
 struct State {
     own: OwnPath,
-    peers: Vec<Authority>,
+    /// The peers, the preferred one first.
+    peers: Vec<Peer>,
     /// Until when some peers aren't used.
     avoided: HashMap<Authority, Instant>,
     /// Whether this node reads the store itself.
@@ -58,6 +66,13 @@
     shared_reads: u64,
 }
 
+/// A peer that forwards calls.
+#[derive(Clone, Debug)]
+struct Peer {
+    address: Authority,
+    hall: String,
+}
+
 /// A summary of a node's paths to the store.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct PeerStatus {
@@ -72,14 +87,48 @@
 }
 
 impl PeerRoutes {
-    /// Sets the readers, as known to this node.
-    pub fn set_readers(&self, node: &str, readers: &[PeerNode]) {
-        let peers = preferred_readers(node, readers);
-        let addresses = peers.iter().map(|peer| peer.address.parse());
+    /// Makes paths to peers that leave from the address at which this node
+    /// serves its peers, because they recognize it by that. Connections to
+    /// peers take at most `connect_timeout` to open.
+    pub fn calling_from(
+        source: IpAddr,
+        connect_timeout: Duration,
+    ) -> PeerRoutes {
+        let connections = Connections::new(connect_timeout, Some(source));
+        let connections = Some(Arc::new(connections));
+        PeerRoutes { connections, ..PeerRoutes::default() }
+    }
+
+    pub(crate) fn connections(&self) -> Option<&Arc<Connections>> {
+        self.connections.as_ref()
+    }
+
+    /// Sets the readers, as known to this node. Those of its own hall come
+    /// first, unless `own_hall` is empty.
+    pub fn set_readers(
+        &self,
+        node: &str,
+        own_hall: &str,
+        readers: &[PeerNode],
+    ) {
+        let peers = preferred_readers(node, own_hall, readers);
+        let peer = |peer: PeerNode| -> Option<Peer> {
+            let address = peer.address.parse().ok()?;
+            Some(Peer { address, hall: peer.hall })
+        };
         let mut state = self.state();
         state.reads_itself = readers.iter().any(|peer| peer.name == node);
         // An address that can't be used is the same as no offer.
-        state.peers = addresses.filter_map(Result::ok).collect();
+        state.peers = peers.into_iter().filter_map(peer).collect();
+    }
+
+    /// Returns the addresses of the peers in other halls than this one, the
+    /// preferred one first. Peers that name no hall are left out.
+    pub fn peers_outside(&self, hall: &str) -> Vec<String> {
+        let state = self.state();
+        let is_far = |p: &&Peer| !p.hall.is_empty() && p.hall != hall;
+        let far = state.peers.iter().filter(is_far);
+        far.map(|peer| peer.address.to_string()).collect()
     }
 
     /// Returns whether reads can be shared: there are readers, and this node
@@ -132,8 +181,27 @@
         let now = Instant::now();
         let mut state = self.state();
         state.avoided.retain(|_, until| now < *until);
-        let usable = |peer: &&Authority| !state.avoided.contains_key(*peer);
-        state.peers.iter().filter(usable).cloned().collect()
+        let usable = |peer: &&Peer| !state.avoided.contains_key(&peer.address);
+        let peers = state.peers.iter().filter(usable);
+        peers.map(|peer| peer.address.clone()).collect()
+    }
+
+    /// Returns the peers to try for a call that the own path doesn't carry: the
+    /// preferred one, then one of another hall, which a fault of the first
+    /// one's hall leaves alone, then the others.
+    pub(crate) fn detour_peers(&self) -> Vec<Authority> {
+        let mut usable = self.usable_peers();
+        let state = self.state();
+        let hall = |address: &Authority| {
+            let found = state.peers.iter().find(|p| p.address == *address);
+            found.map(|peer| peer.hall.as_str())
+        };
+        let first = usable.first().and_then(hall);
+        let other = usable.iter().position(|peer| hall(peer) != first);
+        if let Some(other) = other {
+            usable[1..=other].rotate_right(1);
+        }
+        usable
     }
 
     pub(crate) fn avoid(&self, peer: &Authority) {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -71,6 +71,10 @@
         "Bytes of messages between nodes, by direction.";
     PEER_REFUSALS, "counter", "dewspar_peer_refusals_total", Some("reason"),
         "Connections and messages of peers refused, by reason.";
+    PEER_CALLS_REFUSED, "counter", "dewspar_peer_calls_refused_total", Some("reason"),
+        "Calls to the store that this node refused to forward, by reason.";
+    SECOND_OBSERVERS, "counter", "dewspar_second_observers_total", Some("answer"),
+        "Questions to another node whether it reaches a reader that doesn't answer this one, by answer.";
     CONFIG_WRITES, "counter", "dewspar_config_writes_total", Some("result"),
         "Changes of the desired state, by result.";
     CONFIG_REVISION, "gauge", "dewspar_config_revision", None,
@@ -158,12 +162,18 @@
         "Times that the scheduling node found that its VM had been suspended.";
     STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
         "Times that this node took the store for out and refused new jobs.";
+    ISOLATIONS, "counter", "dewspar_isolations_total", None,
+        "Times that this node found itself cut off with its data hall and refused all calls.";
     ORDERS_WINDOW, "gauge", "dewspar_orders_window", None,
         "Orders to workers that this node may have under way, while it schedules.";
     RELAYS, "gauge", "dewspar_relays", None,
         "Nodes that carry orders to workers for this one, while it schedules.";
     RELAYS_LOST, "counter", "dewspar_relays_lost_total", None,
         "Relays of this node that were lost or stopped.";
+    HALL_PATHS, "counter", "dewspar_hall_paths_total", Some("change"),
+        "Changes of the paths to data halls that the scheduling node or its relays use, by kind.";
+    INDIRECT_HALLS, "gauge", "dewspar_indirect_halls", None,
+        "Data halls that this node reaches only over another hall, while it schedules.";
     RELAY_REFUSALS, "counter", "dewspar_relay_refusals_total", None,
         "Orders that this node didn't carry because too many were under way.";
     ORDERS_UNDER_WAY, "gauge", "dewspar_orders_under_way", None,
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -25,8 +25,9 @@
 
 use {
     super::{
-        holder, intent, keys, readiness::Readiness, settings::Machine,
-        status::StatusBoard, step_down::StepDown,
+        holder, intent, keys, peers::HolderHall, readiness::Readiness,
+        relay::RelayedWorkers, settings::Machine, status::StatusBoard,
+        step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
     dewspar::schedule::{Options, OrderIssuer},
@@ -124,6 +125,10 @@
 #[derive(Clone)]
 pub(super) struct Candidate<K, W, F> {
     pub(super) node: String,
+    /// The data hall that this node is in.
+    pub(super) hall: String,
+    /// How many data halls may be lost at once; 0 disables all rules on halls.
+    pub(super) tolerated_halls: usize,
     /// Identifies this start of the process; later starts have higher numbers.
     pub(super) incarnation: u64,
     pub(super) store: K,
@@ -314,6 +319,24 @@
         OrderIssuer { node, incarnation }
     }
 
+    /// Returns the workers as a holder calls them.
+    pub(super) fn relayed_workers(&self) -> RelayedWorkers<W> {
+        let direct = self.workers.clone();
+        if self.tolerated_halls == 0 {
+            return RelayedWorkers::new(direct);
+        }
+        let (hall, log) = (self.hall.clone(), self.log.clone());
+        RelayedWorkers::across_halls(direct, hall, log)
+    }
+
+    /// Returns this node's data hall, where the loss of halls must be
+    /// tolerated.
+    pub(super) fn holder_hall(&self) -> Option<HolderHall> {
+        let source = self.peer_address.map(|address| address.ip());
+        let hall = HolderHall { name: self.hall.clone(), source };
+        (self.tolerated_halls > 0).then_some(hall)
+    }
+
     /// Returns whether this node was overloaded recently.
     fn is_overloaded(&self) -> bool {
         clock::now_ms() < self.overloaded_until_ms
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,9 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, intent, peers,
+        holder, intent, isolation,
+        peer_offers::PeerOffers,
+        peers,
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
@@ -100,6 +102,7 @@
         let log = root.new(slog::o!("node" => settings.node.clone()));
         let (stopping, stopped) = watch::channel(false);
         let timing = &settings.timing;
+        let tolerated_halls = settings.tolerate.halls.unwrap_or(0);
         let reader = intent::start(
             platform.fleet.clone(),
             timing.config_apply_ms,
@@ -110,10 +113,16 @@
             stopped.clone(),
             logs::part(&log, "platform"),
         ));
+        let (isolated, isolated_since) = watch::channel(None);
         let readiness = Readiness::new(
             reader.clone(),
             stopped.clone(),
             timing.config_apply_ms,
+            isolated_since,
+        );
+        let gate = StoreGate::new(
+            platform.store.with_purpose(Purpose::Callers),
+            logs::part(&log, "front"),
         );
         readiness::serve(
             settings.readiness_address,
@@ -142,10 +151,7 @@
             protocol: platform.protocol,
             reader: reader.clone(),
             readiness: readiness.clone(),
-            gate: StoreGate::new(
-                platform.store.with_purpose(Purpose::Callers),
-                logs::part(&log, "front"),
-            ),
+            gate: gate.clone(),
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             limits,
@@ -173,20 +179,41 @@
             if let Some(address) = settings.peer_address() {
                 let listener = TcpListener::bind(address).await?;
                 peer_address = Some(listener.local_addr()?);
-                tokio::spawn(server.serve(listener));
+                let directory = PeerOffers::new(
+                    platform.store.with_purpose(Purpose::Peers),
+                    peer_log.clone(),
+                );
+                tokio::spawn(server.serve(listener, directory));
             }
             tokio::spawn(peers::follow_readers(
                 platform.store.with_purpose(Purpose::Peers),
                 settings.node.clone(),
+                if tolerated_halls > 0 {
+                    settings.hall.clone()
+                } else {
+                    String::new()
+                },
                 routes.clone(),
                 peer_log.clone(),
             ));
+            if tolerated_halls > 0 {
+                tokio::spawn(isolation::watch_paths(
+                    routes.clone(),
+                    settings.hall.clone(),
+                    gate,
+                    isolated,
+                    stopped.clone(),
+                    peer_log.clone(),
+                ));
+            }
             tokio::spawn(peers::log_paths(routes, stopped.clone(), peer_log));
         }
         let candidate = Candidate {
             relay_address,
             peer_address,
             node: settings.node.clone(),
+            hall: settings.hall.clone(),
+            tolerated_halls,
             incarnation: clock::incarnation(),
             store: platform.store.with_purpose(Purpose::Lease),
             traffic: platform.traffic,
@@ -208,7 +235,7 @@
                 .stop_timeout_ms(timing.stop_timeout_ms)
                 .max_operator_view_age_ms(timing.max_operator_view_age_ms())
                 .detached_ms(holder::MAX_DETACHED_MS)
-                .tolerated_halls(settings.tolerate.halls.unwrap_or(0))
+                .tolerated_halls(tolerated_halls)
                 .remote_factor(timing.remote_factor)
                 .link(LinkLimits::of_link(settings.machine.link_mbps))
                 .policy(settings.policy.clone()),
