--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -45,6 +45,7 @@
         counters,
     },
     dewspar::{
+        hall::HallPath,
         job::JobId,
         overload::RoundTrips,
         record::{RecordWriteOutcome, RecordWriter},
@@ -564,6 +565,9 @@
             // The halls whose state is `HallState::Indirect`.
             let indirect = self.workers.indirect_halls();
             counters::set(counters::INDIRECT_HALLS, indirect.len() as f64);
+            for hall in &indirect {
+                self.scheduler.note_hall_path(hall, HallPath::Relayed, now);
+            }
         }
         self.update_status(now);
         let window = self.scheduler.window();
