Count repeated losses with a hall against the tasks that caused them

A job whose tasks crash several workers of a hall at once looked like a hall that is lost; the loss was forgiven, and the job went on to the next hall. A task is now forgiven once in ten minutes.

A hall of which a few workers missed answers counted as cut off although others answered all the time: the answers must now be older than the last miss. Tasks under test get no copy, and a missing worker counts as part of a lost hall for 30 s only instead of for the rest of the lease.

Tests: crashing_jobs, and one of the monitor; both red before.

--- a/crates/dewspar/src/hall/monitor.rs
+++ b/crates/dewspar/src/hall/monitor.rs
@@ -12,8 +12,8 @@
 
 - A hall is *silent* while at least [`MIN_SILENT`] of its workers, at least
   [`SILENT_PERCENT`] of those that were asked recently and
-  [`SILENT_OF_ALL_PERCENT`] of all missed their newest answer, while a worker
-  of another hall has answered since.
+  [`SILENT_OF_ALL_PERCENT`] of all missed their newest answer, no other has
+  answered since, and a worker of another hall has.
 - A hall of which [`MIN_DOUBT`] workers are silent and none has answered since
   is *doubted*: workers that nothing runs on are asked as well, since otherwise
   too few might be.
@@ -261,7 +261,9 @@
     /// Whether the state of any hall may change.
     is_due: bool,
     evaluated_ms: u64,
-    was_any_down: bool,
+    /// When a hall was last cut off or lost, or returned from that; `None` for
+    /// never.
+    last_down_ms: Option<u64>,
     /// The halls that are doubted since they were last taken.
     doubted: Vec<String>,
 }
@@ -275,7 +277,7 @@
             halls: BTreeMap::new(),
             is_due: false,
             evaluated_ms: 0,
-            was_any_down: false,
+            last_down_ms: None,
             doubted: Vec::new(),
         }
     }
@@ -368,9 +370,10 @@
             self.halls.values().map(|hall| hall.tally(now_ms)).collect();
         let silent: Vec<bool> = tallies
             .iter()
-            .zip(self.halls.keys())
-            .map(|(tally, name)| {
+            .zip(&self.halls)
+            .map(|(tally, (name, hall))| {
                 tally.is_silent()
+                    && !hall.has_answer_since(tally.last_miss_ms + 1)
                     && self.others_answer(name, tally.first_miss_ms)
             })
             .collect();
@@ -405,7 +408,9 @@
                 hall.since_ms = now_ms;
                 hall.evidence = evidence;
                 hall.silent_since_ms = None;
-                self.was_any_down |= !to.takes_tasks();
+                if !to.takes_tasks() || !from.takes_tasks() {
+                    self.last_down_ms = Some(now_ms);
+                }
             }
             let doubted = tally.silent >= MIN_DOUBT
                 && !hall.has_answer_since(tally.last_miss_ms)
@@ -446,10 +451,11 @@
         self.tolerated > 0 && !self.state(hall).takes_tasks()
     }
 
-    /// Returns whether any hall has been cut off or lost since the monitor was
-    /// created.
-    pub fn was_any_down(&self) -> bool {
-        self.was_any_down
+    /// Returns whether any hall has been cut off or lost since this time.
+    pub fn was_any_down_since(&self, from_ms: u64) -> bool {
+        let is_down = |hall: &Hall| !hall.state.takes_tasks();
+        self.last_down_ms.is_some_and(|at_ms| at_ms >= from_ms)
+            || self.halls.values().any(is_down)
     }
 
     /// Returns the states of all halls of which a worker was asked.
--- a/crates/dewspar/src/schedule/hall_losses.rs
+++ b/crates/dewspar/src/schedule/hall_losses.rs
@@ -7,8 +7,10 @@
 [`RETROACTIVE_MS`], and taken back if the worker's hall turns out to be cut off
 or lost within that time. Later losses in the hall aren't counted at all.
 
-A task that does crash its workers isn't found by such a loss, but it crashes
-the next worker on which it starts as well.
+A task that does crash its workers isn't found by such a loss. If it takes down
+several workers of a hall at once, that may look like a hall that is lost, and
+so may its next starts elsewhere. So a task is forgiven only once in
+[`FORGIVEN_FOR_MS`]; a holder that takes over starts counting anew.
 
 Tasks that may have copies get one elsewhere at once. If their hall returns
 before the copy has started, the copy isn't wanted any more.
@@ -22,7 +24,7 @@
             suspects::LostRuns, vm_stability::VmCrashes,
         },
     },
-    std::collections::{BTreeSet, VecDeque},
+    std::collections::{BTreeMap, BTreeSet, VecDeque},
 };
 
 /// For how long a counted loss may turn out to belong to its hall, in
@@ -30,6 +32,11 @@
 /// before enough workers of the hall have missed an answer.
 const RETROACTIVE_MS: u64 = 3_000;
 
+/// For how long a task that was lost with its hall isn't forgiven again, in
+/// milliseconds: a task that crashes its workers is found within some seconds,
+/// and halls are lost a few times a day.
+const FORGIVEN_FOR_MS: u64 = 600_000;
+
 /// A crash that was counted against a task.
 #[derive(Debug)]
 struct CountedCrash {
@@ -64,11 +71,31 @@
     /// The tasks that wait for a copy, each while it may run in a hall that is
     /// cut off.
     copies: BTreeSet<TaskId>,
+    /// When tasks were forgiven the loss of a worker, in milliseconds.
+    forgiven: BTreeMap<TaskId, u64>,
     /// Whether the list of VMs should be read at once.
     pub(super) needs_vm_list: bool,
 }
 
 impl HallLosses {
+    /// Forgives a task the loss of its worker. Returns whether that wasn't
+    /// done recently.
+    pub(super) fn forgive(&mut self, task: &TaskId, now: Now) -> bool {
+        let from_ms = now.steady_ms.saturating_sub(FORGIVEN_FOR_MS);
+        self.forgiven.retain(|_, at_ms| *at_ms > from_ms);
+        let is_first = !self.forgiven.contains_key(task);
+        if is_first {
+            self.forgiven.insert(*task, now.steady_ms);
+        }
+        is_first
+    }
+
+    /// Returns whether a task was forgiven the loss of a worker recently.
+    pub(super) fn was_forgiven(&self, task: &TaskId, now: Now) -> bool {
+        let at_ms = self.forgiven.get(task);
+        at_ms.is_some_and(|at_ms| now.steady_ms < at_ms + FORGIVEN_FOR_MS)
+    }
+
     /// Notes that a crash was counted against a task by the change with this
     /// number, as part of the loss that is being counted.
     pub(super) fn note_crash(
@@ -137,12 +164,12 @@
         here.retain(|loss| loss.at_ms >= from_ms);
         // The newest first, since each knows only the state before it.
         for loss in here.iter().rev() {
-            self.take_back(loss);
+            self.take_back(loss, now);
         }
         here.len()
     }
 
-    fn take_back(&mut self, loss: &CountedLoss) {
+    fn take_back(&mut self, loss: &CountedLoss, now: Now) {
         if let Some((vm, before)) = &loss.vm {
             self.restore_vm_crashes(vm, *before);
         }
@@ -157,6 +184,9 @@
         for CountedCrash { task, before, sequence } in
             loss.crashes.iter().rev()
         {
+            if !self.hall_losses.forgive(task, now) {
+                continue;
+            }
             let next = self.sequence + 1;
             let job = self.jobs.get_mut(&task.job);
             let state = job.and_then(|job| job.task_mut(task));
@@ -224,7 +254,10 @@
         let allowed = spec.is_some_and(|spec| {
             spec.may_duplicate && !spec.gang && !spec.long_running
         });
-        let is_open = job.task(task).is_some_and(|state| !state.done);
+        // A task under test must not take down another worker.
+        let is_open = job
+            .task(task)
+            .is_some_and(|state| !state.done && state.crashes.count == 0);
         allowed && is_open && !job.phase.is_final()
     }
 
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -490,10 +490,14 @@
     ) {
         self.begin_counted_loss(lost, now);
         self.settle_starts_on(worker, lost, now);
-        if self.halls.is_down(&lost.hall) {
+        let suspects = || lost.suspects().map(|run| run.task);
+        let was_forgiven =
+            |task: TaskId| self.hall_losses.was_forgiven(&task, now);
+        if self.halls.is_down(&lost.hall) && !suspects().any(was_forgiven) {
             // The hall is the cause.
-            for run in lost.suspects() {
-                self.note_suspect_ended(&run.task);
+            for task in suspects() {
+                self.hall_losses.forgive(&task, now);
+                self.note_suspect_ended(&task);
             }
         } else {
             self.count_crashes(worker, lost, now);
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -42,6 +42,10 @@
 
 /// How many starts of a task count at most for workers that were lost before
 /// they had answered. A holder starts nothing of a task whose second crash
+/// For how long after a hall was lost a worker that is missing may have been
+/// part of it, in milliseconds: several takeovers.
+const RECENT_HALL_LOSS_MS: u64 = 30_000;
+
 /// isn't stored.
 const MAX_UNSEEN: u32 = 2;
 
@@ -173,10 +177,13 @@
         start: &RecordedStart,
         now: Now,
     ) -> Outcome {
+        let recent_ms = now.steady_ms.saturating_sub(RECENT_HALL_LOSS_MS);
         let Some(worker) = self.workers.get(&start.worker) else {
             return match self.workers_known {
                 // It may have been in a hall that was lost.
-                true if self.halls.was_any_down() => Outcome::Unknown,
+                true if self.halls.was_any_down_since(recent_ms) => {
+                    Outcome::Unknown
+                }
                 true => Outcome::Crashed,
                 false => Outcome::Pending,
             };
--- a/crates/dewspar/tests/hall_monitor.rs
+++ b/crates/dewspar/tests/hall_monitor.rs
@@ -237,3 +237,30 @@
     assert_eq!(statuses[0].evidence_age_ms, 500 + ROUND_MS);
     assert!(statuses[0].age_ms >= 500, "{:?}", statuses[0]);
 }
+
+/// Guards against giving up a hall of which some workers fail while others
+/// answer all the time.
+#[test]
+fn a_hall_whose_other_workers_answer_is_not_cut_off() {
+    let mut monitor = HallMonitor::new(1);
+    let worker =
+        |hall: &str, number: usize| WorkerId::new(&format!("{hall}-{number}"));
+    for hall in ["a", "b"] {
+        for number in 0..20 {
+            monitor.answered(hall, &worker(hall, number), 1_000);
+        }
+    }
+    for round in 0..20 {
+        let now_ms = 5_000 + 50 * round;
+        for number in 0..4 {
+            monitor.missed("a", &worker("a", number), now_ms);
+        }
+        for number in 4..6 {
+            monitor.answered("a", &worker("a", number), now_ms + 10);
+        }
+        for number in 0..6 {
+            monitor.answered("b", &worker("b", number), now_ms + 10);
+        }
+        assert_eq!(monitor.evaluate(now_ms + 40), []);
+    }
+}
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -3,6 +3,7 @@
 mod cancelling;
 mod chain;
 mod crashing;
+mod crashing_jobs;
 mod evacuation;
 mod failure_domains;
 mod gang_reservations;
