Keep the order of what matters at any factor, in each pool

The weight of data nearby grew in proportion to the remote factor. At 3 it exceeded the penalty of an interfering run, so that a worker near the data with such a run won against a free one elsewhere; at 1.5 it was below a difference in fullness, unlike at 2. It is now limited on both sides. C was the largest VM of any pool, so one of 64 cores doubled the weights of all; each pool now has its own. C was 0 for workers that were looked up singly before the first read of the directory; they now count when listed.

Weighed: to lower the unit of lost time at factors above 2 instead of limiting the weight. The delay on cold workers would then weigh less against fullness, which would make that order depend on the factor.

Tests: decisions at 32 cores with the factors 1.5, 2 and 3, beside a pool of larger VMs, and with workers that were looked up singly.

--- a/crates/dewspar/src/schedule/cold_workers.rs
+++ b/crates/dewspar/src/schedule/cold_workers.rs
@@ -141,7 +141,10 @@
         now: Now,
     ) -> i64 {
         let delay_ms = worker.cold.remaining_ms(now.steady_ms);
-        self.scores.delay(delay_ms, spec.estimate_ms)
+        if delay_ms == 0 {
+            return 0;
+        }
+        self.scores_for(worker).delay(delay_ms, spec.estimate_ms)
     }
 
     /// Returns how far the demand on a pool is projected, in milliseconds,
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -11,7 +11,7 @@
         job::TaskId,
         schedule::{
             Decision, Now, Resources, Scheduler, WorkerId, WorkerListing,
-            placement::Scores,
+            placement::PoolScores,
             processes::IncarnationOrder,
             suspects::LostRuns,
             worker::{Run, Worker},
@@ -85,6 +85,9 @@
         now: Now,
         listing: WorkerListing,
     ) {
+        // Tasks may start on a worker that was looked up singly before the
+        // capacities of all are noted.
+        self.scores.note(&listing.pool, listing.capacity);
         let cold_remaining_ms = listing.cold_remaining_ms;
         if !self.workers.contains_key(&listing.id) {
             if !self.former_processes.is_from_ended(&listing, asked_ms) {
@@ -238,8 +241,14 @@
                 capacities.push(room);
             }
         }
-        let factor = self.options.preferred_remote_factor();
-        self.scores = Scores::new(&capacities, factor);
+        let mut scores = PoolScores::default();
+        for worker in self.workers.values() {
+            scores.note(&worker.listing.pool, worker.listing.capacity);
+        }
+        for vm in self.vms.values() {
+            scores.note(&vm.pool, vm.capacity);
+        }
+        self.scores = scores;
         self.capacities = capacities;
         self.note_halls();
     }
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -35,7 +35,7 @@
 
 pub(super) use self::{
     candidates::{Candidate, Candidates, PoolNumber, Requirements},
-    scores::Scores,
+    scores::{PoolScores, Scores},
 };
 
 /// The number of run numbers skipped for a task that a former lease holder may
@@ -613,7 +613,7 @@
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
-            score += self.scores.data_locality();
+            score += self.scores_for(worker).data_locality();
         }
         let step_of = |task: &TaskId| {
             self.jobs.get(&task.job).and_then(|job| job.step_spec(task))
@@ -637,9 +637,19 @@
             && spec.long_running
             && worker.runs.keys().filter_map(step_of).any(long)
         {
-            score += self.scores.colocation();
+            score += self.scores_for(worker).colocation();
         }
-        score - disturbing as i64 * self.scores.interference()
+        if disturbing > 0 {
+            let penalty = self.scores_for(worker).interference();
+            score -= penalty.saturating_mul(disturbing as i64);
+        }
+        score
+    }
+
+    /// Returns what the advantages of a worker are worth in its pool.
+    pub(super) fn scores_for(&self, worker: &Worker) -> Scores {
+        let factor = self.options.preferred_remote_factor();
+        self.scores.in_pool(&worker.listing.pool, factor)
     }
 
     /// Records a start and returns its order, unless the start must be stored
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -20,7 +20,7 @@
             loading::Loading,
             long_running::LongRunningNeed,
             long_waits::LongWaits,
-            placement::{Candidates, Scores},
+            placement::{Candidates, PoolScores},
             poll_limit::InFlightPolls,
             processes::FormerProcesses,
             quotas::TeamQuotas,
@@ -146,7 +146,7 @@
     /// The distinct capacities of workers and VMs.
     pub(super) capacities: Vec<Resources>,
     /// What the advantages of a worker are worth for a task.
-    pub(super) scores: Scores,
+    pub(super) scores: PoolScores,
     /// The terms of the pools whose workers are slow after their start.
     pub(super) cold_terms: BTreeMap<String, ColdTerms>,
     /// The adviser's answers, by the first task of each step.
@@ -264,7 +264,7 @@
             pool_loads: BTreeMap::new(),
             unplaced_since_ms: BTreeMap::new(),
             capacities: Vec::new(),
-            scores: Scores::default(),
+            scores: PoolScores::default(),
             cold_terms: BTreeMap::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -921,7 +921,7 @@
         let near = !spec.data_rack.is_empty()
             && worker.listing.rack == spec.data_rack;
         if near {
-            score += self.scores.isolated_data_locality();
+            score += self.scores_for(worker).isolated_data_locality();
         }
         score
     }
--- a/crates/dewspar/tests/schedule/worker_shapes.rs
+++ b/crates/dewspar/tests/schedule/worker_shapes.rs
@@ -124,6 +124,72 @@
     }
 }
 
+/// A task with a latency target whose data is beside w1, where another such
+/// task runs and the rest of the processor is in use, or on the empty w2.
+fn near_data_and_interfering(factor: f64) -> String {
+    let options = Options::default().remote_factor(Some(factor));
+    let mut fleet = Fleet::new(1, &["w1", "w2"], options);
+    let serving =
+        StepSpec { target_ms: 50, required_label: "w1".into(), ..step(1) };
+    fleet.start(serving);
+    fleet.occupy("w1", 30_000, false);
+    let data_rack = "rack-of-w1".to_owned();
+    fleet.start(StepSpec { target_ms: 50, data_rack, ..step(1) })
+}
+
+// Guards against a factor that changes what matters more: in proportion to it,
+// data nearby is worth 30 cores at 1.5, less than a difference in fullness,
+// and 120 at 3, more than an interfering run at 100.
+#[test]
+fn what_matters_more_does_not_depend_on_the_factor() {
+    for factor in [1.5, 2.0, 3.0] {
+        assert_eq!(near_data_and_interfering(factor), "w2", "{factor}");
+        assert_eq!(near_data(1, factor, 31_000), "w1", "{factor}");
+    }
+}
+
+// Guards against weights that follow the largest VM of any pool: at 32 cores,
+// colocation is worth 16 cores, whatever runs in another pool.
+#[test]
+fn larger_vms_of_another_pool_do_not_change_decisions() {
+    let mut fleet = Fleet::new(1, &["w1", "w2"], Options::default());
+    let mut large = listing("large");
+    large.pool = "other".to_owned();
+    large.capacity = room(64);
+    let worker = TaskWorker::new(large.capacity);
+    fleet.world.workers.insert(large.id.clone(), worker);
+    fleet.world.listings.push(large);
+    fleet.world.list();
+    fleet.occupy("w1", 8_000, true);
+    fleet.occupy("w2", 24_100, false);
+    let long = StepSpec { long_running: true, ..step(1) };
+    assert_eq!(fleet.start(long), "w2");
+}
+
+// Guards against weights of 0 while workers are known only from single
+// look-ups, before the capacities of all are noted.
+#[test]
+fn workers_that_were_looked_up_singly_are_scored() {
+    let mut world = World::with_room(5, &["w1", "w2"], room(32));
+    world.fate = Fate::endless();
+    for listing in &mut world.listings {
+        listing.rack = format!("rack-of-{}", listing.id.as_str());
+        listing.labels.push(listing.id.as_str().to_owned());
+        world.scheduler.list_worker(at(world.now_ms), listing.clone());
+    }
+    world.expect_all();
+    world.run_for(100);
+    let there = StepSpec { required_label: "w2".to_owned(), ..step(1) };
+    world.scheduler.submit(id(1), job(vec![there]), 6, None);
+    world.run_for(100);
+    let data_rack = "rack-of-w1".to_owned();
+    let near = StepSpec { data_rack, ..step(1) };
+    world.scheduler.submit(id(2), job(vec![near]), 7, None);
+    world.run_for(100);
+    assert_eq!(started_on(&world, "w2"), 1);
+    assert_eq!(started_on(&world, "w1"), 1);
+}
+
 /// Lets a task away from its data report no progress. Returns how many times
 /// it was started after this time, in milliseconds.
 fn starts_of_remote_task(factor: Option<f64>, after_ms: u64) -> usize {
