Detect stalled runs as early with a factor as without

The time-outs after which a run counts as stalled were multiplied by the remote factor for runs away from their data. The daemon always sets a factor, so every deployment that names data racks stopped such runs later than before. The time-outs are now the same everywhere; cold workers still count as making no progress.

Weighed: to apply the factor only to runs whose progress advances. A run that advances and then stops would still be found later than before.

Tests: a stalled run is started again at the same time with no factor and with factors of 1, 1.5, 2 and 3. This replaces a test that expected the opposite, that a run without any progress is left alone for longer with a factor. A new test covers the expected times of gangs over one and over several racks.

--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -97,10 +97,9 @@
                 } else {
                     STALL_TIMEOUT_MS
                 };
-                // A run makes less progress on a cold worker and away from
-                // its data.
-                let timeout_ms =
-                    self.remote_run_ms(worker, (task, spec), timeout_ms);
+                // A run makes no progress on a cold worker. The time-out is the
+                // same away from the data, where runs are slower: longer ones
+                // would delay the detection of runs that have stopped.
                 let from_ms = run.moved_ms.max(worker.cold.until_ms());
                 let stalled_ms = worker.reported_ms().saturating_sub(from_ms);
                 // The members of a gang wait for one another.
--- a/crates/dewspar/tests/schedule/worker_shapes.rs
+++ b/crates/dewspar/tests/schedule/worker_shapes.rs
@@ -190,9 +190,9 @@
     assert_eq!(started_on(&world, "w1"), 1);
 }
 
-/// Lets a task away from its data report no progress. Returns how many times
-/// it was started after this time, in milliseconds.
-fn starts_of_remote_task(factor: Option<f64>, after_ms: u64) -> usize {
+/// Lets a task away from its data report no progress. Returns when it was
+/// started, in milliseconds.
+fn starts_of_remote_task(factor: Option<f64>) -> Vec<u64> {
     let mut world = World::new(5, &["w1", "w2"]);
     world.scheduler =
         Scheduler::new(5, Options::default().remote_factor(factor));
@@ -201,17 +201,24 @@
     world.expect_all();
     let remote = StepSpec { data_rack: "rack-9".to_owned(), ..step(1) };
     world.scheduler.submit(id(1), job(vec![remote]), 4, None);
-    world.run_for(after_ms);
-    world.starts.len()
+    let mut starts_ms = Vec::new();
+    for _ in 0..100 {
+        world.run_for(50);
+        starts_ms.resize(world.starts.len(), world.now_ms);
+    }
+    starts_ms
 }
 
-// Guards against mistaking a remote run, which makes progress at a third of
-// the pace, for a stalled one.
+// Guards against a factor that delays the detection of stalled runs: every
+// deployment sets one, and a run that makes no progress at all isn't slow
+// because it is away from its data.
 #[test]
-fn a_remote_run_is_not_mistaken_for_a_stalled_one() {
-    assert_eq!(starts_of_remote_task(None, 5_000), 2);
-    assert_eq!(starts_of_remote_task(Some(3.0), 5_000), 1);
-    assert_eq!(starts_of_remote_task(Some(3.0), 9_000), 2);
+fn a_stalled_remote_run_is_stopped_as_soon_as_any_other() {
+    let without = starts_of_remote_task(None);
+    assert_eq!(without.len(), 2);
+    for factor in [1.0, 1.5, 2.0, 3.0] {
+        assert_eq!(starts_of_remote_task(Some(factor)), without, "{factor}");
+    }
 }
 
 /// A world whose pool limits the starts on cold workers; the named ones are
@@ -427,13 +434,19 @@
     assert!(gets_vm_for_step_in(6_000, 5_000));
 }
 
-/// Returns whether a pool of two workers gets a third VM within a second,
-/// where four tasks run away from their data while a step of six is about to
-/// begin.
-fn gets_vm_beside_remote_runs(factor: Option<f64>) -> bool {
+/// Returns whether a pool of two workers in these racks gets a third VM within
+/// a second, where these four tasks run while a step of six is about to begin.
+fn gets_vm_beside(
+    factor: Option<f64>,
+    racks: [&str; 2],
+    running: StepSpec,
+) -> bool {
     let mut world = World::new(5, &["w1", "w2"]);
     world.scheduler =
         Scheduler::new(5, Options::default().remote_factor(factor));
+    for (listing, rack) in world.listings.iter_mut().zip(racks) {
+        listing.rack = rack.to_owned();
+    }
     let mut spare = listing("w3");
     spare.pool = "off".to_owned();
     world.listings.push(spare);
@@ -443,11 +456,9 @@
     world.scheduler.configure_pools(serving, ["off".to_owned()].into());
     world.run_for(100);
     world.fate = Fate::done(60_000);
-    let data_rack = "rack-9".to_owned();
-    let remote = StepSpec { estimate_ms: 12_000, data_rack, ..step(4) };
     let first = StepSpec { estimate_ms: 12_000, ..step(1) };
     let second = StepSpec { estimate_ms: 9_000, after: vec![0], ..step(6) };
-    world.scheduler.submit(id(1), job(vec![remote]), 4, None);
+    world.scheduler.submit(id(1), job(vec![running]), 4, None);
     world.scheduler.submit(id(2), job(vec![first, second]), 5, None);
     // Jobs from before this holder do not count as recent arrivals.
     world.run_for(10_500);
@@ -457,6 +468,25 @@
 // Guards against counting on capacity that remote runs still use.
 #[test]
 fn remote_runs_are_expected_to_take_longer() {
-    assert!(!gets_vm_beside_remote_runs(None));
-    assert!(gets_vm_beside_remote_runs(Some(3.0)));
+    let data_rack = "rack-9".to_owned();
+    let remote = StepSpec { estimate_ms: 12_000, data_rack, ..step(4) };
+    let racks = ["rack-1", "rack-1"];
+    assert!(!gets_vm_beside(None, racks, remote.clone()));
+    assert!(gets_vm_beside(Some(3.0), racks, remote));
+}
+
+// Guards against counting on capacity that gangs over several racks still use,
+// and against expecting this of gangs that share a rack.
+#[test]
+fn gangs_over_several_racks_are_expected_to_take_longer() {
+    let gang = StepSpec {
+        estimate_ms: 12_000,
+        gang: true,
+        same_rack: true,
+        max_per_worker: 2,
+        ..step(4)
+    };
+    assert!(!gets_vm_beside(None, ["a", "b"], gang.clone()));
+    assert!(!gets_vm_beside(Some(3.0), ["a", "a"], gang.clone()));
+    assert!(gets_vm_beside(Some(3.0), ["a", "b"], gang));
 }
