Examine gangs and emptied halls once for each step

Whether a gang runs in several racks was found by looking at all members, for each member, so a projection took time quadratic in a gang's size. Whether a long-running task has a place elsewhere was searched for each run, and all workers were visited once for each hall that is emptied. The first two are now found once for each step in a pass, and one visit of the workers serves all halls. Tasks of a step without a reservation differ in nothing that decides whether there is a place.

No test counts the steps taken.

--- a/crates/dewspar/src/schedule/evacuation.rs
+++ b/crates/dewspar/src/schedule/evacuation.rs
@@ -18,11 +18,10 @@
 */
 
 use {
-    crate::{
-        job::TaskId,
-        schedule::{Decision, Now, Scheduler, VmStatus, worker::Worker},
+    crate::schedule::{
+        Decision, Now, Scheduler, VmStatus, run_times::StepKey, worker::Worker,
     },
-    std::collections::{BTreeMap, BTreeSet},
+    std::collections::{BTreeMap, BTreeSet, HashMap},
 };
 
 /// A data hall that is being emptied.
@@ -43,6 +42,20 @@
     pub stuck: usize,
 }
 
+impl EvacuatedHall {
+    /// Returns a hall without workers.
+    fn empty(hall: &str, age_ms: u64) -> EvacuatedHall {
+        EvacuatedHall {
+            hall: hall.to_owned(),
+            age_ms,
+            workers: 0,
+            runs: 0,
+            long_running: 0,
+            stuck: 0,
+        }
+    }
+}
+
 /// The data halls that are being emptied.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evacuation {
@@ -126,40 +139,40 @@
     /// there.
     pub fn evacuated_halls(&self, now: Now) -> Vec<EvacuatedHall> {
         let halls = self.workers.evacuation().since_ms.iter();
-        halls.map(|(hall, since)| self.evacuated(hall, *since, now)).collect()
-    }
-
-    fn evacuated(&self, hall: &str, since_ms: u64, now: Now) -> EvacuatedHall {
-        let mut evacuated = EvacuatedHall {
-            hall: hall.to_owned(),
-            age_ms: now.steady_ms.saturating_sub(since_ms),
-            workers: 0,
-            runs: 0,
-            long_running: 0,
-            stuck: 0,
-        };
-        let is_here = |worker: &&Worker| worker.listing.hall == hall;
-        for worker in self.workers.values().filter(is_here) {
-            let runs = worker.runs.values();
-            evacuated.workers += 1;
-            evacuated.runs += worker.runs.len();
-            evacuated.long_running +=
-                runs.filter(|run| run.long_running).count();
-            evacuated.stuck += worker
-                .runs
-                .iter()
-                .filter(|(_, run)| run.long_running && !run.is_stopping())
-                .filter(|(task, _)| self.has_no_place(task))
-                .count();
+        let mut evacuated: BTreeMap<&str, EvacuatedHall> = halls
+            .map(|(hall, since_ms)| {
+                let age_ms = now.steady_ms.saturating_sub(*since_ms);
+                (hall.as_str(), EvacuatedHall::empty(hall, age_ms))
+            })
+            .collect();
+        if evacuated.is_empty() {
+            return Vec::new();
         }
-        evacuated
-    }
-
-    /// Returns whether a long-running task has nowhere to go: no capacity is
-    /// reserved for it, and none will be free once short tasks have ended.
-    fn has_no_place(&self, task: &TaskId) -> bool {
-        self.reservations.worker_for(task).is_none()
-            && !self.has_room_soon(task)
+        // The tasks of a step that have no capacity reserved differ in
+        // nothing that decides whether there is a place.
+        let mut has_room: HashMap<StepKey, bool> = HashMap::new();
+        for worker in self.workers.values() {
+            let hall = worker.listing.hall.as_str();
+            let Some(hall) = evacuated.get_mut(hall) else { continue };
+            hall.workers += 1;
+            hall.runs += worker.runs.len();
+            for (task, run) in &worker.runs {
+                if !run.long_running {
+                    continue;
+                }
+                hall.long_running += 1;
+                let stays = !run.is_stopping()
+                    && self.reservations.worker_for(task).is_none();
+                let step = (task.job, task.round, task.step);
+                let has_room_soon = || self.has_room_soon(task);
+                if stays
+                    && !*has_room.entry(step).or_insert_with(has_room_soon)
+                {
+                    hall.stuck += 1;
+                }
+            }
+        }
+        evacuated.into_values().collect()
     }
 
     /// Reports, once for each hall, that long-running tasks have no place
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -15,7 +15,9 @@
     crate::{
         job::{JobId, JobSpec},
         schedule::{
-            Now, Resources, Scheduler, job_state::Job, job_state::demand,
+            Now, Resources, Scheduler,
+            job_state::{Job, demand},
+            run_times::{GangRacks, StepKey},
         },
     },
     std::collections::{BTreeMap, HashMap},
@@ -30,9 +32,6 @@
     resources: Resources,
 }
 
-/// One step of one round of a job.
-type StepKey = (JobId, u32, u32);
-
 impl Scheduler {
     /// Returns the usage of each pool's known jobs `ahead_ms` from now,
     /// without long-running tasks.
@@ -68,6 +67,7 @@
         ahead_ms: u64,
     ) -> HashMap<StepKey, RemainingRuns> {
         let mut remaining: HashMap<StepKey, RemainingRuns> = HashMap::new();
+        let mut gangs = GangRacks::default();
         for worker in self.workers.values() {
             for (task, run) in &worker.runs {
                 let Some(job) = self.jobs.get(&task.job) else { continue };
@@ -76,8 +76,12 @@
                     continue;
                 }
                 let ran_ms = now.steady_ms.saturating_sub(run.since_ms);
-                let run_ms =
-                    self.expected_run_ms(worker, (task, spec), run.since_ms);
+                let run_ms = self.expected_run_ms(
+                    worker,
+                    (task, spec),
+                    run.since_ms,
+                    &mut gangs,
+                );
                 let remaining_ms = run_ms.saturating_sub(ran_ms);
                 let key = (task.job, task.round, task.step);
                 let step = remaining.entry(key).or_default();
--- a/crates/dewspar/tests/schedule/evacuation.rs
+++ b/crates/dewspar/tests/schedule/evacuation.rs
@@ -304,6 +304,43 @@
     assert_eq!(world.phases[&id(2)], "completed");
 }
 
+/// The number of stuck tasks of a hall with two tasks of one step and a larger
+/// one of another, where this much of the other hall's processor is in use.
+fn stuck_beside(used_elsewhere: u64) -> Vec<usize> {
+    let mut world = world(&["w1", "w2"], &["w2"]);
+    world.fate = Fate::endless();
+    let submit = |world: &mut World, number, count, cpu_millis| {
+        let demand = Resources { cpu_millis, ..Resources::default() };
+        let kind = RunKind { demand, fate: Fate::endless() };
+        world.kinds.insert(id(number), kind);
+        let spec = StepSpec { count, cpu_millis, ..long_running() };
+        world.scheduler.submit(id(number), job(vec![spec]), 5 + number, None);
+        world.run_for(4_000);
+    };
+    evacuate(&mut world, &["hall-1"]);
+    submit(&mut world, 1, 2, 1_000);
+    submit(&mut world, 2, 1, 2_000);
+    assert_eq!(started_on(&world), ["w2"].into());
+    evacuate(&mut world, &[]);
+    submit(&mut world, 3, 1, used_elsewhere);
+    assert_eq!(started_on(&world), ["w1", "w2"].into());
+    world.stop_duration_ms = STOP_MS;
+    evacuate(&mut world, &[OLD_HALL]);
+    for _ in 0..100 {
+        plan_round(&mut world);
+    }
+    stuck(&world)
+}
+
+// Guards against a step whose tasks count as one, and against applying what
+// was found for one step to another.
+#[test]
+fn stuck_tasks_are_counted_singly_and_by_step() {
+    assert_eq!(stuck_beside(4_000), [3]);
+    assert_eq!(stuck_beside(3_000), [2], "one of the two has moved");
+    assert_eq!(stuck_beside(2_000), [1], "only the larger one is left");
+}
+
 // Guards against losing the limit of starts on cold workers in an evacuation,
 // and against stopping more tasks than can start again.
 #[test]
