Check peers from the listed address, and one of each hall

Checks of peers left from the default address, so on a node with several addresses each was refused as an unknown caller, with a log line and a read of the list. They now leave from the address at which the node serves its peers, also those that another node asks for.

An isolated node was one that got no answer from three far readers, which may all be in the one hall that a half-cut hides. At least one reader of each other hall is checked now.

A second observer that doesn't know whether it reaches a reader is followed by another one; two at most, since the checks of all readers wait for them.

Tests: checks_of_peers_leave_from_the_address_that_is_offered, a_peer_of_each_other_hall_is_checked, another_observer_is_asked_if_the_first_does_not_know.

--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -8,7 +8,7 @@
     dewspar::detour::{OwnPath, Path, PeerNode, preferred_readers},
     hyper::http::uri::Authority,
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         fmt,
         net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -29,6 +29,8 @@
     began: Instant,
     /// The connections to peers, if they leave from an address of their own.
     connections: Option<Arc<Connections>>,
+    /// The address from which these connections leave.
+    source: Option<IpAddr>,
     state: Arc<Mutex<State>>,
 }
 
@@ -37,6 +39,7 @@
         PeerRoutes {
             began: Instant::now(),
             connections: None,
+            source: None,
             state: Arc::default(),
         }
     }
@@ -96,7 +99,8 @@
     ) -> PeerRoutes {
         let connections = Connections::new(connect_timeout, Some(source));
         let connections = Some(Arc::new(connections));
-        PeerRoutes { connections, ..PeerRoutes::default() }
+        let source = Some(source);
+        PeerRoutes { connections, source, ..PeerRoutes::default() }
     }
 
     pub(crate) fn connections(&self) -> Option<&Arc<Connections>> {
@@ -122,13 +126,26 @@
         state.peers = peers.into_iter().filter_map(peer).collect();
     }
 
-    /// Returns the addresses of the peers in other halls than this one, the
-    /// preferred one first. Peers that name no hall are left out.
-    pub fn peers_outside(&self, hall: &str) -> Vec<String> {
+    /// Returns the addresses of peers in other halls than this one: the
+    /// preferred one of each hall, and others up to `min_count` if there are
+    /// fewer halls. Peers that name no hall are left out.
+    pub fn peers_outside(&self, hall: &str, min_count: usize) -> Vec<String> {
         let state = self.state();
         let is_far = |p: &&Peer| !p.hall.is_empty() && p.hall != hall;
-        let far = state.peers.iter().filter(is_far);
-        far.map(|peer| peer.address.to_string()).collect()
+        let mut halls = BTreeSet::new();
+        let (mut chosen, others): (Vec<&Peer>, Vec<&Peer>) = state
+            .peers
+            .iter()
+            .filter(is_far)
+            .partition(|peer| halls.insert(peer.hall.as_str()));
+        let missing = min_count.saturating_sub(chosen.len());
+        chosen.extend(others.into_iter().take(missing));
+        chosen.iter().map(|peer| peer.address.to_string()).collect()
+    }
+
+    /// Returns the address from which calls to peers leave, if it is set.
+    pub fn source(&self) -> Option<IpAddr> {
+        self.source
     }
 
     /// Returns whether reads can be shared: there are readers, and this node
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -77,6 +77,8 @@
     store: Authority,
     fingerprint: Fingerprint,
     may_forward: CallFilter,
+    /// The address by which other nodes know this one.
+    source: Option<IpAddr>,
     shared: SharedReads,
     calls_in_flight: Arc<AtomicUsize>,
     body_bytes_in_flight: Arc<AtomicUsize>,
@@ -104,6 +106,7 @@
             store,
             fingerprint,
             may_forward,
+            source: None,
             shared: SharedReads::default(),
             calls_in_flight: Arc::default(),
             body_bytes_in_flight: Arc::default(),
@@ -112,10 +115,12 @@
 
     /// Serves the nodes in the directory until the listener's runtime ends.
     pub async fn serve<D: PeerDirectory>(
-        self,
+        mut self,
         listener: TcpListener,
         directory: D,
     ) {
+        // Without it, checks of other nodes leave from the default address.
+        self.source = listener.local_addr().ok().map(|own| own.ip());
         let callers = Callers::new(directory);
         loop {
             let Ok((stream, address)) = listener.accept().await else {
@@ -187,7 +192,8 @@
         let _call = Counted::below(&self.calls_in_flight, MAX_CALLS)
             .ok_or(RefusalReason::TooManyCalls)?;
         let address = address.to_string();
-        let is_alive = is_peer_alive(&address, REACH_TIMEOUT).await;
+        let is_alive =
+            is_peer_alive(&address, self.source, REACH_TIMEOUT).await;
         Ok(if is_alive { StatusCode::OK } else { NOT_REACHED })
     }
 
@@ -294,18 +300,24 @@
     }
 }
 
-/// Returns whether the peer at an address answers within this time.
+/// Returns whether the peer at an address answers a call from the address
+/// `source` of this node, if it is given, within this time.
 ///
 /// A peer that doesn't know this node yet refuses the check, which shows that
 /// it is alive as well: it must not be replaced for that.
-pub async fn is_peer_alive(address: &str, max_wait: Duration) -> bool {
+pub async fn is_peer_alive(
+    address: &str,
+    source: Option<IpAddr>,
+    max_wait: Duration,
+) -> bool {
     let timeout_ms = u64::try_from(max_wait.as_millis()).unwrap_or(u64::MAX);
     let url = format!("http://{address}{ALIVE_PATH}");
     let call = "check peer";
     let Ok(request) = empty_request(call, Method::GET, &url) else {
         return false;
     };
-    let answered = Client::new(timeout_ms).send(call, request).await;
+    let client = client_from(source, timeout_ms);
+    let answered = client.send(call, request).await;
     answered.is_ok_and(|answer| {
         answer.status.is_success() || answer.status == StatusCode::FORBIDDEN
     })
@@ -338,11 +350,7 @@
     // The observer's own check, and the way there and back.
     let timeout = 2 * REACH_TIMEOUT;
     // OK to convert: it is less than a second.
-    let client = Client::new(timeout.as_millis() as u64);
-    let client = match source {
-        Some(source) => client.calling_from(source),
-        None => client,
-    };
+    let client = client_from(source, timeout.as_millis() as u64);
     match client.send(call, request).await {
         Ok(answer) if answer.status == StatusCode::OK => Reach::Reached,
         Ok(answer) if answer.status == NOT_REACHED => Reach::NotReached,
@@ -350,6 +358,15 @@
     }
 }
 
+/// Returns a client whose calls leave from the address `source` if it is given.
+fn client_from(source: Option<IpAddr>, timeout_ms: u64) -> Client {
+    let client = Client::new(timeout_ms);
+    match source {
+        Some(source) => client.calling_from(source),
+        None => client,
+    }
+}
+
 /// Builds the response to a refused call, which ends the connection if the
 /// caller shouldn't have made the call. All of these statuses mean that the
 /// call wasn't carried out.
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -384,9 +384,9 @@
     let store = Store::start().await;
     let peer = start_peer("peer", &store).await;
     let wait = Duration::from_millis(TIMEOUT_MS);
-    assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, None, wait).await);
     let gone = gone_peer().await;
-    assert!(!dewspar_platform::is_peer_alive(&gone.address, wait).await);
+    assert!(!dewspar_platform::is_peer_alive(&gone.address, None, wait).await);
     assert_eq!(store.calls("/dewspar-peer/alive"), 0);
 }
 
@@ -517,7 +517,7 @@
     let store = Store::start().await;
     let peer = start_peer_for("peer", &store, Listed::default()).await;
     let wait = Duration::from_millis(TIMEOUT_MS);
-    assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, None, wait).await);
 }
 
 /// Guards against nodes with several addresses, whose peers know the one at
@@ -580,3 +580,52 @@
     let nobody = ask_reach(&gone.address, &reader.address, None).await;
     assert_eq!(nobody, Reach::Unknown);
 }
+
+/// Guards against checks that each count as those of an unknown caller, on
+/// nodes whose calls leave from another address than the listed one.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn checks_of_peers_leave_from_the_address_that_is_offered() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&["127.0.0.9:1"]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let own = "127.0.0.9".parse().ok();
+    let wait = Duration::from_millis(TIMEOUT_MS);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, own, wait).await);
+    assert!(listed.state().refusals.is_empty());
+    // So do those that another node asks for.
+    let directory = Listed::nodes_at(&["127.0.0.1:1", &peer.address]);
+    let listener = TcpListener::bind("127.0.0.9:0").await.unwrap();
+    let observer = listener.local_addr().unwrap().to_string();
+    let authority = store.address.to_string().parse().unwrap();
+    let client = Client::new(TIMEOUT_MS);
+    let server = PeerServer::new(&client, authority, fingerprint, is_call);
+    tokio::spawn(server.serve(listener, directory));
+    let reach = ask_reach(&observer, &peer.address, None).await;
+    assert_eq!(reach, Reach::Reached);
+    assert!(listed.state().refusals.is_empty());
+}
+
+/// Guards against a node that takes itself for cut off because all peers that
+/// it checks are in the one hall that it doesn't reach.
+#[test]
+fn a_peer_of_each_other_hall_is_checked() {
+    let readers: Vec<PeerNode> = (0..12)
+        .map(|number| PeerNode {
+            name: format!("n-{number}"),
+            hall: format!("hall-{}", if number < 10 { 1 } else { number }),
+            address: format!("10.0.{number}.1:1"),
+            strength: 1,
+        })
+        .collect();
+    let routes = PeerRoutes::default();
+    for node in (0..20).map(|number| format!("node-{number}")) {
+        routes.set_readers(&node, "hall-0", &readers);
+        let checked = routes.peers_outside("hall-0", 3);
+        assert_eq!(checked.len(), 3, "{node}");
+        assert!(checked.contains(&readers[10].address), "{node}");
+        assert!(checked.contains(&readers[11].address), "{node}");
+        assert_eq!(routes.peers_outside("hall-0", 1).len(), 3, "{node}");
+        assert_eq!(routes.peers_outside("hall-0", 9).len(), 9, "{node}");
+    }
+}
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -25,9 +25,8 @@
 
 use {
     super::{
-        holder, intent, keys, peers::HolderHall, readiness::Readiness,
-        relay::RelayedWorkers, settings::Machine, status::StatusBoard,
-        step_down::StepDown,
+        holder, intent, keys, readiness::Readiness, relay::RelayedWorkers,
+        settings::Machine, status::StatusBoard, step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
     dewspar::schedule::{Options, OrderIssuer},
@@ -37,7 +36,10 @@
     },
     serde::{Deserialize, Serialize},
     slog::{Logger, info},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
     tokio::{
         sync::watch,
         time::{sleep, timeout},
@@ -329,12 +331,15 @@
         RelayedWorkers::across_halls(direct, hall, log)
     }
 
+    /// Returns the address by which its peers know this node.
+    pub(super) fn peer_source(&self) -> Option<IpAddr> {
+        self.peer_address.map(|address| address.ip())
+    }
+
     /// Returns this node's data hall, where the loss of halls must be
     /// tolerated.
-    pub(super) fn holder_hall(&self) -> Option<HolderHall> {
-        let source = self.peer_address.map(|address| address.ip());
-        let hall = HolderHall { name: self.hall.clone(), source };
-        (self.tolerated_halls > 0).then_some(hall)
+    pub(super) fn holder_hall(&self) -> Option<String> {
+        (self.tolerated_halls > 0).then(|| self.hall.clone())
     }
 
     /// Returns whether this node was overloaded recently.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -145,6 +145,7 @@
     tasks.spawn(peers::publish_readers(
         store(Purpose::Peers),
         candidate.holder_hall(),
+        candidate.peer_source(),
         held.revision,
         candidate.log.clone(),
     ));
--- a/crates/dewspard/src/jobs/isolation.rs
+++ b/crates/dewspard/src/jobs/isolation.rs
@@ -9,7 +9,7 @@
     dewspar::isolation::{Change, Isolation, Paths},
     dewspar_platform::{KeyValue, PeerRoutes, is_peer_alive},
     slog::{Logger, info, warn},
-    std::time::Duration,
+    std::{net::IpAddr, time::Duration},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -20,8 +20,9 @@
 /// round trip between halls.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How many peers in other halls are checked at a time.
-const MAX_CHECKED: usize = 3;
+/// How many peers in other halls are checked at a time, if there are as many;
+/// more if there are more halls.
+const MIN_CHECKED: usize = 3;
 
 /// Since when this node is isolated, on the steady clock; `None` if it isn't.
 pub(super) type IsolatedSince = watch::Receiver<Option<u64>>;
@@ -39,7 +40,7 @@
     while !*stopping.borrow() {
         sleep(LOOK_INTERVAL).await;
         let before = isolation.since_ms();
-        let far = routes.peers_outside(&own_hall);
+        let far = routes.peers_outside(&own_hall, MIN_CHECKED);
         let status = routes.status();
         let paths = Paths {
             own_path_failed: status.own_path_failed,
@@ -47,7 +48,7 @@
             has_far_peers: !far.is_empty(),
         };
         if isolation.needs_check(paths, clock::now_ms()) {
-            let answered = is_any_alive(&far).await;
+            let answered = is_any_alive(&far, routes.source()).await;
             let change = isolation.checked(answered, clock::now_ms());
             if change == Change::Isolated {
                 counters::count(counters::ISOLATIONS);
@@ -69,11 +70,8 @@
 }
 
 /// Returns whether any of these peers answers a check.
-async fn is_any_alive(peers: &[String]) -> bool {
-    let checks = peers
-        .iter()
-        .take(MAX_CHECKED)
-        .map(|p| is_peer_alive(p, CHECK_TIMEOUT));
+async fn is_any_alive(peers: &[String], source: Option<IpAddr>) -> bool {
+    let checks = peers.iter().map(|p| is_peer_alive(p, source, CHECK_TIMEOUT));
     let checked = futures_util::future::join_all(checks).await;
     checked.into_iter().any(|is_alive| is_alive)
 }
--- a/crates/dewspard/src/jobs/peers.rs
+++ b/crates/dewspard/src/jobs/peers.rs
@@ -50,6 +50,10 @@
 /// How many checks in a row a reader must miss to be replaced.
 const MAX_MISSED_CHECKS: u32 = 2;
 
+/// How many other nodes are asked about a silent reader, one after the other:
+/// the checks of all readers wait for them.
+const MAX_OBSERVERS: usize = 2;
+
 /// How often transitions between the paths are looked for.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -117,25 +121,20 @@
     }
 }
 
-/// The data hall of a holder that spreads the readers over the halls.
-#[derive(Clone, Debug)]
-pub(super) struct HolderHall {
-    pub(super) name: String,
-    /// The address by which its peers know it.
-    pub(super) source: Option<IpAddr>,
-}
-
 /// Chooses the readers and stores their list, for as long as the lease is
-/// held. Without `hall`, halls don't matter.
+/// held. `hall` is the holder's own one; without it, halls don't matter. `source` is the address by which
+/// the peers know this node.
 pub(super) async fn publish_readers<K: KeyValue>(
     store: K,
-    hall: Option<HolderHall>,
+    hall: Option<String>,
+    source: Option<IpAddr>,
     lease_revision: u64,
     log: Logger,
 ) {
     let mut publisher = Publisher {
         store,
         hall,
+        source,
         lease_revision,
         offers: Vec::new(),
         offers_read_ms: None,
@@ -153,7 +152,8 @@
 
 struct Publisher<K> {
     store: K,
-    hall: Option<HolderHall>,
+    hall: Option<String>,
+    source: Option<IpAddr>,
     lease_revision: u64,
     offers: Vec<PeerNode>,
     offers_read_ms: Option<u64>,
@@ -219,8 +219,11 @@
     /// Checks the readers, and returns the names of the nodes that don't
     /// answer.
     async fn check(&mut self, readers: &[PeerNode]) -> BTreeSet<String> {
+        let source = self.source;
         let checks = readers.iter().map(|reader| async move {
-            (reader, is_peer_alive(&reader.address, ALIVE_TIMEOUT).await)
+            let checked =
+                is_peer_alive(&reader.address, source, ALIVE_TIMEOUT);
+            (reader, checked.await)
         });
         for (reader, is_alive) in futures_util::future::join_all(checks).await
         {
@@ -251,7 +254,8 @@
             readers.iter().filter(answers).cloned().collect();
         let answering = &answering;
         let asked = silent.iter().map(|node| async move {
-            (node, is_reached_by_another(hall, node, answering).await)
+            let reached = is_reached_by_another(hall, source, node, answering);
+            (node, reached.await)
         });
         let asked = futures_util::future::join_all(asked).await;
         let failed = asked.into_iter().filter(|(_, reached)| !reached);
@@ -283,22 +287,27 @@
 }
 
 /// Returns whether a node in another hall than the holder's reaches a reader
-/// that doesn't answer the holder. If no such node says so, the holder's own
-/// view counts.
+/// that doesn't answer the holder. The first one that knows decides; if none
+/// does, the holder's own view counts.
 async fn is_reached_by_another(
-    hall: &HolderHall,
+    hall: &str,
+    source: Option<IpAddr>,
     silent: &PeerNode,
     answering: &[PeerNode],
 ) -> bool {
-    let observers = second_observers(&hall.name, silent, answering);
-    let Some(observer) = observers.first() else { return false };
-    let reach = ask_reach(&observer.address, &silent.address, hall.source);
-    let reach = reach.await;
-    let name = match reach {
-        Reach::Reached => "reached",
-        Reach::NotReached => "not_reached",
-        Reach::Unknown => "unknown",
-    };
-    counters::count_by(counters::SECOND_OBSERVERS, "answer", name);
-    reach == Reach::Reached
+    let observers = second_observers(hall, silent, answering);
+    for observer in observers.into_iter().take(MAX_OBSERVERS) {
+        let reach = ask_reach(&observer.address, &silent.address, source);
+        let reach = reach.await;
+        let name = match reach {
+            Reach::Reached => "reached",
+            Reach::NotReached => "not_reached",
+            Reach::Unknown => "unknown",
+        };
+        counters::count_by(counters::SECOND_OBSERVERS, "answer", name);
+        if reach != Reach::Unknown {
+            return reach == Reach::Reached;
+        }
+    }
+    false
 }
--- a/crates/dewspard/tests/second_observer.rs
+++ b/crates/dewspard/tests/second_observer.rs
@@ -33,6 +33,9 @@
     /// Whether it says that it reaches the node it is asked about.
     reaches: Arc<AtomicBool>,
     asked: Arc<AtomicUsize>,
+    /// Whether it answers only every second question, as if every other node
+    /// were of a build without it.
+    is_unsure: Arc<AtomicBool>,
     /// How many times it was asked whether it is alive.
     checked: Arc<AtomicUsize>,
 }
@@ -55,8 +58,14 @@
         while let Ok(length @ 1..) = stream.read(&mut read).await {
             let text = String::from_utf8_lossy(&read[..length]).into_owned();
             let status = if text.contains("/dewspar-peer/reaches?") {
-                self.asked.fetch_add(1, Ordering::Relaxed);
-                if self.reaches.load(Ordering::Relaxed) { 200 } else { 424 }
+                let before = self.asked.fetch_add(1, Ordering::Relaxed);
+                if self.is_unsure.load(Ordering::Relaxed) && before % 2 == 0 {
+                    404
+                } else if self.reaches.load(Ordering::Relaxed) {
+                    200
+                } else {
+                    424
+                }
             } else {
                 self.checked.fetch_add(1, Ordering::Relaxed);
                 200
@@ -92,9 +101,18 @@
     /// Starts a holder with a reader that doesn't answer it, one that does in
     /// another hall, and a weaker node that would replace the first.
     async fn start(tolerated_halls: usize, reaches: bool) -> Site {
+        Site::start_with(tolerated_halls, reaches, false).await
+    }
+
+    async fn start_with(
+        tolerated_halls: usize,
+        reaches: bool,
+        is_unsure: bool,
+    ) -> Site {
         let store = Store::new(Faults::new(1));
         let observer = Observer::default();
         observer.reaches.store(reaches, Ordering::Relaxed);
+        observer.is_unsure.store(is_unsure, Ordering::Relaxed);
         let gone = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let silent = gone.local_addr().expect("an address").to_string();
         drop(gone);
@@ -176,6 +194,15 @@
     assert!(site.is_reader("spare").await);
 }
 
+/// Guards against one observer of an earlier build that has readers of a
+/// half-cut hall replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn another_observer_is_asked_if_the_first_does_not_know() {
+    let site = Site::start_with(1, true, true).await;
+    wait_until(async || site.observer.asked.load(Ordering::Relaxed) > 5).await;
+    assert!(site.is_reader("silent").await);
+}
+
 /// Guards against readers that are gone and stay.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_reader_that_nobody_reaches_is_replaced() {
