Bound connections, heads, answers and waits of the server for peers

Only the bodies of calls were bounded. Now: 2,048 connections; 128 from addresses that are known to be unlisted, with one call each, whose head must come within 2 s; heads of 16 KiB; answers in flight in the same 16 MiB as bodies; 2 s for reading a body, which a listed caller could keep for 60 s.

Unlisted connections aren't closed at once: without a 403 the caller must take its call for one that may have taken effect, and a check of a reader would fail. Answers up to 1 KiB aren't counted, so that a write's result gets through beside large bodies. A write whose answer has no room counts as lost.

The server's 400 for a body that doesn't come is a 403 now, and its 411 and 413 count as not forwarded; before, clients took them for the store's answer.

--- a/crates/dewspar-platform/src/peers/admission.rs
+++ b/crates/dewspar-platform/src/peers/admission.rs
@@ -59,6 +59,8 @@
     NoRoom,
     /// Too many calls are in flight.
     TooManyCalls,
+    /// Too many connections are open.
+    TooManyConnections,
 }
 
 impl RefusalReason {
@@ -72,6 +74,7 @@
             RefusalReason::LongBody => "long_body",
             RefusalReason::NoRoom => "no_room",
             RefusalReason::TooManyCalls => "too_many_calls",
+            RefusalReason::TooManyConnections => "too_many_connections",
         }
     }
 }
@@ -124,6 +127,11 @@
         }
     }
 
+    /// Returns whether the list, as it was last read, lacks a caller's address.
+    pub(super) fn is_unlisted(&self, caller: IpAddr) -> bool {
+        self.known().lacks(caller)
+    }
+
     /// Returns whether a listed node serves its peers at this address.
     pub(super) fn is_server(&self, address: SocketAddr) -> bool {
         self.known().is_server(address)
--- a/crates/dewspar-platform/src/peers/calls.rs
+++ b/crates/dewspar-platform/src/peers/calls.rs
@@ -162,11 +162,17 @@
 }
 
 /// Returns whether a peer's answer says that it didn't forward the call: it
-/// can't, or it doesn't know this node yet. The store refuses no call of a node
-/// with 403.
+/// can't, it doesn't know this node yet, or it takes no such body. The store
+/// refuses no call of a node with 403 or 411, and one that it finds too large
+/// had no effect either.
 fn is_refusal(status: StatusCode) -> bool {
-    status == StatusCode::SERVICE_UNAVAILABLE
-        || status == StatusCode::FORBIDDEN
+    matches!(
+        status,
+        StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::FORBIDDEN
+            | StatusCode::LENGTH_REQUIRED
+            | StatusCode::PAYLOAD_TOO_LARGE
+    )
 }
 
 /// What became of a call on the node's own path.
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -42,14 +42,46 @@
 /// in nothing that matters to their readers.
 pub type Fingerprint = fn(&[u8]) -> u64;
 
-/// The largest total size of the bodies of calls in flight, in bytes: a tenth
-/// of the memory of a small node, and more than any single batch of writes
-/// takes.
+/// The largest total size of the bodies of calls in flight and of their
+/// answers, in bytes: a tenth of the memory of a small node, and more than any
+/// single batch of writes takes.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// The largest number of calls that are forwarded at a time.
 const MAX_CALLS: usize = 1_024;
 
+/// The largest number of connections from all other addresses: one for each call,
+/// and as many idle ones.
+const MAX_CONNECTIONS: usize = 2_048;
+
+/// The largest number of connections from addresses that are known to be
+/// unlisted, which is also more than a reader's share of nodes that start at
+/// the same time. They are served to
+/// say that the call is refused: without an answer, the caller would have to
+/// assume that its call took effect.
+const MAX_UNLISTED_CONNECTIONS: usize = 128;
+
+/// The size of a connection's read buffer, in bytes, which also bounds the head
+/// of a call.
+const MAX_BUFFER_BYTES: usize = 16 * 1024;
+
+/// How long a caller may take to send the head of its next call: longer than
+/// clients keep idle connections.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// How long a caller that is known to be unlisted may take to send the head of
+/// its only call.
+const UNLISTED_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// How long a caller may take to send a body, so that one that sends nothing
+/// doesn't keep the room for it.
+const BODY_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The size up to which answers aren't counted, in bytes, so that a write's
+/// result gets through while large bodies take all the room. The answers of all
+/// calls in flight take 1 MiB then.
+const UNCOUNTED_ANSWER_BYTES: usize = 1_024;
+
 /// The longest time that a call may take, in milliseconds.
 const MAX_TIMEOUT_MS: u64 = 60_000;
 
@@ -80,6 +112,8 @@
     /// The address by which other nodes know this one.
     source: Option<IpAddr>,
     shared: SharedReads,
+    connections: Arc<AtomicUsize>,
+    unlisted_connections: Arc<AtomicUsize>,
     calls_in_flight: Arc<AtomicUsize>,
     body_bytes_in_flight: Arc<AtomicUsize>,
 }
@@ -108,6 +142,8 @@
             may_forward,
             source: None,
             shared: SharedReads::default(),
+            connections: Arc::default(),
+            unlisted_connections: Arc::default(),
             calls_in_flight: Arc::default(),
             body_bytes_in_flight: Arc::default(),
         }
@@ -127,10 +163,22 @@
                 sleep(ACCEPT_RETRY_DELAY).await;
                 continue;
             };
+            let caller = address.ip();
+            let is_unlisted = callers.is_unlisted(caller);
+            let connection = if is_unlisted {
+                let unlisted = &self.unlisted_connections;
+                Counted::below(unlisted, MAX_UNLISTED_CONNECTIONS)
+            } else {
+                Counted::below(&self.connections, MAX_CONNECTIONS)
+            };
+            let Some(connection) = connection else {
+                let reason = RefusalReason::TooManyConnections;
+                callers.directory().note_refusal(caller, reason);
+                continue;
+            };
             // OK to ignore: it only affects latency.
             let _ = stream.set_nodelay(true);
             let (server, callers) = (self.clone(), callers.clone());
-            let caller = address.ip();
             let service = service_fn(move |request| {
                 let (server, callers) = (server.clone(), callers.clone());
                 async move {
@@ -138,11 +186,19 @@
                     Ok::<_, Infallible>(answer.await)
                 }
             });
-            tokio::spawn(
-                http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service),
-            );
+            let head_timeout =
+                if is_unlisted { UNLISTED_HEAD_TIMEOUT } else { HEAD_TIMEOUT };
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(head_timeout)
+                .max_buf_size(MAX_BUFFER_BYTES)
+                .keep_alive(!is_unlisted)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(async move {
+                // OK to ignore: the caller notices as well.
+                let _ = serving.await;
+                drop(connection);
+            });
         }
     }
 
@@ -168,13 +224,10 @@
                 Err(reason) => refuse(reason),
             };
         }
-        let reserved = match self.reserve(&request) {
-            Ok(reserved) => reserved,
-            Err(reason) => return refuse(reason),
-        };
-        let answer = self.forward(request).await;
-        drop(reserved);
-        answer
+        match self.reserve(&request) {
+            Ok((_call, room)) => self.forward(request, room).await,
+            Err(reason) => refuse(reason),
+        }
     }
 
     /// Tells another node whether this one reaches a listed node.
@@ -220,22 +273,24 @@
         Ok((call, body))
     }
 
+    /// Forwards a call for whose body there is room.
     async fn forward(
         &self,
         request: Request<Incoming>,
+        room: Counted,
     ) -> Response<Full<Bytes>> {
         let (head, body) = request.into_parts();
         let timeout_ms = number(&head.headers, TIMEOUT_HEADER)
             .unwrap_or(self.client.timeout_ms())
             .clamp(2 * RETURN_RESERVE_MS, MAX_TIMEOUT_MS);
         let reading = Limited::new(body, MAX_BODY_BYTES).collect();
-        // A caller that doesn't send its body must not keep the room for it.
-        let read = timeout(Duration::from_millis(timeout_ms), reading).await;
-        let Ok(Ok(body)) = read else {
-            return empty(StatusCode::BAD_REQUEST);
+        let max_wait = Duration::from_millis(timeout_ms).min(BODY_TIMEOUT);
+        // Not the status of a bad request, which may be the store's answer.
+        let Ok(Ok(body)) = timeout(max_wait, reading).await else {
+            return closing(StatusCode::FORBIDDEN);
         };
         let Some(call) = self.forwarded(&head, body.to_bytes()) else {
-            return empty(StatusCode::BAD_REQUEST);
+            return closing(StatusCode::FORBIDDEN);
         };
         let client =
             self.client.with_timeout_ms(timeout_ms - RETURN_RESERVE_MS);
@@ -243,10 +298,40 @@
             .filter(|_| head.method == Method::GET);
         match share_ms {
             Some(share_ms) => self.share(&head, call, client, share_ms).await,
-            None => response(&client.send("forward", call).await, None),
+            None => {
+                let answer = client.send("forward", call).await;
+                drop(room);
+                response(&self.bounded(answer, &head.method), None)
+            }
         }
     }
 
+    /// Counts an answer for as long as it is kept. If there is no room for it,
+    /// returns an error that says whether the call may have taken effect.
+    fn bounded(
+        &self,
+        answer: Result<Answer, Error>,
+        method: &Method,
+    ) -> Result<Answer, Error> {
+        let mut answer = answer?;
+        let length = answer.body.len();
+        if length <= UNCOUNTED_ANSWER_BYTES {
+            return Ok(answer);
+        }
+        let room =
+            Counted::take(&self.body_bytes_in_flight, length, MAX_BODY_BYTES);
+        let Some(_room) = room else {
+            let (call, reason) = ("forward", "no room for it".to_owned());
+            return Err(match *method {
+                Method::GET => Error::Unavailable { call, reason },
+                _ => Error::Lost { call, reason },
+            });
+        };
+        let body = std::mem::take(&mut answer.body);
+        answer.body = Bytes::from_owner(CountedBytes { body, _room });
+        Ok(answer)
+    }
+
     /// Answers a read together with others.
     async fn share(
         &self,
@@ -259,8 +344,10 @@
         let url = call.uri().to_string();
         let fingerprint = self.fingerprint;
         let (own_client, own_call) = (client.clone(), call.clone());
+        let server = self.clone();
         let send = move || async move {
             let answer = client.send("shared read", call).await;
+            let answer = server.bounded(answer, &Method::GET);
             let body = answer.as_ref().map(|answer| answer.body.clone());
             let body = body.unwrap_or_default();
             let fingerprint = format!("{:016x}", fingerprint(&body));
@@ -268,7 +355,7 @@
         };
         let Some(result) = self.shared.read(&url, interval, send).await else {
             let answer = own_client.send("forward", own_call).await;
-            return response(&answer, None);
+            return response(&self.bounded(answer, &Method::GET), None);
         };
         let known = head.headers.get(FINGERPRINT_HEADER);
         let is_known = known.is_some_and(|known| {
@@ -300,6 +387,18 @@
     }
 }
 
+/// The body of an answer, with its part of the room for bodies.
+struct CountedBytes {
+    body: Bytes,
+    _room: Counted,
+}
+
+impl AsRef<[u8]> for CountedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.body
+    }
+}
+
 /// Returns whether the peer at an address answers a call from the address
 /// `source` of this node, if it is given, within this time.
 ///
@@ -377,10 +476,17 @@
         | RefusalReason::UnknownAddress => StatusCode::FORBIDDEN,
         RefusalReason::NoLength => StatusCode::LENGTH_REQUIRED,
         RefusalReason::LongBody => StatusCode::PAYLOAD_TOO_LARGE,
-        RefusalReason::NoRoom | RefusalReason::TooManyCalls => {
+        RefusalReason::NoRoom
+        | RefusalReason::TooManyCalls
+        | RefusalReason::TooManyConnections => {
             return empty(StatusCode::SERVICE_UNAVAILABLE);
         }
     };
+    closing(status)
+}
+
+/// Builds an empty response that ends the connection.
+fn closing(status: StatusCode) -> Response<Full<Bytes>> {
     let mut response = empty(status);
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -42,6 +42,8 @@
 struct StoreState {
     mood: Mood,
     value: u64,
+    /// How many bytes longer than its value an answer is.
+    padding: usize,
     calls: BTreeMap<String, u32>,
 }
 
@@ -59,6 +61,7 @@
         let state = StoreState {
             mood: Mood::Serves,
             value: 0,
+            padding: 0,
             calls: BTreeMap::new(),
         };
         let store = Store { state: Arc::new(Mutex::new(state)), address };
@@ -98,7 +101,8 @@
         if request.method() == Method::POST {
             state.value += 1;
         }
-        Ok(Response::new(Full::from(state.value.to_string())))
+        let padding = " ".repeat(state.padding);
+        Ok(Response::new(Full::from(format!("{}{padding}", state.value))))
     }
 
     fn set_mood(&self, mood: Mood) {
@@ -629,3 +633,111 @@
         assert_eq!(routes.peers_outside("hall-0", 9).len(), 9, "{node}");
     }
 }
+
+/// Guards against a caller that announces a body, sends nothing and so keeps
+/// the room of all others.
+#[tokio::test]
+async fn a_body_that_does_not_come_takes_its_room_for_seconds_only() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    let head = |length: u32| {
+        format!(
+            "POST /write HTTP/1.1\r\nhost: x\r\n\
+             content-length: {length}\r\n\r\n"
+        )
+    };
+    let mut waiting = TcpStream::connect(&peer.address).await.unwrap();
+    let large = head(16 * 1024 * 1024);
+    waiting.write_all(large.as_bytes()).await.unwrap();
+    while !answer_to(&peer, &head(1_000)).await.starts_with("HTTP/1.1 503") {}
+    // Its caller learns that the call wasn't carried out.
+    let mut answer = [0; 12];
+    let reading = waiting.read_exact(&mut answer);
+    let read = timeout(Duration::from_secs(12), reading).await;
+    read.expect("in time").unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 403");
+    let (client, _) = node("node", &[peer]);
+    let (refusing, _) = two_views().await;
+    assert!(write(&client, &refusing).await.is_ok());
+}
+
+/// Guards against strangers that take memory by open connections alone.
+#[tokio::test]
+async fn connections_from_unlisted_addresses_are_few_and_short() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&[]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let alive = "GET /dewspar-peer/alive HTTP/1.1\r\nhost: x\r\n\r\n";
+    assert!(answer_to(&peer, alive).await.starts_with("HTTP/1.1 403"));
+    listed.state().refusals.clear();
+    let mut silent = Vec::new();
+    for _ in 0..200 {
+        silent.push(TcpStream::connect(&peer.address).await.unwrap());
+    }
+    let is_closed = async |stream: &mut TcpStream| {
+        // A reset ends the connection as well.
+        let mut read = [0; 1];
+        let read = timeout(Duration::from_secs(15), stream.read(&mut read));
+        matches!(read.await, Ok(Ok(0) | Err(_)))
+    };
+    for stream in &mut silent {
+        assert!(is_closed(stream).await);
+    }
+    let refusals = listed.state().refusals.clone();
+    let reason = RefusalReason::TooManyConnections;
+    assert!(refusals.len() >= 72, "{}", refusals.len());
+    assert!(refusals.iter().all(|refusal| *refusal == reason));
+}
+
+/// Guards against heads that take the memory that bodies may not take.
+#[tokio::test]
+async fn heads_of_calls_are_bounded() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    let padding = "x".repeat(64 * 1024);
+    let head = format!("GET /read HTTP/1.1\r\nhost: x\r\na: {padding}\r\n");
+    let answer = answer_to(&peer, &head).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
+
+/// Guards against answers that take the memory that bodies may not take. The
+/// room for both is 16 MiB.
+#[tokio::test]
+async fn answers_in_flight_take_bounded_room() {
+    let store = Store::start().await;
+    store.state.lock().unwrap().padding = 9 * 1024 * 1024;
+    let peer = start_peer("peer", &store).await;
+    // This caller doesn't read its answer.
+    let mut slow = TcpStream::connect(&peer.address).await.unwrap();
+    let read_head = b"GET /read HTTP/1.1\r\nhost: x\r\n\r\n";
+    slow.write_all(read_head).await.unwrap();
+    slow.read_exact(&mut [0; 12]).await.unwrap();
+    let (refusing, _) = two_views().await;
+    let (client, _) = node("node", std::slice::from_ref(&peer));
+    let error = read(&client, &refusing).await.unwrap_err();
+    assert!(!error.may_have_taken_effect(), "{error}");
+    let (client, _) = node("node", std::slice::from_ref(&peer));
+    let error = write(&client, &refusing).await.unwrap_err();
+    assert!(error.may_have_taken_effect(), "{error}");
+    drop(slow);
+    let (client, _) = node("node", &[peer]);
+    while read(&client, &refusing).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a peer's own refusal of a body that is taken for the store's
+/// answer.
+#[tokio::test]
+async fn a_body_that_a_peer_refuses_was_not_carried() {
+    let (refusing, served) = two_views().await;
+    let peer = start_peer("peer", &served).await;
+    let (client, routes) = node("node", &[peer]);
+    let url = format!("http://{}/write", refusing.address);
+    let body = "x".repeat(17 * 1024 * 1024);
+    let request = json_request("write", Method::POST, &url, &body).unwrap();
+    let answer = client.send("write", request).await.unwrap();
+    // The store's own answer.
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(routes.status().forwarded_calls, 0);
+}
