Change nothing about readers and detours where halls don't matter

A detour tried a peer of another hall second also with tolerate.halls at 0. And former readers were recognized by their whole offers, so the upgrade that adds the hall to them had all readers chosen afresh; now by name and address.

Both tests fail with the code before.

--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -61,6 +61,8 @@
     peers: Vec<Peer>,
     /// Until when some peers aren't used.
     avoided: HashMap<Authority, Instant>,
+    /// Whether a detour tries another hall second.
+    halls_matter: bool,
     /// Whether this node reads the store itself.
     reads_itself: bool,
     /// The newest result of each shared read, with its fingerprint.
@@ -108,7 +110,7 @@
     }
 
     /// Sets the readers, as known to this node. Those of its own hall come
-    /// first, unless `own_hall` is empty.
+    /// first, and detours try another hall second, unless `own_hall` is empty.
     pub fn set_readers(
         &self,
         node: &str,
@@ -121,6 +123,7 @@
             Some(Peer { address, hall: peer.hall })
         };
         let mut state = self.state();
+        state.halls_matter = !own_hall.is_empty();
         state.reads_itself = readers.iter().any(|peer| peer.name == node);
         // An address that can't be used is the same as no offer.
         state.peers = peers.into_iter().filter_map(peer).collect();
@@ -204,11 +207,14 @@
     }
 
     /// Returns the peers to try for a call that the own path doesn't carry: the
-    /// preferred one, then one of another hall, which a fault of the first
-    /// one's hall leaves alone, then the others.
+    /// preferred one, then, where halls matter, one of another hall, which a
+    /// fault of the first one's hall leaves alone, then the others.
     pub(crate) fn detour_peers(&self) -> Vec<Authority> {
         let mut usable = self.usable_peers();
         let state = self.state();
+        if !state.halls_matter {
+            return usable;
+        }
         let hall = |address: &Authority| {
             let found = state.peers.iter().find(|p| p.address == *address);
             found.map(|peer| peer.hall.as_str())
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -741,3 +741,28 @@
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(routes.status().forwarded_calls, 0);
 }
+
+/// Guards against any change where the loss of halls needn't be tolerated: the
+/// second try is the second preference.
+#[tokio::test]
+async fn without_a_hall_of_its_own_a_node_does_not_prefer_another_one() {
+    let (refusing, served) = two_views().await;
+    let cut_off = Store::start().await;
+    cut_off.set_mood(Mood::Refuses);
+    let mut readers = Vec::new();
+    for name in ["a", "b", "c"] {
+        let peer = start_peer(name, &cut_off).await;
+        readers.push(PeerNode { hall: "hall-1".to_owned(), ..peer });
+    }
+    let other = start_peer("d", &served).await;
+    readers.push(PeerNode { hall: "hall-2".to_owned(), ..other });
+    let names = (0..100).map(|number| format!("node-{number}"));
+    let mut last = names.filter(|name| {
+        let order = dewspar::detour::preferred_readers(name, "", &readers);
+        order[3].name == "d"
+    });
+    let (client, _) = node(&last.next().unwrap(), &readers);
+    assert!(write(&client, &refusing).await.is_err());
+    assert_eq!(cut_off.calls("/write"), 2);
+    assert_eq!(served.calls("/write"), 0);
+}
--- a/crates/dewspar/src/detour.rs
+++ b/crates/dewspar/src/detour.rs
@@ -164,7 +164,12 @@
     former: &[PeerNode],
     failed: &BTreeSet<String>,
 ) -> Vec<&'a PeerNode> {
-    let is_former = |node: &PeerNode| former.iter().any(|f| f == node);
+    // A later build's offer may differ in other fields.
+    let is_former = |node: &PeerNode| {
+        let is_same =
+            |f: &PeerNode| f.name == node.name && f.address == node.address;
+        former.iter().any(is_same)
+    };
     let mut ranked: Vec<&PeerNode> = offers.iter().collect();
     ranked.sort_by_cached_key(|node| {
         (
--- a/crates/dewspar/tests/detour.rs
+++ b/crates/dewspar/tests/detour.rs
@@ -200,3 +200,26 @@
     let own_hall = of_own[0].hall.clone();
     assert!(second_observers(&own_hall, silent, &of_own).is_empty());
 }
+
+/// Guards against an upgrade that adds a field to the offers and so has all
+/// readers chosen afresh.
+#[test]
+fn readers_stay_when_their_offers_name_a_hall() {
+    let offers = fleet(72, 0);
+    // Not those that would be chosen without former readers.
+    let first = choose_readers(&offers, &[], &none());
+    let failed = first.iter().map(|reader| reader.name.clone()).collect();
+    let former = choose_readers(&offers, &first, &failed);
+    assert_ne!(former, first);
+    let upgraded: Vec<PeerNode> = offers
+        .into_iter()
+        .map(|offer| PeerNode { hall: "hall-1".to_owned(), ..offer })
+        .collect();
+    let names = |readers: &[PeerNode]| -> Vec<String> {
+        readers.iter().map(|reader| reader.name.clone()).collect()
+    };
+    let readers = choose_readers(&upgraded, &former, &none());
+    assert_eq!(names(&readers), names(&former));
+    let readers = choose_readers_across_halls(&upgraded, &former, &none());
+    assert_eq!(names(&readers), names(&former));
+}
