--- a/crates/dewspar/src/hall_routes.rs
+++ b/crates/dewspar/src/hall_routes.rs
@@ -330,8 +330,14 @@
         })
     }
 
-    /// Forgets the workers that are no longer listed.
-    pub fn retain_workers(&mut self, is_listed: impl Fn(&str) -> bool) {
+    /// Forgets the workers that are no longer listed, and the halls that have
+    /// no listed worker left: nobody would try a path to them again.
+    pub fn retain_workers(
+        &mut self,
+        is_listed: impl Fn(&str) -> bool,
+        has_workers: impl Fn(&str) -> bool,
+    ) {
+        self.halls.retain(|hall, _| has_workers(hall));
         for hall in self.halls.values_mut() {
             hall.suspects.retain(|worker, _| is_listed(worker));
         }
--- a/crates/dewspar/tests/hall_routes.rs
+++ b/crates/dewspar/tests/hall_routes.rs
@@ -247,7 +247,20 @@
     let mut routes = HallRoutes::default();
     routes.unanswered(OWN, FAR, "w-1", 0, 300);
     assert!(!routes.is_quiet());
-    routes.retain_workers(|worker| worker != "w-1");
+    routes.retain_workers(|worker| worker != "w-1", |_| true);
+    assert!(routes.is_quiet());
+}
+
+/// Guards against a path that counts as out for good because its hall has no
+/// workers left to try it with.
+#[test]
+fn a_hall_without_workers_is_forgotten() {
+    let mut routes = half_cut();
+    assert_eq!(routes.out_from(OWN).collect::<Vec<_>>(), [FAR]);
+    routes.retain_workers(|_| true, |hall| hall == FAR);
+    assert_eq!(routes.out_from(OWN).count(), 1);
+    routes.retain_workers(|_| false, |hall| hall != FAR);
+    assert_eq!(routes.out_from(OWN).count(), 0);
     assert!(routes.is_quiet());
 }
 
--- a/crates/dewspard/src/jobs/relay/hall_links.rs
+++ b/crates/dewspard/src/jobs/relay/hall_links.rs
@@ -81,9 +81,10 @@
             let name = names.entry(hall).or_insert_with(|| Arc::from(hall));
             halls.insert(listing.id.clone(), Arc::clone(name));
         }
-        self.routes().retain_workers(|worker| {
-            halls.contains_key(&WorkerId::new(worker))
-        });
+        self.routes().retain_workers(
+            |worker| halls.contains_key(&WorkerId::new(worker)),
+            |hall| names.contains_key(hall),
+        );
         // OK after a panic: the map is replaced as a whole.
         let current = self.halls.write();
         *current.unwrap_or_else(PoisonError::into_inner) = halls;
