End writes under way when the node is cut off with its hall

Their callers waited for their deadlines. They are told at once that the outcome is unknown, or that nothing was done if every try certainly failed.

--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -442,14 +442,24 @@
     }
 
     /// Writes a batch, with retries: until the deadline once a write may have
-    /// taken effect, and only a few times while all have certainly failed.
+    /// taken effect, and only a few times while all have certainly failed. It
+    /// ends as soon as this node is cut off with its data hall.
     async fn write(&self, batch: &Batch, deadline: Instant) -> WriteResult {
         let mut may_be_done = false;
         let mut retries = 0;
         let mut backoff = Backoff::default();
         loop {
             let sent = self.gate.begin_call();
-            match timeout_at(deadline, self.store.commit(batch)).await {
+            let answered = tokio::select! {
+                biased;
+                answered = timeout_at(deadline, self.store.commit(batch)) => {
+                    answered
+                }
+                () = self.readiness.wait_until_isolated() => {
+                    return WriteResult::Unknown;
+                }
+            };
+            match answered {
                 Ok(Ok(commit)) => {
                     sent.answered();
                     return match commit {
@@ -471,7 +481,11 @@
             if !may_be_done && gives_up {
                 return WriteResult::NotDone;
             }
-            if !backoff.wait_before(deadline).await {
+            let goes_on = tokio::select! {
+                goes_on = backoff.wait_before(deadline) => goes_on,
+                () = self.readiness.wait_until_isolated() => false,
+            };
+            if !goes_on {
                 let unknown = WriteResult::Unknown;
                 return if may_be_done {
                     unknown
--- a/crates/dewspard/tests/cut_off.rs
+++ b/crates/dewspard/tests/cut_off.rs
@@ -156,16 +156,21 @@
 
     /// Submits a job; returns the status, and whether it is stored.
     async fn submit(&self, id: &str) -> (StatusCode, bool) {
+        let status = self.submitted(id).await;
+        let key = format!("q/in/{id}");
+        let stored = self.store.version(&key).await.expect("a store") > 0;
+        (status, stored)
+    }
+
+    /// Submits a job; returns the status.
+    async fn submitted(&self, id: &str) -> StatusCode {
         let address = self.node.caller_address();
         let url = format!("http://{address}/v1/queues/extracts/jobs/{id}");
         let body = json!({ "payload": "x", "steps": [{ "count": 1 }] });
         let request = json_request("submit", Method::POST, &url, &body);
         let request = request.expect("a request");
         let answer = Client::new(TIMEOUT_MS).send("submit", request).await;
-        let status = answer.expect("an answer").status;
-        let key = format!("q/in/{id}");
-        let stored = self.store.version(&key).await.expect("a store") > 0;
-        (status, stored)
+        answer.expect("an answer").status
     }
 
     /// Has the node's own path to the store fail or answer.
@@ -200,6 +205,26 @@
     assert_eq!((status, stored), (StatusCode::CREATED, true));
 }
 
+/// Guards against callers whose write is under way when their node is cut off,
+/// and who wait for their deadlines there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_write_under_way_ends_when_the_node_is_cut_off() {
+    let site = Site::start(1).await;
+    site.store.faults().set_delay_us(1_000 * TIMEOUT_MS);
+    let began = std::time::Instant::now();
+    let cutting = async {
+        // By then the write is sent.
+        tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+        site.far.is_silent.store(true, Ordering::Relaxed);
+        site.call_store(false).await;
+    };
+    let submitting = site.submitted("0000000000000001");
+    let (status, ()) = tokio::join!(submitting, cutting);
+    assert_eq!(status, StatusCode::GATEWAY_TIMEOUT);
+    let took_ms = began.elapsed().as_millis();
+    assert!(took_ms < u128::from(TIMEOUT_MS / 2), "{took_ms} ms");
+}
+
 /// Guards against an outage of the store, or one that refuses this node alone,
 /// that is taken for the loss of a hall.
 #[tokio::test(flavor = "multi_thread")]
