--- a/crates/dewspar/src/peer_access.rs
+++ b/crates/dewspar/src/peer_access.rs
@@ -5,11 +5,12 @@
 their IP addresses, which the offers in the store contain. [`KnownPeers`] holds
 these addresses and decides when the offers are read again: when an unknown
 address calls, because a node may have started meanwhile, and when the list is
-older than [`MAX_LIST_AGE_MS`], because a node may have been removed. There is
-at most one read per [`READ_INTERVAL_MS`], however many unknown addresses call,
-and half as many after each read that brought no new address, down to one per
-[`MAX_READ_INTERVAL_MS`]: one host that isn't listed may call all nodes.
-If the store can't be read, the last list stays in use.
+older than [`MAX_LIST_AGE_MS`], because an offer may have been deleted. Nodes
+don't delete their offers, so a former node counts until someone else does.
+There is at most one read per [`READ_INTERVAL_MS`], however many unknown
+addresses call, and half as many after each read that brought no new address,
+down to one per [`MAX_READ_INTERVAL_MS`]: one host that isn't listed may call
+all nodes. If the store can't be read, the last list stays in use.
 
 [`RefusalLog`] limits the log lines about refused calls.
 
@@ -55,7 +56,7 @@
 pub const MAX_READ_INTERVAL_MS: u64 = 30_000;
 
 /// The age from which the list is read again for any caller, in milliseconds.
-/// It bounds how long a removed node counts while the store answers. At 588
+/// It bounds how long a deleted offer counts while the store answers. At 588
 /// nodes one read takes some 70 kB, so a reader spends about 1 kB/s on it.
 pub const MAX_LIST_AGE_MS: u64 = 60_000;
 
