--- a/crates/dewspard/tests/second_observer.rs
+++ b/crates/dewspard/tests/second_observer.rs
@@ -59,7 +59,9 @@
             let text = String::from_utf8_lossy(&read[..length]).into_owned();
             let status = if text.contains("/dewspar-peer/reaches?") {
                 let before = self.asked.fetch_add(1, Ordering::Relaxed);
-                if self.is_unsure.load(Ordering::Relaxed) && before % 2 == 0 {
+                if self.is_unsure.load(Ordering::Relaxed)
+                    && before.is_multiple_of(2)
+                {
                     404
                 } else if self.reaches.load(Ordering::Relaxed) {
                     200
