--- a/crates/dewspar-platform/src/peers/routes.rs
+++ b/crates/dewspar-platform/src/peers/routes.rs
@@ -8,7 +8,7 @@
     dewspar::detour::{OwnPath, Path, PeerNode, preferred_readers},
     hyper::http::uri::Authority,
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         fmt,
         net::IpAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -29,6 +29,8 @@
     began: Instant,
     /// The connections to peers, if they leave from an address of their own.
     connections: Option<Arc<Connections>>,
+    /// The address from which these connections leave.
+    source: Option<IpAddr>,
     state: Arc<Mutex<State>>,
 }
 
@@ -37,6 +39,7 @@
         PeerRoutes {
             began: Instant::now(),
             connections: None,
+            source: None,
             state: Arc::default(),
         }
     }
@@ -58,6 +61,8 @@
     peers: Vec<Peer>,
     /// Until when some peers aren't used.
     avoided: HashMap<Authority, Instant>,
+    /// Whether a detour tries another hall second.
+    halls_matter: bool,
     /// Whether this node reads the store itself.
     reads_itself: bool,
     /// The newest result of each shared read, with its fingerprint.
@@ -96,7 +101,8 @@
     ) -> PeerRoutes {
         let connections = Connections::new(connect_timeout, Some(source));
         let connections = Some(Arc::new(connections));
-        PeerRoutes { connections, ..PeerRoutes::default() }
+        let source = Some(source);
+        PeerRoutes { connections, source, ..PeerRoutes::default() }
     }
 
     pub(crate) fn connections(&self) -> Option<&Arc<Connections>> {
@@ -104,7 +110,7 @@
     }
 
     /// Sets the readers, as known to this node. Those of its own hall come
-    /// first, unless `own_hall` is empty.
+    /// first, and detours try another hall second, unless `own_hall` is empty.
     pub fn set_readers(
         &self,
         node: &str,
@@ -117,18 +123,32 @@
             Some(Peer { address, hall: peer.hall })
         };
         let mut state = self.state();
+        state.halls_matter = !own_hall.is_empty();
         state.reads_itself = readers.iter().any(|peer| peer.name == node);
         // An address that can't be used is the same as no offer.
         state.peers = peers.into_iter().filter_map(peer).collect();
     }
 
-    /// Returns the addresses of the peers in other halls than this one, the
-    /// preferred one first. Peers that name no hall are left out.
-    pub fn peers_outside(&self, hall: &str) -> Vec<String> {
+    /// Returns the addresses of peers in other halls than this one: the
+    /// preferred one of each hall, and others up to `min_count` if there are
+    /// fewer halls. Peers that name no hall are left out.
+    pub fn peers_outside(&self, hall: &str, min_count: usize) -> Vec<String> {
         let state = self.state();
         let is_far = |p: &&Peer| !p.hall.is_empty() && p.hall != hall;
-        let far = state.peers.iter().filter(is_far);
-        far.map(|peer| peer.address.to_string()).collect()
+        let mut halls = BTreeSet::new();
+        let (mut chosen, others): (Vec<&Peer>, Vec<&Peer>) = state
+            .peers
+            .iter()
+            .filter(is_far)
+            .partition(|peer| halls.insert(peer.hall.as_str()));
+        let missing = min_count.saturating_sub(chosen.len());
+        chosen.extend(others.into_iter().take(missing));
+        chosen.iter().map(|peer| peer.address.to_string()).collect()
+    }
+
+    /// Returns the address from which calls to peers leave, if it is set.
+    pub fn source(&self) -> Option<IpAddr> {
+        self.source
     }
 
     /// Returns whether reads can be shared: there are readers, and this node
@@ -187,11 +207,14 @@
     }
 
     /// Returns the peers to try for a call that the own path doesn't carry: the
-    /// preferred one, then one of another hall, which a fault of the first
-    /// one's hall leaves alone, then the others.
+    /// preferred one, then, where halls matter, one of another hall, which a
+    /// fault of the first one's hall leaves alone, then the others.
     pub(crate) fn detour_peers(&self) -> Vec<Authority> {
         let mut usable = self.usable_peers();
         let state = self.state();
+        if !state.halls_matter {
+            return usable;
+        }
         let hall = |address: &Authority| {
             let found = state.peers.iter().find(|p| p.address == *address);
             found.map(|peer| peer.hall.as_str())
--- a/crates/dewspar-platform/tests/peers.rs
+++ b/crates/dewspar-platform/tests/peers.rs
@@ -42,6 +42,8 @@
 struct StoreState {
     mood: Mood,
     value: u64,
+    /// How many bytes longer than its value an answer is.
+    padding: usize,
     calls: BTreeMap<String, u32>,
 }
 
@@ -59,6 +61,7 @@
         let state = StoreState {
             mood: Mood::Serves,
             value: 0,
+            padding: 0,
             calls: BTreeMap::new(),
         };
         let store = Store { state: Arc::new(Mutex::new(state)), address };
@@ -98,7 +101,8 @@
         if request.method() == Method::POST {
             state.value += 1;
         }
-        Ok(Response::new(Full::from(state.value.to_string())))
+        let padding = " ".repeat(state.padding);
+        Ok(Response::new(Full::from(format!("{}{padding}", state.value))))
     }
 
     fn set_mood(&self, mood: Mood) {
@@ -384,9 +388,9 @@
     let store = Store::start().await;
     let peer = start_peer("peer", &store).await;
     let wait = Duration::from_millis(TIMEOUT_MS);
-    assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, None, wait).await);
     let gone = gone_peer().await;
-    assert!(!dewspar_platform::is_peer_alive(&gone.address, wait).await);
+    assert!(!dewspar_platform::is_peer_alive(&gone.address, None, wait).await);
     assert_eq!(store.calls("/dewspar-peer/alive"), 0);
 }
 
@@ -517,7 +521,7 @@
     let store = Store::start().await;
     let peer = start_peer_for("peer", &store, Listed::default()).await;
     let wait = Duration::from_millis(TIMEOUT_MS);
-    assert!(dewspar_platform::is_peer_alive(&peer.address, wait).await);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, None, wait).await);
 }
 
 /// Guards against nodes with several addresses, whose peers know the one at
@@ -580,3 +584,185 @@
     let nobody = ask_reach(&gone.address, &reader.address, None).await;
     assert_eq!(nobody, Reach::Unknown);
 }
+
+/// Guards against checks that each count as those of an unknown caller, on
+/// nodes whose calls leave from another address than the listed one.
+#[cfg(target_os = "linux")]
+#[tokio::test]
+async fn checks_of_peers_leave_from_the_address_that_is_offered() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&["127.0.0.9:1"]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let own = "127.0.0.9".parse().ok();
+    let wait = Duration::from_millis(TIMEOUT_MS);
+    assert!(dewspar_platform::is_peer_alive(&peer.address, own, wait).await);
+    assert!(listed.state().refusals.is_empty());
+    // So do those that another node asks for.
+    let directory = Listed::nodes_at(&["127.0.0.1:1", &peer.address]);
+    let listener = TcpListener::bind("127.0.0.9:0").await.unwrap();
+    let observer = listener.local_addr().unwrap().to_string();
+    let authority = store.address.to_string().parse().unwrap();
+    let client = Client::new(TIMEOUT_MS);
+    let server = PeerServer::new(&client, authority, fingerprint, is_call);
+    tokio::spawn(server.serve(listener, directory));
+    let reach = ask_reach(&observer, &peer.address, None).await;
+    assert_eq!(reach, Reach::Reached);
+    assert!(listed.state().refusals.is_empty());
+}
+
+/// Guards against a node that takes itself for cut off because all peers that
+/// it checks are in the one hall that it doesn't reach.
+#[test]
+fn a_peer_of_each_other_hall_is_checked() {
+    let readers: Vec<PeerNode> = (0..12)
+        .map(|number| PeerNode {
+            name: format!("n-{number}"),
+            hall: format!("hall-{}", if number < 10 { 1 } else { number }),
+            address: format!("10.0.{number}.1:1"),
+            strength: 1,
+        })
+        .collect();
+    let routes = PeerRoutes::default();
+    for node in (0..20).map(|number| format!("node-{number}")) {
+        routes.set_readers(&node, "hall-0", &readers);
+        let checked = routes.peers_outside("hall-0", 3);
+        assert_eq!(checked.len(), 3, "{node}");
+        assert!(checked.contains(&readers[10].address), "{node}");
+        assert!(checked.contains(&readers[11].address), "{node}");
+        assert_eq!(routes.peers_outside("hall-0", 1).len(), 3, "{node}");
+        assert_eq!(routes.peers_outside("hall-0", 9).len(), 9, "{node}");
+    }
+}
+
+/// Guards against a caller that announces a body, sends nothing and so keeps
+/// the room of all others.
+#[tokio::test]
+async fn a_body_that_does_not_come_takes_its_room_for_seconds_only() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    let head = |length: u32| {
+        format!(
+            "POST /write HTTP/1.1\r\nhost: x\r\n\
+             content-length: {length}\r\n\r\n"
+        )
+    };
+    let mut waiting = TcpStream::connect(&peer.address).await.unwrap();
+    let large = head(16 * 1024 * 1024);
+    waiting.write_all(large.as_bytes()).await.unwrap();
+    while !answer_to(&peer, &head(1_000)).await.starts_with("HTTP/1.1 503") {}
+    // Its caller learns that the call wasn't carried out.
+    let mut answer = [0; 12];
+    let reading = waiting.read_exact(&mut answer);
+    let read = timeout(Duration::from_secs(12), reading).await;
+    read.expect("in time").unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 403");
+    let (client, _) = node("node", &[peer]);
+    let (refusing, _) = two_views().await;
+    assert!(write(&client, &refusing).await.is_ok());
+}
+
+/// Guards against strangers that take memory by open connections alone.
+#[tokio::test]
+async fn connections_from_unlisted_addresses_are_few_and_short() {
+    let store = Store::start().await;
+    let listed = Listed::nodes_at(&[]);
+    let peer = start_peer_for("peer", &store, listed.clone()).await;
+    let alive = "GET /dewspar-peer/alive HTTP/1.1\r\nhost: x\r\n\r\n";
+    assert!(answer_to(&peer, alive).await.starts_with("HTTP/1.1 403"));
+    listed.state().refusals.clear();
+    let mut silent = Vec::new();
+    for _ in 0..200 {
+        silent.push(TcpStream::connect(&peer.address).await.unwrap());
+    }
+    let is_closed = async |stream: &mut TcpStream| {
+        // A reset ends the connection as well.
+        let mut read = [0; 1];
+        let read = timeout(Duration::from_secs(15), stream.read(&mut read));
+        matches!(read.await, Ok(Ok(0) | Err(_)))
+    };
+    for stream in &mut silent {
+        assert!(is_closed(stream).await);
+    }
+    let refusals = listed.state().refusals.clone();
+    let reason = RefusalReason::TooManyConnections;
+    assert!(refusals.len() >= 72, "{}", refusals.len());
+    assert!(refusals.iter().all(|refusal| *refusal == reason));
+}
+
+/// Guards against heads that take the memory that bodies may not take.
+#[tokio::test]
+async fn heads_of_calls_are_bounded() {
+    let store = Store::start().await;
+    let peer = start_peer("peer", &store).await;
+    let padding = "x".repeat(64 * 1024);
+    let head = format!("GET /read HTTP/1.1\r\nhost: x\r\na: {padding}\r\n");
+    let answer = answer_to(&peer, &head).await;
+    assert!(answer.starts_with("HTTP/1.1 431"), "{answer}");
+}
+
+/// Guards against answers that take the memory that bodies may not take. The
+/// room for both is 16 MiB.
+#[tokio::test]
+async fn answers_in_flight_take_bounded_room() {
+    let store = Store::start().await;
+    store.state.lock().unwrap().padding = 9 * 1024 * 1024;
+    let peer = start_peer("peer", &store).await;
+    // This caller doesn't read its answer.
+    let mut slow = TcpStream::connect(&peer.address).await.unwrap();
+    let read_head = b"GET /read HTTP/1.1\r\nhost: x\r\n\r\n";
+    slow.write_all(read_head).await.unwrap();
+    slow.read_exact(&mut [0; 12]).await.unwrap();
+    let (refusing, _) = two_views().await;
+    let (client, _) = node("node", std::slice::from_ref(&peer));
+    let error = read(&client, &refusing).await.unwrap_err();
+    assert!(!error.may_have_taken_effect(), "{error}");
+    let (client, _) = node("node", std::slice::from_ref(&peer));
+    let error = write(&client, &refusing).await.unwrap_err();
+    assert!(error.may_have_taken_effect(), "{error}");
+    drop(slow);
+    let (client, _) = node("node", &[peer]);
+    while read(&client, &refusing).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// Guards against a peer's own refusal of a body that is taken for the store's
+/// answer.
+#[tokio::test]
+async fn a_body_that_a_peer_refuses_was_not_carried() {
+    let (refusing, served) = two_views().await;
+    let peer = start_peer("peer", &served).await;
+    let (client, routes) = node("node", &[peer]);
+    let url = format!("http://{}/write", refusing.address);
+    let body = "x".repeat(17 * 1024 * 1024);
+    let request = json_request("write", Method::POST, &url, &body).unwrap();
+    let answer = client.send("write", request).await.unwrap();
+    // The store's own answer.
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(routes.status().forwarded_calls, 0);
+}
+
+/// Guards against any change where the loss of halls needn't be tolerated: the
+/// second try is the second preference.
+#[tokio::test]
+async fn without_a_hall_of_its_own_a_node_does_not_prefer_another_one() {
+    let (refusing, served) = two_views().await;
+    let cut_off = Store::start().await;
+    cut_off.set_mood(Mood::Refuses);
+    let mut readers = Vec::new();
+    for name in ["a", "b", "c"] {
+        let peer = start_peer(name, &cut_off).await;
+        readers.push(PeerNode { hall: "hall-1".to_owned(), ..peer });
+    }
+    let other = start_peer("d", &served).await;
+    readers.push(PeerNode { hall: "hall-2".to_owned(), ..other });
+    let names = (0..100).map(|number| format!("node-{number}"));
+    let mut last = names.filter(|name| {
+        let order = dewspar::detour::preferred_readers(name, "", &readers);
+        order[3].name == "d"
+    });
+    let (client, _) = node(&last.next().unwrap(), &readers);
+    assert!(write(&client, &refusing).await.is_err());
+    assert_eq!(cut_off.calls("/write"), 2);
+    assert_eq!(served.calls("/write"), 0);
+}
