Refuse jobs over share only where no call can still store them

A second decision by a newer version of the limits could store a job that another node had refused by a version in between, and a node that took a version as too old wrote on the condition of the version by which others refused. A call now writes only on the condition of versions that accept the job by their content, without a gap from the one known at its arrival; the record names the version that it replaces.

After a conflict a job is refused only after it was looked for, and only if the record is listed with another version than the write depended on.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -104,7 +104,7 @@
     cold_workers::ColdTerms,
     evacuation::EvacuatedHall,
     failure_domains::{HallLoss, HallPlanStats},
-    followed_limits::FollowedLimits,
+    followed_limits::{FollowedDecision, FollowedLimits},
     hall_returns::WorkerLookup,
     options::Options,
     order::{
--- a/crates/dewspar/src/schedule/team_limits.rs
+++ b/crates/dewspar/src/schedule/team_limits.rs
@@ -348,8 +348,10 @@
         for flow in self.quotas.limits.flows.values_mut() {
             flow.end_interval();
         }
-        // Looking at every job isn't needed where no team has a weight.
-        let waiting = match self.has_weights() {
+        // Looking at every job isn't needed where no team has a weight, nor
+        // while no pool is or may become congested.
+        let is_needed = self.has_weights() && self.may_be_congested(now);
+        let waiting = match is_needed {
             true => self.waiting_work(now),
             false => BTreeMap::new(),
         };
@@ -371,6 +373,17 @@
         accounts.any(|(team, _)| team.weight > 0)
     }
 
+    /// Returns whether some pool is congested, or has lacked room for long
+    /// enough to be so.
+    fn may_be_congested(&self, now: Now) -> bool {
+        let congestion = &self.quotas.limits.congestion;
+        congestion.values().any(|pool| pool.is_congested)
+            || self
+                .unplaced_since_ms
+                .values()
+                .any(|since| now.steady_ms >= since + LACKS_ROOM_MS)
+    }
+
     /// Decides about the limit of a team in a pool.
     fn limit_team(
         &mut self,
@@ -436,11 +449,11 @@
             let known = &mut self.quotas.limits.congestion;
             known.entry(pool.clone()).or_default();
         }
+        let is_long = |since: &u64| now.steady_ms >= since + LACKS_ROOM_MS;
         for (pool, congestion) in &mut self.quotas.limits.congestion {
             let work = waiting.get(pool).copied().unwrap_or_default();
             let since_ms = self.unplaced_since_ms.get(pool);
-            let long_lack = since_ms
-                .is_some_and(|since| now.steady_ms >= since + LACKS_ROOM_MS);
+            let long_lack = since_ms.is_some_and(is_long);
             congestion.update(&work, long_lack, now.steady_ms);
         }
     }
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -14,7 +14,7 @@
         gate::StoreGate,
         intent, keys,
         readiness::Readiness,
-        team_limits::{FollowedTeamLimits, ShareCheck},
+        team_limits::{FollowedTeamLimits, LimitConflict, ShareCheck},
     },
     crate::{clock, counters},
     bytes::Bytes,
@@ -340,6 +340,10 @@
             accepted_at_ms: clock::unix_ms(),
             team: caller.team().cloned(),
         };
+        let pool = &job.terms.pool;
+        // Before anything is waited for: by then another node may have refused
+        // the job, and a newer version may accept it.
+        let known = self.limits_at_arrival(id, pool, caller);
         // OK because a job holds only what JSON can write.
         let value = serde_json::to_vec(&job).expect("plain JSON");
         if self.gate.admit(deadline).await.is_err() {
@@ -349,8 +353,8 @@
             counters::count_by(counters::REFUSALS, "reason", "store_out");
             return JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS };
         }
-        let pool = &job.terms.pool;
-        let mut check = self.check_share(id, pool, caller, deadline).await;
+        let mut check =
+            self.check_share(id, pool, caller, known, deadline).await;
         for _ in 0..MAX_LIMIT_CHANGES {
             let limits_version = match check {
                 ShareCheck::Reply(reply) => return reply,
@@ -358,6 +362,7 @@
                 ShareCheck::Admitted { version } => Some(version),
             };
             let batch = acceptance(id, value.clone(), limits_version);
+            let requested_ms = clock::now_ms();
             match self.write(&batch, deadline).await {
                 WriteResult::Done => return JobReply::Accepted,
                 WriteResult::Conflict(found) => {
@@ -366,11 +371,19 @@
                     };
                     // The job is already stored, perhaps by an earlier attempt
                     // of this call.
-                    if limits_version.is_none() || found.iter().any(is_job) {
+                    let is_known = found.iter().any(is_job);
+                    let Some(version) = limits_version.filter(|_| !is_known)
+                    else {
                         return self.reply_to_known(id, &found, caller);
-                    }
-                    check =
-                        self.check_changed_limits(id, pool, caller, &found);
+                    };
+                    let found = &found;
+                    let conflict =
+                        LimitConflict { version, found, requested_ms };
+                    check = self
+                        .check_changed_limits(
+                            id, pool, caller, conflict, deadline,
+                        )
+                        .await;
                 }
                 WriteResult::NotDone => {
                     counters::count_by(counters::REFUSALS, "reason", "store");
@@ -482,7 +495,7 @@
         }
     }
 
-    fn note_failure(&self, error: &Error) {
+    pub(super) fn note_failure(&self, error: &Error) {
         counters::platform_failure(error);
         info!(self.log, "call: store gave no result"; "error" => %error);
     }
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -7,7 +7,7 @@
 */
 
 use {
-    super::{intent, isolation::IsolatedSince},
+    super::{intent, isolation::IsolatedSince, status::StatusReader},
     bytes::Bytes,
     http_body_util::Full,
     hyper::{
@@ -16,7 +16,12 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     metrics_exporter_prometheus::PrometheusHandle,
-    std::{convert::Infallible, future::pending, io, net::SocketAddr},
+    std::{
+        convert::Infallible,
+        future::{pending, ready},
+        io,
+        net::SocketAddr,
+    },
     tokio::{net::TcpListener, sync::watch},
 };
 
@@ -77,14 +82,14 @@
     readiness: Readiness,
 ) -> io::Result<()> {
     serve_http(address, move |request: &Request<Incoming>| {
-        if request.uri().path() != path {
-            return StatusCode::NOT_FOUND.into();
-        }
-        if readiness.is_ready() {
-            StatusCode::OK.into()
+        let code = if request.uri().path() != path {
+            StatusCode::NOT_FOUND
+        } else if readiness.is_ready() {
+            StatusCode::OK
         } else {
-            StatusCode::SERVICE_UNAVAILABLE.into()
-        }
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        ready(Page::from(code))
     })
     .await
 }
@@ -94,15 +99,18 @@
 pub(super) async fn serve_metrics(
     address: SocketAddr,
     metrics: PrometheusHandle,
-    status: watch::Receiver<Bytes>,
+    status: StatusReader,
 ) -> io::Result<()> {
     serve_http(address, move |request: &Request<Incoming>| {
-        if request.uri().path() == "/status" {
-            let body = status.borrow().clone();
-            return Page { status: StatusCode::OK, body };
+        let is_status = request.uri().path() == "/status";
+        let (metrics, status) = (metrics.clone(), status.clone());
+        async move {
+            let body = match is_status {
+                true => status.read().await,
+                false => Bytes::from(metrics.render()),
+            };
+            Page { status: StatusCode::OK, body }
         }
-        let body = Bytes::from(metrics.render());
-        Page { status: StatusCode::OK, body }
     })
     .await
 }
@@ -118,9 +126,10 @@
     }
 }
 
-async fn serve_http<H>(address: SocketAddr, handle: H) -> io::Result<()>
+async fn serve_http<H, R>(address: SocketAddr, handle: H) -> io::Result<()>
 where
-    H: Fn(&Request<Incoming>) -> Page + Clone + Send + Sync + 'static,
+    H: Fn(&Request<Incoming>) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Page> + Send + 'static,
 {
     let listener = TcpListener::bind(address).await?;
     tokio::spawn(async move {
@@ -131,10 +140,13 @@
             };
             let handle = handle.clone();
             let service = service_fn(move |request| {
-                let Page { status, body } = handle(&request);
-                let mut response = Response::new(Full::new(body));
-                *response.status_mut() = status;
-                async move { Ok::<_, Infallible>(response) }
+                let page = handle(&request);
+                async move {
+                    let Page { status, body } = page.await;
+                    let mut response = Response::new(Full::new(body));
+                    *response.status_mut() = status;
+                    Ok::<_, Infallible>(response)
+                }
             });
             tokio::spawn(
                 http1::Builder::new()
