Renew the limits on teams without changing their version

Each renewal was a new version of the record, and each node's first accepting write after it conflicted. The holder now renews the limits by another key; writes depend on the content only. A part and a time to come back stay in force while the new ones are near, since the estimates move a little each second. The age rule of 2 s is unchanged. The cost is a second shared read while there are limits. Tests of team limits pass in dewspar and dewspard, and jobs, keys and pages in dewspard.

--- a/crates/dewspar/src/schedule/followed_limits.rs
+++ b/crates/dewspar/src/schedule/followed_limits.rs
@@ -1,8 +1,8 @@
 /*!
 A node's knowledge of the limits on teams, which counts only while it is recent.
 
-The holder writes the limits again every second while there are any. A node
-can't compare its wall clock with the holder's, so it concludes the age from
+The holder renews the limits every second while there are any, by another key, so
+that their version changes only with their content. A node can't compare its wall clock with the holder's, so it concludes the age from
 versions and its own steady clock: a version was written after the last read
 that still showed another one was requested. The first version that a node
 reads may be of any age, so it isn't applied.
@@ -74,6 +74,9 @@
     written_after_ms: Option<u64>,
     /// When the first read that showed that version was requested.
     seen_since_ms: u64,
+    /// The version of the renewal that was read last, and when that read was
+    /// requested.
+    last_renewal: Option<(u64, u64)>,
 }
 
 impl FollowedLimits {
@@ -106,6 +109,32 @@
         self.limits = limits();
     }
 
+    /// Records a read of the renewal that was requested at this time, after a
+    /// read of the limits; the version is 0 if there was none yet.
+    pub fn record_renewal(&mut self, version: u64, requested_ms: u64) {
+        if let Some((known, last_ms)) = self.last_renewal {
+            // Reads may end in another order than they began.
+            if requested_ms < last_ms {
+                return;
+            }
+            if version > known {
+                let after_ms = self.written_after_ms.unwrap_or(0);
+                self.written_after_ms = Some(after_ms.max(last_ms));
+            }
+        }
+        self.last_renewal = Some((version, requested_ms));
+    }
+
+    /// Returns whether there are limits, so that their age matters.
+    pub fn has_limits(&self) -> bool {
+        !self.limits.teams.is_empty()
+    }
+
+    /// Returns the version of the renewal that was read last, if any.
+    pub fn renewal(&self) -> Option<u64> {
+        self.last_renewal.map(|(version, _)| version)
+    }
+
     /// Returns the version that was read last; 0 if there was none.
     pub fn version(&self) -> u64 {
         self.last_read.map_or(0, |(version, _)| version)
--- a/crates/dewspar/src/schedule/team_limits.rs
+++ b/crates/dewspar/src/schedule/team_limits.rs
@@ -91,6 +91,10 @@
 /// milliseconds, before it is spread.
 const RETRY_AFTER_MS: (u64, u64) = (500, 30_000);
 
+/// By what percentage the accepted part of a limit must change to be replaced.
+/// Each replacement makes writes of all nodes conflict once.
+const REPLACE_PERCENT: u64 = 10;
+
 /// The salts of the two numbers that are derived from a job's identifier.
 const ADMISSION_SALT: u64 = 1;
 const RETRY_SALT: u64 = 2;
@@ -199,6 +203,8 @@
     /// The parts that were to be accepted, in thousandths, the newest last.
     admitted_permille: VecDeque<u64>,
     is_limited: bool,
+    /// When refused callers may come back, as in the limit in force.
+    retry_after_ms: u64,
 }
 
 impl Default for Flow {
@@ -209,6 +215,7 @@
             intervals: VecDeque::new(),
             admitted_permille: VecDeque::from([1_000; DELAY_INTERVALS + 1]),
             is_limited: false,
+            retry_after_ms: 0,
         }
     }
 }
@@ -240,6 +247,17 @@
         sum * INTERVALS_PER_S as u64 / intervals as u64
     }
 
+    /// Returns the part to accept: the one in force if it is near enough.
+    fn steady_permille(&self, permille: u64) -> u64 {
+        let last = self.admitted_permille.back().copied();
+        let in_force = last.filter(|_| self.is_limited);
+        in_force
+            .filter(|known| {
+                known.abs_diff(permille) * 100 <= known * REPLACE_PERCENT
+            })
+            .unwrap_or(permille)
+    }
+
     fn accepted(&self) -> u64 {
         self.last(INTERVALS_PER_S).map(|i| i.accepted).sum()
     }
@@ -411,13 +429,21 @@
         let submitted_millis = recent.max(longer).max(1);
         let admitted_permille = if is_limited {
             let permille = share * 1_000_000 / submitted_millis;
-            permille.clamp(MIN_ADMITTED_PERMILLE, 1_000)
+            flow.steady_permille(permille.clamp(MIN_ADMITTED_PERMILLE, 1_000))
         } else {
             1_000
         };
         let was_limited = flow.is_limited;
         let key = (pool.to_owned(), number);
         let flow = self.quotas.limits.flows.get_mut(&key)?;
+        let (least_ms, most_ms) = RETRY_AFTER_MS;
+        let retry_after_ms = wait_ms.clamp(least_ms, most_ms);
+        let known_ms = flow.retry_after_ms;
+        let is_near = (known_ms / 2..=known_ms * 2).contains(&retry_after_ms);
+        if !(was_limited && is_near) {
+            flow.retry_after_ms = retry_after_ms;
+        }
+        let retry_after_ms = flow.retry_after_ms;
         flow.is_limited = is_limited;
         flow.admitted_permille.push_back(admitted_permille);
         flow.admitted_permille.pop_front();
@@ -431,12 +457,11 @@
                 wait_ms,
             });
         }
-        let (least_ms, most_ms) = RETRY_AFTER_MS;
         is_limited.then(|| LimitedTeam {
             pool: pool.to_owned(),
             team: name,
             admitted_permille,
-            retry_after_ms: wait_ms.clamp(least_ms, most_ms),
+            retry_after_ms,
         })
     }
 
--- a/crates/dewspar/tests/followed_limits.rs
+++ b/crates/dewspar/tests/followed_limits.rs
@@ -69,6 +69,27 @@
     }
 }
 
+// Guards against limits that end although the holder renews them, and against
+// renewals that change the version on which writes depend.
+#[test]
+fn limits_are_applied_while_another_key_renews_them() {
+    let mut followed = FollowedLimits::default();
+    for read in 0..40 {
+        let now_ms = 10_000 + read * 500;
+        followed.record_read(7, now_ms, || limits(0));
+        followed.record_renewal(8 + read / 2, now_ms);
+        if read >= 2 {
+            assert!(is_refused(&followed, now_ms + 499), "{now_ms}");
+        }
+    }
+    assert_eq!(followed.version(), 7);
+    // The last one was written after the read at 28,500 ms.
+    followed.record_renewal(27, 30_000);
+    assert!(is_refused(&followed, 30_500));
+    assert!(!is_refused(&followed, 30_501));
+    assert!(followed.is_expired(30_501));
+}
+
 // Guards against a read that was overtaken by a newer one.
 #[test]
 fn an_older_read_that_ends_late_is_ignored() {
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -62,6 +62,9 @@
 /// The teams whose submissions are limited, written by the holder.
 pub(super) const TEAM_LIMITS: &str = "team-limits";
 
+/// Written by the holder to renew the limits on teams.
+pub(super) const TEAM_LIMITS_RENEWED: &str = "team-limits-renewed";
+
 /// The counts of waiting jobs by queue, written by the holder.
 pub(super) const PENDING: &str = "pending";
 
--- a/crates/dewspard/src/jobs/team_limits.rs
+++ b/crates/dewspard/src/jobs/team_limits.rs
@@ -3,8 +3,10 @@
 them, and how a submission is refused.
 
 See [`TeamLimits`] for the decision. The holder writes the record while there
-are limits, at most once a second, and once more when there are none any more.
-Nodes read it as they read other shared keys.
+are limits and their content changes, at most once a second, and once more when
+there are none any more. In between it renews the limits by writing another key,
+so that accepting writes, which depend on the record's version, don't conflict
+for a renewal. Nodes read both as they read other shared keys.
 
 A refusal says that the job was not run and won't be, so it must be certain that
 the job is neither stored nor about to be. A caller that got no answer submits
@@ -111,20 +113,27 @@
 pub(super) struct TeamLimitsWriter {
     record: RecordWriter,
     last_write_ms: Option<u64>,
+    /// What the record contains, as far as it is known.
+    stored: Option<TeamLimits>,
     /// Whether the record may contain limits.
     may_contain_limits: bool,
-    /// Whether the write in flight contains limits.
-    writes_limits: bool,
+    /// What the write in flight leaves in the record.
+    writing: TeamLimits,
+}
+
+/// A write of the limits, with the version that it depends on.
+enum LimitsWrite {
+    Replace { version: u64 },
+    Renew { version: u64 },
 }
 
 impl TeamLimitsWriter {
-    /// Begins a write, if one is due, and returns the version that it depends
-    /// on.
+    /// Begins a write, if one is due.
     fn begin_write(
         &mut self,
         limits: &TeamLimits,
         now_ms: u64,
-    ) -> Option<u64> {
+    ) -> Option<LimitsWrite> {
         let has_limits = !limits.teams.is_empty();
         let is_early = self
             .last_write_ms
@@ -138,8 +147,14 @@
         }
         self.last_write_ms = Some(now_ms);
         self.may_contain_limits = true;
-        self.writes_limits = has_limits;
-        Some(self.record.begin_write())
+        self.writing = limits.clone();
+        let version = self.record.begin_write();
+        // After a failure, the content is unknown until a write succeeds.
+        let is_stored = self.stored.take().is_some_and(|s| s == *limits);
+        Some(match is_stored && has_limits {
+            true => LimitsWrite::Renew { version },
+            false => LimitsWrite::Replace { version },
+        })
     }
 
     /// Handles the result of the write.
@@ -150,7 +165,8 @@
     ) {
         match written {
             RecordWriteOutcome::Done(_) => {
-                self.may_contain_limits = self.writes_limits;
+                self.may_contain_limits = !self.writing.teams.is_empty();
+                self.stored = Some(self.writing.clone());
             }
             // Nothing was written; the record's version is known now.
             RecordWriteOutcome::Conflict { .. } => self.last_write_ms = None,
@@ -164,10 +180,21 @@
     /// Starts a write of the record, if it is due.
     pub(super) fn write_team_limits(&mut self, now: Now) {
         let limits = self.scheduler.team_limits();
-        let version = self.team_limits.begin_write(limits, now.steady_ms);
-        let Some(version) = version else { return };
-        let batch = LimitsRecord::replacing(version, limits.clone())
-            .when(keys::OWNER, Expected::Version(self.held.revision));
+        let write = self.team_limits.begin_write(limits, now.steady_ms);
+        let Some(write) = write else { return };
+        let (batch, renewed) = match write {
+            LimitsWrite::Replace { version } => {
+                (LimitsRecord::replacing(version, limits.clone()), None)
+            }
+            LimitsWrite::Renew { version } => {
+                let batch = Batch::default()
+                    .when(keys::TEAM_LIMITS, Expected::from_version(version))
+                    .put(keys::TEAM_LIMITS_RENEWED, Vec::new());
+                (batch, Some(version))
+            }
+        };
+        let batch =
+            batch.when(keys::OWNER, Expected::Version(self.held.revision));
         let store = self.candidate.store.with_purpose(Purpose::Progress);
         let sender = self.sender.clone();
         tokio::spawn(async move {
@@ -175,7 +202,13 @@
             if let Err(error) = &answer {
                 counters::platform_failure(error);
             }
-            let written = record_written(&answer, keys::TEAM_LIMITS);
+            let written = match record_written(&answer, keys::TEAM_LIMITS) {
+                // A renewal leaves the record's version.
+                RecordWriteOutcome::Done(version) => {
+                    RecordWriteOutcome::Done(renewed.unwrap_or(version))
+                }
+                other => other,
+            };
             // If the holder has stopped, the result isn't needed.
             let _ = sender.send(Event::TeamLimitsWritten(written)).await;
         });
@@ -257,6 +290,21 @@
             Ok(found) => {
                 limits.record(found.as_ref(), requested_ms, &log);
             }
+            Err(error) => {
+                counters::platform_failure(&error);
+                continue;
+            }
+        }
+        // Without limits there is nothing that has to be renewed.
+        if !limits.lock().has_limits() {
+            continue;
+        }
+        let requested_ms = clock::now_ms();
+        match store.get(keys::TEAM_LIMITS_RENEWED).await {
+            Ok(found) => {
+                let version = found.map_or(0, |found| found.version);
+                limits.lock().record_renewal(version, requested_ms);
+            }
             Err(error) => counters::platform_failure(&error),
         }
     }
@@ -367,10 +415,15 @@
 
     /// Removes limits that nobody renews, so that the next calls may write.
     async fn remove_expired_limits(&self, version: u64, deadline: Instant) {
-        if !self.limits.lock().is_expired(clock::now_ms()) {
-            return;
-        }
-        let batch = LimitsRecord::replacing(version, TeamLimits::default());
+        let renewal = {
+            let followed = self.limits.lock();
+            let is_expired = followed.is_expired(clock::now_ms());
+            followed.renewal().filter(|_| is_expired)
+        };
+        let Some(renewal) = renewal else { return };
+        let renewal = Expected::from_version(renewal);
+        let batch = LimitsRecord::replacing(version, TeamLimits::default())
+            .when(keys::TEAM_LIMITS_RENEWED, renewal);
         self.write_limits(&batch, deadline).await;
     }
 
--- a/crates/dewspard/tests/team_limits.rs
+++ b/crates/dewspard/tests/team_limits.rs
@@ -484,6 +484,34 @@
     }
 }
 
+// Guards against renewals that change the version on which the writes of all
+// nodes depend, so that each node's next write conflicts.
+#[tokio::test]
+async fn a_renewal_leaves_the_version_of_the_limits() {
+    let cluster = Cluster::start(1).await;
+    cluster.fleet.set_work_ms(2_000);
+    let versions = async || {
+        let limits = cluster.store.version("team-limits").await;
+        let renewed = cluster.store.version("team-limits-renewed").await;
+        (limits.expect("a store"), renewed.expect("a store"))
+    };
+    let (mut number, mut last) = (0, (0, 0));
+    let seen = async {
+        loop {
+            for _ in 0..5 {
+                number += 1;
+                cluster.submit(0, number, KEY).await;
+            }
+            let now = versions().await;
+            if now.0 > 0 && now.0 == last.0 && now.1 > last.1 {
+                return;
+            }
+            last = now;
+        }
+    };
+    timeout(TEST_TIMEOUT, seen).await.expect("a renewal");
+}
+
 #[tokio::test]
 async fn a_limit_ends_after_the_burst() {
     let cluster = Cluster::start(1).await;
