Give isolated tasks no home hall

A task that may crash its worker is placed where the fewest other runs are lost. The home hall of its job ranked before that score, so that the task went to a busy worker of the home hall although an idle one was elsewhere.

The workers that suit a task are now searched for the home hall only if the step has one.

--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -515,10 +515,10 @@
             !spec.long_running || !self.awaits_maintenance(&worker.listing.vm)
         };
         let suitable = || self.suitable_workers(spec, task, now);
-        let home = self
-            .prefers_home_hall(spec)
-            .then(|| self.home_hall(spec, task, suitable()))
-            .flatten();
+        let home = match isolated {
+            true => None,
+            false => self.home_hall(spec, task, suitable),
+        };
         suitable()
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
--- a/crates/dewspar/src/schedule/placement/home_hall.rs
+++ b/crates/dewspar/src/schedule/placement/home_hall.rs
@@ -10,6 +10,8 @@
 
 It is a preference: a task that finds no room in the home hall starts elsewhere.
 Long-running tasks have no home hall, since each of them is of use by itself.
+Neither has a task that is isolated because it may crash its worker: it goes to
+the worker where the fewest other tasks are at risk.
 */
 
 use {
@@ -23,16 +25,20 @@
 impl Scheduler {
     /// Returns the home hall of a task's job, given the workers that suit the
     /// task; `None` if the task has no preference.
-    pub(super) fn home_hall<'a>(
+    pub(super) fn home_hall<'a, S>(
         &'a self,
         spec: &StepSpec,
         task: &TaskId,
-        suitable: impl Iterator<Item = &'a Worker>,
-    ) -> Option<&'a str> {
+        suitable: impl FnOnce() -> S,
+    ) -> Option<&'a str>
+    where
+        S: Iterator<Item = &'a Worker>,
+    {
         if !self.prefers_home_hall(spec) {
             return None;
         }
-        self.hall_of_most_runs(task).or_else(|| hall_with_most_room(suitable))
+        self.hall_of_most_runs(task)
+            .or_else(|| hall_with_most_room(suitable()))
     }
 
     /// Returns whether the tasks of a step are placed in one hall.
--- a/crates/dewspar/src/schedule/placement/uniform.rs
+++ b/crates/dewspar/src/schedule/placement/uniform.rs
@@ -82,7 +82,7 @@
             .suitable_with_numbers(spec, next, RoomHorizon::Now, now)
             .collect();
         let candidates = suitable.iter().map(|(_, worker)| *worker);
-        let home = self.home_hall(spec, next, candidates);
+        let home = self.home_hall(spec, next, || candidates);
         let rank = |worker: &Worker| {
             let is_home = home == Some(worker.listing.hall.as_str());
             let score = self.score_for(worker, spec)
