Determine the home hall and the spread once per step

The home hall walked all placements of a job and searched the workers that suit a second time for each task that needs a search of its own; the spread scanned the pool twice. Both are now part of the preferences of a step, which are determined for its first such task and passed on, as the preferred rack of a gang was. Each task that is placed is counted, and a reservation is no longer counted once its task is placed.

The members of a gang are counted as they are placed, so their tentative runs need no new scan. The spread owns its names, since tasks start while it is in use.

--- a/crates/dewspar/src/schedule/failure_domains/task_spread.rs
+++ b/crates/dewspar/src/schedule/failure_domains/task_spread.rs
@@ -17,13 +17,13 @@
 
 /// The tasks of a step in a data hall.
 #[derive(Debug, Default)]
-struct HallTasks<'a> {
+struct HallTasks {
     tasks: u64,
     /// The number of tasks in each rack with usable workers.
-    racks: HashMap<&'a str, u64>,
+    racks: HashMap<String, u64>,
 }
 
-impl HallTasks<'_> {
+impl HallTasks {
     /// Returns whether a rack holds fewer tasks than its share of the hall's.
     fn rack_has_share(&self, rack: &str, share: u64) -> bool {
         let racks = self.racks.len().max(1) as u64;
@@ -34,8 +34,8 @@
 
 /// Where the tasks of a step are.
 #[derive(Debug)]
-pub(in crate::schedule) struct StepSpread<'a> {
-    halls: HashMap<&'a str, HallTasks<'a>>,
+pub(in crate::schedule) struct StepSpread {
+    halls: HashMap<String, HallTasks>,
     /// An even share of the step's tasks, rounded up.
     share: u64,
 }
@@ -52,17 +52,33 @@
     rack_below_share: bool,
 }
 
-impl<'a> StepSpread<'a> {
+impl StepSpread {
     /// Returns whether a hall holds fewer tasks than its share.
     pub(in crate::schedule) fn has_share(&self, hall: &str) -> bool {
         self.halls.get(hall).is_none_or(|hall| hall.tasks < self.share)
     }
 
     /// Counts one more task on a worker.
-    pub(in crate::schedule) fn add(&mut self, worker: &'a Worker) {
-        let hall = self.halls.entry(&worker.listing.hall).or_default();
-        hall.tasks += 1;
-        *hall.racks.entry(&worker.listing.rack).or_default() += 1;
+    pub(in crate::schedule) fn add(&mut self, worker: &Worker) {
+        self.hall_mut(worker).tasks += 1;
+        *self.rack_mut(worker) += 1;
+    }
+
+    /// Counts one task less on a worker.
+    pub(in crate::schedule) fn remove(&mut self, worker: &Worker) {
+        let hall = self.hall_mut(worker);
+        hall.tasks = hall.tasks.saturating_sub(1);
+        let rack = self.rack_mut(worker);
+        *rack = rack.saturating_sub(1);
+    }
+
+    fn hall_mut(&mut self, worker: &Worker) -> &mut HallTasks {
+        self.halls.entry(worker.listing.hall.clone()).or_default()
+    }
+
+    fn rack_mut(&mut self, worker: &Worker) -> &mut u64 {
+        let racks = &mut self.hall_mut(worker).racks;
+        racks.entry(worker.listing.rack.clone()).or_default()
     }
 
     fn rack_has_share(&self, worker: &Worker) -> bool {
@@ -83,7 +99,7 @@
         &self,
         spec: &StepSpec,
         task: &TaskId,
-    ) -> Option<StepSpread<'_>> {
+    ) -> Option<StepSpread> {
         let spreads = self.tolerates_hall_loss()
             && self.placing().spreads_over_halls
             && spec.long_running
@@ -97,9 +113,8 @@
         let mut spread = StepSpread { halls: HashMap::new(), share: 0 };
         for (_, worker) in self.workers.in_pool(pool) {
             if worker.is_usable() {
-                let hall =
-                    spread.halls.entry(&worker.listing.hall).or_default();
-                hall.racks.entry(&worker.listing.rack).or_default();
+                // Lists the rack, also without a task.
+                spread.rack_mut(worker);
             }
         }
         let halls = spread.halls.len().max(1) as u64;
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -9,12 +9,12 @@
 */
 
 use {
+    self::preferences::Preferences,
     crate::{
         job::{StepSpec, TaskId},
         link::Class,
         schedule::{
             Action, Decision, Now, Placing, Scheduler, StartOrder, WorkerId,
-            failure_domains::SpreadRank,
             full_pools::{FullPools, UnsyncedPools},
             job_state::{Job, demand},
             suspects::Colocation,
@@ -30,6 +30,7 @@
 mod gang;
 mod gang_rack;
 mod home_hall;
+mod preferences;
 mod scores;
 mod uniform;
 
@@ -218,6 +219,9 @@
             waiting.iter().find(|i| !self.needs_own_placement(&task(**i)));
         let mut uniform =
             any.and_then(|i| self.uniform_placement(spec, &task(*i), now));
+        // The home hall follows from a task that may run anywhere, if any.
+        let typical = any.or(waiting.first()).copied().map(task);
+        let mut preferences: Option<Preferences> = None;
         let mut lacks_room = false;
         for index in waiting {
             if !self.may_start() {
@@ -231,10 +235,21 @@
                 Some(placement) if !self.needs_own_placement(&task) => {
                     placement.next(self, &task).ok_or(PlacementError::NoRoom)
                 }
-                _ => self.choose_worker(spec, &task, None, now),
+                _ => {
+                    let preferences = preferences.get_or_insert_with(|| {
+                        let typical = typical.as_ref().unwrap_or(&task);
+                        self.step_preferences(spec, typical, now)
+                    });
+                    self.choose_worker(spec, &task, preferences, now)
+                }
             };
             match chosen {
                 Ok(worker) => {
+                    if let Some(preferences) = &mut preferences
+                        && let Some(worker) = self.workers.get(&worker)
+                    {
+                        preferences.add(worker);
+                    }
                     let run = self.next_run_number(&task);
                     actions.extend(self.start(spec, &task, run, worker, now));
                 }
@@ -331,21 +346,24 @@
         if inherited && first { run + RUN_NUMBER_GAP } else { run + 1 }
     }
 
-    /// Chooses a worker for a task, in the given rack if possible.
+    /// Chooses a worker for a task. Its reservation isn't counted in the
+    /// preferences afterwards if it gets one.
     fn choose_worker(
         &self,
         spec: &StepSpec,
         task: &TaskId,
-        rack: Option<&str>,
+        preferences: &mut Preferences,
         now: Now,
     ) -> Result<WorkerId, PlacementError> {
         if self.waits_for_reserved_room(task, &demand(spec)) {
             return Err(PlacementError::NoRoom);
         }
         let job = &self.jobs[&task.job];
-        if let Some(worker) = self.best_worker(spec, task, rack, now) {
+        preferences.remove_reservation(self, task);
+        if let Some(worker) = self.best_worker(spec, task, preferences, now) {
             return Ok(worker.id().clone());
         }
+        preferences.restore_reservation(self, task);
         let suits = self.suitable_workers(spec, task, now).next().is_some();
         let advised = job.terms.advice.is_some();
         Err(if suits && advised {
@@ -482,13 +500,12 @@
         })
     }
 
-    /// Returns the best-scoring worker for a task, in the given rack if
-    /// possible.
+    /// Returns the best-scoring worker for a task.
     fn best_worker(
         &self,
         spec: &StepSpec,
         task: &TaskId,
-        rack: Option<&str>,
+        preferences: &Preferences,
         now: Now,
     ) -> Option<&Worker> {
         let state = self.jobs.get(&task.job)?.task(task)?;
@@ -500,35 +517,27 @@
                     - self.cold_penalty(worker, spec, now)
             }
         };
-        let spread = match isolated {
-            true => None,
-            false => self.step_spread(spec, task),
-        };
-        let spread_rank = |worker: &Worker| match &spread {
-            Some(spread) => self.spread_rank(spread, worker, spec),
-            None => SpreadRank::default(),
-        };
+        let rack_only = isolated.then(|| preferences.rack_only());
+        let preferences = rack_only.as_ref().unwrap_or(preferences);
         let reserved = self.reservations.worker_for(task);
         // A long-running task avoids VMs with pending maintenance: it would
         // have to move again and be interrupted twice.
         let stays = |worker: &Worker| {
             !spec.long_running || !self.awaits_maintenance(&worker.listing.vm)
         };
-        let suitable = || self.suitable_workers(spec, task, now);
-        let home = match isolated {
-            true => None,
-            false => self.home_hall(spec, task, suitable),
-        };
-        suitable()
+        self.suitable_workers(spec, task, now)
             .filter(|worker| self.ticket(task, worker.id(), now).is_some())
             .max_by_key(|worker| {
                 let is_reserved = reserved == Some(worker.id());
                 let avoided = state.avoid.contains(worker.id());
                 let stays = stays(worker);
-                let in_rack = rack == Some(worker.listing.rack.as_str());
-                let is_home = home == Some(worker.listing.hall.as_str());
+                let in_rack = preferences.is_in_rack(worker);
                 let prior = (is_reserved, !avoided, stays, in_rack);
-                let preferred = (spread_rank(worker), is_home, score(worker));
+                let preferred = (
+                    preferences.spread_rank(self, worker, spec),
+                    preferences.is_home(worker),
+                    score(worker),
+                );
                 (prior, preferred, worker.id())
             })
     }
@@ -541,7 +550,8 @@
     ) -> Option<&WorkerId> {
         let job = self.jobs.get(&task.job)?;
         let spec = job.step_spec(task)?;
-        self.best_worker(spec, task, None, now).map(Worker::id)
+        let preferences = self.task_preferences(spec, task, now);
+        self.best_worker(spec, task, &preferences, now).map(Worker::id)
     }
 
     /// Returns whether a task may start as far as write-ahead records are
--- a/crates/dewspar/src/schedule/placement/gang.rs
+++ b/crates/dewspar/src/schedule/placement/gang.rs
@@ -8,7 +8,7 @@
 */
 
 use {
-    super::{PlacementError, RoomHorizon},
+    super::PlacementError,
     crate::{
         job::{StepSpec, TaskId},
         quota::Admission,
@@ -77,10 +77,13 @@
     ) -> Vec<WorkerId> {
         let mut placements = Vec::new();
         let mut suspended = Vec::new();
-        let rack = self.rack_for_gang(spec, members, RoomHorizon::Now, now);
+        let mut preferences = self.gang_preferences(spec, members, now);
         for task in members {
-            match self.choose_worker(spec, task, rack.as_deref(), now) {
+            match self.choose_worker(spec, task, &mut preferences, now) {
                 Ok(worker) => {
+                    if let Some(worker) = self.workers.get(&worker) {
+                        preferences.add(worker);
+                    }
                     suspended.extend(self.suspend_reservation(task, now));
                     self.reserve_tentatively(spec, task, run, &worker, now);
                     placements.push(worker);
--- a/crates/dewspar/src/schedule/reservations/search.rs
+++ b/crates/dewspar/src/schedule/reservations/search.rs
@@ -60,7 +60,7 @@
     rack: Option<String>,
     count_by_worker: HashMap<&'a WorkerId, u64>,
     /// Where the step's tasks are; `None` if it isn't to be spread.
-    spread: Option<StepSpread<'a>>,
+    spread: Option<StepSpread>,
 }
 
 impl<'a> Assignments<'a> {
