Search lazily for a VM to switch off

Preferring cold workers evaluated may_switch_off for all workers of the pool for each VM that leaves, which is quadratic while a large pool shrinks after a peak. Now the first cold worker that may leave is searched, then the first other one, so that the search ends at the first match and costs one comparison a worker more while none is cold. The choice is the same.

--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -736,14 +736,21 @@
         let Some(free) = self.free_pools.first().cloned() else {
             return false;
         };
-        let idle = self
-            .workers
-            .values()
-            .filter(|worker| worker.listing.pool == pool)
-            .filter(|worker| self.may_switch_off(worker, reserve, now))
-            .filter(|worker| !self.is_move_refused(&worker.listing.vm, &free))
-            // The first of several: a cold one is of less use.
-            .min_by_key(|worker| worker.cold.remaining_ms(now.steady_ms) == 0);
+        // Lazy, since this is called for each VM of a large pool that leaves.
+        let first = |cold: bool| {
+            self.workers
+                .values()
+                .filter(|worker| worker.listing.pool == pool)
+                .filter(|worker| {
+                    (worker.cold.remaining_ms(now.steady_ms) > 0) == cold
+                })
+                .filter(|worker| self.may_switch_off(worker, reserve, now))
+                .find(|worker| {
+                    !self.is_move_refused(&worker.listing.vm, &free)
+                })
+        };
+        // A cold worker is of less use.
+        let idle = first(true).or_else(|| first(false));
         let Some(id) = idle.map(|worker| worker.id().clone()) else {
             return false;
         };
