Switch idle VMs off while a hall is down

Pools stopped shrinking while any hall was down.

The test that asserted the rule now asserts the opposite: VMs of the other hall are switched off, and none of the hall that is down gets an order.

--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -269,9 +269,7 @@
             let moves = self.hall_plan_stats().moves - moves_before;
             self.report_hall_losses(moves);
             self.check_hall_reserve(now);
-            let reserve = self.shrink_reserve(now);
-            // While a hall is down, the others may need any VM at any moment.
-            if let Some(reserve) = reserve.filter(|_| !self.any_hall_down()) {
+            if let Some(reserve) = self.shrink_reserve(now) {
                 for pool in targets.keys() {
                     self.shrink_pool(pool, reserve, now);
                 }
