--- a/crates/dewspar/src/schedule/policy.rs
+++ b/crates/dewspar/src/schedule/policy.rs
@@ -165,7 +165,8 @@
     pub refuse_over_share: bool,
     /// How long a task of a job within its team's share may lack room before
     /// no job beyond a share starts in its pool, in milliseconds; 0 for any
-    /// time.
+    /// time. It should be longer than a VM takes to join the pool, so that a
+    /// shortage that is about to end holds nothing back.
     pub max_owed_wait_ms: u64,
     /// Whether a task is placed on the fullest worker with enough room;
     /// otherwise on the emptiest.
@@ -200,10 +201,10 @@
         Placing {
             late_last: true,
             over_share_last: true,
-            refuse_over_share: true,
-            // Longer than a VM takes to join the pool, so that a shortage
-            // that is about to end holds nothing back.
-            max_owed_wait_ms: 2_000,
+            // A refusal costs a look at the store, and protects nobody where
+            // weights exceed what the pools can serve.
+            refuse_over_share: false,
+            max_owed_wait_ms: 0,
             // The other workers become idle, and their VMs can be used
             // elsewhere.
             fullest_first: true,
--- a/crates/dewspar/tests/schedule/team_limits.rs
+++ b/crates/dewspar/tests/schedule/team_limits.rs
@@ -44,6 +44,14 @@
 /// work of others within their shares.
 const MAX_OWED_WAIT_MS: u64 = 2_000 + TASK_MS + 500;
 
+/// Returns a policy that limits teams.
+fn limiting() -> Policy {
+    let mut policy = Policy::default();
+    policy.placing.refuse_over_share = true;
+    policy.placing.max_owed_wait_ms = 2_000;
+    policy
+}
+
 fn name(team: usize) -> String {
     format!("team-{team}")
 }
@@ -279,7 +287,7 @@
 }
 
 fn without_refusals() -> Policy {
-    let mut policy = Policy::default();
+    let mut policy = limiting();
     policy.placing.refuse_over_share = false;
     policy
 }
@@ -290,7 +298,7 @@
 fn accepted_jobs_of_a_burst_do_not_wait_in_vain() {
     for seed in 0..20 {
         let of_burst = |job: &Submitted| job.team == 0;
-        let with = burst(seed, Policy::default(), 12).waits(of_burst);
+        let with = burst(seed, limiting(), 12).waits(of_burst);
         let without = burst(seed, without_refusals(), 12).waits(of_burst);
         let (with, without) = (mean(&with), mean(&without));
         assert!(with * 2 < without, "seed {seed}: {with} and {without} ms");
@@ -305,8 +313,8 @@
 #[test]
 fn the_others_are_served_as_without_the_burst() {
     for seed in 0..20 {
-        let with = burst(seed, Policy::default(), 12);
-        let without = burst(seed, Policy::default(), 1);
+        let with = burst(seed, limiting(), 12);
+        let without = burst(seed, limiting(), 1);
         let worst_ms = with.worst_tenth_of_others_ms();
         let usual_ms = without.worst_tenth_of_others_ms();
         // A task that runs can't be interrupted.
@@ -318,7 +326,7 @@
 #[test]
 fn only_the_team_beyond_its_share_is_refused() {
     for seed in 0..20 {
-        let burst = burst(seed, Policy::default(), 12);
+        let burst = burst(seed, limiting(), 12);
         assert_eq!(burst.refused[1..], [0; TEAMS - 1], "seed {seed}");
         assert!(burst.refused[0] > 100, "seed {seed}: {:?}", burst.refused);
         // The share is still accepted.
@@ -334,7 +342,7 @@
 #[test]
 fn nothing_is_refused_without_a_burst() {
     for seed in 0..20 {
-        let burst = burst(seed, Policy::default(), 1);
+        let burst = burst(seed, limiting(), 1);
         assert_eq!(burst.refused, [0; TEAMS], "seed {seed}");
     }
 }
@@ -342,7 +350,7 @@
 // Guards against refusals while there is room.
 #[test]
 fn a_burst_is_accepted_while_there_is_room() {
-    let mut burst = Burst::new(1, Policy::default());
+    let mut burst = Burst::new(1, limiting());
     for _ in 0..20 {
         for _ in 0..10 {
             burst.submit(0, &TeamLimits::default());
@@ -358,7 +366,7 @@
 
 #[test]
 fn a_team_without_a_weight_is_not_limited() {
-    let mut burst = Burst::new(1, Policy::default());
+    let mut burst = Burst::new(1, limiting());
     let unweighted = Team { weight: 0, ..team(0) };
     let teams = Teams::default().with(unweighted, []);
     burst.world.scheduler.configure_teams(&teams);
@@ -386,7 +394,7 @@
         };
         let mut off = without_refusals();
         off.placing.max_owed_wait_ms = 0;
-        assert_eq!(starts(Policy::default()), starts(off), "seed {seed}");
+        assert_eq!(starts(limiting()), starts(off), "seed {seed}");
     }
 }
 
@@ -395,7 +403,7 @@
 #[test]
 fn a_limit_does_not_flap() {
     for seed in 0..20 {
-        let burst = burst(seed, Policy::default(), 12);
+        let burst = burst(seed, limiting(), 12);
         let is_limited =
             |(_, limits): &(u64, TeamLimits)| !limits.teams.is_empty();
         let limited: Vec<bool> = burst.limits.iter().map(is_limited).collect();
@@ -407,7 +415,7 @@
 // Guards against callers that all come back at once.
 #[test]
 fn the_return_of_refused_callers_is_spread() {
-    let burst = burst(3, Policy::default(), 12);
+    let burst = burst(3, limiting(), 12);
     let mut times = burst.retry_after_ms.clone();
     times.sort_unstable();
     let (first, last) = (times[0], times[times.len() - 1]);
@@ -440,7 +448,7 @@
         let waits = owed_waits(seed, without_refusals());
         let most = waits[waits.len() - 1];
         assert!(most <= MAX_OWED_WAIT_MS, "seed {seed}: {most}");
-        let waits = owed_waits(seed, Policy::default());
+        let waits = owed_waits(seed, limiting());
         let most = waits[waits.len() - 1];
         assert!(most <= MAX_OWED_WAIT_MS, "seed {seed}: {most}");
         let mut unbounded = without_refusals();
@@ -484,7 +492,7 @@
 
 #[test]
 fn operators_see_what_teams_submit_and_what_waits() {
-    let mut burst = Burst::new(9, Policy::default());
+    let mut burst = Burst::new(9, limiting());
     burst.run(3_000, 1);
     burst.run(4_000, 12);
     let statuses = burst.world.scheduler.team_statuses();
--- a/crates/dewspard/tests/team_limits.rs
+++ b/crates/dewspard/tests/team_limits.rs
@@ -119,6 +119,7 @@
             };
             let mut settings =
                 JobSettings::loopback(&format!("node-{number}"));
+            settings.policy.placing.refuse_over_share = true;
             let mut metrics = None;
             if number == 0 && metrics_address.is_some() {
                 settings.metrics_address = metrics_address;
@@ -383,7 +384,8 @@
         peers: None,
     };
     let mut cluster = cluster;
-    let settings = JobSettings::loopback("node-9");
+    let mut settings = JobSettings::loopback("node-9");
+    settings.policy.placing.refuse_over_share = true;
     let log = logs::discard();
     let node = JobNode::start(&settings, platform, None, &log).await;
     cluster.nodes.push(node.expect("a started node"));
