--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,8 @@
 //! run.
 
 mod callers;
+mod ends;
+mod history;
 mod http;
 mod json;
 mod nodes;
@@ -23,6 +25,7 @@
     };
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
+        "ends" => ends::play(record, trouble),
         "steps" => steps::play(record, trouble),
         _ => Err(format!("no case is called {case}").into()),
     };
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -107,6 +107,19 @@
         ended.collect()
     }
 
+    /// Waits until all nodes take calls and one of them schedules.
+    pub fn wait_until_ready(&self) -> Result<(), Box<dyn std::error::Error>> {
+        for _ in 0..100 {
+            if self.ready().iter().all(|ready| *ready) {
+                // The first holder has read the fleet by then.
+                std::thread::sleep(Duration::from_secs(4));
+                return Ok(());
+            }
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        Err("the nodes don't become ready".into())
+    }
+
     /// Returns which nodes answer the readiness check with 200 in time.
     pub fn ready(&self) -> Vec<bool> {
         let ready = self.nodes.iter().map(|node| {
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -1,6 +1,7 @@
 //! The workers and the VM service.
 
 use crate::{
+    history::History,
     http::{Answer, Request, serve},
     json::{Json, object, parse},
     record::Record,
@@ -14,6 +15,9 @@
     time::{Duration, Instant},
 };
 
+/// How many ends a worker lists at once.
+const ENDS_AT_ONCE: usize = 500;
+
 /// The longest lease that a worker takes, in milliseconds.
 const MAX_HOLD_MS: i64 = 10_000;
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
@@ -46,16 +50,28 @@
 
 struct Run {
     number: i64,
+    /// Its number in the history.
+    seen: usize,
     began: Instant,
     demand: StepDemand,
 }
 
+/// An end that a worker still lists.
+struct End {
+    number: i64,
+    task: String,
+    run: i64,
+    how: &'static str,
+    /// The run's number in the history.
+    seen: usize,
+}
+
 #[derive(Default)]
 struct WorkerState {
     fence: i64,
     until_ms: i64,
     runs: BTreeMap<String, Run>,
-    ends: Vec<(i64, String, i64, &'static str)>,
+    ends: Vec<End>,
     last_end: i64,
     /// The highest run of each task that was stopped or ended.
     over: HashMap<String, i64>,
@@ -116,20 +132,24 @@
                     return self.refuse("room");
                 }
                 platform.record.note(&format!("worker {} starts {task} run {run} fence {fence}", self.id));
-                state.runs.insert(task, Run { number: run, began: Instant::now(), demand });
+                let seen = platform.history.begin(&task, run, &self.id);
+                state.runs.insert(task, Run { number: run, seen, began: Instant::now(), demand });
                 self.done()
             }
             "/dewspar/run-stop" => {
                 let over = state.over.entry(task.clone()).or_insert(0);
                 *over = (*over).max(run);
                 if state.runs.get(&task).is_some_and(|there| there.number == run) {
-                    self.end(&mut state, &task, "stopped", &platform.record);
+                    self.end(&mut state, &task, "stopped", platform);
                 }
                 self.done()
             }
             "/dewspar/hold" => {
                 let seen = asked.get("LastSeen").int();
-                state.ends.retain(|(number, ..)| *number > seen);
+                for end in state.ends.iter().filter(|end| end.number <= seen) {
+                    platform.history.note(end.seen);
+                }
+                state.ends.retain(|end| end.number > seen);
                 let wait_ms = asked.get("WaitMs").int().clamp(0, 2_000) as u64;
                 let until = Instant::now() + Duration::from_millis(wait_ms);
                 while state.ends.is_empty() {
@@ -139,7 +159,8 @@
                 let active = state.runs.iter().map(|(task, run)| {
                     Json::List(vec![task.as_str().into(), run.number.into(), "".into(), 100i64.into()])
                 });
-                let ended = state.ends.iter().take(500).map(|(number, task, run, how)| {
+                let ended = state.ends.iter().take(ENDS_AT_ONCE).map(|end| {
+                    let End { number, task, run, how, .. } = end;
                     Json::List(vec![
                         (*number).into(), task.as_str().into(), (*run).into(), (*how).into(), "".into(),
                     ])
@@ -156,18 +177,20 @@
         }
     }
 
-    fn end(&self, state: &mut WorkerState, task: &str, how: &'static str, record: &Record) {
+    fn end(&self, state: &mut WorkerState, task: &str, how: &'static str, platform: &Platform) {
         let Some(run) = state.runs.remove(task) else { return };
         let over = state.over.entry(task.to_owned()).or_insert(0);
         *over = (*over).max(run.number);
         state.last_end += 1;
         let number = state.last_end;
-        state.ends.push((number, task.to_owned(), run.number, how));
-        record.note(&format!("worker {} ends {task} run {} {how}", self.id, run.number));
+        platform.history.end(run.seen, how);
+        let (task, seen) = (task.to_owned(), run.seen);
+        platform.record.note(&format!("worker {} ends {task} run {} {how}", self.id, run.number));
+        state.ends.push(End { number, task, run: run.number, how, seen });
         self.changed.notify_all();
     }
 
-    fn tick(&self, record: &Record) {
+    fn tick(&self, platform: &Platform) {
         let mut state = self.state.lock().unwrap();
         let lapsed = self.clock_ms() >= state.until_ms;
         let over = state.runs.iter().filter_map(|(task, run)| {
@@ -176,7 +199,7 @@
             (worked || lapsed).then(|| (task.clone(), how))
         });
         for (task, how) in over.collect::<Vec<_>>() {
-            self.end(&mut state, &task, how, record);
+            self.end(&mut state, &task, how, platform);
         }
     }
 
@@ -205,6 +228,7 @@
     pub store: Store,
     pub jobs: Jobs,
     pub record: Record,
+    pub history: History,
     pub address: SocketAddr,
     vms: Arc<Mutex<Vec<Vm>>>,
     lives: Arc<Mutex<u64>>,
@@ -218,6 +242,7 @@
             store: Store::default(),
             jobs: Jobs::default(),
             record: record.clone(),
+            history: History::default(),
             address: listener.local_addr()?,
             vms: Arc::default(),
             lives: Arc::default(),
@@ -229,7 +254,7 @@
         thread::spawn(move || loop {
             thread::sleep(Duration::from_millis(5));
             for worker in ticking.workers() {
-                worker.tick(&ticking.record);
+                worker.tick(&ticking);
             }
         });
         let beating = platform.clone();
--- a/review/standin/steps.rs
+++ b/review/standin/steps.rs
@@ -28,7 +28,7 @@
     }
     platform.store.write("op/config", &configuration(7));
     let mut nodes = Nodes::start(NODES, platform.address, &record)?;
-    wait_until_ready(&nodes)?;
+    nodes.wait_until_ready()?;
     let callers = Callers::new(&nodes, &platform, &record);
     let small = [Step { count: 2, cpu: 1_000, work_ms: 300, ..Step::default() }];
     let began_ms = record.now_ms();
@@ -91,15 +91,3 @@
     };
     (0..STEPS).map(step).collect()
 }
-
-fn wait_until_ready(nodes: &Nodes) -> Result<(), Box<dyn Error>> {
-    for _ in 0..100 {
-        if nodes.ready().iter().all(|ready| *ready) {
-            // The first holder has read the fleet by then.
-            sleep(Duration::from_secs(4));
-            return Ok(());
-        }
-        sleep(Duration::from_millis(100));
-    }
-    Err("the nodes don't become ready".into())
-}
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -35,6 +35,8 @@
     history: Vec<(u64, String, Option<Item>)>,
     leases: HashMap<i64, Lease>,
     last_lease: i64,
+    /// Since when the store is down.
+    down_since: Option<Instant>,
 }
 
 /// The store; clones share it.
@@ -68,6 +70,9 @@
     }
 
     fn lapse(&mut self) -> bool {
+        if self.down_since.is_some() {
+            return false;
+        }
         let now = Instant::now();
         let over = self.leases.iter().filter(|(_, lease)| now >= lease.until);
         let over: Vec<i64> = over.map(|(id, _)| *id).collect();
@@ -130,8 +135,25 @@
         });
     }
 
+    /// Takes the store down: it answers each call with 503, and leases wait.
+    pub fn go_down(&self) {
+        self.0.0.lock().unwrap().down_since = Some(Instant::now());
+    }
+
+    /// Ends the outage.
+    pub fn come_back(&self) {
+        let mut state = self.0.0.lock().unwrap();
+        let Some(since) = state.down_since.take() else { return };
+        for lease in state.leases.values_mut() {
+            lease.until += since.elapsed();
+        }
+    }
+
     /// Answers a call of a node.
     pub fn answer(&self, request: &Request) -> Option<Answer> {
+        if self.0.0.lock().unwrap().down_since.is_some() {
+            return Some(Answer::of(503, "{}".to_owned()));
+        }
         let path = request.path.strip_prefix("/dewspar/").unwrap_or_default();
         let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match (request.method.as_str(), path) {
