--- a/review/standin/callers.rs
+++ b/review/standin/callers.rs
@@ -32,6 +32,8 @@
     pub work_ms: u64,
     pub after: Vec<usize>,
     pub lasts: bool,
+    /// How many runs of each task fail by its own fault, the first ones.
+    pub failing_runs: i64,
 }
 
 /// A job that a caller has handed in.
@@ -141,7 +143,12 @@
         let number = self.next_id.fetch_add(1, Ordering::Relaxed);
         // Spread over all identifiers, as callers choose them at random.
         let id = format!("{:016x}", number.wrapping_add(1).wrapping_mul(0x9E37_79B9_7F4A_7C15));
-        let demands = steps.iter().map(|step| StepDemand { cpu: step.cpu, work_ms: step.work_ms });
+        let demands = steps.iter().map(|step| StepDemand {
+            cpu: step.cpu,
+            work_ms: step.work_ms,
+            failing_runs: step.failing_runs,
+            lasts: step.lasts,
+        });
         self.platform.jobs.add(&id, demands.collect());
         let rows = steps.iter().map(|step| {
             let mut fields = vec![
@@ -173,6 +180,11 @@
         index
     }
 
+    /// Returns the job that was handed in under this number.
+    pub fn job(&self, number: usize) -> Submitted {
+        self.jobs()[number].clone()
+    }
+
     pub fn jobs(&self) -> Vec<Submitted> {
         self.jobs.lock().unwrap().clone()
     }
--- a/review/standin/history.rs
+++ b/review/standin/history.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::BTreeMap,
     sync::{Arc, Mutex},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 #[derive(Clone, Debug)]
@@ -49,6 +49,25 @@
         self.0.lock().unwrap().len()
     }
 
+    /// Returns the longest time for which no run of a job was going, from a
+    /// time on, and how many runs it had.
+    pub fn longest_wait(&self, job: &str, from: Instant) -> (Duration, usize) {
+        let seen = self.0.lock().unwrap();
+        let runs = seen.iter().filter(|run| run.task.starts_with(job));
+        let (mut idle_from, mut longest, mut count) = (Some(from), Duration::ZERO, 0);
+        for run in runs {
+            count += 1;
+            if let Some(from) = idle_from {
+                longest = longest.max(run.began.saturating_duration_since(from));
+            }
+            idle_from = run.ended.map(|(at, _)| at);
+        }
+        if let Some(from) = idle_from {
+            longest = longest.max(from.elapsed());
+        }
+        (longest, count)
+    }
+
     /// Returns the starts that break TWICE: beside another run of the task, or
     /// after one that has ended `done`, where that end is taken note of. A
     /// lease that lapses ends its runs as `lapsed`, and a worker on which one
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod nodes;
 mod platform;
 mod record;
+mod retry;
 mod steps;
 mod store;
 
@@ -26,6 +27,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "ends" => ends::play(record, trouble),
+        "retry" => retry::play(record, trouble),
         "steps" => steps::play(record, trouble),
         _ => Err(format!("no case is called {case}").into()),
     };
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -33,6 +33,10 @@
 pub struct StepDemand {
     pub cpu: i64,
     pub work_ms: u64,
+    /// How many runs of each task fail by its own fault, the first ones.
+    pub failing_runs: i64,
+    /// Whether its tasks run until they are stopped.
+    pub lasts: bool,
 }
 
 impl Jobs {
@@ -194,8 +198,13 @@
         let mut state = self.state.lock().unwrap();
         let lapsed = self.clock_ms() >= state.until_ms;
         let over = state.runs.iter().filter_map(|(task, run)| {
-            let worked = run.began.elapsed().as_millis() as u64 >= run.demand.work_ms;
-            let how = if worked { "done" } else { "lapsed" };
+            let took_ms = run.began.elapsed().as_millis() as u64;
+            let worked = took_ms >= run.demand.work_ms && !run.demand.lasts;
+            let how = match worked {
+                true if run.number <= run.demand.failing_runs => "failed",
+                true => "done",
+                false => "lapsed",
+            };
             (worked || lapsed).then(|| (task.clone(), how))
         });
         for (task, how) in over.collect::<Vec<_>>() {
