review: case 3, tasks of ten minutes are stopped for good and their workers suspended

A run whose percent stays the same for 2.5 s is stopped as stalled. One that takes over some 250 s is stopped each time, and each of its workers is suspended for up to 8 s, so that an empty pool runs nothing. Takes the place of the case of a task that failed once, which the stand-in still plays as retry. Case 1 uses jobs of the site file's width.

--- a/review/standin/ends.rs
+++ b/review/standin/ends.rs
@@ -14,14 +14,17 @@
 
 const NODES: usize = 3;
 const WORKERS: usize = 2;
-const JOBS: usize = 10;
-const TASKS: i64 = 600;
-const DOWN_AFTER: Duration = Duration::from_millis(1_500);
+const JOBS: usize = 100;
+const TASKS: i64 = 32;
+const DOWN_AFTER: Duration = Duration::from_millis(1_000);
 const DOWN_FOR: Duration = Duration::from_millis(4_500);
 const MOST: Duration = Duration::from_secs(60);
 
 /// Plays the case; returns how the rule was broken.
-pub fn play(record: &str, trouble: bool) -> Result<Vec<String>, Box<dyn Error>> {
+pub fn play(
+    record: &str,
+    trouble: bool,
+) -> Result<Vec<String>, Box<dyn Error>> {
     let record = Record::create(record)?;
     let platform = Platform::start(&record)?;
     for number in 0..WORKERS {
@@ -31,7 +34,8 @@
     let nodes = Nodes::start(NODES, platform.address, &record)?;
     nodes.wait_until_ready()?;
     let callers = Callers::new(&nodes, &platform, &record);
-    let job = [Step { count: TASKS, cpu: 250, work_ms: 300, ..Step::default() }];
+    let job =
+        [Step { count: TASKS, cpu: 500, work_ms: 400, ..Step::default() }];
     record.note("jobs are handed in");
     let calls: Vec<_> = (0..JOBS)
         .map(|_| {
@@ -54,7 +58,10 @@
     loop {
         sleep(Duration::from_secs(2));
         let open = callers.states().into_iter().filter(|(_, state)| {
-            !matches!(state.as_deref(), Some("completed" | "failed" | "cancelled"))
+            !matches!(
+                state.as_deref(),
+                Some("completed" | "failed" | "cancelled")
+            )
         });
         if open.count() == 0 || std::time::Instant::now() > until {
             break;
@@ -63,12 +70,14 @@
     // The last ends are taken note of by then.
     sleep(Duration::from_secs(2));
     callers.stop();
-    let accepted = callers.jobs().iter().filter(|job| job.accepted_ms.is_some()).count();
+    let accepted =
+        callers.jobs().iter().filter(|job| job.accepted_ms.is_some()).count();
     let tasks = accepted as i64 * TASKS;
     let broken = platform.history.twice();
     let summary = format!(
         "{accepted} jobs accepted, {tasks} tasks, {} starts, {} of them break the rule",
-        platform.history.starts(), broken.len(),
+        platform.history.starts(),
+        broken.len(),
     );
     record.note(&summary);
     println!("{summary}");
--- a/review/standin/history.rs
+++ b/review/standin/history.rs
@@ -49,23 +49,28 @@
         self.0.lock().unwrap().len()
     }
 
-    /// Returns the longest time for which no run of a job was going, from a
-    /// time on, and how many runs it had.
-    pub fn longest_wait(&self, job: &str, from: Instant) -> (Duration, usize) {
+    /// Returns the times for which no run of a job was going, from a time on,
+    /// until now if the job is open, and how many runs it had.
+    pub fn waits(
+        &self,
+        job: &str,
+        from: Instant,
+        is_open: bool,
+    ) -> (Vec<Duration>, usize) {
         let seen = self.0.lock().unwrap();
         let runs = seen.iter().filter(|run| run.task.starts_with(job));
-        let (mut idle_from, mut longest, mut count) = (Some(from), Duration::ZERO, 0);
-        for run in runs {
-            count += 1;
-            if let Some(from) = idle_from {
-                longest = longest.max(run.began.saturating_duration_since(from));
-            }
-            idle_from = run.ended.map(|(at, _)| at);
+        let mut runs: Vec<&Seen> = runs.collect();
+        runs.sort_by_key(|run| run.began);
+        let (mut waits, mut busy_until) = (Vec::new(), Some(from));
+        for run in &runs {
+            let Some(until) = busy_until else { break };
+            waits.push(run.began.saturating_duration_since(until));
+            busy_until = run.ended.map(|(at, _)| at.max(until));
         }
-        if let Some(from) = idle_from {
-            longest = longest.max(from.elapsed());
+        if let Some(until) = busy_until.filter(|_| is_open) {
+            waits.push(until.elapsed());
         }
-        (longest, count)
+        (waits, runs.len())
     }
 
     /// Returns the starts that break TWICE: beside another run of the task, or
@@ -91,7 +96,10 @@
                 let mut earlier = runs[..index].iter().rev();
                 let reason = earlier.find_map(|earlier| {
                     let what = conflict(earlier, later, &lapsed)?;
-                    Some(format!("run {} on {} {what}", earlier.run, earlier.worker))
+                    Some(format!(
+                        "run {} on {} {what}",
+                        earlier.run, earlier.worker
+                    ))
                 });
                 if let Some(reason) = reason {
                     broken.push(format!(
@@ -106,7 +114,11 @@
 }
 
 /// Returns why a run may not start after an earlier one, if it may not.
-fn conflict(earlier: &Seen, later: &Seen, lapsed: &[(&str, Instant)]) -> Option<String> {
+fn conflict(
+    earlier: &Seen,
+    later: &Seen,
+    lapsed: &[(&str, Instant)],
+) -> Option<String> {
     let (at, how) = match earlier.ended {
         Some((at, how)) if at <= later.began => (at, how),
         _ => return Some("is still going".to_owned()),
--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -47,18 +47,24 @@
     });
 }
 
-fn serve_connection(stream: TcpStream, handler: Handler) -> std::io::Result<()> {
+fn serve_connection(
+    stream: TcpStream,
+    handler: Handler,
+) -> std::io::Result<()> {
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     loop {
-        let Some((line, headers)) = read_head(&mut reader)? else { return Ok(()) };
+        let Some((line, headers)) = read_head(&mut reader)? else {
+            return Ok(());
+        };
         let body = read_body(&mut reader, &headers)?;
         let mut words = line.split(' ');
         let method = words.next().unwrap_or_default().to_owned();
         let target = words.next().unwrap_or_default();
         let (path, query) = target.split_once('?').unwrap_or((target, ""));
         let query = query.split('&').filter_map(|pair| pair.split_once('='));
-        let query = query.map(|(name, value)| (name.to_owned(), decode(value)));
+        let query =
+            query.map(|(name, value)| (name.to_owned(), decode(value)));
         let request = Request {
             method,
             path: path.to_owned(),
@@ -112,7 +118,9 @@
 fn decode(text: &str) -> String {
     let (bytes, mut at, mut out) = (text.as_bytes(), 0, Vec::new());
     while at < bytes.len() {
-        let hex = bytes.get(at + 1..at + 3).and_then(|h| std::str::from_utf8(h).ok());
+        let hex = bytes
+            .get(at + 1..at + 3)
+            .and_then(|h| std::str::from_utf8(h).ok());
         match (bytes[at], hex.and_then(|h| u8::from_str_radix(h, 16).ok())) {
             (b'%', Some(byte)) => {
                 out.push(byte);
@@ -143,7 +151,10 @@
     let left = until.checked_duration_since(Instant::now())?;
     stream.set_read_timeout(Some(left.max(Duration::from_millis(1)))).ok()?;
     stream.set_write_timeout(Some(timeout)).ok()?;
-    let mut head = format!("{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n", body.len());
+    let mut head = format!(
+        "{method} {path} HTTP/1.1\r\nContent-Length: {}\r\n",
+        body.len()
+    );
     for (name, value) in headers {
         head += &format!("{name}: {value}\r\n");
     }
--- a/review/standin/json.rs
+++ b/review/standin/json.rs
@@ -57,7 +57,9 @@
     fn write_to(&self, out: &mut String) {
         match self {
             Json::Null => out.push_str("null"),
-            Json::Bool(value) => out.push_str(if *value { "true" } else { "false" }),
+            Json::Bool(value) => {
+                out.push_str(if *value { "true" } else { "false" })
+            }
             Json::Int(number) => write!(out, "{number}").unwrap(),
             Json::Float(number) => write!(out, "{number}").unwrap(),
             Json::Text(text) => write_text(text, out),
@@ -126,7 +128,9 @@
 /// Builds an object.
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
     let fields = fields.into_iter();
-    Json::Object(fields.map(|(name, value)| (name.to_owned(), value)).collect())
+    Json::Object(
+        fields.map(|(name, value)| (name.to_owned(), value)).collect(),
+    )
 }
 
 fn write_text(text: &str, out: &mut String) {
@@ -136,7 +140,9 @@
             '"' => out.push_str("\\\""),
             '\\' => out.push_str("\\\\"),
             '\n' => out.push_str("\\n"),
-            c if (c as u32) < 0x20 => write!(out, "\\u{:04x}", c as u32).unwrap(),
+            c if (c as u32) < 0x20 => {
+                write!(out, "\\u{:04x}", c as u32).unwrap()
+            }
             c => out.push(c),
         }
     }
@@ -294,18 +300,3 @@
     }
     out
 }
-
-/// Decodes base64; other characters are passed over.
-pub fn from_base64(text: &str) -> Vec<u8> {
-    let (mut bits, mut count, mut out) = (0u32, 0, Vec::new());
-    for byte in text.bytes() {
-        let Some(digit) = DIGITS.iter().position(|d| *d == byte) else { continue };
-        bits = bits << 6 | digit as u32;
-        count += 6;
-        if count >= 8 {
-            count -= 8;
-            out.push((bits >> count) as u8);
-        }
-    }
-    out
-}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -9,6 +9,7 @@
 mod history;
 mod http;
 mod json;
+mod long;
 mod nodes;
 mod platform;
 mod record;
@@ -27,6 +28,7 @@
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let outcome = match case.as_str() {
         "ends" => ends::play(record, trouble),
+        "long" => long::play(record, trouble),
         "retry" => retry::play(record, trouble),
         "steps" => steps::play(record, trouble),
         _ => Err(format!("no case is called {case}").into()),
--- a/review/standin/nodes.rs
+++ b/review/standin/nodes.rs
@@ -29,24 +29,36 @@
 fn free_ports(ip: IpAddr, count: usize) -> std::io::Result<Vec<u16>> {
     let listeners = (0..count).map(|_| TcpListener::bind((ip, 0)));
     let listeners = listeners.collect::<Result<Vec<_>, _>>()?;
-    listeners.iter().map(|listener| Ok(listener.local_addr()?.port())).collect()
+    listeners
+        .iter()
+        .map(|listener| Ok(listener.local_addr()?.port()))
+        .collect()
 }
 
 impl Nodes {
     /// Starts nodes whose store and VM service are at this address.
-    pub fn start(count: usize, platform: SocketAddr, record: &Record) -> std::io::Result<Nodes> {
-        let folder = std::env::temp_dir().join(format!("dewspar-review-{}", std::process::id()));
+    pub fn start(
+        count: usize,
+        platform: SocketAddr,
+        record: &Record,
+    ) -> std::io::Result<Nodes> {
+        let folder = std::env::temp_dir()
+            .join(format!("dewspar-review-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
-        let mut nodes = Nodes { nodes: Vec::new(), folder, record: record.clone() };
+        let mut nodes =
+            Nodes { nodes: Vec::new(), folder, record: record.clone() };
         for number in 1..=count {
             // Nodes tell each other apart by their addresses.
             let ip: IpAddr = [127, 0, 0, 10 + number as u8].into();
             let ports = free_ports(ip, 5)?;
             let name = format!("edge-{number}");
             let settings = nodes.folder.join(format!("{name}.yaml"));
-            let (first, last) = (ports[2].min(ports[3]), ports[2].max(ports[3]));
-            fs::write(&settings, format!(
-                "node: {name}\nhall: hall-1\nhalls: [\"hall-1\"]\ntolerate:\n  halls: 0\n\
+            let (first, last) =
+                (ports[2].min(ports[3]), ports[2].max(ports[3]));
+            fs::write(
+                &settings,
+                format!(
+                    "node: {name}\nhall: hall-1\nhalls: [\"hall-1\"]\ntolerate:\n  halls: 0\n\
                  callers_address: {ip}:{}\nreadiness_address: {ip}:{}\n\
                  metrics_address: {ip}:{first}\nrelay_address: {ip}:{last}\n\
                  internal:\n  ip: {ip}\n  first_port: {first}\n  last_port: {last}\n\
@@ -57,8 +69,9 @@
                  \x20 notice_ms: 4500\n  disturbance_ms: 4000\n  min_store_lease_ms: 1000\n\
                  \x20 evacuate_ms:\n  max_stretch_ms: 5000\n  remote_factor: 2\n\
                  log:\n  format: json\n  level: info\n",
-                ports[0], ports[1],
-            ))?;
+                    ports[0], ports[1],
+                ),
+            )?;
             let log = nodes.folder.join(format!("{name}.log"));
             let address = |port: u16| SocketAddr::new(ip, port);
             nodes.nodes.push(Node {
@@ -84,20 +97,15 @@
             .stdout(Stdio::from(log.try_clone()?))
             .stderr(Stdio::from(log))
             .spawn()?;
-        self.record.note(&format!("{} is process {}", node.name, process.id()));
+        self.record.note(&format!(
+            "{} is process {}",
+            node.name,
+            process.id()
+        ));
         node.process = Some(process);
         Ok(())
     }
 
-    /// Sends a signal to a node's process.
-    pub fn signal(&mut self, index: usize, signal: &str) {
-        let node = &mut self.nodes[index];
-        let Some(process) = &node.process else { return };
-        self.record.note(&format!("{} gets {signal}", node.name));
-        let pid = process.id().to_string();
-        let _ = Command::new("kill").args(["-s", signal, &pid]).status();
-    }
-
     /// Returns the nodes whose processes have ended by themselves.
     pub fn ended(&mut self) -> Vec<String> {
         let ended = self.nodes.iter_mut().filter_map(|node| {
@@ -124,7 +132,14 @@
     pub fn ready(&self) -> Vec<bool> {
         let ready = self.nodes.iter().map(|node| {
             let timeout = Duration::from_millis(500);
-            let answer = call(node.ready, "GET", "/dewspar/readiness", &[], "", timeout);
+            let answer = call(
+                node.ready,
+                "GET",
+                "/dewspar/readiness",
+                &[],
+                "",
+                timeout,
+            );
             answer.is_some_and(|(status, _)| status == 200)
         });
         ready.collect()
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -60,6 +60,18 @@
     demand: StepDemand,
 }
 
+impl Run {
+    /// Returns how much of its work is done, in whole percent; a task that
+    /// lasts is at work at once.
+    fn percent(&self) -> i64 {
+        if self.demand.lasts {
+            return 100;
+        }
+        let took_ms = self.began.elapsed().as_millis() as u64;
+        (took_ms * 100 / self.demand.work_ms.max(1)).min(99) as i64
+    }
+}
+
 /// An end that a worker still lists.
 struct End {
     number: i64,
@@ -83,8 +95,7 @@
 
 /// One life of a worker.
 pub struct Worker {
-    pub id: String,
-    pub vm: String,
+    id: String,
     pool: String,
     cpu: i64,
     began: Instant,
@@ -97,7 +108,11 @@
         1_000 + self.began.elapsed().as_millis() as i64
     }
 
-    fn answer(&self, request: &Request, platform: &Platform) -> Option<Answer> {
+    fn answer(
+        &self,
+        request: &Request,
+        platform: &Platform,
+    ) -> Option<Answer> {
         if request.path == "/health" {
             return Some(Answer::of(200, "{}".to_owned()));
         }
@@ -120,7 +135,11 @@
         }
         match request.path.as_str() {
             "/dewspar/run-start" => {
-                if state.runs.get(&task).is_some_and(|there| there.number == run) {
+                if state
+                    .runs
+                    .get(&task)
+                    .is_some_and(|there| there.number == run)
+                {
                     return self.done();
                 }
                 let over = state.over.get(&task).copied().unwrap_or(0);
@@ -131,19 +150,30 @@
                     return self.refuse("late");
                 }
                 let demand = platform.jobs.demand(&task).unwrap_or_default();
-                let used: i64 = state.runs.values().map(|run| run.demand.cpu).sum();
+                let used: i64 =
+                    state.runs.values().map(|run| run.demand.cpu).sum();
                 if used + demand.cpu > self.cpu {
                     return self.refuse("room");
                 }
-                platform.record.note(&format!("worker {} starts {task} run {run} fence {fence}", self.id));
+                platform.record.note(&format!(
+                    "worker {} starts {task} run {run} fence {fence}",
+                    self.id
+                ));
                 let seen = platform.history.begin(&task, run, &self.id);
-                state.runs.insert(task, Run { number: run, seen, began: Instant::now(), demand });
+                state.runs.insert(
+                    task,
+                    Run { number: run, seen, began: Instant::now(), demand },
+                );
                 self.done()
             }
             "/dewspar/run-stop" => {
                 let over = state.over.entry(task.clone()).or_insert(0);
                 *over = (*over).max(run);
-                if state.runs.get(&task).is_some_and(|there| there.number == run) {
+                if state
+                    .runs
+                    .get(&task)
+                    .is_some_and(|there| there.number == run)
+                {
                     self.end(&mut state, &task, "stopped", platform);
                 }
                 self.done()
@@ -157,16 +187,29 @@
                 let wait_ms = asked.get("WaitMs").int().clamp(0, 2_000) as u64;
                 let until = Instant::now() + Duration::from_millis(wait_ms);
                 while state.ends.is_empty() {
-                    let Some(left) = until.checked_duration_since(Instant::now()) else { break };
+                    let Some(left) =
+                        until.checked_duration_since(Instant::now())
+                    else {
+                        break;
+                    };
                     state = self.changed.wait_timeout(state, left).unwrap().0;
                 }
                 let active = state.runs.iter().map(|(task, run)| {
-                    Json::List(vec![task.as_str().into(), run.number.into(), "".into(), 100i64.into()])
+                    Json::List(vec![
+                        task.as_str().into(),
+                        run.number.into(),
+                        "".into(),
+                        run.percent().into(),
+                    ])
                 });
                 let ended = state.ends.iter().take(ENDS_AT_ONCE).map(|end| {
                     let End { number, task, run, how, .. } = end;
                     Json::List(vec![
-                        (*number).into(), task.as_str().into(), (*run).into(), (*how).into(), "".into(),
+                        (*number).into(),
+                        task.as_str().into(),
+                        (*run).into(),
+                        (*how).into(),
+                        "".into(),
                     ])
                 });
                 let answer = object(vec![
@@ -181,7 +224,13 @@
         }
     }
 
-    fn end(&self, state: &mut WorkerState, task: &str, how: &'static str, platform: &Platform) {
+    fn end(
+        &self,
+        state: &mut WorkerState,
+        task: &str,
+        how: &'static str,
+        platform: &Platform,
+    ) {
         let Some(run) = state.runs.remove(task) else { return };
         let over = state.over.entry(task.to_owned()).or_insert(0);
         *over = (*over).max(run.number);
@@ -189,7 +238,10 @@
         let number = state.last_end;
         platform.history.end(run.seen, how);
         let (task, seen) = (task.to_owned(), run.seen);
-        platform.record.note(&format!("worker {} ends {task} run {} {how}", self.id, run.number));
+        platform.record.note(&format!(
+            "worker {} ends {task} run {} {how}",
+            self.id, run.number
+        ));
         state.ends.push(End { number, task, run: run.number, how, seen });
         self.changed.notify_all();
     }
@@ -213,11 +265,17 @@
     }
 
     fn done(&self) -> Option<Answer> {
-        Some(Answer::of(200, object(vec![("ClockMs", self.clock_ms().into())]).write()))
+        Some(Answer::of(
+            200,
+            object(vec![("ClockMs", self.clock_ms().into())]).write(),
+        ))
     }
 
     fn refuse(&self, reason: &str) -> Option<Answer> {
-        let body = object(vec![("ClockMs", self.clock_ms().into()), ("Reason", reason.into())]);
+        let body = object(vec![
+            ("ClockMs", self.clock_ms().into()),
+            ("Reason", reason.into()),
+        ]);
         Some(Answer::of(409, body.write()))
     }
 }
@@ -260,30 +318,42 @@
         let served = platform.clone();
         serve(listener, Arc::new(move |request| served.answer(request)));
         let ticking = platform.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(5));
-            for worker in ticking.workers() {
-                worker.tick(&ticking);
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(5));
+                for worker in ticking.workers() {
+                    worker.tick(&ticking);
+                }
             }
         });
         let beating = platform.clone();
-        thread::spawn(move || loop {
-            beating.beat();
-            thread::sleep(HEARTBEAT);
+        thread::spawn(move || {
+            loop {
+                beating.beat();
+                thread::sleep(HEARTBEAT);
+            }
         });
         Ok(platform)
     }
 
     /// Adds a VM whose worker has so many thousandths of a core.
-    pub fn add_vm(&self, name: &str, pool: &str, cpu: i64) -> std::io::Result<()> {
+    pub fn add_vm(
+        &self,
+        name: &str,
+        pool: &str,
+        cpu: i64,
+    ) -> std::io::Result<()> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let worker: Arc<Mutex<Option<Arc<Worker>>>> = Arc::default();
         let (served, platform) = (worker.clone(), self.clone());
-        serve(listener, Arc::new(move |request| {
-            let worker = served.lock().unwrap().clone()?;
-            worker.answer(request, &platform)
-        }));
+        serve(
+            listener,
+            Arc::new(move |request| {
+                let worker = served.lock().unwrap().clone()?;
+                worker.answer(request, &platform)
+            }),
+        );
         let vm = Vm {
             name: name.to_owned(),
             pool: pool.to_owned(),
@@ -303,14 +373,16 @@
         *lives += 1;
         let worker = Worker {
             id: format!("i-{:08x}", *lives),
-            vm: vm.name.clone(),
             pool: vm.pool.clone(),
             cpu: vm.cpu,
             began: Instant::now(),
             state: Mutex::default(),
             changed: Condvar::new(),
         };
-        self.record.note(&format!("worker {} begins on {} in {}", worker.id, vm.name, vm.pool));
+        self.record.note(&format!(
+            "worker {} begins on {} in {}",
+            worker.id, vm.name, vm.pool
+        ));
         *vm.worker.lock().unwrap() = Some(Arc::new(worker));
     }
 
@@ -323,8 +395,14 @@
     fn beat(&self) {
         let vms = self.vms.lock().unwrap();
         for vm in vms.iter() {
-            let Some(worker) = vm.worker.lock().unwrap().clone() else { continue };
-            let capacity = vec![("Cpu", vm.cpu.into()), ("MemMb", 131_072i64.into()), ("Gpu", 0i64.into())];
+            let Some(worker) = vm.worker.lock().unwrap().clone() else {
+                continue;
+            };
+            let capacity = vec![
+                ("Cpu", vm.cpu.into()),
+                ("MemMb", 131_072i64.into()),
+                ("Gpu", 0i64.into()),
+            ];
             let entry = object(vec![
                 ("Service", worker.pool.as_str().into()),
                 ("Address", vm.address.to_string().into()),
@@ -349,25 +427,41 @@
                 let vms = self.vms.lock().unwrap();
                 let rows = vms.iter().map(|vm| {
                     let worker = vm.worker.lock().unwrap().clone();
-                    let capacity = vec![("Cpu", vm.cpu.into()), ("MemMb", 131_072i64.into()), ("Gpu", 0i64.into())];
+                    let capacity = vec![
+                        ("Cpu", vm.cpu.into()),
+                        ("MemMb", 131_072i64.into()),
+                        ("Gpu", 0i64.into()),
+                    ];
                     object(vec![
                         ("Machine", vm.name.as_str().into()),
                         ("Pool", vm.pool.as_str().into()),
                         ("State", vm.state.into()),
                         ("Zone", "hall-1".into()),
-                        ("Labels", Json::List(vec!["a".into(), "r1-1".into()])),
+                        (
+                            "Labels",
+                            Json::List(vec!["a".into(), "r1-1".into()]),
+                        ),
                         ("Capacity", object(capacity)),
-                        ("Id", worker.map_or(Json::Null, |w| w.id.as_str().into())),
+                        (
+                            "Id",
+                            worker
+                                .map_or(Json::Null, |w| w.id.as_str().into()),
+                        ),
                     ])
                 });
                 let rows: Vec<Json> = rows.collect();
-                let page = object(vec![("Machines", rows.into()), ("NextToken", Json::Null)]);
+                let page = object(vec![
+                    ("Machines", rows.into()),
+                    ("NextToken", Json::Null),
+                ]);
                 Some(Answer::of(200, page.write()))
             }
             ("POST", "/dewspar/machine-move" | "/dewspar/machine-upkeep") => {
                 self.change(request)
             }
-            (_, path) if path.starts_with("/dewspar/kv-") => self.store.answer(request),
+            (_, path) if path.starts_with("/dewspar/kv-") => {
+                self.store.answer(request)
+            }
             _ => Some(Answer::of(404, "{}".to_owned())),
         }
     }
@@ -376,10 +470,15 @@
     fn change(&self, request: &Request) -> Option<Answer> {
         let asked = parse(&request.body)?;
         let name = asked.get("Machine").text().to_owned();
-        let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
+        let header = |name: &str| {
+            request.headers.get(name).cloned().unwrap_or_default()
+        };
         self.record.note(&format!(
             "{} {} by {} fence {}",
-            request.path, request.body, header("duty-holder"), header("fencing-token"),
+            request.path,
+            request.body,
+            header("duty-holder"),
+            header("fencing-token"),
         ));
         let mut vms = self.vms.lock().unwrap();
         let Some(vm) = vms.iter_mut().find(|vm| vm.name == name) else {
@@ -391,7 +490,10 @@
             return Some(Answer::of(200, "{}".to_owned()));
         }
         if vm.state != "up" {
-            return Some(Answer::of(409, object(vec![("Reason", "busy".into())]).write()));
+            return Some(Answer::of(
+                409,
+                object(vec![("Reason", "busy".into())]).write(),
+            ));
         }
         let life = vm.worker.lock().unwrap().take();
         if let Some(life) = life {
@@ -406,7 +508,8 @@
         thread::spawn(move || {
             thread::sleep(if moves { MOVE } else { MAINTENANCE });
             let mut vms = platform.vms.lock().unwrap();
-            let vm = vms.iter_mut().find(|vm| vm.name == name).expect("a known VM");
+            let vm =
+                vms.iter_mut().find(|vm| vm.name == name).expect("a known VM");
             vm.state = "up";
             platform.begin_life(vm);
             drop(vms);
--- a/review/standin/retry.rs
+++ b/review/standin/retry.rs
@@ -20,7 +20,10 @@
 const MOST_WAIT: Duration = Duration::from_secs(3);
 
 /// Plays the case; returns how the rule was broken.
-pub fn play(record: &str, trouble: bool) -> Result<Vec<String>, Box<dyn Error>> {
+pub fn play(
+    record: &str,
+    trouble: bool,
+) -> Result<Vec<String>, Box<dyn Error>> {
     let record = Record::create(record)?;
     let platform = Platform::start(&record)?;
     for number in 0..WORKERS {
@@ -30,11 +33,23 @@
     let nodes = Nodes::start(NODES, platform.address, &record)?;
     nodes.wait_until_ready()?;
     let callers = Callers::new(&nodes, &platform, &record);
-    let lasting = Step { count: 5, cpu: 6_000, work_ms: 900, lasts: true, ..Step::default() };
+    let lasting = Step {
+        count: 5,
+        cpu: 6_000,
+        work_ms: 900,
+        lasts: true,
+        ..Step::default()
+    };
     callers.submit(&[lasting], "ledger sync");
     sleep(Duration::from_secs(4));
     let failing_runs = if trouble { 1 } else { 0 };
-    let step = Step { count: 1, cpu: 4_000, work_ms: 500, failing_runs, ..Step::default() };
+    let step = Step {
+        count: 1,
+        cpu: 4_000,
+        work_ms: 500,
+        failing_runs,
+        ..Step::default()
+    };
     let number = callers.submit(&[step], "claim");
     let job = callers.job(number);
     if job.accepted_ms.is_none() {
@@ -48,20 +63,29 @@
     while accepted.elapsed() < WATCHED {
         others.push(callers.submit(&[other.clone()], "other claim"));
         sleep(Duration::from_secs(2));
-        state = callers.ask("GET", &job.id, "").map_or_else(String::new, |(_, body)| body);
+        state = callers
+            .ask("GET", &job.id, "")
+            .map_or_else(String::new, |(_, body)| body);
         if state.contains("completed") {
             break;
         }
     }
     callers.stop();
-    let (wait, runs) = platform.history.longest_wait(&job.id, accepted);
+    let is_open = !state.contains("completed");
+    let (waits, runs) = platform.history.waits(&job.id, accepted, is_open);
+    let wait = waits.into_iter().max().unwrap_or_default();
     let served = others.iter().filter(|number| {
         let id = callers.job(**number).id;
-        callers.ask("GET", &id, "").is_some_and(|(_, body)| body.contains("completed"))
+        callers
+            .ask("GET", &id, "")
+            .is_some_and(|(_, body)| body.contains("completed"))
     });
     let summary = format!(
         "job {}: {state}, {runs} runs, nothing running for {} ms at most; {} of {} other jobs completed meanwhile",
-        job.id, wait.as_millis(), served.count(), others.len(),
+        job.id,
+        wait.as_millis(),
+        served.count(),
+        others.len(),
     );
     record.note(&summary);
     println!("{summary}");
@@ -70,7 +94,8 @@
     }
     let broken = format!(
         "LOST: job {} has nothing running for {} ms, its pool uses 30 of 64 cores, and one worker is empty",
-        job.id, wait.as_millis(),
+        job.id,
+        wait.as_millis(),
     );
     record.note(&broken);
     Ok(vec![broken])
--- a/review/standin/steps.rs
+++ b/review/standin/steps.rs
@@ -20,7 +20,10 @@
 const STEPS: usize = 32;
 
 /// Plays the case; returns how the rule was broken.
-pub fn play(record: &str, trouble: bool) -> Result<Vec<String>, Box<dyn Error>> {
+pub fn play(
+    record: &str,
+    trouble: bool,
+) -> Result<Vec<String>, Box<dyn Error>> {
     let record = Record::create(record)?;
     let platform = Platform::start(&record)?;
     for number in 0..WORKERS {
@@ -30,7 +33,8 @@
     let mut nodes = Nodes::start(NODES, platform.address, &record)?;
     nodes.wait_until_ready()?;
     let callers = Callers::new(&nodes, &platform, &record);
-    let small = [Step { count: 2, cpu: 1_000, work_ms: 300, ..Step::default() }];
+    let small =
+        [Step { count: 2, cpu: 1_000, work_ms: 300, ..Step::default() }];
     let began_ms = record.now_ms();
     let mut calls = Vec::new();
     let mut large_is_sent = false;
@@ -40,7 +44,8 @@
             large_is_sent = true;
             let (callers, steps) = (callers.clone(), pipeline(trouble));
             record.note("the job of many steps is handed in");
-            calls.push(spawn(move || callers.submit(&steps, "nightly ledger")));
+            calls
+                .push(spawn(move || callers.submit(&steps, "nightly ledger")));
         }
         let (callers, small) = (callers.clone(), small.clone());
         calls.push(spawn(move || callers.submit(&small, "lookup")));
@@ -62,19 +67,28 @@
             None => broken.push(format!("LOST: job {id} gets no answer")),
             Some("410") => broken.push(format!("LOST: job {id} isn't known")),
             Some("queued" | "running") => {
-                broken.push(format!("LOST: job {id} isn't done, with all workers idle"));
+                broken.push(format!(
+                    "LOST: job {id} isn't done, with all workers idle"
+                ));
             }
             Some(_) => {}
         }
     }
     for (number, ready) in nodes.ready().iter().enumerate() {
-        record.note(&format!("node {} answers the readiness check: {ready}", number + 1));
+        record.note(&format!(
+            "node {} answers the readiness check: {ready}",
+            number + 1
+        ));
     }
     for node in nodes.ended() {
         broken.push(format!("{node} has ended by itself"));
     }
-    let refused = callers.jobs().iter().filter(|job| job.accepted_ms.is_none()).count();
-    record.note(&format!("{} jobs accepted, {refused} not accepted", states.len()));
+    let refused =
+        callers.jobs().iter().filter(|job| job.accepted_ms.is_none()).count();
+    record.note(&format!(
+        "{} jobs accepted, {refused} not accepted",
+        states.len()
+    ));
     for line in &broken {
         record.note(line);
     }
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{Answer, Request},
-    json::{Json, from_base64, object, parse, to_base64},
+    json::{Json, object, parse, to_base64},
 };
 use std::{
     collections::{BTreeMap, HashMap},
@@ -45,7 +45,8 @@
 
 impl State {
     fn put(&mut self, key: &str, value: String, lease: i64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created =
+            self.items.get(key).map_or(self.revision, |item| item.created);
         let item = Item { value, revision: self.revision, created, lease };
         self.items.insert(key.to_owned(), item.clone());
         self.history.push((self.revision, key.to_owned(), Some(item)));
@@ -116,21 +117,16 @@
         changed.notify_all();
     }
 
-    /// Reads a value.
-    pub fn read(&self, key: &str) -> Option<Json> {
-        let state = self.0.0.lock().unwrap();
-        let item = state.items.get(key)?;
-        parse(&String::from_utf8(from_base64(&item.value)).ok()?)
-    }
-
     /// Ends leases whose time is over, for as long as the process runs.
     pub fn watch_leases(&self) {
         let store = self.clone();
-        std::thread::spawn(move || loop {
-            std::thread::sleep(Duration::from_millis(10));
-            let (state, changed) = &*store.0;
-            if state.lock().unwrap().lapse() {
-                changed.notify_all();
+        std::thread::spawn(move || {
+            loop {
+                std::thread::sleep(Duration::from_millis(10));
+                let (state, changed) = &*store.0;
+                if state.lock().unwrap().lapse() {
+                    changed.notify_all();
+                }
             }
         });
     }
@@ -155,7 +151,8 @@
             return Some(Answer::of(503, "{}".to_owned()));
         }
         let path = request.path.strip_prefix("/dewspar/").unwrap_or_default();
-        let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
+        let query =
+            |name: &str| request.query.get(name).cloned().unwrap_or_default();
         match (request.method.as_str(), path) {
             ("GET", "kv-key") => {
                 let state = self.0.0.lock().unwrap();
@@ -163,11 +160,15 @@
                 let Some(item) = state.items.get(&key) else {
                     return Some(Answer::of(404, "{}".to_owned()));
                 };
-                let Json::Object(mut fields) = row(&key, item) else { return None };
+                let Json::Object(mut fields) = row(&key, item) else {
+                    return None;
+                };
                 fields.push(("AtRev".to_owned(), state.revision.into()));
                 ok(Json::Object(fields))
             }
-            ("GET", "kv-range") => self.range(&query("PathPrefix"), &query("After")),
+            ("GET", "kv-range") => {
+                self.range(&query("PathPrefix"), &query("After"))
+            }
             ("GET", "kv-watch") => {
                 let after = query("After").parse().unwrap_or(0);
                 let wait = query("WaitMs").parse().unwrap_or(0);
@@ -175,13 +176,19 @@
             }
             ("POST", "kv-txn") => self.transaction(&parse(&request.body)?),
             ("POST", "kv-lease") => {
-                let ttl_ms = parse(&request.body)?.get("TtlMs").int().max(1_000);
+                let ttl_ms =
+                    parse(&request.body)?.get("TtlMs").int().max(1_000);
                 let mut state = self.0.0.lock().unwrap();
                 state.last_lease += 1;
                 let id = state.last_lease;
                 let ttl = Duration::from_millis(ttl_ms as u64);
-                state.leases.insert(id, Lease { ttl, until: Instant::now() + ttl });
-                ok(object(vec![("Lease", id.into()), ("TtlMs", ttl_ms.into())]))
+                state
+                    .leases
+                    .insert(id, Lease { ttl, until: Instant::now() + ttl });
+                ok(object(vec![
+                    ("Lease", id.into()),
+                    ("TtlMs", ttl_ms.into()),
+                ]))
             }
             (method, path) => {
                 let (call, id) = path.split_once('/')?;
@@ -193,7 +200,9 @@
                     return Some(Answer::of(404, "{}".to_owned()));
                 };
                 match (method, call) {
-                    ("POST", "kv-keep") => lease.until = Instant::now() + lease.ttl,
+                    ("POST", "kv-keep") => {
+                        lease.until = Instant::now() + lease.ttl
+                    }
                     ("DELETE", "kv-lease-end") => state.end_lease(id),
                     _ => return Some(Answer::of(400, "{}".to_owned())),
                 }
@@ -209,8 +218,10 @@
         let matching = matching
             .take_while(|(key, _)| key.starts_with(prefix))
             .filter(|(key, _)| after.is_empty() || key.as_str() > after);
-        let mut rows: Vec<Json> =
-            matching.take(PAGE + 1).map(|(key, item)| row(key, item)).collect();
+        let mut rows: Vec<Json> = matching
+            .take(PAGE + 1)
+            .map(|(key, item)| row(key, item))
+            .collect();
         let has_more = rows.len() > PAGE;
         rows.truncate(PAGE);
         ok(object(vec![
@@ -225,7 +236,9 @@
         let (state, changed) = &*self.0;
         let mut state = state.lock().unwrap();
         loop {
-            let from = state.history.partition_point(|(revision, ..)| *revision <= after);
+            let from = state
+                .history
+                .partition_point(|(revision, ..)| *revision <= after);
             let new = state.history[from..].iter();
             let new = new.filter(|(_, key, _)| key.starts_with(prefix));
             let rows: Vec<Json> = new
@@ -257,7 +270,8 @@
         let expected = asked.get("ExpectedRev").list();
         let holds = expected.iter().all(|row| {
             let found = state.items.get(row.get("TlsKey").text());
-            found.map_or(0, |item| item.revision) as i64 == row.get("Revision").int()
+            found.map_or(0, |item| item.revision) as i64
+                == row.get("Revision").int()
         });
         if !holds {
             let found = expected.iter().filter_map(|expected| {
@@ -265,7 +279,10 @@
                 state.items.get(key).map(|item| row(key, item))
             });
             let found: Vec<Json> = found.collect();
-            return Some(Answer::of(412, object(vec![("items", found.into())]).write()));
+            return Some(Answer::of(
+                412,
+                object(vec![("items", found.into())]).write(),
+            ));
         }
         let puts = asked.get("Puts").list();
         let is_known = |row: &Json| {
