Don't take runs for lost whose ends an answer leaves out

Cause: a worker lists a limited number of ends at once, and the holder took each answer for whole. Evidence: the stand-in's record has the 500th end of the outage at 3.19 s and the first repeated start at 3.26 s, on the worker where the task had just ended. Ruled out: a worker that ends runs otherwise (one end done each in the record), and ends acknowledged early (the acknowledged number stays until the store is back).

HoldReport::has_more_ends says that ends may be left out. Until none is, a run in neither list keeps its room and isn't checked for progress, the worker gets no starts, and a new holder doesn't take its runs for known.

--- a/crates/dewspar-standin/src/peak/worker.rs
+++ b/crates/dewspar-standin/src/peak/worker.rs
@@ -106,6 +106,7 @@
             active: active.collect(),
             ended: self.ended.iter().cloned().collect(),
             is_partial: false,
+            has_more_ends: false,
         }
     }
 }
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -56,6 +56,9 @@
 /// The longest lease that is granted, in milliseconds.
 const MAX_LEASE_MS: u64 = 10_000;
 
+/// The number of ends that are listed at once unless set otherwise.
+const MAX_LISTED_ENDS: usize = 500;
+
 /// How a run will go.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Fate {
@@ -122,6 +125,7 @@
     rejected_for_room: u64,
     /// Whether it refuses what it has no room for.
     guards: bool,
+    max_listed_ends: usize,
 }
 
 impl TaskWorker {
@@ -138,6 +142,7 @@
             ends: 0,
             rejected_for_room: 0,
             guards: true,
+            max_listed_ends: MAX_LISTED_ENDS,
         }
     }
 
@@ -153,6 +158,12 @@
         self
     }
 
+    /// Sets how many ends it lists at once, oldest first.
+    pub fn listing_at_most(mut self, ends: usize) -> TaskWorker {
+        self.max_listed_ends = ends;
+        self
+    }
+
     /// Returns what its runs take.
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
@@ -250,6 +261,7 @@
             self.extend(now_ms, until_ms);
         }
         self.ended.retain(|end| end.number > order.acknowledged);
+        let listed_ends = self.ended.len().min(self.max_listed_ends);
         let active = self.running.iter().map(|(task, run)| ActiveRun {
             task: *task,
             run: run.run,
@@ -261,8 +273,9 @@
             incarnation: self.incarnation,
             clock_ms: now_ms,
             active: active.collect(),
-            ended: self.ended.clone(),
+            ended: self.ended[..listed_ends].to_vec(),
             is_partial: false,
+            has_more_ends: listed_ends == self.max_listed_ends,
         })
     }
 
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -37,7 +37,16 @@
     Unwanted(Option<Resources>),
 }
 
-/// A run that its worker fails to list.
+/// Which of a worker's ends are known after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum AppliedEnds {
+    /// All that the worker hasn't forgotten.
+    All,
+    /// Later ones weren't listed.
+    Some,
+}
+
+/// A run that its worker lists neither as active nor as ended.
 struct MissingRun {
     task: TaskId,
     run: u64,
@@ -99,17 +108,7 @@
         self.note_unknown_runs(worker_id, report, newest, now);
         let reports =
             ReportTimes { previous_ms: latest_ms, latest_ms: report.clock_ms };
-        for end in &report.ended {
-            // This end and all later ones are reported again until they are
-            // acknowledged.
-            if self.is_unknown(end.task.job) {
-                break;
-            }
-            let worker = self.workers.get_mut(worker_id);
-            if worker.is_some_and(|worker| worker.record_end(end.number)) {
-                self.run_ended(worker_id, end, reports, now);
-            }
-        }
+        let ends = self.apply_ends(worker_id, report, reports, now);
         // Answers on different connections may overtake each other; a run that
         // is active according to an older one may have ended since.
         if newest {
@@ -120,7 +119,7 @@
                 self.run_active(worker_id, active, now);
             }
             if !report.is_partial {
-                self.drop_missing_runs(worker_id, held, report, now);
+                self.settle_missing_runs(worker_id, held, report, ends, now);
             }
         }
         let synced = self.workers.get(worker_id).is_some_and(|w| w.synced);
@@ -134,6 +133,28 @@
         }
     }
 
+    /// Applies the ends that a worker lists, up to the first one of a job that
+    /// isn't loaded yet. That one and all later ones are reported again until
+    /// they are acknowledged.
+    fn apply_ends(
+        &mut self,
+        worker_id: &WorkerId,
+        report: &HoldReport,
+        reports: ReportTimes,
+        now: Now,
+    ) -> AppliedEnds {
+        for end in &report.ended {
+            if self.is_unknown(end.task.job) {
+                break;
+            }
+            let worker = self.workers.get_mut(worker_id);
+            if worker.is_some_and(|worker| worker.record_end(end.number)) {
+                self.run_ended(worker_id, end, reports, now);
+            }
+        }
+        if report.has_more_ends { AppliedEnds::Some } else { AppliedEnds::All }
+    }
+
     /// Switches to a worker's next process, of which nothing is known but that
     /// it answers. The runs that it lists are applied once it answers under a
     /// token that invalidates all earlier orders.
@@ -535,44 +556,72 @@
         });
     }
 
-    /// Drops the runs that a worker fails to list.
-    fn drop_missing_runs(
+    /// Settles the runs that a worker lists neither as active nor as ended.
+    ///
+    /// They are lost if all ends are known. Otherwise such a run may have
+    /// ended, and starting its task again could repeat work that is done.
+    fn settle_missing_runs(
         &mut self,
         worker_id: &WorkerId,
         held: &SentHold,
         report: &HoldReport,
+        ends: AppliedEnds,
         now: Now,
     ) {
-        let Some(worker) = self.workers.get(worker_id) else { return };
+        let missing = self.missing_runs(worker_id, held, report);
+        match ends {
+            AppliedEnds::All => self.drop_runs(worker_id, missing, now),
+            AppliedEnds::Some => self.await_ends(worker_id, &missing),
+        }
+    }
+
+    /// Returns the runs that a worker lists neither as active nor as ended,
+    /// although they would be if they had begun.
+    fn missing_runs(
+        &self,
+        worker_id: &WorkerId,
+        held: &SentHold,
+        report: &HoldReport,
+    ) -> Vec<MissingRun> {
+        let Some(worker) = self.workers.get(worker_id) else {
+            return Vec::new();
+        };
         let listed: BTreeMap<TaskId, u64> =
             report.active.iter().map(|a| (a.task, a.run)).collect();
         let answered_ms = worker.answered_worker_ms();
-        let other_runs = worker.runs.len().saturating_sub(1);
-        let missing: Vec<MissingRun> = worker
-            .runs
-            .iter()
-            .filter(|(task, run)| {
-                // A start under an older token can't be carried out any more.
-                // A start that was answered before the hold was sent must be
-                // listed.
-                let settled = if run.has_begun() {
-                    run.since_ms < held.sent_ms
-                } else {
-                    run.fence < held.order.fence
-                };
-                settled
-                    && listed.get(*task) != Some(&run.run)
-                    && !self.write_ahead.holds(task)
-            })
-            .map(|(task, run)| MissingRun {
-                task: *task,
-                run: run.run,
-                age_ms: run.confirmed_ms(answered_ms),
-                ordered_ms: run.since_ms,
-                begun: run.has_begun(),
-                process_has_ended: run.process_has_ended,
-            })
-            .collect();
+        let missing = worker.runs.iter().filter(|(task, run)| {
+            // A start under an older token can't be carried out any more. A
+            // start that was answered before the hold was sent must be listed.
+            let settled = if run.has_begun() {
+                run.since_ms < held.sent_ms
+            } else {
+                run.fence < held.order.fence
+            };
+            settled
+                && listed.get(*task) != Some(&run.run)
+                && !self.write_ahead.holds(task)
+        });
+        let missing = missing.map(|(task, run)| MissingRun {
+            task: *task,
+            run: run.run,
+            age_ms: run.confirmed_ms(answered_ms),
+            ordered_ms: run.since_ms,
+            begun: run.has_begun(),
+            process_has_ended: run.process_has_ended,
+        });
+        missing.collect()
+    }
+
+    /// Drops runs that a worker doesn't have.
+    fn drop_runs(
+        &mut self,
+        worker_id: &WorkerId,
+        missing: Vec<MissingRun>,
+        now: Now,
+    ) {
+        let worker = self.workers.get(worker_id);
+        let runs = worker.map_or(0, |worker| worker.runs.len());
+        let other_runs = runs.saturating_sub(1);
         for missing in missing {
             let MissingRun {
                 task, run, age_ms, begun, process_has_ended, ..
@@ -595,6 +644,24 @@
             self.release_run(&task, worker_id, now);
         }
     }
+
+    /// Leaves missing runs in place until the worker has reported all ends.
+    fn await_ends(&mut self, worker_id: &WorkerId, missing: &[MissingRun]) {
+        let Some(worker) = self.workers.get_mut(worker_id) else { return };
+        let mut newly_missing = 0;
+        for missing in missing {
+            let run = worker.runs.get_mut(&missing.task);
+            if run.is_some_and(Run::await_end) {
+                newly_missing += 1;
+            }
+        }
+        if newly_missing > 0 {
+            self.note(Decision::EndsAwaited {
+                worker: worker_id.clone(),
+                runs: newly_missing,
+            });
+        }
+    }
 }
 
 impl Run {
@@ -609,6 +676,7 @@
                 self.moved_ms = now_ms;
             }
             RunState::Running => {}
+            RunState::EndUnreported => self.state = RunState::Running,
             RunState::Stopping(stop) => stop.begun = true,
         }
         if self.percent != active.percent {
@@ -617,6 +685,16 @@
         }
         self.gauge = active.gauge;
     }
+
+    /// Notes that the run has ended without a reported end. Returns whether
+    /// that is new.
+    fn await_end(&mut self) -> bool {
+        let is_new = self.state == RunState::Running;
+        if is_new {
+            self.state = RunState::EndUnreported;
+        }
+        is_new
+    }
 }
 
 /// Records an end with its job; returns how often the task has failed.
--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -12,7 +12,8 @@
 - The end of an unknown job's run isn't acknowledged, nor is any later end, so
   that the worker reports them again.
 - A known job starts nothing in a pool while some worker there runs or has
-  ended anything unknown, since that may belong to this job.
+  ended anything unknown, since that may belong to this job. That includes the
+  ends that a worker leaves out because it lists a limited number at once.
 - A cancellation of an unknown job is kept until the job is known. Once its
   cancellation is known, the job's runs are stopped and its ends acknowledged
   without loading it.
@@ -143,7 +144,8 @@
         if unknown {
             worker.set_unknown_runs(true);
             worker.set_next_hold_ms(now.steady_ms + RETRY_HOLD_MS);
-        } else if newest {
+        } else if newest && !report.has_more_ends {
+            // Otherwise they may be among the ends that it left out.
             worker.set_unknown_runs(false);
         }
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -543,7 +543,16 @@
         /// Why.
         reason: &'static str,
     },
-    /// A worker answered for the first time under this lease.
+    /// Runs of a worker have ended, and it hasn't listed yet how. Reported when
+    /// further runs are found to have ended so.
+    EndsAwaited {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of these further runs.
+        runs: usize,
+    },
+    /// A worker listed all of its runs and ends for the first time under this
+    /// lease.
     Synced {
         /// The worker.
         worker: WorkerId,
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -401,6 +401,9 @@
     /// Whether some runs couldn't be read: a run that isn't listed may exist
     /// all the same.
     pub is_partial: bool,
+    /// Whether `ended` may leave out later ends: a worker lists a limited
+    /// number at once. A run that is in neither list may have ended.
+    pub has_more_ends: bool,
 }
 
 /// The reason why a worker refused an order. A refused order has no effect.
--- a/crates/dewspar/src/schedule/order_answers.rs
+++ b/crates/dewspar/src/schedule/order_answers.rs
@@ -56,7 +56,7 @@
         };
         // A hold has listed the run meanwhile, or the run is to stop: its end
         // will be reported.
-        if known.state == RunState::Running {
+        if matches!(known.state, RunState::Running | RunState::EndUnreported) {
             return;
         }
         let fence = known.fence;
--- a/crates/dewspar/src/schedule/wave_progress.rs
+++ b/crates/dewspar/src/schedule/wave_progress.rs
@@ -322,9 +322,9 @@
             .iter()
             .map(|(task, run)| match run.state {
                 RunState::Running => self.run_blocker(task, worker, view.now),
-                RunState::Starting | RunState::Stopping(_) => {
-                    RunBlocker::Stopping
-                }
+                RunState::Starting
+                | RunState::EndUnreported
+                | RunState::Stopping(_) => RunBlocker::Stopping,
             })
             .min();
         match blocker {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -127,6 +127,9 @@
     Starting,
     /// The worker has confirmed the run.
     Running,
+    /// The worker no longer lists the run as active, but hasn't reported yet
+    /// how it ended.
+    EndUnreported,
     /// The run is to stop. Its resources stay in use until the worker reports
     /// its end.
     Stopping(StopProgress),
@@ -192,7 +195,7 @@
     pub(crate) fn has_begun(&self) -> bool {
         match self.state {
             RunState::Starting => false,
-            RunState::Running => true,
+            RunState::Running | RunState::EndUnreported => true,
             RunState::Stopping(stop) => stop.begun,
         }
     }
@@ -216,7 +219,9 @@
     /// stop.
     pub(crate) fn stop_due_ms(&self, options: &Options) -> Option<u64> {
         match &self.state {
-            RunState::Starting | RunState::Running => None,
+            RunState::Starting
+            | RunState::Running
+            | RunState::EndUnreported => None,
             RunState::Stopping(stop) => {
                 Some(stop.due_ms(options.stop_retry_ms))
             }
@@ -265,8 +270,8 @@
     /// Whether an answer under the current token is outstanding. No other
     /// order is sent before it arrives.
     fencing: bool,
-    /// Whether the worker has answered under this lease, so that the runs
-    /// started by a former holder are known.
+    /// Whether the worker has listed all of its runs and ends under this
+    /// lease, so that the runs started by a former holder are known.
     pub(crate) synced: bool,
     seen_end: u64,
     stored_end: u64,
@@ -335,6 +340,8 @@
     unmeasured: usize,
     /// Whether the newest answer listed runs that couldn't be read.
     unread_runs: bool,
+    /// Whether the newest answer may have left out later ends.
+    has_more_ends: bool,
     /// Whether the lists of the last answer were ignored as outdated.
     lists_passed_over: bool,
     /// Whether the lease has expired and the worker hasn't answered since.
@@ -402,15 +409,21 @@
             reported_at_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
+            has_more_ends: false,
             lists_passed_over: false,
             is_lapsed: false,
         }
     }
 
-    /// Returns whether the worker may run something that a former holder has
-    /// started and that isn't known yet.
+    /// Returns whether the worker may run something, or have done something,
+    /// that a former holder has started and that isn't known yet.
     pub(crate) fn may_run_unknown(&self, now_ms: u64) -> bool {
-        !self.runs_are_known() && now_ms <= self.lease_over_ms
+        // A worker that answers reports its remaining ends even if its lease
+        // isn't renewed.
+        let reports_later =
+            self.has_more_ends && self.silent_since_ms.is_none();
+        !self.runs_are_known()
+            && (reports_later || now_ms <= self.lease_over_ms)
     }
 
     /// Returns whether the worker reports the incarnation of its process.
@@ -704,7 +717,12 @@
 
     /// Returns whether runs already assigned to this worker may be ordered.
     pub(crate) fn accepts_placed_runs(&self, now_ms: u64) -> bool {
-        !self.fencing && self.is_usable() && now_ms >= self.suspended_until_ms
+        !self.fencing
+            && self.is_usable()
+            && now_ms >= self.suspended_until_ms
+            // While nothing can be stored, tasks that need little room would
+            // otherwise add ends without limit.
+            && !self.has_more_ends
     }
 
     /// Returns whether no token is left under this lease, so that an order
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -195,11 +195,12 @@
                 let inherited = now_ms + longest;
                 self.lease_over_ms = self.lease_over_ms.min(inherited);
             }
-            self.synced = true;
+            self.synced |= !report.has_more_ends;
         }
         let newest = report.clock_ms >= self.latest_report_ms;
         if newest {
             self.unread_runs = report.is_partial;
+            self.has_more_ends = report.has_more_ends;
         }
         self.latest_report_ms = self.latest_report_ms.max(report.clock_ms);
         let unstored = report
--- a/crates/dewspar/src/schedule/worker/restart.rs
+++ b/crates/dewspar/src/schedule/worker/restart.rs
@@ -75,7 +75,9 @@
     /// and that may begin on the next process.
     fn carried_over(self) -> Run {
         let state = match self.state {
-            RunState::Starting | RunState::Running => RunState::Starting,
+            RunState::Starting
+            | RunState::Running
+            | RunState::EndUnreported => RunState::Starting,
             RunState::Stopping(mut stop) => {
                 stop.begun = false;
                 RunState::Stopping(stop)
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -4,6 +4,7 @@
 mod chain;
 mod crashing;
 mod crashing_jobs;
+mod cut_answers;
 mod evacuation;
 mod failure_domains;
 mod gang_reservations;
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -260,6 +260,21 @@
     assert!(seen > 400, "{seen}");
 }
 
+// Guards against taking a worker's answer for whole that leaves out ends,
+// during outages, after takeovers and while jobs are loaded.
+#[test]
+fn invariants_hold_when_workers_list_few_ends_at_once() {
+    let mut cut_answers = 0;
+    for seed in 0..300 {
+        for world in [World::new(seed), World::short_lived_holders(seed)] {
+            let world = world.with_listed_ends(1);
+            cut_answers += run_world(world, seed).cut_answers;
+        }
+    }
+    // Enough cases must have occurred to test the invariants.
+    assert!(cut_answers > 3_000, "{cut_answers}");
+}
+
 // Guards against mistaking a worker restarted under its identifier for the
 // previous process.
 #[test]
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -112,6 +112,8 @@
     /// How much slower its clock runs, in thousandths.
     clock_lag: u64,
     unreachable_until_ms: u64,
+    /// Whether it was ever unreachable.
+    was_unreachable: bool,
     /// Former capacities, each with the time until which it was valid; they
     /// count for a while after that.
     former_capacities: Vec<(u64, Resources)>,
@@ -238,6 +240,10 @@
     pub orders: Option<Vec<(u64, WorkerId, TaskId, u64)>>,
     /// The faults of data halls, if there are any.
     pub hall_faults: Option<HallFaults>,
+    /// The number of ends that workers list at once, if that is few.
+    listed_ends: Option<usize>,
+    /// The number of answers to holds that left out ends.
+    pub cut_answers: u32,
     /// A digest of all orders.
     pub digest: u64,
 }
@@ -302,6 +308,8 @@
             cold_limits: 0,
             orders: None,
             hall_faults: None,
+            listed_ends: None,
+            cut_answers: 0,
             digest: 0,
         };
         for vm in 0..4 {
@@ -327,6 +335,17 @@
         world
     }
 
+    /// Returns a world whose workers list only this many ends at once.
+    pub fn with_listed_ends(mut self, ends: usize) -> World {
+        self.listed_ends = Some(ends);
+        let processes = std::mem::take(&mut self.processes);
+        for id in processes.into_keys() {
+            self.start_process(vm_of(&id));
+        }
+        self.take_over();
+        self
+    }
+
     /// Gives the workers incarnations, which a new holder then sees.
     fn assign_incarnations(&mut self) {
         for process in self.processes.values_mut() {
@@ -644,6 +663,7 @@
             started_ms: 0,
             clock_lag: u64::from(vm % 4) * 6,
             unreachable_until_ms: 0,
+            was_unreachable: false,
             former_capacities: Vec::new(),
             cold: ColdProcess::default(),
         };
@@ -653,6 +673,9 @@
         if self.unenforced {
             process.worker = process.worker.unguarded();
         }
+        if let Some(ends) = self.listed_ends {
+            process.worker = process.worker.listing_at_most(ends);
+        }
         self.processes.insert(listing.id, process);
     }
 
@@ -794,6 +817,7 @@
             let until = self.now_ms + self.random.random_range(500..9_000);
             if let Some(process) = self.any_process() {
                 process.unreachable_until_ms = until;
+                process.was_unreachable = true;
             }
         }
         if self.unenforced && self.chance(40) {
@@ -1175,14 +1199,32 @@
         let acknowledged_done = ended.into_iter().filter(|end| {
             end.number <= acknowledged && end.cause == EndCause::Done
         });
+        let unlisted = report.ended.len() < process.worker.ended().len();
+        self.cut_answers += u32::from(unlisted);
         self.acknowledged_done.extend(acknowledged_done.map(|end| end.task));
         Ok(report)
     }
 
+    /// Checks that no worker that could always be reached has done a task and
+    /// hasn't listed that yet.
+    fn check_unlisted_ends(&self, task: &TaskId) {
+        if self.listed_ends.is_none() {
+            return;
+        }
+        let mut reached =
+            self.processes.values().filter(|p| !p.was_unreachable);
+        let is_done = reached.any(|process| {
+            let mut ends = process.worker.ended().iter();
+            ends.any(|end| end.task == *task && end.cause == EndCause::Done)
+        });
+        assert!(!is_done, "{task} is done, and its worker hasn't listed it");
+    }
+
     /// Checks an order to start against the recorded facts.
     fn check_start(&mut self, order: &StartOrder) {
         self.starts += 1;
         let task = order.task;
+        self.check_unlisted_ends(&task);
         let cancelled = self.store.cancelled.contains(&task.job);
         assert!(!cancelled, "{task} belongs to a cancelled job");
         let acknowledged_done = self.acknowledged_done.contains(&task);
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -154,6 +154,8 @@
         "Times that another process of a worker told of itself, newer or former.";
     LISTS_PASSED_OVER, "counter", "dewspar_worker_lists_passed_over_total", None,
         "Rows of answers whose lists were passed over, the worker's clock being behind.";
+    ENDS_AWAITED, "counter", "dewspar_ends_awaited_total", None,
+        "Runs that had ended before their worker listed how, since it lists a limited number of ends at once.";
     WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
         "Times that a worker got nothing to start for a while.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -157,6 +157,11 @@
                 "reason" => "the worker's clock is behind");
             counters::count(counters::LISTS_PASSED_OVER);
         }
+        Decision::EndsAwaited { worker, runs } => {
+            info!(log, "worker: hasn't listed all ends yet";
+                "worker" => %worker, "runs" => runs);
+            counters::add(counters::ENDS_AWAITED, *runs as u64);
+        }
         Decision::DrainStarted { worker, vm, reason } => {
             info!(log, "worker: emptied"; "worker" => %worker, "vm" => vm,
                 "reason" => reason);
