Don't take a run for lost whose end follows that of an unknown job

Ends are applied in order, up to the first one of a job that isn't loaded yet. Runs whose ends come after it were then missing from both lists and dropped as lost, with "the worker doesn't list it" in the log. Their tasks waited, as the whole pool does until such jobs are loaded, so no second start was seen.

Such runs now wait for their ends like those that an answer leaves out. The test fails before: a decision RunLost for a run whose end the answer lists.

The digest of all orders in random worlds changes, as it must: with only this change taken back it is the former one.

--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -42,7 +42,7 @@
 enum AppliedEnds {
     /// All that the worker hasn't forgotten.
     All,
-    /// Later ones weren't listed.
+    /// Later ones weren't listed or couldn't be applied yet.
     Some,
 }
 
@@ -145,7 +145,7 @@
     ) -> AppliedEnds {
         for end in &report.ended {
             if self.is_unknown(end.task.job) {
-                break;
+                return AppliedEnds::Some;
             }
             let worker = self.workers.get_mut(worker_id);
             if worker.is_some_and(|worker| worker.record_end(end.number)) {
--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -10,7 +10,8 @@
   worker's lease is renewed, and nothing new starts there, since the run's
   resource demand isn't known either.
 - The end of an unknown job's run isn't acknowledged, nor is any later end, so
-  that the worker reports them again.
+  that the worker reports them again. Until then a run that the worker no
+  longer lists as active isn't lost: its end may be among these.
 - A known job starts nothing in a pool while some worker there runs or has
   ended anything unknown, since that may belong to this job. That includes the
   ends that a worker leaves out because it lists a limited number at once.
--- a/crates/dewspar/tests/schedule/cut_answers.rs
+++ b/crates/dewspar/tests/schedule/cut_answers.rs
@@ -4,7 +4,7 @@
 use {
     crate::world::{RunKind, World, at, id, job, listing, step},
     dewspar::{
-        job::{StepSpec, TaskId},
+        job::{Phase, StepSpec, TaskId},
         schedule::{
             Action, ActiveRun, Decision, EndCause, EndedRun, HoldReport,
             Resources, WorkerId,
@@ -220,6 +220,38 @@
     world.scheduler.submit(id(number), job(vec![step(1)]), 5, None);
 }
 
+// Guards against taking a run for lost whose end stands behind that of a job
+// which isn't loaded yet.
+#[test]
+fn a_run_whose_end_follows_that_of_an_unknown_job_is_not_lost() {
+    let (mut world, worker) = world_with_unknown_runs(&["w1"]);
+    load(&mut world, 2);
+    let running = HoldReport {
+        clock_ms: 1_000,
+        active: vec![active(1), active(2)],
+        ..HoldReport::default()
+    };
+    answer_next_hold(&mut world, &worker, &running);
+    let both_ended = HoldReport {
+        clock_ms: 2_000,
+        ended: vec![end(1), end(2)],
+        ..HoldReport::default()
+    };
+    answer_next_hold(&mut world, &worker, &both_ended);
+    let decisions = world.scheduler.take_decisions();
+    let lost =
+        decisions.iter().find(|d| matches!(d, Decision::RunLost { .. }));
+    assert!(lost.is_none(), "{lost:?}");
+
+    load(&mut world, 1);
+    world.scheduler.finish_loading(at(world.now_ms));
+    answer_next_hold(&mut world, &worker, &both_ended);
+    for number in [1, 2] {
+        let phase = world.scheduler.phase(id(number));
+        assert_eq!(phase, Some(Phase::Completed), "job {number}");
+    }
+}
+
 // Guards against taking all runs of a worker for known after an answer that
 // leaves out the end of a job which isn't loaded yet.
 #[test]
