Count unfinished steps instead of walking all dependencies

Cause: whether a step is ready was found by going through all that it names, for each round, whenever tasks are placed or VMs are planned.

StepGraph derives the order of steps once, naming each dependency once. Each step of a round counts the steps before it that aren't done; a step that becomes done counts down those that wait for it.

--- a/crates/dewspar/src/schedule/congestion.rs
+++ b/crates/dewspar/src/schedule/congestion.rs
@@ -120,7 +120,7 @@
             if work == Resources::default() {
                 continue;
             }
-            let chain_ms = job.longest_chain_ms();
+            let chain_ms = job.graph.longest_path_ms();
             let objective_ms = job.terms.objective_ms(chain_ms);
             let known = waiting.entry(&job.terms.pool).or_default();
             known.work.add(&work);
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -334,7 +334,7 @@
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
         let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
         let long = job.step_spec(task).is_some_and(|spec| spec.long_running);
-        let Some(step) = job.step_mut(task) else { return };
+        let Some(step) = job.step(task) else { return };
         if long || step.is_done() {
             return;
         }
@@ -344,14 +344,10 @@
         let members = if gang { all } else { task.index..task.index + 1 };
         let mut others = Vec::new();
         for index in members {
-            let member = &mut step.tasks[index as usize];
-            if !member.done {
-                member.done = true;
-                step.done += 1;
-                step.waiting.remove(&index);
-            }
+            job.mark_done(task.round, task.step, index);
             let id = TaskId { index, ..*task };
-            others.extend(member.workers.iter().map(|on| (id, on.clone())));
+            let workers = job.task(&id).into_iter().flat_map(|t| &t.workers);
+            others.extend(workers.map(|on| (id, on.clone())));
         }
         // Other copies of a finished task are obsolete.
         if !gang {
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -5,7 +5,8 @@
         quota::TeamNumber,
         schedule::{
             Incarnation, QueueTerms, Resources, WorkerId,
-            in_doubt::StartsInDoubt, suspects::CrashHistory,
+            in_doubt::StartsInDoubt, step_graph::StepGraph,
+            suspects::CrashHistory,
         },
     },
     std::{collections::BTreeSet, sync::Arc},
@@ -29,12 +30,8 @@
     pub(crate) phase: Phase,
     pub(crate) finished_at_ms: u64,
     pub(crate) rounds: Vec<Vec<Step>>,
-    /// The longest chain of estimates from each step to the job's end, in
-    /// milliseconds. Cached, since it is needed each time a waiting job is
-    /// examined.
-    estimates_from_ms: Vec<u64>,
-    /// The longest of these, in milliseconds.
-    longest_chain_ms: u64,
+    /// The order of its steps.
+    pub(crate) graph: StepGraph,
     /// The number of the newest change that is in the store.
     pub(crate) stored_sequence: u64,
     /// Fields that a newer version has stored and this version doesn't know.
@@ -49,6 +46,8 @@
     pub(crate) done: usize,
     /// Since when all preceding steps are done; 0 if they aren't.
     pub(crate) ready_ms: u64,
+    /// The number of preceding steps that aren't done.
+    unfinished_before: usize,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -81,16 +80,20 @@
         revision: u64,
         accepted_at_ms: u64,
     ) -> Job {
-        let steps = |_| spec.steps.iter().map(Step::new).collect();
-        let estimates_from_ms = spec.critical_paths_ms();
-        let longest_chain_ms =
-            estimates_from_ms.iter().copied().max().unwrap_or(0);
+        let graph = StepGraph::new(&spec);
+        let steps = |_| {
+            let steps = spec.steps.iter().enumerate();
+            steps
+                .map(|(step, of_step)| {
+                    Step::new(of_step, graph.dependencies(step).len())
+                })
+                .collect()
+        };
         let rounds = (0..spec.rounds()).map(steps).collect();
         Job {
             payload: Arc::from(spec.payload.as_str()),
             rounds,
-            estimates_from_ms,
-            longest_chain_ms,
+            graph,
             spec: Arc::new(spec),
             terms,
             team: None,
@@ -122,25 +125,44 @@
             let step = rounds
                 .get_mut(record.round as usize)
                 .and_then(|steps| steps.get_mut(record.step as usize));
-            if let Some(step) = step {
-                step.restore(record);
+            let Some(step) = step else { continue };
+            step.restore(record);
+            if record.done {
+                self.mark_done(record.round, record.step, record.index);
+            }
+        }
+    }
+
+    /// Marks a task as done; returns whether it wasn't before.
+    pub(crate) fn mark_done(
+        &mut self,
+        round: u32,
+        step: u32,
+        index: u32,
+    ) -> bool {
+        let Some(steps) = self.rounds.get_mut(round as usize) else {
+            return false;
+        };
+        let step = step as usize;
+        let Some(state) = steps.get_mut(step) else { return false };
+        if !state.mark_done(index) {
+            return false;
+        }
+        if state.is_done() {
+            for later in self.graph.dependents(step) {
+                steps[*later].unfinished_before -= 1;
             }
         }
+        true
     }
 
     /// Records that a former lease holder may have started all tasks that are
     /// ready.
     pub(crate) fn mark_may_have_begun(&mut self) {
-        for steps in &mut self.rounds {
-            let done: Vec<bool> = steps.iter().map(Step::is_done).collect();
-            for (step, spec) in steps.iter_mut().zip(&self.spec.steps) {
-                if !spec.after.iter().all(|earlier| done[*earlier]) {
-                    continue;
-                }
-                for task in &mut step.tasks {
-                    task.crashes.may_have_started = true;
-                }
-            }
+        let steps = self.rounds.iter_mut().flatten();
+        let ready = steps.filter(|step| step.unfinished_before == 0);
+        for task in ready.flat_map(|step| &mut step.tasks) {
+            task.crashes.may_have_started = true;
         }
     }
 
@@ -194,9 +216,7 @@
         step: usize,
         unix_ms: u64,
     ) -> bool {
-        let steps = &self.rounds[round];
-        let after = &self.spec.steps[step].after;
-        after.iter().all(|earlier| steps[*earlier].is_done())
+        self.rounds[round][step].unfinished_before == 0
             && unix_ms >= self.spec.due_ms(round as u32)
     }
 
@@ -208,19 +228,7 @@
     /// milliseconds of the Unix epoch.
     pub(crate) fn objective_ms(&self, round: usize) -> u64 {
         let due = self.spec.due_ms(round as u32).max(self.accepted_at_ms);
-        due + self.terms.objective_ms(self.longest_chain_ms)
-    }
-
-    /// Returns the longest chain of estimates through the job, in
-    /// milliseconds.
-    pub(crate) fn longest_chain_ms(&self) -> u64 {
-        self.longest_chain_ms
-    }
-
-    /// Returns the longest chain of estimates from a step to the job's end, in
-    /// milliseconds.
-    pub(crate) fn critical_path_ms(&self, step: usize) -> u64 {
-        self.estimates_from_ms[step]
+        due + self.terms.objective_ms(self.graph.longest_path_ms())
     }
 
     /// Returns all tasks with their identifiers.
@@ -249,15 +257,29 @@
 }
 
 impl Step {
-    fn new(spec: &StepSpec) -> Step {
+    fn new(spec: &StepSpec, unfinished_before: usize) -> Step {
         Step {
             tasks: vec![Task::default(); spec.count as usize],
             waiting: (0..spec.count).collect(),
             done: 0,
             ready_ms: 0,
+            unfinished_before,
         }
     }
 
+    /// Marks a task as done; returns whether it wasn't before.
+    fn mark_done(&mut self, index: u32) -> bool {
+        let Some(task) = self.tasks.get_mut(index as usize) else {
+            return false;
+        };
+        if std::mem::replace(&mut task.done, true) {
+            return false;
+        }
+        self.done += 1;
+        self.waiting.remove(&index);
+        true
+    }
+
     fn restore(&mut self, record: &TaskRecord) {
         let Some(task) = self.tasks.get_mut(record.index as usize) else {
             return;
@@ -269,11 +291,6 @@
         task.crashes = CrashHistory::restored(record);
         task.in_doubt = StartsInDoubt::restored(&record.in_doubt);
         task.other = record.other.clone();
-        if record.done && !task.done {
-            task.done = true;
-            self.done += 1;
-            self.waiting.remove(&record.index);
-        }
     }
 
     fn records(
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -182,6 +182,7 @@
 mod shares;
 mod sizing;
 mod start_log;
+mod step_graph;
 mod stopping;
 mod storing;
 mod suspects;
--- a/crates/dewspar/src/schedule/placement/candidates.rs
+++ b/crates/dewspar/src/schedule/placement/candidates.rs
@@ -233,7 +233,7 @@
             if !waiting || !job.is_ready(round, step, now.unix_ms) {
                 continue;
             }
-            let left_ms = job.critical_path_ms(step);
+            let left_ms = job.graph.critical_path_ms(step);
             let state = &mut job.rounds[round][step];
             if state.ready_ms == 0 {
                 state.ready_ms = now.steady_ms;
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -113,8 +113,8 @@
             ends.clear();
             for (step, state) in (0..).zip(steps) {
                 let spec = &job.spec.steps[step as usize];
-                let start_ms =
-                    start_ms(&job.spec, step as usize, ends).max(due_in_ms);
+                let before = job.graph.dependencies(step as usize);
+                let start_ms = start_ms(before, ends).max(due_in_ms);
                 let duration_ms = spec.estimate_ms;
                 let running = runs.get(&(id, round, step)).copied();
                 let running = running.unwrap_or_default();
@@ -155,8 +155,8 @@
         }
         let mut ends: Vec<u64> = Vec::with_capacity(spec.steps.len());
         let mut work = Resources::default();
-        for (step, step_spec) in spec.steps.iter().enumerate() {
-            let start_ms = start_ms(spec, step, &ends);
+        for step_spec in &spec.steps {
+            let start_ms = start_ms(&step_spec.after, &ends);
             let duration_ms = step_spec.estimate_ms;
             ends.push(start_ms + duration_ms);
             if step_spec.long_running || !self.fits_any_vm(step_spec) {
@@ -170,8 +170,9 @@
     }
 }
 
-/// Returns when a step begins if the earlier steps end at the given times.
-fn start_ms(spec: &JobSpec, step: usize, ends: &[u64]) -> u64 {
-    let before = spec.steps[step].after.iter();
-    before.filter_map(|earlier| ends.get(*earlier)).max().copied().unwrap_or(0)
+/// Returns when a step begins that waits for these steps, if the earlier steps
+/// end at the given times.
+fn start_ms(before: &[usize], ends: &[u64]) -> u64 {
+    let ends = before.iter().filter_map(|earlier| ends.get(*earlier));
+    ends.max().copied().unwrap_or(0)
 }
--- a/crates/dewspar/src/schedule/record_merge.rs
+++ b/crates/dewspar/src/schedule/record_merge.rs
@@ -109,11 +109,9 @@
     if !record.done || task.done {
         return Vec::new();
     }
-    task.done = true;
     let obsolete =
         task.workers.iter().map(|on| (task_id, on.clone())).collect();
-    step.done += 1;
-    step.waiting.remove(&record.index);
+    job.mark_done(record.round, record.step, record.index);
     obsolete
 }
 
