Don't stop long tasks as stalled within one percent

Cause: a run reports whole percents, and one whose percent stood still for 2.5 s was stopped, whatever its task's size. Evidence: five of the six tests in stalls.rs fail before, with tasks of ten minutes and an hour and nothing else; the sixth guards what has to stay. Ruled out: the workers, which are sound in these tests, and the suspension alone, since the runs are stopped first.

The time-out follows what one percent is expected to take, by the estimate and by what the run has shown, and is 2.5 s at least, as before for tasks of up to a minute.

--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -65,6 +65,8 @@
     pub(crate) ordered_process: Incarnation,
     /// The workers on which the task failed.
     pub(crate) avoid: Vec<WorkerId>,
+    /// How often its runs have stalled.
+    pub(crate) stalls: u32,
     /// The consecutive losses of workers while they ran the task.
     pub(crate) crashes: CrashHistory,
     /// The starts whose orders got no answer and may still be carried out.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -181,6 +181,7 @@
 mod scheduler;
 mod shares;
 mod sizing;
+mod stalls;
 mod start_log;
 mod step_graph;
 mod stopping;
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -3,7 +3,7 @@
 disturb others.
 
 A task whose progress stalls is stopped and started elsewhere, from its
-checkpoint if it has one. A best-effort task is throttled while a task on the
+checkpoint if it has one; [`stalls`] says when that is. A best-effort task is throttled while a task on the
 same worker misses its latency target, and its processor share is raised again
 step by step once that task has recovered.
 */
@@ -11,7 +11,7 @@
 use crate::{
     job::{StepSpec, TaskId},
     schedule::{
-        Action, Now, OrderError, PaceOrder, Scheduler, WorkerId,
+        Action, Now, OrderError, PaceOrder, Scheduler, WorkerId, stalls,
         worker::{Run, RunState, Worker},
     },
 };
@@ -21,14 +21,6 @@
 /// plan took a busy holder more time than placing tasks.
 const RUN_CHECK_INTERVAL_MS: u64 = 100;
 
-/// How long the progress of a run may stall, in milliseconds: longer than a
-/// restore from a checkpoint, and than three answers of a worker without ends.
-const STALL_TIMEOUT_MS: u64 = 2_500;
-
-/// How long a long-running task may take to be at work, in milliseconds: some
-/// are slow to start.
-const START_TIMEOUT_MS: u64 = 5_000;
-
 /// The time that a change of pace is given to show an effect, in milliseconds:
 /// it is applied within 0.1 s, and the latency figures cover half a second.
 const PACE_CHANGE_INTERVAL_MS: u64 = 700;
@@ -83,7 +75,7 @@
                     worker.reported_ms().saturating_sub(run.moved_ms);
                 // Very few runs may be stalled, so the step is looked up for
                 // these only.
-                let may_be_stalled = stalled_ms > STALL_TIMEOUT_MS
+                let may_be_stalled = stalled_ms > stalls::MIN_TIMEOUT_MS
                     && run.state == RunState::Running
                     && run.percent < 100
                     && run.pace == 100
@@ -92,11 +84,8 @@
                     continue;
                 }
                 let Some(spec) = self.step_spec(task) else { continue };
-                let timeout_ms = if spec.long_running {
-                    START_TIMEOUT_MS
-                } else {
-                    STALL_TIMEOUT_MS
-                };
+                let timeout_ms =
+                    stalls::timeout_ms(spec, run, self.stalls_of(task));
                 // A run makes no progress on a cold worker. The time-out is the
                 // same away from the data, where runs are slower: longer ones
                 // would delay the detection of runs that have stopped.
@@ -109,20 +98,34 @@
             }
         }
         for (worker, task) in stalled {
-            self.stop_run(&task, &worker, "it doesn't come on");
-            self.avoid(&task, &worker);
-            self.suspend(&worker, "a task has stalled on it", now);
+            self.run_stalled(&task, &worker, now);
         }
     }
 
-    fn avoid(&mut self, task: &TaskId, worker: &WorkerId) {
+    /// Stops a run that has stalled, and draws a conclusion on its worker
+    /// unless the task is slow everywhere.
+    fn run_stalled(&mut self, task: &TaskId, worker: &WorkerId, now: Now) {
+        let blames_worker = self.step_spec(task).is_some_and(|spec| {
+            stalls::blames_worker(spec, self.stalls_of(task))
+        });
+        self.stop_run(task, worker, "it doesn't come on");
         let job = self.jobs.get_mut(&task.job);
-        let state = job.and_then(|job| job.task_mut(task));
-        if let Some(state) = state
-            && !state.avoid.contains(worker)
-        {
-            state.avoid.push(worker.clone());
+        if let Some(state) = job.and_then(|job| job.task_mut(task)) {
+            state.stalls = state.stalls.saturating_add(1);
+            if blames_worker && !state.avoid.contains(worker) {
+                state.avoid.push(worker.clone());
+            }
         }
+        if blames_worker {
+            self.suspend(worker, "a task has stalled on it", now);
+        }
+    }
+
+    /// Returns how often runs of a task have stalled.
+    fn stalls_of(&self, task: &TaskId) -> u32 {
+        let job = self.jobs.get(&task.job);
+        let state = job.and_then(|job| job.task(task));
+        state.map_or(0, |state| state.stalls)
     }
 
     pub(super) fn step_spec(&self, task: &TaskId) -> Option<&StepSpec> {
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -36,6 +36,7 @@
 mod restarted_workers;
 mod runs;
 mod small_link;
+mod stalls;
 mod start_log;
 mod storing;
 mod takeover;
