Let a failed task go back to its worker if no other has room

Cause: a task avoids the worker on which it has failed while any other worker has the capacity for it, whether or not that is free. Evidence: two of the three tests in retries.rs fail before, with no second run in 60 s; the third guards what has to stay. Ruled out: a suspension, since other tasks start on that worker meanwhile.

After 1.5 s it goes back if no other worker could hold it beside long-running tasks, after 2 s if at most half of the pool is in use. In a busier pool it waits for another worker: a faulty one is often the one with room.

The digest of orders in random worlds changes, as it must: the wait counts from the task's own run, and full workers no longer count as alternatives.

--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -65,6 +65,8 @@
     pub(crate) ordered_process: Incarnation,
     /// The workers on which the task failed.
     pub(crate) avoid: Vec<WorkerId>,
+    /// Since when it has been waiting again after a run; 0 if it has had none.
+    pub(crate) waits_since_ms: u64,
     /// How often its runs have stalled.
     pub(crate) stalls: u32,
     /// The consecutive losses of workers while they ran the task.
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -44,6 +44,11 @@
 /// highest.
 const RUN_NUMBER_GAP: u64 = 8;
 
+/// How long a task that has failed on a worker waits for room on another one in
+/// a pool that is mostly free, in milliseconds: a second less than a job may
+/// have nothing running there.
+const MAX_WAIT_FOR_OTHER_WORKER_MS: u64 = 2_000;
+
 /// The maximum age of a worker's capacity report, in milliseconds, for workers
 /// that don't enforce their capacity. A reduced capacity counts about 3 s
 /// after it was reported at the earliest, and the directory is read every 0.3
@@ -474,7 +479,8 @@
 
     /// Returns whether a task may run on a worker on which it has failed
     /// before. That is the case once it has waited for a while and no other
-    /// worker of its pool could ever hold it.
+    /// worker of its pool could hold it beside its long-running tasks, or once
+    /// it has waited for long in a pool that is mostly free.
     fn may_retry_failed_worker(
         &self,
         spec: &StepSpec,
@@ -482,22 +488,24 @@
         now: Now,
     ) -> bool {
         let Some(job) = self.jobs.get(&task.job) else { return false };
-        let (Some(step), Some(state)) = (job.step(task), job.task(task))
-        else {
-            return false;
-        };
+        let Some(state) = job.task(task) else { return false };
+        let since_ms = state.waits_since_ms.max(self.taken_over_ms);
+        let waited_ms = now.steady_ms.saturating_sub(since_ms);
         if state.avoid.is_empty()
-            || now.steady_ms < step.ready_ms + self.placing().go_back_after_ms
+            || waited_ms < self.placing().go_back_after_ms
         {
             return false;
         }
         let demand = demand(spec);
-        !self.workers.in_pool(&job.terms.pool).any(|(_, worker)| {
+        let pool = &job.terms.pool;
+        let has_other = self.workers.in_pool(pool).any(|(_, worker)| {
             worker.is_usable()
-                && worker.listing.capacity.contains(&demand)
+                && worker.free_soon_for(task).contains(&demand)
                 && has_label(worker, &spec.required_label)
                 && !state.avoid.contains(worker.id())
-        })
+        });
+        let waits_for_long = waited_ms >= MAX_WAIT_FOR_OTHER_WORKER_MS;
+        !has_other || waits_for_long && self.pool_load(pool).is_mostly_free()
     }
 
     /// Returns the best-scoring worker for a task.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -581,11 +581,12 @@
         };
         state.workers.retain(|on| on != worker_id);
         if state.workers.is_empty() && !state.done && !over {
-            step.waiting.insert(task.index);
             // Otherwise it has been waiting all along.
             if begun {
+                state.waits_since_ms = now.steady_ms;
                 step.ready_ms = now.steady_ms;
             }
+            step.waiting.insert(task.index);
         }
     }
 
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -60,6 +60,11 @@
 }
 
 impl PoolLoad {
+    /// Returns whether at most half of the capacity is used.
+    pub(super) fn is_mostly_free(&self) -> bool {
+        self.capacity.contains(&self.used.times(2))
+    }
+
     /// Returns the demand on the pool, now or soon.
     fn total_demand(&self) -> Resources {
         let now = self.used.plus(&self.long_running_waiting);
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -34,6 +34,7 @@
 mod records;
 mod reservation_cases;
 mod restarted_workers;
+mod retries;
 mod runs;
 mod small_link;
 mod stalls;
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -372,7 +372,7 @@
 
 /// The digest of all orders of 60 runs in which no hall may be lost. A change
 /// that isn't meant to change decisions must not change it.
-const ORDERS_DIGEST: u64 = 17_722_348_126_987_400_221;
+const ORDERS_DIGEST: u64 = 9_244_196_820_805_052_725;
 
 // Guards against a change of any order where no hall may be lost.
 #[test]
