Name whether all ends are applied, and set doc comments right

Names and comments of the newest changes, and the comments of two constants that had run into each other. No change of behavior: the tests of the scheduler pass, the digest of orders among them.

--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -41,9 +41,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum AppliedEnds {
     /// All that the worker hasn't forgotten.
-    All,
+    Complete,
     /// Later ones weren't listed or couldn't be applied yet.
-    Some,
+    Incomplete,
 }
 
 /// A run that its worker lists neither as active nor as ended.
@@ -145,14 +145,18 @@
     ) -> AppliedEnds {
         for end in &report.ended {
             if self.is_unknown(end.task.job) {
-                return AppliedEnds::Some;
+                return AppliedEnds::Incomplete;
             }
             let worker = self.workers.get_mut(worker_id);
             if worker.is_some_and(|worker| worker.record_end(end.number)) {
                 self.run_ended(worker_id, end, reports, now);
             }
         }
-        if report.has_more_ends { AppliedEnds::Some } else { AppliedEnds::All }
+        if report.has_more_ends {
+            AppliedEnds::Incomplete
+        } else {
+            AppliedEnds::Complete
+        }
     }
 
     /// Switches to a worker's next process, of which nothing is known but that
@@ -566,8 +570,8 @@
     ) {
         let missing = self.missing_runs(worker_id, held, report);
         match ends {
-            AppliedEnds::All => self.drop_runs(worker_id, missing, now),
-            AppliedEnds::Some => self.await_ends(worker_id, &missing),
+            AppliedEnds::Complete => self.drop_runs(worker_id, missing, now),
+            AppliedEnds::Incomplete => self.await_ends(worker_id, &missing),
         }
     }
 
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -85,14 +85,10 @@
         accepted_at_ms: u64,
     ) -> Job {
         let graph = StepGraph::new(&spec);
-        let steps = |_| {
-            let steps = spec.steps.iter().enumerate();
-            steps
-                .map(|(step, of_step)| {
-                    Step::new(of_step, graph.dependencies(step).len())
-                })
-                .collect()
+        let new_step = |(step, spec): (usize, &StepSpec)| {
+            Step::new(spec, graph.dependencies(step).len())
         };
+        let steps = |_| spec.steps.iter().enumerate().map(new_step).collect();
         let rounds = (0..spec.rounds()).map(steps).collect();
         Job {
             payload: Arc::from(spec.payload.as_str()),
@@ -137,27 +133,18 @@
         }
     }
 
-    /// Marks a task as done; returns whether it wasn't before.
-    pub(crate) fn mark_done(
-        &mut self,
-        round: u32,
-        step: u32,
-        index: u32,
-    ) -> bool {
-        let Some(steps) = self.rounds.get_mut(round as usize) else {
-            return false;
-        };
+    /// Marks a task as done. With the last one of its step, the steps that
+    /// wait for that one have one less to wait for.
+    pub(crate) fn mark_done(&mut self, round: u32, step: u32, index: u32) {
         let step = step as usize;
-        let Some(state) = steps.get_mut(step) else { return false };
-        if !state.mark_done(index) {
-            return false;
-        }
-        if state.is_done() {
+        let Some(steps) = self.rounds.get_mut(round as usize) else { return };
+        let Some(state) = steps.get_mut(step) else { return };
+        let is_new = state.mark_done(index);
+        if is_new && state.is_done() {
             for later in self.graph.dependents(step) {
                 steps[*later].unfinished_before -= 1;
             }
         }
-        true
     }
 
     /// Records that a former lease holder may have started all tasks that are
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -3,9 +3,9 @@
 disturb others.
 
 A task whose progress stalls is stopped and started elsewhere, from its
-checkpoint if it has one; [`stalls`] says when that is. A best-effort task is throttled while a task on the
-same worker misses its latency target, and its processor share is raised again
-step by step once that task has recovered.
+checkpoint if it has one; [`stalls`] says when that is. A best-effort task is
+throttled while a task on the same worker misses its latency target, and its
+processor share is raised again step by step once that task has recovered.
 */
 
 use crate::{
--- a/crates/dewspar/src/schedule/unseen_starts.rs
+++ b/crates/dewspar/src/schedule/unseen_starts.rs
@@ -40,12 +40,12 @@
     },
 };
 
-/// How many starts of a task count at most for workers that were lost before
-/// they had answered. A holder starts nothing of a task whose second crash
 /// For how long after a hall was lost a worker that is missing may have been
 /// part of it, in milliseconds: several takeovers.
 const RECENT_HALL_LOSS_MS: u64 = 30_000;
 
+/// How many starts of a task count at most for workers that were lost before
+/// they had answered. A holder starts nothing of a task whose second crash
 /// isn't stored.
 const MAX_UNSEEN: u32 = 2;
 
