--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -163,6 +163,7 @@
 mod long_running;
 mod long_waits;
 mod maintenance;
+mod missing_runs;
 mod options;
 mod order;
 mod order_answers;
--- a/crates/dewspar/tests/schedule/large_jobs.rs
+++ b/crates/dewspar/tests/schedule/large_jobs.rs
@@ -1,7 +1,7 @@
 //! Jobs of many steps, and of steps with many dependencies.
 
 use {
-    crate::world::{World, at, id, job, managed, step},
+    crate::world::{ROOM, World, at, id, job, managed, step},
     dewspar::{
         job::{Repeat, StepSpec, TaskId},
         schedule::{AcceptedJob, Resources},
@@ -13,6 +13,14 @@
 const LARGE_ROOM: Resources =
     Resources { cpu_millis: 5_000_000, memory_mb: 900_000, gpus: 0 };
 
+/// A world with one worker.
+fn world_with_room(room: Resources) -> World {
+    let mut world = World::with_room(5, &["w1"], room);
+    world.list();
+    world.expect_all();
+    world
+}
+
 /// Steps of one task, each of which names all earlier ones.
 fn steps_after_all_earlier(count: usize) -> Vec<StepSpec> {
     let step = |number| StepSpec { after: (0..number).collect(), ..step(1) };
@@ -23,9 +31,7 @@
 // there are 2^62 through these, so that it would never answer again.
 #[test]
 fn a_job_of_many_paths_is_done_in_order() {
-    let mut world = World::new(5, &["w1"]);
-    world.list();
-    world.expect_all();
+    let mut world = world_with_room(ROOM);
     let spec = job(steps_after_all_earlier(64));
     world.scheduler.submit(id(1), spec, 6, None);
     world.scheduler.submit(id(2), job(vec![step(1)]), 6, None);
@@ -43,9 +49,7 @@
 // every holder that takes over loads it.
 #[test]
 fn a_stored_job_of_many_paths_is_taken_over() {
-    let mut world = World::new(5, &["w1"]);
-    world.list();
-    world.expect_all();
+    let mut world = world_with_room(ROOM);
     let spec = job(steps_after_all_earlier(64));
     world.scheduler.submit(id(1), spec.clone(), 6, None);
     world.run_for(5_000);
@@ -107,11 +111,11 @@
 }
 
 fn world_with_room_for_twenty() -> World {
-    let room = Resources { cpu_millis: 20_000, memory_mb: 9_000, gpus: 0 };
-    let mut world = World::with_room(5, &["w1"], room);
-    world.list();
-    world.expect_all();
-    world
+    world_with_room(Resources {
+        cpu_millis: 20_000,
+        memory_mb: 9_000,
+        gpus: 0,
+    })
 }
 
 // Guards against counts of unfinished steps that differ from what is done.
@@ -150,9 +154,7 @@
 fn a_repeated_job_whose_step_names_another_very_often_is_done() {
     const ROUNDS: u32 = 5_000;
     const NAMES: usize = 3_000_000;
-    let mut world = World::with_room(5, &["w1"], LARGE_ROOM);
-    world.list();
-    world.expect_all();
+    let mut world = world_with_room(LARGE_ROOM);
     let small = StepSpec { memory_mb: 0, ..step(1) };
     let second = StepSpec { after: vec![0; NAMES], ..small.clone() };
     let mut repeated = job(vec![small, second]);
