Let the time-out of a slow task exceed a percent of a month

The limit on doublings was one too small for what its comment says: 2.5 s doubled 13 times is 20,480 s, and one percent of 30 days takes 25,920 s, so that a task of a month without an estimate would have been stopped for ever. Found on reading. The test fails before with a 17th start and passes now. The number of doublings can't overflow any more either; it is the same otherwise.

--- a/crates/dewspar/src/schedule/stalls.rs
+++ b/crates/dewspar/src/schedule/stalls.rs
@@ -29,9 +29,9 @@
 /// The number of stalls after which a task counts as slow.
 const STALLS_OF_SLOW_TASK: u32 = 2;
 
-/// The maximum number of times that a time-out doubles: it then exceeds the
-/// percents of a task that takes a month.
-const MAX_DOUBLINGS: u32 = 13;
+/// The maximum number of times that a time-out doubles: it then exceeds one
+/// percent of a task that takes a month.
+const MAX_DOUBLINGS: u32 = 14;
 
 /// Returns how long the progress of a run may stall, in milliseconds, given
 /// how often runs of its task have stalled before.
@@ -42,7 +42,7 @@
         let percent_ms = (spec.estimate_ms / 100).max(shown_percent_ms(run));
         MIN_TIMEOUT_MS.max(percent_ms.saturating_mul(TIMEOUT_PERCENTS))
     };
-    let doublings = (stalls + 1).saturating_sub(STALLS_OF_SLOW_TASK);
+    let doublings = stalls.saturating_sub(STALLS_OF_SLOW_TASK - 1);
     usual_ms.saturating_mul(1 << doublings.min(MAX_DOUBLINGS))
 }
 
--- a/crates/dewspar/tests/schedule/stalls.rs
+++ b/crates/dewspar/tests/schedule/stalls.rs
@@ -172,6 +172,26 @@
     assert!(on[0] != on[1] && on[1] != on[2] && on[0] != on[2], "{on:?}");
 }
 
+// Guards against a time-out that stops growing below one percent of the work.
+#[test]
+fn a_task_of_a_month_without_an_estimate_comes_to_run_on() {
+    const MONTH_MS: u64 = 30 * 24 * 3_600_000;
+    const PERCENT_MS: u64 = MONTH_MS / 100;
+    let mut world = world_of(Fate::done(MONTH_MS));
+    world.scheduler.submit(id(1), job(vec![estimated(1, 0)]), 6, None);
+    let mut starts = 0;
+    let mut last_start_ms = 0;
+    while world.now_ms < last_start_ms + 2 * PERCENT_MS {
+        world.now_ms += 2_000;
+        world.run_for(50);
+        if world.starts.len() > starts {
+            starts = world.starts.len();
+            last_start_ms = world.now_ms;
+        }
+        assert!(starts <= 16, "{starts} starts");
+    }
+}
+
 // Guards against a slow start of a long-running task that is never waited for.
 #[test]
 fn a_long_running_task_that_is_slow_to_start_comes_to_run_on() {
