Review: a progress record over the store's largest value stops all starts

During an upkeep of three VMs of eight, the progress record of a job with checkpoints becomes larger than the store takes. It is refused without end, together with the records of the jobs in the same write; ends are no longer acknowledged, the workers list 500 of them, and nothing new starts.

It takes the place of the case of a lasting job that is given up, which docs/PROMISES.md names as open; the stand-in still plays that one as `give-up`.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -7,4 +7,4 @@
 for program in target/release/dewspard target/review-2/standin; do
     [ -x "$program" ] || { echo "$program isn't built" >&2; exit 2; }
 done
-exec target/review-2/standin give-up "$here/record.txt"
+exec target/review-2/standin checkpoints "$here/record.txt"
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! them. `standin CASE RECORD` exits with 1 if the rule was broken, 0 if it
 //! held, and 2 if the case couldn't run.
 
+mod case_checkpoints;
 mod case_gang;
 mod case_give_up;
 mod case_late_accept;
@@ -150,6 +151,7 @@
     record.line(format!("case {case}, trouble: {trouble}"));
     let outcome = match case.as_str() {
         "give-up" => case_give_up::run(&record, trouble),
+        "checkpoints" => case_checkpoints::run(&record, trouble),
         "gang" => case_gang::run(&record, trouble),
         "late-accept" => case_late_accept::run(&record, trouble),
         "unstable" => case_unstable::run(&record, trouble),
--- a/review/standin-2/runners.rs
+++ b/review/standin-2/runners.rs
@@ -2,7 +2,8 @@
 //!
 //! What a task is like stands in its `Spec`, as in
 //! `work=800 cpu=1000 mem=100`; `last=1` for one that lasts, `gang=N` for one
-//! of N tasks that work only together.
+//! of N tasks that work only together; `ck=N` for a checkpoint of N bytes,
+//! `fails=N` for one whose first run fails after N ms.
 
 use crate::{
     http::{Answer, Connections, Request, serve},
@@ -21,6 +22,7 @@
 pub const CPU: u64 = 32_000;
 pub const MEM_MB: u64 = 131_072;
 const MAX_HOLD_MS: u64 = 10_000;
+const UPKEEP: Duration = Duration::from_millis(2_000);
 const GANG_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// How long a lasting task takes until it is at work.
 const START_UP: Duration = Duration::from_millis(100);
@@ -39,6 +41,17 @@
         field(&self.spec, name)
     }
 
+    /// Returns its checkpoint, renewed with each half second of work.
+    fn checkpoint(&self, task: &str) -> String {
+        let size = self.field("ck") as usize;
+        let Some(since) = self.works_since else { return String::new() };
+        let saved = since.elapsed().as_millis() / 500;
+        if size == 0 || saved == 0 {
+            return String::new();
+        }
+        format!("{:.<size$}", format!("{task}-{}-{saved}", self.run))
+    }
+
     fn percent(&self) -> u64 {
         let Some(since) = self.works_since else { return 0 };
         if self.field("last") == 1 {
@@ -60,6 +73,7 @@
     task: String,
     run: u64,
     how: &'static str,
+    checkpoint: String,
 }
 
 struct Machine {
@@ -70,6 +84,9 @@
     /// The runner's id; empty while it is down.
     id: String,
     lives: u64,
+    /// The wave of the last upkeep; 0 for none.
+    upkeep_of: u64,
+    in_upkeep: bool,
     clock_from: Instant,
     until_ms: u64,
     fence: u64,
@@ -101,7 +118,8 @@
             "runner {} {}: end of {task} run {}: {how}",
             self.name, self.id, run.run
         ));
-        self.ended.push(End { number, task, run: run.run, how });
+        let checkpoint = run.checkpoint(&task);
+        self.ended.push(End { number, task, run: run.run, how, checkpoint });
     }
 
     fn entry(&self) -> String {
@@ -136,6 +154,19 @@
         self.ends.lock().unwrap().get(how).copied().unwrap_or(0)
     }
 
+    /// Returns how many machines have had their upkeep and are up again.
+    pub fn upkeeps(&self) -> usize {
+        let machines = self.machines.lock().unwrap();
+        let done = |m: &&Machine| m.upkeep_of > 0 && !m.in_upkeep;
+        machines.iter().filter(done).count()
+    }
+
+    /// Returns how many ends each runner lists and has listed.
+    pub fn listed_ends(&self) -> Vec<(usize, u64)> {
+        let machines = self.machines.lock().unwrap();
+        machines.iter().map(|m| (m.ended.len(), m.last_end)).collect()
+    }
+
     /// Returns how many tasks were told to stop while they were at work.
     pub fn stopped_at_work(&self) -> usize {
         self.ends("stopped at work")
@@ -170,6 +201,8 @@
                 address: listener.local_addr().unwrap(),
                 id: String::new(),
                 lives: 0,
+                upkeep_of: 0,
+                in_upkeep: false,
                 clock_from: Instant::now(),
                 until_ms: 0,
                 fence: 0,
@@ -203,6 +236,7 @@
         let mut machines = self.machines.lock().unwrap();
         let machine = &mut machines[number];
         machine.lives += 1;
+        machine.in_upkeep = false;
         machine.id = format!("i-{number}-{}", machine.lives);
         machine.clock_from = Instant::now();
         (machine.until_ms, machine.fence, machine.last_end) = (0, 0, 0);
@@ -284,6 +318,11 @@
                 let works = run
                     .works_since
                     .map_or(0, |since| since.elapsed().as_millis() as u64);
+                let fails = run.field("fails");
+                if fails > 0 && run.run == 1 && works >= fails {
+                    ends.push((task.clone(), "failed"));
+                    continue;
+                }
                 let lasts = run.field("last") == 1;
                 if run.works_since.is_some()
                     && !lasts
@@ -353,12 +392,19 @@
             let rows = machine.active.iter().map(|(task, run)| {
                 let percent = run.percent();
                 let cpu = run.field("cpu");
-                format!("[{},{},\"\",{percent},{cpu}]", quote(task), run.run)
+                let checkpoint = quote(&run.checkpoint(task));
+                format!(
+                    "[{},{},{checkpoint},{percent},{cpu}]",
+                    quote(task),
+                    run.run
+                )
             });
             let rows: Vec<String> = rows.collect();
             let ends = machine.ended.iter().take(500).map(|end| {
-                let End { number, task, run, how } = end;
-                format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
+                let End { number, task, run, how, checkpoint } = end;
+                let checkpoint = quote(checkpoint);
+                let task = quote(task);
+                format!("[{number},{task},{run},\"{how}\",{checkpoint}]")
             });
             let ends: Vec<String> = ends.collect();
             let body = format!(
@@ -418,15 +464,47 @@
         clock(machine)
     }
 
+    /// Carries out the upkeep of a machine: all that runs there dies, and a new
+    /// runner comes after `MaintenanceS`.
+    fn upkeep(&self, request: &Request) -> Answer {
+        let body = Json::parse(&request.body).unwrap_or(Json::Null);
+        let (name, wave) = (body.text("Machine"), body.number("Wave"));
+        let mut machines = self.machines.lock().unwrap();
+        let found = machines.iter().position(|m| m.name == name);
+        let Some(number) = found else {
+            return Answer::Json(400, "{}".to_owned());
+        };
+        let machine = &mut machines[number];
+        if machine.upkeep_of == wave {
+            return Answer::Json(200, "{}".to_owned());
+        }
+        if machine.id.is_empty() {
+            return Answer::Json(409, "{\"Reason\":\"busy\"}".to_owned());
+        }
+        (machine.upkeep_of, machine.in_upkeep) = (wave, true);
+        let left = machine.active.len();
+        drop(machines);
+        self.record.line(format!("upkeep of {name} begins, {left} runs"));
+        self.crash(number, UPKEEP);
+        Answer::Json(200, "{}".to_owned())
+    }
+
     /// Answers calls to the service that lists and changes the machines.
     pub fn machine_service(&self, request: &Request) -> Answer {
+        if request.path == "/dewspar/machine-upkeep" {
+            return self.upkeep(request);
+        }
         if request.path != "/dewspar/machines" {
             // One pool only: there is nowhere to move a machine to.
             return Answer::Json(400, "{}".to_owned());
         }
         let machines = self.machines.lock().unwrap();
         let rows = machines.iter().map(|machine| {
-            let state = if machine.id.is_empty() { "down" } else { "up" };
+            let state = match (machine.in_upkeep, machine.id.is_empty()) {
+                (true, _) => "upkeep",
+                (false, true) => "down",
+                (false, false) => "up",
+            };
             let id = match machine.id.is_empty() {
                 true => String::new(),
                 false => format!(",\"Id\":{}", quote(&machine.id)),
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -42,6 +42,12 @@
     DoneLateUnanswered(Duration),
 }
 
+/// `ValueBytes` of the deploy file.
+const VALUE_BYTES: usize = 1_048_576;
+
+/// How much a listing returns at most.
+const LISTING_BYTES: usize = 1_000_000;
+
 type Judge = Box<dyn Fn(&str) -> Fate + Send + Sync>;
 
 #[derive(Clone)]
@@ -49,6 +55,8 @@
     state: Arc<(Mutex<State>, Condvar)>,
     /// Decides on each write, by its body.
     judge: Arc<Mutex<Judge>>,
+    /// The keys and sizes of values that were too large.
+    refused: Arc<Mutex<Vec<(String, usize)>>>,
 }
 
 impl Store {
@@ -57,6 +65,7 @@
         let store = Store {
             state: Arc::new((Mutex::new(state), Condvar::new())),
             judge: Arc::new(Mutex::new(Box::new(|_| Fate::Usual))),
+            refused: Arc::default(),
         };
         let leases = store.clone();
         thread::spawn(move || {
@@ -72,6 +81,11 @@
         *self.judge.lock().unwrap() = judge;
     }
 
+    /// Returns the keys and sizes of values that were too large.
+    pub fn refused_values(&self) -> Vec<(String, usize)> {
+        self.refused.lock().unwrap().clone()
+    }
+
     /// Writes a key for the operator or a runner.
     pub fn put(&self, key: &str, value: &str) {
         let value = crate::json::base64(value.as_bytes());
@@ -157,10 +171,17 @@
         let matching = state.items.iter().filter(|(key, _)| {
             key.starts_with(&prefix) && (after.is_empty() || **key > after)
         });
-        let mut rows: Vec<String> =
-            matching.take(501).map(|(key, item)| row(key, item)).collect();
-        let more = rows.len() > 500;
-        rows.truncate(500);
+        let (mut rows, mut bytes, mut more) = (Vec::new(), 0, false);
+        for (key, item) in matching {
+            let row = row(key, item);
+            let full = rows.len() == 500 || bytes + row.len() > LISTING_BYTES;
+            if full && !rows.is_empty() {
+                more = true;
+                break;
+            }
+            bytes += row.len();
+            rows.push(row);
+        }
         let body = format!(
             "{{\"items\":[{}],\"HasMore\":{more},\"AtRev\":{}}}",
             rows.join(","),
@@ -218,6 +239,17 @@
     }
 
     fn commit(&self, body: &Json) -> Answer {
+        let too_large = body.rows("Puts").iter().find_map(|put| {
+            let bytes = put.text("Value").len() / 4 * 3;
+            (bytes > VALUE_BYTES + 2).then(|| (put.text("TlsKey"), bytes))
+        });
+        if let Some((key, bytes)) = too_large {
+            self.refused.lock().unwrap().push((key.clone(), bytes));
+            let body = format!(
+                "{{\"Error\":\"the value of {key} has {bytes} bytes\"}}"
+            );
+            return Answer::Json(400, body);
+        }
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         let expected = body.rows("ExpectedRev");
