Store the checkpoints of wide jobs apart from their record

Cause: a job's record is one value and holds the checkpoints of all its tasks. With 300 tasks stopped at 3,500 bytes each it exceeds 1 MiB, which the store refuses each time.

Checkpoints that take more than 16 KiB together now have a key each, written before the record, on condition of its version. A large record is written by itself, so that other jobs don't wait for its transfer. Checkpoints are shared in memory rather than copied with each write.

--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -53,9 +53,17 @@
     lists: Arc<Mutex<BTreeMap<String, u64>>>,
     /// The write that is to be done late, if any.
     late: Arc<Mutex<Option<LateWrite>>>,
+    values: Arc<Mutex<ValueLimit>>,
     faults: Faults,
 }
 
+/// The largest value that is accepted, and the writes refused for it.
+#[derive(Debug)]
+struct ValueLimit {
+    max_bytes: usize,
+    refused_writes: u64,
+}
+
 /// The next write of a key, and how much later it is done.
 #[derive(Debug)]
 struct LateWrite {
@@ -100,7 +108,10 @@
         };
         let state = Arc::new(Mutex::new(state));
         let (version, lists) = (watch::Sender::new(1), Arc::default());
-        Store { state, version, lists, late: Arc::default(), faults }
+        let values = ValueLimit { max_bytes: usize::MAX, refused_writes: 0 };
+        let values = Arc::new(Mutex::new(values));
+        let late = Arc::default();
+        Store { state, version, lists, late, values, faults }
     }
 
     /// Returns the store's faults.
@@ -136,6 +147,35 @@
         *self.late() = Some(late);
     }
 
+    /// Sets the largest value that is accepted, in bytes.
+    pub fn set_max_value_bytes(&self, max_bytes: usize) {
+        self.values().max_bytes = max_bytes;
+    }
+
+    /// Returns how many writes were refused because of a value that was too
+    /// large.
+    pub fn refused_writes(&self) -> u64 {
+        self.values().refused_writes
+    }
+
+    fn values(&self) -> MutexGuard<'_, ValueLimit> {
+        self.values.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Refuses a batch that has too large a value.
+    fn check_values(&self, batch: &Batch) -> Result<(), Error> {
+        let mut values = self.values();
+        let max_bytes = values.max_bytes;
+        let too_large = |put: &&Put| put.value.len() > max_bytes;
+        let Some(put) = batch.puts.iter().find(too_large) else {
+            return Ok(());
+        };
+        values.refused_writes += 1;
+        let bytes = put.value.len();
+        let reason = format!("the value of {} has {bytes} bytes", put.key);
+        Err(Error::Unavailable { call: "commit", reason })
+    }
+
     fn late(&self) -> MutexGuard<'_, Option<LateWrite>> {
         self.late.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -356,6 +396,7 @@
 
     async fn commit(&self, batch: &Batch) -> Result<Commit, Error> {
         self.faults.count_write();
+        self.check_values(batch)?;
         if let Some(by) = self.take_delay(batch) {
             self.commit_later(batch.clone(), by);
             let reason = "answer lost".to_owned();
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -92,6 +92,13 @@
     work_ms: u64,
     /// The step whose tasks fail after [`FAILS_AFTER_MS`], if one does.
     failing_step: Option<u32>,
+    /// Whether the first run of each task fails after [`FAILS_AFTER_MS`].
+    first_runs_fail: bool,
+    /// How long the checkpoints are of runs that end before they are done, in
+    /// bytes.
+    checkpoint_bytes: usize,
+    /// Every run that was started from a checkpoint.
+    resumed: Vec<(TaskId, u64)>,
     /// Whether orders to stop are lost.
     stops_lost: bool,
     /// Every run that was ever started.
@@ -128,6 +135,9 @@
             next_life: 1,
             work_ms: 100,
             failing_step: None,
+            first_runs_fail: false,
+            checkpoint_bytes: 0,
+            resumed: Vec::new(),
             stops_lost: false,
             started: Vec::new(),
             done: BTreeSet::new(),
@@ -158,6 +168,17 @@
         self.lock().failing_step = Some(step);
     }
 
+    /// Has the first run of each task fail, and list a checkpoint of this many
+    /// bytes.
+    pub fn fail_first_runs(&self, checkpoint_bytes: usize) {
+        let mut state = self.lock();
+        state.first_runs_fail = true;
+        state.checkpoint_bytes = checkpoint_bytes;
+        for entry in state.workers.values_mut() {
+            entry.worker.set_checkpoint_bytes(checkpoint_bytes);
+        }
+    }
+
     /// Loses orders to stop from now on, or no longer.
     pub fn set_stops_lost(&self, lost: bool) {
         self.lock().stops_lost = lost;
@@ -187,6 +208,11 @@
         self.lock().started.clone()
     }
 
+    /// Returns every run that was started from a checkpoint.
+    pub fn resumed(&self) -> Vec<(TaskId, u64)> {
+        self.lock().resumed.clone()
+    }
+
     /// Returns the tasks of which a run began though they were done, by what
     /// some worker has listed, or ran elsewhere.
     pub fn ran_twice(&self) -> Vec<TaskId> {
@@ -215,12 +241,14 @@
     pub fn restart(&self, vm: &str) {
         let now_ms = self.now_ms();
         let mut state = self.lock();
+        let checkpoint_bytes = state.checkpoint_bytes;
         let mut entries = state.workers.values_mut();
         let entry = entries.find(|entry| entry.listing.vm == vm);
         let Some(entry) = entry else { return };
         let process = Incarnation::started_at(now_ms);
         entry.listing.incarnation = process;
         entry.worker = TaskWorker::new(ROOM).incarnated(process);
+        entry.worker.set_checkpoint_bytes(checkpoint_bytes);
         entry.started_ms = now_ms;
     }
 
@@ -283,13 +311,16 @@
             remaining_ms: None,
             cold_remaining_ms: 0,
         };
-        let worker = TaskWorker::new(ROOM).incarnated(process);
+        let mut worker = TaskWorker::new(ROOM).incarnated(process);
+        worker.set_checkpoint_bytes(self.checkpoint_bytes);
         let entry = Entry { worker, listing, started_ms: 0 };
         self.workers.insert(id, entry);
     }
 
-    fn fate_of(&self, task: &TaskId) -> Fate {
-        if self.failing_step == Some(task.step) {
+    fn fate_of(&self, order: &StartOrder) -> Fate {
+        let fails = self.failing_step == Some(order.task.step)
+            || self.first_runs_fail && order.run == 1;
+        if fails {
             return Fate::failed(FAILS_AFTER_MS);
         }
         Fate::done(self.work_ms)
@@ -306,6 +337,9 @@
 
     fn note_started(&mut self, order: &StartOrder, now_ms: u64) {
         self.started.push((order.task, order.run));
+        if !order.checkpoint.is_empty() {
+            self.resumed.push((order.task, order.run));
+        }
         let runs = |entry: &mut Entry| {
             let clock_ms = entry.clock_ms(now_ms);
             let running = entry.worker.running(clock_ms);
@@ -345,7 +379,7 @@
         if !delay.is_zero() {
             sleep(delay).await;
         }
-        let fate = self.lock().fate_of(&order.task);
+        let fate = self.lock().fate_of(order);
         let mut began = false;
         let result = self.order(worker, |entry, now_ms| {
             let result = entry.worker.start(now_ms, order, TASK, fate);
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -126,6 +126,8 @@
     /// Whether it refuses what it has no room for.
     guards: bool,
     max_listed_ends: usize,
+    /// What runs have as checkpoint when they end before they are done.
+    checkpoint: String,
 }
 
 impl TaskWorker {
@@ -143,6 +145,7 @@
             rejected_for_room: 0,
             guards: true,
             max_listed_ends: MAX_LISTED_ENDS,
+            checkpoint: String::new(),
         }
     }
 
@@ -164,6 +167,12 @@
         self
     }
 
+    /// Has runs that end before they are done list a checkpoint of this many
+    /// bytes.
+    pub fn set_checkpoint_bytes(&mut self, bytes: usize) {
+        self.checkpoint = "0".repeat(bytes);
+    }
+
     /// Returns what its runs take.
     pub fn used(&self) -> Resources {
         let mut used = Resources::default();
@@ -322,6 +331,9 @@
 
     fn end(&mut self, task: &TaskId, cause: EndCause) {
         let Some(run) = self.running.remove(task) else { return };
+        let is_done = cause == EndCause::Done;
+        let checkpoint =
+            if is_done { String::new() } else { self.checkpoint.clone() };
         self.ends += 1;
         let highest = self.highest.entry(*task).or_default();
         *highest = (*highest).max(run.run);
@@ -330,7 +342,7 @@
             task: *task,
             run: run.run,
             cause,
-            checkpoint: String::new(),
+            checkpoint,
         });
     }
 }
--- a/crates/dewspar/src/job/mod.rs
+++ b/crates/dewspar/src/job/mod.rs
@@ -39,6 +39,7 @@
     spec::{InvalidSpec, JobSpec, Repeat, StepSpec},
 };
 
+pub mod checkpoints;
 pub mod conflict;
 mod id;
 mod progress;
--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -2,6 +2,7 @@
     super::stored::StoredProgress,
     crate::fields::UnknownFields,
     serde::{Deserialize, Serialize},
+    std::sync::Arc,
 };
 
 /// The phase of a job's life cycle.
@@ -124,8 +125,8 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub told_born_unix_ms: Option<u64>,
     /// The checkpoint to resume from; empty for none.
-    #[serde(default, skip_serializing_if = "String::is_empty")]
-    pub checkpoint: String,
+    #[serde(default, skip_serializing_if = "str::is_empty")]
+    pub checkpoint: Arc<str>,
     /// Orders to start the task that got no answer, which their workers may
     /// still carry out.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -5,19 +5,22 @@
 worker's active runs and the oldest ends that aren't acknowledged yet.
 */
 
-use crate::{
-    job::{Phase, TaskId},
-    schedule::{
-        ActiveRun, Decision, EndCause, EndedRun, HoldReport, Incarnation, Now,
-        OrderError, Refusal, Resources, Scheduler, SentHold, WorkerId,
-        WorkerListing,
-        job_state::{Job, demand},
-        missing_runs::AppliedEnds,
-        order_answers::call_end,
-        processes::IncarnationOrder,
-        worked_time::{ReportTimes, worked_ms},
-        worker::{DueHold, Run, RunState},
+use {
+    crate::{
+        job::{Phase, TaskId},
+        schedule::{
+            ActiveRun, Decision, EndCause, EndedRun, HoldReport, Incarnation,
+            Now, OrderError, Refusal, Resources, Scheduler, SentHold,
+            WorkerId, WorkerListing,
+            job_state::{Job, demand},
+            missing_runs::AppliedEnds,
+            order_answers::call_end,
+            processes::IncarnationOrder,
+            worked_time::{ReportTimes, worked_ms},
+            worker::{DueHold, Run, RunState},
+        },
     },
+    std::sync::Arc,
 };
 
 /// The assumed pace of a best-effort run that was found running, in percent.
@@ -478,7 +481,7 @@
             return;
         };
         let saved = !active.checkpoint.is_empty()
-            && active.checkpoint != known.checkpoint;
+            && *active.checkpoint != *known.checkpoint;
         if !saved && active.run <= known.run {
             return;
         }
@@ -488,7 +491,7 @@
         };
         task.run = task.run.max(active.run);
         if saved {
-            task.checkpoint.clone_from(&active.checkpoint);
+            task.checkpoint = Arc::from(active.checkpoint.as_str());
         }
     }
 
@@ -568,7 +571,7 @@
     task.run = task.run.max(end.run);
     task.ended_run = task.ended_run.max(end.run);
     if !end.checkpoint.is_empty() {
-        task.checkpoint.clone_from(&end.checkpoint);
+        task.checkpoint = Arc::from(end.checkpoint.as_str());
     }
     if end.cause == EndCause::Failed {
         if !task.failed_runs.contains(&end.run) {
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -59,7 +59,8 @@
     pub(crate) run: u64,
     /// The highest run number of a run that has ended.
     pub(crate) ended_run: u64,
-    pub(crate) checkpoint: String,
+    /// The last checkpoint that a worker reported; empty for none.
+    pub(crate) checkpoint: Arc<str>,
     pub(crate) workers: Vec<WorkerId>,
     /// The worker process to which the last start was ordered.
     pub(crate) ordered_process: Incarnation,
@@ -314,7 +315,7 @@
                 told: task.recorded_worker(),
                 told_born_unix_ms: task.recorded_process(),
                 checkpoint: if task.done {
-                    String::new()
+                    Arc::default()
                 } else {
                     task.checkpoint.clone()
                 },
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -736,7 +736,7 @@
         self.link.sent(Class::Start, bytes);
         let step = job.step(task)?;
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
-        let checkpoint = job.task(task)?.checkpoint.clone();
+        let checkpoint = job.task(task)?.checkpoint.as_ref().to_owned();
         let cpu_millis = demand(job.step_spec(task)?).cpu_millis;
         self.note(Decision::Started {
             task: *task,
--- a/crates/dewspar/tests/progress.rs
+++ b/crates/dewspar/tests/progress.rs
@@ -12,7 +12,7 @@
         1 => TaskRecord { done: true, run: 3, ..plain },
         2 => TaskRecord { unseen: 1, told: Some("w1".to_owned()), ..plain },
         3 => TaskRecord { failed_runs: vec![1, 4], run: 4, ..plain },
-        _ => TaskRecord { run: 2, checkpoint: "00ff".to_owned(), ..plain },
+        _ => TaskRecord { run: 2, checkpoint: "00ff".into(), ..plain },
     }
 }
 
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        progress::{FeedEvent, WriteOutcome},
+        progress::{FeedEvent, WrittenProgress},
         start_logs::LoadedStartLogs,
         takeover::{LoadedFleetState, LoadedJobs},
         use_ceilings::LoadedCeilings,
@@ -180,6 +180,6 @@
     VmOrdersWritten(RecordWriteOutcome),
     ProgressWritten {
         changes: Changes,
-        outcome: WriteOutcome,
+        written: WrittenProgress,
     },
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -17,6 +17,7 @@
 
 use {
     super::{
+        checkpoints::Checkpoints,
         counts::CountsWriter,
         decisions,
         deferred_ends::DeferredEnds,
@@ -163,6 +164,7 @@
         loaded_progress: BTreeMap::new(),
         unreadable: BTreeSet::new(),
         deferred_ends: DeferredEnds::default(),
+        checkpoints: Checkpoints::default(),
         start_logs: StartLogWrites::default(),
         sender,
         worker_lookups: WorkerLookups::default(),
@@ -212,6 +214,8 @@
     pub(super) unreadable: BTreeSet<JobId>,
     /// Ends of runs that former holders stored for jobs they couldn't read.
     pub(super) deferred_ends: DeferredEnds,
+    /// The checkpoints that are stored apart from their jobs' progress.
+    pub(super) checkpoints: Checkpoints,
     pub(super) start_logs: StartLogWrites,
     pub(super) sender: EventSender,
     /// Directory lookups of new workers.
@@ -332,6 +336,7 @@
             Event::AllLoaded => {
                 scheduler.finish_loading(now);
                 self.delete_orphaned_ends();
+                self.discard_orphaned_checkpoints();
             }
             Event::DeferredEndsLoaded(ends) => {
                 self.deferred_ends.add_loaded(ends)
@@ -428,8 +433,8 @@
                 self.vm_orders.finish_write(written, now.steady_ms);
             }
             Event::RetryWrite(changes) => scheduler.changes_failed(&changes),
-            Event::ProgressWritten { changes, outcome } => {
-                self.changes_stored(changes, outcome, now);
+            Event::ProgressWritten { changes, written } => {
+                self.progress_written(changes, written, now);
             }
         }
     }
@@ -558,6 +563,7 @@
         self.order_vms(now);
         self.delete_expired(now);
         self.delete_settled_cancellations(now);
+        self.delete_obsolete_checkpoints(now);
         let teams = self.scheduler.team_usage();
         self.load_stats.tell_teams(now.steady_ms, teams);
         if self.load_stats.is_log_due(now.steady_ms) {
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -79,7 +79,8 @@
     }
 
     /// Applies jobs that former holders left in the store.
-    pub(super) fn apply_loaded_jobs(&mut self, jobs: LoadedJobs) {
+    pub(super) fn apply_loaded_jobs(&mut self, mut jobs: LoadedJobs) {
+        self.restore_checkpoints(&mut jobs);
         for (id, version) in &jobs.versions {
             self.versions.note_loaded(*id, *version);
         }
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -44,6 +44,9 @@
 /// The progress of jobs.
 pub(super) const PROGRESS: &str = "run/";
 
+/// Checkpoints of tasks that are stored apart from the progress of their jobs.
+pub(super) const CHECKPOINTS: &str = "saved/";
+
 /// Ends of runs whose job can't be read.
 pub(super) const ENDS: &str = "end/";
 
@@ -116,6 +119,15 @@
     format!("{PROGRESS}{id}")
 }
 
+pub(super) fn checkpoint(task: &TaskId) -> String {
+    format!("{CHECKPOINTS}{task}")
+}
+
+/// Parses the task identifier from a key of [`CHECKPOINTS`].
+pub(super) fn parse_checkpoint(key: &str) -> Option<TaskId> {
+    key.strip_prefix(CHECKPOINTS)?.parse().ok()
+}
+
 pub(super) fn end(task: &TaskId, run: u64) -> String {
     format!("{ENDS}{task}.{run}")
 }
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -47,6 +47,7 @@
 };
 
 mod backoff;
+mod checkpoints;
 mod counts;
 mod decisions;
 mod deferred_ends;
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -18,7 +18,8 @@
         holder::{Holder, now, to_json},
         keys,
         progress::{
-            self, ConflictCause, WriteConflict, WriteOutcome, progress_batch,
+            self, ConflictCause, ProgressWrite, StoredState, WriteConflict,
+            WriteOutcome, WrittenProgress, progress_writes,
         },
         versions::VersionSource,
     },
@@ -33,7 +34,10 @@
     dewspar_platform::{Commit, Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
     slog::warn,
-    std::{collections::BTreeSet, time::Duration},
+    std::{
+        collections::{BTreeSet, VecDeque},
+        time::Duration,
+    },
     tokio::time::sleep,
 };
 
@@ -78,41 +82,51 @@
         {
             self.last_write_ms = now.steady_ms;
             let changes = progress::take_next_write(&mut self.scheduler);
-            self.spawn_progress_write(changes);
+            self.spawn_progress_writes(changes);
         }
     }
 
-    fn spawn_progress_write(&mut self, changes: Changes) {
-        self.writes_in_flight += 1;
-        let batch =
-            progress_batch(self.held.revision, &changes, &self.versions);
-        let store = self.candidate.store.with_purpose(Purpose::Progress);
-        let sender = self.sender.clone();
-        tokio::spawn(async move {
-            let outcome = progress::commit_changes(&store, &batch).await;
-            if matches!(outcome, WriteOutcome::Failed) {
-                sleep(RETRY_DELAY).await;
-            }
-            // If the holder has stopped, the result isn't needed.
-            let _ =
-                sender.send(Event::ProgressWritten { changes, outcome }).await;
-        });
+    fn stored_state(&self) -> StoredState<'_> {
+        StoredState {
+            lease_revision: self.held.revision,
+            versions: &self.versions,
+            checkpoints: &self.checkpoints.stored,
+        }
+    }
+
+    fn spawn_progress_writes(&mut self, changes: Changes) {
+        for (changes, write) in progress_writes(changes, self.stored_state()) {
+            self.writes_in_flight += 1;
+            let store = self.candidate.store.with_purpose(Purpose::Progress);
+            let sender = self.sender.clone();
+            tokio::spawn(async move {
+                let written = progress::commit_changes(&store, &write).await;
+                if matches!(written.outcome, WriteOutcome::Failed) {
+                    sleep(RETRY_DELAY).await;
+                }
+                // If the holder has stopped, the result isn't needed.
+                let _ = sender
+                    .send(Event::ProgressWritten { changes, written })
+                    .await;
+            });
+        }
     }
 
     /// Handles the result of a write of progress.
-    pub(super) fn changes_stored(
+    pub(super) fn progress_written(
         &mut self,
         changes: Changes,
-        outcome: WriteOutcome,
+        written: WrittenProgress,
         now: Now,
     ) {
         self.writes_in_flight -= 1;
+        let WrittenProgress { outcome, checkpoints } = written;
+        for (task, run) in checkpoints {
+            self.checkpoints.stored.note_stored(&task, run);
+        }
         match outcome {
             WriteOutcome::Done(version) => {
-                for (id, _) in &changes.progress {
-                    self.versions.note_written(*id, version);
-                }
-                self.scheduler.changes_stored(&changes, now);
+                self.records_stored(&changes, version, now);
                 self.delete_recorded_ends(&changes);
             }
             WriteOutcome::Failed => self.scheduler.changes_failed(&changes),
@@ -141,7 +155,7 @@
             ConflictCause::Records(ids) => {
                 let conflicted = changes.take(&ids);
                 if !changes.progress.is_empty() {
-                    self.spawn_progress_write(changes);
+                    self.spawn_progress_writes(changes);
                 }
                 self.resolve_conflicts(conflicted, conflict, now);
             }
@@ -239,37 +253,60 @@
             "records" => to_json(&rows));
     }
 
+    /// Notes that the records of these changes are stored at this version.
+    fn records_stored(&mut self, changes: &Changes, version: u64, now: Now) {
+        for (id, record) in &changes.progress {
+            self.versions.note_written(*id, version);
+            self.checkpoints.note_record_stored(*id, record);
+        }
+        self.scheduler.changes_stored(changes, now);
+    }
+
     /// Writes all remaining changes before the lease is released. Returns those
     /// that aren't stored; if the lease is kept after all, pass them to
     /// [`Scheduler::changes_failed`](dewspar::schedule::Scheduler::changes_failed).
     pub(super) async fn flush_changes(&mut self) -> Vec<Changes> {
         let mut unstored = Vec::new();
-        while self.scheduler.has_changes() {
+        let mut goes_on = true;
+        while goes_on && self.scheduler.has_changes() {
             let changes = progress::take_next_write(&mut self.scheduler);
-            if !self.flush_write(changes, &mut unstored).await {
-                break;
+            let mut writes =
+                VecDeque::from(progress_writes(changes, self.stored_state()));
+            while let Some((changes, write)) = writes.pop_front() {
+                if !goes_on {
+                    unstored.push(changes);
+                    continue;
+                }
+                match self.flush_write(changes, &write, &mut unstored).await {
+                    Flushed::Done => {}
+                    Flushed::Again(rest) => writes
+                        .extend(progress_writes(rest, self.stored_state())),
+                    Flushed::Stop => goes_on = false,
+                }
             }
         }
         unstored
     }
 
-    /// Writes changes, except those whose jobs' records conflict; returns
-    /// whether further writes may succeed.
+    /// Writes changes once, and puts those that couldn't be stored aside.
     async fn flush_write(
         &mut self,
         mut changes: Changes,
+        write: &ProgressWrite,
         unstored: &mut Vec<Changes>,
-    ) -> bool {
-        while !changes.progress.is_empty() {
-            let batch =
-                progress_batch(self.held.revision, &changes, &self.versions);
-            let current = match self.candidate.store.commit(&batch).await {
+    ) -> Flushed {
+        let store = &self.candidate.store;
+        let batches = write
+            .checkpoints
+            .iter()
+            .map(|checkpoints| &checkpoints.batch)
+            .chain([&write.records]);
+        let mut stored_version = 0;
+        for batch in batches {
+            let current = match store.commit(batch).await {
                 Ok(Commit::Done(version)) => {
-                    for (id, _) in &changes.progress {
-                        self.versions.note_written(*id, version);
-                    }
-                    self.scheduler.changes_stored(&changes, now());
-                    return true;
+                    stored_version = version;
+                    continue;
                 }
                 Ok(Commit::Conflict(current)) => current,
                 Err(error) => {
@@ -278,26 +315,37 @@
                     warn!(self.candidate.log, "holder: write gave no result";
                         "of" => "progress", "error" => %error);
                     unstored.push(changes);
-                    return false;
+                    return Flushed::Stop;
                 }
             };
-            let conflict = WriteConflict::new(&batch, current);
+            let conflict = WriteConflict::new(batch, current);
             self.log_conflict(&conflict, &[]);
-            match conflict.cause_for(&changes) {
+            return match conflict.cause_for(&changes) {
                 ConflictCause::Lease => {
                     unstored.push(changes);
-                    return false;
+                    Flushed::Stop
                 }
                 ConflictCause::Resolved => {
                     unstored.push(changes);
-                    return true;
+                    Flushed::Done
                 }
                 // The next holder reads these records again.
                 ConflictCause::Records(ids) => {
                     unstored.push(changes.take(&ids));
+                    Flushed::Again(changes)
                 }
-            }
+            };
         }
-        true
+        self.records_stored(&changes, stored_version, now());
+        Flushed::Done
     }
 }
+
+/// How to go on after a write of remaining changes.
+enum Flushed {
+    Done,
+    /// Write these changes again; the others are put aside.
+    Again(Changes),
+    /// No further write can succeed.
+    Stop,
+}
--- a/crates/dewspard/src/jobs/takeover.rs
+++ b/crates/dewspard/src/jobs/takeover.rs
@@ -16,6 +16,7 @@
 
 use {
     super::{
+        checkpoints::parse_checkpoint,
         deferred_ends::load_deferred_ends,
         event::{Event, EventSender, HolderStopped},
         keys,
@@ -26,7 +27,7 @@
     },
     crate::{clock, counters, passed_over},
     dewspar::{
-        job::{JobId, Progress},
+        job::{JobId, Progress, checkpoints::SeparateCheckpoint},
         poll::PollInterval,
     },
     dewspar_platform::{Error, Fleet, KeyValue, Versioned},
@@ -63,6 +64,8 @@
     pub(super) progress: BTreeMap<JobId, Progress>,
     /// The store version of each job's progress.
     pub(super) versions: BTreeMap<JobId, u64>,
+    /// The checkpoints that are stored apart from the progress.
+    pub(super) checkpoints: Vec<SeparateCheckpoint>,
     /// Jobs whose progress can't be read, so that it isn't known which of
     /// their tasks are done.
     pub(super) unreadable: BTreeSet<JobId>,
@@ -205,17 +208,23 @@
 ) -> Result<u64, HolderStopped> {
     let accepted = format!("{}{slice}", keys::ACCEPTED);
     let progress = format!("{}{slice}", keys::PROGRESS);
+    let checkpoints = format!("{}{slice}", keys::CHECKPOINTS);
     let requested_ms = clock::now_ms();
     let read = || async {
-        tokio::try_join!(store.list(&accepted), store.list(&progress))
+        tokio::try_join!(
+            store.list(&accepted),
+            store.list(&progress),
+            store.list(&checkpoints),
+        )
     };
-    let ((_, accepted), (_, progress)) = retry_until_read(read).await;
+    let ((_, accepted), (_, progress), (_, checkpoints)) =
+        retry_until_read(read).await;
     let took_ms = clock::now_ms().saturating_sub(requested_ms);
     let size = |items: &[Versioned]| -> usize {
         items.iter().map(|item| item.key.len() + item.value.len()).sum()
     };
     loaded.jobs += accepted.len();
-    loaded.bytes += size(&accepted) + size(&progress);
+    loaded.bytes += size(&accepted) + size(&progress) + size(&checkpoints);
     loaded.reads += 1;
     let mut jobs = LoadedJobs {
         feed: parse_feed(&accepted, log),
@@ -224,6 +233,8 @@
     for item in &progress {
         jobs.add_progress(item, log);
     }
+    let parse = |item| parse_checkpoint(item, log);
+    jobs.checkpoints = checkpoints.iter().filter_map(parse).collect();
     sender.send(Event::JobsLoaded(jobs)).await?;
     Ok(took_ms)
 }
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -14,6 +14,9 @@
 //! - A job whose record is unreadable isn't scheduled, and nothing is written
 //!   for it. If ends of its runs are acknowledged at once, they are lost: a
 //!   later holder that can read the record starts the finished tasks again.
+//! - The record of a job with large checkpoints exceeds what the store accepts
+//!   as one value. Its write is refused each time, with all other jobs in it,
+//!   and no end that a worker lists after one of this job is acknowledged.
 //!
 //! The clock is paused, so the tests don't depend on the machine's speed.
 
@@ -43,6 +46,9 @@
 
 const POOL: &str = "registry";
 
+/// The number of workers, with room for four tasks each.
+const VMS: usize = 4;
+
 /// The duration of each task, in milliseconds.
 const WORK_MS: u64 = 60;
 
@@ -72,7 +78,7 @@
         store_faults.set_list_delay_us(list_delay_us);
         let store = Store::new(store_faults.clone());
         store.commit(stored).await.expect("a store");
-        let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
+        let fleet = TaskFleet::new(Faults::new(2), POOL, VMS);
         fleet.set_work_ms(WORK_MS);
         let queue = Queue {
             name: "extracts".to_owned(),
@@ -796,3 +802,66 @@
     let record = found.expect("orders went out").value;
     assert_eq!(String::from_utf8_lossy(&record), "[]");
 }
+
+/// Returns a job with one step of this many tasks.
+fn wide(tasks: u32) -> AcceptedJob {
+    let mut job = chain(1);
+    job.spec.steps[0].count = tasks;
+    job.spec.steps[0].cpu_millis = 1_000;
+    job
+}
+
+/// The tasks that the fleet has room for at a time.
+const ALL_ROOM: u32 = 4 * VMS as u32;
+
+/// The size of a checkpoint and the largest value that the store accepts, in
+/// bytes: the record of a job doesn't have room for the checkpoints of all of
+/// its tasks, and one write doesn't have room for those of half of them.
+const CHECKPOINT_BYTES: usize = 20_000;
+const MAX_VALUE_BYTES: usize = 100_000;
+
+// Guards against a record that grows with the checkpoints of its job until the
+// store refuses it, and with it the changes of all other jobs.
+#[tokio::test(start_paused = true)]
+async fn large_checkpoints_do_not_outgrow_a_record() {
+    let mut fixture = Fixture::start(&Batch::default(), 0).await;
+    fixture.store.set_max_value_bytes(MAX_VALUE_BYTES);
+    fixture.fleet.fail_first_runs(CHECKPOINT_BYTES);
+    fixture.fleet.set_work_ms(20_000);
+    fixture.submit(id(1), &wide(ALL_ROOM)).await;
+    let resumed_since = |run: u64| {
+        let fleet = fixture.fleet.clone();
+        async move || {
+            let resumed = fleet.resumed().into_iter();
+            resumed.filter(|(_, started)| *started >= run).count()
+        }
+    };
+    let resumed = resumed_since(2);
+    wait_until(async || resumed().await == ALL_ROOM as usize).await;
+    // Another holder finds the checkpoints although the workers that had
+    // listed them are gone.
+    let resumed = resumed_since(3);
+    fixture.stop_node().await;
+    for vm in 0..VMS {
+        fixture.fleet.crash(&format!("vm-{vm}"));
+    }
+    fixture.start_node().await;
+    wait_until(async || resumed().await == ALL_ROOM as usize).await;
+    fixture.wait_for_phase(id(1), Phase::Completed).await;
+    assert_eq!(fixture.store.refused_writes(), 0);
+    wait_until(async || fixture.store.count("saved/") == 0).await;
+}
+
+// Guards against checkpoints that stay in the store for good when the holder
+// is lost between the end of their job and their deletion.
+#[tokio::test(start_paused = true)]
+async fn checkpoints_of_finished_jobs_are_deleted_after_a_takeover() {
+    let record = br#"{"phase":"completed","finished_at_ms":5}"#.to_vec();
+    let checkpoint = br#"{"run":1,"checkpoint":"00ff"}"#;
+    let left = Batch::default()
+        .put(&record_key(id(1)), record)
+        .put(&format!("saved/{}.0.0.0", id(1)), checkpoint.to_vec())
+        .put(&format!("saved/{}.0.0.0", id(2)), checkpoint.to_vec());
+    let fixture = Fixture::start(&left, 0).await;
+    wait_until(async || fixture.store.count("saved/") == 0).await;
+}
