Let a rejected record affect only its own job

- A refusal that is the same each time (400) was treated as one that passes.
`Error::Rejected` now tells the two apart; the jobs of a rejected write are written one by one.
- A worker's ends are acknowledged in order, so the end of a job that can't be recorded holds back all later ends of its worker.
The ends of such a job are now stored by themselves, as those of unreadable jobs are.
The job goes on.

Ruled out: failing the job, which would lose its work and be wrong if the store rejects for another reason.

The test fails with either part undone ("the other jobs have waited for it"): tried by treating the error as a failure, and by not marking the job. Related: checkpoints and deferred ends that are rejected are given up or stored without their checkpoint, instead of being tried for ever.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -406,18 +406,20 @@
 /// Names what a failed status means.
 ///
 /// A service that says 4xx or 503 did not carry the call out; any other
-/// failure leaves that open.
+/// failure leaves that open. 400, 413 and 422 say that the call itself is
+/// wrong, so that it fails each time.
 pub(crate) fn refusal(
     call: &'static str,
     status: StatusCode,
     reason: String,
 ) -> Error {
-    let undone =
-        status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
-    if undone {
-        Error::Unavailable { call, reason }
-    } else {
-        Error::Lost { call, reason }
+    match status {
+        StatusCode::BAD_REQUEST
+        | StatusCode::PAYLOAD_TOO_LARGE
+        | StatusCode::UNPROCESSABLE_ENTITY => Error::Rejected { call, reason },
+        StatusCode::SERVICE_UNAVAILABLE => Error::Unavailable { call, reason },
+        _ if status.is_client_error() => Error::Unavailable { call, reason },
+        _ => Error::Lost { call, reason },
     }
 }
 
--- a/crates/dewspar-platform/src/error.rs
+++ b/crates/dewspar-platform/src/error.rs
@@ -11,6 +11,13 @@
         /// What went wrong.
         reason: String,
     },
+    /// {call}: the platform never accepts this, and nothing was done: {reason}
+    Rejected {
+        /// The call that was made.
+        call: &'static str,
+        /// What is wrong with it.
+        reason: String,
+    },
     /// {call}: the answer was lost, and the call may have taken effect: {reason}
     Lost {
         /// The call that was made.
@@ -37,13 +44,19 @@
 impl Error {
     /// Returns whether the call may have taken effect.
     pub fn may_have_taken_effect(&self) -> bool {
-        !matches!(self, Error::Unavailable { .. } | Error::HistoryGone { .. })
+        match self {
+            Error::Unavailable { .. }
+            | Error::Rejected { .. }
+            | Error::HistoryGone { .. } => false,
+            Error::Lost { .. } | Error::Malformed { .. } => true,
+        }
     }
 
     /// Returns a short name of the reason, for counters.
     pub fn reason_name(&self) -> &'static str {
         match self {
             Error::Unavailable { .. } => "unavailable",
+            Error::Rejected { .. } => "rejected",
             Error::Lost { .. } => "lost",
             Error::HistoryGone { .. } => "history_gone",
             Error::Malformed { .. } => "malformed",
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -24,6 +24,7 @@
 
 A write whose answer doesn't arrive may have taken effect. Every error says
 which it is: [`Error::Unavailable`] means that the call certainly did nothing,
+[`Error::Rejected`] that it would do nothing another time either, and
 [`Error::Lost`] that nobody knows. Who writes puts a token of its own into the
 value and reads it back before telling anyone anything.
 */
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -173,7 +173,7 @@
         values.refused_writes += 1;
         let bytes = put.value.len();
         let reason = format!("the value of {} has {bytes} bytes", put.key);
-        Err(Error::Unavailable { call: "commit", reason })
+        Err(Error::Rejected { call: "commit", reason })
     }
 
     fn late(&self) -> MutexGuard<'_, Option<LateWrite>> {
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -282,7 +282,11 @@
                 }
             }
         }
-        let sequence = self.mark_changed(task.job);
+        let change = self.mark_changed(task.job);
+        let sequence = match self.defer_end(worker_id, end) {
+            0 => change,
+            deferred => deferred,
+        };
         self.acknowledge(worker_id, end, sequence, now);
         if here {
             self.release_run(&task, worker_id, now);
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -128,6 +128,7 @@
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
             self.storing.remove(id);
+            self.unreadable_jobs.note_record_stored(*id);
             self.note_awaited_stored(id, changes.sequence);
             self.write_ahead.note_job_written(*id, changes.sequence);
             if progress.phase.is_final() {
--- a/crates/dewspar/src/schedule/unreadable_jobs.rs
+++ b/crates/dewspar/src/schedule/unreadable_jobs.rs
@@ -1,5 +1,5 @@
 /*!
-Ends of runs whose job can't be read.
+Ends of runs that are stored apart from their job's record.
 
 If the record or entry of a job can't be read, it isn't known what is done, so
 nothing more of the job runs. Its current runs still end, and a later holder
@@ -9,6 +9,10 @@
 and then acknowledged. A holder that can read the job applies its deferred
 ends.
 
+The same is done for a job whose record the store doesn't accept, for example
+because it is too large. Such a job goes on. Its ends are applied at once, and
+stored by themselves until a write of its record succeeds.
+
 # Example
 
 ```
@@ -46,7 +50,7 @@
     std::collections::{BTreeMap, BTreeSet},
 };
 
-/// An end of a run whose job can't be read.
+/// An end of a run that is stored apart from its job's record.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DeferredEnd {
     /// The worker that listed it.
@@ -71,10 +75,12 @@
     }
 }
 
-/// The jobs that can't be read, and the ends of their runs.
+/// The jobs whose ends are deferred, and these ends.
 #[derive(Debug, Default)]
 pub(super) struct UnreadableJobs {
     jobs: BTreeSet<JobId>,
+    /// Open jobs whose record the store doesn't accept.
+    rejected: BTreeSet<JobId>,
     /// The ends that aren't in the store, by the number of their change.
     unstored: BTreeMap<u64, DeferredEnd>,
     /// The changes that are being stored.
@@ -89,9 +95,17 @@
         job: JobId,
         sequence: u64,
     ) -> bool {
-        let known = jobs.get(&job);
-        known.is_none_or(|job| job.stored_sequence >= sequence)
-            && !self.unstored.contains_key(&sequence)
+        let in_record = self.rejected.contains(&job)
+            || jobs
+                .get(&job)
+                .is_none_or(|job| job.stored_sequence >= sequence);
+        in_record && !self.unstored.contains_key(&sequence)
+    }
+
+    /// Notes that the record of a job is stored, so that its next ends become
+    /// part of it again.
+    pub(super) fn note_record_stored(&mut self, job: JobId) {
+        self.rejected.remove(&job);
     }
 }
 
@@ -123,14 +137,29 @@
         self.drop_old_advice();
     }
 
-    /// Defers an end if its job can't be read; returns the number of the
-    /// change, 0 if there is none.
+    /// Defers the ends of an open job whose record the store doesn't accept,
+    /// until [`Scheduler::changes_stored`] says that it is stored. Otherwise no
+    /// worker could forget any end that follows one of this job.
+    pub fn mark_rejected(&mut self, id: JobId) {
+        let is_open = self.jobs.contains_key(&id);
+        if !is_open || !self.unreadable_jobs.rejected.insert(id) {
+            return;
+        }
+        for worker in self.workers.values_mut() {
+            worker.redeliver(id);
+        }
+    }
+
+    /// Defers an end if its job's record can't be read or isn't accepted;
+    /// returns the number of the change, 0 if there is none.
     pub(super) fn defer_end(
         &mut self,
         worker_id: &WorkerId,
         end: &EndedRun,
     ) -> u64 {
-        if !self.unreadable_jobs.jobs.contains(&end.task.job) {
+        let UnreadableJobs { jobs, rejected, .. } = &self.unreadable_jobs;
+        let job = &end.task.job;
+        if !jobs.contains(job) && !rejected.contains(job) {
             return 0;
         }
         self.sequence += 1;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -156,6 +156,8 @@
         "Rows of answers whose lists were passed over, the worker's clock being behind.";
     ENDS_AWAITED, "counter", "dewspar_ends_awaited_total", None,
         "Runs that had ended before their worker listed how, since it lists a limited number of ends at once.";
+    REJECTED_RECORDS, "counter", "dewspar_rejected_records_total", Some("what"),
+        "Writes of records that the store doesn't accept, by what they hold.";
     WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
         "Times that a worker got nothing to start for a while.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
--- a/crates/dewspard/src/jobs/deferred_ends.rs
+++ b/crates/dewspard/src/jobs/deferred_ends.rs
@@ -1,6 +1,6 @@
 /*!
-Deferred ends: ends of runs whose job can't be read, kept in the store until a
-holder can read the job.
+Deferred ends: ends of runs whose job can't be read, or whose job's record the
+store doesn't accept, kept in the store until they are part of the record.
 
 Each end has its own key, so that its write is idempotent and a delayed one
 replaces nothing else. Ends are read before the jobs, so that no task that is
@@ -14,7 +14,7 @@
     dewspar::{
         job::{JobId, Progress},
         record::RecordWriteOutcome,
-        schedule::{Changes, DeferredEnd, DeferredEndBatch, Now},
+        schedule::{Changes, DeferredEnd, DeferredEndBatch, EndedRun, Now},
     },
     dewspar_platform::{
         Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
@@ -140,12 +140,23 @@
             return;
         }
         self.deferred_ends.is_writing = true;
-        let batch = ends_batch(self.held.revision, &ends);
+        let batch = ends_batch(self.held.revision, ends.ends().cloned());
+        let without_checkpoints = ends.ends().map(|deferred| {
+            let end =
+                EndedRun { checkpoint: String::new(), ..deferred.end.clone() };
+            DeferredEnd { end, ..deferred.clone() }
+        });
+        let without_checkpoints =
+            ends_batch(self.held.revision, without_checkpoints);
         let store = self.candidate.store.with_purpose(Purpose::Progress);
         let sender = self.sender.clone();
         let log = self.candidate.log.clone();
         tokio::spawn(async move {
-            let answer = store.commit(&batch).await;
+            let mut answer = store.commit(&batch).await;
+            if let Err(Error::Rejected { .. }) = &answer {
+                // A checkpoint is too large; what the ends say has room.
+                answer = store.commit(&without_checkpoints).await;
+            }
             if let Err(error) = &answer {
                 counters::platform_failure(error);
                 warn!(log, "holder: write gave no result";
@@ -170,7 +181,8 @@
         self.deferred_ends.is_writing = false;
         match written {
             RecordWriteOutcome::Done(_) => {
-                self.scheduler.deferred_ends_stored(ends, now)
+                self.scheduler.deferred_ends_stored(ends, now);
+                self.note_deferred_ends_of_open_jobs(ends);
             }
             RecordWriteOutcome::Failed => {
                 self.deferred_ends.next_write_ms =
@@ -185,6 +197,20 @@
         }
     }
 
+    /// Notes stored ends whose jobs the scheduler knows, so that they are
+    /// deleted once the record of their job includes them.
+    fn note_deferred_ends_of_open_jobs(&mut self, ends: &DeferredEndBatch) {
+        for deferred in ends.ends() {
+            let id = deferred.end.task.job;
+            if self.unreadable.contains(&id) {
+                continue;
+            }
+            let of_job = self.deferred_ends.by_job.entry(id).or_default();
+            of_job.push(deferred.clone());
+            self.deferred_ends.applied.insert(id);
+        }
+    }
+
     /// Deletes the ends of jobs that were stored as finished, and ends that
     /// are now part of their job's stored record. Without the latter the ends
     /// of a job with a long-running task would accumulate.
@@ -222,12 +248,15 @@
     }
 }
 
-fn ends_batch(lease_revision: u64, ends: &DeferredEndBatch) -> Batch {
+fn ends_batch(
+    lease_revision: u64,
+    ends: impl Iterator<Item = DeferredEnd>,
+) -> Batch {
     let lease = Expected::Version(lease_revision);
     let batch = Batch::default().when(keys::OWNER, lease);
-    ends.ends().fold(batch, |batch, deferred| {
+    ends.fold(batch, |batch, deferred| {
         // OK because it has only values that JSON can represent.
-        let value = serde_json::to_vec(deferred).expect("plain JSON");
+        let value = serde_json::to_vec(&deferred).expect("plain JSON");
         let DeferredEnd { end, .. } = deferred;
         batch.put(&keys::end(&end.task, end.run), value)
     })
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -155,6 +155,8 @@
     Conflict(WriteConflict),
     /// The write failed, and nothing was stored.
     Failed,
+    /// The store never accepts this write, and nothing was stored.
+    Rejected(Error),
 }
 
 /// A write with conditions that didn't hold.
@@ -356,6 +358,8 @@
     pub(super) outcome: WriteOutcome,
     /// The tasks and runs of the checkpoints that are stored.
     pub(super) checkpoints: Vec<(TaskId, u64)>,
+    /// Those of the checkpoints that the store doesn't accept.
+    pub(super) rejected: Vec<(TaskId, u64)>,
 }
 
 /// Commits a write of changes. The records are written only once all
@@ -364,16 +368,19 @@
     store: &K,
     write: &ProgressWrite,
 ) -> WrittenProgress {
-    let mut checkpoints = Vec::new();
+    let (mut checkpoints, mut rejected) = (Vec::new(), Vec::new());
     for CheckpointWrite { batch, runs } in &write.checkpoints {
-        let outcome = commit(store, batch).await;
-        if !matches!(outcome, WriteOutcome::Done(_)) {
-            return WrittenProgress { outcome, checkpoints };
+        match commit(store, batch).await {
+            WriteOutcome::Done(_) => checkpoints.extend_from_slice(runs),
+            // Too large a checkpoint is in a write of its own.
+            WriteOutcome::Rejected(_) => rejected.extend_from_slice(runs),
+            outcome => {
+                return WrittenProgress { outcome, checkpoints, rejected };
+            }
         }
-        checkpoints.extend_from_slice(runs);
     }
     let outcome = commit(store, &write.records).await;
-    WrittenProgress { outcome, checkpoints }
+    WrittenProgress { outcome, checkpoints, rejected }
 }
 
 /// Commits a batch. A write without an answer is retried until its outcome is
@@ -388,6 +395,9 @@
             }
             Err(error) => {
                 counters::platform_failure(&error);
+                if matches!(error, Error::Rejected { .. }) {
+                    return WriteOutcome::Rejected(error);
+                }
                 may_be_applied |= error.may_have_taken_effect();
                 if !may_be_applied {
                     return WriteOutcome::Failed;
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -26,12 +26,12 @@
     crate::counters,
     dewspar::{
         job::{
-            JobId, Progress,
+            JobId, Progress, TaskId,
             conflict::{Resolution, resolve, retry_delay_ms},
         },
         schedule::{Changes, Now},
     },
-    dewspar_platform::{Commit, Fleet, JobWorkers, KeyValue, Purpose},
+    dewspar_platform::{Commit, Error, Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
     slog::warn,
     std::{
@@ -56,6 +56,10 @@
 /// The delay before a failed write is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
+/// The delay before a record that the store doesn't accept is written again,
+/// with what has changed by then.
+const REJECTED_RETRY_DELAY: Duration = Duration::from_secs(2);
+
 /// A log row for a job's record that wasn't at the version that a write
 /// expected. Versions are 0 if there is no record.
 #[derive(Debug, Serialize)]
@@ -120,22 +124,56 @@
         now: Now,
     ) {
         self.writes_in_flight -= 1;
-        let WrittenProgress { outcome, checkpoints } = written;
+        let WrittenProgress { outcome, checkpoints, rejected } = written;
         for (task, run) in checkpoints {
             self.checkpoints.stored.note_stored(&task, run);
         }
+        for (task, run) in rejected {
+            self.checkpoint_rejected(&task, run);
+        }
         match outcome {
             WriteOutcome::Done(version) => {
                 self.records_stored(&changes, version, now);
                 self.delete_recorded_ends(&changes);
             }
             WriteOutcome::Failed => self.scheduler.changes_failed(&changes),
+            WriteOutcome::Rejected(error) => {
+                self.write_rejected(changes, &error);
+            }
             WriteOutcome::Conflict(conflict) => {
                 self.changes_conflicted(changes, &conflict, now);
             }
         }
     }
 
+    /// Notes that the store doesn't accept the checkpoint of a task after this
+    /// run. It isn't written again: the task can resume from an earlier one.
+    fn checkpoint_rejected(&mut self, task: &TaskId, run: u64) {
+        counters::count_by(counters::REJECTED_RECORDS, "what", "checkpoint");
+        warn!(self.candidate.log, "holder: checkpoint rejected";
+            "job" => %task.job, "task" => %task, "run" => run);
+        self.checkpoints.stored.note_stored(task, run);
+    }
+
+    /// Writes the jobs of a rejected write one by one. A job whose record is
+    /// rejected by itself goes on, with its ends stored apart.
+    fn write_rejected(&mut self, mut changes: Changes, error: &Error) {
+        let ids: Vec<JobId> =
+            changes.progress.iter().map(|(id, _)| *id).collect();
+        if let [id] = ids[..] {
+            counters::count_by(counters::REJECTED_RECORDS, "what", "progress");
+            warn!(self.candidate.log, "holder: record rejected";
+                "job" => %id, "error" => %error);
+            self.scheduler.mark_rejected(id);
+            self.retry_write(changes, REJECTED_RETRY_DELAY);
+            return;
+        }
+        for id in ids {
+            let change = changes.take(&BTreeSet::from([id]));
+            self.spawn_progress_writes(change);
+        }
+    }
+
     fn changes_conflicted(
         &mut self,
         mut changes: Changes,
@@ -281,6 +319,20 @@
                     Flushed::Done => {}
                     Flushed::Again(rest) => writes
                         .extend(progress_writes(rest, self.stored_state())),
+                    Flushed::OneByOne(mut changes) => {
+                        let ids: Vec<JobId> = changes
+                            .progress
+                            .iter()
+                            .map(|(id, _)| *id)
+                            .collect();
+                        for id in ids {
+                            let change = changes.take(&BTreeSet::from([id]));
+                            writes.extend(progress_writes(
+                                change,
+                                self.stored_state(),
+                            ));
+                        }
+                    }
                     Flushed::Stop => goes_on = false,
                 }
             }
@@ -296,19 +348,24 @@
         unstored: &mut Vec<Changes>,
     ) -> Flushed {
         let store = &self.candidate.store;
-        let batches = write
-            .checkpoints
-            .iter()
-            .map(|checkpoints| &checkpoints.batch)
-            .chain([&write.records]);
+        let checkpoints = write.checkpoints.iter();
+        let batches = checkpoints
+            .map(|checkpoints| (&checkpoints.batch, true))
+            .chain([(&write.records, false)]);
         let mut stored_version = 0;
-        for batch in batches {
+        for (batch, has_checkpoints) in batches {
             let current = match store.commit(batch).await {
                 Ok(Commit::Done(version)) => {
                     stored_version = version;
                     continue;
                 }
                 Ok(Commit::Conflict(current)) => current,
+                // The next holder finds an earlier checkpoint.
+                Err(Error::Rejected { .. }) if has_checkpoints => continue,
+                Err(error @ Error::Rejected { .. }) => {
+                    counters::platform_failure(&error);
+                    return self.flush_rejected(changes, &error, unstored);
+                }
                 Err(error) => {
                     // Workers will report these ends to the next holder.
                     counters::platform_failure(&error);
@@ -339,6 +396,23 @@
         self.records_stored(&changes, stored_version, now());
         Flushed::Done
     }
+
+    /// Has the jobs of a rejected write written one by one. The workers report
+    /// the ends of a job whose record is rejected to the next holder.
+    fn flush_rejected(
+        &mut self,
+        changes: Changes,
+        error: &Error,
+        unstored: &mut Vec<Changes>,
+    ) -> Flushed {
+        if let [(id, _)] = &changes.progress[..] {
+            warn!(self.candidate.log, "holder: record rejected";
+                "job" => %id, "error" => %error);
+            unstored.push(changes);
+            return Flushed::Done;
+        }
+        Flushed::OneByOne(changes)
+    }
 }
 
 /// How to go on after a write of remaining changes.
@@ -346,6 +420,8 @@
     Done,
     /// Write these changes again; the others are put aside.
     Again(Changes),
+    /// Write these changes again, each job by itself.
+    OneByOne(Changes),
     /// No further write can succeed.
     Stop,
 }
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -865,3 +865,59 @@
     let fixture = Fixture::start(&left, 0).await;
     wait_until(async || fixture.store.count("saved/") == 0).await;
 }
+
+/// The largest value that the store accepts, in bytes: more than the record of
+/// a chain, and less than that of a wide job of which each task has failed.
+const SMALL_VALUE_BYTES: usize = 900;
+
+// Guards against one job that can't be recorded holding back the ends of all
+// others: its end stands before theirs in the list of each worker, and its
+// record in the same write as theirs.
+#[tokio::test(start_paused = true)]
+async fn a_rejected_record_affects_only_its_own_job() {
+    let mut fixture = Fixture::start(&Batch::default(), 0).await;
+    let lease = fixture.lease_revision().await;
+    fixture.fleet.fail_first_runs(1);
+    fixture.fleet.set_work_ms(8_000);
+    fixture.submit(id(1), &wide(ALL_ROOM)).await;
+    wait_until(async || fixture.fleet.resumed().len() == ALL_ROOM as usize)
+        .await;
+    // From now on the record would have room for no further end.
+    fixture.store.set_max_value_bytes(SMALL_VALUE_BYTES);
+    fixture.fleet.set_work_ms(WORK_MS);
+    fixture.fleet.restart("vm-0");
+    for number in 2..40 {
+        fixture.submit(id(number), &chain(2)).await;
+    }
+    for number in 2..40 {
+        fixture.wait_for_phase(id(number), Phase::Completed).await;
+    }
+    assert!(fixture.store.refused_writes() > 0);
+    assert_ne!(
+        fixture.phase(id(1)).await,
+        Some(Phase::Completed),
+        "the other jobs have waited for it"
+    );
+    assert_eq!(
+        fixture.lease_revision().await,
+        lease,
+        "the lease has changed hands"
+    );
+    // Another holder knows its ends as well, and it is completed.
+    fixture.stop_node().await;
+    fixture.start_node().await;
+    fixture.wait_for_phase(id(1), Phase::Completed).await;
+    assert_eq!(fixture.fleet.ran_twice(), []);
+    fixture.wait_until_no_deferred_ends().await;
+}
+
+// Guards against a checkpoint that is larger than any value of the store
+// keeping its job from being recorded.
+#[tokio::test(start_paused = true)]
+async fn a_rejected_checkpoint_does_not_keep_its_job_from_being_recorded() {
+    let fixture = Fixture::start(&Batch::default(), 0).await;
+    fixture.store.set_max_value_bytes(MAX_VALUE_BYTES);
+    fixture.fleet.fail_first_runs(MAX_VALUE_BYTES);
+    fixture.submit(id(1), &wide(2)).await;
+    fixture.wait_for_phase(id(1), Phase::Completed).await;
+}
