Store a job as cancelled when it is cancelled before it is accepted

The write that accepts the job is done 5.5 s after it was sent, and the job runs for ever.

Cause: "no such job" was concluded from a look, while a write was on its way. The write depends on the absence of the job's entry and of its progress, and the cancelling left neither. Evidence: with a store that does this one write 1.5 s late, the job is shown as `running` 2.5 s after the cancelling; nothing was written under `q/stop/`. Ruled out: a write that the node repeats after the caller has left, since the handler ends with its connection.

Cancelling such a job now stores it as cancelled, under the conditions under which it would be accepted, so the store carries out only one of the two. The holder learns of it from the feed and deletes it later.

Related: a finished job must be kept for 10 s at least, so that a late copy of the write that accepted it finds that it is over.

--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -86,6 +86,30 @@
         settled
     }
 
+    /// Notes that a job was cancelled before it was accepted, and never will
+    /// be. It counts as finished now.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use dewspar::{
+    ///     job::JobId,
+    ///     schedule::{Now, Options, Scheduler},
+    /// };
+    ///
+    /// let options = Options::default().finished_retention_ms(60_000);
+    /// let mut scheduler = Scheduler::new(7, options);
+    /// let id: JobId = "5c0e7a21d94b36f8".parse()?;
+    /// let at = |unix_ms| Now { steady_ms: unix_ms, unix_ms };
+    /// scheduler.note_never_accepted(id, at(1_000));
+    /// assert_eq!(scheduler.take_expired(at(60_999), 8), []);
+    /// assert_eq!(scheduler.take_expired(at(61_000), 8), [id]);
+    /// # Ok::<(), dewspar::job::InvalidId>(())
+    /// ```
+    pub fn note_never_accepted(&mut self, id: JobId, now: Now) {
+        self.finished.entry(id).or_insert(now.unix_ms);
+    }
+
     /// Returns whether all runs everywhere are known: every worker that may
     /// run anything has listed all of its runs under this lease, or its own
     /// lease is over so that it can't run anything.
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -5,6 +5,10 @@
 effect, so the caller is told that the outcome is unknown, never that the job
 was refused. Repeating the write is harmless, because it is conditional on the
 absence of the job.
+
+For the same reason a job that isn't there may still be accepted later, by a
+write that is on its way. So cancelling such a job stores it as cancelled: from
+then on no write can accept it.
 */
 
 use {
@@ -13,6 +17,7 @@
         counts::CountsReader,
         gate::StoreGate,
         intent, keys,
+        progress::NEVER_ACCEPTED,
         readiness::Readiness,
         team_limits::{FollowedTeamLimits, LimitConflict, ShareCheck},
     },
@@ -20,7 +25,7 @@
     bytes::Bytes,
     dewspar::{
         isolation,
-        job::{JobId, JobSpec, QueueSet},
+        job::{JobId, JobSpec, Phase, Progress, QueueSet},
         schedule::AcceptedJob,
         team::Caller,
     },
@@ -421,22 +426,24 @@
         caller: &Caller,
         deadline: Instant,
     ) -> JobReply {
-        match self.phase(id, caller, deadline).await {
+        let mut phase = self.phase(id, caller, deadline).await;
+        if let Ok(None) = phase {
+            let batch = cancellation_before_acceptance(id, caller);
+            let result = self.write(&batch, deadline).await;
+            if !matches!(result, WriteResult::Conflict(_)) {
+                return cancel_reply(&result);
+            }
+            // The job has been stored since, or is another team's.
+            phase = self.phase(id, caller, deadline).await;
+        }
+        match phase {
             Err(reply) => reply,
             Ok(None) => JobReply::NoSuchJob,
             Ok(Some(phase)) if phase.is_final() => JobReply::Cancelled,
             Ok(Some(_)) => {
                 let batch =
                     Batch::default().put(&keys::cancelled(id), Vec::new());
-                match self.write(&batch, deadline).await {
-                    WriteResult::Done | WriteResult::Conflict(_) => {
-                        JobReply::Cancelled
-                    }
-                    WriteResult::NotDone => {
-                        JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
-                    }
-                    WriteResult::Unknown => JobReply::Unknown,
-                }
+                cancel_reply(&self.write(&batch, deadline).await)
             }
         }
     }
@@ -535,6 +542,38 @@
     }
 }
 
+/// Returns the write that cancels a job that isn't stored: it stores the job
+/// as cancelled, so that a write that accepts it takes no effect any more. The
+/// holder learns of it from the feed and deletes it after the time for which
+/// finished jobs are kept.
+fn cancellation_before_acceptance(id: JobId, caller: &Caller) -> Batch {
+    let team = caller.team().map(|team| team.name.clone());
+    let cancelled = Progress {
+        phase: Phase::Cancelled,
+        finished_at_ms: clock::unix_ms(),
+        team: team.unwrap_or_default(),
+        ..Progress::default()
+    };
+    // OK because progress has only values that JSON can represent.
+    let value = serde_json::to_vec(&cancelled).expect("plain JSON");
+    Batch::default()
+        .when(&keys::accepted(id), Expected::Absent)
+        .when(&keys::progress(id), Expected::Absent)
+        .put(&keys::progress(id), value)
+        .put(&keys::cancelled(id), NEVER_ACCEPTED.to_vec())
+}
+
+/// Returns the answer to a cancelling whose write had this result.
+fn cancel_reply(result: &WriteResult) -> JobReply {
+    match result {
+        WriteResult::Done | WriteResult::Conflict(_) => JobReply::Cancelled,
+        WriteResult::NotDone => {
+            JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+        }
+        WriteResult::Unknown => JobReply::Unknown,
+    }
+}
+
 /// The result of a write.
 enum WriteResult {
     Done,
--- a/crates/dewspard/src/jobs/intake.rs
+++ b/crates/dewspard/src/jobs/intake.rs
@@ -65,6 +65,9 @@
                     }
                     self.scheduler.cancel(id, now());
                 }
+                FeedEvent::NeverAccepted(id) => {
+                    self.scheduler.note_never_accepted(id, now());
+                }
                 FeedEvent::Claimed(claim) => {
                     self.is_claimed |=
                         self.candidate.is_much_weaker_than(&claim);
--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -48,6 +48,10 @@
 /// The delay before a write without an answer is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// The value under the key of a cancelling whose job was stored as cancelled
+/// before it was accepted.
+pub(super) const NEVER_ACCEPTED: &[u8] = br#"{"never_accepted":true}"#;
+
 /// A change in the feed.
 #[derive(Debug)]
 pub(super) enum FeedEvent {
@@ -58,6 +62,8 @@
     /// A job was cancelled, or ended with runs that may still be active, which
     /// use this much of its team's quota.
     Cancelled { id: JobId, active_use: Option<TeamUse>, revision: u64 },
+    /// A job was cancelled before it was accepted, and never will be.
+    NeverAccepted(JobId),
     /// The lease's key was written or deleted.
     LeaseChanged { revision: u64 },
     /// Another node has requested the lease.
@@ -103,6 +109,9 @@
     let revision = item.version;
     match FeedKey::parse(&item.key)? {
         FeedKey::Owner => Some(FeedEvent::LeaseChanged { revision }),
+        FeedKey::Cancelled(id) if item.value == NEVER_ACCEPTED => {
+            Some(FeedEvent::NeverAccepted(id))
+        }
         FeedKey::Cancelled(id) => {
             let active_use = parse_active_use(item, log);
             Some(FeedEvent::Cancelled { id, active_use, revision })
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -189,6 +189,11 @@
     "dewspar/".to_owned()
 }
 
+/// The shortest time for which a finished job must be kept, in milliseconds. A
+/// write that got no answer may be done seconds later: a delayed one that
+/// accepts the job has to find that the job is over.
+const MIN_KEPT_MS: u64 = 10_000;
+
 /// Time limits set by the platform and its operator.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -349,7 +354,7 @@
         };
         check("config_apply_ms", config_apply_ms, 500, 600_000);
         check("max_lease_ms", max_lease_ms, 1_000, 600_000);
-        check("kept_ms", kept_ms, 1_000, 86_400_000);
+        check("kept_ms", kept_ms, MIN_KEPT_MS, 86_400_000);
         check("stop_grace_ms", stop_grace_ms, 1_000, 600_000);
         check("stop_timeout_ms", stop_timeout_ms, 1, 600_000);
         check("duty_gap_ms", duty_gap_ms, 0, 600_000);
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -612,6 +612,69 @@
     cluster.wait_for_phase(1, 2, "completed").await;
 }
 
+/// How much later a write without an answer is done.
+const LATE_WRITE: Duration = Duration::from_millis(1_500);
+
+/// Submits a job whose accepting write is done late, cancels it over a node
+/// before that, and checks that it never runs.
+async fn cancel_before_a_late_acceptance(cluster: &Cluster, node: usize) {
+    cluster.fleet.set_work_ms(60_000);
+    submit_until_accepted(cluster, 0, 1).await;
+    let key = format!("q/in/{:016x}", 2);
+    cluster.store.delay_next_write(&key, LATE_WRITE);
+    // The caller leaves before the write is repeated.
+    let submission = timeout(Duration::from_millis(20), cluster.submit(0, 2));
+    assert!(submission.await.is_err(), "an answer");
+    let path = job_path(2);
+    let (status, _) = cluster.call(node, Method::DELETE, &path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    sleep(LATE_WRITE + Duration::from_secs(1)).await;
+    assert_eq!(cluster.phase(0, 2).await.as_deref(), Some("cancelled"));
+    let starts = cluster.start_counts();
+    let job = format!("{:016x}", 2);
+    assert!(!starts.keys().any(|t| t.starts_with(&job)), "{starts:?}");
+    // A late copy of the submission finds that it was cancelled.
+    assert_eq!(cluster.submit(0, 2).await, StatusCode::CREATED);
+    assert_eq!(cluster.phase(0, 2).await.as_deref(), Some("cancelled"));
+}
+
+// Guards against a job that runs for ever although its cancelling was answered:
+// the write that accepts it was on its way while it was cancelled.
+#[tokio::test]
+async fn a_job_cancelled_before_a_late_acceptance_never_runs() {
+    let cluster = Cluster::start(2).await;
+    cancel_before_a_late_acceptance(&cluster, 1).await;
+}
+
+// Guards against the same where the node that sent the write answers the
+// cancelling.
+#[tokio::test]
+async fn a_job_cancelled_over_the_accepting_node_never_runs() {
+    let cluster = Cluster::start(2).await;
+    cancel_before_a_late_acceptance(&cluster, 0).await;
+}
+
+// Guards against records of jobs that never existed piling up in the store.
+#[tokio::test]
+async fn cancelled_jobs_that_never_existed_are_forgotten() {
+    let mut cluster = Cluster::start(0).await;
+    let mut settings = JobSettings::loopback("node-0");
+    settings.timing.kept_ms = 1_000;
+    let node = cluster.node_with(settings).await;
+    cluster.nodes.push(node);
+    submit_until_accepted(&cluster, 0, 1).await;
+    cluster.wait_for_phase(0, 1, "completed").await;
+    for number in 100..130 {
+        let path = job_path(number);
+        let (status, _) = cluster.call(0, Method::DELETE, &path, None).await;
+        assert_eq!(status, StatusCode::OK);
+    }
+    wait_until(async || {
+        cluster.store.count("run/") == 0 && cluster.store.count("q/stop/") == 0
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn lost_worker_answers_start_no_task_twice() {
     let cluster = Cluster::start(2).await;
