Answer 400 for a job that the store never accepts

Seen by callers: a job whose stored form exceeds the store's largest value is answered 503 each time, and callers come back with it for good.

Cause: as for records, a rejection was retried as a passing failure. It now ends the call with 400 and the store's reason. A rejection after a write without an answer still leaves the outcome unknown.

--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -395,6 +395,15 @@
                     let retry_after_ms = RETRY_AFTER_MS;
                     return JobReply::NotDone { retry_after_ms };
                 }
+                WriteResult::Rejected(error) => {
+                    counters::count_by(
+                        counters::REFUSALS,
+                        "reason",
+                        "rejected",
+                    );
+                    let reason = format!("job: can't be stored: {error}");
+                    return JobReply::Invalid(reason);
+                }
                 WriteResult::Unknown => return JobReply::Unknown,
             }
         }
@@ -493,6 +502,10 @@
                     sent.failed();
                     may_be_done |= error.may_have_taken_effect();
                     self.note_failure(&error);
+                    let is_rejected = matches!(error, Error::Rejected { .. });
+                    if is_rejected && !may_be_done {
+                        return WriteResult::Rejected(error);
+                    }
                 }
                 Err(_) => may_be_done = true,
             }
@@ -567,7 +580,7 @@
 fn cancel_reply(result: &WriteResult) -> JobReply {
     match result {
         WriteResult::Done | WriteResult::Conflict(_) => JobReply::Cancelled,
-        WriteResult::NotDone => {
+        WriteResult::NotDone | WriteResult::Rejected(_) => {
             JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
         }
         WriteResult::Unknown => JobReply::Unknown,
@@ -580,6 +593,8 @@
     /// A condition didn't hold; these are the items that exist.
     Conflict(Vec<Versioned>),
     NotDone,
+    /// The store never accepts this write.
+    Rejected(Error),
     Unknown,
 }
 
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -233,6 +233,25 @@
     assert_eq!(body["detail"], "path: `2` isn't 16 hex digits");
 }
 
+// Guards against a caller that is told to come back with a job which the store
+// never accepts.
+#[tokio::test]
+async fn a_job_too_large_for_the_store_is_invalid() {
+    let cluster = Cluster::start(1).await;
+    submit_until_accepted(&cluster, 0, 1).await;
+    cluster.store.set_max_value_bytes(10_000);
+    let path = job_path(2);
+    let steps = vec![json!({ "count": 1 }); 1_000];
+    let body = json!({ "steps": steps });
+    let (status, body) =
+        cluster.call(0, Method::POST, &path, Some(body)).await;
+    assert_eq!(status, StatusCode::BAD_REQUEST);
+    let detail = body["detail"].as_str().unwrap_or_default();
+    assert!(detail.contains("q/in/"), "{detail}");
+    let (status, _) = cluster.call(0, Method::GET, &path, None).await;
+    assert_eq!(status, StatusCode::NOT_FOUND, "nothing was accepted");
+}
+
 #[tokio::test]
 async fn new_jobs_are_refused_unsent_once_a_store_outage_is_known() {
     let mut cluster = Cluster::start(0).await;
