Build the writes of progress in a module of their own

`progress` parsed the feed, built writes and committed them. Records whose checkpoints stay inline are encoded without a copy again, as they were before checkpoints could be stored apart. No change of behaviour.

--- a/crates/dewspar/src/job/checkpoints.rs
+++ b/crates/dewspar/src/job/checkpoints.rs
@@ -82,21 +82,27 @@
 }
 
 impl SeparateCheckpoints {
-    /// Removes the checkpoints from a job's record if they are to be stored
-    /// apart from it; returns those that have to be stored before the record.
+    /// Returns whether the checkpoints of a job are to be stored apart from
+    /// this record.
     ///
     /// A job that has any checkpoint stored apart keeps all of them there.
+    pub fn are_separate(&self, id: JobId, record: &Progress) -> bool {
+        let lengths = record.tasks.iter().map(|task| task.checkpoint.len());
+        self.stored.contains_key(&id)
+            || lengths.sum::<usize>() > MAX_INLINE_BYTES
+    }
+
+    /// Removes the checkpoints from a job's record if they are to be stored
+    /// apart from it; returns those that have to be stored before the record.
     pub fn split_off(
         &self,
         id: JobId,
         record: &mut Progress,
     ) -> Vec<SeparateCheckpoint> {
-        let stored = self.stored.get(&id);
-        let inline_bytes: usize =
-            record.tasks.iter().map(|task| task.checkpoint.len()).sum();
-        if stored.is_none() && inline_bytes <= MAX_INLINE_BYTES {
+        if !self.are_separate(id, record) {
             return Vec::new();
         }
+        let stored = self.stored.get(&id);
         let mut unstored = Vec::new();
         for record in &mut record.tasks {
             let checkpoint = std::mem::take(&mut record.checkpoint);
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -69,6 +69,7 @@
 mod peer_offers;
 mod peers;
 mod progress;
+mod progress_batches;
 mod progress_writes;
 mod readiness;
 mod records;
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -18,8 +18,10 @@
         holder::{Holder, now, to_json},
         keys,
         progress::{
-            self, ConflictCause, ProgressWrite, StoredState, WriteConflict,
-            WriteOutcome, WrittenProgress, progress_writes,
+            self, ConflictCause, WriteConflict, WriteOutcome, WrittenProgress,
+        },
+        progress_batches::{
+            ProgressWrite, StoredState, progress_writes, take_next_write,
         },
         versions::VersionSource,
     },
@@ -85,7 +87,7 @@
                 || delay_over && self.scheduler.has_changes())
         {
             self.last_write_ms = now.steady_ms;
-            let changes = progress::take_next_write(&mut self.scheduler);
+            let changes = take_next_write(&mut self.scheduler);
             self.spawn_progress_writes(changes);
         }
     }
@@ -307,7 +309,7 @@
         let mut unstored = Vec::new();
         let mut goes_on = true;
         while goes_on && self.scheduler.has_changes() {
-            let changes = progress::take_next_write(&mut self.scheduler);
+            let changes = take_next_write(&mut self.scheduler);
             let mut writes =
                 VecDeque::from(progress_writes(changes, self.stored_state()));
             while let Some((changes, write)) = writes.pop_front() {
