--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -34,6 +34,13 @@
         Changes { progress, active_runs, sequence: self.sequence }
     }
 
+    /// Splits the changes into those of each job.
+    pub fn into_single_jobs(mut self) -> Vec<Changes> {
+        let ids: Vec<JobId> =
+            self.progress.iter().map(|(id, _)| *id).collect();
+        ids.into_iter().map(|id| self.take(&BTreeSet::from([id]))).collect()
+    }
+
     /// Returns whether a job is over while some of its runs may still be
     /// active.
     pub fn has_active_runs(&self, id: JobId) -> bool {
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -159,10 +159,8 @@
 
     /// Writes the jobs of a rejected write one by one. A job whose record is
     /// rejected by itself goes on, with its ends stored apart.
-    fn write_rejected(&mut self, mut changes: Changes, error: &Error) {
-        let ids: Vec<JobId> =
-            changes.progress.iter().map(|(id, _)| *id).collect();
-        if let [id] = ids[..] {
+    fn write_rejected(&mut self, changes: Changes, error: &Error) {
+        if let [(id, _)] = changes.progress[..] {
             counters::count_by(counters::REJECTED_RECORDS, "what", "progress");
             warn!(self.candidate.log, "holder: record rejected";
                 "job" => %id, "error" => %error);
@@ -170,8 +168,7 @@
             self.retry_write(changes, REJECTED_RETRY_DELAY);
             return;
         }
-        for id in ids {
-            let change = changes.take(&BTreeSet::from([id]));
+        for change in changes.into_single_jobs() {
             self.spawn_progress_writes(change);
         }
     }
@@ -321,14 +318,8 @@
                     Flushed::Done => {}
                     Flushed::Again(rest) => writes
                         .extend(progress_writes(rest, self.stored_state())),
-                    Flushed::OneByOne(mut changes) => {
-                        let ids: Vec<JobId> = changes
-                            .progress
-                            .iter()
-                            .map(|(id, _)| *id)
-                            .collect();
-                        for id in ids {
-                            let change = changes.take(&BTreeSet::from([id]));
+                    Flushed::OneByOne(changes) => {
+                        for change in changes.into_single_jobs() {
                             writes.extend(progress_writes(
                                 change,
                                 self.stored_state(),
@@ -352,18 +343,23 @@
         let store = &self.candidate.store;
         let checkpoints = write.checkpoints.iter();
         let batches = checkpoints
-            .map(|checkpoints| (&checkpoints.batch, true))
-            .chain([(&write.records, false)]);
+            .map(|checkpoints| (&checkpoints.batch, &checkpoints.runs[..]))
+            .chain([(&write.records, &[][..])]);
         let mut stored_version = 0;
-        for (batch, has_checkpoints) in batches {
+        for (batch, checkpoint_runs) in batches {
             let current = match store.commit(batch).await {
                 Ok(Commit::Done(version)) => {
                     stored_version = version;
+                    for (task, run) in checkpoint_runs {
+                        self.checkpoints.stored.note_stored(task, *run);
+                    }
                     continue;
                 }
                 Ok(Commit::Conflict(current)) => current,
                 // The next holder finds an earlier checkpoint.
-                Err(Error::Rejected { .. }) if has_checkpoints => continue,
+                Err(Error::Rejected { .. }) if !checkpoint_runs.is_empty() => {
+                    continue;
+                }
                 Err(error @ Error::Rejected { .. }) => {
                     counters::platform_failure(&error);
                     return self.flush_rejected(changes, &error, unstored);
