Name deferred ends as such, and encode them again only if rejected

Read as a newcomer: `unreadable_jobs` holds the ends of rejected jobs as well, so the module and its state are `deferred_ends` now. Deferred ends were encoded twice for each write, once without checkpoints, although that copy is needed only after a rejection.

Storing rejected ends without their checkpoints had no test: the new one times out with that second write left out (no end is stored) and passes with it.

--- a/crates/dewspar/src/schedule/unreadable_jobs.rs
+++ b/crates/dewspar/src/schedule/deferred_ends.rs
@@ -77,8 +77,9 @@
 
 /// The jobs whose ends are deferred, and these ends.
 #[derive(Debug, Default)]
-pub(super) struct UnreadableJobs {
-    jobs: BTreeSet<JobId>,
+pub(super) struct DeferredEnds {
+    /// Jobs that can't be read.
+    unreadable: BTreeSet<JobId>,
     /// Open jobs whose record the store doesn't accept.
     rejected: BTreeSet<JobId>,
     /// The ends that aren't in the store, by the number of their change.
@@ -87,7 +88,7 @@
     storing: BTreeSet<u64>,
 }
 
-impl UnreadableJobs {
+impl DeferredEnds {
     /// Returns whether the change of an end is in the store.
     pub(super) fn is_stored(
         &self,
@@ -116,7 +117,7 @@
     /// Its runs are stopped, and nothing of it is stored except the ends of
     /// its runs.
     pub fn mark_unreadable(&mut self, id: JobId) {
-        self.unreadable_jobs.jobs.insert(id);
+        self.deferred_ends.unreadable.insert(id);
         let Some(job) = self.jobs.get(&id) else { return };
         let placed: Vec<(TaskId, WorkerId)> = job
             .placements(id)
@@ -142,7 +143,7 @@
     /// worker could forget any end that follows one of this job.
     pub fn mark_rejected(&mut self, id: JobId) {
         let is_open = self.jobs.contains_key(&id);
-        if !is_open || !self.unreadable_jobs.rejected.insert(id) {
+        if !is_open || !self.deferred_ends.rejected.insert(id) {
             return;
         }
         for worker in self.workers.values_mut() {
@@ -157,15 +158,15 @@
         worker_id: &WorkerId,
         end: &EndedRun,
     ) -> u64 {
-        let UnreadableJobs { jobs, rejected, .. } = &self.unreadable_jobs;
+        let DeferredEnds { unreadable, rejected, .. } = &self.deferred_ends;
         let job = &end.task.job;
-        if !jobs.contains(job) && !rejected.contains(job) {
+        if !unreadable.contains(job) && !rejected.contains(job) {
             return 0;
         }
         self.sequence += 1;
         let worker = worker_id.to_string();
         let deferred = DeferredEnd { worker, end: end.clone() };
-        self.unreadable_jobs.unstored.insert(self.sequence, deferred);
+        self.deferred_ends.unstored.insert(self.sequence, deferred);
         self.sequence
     }
 
@@ -174,8 +175,7 @@
     /// Call [`Scheduler::deferred_ends_stored`] or
     /// [`Scheduler::deferred_ends_failed`] once the outcome is known.
     pub fn take_deferred_ends(&mut self, most: usize) -> DeferredEndBatch {
-        let UnreadableJobs { unstored, storing, .. } =
-            &mut self.unreadable_jobs;
+        let DeferredEnds { unstored, storing, .. } = &mut self.deferred_ends;
         let waiting = unstored.iter().filter(|(n, _)| !storing.contains(n));
         let taken: BTreeMap<u64, DeferredEnd> = waiting
             .take(most)
@@ -188,8 +188,8 @@
     /// Notes that ends are in the store, so that they may be acknowledged.
     pub fn deferred_ends_stored(&mut self, ends: &DeferredEndBatch, now: Now) {
         for number in ends.0.keys() {
-            self.unreadable_jobs.unstored.remove(number);
-            self.unreadable_jobs.storing.remove(number);
+            self.deferred_ends.unstored.remove(number);
+            self.deferred_ends.storing.remove(number);
         }
         self.advance_stored_ends(now);
     }
@@ -197,7 +197,7 @@
     /// Puts back ends that couldn't be stored.
     pub fn deferred_ends_failed(&mut self, ends: &DeferredEndBatch) {
         for number in ends.0.keys() {
-            self.unreadable_jobs.storing.remove(number);
+            self.deferred_ends.storing.remove(number);
         }
     }
 
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -302,11 +302,11 @@
         sequence: u64,
         now: Now,
     ) {
-        let (jobs, unreadable_jobs) = (&self.jobs, &self.unreadable_jobs);
+        let (jobs, deferred_ends) = (&self.jobs, &self.deferred_ends);
         if let Some(worker) = self.workers.get_mut(worker_id) {
             worker.end_pending_store(end.number, end.task.job, sequence);
             worker.advance_stored_ends(now.steady_ms, |job, sequence| {
-                unreadable_jobs.is_stored(jobs, job, sequence)
+                deferred_ends.is_stored(jobs, job, sequence)
             });
         }
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -102,6 +102,7 @@
 pub use self::{
     ceilings::UseCeilings,
     cold_workers::ColdTerms,
+    deferred_ends::{DeferredEnd, DeferredEndBatch},
     evacuation::EvacuatedHall,
     failure_domains::{HallLoss, HallPlanStats},
     followed_limits::{FollowedDecision, FollowedLimits},
@@ -121,7 +122,6 @@
     storing::Changes,
     team_limits::{LimitedTeam, SubmissionDecision, TeamLimits},
     team_status::TeamStatus,
-    unreadable_jobs::{DeferredEnd, DeferredEndBatch},
     vm::{
         ManagedVm, VmOrder, VmOrderError, VmStatus, WaveRecord, WaveRequest,
     },
@@ -146,6 +146,7 @@
 mod cold_workers;
 mod congestion;
 mod crash_bursts;
+mod deferred_ends;
 mod directory;
 mod evacuation;
 mod failure_domains;
@@ -192,7 +193,6 @@
 mod team_status;
 mod token_claims;
 mod unlisted_use;
-mod unreadable_jobs;
 mod unseen_starts;
 mod vm;
 mod vm_orders;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -11,6 +11,7 @@
             cancelled::Cancelled,
             cold_workers::ColdTerms,
             crash_bursts::{CrashBursts, ReservedFor},
+            deferred_ends::DeferredEnds,
             evacuation::OperatorView,
             failure_domains::FailureDomains,
             forecast::Arrivals,
@@ -28,7 +29,6 @@
             sizing::{PendingMove, PoolLoad},
             start_log::StartLogs,
             token_claims::TokenClaims,
-            unreadable_jobs::UnreadableJobs,
             unseen_starts::RecordedStart,
             vm_orders::InheritedOrder,
             vm_stability::VmCrashes,
@@ -60,7 +60,7 @@
     /// The quotas of teams, and what counts against them.
     pub(super) quotas: TeamQuotas,
     /// The jobs that can't be read, and the ends of their runs.
-    pub(super) unreadable_jobs: UnreadableJobs,
+    pub(super) deferred_ends: DeferredEnds,
     pub(super) workers: Workers,
     /// The jobs whose progress is to be stored, each with the sequence number
     /// of its first unstored change.
@@ -224,7 +224,7 @@
             loading: Loading::Done,
             cancelled: Cancelled::default(),
             quotas: TeamQuotas::default(),
-            unreadable_jobs: UnreadableJobs::default(),
+            deferred_ends: DeferredEnds::default(),
             workers: Workers::default(),
             changed: BTreeMap::new(),
             storing: BTreeMap::new(),
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -135,7 +135,7 @@
     pub fn changes_stored(&mut self, changes: &Changes, now: Now) {
         for (id, progress) in &changes.progress {
             self.storing.remove(id);
-            self.unreadable_jobs.note_record_stored(*id);
+            self.deferred_ends.note_record_stored(*id);
             self.note_awaited_stored(id, changes.sequence);
             self.write_ahead.note_job_written(*id, changes.sequence);
             if progress.phase.is_final() {
@@ -152,11 +152,11 @@
 
     /// Advances what may be acknowledged to each worker.
     pub(super) fn advance_stored_ends(&mut self, now: Now) {
-        let (jobs, unreadable_jobs) = (&self.jobs, &self.unreadable_jobs);
+        let (jobs, deferred_ends) = (&self.jobs, &self.deferred_ends);
         for number in self.workers.with_unstored_ends(&self.options) {
             let Some(worker) = self.workers.at_mut(number) else { continue };
             worker.advance_stored_ends(now.steady_ms, |job, sequence| {
-                unreadable_jobs.is_stored(jobs, job, sequence)
+                deferred_ends.is_stored(jobs, job, sequence)
             });
         }
     }
--- a/crates/dewspard/src/jobs/deferred_ends.rs
+++ b/crates/dewspard/src/jobs/deferred_ends.rs
@@ -14,7 +14,7 @@
     dewspar::{
         job::{JobId, Progress},
         record::RecordWriteOutcome,
-        schedule::{Changes, DeferredEnd, DeferredEndBatch, EndedRun, Now},
+        schedule::{Changes, DeferredEnd, DeferredEndBatch, Now},
     },
     dewspar_platform::{
         Batch, Error, Expected, Fleet, JobWorkers, KeyValue, Purpose,
@@ -140,27 +140,23 @@
             return;
         }
         self.deferred_ends.is_writing = true;
-        let batch = ends_batch(self.held.revision, ends.ends().cloned());
-        let without_checkpoints = ends.ends().map(|deferred| {
-            let end =
-                EndedRun { checkpoint: String::new(), ..deferred.end.clone() };
-            DeferredEnd { end, ..deferred.clone() }
-        });
-        let without_checkpoints =
-            ends_batch(self.held.revision, without_checkpoints);
+        let lease_revision = self.held.revision;
         let store = self.candidate.store.with_purpose(Purpose::Progress);
         let sender = self.sender.clone();
         let log = self.candidate.log.clone();
         tokio::spawn(async move {
+            let batch = ends_batch(lease_revision, ends.ends().cloned());
             let mut answer = store.commit(&batch).await;
             if let Err(Error::Rejected { .. }) = &answer {
                 // A checkpoint is too large; what the ends say has room.
-                answer = store.commit(&without_checkpoints).await;
+                let bare = ends.ends().map(without_checkpoint);
+                let batch = ends_batch(lease_revision, bare);
+                answer = store.commit(&batch).await;
             }
             if let Err(error) = &answer {
                 counters::platform_failure(error);
                 warn!(log, "holder: write gave no result";
-                    "of" => "ends of jobs that can't be read",
+                    "of" => "deferred ends",
                     "error" => %error);
             }
             let written = record_written(&answer, keys::OWNER);
@@ -248,6 +244,12 @@
     }
 }
 
+fn without_checkpoint(deferred: &DeferredEnd) -> DeferredEnd {
+    let mut deferred = deferred.clone();
+    deferred.end.checkpoint.clear();
+    deferred
+}
+
 fn ends_batch(
     lease_revision: u64,
     ends: impl Iterator<Item = DeferredEnd>,
--- a/crates/dewspard/src/jobs/progress_writes.rs
+++ b/crates/dewspard/src/jobs/progress_writes.rs
@@ -398,7 +398,7 @@
     /// Has the jobs of a rejected write written one by one. The workers report
     /// the ends of a job whose record is rejected to the next holder.
     fn flush_rejected(
-        &mut self,
+        &self,
         changes: Changes,
         error: &Error,
         unstored: &mut Vec<Changes>,
--- a/crates/dewspard/tests/jobs_records.rs
+++ b/crates/dewspard/tests/jobs_records.rs
@@ -921,3 +921,22 @@
     fixture.submit(id(1), &wide(2)).await;
     fixture.wait_for_phase(id(1), Phase::Completed).await;
 }
+
+// Guards against an end that can't be acknowledged, since it is stored apart
+// with a checkpoint that is larger than any value of the store.
+#[tokio::test(start_paused = true)]
+async fn a_rejected_checkpoint_does_not_hold_back_a_deferred_end() {
+    let fixture = Fixture::start(&Batch::default(), 0).await;
+    sleep(ACKNOWLEDGE_TIME).await;
+    fixture.store.set_max_value_bytes(MAX_VALUE_BYTES);
+    fixture.fleet.fail_first_runs(MAX_VALUE_BYTES);
+    // The run ends before the first write of the record is answered.
+    fixture.store_faults.set_delay_us(300_000);
+    let unreadable =
+        accepted(id(1), &chain(2)).put(&record_key(id(1)), b"odd".to_vec());
+    fixture.commit(&unreadable).await;
+    wait_until(async || fixture.store.count("end/") > 0).await;
+    fixture.store_faults.set_delay_us(0);
+    fixture.submit(id(2), &chain(3)).await;
+    fixture.wait_for_phase(id(2), Phase::Completed).await;
+}
