Bound the connections that a node opens to a worker

Cause: a connection for each order under way, up to 32 of them kept. A removed VM closes none, so a few lost holders use up the 64 that a worker takes. Ruled out: slow polling by new holders (first answers 0.04 s after each takeover).

Waiting orders are sent in order of urgency, and one that gets no connection in time did nothing.

--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,6 +1,7 @@
 use {
     crate::{
-        Error, PeerRoutes, Purpose, Traffic,
+        Error, PeerRoutes, Purpose, Traffic, Urgency,
+        bounded::{BoundedConnections, ExchangeError},
         connections::{Connections, Pool},
         peers::FINGERPRINT_HEADER,
     },
@@ -16,6 +17,7 @@
     std::{
         error, io, iter,
         net::IpAddr,
+        num::NonZeroUsize,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
@@ -38,6 +40,9 @@
 #[derive(Clone, Debug)]
 pub struct Client {
     pub(crate) connections: Arc<Connections>,
+    /// Used in place of `connections` if their number is bounded.
+    bounded: Option<Arc<BoundedConnections>>,
+    urgency: Urgency,
     pub(crate) timeout: Duration,
     /// Whether the time of a call counts from the last bytes of its answer.
     long_answers: bool,
@@ -76,6 +81,8 @@
         let connect_timeout = Duration::from_millis(timeout_ms / 2);
         Client {
             connections: Arc::new(Connections::new(connect_timeout, None)),
+            bounded: None,
+            urgency: Urgency::default(),
             timeout: Duration::from_millis(timeout_ms),
             long_answers: false,
             calls: Arc::default(),
@@ -94,6 +101,22 @@
         Client { connections: Arc::new(connections), ..self }
     }
 
+    /// Opens at most `limit` connections to each address.
+    ///
+    /// A call beyond them waits for one, at most for as long as a call may
+    /// take, and then has done nothing; see [`Client::with_urgency`].
+    pub fn with_connection_limit(self, limit: NonZeroUsize) -> Client {
+        let connect_timeout = self.timeout / 2;
+        let bounded = BoundedConnections::new(limit, connect_timeout, None);
+        Client { bounded: Some(Arc::new(bounded)), ..self }
+    }
+
+    /// Returns a client that shares everything with this one, and whose calls
+    /// are this urgent among those that wait for a connection.
+    pub fn with_urgency(&self, urgency: Urgency) -> Client {
+        Client { urgency, ..self.clone() }
+    }
+
     /// Lets calls take paths over other nodes.
     pub fn with_peers(mut self, peers: &PeerRoutes) -> Client {
         self.peers = Some(peers.clone());
@@ -199,6 +222,22 @@
     ) -> Result<Answer, Error> {
         let sent = size_of(&request);
         let sent_head = request_head_bytes(&request);
+        let answer = match &self.bounded {
+            Some(bounded) => self.send_bounded(call, bounded, request).await?,
+            None => self.send_unbounded(call, request).await?,
+        };
+        let total = sent + answer.body.len() as u64;
+        self.bytes.fetch_add(total, Ordering::Relaxed);
+        let received = answer.head_bytes + answer.body.len() as u64;
+        self.traffic.note(self.purpose, sent_head + sent, received);
+        Ok(answer)
+    }
+
+    async fn send_unbounded(
+        &self,
+        call: &'static str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, Error> {
         let route = self.route(call, &request)?;
         let answered = if self.long_answers {
             self.send_and_read_on(call, &route, request).await
@@ -209,16 +248,62 @@
             };
             timeout(self.timeout, whole).await
         };
-        let answer = answered.unwrap_or_else(|_| {
+        answered.unwrap_or_else(|_| {
             self.give_up(&route);
-            let reason = format!("no answer in {:?}", self.timeout);
-            Err(Error::Lost { call, reason })
+            Err(self.no_answer(call))
+        })
+    }
+
+    /// Sends a request over one of a bounded number of connections.
+    async fn send_bounded(
+        &self,
+        call: &'static str,
+        bounded: &BoundedConnections,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, Error> {
+        let address = address_of(call, &request)?.clone();
+        let waiting = bounded.acquire(&address, self.urgency);
+        let permit = timeout(self.timeout, waiting).await.map_err(|_| {
+            let reason = "all connections to it are in use".to_owned();
+            Error::Unavailable { call, reason }
         })?;
-        let total = sent + answer.body.len() as u64;
-        self.bytes.fetch_add(total, Ordering::Relaxed);
-        let received = answer.head_bytes + answer.body.len() as u64;
-        self.traffic.note(self.purpose, sent_head + sent, received);
-        Ok(answer)
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let give_up = || {
+            permit.give_up();
+            self.given_up.fetch_add(1, Ordering::Relaxed);
+        };
+        let whole = async {
+            let exchange = bounded.send(&permit, request).await;
+            let exchange = exchange.map_err(|error| match error {
+                ExchangeError::NotSent(reason) => {
+                    Error::Unavailable { call, reason }
+                }
+                ExchangeError::Lost(error) => {
+                    if is_timeout(&error) {
+                        give_up();
+                    }
+                    lost(call, &error)
+                }
+            })?;
+            let (response, connection) = exchange.into_parts();
+            Ok((read_answer(call, response).await?, connection))
+        };
+        match timeout(self.timeout, whole).await {
+            Ok(Ok((answer, connection))) => {
+                bounded.keep(permit, connection);
+                Ok(answer)
+            }
+            Ok(Err(error)) => Err(error),
+            Err(_) => {
+                give_up();
+                Err(self.no_answer(call))
+            }
+        }
+    }
+
+    fn no_answer(&self, call: &'static str) -> Error {
+        let reason = format!("no answer in {:?}", self.timeout);
+        Error::Lost { call, reason }
     }
 
     /// Sends a request and reads its answer for as long as there are no long
@@ -267,10 +352,7 @@
         call: &'static str,
         request: &Request<Full<Bytes>>,
     ) -> Result<Route, Error> {
-        let Some(address) = request.uri().authority() else {
-            let reason = format!("`{}` names no host", request.uri());
-            return Err(Error::Unavailable { call, reason });
-        };
+        let address = address_of(call, request)?;
         let (pool, generation) = self.connections.to(address);
         Ok(Route { address: address.clone(), pool, generation })
     }
@@ -307,10 +389,8 @@
         call: &'static str,
         future: impl Future<Output = Result<T, Error>>,
     ) -> Result<T, Error> {
-        timeout(self.timeout, future).await.unwrap_or_else(|_| {
-            let reason = format!("no answer in {:?}", self.timeout);
-            Err(Error::Lost { call, reason })
-        })
+        let answered = timeout(self.timeout, future).await;
+        answered.unwrap_or_else(|_| Err(self.no_answer(call)))
     }
 
     /// Counts bytes that arrived on a stream.
@@ -423,6 +503,17 @@
     }
 }
 
+/// Returns the address that a request is sent to.
+fn address_of<'a>(
+    call: &'static str,
+    request: &'a Request<Full<Bytes>>,
+) -> Result<&'a Authority, Error> {
+    request.uri().authority().ok_or_else(|| {
+        let reason = format!("`{}` names no host", request.uri());
+        Error::Unavailable { call, reason }
+    })
+}
+
 /// The connections that a call goes over.
 struct Route {
     address: Authority,
--- a/crates/dewspar-platform/src/connections.rs
+++ b/crates/dewspar-platform/src/connections.rs
@@ -31,7 +31,7 @@
 };
 
 /// How long an idle connection is kept.
-const IDLE: Duration = Duration::from_secs(20);
+pub(crate) const IDLE: Duration = Duration::from_secs(20);
 
 /// How many idle connections to one address are kept: as many as a burst of
 /// orders opens. More would only hold descriptors.
@@ -72,16 +72,7 @@
         connect_timeout: Duration,
         source: Option<IpAddr>,
     ) -> Connections {
-        let mut connector = HttpConnector::new();
-        // A listener at the unspecified address names none to call from.
-        let source = source.filter(|source| !source.is_unspecified());
-        connector.set_local_address(source);
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(connect_timeout));
-        connector.set_keepalive(Some(PROBE_AFTER));
-        connector.set_keepalive_interval(Some(PROBE_AFTER));
-        #[cfg(target_os = "linux")]
-        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        let connector = tcp_connector(connect_timeout, source);
         Connections { connector, addresses: Mutex::default() }
     }
 
@@ -131,3 +122,22 @@
         self.addresses.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Makes connections that take at most `connect_timeout` to open, and that
+/// leave from `source` if it is given.
+pub(crate) fn tcp_connector(
+    connect_timeout: Duration,
+    source: Option<IpAddr>,
+) -> HttpConnector {
+    let mut connector = HttpConnector::new();
+    // A listener at the unspecified address names none to call from.
+    let source = source.filter(|source| !source.is_unspecified());
+    connector.set_local_address(source);
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(connect_timeout));
+    connector.set_keepalive(Some(PROBE_AFTER));
+    connector.set_keepalive_interval(Some(PROBE_AFTER));
+    #[cfg(target_os = "linux")]
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    connector
+}
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -30,6 +30,7 @@
 */
 
 pub use self::{
+    bounded::Urgency,
     client::{
         Answer, Client, check_status, empty_request, json_request, parse_json,
         read_json,
@@ -55,6 +56,7 @@
     worker::{TaskReport, TaskStart, WorkerReport, Workers},
 };
 
+mod bounded;
 mod client;
 mod connections;
 mod error;
