Keep a record of silent workers that outlives its holder

Cause: each new holder counts the longest lease from its own takeover, since it can't know that its predecessor never reached the worker. Ruled out: answers that are passed over (there are none), and a lack of room.

The holder now records workers that are silent for a second, with the time that is left there, and extends no lease of a worker on record. The record passes on with the scheduler lease, in the same write. A candidate counts from when it first saw the record.

Tests: a_task_starts_elsewhere_although_no_holder_outlasts_the_wait fails without the inherited times (not started in 59 s); a_record_that_outlives_its_writer_holds fails without the withheld leases (two runs).

--- a/crates/dewspar/src/record.rs
+++ b/crates/dewspar/src/record.rs
@@ -64,6 +64,12 @@
 }
 
 impl RecordWriter {
+    /// Creates the writer of a record that was read at this version; 0 if it
+    /// doesn't exist.
+    pub fn at_version(version: u64) -> RecordWriter {
+        RecordWriter { version, ..RecordWriter::default() }
+    }
+
     /// Sets the version at which the record was read; 0 if it doesn't exist.
     pub fn set_version(&mut self, version: u64) {
         self.version = version;
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -274,7 +274,13 @@
 
     fn new_worker(&self, listing: WorkerListing, now: Now) -> Worker {
         let revision = self.lease_revision;
-        Worker::new(listing, revision, now.steady_ms, &self.options)
+        let on_record = self.silent_workers.over_ms(&listing.id);
+        let mut worker =
+            Worker::new(listing, revision, now.steady_ms, &self.options);
+        if let Some(over_ms) = on_record {
+            worker.lease_over_ms = worker.lease_over_ms.min(over_ms);
+        }
+        worker
     }
 
     /// Notes that a worker has ended, together with all of its runs.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -118,6 +118,7 @@
     },
     quotas::TeamUse,
     scheduler::Scheduler,
+    silent_workers::SilentWorkers,
     start_log::{LoggedStart, StartLog},
     storing::Changes,
     team_limits::{LimitedTeam, SubmissionDecision, TeamLimits},
@@ -182,6 +183,7 @@
 mod run_totals;
 mod scheduler;
 mod shares;
+mod silent_workers;
 mod sizing;
 mod stalls;
 mod start_log;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -26,6 +26,7 @@
             processes::FormerProcesses,
             quotas::TeamQuotas,
             reservations::Reservations,
+            silent_workers::SilentRecord,
             sizing::{PendingMove, PoolLoad},
             start_log::StartLogs,
             token_claims::TokenClaims,
@@ -82,6 +83,8 @@
     pub(super) lease_renewed_ms: Option<u64>,
     /// The claims of workers to have seen later tokens.
     pub(super) token_claims: TokenClaims,
+    /// The workers that don't answer, as they are on record.
+    pub(super) silent_workers: SilentRecord,
     /// The worker processes that are no longer used.
     pub(super) former_processes: FormerProcesses,
     /// Whether any task was ever suspected of crashing its workers; looking
@@ -234,6 +237,7 @@
             decisions: Vec::new(),
             lease_renewed_ms: None,
             token_claims: TokenClaims::default(),
+            silent_workers: SilentRecord::default(),
             former_processes: FormerProcesses::default(),
             has_suspects: false,
             unsynced_losses: BTreeMap::new(),
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -285,6 +285,9 @@
     /// When all runs on the worker have certainly ended unless the lease is
     /// renewed.
     pub(crate) lease_over_ms: u64,
+    /// Whether the lease isn't extended, because the stored record of silent
+    /// workers may list the worker.
+    pub(crate) is_lease_withheld: bool,
     hold_in_flight: bool,
     /// When the newest hold was sent, except those under a new token.
     asked_ms: u64,
@@ -379,6 +382,7 @@
             latest_report_ms: 0,
             confirmed_until_ms: 0,
             lease_over_ms: now_ms + options.inherited_lease_ms(),
+            is_lease_withheld: false,
             hold_in_flight: false,
             asked_ms: 0,
             fence_hold_in_flight: false,
@@ -613,6 +617,11 @@
         self.clock.map_or(0, |clock| clock.at_ms)
     }
 
+    /// Returns whether the worker's process has answered this holder.
+    pub(crate) fn has_answered(&self) -> bool {
+        self.clock.is_some()
+    }
+
     /// Returns the latest time of the worker's clock in an answer; 0 for none.
     pub(crate) fn answered_worker_ms(&self) -> u64 {
         self.clock.map_or(0, |clock| clock.worker_ms)
@@ -718,6 +727,7 @@
     /// Returns whether runs already assigned to this worker may be ordered.
     pub(crate) fn accepts_placed_runs(&self, now_ms: u64) -> bool {
         !self.fencing
+            && !self.is_lease_withheld
             && self.is_usable()
             && now_ms >= self.suspended_until_ms
             // While nothing can be stored, tasks that need little room would
@@ -749,7 +759,7 @@
         now_ms: u64,
         options: &Options,
     ) -> Option<u64> {
-        let clock = self.clock?;
+        let clock = self.clock.filter(|_| !self.is_lease_withheld)?;
         let elapsed = now_ms.saturating_sub(clock.at_ms);
         Some(clock.worker_ms + elapsed + options.granted_lease_ms())
     }
--- a/crates/dewspar/src/schedule/workers.rs
+++ b/crates/dewspar/src/schedule/workers.rs
@@ -63,6 +63,8 @@
     down_halls: BTreeSet<String>,
     /// The data halls that are cut off or lost.
     unreachable_halls: BTreeSet<String>,
+    /// The workers whose leases aren't extended.
+    withheld_leases: BTreeSet<WorkerId>,
 }
 
 /// The cached state of a worker.
@@ -181,6 +183,7 @@
         worker.in_down_hall = self.down_halls.contains(&worker.listing.hall);
         worker.in_unreachable_hall =
             self.unreachable_halls.contains(&worker.listing.hall);
+        worker.is_lease_withheld = self.withheld_leases.contains(&id);
         let number = self.free_numbers.pop().unwrap_or_else(|| {
             self.workers.push(None);
             self.due_entries.push(DueEntry::NONE);
@@ -231,6 +234,21 @@
         self.at_mut(number)
     }
 
+    /// Sets the workers whose leases aren't extended.
+    pub(super) fn set_withheld_leases(&mut self, ids: BTreeSet<WorkerId>) {
+        let before = std::mem::replace(&mut self.withheld_leases, ids);
+        let changed: Vec<WorkerId> = before
+            .symmetric_difference(&self.withheld_leases)
+            .cloned()
+            .collect();
+        for id in changed {
+            let is_withheld = self.withheld_leases.contains(&id);
+            if let Some(worker) = self.get_mut(&id) {
+                worker.is_lease_withheld = is_withheld;
+            }
+        }
+    }
+
     /// Returns the data halls that are being emptied.
     pub(super) fn evacuation(&self) -> &Evacuation {
         &self.evacuation
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -36,6 +36,7 @@
 mod restarted_workers;
 mod retries;
 mod runs;
+mod silent_workers;
 mod small_link;
 mod stalls;
 mod start_log;
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -7,8 +7,8 @@
         schedule::{
             AcceptedJob, Action, HoldReport, Incarnation, ManagedVm, Now,
             Options, OrderError, QueueTerms, Resources, Scheduler, SentHold,
-            StartOrder, StopOrder, UseCeilings, VmStatus, WorkerId,
-            WorkerListing,
+            SilentWorkers, StartOrder, StopOrder, UseCeilings, VmStatus,
+            WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -132,6 +132,8 @@
     pub stored: BTreeMap<JobId, Progress>,
     /// The stored ceilings of teams.
     pub ceilings: UseCeilings,
+    /// The stored record of silent workers, and when it was stored.
+    pub silent_workers: (SilentWorkers, u64),
     /// The stored phase of each job.
     pub phases: BTreeMap<JobId, &'static str>,
 }
@@ -168,6 +170,7 @@
             lost_after_start: false,
             stored: BTreeMap::new(),
             ceilings: UseCeilings::default(),
+            silent_workers: Default::default(),
             phases: BTreeMap::new(),
         }
     }
@@ -301,6 +304,9 @@
     pub fn take_over(&mut self, revision: u64) {
         self.scheduler = Scheduler::new(revision, Options::default());
         self.scheduler.load_use_ceilings(self.ceilings.clone());
+        let (silent, stored_ms) = &self.silent_workers;
+        let silent = silent.after(self.now_ms - stored_ms);
+        self.scheduler.inherit_silent_workers(&silent, at(self.now_ms));
     }
 
     pub fn list(&mut self) {
@@ -330,7 +336,9 @@
         let lost = self.lost_after_start && self.starts.len() > starts;
         let changes = self.scheduler.take_changes(100);
         let ceilings = self.scheduler.begin_ceilings_write(now);
+        let silent = self.scheduler.begin_silent_workers_write(now);
         if self.outage || lost {
+            self.scheduler.silent_workers_written(false, now);
             self.scheduler.changes_failed(&changes);
             self.scheduler.use_ceilings_written(false);
             return;
@@ -339,6 +347,10 @@
             self.ceilings = ceilings;
             self.scheduler.use_ceilings_written(true);
         }
+        if let Some(silent) = silent {
+            self.silent_workers = (silent, self.now_ms);
+            self.scheduler.silent_workers_written(true, now);
+        }
         for (id, progress) in &changes.progress {
             self.phases.insert(*id, progress.phase.name());
             self.stored.insert(*id, progress.clone());
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -25,8 +25,13 @@
 
 use {
     super::{
-        holder, intent, keys, readiness::Readiness, relay::RelayedWorkers,
-        settings::Machine, status::StatusBoard, step_down::StepDown,
+        holder, intent, keys,
+        readiness::Readiness,
+        relay::RelayedWorkers,
+        settings::Machine,
+        silent_workers::{InheritedSilentWorkers, LoadedSilentWorkers},
+        status::StatusBoard,
+        step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
     dewspar::schedule::{Options, OrderIssuer},
@@ -153,6 +158,10 @@
     pub(super) overloaded_until_ms: u64,
     /// The unreadable value last seen under the lease's key.
     pub(super) unreadable_owner: Option<UnreadableOwner>,
+    /// The revision of the lease that another node was last seen to hold.
+    pub(super) last_holder: Option<u64>,
+    /// The record of silent workers, as it was last read.
+    pub(super) silent_workers: LoadedSilentWorkers,
     pub(super) options: Options,
     /// What operators are told.
     pub(super) status: StatusBoard,
@@ -200,6 +209,7 @@
                     version,
                     store_version,
                 }) => {
+                    self.follow_silent_workers(version).await;
                     if owner != last_holder {
                         info!(self.log, "election: another node schedules";
                             "holder" => &owner, "revision" => version);
@@ -226,6 +236,21 @@
         }
     }
 
+    /// Notes that another node holds the lease with this revision, and reads
+    /// the record of silent workers if it may have changed.
+    async fn follow_silent_workers(&mut self, revision: u64) {
+        let is_new = self.last_holder.replace(revision) != Some(revision);
+        if !is_new && !self.silent_workers.may_list_any() {
+            return;
+        }
+        let store = self.store.sharing_reads(SHARE_INTERVAL_MS);
+        let seen = &self.silent_workers;
+        match LoadedSilentWorkers::read(&store, seen, &self.log).await {
+            Ok(read) => self.silent_workers = read,
+            Err(error) => counters::platform_failure(&error),
+        }
+    }
+
     /// Waits if this node is weak or was overloaded; returns whether the lease
     /// is still in the state that was seen.
     async fn defer_to_stronger(&self, seen: &LeaseState) -> bool {
@@ -414,8 +439,9 @@
     }
 
     async fn take_and_schedule(&mut self, seen: LeaseState, incarnation: u64) {
-        let held = match self.take_lease(seen, incarnation).await {
-            Ok(Some(held)) => held,
+        let taken = self.take_lease(seen, incarnation).await;
+        let (held, silent_workers) = match taken {
+            Ok(Some(taken)) => taken,
             Ok(None) => {
                 // The key may be hidden from this node's reads; without a
                 // delay it would be retried in a tight loop.
@@ -431,9 +457,10 @@
             }
         };
         info!(self.log, "election: this node schedules";
-            "revision" => held.revision, "lease_ms" => held.lease_ms);
+            "revision" => held.revision, "lease_ms" => held.lease_ms,
+            "silent_workers" => silent_workers.workers.len());
         counters::count(counters::TAKEOVERS);
-        let outcome = holder::run(self, held).await;
+        let outcome = holder::run(self, held, silent_workers).await;
         self.status.set_holder(None);
         if matches!(outcome, StepDown::Overloaded) {
             counters::count(counters::OVERLOADS);
@@ -446,19 +473,28 @@
         &self,
         seen: LeaseState,
         incarnation: u64,
-    ) -> Result<Option<HeldLease>, Error> {
-        let expected = match seen {
-            LeaseState::Free => Expected::Absent,
+    ) -> Result<Option<(HeldLease, InheritedSilentWorkers)>, Error> {
+        let (expected, last_holder) = match seen {
+            LeaseState::Free => (Expected::Absent, self.last_holder),
             // A write of this process is replaced as well, because its store
             // lease is unknown.
             LeaseState::Orphaned(version)
             | LeaseState::FormerProcess(version)
-            | LeaseState::ThisProcess(version) => Expected::Version(version),
+            | LeaseState::ThisProcess(version) => {
+                (Expected::Version(version), Some(version))
+            }
             LeaseState::Other { .. } => return Ok(None),
         };
         let requested_ms = clock::now_ms();
         let lease_ms = STORE_LEASE_MS.max(self.min_lease_ms);
-        let lease = self.store.grant(lease_ms).await?;
+        let reading = LoadedSilentWorkers::read(
+            &self.store,
+            &self.silent_workers,
+            &self.log,
+        );
+        let (lease, silent_workers) =
+            tokio::try_join!(self.store.grant(lease_ms), reading)?;
+        let mut inherited = silent_workers.inherited(last_holder);
         let owner = Owner {
             node: self.node.clone(),
             incarnation,
@@ -471,15 +507,17 @@
             value,
             lease,
         );
-        match self.store.commit(&batch).await? {
-            Commit::Conflict(_) => Ok(None),
-            Commit::Done(revision) => Ok(Some(HeldLease {
-                lease,
-                lease_ms,
-                revision,
-                renewed_ms: requested_ms,
-            })),
+        let batch = silent_workers.replace_with(&inherited.workers, batch);
+        let revision = match self.store.commit(&batch).await? {
+            Commit::Conflict(_) => return Ok(None),
+            Commit::Done(revision) => revision,
+        };
+        if silent_workers.may_list_any() {
+            inherited.version = revision;
         }
+        let held =
+            HeldLease { lease, lease_ms, revision, renewed_ms: requested_ms };
+        Ok(Some((held, inherited)))
     }
 
     async fn release(&self, held: &HeldLease, outcome: StepDown) {
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -96,6 +96,8 @@
     CeilingsLoaded(LoadedCeilings),
     /// The result of a write of such ceilings.
     CeilingsWritten(RecordWriteOutcome),
+    /// The result of a write of the record of silent workers.
+    SilentWorkersWritten(RecordWriteOutcome),
     /// The result of a write of the limits on teams.
     TeamLimitsWritten(RecordWriteOutcome),
     /// The stored state of waves and VM orders.
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -33,6 +33,7 @@
         load_stats::{self, LoadStats},
         orders, peers,
         relay::{self, RelayManager, RelayedWorkers},
+        silent_workers::InheritedSilentWorkers,
         start_logs::StartLogWrites,
         step_down::StepDown,
         takeover::{self, LoadedFleetState},
@@ -100,6 +101,7 @@
 pub(super) async fn run<K: KeyValue, W: JobWorkers, F: Fleet>(
     candidate: &Candidate<K, W, F>,
     held: HeldLease,
+    silent_workers: InheritedSilentWorkers,
 ) -> StepDown {
     let (sender, events) = event::channel();
     // Aborted when this function returns.
@@ -153,6 +155,7 @@
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.lease_renewed(held.renewed_ms);
+    scheduler.inherit_silent_workers(&silent_workers.workers, now());
     scheduler.begin_loading();
     scheduler.enable_start_log();
     let mut holder = Holder {
@@ -193,6 +196,7 @@
         renewal_needed_from_ms: 0,
         hand_over: HandOver::default(),
         ceilings: RecordWriter::default(),
+        silent_workers: RecordWriter::at_version(silent_workers.version),
         team_limits: TeamLimitsWriter::default(),
         last_status_ms: 0,
     };
@@ -262,6 +266,8 @@
     pub(super) hand_over: HandOver,
     /// The write state of the record of the teams' ceilings.
     pub(super) ceilings: RecordWriter,
+    /// The write state of the record of silent workers.
+    pub(super) silent_workers: RecordWriter,
     /// The write state of the record of limits on teams.
     pub(super) team_limits: TeamLimitsWriter,
     /// When the status for operators was last updated.
@@ -418,6 +424,9 @@
             Event::CeilingsWritten(written) => {
                 self.ceilings_written(written, now);
             }
+            Event::SilentWorkersWritten(written) => {
+                self.silent_workers_written(written, now);
+            }
             Event::TeamLimitsWritten(written) => {
                 self.team_limits.finish_write(written, now.steady_ms);
             }
@@ -557,6 +566,7 @@
         self.write_changes(now);
         self.write_deferred_ends(now);
         self.write_ceilings(now);
+        self.write_silent_workers(now);
         self.write_team_limits(now);
         self.write_counts(now);
         self.write_waves(now);
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -59,6 +59,9 @@
 /// The VMs for which the holder ordered changes recently.
 pub(super) const VM_ORDERS: &str = "vm-orders";
 
+/// The workers that don't answer, written by the holder.
+pub(super) const SILENT_WORKERS: &str = "silent-workers";
+
 /// The most that each team uses, written by the holder.
 pub(super) const CEILINGS: &str = "ceilings";
 
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -77,6 +77,7 @@
 mod relay;
 mod rest;
 pub mod settings;
+mod silent_workers;
 mod start_logs;
 mod status;
 mod step_down;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -14,6 +14,7 @@
         readiness::{self, Readiness},
         relay,
         settings::JobSettings,
+        silent_workers::LoadedSilentWorkers,
         status::StatusBoard,
         team_limits::{self, FollowedTeamLimits},
     },
@@ -228,6 +229,8 @@
             overloaded_until_ms: 0,
             status,
             unreadable_owner: None,
+            last_holder: None,
+            silent_workers: LoadedSilentWorkers::default(),
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
                 .finished_retention_ms(timing.kept_ms)
