Count the age of a late order from the lease after its own

Found while searching for waits that begin anew with each holder: a task whose order got no answer is kept on its worker for 12 s, and each holder counted from its own takeover. With a silent worker and a holder lost each 5 s the task wasn't started in 50 s. That can only occur on workers that report when their process started.

The record of such a start now names the lease under which it was ordered. An order that is stored was sent before the next lease was taken, and nodes remember when they saw each lease first. A record without the lease counts as before.

a_task_starts_elsewhere_although_holders_are_lost_while_its_order_is_late fails if each holder counts from its takeover.

--- a/crates/dewspar/src/job/progress.rs
+++ b/crates/dewspar/src/job/progress.rs
@@ -147,6 +147,10 @@
     /// The run's number; 0 if unknown.
     #[serde(default, skip_serializing_if = "is_zero_run")]
     pub run: u64,
+    /// The revision of the scheduler lease under which it was ordered, or of a
+    /// later one; 0 if unknown.
+    #[serde(default, skip_serializing_if = "is_zero_run")]
+    pub lease_revision: u64,
 }
 
 fn is_zero(number: &u32) -> bool {
--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -18,8 +18,9 @@
 refuse orders for the former one, so they need no such protection. Neither do
 tasks of which copies may run.
 
-Starts in doubt are stored with the job's progress. The next holder can't know
-when they were sent, so it counts from its takeover.
+Starts in doubt are stored with the job's progress and the lease under which
+they were ordered. A later holder can't know when they were sent, so it counts
+from when it saw the next lease, which may be its own.
 
 # Example
 
@@ -61,14 +62,9 @@
     run: u64,
     /// When it was ordered; `None` if by a previous holder.
     ordered_ms: Option<u64>,
-}
-
-impl InDoubt {
-    /// Returns whether it may still be carried out.
-    fn may_arrive(&self, now: Now, taken_over_ms: u64) -> bool {
-        let from_ms = self.ordered_ms.unwrap_or(taken_over_ms);
-        now.steady_ms < from_ms + MAX_DELIVERY_MS
-    }
+    /// The revision of the lease under which it was ordered, or of a later one;
+    /// 0 if unknown.
+    lease_revision: u64,
 }
 
 /// The starts of one task whose orders got no answer.
@@ -83,6 +79,7 @@
             vm: record.vm.clone(),
             run: record.run,
             ordered_ms: None,
+            lease_revision: record.lease_revision,
         });
         StartsInDoubt(restored.collect())
     }
@@ -97,6 +94,7 @@
             worker: start.worker.to_string(),
             vm: start.vm.clone(),
             run: start.run,
+            lease_revision: start.lease_revision,
         };
         self.0.iter().map(record).collect()
     }
@@ -120,10 +118,10 @@
         &self,
         worker: &WorkerId,
         now: Now,
-        taken_over_ms: u64,
+        scheduler: &Scheduler,
     ) -> bool {
         let mut others = self.0.iter().filter(|start| start.worker != *worker);
-        !others.any(|start| start.may_arrive(now, taken_over_ms))
+        !others.any(|start| scheduler.may_arrive(start, now))
     }
 
     fn has(&self, worker: &WorkerId, run: u64) -> bool {
@@ -137,6 +135,17 @@
 }
 
 impl Scheduler {
+    /// Returns whether a start may still be carried out.
+    fn may_arrive(&self, start: &InDoubt, now: Now) -> bool {
+        let succeeded_ms = match start.lease_revision {
+            0 => None,
+            revision => self.seen_holders.succeeded_ms(revision),
+        };
+        let from_ms = start.ordered_ms.or(succeeded_ms);
+        let from_ms = from_ms.unwrap_or(self.taken_over_ms);
+        now.steady_ms < from_ms + MAX_DELIVERY_MS
+    }
+
     /// Notes that it isn't known whether a run that was ordered at this time,
     /// in milliseconds, has begun or will begin.
     pub(super) fn note_in_doubt(
@@ -150,7 +159,7 @@
         if !worker.reports_incarnation() {
             return;
         }
-        let start = in_doubt(worker, run, ordered_ms);
+        let start = self.in_doubt(worker, run, ordered_ms);
         let ordered = worker.runs.get(task).filter(|known| known.run == run);
         let ordered = ordered.cloned();
         if !self.add_in_doubt(task, start)
@@ -170,7 +179,7 @@
             return;
         }
         for (task, run) in runs.iter().filter(|(_, run)| !run.has_begun()) {
-            let start = in_doubt(worker, run.run, run.since_ms);
+            let start = self.in_doubt(worker, run.run, run.since_ms);
             if !self.add_in_doubt(task, start) {
                 self.note_doubtful_start(task, worker.id(), run);
             }
@@ -200,9 +209,15 @@
         worker_id: &WorkerId,
         vm: &str,
     ) {
+        let former_revision = self.lease_revision.saturating_sub(1);
         let Some(state) = self.at_most_once_task(task) else { return };
-        let (worker, vm) = (worker_id.clone(), vm.to_owned());
-        let start = InDoubt { worker, vm, run: UNKNOWN_RUN, ordered_ms: None };
+        let start = InDoubt {
+            worker: worker_id.clone(),
+            vm: vm.to_owned(),
+            run: UNKNOWN_RUN,
+            ordered_ms: None,
+            lease_revision: former_revision,
+        };
         state.in_doubt.0.push(start);
         self.tasks_in_doubt.insert(*task);
     }
@@ -274,8 +289,7 @@
                 start.vm = vm.unwrap_or_default();
             }
             left.0.retain(|start| {
-                start.may_arrive(now, self.taken_over_ms)
-                    && !self.is_replaced(start)
+                self.may_arrive(start, now) && !self.is_replaced(start)
             });
             if !left.is_empty() {
                 self.tasks_in_doubt.insert(task);
@@ -287,6 +301,16 @@
         }
     }
 
+    fn in_doubt(&self, worker: &Worker, run: u64, ordered_ms: u64) -> InDoubt {
+        InDoubt {
+            worker: worker.id().clone(),
+            vm: worker.listing.vm.clone(),
+            run,
+            ordered_ms: Some(ordered_ms),
+            lease_revision: self.lease_revision,
+        }
+    }
+
     /// Returns whether the VM of a start runs a worker of another name, which
     /// refuses that order.
     fn is_replaced(&self, start: &InDoubt) -> bool {
@@ -298,12 +322,3 @@
             && self.workers.values().any(other)
     }
 }
-
-fn in_doubt(worker: &Worker, run: u64, ordered_ms: u64) -> InDoubt {
-    InDoubt {
-        worker: worker.id().clone(),
-        vm: worker.listing.vm.clone(),
-        run,
-        ordered_ms: Some(ordered_ms),
-    }
-}
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -118,6 +118,7 @@
     },
     quotas::TeamUse,
     scheduler::Scheduler,
+    seen_holders::SeenHolders,
     silent_workers::SilentWorkers,
     start_log::{LoggedStart, StartLog},
     storing::Changes,
@@ -182,6 +183,7 @@
 mod run_times;
 mod run_totals;
 mod scheduler;
+mod seen_holders;
 mod shares;
 mod silent_workers;
 mod sizing;
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -450,7 +450,7 @@
                     || worker
                         .has_current_room(now.steady_ms, MAX_REPORT_AGE_MS))
                 && !worker.runs.contains_key(task)
-                && state.in_doubt.allow(worker.id(), now, self.taken_over_ms)
+                && state.in_doubt.allow(worker.id(), now, self)
                 && colocation
                     .is_none_or(|colocation| colocation.allows(worker))
                 && !self.is_reserved_for_others(worker, task, tested, now)
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -26,6 +26,7 @@
             processes::FormerProcesses,
             quotas::TeamQuotas,
             reservations::Reservations,
+            seen_holders::SeenHolders,
             silent_workers::SilentRecord,
             sizing::{PendingMove, PoolLoad},
             start_log::StartLogs,
@@ -122,6 +123,8 @@
     /// The time at which the first worker was listed under this lease; 0 for
     /// not yet.
     pub(super) taken_over_ms: u64,
+    /// The former holders that this node has seen.
+    pub(super) seen_holders: SeenHolders,
     /// The time at which this holder last ordered a change of each VM.
     pub(super) ordered_vms: BTreeMap<String, u64>,
     /// The orders of former holders that still block their VMs.
@@ -253,6 +256,7 @@
             directory_complete_ms: 0,
             workers_known: false,
             taken_over_ms: 0,
+            seen_holders: SeenHolders::default(),
             ordered_vms: BTreeMap::new(),
             inherited_orders: BTreeMap::new(),
             vm_orders_from_ms: BTreeMap::new(),
@@ -284,6 +288,12 @@
         }
     }
 
+    /// Sets which former holders this node has seen, which bounds how old
+    /// their stored orders are.
+    pub fn set_seen_holders(&mut self, holders: SeenHolders) {
+        self.seen_holders = holders;
+    }
+
     /// Takes the decisions made since the last call.
     pub fn take_decisions(&mut self) -> Vec<Decision> {
         std::mem::take(&mut self.decisions)
--- a/crates/dewspar/tests/schedule/in_doubt.rs
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -222,3 +222,27 @@
     let in_doubt = |d: &Decision| matches!(d, Decision::StartInDoubt { .. });
     assert!(!decisions.iter().any(in_doubt), "{decisions:?}");
 }
+
+// Guards against a wait for a late order that begins anew with each holder, and
+// never ends if holders are lost sooner.
+#[test]
+fn a_task_starts_elsewhere_although_holders_are_lost_while_its_order_is_late()
+{
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, _) = lose_start(&mut world, id(1));
+    world.unreachable.push(on);
+    world.run_for(1_000);
+    for revision in 10..20 {
+        world.now_ms += 1_500;
+        world.take_over(revision);
+        world.list();
+        world.expect_all();
+        let progress = world.stored.get(&id(1)).cloned();
+        let waits = job(vec![step(1)]);
+        world.scheduler.submit(id(1), waits, 6, progress.as_ref());
+        world.run_for(3_500);
+    }
+    assert!(runs(&mut world, id(1)));
+}
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -6,9 +6,9 @@
         job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, HoldReport, Incarnation, ManagedVm, Now,
-            Options, OrderError, QueueTerms, Resources, Scheduler, SentHold,
-            SilentWorkers, StartOrder, StopOrder, UseCeilings, VmStatus,
-            WorkerId, WorkerListing,
+            Options, OrderError, QueueTerms, Resources, Scheduler,
+            SeenHolders, SentHold, SilentWorkers, StartOrder, StopOrder,
+            UseCeilings, VmStatus, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
@@ -132,6 +132,8 @@
     pub stored: BTreeMap<JobId, Progress>,
     /// The stored ceilings of teams.
     pub ceilings: UseCeilings,
+    /// The holders that the next one has seen.
+    pub seen_holders: SeenHolders,
     /// The stored record of silent workers, and when it was stored.
     pub silent_workers: (SilentWorkers, u64),
     /// The stored phase of each job.
@@ -170,6 +172,7 @@
             lost_after_start: false,
             stored: BTreeMap::new(),
             ceilings: UseCeilings::default(),
+            seen_holders: SeenHolders::default(),
             silent_workers: Default::default(),
             phases: BTreeMap::new(),
         }
@@ -304,6 +307,8 @@
     pub fn take_over(&mut self, revision: u64) {
         self.scheduler = Scheduler::new(revision, Options::default());
         self.scheduler.load_use_ceilings(self.ceilings.clone());
+        self.seen_holders.note(revision, self.now_ms);
+        self.scheduler.set_seen_holders(self.seen_holders.clone());
         let (silent, stored_ms) = &self.silent_workers;
         let silent = silent.after(self.now_ms - stored_ms);
         self.scheduler.inherit_silent_workers(&silent, at(self.now_ms));
--- a/crates/dewspard/src/jobs/election.rs
+++ b/crates/dewspard/src/jobs/election.rs
@@ -34,7 +34,7 @@
         step_down::StepDown,
     },
     crate::{clock, counters, passed_over},
-    dewspar::schedule::{Options, OrderIssuer},
+    dewspar::schedule::{Options, OrderIssuer, SeenHolders},
     dewspar_platform::{
         Batch, Commit, Error, Expected, Fleet, JobWorkers, KeyValue, Lease,
         Traffic, Versioned, Watch,
@@ -158,8 +158,8 @@
     pub(super) overloaded_until_ms: u64,
     /// The unreadable value last seen under the lease's key.
     pub(super) unreadable_owner: Option<UnreadableOwner>,
-    /// The revision of the lease that another node was last seen to hold.
-    pub(super) last_holder: Option<u64>,
+    /// The holders of the lease that this node has seen, itself among them.
+    pub(super) seen_holders: SeenHolders,
     /// The record of silent workers, as it was last read.
     pub(super) silent_workers: LoadedSilentWorkers,
     pub(super) options: Options,
@@ -239,7 +239,8 @@
     /// Notes that another node holds the lease with this revision, and reads
     /// the record of silent workers if it may have changed.
     async fn follow_silent_workers(&mut self, revision: u64) {
-        let is_new = self.last_holder.replace(revision) != Some(revision);
+        let is_new = self.seen_holders.last() != Some(revision);
+        self.seen_holders.note(revision, clock::now_ms());
         if !is_new && !self.silent_workers.may_list_any() {
             return;
         }
@@ -459,6 +460,7 @@
         info!(self.log, "election: this node schedules";
             "revision" => held.revision, "lease_ms" => held.lease_ms,
             "silent_workers" => silent_workers.workers.len());
+        self.seen_holders.note(held.revision, clock::now_ms());
         counters::count(counters::TAKEOVERS);
         let outcome = holder::run(self, held, silent_workers).await;
         self.status.set_holder(None);
@@ -475,7 +477,7 @@
         incarnation: u64,
     ) -> Result<Option<(HeldLease, InheritedSilentWorkers)>, Error> {
         let (expected, last_holder) = match seen {
-            LeaseState::Free => (Expected::Absent, self.last_holder),
+            LeaseState::Free => (Expected::Absent, self.seen_holders.last()),
             // A write of this process is replaced as well, because its store
             // lease is unknown.
             LeaseState::Orphaned(version)
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -155,6 +155,7 @@
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.lease_renewed(held.renewed_ms);
+    scheduler.set_seen_holders(candidate.seen_holders.clone());
     scheduler.inherit_silent_workers(&silent_workers.workers, now());
     scheduler.begin_loading();
     scheduler.enable_start_log();
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -19,7 +19,10 @@
         team_limits::{self, FollowedTeamLimits},
     },
     crate::{clock, logs, passed_over},
-    dewspar::{link::LinkLimits, schedule::Options},
+    dewspar::{
+        link::LinkLimits,
+        schedule::{Options, SeenHolders},
+    },
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
         Purpose, Traffic, UnreadableNotes,
@@ -229,7 +232,7 @@
             overloaded_until_ms: 0,
             status,
             unreadable_owner: None,
-            last_holder: None,
+            seen_holders: SeenHolders::default(),
             silent_workers: LoadedSilentWorkers::default(),
             options: Options::default()
                 .max_lease_ms(timing.max_lease_ms)
