--- a/crates/dewspar-platform/src/bounded.rs
+++ b/crates/dewspar-platform/src/bounded.rs
@@ -57,9 +57,9 @@
     Other,
 }
 
-/// Why an exchange over a bounded connection failed.
+/// Why a request over a bounded connection got no response.
 #[derive(Debug)]
-pub(crate) enum ExchangeError {
+pub(crate) enum SendError {
     /// The request was certainly not sent.
     NotSent(String),
     /// The request may have been carried out.
@@ -102,7 +102,7 @@
 
 /// An open connection, which is closed when it is dropped.
 #[derive(Debug)]
-struct Connection {
+pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     generation: u64,
@@ -127,14 +127,6 @@
     }
 }
 
-/// A response, with the connection that carries its body.
-#[derive(Debug)]
-pub(crate) struct Exchange {
-    /// The response.
-    pub(crate) response: Response<Incoming>,
-    connection: Connection,
-}
-
 impl BoundedConnections {
     /// Makes at most `limit` connections to each address, which take at most
     /// `connect_timeout` to open and leave from `source` if it is given.
@@ -172,17 +164,17 @@
     }
 
     /// Sends a request over an idle connection, or over a new one if there is
-    /// none, and returns the head of the response.
+    /// none. Returns the response with the connection that carries its body.
     ///
     /// # Errors
     ///
-    /// Returns an [`ExchangeError`] that says whether the request may have
+    /// Returns an [`SendError`] that says whether the request may have
     /// been carried out.
     pub(crate) async fn send(
         &self,
         permit: &Permit,
         request: Request<Full<Bytes>>,
-    ) -> Result<Exchange, ExchangeError> {
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
         let uri = request.uri().clone();
         let mut request = with_path_only(request);
         loop {
@@ -199,24 +191,21 @@
             }
             let mut failed =
                 match connection.sender.try_send_request(request).await {
-                    Ok(response) => {
-                        return Ok(Exchange { response, connection });
-                    }
+                    Ok(response) => return Ok((response, connection)),
                     Err(failed) => failed,
                 };
             request = match failed.take_message() {
                 // The service has closed the idle connection meanwhile.
                 Some(unsent) if is_reused => unsent,
                 Some(_) => return Err(not_sent(failed.error())),
-                None => return Err(ExchangeError::Lost(failed.into_error())),
+                None => return Err(SendError::Lost(failed.into_error())),
             };
         }
     }
 
-    /// Keeps the connection of an exchange for the next call. Only for one
-    /// whose response was read to its end.
-    pub(crate) fn keep(&self, permit: Permit, connection: KeptConnection) {
-        let KeptConnection(mut connection) = connection;
+    /// Keeps a connection for the next call. Only for one whose last response
+    /// was read to its end.
+    pub(crate) fn keep(&self, permit: Permit, mut connection: Connection) {
         connection.used = Instant::now();
         permit.address.keep(connection);
         self.addresses.start_sweeping();
@@ -226,7 +215,7 @@
         &self,
         permit: &Permit,
         uri: &Uri,
-    ) -> Result<Connection, ExchangeError> {
+    ) -> Result<Connection, SendError> {
         let generation = permit.address.lock().generation;
         let connecting = self.connector.clone().call(uri.clone());
         let stream = connecting.await.map_err(|error| not_sent(&error))?;
@@ -242,18 +231,6 @@
     }
 }
 
-/// The connection of an exchange whose response was read to its end.
-#[derive(Debug)]
-pub(crate) struct KeptConnection(Connection);
-
-impl Exchange {
-    /// Returns the response, and the connection to keep once the response was
-    /// read to its end.
-    pub(crate) fn into_parts(self) -> (Response<Incoming>, KeptConnection) {
-        (self.response, KeptConnection(self.connection))
-    }
-}
-
 impl Addresses {
     fn get(&self, authority: &Authority) -> Arc<Address> {
         let mut map = self.lock();
@@ -368,8 +345,8 @@
     }
 }
 
-fn not_sent(error: &(dyn error::Error + 'static)) -> ExchangeError {
-    ExchangeError::NotSent(error.to_string())
+fn not_sent(error: &(dyn error::Error + 'static)) -> SendError {
+    SendError::NotSent(error.to_string())
 }
 
 /// Returns the request with the path alone as its target and the address as
--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,7 +1,7 @@
 use {
     crate::{
         Error, PeerRoutes, Purpose, Traffic, Urgency,
-        bounded::{BoundedConnections, ExchangeError},
+        bounded::{BoundedConnections, SendError},
         connections::{Connections, Pool},
         peers::FINGERPRINT_HEADER,
     },
@@ -273,19 +273,19 @@
             self.given_up.fetch_add(1, Ordering::Relaxed);
         };
         let whole = async {
-            let exchange = bounded.send(&permit, request).await;
-            let exchange = exchange.map_err(|error| match error {
-                ExchangeError::NotSent(reason) => {
-                    Error::Unavailable { call, reason }
-                }
-                ExchangeError::Lost(error) => {
-                    if is_timeout(&error) {
-                        give_up();
+            let sent = bounded.send(&permit, request).await;
+            let (response, connection) =
+                sent.map_err(|error| match error {
+                    SendError::NotSent(reason) => {
+                        Error::Unavailable { call, reason }
                     }
-                    lost(call, &error)
-                }
-            })?;
-            let (response, connection) = exchange.into_parts();
+                    SendError::Lost(error) => {
+                        if is_timeout(&error) {
+                            give_up();
+                        }
+                        lost(call, &error)
+                    }
+                })?;
             Ok((read_answer(call, response).await?, connection))
         };
         match timeout(self.timeout, whole).await {
