Log what every source said of a worker that is taken for ended

The line named the source that decided and nothing else, so a wrong conclusion looked like a right one: the hypotheses on runs that happened twice can't be told apart by it. It now also has the other worker on the VM, what the newest list of VMs says, the age of each reading and of the last answer. No decision changes; the time of the list of VMs is set at the beginning of its handling instead of the end, and nothing in between reads it but this line.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -292,11 +292,13 @@
     ) {
         self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
+        let evidence = self.worker_evidence(&worker, now);
         self.halls.ended(&worker.listing.hall, id);
         self.former_processes.ended(&worker, now);
         if worker.is_lapsed() {
             // Its lost runs were reported when its lease was over.
-            self.note(Decision::WorkerGone { worker: id.clone(), reason });
+            let worker = id.clone();
+            self.note(Decision::WorkerGone { worker, reason, evidence });
             return;
         }
         let lost = LostRuns::of(&worker, now);
@@ -304,7 +306,8 @@
         let runs = std::mem::take(&mut worker.runs);
         self.note_lost_in_doubt(&worker, &runs);
         self.lose_runs(id, runs, answered_ms, reason, now);
-        self.note(Decision::WorkerGone { worker: id.clone(), reason });
+        let worker = id.clone();
+        self.note(Decision::WorkerGone { worker, reason, evidence });
         self.note_crash(id, &lost, now);
     }
 
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -96,6 +96,7 @@
     /// Applies the list of VMs that was requested at `asked_ms`.
     pub fn list_vms(&mut self, now: Now, asked_ms: u64, vms: &[ManagedVm]) {
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
+        self.vms_asked_ms = asked_ms;
         let live_workers = vms.iter().filter(|vm| vm.status == VmStatus::Up);
         let live_workers: Vec<(WorkerId, String)> = live_workers
             .filter_map(|vm| {
@@ -123,7 +124,6 @@
         for state in self.waves.values_mut() {
             state.update(asked_ms, &self.vms);
         }
-        self.vms_asked_ms = asked_ms;
         self.note_capacities();
         self.return_to_service();
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -130,6 +130,7 @@
     vm_orders::{OrderIssuer, OrderedVms, RecentVmOrder},
     wave_progress::{RemainingVms, WaveDeadline, WaveProgress},
     wave_selection::WavePace,
+    worker_evidence::{VmListView, WorkerEvidence},
 };
 
 use {
@@ -206,6 +207,7 @@
 mod wave_state;
 mod worked_time;
 mod worker;
+mod worker_evidence;
 mod workers;
 mod write_ahead;
 
@@ -698,6 +700,8 @@
         worker: WorkerId,
         /// How the end was detected.
         reason: &'static str,
+        /// What else was known of the worker.
+        evidence: WorkerEvidence,
     },
     /// A job has ended.
     JobFinished {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -160,6 +160,8 @@
         "Writes of records that the store doesn't accept, by what they hold.";
     WORKER_SUSPENSIONS, "counter", "dewspar_worker_suspensions_total", None,
         "Times that a worker got nothing to start for a while.";
+    WORKERS_GONE, "counter", "dewspar_workers_gone_total", Some("reason"),
+        "Workers that were taken for ended, by how that was detected.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
     SUSPENSIONS, "counter", "dewspar_suspensions_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -5,7 +5,10 @@
 
 use {
     crate::counters,
-    dewspar::schedule::{Decision, RemainingVms, WaveDeadline, WaveProgress},
+    dewspar::schedule::{
+        Decision, RemainingVms, WaveDeadline, WaveProgress, WorkerEvidence,
+        WorkerId,
+    },
     slog::{Logger, info, warn},
 };
 
@@ -226,9 +229,8 @@
         Decision::WaveProgress { wave, progress } => {
             log_wave(log, *wave, progress);
         }
-        Decision::WorkerGone { worker, reason } => {
-            warn!(log, "worker: gone"; "worker" => %worker,
-                "reason" => reason);
+        Decision::WorkerGone { worker, reason, evidence } => {
+            log_worker_gone(log, worker, reason, evidence);
         }
         Decision::JobFinished { job, phase, after_ms } => {
             info!(log, "job: came to its end"; "job" => %job,
@@ -251,6 +253,26 @@
     }
 }
 
+/// Logs and counts the end of a worker, with what every source said of it.
+fn log_worker_gone(
+    log: &Logger,
+    worker: &WorkerId,
+    reason: &'static str,
+    evidence: &WorkerEvidence,
+) {
+    let to_text = |id: Option<&WorkerId>| id.map(WorkerId::to_string);
+    warn!(log, "worker: gone"; "worker" => %worker, "reason" => reason,
+        "runs" => evidence.runs, "vm" => &evidence.vm,
+        "listed" => evidence.is_listed,
+        "other" => to_text(evidence.other.as_ref()),
+        "directory_age_ms" => evidence.directory_age_ms,
+        "vm_list" => evidence.vm_list.name(),
+        "vm_list_worker" => to_text(evidence.vm_list.other()),
+        "vm_list_age_ms" => evidence.vm_list_age_ms,
+        "answer_age_ms" => evidence.answer_age_ms);
+    counters::count_by(counters::WORKERS_GONE, "reason", reason);
+}
+
 /// Logs the progress of a wave, and counts its late VMs by reason when its
 /// time is over.
 fn log_wave(log: &Logger, wave: u64, progress: &WaveProgress) {
