Don't take a worker for ended because its VM has another entry

Callers saw tasks run twice: a second run was started while the first one worked on a live worker, or had ended as done.

Cause: the directory ended a worker that it didn't list if it listed another one on the same VM. That one was taken for the next worker, but it may be the former one: its entry outlives it, and writes may take effect late, while the entry of the live worker expires when its heartbeats are lost. Class: a conclusion that can't be taken back rests on one source, while others contradict it.

Now the directory only raises a doubt. The list of VMs is requested at once and the worker is asked; it ends by the list of VMs, by a refusal at its address, or with its lease. Each doubt is logged once with what every source says.

The two cases that asserted the fault itself (a read of the directory shows which of two workers is alive) now assert that it doesn't, and that the list of VMs does.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -1,9 +1,25 @@
 /*!
 Tracking which workers are alive.
 
-There are three sources: the directory, in which workers enter themselves, the
-VM service, and the workers' leases, which are certainly over after a period of
-silence.
+There are four sources: the directory, in which workers enter themselves, the
+VM service, the workers' answers, and their leases, which are certainly over
+after a period of silence.
+
+The directory tells which workers can be reached and where. It never tells that
+a worker has ended: entries outlive their workers, writes may take effect late,
+and the entry of a live worker expires while it can't reach the store. So of two
+workers on one VM, the one that is listed may be the former one.
+
+# Example
+
+```text
+directory    lists worker b on the VM of worker a, and not a
+             a is doubted: the list of VMs is read, and a is asked
+list of VMs  the VM runs a   a lives, b has ended
+list of VMs  the VM runs b   a has ended
+no list      b answers at the address of a   a has ended
+             nothing answers                 a has ended with its lease
+```
 */
 
 use {
@@ -58,14 +74,13 @@
         }
         self.directory_ms = now.steady_ms;
         self.mark_missing_unlisted(asked_ms, &listings, now);
-        let replaced = self.replaced_workers(asked_ms, &listings);
-        self.note_ends_in_halls(&replaced, asked_ms, now);
+        let doubted = self.doubted_workers(asked_ms, &listings);
         for listing in listings {
             self.list_worker_as_of(asked_ms, now, listing);
         }
         self.note_capacities();
-        for id in replaced {
-            self.worker_gone(&id, "its VM runs a new worker", now);
+        for id in doubted {
+            self.doubt_worker(&id, now);
         }
         self.drop_expired_in_doubt(now);
     }
@@ -117,6 +132,7 @@
         }
         if let Some(worker) = self.workers.update_listing(listing) {
             worker.listed = true;
+            worker.is_doubted = false;
             worker.reported_at_ms = asked_ms;
             worker.cold.relisted(asked_ms, cold_remaining_ms);
         }
@@ -173,11 +189,11 @@
     }
 
     /// Returns the workers that the directory doesn't list, although it lists
-    /// another worker on their VM.
+    /// another worker on their VM, unless they are doubted already.
     ///
     /// A worker that was looked up after this read was requested isn't among
     /// them: the read may still list the previous worker of its VM.
-    fn replaced_workers(
+    fn doubted_workers(
         &self,
         asked_ms: u64,
         listings: &[WorkerListing],
@@ -196,12 +212,39 @@
             .values()
             .filter(|worker| vms.contains(worker.listing.vm.as_str()))
             .filter(|worker| !worker.is_reported_since(asked_ms))
+            .filter(|worker| !worker.is_doubted)
             .map(Worker::id)
             .filter(|id| !listed.contains(id))
             .cloned()
             .collect()
     }
 
+    /// Returns whether the list of VMs should be read at once, because since
+    /// the last call a hall has fallen silent, or the directory has listed
+    /// another worker on a worker's VM.
+    pub fn take_vm_list_request(&mut self) -> bool {
+        std::mem::take(&mut self.needs_vm_list)
+    }
+
+    /// Asks whether a worker has ended whose VM has another entry.
+    ///
+    /// The directory can't tell, since the other worker may be the next one or
+    /// a former one. The VM service knows which of them is alive; without it,
+    /// the next worker refuses orders for this one at its address, and
+    /// otherwise the lease of this one has to be over.
+    fn doubt_worker(&mut self, id: &WorkerId, now: Now) {
+        let Some(worker) = self.workers.get_mut(id) else { return };
+        worker.is_doubted = true;
+        // Nothing waits for a worker that is known to run nothing.
+        if !worker.runs.is_empty() || !worker.runs_are_known() {
+            worker.probe();
+            self.needs_vm_list = true;
+        }
+        let Some(worker) = self.workers.get(id) else { return };
+        let evidence = self.worker_evidence(worker, now);
+        self.note(Decision::WorkerDoubted { worker: id.clone(), evidence });
+    }
+
     /// Adds the workers that the VM service reports as alive after a takeover,
     /// each with its pool.
     ///
--- a/crates/dewspar/src/schedule/hall_losses.rs
+++ b/crates/dewspar/src/schedule/hall_losses.rs
@@ -73,8 +73,6 @@
     copies: BTreeSet<TaskId>,
     /// When tasks were forgiven the loss of a worker, in milliseconds.
     forgiven: BTreeMap<TaskId, u64>,
-    /// Whether the list of VMs should be read at once.
-    pub(super) needs_vm_list: bool,
 }
 
 impl HallLosses {
--- a/crates/dewspar/src/schedule/hall_states.rs
+++ b/crates/dewspar/src/schedule/hall_states.rs
@@ -59,12 +59,6 @@
         self.halls.note_path(hall, path, now.steady_ms);
     }
 
-    /// Returns whether the list of VMs should be read at once, because a hall
-    /// has fallen silent since the last call.
-    pub fn take_vm_list_request(&mut self) -> bool {
-        std::mem::take(&mut self.hall_losses.needs_vm_list)
-    }
-
     /// Returns whether a hall's first workers answer again.
     pub(super) fn is_hall_returning(&self, hall: &str) -> bool {
         self.halls.is_enabled()
@@ -150,7 +144,7 @@
                 self.workers.hall_became_unreachable(hall, now.steady_ms);
                 uncounted = self.take_back_losses(hall, now);
                 self.request_copies(hall, now);
-                self.hall_losses.needs_vm_list = true;
+                self.needs_vm_list = true;
             }
             (false, true) => {
                 self.workers.hall_became_reachable(hall, now.steady_ms);
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -694,6 +694,14 @@
         /// Its progress, and what blocks its remaining VMs.
         progress: WaveProgress,
     },
+    /// The directory lists another worker on a worker's VM and not the worker
+    /// itself.
+    WorkerDoubted {
+        /// The worker.
+        worker: WorkerId,
+        /// What else is known of the worker.
+        evidence: WorkerEvidence,
+    },
     /// A worker has ended.
     WorkerGone {
         /// The worker.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -159,6 +159,8 @@
     pub(super) advice: BTreeMap<TaskId, StepAdvice>,
     /// The time at which the current list of VMs was requested.
     pub(super) vms_asked_ms: u64,
+    /// Whether the list of VMs should be read at once.
+    pub(super) needs_vm_list: bool,
     /// The time at which pools were last sized.
     pub(super) last_sizing_ms: u64,
     /// The jobs accepted under this lease that aren't counted as arrivals yet.
@@ -276,6 +278,7 @@
             cold_terms: BTreeMap::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
+            needs_vm_list: false,
             last_sizing_ms: 0,
             new_jobs: Vec::new(),
             arrivals: BTreeMap::new(),
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -337,6 +337,9 @@
     pub(crate) first_listed_ms: u64,
     /// Whether the directory still lists the worker.
     pub(crate) listed: bool,
+    /// Whether the directory has listed another worker on its VM since it last
+    /// listed this one.
+    pub(crate) is_doubted: bool,
     /// The time as of which the listing is known.
     pub(crate) reported_at_ms: u64,
     /// The number of runs whose resource usage is unknown.
@@ -410,6 +413,7 @@
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
             listed: !has_no_address,
+            is_doubted: false,
             reported_at_ms: now_ms,
             unmeasured: 0,
             unread_runs: false,
--- a/crates/dewspar/tests/schedule/directory_reads.rs
+++ b/crates/dewspar/tests/schedule/directory_reads.rs
@@ -8,7 +8,7 @@
 //! lease.
 
 use {
-    crate::world::{ROOM, at, id, job, listing, step},
+    crate::world::{ROOM, at, id, job, listing, managed, step},
     dewspar::schedule::{
         Action, Decision, Now, Options, Scheduler, WorkerListing,
     },
@@ -41,8 +41,12 @@
     scheduler.list_worker(at(2_000), listing_on_vm("new"));
     scheduler.list_workers_as_of(1_500, at(2_500), vec![listing_on_vm("old")]);
     assert!(gone(&mut scheduler).is_empty());
-    // The next read shows which of the two is alive.
+    // The list of VMs shows which of the two is alive; the directory alone
+    // could list the former one.
     scheduler.list_workers_as_of(3_000, at(3_100), vec![listing_on_vm("new")]);
+    assert!(gone(&mut scheduler).is_empty());
+    let vms = [managed(&listing_on_vm("new"))];
+    scheduler.list_vms(at(3_200), 3_150, &vms);
     assert_eq!(gone(&mut scheduler), ["old"]);
 }
 
--- a/crates/dewspar/tests/schedule/in_doubt.rs
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -206,6 +206,10 @@
     listing.id = WorkerId::new("w3");
     world.list();
     world.run_for(150);
+    assert_eq!(world.starts.len(), 1, "the entry may be a former worker's");
+    world.list_vms();
+    world.list();
+    world.run_for(150);
     assert_eq!(world.starts.len(), 2);
 }
 
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -7,6 +7,7 @@
 mod cut_answers;
 mod evacuation;
 mod failure_domains;
+mod former_entries;
 mod gang_reservations;
 mod hall_events;
 mod hall_fleet;
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -6,13 +6,13 @@
         job::{JobId, JobSpec, Progress, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, HoldReport, Incarnation, ManagedVm, Now,
-            Options, OrderError, QueueTerms, Resources, Scheduler,
+            Options, OrderError, QueueTerms, Refusal, Resources, Scheduler,
             SeenHolders, SentHold, SilentWorkers, StartOrder, StopOrder,
             UseCeilings, VmStatus, WorkerId, WorkerListing,
         },
     },
     dewspar_standin::task_worker::{Fate, TaskWorker},
-    std::collections::BTreeMap,
+    std::collections::{BTreeMap, BTreeSet},
 };
 
 pub const POOL: &str = "registry";
@@ -100,6 +100,8 @@
     pub crashing: Vec<TaskId>,
     /// The number of workers that have crashed.
     pub crashes: u32,
+    /// The ended workers at whose addresses others answer.
+    replaced: BTreeSet<WorkerId>,
     /// The crashed workers, each with the time at which it is back.
     restarting: Vec<(u64, WorkerListing)>,
     /// Whether a crashed worker restarts under its identifier.
@@ -159,6 +161,7 @@
             kinds: BTreeMap::new(),
             crashing: Vec::new(),
             crashes: 0,
+            replaced: BTreeSet::new(),
             restarting: Vec::new(),
             keeps_worker_ids: false,
             started_ms: BTreeMap::new(),
@@ -190,6 +193,21 @@
         world
     }
 
+    /// Adds a worker with an entry in the directory.
+    pub fn add_worker(&mut self, listing: WorkerListing) {
+        let worker = TaskWorker::new(listing.capacity);
+        self.workers.insert(listing.id.clone(), worker);
+        self.listings.push(listing);
+    }
+
+    /// Ends a worker, and adds the next one at its address. The entry of the
+    /// ended one remains.
+    pub fn replace_worker(&mut self, id: &WorkerId, next: WorkerListing) {
+        self.workers.remove(id);
+        self.replaced.insert(id.clone());
+        self.add_worker(next);
+    }
+
     /// Crashes the worker on a VM, if there is one; it restarts later.
     pub fn crash_worker_on(&mut self, vm: &str) {
         let known = |id: &WorkerId| self.workers.contains_key(id);
@@ -285,10 +303,9 @@
                 self.restart_worker(&listing.id);
                 continue;
             }
-            self.listings.retain(|other| other.vm != listing.vm);
-            let worker = TaskWorker::new(listing.capacity);
-            self.workers.insert(listing.id.clone(), worker);
-            self.listings.push(listing);
+            let former = self.listings.extract_if(.., |l| l.vm == listing.vm);
+            self.replaced.extend(former.map(|former| former.id));
+            self.add_worker(listing);
         }
         self.list();
     }
@@ -314,6 +331,17 @@
         self.scheduler.inherit_silent_workers(&silent, at(self.now_ms));
     }
 
+    /// Returns the VMs of all listed workers, as the VM service shows them.
+    pub fn managed_vms(&self) -> Vec<ManagedVm> {
+        self.listings.iter().map(managed).collect()
+    }
+
+    /// Lists the VMs of all listed workers to the scheduler.
+    pub fn list_vms(&mut self) {
+        let (now, vms) = (at(self.now_ms), self.managed_vms());
+        self.scheduler.list_vms(now, self.now_ms, &vms);
+    }
+
     pub fn list(&mut self) {
         let now = at(self.now_ms);
         self.scheduler.list_workers(now, self.listings.clone());
@@ -396,7 +424,7 @@
                     Some(reached) => {
                         reached.start(clock, &order, demand, fate)
                     }
-                    None => Err(OrderError::Unknown),
+                    None => Err(self.no_answer(&worker)),
                 };
                 let crashes = self.crashing.contains(&order.task);
                 let result = match result {
@@ -424,7 +452,7 @@
                 let clock = self.clock_of(&worker);
                 let result = match self.reach(&worker) {
                     Some(reached) => reached.stop(clock, &order),
-                    None => Err(OrderError::Unknown),
+                    None => Err(self.no_answer(&worker)),
                 };
                 self.scheduler.stop_answered(
                     &worker,
@@ -437,7 +465,7 @@
                 let clock = self.clock_of(&worker);
                 let result = match self.reach(&worker) {
                     Some(reached) => reached.hold(clock, held.order()),
-                    None => Err(OrderError::Unknown),
+                    None => Err(self.no_answer(&worker)),
                 };
                 self.hold_result(&worker, &held, result, now);
             }
@@ -479,6 +507,15 @@
         self.workers.get_mut(worker)
     }
 
+    /// Returns what becomes of an order to a worker that isn't reached.
+    fn no_answer(&self, worker: &WorkerId) -> OrderError {
+        if self.replaced.contains(worker) {
+            OrderError::Refused(Refusal::OtherLife)
+        } else {
+            OrderError::Unknown
+        }
+    }
+
     pub fn running(&mut self) -> Vec<String> {
         let ids: Vec<WorkerId> = self.workers.keys().cloned().collect();
         let mut running: Vec<String> = Vec::new();
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -11,9 +11,9 @@
         job::{JobId, JobSpec, Progress, Repeat, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, ColdTerms, EndCause, HoldReport, Incarnation,
-            Now, Options, OrderError, QueueTerms, Resources, Scheduler,
-            StartOrder, StopOrder, TeamUse, UseCeilings, WorkerId,
-            WorkerListing,
+            ManagedVm, Now, Options, OrderError, QueueTerms, Resources,
+            Scheduler, StartOrder, StopOrder, TeamUse, UseCeilings, VmStatus,
+            WorkerId, WorkerListing,
         },
         team::{Team, Teams},
     },
@@ -758,6 +758,25 @@
         });
         let listings = processes.collect();
         self.scheduler.list_workers(self.now(), listings);
+        if self.hall_faults.is_none() {
+            self.list_managed_vms();
+        }
+    }
+
+    /// Lists the VMs, each with its worker.
+    fn list_managed_vms(&mut self) {
+        let managed = |process: &WorkerProcess| ManagedVm {
+            vm: process.listing.vm.clone(),
+            pool: process.listing.pool.clone(),
+            status: VmStatus::Up,
+            hall: process.listing.hall.clone(),
+            capacity: process.listing.capacity,
+            worker: Some(process.listing.id.clone()),
+        };
+        let vms: Vec<ManagedVm> =
+            self.processes.values().map(managed).collect();
+        let now = self.now();
+        self.scheduler.list_vms(now, now.steady_ms, &vms);
     }
 
     pub fn submit(&mut self, number: u64) {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -162,6 +162,8 @@
         "Times that a worker got nothing to start for a while.";
     WORKERS_GONE, "counter", "dewspar_workers_gone_total", Some("reason"),
         "Workers that were taken for ended, by how that was detected.";
+    WORKERS_DOUBTED, "counter", "dewspar_workers_doubted_total", None,
+        "Workers that the directory didn't list although it listed another on their VM.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
     SUSPENSIONS, "counter", "dewspar_suspensions_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -9,7 +9,7 @@
         Decision, RemainingVms, WaveDeadline, WaveProgress, WorkerEvidence,
         WorkerId,
     },
-    slog::{Logger, info, warn},
+    slog::{KV, Logger, info, o, warn},
 };
 
 /// Logs and counts a decision.
@@ -229,8 +229,16 @@
         Decision::WaveProgress { wave, progress } => {
             log_wave(log, *wave, progress);
         }
+        Decision::WorkerDoubted { worker, evidence } => {
+            info!(log, "worker: doubted"; "worker" => %worker,
+                "reason" => "the directory lists another on its VM",
+                evidence_keys(evidence));
+            counters::count(counters::WORKERS_DOUBTED);
+        }
         Decision::WorkerGone { worker, reason, evidence } => {
-            log_worker_gone(log, worker, reason, evidence);
+            warn!(log, "worker: gone"; "worker" => %worker,
+                "reason" => reason, evidence_keys(evidence));
+            counters::count_by(counters::WORKERS_GONE, "reason", reason);
         }
         Decision::JobFinished { job, phase, after_ms } => {
             info!(log, "job: came to its end"; "job" => %job,
@@ -253,24 +261,18 @@
     }
 }
 
-/// Logs and counts the end of a worker, with what every source said of it.
-fn log_worker_gone(
-    log: &Logger,
-    worker: &WorkerId,
-    reason: &'static str,
-    evidence: &WorkerEvidence,
-) {
+/// Returns the keys of a log line that show what every source says of a
+/// worker.
+fn evidence_keys(evidence: &WorkerEvidence) -> impl KV + use<> {
     let to_text = |id: Option<&WorkerId>| id.map(WorkerId::to_string);
-    warn!(log, "worker: gone"; "worker" => %worker, "reason" => reason,
-        "runs" => evidence.runs, "vm" => &evidence.vm,
+    o!("runs" => evidence.runs, "vm" => evidence.vm.clone(),
         "listed" => evidence.is_listed,
         "other" => to_text(evidence.other.as_ref()),
         "directory_age_ms" => evidence.directory_age_ms,
         "vm_list" => evidence.vm_list.name(),
         "vm_list_worker" => to_text(evidence.vm_list.other()),
         "vm_list_age_ms" => evidence.vm_list_age_ms,
-        "answer_age_ms" => evidence.answer_age_ms);
-    counters::count_by(counters::WORKERS_GONE, "reason", reason);
+        "answer_age_ms" => evidence.answer_age_ms)
 }
 
 /// Logs the progress of a wave, and counts its late VMs by reason when its
