Keep starts in doubt while only the directory names another worker

Callers see: a task isn't started elsewhere any more while an earlier order may still be carried out by a live worker whose VM also has a former worker's entry.

Cause: a start in doubt was dropped as soon as some other worker was known on its VM and its own worker wasn't. That other one may be the former worker.

Evidence: before, the first new test ends with two runs of one task: a new holder finds only the entry of the former worker, of another pool, starts the task elsewhere, and the late order is then carried out.

Why it works: only a list of VMs that was requested after the order shows that the VM runs a worker of another name. The start is dropped with the first read of the directory after that list, and without one after the longest delivery, as before.

--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -37,7 +37,7 @@
     crate::{
         job::{InDoubtRecord, JobId, TaskId},
         schedule::{
-            Decision, Now, Scheduler, WorkerId,
+            Decision, Now, Scheduler, VmStatus, WorkerId,
             job_state::Task,
             worker::{Run, Worker},
         },
@@ -313,12 +313,18 @@
 
     /// Returns whether the VM of a start runs a worker of another name, which
     /// refuses that order.
+    ///
+    /// Only a list of VMs tells, if it was requested after the order: another
+    /// entry in the directory may be that of a former worker. What a previous
+    /// holder ordered was recorded before any list under this lease.
     fn is_replaced(&self, start: &InDoubt) -> bool {
-        let other = |worker: &Worker| {
-            worker.listing.vm == start.vm && *worker.id() != start.worker
-        };
-        !start.vm.is_empty()
+        let ordered_ms = start.ordered_ms.unwrap_or(0);
+        let runs_other = self.vms.get(&start.vm).is_some_and(|vm| {
+            let other = |worker: &WorkerId| *worker != start.worker;
+            vm.status == VmStatus::Up && vm.worker.as_ref().is_some_and(other)
+        });
+        runs_other
+            && self.vms_asked_ms > ordered_ms
             && !self.workers.contains_key(&start.worker)
-            && self.workers.values().any(other)
     }
 }
--- a/crates/dewspar/tests/schedule/in_doubt.rs
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -2,10 +2,13 @@
 //! worker's next process, which has seen no token.
 
 use {
-    crate::world::{World, at, id, job, step},
+    crate::world::{World, at, id, job, managed, step},
     dewspar::{
         job::{JobId, StepSpec},
-        schedule::{Decision, Resources, StartOrder, WorkerId, WorkerListing},
+        schedule::{
+            Decision, ManagedVm, Resources, StartOrder, WorkerId,
+            WorkerListing,
+        },
     },
     dewspar_standin::task_worker::Fate,
     std::collections::BTreeMap,
@@ -136,6 +139,57 @@
     }
 }
 
+// Guards against a start that its worker carries out late while its task runs
+// elsewhere, because a new holder finds a former worker's entry on its VM and
+// not its own.
+#[test]
+fn a_start_is_not_carried_out_late_beside_another_where_a_former_entry_stands()
+{
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, order) = lose_start(&mut world, id(1));
+    world.unreachable.push(on.clone());
+    world.run_for(50);
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    let here = |listing: &&mut WorkerListing| listing.id == on;
+    let entry = world.listings.iter_mut().find(here).expect("listed");
+    entry.id = WorkerId::new("former");
+    entry.pool = "another".to_owned();
+    for _ in 0..10 {
+        world.list();
+        world.run_for(500);
+    }
+    deliver(&mut world, &on, &order);
+    assert_eq!(world.running().len(), 1);
+}
+
+/// A list of VMs that was requested before the order may show the worker
+/// before.
+#[test]
+fn a_list_of_vms_from_before_an_order_does_not_show_that_it_cannot_arrive() {
+    let mut world = restarting(&["w1", "w2"]);
+    world.fate = Fate::endless();
+    let asked_ms = world.now_ms;
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    let (on, order) = lose_start(&mut world, id(1));
+    let reason = "the VM service says that it ended";
+    world.scheduler.worker_gone(&on, reason, at(world.now_ms));
+    world.listings.retain(|listing| listing.id != on);
+    let mut vms: Vec<_> = world.listings.iter().map(managed).collect();
+    let former = Some(WorkerId::new("former"));
+    let vm = format!("vm-of-{on}");
+    vms.push(ManagedVm { vm, worker: former, ..vms[0].clone() });
+    world.scheduler.list_vms(at(world.now_ms), asked_ms, &vms);
+    world.list();
+    world.run_for(5_000);
+    deliver(&mut world, &on, &order);
+    assert_eq!(world.running().len(), 1);
+}
+
 // Guards against an unanswered start that the next process of a worker carries
 // out while its task runs elsewhere, if the worker was first known to have
 // ended.
