Use a worker again that a later list of VMs shows as alive

Callers see: a worker that reports no start time and was taken for ended wrongly gets tasks again, and its runs are known again, as soon as the next list of VMs shows it.

Cause: the directory entry of a worker that was noted as ended and reports no start time was ignored for good, whatever the list of VMs said later.

Evidence: before, the first new test starts nothing on the fleet's only worker for 3 s, although it answers and the directory and a later list of VMs show it.

Why it works: a list that was requested after the conclusion contradicts it, so the process counts as one that may come back. It isn't used before it answers under a new token, and lists its runs then. Two more tests guard against the reverse: an older list brings nobody back, and a worker that has ended delays no task and isn't counted as a crash again.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -143,6 +143,9 @@
         for id in ended {
             self.worker_gone(&id, "the VM service says that it ended", now);
         }
+        for (id, _) in &live_workers {
+            self.former_processes.shown_alive(id, asked_ms);
+        }
         if is_partial {
             self.add_live_workers(now, live_workers);
         } else {
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -117,6 +117,22 @@
         }
     }
 
+    /// Notes that a list of VMs that was requested at this time of the steady
+    /// clock, in milliseconds, shows a worker as alive.
+    ///
+    /// If its process was noted as ended before, that was wrong, or the list
+    /// is late. So it may come back: it isn't used before it answers. One that
+    /// reports its start time comes back without this.
+    pub(super) fn shown_alive(&mut self, id: &WorkerId, asked_ms: u64) {
+        let may_return = |former: &FormerProcess| {
+            former.incarnation == Incarnation::UNKNOWN
+                && former.ended_ms < asked_ms
+        };
+        if self.0.get(id).is_some_and(may_return) {
+            self.mark_lapsed(id);
+        }
+    }
+
     /// Returns whether a worker's last process is known to have ended.
     pub(super) fn has_ended(&self, id: &WorkerId) -> bool {
         self.0.get(id).is_some_and(|former| former.end == ProcessEnd::Ended)
--- a/crates/dewspar/tests/schedule/restarted_workers.rs
+++ b/crates/dewspar/tests/schedule/restarted_workers.rs
@@ -4,12 +4,12 @@
     crate::{
         crashing::{MAX_STARTS, first_task, starts_of},
         task_moves::plan_round,
-        world::{RunKind, World, at, id, job, next_hold, step},
+        world::{RunKind, World, at, id, job, managed, next_hold, step},
     },
     dewspar::{
         job::StepSpec,
         schedule::{
-            Decision, HoldReport, Incarnation, OrderError, Resources,
+            Action, Decision, HoldReport, Incarnation, OrderError, Resources,
             SentHold, StartOrder, WorkerId,
         },
     },
@@ -158,6 +158,80 @@
     assert!(after_ms <= RERUN_WITHIN_MS, "{after_ms} ms");
 }
 
+// Guards against a worker that is taken for ended once and never used again,
+// although its VM still runs it.
+#[test]
+fn a_worker_that_a_later_list_of_vms_shows_is_used_again() {
+    let mut world = World::new(5, &["w1"]);
+    world.list();
+    world.expect_all();
+    world.fate = Fate::endless();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(500);
+    let reason = "another worker answers at its address";
+    world.scheduler.worker_gone(&w("w1"), reason, at(world.now_ms));
+    run_reading_directory(&mut world, 1_000);
+    let vms: Vec<_> = world.listings.iter().map(managed).collect();
+    world.scheduler.list_vms(at(world.now_ms), world.now_ms, &vms);
+    world.scheduler.submit(id(2), job(vec![step(1)]), 6, None);
+    run_reading_directory(&mut world, 2_000);
+    assert_eq!(starts_of(&world, &first_task(id(2))), 1);
+    assert_eq!(world.running().len(), 2);
+}
+
+/// A worker that has ended delays no task, although a late list of VMs and an
+/// old entry show it for a while.
+#[test]
+fn an_ended_worker_that_a_late_list_of_vms_shows_delays_no_task() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.run_for(500);
+    world.workers.remove(&w("w1"));
+    let reason = "another worker answers at its address";
+    world.scheduler.worker_gone(&w("w1"), reason, at(world.now_ms));
+    world.run_for(500);
+    for _ in 0..3 {
+        let vms: Vec<_> = world.listings.iter().map(managed).collect();
+        world.scheduler.list_vms(at(world.now_ms), world.now_ms, &vms);
+        world.list();
+        world.run_for(500);
+    }
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(300);
+    assert_eq!(world.running().len(), 1);
+    world.listings.retain(|listing| listing.id != w("w1"));
+    let vms: Vec<_> = world.listings.iter().map(managed).collect();
+    world.scheduler.take_decisions();
+    world.run_for(50);
+    world.scheduler.list_vms(at(world.now_ms), world.now_ms, &vms);
+    let decisions = world.scheduler.take_decisions();
+    let gone = |d: &Decision| matches!(d, Decision::WorkerGone { .. });
+    let suspected = |d: &Decision| matches!(d, Decision::Suspected { .. });
+    assert!(decisions.iter().any(gone), "{decisions:?}");
+    assert!(!decisions.iter().any(suspected), "{decisions:?}");
+}
+
+/// A list of VMs that was requested before a worker's end doesn't bring it
+/// back.
+#[test]
+fn a_worker_is_not_used_again_by_an_older_list_of_vms() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.list();
+    world.expect_all();
+    world.run_for(500);
+    let asked_ms = world.now_ms - 50;
+    world.workers.remove(&w("w1"));
+    let reason = "another worker answers at its address";
+    world.scheduler.worker_gone(&w("w1"), reason, at(world.now_ms));
+    let vms: Vec<_> = world.listings.iter().map(managed).collect();
+    world.scheduler.list_vms(at(world.now_ms), asked_ms, &vms);
+    world.list();
+    let actions = world.scheduler.plan(at(world.now_ms + 50));
+    let to_ended = |action: &Action| matches!(action, Action::Hold { worker, .. } if *worker == w("w1"));
+    assert!(!actions.iter().any(to_ended), "{actions:?}");
+}
+
 // Guards against a task that crashes each process of a worker without being
 // suspected.
 #[test]
