Wait for the leases of unlisted workers while no list of VMs was read

Callers see: after a takeover without the VM service, a task isn't started a second time while its run goes on at a worker that has no directory entry.

Cause: 3 s after a takeover the directory counted as complete. A live worker that can't reach the store has no entry, and its lease may have been renewed just before the takeover.

Evidence: before, the new test has two runs of one task 3.5 s after a takeover: the former holder reached the worker until then, and the directory has lost its entry.

Why it works: the longest lease that a previous holder may have granted is over by then, so nothing can run at a worker that isn't known. The test also checks that the task starts elsewhere afterwards. A complete list of VMs makes all workers known at once, as before; beside a partial one the directory suffices after 3 s, so that a row that can't be read delays no takeover for longer.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -64,10 +64,7 @@
         if self.taken_over_ms == 0 {
             self.taken_over_ms = now.steady_ms;
         }
-        let settled = self.taken_over_ms + self.options.directory_settle_ms;
-        // Without the VM service, a directory that has had time to fill must
-        // suffice.
-        self.workers_known |= now.steady_ms >= settled;
+        self.workers_known |= now.steady_ms >= self.settled_from_ms();
         let unread_ms = now.steady_ms.saturating_sub(self.directory_ms);
         if self.directory_ms > 0 && unread_ms >= MIN_OUTAGE_MS {
             self.directory_complete_ms = now.steady_ms + REENTRY_MS;
@@ -138,6 +135,22 @@
         }
     }
 
+    /// Returns from when the directory must suffice to know all workers, on
+    /// the steady clock, in milliseconds.
+    ///
+    /// Beside a partial list of VMs it must once it has had time to fill.
+    /// Without any list, a worker that can't reach the store has no entry and
+    /// may run what a former holder started until its lease is over.
+    fn settled_from_ms(&self) -> u64 {
+        let settle_ms = self.options.directory_settle_ms;
+        let has_vm_list = self.vms_asked_ms > 0;
+        let after_ms = match has_vm_list {
+            true => settle_ms,
+            false => settle_ms.max(self.options.inherited_lease_ms()),
+        };
+        self.taken_over_ms + after_ms
+    }
+
     /// Returns workers that the VM list shows and whose directory entries
     /// aren't known.
     ///
--- a/crates/dewspar/tests/schedule/silent_workers.rs
+++ b/crates/dewspar/tests/schedule/silent_workers.rs
@@ -172,3 +172,34 @@
     let written = serde_json::to_value(&written).unwrap();
     assert_eq!(written, serde_json::json!({ "w2": LONGEST_RUN_MS - 1_100 }));
 }
+
+/// Takes over from the former holder, which renewed the lease just before. The
+/// directory has lost the entry of this worker, and the VM service is down.
+fn take_over_without_vms(world: &mut World, lost: &WorkerId) {
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(20);
+    world.listings.retain(|listing| listing.id != *lost);
+    world.list();
+    let scheduler = &mut world.scheduler;
+    scheduler.submit(id(1), lasting_job(), 8, progress.as_ref());
+}
+
+// Guards against a task that runs twice because a new holder without the VM
+// service takes the directory for complete, while its worker has no entry.
+#[test]
+fn a_task_never_runs_twice_while_its_worker_has_no_entry() {
+    let (mut world, cut) = world_with_cut_worker();
+    world.unreachable.clear();
+    world.run_for(500);
+    take_over_without_vms(&mut world, &cut);
+    for _ in 0..(LONGEST_RUN_MS / 500) {
+        world.list();
+        world.run_for(500);
+        let running = world.running();
+        assert!(running.len() <= 1, "{running:?} at {}", world.now_ms);
+    }
+    world.run_for(1_000);
+    world.list();
+    world.run_for(1_000);
+    assert_eq!(world.running().len(), 1);
+}
