--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -45,6 +45,7 @@
 mod storing;
 mod takeover;
 mod team_limits;
+mod unlisted_workers;
 mod unseen_starts;
 mod wave_deadlines;
 mod wave_progress;
--- a/crates/dewspar/tests/schedule_random/hall_faults.rs
+++ b/crates/dewspar/tests/schedule_random/hall_faults.rs
@@ -110,7 +110,9 @@
     /// Submits jobs in bursts, so that workers without runs get some at any
     /// time.
     pub fn submit_bursts(&mut self, step: u64) {
-        if self.hall_faults.is_none() || !step.is_multiple_of(BURST_STEPS) {
+        let has_bursts =
+            self.hall_faults.is_some() || self.former_entries.is_some();
+        if !has_bursts || !step.is_multiple_of(BURST_STEPS) {
             return;
         }
         let first = 10 + step / BURST_STEPS * BURST_JOBS;
@@ -231,6 +233,7 @@
     pub fn list_vms_if_requested(&mut self) {
         if self.scheduler.take_vm_list_request() {
             self.list_vms();
+            self.request_vm_list();
         }
     }
 
@@ -261,6 +264,7 @@
     pub fn check_hall_losses(&mut self) {
         let now_ms = self.now_ms;
         let decisions = self.scheduler.take_decisions();
+        self.check_ended_workers(&decisions);
         let Some(faults) = &mut self.hall_faults else { return };
         for decision in &decisions {
             let Decision::Suspected { task, worker, .. } = decision else {
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -3,6 +3,7 @@
 //! cancellations and store outages, checked against invariants.
 
 mod cancelled_runs;
+mod former_entries;
 mod hall_faults;
 mod hall_losses;
 mod job_order;
@@ -15,6 +16,7 @@
         job::{Phase, TaskId},
         schedule::Policy,
     },
+    std::collections::BTreeMap,
 };
 
 fn run(seed: u64) -> World {
@@ -370,6 +372,56 @@
     assert!(suspicions > 0, "no suspicion");
 }
 
+/// The ways to find that a worker was replaced, each with how often it must
+/// have occurred.
+const LET_GO: [(&str, u32); 3] = [
+    ("the VM service says that it ended", 500),
+    ("another worker answers at its address", 100),
+    ("its lease is over", 0),
+];
+
+// Guards against two runs of a task because its live worker counts as replaced
+// by its VM's former one, whose entry is still in the directory.
+#[test]
+fn no_task_runs_twice_beside_the_entries_of_former_workers() {
+    let mut replaced = 0;
+    let mut misleading_reads = 0;
+    let mut let_go: BTreeMap<&str, u32> = BTreeMap::new();
+    for seed in 0..30 {
+        for world in [World::new(seed), World::short_lived_holders(seed)] {
+            let world = run_world(world.with_former_entries(), seed);
+            // OK because it was set above.
+            let entries = world.former_entries.expect("former entries");
+            assert_eq!(entries.wrong_end, None, "seed {seed}");
+            replaced += entries.replaced;
+            misleading_reads += entries.misleading_reads;
+            for (reason, count) in entries.let_go {
+                *let_go.entry(reason).or_default() += count;
+            }
+        }
+    }
+    // Enough cases must have occurred to test the invariants.
+    assert!(replaced > 800, "{replaced}");
+    assert!(misleading_reads > 500, "{misleading_reads}");
+    for (reason, least) in LET_GO {
+        let count = let_go.get(reason).copied().unwrap_or(0);
+        assert!(count > least, "{reason}: {count} of {let_go:?}");
+    }
+}
+
+// Guards against tasks that wait for a lease because the holder keeps a worker
+// that only its first list of VMs has shown, and that has ended since.
+#[test]
+fn ended_workers_without_an_entry_are_let_go() {
+    for seed in 0..20 {
+        let world = World::new(seed).with_former_entries();
+        let entries = run_world(world, seed).former_entries;
+        // OK because it was set above.
+        let kept = entries.expect("former entries").kept_unlisted;
+        assert_eq!(kept, None, "seed {seed}");
+    }
+}
+
 /// The digest of all orders of 60 runs in which no hall may be lost. A change
 /// that isn't meant to change decisions must not change it.
 const ORDERS_DIGEST: u64 = 9_244_196_820_805_052_725;
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         cancelled_runs::{CancelledRun, CancelledRuns},
+        former_entries::FormerEntries,
         hall_faults::{HallFaults, hall_of, vm_of},
         hall_losses::HallLosses,
         pending_jobs::Miscounted,
@@ -152,12 +153,26 @@
 
     /// Gives it the incarnation of a process that starts now; its clock isn't
     /// reset.
-    fn set_incarnation(&mut self, now_ms: u64) {
+    pub fn set_incarnation(&mut self, now_ms: u64) {
         let process = Incarnation::started_at(1_700_000_000_000 + now_ms);
         self.listing.incarnation = process;
         self.worker = self.worker.clone().incarnated(process);
     }
 
+    pub fn is_running(&mut self, now_ms: u64) -> bool {
+        let clock = self.clock(now_ms);
+        !self.worker.running(clock).is_empty()
+    }
+
+    pub fn is_reachable(&self, now_ms: u64) -> bool {
+        now_ms >= self.unreachable_until_ms
+    }
+
+    pub fn cut_off(&mut self, until_ms: u64) {
+        self.unreachable_until_ms = until_ms;
+        self.was_unreachable = true;
+    }
+
     fn clock(&self, now_ms: u64) -> u64 {
         (now_ms - self.started_ms) * (1_000 - self.clock_lag) / 1_000
     }
@@ -240,6 +255,8 @@
     pub orders: Option<Vec<(u64, WorkerId, TaskId, u64)>>,
     /// The faults of data halls, if there are any.
     pub hall_faults: Option<HallFaults>,
+    /// The directory and the VM service, if they may be out of date.
+    pub former_entries: Option<FormerEntries>,
     /// The number of ends that workers list at once, if that is few.
     listed_ends: Option<usize>,
     /// The number of answers to holds that left out ends.
@@ -308,6 +325,7 @@
             cold_limits: 0,
             orders: None,
             hall_faults: None,
+            former_entries: None,
             listed_ends: None,
             cut_answers: 0,
             digest: 0,
@@ -603,7 +621,7 @@
         }
     }
 
-    fn is_store_out(&self) -> bool {
+    pub fn is_store_out(&self) -> bool {
         self.now_ms < self.outage_until_ms
     }
 
@@ -637,7 +655,7 @@
         self.faults && self.random.random_range(0..1_000) < per_mille
     }
 
-    pub fn start_process(&mut self, vm: u32) {
+    pub fn start_process(&mut self, vm: u32) -> WorkerId {
         self.next_process += 1;
         let name = format!("w{vm}-{}", self.next_process);
         let listing = WorkerListing {
@@ -676,7 +694,8 @@
         if let Some(ends) = self.listed_ends {
             process.worker = process.worker.listing_at_most(ends);
         }
-        self.processes.insert(listing.id, process);
+        self.processes.insert(listing.id.clone(), process);
+        listing.id
     }
 
     fn options(&self) -> Options {
@@ -725,6 +744,10 @@
         if self.next_holder_ms.is_none() && self.random.random() {
             self.load(usize::MAX);
         }
+        if self.former_entries.is_some() {
+            self.read_anew();
+            return;
+        }
         self.list();
         let processes: Vec<(WorkerId, String)> = self
             .processes
@@ -865,12 +888,23 @@
         }
     }
 
+    pub fn process_on(&mut self, vm: u32) -> Option<&mut WorkerProcess> {
+        let mut processes = self.processes.values_mut();
+        processes.find(|process| vm_of(&process.listing.id) == vm)
+    }
+
     fn any_process(&mut self) -> Option<&mut WorkerProcess> {
+        if self.processes.is_empty() {
+            return None;
+        }
         let chosen = self.random.random_range(0..self.processes.len());
         self.processes.values_mut().nth(chosen)
     }
 
     fn crash(&mut self) {
+        if self.processes.is_empty() {
+            return;
+        }
         let chosen = self.random.random_range(0..self.processes.len());
         let Some(id) = self.processes.keys().nth(chosen).cloned() else {
             return;
@@ -880,6 +914,10 @@
 
     /// Replaces a worker's process by another one on its VM.
     fn replace(&mut self, id: &WorkerId) {
+        if self.former_entries.is_some() {
+            self.replace_worker(id);
+            return;
+        }
         let Some(former) = self.processes.remove(id) else { return };
         let vm = vm_of(id);
         if !self.keeps_worker_ids || self.random.random_ratio(1, 5) {
@@ -909,6 +947,7 @@
             self.disturb(step);
         }
         self.change_hall_fault();
+        self.change_vms();
         self.deliver_late();
         self.take_over_if_due();
         if self.scheduler.is_loading() {
@@ -923,7 +962,9 @@
         // Changes during an outage are read after it.
         let is_store_out =
             self.unenforced && self.now_ms < self.outage_until_ms;
-        if step.is_multiple_of(10) && !is_store_out {
+        if self.former_entries.is_some() {
+            self.read_sources();
+        } else if step.is_multiple_of(10) && !is_store_out {
             self.list();
             self.list_vms();
         }
@@ -1127,6 +1168,9 @@
             self.note_missed(worker);
             return Err(OrderError::Unknown);
         }
+        if !self.processes.contains_key(worker) {
+            return Err(self.answer_of_next(worker));
+        }
         let process =
             self.processes.get_mut(worker).ok_or(OrderError::NotSent)?;
         if now_ms < process.unreachable_until_ms {
