End workers without an entry with the list of VMs

Callers saw a task wait for 16 s although the list of VMs showed that its worker had ended.

Cause: a worker that only the first list of VMs of a new holder shows was added without the name of its VM, and a list of VMs ends only workers whose VM is known. It has no address either, so it is never asked: only the end of the inherited lease let it go. Now it has the name of its VM.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -269,26 +269,31 @@
         now: Now,
         live_workers: impl IntoIterator<Item = (WorkerId, String)>,
     ) {
+        let live_workers = live_workers.into_iter().map(|(id, pool)| {
+            WorkerListing::unlisted(id, String::new(), pool)
+        });
         self.add_live_workers(now, live_workers);
         self.workers_known = true;
     }
 
     /// Adds workers that the VM service reports as alive after a takeover,
-    /// each with its pool, although there may be others.
+    /// although there may be others.
+    ///
+    /// Those with a VM end if a later list of VMs no longer shows them there.
     pub(super) fn add_live_workers(
         &mut self,
         now: Now,
-        live_workers: impl IntoIterator<Item = (WorkerId, String)>,
+        live_workers: impl IntoIterator<Item = WorkerListing>,
     ) {
         if self.workers_known {
             return;
         }
-        for (id, pool) in live_workers {
+        for listing in live_workers {
+            let id = listing.id.clone();
             let known = self.workers.contains_key(&id);
             if known || self.former_processes.has_ended(&id) {
                 continue;
             }
-            let listing = WorkerListing::unlisted(id.clone(), pool);
             let mut worker = self.new_worker(listing, now);
             // It hasn't reported anything about itself.
             worker.reported_at_ms = 0;
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -16,6 +16,7 @@
         schedule::{
             Decision, ManagedVm, Now, Scheduler, VmList, VmOrder,
             VmOrderError, VmStatus, WaveRecord, WaveRequest, WorkerId,
+            WorkerListing,
             wave_progress::WaveReports,
             wave_state::WaveState,
             worker::{DrainReason, RunState, Worker},
@@ -117,18 +118,14 @@
     ) {
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
         self.vms_asked_ms = asked_ms;
-        let live_workers = vms.iter().filter(|vm| vm.status == VmStatus::Up);
-        let live_workers: Vec<(WorkerId, String)> = live_workers
-            .filter_map(|vm| {
-                vm.worker.clone().map(|worker| (worker, vm.pool.clone()))
-            })
-            .collect();
+        let live_workers: Vec<WorkerListing> =
+            vms.iter().filter_map(live_worker).collect();
         // A worker that isn't in the list has ended, if it was known before
         // the list was requested. Its row may be one that can't be read.
         let may_be_hidden =
             |vm: &String| is_partial && !self.vms.contains_key(vm);
         let listed: BTreeSet<&WorkerId> =
-            live_workers.iter().map(|(worker, _)| worker).collect();
+            live_workers.iter().map(|listing| &listing.id).collect();
         let ended: Vec<WorkerId> = self
             .workers
             .values()
@@ -143,14 +140,11 @@
         for id in ended {
             self.worker_gone(&id, "the VM service says that it ended", now);
         }
-        for (id, _) in &live_workers {
-            self.former_processes.shown_alive(id, asked_ms);
-        }
-        if is_partial {
-            self.add_live_workers(now, live_workers);
-        } else {
-            self.expect_workers(now, live_workers);
+        for listing in &live_workers {
+            self.former_processes.shown_alive(&listing.id, asked_ms);
         }
+        self.add_live_workers(now, live_workers);
+        self.workers_known |= !is_partial;
         for state in self.waves.values_mut() {
             state.update(asked_ms, &self.vms, is_partial);
         }
@@ -511,3 +505,9 @@
         waves.any(|state| !state.completed && state.awaits(vm))
     }
 }
+
+/// Returns what a list of VMs shows of the worker on a VM, if it is alive.
+fn live_worker(vm: &ManagedVm) -> Option<WorkerListing> {
+    let id = vm.worker.clone().filter(|_| vm.status == VmStatus::Up)?;
+    Some(WorkerListing::unlisted(id, vm.vm.clone(), vm.pool.clone()))
+}
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -246,12 +246,18 @@
 impl WorkerListing {
     /// Returns an entry for a worker that is known to run, but not at which
     /// address.
-    pub(crate) fn unlisted(id: WorkerId, pool: String) -> WorkerListing {
+    ///
+    /// The name of its VM is empty if it isn't known either.
+    pub(crate) fn unlisted(
+        id: WorkerId,
+        vm: String,
+        pool: String,
+    ) -> WorkerListing {
         WorkerListing {
             id,
             incarnation: Incarnation::UNKNOWN,
             address: String::new(),
-            vm: String::new(),
+            vm,
             pool,
             hall: String::new(),
             rack: String::new(),
