--- a/crates/dewspar/tests/schedule/worker_answers.rs
+++ b/crates/dewspar/tests/schedule/worker_answers.rs
@@ -488,3 +488,41 @@
     assert!(pause_after_burst_ms(5, Refusal::LeaseOver) <= 100);
     assert!(pause_after_burst_ms(5, Refusal::Unhealthy) <= 1_000);
 }
+
+// Guards against a task that runs twice because a new holder couldn't read the
+// row of its run in its worker's answer.
+#[test]
+fn a_run_in_a_row_that_cannot_be_read_is_not_started_again_after_a_takeover() {
+    let mut world = World::new(5, &["w1", "w2"]);
+    world.fate = Fate::endless();
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(500);
+    let on = world.starts[0].0.clone();
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    world.list();
+    world.expect_all();
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    for _ in 0..40 {
+        world.now_ms += 50;
+        let now = at(world.now_ms);
+        for action in world.scheduler.plan(now) {
+            match action {
+                Action::Hold { worker, held, .. } if worker == on => {
+                    let clock = world.clock_of(&on);
+                    let reached = world.reach(&on).expect("up");
+                    let mut report =
+                        reached.hold(clock, held.order()).expect("one holder");
+                    report.active.clear();
+                    report.is_partial = true;
+                    world.hold_result(&on, &held, Ok(report), now);
+                }
+                other => world.carry_out(other, now),
+            }
+        }
+        assert_eq!(world.running().len(), 1);
+    }
+}
