Name readings of the list of VMs and their docs as the rest of the crate does

A struct of the same name as the trait for the list of VMs is now VmReading; docs say which clock and unit, and what a function does. No decision changes.

--- a/crates/dewspar-platform/src/fleet.rs
+++ b/crates/dewspar-platform/src/fleet.rs
@@ -3,7 +3,7 @@
     dewspar::{
         job::{QueueSet, TaskId},
         schedule::{
-            VmList, VmOrderError, WaveRequest, WorkerId, WorkerListing,
+            VmOrderError, VmReading, WaveRequest, WorkerId, WorkerListing,
         },
     },
     std::{collections::BTreeSet, future::Future},
@@ -47,7 +47,7 @@
     ) -> impl Future<Output = Result<Option<WorkerListing>, Error>> + Send;
 
     /// Reads the list of VMs.
-    fn vms(&self) -> impl Future<Output = Result<VmList, Error>> + Send;
+    fn vms(&self) -> impl Future<Output = Result<VmReading, Error>> + Send;
 
     /// Starts a VM's maintenance; fine if the wave has done it already.
     fn maintain(
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -40,7 +40,7 @@
         schedule::{
             EndCause, HoldOrder, HoldReport, Incarnation, ManagedVm,
             OrderError, PaceOrder, Refusal, Resources, StartOrder, StopOrder,
-            VmList, VmOrderError, VmStatus, WaveRequest, WorkerId,
+            VmOrderError, VmReading, VmStatus, WaveRequest, WorkerId,
             WorkerListing,
         },
     },
@@ -449,7 +449,7 @@
         Ok(state.workers.get(id).map(|entry| entry.listing.clone()))
     }
 
-    async fn vms(&self) -> Result<VmList, Error> {
+    async fn vms(&self) -> Result<VmReading, Error> {
         let state = self.lock();
         let entries = state.workers.values();
         let vms = entries
@@ -462,7 +462,7 @@
                 worker: Some(entry.listing.id.clone()),
             })
             .collect();
-        Ok(VmList { vms, is_partial: false })
+        Ok(VmReading { vms, is_partial: false })
     }
 
     async fn maintain(
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -135,18 +135,19 @@
         }
     }
 
-    /// Returns from when the directory must suffice to know all workers, on
-    /// the steady clock, in milliseconds.
+    /// Returns from when the directory alone counts as complete, on the steady
+    /// clock, in milliseconds.
     ///
-    /// Beside a partial list of VMs it must once it has had time to fill.
+    /// Beside a partial list of VMs it does once it has had time to fill.
     /// Without any list, a worker that can't reach the store has no entry and
     /// may run what a former holder started until its lease is over.
     fn settled_from_ms(&self) -> u64 {
         let settle_ms = self.options.directory_settle_ms;
         let has_vm_list = self.vms_asked_ms > 0;
-        let after_ms = match has_vm_list {
-            true => settle_ms,
-            false => settle_ms.max(self.options.inherited_lease_ms()),
+        let after_ms = if has_vm_list {
+            settle_ms
+        } else {
+            settle_ms.max(self.options.inherited_lease_ms())
         };
         self.taken_over_ms + after_ms
     }
@@ -239,7 +240,8 @@
         std::mem::take(&mut self.needs_vm_list)
     }
 
-    /// Asks whether a worker has ended whose VM has another entry.
+    /// Notes that a worker may have ended, since the directory lists another
+    /// one on its VM, and has those asked that can tell.
     ///
     /// The directory can't tell, since the other worker may be the next one or
     /// a former one. The VM service knows which of them is alive; without it,
--- a/crates/dewspar/src/schedule/in_doubt.rs
+++ b/crates/dewspar/src/schedule/in_doubt.rs
@@ -315,9 +315,10 @@
     /// refuses that order.
     ///
     /// Only a list of VMs tells, if it was requested after the order: another
-    /// entry in the directory may be that of a former worker. What a previous
-    /// holder ordered was recorded before any list under this lease.
+    /// entry in the directory may be that of a former worker.
     fn is_replaced(&self, start: &InDoubt) -> bool {
+        // What a previous holder ordered was recorded before any list under
+        // this lease was requested.
         let ordered_ms = start.ordered_ms.unwrap_or(0);
         let runs_other = self.vms.get(&start.vm).is_some_and(|vm| {
             let other = |worker: &WorkerId| *worker != start.worker;
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -14,8 +14,8 @@
     crate::{
         job::TaskId,
         schedule::{
-            Decision, ManagedVm, Now, Scheduler, VmList, VmOrder,
-            VmOrderError, VmStatus, WaveRecord, WaveRequest, WorkerId,
+            Decision, ManagedVm, Now, Scheduler, VmOrder, VmOrderError,
+            VmReading, VmStatus, WaveRecord, WaveRequest, WorkerId,
             WorkerListing,
             wave_progress::WaveReports,
             wave_state::WaveState,
@@ -105,7 +105,12 @@
     ///
     /// What a partial one doesn't show may exist: it ends only workers whose
     /// VMs it shows without them.
-    pub fn apply_vm_list(&mut self, now: Now, asked_ms: u64, list: &VmList) {
+    pub fn apply_vm_reading(
+        &mut self,
+        now: Now,
+        asked_ms: u64,
+        list: &VmReading,
+    ) {
         self.apply_vms(now, asked_ms, &list.vms, list.is_partial);
     }
 
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -125,7 +125,7 @@
     team_limits::{LimitedTeam, SubmissionDecision, TeamLimits},
     team_status::TeamStatus,
     vm::{
-        ManagedVm, VmList, VmOrder, VmOrderError, VmStatus, WaveRecord,
+        ManagedVm, VmOrder, VmOrderError, VmReading, VmStatus, WaveRecord,
         WaveRequest,
     },
     vm_orders::{OrderIssuer, OrderedVms, RecentVmOrder},
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -157,7 +157,8 @@
     pub(super) cold_terms: BTreeMap<String, ColdTerms>,
     /// The adviser's answers, by the first task of each step.
     pub(super) advice: BTreeMap<TaskId, StepAdvice>,
-    /// The time at which the current list of VMs was requested.
+    /// The time of the steady clock at which the current list of VMs was
+    /// requested, in milliseconds; 0 if none was read under this lease.
     pub(super) vms_asked_ms: u64,
     /// Whether the list of VMs should be read at once.
     pub(super) needs_vm_list: bool,
--- a/crates/dewspar/src/schedule/vm.rs
+++ b/crates/dewspar/src/schedule/vm.rs
@@ -62,7 +62,7 @@
 
 /// A reading of the list of VMs.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct VmList {
+pub struct VmReading {
     /// The VMs whose rows could be read.
     pub vms: Vec<ManagedVm>,
     /// Whether other rows couldn't be, so that a VM or a worker that isn't
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -333,7 +333,7 @@
     pub(crate) in_unreachable_hall: bool,
     /// Since when the worker has had no run.
     pub(crate) idle_since_ms: u64,
-    /// When the worker was first listed in the directory.
+    /// When the worker became known, on the steady clock, in milliseconds.
     pub(crate) first_listed_ms: u64,
     /// Whether the directory still lists the worker.
     pub(crate) listed: bool,
--- a/crates/dewspar/src/schedule/worker_evidence.rs
+++ b/crates/dewspar/src/schedule/worker_evidence.rs
@@ -1,5 +1,5 @@
 /*!
-What was known of a worker when it was taken for ended.
+What was known of a worker when it was doubted or taken for ended.
 
 Several sources report the end of a worker, and none of them is always right: a
 directory entry may be out of date, a list of VMs may be old, and an answer may
@@ -10,10 +10,10 @@
 # Example
 
 ```text
-reason            its VM runs a new worker    from the directory
-other worker      worker-7                    also listed on that VM
-list of VMs       the worker, 549 ms ago      contradicts the directory
-last answer       90 ms ago                   contradicts it too
+decision          doubted, 8 runs
+directory         not listed, but worker-7 on its VM, read 20 ms ago
+list of VMs       runs it, 549 ms ago: contradicts the directory
+last answer       90 ms ago: contradicts it too
 ```
 */
 
@@ -31,7 +31,7 @@
     /// Its VM runs another worker.
     RunsOther(WorkerId),
     /// Its VM is up without a worker.
-    Empty,
+    NoWorker,
     /// Its VM isn't up.
     NotUp(VmStatus),
 }
@@ -44,7 +44,7 @@
             VmListView::Unlisted => "VM not listed",
             VmListView::Runs => "runs it",
             VmListView::RunsOther(_) => "runs another",
-            VmListView::Empty => "runs none",
+            VmListView::NoWorker => "runs none",
             VmListView::NotUp(status) => status.name(),
         }
     }
@@ -68,7 +68,7 @@
     pub runs: usize,
     /// Whether the directory lists it.
     pub is_listed: bool,
-    /// The first other worker on its VM that is known from the directory.
+    /// The first other worker that is known on its VM.
     pub other: Option<WorkerId>,
     /// How long ago the directory was read.
     pub directory_age_ms: Option<u64>,
@@ -120,7 +120,7 @@
         match (vm.status, &vm.worker) {
             (VmStatus::Up, Some(id)) if id == worker.id() => VmListView::Runs,
             (VmStatus::Up, Some(id)) => VmListView::RunsOther(id.clone()),
-            (VmStatus::Up, None) => VmListView::Empty,
+            (VmStatus::Up, None) => VmListView::NoWorker,
             (status, _) => VmListView::NotUp(status),
         }
     }
--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -5,7 +5,7 @@
         waves::{maintain_for_50_ms, request_wave_of, world_with_wave},
         world::{World, at, id, job, managed, step},
     },
-    dewspar::schedule::{Decision, ManagedVm, VmList, WorkerId},
+    dewspar::schedule::{Decision, ManagedVm, VmReading, WorkerId},
     dewspar_standin::task_worker::Fate,
 };
 
@@ -37,8 +37,8 @@
 }
 
 fn list_partly(world: &mut World, vms: Vec<ManagedVm>) {
-    let list = VmList { vms, is_partial: true };
-    world.scheduler.apply_vm_list(at(world.now_ms), world.now_ms, &list);
+    let list = VmReading { vms, is_partial: true };
+    world.scheduler.apply_vm_reading(at(world.now_ms), world.now_ms, &list);
 }
 
 fn gone(world: &mut World) -> Vec<String> {
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -163,7 +163,7 @@
     WORKERS_GONE, "counter", "dewspar_workers_gone_total", Some("reason"),
         "Workers that were taken for ended, by how that was detected.";
     WORKERS_DOUBTED, "counter", "dewspar_workers_doubted_total", None,
-        "Workers that the directory didn't list although it listed another on their VM.";
+        "Times that the directory listed another worker on a worker's VM and not the worker.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
     SUSPENSIONS, "counter", "dewspar_suspensions_total", None,
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -17,7 +17,7 @@
         record::RecordWriteOutcome,
         schedule::{
             Changes, DeferredEnd, DeferredEndBatch, HoldReport, OrderError,
-            PaceOrder, SentHold, StartLog, VmList, VmOrderError, WorkerId,
+            PaceOrder, SentHold, StartLog, VmOrderError, VmReading, WorkerId,
             WorkerListing,
         },
     },
@@ -121,7 +121,7 @@
     },
     VmsRead {
         requested_ms: u64,
-        list: VmList,
+        list: VmReading,
     },
     MaintenanceAnswered {
         vm: String,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -367,7 +367,7 @@
                 scheduler.list_worker_as_of(requested_ms, now, listing);
             }
             Event::VmsRead { requested_ms, list } => {
-                scheduler.apply_vm_list(now, requested_ms, &list);
+                scheduler.apply_vm_reading(now, requested_ms, &list);
                 self.look_up_unlisted_workers();
                 self.log_pool_changes(&list.vms);
             }
