Ignore a list of VMs without a readable row

A task ran twice in a test: a new holder whose list of VMs had no readable row took the directory for complete after 3 s, as if a list had been read, while a worker without an entry went on. Such a list shows nothing; it now counts as none.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -121,6 +121,10 @@
         vms: &[ManagedVm],
         is_partial: bool,
     ) {
+        // It shows nothing, and may hide everything.
+        if is_partial && vms.is_empty() {
+            return;
+        }
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
         self.vms_asked_ms = asked_ms;
         let live_workers: Vec<WorkerListing> =
--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -142,3 +142,25 @@
     assert!(record.done.contains("vm-of-w1"));
     assert!(!world.listings.iter().any(|l| l.id == hidden));
 }
+
+// Guards against a task that runs twice because a list without any readable
+// row counts as a list.
+#[test]
+fn a_list_without_any_readable_row_counts_as_no_list() {
+    let mut world = world_with_task();
+    let on = worker_of_task(&world);
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    world.listings.retain(|l| l.id != on);
+    world.list();
+    list_partly(&mut world, Vec::new());
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    // Longer than the directory takes to fill, shorter than a lease.
+    for _ in 0..10 {
+        world.run_for(500);
+        world.list();
+        list_partly(&mut world, Vec::new());
+    }
+    assert_eq!(world.starts.len(), 1);
+}
