Don't settle a VM of a wave that a partial list of VMs may hide

An order for a VM's maintenance that is refused, while the list of VMs doesn't show the VM, settles it as gone for good, so the wave is reported as completed without it. A partial list may hide the VM: only a complete one shows that it is gone.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -127,6 +127,7 @@
         }
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
         self.vms_asked_ms = asked_ms;
+        self.vms_are_partial = is_partial;
         let live_workers: Vec<WorkerListing> =
             vms.iter().filter_map(live_worker).collect();
         // A worker that isn't in the list has ended, if it was known before
@@ -476,7 +477,7 @@
         result: Result<(), VmOrderError>,
         now: Now,
     ) {
-        let listed = self.vms.contains_key(vm);
+        let may_exist = self.vms_are_partial || self.vms.contains_key(vm);
         let Some(state) = self.waves.get_mut(&wave) else { return };
         match result {
             Ok(()) => {
@@ -489,7 +490,7 @@
             }
             // The VM is gone for good, so there is nothing to maintain.
             Err(VmOrderError::Invalid | VmOrderError::NotInWave)
-                if !listed =>
+                if !may_exist =>
             {
                 state.ordered.remove(vm);
                 state.record.done.insert(vm.to_owned());
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -160,6 +160,8 @@
     /// The time of the steady clock at which the current list of VMs was
     /// requested, in milliseconds; 0 if none was read under this lease.
     pub(super) vms_asked_ms: u64,
+    /// Whether that list may hide VMs.
+    pub(super) vms_are_partial: bool,
     /// Whether the list of VMs should be read at once.
     pub(super) needs_vm_list: bool,
     /// The time at which pools were last sized.
@@ -279,6 +281,7 @@
             cold_terms: BTreeMap::new(),
             advice: BTreeMap::new(),
             vms_asked_ms: 0,
+            vms_are_partial: false,
             needs_vm_list: false,
             last_sizing_ms: 0,
             new_jobs: Vec::new(),
--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -5,7 +5,9 @@
         waves::{maintain_for_50_ms, request_wave_of, world_with_wave},
         world::{World, at, id, job, managed, step},
     },
-    dewspar::schedule::{Decision, ManagedVm, VmReading, WorkerId},
+    dewspar::schedule::{
+        Decision, ManagedVm, VmOrderError, VmReading, WorkerId,
+    },
     dewspar_standin::task_worker::Fate,
 };
 
@@ -143,6 +145,20 @@
     assert!(!world.listings.iter().any(|l| l.id == hidden));
 }
 
+// Guards against a wave that is completed without a VM whose row couldn't be
+// read when a refusal arrived.
+#[test]
+fn a_refused_order_does_not_settle_a_vm_whose_row_cannot_be_read() {
+    let mut world = world_with_wave(5);
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    list_without(&mut world, &WorkerId::new("w1"));
+    let refused = Err(VmOrderError::NotInWave);
+    let now = at(world.now_ms);
+    world.scheduler.maintenance_answered("vm-of-w1", 1, refused, now);
+    let record = world.scheduler.wave_record(1).expect("a wave");
+    assert!(record.done.is_empty(), "{record:?}");
+}
+
 // Guards against a task that runs twice because a list without any readable
 // row counts as a list.
 #[test]
