Keep the tokens and the hall of workers that only the list of VMs shows

A worker whose lease was over and that a later list of VMs shows before all workers are known was added without its used tokens, so it would refuse each hold of this holder. And a worker that was only in the list of VMs had no hall, so its end with the hall would count against its tasks.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -296,7 +296,7 @@
             if known || self.former_processes.has_ended(&id) {
                 continue;
             }
-            let mut worker = self.new_worker(listing, now);
+            let mut worker = self.listed_worker(listing, now);
             // It hasn't reported anything about itself.
             worker.reported_at_ms = 0;
             self.workers.insert(id, worker);
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -519,5 +519,6 @@
 /// Returns what a list of VMs shows of the worker on a VM, if it is alive.
 fn live_worker(vm: &ManagedVm) -> Option<WorkerListing> {
     let id = vm.worker.clone().filter(|_| vm.status == VmStatus::Up)?;
-    Some(WorkerListing::unlisted(id, vm.vm.clone(), vm.pool.clone()))
+    let unlisted = WorkerListing::unlisted(id, vm.vm.clone(), vm.pool.clone());
+    Some(WorkerListing { hall: vm.hall.clone(), ..unlisted })
 }
