--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -14,8 +14,8 @@
     crate::{
         job::TaskId,
         schedule::{
-            Decision, ManagedVm, Now, Scheduler, VmList, VmOrder,
-            VmOrderError, VmStatus, WaveRecord, WaveRequest, WorkerId,
+            Decision, ManagedVm, Now, Scheduler, VmOrder, VmOrderError,
+            VmReading, VmStatus, WaveRecord, WaveRequest, WorkerId,
             WorkerListing,
             wave_progress::WaveReports,
             wave_state::WaveState,
@@ -105,7 +105,12 @@
     ///
     /// What a partial one doesn't show may exist: it ends only workers whose
     /// VMs it shows without them.
-    pub fn apply_vm_list(&mut self, now: Now, asked_ms: u64, list: &VmList) {
+    pub fn apply_vm_reading(
+        &mut self,
+        now: Now,
+        asked_ms: u64,
+        list: &VmReading,
+    ) {
         self.apply_vms(now, asked_ms, &list.vms, list.is_partial);
     }
 
@@ -116,8 +121,13 @@
         vms: &[ManagedVm],
         is_partial: bool,
     ) {
+        // It shows nothing, and may hide everything.
+        if is_partial && vms.is_empty() {
+            return;
+        }
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
         self.vms_asked_ms = asked_ms;
+        self.vms_are_partial = is_partial;
         let live_workers: Vec<WorkerListing> =
             vms.iter().filter_map(live_worker).collect();
         // A worker that isn't in the list has ended, if it was known before
@@ -467,7 +477,7 @@
         result: Result<(), VmOrderError>,
         now: Now,
     ) {
-        let listed = self.vms.contains_key(vm);
+        let may_exist = self.vms_are_partial || self.vms.contains_key(vm);
         let Some(state) = self.waves.get_mut(&wave) else { return };
         match result {
             Ok(()) => {
@@ -480,7 +490,7 @@
             }
             // The VM is gone for good, so there is nothing to maintain.
             Err(VmOrderError::Invalid | VmOrderError::NotInWave)
-                if !listed =>
+                if !may_exist =>
             {
                 state.ordered.remove(vm);
                 state.record.done.insert(vm.to_owned());
@@ -509,5 +519,6 @@
 /// Returns what a list of VMs shows of the worker on a VM, if it is alive.
 fn live_worker(vm: &ManagedVm) -> Option<WorkerListing> {
     let id = vm.worker.clone().filter(|_| vm.status == VmStatus::Up)?;
-    Some(WorkerListing::unlisted(id, vm.vm.clone(), vm.pool.clone()))
+    let unlisted = WorkerListing::unlisted(id, vm.vm.clone(), vm.pool.clone());
+    Some(WorkerListing { hall: vm.hall.clone(), ..unlisted })
 }
--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -5,7 +5,9 @@
         waves::{maintain_for_50_ms, request_wave_of, world_with_wave},
         world::{World, at, id, job, managed, step},
     },
-    dewspar::schedule::{Decision, ManagedVm, VmList, WorkerId},
+    dewspar::schedule::{
+        Decision, ManagedVm, VmOrderError, VmReading, WorkerId,
+    },
     dewspar_standin::task_worker::Fate,
 };
 
@@ -37,8 +39,8 @@
 }
 
 fn list_partly(world: &mut World, vms: Vec<ManagedVm>) {
-    let list = VmList { vms, is_partial: true };
-    world.scheduler.apply_vm_list(at(world.now_ms), world.now_ms, &list);
+    let list = VmReading { vms, is_partial: true };
+    world.scheduler.apply_vm_reading(at(world.now_ms), world.now_ms, &list);
 }
 
 fn gone(world: &mut World) -> Vec<String> {
@@ -142,3 +144,39 @@
     assert!(record.done.contains("vm-of-w1"));
     assert!(!world.listings.iter().any(|l| l.id == hidden));
 }
+
+// Guards against a wave that is completed without a VM whose row couldn't be
+// read when a refusal arrived.
+#[test]
+fn a_refused_order_does_not_settle_a_vm_whose_row_cannot_be_read() {
+    let mut world = world_with_wave(5);
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    list_without(&mut world, &WorkerId::new("w1"));
+    let refused = Err(VmOrderError::NotInWave);
+    let now = at(world.now_ms);
+    world.scheduler.maintenance_answered("vm-of-w1", 1, refused, now);
+    let record = world.scheduler.wave_record(1).expect("a wave");
+    assert!(record.done.is_empty(), "{record:?}");
+}
+
+// Guards against a task that runs twice because a list without any readable
+// row counts as a list.
+#[test]
+fn a_list_without_any_readable_row_counts_as_no_list() {
+    let mut world = world_with_task();
+    let on = worker_of_task(&world);
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    world.listings.retain(|l| l.id != on);
+    world.list();
+    list_partly(&mut world, Vec::new());
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    // Longer than the directory takes to fill, shorter than a lease.
+    for _ in 0..10 {
+        world.run_for(500);
+        world.list();
+        list_partly(&mut world, Vec::new());
+    }
+    assert_eq!(world.starts.len(), 1);
+}
