Start nothing on a doubted worker after an outage of the directory

Callers saw a task ordered from a worker that had ended, and no run of it until the list of VMs or the end of a lease let that worker go.

For 2 s after the directory couldn't be read for 2 s, missing entries don't count, since workers are still re-entering themselves. A worker that was replaced meanwhile is doubted then, but it still counted as listed, and so as usable.

Shown by the test, which fails without the change: the task is ordered from the worker that has ended. A doubted worker is now out of service until its own entry is read again, as one without an entry is at any other time.

--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -698,6 +698,8 @@
     pub(crate) fn is_in_service(&self) -> bool {
         self.runs_are_known()
             && self.listed
+            // Missing entries are excused after an outage of the directory.
+            && !self.is_doubted
             && !self.listing.draining
             && self.drain_reason.is_none()
             && self.silent_since_ms.is_none()
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -5,6 +5,7 @@
 mod crashing;
 mod crashing_jobs;
 mod cut_answers;
+mod doubted_workers;
 mod evacuation;
 mod failure_domains;
 mod former_entries;
