Ask idle workers that are doubted

Callers saw tasks wait for as long as a row of the list of VMs couldn't be read.

A worker that the directory lists no more, and on whose VM it lists another, is doubted. If it was idle, it wasn't asked, so it never counted as silent; and a partial list of VMs that hides its VM doesn't end it. A worker that had ended so remained known, and the pool's size counted its room: no VM was moved to the pool.

A doubted worker is now asked once, whether idle or not: if it doesn't answer twice in a row, it is let go at once, since nothing runs there, or by a refusal at its address. One that answers stays, with one question for each doubt, and without another read of the list of VMs.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -250,9 +250,10 @@
     fn doubt_worker(&mut self, id: &WorkerId, now: Now) {
         let Some(worker) = self.workers.get_mut(id) else { return };
         worker.is_doubted = true;
-        // Nothing waits for a worker that is known to run nothing.
+        worker.probe();
+        // Nothing waits for a worker that is known to run nothing, so its
+        // answer suffices.
         if !worker.runs.is_empty() || !worker.runs_are_known() {
-            worker.probe();
             self.needs_vm_list = true;
         }
         let Some(worker) = self.workers.get(id) else { return };
