Show a task that runs twice beside partial lists of VMs

After a takeover, the directory counts as complete 3 s later if any list of VMs was read, even if all lists were partial. A worker whose row can't be read and whose entry is missing isn't waited for then, and its tasks start again while they run there.

It stays open, since waiting for the longest lease instead delays the inherited tasks of each takeover for as long as any row can't be read, and with holders less than 16 s apart they wouldn't start at all.

--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -180,3 +180,27 @@
     }
     assert_eq!(world.starts.len(), 1);
 }
+
+// Guards against a task that runs twice because a new holder takes the
+// directory for complete beside a partial list, while its worker is in neither.
+#[test]
+fn a_task_does_not_run_twice_while_its_worker_is_neither_listed_nor_readable()
+{
+    let mut world = world_with_task();
+    let on = worker_of_task(&world);
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    world.listings.retain(|listing| listing.id != on);
+    world.list();
+    list_without(&mut world, &on);
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    // Longer than the directory takes to fill, shorter than a lease.
+    for _ in 0..12 {
+        world.run_for(500);
+        world.list();
+        list_without(&mut world, &on);
+        let running = world.running();
+        assert_eq!(running.len(), 1, "{running:?} at {}", world.now_ms);
+    }
+}
