Wait for late starts on the next process of a silent worker

Callers would see two runs of one task: an order to start it is under way while its worker's process restarts under the same identifier, the next process carries it out more than 6 s later, and the holder can't reach that process.

The order grants a lease by the clock of the former process. The clock of the next one begins anew, so only the longest lease bounds the run. The holder took the lease of the next process for over 16.2 s after it saw that process, but an order may arrive up to 12 s after it was sent, and the run may go on for 10.25 s then. By that time the start is no longer in doubt either.

A process that inherits unanswered orders now counts as over only once a run that began at the last moment must have ended. Others are waited for as before. A holder that takes over meanwhile still waits for 16.2 s only.

--- a/crates/dewspar/src/schedule/worker/restart.rs
+++ b/crates/dewspar/src/schedule/worker/restart.rs
@@ -4,10 +4,13 @@
 */
 
 use {
-    super::{Run, RunState, TOKENS_PER_LEASE, TokensUsed, Worker},
+    super::{
+        Run, RunState, TOKENS_PER_LEASE, TokensUsed, Worker,
+        clock::max_elapsed_ms,
+    },
     crate::{
         job::TaskId,
-        schedule::{Now, Options, WorkerListing},
+        schedule::{Now, Options, WorkerListing, in_doubt::MAX_DELIVERY_MS},
     },
     std::collections::BTreeMap,
 };
@@ -63,7 +66,14 @@
             ..Worker::new(listing, self.lease_revision, now_ms, options)
         };
         next.sum_reserved();
+        // The order names a time of the former process's clock, which may be
+        // far ahead of the next one's, so that only the longest lease bounds
+        // a run that begins late.
+        let longest_ms =
+            MAX_DELIVERY_MS + max_elapsed_ms(options.max_lease_ms);
         for (task, run) in self.runs {
+            let over_ms = run.since_ms + longest_ms;
+            next.lease_over_ms = next.lease_over_ms.max(over_ms);
             next.insert(task, run.carried_over());
         }
         next
--- a/crates/dewspar/tests/schedule/in_doubt.rs
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -304,3 +304,38 @@
     }
     assert!(runs(&mut world, id(1)));
 }
+
+/// The longest time for which a worker that can't be reached runs a start that
+/// it carried out late, in milliseconds: the longest lease on a slow clock.
+const LONGEST_RUN_MS: u64 = 10_250;
+
+// Guards against a task that runs twice because the lease of a worker's next
+// process counts as over, while it runs a start that arrived late.
+#[test]
+fn a_late_start_is_not_carried_out_beside_another_by_an_unreachable_process() {
+    for late_ms in (500..LATE_MS).step_by(500) {
+        let mut world = restarting(&["w1", "w2"]);
+        world.fate = Fate::endless();
+        // The clock of the next process begins anew, and is behind.
+        world.run_for(30_000);
+        world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+        let (on, order) = lose_start(&mut world, id(1));
+        let ordered_ms = world.now_ms;
+        world.unreachable.push(on.clone());
+        world.restart_worker(&on);
+        let over_ms = ordered_ms + LATE_MS + LONGEST_RUN_MS;
+        while world.now_ms < over_ms + 500 {
+            if world.now_ms == ordered_ms + late_ms {
+                deliver(&mut world, &on, &order);
+            }
+            world.list();
+            world.run_for(50);
+            let running = world.running();
+            let after_ms = world.now_ms - ordered_ms;
+            assert!(running.len() <= 1, "late by {late_ms} ms, {after_ms}");
+        }
+        // It starts again once nothing can run there any more.
+        assert_eq!(world.running().len(), 1, "late by {late_ms} ms");
+        assert_eq!(world.starts.len(), 2);
+    }
+}
