Show a late start that runs twice after a takeover

The same as before, with another holder in between: a new holder doesn't know that the process is the next one. It takes the lease there for over after 16.2 s, and the start is in doubt for 12 s, while the run may go on for 22.25 s after the order. Seen by the test: two runs 16.35 s after the order, which arrived 6.5 s late.

It stays open: waiting longer for each start in doubt whose worker hasn't answered also delays the tasks of workers that have really ended.

--- a/crates/dewspar/tests/schedule/in_doubt.rs
+++ b/crates/dewspar/tests/schedule/in_doubt.rs
@@ -339,3 +339,36 @@
         assert_eq!(world.starts.len(), 2);
     }
 }
+
+// The same after a takeover, as the new holder sees only the next process.
+#[test]
+fn a_late_start_of_a_former_holder_does_not_run_twice_on_a_silent_process() {
+    for late_ms in (500..LATE_MS).step_by(500) {
+        let mut world = restarting(&["w1", "w2"]);
+        world.fate = Fate::endless();
+        world.run_for(30_000);
+        world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+        let (on, order) = lose_start(&mut world, id(1));
+        let ordered_ms = world.now_ms;
+        world.unreachable.push(on.clone());
+        world.run_for(50);
+        world.restart_worker(&on);
+        let progress = world.stored.get(&id(1)).cloned();
+        world.take_over(8);
+        world.list();
+        world.expect_all();
+        let accepted = job(vec![step(1)]);
+        world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+        let over_ms = ordered_ms + LATE_MS + LONGEST_RUN_MS;
+        while world.now_ms < over_ms {
+            if world.now_ms == ordered_ms + late_ms {
+                deliver(&mut world, &on, &order);
+            }
+            world.list();
+            world.run_for(50);
+            let running = world.running();
+            let after_ms = world.now_ms - ordered_ms;
+            assert!(running.len() <= 1, "late by {late_ms} ms, {after_ms}");
+        }
+    }
+}
