Wait for runs that a worker's answer leaves unidentified

A task ran twice after a takeover: the row of its run in its worker's first answer couldn't be read, and the new holder started it elsewhere.

Cause: such an answer is marked as partial, but it counted as one that lists all runs (`synced`). Waiting alone has no bound, since the worker's lease is extended for its other runs and covers the unidentified one as well.

Now a partial answer doesn't make a worker synced, and while the newest answer leaves runs unidentified on a worker that isn't, no lease is extended there. The wait ends with a whole answer, or with the first answer after the longest lease that a holder may have granted: everything that a former holder started is over by then, so the worker is used again even if a row stays unreadable. Such a worker counts as occupied, so it is asked again and its VM isn't taken for empty. A holder that knows the worker's runs already extends the lease as before.

Ruled out: extending the lease for the other runs (inherited tasks of the pool wait for as long as the row is there); a fixed wait beside an extended lease (two runs). Cost: the other runs of that worker lapse if its rows can't be read for a whole lease after a takeover.

--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -69,6 +69,7 @@
         worker.listing.incarnation = incarnation;
         worker.back_off(now.steady_ms + pause_ms);
         let first = !worker.synced;
+        let was_partial = worker.has_unread_runs();
         let latest_ms = worker.latest_report_ms();
         let due_hold = DueHold { order: held.order, fencing: held.fencing };
         let newest = worker.hold_answered(
@@ -102,6 +103,9 @@
             if !report.is_partial {
                 self.settle_missing_runs(worker_id, held, report, ends, now);
             }
+            if report.is_partial != was_partial {
+                self.note_partial_answer(worker_id, report);
+            }
         }
         let synced = self.workers.get(worker_id).is_some_and(|w| w.synced);
         if first && synced {
@@ -114,6 +118,25 @@
         }
     }
 
+    /// Notes that a worker's answers have begun or ceased to have rows that
+    /// can't be read.
+    fn note_partial_answer(
+        &mut self,
+        worker_id: &WorkerId,
+        report: &HoldReport,
+    ) {
+        let worker = worker_id.clone();
+        if !report.is_partial {
+            self.note(Decision::AnswerComplete { worker });
+            return;
+        }
+        let known = self.workers.get(worker_id);
+        let is_lease_withheld =
+            known.is_some_and(|worker| worker.has_unidentified_runs());
+        let runs = report.active.len();
+        self.note(Decision::AnswerPartial { worker, runs, is_lease_withheld });
+    }
+
     /// Applies the ends that a worker lists, up to the first one of a job that
     /// isn't loaded yet. That one and all later ones are reported again until
     /// they are acknowledged.
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -562,7 +562,7 @@
         runs: usize,
     },
     /// A worker listed all of its runs and ends for the first time under this
-    /// lease.
+    /// lease, or answered after all that a former holder had started was over.
     Synced {
         /// The worker.
         worker: WorkerId,
@@ -593,6 +593,22 @@
         /// The latest clock reading before, in milliseconds.
         latest_ms: u64,
     },
+    /// Rows of a worker's answer couldn't be read, so runs may be there that
+    /// aren't identified. Reported for the first of a series of such answers.
+    AnswerPartial {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of active runs that could be read.
+        runs: usize,
+        /// Whether the worker's lease isn't extended: a former holder may have
+        /// started the unidentified runs.
+        is_lease_withheld: bool,
+    },
+    /// All rows of a worker's answer could be read again.
+    AnswerComplete {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// A worker is drained, so that its VM can be used for another purpose.
     DrainStarted {
         /// The worker.
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -271,7 +271,8 @@
     /// order is sent before it arrives.
     fencing: bool,
     /// Whether the worker has listed all of its runs and ends under this
-    /// lease, so that the runs started by a former holder are known.
+    /// lease, or the former lease is over, so that the runs started by a former
+    /// holder are known.
     pub(crate) synced: bool,
     seen_end: u64,
     stored_end: u64,
@@ -656,6 +657,20 @@
         self.paced_ms = now_ms;
     }
 
+    /// Returns whether the newest answer leaves runs unidentified that a former
+    /// lease holder may have started.
+    ///
+    /// Once the worker has listed all of its runs, this holder has ordered any
+    /// other one itself.
+    pub(crate) fn has_unidentified_runs(&self) -> bool {
+        self.unread_runs && !self.synced
+    }
+
+    /// Returns whether rows of the newest answer couldn't be read.
+    pub(crate) fn has_unread_runs(&self) -> bool {
+        self.unread_runs
+    }
+
     /// Returns whether the runs started by former lease holders are known.
     pub(crate) fn runs_are_known(&self) -> bool {
         self.synced && !self.unknown_runs
@@ -677,7 +692,9 @@
 
     /// Returns whether the worker has runs or may have some.
     fn is_occupied(&self) -> bool {
-        !self.runs.is_empty() || self.unknown_runs
+        !self.runs.is_empty()
+            || self.unknown_runs
+            || self.has_unidentified_runs()
     }
 
     /// Returns whether the worker has, or may have, a run that isn't to stop.
@@ -763,7 +780,10 @@
         now_ms: u64,
         options: &Options,
     ) -> Option<u64> {
-        let clock = self.clock.filter(|_| !self.is_lease_withheld)?;
+        // Unidentified runs have to be over at some time, and they are leased
+        // together with all others.
+        let withheld = self.is_lease_withheld || self.has_unidentified_runs();
+        let clock = self.clock.filter(|_| !withheld)?;
         let elapsed = now_ms.saturating_sub(clock.at_ms);
         Some(clock.worker_ms + elapsed + options.granted_lease_ms())
     }
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -2,6 +2,12 @@
 Hold requests, by which a worker is asked what runs on it, and the state that
 their answers confirm.
 
+Runs in rows of an answer that can't be read are *unidentified*. A holder that
+knows all runs of the worker already can account for them. After a takeover it
+can't: such a run may be that of any inherited task, which must not start
+elsewhere meanwhile. So the worker's lease isn't extended until a whole answer
+arrives, and what a former holder started there is over with the lease.
+
 One hold is in flight at a time, plus one under a new fencing token while
 earlier orders are being voided. A single answer may be lost in transit; only a
 second consecutive loss marks a worker as silent.
@@ -195,7 +201,8 @@
                 let inherited = now_ms + longest;
                 self.lease_over_ms = self.lease_over_ms.min(inherited);
             }
-            self.synced |= !report.has_more_ends;
+            let identified = !report.is_partial || now_ms > self.lease_over_ms;
+            self.synced |= identified && !report.has_more_ends;
         }
         let newest = report.clock_ms >= self.latest_report_ms;
         if newest {
@@ -207,7 +214,9 @@
             .ended
             .last()
             .is_some_and(|end| end.number > self.stored_end);
-        self.next_hold_ms = if unstored {
+        self.next_hold_ms = if self.has_unidentified_runs() {
+            now_ms + options.hold_retry_ms
+        } else if unstored {
             // Usually brought forward once the ends are stored; see
             // `advance_stored_ends`.
             now_ms + options.unstored_hold_ms
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -30,6 +30,7 @@
 
 mod detached_holders;
 mod directory_reads;
+mod partial_answers;
 mod partial_vm_lists;
 mod pending_jobs;
 mod quotas;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -154,6 +154,8 @@
         "Times that another process of a worker told of itself, newer or former.";
     LISTS_PASSED_OVER, "counter", "dewspar_worker_lists_passed_over_total", None,
         "Rows of answers whose lists were passed over, the worker's clock being behind.";
+    PARTIAL_ANSWERS, "counter", "dewspar_partial_answers_total", None,
+        "Series of answers of a worker with rows that can't be read, so that runs may be missing.";
     ENDS_AWAITED, "counter", "dewspar_ends_awaited_total", None,
         "Runs that had ended before their worker listed how, since it lists a limited number of ends at once.";
     REJECTED_RECORDS, "counter", "dewspar_rejected_records_total", Some("what"),
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -160,6 +160,16 @@
                 "reason" => "the worker's clock is behind");
             counters::count(counters::LISTS_PASSED_OVER);
         }
+        Decision::AnswerPartial { worker, runs, is_lease_withheld } => {
+            warn!(log, "worker: answer can't be read in full";
+                "worker" => %worker, "runs" => runs,
+                "lease_withheld" => is_lease_withheld);
+            counters::count(counters::PARTIAL_ANSWERS);
+        }
+        Decision::AnswerComplete { worker } => {
+            info!(log, "worker: answer can be read in full again";
+                "worker" => %worker);
+        }
         Decision::EndsAwaited { worker, runs } => {
             info!(log, "worker: hasn't listed all ends yet";
                 "worker" => %worker, "runs" => runs);
