Don't take runs in unreadable rows for stalled

A run whose row can't be read in its worker's answers for some seconds was stopped as stalled and started again, and its worker was suspended, although its holder knew the run all along.

Cause: the progress of a run counts as standing still for as long as no answer that was read changes it. A partial answer says nothing of the runs that it doesn't list.

Now each partial answer starts the stall time-out of the runs that it leaves out anew. The time of the last progress stays as it is, since the working time and the pace of a run are computed from it. A run whose row can't be read for good is never stopped as stalled; it can't be told apart from one that works.

Evidence: `a_run_in_an_unreadable_row_is_not_taken_for_stalled` had 4 starts instead of 1 without the change, and passes with it.

--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -100,7 +100,9 @@
                 }
                 self.run_active(worker_id, active, now);
             }
-            if !report.is_partial {
+            if report.is_partial {
+                self.runs_hidden(worker_id, report, now);
+            } else {
                 self.settle_missing_runs(worker_id, held, report, ends, now);
             }
             if report.is_partial != was_partial {
@@ -118,6 +120,19 @@
         }
     }
 
+    /// Concludes nothing from the absence of runs in an answer that may hide
+    /// them.
+    fn runs_hidden(
+        &mut self,
+        worker_id: &WorkerId,
+        report: &HoldReport,
+        now: Now,
+    ) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.runs_hidden(report, now.steady_ms);
+        }
+    }
+
     /// Notes that a worker's answers have begun or ceased to have rows that
     /// can't be read.
     fn note_partial_answer(
@@ -458,6 +473,7 @@
             confirmed_from_ms: Some(reported_ms),
             percent: active.percent,
             moved_ms: now.steady_ms,
+            unread_ms: 0,
             gauge: active.gauge,
             pace,
             suspicion,
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -89,7 +89,8 @@
                 // A run makes no progress on a cold worker. The time-out is the
                 // same away from the data, where runs are slower: longer ones
                 // would delay the detection of runs that have stopped.
-                let from_ms = run.moved_ms.max(worker.cold.until_ms());
+                let moved_ms = run.moved_ms.max(run.unread_ms);
+                let from_ms = moved_ms.max(worker.cold.until_ms());
                 let stalled_ms = worker.reported_ms().saturating_sub(from_ms);
                 // The members of a gang wait for one another.
                 if !spec.gang && stalled_ms > timeout_ms {
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -96,6 +96,9 @@
     pub(crate) percent: u8,
     /// When the percentage last changed.
     pub(crate) moved_ms: u64,
+    /// When the progress was last left out of an answer or unreadable in it; 0
+    /// for never.
+    pub(crate) unread_ms: u64,
     pub(crate) gauge: u64,
     /// The pace at which the run was ordered to work, in percent.
     pub(crate) pace: u8,
@@ -153,6 +156,7 @@
             confirmed_from_ms: None,
             percent: 0,
             moved_ms: now_ms,
+            unread_ms: 0,
             gauge: 0,
             pace: 100,
             suspicion: Suspicion::default(),
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -226,6 +226,17 @@
         newest
     }
 
+    /// Excuses the progress of all runs that an answer doesn't list, although
+    /// it may only have hidden them.
+    pub(crate) fn runs_hidden(&mut self, report: &HoldReport, now_ms: u64) {
+        for (task, run) in &mut self.runs {
+            let mut active = report.active.iter();
+            if !active.any(|a| a.task == *task && a.run == run.run) {
+                run.unread_ms = now_ms;
+            }
+        }
+    }
+
     /// Records whether the lists of an answer were used. Returns whether this
     /// is the first of a series of answers whose lists weren't.
     pub(crate) fn record_lists_passed_over(&mut self, newest: bool) -> bool {
--- a/crates/dewspar/tests/schedule/partial_answers.rs
+++ b/crates/dewspar/tests/schedule/partial_answers.rs
@@ -168,3 +168,19 @@
     });
     assert_eq!(reported.collect::<Vec<_>>(), [(1, false), (0, false)]);
 }
+
+// Guards against a run that is stopped as stalled, since its progress is in a
+// row that can't be read.
+#[test]
+fn a_run_in_an_unreadable_row_is_not_taken_for_stalled() {
+    let mut world = World::new(5, &["w1"]);
+    world.fate = Fate::done(60_000);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(5_000);
+    run_without_rows_of(&mut world, id(1), 20_000);
+    world.run_for(5_000);
+    assert_eq!(world.running().len(), 1);
+    assert_eq!(world.starts.len(), 1, "nothing was started again");
+}
