Don't take a list without any VM for the end of all workers

One answer of the VM service without rows ended every worker with a VM, so that all tasks started again beside their runs; a new holder took the fleet for known and started inherited tasks again beside a worker without an entry; and a wave whose VMs weren't shown for 3 s was completed without them. A missing list is an empty one by the protocol, so an answer that lacks it reads as a complete list of no VM.

A list that shows no VM at all now counts as none, as a partial one without a readable row did already. Ruled out: refusing only an answer without the field, since an empty list may be left out and so means the same.

Three tests in partial_vm_lists fail before the change: the workers are ended, the task is started twice, the wave's record says that its VM is done. Two more show that tasks of a fleet whose VMs are all gone start again.

Cost: workers of a fleet whose VMs are really all gone end with their leases or with the next list that shows a VM; there is no other worker that could serve meanwhile.

--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -95,7 +95,7 @@
     }
 
     /// Applies the complete list of VMs that was requested at this time of the
-    /// steady clock, in milliseconds.
+    /// steady clock, in milliseconds. One without any VM is ignored.
     pub fn list_vms(&mut self, now: Now, asked_ms: u64, vms: &[ManagedVm]) {
         self.apply_vms(now, asked_ms, vms, false);
     }
@@ -104,7 +104,8 @@
     /// the steady clock, in milliseconds.
     ///
     /// What a partial one doesn't show may exist: it ends only workers whose
-    /// VMs it shows without them.
+    /// VMs it shows without them. One without any VM is ignored, whether
+    /// partial or not.
     pub fn apply_vm_reading(
         &mut self,
         now: Now,
@@ -121,8 +122,9 @@
         vms: &[ManagedVm],
         is_partial: bool,
     ) {
-        // It shows nothing, and may hide everything.
-        if is_partial && vms.is_empty() {
+        // An answer without rows is the same as one without a list, so it is
+        // no evidence that every VM is gone.
+        if vms.is_empty() {
             return;
         }
         self.vms = vms.iter().map(|vm| (vm.vm.clone(), vm.clone())).collect();
--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -1,9 +1,10 @@
-//! Readings of the list of VMs in which some rows couldn't be read.
+//! Readings of the list of VMs in which some rows couldn't be read, or which
+//! have no row at all.
 
 use {
     crate::{
         waves::{maintain_for_50_ms, request_wave_of, world_with_wave},
-        world::{World, at, id, job, managed, step},
+        world::{World, at, id, job, listing, managed, step},
     },
     dewspar::schedule::{
         Decision, ManagedVm, VmOrderError, VmReading, WorkerId,
@@ -180,3 +181,100 @@
     }
     assert_eq!(world.starts.len(), 1);
 }
+
+fn list_nothing(world: &mut World) {
+    world.scheduler.list_vms(at(world.now_ms), world.now_ms, &[]);
+}
+
+// Guards against a fleet whose workers all count as ended because one answer
+// of the VM service has no rows.
+#[test]
+fn a_complete_list_without_any_vm_ends_no_worker() {
+    let mut world = world_with_task();
+    world.list_vms();
+    for _ in 0..10 {
+        list_nothing(&mut world);
+        world.run_for(500);
+        assert_eq!(world.running().len(), 1);
+    }
+    assert!(gone(&mut world).is_empty());
+    assert_eq!(world.starts.len(), 1);
+}
+
+// Guards against a task that runs twice because a new holder takes an answer
+// without rows for a fleet without workers.
+#[test]
+fn a_complete_list_without_any_vm_does_not_show_all_workers() {
+    let mut world = world_with_task();
+    let on = worker_of_task(&world);
+    let progress = world.stored.get(&id(1)).cloned();
+    world.take_over(8);
+    world.listings.retain(|l| l.id != on);
+    world.list();
+    let accepted = job(vec![step(1)]);
+    world.scheduler.submit(id(1), accepted, 6, progress.as_ref());
+    // Longer than the directory takes to fill, shorter than a lease.
+    for _ in 0..10 {
+        list_nothing(&mut world);
+        world.run_for(500);
+        world.list();
+    }
+    assert_eq!(world.starts.len(), 1);
+}
+
+// Guards against a wave that is completed without its VMs because answers of
+// the VM service have no rows for a while.
+#[test]
+fn a_wave_waits_while_lists_show_no_vm_at_all() {
+    let mut world = world_with_wave(5);
+    request_wave_of(&mut world, &["vm-of-w1"]);
+    for _ in 0..10 {
+        list_nothing(&mut world);
+        world.run_for(500);
+    }
+    let record = world.scheduler.wave_record(1).expect("a wave");
+    assert!(record.done.is_empty(), "{record:?}");
+    let completed = (0..400).any(|_| maintain_for_50_ms(&mut world));
+    assert!(completed);
+    assert!(!world.listings.iter().any(|l| l.id == WorkerId::new("w1")));
+}
+
+/// Tasks of a fleet whose VMs are all gone wait for their leases, and start
+/// once there is a VM again.
+#[test]
+fn tasks_start_again_after_all_vms_were_gone() {
+    let mut world = world_with_task();
+    let on = worker_of_task(&world);
+    world.list_vms();
+    world.workers.clear();
+    world.listings.clear();
+    for _ in 0..(LEASE_MS / 500) {
+        world.list();
+        list_nothing(&mut world);
+        world.run_for(500);
+    }
+    assert_eq!(gone(&mut world), [on.as_str()]);
+    world.add_worker(listing("w3"));
+    world.list();
+    world.list_vms();
+    world.run_for(500);
+    assert_eq!(world.running().len(), 1);
+}
+
+/// Tasks of a fleet whose VMs are all gone start on the first VM of a list that
+/// shows any, without a wait for their leases.
+#[test]
+fn tasks_start_again_at_once_if_a_list_shows_other_vms_only() {
+    let mut world = world_with_task();
+    world.list_vms();
+    world.workers.clear();
+    world.listings.clear();
+    world.list();
+    list_nothing(&mut world);
+    world.run_for(500);
+    world.add_worker(listing("w3"));
+    world.list();
+    world.list_vms();
+    world.run_for(500);
+    assert_eq!(world.running().len(), 1);
+}
