Retract crashes that the end of a live worker counted

A sound task was given up, and its job failed, if its workers were taken for ended three times in a row soon after its starts, although each of them answered again and listed the run. The end of a worker counts as a crash under its recent runs and against its VM, and only the loss of a hall took that back.

What an end has counted is now remembered for 60 s and retracted once an answer shows that the process never ended: by its start time, or, where it reports none, by a run that it had when it was lost, listed as active or ended. Answers to holds that were sent before the end don't reach this, since they belong to the former session. A worker that starts again under its identifier has another start time, so its end stays a crash; a task that is cleared or taken back with its hall meanwhile loses no later crash.

--- a/crates/dewspar/src/schedule/hall_losses.rs
+++ b/crates/dewspar/src/schedule/hall_losses.rs
@@ -107,6 +107,15 @@
         }
     }
 
+    /// Forgets a crash that is retracted for another reason.
+    pub(super) fn forget(&mut self, task: &TaskId, counted: &CrashHistory) {
+        for loss in &mut self.counted {
+            loss.crashes.retain(|crash| {
+                crash.task != *task || crash.sequence != counted.sequence()
+            });
+        }
+    }
+
     /// Notes that a burst of crashes was noted in a pool as part of the loss
     /// that is being counted.
     pub(super) fn note_burst(&mut self, pool: &str, before_ms: Option<u64>) {
@@ -185,23 +194,10 @@
             if !self.hall_losses.forgive(task, now) {
                 continue;
             }
-            let next = self.sequence + 1;
-            let job = self.jobs.get_mut(&task.job);
-            let state = job.and_then(|job| job.task_mut(task));
-            let Some(state) = state.filter(|state| !state.done) else {
-                continue;
-            };
-            state.crashes.take_back(before, *sequence, next);
-            let is_cleared = state.crashes.count == 0;
-            let workers = state.workers.clone();
-            self.mark_changed(task.job);
-            if is_cleared {
-                for id in workers {
-                    if let Some(worker) = self.workers.get_mut(&id) {
-                        worker.clear_suspicion(task);
-                    }
-                }
-            }
+            self.counted_ends.forget(task);
+            self.revise_crashes(task, |known, next| {
+                known.take_back(before, *sequence, next);
+            });
         }
     }
 
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -86,6 +86,7 @@
             });
         }
         self.token_claims.answered(worker_id);
+        self.retract_refuted_end(worker_id, report, now);
         self.note_unknown_runs(worker_id, report, newest, now);
         let reports =
             ReportTimes { previous_ms: latest_ms, latest_ms: report.clock_ms };
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -149,6 +149,7 @@
 mod ceilings;
 mod cold_workers;
 mod congestion;
+mod counted_ends;
 mod crash_bursts;
 mod deferred_ends;
 mod directory;
@@ -530,6 +531,14 @@
         /// Whether no other run on the worker can have caused the loss.
         alone: bool,
     },
+    /// A worker that was taken for ended has answered, so what its end
+    /// counted as crashes of tasks is retracted.
+    CrashesRetracted {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of tasks.
+        crashes: usize,
+    },
     /// A task is given up, because workers that start it crash.
     GivenUp {
         /// The task.
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -10,6 +10,7 @@
             advice::StepAdvice,
             cancelled::Cancelled,
             cold_workers::ColdTerms,
+            counted_ends::CountedEnds,
             crash_bursts::{CrashBursts, ReservedFor},
             deferred_ends::DeferredEnds,
             evacuation::OperatorView,
@@ -88,6 +89,8 @@
     pub(super) silent_workers: SilentRecord,
     /// The worker processes that are no longer used.
     pub(super) former_processes: FormerProcesses,
+    /// What ends of workers have counted against tasks and VMs.
+    pub(super) counted_ends: CountedEnds,
     /// Whether any task was ever suspected of crashing its workers; looking
     /// for suspects takes time.
     pub(super) has_suspects: bool,
@@ -247,6 +250,7 @@
             token_claims: TokenClaims::default(),
             silent_workers: SilentRecord::default(),
             former_processes: FormerProcesses::default(),
+            counted_ends: CountedEnds::default(),
             has_suspects: false,
             unsynced_losses: BTreeMap::new(),
             uncounted_pools: BTreeSet::new(),
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -46,7 +46,8 @@
     crate::{
         job::{JobId, Phase, StepSpec, TaskId, TaskRecord},
         schedule::{
-            Decision, Now, Scheduler, WorkerId,
+            Decision, Incarnation, Now, Scheduler, WorkerId,
+            counted_ends::{CountedEnd, RetractableCrash},
             crash_bursts::{ReservationRequest, ReservedFor, likely_age_ms},
             job_state::{Job, Task, demand},
             unseen_starts::UnsyncedLoss,
@@ -315,6 +316,27 @@
         self.sequence = sequence;
     }
 
+    /// Retracts a lost run, given the states before and after it was counted.
+    pub(super) fn retract(
+        &mut self,
+        before: &CrashHistory,
+        after: &CrashHistory,
+        sequence: u64,
+    ) {
+        if self.sequence == after.sequence || after.count > before.count {
+            self.take_back(before, after.sequence, sequence);
+        } else {
+            // It counted only as a start, and another run was lost since.
+            self.unseen = self.unseen.saturating_sub(1);
+            self.sequence = sequence;
+        }
+    }
+
+    /// Returns the number of the change that stores this.
+    pub(super) fn sequence(&self) -> u64 {
+        self.sequence
+    }
+
     /// Returns whether the task is most likely bad.
     fn is_probably_bad(&self) -> bool {
         self.likely && self.count >= TEST_AFTER_CRASHES
@@ -394,6 +416,8 @@
 /// A run that was lost with its worker.
 struct LostRun {
     task: TaskId,
+    /// The run's number.
+    run: u64,
     /// How long the worker had confirmed it, in milliseconds.
     confirmed_ms: u64,
     /// The upper bound of its age, in milliseconds.
@@ -403,6 +427,8 @@
 
 /// The runs that were lost with one worker.
 pub(super) struct LostRuns {
+    /// The worker's process.
+    pub(super) process: Incarnation,
     /// The VM that crashed; `None` if the worker's end was planned or it
     /// doesn't name its VM.
     pub(super) crashed_vm: Option<String>,
@@ -431,6 +457,7 @@
         let ended_ms = worker.unanswered_since_ms().unwrap_or(now.steady_ms);
         let lost = |(task, run): (&TaskId, &Run)| LostRun {
             task: *task,
+            run: run.run,
             confirmed_ms: run.confirmed_ms(answered_ms),
             max_age_ms: ended_ms.saturating_sub(run.since_ms),
             suspicion: run.suspicion,
@@ -440,6 +467,7 @@
         let vm = &worker.listing.vm;
         let unsynced = !worker.synced && !draining;
         LostRuns {
+            process: worker.listing.incarnation,
             unsynced: unsynced.then(|| UnsyncedLoss::of(worker)),
             was_silent: now.steady_ms > ended_ms + MAX_SILENCE_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
@@ -449,6 +477,11 @@
         }
     }
 
+    /// Returns the number of each task's run.
+    pub(super) fn run_numbers(&self) -> impl Iterator<Item = (TaskId, u64)> {
+        self.runs.iter().map(|run| (run.task, run.run))
+    }
+
     /// Returns the runs that may have crashed the worker: all that began
     /// recently. If some of these are under test, only those and the runs that
     /// aren't proven yet.
@@ -512,6 +545,9 @@
             }
             self.note_unsynced_loss(unsynced);
         }
+        let vm = lost.crashed_vm.as_ref();
+        let vm = vm.map(|vm| (vm.clone(), self.vm_crashes.get(vm).copied()));
+        let mut end = CountedEnd::new(lost, vm, now);
         let was_stable = self.note_vm_crash(lost.crashed_vm.as_deref(), now);
         let likely_age_ms = lost.likely_age_ms();
         for run in lost.suspects() {
@@ -520,9 +556,13 @@
                 continue;
             }
             let likely = run.max_age_ms <= likely_age_ms;
-            let Some(crashes) = self.count_crash(run, likely, now) else {
-                continue;
-            };
+            let counted = self.count_crash(run, likely, now);
+            let Some((before, crashes)) = counted else { continue };
+            end.crashes.push(RetractableCrash {
+                task: run.task,
+                before,
+                after: crashes,
+            });
             let certain = was_stable || crashes.is_immediate();
             let alone = certain && lost.is_only_suspect(&run.task, &crashes);
             self.note(Decision::Suspected {
@@ -537,16 +577,17 @@
                 self.give_up(&run.task, crashes.count, now);
             }
         }
+        self.counted_ends.insert(worker, end, now);
     }
 
-    /// Counts a crash; returns all crashes of the task, unless the task is
-    /// done or its job is over.
+    /// Counts a crash; returns the crashes of the task before and after,
+    /// unless the task is done or its job is over.
     fn count_crash(
         &mut self,
         run: &LostRun,
         likely: bool,
         now: Now,
-    ) -> Option<CrashHistory> {
+    ) -> Option<(CrashHistory, CrashHistory)> {
         let job = self.jobs.get(&run.task.job)?;
         let over = job.phase.is_final();
         let done = job.task(&run.task)?.done;
@@ -567,7 +608,35 @@
         crashes.sequence = sequence;
         let crashes = *crashes;
         self.hall_losses.note_crash(&run.task, before, sequence);
-        Some(crashes)
+        Some((before, crashes))
+    }
+
+    /// Revises what is counted against a task, given the number of the change
+    /// that stores it, and clears its runs if no crash is left. Returns whether
+    /// the task is known and not done.
+    pub(super) fn revise_crashes(
+        &mut self,
+        task: &TaskId,
+        revise: impl FnOnce(&mut CrashHistory, u64),
+    ) -> bool {
+        let next = self.sequence + 1;
+        let job = self.jobs.get_mut(&task.job);
+        let state = job.and_then(|job| job.task_mut(task));
+        let Some(state) = state.filter(|state| !state.done) else {
+            return false;
+        };
+        revise(&mut state.crashes, next);
+        let is_cleared = state.crashes.count == 0;
+        let workers = state.workers.clone();
+        self.mark_changed(task.job);
+        if is_cleared {
+            for id in workers {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.clear_suspicion(task);
+                }
+            }
+        }
+        true
     }
 
     /// Clears a task if its run has outlived those that were lost with their
@@ -604,6 +673,7 @@
         let cleared = CrashHistory { max_age_ms, ..CrashHistory::default() };
         let crashes = std::mem::replace(&mut state.crashes, cleared);
         if crashes.is_on_record() {
+            self.counted_ends.forget(task);
             self.mark_run_record_changed(task.job, &crashes);
         }
     }
--- a/crates/dewspar/src/schedule/vm_stability.rs
+++ b/crates/dewspar/src/schedule/vm_stability.rs
@@ -66,6 +66,22 @@
         }
     }
 
+    /// Retracts the crash that was noted for a VM at this time, in
+    /// milliseconds, given what was known of the VM before.
+    pub(super) fn retract_vm_crash(
+        &mut self,
+        vm: &str,
+        at_ms: u64,
+        before: Option<VmCrashes>,
+    ) {
+        let Some(crashes) = self.vm_crashes.get_mut(vm) else { return };
+        if crashes.last_ms == at_ms {
+            self.restore_vm_crashes(vm, before);
+        } else if crashes.previous_ms == at_ms {
+            crashes.previous_ms = before.map_or(0, |before| before.last_ms);
+        }
+    }
+
     /// Notes that a VM's worker has crashed; returns whether the VM was stable
     /// before.
     pub(super) fn note_vm_crash(
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -34,6 +34,7 @@
 mod pending_jobs;
 mod quotas;
 mod records;
+mod refuted_ends;
 mod reservation_cases;
 mod restarted_workers;
 mod retries;
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -127,6 +127,10 @@
                 "most_age_ms" => most_age_ms, "alone" => alone);
             counters::count(counters::SUSPECTED_RUNS);
         }
+        Decision::CrashesRetracted { worker, crashes } => {
+            info!(log, "worker: crash retracted"; "worker" => %worker,
+                "tasks" => crashes);
+        }
         Decision::GivenUp { task, crashes } => {
             warn!(log, "task: given up"; "job" => %task.job, "task" => %task,
                 "crashes" => crashes,
