Count crashes of silent workers whose VM's next worker is listed

Callers saw a task that crashes each worker that starts it go on doing so for as long as the VM service was out: 28 starts in 240 s in the new test, in place of five.

Cause: a worker that is silent for over 2.2 s before its end may have lived on, so its end counts as no crash. Since the directory ends no worker any more, a crashed worker ends with its lease if the VM service is out and nothing answers at its address, and then it has been silent for longer each time.

Now such an end counts if the directory lists another worker on the VM and no longer this one. That may be the entry of a former worker; if this one lives, its next answer retracts what was counted.

Evidence: a_task_that_crashes_its_workers_is_given_up_without_the_vm_service, "started 28 times" before. The world of the cases let the next worker of a VM answer at the address of the crashed one in all cases, which hid the fault; it can now do otherwise.

--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -466,10 +466,13 @@
         let counts = |(_, run): &(&TaskId, &Run)| !run.process_has_ended;
         let vm = &worker.listing.vm;
         let unsynced = !worker.synced && !draining;
+        // Where the next worker of its VM is known, it hasn't lived on.
+        let may_have_lived_on = !worker.is_doubted;
         LostRuns {
             process: worker.listing.incarnation,
             unsynced: unsynced.then(|| UnsyncedLoss::of(worker)),
-            was_silent: now.steady_ms > ended_ms + MAX_SILENCE_MS,
+            was_silent: may_have_lived_on
+                && now.steady_ms > ended_ms + MAX_SILENCE_MS,
             crashed_vm: (!planned && !vm.is_empty()).then(|| vm.clone()),
             was_draining: draining,
             hall: worker.listing.hall.clone(),
--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -57,6 +57,23 @@
     assert_eq!(world.phases[&id(1)], "failed");
 }
 
+// Guards against a task that crashes its workers without a limit while the VM
+// service is out: nothing answers at the addresses of workers that have ended.
+#[test]
+fn a_task_that_crashes_its_workers_is_given_up_without_the_vm_service() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6"];
+    let mut world = World::new(5, &names);
+    world.changes_addresses = true;
+    world.list();
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    world.scheduler.submit(id(1), job(vec![step(2)]), 6, None);
+    world.run_for(240_000);
+    let starts = starts_of(&world, &bad);
+    assert!(starts <= MAX_STARTS, "started {starts} times");
+    assert_eq!(world.phases[&id(1)], "failed");
+}
+
 #[test]
 fn sound_jobs_beside_crashing_tasks_complete_with_few_losses() {
     let names = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -104,6 +104,9 @@
     replaced: BTreeSet<WorkerId>,
     /// The crashed workers, each with the time at which it is back.
     restarting: Vec<(u64, WorkerListing)>,
+    /// Whether the next worker of a VM has another address than a crashed one,
+    /// where nothing answers then.
+    pub changes_addresses: bool,
     /// Whether a crashed worker restarts under its identifier.
     pub keeps_worker_ids: bool,
     /// The time at which restarted workers started, in milliseconds: their
@@ -163,6 +166,7 @@
             crashes: 0,
             replaced: BTreeSet::new(),
             restarting: Vec::new(),
+            changes_addresses: false,
             keeps_worker_ids: false,
             started_ms: BTreeMap::new(),
             crash_report_delay_ms: None,
@@ -304,7 +308,10 @@
                 continue;
             }
             let former = self.listings.extract_if(.., |l| l.vm == listing.vm);
-            self.replaced.extend(former.map(|former| former.id));
+            let former: Vec<WorkerId> = former.map(|l| l.id).collect();
+            if !self.changes_addresses {
+                self.replaced.extend(former);
+            }
             self.add_worker(listing);
         }
         self.list();
