Test starts that wait for their record beside a worker known late, known red

Guards against two runs of a task.

What happens: a holder has taken over, and all workers that it knows have answered, so an inherited task gets a place. Its start waits for its record, for 300 ms at most. Meanwhile another worker becomes known, which has not answered and runs the task since a former holder. The start is ordered all the same.

Cause: whether a former holder's run may go on is checked when the task gets its place; decide_withheld checks only the job and the worker of the start.

It needs a worker that was missing from what counted as the complete list of workers and runs the task, so it only closes the last 300 ms of other faults.

Ruled out: if the worker is known from the start, the same test passes.

--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -53,5 +53,6 @@
 mod waves;
 mod worker_capacity;
 mod worker_shapes;
+mod workers_known_late;
 mod world;
 mod write_ahead;
