Read the task and the run of a row whose other entries are odd

A worker's row of an active run was passed over as a whole if only its checkpoint, progress or gauge couldn't be read, or if it had another entry after these. After a takeover its worker's lease was then withheld, and before that its task was started again. A progress above 100 or below 0 was taken as it was, or as 0.

Now the task and the run are enough. What can't be read after them is left open: the last known checkpoint, progress and gauge stand, since nothing else is known to be true of the run. A progress that can't be read doesn't count as stalled (the other reading would stop sound work), nor as at work or finished: it is 0 for a run that was just found.

`ActiveRun::percent` and `gauge` are optional, so the messages between a holder and its relays have another version; relays serve holders of the same version only. Tests that build or read these fields were adapted to the type, nothing else in them changed.

`unreadable` and `wire` of the platform, and the cases on answers and placement of `schedule`, passed. An entry that isn't valid UTF-8 still makes the answer partial.

--- a/crates/dewspar-standin/src/peak/worker.rs
+++ b/crates/dewspar-standin/src/peak/worker.rs
@@ -97,8 +97,8 @@
             run: *run,
             checkpoint: String::new(),
             // Moves, so that nothing is taken to stand still.
-            percent: (now_us / 100_000 % 99) as u8,
-            gauge: 0,
+            percent: Some((now_us / 100_000 % 99) as u8),
+            gauge: Some(0),
         });
         HoldReport {
             incarnation: Incarnation::UNKNOWN,
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -35,7 +35,7 @@
     wait_ms: 0,
 };
 let report = worker.hold(400, &hold).unwrap();
-assert_eq!(report.active[0].percent, 50);
+assert_eq!(report.active[0].percent, Some(50));
 let report = worker.hold(800, &hold).unwrap();
 assert_eq!(report.ended[0].number, 1);
 # Ok::<(), dewspar::job::InvalidId>(())
@@ -275,8 +275,8 @@
             task: *task,
             run: run.run,
             checkpoint: String::new(),
-            percent: run.percent(now_ms),
-            gauge: 0,
+            percent: Some(run.percent(now_ms)),
+            gauge: Some(0),
         });
         Ok(HoldReport {
             incarnation: self.incarnation,
--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -463,6 +463,7 @@
         let charge = self.charge_of_listed(&active.task);
         let Some(worker) = self.workers.get_mut(worker_id) else { return };
         let reported_ms = worker.latest_report_ms();
+        let unread_ms = active.percent.map_or(now.steady_ms, |_| 0);
         let mut run = Run {
             run: active.run,
             fence: 0,
@@ -471,10 +472,10 @@
             state: RunState::Running,
             since_ms: now.steady_ms,
             confirmed_from_ms: Some(reported_ms),
-            percent: active.percent,
+            percent: active.percent.unwrap_or(0),
             moved_ms: now.steady_ms,
-            unread_ms: 0,
-            gauge: active.gauge,
+            unread_ms,
+            gauge: active.gauge.unwrap_or(0),
             pace,
             suspicion,
             measured: true,
@@ -596,11 +597,16 @@
             RunState::EndUnreported => self.state = RunState::Running,
             RunState::Stopping(stop) => stop.begun = true,
         }
-        if self.percent != active.percent {
-            self.percent = active.percent;
-            self.moved_ms = now_ms;
+        match active.percent {
+            // A run whose progress can't be read may well make some.
+            None => self.unread_ms = now_ms,
+            Some(percent) if percent != self.percent => {
+                self.percent = percent;
+                self.moved_ms = now_ms;
+            }
+            Some(_) => {}
         }
-        self.gauge = active.gauge;
+        self.gauge = active.gauge.unwrap_or(self.gauge);
     }
 }
 
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -337,14 +337,15 @@
     pub task: TaskId,
     /// The run's number.
     pub run: u64,
-    /// The last checkpoint; empty for none.
+    /// The last checkpoint; empty for none, or if it couldn't be read.
     pub checkpoint: String,
     /// The progress, in percent; for a long-running task, 100 once it is at
-    /// work.
-    pub percent: u8,
+    /// work. `None` if it couldn't be read: the last known one stands then.
+    pub percent: Option<u8>,
     /// For a task with a latency target, its slowest recent answers, in
     /// milliseconds; for any other task, the cores in use, in thousandths.
-    pub gauge: u64,
+    /// `None` if it couldn't be read: the last known one stands then.
+    pub gauge: Option<u64>,
 }
 
 /// How a run ended.
--- a/crates/dewspar/tests/schedule/cut_answers.rs
+++ b/crates/dewspar/tests/schedule/cut_answers.rs
@@ -161,8 +161,8 @@
         task: task(number),
         run: 1,
         checkpoint: String::new(),
-        percent: 10,
-        gauge: 0,
+        percent: Some(10),
+        gauge: Some(0),
     }
 }
 
--- a/crates/dewspar/tests/schedule/partial_answers.rs
+++ b/crates/dewspar/tests/schedule/partial_answers.rs
@@ -46,6 +46,16 @@
 /// Runs for this time, in milliseconds, while the row of each run of a job in
 /// the answers of `w1` can't be read, and checks that no task runs twice.
 fn run_without_rows_of(world: &mut World, hidden: JobId, ms: u64) {
+    run_with_answers(world, ms, |report| hide(report, hidden));
+}
+
+/// Runs for this time, in milliseconds, with the answers of `w1` as they are
+/// read, and checks that no task runs twice.
+fn run_with_answers(
+    world: &mut World,
+    ms: u64,
+    read: impl Fn(HoldReport) -> HoldReport,
+) {
     let end_ms = world.now_ms + ms;
     while world.now_ms < end_ms {
         world.now_ms += 50;
@@ -57,7 +67,7 @@
                     // OK because nothing makes it unreachable.
                     let reached = world.reach(&worker).expect("up");
                     let answer = reached.hold(clock, held.order());
-                    let answer = answer.map(|report| hide(report, hidden));
+                    let answer = answer.map(&read);
                     world.hold_result(&worker, &held, answer, now);
                 }
                 other => world.carry_out(other, now),
@@ -184,3 +194,28 @@
     assert_eq!(world.running().len(), 1);
     assert_eq!(world.starts.len(), 1, "nothing was started again");
 }
+
+// Guards against a run that is stopped as stalled, or taken for new, since its
+// progress can't be read.
+#[test]
+fn a_run_whose_progress_cannot_be_read_is_not_taken_for_stalled() {
+    let mut world = World::new(5, &["w1"]);
+    world.fate = Fate::done(60_000);
+    world.list();
+    world.expect_all();
+    world.scheduler.submit(id(1), job(vec![step(1)]), 6, None);
+    world.run_for(5_000);
+    let jobs = [id(1)];
+    let without_progress = |mut report: HoldReport| {
+        for active in &mut report.active {
+            active.percent = None;
+        }
+        report
+    };
+    run_with_answers(&mut world, 20_000, without_progress);
+    take_over(&mut world, &jobs);
+    run_with_answers(&mut world, 20_000, without_progress);
+    world.run_for(5_000);
+    assert_eq!(world.running().len(), 1);
+    assert_eq!(world.starts.len(), 1, "nothing was started again");
+}
--- a/crates/dewspar/tests/schedule/placement.rs
+++ b/crates/dewspar/tests/schedule/placement.rs
@@ -31,7 +31,7 @@
             let reached = world.reach(&worker).expect("w1");
             let mut report = reached.hold(clock, held.order()).expect("held");
             for run in &mut report.active {
-                run.gauge = *gauge;
+                run.gauge = Some(*gauge);
             }
             world.hold_result(&worker, &held, Ok(report), now);
         }
--- a/crates/dewspar/tests/schedule/worker_answers.rs
+++ b/crates/dewspar/tests/schedule/worker_answers.rs
@@ -165,7 +165,7 @@
                     let report = reached.hold(now.steady_ms, held.order());
                     let report = report.map(|mut report| {
                         for run in &mut report.active {
-                            run.gauge = gauge;
+                            run.gauge = Some(gauge);
                         }
                         report
                     });
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -19,7 +19,7 @@
 
 /// The version of these messages; relays serve only holders with the same
 /// version.
-pub(super) const VERSION: u32 = 4;
+pub(super) const VERSION: u32 = 5;
 
 /// The longest message, in bytes: some thousands of orders with a payload of 4
 /// kB each.
