Don't forget runs of unloaded jobs over an unreadable row

A task ran twice after a takeover: its run was listed before its job was loaded, and its row couldn't be read in the first answer after that.

Cause: runs of jobs that aren't loaded yet aren't applied; the worker is marked as having unknown runs until an answer lists none. A partial answer without that row cleared the mark, and the worker counted as synced since its first answer.

Now only an answer that identifies all runs clears it, and the worker's lease isn't extended meanwhile, with the same bound as for a first answer that is partial.

`a_run_listed_before_its_job_was_loaded_is_not_forgotten` fails with the new condition removed and passes with it; the 44 cases of `schedule` on answers and loading passed.

--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -145,8 +145,12 @@
         if unknown {
             worker.set_unknown_runs(true);
             worker.set_next_hold_ms(now.steady_ms + RETRY_HOLD_MS);
-        } else if newest && !report.has_more_ends {
-            // Otherwise they may be among the ends that it left out.
+        } else if newest
+            && !report.has_more_ends
+            && worker.identifies_all_runs(report, now.steady_ms)
+        {
+            // Otherwise they may be among the ends that it left out, or in
+            // rows that couldn't be read.
             worker.set_unknown_runs(false);
         }
     }
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -6,8 +6,8 @@
         job::{JobId, TaskId},
         link::Class,
         schedule::{
-            Incarnation, Options, Resources, WorkerId, WorkerListing,
-            cold_workers::ColdState, quotas::RunCharge,
+            HoldReport, Incarnation, Options, Resources, WorkerId,
+            WorkerListing, cold_workers::ColdState, quotas::RunCharge,
             stopping::StopProgress,
         },
     },
@@ -664,10 +664,20 @@
     /// Returns whether the newest answer leaves runs unidentified that a former
     /// lease holder may have started.
     ///
-    /// Once the worker has listed all of its runs, this holder has ordered any
-    /// other one itself.
+    /// Once the worker has listed all of its runs, and their jobs are loaded,
+    /// this holder has ordered any other one itself.
     pub(crate) fn has_unidentified_runs(&self) -> bool {
-        self.unread_runs && !self.synced
+        self.unread_runs && !self.runs_are_known()
+    }
+
+    /// Returns whether an answer leaves out no run that a former lease holder
+    /// may have started: one that can't be read is over once the lease is.
+    pub(crate) fn identifies_all_runs(
+        &self,
+        report: &HoldReport,
+        now_ms: u64,
+    ) -> bool {
+        !report.is_partial || now_ms > self.lease_over_ms
     }
 
     /// Returns whether rows of the newest answer couldn't be read.
--- a/crates/dewspar/src/schedule/worker/hold.rs
+++ b/crates/dewspar/src/schedule/worker/hold.rs
@@ -201,7 +201,7 @@
                 let inherited = now_ms + longest;
                 self.lease_over_ms = self.lease_over_ms.min(inherited);
             }
-            let identified = !report.is_partial || now_ms > self.lease_over_ms;
+            let identified = self.identifies_all_runs(report, now_ms);
             self.synced |= identified && !report.has_more_ends;
         }
         let newest = report.clock_ms >= self.latest_report_ms;
--- a/crates/dewspar/tests/schedule/partial_answers.rs
+++ b/crates/dewspar/tests/schedule/partial_answers.rs
@@ -219,3 +219,25 @@
     assert_eq!(world.running().len(), 1);
     assert_eq!(world.starts.len(), 1, "nothing was started again");
 }
+
+// Guards against a second run of a task that was listed before its job was
+// loaded, and whose row can't be read afterwards.
+#[test]
+fn a_run_listed_before_its_job_was_loaded_is_not_forgotten() {
+    let jobs = [id(1), id(2)];
+    let mut world = world_with_runs(&jobs);
+    world.take_over(8);
+    world.scheduler.begin_loading();
+    world.list();
+    world.expect_all();
+    world.run_for(500);
+    run_without_rows_of(&mut world, id(1), 1_000);
+    for id in jobs {
+        let stored = world.stored.get(&id).cloned();
+        world.scheduler.submit(id, job(vec![step(1)]), 6, stored.as_ref());
+    }
+    world.scheduler.finish_loading(at(world.now_ms));
+    run_without_rows_of(&mut world, id(1), LONGEST_WAIT_MS);
+    assert_eq!(world.running().len(), 2, "both run");
+    assert_eq!(started_on(&world, id(1)).len(), 2, "it starts again");
+}
