Hide rows of workers' answers in random worlds

One answer in about seven leaves out the row of an active run and is partial, in the worlds of usual and of short-lived holders, 100 seeds each. No task may run twice, and every job must still finish.

Other worlds draw no further random numbers.

--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -277,6 +277,26 @@
     assert!(cut_answers > 3_000, "{cut_answers}");
 }
 
+// Guards against conclusions from the absence of a run whose row in an answer
+// can't be read, above all after takeovers.
+#[test]
+fn no_task_runs_twice_where_rows_of_answers_cannot_be_read() {
+    let mut hidden = 0;
+    let mut pairs = 0;
+    for seed in 0..100 {
+        for world in [World::new(seed), World::short_lived_holders(seed)] {
+            let world = run_world(world.with_hidden_rows(), seed);
+            // OK because it was set above.
+            let rows = world.hidden_rows.expect("hidden rows");
+            hidden += rows.count;
+            pairs += rows.pairs;
+        }
+    }
+    // Enough cases must have occurred to test the invariant.
+    assert!(hidden > 2_000, "{hidden}");
+    assert!(pairs > 500, "{pairs}");
+}
+
 // Guards against mistaking a worker restarted under its identifier for the
 // previous process.
 #[test]
--- a/crates/dewspar/tests/schedule_random/world.rs
+++ b/crates/dewspar/tests/schedule_random/world.rs
@@ -261,6 +261,8 @@
     listed_ends: Option<usize>,
     /// The number of answers to holds that left out ends.
     pub cut_answers: u32,
+    /// The rows of active runs that can't be read, if there are any.
+    pub hidden_rows: Option<HiddenRows>,
     /// A digest of all orders.
     pub digest: u64,
 }
@@ -269,6 +271,15 @@
 /// here waits.
 const MAX_CLOCK_ERROR_MS: i64 = 60_000;
 
+/// The rows of active runs that couldn't be read.
+#[derive(Default)]
+pub struct HiddenRows {
+    pub count: u32,
+    /// The number of holders and workers with such a row.
+    pub pairs: u32,
+    seen: BTreeSet<(u64, WorkerId)>,
+}
+
 /// The crashes and starts of a task that crashes each worker that starts it.
 #[derive(Default)]
 pub struct CrashingTask {
@@ -328,6 +339,7 @@
             former_entries: None,
             listed_ends: None,
             cut_answers: 0,
+            hidden_rows: None,
             digest: 0,
         };
         for vm in 0..4 {
@@ -364,6 +376,12 @@
         self
     }
 
+    /// Returns a world in which some rows of answers can't be read.
+    pub fn with_hidden_rows(mut self) -> World {
+        self.hidden_rows = Some(HiddenRows::default());
+        self
+    }
+
     /// Gives the workers incarnations, which a new holder then sees.
     fn assign_incarnations(&mut self) {
         for process in self.processes.values_mut() {
@@ -1258,16 +1276,35 @@
         let clock = process.clock(now_ms);
         let acknowledged = held.order().acknowledged;
         let ended = process.worker.ended().to_vec();
-        let report = process.worker.hold(clock, held.order())?;
+        let mut report = process.worker.hold(clock, held.order())?;
         let acknowledged_done = ended.into_iter().filter(|end| {
             end.number <= acknowledged && end.cause == EndCause::Done
         });
         let unlisted = report.ended.len() < process.worker.ended().len();
         self.cut_answers += u32::from(unlisted);
         self.acknowledged_done.extend(acknowledged_done.map(|end| end.task));
+        self.hide_row(worker, &mut report);
         Ok(report)
     }
 
+    /// Makes the row of a run unreadable now and then.
+    fn hide_row(&mut self, worker: &WorkerId, report: &mut HoldReport) {
+        if self.hidden_rows.is_none()
+            || report.active.is_empty()
+            || !self.chance(150)
+        {
+            return;
+        }
+        let row = self.random.random_range(0..report.active.len());
+        report.active.remove(row);
+        report.is_partial = true;
+        let holder = (self.store.revision, worker.clone());
+        // OK because it was checked above.
+        let hidden = self.hidden_rows.as_mut().expect("hidden rows");
+        hidden.count += 1;
+        hidden.pairs += u32::from(hidden.seen.insert(holder));
+    }
+
     /// Checks that no worker that could always be reached has done a task and
     /// hasn't listed that yet.
     fn check_unlisted_ends(&self, task: &TaskId) {
