Test that a VM that is down counts while a list hides it

A VM of a wave that its holder took down must count as down until a list shows it as up: a partial list that hides it made room for another maintenance before partial lists were told apart.

--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -346,7 +346,18 @@
 }
 
 // Guards against more VMs that are down than a wave allows, because the row of
-// one that a former holder took down can't be read.
+// one that is down can't be read.
+#[test]
+fn a_vm_that_is_down_counts_while_its_row_cannot_be_read() {
+    let mut world = world_with_idle_wave();
+    let down = take_one_down(&mut world);
+    world.list();
+    assert_eq!(maintained_vm(&mut world, 8_000, Some(&down)), None);
+    let other = maintained_vm(&mut world, 3_000, None).expect("an order");
+    assert_ne!(format!("{other}+"), format!("vm-of-{down}"));
+}
+
+// The same where a former holder took it down.
 #[test]
 fn a_vm_that_a_former_holder_took_down_counts_while_it_is_hidden() {
     let mut world = world_with_idle_wave();
