Judge leases of workers by the time of the holder's own renewals

Callers saw a task run twice: a holder that had lost the store counted the lease of a worker as over and started its tasks elsewhere, while its successor had renewed that lease, or had noted the run's end as done.

Cause: a holder goes on without the store for 8 s after its lease. It judged whether a worker's lease is over by the steady clock alone, though a successor may extend the leases of workers that this holder doesn't reach. The guard against that existed and applied only where the loss of a hall is tolerated. Where a worker hadn't answered since a takeover there was no guard at all. Class: a conclusion that can't be taken back rests on one source, here this holder's clock, while a successor contradicts it.

The holder goes on with all else that it knows.

Cost: a lapse is noticed up to one interval of renewals later, a quarter of the lease; without the store, tasks of silent workers wait for its return.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -410,28 +410,27 @@
         }
     }
 
-    /// Returns whether this holder certainly held its own lease until this time
-    /// of the steady clock, in milliseconds.
+    /// Returns the time of the steady clock, in milliseconds, by which leases
+    /// of workers are judged.
     ///
-    /// A holder that is cut off with its hall reaches workers there, and may
-    /// have a successor that renews the leases of all others. That matters
-    /// where the loss of a hall must be tolerated: the leases of runs are
-    /// shorter there than the time for which a holder goes on without the
-    /// store.
-    fn held_lease_at(&self, at_ms: u64) -> bool {
-        self.options.tolerated_halls == 0
-            || self.lease_renewed_ms.is_none_or(|sent_ms| sent_ms >= at_ms)
+    /// A successor extends the leases of the workers that it reaches, also of
+    /// those that this holder doesn't. There is none as long as this holder
+    /// renews its own lease, so time after the last renewal doesn't count.
+    pub(super) fn lease_confirmed_ms(&self, now: Now) -> u64 {
+        let renewed_ms = self.lease_renewed_ms;
+        renewed_ms.map_or(now.steady_ms, |sent_ms| sent_ms.min(now.steady_ms))
     }
 
     /// Drops workers whose lease is certainly over, and those that left the
     /// directory without any runs.
     pub(super) fn drop_lapsed_workers(&mut self, now: Now) {
+        let confirmed_ms = self.lease_confirmed_ms(now);
         let mut gone = Vec::new();
         for number in self.due_workers(now) {
             let Some(worker) = self.workers.at(number) else { continue };
-            let lapsed = worker.lapses_from_ms().is_some_and(|from_ms| {
-                now.steady_ms >= from_ms && self.held_lease_at(from_ms)
-            });
+            let lapses_from_ms = worker.lapses_from_ms();
+            let lapsed =
+                lapses_from_ms.is_some_and(|from_ms| confirmed_ms >= from_ms);
             let idle = worker.runs.is_empty();
             if lapsed && !idle {
                 gone.push((number, "its lease is over"));
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -613,11 +613,12 @@
     /// Returns whether some worker of a pool may run tasks from a former lease
     /// and hasn't listed its runs yet.
     pub(super) fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
+        let confirmed_ms = self.lease_confirmed_ms(now);
         !self.workers_known
             || self
                 .workers
                 .in_pool(pool)
-                .any(|(_, worker)| worker.may_run_unknown(now.steady_ms))
+                .any(|(_, worker)| worker.may_run_unknown(confirmed_ms))
     }
 
     /// Returns the score of a worker for the tasks of a step.
--- a/crates/dewspar/src/schedule/unlisted_use.rs
+++ b/crates/dewspar/src/schedule/unlisted_use.rs
@@ -152,10 +152,11 @@
         now: Now,
     ) -> BTreeMap<&str, Option<Resources>> {
         let mut pools: BTreeMap<&str, Option<Resources>> = BTreeMap::new();
+        let confirmed_ms = self.lease_confirmed_ms(now);
         let may_run_unknown = self
             .workers
             .values()
-            .filter(|worker| worker.may_run_unknown(now.steady_ms));
+            .filter(|worker| worker.may_run_unknown(confirmed_ms));
         for worker in may_run_unknown {
             let pool = worker.listing.pool.as_str();
             let sum = pools.entry(pool).or_insert(Some(Resources::default()));
--- a/crates/dewspar/tests/schedule/detached_holders.rs
+++ b/crates/dewspar/tests/schedule/detached_holders.rs
@@ -54,3 +54,36 @@
     }
     assert_eq!(world.starts.len(), 2, "its lease is over");
 }
+
+/// Guards against two runs of a task that a former holder has started: a holder
+/// loses the store before it has reached the worker, and its successor reaches
+/// that worker and renews its lease.
+#[test]
+fn an_inherited_lease_that_a_successor_may_have_renewed_is_not_over() {
+    for tolerated_halls in [0, 1] {
+        let (mut world, worker) = world(tolerated_halls);
+        world.unreachable.push(worker);
+        let progress = world.stored.get(&id(1)).cloned();
+        world.take_over(8);
+        world.list();
+        world.expect_all();
+        let spec = StepSpec { long_running: true, ..step(1) };
+        let scheduler = &mut world.scheduler;
+        scheduler.submit(id(1), job(vec![spec]), 6, progress.as_ref());
+        // The longest inherited lease ends 16.2 s after the takeover.
+        for _ in 0..10 {
+            world.scheduler.lease_renewed(world.now_ms);
+            world.run_for(1_000);
+        }
+        world.run_for(8_000);
+        assert_eq!(
+            world.starts.len(),
+            1,
+            "another holder may have renewed it"
+        );
+        // The store says that there was no other holder.
+        world.scheduler.lease_renewed(world.now_ms);
+        world.run_for(500);
+        assert_eq!(world.starts.len(), 2);
+    }
+}
