Withdraw a withheld start if another worker may run its task

A task could run twice after a takeover: its start waited for its record, up to 0.3 s, and a worker that a former holder may have told to run it became known meanwhile.

Cause: whether a former holder's run may go on was asked when the start was placed and not again before it was ordered. It takes a worker that was missing from what counted as all workers, so the fault adds to others. Class: a conclusion outlives the reading that it rests on.

Now such a start is withdrawn, and the task waits again.

--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -19,8 +19,9 @@
 order is sent without a record: a start waits no longer than
 [`RECORD_WAIT_MS`].
 
-If the worker stops taking orders meanwhile, or the run is to stop, nothing was
-ordered, and the task waits again.
+If the worker stops taking orders meanwhile, the run is to stop, or a worker
+becomes known that may run the task already, nothing was ordered, and the task
+waits again.
 
 # Example
 
@@ -242,8 +243,13 @@
         if !roomy || !may_be_ordered(worker, task, *run, now) {
             return WithheldAction::Withdraw;
         }
+        let spec = job.step_spec(task);
+        // A worker that may run the task may have become known meanwhile.
+        if spec.is_some_and(|s| self.may_run_from_former_lease(job, s, now)) {
+            return WithheldAction::Withdraw;
+        }
         // The members of a gang start together.
-        let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
+        let gang = spec.is_some_and(|spec| spec.gang);
         let outdated = self.operator_view.is_outdated();
         if self.starts_left(worker, now) == 0 {
             return WithheldAction::Wait;
