Notice a silent feed while jobs are only cancelled

A watch that goes silent without an error is found by comparing the feed with a key that every node writes. It was written with each accepted job, but not with a cancellation. While jobs were only cancelled, the feed counted as current, and their tasks ran on until another job was accepted.

Cancellations now write the key as well, also those of jobs that aren't there. Nodes of earlier builds don't; beside them a silent watch hides their cancellations as before, and nothing else changes.

Evidence: a_cancellation_is_found_while_watches_are_silent.

--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -217,8 +217,8 @@
     }
 }
 
-/// Waits until the feed has missed a job that was accepted, and returns the
-/// version at which that was stored. Until then, reports the times up to which
+/// Waits until the feed has missed a job that was accepted or cancelled, and
+/// returns the version at which that was stored. Until then, reports the times up to which
 /// the feed is current.
 async fn wait_for_silence<K: KeyValue>(
     store: &K,
@@ -228,7 +228,7 @@
     loop {
         sleep(SILENCE_CHECK_INTERVAL).await;
         let requested_ms = clock::now_ms();
-        let newest = match store.version(keys::ACCEPTED_LAST).await {
+        let newest = match store.version(keys::LAST_CHANGE).await {
             Ok(newest) => newest,
             Err(error) => {
                 counters::platform_failure(&error);
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -450,8 +450,9 @@
             Ok(None) => JobReply::NoSuchJob,
             Ok(Some(phase)) if phase.is_final() => JobReply::Cancelled,
             Ok(Some(_)) => {
-                let batch =
-                    Batch::default().put(&keys::cancelled(id), Vec::new());
+                let batch = Batch::default()
+                    .put(&keys::cancelled(id), Vec::new())
+                    .put(keys::LAST_CHANGE, Vec::new());
                 cancel_reply(&self.write(&batch, deadline).await)
             }
         }
@@ -546,7 +547,7 @@
         .when(&keys::accepted(id), Expected::Absent)
         .when(&keys::progress(id), Expected::Absent)
         .put(&keys::accepted(id), value)
-        .put(keys::ACCEPTED_LAST, Vec::new());
+        .put(keys::LAST_CHANGE, Vec::new());
     match limits_version {
         Some(version) => {
             batch.when(keys::TEAM_LIMITS, Expected::from_version(version))
@@ -574,6 +575,7 @@
         .when(&keys::progress(id), Expected::Absent)
         .put(&keys::progress(id), value)
         .put(&keys::cancelled(id), NEVER_ACCEPTED.to_vec())
+        .put(keys::LAST_CHANGE, Vec::new())
 }
 
 /// Returns the answer to a cancelling whose write had this result.
--- a/crates/dewspard/src/jobs/keys.rs
+++ b/crates/dewspard/src/jobs/keys.rs
@@ -36,10 +36,11 @@
 /// Cancelled jobs of which tasks may still run.
 pub(super) const CANCELLED: &str = "q/stop/";
 
-/// Written by every node along with each job that it accepts. The version of
-/// this key tells a holder whether its feed has gone silent. All nodes share
-/// one key, so that a check reads 100 bytes rather than 100 bytes per node.
-pub(super) const ACCEPTED_LAST: &str = "accepted-last";
+/// Written by every node along with each job that it accepts or cancels. The
+/// version of this key tells a holder whether its feed has gone silent. All
+/// nodes share one key, so that a check reads 100 bytes rather than 100 bytes
+/// per node.
+pub(super) const LAST_CHANGE: &str = "accepted-last";
 
 /// The progress of jobs.
 pub(super) const PROGRESS: &str = "run/";
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -137,6 +137,16 @@
         .await;
     }
 
+    /// Waits until the holder has deleted all cancellations, which it does
+    /// once it knows of them and no task of their jobs runs.
+    async fn wait_until_cancellations_are_settled(&self) {
+        wait_until(async || {
+            let listed = self.store.list("q/stop/").await;
+            listed.expect("a store").1.is_empty()
+        })
+        .await;
+    }
+
     /// Checks that the runs of each task were started in increasing order, and
     /// returns the number of starts of each task.
     fn start_counts(&self) -> BTreeMap<String, u64> {
@@ -467,6 +477,22 @@
     cluster.wait_for_phase(0, 2, "completed").await;
 }
 
+// Guards against a silent watch that isn't noticed while jobs are only
+// cancelled: their tasks ran on until another job was accepted.
+#[tokio::test]
+async fn a_cancellation_is_found_while_watches_are_silent() {
+    let cluster = Cluster::start(2).await;
+    cluster.fleet.set_work_ms(600_000);
+    submit_until_accepted(&cluster, 0, 1).await;
+    wait_until(async || cluster.fleet.running().len() == 3).await;
+    cluster.store_faults.set_silent(true);
+    let path = job_path(1);
+    let (status, _) = cluster.call(1, Method::DELETE, &path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    cluster.wait_until_cancellations_are_settled().await;
+    assert!(cluster.fleet.running().is_empty());
+}
+
 #[tokio::test]
 async fn a_waiting_count_whose_write_failed_is_stored_later() {
     let cluster = Cluster::start(1).await;
