Give a feed time to deliver what it lacks before it counts as silent

In a burst the holder's feed fell behind by 5 to 18 s, and jobs and cancellations were taken in that late.

After 0.3 s the watch counted as silent and its answer was thrown away. The second watch asked for more and was cut off as well; two silent watches at one version led to a full read of the feed, in pages of 1.4 MB, for 6 to 12 s. The watch then went on from the revision of the first page, 4,169 and 8,392 revisions behind, and all of this began anew. Ruled out by the same lines: events waiting in the holder's channel (at most 183 ms) and its link (5 of 17.5 MB/s).

The grace period now grows by 2 ms for each version that the feed lacks, up to 2.5 s. A feed that lacks one job is silent after 102 ms, as before.

What limits a page to two or three a second isn't known.

--- a/crates/dewspar/src/feed.rs
+++ b/crates/dewspar/src/feed.rs
@@ -11,6 +11,12 @@
 only *silent* if it has delivered nothing since the version was requested. A
 feed that still delivers changes is *behind*, and the watcher only has to wait.
 
+A watch delivers everything that was missed in one answer, which takes longer
+the more that is. Until it is complete, nothing counts as delivered. So a feed
+has a [grace period](FeedProgress::grace_ms) that grows with the number of
+versions that it lacks; a watch that is replaced before would only transfer the
+same changes again, and a full read far more.
+
 # Example
 
 ```
@@ -27,6 +33,18 @@
 ```
 */
 
+/// The shortest grace period, in milliseconds: a few round trips of a slow
+/// store.
+const MIN_GRACE_MS: u64 = 100;
+
+/// The longest grace period, in milliseconds: less than a job may wait without
+/// a sign of it.
+const MAX_GRACE_MS: u64 = 2_500;
+
+/// The time that a weak node may take to receive the changes of one version,
+/// in milliseconds.
+const VERSION_TRANSFER_MS: u64 = 2;
+
 /// The state of a feed compared with the newest write it must deliver.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FeedState {
@@ -62,6 +80,25 @@
         self.advanced_ms = now_ms;
     }
 
+    /// Returns how long the feed may deliver nothing before it is silent, if
+    /// `newest` is the version of the newest write that it must deliver.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use dewspar::feed::FeedProgress;
+    ///
+    /// let feed = FeedProgress::new(1_000, 0);
+    /// assert_eq!(feed.grace_ms(1_001), 102);
+    /// assert_eq!(feed.grace_ms(1_900), 1_900);
+    /// assert_eq!(feed.grace_ms(90_000), 2_500);
+    /// ```
+    pub fn grace_ms(&self, newest: u64) -> u64 {
+        let missing = newest.saturating_sub(self.version);
+        let transfer_ms = missing.saturating_mul(VERSION_TRANSFER_MS);
+        MIN_GRACE_MS.saturating_add(transfer_ms).min(MAX_GRACE_MS)
+    }
+
     /// Returns the feed's state, given that a read requested at `requested_ms`
     /// returned `newest` as the version of the newest write that the feed must
     /// deliver.
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -51,9 +51,9 @@
 /// fail, which is longer than a quick job may wait.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// How long the feed may lag behind the store before it counts as silent: a
-/// few round trips of a slow store.
-const SILENCE_GRACE: Duration = Duration::from_millis(100);
+/// The interval at which a feed that lacks changes is looked at during its
+/// grace period.
+const GRACE_CHECK_INTERVAL_MS: u64 = 100;
 
 /// The delay before a failed call to the store is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -235,9 +235,7 @@
                 continue;
             }
         };
-        if newest > progress.version() {
-            sleep(SILENCE_GRACE).await;
-        }
+        progress.wait_for_delivery(newest, requested_ms).await;
         match progress.state(newest, requested_ms) {
             FeedState::Current => {
                 // Queued after the feed's events in the same channel. If the
@@ -270,6 +268,23 @@
         self.progress().version()
     }
 
+    /// Waits until a feed that lacks changes has delivered some since the
+    /// request, at most for its grace period.
+    async fn wait_for_delivery(&self, newest: u64, requested_ms: u64) {
+        let mut left_ms = self.progress().grace_ms(newest);
+        let mut state = self.state(newest, requested_ms);
+        // A feed that is behind may be current one interval later.
+        while left_ms > 0 && state != FeedState::Current {
+            let pause_ms = left_ms.min(GRACE_CHECK_INTERVAL_MS);
+            sleep(Duration::from_millis(pause_ms)).await;
+            left_ms -= pause_ms;
+            state = self.state(newest, requested_ms);
+            if state == FeedState::Behind {
+                return;
+            }
+        }
+    }
+
     fn advance(&self, version: u64) {
         self.progress().advance(version, clock::now_ms());
     }
