Start nothing on cancellations that are too stale

Each start is now based on a view of the cancellations: the revision and the time at which it was known to be current, both logged with the start. Above 800 ms the holder reads q/stop/, one small list that has the cancellations of all jobs whatever the feed's lag. Above timing.cancel_ms less 500 ms for the order, nothing starts until that read is answered. The view advances with requests, not with answers. A cancellation that is read before its job arrives is kept until then; during loading that was done already. A holder that is cut off from the store goes on as before, and checks its view when it is back.

A new setting, timing.cancel_ms, has a default of 3,000 ms.

--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -17,7 +17,7 @@
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
         sync::{
-            Arc, Mutex, PoisonError,
+            Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
@@ -47,6 +47,8 @@
     cut: AtomicBool,
     silent: AtomicBool,
     unlisted: AtomicBool,
+    /// The prefix that can't be listed, if that is only one.
+    unlisted_prefix: Mutex<Option<String>>,
     delay_us: AtomicU64,
     list_delay_us: AtomicU64,
     lost_per_mille: AtomicU64,
@@ -63,6 +65,7 @@
             cut: AtomicBool::new(false),
             silent: AtomicBool::new(false),
             unlisted: AtomicBool::new(false),
+            unlisted_prefix: Mutex::new(None),
             delay_us: AtomicU64::new(0),
             list_delay_us: AtomicU64::new(0),
             lost_per_mille: AtomicU64::new(0),
@@ -109,9 +112,20 @@
         self.inner.unlisted.store(unlisted, Ordering::Relaxed);
     }
 
-    /// Returns whether every list is refused.
-    pub fn unlisted(&self) -> bool {
+    /// Refuses lists of exactly this prefix, or of none.
+    pub fn set_unlisted_prefix(&self, prefix: Option<&str>) {
+        *self.unlisted_prefix() = prefix.map(str::to_owned);
+    }
+
+    /// Returns whether lists of this prefix are refused.
+    pub fn unlisted(&self, prefix: &str) -> bool {
         self.inner.unlisted.load(Ordering::Relaxed)
+            || self.unlisted_prefix().as_deref() == Some(prefix)
+    }
+
+    fn unlisted_prefix(&self) -> MutexGuard<'_, Option<String>> {
+        let prefix = self.inner.unlisted_prefix.lock();
+        prefix.unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Sets how long each call takes, in microseconds.
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -373,7 +373,7 @@
     ) -> Result<(u64, Vec<Versioned>), Error> {
         self.faults.count_read();
         *self.lists().entry(prefix.to_owned()).or_default() += 1;
-        if self.faults.unlisted() {
+        if self.faults.unlisted(prefix) {
             let reason = "lists are refused".to_owned();
             return Err(Error::Unavailable { call: "read", reason });
         }
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -95,6 +95,7 @@
 mod rows;
 pub mod schedule;
 pub mod slot;
+pub mod staleness;
 pub mod status;
 pub mod team;
 mod util;
--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -32,6 +32,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Cancelled {
     on_record: BTreeSet<JobId>,
+    /// Those of jobs that aren't known yet.
+    deferred: BTreeSet<JobId>,
     checked_ms: u64,
 }
 
@@ -43,6 +45,19 @@
     pub(super) fn contains(&self, id: JobId) -> bool {
         self.on_record.contains(&id)
     }
+
+    /// Keeps a cancellation until its job is known.
+    pub(super) fn defer(&mut self, id: JobId) {
+        self.deferred.insert(id);
+    }
+
+    /// Takes the kept cancellations of the jobs that are known.
+    pub(super) fn take_deferred(
+        &mut self,
+        is_known: impl Fn(&JobId) -> bool,
+    ) -> Vec<JobId> {
+        self.deferred.extract_if(.., |id| is_known(id)).collect()
+    }
 }
 
 impl Scheduler {
--- a/crates/dewspar/src/schedule/evacuation.rs
+++ b/crates/dewspar/src/schedule/evacuation.rs
@@ -19,7 +19,8 @@
 
 use {
     crate::schedule::{
-        Decision, Now, Scheduler, VmStatus, run_times::StepKey, worker::Worker,
+        AwaitedState, Decision, Now, Scheduler, VmStatus, run_times::StepKey,
+        worker::Worker,
     },
     std::collections::{BTreeMap, BTreeSet, HashMap},
 };
@@ -220,15 +221,16 @@
         let OperatorView { requested_ms, outdated_since_ms } =
             self.operator_view;
         let age_ms = now.steady_ms.saturating_sub(requested_ms);
+        let state = AwaitedState::OperatorRequests;
         match (age_ms > max_age_ms, outdated_since_ms) {
             (true, None) => {
                 self.operator_view.outdated_since_ms = Some(now.steady_ms);
-                self.note(Decision::StartsPaused { age_ms });
+                self.note(Decision::StartsPaused { state, age_ms });
             }
             (false, Some(since_ms)) => {
                 self.operator_view.outdated_since_ms = None;
                 let after_ms = now.steady_ms.saturating_sub(since_ms);
-                self.note(Decision::StartsResumed { after_ms });
+                self.note(Decision::StartsResumed { state, after_ms });
             }
             (true, Some(_)) | (false, None) => {}
         }
--- a/crates/dewspar/src/schedule/loading.rs
+++ b/crates/dewspar/src/schedule/loading.rs
@@ -37,12 +37,9 @@
 ```
 */
 
-use {
-    crate::{
-        job::{JobId, Phase},
-        schedule::{HoldReport, Now, Scheduler, WorkerId},
-    },
-    std::collections::BTreeSet,
+use crate::{
+    job::{JobId, Phase},
+    schedule::{HoldReport, Now, Scheduler, WorkerId},
 };
 
 /// How long to wait before asking a worker again whose answer named unknown
@@ -57,21 +54,18 @@
     #[default]
     Done,
     /// Some may not be known yet.
-    UnderWay {
-        /// The jobs that were cancelled before they were known.
-        cancelled: BTreeSet<JobId>,
-    },
+    UnderWay,
 }
 
 impl Scheduler {
     /// Notes that jobs of previous holders are still to be submitted.
     pub fn begin_loading(&mut self) {
-        self.loading = Loading::UnderWay { cancelled: BTreeSet::new() };
+        self.loading = Loading::UnderWay;
     }
 
     /// Returns whether jobs of previous holders may still be unknown.
     pub fn is_loading(&self) -> bool {
-        matches!(self.loading, Loading::UnderWay { .. })
+        matches!(self.loading, Loading::UnderWay)
     }
 
     /// Notes that every job of previous holders was submitted.
@@ -95,28 +89,23 @@
         !self.is_loading() && !unknown
     }
 
-    /// Keeps a cancellation until its job is known; returns whether that is
-    /// necessary.
-    pub(super) fn defer_cancellation(&mut self, id: JobId) -> bool {
-        if !self.is_unknown(id) {
-            return false;
+    /// Keeps the cancellation of an unknown job until the job is known: it may
+    /// not be loaded yet, or the feed may not have delivered it.
+    pub(super) fn defer_cancellation(&mut self, id: JobId) {
+        let is_known =
+            self.jobs.contains_key(&id) || self.finished.contains_key(&id);
+        if !is_known {
+            self.cancelled.defer(id);
         }
-        if let Loading::UnderWay { cancelled } = &mut self.loading {
-            cancelled.insert(id);
-        }
-        true
     }
 
     /// Cancels jobs that were cancelled before they were known and are known
     /// by now.
     pub(super) fn apply_deferred_cancellations(&mut self, now: Now) {
-        let Loading::UnderWay { cancelled } = &mut self.loading else {
-            return;
-        };
-        let jobs = &self.jobs;
-        let known: Vec<JobId> =
-            cancelled.extract_if(.., |id| jobs.contains_key(id)).collect();
-        for id in known {
+        let (jobs, finished) = (&self.jobs, &self.finished);
+        let is_known =
+            |id: &JobId| jobs.contains_key(id) || finished.contains_key(id);
+        for id in self.cancelled.take_deferred(is_known) {
             self.finish(id, Phase::Cancelled, now);
         }
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -139,12 +139,14 @@
         hall::HallChange,
         job::{JobId, JobSpec, Phase, TaskId},
         quota::Usage,
+        staleness::StateView,
         team::Team,
     },
     serde::{Deserialize, Serialize},
 };
 
 mod advice;
+mod cancellation_view;
 mod cancelled;
 mod ceilings;
 mod cold_workers;
@@ -353,6 +355,25 @@
     }
 }
 
+/// Stored state on which starts depend, and without which they wait.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum AwaitedState {
+    /// The operator's requests to empty data halls.
+    OperatorRequests,
+    /// The cancellations of jobs.
+    Cancellations,
+}
+
+impl AwaitedState {
+    /// Returns its name, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AwaitedState::OperatorRequests => "operator_requests",
+            AwaitedState::Cancellations => "cancellations",
+        }
+    }
+}
+
 /// A decision or observation, for logs and metrics.
 #[derive(Clone, Debug, PartialEq)]
 #[non_exhaustive]
@@ -369,6 +390,10 @@
         waited_ms: u64,
         /// The processor time that it requests, in thousandths of a core.
         cpu_millis: u64,
+        /// The view of cancellations on which it is based.
+        cancellations: StateView,
+        /// The age of that view, in milliseconds.
+        cancellations_age_ms: u64,
     },
     /// A worker has confirmed the first run of a job.
     JobBegan {
@@ -660,14 +685,17 @@
         /// counted.
         uncounted: usize,
     },
-    /// Nothing starts, because the operator's requests weren't read for too
-    /// long.
+    /// Nothing starts, because some stored state is too stale.
     StartsPaused {
-        /// How long ago they were read, in milliseconds.
+        /// The state.
+        state: AwaitedState,
+        /// How long ago it was known to be current, in milliseconds.
         age_ms: u64,
     },
-    /// Tasks start again, because the operator's requests were read.
+    /// Tasks start again, because that state was read.
     StartsResumed {
+        /// The state.
+        state: AwaitedState,
         /// How long nothing started, in milliseconds.
         after_ms: u64,
     },
--- a/crates/dewspar/src/schedule/options.rs
+++ b/crates/dewspar/src/schedule/options.rs
@@ -2,7 +2,7 @@
 The times and limits of a scheduler, and the policy that it follows.
 */
 
-use crate::{link::LinkLimits, schedule::Policy};
+use crate::{link::LinkLimits, schedule::Policy, staleness::StalenessLimits};
 
 /// How soon after a takeover all workers are polled for the first time, in
 /// milliseconds.
@@ -34,6 +34,7 @@
     pub(crate) stop_settle_ms: u64,
     pub(crate) vm_list_age_ms: u64,
     pub(crate) max_operator_view_age_ms: Option<u64>,
+    pub(crate) cancellation_limits: Option<StalenessLimits>,
     pub(crate) tolerated_halls: usize,
     pub(crate) remote_factor: Option<f64>,
     pub(crate) link: LinkLimits,
@@ -79,6 +80,7 @@
             // A few reads of the list, and less than a VM takes to move.
             vm_list_age_ms: 2_000,
             max_operator_view_age_ms: None,
+            cancellation_limits: None,
             tolerated_halls: 0,
             remote_factor: None,
             link: LinkLimits::of_link(LINK_MBPS),
@@ -131,6 +133,16 @@
         self
     }
 
+    /// Sets how stale the known cancellations may be for tasks to start;
+    /// `None` for any age.
+    pub fn cancellation_limits(
+        mut self,
+        limits: Option<StalenessLimits>,
+    ) -> Options {
+        self.cancellation_limits = limits;
+        self
+    }
+
     /// Sets how many data halls may be lost at once and must be tolerated; 0
     /// for none.
     pub fn tolerated_halls(mut self, tolerated_halls: usize) -> Options {
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -738,12 +738,15 @@
         let waited_ms = now.steady_ms.saturating_sub(step.ready_ms);
         let checkpoint = job.task(task)?.checkpoint.as_ref().to_owned();
         let cpu_millis = demand(job.step_spec(task)?).cpu_millis;
+        let cancellations = self.cancellation_view.view();
         self.note(Decision::Started {
             task: *task,
             run,
             worker: worker_id.clone(),
             waited_ms,
             cpu_millis,
+            cancellations,
+            cancellations_age_ms: cancellations.age_ms(now.steady_ms),
         });
         let order = StartOrder {
             task: *task,
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -8,6 +8,7 @@
             AcceptedJob, Action, Decision, ManagedVm, Now, Options, PaceOrder,
             QueueTerms, Resources, SentHold, WorkerId,
             advice::StepAdvice,
+            cancellation_view::CancellationView,
             cancelled::Cancelled,
             cold_workers::ColdTerms,
             crash_bursts::{CrashBursts, ReservedFor},
@@ -201,6 +202,8 @@
     pub(super) long_waits: LongWaits,
     /// How current the operator's requests are.
     pub(super) operator_view: OperatorView,
+    /// How current the known cancellations are.
+    pub(super) cancellation_view: CancellationView,
     /// What is known about data halls as failure domains.
     pub(super) failure_domains: FailureDomains,
     /// What is concluded about data halls.
@@ -224,6 +227,7 @@
             runs_checked_ms: 0,
             long_waits: LongWaits::default(),
             operator_view: OperatorView::default(),
+            cancellation_view: CancellationView::default(),
             failure_domains: FailureDomains::default(),
             halls: HallMonitor::new(options.tolerated_halls),
             hall_losses: HallLosses::default(),
@@ -378,16 +382,13 @@
         self.merge_logged_starts(id);
     }
 
-    /// Cancels a job. A job that has finished or is unknown stays as it is,
-    /// unless jobs are still being loaded. Its runs are stopped in any case,
-    /// also under the next holders, until
+    /// Cancels a job. A job that has finished stays as it is; one that isn't
+    /// known yet is cancelled as soon as it is. Its runs are stopped in any
+    /// case, also under the next holders, until
     /// [`Scheduler::take_settled_cancellations`] returns it.
     pub fn cancel(&mut self, id: JobId, now: Now) {
-        let deferred = self.defer_cancellation(id);
+        self.defer_cancellation(id);
         self.cancelled.insert(id);
-        if deferred {
-            return;
-        }
         self.finish(id, Phase::Cancelled, now);
     }
 
@@ -451,11 +452,17 @@
 
     /// Returns whether an order to start may be sent now.
     pub(super) fn may_start(&self) -> bool {
-        !self.operator_view.is_outdated()
+        !self.is_view_outdated()
             && self.window.room() > 0
             && self.link.allows(Class::Start)
     }
 
+    /// Returns whether some state on which starts depend is too stale.
+    pub(super) fn is_view_outdated(&self) -> bool {
+        self.operator_view.is_outdated()
+            || self.cancellation_view.is_outdated()
+    }
+
     /// Records the end of an order that was sent at `sent_ms`, which shows how
     /// fast this node's orders are.
     pub(super) fn record_order_end(
@@ -480,6 +487,7 @@
         }
         let mut actions = Vec::new();
         self.check_operator_view(now);
+        self.check_cancellation_view(now);
         self.link.refill(now.steady_ms);
         self.apply_deferred_cancellations(now);
         self.update_halls(now);
--- a/crates/dewspar/src/schedule/write_ahead.rs
+++ b/crates/dewspar/src/schedule/write_ahead.rs
@@ -244,7 +244,7 @@
         }
         // The members of a gang start together.
         let gang = job.step_spec(task).is_some_and(|spec| spec.gang);
-        let outdated = self.operator_view.is_outdated();
+        let outdated = self.is_view_outdated();
         if self.starts_left(worker, now) == 0 {
             return WithheldAction::Wait;
         }
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -40,6 +40,7 @@
 mod runs;
 mod silent_workers;
 mod small_link;
+mod stale_cancellations;
 mod stalls;
 mod start_log;
 mod storing;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -196,6 +196,10 @@
         "The longest that an event waited to be taken in during the last second, while this node schedules.";
     SILENT_FEEDS, "counter", "dewspar_silent_feeds_total", None,
         "Times that accepted jobs were read outright because the feed was silent.";
+    START_PAUSES, "counter", "dewspar_start_pauses_total", Some("state"),
+        "Times that this node started nothing because some stored state was too stale, by state.";
+    CANCELLATION_READS, "counter", "dewspar_cancellation_reads_total", None,
+        "Times that the stored cancellations were read because the feed was behind.";
     READY, "gauge", "dewspar_ready", None,
         "Whether this node accepts callers: 1 or 0.";
 }
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -15,10 +15,20 @@
 /// Logs and counts a decision.
 pub(super) fn log_and_count(log: &Logger, decision: &Decision) {
     match decision {
-        Decision::Started { task, run, worker, waited_ms, cpu_millis } => {
+        Decision::Started {
+            task,
+            run,
+            worker,
+            waited_ms,
+            cpu_millis,
+            cancellations,
+            cancellations_age_ms,
+        } => {
             info!(log, "task: start ordered"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "waited_ms" => waited_ms,
-                "cpu_millis" => cpu_millis);
+                "cpu_millis" => cpu_millis,
+                "cancellations_revision" => cancellations.revision,
+                "cancellations_age_ms" => cancellations_age_ms);
             counters::count(counters::TASK_STARTS);
             metrics::histogram!(counters::TASK_WAIT)
                 .record(*waited_ms as f64 / 1_000.0);
@@ -207,12 +217,15 @@
                 "runs" => runs, "losses_uncounted" => uncounted);
             counters::hall_changed(&change.hall, change.to.number());
         }
-        Decision::StartsPaused { age_ms } => {
+        Decision::StartsPaused { state, age_ms } => {
             warn!(log, "holder: nothing starts"; "age_ms" => age_ms,
-                "reason" => "the operator's requests weren't read for too long");
+                "state" => state.name(),
+                "reason" => "the state is too stale");
+            counters::count_by(counters::START_PAUSES, "state", state.name());
         }
-        Decision::StartsResumed { after_ms } => {
-            info!(log, "holder: tasks start again"; "after_ms" => after_ms);
+        Decision::StartsResumed { state, after_ms } => {
+            info!(log, "holder: tasks start again"; "after_ms" => after_ms,
+                "state" => state.name());
         }
         Decision::PoolSized {
             pool,
--- a/crates/dewspard/src/jobs/event.rs
+++ b/crates/dewspard/src/jobs/event.rs
@@ -6,6 +6,7 @@
 
 use {
     super::{
+        cancellations::CancellationsRead,
         progress::{FeedEvent, WrittenProgress},
         start_logs::LoadedStartLogs,
         takeover::{LoadedFleetState, LoadedJobs},
@@ -20,6 +21,7 @@
             PaceOrder, SentHold, StartLog, VmOrderError, VmReading, WorkerId,
             WorkerListing,
         },
+        staleness::StateView,
     },
     dewspar_platform::Error,
     tokio::sync::mpsc,
@@ -104,10 +106,13 @@
     FleetStateLoaded(LoadedFleetState),
     /// Everything that former holders stored has been sent.
     AllLoaded,
-    /// Every job that was accepted before this time has been sent.
+    /// Every job that was accepted before the view's time has been sent, and
+    /// every cancellation that was stored before it.
     FeedCurrent {
-        requested_ms: u64,
+        view: StateView,
     },
+    /// The stored cancellations were read apart from the feed.
+    CancellationsRead(CancellationsRead),
     DirectoryRead {
         /// When it was requested, on the steady clock.
         requested_ms: u64,
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -18,6 +18,7 @@
         feed::{FeedProgress, FeedState},
         poll::PollInterval,
         schedule::WorkerId,
+        staleness::StateView,
     },
     dewspar_platform::{Error, Fleet, KeyValue, Purpose, Traffic, Watch},
     slog::{Logger, info},
@@ -240,7 +241,9 @@
             FeedState::Current => {
                 // Queued after the feed's events in the same channel. If the
                 // holder has stopped, this task is aborted.
-                let _ = sender.send(Event::FeedCurrent { requested_ms }).await;
+                let revision = progress.version();
+                let view = StateView { revision, current_ms: requested_ms };
+                let _ = sender.send(Event::FeedCurrent { view }).await;
             }
             FeedState::Behind => {}
             FeedState::Silent => return newest,
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -17,6 +17,7 @@
 
 use {
     super::{
+        cancellations::CancellationReads,
         checkpoints::Checkpoints,
         counts::CountsWriter,
         decisions,
@@ -52,6 +53,7 @@
         overload::RoundTrips,
         record::{RecordWriteOutcome, RecordWriter},
         schedule::{Now, OrderError, Scheduler, WorkerLookup},
+        staleness::StateView,
     },
     dewspar_platform::{Fleet, JobWorkers, KeyValue, Purpose},
     serde::Serialize,
@@ -155,6 +157,12 @@
     let mut scheduler =
         Scheduler::new(held.revision, candidate.options.clone());
     scheduler.lease_renewed(held.renewed_ms);
+    // The feed has all later cancellations; older ones are loaded before any
+    // of their jobs.
+    scheduler.note_cancellations(StateView {
+        revision: held.revision,
+        current_ms: held.renewed_ms,
+    });
     scheduler.set_seen_holders(candidate.seen_holders.clone());
     scheduler.inherit_silent_workers(&silent_workers.workers, now());
     scheduler.begin_loading();
@@ -186,6 +194,7 @@
         feed_current_ms: held.renewed_ms,
         load_stats: LoadStats::new(candidate.traffic.clone()),
         round_trips: RoundTrips::new(OVERLOAD_AFTER_MS),
+        cancellation_reads: CancellationReads::default(),
         counts: CountsWriter::default(),
         waves: LoadedWaves::default(),
         wave_writers: BTreeMap::new(),
@@ -249,6 +258,7 @@
     load_stats: LoadStats,
     /// The round trips of start orders that were answered.
     round_trips: RoundTrips,
+    pub(super) cancellation_reads: CancellationReads,
     pub(super) counts: CountsWriter,
     /// The write state of each wave's record.
     pub(super) wave_writers: BTreeMap<u64, RecordWriter>,
@@ -355,8 +365,13 @@
             Event::DeferredEndsWritten { ends, written } => {
                 self.deferred_ends_written(&ends, written, now);
             }
-            Event::FeedCurrent { requested_ms } => {
-                self.feed_current_ms = self.feed_current_ms.max(requested_ms);
+            Event::FeedCurrent { view } => {
+                self.feed_current_ms =
+                    self.feed_current_ms.max(view.current_ms);
+                scheduler.note_cancellations(view);
+            }
+            Event::CancellationsRead(read) => {
+                self.apply_cancellations(read, now);
             }
             Event::DirectoryRead { requested_ms, listings } => {
                 self.workers.set_listed(&listings);
@@ -518,6 +533,8 @@
         }
         self.apply_configuration(now);
         self.scheduler.set_relayed(self.workers.open_relays() > 0);
+        self.scheduler.set_detached(now.steady_ms >= lease_expiry_ms);
+        self.read_cancellations(now);
         let began = Instant::now();
         let actions = self.scheduler.plan(now);
         self.load_stats.plan_finished(began, &actions);
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -47,6 +47,7 @@
 };
 
 mod backoff;
+mod cancellations;
 mod checkpoints;
 mod counts;
 mod decisions;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -240,6 +240,7 @@
                 .duty_gap_ms(timing.duty_gap_ms)
                 .stop_timeout_ms(timing.stop_timeout_ms)
                 .max_operator_view_age_ms(timing.max_operator_view_age_ms())
+                .cancellation_limits(Some(timing.cancellation_limits()))
                 .detached_ms(holder::MAX_DETACHED_MS)
                 .tolerated_halls(tolerated_halls)
                 .remote_factor(timing.remote_factor)
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -24,7 +24,10 @@
 
 use {
     crate::settings::{Error, Log, Problems, read_file, read_yaml},
-    dewspar::schedule::{InvalidPolicy, Policy},
+    dewspar::{
+        schedule::{InvalidPolicy, Policy},
+        staleness::StalenessLimits,
+    },
     schemars::JsonSchema,
     serde::{Deserialize, Serialize},
     std::{
@@ -37,6 +40,15 @@
 /// milliseconds: several times the timeout of one attempt.
 const ORDER_TIME_MS: u64 = 500;
 
+/// The time after which no task of a cancelled job starts any more where the
+/// platform sets none, in milliseconds.
+const DEFAULT_CANCEL_MS: u64 = 3_000;
+
+/// The age of the known cancellations above which they are read from the
+/// store, in milliseconds: several intervals of the checks that show that the
+/// feed is current, and early enough for some reads before starts must wait.
+const CHECK_CANCELLATIONS_AFTER_MS: u64 = 800;
+
 /// The settings of a node that runs jobs.
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -227,6 +239,9 @@
     /// How much longer that may take while the store refuses some nodes, in
     /// milliseconds.
     pub max_stretch_ms: Option<u64>,
+    /// How soon after its cancellation was acknowledged no task of a job
+    /// starts any more, in milliseconds; 3,000 without it.
+    pub cancel_ms: Option<u64>,
     /// How many times as long a task takes away from its data; without it, a
     /// place near the data is preferred as if it were twice, and runs are
     /// expected to take as long everywhere.
@@ -242,6 +257,16 @@
         let allowed_ms = self.evacuate_ms? + self.max_stretch_ms.unwrap_or(0);
         Some(allowed_ms.saturating_sub(ORDER_TIME_MS))
     }
+
+    /// Returns how stale the known cancellations may be for tasks to start.
+    ///
+    /// A job may have been cancelled at any time since.
+    pub fn cancellation_limits(&self) -> StalenessLimits {
+        let allowed_ms = self.cancel_ms.unwrap_or(DEFAULT_CANCEL_MS);
+        let wait_after_ms = allowed_ms.saturating_sub(ORDER_TIME_MS);
+        let check_after_ms = CHECK_CANCELLATIONS_AFTER_MS.min(wait_after_ms);
+        StalenessLimits { check_after_ms, wait_after_ms }
+    }
 }
 
 impl Default for Timing {
@@ -258,6 +283,7 @@
             min_store_lease_ms: 1_000,
             evacuate_ms: None,
             max_stretch_ms: None,
+            cancel_ms: None,
             remote_factor: None,
         }
     }
@@ -344,6 +370,7 @@
             min_store_lease_ms,
             evacuate_ms,
             max_stretch_ms,
+            cancel_ms,
             remote_factor,
         } = settings.timing;
         if remote_factor.is_some_and(|f| !f.is_finite() || f < 1.0) {
@@ -367,6 +394,9 @@
         if let Some(max_stretch_ms) = max_stretch_ms {
             check("max_stretch_ms", max_stretch_ms, 0, 600_000);
         }
+        if let Some(cancel_ms) = cancel_ms {
+            check("cancel_ms", cancel_ms, 1_000, 600_000);
+        }
         if let Err(invalid) = settings.policy.check() {
             let InvalidPolicy { field, value, least, most } = invalid;
             problems.check(&format!("policy.{field}"), value, least, most);
--- a/crates/dewspard/tests/jobs.rs
+++ b/crates/dewspard/tests/jobs.rs
@@ -493,6 +493,23 @@
     assert!(cluster.fleet.running().is_empty());
 }
 
+// Guards against a job that runs on although its cancellation is stored,
+// because the holder waits for a feed that is behind.
+#[tokio::test]
+async fn a_cancellation_is_found_while_the_feed_cannot_be_read() {
+    let cluster = Cluster::start(2).await;
+    cluster.fleet.set_work_ms(600_000);
+    submit_until_accepted(&cluster, 0, 1).await;
+    wait_until(async || cluster.fleet.running().len() == 3).await;
+    cluster.store_faults.set_silent(true);
+    cluster.store_faults.set_unlisted_prefix(Some("q/"));
+    let path = job_path(1);
+    let (status, _) = cluster.call(1, Method::DELETE, &path, None).await;
+    assert_eq!(status, StatusCode::OK);
+    cluster.wait_until_cancellations_are_settled().await;
+    assert!(cluster.fleet.running().is_empty());
+}
+
 #[tokio::test]
 async fn a_waiting_count_whose_write_failed_is_stored_later() {
     let cluster = Cluster::start(1).await;
