Check starts of cancelled jobs in a random world whose feed lags

The random world delivered each cancellation at once. In the new one the feed lags by 0.5 to 8 s, also across takeovers, short-lived holders and outages, and reads of the cancellations take up to 1.5 s.

--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -3,6 +3,7 @@
 //! cancellations and store outages, checked against invariants.
 
 mod cancelled_runs;
+mod feed_lag;
 mod former_entries;
 mod hall_faults;
 mod hall_losses;
@@ -262,6 +263,47 @@
     assert!(seen > 400, "{seen}");
 }
 
+// Guards against starts of jobs whose cancellation is stored and was
+// acknowledged while the feed, which would deliver it, is seconds behind.
+#[test]
+fn tasks_of_cancelled_jobs_do_not_start_while_the_feed_lags() {
+    let mut lags = 0;
+    let mut waits = 0;
+    let mut read_ahead = 0;
+    for seed in 0..400 {
+        let worlds = [World::new(seed), World::short_lived_holders(seed)];
+        for world in worlds {
+            let world = run_world(world.with_feed_lag(true), seed);
+            // OK because it was set above.
+            let lag = world.feed_lag.expect("a feed");
+            assert_eq!(lag.late_starts, 0, "seed {seed}");
+            lags += lag.lags;
+            waits += lag.waits;
+            read_ahead += lag.read_ahead;
+        }
+    }
+    // Enough cases must have occurred to test the invariant.
+    assert!(lags > 800, "{lags}");
+    assert!(waits > 0, "{waits}");
+    assert!(read_ahead > 20, "{read_ahead}");
+}
+
+// Shows that the invariant on cancelled jobs tests something.
+#[test]
+fn tasks_of_cancelled_jobs_start_late_without_the_mechanism() {
+    let late_starts: u32 = (0..100)
+        .map(|seed| {
+            let mut world = World::new(seed).with_feed_lag(false);
+            for step in 0..400 {
+                world.step(step);
+            }
+            // OK because it was set above.
+            world.feed_lag.expect("a feed").late_starts
+        })
+        .sum();
+    assert!(late_starts > 0, "no late start");
+}
+
 // Guards against taking a worker's answer for whole that leaves out ends,
 // during outages, after takeovers and while jobs are loaded.
 #[test]
