Bound a feed's grace period by how long it may lack changes

A job that is accepted while a watch is silent would be taken in up to 2.7 s late on a fleet with few jobs: the grace period grew with the versions since the last delivered change, and most versions are other writes, such as heartbeats of workers.

Now it also grows no faster than twice the time since the feed was last known to be current, which a check shows five times a second. A silent watch is replaced after some 0.7 s at most if the feed was current at the check before; a feed that is far behind has up to 2.5 s, as before.

--- a/crates/dewspar/src/feed.rs
+++ b/crates/dewspar/src/feed.rs
@@ -13,9 +13,10 @@
 
 A watch delivers everything that was missed in one answer, which takes longer
 the more that is. Until it is complete, nothing counts as delivered. So a feed
-has a [grace period](FeedProgress::grace_ms) that grows with the number of
-versions that it lacks; a watch that is replaced before would only transfer the
-same changes again, and a full read far more.
+has a [grace period](FeedProgress::grace_ms) that grows with what it may lack; a
+watch that is replaced before would only transfer the same changes again, and a
+full read far more. Few changes can be missing if the feed was current a short
+while ago, however many other writes raised the version.
 
 # Example
 
@@ -45,6 +46,10 @@
 /// in milliseconds.
 const VERSION_TRANSFER_MS: u64 = 2;
 
+/// How many times as long a weak node may take to receive changes as it took
+/// others to write them.
+const TRANSFER_PER_WRITE_TIME: u64 = 2;
+
 /// The state of a feed compared with the newest write it must deliver.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FeedState {
@@ -56,17 +61,19 @@
     Silent,
 }
 
-/// The version that a feed has reached, and the time of its last change.
+/// The version that a feed has reached, the time of its last change, and when
+/// it was known to be current.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct FeedProgress {
     version: u64,
     advanced_ms: u64,
+    current_ms: u64,
 }
 
 impl FeedProgress {
     /// Creates the progress of a feed that is watched from a version on.
     pub fn new(version: u64, now_ms: u64) -> FeedProgress {
-        FeedProgress { version, advanced_ms: now_ms }
+        FeedProgress { version, advanced_ms: now_ms, current_ms: now_ms }
     }
 
     /// Returns the version up to which the feed has delivered all changes.
@@ -80,8 +87,15 @@
         self.advanced_ms = now_ms;
     }
 
-    /// Returns how long the feed may deliver nothing before it is silent, if
-    /// `newest` is the version of the newest write that it must deliver.
+    /// Records that the feed had delivered all changes that were written by
+    /// this time, in milliseconds.
+    pub fn note_current(&mut self, at_ms: u64) {
+        self.current_ms = self.current_ms.max(at_ms);
+    }
+
+    /// Returns how long the feed may deliver nothing before it is silent, if a
+    /// read requested at `requested_ms` returned `newest` as the version of the
+    /// newest write that it must deliver.
     ///
     /// # Example
     ///
@@ -89,13 +103,18 @@
     /// use dewspar::feed::FeedProgress;
     ///
     /// let feed = FeedProgress::new(1_000, 0);
-    /// assert_eq!(feed.grace_ms(1_001), 102);
-    /// assert_eq!(feed.grace_ms(1_900), 1_900);
-    /// assert_eq!(feed.grace_ms(90_000), 2_500);
+    /// assert_eq!(feed.grace_ms(1_001, 5_000), 102);
+    /// assert_eq!(feed.grace_ms(1_900, 5_000), 1_900);
+    /// assert_eq!(feed.grace_ms(90_000, 5_000), 2_500);
+    /// // It was current 200 ms ago.
+    /// assert_eq!(feed.grace_ms(90_000, 200), 500);
     /// ```
-    pub fn grace_ms(&self, newest: u64) -> u64 {
+    pub fn grace_ms(&self, newest: u64, requested_ms: u64) -> u64 {
         let missing = newest.saturating_sub(self.version);
-        let transfer_ms = missing.saturating_mul(VERSION_TRANSFER_MS);
+        let behind_ms = requested_ms.saturating_sub(self.current_ms);
+        let transfer_ms = missing
+            .saturating_mul(VERSION_TRANSFER_MS)
+            .min(behind_ms.saturating_mul(TRANSFER_PER_WRITE_TIME));
         MIN_GRACE_MS.saturating_add(transfer_ms).min(MAX_GRACE_MS)
     }
 
--- a/crates/dewspard/src/jobs/feeds.rs
+++ b/crates/dewspard/src/jobs/feeds.rs
@@ -219,8 +219,8 @@
 }
 
 /// Waits until the feed has missed a job that was accepted or cancelled, and
-/// returns the version at which that was stored. Until then, reports the times up to which
-/// the feed is current.
+/// returns the version at which that was stored. Until then, reports the times
+/// up to which the feed is current.
 async fn wait_for_silence<K: KeyValue>(
     store: &K,
     progress: &SharedFeedProgress,
@@ -241,6 +241,7 @@
             FeedState::Current => {
                 // Queued after the feed's events in the same channel. If the
                 // holder has stopped, this task is aborted.
+                progress.note_current(requested_ms);
                 let revision = progress.version();
                 let view = StateView { revision, current_ms: requested_ms };
                 let _ = sender.send(Event::FeedCurrent { view }).await;
@@ -274,7 +275,7 @@
     /// Waits until a feed that lacks changes has delivered some since the
     /// request, at most for its grace period.
     async fn wait_for_delivery(&self, newest: u64, requested_ms: u64) {
-        let mut left_ms = self.progress().grace_ms(newest);
+        let mut left_ms = self.progress().grace_ms(newest, requested_ms);
         let mut state = self.state(newest, requested_ms);
         // A feed that is behind may be current one interval later.
         while left_ms > 0 && state != FeedState::Current {
@@ -292,6 +293,10 @@
         self.progress().advance(version, clock::now_ms());
     }
 
+    fn note_current(&self, at_ms: u64) {
+        self.progress().note_current(at_ms);
+    }
+
     fn state(&self, newest: u64, requested_ms: u64) -> FeedState {
         self.progress().state(newest, requested_ms)
     }
