--- a/crates/dewspar/tests/schedule/partial_vm_lists.rs
+++ b/crates/dewspar/tests/schedule/partial_vm_lists.rs
@@ -113,7 +113,7 @@
 /// A worker that has ended without a readable row is let go once its lease is
 /// over, although no list is complete.
 #[test]
-fn an_ended_worker_is_let_go_although_its_row_cannot_be_read() {
+fn an_ended_worker_is_dropped_although_its_row_cannot_be_read() {
     let mut world = world_with_task();
     let on = worker_of_task(&world);
     world.workers.remove(&on);
--- a/crates/dewspar/tests/schedule_random/former_entries.rs
+++ b/crates/dewspar/tests/schedule_random/former_entries.rs
@@ -98,9 +98,9 @@
     pub replaced: u32,
     /// The number of reads that listed a VM's former worker and not its
     /// present one.
-    pub misleading_reads: u32,
-    /// The number of workers that were let go after their end, by reason.
-    pub let_go: BTreeMap<&'static str, u32>,
+    pub outdated_reads: u32,
+    /// The number of workers that were dropped after their end, by reason.
+    pub ended_by: BTreeMap<&'static str, u32>,
     /// The first live worker that was taken for ended, with the reason.
     pub wrong_end: Option<String>,
 }
@@ -160,15 +160,19 @@
         }
     }
 
-    fn count_misleading(&mut self, listings: &[WorkerListing], world: &World) {
+    fn count_outdated_reads(
+        &mut self,
+        listings: &[WorkerListing],
+        world: &World,
+    ) {
         let is_listed =
             |id: &WorkerId| listings.iter().any(|listing| listing.id == *id);
         let mut present = world.processes.values().map(|p| &p.listing);
-        let is_misleading = present.any(|present| {
+        let is_outdated = present.any(|present| {
             !is_listed(&present.id)
                 && listings.iter().any(|l| l.vm == present.vm)
         });
-        self.misleading_reads += u32::from(is_misleading);
+        self.outdated_reads += u32::from(is_outdated);
     }
 
     /// Returns one of these workers that has ended and that the holder still
@@ -388,7 +392,7 @@
         });
         entries.directory_read = read;
         let Some((asked_ms, Some(listings))) = answer else { return };
-        entries.count_misleading(&listings, self);
+        entries.count_outdated_reads(&listings, self);
         for listing in &listings {
             entries.note_listed(&listing.id, now_ms);
         }
@@ -459,7 +463,7 @@
                 entries.ended.insert(worker.clone());
             }
             if entries.former.contains_key(worker) {
-                *entries.let_go.entry(*reason).or_default() += 1;
+                *entries.ended_by.entry(*reason).or_default() += 1;
             }
             let is_live = self.processes.contains_key(worker);
             if is_live && !UNREACHED.contains(reason) {
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -447,8 +447,8 @@
 #[test]
 fn no_task_runs_twice_beside_the_entries_of_former_workers() {
     let mut replaced = 0;
-    let mut misleading_reads = 0;
-    let mut let_go: BTreeMap<&str, u32> = BTreeMap::new();
+    let mut outdated_reads = 0;
+    let mut ended_by: BTreeMap<&str, u32> = BTreeMap::new();
     for seed in 0..30 {
         for world in [World::new(seed), World::short_lived_holders(seed)] {
             let world = run_world(world.with_former_entries(), seed);
@@ -456,25 +456,25 @@
             let entries = world.former_entries.expect("former entries");
             assert_eq!(entries.wrong_end, None, "seed {seed}");
             replaced += entries.replaced;
-            misleading_reads += entries.misleading_reads;
-            for (reason, count) in entries.let_go {
-                *let_go.entry(reason).or_default() += count;
+            outdated_reads += entries.outdated_reads;
+            for (reason, count) in entries.ended_by {
+                *ended_by.entry(reason).or_default() += count;
             }
         }
     }
     // Enough cases must have occurred to test the invariants.
     assert!(replaced > 800, "{replaced}");
-    assert!(misleading_reads > 500, "{misleading_reads}");
+    assert!(outdated_reads > 500, "{outdated_reads}");
     for (reason, least) in LET_GO {
-        let count = let_go.get(reason).copied().unwrap_or(0);
-        assert!(count > least, "{reason}: {count} of {let_go:?}");
+        let count = ended_by.get(reason).copied().unwrap_or(0);
+        assert!(count > least, "{reason}: {count} of {ended_by:?}");
     }
 }
 
 // Guards against tasks that wait for a lease because the holder keeps a worker
 // that only its first list of VMs has shown, and that has ended since.
 #[test]
-fn ended_workers_without_an_entry_are_let_go() {
+fn ended_workers_without_an_entry_are_dropped() {
     for seed in 0..20 {
         let world = World::new(seed).with_former_entries();
         let entries = run_world(world, seed).former_entries;
