--- a/crates/dewspard/tests/relays.rs
+++ b/crates/dewspard/tests/relays.rs
@@ -469,7 +469,7 @@
 const EMPTY_ORDERS_FRAME: [u8; 8] = [0, 0, 0, 4, 1, 0, 0, 0];
 
 /// The version of the messages.
-const VERSION: u8 = 4;
+const VERSION: u8 = 5;
 
 /// Returns the first message of a holder under this lease, with its length
 /// prefix.
