Log how old a holder's renewal is when it orders starts and gives up runs

The partners' record doesn't tell a holder that stood still from one that was cut off, nor which source took the first runs away. Lines of starts, lost runs and workers that are gone now have the age of the holder's last renewal (renewal_age_ms), and a holder that planned nothing for half a second or more says so (holder: stood still, counted in dewspar_standstills_total). No decision is changed.

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -404,6 +404,7 @@
                 reason,
                 age_ms: run.confirmed_ms(answered_ms),
                 other_runs,
+                renewal_age_ms: self.renewal_age_ms(now),
             });
             self.note_stopped(&task, id, &run, reason, now);
             self.release_task(&task, id, run.has_begun(), now);
@@ -421,6 +422,13 @@
         renewed_ms.map_or(now.steady_ms, |sent_ms| sent_ms.min(now.steady_ms))
     }
 
+    /// Returns how long ago the newest call was sent that renewed this
+    /// holder's own lease, in milliseconds; `None` if that isn't known.
+    pub(super) fn renewal_age_ms(&self, now: Now) -> Option<u64> {
+        let renewed_ms = self.lease_renewed_ms;
+        renewed_ms.map(|sent_ms| now.steady_ms.saturating_sub(sent_ms))
+    }
+
     /// Drops workers whose lease is certainly over, and those that left the
     /// directory without any runs.
     pub(super) fn drop_lapsed_workers(&mut self, now: Now) {
--- a/crates/dewspar/src/schedule/missing_runs.rs
+++ b/crates/dewspar/src/schedule/missing_runs.rs
@@ -133,6 +133,7 @@
                 reason: "the worker doesn't list it",
                 age_ms,
                 other_runs,
+                renewal_age_ms: self.renewal_age_ms(now),
             });
             self.release_run(&task, worker_id, now);
         }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -395,6 +395,9 @@
         cancellations: StateView,
         /// The age of that view, in milliseconds.
         cancellations_age_ms: u64,
+        /// How long ago the newest call was sent that renewed the holder's own
+        /// lease, in milliseconds; `None` if that isn't known.
+        renewal_age_ms: Option<u64>,
     },
     /// A worker has confirmed the first run of a job.
     JobBegan {
@@ -532,6 +535,9 @@
         age_ms: u64,
         /// The number of other runs on its worker, of all jobs.
         other_runs: usize,
+        /// How long ago the newest call was sent that renewed the holder's own
+        /// lease, in milliseconds; `None` if that isn't known.
+        renewal_age_ms: Option<u64>,
     },
     /// An order to start a task got no answer and may still be carried out:
     /// for a limited time, the task may start on that worker only.
--- a/crates/dewspar/src/schedule/order_answers.rs
+++ b/crates/dewspar/src/schedule/order_answers.rs
@@ -86,14 +86,14 @@
                 }
             }
             OrderError::NotSent => {
-                self.note_never_began(task, run, worker_id);
+                self.note_never_began(task, run, worker_id, now);
                 if !self.is_worker_in_down_hall(worker_id) {
                     self.suspend(worker_id, error.name(), now);
                 }
                 self.release_run(task, worker_id, now);
             }
             OrderError::Refused(refusal) => {
-                self.note_never_began(task, run, worker_id);
+                self.note_never_began(task, run, worker_id, now);
                 self.release_run(task, worker_id, now);
                 self.start_refused(
                     worker_id,
@@ -120,7 +120,7 @@
         match result {
             Ok(_) | Err(OrderError::Unknown) => {}
             Err(OrderError::NotSent | OrderError::Refused(_)) => {
-                self.note_never_began(task, run, worker_id);
+                self.note_never_began(task, run, worker_id, now);
                 self.release_run(task, worker_id, now);
             }
         }
@@ -131,6 +131,7 @@
         task: &TaskId,
         run: u64,
         worker: &WorkerId,
+        now: Now,
     ) {
         self.note_suspect_ended(task);
         self.note(Decision::RunLost {
@@ -140,6 +141,7 @@
             reason: "the order had no effect",
             age_ms: 0,
             other_runs: 0,
+            renewal_age_ms: self.renewal_age_ms(now),
         });
     }
 
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -748,6 +748,7 @@
             cpu_millis,
             cancellations,
             cancellations_age_ms: cancellations.age_ms(now.steady_ms),
+            renewal_age_ms: self.renewal_age_ms(now),
         });
         let order = StartOrder {
             task: *task,
--- a/crates/dewspar/src/schedule/worker_evidence.rs
+++ b/crates/dewspar/src/schedule/worker_evidence.rs
@@ -78,6 +78,9 @@
     pub vm_list_age_ms: Option<u64>,
     /// How long ago the worker answered last.
     pub answer_age_ms: Option<u64>,
+    /// How long ago the newest call was sent that renewed the holder's own
+    /// lease.
+    pub renewal_age_ms: Option<u64>,
 }
 
 impl Scheduler {
@@ -106,6 +109,7 @@
             vm_list: self.vm_list_view(worker),
             vm_list_age_ms: age_of(self.vms_asked_ms),
             answer_age_ms: age_of(worker.reported_ms()),
+            renewal_age_ms: self.renewal_age_ms(now),
         }
     }
 
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -168,6 +168,8 @@
         "Times that the directory listed another worker on a worker's VM and not the worker.";
     TAKEOVERS, "counter", "dewspar_takeovers_total", None,
         "Times that this node took the scheduler lease.";
+    STANDSTILLS, "counter", "dewspar_standstills_total", None,
+        "Times that the scheduling node planned nothing for half a second or more.";
     SUSPENSIONS, "counter", "dewspar_suspensions_total", None,
         "Times that the scheduling node found that its VM had been suspended.";
     STORE_OUTAGES, "counter", "dewspar_store_outages_total", None,
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -23,12 +23,14 @@
             cpu_millis,
             cancellations,
             cancellations_age_ms,
+            renewal_age_ms,
         } => {
             info!(log, "task: start ordered"; "job" => %task.job, "task" => %task,
                 "run" => run, "worker" => %worker, "waited_ms" => waited_ms,
                 "cpu_millis" => cpu_millis,
                 "cancellations_revision" => cancellations.revision,
-                "cancellations_age_ms" => cancellations_age_ms);
+                "cancellations_age_ms" => cancellations_age_ms,
+                "renewal_age_ms" => renewal_age_ms);
             counters::count(counters::TASK_STARTS);
             metrics::histogram!(counters::TASK_WAIT)
                 .record(*waited_ms as f64 / 1_000.0);
@@ -119,10 +121,12 @@
             reason,
             age_ms,
             other_runs,
+            renewal_age_ms,
         } => {
             warn!(log, "task: run lost"; "job" => %task.job,
                 "task" => %task, "run" => run, "worker" => %worker,
-                "reason" => reason, "age_ms" => age_ms, "beside" => other_runs);
+                "reason" => reason, "age_ms" => age_ms, "beside" => other_runs,
+                "renewal_age_ms" => renewal_age_ms);
             counters::count_by(counters::TASK_ENDS, "cause", "lost");
         }
         Decision::StartInDoubt { task, worker, for_ms } => {
@@ -299,7 +303,8 @@
         "vm_list" => evidence.vm_list.name(),
         "vm_list_worker" => to_text(evidence.vm_list.other()),
         "vm_list_age_ms" => evidence.vm_list_age_ms,
-        "answer_age_ms" => evidence.answer_age_ms)
+        "answer_age_ms" => evidence.answer_age_ms,
+        "renewal_age_ms" => evidence.renewal_age_ms)
 }
 
 /// Logs the progress of a wave, and counts its late VMs by reason when its
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -95,6 +95,10 @@
 /// shouldn't change holders in quick succession.
 const OVERLOAD_GRACE_MS: u64 = 4_000;
 
+/// The time between two plans from which a holder counts as having stood
+/// still, in milliseconds: twenty times the interval of plans.
+const STANDSTILL_MS: u64 = 500;
+
 /// How long a holder goes on after its lease has expired because the store
 /// can't be reached, in milliseconds.
 pub(super) const MAX_DETACHED_MS: u64 = 8_000;
@@ -186,6 +190,7 @@
         writes_in_flight: 0,
         last_write_ms: 0,
         last_vm_plan_ms: 0,
+        last_plan_ms: clock::now_ms(),
         applied_version: None,
         lost_reason: None,
         is_claimed: false,
@@ -246,6 +251,8 @@
     pub(super) last_write_ms: u64,
     /// When orders to the VM service were last planned.
     last_vm_plan_ms: u64,
+    /// When the scheduler last planned.
+    last_plan_ms: u64,
     /// The version of the queues' configuration that is in use.
     applied_version: Option<u64>,
     /// Why the lease counts as lost, if it does.
@@ -520,9 +527,26 @@
         self.held.renewed_ms >= self.renewal_needed_from_ms
     }
 
+    /// Logs that nothing was planned for long: the process was stopped, or
+    /// got no processor time. The clocks run on during that time, so it isn't
+    /// a suspension of the VM.
+    fn note_standstill(&mut self, now: Now) {
+        let for_ms = now.steady_ms.saturating_sub(self.last_plan_ms);
+        self.last_plan_ms = now.steady_ms;
+        if for_ms < STANDSTILL_MS {
+            return;
+        }
+        warn!(self.candidate.log, "holder: stood still";
+            "for_ms" => for_ms,
+            "renewed_before_ms" =>
+                now.steady_ms.saturating_sub(self.held.renewed_ms));
+        counters::count(counters::STANDSTILLS);
+    }
+
     /// Plans once, and dispatches the resulting orders and writes.
     fn plan_and_dispatch(&mut self) -> Option<StepDown> {
         let now = now();
+        self.note_standstill(now);
         let lease_expiry_ms = self.held.renewed_ms + self.held.lease_ms;
         if now.steady_ms > lease_expiry_ms + MAX_DETACHED_MS {
             return Some(StepDown::Lost("the lease couldn't be renewed"));
