Start nothing without a lease that a successor may have run already

That a worker is gone is certain in the list of VMs, by the answer at its address and by its next process. That its runs hadn't ended as done before isn't: only the store knows. The same holds for workers and processes that became known since, for which a successor may not wait, and for jobs accepted since, which a successor starts at once. Class: an act that can't be taken back rests on being the holder, and the proof of that is too old.

Now whatever becomes known while the lease isn't valid carries the number of that time, and no start depends on it before the lease is renewed. All else goes on: tasks that waited, next steps, retries after ends that workers reported.

Ruled out: to conclude nothing about workers (their room is needed at once, and the conclusion is right); to start nothing at all (jobs of all callers would stand still in each outage of the store); to go by the time of the last renewal (a worker that became known after it, under a valid lease, would get nothing in an outage).

--- a/crates/dewspar/src/schedule/cancellation_view.rs
+++ b/crates/dewspar/src/schedule/cancellation_view.rs
@@ -46,8 +46,6 @@
     view: StateView,
     /// Since when they are too stale for tasks to start.
     outdated_since_ms: Option<u64>,
-    /// Whether this holder is cut off from the store.
-    is_detached: bool,
 }
 
 impl CancellationView {
@@ -68,12 +66,6 @@
         self.cancellation_view.view.advance(view);
     }
 
-    /// Sets whether this holder is cut off from the store, so that its lease
-    /// isn't renewed.
-    pub fn set_detached(&mut self, is_detached: bool) {
-        self.cancellation_view.is_detached = is_detached;
-    }
-
     /// Returns what orders to start may do with the known cancellations.
     pub fn cancellations_use(&self, now: Now) -> StateUse {
         let view = &self.cancellation_view.view;
@@ -85,10 +77,10 @@
 
     /// Pauses starts while the known cancellations are too stale.
     pub(super) fn check_cancellation_view(&mut self, now: Now) {
-        let CancellationView { view, outdated_since_ms, is_detached } =
+        let CancellationView { view, outdated_since_ms } =
             self.cancellation_view;
-        let must_wait =
-            !is_detached && self.cancellations_use(now) == StateUse::Wait;
+        let must_wait = !self.own_lease.is_detached()
+            && self.cancellations_use(now) == StateUse::Wait;
         let state = AwaitedState::Cancellations;
         match (must_wait, outdated_since_ms) {
             (true, None) => {
--- a/crates/dewspar/src/schedule/cancelled.rs
+++ b/crates/dewspar/src/schedule/cancelled.rs
@@ -130,7 +130,7 @@
     /// lease is over so that it can't run anything.
     fn all_possible_runs_listed(&self, now: Now) -> bool {
         let known = !self.is_loading() && self.workers_known;
-        let confirmed_ms = self.lease_confirmed_ms(now);
+        let confirmed_ms = self.own_lease.confirmed_ms(now);
         known
             && self.workers.values().all(|worker| {
                 worker.has_listed_all_runs()
--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -335,6 +335,12 @@
     /// Returns the state for a listed worker that is new, or that was no
     /// longer known.
     fn listed_worker(&mut self, listing: WorkerListing, now: Now) -> Worker {
+        let mut worker = self.relisted_or_new(listing, now);
+        worker.listed_in = self.own_lease.detachment();
+        worker
+    }
+
+    fn relisted_or_new(&mut self, listing: WorkerListing, now: Now) -> Worker {
         // A partition may outlast a lease while the process keeps running.
         let Some(tokens_used) =
             self.former_processes.take_tokens_used(&listing.id)
@@ -404,35 +410,18 @@
                 reason,
                 age_ms: run.confirmed_ms(answered_ms),
                 other_runs,
-                renewal_age_ms: self.renewal_age_ms(now),
+                renewal_age_ms: self.own_lease.renewal_age_ms(now),
             });
+            self.note_loss(&task);
             self.note_stopped(&task, id, &run, reason, now);
             self.release_task(&task, id, run.has_begun(), now);
         }
     }
 
-    /// Returns the time of the steady clock, in milliseconds, by which leases
-    /// of workers are judged.
-    ///
-    /// A successor extends the leases of the workers that it reaches, also of
-    /// those that this holder doesn't. There is none as long as this holder
-    /// renews its own lease, so time after the last renewal doesn't count.
-    pub(super) fn lease_confirmed_ms(&self, now: Now) -> u64 {
-        let renewed_ms = self.lease_renewed_ms;
-        renewed_ms.map_or(now.steady_ms, |sent_ms| sent_ms.min(now.steady_ms))
-    }
-
-    /// Returns how long ago the newest call was sent that renewed this
-    /// holder's own lease, in milliseconds; `None` if that isn't known.
-    pub(super) fn renewal_age_ms(&self, now: Now) -> Option<u64> {
-        let renewed_ms = self.lease_renewed_ms;
-        renewed_ms.map(|sent_ms| now.steady_ms.saturating_sub(sent_ms))
-    }
-
     /// Drops workers whose lease is certainly over, and those that left the
     /// directory without any runs.
     pub(super) fn drop_lapsed_workers(&mut self, now: Now) {
-        let confirmed_ms = self.lease_confirmed_ms(now);
+        let confirmed_ms = self.own_lease.confirmed_ms(now);
         let mut gone = Vec::new();
         for number in self.due_workers(now) {
             let Some(worker) = self.workers.at(number) else { continue };
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -5,8 +5,8 @@
         quota::TeamNumber,
         schedule::{
             Incarnation, QueueTerms, Resources, WorkerId,
-            in_doubt::StartsInDoubt, step_graph::StepGraph,
-            suspects::CrashHistory,
+            in_doubt::StartsInDoubt, own_lease::Detachment,
+            step_graph::StepGraph, suspects::CrashHistory,
         },
     },
     std::{collections::BTreeSet, sync::Arc},
@@ -26,6 +26,8 @@
     pub(crate) team_name: Arc<str>,
     /// The revision of the store at which the job was accepted.
     pub(crate) revision: u64,
+    /// In which time without a valid lease the job became known.
+    pub(crate) known_in: Detachment,
     pub(crate) accepted_at_ms: u64,
     pub(crate) phase: Phase,
     pub(crate) finished_at_ms: u64,
@@ -68,6 +70,9 @@
     pub(crate) avoid: Vec<WorkerId>,
     /// Since when it has been waiting again after a run; 0 if it has had none.
     pub(crate) waits_since_ms: u64,
+    /// In which time without a valid lease a run of it was last lost without a
+    /// reported end.
+    pub(crate) lost_in: Detachment,
     /// How often its runs have stalled.
     pub(crate) stalls: u32,
     /// The consecutive losses of workers while they ran the task.
@@ -101,6 +106,7 @@
             over_share: false,
             team_name: Arc::default(),
             revision,
+            known_in: 0,
             accepted_at_ms,
             phase: Phase::Queued,
             finished_at_ms: 0,
--- a/crates/dewspar/src/schedule/long_waits.rs
+++ b/crates/dewspar/src/schedule/long_waits.rs
@@ -97,6 +97,8 @@
             "a worker that may run it wasn't asked yet"
         } else if !self.may_start_as_recorded(job, task) {
             "its start isn't on record yet"
+        } else if !self.own_lease.covers_task(job, task) {
+            "another holder may have taken in the end of its run"
         } else if self.exceeds_quota(Scheduler::charge_for(job, spec).as_ref())
         {
             "its team's quota is used up"
--- a/crates/dewspar/src/schedule/missing_runs.rs
+++ b/crates/dewspar/src/schedule/missing_runs.rs
@@ -133,8 +133,9 @@
                 reason: "the worker doesn't list it",
                 age_ms,
                 other_runs,
-                renewal_age_ms: self.renewal_age_ms(now),
+                renewal_age_ms: self.own_lease.renewal_age_ms(now),
             });
+            self.note_loss(&task);
             self.release_run(&task, worker_id, now);
         }
     }
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -176,6 +176,7 @@
 mod order;
 mod order_answers;
 mod owed_waits;
+mod own_lease;
 mod pacing;
 mod placement;
 mod policy;
--- a/crates/dewspar/src/schedule/order_answers.rs
+++ b/crates/dewspar/src/schedule/order_answers.rs
@@ -141,7 +141,7 @@
             reason: "the order had no effect",
             age_ms: 0,
             other_runs: 0,
-            renewal_age_ms: self.renewal_age_ms(now),
+            renewal_age_ms: self.own_lease.renewal_age_ms(now),
         });
     }
 
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -191,11 +191,13 @@
             step: step as u32,
             index: 0,
         };
-        let on_record = |index: &u32| {
-            self.may_start_as_recorded(job, &TaskId { index: *index, ..first })
+        let may_start = |index: &u32| {
+            let task = TaskId { index: *index, ..first };
+            self.may_start_as_recorded(job, &task)
+                && self.own_lease.covers_task(job, &task)
         };
         let mut waiting: Vec<u32> =
-            state.waiting.iter().copied().filter(on_record).collect();
+            state.waiting.iter().copied().filter(may_start).collect();
         // Tasks with a reservation go first.
         waiting.sort_by_key(|index| {
             self.reservations
@@ -444,6 +446,7 @@
             };
             free.contains(&demand)
                 && worker.accepts_starts(now.steady_ms)
+                && self.own_lease.covers_worker(worker)
                 && (room == RoomHorizon::AfterShortTasks
                     || self.starts_left(worker, now) > 0)
                 && (guarded
@@ -613,7 +616,7 @@
     /// Returns whether some worker of a pool may run tasks from a former lease
     /// and hasn't listed its runs yet.
     pub(super) fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
-        let confirmed_ms = self.lease_confirmed_ms(now);
+        let confirmed_ms = self.own_lease.confirmed_ms(now);
         !self.workers_known
             || self
                 .workers
@@ -748,7 +751,7 @@
             cpu_millis,
             cancellations,
             cancellations_age_ms: cancellations.age_ms(now.steady_ms),
-            renewal_age_ms: self.renewal_age_ms(now),
+            renewal_age_ms: self.own_lease.renewal_age_ms(now),
         });
         let order = StartOrder {
             task: *task,
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -214,6 +214,8 @@
         let ended = former.take_listed_runs();
         let mut next = former.next_process(listing, now, &self.options);
         next.reported_at_ms = reported_at_ms;
+        // It doesn't know the token of a successor that asked its predecessor.
+        next.listed_in = self.own_lease.detachment();
         let cold_remaining_ms = next.listing.cold_remaining_ms;
         next.cold.relisted(reported_at_ms, cold_remaining_ms);
         next.listed |= reported_at_ms > 0;
--- a/crates/dewspar/src/schedule/scheduler.rs
+++ b/crates/dewspar/src/schedule/scheduler.rs
@@ -23,6 +23,7 @@
             loading::Loading,
             long_running::LongRunningNeed,
             long_waits::LongWaits,
+            own_lease::OwnLease,
             placement::{Candidates, PoolScores},
             poll_limit::InFlightPolls,
             processes::FormerProcesses,
@@ -81,9 +82,8 @@
     /// finished.
     pub(super) finished: BTreeMap<JobId, u64>,
     pub(super) decisions: Vec<Decision>,
-    /// When the newest call was sent that renewed this holder's own lease, if
-    /// that is known.
-    pub(super) lease_renewed_ms: Option<u64>,
+    /// What is known of this holder's own lease.
+    pub(super) own_lease: OwnLease,
     /// The claims of workers to have seen later tokens.
     pub(super) token_claims: TokenClaims,
     /// The workers that don't answer, as they are on record.
@@ -250,7 +250,7 @@
             sequence: 0,
             finished: BTreeMap::new(),
             decisions: Vec::new(),
-            lease_renewed_ms: None,
+            own_lease: OwnLease::default(),
             token_claims: TokenClaims::default(),
             silent_workers: SilentRecord::default(),
             former_processes: FormerProcesses::default(),
@@ -353,6 +353,7 @@
         let newest = self.queues.get(&spec.queue).cloned();
         let terms = newest.unwrap_or(terms);
         let mut job = Job::new(spec, terms, revision, accepted_at_ms);
+        job.known_in = self.own_lease.detachment();
         if let Some(team) = &team {
             let number = self.quotas.ledger.number_for(team);
             job = job.with_team(number, &team.name);
--- a/crates/dewspar/src/schedule/token_claims.rs
+++ b/crates/dewspar/src/schedule/token_claims.rs
@@ -75,7 +75,7 @@
     /// Records that the store has renewed the lease in response to a call sent
     /// at this time of the steady clock, in milliseconds.
     pub fn lease_renewed(&mut self, sent_ms: u64) {
-        self.lease_renewed_ms = self.lease_renewed_ms.max(Some(sent_ms));
+        self.own_lease.note_renewed(sent_ms);
         let claimed_ms = self.token_claims.claimed_ms;
         if claimed_ms.is_none_or(|claimed_ms| sent_ms <= claimed_ms) {
             return;
--- a/crates/dewspar/src/schedule/unlisted_use.rs
+++ b/crates/dewspar/src/schedule/unlisted_use.rs
@@ -152,7 +152,7 @@
         now: Now,
     ) -> BTreeMap<&str, Option<Resources>> {
         let mut pools: BTreeMap<&str, Option<Resources>> = BTreeMap::new();
-        let confirmed_ms = self.lease_confirmed_ms(now);
+        let confirmed_ms = self.own_lease.confirmed_ms(now);
         let may_run_unknown = self
             .workers
             .values()
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -7,8 +7,8 @@
         link::Class,
         schedule::{
             HoldReport, Incarnation, Options, Resources, WorkerId,
-            WorkerListing, cold_workers::ColdState, quotas::RunCharge,
-            stopping::StopProgress,
+            WorkerListing, cold_workers::ColdState, own_lease::Detachment,
+            quotas::RunCharge, stopping::StopProgress,
         },
     },
     std::collections::{BTreeMap, BTreeSet, VecDeque},
@@ -340,6 +340,8 @@
     pub(crate) idle_since_ms: u64,
     /// When the worker became known, on the steady clock, in milliseconds.
     pub(crate) first_listed_ms: u64,
+    /// In which time without a valid lease its process became known.
+    pub(crate) listed_in: Detachment,
     /// Whether the directory still lists the worker.
     pub(crate) listed: bool,
     /// Whether the directory has listed another worker on its VM since it last
@@ -417,6 +419,7 @@
             in_unreachable_hall: false,
             idle_since_ms: now_ms,
             first_listed_ms: now_ms,
+            listed_in: 0,
             listed: !has_no_address,
             is_doubted: false,
             reported_at_ms: now_ms,
--- a/crates/dewspar/src/schedule/worker_evidence.rs
+++ b/crates/dewspar/src/schedule/worker_evidence.rs
@@ -109,7 +109,7 @@
             vm_list: self.vm_list_view(worker),
             vm_list_age_ms: age_of(self.vms_asked_ms),
             answer_age_ms: age_of(worker.reported_ms()),
-            renewal_age_ms: self.renewal_age_ms(now),
+            renewal_age_ms: self.own_lease.renewal_age_ms(now),
         }
     }
 
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -47,6 +47,7 @@
 mod stale_cancellations;
 mod stalls;
 mod start_log;
+mod starts_after_the_lease;
 mod storing;
 mod takeover;
 mod team_limits;
