Order nothing after a standstill before the lease is renewed

Callers may see a task run twice: a holder whose process was stopped, or got no processor time, until its lease had expired orders starts as soon as it goes on, on state of before, and asks only then whether it still holds the lease.

Cause: after a suspension of the VM a holder waits for a renewal, and an order that was planned before isn't sent. Both go by the difference of two clocks. A process that stands still has none: its clocks run on.

Now half a second without a plan counts as a standstill, and if the lease has expired by then nothing is ordered before the store has renewed it. Orders to workers and VMs carry the time of their plan and the expiry of the lease, and are compared with the clock once more when they are sent. While the lease is valid nothing waits.

Ruled out: a renewal after each standstill (no other node can hold a valid lease); requiring a renewal whenever the lease has expired (each outage of the store would stop all jobs).

Evidence: with the two conditions taken out, suspension.rs (2 starts in place of 1) and both new cases of late_orders.rs (1 start in place of 0, 2 VM orders in place of 1) fail; with them all five pass.

--- a/crates/dewspard/src/clock.rs
+++ b/crates/dewspard/src/clock.rs
@@ -67,6 +67,10 @@
 /// What tests add to the time of suspension, in milliseconds.
 static SUPPOSED_MS: AtomicU64 = AtomicU64::new(0);
 
+/// What tests add to the steady clock as if the process had stood still, in
+/// milliseconds.
+static STOOD_STILL_MS: AtomicU64 = AtomicU64::new(0);
+
 /// The monotonic clock's first reading, so that "long ago" can be told.
 const FIRST_MS: u64 = 1_000_000;
 
@@ -111,7 +115,8 @@
     // While a test models a suspension, the monotonic clock is taken to have
     // stood still for just as long as `CLOCK_BOOTTIME` is ahead of it by that:
     // the sum of both is what it was.
-    FIRST_MS + elapsed_ms + unseen_ms
+    let stood_still_ms = STOOD_STILL_MS.load(Ordering::Relaxed);
+    FIRST_MS + elapsed_ms + unseen_ms + stood_still_ms
 }
 
 /// Returns what has passed that the process's monotonic clock doesn't show.
@@ -176,6 +181,12 @@
     SUPPOSED_MS.fetch_add(for_ms, Ordering::Relaxed);
 }
 
+/// Lets the process believe that it stood still for so long, in milliseconds,
+/// while the VM's clocks ran on, as a test of what it then does.
+pub fn suppose_standstill(for_ms: u64) {
+    STOOD_STILL_MS.fetch_add(for_ms, Ordering::Relaxed);
+}
+
 /// Returns how far `CLOCK_BOOTTIME` is ahead of the monotonic clock at least,
 /// in milliseconds: that one is read later, and some time may pass between.
 fn ahead_ms() -> u64 {
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -46,6 +46,7 @@
     crate::{
         clock::{self, Suspensions},
         counters,
+        order_basis::{OrderBasis, STANDSTILL_MS},
     },
     dewspar::{
         hall::HallPath,
@@ -95,10 +96,6 @@
 /// shouldn't change holders in quick succession.
 const OVERLOAD_GRACE_MS: u64 = 4_000;
 
-/// The time between two plans from which a holder counts as having stood
-/// still, in milliseconds: twenty times the interval of plans.
-const STANDSTILL_MS: u64 = 500;
-
 /// How long a holder goes on after its lease has expired because the store
 /// can't be reached, in milliseconds.
 pub(super) const MAX_DETACHED_MS: u64 = 8_000;
@@ -349,8 +346,11 @@
         let SentEvent { event, sent_ms } = sent;
         let waited_ms = now.steady_ms.saturating_sub(sent_ms);
         self.load_stats.event_received(waited_ms);
+        let is_expired = self.is_lease_expired(now);
         let scheduler = &mut self.scheduler;
         scheduler.record_event_delay(waited_ms, now);
+        // Jobs that arrive after that may be a successor's.
+        scheduler.set_detached(is_expired);
         match event {
             Event::Feed(feed) => self.apply_feed(feed, FeedOrigin::Feed),
             Event::JobsLoaded(jobs) => self.apply_loaded_jobs(jobs),
@@ -511,9 +511,11 @@
     }
 
     /// Returns whether the store has renewed the lease since this VM was last
-    /// suspended. Another node may have taken over during the suspension, and
-    /// workers' answers that are still unread may be out of date.
+    /// suspended, and since this process last stood still until its lease had
+    /// expired. Another node may have taken over meanwhile, and workers'
+    /// answers that are still unread may be out of date.
     fn is_lease_confirmed(&mut self, now: Now) -> bool {
+        self.check_standstill(now);
         let suspended_ms = clock::suspended_ms();
         if let Some(for_ms) = self.suspensions.noticed_ms(suspended_ms) {
             warn!(self.candidate.log, "holder: was suspended";
@@ -527,37 +529,67 @@
         self.held.renewed_ms >= self.renewal_needed_from_ms
     }
 
-    /// Logs that nothing was planned for long: the process was stopped, or
-    /// got no processor time. The clocks run on during that time, so it isn't
-    /// a suspension of the VM.
-    fn note_standstill(&mut self, now: Now) {
+    /// Requires a renewal of the lease if nothing was planned for long and the
+    /// lease has expired: the process was stopped, or got no processor time.
+    /// The clocks run on during that time, so it isn't a suspension of the VM.
+    fn check_standstill(&mut self, now: Now) {
         let for_ms = now.steady_ms.saturating_sub(self.last_plan_ms);
         self.last_plan_ms = now.steady_ms;
         if for_ms < STANDSTILL_MS {
             return;
         }
+        let is_expired = self.is_lease_expired(now);
+        if is_expired {
+            self.renewal_needed_from_ms = now.steady_ms;
+        }
+        let outcome = if is_expired {
+            "nothing is ordered before the lease is renewed"
+        } else {
+            "goes on, since the lease is valid"
+        };
         warn!(self.candidate.log, "holder: stood still";
             "for_ms" => for_ms,
             "renewed_before_ms" =>
-                now.steady_ms.saturating_sub(self.held.renewed_ms));
+                now.steady_ms.saturating_sub(self.held.renewed_ms),
+            "outcome" => outcome);
         counters::count(counters::STANDSTILLS);
     }
 
+    /// Returns what orders that are planned now are based on.
+    fn order_basis(&self, now: Now) -> OrderBasis {
+        OrderBasis {
+            suspensions: self.suspensions,
+            planned_ms: now.steady_ms,
+            lease_expiry_ms: self.lease_expiry_ms(),
+        }
+    }
+
+    /// Returns whether the lease has expired as far as this node knows, so that
+    /// another node may hold it.
+    fn is_lease_expired(&self, now: Now) -> bool {
+        now.steady_ms >= self.lease_expiry_ms()
+    }
+
+    /// Returns when the lease expires unless it is renewed, on the steady
+    /// clock in milliseconds.
+    fn lease_expiry_ms(&self) -> u64 {
+        self.held.renewed_ms + self.held.lease_ms
+    }
+
     /// Plans once, and dispatches the resulting orders and writes.
     fn plan_and_dispatch(&mut self) -> Option<StepDown> {
         let now = now();
-        self.note_standstill(now);
-        let lease_expiry_ms = self.held.renewed_ms + self.held.lease_ms;
-        if now.steady_ms > lease_expiry_ms + MAX_DETACHED_MS {
+        if now.steady_ms > self.lease_expiry_ms() + MAX_DETACHED_MS {
             return Some(StepDown::Lost("the lease couldn't be renewed"));
         }
-        self.workers.set_relaying_paused(now.steady_ms >= lease_expiry_ms);
+        let is_expired = self.is_lease_expired(now);
+        self.workers.set_relaying_paused(is_expired);
         if !self.is_lease_confirmed(now) {
             return self.lost_reason.map(StepDown::Lost);
         }
         self.apply_configuration(now);
         self.scheduler.set_relayed(self.workers.open_relays() > 0);
-        self.scheduler.set_detached(now.steady_ms >= lease_expiry_ms);
+        self.scheduler.set_detached(is_expired);
         self.read_cancellations(now);
         let began = Instant::now();
         let actions = self.scheduler.plan(now);
@@ -574,8 +606,7 @@
         }
         // Until the lease expires the store may still show that the worker's
         // token is wrong.
-        let may_be_expired = now.steady_ms >= lease_expiry_ms;
-        if may_be_expired && self.scheduler.may_be_superseded() {
+        if is_expired && self.scheduler.may_be_superseded() {
             return Some(StepDown::Lost("a worker has seen a newer holder"));
         }
         if self.scheduler.is_out_of_tokens() {
@@ -583,7 +614,7 @@
         }
         // Once the lease may be expired, the store is out of reach, and nobody
         // could take over.
-        if self.is_claimed && !may_be_expired {
+        if self.is_claimed && !is_expired {
             return Some(StepDown::Yielding);
         }
         let settled = now.steady_ms >= self.started_ms + OVERLOAD_GRACE_MS;
@@ -595,14 +626,14 @@
         if settled
             && slow
             && !self.scheduler.link().is_saturated(now.steady_ms)
-            && !may_be_expired
+            && !is_expired
         {
             return Some(StepDown::Overloaded);
         }
+        let basis = self.order_basis(now);
         for action in actions {
             let (workers, fleet) = (&self.workers, &self.candidate.fleet);
-            let suspensions = self.suspensions;
-            orders::send(workers, fleet, action, suspensions, &self.sender);
+            orders::send(workers, fleet, action, basis, &self.sender);
         }
         self.write_start_logs(now);
         self.write_changes(now);
@@ -680,9 +711,8 @@
 
     /// Sends orders to the VM service, as long as the lease hasn't expired.
     fn order_vms(&mut self, now: Now) {
-        let lease_expiry_ms = self.held.renewed_ms + self.held.lease_ms;
         let due_ms = self.last_vm_plan_ms + VM_PLAN_INTERVAL_MS;
-        if now.steady_ms >= lease_expiry_ms || now.steady_ms < due_ms {
+        if self.is_lease_expired(now) || now.steady_ms < due_ms {
             return;
         }
         if self.hand_over.may_be_released {
@@ -711,7 +741,7 @@
             holder: self.candidate.node.clone(),
             fence: self.held.revision,
             orders,
-            suspensions: self.suspensions,
+            basis: self.order_basis(now),
             vms,
             record_version: self.vm_orders.begin_write(),
         };
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -1,38 +1,32 @@
 /*!
 Execution of the scheduler's orders to workers: one task for each order.
 
-An order is valid under the lease as the holder knew it when it planned. If the
-VM is suspended before the order is sent, another node may hold the lease by
-then. In that case the order isn't sent, and its result is
-[`OrderError::NotSent`]. The clocks are read only once for each order, which
-also gives its time of sending, because a busy holder sends thousands a second.
+An order that has become [outdated](crate::order_basis) before it is sent isn't
+sent, and its result is [`OrderError::NotSent`]. The clocks are read only once
+for each order, which also gives its time of sending, because a busy holder
+sends thousands a second.
 */
 
 use {
     super::event::{Event, EventSender},
-    crate::{
-        clock::{self, Reading, Suspensions},
-        counters,
-    },
+    crate::{clock, counters, order_basis::OrderBasis},
     dewspar::schedule::{Action, OrderError},
     dewspar_platform::{Fleet, JobWorkers},
     std::future::Future,
 };
 
 /// Sends an order and reports its result as an event.
-///
-/// `suspensions` are those known when the order was planned.
 pub(super) fn send<W: JobWorkers, F: Fleet>(
     workers: &W,
     fleet: &F,
     action: Action,
-    suspensions: Suspensions,
+    basis: OrderBasis,
     events: &EventSender,
 ) {
     let (workers, fleet) = (workers.clone(), fleet.clone());
     let events = events.clone();
     tokio::spawn(async move {
-        let event = execute(&workers, &fleet, action, suspensions).await;
+        let event = execute(&workers, &fleet, action, basis).await;
         // If the holder has stopped, the result isn't needed.
         let _ = events.send(event).await;
     });
@@ -42,10 +36,10 @@
     workers: &W,
     fleet: &F,
     action: Action,
-    suspensions: Suspensions,
+    basis: OrderBasis,
 ) -> Event {
     let time = clock::read();
-    let outdated = is_outdated(suspensions, time);
+    let outdated = basis.is_outdated(time);
     match action {
         Action::Start { worker, address, order } => {
             let sending = workers.start(&address, &worker, &order);
@@ -85,14 +79,6 @@
     }
 }
 
-/// Returns whether this VM was suspended since an order was planned.
-///
-/// Workers refuse such an order by its fencing token only if another holder
-/// has already contacted them.
-fn is_outdated(mut suspensions: Suspensions, time: Reading) -> bool {
-    suspensions.noticed_ms(time.suspended_ms).is_some()
-}
-
 /// Sends an order, unless it is outdated.
 ///
 /// # Errors
--- a/crates/dewspard/src/jobs/vm_orders.rs
+++ b/crates/dewspard/src/jobs/vm_orders.rs
@@ -9,10 +9,7 @@
         keys,
         records::{find_version, record_written},
     },
-    crate::{
-        clock::{self, Suspensions},
-        counters, passed_over,
-    },
+    crate::{clock, counters, order_basis::OrderBasis, passed_over},
     dewspar::{
         fields::{UnknownFields, WithUnknownFields},
         record::RecordWriteOutcome,
@@ -32,8 +29,8 @@
     /// Their fencing token.
     pub(super) fence: u64,
     pub(super) orders: Vec<VmOrder>,
-    /// The suspensions known when the orders were planned.
-    pub(super) suspensions: Suspensions,
+    /// What the orders are based on.
+    pub(super) basis: OrderBasis,
     /// The VMs with recently ordered changes, including these.
     pub(super) vms: OrderedVms,
     /// The version of the current record; 0 if there is none.
@@ -73,7 +70,7 @@
                 holder: order_batch.holder.clone(),
                 fence: order_batch.fence,
                 recorded,
-                suspensions: order_batch.suspensions,
+                basis: order_batch.basis,
             };
             let sending =
                 send_order(fleet.clone(), context, order, log.clone());
@@ -142,18 +139,15 @@
     holder: String,
     fence: u64,
     recorded: bool,
-    suspensions: Suspensions,
+    basis: OrderBasis,
 }
 
 impl OrderContext {
-    /// Returns whether the order may be sent: it is recorded, and this VM
-    /// wasn't suspended since the order was planned. After a suspension
-    /// another node may hold the lease, and the VM service refuses an outdated
-    /// order only if it has already seen that node's token.
+    /// Returns whether the order may be sent: it is recorded and isn't
+    /// outdated. The VM service refuses an outdated order only if it has
+    /// already seen the token of another holder.
     fn may_be_sent(&self) -> bool {
-        let mut suspensions = self.suspensions;
-        let suspended_ms = clock::suspended_ms();
-        self.recorded && suspensions.noticed_ms(suspended_ms).is_none()
+        self.recorded && !self.basis.is_outdated(clock::read())
     }
 
     fn vm_change(&self, vm: &str) -> VmChange {
--- a/crates/dewspard/src/lib.rs
+++ b/crates/dewspard/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod logs;
 pub mod membership;
 pub mod node;
+pub mod order_basis;
 mod passed_over;
 pub mod peer;
 pub mod proxy;
--- a/crates/dewspard/tests/late_orders.rs
+++ b/crates/dewspard/tests/late_orders.rs
@@ -1,5 +1,5 @@
 //! Orders that were planned before a suspension of the VM must not be sent
-//! after it.
+//! after it, nor after the process stood still until its lease had expired.
 //!
 //! If the VM is suspended between planning and sending, the check that the
 //! lease was renewed since the last suspension has already passed. Without
@@ -8,8 +8,8 @@
 //! orders by their token only if they have already seen that node's token. The
 //! order must not be sent, and its result must report that.
 //!
-//! The tests suspend the VM at a log line that is written between planning and
-//! sending. They have a file of their own because the simulated suspension
+//! The tests pause the process at a log line that is written between planning
+//! and sending. They have a file of their own because the simulated pause
 //! affects the whole process.
 
 use {
@@ -39,24 +39,54 @@
 /// takes.
 const SUSPENDED_MS: u64 = 1_000;
 
+/// The length of a standstill: longer than the lease.
+const STOOD_STILL_MS: u64 = 2_000;
+
 /// Many times longer than an order that is sent takes to be carried out.
 const DELIVERY_TIME: Duration = Duration::from_millis(500);
 
 const POOL: &str = "registry";
 
-/// Serializes the tests, because both suspend the same process.
+/// Serializes the tests, because all pause the same process.
 static SERIAL: tokio::sync::Mutex<()> = tokio::sync::Mutex::const_new(());
 
-/// A log drain that suspends the VM once, at a given line, and begins an
+/// How the node's process is paused.
+#[derive(Clone, Copy, Debug)]
+enum Pause {
+    /// Its VM is suspended.
+    Suspension,
+    /// It stands still while the VM's clocks run on.
+    Standstill,
+}
+
+impl Pause {
+    fn begin(self) {
+        match self {
+            Pause::Suspension => clock::suppose_suspension(SUSPENDED_MS),
+            Pause::Standstill => clock::suppose_standstill(STOOD_STILL_MS),
+        }
+    }
+
+    /// Returns the line that the node logs when it notices the pause.
+    fn noticed_line(self) -> &'static str {
+        match self {
+            Pause::Suspension => "holder: was suspended",
+            Pause::Standstill => "holder: stood still",
+        }
+    }
+}
+
+/// A log drain that pauses the process once, at a given line, and begins an
 /// outage of the store at the same time.
 #[derive(Clone)]
-struct SuspendAtLine {
+struct PauseAtLine {
+    pause: Pause,
     line: Arc<Mutex<Option<&'static str>>>,
     store_faults: Faults,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
-impl Drain for SuspendAtLine {
+impl Drain for PauseAtLine {
     type Ok = ();
     type Err = Never;
 
@@ -66,15 +96,15 @@
         if trigger.is_some_and(|trigger| trigger == text) {
             *trigger = None;
             self.store_faults.set_outage(true);
-            clock::suppose_suspension(SUSPENDED_MS);
+            self.pause.begin();
         }
         self.lines.lock().expect("lines").push(text);
         Ok(())
     }
 }
 
-impl SuspendAtLine {
-    fn suspend_at(&self, line: &'static str) {
+impl PauseAtLine {
+    fn pause_at(&self, line: &'static str) {
         *self.line.lock().expect("a line") = Some(line);
     }
 
@@ -124,11 +154,11 @@
     store: Store,
     store_faults: Faults,
     fleet: TaskFleet,
-    suspension: SuspendAtLine,
+    pauses: PauseAtLine,
 }
 
 impl Fixture {
-    async fn start() -> Fixture {
+    async fn start(pause: Pause) -> Fixture {
         let store_faults = Faults::new(1);
         let store = Store::new(store_faults.clone());
         let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
@@ -139,7 +169,8 @@
             ..Queue::default()
         };
         fleet.configure(QueueSet::new(1, vec![queue]));
-        let suspension = SuspendAtLine {
+        let pauses = PauseAtLine {
+            pause,
             line: Arc::default(),
             store_faults: store_faults.clone(),
             lines: Arc::default(),
@@ -154,54 +185,70 @@
             unreadable: UnreadableNotes::default(),
             peers: None,
         };
-        let log = Logger::root(suspension.clone().fuse(), o!());
+        let log = Logger::root(pauses.clone().fuse(), o!());
         let settings = JobSettings::loopback("node-0");
         let node = JobNode::start(&settings, platform, None, &log).await;
         let _node = node.expect("a started node");
-        Fixture { _node, store, store_faults, fleet, suspension }
+        Fixture { _node, store, store_faults, fleet, pauses }
     }
 
-    /// Waits until the node has noticed the suspension, and until any orders
-    /// sent after it would be carried out.
+    /// Waits until the node has noticed the pause, and until any orders sent
+    /// after it would be carried out.
     async fn wait_for_resume(&self) {
-        wait_until(async || {
-            self.suspension.has_logged("holder: was suspended")
-        })
-        .await;
+        let line = self.pauses.pause.noticed_line();
+        wait_until(async || self.pauses.has_logged(line)).await;
         sleep(DELIVERY_TIME).await;
     }
 }
 
 #[tokio::test]
 async fn orders_decided_before_a_suspension_are_not_sent_after_it() {
+    assert_no_late_start(Pause::Suspension).await;
+}
+
+#[tokio::test]
+async fn orders_decided_before_a_standstill_are_not_sent_after_it() {
+    assert_no_late_start(Pause::Standstill).await;
+}
+
+#[tokio::test]
+async fn vm_orders_planned_before_a_suspension_are_not_sent_after_it() {
+    assert_no_late_vm_order(Pause::Suspension).await;
+}
+
+#[tokio::test]
+async fn vm_orders_planned_before_a_standstill_are_not_sent_after_it() {
+    assert_no_late_vm_order(Pause::Standstill).await;
+}
+
+async fn assert_no_late_start(pause: Pause) {
     let _serial = SERIAL.lock().await;
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(pause).await;
     let id: JobId = format!("{:016x}", 1).parse().expect("an identifier");
     let starts = || {
         let started = fixture.fleet.started();
         started.iter().filter(|(task, _)| task.job == id).count()
     };
-    fixture.suspension.suspend_at("task: start ordered");
+    fixture.pauses.pause_at("task: start ordered");
     submit(&fixture.store, id).await;
     fixture.wait_for_resume().await;
-    assert_eq!(starts(), 0, "started by an order from before the suspension");
+    assert_eq!(starts(), 0, "started by an order from before the pause");
 
     // The task starts once the lease is renewed.
     fixture.store_faults.set_outage(false);
     wait_until(async || starts() == 1).await;
     assert!(
-        fixture.suspension.has_logged("worker: order gave no result"),
+        fixture.pauses.has_logged("worker: order gave no result"),
         "no result was reported"
     );
 }
 
-#[tokio::test]
-async fn vm_orders_planned_before_a_suspension_are_not_sent_after_it() {
+async fn assert_no_late_vm_order(pause: Pause) {
     let _serial = SERIAL.lock().await;
-    let fixture = Fixture::start().await;
+    let fixture = Fixture::start(pause).await;
     let vms = vec!["vm-0".to_owned(), "vm-1".to_owned()];
-    // Both are ordered in one plan, and the VM is suspended at the first one.
-    fixture.suspension.suspend_at("vm: ordered");
+    // Both are ordered in one plan, and the process is paused at the first one.
+    fixture.pauses.pause_at("vm: ordered");
     fixture.fleet.request_wave(WaveRequest {
         wave: 7,
         vms,
@@ -210,12 +257,12 @@
     });
     fixture.wait_for_resume().await;
     let ordered = fixture.fleet.maintained().len();
-    assert_eq!(ordered, 1, "the other was planned before the suspension");
+    assert_eq!(ordered, 1, "the other was planned before the pause");
 
     fixture.store_faults.set_outage(false);
     wait_until(async || fixture.fleet.maintained().len() == 2).await;
     assert!(
-        fixture.suspension.has_logged("vm: order gave no result"),
+        fixture.pauses.has_logged("vm: order gave no result"),
         "no result was reported"
     );
 }
--- a/crates/dewspard/tests/suspension.rs
+++ b/crates/dewspard/tests/suspension.rs
@@ -1,9 +1,11 @@
-//! Behavior after a suspension of the VM.
+//! Behavior after a suspension of the VM, and after the process stood still.
 //!
 //! The monotonic clock stops during a suspension, so afterwards the lease
 //! looks recent although another node may hold it. The node that schedules
-//! must not send orders before the store has renewed its lease. Without a
-//! suspension it continues during an outage of the store.
+//! must not send orders before the store has renewed its lease. The same holds
+//! for a process that was stopped until its lease had expired: it hasn't read
+//! what happened meanwhile. Without either it continues during an outage of
+//! the store.
 //!
 //! Cached counts of waiting jobs are also older than the monotonic clock
 //! shows, so counts that were read before a suspension must not be served
@@ -90,8 +92,18 @@
     answered.expect("an answer").status()
 }
 
+/// What happens to the node's process before an outage of the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Pause {
+    None,
+    /// Its VM is suspended, for less than a lease.
+    Suspension,
+    /// It stands still until its lease has expired.
+    Standstill,
+}
+
 #[tokio::test]
-async fn no_order_is_sent_after_a_suspension_before_the_lease_is_renewed() {
+async fn no_order_is_sent_after_a_pause_before_the_lease_is_renewed() {
     let store_faults = Faults::new(1);
     let store = Store::new(store_faults.clone());
     let fleet = TaskFleet::new(Faults::new(2), POOL, 4);
@@ -118,7 +130,8 @@
     let node = JobNode::start(&settings, platform, None, &log).await;
     let node = node.expect("a started node");
 
-    for (number, suspended) in [(1, false), (2, true)] {
+    let pauses = [Pause::None, Pause::Suspension, Pause::Standstill];
+    for (number, pause) in (1..).zip(pauses) {
         let id = format!("{number:016x}");
         let id: JobId = id.parse().expect("an identifier");
         let starts = || {
@@ -128,13 +141,15 @@
         submit(&store, id).await;
         wait_until(async || starts() == 1).await;
         store_faults.set_outage(true);
-        if suspended {
-            clock::suppose_suspension(1_000);
+        match pause {
+            Pause::None => {}
+            Pause::Suspension => clock::suppose_suspension(1_000),
+            Pause::Standstill => clock::suppose_standstill(2_000),
         }
         // The first step ends in the meantime.
         sleep(Duration::from_millis(2_500)).await;
-        let expected = if suspended { 1 } else { 2 };
-        assert_eq!(starts(), expected, "suspended: {suspended}");
+        let expected = if pause == Pause::None { 2 } else { 1 };
+        assert_eq!(starts(), expected, "pause: {pause:?}");
         store_faults.set_outage(false);
         wait_until(async || starts() == 2).await;
         wait_until(async || fleet.running().is_empty()).await;
