--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -9,10 +9,16 @@
 # Store outages
 
 A holder that can't renew its lease may have been superseded without knowing.
-For a limited time it goes on with the jobs it knows. This is safe because a
-successor queries every worker under its higher fencing token before it starts
-any of these jobs, so nothing runs twice. Changes of VMs aren't ordered during
-that time, because those orders aren't fenced.
+For a limited time it goes on with the jobs it knows. A successor queries every
+worker under its higher fencing token before it starts any of these jobs, and
+waits for those that don't answer. What it may have learnt of their runs isn't
+known here, so no start depends on what becomes known in that time (see
+[`Scheduler::set_detached`]). Changes of VMs aren't ordered, because those
+orders aren't fenced.
+
+A process that stood still hasn't read what happened meanwhile, and the time for
+which a successor waits has begun without it. If its lease has expired by then,
+it orders nothing before the store has renewed the lease.
 */
 
 use {
