Don't count on the lease once its key may be deleted

Callers may see a task run twice: a holder that is asked to stop deletes the lease's key. If the store does that but its answer is lost, another node schedules at once, while this one went on as if its lease were valid. It started tasks again whose runs it counted as lost, and took workers that had seen its successor's token for mistaken ones. It learned of its successor only by the next attempt that was answered or by the feed, which may be seconds behind.

Cause: keep_alive proves that the store lease lives. That the lease's key is still there doesn't follow from it, since deleting the key doesn't end the store lease.

Now the lease ends for its holder at the time at which the first deletion without an answer was sent, and renewals sent after that only show that the store answers, so that the hand-over is tried again. The holder goes on like any that can't renew its lease: it starts what no successor can have run, gives up at the first worker with a later token, and 8 s after that time at the latest. The time for which an attempt waits for the store isn't taken for a standstill of the process, up to 1.4 s; otherwise no job would go on, since no renewal could follow. Events that arrived meanwhile are handled before the next plan.

Ruled out: reading the key with each renewal (one more call each 375 ms for a case that the holder itself can tell); stopping at once (if the key isn't deleted nobody could take over, and all jobs would stand still); revoking the store lease in place of the deletion (its answer can be lost just as well).

--- a/crates/dewspar-standin/src/faults.rs
+++ b/crates/dewspar-standin/src/faults.rs
@@ -47,6 +47,7 @@
     cut: AtomicBool,
     silent: AtomicBool,
     unlisted: AtomicBool,
+    commit_answers_lost: AtomicBool,
     /// The prefix that can't be listed, if that is only one.
     unlisted_prefix: Mutex<Option<String>>,
     delay_us: AtomicU64,
@@ -65,6 +66,7 @@
             cut: AtomicBool::new(false),
             silent: AtomicBool::new(false),
             unlisted: AtomicBool::new(false),
+            commit_answers_lost: AtomicBool::new(false),
             unlisted_prefix: Mutex::new(None),
             delay_us: AtomicU64::new(0),
             list_delay_us: AtomicU64::new(0),
@@ -106,6 +108,17 @@
         self.inner.silent.load(Ordering::Relaxed)
     }
 
+    /// Loses the answers of a store's commits, which callers wait for in vain,
+    /// while all else is answered, or no longer.
+    pub fn set_commit_answers_lost(&self, lost: bool) {
+        self.inner.commit_answers_lost.store(lost, Ordering::Relaxed);
+    }
+
+    /// Returns whether the answers of commits are lost.
+    pub fn commit_answers_lost(&self) -> bool {
+        self.inner.commit_answers_lost.load(Ordering::Relaxed)
+    }
+
     /// Refuses every list, while single keys are still read and written, or
     /// no longer.
     pub fn set_unlisted(&self, unlisted: bool) {
--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -44,6 +44,9 @@
 /// How many events are kept for watches that start in the past.
 const KEPT_EVENTS: usize = 100_000;
 
+/// How long a caller waits for the answer of a commit that is lost.
+const LOST_ANSWER_DELAY: Duration = Duration::from_secs(1);
+
 /// A store; clones share its content.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -411,6 +414,11 @@
                 Some(state.commit(batch))
             })
             .await?;
+        if self.faults.commit_answers_lost() {
+            tokio::time::sleep(LOST_ANSWER_DELAY).await;
+            let reason = "answer lost".to_owned();
+            return Err(Error::Lost { call: "commit", reason });
+        }
         committed.ok_or_else(|| Error::Unavailable {
             call: "commit",
             reason: "requested lease not found".to_owned(),
--- a/crates/dewspard/src/jobs/hand_over.rs
+++ b/crates/dewspard/src/jobs/hand_over.rs
@@ -9,9 +9,11 @@
 renewal that the store answers. If the node ends before that, the lease expires
 by itself.
 
-A deletion without an answer may have taken effect. The holder then goes on
-under its fencing token like one that can't renew its lease, but orders no
-changes of VMs, since another holder may do so.
+A deletion without an answer may have taken effect, and then another node may
+hold the lease at once. From the time of that call the holder goes on like one
+that can't renew its lease. The store may still renew its store lease, because
+deleting the key doesn't end that: later renewals show that the store answers,
+but no longer that this node holds the lease.
 */
 
 use {
@@ -29,18 +31,49 @@
 /// scheduling, in milliseconds: about the time of a slow store.
 const ATTEMPT_TIMEOUT_MS: u64 = 700;
 
+/// The longest part of an attempt that doesn't count as a standstill of the
+/// process, in milliseconds: the deletion, and a write of changes before it
+/// that the store doesn't answer either.
+const MAX_ATTEMPT_MS: u64 = 2 * ATTEMPT_TIMEOUT_MS;
+
 /// The state of a hand-over.
 #[derive(Debug, Default)]
 pub(super) struct HandOver {
     /// Whether the node was asked to stop.
     pub(super) is_requested: bool,
-    /// Whether the lease's key may have been deleted already.
-    pub(super) may_be_released: bool,
+    /// When the first call was sent that may have deleted the lease's key, on
+    /// the steady clock in milliseconds.
+    released_ms: Option<u64>,
+    /// When the newest renewal was sent that the store has answered, on the
+    /// steady clock in milliseconds.
+    answered_ms: u64,
     /// The store counts as available only if it has renewed the lease at this
     /// time or later, on the steady clock in milliseconds.
     available_from_ms: u64,
 }
 
+impl HandOver {
+    /// Creates the state of a hand-over that isn't requested, from the time of
+    /// the call that took the lease.
+    pub(super) fn new(taken_ms: u64) -> HandOver {
+        HandOver { answered_ms: taken_ms, ..HandOver::default() }
+    }
+
+    /// Notes that the store has renewed its lease in response to a call sent
+    /// at this time. Returns whether that proves that this node held the
+    /// scheduler lease then.
+    pub(super) fn note_renewed(&mut self, sent_ms: u64) -> bool {
+        self.answered_ms = self.answered_ms.max(sent_ms);
+        self.released_ms.is_none_or(|released_ms| sent_ms < released_ms)
+    }
+
+    /// Returns when the lease ends, given when it expires without a renewal:
+    /// at the latest when its key may have been deleted.
+    pub(super) fn end_ms(&self, expiry_ms: u64) -> u64 {
+        self.released_ms.map_or(expiry_ms, |at_ms| at_ms.min(expiry_ms))
+    }
+}
+
 /// The result of an attempt to delete the lease's key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Release {
@@ -79,41 +112,48 @@
 }
 
 impl<K: KeyValue, W: JobWorkers, F: Fleet> Holder<'_, K, W, F> {
-    /// Returns whether the store has renewed the lease recently, so that a
+    /// Returns whether the store has answered a renewal recently, so that a
     /// hand-over is likely to succeed.
     pub(super) fn is_store_available(&self) -> bool {
-        let renewed_ms = self.held.renewed_ms;
-        let age_ms = clock::now_ms().saturating_sub(renewed_ms);
+        let answered_ms = self.hand_over.answered_ms;
+        let age_ms = clock::now_ms().saturating_sub(answered_ms);
         // Two renewals may be missed.
         age_ms <= self.held.lease_ms / 2
-            && renewed_ms >= self.hand_over.available_from_ms
+            && answered_ms >= self.hand_over.available_from_ms
     }
 
     /// Tries to hand the lease over, if the node was asked to stop and the
-    /// store is available. Returns whether that is done.
-    pub(super) async fn try_hand_over(&mut self) -> bool {
+    /// store is available. Returns whether that is done; `None` if it wasn't
+    /// tried.
+    pub(super) async fn try_hand_over(&mut self) -> Option<bool> {
         if !self.hand_over.is_requested || !self.is_store_available() {
-            return false;
+            return None;
         }
+        let began_ms = clock::now_ms();
         let unstored = self.flush_changes().await;
+        let sent_ms = clock::now_ms();
         let limit = Duration::from_millis(ATTEMPT_TIMEOUT_MS);
         let attempt = self.candidate.delete_lease_key(self.held.revision);
         let release = timeout(limit, attempt).await;
         let release = release.unwrap_or(Release::Unknown);
         if release == Release::Done {
-            return true;
+            return Some(true);
         }
         for changes in &unstored {
             self.scheduler.changes_failed(changes);
         }
         self.hand_over.available_from_ms = clock::now_ms();
-        self.hand_over.may_be_released |= release == Release::Unknown;
+        if release == Release::Unknown {
+            self.hand_over.released_ms.get_or_insert(sent_ms);
+        }
         info!(self.candidate.log, "holder: not handed over yet";
             "revision" => self.held.revision,
             "renewed_before_ms" =>
                 clock::now_ms().saturating_sub(self.held.renewed_ms),
-            "may_be_released" => self.hand_over.may_be_released,
+            "may_be_released" => self.hand_over.released_ms.is_some(),
             "outcome" => "schedules until the store answers");
-        false
+        let took_ms = clock::now_ms().saturating_sub(began_ms);
+        self.last_plan_ms += took_ms.min(MAX_ATTEMPT_MS);
+        Some(false)
     }
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -206,7 +206,7 @@
         last_expiry_ms: clock::now_ms(),
         suspensions: Suspensions::new(clock::suspended_ms()),
         renewal_needed_from_ms: 0,
-        hand_over: HandOver::default(),
+        hand_over: HandOver::new(held.renewed_ms),
         ceilings: RecordWriter::default(),
         silent_workers: RecordWriter::at_version(silent_workers.version),
         team_limits: TeamLimitsWriter::default(),
@@ -249,7 +249,7 @@
     /// When orders to the VM service were last planned.
     last_vm_plan_ms: u64,
     /// When the scheduler last planned.
-    last_plan_ms: u64,
+    pub(super) last_plan_ms: u64,
     /// The version of the queues' configuration that is in use.
     applied_version: Option<u64>,
     /// Why the lease counts as lost, if it does.
@@ -328,8 +328,11 @@
                 let Ok(event) = events.try_recv() else { break };
                 self.handle_event(event);
             }
-            if self.try_hand_over().await {
-                return StepDown::Stopping;
+            match self.try_hand_over().await {
+                Some(true) => return StepDown::Stopping,
+                // What arrived meanwhile comes before the next plan.
+                Some(false) => continue,
+                None => {}
             }
             if let Some(step_down) = self.plan_and_dispatch() {
                 if step_down.releases_lease() {
@@ -406,8 +409,10 @@
                 scheduler.wave_report_failed(wave)
             }
             Event::LeaseRenewed { sent_ms } => {
-                self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
-                scheduler.lease_renewed(sent_ms);
+                if self.hand_over.note_renewed(sent_ms) {
+                    self.held.renewed_ms = self.held.renewed_ms.max(sent_ms);
+                    scheduler.lease_renewed(sent_ms);
+                }
             }
             Event::LeaseLost => {
                 self.lost_reason =
@@ -573,7 +578,7 @@
     /// Returns when the lease expires unless it is renewed, on the steady
     /// clock in milliseconds.
     fn lease_expiry_ms(&self) -> u64 {
-        self.held.renewed_ms + self.held.lease_ms
+        self.hand_over.end_ms(self.held.renewed_ms + self.held.lease_ms)
     }
 
     /// Plans once, and dispatches the resulting orders and writes.
@@ -715,9 +720,6 @@
         if self.is_lease_expired(now) || now.steady_ms < due_ms {
             return;
         }
-        if self.hand_over.may_be_released {
-            return;
-        }
         // One write of the record at a time: an older one must not replace a
         // newer one.
         if self.vm_orders.is_writing() {
