Don't follow lists in lists when a list is read row by row

Callers see jobs that nobody goes on with: the process that schedules them ends with "has overflowed its stack" (SIGABRT) as soon as it reads an answer of a worker, a list of VMs, an answer of the store or a configuration that is nested a few thousand levels deep, and so does each successor, since the same text is read again.

Cause: a document that can't be read as a whole is read again row by row. On the way to the rows, a list was followed through each of its rows, and a row that is a list again in the same way: the depth of the recursion was that of the text. serde_json's own bound of 128 levels doesn't apply, since the rows are passed over unparsed.

Now only the objects of a list are followed, so that the recursion is as deep as the path. A list that begins with white space is told apart as well: an odd row of it failed the whole list.

--- a/crates/dewspar-platform/src/lenient.rs
+++ b/crates/dewspar-platform/src/lenient.rs
@@ -161,16 +161,21 @@
 
 /// Returns a text with the rows that are to be kept of the list at a path; a
 /// text in which that path leads nowhere is returned as it is.
+///
+/// Lists in lists aren't followed, so that the depth of the recursion depends
+/// on the path alone, not on the text.
 fn retain_rows(
     text: &str,
     path: &[&str],
     keep: &impl Fn(&str) -> bool,
 ) -> Result<String, serde_json::Error> {
-    if text.starts_with('[') {
+    if text.trim_start().starts_with('[') {
         let rows: Vec<&RawValue> = serde_json::from_str(text)?;
         let mut kept = Vec::new();
         for row in rows {
-            if !path.is_empty() {
+            if !path.is_empty() && row.get().starts_with('[') {
+                kept.push(Cow::Borrowed(row.get()));
+            } else if !path.is_empty() {
                 kept.push(Cow::Owned(retain_rows(row.get(), path, keep)?));
             } else if keep(row.get()) {
                 kept.push(Cow::Borrowed(row.get()));
