Read entries without the fields that nobody knows

Callers see fewer workers, or no new queues, than the platform has: a worker's entry, or the whole configuration, was passed over because of an unknown field that is nested 127 levels deep or more, or holds a number or a text that no type does (1e400, "\ud800").

An entry that names a known field twice is odd, as in all other lists; before, the second one counted.

--- a/crates/dewspar-platform/src/lenient.rs
+++ b/crates/dewspar-platform/src/lenient.rs
@@ -42,10 +42,12 @@
     crate::{Answer, Error, Unreadable, UnreadableNotes, check_status},
     serde::{
         Deserialize, Deserializer,
-        de::{DeserializeOwned, Error as _},
+        de::{
+            DeserializeOwned, MapAccess, Visitor, value::MapAccessDeserializer,
+        },
     },
-    serde_json::{Map, Value, value::RawValue},
-    std::{borrow::Cow, collections::BTreeMap},
+    serde_json::{Value, value::RawValue},
+    std::{borrow::Cow, collections::BTreeMap, fmt, marker::PhantomData},
 };
 
 /// How much of a row is quoted where it has no name, in characters.
@@ -235,8 +237,23 @@
 pub fn object<'de, D, T>(from: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
-    T: DeserializeOwned,
+    T: Deserialize<'de>,
 {
-    let fields = Map::<String, Value>::deserialize(from)?;
-    T::deserialize(Value::Object(fields)).map_err(D::Error::custom)
+    from.deserialize_map(ObjectVisitor(PhantomData))
+}
+
+/// Reads an object straight into its type: a field that the type doesn't know
+/// may hold what no [`Value`] can.
+struct ObjectVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for ObjectVisitor<T> {
+    type Value = T;
+
+    fn expecting(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, fields: A) -> Result<T, A::Error> {
+        T::deserialize(MapAccessDeserializer::new(fields))
+    }
 }
