--- a/crates/dewspar-platform/src/lenient.rs
+++ b/crates/dewspar-platform/src/lenient.rs
@@ -42,10 +42,12 @@
     crate::{Answer, Error, Unreadable, UnreadableNotes, check_status},
     serde::{
         Deserialize, Deserializer,
-        de::{DeserializeOwned, Error as _},
+        de::{
+            DeserializeOwned, MapAccess, Visitor, value::MapAccessDeserializer,
+        },
     },
-    serde_json::{Map, Value, value::RawValue},
-    std::{borrow::Cow, collections::BTreeMap},
+    serde_json::{Value, value::RawValue},
+    std::{borrow::Cow, collections::BTreeMap, fmt, marker::PhantomData},
 };
 
 /// How much of a row is quoted where it has no name, in characters.
@@ -161,16 +163,21 @@
 
 /// Returns a text with the rows that are to be kept of the list at a path; a
 /// text in which that path leads nowhere is returned as it is.
+///
+/// Lists in lists aren't followed, so that the depth of the recursion depends
+/// on the path alone, not on the text.
 fn retain_rows(
     text: &str,
     path: &[&str],
     keep: &impl Fn(&str) -> bool,
 ) -> Result<String, serde_json::Error> {
-    if text.starts_with('[') {
+    if text.trim_start().starts_with('[') {
         let rows: Vec<&RawValue> = serde_json::from_str(text)?;
         let mut kept = Vec::new();
         for row in rows {
-            if !path.is_empty() {
+            if !path.is_empty() && row.get().starts_with('[') {
+                kept.push(Cow::Borrowed(row.get()));
+            } else if !path.is_empty() {
                 kept.push(Cow::Owned(retain_rows(row.get(), path, keep)?));
             } else if keep(row.get()) {
                 kept.push(Cow::Borrowed(row.get()));
@@ -230,8 +237,23 @@
 pub fn object<'de, D, T>(from: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
-    T: DeserializeOwned,
+    T: Deserialize<'de>,
 {
-    let fields = Map::<String, Value>::deserialize(from)?;
-    T::deserialize(Value::Object(fields)).map_err(D::Error::custom)
+    from.deserialize_map(ObjectVisitor(PhantomData))
+}
+
+/// Reads an object straight into its type: a field that the type doesn't know
+/// may hold what no [`Value`] can.
+struct ObjectVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for ObjectVisitor<T> {
+    type Value = T;
+
+    fn expecting(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str("an object")
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, fields: A) -> Result<T, A::Error> {
+        T::deserialize(MapAccessDeserializer::new(fields))
+    }
 }
