Test a former holder and its successor at once in random worlds

Now a world has two schedulers. The former holder's renewals stop. It goes on as the daemon does: detached once its lease of 1.5 s has expired, for 8 s more or until a worker has seen a newer token, and without orders if it stood still until the lease had expired. Its successor takes over up to 2.5 s after the expiry with the stored progress. Each reaches some of the workers, in two of three worlds none that the other reaches, while workers end, move, restart under their identifiers and are added, and jobs are accepted. No task may have two runs at once, or start after the worker got the acknowledgement of an end as done. A failure prints what each holder decided and when.

--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -5,6 +5,7 @@
 mod cancelled_runs;
 mod feed_lag;
 mod former_entries;
+mod former_holders;
 mod hall_faults;
 mod hall_losses;
 mod job_order;
