Wait with inherited tasks whose silent worker ended after the lease

Callers may see a task run twice: a holder inherits a task that may run on a worker which never answers it. Its lease expires; a successor reaches the worker and takes in the run's end as done; then the worker's VM moves. The former holder reads that in the list of VMs, has no worker left to wait for, and starts the task.

Cause: the same as of lost runs, for runs that the holder never heard of. No run is lost here that could carry the time without a lease in which it was lost.

Now a worker that ends, or is replaced by its next process, in such a time without having listed its runs keeps inherited tasks waiting until the lease is renewed. The same goes for a complete list of workers that is read for the first time in such a time.

The new case of starts_after_the_lease had 2 starts in place of 1 without the change and passes with it, for a moved and for a restarted worker (the latter wasn't run without it).

--- a/crates/dewspar/src/schedule/directory.rs
+++ b/crates/dewspar/src/schedule/directory.rs
@@ -276,7 +276,7 @@
             WorkerListing::unlisted(id, String::new(), pool)
         });
         self.add_live_workers(now, live_workers);
-        self.workers_known = true;
+        self.note_workers_known();
     }
 
     /// Adds workers that the VM service reports as alive after a takeover,
@@ -305,6 +305,16 @@
         }
     }
 
+    /// Notes that every worker is known that may run something.
+    ///
+    /// Those that ended before were never asked.
+    pub(super) fn note_workers_known(&mut self) {
+        if !self.workers_known {
+            self.own_lease.note_unlisted_ends();
+        }
+        self.workers_known = true;
+    }
+
     /// Notes the capacities of all workers and VMs.
     pub(super) fn note_capacities(&mut self) {
         let workers = self.workers.values().map(|w| w.listing.capacity);
@@ -373,6 +383,9 @@
         self.withdraw_starts_on(id, now);
         let Some(mut worker) = self.workers.remove(id) else { return };
         let evidence = self.worker_evidence(&worker, now);
+        if worker.may_run_unknown(self.own_lease.confirmed_ms(now)) {
+            self.own_lease.note_unlisted_ends();
+        }
         self.halls.ended(&worker.listing.hall, id);
         self.former_processes.ended(&worker, now);
         if worker.is_lapsed() {
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -157,7 +157,9 @@
             self.former_processes.shown_alive(&listing.id, asked_ms);
         }
         self.add_live_workers(now, live_workers);
-        self.workers_known |= !is_partial;
+        if !is_partial {
+            self.note_workers_known();
+        }
         let (from_ms, all_from_ms) =
             (&self.vm_orders_from_ms, self.all_vm_orders_from_ms);
         let is_settled = |vm: &str| {
--- a/crates/dewspar/src/schedule/own_lease.rs
+++ b/crates/dewspar/src/schedule/own_lease.rs
@@ -14,7 +14,8 @@
 
 | start | with an expired lease |
 |---|---|
-| a task without a run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on |
+| a task that has had no run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on |
+| a task that a former holder may have started on a worker which ended without listing its runs | not before the lease is renewed: a successor may have heard of the run's end |
 | a task whose run ended, as its worker has reported to this holder | allowed: the worker hadn't answered a successor by then |
 | a task whose run was lost since without a reported end | not before the lease is renewed: the run may have ended as done |
 | on a worker that became known since | not before the lease is renewed: a successor may not wait for that worker |
@@ -52,6 +53,9 @@
     is_detached: bool,
     /// How often that has been the case.
     detachments: Detachment,
+    /// In which time without a valid lease a worker last ended that hadn't
+    /// listed what it ran for former holders.
+    unlisted_ends_in: Detachment,
 }
 
 impl OwnLease {
@@ -103,6 +107,18 @@
         !self.is_detached || known_in != self.detachments
     }
 
+    /// Notes that a worker has ended, or may have, that hadn't listed what it
+    /// ran for former holders.
+    pub(super) fn note_unlisted_ends(&mut self) {
+        self.unlisted_ends_in = self.detachment();
+    }
+
+    /// Returns whether only another holder may know how runs of former holders
+    /// have ended.
+    pub(super) fn lacks_ends(&self) -> bool {
+        !self.covers(self.unlisted_ends_in)
+    }
+
     /// Returns whether a task may start on a worker.
     pub(super) fn covers_worker(&self, worker: &Worker) -> bool {
         self.covers(worker.listed_in)
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -618,6 +618,7 @@
     pub(super) fn has_unsynced_workers(&self, pool: &str, now: Now) -> bool {
         let confirmed_ms = self.own_lease.confirmed_ms(now);
         !self.workers_known
+            || self.own_lease.lacks_ends()
             || self
                 .workers
                 .in_pool(pool)
--- a/crates/dewspar/src/schedule/processes.rs
+++ b/crates/dewspar/src/schedule/processes.rs
@@ -208,6 +208,9 @@
         let id = listing.id.clone();
         self.withdraw_starts_on(&id, now);
         let Some(mut former) = self.workers.remove(&id) else { return };
+        if former.may_run_unknown(self.own_lease.confirmed_ms(now)) {
+            self.own_lease.note_unlisted_ends();
+        }
         let lost = LostRuns::of(&former, now);
         let answered_ms = former.answered_worker_ms();
         let had_lapsed = former.is_lapsed();
--- a/crates/dewspar/tests/schedule/starts_after_the_lease.rs
+++ b/crates/dewspar/tests/schedule/starts_after_the_lease.rs
@@ -2,8 +2,11 @@
 //! another node may hold the lease.
 
 use {
-    crate::world::{ROOM, World, id, job, listing, step},
-    dewspar::{job::StepSpec, schedule::WorkerId},
+    crate::world::{ROOM, World, at, id, job, listing, step},
+    dewspar::{
+        job::StepSpec,
+        schedule::{ManagedVm, VmStatus, WorkerId},
+    },
     dewspar_standin::task_worker::Fate,
 };
 
@@ -170,3 +173,57 @@
     world.run_for(500);
     assert_eq!(world.starts.len(), 2);
 }
+
+/// How a worker that never answered this holder ends.
+#[derive(Clone, Copy, Debug)]
+enum UnheardEnd {
+    Moved,
+    Restarted,
+}
+
+/// Guards against two runs of a task that a former holder has started: only a
+/// successor has heard how the run ended, on a worker that is gone by now.
+#[test]
+fn an_inherited_task_does_not_start_when_its_silent_worker_ends_after_the_lease()
+ {
+    for end in [UnheardEnd::Moved, UnheardEnd::Restarted] {
+        let (mut world, worker) = world();
+        world.unreachable.push(worker.clone());
+        let progress = world.stored.get(&id(1)).cloned();
+        world.take_over(8);
+        world.list();
+        world.list_vms();
+        world.expect_all();
+        let inherited = job(vec![step(1)]);
+        world.scheduler.submit(id(1), inherited, 6, progress.as_ref());
+        world.scheduler.lease_renewed(world.now_ms);
+        expire_lease(&mut world);
+        match end {
+            UnheardEnd::Moved => {
+                world.workers.remove(&worker);
+                world.listings.retain(|listing| listing.id != worker);
+                let mut vms = world.managed_vms();
+                let vm = format!("vm-of-{worker}");
+                let moving = ManagedVm {
+                    status: VmStatus::Moving,
+                    worker: None,
+                    vm,
+                    ..vms[0].clone()
+                };
+                vms.push(moving);
+                let now_ms = world.now_ms;
+                world.scheduler.list_vms(at(now_ms), now_ms, &vms);
+            }
+            UnheardEnd::Restarted => {
+                world.unreachable.clear();
+                world.restart_worker(&worker);
+                world.list();
+            }
+        }
+        world.run_for(2_000);
+        assert_eq!(world.starts.len(), 1, "{end:?}");
+        renew_lease(&mut world);
+        world.run_for(3_000);
+        assert_eq!(world.starts.len(), 2, "{end:?}: no other holder");
+    }
+}
