Allow a hand-over's attempt the time limit of a write

An attempt to hand over writes what isn't stored before it deletes the lease's key. The store's time limit for such a write is 1.5 s, but only 1.4 s of the whole attempt weren't taken for a standstill of the process, so a holder whose attempt got no answer at all could stop scheduling. Now it is 2.2 s: the write and the deletion. Found by reading; the answers that the stand-in loses now take 1.5 s as well, and lost_release.rs passes. It wasn't run with that delay and the former value.

--- a/crates/dewspar-standin/src/store.rs
+++ b/crates/dewspar-standin/src/store.rs
@@ -45,7 +45,7 @@
 const KEPT_EVENTS: usize = 100_000;
 
 /// How long a caller waits for the answer of a commit that is lost.
-const LOST_ANSWER_DELAY: Duration = Duration::from_secs(1);
+const LOST_ANSWER_DELAY: Duration = Duration::from_millis(1_500);
 
 /// A store; clones share its content.
 #[derive(Clone, Debug)]
--- a/crates/dewspard/src/jobs/hand_over.rs
+++ b/crates/dewspard/src/jobs/hand_over.rs
@@ -32,9 +32,9 @@
 const ATTEMPT_TIMEOUT_MS: u64 = 700;
 
 /// The longest part of an attempt that doesn't count as a standstill of the
-/// process, in milliseconds: the deletion, and a write of changes before it
-/// that the store doesn't answer either.
-const MAX_ATTEMPT_MS: u64 = 2 * ATTEMPT_TIMEOUT_MS;
+/// process, in milliseconds: the deletion, and the time limit of a write of
+/// changes before it that the store doesn't answer either.
+const MAX_ATTEMPT_MS: u64 = ATTEMPT_TIMEOUT_MS + 1_500;
 
 /// The state of a hand-over.
 #[derive(Debug, Default)]
