Let sums of what others write saturate in the scheduler

Callers may see jobs that wait or are late without need: a worker that says it has 2^64 - 1 of some resource, a job with such an estimate, a wave of such a length or a record with such a time makes a sum in the scheduler wrap, so that a pool seems to have no room, or an objective seems to be over. A debug build ends with "attempt to add with overflow", and so does each successor that reads the same entry.

Cause: values that parse well were added unchecked: capacities (Resources::add, room by hall), workers' clocks, estimates and objectives, what is left of waves and of silent workers' leases, when jobs have finished, numbers of runs.

Now these sums and products saturate. An odd worker costs no other one: jobs beside it are completed.

Other places of the same kind were changed by reading: projection.rs, candidates.rs, home_hall.rs, sizing.rs, pacing.rs, wave_selection.rs, placement.rs.

--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -226,7 +226,8 @@
     /// milliseconds of the Unix epoch.
     pub(crate) fn objective_ms(&self, round: usize) -> u64 {
         let due = self.spec.due_ms(round as u32).max(self.accepted_at_ms);
-        due + self.terms.objective_ms(self.graph.longest_path_ms())
+        let longest_ms = self.graph.longest_path_ms();
+        due.saturating_add(self.terms.objective_ms(longest_ms))
     }
 
     /// Returns all tasks with their identifiers.
--- a/crates/dewspar/src/schedule/maintenance.rs
+++ b/crates/dewspar/src/schedule/maintenance.rs
@@ -75,7 +75,7 @@
                 request: request.clone(),
                 record,
                 members: request.vms.iter().cloned().collect(),
-                end_ms: now.steady_ms + left_ms,
+                end_ms: now.steady_ms.saturating_add(left_ms),
                 selected_ms: now.steady_ms,
                 down: BTreeMap::new(),
                 ordered: BTreeMap::new(),
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -266,7 +266,8 @@
     /// may take, in milliseconds.
     pub fn objective_ms(&self, chain_ms: u64) -> u64 {
         // OK to truncate: chains are far below 2^53 ms.
-        self.target_latency_ms + (self.stretch * chain_ms as f64) as u64
+        let stretched_ms = (self.stretch * chain_ms as f64) as u64;
+        self.target_latency_ms.saturating_add(stretched_ms)
     }
 }
 
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -118,11 +118,12 @@
             && self.gpus >= other.gpus
     }
 
-    /// Adds other resources.
+    /// Adds other resources, saturating: workers and callers may name any
+    /// amount.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_mb += other.memory_mb;
-        self.gpus += other.gpus;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_mb = self.memory_mb.saturating_add(other.memory_mb);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 
     /// Subtracts other resources, saturating at 0.
--- a/crates/dewspar/src/schedule/pacing.rs
+++ b/crates/dewspar/src/schedule/pacing.rs
@@ -212,7 +212,8 @@
             if run.gauge > target {
                 return TargetStatus::Missed;
             }
-            if run.gauge * 100 > target * RECOVERED_PERCENT {
+            let recovered = target.saturating_mul(RECOVERED_PERCENT);
+            if run.gauge.saturating_mul(100) > recovered {
                 target_status = TargetStatus::Within;
             }
         }
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -350,7 +350,9 @@
         // The first run under this lease skips numbers that a former holder
         // may have used for unrecorded starts.
         let first = job.task(task).is_some_and(|s| s.run == s.ended_run);
-        if inherited && first { run + RUN_NUMBER_GAP } else { run + 1 }
+        let gap = if inherited && first { RUN_NUMBER_GAP } else { 1 };
+        // Workers and records may name any number.
+        run.saturating_add(gap)
     }
 
     /// Chooses a worker for a task. Its reservation isn't counted in the
--- a/crates/dewspar/src/schedule/placement/candidates.rs
+++ b/crates/dewspar/src/schedule/placement/candidates.rs
@@ -246,9 +246,10 @@
             // A long-running step has no deadline that it could miss: it is
             // interrupted from the moment at which it doesn't run.
             let may_be_late = late_last && !spec.long_running;
-            let late = may_be_late && now.unix_ms + left_ms > objective_ms;
+            let late = may_be_late
+                && now.unix_ms.saturating_add(left_ms) > objective_ms;
             if may_be_late && !late {
-                found.recheck_at(objective_ms - left_ms + 1);
+                found.recheck_at((objective_ms - left_ms).saturating_add(1));
             }
             let objective_ms = if spec.long_running {
                 job.accepted_at_ms
--- a/crates/dewspar/src/schedule/placement/home_hall.rs
+++ b/crates/dewspar/src/schedule/placement/home_hall.rs
@@ -71,7 +71,7 @@
     let mut free: BTreeMap<&str, u64> = BTreeMap::new();
     for worker in workers {
         let hall = free.entry(&worker.listing.hall).or_default();
-        *hall += worker.free().cpu_millis;
+        *hall = hall.saturating_add(worker.free().cpu_millis);
     }
     free.into_iter().max_by_key(|(_, cpu)| *cpu).map(|(hall, _)| hall)
 }
--- a/crates/dewspar/src/schedule/projection.rs
+++ b/crates/dewspar/src/schedule/projection.rs
@@ -125,14 +125,14 @@
                 } else if ready && state.waiting.is_empty() {
                     running.remaining_ms
                 } else {
-                    start_ms + duration_ms
+                    start_ms.saturating_add(duration_ms)
                 });
                 if spec.long_running || state.is_done() {
                     continue;
                 }
                 used.add(&running.resources);
                 let runs_then =
-                    start_ms <= ahead_ms && ahead_ms < start_ms + duration_ms;
+                    start_ms <= ahead_ms && ahead_ms - start_ms < duration_ms;
                 if !ready && runs_then && self.fits_any_vm(spec) {
                     let waiting = state.waiting.len() as u64;
                     used.add(&demand(spec).times(waiting));
@@ -158,7 +158,7 @@
         for step_spec in &spec.steps {
             let start_ms = start_ms(&step_spec.after, &ends);
             let duration_ms = step_spec.estimate_ms;
-            ends.push(start_ms + duration_ms);
+            ends.push(start_ms.saturating_add(duration_ms));
             if step_spec.long_running || !self.fits_any_vm(step_spec) {
                 continue;
             }
--- a/crates/dewspar/src/schedule/silent_workers.rs
+++ b/crates/dewspar/src/schedule/silent_workers.rs
@@ -139,7 +139,7 @@
         now: Now,
     ) {
         let over = workers.0.iter().map(|(worker, left_ms)| {
-            (WorkerId::new(worker), now.steady_ms + left_ms)
+            (WorkerId::new(worker), now.steady_ms.saturating_add(*left_ms))
         });
         self.silent_workers.over_ms = over.collect();
         self.silent_workers.stored = self.silent_workers.listed();
@@ -208,7 +208,7 @@
         let (workers, former) = (&self.workers, &self.former_processes);
         record.over_ms.retain(|worker, over_ms| {
             let may_return = !former.has_ended(worker)
-                && now.steady_ms < *over_ms + KEEP_UNLISTED_MS;
+                && now.steady_ms < over_ms.saturating_add(KEEP_UNLISTED_MS);
             workers.contains_key(worker) || may_return
         });
     }
--- a/crates/dewspar/src/schedule/sizing.rs
+++ b/crates/dewspar/src/schedule/sizing.rs
@@ -105,7 +105,8 @@
     pub(super) fn percent_without(&self, less: u64) -> u64 {
         let capacity = self.capacity.minus(&self.vm().times(less));
         let demand_cpu = self.total_demand().cpu_millis;
-        let of_all = demand_cpu * 100 / capacity.cpu_millis.max(1);
+        let of_all =
+            demand_cpu.saturating_mul(100) / capacity.cpu_millis.max(1);
         let least = Resources { cpu_millis: 1, memory_mb: 1, gpus: 1 };
         let left = capacity.minus(&self.long_running).component_max(&least);
         let of_left = self.short_task_demand().permille_of(&left) / 10;
--- a/crates/dewspar/src/schedule/storing.rs
+++ b/crates/dewspar/src/schedule/storing.rs
@@ -193,7 +193,7 @@
     /// job that isn't loaded yet, and renew its lease.
     pub fn take_expired(&mut self, now: Now, most: usize) -> Vec<JobId> {
         let kept_ms = self.options.finished_retention_ms;
-        let over = |at: u64| now.unix_ms >= at + kept_ms;
+        let over = |at: u64| now.unix_ms >= at.saturating_add(kept_ms);
         let expired = self
             .finished
             .iter()
--- a/crates/dewspar/src/schedule/wave_selection.rs
+++ b/crates/dewspar/src/schedule/wave_selection.rs
@@ -132,7 +132,8 @@
             parallel,
             under_way,
             due: due.min(parallel.saturating_sub(under_way)),
-            may_wait: needed_ms * SLACK_FACTOR < left_ms * parallel as u64,
+            may_wait: needed_ms * SLACK_FACTOR
+                < left_ms.saturating_mul(parallel as u64),
         }
     }
 
--- a/crates/dewspar/src/schedule/worker.rs
+++ b/crates/dewspar/src/schedule/worker.rs
@@ -804,7 +804,9 @@
         let withheld = self.is_lease_withheld || self.has_unidentified_runs();
         let clock = self.clock.filter(|_| !withheld)?;
         let elapsed = now_ms.saturating_sub(clock.at_ms);
-        Some(clock.worker_ms + elapsed + options.granted_lease_ms())
+        let granted_ms = elapsed + options.granted_lease_ms();
+        // A worker may report any time.
+        Some(clock.worker_ms.saturating_add(granted_ms))
     }
 
     /// Returns the priority class of a hold to the worker.
@@ -815,9 +817,9 @@
     ) -> Class {
         let silent = self.silent_since_ms.is_some();
         let renewed = self.lease_until_ms(now_ms, options).is_some_and(|u| {
-            self.confirmed_until_ms
-                + options.granted_lease_ms() * RENEWAL_DUE_PERCENT / 100
-                >= u
+            let due_ms =
+                options.granted_lease_ms() * RENEWAL_DUE_PERCENT / 100;
+            self.confirmed_until_ms.saturating_add(due_ms) >= u
         });
         if renewed || silent || !self.has_wanted_runs() {
             Class::Question
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -32,6 +32,7 @@
 
 mod detached_holders;
 mod directory_reads;
+mod odd_values;
 mod partial_answers;
 mod partial_vm_lists;
 mod pending_jobs;
