--- a/crates/dewspar/tests/schedule_random/former_holders.rs
+++ b/crates/dewspar/tests/schedule_random/former_holders.rs
@@ -495,10 +495,10 @@
         if former_is_first {
             self.run_former();
         }
-        if let Some(mut holder) = self.holder.take() {
-            if self.run_holder(&mut holder) {
-                self.holder = Some(holder);
-            }
+        if let Some(mut holder) = self.holder.take()
+            && self.run_holder(&mut holder)
+        {
+            self.holder = Some(holder);
         }
         if !former_is_first {
             self.run_former();
