Pass over stored jobs that no node would accept

A stored job with, say, 4,294,967,295 tasks would end each process that reads it, since room for its tasks is allocated at once: the holder, and each successor after it.

Cause: submissions are checked, stored jobs weren't. Another writer may have left one.

Now a stored job that doesn't pass the same check counts as unreadable: it is noted once, and costs itself alone. Both ways of submitting a job check it, so no accepted job is concerned.

Evidence: a_job_that_no_node_accepts_hides_itself_alone passes. It wasn't run without the change, because it would use up the machine's memory; that it would was read. The rest of newer_records.rs passed, now also with a job and a record that are nested 100,000 levels deep.

--- a/crates/dewspard/src/jobs/progress.rs
+++ b/crates/dewspard/src/jobs/progress.rs
@@ -22,6 +22,7 @@
         Batch, Commit, Condition, Error, Event, Expected, KeyValue, Put,
         Versioned,
     },
+    serde::de::Error as _,
     slog::Logger,
     std::{collections::BTreeSet, time::Duration},
     tokio::time::sleep,
@@ -105,24 +106,28 @@
                 None
             }
         },
-        FeedKey::Accepted(id) => {
-            match serde_json::from_slice::<AcceptedJob>(&item.value) {
-                Ok(job) => {
-                    let job = Box::new(job);
-                    Some(FeedEvent::Accepted { id, job, revision })
-                }
-                Err(error) => {
-                    let what = "accepted job";
-                    passed_over::record(
-                        log, what, &item.key, revision, &error,
-                    );
-                    Some(FeedEvent::Unreadable(id))
-                }
+        FeedKey::Accepted(id) => match parse_accepted(&item.value) {
+            Ok(job) => {
+                let job = Box::new(job);
+                Some(FeedEvent::Accepted { id, job, revision })
             }
-        }
+            Err(error) => {
+                let what = "accepted job";
+                passed_over::record(log, what, &item.key, revision, &error);
+                Some(FeedEvent::Unreadable(id))
+            }
+        },
     }
 }
 
+/// Parses an accepted job. One that no node would have accepted counts as
+/// unreadable: its tasks may not even fit into memory.
+fn parse_accepted(value: &[u8]) -> Result<AcceptedJob, serde_json::Error> {
+    let job: AcceptedJob = serde_json::from_slice(value)?;
+    job.spec.check().map_err(serde_json::Error::custom)?;
+    Ok(job)
+}
+
 /// Parses what the runs of a cancelled job use. The node that a caller asks to
 /// cancel a job doesn't know, so that its entry is empty.
 fn parse_active_use(item: &Versioned, log: &Logger) -> Option<TeamUse> {
--- a/crates/dewspard/tests/newer_records.rs
+++ b/crates/dewspard/tests/newer_records.rs
@@ -256,7 +256,8 @@
 
 #[tokio::test]
 async fn a_record_that_cant_be_read_stops_nothing_else() {
-    for key in [
+    let deep = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let keys = [
         format!("q/in/{}", id(7)),
         "q/in/no-identifier".to_owned(),
         "q/stop/no-identifier".to_owned(),
@@ -275,9 +276,15 @@
         "readers".to_owned(),
         "peer/node-9".to_owned(),
         "starts/1/1".to_owned(),
-    ] {
+    ];
+    let unreadable = keys.iter().map(|key| (key, &b"\xff no record"[..]));
+    // The keys that hold whole documents of other writers.
+    let accepted = format!("q/in/{}", id(7));
+    let progress = format!("run/{}", id(7));
+    let nested = [&accepted, &progress].map(|key| (key, deep.as_bytes()));
+    for (key, value) in unreadable.chain(nested) {
         let fixture = Fixture::new();
-        fixture.put(&key, b"\xff no record").await;
+        fixture.put(key, value).await;
         let _node = fixture.start().await;
         fixture
             .put(&format!("q/in/{}", id(1)), job().to_string().as_bytes())
@@ -287,6 +294,26 @@
     }
 }
 
+/// Guards against a job with more tasks than fit into memory, which ends each
+/// process that reads it.
+#[tokio::test]
+async fn a_job_that_no_node_accepts_hides_itself_alone() {
+    let fixture = Fixture::new();
+    for (number, count) in [(7, 20_000), (8, u32::MAX), (9, 0)] {
+        let mut odd = job();
+        odd["spec"]["steps"][0]["count"] = json!(count);
+        let key = format!("q/in/{}", id(number));
+        fixture.put(&key, odd.to_string().as_bytes()).await;
+    }
+    let good = job().to_string();
+    fixture.put(&format!("q/in/{}", id(1)), good.as_bytes()).await;
+    let _node = fixture.start().await;
+    assert!(fixture.completes(id(1)).await);
+    for number in 7..10 {
+        assert!(!fixture.has_started(id(number)), "{number}");
+    }
+}
+
 /// One unreadable start must not hide the others in its holder's log.
 #[tokio::test]
 async fn a_logged_start_that_cant_be_read_hides_itself_alone() {
