--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -52,6 +52,7 @@
 mod storing;
 mod takeover;
 mod team_limits;
+mod unknown_restarts;
 mod unlisted_workers;
 mod unseen_starts;
 mod wave_deadlines;
