--- a/crates/dewspar/src/schedule/own_lease.rs
+++ b/crates/dewspar/src/schedule/own_lease.rs
@@ -14,7 +14,7 @@
 
 | start | with an expired lease |
 |---|---|
-| a task that has had no run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on |
+| a task that has had no run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on. A worker that then restarts under its identifier without this holder's knowledge is the exception |
 | a task that a former holder may have started on a worker which ended without listing its runs | not before the lease is renewed: a successor may have heard of the run's end |
 | a task whose run ended, as its worker has reported to this holder | allowed: the worker hadn't answered a successor by then |
 | a task whose run was lost since without a reported end | not before the lease is renewed: the run may have ended as done |
@@ -49,7 +49,7 @@
 pub(super) struct OwnLease {
     /// When the newest call was sent that renewed it, if that is known.
     renewed_ms: Option<u64>,
-    /// Whether it isn't renewed, so that another node may hold it.
+    /// Whether another node may hold it.
     is_detached: bool,
     /// How often that has been the case.
     detachments: Detachment,
@@ -72,7 +72,7 @@
         self.is_detached = is_detached;
     }
 
-    /// Returns whether the holder is cut off from the store.
+    /// Returns whether another node may hold the lease.
     pub(super) fn is_detached(&self) -> bool {
         self.is_detached
     }
@@ -134,8 +134,8 @@
 }
 
 impl Scheduler {
-    /// Sets whether this holder is cut off from the store, so that its lease
-    /// isn't renewed and another node may hold it.
+    /// Sets whether another node may hold the lease, because it has expired or
+    /// may have been released.
     ///
     /// Has to be set before anything is applied that became known in that
     /// time.
--- a/crates/dewspard/src/jobs/hand_over.rs
+++ b/crates/dewspard/src/jobs/hand_over.rs
@@ -74,6 +74,17 @@
     }
 }
 
+/// What has become of a hand-over in one turn of the holder.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum HandOverStep {
+    /// It isn't requested, or the store isn't available.
+    NotTried,
+    /// It was tried in vain, and is tried again later.
+    Failed,
+    /// The lease is handed over.
+    Done,
+}
+
 /// The result of an attempt to delete the lease's key.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Release {
@@ -123,11 +134,10 @@
     }
 
     /// Tries to hand the lease over, if the node was asked to stop and the
-    /// store is available. Returns whether that is done; `None` if it wasn't
-    /// tried.
-    pub(super) async fn try_hand_over(&mut self) -> Option<bool> {
+    /// store is available.
+    pub(super) async fn try_hand_over(&mut self) -> HandOverStep {
         if !self.hand_over.is_requested || !self.is_store_available() {
-            return None;
+            return HandOverStep::NotTried;
         }
         let began_ms = clock::now_ms();
         let unstored = self.flush_changes().await;
@@ -137,7 +147,7 @@
         let release = timeout(limit, attempt).await;
         let release = release.unwrap_or(Release::Unknown);
         if release == Release::Done {
-            return Some(true);
+            return HandOverStep::Done;
         }
         for changes in &unstored {
             self.scheduler.changes_failed(changes);
@@ -152,8 +162,9 @@
                 clock::now_ms().saturating_sub(self.held.renewed_ms),
             "may_be_released" => self.hand_over.released_ms.is_some(),
             "outcome" => "schedules until the store answers");
+        // Waiting for the store isn't a standstill of the process.
         let took_ms = clock::now_ms().saturating_sub(began_ms);
         self.last_plan_ms += took_ms.min(MAX_ATTEMPT_MS);
-        Some(false)
+        HandOverStep::Failed
     }
 }
--- a/crates/dewspard/src/jobs/holder.rs
+++ b/crates/dewspard/src/jobs/holder.rs
@@ -34,7 +34,7 @@
             PollMeter, ReadRequest, follow_feed, look_up_worker,
             poll_directory, poll_vms, renew_lease,
         },
-        hand_over::HandOver,
+        hand_over::{HandOver, HandOverStep},
         intake::FeedOrigin,
         keys,
         load_stats::{self, LoadStats},
@@ -335,10 +335,10 @@
                 self.handle_event(event);
             }
             match self.try_hand_over().await {
-                Some(true) => return StepDown::Stopping,
+                HandOverStep::Done => return StepDown::Stopping,
                 // What arrived meanwhile comes before the next plan.
-                Some(false) => continue,
-                None => {}
+                HandOverStep::Failed => continue,
+                HandOverStep::NotTried => {}
             }
             if let Some(step_down) = self.plan_and_dispatch() {
                 if step_down.releases_lease() {
@@ -526,7 +526,7 @@
     /// expired. Another node may have taken over meanwhile, and workers'
     /// answers that are still unread may be out of date.
     fn is_lease_confirmed(&mut self, now: Now) -> bool {
-        self.check_standstill(now);
+        self.note_standstill(now);
         let suspended_ms = clock::suspended_ms();
         if let Some(for_ms) = self.suspensions.noticed_ms(suspended_ms) {
             warn!(self.candidate.log, "holder: was suspended";
@@ -543,7 +543,7 @@
     /// Requires a renewal of the lease if nothing was planned for long and the
     /// lease has expired: the process was stopped, or got no processor time.
     /// The clocks run on during that time, so it isn't a suspension of the VM.
-    fn check_standstill(&mut self, now: Now) {
+    fn note_standstill(&mut self, now: Now) {
         let for_ms = now.steady_ms.saturating_sub(self.last_plan_ms);
         self.last_plan_ms = now.steady_ms;
         if for_ms < STANDSTILL_MS {
