Bound what callers make a node hold: heads, bodies, connections

Callers that sent large bodies without an end, endless heads or empty lines, or just opened connections, made the process use up the memory or the descriptors of its machine, and it was killed for it.

Cause: each request was bounded by itself (a body of 1 MiB, a head of some 400 kB), but not all of them together; a body had no time; chunks were kept one by one, each with the buffer that it was read into; connections had no bound; and the kernel held as much again as it liked for what wasn't read.

Now the connections of a listener share a bound of bytes and one of connections, which follow from the machine: a quarter of its memory, less while the node's own work takes more than half of what there is, and half of its descriptors. Each connection counts its buffers, what has arrived of a head and what is kept of a body (one buffer, counted until its last use). At a bound those give way that have cost the most, bytes times time, and never one that is being served; so a request that arrives at once is served beside any number that stop or trickle. Heads have 16 kB, bodies the deadline of their call or 10 s, receive buffers 32 kB. Refusals come before anything is stored: 413 for a body over the limit (at once if it announces its length), 431 for a head, 503 with Retry-After otherwise, and the connection is closed after some of the rest is read, so that the answer isn't lost with a reset. Limits are settings; refusals are counted by reason.

Ruled out: a bound for each address (many callers share one); to stop reading (the kernel then holds what arrives); to refuse whoever comes last at a full house (a crowd that stays would shut out everybody else).

--- /dev/null
+++ b/crates/dewspar-platform/src/inbound/mod.rs
@@ -0,0 +1,475 @@
+/*!
+Bounds on what the clients of a listener can make a process hold.
+
+[`Inbound`] accepts the connections of a listener and knows what each of them
+holds: a fixed amount for its buffers, the part of a head that has arrived, and the
+bytes of bodies. Memory counts what has arrived, not what a client announces. At a
+bound, the connections that have cost the most give way, as
+[`dewspar::inbound`] decides.
+
+1. [`Inbound::accept`] returns the next connection: its stream, which notes each
+   byte, and a [`Connection`] that closes it when it must give way.
+2. [`Calls::begin`] is called for each request, as soon as its head has been read.
+3. [`Call::read_body`] reads the body into one buffer, up to a size and a time, and
+   counts it until the last reference to it is dropped.
+4. [`Inbound::supervise`] runs beside it: it adapts the bound to the memory that the
+   process takes and closes connections that make no progress.
+
+The kernel holds what has arrived and isn't read. So listeners come from [`bind`],
+which bounds the receive buffer of each connection, and a connection whose bytes
+can't be taken is closed instead of left unread.
+*/
+
+mod account;
+mod body;
+mod counted;
+mod listener;
+mod memory;
+mod stream;
+
+pub use self::{
+    body::{BodyLimits, BodyRefusal},
+    listener::{ACCEPT_RETRY_DELAY, bind},
+    stream::InboundStream,
+};
+pub(crate) use counted::Counted;
+
+use {
+    account::Account,
+    dewspar::inbound::{
+        Activity, ConnectionUse, InboundLimits, capacity_bytes,
+        closed_for_connection, closed_for_memory,
+    },
+    std::{
+        collections::HashMap,
+        error::Error as StdError,
+        fmt,
+        future::Future,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        time::{Instant, sleep},
+    },
+};
+
+/// The memory of a connection beside what has arrived on it, in bytes: its read
+/// buffer and its task.
+const CONNECTION_BYTES: usize = 8 * 1024;
+
+/// How often the bound is adapted and connections are checked for progress.
+const SUPERVISION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Why a connection was closed or a request refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LimitReason {
+    /// Too many connections are open.
+    Connections,
+    /// All connections together hold too many bytes.
+    Memory,
+    /// The connection made no progress for too long.
+    Stalled,
+    /// The head of a request is too long.
+    LongHead,
+    /// The body of a request is too long.
+    LongBody,
+    /// The body of a request didn't arrive in time.
+    LateBody,
+}
+
+impl LimitReason {
+    /// All reasons.
+    pub const ALL: [LimitReason; 6] = [
+        LimitReason::Connections,
+        LimitReason::Memory,
+        LimitReason::Stalled,
+        LimitReason::LongHead,
+        LimitReason::LongBody,
+        LimitReason::LateBody,
+    ];
+
+    /// Returns the name of the reason, for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            LimitReason::Connections => "too_many_connections",
+            LimitReason::Memory => "no_memory",
+            LimitReason::Stalled => "stalled",
+            LimitReason::LongHead => "long_head",
+            LimitReason::LongBody => "long_body",
+            LimitReason::LateBody => "late_body",
+        }
+    }
+}
+
+/// What the connections of a listener took since the last report.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InboundReport {
+    /// How many connections are open.
+    pub connections: usize,
+    /// How many were open at most.
+    pub most_connections: usize,
+    /// How many bytes all of them hold.
+    pub held_bytes: usize,
+    /// How many bytes they held at most.
+    pub most_held_bytes: usize,
+    /// How many bytes they may hold at the moment.
+    pub capacity_bytes: usize,
+    /// The size of the largest head, in bytes.
+    pub largest_head_bytes: usize,
+    /// The size of the largest body, in bytes.
+    pub largest_body_bytes: usize,
+    /// How often each limit closed a connection or refused a request, for those
+    /// that did.
+    pub limited: Vec<(LimitReason, u64)>,
+}
+
+/// The connections of a listener and what they hold; clones share them.
+#[derive(Clone)]
+pub struct Inbound(Arc<Shared>);
+
+struct Shared {
+    limits: InboundLimits,
+    /// The memory of the machine, in bytes.
+    memory_bytes: usize,
+    /// How long a connection may make no progress.
+    stall_timeout: Duration,
+    began: Instant,
+    next_id: AtomicU64,
+    connections: Mutex<HashMap<u64, Arc<Account>>>,
+    held_bytes: AtomicUsize,
+    capacity_bytes: AtomicUsize,
+    most_connections: AtomicUsize,
+    most_held_bytes: AtomicUsize,
+    largest_head_bytes: AtomicUsize,
+    largest_body_bytes: AtomicUsize,
+    limited: [AtomicU64; LimitReason::ALL.len()],
+}
+
+impl fmt::Debug for Inbound {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Inbound")
+            .field("limits", &self.0.limits)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Inbound {
+    /// Creates a listener's bounds on a machine with this much memory, in bytes.
+    /// A connection that makes no progress for `stall_timeout` is closed.
+    pub fn new(
+        limits: InboundLimits,
+        memory_bytes: usize,
+        stall_timeout: Duration,
+    ) -> Inbound {
+        Inbound(Arc::new(Shared {
+            limits,
+            memory_bytes,
+            stall_timeout,
+            began: Instant::now(),
+            next_id: AtomicU64::new(0),
+            connections: Mutex::default(),
+            held_bytes: AtomicUsize::new(0),
+            capacity_bytes: AtomicUsize::new(limits.max_bytes),
+            most_connections: AtomicUsize::new(0),
+            most_held_bytes: AtomicUsize::new(0),
+            largest_head_bytes: AtomicUsize::new(0),
+            largest_body_bytes: AtomicUsize::new(0),
+            limited: Default::default(),
+        }))
+    }
+
+    /// Waits for the next connection for which there is room. At the bound,
+    /// another one is closed for it, or it is refused while all others are being
+    /// served.
+    pub async fn accept(
+        &self,
+        listener: &TcpListener,
+    ) -> (InboundStream, Connection, SocketAddr) {
+        loop {
+            let Ok((stream, address)) = listener.accept().await else {
+                // Out of descriptors: some will be closed soon.
+                sleep(ACCEPT_RETRY_DELAY).await;
+                continue;
+            };
+            let Some(account) = self.0.open() else {
+                listener::refuse(&stream);
+                continue;
+            };
+            // OK to ignore: it only affects latency.
+            let _ = stream.set_nodelay(true);
+            let stream = InboundStream::new(stream, Arc::clone(&account));
+            return (stream, Connection(account), address);
+        }
+    }
+
+    /// Adapts the bound to the memory that the process takes, and closes
+    /// connections that make no progress, until the runtime ends.
+    pub async fn supervise(self) {
+        loop {
+            sleep(SUPERVISION_INTERVAL).await;
+            self.adapt(memory::resident_bytes());
+            self.0.close_stalled();
+        }
+    }
+
+    /// Adapts the bound to the memory that the process takes, if it is known.
+    fn adapt(&self, resident_bytes: Option<usize>) {
+        let shared = &self.0;
+        let held_bytes = shared.held_bytes.load(Ordering::Relaxed);
+        let capacity = capacity_bytes(
+            shared.memory_bytes,
+            resident_bytes.unwrap_or(held_bytes),
+            held_bytes,
+        );
+        let capacity = capacity.min(shared.limits.max_bytes);
+        shared.capacity_bytes.store(capacity, Ordering::Relaxed);
+        shared.make_room();
+    }
+
+    /// Returns whether a limit was reached since the last report.
+    pub fn was_limited(&self) -> bool {
+        self.0.limited.iter().any(|count| count.load(Ordering::Relaxed) > 0)
+    }
+
+    /// Returns what the connections took since the last report.
+    pub fn take_report(&self) -> InboundReport {
+        let shared = &self.0;
+        let connections = shared.connections().len();
+        let held_bytes = shared.held_bytes.load(Ordering::Relaxed);
+        let limited = LimitReason::ALL.into_iter().zip(&shared.limited);
+        let limited = limited
+            .map(|(reason, count)| (reason, count.swap(0, Ordering::Relaxed)))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        let take = |most: &AtomicUsize, now| most.swap(now, Ordering::Relaxed);
+        InboundReport {
+            connections,
+            most_connections: take(&shared.most_connections, connections),
+            held_bytes,
+            most_held_bytes: take(&shared.most_held_bytes, held_bytes),
+            capacity_bytes: shared.capacity_bytes.load(Ordering::Relaxed),
+            largest_head_bytes: take(&shared.largest_head_bytes, 0),
+            largest_body_bytes: take(&shared.largest_body_bytes, 0),
+            limited,
+        }
+    }
+}
+
+impl Shared {
+    fn connections(&self) -> MutexGuard<'_, HashMap<u64, Arc<Account>>> {
+        // OK after a panic: each change of it is complete.
+        self.connections.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        // OK to truncate: it would take millions of years.
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn note(&self, reason: LimitReason) {
+        self.limited[reason as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Opens an account for a new connection, in the place of another one if
+    /// need be; returns `None` if there is no place.
+    fn open(self: &Arc<Shared>) -> Option<Arc<Account>> {
+        let account = {
+            let mut connections = self.connections();
+            if connections.len() >= self.limits.max_connections {
+                self.note(LimitReason::Connections);
+                let closed = closed_for_connection(&self.uses(&connections))?;
+                if let Some(closed) = connections.remove(&closed) {
+                    closed.close();
+                }
+            }
+            let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+            let account = Arc::new(Account::new(id, Arc::clone(self)));
+            connections.insert(id, Arc::clone(&account));
+            let count = connections.len();
+            self.most_connections.fetch_max(count, Ordering::Relaxed);
+            account
+        };
+        account.hold(CONNECTION_BYTES);
+        Some(account)
+    }
+
+    fn remove(&self, id: u64) {
+        self.connections().remove(&id);
+    }
+
+    fn uses(
+        &self,
+        connections: &HashMap<u64, Arc<Account>>,
+    ) -> Vec<ConnectionUse> {
+        let now_ms = self.now_ms();
+        let open = connections.values().filter(|a| !a.gives_way());
+        open.map(|account| account.connection_use(now_ms)).collect()
+    }
+
+    fn hold(&self, bytes: usize) {
+        let before = self.held_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.most_held_bytes.fetch_max(before + bytes, Ordering::Relaxed);
+        if before + bytes > self.capacity_bytes.load(Ordering::Relaxed) {
+            self.make_room();
+        }
+    }
+
+    fn release(&self, bytes: usize) {
+        self.held_bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
+    /// Makes connections give way until the others hold no more than they may.
+    fn make_room(&self) {
+        let connections = self.connections();
+        // What those that give way already hold is free in a moment.
+        let leaving = connections.values().filter(|a| a.gives_way());
+        let leaving_bytes: usize = leaving.map(|a| a.held_bytes()).sum();
+        let held_bytes = self.held_bytes.load(Ordering::Relaxed);
+        let excess_bytes = held_bytes
+            .saturating_sub(leaving_bytes)
+            .saturating_sub(self.capacity_bytes.load(Ordering::Relaxed));
+        if excess_bytes == 0 {
+            return;
+        }
+        for id in closed_for_memory(&self.uses(&connections), excess_bytes) {
+            self.note(LimitReason::Memory);
+            if let Some(account) = connections.get(&id) {
+                account.give_way();
+            }
+        }
+    }
+
+    fn close_stalled(&self) {
+        let now_ms = self.now_ms();
+        let timeout_ms = self.stall_timeout.as_millis();
+        for account in self.connections().values() {
+            let is_served =
+                account.connection_use(now_ms).activity == Activity::Serving;
+            let stalled_ms = account.without_progress_ms(now_ms);
+            if !is_served && u128::from(stalled_ms) > timeout_ms {
+                self.note(LimitReason::Stalled);
+                account.close();
+            }
+        }
+    }
+}
+
+/// An open connection; it is no longer counted once this is dropped.
+pub struct Connection(Arc<Account>);
+
+impl Connection {
+    /// Returns a handle that begins calls, for the service of the connection.
+    pub fn calls(&self) -> Calls {
+        Calls(Arc::clone(&self.0))
+    }
+
+    /// Serves the connection until it ends, or until it must be closed.
+    pub async fn run<E>(self, serving: impl Future<Output = Result<(), E>>)
+    where
+        E: Into<Box<dyn StdError + Send + Sync>>,
+    {
+        let ended = tokio::select! {
+            ended = serving => ended,
+            () = self.0.closed() => return,
+        };
+        let Err(error) = ended else { return };
+        let error = error.into();
+        let error = error.downcast_ref::<hyper::Error>();
+        if error.is_some_and(hyper::Error::is_parse_too_large) {
+            self.0.note(LimitReason::LongHead);
+        }
+    }
+
+    /// Waits until the connection must be closed.
+    pub async fn closed(&self) {
+        self.0.closed().await;
+    }
+
+    /// Counts bytes that the connection holds, until they are released.
+    pub fn hold(&self, bytes: usize) -> Held {
+        Held::new(Arc::clone(&self.0), bytes)
+    }
+
+    /// Marks the connection as served: it doesn't give way any more.
+    pub fn serve(&self) {
+        self.0.begin_serving();
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.end();
+    }
+}
+
+/// Begins the calls of one connection.
+#[derive(Clone)]
+pub struct Calls(Arc<Account>);
+
+impl Calls {
+    /// Begins a call, whose head has arrived as a whole.
+    pub fn begin(&self) -> Call {
+        Call::new(Arc::clone(&self.0))
+    }
+}
+
+/// A request on a connection, from its head to its answer.
+pub struct Call {
+    account: Arc<Account>,
+    is_served: bool,
+}
+
+impl Call {
+    fn new(account: Arc<Account>) -> Call {
+        account.begin_call();
+        Call { account, is_served: false }
+    }
+
+    /// Marks the request as served: its connection doesn't give way any more.
+    pub fn serve(&mut self) {
+        if !self.is_served {
+            self.is_served = true;
+            self.account.begin_serving();
+        }
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        self.account.end_call(self.is_served);
+    }
+}
+
+/// Bytes that a connection holds; released when dropped.
+pub struct Held {
+    account: Arc<Account>,
+    bytes: usize,
+}
+
+impl Held {
+    fn new(account: Arc<Account>, bytes: usize) -> Held {
+        account.hold(bytes);
+        Held { account, bytes }
+    }
+
+    /// Counts more bytes, or fewer, as being held.
+    pub fn resize(&mut self, bytes: usize) {
+        if bytes > self.bytes {
+            self.account.hold(bytes - self.bytes);
+        } else {
+            self.account.release(self.bytes - bytes);
+        }
+        self.bytes = bytes;
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.account.release(self.bytes);
+    }
+}
--- a/crates/dewspar-platform/src/job_call.rs
+++ b/crates/dewspar-platform/src/job_call.rs
@@ -171,6 +171,8 @@
     Unauthorized(&'static str),
     /// The call can't be read; this says which field is at fault.
     Invalid(String),
+    /// The body is longer than any valid call; this says what the limit is.
+    TooLong(String),
     /// The method isn't one for this path.
     NoSuchMethod,
 }
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod etcd;
 mod fleet;
 pub mod http;
+pub mod inbound;
 mod job_call;
 mod job_worker;
 mod kv;
--- a/crates/dewspar-platform/src/peers/admission.rs
+++ b/crates/dewspar-platform/src/peers/admission.rs
@@ -4,7 +4,7 @@
 */
 
 use {
-    crate::Error,
+    crate::{Error, inbound::Counted},
     dewspar::{
         detour::PeerNode,
         peer_access::{Admission, KnownPeers},
@@ -13,10 +13,7 @@
     std::{
         future::Future,
         net::{IpAddr, SocketAddr},
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicUsize, Ordering},
-        },
+        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::AtomicUsize},
     },
     tokio::time::{Duration, Instant, timeout},
 };
@@ -162,38 +159,3 @@
         self.known.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
-
-/// A part of a bounded amount, given back when dropped.
-pub(super) struct Counted {
-    total: Arc<AtomicUsize>,
-    amount: usize,
-}
-
-impl Counted {
-    /// Takes one, unless `max` are taken already.
-    pub(super) fn below(
-        total: &Arc<AtomicUsize>,
-        max: usize,
-    ) -> Option<Counted> {
-        Counted::take(total, 1, max)
-    }
-
-    /// Takes an amount, unless the total would be above `max`.
-    pub(super) fn take(
-        total: &Arc<AtomicUsize>,
-        amount: usize,
-        max: usize,
-    ) -> Option<Counted> {
-        let before = total.fetch_add(amount, Ordering::Relaxed);
-        // Given back at once if there is no room.
-        let taken = Counted { total: Arc::clone(total), amount };
-        let fits = before.checked_add(amount).is_some_and(|sum| sum <= max);
-        fits.then_some(taken)
-    }
-}
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.total.fetch_sub(self.amount, Ordering::Relaxed);
-    }
-}
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -9,12 +9,10 @@
 use {
     super::{
         ALIVE_PATH, FINGERPRINT_HEADER, SHARE_HEADER, TIMEOUT_HEADER,
-        admission::{
-            CallFilter, Callers, Counted, PeerDirectory, RefusalReason,
-        },
+        admission::{CallFilter, Callers, PeerDirectory, RefusalReason},
         shared_reads::{SharedReads, SharedResult},
     },
-    crate::{Answer, Client, Error, Purpose, empty_request},
+    crate::{Answer, Client, Error, Purpose, empty_request, inbound::Counted},
     bytes::Bytes,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -77,6 +77,7 @@
 pub mod hall;
 pub mod hall_routes;
 pub mod history;
+pub mod inbound;
 pub mod isolation;
 pub mod job;
 pub mod link;
--- a/crates/dewspard/src/counters.rs
+++ b/crates/dewspard/src/counters.rs
@@ -73,6 +73,8 @@
         "Connections and messages of peers refused, by reason.";
     PEER_CALLS_REFUSED, "counter", "dewspar_peer_calls_refused_total", Some("reason"),
         "Calls to the store that this node refused to forward, by reason.";
+    INBOUND_LIMITS, "counter", "dewspar_inbound_limits_total", Some("reason"),
+        "Connections closed and requests refused since clients took too much, by reason.";
     SECOND_OBSERVERS, "counter", "dewspar_second_observers_total", Some("answer"),
         "Questions to another node whether it reaches a reader that doesn't answer this one, by answer.";
     CONFIG_WRITES, "counter", "dewspar_config_writes_total", Some("result"),
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -13,12 +13,13 @@
 
 use {
     super::{
-        backoff::{Backoff, MIN_RETRY_DELAY},
+        backoff::Backoff,
         counts::CountsReader,
         gate::StoreGate,
         intent, keys,
         progress::NEVER_ACCEPTED,
         readiness::Readiness,
+        settings::CallerLimits,
         team_limits::{FollowedTeamLimits, LimitConflict, ShareCheck},
     },
     crate::{clock, counters},
@@ -31,9 +32,12 @@
     },
     dewspar_platform::{
         Batch, Commit, Error, Expected, JobCall, JobOperation, JobProtocol,
-        JobReply, KeyValue, NotRead, Versioned,
+        JobReply, KeyValue, NotRead, Versioned, deadline_in,
+        inbound::{
+            self, BodyLimits, BodyRefusal, Call, Calls, Inbound, InboundStream,
+        },
     },
-    http_body_util::{BodyExt, Full, Limited},
+    http_body_util::Full,
     hyper::{
         Request, Response,
         body::Incoming,
@@ -51,18 +55,17 @@
         convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration,
     },
     tokio::{
-        net::{TcpListener, TcpStream},
         sync::watch,
-        time::{Instant, sleep, timeout_at},
+        time::{Instant, timeout_at},
     },
 };
 
-/// The largest request body, in bytes: far larger than any valid job.
-const MAX_BODY_BYTES: usize = 1024 * 1024;
-
 /// How long a connection may take to send the headers of a request.
 const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// The latest deadline up to which a body may arrive, in milliseconds.
+const MAX_BODY_DEADLINE_MS: u64 = 600_000;
+
 /// The deadline of a call where neither the caller nor the queue sets one, in
 /// milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 3_000;
@@ -94,6 +97,8 @@
     pub(super) counts: tokio::sync::Mutex<CountsReader>,
     /// The limits on what teams submit.
     pub(super) limits: FollowedTeamLimits,
+    /// What a request may take.
+    pub(super) caller_limits: CallerLimits,
     pub(super) log: Logger,
 }
 
@@ -118,30 +123,25 @@
     }
 }
 
-/// Starts the API server at an address.
+/// Starts the API server at an address, for connections within bounds.
 pub(super) async fn serve<K: KeyValue, P: JobProtocol>(
     address: SocketAddr,
+    inbound: Inbound,
     front: Arc<Frontend<K, P>>,
 ) -> io::Result<Server> {
-    let listener = TcpListener::bind(address).await?;
+    let listener = inbound::bind(address)?;
     let address = listener.local_addr()?;
     let (stop, mut stopped) = watch::channel(false);
     let done = tokio::spawn(async move {
         let graceful = GracefulShutdown::new();
         loop {
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
+            let (stream, connection, _) = tokio::select! {
+                accepted = inbound.accept(&listener) => accepted,
                 _ = stopped.changed() => break,
             };
-            let Ok((stream, _)) = accepted else {
-                // Out of file descriptors: some will be closed soon.
-                sleep(MIN_RETRY_DELAY).await;
-                continue;
-            };
-            let _ = stream.set_nodelay(true);
-            let connection =
-                graceful.watch(connection(stream, Arc::clone(&front)));
-            tokio::spawn(connection);
+            let calls = connection.calls();
+            let serving = serve_calls(stream, calls, Arc::clone(&front));
+            tokio::spawn(connection.run(graceful.watch(serving)));
         }
         drop(listener);
         graceful.shutdown().await;
@@ -149,19 +149,22 @@
     Ok(Server { address, stop, done })
 }
 
-fn connection<K: KeyValue, P: JobProtocol>(
-    stream: TcpStream,
+fn serve_calls<K: KeyValue, P: JobProtocol>(
+    stream: InboundStream,
+    calls: Calls,
     front: Arc<Frontend<K, P>>,
 ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error>
 + Send
 + 'static {
+    let max_head_bytes = front.caller_limits.max_head_bytes;
     let service = service_fn(move |request| {
-        let front = Arc::clone(&front);
-        async move { Ok::<_, Infallible>(front.handle(request).await) }
+        let (front, call) = (Arc::clone(&front), calls.begin());
+        async move { Ok::<_, Infallible>(front.handle(request, call).await) }
     });
     http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_READ_TIMEOUT)
+        .max_buf_size(usize::try_from(max_head_bytes).unwrap_or(usize::MAX))
         .serve_connection(TokioIo::new(stream), service)
 }
 
@@ -169,24 +172,47 @@
     async fn handle(
         &self,
         request: Request<Incoming>,
+        mut call: Call,
     ) -> Response<Full<Bytes>> {
         let arrived = Instant::now();
-        let (head, body) = request.into_parts();
-        let body = Limited::new(body, MAX_BODY_BYTES).collect().await;
-        let reply = match body {
-            Ok(body) => self.reply(&head, &body.to_bytes(), arrived).await,
-            Err(error) => JobReply::Invalid(format!("body: {error}")),
+        let (head, mut body) = request.into_parts();
+        let limits = self.body_limits(&head, arrived);
+        let (reply, is_refused) = match call.read_body(&mut body, limits).await
+        {
+            Ok(body) => (self.reply(&head, &body, arrived).await, false),
+            Err(refusal) => (body_refused(&refusal), true),
         };
         let mut response = self.protocol.write(&reply);
-        if !self.readiness.is_ready() {
-            // The caller's next call then goes to a node that is ready: one
-            // that isn't stopping and reaches the store.
+        if is_refused || !self.readiness.is_ready() {
+            // A refused body may be incomplete. Without one, the caller's next
+            // call then goes to a node that is ready: one that isn't stopping
+            // and reaches the store.
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
+        if is_refused {
+            tokio::spawn(call.discard(body));
+        }
         response.map(Full::new)
     }
 
+    /// Returns the bounds of a request's body: it must have arrived before its
+    /// deadline.
+    fn body_limits(
+        &self,
+        head: &hyper::http::request::Parts,
+        arrived: Instant,
+    ) -> BodyLimits {
+        let limits = &self.caller_limits;
+        let timeout_ms = deadline_in(head).unwrap_or(limits.max_body_ms);
+        let timeout_ms = timeout_ms.min(MAX_BODY_DEADLINE_MS);
+        let max_bytes = usize::try_from(limits.max_body_bytes);
+        BodyLimits {
+            max_bytes: max_bytes.unwrap_or(usize::MAX),
+            deadline: arrived + Duration::from_millis(timeout_ms),
+        }
+    }
+
     async fn reply(
         &self,
         head: &hyper::http::request::Parts,
@@ -536,6 +562,21 @@
     }
 }
 
+/// Returns the answer to a call whose body was refused: it had no effect.
+fn body_refused(refusal: &BodyRefusal) -> JobReply {
+    match refusal {
+        BodyRefusal::TooLong { .. } => {
+            JobReply::TooLong(format!("body: {refusal}"))
+        }
+        BodyRefusal::Late | BodyRefusal::NoRoom => {
+            JobReply::NotDone { retry_after_ms: RETRY_AFTER_MS }
+        }
+        BodyRefusal::Broken(error) => {
+            JobReply::Invalid(format!("body: {error}"))
+        }
+    }
+}
+
 /// Returns the write that accepts a job. With a version of the limits on teams,
 /// it takes effect only as long as these are unchanged.
 fn acceptance(
@@ -613,6 +654,7 @@
         JobReply::NoSuchQueue => "no_such_queue",
         JobReply::Unauthorized(_) => "unauthorized",
         JobReply::Invalid(_) => "invalid",
+        JobReply::TooLong(_) => "too_long",
         JobReply::NoSuchMethod => "no_such_method",
     }
 }
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,7 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, intent, isolation,
+        holder, inbound_reports, intent, isolation,
         peer_offers::PeerOffers,
         peers,
         readiness::{self, Readiness},
@@ -25,7 +25,7 @@
     },
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
-        Purpose, Traffic, UnreadableNotes,
+        Purpose, Traffic, UnreadableNotes, inbound::Inbound,
     },
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
@@ -41,6 +41,9 @@
 /// The part of the stop time that is kept in reserve, in milliseconds.
 const STOP_RESERVE_MS: u64 = 1_000;
 
+/// How long a connection may make no progress.
+const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// How long a node still takes connections after it stopped being ready, in
 /// milliseconds: the load balancer checks each second and acts on the second
 /// failed check.
@@ -159,10 +162,22 @@
             min_lease_ms: timing.min_store_lease_ms,
             counts: tokio::sync::Mutex::new(CountsReader::default()),
             limits,
+            caller_limits: settings.caller_limits.clone(),
             log: logs::part(&log, "front"),
         };
-        let callers =
-            front::serve(settings.callers_address, Arc::new(front)).await?;
+        let inbound = Inbound::new(
+            settings.inbound_limits(),
+            settings.machine.memory_bytes(),
+            STALL_TIMEOUT,
+        );
+        tokio::spawn(inbound.clone().supervise());
+        tokio::spawn(inbound_reports::log(
+            inbound.clone(),
+            "callers",
+            logs::part(&log, "front"),
+        ));
+        let address = settings.callers_address;
+        let callers = front::serve(address, inbound, Arc::new(front)).await?;
         let relay_address = match settings.relay_address {
             Some(address) => {
                 let listener = TcpListener::bind(address).await?;
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -132,6 +132,9 @@
             JobReply::Invalid(reason) => {
                 problem(StatusCode::BAD_REQUEST, "invalid", reason)
             }
+            JobReply::TooLong(reason) => {
+                problem(StatusCode::PAYLOAD_TOO_LARGE, "too-long", reason)
+            }
         }
     }
 }
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -25,6 +25,7 @@
 use {
     crate::settings::{Error, Log, Problems, read_file, read_yaml},
     dewspar::{
+        inbound::InboundLimits,
         schedule::{InvalidPolicy, Policy},
         staleness::StalenessLimits,
     },
@@ -85,6 +86,9 @@
     /// The entry VM's resources.
     #[serde(default)]
     pub machine: Machine,
+    /// What callers may make the node hold.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
     /// Time limits set by the platform and its operator.
     #[serde(default)]
     pub timing: Timing,
@@ -104,11 +108,64 @@
     pub cpu_millis: f64,
     /// Bandwidth of the network link, in megabits per second.
     pub link_mbps: f64,
+    /// The memory that the node may use, in megabytes; 256 without it.
+    pub memory_mb: Option<u64>,
+    /// How many descriptors the node may open; 4,096 without it.
+    pub max_descriptors: Option<u64>,
 }
 
 impl Default for Machine {
     fn default() -> Machine {
-        Machine { cpu_millis: 1_000.0, link_mbps: 1_000.0 }
+        Machine {
+            cpu_millis: 1_000.0,
+            link_mbps: 1_000.0,
+            memory_mb: None,
+            max_descriptors: None,
+        }
+    }
+}
+
+/// The memory of an entry VM where the settings name none, in megabytes.
+const DEFAULT_MEMORY_MB: u64 = 256;
+
+/// The descriptors of an entry VM where the settings name none.
+const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
+
+/// What callers may make the node hold.
+///
+/// A caller that exceeds a limit is refused before its job is stored; at the
+/// limits for all callers, those give way that have been sending one request for
+/// longest.
+#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// The largest head of a request, in bytes (default 16384, 8192 to
+    /// 1048576).
+    pub max_head_bytes: u64,
+    /// The largest body of a request, in bytes (default 1048576, 1 to
+    /// 67108864).
+    pub max_body_bytes: u64,
+    /// How long a body may take to arrive if the request names no deadline, in
+    /// milliseconds (default 10000, 100 to 600000).
+    pub max_body_ms: u64,
+    /// How many connections callers may keep open; without it, half of
+    /// `machine.max_descriptors`.
+    pub max_connections: Option<u64>,
+    /// How much memory the requests of all callers may take, in megabytes;
+    /// without it, a quarter of `machine.memory_mb`, and less while the node's
+    /// own work takes more than half.
+    pub max_memory_mb: Option<u64>,
+}
+
+impl Default for CallerLimits {
+    fn default() -> CallerLimits {
+        CallerLimits {
+            max_head_bytes: 16 * 1024,
+            max_body_bytes: 1024 * 1024,
+            max_body_ms: 10_000,
+            max_connections: None,
+            max_memory_mb: None,
+        }
     }
 }
 
@@ -128,6 +185,19 @@
 const MIN_LINK_MBPS: f64 = 0.5;
 
 impl Machine {
+    /// Returns the memory that the node may use, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let memory_mb = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        saturating_usize(memory_mb.saturating_mul(BYTES_PER_MB))
+    }
+
+    /// Returns how many descriptors the node may open.
+    pub fn descriptors(&self) -> usize {
+        saturating_usize(
+            self.max_descriptors.unwrap_or(DEFAULT_MAX_DESCRIPTORS),
+        )
+    }
+
     /// Returns the VM's scheduling capacity, relative to other nodes.
     pub fn strength(&self) -> u64 {
         let by_link = self.link_mbps / LINK_MBPS_PER_CPU_MILLI;
@@ -154,6 +224,13 @@
     }
 }
 
+const BYTES_PER_MB: u64 = 1_000_000;
+
+/// Returns a number as a size in memory, the largest one if it doesn't fit.
+fn saturating_usize(number: u64) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
+
 /// The address and the range of ports that only other nodes use. The node
 /// chooses from them what no other setting names.
 #[derive(
@@ -303,6 +380,24 @@
         Some(SocketAddr::from((ip, port)))
     }
 
+    /// Returns what callers may take, on this machine.
+    pub fn inbound_limits(&self) -> InboundLimits {
+        let machine = &self.machine;
+        let limits = InboundLimits::of_machine(
+            machine.memory_bytes(),
+            machine.descriptors(),
+        );
+        let CallerLimits { max_connections, max_memory_mb, .. } =
+            self.caller_limits;
+        InboundLimits {
+            max_connections: max_connections
+                .map_or(limits.max_connections, saturating_usize),
+            max_bytes: max_memory_mb.map_or(limits.max_bytes, |memory_mb| {
+                saturating_usize(memory_mb.saturating_mul(BYTES_PER_MB))
+            }),
+        }
+    }
+
     /// Returns the settings of a node for trials on this machine, with ports
     /// chosen by the kernel and adapters provided by the caller.
     pub fn loopback(node: &str) -> JobSettings {
@@ -324,6 +419,7 @@
                 root: default_root(),
             },
             machine: Machine::default(),
+            caller_limits: CallerLimits::default(),
             timing: Timing::default(),
             policy: Policy::default(),
             log: Log::default(),
@@ -358,6 +454,7 @@
                 problems.add(field, "must be above 0");
             }
         }
+        settings.check_limits(&mut problems);
         let Timing {
             config_apply_ms,
             max_lease_ms,
@@ -405,4 +502,47 @@
         problems.into_result()?;
         Ok(settings)
     }
+
+    fn check_limits(&self, problems: &mut Problems) {
+        let Machine { memory_mb, max_descriptors, .. } = self.machine;
+        let limits = &self.caller_limits;
+        for (field, value, least, most) in [
+            ("machine.memory_mb", memory_mb, 32, 1_048_576),
+            ("machine.max_descriptors", max_descriptors, 64, 1_048_576),
+            (
+                "caller_limits.max_head_bytes",
+                Some(limits.max_head_bytes),
+                8_192,
+                1_048_576,
+            ),
+            (
+                "caller_limits.max_body_bytes",
+                Some(limits.max_body_bytes),
+                1,
+                67_108_864,
+            ),
+            (
+                "caller_limits.max_body_ms",
+                Some(limits.max_body_ms),
+                100,
+                600_000,
+            ),
+            (
+                "caller_limits.max_connections",
+                limits.max_connections,
+                1,
+                1_048_576,
+            ),
+            (
+                "caller_limits.max_memory_mb",
+                limits.max_memory_mb,
+                1,
+                1_048_576,
+            ),
+        ] {
+            if let Some(value) = value {
+                problems.check(field, value, least, most);
+            }
+        }
+    }
 }
