Bound what the readiness check and the metrics may take

A crowd at either address did what it did at the callers' one: 600 heads without an end took 268 MB of 160, and 1,500 idle connections all descriptors, so that no job was served.

Cause: both servers had the library's buffer (some 400 kB a head), no time for a head and no bound on connections, and repeated a failed accept without a pause.

They now accept through the bounds that callers' connections have, with fixed sizes: 64 connections and 2 MiB for checks, 32 and 1 MiB for metrics and the status, heads of 8 KiB within 30 s. A full listener makes the slowest or the longest idle connection give way, so the load balancer's check gets through.

A setting of caller_limits.max_memory_mb above a quarter of the memory now counts as well. The line of an inbound load comes each 30 s where there is no limit reached.

--- a/crates/dewspar-platform/src/inbound/mod.rs
+++ b/crates/dewspar-platform/src/inbound/mod.rs
@@ -134,8 +134,8 @@
 
 struct Shared {
     limits: InboundLimits,
-    /// The memory of the machine, in bytes.
-    memory_bytes: usize,
+    /// The memory of the machine, in bytes, if the bound depends on it.
+    memory_bytes: Option<usize>,
     /// How long a connection may make no progress.
     stall_timeout: Duration,
     began: Instant,
@@ -165,6 +165,23 @@
         limits: InboundLimits,
         memory_bytes: usize,
         stall_timeout: Duration,
+    ) -> Inbound {
+        Inbound::create(limits, Some(memory_bytes), stall_timeout)
+    }
+
+    /// Creates a listener's bounds that are too small to depend on the memory
+    /// of the machine.
+    pub fn with_fixed_memory(
+        limits: InboundLimits,
+        stall_timeout: Duration,
+    ) -> Inbound {
+        Inbound::create(limits, None, stall_timeout)
+    }
+
+    fn create(
+        limits: InboundLimits,
+        memory_bytes: Option<usize>,
+        stall_timeout: Duration,
     ) -> Inbound {
         Inbound(Arc::new(Shared {
             limits,
@@ -212,21 +229,24 @@
     pub async fn supervise(self) {
         loop {
             sleep(SUPERVISION_INTERVAL).await;
-            self.adapt(memory::resident_bytes());
+            self.adapt();
             self.0.close_stalled();
         }
     }
 
-    /// Adapts the bound to the memory that the process takes, if it is known.
-    fn adapt(&self, resident_bytes: Option<usize>) {
+    /// Adapts the bound to the memory that the process takes; it stays as it is
+    /// where the system doesn't tell.
+    fn adapt(&self) {
         let shared = &self.0;
+        let Some(memory_bytes) = shared.memory_bytes else { return };
+        let Some(resident_bytes) = memory::resident_bytes() else { return };
         let held_bytes = shared.held_bytes.load(Ordering::Relaxed);
         let capacity = capacity_bytes(
-            shared.memory_bytes,
-            resident_bytes.unwrap_or(held_bytes),
+            memory_bytes,
+            shared.limits.max_bytes,
+            resident_bytes,
             held_bytes,
         );
-        let capacity = capacity.min(shared.limits.max_bytes);
         shared.capacity_bytes.store(capacity, Ordering::Relaxed);
         shared.make_room();
     }
--- a/crates/dewspar/src/inbound.rs
+++ b/crates/dewspar/src/inbound.rs
@@ -79,23 +79,22 @@
     }
 }
 
-/// Returns how many bytes callers may hold at the moment.
+/// Returns how many bytes callers may hold at the moment, of at most `max_bytes`.
 ///
 /// What the process takes beside their bytes, `resident_bytes` less
 /// `held_bytes`, is the node's own work. Callers get half of what that leaves of
-/// the machine's memory, but at most a quarter of it in all, and at least a
-/// thirty-second.
+/// the machine's memory, and at least a thirty-second of it in all.
 pub fn capacity_bytes(
     memory_bytes: usize,
+    max_bytes: usize,
     resident_bytes: usize,
     held_bytes: usize,
 ) -> usize {
     let own_bytes = resident_bytes.saturating_sub(held_bytes);
     let half_of_rest = memory_bytes.saturating_sub(own_bytes) / 2;
-    half_of_rest.clamp(
-        memory_bytes / CALLERS_LEAST_MEMORY_DIVISOR,
-        memory_bytes / CALLERS_MEMORY_DIVISOR,
-    )
+    half_of_rest
+        .max(memory_bytes / CALLERS_LEAST_MEMORY_DIVISOR)
+        .min(max_bytes)
 }
 
 /// What a connection is doing.
--- a/crates/dewspard/src/jobs/inbound_reports.rs
+++ b/crates/dewspard/src/jobs/inbound_reports.rs
@@ -14,7 +14,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
 
 /// How many reports without any limit there are between two lines.
-const QUIET_REPORTS: u32 = 12;
+const QUIET_REPORTS: u32 = 6;
 
 /// Counts the limits that were reached, and logs what was taken, until the
 /// runtime ends.
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -135,6 +135,7 @@
             settings.readiness_address,
             platform.readiness_path,
             readiness.clone(),
+            logs::part(&log, "readiness"),
         )
         .await?;
         let status = StatusBoard::new(&settings.node);
@@ -142,7 +143,8 @@
             (settings.metrics_address, metrics)
         {
             let status = status.reader();
-            readiness::serve_metrics(address, metrics, status).await?;
+            let log = logs::part(&log, "metrics");
+            readiness::serve_metrics(address, metrics, status, log).await?;
         }
         let limits =
             FollowedTeamLimits::new(settings.policy.placing.refuse_over_share);
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -7,8 +7,13 @@
 */
 
 use {
-    super::{intent, isolation::IsolatedSince, status::StatusReader},
+    super::{
+        inbound_reports, intent, isolation::IsolatedSince,
+        status::StatusReader,
+    },
     bytes::Bytes,
+    dewspar::inbound::InboundLimits,
+    dewspar_platform::inbound::{self, Inbound},
     http_body_util::Full,
     hyper::{
         Request, Response, StatusCode, body::Incoming, server::conn::http1,
@@ -16,15 +21,32 @@
     },
     hyper_util::rt::{TokioIo, TokioTimer},
     metrics_exporter_prometheus::PrometheusHandle,
+    slog::Logger,
     std::{
         convert::Infallible,
         future::{pending, ready},
         io,
         net::SocketAddr,
+        time::Duration,
     },
-    tokio::{net::TcpListener, sync::watch},
+    tokio::sync::watch,
 };
 
+/// What the load balancer's checks may take: many times the connections that it
+/// keeps open.
+const READINESS_LIMITS: InboundLimits =
+    InboundLimits { max_connections: 64, max_bytes: 2 * 1024 * 1024 };
+
+/// What readers of metrics and of the status may take.
+const METRICS_LIMITS: InboundLimits =
+    InboundLimits { max_connections: 32, max_bytes: 1024 * 1024 };
+
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
+
+/// How long a connection may take to send the head of its next request.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// The conditions for readiness.
 #[derive(Clone, Debug)]
 pub(super) struct Readiness {
@@ -80,8 +102,10 @@
     address: SocketAddr,
     path: &'static str,
     readiness: Readiness,
+    log: Logger,
 ) -> io::Result<()> {
-    serve_http(address, move |request: &Request<Incoming>| {
+    let inbound = inbound(READINESS_LIMITS, "readiness", log);
+    serve_http(address, inbound, move |request: &Request<Incoming>| {
         let code = if request.uri().path() != path {
             StatusCode::NOT_FOUND
         } else if readiness.is_ready() {
@@ -100,8 +124,10 @@
     address: SocketAddr,
     metrics: PrometheusHandle,
     status: StatusReader,
+    log: Logger,
 ) -> io::Result<()> {
-    serve_http(address, move |request: &Request<Incoming>| {
+    let inbound = inbound(METRICS_LIMITS, "metrics", log);
+    serve_http(address, inbound, move |request: &Request<Incoming>| {
         let is_status = request.uri().path() == "/status";
         let (metrics, status) = (metrics.clone(), status.clone());
         async move {
@@ -126,33 +152,50 @@
     }
 }
 
-async fn serve_http<H, R>(address: SocketAddr, handle: H) -> io::Result<()>
+/// Returns the bounds of a listener, which are kept and reported from now on.
+fn inbound(
+    limits: InboundLimits,
+    listener: &'static str,
+    log: Logger,
+) -> Inbound {
+    let inbound = Inbound::with_fixed_memory(limits, HEAD_TIMEOUT);
+    tokio::spawn(inbound.clone().supervise());
+    tokio::spawn(inbound_reports::log(inbound.clone(), listener, log));
+    inbound
+}
+
+async fn serve_http<H, R>(
+    address: SocketAddr,
+    inbound: Inbound,
+    handle: H,
+) -> io::Result<()>
 where
     H: Fn(&Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Page> + Send + 'static,
 {
-    let listener = TcpListener::bind(address).await?;
+    let listener = inbound::bind(address)?;
     tokio::spawn(async move {
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                tokio::task::yield_now().await;
-                continue;
-            };
-            let handle = handle.clone();
+            let (stream, connection, _) = inbound.accept(&listener).await;
+            let (handle, calls) = (handle.clone(), connection.calls());
             let service = service_fn(move |request| {
+                let mut call = calls.begin();
+                call.serve();
                 let page = handle(&request);
                 async move {
                     let Page { status, body } = page.await;
                     let mut response = Response::new(Full::new(body));
                     *response.status_mut() = status;
+                    drop(call);
                     Ok::<_, Infallible>(response)
                 }
             });
-            tokio::spawn(
-                http1::Builder::new()
-                    .timer(TokioTimer::new())
-                    .serve_connection(TokioIo::new(stream), service),
-            );
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(HEAD_TIMEOUT)
+                .max_buf_size(MAX_HEAD_BYTES)
+                .serve_connection(TokioIo::new(stream), service);
+            tokio::spawn(connection.run(serving));
         }
     });
     Ok(())
