Bound what connections may take before a relay knows a holder

A crowd at the address for orders held 342 MB of 160, or all descriptors: then no job was served for two minutes beside it.

Cause: the first message could have 16 MiB like all others and any time, and connections had no bound.

Now a connection has 5 s for its first message, of 4 KiB at most, which is read by itself. 64 connections are open at most; while they are full, the one without a first message that is there for longest gives way. A holder that has shown its lease doesn't. Messages behind the first, and their time, are unchanged.

Not bounded: connections that present a well-formed first message with a current lease; nothing there tells a node from a client.

--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -182,6 +182,8 @@
         let callers = front::serve(address, inbound, Arc::new(front)).await?;
         let relay_address = match settings.relay_address {
             Some(address) => {
+                // Orders come in large messages, so the kernel chooses the size
+                // of the receive buffer.
                 let listener = TcpListener::bind(address).await?;
                 let address = listener.local_addr()?;
                 tokio::spawn(relay::serve(
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -4,19 +4,23 @@
 */
 
 use {
-    super::super::holder::wait_for_stop,
+    super::super::{holder::wait_for_stop, inbound_reports},
     super::wire::{
         self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
         TARGET_MESSAGE_BYTES, ToRelay, VERSION,
     },
     crate::{clock, counters},
     dewspar::{
+        inbound::InboundLimits,
         relay::Lateness,
         schedule::{OrderError, StartOrder, WorkerId},
     },
-    dewspar_platform::JobWorkers,
+    dewspar_platform::{
+        JobWorkers,
+        inbound::{Connection, Inbound, InboundStream},
+    },
     futures_util::{SinkExt, StreamExt},
-    slog::{Logger, info, warn},
+    slog::{Logger, info},
     std::{
         io,
         sync::{
@@ -26,9 +30,9 @@
         time::Duration,
     },
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::TcpListener,
         sync::{mpsc, watch},
-        time::{Instant, sleep, sleep_until},
+        time::{Instant, sleep_until, timeout},
     },
 };
 
@@ -48,8 +52,13 @@
 /// holder's plan. Suspensions last seconds.
 const LATE_ORDER_GRACE_MS: u64 = 1_000;
 
-/// The delay after a connection that couldn't be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// What connections may take: some lost holders, whose connections are still
+/// open, beside the current one.
+const LIMITS: InboundLimits =
+    InboundLimits { max_connections: 64, max_bytes: 2 * 1024 * 1024 };
+
+/// How long a connection may take to send its first message.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// The revision of the latest lease that any holder has presented.
 #[derive(Clone, Debug, Default)]
@@ -70,24 +79,19 @@
     log: Logger,
 ) {
     let latest = LatestLease::default();
+    let inbound = Inbound::with_fixed_memory(LIMITS, HELLO_TIMEOUT);
+    tokio::spawn(inbound.clone().supervise());
+    tokio::spawn(inbound_reports::log(inbound.clone(), "relay", log.clone()));
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                warn!(log, "relay: accepting a connection failed";
-                    "error" => %error);
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        let connection = HolderConnection {
+        let (stream, connection, _) = inbound.accept(&listener).await;
+        let holder = HolderConnection {
             workers: workers.clone(),
             latest: latest.clone(),
             stopping: stopping.clone(),
             in_flight: Arc::default(),
             log: log.clone(),
         };
-        tokio::spawn(async move { connection.run(stream).await });
+        tokio::spawn(holder.run(stream, connection));
     }
 }
 
@@ -101,9 +105,12 @@
 }
 
 impl<W: JobWorkers> HolderConnection<W> {
-    async fn run(self, stream: TcpStream) {
+    async fn run(self, stream: InboundStream, connection: Connection) {
         let log = self.log.clone();
-        let ended = self.serve_orders(stream).await;
+        let ended = tokio::select! {
+            ended = self.serve_orders(stream, &connection) => ended,
+            () = connection.closed() => Ok("it sent no first message"),
+        };
         let reason = match &ended {
             Ok(reason) => (*reason).to_owned(),
             Err(error) => error.to_string(),
@@ -115,16 +122,14 @@
     /// end.
     async fn serve_orders(
         mut self,
-        stream: TcpStream,
+        mut stream: InboundStream,
+        connection: &Connection,
     ) -> io::Result<&'static str> {
-        stream.set_nodelay(true)?;
-        let (read, write) = stream.into_split();
-        let mut frames = wire::frames(read);
-        let Some(hello) = frames.next().await else {
-            return Ok("the connection closed before the first message");
+        let hello = wire::read_hello(&mut stream);
+        let Ok(hello) = timeout(HELLO_TIMEOUT, hello).await else {
+            return Ok("the first message didn't arrive in time");
         };
-        let ToRelay::Hello { version, node, lease_revision, at_ms } =
-            wire::decode(&hello?)?
+        let ToRelay::Hello { version, node, lease_revision, at_ms } = hello?
         else {
             return Ok("the first message is no hello");
         };
@@ -134,8 +139,11 @@
         if !self.latest.note(lease_revision) {
             return Ok("a later holder connected before");
         }
+        connection.serve();
         info!(self.log, "relay: carries for a holder"; "holder" => node,
             "lease_revision" => lease_revision);
+        let (read, write) = stream.into_stream().into_split();
+        let mut frames = wire::frames(read);
         let mut lateness = Lateness::new(at_ms, clock::now_ms());
         let mut sink = wire::sink(write);
         sink.send(wire::encode(&FromRelay::Welcome)).await?;
--- a/crates/dewspard/src/jobs/relay/wire.rs
+++ b/crates/dewspard/src/jobs/relay/wire.rs
@@ -13,7 +13,10 @@
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::io,
-    tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    tokio::{
+        io::{AsyncRead, AsyncReadExt},
+        net::tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
     tokio_util::codec::{FramedRead, FramedWrite, LengthDelimitedCodec},
 };
 
@@ -25,6 +28,9 @@
 /// kB each.
 const MAX_FRAME_BYTES: usize = 16 * 1024 * 1024;
 
+/// The longest first message, in bytes: a node's name and a few numbers.
+const MAX_HELLO_BYTES: usize = 4 * 1024;
+
 /// The size at which a message is sent and a new one begun, in bytes: a
 /// sixteenth of the longest, which leaves room for one more large order and
 /// for what the size estimate leaves out.
@@ -159,6 +165,28 @@
     FramedRead::new(half, codec())
 }
 
+/// Reads the first message, and nothing behind it.
+///
+/// Only a message of the usual length is read: whoever sent it isn't known yet.
+///
+/// # Errors
+///
+/// Returns an [`io::ErrorKind::InvalidData`] error for a malformed message or
+/// one that is too long, and the error of reading it otherwise.
+pub(super) async fn read_hello(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> io::Result<ToRelay> {
+    // OK to convert: a length that doesn't fit is over the limit as well.
+    let length = stream.read_u32().await? as usize;
+    if length > MAX_HELLO_BYTES {
+        let reason = format!("a first message of {length} bytes");
+        return Err(io::Error::new(io::ErrorKind::InvalidData, reason));
+    }
+    let mut frame = BytesMut::zeroed(length);
+    stream.read_exact(&mut frame).await?;
+    decode(&frame)
+}
+
 /// Returns a sink for outgoing frames.
 pub(super) fn sink(half: OwnedWriteHalf) -> FrameSink {
     FramedWrite::new(half, codec())
