Bound the connections of other nodes by the descriptors of the machine

1,500 idle connections at the address for other nodes took all 1,024 descriptors.

Cause: 2,048 connections were allowed whatever the machine has, and one that sent nothing kept its place.

Now they have a quarter of the descriptors and are accepted through the bounds that callers' connections have, in place of a counter of their own: an idle one gives way. The bounds on bodies and on addresses that no node has are as before. Callers have a quarter as well in place of a half, so that both leave half to the node's own work.

--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -12,8 +12,12 @@
         admission::{CallFilter, Callers, PeerDirectory, RefusalReason},
         shared_reads::{SharedReads, SharedResult},
     },
-    crate::{Answer, Client, Error, Purpose, empty_request, inbound::Counted},
+    crate::{
+        Answer, Client, Error, Purpose, empty_request,
+        inbound::{Counted, Inbound},
+    },
     bytes::Bytes,
+    dewspar::inbound::InboundLimits,
     http_body_util::{BodyExt, Full, Limited},
     hyper::{
         Method, Request, Response, StatusCode, Uri,
@@ -32,7 +36,7 @@
     },
     tokio::{
         net::TcpListener,
-        time::{Duration, sleep, timeout},
+        time::{Duration, timeout},
     },
 };
 
@@ -48,8 +52,8 @@
 /// The largest number of calls that are forwarded at a time.
 const MAX_CALLS: usize = 1_024;
 
-/// The largest number of connections from all other addresses: one for each call,
-/// and as many idle ones.
+/// The largest number of connections, unless [`PeerServer::with_max_connections`]
+/// sets a lower one: one for each call, and as many idle ones.
 const MAX_CONNECTIONS: usize = 2_048;
 
 /// The largest number of connections from addresses that are known to be
@@ -97,9 +101,6 @@
 /// to which earlier builds forward the question.
 const NOT_REACHED: StatusCode = StatusCode::FAILED_DEPENDENCY;
 
-/// The delay after a connection that couldn't be accepted.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// Forwards calls to the store for other nodes.
 #[derive(Clone)]
 pub struct PeerServer {
@@ -110,7 +111,7 @@
     /// The address by which other nodes know this one.
     source: Option<IpAddr>,
     shared: SharedReads,
-    connections: Arc<AtomicUsize>,
+    inbound: Inbound,
     unlisted_connections: Arc<AtomicUsize>,
     calls_in_flight: Arc<AtomicUsize>,
     body_bytes_in_flight: Arc<AtomicUsize>,
@@ -140,13 +141,28 @@
             may_forward,
             source: None,
             shared: SharedReads::default(),
-            connections: Arc::default(),
+            inbound: connections_below(MAX_CONNECTIONS),
             unlisted_connections: Arc::default(),
             calls_in_flight: Arc::default(),
             body_bytes_in_flight: Arc::default(),
         }
     }
 
+    /// Returns the server with a lower bound on its connections, where a node
+    /// may open fewer descriptors.
+    pub fn with_max_connections(
+        mut self,
+        max_connections: usize,
+    ) -> PeerServer {
+        self.inbound = connections_below(max_connections.min(MAX_CONNECTIONS));
+        self
+    }
+
+    /// Returns the bounds of its connections.
+    pub fn inbound(&self) -> &Inbound {
+        &self.inbound
+    }
+
     /// Serves the nodes in the directory until the listener's runtime ends.
     pub async fn serve<D: PeerDirectory>(
         mut self,
@@ -156,30 +172,32 @@
         // Without it, checks of other nodes leave from the default address.
         self.source = listener.local_addr().ok().map(|own| own.ip());
         let callers = Callers::new(directory);
+        tokio::spawn(self.inbound.clone().supervise());
         loop {
-            let Ok((stream, address)) = listener.accept().await else {
-                sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            };
+            let (stream, connection, address) =
+                self.inbound.accept(&listener).await;
             let caller = address.ip();
             let is_unlisted = callers.is_unlisted(caller);
-            let connection = if is_unlisted {
+            let unlisted = if is_unlisted {
                 let unlisted = &self.unlisted_connections;
-                Counted::below(unlisted, MAX_UNLISTED_CONNECTIONS)
+                let place = Counted::below(unlisted, MAX_UNLISTED_CONNECTIONS);
+                if place.is_none() {
+                    let reason = RefusalReason::TooManyConnections;
+                    callers.directory().note_refusal(caller, reason);
+                    continue;
+                }
+                place
             } else {
-                Counted::below(&self.connections, MAX_CONNECTIONS)
+                None
             };
-            let Some(connection) = connection else {
-                let reason = RefusalReason::TooManyConnections;
-                callers.directory().note_refusal(caller, reason);
-                continue;
-            };
-            // OK to ignore: it only affects latency.
-            let _ = stream.set_nodelay(true);
+            let calls = connection.calls();
             let (server, callers) = (self.clone(), callers.clone());
             let service = service_fn(move |request| {
                 let (server, callers) = (server.clone(), callers.clone());
+                let mut call = calls.begin();
                 async move {
+                    // Bodies have a bound and a time of their own.
+                    call.serve();
                     let answer = server.answer(request, caller, &callers);
                     Ok::<_, Infallible>(answer.await)
                 }
@@ -193,9 +211,8 @@
                 .keep_alive(!is_unlisted)
                 .serve_connection(TokioIo::new(stream), service);
             tokio::spawn(async move {
-                // OK to ignore: the caller notices as well.
-                let _ = serving.await;
-                drop(connection);
+                connection.run(serving).await;
+                drop(unlisted);
             });
         }
     }
@@ -385,6 +402,14 @@
     }
 }
 
+/// Returns the bounds of so many connections, whose heads may be as long as
+/// their read buffers.
+fn connections_below(max_connections: usize) -> Inbound {
+    let max_bytes = max_connections.saturating_mul(2 * MAX_BUFFER_BYTES);
+    let limits = InboundLimits { max_connections, max_bytes };
+    Inbound::with_fixed_memory(limits, HEAD_TIMEOUT)
+}
+
 /// The body of an answer, with its part of the room for bodies.
 struct CountedBytes {
     body: Bytes,
--- a/crates/dewspar/src/inbound.rs
+++ b/crates/dewspar/src/inbound.rs
@@ -51,7 +51,7 @@
 }
 
 /// The part of a machine's descriptors that callers' connections may take.
-const CALLERS_DESCRIPTOR_DIVISOR: usize = 2;
+const CALLERS_DESCRIPTOR_DIVISOR: usize = 4;
 
 /// The part of a machine's memory that callers may take at most.
 const CALLERS_MEMORY_DIVISOR: usize = 4;
@@ -66,8 +66,7 @@
 
 impl InboundLimits {
     /// Returns what callers may take on a machine with this much memory and
-    /// this many descriptors: a quarter of the memory and half of the
-    /// descriptors. The rest is the node's own.
+    /// this many descriptors: a quarter of each. The rest is the node's own.
     pub fn of_machine(
         memory_bytes: usize,
         descriptors: usize,
--- a/crates/dewspar/tests/inbound.rs
+++ b/crates/dewspar/tests/inbound.rs
@@ -128,6 +128,6 @@
 fn limits_follow_from_the_machine() {
     let limits = InboundLimits::of_machine(160 * MB, 4_100);
     assert_eq!(limits.max_bytes, 40 * MB);
-    assert_eq!(limits.max_connections, 2_050);
+    assert_eq!(limits.max_connections, 1_025);
     assert_eq!(InboundLimits::of_machine(0, 0).max_connections, 1);
 }
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -25,7 +25,8 @@
     },
     dewspar_platform::{
         Fleet, JobProtocol, JobWorkers, KeyValue, PeerRoutes, PeerServer,
-        Purpose, Traffic, UnreadableNotes, inbound::Inbound,
+        Purpose, Traffic, UnreadableNotes,
+        inbound::{self, Inbound},
     },
     metrics_exporter_prometheus::PrometheusHandle,
     slog::{Logger, info},
@@ -200,8 +201,13 @@
         if let Some(Peers { routes, server }) = platform.peers {
             let peer_log = logs::part(&log, "peers");
             if let Some(address) = settings.peer_address() {
-                let listener = TcpListener::bind(address).await?;
+                let listener = inbound::bind(address)?;
                 peer_address = Some(listener.local_addr()?);
+                tokio::spawn(inbound_reports::log(
+                    server.inbound().clone(),
+                    "peers",
+                    peer_log.clone(),
+                ));
                 let directory = PeerOffers::new(
                     platform.store.with_purpose(Purpose::Peers),
                     peer_log.clone(),
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -148,8 +148,8 @@
     /// How long a body may take to arrive if the request names no deadline, in
     /// milliseconds (default 10000, 100 to 600000).
     pub max_body_ms: u64,
-    /// How many connections callers may keep open; without it, half of
-    /// `machine.max_descriptors`.
+    /// How many connections callers may keep open; without it, a quarter
+    /// of `machine.max_descriptors`.
     pub max_connections: Option<u64>,
     /// How much memory the requests of all callers may take, in megabytes;
     /// without it, a quarter of `machine.memory_mb`, and less while the node's
@@ -398,6 +398,12 @@
         }
     }
 
+    /// Returns how many connections other nodes may keep open: a quarter of the
+    /// descriptors.
+    pub fn max_peer_connections(&self) -> usize {
+        self.machine.descriptors() / 4
+    }
+
     /// Returns the settings of a node for trials on this machine, with ports
     /// chosen by the kernel and adapters provided by the caller.
     pub fn loopback(node: &str) -> JobSettings {
--- a/crates/dewspard/src/main.rs
+++ b/crates/dewspard/src/main.rs
@@ -156,7 +156,8 @@
             authority,
             fingerprint,
             is_store_call,
-        );
+        )
+        .with_max_connections(settings.max_peer_connections());
         let peers = Some(Peers { routes: routes.clone(), server });
         let store = Store::new(
             store_client.with_peers(&routes),
