Read no more steps of a job than a valid one can have

A body of legal size, sent whole, made the process take 85 MB more for a moment: each empty step takes 3 bytes of text and some 200 of memory, and all of them were read before the job was found to be invalid. On the smallest machines one such request beside a crowd is enough to end the process.

Cause: a job has 10,000 tasks at most, and so 10,000 steps, but that was checked only when all were in memory.

Ruled out: the lists of earlier steps in each step, which take four times their text at most.

--- a/crates/dewspar/src/job/mod.rs
+++ b/crates/dewspar/src/job/mod.rs
@@ -36,7 +36,7 @@
     id::{InvalidId, JobId, TaskId},
     progress::{InDoubtRecord, Phase, Progress, TaskRecord},
     queue::{Queue, QueueSet},
-    spec::{InvalidSpec, JobSpec, Repeat, StepSpec},
+    spec::{InvalidSpec, JobSpec, Repeat, StepSpec, read_steps},
 };
 
 pub mod checkpoints;
--- a/crates/dewspar/src/job/spec.rs
+++ b/crates/dewspar/src/job/spec.rs
@@ -1,6 +1,10 @@
 use {
     displaydoc::Display,
-    serde::{Deserialize, Serialize},
+    serde::{
+        Deserialize, Deserializer, Serialize,
+        de::{Error as _, SeqAccess, Visitor},
+    },
+    std::{fmt, marker::PhantomData},
 };
 
 /// The maximum number of tasks of a job over all steps and rounds.
@@ -9,6 +13,71 @@
 /// below the store's limit of 1 MiB per value.
 const MAX_TASKS: u64 = 10_000;
 
+/// Reads the steps of a job, up to as many as a valid job can have.
+///
+/// For the steps of jobs from callers, with `deserialize_with`: a step takes some
+/// hundred times the memory of the text of an empty one, and without a bound a
+/// body of 1 MiB would stand for 100 MB before it is found to be invalid.
+///
+/// # Errors
+///
+/// Returns the error of reading a step, or one that says how many steps are
+/// allowed.
+///
+/// # Example
+///
+/// ```
+/// use dewspar::job::{StepSpec, read_steps};
+///
+/// #[derive(serde::Deserialize)]
+/// struct Body {
+///     #[serde(deserialize_with = "read_steps")]
+///     steps: Vec<StepSpec>,
+/// }
+///
+/// let body: Body =
+///     serde_json::from_str(r#"{"steps": [{"count": 2}]}"#).unwrap();
+/// assert_eq!(body.steps[0].count, 2);
+///
+/// let steps = vec![r#"{"count": 1}"#; 10_001].join(",");
+/// let body = format!(r#"{{"steps": [{steps}]}}"#);
+/// let error = serde_json::from_str::<Body>(&body).err().unwrap();
+/// assert!(error.to_string().starts_with("more than 10000 steps"));
+/// ```
+pub fn read_steps<'de, D, T>(source: D) -> Result<Vec<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de>,
+{
+    source.deserialize_seq(StepsVisitor(PhantomData))
+}
+
+struct StepsVisitor<T>(PhantomData<T>);
+
+impl<'de, T: Deserialize<'de>> Visitor<'de> for StepsVisitor<T> {
+    type Value = Vec<T>;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a list of steps")
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(
+        self,
+        mut rows: A,
+    ) -> Result<Vec<T>, A::Error> {
+        let mut steps = Vec::new();
+        while let Some(step) = rows.next_element()? {
+            // Each step has at least one task.
+            if steps.len() as u64 >= MAX_TASKS {
+                let reason = format!("more than {MAX_TASKS} steps");
+                return Err(A::Error::custom(reason));
+            }
+            steps.push(step);
+        }
+        Ok(steps)
+    }
+}
+
 /// The reason that a job's specification is invalid.
 #[derive(Clone, Debug, Display, Eq, PartialEq)]
 #[non_exhaustive]
--- a/crates/dewspard/src/jobs/rest.rs
+++ b/crates/dewspard/src/jobs/rest.rs
@@ -15,7 +15,9 @@
 
 use {
     bytes::Bytes,
-    dewspar::job::{InvalidId, JobSpec, QueueSet, Repeat, StepSpec},
+    dewspar::job::{
+        InvalidId, JobSpec, QueueSet, Repeat, StepSpec, read_steps,
+    },
     dewspar_platform::{
         JobCall, JobOperation, JobProtocol, JobReply, NotRead, caller_of,
         deadline_in,
@@ -41,6 +43,7 @@
 #[serde(deny_unknown_fields, default)]
 struct JobBody {
     payload: String,
+    #[serde(deserialize_with = "read_steps")]
     steps: Vec<StepSpec>,
     repeat: Option<Repeat>,
 }
