Count the read buffers of connections, and read heads of 128 KiB

Cause: a read buffer was bounded by 16 KiB alone and not counted, so that the bound on heads had to be as low as all of them together needed.

Now a connection is charged for the size of the buffer that it reads into, which grows with what arrives at once and stays between requests, and heads may have 128 KiB by default. Requests that give way count until their answers have arrived, but for what is dropped at once.

--- a/crates/dewspar-platform/src/inbound/account.rs
+++ b/crates/dewspar-platform/src/inbound/account.rs
@@ -13,6 +13,9 @@
     tokio::sync::Notify,
 };
 
+/// The size of a read buffer that is counted with its connection, in bytes.
+const USUAL_BUFFER_BYTES: usize = 8 * 1024;
+
 /// That no request is being received.
 const NEVER_MS: u64 = u64::MAX;
 
@@ -21,6 +24,8 @@
     id: u64,
     shared: Arc<Shared>,
     held_bytes: AtomicUsize,
+    /// The part of `held_bytes` that the read buffer takes beyond the usual size.
+    buffer_bytes: AtomicUsize,
     /// The part of `held_bytes` that has arrived of the next request's head.
     head_bytes: AtomicUsize,
     /// How many calls are between their head and their answer.
@@ -44,6 +49,7 @@
             id,
             shared,
             held_bytes: AtomicUsize::new(0),
+            buffer_bytes: AtomicUsize::new(0),
             head_bytes: AtomicUsize::new(0),
             calls: AtomicU32::new(0),
             serving: AtomicU32::new(0),
@@ -55,10 +61,16 @@
         }
     }
 
-    pub(super) fn held_bytes(&self) -> usize {
+    fn held_bytes(&self) -> usize {
         self.held_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns how much of what it holds goes with the present requests.
+    pub(super) fn request_bytes(&self) -> usize {
+        let buffer_bytes = self.buffer_bytes.load(Ordering::Relaxed);
+        self.held_bytes().saturating_sub(CONNECTION_BYTES + buffer_bytes)
+    }
+
     pub(super) fn hold(&self, bytes: usize) {
         self.held_bytes.fetch_add(bytes, Ordering::Relaxed);
         self.shared.hold(bytes);
@@ -78,16 +90,25 @@
         largest.fetch_max(bytes, Ordering::Relaxed);
     }
 
+    /// Notes the size of the buffer that the next bytes are read into. It grows
+    /// with what arrives at once, and is kept between requests.
+    pub(super) fn offered(&self, bytes: usize) {
+        let bytes = bytes.saturating_sub(USUAL_BUFFER_BYTES);
+        let before = self.buffer_bytes.fetch_max(bytes, Ordering::Relaxed);
+        if bytes > before {
+            self.hold(bytes - before);
+        }
+    }
+
     /// Notes that bytes have arrived.
     pub(super) fn received(&self, bytes: usize) {
-        let now_ms = self.shared.now_ms();
-        self.progress_ms.store(now_ms, Ordering::Relaxed);
+        self.note_progress();
         // A body is counted where it is kept.
         if self.calls.load(Ordering::Relaxed) == 0 {
             let since = &self.receiving_since_ms;
             let _ = since.compare_exchange(
                 NEVER_MS,
-                now_ms,
+                self.shared.now_ms(),
                 Ordering::Relaxed,
                 Ordering::Relaxed,
             );
@@ -96,8 +117,8 @@
         }
     }
 
-    /// Notes that bytes were sent.
-    pub(super) fn sent(&self) {
+    /// Notes that the connection made progress.
+    pub(super) fn note_progress(&self) {
         self.progress_ms.store(self.shared.now_ms(), Ordering::Relaxed);
     }
 
@@ -124,7 +145,7 @@
             self.gives_way.store(false, Ordering::Relaxed);
         }
         self.receiving_since_ms.store(NEVER_MS, Ordering::Relaxed);
-        self.progress_ms.store(self.shared.now_ms(), Ordering::Relaxed);
+        self.note_progress();
     }
 
     /// Returns what the connection takes.
@@ -194,7 +215,8 @@
     /// counted.
     pub(super) fn end(&self) {
         let head_bytes = self.head_bytes.swap(0, Ordering::Relaxed);
-        self.release(CONNECTION_BYTES + head_bytes);
+        let buffer_bytes = self.buffer_bytes.swap(0, Ordering::Relaxed);
+        self.release(CONNECTION_BYTES + buffer_bytes + head_bytes);
         self.shared.remove(self.id);
     }
 }
--- a/crates/dewspar-platform/src/inbound/mod.rs
+++ b/crates/dewspar-platform/src/inbound/mod.rs
@@ -224,6 +224,12 @@
         }
     }
 
+    /// Counts a connection that was accepted elsewhere. At the bound, another one
+    /// is closed for it; returns `None` while all others are being served.
+    pub fn admit(&self) -> Option<Connection> {
+        self.0.open().map(Connection)
+    }
+
     /// Adapts the bound to the memory that the process takes, and closes
     /// connections that make no progress, until the runtime ends.
     pub async fn supervise(self) {
@@ -346,9 +352,10 @@
     /// Makes connections give way until the others hold no more than they may.
     fn make_room(&self) {
         let connections = self.connections();
-        // What those that give way already hold is free in a moment.
+        // The requests of those that give way already are dropped in a moment;
+        // their connections stay until the answer has arrived.
         let leaving = connections.values().filter(|a| a.gives_way());
-        let leaving_bytes: usize = leaving.map(|a| a.held_bytes()).sum();
+        let leaving_bytes: usize = leaving.map(|a| a.request_bytes()).sum();
         let held_bytes = self.held_bytes.load(Ordering::Relaxed);
         let excess_bytes = held_bytes
             .saturating_sub(leaving_bytes)
@@ -410,9 +417,10 @@
         self.0.closed().await;
     }
 
-    /// Counts bytes that the connection holds, until they are released.
-    pub fn hold(&self, bytes: usize) -> Held {
-        Held::new(Arc::clone(&self.0), bytes)
+    /// Notes that the connection made progress, for one whose stream isn't an
+    /// [`InboundStream`].
+    pub fn note_progress(&self) {
+        self.0.note_progress();
     }
 
     /// Marks the connection as served: it doesn't give way any more.
@@ -466,7 +474,7 @@
 }
 
 /// Bytes that a connection holds; released when dropped.
-pub struct Held {
+struct Held {
     account: Arc<Account>,
     bytes: usize,
 }
@@ -478,7 +486,7 @@
     }
 
     /// Counts more bytes, or fewer, as being held.
-    pub fn resize(&mut self, bytes: usize) {
+    fn resize(&mut self, bytes: usize) {
         if bytes > self.bytes {
             self.account.hold(bytes - self.bytes);
         } else {
--- a/crates/dewspar-platform/src/inbound/stream.rs
+++ b/crates/dewspar-platform/src/inbound/stream.rs
@@ -33,7 +33,7 @@
 
     fn note_sent(&self, sent: &Poll<io::Result<usize>>) {
         if matches!(sent, Poll::Ready(Ok(1..))) {
-            self.account.sent();
+            self.account.note_progress();
         }
     }
 }
@@ -45,6 +45,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
+        self.account.offered(buffer.remaining());
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
         if bytes > 0 {
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -139,7 +139,7 @@
 #[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct CallerLimits {
-    /// The largest head of a request, in bytes (default 16384, 8192 to
+    /// The largest head of a request, in bytes (default 131072, 8192 to
     /// 1048576).
     pub max_head_bytes: u64,
     /// The largest body of a request, in bytes (default 1048576, 1 to
@@ -160,7 +160,7 @@
 impl Default for CallerLimits {
     fn default() -> CallerLimits {
         CallerLimits {
-            max_head_bytes: 16 * 1024,
+            max_head_bytes: 128 * 1024,
             max_body_bytes: 1024 * 1024,
             max_body_ms: 10_000,
             max_connections: None,
