Bound what callers and operators make a whole node hold

A crowd did to a node of the request path what it did to one that runs jobs (x86-64, debug build, 160 MB, 1,024 descriptors): bodies that stop 357 MB, chunks of 60 kB 348, of 64 bytes 379, endless heads 278, empty lines 278, bodies on streams of HTTP/2 350; heads at the operators' address 276; and 1,500 idle connections at either address left no request served for two minutes, since a failed accept was repeated at once.

Besides, streams and windows of an HTTP/2 connection had the library's sizes: 200 streams with 1 MiB each.

Now callers' connections are accepted through the same bounds: 4,096 connections, 128 MiB for all requests (a body counts until the runner has answered), heads of 128 KiB, and on HTTP/2 128 streams with 64 KiB each and 256 KiB together before they are read. A body that is refused gets 413, 408 or 503 with Retry-After, not run, and the connection closes.

--- a/crates/dewspar-cli/src/commands/explain.rs
+++ b/crates/dewspar-cli/src/commands/explain.rs
@@ -49,6 +49,10 @@
         "deadline-passed",
         "The deadline passed before the request was sent to a runner.",
     ),
+    (
+        "no-memory",
+        "The requests of all callers take too much memory. Come back when told.",
+    ),
     (
         "retry-budget",
         "Too many requests are being sent again. The targets are failing.",
--- a/platform/tests/soak/crowd.rs
+++ b/crates/dewspar-standin/src/crowd.rs
@@ -28,20 +28,23 @@
 /// What each connection sends.
 #[derive(Clone, Debug, Default)]
 pub struct Sends {
+    /// What it sends once.
     pub first: Vec<u8>,
+    /// How many bytes it reads after that, before it sends more.
+    pub greeting_bytes: usize,
+    /// What it sends after that, again and again.
     pub repeated: Vec<u8>,
+    /// How often it sends that.
     pub times: usize,
 }
 
 impl Sends {
-    /// Returns all that is sent, in writes of a bounded size.
+    /// Returns what is sent after the first bytes, in writes of a bounded size.
     fn writes(&self) -> impl Iterator<Item = Vec<u8>> {
         let at_once = (WRITE_BYTES / self.repeated.len().max(1)).max(1);
         let full = self.repeated.repeat(at_once);
         let rest = self.repeated.repeat(self.times % at_once);
-        [self.first.clone()]
-            .into_iter()
-            .chain(std::iter::repeat_n(full, self.times / at_once))
+        std::iter::repeat_n(full, self.times / at_once)
             .chain([rest])
             .filter(|bytes| !bytes.is_empty())
     }
@@ -49,8 +52,9 @@
 
 /// Open connections; they are closed with it.
 pub struct Crowd {
-    connections: JoinSet<()>,
-    open: watch::Sender<()>,
+    // Dropping them ends the connections.
+    _connections: JoinSet<()>,
+    _open: watch::Sender<()>,
     unsent: watch::Receiver<usize>,
 }
 
@@ -74,7 +78,7 @@
                 drop(stream);
             });
         }
-        Crowd { connections: set, open, unsent }
+        Crowd { _connections: set, _open: open, unsent }
     }
 
     /// Waits until each connection has sent all, or was closed, or the time is
@@ -102,6 +106,13 @@
             Err(_) => sleep(CONNECT_RETRY_DELAY).await,
         }
     };
+    if stream.write_all(&sends.first).await.is_err() {
+        return None;
+    }
+    let mut greeting = vec![0; sends.greeting_bytes];
+    if stream.read_exact(&mut greeting).await.is_err() {
+        return None;
+    }
     for bytes in sends.writes() {
         if stream.write_all(&bytes).await.is_err() {
             return None;
--- a/crates/dewspar-standin/src/lib.rs
+++ b/crates/dewspar-standin/src/lib.rs
@@ -14,10 +14,13 @@
 * [`task_fleet`] is a fleet whose workers run tasks of jobs.
 * [`peak`] is a scheduler with a large fleet in a queue's peak, in simulated
   time.
+* [`crowd`] is a crowd of clients that don't follow the protocol.
+* [`usage`] watches the memory and the descriptors of a process.
 * [`certs`] makes a certificate authority for tests and demonstrations.
 */
 
 pub mod certs;
+pub mod crowd;
 pub mod faults;
 pub mod fleet;
 pub mod kv;
@@ -28,3 +31,4 @@
 pub mod store;
 pub mod task_fleet;
 pub mod task_worker;
+pub mod usage;
--- a/crates/dewspard/src/jobs/inbound_reports.rs
+++ b/crates/dewspard/src/inbound_reports.rs
@@ -18,7 +18,7 @@
 
 /// Counts the limits that were reached, and logs what was taken, until the
 /// runtime ends.
-pub(super) async fn log(
+pub(crate) async fn log(
     inbound: Inbound,
     listener: &'static str,
     log: Logger,
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -59,7 +59,6 @@
 pub mod gate;
 mod hand_over;
 mod holder;
-mod inbound_reports;
 mod intake;
 mod intent;
 mod isolation;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -8,7 +8,7 @@
         election::Candidate,
         front::{self, Frontend},
         gate::StoreGate,
-        holder, inbound_reports, intent, isolation,
+        holder, intent, isolation,
         peer_offers::PeerOffers,
         peers,
         readiness::{self, Readiness},
@@ -18,7 +18,7 @@
         status::StatusBoard,
         team_limits::{self, FollowedTeamLimits},
     },
-    crate::{clock, logs, passed_over},
+    crate::{clock, inbound_reports, logs, passed_over},
     dewspar::{
         link::LinkLimits,
         schedule::{Options, SeenHolders},
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -7,10 +7,8 @@
 */
 
 use {
-    super::{
-        inbound_reports, intent, isolation::IsolatedSince,
-        status::StatusReader,
-    },
+    super::{intent, isolation::IsolatedSince, status::StatusReader},
+    crate::inbound_reports,
     bytes::Bytes,
     dewspar::inbound::InboundLimits,
     dewspar_platform::inbound::{self, Inbound},
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -4,12 +4,12 @@
 */
 
 use {
-    super::super::{holder::wait_for_stop, inbound_reports},
+    super::super::holder::wait_for_stop,
     super::wire::{
         self, Answer, Answered, FrameSink, FromRelay, Order, OrderKind, Start,
         TARGET_MESSAGE_BYTES, ToRelay, VERSION,
     },
-    crate::{clock, counters},
+    crate::{clock, counters, inbound_reports},
     dewspar::{
         inbound::InboundLimits,
         relay::Lateness,
--- a/crates/dewspard/src/lib.rs
+++ b/crates/dewspard/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod granter;
+mod inbound_reports;
 pub mod jobs;
 pub mod journal;
 pub mod logs;
--- a/crates/dewspard/src/node.rs
+++ b/crates/dewspard/src/node.rs
@@ -10,16 +10,17 @@
         api::{self, ApiState, Changes},
         clock, counters,
         dispatch::{self, Dispatchers},
-        fleet, granter,
+        fleet, granter, inbound_reports,
         journal::Filings,
         logs, membership, passed_over,
         peer::{Answer, Endpoint, Identity, Question, SetupError},
         proxy::{self, Proxy},
-        settings::Settings,
+        settings::{Callers, Settings},
         watcher,
     },
     dewspar::{
         config::Resource,
+        inbound::InboundLimits,
         member::{Freshness, Member, Timing},
         slot::{self, Limits},
     },
@@ -27,6 +28,7 @@
         Client, KeyValue, UnreadableNotes, VmList, Workers,
         etcd::Etcd,
         http::{HttpVmList, HttpWorkers},
+        inbound::Inbound,
     },
     displaydoc::Display,
     metrics_exporter_prometheus::PrometheusHandle,
@@ -42,6 +44,9 @@
 /// How often readiness is looked at.
 const READY_INTERVAL: Duration = Duration::from_millis(100);
 
+/// How long a caller's connection may make no progress.
+const STALL_TIMEOUT: Duration = Duration::from_secs(120);
+
 /// Why a node didn't start.
 #[derive(Debug, Display)]
 #[non_exhaustive]
@@ -233,8 +238,15 @@
             logs::part(&root, "proxy"),
         );
         let address = settings.callers.address;
+        let inbound = callers_inbound(&settings.callers);
+        tokio::spawn(inbound.clone().supervise());
+        tokio::spawn(inbound_reports::log(
+            inbound.clone(),
+            "callers",
+            logs::part(&root, "proxy"),
+        ));
         let callers =
-            proxy::Server::start(address, Arc::new(proxy)).await.map_err(
+            proxy::Server::start(address, inbound, Arc::new(proxy)).map_err(
                 |error| Error::Listen { field: "callers.address", error },
             )?;
         let state = ApiState {
@@ -251,6 +263,11 @@
         let api = api::Server::start(settings.api.address, state)
             .await
             .map_err(|error| Error::Listen { field: "api.address", error })?;
+        tokio::spawn(inbound_reports::log(
+            api.inbound().clone(),
+            "operators",
+            logs::part(&root, "api"),
+        ));
         info!(log, "node: started"; "callers" => %callers.address(),
             "api" => %api.address());
         let stop_delay = settings.callers.stop_delay_ms;
@@ -329,6 +346,16 @@
     }
 }
 
+/// Returns the bounds of callers' connections.
+fn callers_inbound(settings: &Callers) -> Inbound {
+    let size = |number| usize::try_from(number).unwrap_or(usize::MAX);
+    let limits = InboundLimits {
+        max_connections: size(settings.max_connections),
+        max_bytes: size(settings.max_memory_bytes),
+    };
+    Inbound::with_fixed_memory(limits, STALL_TIMEOUT)
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits::default().max_request_ms(settings.callers.max_deadline_ms)
 }
--- a/crates/dewspard/src/proxy/answer.rs
+++ b/crates/dewspard/src/proxy/answer.rs
@@ -54,6 +54,8 @@
     pub(super) reason: &'static str,
     pub(super) detail: String,
     pub(super) retry_after_ms: Option<u64>,
+    /// Whether the connection is closed after the answer.
+    pub(super) closes: bool,
 }
 
 impl Problem {
@@ -69,6 +71,7 @@
             reason,
             detail: detail.into(),
             retry_after_ms: None,
+            closes: false,
         }
     }
 
@@ -88,6 +91,13 @@
         self
     }
 
+    /// Returns the problem as the last answer on its connection, since the rest
+    /// of the request isn't read.
+    pub(super) fn closing(mut self) -> Problem {
+        self.closes = true;
+        self
+    }
+
     /// Returns the answer that tells the caller.
     pub(super) fn into_answer(self) -> Answer {
         let body = Body {
@@ -111,6 +121,10 @@
             let seconds = after_ms.div_ceil(1_000);
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
+        if self.closes {
+            let close = HeaderValue::from_static("close");
+            headers.insert(header::CONNECTION, close);
+        }
         answer
     }
 }
--- a/crates/dewspard/src/proxy/server.rs
+++ b/crates/dewspard/src/proxy/server.rs
@@ -15,7 +15,11 @@
     },
     bytes::Bytes,
     dewspar::once::Key,
-    http_body_util::{BodyExt, Full, Limited},
+    dewspar_platform::inbound::{
+        self, BodyLimits, BodyRefusal, Call, Connection, Inbound,
+        InboundStream,
+    },
+    http_body_util::Full,
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming,
         header::HeaderValue, service::service_fn,
@@ -36,7 +40,7 @@
         time::Duration,
     },
     tokio::{
-        net::{TcpListener, TcpStream},
+        net::TcpListener,
         sync::watch,
         task::JoinHandle,
         time::{Instant, timeout},
@@ -49,9 +53,22 @@
 /// When to come back to a node that isn't ready, in milliseconds.
 const NOT_READY_RETRY_MS: u64 = 1_000;
 
+/// When to come back when the requests of all callers take too much memory, in
+/// milliseconds.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+
 /// How long a connection may take to send a request's head.
 const HEAD_LIMIT: Duration = Duration::from_secs(30);
 
+/// How many requests an HTTP/2 connection may have open.
+const MAX_STREAMS: u32 = 128;
+
+/// How much may arrive on an HTTP/2 stream before it is read, in bytes.
+const STREAM_WINDOW_BYTES: u32 = 64 * 1024;
+
+/// How much may arrive on an HTTP/2 connection before it is read, in bytes.
+const CONNECTION_WINDOW_BYTES: u32 = 256 * 1024;
+
 /// What serves callers; shared by all their connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -59,6 +76,7 @@
     next_id: AtomicU64,
     deadlines: Deadlines,
     max_body: usize,
+    max_head: usize,
     max_answer: usize,
     ready: watch::Receiver<bool>,
     view: ViewReader,
@@ -130,6 +148,8 @@
             },
             max_body: usize::try_from(settings.max_body_bytes)
                 .unwrap_or(usize::MAX),
+            max_head: usize::try_from(settings.max_head_bytes)
+                .unwrap_or(usize::MAX),
             max_answer: usize::try_from(settings.max_answer_bytes)
                 .unwrap_or(usize::MAX),
             ready,
@@ -153,10 +173,11 @@
     pub(super) async fn answer(
         self: Arc<Self>,
         request: Request<Incoming>,
+        call: Call,
     ) -> Answer {
         let since = Instant::now();
         let id = self.request_id(request.headers());
-        let mut answer = match self.serve(request, &id).await {
+        let mut answer = match self.serve(request, call, &id).await {
             Ok(answer) => answer,
             Err(problem) => {
                 let reason = problem.reason;
@@ -193,6 +214,7 @@
     async fn serve(
         self: &Arc<Self>,
         request: Request<Incoming>,
+        call: Call,
         id: &HeaderValue,
     ) -> Result<Answer, Problem> {
         if request.uri().path() == KEY_PATH {
@@ -206,7 +228,9 @@
         }
         let (parts, body) = request.into_parts();
         let asked = request::read(&parts, self.deadlines)?;
-        let body = self.read_body(body, asked.deadline_ms).await?;
+        // The connection counts as served until the answer is there.
+        let (body, _call) =
+            self.read_body(body, call, asked.deadline_ms).await?;
         let forward = self.forward(parts, &asked, body, id)?;
         match asked.kind {
             Kind::Repeatable => match self.try_runners(&forward).await {
@@ -230,25 +254,20 @@
 
     async fn read_body(
         &self,
-        body: Incoming,
+        mut body: Incoming,
+        mut call: Call,
         deadline_ms: u64,
-    ) -> Result<Bytes, Problem> {
-        use hyper::body::Body;
-        if body.is_end_stream() {
-            return Ok(Bytes::new());
-        }
-        let collected = Limited::new(body, self.max_body).collect();
-        match timeout(left(deadline_ms), collected).await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) => {
-                let limit = self.max_body;
-                let detail = format!(
-                    "the body can't be read, or is over {limit} bytes: {error}",
-                );
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                Err(Problem::not_run(status, "bad-body", detail))
+    ) -> Result<(Bytes, Call), Problem> {
+        let limits = BodyLimits {
+            max_bytes: self.max_body,
+            deadline: Instant::now() + left(deadline_ms),
+        };
+        match call.read_body(&mut body, limits).await {
+            Ok(bytes) => Ok((bytes, call)),
+            Err(refusal) => {
+                tokio::spawn(call.discard(body));
+                Err(body_refused(&refusal).closing())
             }
-            Err(_) => Err(deadline_passed()),
         }
     }
 
@@ -370,6 +389,23 @@
     Tried::Unknown(Problem::unknown(status, "timeout", detail))
 }
 
+fn body_refused(refusal: &BodyRefusal) -> Problem {
+    let detail = format!("the body can't be read: {refusal}");
+    let (status, reason) = match refusal {
+        BodyRefusal::TooLong { .. } => {
+            (StatusCode::PAYLOAD_TOO_LARGE, "bad-body")
+        }
+        BodyRefusal::Late => return deadline_passed(),
+        BodyRefusal::NoRoom => {
+            let status = StatusCode::SERVICE_UNAVAILABLE;
+            return Problem::not_run(status, "no-memory", detail)
+                .retry_after_ms(NO_MEMORY_RETRY_MS);
+        }
+        BodyRefusal::Broken(_) => (StatusCode::BAD_REQUEST, "bad-body"),
+    };
+    Problem::not_run(status, reason, detail)
+}
+
 fn deadline_passed() -> Problem {
     let detail = "the body didn't arrive before the deadline";
     let status = StatusCode::REQUEST_TIMEOUT;
@@ -404,19 +440,20 @@
 }
 
 impl Server {
-    /// Serves callers at `address`; port 0 lets the kernel choose.
+    /// Serves callers at `address` within bounds; port 0 lets the kernel choose.
     ///
     /// # Errors
     ///
     /// Returns the error of binding the address.
-    pub async fn start(
+    pub fn start(
         address: SocketAddr,
+        inbound: Inbound,
         proxy: Arc<Proxy>,
     ) -> io::Result<Server> {
-        let listener = TcpListener::bind(address).await?;
+        let listener = inbound::bind(address)?;
         let address = listener.local_addr()?;
         let (stop, stopped) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, proxy, stopped));
+        let task = tokio::spawn(accept(listener, inbound, proxy, stopped));
         Ok(Server { address, stop, task })
     }
 
@@ -434,16 +471,15 @@
 
 async fn accept(
     listener: TcpListener,
+    inbound: Inbound,
     proxy: Arc<Proxy>,
     mut stopped: watch::Receiver<bool>,
 ) {
     let graceful = GracefulShutdown::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                if let Ok((stream, _)) = accepted {
-                    serve(stream, Arc::clone(&proxy), &graceful);
-                }
+            (stream, connection, _) = inbound.accept(&listener) => {
+                serve(stream, connection, Arc::clone(&proxy), &graceful);
             }
             _ = stopped.changed() => break,
         }
@@ -452,19 +488,30 @@
     graceful.shutdown().await;
 }
 
-fn serve(stream: TcpStream, proxy: Arc<Proxy>, graceful: &GracefulShutdown) {
-    let _ = stream.set_nodelay(true);
+fn serve(
+    stream: InboundStream,
+    connection: Connection,
+    proxy: Arc<Proxy>,
+    graceful: &GracefulShutdown,
+) {
+    let (max_head, calls) = (proxy.max_head, connection.calls());
     let service = service_fn(move |request| {
-        let proxy = Arc::clone(&proxy);
-        async move { Ok::<_, Infallible>(proxy.answer(request).await) }
+        let (proxy, call) = (Arc::clone(&proxy), calls.begin());
+        async move { Ok::<_, Infallible>(proxy.answer(request, call).await) }
     });
     let mut builder = auto::Builder::new(TokioExecutor::new());
-    builder.http1().timer(TokioTimer::new()).header_read_timeout(HEAD_LIMIT);
-    let connection =
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_LIMIT)
+        .max_buf_size(max_head);
+    builder
+        .http2()
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW_BYTES)
+        .initial_connection_window_size(CONNECTION_WINDOW_BYTES)
+        .max_header_list_size(u32::try_from(max_head).unwrap_or(u32::MAX));
+    let serving =
         builder.serve_connection(TokioIo::new(stream), service).into_owned();
-    let watched = graceful.watch(connection);
-    tokio::spawn(async move {
-        // A caller that hangs up is nothing to tell anyone.
-        let _ = watched.await;
-    });
+    tokio::spawn(connection.run(graceful.watch(serving)));
 }
--- a/crates/dewspard/src/settings.rs
+++ b/crates/dewspard/src/settings.rs
@@ -132,6 +132,18 @@
     /// The largest request body, in bytes (default 1048576, 1 to 67108864).
     #[serde(default = "mebibyte")]
     pub max_body_bytes: u64,
+    /// The largest head of a request, in bytes (default 131072, 8192 to
+    /// 1048576).
+    #[serde(default = "hundred_and_28_kibibytes")]
+    pub max_head_bytes: u64,
+    /// How many connections callers may keep open (default 4096, 1 to
+    /// 1048576).
+    #[serde(default = "four_kibi")]
+    pub max_connections: u64,
+    /// How much memory the requests of all callers may take, in bytes (default
+    /// 134217728, 1048576 to 1099511627776).
+    #[serde(default = "hundred_and_28_mebibytes")]
+    pub max_memory_bytes: u64,
     /// The largest answer body, in bytes (default 8388608, 1 to 67108864).
     #[serde(default = "eight_mebibytes")]
     pub max_answer_bytes: u64,
@@ -159,6 +171,10 @@
 pub struct Api {
     /// The address to listen at.
     pub address: SocketAddr,
+    /// How many connections operators may keep open (default 256, 1 to
+    /// 1048576).
+    #[serde(default = "two_hundred_and_56")]
+    pub max_connections: u64,
     /// Who may write.
     #[serde(default)]
     pub operators: Vec<Operator>,
@@ -307,6 +323,24 @@
             1,
             most,
         );
+        for (field, value, least, most) in [
+            (
+                "callers.max_head_bytes",
+                callers.max_head_bytes,
+                8_192,
+                1_048_576,
+            ),
+            ("callers.max_connections", callers.max_connections, 1, 1_048_576),
+            (
+                "callers.max_memory_bytes",
+                callers.max_memory_bytes,
+                mebibyte(),
+                1_099_511_627_776,
+            ),
+            ("api.max_connections", self.api.max_connections, 1, 1_048_576),
+        ] {
+            problems.check(field, value, least, most);
+        }
         problems.check(
             "callers.max_answer_bytes",
             callers.max_answer_bytes,
@@ -425,6 +459,22 @@
     1024 * 1024
 }
 
+fn hundred_and_28_kibibytes() -> u64 {
+    128 * 1024
+}
+
+fn four_kibi() -> u64 {
+    4 * 1024
+}
+
+fn two_hundred_and_56() -> u64 {
+    256
+}
+
+fn hundred_and_28_mebibytes() -> u64 {
+    128 * mebibyte()
+}
+
 fn eight_mebibytes() -> u64 {
     8 * mebibyte()
 }
