--- a/crates/dewspar/src/lib.rs
+++ b/crates/dewspar/src/lib.rs
@@ -31,6 +31,7 @@
 | [`slot`] | a runner's slots, shared by every node |
 | [`route`] | which runner gets the next request |
 | [`admit`] | admission control for requests |
+| [`inbound`] | which clients' connections give way |
 | [`breaker`] | a circuit breaker for services that don't answer |
 | [`overload`] | whether a node keeps up with its work |
 | [`poll`] | adaptive polling intervals for data that grows with the fleet |
