Count answers until they have been sent

Clients that ask and never read made a node keep their answers without a bound: up to 8 MiB for each of 4,096 connections on the request path, and lists of jobs on the other.

Cause: only what arrives was counted. Found by asking where else clients decide how long something is kept.

Now an answer of more than 4 KiB counts until it has been sent or its connection is closed, and such a connection gives way like one that stops within a request.

The time after which a connection without progress is closed is longer now than that after which an idle one is closed as usual, so that ordinary ends aren't counted as stalled.

--- a/crates/dewspar-platform/src/inbound/body.rs
+++ b/crates/dewspar-platform/src/inbound/body.rs
@@ -46,15 +46,19 @@
 
 impl std::error::Error for BodyRefusal {}
 
-/// A body in one buffer, counted until it is dropped.
-struct HeldBody {
-    bytes: BytesMut,
+/// The size up to which answers aren't counted, in bytes: they fit into the
+/// buffers of their connection.
+const UNCOUNTED_ANSWER_BYTES: usize = 4 * 1024;
+
+/// Bytes that are counted until they are dropped.
+struct HeldBytes<B> {
+    bytes: B,
     _held: Held,
 }
 
-impl AsRef<[u8]> for HeldBody {
+impl<B: AsRef<[u8]>> AsRef<[u8]> for HeldBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
@@ -101,6 +105,16 @@
         let _ = timeout(DISCARD_TIMEOUT, reading).await;
     }
 
+    /// Returns the body of an answer that counts until it has been sent, or its
+    /// connection closed: a client may never read it.
+    pub fn hold_answer(&self, bytes: Bytes) -> Bytes {
+        if bytes.len() <= UNCOUNTED_ANSWER_BYTES {
+            return bytes;
+        }
+        let held = Held::new(Arc::clone(&self.account), bytes.len());
+        Bytes::from_owner(HeldBytes { bytes, _held: held })
+    }
+
     async fn read_within(
         &self,
         body: &mut Incoming,
@@ -140,7 +154,7 @@
             bytes.extend_from_slice(&data);
             held.resize(bytes.capacity());
         }
-        let body = HeldBody { bytes, _held: held };
+        let body = HeldBytes { bytes, _held: held };
         Ok(Bytes::from_owner(body))
     }
 }
--- a/crates/dewspar-platform/src/inbound/mod.rs
+++ b/crates/dewspar-platform/src/inbound/mod.rs
@@ -11,7 +11,8 @@
    byte, and a [`Connection`] that closes it when it must give way.
 2. [`Calls::begin`] is called for each request, as soon as its head has been read.
 3. [`Call::read_body`] reads the body into one buffer, up to a size and a time, and
-   counts it until the last reference to it is dropped.
+   counts it until the last reference to it is dropped; [`Call::hold_answer`] counts
+   an answer until it has been sent.
 4. [`Inbound::supervise`] runs beside it: it adapts the bound to the memory that the
    process takes and closes connections that make no progress.
 
--- a/crates/dewspar-platform/src/peers/server.rs
+++ b/crates/dewspar-platform/src/peers/server.rs
@@ -71,6 +71,10 @@
 /// clients keep idle connections.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How long a connection may make no progress: longer than it may be idle, after
+/// which it is closed as usual.
+const STALL_TIMEOUT: Duration = Duration::from_secs(40);
+
 /// How long a caller that is known to be unlisted may take to send the head of
 /// its only call.
 const UNLISTED_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -407,7 +411,7 @@
 fn connections_below(max_connections: usize) -> Inbound {
     let max_bytes = max_connections.saturating_mul(2 * MAX_BUFFER_BYTES);
     let limits = InboundLimits { max_connections, max_bytes };
-    Inbound::with_fixed_memory(limits, HEAD_TIMEOUT)
+    Inbound::with_fixed_memory(limits, STALL_TIMEOUT)
 }
 
 /// The body of an answer, with its part of the room for bodies.
--- a/crates/dewspar-platform/tests/inbound.rs
+++ b/crates/dewspar-platform/tests/inbound.rs
@@ -31,10 +31,15 @@
 /// The largest body in these tests, in bytes.
 const MAX_BODY_BYTES: usize = 200_000;
 
+/// The size of the answer to a request without a body, in bytes: more than the
+/// kernel takes for a client that doesn't read.
+const ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
 const LIMITS: InboundLimits =
     InboundLimits { max_connections: 4, max_bytes: 400_000 };
 
-/// A server that answers 200 to a body it could read, 413 or 503 otherwise.
+/// A server that answers 200 to a body it could read, 413 or 503 otherwise, and
+/// with a large answer to a request without one.
 struct Server {
     address: SocketAddr,
     inbound: Inbound,
@@ -65,6 +70,11 @@
                         let mut body = request.into_body();
                         let read = call.read_body(&mut body, limits).await;
                         let status = match read {
+                            Ok(bytes) if bytes.is_empty() => {
+                                let large = Bytes::from(vec![0; ANSWER_BYTES]);
+                                let large = call.hold_answer(large);
+                                return Ok(Response::new(Full::new(large)));
+                            }
                             Ok(bytes) => {
                                 kept.lock().unwrap().push(bytes);
                                 return Ok(answer(200));
@@ -190,6 +200,23 @@
     assert_eq!(server.inbound.take_report().held_bytes, 0);
 }
 
+/// Answers that a client never reads must be counted, or they add up; the
+/// connection gives way like others.
+#[tokio::test]
+async fn an_answer_that_is_not_read_is_counted_until_its_connection_closes() {
+    let limits =
+        InboundLimits { max_connections: 1, max_bytes: 2 * ANSWER_BYTES };
+    let server = Server::start(limits, TEST_TIMEOUT);
+    let unread = within(server.send(0, 0)).await;
+    within(server.wait_until_held(ANSWER_BYTES)).await;
+    let mut client = within(server.send(10, 10)).await;
+    assert_eq!(within(status(&mut client)).await, Some(200));
+    while server.inbound.take_report().held_bytes >= ANSWER_BYTES {
+        within(sleep(Duration::from_millis(1))).await;
+    }
+    drop(unread);
+}
+
 /// Bodies that stop just short of their end must not shut out a whole one.
 #[tokio::test]
 async fn a_whole_request_is_served_beside_bodies_that_stop() {
--- a/crates/dewspard/src/jobs/front.rs
+++ b/crates/dewspard/src/jobs/front.rs
@@ -190,10 +190,11 @@
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(header::CONNECTION, close);
         }
+        let response = response.map(|body| Full::new(call.hold_answer(body)));
         if is_refused {
             tokio::spawn(call.discard(body));
         }
-        response.map(Full::new)
+        response
     }
 
     /// Returns the bounds of a request's body: it must have arrived before its
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -42,8 +42,9 @@
 /// The part of the stop time that is kept in reserve, in milliseconds.
 const STOP_RESERVE_MS: u64 = 1_000;
 
-/// How long a connection may make no progress.
-const STALL_TIMEOUT: Duration = Duration::from_secs(30);
+/// How long a connection may make no progress: longer than it may be idle, after
+/// which it is closed as usual.
+const STALL_TIMEOUT: Duration = Duration::from_secs(40);
 
 /// How long a node still takes connections after it stopped being ready, in
 /// milliseconds: the load balancer checks each second and acts on the second
--- a/crates/dewspard/src/jobs/readiness.rs
+++ b/crates/dewspard/src/jobs/readiness.rs
@@ -150,13 +150,17 @@
     }
 }
 
+/// How long a connection may make no progress: longer than it may be idle, after
+/// which it is closed as usual.
+const STALL_TIMEOUT: Duration = Duration::from_secs(40);
+
 /// Returns the bounds of a listener, which are kept and reported from now on.
 fn inbound(
     limits: InboundLimits,
     listener: &'static str,
     log: Logger,
 ) -> Inbound {
-    let inbound = Inbound::with_fixed_memory(limits, HEAD_TIMEOUT);
+    let inbound = Inbound::with_fixed_memory(limits, STALL_TIMEOUT);
     tokio::spawn(inbound.clone().supervise());
     tokio::spawn(inbound_reports::log(inbound.clone(), listener, log));
     inbound
--- a/crates/dewspard/src/proxy/server.rs
+++ b/crates/dewspard/src/proxy/server.rs
@@ -19,7 +19,7 @@
         self, BodyLimits, BodyRefusal, Call, Connection, Inbound,
         InboundStream,
     },
-    http_body_util::Full,
+    http_body_util::{BodyExt, Full},
     hyper::{
         HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming,
         header::HeaderValue, service::service_fn,
@@ -229,10 +229,10 @@
         let (parts, body) = request.into_parts();
         let asked = request::read(&parts, self.deadlines)?;
         // The connection counts as served until the answer is there.
-        let (body, _call) =
+        let (body, call) =
             self.read_body(body, call, asked.deadline_ms).await?;
         let forward = self.forward(parts, &asked, body, id)?;
-        match asked.kind {
+        let answer = match asked.kind {
             Kind::Repeatable => match self.try_runners(&forward).await {
                 Tried::Answered(answer) => Ok(answer.map(Full::new)),
                 Tried::NotRun(problem) | Tried::Unknown(problem) => {
@@ -249,7 +249,8 @@
                     Err(Problem::unknown(status, "internal", detail))
                 })
             }
-        }
+        };
+        Ok(held_until_sent(answer?, &call).await)
     }
 
     async fn read_body(
@@ -423,6 +424,16 @@
     answer
 }
 
+/// Returns an answer whose body counts until it has been sent.
+async fn held_until_sent(answer: Answer, call: &Call) -> Answer {
+    let (head, body) = answer.into_parts();
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(never) => match never {},
+    };
+    Response::from_parts(head, Full::new(call.hold_answer(body)))
+}
+
 fn fresh_key() -> Answer {
     let random = uuid::Uuid::new_v4().as_u128();
     let key = Key::at(clock::unix_ms(), random);
