Split the servers of callers from what answers them, and share the tests' crowds

Now the connections of callers are in jobs/caller_server.rs and proxy/listener.rs, the settings of their limits in jobs/caller_limits.rs, and dewspar_platform::inbound has a module each for calls and for reports. What both programs of crowds send and check stands once, in the stand-ins. No behaviour changes, nor any crowd or bound.

--- a/crates/dewspar-cli/tests/crowds.rs
+++ b/crates/dewspar-cli/tests/crowds.rs
@@ -10,7 +10,7 @@
 use {
     dewspar_standin::{
         crowd::{Crowd, Sends},
-        usage::Watch,
+        usage::{DESCRIPTORS, Watch},
     },
     std::{
         net::SocketAddr,
@@ -18,31 +18,14 @@
         time::{Duration, Instant},
     },
     support::{Bench, FLEET, Process, dewspar, try_ask, wait_for},
-    tokio::time::timeout,
 };
 
-/// The memory of the machine that the node runs on in these tests, in megabytes.
-const MEMORY_MB: u64 = 160;
-
-/// The descriptors that the node may open in these tests.
-const DESCRIPTORS: usize = 1_024;
-
-/// How many of these may be open at most: the others stay free for calls to the
-/// platform, runners and other nodes.
-const MAX_OPEN_DESCRIPTORS: usize = DESCRIPTORS / 4 * 3;
-
-/// The largest request body that the node reads, in bytes.
+/// The largest request body that the process reads, in bytes.
 const LEGAL_BODY_BYTES: usize = 1024 * 1024;
 
-/// How many bytes are missing from a body that stops just short of its end.
-const MISSING_BYTES: usize = 10;
-
 /// How long anything may take; only a hang is stopped by it.
 const LIMIT: Duration = Duration::from_secs(120);
 
-/// How long a process may take to settle once a crowd has sent all.
-const SETTLING: Duration = Duration::from_secs(20);
-
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
 /// A node with the platform that it needs.
@@ -108,8 +91,7 @@
     let crowd = runtime.block_on(async {
         let crowd = Crowd::open(at, connections, sends);
         let crowd = crowd.wait_until_sent(LIMIT).await;
-        // Whatever else goes on in the process may keep it from settling.
-        let _ = timeout(SETTLING, watch.settled()).await;
+        watch.settled().await;
         crowd
     });
     site.serves("beside the crowd");
@@ -119,8 +101,7 @@
     let peak = watch.stop();
     println!("{name}: {peak:?}");
     assert_eq!(ended, None, "the process ended");
-    assert!(peak.memory_mb() <= MEMORY_MB, "{peak:?}");
-    assert!(peak.descriptors <= MAX_OPEN_DESCRIPTORS, "{peak:?}");
+    peak.assert_within_machine();
 }
 
 fn callers(site: &Site) -> &str {
@@ -132,91 +113,57 @@
 }
 
 /// Returns the head of a request that is read before it is forwarded.
-fn post(extra: &str) -> Vec<u8> {
+fn post(extra: &str) -> String {
     let key = "01890a5d-ac96-774b-bcce-b302099a8057";
     format!(
         "POST /filings/new HTTP/1.1\r\nHost: dewspar\r\n\
          Idempotency-Key: {key}\r\n{extra}\r\n",
     )
-    .into_bytes()
-}
-
-fn chunk(bytes: usize) -> Vec<u8> {
-    let mut chunk = format!("{bytes:x}\r\n").into_bytes();
-    chunk.extend(vec![b'x'; bytes]);
-    chunk.extend(b"\r\n");
-    chunk
 }
 
-fn head_without_an_end() -> Sends {
-    Sends {
-        first: b"GET /v1/service HTTP/1.1\r\nHost: a\r\nX-Long: ".to_vec(),
-        repeated: vec![b'x'; 390_000],
-        times: 1,
-        ..Sends::default()
-    }
+fn chunks_of(bytes: usize) -> Sends {
+    let head = post("Transfer-Encoding: chunked\r\n");
+    Sends::chunks_without_an_end(&head, bytes, LEGAL_BODY_BYTES)
 }
 
 /// A node that keeps all incomplete bodies runs out of memory.
 #[test]
 fn bodies_that_stop_short_of_their_end_stay_within_memory_at_a_node() {
-    let sends = Sends {
-        first: post(&format!("Content-Length: {LEGAL_BODY_BYTES}\r\n")),
-        repeated: vec![b'x'; LEGAL_BODY_BYTES - MISSING_BYTES],
-        times: 1,
-        ..Sends::default()
-    };
+    let head = post(&format!("Content-Length: {LEGAL_BODY_BYTES}\r\n"));
+    let sends = Sends::body_that_stops(&head, LEGAL_BODY_BYTES);
     withstands("stopped-bodies", 300, callers, &sends);
 }
 
 /// A body without a length must be bounded by what has arrived.
 #[test]
 fn large_chunks_without_an_end_stay_within_memory_at_a_node() {
-    let bytes = 60_000;
-    let sends = Sends {
-        first: post("Transfer-Encoding: chunked\r\n"),
-        repeated: chunk(bytes),
-        times: (LEGAL_BODY_BYTES - MISSING_BYTES) / bytes,
-        ..Sends::default()
-    };
-    withstands("large-chunks", 300, callers, &sends);
+    withstands("large-chunks", 300, callers, &chunks_of(60_000));
 }
 
 /// Chunks that are kept one by one take more memory than their bytes.
 #[test]
 fn small_chunks_without_an_end_stay_within_memory_at_a_node() {
-    let bytes = 64;
-    let sends = Sends {
-        first: post("Transfer-Encoding: chunked\r\n"),
-        repeated: chunk(bytes),
-        times: (LEGAL_BODY_BYTES - MISSING_BYTES) / bytes,
-        ..Sends::default()
-    };
-    withstands("small-chunks", 200, callers, &sends);
+    withstands("small-chunks", 200, callers, &chunks_of(64));
 }
 
 /// Buffers of heads add up if each may be large and none need end.
 #[test]
 fn heads_without_an_end_stay_within_memory_at_a_node() {
-    withstands("endless-heads", 600, callers, &head_without_an_end());
+    let sends = Sends::head_without_an_end("GET /v1/service HTTP/1.1");
+    withstands("endless-heads", 600, callers, &sends);
 }
 
 /// The same at the address for operators.
 #[test]
 fn heads_without_an_end_for_operators_stay_within_memory() {
-    withstands("endless-operators", 600, api, &head_without_an_end());
+    let sends = Sends::head_without_an_end("GET /v1/service HTTP/1.1");
+    withstands("endless-operators", 600, api, &sends);
 }
 
 /// Empty lines before a request are part of no head, but take up its buffer.
 #[test]
 fn empty_lines_without_end_stay_within_memory_at_a_node() {
-    let sends = Sends {
-        first: Vec::new(),
-        repeated: b"\r\n".to_vec(),
-        times: 195_000,
-        ..Sends::default()
-    };
-    withstands("empty-lines", 600, callers, &sends);
+    withstands("empty-lines", 600, callers, &Sends::empty_lines());
 }
 
 /// Connections that send nothing must not take the descriptors that calls to
--- a/crates/dewspar-platform/src/inbound/body.rs
+++ b/crates/dewspar-platform/src/inbound/body.rs
@@ -3,7 +3,10 @@
 */
 
 use {
-    super::{Call, Held, LimitReason},
+    super::{
+        LimitReason,
+        call::{Call, Held},
+    },
     bytes::{Bytes, BytesMut},
     displaydoc::Display,
     http_body_util::BodyExt,
--- a/crates/dewspar-platform/src/inbound/mod.rs
+++ b/crates/dewspar-platform/src/inbound/mod.rs
@@ -23,14 +23,18 @@
 
 mod account;
 mod body;
+mod call;
 mod counted;
 mod listener;
 mod memory;
+mod report;
 mod stream;
 
 pub use self::{
     body::{BodyLimits, BodyRefusal},
+    call::{Call, Calls, Connection},
     listener::{ACCEPT_RETRY_DELAY, bind},
+    report::{InboundReport, LimitReason},
     stream::InboundStream,
 };
 pub(crate) use counted::Counted;
@@ -43,9 +47,7 @@
     },
     std::{
         collections::HashMap,
-        error::Error as StdError,
         fmt,
-        future::Future,
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -66,69 +68,6 @@
 /// How often the bound is adapted and connections are checked for progress.
 const SUPERVISION_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Why a connection was closed or a request refused.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum LimitReason {
-    /// Too many connections are open.
-    Connections,
-    /// All connections together hold too many bytes.
-    Memory,
-    /// The connection made no progress for too long.
-    Stalled,
-    /// The head of a request is too long.
-    LongHead,
-    /// The body of a request is too long.
-    LongBody,
-    /// The body of a request didn't arrive in time.
-    LateBody,
-}
-
-impl LimitReason {
-    /// All reasons.
-    pub const ALL: [LimitReason; 6] = [
-        LimitReason::Connections,
-        LimitReason::Memory,
-        LimitReason::Stalled,
-        LimitReason::LongHead,
-        LimitReason::LongBody,
-        LimitReason::LateBody,
-    ];
-
-    /// Returns the name of the reason, for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            LimitReason::Connections => "too_many_connections",
-            LimitReason::Memory => "no_memory",
-            LimitReason::Stalled => "stalled",
-            LimitReason::LongHead => "long_head",
-            LimitReason::LongBody => "long_body",
-            LimitReason::LateBody => "late_body",
-        }
-    }
-}
-
-/// What the connections of a listener took since the last report.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct InboundReport {
-    /// How many connections are open.
-    pub connections: usize,
-    /// How many were open at most.
-    pub most_connections: usize,
-    /// How many bytes all of them hold.
-    pub held_bytes: usize,
-    /// How many bytes they held at most.
-    pub most_held_bytes: usize,
-    /// How many bytes they may hold at the moment.
-    pub capacity_bytes: usize,
-    /// The size of the largest head, in bytes.
-    pub largest_head_bytes: usize,
-    /// The size of the largest body, in bytes.
-    pub largest_body_bytes: usize,
-    /// How often each limit closed a connection or refused a request, for those
-    /// that did.
-    pub limited: Vec<(LimitReason, u64)>,
-}
-
 /// The connections of a listener and what they hold; clones share them.
 #[derive(Clone)]
 pub struct Inbound(Arc<Shared>);
@@ -221,14 +160,14 @@
             // OK to ignore: it only affects latency.
             let _ = stream.set_nodelay(true);
             let stream = InboundStream::new(stream, Arc::clone(&account));
-            return (stream, Connection(account), address);
+            return (stream, Connection::new(account), address);
         }
     }
 
     /// Counts a connection that was accepted elsewhere. At the bound, another one
     /// is closed for it; returns `None` while all others are being served.
     pub fn admit(&self) -> Option<Connection> {
-        self.0.open().map(Connection)
+        self.0.open().map(Connection::new)
     }
 
     /// Adapts the bound to the memory that the process takes, and closes
@@ -386,119 +325,3 @@
         }
     }
 }
-
-/// An open connection; it is no longer counted once this is dropped.
-pub struct Connection(Arc<Account>);
-
-impl Connection {
-    /// Returns a handle that begins calls, for the service of the connection.
-    pub fn calls(&self) -> Calls {
-        Calls(Arc::clone(&self.0))
-    }
-
-    /// Serves the connection until it ends, or until it must be closed.
-    pub async fn run<E>(self, serving: impl Future<Output = Result<(), E>>)
-    where
-        E: Into<Box<dyn StdError + Send + Sync>>,
-    {
-        let ended = tokio::select! {
-            ended = serving => ended,
-            () = self.0.closed() => return,
-        };
-        let Err(error) = ended else { return };
-        let error = error.into();
-        let error = error.downcast_ref::<hyper::Error>();
-        if error.is_some_and(hyper::Error::is_parse_too_large) {
-            self.0.note(LimitReason::LongHead);
-        }
-    }
-
-    /// Waits until the connection must be closed.
-    pub async fn closed(&self) {
-        self.0.closed().await;
-    }
-
-    /// Notes that the connection made progress, for one whose stream isn't an
-    /// [`InboundStream`].
-    pub fn note_progress(&self) {
-        self.0.note_progress();
-    }
-
-    /// Marks the connection as served: it doesn't give way any more.
-    pub fn serve(&self) {
-        self.0.begin_serving();
-    }
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.0.end();
-    }
-}
-
-/// Begins the calls of one connection.
-#[derive(Clone)]
-pub struct Calls(Arc<Account>);
-
-impl Calls {
-    /// Begins a call, whose head has arrived as a whole.
-    pub fn begin(&self) -> Call {
-        Call::new(Arc::clone(&self.0))
-    }
-}
-
-/// A request on a connection, from its head to its answer.
-pub struct Call {
-    account: Arc<Account>,
-    is_served: bool,
-}
-
-impl Call {
-    fn new(account: Arc<Account>) -> Call {
-        account.begin_call();
-        Call { account, is_served: false }
-    }
-
-    /// Marks the request as served: its connection doesn't give way any more.
-    pub fn serve(&mut self) {
-        if !self.is_served {
-            self.is_served = true;
-            self.account.begin_serving();
-        }
-    }
-}
-
-impl Drop for Call {
-    fn drop(&mut self) {
-        self.account.end_call(self.is_served);
-    }
-}
-
-/// Bytes that a connection holds; released when dropped.
-struct Held {
-    account: Arc<Account>,
-    bytes: usize,
-}
-
-impl Held {
-    fn new(account: Arc<Account>, bytes: usize) -> Held {
-        account.hold(bytes);
-        Held { account, bytes }
-    }
-
-    /// Counts more bytes, or fewer, as being held.
-    fn resize(&mut self, bytes: usize) {
-        if bytes > self.bytes {
-            self.account.hold(bytes - self.bytes);
-        } else {
-            self.account.release(self.bytes - bytes);
-        }
-        self.bytes = bytes;
-    }
-}
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.account.release(self.bytes);
-    }
-}
--- a/crates/dewspar-standin/src/crowd.rs
+++ b/crates/dewspar-standin/src/crowd.rs
@@ -38,7 +38,55 @@
     pub times: usize,
 }
 
+/// How many bytes are missing from a body that stops just short of its end.
+const MISSING_BYTES: usize = 10;
+
 impl Sends {
+    /// Returns a body that stops just short of this length, behind a head that
+    /// announces it.
+    pub fn body_that_stops(head: &str, length: usize) -> Sends {
+        Sends {
+            first: head.as_bytes().to_vec(),
+            repeated: vec![b'x'; length - MISSING_BYTES],
+            times: 1,
+            ..Sends::default()
+        }
+    }
+
+    /// Returns as many chunks of a body as stay just short of this length.
+    pub fn chunks_without_an_end(
+        head: &str,
+        chunk_bytes: usize,
+        length: usize,
+    ) -> Sends {
+        let mut chunk = format!("{chunk_bytes:x}\r\n").into_bytes();
+        chunk.extend(vec![b'x'; chunk_bytes]);
+        chunk.extend(b"\r\n");
+        Sends {
+            first: head.as_bytes().to_vec(),
+            repeated: chunk,
+            times: (length - MISSING_BYTES) / chunk_bytes,
+            ..Sends::default()
+        }
+    }
+
+    /// Returns a head whose last field doesn't end.
+    pub fn head_without_an_end(request_line: &str) -> Sends {
+        Sends {
+            first: format!("{request_line}\r\nHost: a\r\nX-Long: ")
+                .into_bytes(),
+            repeated: vec![b'x'; 390_000],
+            times: 1,
+            ..Sends::default()
+        }
+    }
+
+    /// Returns empty lines without a request.
+    pub fn empty_lines() -> Sends {
+        let repeated = b"\r\n".to_vec();
+        Sends { repeated, times: 195_000, ..Sends::default() }
+    }
+
     /// Returns what is sent after the first bytes, in writes of a bounded size.
     fn writes(&self) -> impl Iterator<Item = Vec<u8>> {
         let at_once = (WRITE_BYTES / self.repeated.len().max(1)).max(1);
--- a/crates/dewspar-standin/src/usage.rs
+++ b/crates/dewspar-standin/src/usage.rs
@@ -14,7 +14,7 @@
         thread::{self, JoinHandle},
         time::Duration,
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// The pause between two looks.
@@ -24,6 +24,20 @@
 /// settled.
 const SETTLED_LOOKS: u32 = 25;
 
+/// The memory of the machine that a process runs on in tests, in megabytes: that
+/// of the smallest entry VMs.
+pub const MEMORY_MB: u64 = 160;
+
+/// The descriptors that a process may open in tests.
+pub const DESCRIPTORS: usize = 1_024;
+
+/// How many of these may be open at most: the others stay free for calls to the
+/// platform, workers and other nodes.
+const MAX_OPEN_DESCRIPTORS: usize = DESCRIPTORS / 4 * 3;
+
+/// How long a process may take to settle once a crowd has sent all.
+const SETTLING: Duration = Duration::from_secs(20);
+
 /// The most that was seen of each.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Peak {
@@ -41,6 +55,16 @@
     pub fn memory_mb(&self) -> u64 {
         self.resident_kb.max(self.held_kb).div_ceil(1_000)
     }
+
+    /// Checks that the process stayed within its machine.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it took more memory or descriptors than it may.
+    pub fn assert_within_machine(&self) {
+        assert!(self.memory_mb() <= MEMORY_MB, "{self:?}");
+        assert!(self.descriptors <= MAX_OPEN_DESCRIPTORS, "{self:?}");
+    }
 }
 
 /// What one look shows.
@@ -100,8 +124,13 @@
     }
 
     /// Waits until the process has taken in what was sent to it, as far as it
-    /// does: nothing changes any more.
+    /// does: nothing changes any more. Whatever else goes on in the process may
+    /// keep it from that, so the wait is bounded.
     pub async fn settled(&self) {
+        let _ = timeout(SETTLING, self.unchanged()).await;
+    }
+
+    async fn unchanged(&self) {
         self.seen.lock().unwrap().same_looks = 0;
         while self.seen.lock().unwrap().same_looks < SETTLED_LOOKS {
             sleep(INTERVAL).await;
--- a/crates/dewspard/src/jobs/mod.rs
+++ b/crates/dewspard/src/jobs/mod.rs
@@ -47,6 +47,8 @@
 };
 
 mod backoff;
+mod caller_limits;
+mod caller_server;
 mod cancellations;
 mod checkpoints;
 mod counts;
--- a/crates/dewspard/src/jobs/node.rs
+++ b/crates/dewspard/src/jobs/node.rs
@@ -4,9 +4,10 @@
 
 use {
     super::{
+        caller_server,
         counts::CountsReader,
         election::Candidate,
-        front::{self, Frontend},
+        front::Frontend,
         gate::StoreGate,
         holder, intent, isolation,
         peer_offers::PeerOffers,
@@ -83,7 +84,7 @@
 
 /// A running node.
 pub struct JobNode {
-    callers: front::Server,
+    callers: caller_server::Server,
     scheduling: JoinHandle<()>,
     stopping: watch::Sender<bool>,
     stop_grace: Duration,
@@ -181,7 +182,7 @@
             logs::part(&log, "front"),
         ));
         let address = settings.callers_address;
-        let callers = front::serve(address, inbound, Arc::new(front)).await?;
+        let callers = caller_server::serve(address, inbound, Arc::new(front))?;
         let relay_address = match settings.relay_address {
             Some(address) => {
                 // Orders come in large messages, so the kernel chooses the size
--- a/crates/dewspard/src/jobs/settings.rs
+++ b/crates/dewspard/src/jobs/settings.rs
@@ -22,7 +22,10 @@
 ```
 */
 
+pub use super::caller_limits::CallerLimits;
+
 use {
+    super::caller_limits::{BYTES_PER_MB, saturating_usize},
     crate::settings::{Error, Log, Problems, read_file, read_yaml},
     dewspar::{
         inbound::InboundLimits,
@@ -131,44 +134,6 @@
 /// The descriptors of an entry VM where the settings name none.
 const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
 
-/// What callers may make the node hold.
-///
-/// A caller that exceeds a limit is refused before its job is stored; at the
-/// limits for all callers, those give way that have been sending one request for
-/// longest.
-#[derive(Clone, Debug, Deserialize, JsonSchema, PartialEq, Serialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct CallerLimits {
-    /// The largest head of a request, in bytes (default 131072, 8192 to
-    /// 1048576).
-    pub max_head_bytes: u64,
-    /// The largest body of a request, in bytes (default 1048576, 1 to
-    /// 67108864).
-    pub max_body_bytes: u64,
-    /// How long a body may take to arrive if the request names no deadline, in
-    /// milliseconds (default 10000, 100 to 600000).
-    pub max_body_ms: u64,
-    /// How many connections callers may keep open; without it, a quarter
-    /// of `machine.max_descriptors`.
-    pub max_connections: Option<u64>,
-    /// How much memory the requests of all callers may take, in megabytes;
-    /// without it, a quarter of `machine.memory_mb`, and less while the node's
-    /// own work takes more than half.
-    pub max_memory_mb: Option<u64>,
-}
-
-impl Default for CallerLimits {
-    fn default() -> CallerLimits {
-        CallerLimits {
-            max_head_bytes: 128 * 1024,
-            max_body_bytes: 1024 * 1024,
-            max_body_ms: 10_000,
-            max_connections: None,
-            max_memory_mb: None,
-        }
-    }
-}
-
 /// The link bandwidth that a thousandth of a core needs for scheduling, in
 /// megabits per second: enough for some 500 orders and their answers per
 /// thousandth, with room to spare.
@@ -224,13 +189,6 @@
     }
 }
 
-const BYTES_PER_MB: u64 = 1_000_000;
-
-/// Returns a number as a size in memory, the largest one if it doesn't fit.
-fn saturating_usize(number: u64) -> usize {
-    usize::try_from(number).unwrap_or(usize::MAX)
-}
-
 /// The address and the range of ports that only other nodes use. The node
 /// chooses from them what no other setting names.
 #[derive(
@@ -383,19 +341,11 @@
     /// Returns what callers may take, on this machine.
     pub fn inbound_limits(&self) -> InboundLimits {
         let machine = &self.machine;
-        let limits = InboundLimits::of_machine(
+        let derived = InboundLimits::of_machine(
             machine.memory_bytes(),
             machine.descriptors(),
         );
-        let CallerLimits { max_connections, max_memory_mb, .. } =
-            self.caller_limits;
-        InboundLimits {
-            max_connections: max_connections
-                .map_or(limits.max_connections, saturating_usize),
-            max_bytes: max_memory_mb.map_or(limits.max_bytes, |memory_mb| {
-                saturating_usize(memory_mb.saturating_mul(BYTES_PER_MB))
-            }),
-        }
+        self.caller_limits.or(derived)
     }
 
     /// Returns how many connections other nodes may keep open: a quarter of the
@@ -511,44 +461,14 @@
 
     fn check_limits(&self, problems: &mut Problems) {
         let Machine { memory_mb, max_descriptors, .. } = self.machine;
-        let limits = &self.caller_limits;
-        for (field, value, least, most) in [
-            ("machine.memory_mb", memory_mb, 32, 1_048_576),
-            ("machine.max_descriptors", max_descriptors, 64, 1_048_576),
-            (
-                "caller_limits.max_head_bytes",
-                Some(limits.max_head_bytes),
-                8_192,
-                1_048_576,
-            ),
-            (
-                "caller_limits.max_body_bytes",
-                Some(limits.max_body_bytes),
-                1,
-                67_108_864,
-            ),
-            (
-                "caller_limits.max_body_ms",
-                Some(limits.max_body_ms),
-                100,
-                600_000,
-            ),
-            (
-                "caller_limits.max_connections",
-                limits.max_connections,
-                1,
-                1_048_576,
-            ),
-            (
-                "caller_limits.max_memory_mb",
-                limits.max_memory_mb,
-                1,
-                1_048_576,
-            ),
+        for (field, value, least) in [
+            ("machine.memory_mb", memory_mb, 32),
+            ("machine.max_descriptors", max_descriptors, 64),
         ] {
             if let Some(value) = value {
-                problems.check(field, value, least, most);
+                problems.check(field, value, least, 1_048_576);
             }
         }
+        self.caller_limits.check(problems);
     }
 }
--- a/crates/dewspard/src/proxy/mod.rs
+++ b/crates/dewspard/src/proxy/mod.rs
@@ -11,11 +11,12 @@
 answered at once.
 */
 
-pub use self::server::{Proxy, Server};
+pub use self::{listener::Server, server::Proxy};
 
 mod answer;
 mod exchange;
 mod filing;
 mod kept;
+mod listener;
 mod request;
 mod server;
