--- a/review/7/case.py
+++ b/review/7/case.py
@@ -7,8 +7,8 @@
 With TROUBLE=0 the schedules aren't handed in.
 """
 
-import asyncio, os, random, shutil, sys, tempfile, time
-from standin import Runner, World, now_s
+import asyncio, os, shutil, tempfile, time
+from standin import Runner, World, now_s, run
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 MEMORY_MB = 260          # `MemoryMb` of the settings
@@ -158,4 +158,4 @@
         shutil.rmtree(folder, ignore_errors=True)
 
 
-sys.exit(asyncio.run(main()))
+run(main)
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # Runs the case; TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../../target/release/dewspard ] || exit 2
-exec timeout -k 5 118 python3 -B case.py
+exec timeout -k 5 115 python3 -B case.py
--- a/review/7/standin.py
+++ b/review/7/standin.py
@@ -547,6 +547,7 @@
         self.failed_seen = {}
         self.starts = {}          # task -> list of (time, runner, run)
         self.broken = []
+        self.after_done = []      # starts after an end `done`; judged at the end
         self.max_attempts = {}
 
     def break_rule(self, rule, **fields):
@@ -615,11 +616,6 @@
         if job in self.cancelled and now_s() > self.cancelled[job] + 3.0:
             self.break_rule("UNASKED", task=task, cancelled_s=round(now_s() - self.cancelled[job], 2))
 
-    after_done = []
-
-    def end_lost(self, task):
-        return False
-
     def advance_run(self, runner, run, now):
         spec = self.step_of(run.task)
         if spec.get("AllOrNothing") and spec.get("Count", 1) > 1:
@@ -750,6 +746,19 @@
 """
 
 
+def run(main):
+    """Runs a case; a signal to stop ends it in order, with its processes."""
+    async def guarded():
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
+        try:
+            return await main()
+        except asyncio.CancelledError:
+            return 2
+    sys.exit(asyncio.run(guarded()))
+
+
 def free_port():
     with socket.socket() as s:
         s.bind(("127.0.0.1", 0))
@@ -786,7 +795,6 @@
         self.record = Record(record_path)
         self.store = Store(self.record)
         self.fleet = Fleet(self.record, self.store)
-        self.fleet.after_done = []
         self.store.cloud = Cloud(self.record, self.fleet)
         self.nodes = [Node(self, n + 1) for n in range(nodes)]
         self.tasks = []
