--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,159 +1,120 @@
-"""Standing schedules fill the scheduling node's memory, on one node after the other.
+"""The whole service stops beside a sound, idle runner.
 
-Clients hand in jobs that repeat (`RepeatCount`), each with one small task every
-five minutes for thirty days. All are accepted. Plain jobs go on beside them. The
-platform kills a process that goes over `MemoryMb`, and starts it again.
+A service has three runners and a steady stream of short jobs. Two runners are
+lost for good, one after the other, the second soon after the first one's tasks
+have started again. The third is sound, answers, and has room for all that comes.
 
-With TROUBLE=0 the schedules aren't handed in.
+With TROUBLE=0 no runner is lost.
 """
 
-import asyncio, os, shutil, tempfile, time
+import asyncio, os, shutil, tempfile
 from standin import Runner, World, now_s, run
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MEMORY_MB = 260          # `MemoryMb` of the settings
-SCHEDULES = 80
-ROUNDS = 8_640           # every five minutes for thirty days
-INTERVAL_MS = 300_000
-RESTART_S = 0.5          # the short delay after which an ended process starts again
-STILL_S = 3.0            # LOST: for 3 s a job has nothing running
-CALM_S = 4.0             # and the 4 s before are calm
-PLAIN_S = 70.0
+RUNNERS = 3
+TRAFFIC_S = 50.0
+GAP_S = 0.35             # between two jobs
+WORK_S = 0.8
+FIRST_S = 8.0            # when the first runner is lost
+SOON_S = 0.4             # from the restart of its tasks to the loss of the next runner
+FINISH_S = 14.0          # `finish_s`
+STILL_S = 3.0            # LOST: for 3 s a job has nothing running,
+CALM_S = 4.0             # and the 4 s before are calm as well
 
 ROUTES = [
     dict(Name="r-quick", Host="a.example", PathPrefix="/aa/", Type="non_idempotent", TimeoutMs=3000,
          TargetLatencyMs=600, Priority=0, Service="pa", MaxAttempts=4, Extension=1.6),
-    dict(Name="r-timed", Host="b.example", PathPrefix="/bb/", Type="non_idempotent", TimeoutMs=3000,
-         TargetLatencyMs=2500, Priority=0, Service="pb", MaxAttempts=4, Extension=2.2),
 ]
-SERVICES = [dict(Name=name, HealthPath="/health", MaxConns=64, EnforcesCapacity=True, Headroom=False)
-            for name in ("pa", "pb")]
+SERVICES = [dict(Name="pa", HealthPath="/health", MaxConns=64, EnforcesCapacity=True, Headroom=False)]
 
 
 def runners(fleet):
-    for number in range(8):
-        pool = "pa" if number < 4 else "pb"
-        yield Runner(fleet, f"m-{number:05x}", pool, 32_000, 131_072, ["a", f"r1-{number // 4}"])
+    for number in range(RUNNERS):
+        yield Runner(fleet, f"m-{number:05x}", "pa", 32_000, 131_072, ["a", f"r1-{number // 4}"])
 
 
-def resident_mb(process):
-    with open(f"/proc/{process.pid}/status") as status:
-        for line in status:
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-    return 0.0
-
-
-class Platform:
-    """Starts ended processes again, and ends those over the memory limit."""
-
+class Case:
     def __init__(self, world):
         self.world = world
-        self.ends = []
-        self.peak_mb = 0.0
-        self.stopping = False
-
-    async def watch(self, node):
-        while not self.stopping:
+        self.ids = []            # accepted short jobs
+        self.still = {}          # the longest calm time without a run, by job
+        self.calm_from = 0.0
+
+    async def traffic(self):
+        until = now_s() + TRAFFIC_S
+        while now_s() < until:
+            step = dict(Count=1, Cpu=2300, MemMb=4700, EstimateMs=800)
+            asyncio.ensure_future(self.short_job(dict(Spec="quick", Steps=[step], _work={0: WORK_S})))
+            await asyncio.sleep(GAP_S)
+
+    async def short_job(self, job):
+        id = await self.world.submit("r-quick", job, tries=4)
+        if id in self.world.fleet.accepted:
+            self.ids.append(id)
+
+    async def lose_runners(self):
+        await asyncio.sleep(FIRST_S)
+        runners = self.world.fleet.runners
+        first = max(runners, key=lambda runner: len(runner.runs))
+        lost = set(first.runs)
+        self.lose(first)
+        for _ in range(1_000):
+            await asyncio.sleep(0.01)
+            second = next((r for r in runners if r.state == "up" and lost & set(r.runs)), None)
+            if second:
+                await asyncio.sleep(SOON_S)
+                self.lose(second)
+                return
+
+    def lose(self, runner):
+        asyncio.ensure_future(runner.crash(3600))
+        self.calm_from = now_s() + CALM_S
+
+    def has_room_twice(self, job):
+        """Whether some sound runner has room for the job's task twice over."""
+        step = self.world.fleet.jobs[job]["Steps"][0]
+        for runner in self.world.fleet.runners:
+            cpu, mem = runner.used()
+            if runner.state == "up" and runner.cpu - cpu >= 2 * step["Cpu"] and runner.mem - mem >= 2 * step["MemMb"]:
+                return True
+        return False
+
+    async def watch(self):
+        since = {}
+        while True:
             await asyncio.sleep(0.05)
-            if node.process.returncode is None:
-                try:
-                    used = resident_mb(node.process)
-                except OSError:
+            for id in list(self.ids):
+                task = f"{id}.0.0.0"
+                over = task in self.world.fleet.done or self.world.fleet.where(task)
+                if over or now_s() < self.calm_from or not self.has_room_twice(id):
+                    since.pop(id, None)
                     continue
-                self.peak_mb = max(self.peak_mb, used)
-                if used <= MEMORY_MB:
-                    continue
-                await node.kill()
-                self.world.record.add("over-memory", node=node.name, mb=round(used))
-            else:
-                self.world.record.add("ended", node=node.name, status=node.process.returncode)
-            self.ends.append((now_s(), node.name))
-            await asyncio.sleep(RESTART_S)
-            if not self.stopping:
-                await node.launch()
-                self.world.record.add("started-again", node=node.name)
-
-
-async def plain_jobs(world, ids):
-    until = now_s() + PLAIN_S
-    while now_s() < until:
-        job = dict(Spec="plain", Steps=[dict(Count=2, Cpu=1000, MemMb=256, EstimateMs=500)], _work={0: 0.5})
-        asyncio.ensure_future(one_plain(world, job, ids))
-        await asyncio.sleep(1.0)
-
-
-async def one_plain(world, job, ids):
-    id = await world.submit("r-quick", job, tries=4)
-    if id in world.fleet.accepted:
-        ids.append(id)
-
-
-async def schedules(world, ids):
-    start_at = int(time.time() * 1000) + 3_600_000
-    for _ in range(SCHEDULES):
-        job = dict(Spec="scheduled", Steps=[dict(Count=1, Cpu=500, MemMb=256, EstimateMs=500)],
-                   RepeatCount=ROUNDS, StartAtMs=start_at, IntervalMs=INTERVAL_MS)
-        asyncio.ensure_future(one_schedule(world, job, ids))
-        await asyncio.sleep(0.25)
-
-
-async def one_schedule(world, job, ids):
-    id = await world.submit("r-timed", job, tries=8)
-    if id in world.fleet.accepted:
-        ids.append(id)
-
-
-def waits(world, ids):
-    """Returns how long each plain job has gone without a start, in seconds."""
-    now = now_s()
-    found = {}
-    for id in ids:
-        starts = [at for index in range(2) for at, _, _ in world.fleet.starts.get(f"{id}.0.0.{index}", [])]
-        begun = min(starts) if starts else now
-        found[id] = begun - world.fleet.accepted[id]
-    return found
+                begun = since.setdefault(id, now_s())
+                self.still[id] = max(self.still.get(id, 0), now_s() - begun)
 
 
 async def main():
     folder = tempfile.mkdtemp(prefix="case8-")
     here = os.path.dirname(os.path.abspath(__file__))
     world = World(folder, os.path.join(here, "../../target/release/dewspard"), os.path.join(here, "record.txt"))
-    platform = Platform(world)
     try:
         await world.start(runners, ROUTES, SERVICES)
         if not await world.ready():
             return 2
-        watches = [asyncio.ensure_future(platform.watch(node)) for node in world.nodes]
-        await asyncio.sleep(2)
-        plain, timed = [], []
-        work = [plain_jobs(world, plain)]
-        if TROUBLE:
-            work.append(schedules(world, timed))
-        await asyncio.gather(*work)
-        await asyncio.sleep(STILL_S + CALM_S)
-        states = {}
-        for id in plain:
-            states[id] = await world.state("r-quick", id, tries=3)
-        open_jobs = [id for id in plain if states[id] != "completed"]
-        waited = waits(world, plain)
-        late = {id: s for id, s in waited.items() if s > STILL_S + CALM_S}
-        by_node = {}
-        for _, name in platform.ends:
-            by_node[name] = by_node.get(name, 0) + 1
-        for id in late:
-            world.fleet.break_rule("LOST", job=id, nothing_running_s=round(late[id], 1), state=states[id])
-        if len(by_node) >= 2 and max(by_node.values()) >= 3:
-            world.fleet.break_rule("Fault", own_ends=by_node)
-        world.record.add("result", schedules_accepted=len(timed), plain_accepted=len(plain),
-                         plain_open=len(open_jobs), longest_wait_s=round(max(waited.values(), default=0), 1),
-                         own_ends=by_node, peak_mb=round(platform.peak_mb), broken=len(world.fleet.broken))
+        await asyncio.sleep(1)
+        case = Case(world)
+        watching = asyncio.ensure_future(case.watch())
+        await asyncio.gather(case.traffic(), case.lose_runners() if TROUBLE else asyncio.sleep(0))
+        await asyncio.sleep(FINISH_S)
+        watching.cancel()
+        late = {id: s for id, s in case.still.items() if s > STILL_S}
+        for id, s in late.items():
+            world.fleet.break_rule("LOST", job=id, nothing_running_s=round(s, 1))
+        world.record.add("result", accepted=len(case.ids), done=len(world.fleet.done), late=len(late),
+                         longest_s=round(max(case.still.values(), default=0), 1), broken=len(world.fleet.broken))
         print(world.record.rows[-1])
-        if len(plain) < 10:
-            return 2
         return 1 if world.fleet.broken else 0
     finally:
-        platform.stopping = True
         await world.stop()
         shutil.rmtree(folder, ignore_errors=True)
 
