--- a/review/7/case.py
+++ b/review/7/case.py
@@ -58,6 +58,13 @@
         self.die()
         self.reborn()
 
+    def reconnect(self):
+        """Ends the cut; the runner writes its entry again."""
+        if self.cut_from is not None:
+            self.fleet.record.add("reconnect", runner=self.id)
+            self.cut_from = None
+            self.beating = asyncio.ensure_future(self.beat())
+
 
 def runners(fleet):
     for number in range(RUNNERS):
@@ -108,6 +115,7 @@
             await world.fleet.runners[-1].restart_cut_off()
         await until(cut_at + CUT_S)
         world.store.CUT.clear()
+        world.fleet.runners[-1].reconnect()
         await asyncio.sleep(6)
         world.check_end()
         twice = [row for row in world.fleet.broken if row[0] == "TWICE"]
