Send starts that may outlast the lease only to the process they are meant for

Cause: a holder without its lease may start known tasks, because its successor has asked each worker and workers refuse lower tokens than they have seen. But a process has seen the token, while an order names an identifier. Where workers keep their identifiers, the next process takes the order of the former holder, who can't know of the restart.

Fix: a start that may arrive without a valid lease names the process that it requires. The adapter asks the worker, and sends the start over the connection on which that process has answered, or not at all. A connection ends with its process, so no window is left between the question and the start; a process that a successor has asked refuses the question. The same guard covers starts after a reported end and starts sent shortly before the lease ends. Such orders go neither over relays nor over peers.

--- a/crates/dewspar-platform/src/bounded.rs
+++ b/crates/dewspar-platform/src/bounded.rs
@@ -109,6 +109,63 @@
     used: Instant,
 }
 
+/// A response with the connection that carries its body.
+pub(crate) type Exchange = (Response<Incoming>, Connection);
+
+/// Why a request over one connection got no response.
+enum TrySendError {
+    /// The request was certainly not sent.
+    Unsent(Box<Request<Full<Bytes>>>, String),
+    /// The request may have been carried out.
+    Lost(hyper::Error),
+}
+
+impl From<TrySendError> for SendError {
+    fn from(error: TrySendError) -> SendError {
+        match error {
+            TrySendError::Unsent(_, reason) => SendError::NotSent(reason),
+            TrySendError::Lost(error) => SendError::Lost(error),
+        }
+    }
+}
+
+impl Connection {
+    /// Sends a request over this connection and no other, so that only a
+    /// process that has answered on it before gets the request. Returns the
+    /// response with the connection that carries its body.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SendError`] that says whether the request may have been
+    /// carried out.
+    pub(crate) async fn send(
+        self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, SendError> {
+        Ok(self.try_send(with_path_only(request)).await?)
+    }
+
+    async fn try_send(
+        mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Exchange, TrySendError> {
+        if let Err(error) = self.sender.ready().await {
+            let request = Box::new(request);
+            return Err(TrySendError::Unsent(request, error.to_string()));
+        }
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok((response, self)),
+            Err(mut failed) => Err(match failed.take_message() {
+                Some(unsent) => {
+                    let reason = failed.error().to_string();
+                    TrySendError::Unsent(Box::new(unsent), reason)
+                }
+                None => TrySendError::Lost(failed.into_error()),
+            }),
+        }
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -174,31 +231,21 @@
         &self,
         permit: &Permit,
         request: Request<Full<Bytes>>,
-    ) -> Result<(Response<Incoming>, Connection), SendError> {
+    ) -> Result<Exchange, SendError> {
         let uri = request.uri().clone();
         let mut request = with_path_only(request);
         loop {
             let idle = permit.take_idle();
             let is_reused = idle.is_some();
-            let mut connection = match idle {
+            let connection = match idle {
                 Some(connection) => connection,
                 None => self.connect(permit, &uri).await?,
             };
-            match connection.sender.ready().await {
-                Ok(()) => {}
-                Err(_) if is_reused => continue,
-                Err(error) => return Err(not_sent(&error)),
-            }
-            let mut failed =
-                match connection.sender.try_send_request(request).await {
-                    Ok(response) => return Ok((response, connection)),
-                    Err(failed) => failed,
-                };
-            request = match failed.take_message() {
+            request = match connection.try_send(request).await {
+                Ok(sent) => return Ok(sent),
                 // The service has closed the idle connection meanwhile.
-                Some(unsent) if is_reused => unsent,
-                Some(_) => return Err(not_sent(failed.error())),
-                None => return Err(SendError::Lost(failed.into_error())),
+                Err(TrySendError::Unsent(unsent, _)) if is_reused => *unsent,
+                Err(error) => return Err(error.into()),
             };
         }
     }
--- a/crates/dewspar-platform/src/client.rs
+++ b/crates/dewspar-platform/src/client.rs
@@ -1,7 +1,9 @@
 use {
     crate::{
         Error, PeerRoutes, Purpose, Traffic, Urgency,
-        bounded::{BoundedConnections, SendError},
+        bounded::{
+            BoundedConnections, Connection, Exchange, Permit, SendError,
+        },
         connections::{Connections, Pool},
         peers::FINGERPRINT_HEADER,
     },
@@ -27,6 +29,10 @@
     tokio::time::{error::Elapsed, timeout},
 };
 
+mod checked;
+
+pub use self::checked::Checked;
+
 /// The largest answer that is read, in bytes.
 const MAX_ANSWER: usize = 64 * 1024 * 1024;
 
@@ -226,13 +232,18 @@
             Some(bounded) => self.send_bounded(call, bounded, request).await?,
             None => self.send_unbounded(call, request).await?,
         };
-        let total = sent + answer.body.len() as u64;
-        self.bytes.fetch_add(total, Ordering::Relaxed);
-        let received = answer.head_bytes + answer.body.len() as u64;
-        self.traffic.note(self.purpose, sent_head + sent, received);
+        self.count_exchange(sent_head, sent, &answer);
         Ok(answer)
     }
 
+    /// Counts the bytes of a request's head and body, and of its answer.
+    fn count_exchange(&self, sent_head: u64, sent: u64, answer: &Answer) {
+        let answer_bytes = answer.body.len() as u64;
+        self.bytes.fetch_add(sent + answer_bytes, Ordering::Relaxed);
+        let received = answer.head_bytes + answer_bytes;
+        self.traffic.note(self.purpose, sent_head + sent, received);
+    }
+
     async fn send_unbounded(
         &self,
         call: &'static str,
@@ -261,33 +272,9 @@
         bounded: &BoundedConnections,
         request: Request<Full<Bytes>>,
     ) -> Result<Answer, Error> {
-        let address = address_of(call, &request)?.clone();
-        let waiting = bounded.acquire(&address, self.urgency);
-        let permit = timeout(self.timeout, waiting).await.map_err(|_| {
-            let reason = "all connections to it are in use".to_owned();
-            Error::Unavailable { call, reason }
-        })?;
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        let give_up = || {
-            permit.give_up();
-            self.given_up.fetch_add(1, Ordering::Relaxed);
-        };
-        let whole = async {
-            let sent = bounded.send(&permit, request).await;
-            let (response, connection) =
-                sent.map_err(|error| match error {
-                    SendError::NotSent(reason) => {
-                        Error::Unavailable { call, reason }
-                    }
-                    SendError::Lost(error) => {
-                        if is_timeout(&error) {
-                            give_up();
-                        }
-                        lost(call, &error)
-                    }
-                })?;
-            Ok((read_answer(call, response).await?, connection))
-        };
+        let permit = self.acquire(call, bounded, &request).await?;
+        let sending = bounded.send(&permit, request);
+        let whole = self.read_bounded(call, &permit, sending);
         match timeout(self.timeout, whole).await {
             Ok(Ok((answer, connection))) => {
                 bounded.keep(permit, connection);
@@ -295,12 +282,56 @@
             }
             Ok(Err(error)) => Err(error),
             Err(_) => {
-                give_up();
+                self.give_up_bounded(&permit);
                 Err(self.no_answer(call))
             }
         }
     }
 
+    /// Waits until a connection to the address of a request may be used, at
+    /// most for as long as a call may take.
+    async fn acquire(
+        &self,
+        call: &'static str,
+        bounded: &BoundedConnections,
+        request: &Request<Full<Bytes>>,
+    ) -> Result<Permit, Error> {
+        let address = address_of(call, request)?.clone();
+        let waiting = bounded.acquire(&address, self.urgency);
+        timeout(self.timeout, waiting).await.map_err(|_| {
+            let reason = "all connections to it are in use".to_owned();
+            Error::Unavailable { call, reason }
+        })
+    }
+
+    /// Reads the answer to a request that is sent over a bounded connection.
+    async fn read_bounded(
+        &self,
+        call: &'static str,
+        permit: &Permit,
+        sending: impl Future<Output = Result<Exchange, SendError>>,
+    ) -> Result<(Answer, Connection), Error> {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        let (response, connection) =
+            sending.await.map_err(|error| match error {
+                SendError::NotSent(reason) => {
+                    Error::Unavailable { call, reason }
+                }
+                SendError::Lost(error) => {
+                    if is_timeout(&error) {
+                        self.give_up_bounded(permit);
+                    }
+                    lost(call, &error)
+                }
+            })?;
+        Ok((read_answer(call, response).await?, connection))
+    }
+
+    fn give_up_bounded(&self, permit: &Permit) {
+        permit.give_up();
+        self.given_up.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn no_answer(&self, call: &'static str) -> Error {
         let reason = format!("no answer in {:?}", self.timeout);
         Error::Lost { call, reason }
--- a/crates/dewspar-platform/src/lib.rs
+++ b/crates/dewspar-platform/src/lib.rs
@@ -32,8 +32,8 @@
 pub use self::{
     bounded::Urgency,
     client::{
-        Answer, Client, check_status, empty_request, json_request, parse_json,
-        read_json,
+        Answer, Checked, Client, check_status, empty_request, json_request,
+        parse_json, read_json,
     },
     error::Error,
     fleet::{Fleet, Intent, VmChange},
--- a/crates/dewspar-standin/src/task_fleet.rs
+++ b/crates/dewspar-standin/src/task_fleet.rs
@@ -383,6 +383,9 @@
         let fate = self.lock().fate_of(order);
         let mut began = false;
         let result = self.order(worker, |entry, now_ms| {
+            if !entry.worker.is_required_by(order) {
+                return Err(OrderError::Refused(Refusal::OtherProcess));
+            }
             let result = entry.worker.start(now_ms, order, TASK, fate);
             began = result.is_ok();
             result
--- a/crates/dewspar-standin/src/task_worker.rs
+++ b/crates/dewspar-standin/src/task_worker.rs
@@ -11,7 +11,7 @@
 
 ```
 use {
-    dewspar::schedule::{HoldOrder, Resources, StartOrder},
+    dewspar::schedule::{HoldOrder, Incarnation, Resources, StartOrder},
     dewspar_standin::task_worker::{Fate, TaskWorker},
 };
 
@@ -26,6 +26,8 @@
     fence: 1,
     checkpoint: String::new(),
     ticket: String::new(),
+    process: Incarnation::UNKNOWN,
+    is_for_process_only: false,
 };
 worker.start(0, &order, Resources::default(), Fate::done(800)).unwrap();
 let hold = HoldOrder {
@@ -198,6 +200,13 @@
         self.rejected_for_room
     }
 
+    /// Returns whether an order that requires a process requires this one, or
+    /// none.
+    pub fn is_required_by(&self, order: &StartOrder) -> bool {
+        let required = order.required_process();
+        required.is_none_or(|process| process == self.incarnation)
+    }
+
     /// Carries out an order to start.
     ///
     /// # Errors
--- a/crates/dewspar/src/schedule/order.rs
+++ b/crates/dewspar/src/schedule/order.rs
@@ -289,6 +289,50 @@
     pub checkpoint: String,
     /// The ticket of the adviser, if the queue requires one; otherwise empty.
     pub ticket: String,
+    /// The process of the worker that it is meant for.
+    pub process: Incarnation,
+    /// Whether a later process of the worker must not carry it out, because
+    /// another node may hold the lease and may have asked only this process.
+    pub is_for_process_only: bool,
+}
+
+impl StartOrder {
+    /// Returns the only process that may carry the order out, if its sender has
+    /// to make sure of that.
+    ///
+    /// A worker whose processes report no start time gets another identifier
+    /// with each process, so that the identifier suffices.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use dewspar::schedule::{Incarnation, StartOrder};
+    ///
+    /// let process = Incarnation::started_at(1_700_000_000_000);
+    /// let order = StartOrder {
+    ///     task: "5c0e7a21d94b36f8.0.1.17".parse()?,
+    ///     run: 1,
+    ///     payload: "".into(),
+    ///     lease_until_ms: 8_000,
+    ///     fence: 7,
+    ///     checkpoint: String::new(),
+    ///     ticket: String::new(),
+    ///     process,
+    ///     is_for_process_only: false,
+    /// };
+    /// assert_eq!(order.required_process(), None);
+    /// let order = StartOrder { is_for_process_only: true, ..order };
+    /// assert_eq!(order.required_process(), Some(process));
+    /// let unknown = Incarnation::UNKNOWN;
+    /// let order = StartOrder { process: unknown, ..order };
+    /// assert_eq!(order.required_process(), None);
+    /// # Ok::<(), Box<dyn std::error::Error>>(())
+    /// ```
+    pub fn required_process(&self) -> Option<Incarnation> {
+        let is_required =
+            self.is_for_process_only && self.process != Incarnation::UNKNOWN;
+        is_required.then_some(self.process)
+    }
 }
 
 /// An order to stop a run.
@@ -434,6 +478,9 @@
     /// Another worker answers at the address: its identifier isn't the one in
     /// the order.
     OtherLife,
+    /// Another process of the worker answers than the one that the order
+    /// requires.
+    OtherProcess,
 }
 
 impl Refusal {
@@ -448,6 +495,7 @@
             Refusal::Unhealthy => "unhealthy",
             Refusal::Invalid => "invalid",
             Refusal::OtherLife => "other_life",
+            Refusal::OtherProcess => "other_process",
         }
     }
 }
--- a/crates/dewspar/src/schedule/order_answers.rs
+++ b/crates/dewspar/src/schedule/order_answers.rs
@@ -165,6 +165,10 @@
                     now,
                 );
             }
+            // Its answer to a question shows which process is there.
+            Refusal::OtherProcess => {
+                self.query_under_new_token(worker_id, now);
+            }
             // The worker has something that isn't known here, or the clocks
             // disagree: ask before sending anything else.
             Refusal::NoRoom | Refusal::LeaseOver | Refusal::StaleRun
--- a/crates/dewspar/src/schedule/own_lease.rs
+++ b/crates/dewspar/src/schedule/own_lease.rs
@@ -14,13 +14,21 @@
 
 | start | with an expired lease |
 |---|---|
-| a task that has had no run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on. A worker that then restarts under its identifier without this holder's knowledge is the exception |
+| a task that has had no run | allowed: a successor starts it only after it has asked all workers, or has waited for longer than this holder goes on |
 | a task that a former holder may have started on a worker which ended without listing its runs | not before the lease is renewed: a successor may have heard of the run's end |
 | a task whose run ended, as its worker has reported to this holder | allowed: the worker hadn't answered a successor by then |
 | a task whose run was lost since without a reported end | not before the lease is renewed: the run may have ended as done |
 | on a worker that became known since | not before the lease is renewed: a successor may not wait for that worker |
 | of a job that became known since | not before the lease is renewed: it may be the successor's |
 
+What a successor has asked is a process, which refuses this holder from then
+on. Where workers keep their identifiers, the next process has seen no token of
+the successor, and this holder may not know of it. So an order of a holder
+without a valid lease names the [process] that it requires, and whoever sends
+the order makes sure that no other gets it.
+
+[process]: crate::schedule::StartOrder::required_process
+
 # Example
 
 ```
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -733,6 +733,7 @@
         worker.cold.record_start(now.steady_ms);
         let fence = worker.fence();
         let address = worker.listing.address.clone();
+        let process = worker.listing.incarnation;
         let ordered = worker.runs.get_mut(task)?;
         ordered.since_ms = now.steady_ms;
         ordered.moved_ms = now.steady_ms;
@@ -764,6 +765,8 @@
             fence,
             checkpoint,
             ticket,
+            process,
+            is_for_process_only: self.own_lease.is_detached(),
         };
         Some(Action::Start { worker: worker_id, address, order })
     }
--- a/crates/dewspar/tests/schedule/world.rs
+++ b/crates/dewspar/tests/schedule/world.rs
@@ -428,6 +428,9 @@
                 let lost = self.drops_starts;
                 let reached = self.reach(&worker).filter(|_| !lost);
                 let result = match reached {
+                    Some(reached) if !reached.is_required_by(&order) => {
+                        Err(OrderError::Refused(Refusal::OtherProcess))
+                    }
                     Some(reached) => {
                         reached.start(clock, &order, demand, fate)
                     }
--- a/crates/dewspar/tests/schedule_random/former_holders.rs
+++ b/crates/dewspar/tests/schedule_random/former_holders.rs
@@ -763,6 +763,9 @@
         let (process, clock_ms) = self.reach(holder, worker)?;
         let this = (order.task, order.run);
         let was_running = process.running(clock_ms).contains(&this);
+        if !process.is_required_by(order) {
+            return Err(OrderError::Refused(Refusal::OtherProcess));
+        }
         let result = process.start(clock_ms, order, DEMAND, fate);
         if result.is_err() || was_running {
             return result;
--- a/crates/dewspard/src/jobs/orders.rs
+++ b/crates/dewspard/src/jobs/orders.rs
@@ -41,7 +41,9 @@
     let time = clock::read();
     let outdated = basis.is_outdated(time);
     match action {
-        Action::Start { worker, address, order } => {
+        Action::Start { worker, address, mut order } => {
+            order.is_for_process_only |=
+                basis.may_outlast_lease(time, workers.timeout_ms());
             let sending = workers.start(&address, &worker, &order);
             let result = send_unless_outdated(outdated, sending).await;
             let took_ms = clock::now_ms().saturating_sub(time.now_ms);
--- a/crates/dewspard/src/jobs/relay/server.rs
+++ b/crates/dewspard/src/jobs/relay/server.rs
@@ -13,7 +13,7 @@
     dewspar::{
         inbound::InboundLimits,
         relay::Lateness,
-        schedule::{OrderError, StartOrder, WorkerId},
+        schedule::{Incarnation, OrderError, StartOrder, WorkerId},
     },
     dewspar_platform::{
         JobWorkers,
@@ -281,6 +281,9 @@
         fence: start.fence,
         checkpoint: start.checkpoint,
         ticket: start.ticket,
+        // Orders that require a process aren't relayed.
+        process: Incarnation::UNKNOWN,
+        is_for_process_only: false,
     }
 }
 
--- a/crates/dewspard/src/jobs/relay/workers.rs
+++ b/crates/dewspard/src/jobs/relay/workers.rs
@@ -251,6 +251,10 @@
         worker: &WorkerId,
         order: &StartOrder,
     ) -> Result<u64, OrderError> {
+        // A relay's connections don't tell the processes of a worker apart.
+        if order.required_process().is_some() {
+            return self.direct.start(address, worker, order).await;
+        }
         let Way::Relayed(link) = self.route(worker, false) else {
             return self.direct.start(address, worker, order).await;
         };
--- a/crates/dewspard/src/order_basis.rs
+++ b/crates/dewspard/src/order_basis.rs
@@ -62,4 +62,28 @@
             && time.now_ms >= self.lease_expiry_ms;
         stood_still || self.suspensions.noticed_ms(time.suspended_ms).is_some()
     }
+
+    /// Returns whether another node may hold the lease before an order that is
+    /// sent now has arrived, given how long it takes at most, in milliseconds.
+    ///
+    /// # Example
+    ///
+    /// ```
+    /// use dewspard::{
+    ///     clock::{Reading, Suspensions},
+    ///     order_basis::OrderBasis,
+    /// };
+    ///
+    /// let basis = OrderBasis {
+    ///     suspensions: Suspensions::new(0),
+    ///     planned_ms: 1_000,
+    ///     lease_expiry_ms: 2_300,
+    /// };
+    /// let at = |now_ms| Reading { now_ms, suspended_ms: 0 };
+    /// assert!(!basis.may_outlast_lease(at(2_000), 200));
+    /// assert!(basis.may_outlast_lease(at(2_100), 200));
+    /// ```
+    pub fn may_outlast_lease(&self, time: Reading, timeout_ms: u64) -> bool {
+        time.now_ms.saturating_add(timeout_ms) >= self.lease_expiry_ms
+    }
 }
