Start the tasks for which workers are reserved first, and reserve only usable ones

Cause: a fresh task that found only a reserved worker counted as one without room, and all later steps were passed over, among them the step of the task for which the worker was reserved. A worker was reserved by its whole capacity, also if tasks that last fill it, and for tasks that could not start at all.

Ruled out: the worker's health and room, and orders to it. Its log line says that it is barred.

Fix: tasks with a reserved worker are started first in each pass, before any refusal is recorded. A worker is reserved only where its task can start once the short tasks there have ended, and only for a task that would start now. A fresh task without room no longer hides suspects of its own step. In a pool with a single usable worker a test waits 3 s at most after the last crash. Tried and dropped: that bound in all pools (3, 4, 5 and 5.5 s); sound jobs were given up beside many bad ones. `worker: reserved` is logged.

The digest of the random worlds' orders is the same. No test shows the change within a step by itself.

--- a/crates/dewspar/src/schedule/crash_bursts.rs
+++ b/crates/dewspar/src/schedule/crash_bursts.rs
@@ -58,22 +58,19 @@
 /// likely bad.
 const MAX_RESERVED_FOR_BAD: usize = 1;
 
-/// The tasks that a worker is reserved for.
+/// Whom a worker is reserved for.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) enum ReservedFor {
-    /// Any task under test.
-    Tested,
-    /// Only this task.
-    Only(TaskId),
+pub(super) struct ReservedFor {
+    /// The task that is to start there.
+    pub(super) task: TaskId,
+    /// Whether other tasks under test may start there as well.
+    pub(super) admits_tested: bool,
 }
 
 impl ReservedFor {
     /// Returns whether a task may start on the worker.
     pub(super) fn allows(self, task: &TaskId, tested: bool) -> bool {
-        match self {
-            ReservedFor::Tested => tested,
-            ReservedFor::Only(only) => only == *task,
-        }
+        self.task == *task || self.admits_tested && tested
     }
 }
 
@@ -82,6 +79,8 @@
 pub(super) struct CrashBursts {
     /// When a task was last a likely cause twice in a row, by pool.
     last_ms: BTreeMap<String, u64>,
+    /// When a run was last counted as a possible cause of a crash, by pool.
+    last_crash_ms: BTreeMap<String, u64>,
 }
 
 impl CrashBursts {
@@ -91,6 +90,17 @@
         self.last_ms.insert(pool.to_owned(), now.steady_ms)
     }
 
+    /// Notes that a run is a possible cause of a crash in a pool.
+    pub(super) fn note_crash(&mut self, pool: &str, now: Now) {
+        self.last_crash_ms.insert(pool.to_owned(), now.steady_ms);
+    }
+
+    /// Returns when a run was last counted as a possible cause of a crash in a
+    /// pool, in milliseconds of the steady clock; 0 for never.
+    pub(super) fn last_crash_ms(&self, pool: &str) -> u64 {
+        self.last_crash_ms.get(pool).copied().unwrap_or(0)
+    }
+
     /// Restores when a task of a pool was last a likely cause twice in a row.
     pub(super) fn restore(&mut self, pool: &str, last_ms: Option<u64>) {
         match last_ms {
@@ -134,14 +144,13 @@
 }
 
 impl RemainingReservations {
-    /// Takes a worker for a task; returns whether one was left.
-    fn take(&mut self, is_bad: bool) -> bool {
-        if self.any == 0 || (is_bad && self.bad == 0) {
-            return false;
-        }
+    fn has_any(&self, is_bad: bool) -> bool {
+        self.any > 0 && (!is_bad || self.bad > 0)
+    }
+
+    fn take(&mut self, is_bad: bool) {
         self.any -= 1;
         self.bad -= usize::from(is_bad);
-        true
     }
 }
 
@@ -163,10 +172,11 @@
                     bad: MAX_RESERVED_FOR_BAD,
                 }
             });
-            if !left.take(request.is_bad) {
+            if !left.has_any(request.is_bad) {
                 continue;
             }
-            let wanted = ReservedFor::Only(request.task);
+            let wanted =
+                ReservedFor { task: request.task, admits_tested: false };
             let suitable = self.workers.values().filter(|worker| {
                 worker.listing.pool == request.pool
                     && !reserved.contains_key(worker.id())
@@ -176,9 +186,10 @@
             // by now than any other.
             let chosen = suitable.min_by_key(|worker| {
                 let same = self.reserved.get(worker.id()) == Some(&wanted);
-                (!same, worker.runs.len(), worker.id())
+                self.reservation_rank(worker, &request.task, same)
             });
             if let Some(worker) = chosen {
+                left.take(request.is_bad);
                 reserved.insert(worker.id().clone(), wanted);
             }
         }
@@ -186,9 +197,12 @@
     }
 
     fn max_reserved(&self, pool: &str) -> usize {
-        let usable = self.workers.values().filter(|worker| {
-            worker.listing.pool == pool && worker.is_usable()
-        });
-        (usable.count() / RESERVED_DIVISOR).max(1)
+        (self.usable_workers(pool) / RESERVED_DIVISOR).max(1)
+    }
+
+    /// Returns the number of a pool's workers that may be used.
+    pub(super) fn usable_workers(&self, pool: &str) -> usize {
+        let workers = self.workers.in_pool(pool);
+        workers.filter(|(_, worker)| worker.is_usable()).count()
     }
 }
--- a/crates/dewspar/src/schedule/full_pools.rs
+++ b/crates/dewspar/src/schedule/full_pools.rs
@@ -10,6 +10,10 @@
 /// larger demand needs to search. Without this check each pass would look at
 /// every worker for every waiting task, and a lease holder with a backlog
 /// would fall further and further behind.
+///
+/// An unconstrained task is also refused by workers that are kept for others.
+/// That says nothing about the tasks for which they are kept, so these are
+/// started before any refusal is recorded.
 #[derive(Debug, Default)]
 pub(super) struct FullPools {
     refused: Vec<Vec<Resources>>,
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -564,6 +564,16 @@
         /// Whether no other run on the worker can have caused the loss.
         alone: bool,
     },
+    /// A worker is closed to all tasks but one that is tested for crashing its
+    /// workers.
+    Reserved {
+        /// The worker.
+        worker: WorkerId,
+        /// The task for which it is kept.
+        task: TaskId,
+        /// How many runs it has.
+        runs: usize,
+    },
     /// A worker that was taken for ended has answered, so what its end
     /// counted as crashes of tasks is retracted.
     CrashesRetracted {
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -71,6 +71,23 @@
     AfterShortTasks,
 }
 
+/// The tasks of a step to start.
+#[derive(Clone, Copy)]
+enum StepTasks<'a> {
+    All,
+    /// Only those that are among these.
+    Only(&'a BTreeSet<TaskId>),
+}
+
+impl StepTasks<'_> {
+    fn include(self, task: &TaskId) -> bool {
+        match self {
+            StepTasks::All => true,
+            StepTasks::Only(tasks) => tasks.contains(task),
+        }
+    }
+}
+
 /// The reason why a task can't be placed now.
 enum PlacementError {
     /// No suitable worker has room.
@@ -114,6 +131,7 @@
                 .collect();
             self.announce_starts(&suspects);
             self.reserve_workers(&suspects, now);
+            self.start_reserved_for(&candidates, now, &mut pools, actions);
         }
         let mut waiting = candidates.ordered.keys();
         let has_over_share = || waiting.any(|waiting| waiting.over_share);
@@ -134,8 +152,14 @@
                 self.note_lacks_room(candidate, required, now);
                 continue;
             }
-            let lacking =
-                self.start_step(candidate, required, now, &mut pools, actions);
+            let lacking = self.start_step(
+                candidate,
+                required,
+                StepTasks::All,
+                now,
+                &mut pools,
+                actions,
+            );
             if let Some(pool) = lacking {
                 self.note_lacks_room(candidate, required, now);
                 pools_without_room.insert(pool);
@@ -154,6 +178,39 @@
         }
     }
 
+    /// Starts the tasks for which workers are reserved, as far as that is
+    /// possible already.
+    ///
+    /// They come first, wherever their steps stand in the order: a reserved
+    /// worker is closed to all other tasks until its own has started.
+    fn start_reserved_for(
+        &mut self,
+        candidates: &Candidates,
+        now: Now,
+        pools: &mut PoolCache,
+        actions: &mut Vec<Action>,
+    ) {
+        let owners: BTreeSet<TaskId> =
+            self.reserved.values().map(|reserved| reserved.task).collect();
+        if owners.is_empty() {
+            return;
+        }
+        let suspects = candidates
+            .ordered
+            .iter()
+            .filter(|(_, required)| required.suspects);
+        for (candidate, required) in suspects {
+            let first = candidate.first_task();
+            let last = TaskId { index: u32::MAX, ..first };
+            if owners.range(first..=last).next().is_some() {
+                let tasks = StepTasks::Only(&owners);
+                self.start_step(
+                    candidate, required, tasks, now, pools, actions,
+                );
+            }
+        }
+    }
+
     pub(super) fn placing(&self) -> &Placing {
         &self.options.policy.placing
     }
@@ -164,6 +221,7 @@
         &mut self,
         candidate: &Candidate,
         required: &Requirements,
+        tasks: StepTasks<'_>,
         now: Now,
         pools: &mut PoolCache,
         actions: &mut Vec<Action>,
@@ -193,7 +251,8 @@
         };
         let may_start = |index: &u32| {
             let task = TaskId { index: *index, ..first };
-            self.may_start_as_recorded(job, &task)
+            tasks.include(&task)
+                && self.may_start_as_recorded(job, &task)
                 && self.own_lease.covers_task(job, &task)
         };
         let mut waiting: Vec<u32> =
@@ -230,11 +289,17 @@
         let typical = any.or(waiting.first()).copied().map(task);
         let mut preferences: Option<Preferences> = None;
         let mut lacks_room = false;
+        let mut is_full = false;
         for index in waiting {
             if !self.may_start() {
                 break;
             }
             let task = TaskId { index, ..first };
+            // If one task finds no room, only tasks that need an individual
+            // search might.
+            if is_full && !self.needs_own_placement(&task) {
+                continue;
+            }
             if !self.may_start_within_quota(charge.as_ref(), &task, now) {
                 break;
             }
@@ -272,11 +337,7 @@
                             .full
                             .record_refusal(required.pool, required.demand);
                     }
-                    // If one task finds no room, only tasks that need an
-                    // individual search might.
-                    if !self.needs_own_placement(&task) {
-                        break;
-                    }
+                    is_full |= !self.needs_own_placement(&task);
                 }
             }
         }
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -17,7 +17,7 @@
   crash says more. After two crashes it is *under test*: it starts only beside
   runs that have been confirmed for a while, on a worker reserved for it, on
   which nothing else starts until the task is cleared, and only after both
-  crashes are stored. Otherwise two bad tasks that start together mask each
+  crashes are stored. It waits for that for a bounded time. Otherwise two bad tasks that start together mask each
   other: in 5 of 50 runs of a soak test with faults, sound jobs were given up
   because of that, or bad ones were started a sixth time.
 - A task is *cleared* when one of its runs outlives those that were lost, or
@@ -50,6 +50,7 @@
             counted_ends::{CountedEnd, RetractableCrash},
             crash_bursts::{ReservationRequest, ReservedFor, likely_age_ms},
             job_state::{Job, Task, demand},
+            placement::has_label,
             unseen_starts::UnsyncedLoss,
             vm_stability::VmStability,
             worker::{Run, Suspicion, Worker},
@@ -124,6 +125,11 @@
 /// another worker.
 const STABLE_VM_WAIT_MS: u64 = 1_500;
 
+/// For how long a task waits for its test in a pool with a single worker, in
+/// milliseconds: as long as a job may have nothing running. It then starts
+/// beside other runs, unless the pool's workers still crash.
+const MAX_TEST_WAIT_MS: u64 = 3_000;
+
 /// The consecutive crashes under one task.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CrashHistory {
@@ -603,6 +609,7 @@
         let pool = job.terms.pool.clone();
         let crashes = &mut job.task_mut(&run.task)?.crashes;
         let before = *crashes;
+        self.crash_bursts.note_crash(&pool, now);
         if likely && crashes.likely {
             let before_ms = self.crash_bursts.note(&pool, now);
             self.hall_losses.note_burst(&pool, before_ms);
@@ -791,10 +798,9 @@
 
     /// Returns beside which runs a task may start now.
     ///
-    /// A task under test waits for as long as it takes: a worker is reserved
-    /// for it, and each suspect there is cleared or has crashed the worker
-    /// within a second. Members of a gang, which start together, can't wait
-    /// for that.
+    /// A worker is reserved for a task under test, and each suspect there is
+    /// cleared or has crashed the worker within a second. Members of a gang,
+    /// which start together, can't wait for that.
     pub(super) fn colocation(
         &self,
         spec: &StepSpec,
@@ -829,8 +835,25 @@
         now: Now,
     ) -> bool {
         let CrashHistory { count, likely, .. } = state.crashes;
-        count >= TEST_AFTER_CRASHES
-            || (count > 0 && likely && self.crash_bursts.is_active(pool, now))
+        if self.crash_bursts.is_active(pool, now) {
+            return count >= TEST_AFTER_CRASHES || (count > 0 && likely);
+        }
+        let has_waited = self.has_waited_for_test(state, pool, now);
+        count >= TEST_AFTER_CRASHES && !has_waited
+    }
+
+    /// Returns whether a task has waited for long for its test in a pool with a
+    /// single worker, and no run has crashed its worker there meanwhile. All
+    /// other tasks of such a pool wait as well, and where many tasks were lost
+    /// together, their tests take long.
+    fn has_waited_for_test(&self, state: &Task, pool: &str, now: Now) -> bool {
+        let last_crash_ms = self.crash_bursts.last_crash_ms(pool);
+        let since_ms = last_crash_ms
+            .max(state.crashes.noticed_ms)
+            .max(state.waits_since_ms)
+            .max(self.taken_over_ms);
+        now.steady_ms >= since_ms + MAX_TEST_WAIT_MS
+            && self.usable_workers(pool) <= 1
     }
 
     /// Reserves workers for as long as tasks under test wait: one in each
@@ -849,7 +872,10 @@
             };
             let pool = job.terms.pool.as_str();
             let tested = self.is_tested(state, pool, now) && !spec.gang;
-            if !tested || reserved_by_pool.contains_key(pool) {
+            if !tested
+                || reserved_by_pool.contains_key(pool)
+                || !self.could_start(job, spec, task, now)
+            {
                 continue;
             }
             if self.crash_bursts.is_active(pool, now) {
@@ -861,22 +887,18 @@
                 });
                 continue;
             }
-            let same = self.reserved.keys().find_map(|id| {
-                let worker = self.workers.get(id)?;
-                let here = worker.listing.pool == pool;
-                (here && self.can_be_reserved(worker, task, now))
-                    .then_some(worker)
-            });
             let suitable = self.workers.values().filter(|worker| {
                 worker.listing.pool == pool
                     && self.can_be_reserved(worker, task, now)
             });
-            let chosen = same.or_else(|| {
-                suitable.min_by_key(|worker| (worker.runs.len(), worker.id()))
+            let chosen = suitable.min_by_key(|worker| {
+                let same = self.reserved.contains_key(worker.id());
+                self.reservation_rank(worker, task, same)
             });
             if let Some(worker) = chosen {
-                reserved_by_pool
-                    .insert(pool, (worker.id().clone(), ReservedFor::Tested));
+                let reserved =
+                    ReservedFor { task: *task, admits_tested: true };
+                reserved_by_pool.insert(pool, (worker.id().clone(), reserved));
             }
         }
         let mut reserved: BTreeMap<WorkerId, ReservedFor> =
@@ -886,10 +908,55 @@
                 self.can_be_reserved(worker, &request.task, now)
             }),
         );
+        let new: Vec<Decision> = reserved
+            .iter()
+            .filter(|(id, _)| !self.reserved.contains_key(*id))
+            .map(|(id, kept)| Decision::Reserved {
+                worker: id.clone(),
+                task: kept.task,
+                runs: self.workers.get(id).map_or(0, |w| w.runs.len()),
+            })
+            .collect();
         self.reserved = reserved;
+        for decision in new {
+            self.note(decision);
+        }
+    }
+
+    /// Returns whether a task would be started now if a worker suited it. A
+    /// worker that is reserved for any other task would be closed for nothing.
+    fn could_start(
+        &self,
+        job: &Job,
+        spec: &StepSpec,
+        task: &TaskId,
+        now: Now,
+    ) -> bool {
+        let charge = Scheduler::charge_for(job, spec);
+        self.may_start_as_recorded(job, task)
+            && self.own_lease.covers_task(job, task)
+            && !self.exceeds_quota(charge.as_ref())
+            && !self.may_run_from_former_lease(job, spec, now)
+    }
+
+    /// Returns how well a worker suits as one that is reserved for a task; the
+    /// lowest value is best. One that has room at once is preferred, then the
+    /// one that is reserved already, which has the fewest unproven runs.
+    pub(super) fn reservation_rank<'a>(
+        &self,
+        worker: &'a Worker,
+        task: &TaskId,
+        is_reserved: bool,
+    ) -> (bool, bool, usize, &'a WorkerId) {
+        let job = self.jobs.get(&task.job);
+        let spec = job.and_then(|job| job.step_spec(task));
+        let has_room =
+            spec.is_some_and(|s| worker.free_for(task).contains(&demand(s)));
+        (!has_room, !is_reserved, worker.runs.len(), worker.id())
     }
 
-    /// Returns whether a worker may be reserved for a task under test.
+    /// Returns whether a worker may be reserved for a task under test: it can
+    /// start there once the short tasks on the worker have ended.
     fn can_be_reserved(
         &self,
         worker: &Worker,
@@ -906,11 +973,18 @@
         // A worker with reserved capacity would be closed to the task that was
         // stopped to use it: in a randomized test the task had no worker for
         // 1.65 s.
+        let most = spec.max_per_worker as usize;
         worker.is_usable()
             && !worker.has_reservations()
-            && worker.listing.capacity.contains(&demand(spec))
+            && worker.free_soon_for(task).contains(&demand(spec))
             && !worker.has_suspects()
             && self.is_stable_enough(worker, wanted, now)
+            && self.own_lease.covers_worker(worker)
+            && state.in_doubt.allow(worker.id(), now, self)
+            && (most == 0 || worker.runs_of_step(task) < most)
+            && has_label(worker, &spec.required_label)
+            && !self.is_denied(task, worker.id())
+            && (spec.long_running || !state.avoid.contains(worker.id()))
     }
 
     /// Returns whether a worker is reserved for other tasks, or this task has
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -24,6 +24,7 @@
 mod pool_sizing;
 mod reservation_priority;
 mod reservations;
+mod reserved_workers;
 mod task_moves;
 mod task_moves_random;
 mod vm_order_takeover;
--- a/crates/dewspar/tests/schedule_random/main.rs
+++ b/crates/dewspar/tests/schedule_random/main.rs
@@ -485,6 +485,15 @@
     }
 }
 
+/// Guards against jobs that are never done since a worker is kept for a task
+/// that is passed over.
+#[test]
+fn jobs_are_done_beside_workers_that_are_kept_for_lost_tasks() {
+    for seed in [40_752, 520_909] {
+        run_world(World::new(seed).with_former_entries(), seed);
+    }
+}
+
 /// The digest of all orders of 60 runs in which no hall may be lost. A change
 /// that isn't meant to change decisions must not change it.
 const ORDERS_DIGEST: u64 = 14_020_897_053_028_284_359;
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -141,6 +141,11 @@
                 "most_age_ms" => most_age_ms, "alone" => alone);
             counters::count(counters::SUSPECTED_RUNS);
         }
+        Decision::Reserved { worker, task, runs } => {
+            info!(log, "worker: reserved"; "worker" => %worker,
+                "job" => %task.job, "task" => %task, "runs" => runs,
+                "reason" => "the task may crash its workers");
+        }
         Decision::CrashesRetracted { worker, crashes } => {
             info!(log, "worker: crash retracted"; "worker" => %worker,
                 "tasks" => crashes);
