Build the rounds of a repeated job when they are due

Cause: a holder built the state of each task of each round when it took a job in, due or not: some 400 bytes for a round with one task, for each schedule, and each successor did the same. Walks over rounds took time for them, and a new holder counted rounds as possibly started that no former one could have started, also against quotas.

Ruled out: nodes that don't schedule (16 MB), records in the store.

Fix: a round is built a minute before it is due, or when a record or a worker names it. A job ends once all its rounds have been built and are done. The order of candidates is updated first in a pass, as it builds the rounds that are counted after it.

Open: rounds that are done keep their memory and their lines of the record until the job is over, and nothing bounds the sum of tasks that are due.

--- a/crates/dewspar/src/schedule/hold_answers.rs
+++ b/crates/dewspar/src/schedule/hold_answers.rs
@@ -87,6 +87,7 @@
             });
         }
         self.token_claims.answered(worker_id);
+        self.build_listed_rounds(report);
         self.retract_refuted_end(worker_id, report, now);
         self.note_unknown_runs(worker_id, report, newest, now);
         let reports =
@@ -121,6 +122,21 @@
         }
     }
 
+    /// Builds the rounds of which a worker lists runs: another holder, whose
+    /// clock is ahead, may have started them before they are due here.
+    fn build_listed_rounds(&mut self, report: &HoldReport) {
+        let active = report.active.iter().map(|run| run.task);
+        let ended = report.ended.iter().map(|run| run.task);
+        for task in active.chain(ended) {
+            let job = self.jobs.get(&task.job);
+            if job.is_some_and(|job| job.lacks_round(task.round))
+                && let Some(job) = self.jobs.get_mut(&task.job)
+            {
+                job.build_round(task.round);
+            }
+        }
+    }
+
     /// Concludes nothing from the absence of runs in an answer that may hide
     /// them.
     fn runs_hidden(
--- a/crates/dewspar/src/schedule/job_state.rs
+++ b/crates/dewspar/src/schedule/job_state.rs
@@ -12,6 +12,10 @@
     std::{collections::BTreeSet, sync::Arc},
 };
 
+/// How long before it is due a round is built, in milliseconds: longer than
+/// anything is planned ahead, and than clocks of holders differ.
+const ROUND_LOOKAHEAD_MS: u64 = 60_000;
+
 /// An open job in the memory of the lease holder.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -31,7 +35,12 @@
     pub(crate) accepted_at_ms: u64,
     pub(crate) phase: Phase,
     pub(crate) finished_at_ms: u64,
+    /// The rounds that are due or will be soon, and those of which something
+    /// is known. A round that isn't due takes no memory: a schedule may have
+    /// thousands of them.
     pub(crate) rounds: Vec<Vec<Step>>,
+    /// Whether a former holder may have started the rounds that are due.
+    may_have_begun: bool,
     /// The order of its steps.
     pub(crate) graph: StepGraph,
     /// The number of the newest change that is in the store.
@@ -91,14 +100,11 @@
         accepted_at_ms: u64,
     ) -> Job {
         let graph = StepGraph::new(&spec);
-        let new_step = |(step, spec): (usize, &StepSpec)| {
-            Step::new(spec, graph.dependencies(step).len())
-        };
-        let steps = |_| spec.steps.iter().enumerate().map(new_step).collect();
-        let rounds = (0..spec.rounds()).map(steps).collect();
-        Job {
+        let is_repeated = spec.repeat.is_some();
+        let mut job = Job {
             payload: Arc::from(spec.payload.as_str()),
-            rounds,
+            rounds: Vec::new(),
+            may_have_begun: false,
             graph,
             spec: Arc::new(spec),
             terms,
@@ -112,7 +118,54 @@
             finished_at_ms: 0,
             stored_sequence: 0,
             other: UnknownFields::default(),
+        };
+        if !is_repeated {
+            job.build_round(0);
         }
+        job
+    }
+
+    /// Builds the rounds up to this one, unless they are or the job has fewer.
+    pub(crate) fn build_round(&mut self, round: u32) {
+        let rounds = self.spec.rounds().min(round.saturating_add(1)) as usize;
+        while self.rounds.len() < rounds {
+            let steps = self.spec.steps.iter().enumerate();
+            let steps = steps.map(|(step, spec)| {
+                let before = self.graph.dependencies(step).len();
+                let mut built = Step::new(spec, before);
+                if self.may_have_begun && before == 0 {
+                    built.mark_may_have_begun();
+                }
+                built
+            });
+            let steps = steps.collect();
+            self.rounds.push(steps);
+        }
+    }
+
+    /// Returns whether a round of the job isn't built yet.
+    pub(crate) fn lacks_round(&self, round: u32) -> bool {
+        round < self.spec.rounds() && round as usize >= self.rounds.len()
+    }
+
+    /// Builds the rounds that are due or will be soon. Returns when this is to
+    /// be done again, in milliseconds of the Unix epoch; `None` for never.
+    pub(crate) fn build_due_rounds(&mut self, unix_ms: u64) -> Option<u64> {
+        let until_ms = unix_ms.saturating_add(ROUND_LOOKAHEAD_MS);
+        let next_due_ms = loop {
+            let next = self.rounds.len() as u32;
+            if next >= self.spec.rounds() {
+                break None;
+            }
+            let due_ms = self.spec.due_ms(next);
+            if due_ms > until_ms {
+                break Some(due_ms);
+            }
+            self.build_round(next);
+        };
+        // No former holder can have started what is due later.
+        self.may_have_begun = false;
+        next_due_ms.map(|due_ms| due_ms - ROUND_LOOKAHEAD_MS)
     }
 
     /// Sets the team whose quota the tasks count against.
@@ -128,6 +181,7 @@
         self.finished_at_ms = progress.finished_at_ms;
         self.other = progress.other.clone();
         for record in &progress.tasks {
+            self.build_round(record.round);
             let rounds = &mut self.rounds;
             let step = rounds
                 .get_mut(record.round as usize)
@@ -157,10 +211,10 @@
     /// Records that a former lease holder may have started all tasks that are
     /// ready.
     pub(crate) fn mark_may_have_begun(&mut self) {
+        self.may_have_begun = true;
         let steps = self.rounds.iter_mut().flatten();
-        let ready = steps.filter(|step| step.unfinished_before == 0);
-        for task in ready.flat_map(|step| &mut step.tasks) {
-            task.crashes.may_have_started = true;
+        for step in steps.filter(|step| step.unfinished_before == 0) {
+            step.mark_may_have_begun();
         }
     }
 
@@ -195,6 +249,7 @@
     }
 
     pub(crate) fn step_mut(&mut self, task: &TaskId) -> Option<&mut Step> {
+        self.build_round(task.round);
         let steps = self.rounds.get_mut(task.round as usize)?;
         steps.get_mut(task.step as usize)
     }
@@ -219,7 +274,8 @@
     }
 
     pub(crate) fn is_done(&self) -> bool {
-        self.rounds.iter().flatten().all(Step::is_done)
+        self.rounds.len() == self.spec.rounds() as usize
+            && self.rounds.iter().flatten().all(Step::is_done)
     }
 
     /// Returns when a step must be done for the job to meet its objective, in
@@ -266,6 +322,13 @@
         }
     }
 
+    /// Records that a former lease holder may have started all tasks.
+    fn mark_may_have_begun(&mut self) {
+        for task in &mut self.tasks {
+            task.crashes.may_have_started = true;
+        }
+    }
+
     /// Marks a task as done; returns whether it wasn't before.
     fn mark_done(&mut self, index: u32) -> bool {
         let Some(task) = self.tasks.get_mut(index as usize) else {
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -103,6 +103,9 @@
         now: Now,
         actions: &mut Vec<Action>,
     ) {
+        // First, since it builds the rounds that are due, which others count.
+        let late_last = self.placing().late_last;
+        self.candidates.update(&mut self.jobs, late_last, now);
         // A pass takes longer the more tasks wait, so it is skipped if no
         // order may be sent.
         if !self.may_start() {
@@ -111,8 +114,6 @@
         self.count_usage(now);
         let mut pools_without_room = BTreeSet::new();
         let mut pools = PoolCache::default();
-        let late_last = self.placing().late_last;
-        self.candidates.update(&mut self.jobs, late_last, now);
         debug_assert!(
             self.candidates.match_full_rebuild(&mut self.jobs, late_last, now),
             "the cached scheduling order is out of date"
--- a/crates/dewspar/src/schedule/placement/candidates.rs
+++ b/crates/dewspar/src/schedule/placement/candidates.rs
@@ -218,6 +218,9 @@
     if job.phase.is_final() {
         return found;
     }
+    if let Some(at_ms) = job.build_due_rounds(now.unix_ms) {
+        found.recheck_at(at_ms);
+    }
     for round in 0..job.rounds.len() {
         if job.rounds[round].iter().all(|s| s.waiting.is_empty()) {
             continue;
--- a/crates/dewspar/tests/schedule/main.rs
+++ b/crates/dewspar/tests/schedule/main.rs
@@ -44,6 +44,7 @@
 mod restarted_workers;
 mod retries;
 mod runs;
+mod schedules;
 mod silent_workers;
 mod small_link;
 mod stale_cancellations;
