--- a/crates/dewspar/src/schedule/crash_bursts.rs
+++ b/crates/dewspar/src/schedule/crash_bursts.rs
@@ -35,7 +35,10 @@
 use {
     crate::{
         job::TaskId,
-        schedule::{Now, Scheduler, WorkerId, worker::Worker},
+        schedule::{
+            Now, Scheduler, WorkerId, reserved_workers::ReservedFor,
+            worker::Worker,
+        },
     },
     std::collections::BTreeMap,
 };
@@ -58,22 +61,6 @@
 /// likely bad.
 const MAX_RESERVED_FOR_BAD: usize = 1;
 
-/// Whom a worker is reserved for.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(super) struct ReservedFor {
-    /// The task that is to start there.
-    pub(super) task: TaskId,
-    /// Whether other tasks under test may start there as well.
-    pub(super) admits_tested: bool,
-}
-
-impl ReservedFor {
-    /// Returns whether a task may start on the worker.
-    pub(super) fn allows(self, task: &TaskId, tested: bool) -> bool {
-        self.task == *task || self.admits_tested && tested
-    }
-}
-
 /// The crash bursts of all pools.
 #[derive(Debug, Default)]
 pub(super) struct CrashBursts {
--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -186,6 +186,7 @@
 mod quotas;
 mod record_merge;
 mod reservations;
+mod reserved_workers;
 mod run_times;
 mod run_totals;
 mod scheduler;
