Let jobs fall due beside former holders in the random worlds

The worlds restart workers beside a holder without a lease, but all their jobs were due at once, so few starts were left for that time.

--- a/crates/dewspar/tests/schedule_random/former_holders.rs
+++ b/crates/dewspar/tests/schedule_random/former_holders.rs
@@ -7,7 +7,7 @@
 use {
     crate::world::id,
     dewspar::{
-        job::{JobId, JobSpec, Progress, StepSpec, TaskId},
+        job::{JobId, JobSpec, Progress, Repeat, StepSpec, TaskId},
         schedule::{
             AcceptedJob, Action, Decision, EndCause, HoldReport, Incarnation,
             ManagedVm, Now, Options, OrderError, QueueTerms, Refusal,
@@ -65,6 +65,14 @@
 /// The longest time after which a new worker has an entry, in milliseconds.
 const MAX_UNLISTED_MS: u64 = 800;
 
+/// The longest time until a timed job falls due, in milliseconds: some of them
+/// do while a holder goes on without a lease.
+const MAX_DUE_IN_MS: u64 = 10_000;
+
+/// The time of day when the steady clock starts, in milliseconds of the Unix
+/// epoch.
+const START_UNIX_MS: u64 = 1_700_000_000_000;
+
 /// The number of VMs at first.
 const VMS: u32 = 4;
 
@@ -196,6 +204,8 @@
     unreachable_ratio: f64,
     /// Whether no worker is reached by both holders.
     is_split: bool,
+    /// Whether jobs fall due some time after they are accepted.
+    jobs_are_timed: bool,
     holder: Option<Holder>,
     former: Option<Holder>,
     /// The tasks whose end as done was acknowledged to the worker.
@@ -224,6 +234,7 @@
             started: 0,
             unreachable_ratio: 0.0,
             is_split: false,
+            jobs_are_timed: false,
             holder: None,
             former: None,
             acknowledged_done: BTreeSet::new(),
@@ -240,10 +251,7 @@
     }
 
     fn now(&self) -> Now {
-        Now {
-            steady_ms: self.now_ms,
-            unix_ms: 1_700_000_000_000 + self.now_ms,
-        }
+        Now { steady_ms: self.now_ms, unix_ms: START_UNIX_MS + self.now_ms }
     }
 
     fn chance(&mut self, per_mille: u32) -> bool {
@@ -461,8 +469,10 @@
         };
         let first = step();
         let second = StepSpec { after: vec![0], ..step() };
+        let repeat = self.jobs_are_timed.then(|| self.due_times());
+        let steps = vec![first, second];
         let job = AcceptedJob {
-            spec: JobSpec { steps: vec![first, second], ..JobSpec::default() },
+            spec: JobSpec { steps, repeat, ..JobSpec::default() },
             terms: QueueTerms {
                 pool: POOL.to_owned(),
                 max_attempts: 3,
@@ -477,6 +487,17 @@
         self.store.jobs.push((id(number), job, self.store.revision));
     }
 
+    /// Returns when a job falls due, some of it without a valid lease.
+    fn due_times(&mut self) -> Repeat {
+        let random = &mut self.random;
+        let in_ms = random.random_range(0..MAX_DUE_IN_MS);
+        Repeat {
+            start_at_ms: START_UNIX_MS + self.now_ms + in_ms,
+            interval_ms: random.random_range(500..3_000),
+            count: random.random_range(1..4),
+        }
+    }
+
     /// Runs for at least this time, in milliseconds.
     fn run_for(&mut self, ms: u64) {
         let end_ms = self.now_ms + ms;
@@ -864,12 +885,13 @@
 
 /// Returns the incarnation of a process that starts at this time.
 fn incarnation(now_ms: u64) -> Incarnation {
-    Incarnation::started_at(1_700_000_000_000 + now_ms)
+    Incarnation::started_at(START_UNIX_MS + now_ms)
 }
 
 /// Lets a holder work for a while, lose the store, and have a successor.
-fn run(seed: u64) -> World {
+fn run(seed: u64, jobs_are_timed: bool) -> World {
     let mut world = World::new(seed);
+    world.jobs_are_timed = jobs_are_timed;
     for _ in 0..3 {
         world.accept_job();
     }
@@ -894,12 +916,15 @@
 }
 
 /// Runs worlds, and fails with the first one in which a rule was broken.
-fn run_all(seeds: impl IntoIterator<Item = u64>) -> Counts {
+fn run_all(
+    seeds: impl IntoIterator<Item = u64>,
+    jobs_are_timed: bool,
+) -> Counts {
     let mut counts = Counts::default();
     let mut broken = Vec::new();
     let mut first = None;
     for seed in seeds {
-        let world = run(seed);
+        let world = run(seed, jobs_are_timed);
         counts.add(&world.counts);
         if let Some(text) = world.explain() {
             let rule = text.lines().next().unwrap_or_default();
@@ -919,7 +944,7 @@
 // what a former holder may still start.
 #[test]
 fn no_task_runs_again_beside_a_former_holder() {
-    let counts = run_all((0..40).chain([934]));
+    let counts = run_all((0..40).chain([934]), false);
     // Enough cases must have occurred to test the invariants.
     assert!(counts.detached_starts > 40, "{counts:?}");
     assert!(counts.acknowledged_done > 1_500, "{counts:?}");
@@ -928,6 +953,16 @@
     assert!(counts.standstills > 5, "{counts:?}");
 }
 
+// Guards against two runs of a task that falls due while its former holder
+// goes on without a lease, on a worker that has restarted.
+#[test]
+fn no_due_task_runs_again_beside_a_former_holder() {
+    let counts = run_all(0..40, true);
+    // Enough cases must have occurred to test the invariants.
+    assert!(counts.detached_starts > 40, "{counts:?}");
+    assert!(counts.ended > 70, "{counts:?}");
+}
+
 /// Runs the worlds of the range of seeds in `SEEDS`, such as `100..400`.
 #[test]
 #[ignore = "for runs by hand, which take minutes"]
@@ -937,6 +972,8 @@
     let (from, until) = seeds.split_once("..").expect("a range of seeds");
     let [from, until] =
         [from, until].map(|seed| seed.parse::<u64>().expect("a seed"));
-    let counts = run_all(from..until);
-    println!("seeds {seeds}: {counts:?}");
+    for jobs_are_timed in [false, true] {
+        let counts = run_all(from..until, jobs_are_timed);
+        println!("seeds {seeds}: {counts:?}");
+    }
 }
