--- a/crates/dewspar/src/schedule/reserved_workers.rs
+++ b/crates/dewspar/src/schedule/reserved_workers.rs
@@ -162,10 +162,9 @@
         };
         let wanted =
             self.required_stability(spec, state, &job.terms.pool, now);
-        // A worker with reserved capacity would be closed to the task that was
-        // stopped to use it: in a randomized test the task had no worker for
-        // 1.65 s.
         let most = spec.max_per_worker as usize;
+        // A worker with reserved capacity would be closed to the task that was
+        // stopped to use it.
         worker.is_usable()
             && !worker.has_reservations()
             && worker.free_soon_for(task).contains(&demand(spec))
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -17,9 +17,11 @@
   crash says more. After two crashes it is *under test*: it starts only beside
   runs that have been confirmed for a while, on a worker reserved for it, on
   which nothing else starts until the task is cleared, and only after both
-  crashes are stored. It waits for that for a bounded time. Otherwise two bad tasks that start together mask each
-  other: in 5 of 50 runs of a soak test with faults, sound jobs were given up
-  because of that, or bad ones were started a sixth time.
+  crashes are stored; see [`reserved_workers`](super::reserved_workers).
+  Otherwise two bad tasks that start together mask each other: in 5 of 50 runs
+  of a soak test with faults, sound jobs were given up because of that, or bad
+  ones were started a sixth time. In a pool with a single usable worker, where
+  a test shuts out all other tasks, it waits for a bounded time.
 - A task is *cleared* when one of its runs outlives those that were lost, or
   ends by itself.
 - A task is given up, and its job fails, after its third crash if nothing else
