Hold back a lasting task that crashes its workers while its siblings work

Cause: a task that is given up ends its job, also a lasting one, and with it all other runs. A lasting job serves without that task, and its siblings at work show that the step is sound.

Ruled out: to exempt lasting tasks altogether. Without siblings at work nothing tells a sound step from a deadly one, so such a job is given up as before.

Fix: with a sibling that has been at work for a second, the task is held back for 4 s each time it would have been given up. `task: held back` is logged.

Cost: a task that does crash its workers beside sound siblings takes out a worker every few seconds until its job is cancelled.

--- a/crates/dewspar/src/schedule/mod.rs
+++ b/crates/dewspar/src/schedule/mod.rs
@@ -583,6 +583,16 @@
         /// The number of tasks.
         crashes: usize,
     },
+    /// A long-running task isn't started for a while, because workers that
+    /// start it crash while its siblings are at work.
+    HeldBack {
+        /// The task.
+        task: TaskId,
+        /// The number of consecutive workers lost while running the task.
+        crashes: u32,
+        /// For how long, in milliseconds.
+        for_ms: u64,
+    },
     /// A task is given up, because workers that start it crash.
     GivenUp {
         /// The task.
--- a/crates/dewspar/src/schedule/placement.rs
+++ b/crates/dewspar/src/schedule/placement.rs
@@ -498,6 +498,7 @@
         });
         let may_retry_failed_worker =
             spec.long_running || self.may_retry_failed_worker(spec, task, now);
+        let state = state.filter(|state| !state.crashes.is_paused(now));
         move |worker| {
             let (Some(_), Some(state)) = (job, state) else { return false };
             let below_limit = || {
--- a/crates/dewspar/src/schedule/reserved_workers.rs
+++ b/crates/dewspar/src/schedule/reserved_workers.rs
@@ -125,7 +125,10 @@
         now: Now,
     ) -> bool {
         let charge = Scheduler::charge_for(job, spec);
-        self.may_start_as_recorded(job, task)
+        let is_paused =
+            job.task(task).is_some_and(|state| state.crashes.is_paused(now));
+        !is_paused
+            && self.may_start_as_recorded(job, task)
             && self.own_lease.covers_task(job, task)
             && !self.exceeds_quota(charge.as_ref())
             && !self.may_run_from_former_lease(job, spec, now)
--- a/crates/dewspar/src/schedule/suspects.rs
+++ b/crates/dewspar/src/schedule/suspects.rs
@@ -26,7 +26,8 @@
   ends by itself.
 - A task is given up, and its job fails, after its third crash if nothing else
   can have caused it: neither another run nor a VM whose workers crash anyway.
-  After its fourth crash it is given up regardless.
+  After its fourth crash it is given up regardless. A long-running task whose
+  siblings are at work is held back for a while instead, each time.
 
 Starts count as well. The record of a suspected task says whether a run of it
 was in progress, since a new holder can't know how that run ended. Nor can it
@@ -128,6 +129,11 @@
 /// beside other runs, unless the pool's workers still crash.
 const MAX_TEST_WAIT_MS: u64 = 3_000;
 
+/// For how long a task that would be given up is held back if its siblings are
+/// at work, in milliseconds: a few seconds less than it may have nothing
+/// running after a crash.
+const CRASH_PAUSE_MS: u64 = 4_000;
+
 /// The consecutive crashes under one task.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct CrashHistory {
@@ -161,6 +167,8 @@
     /// The newest change when the run in progress was recorded as ordered; 0
     /// if it wasn't by this holder.
     run_sequence: u64,
+    /// Until when the task is held back, in milliseconds of the steady clock.
+    paused_until_ms: u64,
 }
 
 impl CrashHistory {
@@ -336,6 +344,11 @@
         }
     }
 
+    /// Returns whether the task is held back now.
+    pub(super) fn is_paused(&self, now: Now) -> bool {
+        now.steady_ms < self.paused_until_ms
+    }
+
     /// Returns the number of the change that stores this.
     pub(super) fn sequence(&self) -> u64 {
         self.sequence
@@ -789,11 +802,55 @@
         }
     }
 
+    /// Gives up a task that crashes its workers, and with it the job. If other
+    /// tasks of a long-running step are at work, only the task is held back
+    /// for a while: its job would take them from their callers.
     pub(super) fn give_up(&mut self, task: &TaskId, crashes: u32, now: Now) {
+        if self.has_siblings_at_work(task) {
+            let job = self.jobs.get_mut(&task.job);
+            let state = job.and_then(|job| job.task_mut(task));
+            let Some(state) = state else { return };
+            state.crashes.paused_until_ms = now.steady_ms + CRASH_PAUSE_MS;
+            self.note(Decision::HeldBack {
+                task: *task,
+                crashes,
+                for_ms: CRASH_PAUSE_MS,
+            });
+            return;
+        }
         self.note(Decision::GivenUp { task: *task, crashes });
         self.finish(task.job, Phase::Failed, now);
     }
 
+    /// Returns whether another task of a long-running step has been at work
+    /// for so long that it doesn't crash its worker.
+    fn has_siblings_at_work(&self, task: &TaskId) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else { return false };
+        let (Some(spec), Some(step)) = (job.step_spec(task), job.step(task))
+        else {
+            return false;
+        };
+        // Members of a gang end together.
+        if !spec.long_running || spec.gang {
+            return false;
+        }
+        let is_at_work = |sibling: &TaskId, on: &WorkerId| {
+            let worker = self.workers.get(on);
+            worker.is_some_and(|worker| {
+                let reported_ms = worker.latest_report_ms();
+                worker.runs.get(sibling).is_some_and(|run| {
+                    !run.is_stopping()
+                        && run.confirmed_ms(reported_ms) >= SUSPECT_AGE_MS
+                })
+            })
+        };
+        (0..).zip(&step.tasks).any(|(index, state)| {
+            let sibling = TaskId { index, ..*task };
+            index != task.index
+                && state.workers.iter().any(|on| is_at_work(&sibling, on))
+        })
+    }
+
     /// Returns beside which runs a task may start now.
     ///
     /// A worker is reserved for a task under test, and each suspect there is
--- a/crates/dewspar/tests/schedule/crashing.rs
+++ b/crates/dewspar/tests/schedule/crashing.rs
@@ -21,7 +21,7 @@
     },
     dewspar::{
         job::{JobId, StepSpec, TaskId},
-        schedule::{Decision, Resources},
+        schedule::{Decision, Resources, StartOrder, WorkerId},
     },
     dewspar_standin::task_worker::Fate,
 };
@@ -316,3 +316,42 @@
     assert!(world.crashes <= 3 * 16, "{} crashes", world.crashes);
     assert!(lost <= 350, "{lost} runs of sound jobs were lost");
 }
+
+/// Guards against tasks at work that are stopped because the workers of a
+/// sibling crash.
+#[test]
+fn a_long_running_task_that_crashes_takes_no_sibling_with_it() {
+    let names = ["w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"];
+    let mut world = World::new(5, &names);
+    world.fate = Fate::endless();
+    world.list();
+    let mut lasting = step(5);
+    lasting.long_running = true;
+    lasting.max_per_worker = 1;
+    lasting.max_unavailable = 1;
+    world.scheduler.submit(id(1), job(vec![lasting]), 6, None);
+    world.run_for(5_000);
+    assert_eq!(world.running().len(), 5);
+    // From now on one of the tasks crashes each worker that starts it.
+    let bad = first_task(id(1));
+    world.crashing.push(bad);
+    let started = |start: &&(WorkerId, StartOrder)| start.1.task == bad;
+    let (worker, _) = world.starts.iter().find(started).expect("a start");
+    let worker = worker.clone();
+    world.crash_worker_on(&format!("vm-of-{}", worker.as_str()));
+    let reason = "the VM service says that it ended";
+    world.scheduler.worker_gone(&worker, reason, at(world.now_ms));
+    for _ in 0..60 {
+        world.run_for(1_000);
+        let mut running = world.running();
+        running.retain(|task| *task != bad.to_string());
+        assert_eq!(running.len(), 4, "a sibling stopped: {}", world.now_ms);
+    }
+    assert_ne!(world.phases.get(&id(1)), Some(&"failed"));
+    // It is tried again at a bounded rate, and starts once it can.
+    let starts = starts_of(&world, &bad);
+    assert!((6..=18).contains(&starts), "started {starts} times");
+    world.crashing.clear();
+    world.run_for(10_000);
+    assert_eq!(world.running().len(), 5);
+}
--- a/crates/dewspard/src/jobs/decisions.rs
+++ b/crates/dewspard/src/jobs/decisions.rs
@@ -150,6 +150,11 @@
             info!(log, "worker: crash retracted"; "worker" => %worker,
                 "tasks" => crashes);
         }
+        Decision::HeldBack { task, crashes, for_ms } => {
+            warn!(log, "task: held back"; "job" => %task.job,
+                "task" => %task, "crashes" => crashes, "for_ms" => for_ms,
+                "reason" => "workers crash that start it, its siblings work");
+        }
         Decision::GivenUp { task, crashes } => {
             warn!(log, "task: given up"; "job" => %task.job, "task" => %task,
                 "crashes" => crashes,
